Workspace, identifiers, core boundary and contracts

Cause: nothing stood yet; every crate needs the same identifiers, the core's events and actions, and the HTTP contracts before it can be built side by side. Weighed: claim rows in the store for each call, partition leases, and a single designated runner named by the key; the last needs no store on the hot path and is what ident::Key holds. Not yet whole: node and wire wait for fleet, table and route.

--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command.
--- /dev/null
+++ b/crates/engine/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients for model engines and plain applications.
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry daemon: sockets, settings, logs and metrics round the core.
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership of instances and ownership by rendezvous hashing.
--- /dev/null
+++ b/crates/ident/src/handle.rs
@@ -0,0 +1,59 @@
+//! The name under which a replica knows one attempt at a request.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Incarnation;
+
+/// One attempt at a request, unique over all daemons and restarts.
+///
+/// Written `<incarnation>-<sequence>`, both in hexadecimal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Handle {
+    /// The daemon run that made the attempt.
+    pub owner: Incarnation,
+    /// Counts the attempts of that run.
+    pub sequence: u64,
+}
+
+impl Handle {
+    /// The attempt `sequence` of `owner`.
+    pub const fn new(owner: Incarnation, sequence: u64) -> Self {
+        Self { owner, sequence }
+    }
+}
+
+impl fmt::Display for Handle {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{:x}", self.owner, self.sequence)
+    }
+}
+
+/// A text that is not a handle.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ParseError(String);
+
+impl fmt::Display for ParseError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "`{}` is not a handle of the form <incarnation>-<sequence>", self.0)
+    }
+}
+
+impl std::error::Error for ParseError {}
+
+impl FromStr for Handle {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let parse = || {
+            let (owner, sequence) = text.split_once('-')?;
+            let owner = u64::from_str_radix(owner, 16).ok()?;
+            let sequence = u64::from_str_radix(sequence, 16).ok()?;
+            Some(Self::new(Incarnation(owner), sequence))
+        };
+        parse().ok_or_else(|| ParseError(text.to_owned()))
+    }
+}
--- /dev/null
+++ b/crates/ident/src/key.rs
@@ -0,0 +1,75 @@
+//! Idempotency keys.
+//!
+//! A key names its runner: the prefix that an address answer hands out holds the incarnation that
+//! alone may start the request, and the time of issue. A repeat of the key therefore reaches the
+//! same runner through whichever instance it arrives, without any agreement between instances.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Incarnation;
+
+/// The part of a key that a daemon issues: `<incarnation>.<issued>.`, both in hexadecimal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Prefix {
+    /// The only daemon run that may start a request with this key.
+    pub runner: Incarnation,
+    /// When the prefix was issued, in seconds of the Unix clock.
+    pub issued: u64,
+}
+
+impl Prefix {
+    /// The prefix for `runner`, issued at `issued` seconds of the Unix clock.
+    pub const fn new(runner: Incarnation, issued: u64) -> Self {
+        Self { runner, issued }
+    }
+
+    /// Reads the prefix of `key`; `None` if the key does not begin with one.
+    pub fn parse(key: &str) -> Option<Self> {
+        let mut parts = key.splitn(3, '.');
+        let runner = parts.next().filter(|part| part.len() == 16)?;
+        let issued = parts.next().filter(|part| part.len() == 8)?;
+        parts.next().filter(|rest| !rest.is_empty())?;
+        let runner = u64::from_str_radix(runner, 16).ok()?;
+        let issued = u64::from_str_radix(issued, 16).ok()?;
+        Some(Self::new(Incarnation(runner), issued))
+    }
+}
+
+impl fmt::Display for Prefix {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:08x}.", self.runner, self.issued)
+    }
+}
+
+/// A caller's idempotency key, scoped to its customer.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Key {
+    /// The customer that presented the key.
+    pub customer: String,
+    /// The key as presented, with its prefix.
+    pub text: String,
+}
+
+impl Key {
+    /// The longest key text that is taken, in bytes.
+    pub const MAX_LEN: usize = 128;
+
+    /// The key `text` of `customer`.
+    pub fn new(customer: &str, text: &str) -> Self {
+        Self { customer: customer.to_owned(), text: text.to_owned() }
+    }
+
+    /// The prefix inside the key, if it has one.
+    pub fn prefix(&self) -> Option<Prefix> {
+        Prefix::parse(&self.text)
+    }
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.customer, self.text)
+    }
+}
--- /dev/null
+++ b/crates/ident/src/lib.rs
@@ -0,0 +1,22 @@
+//! Identifiers and time shared by every crate.
+//!
+//! Every identifier is a small `Copy` key. Names of instances, replicas and table rows are hashed
+//! once into 64 bits, so that all daemons agree on the key without exchanging it.
+
+mod handle;
+mod key;
+mod name;
+mod time;
+
+pub use handle::Handle;
+pub use handle::ParseError as HandleError;
+pub use key::Key;
+pub use key::Prefix;
+pub use name::Customer;
+pub use name::Incarnation;
+pub use name::Instance;
+pub use name::Pool;
+pub use name::Replica;
+pub use name::Row;
+pub use name::Zone;
+pub use time::Time;
--- /dev/null
+++ b/crates/ident/src/time.rs
@@ -0,0 +1,54 @@
+//! Monotonic time as the core sees it.
+
+use std::ops::Add;
+use std::ops::Sub;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A point on the driver's monotonic clock, in microseconds since an origin of its choice.
+///
+/// Never sent to another process: frames carry ages, not points.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Time(pub u64);
+
+impl Time {
+    /// The origin of the clock.
+    pub const ZERO: Self = Self(0);
+    /// Later than any point that is reached.
+    pub const NEVER: Self = Self(u64::MAX);
+
+    /// The point `ms` milliseconds after the origin.
+    pub const fn from_millis(ms: u64) -> Self {
+        Self(ms * 1_000)
+    }
+
+    /// Whole milliseconds since the origin.
+    pub const fn as_millis(self) -> u64 {
+        self.0 / 1_000
+    }
+
+    /// Time passed since `earlier`; zero if `earlier` lies ahead.
+    pub const fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Time {
+    type Output = Self;
+
+    fn add(self, span: Duration) -> Self {
+        Self(self.0.saturating_add(span.as_micros() as u64))
+    }
+}
+
+impl Sub<Duration> for Time {
+    type Output = Self;
+
+    fn sub(self, span: Duration) -> Self {
+        Self(self.0.saturating_sub(span.as_micros() as u64))
+    }
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! Measurements of the routing policy in virtual time.
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,18 @@
+//! The decision core of a daemon: events in, actions out.
+//!
+//! [`Node::step`] is the whole boundary. A driver (the entry daemon, a test or another harness)
+//! passes in what happened and the present time, and carries out the actions it gets back. The
+//! core has no sockets, files, clock or threads; its only randomness is a seeded generator.
+
+pub mod action;
+pub mod decision;
+pub mod event;
+pub mod ids;
+pub mod list;
+mod node;
+pub mod request;
+pub mod settings;
+pub mod status;
+mod token;
+
+pub use node::Node;
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,23 @@
+//! Admission, waiting and the pairing of prefill and decode.
+//!
+//! A [`cell::Cell`] holds the one queue of a group of replicas. It takes small
+//! [`ticket::Ticket`]s, decides when and where each request runs, and answers with
+//! [`verdict::Verdict`]s. It does no input or output, reads no clock and draws from a seeded
+//! generator, so equal inputs give equal decisions.
+
+mod cache;
+mod flow;
+mod link;
+mod memo;
+mod queue;
+mod rate;
+mod row;
+mod server;
+
+pub mod cell;
+pub mod phase;
+pub mod policy;
+pub mod replica;
+pub mod rule;
+pub mod ticket;
+pub mod verdict;
--- /dev/null
+++ b/crates/route/src/ticket.rs
@@ -0,0 +1,73 @@
+//! What an owner tells the keeper of a cell about a request: everything but the prompt.
+
+use std::time::Duration;
+
+use ident::Handle;
+use ident::Replica;
+use ident::Row;
+use ident::Zone;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// The number of replicas that [`Ticket::avoid`] may name.
+pub const MAX_AVOID: usize = 4;
+
+/// What a request asks of a replica.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Work {
+    /// A request to a model: one prefill, then one decode.
+    Model {
+        /// Tokens of the prompt, with those generated before a decode engine was lost.
+        prompt_tokens: u32,
+        /// The most tokens that may be generated.
+        max_tokens: u32,
+        /// Hashes of the prompt's prefix blocks, the first block first.
+        blocks: Vec<u64>,
+        /// Tokens that the caller already has; zero unless a lost decode is continued.
+        done_tokens: u32,
+    },
+    /// A call to a plain application.
+    Plain,
+}
+
+/// One attempt at a request that asks for a place to run.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ticket {
+    /// The attempt.
+    pub handle: Handle,
+    /// The row of the table that governs the request.
+    pub row: Row,
+    /// What is to be run.
+    pub work: Work,
+    /// Time between the arrival of the request at its owner and the sending of the ticket.
+    pub waited: Duration,
+    /// The data centre of the owner.
+    pub home: Zone,
+    /// Earlier attempts at the same request.
+    pub attempt: u8,
+    /// Replicas that failed earlier attempts, at most [`MAX_AVOID`].
+    pub avoid: Vec<Replica>,
+}
+
+impl Ticket {
+    /// Whether the ticket asks for a place again after a failed attempt.
+    pub const fn is_retry(&self) -> bool {
+        self.attempt > 0
+    }
+
+    /// Tokens of the prompt; zero for a plain call.
+    pub const fn prompt_tokens(&self) -> u32 {
+        match self.work {
+            Work::Model { prompt_tokens, .. } => prompt_tokens,
+            Work::Plain => 0,
+        }
+    }
+
+    /// Hashes of the prompt's prefix blocks; empty for a plain call.
+    pub fn blocks(&self) -> &[u64] {
+        match &self.work {
+            Work::Model { blocks, .. } => blocks,
+            Work::Plain => &[],
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/verdict.rs
@@ -0,0 +1,89 @@
+//! What the keeper of a cell answers.
+
+use std::fmt;
+use std::time::Duration;
+
+use ident::Handle;
+use ident::Replica;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Why a request was refused. No byte of it has reached a replica because of the refused ticket.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Reason {
+    /// The first token cannot come before the row's longest wait ends.
+    Doomed,
+    /// The row's ceiling admits no request at all.
+    Ceiling,
+    /// No replica can take the request.
+    NoReplica,
+    /// The row's budget for retries is spent.
+    RetryBudget,
+    /// The table has no such row.
+    UnknownRow,
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Doomed => "doomed",
+            Self::Ceiling => "ceiling",
+            Self::NoReplica => "no_replica",
+            Self::RetryBudget => "retry_budget",
+            Self::UnknownRow => "unknown_row",
+        })
+    }
+}
+
+/// Where a request runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Choice {
+    /// A model request: the prefill may start, a decode slot is secured.
+    ///
+    /// After [`crate::phase::Phase::Rejected`] it comes again, with the same `prefill` and another
+    /// `decode`.
+    Paired {
+        /// Runs the prefill.
+        prefill: Replica,
+        /// Imports the KV cache and decodes.
+        decode: Replica,
+    },
+    /// A plain call.
+    Single {
+        /// Runs the call.
+        replica: Replica,
+    },
+    /// The request does not run.
+    Refused {
+        /// Why.
+        reason: Reason,
+        /// When a new request of this row is expected to be taken; above zero.
+        retry_after: Duration,
+    },
+}
+
+/// The figures behind a verdict, for the decision log.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Why {
+    /// Replicas (or pairs) that were compared.
+    pub candidates: u32,
+    /// Time since the request arrived at its owner.
+    pub waited: Duration,
+    /// Predicted time from arrival to the first token.
+    pub ttft: Duration,
+    /// Requests left waiting in the cell.
+    pub queued: u32,
+    /// Prefix blocks expected in the cache of the chosen prefill replica.
+    pub cached_blocks: u32,
+}
+
+/// The answer to one ticket.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Verdict {
+    /// The attempt that is answered.
+    pub handle: Handle,
+    /// What becomes of it.
+    pub choice: Choice,
+    /// The figures behind the choice.
+    pub why: Why,
+}
--- /dev/null
+++ b/crates/scenario/src/lib.rs
@@ -0,0 +1,1 @@
+//! Scripted failure scenarios and the demo fleet.
--- /dev/null
+++ b/crates/table/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' table: rows, checks, edits and generations.
--- /dev/null
+++ b/crates/wire/src/frame.rs
@@ -0,0 +1,144 @@
+//! What daemons tell each other.
+
+use bytes::Bytes;
+use fleet::Message;
+use ident::Handle;
+use ident::Incarnation;
+use ident::Instance;
+use ident::Key;
+use ident::Replica;
+use route::hold::Hold;
+use route::phase::Phase;
+use route::ticket::Ticket;
+use route::verdict::Verdict;
+use serde::Deserialize;
+use serde::Serialize;
+use table::Table;
+
+/// One frame with its sender.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Frame {
+    /// The sending instance.
+    pub from: Instance,
+    /// The sending run of that instance.
+    pub incarnation: Incarnation,
+    /// What is said.
+    pub body: Body,
+}
+
+impl Frame {
+    /// A frame from the run `incarnation` of `from`.
+    pub const fn new(from: Instance, incarnation: Incarnation, body: Body) -> Self {
+        Self { from, incarnation, body }
+    }
+}
+
+/// What a daemon knows of the table, sent to a few peers several times a second.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct News {
+    /// Generation in force at the sender.
+    pub generation: u64,
+    /// Milliseconds since the store was read, by the sender or by whoever told it; `None` if it
+    /// never was.
+    pub store_age_ms: Option<u32>,
+    /// Whether the sender knows of no edit whose commit is undecided.
+    pub settled: bool,
+}
+
+/// What a runner tells another instance about a key.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Told {
+    /// The runner never saw the key, and no byte of the request reached a back end.
+    NotSeen,
+    /// The request is waiting or running without a stream; another answer follows.
+    InProgress,
+    /// The request streams; the sealed token lets any instance take the stream over.
+    Streaming {
+        /// Sealed resume token.
+        token: String,
+    },
+    /// The request was answered.
+    Answered {
+        /// HTTP status of the back end.
+        status: u16,
+        /// The body, if it is still kept.
+        body: Option<Bytes>,
+    },
+    /// The request was refused before any byte reached a back end.
+    NotRun,
+    /// The request was sent and its effect is not known.
+    Unknown,
+    /// The key is older than the window in which keys are remembered.
+    Expired,
+}
+
+/// The body of a frame.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Body {
+    /// Membership.
+    Gossip(Message),
+    /// Table generation and freshness.
+    News(News),
+    /// Asks for the whole table.
+    Pull,
+    /// The whole table.
+    Push(Box<Table>),
+    /// An edit is about to be committed; freshness by contact is void until its end is known.
+    Intent {
+        /// Number of the edit, chosen by the committing daemon.
+        edit: u64,
+    },
+    /// The intent was noted.
+    Noted {
+        /// Number of the edit.
+        edit: u64,
+    },
+    /// The edit ended, committed or not.
+    Settled {
+        /// Number of the edit.
+        edit: u64,
+        /// Generation after the end of the edit.
+        generation: u64,
+    },
+    /// A request asks the keeper of its pool for a placement.
+    Submit(Box<Ticket>),
+    /// The keeper's decision.
+    Verdict(Verdict),
+    /// Progress of a placed request, told to the keeper.
+    Advance {
+        /// The attempt.
+        handle: Handle,
+        /// What it reached.
+        phase: Phase,
+    },
+    /// A placed request, told to a new keeper.
+    Adopt(Box<Hold>),
+    /// What became of `key`?
+    Ask {
+        /// Matches the answer to the question.
+        nonce: u64,
+        /// The key.
+        key: Key,
+    },
+    /// Answer to `Ask`.
+    Told {
+        /// Nonce of the question.
+        nonce: u64,
+        /// The answer.
+        told: Told,
+    },
+    /// The keeper found these attempts on a replica: are they still wanted?
+    Claimed {
+        /// Where they were found.
+        replica: Replica,
+        /// The attempts.
+        handles: Vec<Handle>,
+    },
+    /// These attempts are not wanted by their owner.
+    Disowned {
+        /// Where they were found.
+        replica: Replica,
+        /// The attempts.
+        handles: Vec<Handle>,
+    },
+}
