--- /dev/null
+++ b/crates/table/src/edit.rs
@@ -0,0 +1,287 @@
+//! Edits of the table and conflicts between racing operators.
+
+use std::collections::BTreeSet;
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Table;
+use crate::diff;
+use crate::drain::Mark;
+use crate::error::Error;
+use crate::error::Place;
+use crate::error::Report;
+use crate::row::Row;
+use crate::row::is_name;
+
+/// The longest note, in bytes.
+pub const MAX_NOTE: usize = 1024;
+
+/// One change of an edit.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Change {
+    /// Adds or replaces a row.
+    Put {
+        /// The wanted row.
+        row: Row,
+        /// The row that the operator saw; `None` if there was none.
+        base: Option<Row>,
+    },
+    /// Removes a row.
+    Remove {
+        /// The row that the operator saw; its key names the row to remove.
+        base: Row,
+    },
+    /// Marks an instance or replica to drain.
+    Drain(Mark),
+    /// Takes the mark away.
+    Undrain(Mark),
+}
+
+/// A set of changes that an operator makes at once.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Edit {
+    /// Unique; an edit whose acknowledgement was lost is recognised by it.
+    pub id: String,
+    /// The changes, each row key and each mark at most once.
+    pub changes: Vec<Change>,
+    /// Why the edit is made.
+    pub note: String,
+    /// Who makes it.
+    pub operator: String,
+}
+
+impl Edit {
+    /// An edit without changes.
+    pub fn new(id: &str, operator: &str) -> Self {
+        Self {
+            id: id.to_owned(),
+            changes: Vec::new(),
+            note: String::new(),
+            operator: operator.to_owned(),
+        }
+    }
+
+    /// The edit that turns the rows of `base` into `wanted` and leaves the marks alone.
+    pub fn between(id: &str, operator: &str, base: &Table, wanted: &[Row]) -> Self {
+        let mut edit = Self::new(id, operator);
+        let keys: BTreeSet<_> = wanted.iter().map(Row::parts).collect();
+        let removed = base.rows.iter().filter(|row| !keys.contains(&row.parts()));
+        edit.changes
+            .extend(removed.map(|row| Change::Remove { base: row.clone() }));
+        for row in wanted {
+            let current = base.row(&row.service, &row.class, &row.pool);
+            if current != Some(row) {
+                edit.changes.push(Change::Put {
+                    row: row.clone(),
+                    base: current.cloned(),
+                });
+            }
+        }
+        edit
+    }
+
+    /// The same edit with `note`.
+    #[must_use]
+    pub fn with_note(mut self, note: &str) -> Self {
+        note.clone_into(&mut self.note);
+        self
+    }
+
+    /// The same edit with one more change.
+    #[must_use]
+    pub fn with_change(mut self, change: Change) -> Self {
+        self.changes.push(change);
+        self
+    }
+
+    /// Checks the edit by itself: its texts, its rows, and that nothing is changed twice.
+    ///
+    /// # Errors
+    ///
+    /// Every fault found.
+    pub fn check(&self) -> Result<(), Report> {
+        let mut errors = Vec::new();
+        let texts = [("id", &self.id), ("operator", &self.operator)];
+        let texts = texts.into_iter().filter(|(_, text)| !is_name(text));
+        errors.extend(texts.map(|(name, text)| bad_text(name, text)));
+        if self.note.len() > MAX_NOTE {
+            errors.push(Error::Size {
+                bytes: self.note.len(),
+                most: MAX_NOTE,
+            });
+        }
+        if self.changes.is_empty() {
+            errors.push(Error::Empty);
+        }
+        let mut seen = BTreeSet::new();
+        for change in &self.changes {
+            errors.extend(change.check());
+            let key = change.key();
+            if seen.contains(&key) {
+                errors.push(Error::Duplicate {
+                    place: Place::new(&key, ""),
+                    first: None,
+                });
+            }
+            seen.insert(key);
+        }
+        Report::check(errors)
+    }
+
+    /// The table after the edit, one generation further.
+    ///
+    /// A row that already is as wanted is no conflict, whoever made it so.
+    ///
+    /// # Errors
+    ///
+    /// A conflict, with every row that differs from what the operator saw.
+    pub fn apply(&self, table: &Table) -> Result<Table, Conflict> {
+        let clashes: Vec<Clash> = self
+            .changes
+            .iter()
+            .filter_map(|change| change.clash(table))
+            .collect();
+        if !clashes.is_empty() {
+            return Err(Conflict {
+                generation: table.generation,
+                clashes,
+            });
+        }
+        let mut next = table.clone();
+        next.generation += 1;
+        for change in &self.changes {
+            change.apply(&mut next);
+        }
+        Ok(next)
+    }
+}
+
+impl Change {
+    /// What is changed: a row key or a mark.
+    pub fn key(&self) -> String {
+        match self {
+            Self::Put { row, .. } | Self::Remove { base: row } => row.key(),
+            Self::Drain(mark) | Self::Undrain(mark) => mark.to_string(),
+        }
+    }
+
+    fn check(&self) -> Vec<Error> {
+        match self {
+            Self::Put {
+                row,
+                base: Some(base),
+            } if row.parts() != base.parts() => {
+                vec![bad_text("base", &base.key())]
+            }
+            Self::Put { row, .. } => row.check(),
+            Self::Remove { .. } => Vec::new(),
+            Self::Drain(mark) | Self::Undrain(mark) if !is_name(mark.name()) => {
+                vec![bad_text(mark.kind(), mark.name())]
+            }
+            Self::Drain(_) | Self::Undrain(_) => Vec::new(),
+        }
+    }
+
+    fn clash(&self, table: &Table) -> Option<Clash> {
+        let (key, base, wanted) = match self {
+            Self::Put { row, base } => (row, base.as_ref(), Some(row)),
+            Self::Remove { base } => (base, Some(base), None),
+            Self::Drain(_) | Self::Undrain(_) => return None,
+        };
+        let current = table.row(&key.service, &key.class, &key.pool);
+        let conflicts = current != base && current != wanted;
+        conflicts.then(|| Clash {
+            key: key.key(),
+            base: base.cloned(),
+            current: current.cloned(),
+            wanted: wanted.cloned(),
+        })
+    }
+
+    fn apply(&self, table: &mut Table) {
+        match self {
+            Self::Put { row, .. } => {
+                let found = table
+                    .rows
+                    .binary_search_by(|other| other.parts().cmp(&row.parts()));
+                match found {
+                    Ok(index) => table.rows[index] = row.clone(),
+                    Err(index) => table.rows.insert(index, row.clone()),
+                }
+            }
+            Self::Remove { base } => table.rows.retain(|row| row.parts() != base.parts()),
+            Self::Drain(mark) => {
+                table.drains.insert(mark.clone());
+            }
+            Self::Undrain(mark) => {
+                table.drains.remove(mark);
+            }
+        }
+    }
+}
+
+fn bad_text(field: &str, value: &str) -> Error {
+    Error::Text {
+        place: Place::new("", field),
+        value: value.to_owned(),
+    }
+}
+
+/// A row that is no longer as the operator saw it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Clash {
+    /// `service/class/pool`.
+    pub key: String,
+    /// What the operator saw.
+    pub base: Option<Row>,
+    /// What the table holds now.
+    pub current: Option<Row>,
+    /// What the operator wants.
+    pub wanted: Option<Row>,
+}
+
+impl fmt::Display for Clash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            key,
+            base,
+            current,
+            wanted,
+        } = self;
+        write!(f, "{key}: now {}", against(base.as_ref(), current.as_ref()))?;
+        write!(f, "; wanted {}", against(base.as_ref(), wanted.as_ref()))
+    }
+}
+
+fn against(base: Option<&Row>, row: Option<&Row>) -> String {
+    match (base, row) {
+        (_, None) => "absent".to_owned(),
+        (None, Some(row)) => diff::describe(row),
+        (Some(base), Some(row)) if base == row => "as you saw it".to_owned(),
+        (Some(base), Some(row)) => diff::columns(base, row).join(", "),
+    }
+}
+
+/// An edit that would overwrite another operator's.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Conflict {
+    /// The generation that was found.
+    pub generation: u64,
+    /// The rows in conflict, never empty.
+    pub clashes: Vec<Clash>,
+}
+
+impl fmt::Display for Conflict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "conflict with generation {}", self.generation)?;
+        for clash in &self.clashes {
+            write!(f, "\n{clash}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Conflict {}
--- /dev/null
+++ b/crates/table/src/file.rs
@@ -0,0 +1,239 @@
+//! The file form: a YAML list of rows.
+//!
+//! `service`, `class` and `pool` are required. Every other column may be left out and takes its
+//! default (`row::DEFAULT_*`; `max_wait_ms` is raised to `ttft_ms` where that is longer).
+//! Unknown columns are refused.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+
+use crate::Table;
+use crate::error::Error;
+use crate::error::Place;
+use crate::error::Report;
+use crate::row;
+use crate::row::KEY_COLUMNS;
+use crate::row::Range;
+use crate::row::Row;
+
+/// The longest file that is read, in bytes.
+pub const MAX_BYTES: usize = 4 * 1024 * 1024;
+
+/// The columns as written; numbers are wide enough to hold what is out of range.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Columns {
+    service: Option<String>,
+    class: Option<String>,
+    pool: Option<String>,
+    share: Option<i64>,
+    priority: Option<i64>,
+    ttft_ms: Option<i64>,
+    tbt_ms: Option<i64>,
+    max_wait_ms: Option<i64>,
+    prefill_ceiling: Option<i64>,
+    decode_ceiling: Option<i64>,
+    retry_percent: Option<i64>,
+    waste_percent: Option<i64>,
+    repeatable: Option<bool>,
+}
+
+impl Columns {
+    fn key(&self) -> String {
+        let part = |text: &Option<String>| text.clone().unwrap_or_else(|| "?".to_owned());
+        format!(
+            "{}/{}/{}",
+            part(&self.service),
+            part(&self.class),
+            part(&self.pool)
+        )
+    }
+
+    /// The faults that the typed row could not hold.
+    fn faults(&self) -> Vec<Error> {
+        let key = self.key();
+        let texts = [
+            ("service", &self.service),
+            ("class", &self.class),
+            ("pool", &self.pool),
+        ];
+        let missing = texts.into_iter().filter(|(_, text)| text.is_none());
+        let missing = missing.map(|(name, _)| Error::Missing {
+            place: Place::new(&key, name),
+        });
+        let ranges = self.numbers().into_iter();
+        let ranges = ranges.filter_map(|(range, value)| range.check(&key, value?));
+        missing.chain(ranges).collect()
+    }
+
+    fn numbers(&self) -> [(Range, Option<i64>); 9] {
+        [
+            (row::SHARE, self.share),
+            (row::PRIORITY, self.priority),
+            (row::TTFT_MS, self.ttft_ms),
+            (row::TBT_MS, self.tbt_ms),
+            (row::MAX_WAIT_MS, self.max_wait_ms),
+            (row::PREFILL_CEILING, self.prefill_ceiling),
+            (row::DECODE_CEILING, self.decode_ceiling),
+            (row::RETRY_PERCENT, self.retry_percent),
+            (row::WASTE_PERCENT, self.waste_percent),
+        ]
+    }
+
+    /// The typed row; every number has been found in range.
+    fn row(self) -> Row {
+        let long = |value: Option<i64>, default: u32| value.map_or(default, |value| value as u32);
+        let short = |value: Option<i64>, default: u8| value.map_or(default, |value| value as u8);
+        let ttft_ms = long(self.ttft_ms, row::DEFAULT_TTFT_MS);
+        Row {
+            service: self.service.unwrap_or_default(),
+            class: self.class.unwrap_or_default(),
+            pool: self.pool.unwrap_or_default(),
+            share: long(self.share, row::DEFAULT_SHARE),
+            priority: short(self.priority, row::DEFAULT_PRIORITY),
+            ttft_ms,
+            tbt_ms: long(self.tbt_ms, row::DEFAULT_TBT_MS),
+            max_wait_ms: long(self.max_wait_ms, row::DEFAULT_MAX_WAIT_MS.max(ttft_ms)),
+            prefill_ceiling: long(self.prefill_ceiling, row::DEFAULT_PREFILL_CEILING),
+            decode_ceiling: long(self.decode_ceiling, row::DEFAULT_DECODE_CEILING),
+            retry_percent: short(self.retry_percent, row::DEFAULT_RETRY_PERCENT),
+            waste_percent: short(self.waste_percent, row::DEFAULT_WASTE_PERCENT),
+            repeatable: self.repeatable.unwrap_or(true),
+        }
+    }
+}
+
+/// Reads the rows of a file, ordered by key.
+///
+/// # Errors
+///
+/// Every fault found, with its line and column where they can be told.
+pub fn parse(text: &str) -> Result<Vec<Row>, Report> {
+    if text.len() > MAX_BYTES {
+        return Err(Error::Size {
+            bytes: text.len(),
+            most: MAX_BYTES,
+        }
+        .into());
+    }
+    let columns: Vec<Columns> =
+        serde_norway::from_str(text).map_err(|error| Report::from(syntax(&error)))?;
+    if columns.len() > Table::MAX_ROWS {
+        return Err(Error::Count {
+            rows: columns.len(),
+        }
+        .into());
+    }
+    let lines = Lines::new(text, columns.len());
+    let mut errors = Vec::new();
+    let mut rows = Vec::with_capacity(columns.len());
+    let mut seen = BTreeMap::new();
+    for (index, columns) in columns.into_iter().enumerate() {
+        let faults = columns.faults();
+        let row = faults.is_empty().then(|| columns.row());
+        let faults = faults.into_iter().chain(row.iter().flat_map(Row::check));
+        errors.extend(faults.map(|fault| lines.locate(index, fault)));
+        let Some(row) = row else { continue };
+        match seen.insert(row.key(), index) {
+            Some(first) => {
+                let place = Place::new(&row.key(), "").with_line(lines.start(index));
+                errors.push(Error::Duplicate {
+                    place,
+                    first: lines.start(first),
+                });
+            }
+            None => rows.push(row),
+        }
+    }
+    Report::check(errors)?;
+    Ok(Table::new(0, rows).rows)
+}
+
+/// Writes `rows` in the file form, every column spelt out.
+pub fn print(rows: &[Row]) -> String {
+    if rows.is_empty() {
+        return "[]\n".to_owned();
+    }
+    rows.iter().map(print_row).collect()
+}
+
+fn print_row(row: &Row) -> String {
+    let columns = row.columns();
+    let lines = columns.iter().enumerate().map(|(index, column)| {
+        let lead = if index == 0 { "- " } else { "  " };
+        // Names may look like numbers or booleans to YAML, so the key columns are quoted.
+        let quote = if index < KEY_COLUMNS { "\"" } else { "" };
+        format!("{lead}{}: {quote}{}{quote}\n", column.name, column.value)
+    });
+    lines.collect()
+}
+
+fn syntax(error: &serde_norway::Error) -> Error {
+    let found = error.to_string();
+    let path = found
+        .split(": ")
+        .next()
+        .filter(|path| path.starts_with('['));
+    let field = path
+        .and_then(|path| path.rsplit_once('.'))
+        .map_or("", |(_, field)| field);
+    let line = error.location().map(|location| location.line());
+    let place = Place::new("", field).with_line(line);
+    Error::Syntax { place, found }
+}
+
+/// Finds rows and columns in a file written in block style.
+#[derive(Debug)]
+struct Lines<'a> {
+    text: Vec<&'a str>,
+    /// Index of the first line of each row; empty if rows can't be told apart by lines.
+    starts: Vec<usize>,
+}
+
+impl<'a> Lines<'a> {
+    fn new(text: &'a str, rows: usize) -> Self {
+        let text: Vec<&str> = text.lines().collect();
+        let indent = |line: &str| line.len() - line.trim_start().len();
+        let is_item = |line: &str| line.trim_start().starts_with("- ") || line.trim() == "-";
+        let first = text
+            .iter()
+            .find(|line| is_item(line))
+            .map(|line| indent(line));
+        let starts = text.iter().enumerate();
+        let starts = starts.filter(|(_, line)| is_item(line) && Some(indent(line)) == first);
+        let mut starts: Vec<usize> = starts.map(|(index, _)| index).collect();
+        if starts.len() != rows {
+            starts.clear();
+        }
+        Self { text, starts }
+    }
+
+    /// The first line of row `index`, counted from 1.
+    fn start(&self, index: usize) -> Option<usize> {
+        self.starts.get(index).map(|start| start + 1)
+    }
+
+    /// Adds the line of the fault's column, or else of the row.
+    fn locate(&self, index: usize, fault: Error) -> Error {
+        let Some(&start) = self.starts.get(index) else {
+            return fault;
+        };
+        let end = self
+            .starts
+            .get(index + 1)
+            .copied()
+            .unwrap_or(self.text.len());
+        let field = fault
+            .place()
+            .map_or(String::new(), |place| format!("{}:", place.field));
+        let is_field = |line: &&str| {
+            line.trim_start()
+                .trim_start_matches("- ")
+                .trim_start()
+                .starts_with(&field)
+        };
+        let offset = self.text[start..end].iter().position(|line| is_field(line));
+        fault.with_line(Some(start + offset.unwrap_or(0) + 1))
+    }
+}
--- /dev/null
+++ b/crates/table/src/row.rs
@@ -0,0 +1,227 @@
+//! Rows of the table and the checks on one row.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::error::Error;
+use crate::error::Place;
+
+/// The number of key columns, which come first in a row.
+pub const KEY_COLUMNS: usize = 3;
+/// The longest text in a key column, in bytes.
+pub const MAX_TEXT: usize = 64;
+/// The largest share.
+pub const MAX_SHARE: u32 = 1_000_000;
+/// The last priority; zero is the highest.
+pub const LAST_PRIORITY: u8 = 9;
+/// The largest latency target or wait: one day, in milliseconds.
+pub const MAX_SPAN_MS: u32 = 86_400_000;
+/// The largest ceiling, in requests at once.
+pub const MAX_CEILING: u32 = 10_000_000;
+
+/// Default of `share`.
+pub const DEFAULT_SHARE: u32 = 1;
+/// Default of `priority`.
+pub const DEFAULT_PRIORITY: u8 = 5;
+/// Default of `ttft_ms`.
+pub const DEFAULT_TTFT_MS: u32 = 2_000;
+/// Default of `tbt_ms`.
+pub const DEFAULT_TBT_MS: u32 = 50;
+/// Default of `max_wait_ms`, raised to `ttft_ms` where that is longer.
+pub const DEFAULT_MAX_WAIT_MS: u32 = 10_000;
+/// Default of `prefill_ceiling`.
+pub const DEFAULT_PREFILL_CEILING: u32 = 256;
+/// Default of `decode_ceiling`.
+pub const DEFAULT_DECODE_CEILING: u32 = 1_024;
+/// Default of `retry_percent`.
+pub const DEFAULT_RETRY_PERCENT: u8 = 10;
+/// Default of `waste_percent`.
+pub const DEFAULT_WASTE_PERCENT: u8 = 50;
+
+/// Weights and limits for one service, caller class and pool.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Row {
+    /// The service that callers name.
+    pub service: String,
+    /// The caller class.
+    pub class: String,
+    /// The pool of replicas that serves the calls.
+    pub pool: String,
+    /// Weight against the other rows of the pool, at least 1.
+    pub share: u32,
+    /// 0 (served first) to 9.
+    pub priority: u8,
+    /// Target for the time to first token (for plain services: to the answer), in milliseconds.
+    pub ttft_ms: u32,
+    /// Target for the time between tokens, in milliseconds.
+    pub tbt_ms: u32,
+    /// How long a request may wait before it is refused, in milliseconds; at least `ttft_ms`.
+    pub max_wait_ms: u32,
+    /// Prefills at once over all daemons.
+    pub prefill_ceiling: u32,
+    /// Decodes at once over all daemons; for plain services, calls at once.
+    pub decode_ceiling: u32,
+    /// Retries allowed, in percent of the requests accepted.
+    pub retry_percent: u8,
+    /// How strongly wasted prefill weighs against goodput, in percent.
+    pub waste_percent: u8,
+    /// Whether calls may be repeated; `false` makes every call of the service non-repeatable.
+    pub repeatable: bool,
+}
+
+impl Row {
+    /// The row for `service`, `class` and `pool` with the default of every other column.
+    pub fn new(service: &str, class: &str, pool: &str) -> Self {
+        Self {
+            service: service.to_owned(),
+            class: class.to_owned(),
+            pool: pool.to_owned(),
+            share: DEFAULT_SHARE,
+            priority: DEFAULT_PRIORITY,
+            ttft_ms: DEFAULT_TTFT_MS,
+            tbt_ms: DEFAULT_TBT_MS,
+            max_wait_ms: DEFAULT_MAX_WAIT_MS,
+            prefill_ceiling: DEFAULT_PREFILL_CEILING,
+            decode_ceiling: DEFAULT_DECODE_CEILING,
+            retry_percent: DEFAULT_RETRY_PERCENT,
+            waste_percent: DEFAULT_WASTE_PERCENT,
+            repeatable: true,
+        }
+    }
+
+    /// The key of the row as a small `Copy` value.
+    pub fn id(&self) -> ident::Row {
+        ident::Row::with_parts(&self.service, &self.class, &self.pool)
+    }
+
+    /// The key of the row, `service/class/pool`.
+    pub fn key(&self) -> String {
+        format!("{}/{}/{}", self.service, self.class, self.pool)
+    }
+
+    /// The key columns, in the order by which rows are sorted.
+    pub fn parts(&self) -> (&str, &str, &str) {
+        (&self.service, &self.class, &self.pool)
+    }
+
+    /// Every column with its value as text, in file order.
+    pub fn columns(&self) -> Vec<Column> {
+        let column = |name, value: &dyn fmt::Display| Column {
+            name,
+            value: value.to_string(),
+        };
+        vec![
+            column("service", &self.service),
+            column("class", &self.class),
+            column("pool", &self.pool),
+            column("share", &self.share),
+            column("priority", &self.priority),
+            column("ttft_ms", &self.ttft_ms),
+            column("tbt_ms", &self.tbt_ms),
+            column("max_wait_ms", &self.max_wait_ms),
+            column("prefill_ceiling", &self.prefill_ceiling),
+            column("decode_ceiling", &self.decode_ceiling),
+            column("retry_percent", &self.retry_percent),
+            column("waste_percent", &self.waste_percent),
+            column("repeatable", &self.repeatable),
+        ]
+    }
+
+    /// Everything that is wrong with the row; empty if it may be put into a table.
+    pub fn check(&self) -> Vec<Error> {
+        let mut errors = Vec::new();
+        let key = self.key();
+        let texts = [
+            ("service", &self.service),
+            ("class", &self.class),
+            ("pool", &self.pool),
+        ];
+        for (field, value) in texts {
+            if !is_name(value) {
+                errors.push(Error::Text {
+                    place: Place::new(&key, field),
+                    value: value.clone(),
+                });
+            }
+        }
+        for (range, value) in self.ranges() {
+            errors.extend(range.check(&key, value));
+        }
+        if self.max_wait_ms < self.ttft_ms {
+            errors.push(Error::Contradiction {
+                place: Place::new(&key, "max_wait_ms"),
+                value: i64::from(self.max_wait_ms),
+                other: "ttft_ms",
+                bound: i64::from(self.ttft_ms),
+            });
+        }
+        errors
+    }
+
+    fn ranges(&self) -> [(Range, i64); 9] {
+        [
+            (SHARE, i64::from(self.share)),
+            (PRIORITY, i64::from(self.priority)),
+            (TTFT_MS, i64::from(self.ttft_ms)),
+            (TBT_MS, i64::from(self.tbt_ms)),
+            (MAX_WAIT_MS, i64::from(self.max_wait_ms)),
+            (PREFILL_CEILING, i64::from(self.prefill_ceiling)),
+            (DECODE_CEILING, i64::from(self.decode_ceiling)),
+            (RETRY_PERCENT, i64::from(self.retry_percent)),
+            (WASTE_PERCENT, i64::from(self.waste_percent)),
+        ]
+    }
+}
+
+/// A column of a row with its value as text.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Column {
+    /// The name of the column.
+    pub name: &'static str,
+    /// Its value.
+    pub value: String,
+}
+
+/// The values that a numeric column may take.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Range {
+    field: &'static str,
+    least: i64,
+    most: i64,
+}
+
+impl Range {
+    const fn new(field: &'static str, least: i64, most: i64) -> Self {
+        Self { field, least, most }
+    }
+
+    /// The error for `value` in the row `key`, if it lies outside.
+    pub(crate) fn check(self, key: &str, value: i64) -> Option<Error> {
+        let outside = value < self.least || value > self.most;
+        outside.then(|| Error::Range {
+            place: Place::new(key, self.field),
+            value,
+            least: self.least,
+            most: self.most,
+        })
+    }
+}
+
+pub(crate) const SHARE: Range = Range::new("share", 1, MAX_SHARE as i64);
+pub(crate) const PRIORITY: Range = Range::new("priority", 0, LAST_PRIORITY as i64);
+pub(crate) const TTFT_MS: Range = Range::new("ttft_ms", 1, MAX_SPAN_MS as i64);
+pub(crate) const TBT_MS: Range = Range::new("tbt_ms", 1, MAX_SPAN_MS as i64);
+pub(crate) const MAX_WAIT_MS: Range = Range::new("max_wait_ms", 1, MAX_SPAN_MS as i64);
+pub(crate) const PREFILL_CEILING: Range = Range::new("prefill_ceiling", 1, MAX_CEILING as i64);
+pub(crate) const DECODE_CEILING: Range = Range::new("decode_ceiling", 1, MAX_CEILING as i64);
+pub(crate) const RETRY_PERCENT: Range = Range::new("retry_percent", 0, 100);
+pub(crate) const WASTE_PERCENT: Range = Range::new("waste_percent", 0, 100);
+
+/// Whether `text` may stand in a key: 1 to [`MAX_TEXT`] of ASCII letters, digits, `-`, `_`, `.`.
+pub fn is_name(text: &str) -> bool {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.');
+    !text.is_empty() && text.len() <= MAX_TEXT && text.bytes().all(allowed)
+}
--- /dev/null
+++ b/crates/table/src/stored.rs
@@ -0,0 +1,322 @@
+//! How the platform's transactional service keeps the table.
+//!
+//! | key | value |
+//! | --- | --- |
+//! | `table/generation` | the generation, in decimal |
+//! | `table/row/<service>/<class>/<pool>` | the row, JSON |
+//! | `table/drain/<instance or replica>/<name>` | `{}` |
+//! | `table/edit/<generation, 12 digits>` | the [`History`] record, JSON |
+//! | `table/edit-id/<id>` | the generation that the edit made, in decimal |
+//!
+//! Every edit requires the version of `table/generation`, so that edits are serialised and each
+//! raises the generation by exactly one; of two racing ones the later has to be planned again
+//! from what it then reads. It also requires `table/edit-id/<id>` to be absent, so that an edit
+//! whose acknowledgement was lost can't be applied twice, and the version of each row that it
+//! changes. The table must be read in one transaction over [`SCANS`]; separate reads could mix
+//! two generations.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Table;
+use crate::drain::Mark;
+use crate::edit::Change;
+use crate::edit::Conflict;
+use crate::edit::Edit;
+use crate::error;
+use crate::error::Report;
+use crate::row::Row;
+
+/// The key of the generation.
+pub const GENERATION: &str = "table/generation";
+/// The prefix of the rows.
+pub const ROWS: &str = "table/row/";
+/// The prefix of the marks.
+pub const DRAINS: &str = "table/drain/";
+/// The prefix of the history.
+pub const EDITS: &str = "table/edit/";
+/// The prefix of the ids of edits.
+pub const EDIT_IDS: &str = "table/edit-id/";
+/// The prefixes to scan, in one transaction, to read the whole table.
+pub const SCANS: [&str; 3] = [GENERATION, ROWS, DRAINS];
+
+/// A row of the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Record {
+    /// The key.
+    pub key: String,
+    /// The value.
+    pub value: String,
+    /// The version; 0 stands for an absent key.
+    pub version: u64,
+}
+
+impl Record {
+    /// The record of `key`.
+    pub fn new(key: &str, value: &str, version: u64) -> Self {
+        Self {
+            key: key.to_owned(),
+            value: value.to_owned(),
+            version,
+        }
+    }
+}
+
+/// The versions of the records that a table was read from.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Versions(BTreeMap<String, u64>);
+
+impl Versions {
+    /// The version of `key`; 0 if it was absent.
+    pub fn get(&self, key: &str) -> u64 {
+        self.0.get(key).copied().unwrap_or(0)
+    }
+}
+
+/// A key that must be at a version for the transaction to commit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Requirement {
+    /// The key.
+    pub key: String,
+    /// The version; 0 means absent.
+    pub version: u64,
+}
+
+/// A write of the transaction.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Write {
+    /// The key.
+    pub key: String,
+    /// The value; `None` deletes the key.
+    pub value: Option<String>,
+}
+
+/// The transaction that applies an edit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Plan {
+    /// What must hold for it to commit.
+    pub require: Vec<Requirement>,
+    /// What it writes.
+    pub write: Vec<Write>,
+    /// The table after it has committed.
+    pub table: Table,
+}
+
+/// What is to be done about an edit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// Commit this transaction; if it fails, read again and plan again.
+    Commit(Plan),
+    /// Nothing: the edit has been applied and made this generation.
+    Applied(u64),
+}
+
+/// The record that an edit leaves behind.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct History {
+    /// The generation that the edit made.
+    pub generation: u64,
+    /// When it was planned, in seconds of the Unix clock.
+    pub unix_seconds: u64,
+    /// The edit, with its operator and note.
+    pub edit: Edit,
+}
+
+/// Why records can't be read or an edit can't be planned.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Error {
+    /// A record that can't be read.
+    Corrupt {
+        /// Its key.
+        key: String,
+        /// What is wrong with it.
+        reason: String,
+    },
+    /// The edit, or the table after it, is not valid.
+    Invalid(Report),
+    /// The edit would overwrite another operator's.
+    Conflict(Conflict),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Corrupt { key, reason } => write!(f, "store record `{key}`: {reason}"),
+            Self::Invalid(report) => write!(f, "{report}"),
+            Self::Conflict(conflict) => write!(f, "{conflict}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<Report> for Error {
+    fn from(report: Report) -> Self {
+        Self::Invalid(report)
+    }
+}
+
+impl From<Conflict> for Error {
+    fn from(conflict: Conflict) -> Self {
+        Self::Conflict(conflict)
+    }
+}
+
+/// The key of the row.
+pub fn row_key(row: &Row) -> String {
+    format!("{ROWS}{}", row.key())
+}
+
+/// The key of the mark.
+pub fn drain_key(mark: &Mark) -> String {
+    format!("{DRAINS}{}/{}", mark.kind(), mark.name())
+}
+
+/// The key of the history record of `generation`.
+pub fn edit_key(generation: u64) -> String {
+    format!("{EDITS}{generation:012}")
+}
+
+/// The key that tells whether the edit `id` has been applied.
+pub fn edit_id_key(id: &str) -> String {
+    format!("{EDIT_IDS}{id}")
+}
+
+/// Reads the table from the records of one transaction over [`SCANS`]; other keys are passed over.
+///
+/// # Errors
+///
+/// The first record that can't be read.
+pub fn read(records: &[Record]) -> Result<(Table, Versions), Error> {
+    let mut rows = Vec::new();
+    let mut drains = BTreeSet::new();
+    let mut generation = 0;
+    let mut versions = Versions::default();
+    for record in records.iter().filter(|record| record.version > 0) {
+        let key = record.key.as_str();
+        versions.0.insert(key.to_owned(), record.version);
+        if key == GENERATION {
+            generation = number(record)?;
+        } else if key.starts_with(ROWS) {
+            rows.push(row(record)?);
+        } else if let Some(rest) = key.strip_prefix(DRAINS) {
+            drains.insert(mark(record, rest)?);
+        }
+    }
+    Ok((Table::new(generation, rows).with_drains(drains), versions))
+}
+
+/// Plans `edit` against the records of one transaction that scanned [`SCANS`] and read
+/// [`edit_id_key`]. `unix_seconds` goes into the history record.
+///
+/// # Errors
+///
+/// A record that can't be read, an edit that is not valid, or a conflict.
+pub fn plan(edit: &Edit, records: &[Record], unix_seconds: u64) -> Result<Step, Error> {
+    edit.check()?;
+    let id_key = edit_id_key(&edit.id);
+    let applied = records
+        .iter()
+        .find(|record| record.key == id_key && record.version > 0);
+    if let Some(applied) = applied {
+        return number(applied).map(Step::Applied);
+    }
+    let (current, versions) = read(records)?;
+    let table = edit.apply(&current)?;
+    if table.rows.len() > Table::MAX_ROWS {
+        let count = error::Error::Count {
+            rows: table.rows.len(),
+        };
+        return Err(Error::Invalid(count.into()));
+    }
+    let history = History {
+        generation: table.generation,
+        unix_seconds,
+        edit: edit.clone(),
+    };
+    let generation = table.generation.to_string();
+    let mut write: Vec<Write> = edit.changes.iter().map(change).collect();
+    let mut keys: Vec<String> = write.iter().map(|write| write.key.clone()).collect();
+    write.push(put(GENERATION.to_owned(), generation.clone()));
+    write.push(put(edit_key(table.generation), json(&history)));
+    write.push(put(id_key.clone(), generation));
+    keys.push(GENERATION.to_owned());
+    keys.push(id_key);
+    let require = keys.into_iter().map(|key| Requirement {
+        version: versions.get(&key),
+        key,
+    });
+    Ok(Step::Commit(Plan {
+        require: require.collect(),
+        write,
+        table,
+    }))
+}
+
+/// Reads a history record.
+///
+/// # Errors
+///
+/// The record, if it can't be read.
+pub fn history(record: &Record) -> Result<History, Error> {
+    serde_json::from_str(&record.value).map_err(|error| corrupt(record, &error.to_string()))
+}
+
+fn change(change: &Change) -> Write {
+    match change {
+        Change::Put { row, .. } => put(row_key(row), json(row)),
+        Change::Remove { base } => Write {
+            key: row_key(base),
+            value: None,
+        },
+        Change::Drain(mark) => put(drain_key(mark), "{}".to_owned()),
+        Change::Undrain(mark) => Write {
+            key: drain_key(mark),
+            value: None,
+        },
+    }
+}
+
+fn put(key: String, value: String) -> Write {
+    Write {
+        key,
+        value: Some(value),
+    }
+}
+
+fn json<T: Serialize>(value: &T) -> String {
+    serde_json::to_string(value).expect("strings, numbers and enums always serialise")
+}
+
+fn number(record: &Record) -> Result<u64, Error> {
+    record
+        .value
+        .parse()
+        .map_err(|_| corrupt(record, "not a generation"))
+}
+
+fn row(record: &Record) -> Result<Row, Error> {
+    let row: Row =
+        serde_json::from_str(&record.value).map_err(|error| corrupt(record, &error.to_string()))?;
+    if row_key(&row) != record.key {
+        return Err(corrupt(record, "the row has another key"));
+    }
+    Ok(row)
+}
+
+fn mark(record: &Record, rest: &str) -> Result<Mark, Error> {
+    let parts = rest.split_once('/');
+    let mark = parts.and_then(|(kind, name)| Mark::with_kind(kind, name));
+    mark.ok_or_else(|| corrupt(record, "neither an instance nor a replica"))
+}
+
+fn corrupt(record: &Record, reason: &str) -> Error {
+    Error::Corrupt {
+        key: record.key.clone(),
+        reason: reason.to_owned(),
+    }
+}
