--- a/crates/table/src/diff.rs
+++ b/crates/table/src/diff.rs
@@ -11,17 +11,14 @@
 /// `+ key: columns` for a new row, `- key` for a removed one, `~ key: column old -> new` for a
 /// changed one; then `+ drain …` and `- drain …`.
 pub fn lines(a: &Table, b: &Table) -> Vec<String> {
-    let mut keys: BTreeMap<(&str, &str, &str), (Option<&Row>, Option<&Row>)> = BTreeMap::new();
+    let mut pairs: BTreeMap<_, Pair<'_>> = BTreeMap::new();
     for row in &a.rows {
-        keys.entry(row.parts()).or_default().0 = Some(row);
+        pairs.entry(row.parts()).or_default().old = Some(row);
     }
     for row in &b.rows {
-        keys.entry(row.parts()).or_default().1 = Some(row);
+        pairs.entry(row.parts()).or_default().new = Some(row);
     }
-    let mut lines: Vec<String> = keys
-        .into_values()
-        .filter_map(|(old, new)| row_line(old, new))
-        .collect();
+    let mut lines: Vec<String> = pairs.values().filter_map(Pair::line).collect();
     lines.extend(
         b.drains
             .difference(&a.drains)
@@ -44,15 +41,24 @@
         .collect()
 }
 
-fn row_line(old: Option<&Row>, new: Option<&Row>) -> Option<String> {
-    match (old, new) {
-        (Some(old), Some(new)) if old == new => None,
-        (Some(old), Some(new)) => {
-            Some(format!("~ {}: {}", new.key(), columns(old, new).join(", ")))
+/// A row before and after.
+#[derive(Debug, Default)]
+struct Pair<'a> {
+    old: Option<&'a Row>,
+    new: Option<&'a Row>,
+}
+
+impl Pair<'_> {
+    fn line(&self) -> Option<String> {
+        match (self.old, self.new) {
+            (Some(old), Some(new)) if old == new => None,
+            (Some(old), Some(new)) => {
+                Some(format!("~ {}: {}", new.key(), columns(old, new).join(", ")))
+            }
+            (Some(old), None) => Some(format!("- {}", old.key())),
+            (None, Some(new)) => Some(format!("+ {}: {}", new.key(), describe(new))),
+            (None, None) => None,
         }
-        (Some(old), None) => Some(format!("- {}", old.key())),
-        (None, Some(new)) => Some(format!("+ {}: {}", new.key(), describe(new))),
-        (None, None) => None,
     }
 }
 
--- a/crates/table/src/edit.rs
+++ b/crates/table/src/edit.rs
@@ -177,11 +177,10 @@
                 vec![bad_text("base", &base.key())]
             }
             Self::Put { row, .. } => row.check(),
-            Self::Remove { .. } => Vec::new(),
             Self::Drain(mark) | Self::Undrain(mark) if !is_name(mark.name()) => {
                 vec![bad_text(mark.kind(), mark.name())]
             }
-            Self::Drain(_) | Self::Undrain(_) => Vec::new(),
+            Self::Remove { .. } | Self::Drain(_) | Self::Undrain(_) => Vec::new(),
         }
     }
 
--- a/crates/table/src/file.rs
+++ b/crates/table/src/file.rs
@@ -233,7 +233,7 @@
                 .trim_start()
                 .starts_with(&field)
         };
-        let offset = self.text[start..end].iter().position(|line| is_field(line));
+        let offset = self.text[start..end].iter().position(is_field);
         fault.with_line(Some(start + offset.unwrap_or(0) + 1))
     }
 }
