--- /dev/null
+++ b/crates/route/src/cell/settings.rs
@@ -0,0 +1,44 @@
+//! Settings of a cell.
+
+use std::time::Duration;
+
+/// Starting points of learned figures, and limits.
+#[derive(Debug, Clone, Copy)]
+pub struct Settings {
+    /// How long before a prefill replica falls idle it is given its next prefill: it covers the
+    /// way of a verdict through the owner to the replica.
+    pub lead: Duration,
+    /// Time after a change of keeper in which nothing is granted while owners report their holds.
+    pub grace: Duration,
+    /// Time for which an engine keeps a finished prefill.
+    pub keep: Duration,
+    /// Prefill tokens a second, until learned.
+    pub prefill_rate: f64,
+    /// Transfer time for one token, until learned.
+    pub transfer_token: Duration,
+    /// The least time to come back that a refusal names.
+    pub min_retry_after: Duration,
+    /// The longest time to come back that a refusal names.
+    pub max_retry_after: Duration,
+}
+
+impl Settings {
+    /// The defaults.
+    pub const fn new() -> Self {
+        Self {
+            lead: Duration::from_millis(20),
+            grace: Duration::from_secs(2),
+            keep: Duration::from_millis(800),
+            prefill_rate: 10_000.0,
+            transfer_token: Duration::from_micros(10),
+            min_retry_after: Duration::from_millis(100),
+            max_retry_after: Duration::from_secs(30),
+        }
+    }
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/route/src/flow.rs
@@ -0,0 +1,53 @@
+//! One request inside a cell, from ticket to end.
+
+use std::time::Duration;
+
+use ident::Time;
+
+use crate::server::Key;
+use crate::ticket::Ticket;
+use crate::verdict::Verdict;
+
+/// How far a request has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum State {
+    /// In the queue.
+    Waiting,
+    /// Given to a prefill replica.
+    Prefill,
+    /// Its prefill result waits for a decode replica.
+    Kept,
+    /// Its KV cache is on its way to the decode replica.
+    Import,
+    /// Generating tokens.
+    Decode,
+    /// A plain call in progress.
+    Plain,
+}
+
+/// One request.
+#[derive(Debug)]
+pub struct Flow {
+    /// As submitted.
+    pub ticket: Ticket,
+    /// Arrival at the owner.
+    pub arrived: Time,
+    /// Its place in the order of its row.
+    pub order: Time,
+    /// When its target for the first token ends.
+    pub due: Time,
+    /// When its longest wait ends.
+    pub expiry: Time,
+    /// Shortest time to its first token on an idle cell.
+    pub fastest: Duration,
+    /// How far it has come.
+    pub state: State,
+    /// When it came there.
+    pub since: Time,
+    /// The replica that runs the prefill (plain: the call).
+    pub prefill: Option<Key>,
+    /// The decode replica on which a slot is claimed.
+    pub decode: Option<Key>,
+    /// The last verdict.
+    pub verdict: Option<Verdict>,
+}
--- /dev/null
+++ b/crates/route/src/memo.rs
@@ -0,0 +1,43 @@
+//! Verdicts of requests that have ended, so that a late repeat of a ticket is recognised.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+
+use ident::Handle;
+
+use crate::verdict::Verdict;
+
+/// Ended requests that are remembered.
+const CAPACITY: usize = 8_192;
+
+/// A bounded memory of ended requests, the oldest forgotten first.
+#[derive(Debug, Default)]
+pub struct Memo {
+    order: VecDeque<Handle>,
+    ended: HashMap<Handle, Option<Verdict>>,
+}
+
+impl Memo {
+    /// Remembers that `handle` ended with `verdict`, or before it got one.
+    pub fn insert(&mut self, handle: Handle, verdict: Option<Verdict>) {
+        if self.ended.insert(handle, verdict).is_none() {
+            self.order.push_back(handle);
+        }
+        if self.order.len() <= CAPACITY {
+            return;
+        }
+        if let Some(oldest) = self.order.pop_front() {
+            self.ended.remove(&oldest);
+        }
+    }
+
+    /// Whether `handle` has ended.
+    pub fn contains(&self, handle: Handle) -> bool {
+        self.ended.contains_key(&handle)
+    }
+
+    /// The verdict of an ended request, if it got one.
+    pub fn verdict(&self, handle: Handle) -> Option<Verdict> {
+        self.ended.get(&handle).copied().flatten()
+    }
+}
--- /dev/null
+++ b/crates/route/src/policy/reserved.rs
@@ -0,0 +1,124 @@
+//! The project's policy: the decode slot is claimed before the prefill starts.
+
+use std::time::Duration;
+
+use ident::Time;
+use ident::Zone;
+
+use crate::policy::Ask;
+use crate::policy::Pair;
+use crate::policy::Policy;
+use crate::policy::View;
+use crate::server::Key;
+
+/// Prefill replicas that are compared, in the order in which they are ready.
+const MAX_PREFILLS: usize = 8;
+
+/// The policy.
+pub const fn policy() -> Policy {
+    Policy {
+        name: "reserved",
+        order,
+        pair,
+        decode,
+        single,
+        secured: true,
+    }
+}
+
+/// Least slack first: the latest time to start that still meets the target.
+pub(crate) fn order(ask: &Ask<'_>) -> Time {
+    ask.due - ask.fastest
+}
+
+fn pair(view: &mut View<'_>, ask: &Ask<'_>) -> Option<Pair> {
+    if view.pool.free_slots() == 0 {
+        return None;
+    }
+    let horizon = view.now + view.lead;
+    let ready = view
+        .pool
+        .prefills()
+        .take_while(|(ready, _)| *ready <= horizon);
+    let ready = ready.map(|(_, key)| key).take(MAX_PREFILLS);
+    let holders = view
+        .cache
+        .holders(ask.ticket.blocks())
+        .filter(|key| usable(view, *key, horizon));
+    let mut best: Option<Pair> = None;
+    let mut candidates = 0;
+    for prefill in ready.chain(holders).filter(|key| !avoided(view, ask, *key)) {
+        candidates += 1;
+        let pair = price(view, ask, prefill);
+        best = match (best, pair) {
+            (Some(best), Some(pair)) if pair.first < best.first => Some(pair),
+            (None, pair) => pair,
+            (best, _) => best,
+        };
+    }
+    best.map(|pair| Pair { candidates, ..pair })
+}
+
+fn usable(view: &View<'_>, key: Key, horizon: Time) -> bool {
+    let server = view.pool.get(key);
+    server.open && server.ready() <= horizon
+}
+
+pub(crate) fn avoided(view: &View<'_>, ask: &Ask<'_>, key: Key) -> bool {
+    ask.ticket
+        .avoid
+        .contains(&view.pool.get(key).member.replica)
+}
+
+fn price(view: &View<'_>, ask: &Ask<'_>, prefill: Key) -> Option<Pair> {
+    let server = view.pool.get(prefill);
+    let span = view.span(prefill, ask.ticket);
+    let done = server.ready().max(view.now) + span;
+    let (decode, transfer) = nearest(view, ask, server.member.zone)?;
+    let cached = view.cached(prefill, ask.ticket);
+    Some(Pair {
+        prefill,
+        decode,
+        span,
+        first: done + transfer,
+        cached,
+        candidates: 1,
+    })
+}
+
+/// The decode replica with a free slot that the KV cache reaches first from `from`.
+fn nearest(view: &View<'_>, ask: &Ask<'_>, from: Zone) -> Option<(Key, Duration)> {
+    let mut best: Option<(Key, Duration)> = None;
+    for (zone, set) in view.pool.decodes() {
+        let free = set
+            .iter()
+            .map(|(_, key)| *key)
+            .take(MAX_PREFILLS)
+            .find(|key| view.pool.get(*key).free() > 0 && !avoided(view, ask, *key));
+        let Some(key) = free else {
+            continue;
+        };
+        let time = view
+            .links
+            .expected((from, zone), ask.ticket.prompt_tokens());
+        if best.is_none_or(|(_, least)| time < least) {
+            best = Some((key, time));
+        }
+    }
+    best
+}
+
+pub(crate) fn decode(view: &mut View<'_>, ask: &Ask<'_>) -> Option<Key> {
+    nearest(view, ask, ask.source).map(|(key, _)| key)
+}
+
+pub(crate) fn single(view: &mut View<'_>, ask: &Ask<'_>) -> Option<Key> {
+    let open = view.pool.plains().map(|(_, key)| key).take(MAX_PREFILLS);
+    let free = open.filter(|key| view.pool.get(*key).free() > 0 && !avoided(view, ask, *key));
+    free.min_by(|a, b| wait(view, *a).total_cmp(&wait(view, *b)))
+}
+
+fn wait(view: &View<'_>, key: Key) -> f64 {
+    let server = view.pool.get(key);
+    server.service.value() * f64::from(server.load() + 1)
+}
--- /dev/null
+++ b/crates/route/src/policy/round_robin.rs
@@ -0,0 +1,68 @@
+//! Baseline: each daemon takes the replicas in turn.
+
+use ident::Time;
+
+use crate::policy::Ask;
+use crate::policy::Pair;
+use crate::policy::Policy;
+use crate::policy::View;
+use crate::replica::Role;
+use crate::server::Key;
+
+/// The policy.
+pub const fn policy() -> Policy {
+    Policy {
+        name: "round_robin",
+        order,
+        pair,
+        decode,
+        single,
+        secured: false,
+    }
+}
+
+pub(crate) fn order(ask: &Ask<'_>) -> Time {
+    ask.due
+}
+
+/// Open replicas of `role`.
+pub(crate) fn open(view: &View<'_>, role: Role) -> Vec<Key> {
+    let open = view
+        .pool
+        .iter()
+        .filter(|(_, s)| s.open && s.member.role == role);
+    open.map(|(key, _)| key).collect()
+}
+
+fn turn(view: &View<'_>, role: Role) -> Option<Key> {
+    let open = open(view, role);
+    let at = view.turn as usize % open.len().max(1);
+    open.get(at).copied()
+}
+
+/// A pair without predictions.
+pub(crate) fn plain_pair(view: &View<'_>, prefill: Key, decode: Key) -> Pair {
+    let span = std::time::Duration::ZERO;
+    Pair {
+        prefill,
+        decode,
+        span,
+        first: view.now,
+        cached: 0.0,
+        candidates: 1,
+    }
+}
+
+fn pair(view: &mut View<'_>, _ask: &Ask<'_>) -> Option<Pair> {
+    let prefill = turn(view, Role::Prefill)?;
+    let decode = turn(view, Role::Decode)?;
+    Some(plain_pair(view, prefill, decode))
+}
+
+fn decode(view: &mut View<'_>, _ask: &Ask<'_>) -> Option<Key> {
+    turn(view, Role::Decode)
+}
+
+fn single(view: &mut View<'_>, _ask: &Ask<'_>) -> Option<Key> {
+    turn(view, Role::Plain)
+}
--- /dev/null
+++ b/crates/route/src/queue.rs
@@ -0,0 +1,46 @@
+//! The waiting requests of one row.
+
+use std::collections::BTreeSet;
+
+use ident::Handle;
+use ident::Time;
+
+/// Waiting requests in two tiers: those that can still meet their target, and those that cannot.
+#[derive(Debug, Default)]
+pub struct Queue {
+    punctual: BTreeSet<(Time, Handle)>,
+    late: BTreeSet<(Time, Handle)>,
+}
+
+impl Queue {
+    /// Adds a request whose order key is `order`.
+    pub fn insert(&mut self, order: Time, handle: Handle) {
+        self.punctual.insert((order, handle));
+    }
+
+    /// Removes a request; false if it was not waiting.
+    pub fn remove(&mut self, order: Time, expiry: Time, handle: Handle) -> bool {
+        self.punctual.remove(&(order, handle)) || self.late.remove(&(expiry, handle))
+    }
+
+    /// Moves a request to the late tier, ordered by `expiry`.
+    pub fn demote(&mut self, order: Time, expiry: Time, handle: Handle) {
+        self.punctual.remove(&(order, handle));
+        self.late.insert((expiry, handle));
+    }
+
+    /// The first request that can still meet its target.
+    pub fn punctual(&self) -> Option<(Time, Handle)> {
+        self.punctual.first().copied()
+    }
+
+    /// The first request that cannot.
+    pub fn late(&self) -> Option<(Time, Handle)> {
+        self.late.first().copied()
+    }
+
+    /// Waiting requests.
+    pub fn len(&self) -> usize {
+        self.punctual.len() + self.late.len()
+    }
+}
--- a/crates/route/src/rate.rs
+++ b/crates/route/src/rate.rs
@@ -39,7 +39,11 @@
 impl Meter {
     /// A meter with the given time constant, at rest since `now`.
     pub const fn new(now: Time, constant: Duration) -> Self {
-        Self { level: 0.0, at: now, constant: constant.as_secs_f64() }
+        Self {
+            level: 0.0,
+            at: now,
+            constant: constant.as_secs_f64(),
+        }
     }
 
     /// Counts `amount` events at `now`.
