Fleet of child processes and a caller, for demo and scenarios

Cause: the demo and the scenario language need real daemons and stand-ins on loopback, driven and ended by one small library.

Change: scenario::plan says what to start, scenario::fleet starts, signals and ends it, scenario::control sets faults and reads records, scenario::caller sends requests and reads streams.

Ruled out: ports of the system's own choice (port 0), since peers must know each other's addresses before they start; ports are taken below the range of outgoing connections instead.

Not run yet: the programs that it starts are still being written.

--- /dev/null
+++ b/crates/scenario/src/caller.rs
@@ -0,0 +1,192 @@
+//! A caller of the system: asks for addresses, sends requests, reads streams, resumes them.
+//!
+//! ```no_run
+//! # async fn example(address: &str) -> Result<(), scenario::error::Error> {
+//! use scenario::ask::Ask;
+//! use scenario::caller::Caller;
+//!
+//! let caller = Caller::new("krmiva");
+//! let addresses = caller.addresses(address, None).await?;
+//! let key = addresses.key(0, "order-17");
+//! let ask = Ask::new("ration", "reorder for farm 12", 16).with_key(&key);
+//! let stream = caller.complete(&addresses.first().address, &ask).await?.stream()?;
+//! let rest = stream.finish().await;
+//! println!("{} tokens: {}", rest.tokens, rest.text);
+//! # Ok(())
+//! # }
+//! ```
+
+use http::Method;
+use serde_json::json;
+use volo_http::body::Body;
+use volo_http::client::Client;
+use volo_http::client::RequestBuilder;
+use volo_http::response::Response;
+
+use crate::address::Addresses;
+use crate::ask::Ask;
+use crate::ask::PlainCall;
+use crate::error::Error;
+use crate::reply::Outcome;
+use crate::reply::Refusal;
+use crate::reply::Reply;
+use crate::stream::Stream;
+use crate::web;
+use crate::web::Answer;
+use crate::web::Web;
+
+/// Caller class if none is chosen.
+pub const DEFAULT_CLASS: &str = "default";
+/// Header that tells the outcome.
+const OUTCOME: &str = "Waxwing-Outcome";
+/// Value of [`OUTCOME`] for an answer of the application.
+const ANSWERED: &str = "answered";
+/// Value of [`OUTCOME`] for an answer that an earlier request with the same key had.
+const ANSWERED_BEFORE: &str = "answered_before";
+const COMPLETIONS: &str = "/v1/completions";
+const RESUME: &str = "/v1/resume";
+
+/// One customer's caller.
+#[derive(Debug, Clone)]
+pub struct Caller {
+    web: Web,
+    customer: String,
+    class: String,
+}
+
+impl Caller {
+    /// A caller of `customer` in the default class.
+    pub fn new(customer: &str) -> Self {
+        Self {
+            web: Web::new(),
+            customer: customer.to_owned(),
+            class: DEFAULT_CLASS.to_owned(),
+        }
+    }
+
+    /// The same in another class of the table.
+    #[must_use]
+    pub fn with_class(mut self, class: &str) -> Self {
+        class.clone_into(&mut self.class);
+        self
+    }
+
+    /// Asks the instance at `address` which addresses to use.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Http`], or [`Error::Answer`] if the answer has no address or can't be read.
+    pub async fn addresses(
+        &self,
+        address: &str,
+        data_centre: Option<&str>,
+    ) -> Result<Addresses, Error> {
+        let query = data_centre
+            .map(|name| format!("?data_centre={name}"))
+            .unwrap_or_default();
+        let path = format!("/v1/addresses{query}");
+        let answer = self.web.get(address, &path).await?;
+        let parsed: Option<Addresses> = serde_json::from_str(&answer.body).ok();
+        let filled = parsed.filter(|parsed| !parsed.addresses.is_empty());
+        filled.ok_or_else(|| Error::Answer {
+            step: format!("GET {path}"),
+            peer: address.to_owned(),
+            status: answer.status,
+            body: answer.body,
+        })
+    }
+
+    /// Sends a language-model request to the instance at `address`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Http`] if the connection is lost before the head of the answer.
+    pub async fn complete(&self, address: &str, ask: &Ask) -> Result<Reply, Error> {
+        let body =
+            json!({ "model": ask.model, "prompt": ask.prompt, "max_tokens": ask.max_tokens });
+        let request = self.request(Method::POST, address, COMPLETIONS, ask.key.as_deref());
+        let response = self.web.open(request.json(&body), address).await?;
+        reply(response, address, COMPLETIONS, 0).await
+    }
+
+    /// Reads the rest of a stream from `offset` tokens on, at any instance.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Http`] if the connection is lost before the head of the answer.
+    pub async fn resume(&self, address: &str, token: &str, offset: u64) -> Result<Reply, Error> {
+        let request = self
+            .request(Method::POST, address, RESUME, None)
+            .header("Waxwing-Resume", token)
+            .header("Last-Event-ID", offset.to_string());
+        let response = self.web.open(request, address).await?;
+        reply(response, address, RESUME, offset).await
+    }
+
+    /// Sends a call to a plain application through the instance at `address`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Http`] if the connection is lost before the end of the answer.
+    pub async fn call(&self, address: &str, call: &PlainCall) -> Result<Outcome, Error> {
+        let path = format!("/v1/call/{}/{}", call.service, call.path);
+        let mut request = self.request(call.method.clone(), address, &path, call.key.as_deref());
+        if !call.repeatable {
+            request = request.header("Waxwing-Repeatable", "no");
+        }
+        if !call.body.is_empty() {
+            request = request
+                .data(call.body.clone())
+                .header("Content-Type", "application/json");
+        }
+        let answer = self.web.send(request, address).await?;
+        Ok(outcome(answer))
+    }
+
+    fn request(
+        &self,
+        method: Method,
+        address: &str,
+        path: &str,
+        key: Option<&str>,
+    ) -> RequestBuilder<Client> {
+        let request = self
+            .web
+            .request(method, address, path)
+            .header("Waxwing-Customer", self.customer.clone())
+            .header("Waxwing-Class", self.class.clone());
+        match key {
+            Some(key) => request.header("Idempotency-Key", key),
+            None => request,
+        }
+    }
+}
+
+async fn reply(
+    response: Response<Body>,
+    address: &str,
+    path: &str,
+    offset: u64,
+) -> Result<Reply, Error> {
+    if response.status() == http::StatusCode::OK {
+        return Stream::open(response, offset, address).map(Reply::Stream);
+    }
+    let answer = web::read(response, format!("POST {path}"), address).await?;
+    Ok(Reply::Refused(Refusal::with_body(
+        answer.status,
+        &answer.body,
+    )))
+}
+
+/// An application's own errors are answers; the outcome header tells them from refusals.
+fn outcome(answer: Answer) -> Outcome {
+    let word = answer.header(OUTCOME).unwrap_or_default();
+    if word != ANSWERED && word != ANSWERED_BEFORE {
+        return Outcome::Refused(Refusal::with_body(answer.status, &answer.body));
+    }
+    Outcome::Answered {
+        status: answer.status,
+        before: word == ANSWERED_BEFORE,
+        body: answer.body,
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/fleet.rs
@@ -0,0 +1,291 @@
+//! A fleet of real daemons and stand-ins, as child processes on loopback.
+//!
+//! ```no_run
+//! # async fn example() -> Result<(), scenario::error::Error> {
+//! use scenario::fleet::Fleet;
+//! use scenario::plan::Plan;
+//! use scenario::plan::Replica;
+//! use scenario::plan::Role;
+//!
+//! let plan = Plan::new()
+//!     .with_daemon("entry-1", "osijek-a")
+//!     .with_daemon("entry-2", "vinkovci-b")
+//!     .with_replica(Replica::new("prefill-1", "osijek-a", "ration", Role::Prefill))
+//!     .with_replica(Replica::new("decode-1", "osijek-a", "ration", Role::Decode))
+//!     .with_link("entry-1", "entry-2");
+//! let mut fleet = Fleet::start(plan).await?;
+//! fleet.apply("- {service: ration, class: default, pool: ration}").await?;
+//! fleet.ready().await?;
+//! fleet.pause("entry-1")?;
+//! fleet.wake("entry-1")?;
+//! println!("{}", fleet.record("decode-1").await?);
+//! # Ok(())
+//! # }
+//! ```
+//!
+//! All programs are taken from the folder of the running program, so the workspace must have been
+//! built with the same profile. Dropping the fleet kills exactly the processes it started, by id,
+//! and removes its temporary folder.
+
+use std::collections::BTreeMap;
+use std::ffi::OsStr;
+use std::fs;
+use std::path::PathBuf;
+use std::process::ExitStatus;
+use std::time::Duration;
+
+use rustix::process::Signal;
+use tempfile::TempDir;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::error::Error;
+use crate::list::List;
+use crate::plan::Plan;
+use crate::process::Process;
+use crate::settings::Listen;
+use crate::start;
+use crate::web::Web;
+
+/// Longest wait for a process to listen or to become ready.
+pub const START_LIMIT: Duration = Duration::from_secs(20);
+/// Pause between two looks at something awaited.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+
+/// Running daemons and stand-ins.
+#[derive(Debug)]
+pub struct Fleet {
+    pub(crate) plan: Plan,
+    pub(crate) web: Web,
+    pub(crate) programs: PathBuf,
+    pub(crate) list: List,
+    pub(crate) daemons: BTreeMap<String, Listen>,
+    /// Addresses of the platform, the replicas and the forwarder's control port.
+    pub(crate) backs: BTreeMap<String, String>,
+    /// Address of each link's entrance, by both names.
+    pub(crate) links: BTreeMap<(String, String), String>,
+    /// Declared before the folder, so that the processes end before it is removed.
+    pub(crate) processes: BTreeMap<String, Process>,
+    pub(crate) folder: TempDir,
+}
+
+impl Fleet {
+    /// Starts all that `plan` names and waits until each process listens.
+    ///
+    /// The daemons have no table yet: [`Fleet::apply`] one, then wait for [`Fleet::ready`].
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Missing`] if a program has not been built; [`Error::Exited`] with its last lines if
+    /// a process ends; [`Error::Late`] if one doesn't listen in time.
+    pub async fn start(plan: Plan) -> Result<Self, Error> {
+        let mut fleet = Self::with_plan(plan)?;
+        fleet.start_backs().await?;
+        fleet.publish().await?;
+        fleet.start_daemons().await?;
+        Ok(fleet)
+    }
+
+    fn with_plan(plan: Plan) -> Result<Self, Error> {
+        let folder = tempfile::Builder::new()
+            .prefix("waxwing-")
+            .tempdir()
+            .map_err(|cause| Error::io("make", "a temporary folder", cause))?;
+        Ok(Self {
+            plan,
+            web: Web::new(),
+            programs: start::programs()?,
+            list: List::default(),
+            daemons: BTreeMap::new(),
+            backs: BTreeMap::new(),
+            links: BTreeMap::new(),
+            processes: BTreeMap::new(),
+            folder,
+        })
+    }
+
+    /// The plan it was started from.
+    pub const fn plan(&self) -> &Plan {
+        &self.plan
+    }
+
+    /// Addresses of the daemon `name`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unknown`].
+    pub fn daemon(&self, name: &str) -> Result<&Listen, Error> {
+        self.daemons.get(name).ok_or_else(|| Error::Unknown {
+            name: name.to_owned(),
+        })
+    }
+
+    /// Address of the platform ([`PLATFORM`]) or of a replica.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unknown`].
+    pub fn back(&self, name: &str) -> Result<&str, Error> {
+        let found = self.backs.get(name).map(String::as_str);
+        found.ok_or_else(|| Error::Unknown {
+            name: name.to_owned(),
+        })
+    }
+
+    /// The process `name`: a daemon, a replica, or the platform.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unknown`].
+    pub fn process(&mut self, name: &str) -> Result<&mut Process, Error> {
+        self.processes.get_mut(name).ok_or_else(|| Error::Unknown {
+            name: name.to_owned(),
+        })
+    }
+
+    /// What the process `name` has written so far: for a daemon, its log lines.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unknown`].
+    pub fn log(&self, name: &str) -> Result<String, Error> {
+        let found = self.processes.get(name).map(Process::log);
+        found.ok_or_else(|| Error::Unknown {
+            name: name.to_owned(),
+        })
+    }
+
+    /// The file that the process `name` writes its log lines to.
+    pub fn log_file(&self, name: &str) -> PathBuf {
+        self.folder.path().join(format!("{name}.log"))
+    }
+
+    /// Ends `name` without notice (`SIGKILL`) and reaps it.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unknown`] or [`Error::Io`].
+    pub async fn kill(&mut self, name: &str) -> Result<(), Error> {
+        self.process(name)?.signal(Signal::KILL)?;
+        self.wait(name, START_LIMIT).await.map(drop)
+    }
+
+    /// Asks `name` for a planned stop (`SIGTERM`) and returns at once.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unknown`] or [`Error::Io`].
+    pub fn terminate(&mut self, name: &str) -> Result<(), Error> {
+        self.process(name)?.signal(Signal::TERM)
+    }
+
+    /// Stops `name` where it stands (`SIGSTOP`).
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unknown`] or [`Error::Io`].
+    pub fn pause(&mut self, name: &str) -> Result<(), Error> {
+        self.process(name)?.signal(Signal::STOP)
+    }
+
+    /// Lets `name` go on after [`Fleet::pause`] (`SIGCONT`).
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unknown`] or [`Error::Io`].
+    pub fn wake(&mut self, name: &str) -> Result<(), Error> {
+        self.process(name)?.signal(Signal::CONT)
+    }
+
+    /// Waits until `name` has ended.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Late`] after `limit`; [`Error::Unknown`] or [`Error::Io`].
+    pub async fn wait(&mut self, name: &str, limit: Duration) -> Result<ExitStatus, Error> {
+        let end = Instant::now() + limit;
+        loop {
+            match self.process(name)?.exit()? {
+                Some(status) => return Ok(status),
+                None if Instant::now() > end => {
+                    return Err(Error::Late {
+                        step: "end",
+                        peer: name.to_owned(),
+                    });
+                }
+                None => sleep(LOOK_EVERY).await,
+            }
+        }
+    }
+
+    /// Starts `name` again with the same addresses and settings, ending it first if it runs.
+    ///
+    /// # Errors
+    ///
+    /// As [`Fleet::start`], and [`Error::Unknown`].
+    pub async fn restart(&mut self, name: &str) -> Result<(), Error> {
+        self.kill(name).await?;
+        self.launch(name).await
+    }
+
+    /// Waits until every running daemon answers `/health` with 200.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Late`], or [`Error::Exited`] if a daemon ends meanwhile.
+    pub async fn ready(&mut self) -> Result<(), Error> {
+        let names: Vec<String> = self.daemons.keys().cloned().collect();
+        for name in names {
+            if self.process(&name)?.exit()?.is_none() {
+                self.ready_one(&name).await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Waits until the daemon `name` answers `/health` with 200.
+    ///
+    /// # Errors
+    ///
+    /// As [`Fleet::ready`], and [`Error::Unknown`].
+    pub async fn ready_one(&mut self, name: &str) -> Result<(), Error> {
+        let admin = self.daemon(name)?.admin.clone();
+        let end = Instant::now() + START_LIMIT;
+        loop {
+            self.process(name)?.check()?;
+            match self.web.get(&admin, "/health").await {
+                Ok(answer) if answer.status == 200 => return Ok(()),
+                _ if Instant::now() > end => {
+                    return Err(Error::Late {
+                        step: "become ready",
+                        peer: name.to_owned(),
+                    });
+                }
+                _ => sleep(LOOK_EVERY).await,
+            }
+        }
+    }
+
+    /// Replaces the rows of the table by `yaml` through `waxwing table apply`, and waits until the
+    /// edit is in force.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Exited`] with the command's output unless it exits with 0.
+    pub async fn apply(&self, yaml: &str) -> Result<String, Error> {
+        let file = self.folder.path().join("table.yaml");
+        fs::write(&file, yaml).map_err(|cause| Error::io("write", file.display(), cause))?;
+        let file = file.display().to_string();
+        self.waxwing(&["table", "apply", &file, "--wait", "20"])
+            .await
+    }
+
+    /// Runs the operators' command against all daemons of the fleet; gives what it printed.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Exited`] with the command's output unless it exits with 0.
+    pub async fn waxwing<S: AsRef<OsStr>>(&self, args: &[S]) -> Result<String, Error> {
+        start::waxwing(self, args).await
+    }
+}
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -1,1 +1,17 @@
 //! Scripted failure scenarios and the demo fleet.
+
+pub mod address;
+pub mod ask;
+pub mod caller;
+mod control;
+pub mod error;
+pub mod fleet;
+pub mod list;
+pub mod plan;
+pub mod port;
+pub mod process;
+pub mod reply;
+pub mod settings;
+mod start;
+pub mod stream;
+pub mod web;
--- /dev/null
+++ b/crates/scenario/src/process.rs
@@ -0,0 +1,123 @@
+//! A child process, its output in a file.
+
+use std::fs;
+use std::fs::File;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+
+use rustix::process::Pid;
+use rustix::process::Signal;
+
+use crate::error::Error;
+
+/// Lines of output that an error shows.
+const TAIL_LINES: usize = 12;
+
+/// A running child. Dropping it kills exactly this process and reaps it.
+#[derive(Debug)]
+pub struct Process {
+    name: String,
+    child: Child,
+    log: PathBuf,
+}
+
+impl Process {
+    /// Starts `program` with `args`; both output streams are appended to the file `log`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Missing`] if the program has not been built, [`Error::Io`] if it cannot be started.
+    pub fn start(name: &str, program: &Path, args: &[String], log: &Path) -> Result<Self, Error> {
+        if !program.exists() {
+            return Err(Error::Missing {
+                program: program.to_owned(),
+            });
+        }
+        let open = || File::options().create(true).append(true).open(log);
+        let output = open().map_err(|cause| Error::io("open", log.display(), cause))?;
+        let errors = open().map_err(|cause| Error::io("open", log.display(), cause))?;
+        let child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(output)
+            .stderr(errors)
+            .spawn()
+            .map_err(|cause| Error::io("start", program.display(), cause))?;
+        Ok(Self {
+            name: name.to_owned(),
+            child,
+            log: log.to_owned(),
+        })
+    }
+
+    /// Its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends `signal`; nothing happens if the process has ended.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Io`] if the system refuses.
+    pub fn signal(&mut self, signal: Signal) -> Result<(), Error> {
+        if self.exit()?.is_some() {
+            return Ok(());
+        }
+        let Some(pid) = Pid::from_raw(self.child.id().cast_signed()) else {
+            return Ok(());
+        };
+        rustix::process::kill_process(pid, signal)
+            .map_err(|cause| Error::io("signal", &self.name, cause.into()))
+    }
+
+    /// How it ended; `None` while it runs.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Io`] if the system refuses.
+    pub fn exit(&mut self) -> Result<Option<ExitStatus>, Error> {
+        self.child
+            .try_wait()
+            .map_err(|cause| Error::io("wait for", &self.name, cause))
+    }
+
+    /// Its output up to now.
+    pub fn log(&self) -> String {
+        fs::read(&self.log)
+            .map(|bytes| String::from_utf8_lossy(&bytes).into_owned())
+            .unwrap_or_default()
+    }
+
+    /// An [`Error::Exited`] with its last lines if it has ended.
+    ///
+    /// # Errors
+    ///
+    /// Also [`Error::Io`] if the system refuses.
+    pub fn check(&mut self) -> Result<(), Error> {
+        match self.exit()? {
+            None => Ok(()),
+            Some(_) => Err(Error::Exited {
+                name: self.name.clone(),
+                log: tail(&self.log()),
+            }),
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // A process that has already been reaped leaves nothing to kill; both calls then fail.
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+}
+
+fn tail(text: &str) -> String {
+    let lines: Vec<&str> = text.lines().collect();
+    lines[lines.len().saturating_sub(TAIL_LINES)..].join("\n")
+}
--- /dev/null
+++ b/crates/scenario/src/start.rs
@@ -0,0 +1,258 @@
+//! How the processes of a fleet are started.
+
+use std::ffi::OsStr;
+use std::fs;
+use std::path::PathBuf;
+use std::process::Command;
+
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::error::Error;
+use crate::fleet::Fleet;
+use crate::fleet::START_LIMIT;
+use crate::list;
+use crate::list::State;
+use crate::plan::Daemon;
+use crate::plan::PLATFORM;
+use crate::plan::Replica;
+use crate::plan::Role;
+use crate::port;
+use crate::process::Process;
+use crate::settings::Listen;
+use crate::settings::OPERATOR;
+use crate::settings::Seed;
+use crate::settings::Settings;
+use crate::settings::TOKEN;
+
+/// Name of the forwarder's process; it carries all links of a plan.
+pub(crate) const FORWARDER: &str = "forwarder";
+
+const DAEMON: &str = "waxwingd";
+const COMMAND: &str = "waxwing";
+const FAKE_PLATFORM: &str = "fake-platform";
+const FAKE_ENGINE: &str = "fake-engine";
+const FAKE_APPLICATION: &str = "fake-app";
+const FAKE_LINK: &str = "fake-link";
+/// Pause between two attempts to connect to a process that starts.
+const CONNECT_EVERY: std::time::Duration = std::time::Duration::from_millis(10);
+
+/// The folder that holds the workspace's programs: that of the running one.
+pub(crate) fn programs() -> Result<PathBuf, Error> {
+    let program =
+        std::env::current_exe().map_err(|cause| Error::io("find", "the running program", cause))?;
+    let folder = program.parent().map(PathBuf::from).unwrap_or_default();
+    // Tests and examples lie one folder deeper.
+    match folder.file_name().and_then(OsStr::to_str) {
+        Some("deps" | "examples") => Ok(folder.parent().map(PathBuf::from).unwrap_or_default()),
+        _ => Ok(folder),
+    }
+}
+
+impl Fleet {
+    /// Starts the platform, the replicas and the forwarder.
+    pub(crate) async fn start_backs(&mut self) -> Result<(), Error> {
+        self.backs.insert(PLATFORM.to_owned(), port::free());
+        self.launch(PLATFORM).await?;
+        for replica in self.plan.replicas.clone() {
+            let address = port::free();
+            self.backs.insert(replica.name.clone(), address.clone());
+            self.launch(&replica.name).await?;
+            self.list.replicas.push(listed(&replica, address));
+        }
+        for daemon in self.plan.daemons.clone() {
+            let listen = Listen {
+                caller: port::free(),
+                peer: port::free(),
+                admin: port::free(),
+            };
+            self.list.instances.push(list::Instance {
+                name: daemon.name.clone(),
+                data_centre: daemon.data_centre.clone(),
+                peer: listen.peer.clone(),
+                caller: listen.caller.clone(),
+                state: State::Live,
+            });
+            self.daemons.insert(daemon.name.clone(), listen);
+        }
+        self.start_links().await
+    }
+
+    async fn start_links(&mut self) -> Result<(), Error> {
+        if self.plan.links.is_empty() {
+            return Ok(());
+        }
+        for link in self.plan.links.clone() {
+            let entrance = port::free();
+            let view = self.list.views.entry(link.from.clone()).or_default();
+            view.insert(link.to.clone(), entrance.clone());
+            self.links.insert((link.from, link.to), entrance);
+        }
+        self.backs.insert(FORWARDER.to_owned(), port::free());
+        self.launch(FORWARDER).await
+    }
+
+    /// Starts the daemons, each with a settings file of its own.
+    pub(crate) async fn start_daemons(&mut self) -> Result<(), Error> {
+        for daemon in self.plan.daemons.clone() {
+            self.write_settings(&daemon)?;
+            self.launch(&daemon.name).await?;
+        }
+        Ok(())
+    }
+
+    /// The file with the settings of the daemon `name`.
+    pub fn settings_file(&self, name: &str) -> PathBuf {
+        self.folder.path().join(format!("{name}.yaml"))
+    }
+
+    /// Starts the process `name` with what has been decided for it, and waits until it listens.
+    pub(crate) async fn launch(&mut self, name: &str) -> Result<(), Error> {
+        let (program, args, address) = self.command(name)?;
+        let log = self.log_file(name);
+        // A process that runs under this name is dropped, hence ended, before the new one starts.
+        drop(self.processes.remove(name));
+        let process = Process::start(name, &self.programs.join(program), &args, &log)?;
+        self.processes.insert(name.to_owned(), process);
+        self.listening(name, &address).await
+    }
+
+    async fn listening(&mut self, name: &str, address: &str) -> Result<(), Error> {
+        let end = Instant::now() + START_LIMIT;
+        loop {
+            self.process(name)?.check()?;
+            match TcpStream::connect(address).await {
+                Ok(_) => return Ok(()),
+                Err(_) if Instant::now() > end => {
+                    return Err(Error::Late {
+                        step: "listen",
+                        peer: name.to_owned(),
+                    });
+                }
+                Err(_) => sleep(CONNECT_EVERY).await,
+            }
+        }
+    }
+
+    /// Program, arguments and listening address of the process `name`.
+    fn command(&self, name: &str) -> Result<(&'static str, Vec<String>, String), Error> {
+        if let Some(listen) = self.daemons.get(name) {
+            let file = self.settings_file(name).display().to_string();
+            return Ok((
+                DAEMON,
+                vec!["--config".to_owned(), file],
+                listen.admin.clone(),
+            ));
+        }
+        let address = self.back(name)?.to_owned();
+        let mut args = vec!["--listen".to_owned(), address.clone()];
+        let replica = self
+            .plan
+            .replicas
+            .iter()
+            .find(|replica| replica.name == name);
+        let program = match replica {
+            None if name == FORWARDER => {
+                args.extend(self.routes());
+                FAKE_LINK
+            }
+            None => FAKE_PLATFORM,
+            Some(replica) => {
+                args.extend(arguments(replica));
+                match replica.role {
+                    Role::Plain => FAKE_APPLICATION,
+                    Role::Prefill | Role::Decode => FAKE_ENGINE,
+                }
+            }
+        };
+        Ok((program, args, address))
+    }
+
+    fn routes(&self) -> Vec<String> {
+        let targets = self.links.iter().filter_map(|((_, to), entrance)| {
+            let port = entrance.rsplit_once(':')?.1;
+            let peer = self.daemons.get(to).map(|listen| &listen.peer);
+            let target = peer.or_else(|| self.backs.get(to))?;
+            Some(format!("--route={port}={target}"))
+        });
+        targets.collect()
+    }
+
+    fn write_settings(&self, daemon: &Daemon) -> Result<(), Error> {
+        let name = &daemon.name;
+        let listen = self.daemon(name)?;
+        let platform = self.seen_by(name, PLATFORM, self.back(PLATFORM)?);
+        let others = self.daemons.iter().filter(|(other, _)| *other != name);
+        let seeds = others.map(|(other, listen)| Seed {
+            name: other.clone(),
+            address: self.seen_by(name, other, &listen.peer),
+        });
+        let settings = Settings::new(name, &daemon.data_centre, listen, &platform)
+            .with_seeds(seeds.collect())
+            .with_timing(self.plan.timing);
+        let text = serde_norway::to_string(&settings).unwrap_or_default();
+        let file = self.settings_file(name);
+        fs::write(&file, text).map_err(|cause| Error::io("write", file.display(), cause))
+    }
+
+    /// The address at which `asker` reaches `name`: a link's entrance, or else `address`.
+    fn seen_by(&self, asker: &str, name: &str, address: &str) -> String {
+        let link = self.links.get(&(asker.to_owned(), name.to_owned()));
+        link.cloned().unwrap_or_else(|| address.to_owned())
+    }
+}
+
+fn listed(replica: &Replica, address: String) -> list::Replica {
+    list::Replica {
+        name: replica.name.clone(),
+        data_centre: replica.data_centre.clone(),
+        address,
+        service: replica.service.clone(),
+        role: replica.role.word().to_owned(),
+        slots: replica.slots,
+        fences: replica.fences,
+        state: State::Live,
+    }
+}
+
+fn arguments(replica: &Replica) -> Vec<String> {
+    let mut args = vec![format!("--slots={}", replica.slots)];
+    if replica.role != Role::Plain {
+        args.push(format!("--role={}", replica.role.word()));
+        args.push(format!("--name={}", replica.name));
+            args.push(format!("--fences={}", replica.fences));
+    }
+    args.extend(replica.args.iter().cloned());
+    args
+}
+
+/// Runs the operators' command against all daemons of `fleet`.
+pub(crate) async fn waxwing<S: AsRef<OsStr>>(fleet: &Fleet, args: &[S]) -> Result<String, Error> {
+    let program = fleet.programs.join(COMMAND);
+    if !program.exists() {
+        return Err(Error::Missing { program });
+    }
+    let mut command = Command::new(&program);
+    command
+        .args(args)
+        .env("WAXWING_TOKEN", TOKEN)
+        .arg("--operator")
+        .arg(OPERATOR);
+    for listen in fleet.daemons.values() {
+        command.arg("--admin").arg(&listen.admin);
+    }
+    let output = tokio::task::spawn_blocking(move || command.output())
+        .await
+        .map_err(|cause| Error::io("run", COMMAND, cause.into()))?
+        .map_err(|cause| Error::io("run", program.display(), cause))?;
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    if output.status.success() {
+        return Ok(text);
+    }
+    let errors = String::from_utf8_lossy(&output.stderr);
+    Err(Error::Exited {
+        name: COMMAND.to_owned(),
+        log: format!("{text}{errors}"),
+    })
+}
