--- a/crates/route/src/cell.rs
+++ b/crates/route/src/cell.rs
@@ -173,7 +173,7 @@
 
     fn close(&mut self, replica: Replica) {
         if let Some(key) = self.pool.key(replica) {
-            self.pool.update(key, |server| server.open = false);
+            self.pool.update(key, |server| server.listed = false);
         }
     }
 
--- a/crates/route/src/cell/admit.rs
+++ b/crates/route/src/cell/admit.rs
@@ -11,6 +11,7 @@
 use crate::flow::State;
 use crate::policy::Ask;
 use crate::ticket::Ticket;
+use crate::ticket::Work;
 use crate::verdict::Choice;
 use crate::verdict::Reason;
 use crate::verdict::Verdict;
@@ -41,7 +42,7 @@
         let Some(lane) = self.lanes.get_mut(&ticket.row) else {
             return Some(Reason::UnknownRow);
         };
-        if lane.is_shut() {
+        if lane.is_shut(ticket.work == Work::Plain) {
             return Some(Reason::Ceiling);
         }
         if ticket.is_retry() && !lane.take_retry(now) {
--- a/crates/route/src/cell/claim.rs
+++ b/crates/route/src/cell/claim.rs
@@ -42,7 +42,7 @@
         flow.state = State::Plain;
         flow.since = now;
         if let Some(lane) = self.lanes.get_mut(&flow.ticket.row) {
-            lane.prefills += 1;
+            lane.decodes += 1;
         }
     }
 
@@ -104,11 +104,6 @@
                 let pair = self.pair_of(prefill, decode);
                 self.links.end(pair, tokens, completed.then_some(took));
             }
-            (State::Plain, _, _) => {
-                if let Some(lane) = self.lanes.get_mut(&flow.ticket.row) {
-                    lane.prefills = lane.prefills.saturating_sub(1);
-                }
-            }
             _ => (),
         }
     }
--- a/crates/route/src/cell/grant.rs
+++ b/crates/route/src/cell/grant.rs
@@ -1,6 +1,5 @@
 //! Waiting requests are granted a place or given up.
 
-use std::cmp::Reverse;
 use std::time::Duration;
 
 use ident::Handle;
@@ -152,16 +151,20 @@
     fn next(&self) -> Option<Handle> {
         let mut best: Option<(Rank, Handle)> = None;
         for lane in self.lanes.values() {
-            if self.policy.secured && !lane.has_room() {
-                continue;
-            }
             let punctual = lane.queue.punctual().map(|(_, handle)| (false, handle));
             let head = punctual.or_else(|| lane.queue.late().map(|(_, handle)| (true, handle)));
             let Some((late, handle)) = head else {
                 continue;
             };
+            let plain = self
+                .flows
+                .get(&handle)
+                .is_some_and(|f| f.ticket.work == Work::Plain);
+            if self.policy.secured && !lane.has_room(plain) {
+                continue;
+            }
             let rank = Rank {
-                priority: Reverse(lane.rule.priority),
+                priority: lane.rule.priority,
                 late,
                 used: lane.used,
             };
@@ -239,7 +242,7 @@
 /// Order between the heads of the rows; the least goes first.
 #[derive(Debug, PartialEq, PartialOrd)]
 struct Rank {
-    priority: Reverse<u8>,
+    priority: u8,
     late: bool,
     used: f64,
 }
--- a/crates/route/src/cell/progress.rs
+++ b/crates/route/src/cell/progress.rs
@@ -101,8 +101,11 @@
         let Some(flow) = self.flows.remove(&handle) else {
             return;
         };
-        if let (Some(_), Some(lane)) = (flow.prefill, self.lanes.get_mut(&flow.ticket.row)) {
-            lane.decodes = lane.decodes.saturating_sub(1);
+        match self.lanes.get_mut(&flow.ticket.row) {
+            Some(lane) if flow.state != State::Waiting => {
+                lane.decodes = lane.decodes.saturating_sub(1);
+            }
+            _ => (),
         }
         self.memo.insert(handle, flow.verdict);
     }
@@ -169,7 +172,8 @@
 
     /// Forgets what ran on a replica that is unreachable or has rebooted.
     ///
-    /// Its requests stay known until their owners report how they go on.
+    /// It gets no new work until its next report. Its requests stay known until their owners
+    /// report how they go on.
     pub fn lost(&mut self, now: Time, replica: Replica) {
         let Some(key) = self.pool.key(replica) else {
             return;
@@ -186,6 +190,7 @@
             self.detach(now, handle, key);
         }
         self.pool.clear(key);
+        self.pool.update(key, |server| server.reachable = false);
     }
 
     fn detach(&mut self, now: Time, handle: Handle, key: crate::server::Key) {
--- a/crates/route/src/policy/reserved.rs
+++ b/crates/route/src/policy/reserved.rs
@@ -61,7 +61,7 @@
 
 fn usable(view: &View<'_>, key: Key, horizon: Time) -> bool {
     let server = view.pool.get(key);
-    server.open && server.ready() <= horizon
+    server.is_open() && server.ready() <= horizon
 }
 
 pub(crate) fn avoided(view: &View<'_>, ask: &Ask<'_>, key: Key) -> bool {
--- a/crates/route/src/policy/round_robin.rs
+++ b/crates/route/src/policy/round_robin.rs
@@ -30,7 +30,7 @@
     let open = view
         .pool
         .iter()
-        .filter(|(_, s)| s.open && s.member.role == role);
+        .filter(|(_, s)| s.is_open() && s.member.role == role);
     open.map(|(key, _)| key).collect()
 }
 
--- a/crates/route/src/row.rs
+++ b/crates/route/src/row.rs
@@ -21,9 +21,9 @@
     pub rule: Rule,
     /// Its waiting requests.
     pub queue: Queue,
-    /// Its requests in prefill (plain: in progress).
+    /// Its requests in prefill.
     pub prefills: u32,
-    /// Its requests that hold a decode slot.
+    /// Its requests that hold a decode slot (plain: in progress).
     pub decodes: u32,
     /// Work done for the row, divided by its share.
     pub used: f64,
@@ -51,14 +51,15 @@
         }
     }
 
-    /// Whether the ceilings admit one more request.
-    pub const fn has_room(&self) -> bool {
-        self.prefills < self.rule.prefill_ceiling && self.decodes < self.rule.decode_ceiling
+    /// Whether the ceilings admit one more request; plain calls do not count as prefills.
+    pub const fn has_room(&self, plain: bool) -> bool {
+        let prefill = plain || self.prefills < self.rule.prefill_ceiling;
+        prefill && self.decodes < self.rule.decode_ceiling
     }
 
-    /// Whether the ceilings admit no request at any time.
-    pub const fn is_shut(&self) -> bool {
-        self.rule.prefill_ceiling == 0 || self.rule.decode_ceiling == 0
+    /// Whether the ceilings admit no request of this kind at any time.
+    pub const fn is_shut(&self, plain: bool) -> bool {
+        self.rule.decode_ceiling == 0 || (self.rule.prefill_ceiling == 0 && !plain)
     }
 
     /// Counts a first attempt.
--- a/crates/route/src/rule.rs
+++ b/crates/route/src/rule.rs
@@ -11,7 +11,7 @@
     pub row: Row,
     /// Weight against rows of the same priority when the cell is saturated.
     pub share: u32,
-    /// Requests of a higher priority go first.
+    /// Requests of a lower number go first; zero is the most urgent.
     pub priority: u8,
     /// Target for the time from arrival to the first token (plain: to the answer).
     pub ttft: Duration,
@@ -19,12 +19,12 @@
     pub tbt: Duration,
     /// The longest time from arrival to the first token; a request that cannot keep it is refused.
     pub max_wait: Duration,
-    /// Requests of the row that may be in prefill at once (plain: in progress).
+    /// Requests of the row that may be in prefill at once (plain: no meaning).
     pub prefill_ceiling: u32,
-    /// Requests of the row that may hold a decode slot at once.
+    /// Requests of the row that may hold a decode slot at once (plain: calls at once).
     pub decode_ceiling: u32,
     /// Retries granted for each hundred first attempts.
     pub retry_percent: u32,
-    /// Prefills that may be wasted for each hundred, as the price of fuller decode slots.
+    /// How strongly wasted prefill weighs against goodput, in percent.
     pub waste_percent: u32,
 }
--- a/crates/route/src/server.rs
+++ b/crates/route/src/server.rs
@@ -35,8 +35,10 @@
 pub struct Server {
     /// What the list of members says.
     pub member: Member,
-    /// Whether it may get new work.
-    pub open: bool,
+    /// Whether it answered last time.
+    pub reachable: bool,
+    /// Whether it is still listed.
+    pub listed: bool,
     /// Requests of this cell that hold a slot or wait for one.
     pub claims: u32,
     /// Requests of others, or leaked ones, that the last report shows.
@@ -62,7 +64,8 @@
     fn new(member: Member, rate: f64) -> Self {
         Self {
             member,
-            open: !member.leaving,
+            reachable: true,
+            listed: true,
             claims: 0,
             foreign: 0,
             reported: 0,
@@ -77,6 +80,11 @@
         }
     }
 
+    /// Whether it may get new work.
+    pub const fn is_open(&self) -> bool {
+        self.reachable && self.listed && !self.member.leaving
+    }
+
     /// Slots that are neither claimed nor taken by others.
     pub const fn free(&self) -> u32 {
         self.member.slots.saturating_sub(self.claims + self.foreign)
@@ -153,7 +161,7 @@
         if let Some(key) = self.key(member.replica) {
             self.update(key, |server| {
                 server.member = member;
-                server.open = !member.leaving;
+                server.listed = true;
             });
             return key;
         }
@@ -204,6 +212,7 @@
     pub fn report(&mut self, key: Key, report: &Report) {
         self.update(key, |server| {
             let own = server.claims.max(server.jobs.len() as u32);
+            server.reachable = true;
             server.foreign = report.works.saturating_sub(own);
             server.reported = report.running + report.waiting;
             server.reported_tokens = report.queued_tokens;
@@ -224,7 +233,7 @@
 
     fn link(&mut self, key: Key) {
         let server = &self.servers[key.0 as usize];
-        if !server.open {
+        if !server.is_open() {
             return;
         }
         match server.member.role {
@@ -246,7 +255,7 @@
 
     fn unlink(&mut self, key: Key) {
         let server = &self.servers[key.0 as usize];
-        if !server.open {
+        if !server.is_open() {
             return;
         }
         match server.member.role {
