--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,1 +1,49 @@
 //! Membership of instances and ownership by rendezvous hashing.
+//!
+//! A [`Fleet`] is one daemon's view of all daemons. It follows SWIM (Das, Gupta, Motivala, "SWIM:
+//! Scalable Weakly-consistent Infection-style Process Group Membership Protocol", sections 3 and
+//! 4): each period one member is probed, directly and then through helpers; news of members is
+//! carried by these messages; a member that fails to answer is suspected, and declared dead if it
+//! does not refute the suspicion in time. Messages a daemon sends per second do not depend on the
+//! number of members.
+//!
+//! The crate is pure. The driver calls [`Fleet::step`] at the time that the last call returned,
+//! and again right after [`Fleet::receive`], and sends what it puts out. Times are passed in; the
+//! generator is seeded.
+//!
+//! Differences from the paper:
+//!
+//! - Every message begins with its sender's own record, so that a restarted daemon is known by its
+//!   first message, and tells its receiver if that is suspected. A run that is held dead gets that
+//!   verdict in place of an answer.
+//! - A suspected member is probed again each period by those that suspect it.
+//! - `Dead` is final for an incarnation. A daemon that learns that it was declared dead gives its
+//!   incarnation up ([`Fleet::declared_dead`]).
+//! - Members that lack records of listed instances ask for them a page at a time, so that a
+//!   newcomer knows a large fleet within seconds; listed instances held dead are pinged at a
+//!   constant rate, so that two sides of a healed partition find each other.
+//! - A daemon that was paused does not judge others by the time that it missed, and says so until
+//!   a peer has answered it ([`Fleet::paused`]).
+
+pub mod entry;
+pub mod member;
+pub mod message;
+pub mod output;
+pub mod settings;
+
+mod claim;
+mod clock;
+mod detect;
+mod gossip;
+mod news;
+mod owner;
+mod probe;
+mod query;
+mod roster;
+mod swim;
+
+pub use member::Member;
+pub use message::Message;
+pub use output::Output;
+pub use settings::Settings;
+pub use swim::Fleet;
--- /dev/null
+++ b/crates/fleet/src/probe.rs
@@ -0,0 +1,95 @@
+//! Probes in progress, those passed on for others, and the order of targets.
+
+use std::collections::VecDeque;
+
+use ident::Incarnation;
+use ident::Instance;
+use ident::Time;
+use rand::seq::SliceRandom;
+use rand_pcg::Pcg64Mcg;
+
+/// The probe of this period.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Probe {
+    pub(crate) seq: u32,
+    pub(crate) target: Instance,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) sent: Time,
+    /// Whether helpers have been asked.
+    pub(crate) indirect: bool,
+}
+
+/// A ping on behalf of another member.
+#[derive(Debug, Clone, Copy)]
+struct Relay {
+    seq: u32,
+    target: Instance,
+    asker: Instance,
+    asker_seq: u32,
+}
+
+/// To whom and under which number an answer is passed on.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Asker {
+    pub(crate) instance: Instance,
+    pub(crate) seq: u32,
+}
+
+/// Pings on behalf of others, the oldest dropped first.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Relays {
+    relays: VecDeque<Relay>,
+}
+
+impl Relays {
+    const CAPACITY: usize = 64;
+
+    pub(crate) fn push(&mut self, seq: u32, target: Instance, asker: Asker) {
+        if self.relays.len() == Self::CAPACITY {
+            self.relays.pop_front();
+        }
+        let relay = Relay {
+            seq,
+            target,
+            asker: asker.instance,
+            asker_seq: asker.seq,
+        };
+        self.relays.push_back(relay);
+    }
+
+    /// The asker for whom `target` answered `seq`.
+    pub(crate) fn take(&mut self, seq: u32, target: Instance) -> Option<Asker> {
+        let is_it = |relay: &Relay| relay.seq == seq && relay.target == target;
+        let index = self.relays.iter().position(is_it)?;
+        let relay = self.relays.remove(index)?;
+        Some(Asker {
+            instance: relay.asker,
+            seq: relay.asker_seq,
+        })
+    }
+}
+
+/// Targets in random order; each comes once before any comes again.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Round {
+    left: Vec<Instance>,
+}
+
+impl Round {
+    /// The next target for which `valid` holds; `all` lists the targets of a new round.
+    pub(crate) fn next(
+        &mut self,
+        rng: &mut Pcg64Mcg,
+        valid: impl Fn(Instance) -> bool,
+        all: impl FnOnce() -> Vec<Instance>,
+    ) -> Option<Instance> {
+        while let Some(target) = self.left.pop() {
+            if valid(target) {
+                return Some(target);
+            }
+        }
+        self.left = all();
+        self.left.shuffle(rng);
+        self.left.pop()
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/roster.rs
@@ -0,0 +1,141 @@
+//! The members known, the list, and runs that are over.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use ident::Incarnation;
+use ident::Instance;
+use ident::Time;
+
+use crate::Member;
+use crate::entry::Entry;
+use crate::member::State;
+
+/// A member and what this daemon noted of it.
+#[derive(Debug, Clone)]
+pub(crate) struct Peer {
+    pub(crate) member: Member,
+    /// When its last direct message came.
+    pub(crate) heard: Option<Time>,
+    /// Whether this run was ever known to leave; a suspicion hides that state.
+    pub(crate) leaving: bool,
+    /// While it is suspected.
+    pub(crate) suspicion: Option<Suspicion>,
+}
+
+impl Peer {
+    pub(crate) fn new(member: Member) -> Self {
+        let leaving = member.state == State::Leaving;
+        Self {
+            member,
+            heard: None,
+            leaving,
+            suspicion: None,
+        }
+    }
+
+    pub(crate) fn present(&self) -> bool {
+        self.member.state != State::Dead
+    }
+}
+
+/// The time that a suspected member has left.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Suspicion {
+    pub(crate) since: Time,
+    pub(crate) deadline: Time,
+}
+
+/// Runs that are over, the latest last.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Past {
+    members: BTreeMap<Incarnation, Member>,
+    order: VecDeque<Incarnation>,
+}
+
+impl Past {
+    /// Runs remembered; several days' worth at 400 daemons with 160 restarts a day.
+    const CAPACITY: usize = 1024;
+
+    pub(crate) fn push(&mut self, member: Member) {
+        let member = member.with_state(State::Dead);
+        if self.members.insert(member.incarnation, member).is_some() {
+            return;
+        }
+        self.order.push_back(member.incarnation);
+        if self.order.len() > Self::CAPACITY {
+            let oldest = self.order.pop_front();
+            oldest.map(|incarnation| self.members.remove(&incarnation));
+        }
+    }
+
+    pub(crate) fn get(&self, incarnation: Incarnation) -> Option<&Member> {
+        self.members.get(&incarnation)
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.members.len()
+    }
+}
+
+/// All that is known of the fleet besides this daemon itself.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Roster {
+    pub(crate) peers: BTreeMap<Instance, Peer>,
+    pub(crate) listed: BTreeMap<Instance, Entry>,
+    pub(crate) runs: BTreeMap<Incarnation, Instance>,
+    pub(crate) past: Past,
+}
+
+impl Roster {
+    /// Puts a new run in place of the former one of its instance, which it returns.
+    pub(crate) fn put(&mut self, member: Member) -> Option<Member> {
+        let former = self.peers.insert(member.instance, Peer::new(member));
+        self.runs.insert(member.incarnation, member.instance);
+        former.map(|peer| self.retire(peer.member))
+    }
+
+    /// Forgets `instance`; its run is remembered as over.
+    pub(crate) fn remove(&mut self, instance: Instance) {
+        let peer = self.peers.remove(&instance);
+        peer.map(|peer| self.retire(peer.member));
+    }
+
+    /// Instances of the list that are not present: never heard of, or dead.
+    pub(crate) fn absent(&self) -> impl Iterator<Item = Instance> + '_ {
+        let present = |instance: &Instance| self.peers.get(instance).is_some_and(Peer::present);
+        self.listed
+            .keys()
+            .copied()
+            .filter(move |instance| !present(instance))
+    }
+
+    /// Instances of the list without any record.
+    pub(crate) fn unknown(&self) -> impl Iterator<Item = Instance> + '_ {
+        self.listed
+            .keys()
+            .copied()
+            .filter(|instance| !self.peers.contains_key(instance))
+    }
+
+    /// Members that are not dead.
+    pub(crate) fn present(&self) -> impl Iterator<Item = &Peer> + '_ {
+        self.peers.values().filter(|peer| peer.present())
+    }
+
+    /// Forgets dead members that are off the list.
+    pub(crate) fn prune(&mut self) {
+        let gone = self.peers.iter();
+        let gone = gone.filter(|(key, peer)| !peer.present() && !self.listed.contains_key(key));
+        let gone: Vec<Instance> = gone.map(|(key, _)| *key).collect();
+        for instance in gone {
+            self.remove(instance);
+        }
+    }
+
+    fn retire(&mut self, member: Member) -> Member {
+        self.runs.remove(&member.incarnation);
+        self.past.push(member);
+        member
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/settings.rs
@@ -0,0 +1,81 @@
+//! Settings of the membership protocol.
+
+use std::time::Duration;
+
+/// Intervals and bounds; the same for all daemons of a fleet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Settings {
+    /// One member is probed per period.
+    pub period: Duration,
+    /// How long a direct answer is waited for before helpers are asked; below `period`.
+    pub direct: Duration,
+    /// Helpers asked for an indirect probe.
+    pub helpers: usize,
+    /// Periods from a suspicion to the death in a fleet of up to 16; grows with log2 beyond.
+    pub suspect_periods: u32,
+    /// Records a message carries at most, the sender's own among them.
+    pub news: usize,
+    /// Records besides news and the sender's own that fill up a message, taken in turn.
+    pub filler: usize,
+    /// Records in a page.
+    pub page: usize,
+    /// A record is repeated this many times log2 of the members.
+    pub repeats: u32,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            period: Duration::from_millis(200),
+            direct: Duration::from_millis(80),
+            helpers: 3,
+            suspect_periods: 4,
+            news: 8,
+            filler: 2,
+            page: 28,
+            repeats: 3,
+        }
+    }
+}
+
+impl Settings {
+    /// log2 of the fleet up to which suspicions last `suspect_periods`.
+    const BASE_LOG: f64 = 4.0;
+
+    /// The default settings.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The same settings with another period; the direct timeout keeps its share of it.
+    #[must_use]
+    pub fn with_period(mut self, period: Duration) -> Self {
+        self.direct = self
+            .direct
+            .mul_f64(period.as_secs_f64() / self.period.as_secs_f64());
+        self.period = period;
+        self
+    }
+
+    /// The same settings with another count of periods from suspicion to death.
+    #[must_use]
+    pub const fn with_suspect_periods(mut self, periods: u32) -> Self {
+        self.suspect_periods = periods;
+        self
+    }
+
+    /// How long a member of a fleet of `members` stays suspected before it is declared dead.
+    pub fn suspicion(&self, members: usize) -> Duration {
+        let scale = (log2(members) / Self::BASE_LOG).max(1.0);
+        (self.period * self.suspect_periods).mul_f64(scale)
+    }
+
+    /// How often a record is repeated in a fleet of `members`.
+    pub fn repeats(&self, members: usize) -> u32 {
+        self.repeats * log2(members + 1).ceil() as u32
+    }
+}
+
+fn log2(members: usize) -> f64 {
+    (members.max(1) as f64).log2()
+}
