--- a/crates/ident/src/handle.rs
+++ b/crates/ident/src/handle.rs
@@ -38,7 +38,11 @@
 
 impl fmt::Display for ParseError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "`{}` is not a handle of the form <incarnation>-<sequence>", self.0)
+        write!(
+            f,
+            "`{}` is not a handle of the form <incarnation>-<sequence>",
+            self.0
+        )
     }
 }
 
--- a/crates/ident/src/key.rs
+++ b/crates/ident/src/key.rs
@@ -59,7 +59,10 @@
 
     /// The key `text` of `customer`.
     pub fn new(customer: &str, text: &str) -> Self {
-        Self { customer: customer.to_owned(), text: text.to_owned() }
+        Self {
+            customer: customer.to_owned(),
+            text: text.to_owned(),
+        }
     }
 
     /// The prefix inside the key, if it has one.
--- /dev/null
+++ b/crates/ledger/src/holds.rs
@@ -0,0 +1,275 @@
+//! Memory on replicas that requests hold, until its release is confirmed.
+//!
+//! A hold is entered before the order that makes the replica allocate anything. It is erased when
+//! the replica confirmed the release, when the work ended normally, or when the replica is gone.
+//! A release waits until the order that started the work is over, so that a cancel cannot overtake
+//! its start; it is repeated with backoff until it is confirmed.
+
+use std::collections::HashMap;
+
+use ident::Handle;
+use ident::Incarnation;
+use ident::Replica;
+use ident::Time;
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+
+use crate::backoff;
+use crate::ids::Order;
+
+new_key_type! {
+    /// A hold in its arena.
+    pub struct HoldKey;
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Wanted,
+    Due(Time),
+    Cancelling(Order),
+}
+
+/// One hold.
+#[derive(Debug, Clone, Copy)]
+pub struct Hold {
+    /// Where the memory is.
+    pub replica: Replica,
+    /// The attempt that holds it.
+    pub handle: Handle,
+    /// The owner the replica was told.
+    pub owner: Incarnation,
+    /// The fencing number the replica was told.
+    pub fence: u64,
+    start: Option<Order>,
+    state: State,
+    tries: u32,
+}
+
+/// A cancel to be sent.
+#[derive(Debug, Clone, Copy)]
+pub struct Cancel {
+    /// The hold.
+    pub hold: HoldKey,
+    /// Where to send it.
+    pub replica: Replica,
+    /// The attempt.
+    pub handle: Handle,
+    /// The owner.
+    pub owner: Incarnation,
+    /// The fencing number.
+    pub fence: u64,
+}
+
+/// All holds of a daemon.
+#[derive(Debug, Default)]
+pub struct Holds {
+    arena: SlotMap<HoldKey, Hold>,
+    starts: HashMap<Order, HoldKey>,
+    cancels: HashMap<Order, HoldKey>,
+    releasing: Vec<HoldKey>,
+}
+
+impl Holds {
+    /// No holds.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Number of holds not confirmed released.
+    pub fn len(&self) -> usize {
+        self.arena.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.arena.is_empty()
+    }
+
+    /// The hold `key`, unless it was erased.
+    pub fn get(&self, key: HoldKey) -> Option<&Hold> {
+        self.arena.get(key)
+    }
+
+    /// Whether `handle` has a hold on `replica`.
+    pub fn has(&self, replica: Replica, handle: Handle) -> bool {
+        self.arena
+            .values()
+            .any(|hold| hold.replica == replica && hold.handle == handle)
+    }
+
+    /// Enters a hold for work that `start` is about to begin.
+    pub fn take(
+        &mut self,
+        replica: Replica,
+        handle: Handle,
+        owner: Incarnation,
+        fence: u64,
+        start: Order,
+    ) -> HoldKey {
+        let state = State::Wanted;
+        let hold = Hold {
+            replica,
+            handle,
+            owner,
+            fence,
+            start: Some(start),
+            state,
+            tries: 0,
+        };
+        let key = self.arena.insert(hold);
+        self.starts.insert(start, key);
+        key
+    }
+
+    /// Enters memory found on a replica that is to be released, with the owner it names.
+    pub fn take_orphan(
+        &mut self,
+        now: Time,
+        replica: Replica,
+        handle: Handle,
+        owner: Incarnation,
+        fence: u64,
+    ) -> HoldKey {
+        let state = State::Due(now);
+        let hold = Hold {
+            replica,
+            handle,
+            owner,
+            fence,
+            start: None,
+            state,
+            tries: 0,
+        };
+        let key = self.arena.insert(hold);
+        self.releasing.push(key);
+        key
+    }
+
+    /// Notes that `start` reads the work of `key` from now on, under another owner and fence.
+    pub fn reopen(&mut self, key: HoldKey, start: Order, owner: Incarnation, fence: u64) {
+        if let Some(hold) = self.arena.get_mut(key) {
+            if let Some(former) = hold.start.replace(start) {
+                self.starts.remove(&former);
+            }
+            hold.owner = owner;
+            hold.fence = fence;
+            self.starts.insert(start, key);
+        }
+    }
+
+    /// Notes that a starting order is over, however it ended.
+    pub fn closed(&mut self, start: Order) {
+        let hold = self
+            .starts
+            .remove(&start)
+            .and_then(|key| self.arena.get_mut(key));
+        if let Some(hold) = hold {
+            hold.start = None;
+        }
+    }
+
+    /// Begins the release of `key`; returns the starting order to abort, if it is still open.
+    pub fn release(&mut self, now: Time, key: HoldKey) -> Option<Order> {
+        let hold = self.arena.get_mut(key)?;
+        if hold.state == State::Wanted {
+            hold.state = State::Due(now);
+            self.releasing.push(key);
+        }
+        hold.start
+    }
+
+    /// Erases `key`: its work is known to hold nothing any more.
+    pub fn erase(&mut self, key: HoldKey) {
+        if let Some(hold) = self.arena.remove(key) {
+            if let Some(start) = hold.start {
+                self.starts.remove(&start);
+            }
+            if let State::Cancelling(order) = hold.state {
+                self.cancels.remove(&order);
+            }
+            self.releasing.retain(|other| *other != key);
+        }
+    }
+
+    /// Erases all holds on a replica whose memory is gone.
+    pub fn erase_replica(&mut self, replica: Replica) {
+        let gone: Vec<HoldKey> = self
+            .arena
+            .iter()
+            .filter(|(_, hold)| hold.replica == replica)
+            .map(|(key, _)| key)
+            .collect();
+        for key in gone {
+            self.erase(key);
+        }
+    }
+
+    /// The next release that can be sent now, if any.
+    pub fn due(&self, now: Time) -> Option<Cancel> {
+        self.releasing.iter().find_map(|key| {
+            let hold = self.arena.get(*key)?;
+            match hold.state {
+                State::Due(at) if at <= now && hold.start.is_none() => Some(Cancel {
+                    hold: *key,
+                    replica: hold.replica,
+                    handle: hold.handle,
+                    owner: hold.owner,
+                    fence: hold.fence,
+                }),
+                _ => None,
+            }
+        })
+    }
+
+    /// When the next release can be sent.
+    pub fn next(&self) -> Time {
+        self.releasing
+            .iter()
+            .filter_map(|key| match self.arena.get(*key)? {
+                Hold {
+                    state: State::Due(at),
+                    start: None,
+                    ..
+                } => Some(*at),
+                _ => None,
+            })
+            .min()
+            .unwrap_or(Time::NEVER)
+    }
+
+    /// Notes that the release of `key` was sent as `order`.
+    pub fn sent(&mut self, key: HoldKey, order: Order) {
+        if let Some(hold) = self.arena.get_mut(key) {
+            hold.state = State::Cancelling(order);
+            self.cancels.insert(order, key);
+        }
+    }
+
+    /// Notes that the replica confirmed the release `order`; returns the hold, now erased.
+    pub fn confirmed(&mut self, order: Order) -> Option<Hold> {
+        let key = self.cancels.remove(&order)?;
+        let hold = self.arena.get(key).copied();
+        self.erase(key);
+        hold
+    }
+
+    /// Notes that the release `order` failed; it is sent again after a pause.
+    pub fn failed(&mut self, now: Time, order: Order) {
+        let hold = self
+            .cancels
+            .remove(&order)
+            .and_then(|key| self.arena.get_mut(key));
+        if let Some(hold) = hold {
+            hold.state = State::Due(now + backoff::pause(hold.tries));
+            hold.tries += 1;
+        }
+    }
+
+    /// Notes that the replica refused the release `order` because another owner took the work
+    /// over: the memory is that owner's now.
+    pub fn overtaken(&mut self, order: Order) {
+        if let Some(key) = self.cancels.remove(&order) {
+            self.erase(key);
+        }
+    }
+}
--- a/crates/node/src/action.rs
+++ b/crates/node/src/action.rs
@@ -66,6 +66,11 @@
     },
     /// Log a decision.
     Log(Decision),
+    /// Log a fault of this daemon: something that no request may do was about to be done.
+    Fault {
+        /// What it was, with step and attempt.
+        cause: String,
+    },
     /// Count something for the metrics.
     Count(Count),
     /// Nothing is in progress and a planned stop was asked for: the process may end.
--- /dev/null
+++ b/crates/node/src/asking.rs
@@ -0,0 +1,374 @@
+//! Keys whose runner is another instance.
+//!
+//! Only the runner may start such a request. Any other instance asks it, and passes its answer on;
+//! if the runner is gone it looks for a recorded outcome, and otherwise answers *unknown*.
+
+use std::time::Duration;
+
+use ident::Instance;
+use ident::Key;
+use ident::Time;
+use ledger::ids::Call;
+use ledger::ids::Query;
+use ledger::keys::Admission;
+use ledger::keys::Mark;
+use ledger::stage::Stage;
+use wire::Body;
+use wire::Told;
+
+use crate::action::Action;
+use crate::action::Ask;
+use crate::action::Outcome;
+use crate::action::Reason;
+use crate::action::Refusal;
+use crate::action::Tell;
+use crate::decision::Step;
+use crate::event::Recorded;
+use crate::event::Stored;
+use crate::node::Node;
+use crate::open::Asker;
+use crate::open::End;
+use crate::open::OpenKey;
+use crate::refusals::SOON;
+use crate::request::Request;
+
+/// How long a runner may be silent before its answer counts as lost.
+const SILENCE: Duration = Duration::from_secs(2);
+/// Pause after which a runner is asked again.
+const ASK_AGAIN: Duration = Duration::from_millis(500);
+
+/// A caller waits for what another instance knows of its key.
+#[derive(Debug)]
+pub(crate) struct Question {
+    /// The caller's connection.
+    pub(crate) call: Call,
+    key: Key,
+    request: Option<Request>,
+    runner: Option<Instance>,
+    heard: Time,
+    asked: Time,
+    lookup: Option<Query>,
+}
+
+impl Node {
+    /// Finds out what became of `key`, which belongs to another run.
+    pub(crate) fn ask(
+        &mut self,
+        call: Call,
+        key: Key,
+        request: Option<Request>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(prefix) = key.prefix() else {
+            return;
+        };
+        let alive = self
+            .fleet
+            .by_incarnation(prefix.runner)
+            .filter(|member| member.state != fleet::member::State::Dead)
+            .map(|member| member.instance);
+        let nonce = self.number();
+        let (now, runner) = (self.now, alive);
+        let question = Question {
+            call,
+            key,
+            request,
+            runner,
+            heard: now,
+            asked: now,
+            lookup: None,
+        };
+        let choice = runner.map_or_else(
+            || "the store".to_owned(),
+            |instance| format!("runner {}", self.instance_name(instance)),
+        );
+        self.log(
+            &question.key.to_string(),
+            Step::Repeat,
+            &choice,
+            "key of another run",
+            out,
+        );
+        self.questions.insert(nonce, question);
+        self.pursue(nonce, out);
+    }
+
+    fn pursue(&mut self, nonce: u64, out: &mut Vec<Action>) {
+        let Some(question) = self.questions.get_mut(&nonce) else {
+            return;
+        };
+        question.asked = self.now;
+        let key = question.key.clone();
+        match question.runner {
+            Some(runner) => self.send(runner, Body::Ask { nonce, key }, out),
+            None => self.look_up(nonce, out),
+        }
+    }
+
+    fn look_up(&mut self, nonce: u64, out: &mut Vec<Action>) {
+        let query = self.query();
+        let Some(question) = self.questions.get_mut(&nonce) else {
+            return;
+        };
+        let Some(prefix) = question.key.prefix() else {
+            return;
+        };
+        question.lookup = Some(query);
+        question.heard = self.now;
+        let ask = Ask::Outcome {
+            incarnation: prefix.runner,
+            key: question.key.to_string(),
+        };
+        out.push(Action::Query { query, ask });
+    }
+
+    /// Asks silent runners again, and gives up those that stay silent.
+    pub(crate) fn expire_questions(&mut self, out: &mut Vec<Action>) {
+        let now = self.now;
+        let mut silent = Vec::new();
+        let mut again = Vec::new();
+        for (nonce, question) in &self.questions {
+            match () {
+                () if now >= question.heard + SILENCE => silent.push(*nonce),
+                () if question.lookup.is_some() => (),
+                () if now >= question.asked + ASK_AGAIN => again.push(*nonce),
+                () => (),
+            }
+        }
+        silent.sort_unstable();
+        again.sort_unstable();
+        for nonce in silent {
+            self.runner_silent(nonce, out);
+        }
+        for nonce in again {
+            self.pursue(nonce, out);
+        }
+    }
+
+    /// A runner that was asked does not answer: its record in the store is looked for, once.
+    fn runner_silent(&mut self, nonce: u64, out: &mut Vec<Action>) {
+        let Some(question) = self.questions.get_mut(&nonce) else {
+            return;
+        };
+        if question.runner.take().is_some() && question.lookup.is_none() {
+            return self.look_up(nonce, out);
+        }
+        self.close(nonce, Self::unknown(), out);
+    }
+
+    fn unknown() -> Refusal {
+        Self::refusal(Outcome::Unknown, Reason::RunnerLost, SOON)
+    }
+
+    fn close(&mut self, nonce: u64, refusal: Refusal, out: &mut Vec<Action>) {
+        if let Some(question) = self.questions.remove(&nonce) {
+            self.refuse(question.call, &question.key.to_string(), refusal, out);
+        }
+    }
+
+    /// The store answered a lookup; `false` if `query` is none.
+    pub(crate) fn looked_up(
+        &mut self,
+        query: Query,
+        outcome: &Stored,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let found = self
+            .questions
+            .iter()
+            .find(|(_, question)| question.lookup == Some(query));
+        let Some(nonce) = found.map(|(nonce, _)| *nonce) else {
+            return false;
+        };
+        match outcome {
+            Stored::Outcome(Some(recorded)) => self.tell_recorded(nonce, recorded.clone(), out),
+            _ => self.no_record(nonce, out),
+        }
+        true
+    }
+
+    fn tell_recorded(&mut self, nonce: u64, recorded: Recorded, out: &mut Vec<Action>) {
+        let Recorded { status, body } = recorded;
+        match body {
+            Some(body) => self.tell_repeated(nonce, status, body, out),
+            None => {
+                let refusal = Self::refusal(Outcome::Failed, Reason::AnswerGone, Duration::ZERO);
+                self.close(nonce, refusal, out);
+            }
+        }
+    }
+
+    fn tell_repeated(
+        &mut self,
+        nonce: u64,
+        status: u16,
+        body: bytes::Bytes,
+        out: &mut Vec<Action>,
+    ) {
+        if let Some(question) = self.questions.remove(&nonce) {
+            let tell = Tell::Answer {
+                status,
+                body,
+                repeated: true,
+            };
+            out.push(Action::Tell {
+                call: question.call,
+                tell,
+            });
+        }
+    }
+
+    /// Nothing is recorded of a key whose runner is gone. A repeatable request is run here; of a
+    /// non-repeatable one nothing can be said.
+    fn no_record(&mut self, nonce: u64, out: &mut Vec<Action>) {
+        let repeatable = self.questions.get(&nonce).is_some_and(|question| {
+            question
+                .request
+                .as_ref()
+                .is_some_and(|request| self.is_repeatable(request))
+        });
+        if !repeatable {
+            return self.close(nonce, Self::unknown(), out);
+        }
+        let Some(question) = self.questions.remove(&nonce) else {
+            return;
+        };
+        let Some(request) = question.request else {
+            return;
+        };
+        let label = question.key.to_string();
+        self.log(
+            &label,
+            Step::Repeat,
+            "run here",
+            "repeatable, and its runner is gone",
+            out,
+        );
+        match self.admit(question.call, Some(question.key), &request) {
+            Ok(opened) => self.begin(opened, out),
+            Err(refusal) => self.refuse(question.call, &label, refusal, out),
+        }
+    }
+
+    fn is_repeatable(&self, request: &Request) -> bool {
+        let rows = self
+            .view
+            .table()
+            .map(|table| table.rows.as_slice())
+            .unwrap_or_default();
+        let mut rows = rows
+            .iter()
+            .filter(|row| row.service == request.service && row.class == request.class);
+        request.repeatable && rows.all(|row| row.repeatable)
+    }
+
+    /// Another instance asks what became of a key that names this run.
+    pub(crate) fn asked(&mut self, from: Instance, nonce: u64, key: &Key, out: &mut Vec<Action>) {
+        let told = match self.keys.get(key).cloned() {
+            Some(Mark::Open(opened)) => self.told_open(
+                opened,
+                Asker {
+                    instance: from,
+                    nonce,
+                },
+            ),
+            Some(Mark::Answered { status, body }) => Told::Answered { status, body },
+            Some(Mark::Streamed { token }) => Told::Streaming { token },
+            Some(Mark::Unknown) => Told::Unknown,
+            Some(Mark::Failed) => Told::Failed,
+            None if self.is_expired(key) => Told::Expired,
+            None => Told::NotSeen,
+        };
+        self.send(from, Body::Told { nonce, told }, out);
+    }
+
+    fn is_expired(&self, key: &Key) -> bool {
+        let issued = key.prefix().map_or(0, |prefix| prefix.issued);
+        self.keys.admit(self.unix_s(), issued) == Admission::Expired
+    }
+
+    fn told_open(&mut self, opened: OpenKey, asker: Asker) -> Told {
+        let streams = self.open[opened].stage == Stage::Decode;
+        match self.token_of(opened).filter(|_| streams) {
+            Some(token) => Told::Streaming { token },
+            None => {
+                let askers = &mut self.open[opened].askers;
+                if !askers.iter().any(|other| other.nonce == asker.nonce) {
+                    askers.push(asker);
+                }
+                Told::InProgress
+            }
+        }
+    }
+
+    /// Tells instances that asked for a request how it ended.
+    pub(crate) fn tell_askers(&mut self, opened: OpenKey, end: &End, out: &mut Vec<Action>) {
+        let askers = std::mem::take(&mut self.open[opened].askers);
+        if askers.is_empty() {
+            return;
+        }
+        let token = self.token_of(opened);
+        let told = match (end, token) {
+            (End::Answered { status, body }, _) => Told::Answered {
+                status: *status,
+                body: Some(body.clone()),
+            },
+            (End::Streamed { .. } | End::Superseded, Some(token)) => Told::Streaming { token },
+            (End::Streamed { .. } | End::Superseded, None) => Told::Unknown,
+            (End::Refused(refusal), _) => match refusal.outcome {
+                Outcome::NotRun => Told::NotSeen,
+                Outcome::Unknown => Told::Unknown,
+                Outcome::Failed => Told::Failed,
+            },
+        };
+        for asker in askers {
+            let body = Body::Told {
+                nonce: asker.nonce,
+                told: told.clone(),
+            };
+            self.send(asker.instance, body, out);
+        }
+    }
+
+    /// A runner answered.
+    pub(crate) fn told(&mut self, nonce: u64, told: Told, out: &mut Vec<Action>) {
+        let now = self.now;
+        let Some(question) = self.questions.get_mut(&nonce) else {
+            return;
+        };
+        question.heard = now;
+        let runner = question.runner;
+        match told {
+            Told::InProgress => (),
+            Told::Streaming { token } => self.follow_stream(nonce, &token, out),
+            Told::Answered { status, body } => {
+                self.tell_recorded(nonce, Recorded { status, body }, out);
+            }
+            Told::Unknown => {
+                let refusal = Self::refusal(Outcome::Unknown, Reason::Backend, Duration::ZERO);
+                self.close(nonce, refusal, out);
+            }
+            Told::Failed => {
+                let refusal = Self::refusal(Outcome::Failed, Reason::Backend, Duration::ZERO);
+                self.close(nonce, refusal, out);
+            }
+            Told::Expired => {
+                let refusal = Self::refusal(Outcome::NotRun, Reason::KeyExpired, Duration::ZERO);
+                self.close(nonce, refusal, out);
+            }
+            Told::NotSeen => {
+                let refusal = match runner {
+                    Some(runner) => self.refusal_at(Reason::OtherRunner, runner),
+                    None => Self::unknown(),
+                };
+                self.close(nonce, refusal, out);
+            }
+        }
+    }
+
+    fn follow_stream(&mut self, nonce: u64, token: &str, out: &mut Vec<Action>) {
+        if let Some(question) = self.questions.remove(&nonce) {
+            self.resumed(question.call, &question.key.customer, token, 0, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/callers.rs
@@ -0,0 +1,340 @@
+//! Requests as they arrive, repeat and go away.
+
+use std::time::Duration;
+
+use ident::Handle;
+use ident::Key;
+use ident::Pool;
+use ident::Time;
+use ledger::ids::Call;
+use ledger::keys::Admission;
+use ledger::keys::Mark;
+use ledger::order::Sequence;
+use ledger::stage::Stage;
+use rand::RngExt;
+use route::ticket::Ticket;
+use table::row::Row;
+
+use crate::action::Action;
+use crate::action::Outcome;
+use crate::action::Reason;
+use crate::action::Refusal;
+use crate::action::Tell;
+use crate::decision::Step;
+use crate::node::Node;
+use crate::open::End;
+use crate::open::Open;
+use crate::open::OpenKey;
+use crate::open::Targets;
+use crate::open::Times;
+use crate::refusals::SOON;
+use crate::request::Request;
+use crate::request::Work;
+
+/// How long a stream goes on without its caller, who may come back with the resume token.
+pub const CALLER_GRACE: Duration = Duration::from_secs(3);
+/// How many times the address answer's time to live a leaving daemon still takes requests.
+const LEAVING_TTLS: u32 = 2;
+
+impl Node {
+    pub(crate) fn arrived(&mut self, call: Call, request: Request, out: &mut Vec<Action>) {
+        let key = match Self::key_of(&request) {
+            Ok(key) => key,
+            Err(refusal) => return self.refuse(call, &request.customer, refusal, out),
+        };
+        let label = key
+            .as_ref()
+            .map_or_else(|| request.customer.clone(), Key::to_string);
+        let known = key.as_ref().and_then(|key| self.keys.get(key)).cloned();
+        match (known, &key) {
+            (Some(mark), Some(key)) => self.repeat(call, key, mark, out),
+            (None, Some(key)) if self.is_foreign(key) => {
+                self.ask(call, key.clone(), Some(request), out);
+            }
+            _ => match self.admit(call, key, &request) {
+                Ok(opened) => self.begin(opened, out),
+                Err(refusal) => self.refuse(call, &label, refusal, out),
+            },
+        }
+    }
+
+    /// The key of a request, checked for its form.
+    fn key_of(request: &Request) -> Result<Option<Key>, Refusal> {
+        let invalid = || Self::refusal(Outcome::NotRun, Reason::Invalid, Duration::ZERO);
+        match &request.key {
+            Some(text) if text.is_empty() || text.len() > Key::MAX_LEN => Err(invalid()),
+            Some(text) => Ok(Some(Key::new(&request.customer, text))),
+            None => Ok(None),
+        }
+    }
+
+    fn is_foreign(&self, key: &Key) -> bool {
+        key.prefix()
+            .is_some_and(|prefix| prefix.runner != self.incarnation())
+    }
+
+    /// Opens a request, unless a rule forbids it.
+    pub(crate) fn admit(
+        &mut self,
+        call: Call,
+        key: Option<Key>,
+        request: &Request,
+    ) -> Result<OpenKey, Refusal> {
+        let not_run = |reason, after| Self::refusal(Outcome::NotRun, reason, after);
+        if !self.may_decide() {
+            return Err(self.refusal_elsewhere(Outcome::NotRun, Reason::Stale));
+        }
+        if self.is_closed() {
+            return Err(self.refusal_elsewhere(Outcome::NotRun, Reason::Leaving));
+        }
+        let Some(row) = self.pick_row(request) else {
+            return Err(not_run(Reason::NoRow, Duration::ZERO));
+        };
+        let repeatable = request.repeatable && row.repeatable;
+        let prefix = key.as_ref().and_then(Key::prefix);
+        if !repeatable && prefix.is_none() {
+            return Err(not_run(Reason::KeyNeeded, Duration::ZERO));
+        }
+        if self.open.len() >= self.settings.max_open {
+            return Err(self.refusal_elsewhere(Outcome::NotRun, Reason::Full));
+        }
+        let now = self.unix_s();
+        let issued = prefix.map_or(now, |prefix| prefix.issued);
+        match key.as_ref().map(|_| self.keys.admit(now, issued)) {
+            Some(Admission::Expired) => Err(not_run(Reason::KeyExpired, Duration::ZERO)),
+            Some(Admission::Full) => Err(self.refusal_elsewhere(Outcome::NotRun, Reason::Full)),
+            Some(Admission::New) | None => Ok(self.insert(call, key, request, &row, repeatable)),
+        }
+    }
+
+    /// Whether a leaving daemon takes nothing new any more: callers may hold its address for a
+    /// while after it began to leave.
+    pub(crate) fn is_closed(&self) -> bool {
+        let span = self.settings.address_ttl * LEAVING_TTLS;
+        self.leaving.is_some_and(|since| self.now >= since + span)
+    }
+
+    /// The row for a request; several pools of one service and class are drawn by their shares.
+    fn pick_row(&mut self, request: &Request) -> Option<Row> {
+        let table = self.view.table()?;
+        let rows: Vec<Row> = table
+            .rows
+            .iter()
+            .filter(|row| row.service == request.service && row.class == request.class)
+            .cloned()
+            .collect();
+        let total: u64 = rows.iter().map(|row| u64::from(row.share)).sum();
+        let mut point = match rows.len() {
+            0 => return None,
+            1 => return rows.into_iter().next(),
+            _ => self.rng.random_range(0..total),
+        };
+        rows.into_iter()
+            .find(|row| match point.checked_sub(u64::from(row.share)) {
+                Some(rest) => {
+                    point = rest;
+                    false
+                }
+                None => true,
+            })
+    }
+
+    fn insert(
+        &mut self,
+        call: Call,
+        key: Option<Key>,
+        request: &Request,
+        row: &Row,
+        repeatable: bool,
+    ) -> OpenKey {
+        let handle = self.fresh_handle();
+        let now = self.now;
+        let ticket = Ticket {
+            handle,
+            row: row.id(),
+            work: ticket_work(&request.work),
+            waited: Duration::ZERO,
+            home: self.settings.zone,
+            attempt: 0,
+            avoid: Vec::new(),
+        };
+        let opened = self.open.insert(Open {
+            call: Some(call),
+            origin: Some(call),
+            key: key.clone(),
+            customer: request.customer.clone(),
+            pool: Pool::new(&row.pool),
+            repeatable,
+            stage: Stage::Waiting,
+            ticket,
+            place: None,
+            phase: None,
+            order: None,
+            prefill_hold: None,
+            decode_hold: None,
+            fence: self.unix_ms(),
+            sequence: Sequence::new(0),
+            touched: false,
+            headed: false,
+            withheld: None,
+            attach_tries: 0,
+            computed: 0,
+            priority: row.priority,
+            targets: targets(row),
+            times: Times {
+                arrived: now,
+                submitted: now,
+                first: None,
+                last: None,
+                left: None,
+            },
+            askers: Vec::new(),
+        });
+        self.by_handle.insert(handle, opened);
+        self.by_call.insert(call, opened);
+        if let Some(key) = key {
+            self.keys.mark(self.unix_s(), &key, Mark::Open(opened));
+        }
+        opened
+    }
+
+    pub(crate) fn fresh_handle(&mut self) -> Handle {
+        Handle::new(self.incarnation(), self.number())
+    }
+
+    pub(crate) fn begin(&mut self, opened: OpenKey, out: &mut Vec<Action>) {
+        let entry = &self.open[opened];
+        let pool = format!("pool {}", entry.pool);
+        let reason = format!("row {} attempt {}", entry.ticket.row, entry.handle());
+        self.log(&entry.label(), Step::Admit, &pool, &reason, out);
+        self.submit(opened, out);
+    }
+
+    /// A key that was seen before.
+    fn repeat(&mut self, call: Call, key: &Key, mark: Mark<OpenKey>, out: &mut Vec<Action>) {
+        let label = key.to_string();
+        self.log(
+            &label,
+            Step::Repeat,
+            mark_word(&mark),
+            "the key was seen before",
+            out,
+        );
+        match mark {
+            Mark::Open(opened) => self.take_over_locally(opened, call, 0, true, out),
+            Mark::Answered {
+                status,
+                body: Some(body),
+            } => {
+                let tell = Tell::Answer {
+                    status,
+                    body,
+                    repeated: true,
+                };
+                out.push(Action::Tell { call, tell });
+            }
+            Mark::Answered { body: None, .. } => {
+                let refusal = Self::refusal(Outcome::Failed, Reason::AnswerGone, Duration::ZERO);
+                self.refuse(call, &label, refusal, out);
+            }
+            Mark::Streamed { token } => self.resumed(call, &key.customer, &token, 0, out),
+            Mark::Unknown => {
+                let refusal = Self::refusal(Outcome::Unknown, Reason::Backend, Duration::ZERO);
+                self.refuse(call, &label, refusal, out);
+            }
+            Mark::Failed => {
+                let refusal = Self::refusal(Outcome::Failed, Reason::Backend, Duration::ZERO);
+                self.refuse(call, &label, refusal, out);
+            }
+        }
+    }
+
+    pub(crate) fn left(&mut self, call: Call, out: &mut Vec<Action>) {
+        self.questions.retain(|_, question| question.call != call);
+        let Some(opened) = self.by_call.remove(&call) else {
+            return;
+        };
+        let now = self.now;
+        let Some(entry) = self
+            .open
+            .get_mut(opened)
+            .filter(|entry| entry.call == Some(call))
+        else {
+            return;
+        };
+        entry.call = None;
+        entry.origin = entry.origin.filter(|origin| *origin != call);
+        entry.times.left = Some(now);
+        let reads_stream = entry.headed && entry.stage == Stage::Decode;
+        if !reads_stream && entry.stage != Stage::Call {
+            self.abandon(opened, "the caller went away", out);
+        }
+    }
+
+    /// Ends streams whose callers did not come back.
+    pub(crate) fn give_up_left(&mut self, out: &mut Vec<Action>) {
+        let now = self.now;
+        let gone: Vec<OpenKey> = self
+            .open
+            .iter()
+            .filter(|(_, entry)| entry.call.is_none() && entry.stage != Stage::Call)
+            .filter(|(_, entry)| is_over(entry.times.left, now))
+            .map(|(opened, _)| opened)
+            .collect();
+        for opened in gone {
+            self.abandon(opened, "the caller did not come back", out);
+        }
+    }
+
+    /// Ends a request that nobody waits for, and releases all that it holds.
+    fn abandon(&mut self, opened: OpenKey, reason: &str, out: &mut Vec<Action>) {
+        let touched = self.open[opened].touched;
+        let outcome = if touched {
+            Outcome::Failed
+        } else {
+            Outcome::NotRun
+        };
+        let refusal = Self::refusal(outcome, Reason::Backend, SOON);
+        let label = self.open[opened].label();
+        self.log(&label, Step::End, "abandoned", reason, out);
+        self.end(opened, &End::Refused(refusal), out);
+    }
+}
+
+fn is_over(left: Option<Time>, now: Time) -> bool {
+    left.is_none_or(|left| now >= left + CALLER_GRACE)
+}
+
+/// The latency targets of a row.
+pub(crate) fn targets(row: &Row) -> Targets {
+    Targets {
+        ttft: u64::from(row.ttft_ms) * 1_000,
+        tbt: u64::from(row.tbt_ms) * 1_000,
+    }
+}
+
+fn ticket_work(work: &Work) -> route::ticket::Work {
+    match work {
+        Work::Model {
+            prompt_tokens,
+            max_tokens,
+            blocks,
+        } => route::ticket::Work::Model {
+            prompt_tokens: *prompt_tokens,
+            max_tokens: *max_tokens,
+            blocks: blocks.clone(),
+            done_tokens: 0,
+        },
+        Work::Plain => route::ticket::Work::Plain,
+    }
+}
+
+const fn mark_word(mark: &Mark<OpenKey>) -> &'static str {
+    match mark {
+        Mark::Open(_) => "attached",
+        Mark::Answered { .. } => "answered before",
+        Mark::Streamed { .. } => "streamed before",
+        Mark::Unknown => "unknown",
+        Mark::Failed => "failed",
+    }
+}
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -28,6 +28,8 @@
     Resumed {
         /// The caller's connection.
         call: Call,
+        /// The customer that presents it.
+        customer: String,
         /// Sealed token.
         token: String,
         /// Tokens the caller has already got.
--- a/crates/node/src/ids.rs
+++ b/crates/node/src/ids.rs
@@ -1,13 +1,5 @@
 //! Numbers that tie an action to the event that answers it.
 
-/// A caller's or operator's connection; chosen by the driver, never reused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Call(pub u64);
-
-/// An order to a replica; chosen by the core, never reused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Order(pub u64);
-
-/// A query to the store; chosen by the core, never reused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Query(pub u64);
+pub use ledger::ids::Call;
+pub use ledger::ids::Order;
+pub use ledger::ids::Query;
--- /dev/null
+++ b/crates/node/src/keeping.rs
@@ -0,0 +1,544 @@
+//! The keeper's work: one queue a pool, and no memory without an owner.
+//!
+//! A pool's keeper is the live instance that rendezvous hashing names. It keeps soft state only: a
+//! new keeper learns what is placed from the owners, and what runs from the replicas.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use ident::Handle;
+use ident::Incarnation;
+use ident::Instance;
+use ident::Pool;
+use ident::Replica;
+use ident::Time;
+use rand::Rng;
+use route::cell;
+use route::cell::Cell;
+use route::cell::Hold;
+use route::phase::Phase;
+use route::replica::Member;
+use route::rule::Rule;
+use route::ticket::Ticket;
+use table::row::LAST_PRIORITY;
+use table::row::Row;
+use wire::Body;
+
+use crate::action::Action;
+use crate::action::Count;
+use crate::decision::Step;
+use crate::event::Held;
+use crate::event::Inspection;
+use crate::node::Node;
+
+/// Time in which a new keeper of a pool places nothing, so that owners can report first.
+const SETTLE: Duration = Duration::from_millis(500);
+/// Time between two audits of what owners still want.
+const AUDIT_EVERY: Duration = Duration::from_secs(2);
+/// Age from which a placed attempt is audited.
+const AUDIT_AGE: Duration = Duration::from_secs(4);
+/// Inspections without an answer after which a replica counts as lost.
+const MAX_SILENT: u32 = 4;
+
+/// An attempt as the keeper knows it.
+#[derive(Debug, Clone, Copy)]
+struct Placed {
+    owner: Instance,
+    incarnation: Incarnation,
+    since: Time,
+}
+
+/// What the keeper knows of one replica's answers.
+#[derive(Debug, Clone, Copy, Default)]
+struct Watch {
+    silent: u32,
+    after: u64,
+}
+
+/// A pool kept by this daemon.
+#[derive(Debug)]
+pub(crate) struct Kept {
+    pub(crate) name: String,
+    pub(crate) cell: Cell,
+    ready: Time,
+    placed: BTreeMap<Handle, Placed>,
+    watches: BTreeMap<Replica, Watch>,
+    /// Memory found without a live owner, and since when.
+    orphans: BTreeMap<(Replica, Handle), Time>,
+    generation: u64,
+}
+
+impl Node {
+    /// Whether this daemon is keeper of `pool`.
+    fn is_keeper(&self, pool: Pool) -> bool {
+        self.fleet.owner(pool.0) == Some(self.settings.instance)
+    }
+
+    /// Follows changes of membership and list: begins and ends keeping, and tells new keepers what
+    /// this daemon has placed with them.
+    pub(crate) fn reassign(&mut self, out: &mut Vec<Action>) {
+        let mut pools: Vec<Pool> = self.backends.values().map(|backend| backend.pool).collect();
+        pools.extend(self.open.values().map(|entry| entry.pool));
+        pools.sort_unstable();
+        pools.dedup();
+        for pool in pools {
+            let Some(owner) = self.fleet.owner(pool.0) else {
+                continue;
+            };
+            if self.keepers.insert(pool, owner) != Some(owner) {
+                self.keeper_moved(pool, owner, out);
+            }
+        }
+    }
+
+    fn keeper_moved(&mut self, pool: Pool, owner: Instance, out: &mut Vec<Action>) {
+        let name = self.pool_name(pool);
+        self.log(
+            &name,
+            Step::Member,
+            &self.instance_name(owner),
+            "keeper of the pool",
+            out,
+        );
+        if owner == self.settings.instance {
+            self.begin_keeping(pool, name);
+        } else {
+            self.cells.remove(&pool);
+        }
+        let mine: Vec<_> = self
+            .open
+            .iter()
+            .filter(|(_, entry)| entry.pool == pool)
+            .map(|(key, _)| key)
+            .collect();
+        for opened in mine {
+            if self.open[opened].place.is_some() {
+                self.tell_keeper_adopted(opened, out);
+            } else {
+                self.submit(opened, out);
+            }
+        }
+    }
+
+    fn begin_keeping(&mut self, pool: Pool, name: String) {
+        let cell = Cell::new(cell::Settings::default(), self.rng.next_u64());
+        let alone = self
+            .fleet
+            .alive()
+            .all(|member| member.instance == self.settings.instance);
+        let settle = if alone { Duration::ZERO } else { SETTLE };
+        let kept = Kept {
+            name,
+            cell,
+            ready: self.now + settle,
+            placed: BTreeMap::new(),
+            watches: BTreeMap::new(),
+            orphans: BTreeMap::new(),
+            generation: 0,
+        };
+        self.cells.insert(pool, kept);
+        self.refresh_cell(pool);
+        self.timers.inspect = self.now;
+        self.timers.cells = self.now;
+    }
+
+    fn pool_name(&self, pool: Pool) -> String {
+        let rows = self
+            .view
+            .table()
+            .map(|table| table.rows.as_slice())
+            .unwrap_or_default();
+        let found = rows.iter().find(|row| Pool::new(&row.pool) == pool);
+        found.map_or_else(|| pool.to_string(), |row| row.pool.clone())
+    }
+
+    /// Puts list and table in force in every kept pool.
+    pub(crate) fn refresh_cells(&mut self) {
+        let pools: Vec<Pool> = self.cells.keys().copied().collect();
+        for pool in pools {
+            self.refresh_cell(pool);
+        }
+        self.timers.cells = self.now;
+    }
+
+    fn refresh_cell(&mut self, pool: Pool) {
+        let now = self.now;
+        let members: Vec<Member> = self
+            .backends
+            .values()
+            .filter(|backend| backend.pool == pool)
+            .map(|backend| Member {
+                replica: backend.replica,
+                zone: backend.zone,
+                role: backend.role,
+                slots: backend.slots,
+                leaving: backend.leaving || self.is_drained(&backend.name),
+            })
+            .collect();
+        let rules: Vec<Rule> = self
+            .view
+            .table()
+            .iter()
+            .flat_map(|table| &table.rows)
+            .filter(|row| Pool::new(&row.pool) == pool)
+            .map(rule)
+            .collect();
+        let name = self.pool_name(pool);
+        let generation = self.view.generation();
+        if let Some(kept) = self.cells.get_mut(&pool) {
+            kept.name = name;
+            kept.generation = generation;
+            kept.cell.set_members(now, &members);
+            kept.cell.set_rules(now, &rules);
+        }
+    }
+
+    fn is_drained(&self, replica: &str) -> bool {
+        self.view
+            .table()
+            .is_some_and(|table| table.drains_replica(replica))
+    }
+
+    /// An owner asks for a placement.
+    pub(crate) fn submitted(&mut self, from: Instance, ticket: Ticket) {
+        let incarnation = self.incarnation_of(from);
+        let now = self.now;
+        let Some(kept) = self.cell_of(ticket.row) else {
+            return;
+        };
+        let placed = Placed {
+            owner: from,
+            incarnation,
+            since: now,
+        };
+        kept.placed.entry(ticket.handle).or_insert(placed);
+        kept.cell.submit(now, ticket);
+        self.timers.cells = now;
+    }
+
+    fn incarnation_of(&self, instance: Instance) -> Incarnation {
+        let current = self.fleet.current(instance);
+        current.map_or(Incarnation(0), |member| member.incarnation)
+    }
+
+    fn cell_of(&mut self, row: ident::Row) -> Option<&mut Kept> {
+        let pool = self
+            .view
+            .table()?
+            .by_id(row)
+            .map(|row| Pool::new(&row.pool))?;
+        if !self.is_keeper(pool) {
+            return None;
+        }
+        self.cells.get_mut(&pool)
+    }
+
+    /// An owner reports progress.
+    pub(crate) fn advanced(&mut self, handle: Handle, phase: Phase) {
+        let now = self.now;
+        let ended = matches!(phase, Phase::Finished { .. } | Phase::Gone);
+        for kept in self
+            .cells
+            .values_mut()
+            .filter(|kept| kept.placed.contains_key(&handle))
+        {
+            kept.cell.advance(now, handle, phase);
+            if ended {
+                kept.placed.remove(&handle);
+            }
+        }
+        self.timers.cells = now;
+    }
+
+    /// An owner tells of a placed request.
+    pub(crate) fn adopted(&mut self, from: Instance, hold: &Hold) {
+        let incarnation = self.incarnation_of(from);
+        let now = self.now;
+        let Some(kept) = self.cell_of(hold.ticket.row) else {
+            return;
+        };
+        let placed = Placed {
+            owner: from,
+            incarnation,
+            since: now,
+        };
+        kept.placed.insert(hold.ticket.handle, placed);
+        kept.cell.adopt(now, hold);
+        self.timers.cells = now;
+    }
+
+    /// Lets every kept pool decide.
+    pub(crate) fn step_cells(&mut self, out: &mut Vec<Action>) {
+        let now = self.now;
+        let mut next = Time::NEVER;
+        let mut verdicts = Vec::new();
+        let may_decide = self.may_decide();
+        for kept in self.cells.values_mut() {
+            if may_decide && now >= kept.ready {
+                next = next.min(kept.cell.step(now, &mut verdicts));
+            } else {
+                next = next.min(kept.ready.max(now + SETTLE));
+            }
+        }
+        self.timers.cells = next;
+        for verdict in verdicts {
+            self.send_verdict(verdict, out);
+        }
+    }
+
+    fn send_verdict(&mut self, verdict: route::verdict::Verdict, out: &mut Vec<Action>) {
+        let handle = verdict.handle;
+        let refused = matches!(verdict.choice, route::verdict::Choice::Refused { .. });
+        let kept = self
+            .cells
+            .values_mut()
+            .find(|kept| kept.placed.contains_key(&handle));
+        let Some(kept) = kept else {
+            return;
+        };
+        let owner = kept.placed.get(&handle).map(|placed| placed.owner);
+        if refused {
+            kept.placed.remove(&handle);
+        }
+        if let Some(owner) = owner {
+            self.send(owner, Body::Verdict(verdict), out);
+        }
+    }
+
+    /// Asks every replica of the kept pools for its state.
+    pub(crate) fn inspect(&mut self, out: &mut Vec<Action>) {
+        self.timers.inspect = self.now + self.settings.inspect_every;
+        self.recheck_suspects(out);
+        for backend in self.backends.values() {
+            if let Some(kept) = self.cells.get(&backend.pool) {
+                let after = kept
+                    .watches
+                    .get(&backend.replica)
+                    .map_or(0, |watch| watch.after);
+                out.push(Action::Inspect {
+                    replica: backend.replica,
+                    after,
+                });
+            }
+        }
+    }
+
+    /// A replica answered an inspection, or failed to.
+    pub(crate) fn inspected(
+        &mut self,
+        replica: Replica,
+        state: Option<Inspection>,
+        out: &mut Vec<Action>,
+    ) {
+        let pool = self.backends.get(&replica).map(|backend| backend.pool);
+        match state {
+            Some(inspection) => {
+                self.verify(replica, &inspection.works, out);
+                if let Some(pool) = pool.filter(|pool| self.cells.contains_key(pool)) {
+                    self.take_report(pool, replica, &inspection);
+                    self.sweep(pool, replica, &inspection.works, out);
+                }
+            }
+            None => self.silent(pool, replica),
+        }
+    }
+
+    fn take_report(&mut self, pool: Pool, replica: Replica, inspection: &Inspection) {
+        let now = self.now;
+        let Some(kept) = self.cells.get_mut(&pool) else {
+            return;
+        };
+        let watch = kept.watches.entry(replica).or_default();
+        watch.silent = 0;
+        let last = inspection.report.events.iter().map(|event| event.seq).max();
+        watch.after = last.unwrap_or(watch.after);
+        kept.cell.report(now, replica, &inspection.report);
+        self.timers.cells = now;
+    }
+
+    fn silent(&mut self, pool: Option<Pool>, replica: Replica) {
+        let now = self.now;
+        let Some(kept) = pool.and_then(|pool| self.cells.get_mut(&pool)) else {
+            return;
+        };
+        let watch = kept.watches.entry(replica).or_default();
+        watch.silent += 1;
+        watch.after = 0;
+        if watch.silent == MAX_SILENT {
+            kept.cell.lost(now, replica);
+        }
+    }
+
+    /// Compares what a replica holds with what live owners want.
+    fn sweep(&mut self, pool: Pool, replica: Replica, works: &[Held], out: &mut Vec<Action>) {
+        let mut questions: BTreeMap<Instance, Vec<Handle>> = BTreeMap::new();
+        let mut orphans = Vec::new();
+        for held in works.iter().filter(|held| !held.done) {
+            match self.live_owner(held.owner) {
+                None => orphans.push(*held),
+                Some(_) if self.is_placed(pool, held.handle) => (),
+                Some(owner) => questions.entry(owner).or_default().push(held.handle),
+            }
+        }
+        self.note_orphans(pool, replica, &orphans, out);
+        for (owner, handles) in questions {
+            self.send(owner, Body::Claimed { replica, handles }, out);
+        }
+    }
+
+    fn is_placed(&self, pool: Pool, handle: Handle) -> bool {
+        self.cells
+            .get(&pool)
+            .is_some_and(|kept| kept.placed.contains_key(&handle))
+    }
+
+    fn live_owner(&self, owner: Incarnation) -> Option<Instance> {
+        let member = self.fleet.by_incarnation(owner)?;
+        let alive = member.state != fleet::member::State::Dead;
+        alive.then_some(member.instance)
+    }
+
+    fn note_orphans(
+        &mut self,
+        pool: Pool,
+        replica: Replica,
+        found: &[Held],
+        out: &mut Vec<Action>,
+    ) {
+        let now = self.now;
+        let grace = self.settings.orphan_grace;
+        let paused = self.fleet.paused(now);
+        let Some(kept) = self.cells.get_mut(&pool) else {
+            return;
+        };
+        kept.orphans.retain(|(at, handle), _| {
+            *at != replica || found.iter().any(|held| held.handle == *handle)
+        });
+        let mut due = Vec::new();
+        for held in found {
+            let since = *kept.orphans.entry((replica, held.handle)).or_insert(now);
+            if now >= since + grace && !paused {
+                kept.orphans.remove(&(replica, held.handle));
+                due.push(*held);
+            }
+        }
+        for held in due {
+            self.sweep_one(replica, held, out);
+        }
+    }
+
+    fn sweep_one(&mut self, replica: Replica, held: Held, out: &mut Vec<Action>) {
+        let handle = held.handle;
+        if !self.holds.has(replica, handle) {
+            self.holds
+                .take_orphan(self.now, replica, handle, held.owner, held.fence);
+        }
+        let name = self.replica_name(replica);
+        self.log(
+            &handle.to_string(),
+            Step::Sweep,
+            &name,
+            "its owner is gone",
+            out,
+        );
+        out.push(Action::Count(Count::Swept));
+        self.advanced(handle, Phase::Gone);
+    }
+
+    /// A keeper found attempts that name this daemon as owner: those not open are disowned.
+    pub(crate) fn claimed(
+        &mut self,
+        from: Instance,
+        replica: Replica,
+        handles: &[Handle],
+        out: &mut Vec<Action>,
+    ) {
+        let mut disowned = Vec::new();
+        for handle in handles {
+            match self.by_handle.get(handle).copied() {
+                Some(opened) if self.open[opened].place.is_some() => {
+                    self.tell_keeper_adopted(opened, out);
+                }
+                Some(_) => (),
+                None => disowned.push(*handle),
+            }
+        }
+        if !disowned.is_empty() {
+            self.send(
+                from,
+                Body::Disowned {
+                    replica,
+                    handles: disowned,
+                },
+                out,
+            );
+        }
+    }
+
+    /// An owner disowns attempts that this keeper found.
+    pub(crate) fn disowned(&mut self, replica: Replica, handles: &[Handle], out: &mut Vec<Action>) {
+        for handle in handles {
+            self.advanced(*handle, Phase::Gone);
+            if self.backends.contains_key(&replica) && !self.holds.has(replica, *handle) {
+                let fence = self.unix_ms();
+                let owner = handle.owner;
+                self.holds
+                    .take_orphan(self.now, replica, *handle, owner, fence);
+                let name = self.replica_name(replica);
+                self.log(
+                    &handle.to_string(),
+                    Step::Sweep,
+                    &name,
+                    "disowned by its owner",
+                    out,
+                );
+                out.push(Action::Count(Count::Swept));
+            }
+        }
+    }
+
+    /// Asks owners about attempts placed long ago, and drops those of dead owners.
+    pub(crate) fn audit(&mut self, out: &mut Vec<Action>) {
+        let now = self.now;
+        self.timers.audit = now + AUDIT_EVERY;
+        let mut gone = Vec::new();
+        let mut questions: BTreeMap<Instance, Vec<Handle>> = BTreeMap::new();
+        for kept in self.cells.values() {
+            for (handle, placed) in &kept.placed {
+                let dead = self.live_owner(placed.incarnation).is_none();
+                let grace = self.settings.orphan_grace + AUDIT_AGE;
+                match () {
+                    () if dead && now >= placed.since + grace => gone.push(*handle),
+                    () if dead || now < placed.since + AUDIT_AGE => (),
+                    () => questions.entry(placed.owner).or_default().push(*handle),
+                }
+            }
+        }
+        for handle in gone {
+            self.advanced(handle, Phase::Gone);
+        }
+        for (owner, handles) in questions {
+            let replica = AUDITED;
+            self.send(owner, Body::Claimed { replica, handles }, out);
+        }
+    }
+}
+
+/// Stands for no replica in the questions of an audit.
+const AUDITED: Replica = Replica(0);
+
+fn rule(row: &Row) -> Rule {
+    let millis = |value: u32| Duration::from_millis(u64::from(value));
+    Rule {
+        row: row.id(),
+        share: row.share,
+        priority: LAST_PRIORITY - row.priority,
+        ttft: millis(row.ttft_ms),
+        tbt: millis(row.tbt_ms),
+        max_wait: millis(row.max_wait_ms),
+        prefill_ceiling: row.prefill_ceiling,
+        decode_ceiling: row.decode_ceiling,
+        retry_percent: u32::from(row.retry_percent),
+        waste_percent: u32::from(row.waste_percent),
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,14 +5,28 @@
 //! core has no sockets, files, clock or threads; its only randomness is a seeded generator.
 
 pub mod action;
+mod asking;
+mod attempts;
+mod callers;
 pub mod decision;
 pub mod event;
 pub mod ids;
+mod keeping;
 pub mod list;
+mod members;
 mod node;
+mod open;
+mod peers;
+mod queries;
+mod recording;
+mod refusals;
+mod releases;
 pub mod request;
 pub mod settings;
 pub mod status;
+mod streams;
+mod tables;
+mod timers;
 mod token;
 
 pub use node::Node;
--- /dev/null
+++ b/crates/node/src/members.rs
@@ -0,0 +1,184 @@
+//! Membership: the platform's list, failure detection, planned stops and pauses.
+
+use std::time::Duration;
+
+use fleet::Fleet;
+use fleet::entry::Entry;
+use fleet::member::Member;
+use fleet::member::State;
+use ident::Incarnation;
+use ident::Time;
+use rand::Rng;
+use wire::Body;
+
+use crate::action::Action;
+use crate::decision::Step;
+use crate::list::List;
+use crate::node::Node;
+use crate::settings::Settings;
+
+/// Longest wait for unwritten records once nothing else is in progress.
+const RECORD_WAIT: Duration = Duration::from_secs(10);
+
+/// The membership of a daemon at its start.
+pub(crate) fn fleet(settings: &Settings, now: Time, seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(
+        member(settings, settings.incarnation, settings.started_ms),
+        fleet::Settings::default(),
+        seed,
+    );
+    let entries: Vec<Entry> = settings
+        .seeds
+        .iter()
+        .map(|instance| Entry {
+            instance: *instance,
+            zone: settings.zone,
+            leaving: false,
+        })
+        .collect();
+    fleet.set_list(now, &entries);
+    fleet
+}
+
+fn member(settings: &Settings, incarnation: Incarnation, started: u64) -> Member {
+    Member {
+        instance: settings.instance,
+        incarnation,
+        zone: settings.zone,
+        state: State::Alive,
+        version: 0,
+        started,
+    }
+}
+
+impl Node {
+    pub(crate) fn step_fleet(&mut self, out: &mut Vec<Action>) {
+        let mut outputs = Vec::new();
+        self.timers.fleet = self.fleet.step(self.now, &mut outputs);
+        for output in outputs {
+            match output {
+                fleet::Output::Send { to, message } => {
+                    self.send(to, Body::Gossip(message), out);
+                }
+                fleet::Output::Changed { member, before } => {
+                    self.member_changed(&member, before, out);
+                }
+            }
+        }
+        if self.fleet.declared_dead() {
+            self.reincarnate(out);
+        }
+    }
+
+    fn member_changed(&mut self, member: &Member, before: Option<State>, out: &mut Vec<Action>) {
+        let name = self.instance_name(member.instance);
+        let state = format!("{:?}", member.state).to_lowercase();
+        let reason = before.map_or_else(
+            || "first heard of".to_owned(),
+            |before| format!("was {}", format!("{before:?}").to_lowercase()),
+        );
+        self.log(&name, Step::Member, &state, &reason, out);
+        self.reassign(out);
+    }
+
+    /// Others declared this run dead while it was paused: it goes on as a new run. What it had in
+    /// progress is verified before anything more is told or ordered.
+    fn reincarnate(&mut self, out: &mut Vec<Action>) {
+        let former = self.incarnation();
+        let fresh = Incarnation(self.rng.next_u64());
+        self.former.push(former);
+        let started = self.unix_ms();
+        let mut fleet = Fleet::new(
+            member(&self.settings, fresh, started),
+            fleet::Settings::default(),
+            self.rng.next_u64(),
+        );
+        fleet.set_list(self.now, &self.entries());
+        self.fleet = fleet;
+        if self.leaving.is_some() {
+            self.fleet.leave(self.now);
+        }
+        self.cells.clear();
+        self.keepers.clear();
+        let reason = format!("run {former} was declared dead while it was paused");
+        let name = self.settings.name.clone();
+        self.log(&name, Step::Member, &format!("run {fresh}"), &reason, out);
+        self.suspect_streams(out);
+        self.timers.fleet = self.now;
+        self.reassign(out);
+    }
+
+    fn entries(&self) -> Vec<Entry> {
+        let seats = self.seats.values().map(|seat| Entry {
+            instance: seat.instance,
+            zone: seat.zone,
+            leaving: seat.leaving,
+        });
+        seats.collect()
+    }
+
+    /// The clock jumped by more than the lease: this process was paused.
+    pub(crate) fn woke(&mut self, out: &mut Vec<Action>) {
+        let name = self.settings.name.clone();
+        self.log(
+            &name,
+            Step::Member,
+            "woke",
+            "paused for longer than the lease",
+            out,
+        );
+        self.suspect_streams(out);
+    }
+
+    pub(crate) fn listed(&mut self, list: List, out: &mut Vec<Action>) {
+        self.seats = list
+            .instances
+            .into_iter()
+            .map(|seat| (seat.instance, seat))
+            .collect();
+        let before = std::mem::take(&mut self.backends);
+        self.backends = list
+            .replicas
+            .into_iter()
+            .map(|found| (found.replica, found))
+            .collect();
+        for replica in before
+            .keys()
+            .filter(|replica| !self.backends.contains_key(replica))
+        {
+            self.holds.erase_replica(*replica);
+        }
+        let entries = self.entries();
+        self.fleet.set_list(self.now, &entries);
+        self.timers.fleet = self.now;
+        self.reassign(out);
+        self.refresh_cells();
+    }
+
+    /// A planned stop: nothing in progress is cut off.
+    pub(crate) fn stop(&mut self, out: &mut Vec<Action>) {
+        if self.leaving.is_none() {
+            self.leaving = Some(self.now);
+            self.fleet.leave(self.now);
+            self.timers.fleet = self.now;
+            let name = self.settings.name.clone();
+            self.log(&name, Step::Member, "leaving", "planned stop", out);
+            self.reassign(out);
+        }
+    }
+
+    /// Ends a planned stop once nothing is in progress.
+    pub(crate) fn try_finish(&mut self, out: &mut Vec<Action>) {
+        let idle = self.open.is_empty() && self.questions.is_empty() && self.holds.is_empty();
+        if self.finished || !self.is_closed() || !idle {
+            return;
+        }
+        let waited = self
+            .leaving
+            .is_some_and(|since| self.now >= since + self.settings.address_ttl * 2 + RECORD_WAIT);
+        if self.journal.is_empty() || waited {
+            self.finished = true;
+            out.push(Action::Finished);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/open.rs
@@ -0,0 +1,171 @@
+//! A request that has no final answer yet.
+
+use bytes::Bytes;
+use ident::Handle;
+use ident::Instance;
+use ident::Key;
+use ident::Pool;
+use ident::Replica;
+use ident::Time;
+use ledger::holds::HoldKey;
+use ledger::ids::Call;
+use ledger::ids::Order;
+use ledger::order::Sequence;
+use ledger::stage::Stage;
+use route::phase::Phase;
+use route::ticket::Ticket;
+use slotmap::new_key_type;
+
+use crate::action::Action;
+
+new_key_type! {
+    /// An open request in its arena.
+    pub struct OpenKey;
+}
+
+/// Latency targets of a request's row.
+#[derive(Debug, Clone, Copy)]
+pub struct Targets {
+    /// Time to first token, in microseconds.
+    pub ttft: u64,
+    /// Time between tokens, in microseconds.
+    pub tbt: u64,
+}
+
+/// Where a placed request runs.
+#[derive(Debug, Clone, Copy)]
+pub struct Place {
+    /// The prefill replica; `None` for plain calls and streams taken over.
+    pub prefill: Option<Replica>,
+    /// The decode replica, or the replica of the plain call.
+    pub run: Replica,
+}
+
+/// Another instance that asked what became of a request.
+#[derive(Debug, Clone, Copy)]
+pub struct Asker {
+    /// The instance.
+    pub instance: Instance,
+    /// Its question.
+    pub nonce: u64,
+}
+
+/// Points on the clock that the figures are made from.
+#[derive(Debug, Clone, Copy)]
+pub struct Times {
+    /// Arrival here.
+    pub arrived: Time,
+    /// Last submission to the keeper.
+    pub submitted: Time,
+    /// First token told to the caller.
+    pub first: Option<Time>,
+    /// Last token told to the caller.
+    pub last: Option<Time>,
+    /// When the caller's connection closed.
+    pub left: Option<Time>,
+}
+
+/// One open request.
+#[derive(Debug)]
+pub struct Open {
+    /// The caller's present connection.
+    pub call: Option<Call>,
+    /// The connection under which the driver keeps the prompt or the plain call; `None` for a
+    /// stream taken over.
+    pub origin: Option<Call>,
+    /// Its idempotency key.
+    pub key: Option<Key>,
+    /// Its customer.
+    pub customer: String,
+    /// Its pool.
+    pub pool: Pool,
+    /// Whether it may be sent again after it was sent.
+    pub repeatable: bool,
+    /// Where it is.
+    pub stage: Stage,
+    /// What the keeper was told of it; its handle is the present attempt.
+    pub ticket: Ticket,
+    /// Where it runs.
+    pub place: Option<Place>,
+    /// The last phase told to the keeper.
+    pub phase: Option<Phase>,
+    /// The order that starts or streams its present work.
+    pub order: Option<Order>,
+    /// Its memory on the prefill replica.
+    pub prefill_hold: Option<HoldKey>,
+    /// Its memory on the decode replica.
+    pub decode_hold: Option<HoldKey>,
+    /// Fencing number of this owner.
+    pub fence: u64,
+    /// Tokens in order.
+    pub sequence: Sequence,
+    /// Whether a byte of it may have reached a replica.
+    pub touched: bool,
+    /// Whether the head of its stream was told to the present connection.
+    pub headed: bool,
+    /// Pieces withheld until the stream is verified; `None` if it needs no verification.
+    pub withheld: Option<Vec<(Order, crate::event::Piece)>>,
+    /// Attach orders that failed in a row.
+    pub attach_tries: u32,
+    /// Prompt tokens computed by the present attempt and not yet used.
+    pub computed: u32,
+    /// Priority of its row, 0 first.
+    pub priority: u8,
+    /// Targets of its row.
+    pub targets: Targets,
+    /// Clock points.
+    pub times: Times,
+    /// Instances that asked for it.
+    pub askers: Vec<Asker>,
+}
+
+impl Open {
+    /// The present attempt.
+    pub const fn handle(&self) -> Handle {
+        self.ticket.handle
+    }
+
+    /// Moves to `next`; a transition that no request may make is a fault, and is not made.
+    pub fn enter(&mut self, next: Stage, out: &mut Vec<Action>) {
+        match self.stage.advance(next, self.ticket.handle) {
+            Ok(stage) => self.stage = stage,
+            Err(error) => out.push(Action::Fault {
+                cause: error.to_string(),
+            }),
+        }
+    }
+
+    /// The name used in log lines: the key, or the handle if there is no key.
+    pub fn label(&self) -> String {
+        match &self.key {
+            Some(key) => key.to_string(),
+            None => format!("{}/{}", self.customer, self.handle()),
+        }
+    }
+
+    /// Whether it is a language-model request.
+    pub const fn is_model(&self) -> bool {
+        matches!(self.ticket.work, route::ticket::Work::Model { .. })
+    }
+}
+
+/// An answer that is told to askers and kept for repeats.
+#[derive(Debug, Clone)]
+pub enum End {
+    /// A plain answer.
+    Answered {
+        /// HTTP status.
+        status: u16,
+        /// Body.
+        body: Bytes,
+    },
+    /// A stream, complete.
+    Streamed {
+        /// Tokens in the whole answer.
+        tokens: u32,
+    },
+    /// A newer connection or another instance reads the stream.
+    Superseded,
+    /// No answer.
+    Refused(crate::action::Refusal),
+}
--- /dev/null
+++ b/crates/node/src/refusals.rs
@@ -0,0 +1,127 @@
+//! Typed refusals.
+
+use std::time::Duration;
+
+use ident::Instance;
+use ledger::ids::Call;
+
+use crate::action::Action;
+use crate::action::Count;
+use crate::action::Outcome;
+use crate::action::Reason;
+use crate::action::Refusal;
+use crate::action::Tell;
+use crate::decision::Step;
+use crate::node::Node;
+use crate::node::millis;
+
+/// When to come back after a refusal that passes by itself soon.
+pub(crate) const SOON: Duration = Duration::from_secs(1);
+
+/// Most addresses named in a refusal.
+const MAX_ADDRESSES: usize = 3;
+
+impl Reason {
+    /// The word used towards callers and in log lines.
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::Invalid => "invalid",
+            Self::NoRow => "no_row",
+            Self::NoReplica => "no_replica",
+            Self::Doomed => "doomed",
+            Self::Ceiling => "ceiling",
+            Self::RetryBudget => "retry_budget",
+            Self::Stale => "stale",
+            Self::Leaving => "leaving",
+            Self::Full => "full",
+            Self::KeyNeeded => "key_needed",
+            Self::KeyExpired => "key_expired",
+            Self::OtherRunner => "other_runner",
+            Self::RunnerLost => "runner_lost",
+            Self::BadToken => "bad_token",
+            Self::StreamLost => "stream_lost",
+            Self::AnswerGone => "answer_gone",
+            Self::Backend => "backend",
+        }
+    }
+}
+
+impl Outcome {
+    /// The word used towards callers and in log lines.
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::NotRun => "not_run",
+            Self::Unknown => "unknown",
+            Self::Failed => "failed",
+        }
+    }
+}
+
+impl From<route::verdict::Reason> for Reason {
+    fn from(reason: route::verdict::Reason) -> Self {
+        match reason {
+            route::verdict::Reason::Doomed => Self::Doomed,
+            route::verdict::Reason::Ceiling => Self::Ceiling,
+            route::verdict::Reason::NoReplica => Self::NoReplica,
+            route::verdict::Reason::RetryBudget => Self::RetryBudget,
+            route::verdict::Reason::UnknownRow => Self::NoRow,
+        }
+    }
+}
+
+impl Node {
+    /// A refusal without addresses; `after` of zero means that coming back does not help.
+    pub(crate) fn refusal(outcome: Outcome, reason: Reason, after: Duration) -> Refusal {
+        Refusal {
+            outcome,
+            reason,
+            retry_after_ms: millis(after),
+            addresses: Vec::new(),
+        }
+    }
+
+    /// A refusal that names other instances to go to.
+    pub(crate) fn refusal_elsewhere(&self, outcome: Outcome, reason: Reason) -> Refusal {
+        let me = &self.settings.name;
+        let addresses = self
+            .addresses(self.now, self.settings.zone)
+            .into_iter()
+            .filter(|address| address.name != *me)
+            .map(|address| address.address)
+            .take(MAX_ADDRESSES)
+            .collect();
+        Refusal {
+            outcome,
+            reason,
+            retry_after_ms: millis(SOON),
+            addresses,
+        }
+    }
+
+    /// A refusal that names the one instance to go to.
+    pub(crate) fn refusal_at(&self, reason: Reason, instance: Instance) -> Refusal {
+        let addresses = self.seats.get(&instance).map(|seat| seat.caller.clone());
+        Refusal {
+            outcome: Outcome::NotRun,
+            reason,
+            retry_after_ms: millis(SOON),
+            addresses: addresses.into_iter().collect(),
+        }
+    }
+
+    /// Refuses a call that opened no request.
+    pub(crate) fn refuse(&self, call: Call, label: &str, refusal: Refusal, out: &mut Vec<Action>) {
+        self.log(
+            label,
+            Step::Refuse,
+            refusal.outcome.word(),
+            refusal.reason.word(),
+            out,
+        );
+        out.push(Action::Count(Count::Refused(refusal.outcome)));
+        out.push(Action::Tell {
+            call,
+            tell: Tell::Refusal(refusal),
+        });
+    }
+}
--- /dev/null
+++ b/crates/node/src/releases.rs
@@ -0,0 +1,61 @@
+//! Release of memory on replicas.
+
+use ledger::holds::HoldKey;
+use ledger::ids::Order;
+
+use crate::action::Action;
+use crate::action::Task;
+use crate::decision::Step;
+use crate::event::Failure;
+use crate::node::Node;
+use crate::node::Purpose;
+
+const HTTP_CONFLICT: u16 = 409;
+
+impl Node {
+    /// Begins the release of a hold; its starting order is aborted first.
+    pub(crate) fn release_hold(&mut self, hold: Option<HoldKey>, out: &mut Vec<Action>) {
+        let now = self.now;
+        let start = hold.and_then(|hold| self.holds.release(now, hold));
+        out.extend(start.map(|order| Action::Abort { order }));
+    }
+
+    /// Sends the releases that are due.
+    pub(crate) fn run_releases(&mut self, out: &mut Vec<Action>) {
+        while let Some(cancel) = self.holds.due(self.now) {
+            let order = self.order(Purpose::Cancel);
+            self.holds.sent(cancel.hold, order);
+            let handle = cancel.handle;
+            let replica = self.replica_name(cancel.replica);
+            self.log(
+                &handle.to_string(),
+                Step::Release,
+                &replica,
+                "no longer wanted",
+                out,
+            );
+            out.push(Action::Order {
+                order,
+                replica: cancel.replica,
+                handle,
+                owner: cancel.owner,
+                fence: cancel.fence,
+                task: Task::Cancel,
+            });
+        }
+    }
+
+    pub(crate) fn release_confirmed(&mut self, order: Order, _out: &mut Vec<Action>) {
+        self.holds.confirmed(order);
+    }
+
+    pub(crate) fn release_failed(&mut self, order: Order, failure: Failure) {
+        match failure {
+            Failure::Refused {
+                status: HTTP_CONFLICT,
+                ..
+            } => self.holds.overtaken(order),
+            _ => self.holds.failed(self.now, order),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/streams.rs
@@ -0,0 +1,518 @@
+//! Streams: tokens in order, resumption and takeover.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use ident::Replica;
+use ledger::ids::Call;
+use ledger::ids::Order;
+use ledger::order::Arrival;
+use ledger::order::Run;
+use ledger::order::Sequence;
+use ledger::stage::Stage;
+use route::phase::Phase;
+use route::ticket::Ticket;
+use route::ticket::Work;
+use wire::Body;
+
+use crate::action::Action;
+use crate::action::Count;
+use crate::action::Outcome;
+use crate::action::Reason;
+use crate::action::Task;
+use crate::action::Tell;
+use crate::decision::Step;
+use crate::event::Failure;
+use crate::event::Held;
+use crate::event::Piece;
+use crate::node::Node;
+use crate::node::Purpose;
+use crate::open::End;
+use crate::open::Open;
+use crate::open::OpenKey;
+use crate::open::Place;
+use crate::open::Targets;
+use crate::open::Times;
+use crate::refusals::SOON;
+use crate::token::Token;
+
+/// Attach orders that may fail in a row before the stream counts as lost.
+const MAX_ATTACH_TRIES: u32 = 3;
+const HTTP_NOT_FOUND: u16 = 404;
+const HTTP_CONFLICT: u16 = 409;
+const HTTP_TOO_MANY: u16 = 429;
+
+impl Node {
+    pub(crate) fn streamed(&mut self, order: Order, piece: Piece, out: &mut Vec<Action>) {
+        let Some(Purpose::Decode(opened)) = self.orders.get(&order).copied() else {
+            return;
+        };
+        match self.open.get_mut(opened) {
+            Some(entry) if entry.order != Some(order) => (),
+            Some(Open {
+                withheld: Some(withheld),
+                ..
+            }) => withheld.push((order, piece)),
+            Some(_) => self.piece(opened, piece, out),
+            None => (),
+        }
+    }
+
+    fn piece(&mut self, opened: OpenKey, piece: Piece, out: &mut Vec<Action>) {
+        match piece {
+            Piece::Imported => self.imported(opened, out),
+            Piece::Tokens {
+                offset,
+                count,
+                text,
+            } => {
+                self.tokens(
+                    opened,
+                    Run {
+                        offset,
+                        count,
+                        text,
+                    },
+                    out,
+                );
+            }
+            Piece::End { offset } => self.stream_end(opened, offset, out),
+            Piece::Superseded => self.end(opened, &End::Superseded, out),
+        }
+    }
+
+    fn imported(&mut self, opened: OpenKey, out: &mut Vec<Action>) {
+        let entry = &mut self.open[opened];
+        entry.computed = 0;
+        entry.attach_tries = 0;
+        if let Some(hold) = entry.prefill_hold.take() {
+            self.holds.erase(hold);
+        }
+        if !matches!(self.open[opened].phase, Some(Phase::Decoding)) {
+            self.advance(opened, Phase::Decoding, out);
+        }
+    }
+
+    fn tokens(&mut self, opened: OpenKey, run: Run, out: &mut Vec<Action>) {
+        let now = self.now;
+        let entry = &mut self.open[opened];
+        entry.attach_tries = 0;
+        let mut ready = Vec::new();
+        let arrival = entry.sequence.arrive(run, &mut ready);
+        if arrival == Arrival::Ready {
+            note_tokens(entry, now, out);
+        }
+        if let Some(call) = entry.call {
+            out.extend(ready.into_iter().map(|run| Action::Tell {
+                call,
+                tell: Tell::Tokens {
+                    offset: run.offset,
+                    count: run.count,
+                    text: run.text,
+                },
+            }));
+        }
+        if arrival == Arrival::Broken {
+            let offset = self.open[opened].sequence.delivered();
+            self.attach(opened, offset, out);
+        }
+    }
+
+    fn stream_end(&mut self, opened: OpenKey, tokens: u32, out: &mut Vec<Action>) {
+        let delivered = self.open[opened].sequence.delivered();
+        if delivered < tokens {
+            self.attach(opened, delivered, out);
+        } else {
+            self.end(opened, &End::Streamed { tokens }, out);
+        }
+    }
+
+    /// A decode or attach order failed.
+    pub(crate) fn decode_failed(
+        &mut self,
+        opened: OpenKey,
+        failure: Failure,
+        out: &mut Vec<Action>,
+    ) {
+        let entry = &mut self.open[opened];
+        let started = !matches!(entry.phase, Some(Phase::Prefilled { .. }));
+        let adopting = entry.origin.is_none();
+        match failure {
+            Failure::NotSent
+            | Failure::Refused {
+                status: HTTP_TOO_MANY,
+                ..
+            } if !started => {
+                self.ask_other_decode(opened, out);
+            }
+            _ if !started => self.retry(opened, failure, out),
+            Failure::Refused {
+                status: HTTP_CONFLICT,
+                fence: Some(fence),
+            } if adopting && entry.attach_tries < MAX_ATTACH_TRIES => {
+                entry.attach_tries += 1;
+                entry.fence = entry.fence.max(fence);
+                let offset = entry.sequence.delivered();
+                self.attach(opened, offset, out);
+            }
+            Failure::Refused {
+                status: HTTP_CONFLICT,
+                ..
+            } => {
+                self.end(opened, &End::Superseded, out);
+            }
+            Failure::Refused {
+                status: HTTP_NOT_FOUND,
+                ..
+            } => {
+                self.stream_lost(opened, failure, out);
+            }
+            _ if entry.attach_tries < MAX_ATTACH_TRIES => {
+                entry.attach_tries += 1;
+                let offset = entry.sequence.delivered();
+                self.attach(opened, offset, out);
+            }
+            _ => self.stream_lost(opened, failure, out),
+        }
+    }
+
+    /// The engine keeps nothing of the stream any more: it is continued elsewhere if its prompt is
+    /// at hand.
+    fn stream_lost(&mut self, opened: OpenKey, failure: Failure, out: &mut Vec<Action>) {
+        let entry = &self.open[opened];
+        if entry.origin.is_none() {
+            self.open[opened].touched = true;
+            self.give_up(opened, Reason::StreamLost, SOON, out);
+        } else {
+            self.retry(opened, failure, out);
+        }
+    }
+
+    /// Reads the stream of `opened` from `offset` in place of the present reader.
+    pub(crate) fn attach(&mut self, opened: OpenKey, offset: u32, out: &mut Vec<Action>) {
+        let order = self.order(Purpose::Decode(opened));
+        let owner = self.incarnation();
+        let entry = &mut self.open[opened];
+        let Some(place) = entry.place else {
+            return;
+        };
+        if let Some(former) = entry.order.replace(order) {
+            out.push(Action::Abort { order: former });
+        }
+        entry.fence += 1;
+        let (handle, fence) = (entry.handle(), entry.fence);
+        entry.sequence = Sequence::new(offset);
+        entry.withheld = None;
+        match entry.decode_hold {
+            Some(hold) => self.holds.reopen(hold, order, owner, fence),
+            None => {
+                let hold = self.holds.take(place.run, handle, owner, fence, order);
+                self.open[opened].decode_hold = Some(hold);
+            }
+        }
+        let task = Task::Attach { offset };
+        out.push(Action::Order {
+            order,
+            replica: place.run,
+            handle,
+            owner,
+            fence,
+            task,
+        });
+    }
+
+    /// Tells the present connection the head of the stream, once.
+    pub(crate) fn tell_head(&mut self, opened: OpenKey, out: &mut Vec<Action>) {
+        let token = self.token_of(opened);
+        let entry = &mut self.open[opened];
+        let handle = entry.handle();
+        match (entry.call, token) {
+            (Some(call), Some(token)) if !entry.headed => {
+                entry.headed = true;
+                out.push(Action::Tell {
+                    call,
+                    tell: Tell::Head { handle, token },
+                });
+            }
+            _ => (),
+        }
+    }
+
+    /// The sealed resume token of a stream.
+    pub(crate) fn token_of(&self, opened: OpenKey) -> Option<String> {
+        let entry = &self.open[opened];
+        let place = entry.place?;
+        let Work::Model {
+            prompt_tokens,
+            max_tokens,
+            ..
+        } = entry.ticket.work
+        else {
+            return None;
+        };
+        let token = Token {
+            handle: entry.handle(),
+            replica: place.run,
+            pool: entry.pool,
+            row: entry.ticket.row,
+            customer: entry.customer.clone(),
+            prompt_tokens,
+            max_tokens,
+        };
+        Some(token.seal(&self.settings.secret))
+    }
+
+    pub(crate) fn resumed(
+        &mut self,
+        call: Call,
+        customer: &str,
+        text: &str,
+        offset: u32,
+        out: &mut Vec<Action>,
+    ) {
+        let token = Token::open(text, &self.settings.secret);
+        let Some(token) = token.filter(|token| token.customer == customer) else {
+            let refusal = Self::refusal(Outcome::NotRun, Reason::BadToken, Duration::ZERO);
+            return self.refuse(call, customer, refusal, out);
+        };
+        match self.by_handle.get(&token.handle).copied() {
+            Some(opened) => self.take_over_locally(opened, call, offset, false, out),
+            None => self.adopt(call, &token, offset, out),
+        }
+    }
+
+    /// Moves an open request to a newer connection of the same caller.
+    pub(crate) fn take_over_locally(
+        &mut self,
+        opened: OpenKey,
+        call: Call,
+        offset: u32,
+        brings_body: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let entry = &mut self.open[opened];
+        if let Some(former) = entry.call.replace(call) {
+            self.by_call.remove(&former);
+            out.push(Action::Tell {
+                call: former,
+                tell: Tell::Superseded,
+            });
+        }
+        self.by_call.insert(call, opened);
+        entry.origin = brings_body.then_some(call);
+        entry.times.left = None;
+        entry.headed = false;
+        if entry.stage != Stage::Decode {
+            return;
+        }
+        let in_place = entry.sequence.delivered() == offset;
+        self.tell_head(opened, out);
+        if !in_place {
+            self.attach(opened, offset, out);
+        }
+    }
+
+    /// Takes over a stream that another daemon, or a former run, began.
+    pub(crate) fn adopt(&mut self, call: Call, token: &Token, offset: u32, out: &mut Vec<Action>) {
+        if self.open.len() >= self.settings.max_open {
+            let refusal = self.refusal_elsewhere(Outcome::NotRun, Reason::Full);
+            return self.refuse(call, &token.customer, refusal, out);
+        }
+        let opened = self.insert_adopted(call, token, offset);
+        let label = self.open[opened].label();
+        let choice = format!("{} at {}", token.handle, self.replica_name(token.replica));
+        let reason = format!("resume token, from token {offset}");
+        self.log(&label, Step::Adopt, &choice, &reason, out);
+        self.tell_head(opened, out);
+        self.attach(opened, offset, out);
+        self.tell_keeper_adopted(opened, out);
+    }
+
+    /// Tells the keeper of a placed request that this daemon owns it.
+    pub(crate) fn tell_keeper_adopted(&mut self, opened: OpenKey, out: &mut Vec<Action>) {
+        let keeper = self.fleet.owner(self.open[opened].pool.0);
+        let hold = self.hold_of(opened);
+        if let (Some(keeper), Some(hold)) = (keeper, hold) {
+            self.send(keeper, Body::Adopt(Box::new(hold)), out);
+        }
+    }
+
+    fn insert_adopted(&mut self, call: Call, token: &Token, offset: u32) -> OpenKey {
+        let now = self.now;
+        let work = Work::Model {
+            prompt_tokens: token.prompt_tokens,
+            max_tokens: token.max_tokens,
+            blocks: Vec::new(),
+            done_tokens: 0,
+        };
+        let ticket = Ticket {
+            handle: token.handle,
+            row: token.row,
+            work,
+            waited: Duration::ZERO,
+            home: self.settings.zone,
+            attempt: 0,
+            avoid: Vec::new(),
+        };
+        let targets = self.targets_of(token.row);
+        let opened = self.open.insert(Open {
+            call: Some(call),
+            origin: None,
+            key: None,
+            customer: token.customer.clone(),
+            pool: token.pool,
+            repeatable: true,
+            stage: Stage::Decode,
+            ticket,
+            place: Some(Place {
+                prefill: None,
+                run: token.replica,
+            }),
+            phase: Some(Phase::Decoding),
+            order: None,
+            prefill_hold: None,
+            decode_hold: None,
+            fence: self.unix_ms(),
+            sequence: Sequence::new(offset),
+            touched: true,
+            headed: false,
+            withheld: None,
+            attach_tries: 0,
+            computed: 0,
+            priority: 0,
+            targets,
+            times: Times {
+                arrived: now,
+                submitted: now,
+                first: None,
+                last: None,
+                left: None,
+            },
+            askers: Vec::new(),
+        });
+        self.by_handle.insert(token.handle, opened);
+        self.by_call.insert(call, opened);
+        opened
+    }
+
+    fn targets_of(&self, row: ident::Row) -> Targets {
+        let found = self.view.table().and_then(|table| table.by_id(row));
+        found.map_or(
+            Targets {
+                ttft: u64::MAX,
+                tbt: u64::MAX,
+            },
+            crate::callers::targets,
+        )
+    }
+
+    /// Withholds every stream until it is verified: this daemon was paused for longer than the
+    /// lease, and others may have taken its streams over.
+    pub(crate) fn suspect_streams(&mut self, out: &mut Vec<Action>) {
+        for entry in self
+            .open
+            .values_mut()
+            .filter(|entry| entry.stage == Stage::Decode)
+        {
+            entry.withheld.get_or_insert_default();
+        }
+        self.recheck_suspects(out);
+    }
+
+    /// Asks the replicas of withheld streams for their state.
+    pub(crate) fn recheck_suspects(&mut self, out: &mut Vec<Action>) {
+        let replicas: BTreeSet<Replica> = self
+            .open
+            .values()
+            .filter(|entry| entry.withheld.is_some())
+            .filter_map(|entry| entry.place.map(|place| place.run))
+            .collect();
+        out.extend(
+            replicas
+                .into_iter()
+                .map(|replica| Action::Inspect { replica, after: 0 }),
+        );
+    }
+
+    /// Verifies suspect streams against what their replica holds.
+    pub(crate) fn verify(&mut self, replica: Replica, works: &[Held], out: &mut Vec<Action>) {
+        let suspects: Vec<OpenKey> = self
+            .open
+            .iter()
+            .filter(|(_, entry)| entry.withheld.is_some())
+            .filter(|(_, entry)| entry.place.is_some_and(|place| place.run == replica))
+            .map(|(opened, _)| opened)
+            .collect();
+        for opened in suspects {
+            let handle = self.open[opened].handle();
+            let held = works.iter().find(|held| held.handle == handle).copied();
+            self.verify_one(opened, held, out);
+        }
+    }
+
+    fn verify_one(&mut self, opened: OpenKey, held: Option<Held>, out: &mut Vec<Action>) {
+        let mine = self.incarnation();
+        let entry = &mut self.open[opened];
+        let withheld = entry.withheld.take().unwrap_or_default();
+        match held {
+            Some(held) if held.owner == mine => self.tell_withheld(opened, withheld, out),
+            Some(held) if self.former.contains(&held.owner) => {
+                let offset = entry.sequence.delivered();
+                self.attach(opened, offset, out);
+                self.tell_keeper_adopted(opened, out);
+            }
+            Some(_) => self.end(opened, &End::Superseded, out),
+            None => {
+                let failure = Failure::Refused {
+                    status: HTTP_NOT_FOUND,
+                    fence: None,
+                };
+                self.stream_lost(opened, failure, out);
+            }
+        }
+    }
+
+    fn tell_withheld(
+        &mut self,
+        opened: OpenKey,
+        withheld: Vec<(Order, Piece)>,
+        out: &mut Vec<Action>,
+    ) {
+        for (order, piece) in withheld {
+            if self.is_current(opened, order) {
+                self.piece(opened, piece, out);
+            }
+        }
+    }
+
+    /// Compares a finished request with its targets.
+    pub(crate) fn count_targets(&self, opened: OpenKey, out: &mut Vec<Action>) {
+        let entry = &self.open[opened];
+        let first = entry.times.first.unwrap_or(self.now);
+        let ttft = first.since(entry.times.arrived).as_micros() as u64;
+        let last = entry.times.last.unwrap_or(first);
+        let gaps = u64::from(entry.sequence.delivered().saturating_sub(1).max(1));
+        let tbt = last.since(first).as_micros() as u64 / gaps;
+        if entry.is_model() {
+            out.push(Action::Count(Count::TokenGap {
+                micros: tbt,
+                target: entry.targets.tbt,
+            }));
+        }
+        if ttft <= entry.targets.ttft && (tbt <= entry.targets.tbt || !entry.is_model()) {
+            out.push(Action::Count(Count::Good));
+        }
+    }
+}
+
+fn note_tokens(entry: &mut Open, now: ident::Time, out: &mut Vec<Action>) {
+    if entry.times.first.is_none() {
+        entry.times.first = Some(now);
+        let micros = now.since(entry.times.arrived).as_micros() as u64;
+        out.push(Action::Count(Count::FirstToken {
+            micros,
+            target: entry.targets.ttft,
+        }));
+    }
+    entry.times.last = Some(now);
+}
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -19,8 +19,11 @@
 /// # Errors
 /// `Encode` or `TooLong` if the frame does not fit.
 pub fn encode(frame: &Frame) -> Result<Bytes, Error> {
-    let body = bincode::serde::encode_to_vec(frame, config::standard())
-        .map_err(|error| Error::Encode { cause: error.to_string() })?;
+    let body = bincode::serde::encode_to_vec(frame, config::standard()).map_err(|error| {
+        Error::Encode {
+            cause: error.to_string(),
+        }
+    })?;
     let length = VERSION_LEN + body.len();
     if length > MAX_BODY {
         return Err(Error::TooLong { length });
@@ -76,11 +79,15 @@
 
 fn decode(body: &[u8]) -> Result<Frame, Error> {
     let limits = config::standard().with_limit::<MAX_BODY>();
-    let (frame, used) = bincode::serde::decode_from_slice(body, limits)
-        .map_err(|error| Error::Body { cause: error.to_string() })?;
+    let (frame, used) =
+        bincode::serde::decode_from_slice(body, limits).map_err(|error| Error::Body {
+            cause: error.to_string(),
+        })?;
     if used == body.len() {
         Ok(frame)
     } else {
-        Err(Error::Body { cause: format!("{} bytes left over", body.len() - used) })
+        Err(Error::Body {
+            cause: format!("{} bytes left over", body.len() - used),
+        })
     }
 }
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -32,7 +32,11 @@
         match self {
             Self::TooLong { length } => write!(f, "frame length: {length} bytes are too many"),
             Self::Version { theirs } => {
-                write!(f, "frame version: peer speaks {theirs}, this daemon {}", crate::VERSION)
+                write!(
+                    f,
+                    "frame version: peer speaks {theirs}, this daemon {}",
+                    crate::VERSION
+                )
             }
             Self::Body { cause } => write!(f, "frame body: {cause}"),
             Self::Encode { cause } => write!(f, "frame encoding: {cause}"),
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -7,7 +7,7 @@
 use ident::Instance;
 use ident::Key;
 use ident::Replica;
-use route::hold::Hold;
+use route::cell::Hold;
 use route::phase::Phase;
 use route::ticket::Ticket;
 use route::verdict::Verdict;
@@ -29,7 +29,11 @@
 impl Frame {
     /// A frame from the run `incarnation` of `from`.
     pub const fn new(from: Instance, incarnation: Incarnation, body: Body) -> Self {
-        Self { from, incarnation, body }
+        Self {
+            from,
+            incarnation,
+            body,
+        }
     }
 }
 
@@ -64,10 +68,10 @@
         /// The body, if it is still kept.
         body: Option<Bytes>,
     },
-    /// The request was refused before any byte reached a back end.
-    NotRun,
     /// The request was sent and its effect is not known.
     Unknown,
+    /// The request was sent and it failed; nothing of it is running.
+    Failed,
     /// The key is older than the window in which keys are remembered.
     Expired,
 }
