The operators' command waxwing

Cause: operators drive the system by the table and drain marks alone and need one command for both, and for what was decided and why.

Change: subcommands table show|check|apply|force|history, drain, undrain, status, explain; conflict, accepted and in force are told apart by text and exit code; an undecided edit is repeated under its id at the next address.

Ruled out: telling a refused connection from a lost answer by the client library's error. A connection is tried first, so that 'unreachable' is only said when nothing was sent.

Not in yet: config check, which waits for the daemon's settings reader.

--- /dev/null
+++ b/crates/ctl/src/commands/check.rs
@@ -0,0 +1,43 @@
+//! `table check` and `config check`: files checked without any instance.
+
+use std::fs;
+use std::path::Path;
+
+use serde_json::json;
+use table::file;
+use table::row::Row;
+
+use crate::error::Error;
+use crate::output::Output;
+
+/// Checks a table file.
+pub(super) fn run(path: &Path, output: Output) -> Result<(), Error> {
+    let rows = read(path)?;
+    output.line(&format!(
+        "{}: {} rows, no fault",
+        path.display(),
+        rows.len()
+    ));
+    output.value(&json!({ "file": path, "rows": rows.len() }));
+    Ok(())
+}
+
+/// Reads and checks a table file.
+pub(super) fn read(path: &Path) -> Result<Vec<Row>, Error> {
+    let text = fs::read_to_string(path).map_err(|cause| Error::Read {
+        path: path.to_owned(),
+        cause,
+    })?;
+    file::parse(&text).map_err(|report| Error::File {
+        path: path.to_owned(),
+        faults: report.to_string(),
+    })
+}
+
+/// Checks a daemon's settings file with the daemon's own reader.
+pub(super) fn settings(path: &Path, output: Output) -> Result<(), Error> {
+    let _ = (path, output);
+    Err(Error::Usage {
+        cause: "config check is not built in yet".to_owned(),
+    })
+}
--- /dev/null
+++ b/crates/ctl/src/commands/explain.rs
@@ -0,0 +1,165 @@
+//! `explain`: what was decided for a request, and why.
+
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+
+use serde::Deserialize;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::answer::Explained;
+use crate::cli::Options;
+use crate::client::Admin;
+use crate::config::Config;
+use crate::error::Attempt;
+use crate::error::Error;
+use crate::output::Output;
+
+/// Decision lines of one source.
+struct Found {
+    source: String,
+    lines: Vec<Value>,
+}
+
+/// The parts of a decision line that are shown.
+#[derive(Debug, Deserialize)]
+struct Decision {
+    #[serde(default)]
+    unix_ms: u64,
+    request: String,
+    step: String,
+    choice: String,
+    #[serde(default)]
+    alternatives: String,
+    #[serde(default)]
+    reason: String,
+    #[serde(default)]
+    generation: u64,
+}
+
+/// Searches the log files, and the instances unless only log files are named.
+pub(super) async fn run(
+    options: &Options,
+    request: &str,
+    logs: &[PathBuf],
+    output: Output,
+) -> Result<(), Error> {
+    let mut found = logs
+        .iter()
+        .map(|path| search(path, request))
+        .collect::<Result<Vec<_>, _>>()?;
+    let mut tried = Vec::new();
+    match Config::new(options) {
+        Ok(config) => ask(&Admin::new(config), request, &mut found, &mut tried).await?,
+        // Log files alone need no instance; what is named wrongly is still a fault.
+        Err(Error::Usage { .. }) if !logs.is_empty() && options.admins.is_empty() => {}
+        Err(error) => return Err(error),
+    }
+    print(&found, output);
+    let empty = found.iter().all(|found| found.lines.is_empty());
+    match (tried.is_empty(), empty) {
+        (true, true) => Err(Error::NotFound {
+            request: request.to_owned(),
+        }),
+        (true, false) => Ok(()),
+        (false, _) => Err(Error::Unreachable {
+            step: "GET /v1/explain".to_owned(),
+            tried,
+        }),
+    }
+}
+
+async fn ask(
+    admin: &Admin,
+    request: &str,
+    found: &mut Vec<Found>,
+    tried: &mut Vec<Attempt>,
+) -> Result<(), Error> {
+    let path = format!("/v1/explain?request={}", escape(request));
+    for &address in admin.addresses() {
+        match admin.get_at(address, &path).await {
+            Ok(answer) => {
+                let explained: Explained = answer.parse()?;
+                found.push(Found {
+                    source: answer.peer,
+                    lines: explained.lines,
+                });
+            }
+            Err(attempt) => tried.push(attempt),
+        }
+    }
+    Ok(())
+}
+
+/// The decision lines of a log file whose request contains `request`.
+fn search(path: &Path, request: &str) -> Result<Found, Error> {
+    let text = fs::read_to_string(path).map_err(|cause| Error::Read {
+        path: path.to_owned(),
+        cause,
+    })?;
+    // Other lines, and one cut off at the end, are passed over.
+    let values = text
+        .lines()
+        .filter_map(|line| serde_json::from_str::<Value>(line).ok());
+    let lines = values.filter(|line| {
+        let named = line["request"]
+            .as_str()
+            .is_some_and(|text| text.contains(request));
+        named && line["kind"] == "decision"
+    });
+    Ok(Found {
+        source: path.display().to_string(),
+        lines: lines.collect(),
+    })
+}
+
+fn print(found: &[Found], output: Output) {
+    let all = found
+        .iter()
+        .flat_map(|found| found.lines.iter().map(|line| (&found.source, line)));
+    let mut decisions: Vec<(&String, Decision)> = all
+        .filter_map(|(source, line)| Some((source, serde_json::from_value(line.clone()).ok()?)))
+        .collect();
+    // Stable: lines without a time keep the order of their source.
+    decisions.sort_by_key(|(_, decision)| decision.unix_ms);
+    for (source, decision) in &decisions {
+        output.line(&describe(source, decision));
+    }
+    let sources = found
+        .iter()
+        .map(|found| json!({ "source": found.source, "lines": found.lines }));
+    output.value(&json!({ "found": sources.collect::<Vec<_>>() }));
+}
+
+fn describe(source: &str, decision: &Decision) -> String {
+    let Decision {
+        request,
+        step,
+        choice,
+        alternatives,
+        reason,
+        generation,
+        ..
+    } = decision;
+    let instead = if alternatives.is_empty() {
+        String::new()
+    } else {
+        format!(" (instead of {alternatives})")
+    };
+    format!("{source}: {request}: {step} {choice}{instead}: {reason} [generation {generation}]")
+}
+
+/// Percent-encodes what may not stand in a query value.
+fn escape(text: &str) -> String {
+    let plain = |byte: &u8| byte.is_ascii_alphanumeric() || b"-_.~/".contains(byte);
+    text.bytes()
+        .map(|byte| {
+            if plain(&byte) {
+                char::from(byte).to_string()
+            } else {
+                format!("%{byte:02X}")
+            }
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/ctl/src/commands/status.rs
@@ -0,0 +1,82 @@
+//! `status`: each instance as it sees itself and the others.
+
+use serde_json::json;
+
+use crate::answer::Member;
+use crate::answer::Pool;
+use crate::answer::Status;
+use crate::client::Admin;
+use crate::error::Attempt;
+use crate::error::Error;
+use crate::output::Output;
+
+/// Prints the view of every instance; fails at the end if one did not answer.
+pub(super) async fn run(admin: &Admin, output: Output) -> Result<(), Error> {
+    let mut views = Vec::new();
+    let mut tried = Vec::new();
+    for &address in admin.addresses() {
+        match admin.get_at(address, "/v1/status").await {
+            Ok(answer) => {
+                let status: Status = answer.parse()?;
+                print(&answer.peer, &status, output);
+                views.push(status);
+            }
+            Err(attempt) => tried.push(attempt),
+        }
+    }
+    output.value(&json!({ "instances": views, "unreachable": peers(&tried) }));
+    if tried.is_empty() {
+        return Ok(());
+    }
+    Err(Error::Unreachable {
+        step: "GET /v1/status".to_owned(),
+        tried,
+    })
+}
+
+fn peers(tried: &[Attempt]) -> Vec<&str> {
+    tried.iter().map(|attempt| attempt.peer.as_str()).collect()
+}
+
+fn print(peer: &str, status: &Status, output: Output) {
+    let state = match (status.leaving, status.fresh) {
+        (true, _) => "leaving",
+        (false, true) => "deciding",
+        (false, false) => "not deciding: its table is not proven to be the newest",
+    };
+    output.line(&format!("{} at {peer}: {state}", status.name));
+    let age = status
+        .store_age_ms
+        .map_or("never".to_owned(), |ms| format!("{ms} ms ago"));
+    output.line(&format!(
+        "  generation {}, store read {age}",
+        status.generation
+    ));
+    output.line(&format!(
+        "  {} requests open, {} holds, {} keys",
+        status.open, status.holds, status.keys
+    ));
+    for Pool {
+        name,
+        waiting,
+        placed,
+    } in &status.pools
+    {
+        output.line(&format!(
+            "  keeper of {name}: {waiting} waiting, {placed} placed"
+        ));
+    }
+    for member in &status.members {
+        output.line(&format!("  sees {}", describe(member)));
+    }
+}
+
+fn describe(member: &Member) -> String {
+    let generation = member
+        .generation
+        .map_or(String::new(), |number| format!(", generation {number}"));
+    let heard = member
+        .heard_ms
+        .map_or(String::new(), |ms| format!(", heard {ms} ms ago"));
+    format!("{}: {}{generation}{heard}", member.name, member.state)
+}
--- /dev/null
+++ b/crates/ctl/src/config.rs
@@ -0,0 +1,104 @@
+//! What a command needs to talk to the instances, from options and environment.
+
+use std::env;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use crate::cli::Options;
+use crate::error::Error;
+
+const ADMIN: &str = "WAXWING_ADMIN";
+const OPERATOR: &str = "WAXWING_OPERATOR";
+const TOKEN: &str = "WAXWING_TOKEN";
+
+/// Whom to ask, and as whom.
+#[derive(Clone)]
+pub struct Config {
+    /// Admin addresses, in the order in which they are tried.
+    pub admins: Vec<SocketAddr>,
+    /// Name of the operator.
+    pub operator: String,
+    /// The operator's token.
+    pub token: String,
+}
+
+impl std::fmt::Debug for Config {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Config")
+            .field("admins", &self.admins)
+            .field("operator", &self.operator)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Config {
+    /// Takes what `options` name, or else the environment.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Usage`] if something is missing or is not an address; [`Error::Read`] if the token
+    /// file can't be read.
+    pub fn new(options: &Options) -> Result<Self, Error> {
+        let operator = options.operator.clone().or_else(|| variable(OPERATOR));
+        Ok(Self {
+            admins: admins(options)?,
+            operator: operator.ok_or_else(|| missing("operator", "--operator NAME", OPERATOR))?,
+            token: token(options)?,
+        })
+    }
+}
+
+fn admins(options: &Options) -> Result<Vec<SocketAddr>, Error> {
+    let texts = if options.admins.is_empty() {
+        variable(ADMIN)
+            .unwrap_or_default()
+            .split(',')
+            .map(str::to_owned)
+            .collect()
+    } else {
+        options.admins.clone()
+    };
+    let filled = texts
+        .iter()
+        .map(|text| text.trim())
+        .filter(|text| !text.is_empty());
+    let addresses = filled.map(address).collect::<Result<Vec<_>, _>>()?;
+    if addresses.is_empty() {
+        Err(missing("admin address", "--admin IP:PORT", ADMIN))
+    } else {
+        Ok(addresses)
+    }
+}
+
+fn address(text: &str) -> Result<SocketAddr, Error> {
+    text.parse().map_err(|_| Error::Usage {
+        cause: format!("`{text}` is not an address of the form ip:port"),
+    })
+}
+
+fn token(options: &Options) -> Result<String, Error> {
+    match &options.token_file {
+        Some(path) => read(path),
+        None => variable(TOKEN).ok_or_else(|| missing("token", "--token-file FILE", TOKEN)),
+    }
+}
+
+fn read(path: &Path) -> Result<String, Error> {
+    fs::read_to_string(path)
+        .map(|text| text.trim().to_owned())
+        .map_err(|cause| Error::Read {
+            path: path.to_owned(),
+            cause,
+        })
+}
+
+fn variable(name: &str) -> Option<String> {
+    env::var(name).ok().filter(|value| !value.is_empty())
+}
+
+fn missing(what: &str, option: &str, name: &str) -> Error {
+    Error::Usage {
+        cause: format!("no {what}; give {option} or set {name}"),
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,7 @@
+//! `waxwing`, the operators' command.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    ctl::run(std::env::args().skip(1).collect()).into()
+}
