Clients for platform, engines and applications; stand-ins for all of them

Cause: the daemons need clients whose errors tell whether a byte of a call can have arrived, and something on the other side to prove it against.

Ruled out: volo-http's client for calls that may run once. It is used for what may be repeated (store, state, cancel, order).

Change: engine takes one fresh hyper HTTP/1 connection for each prefill, decode, attach and call; store and engine tell NotSent, Lost, Refused and Malformed apart. Stand-ins for platform, engine, application and link, each a library module and a program.

Conclusion: NotSent is said only if no connection was made.

--- /dev/null
+++ b/crates/engine/src/client.rs
@@ -0,0 +1,300 @@
+//! The client.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderName;
+use http::Method;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use serde::Serialize;
+
+use crate::Claim;
+use crate::attach;
+use crate::call;
+use crate::cancel;
+use crate::decode;
+use crate::direct;
+use crate::direct::Answer;
+use crate::direct::Limits;
+use crate::error::Error;
+use crate::error::Step;
+use crate::order;
+use crate::pooled::Pool;
+use crate::prefill;
+use crate::state::State;
+use crate::stream::Stream;
+
+/// Longest wait for a connection.
+const CONNECT: Duration = Duration::from_secs(1);
+/// Longest wait for the answer to a prefill, decode, attachment or call.
+const WORK: Duration = Duration::from_mins(2);
+/// Longest wait for the answer to a cancel, state or order.
+const CONTROL: Duration = Duration::from_secs(2);
+/// Largest body of an answer.
+const BODY: usize = 16 << 20;
+
+/// Headers that concern one connection and are not passed on.
+const HOP_BY_HOP: [HeaderName; 11] = [
+    header::CONNECTION,
+    header::CONTENT_LENGTH,
+    header::EXPECT,
+    header::HOST,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    HeaderName::from_static("keep-alive"),
+];
+
+/// A client of any number of engines and applications; clones share its kept connections.
+///
+/// What starts work (`prefill`, `decode`, `attach`, `call`) takes a fresh connection each time;
+/// what may be repeated (`cancel`, `state`, `order`) uses kept ones. Dropping a future or a stream
+/// closes its connection.
+#[derive(Debug, Clone)]
+pub struct Client {
+    pool: Pool,
+    limits: Limits,
+    control: Duration,
+    body_limit: usize,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Client {
+    /// A client with the usual limits.
+    pub fn new() -> Self {
+        Self {
+            pool: Pool::new(),
+            limits: Limits {
+                connect: CONNECT,
+                head: WORK,
+            },
+            control: CONTROL,
+            body_limit: BODY,
+        }
+    }
+
+    /// Sets the longest wait for a fresh connection.
+    #[must_use]
+    pub fn with_connect_timeout(mut self, timeout: Duration) -> Self {
+        self.limits.connect = timeout;
+        self
+    }
+
+    /// Sets the longest wait for the answer to what starts work.
+    #[must_use]
+    pub fn with_work_timeout(mut self, timeout: Duration) -> Self {
+        self.limits.head = timeout;
+        self
+    }
+
+    /// Sets the longest wait for the answer to a cancel, state or order.
+    #[must_use]
+    pub fn with_control_timeout(mut self, timeout: Duration) -> Self {
+        self.control = timeout;
+        self
+    }
+
+    /// Sets the largest body of an answer, in bytes.
+    #[must_use]
+    pub fn with_body_limit(mut self, bytes: usize) -> Self {
+        self.body_limit = bytes;
+        self
+    }
+
+    /// Computes a prefill; returns when it has ended.
+    ///
+    /// # Errors
+    ///
+    /// See [`Error`].
+    pub async fn prefill(
+        &self,
+        peer: SocketAddr,
+        request: &prefill::Request,
+    ) -> Result<prefill::Reply, Error> {
+        let step = Step::Prefill;
+        let answer = self.post(step, peer, "/v1/prefill", request).await?;
+        let body = self.collect(step, peer, answer).await?;
+        serde_json::from_slice(&body).map_err(|e| Error::Malformed {
+            step,
+            peer,
+            cause: e.to_string(),
+        })
+    }
+
+    /// Begins a decode; its stream begins when the import has begun.
+    ///
+    /// # Errors
+    ///
+    /// See [`Error`].
+    pub async fn decode(
+        &self,
+        peer: SocketAddr,
+        request: &decode::Request,
+    ) -> Result<Stream, Error> {
+        let answer = self.post(Step::Decode, peer, "/v1/decode", request).await?;
+        Ok(Stream::new(peer, answer))
+    }
+
+    /// Reads a stream in place of its former reader.
+    ///
+    /// # Errors
+    ///
+    /// See [`Error`].
+    pub async fn attach(
+        &self,
+        peer: SocketAddr,
+        request: &attach::Request,
+    ) -> Result<Stream, Error> {
+        let answer = self.post(Step::Attach, peer, "/v1/attach", request).await?;
+        Ok(Stream::new(peer, answer))
+    }
+
+    /// Frees all that an attempt holds, and has it refused if it arrives later.
+    ///
+    /// # Errors
+    ///
+    /// See [`Error`].
+    pub async fn cancel(&self, peer: SocketAddr, claim: &Claim) -> Result<cancel::Reply, Error> {
+        let request = (Method::POST, "/v1/cancel", json(claim));
+        self.pool
+            .exchange(Step::Cancel, peer, self.control, request)
+            .await
+    }
+
+    /// Reads the state of an engine or application, with cache events after number `after`.
+    ///
+    /// # Errors
+    ///
+    /// See [`Error`].
+    pub async fn state(&self, peer: SocketAddr, after: u64) -> Result<State, Error> {
+        let path = format!("/v1/state?after={after}");
+        let request = (Method::GET, path.as_str(), Vec::new());
+        self.pool
+            .exchange(Step::State, peer, self.control, request)
+            .await
+    }
+
+    /// Changes what an engine serves.
+    ///
+    /// # Errors
+    ///
+    /// See [`Error`].
+    pub async fn order(
+        &self,
+        peer: SocketAddr,
+        request: &order::Request,
+    ) -> Result<order::Reply, Error> {
+        let request = (Method::POST, "/v1/order", json(request));
+        self.pool
+            .exchange(Step::Order, peer, self.control, request)
+            .await
+    }
+
+    /// Carries out a plain application call, whose bytes leave this process at most once.
+    ///
+    /// Every status is an answer.
+    ///
+    /// # Errors
+    ///
+    /// See [`Error`]; [`Error::Refused`] never occurs.
+    pub async fn call(
+        &self,
+        peer: SocketAddr,
+        request: call::Request,
+    ) -> Result<call::Reply, Error> {
+        let step = Step::Call;
+        let built = http::Request::builder()
+            .method(request.method)
+            .uri(request.path)
+            .body(Full::new(request.body));
+        let mut sent = match built {
+            Ok(sent) => sent,
+            Err(e) => {
+                return Err(Error::NotSent {
+                    step,
+                    peer,
+                    cause: e.to_string(),
+                });
+            }
+        };
+        *sent.headers_mut() = request.headers;
+        for name in &HOP_BY_HOP {
+            sent.headers_mut().remove(name);
+        }
+        let answer = direct::send(step, peer, self.limits, sent).await?;
+        let status = answer.head.status.as_u16();
+        let headers = answer.head.headers.clone();
+        let body = self.collect(step, peer, answer).await?;
+        Ok(call::Reply {
+            status,
+            headers,
+            body,
+        })
+    }
+
+    /// Posts JSON on a fresh connection; an answer other than 200 is a refusal.
+    async fn post<T: Serialize>(
+        &self,
+        step: Step,
+        peer: SocketAddr,
+        path: &str,
+        request: &T,
+    ) -> Result<Answer, Error> {
+        let request = http::Request::post(path)
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(json(request))))
+            .map_err(|e| Error::NotSent {
+                step,
+                peer,
+                cause: e.to_string(),
+            })?;
+        let answer = direct::send(step, peer, self.limits, request).await?;
+        if answer.head.status.is_success() {
+            return Ok(answer);
+        }
+        let status = answer.head.status.as_u16();
+        let body = self.collect(step, peer, answer).await?;
+        Err(Error::Refused {
+            step,
+            peer,
+            status,
+            body,
+        })
+    }
+
+    async fn collect(&self, step: Step, peer: SocketAddr, answer: Answer) -> Result<Bytes, Error> {
+        let Answer { body, guard, .. } = answer;
+        let body = Limited::new(body, self.body_limit).collect();
+        let collected = tokio::time::timeout(self.limits.head, body).await;
+        drop(guard);
+        match collected {
+            Ok(Ok(body)) => Ok(body.to_bytes()),
+            Ok(Err(e)) => Err(Error::Lost {
+                step,
+                peer,
+                cause: e.to_string(),
+            }),
+            Err(elapsed) => Err(Error::Lost {
+                step,
+                peer,
+                cause: elapsed.to_string(),
+            }),
+        }
+    }
+}
+
+fn json<T: Serialize>(value: &T) -> Vec<u8> {
+    serde_json::to_vec(value).expect("every request is valid JSON")
+}
--- /dev/null
+++ b/crates/engine/src/direct.rs
@@ -0,0 +1,90 @@
+//! Requests that each take a fresh connection.
+//!
+//! A call that must run at most once may be neither sent twice nor sent on a kept connection that
+//! the peer is about to close, where nobody can tell whether it arrived. `volo-http`'s client
+//! always hands out idle connections of its pool, also one returned while a new one is being
+//! opened, and reports failed connects and failed exchanges alike. So its nearest kin, the
+//! connection layer of `hyper` on which it stands, is used here: one TCP connection, one request.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::header::CONNECTION;
+use http::header::HOST;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+use crate::error::Error;
+use crate::error::Step;
+
+/// Limits of one exchange.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Limits {
+    /// Longest wait for the connection.
+    pub(crate) connect: Duration,
+    /// Longest wait for the head of the answer.
+    pub(crate) head: Duration,
+}
+
+/// Closes the connection when dropped, whatever it still carries.
+#[derive(Debug)]
+pub(crate) struct Guard(AbortHandle);
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// The head of an answer, and the body as long as the guard lives.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) head: http::response::Parts,
+    pub(crate) body: Incoming,
+    pub(crate) guard: Guard,
+}
+
+/// Sends `request` once to `peer`.
+pub(crate) async fn send(
+    step: Step,
+    peer: SocketAddr,
+    limits: Limits,
+    mut request: http::Request<Full<Bytes>>,
+) -> Result<Answer, Error> {
+    let not_sent = |cause: String| Error::NotSent { step, peer, cause };
+    let lost = |cause: String| Error::Lost { step, peer, cause };
+    let host = HeaderValue::try_from(peer.to_string()).map_err(|e| not_sent(e.to_string()))?;
+    request.headers_mut().insert(HOST, host);
+    request
+        .headers_mut()
+        .insert(CONNECTION, HeaderValue::from_static("close"));
+
+    let stream = tokio::time::timeout(limits.connect, connect(peer))
+        .await
+        .map_err(|_| not_sent("connecting timed out".to_owned()))?
+        .map_err(|e| not_sent(e.to_string()))?;
+    // The handshake of HTTP/1 sets up state and sends nothing.
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|e| not_sent(e.to_string()))?;
+    let guard = Guard(tokio::spawn(connection).abort_handle());
+
+    let answer = tokio::time::timeout(limits.head, sender.send_request(request))
+        .await
+        .map_err(|_| lost("no answer in time".to_owned()))?
+        .map_err(|e| lost(e.to_string()))?;
+    let (head, body) = answer.into_parts();
+    Ok(Answer { head, body, guard })
+}
+
+async fn connect(peer: SocketAddr) -> std::io::Result<TcpStream> {
+    let stream = TcpStream::connect(peer).await?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
--- /dev/null
+++ b/crates/fake/src/engine/cache.rs
@@ -0,0 +1,111 @@
+//! The prefix cache and the events it publishes late and with gaps.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use serde::Serialize;
+
+/// Events that are kept for readers.
+const EVENTS: usize = 16_384;
+
+/// A block was stored or evicted.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub(super) struct Event {
+    pub(super) seq: u64,
+    block: u64,
+    stored: bool,
+}
+
+/// Least recently used blocks go first.
+#[derive(Debug)]
+pub(super) struct Cache {
+    capacity: usize,
+    clock: u64,
+    used: HashMap<u64, u64>,
+    events: VecDeque<(Instant, Event)>,
+    seq: u64,
+    gap: f64,
+    random: Pcg64,
+}
+
+impl Cache {
+    /// A cache of `capacity` blocks that drops an event with probability `gap`.
+    pub(super) fn new(capacity: usize, gap: f64, seed: u64) -> Self {
+        Self {
+            capacity,
+            clock: 0,
+            used: HashMap::new(),
+            events: VecDeque::new(),
+            seq: 0,
+            gap,
+            random: Pcg64::seed_from_u64(seed),
+        }
+    }
+
+    /// How many of `blocks`, from the first on, are cached.
+    pub(super) fn hits(&self, blocks: &[u64]) -> usize {
+        blocks
+            .iter()
+            .take_while(|block| self.used.contains_key(block))
+            .count()
+    }
+
+    /// Stores `blocks`; `publish` tells whether events are published at all.
+    pub(super) fn store(&mut self, blocks: &[u64], publish: bool) {
+        for &block in blocks {
+            self.clock += 1;
+            if self.used.insert(block, self.clock).is_none() {
+                self.publish(block, true, publish);
+            }
+            self.evict(publish);
+        }
+    }
+
+    /// Events after `after` that are at least `lag` old.
+    pub(super) fn events(&self, after: u64, lag: Duration) -> Vec<Event> {
+        self.events
+            .iter()
+            .take_while(|(at, _)| at.elapsed() >= lag)
+            .map(|(_, event)| *event)
+            .filter(|event| event.seq > after)
+            .collect()
+    }
+
+    fn evict(&mut self, publish: bool) {
+        if self.used.len() <= self.capacity {
+            return;
+        }
+        let oldest = self
+            .used
+            .iter()
+            .min_by_key(|(_, used)| **used)
+            .map(|(block, _)| *block);
+        if let Some(block) = oldest {
+            self.used.remove(&block);
+            self.publish(block, false, publish);
+        }
+    }
+
+    fn publish(&mut self, block: u64, stored: bool, publish: bool) {
+        self.seq += 1;
+        if !publish || self.random.random_bool(self.gap) {
+            return;
+        }
+        self.events.push_back((
+            Instant::now(),
+            Event {
+                seq: self.seq,
+                block,
+                stored,
+            },
+        ));
+        if self.events.len() > EVENTS {
+            self.events.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/fake/src/engine/load.rs
@@ -0,0 +1,45 @@
+//! The load report, which lags.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Loads that are kept for the report.
+const KEPT: usize = 10_000;
+
+/// Load at one moment.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) struct Load {
+    pub(super) running: usize,
+    pub(super) waiting: usize,
+    pub(super) queued_tokens: usize,
+}
+
+/// The loads of the recent past.
+#[derive(Debug, Default)]
+pub(super) struct Loads {
+    past: VecDeque<(Instant, Load)>,
+    reported: Load,
+}
+
+impl Loads {
+    /// Notes the present load.
+    pub(super) fn note(&mut self, load: Load) {
+        if self.past.back().is_none_or(|(_, last)| *last != load) {
+            self.past.push_back((Instant::now(), load));
+        }
+        if self.past.len() > KEPT {
+            self.past.pop_front();
+        }
+    }
+
+    /// The load as it was `lag` ago; the one reported last if `frozen`.
+    pub(super) fn report(&mut self, lag: Duration, frozen: bool) -> Load {
+        while self.past.front().is_some_and(|(at, _)| at.elapsed() >= lag) && !frozen {
+            if let Some((_, load)) = self.past.pop_front() {
+                self.reported = load;
+            }
+        }
+        self.reported
+    }
+}
--- /dev/null
+++ b/crates/fake/src/engine/prefill.rs
@@ -0,0 +1,154 @@
+//! Prefills: a queue by priority, one at a time.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use ident::Handle;
+use serde_json::json;
+use tokio::sync::watch;
+use volo_http::response::Response;
+
+use super::Engine;
+use super::inner::Inner;
+use super::inner::Mode;
+use super::message;
+use super::message::Refusal;
+use super::settings::Role;
+use super::work::Phase;
+use super::work::Progress;
+use super::work::Reason;
+use super::work::Work;
+use crate::web;
+use crate::web::Call;
+
+/// A prefill about to be computed.
+#[derive(Debug)]
+struct Job {
+    handle: Handle,
+    computed: usize,
+    progress: watch::Receiver<Progress>,
+}
+
+impl Engine {
+    /// Answers `POST /v1/prefill`.
+    pub(super) async fn prefill(&self, call: &Call) -> Response {
+        let request: message::Prefill = match call.json() {
+            Ok(request) => request,
+            Err(malformed) => return malformed.response(),
+        };
+        let tokens = request.prompt_tokens + request.generated.len();
+        let mut progress = match self.enqueue(request) {
+            Ok(progress) => progress,
+            Err(refusal) => return refusal.response(),
+        };
+        self.queued.notify_one();
+        let ended = progress
+            .wait_for(|now| now.ready || now.end.is_some())
+            .await;
+        let computed = match ended {
+            Ok(now) if now.ready => now.produced,
+            _ => return Refusal::Cancelled.response(),
+        };
+        web::ok(&json!({ "boot": self.boot, "computed": computed, "cached": tokens - computed }))
+    }
+
+    /// Computes prefills for ever.
+    pub(super) async fn run_prefills(self: Arc<Self>) {
+        loop {
+            self.wait_while(Mode::Stall).await;
+            let job = next(&mut self.inner());
+            match job {
+                Some(job) => self.compute(job).await,
+                None => self.queued.notified().await,
+            }
+        }
+    }
+
+    fn enqueue(&self, request: message::Prefill) -> Result<watch::Receiver<Progress>, Refusal> {
+        let mut inner = self.inner();
+        inner.fences.admit_work(&request.claim)?;
+        inner.check(Role::Prefill, request.claim.handle)?;
+        let waiting = inner.count(|work| work.phase == Phase::Prefill && !work.started);
+        if waiting >= self.settings.queue {
+            return Err(Refusal::Full);
+        }
+        let number = inner.number();
+        let mut work = Work::new(&request.claim, Phase::Prefill, number);
+        work.generated = request.generated.len();
+        work.tokens = request.prompt_tokens + work.generated;
+        work.prompt = request.prompt;
+        work.priority = request.priority;
+        work.blocks = request.blocks;
+        let progress = work.progress.subscribe();
+        inner.add(request.claim.handle, work);
+        Ok(progress)
+    }
+
+    async fn compute(self: &Arc<Self>, mut job: Job) {
+        let time = self.settings.prefill_time(job.computed);
+        let cancelled = job.progress.wait_for(|now| now.end.is_some());
+        if tokio::time::timeout(time, cancelled).await.is_err() {
+            self.keep(job.handle, job.computed);
+        }
+    }
+
+    /// Ends a prefill: its result is kept for a short time.
+    fn keep(self: &Arc<Self>, handle: Handle, computed: usize) {
+        let mut inner = self.inner();
+        let publish = inner.mode != Mode::DropEvents;
+        let Some(work) = inner.works.get_mut(&handle) else {
+            return;
+        };
+        work.phase = Phase::Kept;
+        work.expiry = Some(Instant::now() + self.settings.result);
+        let blocks = std::mem::take(&mut work.blocks);
+        work.progress.send_modify(|progress| {
+            progress.ready = true;
+            progress.produced = computed;
+        });
+        inner.cache.store(&blocks, publish);
+        inner.record.prefills += 1;
+        inner.record.prefill_tokens += computed as u64;
+        inner.note_load();
+        let engine = Arc::clone(self);
+        tokio::spawn(engine.expire(handle, self.settings.result));
+    }
+
+    async fn expire(self: Arc<Self>, handle: Handle, after: Duration) {
+        tokio::time::sleep(after).await;
+        self.expire_now(handle);
+    }
+
+    /// Drops a result that nobody took, unless it is being exported.
+    pub(super) fn expire_now(&self, handle: Handle) {
+        let mut inner = self.inner();
+        let idle = inner
+            .works
+            .get(&handle)
+            .is_some_and(|work| work.phase == Phase::Kept && !work.exporting);
+        if idle {
+            inner.remove(handle, Reason::Lost);
+        }
+    }
+}
+
+/// Takes the prefill that comes next: the lowest priority number, then the oldest.
+fn next(inner: &mut Inner) -> Option<Job> {
+    let waiting = inner
+        .works
+        .iter()
+        .filter(|(_, work)| work.phase == Phase::Prefill);
+    let (&handle, _) = waiting.min_by_key(|(_, work)| (work.priority, work.number))?;
+    let hits = inner.cache.hits(&inner.works[&handle].blocks);
+    let work = inner.works.get_mut(&handle)?;
+    work.started = true;
+    let cached = work.tokens * hits / work.blocks.len().max(1);
+    let job = Job {
+        handle,
+        computed: work.tokens - cached,
+        progress: work.progress.subscribe(),
+    };
+    inner.note_load();
+    Some(job)
+}
--- /dev/null
+++ b/crates/fake/src/engine/stream.rs
@@ -0,0 +1,98 @@
+//! Readers of a stream.
+
+use bytes::Bytes;
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use volo_http::response::Response;
+
+use super::work::Progress;
+use super::work::Text;
+use super::work::Work;
+use crate::web;
+
+/// Pieces that wait for a slow reader.
+const PIECES: usize = 16;
+
+/// One reader of one attempt.
+#[derive(Debug)]
+pub(super) struct Reader {
+    number: u64,
+    next: usize,
+    text: Text,
+    progress: watch::Receiver<Progress>,
+}
+
+impl Reader {
+    /// The present reader of `work`, which begins at token `offset`.
+    pub(super) fn new(work: &Work, offset: usize) -> Self {
+        let progress = work.progress.subscribe();
+        let number = progress.borrow().reader;
+        Self {
+            number,
+            next: offset,
+            text: Text::clone(&work.text),
+            progress,
+        }
+    }
+
+    /// The streamed answer.
+    pub(super) fn response(self) -> Response {
+        let (sender, receiver) = mpsc::channel(PIECES);
+        tokio::spawn(self.run(sender));
+        web::streaming(receiver)
+    }
+
+    async fn run(mut self, out: mpsc::Sender<Bytes>) {
+        let mut told_ready = false;
+        loop {
+            let now = *self.progress.borrow_and_update();
+            let mut lines = Vec::new();
+            if now.ready && !told_ready {
+                told_ready = true;
+                push(&mut lines, &json!({ "imported": true }));
+            }
+            let ended = match now.end {
+                _ if now.reader != self.number => {
+                    push(&mut lines, &json!({ "superseded": true }));
+                    true
+                }
+                end => {
+                    self.push_tokens(&mut lines, now.produced);
+                    if let Some(reason) = end {
+                        let line = json!({ "end": true, "offset": now.produced, "reason": reason });
+                        push(&mut lines, &line);
+                    }
+                    end.is_some()
+                }
+            };
+            let gone = !lines.is_empty() && out.send(Bytes::from(lines)).await.is_err();
+            if gone || ended {
+                return;
+            }
+            tokio::select! {
+                changed = self.progress.changed() => if changed.is_err() { return },
+                () = out.closed() => return,
+            }
+        }
+    }
+
+    fn push_tokens(&mut self, lines: &mut Vec<u8>, produced: usize) {
+        let Some(text) = self.text.get() else {
+            return;
+        };
+        while self.next < produced {
+            push(
+                lines,
+                &json!({ "offset": self.next, "text": text[self.next] }),
+            );
+            self.next += 1;
+        }
+    }
+}
+
+fn push(lines: &mut Vec<u8>, line: &Value) {
+    lines.extend_from_slice(line.to_string().as_bytes());
+    lines.push(b'\n');
+}
--- /dev/null
+++ b/crates/fake/src/platform/list.rs
@@ -0,0 +1,65 @@
+//! The lagging list of instances and replicas.
+
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde_json::Value;
+use serde_json::json;
+
+/// Addresses that an asker sees in place of the true ones.
+type View = HashMap<String, String>;
+
+/// A list as it is set, with the views of askers.
+#[derive(Debug, Clone, Default, Deserialize)]
+pub(super) struct List {
+    #[serde(default)]
+    instances: Vec<Value>,
+    #[serde(default)]
+    replicas: Vec<Value>,
+    #[serde(default)]
+    views: HashMap<String, View>,
+    #[serde(default)]
+    lag_ms: u64,
+}
+
+/// The list that is served, and those that are served once their lag is over.
+#[derive(Debug, Default)]
+pub(super) struct Lists {
+    current: List,
+    pending: Vec<(Instant, List)>,
+}
+
+impl Lists {
+    /// Replaces the list; it is served after its lag.
+    pub(super) fn replace(&mut self, list: List) {
+        let due = Instant::now() + Duration::from_millis(list.lag_ms);
+        self.pending.push((due, list));
+    }
+
+    /// The list as `asker` sees it now.
+    pub(super) fn view(&mut self, asker: &str) -> Value {
+        let now = Instant::now();
+        while self.pending.first().is_some_and(|(due, _)| *due <= now) {
+            self.current = self.pending.remove(0).1;
+        }
+        let view = self.current.views.get(asker);
+        json!({
+            "instances": readdressed(&self.current.instances, "peer", view),
+            "replicas": readdressed(&self.current.replicas, "address", view),
+        })
+    }
+}
+
+/// `entries` with the addresses in `field` replaced by those of `view`.
+fn readdressed(entries: &[Value], field: &str, view: Option<&View>) -> Vec<Value> {
+    let mut entries = entries.to_vec();
+    for entry in &mut entries {
+        let name = entry["name"].as_str().unwrap_or("");
+        if let Some(address) = view.and_then(|view| view.get(name)) {
+            entry[field] = Value::from(address.as_str());
+        }
+    }
+    entries
+}
--- /dev/null
+++ b/crates/fake/src/platform/mod.rs
@@ -0,0 +1,325 @@
+//! The platform: transactional rows, lists, objects and weights, with faults.
+
+mod fault;
+mod list;
+mod rate;
+mod rows;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Method;
+use http::StatusCode;
+use http::header::RETRY_AFTER;
+use serde::Serialize;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use volo_http::body::Body;
+use volo_http::response::Response;
+
+use self::fault::Fault;
+use self::fault::Mode;
+use self::list::Lists;
+use self::rate::Rate;
+use self::rows::Rows;
+use self::rows::Txn;
+use crate::web;
+use crate::web::Call;
+
+/// Knobs of the platform.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Transactions that write, and objects stored, each second.
+    pub writes: u32,
+    /// Reads each second.
+    pub reads: u32,
+    /// Weight store calls each second.
+    pub weights: u32,
+    /// Time that every call takes.
+    pub latency: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            writes: 500,
+            reads: 2_000,
+            weights: 2,
+            latency: Duration::from_millis(2),
+        }
+    }
+}
+
+/// Counts of what happened.
+#[derive(Debug, Clone, Copy, Default, Serialize)]
+struct Record {
+    reads: u64,
+    writes: u64,
+    transactions: u64,
+    refused: u64,
+}
+
+/// What is asked of a rate limit.
+#[derive(Debug, Clone, Copy)]
+enum Kind {
+    Read,
+    Write,
+    Weight,
+}
+
+#[derive(Debug)]
+struct Inner {
+    rows: Rows,
+    stale: Option<Rows>,
+    lists: Lists,
+    objects: HashMap<String, Bytes>,
+    weights: HashMap<String, Bytes>,
+    record: Record,
+    reads: Rate,
+    writes: Rate,
+    weight_calls: Rate,
+}
+
+/// The platform.
+#[derive(Debug)]
+pub struct Platform {
+    latency: Duration,
+    inner: Mutex<Inner>,
+    fault: watch::Sender<Fault>,
+}
+
+impl Platform {
+    /// A platform with `settings`.
+    pub fn new(settings: &Settings) -> Self {
+        let inner = Inner {
+            rows: Rows::default(),
+            stale: None,
+            lists: Lists::default(),
+            objects: HashMap::new(),
+            weights: HashMap::new(),
+            record: Record::default(),
+            reads: Rate::new(settings.reads),
+            writes: Rate::new(settings.writes),
+            weight_calls: Rate::new(settings.weights),
+        };
+        let (fault, _) = watch::channel(Fault::default());
+        Self {
+            latency: settings.latency,
+            inner: Mutex::new(inner),
+            fault,
+        }
+    }
+
+    /// Serves at `listener`.
+    ///
+    /// # Errors
+    ///
+    /// An error of the listener.
+    pub async fn serve(self, listener: TcpListener) -> std::io::Result<()> {
+        let platform = Arc::new(self);
+        web::serve(listener, move |call| Arc::clone(&platform).answer(call)).await
+    }
+
+    async fn answer(self: Arc<Self>, call: Call) -> Response {
+        match (call.method.as_str(), call.path.as_str()) {
+            ("GET", "/control/record") => web::ok(&self.inner().record),
+            ("POST", "/control/fault") => self.set_fault(&call),
+            ("POST", "/control/list") => self.set_list(&call),
+            _ => self.faulty(call).await,
+        }
+    }
+
+    /// Carries a call out under the fault that is set when it arrives.
+    async fn faulty(self: Arc<Self>, call: Call) -> Response {
+        let fault = *self.fault.borrow();
+        match fault.mode {
+            Mode::Down => {
+                self.inner().record.refused += 1;
+                return web::status(StatusCode::SERVICE_UNAVAILABLE);
+            }
+            Mode::Hang => {
+                self.wait_while_hanging().await;
+                return web::dropped();
+            }
+            Mode::Ok | Mode::Slow | Mode::Lose | Mode::Stale => {}
+        }
+        let lose = fault.mode == Mode::Lose && call.path == "/v1/txn";
+        // A call that was received takes effect even when its caller no longer waits.
+        let work = tokio::spawn(self.work(call, fault));
+        match work.await {
+            Ok(_) if lose => web::dropped(),
+            Ok(answer) => answer,
+            Err(_) => web::status(StatusCode::INTERNAL_SERVER_ERROR),
+        }
+    }
+
+    async fn work(self: Arc<Self>, call: Call, fault: Fault) -> Response {
+        let extra = match fault.mode {
+            Mode::Slow => Duration::from_millis(fault.ms),
+            _ => Duration::ZERO,
+        };
+        tokio::time::sleep(self.latency + extra).await;
+        let objects = call.path.strip_prefix("/v1/objects/").map(str::to_owned);
+        let weights = call.path.strip_prefix("/v1/weights/").map(str::to_owned);
+        match (call.method.as_str(), call.path.as_str(), objects, weights) {
+            ("POST", "/v1/txn", _, _) => self.transact(&call),
+            ("GET", "/v1/rows", _, _) => self.rows(call.parameter("prefix")),
+            ("GET", "/v1/list", _, _) => self.list(call.parameter("for")),
+            ("GET" | "PUT", _, Some(name), _) => self.object(&call, name),
+            ("GET" | "PUT", _, _, Some(name)) => self.weight(&call, name),
+            _ => web::status(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn transact(&self, call: &Call) -> Response {
+        let txn: Txn = match call.json() {
+            Ok(txn) => txn,
+            Err(malformed) => return malformed.response(),
+        };
+        let kind = if txn.writes() {
+            Kind::Write
+        } else {
+            Kind::Read
+        };
+        let mut inner = self.inner();
+        if let Some(refusal) = inner.refuse(kind) {
+            return refusal;
+        }
+        inner.record.transactions += 1;
+        match inner.rows.transact(&txn) {
+            Ok(rows) => web::ok(&json!({ "committed": true, "rows": rows })),
+            Err(rows) => web::json(
+                StatusCode::CONFLICT,
+                &json!({ "committed": false, "rows": rows }),
+            ),
+        }
+    }
+
+    fn rows(&self, prefix: &str) -> Response {
+        let mut inner = self.inner();
+        if let Some(refusal) = inner.refuse(Kind::Read) {
+            return refusal;
+        }
+        let rows = inner.stale.as_ref().unwrap_or(&inner.rows).scan(prefix);
+        web::ok(&json!({ "rows": rows }))
+    }
+
+    fn list(&self, asker: &str) -> Response {
+        let mut inner = self.inner();
+        match inner.refuse(Kind::Read) {
+            Some(refusal) => refusal,
+            None => web::ok(&inner.lists.view(asker)),
+        }
+    }
+
+    fn object(&self, call: &Call, name: String) -> Response {
+        let kind = if call.method == Method::PUT {
+            Kind::Write
+        } else {
+            Kind::Read
+        };
+        let mut inner = self.inner();
+        match inner.refuse(kind) {
+            Some(refusal) => refusal,
+            None => keep(&mut inner.objects, call, name),
+        }
+    }
+
+    fn weight(&self, call: &Call, name: String) -> Response {
+        let mut inner = self.inner();
+        match inner.refuse(Kind::Weight) {
+            Some(refusal) => refusal,
+            None => keep(&mut inner.weights, call, name),
+        }
+    }
+
+    fn set_list(&self, call: &Call) -> Response {
+        match call.json() {
+            Ok(list) => {
+                self.inner().lists.replace(list);
+                web::status(StatusCode::OK)
+            }
+            Err(malformed) => malformed.response(),
+        }
+    }
+
+    fn set_fault(&self, call: &Call) -> Response {
+        let fault: Fault = match call.json() {
+            Ok(fault) => fault,
+            Err(malformed) => return malformed.response(),
+        };
+        let mut inner = self.inner();
+        inner.stale = match fault.mode {
+            Mode::Stale => Some(inner.rows.clone()),
+            _ => None,
+        };
+        self.fault.send_replace(fault);
+        web::status(StatusCode::OK)
+    }
+
+    async fn wait_while_hanging(&self) {
+        let mut fault = self.fault.subscribe();
+        // The sender lives as long as the platform, so that waiting can only end well.
+        let _ended = fault.wait_for(|fault| fault.mode != Mode::Hang).await;
+    }
+
+    fn inner(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().expect("no holder of the lock panics")
+    }
+}
+
+impl Inner {
+    /// Counts a call; the answer to give if it exceeds its rate.
+    fn refuse(&mut self, kind: Kind) -> Option<Response> {
+        let taken = match kind {
+            Kind::Read => self.reads.take(),
+            Kind::Write => self.writes.take(),
+            Kind::Weight => self.weight_calls.take(),
+        };
+        match (taken, kind) {
+            (true, Kind::Write) => self.record.writes += 1,
+            (true, Kind::Read | Kind::Weight) => self.record.reads += 1,
+            (false, _) => self.record.refused += 1,
+        }
+        (!taken).then(too_many)
+    }
+}
+
+fn too_many() -> Response {
+    let mut answer = web::status(StatusCode::TOO_MANY_REQUESTS);
+    answer
+        .headers_mut()
+        .insert(RETRY_AFTER, HeaderValue::from_static("1"));
+    answer
+}
+
+/// Stores or fetches an object.
+fn keep(objects: &mut HashMap<String, Bytes>, call: &Call, name: String) -> Response {
+    if call.method == Method::PUT {
+        objects.insert(name, call.body.clone());
+        return web::status(StatusCode::OK);
+    }
+    match objects.get(&name) {
+        Some(bytes) => Response::new(Body::from(bytes.clone())),
+        None => web::status(StatusCode::NOT_FOUND),
+    }
+}
+
+/// Starts a platform in this process and tells its address.
+///
+/// # Errors
+///
+/// An error of binding.
+pub async fn start(settings: &Settings, listen: SocketAddr) -> std::io::Result<SocketAddr> {
+    let listener = web::bind(listen).await?;
+    let address = listener.local_addr()?;
+    tokio::spawn(Platform::new(settings).serve(listener));
+    Ok(address)
+}
--- /dev/null
+++ b/crates/fake/src/platform/rate.rs
@@ -0,0 +1,36 @@
+//! A limit on calls a second.
+
+use std::time::Duration;
+use std::time::Instant;
+
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// Counts calls in windows of one second.
+#[derive(Debug)]
+pub(super) struct Rate {
+    limit: u32,
+    used: u32,
+    since: Instant,
+}
+
+impl Rate {
+    /// At most `limit` calls a second.
+    pub(super) fn new(limit: u32) -> Self {
+        Self {
+            limit,
+            used: 0,
+            since: Instant::now(),
+        }
+    }
+
+    /// Counts a call; `false` if the limit of this second is reached.
+    pub(super) fn take(&mut self) -> bool {
+        if self.since.elapsed() >= WINDOW {
+            self.since = Instant::now();
+            self.used = 0;
+        }
+        let free = self.used < self.limit;
+        self.used += u32::from(free);
+        free
+    }
+}
--- /dev/null
+++ b/crates/fake/src/platform/rows.rs
@@ -0,0 +1,122 @@
+//! Rows with versions, and transactions on them.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A row as it is answered; an absent one has version 0 and no value.
+#[derive(Debug, Clone, Serialize)]
+pub(super) struct Row {
+    key: String,
+    value: Option<String>,
+    version: u64,
+}
+
+/// A version that a row must have.
+#[derive(Debug, Deserialize)]
+struct Requirement {
+    key: String,
+    version: u64,
+}
+
+/// A value to write; `None` deletes.
+#[derive(Debug, Deserialize)]
+struct Write {
+    key: String,
+    value: Option<String>,
+}
+
+/// A transaction.
+#[derive(Debug, Deserialize)]
+pub(super) struct Txn {
+    #[serde(default)]
+    require: Vec<Requirement>,
+    #[serde(default)]
+    write: Vec<Write>,
+    #[serde(default)]
+    read: Vec<String>,
+    #[serde(default)]
+    scan: Vec<String>,
+}
+
+impl Txn {
+    /// Whether it changes anything.
+    pub(super) fn writes(&self) -> bool {
+        !self.write.is_empty()
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Cell {
+    value: String,
+    version: u64,
+}
+
+/// All rows.
+///
+/// Versions come from one counter, so that a row that is deleted and made again never gets a
+/// version it had before.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Rows {
+    cells: BTreeMap<String, Cell>,
+    version: u64,
+}
+
+impl Rows {
+    /// Carries out a transaction; the error holds the rows whose requirement failed.
+    pub(super) fn transact(&mut self, txn: &Txn) -> Result<Vec<Row>, Vec<Row>> {
+        let failed: Vec<Row> = txn
+            .require
+            .iter()
+            .map(|requirement| (self.row(&requirement.key), requirement.version))
+            .filter(|(row, version)| row.version != *version)
+            .map(|(row, _)| row)
+            .collect();
+        if !failed.is_empty() {
+            return Err(failed);
+        }
+        self.write(&txn.write);
+        let read = txn.read.iter().map(|key| self.row(key));
+        let scanned = txn.scan.iter().flat_map(|prefix| self.scan(prefix));
+        Ok(read.chain(scanned).collect())
+    }
+
+    /// All rows whose key begins with `prefix`, in order.
+    pub(super) fn scan(&self, prefix: &str) -> Vec<Row> {
+        self.cells
+            .range(prefix.to_owned()..)
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .map(|(key, _)| self.row(key))
+            .collect()
+    }
+
+    fn write(&mut self, writes: &[Write]) {
+        if !writes.is_empty() {
+            self.version += 1;
+        }
+        for Write { key, value } in writes {
+            match value {
+                Some(value) => {
+                    let cell = Cell {
+                        value: value.clone(),
+                        version: self.version,
+                    };
+                    self.cells.insert(key.clone(), cell);
+                }
+                None => {
+                    self.cells.remove(key);
+                }
+            }
+        }
+    }
+
+    fn row(&self, key: &str) -> Row {
+        let cell = self.cells.get(key);
+        Row {
+            key: key.to_owned(),
+            value: cell.map(|cell| cell.value.clone()),
+            version: cell.map_or(0, |cell| cell.version),
+        }
+    }
+}
--- /dev/null
+++ b/crates/store/src/client.rs
@@ -0,0 +1,217 @@
+//! The client.
+//!
+//! The library's client keeps connections and sends each request on one of them once. It reports
+//! a failed connect and a failed exchange with the same kind; the source of its error tells them
+//! apart, and whatever is not surely a failed connect counts as [`Error::Lost`].
+
+use std::error::Error as _;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::Method;
+use http::StatusCode;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use volo_http::body::BodyConversion;
+use volo_http::error::ClientError;
+
+use crate::error::Error;
+use crate::error::Step;
+use crate::list::List;
+use crate::txn::Reply;
+use crate::txn::Row;
+use crate::txn::Txn;
+
+/// An answer as it came.
+#[derive(Debug)]
+struct Answer {
+    status: StatusCode,
+    body: Vec<u8>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Rows {
+    rows: Vec<Row>,
+}
+
+/// A client of the platform; clones share its connections.
+#[derive(Clone)]
+pub struct Client {
+    peer: SocketAddr,
+    timeout: Duration,
+    http: volo_http::client::Client,
+}
+
+impl fmt::Debug for Client {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Client")
+            .field("peer", &self.peer)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Client {
+    /// A client of the platform at `peer` that gives each call up after `timeout`.
+    pub fn new(peer: SocketAddr, timeout: Duration) -> Self {
+        let http = volo_http::client::Client::default();
+        Self {
+            peer,
+            timeout,
+            http,
+        }
+    }
+
+    /// Carries out a transaction.
+    ///
+    /// # Errors
+    ///
+    /// See [`Error`]; only a write that ended as lost or malformed may have taken effect.
+    pub async fn txn(&self, txn: &Txn) -> Result<Reply, Error> {
+        let step = Step::Txn;
+        let answer = self.send(step, Method::POST, "/v1/txn", json(txn)).await?;
+        match answer.status {
+            StatusCode::OK => Ok(Reply::Committed(self.read::<Rows>(step, &answer)?.rows)),
+            StatusCode::CONFLICT => Ok(Reply::Conflict(self.read::<Rows>(step, &answer)?.rows)),
+            status => Err(self.refused(step, status)),
+        }
+    }
+
+    /// Reads all rows whose key begins with `prefix`; they may be stale.
+    ///
+    /// # Errors
+    ///
+    /// See [`Error`].
+    pub async fn rows(&self, prefix: &str) -> Result<Vec<Row>, Error> {
+        let path = format!("/v1/rows?{}", query("prefix", prefix));
+        let answer = self.get(Step::Rows, &path).await?;
+        Ok(self.read::<Rows>(Step::Rows, &answer)?.rows)
+    }
+
+    /// Reads the list as it is shown to `asker`.
+    ///
+    /// # Errors
+    ///
+    /// See [`Error`].
+    pub async fn list(&self, asker: &str) -> Result<List, Error> {
+        let path = format!("/v1/list?{}", query("for", asker));
+        let answer = self.get(Step::List, &path).await?;
+        self.read(Step::List, &answer)
+    }
+
+    /// Reads the object `name`; `None` if there is none.
+    ///
+    /// # Errors
+    ///
+    /// See [`Error`].
+    pub async fn fetch(&self, name: &str) -> Result<Option<Vec<u8>>, Error> {
+        let path = format!("/v1/objects/{name}");
+        let answer = self
+            .send(Step::Fetch, Method::GET, &path, Vec::new())
+            .await?;
+        match answer.status {
+            StatusCode::OK => Ok(Some(answer.body)),
+            StatusCode::NOT_FOUND => Ok(None),
+            status => Err(self.refused(Step::Fetch, status)),
+        }
+    }
+
+    /// Writes the object `name`.
+    ///
+    /// # Errors
+    ///
+    /// See [`Error`]; only a write that ended as lost or malformed may have taken effect.
+    pub async fn keep(&self, name: &str, bytes: Vec<u8>) -> Result<(), Error> {
+        let path = format!("/v1/objects/{name}");
+        let answer = self.send(Step::Keep, Method::PUT, &path, bytes).await?;
+        match answer.status {
+            StatusCode::OK => Ok(()),
+            status => Err(self.refused(Step::Keep, status)),
+        }
+    }
+
+    async fn get(&self, step: Step, path: &str) -> Result<Answer, Error> {
+        let answer = self.send(step, Method::GET, path, Vec::new()).await?;
+        match answer.status {
+            StatusCode::OK => Ok(answer),
+            status => Err(self.refused(step, status)),
+        }
+    }
+
+    async fn send(
+        &self,
+        step: Step,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<Answer, Error> {
+        let exchange = async {
+            let uri = format!("http://{}{path}", self.peer);
+            let request = self.http.request(method, uri).data(body);
+            let response = request.send().await.map_err(|e| self.failed(step, &e))?;
+            let status = response.status();
+            let body = response.into_body().into_vec().await;
+            let body = body.map_err(|e| self.lost(step, e.to_string()))?;
+            Ok(Answer { status, body })
+        };
+        match tokio::time::timeout(self.timeout, exchange).await {
+            Ok(answer) => answer,
+            Err(elapsed) => Err(self.lost(step, elapsed.to_string())),
+        }
+    }
+
+    fn read<T: DeserializeOwned>(&self, step: Step, answer: &Answer) -> Result<T, Error> {
+        serde_json::from_slice(&answer.body).map_err(|e| Error::Malformed {
+            step,
+            peer: self.peer,
+            cause: e.to_string(),
+        })
+    }
+
+    /// What an error status means: a server that failed may have carried the call out before.
+    fn refused(&self, step: Step, status: StatusCode) -> Error {
+        match status {
+            StatusCode::SERVICE_UNAVAILABLE => {}
+            status if status.is_server_error() => return self.lost(step, status.to_string()),
+            _ => {}
+        }
+        Error::Refused {
+            step,
+            peer: self.peer,
+            status: status.as_u16(),
+        }
+    }
+
+    fn lost(&self, step: Step, cause: String) -> Error {
+        Error::Lost {
+            step,
+            peer: self.peer,
+            cause,
+        }
+    }
+
+    fn failed(&self, step: Step, error: &ClientError) -> Error {
+        let cause = error.to_string();
+        match error.source() {
+            // The library passes the operating system's error on from connecting alone; errors of
+            // an exchange come as `hyper::Error`.
+            Some(source) if source.is::<io::Error>() => Error::NotSent {
+                step,
+                peer: self.peer,
+                cause,
+            },
+            _ => self.lost(step, cause),
+        }
+    }
+}
+
+fn query(name: &str, value: &str) -> String {
+    form_urlencoded::Serializer::new(String::new())
+        .append_pair(name, value)
+        .finish()
+}
+
+fn json(txn: &Txn) -> Vec<u8> {
+    serde_json::to_vec(txn).expect("every transaction is valid JSON")
+}
--- /dev/null
+++ b/crates/store/src/txn.rs
@@ -0,0 +1,96 @@
+//! Transactions on rows.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A row; an absent one has version 0 and no value.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct Row {
+    /// Key.
+    pub key: String,
+    /// Value.
+    pub value: Option<String>,
+    /// Version, which never repeats for a key.
+    pub version: u64,
+}
+
+/// A version that a row must have for a transaction to commit.
+#[derive(Debug, Clone, Serialize)]
+pub struct Requirement {
+    /// Key.
+    pub key: String,
+    /// Version; 0 demands that the row be absent.
+    pub version: u64,
+}
+
+/// A row to be written.
+#[derive(Debug, Clone, Serialize)]
+pub struct Write {
+    /// Key.
+    pub key: String,
+    /// Value; `None` deletes the row.
+    pub value: Option<String>,
+}
+
+/// A transaction: it commits as a whole if each requirement holds, and reads after its writes.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Txn {
+    /// What must hold.
+    pub require: Vec<Requirement>,
+    /// What is written.
+    pub write: Vec<Write>,
+    /// Keys to read.
+    pub read: Vec<String>,
+    /// Prefixes whose rows are read.
+    pub scan: Vec<String>,
+}
+
+impl Txn {
+    /// A transaction that does nothing yet.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Demands that the row `key` have `version`; 0 demands that it be absent.
+    #[must_use]
+    pub fn with_requirement(mut self, key: &str, version: u64) -> Self {
+        self.require.push(Requirement {
+            key: key.to_owned(),
+            version,
+        });
+        self
+    }
+
+    /// Writes `value` to the row `key`; `None` deletes it.
+    #[must_use]
+    pub fn with_write(mut self, key: &str, value: Option<&str>) -> Self {
+        self.write.push(Write {
+            key: key.to_owned(),
+            value: value.map(str::to_owned),
+        });
+        self
+    }
+
+    /// Reads the row `key`.
+    #[must_use]
+    pub fn with_read(mut self, key: &str) -> Self {
+        self.read.push(key.to_owned());
+        self
+    }
+
+    /// Reads all rows whose key begins with `prefix`.
+    #[must_use]
+    pub fn with_scan(mut self, prefix: &str) -> Self {
+        self.scan.push(prefix.to_owned());
+        self
+    }
+}
+
+/// How a transaction ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Reply {
+    /// It took effect; the rows that were read, in the order of `read` and `scan`.
+    Committed(Vec<Row>),
+    /// It had no effect; the present rows of the requirements that failed.
+    Conflict(Vec<Row>),
+}
--- /dev/null
+++ b/crates/store/tests/error.rs
@@ -0,0 +1,92 @@
+//! What a failed call tells about its effect.
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rstest::rstest;
+use store::Client;
+use store::Error;
+use store::error::Step;
+use store::txn::Txn;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+
+const ANY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+const TIMEOUT: Duration = Duration::from_millis(300);
+
+/// A peer that reads a request and answers with `answer`, then closes.
+async fn peer_with(answer: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind(ANY).await.unwrap();
+    let peer = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut request = [0; 4096];
+            let _read = stream.read(&mut request).await.unwrap();
+            stream.write_all(answer.as_bytes()).await.unwrap();
+        }
+    });
+    peer
+}
+
+fn txn() -> Txn {
+    Txn::new().with_write("k", Some("v"))
+}
+
+#[rstest]
+#[tokio::test]
+async fn a_refused_connection_sent_nothing() {
+    let listener = TcpListener::bind(ANY).await.unwrap();
+    let peer = listener.local_addr().unwrap();
+    drop(listener);
+    let error = Client::new(peer, TIMEOUT).txn(&txn()).await.unwrap_err();
+    assert!(!error.is_uncertain());
+    match error {
+        Error::NotSent {
+            step, peer: told, ..
+        } => assert_eq!((step, told), (Step::Txn, peer)),
+        error => panic!("{error:?}"),
+    }
+}
+
+#[rstest]
+#[case::closed("", "lost")]
+#[case::cut_short("HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{", "lost")]
+#[case::server_error("HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", "lost")]
+#[case::unavailable("HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n", "refused")]
+#[case::too_many("HTTP/1.1 429 Slow\r\nContent-Length: 0\r\n\r\n", "refused")]
+#[case::garbage("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]", "malformed")]
+#[tokio::test]
+async fn an_answer_decides_the_error(#[case] answer: &'static str, #[case] kind: &str) {
+    let peer = peer_with(answer).await;
+    let error = Client::new(peer, TIMEOUT).txn(&txn()).await.unwrap_err();
+    let found = match &error {
+        Error::NotSent { .. } => "not sent",
+        Error::Lost { .. } => "lost",
+        Error::Refused { .. } => "refused",
+        Error::Malformed { .. } => "malformed",
+    };
+    assert_eq!(found, kind, "{error:?}");
+    assert_eq!(error.is_uncertain(), kind != "refused");
+}
+
+#[rstest]
+#[tokio::test]
+async fn silence_loses_the_answer() {
+    let listener = TcpListener::bind(ANY).await.unwrap();
+    let client = Client::new(listener.local_addr().unwrap(), TIMEOUT);
+    let error = client.rows("k").await.unwrap_err();
+    assert!(
+        matches!(
+            error,
+            Error::Lost {
+                step: Step::Rows,
+                ..
+            }
+        ),
+        "{error:?}"
+    );
+}
