Core: an edit is accepted when a majority noted its generation; proofs count from the question

An intent announced before the commit left every daemon without proof by contact when the store failed during the commit: an edit tried in an outage would have stopped the fleet. And news counted from their arrival, so a frame delayed in a socket could prove an old table fresh. Ruled out: keeping the intent and clearing it by time (either unsafe or an outage of its own). Change: the operator is told 'accepted' only after the commit and the notes of a majority; proofs are answers to questions and count from the time of the question.

--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -180,7 +180,7 @@
             attach_tries: 0,
             computed: 0,
             priority: row.priority,
-            targets: targets(row),
+            targets: Targets::new(row),
             times: Times {
                 arrived: now,
                 submitted: now,
@@ -305,14 +305,6 @@
     left.is_none_or(|left| now >= left + CALLER_GRACE)
 }
 
-/// The latency targets of a row.
-pub(crate) fn targets(row: &Row) -> Targets {
-    Targets {
-        ttft: u64::from(row.ttft_ms) * 1_000,
-        tbt: u64::from(row.tbt_ms) * 1_000,
-    }
-}
-
 fn ticket_work(work: &Work) -> route::ticket::Work {
     match work {
         Work::Model {
--- a/crates/node/src/keeping.rs
+++ b/crates/node/src/keeping.rs
@@ -92,7 +92,7 @@
     }
 
     fn keeper_moved(&mut self, pool: Pool, owner: Instance, out: &mut Vec<Action>) {
-        let name = self.pool_name(pool);
+        let name = self.rows.pool_name(pool);
         self.log(
             &name,
             Step::Member,
@@ -142,16 +142,6 @@
         self.timers.cells = self.now;
     }
 
-    fn pool_name(&self, pool: Pool) -> String {
-        let rows = self
-            .view
-            .table()
-            .map(|table| table.rows.as_slice())
-            .unwrap_or_default();
-        let found = rows.iter().find(|row| Pool::new(&row.pool) == pool);
-        found.map_or_else(|| pool.to_string(), |row| row.pool.clone())
-    }
-
     /// Puts list and table in force in every kept pool.
     pub(crate) fn refresh_cells(&mut self) {
         let pools: Vec<Pool> = self.cells.keys().copied().collect();
@@ -183,7 +173,7 @@
             .filter(|row| Pool::new(&row.pool) == pool)
             .map(rule)
             .collect();
-        let name = self.pool_name(pool);
+        let name = self.rows.pool_name(pool);
         let generation = self.view.generation();
         if let Some(kept) = self.cells.get_mut(&pool) {
             kept.name = name;
@@ -222,11 +212,7 @@
     }
 
     fn cell_of(&mut self, row: ident::Row) -> Option<&mut Kept> {
-        let pool = self
-            .view
-            .table()?
-            .by_id(row)
-            .map(|row| Pool::new(&row.pool))?;
+        let pool = self.rows.get(row)?.pool;
         if !self.is_keeper(pool) {
             return None;
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,6 +22,7 @@
 mod refusals;
 mod releases;
 pub mod request;
+mod rows;
 pub mod settings;
 pub mod status;
 mod streams;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -38,6 +38,7 @@
 use crate::open::Open;
 use crate::open::OpenKey;
 use crate::recording::Journal;
+use crate::rows::Rows;
 use crate::settings::Settings;
 use crate::tables::Desk;
 use crate::timers::Timers;
@@ -61,12 +62,15 @@
     pub(crate) settings: Settings,
     pub(crate) now: Time,
     pub(crate) begun: Time,
+    /// When the last pause longer than the lease ended.
+    pub(crate) woke: Time,
     pub(crate) rng: Pcg64Mcg,
     pub(crate) fleet: Fleet,
     /// Former incarnations of this process, given up after a pause.
     pub(crate) former: Vec<Incarnation>,
     pub(crate) view: View,
     pub(crate) desk: Desk,
+    pub(crate) rows: Rows,
     pub(crate) seats: BTreeMap<Instance, Seat>,
     pub(crate) backends: BTreeMap<Replica, Backend>,
     pub(crate) open: SlotMap<OpenKey, Open>,
@@ -95,11 +99,13 @@
         Self {
             now,
             begun: now,
+            woke: now,
             rng: Pcg64Mcg::seed_from_u64(seed),
             fleet,
             former: Vec::new(),
             view: View::new(settings.lease),
             desk: Desk::new(),
+            rows: Rows::new(),
             seats: BTreeMap::new(),
             backends: BTreeMap::new(),
             open: SlotMap::with_key(),
@@ -279,10 +285,11 @@
             .map_or_else(|| instance.to_string(), |seat| seat.name.clone())
     }
 
-    /// Whether nothing may be decided now: the table may be out of date, or this daemon was paused
-    /// and has not heard from a peer since.
+    /// Whether decisions may be made now: the table is up to date, and after a pause a peer was
+    /// heard or the store was read.
     pub(crate) fn may_decide(&self) -> bool {
-        self.view.fresh(self.now) && !self.fleet.paused(self.now)
+        let caught_up = !self.fleet.paused(self.now) || self.desk.proved_since(self.woke);
+        self.view.fresh(self.now) && caught_up
     }
 }
 
--- a/crates/node/src/open.rs
+++ b/crates/node/src/open.rs
@@ -15,6 +15,7 @@
 use route::phase::Phase;
 use route::ticket::Ticket;
 use slotmap::new_key_type;
+use table::row::Row;
 
 use crate::action::Action;
 
@@ -32,6 +33,24 @@
     pub tbt: u64,
 }
 
+impl Targets {
+    /// The targets of `row`.
+    pub fn new(row: &Row) -> Self {
+        Self {
+            ttft: u64::from(row.ttft_ms) * 1_000,
+            tbt: u64::from(row.tbt_ms) * 1_000,
+        }
+    }
+
+    /// Targets that every request meets.
+    pub const fn none() -> Self {
+        Self {
+            ttft: u64::MAX,
+            tbt: u64::MAX,
+        }
+    }
+}
+
 /// Where a placed request runs.
 #[derive(Debug, Clone, Copy)]
 pub struct Place {
--- /dev/null
+++ b/crates/node/src/rows.rs
@@ -0,0 +1,57 @@
+//! Rows of the table in force, by key.
+
+use std::collections::HashMap;
+
+use ident::Pool;
+use ident::Row;
+use table::Table;
+
+use crate::open::Targets;
+
+/// What is looked up for every request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Brief {
+    pub(crate) pool: Pool,
+    pub(crate) targets: Targets,
+}
+
+/// Index of the table in force.
+#[derive(Debug, Default)]
+pub(crate) struct Rows {
+    by_key: HashMap<Row, Brief>,
+    names: HashMap<Pool, String>,
+}
+
+impl Rows {
+    /// The index of no table.
+    pub(crate) fn new() -> Self {
+        Self::default()
+    }
+
+    /// The index of `table`.
+    pub(crate) fn with_table(table: &Table) -> Self {
+        let mut rows = Self::new();
+        for row in &table.rows {
+            let pool = Pool::new(&row.pool);
+            let brief = Brief {
+                pool,
+                targets: Targets::new(row),
+            };
+            rows.by_key.insert(row.id(), brief);
+            rows.names.insert(pool, row.pool.clone());
+        }
+        rows
+    }
+
+    pub(crate) fn get(&self, row: Row) -> Option<Brief> {
+        self.by_key.get(&row).copied()
+    }
+
+    /// The name of a pool, or its key if no row names it.
+    pub(crate) fn pool_name(&self, pool: Pool) -> String {
+        self.names
+            .get(&pool)
+            .cloned()
+            .unwrap_or_else(|| pool.to_string())
+    }
+}
--- a/crates/node/src/streams.rs
+++ b/crates/node/src/streams.rs
@@ -354,7 +354,10 @@
             attempt: 0,
             avoid: Vec::new(),
         };
-        let targets = self.targets_of(token.row);
+        let targets = self
+            .rows
+            .get(token.row)
+            .map_or_else(Targets::none, |brief| brief.targets);
         let opened = self.open.insert(Open {
             call: Some(call),
             origin: None,
@@ -395,17 +398,6 @@
         opened
     }
 
-    fn targets_of(&self, row: ident::Row) -> Targets {
-        let found = self.view.table().and_then(|table| table.by_id(row));
-        found.map_or(
-            Targets {
-                ttft: u64::MAX,
-                tbt: u64::MAX,
-            },
-            crate::callers::targets,
-        )
-    }
-
     /// Withholds every stream until it is verified: this daemon was paused for longer than the
     /// lease, and others may have taken its streams over.
     pub(crate) fn suspect_streams(&mut self, out: &mut Vec<Action>) {
--- a/crates/node/src/tables.rs
+++ b/crates/node/src/tables.rs
@@ -1,10 +1,12 @@
 //! The table: polling, dissemination, freshness and edits.
 //!
-//! One poller a data centre reads the generation from the store; daemons tell each other which
-//! generation they hold and how old their proof is. An edit is committed only after a majority of
-//! the listed instances noted the intent; until its end is known none of these counts as proof by
-//! contact. A daemon that is cut off from the store and from the majority stops deciding within the
-//! lease, so that no decision under an older generation outlives an accepted edit by more.
+//! One poller a data centre reads the generation from the store; daemons ask each other which
+//! generation they hold and how old their proof is. An edit is accepted, and its operator told so,
+//! only after it was committed and a majority of the listed instances noted its generation. A
+//! daemon counts as up to date for one lease from a read of the store, or from questions that a
+//! majority answered. Any two majorities share an instance, so no decision under an older
+//! generation comes later than one lease after acceptance; cut off from the store and from the
+//! majority, a daemon stops deciding within the lease.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -28,6 +30,7 @@
 use crate::event::Stored;
 use crate::node::Node;
 use crate::node::millis;
+use crate::rows::Rows;
 use crate::status::Force;
 
 /// Time between two rounds of news.
@@ -36,10 +39,10 @@
 const NEWS_FANOUT: usize = 3;
 /// Pause after which an unanswered read of the store is given up.
 const READ_TIMEOUT: Duration = Duration::from_secs(3);
-/// How long a majority may take to note an intent.
-const INTENT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Age from which a read of the store shows the end of an edit whose committer fell silent.
-const INTENT_LIFE: Duration = Duration::from_secs(30);
+/// How long a majority may take to note the generation of a committed edit.
+const NOTE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Pause after which instances that have not noted a generation are told again.
+const ANNOUNCE_AGAIN: Duration = Duration::from_millis(300);
 /// What the poller of a data centre is chosen by.
 const POLLER: u64 = 0x706f_6c6c;
 
@@ -48,9 +51,12 @@
 struct Edition {
     call: Call,
     edit: Edit,
+    commit: Query,
+    /// Once it is committed: its generation, and whether an earlier try had committed it.
+    made: Option<(u64, bool)>,
     noted: BTreeSet<Instance>,
     since: Time,
-    commit: Option<Query>,
+    announced: Time,
 }
 
 /// What this daemon does about the table.
@@ -59,10 +65,8 @@
     reading: Option<(Query, Time)>,
     /// When the store was last proved to hold this generation, here or by whoever told.
     proved: Option<Time>,
-    /// Generation each instance last told, and when it last gave proof by contact.
+    /// What each instance last told.
     told: BTreeMap<Instance, Heard>,
-    /// Intents of other daemons whose end is not known.
-    intents: BTreeMap<(Instance, u64), Time>,
     editions: BTreeMap<u64, Edition>,
 }
 
@@ -79,11 +83,15 @@
             reading: None,
             proved: None,
             told: BTreeMap::new(),
-            intents: BTreeMap::new(),
             editions: BTreeMap::new(),
         }
     }
 
+    /// Whether the store was proved to hold nothing newer at or after `since`.
+    pub(crate) fn proved_since(&self, since: Time) -> bool {
+        self.proved.is_some_and(|proved| proved >= since)
+    }
+
     pub(crate) fn generation_told(&self, instance: Instance) -> Option<u64> {
         self.told.get(&instance).map(|heard| heard.generation)
     }
@@ -130,7 +138,7 @@
             .desk
             .editions
             .iter()
-            .find(|(_, edition)| edition.commit == Some(query));
+            .find(|(_, edition)| edition.commit == query);
         if let Some(number) = edition.map(|(number, _)| *number) {
             return self.committed(number, outcome, out);
         }
@@ -161,9 +169,6 @@
         let age = self.now.since(since);
         self.view.vouch(self.now, age);
         self.desk.proved = self.desk.proved.max(Some(since));
-        self.desk
-            .intents
-            .retain(|_, noted| since < *noted + INTENT_LIFE);
     }
 
     pub(crate) fn take_table(&mut self, table: Table, out: &mut Vec<Action>) {
@@ -172,22 +177,22 @@
             let name = self.settings.name.clone();
             let choice = format!("generation {generation}");
             self.log(&name, Step::Table, &choice, "in force here", out);
+            self.rows = self.view.table().map_or_else(Rows::new, Rows::with_table);
             self.refresh_cells();
             self.tell_news(out);
         }
     }
 
-    /// Tells a few peers what is held here.
+    /// Asks a few peers what they hold, and tells them what is held here.
     pub(crate) fn tell_news(&mut self, out: &mut Vec<Action>) {
         self.timers.news = self.now + NEWS_EVERY;
-        let news = self.my_news();
+        let news = self.my_news(self.now.0, false);
         for peer in self.some_peers(NEWS_FANOUT) {
             self.send(peer, Body::News(news), out);
         }
-        self.count_contact();
     }
 
-    fn my_news(&self) -> News {
+    fn my_news(&self, asked: u64, answer: bool) -> News {
         let age = self
             .desk
             .proved
@@ -195,71 +200,76 @@
         News {
             generation: self.view.generation(),
             store_age_ms: age.and_then(|age| u32::try_from(age).ok()),
-            settled: self.desk.intents.is_empty() && !self.view.behind(),
+            settled: !self.view.behind(),
+            asked,
+            answer,
         }
     }
 
     pub(crate) fn news(&mut self, from: Instance, news: News, out: &mut Vec<Action>) {
-        let now = self.now;
-        let known = self.desk.told.get(&from).and_then(|heard| heard.settled);
-        let settled = if news.settled { Some(now) } else { known };
+        self.view.announce(news.generation);
+        self.note_told(from, news);
+        match () {
+            () if self.view.behind() => self.send(from, Body::Pull, out),
+            () if news.answer => self.take_proof(news),
+            () => (),
+        }
+        if !news.answer {
+            let answer = self.my_news(news.asked, true);
+            self.send(from, Body::News(answer), out);
+        }
+    }
+
+    fn note_told(&mut self, from: Instance, news: News) {
+        let asked = Time(news.asked).min(self.now);
+        let before = self.desk.told.get(&from).and_then(|heard| heard.settled);
+        let settled = if news.answer && news.settled {
+            before.max(Some(asked))
+        } else {
+            before
+        };
         let heard = Heard {
             generation: news.generation,
-            at: now,
+            at: self.now,
             settled,
         };
         self.desk.told.insert(from, heard);
-        self.view.announce(news.generation);
-        if self.view.behind() {
-            return self.send(from, Body::Pull, out);
-        }
-        if news.generation == self.view.generation() {
-            self.take_proof(news);
-        }
-        self.count_contact();
     }
 
+    /// An answer proves as much as its sender could prove when the question was asked.
     fn take_proof(&mut self, news: News) {
-        if let Some(age) = news.store_age_ms {
-            let proved = self.now - Duration::from_millis(u64::from(age));
+        let asked = Time(news.asked).min(self.now);
+        let age = news
+            .store_age_ms
+            .filter(|_| news.generation == self.view.generation());
+        if let Some(age) = age {
+            let proved = asked - Duration::from_millis(u64::from(age));
             self.view.vouch(self.now, self.now.since(proved));
             self.desk.proved = self.desk.proved.max(Some(proved));
         }
-    }
-
-    /// Counts settled contact with the majority of the list as proof.
-    fn count_contact(&mut self) {
-        if !self.desk.intents.is_empty() || self.view.behind() {
-            return;
-        }
-        let since = self.now - self.settings.lease;
-        let recent = |heard: &&Heard| heard.settled.is_some_and(|settled| settled > since);
-        let heard = self.desk.told.values().filter(recent).count() + 1;
-        let known = self.fleet.known();
-        if known > 1 {
-            let oldest = self.contact_point(known);
-            let age = self.now.since(oldest);
-            if heard * 2 > known {
-                self.view.vouch(self.now, age);
-            }
+        if let Some(point) = self.contact_point() {
+            self.view.vouch(self.now, self.now.since(point));
         }
     }
 
-    /// The point since which a majority has been in contact.
-    fn contact_point(&self, known: usize) -> Time {
+    /// The latest point from which on a majority of the list, this instance among it, has answered.
+    fn contact_point(&self) -> Option<Time> {
         let mut points: Vec<Time> = self
             .desk
             .told
             .values()
             .filter_map(|heard| heard.settled)
             .collect();
-        points.sort_unstable();
-        points.reverse();
-        let needed = known / 2;
-        points
-            .get(needed.saturating_sub(1))
-            .copied()
-            .unwrap_or(Time::ZERO)
+        points.sort_unstable_by(|a, b| b.cmp(a));
+        let others = self.fleet.known() / 2;
+        others
+            .checked_sub(1)
+            .and_then(|last| points.get(last).copied())
+    }
+
+    fn has_majority(&self) -> bool {
+        let since = self.now - self.settings.lease;
+        self.fleet.known() <= 1 || self.contact_point().is_some_and(|point| point >= since)
     }
 
     pub(crate) fn pulled(&mut self, from: Instance, out: &mut Vec<Action>) {
@@ -270,10 +280,6 @@
 
     /// An operator's edit arrived.
     pub(crate) fn edited(&mut self, call: Call, edit: Edit, out: &mut Vec<Action>) {
-        if !self.may_decide() && self.view.table().is_some() {
-            let cause = "this instance may hold an old table; try another instance".to_owned();
-            return answer(call, Verdict::Rejected { cause }, out);
-        }
         if let Err(report) = edit.check() {
             return answer(
                 call,
@@ -283,96 +289,88 @@
                 out,
             );
         }
+        if !self.has_majority() {
+            let cause = "this instance does not reach a majority of the listed instances; \
+                         try another instance, or again later";
+            return answer(
+                call,
+                Verdict::Rejected {
+                    cause: cause.to_owned(),
+                },
+                out,
+            );
+        }
         let number = self.number() ^ self.incarnation().0;
-        let noted = BTreeSet::from([self.settings.instance]);
+        let query = self.query();
+        let ask = Ask::Commit(Box::new(edit.clone()));
         let edition = Edition {
             call,
             edit,
-            noted,
+            commit: query,
+            made: None,
+            noted: BTreeSet::from([self.settings.instance]),
             since: self.now,
-            commit: None,
+            announced: self.now,
         };
         self.desk.editions.insert(number, edition);
-        self.send_all(&Body::Intent { edit: number }, out);
-        self.try_commit(number, out);
+        out.push(Action::Query { query, ask });
     }
 
-    fn send_all(&mut self, body: &Body, out: &mut Vec<Action>) {
-        let me = self.settings.instance;
-        let peers: Vec<Instance> = self
-            .fleet
-            .members()
-            .map(|member| member.instance)
-            .filter(|peer| *peer != me)
-            .collect();
-        for peer in peers {
-            self.send(peer, body.clone(), out);
+    fn committed(&mut self, number: u64, outcome: Stored, out: &mut Vec<Action>) {
+        let made = match &outcome {
+            Stored::Committed { generation } => Some((*generation, false)),
+            Stored::Repeated { generation } => Some((*generation, true)),
+            _ => None,
+        };
+        match made {
+            Some(made) => self.announce(number, made, out),
+            None => self.close_edition(number, refused(outcome), out),
+        }
+        if self.view.behind() {
+            self.read(Ask::Table, out);
         }
     }
 
-    pub(crate) fn intended(&mut self, from: Instance, edit: u64, out: &mut Vec<Action>) {
-        self.desk.intents.insert((from, edit), self.now);
-        self.send(from, Body::Noted { edit }, out);
-    }
-
-    pub(crate) fn noted(&mut self, from: Instance, edit: u64, out: &mut Vec<Action>) {
-        if let Some(edition) = self.desk.editions.get_mut(&edit) {
-            edition.noted.insert(from);
-            self.try_commit(edit, out);
+    fn announce(&mut self, number: u64, made: (u64, bool), out: &mut Vec<Action>) {
+        let now = self.now;
+        self.view.announce(made.0);
+        if let Some(edition) = self.desk.editions.get_mut(&number) {
+            edition.made = Some(made);
+            edition.since = now;
         }
+        self.announce_to_rest(number, out);
+        self.try_accept(number, out);
     }
 
-    fn try_commit(&mut self, number: u64, out: &mut Vec<Action>) {
-        let known = self.fleet.known();
-        let query = self.query();
+    fn announce_to_rest(&mut self, number: u64, out: &mut Vec<Action>) {
+        let now = self.now;
         let Some(edition) = self.desk.editions.get_mut(&number) else {
             return;
         };
-        if edition.commit.is_none() && edition.noted.len() * 2 > known {
-            edition.commit = Some(query);
-            let ask = Ask::Commit(Box::new(edition.edit.clone()));
-            out.push(Action::Query { query, ask });
-        }
-    }
-
-    /// Rejects edits whose intent no majority noted in time.
-    pub(crate) fn expire_edits(&mut self, out: &mut Vec<Action>) {
-        let now = self.now;
-        let known = self.fleet.known();
-        let late: Vec<u64> = self
-            .desk
-            .editions
-            .iter()
-            .filter(|(_, edition)| edition.commit.is_none())
-            .filter(|(_, edition)| now >= edition.since + INTENT_TIMEOUT)
-            .map(|(number, _)| *number)
+        edition.announced = now;
+        let Some((generation, _)) = edition.made else {
+            return;
+        };
+        let noted = edition.noted.clone();
+        let rest: Vec<Instance> = self
+            .fleet
+            .members()
+            .map(|member| member.instance)
+            .filter(|peer| !noted.contains(peer))
             .collect();
-        for number in late {
-            let Some(edition) = self.desk.editions.remove(&number) else {
-                continue;
-            };
-            let noted = edition.noted.len();
-            let cause = format!(
-                "only {noted} of {known} listed instances could be told; a majority is needed: \
-                 try another instance, or again later"
+        for peer in rest {
+            self.send(
+                peer,
+                Body::Announce {
+                    edit: number,
+                    generation,
+                },
+                out,
             );
-            answer(edition.call, Verdict::Rejected { cause }, out);
-            self.settle_all(number, out);
         }
     }
 
-    fn settle_all(&mut self, number: u64, out: &mut Vec<Action>) {
-        let generation = self.view.generation();
-        self.send_all(
-            &Body::Settled {
-                edit: number,
-                generation,
-            },
-            out,
-        );
-    }
-
-    pub(crate) fn settled(
+    pub(crate) fn announced(
         &mut self,
         from: Instance,
         edit: u64,
@@ -380,57 +378,75 @@
         out: &mut Vec<Action>,
     ) {
         self.view.announce(generation);
-        self.desk.intents.remove(&(from, edit));
+        self.send(from, Body::Noted { edit }, out);
         if self.view.behind() {
             self.send(from, Body::Pull, out);
         }
     }
 
-    fn committed(&mut self, number: u64, outcome: Stored, out: &mut Vec<Action>) {
-        let Some(edition) = self.desk.editions.remove(&number) else {
+    pub(crate) fn noted(&mut self, from: Instance, edit: u64, out: &mut Vec<Action>) {
+        if let Some(edition) = self.desk.editions.get_mut(&edit) {
+            edition.noted.insert(from);
+            self.try_accept(edit, out);
+        }
+    }
+
+    fn try_accept(&mut self, number: u64, out: &mut Vec<Action>) {
+        let known = self.fleet.known();
+        let Some(edition) = self.desk.editions.get(&number) else {
             return;
         };
-        let (verdict, generation) = match outcome {
-            Stored::Committed { generation } => {
-                (Verdict::Accepted { generation }, Some(generation))
+        let listed = |instance: &&Instance| {
+            **instance == self.settings.instance || self.seats.contains_key(*instance)
+        };
+        let noted = edition.noted.iter().filter(listed).count();
+        match edition.made {
+            Some((generation, false)) if noted * 2 > known => {
+                self.close_edition(number, Verdict::Accepted { generation }, out);
             }
-            Stored::Repeated { generation } => (Verdict::Repeated { generation }, Some(generation)),
-            Stored::Conflict { lines } => (Verdict::Conflict { lines }, None),
-            Stored::Failed {
-                maybe: false,
-                cause,
-            } => (Verdict::Rejected { cause }, None),
-            Stored::Failed { cause, .. } => (Verdict::Undecided { cause }, None),
-            _ => {
-                let cause = "the store gave another answer than was asked for".to_owned();
-                (Verdict::Undecided { cause }, None)
+            Some((generation, true)) if noted * 2 > known => {
+                self.close_edition(number, Verdict::Repeated { generation }, out);
             }
-        };
-        let decided = !matches!(verdict, Verdict::Undecided { .. });
-        let operator = edition.edit.operator.clone();
-        self.log(
-            &operator,
-            Step::Table,
-            &format!("{verdict:?}"),
-            &edition.edit.id,
-            out,
-        );
-        answer(edition.call, verdict, out);
-        if let Some(generation) = generation {
-            self.view.announce(generation);
+            _ => (),
         }
-        if self.view.behind() {
-            self.read(Ask::Table, out);
+    }
+
+    /// Announces committed edits again, and answers those that no majority noted in time.
+    pub(crate) fn expire_edits(&mut self, out: &mut Vec<Action>) {
+        let now = self.now;
+        let mut again = Vec::new();
+        let mut late = Vec::new();
+        for (number, edition) in &self.desk.editions {
+            match edition.made {
+                Some(_) if now >= edition.since + NOTE_TIMEOUT => late.push(*number),
+                Some(_) if now >= edition.announced + ANNOUNCE_AGAIN => again.push(*number),
+                _ => (),
+            }
         }
-        if decided {
-            let generation = generation.unwrap_or_else(|| self.view.generation());
-            self.send_all(
-                &Body::Settled {
-                    edit: number,
-                    generation,
-                },
+        for number in again {
+            self.announce_to_rest(number, out);
+        }
+        for number in late {
+            let cause = "it was committed, but a majority of the listed instances could not be \
+                         told yet; send the same edit again";
+            let verdict = Verdict::Undecided {
+                cause: cause.to_owned(),
+            };
+            self.close_edition(number, verdict, out);
+        }
+    }
+
+    fn close_edition(&mut self, number: u64, verdict: Verdict, out: &mut Vec<Action>) {
+        if let Some(edition) = self.desk.editions.remove(&number) {
+            let Edit { operator, id, .. } = &edition.edit;
+            self.log(
+                operator,
+                Step::Table,
+                &format!("{verdict:?}"),
+                &format!("edit {id}"),
                 out,
             );
+            answer(edition.call, verdict, out);
         }
     }
 
@@ -465,3 +481,18 @@
         tell: Tell::Edit(verdict),
     });
 }
+
+fn refused(outcome: Stored) -> Verdict {
+    match outcome {
+        Stored::Conflict { lines } => Verdict::Conflict { lines },
+        Stored::Failed {
+            maybe: false,
+            cause,
+        } => Verdict::Rejected { cause },
+        Stored::Failed { cause, .. } => Verdict::Undecided { cause },
+        _ => {
+            let cause = "the store gave another answer than was asked for".to_owned();
+            Verdict::Undecided { cause }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/tests/world/answers.rs
@@ -0,0 +1,268 @@
+//! Connections of callers and operators, and checks of what they are told.
+
+use bytes::Bytes;
+use node::action::Outcome;
+use node::action::Reason;
+use node::action::Refusal;
+use node::action::Task;
+use node::action::Tell;
+use node::event::Event;
+use node::ids::Call;
+use rand::RngExt;
+
+use super::Item;
+use super::Note;
+use super::Verdict;
+use super::World;
+
+/// Who is at the other end of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Peer {
+    /// A caller with a request.
+    Caller(usize),
+    /// A caller with a resume token.
+    Reader(usize),
+    /// An operator.
+    Operator(usize),
+}
+
+/// One connection.
+#[derive(Debug, Clone, Copy)]
+pub struct Conn {
+    pub peer: Peer,
+    pub host: usize,
+    run: u32,
+    /// Index of the token that is due next.
+    next: u32,
+    /// Whether its last answer was told.
+    answered: bool,
+    /// Whether it is closed from outside.
+    pub closed: bool,
+    /// Whether what was under way when it broke is lost.
+    dropped: bool,
+    /// Time that each answer takes, in microseconds.
+    delay: u64,
+}
+
+impl Conn {
+    const fn is_open(&self) -> bool {
+        !self.answered && !self.closed
+    }
+}
+
+/// `count` tokens of the answer to `caller`, from token `offset` on.
+pub fn expected(caller: usize, offset: u32, count: u32) -> Bytes {
+    let words = (offset..offset + count).map(|index| format!(" {caller}:{index}"));
+    Bytes::from(words.collect::<String>())
+}
+
+impl World {
+    /// Opens a connection to `host`, whose process must be there.
+    pub(super) fn open_conn(&mut self, host: usize, peer: Peer, next: u32) -> Call {
+        self.counter += 1;
+        let call = Call(self.counter);
+        let conn = Conn {
+            peer,
+            host,
+            run: self.hosts[host].run,
+            next,
+            answered: false,
+            closed: false,
+            dropped: false,
+            delay: self.rng.random_range(500..3_000),
+        };
+        self.conns.insert(call, conn);
+        call
+    }
+
+    /// Closes a connection from outside.
+    pub(super) fn close_conn(&mut self, call: Call) {
+        let Some(conn) = self.conns.get_mut(&call).filter(|conn| conn.is_open()) else {
+            return;
+        };
+        conn.closed = true;
+        let (host, run) = (conn.host, conn.run);
+        let event = Event::Left { call };
+        self.note(|| format!("{call:?} at entry-{host} closes"));
+        self.after_micros(500, Item::Event { host, run, event });
+    }
+
+    /// Connections of the present process of `host` that have no last answer.
+    pub(super) fn open_conns(&self, host: usize) -> Vec<Call> {
+        let run = self.hosts[host].run;
+        self.conns
+            .iter()
+            .filter(|(_, conn)| conn.host == host && conn.run == run && conn.is_open())
+            .map(|(call, _)| *call)
+            .collect()
+    }
+
+    pub(super) fn break_conns(&mut self, host: usize) {
+        for call in self.open_conns(host) {
+            let dropped = self.rng.random_bool(0.5);
+            let Some(conn) = self.conns.get_mut(&call) else {
+                continue;
+            };
+            conn.closed = true;
+            conn.dropped = dropped;
+            let item = match conn.peer {
+                Peer::Caller(caller) | Peer::Reader(caller) => Item::Caller {
+                    caller,
+                    note: Note::Broken { call: Some(call) },
+                },
+                Peer::Operator(operator) => Item::Operator {
+                    operator,
+                    verdict: Verdict::Broken,
+                },
+            };
+            self.after_micros(4_000, item);
+        }
+    }
+
+    /// Whose body an order carries, if the daemon still keeps it.
+    pub(super) fn caller_of(&self, task: &Task) -> Option<usize> {
+        let (Task::Prefill { call, .. } | Task::Plain { call }) = task else {
+            return None;
+        };
+        match self.conns.get(call).filter(|conn| conn.is_open())?.peer {
+            Peer::Caller(caller) => Some(caller),
+            Peer::Reader(_) | Peer::Operator(_) => None,
+        }
+    }
+
+    /// A daemon tells a connection something.
+    pub(super) fn tell(&mut self, host: usize, call: Call, tell: Tell) {
+        self.note(|| format!("entry-{host} tells {call:?} {}", short(&tell)));
+        let Some(conn) = self.conns.get(&call).copied() else {
+            return self.violate(format!("entry-{host} tells {call:?}, which never was"));
+        };
+        match conn {
+            _ if conn.host != host => {
+                return self.violate(format!("entry-{host} tells {call:?} of another"));
+            }
+            _ if conn.closed => return,
+            _ if conn.answered => {
+                let tell = short(&tell);
+                return self.violate(format!("{call:?} is told {tell} after its last answer"));
+            }
+            _ => (),
+        }
+        match conn.peer {
+            Peer::Caller(caller) => self.tell_caller(call, caller, true, tell),
+            Peer::Reader(caller) => self.tell_caller(call, caller, false, tell),
+            Peer::Operator(operator) => self.tell_operator(call, operator, tell),
+        }
+    }
+
+    fn tell_operator(&mut self, call: Call, operator: usize, tell: Tell) {
+        let Tell::Edit(verdict) = tell else {
+            return self.violate(format!("operator at {call:?} is told {tell:?}"));
+        };
+        self.check_verdict(operator, &verdict);
+        self.set_answered(call);
+        let verdict = Verdict::Said(verdict);
+        self.after_micros(2_000, Item::Operator { operator, verdict });
+    }
+
+    fn set_answered(&mut self, call: Call) {
+        if let Some(conn) = self.conns.get_mut(&call) {
+            conn.answered = true;
+        }
+    }
+
+    fn tell_caller(&mut self, call: Call, caller: usize, is_request: bool, tell: Tell) {
+        match &tell {
+            Tell::Head { .. } => (),
+            Tell::Tokens {
+                offset,
+                count,
+                text,
+            } => self.check_tokens(call, caller, *offset, *count, text),
+            Tell::Done { tokens } => self.check_done(call, caller, *tokens),
+            Tell::Superseded => self.check_superseded(call, caller),
+            Tell::Answer { body, .. } => self.check_body(call, caller, body),
+            Tell::Refusal(refusal) => self.check_refusal(call, caller, is_request, refusal),
+            Tell::Edit(_) => self.violate(format!("{call:?} is told of an edit")),
+        }
+        if !matches!(tell, Tell::Head { .. } | Tell::Tokens { .. }) {
+            self.set_answered(call);
+        }
+        let note = Note::Told { call, tell };
+        let delay = self.conns[&call].delay;
+        self.after_micros(delay, Item::Caller { caller, note });
+    }
+
+    /// Whether something told to `call` reaches its caller.
+    pub(super) fn is_lost(&self, call: Call) -> bool {
+        self.conns.get(&call).is_none_or(|conn| conn.dropped)
+    }
+
+    fn check_tokens(&mut self, call: Call, caller: usize, offset: u32, count: u32, text: &Bytes) {
+        let Some(conn) = self.conns.get_mut(&call) else {
+            return;
+        };
+        let due = conn.next;
+        conn.next = offset + count;
+        if offset != due || count == 0 {
+            self.violate(format!(
+                "{call:?} gets {count} tokens from {offset}, due was {due}"
+            ));
+        }
+        if *text != expected(caller, offset, count) {
+            self.violate(format!(
+                "{call:?} of caller {caller} gets {text:?} at {offset}"
+            ));
+        }
+    }
+
+    fn check_done(&mut self, call: Call, caller: usize, tokens: u32) {
+        let length = self.callers[caller].length;
+        let next = self.conns[&call].next;
+        if tokens != length || next != length {
+            self.violate(format!(
+                "{call:?} is done with {tokens} tokens after {next} of {length}"
+            ));
+        }
+    }
+
+    fn check_superseded(&mut self, call: Call, caller: usize) {
+        if self.callers[caller].connections < 2 {
+            self.violate(format!("{call:?} is superseded, and by nothing"));
+        }
+    }
+
+    fn check_body(&mut self, call: Call, caller: usize, body: &Bytes) {
+        if *body != Bytes::from(format!("confirmed for {caller}")) {
+            self.violate(format!("{call:?} of caller {caller} gets {body:?}"));
+        }
+    }
+
+    fn check_refusal(&mut self, call: Call, caller: usize, is_request: bool, refusal: &Refusal) {
+        let untrue = refusal.outcome == Outcome::NotRun && self.callers[caller].touched;
+        if is_request && untrue {
+            let reason = refusal.reason.word();
+            self.violate(format!(
+                "{call:?} of caller {caller} is told `not run` ({reason}), and a byte had reached a replica"
+            ));
+        }
+        if refusal.reason == Reason::BadToken && !is_request {
+            self.violate(format!("{call:?} presented a good token"));
+        }
+    }
+}
+
+/// A short form for traces.
+fn short(tell: &Tell) -> String {
+    match tell {
+        Tell::Head { handle, .. } => format!("head of {handle}"),
+        Tell::Tokens { offset, count, .. } => format!("{count} tokens from {offset}"),
+        Tell::Refusal(refusal) => format!(
+            "{} {}, back in {} ms at {:?}",
+            refusal.outcome.word(),
+            refusal.reason.word(),
+            refusal.retry_after_ms,
+            refusal.addresses
+        ),
+        _ => format!("{tell:?}"),
+    }
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -37,7 +37,8 @@
     }
 }
 
-/// What a daemon knows of the table, sent to a few peers several times a second.
+/// What a daemon knows of the table. Daemons ask a few peers several times a second, and count an
+/// answer from the time of the question, so that a delayed frame proves nothing.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub struct News {
     /// Generation in force at the sender.
@@ -45,8 +46,12 @@
     /// Milliseconds since the store was read, by the sender or by whoever told it; `None` if it
     /// never was.
     pub store_age_ms: Option<u32>,
-    /// Whether the sender knows of no edit whose commit is undecided.
+    /// Whether the sender knows of no higher generation than its own.
     pub settled: bool,
+    /// The time of the question on the asker's own clock, in microseconds.
+    pub asked: u64,
+    /// Whether this answers a question; a question is answered with the same `asked`.
+    pub answer: bool,
 }
 
 /// What a runner tells another instance about a key.
@@ -87,23 +92,18 @@
     Pull,
     /// The whole table.
     Push(Box<Table>),
-    /// An edit is about to be committed; freshness by contact is void until its end is known.
-    Intent {
+    /// An edit was committed. It is accepted once a majority has noted its generation.
+    Announce {
         /// Number of the edit, chosen by the committing daemon.
         edit: u64,
+        /// Generation it made.
+        generation: u64,
     },
-    /// The intent was noted.
+    /// An announced generation was noted.
     Noted {
         /// Number of the edit.
         edit: u64,
     },
-    /// The edit ended, committed or not.
-    Settled {
-        /// Number of the edit.
-        edit: u64,
-        /// Generation after the end of the edit.
-        generation: u64,
-    },
     /// A request asks the keeper of its pool for a placement.
     Submit(Box<Ticket>),
     /// The keeper's decision.
