--- /dev/null
+++ b/crates/entry/src/admin/view.rs
@@ -0,0 +1,118 @@
+//! Calls that only look.
+
+use http::Response;
+use http::StatusCode;
+use node::status::Status;
+use serde_json::Value;
+use serde_json::json;
+use table::stored::History;
+use volo_http::body::Body;
+
+use super::Shared;
+use super::answer;
+use crate::driver::inbox::Question;
+use crate::platform;
+
+/// Whether the daemon decides.
+pub(super) async fn health(shared: &Shared) -> Response<Body> {
+    let ready = state(shared)
+        .await
+        .is_some_and(|status| status.generation > 0 && status.fresh && !status.leaving);
+    let code = if ready {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    answer::json(code, &json!({"ready": ready}))
+}
+
+/// Figures.
+pub(super) async fn metrics(shared: &Shared) -> Response<Body> {
+    match state(shared).await {
+        Some(status) => answer::text(shared.metrics.text(&status)),
+        None => answer::ending(),
+    }
+}
+
+/// The whole state.
+pub(super) async fn status(shared: &Shared) -> Response<Body> {
+    match state(shared).await {
+        Some(status) => answer::json(StatusCode::OK, &status),
+        None => answer::ending(),
+    }
+}
+
+/// The table in force.
+pub(super) async fn table(shared: &Shared) -> Response<Body> {
+    match shared.inbox.ask(Question::Table).await {
+        Some(Some(table)) => answer::json(StatusCode::OK, &table),
+        Some(None) => answer::error(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no table has been read yet; try again",
+        ),
+        None => answer::ending(),
+    }
+}
+
+/// How far a generation is in force.
+pub(super) async fn force(shared: &Shared, query: &str) -> Response<Body> {
+    let text = parameter(query, "generation").unwrap_or_default();
+    let Ok(generation) = text.parse() else {
+        let cause = format!("generation `{text}` is not a number; write ?generation=8");
+        return answer::error(StatusCode::BAD_REQUEST, &cause);
+    };
+    match shared
+        .inbox
+        .ask(|sender| Question::Force(generation, sender))
+        .await
+    {
+        Some(force) => answer::json(StatusCode::OK, &force),
+        None => answer::ending(),
+    }
+}
+
+/// The latest edits.
+pub(super) async fn history(shared: &Shared) -> Response<Body> {
+    match platform::history(&shared.client).await {
+        Ok(edits) => {
+            let edits: Vec<Value> = edits.iter().map(edit).collect();
+            answer::json(StatusCode::OK, &json!({"edits": edits}))
+        }
+        Err(error) => answer::error(StatusCode::BAD_GATEWAY, &error.to_string()),
+    }
+}
+
+/// Recent decision lines of a request.
+pub(super) fn explain(shared: &Shared, query: &str) -> Response<Body> {
+    match parameter(query, "request") {
+        Some(text) if !text.is_empty() => {
+            let lines = shared.recent.find(&text);
+            answer::json(StatusCode::OK, &json!({"lines": lines}))
+        }
+        _ => {
+            let cause = "no request named; write ?request=TEXT";
+            answer::error(StatusCode::BAD_REQUEST, cause)
+        }
+    }
+}
+
+async fn state(shared: &Shared) -> Option<Status> {
+    shared.inbox.ask(Question::Status).await
+}
+
+fn edit(history: &History) -> Value {
+    json!({
+        "generation": history.generation,
+        "id": history.edit.id,
+        "operator": history.edit.operator,
+        "note": history.edit.note,
+        "unix_s": history.unix_seconds,
+        "changes": history.edit.changes,
+    })
+}
+
+fn parameter(query: &str, name: &str) -> Option<String> {
+    form_urlencoded::parse(query.as_bytes())
+        .find(|pair| pair.0 == name)
+        .map(|pair| pair.1.into_owned())
+}
--- /dev/null
+++ b/crates/entry/src/backends/inspect.rs
@@ -0,0 +1,58 @@
+//! The state of a replica.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use engine::Client;
+use engine::state;
+use engine::state::Phase;
+use engine::state::State;
+use engine::state::Work;
+use node::event::Held;
+use node::event::Inspection;
+use route::replica::CacheEvent;
+use route::replica::Report;
+
+/// Asks the replica at `address`; `None` if it does not answer in time.
+pub(super) async fn inspect(
+    client: &Client,
+    address: SocketAddr,
+    after: u64,
+) -> Option<Inspection> {
+    let state = client.state(address, after).await.ok()?;
+    let works: Vec<Held> = state.works.iter().map(held).collect();
+    Some(Inspection {
+        report: report(state, &works),
+        works,
+    })
+}
+
+fn report(state: State, works: &[Held]) -> Report {
+    Report {
+        // Replicas do not tell how old their figures are.
+        age: Duration::ZERO,
+        boot: state.boot,
+        running: state.running,
+        waiting: state.waiting,
+        queued_tokens: u64::from(state.queued_tokens),
+        works: works.iter().filter(|held| !held.done).count() as u32,
+        events: state.events.into_iter().map(cache_event).collect(),
+    }
+}
+
+const fn cache_event(event: state::Event) -> CacheEvent {
+    CacheEvent {
+        seq: event.seq,
+        block: event.block,
+        stored: event.stored,
+    }
+}
+
+fn held(work: &Work) -> Held {
+    Held {
+        handle: work.handle,
+        owner: work.owner,
+        fence: work.fence,
+        done: work.phase == Phase::Done,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/backends/mod.rs
@@ -0,0 +1,169 @@
+//! Orders to replicas: model engines and plain applications.
+//!
+//! Each order is a task. It ends in exactly one `Event::Answered` or `Event::Failed`, also when it
+//! is aborted; an order that was aborted before its task ran has sent nothing.
+
+mod inspect;
+mod plan;
+mod run;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use engine::Claim;
+use engine::Client;
+use ident::Handle;
+use ident::Replica;
+use node::action::Task;
+use node::event::Event;
+use node::event::Failure;
+use node::ids::Order;
+use tokio::sync::oneshot;
+
+use crate::backends::plan::Plan;
+use crate::directory::Directory;
+use crate::driver::content::Store;
+use crate::driver::inbox::Inbox;
+use crate::metrics::Metrics;
+
+/// Longest answer of a plain call, in bytes.
+const ANSWER_BYTES: usize = 4 << 20;
+/// Longest wait for the answer to a cancel or an inspection.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// An order whose end the core has not been told.
+#[derive(Debug)]
+struct Running {
+    handle: Handle,
+    abort: Option<oneshot::Sender<()>>,
+}
+
+/// Carries out orders.
+#[derive(Debug)]
+pub struct Backends {
+    client: Client,
+    directory: Arc<Directory>,
+    inbox: Inbox,
+    metrics: Arc<Metrics>,
+    running: HashMap<Order, Running>,
+}
+
+impl Backends {
+    /// Without orders; replicas are found by `directory`, and events go to `inbox`.
+    pub fn new(directory: Arc<Directory>, inbox: Inbox, metrics: Arc<Metrics>) -> Self {
+        let client = Client::new()
+            .with_control_timeout(CONTROL_TIMEOUT)
+            .with_body_limit(ANSWER_BYTES);
+        Self {
+            client,
+            directory,
+            inbox,
+            metrics,
+            running: HashMap::new(),
+        }
+    }
+
+    /// Carries out `task` on `replica`; bodies are taken from `contents`.
+    pub fn order(
+        &mut self,
+        order: Order,
+        replica: Replica,
+        claim: Claim,
+        task: &Task,
+        contents: &Store,
+    ) {
+        let kind = plan::kind(task);
+        let plan = Plan::new(&self.directory, replica, claim, task, contents);
+        let (sender, mut abort) = oneshot::channel();
+        self.running.insert(
+            order,
+            Running {
+                handle: claim.handle,
+                abort: Some(sender),
+            },
+        );
+        let client = self.client.clone();
+        let inbox = self.inbox.clone();
+        let metrics = Arc::clone(&self.metrics);
+        tokio::spawn(async move {
+            let mut began = false;
+            let work = async {
+                began = true;
+                run::run(&client, &inbox, order, plan).await
+            };
+            let event = tokio::select! {
+                biased;
+                Ok(()) = &mut abort => None,
+                event = work => Some(event),
+            };
+            let event = event.unwrap_or_else(|| aborted(order, began));
+            metrics.order(kind, result(&event));
+            inbox.event(event).await;
+        });
+    }
+
+    /// Aborts `order`, unless it has ended.
+    pub fn abort(&mut self, order: Order) {
+        let abort = self
+            .running
+            .get_mut(&order)
+            .and_then(|running| running.abort.take());
+        if let Some(abort) = abort {
+            // A task that has just ended needs no abort.
+            let _ = abort.send(());
+        }
+    }
+
+    /// Asks `replica` for its state; `Event::Inspected` follows.
+    pub fn inspect(&self, replica: Replica, after: u64) {
+        let address = self
+            .directory
+            .backend(replica)
+            .map(|backend| backend.address);
+        let client = self.client.clone();
+        let inbox = self.inbox.clone();
+        tokio::spawn(async move {
+            let state = match address {
+                Some(address) => inspect::inspect(&client, address, after).await,
+                None => None,
+            };
+            inbox.event(Event::Inspected { replica, state }).await;
+        });
+    }
+
+    /// The attempt of `order`, until the core is told of its end.
+    pub fn handle(&self, order: Order) -> Option<Handle> {
+        self.running.get(&order).map(|running| running.handle)
+    }
+
+    /// The core is told of the end of `order` now.
+    pub fn ended(&mut self, order: Order) {
+        self.running.remove(&order);
+    }
+}
+
+fn aborted(order: Order, began: bool) -> Event {
+    let failure = if began {
+        Failure::Lost
+    } else {
+        Failure::NotSent
+    };
+    Event::Failed { order, failure }
+}
+
+/// How an order ended, as a label of the metrics.
+fn result(event: &Event) -> &'static str {
+    match event {
+        Event::Answered { .. } => "answered",
+        Event::Failed {
+            failure: Failure::NotSent,
+            ..
+        } => "not_sent",
+        Event::Failed {
+            failure: Failure::Refused { .. },
+            ..
+        } => "refused",
+        _ => "lost",
+    }
+}
--- /dev/null
+++ b/crates/entry/src/callers/answer.rs
@@ -0,0 +1,182 @@
+//! Responses that are not streams.
+
+use bytes::Bytes;
+use futures::stream;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http_body::Frame;
+use node::action::Outcome;
+use node::action::Reason;
+use node::action::Refusal;
+use serde_json::Value;
+use serde_json::json;
+use volo_http::body::Body;
+use volo_http::error::BoxError;
+
+use crate::stop;
+
+const OUTCOME: &str = "waxwing-outcome";
+const JSON: HeaderValue = HeaderValue::from_static("application/json");
+const BYTES: HeaderValue = HeaderValue::from_static("application/octet-stream");
+/// A plain answer is handed to the connection in parts of this size.
+const PART: usize = 64 << 10;
+/// When to come back to an instance without memory for a body, in milliseconds.
+const FULL_RETRY_MS: u64 = 1_000;
+
+/// The application's answer; `response` is dropped when the last part is handed over.
+pub(super) fn plain(
+    status: u16,
+    body: Bytes,
+    repeated: bool,
+    response: stop::Response,
+) -> Response<Body> {
+    let word = if repeated {
+        "answered_before"
+    } else {
+        "answered"
+    };
+    let kind = if looks_like_json(&body) { JSON } else { BYTES };
+    let length = body.len();
+    let parts = stream::unfold((body, response), |(mut body, response)| async move {
+        let part = body.split_to(body.len().min(PART));
+        let frame = Ok::<_, BoxError>(Frame::data(part.clone()));
+        (!part.is_empty()).then_some((frame, (body, response)))
+    });
+    let mut answer = Response::new(Body::from_stream(parts));
+    *answer.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let headers = answer.headers_mut();
+    headers.insert(header::CONTENT_TYPE, kind);
+    headers.insert(header::CONTENT_LENGTH, HeaderValue::from(length));
+    headers.insert(OUTCOME, HeaderValue::from_static(word));
+    answer
+}
+
+/// A typed refusal.
+pub(super) fn refusal(refusal: &Refusal) -> Response<Body> {
+    let status = status(refusal.outcome, refusal.reason);
+    typed(
+        status,
+        refusal.outcome,
+        refusal.retry_after_ms,
+        &refusal_json(refusal),
+    )
+}
+
+/// The core gave the connection up without an answer.
+pub(super) fn lost() -> Response<Body> {
+    refusal(&Refusal {
+        outcome: Outcome::Unknown,
+        reason: Reason::Backend,
+        retry_after_ms: 0,
+        addresses: Vec::new(),
+    })
+}
+
+/// A request that was not understood.
+pub(super) fn invalid(status: StatusCode, cause: &str) -> Response<Body> {
+    let body = rejected(Reason::Invalid, 0, cause);
+    typed(status, Outcome::NotRun, 0, &body)
+}
+
+/// A request whose body has no space.
+pub(super) fn full(cause: &str) -> Response<Body> {
+    let body = rejected(Reason::Full, FULL_RETRY_MS, cause);
+    typed(
+        StatusCode::TOO_MANY_REQUESTS,
+        Outcome::NotRun,
+        FULL_RETRY_MS,
+        &body,
+    )
+}
+
+/// A refusal as JSON.
+pub fn refusal_json(refusal: &Refusal) -> Value {
+    json!({
+        "outcome": outcome(refusal.outcome),
+        "reason": reason(refusal.reason),
+        "retry_after_ms": refusal.retry_after_ms,
+        "addresses": refusal.addresses,
+    })
+}
+
+/// A JSON response.
+pub(super) fn json(status: StatusCode, body: &Value) -> Response<Body> {
+    let mut answer = Response::new(Body::from(body.to_string()));
+    *answer.status_mut() = status;
+    answer.headers_mut().insert(header::CONTENT_TYPE, JSON);
+    answer
+}
+
+fn rejected(why: Reason, retry_after_ms: u64, cause: &str) -> Value {
+    json!({
+        "outcome": outcome(Outcome::NotRun),
+        "reason": reason(why),
+        "retry_after_ms": retry_after_ms,
+        "addresses": [],
+        "cause": cause,
+    })
+}
+
+fn typed(status: StatusCode, result: Outcome, retry_after_ms: u64, body: &Value) -> Response<Body> {
+    let mut answer = json(status, body);
+    let headers = answer.headers_mut();
+    headers.insert(OUTCOME, HeaderValue::from_static(outcome(result)));
+    if retry_after_ms > 0 {
+        let seconds = retry_after_ms.div_ceil(1_000);
+        headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    answer
+}
+
+fn looks_like_json(body: &[u8]) -> bool {
+    matches!(body.trim_ascii_start().first(), Some(b'{' | b'['))
+}
+
+const fn status(outcome: Outcome, reason: Reason) -> StatusCode {
+    match (outcome, reason) {
+        (Outcome::Unknown, _) => StatusCode::GATEWAY_TIMEOUT,
+        (Outcome::Failed, Reason::StreamLost | Reason::AnswerGone) => StatusCode::GONE,
+        (Outcome::Failed, _) => StatusCode::BAD_GATEWAY,
+        (Outcome::NotRun, Reason::Invalid | Reason::BadToken) => StatusCode::BAD_REQUEST,
+        (Outcome::NotRun, Reason::NoRow) => StatusCode::NOT_FOUND,
+        (Outcome::NotRun, Reason::KeyExpired) => StatusCode::GONE,
+        (Outcome::NotRun, Reason::OtherRunner) => StatusCode::MISDIRECTED_REQUEST,
+        (Outcome::NotRun, Reason::KeyNeeded) => StatusCode::PRECONDITION_REQUIRED,
+        (Outcome::NotRun, Reason::Ceiling | Reason::RetryBudget | Reason::Full) => {
+            StatusCode::TOO_MANY_REQUESTS
+        }
+        (Outcome::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+const fn outcome(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::NotRun => "not_run",
+        Outcome::Unknown => "unknown",
+        Outcome::Failed => "failed",
+    }
+}
+
+const fn reason(reason: Reason) -> &'static str {
+    match reason {
+        Reason::Invalid => "invalid",
+        Reason::NoRow => "no_row",
+        Reason::NoReplica => "no_replica",
+        Reason::Doomed => "doomed",
+        Reason::Ceiling => "ceiling",
+        Reason::RetryBudget => "retry_budget",
+        Reason::Stale => "stale",
+        Reason::Leaving => "leaving",
+        Reason::Full => "full",
+        Reason::KeyNeeded => "key_needed",
+        Reason::KeyExpired => "key_expired",
+        Reason::OtherRunner => "other_runner",
+        Reason::RunnerLost => "runner_lost",
+        Reason::BadToken => "bad_token",
+        Reason::StreamLost => "stream_lost",
+        Reason::AnswerGone => "answer_gone",
+        Reason::Backend => "backend",
+    }
+}
--- /dev/null
+++ b/crates/entry/src/callers/body.rs
@@ -0,0 +1,93 @@
+//! Reading of request bodies within their limits.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http::HeaderMap;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use tokio::time::timeout;
+use volo_http::body::Body;
+
+use super::Shared;
+use super::rejection::Rejection;
+use crate::budget::Grant;
+
+/// A body has this long to arrive.
+const TIMEOUT: Duration = Duration::from_secs(30);
+/// Bytes of an oversized body that are read and dropped, so that its sender reads the answer.
+const DRAIN: usize = 8 << 20;
+
+/// Reads a body; its memory is granted by the budget.
+pub(super) async fn read(
+    shared: &Shared,
+    headers: &HeaderMap,
+    body: Body,
+) -> Result<(Bytes, Grant), Rejection> {
+    let limit = shared.body_bytes;
+    let announced = announced(headers);
+    if announced.is_some_and(|length| length > limit) && headers.contains_key(header::EXPECT) {
+        return Err(too_long(limit));
+    }
+    let reading = collect(shared, body, announced.unwrap_or(0).min(limit));
+    match timeout(TIMEOUT, reading).await {
+        Ok(result) => result,
+        Err(_) => Err(Rejection::new(
+            StatusCode::REQUEST_TIMEOUT,
+            format!("the body did not arrive within {} s", TIMEOUT.as_secs()),
+        )),
+    }
+}
+
+async fn collect(
+    shared: &Shared,
+    mut body: Body,
+    expected: usize,
+) -> Result<(Bytes, Grant), Rejection> {
+    let mut grant = shared.budget.grant();
+    let mut bytes = BytesMut::with_capacity(expected.min(shared.body_bytes));
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| {
+            Rejection::bad(format!("the body ended before its length: {error}"))
+        })?;
+        let Some(data) = frame.data_ref() else {
+            continue;
+        };
+        if bytes.len() + data.len() > shared.body_bytes {
+            let read = bytes.len() + data.len();
+            drop(bytes);
+            drain(body, read).await;
+            return Err(too_long(shared.body_bytes));
+        }
+        if !grant.take(data.len()) {
+            return Err(Rejection::full());
+        }
+        bytes.extend_from_slice(data);
+    }
+    Ok((bytes.freeze(), grant))
+}
+
+async fn drain(mut body: Body, mut read: usize) {
+    while let Some(Ok(frame)) = body.frame().await {
+        read += frame.data_ref().map_or(0, Bytes::len);
+        if read > DRAIN {
+            return;
+        }
+    }
+}
+
+fn announced(headers: &HeaderMap) -> Option<usize> {
+    headers
+        .get(header::CONTENT_LENGTH)?
+        .to_str()
+        .ok()?
+        .parse()
+        .ok()
+}
+
+fn too_long(limit: usize) -> Rejection {
+    let cause = format!("the body is longer than {limit} bytes");
+    Rejection::new(StatusCode::PAYLOAD_TOO_LARGE, cause)
+}
--- /dev/null
+++ b/crates/entry/src/callers/mod.rs
@@ -0,0 +1,135 @@
+//! The HTTP interface for callers; `docs/API.md` describes it.
+
+mod addresses;
+mod answer;
+mod body;
+mod header;
+mod prompt;
+mod rejection;
+mod request;
+mod stream;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Response;
+use http::StatusCode;
+use node::action::Tell;
+use volo_http::body::Body;
+use volo_http::request::Request;
+use volo_http::server::Server;
+use volo_http::server::route::Router;
+use volo_http::server::route::any;
+use volo_http::server::route::get;
+use volo_http::server::route::post;
+
+use crate::budget::Budget;
+use crate::callers::rejection::Rejection;
+use crate::directory::Directory;
+use crate::driver::inbox::Inbox;
+use crate::driver::inbox::Wish;
+use crate::error::Error;
+use crate::listen::Listener;
+use crate::stop::Stop;
+
+pub use answer::refusal_json;
+
+/// What the handlers share.
+#[derive(Debug)]
+pub struct Shared {
+    /// The way to the core.
+    pub inbox: Inbox,
+    /// Names of data centres.
+    pub directory: Arc<Directory>,
+    /// Memory for bodies.
+    pub budget: Budget,
+    /// The end of a planned stop.
+    pub stop: Stop,
+    /// Longest body.
+    pub body_bytes: usize,
+    /// How long an address answer may be kept.
+    pub address_ttl: Duration,
+    /// This instance's data centre.
+    pub data_centre: String,
+}
+
+/// Serves callers until the planned stop has ended.
+///
+/// # Errors
+/// `Start` if the server cannot be started.
+pub async fn serve(listener: Listener, shared: Shared) -> Result<(), Error> {
+    let stop = shared.stop.clone();
+    Server::new(router(Arc::new(shared)))
+        .http1_only()
+        .register_shutdown_hook(move || Box::pin(async move { stop.ended().await }))
+        .run(listener)
+        .await
+        .map_err(|error| Error::Start {
+            step: "callers",
+            cause: error.to_string(),
+        })
+}
+
+fn router(shared: Arc<Shared>) -> Router {
+    let addresses = {
+        let shared = Arc::clone(&shared);
+        move |request: Request| async move { addresses::response(&shared, &request).await }
+    };
+    let completions = {
+        let shared = Arc::clone(&shared);
+        move |request: Request| async move {
+            let wish = request::completion(&shared, request).await;
+            answer(&shared, wish).await
+        }
+    };
+    let resume = {
+        let shared = Arc::clone(&shared);
+        move |request: Request| async move {
+            let wish = request::resume(&request);
+            answer(&shared, wish).await
+        }
+    };
+    let call = move |request: Request| async move {
+        let wish = request::call(&shared, request).await;
+        answer(&shared, wish).await
+    };
+    Router::new()
+        .route("/v1/addresses", get(addresses).fallback(wrong_method))
+        .route("/v1/completions", post(completions).fallback(wrong_method))
+        .route("/v1/resume", post(resume).fallback(wrong_method))
+        .route("/v1/call/{*path}", any(call))
+        .fallback(wrong_path)
+}
+
+async fn wrong_method() -> Response<Body> {
+    Rejection::new(
+        StatusCode::METHOD_NOT_ALLOWED,
+        "this path takes another method",
+    )
+    .into_response()
+}
+
+async fn wrong_path() -> Response<Body> {
+    let cause = "no such path; see docs/API.md for the calls";
+    Rejection::new(StatusCode::NOT_FOUND, cause).into_response()
+}
+
+/// Passes the wish to the core and turns what the core tells into a response.
+async fn answer(shared: &Shared, wish: Result<Wish, Rejection>) -> Response<Body> {
+    let response = shared.stop.response();
+    let wish = match wish {
+        Ok(wish) => wish,
+        Err(rejection) => return rejection.into_response(),
+    };
+    let mut open = shared.inbox.open(wish).await;
+    match open.next().await {
+        Some(Tell::Answer {
+            status,
+            body,
+            repeated,
+        }) => answer::plain(status, body, repeated, response),
+        Some(Tell::Refusal(refusal)) => answer::refusal(&refusal),
+        Some(Tell::Edit(_)) | None => answer::lost(),
+        Some(first) => stream::response(first, open, response),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/callers/request.rs
@@ -0,0 +1,129 @@
+//! From HTTP requests to wishes for the core.
+
+use http::HeaderMap;
+use http::header;
+use node::request::Request;
+use node::request::Work;
+use serde::Deserialize;
+use volo_http::request::Request as HttpRequest;
+
+use super::Shared;
+use super::body;
+use super::header as field;
+use super::prompt;
+use super::rejection::Rejection;
+use crate::driver::content::Content;
+use crate::driver::content::Plain;
+use crate::driver::inbox::Wish;
+
+/// Start of the paths of plain calls.
+const CALL_PATH: &str = "/v1/call/";
+
+/// Body of a completion request.
+#[derive(Debug, Deserialize)]
+struct Completion {
+    model: String,
+    prompt: String,
+    max_tokens: u32,
+}
+
+/// Reads a completion request.
+pub(super) async fn completion(shared: &Shared, request: HttpRequest) -> Result<Wish, Rejection> {
+    let (parts, body) = request.into_parts();
+    field::check(&parts.headers)?;
+    let (bytes, grant) = body::read(shared, &parts.headers, body).await?;
+    let completion: Completion = serde_json::from_slice(&bytes).map_err(|error| {
+        Rejection::bad(format!("the body is not a completion request: {error}"))
+    })?;
+    let measure = prompt::measure(&completion.prompt);
+    match &completion {
+        Completion { max_tokens: 0, .. } => {
+            return Err(Rejection::bad("`max_tokens` must be 1 or more"));
+        }
+        Completion { model, .. } if model.is_empty() => {
+            return Err(Rejection::bad("`model` is empty"));
+        }
+        _ if measure.tokens == 0 => return Err(Rejection::bad("`prompt` is empty")),
+        _ => {}
+    }
+    let work = Work::Model {
+        prompt_tokens: measure.tokens,
+        max_tokens: completion.max_tokens,
+        blocks: measure.blocks,
+    };
+    let request = request_with(&parts.headers, completion.model, work)?;
+    let content = Content::Prompt(completion.prompt);
+    Ok(Wish::Request {
+        request,
+        content,
+        grant,
+    })
+}
+
+/// Reads a plain call.
+pub(super) async fn call(shared: &Shared, request: HttpRequest) -> Result<Wish, Rejection> {
+    let (parts, body) = request.into_parts();
+    field::check(&parts.headers)?;
+    let target = parts
+        .uri
+        .path_and_query()
+        .map_or("", |target| target.as_str());
+    let target = target.strip_prefix(CALL_PATH).unwrap_or_default();
+    let end = target.find(['/', '?']).unwrap_or(target.len());
+    let (service, path) = target.split_at(end);
+    if service.is_empty() {
+        return Err(Rejection::bad(
+            "the path names no service; write /v1/call/SERVICE/PATH",
+        ));
+    }
+    let request = request_with(&parts.headers, service.to_owned(), Work::Plain)?;
+    let path = if path.starts_with('/') {
+        path.to_owned()
+    } else {
+        format!("/{path}")
+    };
+    let (bytes, grant) = body::read(shared, &parts.headers, body).await?;
+    let content = Content::Plain(Plain {
+        method: parts.method,
+        path,
+        headers: passed_on(&parts.headers),
+        key: request.key.clone(),
+        body: bytes,
+    });
+    Ok(Wish::Request {
+        request,
+        content,
+        grant,
+    })
+}
+
+/// Reads a resume request.
+pub(super) fn resume(request: &HttpRequest) -> Result<Wish, Rejection> {
+    let headers = request.headers();
+    field::check(headers)?;
+    Ok(Wish::Resume {
+        customer: field::customer(headers)?,
+        token: field::token(headers)?,
+        offset: field::offset(headers)?,
+    })
+}
+
+fn request_with(headers: &HeaderMap, service: String, work: Work) -> Result<Request, Rejection> {
+    Ok(Request {
+        customer: field::customer(headers)?,
+        class: field::class(headers)?,
+        service,
+        key: field::key(headers)?,
+        repeatable: field::repeatable(headers)?,
+        work,
+    })
+}
+
+/// The headers that an application gets.
+fn passed_on(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = HeaderMap::new();
+    if let Some(kind) = headers.get(header::CONTENT_TYPE) {
+        kept.insert(header::CONTENT_TYPE, kind.clone());
+    }
+    kept
+}
--- /dev/null
+++ b/crates/entry/src/config/mod.rs
@@ -0,0 +1,101 @@
+//! Settings of the daemon, checked before anything starts.
+
+mod field;
+mod file;
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use crate::error::Error;
+
+/// Settings of one daemon.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// Name of this instance, as on the platform's list.
+    pub name: String,
+    /// Name of its data centre.
+    pub data_centre: String,
+    /// Where it listens.
+    pub listen: Listen,
+    /// The platform's service.
+    pub platform: SocketAddr,
+    /// Instances to start from, besides the platform's list.
+    pub seeds: Vec<Seed>,
+    /// Secret shared by all instances; seals resume tokens.
+    pub secret: String,
+    /// Tokens of the operators, by name.
+    pub operators: BTreeMap<String, String>,
+    /// Time limits.
+    pub timing: Timing,
+    /// Size limits.
+    pub limits: Limits,
+}
+
+/// Where a daemon listens.
+#[derive(Debug, Clone)]
+pub struct Listen {
+    /// For callers.
+    pub caller: SocketAddr,
+    /// For other daemons.
+    pub peer: SocketAddr,
+    /// For operators and metrics scrapers.
+    pub admin: SocketAddr,
+}
+
+/// An instance to start from.
+#[derive(Debug, Clone)]
+pub struct Seed {
+    /// Its name.
+    pub name: String,
+    /// Its peer address.
+    pub address: SocketAddr,
+}
+
+/// Time limits.
+#[derive(Debug, Clone)]
+pub struct Timing {
+    /// How long a table may be decided by without proof that it is the newest.
+    pub lease: Duration,
+    /// How long keys are remembered.
+    pub window: Duration,
+    /// How long callers may keep an address answer.
+    pub address_ttl: Duration,
+    /// How long an attempt may be without a live owner before it is cancelled.
+    pub orphan_grace: Duration,
+    /// Time between two inspections of a replica.
+    pub inspect_every: Duration,
+    /// Time between two reads of the store by a poller.
+    pub poll_every: Duration,
+}
+
+/// Size limits.
+#[derive(Debug, Clone)]
+pub struct Limits {
+    /// Most requests open at once.
+    pub open: usize,
+    /// Most keys remembered at once.
+    pub keys: usize,
+    /// Longest request body, in bytes.
+    pub body_bytes: usize,
+}
+
+impl Config {
+    /// Reads and checks the settings file at `path`.
+    ///
+    /// # Errors
+    /// `Read` if the file cannot be opened, `Settings` with line and field if it is wrong.
+    pub fn read(path: &Path) -> Result<Self, Error> {
+        let text = fs::read_to_string(path).map_err(|cause| Error::Read {
+            path: path.to_owned(),
+            cause,
+        })?;
+        file::parse(&text).map_err(|fault| Error::Settings {
+            path: path.to_owned(),
+            line: fault.line,
+            cause: fault.cause,
+        })
+    }
+}
--- /dev/null
+++ b/crates/entry/src/daemon.rs
@@ -0,0 +1,194 @@
+//! Puts the parts together and runs them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ident::Incarnation;
+use ident::Instance;
+use ident::Zone;
+use node::Node;
+use node::settings::Settings;
+use tokio::net::TcpListener;
+use tokio::runtime::Builder;
+use tokio::time::sleep;
+
+use crate::admin;
+use crate::backends::Backends;
+use crate::budget::Budget;
+use crate::callers;
+use crate::clock;
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::directory::Directory;
+use crate::driver::Driver;
+use crate::driver::Outlets;
+use crate::driver::inbox::Inbox;
+use crate::error::Error;
+use crate::listen;
+use crate::listen::Listener;
+use crate::logs;
+use crate::logs::Recent;
+use crate::metrics::Metrics;
+use crate::peers;
+use crate::peers::Peers;
+use crate::platform;
+use crate::platform::Platform;
+use crate::stop;
+use crate::stop::Stop;
+
+/// Bytes of request bodies held at once.
+const BODIES: usize = 256 << 20;
+/// The last frames to peers have this long to be sent.
+const FAREWELL: Duration = Duration::from_millis(200);
+
+/// The sockets that a daemon listens on.
+struct Sockets {
+    caller: TcpListener,
+    peer: TcpListener,
+    admin: TcpListener,
+}
+
+/// What the parts share.
+struct Parts {
+    inbox: Inbox,
+    directory: Arc<Directory>,
+    metrics: Arc<Metrics>,
+    recent: Arc<Recent>,
+    client: store::Client,
+    stop: Stop,
+}
+
+/// Runs a daemon until a planned stop has ended.
+///
+/// # Errors
+/// An address cannot be listened on, or a part cannot be started.
+pub fn run(config: Config) -> Result<(), Error> {
+    let _logs = logs::start()?;
+    let runtime = Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .map_err(|cause| Error::Start {
+            step: "runtime",
+            cause: cause.to_string(),
+        })?;
+    let ended = runtime.block_on(serve(config));
+    runtime.shutdown_background();
+    ended
+}
+
+async fn serve(config: Config) -> Result<(), Error> {
+    let sockets = bind(&config).await?;
+    let (inbox, inputs) = Inbox::new();
+    stop::listen(inbox.clone()).map_err(|cause| Error::Start {
+        step: "signals",
+        cause: cause.to_string(),
+    })?;
+    let parts = Parts {
+        inbox,
+        directory: Arc::new(Directory::new(&config)),
+        metrics: Arc::new(Metrics::new()?),
+        recent: Arc::new(Recent::new()),
+        client: platform::client(&config),
+        stop: Stop::new(),
+    };
+    let clock = Clock::new();
+    let node = Node::new(settings(&config), clock.now(), rand::random());
+    let peers = peers::Shared {
+        directory: Arc::clone(&parts.directory),
+        inbox: parts.inbox.clone(),
+        metrics: Arc::clone(&parts.metrics),
+    };
+    let outlets = outlets(&config, &parts, peers.clone());
+    tokio::spawn(Driver::new(clock, node, outlets).run(inputs));
+    tokio::spawn(peers::serve(sockets.peer, peers));
+    tokio::spawn(platform::watch(
+        parts.client.clone(),
+        config.name.clone(),
+        Arc::clone(&parts.directory),
+        parts.inbox.clone(),
+    ));
+    log::info!(step = "start"; "{} serves callers at {}", config.name, config.listen.caller);
+    serve_http(&config, &parts, sockets.caller, sockets.admin).await?;
+    sleep(FAREWELL).await;
+    log::info!(step = "stop"; "planned stop ended");
+    Ok(())
+}
+
+async fn bind(config: &Config) -> Result<Sockets, Error> {
+    Ok(Sockets {
+        caller: listen::bind("caller", config.listen.caller).await?,
+        peer: listen::bind("peer", config.listen.peer).await?,
+        admin: listen::bind("admin", config.listen.admin).await?,
+    })
+}
+
+fn outlets(config: &Config, parts: &Parts, peers: peers::Shared) -> Outlets {
+    Outlets {
+        backends: Backends::new(
+            Arc::clone(&parts.directory),
+            parts.inbox.clone(),
+            Arc::clone(&parts.metrics),
+        ),
+        peers: Peers::new(peers),
+        platform: Platform::new(
+            parts.client.clone(),
+            parts.inbox.clone(),
+            config.timing.window,
+        ),
+        recent: Arc::clone(&parts.recent),
+        metrics: Arc::clone(&parts.metrics),
+        stop: parts.stop.clone(),
+    }
+}
+
+/// Serves callers and operators; ends when callers need no more serving.
+async fn serve_http(
+    config: &Config,
+    parts: &Parts,
+    caller: TcpListener,
+    operator: TcpListener,
+) -> Result<(), Error> {
+    let admin = admin::Shared {
+        inbox: parts.inbox.clone(),
+        recent: Arc::clone(&parts.recent),
+        metrics: Arc::clone(&parts.metrics),
+        client: parts.client.clone(),
+        operators: config.operators.clone(),
+        stop: parts.stop.clone(),
+    };
+    let callers = callers::Shared {
+        inbox: parts.inbox.clone(),
+        directory: Arc::clone(&parts.directory),
+        budget: Budget::new(BODIES.max(config.limits.body_bytes)),
+        stop: parts.stop.clone(),
+        body_bytes: config.limits.body_bytes,
+        address_ttl: config.timing.address_ttl,
+        data_centre: config.data_centre.clone(),
+    };
+    tokio::spawn(admin::serve(Listener::from(operator), admin));
+    callers::serve(Listener::from(caller), callers).await
+}
+
+fn settings(config: &Config) -> Settings {
+    Settings {
+        instance: Instance::new(&config.name),
+        name: config.name.clone(),
+        zone: Zone::new(&config.data_centre),
+        incarnation: Incarnation(rand::random()),
+        started_ms: clock::unix().as_millis() as u64,
+        seeds: config
+            .seeds
+            .iter()
+            .map(|seed| Instance::new(&seed.name))
+            .collect(),
+        secret: config.secret.clone().into_bytes(),
+        lease: config.timing.lease,
+        window: config.timing.window,
+        address_ttl: config.timing.address_ttl,
+        orphan_grace: config.timing.orphan_grace,
+        inspect_every: config.timing.inspect_every,
+        poll_every: config.timing.poll_every,
+        max_open: config.limits.open,
+        max_keys: config.limits.keys,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/directory.rs
@@ -0,0 +1,121 @@
+//! Names and addresses of instances, replicas and data centres.
+//!
+//! Filled from the settings and from the platform's list; the core knows only keys.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+use std::sync::RwLockReadGuard;
+use std::sync::RwLockWriteGuard;
+
+use ident::Instance;
+use ident::Replica;
+use ident::Zone;
+
+use crate::config::Config;
+
+/// Where another daemon listens.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Peer {
+    /// Its name.
+    pub name: String,
+    /// Its peer address.
+    pub address: SocketAddr,
+}
+
+/// Where a replica listens.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Backend {
+    /// Its name.
+    pub name: String,
+    /// Its address.
+    pub address: SocketAddr,
+    /// The service it serves.
+    pub service: String,
+    /// Whether it is a model engine; a plain application otherwise.
+    pub engine: bool,
+}
+
+#[derive(Debug, Default)]
+struct Content {
+    seeds: HashMap<Instance, Peer>,
+    peers: HashMap<Instance, Peer>,
+    backends: HashMap<Replica, Backend>,
+    zones: HashMap<Zone, String>,
+}
+
+/// Names and addresses by key.
+#[derive(Debug)]
+pub struct Directory {
+    content: RwLock<Content>,
+}
+
+impl Directory {
+    /// The seeds and the own data centre of `config`.
+    pub fn new(config: &Config) -> Self {
+        let seeds = config.seeds.iter().map(|seed| {
+            let peer = Peer {
+                name: seed.name.clone(),
+                address: seed.address,
+            };
+            (Instance::new(&seed.name), peer)
+        });
+        let zone = (Zone::new(&config.data_centre), config.data_centre.clone());
+        let content = Content {
+            seeds: seeds.collect(),
+            zones: HashMap::from([zone]),
+            ..Content::default()
+        };
+        Self {
+            content: RwLock::new(content),
+        }
+    }
+
+    /// Replaces what the platform's list told before. Data centres once known are kept.
+    pub fn replace(
+        &self,
+        peers: HashMap<Instance, Peer>,
+        backends: HashMap<Replica, Backend>,
+        zones: impl IntoIterator<Item = String>,
+    ) {
+        let mut content = self.write();
+        content.peers = peers;
+        content.backends = backends;
+        content
+            .zones
+            .extend(zones.into_iter().map(|name| (Zone::new(&name), name)));
+    }
+
+    /// Where the daemon `instance` listens.
+    pub fn peer(&self, instance: Instance) -> Option<Peer> {
+        let content = self.read();
+        content
+            .peers
+            .get(&instance)
+            .or_else(|| content.seeds.get(&instance))
+            .cloned()
+    }
+
+    /// Where `replica` listens.
+    pub fn backend(&self, replica: Replica) -> Option<Backend> {
+        self.read().backends.get(&replica).cloned()
+    }
+
+    /// The name of `zone`; its key in hexadecimal if the name is not known.
+    pub fn zone(&self, zone: Zone) -> String {
+        self.read()
+            .zones
+            .get(&zone)
+            .cloned()
+            .unwrap_or_else(|| zone.to_string())
+    }
+
+    fn read(&self) -> RwLockReadGuard<'_, Content> {
+        self.content.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn write(&self) -> RwLockWriteGuard<'_, Content> {
+        self.content.write().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/driver/content/text.rs
@@ -0,0 +1,52 @@
+//! Text that is being generated, token by token.
+
+use ident::Handle;
+
+/// Tokens generated so far.
+#[derive(Debug)]
+pub(super) struct Text {
+    bytes: Vec<u8>,
+    /// Where each token ends.
+    ends: Vec<usize>,
+    /// Attempts that generate it.
+    pub(super) handles: Vec<Handle>,
+    /// Calls that refer to it.
+    pub(super) users: usize,
+}
+
+impl Text {
+    /// An empty text to which one call refers.
+    pub(super) const fn with_user() -> Self {
+        Self {
+            bytes: Vec::new(),
+            ends: Vec::new(),
+            handles: Vec::new(),
+            users: 1,
+        }
+    }
+
+    /// Appends the token at `offset`; one that is known already, or leaves a gap, is passed over.
+    pub(super) fn push(&mut self, offset: u32, token: &[u8]) {
+        if offset as usize == self.ends.len() {
+            self.bytes.extend_from_slice(token);
+            self.ends.push(self.bytes.len());
+        }
+    }
+
+    /// The first `count` tokens, if so many are known.
+    pub(super) fn head(&self, count: u32) -> Option<Vec<String>> {
+        let ends = self.ends.get(..count as usize)?;
+        let mut from = 0;
+        let tokens = ends.iter().map(|end| {
+            let token = String::from_utf8_lossy(&self.bytes[from..*end]).into_owned();
+            from = *end;
+            token
+        });
+        Some(tokens.collect())
+    }
+
+    /// Bytes that it takes.
+    pub(super) const fn len(&self) -> usize {
+        self.bytes.len() + self.ends.len() * size_of::<usize>()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/driver/tellers.rs
@@ -0,0 +1,52 @@
+//! Answers to open connections.
+
+use std::collections::HashMap;
+
+use node::action::Tell;
+use node::ids::Call;
+use tokio::sync::mpsc;
+
+/// The response channels of open connections.
+#[derive(Debug, Default)]
+pub(super) struct Tellers {
+    senders: HashMap<Call, mpsc::Sender<Tell>>,
+}
+
+impl Tellers {
+    /// Answers of `call` go to `sender`.
+    pub(super) fn insert(&mut self, call: Call, sender: mpsc::Sender<Tell>) {
+        self.senders.insert(call, sender);
+    }
+
+    /// Forgets `call`; true if it was open.
+    pub(super) fn remove(&mut self, call: Call) -> bool {
+        self.senders.remove(&call).is_some()
+    }
+
+    /// Passes `tell` on; true if it was the last of `call`.
+    ///
+    /// A caller that does not read loses its connection: the channel is left full and closed
+    /// without a last answer, the caller's task drops it and the core hears that the caller left.
+    pub(super) fn tell(&mut self, call: Call, tell: Tell) -> bool {
+        let last = is_last(&tell);
+        let Some(sender) = self.senders.get_mut(&call) else {
+            return false;
+        };
+        if sender.try_send(tell).is_err() {
+            // Replaced by a closed channel, so that the entry stays until the connection closes.
+            *sender = mpsc::channel(1).0;
+        }
+        last && self.remove(call)
+    }
+}
+
+const fn is_last(tell: &Tell) -> bool {
+    match tell {
+        Tell::Head { .. } | Tell::Tokens { .. } => false,
+        Tell::Done { .. }
+        | Tell::Superseded
+        | Tell::Answer { .. }
+        | Tell::Refusal(_)
+        | Tell::Edit(_) => true,
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,26 @@
 //! The entry daemon: sockets, settings, logs and metrics round the core.
+//!
+//! [`driver`] owns the core ([`node::Node`]) and carries out what it decides; the other modules
+//! bring events to it and take actions from it.
+
+pub mod admin;
+pub mod backends;
+pub mod budget;
+pub mod callers;
+pub mod cli;
+pub mod clock;
+pub mod config;
+mod daemon;
+pub mod directory;
+pub mod driver;
+pub mod error;
+pub mod exit_codes;
+pub mod listen;
+pub mod logs;
+pub mod metrics;
+pub mod output;
+pub mod peers;
+pub mod platform;
+pub mod stop;
+
+pub use daemon::run;
--- /dev/null
+++ b/crates/entry/src/listen.rs
@@ -0,0 +1,83 @@
+//! Listening sockets for the HTTP servers.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use socket2::SockRef;
+use socket2::TcpKeepalive;
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+use volo::net::conn::Conn;
+use volo::net::incoming::Incoming;
+use volo::net::incoming::MakeIncoming;
+
+use crate::error::Error;
+
+/// A caller whose machine is gone is noticed after about four times this.
+const KEEPALIVE: Duration = Duration::from_secs(5);
+const KEEPALIVE_RETRIES: u32 = 3;
+/// Pause after a failed accept; the usual cause is too many open files.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Accepts connections for an HTTP server.
+pub struct Listener {
+    listener: TcpListener,
+}
+
+impl fmt::Debug for Listener {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Listener")
+            .field("listener", &self.listener)
+            .finish()
+    }
+}
+
+impl From<TcpListener> for Listener {
+    fn from(listener: TcpListener) -> Self {
+        Self { listener }
+    }
+}
+
+/// Listens on `address`, which the settings call `step`.
+///
+/// # Errors
+/// `Listen` if the address cannot be listened on.
+pub async fn bind(step: &'static str, address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|cause| Error::Listen {
+            step,
+            address,
+            cause,
+        })
+}
+
+impl MakeIncoming for Listener {
+    type Incoming = Self;
+
+    async fn make_incoming(self) -> io::Result<Self> {
+        Ok(self)
+    }
+}
+
+impl Incoming for Listener {
+    async fn accept(&mut self) -> io::Result<Option<Conn>> {
+        match self.listener.accept().await {
+            Ok((socket, _)) => {
+                let keepalive = TcpKeepalive::new()
+                    .with_time(KEEPALIVE)
+                    .with_interval(KEEPALIVE)
+                    .with_retries(KEEPALIVE_RETRIES);
+                SockRef::from(&socket).set_tcp_keepalive(&keepalive)?;
+                Ok(Some(Conn::from(socket)))
+            }
+            Err(error) => {
+                // The server calls again at once.
+                sleep(ACCEPT_PAUSE).await;
+                Err(error)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/logs.rs
@@ -0,0 +1,140 @@
+//! Log lines: one JSON object a line on standard error.
+
+use std::collections::VecDeque;
+use std::io;
+use std::io::Write;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use flexi_logger::DeferredNow;
+use flexi_logger::LogSpecification;
+use flexi_logger::Logger;
+use flexi_logger::LoggerHandle;
+use log::Record;
+use log::kv;
+use log::kv::VisitSource;
+use node::decision::Decision;
+use serde_json::Map;
+use serde_json::Value;
+
+use crate::clock;
+use crate::error::Error;
+
+/// What is logged: everything of this product, warnings of its libraries.
+const LEVELS: &str = "warn, entry=info, waxwingd=info";
+/// Decision lines kept for `explain`.
+const RECENT: usize = 20_000;
+/// Longest part of a decision line that is kept, in bytes.
+const MAX_PART: usize = 512;
+
+/// Starts logging; it ends when the handle is dropped.
+///
+/// # Errors
+/// `Start` if a logger runs already.
+pub fn start() -> Result<LoggerHandle, Error> {
+    LogSpecification::parse(LEVELS)
+        .map(Logger::with)
+        .and_then(|logger| logger.format(line).start())
+        .map_err(|error| Error::Start {
+            step: "logs",
+            cause: error.to_string(),
+        })
+}
+
+fn line(to: &mut dyn Write, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
+    let mut fields = Fields(Map::new());
+    fields.put("time", now.format_rfc3339().into());
+    fields.put("level", record.level().as_str().into());
+    fields.put("target", record.target().into());
+    fields.put("text", record.args().to_string().into());
+    // `Fields` never refuses a value.
+    let _ = record.key_values().visit(&mut fields);
+    serde_json::to_writer(to, &fields.0).map_err(io::Error::from)
+}
+
+struct Fields(Map<String, Value>);
+
+impl Fields {
+    fn put(&mut self, key: &str, value: Value) {
+        self.0.insert(key.to_owned(), value);
+    }
+}
+
+impl<'a> VisitSource<'a> for Fields {
+    fn visit_pair(&mut self, key: kv::Key<'a>, value: kv::Value<'a>) -> Result<(), kv::Error> {
+        let json = match value.to_u64() {
+            Some(number) => number.into(),
+            None => value.to_string().into(),
+        };
+        self.put(key.as_str(), json);
+        Ok(())
+    }
+}
+
+/// The latest decision lines.
+#[derive(Debug, Default)]
+pub struct Recent {
+    lines: Mutex<VecDeque<Decision>>,
+}
+
+impl Recent {
+    /// Without lines.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Logs `decision` and keeps its line.
+    pub fn decision(&self, decision: &Decision) {
+        log::info!(
+            kind = "decision",
+            request = decision.request.as_str(),
+            step = decision.step.word(),
+            choice = decision.choice.as_str(),
+            alternatives = decision.alternatives.as_str(),
+            reason = decision.reason.as_str(),
+            generation = decision.generation,
+            unix_ms = clock::unix().as_millis() as u64;
+            "{}", decision.step.word()
+        );
+        let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        if lines.len() == RECENT {
+            lines.pop_front();
+        }
+        lines.push_back(shortened(decision));
+    }
+
+    /// The kept lines whose request contains `text`, oldest first.
+    pub fn find(&self, text: &str) -> Vec<Value> {
+        let lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        lines
+            .iter()
+            .filter(|line| line.request.contains(text))
+            .map(json)
+            .collect()
+    }
+}
+
+fn shortened(decision: &Decision) -> Decision {
+    let mut kept = decision.clone();
+    for part in [
+        &mut kept.request,
+        &mut kept.choice,
+        &mut kept.alternatives,
+        &mut kept.reason,
+    ] {
+        part.truncate(part.floor_char_boundary(MAX_PART));
+    }
+    kept
+}
+
+fn json(decision: &Decision) -> Value {
+    serde_json::json!({
+        "kind": "decision",
+        "request": decision.request,
+        "step": decision.step.word(),
+        "choice": decision.choice,
+        "alternatives": decision.alternatives,
+        "reason": decision.reason,
+        "generation": decision.generation,
+    })
+}
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,293 @@
+//! Figures in the text format of Prometheus.
+
+use std::time::Duration;
+
+use node::action::Count;
+use node::action::Outcome;
+use node::status::Status;
+use prometheus::Encoder;
+use prometheus::Gauge;
+use prometheus::Histogram;
+use prometheus::HistogramOpts;
+use prometheus::IntCounter;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+use prometheus::core::Collector;
+
+use crate::error::Error;
+
+const FIRST_TOKEN_BUCKETS: [f64; 12] = [
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0, 60.0,
+];
+const TOKEN_GAP_BUCKETS: [f64; 10] = [0.002, 0.005, 0.01, 0.02, 0.035, 0.05, 0.08, 0.15, 0.4, 1.0];
+
+/// All figures of a daemon.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    first_token: Histogram,
+    token_gap: Histogram,
+    within_target: IntCounterVec,
+    good: IntCounter,
+    prefill_tokens: IntCounterVec,
+    swept: IntCounter,
+    retries: IntCounter,
+    orders: IntCounterVec,
+    faults: IntCounter,
+    frames_rejected: IntCounterVec,
+    frames_dropped: IntCounter,
+    frames_sent: IntCounter,
+    open: IntGauge,
+    holds: IntGauge,
+    keys: IntGauge,
+    generation: IntGauge,
+    fresh: IntGauge,
+    store_age: Gauge,
+    leaving: IntGauge,
+    members: IntGauge,
+}
+
+impl Metrics {
+    /// All figures at zero.
+    ///
+    /// # Errors
+    /// `Start` if a name is registered twice.
+    pub fn new() -> Result<Self, Error> {
+        build().map_err(|error| Error::Start {
+            step: "metrics",
+            cause: error.to_string(),
+        })
+    }
+
+    /// Counts what the core tells.
+    pub fn count(&self, count: Count) {
+        match count {
+            Count::FirstToken { micros, target } => {
+                self.first_token
+                    .observe(Duration::from_micros(micros).as_secs_f64());
+                self.target("first_token", micros <= target);
+            }
+            Count::TokenGap { micros, target } => {
+                self.token_gap
+                    .observe(Duration::from_micros(micros).as_secs_f64());
+                self.target("token_gap", micros <= target);
+            }
+            Count::Good => self.good.inc(),
+            Count::Answered => self.requests.with_label_values(&["answered"]).inc(),
+            Count::Refused(outcome) => {
+                self.requests.with_label_values(&[word(outcome)]).inc();
+            }
+            Count::Prefilled(tokens) => {
+                self.prefill_tokens
+                    .with_label_values(&["computed"])
+                    .inc_by(u64::from(tokens));
+            }
+            Count::Wasted(tokens) => {
+                self.prefill_tokens
+                    .with_label_values(&["wasted"])
+                    .inc_by(u64::from(tokens));
+            }
+            Count::Swept => self.swept.inc(),
+            Count::Retried => self.retries.inc(),
+        }
+    }
+
+    /// Counts an order that ended.
+    pub fn order(&self, kind: &str, result: &str) {
+        self.orders.with_label_values(&[kind, result]).inc();
+    }
+
+    /// Counts a fault of the core.
+    pub fn fault(&self) {
+        self.faults.inc();
+    }
+
+    /// Counts a peer connection that was closed for what it sent.
+    pub fn frame_rejected(&self, step: &str) {
+        self.frames_rejected.with_label_values(&[step]).inc();
+    }
+
+    /// Counts frames that were dropped before they were sent.
+    pub fn frames_dropped(&self, count: usize) {
+        self.frames_dropped.inc_by(count as u64);
+    }
+
+    /// Counts a frame that was sent.
+    pub fn frame_sent(&self) {
+        self.frames_sent.inc();
+    }
+
+    /// The figures as text, with the gauges taken from `status`.
+    pub fn text(&self, status: &Status) -> String {
+        self.gauges(status);
+        let mut text = Vec::new();
+        // Writing to a vector cannot fail.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        String::from_utf8_lossy(&text).into_owned()
+    }
+
+    fn gauges(&self, status: &Status) {
+        self.open.set(status.open as i64);
+        self.holds.set(status.holds as i64);
+        self.keys.set(status.keys as i64);
+        self.generation.set(status.generation as i64);
+        self.fresh.set(i64::from(status.fresh));
+        self.store_age
+            .set(status.store_age_ms.map_or(-1.0, |age| age as f64 / 1_000.0));
+        self.leaving.set(i64::from(status.leaving));
+        let alive = status
+            .members
+            .iter()
+            .filter(|member| member.state == "alive")
+            .count();
+        self.members.set(alive as i64);
+    }
+
+    fn target(&self, target: &str, met: bool) {
+        let result = if met { "met" } else { "missed" };
+        self.within_target
+            .with_label_values(&[target, result])
+            .inc();
+    }
+}
+
+const fn word(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::NotRun => "not_run",
+        Outcome::Unknown => "unknown",
+        Outcome::Failed => "failed",
+    }
+}
+
+fn build() -> Result<Metrics, prometheus::Error> {
+    let registry = Registry::new();
+    let r = &registry;
+    Ok(Metrics {
+        requests: vector(r, "requests_total", "Requests by outcome.", &["outcome"])?,
+        first_token: histogram(
+            r,
+            "first_token_seconds",
+            "Time to first token.",
+            &FIRST_TOKEN_BUCKETS,
+        )?,
+        token_gap: histogram(
+            r,
+            "token_gap_seconds",
+            "Mean time between tokens of a request.",
+            &TOKEN_GAP_BUCKETS,
+        )?,
+        within_target: vector(
+            r,
+            "latency_target_total",
+            "Requests by latency target and whether it was met.",
+            &["target", "result"],
+        )?,
+        good: counter(
+            r,
+            "goodput_requests_total",
+            "Requests that met both latency targets.",
+        )?,
+        prefill_tokens: vector(
+            r,
+            "prefill_tokens_total",
+            "Prefill work in tokens: computed, and of it wasted.",
+            &["kind"],
+        )?,
+        swept: counter(
+            r,
+            "attempts_swept_total",
+            "Attempts without an owner that were cancelled.",
+        )?,
+        retries: counter(
+            r,
+            "attempts_retried_total",
+            "Attempts that were made again.",
+        )?,
+        faults: counter(
+            r,
+            "faults_total",
+            "Steps that the core refused itself; never to be seen.",
+        )?,
+        orders: vector(
+            r,
+            "orders_total",
+            "Orders to replicas.",
+            &["kind", "result"],
+        )?,
+        frames_rejected: vector(
+            r,
+            "frames_rejected_total",
+            "Peer connections closed for what they sent, by step.",
+            &["step"],
+        )?,
+        frames_dropped: counter(r, "frames_dropped_total", "Frames dropped before sending.")?,
+        frames_sent: counter(r, "frames_sent_total", "Frames sent to peers.")?,
+        open: gauge(r, "open_requests", "Requests open here.")?,
+        holds: gauge(
+            r,
+            "holds",
+            "Attempts whose memory is not confirmed released.",
+        )?,
+        keys: gauge(r, "keys", "Idempotency keys remembered.")?,
+        generation: gauge(r, "table_generation", "Table generation in force here.")?,
+        fresh: gauge(r, "table_fresh", "1 if the table may be decided by.")?,
+        store_age: seconds(
+            r,
+            "store_age_seconds",
+            "Time since the store was read; -1 if never.",
+        )?,
+        leaving: gauge(r, "leaving", "1 during a planned stop.")?,
+        members: gauge(r, "members_alive", "Instances seen alive, with this one.")?,
+        registry,
+    })
+}
+
+fn register<C: Collector + Clone + 'static>(
+    registry: &Registry,
+    metric: C,
+) -> Result<C, prometheus::Error> {
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
+
+fn full(name: &str) -> String {
+    format!("waxwing_{name}")
+}
+
+fn counter(registry: &Registry, name: &str, help: &str) -> Result<IntCounter, prometheus::Error> {
+    register(registry, IntCounter::new(full(name), help)?)
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
+    register(registry, IntGauge::new(full(name), help)?)
+}
+
+fn seconds(registry: &Registry, name: &str, help: &str) -> Result<Gauge, prometheus::Error> {
+    register(registry, Gauge::new(full(name), help)?)
+}
+
+fn vector(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<IntCounterVec, prometheus::Error> {
+    register(
+        registry,
+        IntCounterVec::new(Opts::new(full(name), help), labels)?,
+    )
+}
+
+fn histogram(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    buckets: &[f64],
+) -> Result<Histogram, prometheus::Error> {
+    let options = HistogramOpts::new(full(name), help).buckets(buckets.to_vec());
+    register(registry, Histogram::with_opts(options)?)
+}
--- /dev/null
+++ b/crates/entry/src/peers/error.rs
@@ -0,0 +1,69 @@
+//! What can go wrong on a link.
+
+use std::fmt;
+use std::io;
+
+/// Why a connection ended, by step.
+#[derive(Debug)]
+pub(super) enum Error {
+    /// No address is known for the peer.
+    NoAddress,
+    /// Connecting, or preparing the socket.
+    Connect(io::Error),
+    /// Waiting for the step named.
+    Timeout(&'static str),
+    /// The step named, in HTTP/2.
+    Http {
+        /// The step.
+        step: &'static str,
+        /// What the library said.
+        cause: h2::Error,
+    },
+    /// The peer answered the request for frames with another status.
+    Status(u16),
+    /// The peer closed the connection.
+    Closed,
+    /// A request that carries no frames.
+    Request(String),
+    /// Bytes that are no frame.
+    Frame(wire::Error),
+}
+
+impl Error {
+    /// The step as a label of the metrics.
+    pub(super) const fn step(&self) -> &'static str {
+        match self {
+            Self::NoAddress => "address",
+            Self::Connect(_) => "connect",
+            Self::Timeout(step) | Self::Http { step, .. } => step,
+            Self::Status(_) => "status",
+            Self::Closed => "closed",
+            Self::Request(_) => "request",
+            Self::Frame(wire::Error::TooLong { .. }) => "frame_length",
+            Self::Frame(wire::Error::Version { .. }) => "frame_version",
+            Self::Frame(_) => "frame_body",
+        }
+    }
+
+    /// A mapping of HTTP/2 errors at `step`.
+    pub(super) fn http(step: &'static str) -> impl Fn(h2::Error) -> Self {
+        move |cause| Self::Http { step, cause }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NoAddress => write!(f, "no address is known"),
+            Self::Connect(cause) => write!(f, "connecting: {cause}"),
+            Self::Timeout(step) => write!(f, "{step}: timeout"),
+            Self::Http { step, cause } => write!(f, "{step}: {cause}"),
+            Self::Status(status) => write!(f, "the peer answered status {status}"),
+            Self::Closed => write!(f, "the peer closed the connection"),
+            Self::Request(line) => write!(f, "`{line}` carries no frames"),
+            Self::Frame(cause) => write!(f, "{cause}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/entry/src/peers/link.rs
@@ -0,0 +1,184 @@
+//! The dialling side of a link.
+
+use std::future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use h2::Ping;
+use h2::PingPong;
+use h2::SendStream;
+use h2::client;
+use h2::client::ResponseFuture;
+use http::Request;
+use ident::Instance;
+use node::event::Event;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use super::PATH;
+use super::Shared;
+use super::error::Error;
+use super::queue::Queue;
+use crate::directory::Peer;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const PING_EVERY: Duration = Duration::from_millis(500);
+const PING_TIMEOUT: Duration = Duration::from_millis(1_500);
+const FIRST_BACKOFF: Duration = Duration::from_millis(100);
+const MAX_BACKOFF: Duration = Duration::from_secs(2);
+
+/// How a session came to be, and how it ended.
+enum End {
+    /// No connection was made.
+    Unreachable(Error),
+    /// The connection was lost.
+    Lost(Error),
+}
+
+/// Sends the frames of `queue` to `to` for as long as the daemon lives.
+pub(super) async fn run(shared: Shared, to: Instance, queue: Arc<Queue>) {
+    let mut backoff = FIRST_BACKOFF;
+    loop {
+        queue.filled().await;
+        match session(&shared, to, &queue).await {
+            End::Lost(error) => {
+                report(&shared, to, &error);
+                backoff = FIRST_BACKOFF;
+            }
+            End::Unreachable(error) => {
+                report(&shared, to, &error);
+                shared.metrics.frames_dropped(queue.clear());
+                shared.inbox.event(Event::Unreachable { peer: to }).await;
+                backoff = (backoff * 2).min(MAX_BACKOFF);
+            }
+        }
+        sleep(backoff).await;
+    }
+}
+
+fn report(shared: &Shared, to: Instance, error: &Error) {
+    let name = shared
+        .directory
+        .peer(to)
+        .map_or_else(|| to.to_string(), |peer| peer.name);
+    log::info!(step = error.step(), peer = name.as_str(); "link: {error}");
+}
+
+async fn session(shared: &Shared, to: Instance, queue: &Queue) -> End {
+    let Some(peer) = shared.directory.peer(to) else {
+        return End::Unreachable(Error::NoAddress);
+    };
+    let socket = match connect(&peer).await {
+        Ok(socket) => socket,
+        Err(error) => return End::Unreachable(error),
+    };
+    match timeout(CONNECT_TIMEOUT, client::handshake(socket)).await {
+        Ok(Ok((requests, connection))) => carry(shared, to, queue, requests, connection).await,
+        Ok(Err(cause)) => End::Unreachable(Error::http("handshake")(cause)),
+        Err(_) => End::Unreachable(Error::Timeout("handshake")),
+    }
+}
+
+async fn connect(peer: &Peer) -> Result<TcpStream, Error> {
+    let socket = timeout(CONNECT_TIMEOUT, TcpStream::connect(peer.address))
+        .await
+        .map_err(|_| Error::Timeout("connect"))?
+        .map_err(Error::Connect)?;
+    socket.set_nodelay(true).map_err(Error::Connect)?;
+    // Closing must drop what the system still holds: old frames tell wrong ages.
+    SockRef::from(&socket)
+        .set_linger(Some(Duration::ZERO))
+        .map_err(Error::Connect)?;
+    Ok(socket)
+}
+
+async fn carry(
+    shared: &Shared,
+    to: Instance,
+    queue: &Queue,
+    mut requests: client::SendRequest<Bytes>,
+    mut connection: client::Connection<TcpStream, Bytes>,
+) -> End {
+    let pings = connection.ping_pong();
+    let request = Request::post(PATH).body(()).unwrap_or_default();
+    let (response, stream) = match requests.send_request(request, false) {
+        Ok(opened) => opened,
+        Err(cause) => return End::Unreachable(Error::http("request")(cause)),
+    };
+    let work = async {
+        if let Err(error) = accepted(response).await {
+            return End::Unreachable(error);
+        }
+        let still_listed = moved(shared, to);
+        tokio::select! {
+            error = send(shared, queue, stream) => End::Lost(error),
+            error = ping(pings) => End::Lost(error),
+            error = still_listed => End::Lost(error),
+        }
+    };
+    tokio::select! {
+        end = work => end,
+        closed = &mut connection => match closed {
+            Ok(()) => End::Lost(Error::Closed),
+            Err(cause) => End::Lost(Error::http("connection")(cause)),
+        },
+    }
+}
+
+async fn accepted(response: ResponseFuture) -> Result<(), Error> {
+    let response = timeout(CONNECT_TIMEOUT, response)
+        .await
+        .map_err(|_| Error::Timeout("response"))?
+        .map_err(Error::http("response"))?;
+    match response.status().as_u16() {
+        200 => Ok(()),
+        status => Err(Error::Status(status)),
+    }
+}
+
+/// Ends when the peer has another address than at the start.
+async fn moved(shared: &Shared, to: Instance) -> Error {
+    let first = shared.directory.peer(to);
+    while shared.directory.peer(to) == first {
+        sleep(PING_EVERY).await;
+    }
+    Error::Closed
+}
+
+async fn ping(pings: Option<PingPong>) -> Error {
+    let Some(mut pings) = pings else {
+        return future::pending().await;
+    };
+    loop {
+        match timeout(PING_TIMEOUT, pings.ping(Ping::opaque())).await {
+            Ok(Ok(_)) => sleep(PING_EVERY).await,
+            Ok(Err(cause)) => return Error::http("ping")(cause),
+            Err(_) => return Error::Timeout("ping"),
+        }
+    }
+}
+
+async fn send(shared: &Shared, queue: &Queue, mut stream: SendStream<Bytes>) -> Error {
+    loop {
+        let (bytes, old) = queue.next().await;
+        shared.metrics.frames_dropped(old);
+        match write(&mut stream, bytes).await {
+            Ok(()) => shared.metrics.frame_sent(),
+            Err(error) => return error,
+        }
+    }
+}
+
+async fn write(stream: &mut SendStream<Bytes>, mut bytes: Bytes) -> Result<(), Error> {
+    while !bytes.is_empty() {
+        stream.reserve_capacity(bytes.len());
+        let free = future::poll_fn(|context| stream.poll_capacity(context)).await;
+        let free = free.ok_or(Error::Closed)?.map_err(Error::http("send"))?;
+        let part = bytes.split_to(free.min(bytes.len()));
+        stream.send_data(part, false).map_err(Error::http("send"))?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/entry/src/peers/mod.rs
@@ -0,0 +1,80 @@
+//! Frames between daemons: one HTTP/2 connection for each direction of each pair.
+//!
+//! A daemon dials a peer when it first has a frame for it and sends all frames on the body of one
+//! long `POST`. Frames tell ages (`wire::News`), so one that is late lies: a frame that waited too
+//! long here is dropped, a connection whose peer does not answer pings is reset together with what
+//! the system buffered for it, and a daemon that was paused drops its incoming connections before
+//! it reads from them.
+
+mod error;
+mod link;
+mod queue;
+mod server;
+mod watchdog;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use ident::Instance;
+use wire::Frame;
+
+use crate::directory::Directory;
+use crate::driver::inbox::Inbox;
+use crate::metrics::Metrics;
+use crate::peers::queue::Queue;
+
+pub use server::serve;
+
+/// Path of the request that carries frames.
+const PATH: &str = "/v1/frames";
+
+/// What links share.
+#[derive(Debug, Clone)]
+pub struct Shared {
+    /// Addresses of peers.
+    pub directory: Arc<Directory>,
+    /// Where events go.
+    pub inbox: Inbox,
+    /// Figures.
+    pub metrics: Arc<Metrics>,
+}
+
+/// The sending side of all links.
+#[derive(Debug)]
+pub struct Peers {
+    shared: Shared,
+    queues: HashMap<Instance, Arc<Queue>>,
+}
+
+impl Peers {
+    /// Without links; each begins with its first frame.
+    pub fn new(shared: Shared) -> Self {
+        Self {
+            shared,
+            queues: HashMap::new(),
+        }
+    }
+
+    /// Queues `frame` for `to`. A frame that cannot be encoded or has no space is dropped.
+    pub fn send(&mut self, to: Instance, frame: &Frame) {
+        let bytes = match wire::encode(frame) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                log::warn!(step = "encode", peer = to.to_string().as_str(); "{error}");
+                return;
+            }
+        };
+        let queue = self
+            .queues
+            .entry(to)
+            .or_insert_with(|| open(&self.shared, to));
+        let dropped = queue.push(bytes, queue::is_membership(&frame.body));
+        self.shared.metrics.frames_dropped(dropped);
+    }
+}
+
+fn open(shared: &Shared, to: Instance) -> Arc<Queue> {
+    let queue = Arc::new(Queue::new());
+    tokio::spawn(link::run(shared.clone(), to, Arc::clone(&queue)));
+    queue
+}
--- /dev/null
+++ b/crates/entry/src/peers/queue.rs
@@ -0,0 +1,127 @@
+//! Frames that wait for a link.
+
+use std::collections::VecDeque;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+use wire::Body;
+
+/// Frames that may wait.
+const DEPTH: usize = 4_096;
+/// Bytes that may wait.
+const BYTES: usize = 8 << 20;
+/// How long a frame may wait; the ages that it tells are wrong by as much.
+const MAX_WAIT: Duration = Duration::from_millis(500);
+
+#[derive(Debug)]
+struct Item {
+    bytes: Bytes,
+    membership: bool,
+    since: Instant,
+}
+
+#[derive(Debug, Default)]
+struct Items {
+    queue: VecDeque<Item>,
+    bytes: usize,
+}
+
+impl Items {
+    /// Takes out the oldest membership frame, or else the oldest frame.
+    fn evict(&mut self) {
+        let index = self
+            .queue
+            .iter()
+            .position(|item| item.membership)
+            .unwrap_or(0);
+        if let Some(item) = self.queue.remove(index) {
+            self.bytes -= item.bytes.len();
+        }
+    }
+}
+
+/// A bounded queue of encoded frames.
+#[derive(Debug)]
+pub(super) struct Queue {
+    items: Mutex<Items>,
+    filled: Notify,
+}
+
+impl Queue {
+    /// An empty queue.
+    pub(super) fn new() -> Self {
+        Self {
+            items: Mutex::default(),
+            filled: Notify::new(),
+        }
+    }
+
+    /// Appends a frame; the number of frames that had to go for it.
+    pub(super) fn push(&self, bytes: Bytes, membership: bool) -> usize {
+        let mut items = self.lock();
+        let before = items.queue.len();
+        while items.queue.len() >= DEPTH
+            || (!items.queue.is_empty() && items.bytes + bytes.len() > BYTES)
+        {
+            items.evict();
+        }
+        let dropped = before - items.queue.len();
+        items.bytes += bytes.len();
+        items.queue.push_back(Item {
+            bytes,
+            membership,
+            since: Instant::now(),
+        });
+        drop(items);
+        self.filled.notify_one();
+        dropped
+    }
+
+    /// Waits until a frame is there.
+    pub(super) async fn filled(&self) {
+        while self.lock().queue.is_empty() {
+            self.filled.notified().await;
+        }
+    }
+
+    /// The next frame that is not too old, after waiting for one; and how many were too old.
+    pub(super) async fn next(&self) -> (Bytes, usize) {
+        let mut old = 0;
+        loop {
+            self.filled().await;
+            match self.pop() {
+                Some(item) if item.since.elapsed() <= MAX_WAIT => return (item.bytes, old),
+                Some(_) => old += 1,
+                None => {}
+            }
+        }
+    }
+
+    /// Drops all frames; their number.
+    pub(super) fn clear(&self) -> usize {
+        let mut items = self.lock();
+        items.bytes = 0;
+        items.queue.drain(..).count()
+    }
+
+    fn pop(&self) -> Option<Item> {
+        let mut items = self.lock();
+        let item = items.queue.pop_front()?;
+        items.bytes -= item.bytes.len();
+        Some(item)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Items> {
+        self.items.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Whether `body` is repeated often, so that it goes first when space is short.
+pub(super) const fn is_membership(body: &Body) -> bool {
+    matches!(body, Body::Gossip(_) | Body::News(_))
+}
--- /dev/null
+++ b/crates/entry/src/peers/server.rs
@@ -0,0 +1,167 @@
+//! The accepting side of links.
+
+use std::future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use h2::RecvStream;
+use h2::server;
+use h2::server::Connection;
+use h2::server::SendResponse;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use node::event::Event;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+use tokio::time::timeout;
+use wire::Decoder;
+
+use super::PATH;
+use super::Shared;
+use super::error::Error;
+use super::watchdog;
+
+const MAX_CONNECTIONS: usize = 1_024;
+const MAX_STREAMS: u32 = 2;
+const MAX_HEADERS: u32 = 4_096;
+const STREAM_WINDOW: u32 = 1 << 20;
+const CONNECTION_WINDOW: u32 = 2 << 20;
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+const KEEPALIVE: Duration = Duration::from_secs(5);
+/// Pause after a failed accept; the usual cause is too many open files.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Accepts links and passes their frames on.
+pub async fn serve(listener: TcpListener, shared: Shared) {
+    let slots = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let pauses = watchdog::start();
+    loop {
+        let (socket, address) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                log::warn!(step = "accept"; "peer connection: {error}");
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        // Without a free slot the socket is dropped, and the peer tries again later.
+        if let Ok(slot) = Arc::clone(&slots).try_acquire_owned() {
+            let shared = shared.clone();
+            let pauses = pauses.clone();
+            tokio::spawn(async move {
+                serve_link(socket, address, &shared, pauses).await;
+                drop(slot);
+            });
+        }
+    }
+}
+
+async fn serve_link(
+    socket: TcpStream,
+    address: SocketAddr,
+    shared: &Shared,
+    mut pauses: watch::Receiver<u64>,
+) {
+    let ended = tokio::select! {
+        ended = read_link(socket, shared) => ended,
+        // What arrived during the pause is too old to be read.
+        _ = pauses.changed() => return,
+    };
+    if let Err(error) = ended {
+        let peer = address.to_string();
+        shared.metrics.frame_rejected(error.step());
+        log::warn!(step = error.step(), peer = peer.as_str(); "peer connection closed: {error}");
+    }
+}
+
+async fn read_link(socket: TcpStream, shared: &Shared) -> Result<(), Error> {
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE)
+        .with_interval(KEEPALIVE);
+    SockRef::from(&socket)
+        .set_tcp_keepalive(&keepalive)
+        .map_err(Error::Connect)?;
+    let handshake = server::Builder::new()
+        .max_concurrent_streams(MAX_STREAMS)
+        .max_header_list_size(MAX_HEADERS)
+        .initial_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .handshake(socket);
+    let mut connection = timeout(HANDSHAKE_TIMEOUT, handshake)
+        .await
+        .map_err(|_| Error::Timeout("handshake"))?
+        .map_err(Error::http("handshake"))?;
+    accept_streams(&mut connection, shared).await
+}
+
+async fn accept_streams(
+    connection: &mut Connection<TcpStream, Bytes>,
+    shared: &Shared,
+) -> Result<(), Error> {
+    let mut streams = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = connection.accept() => match accepted {
+                Some(Ok((request, respond))) => {
+                    streams.spawn(read_stream(request, respond, shared.clone()));
+                }
+                // Connections end by a reset: the dialling side has no other way to drop frames.
+                Some(Err(cause)) if cause.is_io() => return Ok(()),
+                Some(Err(cause)) => return Err(Error::http("connection")(cause)),
+                None => return Ok(()),
+            },
+            Some(ended) = streams.join_next() => match ended {
+                Ok(Err(error)) => return Err(error),
+                Ok(Ok(())) | Err(_) => {}
+            },
+        }
+    }
+}
+
+async fn read_stream(
+    request: Request<RecvStream>,
+    mut respond: SendResponse<Bytes>,
+    shared: Shared,
+) -> Result<(), Error> {
+    if request.method() != Method::POST || request.uri().path() != PATH {
+        let line = format!("{} {}", request.method(), request.uri().path());
+        let mut response = Response::new(());
+        *response.status_mut() = StatusCode::NOT_FOUND;
+        respond
+            .send_response(response, true)
+            .map_err(Error::http("response"))?;
+        return Err(Error::Request(line));
+    }
+    // Held until the end: dropping it would reset the stream.
+    let _open = respond
+        .send_response(Response::new(()), false)
+        .map_err(Error::http("response"))?;
+    read_frames(request.into_body(), &shared).await
+}
+
+async fn read_frames(mut body: RecvStream, shared: &Shared) -> Result<(), Error> {
+    let mut decoder = Decoder::new();
+    while let Some(data) = future::poll_fn(|context| body.poll_data(context)).await {
+        let Ok(data) = data else {
+            return Ok(());
+        };
+        body.flow_control()
+            .release_capacity(data.len())
+            .map_err(Error::http("window"))?;
+        decoder.extend(&data);
+        while let Some(frame) = decoder.frame().map_err(Error::Frame)? {
+            shared.inbox.event(Event::Frame(Box::new(frame))).await;
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/entry/src/peers/watchdog.rs
@@ -0,0 +1,28 @@
+//! Notices that the process was paused.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+const EVERY: Duration = Duration::from_millis(100);
+/// A gap this long counts as a pause.
+const PAUSE: Duration = Duration::from_millis(1_000);
+
+/// Starts watching; the value changes after each pause.
+pub(super) fn start() -> watch::Receiver<u64> {
+    let (sender, receiver) = watch::channel(0);
+    tokio::spawn(async move {
+        let mut last = Instant::now();
+        loop {
+            sleep(EVERY).await;
+            if last.elapsed() > PAUSE {
+                log::warn!(step = "watchdog"; "the process was paused for {:?}", last.elapsed());
+                sender.send_modify(|count| *count += 1);
+            }
+            last = Instant::now();
+        }
+    });
+    receiver
+}
--- /dev/null
+++ b/crates/entry/src/platform/commit.rs
@@ -0,0 +1,83 @@
+//! Commits of edits.
+//!
+//! A commit whose answer is lost may have taken effect or may still do so. It is planned again
+//! from a new read: the record of the edit's id then tells that it was applied, and otherwise the
+//! same requirements let at most one of the two commits through.
+
+use std::time::Duration;
+
+use node::event::Stored;
+use store::Client;
+use store::txn::Reply;
+use store::txn::Txn;
+use table::edit::Edit;
+use table::stored;
+use table::stored::Plan;
+use table::stored::Step;
+use tokio::time::sleep;
+
+use super::Outcome;
+use super::error::Error;
+use super::read;
+use crate::clock;
+
+const TRIES: u32 = 5;
+const PAUSE: Duration = Duration::from_millis(150);
+
+/// Commits `edit` at most once.
+pub(super) async fn commit(client: &Client, edit: &Edit) -> Outcome {
+    let mut uncertain = false;
+    let mut last = Error::Contended { tries: TRIES };
+    for _ in 0..TRIES {
+        match attempt(client, edit, uncertain).await {
+            Ok(Some(outcome)) => return Ok(outcome),
+            Ok(None) => {}
+            // A read that fails before any commit was sent decides nothing and may be repeated.
+            Err(Error::Store(error)) => {
+                uncertain |= error.is_uncertain();
+                last = Error::Store(error);
+            }
+            Err(error) => return refused(error),
+        }
+        sleep(PAUSE).await;
+    }
+    match last {
+        Error::Store(error) if uncertain => Err(Error::Uncertain(error)),
+        last => Err(last),
+    }
+}
+
+/// One read and one commit; `None` if another edit came first.
+async fn attempt(client: &Client, edit: &Edit, sent: bool) -> Result<Option<Stored>, Error> {
+    let txn = read::scans().with_read(&stored::edit_id_key(&edit.id));
+    let records = read::records(client, txn).await?;
+    match stored::plan(edit, &records, clock::unix().as_secs())? {
+        Step::Applied(generation) if sent => Ok(Some(Stored::Committed { generation })),
+        Step::Applied(generation) => Ok(Some(Stored::Repeated { generation })),
+        Step::Commit(plan) => match client.txn(&transaction(&plan)).await? {
+            Reply::Committed(_) => Ok(Some(Stored::Committed {
+                generation: plan.table.generation,
+            })),
+            Reply::Conflict(_) => Ok(None),
+        },
+    }
+}
+
+fn transaction(plan: &Plan) -> Txn {
+    let required = plan.require.iter().fold(Txn::new(), |txn, requirement| {
+        txn.with_requirement(&requirement.key, requirement.version)
+    });
+    plan.write.iter().fold(required, |txn, write| {
+        txn.with_write(&write.key, write.value.as_deref())
+    })
+}
+
+fn refused(error: Error) -> Outcome {
+    match error {
+        Error::Record(stored::Error::Conflict(conflict)) => {
+            let lines = conflict.clashes.iter().map(ToString::to_string).collect();
+            Ok(Stored::Conflict { lines })
+        }
+        error => Err(error),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/platform/error.rs
@@ -0,0 +1,75 @@
+//! What can go wrong with a query.
+
+use std::fmt;
+
+use table::stored;
+
+/// Why a query was not answered.
+#[derive(Debug)]
+pub enum Error {
+    /// The call to the platform failed.
+    Store(store::Error),
+    /// A call of the query failed earlier and may have taken effect; this one failed too.
+    Uncertain(store::Error),
+    /// Records that cannot be read, or an edit that is not valid.
+    Record(stored::Error),
+    /// A recorded outcome that cannot be read.
+    Outcome {
+        /// Its key.
+        key: String,
+        /// What is wrong with it.
+        cause: String,
+    },
+    /// Other edits came first each time.
+    Contended {
+        /// How often it was tried.
+        tries: u32,
+    },
+}
+
+impl Error {
+    /// Whether the query may have taken effect.
+    pub fn is_uncertain(&self) -> bool {
+        match self {
+            Self::Store(error) => error.is_uncertain(),
+            Self::Uncertain(_) => true,
+            Self::Record(_) | Self::Outcome { .. } | Self::Contended { .. } => false,
+        }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Store(cause) => write!(f, "{cause}"),
+            Self::Uncertain(cause) => {
+                write!(
+                    f,
+                    "an earlier commit may have taken effect, and then: {cause}"
+                )
+            }
+            Self::Record(cause) => write!(f, "{cause}"),
+            Self::Outcome { key, cause } => write!(f, "store record `{key}`: {cause}"),
+            Self::Contended { tries } => {
+                write!(
+                    f,
+                    "other edits came first {tries} times; send the edit again"
+                )
+            }
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<store::Error> for Error {
+    fn from(error: store::Error) -> Self {
+        Self::Store(error)
+    }
+}
+
+impl From<stored::Error> for Error {
+    fn from(error: stored::Error) -> Self {
+        Self::Record(error)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/platform/list.rs
@@ -0,0 +1,119 @@
+//! The platform's list, read again and again.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ident::Instance;
+use ident::Pool;
+use ident::Replica;
+use ident::Zone;
+use node::event::Event;
+use node::list::Backend;
+use node::list::List;
+use node::list::Seat;
+use route::replica::Role;
+use store::Client;
+use store::list;
+use store::list::State;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
+
+use crate::directory;
+use crate::directory::Directory;
+use crate::directory::Peer;
+use crate::driver::inbox::Inbox;
+
+const EVERY: Duration = Duration::from_millis(500);
+
+/// Reads the list as shown to `name`, fills `directory` and tells the core; never ends.
+pub async fn watch(client: Client, name: String, directory: Arc<Directory>, inbox: Inbox) {
+    let mut ticks = interval(EVERY);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut failing = false;
+    loop {
+        ticks.tick().await;
+        match client.list(&name).await {
+            Ok(list) => {
+                failing = false;
+                fill(&directory, &list);
+                inbox.event(Event::Listed(convert(list))).await;
+            }
+            Err(error) if !failing => {
+                failing = true;
+                log::warn!(step = "list"; "{error}");
+            }
+            Err(_) => {}
+        }
+    }
+}
+
+fn fill(directory: &Directory, list: &list::List) {
+    let peers = list.instances.iter().map(|instance| {
+        let peer = Peer {
+            name: instance.name.clone(),
+            address: instance.peer,
+        };
+        (Instance::new(&instance.name), peer)
+    });
+    let backends = list.replicas.iter().map(|replica| {
+        let backend = directory::Backend {
+            name: replica.name.clone(),
+            address: replica.address,
+            service: replica.service.clone(),
+            engine: replica.role != list::Role::Plain,
+        };
+        (Replica::new(&replica.name), backend)
+    });
+    let instance_zones = list
+        .instances
+        .iter()
+        .map(|instance| instance.data_centre.clone());
+    let replica_zones = list
+        .replicas
+        .iter()
+        .map(|replica| replica.data_centre.clone());
+    directory.replace(
+        peers.collect::<HashMap<_, _>>(),
+        backends.collect::<HashMap<_, _>>(),
+        instance_zones.chain(replica_zones),
+    );
+}
+
+fn convert(list: list::List) -> List {
+    List {
+        instances: list.instances.into_iter().map(seat).collect(),
+        replicas: list.replicas.into_iter().map(backend).collect(),
+    }
+}
+
+fn seat(instance: list::Instance) -> Seat {
+    Seat {
+        instance: Instance::new(&instance.name),
+        zone: Zone::new(&instance.data_centre),
+        caller: instance.caller.to_string(),
+        leaving: instance.state == State::Leaving,
+        name: instance.name,
+    }
+}
+
+fn backend(replica: list::Replica) -> Backend {
+    Backend {
+        replica: Replica::new(&replica.name),
+        zone: Zone::new(&replica.data_centre),
+        pool: Pool::new(&replica.service),
+        role: role(replica.role),
+        slots: replica.slots,
+        fences: replica.fences,
+        leaving: replica.state == State::Leaving,
+        name: replica.name,
+    }
+}
+
+const fn role(role: list::Role) -> Role {
+    match role {
+        list::Role::Prefill => Role::Prefill,
+        list::Role::Decode => Role::Decode,
+        list::Role::Plain => Role::Plain,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/platform/mod.rs
@@ -0,0 +1,93 @@
+//! The platform's service: queries of the core, the list, and the history of edits.
+
+mod commit;
+mod error;
+mod history;
+mod list;
+mod outcomes;
+mod read;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ident::Incarnation;
+use node::action::Ask;
+use node::event::Event;
+use node::event::Stored;
+use node::ids::Query;
+use store::Client;
+
+use crate::config::Config;
+use crate::driver::inbox::Inbox;
+use crate::platform::error::Error;
+use crate::platform::outcomes::Written;
+
+pub use history::history;
+pub use list::watch;
+
+/// A call to the platform is given up after this time.
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A client of the platform at the address of `config`.
+pub fn client(config: &Config) -> Client {
+    Client::new(config.platform, TIMEOUT)
+}
+
+/// Carries out queries of the core, each in a task of its own.
+#[derive(Debug)]
+pub struct Platform {
+    client: Client,
+    inbox: Inbox,
+    written: Arc<Written>,
+}
+
+impl Platform {
+    /// Answers of `client` go to `inbox`; outcomes are kept for `window`.
+    pub fn new(client: Client, inbox: Inbox, window: Duration) -> Self {
+        Self {
+            client,
+            inbox,
+            written: Arc::new(Written::new(window)),
+        }
+    }
+
+    /// Carries out `ask`; `Event::Stored` follows.
+    pub fn query(&self, query: Query, ask: Ask) {
+        let client = self.client.clone();
+        let inbox = self.inbox.clone();
+        let written = Arc::clone(&self.written);
+        tokio::spawn(async move {
+            let outcome = carry_out(&client, &written, ask).await;
+            inbox.event(Event::Stored { query, outcome }).await;
+        });
+    }
+}
+
+async fn carry_out(client: &Client, written: &Written, ask: Ask) -> Stored {
+    let outcome = match ask {
+        Ask::Generation => read::generation(client).await,
+        Ask::Table => read::table(client).await,
+        Ask::Commit(edit) => commit::commit(client, &edit).await,
+        Ask::Record {
+            incarnation,
+            sequence,
+            outcomes,
+        } => {
+            written
+                .record(client, incarnation, sequence, &outcomes)
+                .await
+        }
+        Ask::Outcome { incarnation, key } => outcomes::find(client, incarnation, &key).await,
+    };
+    outcome.unwrap_or_else(|error| Stored::Failed {
+        maybe: error.is_uncertain(),
+        cause: error.to_string(),
+    })
+}
+
+/// The prefix of the recorded outcomes of `incarnation`.
+fn outcome_prefix(incarnation: Incarnation) -> String {
+    format!("outcome/{incarnation}/")
+}
+
+type Outcome = Result<Stored, Error>;
