--- a/crates/engine/src/call.rs
+++ b/crates/engine/src/call.rs
@@ -2,7 +2,24 @@
 
 use bytes::Bytes;
 use http::HeaderMap;
+use http::HeaderName;
 use http::Method;
+use http::header;
+
+/// Headers that concern one connection.
+const HOP_BY_HOP: [HeaderName; 11] = [
+    header::CONNECTION,
+    header::CONTENT_LENGTH,
+    header::EXPECT,
+    header::HOST,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    HeaderName::from_static("keep-alive"),
+];
 
 /// A call, sent exactly as many times as it is handed to the client.
 #[derive(Debug, Clone)]
@@ -53,3 +70,11 @@
     /// Body.
     pub body: Bytes,
 }
+
+/// The headers that are passed on to the next connection.
+pub(crate) fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
+    for name in &HOP_BY_HOP {
+        headers.remove(name);
+    }
+    headers
+}
--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::HeaderName;
 use http::Method;
 use http::header;
 use http_body_util::BodyExt;
@@ -37,21 +36,6 @@
 /// Largest body of an answer.
 const BODY: usize = 16 << 20;
 
-/// Headers that concern one connection and are not passed on.
-const HOP_BY_HOP: [HeaderName; 11] = [
-    header::CONNECTION,
-    header::CONTENT_LENGTH,
-    header::EXPECT,
-    header::HOST,
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-    HeaderName::from_static("keep-alive"),
-];
-
 /// A client of any number of engines and applications; clones share its kept connections.
 ///
 /// What starts work (`prefill`, `decode`, `attach`, `call`) takes a fresh connection each time;
@@ -229,10 +213,7 @@
                 });
             }
         };
-        *sent.headers_mut() = request.headers;
-        for name in &HOP_BY_HOP {
-            sent.headers_mut().remove(name);
-        }
+        *sent.headers_mut() = call::end_to_end(request.headers);
         let answer = direct::send(step, peer, self.limits, sent).await?;
         let status = answer.head.status.as_u16();
         let headers = answer.head.headers.clone();
--- a/crates/fake/src/engine/decode.rs
+++ b/crates/fake/src/engine/decode.rs
@@ -124,7 +124,7 @@
     }
 
     /// Pulls the KV cache from its source and joins the batch, or gives the slot up.
-    async fn pull(&self, request: &message::Decode, opened: Opened) {
+    async fn pull(self: &Arc<Self>, request: &message::Decode, opened: Opened) {
         let handle = request.claim.handle;
         let body = match self.open(handle, request.source).await {
             Ok(body) => body,
@@ -136,7 +136,10 @@
         };
         let _caller_gone = opened.send(Ok(()));
         match receive(body).await {
-            Some(cargo) => self.join_batch(handle, &cargo, request.max_tokens),
+            Some(cargo) => {
+                tokio::spawn(Arc::clone(self).confirm(handle, request.source));
+                self.join_batch(handle, &cargo, request.max_tokens);
+            }
             None => {
                 self.inner().remove(handle, Reason::Lost);
             }
@@ -158,6 +161,13 @@
         }
     }
 
+    /// Tells the source that the KV cache has arrived.
+    async fn confirm(self: Arc<Self>, handle: Handle, source: SocketAddr) {
+        let uri = format!("http://{source}/v1/kv/{handle}");
+        // Without the confirmation, the source frees the KV cache a little later by itself.
+        let _answer = self.client.delete(uri).send().await;
+    }
+
     fn join_batch(&self, handle: Handle, cargo: &Cargo, max_tokens: usize) {
         let mut inner = self.inner();
         let Some(work) = inner.works.get_mut(&handle) else {
--- a/crates/fake/src/engine/export.rs
+++ b/crates/fake/src/engine/export.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use http::StatusCode;
 use ident::Handle;
 use tokio::sync::mpsc;
 use volo_http::response::Response;
@@ -21,6 +22,8 @@
 const CHUNKS: usize = 16;
 /// Longest time that an export may take.
 const LIMIT: Duration = Duration::from_secs(10);
+/// How long a KV cache that was sent waits for the reader's confirmation.
+const CONFIRMATION: Duration = Duration::from_millis(500);
 
 impl Engine {
     /// Answers `GET /v1/kv/{handle}`.
@@ -49,12 +52,27 @@
         })
     }
 
+    /// Answers `DELETE /v1/kv/{handle}`: the reader has got the KV cache.
+    pub(super) fn release(&self, handle: Handle) -> Response {
+        let mut inner = self.inner();
+        let exported = inner.works.get(&handle).is_some_and(|work| work.exporting);
+        if !exported {
+            return web::status(StatusCode::NOT_FOUND);
+        }
+        if let Some(work) = inner.works.remove(&handle) {
+            work.end(Reason::Stop);
+        }
+        web::status(StatusCode::OK)
+    }
+
     async fn send(self: Arc<Self>, handle: Handle, cargo: Cargo, out: mpsc::Sender<Bytes>) {
         let sent = tokio::time::timeout(LIMIT, self.send_chunks(&cargo, &out)).await;
-        match sent {
-            Ok(Some(())) => self.release(handle),
-            Ok(None) | Err(_) => self.abort_export(handle),
+        drop(out);
+        if let Ok(Some(())) = sent {
+            // Bytes that were sent may hang on the way; only the reader knows that they arrived.
+            tokio::time::sleep(CONFIRMATION).await;
         }
+        self.end_export(handle);
     }
 
     /// Sends head and chunks; `None` if the reader went away.
@@ -79,16 +97,8 @@
         Some(())
     }
 
-    /// Frees a KV cache that has been exported.
-    fn release(&self, handle: Handle) {
-        let mut inner = self.inner();
-        if let Some(work) = inner.works.remove(&handle) {
-            work.end(Reason::Stop);
-        }
-        inner.note_load();
-    }
-
-    fn abort_export(&self, handle: Handle) {
+    /// Ends an export that was not confirmed.
+    fn end_export(&self, handle: Handle) {
         let overdue = {
             let mut inner = self.inner();
             let Some(work) = inner.works.get_mut(&handle) else {
--- a/crates/fake/src/engine/inner.rs
+++ b/crates/fake/src/engine/inner.rs
@@ -61,6 +61,8 @@
     pub(super) loads: Loads,
     pub(super) record: Record,
     pub(super) mode: Mode,
+    /// Number of the fault that is set.
+    pub(super) fault: u64,
     count: u64,
 }
 
@@ -76,6 +78,7 @@
             loads: Loads::default(),
             record: Record::default(),
             mode: Mode::Ok,
+            fault: 0,
             count: 0,
         }
     }
--- a/crates/fake/src/engine/mod.rs
+++ b/crates/fake/src/engine/mod.rs
@@ -110,6 +110,7 @@
             ("POST", "/v1/order", _) => self.order(&call),
             ("GET", "/v1/state", _) => self.state(call.parameter("after").parse().unwrap_or(0)),
             ("GET", _, Some(Ok(handle))) => self.export(handle),
+            ("DELETE", _, Some(Ok(handle))) => self.release(handle),
             ("GET", "/control/record", _) => self.record(),
             ("POST", "/control/fault", _) => self.set_fault(&call),
             _ => web::status(StatusCode::NOT_FOUND),
@@ -208,20 +209,29 @@
             Ok(fault) => fault,
             Err(malformed) => return malformed.response(),
         };
-        self.set_mode(fault.mode);
+        let number = self.set_mode(fault.mode);
         if fault.ms > 0 {
-            let engine = Arc::clone(self);
-            tokio::spawn(async move {
-                tokio::time::sleep(Duration::from_millis(fault.ms)).await;
-                engine.set_mode(Mode::Ok);
-            });
+            let span = Duration::from_millis(fault.ms);
+            tokio::spawn(Arc::clone(self).end_fault(number, span));
         }
         web::status(StatusCode::OK)
     }
 
-    fn set_mode(&self, mode: Mode) {
-        self.inner().mode = mode;
+    /// Sets a fault and numbers it.
+    fn set_mode(&self, mode: Mode) -> u64 {
+        let mut inner = self.inner();
+        inner.mode = mode;
+        inner.fault += 1;
         self.fault.send_replace(mode);
+        inner.fault
+    }
+
+    /// Ends fault `number` after `span`, unless another was set since.
+    async fn end_fault(self: Arc<Self>, number: u64, span: Duration) {
+        tokio::time::sleep(span).await;
+        if self.inner().fault == number {
+            self.set_mode(Mode::Ok);
+        }
     }
 
     /// Waits while the engine has the fault `mode`.
--- /dev/null
+++ b/crates/fake/src/link/mod.rs
@@ -0,0 +1,168 @@
+//! A TCP forwarder that can be cut, held up or delayed.
+
+mod forward;
+mod route;
+
+use std::collections::HashMap;
+use std::io;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use http::StatusCode;
+use serde::Deserialize;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use volo_http::response::Response;
+
+use self::forward::Mode;
+use self::forward::State;
+use self::forward::forward;
+pub use self::route::ParseError;
+pub use self::route::Route;
+use crate::web;
+use crate::web::Call;
+
+/// Wait after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+#[derive(Debug, Deserialize)]
+struct Change {
+    port: u16,
+    mode: Mode,
+    #[serde(default)]
+    ms: u64,
+}
+
+#[derive(Debug)]
+struct Path {
+    target: SocketAddr,
+    connections: Arc<AtomicU64>,
+    state: watch::Sender<State>,
+}
+
+/// The forwarder.
+#[derive(Debug)]
+pub struct Link {
+    paths: HashMap<u16, Path>,
+}
+
+impl Link {
+    /// A forwarder of `routes`, which are open at `ip` when this returns.
+    ///
+    /// # Errors
+    ///
+    /// An error of binding.
+    pub async fn bind(ip: IpAddr, routes: &[Route]) -> io::Result<Self> {
+        let mut paths = HashMap::new();
+        for route in routes {
+            let entrance = TcpListener::bind((ip, route.port)).await?;
+            let port = entrance.local_addr()?.port();
+            let (state, _) = watch::channel(State::default());
+            let connections = Arc::new(AtomicU64::new(0));
+            tokio::spawn(accept(
+                entrance,
+                route.target,
+                state.clone(),
+                Arc::clone(&connections),
+            ));
+            paths.insert(
+                port,
+                Path {
+                    target: route.target,
+                    connections,
+                    state,
+                },
+            );
+        }
+        Ok(Self { paths })
+    }
+
+    /// Serves the control calls at `listener`.
+    ///
+    /// # Errors
+    ///
+    /// An error of the listener.
+    pub async fn serve(self, listener: TcpListener) -> io::Result<()> {
+        let link = Arc::new(self);
+        web::serve(listener, move |call| {
+            let answer = link.answer(&call);
+            async move { answer }
+        })
+        .await
+    }
+
+    fn answer(&self, call: &Call) -> Response {
+        match (call.method.as_str(), call.path.as_str()) {
+            ("GET", "/control/record") => self.record(),
+            ("POST", "/control/link") => self.change(call),
+            _ => web::status(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn record(&self) -> Response {
+        let entry = |(port, path): (&u16, &Path)| {
+            json!({
+                "port": port,
+                "target": path.target,
+                "mode": path.state.borrow().mode,
+                "connections": path.connections.load(Ordering::Relaxed),
+            })
+        };
+        let routes: Vec<_> = self.paths.iter().map(entry).collect();
+        web::ok(&json!({ "routes": routes }))
+    }
+
+    fn change(&self, call: &Call) -> Response {
+        let change: Change = match call.json() {
+            Ok(change) => change,
+            Err(malformed) => return malformed.response(),
+        };
+        let state = State {
+            mode: change.mode,
+            delay: Duration::from_millis(change.ms),
+        };
+        match self.paths.get(&change.port) {
+            Some(path) => {
+                path.state.send_replace(state);
+                web::status(StatusCode::OK)
+            }
+            None => web::status(StatusCode::NOT_FOUND),
+        }
+    }
+}
+
+async fn accept(
+    entrance: TcpListener,
+    target: SocketAddr,
+    state: watch::Sender<State>,
+    connections: Arc<AtomicU64>,
+) {
+    loop {
+        match entrance.accept().await {
+            Ok((near, _)) => {
+                connections.fetch_add(1, Ordering::Relaxed);
+                tokio::spawn(forward(near, target, state.subscribe()));
+            }
+            // Out of file descriptors, most likely: connections that end free some.
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+/// Starts a forwarder in this process and tells its control address.
+///
+/// # Errors
+///
+/// An error of binding.
+pub async fn start(routes: &[Route], listen: SocketAddr) -> io::Result<SocketAddr> {
+    let listener = web::bind(listen).await?;
+    let address = listener.local_addr()?;
+    let link = Link::bind(address.ip(), routes).await?;
+    tokio::spawn(link.serve(listener));
+    Ok(address)
+}
--- /dev/null
+++ b/crates/fake/src/platform/inner.rs
@@ -0,0 +1,102 @@
+//! The state of the platform, behind one lock.
+
+use std::collections::HashMap;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Method;
+use http::StatusCode;
+use http::header::RETRY_AFTER;
+use serde::Serialize;
+use volo_http::body::Body;
+use volo_http::response::Response;
+
+use super::Settings;
+use super::list::Lists;
+use super::rate::Rate;
+use super::rows::Rows;
+use crate::web;
+use crate::web::Call;
+
+/// Counts of what happened.
+#[derive(Debug, Clone, Copy, Default, Serialize)]
+pub(super) struct Record {
+    pub(super) reads: u64,
+    pub(super) writes: u64,
+    pub(super) transactions: u64,
+    pub(super) refused: u64,
+}
+
+/// What is asked of a rate limit.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum Kind {
+    Read,
+    Write,
+    Weight,
+}
+
+/// All that changes.
+#[derive(Debug)]
+pub(super) struct Inner {
+    pub(super) rows: Rows,
+    pub(super) stale: Option<Rows>,
+    pub(super) lists: Lists,
+    pub(super) objects: HashMap<String, Bytes>,
+    pub(super) weights: HashMap<String, Bytes>,
+    pub(super) record: Record,
+    pub(super) reads: Rate,
+    pub(super) writes: Rate,
+    pub(super) weight_calls: Rate,
+}
+
+impl Inner {
+    /// The state of a platform that has just started.
+    pub(super) fn new(settings: &Settings) -> Self {
+        Self {
+            rows: Rows::default(),
+            stale: None,
+            lists: Lists::default(),
+            objects: HashMap::new(),
+            weights: HashMap::new(),
+            record: Record::default(),
+            reads: Rate::new(settings.reads),
+            writes: Rate::new(settings.writes),
+            weight_calls: Rate::new(settings.weights),
+        }
+    }
+
+    /// Counts a call; the answer to give if it exceeds its rate.
+    pub(super) fn refuse(&mut self, kind: Kind) -> Option<Response> {
+        let taken = match kind {
+            Kind::Read => self.reads.take(),
+            Kind::Write => self.writes.take(),
+            Kind::Weight => self.weight_calls.take(),
+        };
+        match (taken, kind) {
+            (true, Kind::Write) => self.record.writes += 1,
+            (true, Kind::Read | Kind::Weight) => self.record.reads += 1,
+            (false, _) => self.record.refused += 1,
+        }
+        (!taken).then(too_many)
+    }
+}
+
+fn too_many() -> Response {
+    let mut answer = web::status(StatusCode::TOO_MANY_REQUESTS);
+    answer
+        .headers_mut()
+        .insert(RETRY_AFTER, HeaderValue::from_static("1"));
+    answer
+}
+
+/// Stores or fetches an object.
+pub(super) fn keep(objects: &mut HashMap<String, Bytes>, call: &Call, name: String) -> Response {
+    if call.method == Method::PUT {
+        objects.insert(name, call.body.clone());
+        return web::status(StatusCode::OK);
+    }
+    match objects.get(&name) {
+        Some(bytes) => Response::new(Body::from(bytes.clone())),
+        None => web::status(StatusCode::NOT_FOUND),
+    }
+}
--- a/crates/fake/src/platform/mod.rs
+++ b/crates/fake/src/platform/mod.rs
@@ -1,34 +1,29 @@
 //! The platform: transactional rows, lists, objects and weights, with faults.
 
 mod fault;
+mod inner;
 mod list;
 mod rate;
 mod rows;
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::HeaderValue;
 use http::Method;
 use http::StatusCode;
-use http::header::RETRY_AFTER;
-use serde::Serialize;
 use serde_json::json;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use volo_http::body::Body;
 use volo_http::response::Response;
 
 use self::fault::Fault;
 use self::fault::Mode;
-use self::list::Lists;
-use self::rate::Rate;
-use self::rows::Rows;
+use self::inner::Inner;
+use self::inner::Kind;
+use self::inner::keep;
 use self::rows::Txn;
 use crate::web;
 use crate::web::Call;
@@ -57,36 +52,6 @@
     }
 }
 
-/// Counts of what happened.
-#[derive(Debug, Clone, Copy, Default, Serialize)]
-struct Record {
-    reads: u64,
-    writes: u64,
-    transactions: u64,
-    refused: u64,
-}
-
-/// What is asked of a rate limit.
-#[derive(Debug, Clone, Copy)]
-enum Kind {
-    Read,
-    Write,
-    Weight,
-}
-
-#[derive(Debug)]
-struct Inner {
-    rows: Rows,
-    stale: Option<Rows>,
-    lists: Lists,
-    objects: HashMap<String, Bytes>,
-    weights: HashMap<String, Bytes>,
-    record: Record,
-    reads: Rate,
-    writes: Rate,
-    weight_calls: Rate,
-}
-
 /// The platform.
 #[derive(Debug)]
 pub struct Platform {
@@ -98,21 +63,10 @@
 impl Platform {
     /// A platform with `settings`.
     pub fn new(settings: &Settings) -> Self {
-        let inner = Inner {
-            rows: Rows::default(),
-            stale: None,
-            lists: Lists::default(),
-            objects: HashMap::new(),
-            weights: HashMap::new(),
-            record: Record::default(),
-            reads: Rate::new(settings.reads),
-            writes: Rate::new(settings.writes),
-            weight_calls: Rate::new(settings.weights),
-        };
         let (fault, _) = watch::channel(Fault::default());
         Self {
             latency: settings.latency,
-            inner: Mutex::new(inner),
+            inner: Mutex::new(Inner::new(settings)),
             fault,
         }
     }
@@ -275,43 +229,6 @@
     }
 }
 
-impl Inner {
-    /// Counts a call; the answer to give if it exceeds its rate.
-    fn refuse(&mut self, kind: Kind) -> Option<Response> {
-        let taken = match kind {
-            Kind::Read => self.reads.take(),
-            Kind::Write => self.writes.take(),
-            Kind::Weight => self.weight_calls.take(),
-        };
-        match (taken, kind) {
-            (true, Kind::Write) => self.record.writes += 1,
-            (true, Kind::Read | Kind::Weight) => self.record.reads += 1,
-            (false, _) => self.record.refused += 1,
-        }
-        (!taken).then(too_many)
-    }
-}
-
-fn too_many() -> Response {
-    let mut answer = web::status(StatusCode::TOO_MANY_REQUESTS);
-    answer
-        .headers_mut()
-        .insert(RETRY_AFTER, HeaderValue::from_static("1"));
-    answer
-}
-
-/// Stores or fetches an object.
-fn keep(objects: &mut HashMap<String, Bytes>, call: &Call, name: String) -> Response {
-    if call.method == Method::PUT {
-        objects.insert(name, call.body.clone());
-        return web::status(StatusCode::OK);
-    }
-    match objects.get(&name) {
-        Some(bytes) => Response::new(Body::from(bytes.clone())),
-        None => web::status(StatusCode::NOT_FOUND),
-    }
-}
-
 /// Starts a platform in this process and tells its address.
 ///
 /// # Errors
--- a/crates/fake/src/text.rs
+++ b/crates/fake/src/text.rs
@@ -12,21 +12,19 @@
 ///
 /// Its length lies between half of `max_tokens` and `max_tokens`.
 pub fn expected(prompt: &str, max_tokens: usize) -> Vec<String> {
-    (0..length(prompt, max_tokens))
-        .map(|index| token(prompt, index))
+    let seed = rapidhash_v3(prompt.as_bytes());
+    (0..length(seed, max_tokens))
+        .map(|index| token(seed, index))
         .collect()
 }
 
-/// The number of tokens of the answer to `prompt`.
-pub fn length(prompt: &str, max_tokens: usize) -> usize {
+fn length(seed: u64, max_tokens: usize) -> usize {
     let least = max_tokens / 2;
     let choices = (max_tokens - least + 1) as u64;
-    least + (rapidhash_v3(prompt.as_bytes()) % choices) as usize
+    least + (seed % choices) as usize
 }
 
-/// Token `index` of the answer to `prompt`.
-fn token(prompt: &str, index: usize) -> String {
-    let seed = rapidhash_v3(prompt.as_bytes());
+fn token(seed: u64, index: usize) -> String {
     let word = rapidhash_v3(format!("{seed:x}/{index}").as_bytes()) % WORDS;
     format!(" w{word}")
 }
--- a/crates/fake/tests/engine.rs
+++ b/crates/fake/tests/engine.rs
@@ -1,96 +1,33 @@
-//! The stand-in for a model engine.
+//! Decodes and streams of the stand-in for a model engine.
+
+mod common;
 
-use std::net::IpAddr;
-use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
-use engine::Claim;
 use engine::Client;
 use engine::Error;
-use engine::Stream;
 use engine::attach;
-use engine::decode;
-use engine::order;
 use engine::prefill;
-use engine::state;
 use engine::stream::Event;
 use engine::stream::Reason;
 use fake::control;
 use fake::engine::Role;
 use fake::engine::Settings;
-use fake::text;
-use ident::Handle;
-use ident::Incarnation;
+use fake::link;
+use fake::link::Route;
 use rstest::rstest;
 use serde_json::json;
 
-const ANY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
-const OWNER: Incarnation = Incarnation(7);
-const PROMPT: &str = "reorder for the sow unit at Vinkovci";
-const MAX_TOKENS: u32 = 40;
-
-fn settings(role: Role) -> Settings {
-    Settings {
-        role,
-        prefill_fixed: Duration::from_millis(5),
-        decode_base: Duration::from_millis(2),
-        decode_each: Duration::from_micros(100),
-        event_gap: 0.0,
-        event_lag: Duration::from_millis(50),
-        ..Settings::default()
-    }
-}
-
-async fn start(role: Role) -> SocketAddr {
-    fake::engine::start(settings(role), ANY).await.unwrap()
-}
-
-fn claim(sequence: u64, fence: u64) -> Claim {
-    Claim::new(Handle::new(OWNER, sequence), OWNER, fence)
-}
-
-fn prefill(claim: Claim) -> prefill::Request {
-    prefill::Request {
-        claim,
-        prompt: PROMPT.to_owned(),
-        generated: Vec::new(),
-        prompt_tokens: 400,
-        max_tokens: MAX_TOKENS,
-        priority: 0,
-        blocks: (1..=10).collect(),
-    }
-}
-
-fn decode(claim: Claim, source: SocketAddr, offset: u32) -> decode::Request {
-    decode::Request {
-        claim,
-        source,
-        max_tokens: MAX_TOKENS,
-        priority: 0,
-        offset,
-    }
-}
-
-/// Reads a stream to its end: its tokens, checked to be in order from `offset` on.
-async fn read(stream: &mut Stream, offset: u32) -> (Vec<String>, Event) {
-    let mut tokens = Vec::new();
-    loop {
-        match stream.next().await.unwrap().unwrap() {
-            Event::Imported => {}
-            Event::Tokens { offset: at, text } => {
-                assert_eq!(at, offset + tokens.len() as u32);
-                tokens.push(text);
-            }
-            last => return (tokens, last),
-        }
-    }
-}
-
-fn whole() -> Vec<String> {
-    text::expected(PROMPT, MAX_TOKENS as usize)
-}
+use common::ANY;
+use common::claim;
+use common::decode;
+use common::prefill;
+use common::read;
+use common::settings;
+use common::start;
+use common::whole;
 
 #[rstest]
 #[tokio::test]
@@ -140,32 +77,6 @@
     assert_eq!(tokens, whole()[9..]);
 }
 
-#[rstest]
-#[tokio::test]
-async fn a_result_is_wasted_after_its_time_and_shortens_the_next_prefill() {
-    let (source, target) = (start(Role::Prefill).await, start(Role::Decode).await);
-    let client = Client::new();
-    client.prefill(source, &prefill(claim(3, 1))).await.unwrap();
-    tokio::time::sleep(Duration::from_millis(900)).await;
-    let gone = client.decode(target, &decode(claim(3, 1), source, 0)).await;
-    assert!(
-        matches!(gone, Err(Error::Refused { status: 410, .. })),
-        "{gone:?}"
-    );
-    let record = control::record(source).await.unwrap();
-    assert_eq!(
-        (&record["prefills_wasted"], &record["held"]),
-        (&json!(1), &json!([]))
-    );
-    assert_eq!(control::record(target).await.unwrap()["held"], json!([]));
-
-    let again = client.prefill(source, &prefill(claim(4, 1))).await.unwrap();
-    assert_eq!((again.computed, again.cached), (0, 400));
-    let state = client.state(source, 0).await.unwrap();
-    assert_eq!((state.events.len(), state.last_seq), (10, 10));
-    assert_eq!(state.works[0].phase, state::Phase::Kept);
-}
-
 #[rstest]
 #[tokio::test]
 async fn a_decode_goes_on_without_a_reader_and_a_new_one_supersedes() {
@@ -222,137 +133,68 @@
 }
 
 #[rstest]
-#[case::enforced(true)]
-#[case::ignored(false)]
 #[tokio::test]
-async fn a_lower_fence_is_refused_only_by_an_engine_with_fences(#[case] fences: bool) {
+async fn time_between_tokens_grows_with_the_batch() {
+    const BATCH: u64 = 20;
+    let each = Duration::from_millis(1);
     let settings = Settings {
-        fences,
-        ..settings(Role::Prefill)
+        decode_each: each,
+        ..settings(Role::Decode)
     };
-    let peer = fake::engine::start(settings, ANY).await.unwrap();
+    let target = fake::engine::start(settings, ANY).await.unwrap();
+    let source = start(Role::Prefill).await;
     let client = Client::new();
-    client.prefill(peer, &prefill(claim(8, 5))).await.unwrap();
-    let stale = client.cancel(peer, &claim(8, 4)).await;
-    let order = |fence| order::Request {
-        fence,
-        ..order::Request::default()
-    };
-    client.order(peer, &order(9)).await.unwrap();
-    let old = client.order(peer, &order(8)).await;
-    if fences {
-        assert_eq!(stale.unwrap_err().fence(), Some(5));
-        assert_eq!(old.unwrap_err().fence(), Some(9));
-    } else {
-        assert!(stale.unwrap().released);
-        old.unwrap();
+    let mut spans = Vec::new();
+    for sequences in [100..101, 101..101 + BATCH] {
+        let mut streams = Vec::new();
+        for sequence in sequences {
+            client
+                .prefill(source, &prefill(claim(sequence, 1)))
+                .await
+                .unwrap();
+            let request = decode(claim(sequence, 1), source, 0);
+            streams.push(client.decode(target, &request).await.unwrap());
+        }
+        let last = streams.last_mut().unwrap();
+        assert_eq!(last.next().await.unwrap().unwrap(), Event::Imported);
+        let begin = Instant::now();
+        read(last, 0).await;
+        spans.push(begin.elapsed());
     }
+    assert!(spans[1] > spans[0] * 2, "{spans:?}");
 }
 
 #[rstest]
 #[tokio::test]
-async fn a_full_engine_refuses_and_a_role_can_be_changed() {
+async fn a_decode_whose_caller_left_before_its_answer_can_be_read_later() {
     let (source, target) = (start(Role::Prefill).await, start(Role::Decode).await);
-    let client = Client::new();
-    let role = Some(state::Role::Decode);
-    let wrong = client.prefill(target, &prefill(claim(9, 1))).await;
-    assert!(
-        matches!(wrong, Err(Error::Refused { status: 421, .. })),
-        "{wrong:?}"
-    );
-    let small = Settings {
-        slots: 1,
-        ..settings(Role::Prefill)
+    let routes = [Route {
+        port: 0,
+        target: source,
+    }];
+    let link = link::start(&routes, ANY).await.unwrap();
+    let record = control::record(link).await.unwrap();
+    let port = record["routes"][0]["port"].as_u64().unwrap() as u16;
+    let mode = |mode: &str| {
+        let body = json!({ "port": port, "mode": mode });
+        async move { control::post(link, "/control/link", &body).await.unwrap() }
     };
-    let small = fake::engine::start(small, ANY).await.unwrap();
-    let request = order::Request {
-        fence: 1,
-        role,
-        ..order::Request::default()
-    };
-    assert_eq!(
-        client.order(small, &request).await.unwrap().role,
-        state::Role::Decode
-    );
-    for sequence in [10, 11] {
-        client
-            .prefill(source, &prefill(claim(sequence, 1)))
-            .await
-            .unwrap();
-    }
-    let _held = client
-        .decode(small, &decode(claim(10, 1), source, 0))
-        .await
-        .unwrap();
-    let full = client.decode(small, &decode(claim(11, 1), source, 0)).await;
-    assert!(
-        matches!(full, Err(Error::Refused { status: 429, .. })),
-        "{full:?}"
-    );
-}
-
-#[rstest]
-#[tokio::test]
-async fn a_stalled_transfer_holds_and_a_cancel_ends_it() {
-    let (source, target) = (start(Role::Prefill).await, start(Role::Decode).await);
-    let client = Client::new();
-    let stall = json!({ "mode": "stall_transfer" });
-    control::post(source, "/control/fault", &stall)
-        .await
-        .unwrap();
+    let client = Client::new().with_work_timeout(Duration::from_millis(150));
     client
-        .prefill(source, &prefill(claim(12, 1)))
+        .prefill(source, &prefill(claim(40, 1)))
         .await
         .unwrap();
-    let _stream = client
-        .decode(target, &decode(claim(12, 1), source, 0))
-        .await
-        .unwrap();
-    let state = client.state(target, 0).await.unwrap();
-    assert_eq!(state.works[0].phase, state::Phase::Import);
-    client.cancel(target, &claim(12, 1)).await.unwrap();
-    tokio::time::sleep(Duration::from_secs(1)).await;
-    for peer in [source, target] {
-        assert_eq!(control::record(peer).await.unwrap()["held"], json!([]));
-    }
-}
-
-#[rstest]
-#[tokio::test]
-async fn prefills_run_one_at_a_time_by_priority_and_load_lags() {
-    let slow = Settings {
-        prefill_fixed: Duration::from_millis(100),
-        ..settings(Role::Prefill)
-    };
-    let peer = fake::engine::start(slow, ANY).await.unwrap();
-    let client = Client::new();
-    let begin = Instant::now();
-    let run = |sequence, priority, wait| {
-        let client = client.clone();
-        let request = prefill::Request {
-            priority,
-            blocks: vec![],
-            ..prefill(claim(sequence, 1))
-        };
-        async move {
-            tokio::time::sleep(Duration::from_millis(wait)).await;
-            client.prefill(peer, &request).await.unwrap();
-            begin.elapsed()
-        }
-    };
-    let report = async {
-        tokio::time::sleep(Duration::from_millis(60)).await;
-        let early = client.state(peer, 0).await.unwrap();
-        tokio::time::sleep(Duration::from_millis(300)).await;
-        (early, client.state(peer, 0).await.unwrap())
+    mode("hang").await;
+    let entrance = SocketAddr::new(link.ip(), port);
+    let lost = client
+        .decode(target, &decode(claim(40, 1), entrance, 0))
+        .await;
+    assert!(matches!(lost, Err(Error::Lost { .. })), "{lost:?}");
+    mode("pass").await;
+    let request = attach::Request {
+        claim: claim(40, 2),
+        offset: 0,
     };
-    let (first, low, high, (early, late)) =
-        tokio::join!(run(20, 0, 0), run(21, 9, 20), run(22, 1, 40), report);
-    assert!(first < high && high < low, "{first:?} {high:?} {low:?}");
-    assert!(low >= Duration::from_millis(300), "{low:?}");
-    assert_eq!((early.running, early.waiting, early.works.len()), (0, 0, 3));
-    assert_eq!(
-        (late.running, late.waiting, late.queued_tokens),
-        (1, 2, 1_200)
-    );
+    let mut stream = client.attach(target, &request).await.unwrap();
+    assert_eq!(read(&mut stream, 0).await.0, whole());
 }
