--- a/crates/entry/src/admin/auth.rs
+++ b/crates/entry/src/admin/auth.rs
@@ -14,34 +14,27 @@
 const OPERATOR: &str = "waxwing-operator";
 const SCHEME: &str = "Bearer ";
 
-/// A call without a known operator's token.
-#[derive(Debug)]
-pub(super) struct Denial;
-
-impl Denial {
-    /// The response, which does not tell whether the name or the token is wrong.
-    pub(super) fn into_response(self) -> Response<Body> {
-        let cause = "unknown operator or wrong token; send `Waxwing-Operator: NAME` and \
-                     `Authorization: Bearer TOKEN` as in the settings";
-        answer::error(StatusCode::UNAUTHORIZED, cause)
-    }
+/// The response to a call without a known operator's token. It does not tell whether the name or
+/// the token is wrong.
+pub(super) fn denial() -> Response<Body> {
+    let cause = "unknown operator or wrong token; send `Waxwing-Operator: NAME` and \
+                 `Authorization: Bearer TOKEN` as in the settings";
+    answer::error(StatusCode::UNAUTHORIZED, cause)
 }
 
-/// The operator that the headers prove.
+/// The operator that the headers prove, if they do.
 pub(super) fn operator(
     operators: &BTreeMap<String, String>,
     headers: &HeaderMap,
-) -> Result<String, Denial> {
+) -> Option<String> {
     let name = text(headers, OPERATOR).unwrap_or_default();
     let token = text(headers, header::AUTHORIZATION.as_str())
         .and_then(|value| value.strip_prefix(SCHEME))
         .unwrap_or_default();
     // A token is compared for unknown names too, so that the time taken does not show them.
     let expected = operators.get(name).map_or("", String::as_str);
-    match equal(token.as_bytes(), expected.as_bytes()) {
-        true if !expected.is_empty() => Ok(name.to_owned()),
-        _ => Err(Denial),
-    }
+    let proven = equal(token.as_bytes(), expected.as_bytes());
+    (proven && !expected.is_empty()).then(|| name.to_owned())
 }
 
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
--- a/crates/entry/src/admin/mod.rs
+++ b/crates/entry/src/admin/mod.rs
@@ -70,9 +70,9 @@
     let path = request.uri().path().to_owned();
     let open = path == "/health" || path == "/metrics";
     let operator = match auth::operator(&shared.operators, request.headers()) {
-        Ok(operator) => operator,
-        Err(_) if open => String::new(),
-        Err(denial) => return denial.into_response(),
+        Some(operator) => operator,
+        None if open => String::new(),
+        None => return auth::denial(),
     };
     let query = request.uri().query().unwrap_or_default().to_owned();
     match (&method, path.as_str()) {
--- a/crates/entry/src/backends/run.rs
+++ b/crates/entry/src/backends/run.rs
@@ -44,7 +44,10 @@
 ) -> Result<Reply, Failure> {
     match request {
         Request::Prefill(request) => {
-            let reply = client.prefill(peer, &request).await.map_err(failure)?;
+            let reply = client
+                .prefill(peer, &request)
+                .await
+                .map_err(|error| failure(&error))?;
             Ok(Reply::Prefilled {
                 computed: reply.computed,
                 cached: reply.cached,
@@ -52,19 +55,31 @@
             })
         }
         Request::Decode(request) => {
-            let stream = client.decode(peer, &request).await.map_err(failure)?;
+            let stream = client
+                .decode(peer, &request)
+                .await
+                .map_err(|error| failure(&error))?;
             read(stream, inbox, order).await
         }
         Request::Attach(request) => {
-            let stream = client.attach(peer, &request).await.map_err(failure)?;
+            let stream = client
+                .attach(peer, &request)
+                .await
+                .map_err(|error| failure(&error))?;
             read(stream, inbox, order).await
         }
         Request::Cancel(claim) => {
-            client.cancel(peer, &claim).await.map_err(failure)?;
+            client
+                .cancel(peer, &claim)
+                .await
+                .map_err(|error| failure(&error))?;
             Ok(Reply::Cancelled)
         }
         Request::Plain(request) => {
-            let reply = client.call(peer, request).await.map_err(failure)?;
+            let reply = client
+                .call(peer, request)
+                .await
+                .map_err(|error| failure(&error))?;
             Ok(Reply::Plain {
                 status: reply.status,
                 body: reply.body,
@@ -75,7 +90,7 @@
 
 async fn read(mut stream: Stream, inbox: &Inbox, order: Order) -> Result<Reply, Failure> {
     while let Some(event) = stream.next().await {
-        let piece = piece(event.map_err(failure)?)?;
+        let piece = piece(event.map_err(|error| failure(&error))?)?;
         inbox.event(Event::Streamed { order, piece }).await;
     }
     Ok(Reply::StreamEnded)
@@ -112,13 +127,13 @@
     }
 }
 
-fn failure(error: Error) -> Failure {
+fn failure(error: &Error) -> Failure {
     log::info!(step = "order"; "{error}");
     match error {
         Error::NotSent { .. } => Failure::NotSent,
         Error::Lost { .. } | Error::Malformed { .. } => Failure::Lost,
         Error::Refused { status, .. } => Failure::Refused {
-            status,
+            status: *status,
             fence: error.fence(),
         },
     }
--- a/crates/entry/src/callers/answer.rs
+++ b/crates/entry/src/callers/answer.rs
@@ -137,11 +137,11 @@
 const fn status(outcome: Outcome, reason: Reason) -> StatusCode {
     match (outcome, reason) {
         (Outcome::Unknown, _) => StatusCode::GATEWAY_TIMEOUT,
-        (Outcome::Failed, Reason::StreamLost | Reason::AnswerGone) => StatusCode::GONE,
+        (Outcome::Failed, Reason::StreamLost | Reason::AnswerGone)
+        | (Outcome::NotRun, Reason::KeyExpired) => StatusCode::GONE,
         (Outcome::Failed, _) => StatusCode::BAD_GATEWAY,
         (Outcome::NotRun, Reason::Invalid | Reason::BadToken) => StatusCode::BAD_REQUEST,
         (Outcome::NotRun, Reason::NoRow) => StatusCode::NOT_FOUND,
-        (Outcome::NotRun, Reason::KeyExpired) => StatusCode::GONE,
         (Outcome::NotRun, Reason::OtherRunner) => StatusCode::MISDIRECTED_REQUEST,
         (Outcome::NotRun, Reason::KeyNeeded) => StatusCode::PRECONDITION_REQUIRED,
         (Outcome::NotRun, Reason::Ceiling | Reason::RetryBudget | Reason::Full) => {
--- a/crates/entry/src/callers/prompt.rs
+++ b/crates/entry/src/callers/prompt.rs
@@ -7,7 +7,7 @@
 use rapidhash::v3::rapidhash_v3;
 
 /// Words in a block.
-const BLOCK: usize = 64;
+const BLOCK: u32 = 64;
 /// Blocks that are hashed at most; a longer common prefix gains nothing more.
 const MAX_BLOCKS: usize = 64;
 
@@ -22,7 +22,7 @@
 
 /// Measures `prompt`.
 pub(super) fn measure(prompt: &str) -> Measure {
-    let mut tokens = 0;
+    let mut tokens: u32 = 0;
     let mut blocks = Vec::new();
     let mut block = Vec::new();
     for word in prompt.split_whitespace() {
@@ -32,7 +32,7 @@
         }
         block.extend_from_slice(word.as_bytes());
         block.push(b' ');
-        if tokens as usize % BLOCK == 0 {
+        if tokens.is_multiple_of(BLOCK) {
             let hash = rapidhash_v3(&block);
             blocks.push(hash);
             // The next block begins with the hash of everything before it.
--- a/crates/entry/src/callers/request.rs
+++ b/crates/entry/src/callers/request.rs
@@ -52,7 +52,7 @@
         blocks: measure.blocks,
     };
     let request = request_with(&parts.headers, completion.model, work)?;
-    let content = Content::Prompt(completion.prompt);
+    let content = Box::new(Content::Prompt(completion.prompt));
     Ok(Wish::Request {
         request,
         content,
@@ -83,13 +83,13 @@
         format!("/{path}")
     };
     let (bytes, grant) = body::read(shared, &parts.headers, body).await?;
-    let content = Content::Plain(Plain {
+    let content = Box::new(Content::Plain(Plain {
         method: parts.method,
         path,
         headers: passed_on(&parts.headers),
         key: request.key.clone(),
         body: bytes,
-    });
+    }));
     Ok(Wish::Request {
         request,
         content,
@@ -108,15 +108,19 @@
     })
 }
 
-fn request_with(headers: &HeaderMap, service: String, work: Work) -> Result<Request, Rejection> {
-    Ok(Request {
+fn request_with(
+    headers: &HeaderMap,
+    service: String,
+    work: Work,
+) -> Result<Box<Request>, Rejection> {
+    Ok(Box::new(Request {
         customer: field::customer(headers)?,
         class: field::class(headers)?,
         service,
         key: field::key(headers)?,
         repeatable: field::repeatable(headers)?,
         work,
-    })
+    }))
 }
 
 /// The headers that an application gets.
--- a/crates/entry/src/driver/inbox.rs
+++ b/crates/entry/src/driver/inbox.rs
@@ -29,9 +29,9 @@
     /// A request with its body.
     Request {
         /// Without the body.
-        request: Request,
+        request: Box<Request>,
         /// The body.
-        content: Content,
+        content: Box<Content>,
         /// Memory of the body.
         grant: Grant,
     },
--- a/crates/entry/src/driver/mod.rs
+++ b/crates/entry/src/driver/mod.rs
@@ -121,8 +121,11 @@
                 content,
                 grant,
             } => {
-                self.contents.insert(call, content, grant);
-                Event::Arrived { call, request }
+                self.contents.insert(call, *content, grant);
+                Event::Arrived {
+                    call,
+                    request: *request,
+                }
             }
             Wish::Resume {
                 customer,
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -11,11 +11,12 @@
 use prometheus::HistogramOpts;
 use prometheus::IntCounter;
 use prometheus::IntCounterVec;
-use prometheus::IntGauge;
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
+use prometheus::core::AtomicU64;
 use prometheus::core::Collector;
+use prometheus::core::GenericGauge;
 
 use crate::error::Error;
 
@@ -24,6 +25,8 @@
 ];
 const TOKEN_GAP_BUCKETS: [f64; 10] = [0.002, 0.005, 0.01, 0.02, 0.035, 0.05, 0.08, 0.15, 0.4, 1.0];
 
+type IntGauge = GenericGauge<AtomicU64>;
+
 /// All figures of a daemon.
 #[derive(Debug)]
 pub struct Metrics {
@@ -131,20 +134,20 @@
     }
 
     fn gauges(&self, status: &Status) {
-        self.open.set(status.open as i64);
-        self.holds.set(status.holds as i64);
-        self.keys.set(status.keys as i64);
-        self.generation.set(status.generation as i64);
-        self.fresh.set(i64::from(status.fresh));
+        self.open.set(status.open as u64);
+        self.holds.set(status.holds as u64);
+        self.keys.set(status.keys as u64);
+        self.generation.set(status.generation);
+        self.fresh.set(u64::from(status.fresh));
         self.store_age
             .set(status.store_age_ms.map_or(-1.0, |age| age as f64 / 1_000.0));
-        self.leaving.set(i64::from(status.leaving));
+        self.leaving.set(u64::from(status.leaving));
         let alive = status
             .members
             .iter()
             .filter(|member| member.state == "alive")
             .count();
-        self.members.set(alive as i64);
+        self.members.set(alive as u64);
     }
 
     fn target(&self, target: &str, met: bool) {
--- a/crates/entry/src/peers/server.rs
+++ b/crates/entry/src/peers/server.rs
@@ -120,10 +120,10 @@
                 Some(Err(cause)) => return Err(Error::http("connection")(cause)),
                 None => return Ok(()),
             },
-            Some(ended) = streams.join_next() => match ended {
-                Ok(Err(error)) => return Err(error),
-                Ok(Ok(())) | Err(_) => {}
-            },
+            Some(ended) = streams.join_next() => {
+                // A task that panicked ended its stream only.
+                ended.unwrap_or(Ok(()))?;
+            }
         }
     }
 }
--- a/crates/entry/src/peers/watchdog.rs
+++ b/crates/entry/src/peers/watchdog.rs
@@ -8,7 +8,7 @@
 
 const EVERY: Duration = Duration::from_millis(100);
 /// A gap this long counts as a pause.
-const PAUSE: Duration = Duration::from_millis(1_000);
+const PAUSE: Duration = Duration::from_secs(1);
 
 /// Starts watching; the value changes after each pause.
 pub(super) fn start() -> watch::Receiver<u64> {
