Demo: a fleet of three daemons, real requests, and a summary

Cause: the README's one command has to show the product at work.

Change: demo starts stand-ins and daemons in three data centres, applies a table, streams drafts, repeats a key, books a lorry once, drains a replica, kills a daemon in the middle of a stream and resumes elsewhere, explains a decision, sums up what the stand-ins counted, and stops the daemons. A fleet now counts as started once its daemons see each other. waxwing gains config check, by the daemon's own settings reader.

--- a/crates/ctl/src/commands/check.rs
+++ b/crates/ctl/src/commands/check.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::path::Path;
 
+use entry::config::Config;
 use serde_json::json;
 use table::file;
 use table::row::Row;
@@ -36,8 +37,23 @@
 
 /// Checks a daemon's settings file with the daemon's own reader.
 pub(super) fn settings(path: &Path, output: Output) -> Result<(), Error> {
-    let _ = (path, output);
-    Err(Error::Usage {
-        cause: "config check is not built in yet".to_owned(),
-    })
+    let config = Config::read(path).map_err(|fault| fault_of(path, fault))?;
+    output.line(&format!(
+        "{}: settings of {} in {}, no fault",
+        path.display(),
+        config.name,
+        config.data_centre
+    ));
+    output.value(&json!({ "file": path, "name": config.name }));
+    Ok(())
+}
+
+fn fault_of(path: &Path, fault: entry::error::Error) -> Error {
+    match fault {
+        entry::error::Error::Read { path, cause } => Error::Read { path, cause },
+        other => Error::File {
+            path: path.to_owned(),
+            faults: other.to_string(),
+        },
+    }
 }
--- a/crates/scenario/src/control.rs
+++ b/crates/scenario/src/control.rs
@@ -1,12 +1,19 @@
 //! Control of the stand-ins of a fleet: records, faults, links and the platform's list.
 
+use http::Method;
 use serde_json::Value;
 use serde_json::json;
+use tokio::time::Instant;
+use tokio::time::sleep;
 
 use crate::error::Error;
 use crate::fleet::Fleet;
+use crate::fleet::LOOK_EVERY;
+use crate::fleet::START_LIMIT;
 use crate::list::State;
 use crate::plan::PLATFORM;
+use crate::settings::OPERATOR;
+use crate::settings::TOKEN;
 use crate::start;
 
 impl Fleet {
@@ -98,4 +105,43 @@
             .await
             .map(drop)
     }
+
+    /// Waits until every daemon has read the table and sees all the others.
+    pub(crate) async fn settled(&self) -> Result<(), Error> {
+        let end = Instant::now() + START_LIMIT;
+        for (name, listen) in &self.daemons {
+            while !self.is_settled(&listen.admin).await {
+                if Instant::now() > end {
+                    return Err(Error::Late {
+                        step: "see the other daemons",
+                        peer: name.clone(),
+                    });
+                }
+                sleep(LOOK_EVERY).await;
+            }
+        }
+        Ok(())
+    }
+
+    async fn is_settled(&self, admin: &str) -> bool {
+        let table = self.as_operator(admin, "/v1/table").await;
+        let status = self.as_operator(admin, "/v1/status").await;
+        let members = status
+            .as_ref()
+            .and_then(|status| status["members"].as_array());
+        let alive = members.map(|members| members.iter().filter(|one| one["state"] == "alive"));
+        let others = self.daemons.len() - 1;
+        table.is_some() && alive.is_some_and(|alive| alive.count() >= others)
+    }
+
+    /// What `path` of an admin address answers the operator, if that is 200.
+    async fn as_operator(&self, admin: &str, path: &str) -> Option<Value> {
+        let request = self
+            .web
+            .request(Method::GET, admin, path)
+            .header("Authorization", format!("Bearer {TOKEN}"))
+            .header("Waxwing-Operator", OPERATOR);
+        let answer = self.web.send(request, admin).await.ok()?;
+        (answer.status == 200).then(|| answer.json())
+    }
 }
--- /dev/null
+++ b/crates/scenario/src/demo/failure.rs
@@ -0,0 +1,130 @@
+//! A replica that drains, a daemon that dies in the middle of a stream, planned stops.
+
+use std::time::Duration;
+
+use serde_json::Value;
+
+use crate::address::Addresses;
+use crate::ask::Ask;
+use crate::caller::Caller;
+use crate::demo::MODEL;
+use crate::demo::draft;
+use crate::demo::report::Report;
+use crate::demo::screen;
+use crate::error::Error;
+use crate::fleet::Fleet;
+use crate::stream::Event;
+use crate::stream::Head;
+
+/// The replica that is drained.
+const DRAINED: &str = "decode-1";
+/// Drafts sent after the mark is in force.
+const DRAFTS: u32 = 6;
+const DRAFT_TOKENS: u32 = 8;
+/// The daemon that is killed.
+const KILLED: &str = "entry-1";
+/// Length asked for in the draft that outlives its daemon.
+const LONG_TOKENS: u32 = 160;
+/// Tokens read before the daemon is killed.
+const BEFORE_KILL: u64 = 30;
+/// Longest wait for a planned stop.
+const STOP_LIMIT: Duration = Duration::from_secs(40);
+
+/// Drains a replica and shows that it gets no new work.
+pub(super) async fn drain(
+    fleet: &Fleet,
+    caller: &Caller,
+    addresses: &Addresses,
+    report: &mut Report,
+) -> Result<(), Error> {
+    screen::title("Drain: `waxwing drain replica decode-1`");
+    screen::block(&fleet.waxwing(&["drain", "replica", DRAINED]).await?);
+    let before = decodes(fleet).await?;
+    for number in 0..DRAFTS {
+        let address = &addresses.addresses[number as usize % addresses.addresses.len()];
+        let ask = Ask::new(MODEL, &format!("Ration change {number}"), DRAFT_TOKENS);
+        let rest = caller
+            .complete(&address.address, &ask)
+            .await?
+            .stream()?
+            .finish()
+            .await;
+        report.check(
+            &format!("draft through {} is answered", address.instance),
+            matches!(rest.end, Event::Done(_)),
+        );
+    }
+    let after = decodes(fleet).await?;
+    report.check("the draining replica got none of them", before == after);
+    screen::block(&fleet.waxwing(&["undrain", "replica", DRAINED]).await?);
+    Ok(())
+}
+
+async fn decodes(fleet: &Fleet) -> Result<Value, Error> {
+    Ok(fleet.record(DRAINED).await?["decodes"].clone())
+}
+
+/// Kills a daemon in the middle of a stream and reads the rest at another.
+pub(super) async fn resume(
+    fleet: &mut Fleet,
+    caller: &Caller,
+    addresses: &Addresses,
+    report: &mut Report,
+) -> Result<(), Error> {
+    screen::title("Death of a daemon in the middle of a stream");
+    let prompt = "Draft a delivery note for the co-op of Vinkovci, all farms.";
+    let ask = Ask::new(MODEL, prompt, LONG_TOKENS);
+    let killed = fleet.daemon(KILLED)?.caller.clone();
+    let mut stream = caller.complete(&killed, &ask).await?.stream()?;
+    screen::part(&format!("   {KILLED}:"));
+    let mut read = draft::read(&mut stream, BEFORE_KILL).await;
+    let (offset, head) = (stream.offset(), stream.head().cloned());
+    fleet.kill(KILLED).await?;
+    screen::part(&format!("\n   {KILLED} was killed after {offset} tokens\n"));
+    let Some(Head { resume, .. }) = head else {
+        report.check("the stream began with a resume token", false);
+        return Ok(());
+    };
+    let others = addresses
+        .addresses
+        .iter()
+        .filter(|address| address.instance != KILLED);
+    for other in others.take(1) {
+        let mut stream = caller
+            .resume(&other.address, &resume, offset)
+            .await?
+            .stream()?;
+        screen::part(&format!("   {}:", other.instance));
+        let rest = draft::read(&mut stream, u64::MAX).await;
+        screen::part("\n");
+        read.text.push_str(&rest.text);
+        read.end = rest.end;
+    }
+    let whole = draft::complete(prompt, LONG_TOKENS, &read);
+    report.check(
+        "both parts make the whole answer, no token twice or missing",
+        whole,
+    );
+    Ok(())
+}
+
+/// Stops the remaining daemons as planned.
+pub(super) async fn stop(fleet: &mut Fleet, report: &mut Report) -> Result<(), Error> {
+    screen::title("Planned stop of the remaining daemons (SIGTERM)");
+    let names: Vec<String> = fleet
+        .plan()
+        .daemons
+        .iter()
+        .map(|daemon| daemon.name.clone())
+        .collect();
+    let left: Vec<String> = names.into_iter().filter(|name| name != KILLED).collect();
+    for name in &left {
+        fleet.terminate(name)?;
+    }
+    for name in &left {
+        let ended = fleet.wait(name, STOP_LIMIT).await;
+        let graceful = ended.is_ok_and(|status| status.success());
+        report.check(&format!("{name} ended with exit code 0"), graceful);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/scenario/src/demo/mod.rs
@@ -0,0 +1,116 @@
+//! The demo: a small fleet on loopback, real requests through it, and a summary of what the
+//! stand-ins counted.
+
+mod booking;
+mod draft;
+mod failure;
+mod report;
+mod screen;
+mod summary;
+
+use crate::address::Addresses;
+use crate::caller::Caller;
+use crate::demo::report::Report;
+use crate::error::Error;
+use crate::fleet::Fleet;
+use crate::plan::Plan;
+use crate::plan::Replica;
+use crate::plan::Role;
+
+/// The table that the demo applies.
+const TABLE: &str = include_str!("table.yaml");
+/// The customer of all requests.
+const CUSTOMER: &str = "krmiva";
+/// Data centres, one daemon in each.
+const ZONES: [&str; 3] = ["osijek-a", "vinkovci-b", "dakovo-c"];
+/// The model.
+const MODEL: &str = "ration";
+/// The pool of plain applications.
+const ORDERING: &str = "ordering";
+
+/// Runs the demo; whether everything was as promised.
+///
+/// # Errors
+///
+/// What kept it from running to its end.
+pub async fn run() -> Result<bool, Error> {
+    let mut report = Report::new();
+    screen::title("Start: a platform, model engines and applications (stand-ins), three daemons");
+    let mut fleet = Fleet::start(plan()).await?;
+    list(&fleet);
+
+    screen::title("Table: `waxwing table apply`");
+    screen::block(&fleet.apply(TABLE).await?);
+    fleet.ready().await?;
+
+    let caller = Caller::new(CUSTOMER);
+    screen::title("Addresses: ask any instance which to use");
+    let addresses = addresses(&fleet, &caller).await?;
+
+    draft::run(&caller, &addresses, &mut report).await?;
+    booking::run(&caller, &addresses, &mut report).await?;
+    failure::drain(&fleet, &caller, &addresses, &mut report).await?;
+    screen::title("Explain: why was the first draft placed as it was?");
+    let explained = fleet.waxwing(&["explain", draft::FIRST]).await?;
+    screen::block(&explained);
+    report.check(
+        "a decision is explained for the first draft",
+        explained.contains(draft::FIRST),
+    );
+
+    failure::resume(&mut fleet, &caller, &addresses, &mut report).await?;
+
+    summary::run(&fleet, &mut report).await?;
+    failure::stop(&mut fleet, &mut report).await?;
+    Ok(report.finish())
+}
+
+fn plan() -> Plan {
+    let daemons = (1..).zip(ZONES);
+    let plan = daemons.fold(Plan::new(), |plan, (number, zone)| {
+        plan.with_daemon(&format!("entry-{number}"), zone)
+    });
+    (1..).zip(ZONES).fold(plan, |plan, (number, zone)| {
+        let name = |kind: &str| format!("{kind}-{number}");
+        plan.with_replica(Replica::new(&name("prefill"), zone, MODEL, Role::Prefill))
+            .with_replica(Replica::new(&name("decode"), zone, MODEL, Role::Decode))
+            .with_replica(Replica::new(&name("ordering"), zone, ORDERING, Role::Plain))
+    })
+}
+
+fn list(fleet: &Fleet) {
+    for daemon in &fleet.plan().daemons {
+        let listen = &fleet.daemons[&daemon.name];
+        screen::line(&format!(
+            "{} in {}: callers {}, admin {}",
+            daemon.name, daemon.data_centre, listen.caller, listen.admin
+        ));
+    }
+    for replica in &fleet.plan().replicas {
+        screen::line(&format!(
+            "{} in {}: {} of {}, {} slots",
+            replica.name,
+            replica.data_centre,
+            replica.role.word(),
+            replica.service,
+            replica.slots
+        ));
+    }
+}
+
+async fn addresses(fleet: &Fleet, caller: &Caller) -> Result<Addresses, Error> {
+    let asked = &fleet.daemon("entry-1")?.caller;
+    let addresses = caller.addresses(asked, Some(ZONES[0])).await?;
+    for address in &addresses.addresses {
+        screen::line(&format!(
+            "{} ({}, {}), weight {}, keys begin with {}",
+            address.address,
+            address.instance,
+            address.data_centre,
+            address.weight,
+            address.key_prefix
+        ));
+    }
+    screen::line(&format!("keep this for {} ms", addresses.ttl_ms));
+    Ok(addresses)
+}
--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -50,7 +50,7 @@
 /// Longest wait for a process to listen or to become ready.
 pub const START_LIMIT: Duration = Duration::from_secs(20);
 /// Pause between two looks at something awaited.
-const LOOK_EVERY: Duration = Duration::from_millis(20);
+pub(crate) const LOOK_EVERY: Duration = Duration::from_millis(20);
 
 /// Running daemons and stand-ins.
 #[derive(Debug)]
@@ -70,19 +70,21 @@
 }
 
 impl Fleet {
-    /// Starts all that `plan` names and waits until each process listens.
+    /// Starts all that `plan` names and waits until each daemon has read the table (the empty one)
+    /// and sees all the others.
     ///
-    /// The daemons have no table yet: [`Fleet::apply`] one, then wait for [`Fleet::ready`].
+    /// The table has no rows yet: [`Fleet::apply`] some, then wait for [`Fleet::ready`].
     ///
     /// # Errors
     ///
     /// [`Error::Missing`] if a program has not been built; [`Error::Exited`] with its last lines if
-    /// a process ends; [`Error::Late`] if one doesn't listen in time.
+    /// a process ends; [`Error::Late`] if one doesn't come up in time.
     pub async fn start(plan: Plan) -> Result<Self, Error> {
         let mut fleet = Self::with_plan(plan)?;
         fleet.start_backs().await?;
         fleet.publish().await?;
         fleet.start_daemons().await?;
+        fleet.settled().await?;
         Ok(fleet)
     }
 
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod ask;
 pub mod caller;
 mod control;
+pub mod demo;
 pub mod error;
 pub mod fleet;
 pub mod list;
--- a/crates/scenario/src/start.rs
+++ b/crates/scenario/src/start.rs
@@ -221,7 +221,7 @@
     if replica.role != Role::Plain {
         args.push(format!("--role={}", replica.role.word()));
         args.push(format!("--name={}", replica.name));
-            args.push(format!("--fences={}", replica.fences));
+        args.push(format!("--fences={}", replica.fences));
     }
     args.extend(replica.args.iter().cloned());
     args
