--- /dev/null
+++ b/crates/lab/src/engine.rs
@@ -0,0 +1,165 @@
+//! Fakes of engines and plain applications.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use ident::Time;
+use route::replica::CacheEvent;
+use route::replica::Role;
+
+use crate::workload::BLOCK;
+
+/// Prefill tokens a second.
+const PREFILL_RATE: f64 = 10_000.0;
+/// Time of a prefill besides its tokens.
+const PREFILL_BASE: Duration = Duration::from_millis(5);
+/// Time between tokens of an empty batch, in seconds.
+const TOKEN_BASE: f64 = 0.014;
+/// Time between tokens for each request in the batch, in seconds.
+const TOKEN_EACH: f64 = 0.0006;
+/// Prefills that a replica queues.
+pub const MAX_QUEUE: usize = 8;
+/// Blocks that a replica's prefix cache holds.
+const CACHE_BLOCKS: usize = 3_200;
+/// Time for which a prefill result is kept.
+pub const KEEP: Duration = Duration::from_millis(800);
+
+/// Names one attempt in a run.
+pub type Attempt = usize;
+
+/// A replica of any role.
+#[derive(Debug)]
+pub struct Engine {
+    /// Its role.
+    pub role: Role,
+    /// Index of its data centre.
+    pub zone: usize,
+    /// Counts its starts.
+    pub boot: u64,
+    /// Whether it runs.
+    pub up: bool,
+    /// Requests it runs at once.
+    pub slots: usize,
+    /// Waiting work (prefill, plain).
+    pub queue: VecDeque<Attempt>,
+    /// The running prefill with its computed and cached tokens and its start.
+    pub running: Option<(Attempt, u32, u32, Time)>,
+    /// Attempts that hold a slot (decode, plain).
+    pub held: Vec<Attempt>,
+    /// Attempts that generate, with the tokens left.
+    pub batch: Vec<(Attempt, u32)>,
+    /// Whether a decode step is under way.
+    pub stepping: bool,
+    /// Load figures as last published: running, waiting, waiting tokens.
+    pub published: (u32, u32, u64),
+    /// Cache events with the time at which they become visible.
+    pub events: VecDeque<(Time, CacheEvent)>,
+    cache: HashMap<u64, u64>,
+    ages: BTreeMap<u64, u64>,
+    clock: u64,
+    seq: u64,
+}
+
+impl Engine {
+    /// An empty replica.
+    pub fn new(role: Role, zone: usize, slots: usize) -> Self {
+        Self {
+            role,
+            zone,
+            boot: 1,
+            up: true,
+            slots,
+            queue: VecDeque::new(),
+            running: None,
+            held: Vec::new(),
+            batch: Vec::new(),
+            stepping: false,
+            published: (0, 0, 0),
+            events: VecDeque::new(),
+            cache: HashMap::new(),
+            ages: BTreeMap::new(),
+            clock: 0,
+            seq: 0,
+        }
+    }
+
+    /// Loses all memory.
+    pub fn reboot(&mut self) {
+        let boot = self.boot + 1;
+        *self = Self {
+            boot,
+            ..Self::new(self.role, self.zone, self.slots)
+        };
+    }
+
+    /// Leading blocks found in the cache, which then holds all `blocks`.
+    pub fn read_cache(&mut self, visible: Time, blocks: &[u64]) -> u32 {
+        let hit = blocks
+            .iter()
+            .take_while(|block| self.cache.contains_key(block))
+            .count();
+        for block in blocks {
+            self.touch(visible, *block);
+        }
+        hit as u32 * BLOCK
+    }
+
+    fn touch(&mut self, visible: Time, block: u64) {
+        self.clock += 1;
+        match self.cache.insert(block, self.clock) {
+            Some(old) => drop(self.ages.remove(&old)),
+            None => self.publish(visible, block, true),
+        }
+        self.ages.insert(self.clock, block);
+        if self.cache.len() <= CACHE_BLOCKS {
+            return;
+        }
+        if let Some((_, oldest)) = self.ages.pop_first() {
+            self.cache.remove(&oldest);
+            self.publish(visible, oldest, false);
+        }
+    }
+
+    fn publish(&mut self, visible: Time, block: u64, stored: bool) {
+        self.seq += 1;
+        self.events.push_back((
+            visible,
+            CacheEvent {
+                seq: self.seq,
+                block,
+                stored,
+            },
+        ));
+    }
+
+    /// Time to compute `tokens` of prompt.
+    pub fn prefill_time(tokens: u32) -> Duration {
+        PREFILL_BASE + Duration::from_secs_f64(f64::from(tokens) / PREFILL_RATE)
+    }
+
+    /// Tokens computed after `ran`.
+    pub fn tokens_after(ran: Duration) -> u32 {
+        (ran.saturating_sub(PREFILL_BASE).as_secs_f64() * PREFILL_RATE) as u32
+    }
+
+    /// Time of one decode step of the present batch.
+    pub fn step_time(&self) -> Duration {
+        Duration::from_secs_f64(TOKEN_BASE + TOKEN_EACH * self.batch.len() as f64)
+    }
+
+    /// Forgets an attempt wherever it is; false if it was not there.
+    pub fn drop_attempt(&mut self, attempt: Attempt) -> bool {
+        let before = self.queue.len() + self.held.len();
+        self.queue.retain(|other| *other != attempt);
+        self.held.retain(|other| *other != attempt);
+        self.batch.retain(|(other, _)| *other != attempt);
+        before != self.queue.len() + self.held.len()
+    }
+
+    /// Requests that hold memory.
+    pub fn works(&self) -> u32 {
+        (self.queue.len() + self.held.len() + usize::from(self.running.is_some())) as u32
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,1 +1,13 @@
 //! Measurements of the routing policy in virtual time.
+//!
+//! Small fakes of engines, links and lagging reports stand round the cells of `route`. Equal seeds
+//! give equal runs.
+
+pub mod bench;
+pub mod engine;
+pub mod figure;
+pub mod network;
+pub mod rival;
+pub mod summary;
+pub mod workload;
+pub mod world;
--- /dev/null
+++ b/crates/lab/src/network.rs
@@ -0,0 +1,78 @@
+//! Delays between data centres and transfers of KV caches over links of limited rate.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use ident::Time;
+
+/// One-way delay inside a data centre.
+const LOCAL: Duration = Duration::from_micros(150);
+/// Tokens a second whose KV cache one replica can send.
+const SEND_RATE: f64 = 40_000.0;
+/// Tokens a second whose KV cache the link between two data centres carries.
+const LINK_RATE: f64 = 30_000.0;
+/// Rate that is left on a stalled link.
+const STALLED: f64 = 0.03;
+
+/// The network of one run.
+#[derive(Debug)]
+pub struct Network {
+    far: Duration,
+    busy: HashMap<Path, Time>,
+    stalled: Option<(usize, usize)>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum Path {
+    Sender(usize),
+    Link(usize, usize),
+}
+
+impl Network {
+    /// A network with delay `far` between data centres.
+    pub fn new(far: Duration) -> Self {
+        Self {
+            far,
+            busy: HashMap::new(),
+            stalled: None,
+        }
+    }
+
+    /// One-way delay between two data centres.
+    pub fn delay(&self, a: usize, b: usize) -> Duration {
+        if a == b { LOCAL } else { self.far }
+    }
+
+    /// Stalls the link from the first to the second data centre, or heals it.
+    pub fn stall(&mut self, link: Option<(usize, usize)>) {
+        self.stalled = link;
+    }
+
+    /// When a transfer of `tokens` by replica `sender` ends.
+    pub fn transfer(
+        &mut self,
+        now: Time,
+        sender: usize,
+        zones: (usize, usize),
+        tokens: u32,
+    ) -> Time {
+        let sent = self.occupy(now, Path::Sender(sender), f64::from(tokens) / SEND_RATE);
+        if zones.0 == zones.1 {
+            return sent + LOCAL;
+        }
+        let rate = if self.stalled == Some(zones) {
+            LINK_RATE * STALLED
+        } else {
+            LINK_RATE
+        };
+        let path = Path::Link(zones.0, zones.1);
+        let carried = self.occupy(now, path, f64::from(tokens) / rate);
+        sent.max(carried) + self.far
+    }
+
+    fn occupy(&mut self, now: Time, path: Path, seconds: f64) -> Time {
+        let free = self.busy.entry(path).or_insert(now);
+        *free = (*free).max(now) + Duration::from_secs_f64(seconds);
+        *free
+    }
+}
--- /dev/null
+++ b/crates/lab/src/summary.rs
@@ -0,0 +1,158 @@
+//! Tables and lines of figures over several seeds.
+
+use std::fmt::Write;
+
+use crate::figure::Figure;
+use crate::figure::percent;
+use crate::workload::Workload;
+
+/// Number of columns.
+pub const WIDTH: usize = 16;
+/// Names of the columns.
+pub const COLUMNS: [&str; WIDTH] = [
+    "good%",
+    "good/s",
+    "waste%",
+    "lost%",
+    "refused%",
+    "failed%",
+    "ttft50ms",
+    "ttft95ms",
+    "tbt95ms",
+    "plain%",
+    "plain95ms",
+    "fair",
+    "over",
+    "truth%",
+    "offered/s",
+    "hit%",
+];
+/// Columns that the printed table shows as median and range.
+const RANGED: usize = 3;
+
+/// The columns of one run.
+pub fn columns(workload: &Workload, figure: &Figure) -> [f64; WIDTH] {
+    let sum = |plain: bool, of: fn(&crate::figure::Tally) -> u64| -> u64 {
+        let all = workload.classes.iter().zip(&figure.classes);
+        all.filter(|(class, _)| class.plain == plain)
+            .map(|(_, tally)| of(tally))
+            .sum()
+    };
+    let offered = sum(false, |tally| tally.offered);
+    let good = sum(false, |tally| tally.good);
+    let ms = |micros: u64| micros as f64 / 1_000.0;
+    [
+        percent(good, offered),
+        good as f64 / figure.seconds,
+        percent(figure.wasted, figure.computed),
+        percent(figure.lost, figure.prefills),
+        percent(sum(false, |tally| tally.refused), offered),
+        percent(sum(false, |tally| tally.failed), offered),
+        ms(figure.ttft.value_at_quantile(0.5)),
+        ms(figure.ttft.value_at_quantile(0.95)),
+        ms(figure.tbt.value_at_quantile(0.95)),
+        percent(
+            sum(true, |tally| tally.good),
+            sum(true, |tally| tally.offered),
+        ),
+        ms(figure.plain.value_at_quantile(0.95)),
+        fairness(workload, figure),
+        overshoot(workload, figure),
+        percent(figure.truthful, figure.checked),
+        offered as f64 / figure.seconds,
+        percent(figure.cached, figure.cached + figure.computed),
+    ]
+}
+
+/// Least part of its entitlement that a model row got; 1.0 is fair.
+///
+/// Completed requests are divided among rows of equal priority by share, none getting more than it
+/// asked for.
+fn fairness(workload: &Workload, figure: &Figure) -> f64 {
+    let rows: Vec<(f64, f64, f64)> = workload
+        .classes
+        .iter()
+        .zip(&figure.classes)
+        .filter(|(class, _)| !class.plain && class.rule.decode_ceiling >= 1_000)
+        .map(|(class, tally)| {
+            (
+                f64::from(class.rule.share),
+                tally.offered as f64,
+                tally.complete as f64,
+            )
+        })
+        .collect();
+    let total: f64 = rows.iter().map(|row| row.2).sum();
+    let level = water_level(&rows, total);
+    rows.iter()
+        .map(|(share, offered, complete)| complete / (share * level).min(*offered).max(1.0))
+        .fold(1.0, f64::min)
+}
+
+fn water_level(rows: &[(f64, f64, f64)], total: f64) -> f64 {
+    let (mut low, mut high) = (0.0, total + 1.0);
+    for _ in 0..60 {
+        let level = f64::midpoint(low, high);
+        let filled: f64 = rows.iter().map(|row| (row.0 * level).min(row.1)).sum();
+        (low, high) = if filled < total {
+            (level, high)
+        } else {
+            (low, level)
+        };
+    }
+    low
+}
+
+/// Most by which a row's requests in decode exceeded its ceiling.
+fn overshoot(workload: &Workload, figure: &Figure) -> f64 {
+    let rows = workload
+        .classes
+        .iter()
+        .zip(&figure.classes)
+        .filter(|(class, _)| !class.plain);
+    rows.map(|(class, tally)| {
+        tally
+            .peak
+            .saturating_sub(u64::from(class.rule.decode_ceiling))
+    })
+    .max()
+    .unwrap_or(0) as f64
+}
+
+/// The header of the printed table.
+pub fn header() -> String {
+    let mut line = format!("{:<44}", "workload load fault waste_percent rival");
+    for (index, name) in COLUMNS.iter().enumerate() {
+        let width = if index < RANGED { 20 } else { 10 };
+        let _ = write!(line, "{name:>width$}");
+    }
+    line
+}
+
+/// One line of the printed table, from one array of columns a seed.
+pub fn line(label: &str, runs: &[[f64; WIDTH]]) -> String {
+    let mut line = format!("{label:<44}");
+    for index in 0..COLUMNS.len() {
+        let mut values: Vec<f64> = runs.iter().map(|run| run[index]).collect();
+        values.sort_by(f64::total_cmp);
+        let median = values[values.len() / 2];
+        let text = match (values.first(), values.last()) {
+            (Some(least), Some(most)) if index < RANGED => {
+                format!("{median:.2} ({least:.2}-{most:.2})")
+            }
+            _ => format!("{median:.2}"),
+        };
+        let width = if index < RANGED { 20 } else { 10 };
+        let _ = write!(line, "{text:>width$}");
+    }
+    line
+}
+
+/// One line of the CSV.
+pub fn csv(label: &str, seed: u64, columns: &[f64; WIDTH]) -> String {
+    let mut line = format!("{},{seed}", label.replace(' ', ","));
+    for value in columns {
+        let _ = write!(line, ",{value:.4}");
+    }
+    line
+}
--- /dev/null
+++ b/crates/lab/src/world/fault.rs
@@ -0,0 +1,132 @@
+//! What goes wrong in a run.
+
+use std::time::Duration;
+
+use ident::Time;
+use route::phase::Phase;
+use route::replica::Role;
+
+use crate::engine::Attempt;
+use crate::rival::Mode;
+use crate::world::Event;
+use crate::world::World;
+use crate::world::outcome::Outcome;
+
+/// When the fault begins.
+const BEGIN: Time = Time::from_millis(40_000);
+/// When it ends.
+const END: Time = Time::from_millis(70_000);
+/// Time until other daemons notice that one is dead.
+const DETECTION: Duration = Duration::from_millis(1_500);
+/// Time after which the holds of a dead daemon are swept.
+const SWEEP: Duration = Duration::from_secs(3);
+/// The daemon that dies; it is the keeper where there is one.
+pub(super) const VICTIM: usize = 0;
+
+/// A fault.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// None.
+    None,
+    /// A decode and a prefill replica die and come back.
+    ReplicaDies,
+    /// The link between two data centres carries next to nothing.
+    LinkStalls,
+    /// Load figures stay as they are.
+    ReportsFreeze,
+    /// Half of the cache events are lost.
+    EventsLost,
+    /// An entry daemon, the keeper where there is one, dies.
+    DaemonDies,
+    /// One caller in ten gives up.
+    CallersCancel,
+}
+
+impl Fault {
+    /// All faults with their names.
+    pub const ALL: [(&'static str, Self); 6] = [
+        ("replica_dies", Self::ReplicaDies),
+        ("link_stalls", Self::LinkStalls),
+        ("reports_freeze", Self::ReportsFreeze),
+        ("events_lost", Self::EventsLost),
+        ("daemon_dies", Self::DaemonDies),
+        ("callers_cancel", Self::CallersCancel),
+    ];
+}
+
+impl World {
+    pub(super) fn prime_fault(&mut self) {
+        self.at(BEGIN, Event::Fault(0));
+        self.at(BEGIN + DETECTION, Event::Fault(1));
+        self.at(BEGIN + SWEEP, Event::Fault(2));
+        self.at(END, Event::Fault(3));
+    }
+
+    pub(super) fn fault(&mut self, step: u8) {
+        match (self.setup.fault, step) {
+            (Fault::ReplicaDies, 0) => self.kill_replicas(),
+            (Fault::ReplicaDies, 3) => self.engines.iter_mut().for_each(|engine| engine.up = true),
+            (Fault::LinkStalls, 0) => self.network.stall(Some((0, 1))),
+            (Fault::LinkStalls, 3) => self.network.stall(None),
+            (Fault::DaemonDies, 0) => self.kill_daemon(),
+            (Fault::DaemonDies, 1) if self.setup.rival.mode == Mode::Keeper => self.resync(),
+            (Fault::DaemonDies, 2) => self.sweep(),
+            _ => (),
+        }
+    }
+
+    /// Whether load figures stay as they are.
+    pub(super) fn is_frozen(&self) -> bool {
+        self.setup.fault == Fault::ReportsFreeze && self.now >= BEGIN && self.now < END
+    }
+
+    /// Whether `owner` is dead.
+    pub(super) fn is_dead(&self, owner: usize) -> bool {
+        self.setup.fault == Fault::DaemonDies && owner == VICTIM && self.now >= BEGIN
+    }
+
+    fn kill_replicas(&mut self) {
+        for role in [Role::Decode, Role::Prefill] {
+            let index = self.engines.iter().rposition(|engine| engine.role == role);
+            let Some(index) = index else {
+                continue;
+            };
+            let engine = &mut self.engines[index];
+            let held = engine.held.clone();
+            let mut hit: Vec<Attempt> = engine.queue.iter().copied().collect();
+            hit.extend(engine.running.map(|running| running.0));
+            engine.reboot();
+            engine.up = false;
+            for attempt in &held {
+                self.uncount(*attempt);
+            }
+            for attempt in held.into_iter().chain(hit) {
+                self.after(self.reach(attempt, index), Event::Failed(attempt, index));
+            }
+            self.report_lost(index);
+        }
+    }
+
+    fn kill_daemon(&mut self) {
+        match self.setup.rival.mode {
+            Mode::Each | Mode::Keeper => self.seats[..2].iter_mut().for_each(|s| s.alive = false),
+            Mode::Oracle => (),
+        }
+        for attempt in 0..self.tries.len() {
+            if self.tries[attempt].owner == VICTIM && !self.tries[attempt].over {
+                self.abandon(attempt);
+                self.settle(self.tries[attempt].request, Outcome::Failed);
+            }
+        }
+    }
+
+    /// Frees what the dead daemon's requests hold.
+    fn sweep(&mut self) {
+        for attempt in 0..self.tries.len() {
+            if self.tries[attempt].owner == VICTIM && self.tries[attempt].over {
+                self.release(attempt);
+                self.send_phase(attempt, Phase::Gone);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/world/replica.rs
@@ -0,0 +1,238 @@
+//! The replicas' side of a request.
+
+use std::time::Duration;
+
+use route::phase::Phase;
+
+use crate::engine::Attempt;
+use crate::engine::Engine;
+use crate::engine::KEEP;
+use crate::engine::MAX_QUEUE;
+use crate::rival::Mode;
+use crate::world::Event;
+use crate::world::World;
+
+/// Delay of cache events.
+const EVENT_DELAY: Duration = Duration::from_millis(500);
+
+impl World {
+    pub(super) fn prefill_order(&mut self, attempt: Attempt) {
+        let Some((engine, _)) = self.tries[attempt]
+            .prefill
+            .filter(|_| !self.tries[attempt].over)
+        else {
+            return;
+        };
+        let this = &mut self.engines[engine];
+        if !this.up || this.queue.len() >= MAX_QUEUE {
+            self.after(self.reach(attempt, engine), Event::Failed(attempt, engine));
+            return;
+        }
+        this.queue.push_back(attempt);
+        self.tries[attempt].prefill = Some((engine, this.boot));
+        self.start_prefill(engine);
+    }
+
+    fn start_prefill(&mut self, engine: usize) {
+        if self.engines[engine].running.is_some() {
+            return;
+        }
+        let Some(attempt) = self.engines[engine].queue.pop_front() else {
+            return;
+        };
+        let request = self.tries[attempt].request;
+        let prompt = self.requests[request].prompt + self.progress[request].tokens;
+        let fresh = self.setup.rival.mode == Mode::Oracle;
+        let visible = if fresh {
+            self.now
+        } else {
+            self.now + EVENT_DELAY
+        };
+        let this = &mut self.engines[engine];
+        let cached = this
+            .read_cache(visible, &self.requests[request].blocks)
+            .min(prompt - 1);
+        let computed = prompt - cached;
+        this.running = Some((attempt, computed, cached, self.now));
+        let boot = this.boot;
+        let time = Engine::prefill_time(computed);
+        self.after(time, Event::PrefillEnd(engine, boot, attempt));
+    }
+
+    pub(super) fn prefill_end(&mut self, engine: usize, boot: u64, attempt: Attempt) {
+        let this = &mut self.engines[engine];
+        let Some((_, computed, cached, _)) = this
+            .running
+            .filter(|running| this.boot == boot && running.0 == attempt)
+        else {
+            return;
+        };
+        this.running = None;
+        if self.is_measured(self.tries[attempt].request) {
+            self.figure.computed += u64::from(computed);
+            self.figure.cached += u64::from(cached);
+            self.figure.prefills += 1;
+        }
+        self.tries[attempt].computed = computed;
+        self.tries[attempt].cached = cached;
+        self.tries[attempt].kept_until = self.now + KEEP;
+        if self.tries[attempt].over {
+            self.count_waste(attempt);
+        }
+        self.after(self.reach(attempt, engine), Event::PrefillAnswer(attempt));
+        self.start_prefill(engine);
+    }
+
+    pub(super) fn decode_order(&mut self, attempt: Attempt) {
+        let this = &self.tries[attempt];
+        let (Some((prefill, boot)), Some(engine), false) = (this.prefill, this.decode, this.over)
+        else {
+            return;
+        };
+        let gone = self.now >= this.kept_until || self.engines[prefill].boot != boot;
+        let target = &self.engines[engine];
+        if gone || !target.up || target.held.len() >= target.slots {
+            self.after(
+                self.reach(attempt, engine),
+                Event::DecodeRefused(attempt, gone),
+            );
+            return;
+        }
+        let (zones, boot) = ((self.engines[prefill].zone, target.zone), target.boot);
+        self.engines[engine].held.push(attempt);
+        self.count_decode(attempt);
+        let request = self.tries[attempt].request;
+        let tokens = self.requests[request].prompt + self.progress[request].tokens;
+        let end = self.network.transfer(self.now, prefill, zones, tokens);
+        self.at(
+            end.min(self.tries[attempt].kept_until),
+            Event::Imported(engine, boot, attempt),
+        );
+    }
+
+    /// A transfer ended, or the source dropped the result before it could.
+    pub(super) fn imported(&mut self, engine: usize, boot: u64, attempt: Attempt) {
+        let held = self.engines[engine].held.contains(&attempt);
+        if self.engines[engine].boot != boot || !held || self.tries[attempt].over {
+            return;
+        }
+        let way = self.reach(attempt, engine);
+        if self.now >= self.tries[attempt].kept_until {
+            self.engines[engine].drop_attempt(attempt);
+            self.uncount(attempt);
+            self.after(way, Event::DecodeRefused(attempt, true));
+            return;
+        }
+        let request = self.tries[attempt].request;
+        let left = self.requests[request].output - self.progress[request].tokens;
+        self.tries[attempt].computed = 0;
+        self.engines[engine].batch.push((attempt, left));
+        self.tries[attempt].phase = Some(Phase::Decoding);
+        self.start_step(engine);
+        self.after(
+            way + self.way(attempt),
+            Event::Advance(attempt, Phase::Decoding),
+        );
+    }
+
+    fn start_step(&mut self, engine: usize) {
+        let this = &mut self.engines[engine];
+        if this.stepping || this.batch.is_empty() {
+            return;
+        }
+        this.stepping = true;
+        let (time, boot) = (this.step_time(), this.boot);
+        self.after(time, Event::Step(engine, boot));
+    }
+
+    pub(super) fn decode_step(&mut self, engine: usize, boot: u64) {
+        if self.engines[engine].boot != boot {
+            return;
+        }
+        self.engines[engine].stepping = false;
+        let mut batch = std::mem::take(&mut self.engines[engine].batch);
+        for (attempt, left) in &mut batch {
+            *left -= 1;
+            let time = self.now + self.reach(*attempt, engine);
+            self.count_token(self.tries[*attempt].request, time);
+        }
+        let (done, rest): (Vec<_>, Vec<_>) = batch.into_iter().partition(|(_, left)| *left == 0);
+        self.engines[engine].batch = rest;
+        for (attempt, _) in done {
+            self.engines[engine].drop_attempt(attempt);
+            self.uncount(attempt);
+            self.tries[attempt].over = true;
+            let request = self.tries[attempt].request;
+            self.complete(request);
+            let phase = Phase::Finished {
+                tokens: self.progress[request].tokens,
+            };
+            let way = self.reach(attempt, engine) + self.way(attempt);
+            self.after(way, Event::Advance(attempt, phase));
+        }
+        self.start_step(engine);
+    }
+
+    pub(super) fn plain_order(&mut self, attempt: Attempt) {
+        let Some(engine) = self.tries[attempt].decode else {
+            return;
+        };
+        if !self.engines[engine].up {
+            self.after(self.reach(attempt, engine), Event::Failed(attempt, engine));
+            return;
+        }
+        self.engines[engine].queue.push_back(attempt);
+        self.start_plain(engine);
+    }
+
+    fn start_plain(&mut self, engine: usize) {
+        while self.engines[engine].held.len() < self.engines[engine].slots {
+            let Some(attempt) = self.engines[engine].queue.pop_front() else {
+                return;
+            };
+            self.engines[engine].held.push(attempt);
+            let time = self.requests[self.tries[attempt].request].service;
+            let boot = self.engines[engine].boot;
+            self.after(time, Event::PlainEnd(engine, boot, attempt));
+        }
+    }
+
+    pub(super) fn plain_end(&mut self, engine: usize, boot: u64, attempt: Attempt) {
+        if self.engines[engine].boot != boot || !self.engines[engine].drop_attempt(attempt) {
+            return;
+        }
+        if !self.tries[attempt].over {
+            self.tries[attempt].over = true;
+            let way = self.reach(attempt, engine);
+            self.complete_plain(self.tries[attempt].request, self.now + way);
+            let phase = Phase::Finished { tokens: 0 };
+            self.after(way + self.way(attempt), Event::Advance(attempt, phase));
+        }
+        self.start_plain(engine);
+    }
+
+    /// Frees all that an attempt holds on replicas.
+    pub(super) fn release(&mut self, attempt: Attempt) {
+        let this = &self.tries[attempt];
+        let places = [this.prefill.map(|(engine, _)| engine), this.decode];
+        for engine in places.into_iter().flatten() {
+            let was_held = self.engines[engine].held.contains(&attempt);
+            self.engines[engine].drop_attempt(attempt);
+            if was_held {
+                self.uncount(attempt);
+            }
+            self.stop_prefill(engine, attempt);
+        }
+    }
+
+    fn stop_prefill(&mut self, engine: usize, attempt: Attempt) {
+        match self.engines[engine].running {
+            Some((running, _, _, started)) if running == attempt => {
+                self.engines[engine].running = None;
+                self.count_stopped(attempt, started);
+                self.start_prefill(engine);
+            }
+            _ => (),
+        }
+    }
+}
--- a/crates/route/src/cell.rs
+++ b/crates/route/src/cell.rs
@@ -1,12 +1,15 @@
 //! The queue of a group of replicas and the decisions about it.
 
 mod admit;
+mod adopt;
 mod claim;
+mod expire;
 mod grant;
 mod progress;
+mod rank;
 mod settings;
 
-pub use progress::Hold;
+pub use adopt::Hold;
 pub use settings::Settings;
 
 use std::collections::BTreeMap;
@@ -34,6 +37,8 @@
 use crate::rule::Rule;
 use crate::server::Key;
 use crate::server::Pool;
+use crate::token::Fit;
+use crate::turnover::Turnover;
 use crate::verdict::Verdict;
 
 /// A group of replicas with one queue; only its keeper drives it.
@@ -45,6 +50,8 @@
     pool: Pool,
     cache: Cache,
     links: Links,
+    turnover: Turnover,
+    fit: Fit,
     lanes: BTreeMap<Row, Lane>,
     flows: HashMap<Handle, Flow>,
     memo: Memo,
@@ -58,7 +65,7 @@
 impl Cell {
     /// An empty cell with the project's own policy.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        Self::with_policy(settings, seed, crate::policy::reserved::policy())
+        Self::with_policy(settings, seed, crate::policy::affine::policy())
     }
 
     /// An empty cell with `policy`.
@@ -70,6 +77,8 @@
             pool: Pool::default(),
             cache: Cache::default(),
             links: Links::new(settings.transfer_token.as_secs_f64()),
+            turnover: Turnover::new(),
+            fit: Fit::default(),
             lanes: BTreeMap::new(),
             flows: HashMap::new(),
             memo: Memo::default(),
@@ -177,14 +186,23 @@
         }
     }
 
-    fn view(&mut self, now: Time) -> View<'_> {
+    fn view<'a>(
+        &'a mut self,
+        now: Time,
+        promised: &'a mut BTreeMap<Key, Duration>,
+        kept: Option<Key>,
+    ) -> View<'a> {
         self.turn += 1;
         View {
             now,
             pool: &self.pool,
             cache: &self.cache,
             links: &self.links,
-            lead: self.settings.lead,
+            turnover: &self.turnover,
+            settings: &self.settings,
+            stranded: self.rejected.len() as u32,
+            promised,
+            kept,
             turn: self.turn,
             random: &mut self.random,
         }
@@ -202,11 +220,4 @@
         let most = settings.max_retry_after.as_secs_f64();
         Duration::from_secs_f64(seconds.min(most)).max(settings.min_retry_after)
     }
-
-    fn pair_of(&self, prefill: Key, decode: Key) -> (ident::Zone, ident::Zone) {
-        (
-            self.pool.get(prefill).member.zone,
-            self.pool.get(decode).member.zone,
-        )
-    }
 }
--- a/crates/route/src/cell/admit.rs
+++ b/crates/route/src/cell/admit.rs
@@ -9,7 +9,7 @@
 use crate::cell::Cell;
 use crate::flow::Flow;
 use crate::flow::State;
-use crate::policy::Ask;
+use crate::policy::Secured;
 use crate::ticket::Ticket;
 use crate::ticket::Work;
 use crate::verdict::Choice;
@@ -52,46 +52,56 @@
     }
 
     fn insert(&mut self, now: Time, ticket: Ticket) {
-        let arrived = now - ticket.waited;
-        let fastest = self.fastest(&ticket);
-        let Some(lane) = self.lanes.get_mut(&ticket.row) else {
+        let flow = self.flow(now, ticket);
+        let handle = flow.ticket.handle;
+        let Some(lane) = self.lanes.get_mut(&flow.ticket.row) else {
             return;
         };
-        if !ticket.is_retry() {
+        if !flow.ticket.is_retry() {
             lane.count_first(now);
         }
-        let due = arrived + lane.rule.ttft;
-        let expiry = arrived + lane.rule.max_wait;
-        let ask = Ask {
-            ticket: &ticket,
-            due,
-            expiry,
-            fastest,
-            source: ticket.home,
-        };
-        let order = (self.policy.order)(&ask);
-        let handle = ticket.handle;
-        lane.queue.insert(order, handle);
+        lane.queue.insert(flow.order, handle);
         self.waiting += 1;
-        let state = State::Waiting;
-        let flow = Flow {
+        self.flows.insert(handle, flow);
+    }
+
+    /// A request that has just come in.
+    pub(super) fn flow(&self, now: Time, ticket: Ticket) -> Flow {
+        let arrived = now - ticket.waited;
+        let rule = self.lanes.get(&ticket.row).map(|lane| lane.rule);
+        let fastest = self.fastest(&ticket);
+        let mut flow = Flow {
+            due: rule.map_or(arrived, |rule| arrived + rule.ttft),
+            expiry: rule.map_or(arrived, |rule| arrived + rule.max_wait),
+            limit: rule.map_or(u32::MAX, |rule| self.batch_limit(rule.tbt)),
+            thrift: rule.map_or(1.0, |rule| f64::from(rule.waste_percent.min(100)) / 100.0),
             ticket,
             arrived,
-            order,
-            due,
-            expiry,
             fastest,
-            state,
+            order: arrived,
+            state: State::Waiting,
             since: now,
             prefill: None,
             decode: None,
+            area: 0.0,
+            end: None,
+            tokens: 0,
             verdict: None,
         };
-        self.flows.insert(handle, flow);
+        flow.order = (self.policy.order)(&flow.ask());
+        flow
+    }
+
+    /// The largest batch that keeps `tbt` between tokens; no limit until that is learned.
+    fn batch_limit(&self, tbt: Duration) -> u32 {
+        match self.policy.secured {
+            Secured::Nothing | Secured::Free => u32::MAX,
+            Secured::Learned | Secured::Known => self.fit.limit(tbt.as_secs_f64(), u32::MAX),
+        }
     }
 
     /// Shortest time to the first token on an idle cell.
-    pub(super) fn fastest(&self, ticket: &Ticket) -> Duration {
+    fn fastest(&self, ticket: &Ticket) -> Duration {
         let best = self.cache.holders(ticket.blocks()).map(|key| {
             let blocks = ticket.blocks().len().max(1) as f64;
             self.cache.expected(key, ticket.blocks()) / blocks
@@ -105,7 +115,8 @@
             .map_or(self.settings.prefill_rate, |(_, key)| {
                 self.pool.get(key).rate.value()
             });
-        Duration::from_secs_f64(tokens / rate.max(1.0))
+        let prefill = Duration::from_secs_f64(tokens / rate.max(1.0));
+        prefill + self.links.typical(ticket.prompt_tokens())
     }
 
     pub(super) fn refuse(
@@ -134,25 +145,21 @@
         self.memo.insert(handle, Some(verdict));
     }
 
-    /// Takes a waiting request out of the queue and refuses it.
-    pub(super) fn expel(&mut self, now: Time, handle: Handle, reason: Reason) {
+    /// Takes a request out of its row's queue, if it waits there.
+    pub(super) fn unqueue(&mut self, now: Time, handle: Handle) {
         let Some(flow) = self.flows.get(&handle) else {
             return;
         };
-        let (row, waited) = (flow.ticket.row, now.since(flow.arrived));
-        self.unqueue(handle);
-        self.flows.remove(&handle);
-        self.refuse(now, handle, row, reason, waited);
-    }
-
-    /// Takes a request out of its row's queue.
-    pub(super) fn unqueue(&mut self, handle: Handle) {
-        let Some(flow) = self.flows.get(&handle) else {
+        let Some(lane) = self.lanes.get_mut(&flow.ticket.row) else {
             return;
         };
-        let lane = self.lanes.get_mut(&flow.ticket.row);
-        if lane.is_some_and(|lane| lane.queue.remove(flow.order, flow.expiry, handle)) {
-            self.waiting -= 1;
+        let before = lane.queue.late_len();
+        if !lane.queue.remove(flow.order, flow.expiry, handle) {
+            return;
+        }
+        self.waiting -= 1;
+        if lane.queue.late_len() < before {
+            lane.late_grants.add(now, 1.0);
         }
     }
 
--- /dev/null
+++ b/crates/route/src/cell/adopt.rs
@@ -0,0 +1,86 @@
+//! A new keeper rebuilds its state from the owners' holds.
+
+use ident::Replica;
+use ident::Time;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::cell::Cell;
+use crate::flow::Flow;
+use crate::flow::State;
+use crate::phase::Phase;
+use crate::replica::Role;
+use crate::ticket::Ticket;
+use crate::verdict::Choice;
+use crate::verdict::Verdict;
+use crate::verdict::Why;
+
+/// A placed request as its owner knows it, told to a new keeper.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hold {
+    /// The request.
+    pub ticket: Ticket,
+    /// The replica that runs or ran the prefill (absent: plain).
+    pub prefill: Option<Replica>,
+    /// The decode replica (plain: the replica of the call).
+    pub decode: Replica,
+    /// The last phase that the owner reported; none while in prefill (plain: in progress).
+    pub phase: Option<Phase>,
+}
+
+impl Cell {
+    /// Starts the work of a new keeper: nothing is granted until the grace period ends, so that all
+    /// owners can report their holds before free slots are counted.
+    pub fn takeover(&mut self, now: Time) {
+        self.grace_end = now + self.settings.grace;
+    }
+
+    /// Takes over a placed request from its owner after the keeper moved.
+    ///
+    /// The first one starts the grace period of [`Cell::takeover`] if that was not called.
+    pub fn adopt(&mut self, now: Time, hold: &Hold) {
+        let handle = hold.ticket.handle;
+        if self.grace_end == Time::ZERO {
+            self.takeover(now);
+        }
+        if self.flows.contains_key(&handle) || self.memo.contains(handle) {
+            return;
+        }
+        let Some(decode) = self.pool.key(hold.decode) else {
+            return;
+        };
+        let prefill = hold.prefill.and_then(|replica| self.pool.key(replica));
+        let flow = self.adopted(now, hold);
+        let span = flow.fastest;
+        self.flows.insert(handle, flow);
+        match (self.pool.get(decode).member.role, prefill) {
+            (Role::Plain, _) => self.claim_single(now, handle, decode, State::Plain),
+            (_, Some(prefill)) => self.claim_pair(now, handle, prefill, decode, span),
+            (_, None) => self.claim_single(now, handle, decode, State::Decode),
+        }
+        if let Some(phase) = hold.phase {
+            self.advance(now, handle, phase);
+        }
+    }
+
+    fn adopted(&self, now: Time, hold: &Hold) -> Flow {
+        let choice = match hold.prefill {
+            Some(prefill) => Choice::Paired {
+                prefill,
+                decode: hold.decode,
+            },
+            None => Choice::Single {
+                replica: hold.decode,
+            },
+        };
+        let verdict = Verdict {
+            handle: hold.ticket.handle,
+            choice,
+            why: Why::default(),
+        };
+        Flow {
+            verdict: Some(verdict),
+            ..self.flow(now, hold.ticket.clone())
+        }
+    }
+}
--- a/crates/route/src/cell/grant.rs
+++ b/crates/route/src/cell/grant.rs
@@ -1,5 +1,6 @@
-//! Waiting requests are granted a place or given up.
+//! Waiting requests are granted a place.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use ident::Handle;
@@ -8,16 +9,33 @@
 
 use crate::cell::Cell;
 use crate::flow::Flow;
+use crate::flow::State;
 use crate::policy::Ask;
 use crate::policy::Pair;
+use crate::policy::Secured;
+use crate::policy::Wait;
+use crate::server::Key;
 use crate::ticket::Work;
 use crate::verdict::Choice;
-use crate::verdict::Reason;
 use crate::verdict::Verdict;
 use crate::verdict::Why;
 
-/// How soon the cell looks again while requests wait for a replica.
-const POLL: Duration = Duration::from_millis(10);
+/// The soonest and the latest time at which the cell looks again while requests wait.
+const MIN_POLL: Duration = Duration::from_millis(1);
+const MAX_POLL: Duration = Duration::from_millis(20);
+
+/// Where a request goes.
+enum Place {
+    Pair(Pair),
+    Single(Key),
+}
+
+/// What one pass over the waiting requests has passed over so far.
+#[derive(Debug, Default)]
+struct Pass {
+    promised: BTreeMap<Key, Duration>,
+    kept: Option<Key>,
+}
 
 impl Cell {
     /// Decides all that can be decided at `now`; answers when it wants to be called next.
@@ -32,38 +50,16 @@
     }
 
     fn wake(&self, now: Time) -> Time {
-        match self.waiting + self.rejected.len() {
-            0 => Time::NEVER,
-            _ => now + POLL,
-        }
-    }
-
-    /// Moves requests that miss their target to the late tier, and gives up doomed ones.
-    fn expire(&mut self, now: Time) {
-        let mut doomed = Vec::new();
-        for lane in self.lanes.values_mut() {
-            while let Some((order, handle)) = lane.queue.punctual() {
-                let Some(flow) = self.flows.get(&handle).filter(|f| now + f.fastest > f.due) else {
-                    break;
-                };
-                lane.queue.demote(order, flow.expiry, handle);
-            }
-            while let Some((expiry, handle)) = lane.queue.late() {
-                if self
-                    .flows
-                    .get(&handle)
-                    .is_none_or(|flow| now + flow.fastest <= expiry)
-                {
-                    break;
-                }
-                lane.queue.remove(expiry, expiry, handle);
-                self.waiting -= 1;
-                doomed.push(handle);
-            }
-        }
-        for handle in doomed {
-            self.expel(now, handle, Reason::Doomed);
+        if self.waiting + self.rejected.len() == 0 {
+            return Time::NEVER;
         }
+        let ready = self
+            .pool
+            .prefills()
+            .next()
+            .map_or(Time::NEVER, |(ready, _)| ready);
+        let ready = ready - self.settings.lead;
+        ready.clamp(now + MIN_POLL, now + MAX_POLL)
     }
 
     /// Finds another decode replica for prefill results that lost theirs.
@@ -78,10 +74,10 @@
             let source = flow.prefill.map(|key| self.pool.get(key).member.zone);
             let ask = Ask {
                 source: source.unwrap_or(flow.ticket.home),
-                ..ask(&flow)
+                ..flow.ask()
             };
             let decode = self.policy.decode;
-            let found = decode(&mut self.view(now), &ask);
+            let found = decode(&mut self.view(now, &mut BTreeMap::new(), None), &ask);
             let prefill = flow.prefill;
             self.flows.insert(handle, flow);
             match (found, prefill) {
@@ -91,15 +87,9 @@
         }
     }
 
-    fn redirect(
-        &mut self,
-        now: Time,
-        handle: Handle,
-        prefill: crate::server::Key,
-        decode: crate::server::Key,
-    ) {
+    fn redirect(&mut self, now: Time, handle: Handle, prefill: Key, decode: Key) {
         self.claim_slot(handle, decode);
-        self.enter(now, handle, crate::flow::State::Import);
+        self.enter(now, handle, State::Import);
         let choice = Choice::Paired {
             prefill: self.pool.get(prefill).member.replica,
             decode: self.pool.get(decode).member.replica,
@@ -121,67 +111,64 @@
 
     /// Grants one request; false if none can be granted now.
     fn grant(&mut self, now: Time) -> bool {
-        let Some(handle) = self.next() else {
+        if self.waiting == 0 || self.is_blocked(now) {
             return false;
-        };
-        let Some(flow) = self.flows.remove(&handle) else {
-            return false;
-        };
-        let done = self.place(now, &flow);
-        self.flows.insert(handle, flow);
-        match done {
-            Some(Placed::Pair(pair)) => self.start_pair(now, handle, &pair),
-            Some(Placed::Single(key)) => self.start_single(now, handle, key),
-            None => return false,
         }
-        true
+        let mut pass = Pass::default();
+        for handle in self.ranked(self.policy.scan) {
+            let Some(flow) = self.flows.remove(&handle) else {
+                continue;
+            };
+            let place = self.place(now, &flow, &mut pass);
+            self.flows.insert(handle, flow);
+            match place {
+                Ok(Place::Pair(pair)) => return self.start_pair(now, handle, &pair),
+                Ok(Place::Single(key)) => return self.start_single(now, handle, key),
+                Err(Wait::Slot) => return false,
+                Err(Wait::Batch(key)) => pass.kept = Some(key),
+                Err(Wait::Replica) => (),
+            }
+        }
+        false
     }
 
-    fn place(&mut self, now: Time, flow: &Flow) -> Option<Placed> {
-        let (pair, single) = (self.policy.pair, self.policy.single);
-        let ask = ask(flow);
-        let mut view = self.view(now);
-        match flow.ticket.work {
-            Work::Model { .. } => pair(&mut view, &ask).map(Placed::Pair),
-            Work::Plain => single(&mut view, &ask).map(Placed::Single),
+    /// Whether no replica is near enough to taking work to look at the queue at all.
+    fn is_blocked(&self, now: Time) -> bool {
+        if self.policy.secured == Secured::Nothing {
+            return false;
         }
+        let horizon = now + self.settings.lead;
+        let prefill = self
+            .pool
+            .prefills()
+            .next()
+            .is_some_and(|(ready, _)| ready <= horizon);
+        let plain = self.pool.plains().next().is_some();
+        !prefill && !plain
     }
 
-    /// The request that goes first: by priority, then those on time, then by the rows' shares.
-    fn next(&self) -> Option<Handle> {
-        let mut best: Option<(Rank, Handle)> = None;
-        for lane in self.lanes.values() {
-            let punctual = lane.queue.punctual().map(|(_, handle)| (false, handle));
-            let head = punctual.or_else(|| lane.queue.late().map(|(_, handle)| (true, handle)));
-            let Some((late, handle)) = head else {
-                continue;
-            };
-            let plain = self
-                .flows
-                .get(&handle)
-                .is_some_and(|f| f.ticket.work == Work::Plain);
-            if self.policy.secured && !lane.has_room(plain) {
-                continue;
-            }
-            let rank = Rank {
-                priority: lane.rule.priority,
-                late,
-                used: lane.used,
-            };
-            if best.as_ref().is_none_or(|(least, _)| rank < *least) {
-                best = Some((rank, handle));
-            }
+    fn place(&mut self, now: Time, flow: &Flow, pass: &mut Pass) -> Result<Place, Wait> {
+        let (pair, single) = (self.policy.pair, self.policy.single);
+        let kept = pass.kept;
+        let mut view = self.view(now, &mut pass.promised, kept);
+        match flow.ticket.work {
+            Work::Model { .. } => pair(&mut view, &flow.ask()).map(Place::Pair),
+            Work::Plain => single(&mut view, &flow.ask())
+                .map(Place::Single)
+                .ok_or(Wait::Replica),
         }
-        best.map(|(_, handle)| handle)
     }
 
-    fn start_pair(&mut self, now: Time, handle: Handle, pair: &Pair) {
+    fn start_pair(&mut self, now: Time, handle: Handle, pair: &Pair) -> bool {
         let Some((row, waited, ttft)) = self.waits(now, handle, pair.first) else {
-            return;
+            return false;
         };
-        self.unqueue(handle);
+        self.unqueue(now, handle);
         self.claim_pair(now, handle, pair.prefill, pair.decode, pair.span);
-        self.charge(now, row, pair.span.as_secs_f64());
+        let prefill = pair.span.as_secs_f64() / f64::from(self.pool.open_prefills().max(1));
+        let slots = f64::from(self.pool.open_slots().max(1));
+        let decode = self.turnover.stay().as_secs_f64() / slots;
+        self.charge(now, row, prefill.max(decode));
         let why = Why {
             candidates: pair.candidates,
             waited,
@@ -194,15 +181,20 @@
             decode: self.pool.get(pair.decode).member.replica,
         };
         self.answer(handle, choice, why);
+        true
     }
 
-    fn start_single(&mut self, now: Time, handle: Handle, key: crate::server::Key) {
+    fn start_single(&mut self, now: Time, handle: Handle, key: Key) -> bool {
         let Some((row, waited, _)) = self.waits(now, handle, now) else {
-            return;
+            return false;
         };
-        self.unqueue(handle);
-        self.claim_single(now, handle, key);
-        self.charge(now, row, 1.0);
+        self.unqueue(now, handle);
+        self.claim_single(now, handle, key, State::Plain);
+        self.charge(
+            now,
+            row,
+            1.0 / f64::from(self.pool.get(key).member.slots.max(1)),
+        );
         let why = Why {
             waited,
             queued: self.waiting as u32,
@@ -212,6 +204,7 @@
             replica: self.pool.get(key).member.replica,
         };
         self.answer(handle, choice, why);
+        true
     }
 
     fn waits(&self, now: Time, handle: Handle, first: Time) -> Option<(Row, Duration, Duration)> {
@@ -223,41 +216,16 @@
         ))
     }
 
-    /// Books the cost of one request on its row; a row that was idle starts level with the others.
+    /// Books the cost of one request on its row, in seconds of the whole cell for its share; a row
+    /// that was idle starts level with the others.
     fn charge(&mut self, now: Time, row: Row, cost: f64) {
-        let level = self
-            .lanes
-            .values()
-            .filter(|lane| lane.queue.len() > 0)
-            .map(|lane| lane.used)
-            .fold(f64::MAX, f64::min);
+        let level = self.level();
+        let shares: u32 = self.lanes.values().map(|lane| lane.rule.share.max(1)).sum();
         if let Some(lane) = self.lanes.get_mut(&row) {
             let floor = if level < f64::MAX { level } else { lane.used };
-            lane.used = lane.used.max(floor) + cost / f64::from(lane.rule.share.max(1));
+            let part = f64::from(lane.rule.share.max(1)) / f64::from(shares.max(1));
+            lane.used = lane.used.max(floor) + cost / part;
             lane.grants.add(now, 1.0);
         }
     }
 }
-
-/// Order between the heads of the rows; the least goes first.
-#[derive(Debug, PartialEq, PartialOrd)]
-struct Rank {
-    priority: u8,
-    late: bool,
-    used: f64,
-}
-
-enum Placed {
-    Pair(Pair),
-    Single(crate::server::Key),
-}
-
-fn ask(flow: &Flow) -> Ask<'_> {
-    Ask {
-        ticket: &flow.ticket,
-        due: flow.due,
-        expiry: flow.expiry,
-        fastest: flow.fastest,
-        source: flow.ticket.home,
-    }
-}
--- a/crates/route/src/flow.rs
+++ b/crates/route/src/flow.rs
@@ -4,6 +4,7 @@
 
 use ident::Time;
 
+use crate::policy::Ask;
 use crate::server::Key;
 use crate::ticket::Ticket;
 use crate::verdict::Verdict;
@@ -40,6 +41,8 @@
     pub expiry: Time,
     /// Shortest time to its first token on an idle cell.
     pub fastest: Duration,
+    /// How strongly wasted prefill weighs against goodput, from 0 to 1.
+    pub thrift: f64,
     /// How far it has come.
     pub state: State,
     /// When it came there.
@@ -48,6 +51,29 @@
     pub prefill: Option<Key>,
     /// The decode replica on which a slot is claimed.
     pub decode: Option<Key>,
+    /// The largest batch in which it meets its target for the time between tokens.
+    pub limit: u32,
+    /// The decode replica's batch over time when it joined, in request seconds.
+    pub area: f64,
+    /// When it is known to end; absent where lengths are not known.
+    pub end: Option<Time>,
+    /// Tokens that it generated, once it has ended.
+    pub tokens: u32,
     /// The last verdict.
     pub verdict: Option<Verdict>,
 }
+
+impl Flow {
+    /// What a policy sees of the request.
+    pub fn ask(&self) -> Ask<'_> {
+        Ask {
+            ticket: &self.ticket,
+            due: self.due,
+            expiry: self.expiry,
+            fastest: self.fastest,
+            source: self.ticket.home,
+            limit: self.limit,
+            thrift: self.thrift,
+        }
+    }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -13,6 +13,8 @@
 mod rate;
 mod row;
 mod server;
+mod token;
+mod turnover;
 
 pub mod cell;
 pub mod phase;
--- a/crates/route/src/link.rs
+++ b/crates/route/src/link.rs
@@ -1,26 +1,35 @@
 //! Expected transfer times of KV caches between data centres.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
+use ident::Handle;
+use ident::Time;
 use ident::Zone;
 
 use crate::rate::Ewma;
 
 /// Weight of one sample.
 const WEIGHT: f64 = 0.2;
+/// Time after which a bad experience with a link is mostly forgotten, in seconds.
+const MEMORY: f64 = 10.0;
 
-#[derive(Debug, Clone, Copy)]
+/// Source and target data centre.
+pub type Path = (Zone, Zone);
+
+#[derive(Debug)]
 struct Link {
     per_token: Ewma,
-    pending: u64,
+    learned: Time,
+    pending: BTreeSet<(Time, Handle, u32)>,
 }
 
-/// Transfer times, learned for each pair of source and target data centre.
+/// Transfer times, learned for each path.
 #[derive(Debug)]
 pub struct Links {
-    links: BTreeMap<(Zone, Zone), Link>,
-    initial: f64,
+    links: BTreeMap<Path, Link>,
+    typical: Ewma,
 }
 
 impl Links {
@@ -28,39 +37,67 @@
     pub const fn new(initial: f64) -> Self {
         Self {
             links: BTreeMap::new(),
-            initial,
+            typical: Ewma::new(initial, WEIGHT / 4.0),
         }
     }
 
-    fn link(&mut self, pair: (Zone, Zone)) -> &mut Link {
-        let per_token = Ewma::new(self.initial, WEIGHT);
-        self.links.entry(pair).or_insert(Link {
-            per_token,
-            pending: 0,
-        })
-    }
-
-    /// Expected time to move the KV cache of `tokens`.
-    pub fn expected(&self, pair: (Zone, Zone), tokens: u32) -> Duration {
+    /// Expected time to move the KV cache of `tokens` over `path`.
+    ///
+    /// A transfer that is under way for longer than expected raises the figure at once.
+    pub fn expected(&self, now: Time, path: Path, tokens: u32) -> Duration {
+        let typical = self.typical.value();
         let per_token = self
             .links
-            .get(&pair)
-            .map_or(self.initial, |link| link.per_token.value());
+            .get(&path)
+            .map_or(typical, |link| link.estimate(now, typical));
         Duration::from_secs_f64(per_token * f64::from(tokens))
     }
 
-    /// Notes that a transfer of `tokens` began.
-    pub fn begin(&mut self, pair: (Zone, Zone), tokens: u32) {
-        self.link(pair).pending += u64::from(tokens);
+    /// Expected time to move the KV cache of `tokens` over any path.
+    pub fn typical(&self, tokens: u32) -> Duration {
+        Duration::from_secs_f64(self.typical.value() * f64::from(tokens))
+    }
+
+    /// Notes that a transfer began.
+    pub fn begin(&mut self, now: Time, path: Path, handle: Handle, tokens: u32) {
+        let initial = self.typical.value();
+        let link = self.links.entry(path).or_insert_with(|| Link {
+            per_token: Ewma::new(initial, WEIGHT),
+            learned: now,
+            pending: BTreeSet::new(),
+        });
+        link.pending.insert((now, handle, tokens));
     }
 
-    /// Notes that a transfer of `tokens` ended after `took`, if it completed.
-    pub fn end(&mut self, pair: (Zone, Zone), tokens: u32, took: Option<Duration>) {
-        let link = self.link(pair);
-        link.pending = link.pending.saturating_sub(u64::from(tokens));
-        if let Some(took) = took {
-            link.per_token
-                .add(took.as_secs_f64() / f64::from(tokens.max(1)));
+    /// Notes that the transfer that began at `begun` ended; a failed one counts if it took long.
+    pub fn end(&mut self, now: Time, path: Path, begun: (Time, Handle, u32), completed: bool) {
+        let typical = self.typical.value();
+        let Some(link) = self.links.get_mut(&path) else {
+            return;
+        };
+        if !link.pending.remove(&begun) {
+            return;
         }
+        let sample = now.since(begun.0).as_secs_f64() / f64::from(begun.2.max(1));
+        let estimate = link.estimate(now, typical);
+        if completed || sample > estimate {
+            link.per_token = Ewma::new(estimate, WEIGHT);
+            link.per_token.add(sample);
+            link.learned = now;
+        }
+        if completed {
+            self.typical.add(sample);
+        }
+    }
+}
+
+impl Link {
+    fn estimate(&self, now: Time, typical: f64) -> f64 {
+        let faded = (-now.since(self.learned).as_secs_f64() / MEMORY).exp();
+        let learned = typical + (self.per_token.value() - typical) * faded;
+        let oldest = self.pending.first().map_or(0.0, |(begun, _, tokens)| {
+            now.since(*begun).as_secs_f64() / f64::from((*tokens).max(1))
+        });
+        learned.max(oldest)
     }
 }
--- a/crates/route/src/policy.rs
+++ b/crates/route/src/policy.rs
@@ -1,10 +1,14 @@
 //! What varies between policies: the order of waiting requests and the choice of replicas.
 
+pub mod affine;
 pub mod least_loaded;
+pub mod oracle;
+pub mod predicted;
 pub mod reserved;
 pub mod round_robin;
 pub mod two_choices;
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use ident::Time;
@@ -13,10 +17,12 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::cache::Cache;
+use crate::cell::Settings;
 use crate::link::Links;
 use crate::server::Key;
 use crate::server::Pool;
 use crate::ticket::Ticket;
+use crate::turnover::Turnover;
 
 /// One request to be placed.
 #[derive(Debug, Clone, Copy)]
@@ -31,6 +37,10 @@
     pub fastest: Duration,
     /// Where the KV cache is; the owner's data centre before the prefill.
     pub source: Zone,
+    /// The largest batch in which it meets its target for the time between tokens.
+    pub limit: u32,
+    /// How strongly wasted prefill weighs against goodput, from 0 to 1.
+    pub thrift: f64,
 }
 
 /// What a policy sees of the cell.
@@ -41,7 +51,14 @@
     pub(crate) pool: &'a Pool,
     pub(crate) cache: &'a Cache,
     pub(crate) links: &'a Links,
-    pub(crate) lead: Duration,
+    pub(crate) turnover: &'a Turnover,
+    pub(crate) settings: &'a Settings,
+    /// Requests whose prefill ended and whose decode replica is still to be found.
+    pub(crate) stranded: u32,
+    /// Prefills that requests passed over in this pass will bring to a replica.
+    pub(crate) promised: &'a mut BTreeMap<Key, Duration>,
+    /// A decode replica kept for a request that was passed over in this pass.
+    pub(crate) kept: Option<Key>,
     pub(crate) turn: u64,
     pub(crate) random: &'a mut Pcg64Mcg,
 }
@@ -67,6 +84,17 @@
         let tokens = (f64::from(ticket.prompt_tokens()) * share).max(1.0);
         Duration::from_secs_f64(tokens / self.pool.get(key).rate.value().max(1.0))
     }
+
+    /// When `key` can start another prefill.
+    pub(crate) fn ready(&self, key: Key) -> Time {
+        let promised = self.promised.get(&key).copied().unwrap_or_default();
+        self.pool.get(key).ready().max(self.now) + promised
+    }
+
+    /// The latest time at which a replica may be ready that is given work now.
+    pub(crate) fn horizon(&self) -> Time {
+        self.now + self.settings.lead
+    }
 }
 
 /// A pair that a policy chose, with the figures behind it.
@@ -86,6 +114,39 @@
     pub candidates: u32,
 }
 
+/// Why a request has to wait.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Wait {
+    /// No prefill replica is ready, or a better one will be soon: others may go first.
+    Replica,
+    /// No decode slot is or will be free: nobody may go first.
+    Slot,
+    /// No decode replica with a small enough batch; the named one is kept for this request.
+    Batch(Key),
+}
+
+/// How the shares of rows are kept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fair {
+    /// The row that has had least for its share goes first.
+    Stride,
+    /// Rows go by slack; one that is far ahead of its share goes last.
+    Window,
+}
+
+/// Which decode slots count as secured.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Secured {
+    /// None are needed: all is placed at once.
+    Nothing,
+    /// Those that are free now.
+    Free,
+    /// Also those that learned turnover makes free in time.
+    Learned,
+    /// Also those that known lengths make free in time.
+    Known,
+}
+
 /// A policy.
 #[derive(Debug, Clone, Copy)]
 pub struct Policy {
@@ -93,12 +154,18 @@
     pub name: &'static str,
     /// Order key of a waiting request; the least goes first.
     pub order: fn(&Ask<'_>) -> Time,
-    /// Chooses a pair, or none while the request has to wait.
-    pub pair: fn(&mut View<'_>, &Ask<'_>) -> Option<Pair>,
+    /// Chooses a pair, or says why the request has to wait.
+    pub pair: fn(&mut View<'_>, &Ask<'_>) -> Result<Pair, Wait>,
     /// Chooses another decode replica for a finished prefill.
     pub decode: fn(&mut View<'_>, &Ask<'_>) -> Option<Key>,
     /// Chooses a replica for a plain call.
     pub single: fn(&mut View<'_>, &Ask<'_>) -> Option<Key>,
-    /// Whether slots are claimed before work is placed; without, all is placed at once.
-    pub secured: bool,
+    /// Which decode slots count as secured.
+    pub secured: Secured,
+    /// How the shares of rows are kept.
+    pub fair: Fair,
+    /// Waiting requests that are considered when the first cannot go.
+    pub scan: usize,
+    /// Whether late requests are refused as soon as the late ones before them take too long.
+    pub foresight: bool,
 }
--- a/crates/route/src/policy/least_loaded.rs
+++ b/crates/route/src/policy/least_loaded.rs
@@ -1,9 +1,12 @@
 //! Baseline: each daemon takes the least loaded replica by the last report.
 
 use crate::policy::Ask;
+use crate::policy::Fair;
 use crate::policy::Pair;
 use crate::policy::Policy;
+use crate::policy::Secured;
 use crate::policy::View;
+use crate::policy::Wait;
 use crate::policy::round_robin;
 use crate::replica::Role;
 use crate::server::Key;
@@ -16,7 +19,10 @@
         pair,
         decode,
         single,
-        secured: false,
+        secured: Secured::Nothing,
+        fair: Fair::Window,
+        scan: 1,
+        foresight: false,
     }
 }
 
@@ -39,10 +45,10 @@
     tied.get(at).copied()
 }
 
-fn pair(view: &mut View<'_>, _ask: &Ask<'_>) -> Option<Pair> {
-    let prefill = least(view, Role::Prefill)?;
-    let decode = least(view, Role::Decode)?;
-    Some(round_robin::plain_pair(view, prefill, decode))
+fn pair(view: &mut View<'_>, _ask: &Ask<'_>) -> Result<Pair, Wait> {
+    let prefill = least(view, Role::Prefill).ok_or(Wait::Replica)?;
+    let decode = least(view, Role::Decode).ok_or(Wait::Replica)?;
+    Ok(round_robin::plain_pair(view, prefill, decode))
 }
 
 fn decode(view: &mut View<'_>, _ask: &Ask<'_>) -> Option<Key> {
--- a/crates/route/src/policy/reserved.rs
+++ b/crates/route/src/policy/reserved.rs
@@ -1,4 +1,4 @@
-//! The project's policy: the decode slot is claimed before the prefill starts.
+//! The first policy of the project: a free decode slot is claimed before the prefill starts.
 
 use std::time::Duration;
 
@@ -6,13 +6,16 @@
 use ident::Zone;
 
 use crate::policy::Ask;
+use crate::policy::Fair;
 use crate::policy::Pair;
 use crate::policy::Policy;
+use crate::policy::Secured;
 use crate::policy::View;
+use crate::policy::Wait;
 use crate::server::Key;
 
-/// Prefill replicas that are compared, in the order in which they are ready.
-const MAX_PREFILLS: usize = 8;
+/// Replicas that are compared in each index.
+pub(crate) const MAX_COMPARED: usize = 8;
 
 /// The policy.
 pub const fn policy() -> Policy {
@@ -22,7 +25,10 @@
         pair,
         decode,
         single,
-        secured: true,
+        secured: Secured::Free,
+        fair: Fair::Stride,
+        scan: 1,
+        foresight: false,
     }
 }
 
@@ -31,16 +37,16 @@
     ask.due - ask.fastest
 }
 
-fn pair(view: &mut View<'_>, ask: &Ask<'_>) -> Option<Pair> {
-    if view.pool.free_slots() == 0 {
-        return None;
+fn pair(view: &mut View<'_>, ask: &Ask<'_>) -> Result<Pair, Wait> {
+    if view.pool.net_free() <= 0 {
+        return Err(Wait::Slot);
     }
-    let horizon = view.now + view.lead;
+    let horizon = view.horizon();
     let ready = view
         .pool
         .prefills()
         .take_while(|(ready, _)| *ready <= horizon);
-    let ready = ready.map(|(_, key)| key).take(MAX_PREFILLS);
+    let ready = ready.map(|(_, key)| key).take(MAX_COMPARED);
     let holders = view
         .cache
         .holders(ask.ticket.blocks())
@@ -57,6 +63,7 @@
         };
     }
     best.map(|pair| Pair { candidates, ..pair })
+        .ok_or(Wait::Replica)
 }
 
 fn usable(view: &View<'_>, key: Key, horizon: Time) -> bool {
@@ -89,18 +96,14 @@
 /// The decode replica with a free slot that the KV cache reaches first from `from`.
 fn nearest(view: &View<'_>, ask: &Ask<'_>, from: Zone) -> Option<(Key, Duration)> {
     let mut best: Option<(Key, Duration)> = None;
-    for (zone, set) in view.pool.decodes() {
-        let free = set
-            .iter()
-            .map(|(_, key)| *key)
-            .take(MAX_PREFILLS)
-            .find(|key| view.pool.get(*key).free() > 0 && !avoided(view, ask, *key));
+    for (zone, mut keys) in view.pool.decodes() {
+        let free = keys.find(|key| view.pool.get(*key).free() > 0 && !avoided(view, ask, *key));
         let Some(key) = free else {
             continue;
         };
         let time = view
             .links
-            .expected((from, zone), ask.ticket.prompt_tokens());
+            .expected(view.now, (from, zone), ask.ticket.prompt_tokens());
         if best.is_none_or(|(_, least)| time < least) {
             best = Some((key, time));
         }
@@ -108,12 +111,12 @@
     best
 }
 
-pub(crate) fn decode(view: &mut View<'_>, ask: &Ask<'_>) -> Option<Key> {
+fn decode(view: &mut View<'_>, ask: &Ask<'_>) -> Option<Key> {
     nearest(view, ask, ask.source).map(|(key, _)| key)
 }
 
 pub(crate) fn single(view: &mut View<'_>, ask: &Ask<'_>) -> Option<Key> {
-    let open = view.pool.plains().map(|(_, key)| key).take(MAX_PREFILLS);
+    let open = view.pool.plains().map(|(_, key)| key).take(MAX_COMPARED);
     let free = open.filter(|key| view.pool.get(*key).free() > 0 && !avoided(view, ask, *key));
     free.min_by(|a, b| wait(view, *a).total_cmp(&wait(view, *b)))
 }
--- a/crates/route/src/policy/round_robin.rs
+++ b/crates/route/src/policy/round_robin.rs
@@ -3,9 +3,12 @@
 use ident::Time;
 
 use crate::policy::Ask;
+use crate::policy::Fair;
 use crate::policy::Pair;
 use crate::policy::Policy;
+use crate::policy::Secured;
 use crate::policy::View;
+use crate::policy::Wait;
 use crate::replica::Role;
 use crate::server::Key;
 
@@ -17,7 +20,10 @@
         pair,
         decode,
         single,
-        secured: false,
+        secured: Secured::Nothing,
+        fair: Fair::Window,
+        scan: 1,
+        foresight: false,
     }
 }
 
@@ -53,10 +59,10 @@
     }
 }
 
-fn pair(view: &mut View<'_>, _ask: &Ask<'_>) -> Option<Pair> {
-    let prefill = turn(view, Role::Prefill)?;
-    let decode = turn(view, Role::Decode)?;
-    Some(plain_pair(view, prefill, decode))
+fn pair(view: &mut View<'_>, _ask: &Ask<'_>) -> Result<Pair, Wait> {
+    let prefill = turn(view, Role::Prefill).ok_or(Wait::Replica)?;
+    let decode = turn(view, Role::Decode).ok_or(Wait::Replica)?;
+    Ok(plain_pair(view, prefill, decode))
 }
 
 fn decode(view: &mut View<'_>, _ask: &Ask<'_>) -> Option<Key> {
--- a/crates/route/src/policy/two_choices.rs
+++ b/crates/route/src/policy/two_choices.rs
@@ -3,9 +3,12 @@
 //! The load compared is the last report plus what this daemon has sent since.
 
 use crate::policy::Ask;
+use crate::policy::Fair;
 use crate::policy::Pair;
 use crate::policy::Policy;
+use crate::policy::Secured;
 use crate::policy::View;
+use crate::policy::Wait;
 use crate::policy::round_robin;
 use crate::replica::Role;
 use crate::server::Key;
@@ -18,7 +21,10 @@
         pair,
         decode,
         single,
-        secured: false,
+        secured: Secured::Nothing,
+        fair: Fair::Window,
+        scan: 1,
+        foresight: false,
     }
 }
 
@@ -30,10 +36,10 @@
     Some(if load(b) < load(a) { b } else { a })
 }
 
-fn pair(view: &mut View<'_>, _ask: &Ask<'_>) -> Option<Pair> {
-    let prefill = draw(view, Role::Prefill)?;
-    let decode = draw(view, Role::Decode)?;
-    Some(round_robin::plain_pair(view, prefill, decode))
+fn pair(view: &mut View<'_>, _ask: &Ask<'_>) -> Result<Pair, Wait> {
+    let prefill = draw(view, Role::Prefill).ok_or(Wait::Replica)?;
+    let decode = draw(view, Role::Decode).ok_or(Wait::Replica)?;
+    Ok(round_robin::plain_pair(view, prefill, decode))
 }
 
 fn decode(view: &mut View<'_>, _ask: &Ask<'_>) -> Option<Key> {
--- a/crates/route/src/queue.rs
+++ b/crates/route/src/queue.rs
@@ -39,6 +39,24 @@
         self.late.first().copied()
     }
 
+    /// Waiting requests in order, those that are late marked so and last.
+    pub fn iter(&self) -> impl Iterator<Item = (bool, Time, Handle)> + '_ {
+        let punctual = self
+            .punctual
+            .iter()
+            .map(|(order, handle)| (false, *order, *handle));
+        let late = self
+            .late
+            .iter()
+            .map(|(expiry, handle)| (true, *expiry, *handle));
+        punctual.chain(late)
+    }
+
+    /// Waiting requests that cannot meet their target.
+    pub fn late_len(&self) -> usize {
+        self.late.len()
+    }
+
     /// Waiting requests.
     pub fn len(&self) -> usize {
         self.punctual.len() + self.late.len()
--- a/crates/route/src/server.rs
+++ b/crates/route/src/server.rs
@@ -1,5 +1,6 @@
 //! The replicas of a cell in an arena, with ordered indexes of free capacity.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
@@ -49,12 +50,18 @@
     pub reported_tokens: u64,
     /// Requests sent since the last report.
     pub sent: u32,
+    /// Requests of this cell whose KV cache is on its way to it.
+    pub arrivals: u32,
     /// Start of the replica's present run.
     pub boot: u64,
     /// Learned prefill tokens a second.
     pub rate: Ewma,
     /// Learned seconds that a plain call takes.
     pub service: Ewma,
+    limits: BTreeMap<u32, u32>,
+    batch: u32,
+    area: f64,
+    area_at: Time,
     jobs: VecDeque<Job>,
     started: Time,
     ready: Time,
@@ -71,9 +78,14 @@
             reported: 0,
             reported_tokens: 0,
             sent: 0,
+            arrivals: 0,
             boot: 0,
             rate: Ewma::new(rate, RATE_WEIGHT),
             service: Ewma::new(0.02, RATE_WEIGHT),
+            limits: BTreeMap::new(),
+            batch: 0,
+            area: 0.0,
+            area_at: Time::ZERO,
             jobs: VecDeque::new(),
             started: Time::ZERO,
             ready: Time::ZERO,
@@ -85,9 +97,58 @@
         self.reachable && self.listed && !self.member.leaving
     }
 
-    /// Slots that are neither claimed nor taken by others.
-    pub const fn free(&self) -> u32 {
-        self.member.slots.saturating_sub(self.claims + self.foreign)
+    /// Slots that may be used: the batch may grow no further without missing a target.
+    pub fn cap(&self) -> u32 {
+        let strictest = self.limits.keys().next().copied();
+        strictest.map_or(self.member.slots, |limit| limit.min(self.member.slots))
+    }
+
+    /// Whether a request on it has a target that forbids the full batch.
+    pub fn is_strict(&self) -> bool {
+        self.cap() < self.member.slots
+    }
+
+    /// Usable slots that are neither claimed nor taken by others; negative if more are claimed.
+    pub fn free(&self) -> i64 {
+        i64::from(self.cap()) - i64::from(self.load())
+    }
+
+    /// The same for a request that allows a batch of at most `limit`.
+    pub fn room(&self, limit: u32) -> i64 {
+        i64::from(self.cap().min(limit)) - i64::from(self.load())
+    }
+
+    /// Slots that no request decodes or imports in, whoever has claimed them.
+    pub fn vacant(&self) -> i64 {
+        i64::from(self.cap()) - i64::from(self.batch + self.arrivals + self.foreign)
+    }
+
+    /// Claims a slot for a request that allows a batch of at most `limit`.
+    pub fn claim(&mut self, limit: u32) {
+        self.claims += 1;
+        self.sent += 1;
+        *self.limits.entry(limit).or_default() += 1;
+    }
+
+    /// Gives a slot back.
+    pub fn unclaim(&mut self, limit: u32) {
+        self.claims = self.claims.saturating_sub(1);
+        match self.limits.get_mut(&limit) {
+            Some(count) if *count > 1 => *count -= 1,
+            _ => drop(self.limits.remove(&limit)),
+        }
+    }
+
+    /// Notes that the batch grows or shrinks at `now`.
+    pub fn batch(&mut self, now: Time, change: i64) {
+        self.area += f64::from(self.batch) * now.since(self.area_at).as_secs_f64();
+        self.area_at = now;
+        self.batch = (i64::from(self.batch) + change).max(0) as u32;
+    }
+
+    /// Sum of the batch over time, in request seconds, up to `now`.
+    pub fn area(&self, now: Time) -> f64 {
+        self.area + f64::from(self.batch) * now.since(self.area_at).as_secs_f64()
     }
 
     /// Requests on the replica, of this cell and of others.
@@ -112,9 +173,11 @@
     servers: Vec<Server>,
     keys: HashMap<Replica, Key>,
     prefills: BTreeSet<(Time, Key)>,
-    decodes: BTreeMap<Zone, BTreeSet<(u32, Key)>>,
+    decodes: BTreeMap<Zone, BTreeSet<(Reverse<i64>, Key)>>,
     plains: BTreeSet<(u32, Key)>,
-    free_slots: u32,
+    net_free: i64,
+    open_prefills: u32,
+    open_slots: u32,
 }
 
 impl Pool {
@@ -141,9 +204,11 @@
         self.prefills.iter().copied()
     }
 
-    /// Open decode replicas of each zone, the least loaded foremost.
-    pub fn decodes(&self) -> impl Iterator<Item = (Zone, &BTreeSet<(u32, Key)>)> + '_ {
-        self.decodes.iter().map(|(zone, set)| (*zone, set))
+    /// Open decode replicas of each zone, the one with most free slots foremost.
+    pub fn decodes(&self) -> impl Iterator<Item = (Zone, impl Iterator<Item = Key> + '_)> + '_ {
+        self.decodes
+            .iter()
+            .map(|(zone, set)| (*zone, set.iter().map(|(_, key)| *key)))
     }
 
     /// Open plain replicas, the least loaded foremost.
@@ -151,9 +216,19 @@
         self.plains.iter().copied()
     }
 
-    /// Free slots on all open decode replicas.
-    pub const fn free_slots(&self) -> u32 {
-        self.free_slots
+    /// Free slots on all open decode replicas, less those claimed beyond the slots of a replica.
+    pub const fn net_free(&self) -> i64 {
+        self.net_free
+    }
+
+    /// Open prefill replicas.
+    pub const fn open_prefills(&self) -> u32 {
+        self.open_prefills
+    }
+
+    /// Slots of open decode replicas.
+    pub const fn open_slots(&self) -> u32 {
+        self.open_slots
     }
 
     /// Adds `member`, or updates it.
@@ -225,6 +300,9 @@
         self.update(key, |server| {
             server.jobs.clear();
             server.claims = 0;
+            server.limits.clear();
+            server.batch = 0;
+            server.arrivals = 0;
             server.foreign = 0;
             server.reported = 0;
             server.sent = 0;
@@ -238,14 +316,17 @@
         }
         match server.member.role {
             Role::Prefill => {
+                self.open_prefills += 1;
                 self.prefills.insert((server.ready, key));
             }
             Role::Decode => {
-                self.free_slots += server.free();
+                self.open_slots += server.member.slots;
+                self.net_free += server.free();
+                let entry = (Reverse(server.free()), key);
                 self.decodes
                     .entry(server.member.zone)
                     .or_default()
-                    .insert((server.load(), key));
+                    .insert(entry);
             }
             Role::Plain => {
                 self.plains.insert((server.load(), key));
@@ -260,12 +341,14 @@
         }
         match server.member.role {
             Role::Prefill => {
+                self.open_prefills -= 1;
                 self.prefills.remove(&(server.ready, key));
             }
             Role::Decode => {
-                self.free_slots -= server.free();
+                self.open_slots -= server.member.slots;
+                self.net_free -= server.free();
                 if let Some(set) = self.decodes.get_mut(&server.member.zone) {
-                    set.remove(&(server.load(), key));
+                    set.remove(&(Reverse(server.free()), key));
                 }
             }
             Role::Plain => {
--- /dev/null
+++ b/crates/route/src/token.rs
@@ -0,0 +1,65 @@
+//! Time between tokens as a function of the batch.
+
+/// Part that earlier samples keep when one is taken in.
+const KEEP: f64 = 0.995;
+/// Samples before the fit is used.
+const MIN_SAMPLES: f64 = 30.0;
+/// Variance of the batch size that a fit needs.
+const MIN_VARIANCE: f64 = 0.5;
+/// Time between tokens until learned, in seconds.
+const INITIAL_TIME: f64 = 0.025;
+/// Part of a target that is used.
+const MARGIN: f64 = 0.99;
+
+/// A straight line through (batch, time between tokens), fitted with fading memory.
+#[derive(Debug, Default)]
+pub struct Fit {
+    count: f64,
+    batch: f64,
+    time: f64,
+    square: f64,
+    product: f64,
+}
+
+impl Fit {
+    /// Takes in that a request in a mean batch of `batch` got a token every `seconds`.
+    pub fn add(&mut self, batch: f64, seconds: f64) {
+        self.count = self.count * KEEP + 1.0;
+        self.batch = self.batch * KEEP + batch;
+        self.time = self.time * KEEP + seconds;
+        self.square = self.square * KEEP + batch * batch;
+        self.product = self.product * KEEP + batch * seconds;
+    }
+
+    /// Expected time between tokens in a batch of `batch`, in seconds.
+    pub fn time(&self, batch: f64) -> f64 {
+        let Some((mean, time, slope)) = self.line() else {
+            return if self.count > 0.0 {
+                self.time / self.count
+            } else {
+                INITIAL_TIME
+            };
+        };
+        (time + slope * (batch - mean)).max(0.0)
+    }
+
+    /// The largest batch that keeps `target` seconds between tokens, at most `slots`.
+    pub fn limit(&self, target: f64, slots: u32) -> u32 {
+        let Some((mean, time, slope)) = self.line() else {
+            return slots;
+        };
+        let most = mean + (target * MARGIN - time) / slope;
+        (most.max(1.0) as u32).min(slots)
+    }
+
+    /// Mean batch, mean time and slope, once they are known well enough.
+    fn line(&self) -> Option<(f64, f64, f64)> {
+        if self.count < MIN_SAMPLES {
+            return None;
+        }
+        let (mean, time) = (self.batch / self.count, self.time / self.count);
+        let variance = self.square / self.count - mean * mean;
+        let slope = (self.product / self.count - mean * time) / variance.max(MIN_VARIANCE);
+        (variance >= MIN_VARIANCE && slope > 0.0).then_some((mean, time, slope))
+    }
+}
--- /dev/null
+++ b/crates/route/src/turnover.rs
@@ -0,0 +1,83 @@
+//! How many decode slots will come free within a span.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use ident::Handle;
+use ident::Time;
+
+use crate::rate::Ewma;
+
+/// Weight of one sample.
+const WEIGHT: f64 = 0.03;
+/// Time for which a request holds a decode slot, in seconds, until learned.
+const INITIAL_STAY: f64 = 5.0;
+/// The most slots that are predicted.
+const MAX_COUNT: u32 = 64;
+
+/// Learned turnover of decode slots, and known ends where lengths are known.
+#[derive(Debug)]
+pub struct Turnover {
+    stay: Ewma,
+    ends: BTreeSet<(Time, Handle)>,
+    held: u32,
+}
+
+impl Turnover {
+    /// Nothing learned.
+    pub const fn new() -> Self {
+        Self {
+            stay: Ewma::new(INITIAL_STAY, WEIGHT),
+            ends: BTreeSet::new(),
+            held: 0,
+        }
+    }
+
+    /// Mean time for which a request holds a slot.
+    pub fn stay(&self) -> Duration {
+        Duration::from_secs_f64(self.stay.value())
+    }
+
+    /// Notes that a request took a slot and will end at `end`, if that is known.
+    pub fn begin(&mut self, handle: Handle, end: Option<Time>) {
+        self.held += 1;
+        self.ends.extend(end.map(|end| (end, handle)));
+    }
+
+    /// Notes that a request gave up its slot, after `stay` if it ran to its end.
+    pub fn end(&mut self, handle: Handle, end: Option<Time>, stay: Option<Duration>) {
+        self.held = self.held.saturating_sub(1);
+        if let Some(end) = end {
+            self.ends.remove(&(end, handle));
+        }
+        if let Some(stay) = stay {
+            self.stay.add(stay.as_secs_f64());
+        }
+    }
+
+    /// Slots that come free until `time`, by known ends.
+    pub fn known(&self, time: Time) -> u32 {
+        let due = self
+            .ends
+            .iter()
+            .take(MAX_COUNT as usize)
+            .take_while(|(end, _)| *end <= time);
+        due.count() as u32
+    }
+
+    /// The number of slots that come free within `span` with a chance of at least `1 - risk`.
+    ///
+    /// Ends are taken as independent at a constant rate, so their number is Poisson distributed.
+    pub fn likely(&self, span: Duration, risk: f64) -> u32 {
+        let mean = f64::from(self.held) * span.as_secs_f64() / self.stay.value().max(0.001);
+        let mut term = (-mean).exp();
+        let mut below = term;
+        let mut count = 0;
+        while below <= risk && count < MAX_COUNT {
+            count += 1;
+            term *= mean / f64::from(count);
+            below += term;
+        }
+        count
+    }
+}
