Core: faults found by the random tests mended

Change: reach of a request (untouched, sent, touched), keeper falls back to this daemon, patience of a waiting request, one parser for hexadecimal, and priorities passed as the table has them.

--- a/crates/ident/src/handle.rs
+++ b/crates/ident/src/handle.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::Incarnation;
+use crate::hex;
 
 /// One attempt at a request, unique over all daemons and restarts.
 ///
@@ -54,8 +55,8 @@
     fn from_str(text: &str) -> Result<Self, ParseError> {
         let parse = || {
             let (owner, sequence) = text.split_once('-')?;
-            let owner = u64::from_str_radix(owner, 16).ok()?;
-            let sequence = u64::from_str_radix(sequence, 16).ok()?;
+            let owner = hex::parse(owner)?;
+            let sequence = hex::parse(sequence)?;
             Some(Self::new(Incarnation(owner), sequence))
         };
         parse().ok_or_else(|| ParseError(text.to_owned()))
--- a/crates/ident/src/key.rs
+++ b/crates/ident/src/key.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 
 use crate::Incarnation;
+use crate::hex;
 
 /// The part of a key that a daemon issues: `<incarnation>.<issued>.`, both in hexadecimal.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -32,8 +33,8 @@
         let runner = parts.next().filter(|part| part.len() == 16)?;
         let issued = parts.next().filter(|part| part.len() == 8)?;
         parts.next().filter(|rest| !rest.is_empty())?;
-        let runner = u64::from_str_radix(runner, 16).ok()?;
-        let issued = u64::from_str_radix(issued, 16).ok()?;
+        let runner = hex::parse(runner)?;
+        let issued = hex::parse(issued)?;
         Some(Self::new(Incarnation(runner), issued))
     }
 }
--- a/crates/ident/src/lib.rs
+++ b/crates/ident/src/lib.rs
@@ -4,6 +4,7 @@
 //! once into 64 bits, so that all daemons agree on the key without exchanging it.
 
 mod handle;
+mod hex;
 mod key;
 mod name;
 mod time;
--- a/crates/node/src/asking.rs
+++ b/crates/node/src/asking.rs
@@ -29,6 +29,7 @@
 use crate::open::Asker;
 use crate::open::End;
 use crate::open::OpenKey;
+use crate::open::Reach;
 use crate::refusals::SOON;
 use crate::request::Request;
 
@@ -244,13 +245,17 @@
             "repeatable, and its runner is gone",
             out,
         );
-        match self.admit(question.call, Some(question.key), &request) {
-            Ok(opened) => self.begin(opened, out),
-            Err(refusal) => self.refuse(question.call, &label, refusal, out),
-        }
+        self.open_new(
+            question.call,
+            Some(question.key),
+            &request,
+            Reach::Touched,
+            out,
+        );
     }
 
-    fn is_repeatable(&self, request: &Request) -> bool {
+    /// Whether `request` may be run again after it was sent.
+    pub(crate) fn is_repeatable(&self, request: &Request) -> bool {
         let rows = self
             .view
             .table()
--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -49,9 +49,7 @@
         entry.ticket.waited = now.since(entry.times.arrived);
         let ticket = Box::new(entry.ticket.clone());
         let pool = entry.pool;
-        if let Some(keeper) = self.fleet.owner(pool.0) {
-            self.send(keeper, Body::Submit(ticket), out);
-        }
+        self.send(self.keeper_of(pool), Body::Submit(ticket), out);
     }
 
     /// Sends unanswered submissions again; a keeper answers the same ticket the same way.
@@ -65,7 +63,12 @@
             .map(|(opened, _)| opened)
             .collect();
         for opened in due {
-            self.submit(opened, out);
+            let entry = &self.open[opened];
+            if now >= entry.queued + entry.patience {
+                self.give_up(opened, Reason::NoReplica, SOON, out);
+            } else {
+                self.submit(opened, out);
+            }
         }
         let expired: Vec<OpenKey> = self
             .open
@@ -91,9 +94,7 @@
         let entry = &mut self.open[opened];
         entry.phase = Some(phase);
         let (pool, handle) = (entry.pool, entry.handle());
-        if let Some(keeper) = self.fleet.owner(pool.0) {
-            self.send(keeper, Body::Advance { handle, phase }, out);
-        }
+        self.send(self.keeper_of(pool), Body::Advance { handle, phase }, out);
     }
 
     /// What a new keeper is told of a placed request.
@@ -201,6 +202,7 @@
         };
         entry.place = Some(place);
         entry.order = Some(order);
+        entry.dispatch();
         entry.enter(Stage::Prefill, out);
         let priority = entry.priority;
         entry.prefill_hold = Some(self.holds.take(prefill, handle, owner, fence, order));
@@ -273,6 +275,7 @@
         });
         entry.order = Some(order);
         entry.enter(Stage::Call, out);
+        entry.dispatch();
         let task = Task::Plain { call };
         out.push(Action::Order {
             order,
@@ -310,7 +313,7 @@
             (Some(Purpose::Plain(opened)), Reply::Plain { status, body })
                 if self.is_current(opened, order) =>
             {
-                self.open[opened].touched = true;
+                self.open[opened].landed(false);
                 self.end(opened, &End::Answered { status, body }, out);
             }
             _ => (),
@@ -344,12 +347,12 @@
     }
 
     fn touch(&mut self, opened: OpenKey, failure: Failure) {
-        self.open[opened].touched |= failure != Failure::NotSent;
+        self.open[opened].landed(failure == Failure::NotSent);
     }
 
     fn prefilled(&mut self, opened: OpenKey, computed: u32, cached: u32, out: &mut Vec<Action>) {
         let entry = &mut self.open[opened];
-        entry.touched = true;
+        entry.landed(false);
         entry.computed = computed;
         let Some(Place {
             prefill: Some(prefill),
@@ -386,7 +389,7 @@
     pub(crate) fn retry(&mut self, opened: OpenKey, failure: Failure, out: &mut Vec<Action>) {
         let entry = &self.open[opened];
         let spent = entry.ticket.attempt + 1 >= MAX_ATTEMPTS;
-        let may_repeat = entry.repeatable || !entry.touched;
+        let may_repeat = entry.repeatable || !entry.is_touched();
         match () {
             () if !may_repeat => self.give_up(opened, Reason::Backend, Duration::ZERO, out),
             () if spent || entry.origin.is_none() => {
@@ -418,6 +421,8 @@
         entry.place = None;
         entry.phase = None;
         entry.order = None;
+        entry.headed = false;
+        entry.queued = self.now;
         entry.attach_tries = 0;
         entry.sequence.reset();
         let holds = [entry.prefill_hold.take(), entry.decode_hold.take()];
@@ -455,7 +460,7 @@
     ) {
         let entry = &self.open[opened];
         let outcome = match () {
-            () if !entry.touched => Outcome::NotRun,
+            () if !entry.is_touched() => Outcome::NotRun,
             () if entry.repeatable => Outcome::Failed,
             () => Outcome::Unknown,
         };
@@ -531,7 +536,6 @@
             End::Refused(refusal) => match refusal.outcome {
                 Outcome::NotRun => None,
                 Outcome::Unknown => Some(Mark::Unknown),
-                Outcome::Failed if entry.repeatable => None,
                 Outcome::Failed => Some(Mark::Failed),
             },
         };
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -25,6 +25,7 @@
 use crate::open::End;
 use crate::open::Open;
 use crate::open::OpenKey;
+use crate::open::Reach;
 use crate::open::Targets;
 use crate::open::Times;
 use crate::refusals::SOON;
@@ -33,6 +34,8 @@
 
 /// How long a stream goes on without its caller, who may come back with the resume token.
 pub const CALLER_GRACE: Duration = Duration::from_secs(3);
+/// How much longer than its row's longest wait a request waits for a keeper that is silent.
+const PATIENCE: Duration = Duration::from_secs(1);
 /// How many times the address answer's time to live a leaving daemon still takes requests.
 const LEAVING_TTLS: u32 = 2;
 
@@ -42,19 +45,39 @@
             Ok(key) => key,
             Err(refusal) => return self.refuse(call, &request.customer, refusal, out),
         };
-        let label = key
-            .as_ref()
-            .map_or_else(|| request.customer.clone(), Key::to_string);
         let known = key.as_ref().and_then(|key| self.keys.get(key)).cloned();
         match (known, &key) {
+            (Some(Mark::Failed), Some(_)) if self.is_repeatable(&request) => {
+                self.open_new(call, key, &request, Reach::Touched, out);
+            }
             (Some(mark), Some(key)) => self.repeat(call, key, mark, out),
             (None, Some(key)) if self.is_foreign(key) => {
                 self.ask(call, key.clone(), Some(request), out);
             }
-            _ => match self.admit(call, key, &request) {
-                Ok(opened) => self.begin(opened, out),
-                Err(refusal) => self.refuse(call, &label, refusal, out),
-            },
+            _ => self.open_new(call, key, &request, Reach::Untouched, out),
+        }
+    }
+
+    /// Opens a request and asks for its placement, or refuses it. `reach` tells how far an earlier
+    /// try with the same key may have got.
+    pub(crate) fn open_new(
+        &mut self,
+        call: Call,
+        key: Option<Key>,
+        request: &Request,
+        reach: Reach,
+        out: &mut Vec<Action>,
+    ) {
+        let label = key
+            .as_ref()
+            .map_or_else(|| request.customer.clone(), Key::to_string);
+        match self.admit(call, key, request, reach) {
+            Ok(opened) => self.begin(opened, out),
+            Err(refusal) if reach == Reach::Untouched => self.refuse(call, &label, refusal, out),
+            Err(refusal) => {
+                let outcome = Outcome::Failed;
+                self.refuse(call, &label, Refusal { outcome, ..refusal }, out);
+            }
         }
     }
 
@@ -74,11 +97,12 @@
     }
 
     /// Opens a request, unless a rule forbids it.
-    pub(crate) fn admit(
+    fn admit(
         &mut self,
         call: Call,
         key: Option<Key>,
         request: &Request,
+        reach: Reach,
     ) -> Result<OpenKey, Refusal> {
         let not_run = |reason, after| Self::refusal(Outcome::NotRun, reason, after);
         if !self.may_decide() {
@@ -103,7 +127,11 @@
         match key.as_ref().map(|_| self.keys.admit(now, issued)) {
             Some(Admission::Expired) => Err(not_run(Reason::KeyExpired, Duration::ZERO)),
             Some(Admission::Full) => Err(self.refusal_elsewhere(Outcome::NotRun, Reason::Full)),
-            Some(Admission::New) | None => Ok(self.insert(call, key, request, &row, repeatable)),
+            Some(Admission::New) | None => {
+                let opened = self.insert(call, key, request, &row, repeatable);
+                self.open[opened].reach = reach;
+                Ok(opened)
+            }
         }
     }
 
@@ -174,7 +202,9 @@
             decode_hold: None,
             fence: self.unix_ms(),
             sequence: Sequence::new(0),
-            touched: false,
+            reach: Reach::Untouched,
+            queued: now,
+            patience: Duration::from_millis(u64::from(row.max_wait_ms)) + PATIENCE,
             headed: false,
             withheld: None,
             attach_tries: 0,
@@ -202,7 +232,7 @@
         Handle::new(self.incarnation(), self.number())
     }
 
-    pub(crate) fn begin(&mut self, opened: OpenKey, out: &mut Vec<Action>) {
+    fn begin(&mut self, opened: OpenKey, out: &mut Vec<Action>) {
         let entry = &self.open[opened];
         let pool = format!("pool {}", entry.pool);
         let reason = format!("row {} attempt {}", entry.ticket.row, entry.handle());
@@ -288,8 +318,7 @@
 
     /// Ends a request that nobody waits for, and releases all that it holds.
     fn abandon(&mut self, opened: OpenKey, reason: &str, out: &mut Vec<Action>) {
-        let touched = self.open[opened].touched;
-        let outcome = if touched {
+        let outcome = if self.open[opened].is_touched() {
             Outcome::Failed
         } else {
             Outcome::NotRun
--- a/crates/node/src/keeping.rs
+++ b/crates/node/src/keeping.rs
@@ -20,7 +20,6 @@
 use route::replica::Member;
 use route::rule::Rule;
 use route::ticket::Ticket;
-use table::row::LAST_PRIORITY;
 use table::row::Row;
 use wire::Body;
 
@@ -69,9 +68,13 @@
 }
 
 impl Node {
-    /// Whether this daemon is keeper of `pool`.
+    /// The keeper of `pool`; this daemon itself if every instance is leaving.
+    pub(crate) fn keeper_of(&self, pool: Pool) -> Instance {
+        self.fleet.owner(pool.0).unwrap_or(self.settings.instance)
+    }
+
     fn is_keeper(&self, pool: Pool) -> bool {
-        self.fleet.owner(pool.0) == Some(self.settings.instance)
+        self.keeper_of(pool) == self.settings.instance
     }
 
     /// Follows changes of membership and list: begins and ends keeping, and tells new keepers what
@@ -82,9 +85,7 @@
         pools.sort_unstable();
         pools.dedup();
         for pool in pools {
-            let Some(owner) = self.fleet.owner(pool.0) else {
-                continue;
-            };
+            let owner = self.keeper_of(pool);
             if self.keepers.insert(pool, owner) != Some(owner) {
                 self.keeper_moved(pool, owner, out);
             }
@@ -230,6 +231,7 @@
         {
             kept.cell.advance(now, handle, phase);
             if ended {
+                kept.cell.advance(now, handle, Phase::Gone);
                 kept.placed.remove(&handle);
             }
         }
@@ -518,7 +520,7 @@
     Rule {
         row: row.id(),
         share: row.share,
-        priority: LAST_PRIORITY - row.priority,
+        priority: row.priority,
         ttft: millis(row.ttft_ms),
         tbt: millis(row.tbt_ms),
         max_wait: millis(row.max_wait_ms),
--- a/crates/node/src/open.rs
+++ b/crates/node/src/open.rs
@@ -1,5 +1,7 @@
 //! A request that has no final answer yet.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use ident::Handle;
 use ident::Instance;
@@ -51,6 +53,17 @@
     }
 }
 
+/// How far a request may have got towards a replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reach {
+    /// No byte of it left this daemon.
+    Untouched,
+    /// Its first order is on its way.
+    Sent,
+    /// A byte of it may have reached a replica.
+    Touched,
+}
+
 /// Where a placed request runs.
 #[derive(Debug, Clone, Copy)]
 pub struct Place {
@@ -118,8 +131,12 @@
     pub fence: u64,
     /// Tokens in order.
     pub sequence: Sequence,
-    /// Whether a byte of it may have reached a replica.
-    pub touched: bool,
+    /// How far it may have got.
+    pub reach: Reach,
+    /// When its present attempt began to wait.
+    pub queued: Time,
+    /// How long an attempt may wait without a decision of the keeper.
+    pub patience: Duration,
     /// Whether the head of its stream was told to the present connection.
     pub headed: bool,
     /// Pieces withheld until the stream is verified; `None` if it needs no verification.
@@ -144,6 +161,26 @@
         self.ticket.handle
     }
 
+    /// Notes that an order goes out.
+    pub fn dispatch(&mut self) {
+        if self.reach == Reach::Untouched {
+            self.reach = Reach::Sent;
+        }
+    }
+
+    /// Notes how an order ended; `unsent` if no byte of it can have left.
+    pub fn landed(&mut self, unsent: bool) {
+        self.reach = match self.reach {
+            Reach::Untouched | Reach::Sent if unsent => Reach::Untouched,
+            _ => Reach::Touched,
+        };
+    }
+
+    /// Whether a byte of it may have reached a replica.
+    pub fn is_touched(&self) -> bool {
+        self.reach != Reach::Untouched
+    }
+
     /// Moves to `next`; a transition that no request may make is a fault, and is not made.
     pub fn enter(&mut self, next: Stage, out: &mut Vec<Action>) {
         match self.stage.advance(next, self.ticket.handle) {
--- a/crates/node/src/streams.rs
+++ b/crates/node/src/streams.rs
@@ -31,9 +31,9 @@
 use crate::open::Open;
 use crate::open::OpenKey;
 use crate::open::Place;
+use crate::open::Reach;
 use crate::open::Targets;
 use crate::open::Times;
-use crate::refusals::SOON;
 use crate::token::Token;
 
 /// Attach orders that may fail in a row before the stream counts as lost.
@@ -157,12 +157,12 @@
             }
             Failure::Refused {
                 status: HTTP_CONFLICT,
-                ..
+                fence: Some(_),
             } => {
                 self.end(opened, &End::Superseded, out);
             }
             Failure::Refused {
-                status: HTTP_NOT_FOUND,
+                status: HTTP_NOT_FOUND | HTTP_CONFLICT,
                 ..
             } => {
                 self.stream_lost(opened, failure, out);
@@ -181,8 +181,7 @@
     fn stream_lost(&mut self, opened: OpenKey, failure: Failure, out: &mut Vec<Action>) {
         let entry = &self.open[opened];
         if entry.origin.is_none() {
-            self.open[opened].touched = true;
-            self.give_up(opened, Reason::StreamLost, SOON, out);
+            self.give_up(opened, Reason::StreamLost, Duration::ZERO, out);
         } else {
             self.retry(opened, failure, out);
         }
@@ -330,9 +329,8 @@
 
     /// Tells the keeper of a placed request that this daemon owns it.
     pub(crate) fn tell_keeper_adopted(&mut self, opened: OpenKey, out: &mut Vec<Action>) {
-        let keeper = self.fleet.owner(self.open[opened].pool.0);
-        let hold = self.hold_of(opened);
-        if let (Some(keeper), Some(hold)) = (keeper, hold) {
+        let keeper = self.keeper_of(self.open[opened].pool);
+        if let Some(hold) = self.hold_of(opened) {
             self.send(keeper, Body::Adopt(Box::new(hold)), out);
         }
     }
@@ -377,7 +375,9 @@
             decode_hold: None,
             fence: self.unix_ms(),
             sequence: Sequence::new(offset),
-            touched: true,
+            reach: Reach::Touched,
+            queued: now,
+            patience: Duration::ZERO,
             headed: false,
             withheld: None,
             attach_tries: 0,
--- a/crates/node/src/tables.rs
+++ b/crates/node/src/tables.rs
@@ -290,15 +290,10 @@
             );
         }
         if !self.has_majority() {
-            let cause = "this instance does not reach a majority of the listed instances; \
-                         try another instance, or again later";
-            return answer(
-                call,
-                Verdict::Rejected {
-                    cause: cause.to_owned(),
-                },
-                out,
-            );
+            let cause = "this try sent nothing to the store, as this instance does not reach a \
+                         majority of the listed instances; send the same edit again";
+            let cause = cause.to_owned();
+            return answer(call, Verdict::Undecided { cause }, out);
         }
         let number = self.number() ^ self.incarnation().0;
         let query = self.query();
@@ -485,10 +480,6 @@
 fn refused(outcome: Stored) -> Verdict {
     match outcome {
         Stored::Conflict { lines } => Verdict::Conflict { lines },
-        Stored::Failed {
-            maybe: false,
-            cause,
-        } => Verdict::Rejected { cause },
         Stored::Failed { cause, .. } => Verdict::Undecided { cause },
         _ => {
             let cause = "the store gave another answer than was asked for".to_owned();
