Core: withheld streams also withhold their end; avoided replicas come back when they are the last

Cause: scenario stream-daemon-frozen-unfenced: a woken daemon read the end of its old stream while the stream was withheld, attached anew and took it from its new owner. Scenario engine-restarted-empty: a replica that failed an attempt was banned from it for ever, so with one replica the request was refused as doomed after 20 s. Scenario stream-token-misused: of two resumes 1 ms apart the older could win. Random codec test: the largest frame did not decode. Ruled out for the second: dropping avoidance after a time (a silent replica would be tried again). Change: Withheld::End; avoidance counts only while another open replica can take the part; a fence is raised only against a clock that is off by a second; the codec's limit leaves room.

--- a/crates/node/src/asking.rs
+++ b/crates/node/src/asking.rs
@@ -38,6 +38,9 @@
 /// Pause after which a runner is asked again.
 const ASK_AGAIN: Duration = Duration::from_millis(500);
 
+/// Longest body passed on to another instance: it fits a frame.
+const MAX_TOLD_BODY: usize = wire::MAX_BODY - 1_024;
+
 /// A caller waits for what another instance knows of its key.
 #[derive(Debug)]
 pub(crate) struct Question {
@@ -316,7 +319,7 @@
         let told = match (end, token) {
             (End::Answered { status, body }, _) => Told::Answered {
                 status: *status,
-                body: Some(body.clone()),
+                body: Some(body.clone()).filter(|body| body.len() <= MAX_TOLD_BODY),
             },
             (End::Streamed { .. } | End::Superseded, Some(token)) => Told::Streaming { token },
             (End::Streamed { .. } | End::Superseded, None) => Told::Unknown,
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -234,8 +234,9 @@
 
     fn begin(&mut self, opened: OpenKey, out: &mut Vec<Action>) {
         let entry = &self.open[opened];
-        let pool = format!("pool {}", entry.pool);
-        let reason = format!("row {} attempt {}", entry.ticket.row, entry.handle());
+        let pool = format!("pool {}", self.rows.pool_name(entry.pool));
+        let row = self.rows.row_name(entry.ticket.row);
+        let reason = format!("row {row}, attempt {}", entry.handle());
         self.log(&entry.label(), Step::Admit, &pool, &reason, out);
         self.submit(opened, out);
     }
--- a/crates/node/src/open.rs
+++ b/crates/node/src/open.rs
@@ -20,6 +20,8 @@
 use table::row::Row;
 
 use crate::action::Action;
+use crate::event::Failure;
+use crate::event::Piece;
 
 new_key_type! {
     /// An open request in its arena.
@@ -53,6 +55,15 @@
     }
 }
 
+/// What arrived of a stream while it was withheld.
+#[derive(Debug, Clone)]
+pub enum Withheld {
+    /// A piece.
+    Piece(Order, Piece),
+    /// The end of the order.
+    End(Order, Failure),
+}
+
 /// How far a request may have got towards a replica.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reach {
@@ -140,7 +151,7 @@
     /// Whether the head of its stream was told to the present connection.
     pub headed: bool,
     /// Pieces withheld until the stream is verified; `None` if it needs no verification.
-    pub withheld: Option<Vec<(Order, crate::event::Piece)>>,
+    pub withheld: Option<Vec<Withheld>>,
     /// Attach orders that failed in a row.
     pub attach_tries: u32,
     /// Prompt tokens computed by the present attempt and not yet used.
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -9,10 +9,11 @@
 use crate::open::Targets;
 
 /// What is looked up for every request.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 pub(crate) struct Brief {
     pub(crate) pool: Pool,
     pub(crate) targets: Targets,
+    pub(crate) name: String,
 }
 
 /// Index of the table in force.
@@ -36,6 +37,7 @@
             let brief = Brief {
                 pool,
                 targets: Targets::new(row),
+                name: row.key(),
             };
             rows.by_key.insert(row.id(), brief);
             rows.names.insert(pool, row.pool.clone());
@@ -43,8 +45,14 @@
         rows
     }
 
-    pub(crate) fn get(&self, row: Row) -> Option<Brief> {
-        self.by_key.get(&row).copied()
+    pub(crate) fn get(&self, row: Row) -> Option<&Brief> {
+        self.by_key.get(&row)
+    }
+
+    /// The name of a row, or its key if the table does not hold it.
+    pub(crate) fn row_name(&self, row: Row) -> String {
+        self.get(row)
+            .map_or_else(|| row.to_string(), |brief| brief.name.clone())
     }
 
     /// The name of a pool, or its key if no row names it.
--- a/crates/node/src/streams.rs
+++ b/crates/node/src/streams.rs
@@ -34,10 +34,13 @@
 use crate::open::Reach;
 use crate::open::Targets;
 use crate::open::Times;
+use crate::open::Withheld;
 use crate::token::Token;
 
 /// Attach orders that may fail in a row before the stream counts as lost.
 const MAX_ATTACH_TRIES: u32 = 3;
+/// Fencing numbers of takeovers are Unix milliseconds; clocks of instances agree to this many.
+const SKEW_MS: u64 = 1_000;
 const HTTP_NOT_FOUND: u16 = 404;
 const HTTP_CONFLICT: u16 = 409;
 const HTTP_TOO_MANY: u16 = 429;
@@ -52,7 +55,7 @@
             Some(Open {
                 withheld: Some(withheld),
                 ..
-            }) => withheld.push((order, piece)),
+            }) => withheld.push(Withheld::Piece(order, piece)),
             Some(_) => self.piece(opened, piece, out),
             None => (),
         }
@@ -135,6 +138,9 @@
         out: &mut Vec<Action>,
     ) {
         let entry = &mut self.open[opened];
+        if let (Some(withheld), Some(order)) = (&mut entry.withheld, entry.order) {
+            return withheld.push(Withheld::End(order, failure));
+        }
         let started = !matches!(entry.phase, Some(Phase::Prefilled { .. }));
         let adopting = entry.origin.is_none();
         match failure {
@@ -149,7 +155,7 @@
             Failure::Refused {
                 status: HTTP_CONFLICT,
                 fence: Some(fence),
-            } if adopting && entry.attach_tries < MAX_ATTACH_TRIES => {
+            } if adopting && is_skewed(entry, fence) => {
                 entry.attach_tries += 1;
                 entry.fence = entry.fence.max(fence);
                 let offset = entry.sequence.delivered();
@@ -464,15 +470,16 @@
         }
     }
 
-    fn tell_withheld(
-        &mut self,
-        opened: OpenKey,
-        withheld: Vec<(Order, Piece)>,
-        out: &mut Vec<Action>,
-    ) {
-        for (order, piece) in withheld {
-            if self.is_current(opened, order) {
-                self.piece(opened, piece, out);
+    fn tell_withheld(&mut self, opened: OpenKey, withheld: Vec<Withheld>, out: &mut Vec<Action>) {
+        for arrival in withheld {
+            match arrival {
+                Withheld::Piece(order, piece) if self.is_current(opened, order) => {
+                    self.piece(opened, piece, out);
+                }
+                Withheld::End(order, failure) if self.is_current(opened, order) => {
+                    self.decode_failed(opened, failure, out);
+                }
+                _ => (),
             }
         }
     }
@@ -497,6 +504,11 @@
     }
 }
 
+/// Whether `fence` is so far ahead that a clock must be wrong, and not a later reader in place.
+fn is_skewed(entry: &Open, fence: u64) -> bool {
+    entry.attach_tries < MAX_ATTACH_TRIES && fence > entry.fence + SKEW_MS
+}
+
 fn note_tokens(entry: &mut Open, now: ident::Time, out: &mut Vec<Action>) {
     if entry.times.first.is_none() {
         entry.times.first = Some(now);
--- a/crates/route/src/policy/reserved.rs
+++ b/crates/route/src/policy/reserved.rs
@@ -71,10 +71,17 @@
     server.is_open() && server.ready() <= horizon
 }
 
+/// Whether `key` failed an earlier attempt and another replica could take its part.
 pub(crate) fn avoided(view: &View<'_>, ask: &Ask<'_>, key: Key) -> bool {
-    ask.ticket
-        .avoid
-        .contains(&view.pool.get(key).member.replica)
+    let avoid = &ask.ticket.avoid;
+    let server = view.pool.get(key);
+    if !avoid.contains(&server.member.replica) {
+        return false;
+    }
+    view.pool.iter().any(|(_, other)| {
+        let member = &other.member;
+        other.is_open() && member.role == server.member.role && !avoid.contains(&member.replica)
+    })
 }
 
 fn price(view: &View<'_>, ask: &Ask<'_>, prefill: Key) -> Option<Pair> {
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -13,6 +13,8 @@
 
 const LENGTH_LEN: usize = 4;
 const VERSION_LEN: usize = 2;
+/// The codec counts a few bytes more than it reads; the frame's length is checked before.
+const DECODE_LIMIT: usize = MAX_BODY + 64;
 
 /// The bytes of `frame`.
 ///
@@ -78,7 +80,7 @@
 }
 
 fn decode(body: &[u8]) -> Result<Frame, Error> {
-    let limits = config::standard().with_limit::<MAX_BODY>();
+    let limits = config::standard().with_limit::<DECODE_LIMIT>();
     let (frame, used) =
         bincode::serde::decode_from_slice(body, limits).map_err(|error| Error::Body {
             cause: error.to_string(),
