Core: stalled orders, one successor for a lost runner, truth about earlier runs

On paper: an engine that hangs held its requests for the client's two minutes; a planned stop waited for ever for a release by an engine that is gone; two instances could each run a repeatable request of a lost runner. Change: Told::OtherRun; superseded only by a higher fence; stalls.rs; bounded clean-up at a stop; one successor by rendezvous hashing; an instance marked to drain takes nothing new.

--- a/crates/node/src/asking.rs
+++ b/crates/node/src/asking.rs
@@ -7,6 +7,7 @@
 
 use ident::Instance;
 use ident::Key;
+use ident::Pool;
 use ident::Time;
 use ledger::ids::Call;
 use ledger::ids::Query;
@@ -222,8 +223,8 @@
         }
     }
 
-    /// Nothing is recorded of a key whose runner is gone. A repeatable request is run here; of a
-    /// non-repeatable one nothing can be said.
+    /// Nothing is recorded of a key whose runner is gone. A repeatable request is run by one
+    /// successor, chosen by rendezvous hashing; of a non-repeatable one nothing can be said.
     fn no_record(&mut self, nonce: u64, out: &mut Vec<Action>) {
         let repeatable = self.questions.get(&nonce).is_some_and(|question| {
             question
@@ -241,6 +242,14 @@
             return;
         };
         let label = question.key.to_string();
+        let successor = self.keeper_of(Pool::new(&label));
+        if successor != self.settings.instance {
+            let refusal = Refusal {
+                outcome: Outcome::Unknown,
+                ..self.refusal_at(Reason::OtherRunner, successor)
+            };
+            return self.refuse(question.call, &label, refusal, out);
+        }
         self.log(
             &label,
             Step::Repeat,
@@ -284,15 +293,23 @@
             Some(Mark::Streamed { token }) => Told::Streaming { token },
             Some(Mark::Unknown) => Told::Unknown,
             Some(Mark::Failed) => Told::Failed,
-            None if self.is_expired(key) => Told::Expired,
-            None => Told::NotSeen,
+            None => self.told_unseen(key),
         };
         self.send(from, Body::Told { nonce, told }, out);
     }
 
-    fn is_expired(&self, key: &Key) -> bool {
-        let issued = key.prefix().map_or(0, |prefix| prefix.issued);
-        self.keys.admit(self.unix_s(), issued) == Admission::Expired
+    /// What is told of a key that is not remembered: only its own run can say that it never ran.
+    fn told_unseen(&self, key: &Key) -> Told {
+        let Some(prefix) = key.prefix() else {
+            return Told::OtherRun;
+        };
+        let expired = self.keys.admit(self.unix_s(), prefix.issued) == Admission::Expired;
+        match prefix.runner {
+            runner if self.former.contains(&runner) => Told::Expired,
+            runner if runner != self.incarnation() => Told::OtherRun,
+            _ if expired => Told::Expired,
+            _ => Told::NotSeen,
+        }
     }
 
     fn told_open(&mut self, opened: OpenKey, asker: Asker) -> Told {
@@ -348,6 +365,7 @@
         let runner = question.runner;
         match told {
             Told::InProgress => (),
+            Told::OtherRun => self.runner_silent(nonce, out),
             Told::Streaming { token } => self.follow_stream(nonce, &token, out),
             Told::Answered { status, body } => {
                 self.tell_recorded(nonce, Recorded { status, body }, out);
--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -202,7 +202,7 @@
         };
         entry.place = Some(place);
         entry.order = Some(order);
-        entry.dispatch();
+        entry.dispatch(self.now);
         entry.enter(Stage::Prefill, out);
         let priority = entry.priority;
         entry.prefill_hold = Some(self.holds.take(prefill, handle, owner, fence, order));
@@ -242,6 +242,7 @@
         let offset = entry.sequence.delivered();
         let priority = entry.priority;
         entry.order = Some(order);
+        entry.dispatch(self.now);
         entry.enter(Stage::Decode, out);
         entry.decode_hold = Some(self.holds.take(replica, handle, owner, fence, order));
         let task = Task::Decode {
@@ -275,7 +276,7 @@
         });
         entry.order = Some(order);
         entry.enter(Stage::Call, out);
-        entry.dispatch();
+        entry.dispatch(self.now);
         let task = Task::Plain { call };
         out.push(Action::Order {
             order,
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -135,11 +135,12 @@
         }
     }
 
-    /// Whether a leaving daemon takes nothing new any more: callers may hold its address for a
-    /// while after it began to leave.
+    /// Whether a leaving or drained daemon takes nothing new any more: callers may hold its address
+    /// for a while after it began to leave.
     pub(crate) fn is_closed(&self) -> bool {
         let span = self.settings.address_ttl * LEAVING_TTLS;
-        self.leaving.is_some_and(|since| self.now >= since + span)
+        let since = self.leaving.or(self.drained);
+        since.is_some_and(|since| self.now >= since + span)
     }
 
     /// The row for a request; several pools of one service and class are drawn by their shares.
@@ -213,6 +214,7 @@
             targets: Targets::new(row),
             times: Times {
                 arrived: now,
+                progress: now,
                 submitted: now,
                 first: None,
                 last: None,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod request;
 mod rows;
 pub mod settings;
+mod stalls;
 pub mod status;
 mod streams;
 mod tables;
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -17,8 +17,9 @@
 use crate::node::Node;
 use crate::settings::Settings;
 
-/// Longest wait for unwritten records once nothing else is in progress.
-const RECORD_WAIT: Duration = Duration::from_secs(10);
+/// Longest wait for unwritten records and unconfirmed releases once nothing else is in progress:
+/// the store or an engine may be out for long, and keepers sweep what is left.
+const CLEANUP_WAIT: Duration = Duration::from_secs(10);
 
 /// The membership of a daemon at its start.
 pub(crate) fn fleet(settings: &Settings, now: Time, seed: u64) -> Fleet {
@@ -169,14 +170,14 @@
 
     /// Ends a planned stop once nothing is in progress.
     pub(crate) fn try_finish(&mut self, out: &mut Vec<Action>) {
-        let idle = self.open.is_empty() && self.questions.is_empty() && self.holds.is_empty();
-        if self.finished || !self.is_closed() || !idle {
+        let idle = self.open.is_empty() && self.questions.is_empty();
+        if self.finished || self.leaving.is_none() || !self.is_closed() || !idle {
+            self.idle_since = None;
             return;
         }
-        let waited = self
-            .leaving
-            .is_some_and(|since| self.now >= since + self.settings.address_ttl * 2 + RECORD_WAIT);
-        if self.journal.is_empty() || waited {
+        let since = *self.idle_since.get_or_insert(self.now);
+        let clean = self.journal.is_empty() && self.holds.is_empty();
+        if clean || self.now >= since + CLEANUP_WAIT {
             self.finished = true;
             out.push(Action::Finished);
         }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -86,6 +86,10 @@
     pub(crate) timers: Timers,
     pub(crate) leaving: Option<Time>,
     pub(crate) finished: bool,
+    /// Since when a planned stop waits for records and releases only.
+    pub(crate) idle_since: Option<Time>,
+    /// Since when the table marks this instance to drain.
+    pub(crate) drained: Option<Time>,
     /// Frames of this daemon to itself.
     pub(crate) local: VecDeque<Body>,
     counter: u64,
@@ -121,6 +125,8 @@
             timers: Timers::new(now),
             leaving: None,
             finished: false,
+            idle_since: None,
+            drained: None,
             local: VecDeque::new(),
             counter: 0,
             settings,
--- a/crates/node/src/open.rs
+++ b/crates/node/src/open.rs
@@ -98,6 +98,8 @@
 pub struct Times {
     /// Arrival here.
     pub arrived: Time,
+    /// Last order sent, or last piece of a stream.
+    pub progress: Time,
     /// Last submission to the keeper.
     pub submitted: Time,
     /// First token told to the caller.
@@ -173,7 +175,8 @@
     }
 
     /// Notes that an order goes out.
-    pub fn dispatch(&mut self) {
+    pub fn dispatch(&mut self, now: Time) {
+        self.times.progress = now;
         if self.reach == Reach::Untouched {
             self.reach = Reach::Sent;
         }
--- a/crates/node/src/streams.rs
+++ b/crates/node/src/streams.rs
@@ -41,6 +41,8 @@
 const MAX_ATTACH_TRIES: u32 = 3;
 /// Fencing numbers of takeovers are Unix milliseconds; clocks of instances agree to this many.
 const SKEW_MS: u64 = 1_000;
+/// Time within which an order that was sent may not yet show at its replica.
+const ORDER_TRAVEL: Duration = Duration::from_secs(1);
 const HTTP_NOT_FOUND: u16 = 404;
 const HTTP_CONFLICT: u16 = 409;
 const HTTP_TOO_MANY: u16 = 429;
@@ -88,6 +90,7 @@
         let entry = &mut self.open[opened];
         entry.computed = 0;
         entry.attach_tries = 0;
+        entry.times.progress = self.now;
         if let Some(hold) = entry.prefill_hold.take() {
             self.holds.erase(hold);
         }
@@ -100,6 +103,7 @@
         let now = self.now;
         let entry = &mut self.open[opened];
         entry.attach_tries = 0;
+        entry.times.progress = now;
         let mut ready = Vec::new();
         let arrival = entry.sequence.arrive(run, &mut ready);
         if arrival == Arrival::Ready {
@@ -184,7 +188,7 @@
 
     /// The engine keeps nothing of the stream any more: it is continued elsewhere if its prompt is
     /// at hand.
-    fn stream_lost(&mut self, opened: OpenKey, failure: Failure, out: &mut Vec<Action>) {
+    pub(crate) fn stream_lost(&mut self, opened: OpenKey, failure: Failure, out: &mut Vec<Action>) {
         let entry = &self.open[opened];
         if entry.origin.is_none() {
             self.give_up(opened, Reason::StreamLost, Duration::ZERO, out);
@@ -205,6 +209,7 @@
             out.push(Action::Abort { order: former });
         }
         entry.fence += 1;
+        entry.dispatch(self.now);
         let (handle, fence) = (entry.handle(), entry.fence);
         entry.sequence = Sequence::new(offset);
         entry.withheld = None;
@@ -392,6 +397,7 @@
             targets,
             times: Times {
                 arrived: now,
+                progress: now,
                 submitted: now,
                 first: None,
                 last: None,
@@ -448,18 +454,23 @@
         }
     }
 
+    /// The engine keeps the highest fence it was told, also where it does not enforce it: only a
+    /// higher one than this daemon's shows another reader.
     fn verify_one(&mut self, opened: OpenKey, held: Option<Held>, out: &mut Vec<Action>) {
         let mine = self.incarnation();
+        let now = self.now;
         let entry = &mut self.open[opened];
+        let just_sent = now < entry.times.progress + ORDER_TRAVEL;
         let withheld = entry.withheld.take().unwrap_or_default();
         match held {
+            Some(held) if held.fence > entry.fence => self.end(opened, &End::Superseded, out),
             Some(held) if held.owner == mine => self.tell_withheld(opened, withheld, out),
-            Some(held) if self.former.contains(&held.owner) => {
+            None if just_sent => entry.withheld = Some(withheld),
+            Some(_) => {
                 let offset = entry.sequence.delivered();
                 self.attach(opened, offset, out);
                 self.tell_keeper_adopted(opened, out);
             }
-            Some(_) => self.end(opened, &End::Superseded, out),
             None => {
                 let failure = Failure::Refused {
                     status: HTTP_NOT_FOUND,
--- a/crates/node/src/tables.rs
+++ b/crates/node/src/tables.rs
@@ -178,6 +178,11 @@
             let choice = format!("generation {generation}");
             self.log(&name, Step::Table, &choice, "in force here", out);
             self.rows = self.view.table().map_or_else(Rows::new, Rows::with_table);
+            let marked = self
+                .view
+                .table()
+                .is_some_and(|table| table.drains_instance(&self.settings.name));
+            self.drained = marked.then(|| self.drained.unwrap_or(self.now));
             self.refresh_cells();
             self.tell_news(out);
         }
--- a/crates/node/src/timers.rs
+++ b/crates/node/src/timers.rs
@@ -91,6 +91,7 @@
         self.keys.expire(self.unix_s());
         self.reassign(out);
         self.resubmit(out);
+        self.break_stalls(out);
         self.give_up_left(out);
         self.expire_questions(out);
         self.expire_edits(out);
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -59,6 +59,8 @@
 pub enum Told {
     /// The runner never saw the key, and no byte of the request reached a back end.
     NotSeen,
+    /// The key names an earlier run of the asked instance, which cannot know what became of it.
+    OtherRun,
     /// The request is waiting or running without a stream; another answer follows.
     InProgress,
     /// The request streams; the sealed token lets any instance take the stream over.
