waxwing: an edit refused by one instance goes to the next; tests

Cause: an instance that has not yet heard a majority rejects an edit; right after a start, one apply in three ended so in the demo.

Ruled out: taking the first rejection as final, since the edit has passed the same checks here already; retrying conflicts, which only an operator can resolve.

The demo shortens the life of an address answer, since a planned stop lasts twice that.

--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -136,7 +136,9 @@
             Self::Conflict { .. } => "nothing was changed: look at `waxwing table show`, merge \
                                       both changes into your file, and apply it again"
                 .to_owned(),
-            Self::Rejected { .. } => "nothing was changed: correct the edit".to_owned(),
+            Self::Rejected { .. } => {
+                "nothing was changed: correct the edit, or do as the cause says".to_owned()
+            }
             Self::Undecided { id, .. } => format!(
                 "run the same command with `--edit-id {id}`: an edit that was accepted is not \
                  made twice"
--- a/crates/ctl/src/submit.rs
+++ b/crates/ctl/src/submit.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use http::StatusCode;
 use serde::Serialize;
 use table::edit::Edit;
 use tokio::net::TcpStream;
@@ -26,7 +27,7 @@
 const POLL_EVERY: Duration = Duration::from_millis(100);
 /// Pause before an undecided edit is sent again.
 const REPEAT_AFTER: Duration = Duration::from_millis(500);
-/// Least number of rounds over all addresses before an edit is given up as undecided.
+/// Least number of rounds over all addresses before an edit is given up.
 const LEAST_ROUNDS: usize = 3;
 const EDITS: &str = "/v1/table/edits";
 
@@ -56,49 +57,72 @@
     how: &Submission,
     output: Output,
 ) -> Result<(), Error> {
-    let (peer, edited) = send(admin, edit, how.wait).await?;
-    let generation = match edited {
-        Edited::Accepted { generation } => {
-            output.line(&format!("accepted by {peer} as generation {generation}"));
-            generation
-        }
-        Edited::Repeated { generation } => {
-            output.line(&format!(
-                "accepted before as generation {generation} (from {peer})"
-            ));
-            generation
-        }
-        Edited::Conflict { lines } => return Err(Error::Conflict { peer, lines }),
-        Edited::Rejected { cause } => return Err(Error::Rejected { peer, cause }),
-        Edited::Undecided { cause } => {
-            return Err(Error::Undecided {
-                id: edit.id.clone(),
-                tried: vec![Attempt { peer, cause }],
-            });
-        }
-    };
-    await_force(admin, generation, how.wait, &edit.id, output).await
+    edit.check().map_err(|report| Error::Rejected {
+        peer: "this command".to_owned(),
+        cause: report.to_string(),
+    })?;
+    let accepted = send(admin, edit, how.wait).await?;
+    let Accepted {
+        peer,
+        generation,
+        before,
+    } = &accepted;
+    let again = if *before { " before" } else { "" };
+    output.line(&format!(
+        "accepted{again} by {peer} as generation {generation}"
+    ));
+    await_force(admin, accepted.generation, how.wait, &edit.id, output).await
 }
 
-/// Sends `edit` to the addresses in turn, under the same id, until one decides it.
-async fn send(admin: &Admin, edit: &Edit, wait: Duration) -> Result<(String, Edited), Error> {
+/// An accepted edit.
+struct Accepted {
+    peer: String,
+    generation: u64,
+    /// Whether an earlier attempt had been accepted.
+    before: bool,
+}
+
+/// What came of one attempt.
+enum Attempted {
+    Accepted(Accepted),
+    /// The instance did not take it and nothing was sent to the store.
+    Refused(Error),
+    /// Nobody took it, or nobody knows.
+    Open {
+        attempt: Attempt,
+        reached: bool,
+    },
+}
+
+/// Sends `edit` to the addresses in turn, under the same id, until one accepts it.
+async fn send(admin: &Admin, edit: &Edit, wait: Duration) -> Result<Accepted, Error> {
     let body = serde_json::to_string(edit).unwrap_or_default();
     let end = Instant::now() + wait;
     let mut tried = Vec::new();
-    // Once an attempt may have reached the store, a failure to connect proves nothing any more.
+    // Once an attempt may have reached the store, what other instances say proves nothing.
     let mut reached = false;
     let mut round = 0;
     while round < LEAST_ROUNDS || Instant::now() < end {
+        let mut refused = None;
         for &address in admin.addresses() {
             match attempt(admin, address, body.clone()).await? {
-                Ok(decided) => return Ok(decided),
-                Err(failure) => {
-                    reached |= failure.reached;
-                    note(&mut tried, failure.attempt);
+                Attempted::Accepted(accepted) => return Ok(accepted),
+                Attempted::Refused(error) => refused = Some(error),
+                Attempted::Open {
+                    attempt,
+                    reached: now,
+                } => {
+                    reached |= now;
+                    note(&mut tried, attempt);
                 }
             }
         }
         round += 1;
+        match refused {
+            // The edit passed the checks above, so a refusal may be a matter of time.
+            Some(error) if !reached && round >= LEAST_ROUNDS => return Err(error),
+            _ => {}
+        }
         sleep(REPEAT_AFTER).await;
     }
     if reached {
@@ -113,57 +137,63 @@
     })
 }
 
-/// A try that did not decide the edit.
-struct Failure {
-    attempt: Attempt,
-    /// Whether the edit may have got as far as the store.
-    reached: bool,
-}
-
-async fn attempt(
-    admin: &Admin,
-    address: SocketAddr,
-    body: String,
-) -> Result<Result<(String, Edited), Failure>, Error> {
+async fn attempt(admin: &Admin, address: SocketAddr, body: String) -> Result<Attempted, Error> {
     // Only an address that refuses a connection beforehand proves that nothing was sent to it.
     if let Err(cause) = TcpStream::connect(address).await {
         let attempt = Attempt {
             peer: address.to_string(),
             cause: cause.to_string(),
         };
-        return Ok(Err(Failure {
+        return Ok(Attempted::Open {
             attempt,
             reached: false,
-        }));
+        });
     }
-    let answer = match admin.post_at(address, EDITS, body).await {
-        Ok(answer) => answer,
-        Err(attempt) => {
-            return Ok(Err(Failure {
-                attempt,
-                reached: true,
-            }));
-        }
-    };
-    match answer.parse::<Edited>() {
-        Ok(Edited::Undecided { cause }) => Ok(Err(failure(&answer, cause, true))),
-        Ok(edited) => Ok(Ok((answer.peer, edited))),
-        Err(Error::Answer { .. }) if answer.status.is_server_error() => {
-            let cause = format!("{} {}", answer.status, answer.shown());
-            Ok(Err(failure(&answer, cause, true)))
-        }
-        Err(error) => Err(error),
+    match admin.post_at(address, EDITS, body).await {
+        Ok(answer) => read(answer),
+        Err(attempt) => Ok(Attempted::Open {
+            attempt,
+            reached: true,
+        }),
     }
 }
 
-fn failure(answer: &Answer, cause: String, reached: bool) -> Failure {
-    Failure {
-        attempt: Attempt {
-            peer: answer.peer.clone(),
-            cause,
+fn read(answer: Answer) -> Result<Attempted, Error> {
+    let edited = match answer.parse::<Edited>() {
+        // An instance that can't decide at all says so by 503 before it sends anything.
+        Err(Error::Answer { .. }) if answer.status.is_server_error() => {
+            let cause = format!("{} {}", answer.status, answer.shown());
+            let reached = answer.status != StatusCode::SERVICE_UNAVAILABLE;
+            return Ok(Attempted::Open {
+                attempt: Attempt {
+                    peer: answer.peer,
+                    cause,
+                },
+                reached,
+            });
+        }
+        edited => edited?,
+    };
+    let peer = answer.peer;
+    Ok(match edited {
+        Edited::Accepted { generation } => Attempted::Accepted(Accepted {
+            peer,
+            generation,
+            before: false,
+        }),
+        Edited::Repeated { generation } => Attempted::Accepted(Accepted {
+            peer,
+            generation,
+            before: true,
+        }),
+        Edited::Conflict { lines } => return Err(Error::Conflict { peer, lines }),
+        // Another instance may be in a position to take it.
+        Edited::Rejected { cause } => Attempted::Refused(Error::Rejected { peer, cause }),
+        Edited::Undecided { cause } => Attempted::Open {
+            attempt: Attempt { peer, cause },
+            reached: true,
         },
-        reached,
-    }
+    })
 }
 
 /// Keeps the last failure of each address.
--- /dev/null
+++ b/crates/ctl/tests/waxwing/env.rs
@@ -0,0 +1,189 @@
+//! Runs the real command against a scripted admin interface.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Command;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::mpsc;
+use std::thread;
+
+use fake::web;
+use fake::web::Call;
+use http::StatusCode;
+use serde_json::Value;
+use tempfile::TempDir;
+
+pub const OPERATOR: &str = "ana";
+pub const TOKEN: &str = "token-of-the-tests";
+
+/// What an ended command left.
+#[derive(Debug)]
+pub struct Ran {
+    pub code: i32,
+    pub out: String,
+    pub err: String,
+}
+
+impl Ran {
+    /// Asserts the exit code, with all output on failure.
+    #[track_caller]
+    pub fn code(self, code: i32) -> Self {
+        assert_eq!(self.code, code, "{self:#?}");
+        self
+    }
+
+    /// Asserts that standard output contains `text`.
+    #[track_caller]
+    pub fn out(self, text: &str) -> Self {
+        assert!(self.out.contains(text), "no `{text}` in {self:#?}");
+        self
+    }
+
+    /// Asserts that standard error contains `text`.
+    #[track_caller]
+    pub fn err(self, text: &str) -> Self {
+        assert!(self.err.contains(text), "no `{text}` in {self:#?}");
+        self
+    }
+}
+
+type Answers = HashMap<String, VecDeque<(u16, Value)>>;
+
+/// Scripted answers: those of a path in their order, the last one again and again.
+#[derive(Debug, Clone, Default)]
+pub struct Admin {
+    answers: Arc<Mutex<Answers>>,
+    calls: Arc<Mutex<Vec<Seen>>>,
+}
+
+/// A call that arrived.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    pub path: String,
+    pub authorization: String,
+    pub operator: String,
+    pub body: Value,
+}
+
+impl Admin {
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The same with one more answer for `path`.
+    pub fn with(self, path: &str, status: u16, body: Value) -> Self {
+        let mut answers = self.answers.lock().unwrap();
+        answers
+            .entry(path.to_owned())
+            .or_default()
+            .push_back((status, body));
+        drop(answers);
+        self
+    }
+
+    /// The calls to `path`.
+    pub fn seen(&self, path: &str) -> Vec<Seen> {
+        let calls = self.calls.lock().unwrap();
+        calls
+            .iter()
+            .filter(|seen| seen.path == path)
+            .cloned()
+            .collect()
+    }
+
+    /// Serves on a thread that lasts as long as the test process; gives the address.
+    pub fn start(&self) -> SocketAddr {
+        let (sender, receiver) = mpsc::channel();
+        let admin = self.clone();
+        thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build();
+            runtime.unwrap().block_on(async move {
+                let listener = web::bind(SocketAddr::from(([127, 0, 0, 1], 0)))
+                    .await
+                    .unwrap();
+                sender.send(listener.local_addr().unwrap()).unwrap();
+                web::serve(listener, move |call| {
+                    let answer = admin.answer(&call);
+                    async move { answer }
+                })
+                .await
+            })
+        });
+        receiver.recv().unwrap()
+    }
+
+    fn answer(&self, call: &Call) -> volo_http::response::Response {
+        let header = |name| {
+            call.headers
+                .get(name)
+                .map_or("", |value| value.to_str().unwrap())
+        };
+        self.calls.lock().unwrap().push(Seen {
+            path: call.path.clone(),
+            authorization: header("Authorization").to_owned(),
+            operator: header("Waxwing-Operator").to_owned(),
+            body: serde_json::from_slice(&call.body).unwrap_or_default(),
+        });
+        let mut answers = self.answers.lock().unwrap();
+        let Some(queue) = answers.get_mut(&call.path) else {
+            return web::status(StatusCode::NOT_FOUND);
+        };
+        let (status, body) = match queue.len() {
+            1 => queue[0].clone(),
+            _ => queue.pop_front().unwrap(),
+        };
+        web::json(StatusCode::from_u16(status).unwrap(), &body)
+    }
+}
+
+/// A folder for files, and the addresses given to the command.
+#[derive(Debug)]
+pub struct Env {
+    folder: TempDir,
+    admins: Vec<String>,
+}
+
+impl Env {
+    /// An environment without any instance.
+    pub fn new() -> Self {
+        Self {
+            folder: TempDir::new().unwrap(),
+            admins: Vec::new(),
+        }
+    }
+
+    /// The same with one more admin address.
+    pub fn with_admin(mut self, address: SocketAddr) -> Self {
+        self.admins.push(address.to_string());
+        self
+    }
+
+    /// Writes a file; gives its path.
+    pub fn file(&self, name: &str, text: &str) -> String {
+        let path: PathBuf = self.folder.path().join(name);
+        fs::write(&path, text).unwrap();
+        path.display().to_string()
+    }
+
+    /// Runs the command with these arguments, and addresses and token in the environment.
+    pub fn run(&self, args: &[&str]) -> Ran {
+        let output = Command::new(env!("CARGO_BIN_EXE_waxwing"))
+            .args(args)
+            .env("WAXWING_ADMIN", self.admins.join(","))
+            .env("WAXWING_OPERATOR", OPERATOR)
+            .env("WAXWING_TOKEN", TOKEN)
+            .output()
+            .unwrap();
+        Ran {
+            code: output.status.code().unwrap_or(-1),
+            out: String::from_utf8(output.stdout).unwrap(),
+            err: String::from_utf8(output.stderr).unwrap(),
+        }
+    }
+}
--- a/crates/scenario/src/demo/mod.rs
+++ b/crates/scenario/src/demo/mod.rs
@@ -16,11 +16,14 @@
 use crate::plan::Plan;
 use crate::plan::Replica;
 use crate::plan::Role;
+use crate::plan::Timing;
 
 /// The table that the demo applies.
 const TABLE: &str = include_str!("table.yaml");
 /// The customer of all requests.
 const CUSTOMER: &str = "krmiva";
+/// How long callers may keep addresses; a planned stop lasts a multiple of it.
+const ADDRESS_TTL_MS: u64 = 2_000;
 /// Data centres, one daemon in each.
 const ZONES: [&str; 3] = ["osijek-a", "vinkovci-b", "dakovo-c"];
 /// The model.
@@ -59,15 +62,18 @@
     );
 
     failure::resume(&mut fleet, &caller, &addresses, &mut report).await?;
-
     summary::run(&fleet, &mut report).await?;
     failure::stop(&mut fleet, &mut report).await?;
     Ok(report.finish())
 }
 
 fn plan() -> Plan {
+    let timing = Timing {
+        address_ttl_ms: ADDRESS_TTL_MS,
+        ..Timing::default()
+    };
     let daemons = (1..).zip(ZONES);
-    let plan = daemons.fold(Plan::new(), |plan, (number, zone)| {
+    let plan = daemons.fold(Plan::new().with_timing(timing), |plan, (number, zone)| {
         plan.with_daemon(&format!("entry-{number}"), zone)
     });
     (1..).zip(ZONES).fold(plan, |plan, (number, zone)| {
