--- a/crates/lab/src/figure.rs
+++ b/crates/lab/src/figure.rs
@@ -12,6 +12,10 @@
     pub offered: u64,
     /// Answers within both targets.
     pub good: u64,
+    /// Answers whose first token came after its target.
+    pub late: u64,
+    /// Answers whose tokens came further apart than their target.
+    pub slow: u64,
     /// Answers in full.
     pub complete: u64,
     /// Refusals.
--- a/crates/lab/src/world/outcome.rs
+++ b/crates/lab/src/world/outcome.rs
@@ -68,7 +68,13 @@
         let first = progress.first.unwrap_or(Time::NEVER);
         let gaps = progress.tokens.saturating_sub(1).max(1);
         let tbt = progress.last.since(first) / gaps;
-        let good = first.since(self.requests[request].at) <= rule.ttft && tbt <= rule.tbt;
+        let late = first.since(self.requests[request].at) > rule.ttft;
+        let good = !late && tbt <= rule.tbt;
+        if self.is_measured(request) {
+            let tally = &mut self.figure.classes[self.requests[request].class];
+            tally.late += u64::from(late);
+            tally.slow += u64::from(tbt > rule.tbt);
+        }
         self.settle(
             request,
             if good {
--- a/crates/route/src/cell/admit.rs
+++ b/crates/route/src/cell/admit.rs
@@ -76,6 +76,7 @@
             limit: rule.map_or(u32::MAX, |rule| self.batch_limit(rule.tbt)),
             thrift: rule.map_or(1.0, |rule| f64::from(rule.waste_percent.min(100)) / 100.0),
             ticket,
+            late: false,
             arrived,
             fastest,
             order: arrived,
--- a/crates/route/src/cell/expire.rs
+++ b/crates/route/src/cell/expire.rs
@@ -10,35 +10,45 @@
 impl Cell {
     /// Moves requests that miss their target to the late tier, and refuses doomed ones.
     pub(super) fn expire(&mut self, now: Time) {
+        let mut missing = Vec::new();
         let mut doomed = Vec::new();
-        for lane in self.lanes.values_mut() {
-            while let Some((order, handle)) = lane.queue.punctual() {
-                let Some(flow) = self.flows.get(&handle).filter(|f| now + f.fastest > f.due) else {
-                    break;
-                };
-                if self.policy.foresight && is_hopeless(now, lane, flow.expiry - flow.fastest) {
-                    lane.queue.remove(order, flow.expiry, handle);
-                    doomed.push(handle);
-                    continue;
-                }
-                lane.queue.demote(order, flow.expiry, handle);
-            }
-            while let Some((expiry, handle)) = lane.queue.late() {
-                if self
-                    .flows
-                    .get(&handle)
-                    .is_none_or(|flow| now + flow.fastest <= expiry)
-                {
-                    break;
-                }
-                lane.queue.remove(expiry, expiry, handle);
-                doomed.push(handle);
-            }
+        for lane in self.lanes.values() {
+            let late = |handle: &Handle| {
+                self.flows
+                    .get(handle)
+                    .is_some_and(|flow| now + flow.fastest > flow.due)
+            };
+            let over = |handle: &Handle| {
+                self.flows
+                    .get(handle)
+                    .is_some_and(|flow| now + flow.fastest > flow.expiry)
+            };
+            missing.extend(lane.queue.punctual().take_while(late));
+            doomed.extend(lane.queue.late().take_while(over));
         }
-        self.waiting -= doomed.len();
         for handle in doomed {
             self.expel(now, handle, Reason::Doomed);
         }
+        for handle in missing {
+            self.demote(now, handle);
+        }
+    }
+
+    /// Moves a request to the late tier, or refuses it if it would wait there for nothing.
+    pub(super) fn demote(&mut self, now: Time, handle: Handle) -> bool {
+        let Some(flow) = self.flows.get_mut(&handle) else {
+            return false;
+        };
+        let Some(lane) = self.lanes.get_mut(&flow.ticket.row) else {
+            return false;
+        };
+        if self.policy.foresight && is_hopeless(now, lane, flow.expiry - flow.fastest) {
+            self.expel(now, handle, Reason::Doomed);
+            return true;
+        }
+        flow.late = true;
+        lane.queue.demote(flow.order, flow.expiry, handle);
+        true
     }
 
     /// Refuses a request that waited, wherever it waited.
--- a/crates/route/src/cell/grant.rs
+++ b/crates/route/src/cell/grant.rs
@@ -122,6 +122,9 @@
             let place = self.place(now, &flow, &mut pass);
             self.flows.insert(handle, flow);
             match place {
+                Ok(Place::Pair(pair)) if self.misses_target(handle, &pair) => {
+                    return self.demote(now, handle);
+                }
                 Ok(Place::Pair(pair)) => return self.start_pair(now, handle, &pair),
                 Ok(Place::Single(key)) => return self.start_single(now, handle, key),
                 Err(Wait::Slot) => return false,
@@ -132,6 +135,12 @@
         false
     }
 
+    /// Whether a request that still counts as punctual would get its first token too late.
+    fn misses_target(&self, handle: Handle, pair: &Pair) -> bool {
+        let flow = self.flows.get(&handle);
+        self.policy.foresight && flow.is_some_and(|flow| !flow.late && pair.first > flow.due)
+    }
+
     /// Whether no replica is near enough to taking work to look at the queue at all.
     fn is_blocked(&self, now: Time) -> bool {
         if self.policy.secured == Secured::Nothing {
@@ -165,6 +174,8 @@
         };
         self.unqueue(now, handle);
         self.claim_pair(now, handle, pair.prefill, pair.decode, pair.span);
+        self.pool
+            .update(pair.prefill, |server| server.sent_until = pair.first);
         let prefill = pair.span.as_secs_f64() / f64::from(self.pool.open_prefills().max(1));
         let slots = f64::from(self.pool.open_slots().max(1));
         let decode = self.turnover.stay().as_secs_f64() / slots;
--- a/crates/route/src/flow.rs
+++ b/crates/route/src/flow.rs
@@ -37,6 +37,8 @@
     pub order: Time,
     /// When its target for the first token ends.
     pub due: Time,
+    /// Whether it waits among those that cannot meet their target.
+    pub late: bool,
     /// When its longest wait ends.
     pub expiry: Time,
     /// Shortest time to its first token on an idle cell.
--- a/crates/route/src/policy/predicted.rs
+++ b/crates/route/src/policy/predicted.rs
@@ -22,6 +22,8 @@
 const KEEP_PART: f64 = 0.8;
 /// Chance that a slot does not come free in time, for a row that weighs only goodput.
 const MAX_RISK: f64 = 0.02;
+/// Requests beyond its slots that may be on their way to a replica.
+const MAX_OVER: i64 = 1;
 /// Free slots that a replica with the other kind of target must be ahead to be chosen.
 const MIXING: i64 = 3;
 
@@ -104,25 +106,29 @@
 }
 
 /// The pair with `prefill` and the decode replica that its KV cache reaches first.
+///
+/// There is none while transfers queue so long before the replica that its result would be lost.
 pub(crate) fn price(
     view: &View<'_>,
     ask: &Ask<'_>,
     prefill: Key,
     sites: &[(Zone, Key)],
 ) -> Option<Pair> {
-    let from = view.pool.get(prefill).member.zone;
-    let (decode, transfer) = reach(view, ask, from, sites)?;
+    let server = view.pool.get(prefill);
+    let (decode, transfer) = reach(view, ask, server.member.zone, sites)?;
     let span = view.span(prefill, ask.ticket);
-    let first = view.ready(prefill) + span + transfer;
+    let done = view.ready(prefill) + span;
+    let first = done.max(server.sent_until) + transfer;
     let cached = view.cached(prefill, ask.ticket);
-    Some(Pair {
+    let pair = Pair {
         prefill,
         decode,
         span,
         first,
         cached,
         candidates: 1,
-    })
+    };
+    (first.since(done) <= view.settings.keep.mul_f64(KEEP_PART)).then_some(pair)
 }
 
 /// The site with a free slot that is reached first from `from`, or any if none has one.
@@ -132,14 +138,12 @@
     from: Zone,
     sites: &[(Zone, Key)],
 ) -> Option<(Key, Duration)> {
-    let longest = view.settings.keep.mul_f64(KEEP_PART);
     let tokens = ask.ticket.prompt_tokens();
     let times = sites.iter().map(|(zone, key)| {
         let time = view.links.expected(view.now, (from, *zone), tokens);
         (view.pool.get(*key).room(ask.limit) <= 0, time, *key)
     });
-    let usable = times.filter(|(_, time, _)| *time <= longest);
-    usable.min().map(|(_, time, key)| (key, time))
+    times.min().map(|(_, time, key)| (key, time))
 }
 
 /// Whether the slot of `pair` is free or will be in time.
@@ -159,6 +163,9 @@
             Err(Wait::Batch(pair.decode))
         };
     }
+    if server.room(ask.limit) <= -MAX_OVER {
+        return Err(Wait::Slot);
+    }
     let wanted = (1 - net) as u32;
     let arrival = view.ready(pair.prefill) + pair.span;
     let likely = match secured {
@@ -192,7 +199,7 @@
     let keys = view.pool.decodes().filter_map(|(zone, keys)| {
         let mut keys = keys
             .take(MAX_COMPARED)
-            .filter(|key| view.pool.get(*key).vacant() > 0);
+            .filter(|key| view.pool.get(*key).vacant(ask.limit) > 0);
         let key = keys.find(|key| !avoided(view, ask, *key))?;
         let tokens = ask.ticket.prompt_tokens();
         Some((
--- a/crates/route/src/queue.rs
+++ b/crates/route/src/queue.rs
@@ -29,14 +29,14 @@
         self.late.insert((expiry, handle));
     }
 
-    /// The first request that can still meet its target.
-    pub fn punctual(&self) -> Option<(Time, Handle)> {
-        self.punctual.first().copied()
+    /// Requests that can still meet their target, in order.
+    pub fn punctual(&self) -> impl Iterator<Item = Handle> + '_ {
+        self.punctual.iter().map(|(_, handle)| *handle)
     }
 
-    /// The first request that cannot.
-    pub fn late(&self) -> Option<(Time, Handle)> {
-        self.late.first().copied()
+    /// Requests that cannot, in order.
+    pub fn late(&self) -> impl Iterator<Item = Handle> + '_ {
+        self.late.iter().map(|(_, handle)| *handle)
     }
 
     /// Waiting requests in order, those that are late marked so and last.
--- a/crates/route/src/server.rs
+++ b/crates/route/src/server.rs
@@ -58,6 +58,8 @@
     pub rate: Ewma,
     /// Learned seconds that a plain call takes.
     pub service: Ewma,
+    /// When the transfers of its prefills are expected to have ended.
+    pub sent_until: Time,
     limits: BTreeMap<u32, u32>,
     batch: u32,
     area: f64,
@@ -82,6 +84,7 @@
             boot: 0,
             rate: Ewma::new(rate, RATE_WEIGHT),
             service: Ewma::new(0.02, RATE_WEIGHT),
+            sent_until: Time::ZERO,
             limits: BTreeMap::new(),
             batch: 0,
             area: 0.0,
@@ -118,9 +121,10 @@
         i64::from(self.cap().min(limit)) - i64::from(self.load())
     }
 
-    /// Slots that no request decodes or imports in, whoever has claimed them.
-    pub fn vacant(&self) -> i64 {
-        i64::from(self.cap()) - i64::from(self.batch + self.arrivals + self.foreign)
+    /// Slots that no request decodes or imports in, whoever has claimed them, in a batch of at most
+    /// `limit`.
+    pub fn vacant(&self, limit: u32) -> i64 {
+        i64::from(self.cap().min(limit)) - i64::from(self.batch + self.arrivals + self.foreign)
     }
 
     /// Claims a slot for a request that allows a batch of at most `limit`.
--- a/crates/route/src/token.rs
+++ b/crates/route/src/token.rs
@@ -1,7 +1,7 @@
 //! Time between tokens as a function of the batch.
 
 /// Part that earlier samples keep when one is taken in.
-const KEEP: f64 = 0.995;
+const KEEP: f64 = 0.999;
 /// Samples before the fit is used.
 const MIN_SAMPLES: f64 = 30.0;
 /// Variance of the batch size that a fit needs.
@@ -9,7 +9,7 @@
 /// Time between tokens until learned, in seconds.
 const INITIAL_TIME: f64 = 0.025;
 /// Part of a target that is used.
-const MARGIN: f64 = 0.99;
+const MARGIN: f64 = 0.998;
 
 /// A straight line through (batch, time between tokens), fitted with fading memory.
 #[derive(Debug, Default)]
@@ -19,6 +19,7 @@
     time: f64,
     square: f64,
     product: f64,
+    slope: Option<f64>,
 }
 
 impl Fit {
@@ -29,6 +30,7 @@
         self.time = self.time * KEEP + seconds;
         self.square = self.square * KEEP + batch * batch;
         self.product = self.product * KEEP + batch * seconds;
+        self.refresh_slope();
     }
 
     /// Expected time between tokens in a batch of `batch`, in seconds.
@@ -52,14 +54,22 @@
         (most.max(1.0) as u32).min(slots)
     }
 
-    /// Mean batch, mean time and slope, once they are known well enough.
+    /// Mean batch, mean time and slope, once they are known.
     fn line(&self) -> Option<(f64, f64, f64)> {
-        if self.count < MIN_SAMPLES {
-            return None;
-        }
+        let slope = self.slope?;
+        Some((self.batch / self.count, self.time / self.count, slope))
+    }
+
+    /// Fits the slope anew; where batches hardly differ, as in a full cell, the last one stays.
+    fn refresh_slope(&mut self) {
         let (mean, time) = (self.batch / self.count, self.time / self.count);
         let variance = self.square / self.count - mean * mean;
-        let slope = (self.product / self.count - mean * time) / variance.max(MIN_VARIANCE);
-        (variance >= MIN_VARIANCE && slope > 0.0).then_some((mean, time, slope))
+        if self.count < MIN_SAMPLES || variance < MIN_VARIANCE {
+            return;
+        }
+        let slope = (self.product / self.count - mean * time) / variance;
+        if slope > 0.0 {
+            self.slope = Some(slope);
+        }
     }
 }
