--- /dev/null
+++ b/crates/ledger/tests/holds.rs
@@ -0,0 +1,233 @@
+//! Memory on replicas, until its release is confirmed.
+
+use std::time::Duration;
+
+use ident::Handle;
+use ident::Incarnation;
+use ident::Replica;
+use ident::Time;
+use ledger::holds::HoldKey;
+use ledger::holds::Holds;
+use ledger::ids::Order;
+use proptest::collection::vec;
+use proptest::prop_assert;
+use proptest::prop_assert_eq;
+use proptest::proptest;
+
+const ME: Incarnation = Incarnation(0x91c5);
+const ENGINE: Replica = Replica(1);
+const OTHER: Replica = Replica(2);
+const START: Order = Order(1);
+const CANCEL: Order = Order(2);
+const NOW: Time = Time::from_millis(1_000);
+
+const fn handle(sequence: u64) -> Handle {
+    Handle::new(ME, sequence)
+}
+
+fn one() -> (Holds, HoldKey) {
+    let mut holds = Holds::new();
+    let key = holds.take(ENGINE, handle(1), ME, 5, START);
+    (holds, key)
+}
+
+#[test]
+fn a_cancel_waits_until_the_order_that_started_the_work_is_over() {
+    let (mut holds, key) = one();
+    assert_eq!(holds.release(NOW, key), Some(START));
+    assert!(holds.due(NOW).is_none());
+    assert_eq!(holds.next(), Time::NEVER);
+    holds.closed(START);
+    let cancel = holds.due(NOW).expect("the start is over");
+    assert_eq!(
+        (cancel.hold, cancel.replica, cancel.handle),
+        (key, ENGINE, handle(1))
+    );
+    assert_eq!((cancel.owner, cancel.fence), (ME, 5));
+}
+
+#[test]
+fn a_lost_confirmation_is_asked_for_again_and_later_each_time() {
+    let (mut holds, key) = one();
+    holds.closed(START);
+    assert_eq!(holds.release(NOW, key), None);
+    let mut now = NOW;
+    let mut former = Duration::ZERO;
+    for number in 2..12 {
+        let order = Order(number);
+        assert!(holds.due(now).is_some());
+        holds.sent(key, order);
+        assert!(holds.due(now + Duration::from_hours(1)).is_none());
+        holds.failed(now, order);
+        let pause = holds.next().since(now);
+        assert!(pause >= former && pause > Duration::ZERO);
+        assert!(holds.due(now).is_none());
+        former = pause;
+        now = holds.next();
+        assert_eq!(holds.len(), 1);
+    }
+    assert!(former <= Duration::from_secs(2));
+    holds.sent(key, Order(20));
+    assert!(holds.confirmed(Order(20)).is_some());
+    assert!(holds.is_empty());
+}
+
+#[test]
+fn answers_to_former_cancels_change_nothing() {
+    let (mut holds, key) = one();
+    holds.closed(START);
+    holds.release(NOW, key);
+    holds.sent(key, CANCEL);
+    holds.failed(NOW, CANCEL);
+    assert!(holds.confirmed(CANCEL).is_none());
+    assert_eq!(holds.len(), 1);
+    assert!(holds.due(holds.next()).is_some());
+}
+
+#[test]
+fn a_stream_read_by_a_later_order_is_released_under_that_owner_and_fence() {
+    let (mut holds, key) = one();
+    let (attach, fresh) = (Order(7), Incarnation(0xa5));
+    holds.reopen(key, attach, fresh, 6);
+    // The former order is not what the release waits for any more.
+    holds.closed(START);
+    assert_eq!(holds.release(NOW, key), Some(attach));
+    assert!(holds.due(NOW).is_none());
+    holds.closed(attach);
+    let cancel = holds.due(NOW).expect("the reader is gone");
+    assert_eq!((cancel.owner, cancel.fence), (fresh, 6));
+}
+
+#[test]
+fn memory_of_a_replica_that_is_gone_needs_no_release() {
+    let (mut holds, key) = one();
+    holds.closed(START);
+    holds.release(NOW, key);
+    holds.sent(key, CANCEL);
+    let kept = holds.take(OTHER, handle(2), ME, 5, Order(3));
+    holds.erase_replica(ENGINE);
+    assert!(holds.get(key).is_none() && holds.get(kept).is_some());
+    assert!(holds.confirmed(CANCEL).is_none());
+    assert!(holds.has(OTHER, handle(2)) && !holds.has(ENGINE, handle(1)));
+}
+
+#[test]
+fn memory_that_another_owner_took_is_not_ours_to_release() {
+    let (mut holds, key) = one();
+    holds.closed(START);
+    holds.release(NOW, key);
+    holds.sent(key, CANCEL);
+    holds.overtaken(CANCEL);
+    assert!(holds.is_empty());
+    assert_eq!(holds.next(), Time::NEVER);
+}
+
+#[test]
+fn found_memory_is_released_in_the_name_of_its_owner() {
+    let mut holds = Holds::new();
+    let gone = Incarnation(0xdead);
+    holds.take_orphan(NOW, ENGINE, handle(9), gone, 40);
+    let cancel = holds.due(NOW).expect("nothing to wait for");
+    assert_eq!((cancel.owner, cancel.fence), (gone, 40));
+}
+
+/// What happens to one of several holds.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Close,
+    Release,
+    Send,
+    Fail,
+    Confirm,
+    Reopen,
+}
+
+const STEPS: [Step; 6] = [
+    Step::Close,
+    Step::Release,
+    Step::Send,
+    Step::Fail,
+    Step::Confirm,
+    Step::Reopen,
+];
+
+/// A hold as the test sees it.
+#[derive(Debug)]
+struct Model {
+    key: HoldKey,
+    start: Order,
+    cancel: Option<Order>,
+}
+
+proptest! {
+    /// Whatever happens in between, every hold that is asked to go is gone once its start is over
+    /// and a cancel is confirmed, and never before.
+    #[test]
+    fn every_hold_goes_by_a_confirmed_cancel(steps in vec((0..STEPS.len(), 0..4_usize), 0..120)) {
+        let mut holds = Holds::new();
+        let mut next = 0;
+        let mut order = move || {
+            next += 1;
+            Order(next)
+        };
+        let mut models: Vec<Model> = (0..4)
+            .map(|number| {
+                let start = order();
+                let key = holds.take(ENGINE, handle(number), ME, 1, start);
+                Model { key, start, cancel: None }
+            })
+            .collect();
+        let mut now = NOW;
+        let mut confirmed = 0;
+        for (step, index) in steps {
+            now = now + Duration::from_millis(700);
+            let model = &mut models[index];
+            let alive = holds.get(model.key).is_some();
+            match STEPS[step] {
+                Step::Close => holds.closed(model.start),
+                Step::Release => {
+                    holds.release(now, model.key);
+                }
+                Step::Send => {
+                    let due = holds.due(now).filter(|cancel| cancel.hold == model.key);
+                    if due.is_some() {
+                        let cancel = order();
+                        holds.sent(model.key, cancel);
+                        model.cancel = Some(cancel);
+                    }
+                }
+                Step::Fail => {
+                    if let Some(cancel) = model.cancel.take() {
+                        holds.failed(now, cancel);
+                    }
+                }
+                Step::Confirm => {
+                    if let Some(cancel) = model.cancel.take() {
+                        prop_assert!(holds.confirmed(cancel).is_some());
+                        confirmed += 1;
+                    }
+                }
+                Step::Reopen if alive && model.cancel.is_none() => {
+                    model.start = order();
+                    holds.reopen(model.key, model.start, ME, 2);
+                }
+                Step::Reopen => (),
+            }
+            prop_assert_eq!(holds.len(), models.len() - confirmed);
+        }
+        for model in &models {
+            holds.closed(model.start);
+            holds.release(now, model.key);
+            if let Some(cancel) = model.cancel {
+                holds.failed(now, cancel);
+            }
+        }
+        let late = now + Duration::from_hours(1);
+        while let Some(cancel) = holds.due(late) {
+            let sent = order();
+            holds.sent(cancel.hold, sent);
+            prop_assert!(holds.confirmed(sent).is_some());
+        }
+        prop_assert!(holds.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/ledger/tests/keys.rs
@@ -0,0 +1,86 @@
+//! Keys: a forgotten key is one that is refused, never one that runs again.
+
+use ident::Key;
+use ledger::keys::Admission;
+use ledger::keys::Mark;
+use ledger::keys::Memory;
+use ledger::keys::SKEW_S;
+use proptest::collection::vec;
+use proptest::prop_assert;
+use proptest::proptest;
+use rstest::rstest;
+
+const WINDOW_S: u64 = 600;
+const NOW: u64 = 1_700_000_000;
+
+fn key(number: u64) -> Key {
+    Key::new("farm-17", &format!("91c5b8f0aa31e2d4.6930b2f1.{number}"))
+}
+
+#[rstest]
+#[case::issued_now(NOW, Admission::New)]
+#[case::at_the_end_of_its_window(NOW - WINDOW_S, Admission::New)]
+#[case::past_its_window(NOW - WINDOW_S - 1, Admission::Expired)]
+#[case::by_a_clock_ahead(NOW + SKEW_S, Admission::New)]
+#[case::in_the_future(NOW + SKEW_S + 1, Admission::Expired)]
+#[case::at_the_origin(0, Admission::Expired)]
+#[case::at_the_end_of_time(u64::MAX, Admission::Expired)]
+fn a_key_starts_only_inside_its_window(#[case] issued: u64, #[case] expected: Admission) {
+    let memory: Memory<u32> = Memory::new(WINDOW_S, 4);
+    assert_eq!(memory.admit(NOW, issued), expected);
+}
+
+#[test]
+fn a_full_memory_takes_no_new_key_and_forgets_none() {
+    let mut memory: Memory<u32> = Memory::new(WINDOW_S, 2);
+    memory.mark(NOW, &key(1), Mark::Unknown);
+    memory.mark(NOW, &key(2), Mark::Failed);
+    assert_eq!(memory.admit(NOW, NOW), Admission::Full);
+    memory.mark(NOW, &key(1), Mark::Failed);
+    assert_eq!(memory.len(), 2);
+    memory.forget(&key(2));
+    assert_eq!(memory.get(&key(2)), None);
+    assert_eq!(memory.admit(NOW, NOW), Admission::New);
+}
+
+#[test]
+fn an_open_request_is_never_forgotten() {
+    let mut memory = Memory::new(WINDOW_S, 4);
+    memory.mark(NOW, &key(1), Mark::Open(7));
+    let late = NOW + 3 * (WINDOW_S + SKEW_S);
+    memory.expire(late);
+    assert_eq!(memory.get(&key(1)), Some(&Mark::Open(7)));
+    memory.mark(late, &key(1), Mark::Unknown);
+    memory.expire(late + 2 * (WINDOW_S + SKEW_S));
+    assert!(memory.is_empty());
+}
+
+proptest! {
+    /// However keys arrive, none is started twice: a key that started is remembered for as long
+    /// as it would be admitted.
+    #[test]
+    fn no_key_starts_twice(
+        window in 1..50_u64,
+        steps in vec((0..40_u64, 0..6_u64, 0..100_u64), 1..200),
+    ) {
+        let mut memory: Memory<u32> = Memory::new(window, 1_000);
+        let mut now = NOW;
+        // The time at which each key was issued, by a clock that may be ahead.
+        let issued: Vec<u64> = (0..6).map(|index| NOW + 13 * index).collect();
+        let mut started = [false; 6];
+        for (pause, number, end) in steps {
+            now += pause;
+            memory.expire(now);
+            let index = number as usize;
+            let known = memory.get(&key(number)).is_some();
+            if !known && memory.admit(now, issued[index]) == Admission::New {
+                prop_assert!(!started[index], "key {number} starts twice");
+                started[index] = true;
+                let mark = if end % 2 == 0 { Mark::Unknown } else { Mark::Open(1) };
+                memory.mark(now, &key(number), mark);
+            } else if known && end % 3 == 0 {
+                memory.mark(now, &key(number), Mark::Failed);
+            }
+        }
+    }
+}
