Entry: tests through the real binary; settings errors name their field

Cause: the daemon had compiled but not run; an error of a settings field named its section and the line of the section's start. Ruled out: checks after reading (no line at all) and after String::deserialize (the library then tells the enclosing mapping); visitors get line and path. Change: visitors check fields; labels of metrics start at zero; tests for settings, callers, operators, peers, requests and planned stops.

--- a/crates/entry/src/config/field.rs
+++ b/crates/entry/src/config/field.rs
@@ -1,68 +1,89 @@
-//! Checks of single fields, made while the file is read so that an error knows its line.
+//! Checks of single fields, made by the visitors that read them, so that an error knows its line.
 
-use std::collections::BTreeMap;
+use std::fmt;
 use std::net::SocketAddr;
 
 use serde::Deserialize;
 use serde::Deserializer;
 use serde::de::Error;
+use serde::de::Visitor;
 
 /// Shortest secret and shortest operator token, in bytes.
 const SECRET_MIN: usize = 16;
 
+/// A secret text of sufficient length.
+#[derive(Debug, PartialEq, Eq)]
+pub(super) struct Secret(pub(super) String);
+
+impl<'de> Deserialize<'de> for Secret {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        from.deserialize_str(Text(|text| match text.len() {
+            length if length < SECRET_MIN => {
+                Err(format!("has {length} bytes; write at least {SECRET_MIN}"))
+            }
+            _ => Ok(Self(text.to_owned())),
+        }))
+    }
+}
+
 /// A text that is not empty.
 pub(super) fn name<'de, D: Deserializer<'de>>(from: D) -> Result<String, D::Error> {
-    let text = String::deserialize(from)?;
-    if text.trim().is_empty() {
-        return Err(D::Error::custom("must not be empty; write a name"));
-    }
-    Ok(text)
+    from.deserialize_str(Text(|text| match text.trim() {
+        "" => Err("must not be empty; write a name".to_owned()),
+        _ => Ok(text.to_owned()),
+    }))
 }
 
 /// `ip:port` with a port.
 pub(super) fn address<'de, D: Deserializer<'de>>(from: D) -> Result<SocketAddr, D::Error> {
-    let text = String::deserialize(from)?;
-    match text.parse::<SocketAddr>() {
+    from.deserialize_str(Text(|text| match text.parse::<SocketAddr>() {
         Ok(address) if address.port() != 0 => Ok(address),
-        Ok(_) => Err(D::Error::custom(format!(
-            "`{text}` has port 0; write a port from 1 to 65535"
-        ))),
-        Err(_) => Err(D::Error::custom(format!(
+        Ok(_) => Err(format!("`{text}` has port 0; write a port from 1 to 65535")),
+        Err(_) => Err(format!(
             "`{text}` is not an address; write ip:port, such as \"127.0.0.1:7001\""
-        ))),
-    }
+        )),
+    }))
 }
 
-/// A secret of sufficient length.
-pub(super) fn secret<'de, D: Deserializer<'de>>(from: D) -> Result<String, D::Error> {
-    let text = String::deserialize(from)?;
-    if text.len() < SECRET_MIN {
-        return Err(D::Error::custom(too_short(&text)));
-    }
-    Ok(text)
+/// A number from 1 up.
+pub(super) fn positive<'de, D: Deserializer<'de>>(from: D) -> Result<u64, D::Error> {
+    from.deserialize_any(Positive)
 }
 
-/// Operators with their tokens.
-pub(super) fn operators<'de, D: Deserializer<'de>>(
-    from: D,
-) -> Result<BTreeMap<String, String>, D::Error> {
-    let operators = BTreeMap::<String, String>::deserialize(from)?;
-    match operators.iter().find(|(_, token)| token.len() < SECRET_MIN) {
-        Some((name, token)) => Err(D::Error::custom(format!("`{name}`: {}", too_short(token)))),
-        None => Ok(operators),
+/// Reads a text by a function that tells what is wrong with it.
+struct Text<T>(fn(&str) -> Result<T, String>);
+
+impl<T> Visitor<'_> for Text<T> {
+    type Value = T;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a text")
     }
-}
 
-/// A number from 1 up.
-pub(super) fn positive<'de, D: Deserializer<'de>>(from: D) -> Result<u64, D::Error> {
-    match i64::deserialize(from)? {
-        number if number > 0 => Ok(number as u64),
-        number => Err(D::Error::custom(format!(
-            "{number} is not allowed; write a number from 1 up"
-        ))),
+    fn visit_str<E: Error>(self, text: &str) -> Result<T, E> {
+        (self.0)(text).map_err(E::custom)
     }
 }
 
-fn too_short(text: &str) -> String {
-    format!("has {} bytes; write at least {SECRET_MIN}", text.len())
+struct Positive;
+
+impl Visitor<'_> for Positive {
+    type Value = u64;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a number from 1 up")
+    }
+
+    fn visit_u64<E: Error>(self, number: u64) -> Result<u64, E> {
+        match number {
+            0 => Err(E::custom("0 is not allowed; write a number from 1 up")),
+            _ => Ok(number),
+        }
+    }
+
+    fn visit_i64<E: Error>(self, number: i64) -> Result<u64, E> {
+        Err(E::custom(format!(
+            "{number} is not allowed; write a number from 1 up"
+        )))
+    }
 }
--- a/crates/entry/src/config/file.rs
+++ b/crates/entry/src/config/file.rs
@@ -12,6 +12,7 @@
 use super::Seed;
 use super::Timing;
 use super::field;
+use super::field::Secret;
 
 /// What is wrong with a settings file.
 #[derive(Debug)]
@@ -34,10 +35,8 @@
     platform: SocketAddr,
     #[serde(default)]
     seeds: Vec<SeedPart>,
-    #[serde(deserialize_with = "field::secret")]
-    secret: String,
-    #[serde(deserialize_with = "field::operators")]
-    operators: BTreeMap<String, String>,
+    secret: Secret,
+    operators: BTreeMap<String, Secret>,
     #[serde(default)]
     timing: TimingPart,
     #[serde(default)]
@@ -117,14 +116,28 @@
 
 /// Reads and checks settings.
 pub(super) fn parse(text: &str) -> Result<Config, Fault> {
-    let file: File = serde_norway::from_str(text).map_err(|error| Fault {
-        line: error.location().map_or(0, |place| place.line()),
-        cause: error.to_string(),
-    })?;
+    let file: File = serde_norway::from_str(text).map_err(|error| fault(&error))?;
     check(&file)?;
     Ok(config(file))
 }
 
+fn fault(error: &serde_norway::Error) -> Fault {
+    let cause = error.to_string();
+    let Some(place) = error.location() else {
+        return Fault { line: 0, cause };
+    };
+    // The library tells the place at the end of its text; here it comes first.
+    let suffix = format!(" at line {} column {}", place.line(), place.column());
+    let cause = cause
+        .strip_suffix(suffix.as_str())
+        .unwrap_or(&cause)
+        .to_owned();
+    Fault {
+        line: place.line(),
+        cause,
+    }
+}
+
 fn check(file: &File) -> Result<(), Fault> {
     let ListenPart {
         caller,
@@ -148,6 +161,10 @@
         name: seed.name,
         address: seed.address,
     });
+    let operators = file
+        .operators
+        .into_iter()
+        .map(|(name, token)| (name, token.0));
     Config {
         name: file.name,
         data_centre: file.data_centre,
@@ -158,8 +175,8 @@
         },
         platform: file.platform,
         seeds: seeds.collect(),
-        secret: file.secret,
-        operators: file.operators,
+        secret: file.secret.0,
+        operators: operators.collect(),
         timing: timing(&file.timing),
         limits: limits(&file.limits),
     }
--- a/crates/entry/src/logs.rs
+++ b/crates/entry/src/logs.rs
@@ -17,7 +17,6 @@
 use serde_json::Map;
 use serde_json::Value;
 
-use crate::clock;
 use crate::error::Error;
 
 /// What is logged: everything of this product, warnings of its libraries.
@@ -92,8 +91,7 @@
             choice = decision.choice.as_str(),
             alternatives = decision.alternatives.as_str(),
             reason = decision.reason.as_str(),
-            generation = decision.generation,
-            unix_ms = clock::unix().as_millis() as u64;
+            generation = decision.generation;
             "{}", decision.step.word()
         );
         let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics/mod.rs
@@ -1,5 +1,7 @@
 //! Figures in the text format of Prometheus.
 
+mod register;
+
 use std::time::Duration;
 
 use node::action::Count;
@@ -8,24 +10,26 @@
 use prometheus::Encoder;
 use prometheus::Gauge;
 use prometheus::Histogram;
-use prometheus::HistogramOpts;
 use prometheus::IntCounter;
 use prometheus::IntCounterVec;
-use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
-use prometheus::core::AtomicU64;
-use prometheus::core::Collector;
-use prometheus::core::GenericGauge;
 
 use crate::error::Error;
+use crate::metrics::register::IntGauge;
+use crate::metrics::register::counter;
+use crate::metrics::register::gauge;
+use crate::metrics::register::histogram;
+use crate::metrics::register::seconds;
+use crate::metrics::register::vector;
 
 const FIRST_TOKEN_BUCKETS: [f64; 12] = [
     0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0, 60.0,
 ];
 const TOKEN_GAP_BUCKETS: [f64; 10] = [0.002, 0.005, 0.01, 0.02, 0.035, 0.05, 0.08, 0.15, 0.4, 1.0];
 
-type IntGauge = GenericGauge<AtomicU64>;
+const TARGETS: [&str; 2] = ["first_token", "token_gap"];
+const FRAME_STEPS: [&str; 4] = ["handshake", "frame_length", "frame_version", "frame_body"];
 
 /// All figures of a daemon.
 #[derive(Debug)]
@@ -60,10 +64,12 @@
     /// # Errors
     /// `Start` if a name is registered twice.
     pub fn new() -> Result<Self, Error> {
-        build().map_err(|error| Error::Start {
+        let metrics = build().map_err(|error| Error::Start {
             step: "metrics",
             cause: error.to_string(),
-        })
+        })?;
+        metrics.show_zeros();
+        Ok(metrics)
     }
 
     /// Counts what the core tells.
@@ -150,6 +156,27 @@
         self.members.set(alive as u64);
     }
 
+    /// Shows labels that are known before they are counted, so that a rate has a start.
+    fn show_zeros(&self) {
+        for outcome in ["answered", "not_run", "unknown", "failed"] {
+            self.requests.with_label_values(&[outcome]).reset();
+        }
+        for kind in ["computed", "wasted"] {
+            self.prefill_tokens.with_label_values(&[kind]).reset();
+        }
+        for (target, result) in TARGETS
+            .into_iter()
+            .flat_map(|t| [(t, "met"), (t, "missed")])
+        {
+            self.within_target
+                .with_label_values(&[target, result])
+                .reset();
+        }
+        for step in FRAME_STEPS {
+            self.frames_rejected.with_label_values(&[step]).reset();
+        }
+    }
+
     fn target(&self, target: &str, met: bool) {
         let result = if met { "met" } else { "missed" };
         self.within_target
@@ -248,49 +275,3 @@
         registry,
     })
 }
-
-fn register<C: Collector + Clone + 'static>(
-    registry: &Registry,
-    metric: C,
-) -> Result<C, prometheus::Error> {
-    registry.register(Box::new(metric.clone()))?;
-    Ok(metric)
-}
-
-fn full(name: &str) -> String {
-    format!("waxwing_{name}")
-}
-
-fn counter(registry: &Registry, name: &str, help: &str) -> Result<IntCounter, prometheus::Error> {
-    register(registry, IntCounter::new(full(name), help)?)
-}
-
-fn gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
-    register(registry, IntGauge::new(full(name), help)?)
-}
-
-fn seconds(registry: &Registry, name: &str, help: &str) -> Result<Gauge, prometheus::Error> {
-    register(registry, Gauge::new(full(name), help)?)
-}
-
-fn vector(
-    registry: &Registry,
-    name: &str,
-    help: &str,
-    labels: &[&str],
-) -> Result<IntCounterVec, prometheus::Error> {
-    register(
-        registry,
-        IntCounterVec::new(Opts::new(full(name), help), labels)?,
-    )
-}
-
-fn histogram(
-    registry: &Registry,
-    name: &str,
-    help: &str,
-    buckets: &[f64],
-) -> Result<Histogram, prometheus::Error> {
-    let options = HistogramOpts::new(full(name), help).buckets(buckets.to_vec());
-    register(registry, Histogram::with_opts(options)?)
-}
--- /dev/null
+++ b/crates/entry/tests/callers.rs
@@ -0,0 +1,135 @@
+//! Requests that are malformed: a clear refusal, and the next request is served.
+
+mod common;
+
+use rstest::rstest;
+use tokio::io::AsyncWriteExt;
+
+use crate::common::Place;
+use crate::common::http;
+
+const PATH: &str = "/v1/completions";
+
+#[rstest]
+#[case::truncated_json("{\"model\": \"ration\", \"prompt\": \"a b\"", "EOF")]
+#[case::not_json("farm", "line 1 column")]
+#[case::no_prompt("{\"model\": \"ration\", \"max_tokens\": 4}", "missing field `prompt`")]
+#[case::no_tokens(
+    "{\"model\": \"ration\", \"prompt\": \"a\", \"max_tokens\": 0}",
+    "`max_tokens`"
+)]
+#[case::negative(
+    "{\"model\": \"ration\", \"prompt\": \"a\", \"max_tokens\": -1}",
+    "`-1`"
+)]
+#[case::empty_prompt(
+    "{\"model\": \"ration\", \"prompt\": \" \", \"max_tokens\": 4}",
+    "`prompt`"
+)]
+#[tokio::test]
+async fn a_body_that_is_no_request_is_not_run(#[case] body: &str, #[case] cause: &str) {
+    let place = Place::start(1).await;
+    let answer = http::send(place.daemon.caller, &http::caller("POST", PATH, "", body)).await;
+    assert_eq!(
+        (answer.status, answer.reason()),
+        (400, "invalid".to_owned()),
+        "{answer:?}"
+    );
+    assert!(answer.body.contains(cause), "{answer:?}");
+    place.serves().await;
+}
+
+#[rstest]
+#[case::announced(true)]
+#[case::in_chunks(false)]
+#[tokio::test]
+async fn an_oversized_body_is_refused(#[case] announced: bool) {
+    let place = Place::start(1).await;
+    let body = "x".repeat((1 << 20) + 1);
+    let bytes = if announced {
+        http::caller("POST", PATH, "", &body)
+    } else {
+        http::chunked(PATH, &body)
+    };
+    let answer = http::send(place.daemon.caller, &bytes).await;
+    assert_eq!(
+        (answer.status, answer.reason()),
+        (413, "invalid".to_owned()),
+        "{answer:?}"
+    );
+    place.serves().await;
+}
+
+#[rstest]
+#[tokio::test]
+async fn a_body_that_breaks_off_is_not_run() {
+    let place = Place::start(1).await;
+    let whole = http::completion(8);
+    let mut socket = http::open(place.daemon.caller, &whole[..whole.len() - 9]).await;
+    socket.shutdown().await.unwrap();
+    http::read(socket).await;
+    place.serves().await;
+    let record = fake::control::record(place.decode).await.unwrap();
+    assert_eq!(
+        record["decodes"], 1,
+        "only the request of `serves` ran: {record}"
+    );
+}
+
+#[rstest]
+#[case::customer("Waxwing-Class: gold\r\n", 400, "waxwing-customer")]
+#[case::twice(
+    "Waxwing-Customer: a\r\nWaxwing-Customer: b\r\n",
+    400,
+    "more than once"
+)]
+#[case::repeatable(
+    "Waxwing-Customer: a\r\nWaxwing-Repeatable: maybe\r\n",
+    400,
+    "neither yes nor no"
+)]
+#[tokio::test]
+async fn wrong_headers_are_named(#[case] headers: &str, #[case] status: u16, #[case] cause: &str) {
+    let place = Place::start(1).await;
+    let body = "{\"model\": \"ration\", \"prompt\": \"a\", \"max_tokens\": 4}";
+    let bytes = http::request("POST", PATH, headers, body);
+    let answer = http::send(place.daemon.caller, &bytes).await;
+    assert_eq!(
+        (answer.status, answer.reason()),
+        (status, "invalid".to_owned()),
+        "{answer:?}"
+    );
+    assert!(answer.body.contains(cause), "{answer:?}");
+}
+
+#[rstest]
+#[tokio::test]
+async fn oversized_headers_are_refused() {
+    let place = Place::start(1).await;
+    let headers = format!("Waxwing-Class: {}\r\n", "x".repeat(17 << 10));
+    let answer = http::send(
+        place.daemon.caller,
+        &http::caller("POST", PATH, &headers, "{}"),
+    )
+    .await;
+    assert_eq!(
+        (answer.status, answer.reason()),
+        (431, "invalid".to_owned()),
+        "{answer:?}"
+    );
+}
+
+#[rstest]
+#[case::method("GET", PATH, 405)]
+#[case::path("POST", "/v2/completions", 404)]
+#[case::no_service("POST", "/v1/call/", 404)]
+#[tokio::test]
+async fn wrong_calls_are_refused(#[case] method: &str, #[case] path: &str, #[case] status: u16) {
+    let place = Place::start(1).await;
+    let answer = http::send(place.daemon.caller, &http::caller(method, path, "", "")).await;
+    assert_eq!(
+        (answer.status, answer.reason()),
+        (status, "invalid".to_owned()),
+        "{answer:?}"
+    );
+}
--- /dev/null
+++ b/crates/entry/tests/common/daemon.rs
@@ -0,0 +1,126 @@
+//! The daemon's process.
+
+use std::fs::File;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::process::Child;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+use serde_json::Value;
+use serde_json::json;
+use tokio::time::sleep;
+
+use super::ANY;
+use super::settings;
+
+/// The program.
+pub const PROGRAM: &str = env!("CARGO_BIN_EXE_waxwingd");
+
+/// The exit code of a daemon that cannot listen.
+const EXIT_LISTEN: i32 = 4;
+const START_LIMIT: Duration = Duration::from_secs(20);
+
+/// A running daemon; dropping it kills exactly this process.
+#[derive(Debug)]
+pub struct Daemon {
+    child: Child,
+    /// Where callers connect.
+    pub caller: SocketAddr,
+    /// Where peers connect.
+    pub peer: SocketAddr,
+    /// Where operators connect.
+    pub admin: SocketAddr,
+}
+
+impl Daemon {
+    /// Starts a daemon with `more` settings and waits until it listens.
+    ///
+    /// Free ports may be taken by somebody else before the daemon listens on them; it then ends
+    /// with a code that says so, and others are tried.
+    pub fn start(platform: SocketAddr, more: &str) -> Self {
+        let start = Instant::now();
+        loop {
+            let mut daemon = Self::spawn(platform, more);
+            while daemon.runs() && TcpStream::connect(daemon.admin).is_err() {
+                assert!(start.elapsed() < START_LIMIT, "the daemon does not listen");
+                thread::sleep(Duration::from_millis(10));
+            }
+            match daemon
+                .child
+                .try_wait()
+                .unwrap()
+                .and_then(|status| status.code())
+            {
+                None => return daemon,
+                Some(code) => assert_eq!(code, EXIT_LISTEN, "the daemon ended"),
+            }
+        }
+    }
+
+    fn spawn(platform: SocketAddr, more: &str) -> Self {
+        let [caller, peer, admin] = free_addresses();
+        let path = settings::write(&(settings::valid(caller, peer, admin, platform) + more));
+        let log = File::create(path.with_extension("log")).unwrap();
+        let child = Command::new(PROGRAM)
+            .arg("--config")
+            .arg(&path)
+            .stdin(Stdio::null())
+            .stderr(Stdio::from(log))
+            .spawn()
+            .unwrap();
+        Self {
+            child,
+            caller,
+            peer,
+            admin,
+        }
+    }
+
+    /// Its place on the platform's list.
+    pub fn seat(&self) -> Value {
+        json!({"name": "entry-1", "data_centre": "osijek-a", "peer": self.peer,
+            "caller": self.caller, "state": "live"})
+    }
+
+    /// Sends `signal`.
+    pub fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.child.id().cast_signed()).unwrap();
+        kill_process(pid, signal).unwrap();
+    }
+
+    /// Whether it runs.
+    pub fn runs(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
+    /// How it ended, after waiting for at most `limit`.
+    pub async fn ended(&mut self, limit: Duration) -> Option<ExitStatus> {
+        let start = Instant::now();
+        while start.elapsed() < limit && self.runs() {
+            sleep(Duration::from_millis(20)).await;
+        }
+        self.child.try_wait().unwrap()
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        // A process that has ended leaves nothing to kill.
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+}
+
+fn free_addresses<const N: usize>() -> [SocketAddr; N] {
+    let sockets = std::array::from_fn::<_, N, _>(|_| TcpListener::bind(ANY).unwrap());
+    sockets.map(|socket| socket.local_addr().unwrap())
+}
--- /dev/null
+++ b/crates/entry/tests/common/mod.rs
@@ -0,0 +1,182 @@
+//! One real daemon on loopback, with stand-ins in the test's own process.
+#![allow(dead_code, reason = "no test file uses all of it")]
+
+pub mod daemon;
+pub mod http;
+pub mod settings;
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use fake::application;
+use fake::control;
+use fake::engine;
+use fake::engine::Role;
+use fake::platform;
+use serde_json::Value;
+use serde_json::json;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use self::daemon::Daemon;
+use self::settings::TOKEN;
+
+/// A free port of this machine.
+pub const ANY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+/// Longest wait for something that must come.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// A daemon with a platform, a prefill engine, a decode engine and an application behind it.
+#[derive(Debug)]
+pub struct Place {
+    /// The daemon.
+    pub daemon: Daemon,
+    /// The platform.
+    pub platform: SocketAddr,
+    /// The decode engine.
+    pub decode: SocketAddr,
+    /// The application.
+    pub application: SocketAddr,
+}
+
+impl Place {
+    /// Starts everything and waits until the daemon is ready; decoding takes `token_ms` a token.
+    pub async fn start(token_ms: u64) -> Self {
+        Self::start_with(token_ms, "").await
+    }
+
+    /// The same with `more` settings for the daemon.
+    pub async fn start_with(token_ms: u64, more: &str) -> Self {
+        let platform = platform::start(&platform::Settings::default(), ANY)
+            .await
+            .unwrap();
+        let prefill = engine::start(engine(Role::Prefill, 1), ANY).await.unwrap();
+        let decode = engine::start(engine(Role::Decode, token_ms), ANY)
+            .await
+            .unwrap();
+        let application = application::start(application::Settings::default(), ANY)
+            .await
+            .unwrap();
+        let daemon = Daemon::start(platform, more);
+        let place = Self {
+            daemon,
+            platform,
+            decode,
+            application,
+        };
+        place.publish(prefill).await;
+        place.edit().await;
+        place.ready().await;
+        place
+    }
+
+    /// Waits until `found` is true of what the decode engine records.
+    pub async fn until_decode(&self, found: impl Fn(&Value) -> bool) {
+        let start = Instant::now();
+        loop {
+            let record = control::record(self.decode).await.unwrap();
+            if found(&record) {
+                return;
+            }
+            assert!(start.elapsed() < PATIENCE, "{record}");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// The start of keys for the daemon.
+    pub async fn key_prefix(&self) -> String {
+        let answer = http::get(self.daemon.caller, "/v1/addresses").await.json();
+        answer["addresses"][0]["key_prefix"]
+            .as_str()
+            .unwrap()
+            .to_owned()
+    }
+
+    /// Sees that a request is served.
+    pub async fn serves(&self) {
+        let answer = http::send(self.daemon.caller, &http::completion(8)).await;
+        let expected = fake::text::expected(http::PROMPT, 8).concat();
+        assert_eq!(answer.text(), Some(expected), "{answer:?}");
+    }
+
+    /// Waits until one connection was closed at `step` of reading frames.
+    pub async fn counts(&self, step: &str) {
+        let line = format!("waxwing_frames_rejected_total{{step=\"{step}\"}} 1");
+        let start = Instant::now();
+        loop {
+            let text = http::get(self.daemon.admin, "/metrics").await.body;
+            if text.contains(&line) {
+                return;
+            }
+            assert!(start.elapsed() < PATIENCE, "no {line} in {text}");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    async fn publish(&self, prefill: SocketAddr) {
+        let replica = |name: &str, address: SocketAddr, service: &str, role: &str| {
+            json!({"name": name, "data_centre": "osijek-a", "address": address,
+                "service": service, "role": role, "slots": 20, "fences": true, "state": "live"})
+        };
+        let list = json!({
+            "instances": [self.daemon.seat()],
+            "replicas": [
+                replica("prefill-1", prefill, "ration", "prefill"),
+                replica("decode-1", self.decode, "ration", "decode"),
+                replica("app-1", self.application, "lorry", "plain"),
+            ],
+            "views": {},
+            "lag_ms": 0,
+        });
+        control::post(self.platform, "/control/list", &list)
+            .await
+            .unwrap();
+    }
+
+    async fn edit(&self) {
+        let rows = [table::row::Row::new("ration", "default", "ration"), lorry()];
+        let edit = table::edit::Edit::between("edit-1", "ana", &table::Table::default(), &rows);
+        let body = serde_json::to_string(&edit).unwrap();
+        let start = Instant::now();
+        loop {
+            let answer =
+                http::operator(&self.daemon, "POST", "/v1/table/edits", TOKEN, &body).await;
+            if answer.status == 200 {
+                return;
+            }
+            assert!(start.elapsed() < PATIENCE, "{answer:?}");
+            sleep(Duration::from_millis(100)).await;
+        }
+    }
+
+    async fn ready(&self) {
+        let start = Instant::now();
+        loop {
+            let answer = http::get(self.daemon.admin, "/health").await;
+            if answer.status == 200 {
+                return;
+            }
+            assert!(start.elapsed() < PATIENCE, "{answer:?}");
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+fn engine(role: Role, token_ms: u64) -> engine::Settings {
+    engine::Settings {
+        role,
+        prefill_fixed: Duration::from_millis(5),
+        decode_base: Duration::from_millis(token_ms),
+        decode_each: Duration::ZERO,
+        ..engine::Settings::default()
+    }
+}
+
+fn lorry() -> table::row::Row {
+    table::row::Row {
+        repeatable: false,
+        ..table::row::Row::new("lorry", "default", "lorry")
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/peers.rs
@@ -0,0 +1,80 @@
+//! Bytes at the peer address that are no frames of this version.
+
+mod common;
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use ident::Incarnation;
+use ident::Instance;
+use rstest::rstest;
+use tokio::net::TcpStream;
+use wire::Body;
+use wire::Frame;
+
+use crate::common::Place;
+use crate::common::http as by_hand;
+
+const LENGTH_AND_VERSION: usize = 6;
+
+fn frame() -> Bytes {
+    wire::encode(&Frame::new(
+        Instance::new("entry-9"),
+        Incarnation(9),
+        Body::Pull,
+    ))
+    .unwrap()
+}
+
+fn foreign_version() -> Bytes {
+    let mut bytes = BytesMut::from(&frame()[..]);
+    bytes[LENGTH_AND_VERSION - 1] ^= 0x40;
+    bytes.freeze()
+}
+
+fn garbage_body() -> Bytes {
+    let mut bytes = BytesMut::from(&frame()[..]);
+    bytes[LENGTH_AND_VERSION..].fill(0xff);
+    bytes.freeze()
+}
+
+/// Sends `bytes` as a peer would, after a frame that is in order, until the daemon closes.
+async fn send(peer: SocketAddr, bytes: Bytes) {
+    let socket = TcpStream::connect(peer).await.unwrap();
+    let (mut requests, connection) = h2::client::handshake(socket).await.unwrap();
+    let request = http::Request::post("/v1/frames").body(()).unwrap();
+    let (_response, mut stream) = requests.send_request(request, false).unwrap();
+    stream.send_data(frame(), false).unwrap();
+    stream.send_data(bytes, false).unwrap();
+    // The end of the connection is what is waited for, however it comes.
+    let _ = connection.await;
+}
+
+#[rstest]
+#[case::foreign_version(foreign_version(), "frame_version")]
+#[case::garbage_body(garbage_body(), "frame_body")]
+#[case::huge_length(Bytes::from_static(&[0xff; 64]), "frame_length")]
+#[tokio::test]
+async fn a_frame_that_cannot_be_read_closes_its_connection(
+    #[case] bytes: Bytes,
+    #[case] step: &str,
+) {
+    let place = Place::start(1).await;
+    send(place.daemon.peer, bytes).await;
+    place.counts(step).await;
+    place.serves().await;
+}
+
+#[rstest]
+#[tokio::test]
+async fn bytes_that_are_not_http_close_their_connection() {
+    let place = Place::start(1).await;
+    by_hand::send(
+        place.daemon.peer,
+        b"GET /v1/frames HTTP/1.1\r\nHost: test\r\n\r\n",
+    )
+    .await;
+    place.counts("handshake").await;
+    place.serves().await;
+}
--- /dev/null
+++ b/crates/entry/tests/stop.rs
@@ -0,0 +1,89 @@
+//! Planned stops.
+
+mod common;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use rstest::rstest;
+use rustix::process::Signal;
+use tokio::time::sleep;
+
+use crate::common::Place;
+use crate::common::http;
+use crate::common::settings::TOKEN;
+
+/// `volo-http`'s server would cut connections off about this long after a signal.
+const LIBRARY_LIMIT: Duration = Duration::from_secs(30);
+/// Callers may keep an address for this long, and a leaving daemon serves them for longer.
+const SHORT_TTL: &str = "timing: {address_ttl_ms: 100}\n";
+/// After this time a leaving daemon with `SHORT_TTL` takes nothing new.
+const LEAVING: Duration = Duration::from_secs(2);
+/// Tokens of the answer that is in progress.
+const TOKENS: usize = 64;
+/// Time from the last byte of the answer to the end of the process.
+const END_LIMIT: Duration = Duration::from_secs(20);
+
+/// Time between tokens at which the answer lasts longer than the library's limit.
+fn token_ms() -> u64 {
+    let count = fake::text::expected(http::PROMPT, TOKENS).len() as u64;
+    (LIBRARY_LIMIT + Duration::from_secs(8)).as_millis() as u64 / count
+}
+
+#[rstest]
+#[case::terminate(Signal::TERM)]
+#[case::interrupt(Signal::INT)]
+#[tokio::test]
+async fn a_stream_longer_than_thirty_seconds_ends_whole(#[case] signal: Signal) {
+    let mut place = Place::start_with(token_ms(), SHORT_TTL).await;
+    let mut socket = http::open(place.daemon.caller, &http::completion(TOKENS)).await;
+    let start = http::read_until(&mut socket, "id: 1\n").await;
+    place.daemon.signal(signal);
+    let asked = Instant::now();
+
+    sleep(LEAVING).await;
+    let refused = http::send(place.daemon.caller, &http::completion(TOKENS)).await;
+    assert_eq!(
+        (refused.status, refused.reason()),
+        (503, "leaving".to_owned()),
+        "{refused:?}"
+    );
+    let health = http::get(place.daemon.admin, "/health").await;
+    assert_eq!(health.status, 503, "{health:?}");
+
+    let rest = http::read(socket).await;
+    assert!(
+        asked.elapsed() > LIBRARY_LIMIT,
+        "the stream was too short to show anything"
+    );
+    let status = http::operator(&place.daemon, "GET", "/v1/status", TOKEN, "").await;
+    assert!(matches!(status.status, 0 | 200), "{status:?}");
+    let whole = http::Answer {
+        body: start + &rest.whole(),
+        ..rest
+    };
+    let expected = fake::text::expected(http::PROMPT, TOKENS).concat();
+    assert_eq!(whole.text(), Some(expected), "{whole:?}");
+    let ended = place.daemon.ended(END_LIMIT).await;
+    assert_eq!(ended.and_then(|status| status.code()), Some(0));
+}
+
+#[rstest]
+#[tokio::test]
+async fn an_idle_daemon_stops_with_success() {
+    let mut place = Place::start(1).await;
+    place.serves().await;
+    place.daemon.signal(Signal::TERM);
+    let ended = place.daemon.ended(END_LIMIT).await;
+    assert_eq!(ended.and_then(|status| status.code()), Some(0));
+}
+
+#[rstest]
+#[tokio::test]
+async fn a_hangup_stops_nothing() {
+    let mut place = Place::start(1).await;
+    place.daemon.signal(Signal::HUP);
+    sleep(Duration::from_secs(4)).await;
+    assert!(place.daemon.runs());
+    place.serves().await;
+}
