waxwing: an edit holds what its file changed, and nothing else

Cause: table apply compared the file with the table in force at the moment of the call, so a file fetched before another operator's edit silently took that edit back.

Ruled out: refusing every file that is not of the newest generation, since edits of different rows do not clash.

Change: table show names its generation in the first line; table apply rebuilds that generation from the accepted edits and sends the difference to it. The daemon then finds a conflict exactly where both changed a row. A file older than the kept edits is refused (exit code 3). explain sorts by the time of log lines.

--- a/crates/ctl/src/commands/check.rs
+++ b/crates/ctl/src/commands/check.rs
@@ -8,12 +8,22 @@
 use table::file;
 use table::row::Row;
 
+use crate::base;
 use crate::error::Error;
 use crate::output::Output;
 
+/// A table file that passed its checks.
+#[derive(Debug)]
+pub(super) struct TableFile {
+    /// Its rows.
+    pub(super) rows: Vec<Row>,
+    /// The generation that it says it was made from.
+    pub(super) generation: Option<u64>,
+}
+
 /// Checks a table file.
 pub(super) fn run(path: &Path, output: Output) -> Result<(), Error> {
-    let rows = read(path)?;
+    let TableFile { rows, .. } = read(path)?;
     output.line(&format!(
         "{}: {} rows, no fault",
         path.display(),
@@ -24,14 +34,18 @@
 }
 
 /// Reads and checks a table file.
-pub(super) fn read(path: &Path) -> Result<Vec<Row>, Error> {
+pub(super) fn read(path: &Path) -> Result<TableFile, Error> {
     let text = fs::read_to_string(path).map_err(|cause| Error::Read {
         path: path.to_owned(),
         cause,
     })?;
-    file::parse(&text).map_err(|report| Error::File {
+    let rows = file::parse(&text).map_err(|report| Error::File {
         path: path.to_owned(),
         faults: report.to_string(),
+    })?;
+    Ok(TableFile {
+        rows,
+        generation: base::generation(&text),
     })
 }
 
--- a/crates/ctl/src/commands/explain.rs
+++ b/crates/ctl/src/commands/explain.rs
@@ -25,8 +25,9 @@
 /// The parts of a decision line that are shown.
 #[derive(Debug, Deserialize)]
 struct Decision {
+    /// When, as RFC 3339; an instance's own answer has none, but keeps the order.
     #[serde(default)]
-    unix_ms: u64,
+    time: String,
     request: String,
     step: String,
     choice: String,
@@ -122,7 +123,7 @@
         .filter_map(|(source, line)| Some((source, serde_json::from_value(line.clone()).ok()?)))
         .collect();
     // Stable: lines without a time keep the order of their source.
-    decisions.sort_by_key(|(_, decision)| decision.unix_ms);
+    decisions.sort_by(|(_, a), (_, b)| a.time.cmp(&b.time));
     for (source, decision) in &decisions {
         output.line(&describe(source, decision));
     }
--- a/crates/ctl/src/commands/history.rs
+++ b/crates/ctl/src/commands/history.rs
@@ -10,9 +10,12 @@
 use crate::error::Error;
 use crate::output::Output;
 
+/// Path of the accepted edits.
+pub(super) const HISTORY: &str = "/v1/table/history";
+
 /// Prints the edits, newest first.
 pub(super) async fn run(admin: &Admin, output: Output) -> Result<(), Error> {
-    let history: History = admin.get("/v1/table/history").await?;
+    let history: History = admin.get(HISTORY).await?;
     for entry in &history.edits {
         output.line(&head(entry));
         for change in &entry.changes {
--- a/crates/ctl/src/commands/show.rs
+++ b/crates/ctl/src/commands/show.rs
@@ -3,6 +3,7 @@
 use table::Table;
 use table::file;
 
+use crate::base;
 use crate::client::Admin;
 use crate::error::Error;
 use crate::output::Output;
@@ -13,7 +14,7 @@
 /// Prints the table; generation and marks stand in comments, so that the text is a valid file.
 pub(super) async fn run(admin: &Admin, output: Output) -> Result<(), Error> {
     let table: Table = admin.get(TABLE).await?;
-    output.line(&format!("# generation {}", table.generation));
+    output.line(&base::header(table.generation));
     for mark in &table.drains {
         output.line(&format!("# draining: {mark}"));
     }
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -54,6 +54,13 @@
         /// Both values of each row.
         lines: Vec<String>,
     },
+    /// The file was made from a table that can't be reconstructed.
+    Outdated {
+        /// The generation that the file names.
+        made_from: u64,
+        /// The generation in force.
+        current: u64,
+    },
     /// The edit did not pass the instance's checks.
     Rejected {
         /// Address of the instance.
@@ -113,7 +120,7 @@
             Self::File { .. } | Self::Rejected { .. } => ExitCode::Rejected,
             Self::Unreachable { .. } => ExitCode::Unreachable,
             Self::Denied { .. } => ExitCode::Denied,
-            Self::Conflict { .. } => ExitCode::Conflict,
+            Self::Conflict { .. } | Self::Outdated { .. } => ExitCode::Conflict,
             Self::Undecided { .. } => ExitCode::Undecided,
             Self::NotInForce { .. } => ExitCode::NotInForce,
             Self::NotFound { .. } => ExitCode::NotFound,
@@ -133,9 +140,16 @@
             Self::Denied { .. } => "check --operator and --token-file against `operators:` in the \
                                     settings of the instances"
                 .to_owned(),
-            Self::Conflict { .. } => "nothing was changed: look at `waxwing table show`, merge \
-                                      both changes into your file, and apply it again"
-                .to_owned(),
+            Self::Conflict { .. } => {
+                "nothing was changed: fetch the table again with `waxwing table \
+                                      show`, and repeat your change in it if you still want it"
+                    .to_owned()
+            }
+            Self::Outdated { .. } => {
+                "nothing was changed: fetch the table again with `waxwing table \
+                                      show` and repeat your change in it"
+                    .to_owned()
+            }
             Self::Rejected { .. } => {
                 "nothing was changed: correct the edit, or do as the cause says".to_owned()
             }
@@ -177,6 +191,11 @@
                 write!(f, "conflict (from {peer}): another operator was first")?;
                 lines.iter().try_for_each(|line| write!(f, "\n  {line}"))
             }
+            Self::Outdated { made_from, current } => write!(
+                f,
+                "the file was made from generation {made_from}; generation {current} is in force, \
+                 and the edits between them are not kept any more"
+            ),
             Self::Rejected { peer, cause } => write!(f, "rejected by {peer}: {cause}"),
             Self::Undecided { id, tried } => {
                 write!(f, "whether edit {id} was accepted is not known")?;
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -2,6 +2,7 @@
 //! explains decisions, all through the admin addresses of the daemons.
 
 pub mod answer;
+pub mod base;
 pub mod cli;
 pub mod client;
 pub mod commands;
--- a/crates/ctl/src/submit.rs
+++ b/crates/ctl/src/submit.rs
@@ -23,8 +23,8 @@
 use crate::error::Error;
 use crate::output::Output;
 
-/// Pause between two questions whether an edit is in force.
-const POLL_EVERY: Duration = Duration::from_millis(100);
+/// Pause between two questions about the table.
+pub(crate) const POLL_EVERY: Duration = Duration::from_millis(100);
 /// Pause before an undecided edit is sent again.
 const REPEAT_AFTER: Duration = Duration::from_millis(500);
 /// Least number of rounds over all addresses before an edit is given up.
--- a/crates/ctl/tests/waxwing/edits.rs
+++ b/crates/ctl/tests/waxwing/edits.rs
@@ -252,3 +252,72 @@
         .out("is draining already");
     assert!(admin.seen(EDITS).is_empty());
 }
+
+/// The table after another operator's edit 8, which set the share of `ration` from 1 to 2.
+fn after_another_edit() -> Admin {
+    let row = |share: u32| {
+        let text = format!("- {{service: ration, class: default, pool: ration, share: {share}}}");
+        serde_json::to_value(&table::file::parse(&text).unwrap()[0]).unwrap()
+    };
+    let edit = json!({
+        "generation": 8,
+        "id": "ctl-other",
+        "operator": "ivo",
+        "note": "",
+        "unix_s": 1_800_000_000,
+        "changes": [{ "put": { "row": row(2), "base": row(1) } }],
+    });
+    Admin::new()
+        .with(
+            TABLE,
+            200,
+            json!({ "generation": 8, "rows": [row(2)], "drains": [] }),
+        )
+        .with("/v1/table/history", 200, json!({ "edits": [edit] }))
+        .with(EDITS, 200, json!({ "result": "accepted", "generation": 9 }))
+        .with(
+            FORCE,
+            200,
+            json!({ "generation": 9, "in_force": 3, "known": 3, "missing": [] }),
+        )
+}
+
+#[test]
+fn edit_tells_what_its_file_was_made_from() {
+    let admin = after_another_edit();
+    let env = Env::new().with_admin(admin.start());
+    let file = env.file("table.yaml", &format!("# generation 7\n{ROW}"));
+    env.run(&["table", "apply", &file])
+        .code(0)
+        .out("share 1 -> 3");
+    let change = admin.seen(EDITS)[0].body["changes"][0].clone();
+    assert_eq!(change["put"]["base"]["share"], 1);
+    assert_eq!(change["put"]["row"]["share"], 3);
+}
+
+#[test]
+fn edit_keeps_what_others_changed_since_its_file_was_made() {
+    let admin = after_another_edit();
+    let env = Env::new().with_admin(admin.start());
+    let unchanged = "- {service: ration, class: default, pool: ration, share: 1}";
+    let added = "- {service: stock, class: default, pool: ordering}";
+    let file = env.file(
+        "table.yaml",
+        &format!("# generation 7\n{unchanged}\n{added}\n"),
+    );
+    env.run(&["table", "apply", &file]).code(0);
+    let changes = admin.seen(EDITS)[0].body["changes"].clone();
+    assert_eq!(changes.as_array().unwrap().len(), 1);
+    assert_eq!(changes[0]["put"]["row"]["service"], "stock");
+}
+
+#[test]
+fn file_older_than_the_kept_edits_is_refused() {
+    let admin = after_another_edit();
+    let env = Env::new().with_admin(admin.start());
+    let file = env.file("table.yaml", &format!("# generation 6\n{ROW}"));
+    env.run(&["table", "apply", &file])
+        .code(3)
+        .err("made from generation 6");
+    assert!(admin.seen(EDITS).is_empty());
+}
--- a/crates/ctl/tests/waxwing/views.rs
+++ b/crates/ctl/tests/waxwing/views.rs
@@ -9,7 +9,7 @@
 const TABLE: &str = "/v1/table";
 const ROWS: &str = "- {service: ration, class: default, pool: ration, share: 3}\n";
 
-fn decision(request: &str, unix_ms: u64, step: &str) -> Value {
+fn decision(request: &str, time: &str, step: &str) -> Value {
     json!({
         "kind": "decision",
         "request": request,
@@ -18,7 +18,7 @@
         "alternatives": "decode-2",
         "reason": "least work",
         "generation": 4,
-        "unix_ms": unix_ms,
+        "time": time,
     })
 }
 
@@ -95,13 +95,23 @@
 
 #[test]
 fn explain_merges_instances_and_log_files_by_time() {
-    let there = json!({ "lines": [decision("krmiva/a.b.order-17", 20, "place")] });
+    let there = json!({ "lines": [decision("krmiva/a.b.order-17", "2026-12-02T10:00:00.020+00:00", "place")] });
     let admin = Admin::new().with("/v1/explain", 200, there);
     let env = Env::new().with_admin(admin.start());
     let lines = [
-        decision("krmiva/a.b.order-17", 10, "admit").to_string(),
+        decision(
+            "krmiva/a.b.order-17",
+            "2026-12-02T10:00:00.010+00:00",
+            "admit",
+        )
+        .to_string(),
         "a line cut off {\"kind\":".to_owned(),
-        decision("krmiva/a.b.order-18", 15, "refuse").to_string(),
+        decision(
+            "krmiva/a.b.order-18",
+            "2026-12-02T10:00:00.015+00:00",
+            "refuse",
+        )
+        .to_string(),
     ];
     let log = env.file("entry.log", &lines.join("\n"));
     let ran = env.run(&["explain", "order-17", "--log", &log]).code(0);
@@ -128,7 +138,12 @@
     let env = Env::new();
     let log = env.file(
         "entry.log",
-        &decision("krmiva/a.b.order-17", 10, "admit").to_string(),
+        &decision(
+            "krmiva/a.b.order-17",
+            "2026-12-02T10:00:00.010+00:00",
+            "admit",
+        )
+        .to_string(),
     );
     env.run(&["explain", "order-17", "--log", &log])
         .code(0)
