--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -33,7 +33,7 @@
         /// The system's answer.
         cause: io::Error,
     },
-    /// No instance answered.
+    /// Instances did not answer: all that were asked, or one that had to.
     Unreachable {
         /// What was asked.
         step: String,
@@ -135,7 +135,8 @@
             Self::File { .. } => "correct the file and run the command again".to_owned(),
             Self::Runtime { .. } => "check the limits on processes and open files".to_owned(),
             Self::Unreachable { .. } => {
-                "name the admin addresses of other instances with --admin, or start one".to_owned()
+                "check that the instance runs, or name other admin addresses with --admin"
+                    .to_owned()
             }
             Self::Denied { .. } => "check --operator and --token-file against `operators:` in the \
                                     settings of the instances"
@@ -178,7 +179,7 @@
             Self::File { path, faults } => write!(f, "{} is faulty:\n{faults}", path.display()),
             Self::Runtime { cause } => write!(f, "start the runtime: {cause}"),
             Self::Unreachable { step, tried } => {
-                write!(f, "{step}: no instance answered")?;
+                write!(f, "{step}: no answer")?;
                 attempts(f, tried)
             }
             Self::Denied { step, peer } => {
--- a/crates/ctl/src/exit_codes.rs
+++ b/crates/ctl/src/exit_codes.rs
@@ -17,7 +17,7 @@
     Rejected,
     /// The edit is accepted, but not yet in force on every instance.
     NotInForce,
-    /// No instance answered.
+    /// No instance answered, or one that had to did not.
     Unreachable,
     /// The instances do not know this operator or token.
     Denied,
--- a/crates/scenario/src/demo/mod.rs
+++ b/crates/scenario/src/demo/mod.rs
@@ -6,6 +6,7 @@
 mod failure;
 mod report;
 mod screen;
+pub mod stay;
 mod summary;
 
 use crate::address::Addresses;
@@ -19,7 +20,7 @@
 use crate::plan::Timing;
 
 /// The table that the demo applies.
-const TABLE: &str = include_str!("table.yaml");
+const TABLE: &str = include_str!("../../../../docs/tables/krmiva.yaml");
 /// The customer of all requests.
 const CUSTOMER: &str = "krmiva";
 /// How long callers may keep addresses; a planned stop lasts a multiple of it.
