Entry: peers prove that they hold the fleet's secret

Cause: whoever reached the peer port could push a table of a higher generation. Ruled out: nothing at all (the port is as open as the callers'), TLS (no certificates are planned for the fleet). Change: the head of the frames request carries an HMAC of the secret, compared in constant time; a wrong one closes the connection and is counted. Tests: stranger's frames, callers that leave before the head, a request right after SIGTERM. Conclusion: a sniffer on the path could still copy the proof.

--- a/crates/entry/src/admin/auth.rs
+++ b/crates/entry/src/admin/auth.rs
@@ -1,7 +1,6 @@
 //! Who may call.
 
 use std::collections::BTreeMap;
-use std::hint::black_box;
 
 use http::HeaderMap;
 use http::Response;
@@ -10,6 +9,7 @@
 use volo_http::body::Body;
 
 use super::answer;
+use crate::secret::Secret;
 
 const OPERATOR: &str = "waxwing-operator";
 const SCHEME: &str = "Bearer ";
@@ -24,7 +24,7 @@
 
 /// The operator that the headers prove, if they do.
 pub(super) fn operator(
-    operators: &BTreeMap<String, String>,
+    operators: &BTreeMap<String, Secret>,
     headers: &HeaderMap,
 ) -> Option<String> {
     let name = text(headers, OPERATOR).unwrap_or_default();
@@ -32,21 +32,12 @@
         .and_then(|value| value.strip_prefix(SCHEME))
         .unwrap_or_default();
     // A token is compared for unknown names too, so that the time taken does not show them.
-    let expected = operators.get(name).map_or("", String::as_str);
-    let proven = equal(token.as_bytes(), expected.as_bytes());
-    (proven && !expected.is_empty()).then(|| name.to_owned())
+    let nobody = Secret::new(String::new());
+    let expected = operators.get(name).unwrap_or(&nobody);
+    let proven = expected.matches(token) && *expected != nobody;
+    proven.then(|| name.to_owned())
 }
 
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
-
-/// Compares in a time that depends on the length of `given` alone.
-fn equal(given: &[u8], expected: &[u8]) -> bool {
-    let padded = expected.iter().chain(std::iter::repeat(&0));
-    let difference = given
-        .iter()
-        .zip(padded)
-        .fold(0, |sum, (a, b)| black_box(sum | (a ^ b)));
-    difference == 0 && given.len() == expected.len()
-}
--- a/crates/entry/src/admin/mod.rs
+++ b/crates/entry/src/admin/mod.rs
@@ -23,6 +23,7 @@
 use crate::listen::Listener;
 use crate::logs::Recent;
 use crate::metrics::Metrics;
+use crate::secret::Secret;
 use crate::stop::Stop;
 
 /// What the handlers share.
@@ -37,7 +38,7 @@
     /// The platform, for the history of edits.
     pub client: Client,
     /// Tokens of the operators, by name.
-    pub operators: BTreeMap<String, String>,
+    pub operators: BTreeMap<String, Secret>,
     /// The end of a planned stop.
     pub stop: Stop,
 }
--- a/crates/entry/src/config/field.rs
+++ b/crates/entry/src/config/field.rs
@@ -8,20 +8,22 @@
 use serde::de::Error;
 use serde::de::Visitor;
 
+use crate::secret::Secret;
+
 /// Shortest secret and shortest operator token, in bytes.
 const SECRET_MIN: usize = 16;
 
-/// A secret text of sufficient length.
-#[derive(Debug, PartialEq, Eq)]
-pub(super) struct Secret(pub(super) String);
+/// A secret as it is written in the file.
+#[derive(Debug)]
+pub(super) struct Written(pub(super) Secret);
 
-impl<'de> Deserialize<'de> for Secret {
+impl<'de> Deserialize<'de> for Written {
     fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
         from.deserialize_str(Text(|text| match text.len() {
             length if length < SECRET_MIN => {
                 Err(format!("has {length} bytes; write at least {SECRET_MIN}"))
             }
-            _ => Ok(Self(text.to_owned())),
+            _ => Ok(Self(Secret::new(text.to_owned()))),
         }))
     }
 }
--- a/crates/entry/src/config/file.rs
+++ b/crates/entry/src/config/file.rs
@@ -12,7 +12,7 @@
 use super::Seed;
 use super::Timing;
 use super::field;
-use super::field::Secret;
+use super::field::Written;
 
 /// What is wrong with a settings file.
 #[derive(Debug)]
@@ -35,8 +35,8 @@
     platform: SocketAddr,
     #[serde(default)]
     seeds: Vec<SeedPart>,
-    secret: Secret,
-    operators: BTreeMap<String, Secret>,
+    secret: Written,
+    operators: BTreeMap<String, Written>,
     #[serde(default)]
     timing: TimingPart,
     #[serde(default)]
--- a/crates/entry/src/config/mod.rs
+++ b/crates/entry/src/config/mod.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use crate::error::Error;
+use crate::secret::Secret;
 
 /// Settings of one daemon.
 #[derive(Debug, Clone)]
@@ -24,10 +25,10 @@
     pub platform: SocketAddr,
     /// Instances to start from, besides the platform's list.
     pub seeds: Vec<Seed>,
-    /// Secret shared by all instances; seals resume tokens.
-    pub secret: String,
+    /// Secret shared by all instances; seals resume tokens and admits peers.
+    pub secret: Secret,
     /// Tokens of the operators, by name.
-    pub operators: BTreeMap<String, String>,
+    pub operators: BTreeMap<String, Secret>,
     /// Time limits.
     pub timing: Timing,
     /// Size limits.
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -97,6 +97,7 @@
         directory: Arc::clone(&parts.directory),
         inbox: parts.inbox.clone(),
         metrics: Arc::clone(&parts.metrics),
+        proof: config.secret.proof(peers::PURPOSE),
     };
     let outlets = outlets(&config, &parts, peers.clone());
     tokio::spawn(Driver::new(clock, node, outlets).run(inputs));
@@ -181,7 +182,7 @@
             .iter()
             .map(|seed| Instance::new(&seed.name))
             .collect(),
-        secret: config.secret.clone().into_bytes(),
+        secret: config.secret.expose().as_bytes().to_vec(),
         lease: config.timing.lease,
         window: config.timing.window,
         address_ttl: config.timing.address_ttl,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod output;
 pub mod peers;
 pub mod platform;
+pub mod secret;
 pub mod stop;
 
 pub use daemon::run;
--- a/crates/entry/src/logs.rs
+++ b/crates/entry/src/logs.rs
@@ -24,7 +24,7 @@
 /// Decision lines kept for `explain`.
 const RECENT: usize = 20_000;
 /// Longest part of a decision line that is kept, in bytes.
-const MAX_PART: usize = 512;
+const MAX_PART: usize = 256;
 
 /// Starts logging; it ends when the handle is dropped.
 ///
--- a/crates/entry/src/metrics/mod.rs
+++ b/crates/entry/src/metrics/mod.rs
@@ -29,7 +29,13 @@
 const TOKEN_GAP_BUCKETS: [f64; 10] = [0.002, 0.005, 0.01, 0.02, 0.035, 0.05, 0.08, 0.15, 0.4, 1.0];
 
 const TARGETS: [&str; 2] = ["first_token", "token_gap"];
-const FRAME_STEPS: [&str; 4] = ["handshake", "frame_length", "frame_version", "frame_body"];
+const FRAME_STEPS: [&str; 5] = [
+    "handshake",
+    "proof",
+    "frame_length",
+    "frame_version",
+    "frame_body",
+];
 
 /// All figures of a daemon.
 #[derive(Debug)]
--- a/crates/entry/src/peers/error.rs
+++ b/crates/entry/src/peers/error.rs
@@ -25,6 +25,8 @@
     Closed,
     /// A request that carries no frames.
     Request(String),
+    /// The peer does not hold the fleet's secret.
+    Proof,
     /// Bytes that are no frame.
     Frame(wire::Error),
 }
@@ -39,6 +41,7 @@
             Self::Status(_) => "status",
             Self::Closed => "closed",
             Self::Request(_) => "request",
+            Self::Proof => "proof",
             Self::Frame(wire::Error::TooLong { .. }) => "frame_length",
             Self::Frame(wire::Error::Version { .. }) => "frame_version",
             Self::Frame(_) => "frame_body",
@@ -61,6 +64,10 @@
             Self::Status(status) => write!(f, "the peer answered status {status}"),
             Self::Closed => write!(f, "the peer closed the connection"),
             Self::Request(line) => write!(f, "`{line}` carries no frames"),
+            Self::Proof => write!(
+                f,
+                "the peer does not prove that it holds the fleet's secret"
+            ),
             Self::Frame(cause) => write!(f, "{cause}"),
         }
     }
--- a/crates/entry/src/peers/link.rs
+++ b/crates/entry/src/peers/link.rs
@@ -19,6 +19,7 @@
 use tokio::time::timeout;
 
 use super::PATH;
+use super::PROOF;
 use super::Shared;
 use super::error::Error;
 use super::queue::Queue;
@@ -103,7 +104,11 @@
     mut connection: client::Connection<TcpStream, Bytes>,
 ) -> End {
     let pings = connection.ping_pong();
-    let request = Request::post(PATH).body(()).unwrap_or_default();
+    let proof = shared.proof.expose();
+    let request = Request::post(PATH)
+        .header(PROOF, proof)
+        .body(())
+        .unwrap_or_default();
     let (response, stream) = match requests.send_request(request, false) {
         Ok(opened) => opened,
         Err(cause) => return End::Unreachable(Error::http("request")(cause)),
--- a/crates/entry/src/peers/mod.rs
+++ b/crates/entry/src/peers/mod.rs
@@ -1,7 +1,8 @@
 //! Frames between daemons: one HTTP/2 connection for each direction of each pair.
 //!
 //! A daemon dials a peer when it first has a frame for it and sends all frames on the body of one
-//! long `POST`. Frames tell ages (`wire::News`), so one that is late lies: a frame that waited too
+//! long `POST`, whose head proves that the sender holds the fleet's secret: a stranger's frames
+//! could replace the table. Frames tell ages (`wire::News`), so one that is late lies: a frame that waited too
 //! long here is dropped, a connection whose peer does not answer pings is reset together with what
 //! the system buffered for it, and a daemon that was paused drops its incoming connections before
 //! it reads from them.
@@ -22,12 +23,18 @@
 use crate::driver::inbox::Inbox;
 use crate::metrics::Metrics;
 use crate::peers::queue::Queue;
+use crate::secret::Secret;
 
 pub use server::serve;
 
 /// Path of the request that carries frames.
 const PATH: &str = "/v1/frames";
 
+/// Header by which the dialling side proves that it holds the fleet's secret.
+const PROOF: &str = "waxwing-proof";
+/// What the proof of the dialling side is for.
+pub const PURPOSE: &str = "peer frames";
+
 /// What links share.
 #[derive(Debug, Clone)]
 pub struct Shared {
@@ -37,6 +44,8 @@
     pub inbox: Inbox,
     /// Figures.
     pub metrics: Arc<Metrics>,
+    /// Proof that the dialling side holds the fleet's secret.
+    pub proof: Secret,
 }
 
 /// The sending side of all links.
--- a/crates/entry/src/peers/server.rs
+++ b/crates/entry/src/peers/server.rs
@@ -27,6 +27,7 @@
 use wire::Decoder;
 
 use super::PATH;
+use super::PROOF;
 use super::Shared;
 use super::error::Error;
 use super::watchdog;
@@ -133,14 +134,13 @@
     mut respond: SendResponse<Bytes>,
     shared: Shared,
 ) -> Result<(), Error> {
-    if request.method() != Method::POST || request.uri().path() != PATH {
-        let line = format!("{} {}", request.method(), request.uri().path());
+    if let Err((status, error)) = check(&request, &shared) {
         let mut response = Response::new(());
-        *response.status_mut() = StatusCode::NOT_FOUND;
+        *response.status_mut() = status;
         respond
             .send_response(response, true)
             .map_err(Error::http("response"))?;
-        return Err(Error::Request(line));
+        return Err(error);
     }
     // Held until the end: dropping it would reset the stream.
     let _open = respond
@@ -149,6 +149,22 @@
     read_frames(request.into_body(), &shared).await
 }
 
+/// Whether `request` carries frames of a daemon of this fleet.
+fn check(request: &Request<RecvStream>, shared: &Shared) -> Result<(), (StatusCode, Error)> {
+    let proof = request
+        .headers()
+        .get(PROOF)
+        .and_then(|proof| proof.to_str().ok());
+    match proof {
+        _ if request.method() != Method::POST || request.uri().path() != PATH => {
+            let line = format!("{} {}", request.method(), request.uri().path());
+            Err((StatusCode::NOT_FOUND, Error::Request(line)))
+        }
+        Some(proof) if shared.proof.matches(proof) => Ok(()),
+        _ => Err((StatusCode::UNAUTHORIZED, Error::Proof)),
+    }
+}
+
 async fn read_frames(mut body: RecvStream, shared: &Shared) -> Result<(), Error> {
     let mut decoder = Decoder::new();
     while let Some(data) = future::poll_fn(|context| body.poll_data(context)).await {
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -35,6 +35,8 @@
     pub daemon: Daemon,
     /// The platform.
     pub platform: SocketAddr,
+    /// The prefill engine.
+    pub prefill: SocketAddr,
     /// The decode engine.
     pub decode: SocketAddr,
     /// The application.
@@ -63,10 +65,11 @@
         let place = Self {
             daemon,
             platform,
+            prefill,
             decode,
             application,
         };
-        place.publish(prefill).await;
+        place.publish().await;
         place.edit().await;
         place.ready().await;
         place
@@ -103,11 +106,18 @@
 
     /// Waits until one connection was closed at `step` of reading frames.
     pub async fn counts(&self, step: &str) {
-        let line = format!("waxwing_frames_rejected_total{{step=\"{step}\"}} 1");
+        self.metric(&format!(
+            "waxwing_frames_rejected_total{{step=\"{step}\"}} 1"
+        ))
+        .await;
+    }
+
+    /// Waits until the metrics have `line`.
+    pub async fn metric(&self, line: &str) {
         let start = Instant::now();
         loop {
             let text = http::get(self.daemon.admin, "/metrics").await.body;
-            if text.contains(&line) {
+            if text.lines().any(|found| found == line) {
                 return;
             }
             assert!(start.elapsed() < PATIENCE, "no {line} in {text}");
@@ -115,7 +125,15 @@
         }
     }
 
-    async fn publish(&self, prefill: SocketAddr) {
+    /// Prefills do not end any more.
+    pub async fn stall_prefill(&self) {
+        let stall = json!({"mode": "stall", "ms": 0});
+        control::post(self.prefill, "/control/fault", &stall)
+            .await
+            .unwrap();
+    }
+
+    async fn publish(&self) {
         let replica = |name: &str, address: SocketAddr, service: &str, role: &str| {
             json!({"name": name, "data_centre": "osijek-a", "address": address,
                 "service": service, "role": role, "slots": 20, "fences": true, "state": "live"})
@@ -123,7 +141,7 @@
         let list = json!({
             "instances": [self.daemon.seat()],
             "replicas": [
-                replica("prefill-1", prefill, "ration", "prefill"),
+                replica("prefill-1", self.prefill, "ration", "prefill"),
                 replica("decode-1", self.decode, "ration", "decode"),
                 replica("app-1", self.application, "lorry", "plain"),
             ],
--- a/crates/entry/tests/common/settings.rs
+++ b/crates/entry/tests/common/settings.rs
@@ -8,6 +8,8 @@
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 
+/// The secret of the fleet.
+pub const SECRET: &str = "secret of the test fleet";
 /// The operator's token.
 pub const TOKEN: &str = "token of the test operator";
 
@@ -25,7 +27,7 @@
 data_centre: osijek-a
 listen: {{caller: \"{caller}\", peer: \"{peer}\", admin: \"{admin}\"}}
 platform: \"{platform}\"
-secret: \"secret of the test fleet\"
+secret: \"{SECRET}\"
 operators: {{ana: \"{TOKEN}\"}}
 "
     )
--- a/crates/entry/tests/peers.rs
+++ b/crates/entry/tests/peers.rs
@@ -6,6 +6,8 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use entry::peers::PURPOSE;
+use entry::secret::Secret;
 use ident::Incarnation;
 use ident::Instance;
 use rstest::rstest;
@@ -15,6 +17,8 @@
 
 use crate::common::Place;
 use crate::common::http as by_hand;
+use crate::common::settings::SECRET;
+use crate::common::settings::TOKEN;
 
 const LENGTH_AND_VERSION: usize = 6;
 
@@ -40,10 +44,14 @@
 }
 
 /// Sends `bytes` as a peer would, after a frame that is in order, until the daemon closes.
-async fn send(peer: SocketAddr, bytes: Bytes) {
+async fn send(peer: SocketAddr, secret: &str, bytes: Bytes) {
+    let proof = Secret::new(secret.to_owned()).proof(PURPOSE);
     let socket = TcpStream::connect(peer).await.unwrap();
     let (mut requests, connection) = h2::client::handshake(socket).await.unwrap();
-    let request = http::Request::post("/v1/frames").body(()).unwrap();
+    let request = http::Request::post("/v1/frames")
+        .header("waxwing-proof", proof.expose())
+        .body(())
+        .unwrap();
     let (_response, mut stream) = requests.send_request(request, false).unwrap();
     stream.send_data(frame(), false).unwrap();
     stream.send_data(bytes, false).unwrap();
@@ -61,7 +69,7 @@
     #[case] step: &str,
 ) {
     let place = Place::start(1).await;
-    send(place.daemon.peer, bytes).await;
+    send(place.daemon.peer, SECRET, bytes).await;
     place.counts(step).await;
     place.serves().await;
 }
@@ -78,3 +86,21 @@
     place.counts("handshake").await;
     place.serves().await;
 }
+
+#[rstest]
+#[tokio::test]
+async fn a_stranger_cannot_send_frames() {
+    let place = Place::start(1).await;
+    let rows = vec![table::row::Row::new("stolen", "default", "stolen")];
+    let table = Box::new(table::Table::new(99, rows));
+    let push = Frame::new(Instance::new("entry-9"), Incarnation(9), Body::Push(table));
+    send(
+        place.daemon.peer,
+        "another secret than the fleet's",
+        wire::encode(&push).unwrap(),
+    )
+    .await;
+    place.counts("proof").await;
+    let answer = by_hand::operator(&place.daemon, "GET", "/v1/table", TOKEN, "").await;
+    assert_eq!(answer.json()["generation"], 1, "{answer:?}");
+}
--- a/crates/entry/tests/requests.rs
+++ b/crates/entry/tests/requests.rs
@@ -32,6 +32,17 @@
         .await;
 }
 
+#[rstest]
+#[tokio::test]
+async fn a_caller_that_leaves_before_the_head_is_noticed() {
+    let place = Place::start(1).await;
+    place.stall_prefill().await;
+    let socket = http::open(place.daemon.caller, &http::completion(TOKENS)).await;
+    place.metric("waxwing_open_requests 1").await;
+    drop(socket);
+    place.metric("waxwing_open_requests 0").await;
+}
+
 #[rstest]
 #[tokio::test]
 async fn a_plain_call_runs_once_and_its_repeat_is_answered_from_memory() {
--- a/crates/entry/tests/stop.rs
+++ b/crates/entry/tests/stop.rs
@@ -78,6 +78,16 @@
     assert_eq!(ended.and_then(|status| status.code()), Some(0));
 }
 
+#[rstest]
+#[tokio::test]
+async fn a_request_right_after_the_signal_is_answered() {
+    let place = Place::start(1).await;
+    place.daemon.signal(Signal::TERM);
+    place.metric("waxwing_leaving 1").await;
+    let answer = http::send(place.daemon.caller, &http::completion(8)).await;
+    assert!(matches!(answer.status, 200 | 503), "{answer:?}");
+}
+
 #[rstest]
 #[tokio::test]
 async fn a_hangup_stops_nothing() {
