--- a/crates/scenario/src/error.rs
+++ b/crates/scenario/src/error.rs
@@ -40,6 +40,20 @@
         /// The name.
         name: String,
     },
+    /// A file that is not a scenario.
+    Script {
+        /// The file.
+        file: PathBuf,
+        /// What is wrong with it.
+        cause: String,
+    },
+    /// An expectation of a scenario that was not met.
+    Unmet {
+        /// Number of the step, from 1; 0 for what must hold in every scenario.
+        step: usize,
+        /// What was expected, and what was found.
+        found: String,
+    },
     /// A call got no answer, or lost it half-way.
     Http {
         /// Method and path.
@@ -86,6 +100,9 @@
             Self::Exited { name, log } => write!(f, "{name} has ended; its last lines:\n{log}"),
             Self::Late { step, peer } => write!(f, "{step} {peer}: not in time"),
             Self::Unknown { name } => write!(f, "the plan holds nothing named {name}"),
+            Self::Script { file, cause } => write!(f, "{}: {cause}", file.display()),
+            Self::Unmet { step: 0, found } => write!(f, "at the end: {found}"),
+            Self::Unmet { step, found } => write!(f, "step {step}: {found}"),
             Self::Http { step, peer, cause } => write!(f, "{step} at {peer}: {cause}"),
             Self::Answer {
                 step,
--- /dev/null
+++ b/crates/scenario/src/play.rs
@@ -0,0 +1,213 @@
+//! Carries out scenarios with real daemons and stand-ins.
+
+mod act;
+pub mod book;
+mod check;
+pub mod connection;
+pub mod decisions;
+mod edition;
+pub mod promise;
+pub mod request;
+mod wait;
+pub mod witness;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::fmt;
+use std::fs;
+use std::path::Path;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use serde_norway::Value;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::error::Error;
+use crate::fleet::Fleet;
+use crate::play::book::Book;
+use crate::play::decisions::Line;
+use crate::play::edition::Edition;
+use crate::play::request::Request;
+use crate::play::witness::Witness;
+use crate::script::Script;
+use crate::script::start::Start;
+use crate::script::step::Step;
+
+/// Longest wait where a scenario names none.
+pub const LIMIT: Duration = Duration::from_secs(30);
+/// Pause between two looks at something awaited.
+const LOOK_EVERY: Duration = Duration::from_millis(25);
+/// Pause between two attempts to put the first table in force.
+const APPLY_EVERY: Duration = Duration::from_millis(300);
+
+/// A scenario in progress.
+#[derive(Debug)]
+pub struct Play {
+    name: String,
+    start: Start,
+    fleet: Fleet,
+    witness: Witness,
+    book: Book,
+    requests: BTreeMap<String, Request>,
+    editions: BTreeMap<String, Edition>,
+    /// Daemons that were ended or cut off, whose connections may be lost.
+    disturbed: BTreeSet<String>,
+    /// When planned stops were asked for.
+    stopped: BTreeMap<String, Instant>,
+    /// When replicas were marked to drain, in milliseconds of the Unix clock.
+    drained: BTreeMap<String, u64>,
+    step: usize,
+}
+
+/// Carries out `script`; on failure the logs of all processes are kept in the folder `keep`.
+///
+/// # Errors
+///
+/// [`Error::Unmet`] for an expectation, else what hindered the scenario.
+pub async fn run(name: &str, script: Script, keep: &Path) -> Result<(), Error> {
+    let fleet = Fleet::start(script.start.plan()).await?;
+    let mut play = Play::new(name, script.start, fleet);
+    let played = play.all(&script.table, script.steps).await;
+    if played.is_err() {
+        play.keep_logs(&keep.join(name));
+    }
+    played
+}
+
+impl Play {
+    fn new(name: &str, start: Start, fleet: Fleet) -> Self {
+        let names = start.replicas.iter().map(|replica| replica.name.clone());
+        let addresses = names.filter_map(|name| {
+            let address = fleet.back(&name).ok()?.to_owned();
+            Some((name, address))
+        });
+        let witness = Witness::new(addresses.collect());
+        let callers = start.daemons.iter().filter_map(|name| {
+            let address = fleet.daemon(name).ok()?.caller.clone();
+            Some((name.clone(), address))
+        });
+        let book = Book::new(callers.collect());
+        Self {
+            name: name.to_owned(),
+            start,
+            fleet,
+            witness,
+            book,
+            requests: BTreeMap::new(),
+            editions: BTreeMap::new(),
+            disturbed: BTreeSet::new(),
+            stopped: BTreeMap::new(),
+            drained: BTreeMap::new(),
+            step: 0,
+        }
+    }
+
+    async fn all(&mut self, table: &[Value], steps: Vec<Step>) -> Result<(), Error> {
+        self.apply(table).await?;
+        self.fleet.ready().await?;
+        for (index, step) in steps.into_iter().enumerate() {
+            self.step = index + 1;
+            self.act(step).await?;
+        }
+        self.step = 0;
+        self.keep_promises().await
+    }
+
+    /// Puts `table` in force. Daemons that have just started reject edits until they have met.
+    async fn apply(&self, table: &[Value]) -> Result<(), Error> {
+        let rows = serde_norway::to_string(table).unwrap_or_default();
+        let end = Instant::now() + LIMIT;
+        loop {
+            match self.fleet.apply(&rows).await {
+                Ok(_) => return Ok(()),
+                Err(cause) if Instant::now() > end => return Err(cause),
+                Err(_) => sleep(APPLY_EVERY).await,
+            }
+        }
+    }
+
+    /// An expectation that was not met.
+    fn unmet(&self, found: impl fmt::Display) -> Error {
+        Error::Unmet {
+            step: self.step,
+            found: found.to_string(),
+        }
+    }
+
+    /// Fails with `found` unless `met`.
+    fn ensure(&self, met: bool, found: impl fmt::Display) -> Result<(), Error> {
+        if met { Ok(()) } else { Err(self.unmet(found)) }
+    }
+
+    /// Prints a figure.
+    fn measured(&self, what: &str, seconds: f64) {
+        println!("measured {}: {what}: {seconds:.2} s", self.name);
+    }
+
+    /// Names of the requests that `name` stands for: itself, or all of its number.
+    fn named(&self, name: &str) -> Result<Vec<String>, Error> {
+        let numbered = format!("{name}-");
+        let same = |other: &String| {
+            let number = other.strip_prefix(&numbered);
+            other == name || number.is_some_and(|rest| rest.parse::<u32>().is_ok())
+        };
+        let names: Vec<String> = self
+            .requests
+            .keys()
+            .filter(|other| same(other))
+            .cloned()
+            .collect();
+        self.ensure(!names.is_empty(), format!("no request is named {name}"))?;
+        Ok(names)
+    }
+
+    fn request(&self, name: &str) -> Result<&Request, Error> {
+        let found = self.requests.get(name);
+        found.ok_or_else(|| self.unmet(format!("no request is named {name}")))
+    }
+
+    /// Decision lines of the daemon `name`.
+    fn lines(&self, name: &str) -> Vec<Line> {
+        decisions::read(&self.fleet.log(name).unwrap_or_default())
+    }
+
+    /// Names of all daemons.
+    fn daemons(&self) -> Vec<String> {
+        self.start.daemons.clone()
+    }
+
+    /// The daemons `named`; all if none is.
+    fn some_daemons(&self, named: &[String]) -> Vec<String> {
+        if named.is_empty() {
+            self.daemons()
+        } else {
+            named.to_vec()
+        }
+    }
+
+    fn keep_logs(&self, folder: &Path) {
+        // Best effort: the scenario has failed already.
+        drop(fs::create_dir_all(folder));
+        let replicas = self.witness.names();
+        for name in self.daemons().into_iter().chain(replicas) {
+            drop(fs::copy(
+                self.fleet.log_file(&name),
+                folder.join(format!("{name}.log")),
+            ));
+        }
+        println!("logs kept in {}", folder.display());
+    }
+}
+
+/// Milliseconds of the Unix clock.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
+/// A time given in seconds.
+fn seconds(value: f64) -> Duration {
+    Duration::from_secs_f64(value)
+}
--- /dev/null
+++ b/crates/scenario/src/play/book.rs
@@ -0,0 +1,73 @@
+//! Where callers connect: answers to "which address", kept for their time to live.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::address::Address;
+use crate::address::Addresses;
+use crate::caller::Caller;
+
+/// Address answers of all daemons, shared by all callers of a scenario.
+#[derive(Debug, Clone)]
+pub struct Book {
+    /// Addresses for callers, by daemon.
+    daemons: BTreeMap<String, String>,
+    answers: Arc<Mutex<BTreeMap<String, (Instant, Addresses)>>>,
+}
+
+impl Book {
+    /// No answers yet.
+    pub fn new(daemons: BTreeMap<String, String>) -> Self {
+        Self {
+            daemons,
+            answers: Arc::default(),
+        }
+    }
+
+    /// The address of `wanted`, or another one if `wanted` leaves or can't be reached: `asked` is
+    /// asked first, then the other daemons.
+    ///
+    /// # Errors
+    ///
+    /// What was wrong with the last answer.
+    pub async fn find(&self, asked: &str, wanted: &str) -> Result<Address, String> {
+        let others = self.daemons.keys().filter(|name| *name != asked);
+        let mut fault = String::new();
+        for name in std::iter::once(asked).chain(others.map(String::as_str)) {
+            match self.ask(name).await {
+                Ok(answer) => {
+                    let named = answer.of(wanted).unwrap_or_else(|| answer.first());
+                    return Ok(named.clone());
+                }
+                Err(cause) => fault = cause,
+            }
+        }
+        Err(fault)
+    }
+
+    async fn ask(&self, daemon: &str) -> Result<Addresses, String> {
+        if let Some(answer) = self.kept(daemon) {
+            return Ok(answer);
+        }
+        let Some(address) = self.daemons.get(daemon) else {
+            return Err(format!("no daemon is named {daemon}"));
+        };
+        let answer = Caller::new("anyone").addresses(address, None).await;
+        let answer = answer.map_err(|cause| cause.to_string())?;
+        let until = Instant::now() + Duration::from_millis(answer.ttl_ms);
+        let mut answers = self.answers.lock().unwrap_or_else(PoisonError::into_inner);
+        answers.insert(daemon.to_owned(), (until, answer.clone()));
+        Ok(answer)
+    }
+
+    fn kept(&self, daemon: &str) -> Option<Addresses> {
+        let answers = self.answers.lock().unwrap_or_else(PoisonError::into_inner);
+        let (until, answer) = answers.get(daemon)?;
+        (Instant::now() < *until).then(|| answer.clone())
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/play/connection.rs
@@ -0,0 +1,211 @@
+//! One connection of a caller for one request.
+
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+use crate::error::Error;
+use crate::reply::Outcome;
+use crate::reply::Refusal;
+use crate::reply::Reply;
+use crate::stream::Event;
+use crate::stream::Head;
+use crate::stream::Stream;
+
+/// A connection, read in the background.
+#[derive(Debug)]
+pub struct Connection {
+    /// The daemon it was meant for.
+    pub asked: String,
+    /// Tokens that its caller said to have.
+    pub offset: u64,
+    /// When it was opened.
+    pub opened: Instant,
+    /// What came so far.
+    pub progress: watch::Receiver<Progress>,
+    /// The reading task.
+    pub task: JoinHandle<()>,
+}
+
+/// What came over a connection.
+#[derive(Debug, Clone, Default)]
+pub struct Progress {
+    /// The daemon it led to, if that was not the one asked for.
+    pub elsewhere: Option<String>,
+    /// Head of the stream.
+    pub head: Option<Head>,
+    /// Tokens received.
+    pub tokens: u64,
+    /// Their text.
+    pub text: String,
+    /// Runs of tokens that did not begin where the last one ended.
+    pub gaps: Vec<String>,
+    /// How it ended.
+    pub end: Option<Ended>,
+}
+
+/// The end of a connection.
+#[derive(Debug, Clone)]
+pub struct Ended {
+    /// How.
+    pub end: End,
+    /// When.
+    pub at: Instant,
+    /// Runs of the request that the applications had counted by then, if it said *not run*.
+    pub runs: Option<u64>,
+}
+
+/// How a connection ends.
+#[derive(Debug, Clone)]
+pub enum End {
+    /// A plain answer.
+    Answered {
+        /// Whether it was given before.
+        before: bool,
+        /// Its body.
+        body: String,
+    },
+    /// The last token has come.
+    Done(u64),
+    /// Another connection reads the answer.
+    Superseded,
+    /// A typed refusal.
+    Refused(Refusal),
+    /// The connection was lost after the head of a stream.
+    Cut,
+    /// The connection was lost before any answer.
+    Lost(String),
+}
+
+impl End {
+    /// The word by which scenarios name it.
+    pub fn word(&self) -> &str {
+        match self {
+            Self::Answered { before: false, .. } => "answered",
+            Self::Answered { before: true, .. } => "answered_before",
+            Self::Done(_) => "done",
+            Self::Superseded => "superseded",
+            Self::Refused(refusal) => &refusal.outcome,
+            Self::Cut => "cut",
+            Self::Lost(_) => "lost",
+        }
+    }
+
+    /// Whether `word` names it, with or without the reason of a refusal.
+    pub fn is(&self, word: &str) -> bool {
+        let full = match self {
+            Self::Refused(refusal) => format!("{}/{}", refusal.outcome, refusal.reason),
+            _ => self.word().to_owned(),
+        };
+        word == self.word() || word == full
+    }
+
+    /// Whether the caller was told that no byte of its request reached a back end.
+    pub fn is_not_run(&self) -> bool {
+        matches!(self, Self::Refused(refusal) if refusal.outcome == "not_run")
+    }
+}
+
+impl Connection {
+    /// The daemon it leads to.
+    pub fn daemon(&self) -> String {
+        let elsewhere = self.progress.borrow().elsewhere.clone();
+        elsewhere.unwrap_or_else(|| self.asked.clone())
+    }
+
+    /// How it ended, if it has.
+    pub fn ended(&self) -> Option<Ended> {
+        self.progress.borrow().end.clone()
+    }
+
+    /// Whether it and `other` were open at the same moment.
+    pub fn overlaps(&self, other: &Self) -> bool {
+        let opened_before_end =
+            |one: &Self, two: &Self| two.ended().is_none_or(|ended| one.opened < ended.at);
+        opened_before_end(self, other) && opened_before_end(other, self)
+    }
+
+    /// Waits until `test` holds of what came.
+    pub async fn reach(&self, limit: Duration, test: impl Fn(&Progress) -> bool) -> bool {
+        let mut progress = self.progress.clone();
+        let reached = tokio::time::timeout(limit, progress.wait_for(|now| test(now))).await;
+        matches!(reached, Ok(Ok(_)))
+    }
+}
+
+/// Writes down what comes over a connection.
+#[derive(Debug)]
+pub struct Recorder {
+    progress: watch::Sender<Progress>,
+}
+
+impl Recorder {
+    /// A recorder and what it records.
+    pub fn new() -> (Self, watch::Receiver<Progress>) {
+        let (progress, receiver) = watch::channel(Progress::default());
+        (Self { progress }, receiver)
+    }
+
+    /// Notes that the connection leads to `daemon`.
+    pub fn redirect(&self, daemon: &str) {
+        let daemon = daemon.to_owned();
+        self.progress
+            .send_modify(|now| now.elsewhere = Some(daemon));
+    }
+
+    /// Notes the end.
+    pub fn end(&self, end: End, runs: Option<u64>) {
+        let at = Instant::now();
+        self.progress
+            .send_modify(|now| now.end = Some(Ended { end, at, runs }));
+    }
+
+    /// Reads an answer to its end.
+    pub async fn read(&self, reply: Result<Reply, Error>) -> End {
+        match reply {
+            Ok(Reply::Stream(stream)) => self.stream(stream).await,
+            Ok(Reply::Refused(refusal)) => refused(refusal),
+            Err(cause) => End::Lost(cause.to_string()),
+        }
+    }
+
+    async fn stream(&self, mut stream: Stream) -> End {
+        loop {
+            let expected = stream.offset();
+            match stream.next().await {
+                Event::Head(head) => self.progress.send_modify(|now| now.head = Some(head)),
+                Event::Tokens(tokens) => self.progress.send_modify(|now| {
+                    now.tokens += tokens.count;
+                    now.text.push_str(&tokens.text);
+                    if tokens.offset != expected {
+                        let gap = format!("token {} after {expected}", tokens.offset);
+                        now.gaps.push(gap);
+                    }
+                }),
+                Event::Done(tokens) => return End::Done(tokens),
+                Event::Superseded => return End::Superseded,
+                Event::Failed(refusal) => return refused(refusal),
+                Event::Cut => return End::Cut,
+            }
+        }
+    }
+}
+
+/// The end of a plain call.
+pub fn called(outcome: Result<Outcome, Error>) -> End {
+    match outcome {
+        Ok(Outcome::Answered { before, body, .. }) => End::Answered { before, body },
+        Ok(Outcome::Refused(refusal)) => refused(refusal),
+        Err(cause) => End::Lost(cause.to_string()),
+    }
+}
+
+/// An answer without a known outcome is not the system's.
+fn refused(refusal: Refusal) -> End {
+    match refusal.outcome.as_str() {
+        "" => End::Lost(format!("answer without an outcome: {refusal}")),
+        _ => End::Refused(refusal),
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/play/promise.rs
@@ -0,0 +1,202 @@
+//! What must hold in every scenario, whatever it is about.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde_json::Value;
+
+use crate::error::Error;
+use crate::play::Play;
+use crate::play::connection::Connection;
+use crate::play::connection::End;
+use crate::play::decisions;
+use crate::play::decisions::Line;
+use crate::play::request::Request;
+
+/// Time in which engines must have released everything once all callers are gone. The stated bound
+/// is the callers' grace, the orphan grace and a few inspections: less than half of it.
+const RELEASE_LIMIT: Duration = Duration::from_secs(15);
+/// Time after an accepted edit from which no decision may be made under the older table. The stated
+/// bound is the lease.
+const FORCE_LIMIT_MS: u64 = 6_000;
+
+impl Play {
+    /// Checks what must hold in every scenario.
+    pub(super) async fn keep_promises(&mut self) -> Result<(), Error> {
+        for request in self.requests.values() {
+            for connection in &request.connections {
+                connection.task.abort();
+            }
+        }
+        let engines = self.witness.names();
+        self.check_released(&engines, RELEASE_LIMIT).await?;
+        let runs = self.witness.all_runs().await;
+        let logs: BTreeMap<String, Vec<Line>> = self
+            .daemons()
+            .into_iter()
+            .map(|name| (name.clone(), self.lines(&name)))
+            .collect();
+        let lines: Vec<Line> = logs.values().flatten().cloned().collect();
+        for (name, request) in &self.requests {
+            let faults = [
+                self.lost(request),
+                tokens_fault(request),
+                repeated_answer(request),
+                doubled(request, &runs),
+                false_refusal(request, &runs, &lines),
+            ];
+            if let Some(fault) = faults.into_iter().flatten().next() {
+                return Err(self.unmet(format!("{name}: {fault}")));
+            }
+        }
+        for (name, lines) in &logs {
+            self.check_generations(name, lines)?;
+        }
+        self.check_edits(&lines)
+    }
+
+    /// A connection that was lost although nothing happened to its daemon.
+    fn lost(&self, request: &Request) -> Option<String> {
+        let lost = request.connections.iter().find(|connection| {
+            let ended = connection.ended();
+            let lost = ended.is_some_and(|ended| matches!(ended.end, End::Cut | End::Lost(_)));
+            lost && !self.disturbed.contains(&connection.daemon())
+        })?;
+        Some(format!(
+            "{} lost the connection: {:?}",
+            lost.daemon(),
+            lost.ended()
+        ))
+    }
+
+    /// The generation of a daemon's decisions never goes down.
+    fn check_generations(&self, daemon: &str, lines: &[Line]) -> Result<(), Error> {
+        let mut highest = 0;
+        for line in lines.iter().filter(|line| line.is_governed()) {
+            let found = format!("{daemon} decided under {} after {highest}", line.generation);
+            self.ensure(line.generation >= highest, found)?;
+            highest = line.generation;
+        }
+        Ok(())
+    }
+
+    /// Soon after an edit was accepted nothing is decided under the older table.
+    fn check_edits(&self, lines: &[Line]) -> Result<(), Error> {
+        let accepted = self
+            .editions
+            .iter()
+            .filter(|(_, edition)| edition.generation > 0);
+        for (name, edition) in accepted {
+            let older = lines
+                .iter()
+                .filter(|line| line.is_governed() && line.generation < edition.generation);
+            let last = older.map(|line| line.unix_ms).max().unwrap_or(0);
+            let late = last.saturating_sub(edition.unix_ms);
+            self.measured(
+                &format!("last decision under the table before edit {name}, after its acceptance"),
+                late as f64 / 1_000.0,
+            );
+            let found = format!("{late} ms after edit {name} an older table was in force");
+            self.ensure(late < FORCE_LIMIT_MS, found)?;
+        }
+        Ok(())
+    }
+}
+
+/// Tokens that are not the request's own, or not in their order, or an end that is not the whole.
+fn tokens_fault(request: &Request) -> Option<String> {
+    let expected = request.expected();
+    request
+        .connections
+        .iter()
+        .find_map(|connection| connection_fault(connection, &expected))
+}
+
+fn connection_fault(connection: &Connection, expected: &[String]) -> Option<String> {
+    let progress = connection.progress.borrow().clone();
+    let first = (connection.offset as usize).min(expected.len());
+    let last = (first + progress.tokens as usize).min(expected.len());
+    let own = expected[first..last].concat();
+    let whole = expected.len() as u64;
+    let reached = connection.offset + progress.tokens;
+    match progress.end.map(|ended| ended.end) {
+        _ if !progress.gaps.is_empty() => Some(format!("out of order: {:?}", progress.gaps)),
+        _ if progress.text != own => Some(format!(
+            "tokens from {first} are not its own: {}",
+            progress.text
+        )),
+        Some(End::Done(tokens)) if tokens != whole || reached != whole => Some(format!(
+            "done with {tokens} tokens after {reached}, and {whole} are right"
+        )),
+        _ => None,
+    }
+}
+
+/// The whole answer given to two connections at the same time.
+fn repeated_answer(request: &Request) -> Option<String> {
+    let whole = |connection: &&Connection| {
+        let ended = connection.ended();
+        ended.is_some_and(|ended| matches!(ended.end, End::Done(_) | End::Answered { .. }))
+    };
+    let answered: Vec<&Connection> = request.connections.iter().filter(whole).collect();
+    if request.ask.model.is_none() {
+        return first_answers(&answered);
+    }
+    let twice = answered.iter().enumerate().find_map(|(index, one)| {
+        let others = &answered[index + 1..];
+        others.iter().find(|other| one.overlaps(other))
+    });
+    twice.map(|other| format!("answered twice, the second time by {}", other.daemon()))
+}
+
+/// An application's answer may be told again, but only marked as such.
+fn first_answers(answered: &[&Connection]) -> Option<String> {
+    let first = answered.iter().filter(|connection| {
+        let ended = connection.ended();
+        ended.is_some_and(|ended| matches!(ended.end, End::Answered { before: false, .. }))
+    });
+    let count = first.count();
+    (count > 1).then(|| format!("{count} first answers"))
+}
+
+/// A non-repeatable call that ran twice.
+fn doubled(request: &Request, runs: &BTreeMap<String, u64>) -> Option<String> {
+    let key = request.key.borrow().clone()?;
+    let count = runs.get(&key).copied().unwrap_or(0);
+    let answers = request.connections.iter().filter_map(Connection::ended);
+    let later = answers.filter_map(|ended| match ended.end {
+        End::Answered { body, .. } => serde_json::from_str(&body).ok(),
+        _ => None,
+    });
+    let run = later.filter_map(|body: Value| body["run"].as_u64()).max();
+    let most = count.max(run.unwrap_or(0));
+    (request.ask.once && most > 1).then(|| format!("ran {most} times"))
+}
+
+/// A *not run* of which a stand-in knows better.
+fn false_refusal(
+    request: &Request,
+    runs: &BTreeMap<String, u64>,
+    lines: &[Line],
+) -> Option<String> {
+    let key = request.key.borrow().clone()?;
+    let ended: Vec<_> = request.connections.iter().map(Connection::ended).collect();
+    let alone = |index: usize| {
+        let connection = &request.connections[index];
+        let mut others = request.connections.iter().enumerate();
+        others.all(|(other, open)| other == index || !connection.overlaps(open))
+    };
+    for (index, ended) in ended.iter().enumerate() {
+        let then = ended.as_ref().and_then(|ended| ended.runs).unwrap_or(0);
+        if then > 0 && alone(index) {
+            return Some(format!("`not run` was said after {then} runs"));
+        }
+    }
+    let all = ended
+        .iter()
+        .all(|ended| ended.as_ref().is_some_and(|ended| ended.end.is_not_run()));
+    let handles = decisions::handles(lines, &key);
+    let names = handles.iter().chain(std::iter::once(&key));
+    let ran: Vec<&String> = names.filter(|name| runs.contains_key(*name)).collect();
+    (all && !ran.is_empty()).then(|| format!("`not run` was said of {ran:?}, which ran"))
+}
--- /dev/null
+++ b/crates/scenario/src/play/request.rs
@@ -0,0 +1,226 @@
+//! A request of a scenario with all its connections.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fake::text;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::ask::Ask;
+use crate::ask::PlainCall;
+use crate::caller::Caller;
+use crate::play::book::Book;
+use crate::play::connection;
+use crate::play::connection::Connection;
+use crate::play::connection::End;
+use crate::play::connection::Recorder;
+use crate::play::witness::Witness;
+use crate::script::step::Model;
+use crate::script::step::Send;
+
+/// Longest wait for the key of a request.
+const KEY_LIMIT: Duration = Duration::from_secs(10);
+
+/// A request.
+#[derive(Debug)]
+pub struct Request {
+    /// What was asked for.
+    pub ask: Arc<Send>,
+    /// Unique part of the key.
+    pub unique: String,
+    /// The key, once an address answer gave its prefix.
+    pub key: watch::Receiver<Option<String>>,
+    issue: Arc<watch::Sender<Option<String>>>,
+    /// Its connections, oldest first.
+    pub connections: Vec<Connection>,
+}
+
+/// Where a connection leads, and after what pause.
+#[derive(Debug)]
+pub struct Route {
+    /// The daemon.
+    pub daemon: String,
+    /// Its address for callers.
+    pub address: String,
+    /// Pause before it is opened.
+    pub pause: Duration,
+}
+
+/// A resume token and what is said with it.
+#[derive(Debug)]
+pub struct Claim {
+    /// The token.
+    pub token: String,
+    /// Tokens the caller says it has.
+    pub offset: u64,
+    /// Who presents it.
+    pub customer: String,
+}
+
+impl Request {
+    /// A request that was not sent yet.
+    pub fn new(ask: Arc<Send>, unique: String) -> Self {
+        let (issue, key) = watch::channel(None);
+        let issue = Arc::new(issue);
+        Self {
+            ask,
+            unique,
+            key,
+            issue,
+            connections: Vec::new(),
+        }
+    }
+
+    /// The prompt; no other request has the same.
+    pub fn prompt(&self, model: Model) -> String {
+        let words = (0..model.prompt).map(|index| format!("farm{index}"));
+        let words: Vec<String> = words.collect();
+        format!("{} {}", self.unique, words.join(" "))
+    }
+
+    /// The tokens of the whole answer; none for plain calls.
+    pub fn expected(&self) -> Vec<String> {
+        self.ask.model.map_or_else(Vec::new, |model| {
+            text::expected(&self.prompt(model), model.tokens as usize)
+        })
+    }
+
+    /// Tokens received so far by the latest connection, with those before it.
+    pub fn tokens(&self) -> u64 {
+        self.connections.iter().map(reached).max().unwrap_or(0)
+    }
+
+    /// The latest resume token.
+    pub fn token(&self) -> Option<String> {
+        let heads = self.connections.iter().rev();
+        let mut heads = heads.filter_map(|connection| connection.progress.borrow().head.clone());
+        heads.next().map(|head| head.resume)
+    }
+
+    /// Opens a connection that presents the whole request under its key.
+    pub fn open(&mut self, route: Route, book: Book, witness: Witness) {
+        let (recorder, progress) = Recorder::new();
+        let call = Call {
+            caller: Caller::new(&self.ask.customer).with_class(&self.ask.class),
+            ask: Arc::clone(&self.ask),
+            prompt: self.ask.model.map(|model| self.prompt(model)),
+            unique: self.unique.clone(),
+            issued: self.connections.is_empty().then(|| Arc::clone(&self.issue)),
+            key: self.key.clone(),
+            book,
+        };
+        let (asked, opened) = (route.daemon.clone(), Instant::now() + route.pause);
+        let task = tokio::spawn(call.run(route, recorder, witness));
+        self.connections.push(Connection {
+            asked,
+            offset: 0,
+            opened,
+            progress,
+            task,
+        });
+    }
+
+    /// Opens a connection that presents a resume token.
+    pub fn resume(&mut self, route: Route, claim: Claim) {
+        let (recorder, progress) = Recorder::new();
+        let caller = Caller::new(&claim.customer).with_class(&self.ask.class);
+        let (asked, offset) = (route.daemon.clone(), claim.offset);
+        let task = tokio::spawn(async move {
+            let reply = caller.resume(&route.address, &claim.token, offset).await;
+            let end = recorder.read(reply).await;
+            recorder.end(end, None);
+        });
+        self.connections.push(Connection {
+            asked,
+            offset,
+            opened: Instant::now(),
+            progress,
+            task,
+        });
+    }
+}
+
+/// Tokens that the caller has after `connection`.
+fn reached(connection: &Connection) -> u64 {
+    let tokens = connection.progress.borrow().tokens;
+    match tokens {
+        0 => 0,
+        _ => connection.offset + tokens,
+    }
+}
+
+/// What a connection needs to present the whole request.
+#[derive(Debug)]
+struct Call {
+    caller: Caller,
+    ask: Arc<Send>,
+    prompt: Option<String>,
+    unique: String,
+    /// Where the key is published by the first connection.
+    issued: Option<Arc<watch::Sender<Option<String>>>>,
+    key: watch::Receiver<Option<String>>,
+    book: Book,
+}
+
+impl Call {
+    async fn run(self, route: Route, recorder: Recorder, witness: Witness) {
+        sleep(route.pause).await;
+        let (address, key) = match self.key(&route, &recorder).await {
+            Ok(found) => found,
+            Err(cause) => return recorder.end(End::Lost(cause), None),
+        };
+        let end = self.send(&address, &key, &recorder).await;
+        let mut runs = None;
+        if end.is_not_run() {
+            runs = Some(witness.runs(&key).await);
+        }
+        recorder.end(end, runs);
+    }
+
+    async fn send(&self, address: &str, key: &str, recorder: &Recorder) -> End {
+        match (&self.prompt, self.ask.model) {
+            (Some(prompt), Some(model)) => {
+                let ask = Ask::new(&self.ask.service, prompt, model.tokens).with_key(key);
+                recorder
+                    .read(self.caller.complete(address, &ask).await)
+                    .await
+            }
+            _ => connection::called(self.caller.call(address, &self.plain(key)).await),
+        }
+    }
+
+    fn plain(&self, key: &str) -> PlainCall {
+        if self.ask.once {
+            return PlainCall::with_once(&self.ask.service, "orders", "{}", key);
+        }
+        PlainCall::new(&self.ask.service, "orders").with_key(key)
+    }
+
+    /// Where to connect, and the key: from an address answer for the first connection, which goes
+    /// elsewhere if its daemon leaves; as said and the same for every later one.
+    async fn key(&self, route: &Route, recorder: &Recorder) -> Result<(String, String), String> {
+        let Some(issued) = &self.issued else {
+            return Ok((route.address.clone(), self.known_key().await?));
+        };
+        let (daemon, book) = (&route.daemon, &self.book);
+        let runner = self.ask.key_of.as_ref().unwrap_or(daemon);
+        let named = book.find(daemon, runner).await?;
+        let key = named.key(&self.unique);
+        issued.send_replace(Some(key.clone()));
+        if runner != daemon {
+            return Ok((route.address.clone(), key));
+        }
+        recorder.redirect(&named.instance);
+        Ok((named.address, key))
+    }
+
+    async fn known_key(&self) -> Result<String, String> {
+        let mut key = self.key.clone();
+        let known = timeout(KEY_LIMIT, key.wait_for(Option::is_some)).await;
+        let known = known.ok().and_then(Result::ok).and_then(|key| key.clone());
+        known.ok_or_else(|| "the first connection got no key".to_owned())
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/play/wait.rs
@@ -0,0 +1,91 @@
+//! Waiting for something to happen.
+
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::error::Error;
+use crate::play::LIMIT;
+use crate::play::LOOK_EVERY;
+use crate::play::Play;
+use crate::play::connection::Connection;
+use crate::script::step::Tokens;
+use crate::script::step::Wait;
+use crate::script::step::Work;
+
+impl Play {
+    pub(super) async fn wait(&mut self, wait: Wait) -> Result<(), Error> {
+        match wait {
+            Wait::Head(name) => self.wait_head(&name).await,
+            Wait::Tokens(tokens) => self.wait_tokens(&tokens).await,
+            Wait::End(name) => self.wait_end(&name).await,
+            Wait::Work(work) => self.wait_work(&work).await,
+            Wait::Ready(name) => self.fleet.ready_one(&name).await,
+        }
+    }
+
+    async fn wait_head(&self, name: &str) -> Result<(), Error> {
+        for name in self.named(name)? {
+            let request = self.request(&name)?;
+            let Some(connection) = request.connections.last() else {
+                continue;
+            };
+            let came = connection
+                .reach(LIMIT, |now| now.head.is_some() || now.end.is_some())
+                .await;
+            let head = connection.progress.borrow().head.is_some();
+            let end = connection.ended();
+            self.ensure(came && head, format!("{name} got no head, but {end:?}"))?;
+        }
+        Ok(())
+    }
+
+    async fn wait_tokens(&self, tokens: &Tokens) -> Result<(), Error> {
+        let request = self.request(&tokens.of)?;
+        let end = Instant::now() + LIMIT;
+        while request.tokens() < tokens.count {
+            let name = &tokens.of;
+            let ended = request.connections.last().and_then(Connection::ended);
+            let late = Instant::now() > end || ended.is_some();
+            let found = format!("{name} got {} tokens, and {ended:?}", request.tokens());
+            self.ensure(!late, found)?;
+            sleep(LOOK_EVERY).await;
+        }
+        Ok(())
+    }
+
+    /// Waits for the end of the latest connection of each request named.
+    pub(super) async fn wait_end(&self, name: &str) -> Result<(), Error> {
+        self.wait_ends(name, None).await
+    }
+
+    /// Waits for the end of connection `number`, or else the latest, of each request named.
+    pub(super) async fn wait_ends(&self, name: &str, number: Option<usize>) -> Result<(), Error> {
+        for name in self.named(name)? {
+            let connections = &self.request(&name)?.connections;
+            let index = number.unwrap_or(connections.len()) - 1;
+            let Some(connection) = connections.get(index) else {
+                return Err(self.unmet(format!("{name} has no connection {}", index + 1)));
+            };
+            // The last of a number of requests starts much later than the step that sends them.
+            let pause = connection.opened.saturating_duration_since(Instant::now());
+            let ended = connection
+                .reach(pause + LIMIT * 3, |now| now.end.is_some())
+                .await;
+            self.ensure(ended, format!("{name} got no end"))?;
+        }
+        Ok(())
+    }
+
+    async fn wait_work(&self, work: &Work) -> Result<(), Error> {
+        let end = Instant::now() + LIMIT;
+        loop {
+            let count = self.witness.work(&work.at, work.phase.as_deref()).await;
+            if count >= work.count {
+                return Ok(());
+            }
+            let found = format!("{} has {count} in {:?}", work.at, work.phase);
+            self.ensure(Instant::now() < end, found)?;
+            sleep(LOOK_EVERY).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/play/witness.rs
@@ -0,0 +1,104 @@
+//! What the stand-ins counted.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde_json::Value;
+use tokio::time::timeout;
+
+use crate::web::Web;
+
+/// A stand-in that does not answer in this time is passed over.
+const LIMIT: Duration = Duration::from_secs(2);
+const RECORD: &str = "/control/record";
+
+/// Asks stand-ins for their records, and keeps those of stand-ins that end.
+#[derive(Debug, Clone)]
+pub struct Witness {
+    web: Web,
+    /// Addresses by name.
+    replicas: BTreeMap<String, String>,
+    /// Runs that stand-ins counted before they ended.
+    former: BTreeMap<String, u64>,
+}
+
+impl Witness {
+    /// A witness of `replicas`, addresses by name.
+    pub fn new(replicas: BTreeMap<String, String>) -> Self {
+        Self {
+            web: Web::new(),
+            replicas,
+            former: BTreeMap::new(),
+        }
+    }
+
+    /// Keeps what `name` counted, because it is about to end.
+    pub async fn keep(&mut self, name: &str) {
+        let Some(record) = self.record(name).await else {
+            return;
+        };
+        for (key, runs) in runs(&record) {
+            *self.former.entry(key).or_default() += runs;
+        }
+    }
+
+    /// The record of a replica; `None` if it does not answer.
+    pub async fn record(&self, name: &str) -> Option<Value> {
+        let address = self.replicas.get(name)?;
+        let answer = timeout(LIMIT, self.web.get_json(address, RECORD)).await;
+        answer.ok()?.ok()
+    }
+
+    /// Runs of everything, by key or handle, over all replicas.
+    pub async fn all_runs(&self) -> BTreeMap<String, u64> {
+        let mut all = self.former.clone();
+        for name in self.replicas.keys() {
+            let record = self.record(name).await.unwrap_or_default();
+            for (key, runs) in runs(&record) {
+                *all.entry(key).or_default() += runs;
+            }
+        }
+        all
+    }
+
+    /// Runs of a key.
+    pub async fn runs(&self, key: &str) -> u64 {
+        self.all_runs().await.get(key).copied().unwrap_or(0)
+    }
+
+    /// Handles that the engine `name` holds memory for; `None` if it does not answer.
+    pub async fn held(&self, name: &str) -> Option<Vec<String>> {
+        let record = self.record(name).await?;
+        let held = record["held"].as_array().cloned().unwrap_or_default();
+        let handles = held.iter().filter_map(Value::as_str).map(str::to_owned);
+        Some(handles.collect())
+    }
+
+    /// Attempts that the engine `name` has in `phase`, or calls that an application has begun.
+    pub async fn work(&self, name: &str, phase: Option<&str>) -> u64 {
+        let Some(phase) = phase else {
+            let record = self.record(name).await.unwrap_or_default();
+            return record["total"].as_u64().unwrap_or(0);
+        };
+        let Some(address) = self.replicas.get(name) else {
+            return 0;
+        };
+        let state = timeout(LIMIT, self.web.get_json(address, "/v1/state")).await;
+        let state = state.ok().and_then(Result::ok).unwrap_or_default();
+        let works = state["works"].as_array().cloned().unwrap_or_default();
+        works.iter().filter(|work| work["phase"] == phase).count() as u64
+    }
+
+    /// Names of all replicas.
+    pub fn names(&self) -> Vec<String> {
+        self.replicas.keys().cloned().collect()
+    }
+}
+
+fn runs(record: &Value) -> Vec<(String, u64)> {
+    let runs = record["runs"].as_object().cloned().unwrap_or_default();
+    let counted = runs.into_iter();
+    counted
+        .map(|(key, runs)| (key, runs.as_u64().unwrap_or(0)))
+        .collect()
+}
