--- a/crates/route/src/policy/affine.rs
+++ b/crates/route/src/policy/affine.rs
@@ -1,5 +1,5 @@
-//! Third policy: a request takes the cheapest prefill replica that meets its target, and waits for
-//! it while others go first.
+//! Third policy: a request waits for a prefill replica that holds its prefix if it gets its first
+//! token there sooner, while others go first.
 
 use crate::policy::Ask;
 use crate::policy::Pair;
@@ -11,8 +11,9 @@
 
 /// Waiting requests that are considered when the first waits for a better replica.
 const SCAN: usize = 12;
-/// Part of the remaining slack that may be spent on waiting for a cheaper replica.
-const SLACK_PART: f64 = 0.5;
+/// Weight of the prefill's own time against the time to the first token: time that a cached prefix
+/// saves is there for the next request.
+const SPAN_WEIGHT: f64 = 1.0;
 
 /// The policy.
 pub const fn policy() -> Policy {
@@ -35,17 +36,8 @@
         .iter()
         .filter_map(|key| predicted::price(view, ask, *key, &sites));
     let pairs: Vec<Pair> = priced.collect();
-    let soonest = pairs
-        .iter()
-        .min_by_key(|pair| pair.first)
-        .ok_or(Wait::Replica)?;
-    let slack = ask.due.since(soonest.first).mul_f64(SLACK_PART);
-    let limit = soonest.first + slack;
-    let best = pairs
-        .iter()
-        .filter(|pair| pair.first <= limit)
-        .min_by_key(|pair| (pair.span, pair.first))
-        .unwrap_or(soonest);
+    let cost = |pair: &&Pair| (pair.first + pair.span.mul_f64(SPAN_WEIGHT), pair.span);
+    let best = pairs.iter().min_by_key(cost).ok_or(Wait::Replica)?;
     if view.ready(best.prefill) > view.horizon() {
         *view.promised.entry(best.prefill).or_default() += best.span;
         return Err(Wait::Replica);
