Core: takeover fences rise along the token, a key read anew begins at its first token

By reading: the tokens of a continued attempt could be subtracted below zero; a huge piece could overflow the sequence. Change: the fence is in the token and each takeover steps over it; the sequence is set to the new connection's offset; saturating sums; stale_outcome and may_run_elsewhere.

--- a/crates/ledger/src/order.rs
+++ b/crates/ledger/src/order.rs
@@ -85,8 +85,11 @@
 
     fn follow(&mut self, out: &mut Vec<Run>) {
         while let Some(run) = self.early.remove(&self.delivered) {
-            self.delivered += run.count;
+            self.delivered = self.delivered.saturating_add(run.count);
             out.push(run);
         }
+        if !self.early.is_empty() {
+            self.early = self.early.split_off(&self.delivered);
+        }
     }
 }
--- a/crates/node/src/asking.rs
+++ b/crates/node/src/asking.rs
@@ -30,7 +30,6 @@
 use crate::open::Asker;
 use crate::open::End;
 use crate::open::OpenKey;
-use crate::open::Reach;
 use crate::refusals::SOON;
 use crate::request::Request;
 
@@ -261,7 +260,7 @@
             question.call,
             Some(question.key),
             &request,
-            Reach::Touched,
+            Some(Outcome::Unknown),
             out,
         );
     }
--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -590,14 +590,14 @@
 }
 
 /// Turns the work of a ticket into the continuation after `delivered` tokens.
-fn continue_from(work: &mut route::ticket::Work, delivered: u32) {
+pub(crate) fn continue_from(work: &mut route::ticket::Work, delivered: u32) {
     if let route::ticket::Work::Model {
         prompt_tokens,
         done_tokens,
         ..
     } = work
     {
-        *prompt_tokens += delivered - *done_tokens;
+        *prompt_tokens = prompt_tokens.saturating_sub(*done_tokens) + delivered;
         *done_tokens = delivered;
     }
 }
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -48,34 +48,51 @@
         let known = key.as_ref().and_then(|key| self.keys.get(key)).cloned();
         match (known, &key) {
             (Some(Mark::Failed), Some(_)) if self.is_repeatable(&request) => {
-                self.open_new(call, key, &request, Reach::Touched, out);
+                self.open_new(call, key, &request, Some(Outcome::Failed), out);
             }
             (Some(mark), Some(key)) => self.repeat(call, key, mark, out),
             (None, Some(key)) if self.is_foreign(key) => {
                 self.ask(call, key.clone(), Some(request), out);
             }
-            _ => self.open_new(call, key, &request, Reach::Untouched, out),
+            (None, Some(key)) if self.may_run_elsewhere(key, &request) => {
+                let earlier = Some(Outcome::Unknown);
+                self.open_new(call, Some(key.clone()), &request, earlier, out);
+            }
+            _ => self.open_new(call, key, &request, None, out),
         }
     }
 
-    /// Opens a request and asks for its placement, or refuses it. `reach` tells how far an earlier
-    /// try with the same key may have got.
+    /// Whether another instance may have run a repeatable key of this run: its prefix is older than
+    /// the end of a pause in which this run may have counted as lost.
+    fn may_run_elsewhere(&self, key: &Key, request: &Request) -> bool {
+        let paused = self.woke > self.begun;
+        let woke_s = self.unix_s() - self.now.since(self.woke).as_secs();
+        let older = key.prefix().is_some_and(|prefix| prefix.issued <= woke_s);
+        paused && older && self.is_repeatable(request)
+    }
+
+    /// Opens a request and asks for its placement, or refuses it. `earlier` is the outcome told in
+    /// place of *not run* if an earlier try with the same key may have got further.
     pub(crate) fn open_new(
         &mut self,
         call: Call,
         key: Option<Key>,
         request: &Request,
-        reach: Reach,
+        earlier: Option<Outcome>,
         out: &mut Vec<Action>,
     ) {
         let label = key
             .as_ref()
             .map_or_else(|| request.customer.clone(), Key::to_string);
-        match self.admit(call, key, request, reach) {
-            Ok(opened) => self.begin(opened, out),
-            Err(refusal) if reach == Reach::Untouched => self.refuse(call, &label, refusal, out),
+        match self.admit(call, key, request) {
+            Ok(opened) => {
+                if earlier.is_some() {
+                    self.open[opened].reach = Reach::Touched;
+                }
+                self.begin(opened, out);
+            }
             Err(refusal) => {
-                let outcome = Outcome::Failed;
+                let outcome = earlier.unwrap_or(refusal.outcome);
                 self.refuse(call, &label, Refusal { outcome, ..refusal }, out);
             }
         }
@@ -102,11 +119,11 @@
         call: Call,
         key: Option<Key>,
         request: &Request,
-        reach: Reach,
     ) -> Result<OpenKey, Refusal> {
         let not_run = |reason, after| Self::refusal(Outcome::NotRun, reason, after);
         if !self.may_decide() {
-            return Err(self.refusal_elsewhere(Outcome::NotRun, Reason::Stale));
+            let outcome = self.stale_outcome(key.as_ref(), request);
+            return Err(self.refusal_elsewhere(outcome, Reason::Stale));
         }
         if self.is_closed() {
             return Err(self.refusal_elsewhere(Outcome::NotRun, Reason::Leaving));
@@ -127,11 +144,18 @@
         match key.as_ref().map(|_| self.keys.admit(now, issued)) {
             Some(Admission::Expired) => Err(not_run(Reason::KeyExpired, Duration::ZERO)),
             Some(Admission::Full) => Err(self.refusal_elsewhere(Outcome::NotRun, Reason::Full)),
-            Some(Admission::New) | None => {
-                let opened = self.insert(call, key, request, &row, repeatable);
-                self.open[opened].reach = reach;
-                Ok(opened)
-            }
+            Some(Admission::New) | None => Ok(self.insert(call, key, request, &row, repeatable)),
+        }
+    }
+
+    /// While this daemon is out of contact others may count it as lost, and one of them may run a
+    /// repeatable key of this run.
+    fn stale_outcome(&self, key: Option<&Key>, request: &Request) -> Outcome {
+        let keyed = key.and_then(Key::prefix).is_some();
+        if keyed && self.is_repeatable(request) {
+            Outcome::Unknown
+        } else {
+            Outcome::NotRun
         }
     }
 
--- a/crates/node/src/streams.rs
+++ b/crates/node/src/streams.rs
@@ -21,6 +21,7 @@
 use crate::action::Reason;
 use crate::action::Task;
 use crate::action::Tell;
+use crate::attempts::continue_from;
 use crate::decision::Step;
 use crate::event::Failure;
 use crate::event::Held;
@@ -39,8 +40,9 @@
 
 /// Attach orders that may fail in a row before the stream counts as lost.
 const MAX_ATTACH_TRIES: u32 = 3;
-/// Fencing numbers of takeovers are Unix milliseconds; clocks of instances agree to this many.
-const SKEW_MS: u64 = 1_000;
+/// How far the fence of a takeover lies above the one in its token: above all that the former owner
+/// used meanwhile, whatever the clocks of the two say.
+const TAKEOVER_STEP: u64 = 1_000;
 /// Time within which an order that was sent may not yet show at its replica.
 const ORDER_TRAVEL: Duration = Duration::from_secs(1);
 const HTTP_NOT_FOUND: u16 = 404;
@@ -146,7 +148,6 @@
             return withheld.push(Withheld::End(order, failure));
         }
         let started = !matches!(entry.phase, Some(Phase::Prefilled { .. }));
-        let adopting = entry.origin.is_none();
         match failure {
             Failure::NotSent
             | Failure::Refused {
@@ -159,7 +160,7 @@
             Failure::Refused {
                 status: HTTP_CONFLICT,
                 fence: Some(fence),
-            } if adopting && is_skewed(entry, fence) => {
+            } if is_skewed(entry, fence) => {
                 entry.attach_tries += 1;
                 entry.fence = entry.fence.max(fence);
                 let offset = entry.sequence.delivered();
@@ -266,6 +267,7 @@
             pool: entry.pool,
             row: entry.ticket.row,
             customer: entry.customer.clone(),
+            fence: entry.fence,
             prompt_tokens,
             max_tokens,
         };
@@ -313,6 +315,10 @@
         entry.times.left = None;
         entry.headed = false;
         if entry.stage != Stage::Decode {
+            entry.sequence = Sequence::new(offset);
+            if entry.stage == Stage::Waiting {
+                continue_from(&mut entry.ticket.work, offset);
+            }
             return;
         }
         let in_place = entry.sequence.delivered() == offset;
@@ -384,7 +390,7 @@
             order: None,
             prefill_hold: None,
             decode_hold: None,
-            fence: self.unix_ms(),
+            fence: self.unix_ms().max(token.fence + TAKEOVER_STEP),
             sequence: Sequence::new(offset),
             reach: Reach::Touched,
             queued: now,
@@ -515,9 +521,11 @@
     }
 }
 
-/// Whether `fence` is so far ahead that a clock must be wrong, and not a later reader in place.
+/// Whether a takeover was refused for a fence so far ahead that clocks differ: a reader that came
+/// later by a moment lies closer.
 fn is_skewed(entry: &Open, fence: u64) -> bool {
-    entry.attach_tries < MAX_ATTACH_TRIES && fence > entry.fence + SKEW_MS
+    let adopting = entry.origin.is_none();
+    adopting && entry.attach_tries < MAX_ATTACH_TRIES && fence > entry.fence + TAKEOVER_STEP
 }
 
 fn note_tokens(entry: &mut Open, now: ident::Time, out: &mut Vec<Action>) {
--- a/crates/node/src/token.rs
+++ b/crates/node/src/token.rs
@@ -33,6 +33,8 @@
     pub row: Row,
     /// The customer it answers.
     pub customer: String,
+    /// The owner's fencing number when the token was sealed.
+    pub fence: u64,
     /// Length of the prompt in tokens.
     pub prompt_tokens: u32,
     /// Most tokens wanted.
