Entry tests: a daemon listens when it says so

Cause: 1 of 4 runs of tests/peers.rs failed: another test's daemon had taken a port, answered on it, and the daemon meant ended with its listen error later. Change: the start is read from the daemon's log; a listen error tries new ports.

--- a/crates/entry/tests/common/daemon.rs
+++ b/crates/entry/tests/common/daemon.rs
@@ -1,9 +1,10 @@
 //! The daemon's process.
 
+use std::fs;
 use std::fs::File;
 use std::net::SocketAddr;
 use std::net::TcpListener;
-use std::net::TcpStream;
+use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::ExitStatus;
@@ -33,6 +34,7 @@
 #[derive(Debug)]
 pub struct Daemon {
     child: Child,
+    log: PathBuf,
     /// Where callers connect.
     pub caller: SocketAddr,
     /// Where peers connect.
@@ -50,7 +52,7 @@
         let start = Instant::now();
         loop {
             let mut daemon = Self::spawn(platform, more);
-            while daemon.runs() && TcpStream::connect(daemon.admin).is_err() {
+            while daemon.runs() && !daemon.listens() {
                 assert!(start.elapsed() < START_LIMIT, "the daemon does not listen");
                 thread::sleep(Duration::from_millis(10));
             }
@@ -69,22 +71,30 @@
     fn spawn(platform: SocketAddr, more: &str) -> Self {
         let [caller, peer, admin] = free_addresses();
         let path = settings::write(&(settings::valid(caller, peer, admin, platform) + more));
-        let log = File::create(path.with_extension("log")).unwrap();
+        let log = path.with_extension("log");
+        let errors = File::create(&log).unwrap();
         let child = Command::new(PROGRAM)
             .arg("--config")
             .arg(&path)
             .stdin(Stdio::null())
-            .stderr(Stdio::from(log))
+            .stderr(Stdio::from(errors))
             .spawn()
             .unwrap();
         Self {
             child,
+            log,
             caller,
             peer,
             admin,
         }
     }
 
+    /// Whether it says that it listens. Its ports alone would not tell: another test's daemon may
+    /// have taken one of them.
+    fn listens(&self) -> bool {
+        fs::read_to_string(&self.log).is_ok_and(|log| log.contains("serves callers at"))
+    }
+
     /// Its place on the platform's list.
     pub fn seat(&self) -> Value {
         json!({"name": "entry-1", "data_centre": "osijek-a", "peer": self.peer,
