bench: cost and slope, measurements of real daemons and of the core in virtual time

Cause: no figure said what a request costs through a daemon, nor how state, messages and processor time of each role grow towards 400 daemons.

Ruled out: timing the core by the wall clock (the machine is shared) and counting the socket bytes by the interface (others use it): processor time of the thread and /proc/<pid>/stat and io are taken instead.

Change: `cost` (direct, through one daemon, through three, taking turns under each seed) and `slope` (real daemons: daemons, replicas, streams; the core in virtual time: members, edits, keeper, rate, letter, restarts, cut, keys, frames), with least-squares fits and CSV.

--- /dev/null
+++ b/crates/bench/src/arms.rs
@@ -0,0 +1,190 @@
+//! The two ways of a request: through daemons, and to the stand-ins themselves.
+//!
+//! Both take a fresh connection for each request, as the scenarios' caller does.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use engine::Claim;
+use engine::Client;
+use engine::decode;
+use engine::prefill;
+use engine::stream;
+use ident::Handle;
+use ident::Incarnation;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use scenario::ask::Ask;
+use scenario::ask::PlainCall;
+use scenario::caller::Caller;
+use scenario::reply::Outcome;
+use scenario::reply::Reply;
+use scenario::stream::Event;
+use scenario::web::Web;
+
+use crate::load::Sample;
+use crate::stage;
+
+const CUSTOMER: &str = "krmiva";
+/// Path of the plain call.
+const PATH: &str = "lots/17";
+/// Words that prompts are drawn from.
+const WORDS: u64 = 5_000;
+/// Handles of direct requests begin here, so that two seeds share none.
+const SEED_STEP: u64 = 1 << 32;
+
+/// A prompt of `words` words, equal for equal `seed` and `number`.
+pub fn prompt(seed: u64, number: u64, words: usize) -> String {
+    let mut random = Pcg64Mcg::seed_from_u64(seed * SEED_STEP + number);
+    let words = (0..words).map(|_| format!("w{}", random.random_range(0..WORDS)));
+    words.collect::<Vec<String>>().join(" ")
+}
+
+/// Requests through daemons, taken in turn.
+#[derive(Debug, Clone)]
+pub struct Through {
+    addresses: Arc<Vec<String>>,
+    caller: Caller,
+}
+
+impl Through {
+    /// Requests to the daemons at `addresses`.
+    pub fn new(addresses: Vec<String>) -> Self {
+        Self {
+            addresses: Arc::new(addresses),
+            caller: Caller::new(CUSTOMER),
+        }
+    }
+
+    fn address(&self, number: u64) -> &str {
+        &self.addresses[number as usize % self.addresses.len()]
+    }
+
+    /// One plain call.
+    pub async fn plain(&self, number: u64) -> Option<Sample> {
+        let begun = Instant::now();
+        let call = PlainCall::new(stage::APPLICATION, PATH);
+        match self.caller.call(self.address(number), &call).await {
+            Ok(Outcome::Answered { status: 200, .. }) => Some(plain(begun)),
+            _ => None,
+        }
+    }
+
+    /// One language-model request of `tokens` tokens.
+    pub async fn model(&self, number: u64, prompt: &str, tokens: u32) -> Option<Sample> {
+        let begun = Instant::now();
+        let ask = Ask::new(stage::MODEL, prompt, tokens);
+        let reply = self
+            .caller
+            .complete(self.address(number), &ask)
+            .await
+            .ok()?;
+        let Reply::Stream(mut stream) = reply else {
+            return None;
+        };
+        let mut first = None;
+        loop {
+            match stream.next().await {
+                Event::Head(_) => {}
+                Event::Tokens(_) => first = first.or_else(|| Some(begun.elapsed())),
+                Event::Done(tokens) => return model(begun, first, tokens),
+                _ => return None,
+            }
+        }
+    }
+}
+
+/// Requests to the stand-ins themselves, taken in turn.
+#[derive(Debug, Clone)]
+pub struct Direct {
+    prefills: Arc<Vec<SocketAddr>>,
+    decodes: Arc<Vec<SocketAddr>>,
+    applications: Arc<Vec<String>>,
+    client: Client,
+    web: Web,
+    owner: Incarnation,
+}
+
+impl Direct {
+    /// Requests to these replicas; `seed` keeps the names of attempts apart.
+    pub fn new(
+        prefills: &[String],
+        decodes: &[String],
+        applications: Vec<String>,
+        seed: u64,
+    ) -> Self {
+        let parse = |texts: &[String]| texts.iter().filter_map(|text| text.parse().ok()).collect();
+        Self {
+            prefills: Arc::new(parse(prefills)),
+            decodes: Arc::new(parse(decodes)),
+            applications: Arc::new(applications),
+            client: Client::new(),
+            web: Web::new(),
+            owner: Incarnation(rand::random::<u64>() ^ seed),
+        }
+    }
+
+    /// One plain call.
+    pub async fn plain(&self, number: u64) -> Option<Sample> {
+        let begun = Instant::now();
+        let address = &self.applications[number as usize % self.applications.len()];
+        let answer = self.web.get(address, &format!("/{PATH}")).await.ok()?;
+        (answer.status == 200).then(|| plain(begun))
+    }
+
+    /// One language-model request of `tokens` tokens: a prefill, then a decode.
+    pub async fn model(&self, number: u64, prompt: String, tokens: u32) -> Option<Sample> {
+        let begun = Instant::now();
+        let source = self.prefills[number as usize % self.prefills.len()];
+        let target = self.decodes[number as usize % self.decodes.len()];
+        let claim = Claim::new(Handle::new(self.owner, number), self.owner, 1);
+        let request = prefill::Request {
+            claim,
+            prompt_tokens: prompt.split_whitespace().count() as u32,
+            prompt,
+            generated: Vec::new(),
+            max_tokens: tokens,
+            priority: 0,
+            blocks: Vec::new(),
+        };
+        self.client.prefill(source, &request).await.ok()?;
+        let request = decode::Request {
+            claim,
+            source,
+            max_tokens: tokens,
+            priority: 0,
+            offset: 0,
+        };
+        let mut stream = self.client.decode(target, &request).await.ok()?;
+        let mut first = None;
+        while let Some(event) = stream.next().await {
+            match event.ok()? {
+                stream::Event::Tokens { .. } => first = first.or_else(|| Some(begun.elapsed())),
+                stream::Event::End { offset, .. } => return model(begun, first, u64::from(offset)),
+                stream::Event::Imported | stream::Event::Superseded => {}
+            }
+        }
+        None
+    }
+}
+
+fn plain(begun: Instant) -> Sample {
+    let whole = begun.elapsed();
+    Sample {
+        first: whole,
+        whole,
+        tokens: 0,
+    }
+}
+
+fn model(begun: Instant, first: Option<Duration>, tokens: u64) -> Option<Sample> {
+    let whole = begun.elapsed();
+    first.map(|first| Sample {
+        first,
+        whole,
+        tokens,
+    })
+}
--- /dev/null
+++ b/crates/bench/src/bin/cost.rs
@@ -0,0 +1,268 @@
+//! What a request costs through daemons, against calling the stand-ins themselves.
+//!
+//! In one run, for each seed, the arms take turns: direct, through one daemon, through three. The
+//! figures are ratios and differences within a seed; their median and range over the seeds are
+//! printed. The programs of the workspace must have been built in the same profile.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use bench::arms::Direct;
+use bench::arms::Through;
+use bench::arms::prompt;
+use bench::fit::Range;
+use bench::load;
+use bench::load::Outcome;
+use bench::load::Until;
+use bench::report::Report;
+use bench::stage::Size;
+use bench::stage::Stage;
+use getopts::Options;
+use scenario::error::Error;
+use scenario::plan::Role;
+use tokio::time::sleep;
+
+/// Calls whose latency is measured one after the other.
+const PLAIN_CALLS: u64 = 300;
+const MODEL_CALLS: u64 = 40;
+const LATENCY_TOKENS: u32 = 32;
+/// Calls over which processor time is measured, and callers that send them.
+const PLAIN_BATCH: u64 = 3_000;
+const MODEL_BATCH: u64 = 300;
+const BATCH_CALLERS: usize = 16;
+const FEW_TOKENS: u32 = 8;
+const MANY_TOKENS: u32 = 108;
+/// Callers at once for which the rate is measured, and for how long each.
+const CALLERS: [usize; 4] = [1, 8, 32, 128];
+const RATE_SPAN: Duration = Duration::from_millis(1_500);
+const IDLE_SPAN: Duration = Duration::from_secs(2);
+const PROMPT_WORDS: usize = 200;
+const COLUMNS: [&str; 13] = [
+    "plain_ms",
+    "first_ms",
+    "plain_cpu_us",
+    "request_cpu_us",
+    "token_cpu_us",
+    "app_cpu_us",
+    "engine_token_us",
+    "rate_1",
+    "rate_8",
+    "rate_32",
+    "rate_128",
+    "idle_cpu_pct",
+    "failed",
+];
+
+/// One way of sending requests.
+#[derive(Debug, Clone)]
+enum Arm {
+    Direct(Direct),
+    Through(Through),
+}
+
+impl Arm {
+    async fn plain(&self, callers: usize, until: Until) -> Outcome {
+        match self.clone() {
+            Self::Direct(arm) => {
+                load::run(callers, until, move |n| {
+                    let arm = arm.clone();
+                    async move { arm.plain(n).await }
+                })
+                .await
+            }
+            Self::Through(arm) => {
+                load::run(callers, until, move |n| {
+                    let arm = arm.clone();
+                    async move { arm.plain(n).await }
+                })
+                .await
+            }
+        }
+    }
+
+    async fn model(&self, callers: usize, count: u64, seed: u64, tokens: u32) -> Outcome {
+        let until = Until::Count(count);
+        let offset = u64::from(tokens) * 1_000_000;
+        match self.clone() {
+            Self::Direct(arm) => {
+                load::run(callers, until, move |n| {
+                    let (arm, n) = (arm.clone(), n + offset);
+                    async move { arm.model(n, prompt(seed, n, PROMPT_WORDS), tokens).await }
+                })
+                .await
+            }
+            Self::Through(arm) => {
+                load::run(callers, until, move |n| {
+                    let (arm, n) = (arm.clone(), n + offset);
+                    async move { arm.model(n, &prompt(seed, n, PROMPT_WORDS), tokens).await }
+                })
+                .await
+            }
+        }
+    }
+}
+
+#[tokio::main]
+async fn main() -> Result<(), Error> {
+    let mut options = Options::new();
+    options.optopt("s", "seeds", "seeds (5)", "N");
+    options.optopt("o", "csv", "folder for the CSV files", "FOLDER");
+    options.optflag("h", "help", "print this help");
+    match options.parse(std::env::args().skip(1)) {
+        Ok(matches) if matches.opt_present("help") => print!("{}", options.usage("cost [options]")),
+        Ok(matches) => {
+            let seeds = matches.opt_get_default("seeds", 5).unwrap_or(5);
+            measure(seeds, matches.opt_str("csv").map(PathBuf::from)).await?;
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            std::process::exit(2);
+        }
+    }
+    Ok(())
+}
+
+async fn measure(seeds: u64, folder: Option<PathBuf>) -> Result<(), Error> {
+    let mut one = Stage::start(Size::new(1)).await?;
+    let mut three = Stage::start(Size::new(3)).await?;
+    let mut report = Report::new("cost", &COLUMNS);
+    for seed in 1..=seeds {
+        let direct = Direct::new(
+            &one.engines(Role::Prefill)?,
+            &one.engines(Role::Decode)?,
+            one.applications()?,
+            seed,
+        );
+        let figures = arm(&mut one, &Arm::Direct(direct), seed).await?;
+        report.push(&format!("direct seed {seed}"), &figures);
+        let through = Arm::Through(Through::new(one.callers()?));
+        report.push(
+            &format!("1 daemon seed {seed}"),
+            &arm(&mut one, &through, seed).await?,
+        );
+        let through = Arm::Through(Through::new(three.callers()?));
+        report.push(
+            &format!("3 daemons seed {seed}"),
+            &arm(&mut three, &through, seed).await?,
+        );
+    }
+    report.print();
+    summary(&report);
+    report.save(folder.as_deref()).map_err(|cause| Error::Io {
+        step: "write",
+        peer: "cost.csv".to_owned(),
+        cause,
+    })
+}
+
+/// All figures of one arm under one seed, in the order of [`COLUMNS`].
+async fn arm(stage: &mut Stage, arm: &Arm, seed: u64) -> Result<Vec<f64>, Error> {
+    let idle = idle(stage).await?;
+    let plain = arm.plain(1, Until::Count(PLAIN_CALLS)).await;
+    let model = arm.model(1, MODEL_CALLS, seed, LATENCY_TOKENS).await;
+    let (batch, plain_cpu, app_cpu) = busy(stage, idle, Role::Plain, async {
+        arm.plain(BATCH_CALLERS, Until::Count(PLAIN_BATCH)).await
+    })
+    .await?;
+    let (few, few_cpu, few_engine) = busy(stage, idle, Role::Decode, async {
+        arm.model(BATCH_CALLERS, MODEL_BATCH, seed, FEW_TOKENS)
+            .await
+    })
+    .await?;
+    let (many, many_cpu, many_engine) = busy(stage, idle, Role::Decode, async {
+        arm.model(BATCH_CALLERS, MODEL_BATCH, seed, MANY_TOKENS)
+            .await
+    })
+    .await?;
+    let more = (many.tokens - few.tokens) as f64;
+    let token = (many_cpu - few_cpu) / more;
+    let request = (few_cpu - token * few.tokens as f64) / few.answered as f64;
+    let mut figures = vec![
+        plain.first_ms(),
+        model.first_ms(),
+        plain_cpu / batch.answered as f64 * 1e6,
+        request * 1e6,
+        token * 1e6,
+        app_cpu / batch.answered as f64 * 1e6,
+        (many_engine - few_engine) / more * 1e6,
+    ];
+    let mut failed = plain.failed + model.failed + batch.failed + few.failed + many.failed;
+    for callers in CALLERS {
+        let outcome = arm.plain(callers, Until::Time(RATE_SPAN)).await;
+        failed += outcome.failed;
+        figures.push(outcome.rate());
+    }
+    figures.push(idle * 100.0);
+    figures.push(failed as f64);
+    Ok(figures)
+}
+
+/// Processor time of all daemons a second while there are no requests.
+async fn idle(stage: &mut Stage) -> Result<f64, Error> {
+    let before = stage.daemons_usage()?;
+    sleep(IDLE_SPAN).await;
+    let used = stage.daemons_usage()?.since(before);
+    Ok(used.cpu / IDLE_SPAN.as_secs_f64())
+}
+
+/// Runs `load`; processor time of the daemons above `idle`, and of the replicas of `role`.
+async fn busy(
+    stage: &mut Stage,
+    idle: f64,
+    role: Role,
+    load: impl Future<Output = Outcome>,
+) -> Result<(Outcome, f64, f64), Error> {
+    let daemons = stage.daemons_usage()?;
+    let backends = stage.backends_usage(role)?;
+    let outcome = load.await;
+    let daemons = stage.daemons_usage()?.since(daemons).cpu;
+    let backends = stage.backends_usage(role)?.since(backends).cpu;
+    let idle = idle * outcome.elapsed.as_secs_f64();
+    Ok((outcome, daemons - idle, backends))
+}
+
+/// Prints each arm against the direct one of the same seed.
+fn summary(report: &Report) {
+    println!("\nmedian [least..most] over the seeds");
+    let column = |name: &str, arm: usize| -> Vec<f64> {
+        let values = report.column(name);
+        values.into_iter().skip(arm).step_by(3).collect()
+    };
+    let pairs = |name: &str, arm: usize, other: &str, with: fn(f64, f64) -> f64| {
+        let values = column(name, arm).into_iter().zip(column(other, 0));
+        let values: Vec<f64> = values
+            .map(|(through, direct)| with(through, direct))
+            .collect();
+        Range::new(&values)
+    };
+    for (arm, label) in [(1, "1 daemon"), (2, "3 daemons")] {
+        println!("{label}");
+        for name in ["plain_ms", "first_ms"] {
+            let ratio = pairs(name, arm, name, |through, direct| through / direct);
+            let added = pairs(name, arm, name, |through, direct| through - direct);
+            println!("  {name}: {ratio} times direct, {added} ms added");
+        }
+        for name in ["rate_1", "rate_8", "rate_32", "rate_128"] {
+            let ratio = pairs(name, arm, name, |through, direct| through / direct);
+            let own = Range::new(&column(name, arm));
+            println!("  {name}: {ratio} of direct ({own} requests/s)");
+        }
+        for (name, other) in [
+            ("plain_cpu_us", "app_cpu_us"),
+            ("token_cpu_us", "engine_token_us"),
+        ] {
+            let ratio = pairs(name, arm, other, |through, direct| through / direct);
+            let own = Range::new(&column(name, arm));
+            println!("  {name}: {own} us, {ratio} times the stand-in's own {other}");
+        }
+        println!(
+            "  request_cpu_us: {} us",
+            Range::new(&column("request_cpu_us", arm))
+        );
+        println!(
+            "  idle_cpu_pct: {} % of a core, all daemons",
+            Range::new(&column("idle_cpu_pct", arm))
+        );
+        println!("  failed: {}", Range::new(&column("failed", arm)));
+    }
+}
--- /dev/null
+++ b/crates/bench/src/load.rs
@@ -0,0 +1,149 @@
+//! Callers that send the next request when the last one has ended.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
+
+/// Longest latency that is told apart, in microseconds.
+const LONGEST: u64 = 120_000_000;
+const DIGITS: u8 = 3;
+
+/// Times of one request.
+#[derive(Debug, Clone, Copy)]
+pub struct Sample {
+    /// Until the first token (plain: until the answer).
+    pub first: Duration,
+    /// Until the end.
+    pub whole: Duration,
+    /// Tokens received.
+    pub tokens: u64,
+}
+
+/// What a load came to.
+#[derive(Debug)]
+pub struct Outcome {
+    /// Times until the first token, in microseconds.
+    pub first: Histogram<u64>,
+    /// Times until the end, in microseconds.
+    pub whole: Histogram<u64>,
+    /// Requests answered in full.
+    pub answered: u64,
+    /// Requests that were not.
+    pub failed: u64,
+    /// Tokens received.
+    pub tokens: u64,
+    /// From the first request to the last answer.
+    pub elapsed: Duration,
+}
+
+impl Outcome {
+    fn new() -> Self {
+        let histogram =
+            || Histogram::new_with_max(LONGEST, DIGITS).expect("fixed bounds are valid");
+        Self {
+            first: histogram(),
+            whole: histogram(),
+            answered: 0,
+            failed: 0,
+            tokens: 0,
+            elapsed: Duration::ZERO,
+        }
+    }
+
+    fn add(&mut self, sample: Option<Sample>) {
+        match sample {
+            Some(sample) => {
+                self.first
+                    .saturating_record(sample.first.as_micros() as u64);
+                self.whole
+                    .saturating_record(sample.whole.as_micros() as u64);
+                self.answered += 1;
+                self.tokens += sample.tokens;
+            }
+            None => self.failed += 1,
+        }
+    }
+
+    /// Median time until the first token, in milliseconds.
+    pub fn first_ms(&self) -> f64 {
+        self.first.value_at_quantile(0.5) as f64 / 1_000.0
+    }
+
+    /// Requests answered a second.
+    pub fn rate(&self) -> f64 {
+        self.answered as f64 / self.elapsed.as_secs_f64()
+    }
+}
+
+/// When a load ends.
+#[derive(Debug, Clone, Copy)]
+pub enum Until {
+    /// After so many requests.
+    Count(u64),
+    /// When so much time has passed.
+    Time(Duration),
+}
+
+/// Runs `callers` callers, each of which sends its next request when its last one has ended.
+pub async fn run<F, R>(callers: usize, until: Until, request: F) -> Outcome
+where
+    F: Fn(u64) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Option<Sample>> + Send,
+{
+    let begun = Instant::now();
+    let next = Arc::new(AtomicU64::new(0));
+    let mut tasks = JoinSet::new();
+    for _ in 0..callers {
+        let next = Arc::clone(&next);
+        let request = request.clone();
+        tasks.spawn(async move {
+            let mut samples = Vec::new();
+            loop {
+                let number = next.fetch_add(1, Ordering::Relaxed);
+                let over = match until {
+                    Until::Count(count) => number >= count,
+                    Until::Time(span) => begun.elapsed() >= span,
+                };
+                if over {
+                    return samples;
+                }
+                samples.push(request(number).await);
+            }
+        });
+    }
+    gather(begun, tasks).await
+}
+
+/// Sends `rate` requests a second for `span`, whether or not earlier ones have ended.
+pub async fn pace<F, R>(rate: f64, span: Duration, request: F) -> Outcome
+where
+    F: Fn(u64) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Option<Sample>> + Send,
+{
+    let begun = Instant::now();
+    let count = (rate * span.as_secs_f64()) as u64;
+    let mut tasks = JoinSet::new();
+    for number in 0..count {
+        sleep_until(begun + Duration::from_secs_f64(number as f64 / rate)).await;
+        let request = request.clone();
+        tasks.spawn(async move { vec![request(number).await] });
+    }
+    gather(begun, tasks).await
+}
+
+async fn gather(begun: Instant, mut tasks: JoinSet<Vec<Option<Sample>>>) -> Outcome {
+    let mut outcome = Outcome::new();
+    while let Some(ended) = tasks.join_next().await {
+        for sample in ended.unwrap_or_default() {
+            outcome.add(sample);
+        }
+    }
+    outcome.elapsed = begun.elapsed();
+    outcome
+}
--- /dev/null
+++ b/crates/bench/src/report.rs
@@ -0,0 +1,99 @@
+//! Tables of figures on the standard output and as CSV.
+
+use std::fs;
+use std::io;
+use std::path::Path;
+
+use crate::fit::Line;
+
+/// A table of figures, one row for each measured size or arm.
+#[derive(Debug, Clone)]
+pub struct Report {
+    name: String,
+    columns: Vec<String>,
+    rows: Vec<(String, Vec<f64>)>,
+}
+
+impl Report {
+    /// An empty table; `name` also names its CSV file.
+    pub fn new(name: &str, columns: &[&str]) -> Self {
+        Self {
+            name: name.to_owned(),
+            columns: columns.iter().map(|column| (*column).to_owned()).collect(),
+            rows: Vec::new(),
+        }
+    }
+
+    /// Appends a row.
+    pub fn push(&mut self, label: &str, figures: &[f64]) {
+        self.rows.push((label.to_owned(), figures.to_vec()));
+    }
+
+    /// The values of `column`, in the order of the rows.
+    ///
+    /// # Panics
+    ///
+    /// If there is no such column.
+    pub fn column(&self, column: &str) -> Vec<f64> {
+        let found = self.columns.iter().position(|name| name == column);
+        let index = found.expect("a column of the table");
+        self.rows
+            .iter()
+            .map(|(_, figures)| figures[index])
+            .collect()
+    }
+
+    /// Prints the table.
+    pub fn print(&self) {
+        println!("\n== {}", self.name);
+        print!("{:>24}", "");
+        for column in &self.columns {
+            print!(" {column:>15}");
+        }
+        println!();
+        for (label, figures) in &self.rows {
+            print!("{label:>24}");
+            for figure in figures {
+                print!(" {:>15}", short(*figure));
+            }
+            println!();
+        }
+    }
+
+    /// Prints the line of `column` over `x`.
+    pub fn print_fit(&self, x: &str, column: &str) -> Line {
+        let values = self.column(column);
+        let points: Vec<(f64, f64)> = self.column(x).into_iter().zip(values).collect();
+        let line = Line::new(&points);
+        println!("   {column} over {x}: {line}");
+        line
+    }
+
+    /// Writes the table to `folder`, if one is given.
+    ///
+    /// # Errors
+    ///
+    /// What the file system says.
+    pub fn save(&self, folder: Option<&Path>) -> io::Result<()> {
+        let Some(folder) = folder else {
+            return Ok(());
+        };
+        fs::create_dir_all(folder)?;
+        let mut text = format!("label,{}\n", self.columns.join(","));
+        for (label, figures) in &self.rows {
+            let figures: Vec<String> = figures.iter().map(f64::to_string).collect();
+            text = format!("{text}{label},{}\n", figures.join(","));
+        }
+        fs::write(folder.join(format!("{}.csv", self.name)), text)
+    }
+}
+
+/// Three digits after the point for small figures, none for large ones.
+fn short(figure: f64) -> String {
+    match figure.abs() {
+        size if size >= 1_000.0 => format!("{figure:.0}"),
+        size if size >= 10.0 => format!("{figure:.1}"),
+        size if size >= 0.1 || size == 0.0 => format!("{figure:.3}"),
+        _ => format!("{figure:.5}"),
+    }
+}
--- /dev/null
+++ b/crates/bench/src/slopes/keeper.rs
@@ -0,0 +1,105 @@
+//! The keeper of a pool: frames, bytes and processor time by rate and by replicas.
+
+use std::time::Duration;
+
+use crate::report::Report;
+use crate::world::Size;
+use crate::world::World;
+use crate::world::kind::Kind;
+
+const COLUMNS: [&str; 13] = [
+    "daemons",
+    "replicas",
+    "pools",
+    "rate",
+    "done/s",
+    "refused/s",
+    "keeper_msg/s",
+    "keeper_KB/s",
+    "keeper_pct",
+    "other_KB/s",
+    "other_pct",
+    "place_B/req",
+    "advance_B/req",
+];
+const SETTLE: Duration = Duration::from_mins(2);
+/// Load before the measurement begins.
+const WARM_UP: Duration = Duration::from_secs(3);
+
+/// A load to be measured.
+#[derive(Debug, Clone, Copy)]
+pub struct Load {
+    /// Daemons.
+    pub daemons: usize,
+    /// Replicas.
+    pub replicas: usize,
+    /// Pools that the replicas are split into.
+    pub pools: usize,
+    /// Requests a second in all pools.
+    pub rate: f64,
+    /// Prefix blocks of each prompt.
+    pub blocks: usize,
+    /// Tokens of each answer.
+    pub tokens: u32,
+}
+
+/// Measures `loads` for `span` of virtual time each; the busiest daemon counts as the keeper.
+pub fn measure(name: &str, loads: &[Load], span: Duration, seed: u64) -> Report {
+    let mut report = Report::new(name, &COLUMNS);
+    for load in loads {
+        let label = format!("{} replicas {}/s", load.replicas, load.rate);
+        report.push(&label, &one(load, span, seed));
+    }
+    report.print();
+    report
+}
+
+fn one(load: &Load, span: Duration, seed: u64) -> Vec<f64> {
+    let size = Size {
+        daemons: load.daemons,
+        zones: 11.min(load.daemons),
+        replicas: load.replicas,
+        pools: load.pools,
+        rows: 100,
+    };
+    let mut world = World::new(size, seed);
+    world.settle(SETTLE);
+    world.load(load.rate, WARM_UP, load.blocks, load.tokens);
+    world.tally.reset();
+    world.load(load.rate, span, load.blocks, load.tokens);
+    let seconds = span.as_secs_f64();
+    let tally = &world.tally;
+    let daemons = load.daemons as f64;
+    let requests = load.rate * seconds;
+    let each = |kind: Kind| tally.bytes(kind) * daemons / requests;
+    let [bytes, frames, work] = [
+        tally.bytes_of_each(),
+        tally.frames_of_each(),
+        tally.seconds_of_each(),
+    ];
+    vec![
+        daemons,
+        load.replicas as f64,
+        load.pools as f64,
+        load.rate,
+        tally.answers.done as f64 / seconds,
+        tally.answers.refused as f64 / seconds,
+        most(&frames) / seconds,
+        most(&bytes) / seconds / 1_024.0,
+        most(&work) / seconds * 100.0,
+        median(&bytes) / seconds / 1_024.0,
+        median(&work) / seconds * 100.0,
+        each(Kind::Place),
+        each(Kind::Advance),
+    ]
+}
+
+fn most(values: &[f64]) -> f64 {
+    values.iter().copied().fold(0.0, f64::max)
+}
+
+fn median(values: &[f64]) -> f64 {
+    let mut sorted = values.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    sorted[sorted.len() / 2]
+}
--- /dev/null
+++ b/crates/bench/src/slopes/stream.rs
@@ -0,0 +1,72 @@
+//! Memory and processor time of open streams at a real daemon.
+
+use std::time::Duration;
+
+use scenario::error::Error;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use crate::arms::Through;
+use crate::arms::prompt;
+use crate::report::Report;
+use crate::stage::Size;
+use crate::stage::Stage;
+
+const COLUMNS: [&str; 5] = ["streams", "rss_MB", "cpu_pct", "files", "tokens/s"];
+/// Time between two tokens of a stream.
+const TOKEN: Duration = Duration::from_millis(100);
+/// Tokens asked for: more than come while it is measured.
+const TOKENS: u32 = 100_000;
+const WORDS: usize = 500;
+/// Pause until all streams run.
+const SETTLE: Duration = Duration::from_secs(6);
+/// Pause between two streams that are opened.
+const GAP: Duration = Duration::from_millis(4);
+const MEGABYTE: f64 = 1_048_576.0;
+
+/// Measures one daemon with `counts` open streams, for `span` each.
+///
+/// # Errors
+///
+/// What kept the daemon from running.
+pub async fn measure(counts: &[usize], span: Duration) -> Result<Report, Error> {
+    let mut report = Report::new("streams", &COLUMNS);
+    for count in counts {
+        let figures = one(*count, span).await?;
+        report.push(&format!("{count} streams"), &figures);
+    }
+    report.print();
+    for column in ["rss_MB", "cpu_pct", "files"] {
+        report.print_fit("streams", column);
+    }
+    Ok(report)
+}
+
+async fn one(count: usize, span: Duration) -> Result<Vec<f64>, Error> {
+    let mut stage = Stage::start(Size::new(1).with_token(TOKEN)).await?;
+    let through = Through::new(stage.callers()?);
+    let mut streams = JoinSet::new();
+    for number in 0..count as u64 {
+        let through = through.clone();
+        streams.spawn(async move {
+            through
+                .model(number, &prompt(1, number, WORDS), TOKENS)
+                .await
+        });
+        sleep(GAP).await;
+    }
+    sleep(SETTLE).await;
+    let usage = stage.daemons_usage()?;
+    sleep(span).await;
+    let used = stage.daemons_usage()?.since(usage);
+    let files = stage.descriptors(0)?;
+    let open = count - streams.try_join_next().map_or(0, |_| 1);
+    let seconds = span.as_secs_f64();
+    Ok(vec![
+        open as f64,
+        used.rss / MEGABYTE,
+        used.cpu / seconds * 100.0,
+        files as f64,
+        open as f64 / TOKEN.as_secs_f64(),
+    ])
+}
--- /dev/null
+++ b/crates/bench/src/world/act.rs
@@ -0,0 +1,79 @@
+//! What follows from the actions of a core.
+
+use std::time::Duration;
+
+use ident::Instance;
+use node::action::Action;
+use node::action::Ask;
+use node::action::Tell;
+use node::action::Verdict;
+use node::event::Event;
+use node::ids::Query;
+use wire::Frame;
+
+use crate::world::World;
+use crate::world::backs;
+use crate::world::kind::Kind;
+use crate::world::store::Store;
+
+/// Time of a call to the store.
+const CALL: Duration = Duration::from_millis(2);
+
+/// Carries out `action` of daemon `index`.
+pub(super) fn carry_out(world: &mut World, index: usize, action: Action) {
+    match action {
+        Action::Send { to, frame } => send(world, index, to, frame),
+        Action::Query { query, ask } => ask_store(world, index, query, &ask),
+        Action::Inspect { replica, .. } => {
+            let state = Some(world.backs.inspect(replica));
+            let at = world.now + backs::ANSWER;
+            world.push(at, index, Event::Inspected { replica, state });
+        }
+        Action::Order {
+            order,
+            replica,
+            handle,
+            owner,
+            task,
+            ..
+        } => {
+            for (after, event) in world.backs.order(order, replica, handle, owner, &task) {
+                world.push(world.now + after, index, event);
+            }
+        }
+        Action::Tell { tell, .. } => answer(world, &tell),
+        _ => {}
+    }
+}
+
+fn send(world: &mut World, from: usize, to: Instance, frame: Box<Frame>) {
+    let kind = Kind::of_body(&frame.body);
+    let bytes = wire::encode(&frame).map_or(0, |bytes| bytes.len());
+    let target = world.index.get(&to).copied();
+    let target = target.filter(|target| world.cut[*target] == world.cut[from]);
+    world.tally.frame(from, target, kind, bytes);
+    if let Some(target) = target {
+        let delay = world.delay(world.seats[from].zone, world.seats[target].zone);
+        world.push(world.now + delay, target, Event::Frame(frame));
+    }
+}
+
+fn ask_store(world: &mut World, index: usize, query: Query, ask: &Ask) {
+    let outcome = if world.store.reachable(world.cut[index]) {
+        world.store.answer(ask)
+    } else {
+        Store::refusal()
+    };
+    world.push(world.now + CALL, index, Event::Stored { query, outcome });
+}
+
+fn answer(world: &mut World, tell: &Tell) {
+    let answers = &mut world.tally.answers;
+    match tell {
+        Tell::Done { .. } | Tell::Answer { .. } => answers.done += 1,
+        Tell::Refusal(_) => answers.refused += 1,
+        Tell::Edit(Verdict::Accepted { .. } | Verdict::Repeated { .. }) => answers.accepted += 1,
+        Tell::Edit(_) => answers.undecided += 1,
+        _ => {}
+    }
+}
