--- a/crates/fleet/src/claim.rs
+++ b/crates/fleet/src/claim.rs
@@ -118,10 +118,22 @@
     /// Starts or ends the suspicion, spreads the record and puts the change out.
     fn note(&mut self, now: Time, member: Member, before: Option<State>) {
         let deadline = now + self.suspicion();
-        if let Some(peer) = self.roster.peers.get_mut(&member.instance) {
-            let since = peer.suspicion.map_or(now, |suspicion| suspicion.since);
-            let suspicion = Suspicion { since, deadline };
-            peer.suspicion = (member.state == State::Suspect).then_some(suspicion);
+        let suspicions = &mut self.roster.suspicions;
+        let since = suspicions
+            .get(&member.instance)
+            .map_or(now, |suspicion| suspicion.since);
+        if member.state == State::Suspect {
+            suspicions.insert(
+                member.instance,
+                Suspicion {
+                    since,
+                    deadline,
+                    expired: false,
+                    missed: 0,
+                },
+            );
+        } else {
+            suspicions.remove(&member.instance);
         }
         self.news.push(member);
         if before != Some(member.state) {
--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -1,6 +1,7 @@
 //! What is sent to whom.
 
 use ident::Instance;
+use ident::Time;
 use rand::seq::IndexedRandom;
 
 use crate::Fleet;
@@ -9,38 +10,34 @@
 use crate::Output;
 use crate::member::State;
 use crate::probe::Asker;
+use crate::probe::SuspectPing;
 use crate::roster::Peer;
 
 impl Fleet {
     /// Periods between two pulls at most.
     const MAX_PULL_GAP: u32 = 64;
 
+    /// Answers a pull.
     pub(crate) fn send_page(&mut self, to: Instance, first: Instance) {
         let peers = &self.roster.peers;
         let records = peers.range(first..).chain(peers.range(..first));
-        let records = records.filter(|(instance, _)| **instance != to);
-        let records = records
-            .map(|(_, peer)| peer.member)
-            .take(self.settings.page);
+        let records = records.map(|(_, peer)| peer.member);
+        let records = records.filter(|member| member.instance != to);
+        let records = records.take(self.settings.page);
         let news = std::iter::once(self.me).chain(records).collect();
         self.send(to, Message::Page { news });
     }
 
     /// Pings one suspected member, so that it learns of the suspicion.
-    pub(crate) fn ping_suspect(&mut self) {
+    pub(crate) fn ping_suspect(&mut self, now: Time) {
         let roster = &self.roster;
-        let is_suspect = |instance| {
-            roster
-                .peers
-                .get(&instance)
-                .is_some_and(|peer| peer.suspicion.is_some())
-        };
-        let all = || {
-            let present = roster.present().map(|peer| peer.member.instance);
-            present.filter(|instance| is_suspect(*instance)).collect()
-        };
+        let is_suspect = |instance| roster.suspicions.contains_key(&instance);
+        let all = || roster.suspicions.keys().copied().collect();
         let target = self.suspect_round.next(&mut self.rng, is_suspect, all);
-        target.map(|target| self.ping(target));
+        if let Some(target) = target {
+            self.ping(target);
+            self.suspect_ping = Some(SuspectPing { target, sent: now });
+        }
     }
 
     /// Pings one listed instance that is dead or was never heard of.
@@ -75,9 +72,9 @@
         self.send(helper, Message::Pull { from: first, news });
     }
 
-    /// Pulls again at once if the last page left fewer than `before` instances unknown.
+    /// Pulls again at once if the last page told of a run that was not known.
     pub(crate) fn pull_more(&mut self, before: usize) {
-        if self.roster.unknown().count() < before {
+        if self.roster.runs.len() > before {
             self.pull_gap = 1;
             self.periods_to_pull = 0;
             self.pull();
@@ -115,21 +112,22 @@
         let room = self.settings.news.saturating_sub(news.len());
         let repeats = self.settings.repeats(self.size());
         news.extend(self.news.take(room, repeats));
-        let room = self
-            .settings
-            .news
-            .saturating_sub(news.len())
-            .min(self.settings.filler);
-        for _ in 0..room {
-            let roster = &self.roster;
-            let known = |instance| roster.peers.contains_key(&instance);
-            let all = || roster.peers.keys().copied().collect();
-            let next = self.filler.next(&mut self.rng, known, all);
-            news.extend(next.map(|instance| self.roster.peers[&instance].member));
+        let room = self.settings.news.saturating_sub(news.len());
+        for _ in 0..room.min(self.settings.filler) {
+            news.extend(self.fill());
         }
         news
     }
 
+    /// The next record to fill a message up with.
+    fn fill(&mut self) -> Option<Member> {
+        let peers = &self.roster.peers;
+        let known = |instance| peers.contains_key(&instance);
+        let all = || peers.keys().copied().collect();
+        let next = self.filler.next(&mut self.rng, known, all)?;
+        peers.get(&next).map(|peer| peer.member)
+    }
+
     pub(crate) fn next_seq(&mut self) -> u32 {
         let seq = self.seq;
         self.seq = self.seq.wrapping_add(1);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,6 +19,12 @@
 //! - A suspected member is probed again each period by those that suspect it.
 //! - `Dead` is final for an incarnation. A daemon that learns that it was declared dead gives its
 //!   incarnation up ([`Fleet::declared_dead`]).
+//! - A listed member is declared dead only by a daemon in contact with a majority of the listed
+//!   instances (where there are more than two). Others can't tell which side is cut off; they leave the member suspected, but no
+//!   longer count it as in reach, so that ownership moves. When a partition heals, the daemons of
+//!   a larger side therefore keep their incarnations, and where no side holds a majority, all do.
+//!   The cost: while no majority of the listed instances is in contact, no run is declared dead
+//!   until the platform's list drops it.
 //! - Members that lack records of listed instances ask for them a page at a time, so that a
 //!   newcomer knows a large fleet within seconds; listed instances held dead are pinged at a
 //!   constant rate, so that two sides of a healed partition find each other.
--- a/crates/fleet/src/news.rs
+++ b/crates/fleet/src/news.rs
@@ -5,6 +5,7 @@
 use ident::Instance;
 
 use crate::Member;
+use crate::member::State;
 
 /// A record and how often it has been sent.
 #[derive(Debug, Clone)]
@@ -13,6 +14,13 @@
     sent: u32,
 }
 
+impl Item {
+    /// Whether the record tells no more than that a run began.
+    fn begins(&self) -> bool {
+        self.member.state == State::Alive && self.member.version == 0
+    }
+}
+
 /// The records to spread, at most one for each instance.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Queue {
@@ -25,18 +33,20 @@
         self.items.insert(member.instance, Item { member, sent: 0 });
     }
 
-    /// Takes up to `room` records, the least sent first, and drops those sent `repeats` times.
+    /// Takes up to `room` records and drops those sent `repeats` times.
+    ///
+    /// Least sent first, but beginnings of runs last: when many daemons start together these would
+    /// hold up the news of a death, and a newcomer makes itself known by its own messages as well.
     pub(crate) fn take(&mut self, room: usize, repeats: u32) -> Vec<Member> {
-        let mut order: Vec<(u32, Instance)> = self
-            .items
-            .iter()
-            .map(|(instance, item)| (item.sent, *instance))
+        let items = self.items.iter();
+        let mut order: Vec<(bool, u32, Instance)> = items
+            .map(|(instance, item)| (item.begins(), item.sent, *instance))
             .collect();
         order.sort_unstable();
         order.truncate(room);
         let picked = order
             .into_iter()
-            .filter_map(|(_, instance)| self.send(instance, repeats));
+            .filter_map(|(_, _, instance)| self.send(instance, repeats));
         picked.collect()
     }
 
--- a/crates/fleet/src/output.rs
+++ b/crates/fleet/src/output.rs
@@ -16,7 +16,8 @@
         /// The message.
         message: Message,
     },
-    /// A member appeared or its state changed.
+    /// A member appeared, its state changed, or (both states `Suspect`) it went out of reach
+    /// without being declared dead.
     Changed {
         /// The member with its new state.
         member: Member,
--- a/crates/fleet/src/probe.rs
+++ b/crates/fleet/src/probe.rs
@@ -19,6 +19,13 @@
     pub(crate) indirect: bool,
 }
 
+/// The ping of a suspected member in this period.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct SuspectPing {
+    pub(crate) target: Instance,
+    pub(crate) sent: Time,
+}
+
 /// A ping on behalf of another member.
 #[derive(Debug, Clone, Copy)]
 struct Relay {
@@ -69,6 +76,34 @@
     }
 }
 
+/// The outcomes of the last probes.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Outcomes {
+    answered: VecDeque<bool>,
+}
+
+impl Outcomes {
+    /// Probes remembered; they were sent to as many members drawn at random.
+    const CAPACITY: usize = 6;
+
+    pub(crate) fn push(&mut self, answered: bool) {
+        if self.answered.len() == Self::CAPACITY {
+            self.answered.pop_front();
+        }
+        self.answered.push_back(answered);
+    }
+
+    pub(crate) fn clear(&mut self) {
+        self.answered.clear();
+    }
+
+    /// How many of `others` answer, judged by the last probes and rounded up.
+    pub(crate) fn scale(&self, others: usize) -> usize {
+        let answered = self.answered.iter().filter(|answered| **answered).count();
+        (others * answered).div_ceil(self.answered.len().max(1))
+    }
+}
+
 /// Targets in random order; each comes once before any comes again.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Round {
--- a/crates/fleet/src/query.rs
+++ b/crates/fleet/src/query.rs
@@ -47,12 +47,14 @@
         }
     }
 
-    /// The members that are not dead, this daemon among them.
+    /// The members in reach, this daemon among them unless it was declared dead: alive, leaving,
+    /// or suspected for less than the suspicion lasts.
     pub fn alive(&self) -> impl Iterator<Item = &Member> + '_ {
-        self.members().filter(|member| member.state != State::Dead)
+        let me = std::iter::once(&self.me).filter(|me| me.state != State::Dead);
+        me.chain(self.roster.in_reach().map(|peer| &peer.member))
     }
 
-    /// The members that are neither dead nor leaving, by their own word or the list's.
+    /// The members in reach that are not leaving, by their own word or the list's.
     pub fn serving(&self) -> impl Iterator<Item = &Member> + '_ {
         self.alive().filter(|member| !self.leaving(member.instance))
     }
@@ -69,6 +71,26 @@
         1 + heard.count()
     }
 
+    /// How many listed instances are in contact with this daemon, itself counted.
+    ///
+    /// Direct messages alone can't tell in time: at constant cost a daemon hears a few members a
+    /// second ([`Fleet::heard_since`]). Counted are the listed members that are not suspected, but
+    /// at most the share of the last probes, sent to members drawn at random, that was answered. A
+    /// daemon that is cut off with few others sees its probes fail within about a second; one that
+    /// is cut off with many sees the far side suspected by all of them.
+    pub fn reachable(&self) -> usize {
+        let fine = self.roster.listed.keys().filter(|instance| {
+            let state = self
+                .roster
+                .peers
+                .get(instance)
+                .map(|peer| peer.member.state);
+            matches!(state, Some(State::Alive | State::Leaving))
+        });
+        let others = self.roster.listed.len();
+        1 + fine.count().min(self.outcomes.scale(others))
+    }
+
     /// How many instances are listed, this one counted even if it is not.
     pub fn known(&self) -> usize {
         1 + self.roster.listed.len()
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -19,8 +19,6 @@
     pub(crate) heard: Option<Time>,
     /// Whether this run was ever known to leave; a suspicion hides that state.
     pub(crate) leaving: bool,
-    /// While it is suspected.
-    pub(crate) suspicion: Option<Suspicion>,
 }
 
 impl Peer {
@@ -30,7 +28,6 @@
             member,
             heard: None,
             leaving,
-            suspicion: None,
         }
     }
 
@@ -44,6 +41,10 @@
 pub(crate) struct Suspicion {
     pub(crate) since: Time,
     pub(crate) deadline: Time,
+    /// Whether it did not refute in time, but this daemon could not tell who is cut off.
+    pub(crate) expired: bool,
+    /// Own pings that it left unanswered, counted while this daemon was not cut off.
+    pub(crate) missed: u32,
 }
 
 /// Runs that are over, the latest last.
@@ -82,6 +83,8 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Roster {
     pub(crate) peers: BTreeMap<Instance, Peer>,
+    /// The present members that are suspected.
+    pub(crate) suspicions: BTreeMap<Instance, Suspicion>,
     pub(crate) listed: BTreeMap<Instance, Entry>,
     pub(crate) runs: BTreeMap<Incarnation, Instance>,
     pub(crate) past: Past,
@@ -91,12 +94,14 @@
     /// Puts a new run in place of the former one of its instance, which it returns.
     pub(crate) fn put(&mut self, member: Member) -> Option<Member> {
         let former = self.peers.insert(member.instance, Peer::new(member));
+        self.suspicions.remove(&member.instance);
         self.runs.insert(member.incarnation, member.instance);
         former.map(|peer| self.retire(peer.member))
     }
 
     /// Forgets `instance`; its run is remembered as over.
     pub(crate) fn remove(&mut self, instance: Instance) {
+        self.suspicions.remove(&instance);
         let peer = self.peers.remove(&instance);
         peer.map(|peer| self.retire(peer.member));
     }
@@ -123,6 +128,23 @@
         self.peers.values().filter(|peer| peer.present())
     }
 
+    /// Members that are neither dead nor suspected beyond their time.
+    pub(crate) fn in_reach(&self) -> impl Iterator<Item = &Peer> + '_ {
+        self.present()
+            .filter(|peer| !self.lost(peer.member.instance))
+    }
+
+    /// Whether `instance` is among the members in reach.
+    pub(crate) fn in_reach_at(&self, instance: Instance) -> bool {
+        let present = self.peers.get(&instance).is_some_and(Peer::present);
+        present && !self.lost(instance)
+    }
+
+    fn lost(&self, instance: Instance) -> bool {
+        let suspicion = self.suspicions.get(&instance);
+        suspicion.is_some_and(|suspicion| suspicion.expired)
+    }
+
     /// Forgets dead members that are off the list.
     pub(crate) fn prune(&mut self) {
         let gone = self.peers.iter();
--- a/crates/fleet/src/swim.rs
+++ b/crates/fleet/src/swim.rs
@@ -15,9 +15,11 @@
 use crate::entry::Entry;
 use crate::member::State;
 use crate::news::Queue;
+use crate::probe::Outcomes;
 use crate::probe::Probe;
 use crate::probe::Relays;
 use crate::probe::Round;
+use crate::probe::SuspectPing;
 use crate::roster::Roster;
 
 /// One daemon's view of all daemons.
@@ -33,6 +35,10 @@
     pub(crate) seq: u32,
     pub(crate) next_period: Time,
     pub(crate) probe: Option<Probe>,
+    pub(crate) outcomes: Outcomes,
+    /// When contact with a majority was last found lacking; `None` once that is long ago.
+    pub(crate) cut_off: Option<Time>,
+    pub(crate) suspect_ping: Option<SuspectPing>,
     pub(crate) relays: Relays,
     pub(crate) round: Round,
     /// Takes the suspected members in turn.
@@ -63,6 +69,9 @@
             seq: 0,
             next_period: Time::ZERO,
             probe: None,
+            outcomes: Outcomes::default(),
+            cut_off: None,
+            suspect_ping: None,
             relays: Relays::default(),
             round: Round::default(),
             suspect_round: Round::default(),
@@ -111,7 +120,7 @@
             Some(sender) if sender.instance == from && !self.declared_dead() => *sender,
             _ => return,
         };
-        let unknown = self.roster.unknown().count();
+        let runs = self.roster.runs.len();
         for member in news.iter().take(Self::MAX_NEWS) {
             self.learn(now, *member);
         }
@@ -125,7 +134,7 @@
             Message::Ack { seq, .. } => self.acknowledged(from, *seq),
             Message::Probe { seq, target, .. } => self.relay(from, *seq, *target),
             Message::Pull { from: first, .. } => self.send_page(from, *first),
-            Message::Page { .. } => self.pull_more(unknown),
+            Message::Page { .. } => self.pull_more(runs),
         }
     }
 
@@ -149,8 +158,9 @@
         self.settings.suspicion(self.size())
     }
 
+    /// Members known, the listed dead ones among them.
     pub(crate) fn size(&self) -> usize {
-        1 + self.roster.present().count()
+        1 + self.roster.peers.len()
     }
 
     fn next_step(&self) -> Time {
@@ -159,7 +169,7 @@
         }
         let probe = self.probe.filter(|probe| !probe.indirect);
         let probe = probe.map(|probe| probe.sent + self.settings.direct);
-        let suspicions = self.roster.present().filter_map(|peer| peer.suspicion);
+        let suspicions = self.roster.suspicions.values();
         let suspicions = suspicions.map(|suspicion| suspicion.deadline);
         suspicions.chain(probe).fold(self.next_period, Time::min)
     }
@@ -171,13 +181,12 @@
         }
         self.clock.resume(now, self.seq);
         self.probe = None;
+        self.suspect_ping = None;
+        self.outcomes.clear();
+        self.cut_off = Some(now);
         self.next_period = now;
         let deadline = now + self.suspicion();
-        let suspicions = self
-            .roster
-            .peers
-            .values_mut()
-            .filter_map(|peer| peer.suspicion.as_mut());
+        let suspicions = self.roster.suspicions.values_mut();
         suspicions.for_each(|suspicion| suspicion.deadline = deadline);
     }
 
@@ -198,6 +207,7 @@
         self.clock.answered(seq);
         if self.probe.is_some_and(|probe| probe.seq == seq) {
             self.probe = None;
+            self.outcomes.push(true);
         }
         if let Some(asker) = self.relays.take(seq, from) {
             self.acknowledge(asker.instance, asker.seq);
@@ -211,8 +221,10 @@
         }
         self.next_period = now + self.settings.period;
         self.settle_probe(now);
+        self.settle_suspect();
+        self.note_contact(now);
         self.probe_next(now);
-        self.ping_suspect();
+        self.ping_suspect(now);
         self.ping_absent();
         self.pull();
     }
--- /dev/null
+++ b/crates/fleet/tests/membership.rs
@@ -0,0 +1,573 @@
+//! Membership among fleets on a network in virtual time.
+
+mod net;
+
+use std::time::Duration;
+
+use fleet::Fleet;
+use fleet::Message;
+use fleet::Output;
+use fleet::Settings;
+use fleet::member::State;
+use ident::Instance;
+use ident::Time;
+use net::Net;
+use net::entries;
+use net::instance;
+use net::member;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::any;
+use proptest::prop_assert;
+use proptest::prop_assert_eq;
+use proptest::proptest;
+use rstest::rstest;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// `count` daemons that know each other.
+fn converged(count: usize, seed: u64) -> Net {
+    let mut net = Net::new(count, seed);
+    net.converge(SECOND * 30);
+    net.run(SECOND * 2);
+    net.reset_counters();
+    net
+}
+
+#[rstest]
+#[case(1, 1)]
+#[case(2, 1)]
+#[case(9, 2)]
+#[case(100, 5)]
+fn a_cold_start_converges(#[case] count: usize, #[case] seconds: u32) {
+    let mut net = Net::new(count, 7);
+    assert!(net.run_until(SECOND * seconds, Net::agreed).is_some());
+    net.run(SECOND * 5);
+    assert!(net.agreed());
+    assert!(
+        net.seen
+            .iter()
+            .all(|seen| seen.member.state == State::Alive)
+    );
+}
+
+#[test]
+fn a_newcomer_is_known_and_knows_all_within_two_seconds() {
+    let mut net = converged(100, 3);
+    net.kill(5);
+    net.run(SECOND * 10);
+    net.restart(5, 1);
+    assert!(net.run_until(SECOND * 2, Net::agreed).is_some());
+}
+
+#[rstest]
+fn a_dead_daemon_among_nine_is_found_in_time(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    let mut net = converged(9, seed);
+    net.run(Duration::from_millis(seed * 37));
+    let victim = net.fleet(4).me().incarnation;
+    net.kill(4);
+    let limit = Duration::from_millis(2_500);
+    let found = net.run_until(limit, |net| net.dead_at(victim) == 8);
+    assert!(found.is_some(), "not dead everywhere after {limit:?}");
+    assert_eq!(
+        net.seen
+            .iter()
+            .filter(|seen| seen.member.state == State::Dead)
+            .count(),
+        8
+    );
+}
+
+#[test]
+fn a_suspected_daemon_refutes() {
+    let mut net = converged(9, 4);
+    let target = *net.fleet(3).me();
+    let claim = target.with_state(State::Suspect);
+    net.with_fleet(0, |fleet, now| {
+        let sender = *fleet.current(instance(1)).expect("known");
+        let message = Message::Page {
+            news: vec![sender, claim],
+        };
+        fleet.receive(now, instance(1), &message);
+        assert_eq!(fleet.state(target.incarnation), Some(State::Suspect));
+    });
+    net.run(SECOND * 3);
+    for index in 0..9 {
+        let held = net
+            .fleet(index)
+            .by_incarnation(target.incarnation)
+            .expect("known");
+        assert_eq!(held.state, State::Alive);
+        assert_eq!(held.version, target.version + 1);
+    }
+}
+
+#[test]
+fn a_restart_replaces_the_former_run() {
+    let mut net = converged(9, 5);
+    let former = net.fleet(2).me().incarnation;
+    net.restart(2, 1);
+    let current = net.fleet(2).me().incarnation;
+    assert!(net.run_until(SECOND * 2, Net::agreed).is_some());
+    for index in (0..9).filter(|index| *index != 2) {
+        assert_eq!(net.fleet(index).state(former), Some(State::Dead));
+        assert_eq!(net.fleet(index).state(current), Some(State::Alive));
+        assert_eq!(
+            net.fleet(index).current(instance(2)).map(|m| m.incarnation),
+            Some(current)
+        );
+    }
+    let ended = net
+        .seen
+        .iter()
+        .filter(|seen| seen.member.incarnation == former);
+    assert_eq!(
+        ended
+            .filter(|seen| seen.member.state == State::Dead)
+            .count(),
+        8
+    );
+}
+
+#[test]
+fn a_record_of_a_former_run_changes_nothing() {
+    let mut net = converged(3, 5);
+    net.restart(2, 1);
+    net.run(SECOND * 2);
+    let current = *net.fleet(2).me();
+    let former = member(2, 0).with_state(State::Alive);
+    net.with_fleet(0, |fleet, now| {
+        fleet.receive(
+            now,
+            instance(2),
+            &Message::Ping {
+                seq: 9,
+                news: vec![former],
+            },
+        );
+        assert_eq!(fleet.state(former.incarnation), Some(State::Dead));
+        assert_eq!(fleet.current(instance(2)), Some(&current));
+    });
+}
+
+#[test]
+fn a_leaving_daemon_is_present_but_does_not_serve() {
+    let mut net = converged(9, 6);
+    net.with_fleet(1, Fleet::leave);
+    net.run(SECOND * 2);
+    assert!(net.agreed());
+    for index in 0..9 {
+        let fleet = net.fleet(index);
+        assert_eq!(
+            fleet.current(instance(1)).map(|m| m.state),
+            Some(State::Leaving)
+        );
+        assert_eq!(fleet.serving().count(), 8);
+        assert!((0..1_000).all(|key| fleet.owner(key) != Some(instance(1))));
+    }
+    net.run(SECOND * 30);
+    assert!(net.agreed());
+    assert_eq!(
+        net.seen
+            .iter()
+            .filter(|seen| seen.member.state == State::Dead)
+            .count(),
+        0
+    );
+}
+
+#[test]
+fn a_suspected_leaving_daemon_stays_leaving() {
+    let mut net = converged(9, 6);
+    net.with_fleet(1, Fleet::leave);
+    net.run(SECOND * 2);
+    net.pause(1);
+    net.run(Duration::from_millis(700));
+    for index in (0..9).filter(|index| *index != 1) {
+        assert_eq!(net.fleet(index).serving().count(), 8);
+    }
+    net.resume(1);
+    net.run(SECOND * 2);
+    for index in 0..9 {
+        assert_eq!(
+            net.fleet(index).current(instance(1)).map(|m| m.state),
+            Some(State::Leaving)
+        );
+    }
+}
+
+#[test]
+fn an_instance_off_the_list_is_forgotten_only_when_it_is_dead() {
+    let mut net = converged(9, 8);
+    let victim = net.fleet(8).me().incarnation;
+    net.set_list(&entries(0..8));
+    net.run(SECOND * 5);
+    assert!(net.agreed());
+    assert_eq!(net.fleet(0).known(), 8);
+    net.kill(8);
+    net.run(SECOND * 3);
+    assert_eq!(net.fleet(0).members().count(), 8);
+    assert_eq!(net.fleet(0).state(victim), Some(State::Dead));
+}
+
+#[test]
+fn a_listed_dead_instance_is_forgotten_when_the_list_drops_it() {
+    let mut net = converged(9, 8);
+    net.kill(8);
+    net.run(SECOND * 3);
+    assert_eq!(net.fleet(0).members().count(), 9);
+    net.set_list(&entries(0..8));
+    assert_eq!(net.fleet(0).members().count(), 8);
+}
+
+#[test]
+fn a_paused_daemon_learns_that_it_was_declared_dead_and_kills_nobody() {
+    let mut net = converged(9, 9);
+    net.pause(3);
+    net.run(SECOND * 10);
+    assert_eq!(net.dead_at(net.fleet(3).me().incarnation), 8);
+    assert!(
+        net.fleet(3).paused(net.now),
+        "the gap shows before any step"
+    );
+    net.seen.clear();
+    net.resume(3);
+    net.run(SECOND);
+    assert!(net.fleet(3).declared_dead());
+    assert!(
+        !net.fleet(3)
+            .serving()
+            .any(|member| member.instance == instance(3))
+    );
+    let judged = net
+        .seen
+        .iter()
+        .filter(|seen| seen.by == 3 && seen.member.instance != instance(3));
+    assert_eq!(
+        judged
+            .filter(|seen| seen.member.state == State::Dead)
+            .count(),
+        0
+    );
+}
+
+#[rstest]
+fn a_pause_shorter_than_the_suspicion_is_survived(#[values(1, 2, 3, 4, 5, 6)] seed: u64) {
+    let mut net = converged(9, seed);
+    net.pause(3);
+    net.run(Duration::from_millis(600));
+    net.resume(3);
+    assert!(net.fleet(3).paused(net.now));
+    net.run(SECOND);
+    assert!(!net.fleet(3).paused(net.now));
+    assert!(!net.fleet(3).declared_dead());
+    net.run(SECOND * 3);
+    assert!(net.agreed());
+    assert_eq!(
+        net.seen
+            .iter()
+            .filter(|seen| seen.member.state == State::Dead)
+            .count(),
+        0
+    );
+}
+
+#[test]
+fn messages_that_waited_during_a_pause_do_not_end_it() {
+    let settings = Settings::default();
+    let mut fleet = Fleet::new(member(0, 0), settings, 1);
+    let mut out = Vec::new();
+    fleet.set_list(Time::ZERO, &entries(0..2));
+    fleet.step(Time::ZERO, &mut out);
+    let hello = Message::Ping {
+        seq: 1,
+        news: vec![member(1, 0)],
+    };
+    fleet.receive(Time::from_millis(10), instance(1), &hello);
+    fleet.step(Time::from_millis(10), &mut out);
+    let before = pings(&out);
+    let late = Time::from_millis(9_000);
+    assert!(fleet.paused(late));
+    for seq in before {
+        fleet.receive(
+            late,
+            instance(1),
+            &Message::Ack {
+                seq,
+                news: vec![member(1, 0)],
+            },
+        );
+    }
+    fleet.receive(late, instance(1), &hello);
+    assert!(fleet.paused(late));
+    out.clear();
+    fleet.step(late, &mut out);
+    assert!(fleet.paused(late));
+    let seq = *pings(&out).last().expect("a ping after the gap");
+    fleet.receive(
+        late,
+        instance(1),
+        &Message::Ack {
+            seq,
+            news: vec![member(1, 0)],
+        },
+    );
+    assert!(!fleet.paused(late));
+}
+
+fn pings(out: &[Output]) -> Vec<u32> {
+    let pings = out.iter().filter_map(|output| match output {
+        Output::Send {
+            message: Message::Ping { seq, .. },
+            ..
+        } => Some(*seq),
+        _ => None,
+    });
+    pings.collect()
+}
+
+#[test]
+fn a_lone_daemon_is_never_paused_and_owns_all() {
+    let mut fleet = Fleet::new(member(0, 0), Settings::default(), 1);
+    let mut out = Vec::new();
+    fleet.step(Time::ZERO, &mut out);
+    assert!(!fleet.paused(Time::from_millis(90_000)));
+    assert_eq!(fleet.owner(5), Some(instance(0)));
+    assert_eq!(fleet.known(), 1);
+    assert_eq!(fleet.heard_since(Time::ZERO), 1);
+}
+
+#[test]
+fn a_newer_run_of_the_own_instance_ends_this_one() {
+    let mut fleet = Fleet::new(member(0, 0), Settings::default(), 1);
+    let news = vec![member(1, 0), member(0, 1)];
+    fleet.receive(Time::ZERO, instance(1), &Message::Page { news });
+    assert!(fleet.declared_dead());
+}
+
+#[test]
+fn a_forgotten_run_still_gets_its_verdict() {
+    let mut net = converged(3, 2);
+    net.pause(2);
+    net.run(SECOND * 5);
+    net.set_list(&entries(0..2));
+    net.run(SECOND);
+    assert_eq!(net.fleet(0).current(instance(2)), None);
+    net.resume(2);
+    net.run(SECOND);
+    assert!(net.fleet(2).declared_dead());
+}
+
+#[rstest]
+#[case(9, 3)]
+#[case(9, 1)]
+#[case(40, 13)]
+#[case(40, 19)]
+#[case(100, 9)]
+#[case(100, 33)]
+fn a_healed_partition_ends_only_the_runs_of_the_smaller_side(
+    #[case] count: usize,
+    #[case] smaller: usize,
+) {
+    let mut net = converged(count, 11 + count as u64);
+    net.side[..smaller].fill(1);
+    net.run(SECOND * 20);
+    assert_eq!(net.fleet(0).alive().count(), smaller);
+    assert_eq!(net.fleet(count - 1).alive().count(), count - smaller);
+    net.side.fill(0);
+    net.run(SECOND * 10);
+    for index in 0..count {
+        assert_eq!(net.fleet(index).declared_dead(), index < smaller);
+    }
+}
+
+#[test]
+fn a_partition_without_a_larger_side_ends_no_run() {
+    let mut net = converged(9, 11);
+    for index in 0..9 {
+        net.side[index] = index / 3;
+    }
+    net.run(SECOND * 20);
+    assert!((0..9).all(|index| net.fleet(index).alive().count() == 3));
+    let own = net
+        .fleet(0)
+        .serving()
+        .map(|member| member.instance)
+        .collect::<Vec<_>>();
+    assert!((0..500).all(|key| net.fleet(0).owner(key).is_some_and(|o| own.contains(&o))));
+    net.side.fill(0);
+    assert!(net.run_until(SECOND * 5, Net::agreed).is_some());
+    assert!(net.seen.iter().all(|seen| seen.member.state != State::Dead));
+}
+
+#[rstest]
+#[case(9)]
+#[case(100)]
+fn a_single_daemon_that_was_cut_off_ends_no_run_but_its_own(#[case] count: usize) {
+    let mut net = converged(count, 31);
+    net.side[0] = 1;
+    net.run(SECOND * 10);
+    net.side.fill(0);
+    net.run(SECOND * 10);
+    for index in 0..count {
+        assert_eq!(net.fleet(index).declared_dead(), index == 0);
+    }
+}
+
+#[test]
+fn a_bare_majority_declares_the_others_dead() {
+    let mut net = converged(9, 16);
+    for index in 5..9 {
+        net.kill(index);
+    }
+    let dead = |net: &Net| (5..9).all(|index| net.dead_at(net.fleet(index).me().incarnation) == 5);
+    assert!(net.run_until(SECOND * 8, dead).is_some());
+}
+
+#[test]
+fn without_half_of_the_list_a_run_is_declared_dead_once_the_list_drops_it() {
+    let mut net = converged(9, 14);
+    let victim = net.fleet(8).me().incarnation;
+    for index in 4..9 {
+        net.kill(index);
+    }
+    net.run(SECOND * 10);
+    assert_eq!(net.dead_at(victim), 0);
+    assert_eq!(net.fleet(0).alive().count(), 4);
+    net.set_list(&entries(0..4));
+    net.run(SECOND);
+    assert_eq!(net.dead_at(victim), 4);
+}
+
+#[test]
+fn contact_with_the_list_is_told_within_seconds() {
+    let mut net = converged(100, 15);
+    assert_eq!(net.fleet(0).reachable(), 100);
+    net.side[0] = 1;
+    net.side[40..].fill(2);
+    net.run(SECOND * 3);
+    assert!(net.fleet(0).reachable() < 10, "alone");
+    assert!(net.fleet(1).reachable() < 50, "with 39 of 100");
+    assert!(net.fleet(99).reachable() > 50, "with 60 of 100");
+}
+
+#[test]
+fn contact_counts_listed_instances_heard_directly() {
+    let mut net = converged(9, 12);
+    net.run(SECOND * 3);
+    let since = net.now - SECOND * 3;
+    assert_eq!(net.fleet(0).known(), 9);
+    assert_eq!(net.fleet(0).heard_since(since), 9);
+    for index in 5..9 {
+        net.side[index] = 1;
+    }
+    net.run(SECOND * 3);
+    let since = net.now - SECOND * 2;
+    assert_eq!(net.fleet(0).heard_since(since), 5);
+    assert_eq!(net.fleet(8).heard_since(since), 4);
+}
+
+#[test]
+fn a_message_whose_first_record_is_not_its_sender_is_dropped() {
+    let mut fleet = Fleet::new(member(0, 0), Settings::default(), 1);
+    fleet.receive(
+        Time::ZERO,
+        instance(1),
+        &Message::Ping {
+            seq: 1,
+            news: Vec::new(),
+        },
+    );
+    let news = vec![member(2, 0)];
+    fleet.receive(Time::ZERO, instance(1), &Message::Ping { seq: 1, news });
+    assert_eq!(fleet.members().count(), 1);
+}
+
+#[test]
+fn messages_per_daemon_do_not_grow_with_the_fleet() {
+    let rate = |count| {
+        let mut net = converged(count, 13);
+        net.run(SECOND * 30);
+        net.reset_counters();
+        net.run(SECOND * 20);
+        let most = net.sent.iter().map(|sent| sent.messages).max().unwrap_or(0);
+        let total: u64 = net.sent.iter().map(|sent| sent.messages).sum();
+        (total as f64 / count as f64 / 20.0, most as f64 / 20.0)
+    };
+    let (small, _) = rate(9);
+    let (large, most) = rate(100);
+    assert!(
+        (large - small).abs() < 0.5,
+        "{small} and {large} messages a second"
+    );
+    assert!(most < 16.0, "{most} messages a second at one daemon");
+}
+
+#[test]
+fn encoded_messages_stay_below_their_bound() {
+    let mut full = member(400, 9).with_state(State::Suspect);
+    full.version = u32::MAX;
+    let news = vec![full; Settings::default().page + 1];
+    let page = Message::Page { news: news.clone() };
+    assert!(net::encoded(&page) <= page.max_bytes());
+    assert!(page.max_bytes() < 1_400, "a page fits a datagram");
+    let probe = Message::Probe {
+        seq: u32::MAX,
+        target: Instance(u64::MAX),
+        news,
+    };
+    assert!(net::encoded(&probe) <= probe.max_bytes());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 24, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn with_loss_the_running_daemons_agree_again(
+        seed in any::<u64>(),
+        count in 2_usize..20,
+        loss in 0_u32..50,
+    ) {
+        let mut net = Net::new(count, seed);
+        net.loss = loss;
+        net.run(SECOND * 10);
+        net.kill(0);
+        net.run(SECOND * 10);
+        net.restart(0, 1);
+        net.run(SECOND * 10);
+        net.loss = 0;
+        net.run(SECOND * 10);
+        // A daemon that loss got declared dead has learnt it; all others agree on the rest.
+        for index in 0..count {
+            let me = net.fleet(index).me().incarnation;
+            prop_assert_eq!(net.fleet(index).declared_dead(), net.dead_at(me) > 0);
+        }
+        let fit: Vec<usize> = (0..count).filter(|i| !net.fleet(*i).declared_dead()).collect();
+        for index in &fit {
+            prop_assert_eq!(net.fleet(*index).alive().count(), fit.len());
+        }
+    }
+
+    #[test]
+    fn no_run_comes_back_and_no_version_goes_down(seed in any::<u64>(), loss in 0_u32..300) {
+        let mut net = Net::new(7, seed);
+        net.loss = loss;
+        net.run(SECOND * 5);
+        // The restarted daemon begins with an empty view, so what it saw before does not count.
+        net.seen.retain(|seen| seen.by != 1);
+        net.restart(1, 1);
+        net.run(SECOND * 5);
+        net.kill(2);
+        net.run(SECOND * 10);
+        for by in 0..7 {
+            let mut last = std::collections::BTreeMap::new();
+            for seen in net.seen.iter().filter(|seen| seen.by == by) {
+                let member = seen.member;
+                let before = last.insert(member.incarnation, member);
+                if let Some(before) = before {
+                    prop_assert!(before.state != State::Dead, "came back: {:?}", seen);
+                    prop_assert!(member.version >= before.version);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/net/mod.rs
@@ -0,0 +1,329 @@
+//! A network of fleets in virtual time.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use fleet::Fleet;
+use fleet::Member;
+use fleet::Message;
+use fleet::Output;
+use fleet::Settings;
+use fleet::entry::Entry;
+use fleet::member::State;
+use ident::Incarnation;
+use ident::Instance;
+use ident::Time;
+use ident::Zone;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+/// One-way delay of every message, in microseconds, and what is added to it at most at random.
+const DELAY_US: u64 = 1_500;
+const JITTER_US: u64 = 1_000;
+/// Bytes of IP and UDP headers, counted for each message.
+const HEADER_BYTES: usize = 28;
+
+/// A change of state seen at one daemon.
+#[derive(Debug, Clone, Copy)]
+pub struct Seen {
+    pub at: Time,
+    pub by: usize,
+    pub member: Member,
+    pub before: Option<State>,
+}
+
+/// What one daemon sent.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Sent {
+    pub messages: u64,
+    pub bytes: u64,
+}
+
+#[derive(Debug, Clone)]
+enum Event {
+    Step(usize),
+    Message(usize, Instance, Message),
+}
+
+#[derive(Debug)]
+struct Node {
+    fleet: Fleet,
+    next: Time,
+    up: bool,
+    /// Messages that wait while the daemon is paused; `None` if it runs.
+    inbox: Option<Vec<(Instance, Message)>>,
+}
+
+/// Daemons with a network between them.
+#[derive(Debug)]
+pub struct Net {
+    pub now: Time,
+    pub seen: Vec<Seen>,
+    pub sent: Vec<Sent>,
+    /// Messages lost, in thousandths.
+    pub loss: u32,
+    /// Side of each daemon; messages between two sides are lost.
+    pub side: Vec<usize>,
+    nodes: Vec<Node>,
+    names: BTreeMap<Instance, usize>,
+    queue: BinaryHeap<Reverse<(Time, u64)>>,
+    events: BTreeMap<u64, Event>,
+    ticket: u64,
+    rng: Pcg64Mcg,
+    settings: Settings,
+}
+
+pub fn instance(index: usize) -> Instance {
+    Instance::new(&format!("entry-{index}"))
+}
+
+pub fn zone(index: usize) -> Zone {
+    Zone::new(["osijek-a", "vinkovci-b", "dakovo-c"][index % 3])
+}
+
+pub fn member(index: usize, run: u64) -> Member {
+    let incarnation = Incarnation(Instance::new(&format!("{index}#{run}")).0);
+    Member::new(
+        instance(index),
+        incarnation,
+        1_790_000_000_000 + run,
+        zone(index),
+    )
+}
+
+pub fn entries(indices: impl Iterator<Item = usize>) -> Vec<Entry> {
+    indices
+        .map(|index| Entry::new(instance(index), zone(index)))
+        .collect()
+}
+
+impl Net {
+    /// `count` daemons that all start at once with the whole list.
+    pub fn new(count: usize, seed: u64) -> Self {
+        Self::with_settings(count, seed, Settings::default())
+    }
+
+    pub fn with_settings(count: usize, seed: u64, settings: Settings) -> Self {
+        let mut net = Self {
+            now: Time::from_millis(1),
+            seen: Vec::new(),
+            sent: vec![Sent::default(); count],
+            loss: 0,
+            side: vec![0; count],
+            nodes: Vec::new(),
+            names: (0..count).map(|index| (instance(index), index)).collect(),
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            ticket: 0,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            settings,
+        };
+        let list = entries(0..count);
+        for index in 0..count {
+            let seed = net.rng.random();
+            let mut fleet = Fleet::new(member(index, 0), settings, seed);
+            fleet.set_list(net.now, &list);
+            net.nodes.push(Node {
+                fleet,
+                next: Time::NEVER,
+                up: true,
+                inbox: None,
+            });
+            let start = net.now + Duration::from_micros(net.rng.random_range(0..200_000));
+            net.plan(index, start);
+        }
+        net
+    }
+
+    pub fn count(&self) -> usize {
+        self.nodes.len()
+    }
+
+    pub fn fleet(&self, index: usize) -> &Fleet {
+        &self.nodes[index].fleet
+    }
+
+    /// Lets the daemon do something besides protocol steps, and steps it then.
+    pub fn with_fleet(&mut self, index: usize, act: impl FnOnce(&mut Fleet, Time)) {
+        act(&mut self.nodes[index].fleet, self.now);
+        self.step(index);
+    }
+
+    pub fn set_list(&mut self, list: &[Entry]) {
+        let now = self.now;
+        for node in &mut self.nodes {
+            node.fleet.set_list(now, list);
+        }
+    }
+
+    pub fn kill(&mut self, index: usize) {
+        self.nodes[index].up = false;
+    }
+
+    pub fn restart(&mut self, index: usize, run: u64) {
+        let seed = self.rng.random();
+        let mut fleet = Fleet::new(member(index, run), self.settings, seed);
+        fleet.set_list(self.now, &entries(0..self.count()));
+        self.nodes[index] = Node {
+            fleet,
+            next: Time::NEVER,
+            up: true,
+            inbox: None,
+        };
+        self.plan(index, self.now);
+    }
+
+    /// Stops the daemon; what is sent to it waits.
+    pub fn pause(&mut self, index: usize) {
+        self.nodes[index].inbox = Some(Vec::new());
+    }
+
+    /// Lets the daemon run again and read what waited, before any step.
+    pub fn resume(&mut self, index: usize) {
+        let inbox = self.nodes[index].inbox.take().unwrap_or_default();
+        for (from, message) in inbox {
+            self.nodes[index].fleet.receive(self.now, from, &message);
+        }
+        self.step(index);
+    }
+
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while let Some(&Reverse((at, ticket))) = self.queue.peek() {
+            if at > end {
+                break;
+            }
+            self.queue.pop();
+            self.now = at;
+            match self.events.remove(&ticket) {
+                Some(Event::Step(index)) if self.nodes[index].next == at => self.step(index),
+                Some(Event::Message(to, from, message)) => self.deliver(to, from, message),
+                _ => {}
+            }
+        }
+        self.now = end;
+    }
+
+    /// Runs until `done` holds, looking every 10 ms; `None` if it does not within `limit`.
+    pub fn run_until(&mut self, limit: Duration, done: impl Fn(&Self) -> bool) -> Option<Duration> {
+        let start = self.now;
+        while !done(self) {
+            if self.now.since(start) >= limit {
+                return None;
+            }
+            self.run(Duration::from_millis(10));
+        }
+        Some(self.now.since(start))
+    }
+
+    /// Whether every running daemon holds exactly the running ones to be in reach.
+    pub fn agreed(&self) -> bool {
+        let running = || {
+            self.nodes
+                .iter()
+                .filter(|node| node.up && node.inbox.is_none())
+        };
+        let up: BTreeSet<Incarnation> = running().map(|node| node.fleet.me().incarnation).collect();
+        running().all(|node| {
+            let fleet = &node.fleet;
+            let count = fleet.alive().count();
+            count == up.len() && fleet.alive().all(|member| up.contains(&member.incarnation))
+        })
+    }
+
+    /// How many running daemons hold `incarnation` dead.
+    pub fn dead_at(&self, incarnation: Incarnation) -> usize {
+        let nodes = self.nodes.iter().filter(|node| node.up);
+        nodes
+            .filter(|node| node.fleet.state(incarnation) == Some(State::Dead))
+            .count()
+    }
+
+    /// Runs until all agree, looking every 200 ms.
+    pub fn converge(&mut self, limit: Duration) {
+        let start = self.now;
+        while !self.agreed() {
+            assert!(self.now.since(start) < limit, "the fleet converges");
+            self.run(Duration::from_millis(200));
+        }
+    }
+
+    pub fn reset_counters(&mut self) {
+        self.sent.fill(Sent::default());
+        self.seen.clear();
+    }
+
+    fn plan(&mut self, index: usize, at: Time) {
+        if self.nodes[index].next != at {
+            self.nodes[index].next = at;
+            self.push(at, Event::Step(index));
+        }
+    }
+
+    fn push(&mut self, at: Time, event: Event) {
+        self.ticket += 1;
+        self.events.insert(self.ticket, event);
+        self.queue.push(Reverse((at, self.ticket)));
+    }
+
+    fn step(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        if !node.up || node.inbox.is_some() {
+            return;
+        }
+        let mut out = Vec::new();
+        let next = node.fleet.step(self.now, &mut out);
+        assert!(next > self.now, "a step must not ask for another at once");
+        self.plan(index, next);
+        for output in out {
+            match output {
+                Output::Send { to, message } => self.send(index, to, message),
+                Output::Changed { member, before } => {
+                    self.seen.push(Seen {
+                        at: self.now,
+                        by: index,
+                        member,
+                        before,
+                    });
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: Instance, message: Message) {
+        self.sent[from].messages += 1;
+        self.sent[from].bytes += (encoded(&message) + HEADER_BYTES) as u64;
+        let lost = self.rng.random_range(0..1_000) < self.loss;
+        let target = self.names.get(&to).copied();
+        let target = target.filter(|target| self.side[*target] == self.side[from]);
+        if let Some(target) = target.filter(|_| !lost) {
+            let delay = DELAY_US + self.rng.random_range(0..JITTER_US);
+            let at = self.now + Duration::from_micros(delay);
+            self.push(at, Event::Message(target, instance(from), message));
+        }
+    }
+
+    fn deliver(&mut self, to: usize, from: Instance, message: Message) {
+        let node = &mut self.nodes[to];
+        match &mut node.inbox {
+            _ if !node.up => {}
+            Some(inbox) => inbox.push((from, message)),
+            None => {
+                node.fleet.receive(self.now, from, &message);
+                self.step(to);
+            }
+        }
+    }
+}
+
+/// The size of `message` as `bincode` writes it.
+pub fn encoded(message: &Message) -> usize {
+    let bytes = bincode::serde::encode_to_vec(message, bincode::config::standard());
+    bytes.expect("a message serialises").len()
+}
