--- a/crates/table/src/file.rs
+++ b/crates/table/src/file.rs
@@ -16,6 +16,7 @@
 use crate::row::KEY_COLUMNS;
 use crate::row::Range;
 use crate::row::Row;
+use crate::row::is_name;
 
 /// The longest file that is read, in bytes.
 pub const MAX_BYTES: usize = 4 * 1024 * 1024;
@@ -171,18 +172,19 @@
 
 fn syntax(error: &serde_norway::Error) -> Error {
     let found = error.to_string();
-    let path = found
-        .split(": ")
-        .next()
-        .filter(|path| path.starts_with('['));
-    let field = path
-        .and_then(|path| path.rsplit_once('.'))
-        .map_or("", |(_, field)| field);
+    let field = found.split(": ").next().and_then(column);
+    let field = field.unwrap_or_default();
     let line = error.location().map(|location| location.line());
     let place = Place::new("", field).with_line(line);
     Error::Syntax { place, found }
 }
 
+/// The column in a path of the parser, such as `.[0].tbt_ms`.
+fn column(path: &str) -> Option<&str> {
+    let (row, field) = path.rsplit_once('.')?;
+    (row.ends_with(']') && is_name(field)).then_some(field)
+}
+
 /// Finds rows and columns in a file written in block style.
 #[derive(Debug)]
 struct Lines<'a> {
--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -1,7 +1,7 @@
 //! The operators' table: rows, checks, edits and generations.
 //!
 //! Operators drive the router by this table alone. The crate is pure: it reads no clock, file or
-//! socket. It holds the rows and their checks ([`row`], [`file`], [`error`]), edits and their
+//! socket. It holds the rows and their checks ([`row`], [`mod@file`], [`error`]), edits and their
 //! conflicts ([`edit`], [`diff`]), the form in which the platform's transactional service keeps
 //! the table ([`stored`]), and what a daemon may decide by ([`view`]).
 
@@ -14,6 +14,8 @@
 pub mod stored;
 pub mod view;
 
+mod plan;
+
 use std::collections::BTreeSet;
 
 use serde::Deserialize;
--- /dev/null
+++ b/crates/table/tests/view.rs
@@ -0,0 +1,187 @@
+//! What a daemon may decide by.
+
+use std::time::Duration;
+
+use ident::Time;
+use proptest::prelude::Just;
+use proptest::prelude::Strategy;
+use proptest::prop_assert;
+use proptest::prop_oneof;
+use proptest::proptest;
+use table::Table;
+use table::view::Offer;
+use table::view::View;
+
+const LEASE: Duration = Duration::from_secs(4);
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(10_000 + ms)
+}
+
+fn generation(generation: u64) -> Table {
+    Table::new(generation, Vec::new())
+}
+
+/// A view that holds `number`.
+fn holding(number: u64) -> View {
+    let mut view = View::new(LEASE);
+    assert_eq!(view.offer(at(0), generation(number)), Offer::Taken);
+    view
+}
+
+#[test]
+fn a_view_without_a_table_is_not_fresh() {
+    let mut view = View::new(LEASE);
+    view.vouch(at(0), Duration::ZERO);
+    view.contact(at(0), 9, 9);
+    assert!(!view.fresh(at(0)));
+    assert_eq!(view.age(at(0)), None);
+}
+
+#[test]
+fn a_table_does_not_confirm_itself() {
+    let view = holding(3);
+    assert!(!view.fresh(at(0)));
+}
+
+#[test]
+fn a_lower_generation_is_never_taken() {
+    let mut view = holding(3);
+    assert_eq!(view.offer(at(1), generation(2)), Offer::Older);
+    assert_eq!(view.offer(at(1), generation(3)), Offer::Same);
+    assert_eq!(view.generation(), 3);
+    assert_eq!(view.offer(at(1), generation(7)), Offer::Taken);
+    assert_eq!(view.generation(), 7);
+}
+
+#[test]
+fn a_read_of_the_store_lasts_for_a_lease_from_the_read() {
+    let mut view = holding(3);
+    view.vouch(at(0), Duration::from_secs(1));
+    assert!(view.fresh(at(2_999)));
+    assert!(!view.fresh(at(3_000)));
+    assert_eq!(view.age(at(500)), Some(Duration::from_millis(1_500)));
+}
+
+#[test]
+fn an_older_read_does_not_shorten_freshness() {
+    let mut view = holding(3);
+    view.vouch(at(0), Duration::ZERO);
+    view.vouch(at(0), Duration::from_secs(3));
+    assert!(view.fresh(at(3_999)));
+}
+
+#[test]
+fn contact_with_a_majority_counts_and_with_half_does_not() {
+    let mut view = holding(3);
+    view.contact(at(0), 4, 8);
+    assert!(!view.fresh(at(0)));
+    view.contact(at(0), 5, 8);
+    assert!(view.fresh(at(0)));
+}
+
+#[test]
+fn in_an_outage_of_the_store_contact_keeps_a_daemon_going() {
+    let mut view = holding(3);
+    view.vouch(at(0), Duration::ZERO);
+    for second in 1..3_600 {
+        view.contact(at(second * 1_000), 7, 9);
+        assert!(view.fresh(at(second * 1_000)));
+    }
+}
+
+#[test]
+fn cut_off_from_both_a_daemon_stops_within_the_lease() {
+    let mut view = holding(3);
+    view.vouch(at(0), Duration::ZERO);
+    view.contact(at(1_000), 9, 9);
+    view.contact(at(2_000), 4, 9);
+    assert!(view.fresh(at(4_999)));
+    assert!(!view.fresh(at(5_000)));
+}
+
+#[test]
+fn a_daemon_that_is_behind_catches_up_or_stops() {
+    let mut view = holding(3);
+    view.vouch(at(0), Duration::ZERO);
+    view.announce(4);
+    assert!(view.behind());
+    view.vouch(at(3_000), Duration::ZERO);
+    view.contact(at(3_000), 9, 9);
+    assert!(view.fresh(at(3_999)));
+    assert!(!view.fresh(at(4_000)));
+    assert_eq!(view.offer(at(5_000), generation(4)), Offer::Taken);
+    view.vouch(at(5_000), Duration::ZERO);
+    assert!(!view.behind());
+    assert!(view.fresh(at(5_000)));
+}
+
+#[test]
+fn after_a_restart_a_stale_read_does_not_hide_a_newer_generation() {
+    let mut view = View::new(LEASE);
+    view.announce(12);
+    assert_eq!(view.offer(at(0), generation(10)), Offer::Taken);
+    view.contact(at(0), 9, 9);
+    view.vouch(at(0), Duration::ZERO);
+    assert!(!view.fresh(at(0)));
+}
+
+#[test]
+fn a_paused_daemon_is_not_fresh_when_it_wakes() {
+    let mut view = holding(3);
+    view.contact(at(0), 9, 9);
+    assert!(!view.fresh(at(60_000)));
+}
+
+#[derive(Debug, Clone)]
+enum Event {
+    Offer(u64),
+    Announce(u64),
+    Vouch(u64),
+    Contact(usize),
+    Wait(u64),
+}
+
+fn events() -> impl Strategy<Value = Vec<Event>> {
+    let event = prop_oneof![
+        (0_u64..10).prop_map(Event::Offer),
+        (0_u64..10).prop_map(Event::Announce),
+        (0_u64..9_000).prop_map(Event::Vouch),
+        (1_usize..=9).prop_map(Event::Contact),
+        (0_u64..3_000).prop_map(Event::Wait),
+        Just(Event::Wait(0)),
+    ];
+    proptest::collection::vec(event, 0..60)
+}
+
+proptest! {
+    #[test]
+    fn generations_never_go_down_and_freshness_has_a_source(events in events()) {
+        let mut view = View::new(LEASE);
+        let mut now = at(0);
+        let mut held = 0;
+        let mut source: Option<Time> = None;
+        for event in events {
+            match event {
+                Event::Offer(number) => {
+                    view.offer(now, generation(number));
+                }
+                Event::Announce(number) => view.announce(number),
+                Event::Vouch(age) => {
+                    let age = Duration::from_millis(age);
+                    view.vouch(now, age);
+                    source = source.max(Some(now - age));
+                }
+                Event::Contact(heard) => {
+                    view.contact(now, heard, 9);
+                    source = if heard > 4 { Some(now) } else { source };
+                }
+                Event::Wait(ms) => now = now + Duration::from_millis(ms),
+            }
+            prop_assert!(view.generation() >= held);
+            held = view.generation();
+            let allowed = source.is_some_and(|source| now.since(source) < LEASE);
+            prop_assert!(!view.fresh(now) || allowed);
+        }
+    }
+}
