--- a/crates/entry/src/callers/answer.rs
+++ b/crates/entry/src/callers/answer.rs
@@ -94,8 +94,8 @@
 /// A refusal as JSON.
 pub fn refusal_json(refusal: &Refusal) -> Value {
     json!({
-        "outcome": outcome(refusal.outcome),
-        "reason": reason(refusal.reason),
+        "outcome": refusal.outcome.word(),
+        "reason": refusal.reason.word(),
         "retry_after_ms": refusal.retry_after_ms,
         "addresses": refusal.addresses,
     })
@@ -111,8 +111,8 @@
 
 fn rejected(why: Reason, retry_after_ms: u64, cause: &str) -> Value {
     json!({
-        "outcome": outcome(Outcome::NotRun),
-        "reason": reason(why),
+        "outcome": Outcome::NotRun.word(),
+        "reason": why.word(),
         "retry_after_ms": retry_after_ms,
         "addresses": [],
         "cause": cause,
@@ -122,7 +122,7 @@
 fn typed(status: StatusCode, result: Outcome, retry_after_ms: u64, body: &Value) -> Response<Body> {
     let mut answer = json(status, body);
     let headers = answer.headers_mut();
-    headers.insert(OUTCOME, HeaderValue::from_static(outcome(result)));
+    headers.insert(OUTCOME, HeaderValue::from_static(result.word()));
     if retry_after_ms > 0 {
         let seconds = retry_after_ms.div_ceil(1_000);
         headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
@@ -150,33 +150,3 @@
         (Outcome::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
-
-const fn outcome(outcome: Outcome) -> &'static str {
-    match outcome {
-        Outcome::NotRun => "not_run",
-        Outcome::Unknown => "unknown",
-        Outcome::Failed => "failed",
-    }
-}
-
-const fn reason(reason: Reason) -> &'static str {
-    match reason {
-        Reason::Invalid => "invalid",
-        Reason::NoRow => "no_row",
-        Reason::NoReplica => "no_replica",
-        Reason::Doomed => "doomed",
-        Reason::Ceiling => "ceiling",
-        Reason::RetryBudget => "retry_budget",
-        Reason::Stale => "stale",
-        Reason::Leaving => "leaving",
-        Reason::Full => "full",
-        Reason::KeyNeeded => "key_needed",
-        Reason::KeyExpired => "key_expired",
-        Reason::OtherRunner => "other_runner",
-        Reason::RunnerLost => "runner_lost",
-        Reason::BadToken => "bad_token",
-        Reason::StreamLost => "stream_lost",
-        Reason::AnswerGone => "answer_gone",
-        Reason::Backend => "backend",
-    }
-}
--- a/crates/entry/src/metrics/mod.rs
+++ b/crates/entry/src/metrics/mod.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use node::action::Count;
-use node::action::Outcome;
 use node::status::Status;
 use prometheus::Encoder;
 use prometheus::Gauge;
@@ -94,7 +93,7 @@
             Count::Good => self.good.inc(),
             Count::Answered => self.requests.with_label_values(&["answered"]).inc(),
             Count::Refused(outcome) => {
-                self.requests.with_label_values(&[word(outcome)]).inc();
+                self.requests.with_label_values(&[outcome.word()]).inc();
             }
             Count::Prefilled(tokens) => {
                 self.prefill_tokens
@@ -191,14 +190,6 @@
     }
 }
 
-const fn word(outcome: Outcome) -> &'static str {
-    match outcome {
-        Outcome::NotRun => "not_run",
-        Outcome::Unknown => "unknown",
-        Outcome::Failed => "failed",
-    }
-}
-
 fn build() -> Result<Metrics, prometheus::Error> {
     let registry = Registry::new();
     let r = &registry;
