--- a/crates/fake/src/engine/fence.rs
+++ b/crates/fake/src/engine/fence.rs
@@ -53,12 +53,12 @@
         Ok(())
     }
 
-    /// Notes a call that brings work, and refuses it also if its handle was cancelled.
+    /// Notes a call that brings work. A cancelled handle is refused first, whatever its number: no
+    /// other reader is in place.
     pub(super) fn admit_work(&mut self, claim: &Claim) -> Result<(), Refusal> {
-        self.admit(claim)?;
         match self.past(claim).cancelled {
             Some(at) if at.elapsed() < CANCELLED => Err(Refusal::Cancelled),
-            _ => Ok(()),
+            _ => self.admit(claim),
         }
     }
 
--- a/crates/node/src/asking.rs
+++ b/crates/node/src/asking.rs
@@ -369,14 +369,8 @@
             Told::Answered { status, body } => {
                 self.tell_recorded(nonce, Recorded { status, body }, out);
             }
-            Told::Unknown => {
-                let refusal = Self::refusal(Outcome::Unknown, Reason::Backend, Duration::ZERO);
-                self.close(nonce, refusal, out);
-            }
-            Told::Failed => {
-                let refusal = Self::refusal(Outcome::Failed, Reason::Backend, Duration::ZERO);
-                self.close(nonce, refusal, out);
-            }
+            Told::Unknown => self.close_tried(nonce, Outcome::Unknown, out),
+            Told::Failed => self.close_tried(nonce, Outcome::Failed, out),
             Told::Expired => {
                 let refusal = Self::refusal(Outcome::NotRun, Reason::KeyExpired, Duration::ZERO);
                 self.close(nonce, refusal, out);
@@ -391,6 +385,23 @@
         }
     }
 
+    /// The runner has tried the key without an answer: it may try a repeatable request again.
+    fn close_tried(&mut self, nonce: u64, outcome: Outcome, out: &mut Vec<Action>) {
+        let Some(question) = self.questions.get(&nonce) else {
+            return;
+        };
+        let request = question.request.as_ref();
+        let repeatable = request.is_some_and(|request| self.is_repeatable(request));
+        let refusal = match question.runner.filter(|_| repeatable) {
+            Some(runner) => Refusal {
+                outcome,
+                ..self.refusal_at(Reason::OtherRunner, runner)
+            },
+            None => Self::refusal(outcome, Reason::Backend, Duration::ZERO),
+        };
+        self.close(nonce, refusal, out);
+    }
+
     fn follow_stream(&mut self, nonce: u64, token: &str, out: &mut Vec<Action>) {
         if let Some(question) = self.questions.remove(&nonce) {
             self.resumed(question.call, &question.key.customer, token, 0, out);
--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -460,7 +460,9 @@
         out: &mut Vec<Action>,
     ) {
         let entry = &self.open[opened];
+        let elsewhere = entry.is_keyed() && entry.repeatable && !self.may_decide();
         let outcome = match () {
+            () if elsewhere => Outcome::Unknown,
             () if !entry.is_touched() => Outcome::NotRun,
             () if entry.repeatable => Outcome::Failed,
             () => Outcome::Unknown,
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -50,6 +50,9 @@
             (Some(Mark::Failed), Some(_)) if self.is_repeatable(&request) => {
                 self.open_new(call, key, &request, Some(Outcome::Failed), out);
             }
+            (Some(Mark::Unknown), Some(_)) if self.is_repeatable(&request) => {
+                self.open_new(call, key, &request, Some(Outcome::Unknown), out);
+            }
             (Some(mark), Some(key)) => self.repeat(call, key, mark, out),
             (None, Some(key)) if self.is_foreign(key) => {
                 self.ask(call, key.clone(), Some(request), out);
--- a/crates/node/src/keeping.rs
+++ b/crates/node/src/keeping.rs
@@ -386,6 +386,12 @@
         alive.then_some(member.instance)
     }
 
+    /// Whether this daemon may judge that owners are gone: cut off from the majority, it would take
+    /// the whole fleet for dead.
+    fn may_sweep(&self) -> bool {
+        self.has_majority() && !self.fleet.paused(self.now)
+    }
+
     fn note_orphans(
         &mut self,
         pool: Pool,
@@ -395,17 +401,21 @@
     ) {
         let now = self.now;
         let grace = self.settings.orphan_grace;
-        let paused = self.fleet.paused(now);
+        let may_sweep = self.may_sweep();
         let Some(kept) = self.cells.get_mut(&pool) else {
             return;
         };
         kept.orphans.retain(|(at, handle), _| {
             *at != replica || found.iter().any(|held| held.handle == *handle)
         });
+        if !may_sweep {
+            kept.orphans.clear();
+            return;
+        }
         let mut due = Vec::new();
         for held in found {
             let since = *kept.orphans.entry((replica, held.handle)).or_insert(now);
-            if now >= since + grace && !paused {
+            if now >= since + grace {
                 kept.orphans.remove(&(replica, held.handle));
                 due.push(*held);
             }
@@ -489,6 +499,9 @@
     pub(crate) fn audit(&mut self, out: &mut Vec<Action>) {
         let now = self.now;
         self.timers.audit = now + AUDIT_EVERY;
+        if !self.may_sweep() {
+            return;
+        }
         let mut gone = Vec::new();
         let mut questions: BTreeMap<Instance, Vec<Handle>> = BTreeMap::new();
         for kept in self.cells.values() {
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -8,13 +8,19 @@
 use fleet::member::State;
 use ident::Incarnation;
 use ident::Time;
+use ledger::stage::Stage;
 use rand::Rng;
 use wire::Body;
 
 use crate::action::Action;
+use crate::action::Outcome;
+use crate::action::Reason;
 use crate::decision::Step;
 use crate::list::List;
 use crate::node::Node;
+use crate::open::End;
+use crate::open::OpenKey;
+use crate::refusals::SOON;
 use crate::settings::Settings;
 
 /// Longest wait for unwritten records and unconfirmed releases once nothing else is in progress:
@@ -88,7 +94,7 @@
         let former = self.incarnation();
         let fresh = Incarnation(self.rng.next_u64());
         self.former.push(former);
-        let started = self.unix_ms();
+        let started = self.unix_ms().max(self.fleet.me().started + 1);
         let mut fleet = Fleet::new(
             member(&self.settings, fresh, started),
             fleet::Settings::default(),
@@ -105,6 +111,7 @@
         let name = self.settings.name.clone();
         self.log(&name, Step::Member, &format!("run {fresh}"), &reason, out);
         self.suspect_streams(out);
+        self.end_retaken(out);
         self.timers.fleet = self.now;
         self.reassign(out);
     }
@@ -129,6 +136,23 @@
             out,
         );
         self.suspect_streams(out);
+        self.end_retaken(out);
+    }
+
+    /// Ends requests that another instance may have run while this one was out of contact: keyed,
+    /// repeatable, and without a stream that shows who reads it.
+    fn end_retaken(&mut self, out: &mut Vec<Action>) {
+        let retaken: Vec<OpenKey> = self
+            .open
+            .iter()
+            .filter(|(_, entry)| entry.is_keyed() && entry.repeatable)
+            .filter(|(_, entry)| entry.stage != Stage::Decode)
+            .map(|(opened, _)| opened)
+            .collect();
+        for opened in retaken {
+            let refusal = Self::refusal(Outcome::Unknown, Reason::RunnerLost, SOON);
+            self.end(opened, &End::Refused(refusal), out);
+        }
     }
 
     pub(crate) fn listed(&mut self, list: List, out: &mut Vec<Action>) {
--- a/crates/node/src/open.rs
+++ b/crates/node/src/open.rs
@@ -213,6 +213,11 @@
         }
     }
 
+    /// Whether its key names its runner, so that other instances know where to ask.
+    pub fn is_keyed(&self) -> bool {
+        self.key.as_ref().and_then(Key::prefix).is_some()
+    }
+
     /// Whether it is a language-model request.
     pub const fn is_model(&self) -> bool {
         matches!(self.ticket.work, route::ticket::Work::Model { .. })
--- a/crates/node/src/tables.rs
+++ b/crates/node/src/tables.rs
@@ -272,7 +272,8 @@
             .and_then(|last| points.get(last).copied())
     }
 
-    fn has_majority(&self) -> bool {
+    /// Whether a majority of the listed instances, this one among them, is in contact.
+    pub(crate) fn has_majority(&self) -> bool {
         let since = self.now - self.settings.lease;
         self.fleet.known() <= 1 || self.contact_point().is_some_and(|point| point >= since)
     }
--- a/crates/route/src/row.rs
+++ b/crates/route/src/row.rs
@@ -11,7 +11,7 @@
 /// Time constant of the retry budget and of the drain rate.
 const WINDOW: Duration = Duration::from_secs(10);
 /// Retries that are always granted inside a window, so that a quiet row can retry at all.
-const MIN_RETRIES: f64 = 3.0;
+const MIN_RETRIES: f64 = 12.0;
 
 /// Rule, queue and counters of one row.
 #[derive(Debug)]
