--- a/crates/scenario/src/control.rs
+++ b/crates/scenario/src/control.rs
@@ -135,7 +135,7 @@
     }
 
     /// What `path` of an admin address answers the operator, if that is 200.
-    async fn as_operator(&self, admin: &str, path: &str) -> Option<Value> {
+    pub(crate) async fn as_operator(&self, admin: &str, path: &str) -> Option<Value> {
         let request = self
             .web
             .request(Method::GET, admin, path)
--- a/crates/scenario/src/play/book.rs
+++ b/crates/scenario/src/play/book.rs
@@ -50,6 +50,13 @@
         Err(fault)
     }
 
+    /// The name of the daemon at `address`.
+    pub fn name(&self, address: &str) -> String {
+        let mut named = self.daemons.iter();
+        let found = named.find(|(_, other)| *other == address);
+        found.map_or_else(|| address.to_owned(), |(name, _)| name.clone())
+    }
+
     async fn ask(&self, daemon: &str) -> Result<Addresses, String> {
         if let Some(answer) = self.kept(daemon) {
             return Ok(answer);
--- a/crates/scenario/src/play/promise.rs
+++ b/crates/scenario/src/play/promise.rs
@@ -4,8 +4,11 @@
 use std::time::Duration;
 
 use serde_json::Value;
+use tokio::time::Instant;
+use tokio::time::sleep;
 
 use crate::error::Error;
+use crate::play::LOOK_EVERY;
 use crate::play::Play;
 use crate::play::connection::Connection;
 use crate::play::connection::End;
@@ -30,6 +33,7 @@
         }
         let engines = self.witness.names();
         self.check_released(&engines, RELEASE_LIMIT).await?;
+        self.check_idle().await?;
         let runs = self.witness.all_runs().await;
         let logs: BTreeMap<String, Vec<Line>> = self
             .daemons()
@@ -55,6 +59,24 @@
         self.check_edits(&lines)
     }
 
+    /// Daemons, too, forget requests that are gone: no request, no hold, no place stays taken.
+    async fn check_idle(&self) -> Result<(), Error> {
+        let end = Instant::now() + RELEASE_LIMIT;
+        for daemon in self.daemons() {
+            let admin = self.fleet.daemon(&daemon)?.admin.clone();
+            loop {
+                let status = self.fleet.as_operator(&admin, "/v1/status").await;
+                let status = status.unwrap_or_default();
+                if is_idle(&status) {
+                    break;
+                }
+                self.ensure(Instant::now() < end, format!("{daemon} keeps {status}"))?;
+                sleep(LOOK_EVERY).await;
+            }
+        }
+        Ok(())
+    }
+
     /// A connection that was lost although nothing happened to its daemon.
     fn lost(&self, request: &Request) -> Option<String> {
         let lost = request.connections.iter().find(|connection| {
@@ -103,6 +125,16 @@
     }
 }
 
+/// Whether a daemon's status shows nothing in progress; true if it does not answer.
+fn is_idle(status: &Value) -> bool {
+    let none = |value: &Value| value.as_u64().unwrap_or(0) == 0;
+    let pools = status["pools"].as_array().cloned().unwrap_or_default();
+    let empty = pools
+        .iter()
+        .all(|pool| none(&pool["placed"]) && none(&pool["waiting"]));
+    none(&status["open"]) && none(&status["holds"]) && empty
+}
+
 /// Tokens that are not the request's own, or not in their order, or an end that is not the whole.
 fn tokens_fault(request: &Request) -> Option<String> {
     let expected = request.expected();
--- a/crates/scenario/src/play/request.rs
+++ b/crates/scenario/src/play/request.rs
@@ -21,6 +21,8 @@
 use crate::script::step::Model;
 use crate::script::step::Send;
 
+/// Reason of a refusal that names the one instance to go to.
+const OTHER_RUNNER: &str = "other_runner";
 /// Longest wait for the key of a request.
 const KEY_LIMIT: Duration = Duration::from_secs(10);
 
@@ -172,7 +174,11 @@
             Ok(found) => found,
             Err(cause) => return recorder.end(End::Lost(cause), None),
         };
-        let end = self.send(&address, &key, &recorder).await;
+        let mut end = self.send(&address, &key, &recorder).await;
+        if let Some(address) = self.elsewhere(&end) {
+            recorder.redirect(&self.book.name(&address));
+            end = self.send(&address, &key, &recorder).await;
+        }
         let mut runs = None;
         if end.is_not_run() {
             runs = Some(witness.runs(&key).await);
@@ -180,6 +186,16 @@
         recorder.end(end, runs);
     }
 
+    /// Where a repeat is told to go.
+    fn elsewhere(&self, end: &End) -> Option<String> {
+        match end {
+            End::Refused(refusal) if self.issued.is_none() && refusal.reason == OTHER_RUNNER => {
+                refusal.addresses.first().cloned()
+            }
+            _ => None,
+        }
+    }
+
     async fn send(&self, address: &str, key: &str, recorder: &Recorder) -> End {
         match (&self.prompt, self.ask.model) {
             (Some(prompt), Some(model)) => {
--- a/crates/scenario/src/script/step.rs
+++ b/crates/scenario/src/script/step.rs
@@ -98,7 +98,7 @@
     pub tokens: u32,
 }
 
-/// A repeat under the same key.
+/// A repeat under the same key, which goes once to another instance if it is told to.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Retry {
