Entry: old outcomes of all runs are deleted; failed orders name their attempt

Cause: rows of recorded outcomes were deleted only by the run that wrote them; instances are replaced at any time, so the rest would have stayed for ever. Ruled out: deletion on lookup (a key may never be asked for), every daemon each period (its reads grow with the fleet). Errors of orders are typed and logged with the attempt.

--- a/crates/entry/src/backends/mod.rs
+++ b/crates/entry/src/backends/mod.rs
@@ -90,7 +90,7 @@
             let mut began = false;
             let work = async {
                 began = true;
-                run::run(&client, &inbox, order, plan).await
+                run::run(&client, &inbox, order, claim.handle, plan).await
             };
             let event = tokio::select! {
                 biased;
--- a/crates/entry/src/backends/run.rs
+++ b/crates/entry/src/backends/run.rs
@@ -8,6 +8,7 @@
 use engine::Stream;
 use engine::stream;
 use engine::stream::Reason;
+use ident::Handle;
 use node::event::Event;
 use node::event::Failure;
 use node::event::Piece;
@@ -23,15 +24,40 @@
 /// Status by which a replica says that the prefill result is gone.
 const HTTP_GONE: u16 = 410;
 
-/// Carries out the order; the event that ends it.
-pub(super) async fn run(client: &Client, inbox: &Inbox, order: Order, plan: Plan) -> Event {
+/// Why an order ended badly.
+enum Fault {
+    /// The client says so.
+    Client(Error),
+    /// The stream ended with a reason that is no good end.
+    Stream(Reason),
+    /// Something that the order needs is not known here.
+    Incomplete,
+}
+
+impl From<Error> for Fault {
+    fn from(error: Error) -> Self {
+        Self::Client(error)
+    }
+}
+
+/// Carries out the order of an attempt; the event that ends it.
+pub(super) async fn run(
+    client: &Client,
+    inbox: &Inbox,
+    order: Order,
+    handle: Handle,
+    plan: Plan,
+) -> Event {
     let ended = match plan.0 {
         Some((peer, request)) => send(client, inbox, order, peer, request).await,
-        None => Err(Failure::NotSent),
+        None => Err(Fault::Incomplete),
     };
     match ended {
         Ok(reply) => Event::Answered { order, reply },
-        Err(failure) => Event::Failed { order, failure },
+        Err(fault) => Event::Failed {
+            order,
+            failure: failure(handle, &fault),
+        },
     }
 }
 
@@ -41,13 +67,10 @@
     order: Order,
     peer: SocketAddr,
     request: Request,
-) -> Result<Reply, Failure> {
+) -> Result<Reply, Fault> {
     match request {
         Request::Prefill(request) => {
-            let reply = client
-                .prefill(peer, &request)
-                .await
-                .map_err(|error| failure(&error))?;
+            let reply = client.prefill(peer, &request).await?;
             Ok(Reply::Prefilled {
                 computed: reply.computed,
                 cached: reply.cached,
@@ -55,31 +78,19 @@
             })
         }
         Request::Decode(request) => {
-            let stream = client
-                .decode(peer, &request)
-                .await
-                .map_err(|error| failure(&error))?;
+            let stream = client.decode(peer, &request).await?;
             read(stream, inbox, order).await
         }
         Request::Attach(request) => {
-            let stream = client
-                .attach(peer, &request)
-                .await
-                .map_err(|error| failure(&error))?;
+            let stream = client.attach(peer, &request).await?;
             read(stream, inbox, order).await
         }
         Request::Cancel(claim) => {
-            client
-                .cancel(peer, &claim)
-                .await
-                .map_err(|error| failure(&error))?;
+            client.cancel(peer, &claim).await?;
             Ok(Reply::Cancelled)
         }
         Request::Plain(request) => {
-            let reply = client
-                .call(peer, request)
-                .await
-                .map_err(|error| failure(&error))?;
+            let reply = client.call(peer, request).await?;
             Ok(Reply::Plain {
                 status: reply.status,
                 body: reply.body,
@@ -88,15 +99,15 @@
     }
 }
 
-async fn read(mut stream: Stream, inbox: &Inbox, order: Order) -> Result<Reply, Failure> {
+async fn read(mut stream: Stream, inbox: &Inbox, order: Order) -> Result<Reply, Fault> {
     while let Some(event) = stream.next().await {
-        let piece = piece(event.map_err(|error| failure(&error))?)?;
+        let piece = piece(event?)?;
         inbox.event(Event::Streamed { order, piece }).await;
     }
     Ok(Reply::StreamEnded)
 }
 
-fn piece(event: stream::Event) -> Result<Piece, Failure> {
+fn piece(event: stream::Event) -> Result<Piece, Fault> {
     match event {
         stream::Event::Imported => Ok(Piece::Imported),
         stream::Event::Tokens { offset, text } => Ok(Piece::Tokens {
@@ -108,33 +119,31 @@
             offset,
             reason: Reason::Stop,
         } => Ok(Piece::End { offset }),
-        stream::Event::End {
-            reason: Reason::Cancelled,
-            ..
-        } => Err(refused(HTTP_NOT_FOUND)),
-        stream::Event::End {
-            reason: Reason::Lost,
-            ..
-        } => Err(refused(HTTP_GONE)),
+        stream::Event::End { reason, .. } => Err(Fault::Stream(reason)),
         stream::Event::Superseded => Ok(Piece::Superseded),
     }
 }
 
-const fn refused(status: u16) -> Failure {
-    Failure::Refused {
-        status,
-        fence: None,
+fn failure(handle: Handle, fault: &Fault) -> Failure {
+    if let Fault::Client(error) = fault {
+        let handle = handle.to_string();
+        log::info!(step = "order", request = handle.as_str(); "{error}");
     }
-}
-
-fn failure(error: &Error) -> Failure {
-    log::info!(step = "order"; "{error}");
-    match error {
-        Error::NotSent { .. } => Failure::NotSent,
-        Error::Lost { .. } | Error::Malformed { .. } => Failure::Lost,
-        Error::Refused { status, .. } => Failure::Refused {
+    match fault {
+        Fault::Incomplete | Fault::Client(Error::NotSent { .. }) => Failure::NotSent,
+        Fault::Client(Error::Lost { .. } | Error::Malformed { .. }) => Failure::Lost,
+        Fault::Client(error @ Error::Refused { status, .. }) => Failure::Refused {
             status: *status,
             fence: error.fence(),
         },
+        // Both free all that the attempt held there.
+        Fault::Stream(Reason::Lost) => Failure::Refused {
+            status: HTTP_GONE,
+            fence: None,
+        },
+        Fault::Stream(_) => Failure::Refused {
+            status: HTTP_NOT_FOUND,
+            fence: None,
+        },
     }
 }
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -99,15 +99,20 @@
         metrics: Arc::clone(&parts.metrics),
         proof: config.secret.proof(peers::PURPOSE),
     };
-    let outlets = outlets(&config, &parts, peers.clone());
+    let outlets = outlets(&parts, peers.clone());
     tokio::spawn(Driver::new(clock, node, outlets).run(inputs));
     tokio::spawn(peers::serve(sockets.peer, peers));
-    tokio::spawn(platform::watch(
+    tokio::spawn(platform::watch_list(
         parts.client.clone(),
         config.name.clone(),
         Arc::clone(&parts.directory),
         parts.inbox.clone(),
     ));
+    tokio::spawn(platform::watch_outcomes(
+        parts.client.clone(),
+        parts.inbox.clone(),
+        config.timing.window,
+    ));
     log::info!(step = "start"; "{} serves callers at {}", config.name, config.listen.caller);
     serve_http(&config, &parts, sockets.caller, sockets.admin).await?;
     sleep(FAREWELL).await;
@@ -123,7 +128,7 @@
     })
 }
 
-fn outlets(config: &Config, parts: &Parts, peers: peers::Shared) -> Outlets {
+fn outlets(parts: &Parts, peers: peers::Shared) -> Outlets {
     Outlets {
         backends: Backends::new(
             Arc::clone(&parts.directory),
@@ -131,11 +136,7 @@
             Arc::clone(&parts.metrics),
         ),
         peers: Peers::new(peers),
-        platform: Platform::new(
-            parts.client.clone(),
-            parts.inbox.clone(),
-            config.timing.window,
-        ),
+        platform: Platform::new(parts.client.clone(), parts.inbox.clone()),
         recent: Arc::clone(&parts.recent),
         metrics: Arc::clone(&parts.metrics),
         stop: parts.stop.clone(),
--- a/crates/entry/src/platform/mod.rs
+++ b/crates/entry/src/platform/mod.rs
@@ -6,11 +6,10 @@
 mod list;
 mod outcomes;
 mod read;
+mod sweep;
 
-use std::sync::Arc;
 use std::time::Duration;
 
-use ident::Incarnation;
 use node::action::Ask;
 use node::event::Event;
 use node::event::Stored;
@@ -20,10 +19,11 @@
 use crate::config::Config;
 use crate::driver::inbox::Inbox;
 use crate::platform::error::Error;
-use crate::platform::outcomes::Written;
 
 pub use history::history;
-pub use list::watch;
+pub use list::watch as watch_list;
+pub use sweep::sweep;
+pub use sweep::watch as watch_outcomes;
 
 /// A call to the platform is given up after this time.
 const TIMEOUT: Duration = Duration::from_secs(1);
@@ -38,32 +38,26 @@
 pub struct Platform {
     client: Client,
     inbox: Inbox,
-    written: Arc<Written>,
 }
 
 impl Platform {
-    /// Answers of `client` go to `inbox`; outcomes are kept for `window`.
-    pub fn new(client: Client, inbox: Inbox, window: Duration) -> Self {
-        Self {
-            client,
-            inbox,
-            written: Arc::new(Written::new(window)),
-        }
+    /// Answers of `client` go to `inbox`.
+    pub fn new(client: Client, inbox: Inbox) -> Self {
+        Self { client, inbox }
     }
 
     /// Carries out `ask`; `Event::Stored` follows.
     pub fn query(&self, query: Query, ask: Ask) {
         let client = self.client.clone();
         let inbox = self.inbox.clone();
-        let written = Arc::clone(&self.written);
         tokio::spawn(async move {
-            let outcome = carry_out(&client, &written, ask).await;
+            let outcome = carry_out(&client, ask).await;
             inbox.event(Event::Stored { query, outcome }).await;
         });
     }
 }
 
-async fn carry_out(client: &Client, written: &Written, ask: Ask) -> Stored {
+async fn carry_out(client: &Client, ask: Ask) -> Stored {
     let outcome = match ask {
         Ask::Generation => read::generation(client).await,
         Ask::Table => read::table(client).await,
@@ -72,11 +66,7 @@
             incarnation,
             sequence,
             outcomes,
-        } => {
-            written
-                .record(client, incarnation, sequence, &outcomes)
-                .await
-        }
+        } => outcomes::record(client, incarnation, sequence, &outcomes).await,
         Ask::Outcome { incarnation, key } => outcomes::find(client, incarnation, &key).await,
     };
     outcome.unwrap_or_else(|error| Stored::Failed {
@@ -85,9 +75,4 @@
     })
 }
 
-/// The prefix of the recorded outcomes of `incarnation`.
-fn outcome_prefix(incarnation: Incarnation) -> String {
-    format!("outcome/{incarnation}/")
-}
-
 type Outcome = Result<Stored, Error>;
--- /dev/null
+++ b/crates/entry/src/platform/sweep.rs
@@ -0,0 +1,73 @@
+//! Deletes recorded outcomes that are past their window.
+//!
+//! The rows outlive the daemons that wrote them, so each daemon deletes those of all. On average
+//! one of them does so in each period, whatever their number.
+
+use std::time::Duration;
+
+use node::status::Status;
+use store::Client;
+use store::Error;
+use store::txn::Row;
+use store::txn::Txn;
+use tokio::time::sleep;
+
+use super::outcomes;
+use crate::clock;
+use crate::driver::inbox::Inbox;
+use crate::driver::inbox::Question;
+
+/// Rows deleted with one transaction.
+const BATCH: usize = 64;
+
+/// Sweeps now and then; never ends. Rows are kept for twice the `window` of keys.
+pub async fn watch(client: Client, inbox: Inbox, window: Duration) {
+    loop {
+        sleep(window / 2).await;
+        let status = inbox.ask(Question::Status).await;
+        let members = status.as_ref().map_or(1, alive);
+        if rand::random_range(0..members) > 0 {
+            continue;
+        }
+        match sweep(&client, window * 2).await {
+            Ok(0) => {}
+            Ok(count) => log::info!(step = "sweep"; "{count} rows of old outcomes deleted"),
+            Err(error) => log::warn!(step = "sweep"; "{error}"),
+        }
+    }
+}
+
+/// Deletes rows of outcomes that were written more than `age` ago; their number.
+///
+/// # Errors
+/// The platform did not carry it out in full.
+pub async fn sweep(client: &Client, age: Duration) -> Result<usize, Error> {
+    let limit = clock::unix().saturating_sub(age).as_secs();
+    let rows = client.rows(outcomes::PREFIX).await?;
+    let old: Vec<Row> = rows
+        .into_iter()
+        .filter(|row| is_older(row, limit))
+        .collect();
+    for batch in old.chunks(BATCH) {
+        let txn = batch
+            .iter()
+            .fold(Txn::new(), |txn, row| txn.with_write(&row.key, None));
+        client.txn(&txn).await?;
+    }
+    Ok(old.len())
+}
+
+fn alive(status: &Status) -> usize {
+    status
+        .members
+        .iter()
+        .filter(|member| member.state == "alive")
+        .count()
+        .max(1)
+}
+
+/// Whether `row` was written before `limit`; one that cannot be read is left alone.
+fn is_older(row: &Row, limit: u64) -> bool {
+    let value = row.value.as_deref().unwrap_or_default();
+    serde_json::from_str::<outcomes::Row>(value).is_ok_and(|row| row.unix_s < limit)
+}
