--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -138,6 +138,7 @@
         peers: Peers::new(peers),
         platform: Platform::new(parts.client.clone(), parts.inbox.clone()),
         recent: Arc::clone(&parts.recent),
+        directory: Arc::clone(&parts.directory),
         metrics: Arc::clone(&parts.metrics),
         stop: parts.stop.clone(),
     }
--- a/crates/entry/src/driver/mod.rs
+++ b/crates/entry/src/driver/mod.rs
@@ -22,6 +22,7 @@
 
 use crate::backends::Backends;
 use crate::clock::Clock;
+use crate::directory::Directory;
 use crate::driver::content::Store;
 use crate::driver::inbox::Input;
 use crate::driver::inbox::Question;
@@ -31,6 +32,7 @@
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::platform::Platform;
+use crate::platform::list;
 use crate::stop::Stop;
 
 /// Inputs that are handled before the clock is read again.
@@ -49,6 +51,8 @@
     pub recent: Arc<Recent>,
     /// Figures.
     pub metrics: Arc<Metrics>,
+    /// Addresses of peers and replicas.
+    pub directory: Arc<Directory>,
     /// The end of a planned stop.
     pub stop: Stop,
 }
@@ -199,6 +203,7 @@
             Action::Tell { call, tell } => self.tell(call, tell),
             Action::Send { to, frame } => self.outlets.peers.send(to, &frame),
             Action::Query { query, ask } => self.outlets.platform.query(query, ask),
+            Action::UseList(copy) => self.use_list(&copy),
             Action::Log(decision) => self.outlets.recent.decision(&decision),
             Action::Fault { cause } => {
                 log::error!(kind = "fault"; "{cause}");
@@ -209,6 +214,13 @@
         }
     }
 
+    fn use_list(&mut self, copy: &[u8]) {
+        match list::take_copy(&self.outlets.directory, copy) {
+            Some(event) => self.step(event),
+            None => log::warn!(step = "list"; "a peer's copy of the list is damaged"),
+        }
+    }
+
     fn tell(&mut self, call: Call, tell: Tell) {
         if let Tell::Head { handle, .. } = &tell {
             self.contents.join(call, *handle);
--- a/crates/entry/src/peers/server.rs
+++ b/crates/entry/src/peers/server.rs
@@ -58,7 +58,9 @@
         // Without a free slot the socket is dropped, and the peer tries again later.
         if let Ok(slot) = Arc::clone(&slots).try_acquire_owned() {
             let shared = shared.clone();
-            let pauses = pauses.clone();
+            // Only a pause after the accept concerns this link.
+            let mut pauses = pauses.clone();
+            pauses.mark_unchanged();
             tokio::spawn(async move {
                 serve_link(socket, address, &shared, pauses).await;
                 drop(slot);
--- a/crates/entry/src/platform/list.rs
+++ b/crates/entry/src/platform/list.rs
@@ -36,8 +36,10 @@
         match client.list(&name).await {
             Ok(list) => {
                 failing = false;
-                fill(&directory, &list);
-                inbox.event(Event::Listed(convert(list))).await;
+                if let Ok(copy) = serde_json::to_vec(&list) {
+                    inbox.event(Event::ListCopy(copy.into())).await;
+                }
+                inbox.event(take(&directory, list)).await;
             }
             Err(error) if !failing => {
                 failing = true;
@@ -48,6 +50,17 @@
     }
 }
 
+/// Fills `directory` from a peer's copy of the list; `None` if it is damaged.
+pub fn take_copy(directory: &Directory, copy: &[u8]) -> Option<Event> {
+    let list = serde_json::from_slice(copy).ok()?;
+    Some(take(directory, list))
+}
+
+fn take(directory: &Directory, list: list::List) -> Event {
+    fill(directory, &list);
+    Event::Listed(convert(list))
+}
+
 fn fill(directory: &Directory, list: &list::List) {
     let peers = list.instances.iter().map(|instance| {
         let peer = Peer {
--- a/crates/entry/src/platform/mod.rs
+++ b/crates/entry/src/platform/mod.rs
@@ -3,7 +3,7 @@
 mod commit;
 mod error;
 mod history;
-mod list;
+pub mod list;
 mod outcomes;
 mod read;
 mod sweep;
--- a/crates/entry/tests/outcomes.rs
+++ b/crates/entry/tests/outcomes.rs
@@ -14,7 +14,7 @@
 use crate::common::ANY;
 
 const TIMEOUT: Duration = Duration::from_secs(5);
-const WINDOW: Duration = Duration::from_secs(600);
+const WINDOW: Duration = Duration::from_mins(10);
 
 fn row(age: u64) -> String {
     let unix_s = clock::unix().as_secs() - age;
