--- a/crates/bench/src/world/kind.rs
+++ b/crates/bench/src/world/kind.rs
@@ -57,7 +57,7 @@
         match body {
             Body::Gossip(_) => Self::Gossip,
             Body::News(_) => Self::News,
-            Body::Pull | Body::Push(_) => Self::Push,
+            Body::Pull | Body::Push(_) | Body::ListPull | Body::ListPush(_) => Self::Push,
             Body::Announce { .. } | Body::Noted { .. } => Self::Announce,
             Body::Submit(_) | Body::Verdict(_) => Self::Place,
             Body::Advance { .. } => Self::Advance,
--- a/crates/node/examples/drive.rs
+++ b/crates/node/examples/drive.rs
@@ -134,7 +134,7 @@
             Action::Fault { cause } => println!("fault: {cause}"),
             Action::Finished => println!("nothing is in progress; the process may end"),
             // Frames go to other daemons, and aborts drop connections: there are none here.
-            Action::Send { .. } | Action::Abort { .. } | Action::Count(_) => (),
+            Action::Send { .. } | Action::Abort { .. } | Action::UseList(_) | Action::Count(_) => {}
         }
     }
 
--- a/crates/node/src/action.rs
+++ b/crates/node/src/action.rs
@@ -57,6 +57,9 @@
         /// The frame.
         frame: Box<Frame>,
     },
+    /// Take a peer's copy of the platform's list as if the platform had told it; `Event::Listed`
+    /// follows.
+    UseList(Bytes),
     /// Ask the store.
     Query {
         /// Names the query in the answering event.
--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -425,6 +425,7 @@
         entry.headed = false;
         entry.queued = self.now;
         entry.attach_tries = 0;
+        entry.attach_at = None;
         entry.sequence.reset();
         let holds = [entry.prefill_hold.take(), entry.decode_hold.take()];
         for hold in holds {
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -236,6 +236,7 @@
             headed: false,
             withheld: None,
             attach_tries: 0,
+            attach_at: None,
             computed: 0,
             priority: row.priority,
             targets: Targets::new(row),
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -77,6 +77,8 @@
     },
     /// The platform's list of instances and replicas.
     Listed(List),
+    /// A copy of the platform's list in its own form, kept for peers that cannot read it.
+    ListCopy(Bytes),
     /// The store answered `Action::Query`.
     Stored {
         /// The query.
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -2,11 +2,13 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use fleet::Fleet;
 use fleet::entry::Entry;
 use fleet::member::Member;
 use fleet::member::State;
 use ident::Incarnation;
+use ident::Instance;
 use ident::Time;
 use ledger::stage::Stage;
 use rand::Rng;
@@ -155,7 +157,30 @@
         }
     }
 
+    /// Asks a peer for the platform's list while none is known here.
+    pub(crate) fn pull_list(&mut self, out: &mut Vec<Action>) {
+        if self.is_listed {
+            return;
+        }
+        for peer in self.some_peers(1) {
+            self.send(peer, Body::ListPull, out);
+        }
+    }
+
+    pub(crate) fn list_pulled(&mut self, from: Instance, out: &mut Vec<Action>) {
+        if let Some(copy) = self.list_copy.clone() {
+            self.send(from, Body::ListPush(copy), out);
+        }
+    }
+
+    pub(crate) fn list_pushed(&mut self, copy: Bytes, out: &mut Vec<Action>) {
+        if !self.is_listed {
+            out.push(Action::UseList(copy));
+        }
+    }
+
     pub(crate) fn listed(&mut self, list: List, out: &mut Vec<Action>) {
+        self.is_listed = true;
         self.seats = list
             .instances
             .into_iter()
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -5,6 +5,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use bytes::Bytes;
 use fleet::Fleet;
 use ident::Handle;
 use ident::Incarnation;
@@ -73,6 +74,9 @@
     pub(crate) rows: Rows,
     pub(crate) seats: BTreeMap<Instance, Seat>,
     pub(crate) backends: BTreeMap<Replica, Backend>,
+    /// Whether a list was told; without one no replica is known.
+    pub(crate) is_listed: bool,
+    pub(crate) list_copy: Option<Bytes>,
     pub(crate) open: SlotMap<OpenKey, Open>,
     pub(crate) by_handle: HashMap<Handle, OpenKey>,
     pub(crate) by_call: HashMap<Call, OpenKey>,
@@ -112,6 +116,8 @@
             rows: Rows::new(),
             seats: BTreeMap::new(),
             backends: BTreeMap::new(),
+            is_listed: false,
+            list_copy: None,
             open: SlotMap::with_key(),
             by_handle: HashMap::new(),
             by_call: HashMap::new(),
@@ -168,6 +174,7 @@
             Event::Inspected { replica, state } => self.inspected(replica, state, out),
             Event::Frame(frame) => self.frame(*frame, out),
             Event::Unreachable { .. } | Event::Tick => (),
+            Event::ListCopy(copy) => self.list_copy = Some(copy),
             Event::Listed(list) => self.listed(list, out),
             Event::Stored { query, outcome } => self.stored(query, outcome, out),
             Event::Edited { call, edit } => self.edited(call, edit, out),
@@ -291,11 +298,11 @@
             .map_or_else(|| instance.to_string(), |seat| seat.name.clone())
     }
 
-    /// Whether decisions may be made now: the table is up to date, and after a pause a peer was
+    /// Whether decisions may be made now: a list is known, the table is up to date, and after a pause a peer was
     /// heard or the store was read.
     pub(crate) fn may_decide(&self) -> bool {
         let caught_up = !self.fleet.paused(self.now) || self.desk.proved_since(self.woke);
-        self.view.fresh(self.now) && caught_up
+        self.view.fresh(self.now) && caught_up && self.is_listed
     }
 }
 
--- a/crates/node/src/open.rs
+++ b/crates/node/src/open.rs
@@ -156,6 +156,8 @@
     pub withheld: Option<Vec<Withheld>>,
     /// Attach orders that failed in a row.
     pub attach_tries: u32,
+    /// When the stream is read again after a failure.
+    pub attach_at: Option<Time>,
     /// Prompt tokens computed by the present attempt and not yet used.
     pub computed: u32,
     /// Priority of its row, 0 first.
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -23,6 +23,8 @@
             Body::News(news) => self.news(from, news, out),
             Body::Pull => self.pulled(from, out),
             Body::Push(table) => self.take_table(*table, out),
+            Body::ListPull => self.list_pulled(from, out),
+            Body::ListPush(copy) => self.list_pushed(copy, out),
             Body::Announce { edit, generation } => self.announced(from, edit, generation, out),
             Body::Noted { edit } => self.noted(from, edit, out),
             Body::Submit(ticket) => self.submitted(from, *ticket),
--- a/crates/node/src/queries.rs
+++ b/crates/node/src/queries.rs
@@ -29,7 +29,7 @@
             name: self.settings.name.clone(),
             incarnation: self.incarnation().to_string(),
             generation: self.view.generation(),
-            fresh: self.view.fresh(now),
+            fresh: self.view.fresh(now) && self.is_listed,
             store_age_ms: self.view.age(now).map(millis),
             leaving: self.leaving.is_some(),
             open: self.open.len(),
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -12,7 +12,7 @@
     pub incarnation: String,
     /// Table generation in force here; 0 before the first table.
     pub generation: u64,
-    /// Whether the table may be decided by now.
+    /// Whether the table may be decided by now, and a list of replicas is known.
     pub fresh: bool,
     /// Milliseconds since the store was last read, here or by whoever told.
     pub store_age_ms: Option<u64>,
--- a/crates/node/src/streams.rs
+++ b/crates/node/src/streams.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use ident::Replica;
+use ledger::backoff;
 use ledger::ids::Call;
 use ledger::ids::Order;
 use ledger::order::Arrival;
@@ -143,6 +144,7 @@
         failure: Failure,
         out: &mut Vec<Action>,
     ) {
+        let now = self.now;
         let entry = &mut self.open[opened];
         if let (Some(withheld), Some(order)) = (&mut entry.withheld, entry.order) {
             return withheld.push(Withheld::End(order, failure));
@@ -179,25 +181,51 @@
                 self.stream_lost(opened, failure, out);
             }
             _ if entry.attach_tries < MAX_ATTACH_TRIES => {
+                entry.order = None;
+                entry.attach_at = Some(now + backoff::pause(entry.attach_tries));
                 entry.attach_tries += 1;
-                let offset = entry.sequence.delivered();
-                self.attach(opened, offset, out);
             }
             _ => self.stream_lost(opened, failure, out),
         }
     }
 
-    /// The engine keeps nothing of the stream any more: it is continued elsewhere if its prompt is
-    /// at hand.
+    /// Reads streams again whose last reading failed a while ago.
+    pub(crate) fn attach_again(&mut self, out: &mut Vec<Action>) {
+        let now = self.now;
+        let due: Vec<OpenKey> = self
+            .open
+            .iter()
+            .filter(|(_, entry)| entry.attach_at.is_some_and(|at| now >= at))
+            .map(|(opened, _)| opened)
+            .collect();
+        for opened in due {
+            let offset = self.open[opened].sequence.delivered();
+            self.attach(opened, offset, out);
+        }
+    }
+
+    /// The stream cannot be read any more: it is continued elsewhere if its prompt is at hand.
     pub(crate) fn stream_lost(&mut self, opened: OpenKey, failure: Failure, out: &mut Vec<Action>) {
-        let entry = &self.open[opened];
-        if entry.origin.is_none() {
-            self.give_up(opened, Reason::StreamLost, Duration::ZERO, out);
-        } else {
-            self.retry(opened, failure, out);
+        let adopted = self.open[opened].origin.is_none();
+        match failure {
+            _ if !adopted => self.retry(opened, failure, out),
+            Failure::Refused { .. } => {
+                self.give_up(opened, Reason::StreamLost, Duration::ZERO, out);
+            }
+            Failure::NotSent | Failure::Lost => self.leave_to_others(opened, failure, out),
         }
     }
 
+    /// The engine of an adopted stream is out of reach from here; others may still read it.
+    fn leave_to_others(&mut self, opened: OpenKey, failure: Failure, out: &mut Vec<Action>) {
+        let hold = self.open[opened].decode_hold;
+        if let Some(hold) = hold.filter(|_| failure == Failure::NotSent) {
+            self.holds.erase(hold);
+        }
+        let refusal = self.refusal_elsewhere(Outcome::Unknown, Reason::StreamLost);
+        self.end(opened, &End::Refused(refusal), out);
+    }
+
     /// Reads the stream of `opened` from `offset` in place of the present reader.
     pub(crate) fn attach(&mut self, opened: OpenKey, offset: u32, out: &mut Vec<Action>) {
         let order = self.order(Purpose::Decode(opened));
@@ -210,6 +238,7 @@
             out.push(Action::Abort { order: former });
         }
         entry.fence += 1;
+        entry.attach_at = None;
         entry.dispatch(self.now);
         let (handle, fence) = (entry.handle(), entry.fence);
         entry.sequence = Sequence::new(offset);
@@ -289,6 +318,10 @@
         };
         match self.by_handle.get(&token.handle).copied() {
             Some(opened) => self.take_over_locally(opened, call, offset, false, out),
+            None if !self.backends.contains_key(&token.replica) => {
+                let refusal = self.refusal_elsewhere(Outcome::Unknown, Reason::NoReplica);
+                self.refuse(call, customer, refusal, out);
+            }
             None => self.adopt(call, &token, offset, out),
         }
     }
@@ -398,6 +431,7 @@
             headed: false,
             withheld: None,
             attach_tries: 0,
+            attach_at: None,
             computed: 0,
             priority: 0,
             targets,
--- a/crates/node/src/tables.rs
+++ b/crates/node/src/tables.rs
@@ -191,6 +191,7 @@
     /// Asks a few peers what they hold, and tells them what is held here.
     pub(crate) fn tell_news(&mut self, out: &mut Vec<Action>) {
         self.timers.news = self.now + NEWS_EVERY;
+        self.pull_list(out);
         let news = self.my_news(self.now.0, false);
         for peer in self.some_peers(NEWS_FANOUT) {
             self.send(peer, Body::News(news), out);
--- a/crates/node/src/timers.rs
+++ b/crates/node/src/timers.rs
@@ -92,6 +92,7 @@
         self.reassign(out);
         self.resubmit(out);
         self.break_stalls(out);
+        self.attach_again(out);
         self.give_up_left(out);
         self.expire_questions(out);
         self.expire_edits(out);
--- a/crates/node/tests/world/host.rs
+++ b/crates/node/tests/world/host.rs
@@ -240,7 +240,7 @@
             Action::Query { query, ask } => self.query(host, run, query, ask),
             Action::Log(decision) => self.check_decision(host, &decision),
             Action::Fault { cause } => self.violate(format!("entry-{host}: fault: {cause}")),
-            Action::Count(_) => (),
+            Action::Count(_) | Action::UseList(_) => (),
             Action::Finished => self.finished(host),
         }
     }
--- a/crates/store/src/list.rs
+++ b/crates/store/src/list.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 
 use serde::Deserialize;
+use serde::Serialize;
 
 /// The list.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct List {
     /// Entry instances.
     pub instances: Vec<Instance>,
@@ -14,7 +15,7 @@
 }
 
 /// An entry instance.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Instance {
     /// Name.
     pub name: String,
@@ -29,7 +30,7 @@
 }
 
 /// A replica: a model engine or a plain application.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Replica {
     /// Name.
     pub name: String,
@@ -50,7 +51,7 @@
 }
 
 /// Whether an instance or replica is to be used.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum State {
     /// In use.
@@ -60,7 +61,7 @@
 }
 
 /// What a replica does.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Role {
     /// Computes KV caches.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -94,6 +94,10 @@
     Pull,
     /// The whole table.
     Push(Box<Table>),
+    /// Asks for the platform's list, which the sender could not read yet.
+    ListPull,
+    /// A copy of the platform's list, in the platform's own form.
+    ListPush(Bytes),
     /// An edit was committed. It is accepted once a majority has noted its generation.
     Announce {
         /// Number of the edit, chosen by the committing daemon.
