--- a/crates/lab/src/world/seat.rs
+++ b/crates/lab/src/world/seat.rs
@@ -54,7 +54,11 @@
 
     pub(super) fn new_seat(&self, zone: usize, plain: bool) -> Seat {
         let seed = self.setup.seed * 100 + self.seats.len() as u64;
-        let mut cell = Cell::with_policy(Settings::new(), seed, self.setup.rival.policy);
+        let mut settings = Settings::new();
+        if self.setup.rival.mode == Mode::Each {
+            settings.min_retries /= OWNERS as f64;
+        }
+        let mut cell = Cell::with_policy(settings, seed, self.setup.rival.policy);
         cell.set_rules(self.now, &self.setup.workload.rules());
         cell.set_members(self.now, &self.members(plain));
         Seat {
--- a/crates/route/src/cell/admit.rs
+++ b/crates/route/src/cell/admit.rs
@@ -45,7 +45,7 @@
         if lane.is_shut(ticket.work == Work::Plain) {
             return Some(Reason::Ceiling);
         }
-        if ticket.is_retry() && !lane.take_retry(now) {
+        if ticket.is_retry() && !lane.take_retry(now, self.settings.min_retries) {
             return Some(Reason::RetryBudget);
         }
         None
--- a/crates/route/src/cell/settings.rs
+++ b/crates/route/src/cell/settings.rs
@@ -18,6 +18,8 @@
     pub slowest_prefill: f64,
     /// Transfer time for one token, until learned.
     pub transfer_token: Duration,
+    /// Retries that a row is granted in any ten seconds, so that a quiet row can retry at all.
+    pub min_retries: f64,
     /// The least time to come back that a refusal names.
     pub min_retry_after: Duration,
     /// The longest time to come back that a refusal names.
@@ -34,6 +36,7 @@
             prefill_rate: 10_000.0,
             slowest_prefill: 2_000.0,
             transfer_token: Duration::from_micros(10),
+            min_retries: 12.0,
             min_retry_after: Duration::from_millis(100),
             max_retry_after: Duration::from_secs(30),
         }
--- a/crates/route/src/policy/predicted.rs
+++ b/crates/route/src/policy/predicted.rs
@@ -215,6 +215,13 @@
             Err(Wait::Batch(pair.decode))
         };
     }
+    if ask.limit < server.member.slots {
+        return if server.room(ask.limit) > 0 {
+            Ok(())
+        } else {
+            Err(Wait::Slot)
+        };
+    }
     let wanted = (1 - net) as u32;
     let most = MAX_OVER * view.pool.open_decodes();
     if server.room(ask.limit) <= -i64::from(MAX_OVER) || wanted > most {
--- a/crates/route/src/row.rs
+++ b/crates/route/src/row.rs
@@ -10,8 +10,6 @@
 
 /// Time constant of the retry budget and of the drain rate.
 const WINDOW: Duration = Duration::from_secs(10);
-/// Retries that are always granted inside a window, so that a quiet row can retry at all.
-const MIN_RETRIES: f64 = 12.0;
 
 /// Rule, queue and counters of one row.
 #[derive(Debug)]
@@ -66,10 +64,10 @@
         self.first.add(now, 1.0);
     }
 
-    /// Counts a retry if the budget admits it.
-    pub fn take_retry(&mut self, now: Time) -> bool {
+    /// Counts a retry if the budget admits it, which is `least` in a window at the least.
+    pub fn take_retry(&mut self, now: Time, least: f64) -> bool {
         let budget = self.first.decayed(now) * f64::from(self.rule.retry_percent) / 100.0;
-        let granted = self.retries.decayed(now) + 1.0 <= budget.max(MIN_RETRIES);
+        let granted = self.retries.decayed(now) + 1.0 <= budget.max(least);
         if granted {
             self.retries.add(now, 1.0);
         }
