bench: the arms take turns within each kind of figure; streams that ended are not counted

Cause: on a shared machine arms a minute apart met different loads; `streams` counted streams that had ended (the row's 50 ms between tokens closed the batch of stand-ins that took 100 ms).

Change: `cost` runs each kind of figure in all arms before the next one and prints why a request failed; the targets of the measured table are far off; `restarts` notes when all agree while it counts the reads.

Ruled out: pausing the other work of the machine.

--- a/crates/bench/src/arms.rs
+++ b/crates/bench/src/arms.rs
@@ -82,8 +82,12 @@
             .complete(self.address(number), &ask)
             .await
             .ok()?;
-        let Reply::Stream(mut stream) = reply else {
-            return None;
+        let mut stream = match reply {
+            Reply::Stream(stream) => stream,
+            Reply::Refused(refusal) => {
+                eprintln!("request {number} refused: {refusal}");
+                return None;
+            }
         };
         let mut first = None;
         loop {
@@ -91,7 +95,10 @@
                 Event::Head(_) => {}
                 Event::Tokens(_) => first = first.or_else(|| Some(begun.elapsed())),
                 Event::Done(tokens) => return model(begun, first, tokens),
-                _ => return None,
+                end => {
+                    eprintln!("request {number} ended: {end:?}");
+                    return None;
+                }
             }
         }
     }
--- a/crates/bench/src/bin/cost.rs
+++ b/crates/bench/src/bin/cost.rs
@@ -1,7 +1,7 @@
 //! What a request costs through daemons, against calling the stand-ins themselves.
 //!
-//! In one run, for each seed, the arms take turns: direct, through one daemon, through three. The
-//! figures are ratios and differences within a seed; their median and range over the seeds are
+//! In one run, for each seed and each kind of figure, the arms take turns: direct, through one
+//! daemon, through three. The figures are ratios and differences within a seed; their median and range over the seeds are
 //! printed. The programs of the workspace must have been built in the same profile.
 
 use std::path::PathBuf;
@@ -31,26 +31,45 @@
 const MODEL_BATCH: u64 = 300;
 const BATCH_CALLERS: usize = 16;
 const FEW_TOKENS: u32 = 8;
-const MANY_TOKENS: u32 = 108;
-/// Callers at once for which the rate is measured, and for how long each.
-const CALLERS: [usize; 4] = [1, 8, 32, 128];
+const MANY_TOKENS: u32 = 208;
+/// How long the rate of each number of callers is measured.
 const RATE_SPAN: Duration = Duration::from_millis(1_500);
 const IDLE_SPAN: Duration = Duration::from_secs(2);
 const PROMPT_WORDS: usize = 200;
-const COLUMNS: [&str; 13] = [
+const COLUMNS: [&str; 14] = [
     "plain_ms",
     "first_ms",
+    "latency_failed",
     "plain_cpu_us",
     "request_cpu_us",
     "token_cpu_us",
     "app_cpu_us",
     "engine_token_us",
+    "idle_cpu_pct",
+    "failed",
     "rate_1",
     "rate_8",
     "rate_32",
     "rate_128",
-    "idle_cpu_pct",
-    "failed",
+];
+const ARMS: [&str; 3] = ["direct", "1 daemon", "3 daemons"];
+
+/// What is measured of all arms before the next is.
+#[derive(Debug, Clone, Copy)]
+enum Phase {
+    Latency,
+    Processor,
+    /// Requests a second of so many callers.
+    Rate(usize),
+}
+
+const PHASES: [Phase; 6] = [
+    Phase::Latency,
+    Phase::Processor,
+    Phase::Rate(1),
+    Phase::Rate(8),
+    Phase::Rate(32),
+    Phase::Rate(128),
 ];
 
 /// One way of sending requests.
@@ -123,28 +142,23 @@
 }
 
 async fn measure(seeds: u64, folder: Option<PathBuf>) -> Result<(), Error> {
-    let mut one = Stage::start(Size::new(1)).await?;
-    let mut three = Stage::start(Size::new(3)).await?;
+    let mut stages = [
+        Stage::start(Size::new(1)).await?,
+        Stage::start(Size::new(3)).await?,
+    ];
     let mut report = Report::new("cost", &COLUMNS);
     for seed in 1..=seeds {
-        let direct = Direct::new(
-            &one.engines(Role::Prefill)?,
-            &one.engines(Role::Decode)?,
-            one.applications()?,
-            seed,
-        );
-        let figures = arm(&mut one, &Arm::Direct(direct), seed).await?;
-        report.push(&format!("direct seed {seed}"), &figures);
-        let through = Arm::Through(Through::new(one.callers()?));
-        report.push(
-            &format!("1 daemon seed {seed}"),
-            &arm(&mut one, &through, seed).await?,
-        );
-        let through = Arm::Through(Through::new(three.callers()?));
-        report.push(
-            &format!("3 daemons seed {seed}"),
-            &arm(&mut three, &through, seed).await?,
-        );
+        let arms = arms(&stages, seed)?;
+        let mut figures = [(); ARMS.len()].map(|()| Vec::new());
+        for phase in PHASES {
+            for ((stage, arm), figures) in arms.iter().zip(&mut figures) {
+                let stage = &mut stages[*stage];
+                figures.extend(run(stage, arm, phase, seed).await?);
+            }
+        }
+        for (label, figures) in ARMS.iter().zip(&figures) {
+            report.push(&format!("{label} seed {seed}"), figures);
+        }
     }
     report.print();
     summary(&report);
@@ -155,46 +169,61 @@
     })
 }
 
-/// All figures of one arm under one seed, in the order of [`COLUMNS`].
-async fn arm(stage: &mut Stage, arm: &Arm, seed: u64) -> Result<Vec<f64>, Error> {
+/// The arms in the order of [`ARMS`], each with the number of its fleet.
+fn arms(stages: &[Stage; 2], seed: u64) -> Result<[(usize, Arm); ARMS.len()], Error> {
+    let [one, three] = stages;
+    let direct = Direct::new(
+        &one.engines(Role::Prefill)?,
+        &one.engines(Role::Decode)?,
+        one.applications()?,
+        seed,
+    );
+    Ok([
+        (0, Arm::Direct(direct)),
+        (0, Arm::Through(Through::new(one.callers()?))),
+        (1, Arm::Through(Through::new(three.callers()?))),
+    ])
+}
+
+/// The figures of one arm in one phase; those of all phases are in the order of [`COLUMNS`].
+async fn run(stage: &mut Stage, arm: &Arm, phase: Phase, seed: u64) -> Result<Vec<f64>, Error> {
+    match phase {
+        Phase::Latency => {
+            let plain = arm.plain(1, Until::Count(PLAIN_CALLS)).await;
+            let model = arm.model(1, MODEL_CALLS, seed, LATENCY_TOKENS).await;
+            let failed = plain.failed + model.failed;
+            Ok(vec![plain.first_ms(), model.first_ms(), failed as f64])
+        }
+        Phase::Processor => processor(stage, arm, seed).await,
+        Phase::Rate(callers) => {
+            let outcome = arm.plain(callers, Until::Time(RATE_SPAN)).await;
+            Ok(vec![outcome.rate()])
+        }
+    }
+}
+
+/// Processor time of the daemons and of the stand-ins.
+async fn processor(stage: &mut Stage, arm: &Arm, seed: u64) -> Result<Vec<f64>, Error> {
     let idle = idle(stage).await?;
-    let plain = arm.plain(1, Until::Count(PLAIN_CALLS)).await;
-    let model = arm.model(1, MODEL_CALLS, seed, LATENCY_TOKENS).await;
-    let (batch, plain_cpu, app_cpu) = busy(stage, idle, Role::Plain, async {
-        arm.plain(BATCH_CALLERS, Until::Count(PLAIN_BATCH)).await
-    })
-    .await?;
-    let (few, few_cpu, few_engine) = busy(stage, idle, Role::Decode, async {
-        arm.model(BATCH_CALLERS, MODEL_BATCH, seed, FEW_TOKENS)
-            .await
-    })
-    .await?;
-    let (many, many_cpu, many_engine) = busy(stage, idle, Role::Decode, async {
-        arm.model(BATCH_CALLERS, MODEL_BATCH, seed, MANY_TOKENS)
-            .await
-    })
-    .await?;
+    let plain = arm.plain(BATCH_CALLERS, Until::Count(PLAIN_BATCH));
+    let (plain, plain_cpu, app_cpu) = busy(stage, idle, Role::Plain, plain).await?;
+    let few = arm.model(BATCH_CALLERS, MODEL_BATCH, seed, FEW_TOKENS);
+    let (few, few_cpu, few_engine) = busy(stage, idle, Role::Decode, few).await?;
+    let many = arm.model(BATCH_CALLERS, MODEL_BATCH, seed, MANY_TOKENS);
+    let (many, many_cpu, many_engine) = busy(stage, idle, Role::Decode, many).await?;
     let more = (many.tokens - few.tokens) as f64;
     let token = (many_cpu - few_cpu) / more;
     let request = (few_cpu - token * few.tokens as f64) / few.answered as f64;
-    let mut figures = vec![
-        plain.first_ms(),
-        model.first_ms(),
-        plain_cpu / batch.answered as f64 * 1e6,
+    let failed = plain.failed + few.failed + many.failed;
+    Ok(vec![
+        plain_cpu / plain.answered as f64 * 1e6,
         request * 1e6,
         token * 1e6,
-        app_cpu / batch.answered as f64 * 1e6,
+        app_cpu / plain.answered as f64 * 1e6,
         (many_engine - few_engine) / more * 1e6,
-    ];
-    let mut failed = plain.failed + model.failed + batch.failed + few.failed + many.failed;
-    for callers in CALLERS {
-        let outcome = arm.plain(callers, Until::Time(RATE_SPAN)).await;
-        failed += outcome.failed;
-        figures.push(outcome.rate());
-    }
-    figures.push(idle * 100.0);
-    figures.push(failed as f64);
-    Ok(figures)
+        idle * 100.0,
+        failed as f64,
+    ])
 }
 
 /// Processor time of all daemons a second while there are no requests.
@@ -226,7 +255,7 @@
     println!("\nmedian [least..most] over the seeds");
     let column = |name: &str, arm: usize| -> Vec<f64> {
         let values = report.column(name);
-        values.into_iter().skip(arm).step_by(3).collect()
+        values.into_iter().skip(arm).step_by(ARMS.len()).collect()
     };
     let pairs = |name: &str, arm: usize, other: &str, with: fn(f64, f64) -> f64| {
         let values = column(name, arm).into_iter().zip(column(other, 0));
@@ -235,7 +264,7 @@
             .collect();
         Range::new(&values)
     };
-    for (arm, label) in [(1, "1 daemon"), (2, "3 daemons")] {
+    for (arm, label) in ARMS.iter().enumerate().skip(1) {
         println!("{label}");
         for name in ["plain_ms", "first_ms"] {
             let ratio = pairs(name, arm, name, |through, direct| through / direct);
@@ -263,6 +292,8 @@
             "  idle_cpu_pct: {} % of a core, all daemons",
             Range::new(&column("idle_cpu_pct", arm))
         );
-        println!("  failed: {}", Range::new(&column("failed", arm)));
+        for name in ["latency_failed", "failed"] {
+            println!("  {name}: {}", Range::new(&column(name, arm)));
+        }
     }
 }
--- a/crates/bench/src/bin/slope.rs
+++ b/crates/bench/src/bin/slope.rs
@@ -84,17 +84,15 @@
             let replicas = number("replicas", 0);
             members::measure(&sizes(&[9, 50, 100, 400]), span, replicas, POOLS, seed)
         }
-        "edits" => edits::measure(
-            &sizes(&[9, 50, 60, 70, 80, 100, 400]),
-            &[100, 1_000, 4_096],
-            seed,
-        ),
+        "edits" => edits::measure(&sizes(&[9, 50, 66, 80, 100, 400]), &[100, 4_096], seed),
         "keeper" => by_replicas(&sizes(&[12, 66, 200, 465, 930]), span, seed),
         "rate" => by_rate(&sizes(&[50, 100, 200, 400, 800]), span, seed),
         "letter" => letter(span, seed),
-        "restarts" => {
-            restarts::measure(number("daemons", DAEMONS), &sizes(&[1, 10, 36, 140]), seed)
-        }
+        "restarts" => restarts::measure(
+            number("daemons", DAEMONS),
+            &sizes(&[1, 10, 36, 140, 400]),
+            seed,
+        ),
         "cut" => cut::measure(&sizes(&[33, 99, 400]), seed),
         "keys" => keys::measure(&sizes(&[16_384, 32_768, 65_536, 131_072])),
         "frames" => frames::measure(&sizes(&[0, 8, 64]), &[100, 1_000, 4_096]),
--- a/crates/bench/src/slopes/edits.rs
+++ b/crates/bench/src/slopes/edits.rs
@@ -28,8 +28,9 @@
 /// Longest waits for an answer and for the last daemon.
 const LIMIT: Duration = Duration::from_secs(30);
 const LOOK: Duration = Duration::from_millis(20);
+const FRESH_LOOK: Duration = Duration::from_millis(100);
 /// Edits in each fleet.
-const EDITS: usize = 3;
+const EDITS: usize = 2;
 
 /// Measures fleets of each of `sizes` daemons with tables of each of `rows` rows.
 pub fn measure(sizes: &[usize], rows: &[usize], seed: u64) -> Report {
@@ -111,7 +112,7 @@
         (world.fresh(|_| true) as f64 / daemons as f64 * 100.0).round()
     });
     world.store.up = true;
-    let back = world.run_until(LIMIT, LOOK, |world| world.fresh(|_| true) == daemons);
+    let back = world.run_until(LIMIT, FRESH_LOOK, |world| world.fresh(|_| true) == daemons);
     let back = back.map_or(f64::NAN, |back| back.as_secs_f64() * 1e3);
     [shares[0], shares[1], shares[2], back]
 }
--- a/crates/bench/src/slopes/restarts.rs
+++ b/crates/bench/src/slopes/restarts.rs
@@ -61,17 +61,22 @@
             if fresh.is_nan() && world.fresh(|_| true) == daemons {
                 fresh = passed;
             }
+            if agreed.is_nan() && world.agree(daemons, |_| true) == daemons {
+                agreed = passed;
+            }
         }
         world.store.calls
     });
+    let since = |world: &World| world.now.since(begun).as_secs_f64() * 1e3;
     if fresh.is_nan() {
         let rest = world.run_until(LIMIT, LOOK, |world| world.fresh(|_| true) == daemons);
-        fresh = rest.map_or(fresh, |_| world.now.since(begun).as_secs_f64() * 1e3);
+        fresh = rest.map_or(fresh, |_| since(&world));
+    }
+    if agreed.is_nan() {
+        let all = |world: &World| world.agree(daemons, |_| true) == daemons;
+        let rest = world.run_until(LIMIT, LOOK, all);
+        agreed = rest.map_or(agreed, |_| since(&world));
     }
-    let rest = world.run_until(LIMIT, LOOK, |world| {
-        world.agree(daemons, |_| true) == daemons
-    });
-    agreed = rest.map_or(agreed, |_| world.now.since(begun).as_secs_f64() * 1e3);
     vec![
         daemons as f64,
         count as f64,
--- a/crates/bench/src/slopes/stream.rs
+++ b/crates/bench/src/slopes/stream.rs
@@ -60,7 +60,10 @@
     sleep(span).await;
     let used = stage.daemons_usage()?.since(usage);
     let files = stage.descriptors(0)?;
-    let open = count - streams.try_join_next().map_or(0, |_| 1);
+    let mut open = count;
+    while streams.try_join_next().is_some() {
+        open -= 1;
+    }
     let seconds = span.as_secs_f64();
     Ok(vec![
         open as f64,
--- a/crates/bench/src/stage.rs
+++ b/crates/bench/src/stage.rs
@@ -24,8 +24,15 @@
 const SLOTS: u32 = 1_024;
 /// Metric that counts the frames sent to other daemons.
 const FRAMES: &str = "waxwing_frames_sent_total";
+/// The ceilings and targets are far off, so that neither limits a measurement.
 const TABLE: &str = "
-- {service: ration, class: default, pool: ration, prefill_ceiling: 100000, decode_ceiling: 100000}
+- service: ration
+  class: default
+  pool: ration
+  tbt_ms: 1000
+  max_wait_ms: 60000
+  prefill_ceiling: 100000
+  decode_ceiling: 100000
 - {service: stock, class: default, pool: stock, decode_ceiling: 100000}
 ";
 
