--- a/crates/node/tests/world/check.rs
+++ b/crates/node/tests/world/check.rs
@@ -4,11 +4,11 @@
 
 use ident::Time;
 
-use super::Arriving;
 use super::Figures;
 use super::QUIET;
 use super::World;
 use super::callers::State;
+use super::item::Arriving;
 use super::plan::CHAOS_MS;
 
 /// Added to stated bounds, for ways and timers of the world.
--- a/crates/node/tests/world/faults.rs
+++ b/crates/node/tests/world/faults.rs
@@ -7,8 +7,8 @@
 use node::event::Failure;
 use rand::RngExt;
 
-use super::Item;
 use super::World;
+use super::item::Item;
 use super::net::Way;
 use super::plan::Fault;
 use super::plan::Stroke;
--- a/crates/node/tests/world/operators.rs
+++ b/crates/node/tests/world/operators.rs
@@ -10,10 +10,10 @@
 use table::edit::Edit;
 use table::row::Row;
 
-use super::Item;
-use super::Verdict;
 use super::World;
-use super::answers::Peer;
+use super::conns::Peer;
+use super::item::Item;
+use super::item::Verdict;
 use super::plan::Fault;
 
 /// Edits of rows that one fault stands for, one after the other.
