Core: an owner without a caller does not read again; early rejections of keyed requests say unknown

By reading: a request refused by the daemon before its key was looked up (body memory full, body cut short) said 'not run' of a key that may have run. Change: lost readers without a caller wait, and are verified before they are cancelled; early rejections of keyed requests say 'unknown'; the store's age is that of the last proof by the store.

--- a/crates/entry/src/callers/answer.rs
+++ b/crates/entry/src/callers/answer.rs
@@ -74,21 +74,17 @@
     })
 }
 
-/// A request that was not understood.
-pub(super) fn invalid(status: StatusCode, cause: &str) -> Response<Body> {
-    let body = rejected(Reason::Invalid, 0, cause);
-    typed(status, Outcome::NotRun, 0, &body)
+/// A request that was not understood or not read.
+pub(super) fn invalid(status: StatusCode, outcome: Outcome, cause: &str) -> Response<Body> {
+    let body = rejected(outcome, Reason::Invalid, 0, cause);
+    typed(status, outcome, 0, &body)
 }
 
 /// A request whose body has no space.
-pub(super) fn full(cause: &str) -> Response<Body> {
-    let body = rejected(Reason::Full, FULL_RETRY_MS, cause);
-    typed(
-        StatusCode::TOO_MANY_REQUESTS,
-        Outcome::NotRun,
-        FULL_RETRY_MS,
-        &body,
-    )
+pub(super) fn full(outcome: Outcome, cause: &str) -> Response<Body> {
+    let body = rejected(outcome, Reason::Full, FULL_RETRY_MS, cause);
+    let status = StatusCode::TOO_MANY_REQUESTS;
+    typed(status, outcome, FULL_RETRY_MS, &body)
 }
 
 /// A refusal as JSON.
@@ -109,9 +105,9 @@
     answer
 }
 
-fn rejected(why: Reason, retry_after_ms: u64, cause: &str) -> Value {
+fn rejected(result: Outcome, why: Reason, retry_after_ms: u64, cause: &str) -> Value {
     json!({
-        "outcome": Outcome::NotRun.word(),
+        "outcome": result.word(),
         "reason": why.word(),
         "retry_after_ms": retry_after_ms,
         "addresses": [],
--- a/crates/entry/src/callers/body.rs
+++ b/crates/entry/src/callers/body.rs
@@ -12,6 +12,7 @@
 use volo_http::body::Body;
 
 use super::Shared;
+use super::header::KEY;
 use super::rejection::Rejection;
 use crate::budget::Grant;
 
@@ -32,13 +33,15 @@
         return Err(too_long(limit));
     }
     let reading = collect(shared, body, announced.unwrap_or(0).min(limit));
-    match timeout(TIMEOUT, reading).await {
+    let keyed = headers.contains_key(KEY);
+    let result = match timeout(TIMEOUT, reading).await {
         Ok(result) => result,
         Err(_) => Err(Rejection::new(
             StatusCode::REQUEST_TIMEOUT,
             format!("the body did not arrive within {} s", TIMEOUT.as_secs()),
         )),
-    }
+    };
+    result.map_err(|rejection| rejection.with_key(keyed))
 }
 
 async fn collect(
--- a/crates/entry/src/callers/header.rs
+++ b/crates/entry/src/callers/header.rs
@@ -15,7 +15,7 @@
 
 const CUSTOMER: &str = "waxwing-customer";
 const CLASS: &str = "waxwing-class";
-const KEY: &str = "idempotency-key";
+pub(super) const KEY: &str = "idempotency-key";
 const REPEATABLE: &str = "waxwing-repeatable";
 const RESUME: &str = "waxwing-resume";
 const LAST_EVENT: &str = "last-event-id";
--- a/crates/entry/src/callers/rejection.rs
+++ b/crates/entry/src/callers/rejection.rs
@@ -2,16 +2,18 @@
 
 use http::Response;
 use http::StatusCode;
+use node::action::Outcome;
 use volo_http::body::Body;
 
 use super::answer;
 
-/// A malformed request; no byte of it reached a back end.
+/// A request that was not understood or not read; no byte of it reached a back end.
 #[derive(Debug)]
 pub(super) struct Rejection {
     status: StatusCode,
     cause: String,
     full: bool,
+    keyed: bool,
 }
 
 impl Rejection {
@@ -21,6 +23,7 @@
             status,
             cause: cause.into(),
             full: false,
+            keyed: false,
         }
     }
 
@@ -36,15 +39,28 @@
             status: StatusCode::TOO_MANY_REQUESTS,
             cause,
             full: true,
+            keyed: false,
         }
     }
 
+    /// The same rejection of a request that was not read to its end. If it carries a key, an earlier
+    /// try with that key may have run, and the key was not looked up.
+    pub(super) fn with_key(mut self, keyed: bool) -> Self {
+        self.keyed = keyed;
+        self
+    }
+
     /// The response.
     pub(super) fn into_response(self) -> Response<Body> {
+        let outcome = if self.keyed {
+            Outcome::Unknown
+        } else {
+            Outcome::NotRun
+        };
         if self.full {
-            answer::full(&self.cause)
+            answer::full(outcome, &self.cause)
         } else {
-            answer::invalid(self.status, &self.cause)
+            answer::invalid(self.status, outcome, &self.cause)
         }
     }
 }
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -5,7 +5,6 @@
 use ident::Handle;
 use ident::Key;
 use ident::Pool;
-use ident::Time;
 use ledger::ids::Call;
 use ledger::keys::Admission;
 use ledger::keys::Mark;
@@ -32,8 +31,6 @@
 use crate::request::Request;
 use crate::request::Work;
 
-/// How long a stream goes on without its caller, who may come back with the resume token.
-pub const CALLER_GRACE: Duration = Duration::from_secs(3);
 /// How much longer than its row's longest wait a request waits for a keeper that is silent.
 const PATIENCE: Duration = Duration::from_secs(1);
 /// How many times the address answer's time to live a leaving daemon still takes requests.
@@ -332,23 +329,28 @@
         }
     }
 
-    /// Ends streams whose callers did not come back.
+    /// Ends streams whose callers did not come back. One that lost its reader may have another owner
+    /// by now, and is verified first.
     pub(crate) fn give_up_left(&mut self, out: &mut Vec<Action>) {
         let now = self.now;
         let gone: Vec<OpenKey> = self
             .open
             .iter()
-            .filter(|(_, entry)| entry.call.is_none() && entry.stage != Stage::Call)
-            .filter(|(_, entry)| is_over(entry.times.left, now))
+            .filter(|(_, entry)| entry.is_left(now) && entry.withheld.is_none())
             .map(|(opened, _)| opened)
             .collect();
         for opened in gone {
-            self.abandon(opened, "the caller did not come back", out);
+            let entry = &mut self.open[opened];
+            if entry.stage == Stage::Decode && entry.order.is_none() {
+                entry.withheld = Some(Vec::new());
+            } else {
+                self.abandon(opened, "the caller did not come back", out);
+            }
         }
     }
 
     /// Ends a request that nobody waits for, and releases all that it holds.
-    fn abandon(&mut self, opened: OpenKey, reason: &str, out: &mut Vec<Action>) {
+    pub(crate) fn abandon(&mut self, opened: OpenKey, reason: &str, out: &mut Vec<Action>) {
         let outcome = if self.open[opened].is_touched() {
             Outcome::Failed
         } else {
@@ -361,10 +363,6 @@
     }
 }
 
-fn is_over(left: Option<Time>, now: Time) -> bool {
-    left.is_none_or(|left| now >= left + CALLER_GRACE)
-}
-
 fn ticket_work(work: &Work) -> route::ticket::Work {
     match work {
         Work::Model {
--- a/crates/node/src/open.rs
+++ b/crates/node/src/open.rs
@@ -28,6 +28,9 @@
     pub struct OpenKey;
 }
 
+/// How long a stream goes on without its caller, who may come back with the resume token.
+const CALLER_GRACE: Duration = Duration::from_secs(3);
+
 /// Latency targets of a request's row.
 #[derive(Debug, Clone, Copy)]
 pub struct Targets {
@@ -220,6 +223,12 @@
         self.key.as_ref().and_then(Key::prefix).is_some()
     }
 
+    /// Whether its caller went away and did not come back in time; a plain call runs on.
+    pub fn is_left(&self, now: Time) -> bool {
+        let since = self.times.left.filter(|_| self.call.is_none());
+        since.is_some_and(|left| now >= left + CALLER_GRACE) && self.stage != Stage::Call
+    }
+
     /// Whether it is a language-model request.
     pub const fn is_model(&self) -> bool {
         matches!(self.ticket.work, route::ticket::Work::Model { .. })
--- a/crates/node/src/queries.rs
+++ b/crates/node/src/queries.rs
@@ -30,7 +30,7 @@
             incarnation: self.incarnation().to_string(),
             generation: self.view.generation(),
             fresh: self.view.fresh(now) && self.is_listed,
-            store_age_ms: self.view.age(now).map(millis),
+            store_age_ms: self.desk.store_age(now).map(millis),
             leaving: self.leaving.is_some(),
             open: self.open.len(),
             holds: self.holds.len(),
--- a/crates/node/src/streams.rs
+++ b/crates/node/src/streams.rs
@@ -180,6 +180,8 @@
             } => {
                 self.stream_lost(opened, failure, out);
             }
+            // The caller may read elsewhere by now: nobody here needs another reader.
+            _ if entry.call.is_none() => entry.order = None,
             _ if entry.attach_tries < MAX_ATTACH_TRIES => {
                 entry.order = None;
                 entry.attach_at = Some(now + backoff::pause(entry.attach_tries));
@@ -354,7 +356,7 @@
             }
             return;
         }
-        let in_place = entry.sequence.delivered() == offset;
+        let in_place = entry.order.is_some() && entry.sequence.delivered() == offset;
         self.tell_head(opened, out);
         if !in_place {
             self.attach(opened, offset, out);
@@ -504,6 +506,7 @@
         let withheld = entry.withheld.take().unwrap_or_default();
         match held {
             Some(held) if held.fence > entry.fence => self.end(opened, &End::Superseded, out),
+            _ if entry.is_left(now) => self.abandon(opened, "the caller did not come back", out),
             Some(held) if held.owner == mine => self.tell_withheld(opened, withheld, out),
             None if just_sent => entry.withheld = Some(withheld),
             Some(_) => {
--- a/crates/node/src/tables.rs
+++ b/crates/node/src/tables.rs
@@ -92,6 +92,11 @@
         self.proved.is_some_and(|proved| proved >= since)
     }
 
+    /// How long ago the store was last proved to hold nothing newer.
+    pub(crate) fn store_age(&self, now: Time) -> Option<Duration> {
+        self.proved.map(|proved| now.since(proved))
+    }
+
     pub(crate) fn generation_told(&self, instance: Instance) -> Option<u64> {
         self.told.get(&instance).map(|heard| heard.generation)
     }
