node: files split by job

Cause: attempts, streams, keeping and tables had grown past 500 lines and held two or three jobs each.

--- a/crates/node/src/keeping.rs
+++ b/crates/node/src/keeping.rs
@@ -1,4 +1,4 @@
-//! The keeper's work: one queue a pool, and no memory without an owner.
+//! The keeper's work: one queue a pool.
 //!
 //! A pool's keeper is the live instance that rendezvous hashing names. It keeps soft state only: a
 //! new keeper learns what is placed from the owners, and what runs from the replicas.
@@ -24,27 +24,21 @@
 use wire::Body;
 
 use crate::action::Action;
-use crate::action::Count;
 use crate::decision::Step;
-use crate::event::Held;
 use crate::event::Inspection;
 use crate::node::Node;
 
 /// Time in which a new keeper of a pool places nothing, so that owners can report first.
 const SETTLE: Duration = Duration::from_millis(500);
-/// Time between two audits of what owners still want.
-const AUDIT_EVERY: Duration = Duration::from_secs(2);
-/// Age from which a placed attempt is audited.
-const AUDIT_AGE: Duration = Duration::from_secs(4);
 /// Inspections without an answer after which a replica counts as lost.
 const MAX_SILENT: u32 = 4;
 
 /// An attempt as the keeper knows it.
 #[derive(Debug, Clone, Copy)]
-struct Placed {
-    owner: Instance,
-    incarnation: Incarnation,
-    since: Time,
+pub(crate) struct Placed {
+    pub(crate) owner: Instance,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) since: Time,
 }
 
 /// What the keeper knows of one replica's answers.
@@ -60,10 +54,10 @@
     pub(crate) name: String,
     pub(crate) cell: Cell,
     ready: Time,
-    placed: BTreeMap<Handle, Placed>,
+    pub(crate) placed: BTreeMap<Handle, Placed>,
     watches: BTreeMap<Replica, Watch>,
     /// Memory found without a live owner, and since when.
-    orphans: BTreeMap<(Replica, Handle), Time>,
+    pub(crate) orphans: BTreeMap<(Replica, Handle), Time>,
     generation: u64,
 }
 
@@ -356,178 +350,8 @@
             kept.cell.lost(now, replica);
         }
     }
-
-    /// Compares what a replica holds with what live owners want.
-    fn sweep(&mut self, pool: Pool, replica: Replica, works: &[Held], out: &mut Vec<Action>) {
-        let mut questions: BTreeMap<Instance, Vec<Handle>> = BTreeMap::new();
-        let mut orphans = Vec::new();
-        for held in works.iter().filter(|held| !held.done) {
-            match self.live_owner(held.owner) {
-                None => orphans.push(*held),
-                Some(_) if self.is_placed(pool, held.handle) => (),
-                Some(owner) => questions.entry(owner).or_default().push(held.handle),
-            }
-        }
-        self.note_orphans(pool, replica, &orphans, out);
-        for (owner, handles) in questions {
-            self.send(owner, Body::Claimed { replica, handles }, out);
-        }
-    }
-
-    fn is_placed(&self, pool: Pool, handle: Handle) -> bool {
-        self.cells
-            .get(&pool)
-            .is_some_and(|kept| kept.placed.contains_key(&handle))
-    }
-
-    fn live_owner(&self, owner: Incarnation) -> Option<Instance> {
-        let member = self.fleet.by_incarnation(owner)?;
-        let alive = member.state != fleet::member::State::Dead;
-        alive.then_some(member.instance)
-    }
-
-    /// Whether this daemon may judge that owners are gone: cut off from the majority, it would take
-    /// the whole fleet for dead.
-    fn may_sweep(&self) -> bool {
-        self.has_majority() && !self.fleet.paused(self.now)
-    }
-
-    fn note_orphans(
-        &mut self,
-        pool: Pool,
-        replica: Replica,
-        found: &[Held],
-        out: &mut Vec<Action>,
-    ) {
-        let now = self.now;
-        let grace = self.settings.orphan_grace;
-        let may_sweep = self.may_sweep();
-        let Some(kept) = self.cells.get_mut(&pool) else {
-            return;
-        };
-        kept.orphans.retain(|(at, handle), _| {
-            *at != replica || found.iter().any(|held| held.handle == *handle)
-        });
-        if !may_sweep {
-            kept.orphans.clear();
-            return;
-        }
-        let mut due = Vec::new();
-        for held in found {
-            let since = *kept.orphans.entry((replica, held.handle)).or_insert(now);
-            if now >= since + grace {
-                kept.orphans.remove(&(replica, held.handle));
-                due.push(*held);
-            }
-        }
-        for held in due {
-            self.sweep_one(replica, held, out);
-        }
-    }
-
-    fn sweep_one(&mut self, replica: Replica, held: Held, out: &mut Vec<Action>) {
-        let handle = held.handle;
-        if !self.holds.has(replica, handle) {
-            self.holds
-                .take_orphan(self.now, replica, handle, held.owner, held.fence);
-        }
-        let name = self.replica_name(replica);
-        self.log(
-            &handle.to_string(),
-            Step::Sweep,
-            &name,
-            "its owner is gone",
-            out,
-        );
-        out.push(Action::Count(Count::Swept));
-        self.advanced(handle, Phase::Gone);
-    }
-
-    /// A keeper found attempts that name this daemon as owner: those not open are disowned.
-    pub(crate) fn claimed(
-        &mut self,
-        from: Instance,
-        replica: Replica,
-        handles: &[Handle],
-        out: &mut Vec<Action>,
-    ) {
-        let mut disowned = Vec::new();
-        for handle in handles {
-            match self.by_handle.get(handle).copied() {
-                Some(opened) if self.open[opened].place.is_some() => {
-                    self.tell_keeper_adopted(opened, out);
-                }
-                Some(_) => (),
-                None => disowned.push(*handle),
-            }
-        }
-        if !disowned.is_empty() {
-            self.send(
-                from,
-                Body::Disowned {
-                    replica,
-                    handles: disowned,
-                },
-                out,
-            );
-        }
-    }
-
-    /// An owner disowns attempts that this keeper found.
-    pub(crate) fn disowned(&mut self, replica: Replica, handles: &[Handle], out: &mut Vec<Action>) {
-        for handle in handles {
-            self.advanced(*handle, Phase::Gone);
-            if self.backends.contains_key(&replica) && !self.holds.has(replica, *handle) {
-                let fence = self.unix_ms();
-                let owner = handle.owner;
-                self.holds
-                    .take_orphan(self.now, replica, *handle, owner, fence);
-                let name = self.replica_name(replica);
-                self.log(
-                    &handle.to_string(),
-                    Step::Sweep,
-                    &name,
-                    "disowned by its owner",
-                    out,
-                );
-                out.push(Action::Count(Count::Swept));
-            }
-        }
-    }
-
-    /// Asks owners about attempts placed long ago, and drops those of dead owners.
-    pub(crate) fn audit(&mut self, out: &mut Vec<Action>) {
-        let now = self.now;
-        self.timers.audit = now + AUDIT_EVERY;
-        if !self.may_sweep() {
-            return;
-        }
-        let mut gone = Vec::new();
-        let mut questions: BTreeMap<Instance, Vec<Handle>> = BTreeMap::new();
-        for kept in self.cells.values() {
-            for (handle, placed) in &kept.placed {
-                let dead = self.live_owner(placed.incarnation).is_none();
-                let grace = self.settings.orphan_grace + AUDIT_AGE;
-                match () {
-                    () if dead && now >= placed.since + grace => gone.push(*handle),
-                    () if dead || now < placed.since + AUDIT_AGE => (),
-                    () => questions.entry(placed.owner).or_default().push(*handle),
-                }
-            }
-        }
-        for handle in gone {
-            self.advanced(handle, Phase::Gone);
-        }
-        for (owner, handles) in questions {
-            let replica = AUDITED;
-            self.send(owner, Body::Claimed { replica, handles }, out);
-        }
-    }
 }
 
-/// Stands for no replica in the questions of an audit.
-const AUDITED: Replica = Replica(0);
-
 fn rule(row: &Row) -> Rule {
     let millis = |value: u32| Duration::from_millis(u64::from(value));
     Rule {
--- /dev/null
+++ b/crates/node/src/proofs.rs
@@ -0,0 +1,118 @@
+//! Proofs that the table held here is the newest.
+
+use std::time::Duration;
+
+use ident::Instance;
+use ident::Time;
+use wire::Body;
+use wire::News;
+
+use crate::action::Action;
+use crate::node::Node;
+use crate::node::millis;
+use crate::tables::Heard;
+
+/// Time between two rounds of news.
+const NEWS_EVERY: Duration = Duration::from_millis(250);
+/// Peers told in a round.
+const NEWS_FANOUT: usize = 3;
+
+impl Node {
+    /// The store was read linearizably at or after `since`, and holds nothing newer than this view.
+    pub(crate) fn prove(&mut self, since: Time) {
+        let age = self.now.since(since);
+        self.view.vouch(self.now, age);
+        self.desk.proved = self.desk.proved.max(Some(since));
+    }
+
+    /// Asks a few peers what they hold, and tells them what is held here.
+    pub(crate) fn tell_news(&mut self, out: &mut Vec<Action>) {
+        self.timers.news = self.now + NEWS_EVERY;
+        self.pull_list(out);
+        let news = self.my_news(self.now.0, false);
+        for peer in self.some_peers(NEWS_FANOUT) {
+            self.send(peer, Body::News(news), out);
+        }
+    }
+
+    fn my_news(&self, asked: u64, answer: bool) -> News {
+        let age = self
+            .desk
+            .proved
+            .map(|proved| millis(self.now.since(proved)));
+        News {
+            generation: self.view.generation(),
+            store_age_ms: age.and_then(|age| u32::try_from(age).ok()),
+            settled: !self.view.behind(),
+            asked,
+            answer,
+        }
+    }
+
+    pub(crate) fn news(&mut self, from: Instance, news: News, out: &mut Vec<Action>) {
+        self.view.announce(news.generation);
+        self.note_told(from, news);
+        match () {
+            () if self.view.behind() => self.send(from, Body::Pull, out),
+            () if news.answer => self.take_proof(news),
+            () => (),
+        }
+        if !news.answer {
+            let answer = self.my_news(news.asked, true);
+            self.send(from, Body::News(answer), out);
+        }
+    }
+
+    fn note_told(&mut self, from: Instance, news: News) {
+        let asked = Time(news.asked).min(self.now);
+        let before = self.desk.told.get(&from).and_then(|heard| heard.settled);
+        let settled = if news.answer && news.settled {
+            before.max(Some(asked))
+        } else {
+            before
+        };
+        let heard = Heard {
+            generation: news.generation,
+            at: self.now,
+            settled,
+        };
+        self.desk.told.insert(from, heard);
+    }
+
+    /// An answer proves as much as its sender could prove when the question was asked.
+    fn take_proof(&mut self, news: News) {
+        let asked = Time(news.asked).min(self.now);
+        let age = news
+            .store_age_ms
+            .filter(|_| news.generation == self.view.generation());
+        if let Some(age) = age {
+            let proved = asked - Duration::from_millis(u64::from(age));
+            self.view.vouch(self.now, self.now.since(proved));
+            self.desk.proved = self.desk.proved.max(Some(proved));
+        }
+        if let Some(point) = self.contact_point() {
+            self.view.vouch(self.now, self.now.since(point));
+        }
+    }
+
+    /// The latest point from which on a majority of the list, this instance among it, has answered.
+    fn contact_point(&self) -> Option<Time> {
+        let mut points: Vec<Time> = self
+            .desk
+            .told
+            .values()
+            .filter_map(|heard| heard.settled)
+            .collect();
+        points.sort_unstable_by(|a, b| b.cmp(a));
+        let others = self.fleet.known() / 2;
+        others
+            .checked_sub(1)
+            .and_then(|last| points.get(last).copied())
+    }
+
+    /// Whether a majority of the listed instances, this one among them, is in contact.
+    pub(crate) fn has_majority(&self) -> bool {
+        let since = self.now - self.settings.lease;
+        self.fleet.known() <= 1 || self.contact_point().is_some_and(|point| point >= since)
+    }
+}
--- a/crates/node/src/releases.rs
+++ b/crates/node/src/releases.rs
@@ -7,11 +7,10 @@
 use crate::action::Task;
 use crate::decision::Step;
 use crate::event::Failure;
+use crate::http_status;
 use crate::node::Node;
 use crate::node::Purpose;
 
-const HTTP_CONFLICT: u16 = 409;
-
 impl Node {
     /// Begins the release of a hold; its starting order is aborted first.
     pub(crate) fn release_hold(&mut self, hold: Option<HoldKey>, out: &mut Vec<Action>) {
@@ -52,7 +51,7 @@
     pub(crate) fn release_failed(&mut self, order: Order, failure: Failure) {
         match failure {
             Failure::Refused {
-                status: HTTP_CONFLICT,
+                status: http_status::CONFLICT,
                 ..
             } => self.holds.overtaken(order),
             _ => self.holds.failed(self.now, order),
