--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -8,7 +8,6 @@
 use ledger::ids::Call;
 use ledger::keys::Admission;
 use ledger::keys::Mark;
-use ledger::order::Sequence;
 use ledger::stage::Stage;
 use rand::RngExt;
 use route::ticket::Ticket;
@@ -26,7 +25,6 @@
 use crate::open::OpenKey;
 use crate::open::Reach;
 use crate::open::Targets;
-use crate::open::Times;
 use crate::refusals::SOON;
 use crate::request::Request;
 use crate::request::Work;
@@ -201,51 +199,18 @@
         repeatable: bool,
     ) -> OpenKey {
         let handle = self.fresh_handle();
-        let now = self.now;
-        let ticket = Ticket {
-            handle,
-            row: row.id(),
-            work: ticket_work(&request.work),
-            waited: Duration::ZERO,
-            home: self.settings.zone,
-            attempt: 0,
-            avoid: Vec::new(),
-        };
+        let work = ticket_work(&request.work);
+        let ticket = Ticket::new(handle, row.id(), work, self.settings.zone);
+        let pool = Pool::new(&row.pool);
         let opened = self.open.insert(Open {
-            call: Some(call),
             origin: Some(call),
             key: key.clone(),
-            customer: request.customer.clone(),
-            pool: Pool::new(&row.pool),
             repeatable,
-            stage: Stage::Waiting,
-            ticket,
-            place: None,
-            phase: None,
-            order: None,
-            prefill_hold: None,
-            decode_hold: None,
             fence: self.unix_ms(),
-            sequence: Sequence::new(0),
-            reach: Reach::Untouched,
-            queued: now,
             patience: Duration::from_millis(u64::from(row.max_wait_ms)) + PATIENCE,
-            headed: false,
-            withheld: None,
-            attach_tries: 0,
-            attach_at: None,
-            computed: 0,
             priority: row.priority,
             targets: Targets::new(row),
-            times: Times {
-                arrived: now,
-                progress: now,
-                submitted: now,
-                first: None,
-                last: None,
-                left: None,
-            },
-            askers: Vec::new(),
+            ..Open::new(call, &request.customer, pool, ticket, self.now)
         });
         self.by_handle.insert(handle, opened);
         self.by_call.insert(call, opened);
--- a/crates/node/src/open.rs
+++ b/crates/node/src/open.rs
@@ -113,6 +113,20 @@
     pub left: Option<Time>,
 }
 
+impl Times {
+    /// The points of a request that arrives at `now`.
+    pub const fn new(now: Time) -> Self {
+        Self {
+            arrived: now,
+            progress: now,
+            submitted: now,
+            first: None,
+            last: None,
+            left: None,
+        }
+    }
+}
+
 /// One open request.
 #[derive(Debug)]
 pub struct Open {
@@ -174,6 +188,39 @@
 }
 
 impl Open {
+    /// A request that waits for its first attempt: repeatable, without key, targets or prompt.
+    pub fn new(call: Call, customer: &str, pool: Pool, ticket: Ticket, now: Time) -> Self {
+        Self {
+            call: Some(call),
+            origin: None,
+            key: None,
+            customer: customer.to_owned(),
+            pool,
+            repeatable: true,
+            stage: Stage::Waiting,
+            ticket,
+            place: None,
+            phase: None,
+            order: None,
+            prefill_hold: None,
+            decode_hold: None,
+            fence: 0,
+            sequence: Sequence::new(0),
+            reach: Reach::Untouched,
+            queued: now,
+            patience: Duration::ZERO,
+            headed: false,
+            withheld: None,
+            attach_tries: 0,
+            attach_at: None,
+            computed: 0,
+            priority: 0,
+            targets: Targets::none(),
+            times: Times::new(now),
+            askers: Vec::new(),
+        }
+    }
+
     /// The present attempt.
     pub const fn handle(&self) -> Handle {
         self.ticket.handle
--- a/crates/node/src/takeovers.rs
+++ b/crates/node/src/takeovers.rs
@@ -21,7 +21,6 @@
 use crate::open::Place;
 use crate::open::Reach;
 use crate::open::Targets;
-use crate::open::Times;
 use crate::retries::continue_from;
 use crate::token::Token;
 
@@ -155,64 +154,29 @@
     }
 
     fn insert_adopted(&mut self, call: Call, token: &Token, offset: u32) -> OpenKey {
-        let now = self.now;
         let work = Work::Model {
             prompt_tokens: token.prompt_tokens,
             max_tokens: token.max_tokens,
             blocks: Vec::new(),
             done_tokens: 0,
         };
-        let ticket = Ticket {
-            handle: token.handle,
-            row: token.row,
-            work,
-            waited: Duration::ZERO,
-            home: self.settings.zone,
-            attempt: 0,
-            avoid: Vec::new(),
-        };
+        let ticket = Ticket::new(token.handle, token.row, work, self.settings.zone);
         let targets = self
             .rows
             .get(token.row)
             .map_or_else(Targets::none, |brief| brief.targets);
         let opened = self.open.insert(Open {
-            call: Some(call),
-            origin: None,
-            key: None,
-            customer: token.customer.clone(),
-            pool: token.pool,
-            repeatable: true,
             stage: Stage::Decode,
-            ticket,
             place: Some(Place {
                 prefill: None,
                 run: token.replica,
             }),
             phase: Some(Phase::Decoding),
-            order: None,
-            prefill_hold: None,
-            decode_hold: None,
             fence: self.unix_ms().max(token.fence + TAKEOVER_STEP),
             sequence: Sequence::new(offset),
             reach: Reach::Touched,
-            queued: now,
-            patience: Duration::ZERO,
-            headed: false,
-            withheld: None,
-            attach_tries: 0,
-            attach_at: None,
-            computed: 0,
-            priority: 0,
             targets,
-            times: Times {
-                arrived: now,
-                progress: now,
-                submitted: now,
-                first: None,
-                last: None,
-                left: None,
-            },
-            askers: Vec::new(),
+            ..Open::new(call, &token.customer, token.pool, ticket, self.now)
         });
         self.by_handle.insert(token.handle, opened);
         self.by_call.insert(call, opened);
--- a/crates/route/src/ticket.rs
+++ b/crates/route/src/ticket.rs
@@ -50,6 +50,19 @@
 }
 
 impl Ticket {
+    /// The ticket of a first attempt, sent at once.
+    pub const fn new(handle: Handle, row: Row, work: Work, home: Zone) -> Self {
+        Self {
+            handle,
+            row,
+            work,
+            waited: Duration::ZERO,
+            home,
+            attempt: 0,
+            avoid: Vec::new(),
+        }
+    }
+
     /// Whether the ticket asks for a place again after a failed attempt.
     pub const fn is_retry(&self) -> bool {
         self.attempt > 0
