Entry: explain tells times, and keeps 8,000 lines

Cause: lines of several instances could not be merged by time; 20,000 lines of up to 1 KiB did not fit the 32 MB that control may take. Change: each kept line has its time; the ring is smaller.

--- a/crates/entry/src/logs.rs
+++ b/crates/entry/src/logs.rs
@@ -22,7 +22,7 @@
 /// What is logged: everything of this product, warnings of its libraries.
 const LEVELS: &str = "warn, entry=info, waxwingd=info";
 /// Decision lines kept for `explain`.
-const RECENT: usize = 20_000;
+const RECENT: usize = 8_000;
 /// Longest part of a decision line that is kept, in bytes.
 const MAX_PART: usize = 256;
 
@@ -73,7 +73,14 @@
 /// The latest decision lines.
 #[derive(Debug, Default)]
 pub struct Recent {
-    lines: Mutex<VecDeque<Decision>>,
+    lines: Mutex<VecDeque<Line>>,
+}
+
+#[derive(Debug)]
+struct Line {
+    /// RFC 3339.
+    time: String,
+    decision: Decision,
 }
 
 impl Recent {
@@ -98,7 +105,10 @@
         if lines.len() == RECENT {
             lines.pop_front();
         }
-        lines.push_back(shortened(decision));
+        lines.push_back(Line {
+            time: DeferredNow::new().format_rfc3339(),
+            decision: shortened(decision),
+        });
     }
 
     /// The kept lines whose request contains `text`, oldest first.
@@ -106,7 +116,7 @@
         let lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
         lines
             .iter()
-            .filter(|line| line.request.contains(text))
+            .filter(|line| line.decision.request.contains(text))
             .map(json)
             .collect()
     }
@@ -125,8 +135,10 @@
     kept
 }
 
-fn json(decision: &Decision) -> Value {
+fn json(line: &Line) -> Value {
+    let decision = &line.decision;
     serde_json::json!({
+        "time": line.time,
         "kind": "decision",
         "request": decision.request,
         "step": decision.step.word(),
