--- a/crates/scenario/src/play/check.rs
+++ b/crates/scenario/src/play/check.rs
@@ -15,6 +15,7 @@
 use crate::play::decisions::Line;
 use crate::play::seconds;
 use crate::play::unix_ms;
+use crate::script::expect::AtMost;
 use crate::script::expect::Decisions;
 use crate::script::expect::Drained;
 use crate::script::expect::Exit;
@@ -43,6 +44,7 @@
             Expect::NotReady(daemon) => self.check_not_ready(&daemon).await,
             Expect::Drained(drained) => self.check_drained(&drained).await,
             Expect::Decisions(decisions) => self.check_decisions(&decisions),
+            Expect::AtMost(limit) => self.check_at_most(&limit).await,
             Expect::Keeper(keeper) => self.check_keeper(&keeper),
             Expect::Row(row) => self.check_row(&row).await,
         }
@@ -251,6 +253,18 @@
         self.ensure(met, format!("{count} decisions `{}`", expected.step))
     }
 
+    async fn check_at_most(&self, limit: &AtMost) -> Result<(), Error> {
+        let end = Instant::now() + seconds(limit.seconds);
+        let mut peak = 0;
+        while Instant::now() < end {
+            peak = peak.max(self.witness.decoding(&limit.at).await);
+            sleep(LOOK_EVERY).await;
+        }
+        println!("measured {}: peak at {}: {peak}", self.name, limit.at);
+        let met = peak >= limit.least && peak <= limit.most;
+        self.ensure(met, format!("{} had {peak} at once", limit.at))
+    }
+
     fn check_keeper(&self, expected: &Keeper) -> Result<(), Error> {
         let pool = Pool::new(&expected.of).to_string();
         let lines = self.lines(&expected.is);
--- a/crates/scenario/src/play/witness.rs
+++ b/crates/scenario/src/play/witness.rs
@@ -80,13 +80,27 @@
             let record = self.record(name).await.unwrap_or_default();
             return record["total"].as_u64().unwrap_or(0);
         };
+        let phases = self.phases(name).await;
+        phases.iter().filter(|other| *other == phase).count() as u64
+    }
+
+    /// Attempts that the engine `name` transfers or decodes.
+    pub async fn decoding(&self, name: &str) -> u64 {
+        let phases = self.phases(name).await;
+        let taken = |phase: &&String| matches!(phase.as_str(), "import" | "decode");
+        phases.iter().filter(taken).count() as u64
+    }
+
+    /// The phase of each attempt at the engine `name`.
+    async fn phases(&self, name: &str) -> Vec<String> {
         let Some(address) = self.replicas.get(name) else {
-            return 0;
+            return Vec::new();
         };
         let state = timeout(LIMIT, self.web.get_json(address, "/v1/state")).await;
         let state = state.ok().and_then(Result::ok).unwrap_or_default();
         let works = state["works"].as_array().cloned().unwrap_or_default();
-        works.iter().filter(|work| work["phase"] == phase).count() as u64
+        let phases = works.iter().filter_map(|work| work["phase"].as_str());
+        phases.map(str::to_owned).collect()
     }
 
     /// Names of all replicas.
--- a/crates/scenario/src/script/expect.rs
+++ b/crates/scenario/src/script/expect.rs
@@ -29,6 +29,8 @@
     Drained(Drained),
     /// Lines of a daemon's decision log.
     Decisions(Decisions),
+    /// A replica never has more attempts in progress than this, for some time.
+    AtMost(AtMost),
     /// A pool's keeper, which is the same in every run.
     Keeper(Keeper),
     /// A row as a daemon has it in force.
@@ -170,3 +172,17 @@
     /// The daemon.
     pub is: String,
 }
+
+/// A limit on what a replica does at once.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AtMost {
+    /// The replica.
+    pub at: String,
+    /// Most attempts in transfer or decode.
+    pub most: u64,
+    /// The peak must reach this, or the limit shows nothing.
+    pub least: u64,
+    /// How long it is watched, in seconds.
+    pub seconds: f64,
+}
