route: requests go by due date with a bias to short prefills

Cause: least slack first prefers long prompts, so that a cell limited by prefill serves fewer. Change: the due date plus the shortest time to the first token.

--- a/crates/lab/src/rival.rs
+++ b/crates/lab/src/rival.rs
@@ -40,6 +40,7 @@
         keeper(policy::reserved::policy()),
         keeper(policy::predicted::policy()),
         keeper(policy::affine::policy()),
+        keeper(policy::deadline::policy()),
         Rival {
             mode: Mode::Oracle,
             policy: policy::oracle::policy(),
--- a/crates/route/src/cell.rs
+++ b/crates/route/src/cell.rs
@@ -66,7 +66,7 @@
 impl Cell {
     /// An empty cell with the project's own policy.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        Self::with_policy(settings, seed, crate::policy::affine::policy())
+        Self::with_policy(settings, seed, crate::policy::deadline::policy())
     }
 
     /// An empty cell with `policy`.
--- a/crates/route/src/policy.rs
+++ b/crates/route/src/policy.rs
@@ -1,6 +1,7 @@
 //! What varies between policies: the order of waiting requests and the choice of replicas.
 
 pub mod affine;
+pub mod deadline;
 pub mod least_loaded;
 pub mod oracle;
 pub mod predicted;
--- /dev/null
+++ b/crates/route/src/policy/deadline.rs
@@ -0,0 +1,21 @@
+//! Fourth policy, in force: requests go by their due date, with a bias to short prefills.
+
+use ident::Time;
+
+use crate::policy::Ask;
+use crate::policy::Policy;
+use crate::policy::affine;
+
+/// The policy.
+pub const fn policy() -> Policy {
+    Policy {
+        name: "deadline",
+        order,
+        ..affine::policy()
+    }
+}
+
+/// The due date, put off by the request's own shortest time to the first token.
+pub(crate) fn order(ask: &Ask<'_>) -> Time {
+    ask.due + ask.fastest
+}
--- a/crates/route/src/policy/oracle.rs
+++ b/crates/route/src/policy/oracle.rs
@@ -1,4 +1,4 @@
-//! Upper bound: the third policy with known lengths, for a cell that sees all without delay.
+//! Upper bound: the policy in force with known lengths, for a cell that sees all without delay.
 
 use crate::policy::Ask;
 use crate::policy::Pair;
@@ -7,6 +7,7 @@
 use crate::policy::View;
 use crate::policy::Wait;
 use crate::policy::affine;
+use crate::policy::deadline;
 
 /// The policy.
 pub const fn policy() -> Policy {
@@ -14,7 +15,7 @@
         name: "oracle",
         pair,
         secured: Secured::Known,
-        ..affine::policy()
+        ..deadline::policy()
     }
 }
 
--- a/crates/route/tests/admit.rs
+++ b/crates/route/tests/admit.rs
@@ -131,7 +131,7 @@
 }
 
 #[rstest]
-fn the_least_slack_goes_first_within_a_row() {
+fn the_request_due_first_goes_first_within_a_row() {
     let mut cell = cell_with(&[rule(row())], 1, 1);
     let waited = Duration::from_millis(500);
     cell.submit(Time::from_millis(600), ticket(1, row()));
