--- a/crates/route/src/cell/admit.rs
+++ b/crates/route/src/cell/admit.rs
@@ -60,6 +60,7 @@
         if !flow.ticket.is_retry() {
             lane.count_first(now);
         }
+        lane.plain = flow.ticket.work == Work::Plain;
         lane.queue.insert(flow.order, handle);
         self.waiting += 1;
         self.flows.insert(handle, flow);
--- a/crates/route/src/cell/grant.rs
+++ b/crates/route/src/cell/grant.rs
@@ -116,26 +116,43 @@
             return false;
         }
         let mut pass = Pass::default();
-        for handle in self.ranked(self.policy.scan) {
-            let Some(flow) = self.flows.remove(&handle) else {
-                continue;
-            };
-            let place = self.place(now, &flow, &mut pass);
-            self.flows.insert(handle, flow);
-            match place {
-                Ok(Place::Pair(pair)) if self.misses_target(handle, &pair) => {
-                    return self.demote(now, handle);
-                }
-                Ok(Place::Pair(pair)) => return self.start_pair(now, handle, &pair),
-                Ok(Place::Single(key)) => return self.start_single(now, handle, key),
-                Err(Wait::Slot) => return false,
-                Err(Wait::Batch(key)) => pass.kept = Some(key),
-                Err(Wait::Replica) => (),
+        let Some(first) = self.first() else {
+            return false;
+        };
+        if let Some(granted) = self.consider(now, first, &mut pass) {
+            return granted;
+        }
+        if self.policy.scan == 1 {
+            return false;
+        }
+        for handle in self.ranked(self.policy.scan).into_iter().skip(1) {
+            if let Some(granted) = self.consider(now, handle, &mut pass) {
+                return granted;
             }
         }
         false
     }
 
+    /// Grants `handle` a place, or says that nobody gets one; none if others may go first.
+    fn consider(&mut self, now: Time, handle: Handle, pass: &mut Pass) -> Option<bool> {
+        let flow = self.flows.remove(&handle)?;
+        let place = self.place(now, &flow, pass);
+        self.flows.insert(handle, flow);
+        match place {
+            Ok(Place::Pair(pair)) if self.misses_target(handle, &pair) => {
+                Some(self.demote(now, handle))
+            }
+            Ok(Place::Pair(pair)) => Some(self.start_pair(now, handle, &pair)),
+            Ok(Place::Single(key)) => Some(self.start_single(now, handle, key)),
+            Err(Wait::Slot) => Some(false),
+            Err(Wait::Batch(key)) => {
+                pass.kept = Some(key);
+                None
+            }
+            Err(Wait::Replica) => None,
+        }
+    }
+
     /// Whether a request that still counts as punctual would get its first token too late.
     fn misses_target(&self, handle: Handle, pair: &Pair) -> bool {
         let flow = self.flows.get(&handle);
--- a/crates/route/src/cell/rank.rs
+++ b/crates/route/src/cell/rank.rs
@@ -10,7 +10,6 @@
 use crate::policy::Fair;
 use crate::policy::Secured;
 use crate::row::Lane;
-use crate::ticket::Work;
 
 /// How far a row may run ahead of its share, in seconds of the whole cell.
 const AHEAD: f64 = 3.0;
@@ -45,48 +44,57 @@
 }
 
 impl Cell {
-    /// The first waiting requests in order: by priority, those on time first, then by the rows'
-    /// shares, then by their own order.
+    /// The waiting request that is considered first: by priority, those on time before those that
+    /// are late, then by the rows' shares, then by their own order.
+    pub(super) fn first(&self) -> Option<Handle> {
+        let level = self.level();
+        let open = self.lanes.values().filter(|lane| self.has_room(lane));
+        let heads = open.filter_map(|lane| Some(self.rank(lane, 0, level, lane.queue.head()?)));
+        heads.max().map(|rank| rank.handle)
+    }
+
+    /// The first `count` waiting requests in the order of [`Cell::first`].
     pub(super) fn ranked(&self, count: usize) -> Vec<Handle> {
         let level = self.level();
         let open = self.lanes.values().filter(|lane| lane.queue.len() > 0);
         let open: Vec<&Lane> = open.filter(|lane| self.has_room(lane)).collect();
         let mut queues: Vec<_> = open.iter().map(|lane| lane.queue.iter()).collect();
         let mut heap = BinaryHeap::new();
-        let rank = |at: usize, (late, order, handle): (bool, Time, Handle)| {
-            let lane = open[at];
-            let ahead = self.ahead(lane, level);
-            Rank {
-                priority: lane.rule.priority,
-                late,
-                ahead,
-                order,
-                handle,
-                lane: at,
-            }
-        };
         for (at, queue) in queues.iter_mut().enumerate() {
-            heap.extend(queue.next().map(|entry| rank(at, entry)));
+            heap.extend(
+                queue
+                    .next()
+                    .map(|entry| self.rank(open[at], at, level, entry)),
+            );
         }
         let mut handles = Vec::new();
         while let Some(first) = heap.pop().filter(|_| handles.len() < count) {
             handles.push(first.handle);
-            let next = queues[first.lane].next();
-            heap.extend(next.map(|entry| rank(first.lane, entry)));
+            let at = first.lane;
+            heap.extend(
+                queues[at]
+                    .next()
+                    .map(|entry| self.rank(open[at], at, level, entry)),
+            );
         }
         handles
     }
 
-    fn has_room(&self, lane: &Lane) -> bool {
-        if self.policy.secured == Secured::Nothing {
-            return true;
+    fn rank(&self, lane: &Lane, at: usize, level: f64, entry: (bool, Time, Handle)) -> Rank {
+        let (is_late, order, handle) = entry;
+        let ahead = self.ahead(lane, level);
+        Rank {
+            priority: lane.rule.priority,
+            late: is_late,
+            ahead,
+            order,
+            handle,
+            lane: at,
         }
-        let head = lane
-            .queue
-            .iter()
-            .next()
-            .and_then(|(_, _, handle)| self.flows.get(&handle));
-        lane.has_room(head.is_some_and(|flow| flow.ticket.work == Work::Plain))
+    }
+
+    fn has_room(&self, lane: &Lane) -> bool {
+        self.policy.secured == Secured::Nothing || lane.has_room()
     }
 
     fn ahead(&self, lane: &Lane, level: f64) -> f64 {
--- a/crates/route/src/queue.rs
+++ b/crates/route/src/queue.rs
@@ -39,6 +39,19 @@
         self.late.iter().map(|(_, handle)| *handle)
     }
 
+    /// The first waiting request, marked if it is late.
+    pub fn head(&self) -> Option<(bool, Time, Handle)> {
+        let punctual = self
+            .punctual
+            .first()
+            .map(|(order, handle)| (false, *order, *handle));
+        punctual.or_else(|| {
+            self.late
+                .first()
+                .map(|(expiry, handle)| (true, *expiry, *handle))
+        })
+    }
+
     /// Waiting requests in order, those that are late marked so and last.
     pub fn iter(&self) -> impl Iterator<Item = (bool, Time, Handle)> + '_ {
         let punctual = self
--- a/crates/route/src/row.rs
+++ b/crates/route/src/row.rs
@@ -18,6 +18,8 @@
     pub rule: Rule,
     /// Its waiting requests.
     pub queue: Queue,
+    /// Whether its requests are plain calls.
+    pub plain: bool,
     /// Its requests in prefill.
     pub prefills: u32,
     /// Its requests that hold a decode slot (plain: in progress).
@@ -38,6 +40,7 @@
         Self {
             rule,
             queue: Queue::default(),
+            plain: false,
             prefills: 0,
             decodes: 0,
             used: 0.0,
@@ -49,8 +52,8 @@
     }
 
     /// Whether the ceilings admit one more request; plain calls do not count as prefills.
-    pub const fn has_room(&self, plain: bool) -> bool {
-        let prefill = plain || self.prefills < self.rule.prefill_ceiling;
+    pub const fn has_room(&self) -> bool {
+        let prefill = self.plain || self.prefills < self.rule.prefill_ceiling;
         prefill && self.decodes < self.rule.decode_ceiling
     }
 
