--- a/crates/node/tests/random.rs
+++ b/crates/node/tests/random.rs
@@ -16,9 +16,12 @@
 use proptest::test_runner::TestCaseError;
 use proptest::test_runner::TestRng;
 use proptest::test_runner::TestRunner;
+use rstest::rstest;
 
 use crate::world::World;
+use crate::world::plan::Fault;
 use crate::world::plan::Plan;
+use crate::world::plan::Stroke;
 
 /// Seeds tried where nothing else is asked for.
 const DEFAULT_CASES: u64 = 500;
@@ -104,3 +107,45 @@
     let result = World::new(&plan).with_trace().run();
     eprintln!("{result:?}");
 }
+
+/// Plans that broke a promise once, made small; each failed before the change that its case names.
+#[rstest]
+#[case::a_cancelled_handle_is_taken_for_another_reader(
+    Plan::new(7, 1, 3).with_strokes(&[Stroke::new(463, Fault::Refuse, 60, 26, 4_137)])
+)]
+#[case::an_order_in_flight_does_not_count_as_sent(Plan::new(4, 4, 9))]
+#[case::a_key_that_was_tried_is_forgotten(
+    Plan::new(43, 1, 11).with_strokes(&[Stroke::new(404, Fault::StoreLoses, 194, 149, 6_020)])
+)]
+#[case::a_committed_edit_is_called_rejected(Plan::new(72, 2, 1).with_strokes(&[
+    Stroke::new(1_345, Fault::Undrain, 55, 140, 1_687),
+    Stroke::new(949, Fault::CutPeers, 107, 150, 6_797),
+]))]
+#[case::nobody_keeps_the_pools_of_a_leaving_fleet(
+    Plan::new(351, 1, 3).with_strokes(&[Stroke::new(1_511, Fault::Stop, 215, 78, 5_053)])
+)]
+#[case::a_slot_of_an_ended_request_stays_taken(Plan::new(3, 4, 10).with_strokes(&[
+    Stroke::new(2_210, Fault::Pause, 121, 95, 1_246),
+    Stroke::new(1_183, Fault::StoreSlow, 230, 10, 4_689),
+    Stroke::new(1_432, Fault::Edit, 112, 72, 4_771),
+    Stroke::new(69, Fault::Undrain, 200, 214, 5_458),
+]))]
+#[case::a_new_run_answers_for_its_former_one(
+    Plan::new(7, 2, 10).with_strokes(&[Stroke::new(1_262, Fault::Kill, 97, 229, 325)])
+)]
+#[case::an_old_inspection_shows_the_former_owner(Plan::new(123, 5, 10).with_strokes(&[
+    Stroke::new(6_779, Fault::Storm, 84, 102, 5_657),
+    Stroke::new(7_892, Fault::Pause, 37, 164, 5_385),
+    Stroke::new(7_578, Fault::Kill, 150, 26, 4_514),
+]))]
+#[case::fences_follow_skewed_clocks(Plan::new(1_462, 4, 14))]
+#[case::a_woken_runner_speaks_for_others(Plan::new(260, 4, 14).with_strokes(&[
+    Stroke::new(6_742, Fault::Storm, 214, 95, 6_084),
+    Stroke::new(1_401, Fault::Undrain, 200, 114, 5_979),
+    Stroke::new(3_704, Fault::StoreSlow, 237, 60, 2_560),
+    Stroke::new(2_052, Fault::CutReplica, 127, 59, 6_193),
+    Stroke::new(2_373, Fault::Pause, 77, 13, 5_894),
+]))]
+fn promises_hold_where_they_were_broken(#[case] plan: Plan) {
+    assert_eq!(World::new(&plan).run().err(), None);
+}
