Core: continuations wait from their loss on; a silent replica is lost after 750 ms

Cause: scenario engine-killed-late: a stream that had run longer than its row's longest wait was refused as doomed when its engine died, since its wait was counted from its arrival. Scenario engine-stalled: a hung replica got every new request for some 2 s, as each inspection hung until its own timeout and four had to fail.

--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -33,7 +33,12 @@
         let now = self.now;
         let entry = &mut self.open[opened];
         entry.times.submitted = now;
-        entry.ticket.waited = now.since(entry.times.arrived);
+        // A continuation's first token was told long ago: only the loss counts.
+        let since = entry
+            .times
+            .first
+            .map_or(entry.times.arrived, |_| entry.queued);
+        entry.ticket.waited = now.since(since);
         let ticket = Box::new(entry.ticket.clone());
         let pool = entry.pool;
         self.send(self.keeper_of(pool), Body::Submit(ticket), out);
--- a/crates/node/src/keeping.rs
+++ b/crates/node/src/keeping.rs
@@ -30,8 +30,8 @@
 
 /// Time in which a new keeper of a pool places nothing, so that owners can report first.
 const SETTLE: Duration = Duration::from_millis(500);
-/// Inspections without an answer after which a replica counts as lost.
-const MAX_SILENT: u32 = 4;
+/// Time without an answer to inspections after which a replica counts as lost.
+const SILENCE: Duration = Duration::from_millis(750);
 
 /// An attempt as the keeper knows it.
 #[derive(Debug, Clone, Copy)]
@@ -44,7 +44,11 @@
 /// What the keeper knows of one replica's answers.
 #[derive(Debug, Clone, Copy, Default)]
 struct Watch {
-    silent: u32,
+    /// Since when inspections have been unanswered.
+    unanswered: Option<Time>,
+    /// Whether it counts as lost.
+    lost: bool,
+    /// Last cache event seen.
     after: u64,
 }
 
@@ -289,19 +293,23 @@
 
     /// Asks every replica of the kept pools for its state.
     pub(crate) fn inspect(&mut self, out: &mut Vec<Action>) {
-        self.timers.inspect = self.now + self.settings.inspect_every;
+        let now = self.now;
+        self.timers.inspect = now + self.settings.inspect_every;
         self.recheck_suspects(out);
         for backend in self.backends.values() {
-            if let Some(kept) = self.cells.get(&backend.pool) {
-                let after = kept
-                    .watches
-                    .get(&backend.replica)
-                    .map_or(0, |watch| watch.after);
-                out.push(Action::Inspect {
-                    replica: backend.replica,
-                    after,
-                });
+            let replica = backend.replica;
+            let Some(kept) = self.cells.get_mut(&backend.pool) else {
+                continue;
+            };
+            let watch = kept.watches.entry(replica).or_default();
+            let since = *watch.unanswered.get_or_insert(now);
+            if now >= since + SILENCE && !watch.lost {
+                watch.lost = true;
+                watch.after = 0;
+                kept.cell.lost(now, replica);
             }
+            let after = watch.after;
+            out.push(Action::Inspect { replica, after });
         }
     }
 
@@ -312,18 +320,17 @@
         state: Option<Inspection>,
         out: &mut Vec<Action>,
     ) {
+        let Some(inspection) = state else {
+            return;
+        };
+        self.verify(replica, &inspection.works, out);
         let pool = self.backends.get(&replica).map(|backend| backend.pool);
-        match state {
-            Some(inspection) => {
-                self.verify(replica, &inspection.works, out);
-                if let Some(pool) = pool.filter(|pool| self.cells.contains_key(pool)) {
-                    self.take_report(pool, replica, &inspection);
-                    self.sweep(pool, replica, &inspection.works, out);
-                }
-            }
-            None => self.silent(pool, replica),
+        if let Some(pool) = pool.filter(|pool| self.cells.contains_key(pool)) {
+            self.take_report(pool, replica, &inspection);
+            self.sweep(pool, replica, &inspection.works, out);
         }
     }
+    }
 
     fn take_report(&mut self, pool: Pool, replica: Replica, inspection: &Inspection) {
         let now = self.now;
@@ -331,25 +338,13 @@
             return;
         };
         let watch = kept.watches.entry(replica).or_default();
-        watch.silent = 0;
+        watch.unanswered = None;
+        watch.lost = false;
         let last = inspection.report.events.iter().map(|event| event.seq).max();
         watch.after = last.unwrap_or(watch.after);
         kept.cell.report(now, replica, &inspection.report);
         self.timers.cells = now;
     }
-
-    fn silent(&mut self, pool: Option<Pool>, replica: Replica) {
-        let now = self.now;
-        let Some(kept) = pool.and_then(|pool| self.cells.get_mut(&pool)) else {
-            return;
-        };
-        let watch = kept.watches.entry(replica).or_default();
-        watch.silent += 1;
-        watch.after = 0;
-        if watch.silent == MAX_SILENT {
-            kept.cell.lost(now, replica);
-        }
-    }
 }
 
 fn rule(row: &Row) -> Rule {
