--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -1,5 +1,6 @@
 //! Measurements of how each role of a daemon grows.
 
+pub mod calls;
 pub mod cut;
 pub mod edits;
 pub mod frames;
--- /dev/null
+++ b/crates/bench/src/slopes/calls.rs
@@ -0,0 +1,46 @@
+//! Memory and log of a real daemon by the number of calls that it has answered.
+
+use scenario::error::Error;
+
+use crate::arms::Through;
+use crate::load;
+use crate::load::Until;
+use crate::report::Report;
+use crate::stage::Size;
+use crate::stage::Stage;
+
+const COLUMNS: [&str; 4] = ["calls", "rss_MB", "log_B/call", "failed"];
+const CALLERS: usize = 16;
+const MEGABYTE: f64 = 1_048_576.0;
+
+/// Measures one daemon each time that it has answered another of `counts` calls in all.
+///
+/// # Errors
+///
+/// What kept the daemon from running.
+pub async fn measure(counts: &[usize]) -> Result<Report, Error> {
+    let mut report = Report::new("calls", &COLUMNS);
+    let mut stage = Stage::start(Size::new(1)).await?;
+    let through = Through::new(stage.callers()?);
+    let mut sent = 0;
+    for count in counts {
+        let logged = stage.logged();
+        let more = (*count - sent) as u64;
+        let through = through.clone();
+        let outcome = load::run(CALLERS, Until::Count(more), move |number| {
+            let through = through.clone();
+            async move { through.plain(number).await }
+        })
+        .await;
+        sent = *count;
+        let figures = [
+            *count as f64,
+            stage.daemons_usage()?.rss / MEGABYTE,
+            (stage.logged() - logged) / more as f64,
+            outcome.failed as f64,
+        ];
+        report.push(&format!("{count} calls"), &figures);
+    }
+    report.print();
+    Ok(report)
+}
--- a/crates/bench/src/world/store.rs
+++ b/crates/bench/src/world/store.rs
@@ -3,6 +3,7 @@
 use node::action::Ask;
 use node::event::Stored;
 use table::Table;
+use table::edit::Edit;
 
 /// Calls that the store has carried out.
 #[derive(Debug, Clone, Copy, Default)]
@@ -56,6 +57,13 @@
         &self.table
     }
 
+    /// Commits `edit` as if an instance had done so that then fell silent.
+    pub fn commit(&mut self, edit: &Edit) {
+        if let Ok(next) = edit.apply(&self.table) {
+            self.table = next;
+        }
+    }
+
     pub(super) const fn reachable(&self, cut: bool) -> bool {
         self.up && !cut
     }
@@ -79,9 +87,7 @@
             Ask::Commit(edit) => {
                 self.calls.others += 1;
                 self.calls.writes += 1;
-                if let Ok(next) = edit.apply(&self.table) {
-                    self.table = next;
-                }
+                self.commit(edit);
                 let generation = self.table.generation;
                 Stored::Committed { generation }
             }
