--- a/crates/node/src/keeping.rs
+++ b/crates/node/src/keeping.rs
@@ -330,7 +330,6 @@
             self.sweep(pool, replica, &inspection.works, out);
         }
     }
-    }
 
     fn take_report(&mut self, pool: Pool, replica: Replica, inspection: &Inspection) {
         let now = self.now;
