--- /dev/null
+++ b/crates/node/tests/one/mod.rs
@@ -0,0 +1,260 @@
+//! One core with idle replicas and a store; the test answers its orders.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use ident::Incarnation;
+use ident::Instance;
+use ident::Pool;
+use ident::Prefix;
+use ident::Replica;
+use ident::Time;
+use ident::Zone;
+use node::Node;
+use node::action::Action;
+use node::action::Ask;
+use node::action::Task;
+use node::action::Tell;
+use node::event::Event;
+use node::event::Failure;
+use node::event::Inspection;
+use node::event::Piece;
+use node::event::Reply;
+use node::event::Stored;
+use node::ids::Call;
+use node::ids::Order;
+use node::list::Backend;
+use node::list::List;
+use node::list::Seat;
+use node::request::Request;
+use node::request::Work;
+use node::settings::Settings;
+use route::replica::Report;
+use route::replica::Role;
+use table::Table;
+use table::row::Row;
+const INCARNATION: Incarnation = Incarnation(0x91c5_b8f0_aa31_e2d4);
+const STARTED_MS: u64 = 1_700_000_000_000;
+const ZONE: &str = "osijek-a";
+const PACE: Duration = Duration::from_millis(1);
+
+/// A core with idle replicas and a store; orders are answered by the test.
+pub struct One {
+    node: Node,
+    now: Time,
+    pub orders: Vec<(Order, Task)>,
+    pub tells: Vec<(Call, Tell)>,
+}
+
+impl One {
+    pub fn new() -> Self {
+        let mut one = Self {
+            node: Node::new(settings(), Time::ZERO, 7),
+            now: Time::ZERO,
+            orders: Vec::new(),
+            tells: Vec::new(),
+        };
+        one.feed(Event::Listed(list()));
+        one.run(Duration::from_millis(500));
+        one
+    }
+
+    pub fn feed(&mut self, event: Event) {
+        let mut events = vec![event];
+        while !events.is_empty() {
+            let mut actions = Vec::new();
+            for event in events.drain(..) {
+                self.now = self.now + PACE;
+                self.node.step(self.now, event, &mut actions);
+            }
+            for action in actions {
+                events.extend(self.carry_out(action));
+            }
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) -> Option<Event> {
+        match action {
+            Action::Order { order, task, .. } => self.orders.push((order, task)),
+            Action::Tell { call, tell } => self.tells.push((call, tell)),
+            Action::Fault { cause } => panic!("fault: {cause}"),
+            Action::Query { query, ask } => {
+                let outcome = answer(&ask);
+                return Some(Event::Stored { query, outcome });
+            }
+            Action::Inspect { replica, .. } => {
+                let state = Some(idle());
+                return Some(Event::Inspected { replica, state });
+            }
+            _ => (),
+        }
+        None
+    }
+
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            let wake = self.node.wake().max(self.now + PACE).min(end);
+            self.now = wake - PACE;
+            self.feed(Event::Tick);
+        }
+    }
+
+    /// The last order that is not a cancel.
+    pub fn last(&self) -> (Order, Task) {
+        let is_work = |(_, task): &&(Order, Task)| !matches!(task, Task::Cancel);
+        let found = self.orders.iter().rev().find(is_work);
+        found.cloned().expect("an order was put out")
+    }
+
+    pub fn arrive(&mut self, call: Call) {
+        let request = request();
+        self.feed(Event::Arrived { call, request });
+        self.run(Duration::from_millis(100));
+    }
+
+    /// Lets the prefill that was ordered last end well; the decode order that follows.
+    pub fn prefill(&mut self) -> (Order, Task) {
+        let (order, task) = self.last();
+        assert!(matches!(task, Task::Prefill { .. }), "{task:?}");
+        let reply = Reply::Prefilled {
+            computed: 400,
+            cached: 0,
+            boot: 1,
+        };
+        self.feed(Event::Answered { order, reply });
+        self.last()
+    }
+
+    pub fn stream(&mut self, order: Order, from: u32, count: u32) {
+        let tokens = Piece::Tokens {
+            offset: from,
+            count,
+            text: Bytes::from(format!("{from}+{count}")),
+        };
+        for piece in [Piece::Imported, tokens] {
+            self.feed(Event::Streamed { order, piece });
+        }
+    }
+
+    pub fn fail(&mut self, order: Order, failure: Failure) {
+        self.feed(Event::Failed { order, failure });
+        self.run(Duration::from_millis(200));
+    }
+
+    /// Offsets and counts of the tokens that `call` was told.
+    pub fn tokens(&self, call: Call) -> Vec<(u32, u32)> {
+        let told = self.tells.iter().filter(|(to, _)| *to == call);
+        told.filter_map(|(_, tell)| match tell {
+            Tell::Tokens { offset, count, .. } => Some((*offset, *count)),
+            _ => None,
+        })
+        .collect()
+    }
+
+    pub fn token(&self) -> String {
+        let heads = self.tells.iter().rev();
+        let mut tokens = heads.filter_map(|(_, tell)| match tell {
+            Tell::Head { token, .. } => Some(token.clone()),
+            _ => None,
+        });
+        tokens.next().expect("a head was told")
+    }
+}
+
+fn answer(ask: &Ask) -> Stored {
+    match ask {
+        Ask::Generation => Stored::Generation { generation: 1 },
+        Ask::Table => Stored::Table(Box::new(table())),
+        Ask::Outcome { .. } => Stored::Outcome(None),
+        Ask::Record { .. } => Stored::Recorded,
+        Ask::Commit(_) => Stored::Failed {
+            maybe: false,
+            cause: "no edits here".to_owned(),
+        },
+    }
+}
+
+fn idle() -> Inspection {
+    let report = Report {
+        age: Duration::ZERO,
+        boot: 1,
+        running: 0,
+        waiting: 0,
+        queued_tokens: 0,
+        works: 0,
+        events: Vec::new(),
+    };
+    Inspection {
+        report,
+        works: Vec::new(),
+    }
+}
+
+fn request() -> Request {
+    let prefix = Prefix::new(INCARNATION, STARTED_MS / 1_000);
+    Request {
+        customer: "farm-17".to_owned(),
+        class: "default".to_owned(),
+        service: "ration".to_owned(),
+        key: Some(format!("{prefix}draft")),
+        repeatable: true,
+        work: Work::Model {
+            prompt_tokens: 400,
+            max_tokens: 40,
+            blocks: vec![1],
+        },
+    }
+}
+
+fn table() -> Table {
+    Table::new(1, vec![Row::new("ration", "default", "ration")])
+}
+
+fn list() -> List {
+    let backend = |name: &str, role| Backend {
+        replica: Replica::new(name),
+        name: name.to_owned(),
+        zone: Zone::new(ZONE),
+        pool: Pool::new("ration"),
+        role,
+        slots: 20,
+        fences: true,
+        leaving: false,
+    };
+    let seat = Seat {
+        instance: Instance::new("entry-1"),
+        name: "entry-1".to_owned(),
+        zone: Zone::new(ZONE),
+        caller: "127.0.0.1:7001".to_owned(),
+        leaving: false,
+    };
+    List {
+        instances: vec![seat],
+        replicas: vec![
+            backend("ration-p0", Role::Prefill),
+            backend("ration-d0", Role::Decode),
+            backend("ration-d1", Role::Decode),
+        ],
+    }
+}
+
+fn settings() -> Settings {
+    Settings {
+        instance: Instance::new("entry-1"),
+        name: "entry-1".to_owned(),
+        zone: Zone::new(ZONE),
+        incarnation: INCARNATION,
+        started_ms: STARTED_MS,
+        seeds: Vec::new(),
+        secret: b"sixteen bytes or more".to_vec(),
+        lease: Duration::from_secs(3),
+        window: Duration::from_mins(10),
+        address_ttl: Duration::from_secs(2),
+        orphan_grace: Duration::from_secs(4),
+        inspect_every: Duration::from_millis(250),
+        poll_every: Duration::from_millis(500),
+        max_open: 64,
+        max_keys: 1_024,
+    }
+}
