--- a/crates/route/src/cell.rs
+++ b/crates/route/src/cell.rs
@@ -31,12 +31,12 @@
 use crate::memo::Memo;
 use crate::policy::Policy;
 use crate::policy::View;
+use crate::pool::Pool;
 use crate::replica::Member;
 use crate::replica::Report;
 use crate::row::Lane;
 use crate::rule::Rule;
 use crate::server::Key;
-use crate::server::Pool;
 use crate::token::Fit;
 use crate::turnover::Turnover;
 use crate::verdict::Verdict;
@@ -118,6 +118,7 @@
         let missing: Vec<Replica> = self
             .pool
             .iter()
+            .filter(|(_, server)| server.listed)
             .map(|(_, server)| server.member.replica)
             .filter(|replica| !listed.contains(replica))
             .collect();
@@ -140,7 +141,7 @@
             self.lost(now, replica);
         }
         self.pool.update(key, |server| server.boot = report.boot);
-        self.pool.report(key, report);
+        self.pool.update(key, |server| server.report(report));
         for event in &report.events {
             self.cache.apply(key, event.seq, event.block, event.stored);
         }
--- a/crates/route/src/cell/progress.rs
+++ b/crates/route/src/cell/progress.rs
@@ -8,6 +8,7 @@
 use crate::flow::State;
 use crate::phase::Phase;
 use crate::server::Key;
+use crate::server::Server;
 
 impl Cell {
     /// Takes in what an owner reports about a request.
@@ -111,7 +112,7 @@
         for handle in hit {
             self.detach(now, handle, key);
         }
-        self.pool.clear(key);
+        self.pool.update(key, Server::clear);
         self.pool.update(key, |server| server.reachable = false);
     }
 
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -10,6 +10,7 @@
 mod hash;
 mod link;
 mod memo;
+mod pool;
 mod queue;
 mod rate;
 mod row;
--- a/crates/route/src/policy.rs
+++ b/crates/route/src/policy.rs
@@ -20,8 +20,8 @@
 use crate::cache::Cache;
 use crate::cell::Settings;
 use crate::link::Links;
+use crate::pool::Pool;
 use crate::server::Key;
-use crate::server::Pool;
 use crate::ticket::Ticket;
 use crate::turnover::Turnover;
 
--- /dev/null
+++ b/crates/route/src/pool.rs
@@ -0,0 +1,175 @@
+//! The replicas of a cell in an arena, with ordered indexes of free capacity.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use ident::Handle;
+use ident::Replica;
+use ident::Time;
+use ident::Zone;
+
+use crate::hash::Map;
+use crate::replica::Member;
+use crate::replica::Role;
+use crate::server::Key;
+use crate::server::Server;
+
+/// The replicas of a cell.
+#[derive(Debug, Default)]
+pub struct Pool {
+    servers: Vec<Server>,
+    keys: Map<Replica, Key>,
+    prefills: BTreeSet<(Time, Key)>,
+    decodes: BTreeMap<Zone, BTreeSet<(Reverse<i64>, Key)>>,
+    plains: BTreeSet<(u32, Key)>,
+    net_free: i64,
+    open_prefills: u32,
+    open_slots: u32,
+    open_decodes: u32,
+}
+
+impl Pool {
+    /// The key of `replica`.
+    pub fn key(&self, replica: Replica) -> Option<Key> {
+        self.keys.get(&replica).copied()
+    }
+
+    /// The replica behind `key`.
+    pub fn get(&self, key: Key) -> &Server {
+        &self.servers[key.0 as usize]
+    }
+
+    /// All replicas, closed ones too.
+    pub fn iter(&self) -> impl Iterator<Item = (Key, &Server)> {
+        self.servers
+            .iter()
+            .enumerate()
+            .map(|(i, server)| (Key(i as u32), server))
+    }
+
+    /// Open prefill replicas, the one that is ready first foremost.
+    pub fn prefills(&self) -> impl Iterator<Item = (Time, Key)> + '_ {
+        self.prefills.iter().copied()
+    }
+
+    /// Open decode replicas of each zone, the one with most free slots foremost.
+    pub fn decodes(&self) -> impl Iterator<Item = (Zone, impl Iterator<Item = Key> + '_)> + '_ {
+        self.decodes
+            .iter()
+            .map(|(zone, set)| (*zone, set.iter().map(|(_, key)| *key)))
+    }
+
+    /// Open plain replicas, the least loaded foremost.
+    pub fn plains(&self) -> impl Iterator<Item = (u32, Key)> + '_ {
+        self.plains.iter().copied()
+    }
+
+    /// Free slots on all open decode replicas, less those claimed beyond the slots of a replica.
+    pub const fn net_free(&self) -> i64 {
+        self.net_free
+    }
+
+    /// Open prefill replicas.
+    pub const fn open_prefills(&self) -> u32 {
+        self.open_prefills
+    }
+
+    /// Open decode replicas.
+    pub const fn open_decodes(&self) -> u32 {
+        self.open_decodes
+    }
+
+    /// Slots of open decode replicas.
+    pub const fn open_slots(&self) -> u32 {
+        self.open_slots
+    }
+
+    /// Adds `member`, or updates it.
+    pub fn insert(&mut self, member: Member, rate: f64) -> Key {
+        if let Some(key) = self.key(member.replica) {
+            self.update(key, |server| {
+                server.member = member;
+                server.listed = true;
+            });
+            return key;
+        }
+        let key = Key(self.servers.len() as u32);
+        self.servers.push(Server::new(member, rate));
+        self.keys.insert(member.replica, key);
+        self.link(key);
+        key
+    }
+
+    /// Changes a replica through `change` and keeps the indexes in step.
+    pub fn update(&mut self, key: Key, change: impl FnOnce(&mut Server)) {
+        self.unlink(key);
+        let server = &mut self.servers[key.0 as usize];
+        change(server);
+        server.refresh();
+        self.link(key);
+    }
+
+    /// Gives a prefill to a replica.
+    pub fn push_job(&mut self, now: Time, key: Key, handle: Handle, span: Duration) {
+        self.update(key, |server| server.push_job(now, handle, span));
+    }
+
+    /// Takes a prefill back, ended or not; answers how long it ran, if it was the running one.
+    pub fn pull_job(&mut self, now: Time, key: Key, handle: Handle) -> Option<Duration> {
+        let mut ran = None;
+        self.update(key, |server| ran = server.pull_job(now, handle));
+        ran
+    }
+
+    fn link(&mut self, key: Key) {
+        let server = &self.servers[key.0 as usize];
+        if !server.is_open() {
+            return;
+        }
+        match server.member.role {
+            Role::Prefill => {
+                self.open_prefills += 1;
+                self.prefills.insert((server.ready(), key));
+            }
+            Role::Decode => {
+                self.open_slots += server.member.slots;
+                self.open_decodes += 1;
+                self.net_free += server.free();
+                let entry = (Reverse(server.free()), key);
+                self.decodes
+                    .entry(server.member.zone)
+                    .or_default()
+                    .insert(entry);
+            }
+            Role::Plain => {
+                self.plains.insert((server.load(), key));
+            }
+        }
+    }
+
+    fn unlink(&mut self, key: Key) {
+        let server = &self.servers[key.0 as usize];
+        if !server.is_open() {
+            return;
+        }
+        match server.member.role {
+            Role::Prefill => {
+                self.open_prefills -= 1;
+                self.prefills.remove(&(server.ready(), key));
+            }
+            Role::Decode => {
+                self.open_slots -= server.member.slots;
+                self.open_decodes -= 1;
+                self.net_free -= server.free();
+                if let Some(set) = self.decodes.get_mut(&server.member.zone) {
+                    set.remove(&(Reverse(server.free()), key));
+                }
+            }
+            Role::Plain => {
+                self.plains.remove(&(server.load(), key));
+            }
+        }
+    }
+}
--- a/crates/route/src/server.rs
+++ b/crates/route/src/server.rs
@@ -1,28 +1,22 @@
-//! The replicas of a cell in an arena, with ordered indexes of free capacity.
+//! One replica and what a cell knows about it.
 
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use ident::Handle;
-use ident::Replica;
 use ident::Time;
-use ident::Zone;
 
-use crate::hash::Map;
 use crate::rate::Ewma;
 use crate::replica::Member;
 use crate::replica::Report;
-use crate::replica::Role;
 
 /// Weight of one sample in a replica's learned rates.
 const RATE_WEIGHT: f64 = 0.1;
 
 /// Names a replica inside its cell.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Key(u32);
+pub struct Key(pub u32);
 
 /// One prefill given to a replica.
 #[derive(Debug, Clone, Copy)]
@@ -60,6 +54,8 @@
     pub service: Ewma,
     /// When the transfers of its prefills are expected to have ended.
     pub sent_until: Time,
+    peak: u32,
+    former_peak: u32,
     limits: BTreeMap<u32, u32>,
     batch: u32,
     area: f64,
@@ -70,7 +66,8 @@
 }
 
 impl Server {
-    fn new(member: Member, rate: f64) -> Self {
+    /// A replica that has just been listed.
+    pub fn new(member: Member, rate: f64) -> Self {
         Self {
             member,
             reachable: true,
@@ -85,6 +82,8 @@
             rate: Ewma::new(rate, RATE_WEIGHT),
             service: Ewma::new(0.02, RATE_WEIGHT),
             sent_until: Time::ZERO,
+            peak: 0,
+            former_peak: 0,
             limits: BTreeMap::new(),
             batch: 0,
             area: 0.0,
@@ -130,6 +129,7 @@
     /// Claims a slot for a request that allows a batch of at most `limit`.
     pub fn claim(&mut self, limit: u32) {
         self.claims += 1;
+        self.peak = self.peak.max(self.claims);
         self.sent += 1;
         *self.limits.entry(limit).or_default() += 1;
     }
@@ -165,207 +165,58 @@
         self.ready
     }
 
-    fn refresh(&mut self) {
-        let total: Duration = self.jobs.iter().map(|job| job.span).sum();
-        self.ready = self.started + total;
-    }
-}
-
-/// The replicas of a cell.
-#[derive(Debug, Default)]
-pub struct Pool {
-    servers: Vec<Server>,
-    keys: Map<Replica, Key>,
-    prefills: BTreeSet<(Time, Key)>,
-    decodes: BTreeMap<Zone, BTreeSet<(Reverse<i64>, Key)>>,
-    plains: BTreeSet<(u32, Key)>,
-    net_free: i64,
-    open_prefills: u32,
-    open_slots: u32,
-    open_decodes: u32,
-}
-
-impl Pool {
-    /// The key of `replica`.
-    pub fn key(&self, replica: Replica) -> Option<Key> {
-        self.keys.get(&replica).copied()
-    }
-
-    /// The replica behind `key`.
-    pub fn get(&self, key: Key) -> &Server {
-        &self.servers[key.0 as usize]
-    }
-
-    /// All replicas, closed ones too.
-    pub fn iter(&self) -> impl Iterator<Item = (Key, &Server)> {
-        self.servers
-            .iter()
-            .enumerate()
-            .map(|(i, server)| (Key(i as u32), server))
-    }
-
-    /// Open prefill replicas, the one that is ready first foremost.
-    pub fn prefills(&self) -> impl Iterator<Item = (Time, Key)> + '_ {
-        self.prefills.iter().copied()
-    }
-
-    /// Open decode replicas of each zone, the one with most free slots foremost.
-    pub fn decodes(&self) -> impl Iterator<Item = (Zone, impl Iterator<Item = Key> + '_)> + '_ {
-        self.decodes
-            .iter()
-            .map(|(zone, set)| (*zone, set.iter().map(|(_, key)| *key)))
-    }
-
-    /// Open plain replicas, the least loaded foremost.
-    pub fn plains(&self) -> impl Iterator<Item = (u32, Key)> + '_ {
-        self.plains.iter().copied()
-    }
-
-    /// Free slots on all open decode replicas, less those claimed beyond the slots of a replica.
-    pub const fn net_free(&self) -> i64 {
-        self.net_free
-    }
-
-    /// Open prefill replicas.
-    pub const fn open_prefills(&self) -> u32 {
-        self.open_prefills
-    }
-
-    /// Open decode replicas.
-    pub const fn open_decodes(&self) -> u32 {
-        self.open_decodes
-    }
-
-    /// Slots of open decode replicas.
-    pub const fn open_slots(&self) -> u32 {
-        self.open_slots
-    }
-
-    /// Adds `member`, or updates it.
-    pub fn insert(&mut self, member: Member, rate: f64) -> Key {
-        if let Some(key) = self.key(member.replica) {
-            self.update(key, |server| {
-                server.member = member;
-                server.listed = true;
-            });
-            return key;
-        }
-        let key = Key(self.servers.len() as u32);
-        self.servers.push(Server::new(member, rate));
-        self.keys.insert(member.replica, key);
-        self.link(key);
-        key
-    }
-
-    /// Changes a replica through `change` and keeps the indexes in step.
-    pub fn update(&mut self, key: Key, change: impl FnOnce(&mut Server)) {
-        self.unlink(key);
-        let server = &mut self.servers[key.0 as usize];
-        change(server);
-        server.refresh();
-        self.link(key);
-    }
-
-    /// Gives a prefill to a replica.
-    pub fn push_job(&mut self, now: Time, key: Key, handle: Handle, span: Duration) {
-        self.update(key, |server| {
-            if server.jobs.is_empty() {
-                server.started = now;
-            }
-            server.jobs.push_back(Job { handle, span });
-            server.sent += 1;
-        });
-    }
-
-    /// Takes a prefill back, ended or not; answers how long it ran, if it was the running one.
-    pub fn pull_job(&mut self, now: Time, key: Key, handle: Handle) -> Option<Duration> {
-        let mut ran = None;
-        self.update(key, |server| {
-            let Some(at) = server.jobs.iter().position(|job| job.handle == handle) else {
-                return;
-            };
-            server.jobs.remove(at);
-            if at == 0 {
-                ran = Some(now.since(server.started));
-                server.started = now;
-            }
-        });
-        ran
-    }
-
-    /// Takes in the load of `report`.
-    pub fn report(&mut self, key: Key, report: &Report) {
-        self.update(key, |server| {
-            let own = server.claims.max(server.jobs.len() as u32);
-            server.reachable = true;
-            server.foreign = report.works.saturating_sub(own);
-            server.reported = report.running + report.waiting;
-            server.reported_tokens = report.queued_tokens;
-            server.sent = 0;
-        });
-    }
-
-    /// Clears all load of a replica whose memory is gone.
-    pub fn clear(&mut self, key: Key) {
-        self.update(key, |server| {
-            server.jobs.clear();
-            server.claims = 0;
-            server.limits.clear();
-            server.batch = 0;
-            server.arrivals = 0;
-            server.foreign = 0;
-            server.reported = 0;
-            server.sent = 0;
-        });
-    }
-
-    fn link(&mut self, key: Key) {
-        let server = &self.servers[key.0 as usize];
-        if !server.is_open() {
-            return;
-        }
-        match server.member.role {
-            Role::Prefill => {
-                self.open_prefills += 1;
-                self.prefills.insert((server.ready, key));
-            }
-            Role::Decode => {
-                self.open_slots += server.member.slots;
-                self.open_decodes += 1;
-                self.net_free += server.free();
-                let entry = (Reverse(server.free()), key);
-                self.decodes
-                    .entry(server.member.zone)
-                    .or_default()
-                    .insert(entry);
-            }
-            Role::Plain => {
-                self.plains.insert((server.load(), key));
-            }
+    /// Takes a prefill into its queue.
+    pub fn push_job(&mut self, now: Time, handle: Handle, span: Duration) {
+        if self.jobs.is_empty() {
+            self.started = now;
         }
+        self.jobs.push_back(Job { handle, span });
+        self.sent += 1;
     }
 
-    fn unlink(&mut self, key: Key) {
-        let server = &self.servers[key.0 as usize];
-        if !server.is_open() {
-            return;
-        }
-        match server.member.role {
-            Role::Prefill => {
-                self.open_prefills -= 1;
-                self.prefills.remove(&(server.ready, key));
-            }
-            Role::Decode => {
-                self.open_slots -= server.member.slots;
-                self.open_decodes -= 1;
-                self.net_free -= server.free();
-                if let Some(set) = self.decodes.get_mut(&server.member.zone) {
-                    set.remove(&(Reverse(server.free()), key));
-                }
-            }
-            Role::Plain => {
-                self.plains.remove(&(server.load(), key));
-            }
+    /// Drops a prefill, ended or not; answers how long it ran, if it was the running one.
+    pub fn pull_job(&mut self, now: Time, handle: Handle) -> Option<Duration> {
+        let at = self.jobs.iter().position(|job| job.handle == handle)?;
+        self.jobs.remove(at);
+        if at > 0 {
+            return None;
         }
+        let ran = now.since(self.started);
+        self.started = now;
+        Some(ran)
+    }
+
+    /// Takes in a load report.
+    ///
+    /// What exceeds the most that this cell has claimed while the report was on its way is foreign.
+    pub fn report(&mut self, report: &Report) {
+        let own = self.peak.max(self.former_peak).max(self.jobs.len() as u32);
+        self.former_peak = self.peak;
+        self.peak = self.claims;
+        self.reachable = true;
+        self.foreign = report.works.saturating_sub(own);
+        self.reported = report.running + report.waiting;
+        self.reported_tokens = report.queued_tokens;
+        self.sent = 0;
+    }
+
+    /// Clears all load: its memory is gone.
+    pub fn clear(&mut self) {
+        self.jobs.clear();
+        self.limits.clear();
+        self.claims = 0;
+        self.peak = 0;
+        self.former_peak = 0;
+        self.batch = 0;
+        self.arrivals = 0;
+        self.foreign = 0;
+        self.reported = 0;
+        self.sent = 0;
+    }
+
+    /// Brings derived figures up to date.
+    pub fn refresh(&mut self) {
+        let total: Duration = self.jobs.iter().map(|job| job.span).sum();
+        self.ready = self.started + total;
     }
 }
