--- a/crates/entry/src/peers/link.rs
+++ b/crates/entry/src/peers/link.rs
@@ -26,8 +26,8 @@
 use crate::directory::Peer;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-const PING_EVERY: Duration = Duration::from_millis(500);
-const PING_TIMEOUT: Duration = Duration::from_millis(1_500);
+const PING_EVERY: Duration = Duration::from_secs(2);
+const PING_TIMEOUT: Duration = Duration::from_secs(3);
 const FIRST_BACKOFF: Duration = Duration::from_millis(100);
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
 
--- a/crates/entry/src/platform/list.rs
+++ b/crates/entry/src/platform/list.rs
@@ -16,26 +16,27 @@
 use store::Client;
 use store::list;
 use store::list::State;
-use tokio::time::MissedTickBehavior;
-use tokio::time::interval;
+use tokio::time::sleep;
 
 use crate::directory;
 use crate::directory::Directory;
 use crate::directory::Peer;
 use crate::driver::inbox::Inbox;
 
+/// Pause between two reads in a small fleet.
 const EVERY: Duration = Duration::from_millis(500);
+/// Further pause for each listed instance: it bounds the reads of the whole fleet.
+const EVERY_PER_INSTANCE: Duration = Duration::from_millis(10);
 
 /// Reads the list as shown to `name`, fills `directory` and tells the core; never ends.
 pub async fn watch(client: Client, name: String, directory: Arc<Directory>, inbox: Inbox) {
-    let mut ticks = interval(EVERY);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut failing = false;
+    let mut instances = 0;
     loop {
-        ticks.tick().await;
         match client.list(&name).await {
             Ok(list) => {
                 failing = false;
+                instances = list.instances.len() as u32;
                 if let Ok(copy) = serde_json::to_vec(&list) {
                     inbox.event(Event::ListCopy(copy.into())).await;
                 }
@@ -47,6 +48,7 @@
             }
             Err(_) => {}
         }
+        sleep(EVERY + EVERY_PER_INSTANCE * instances).await;
     }
 }
 
--- a/crates/ledger/src/keys.rs
+++ b/crates/ledger/src/keys.rs
@@ -106,8 +106,8 @@
 
     /// Forgets `key`, of whose request no byte reached a back end: it may start again.
     pub fn forget(&mut self, key: &Key) {
+        // The key's place in `expiry` stays: what is marked under it later has the same window.
         self.marks.remove(key);
-        self.expiry.retain(|(_, other)| other != key);
     }
 
     /// Drops keys whose window has passed; open requests stay until they end.
--- a/crates/node/src/edits.rs
+++ b/crates/node/src/edits.rs
@@ -49,12 +49,6 @@
                 out,
             );
         }
-        if !self.has_majority() {
-            let cause = "this try sent nothing to the store, as this instance does not reach a \
-                         majority of the listed instances; send the same edit again";
-            let cause = cause.to_owned();
-            return answer(call, Verdict::Undecided { cause }, out);
-        }
         let number = self.number() ^ self.incarnation().0;
         let query = self.query();
         let ask = Ask::Commit(Box::new(edit.clone()));
--- a/crates/node/src/keeping.rs
+++ b/crates/node/src/keeping.rs
@@ -30,6 +30,8 @@
 
 /// Time in which a new keeper of a pool places nothing, so that owners can report first.
 const SETTLE: Duration = Duration::from_millis(500);
+/// Parts into which the inspections of a period are spread.
+const INSPECT_PARTS: u64 = 5;
 /// Time without an answer to inspections after which a replica counts as lost.
 const SILENCE: Duration = Duration::from_millis(750);
 
@@ -291,13 +293,19 @@
         }
     }
 
-    /// Asks every replica of the kept pools for its state.
+    /// Asks the replicas of the kept pools for their state, a part of them at a time.
     pub(crate) fn inspect(&mut self, out: &mut Vec<Action>) {
         let now = self.now;
-        self.timers.inspect = now + self.settings.inspect_every;
-        self.recheck_suspects(out);
+        self.timers.inspect = now + self.settings.inspect_every / INSPECT_PARTS as u32;
+        self.inspect_part = (self.inspect_part + 1) % INSPECT_PARTS;
+        if self.inspect_part == 0 {
+            self.recheck_suspects(out);
+        }
         for backend in self.backends.values() {
             let replica = backend.replica;
+            if replica.0 % INSPECT_PARTS != self.inspect_part {
+                continue;
+            }
             let Some(kept) = self.cells.get_mut(&backend.pool) else {
                 continue;
             };
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -76,6 +76,8 @@
     pub(crate) backends: BTreeMap<Replica, Backend>,
     /// Whether a list was told; without one no replica is known.
     pub(crate) is_listed: bool,
+    /// The part of the replicas that was inspected last.
+    pub(crate) inspect_part: u64,
     pub(crate) list_copy: Option<Bytes>,
     pub(crate) open: SlotMap<OpenKey, Open>,
     pub(crate) by_handle: HashMap<Handle, OpenKey>,
@@ -117,6 +119,7 @@
             seats: BTreeMap::new(),
             backends: BTreeMap::new(),
             is_listed: false,
+            inspect_part: 0,
             list_copy: None,
             open: SlotMap::with_key(),
             by_handle: HashMap::new(),
--- a/crates/node/src/sweeping.rs
+++ b/crates/node/src/sweeping.rs
@@ -63,7 +63,8 @@
     /// Whether this daemon may judge that owners are gone: cut off from the majority, it would take
     /// the whole fleet for dead.
     fn may_sweep(&self) -> bool {
-        self.has_majority() && !self.fleet.paused(self.now)
+        let majority = self.fleet.reachable() * 2 > self.fleet.known();
+        majority && !self.fleet.paused(self.now)
     }
 
     fn note_orphans(
--- a/crates/node/src/timers.rs
+++ b/crates/node/src/timers.rs
@@ -10,6 +10,9 @@
 /// Time between two housekeeping rounds.
 const HOUSEKEEPING: Duration = Duration::from_millis(100);
 
+/// Time between two looks at the keepers of all pools; changes of members and list look at once.
+const REASSIGN: Duration = Duration::from_secs(1);
+
 /// When each kind of work is due next.
 #[derive(Debug)]
 pub(crate) struct Timers {
@@ -21,6 +24,7 @@
     pub(crate) news: Time,
     pub(crate) record: Time,
     pub(crate) housekeeping: Time,
+    pub(crate) reassign: Time,
 }
 
 impl Timers {
@@ -35,6 +39,7 @@
             news: now,
             record: now,
             housekeeping: now,
+            reassign: now,
         }
     }
 
@@ -87,9 +92,19 @@
         self.run_releases(out);
     }
 
+    fn due_reassign(&mut self) -> bool {
+        let due = self.now >= self.timers.reassign;
+        if due {
+            self.timers.reassign = self.now + REASSIGN;
+        }
+        due
+    }
+
     fn housekeeping(&mut self, out: &mut Vec<Action>) {
         self.keys.expire(self.unix_s());
-        self.reassign(out);
+        if self.due_reassign() {
+            self.reassign(out);
+        }
         self.resubmit(out);
         self.break_stalls(out);
         self.attach_again(out);
