route: the weight of wasted prefill decides how much of a result's life a transfer may be expected to take

Cause: the column waste_percent hardly changed anything: waste was near zero either way. Change: 85 percent of the life at weight 0, 65 at weight 100 (before: 80 for all).

--- a/crates/route/src/policy/affine.rs
+++ b/crates/route/src/policy/affine.rs
@@ -40,7 +40,7 @@
         .iter()
         .filter_map(|key| predicted::price(view, ask, *key, &mut sites));
     let mut pairs: Vec<Pair> = priced.collect();
-    predicted::keep_lasting(view, &mut pairs);
+    predicted::keep_lasting(view, ask, &mut pairs);
     let cost = |pair: &&Pair| (pair.first + pair.span.mul_f64(SPAN_WEIGHT), pair.span);
     let best = pairs.iter().min_by_key(cost).ok_or(Wait::Replica)?;
     if view.ready(best.prefill) > view.horizon() {
--- a/crates/route/src/policy/predicted.rs
+++ b/crates/route/src/policy/predicted.rs
@@ -19,7 +19,9 @@
 use crate::server::Key;
 
 /// Part of the life of a prefill result that a transfer may be expected to take.
-const KEEP_PART: f64 = 0.8;
+const KEEP_PART: f64 = 0.85;
+/// How much less of it, for a row that weighs only wasted prefill.
+const THRIFT_PART: f64 = 0.2;
 /// Chance that a slot does not come free in time, for a row that weighs only goodput.
 const MAX_RISK: f64 = 0.02;
 /// Requests beyond its slots that may be on their way to a replica, and for each to the cell.
@@ -54,7 +56,7 @@
         .iter()
         .filter_map(|key| price(view, ask, *key, &mut sites));
     let mut pairs: Vec<Pair> = priced.collect();
-    keep_lasting(view, &mut pairs);
+    keep_lasting(view, ask, &mut pairs);
     let best = pairs
         .iter()
         .min_by_key(|pair| pair.first)
@@ -162,8 +164,9 @@
 /// Drops the pairs whose prefill result would be lost before its transfer ends.
 ///
 /// If that leaves none because links were bad, one transfer at a time may try them again.
-pub(crate) fn keep_lasting(view: &View<'_>, pairs: &mut Vec<Pair>) {
-    let longest = view.settings.keep.mul_f64(KEEP_PART);
+pub(crate) fn keep_lasting(view: &View<'_>, ask: &Ask<'_>, pairs: &mut Vec<Pair>) {
+    let part = KEEP_PART - THRIFT_PART * ask.thrift;
+    let longest = view.settings.keep.mul_f64(part);
     let lasts = |pair: &Pair| {
         let done = view.ready(pair.prefill) + pair.span;
         pair.first.since(done) <= longest
