--- /dev/null
+++ b/crates/route/tests/transfer.rs
@@ -0,0 +1,173 @@
+//! Transfers over links that stall, and prefixes that replicas hold.
+
+mod common;
+
+use std::time::Duration;
+
+use ident::Replica;
+use ident::Time;
+use ident::Zone;
+use route::cell::Cell;
+use route::phase::Phase;
+use route::replica::CacheEvent;
+use route::replica::Member;
+use route::replica::Report;
+use route::replica::Role;
+use route::ticket::Ticket;
+use route::ticket::Work;
+use rstest::rstest;
+
+use common::cell;
+use common::decode;
+use common::handle;
+use common::member;
+use common::members;
+use common::pair;
+use common::row;
+use common::step;
+use common::ticket;
+
+fn in_zone(zone: &str, name: &str) -> Member {
+    Member {
+        zone: Zone::new(zone),
+        ..member(name, Role::Decode, 4)
+    }
+}
+
+/// Request 1 goes to `d0` in zone `b`, and its transfer never ends.
+fn stall(cell: &mut Cell) {
+    cell.submit(Time::ZERO, ticket(1, row()));
+    step(cell, Time::ZERO);
+    cell.advance(
+        Time::from_millis(100),
+        handle(1),
+        Phase::Prefilled {
+            computed: 1_000,
+            cached: 0,
+        },
+    );
+}
+
+/// The first time at which request 2, submitted at `now`, is granted.
+fn granted_at(cell: &mut Cell, now: Time) -> Option<(Time, Replica)> {
+    let late = now + Duration::from_secs(9);
+    cell.submit(now, ticket(2, row()));
+    let mut at = now;
+    while at < late {
+        if let Some((_, decode)) = step(cell, at).first().and_then(pair) {
+            return Some((at, decode));
+        }
+        at = at + Duration::from_millis(20);
+    }
+    None
+}
+
+#[rstest]
+fn a_stalled_link_is_left_alone_while_there_is_another() {
+    let mut cell = cell(&[member("p0", Role::Prefill, 1), in_zone("b", "d0")]);
+    stall(&mut cell);
+    let all = [
+        member("p0", Role::Prefill, 1),
+        in_zone("b", "d0"),
+        in_zone("c", "d1"),
+    ];
+    cell.set_members(Time::from_millis(900), &all);
+    let granted = granted_at(&mut cell, Time::from_millis(1_000));
+    assert_eq!(
+        granted,
+        Some((Time::from_millis(1_000), Replica::new("d1")))
+    );
+}
+
+#[rstest]
+fn the_only_link_is_tried_again_soon_after_a_stall() {
+    let mut cell = cell(&[member("p0", Role::Prefill, 1), in_zone("b", "d0")]);
+    stall(&mut cell);
+    cell.advance(Time::from_millis(30_000), handle(1), Phase::Gone);
+    let (at, _) = granted_at(&mut cell, Time::from_millis(30_100)).expect("a grant");
+    assert!(at <= Time::from_millis(32_000), "{at:?}");
+}
+
+/// A request of 40 blocks, the first 32 of them those of every other such request.
+fn long(n: u64) -> Ticket {
+    let shared = 0..32;
+    let own = (32..40).map(|i| n * 1_000 + i);
+    let work = Work::Model {
+        prompt_tokens: 8_000,
+        max_tokens: 10,
+        blocks: shared.chain(own).collect(),
+        done_tokens: 0,
+    };
+    Ticket {
+        work,
+        ..ticket(n, row())
+    }
+}
+
+fn report(events: Vec<CacheEvent>) -> Report {
+    Report {
+        age: Duration::ZERO,
+        boot: 1,
+        running: 0,
+        waiting: 0,
+        queued_tokens: 0,
+        works: 0,
+        events,
+    }
+}
+
+#[rstest]
+fn a_prefix_is_computed_where_it_is_cached() {
+    let mut cell = cell(&members(3, 1, 20));
+    for n in 1..6 {
+        let now = Time::from_millis(n * 2_000);
+        cell.submit(now, long(n));
+        let verdicts = step(&mut cell, now);
+        let first = pair(&verdicts[0]).map(|pair| pair.0);
+        assert_eq!(first, Some(Replica::new("p0")));
+        assert_eq!(verdicts[0].why.cached_blocks > 20, n > 1);
+        decode(&mut cell, now + Duration::from_millis(800), n);
+    }
+}
+
+#[rstest]
+fn evicted_blocks_do_not_attract() {
+    let mut cell = cell(&members(3, 1, 20));
+    let event = |seq, stored| CacheEvent {
+        seq,
+        block: seq % 100,
+        stored,
+    };
+    let stored = (0..32).map(|i| event(100 + i, true)).collect();
+    cell.report(Time::ZERO, Replica::new("p2"), &report(stored));
+    let evicted = (0..32).map(|i| event(200 + i, false)).collect();
+    cell.report(Time::ZERO, Replica::new("p2"), &report(evicted));
+    cell.submit(Time::ZERO, long(1));
+    let verdicts = step(&mut cell, Time::ZERO);
+    assert_eq!(verdicts[0].why.cached_blocks, 0);
+    assert_eq!(
+        pair(&verdicts[0]).map(|pair| pair.0),
+        Some(Replica::new("p0"))
+    );
+}
+
+#[rstest]
+fn announced_blocks_attract() {
+    let mut cell = cell(&members(3, 1, 20));
+    let event = |i| CacheEvent {
+        seq: 100 + i,
+        block: i,
+        stored: true,
+    };
+    cell.report(
+        Time::ZERO,
+        Replica::new("p2"),
+        &report((0..32).map(event).collect()),
+    );
+    cell.submit(Time::ZERO, long(1));
+    let verdicts = step(&mut cell, Time::ZERO);
+    assert_eq!(
+        pair(&verdicts[0]).map(|pair| pair.0),
+        Some(Replica::new("p2"))
+    );
+}
