bench: replicas of the virtual world end their work as engines do

Change: a prefill's memory ends with its transfer, a decode's work is `done` at its end; the keeper's table shows audit frames too.

--- a/crates/bench/src/slopes/keeper.rs
+++ b/crates/bench/src/slopes/keeper.rs
@@ -7,7 +7,7 @@
 use crate::world::World;
 use crate::world::kind::Kind;
 
-const COLUMNS: [&str; 13] = [
+const COLUMNS: [&str; 14] = [
     "daemons",
     "replicas",
     "pools",
@@ -21,6 +21,7 @@
     "other_pct",
     "place_B/req",
     "advance_B/req",
+    "audit_B/req",
 ];
 const SETTLE: Duration = Duration::from_mins(2);
 /// Load before the measurement begins.
@@ -91,6 +92,7 @@
         median(&work) / seconds * 100.0,
         each(Kind::Place),
         each(Kind::Advance),
+        each(Kind::Audit),
     ]
 }
 
--- a/crates/bench/src/world/act.rs
+++ b/crates/bench/src/world/act.rs
@@ -25,7 +25,7 @@
         Action::Send { to, frame } => send(world, index, to, frame),
         Action::Query { query, ask } => ask_store(world, index, query, &ask),
         Action::Inspect { replica, .. } => {
-            let state = Some(world.backs.inspect(replica));
+            let state = Some(world.backs.inspect(world.now, replica));
             let at = world.now + backs::ANSWER;
             world.push(at, index, Event::Inspected { replica, state });
         }
@@ -37,7 +37,8 @@
             task,
             ..
         } => {
-            for (after, event) in world.backs.order(order, replica, handle, owner, &task) {
+            let now = world.now;
+            for (after, event) in world.backs.order(now, order, replica, handle, owner, &task) {
                 world.push(world.now + after, index, event);
             }
         }
--- a/crates/bench/src/world/backs.rs
+++ b/crates/bench/src/world/backs.rs
@@ -7,6 +7,7 @@
 use ident::Handle;
 use ident::Incarnation;
 use ident::Replica;
+use ident::Time;
 use node::action::Task;
 use node::event::Event;
 use node::event::Held;
@@ -31,7 +32,14 @@
 /// All replicas.
 #[derive(Debug)]
 pub struct Backs {
-    works: BTreeMap<Replica, BTreeMap<Handle, Held>>,
+    works: BTreeMap<Replica, BTreeMap<Handle, Work>>,
+}
+
+/// What a replica holds for an attempt, and when that is over.
+#[derive(Debug, Clone, Copy)]
+struct Work {
+    held: Held,
+    end: Time,
 }
 
 impl Backs {
@@ -44,10 +52,14 @@
     }
 
     /// The state of `replica`.
-    pub(super) fn inspect(&self, replica: Replica) -> Inspection {
+    pub(super) fn inspect(&self, now: Time, replica: Replica) -> Inspection {
         let works = self.works.get(&replica).into_iter().flatten();
-        let works: Vec<Held> = works.map(|(_, held)| *held).collect();
-        let running = works.len() as u32;
+        let held = |work: &Work| Held {
+            done: now >= work.end,
+            ..work.held
+        };
+        let works: Vec<Held> = works.map(|(_, work)| held(work)).collect();
+        let running = works.iter().filter(|held| !held.done).count() as u32;
         Inspection {
             report: Report {
                 age: Duration::ZERO,
@@ -65,6 +77,7 @@
     /// What follows from an order, and after what time each.
     pub(super) fn order(
         &mut self,
+        now: Time,
         order: Order,
         replica: Replica,
         handle: Handle,
@@ -74,7 +87,7 @@
         let answered = |reply| Event::Answered { order, reply };
         match task {
             Task::Prefill { prompt_tokens, .. } => {
-                self.hold(replica, handle, owner);
+                self.hold(replica, handle, owner, Time::NEVER);
                 let reply = Reply::Prefilled {
                     computed: *prompt_tokens,
                     cached: 0,
@@ -82,14 +95,16 @@
                 };
                 vec![(PREFILL, answered(reply))]
             }
-            Task::Decode { max_tokens, .. } => {
-                self.hold(replica, handle, owner);
+            Task::Decode {
+                source, max_tokens, ..
+            } => {
+                self.release(*source, handle);
+                let end = now + IMPORT + TOKEN * *max_tokens;
+                self.hold(replica, handle, owner, end);
                 stream(order, *max_tokens)
             }
             Task::Cancel => {
-                if let Some(works) = self.works.get_mut(&replica) {
-                    works.remove(&handle);
-                }
+                self.release(replica, handle);
                 vec![(ANSWER, answered(Reply::Cancelled))]
             }
             Task::Attach { .. } | Task::Plain { .. } => {
@@ -102,14 +117,21 @@
         }
     }
 
-    fn hold(&mut self, replica: Replica, handle: Handle, owner: Incarnation) {
+    fn release(&mut self, replica: Replica, handle: Handle) {
+        if let Some(works) = self.works.get_mut(&replica) {
+            works.remove(&handle);
+        }
+    }
+
+    fn hold(&mut self, replica: Replica, handle: Handle, owner: Incarnation, end: Time) {
         let held = Held {
             handle,
             owner,
             fence: 1,
             done: false,
         };
-        self.works.entry(replica).or_default().insert(handle, held);
+        let work = Work { held, end };
+        self.works.entry(replica).or_default().insert(handle, work);
     }
 }
 
