node: proptest keeps no files of its own

Cause: without a source file proptest prints a warning on each run; failing plans are kept as cases.

--- a/crates/node/tests/random.rs
+++ b/crates/node/tests/random.rs
@@ -77,7 +77,10 @@
 #[test]
 fn promises_hold_for_each_plan() {
     let cases = number("WAXWING_PLANS", PROPTEST_CASES) as u32;
-    let config = Config::with_cases(cases);
+    let config = Config {
+        failure_persistence: None,
+        ..Config::with_cases(cases)
+    };
     let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
     let mut runner = TestRunner::new_with_rng(config, rng);
     let result = runner.run(&Plan::strategy(), |plan| {
