node: a new keeper places after one second

Cause: the cell's own grace of two seconds stood on top of the node's half second, so a keeper's death kept plain calls waiting for longer than owners need to report (they report within a gossip round).

--- a/crates/node/src/keeping.rs
+++ b/crates/node/src/keeping.rs
@@ -29,7 +29,7 @@
 use crate::node::Node;
 
 /// Time in which a new keeper of a pool places nothing, so that owners can report first.
-const SETTLE: Duration = Duration::from_millis(500);
+const SETTLE: Duration = Duration::from_secs(1);
 /// Parts into which the inspections of a period are spread.
 const INSPECT_PARTS: u64 = 5;
 /// Time without an answer to inspections after which a replica counts as lost.
@@ -122,12 +122,15 @@
     }
 
     fn begin_keeping(&mut self, pool: Pool, name: String) {
-        let cell = Cell::new(cell::Settings::default(), self.rng.next_u64());
+        let mut cell = Cell::new(cell::Settings::default(), self.rng.next_u64());
         let alone = self
             .fleet
             .alive()
             .all(|member| member.instance == self.settings.instance);
         let settle = if alone { Duration::ZERO } else { SETTLE };
+        if !alone {
+            cell.takeover(self.now);
+        }
         let kept = Kept {
             name,
             cell,
@@ -263,6 +266,7 @@
         let may_decide = self.may_decide();
         for kept in self.cells.values_mut() {
             if may_decide && now >= kept.ready {
+                kept.cell.settled(now);
                 next = next.min(kept.cell.step(now, &mut verdicts));
             } else {
                 next = next.min(kept.ready.max(now + SETTLE));
