--- a/crates/node/src/asking.rs
+++ b/crates/node/src/asking.rs
@@ -225,13 +225,7 @@
     /// Nothing is recorded of a key whose runner is gone. A repeatable request is run by one
     /// successor, chosen by rendezvous hashing; of a non-repeatable one nothing can be said.
     fn no_record(&mut self, nonce: u64, out: &mut Vec<Action>) {
-        let repeatable = self.questions.get(&nonce).is_some_and(|question| {
-            question
-                .request
-                .as_ref()
-                .is_some_and(|request| self.is_repeatable(request))
-        });
-        if !repeatable {
+        if !self.asks_repeatable(nonce) {
             return self.close(nonce, Self::unknown(), out);
         }
         let Some(question) = self.questions.remove(&nonce) else {
@@ -375,23 +369,36 @@
                 let refusal = Self::refusal(Outcome::NotRun, Reason::KeyExpired, Duration::ZERO);
                 self.close(nonce, refusal, out);
             }
-            Told::NotSeen => {
-                let refusal = match runner {
-                    Some(runner) => self.refusal_at(Reason::OtherRunner, runner),
-                    None => Self::unknown(),
-                };
-                self.close(nonce, refusal, out);
-            }
+            Told::NotSeen => self.close_unseen(nonce, runner, out),
         }
     }
 
+    /// The runner never saw the key. A repeatable one may have been run by a successor all the same.
+    fn close_unseen(&mut self, nonce: u64, runner: Option<Instance>, out: &mut Vec<Action>) {
+        let refusal = match runner {
+            Some(runner) => self.refusal_at(Reason::OtherRunner, runner),
+            None => Self::unknown(),
+        };
+        let outcome = if self.asks_repeatable(nonce) {
+            Outcome::Unknown
+        } else {
+            refusal.outcome
+        };
+        self.close(nonce, Refusal { outcome, ..refusal }, out);
+    }
+
+    fn asks_repeatable(&self, nonce: u64) -> bool {
+        let question = self.questions.get(&nonce);
+        let request = question.and_then(|question| question.request.as_ref());
+        request.is_some_and(|request| self.is_repeatable(request))
+    }
+
     /// The runner has tried the key without an answer: it may try a repeatable request again.
     fn close_tried(&mut self, nonce: u64, outcome: Outcome, out: &mut Vec<Action>) {
         let Some(question) = self.questions.get(&nonce) else {
             return;
         };
-        let request = question.request.as_ref();
-        let repeatable = request.is_some_and(|request| self.is_repeatable(request));
+        let repeatable = self.asks_repeatable(nonce);
         let refusal = match question.runner.filter(|_| repeatable) {
             Some(runner) => Refusal {
                 outcome,
