Core: in an outage of the store, questions reach a majority at any size

Cause: three peers a round reach at most 36 others within a lease, so from 66 daemons on nobody could decide 4 s into an outage of the store ('slope edits': 0 %; 78 % at 50). Ruled out: asking many always (136 questions a second at 400 for nothing while the store answers). Change: the fan-out grows with the list only while the store gives no proof. The bytes of the questions are argued, not measured.

--- a/crates/node/src/proofs.rs
+++ b/crates/node/src/proofs.rs
@@ -14,7 +14,7 @@
 
 /// Time between two rounds of news.
 const NEWS_EVERY: Duration = Duration::from_millis(250);
-/// Peers told in a round.
+/// Peers asked in a round while the store gives proof.
 const NEWS_FANOUT: usize = 3;
 
 impl Node {
@@ -30,11 +30,24 @@
         self.timers.news = self.now + NEWS_EVERY;
         self.pull_list(out);
         let news = self.my_news(self.now.0, false);
-        for peer in self.some_peers(NEWS_FANOUT) {
+        for peer in self.some_peers(self.news_fanout()) {
             self.send(peer, Body::News(news), out);
         }
     }
 
+    /// How many peers are asked in a round: a few while the store gives proof, and while it is
+    /// silent so many that a majority answers within the lease.
+    fn news_fanout(&self) -> usize {
+        let lease = self.settings.lease;
+        let age = self.desk.store_age(self.now);
+        if age.is_some_and(|age| age * 2 < lease) {
+            return NEWS_FANOUT;
+        }
+        let rounds = (lease.as_millis() / 2 / NEWS_EVERY.as_millis()).max(1) as usize;
+        let others = self.fleet.known() / 2;
+        NEWS_FANOUT.max(others.div_ceil(rounds))
+    }
+
     fn my_news(&self, asked: u64, answer: bool) -> News {
         let age = self
             .desk
