--- a/crates/scenario/src/play/wait.rs
+++ b/crates/scenario/src/play/wait.rs
@@ -42,7 +42,11 @@
     async fn wait_tokens(&self, tokens: &Tokens) -> Result<(), Error> {
         let request = self.request(&tokens.of)?;
         let end = Instant::now() + LIMIT;
-        while request.tokens() < tokens.count {
+        let whole = request.expected().len() as u64;
+        let count = tokens
+            .left
+            .map_or(tokens.count, |left| whole.saturating_sub(left));
+        while request.tokens() < count {
             let name = &tokens.of;
             let ended = request.connections.last().and_then(Connection::ended);
             let late = Instant::now() > end || ended.is_some();
--- a/crates/scenario/src/script/step.rs
+++ b/crates/scenario/src/script/step.rs
@@ -191,7 +191,10 @@
     /// The request.
     pub of: String,
     /// How many.
+    #[serde(default)]
     pub count: u64,
+    /// How many are still to come, in place of a count.
+    pub left: Option<u64>,
 }
 
 /// Work to wait for.
