--- a/crates/ctl/src/answer.rs
+++ b/crates/ctl/src/answer.rs
@@ -4,6 +4,11 @@
 use serde::Serialize;
 use serde_json::Value;
 
+pub use node::status::Force;
+pub use node::status::Member;
+pub use node::status::Pool;
+pub use node::status::Status;
+
 /// What became of an edit.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize, Serialize)]
 #[serde(tag = "result", rename_all = "snake_case")]
@@ -35,77 +40,6 @@
     },
 }
 
-/// How far a generation has come into force.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize, Serialize)]
-pub struct Force {
-    /// The generation.
-    pub generation: u64,
-    /// Instances that decide by it or by a later one, or not at all any more.
-    pub in_force: usize,
-    /// Instances on the platform's list.
-    pub known: usize,
-    /// Names of the others.
-    pub missing: Vec<String>,
-}
-
-impl Force {
-    /// Whether it is in force on every instance.
-    pub const fn complete(&self) -> bool {
-        self.missing.is_empty() && self.known > 0 && self.in_force >= self.known
-    }
-}
-
-/// An instance's view.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize, Serialize)]
-pub struct Status {
-    /// Its name.
-    pub name: String,
-    /// This run of it.
-    pub incarnation: String,
-    /// Table generation in force there.
-    pub generation: u64,
-    /// Whether it may decide by the table now.
-    pub fresh: bool,
-    /// Milliseconds since the store was last read.
-    pub store_age_ms: Option<u64>,
-    /// Whether a planned stop is going on.
-    pub leaving: bool,
-    /// Requests open.
-    pub open: usize,
-    /// Attempts whose memory on a replica is not confirmed released.
-    pub holds: usize,
-    /// Keys remembered.
-    pub keys: usize,
-    /// Pools it is keeper of.
-    pub pools: Vec<Pool>,
-    /// All instances known to it.
-    pub members: Vec<Member>,
-}
-
-/// A pool kept by an instance.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize, Serialize)]
-pub struct Pool {
-    /// Its name.
-    pub name: String,
-    /// Requests waiting.
-    pub waiting: usize,
-    /// Requests placed.
-    pub placed: usize,
-}
-
-/// An instance as another one sees it.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize, Serialize)]
-pub struct Member {
-    /// Its name.
-    pub name: String,
-    /// `alive`, `suspect`, `leaving`, `dead` or `unheard`.
-    pub state: String,
-    /// Generation it last told of.
-    pub generation: Option<u64>,
-    /// Milliseconds since it was last heard.
-    pub heard_ms: Option<u64>,
-}
-
 /// Accepted edits, newest first.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize, Serialize)]
 pub struct History {
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -1,10 +1,11 @@
 //! What a daemon tells operators and callers about itself.
 
 use ident::Incarnation;
+use serde::Deserialize;
 use serde::Serialize;
 
 /// State of the daemon, for `status` and the metrics.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Status {
     /// Its name.
     pub name: String,
@@ -31,7 +32,7 @@
 }
 
 /// A pool kept by this daemon.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Pool {
     /// Its name.
     pub name: String,
@@ -42,7 +43,7 @@
 }
 
 /// An instance as seen from here.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
     /// Its name.
     pub name: String,
@@ -55,7 +56,7 @@
 }
 
 /// How far an edit has come into force.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Force {
     /// The generation asked about.
     pub generation: u64,
@@ -67,6 +68,13 @@
     pub missing: Vec<String>,
 }
 
+impl Force {
+    /// Whether it is in force on every instance.
+    pub const fn complete(&self) -> bool {
+        self.missing.is_empty() && self.known > 0 && self.in_force >= self.known
+    }
+}
+
 /// An address for callers.
 #[derive(Debug, Clone)]
 pub struct Address {
