--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -37,6 +37,7 @@
 mod sweeping;
 mod tables;
 mod takeovers;
+mod telling;
 mod timers;
 mod token;
 mod verifying;
