node: one search for open requests

Cause: the last reading of the whole change found the same collection of open requests by a condition written out eight times, in seven modules. Change: Node::open_where; no behaviour changes.

--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -47,13 +47,9 @@
     /// Sends unanswered submissions again; a keeper answers the same ticket the same way.
     pub(crate) fn resubmit(&mut self, out: &mut Vec<Action>) {
         let now = self.now;
-        let due: Vec<OpenKey> = self
-            .open
-            .iter()
-            .filter(|(_, entry)| entry.stage == Stage::Waiting)
-            .filter(|(_, entry)| now >= entry.times.submitted + RESUBMIT)
-            .map(|(opened, _)| opened)
-            .collect();
+        let due = self.open_where(|entry| {
+            entry.stage == Stage::Waiting && now >= entry.times.submitted + RESUBMIT
+        });
         for opened in due {
             let entry = &self.open[opened];
             if now >= entry.queued + entry.patience {
@@ -62,13 +58,11 @@
                 self.submit(opened, out);
             }
         }
-        let expired: Vec<OpenKey> = self
-            .open
-            .iter()
-            .filter(|(_, entry)| entry.stage == Stage::Prefill && entry.order.is_none())
-            .filter(|(_, entry)| now >= entry.times.submitted + RESULT_LIFE)
-            .map(|(opened, _)| opened)
-            .collect();
+        let expired = self.open_where(|entry| {
+            entry.stage == Stage::Prefill
+                && entry.order.is_none()
+                && now >= entry.times.submitted + RESULT_LIFE
+        });
         for opened in expired {
             self.retry(
                 opened,
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -298,12 +298,7 @@
     /// by now, and is verified first.
     pub(crate) fn give_up_left(&mut self, out: &mut Vec<Action>) {
         let now = self.now;
-        let gone: Vec<OpenKey> = self
-            .open
-            .iter()
-            .filter(|(_, entry)| entry.is_left(now) && entry.withheld.is_none())
-            .map(|(opened, _)| opened)
-            .collect();
+        let gone = self.open_where(|entry| entry.is_left(now) && entry.withheld.is_none());
         for opened in gone {
             let entry = &mut self.open[opened];
             if entry.stage == Stage::Decode && entry.order.is_none() {
--- a/crates/node/src/keeping.rs
+++ b/crates/node/src/keeping.rs
@@ -106,12 +106,7 @@
         } else {
             self.cells.remove(&pool);
         }
-        let mine: Vec<_> = self
-            .open
-            .iter()
-            .filter(|(_, entry)| entry.pool == pool)
-            .map(|(key, _)| key)
-            .collect();
+        let mine = self.open_where(|entry| entry.pool == pool);
         for opened in mine {
             if self.open[opened].place.is_some() {
                 self.tell_keeper_adopted(opened, out);
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -21,7 +21,6 @@
 use crate::list::List;
 use crate::node::Node;
 use crate::open::End;
-use crate::open::OpenKey;
 use crate::refusals::SOON;
 use crate::settings::Settings;
 
@@ -144,13 +143,9 @@
     /// Ends requests that another instance may have run while this one was out of contact: keyed,
     /// repeatable, and without a stream that shows who reads it.
     fn end_retaken(&mut self, out: &mut Vec<Action>) {
-        let retaken: Vec<OpenKey> = self
-            .open
-            .iter()
-            .filter(|(_, entry)| entry.is_keyed() && entry.repeatable)
-            .filter(|(_, entry)| entry.stage != Stage::Decode)
-            .map(|(opened, _)| opened)
-            .collect();
+        let retaken = self.open_where(|entry| {
+            entry.is_keyed() && entry.repeatable && entry.stage != Stage::Decode
+        });
         for opened in retaken {
             let refusal = Self::refusal(Outcome::Unknown, Reason::RunnerLost, SOON);
             self.end(opened, &End::Refused(refusal), out);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -198,6 +198,12 @@
         self.counter
     }
 
+    /// The open requests that `wanted` holds for.
+    pub(crate) fn open_where(&self, wanted: impl Fn(&Open) -> bool) -> Vec<OpenKey> {
+        let found = self.open.iter().filter(|(_, entry)| wanted(entry));
+        found.map(|(opened, _)| opened).collect()
+    }
+
     /// A fresh order for `purpose`.
     pub(crate) fn order(&mut self, purpose: Purpose) -> Order {
         let order = ids::Order(self.number());
--- a/crates/node/src/readers.rs
+++ b/crates/node/src/readers.rs
@@ -81,12 +81,7 @@
     /// Reads streams again whose last reading failed a while ago.
     pub(crate) fn attach_again(&mut self, out: &mut Vec<Action>) {
         let now = self.now;
-        let due: Vec<OpenKey> = self
-            .open
-            .iter()
-            .filter(|(_, entry)| entry.attach_at.is_some_and(|at| now >= at))
-            .map(|(opened, _)| opened)
-            .collect();
+        let due = self.open_where(|entry| entry.attach_at.is_some_and(|at| now >= at));
         for opened in due {
             let offset = self.open[opened].sequence.delivered();
             self.attach(opened, offset, out);
--- a/crates/node/src/stalls.rs
+++ b/crates/node/src/stalls.rs
@@ -27,12 +27,7 @@
     /// Aborts orders past their limit and sends their requests on.
     pub(crate) fn break_stalls(&mut self, out: &mut Vec<Action>) {
         let now = self.now;
-        let stalled: Vec<OpenKey> = self
-            .open
-            .iter()
-            .filter(|(_, entry)| now >= limit(entry))
-            .map(|(opened, _)| opened)
-            .collect();
+        let stalled = self.open_where(|entry| now >= limit(entry));
         for opened in stalled {
             self.break_stall(opened, out);
         }
--- a/crates/node/src/verifying.rs
+++ b/crates/node/src/verifying.rs
@@ -49,13 +49,9 @@
 
     /// Verifies suspect streams against what their replica holds.
     pub(crate) fn verify(&mut self, replica: Replica, works: &[Held], out: &mut Vec<Action>) {
-        let suspects: Vec<OpenKey> = self
-            .open
-            .iter()
-            .filter(|(_, entry)| entry.withheld.is_some())
-            .filter(|(_, entry)| entry.place.is_some_and(|place| place.run == replica))
-            .map(|(opened, _)| opened)
-            .collect();
+        let suspects = self.open_where(|entry| {
+            entry.withheld.is_some() && entry.place.is_some_and(|place| place.run == replica)
+        });
         for opened in suspects {
             let handle = self.open[opened].handle();
             let held = works.iter().find(|held| held.handle == handle).copied();
