--- a/crates/entry/src/logs.rs
+++ b/crates/entry/src/logs.rs
@@ -1,8 +1,6 @@
 //! Log lines: one JSON object a line on standard error.
 
 use std::collections::VecDeque;
-use std::io;
-use std::io::Write;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 
@@ -10,11 +8,7 @@
 use flexi_logger::LogSpecification;
 use flexi_logger::Logger;
 use flexi_logger::LoggerHandle;
-use log::Record;
-use log::kv;
-use log::kv::VisitSource;
 use node::decision::Decision;
-use serde_json::Map;
 use serde_json::Value;
 
 use crate::error::Error;
@@ -33,43 +27,13 @@
 pub fn start() -> Result<LoggerHandle, Error> {
     LogSpecification::parse(LEVELS)
         .map(Logger::with)
-        .and_then(|logger| logger.format(line).start())
+        .and_then(|logger| logger.format(logs::line::write).start())
         .map_err(|error| Error::Start {
             step: "logs",
             cause: error.to_string(),
         })
 }
 
-fn line(to: &mut dyn Write, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
-    let mut fields = Fields(Map::new());
-    fields.put("time", now.format_rfc3339().into());
-    fields.put("level", record.level().as_str().into());
-    fields.put("target", record.target().into());
-    fields.put("text", record.args().to_string().into());
-    // `Fields` never refuses a value.
-    let _ = record.key_values().visit(&mut fields);
-    serde_json::to_writer(to, &fields.0).map_err(io::Error::from)
-}
-
-struct Fields(Map<String, Value>);
-
-impl Fields {
-    fn put(&mut self, key: &str, value: Value) {
-        self.0.insert(key.to_owned(), value);
-    }
-}
-
-impl<'a> VisitSource<'a> for Fields {
-    fn visit_pair(&mut self, key: kv::Key<'a>, value: kv::Value<'a>) -> Result<(), kv::Error> {
-        let json = match value.to_u64() {
-            Some(number) => number.into(),
-            None => value.to_string().into(),
-        };
-        self.put(key.as_str(), json);
-        Ok(())
-    }
-}
-
 /// The latest decision lines.
 #[derive(Debug, Default)]
 pub struct Recent {
--- /dev/null
+++ b/crates/gateway/src/body.rs
@@ -0,0 +1,100 @@
+//! Bodies of answers to callers.
+
+use std::convert::Infallible;
+use std::fmt;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use hyper::body::Frame;
+use hyper::body::SizeHint;
+use tokio::sync::mpsc::Receiver;
+
+use crate::shared::Open;
+
+/// Why a body ends without being complete; the connection is broken off.
+#[derive(Debug)]
+pub struct Broken;
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the answer was broken off")
+    }
+}
+
+impl std::error::Error for Broken {}
+
+impl From<Infallible> for Broken {
+    fn from(never: Infallible) -> Self {
+        match never {}
+    }
+}
+
+/// A body; the request is in progress until it is sent.
+#[derive(Debug)]
+pub struct Body {
+    content: Content,
+    open: Option<Open>,
+}
+
+#[derive(Debug)]
+enum Content {
+    Whole(Option<Bytes>),
+    Parts(Receiver<Result<Bytes, Broken>>),
+}
+
+impl Body {
+    /// A body that is known as a whole.
+    pub const fn whole(bytes: Bytes) -> Self {
+        Self {
+            content: Content::Whole(Some(bytes)),
+            open: None,
+        }
+    }
+
+    /// A body that comes in parts; it is complete when the senders are gone.
+    pub const fn parts(parts: Receiver<Result<Bytes, Broken>>) -> Self {
+        Self {
+            content: Content::Parts(parts),
+            open: None,
+        }
+    }
+
+    /// The same body, which keeps the request in progress.
+    #[must_use]
+    pub fn with_open(mut self, open: Open) -> Self {
+        self.open = Some(open);
+        self
+    }
+}
+
+impl hyper::body::Body for Body {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        match &mut self.content {
+            Content::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            Content::Parts(parts) => parts
+                .poll_recv(context)
+                .map(|part| part.map(|part| part.map(Frame::data))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(&self.content, Content::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.content {
+            Content::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            Content::Parts(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/callers.rs
@@ -0,0 +1,133 @@
+//! Requests of callers: checks, limits and the route.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http::request::Parts;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Body as _;
+use hyper::body::Incoming;
+use platform::caller::Call;
+use relay::plan::Limits;
+use tokio::time::Instant;
+use tokio::time::timeout;
+
+use crate::body::Body;
+use crate::job::Job;
+use crate::own;
+use crate::plain;
+use crate::shared::Open;
+use crate::shared::Shared;
+use crate::stream;
+
+/// Time after which a caller may come back to a daemon that has no plan yet.
+const STARTING: Duration = Duration::from_millis(500);
+/// Time after which a caller may come back when this daemon is stopping; another one serves it.
+const STOPPING: Duration = Duration::from_millis(50);
+
+/// Serves one request.
+pub async fn serve(shared: Rc<Shared>, request: Request<Incoming>) -> Response<Body> {
+    let arrived = Instant::now();
+    let open = Open::new(&shared);
+    let (parts, body) = request.into_parts();
+    let mut response = match admit(&shared, parts, body, arrived).await {
+        Ok(job) if job.route.mode.streams() => stream::serve(&shared, job).await,
+        Ok(job) => plain::serve(&shared, job).await,
+        Err(response) => response,
+    };
+    if shared.is_stopping() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response.map(|body| body.with_open(open))
+}
+
+/// Reads the request in full and finds its route.
+///
+/// # Errors
+/// The answer to a request that is not served.
+async fn admit(
+    shared: &Rc<Shared>,
+    parts: Parts,
+    body: Incoming,
+    arrived: Instant,
+) -> Result<Job, Response<Body>> {
+    let call = Call::read(&parts.headers).map_err(|error| {
+        reject(shared, "", StatusCode::BAD_REQUEST, &error.to_string(), "a header is missing or malformed\n")
+    })?;
+    let limits = shared.plan().map_or_else(Limits::default, |plan| plan.limits);
+    let body = read_body(shared, &call.id, body, limits).await?;
+    if shared.is_closed() {
+        return Err(put_off(shared, &call.id, STOPPING, "this daemon is stopping"));
+    }
+    let Some(plan) = shared.plan() else {
+        return Err(put_off(shared, &call.id, STARTING, "no plan is known yet"));
+    };
+    let host = host(&parts).unwrap_or_default();
+    let Some(route) = plan.route(&host, parts.uri.path()) else {
+        let cause = format!("no route for {host}{} in plan {}", parts.uri.path(), plan.version);
+        return Err(reject(shared, &call.id, StatusCode::NOT_FOUND, &cause, "no route\n"));
+    };
+    let Some(service) = route.target(rand::random()) else {
+        return Err(put_off(shared, &call.id, STARTING, "the route has no service"));
+    };
+    shared.count_request(service);
+    let service = service.to_owned();
+    let route = route.clone();
+    Ok(Job::new(shared, call, route, plan.version, service, parts, body, arrived))
+}
+
+async fn read_body(
+    shared: &Shared,
+    id: &str,
+    body: Incoming,
+    limits: Limits,
+) -> Result<Bytes, Response<Body>> {
+    let too_long = || reject(shared, id, StatusCode::PAYLOAD_TOO_LARGE, "the body is too long", "the body is too long\n");
+    if body.size_hint().lower() > limits.body_bytes as u64 {
+        return Err(too_long());
+    }
+    let whole = Limited::new(body, limits.body_bytes).collect();
+    match timeout(limits.idle_timeout, whole).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_long()),
+        Ok(Err(error)) => Err(reject(shared, id, StatusCode::BAD_REQUEST, &error.to_string(), "the body cannot be read\n")),
+        Err(_) => Err(reject(shared, id, StatusCode::REQUEST_TIMEOUT, "the body did not arrive in time", "the body did not arrive in time\n")),
+    }
+}
+
+fn host(parts: &Parts) -> Option<String> {
+    let named = parts.headers.get(header::HOST);
+    let named = named.and_then(|host| host.to_str().ok());
+    let named = named.or_else(|| parts.uri.authority().map(http::uri::Authority::as_str));
+    named.map(str::to_owned)
+}
+
+/// Answers that the request is not proper.
+fn reject(
+    shared: &Shared,
+    id: &str,
+    status: StatusCode,
+    cause: &str,
+    text: &'static str,
+) -> Response<Body> {
+    shared.metrics.request("rejected");
+    log::info!(kind = "end", request = id, outcome = "rejected", status = status.as_u16(), cause = cause; "request rejected");
+    own::answer(status, id, text)
+}
+
+/// Answers that this daemon does not take the request now.
+fn put_off(shared: &Shared, id: &str, come_back: Duration, cause: &'static str) -> Response<Body> {
+    shared.metrics.request("refused");
+    log::info!(kind = "end", request = id, outcome = "refused", status = 503, cause = cause; "request refused");
+    own::refuse(id, come_back, "not now; the request has not run\n")
+}
+
--- /dev/null
+++ b/crates/gateway/src/exchange.rs
@@ -0,0 +1,219 @@
+//! What daemons tell each other while the store does not: plan, replicas, instances.
+//!
+//! One `h2` stream a question; question and answer are `bincode`.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bincode::config;
+use bytes::Bytes;
+use bytes::BytesMut;
+use h2::RecvStream;
+use http::Request;
+use http::Response;
+use relay::plan::Plan;
+use relay::replica::Snapshot;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::card::Card;
+use crate::shared::Shared;
+
+/// Time for one question, the connection included.
+const ASK_TIMEOUT: Duration = Duration::from_millis(800);
+/// Bytes of a message at most; a plan of some thousand routes stays below.
+const MAX_MESSAGE: usize = 4 * 1024 * 1024;
+/// Time between two questions while the store is silent.
+const PERIOD: Duration = Duration::from_millis(700);
+/// Silence of the store from which on peers are asked.
+const STORE_SILENCE: Duration = Duration::from_millis(1_500);
+/// Connections served at once.
+const MAX_SERVED: usize = 64;
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Ask {
+    /// Version of the asker's plan; 0 if it has none.
+    plan: u64,
+    /// Version of the store at which the asker's replicas stand.
+    replicas: u64,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Tell {
+    /// The plan, if it is newer than the asker's.
+    plan: Option<Plan>,
+    /// The replicas, if they are newer than the asker's.
+    replicas: Option<Snapshot>,
+    cards: Vec<Card>,
+}
+
+/// Answers other daemons, forever.
+pub async fn serve(shared: Rc<Shared>, listener: TcpListener) {
+    let served = Arc::new(Semaphore::new(MAX_SERVED));
+    loop {
+        let Ok(permit) = Arc::clone(&served).acquire_owned().await else {
+            return;
+        };
+        match listener.accept().await {
+            Ok((socket, peer)) => {
+                let shared = Rc::clone(&shared);
+                tokio::task::spawn_local(async move {
+                    let told = timeout(ASK_TIMEOUT, tell(&shared, socket)).await;
+                    if let Ok(Err(error)) = told {
+                        log::debug!(kind = "exchange", peer = peer.to_string(), cause = error.to_string(); "a question was not answered");
+                    }
+                    drop(permit);
+                });
+            }
+            Err(error) => {
+                log::warn!(kind = "exchange", cause = error.to_string(); "a connection could not be accepted");
+                sleep(PERIOD).await;
+            }
+        }
+    }
+}
+
+/// Asks peers while the store is silent or no plan is known, forever.
+pub async fn follow(shared: Rc<Shared>) {
+    loop {
+        sleep(PERIOD).await;
+        if shared.plan_version() > 0 && shared.store_silence() < STORE_SILENCE {
+            continue;
+        }
+        let mut peers = shared.members.borrow().peers();
+        peers.extend(shared.settings.seed_peers());
+        if let Some(peer) = pick(&peers) {
+            ask(&shared, peer).await;
+        }
+    }
+}
+
+/// Asks the daemon at `peer` for what is newer there.
+pub async fn ask(shared: &Shared, peer: SocketAddr) {
+    let ask = Ask {
+        plan: shared.plan_version(),
+        replicas: shared.replicas_version(),
+    };
+    match timeout(ASK_TIMEOUT, question(peer, &ask)).await {
+        Ok(Ok(told)) => take(shared, told),
+        Ok(Err(error)) => {
+            log::info!(kind = "exchange", peer = peer.to_string(), cause = error.to_string(); "a peer did not answer");
+        }
+        Err(_) => {
+            log::info!(kind = "exchange", peer = peer.to_string(); "a peer did not answer in time");
+        }
+    }
+}
+
+fn take(shared: &Shared, told: Tell) {
+    for card in &told.cards {
+        shared.members.borrow_mut().learn(card);
+    }
+    if let Some(plan) = told.plan {
+        shared.take_plan("peer", plan);
+    }
+    if let Some(replicas) = told.replicas {
+        shared.take_replicas("peer", &replicas);
+    }
+}
+
+fn pick(peers: &[SocketAddr]) -> Option<SocketAddr> {
+    match peers.len() {
+        0 => None,
+        count => peers.get(rand::random_range(0..count)).copied(),
+    }
+}
+
+async fn question(peer: SocketAddr, ask: &Ask) -> io::Result<Tell> {
+    let socket = TcpStream::connect(peer).await?;
+    let (mut client, connection) = h2::client::handshake(socket)
+        .await
+        .map_err(io::Error::other)?;
+    let driver = tokio::task::spawn_local(async move {
+        if let Err(error) = connection.await {
+            log::debug!(kind = "exchange", cause = error.to_string(); "connection ended");
+        }
+    });
+    let request = Request::post(format!("http://{peer}/"))
+        .body(())
+        .map_err(io::Error::other)?;
+    let (answer, mut body) = client
+        .send_request(request, false)
+        .map_err(io::Error::other)?;
+    body.send_data(encode(ask)?, true)
+        .map_err(io::Error::other)?;
+    let answer = answer.await.map_err(io::Error::other)?;
+    let told = decode(answer.into_body()).await;
+    driver.abort();
+    told
+}
+
+async fn tell(shared: &Shared, socket: TcpStream) -> io::Result<()> {
+    let mut connection = h2::server::handshake(socket)
+        .await
+        .map_err(io::Error::other)?;
+    while let Some(request) = connection.accept().await {
+        let (request, mut respond) = request.map_err(io::Error::other)?;
+        let body = request.into_body();
+        let answer = async {
+            let ask: Ask = decode(body).await?;
+            let told = encode(&shared_view(shared, &ask))?;
+            let mut stream = respond
+                .send_response(Response::new(()), false)
+                .map_err(io::Error::other)?;
+            stream.send_data(told, true).map_err(io::Error::other)
+        };
+        // The connection has to be driven for the body of the question to arrive.
+        let mut answer = std::pin::pin!(answer);
+        tokio::select! {
+            done = &mut answer => done?,
+            closed = std::future::poll_fn(|context| connection.poll_closed(context)) => {
+                return closed.map_err(io::Error::other);
+            }
+        }
+    }
+    Ok(())
+}
+
+fn shared_view(shared: &Shared, ask: &Ask) -> Tell {
+    Tell {
+        plan: shared
+            .plan()
+            .filter(|plan| plan.version > ask.plan)
+            .map(|plan| (*plan).clone()),
+        replicas: shared.newer_replicas(ask.replicas),
+        cards: shared.members.borrow().cards(),
+    }
+}
+
+fn encode<T: Serialize>(message: &T) -> io::Result<Bytes> {
+    bincode::serde::encode_to_vec(message, config::standard())
+        .map(Bytes::from)
+        .map_err(io::Error::other)
+}
+
+async fn decode<T: DeserializeOwned>(mut body: RecvStream) -> io::Result<T> {
+    let mut bytes = BytesMut::new();
+    while let Some(part) = body.data().await {
+        let part = part.map_err(io::Error::other)?;
+        body.flow_control()
+            .release_capacity(part.len())
+            .map_err(io::Error::other)?;
+        bytes.extend_from_slice(&part);
+        if bytes.len() > MAX_MESSAGE {
+            return Err(io::Error::other("the message is too long"));
+        }
+    }
+    let (message, _) = bincode::serde::decode_from_slice(&bytes, config::standard())
+        .map_err(io::Error::other)?;
+    Ok(message)
+}
--- /dev/null
+++ b/crates/gateway/src/job.rs
@@ -0,0 +1,136 @@
+//! One request of a caller while it is served.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Method;
+use http::Request;
+use http::Uri;
+use http_body_util::Full;
+use platform::caller;
+use platform::caller::Call;
+use platform::caller::Hop;
+use platform::caller::Task;
+use relay::plan::Route;
+use tokio::time::Instant;
+
+use crate::shared::Shared;
+
+/// A request that was read in full and found its route.
+#[derive(Debug)]
+pub struct Job {
+    /// What its headers say.
+    pub call: Call,
+    /// Its route.
+    pub route: Route,
+    /// Version of the plan that the route is of.
+    pub plan: u64,
+    /// The service that is to serve it.
+    pub service: String,
+    /// Its method.
+    pub method: Method,
+    /// Its path and query.
+    pub uri: Uri,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// When its head was read.
+    pub arrived: Instant,
+    /// When the answer has to be complete.
+    pub deadline: Instant,
+    shared: Rc<Shared>,
+    done: bool,
+}
+
+impl Job {
+    /// A request that arrived at `arrived`.
+    #[expect(clippy::too_many_arguments, reason = "each is one part of a request")]
+    pub fn new(
+        shared: &Rc<Shared>,
+        call: Call,
+        route: Route,
+        plan: u64,
+        service: String,
+        parts: http::request::Parts,
+        body: Bytes,
+        arrived: Instant,
+    ) -> Self {
+        let patience = call.patience.unwrap_or(route.timeout).min(route.timeout);
+        Self {
+            call,
+            route,
+            plan,
+            service,
+            method: parts.method,
+            uri: parts.uri,
+            headers: parts.headers,
+            body,
+            arrived,
+            deadline: arrived + patience,
+            shared: Rc::clone(shared),
+            done: false,
+        }
+    }
+
+    /// Time that is left.
+    pub fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Time since the request arrived.
+    pub fn age(&self) -> Duration {
+        self.arrived.elapsed()
+    }
+
+    /// The request for `replica`, which is to do `task`.
+    ///
+    /// # Errors
+    /// If its parts make no request.
+    pub fn request(
+        &self,
+        replica: &str,
+        task: Task,
+        reservation: Option<&str>,
+    ) -> Result<Request<Full<Bytes>>, http::Error> {
+        let hop = Hop {
+            replica,
+            left: self.left(),
+            task,
+            reservation,
+            priority: None,
+        };
+        let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
+        let mut request = Request::builder()
+            .method(self.method.clone())
+            .uri(path)
+            .body(Full::new(self.body.clone()))?;
+        *request.headers_mut() = caller::headers(&self.headers, &hop);
+        Ok(request)
+    }
+
+    /// Tokens of the prompt and, as far as can be told, of the answer.
+    pub fn tokens(&self) -> u64 {
+        let (prompt, most) = self.call.tokens.unwrap_or_default();
+        let output = self.call.expected_output.unwrap_or(most / 2);
+        prompt + output.min(most)
+    }
+
+    /// Notes how the request ended.
+    pub fn end(&mut self, outcome: &'static str, status: u16, cause: &str) {
+        self.done = true;
+        let ms = self.age().as_millis() as u64;
+        self.shared.metrics.request(outcome);
+        log::info!(kind = "end", request = self.call.id, route = self.route.name, service = self.service, plan = self.plan, outcome = outcome, status = status, ms = ms, cause = cause; "request ended");
+    }
+}
+
+impl Drop for Job {
+    fn drop(&mut self) {
+        if !self.done {
+            self.end("caller-left", 0, "the caller closed the connection");
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,167 @@
+//! The daemon that relays callers' requests on the users' platform.
+//!
+//! Decisions are made by the `relay` crate, names and formats of the platform are translated by the
+//! `platform` crate; here are sockets, timers, settings, logs and metrics. One thread does all work
+//! but the writing of log lines.
+
+pub mod asides;
+pub mod body;
+pub mod callers;
+pub mod card;
+pub mod cli;
+pub mod clock;
+pub mod error;
+pub mod exchange;
+pub mod gossip;
+pub mod job;
+pub mod links;
+pub mod listen;
+pub mod members;
+pub mod metrics;
+pub mod output;
+pub mod own;
+pub mod place;
+pub mod plain;
+pub mod send;
+pub mod settings;
+pub mod shared;
+pub mod stop;
+pub mod store;
+pub mod stream;
+pub mod watch;
+
+use std::io;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::SystemTime;
+
+use flexi_logger::LogSpecification;
+use flexi_logger::Logger;
+use flexi_logger::LoggerHandle;
+use logs::queue::Queue;
+use relay::plan::Limits;
+use tokio::runtime::Builder;
+use tokio::task::LocalSet;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use crate::error::Error;
+use crate::listen::Bounds;
+use crate::metrics::Metrics;
+use crate::settings::Settings;
+use crate::shared::Shared;
+
+/// What is logged: everything of this product, warnings of its libraries.
+const LEVELS: &str = "warn, gateway=info, waxwing_gateway=info";
+/// Time between two looks after idle connections and readiness.
+const HOUSEKEEPING: Duration = Duration::from_millis(100);
+/// Bounds of the servers that callers send no requests to.
+const ASIDE: Bounds = Bounds {
+    header_bytes: 8 * 1024,
+    idle_timeout: Duration::from_secs(15),
+};
+
+/// Runs the daemon until it is stopped by a signal.
+///
+/// # Errors
+/// If it cannot start.
+pub fn run(settings: Settings, path: &Path) -> Result<(), Error> {
+    let _logs = start_logs()?;
+    let metrics = Metrics::new().map_err(|error| start("metrics", &error))?;
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| start("runtime", &error))?;
+    log::info!(kind = "start", instance = settings.instance, data_centre = settings.data_centre, version = env!("CARGO_PKG_VERSION"); "starting");
+    let shared = Rc::new(Shared::new(settings, metrics));
+    LocalSet::new().block_on(&runtime, serve(shared, path))
+}
+
+async fn serve(shared: Rc<Shared>, path: &Path) -> Result<(), Error> {
+    let listen = &shared.settings.listen;
+    let callers = listen::bind("callers", listen.callers).await?;
+    let addresses = listen::bind("addresses", listen.addresses).await?;
+    let readiness = listen::bind("readiness", listen.readiness).await?;
+    let metrics = listen::bind("metrics", listen.metrics).await?;
+    let peers = listen::bind("peers", listen.peers).await?;
+
+
+    let own = Rc::clone(&shared);
+    let bounds = Rc::clone(&shared);
+    spawn_local(listen::serve(
+        callers,
+        move || bounds_of(&bounds),
+        move |request| callers::serve(Rc::clone(&own), request),
+    ));
+    let own = Rc::clone(&shared);
+    spawn_local(listen::serve(addresses, || ASIDE, move |request| {
+        std::future::ready(asides::addresses(&own, &request))
+    }));
+    let own = Rc::clone(&shared);
+    spawn_local(listen::serve(readiness, || ASIDE, move |request| {
+        std::future::ready(asides::readiness(&own, &request))
+    }));
+    let own = Rc::clone(&shared);
+    spawn_local(listen::serve(metrics, || ASIDE, move |_| {
+        std::future::ready(asides::metrics(&own))
+    }));
+    spawn_local(exchange::serve(Rc::clone(&shared), peers));
+    spawn_local(exchange::follow(Rc::clone(&shared)));
+    spawn_local(watch::plan(Rc::clone(&shared)));
+    spawn_local(watch::replicas(Rc::clone(&shared)));
+    spawn_local(watch::instances(Rc::clone(&shared)));
+    spawn_local(housekeeping(Rc::clone(&shared)));
+    let own = Rc::clone(&shared);
+    spawn_local(async move {
+        if let Err(error) = gossip::run(own).await {
+            log::error!(kind = "gossip", cause = error.to_string(); "membership is off");
+        }
+    });
+    stop::wait(&shared, path).await
+}
+
+/// Becomes a member once ready, and closes connections that were idle for too long.
+async fn housekeeping(shared: Rc<Shared>) {
+    loop {
+        let joined = shared.members.borrow().joined();
+        if !joined && shared.is_ready() {
+            let now = shared.clock.now();
+            shared.members.borrow_mut().join(now, unix_ms());
+            log::info!(kind = "ready", plan = shared.plan_version(); "taking callers");
+        }
+        shared.links.sweep();
+        sleep(HOUSEKEEPING).await;
+    }
+}
+
+fn bounds_of(shared: &Shared) -> Bounds {
+    let limits = shared
+        .plan()
+        .map_or_else(Limits::default, |plan| plan.limits);
+    Bounds {
+        header_bytes: limits.header_bytes,
+        idle_timeout: limits.idle_timeout,
+    }
+}
+
+/// Milliseconds of the Unix clock; orders the runs of an instance and nothing else.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
+fn start_logs() -> Result<LoggerHandle, Error> {
+    let queue = Queue::new(Box::new(io::stdout())).map_err(|error| start("logs", &error))?;
+    LogSpecification::parse(LEVELS)
+        .map(Logger::with)
+        .and_then(|logger| logger.log_to_writer(Box::new(queue)).start())
+        .map_err(|error| start("logs", &error))
+}
+
+fn start(step: &'static str, cause: &impl ToString) -> Error {
+    Error::Start {
+        step,
+        cause: cause.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/links.rs
@@ -0,0 +1,202 @@
+//! Connections to replicas.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+use tokio::time::timeout;
+
+/// Time for a new connection; a round trip takes a few milliseconds, and a machine without power
+/// answers never.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time after which the system gives up sent bytes that the peer does not confirm.
+const UNCONFIRMED_TIMEOUT: Duration = Duration::from_secs(3);
+/// Idle connections kept to one address; a daemon rarely has more requests at one replica.
+const MAX_IDLE: usize = 4;
+/// Time that a connection is kept where the replica does not tell its own.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Part of the replica's own time after which a connection is not used again, so that a request
+/// does not meet the replica's close.
+const IDLE_PART: f64 = 0.6;
+
+/// Why an exchange ended without an answer's head.
+#[derive(Debug)]
+pub enum Failure {
+    /// No byte of the request left.
+    NotSent {
+        /// What was tried.
+        step: &'static str,
+        /// What went wrong.
+        cause: String,
+    },
+    /// The request left; it may have run.
+    Lost {
+        /// What went wrong.
+        cause: String,
+    },
+}
+
+/// An open connection; dropping it closes it.
+#[derive(Debug)]
+pub struct Link {
+    sender: SendRequest<Full<Bytes>>,
+    task: Task,
+    address: SocketAddr,
+    idle_since: Instant,
+    keep: Duration,
+}
+
+/// Ends the task that drives a connection, and with it the connection.
+#[derive(Debug)]
+struct Task(AbortHandle);
+
+impl Drop for Task {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Idle connections by address.
+#[derive(Debug, Default)]
+pub struct Links {
+    idle: RefCell<HashMap<SocketAddr, Vec<Link>>>,
+}
+
+impl Links {
+    /// None.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sends `request` to `to` and gives the head of the answer. The connection is new if `fresh`
+    /// or if none is idle.
+    ///
+    /// # Errors
+    /// [`Failure`], which tells whether the request left.
+    pub async fn send(
+        &self,
+        to: SocketAddr,
+        request: Request<Full<Bytes>>,
+        fresh: bool,
+    ) -> Result<(Response<Incoming>, Link), Failure> {
+        let mut request = request;
+        while let Some(mut link) = (!fresh).then(|| self.take(to)).flatten() {
+            match link.sender.try_send_request(request).await {
+                Ok(answer) => return Ok((answer, link)),
+                Err(mut error) => match error.take_message() {
+                    Some(unsent) => request = unsent,
+                    None => return Err(lost(error.error())),
+                },
+            }
+        }
+        let mut link = connect(to).await?;
+        match link.sender.try_send_request(request).await {
+            Ok(answer) => Ok((answer, link)),
+            Err(mut error) => match error.take_message() {
+                Some(_) => Err(not_sent("sending", error.error())),
+                None => Err(lost(error.error())),
+            },
+        }
+    }
+
+    /// Keeps `link` for another request; `keep_alive_s` is what the replica told.
+    pub fn keep(&self, mut link: Link, keep_alive_s: Option<u64>) {
+        link.keep = keep_alive_s.map_or(IDLE_TIMEOUT, |seconds| {
+            Duration::from_secs(seconds).mul_f64(IDLE_PART)
+        });
+        link.idle_since = Instant::now();
+        let mut idle = self.idle.borrow_mut();
+        let links = idle.entry(link.address).or_default();
+        links.push(link);
+        if links.len() > MAX_IDLE {
+            links.remove(0);
+        }
+    }
+
+    /// Closes connections that were idle for too long.
+    pub fn sweep(&self) {
+        let mut idle = self.idle.borrow_mut();
+        for links in idle.values_mut() {
+            links.retain(Link::is_usable);
+        }
+        idle.retain(|_, links| !links.is_empty());
+    }
+
+    fn take(&self, to: SocketAddr) -> Option<Link> {
+        let mut idle = self.idle.borrow_mut();
+        let links = idle.get_mut(&to)?;
+        links.retain(Link::is_usable);
+        links.pop()
+    }
+}
+
+impl Link {
+    fn is_usable(&self) -> bool {
+        let open = !self.task.0.is_finished() && !self.sender.is_closed();
+        open && self.sender.is_ready() && self.idle_since.elapsed() < self.keep
+    }
+}
+
+/// Opens a connection to `to`.
+///
+/// # Errors
+/// `NotSent` always.
+pub async fn connect(to: SocketAddr) -> Result<Link, Failure> {
+    let socket = match timeout(CONNECT_TIMEOUT, TcpStream::connect(to)).await {
+        Ok(Ok(socket)) => socket,
+        Ok(Err(error)) => return Err(not_sent("connecting", &error)),
+        Err(elapsed) => return Err(not_sent("connecting", &elapsed)),
+    };
+    tune(&socket).map_err(|error| not_sent("connecting", &error))?;
+    let (sender, connection) = http1::handshake(TokioIo::new(socket))
+        .await
+        .map_err(|error| not_sent("connecting", &error))?;
+    let task = tokio::task::spawn_local(async move {
+        if let Err(error) = connection.await {
+            log::debug!(peer = to.to_string(), cause = error.to_string(); "connection ended");
+        }
+    });
+    Ok(Link {
+        sender,
+        task: Task(task.abort_handle()),
+        address: to,
+        idle_since: Instant::now(),
+        keep: IDLE_TIMEOUT,
+    })
+}
+
+/// Sets the options of a socket that carries requests.
+///
+/// # Errors
+/// Those of the system.
+pub fn tune(socket: &TcpStream) -> io::Result<()> {
+    socket.set_nodelay(true)?;
+    SockRef::from(socket).set_tcp_user_timeout(Some(UNCONFIRMED_TIMEOUT))
+}
+
+fn not_sent(step: &'static str, cause: &impl ToString) -> Failure {
+    Failure::NotSent {
+        step,
+        cause: cause.to_string(),
+    }
+}
+
+fn lost(cause: &hyper::Error) -> Failure {
+    Failure::Lost {
+        cause: cause.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/listen.rs
@@ -0,0 +1,94 @@
+//! HTTP servers on the addresses of the settings.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+
+use crate::body::Body;
+use crate::error::Error;
+use crate::links;
+
+/// Pause after a failed accept; the usual cause is too many open files.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Bounds of a server.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// Bytes of a request's head.
+    pub header_bytes: usize,
+    /// Time that a connection may be idle, the head of a request included.
+    pub idle_timeout: Duration,
+}
+
+/// Smallest buffer that `hyper` takes.
+const MIN_BUFFER: usize = 8 * 1024;
+
+/// Listens on `address`, which the settings call `step`.
+///
+/// # Errors
+/// `Listen` if the address cannot be listened on.
+pub async fn bind(step: &'static str, address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|cause| Error::Listen {
+            step,
+            address,
+            cause,
+        })
+}
+
+/// Serves the requests that come to `listener` with `answer`, forever.
+pub async fn serve<A, F>(listener: TcpListener, bounds: impl Fn() -> Bounds, answer: A)
+where
+    A: Fn(Request<Incoming>) -> F + 'static,
+    F: Future<Output = Response<Body>> + 'static,
+{
+    let answer = Rc::new(answer);
+    loop {
+        match listener.accept().await {
+            Ok((socket, peer)) => {
+                let served = connection(socket, peer, bounds(), Rc::clone(&answer));
+                tokio::task::spawn_local(served);
+            }
+            Err(error) => {
+                log::warn!(kind = "listen", cause = error.to_string(); "a connection could not be accepted");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connection<A, F>(socket: TcpStream, peer: SocketAddr, bounds: Bounds, answer: Rc<A>)
+where
+    A: Fn(Request<Incoming>) -> F + 'static,
+    F: Future<Output = Response<Body>> + 'static,
+{
+    if let Err(error) = links::tune(&socket) {
+        log::debug!(kind = "listen", peer = peer.to_string(), cause = error.to_string(); "a socket could not be set up");
+    }
+    let service = service_fn(move |request| {
+        let answer = Rc::clone(&answer);
+        async move { Ok::<_, Infallible>(answer(request).await) }
+    });
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(bounds.idle_timeout)
+        .max_buf_size(bounds.header_bytes.max(MIN_BUFFER))
+        .serve_connection(TokioIo::new(socket), service)
+        .await;
+    if let Err(error) = served {
+        log::debug!(kind = "listen", peer = peer.to_string(), cause = error.to_string(); "a connection ended");
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/members.rs
@@ -0,0 +1,202 @@
+//! The other instances: who is there, and where.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use fleet::Fleet;
+use fleet::Member;
+use fleet::Message;
+use fleet::Output;
+use fleet::Settings;
+use fleet::entry::Entry as Listed;
+use fleet::member::State;
+use ident::Incarnation;
+use ident::Instance;
+use ident::Time;
+use relay::directory::Entry;
+
+use crate::card::Card;
+
+/// The instances that this daemon knows.
+#[derive(Debug)]
+pub struct Members {
+    own: Card,
+    /// `None` until this daemon takes callers: to be a member is to be told to callers.
+    fleet: Option<Fleet>,
+    cards: HashMap<Instance, Card>,
+    listed: Vec<Listed>,
+    /// Most instances seen at once; bounds the share of what all may retry together.
+    most: usize,
+}
+
+/// A datagram to send.
+#[derive(Debug)]
+pub struct Send {
+    /// The receiver.
+    pub to: SocketAddr,
+    /// What it is told.
+    pub message: Message,
+    /// Another instance's card, taken in turn.
+    pub hint: Option<Card>,
+}
+
+impl Members {
+    /// This instance alone, not yet a member.
+    pub fn new(own: Card) -> Self {
+        Self {
+            own,
+            fleet: None,
+            cards: HashMap::new(),
+            listed: Vec::new(),
+            most: 1,
+        }
+    }
+
+    /// This instance's card.
+    pub const fn own(&self) -> &Card {
+        &self.own
+    }
+
+    /// Whether this daemon is a member.
+    pub const fn joined(&self) -> bool {
+        self.fleet.is_some()
+    }
+
+    /// Becomes a member; `started` orders the runs of this instance.
+    pub fn join(&mut self, now: Time, started: u64) {
+        let incarnation = Incarnation(rand::random());
+        let instance = self.own.instance();
+        let me = Member::new(instance, incarnation, started, self.own.data_centre);
+        let mut fleet = Fleet::new(me, Settings::new(), rand::random());
+        fleet.set_list(now, &self.listed);
+        self.fleet = Some(fleet);
+    }
+
+    /// Tells others that this daemon takes no new callers.
+    pub fn leave(&mut self, now: Time) {
+        if let Some(fleet) = &mut self.fleet {
+            fleet.leave(now);
+        }
+    }
+
+    /// Takes the instances that the store lists.
+    pub fn list(&mut self, now: Time, cards: &[Card]) {
+        self.listed = cards
+            .iter()
+            .map(|card| Listed::new(card.instance(), card.data_centre))
+            .collect();
+        for card in cards {
+            self.learn(card);
+        }
+        if let Some(fleet) = &mut self.fleet {
+            fleet.set_list(now, &self.listed);
+        }
+    }
+
+    /// Takes a card that another daemon told.
+    pub fn learn(&mut self, card: &Card) {
+        let instance = card.instance();
+        if instance == self.own.instance() {
+            return;
+        }
+        self.cards.insert(instance, card.clone());
+        if !self.listed.iter().any(|entry| entry.instance == instance) {
+            self.listed.push(Listed::new(instance, card.data_centre));
+        }
+    }
+
+    /// Takes a datagram in.
+    pub fn receive(&mut self, now: Time, from: &Card, message: &Message) {
+        let known = self.listed.len();
+        self.learn(from);
+        let Some(fleet) = &mut self.fleet else { return };
+        if self.listed.len() > known {
+            fleet.set_list(now, &self.listed);
+        }
+        fleet.receive(now, from.instance(), message);
+    }
+
+    /// Does what is due; gives the datagrams to send, what changed, and when to come back.
+    pub fn step(&mut self, now: Time) -> (Vec<Send>, Vec<Member>, Time) {
+        let Some(fleet) = &mut self.fleet else {
+            return (Vec::new(), Vec::new(), Time::NEVER);
+        };
+        let mut outputs = Vec::new();
+        let next = fleet.step(now, &mut outputs);
+        if fleet.declared_dead() {
+            let started = fleet.me().started + 1;
+            self.join(now, started);
+            return (Vec::new(), Vec::new(), now);
+        }
+        let mut sends = Vec::new();
+        let mut changed = Vec::new();
+        for output in outputs {
+            match output {
+                Output::Send { to, message } => sends.extend(self.address(to, message)),
+                Output::Changed { member, .. } => changed.push(member),
+            }
+        }
+        self.most = self.most.max(self.count());
+        (sends, changed, next)
+    }
+
+    /// Name of an instance, or its key where the name is not known.
+    pub fn name(&self, instance: Instance) -> String {
+        let card = self.cards.get(&instance);
+        card.map_or_else(|| instance.to_string(), |card| card.name.clone())
+    }
+
+    /// Instances that share what may be retried: the most that were members at once.
+    pub const fn sharers(&self) -> usize {
+        self.most
+    }
+
+    /// Instances that callers are told of: members that are neither leaving nor suspected.
+    pub fn open(&self) -> Vec<Entry> {
+        let Some(fleet) = &self.fleet else {
+            return Vec::new();
+        };
+        let alive = fleet.alive().filter(|member| member.state == State::Alive);
+        alive
+            .filter_map(|member| self.card(member.instance))
+            .map(|card| Entry {
+                data_centre: card.data_centre,
+                address: card.callers,
+            })
+            .collect()
+    }
+
+    /// Where daemons of other known instances listen.
+    pub fn peers(&self) -> Vec<SocketAddr> {
+        self.cards.values().map(|card| card.peers).collect()
+    }
+
+    /// Cards of all instances known, this one's first.
+    pub fn cards(&self) -> Vec<Card> {
+        let own = std::iter::once(&self.own);
+        own.chain(self.cards.values()).cloned().collect()
+    }
+
+    /// Members in reach, this one among them.
+    pub fn count(&self) -> usize {
+        self.fleet.as_ref().map_or(1, |fleet| fleet.alive().count())
+    }
+
+    fn card(&self, instance: Instance) -> Option<&Card> {
+        if instance == self.own.instance() {
+            return Some(&self.own);
+        }
+        self.cards.get(&instance)
+    }
+
+    fn address(&self, to: Instance, message: Message) -> Option<Send> {
+        let card = self.cards.get(&to)?;
+        let skipped = rand::random_range(0..self.cards.len());
+        let hint = self.cards.values().nth(skipped);
+        Some(Send {
+            to: card.peers,
+            message,
+            hint: hint.filter(|hint| hint.name != card.name).cloned(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/output.rs
@@ -0,0 +1,21 @@
+//! What the program prints for people.
+
+use std::io;
+use std::io::Write;
+
+use crate::error::Error;
+
+/// Prints `text` on standard output.
+pub fn print(text: &str) {
+    // A closed standard output leaves nobody to tell.
+    let _ = writeln!(io::stdout(), "{text}");
+}
+
+/// Prints `error` on standard error: the program, what was wrong, and what to try.
+pub fn print_error(error: &Error) {
+    let _ = writeln!(
+        io::stderr(),
+        "waxwing-gateway: {error}\n  try: {}",
+        error.advice()
+    );
+}
--- /dev/null
+++ b/crates/gateway/src/place.rs
@@ -0,0 +1,214 @@
+//! Places at decode replicas: a slot and memory, reserved before the prompt is read, so that no
+//! prompt is read in vain and no request waits at a replica that has no room.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use platform::engine;
+use platform::engine::Reservation;
+use relay::pool::Key;
+use relay::replica::Stage;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::job::Job;
+use crate::links::Failure;
+use crate::plain;
+use crate::shared::Shared;
+
+/// Time for the answer to a reservation; replicas answer it without waiting.
+const RESERVE_TIMEOUT: Duration = Duration::from_millis(150);
+/// Part of the objective for which a request waits for a place.
+const WAIT_PART: f64 = 0.2;
+/// Pause between two rounds over replicas that had no room; a place comes free about every 60 ms.
+const ROUND_PAUSE: Duration = Duration::from_millis(60);
+/// Replicas asked in one round.
+const ROUND: usize = 3;
+/// Bytes of the answer to a reservation at most.
+const MAX_ANSWER: usize = 4 * 1024;
+
+/// A decode replica that is to serve a request.
+#[derive(Debug)]
+pub struct Place {
+    key: Key,
+    reserved: Option<Reserved>,
+}
+
+/// A reservation; given back if it is dropped unused.
+#[derive(Debug)]
+struct Reserved {
+    shared: Rc<Shared>,
+    address: SocketAddr,
+    id: String,
+    used: bool,
+}
+
+/// How asking one replica ended.
+enum Asked {
+    Room(Reserved),
+    NoRoom,
+    /// The replica did not answer.
+    Failed(String),
+}
+
+impl Place {
+    /// The replica.
+    pub const fn key(&self) -> Key {
+        self.key
+    }
+
+    /// Name of the reservation there, if there is one.
+    pub fn reservation(&self) -> Option<&str> {
+        self.reserved.as_ref().map(|reserved| reserved.id.as_str())
+    }
+
+    /// Notes that the request has taken the reservation up.
+    pub fn used(mut self) {
+        if let Some(reserved) = &mut self.reserved {
+            reserved.used = true;
+        }
+    }
+}
+
+/// Finds a place for `job` at a replica that is not among `tried`; `None` if there is no room.
+pub async fn find(shared: &Rc<Shared>, job: &Job, tried: &[Key]) -> Option<Place> {
+    let life = reservation_life(shared, job);
+    if life.is_zero() {
+        let key = plain::replica(shared, job, Some(Stage::Decode), tried).await?;
+        return Some(Place {
+            key,
+            reserved: None,
+        });
+    }
+    let until = job.arrived + job.route.objective.mul_f64(WAIT_PART);
+    loop {
+        if let Some(place) = round(shared, job, tried, life).await {
+            return Some(place);
+        }
+        if Instant::now() + ROUND_PAUSE > until {
+            return None;
+        }
+        sleep(ROUND_PAUSE).await;
+    }
+}
+
+/// Asks some replicas, the best first.
+async fn round(
+    shared: &Rc<Shared>,
+    job: &Job,
+    tried: &[Key],
+    life: Duration,
+) -> Option<Place> {
+    let mut asked = tried.to_vec();
+    for _ in 0..ROUND {
+        let key = shared.choose(&job.service, Some(Stage::Decode), &asked)?;
+        asked.push(key);
+        match reserve(shared, job, key, life).await {
+            Asked::Room(reserved) => {
+                return Some(Place {
+                    key,
+                    reserved: Some(reserved),
+                });
+            }
+            Asked::NoRoom => shared.pool.borrow_mut().full(shared.clock.now(), key),
+            Asked::Failed(cause) => {
+                shared.pool.borrow_mut().note(shared.clock.now(), key, true);
+                log::info!(kind = "reserve", request = job.call.id, cause = cause; "a replica did not answer");
+            }
+        }
+    }
+    None
+}
+
+/// How long a reservation may last; zero where replicas keep none.
+fn reservation_life(shared: &Shared, job: &Job) -> Duration {
+    let plan = shared.plan();
+    let service = plan.as_ref().and_then(|plan| plan.services.get(&job.service));
+    let engine = service.and_then(|service| service.engine);
+    engine.map_or(Duration::ZERO, |engine| engine.max_reservation)
+}
+
+async fn reserve(shared: &Rc<Shared>, job: &Job, key: Key, life: Duration) -> Asked {
+    let replica = shared.pool.borrow().get(key).map(|s| s.replica.clone());
+    let Some(replica) = replica else {
+        return Asked::Failed("the replica is gone".to_owned());
+    };
+    let body = engine::reserve_body(job.tokens(), life);
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(engine::RESERVE_PATH)
+        .header(header::HOST, replica.address.to_string())
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Full::new(Bytes::from(body)));
+    let request = match request {
+        Ok(request) => request,
+        Err(error) => return Asked::Failed(error.to_string()),
+    };
+    match timeout(RESERVE_TIMEOUT, call(shared, replica.address, request)).await {
+        Err(_) => Asked::Failed("no answer in time".to_owned()),
+        Ok(Err(cause)) => Asked::Failed(cause),
+        Ok(Ok((StatusCode::OK, body))) => match Reservation::read(&body) {
+            Ok(reservation) => Asked::Room(Reserved {
+                shared: Rc::clone(shared),
+                address: replica.address,
+                id: reservation.id,
+                used: false,
+            }),
+            Err(error) => Asked::Failed(error.to_string()),
+        },
+        Ok(Ok((status, _))) => {
+            log::info!(kind = "reserve", request = job.call.id, replica = replica.id, status = status.as_u16(), tokens = job.tokens(); "no room");
+            Asked::NoRoom
+        }
+    }
+}
+
+/// One short call of a replica.
+async fn call(
+    shared: &Shared,
+    to: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Result<(StatusCode, Bytes), String> {
+    let sent = shared.links.send(to, request, false).await;
+    let (answer, link) = sent.map_err(|failure| match failure {
+        Failure::NotSent { step, cause } => format!("{step}: {cause}"),
+        Failure::Lost { cause } => cause,
+    })?;
+    let status = answer.status();
+    let body = Limited::new(answer.into_body(), MAX_ANSWER).collect().await;
+    let body = body.map_err(|error| error.to_string())?;
+    shared.links.keep(link, None);
+    Ok((status, body.to_bytes()))
+}
+
+impl Drop for Reserved {
+    fn drop(&mut self) {
+        if self.used {
+            return;
+        }
+        let shared = Rc::clone(&self.shared);
+        let address = self.address;
+        let request = Request::builder()
+            .method(Method::DELETE)
+            .uri(engine::unreserve_path(&self.id))
+            .header(header::HOST, address.to_string())
+            .body(Full::new(Bytes::new()));
+        tokio::task::spawn_local(async move {
+            let Ok(request) = request else { return };
+            let given = timeout(RESERVE_TIMEOUT, call(&shared, address, request)).await;
+            if !matches!(given, Ok(Ok((StatusCode::OK, _)))) {
+                log::info!(kind = "reserve", replica = address.to_string(); "a reservation could not be given back; it lapses");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/plain.rs
@@ -0,0 +1,167 @@
+//! Plain calls: one answer, passed on when it is whole.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Response;
+use http::StatusCode;
+use platform::caller::Task;
+use platform::reply;
+use relay::attempt::Attempt;
+use relay::attempt::Next;
+use relay::attempt::Outcome;
+use relay::plan::Mode;
+use relay::pool::Key;
+use relay::replica::Stage;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout_at;
+
+use crate::body::Body;
+use crate::job::Job;
+use crate::own;
+use crate::send;
+use crate::shared::Shared;
+
+/// Bytes of an answer at most; it is held in memory until it is whole.
+const MAX_ANSWER: usize = 8 * 1024 * 1024;
+/// Part of the objective that a request waits for a replica; one that is refused sooner may come
+/// back in time.
+const WAIT_PART: f64 = 0.2;
+/// Pause between two looks for a replica.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
+
+/// A whole answer of a replica.
+#[derive(Debug)]
+struct Answer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// Serves `job`.
+pub async fn serve(shared: &Rc<Shared>, mut job: Job) -> Response<Body> {
+    let mut attempt = Attempt::new(job.route.mode, job.route.max_attempts);
+    let mut tried = Vec::new();
+    let mut failure = None;
+    loop {
+        let Some(key) = replica(shared, &job, None, &tried).await else {
+            return without_replica(&mut job, &attempt, failure);
+        };
+        tried.push(key);
+        attempt.sent();
+        let outcome = match timeout_at(job.deadline, exchange(shared, &job, key)).await {
+            Err(_) => {
+                send::note(shared, &job, key, Outcome::Lost, "no answer in time", 0);
+                return finish(&mut job, "overdue", own::overdue, "no answer in time");
+            }
+            Ok(Ok(answer)) if is_failure(&job, &answer) => {
+                send::note(shared, &job, key, Outcome::Failed, "its own failure", answer.status.as_u16());
+                failure = Some(answer);
+                Outcome::Failed
+            }
+            Ok(Ok(answer)) => {
+                send::note_success(shared, key);
+                return relay(shared, &mut job, answer);
+            }
+            Ok(Err(outcome)) => outcome,
+        };
+        match attempt.after(outcome, || shared.take_retry(&job.service)) {
+            Next::Retry => {}
+            Next::Relay | Next::Unknown | Next::Refuse => {
+                return without_replica(&mut job, &attempt, failure);
+            }
+        }
+    }
+}
+
+/// The replica to send to next; waits for one for a short part of the objective if nothing was
+/// sent yet.
+pub async fn replica(
+    shared: &Shared,
+    job: &Job,
+    stage: Option<Stage>,
+    tried: &[Key],
+) -> Option<Key> {
+    let until = job.arrived + job.route.objective.mul_f64(WAIT_PART);
+    loop {
+        match shared.choose(&job.service, stage, tried) {
+            Some(key) => return Some(key),
+            None if tried.is_empty() && Instant::now() < until => sleep(LOOK_AGAIN).await,
+            None => return None,
+        }
+    }
+}
+
+/// Sends `job` to `key` and reads the whole answer.
+async fn exchange(shared: &Rc<Shared>, job: &Job, key: Key) -> Result<Answer, Outcome> {
+    let reply = send::send(shared, job, key, Task::Answer, None).await?;
+    match send::whole(shared, reply, MAX_ANSWER).await {
+        Ok((head, headers, body)) => Ok(Answer {
+            status: head.status,
+            headers,
+            body,
+        }),
+        Err(outcome) => {
+            send::note(shared, job, key, outcome, "its answer broke off", 0);
+            Err(outcome)
+        }
+    }
+}
+
+/// Whether another replica may do better.
+fn is_failure(job: &Job, answer: &Answer) -> bool {
+    job.route.mode == Mode::Idempotent && answer.status.is_server_error()
+}
+
+fn relay(shared: &Shared, job: &mut Job, answer: Answer) -> Response<Body> {
+    shared
+        .metrics
+        .latency(&job.route.name, job.age().as_secs_f64());
+    job.end("answered", answer.status.as_u16(), "");
+    let mut response = Response::new(Body::whole(answer.body));
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = reply::headers(&answer.headers);
+    response
+}
+
+/// The answer when no replica is left to try.
+fn without_replica(
+    job: &mut Job,
+    attempt: &Attempt,
+    failure: Option<Answer>,
+) -> Response<Body> {
+    match failure {
+        Some(answer) => {
+            job.end("failed", answer.status.as_u16(), "the replica's own failure");
+            let mut response = Response::new(Body::whole(answer.body));
+            *response.status_mut() = answer.status;
+            *response.headers_mut() = reply::headers(&answer.headers);
+            response
+        }
+        None if attempt.may_have_run() => {
+            finish(job, "unknown", own::unknown, "the replica was lost")
+        }
+        None => refuse(job, "no replica took the request"),
+    }
+}
+
+/// Refuses `job`, which has not run.
+pub fn refuse(job: &mut Job, cause: &'static str) -> Response<Body> {
+    job.end("refused", 503, cause);
+    own::refuse(&job.call.id, own::COME_BACK, "no replica could take the request; it has not run\n")
+}
+
+/// Ends `job` with an answer of this daemon's own.
+pub fn finish(
+    job: &mut Job,
+    outcome: &'static str,
+    answer: fn(&str) -> Response<Body>,
+    cause: &'static str,
+) -> Response<Body> {
+    let response = answer(&job.call.id);
+    job.end(outcome, response.status().as_u16(), cause);
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/send.rs
@@ -0,0 +1,172 @@
+//! One send of a request to one replica.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use platform::caller::Task;
+use platform::reply::Head;
+use relay::attempt::Outcome;
+use relay::plan::Mode;
+use relay::pool::Key;
+
+use crate::job::Job;
+use crate::links::Failure;
+use crate::links::Link;
+use crate::shared::Claim;
+use crate::shared::Shared;
+
+/// The head of a replica's genuine answer, with what is needed to read the rest.
+#[derive(Debug)]
+pub struct Reply {
+    /// What the head says.
+    pub head: Head,
+    /// Its headers and its body, not read yet.
+    pub response: Response<Incoming>,
+    /// The connection; closed if this is dropped.
+    pub link: Link,
+    /// The replica.
+    pub claim: Claim,
+}
+
+/// Sends `job` to the replica `key`, which is to do `task`, and reads the head of the answer.
+///
+/// # Errors
+/// How the send ended, if not in a genuine answer.
+pub async fn send(
+    shared: &Rc<Shared>,
+    job: &Job,
+    key: Key,
+    task: Task,
+    reservation: Option<&str>,
+) -> Result<Reply, Outcome> {
+    let tokens = match task {
+        Task::Prefill => job.call.tokens.unwrap_or_default().0,
+        _ => job.tokens(),
+    };
+    let claim = Claim::new(shared, key, tokens);
+    let target = shared.pool.borrow().get(key).map(|server| {
+        let replica = &server.replica;
+        (replica.id.clone(), replica.address, server.in_flight)
+    });
+    let Some((id, address, in_flight)) = target else {
+        return Err(Outcome::NotSent);
+    };
+    let (prompt, output) = job.call.tokens.unwrap_or_default();
+    log::info!(kind = "send", request = job.call.id, replica = id, task = word(&task), in_flight = in_flight, prompt = prompt, output = output, replicas = shared.replicas_version(), reserved = reservation.is_some(), plan = job.plan, left_ms = job.left().as_millis() as u64; "sending");
+    let prefill = task == Task::Prefill;
+    let request = job.request(&id, task, reservation).map_err(|error| {
+        log::error!(kind = "send", request = job.call.id, cause = error.to_string(); "a request cannot be built");
+        Outcome::NotSent
+    })?;
+    let fresh = job.route.mode == Mode::Once;
+    let (response, link) = match shared.links.send(address, request, fresh).await {
+        Ok(answer) => answer,
+        Err(failure) => return Err(failed(shared, job, key, &failure)),
+    };
+    let head = Head::read(&job.call.id, response.status(), response.headers());
+    if let Some(load) = head.load {
+        shared.pool.borrow_mut().told(shared.clock.now(), key, load);
+    }
+    let outcome = match &head {
+        head if head.other_replica => {
+            shared.pool.borrow_mut().replaced(key);
+            Some((Outcome::NotRun, "another replica has its address"))
+        }
+        head if head.not_run => Some((Outcome::NotRun, "it did not run the request")),
+        // The answer to a prefill is for this daemon and bears no signature.
+        head if prefill && head.status == StatusCode::OK => None,
+        head if !head.genuine => Some((Outcome::Lost, "its answer is not genuine")),
+        _ => None,
+    };
+    match outcome {
+        None => Ok(Reply {
+            head,
+            response,
+            link,
+            claim,
+        }),
+        Some((outcome, cause)) => {
+            let load = head.load.map_or((0, 0), |load| (load.running, load.waiting));
+            let cause = format!("{cause}; running {}, waiting {}", load.0, load.1);
+            note(shared, job, key, outcome, &cause, head.status.as_u16());
+            Err(outcome)
+        }
+    }
+}
+
+/// Notes that a send to `key` ended in `outcome`.
+pub fn note(
+    shared: &Shared,
+    job: &Job,
+    key: Key,
+    outcome: Outcome,
+    cause: &str,
+    status: u16,
+) {
+    let now = shared.clock.now();
+    let mut pool = shared.pool.borrow_mut();
+    pool.note(now, key, true);
+    let replica = pool.get(key).map_or("", |server| &server.replica.id);
+    shared.metrics.send(match outcome {
+        Outcome::NotSent => "not-sent",
+        Outcome::NotRun => "not-run",
+        Outcome::Failed => "failed",
+        Outcome::Lost => "lost",
+    });
+    log::info!(kind = "failure", request = job.call.id, replica = replica, outcome = format!("{outcome:?}"), status = status, cause = cause; "a send failed");
+}
+
+/// Notes that a send to `key` ended well.
+pub fn note_success(shared: &Shared, key: Key) {
+    let now = shared.clock.now();
+    shared.pool.borrow_mut().note(now, key, false);
+    shared.metrics.send("answered");
+}
+
+/// Reads the rest of a whole answer, and keeps the connection for another request.
+///
+/// # Errors
+/// `Lost` if it breaks off or is longer than `most` bytes.
+pub async fn whole(shared: &Shared, reply: Reply, most: usize) -> Result<(Head, HeaderMap, Bytes), Outcome> {
+    let Reply {
+        head,
+        response,
+        link,
+        claim,
+    } = reply;
+    let (parts, body) = response.into_parts();
+    match Limited::new(body, most).collect().await {
+        Ok(body) => {
+            if !head.closes {
+                shared.links.keep(link, head.keep_alive_s);
+            }
+            drop(claim);
+            Ok((head, parts.headers, body.to_bytes()))
+        }
+        Err(_) => Err(Outcome::Lost),
+    }
+}
+
+fn failed(shared: &Shared, job: &Job, key: Key, failure: &Failure) -> Outcome {
+    let (outcome, cause) = match failure {
+        Failure::NotSent { step, cause } => (Outcome::NotSent, format!("{step}: {cause}")),
+        Failure::Lost { cause } => (Outcome::Lost, cause.clone()),
+    };
+    note(shared, job, key, outcome, &cause, 0);
+    outcome
+}
+
+const fn word(task: &Task) -> &'static str {
+    match task {
+        Task::Answer => "answer",
+        Task::Prefill => "prefill",
+        Task::Decode { .. } => "decode",
+        Task::Resume { .. } => "resume",
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,130 @@
+//! Settings of the daemon, checked before anything starts.
+
+use std::fs;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use relay::budget::Rule;
+use serde::Deserialize;
+
+use crate::error::Error;
+
+/// Settings of one daemon.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of this instance; unique among all.
+    pub instance: String,
+    /// Name of its data centre.
+    pub data_centre: String,
+    /// Where it listens.
+    pub listen: Listen,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Addresses of instances to start from, of which only the IP counts; may be stale.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// What all instances together may retry.
+    pub retry: Retry,
+    /// Seconds from SIGTERM until the process is killed.
+    pub grace_s: f64,
+}
+
+/// Where a daemon listens.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// For requests of callers.
+    pub callers: SocketAddr,
+    /// For callers that ask for addresses.
+    pub addresses: SocketAddr,
+    /// For the platform's question whether it is ready.
+    pub readiness: SocketAddr,
+    /// For scrapers of metrics.
+    pub metrics: SocketAddr,
+    /// For other daemons, TCP and UDP; the same port on all instances.
+    pub peers: SocketAddr,
+}
+
+/// What all instances together may retry, per service.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Retry {
+    /// Retries for each request of callers.
+    pub ratio: f64,
+    /// Retries besides.
+    pub slack: f64,
+    /// Seconds over which both are counted.
+    pub window_s: f64,
+}
+
+impl Settings {
+    /// Reads and checks the settings file at `path`.
+    ///
+    /// # Errors
+    /// `Read` if it cannot be opened, `Settings` with the field if it is wrong.
+    pub fn read(path: &Path) -> Result<Self, Error> {
+        let text = fs::read_to_string(path).map_err(|cause| Error::Read {
+            path: path.to_owned(),
+            cause,
+        })?;
+        Self::parse(&text).map_err(|cause| Error::Settings {
+            path: path.to_owned(),
+            cause,
+        })
+    }
+
+    /// Reads and checks settings.
+    ///
+    /// # Errors
+    /// What is wrong, with the field.
+    pub fn parse(text: &str) -> Result<Self, String> {
+        let settings: Self = serde_norway::from_str(text).map_err(|error| error.to_string())?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        let figures = [
+            ("grace_s", self.grace_s),
+            ("retry.ratio", self.retry.ratio),
+            ("retry.slack", self.retry.slack),
+            ("retry.window_s", self.retry.window_s),
+        ];
+        let wrong = |(_, figure): &(&str, f64)| !figure.is_finite() || *figure < 0.0;
+        match figures.into_iter().find(wrong) {
+            Some((field, figure)) => Err(format!(
+                "{field}: {figure} is not allowed; write a number from 0 up"
+            )),
+            None if self.instance.is_empty() => Err("instance: must not be empty".to_owned()),
+            None if self.retry.window_s == 0.0 => {
+                Err("retry.window_s: 0 is not allowed; write a span in seconds".to_owned())
+            }
+            None => Ok(()),
+        }
+    }
+
+    /// The bound on retries.
+    pub fn retry_rule(&self) -> Rule {
+        Rule {
+            ratio: self.retry.ratio,
+            slack: self.retry.slack,
+            window: Duration::from_secs_f64(self.retry.window_s),
+        }
+    }
+
+    /// Time from SIGTERM until the process is killed.
+    pub fn grace(&self) -> Duration {
+        Duration::from_secs_f64(self.grace_s)
+    }
+
+    /// Where the daemons of the instances to start from listen for others.
+    pub fn seed_peers(&self) -> Vec<SocketAddr> {
+        let own: IpAddr = self.listen.peers.ip();
+        let others = self.seeds.iter().filter(|seed| seed.ip() != own);
+        let port = self.listen.peers.port();
+        others.map(|s| SocketAddr::new(s.ip(), port)).collect()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/shared.rs
@@ -0,0 +1,301 @@
+//! What the parts of the daemon share.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ident::Time;
+use ident::Zone;
+use relay::budget::Budget;
+use relay::budget::Rule;
+use relay::plan::Plan;
+use relay::pool::Key;
+use relay::pool::Pool;
+use relay::pool::Want;
+use relay::replica::Snapshot;
+
+use crate::card::Card;
+use crate::clock::Clock;
+use crate::links::Links;
+use crate::members::Members;
+use crate::metrics::Metrics;
+use crate::settings::Settings;
+use crate::store;
+use crate::store::Store;
+
+/// Part of the grace in which a stopping daemon still takes requests; the rest is for those in
+/// progress.
+const TAKING_PART: f64 = 0.5;
+
+/// State of the daemon; one thread uses it.
+#[derive(Debug)]
+pub struct Shared {
+    /// Settings at the start.
+    pub settings: Settings,
+    /// Its clock.
+    pub clock: Clock,
+    /// Client of the store.
+    pub store: Store,
+    /// Connections to replicas.
+    pub links: Links,
+    /// The other instances.
+    pub members: RefCell<Members>,
+    /// The replicas.
+    pub pool: RefCell<Pool>,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    plan: RefCell<Option<Rc<Plan>>>,
+    budgets: RefCell<HashMap<String, Budget>>,
+    rule: Rule,
+    near: Zone,
+    own: Card,
+    /// When the store last answered.
+    store_heard: Cell<Time>,
+    /// Whether the store's last call failed.
+    store_lost: Cell<bool>,
+    /// When SIGTERM came.
+    stopping: Cell<Option<Time>>,
+    /// Requests in progress.
+    open: Cell<usize>,
+    /// Version of the plan that a peer is being asked for.
+    asking: Cell<u64>,
+}
+
+impl Shared {
+    /// The state of a daemon with `settings` that starts now.
+    pub fn new(settings: Settings, metrics: Metrics) -> Self {
+        let near = Zone::new(&settings.data_centre);
+        let own = Card {
+            name: settings.instance.clone(),
+            data_centre: near,
+            callers: settings.listen.callers,
+            peers: settings.listen.peers,
+        };
+        Self {
+            clock: Clock::new(),
+            store: Store::new(settings.store),
+            links: Links::new(),
+            members: RefCell::new(Members::new(own.clone())),
+            pool: RefCell::new(Pool::new()),
+            metrics,
+            plan: RefCell::new(None),
+            budgets: RefCell::new(HashMap::new()),
+            rule: settings.retry_rule(),
+            near,
+            own,
+            store_heard: Cell::new(Time::ZERO),
+            store_lost: Cell::new(false),
+            stopping: Cell::new(None),
+            open: Cell::new(0),
+            asking: Cell::new(0),
+            settings,
+        }
+    }
+
+    /// The own card.
+    pub fn own_card(&self) -> Card {
+        self.own.clone()
+    }
+
+    /// The plan in force.
+    pub fn plan(&self) -> Option<Rc<Plan>> {
+        self.plan.borrow().clone()
+    }
+
+    /// Version of the plan in force; 0 if there is none.
+    pub fn plan_version(&self) -> u64 {
+        self.plan.borrow().as_ref().map_or(0, |plan| plan.version)
+    }
+
+    /// Version of the store at which the replicas stand.
+    pub fn replicas_version(&self) -> u64 {
+        self.pool.borrow().version()
+    }
+
+    /// Puts `plan` in force, unless one as new is; `source` is where it came from.
+    pub fn take_plan(&self, source: &'static str, plan: Plan) {
+        let before = self.plan_version();
+        if plan.version <= before {
+            return;
+        }
+        log::info!(kind = "plan", version = plan.version, before = before, source = source, routes = plan.routes.len() as u64; "a plan is in force");
+        for (name, service) in &plan.services {
+            if let Some(engine) = service.engine {
+                self.pool.borrow_mut().set_memory(name, engine.memory_tokens);
+            }
+        }
+        self.metrics.plan_version.set(plan.version);
+        *self.plan.borrow_mut() = Some(Rc::new(plan));
+    }
+
+    /// Takes a list of replicas.
+    pub fn take_replicas(&self, source: &'static str, snapshot: &Snapshot) {
+        let changes = self.pool.borrow_mut().apply(self.clock.now(), snapshot);
+        let Some(changes) = changes else {
+            log::info!(kind = "replicas", version = snapshot.version, source = source; "an older list of replicas is ignored");
+            return;
+        };
+        for change in changes {
+            log::info!(kind = "replica", replica = change.id, belief = format!("{:?}", change.now), version = snapshot.version, source = source; "a replica changed");
+        }
+    }
+
+    /// The replicas, if they are newer than `version`.
+    pub fn newer_replicas(&self, version: u64) -> Option<Snapshot> {
+        let pool = self.pool.borrow();
+        (pool.version() > version).then(|| Snapshot {
+            version: pool.version(),
+            replicas: pool.replicas().cloned().collect(),
+        })
+    }
+
+    /// Notes that the replicas could not be read.
+    pub fn note_outage(&self) {
+        self.pool.borrow_mut().note_outage(self.clock.now());
+    }
+
+    /// The replica to send a request to, and marks it as at work on it.
+    pub fn choose(&self, service: &str, stage: Option<relay::replica::Stage>, tried: &[Key]) -> Option<Key> {
+        let want = Want {
+            service,
+            stage,
+            tried,
+            near: self.near,
+        };
+        let pool = self.pool.borrow();
+        pool.choose(self.clock.now(), &want, rand::random)
+    }
+
+    /// Counts a request for `service` in its budget of retries.
+    pub fn count_request(&self, service: &str) {
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.to_owned()).or_default();
+        budget.request(self.clock.now(), &self.rule);
+    }
+
+    /// Takes a retry out of the budget of `service`, if one is left.
+    pub fn take_retry(&self, service: &str) -> bool {
+        let sharers = self.members.borrow().sharers();
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.to_owned()).or_default();
+        let taken = budget.take(self.clock.now(), &self.rule, sharers);
+        self.metrics.retries(service, taken);
+        taken
+    }
+
+    /// Notes that the store answered.
+    pub fn store_answered(&self, step: &'static str) {
+        self.store_heard.set(self.clock.now());
+        if self.store_lost.replace(false) {
+            log::info!(kind = "store", step = step; "the store answers again");
+        }
+    }
+
+    /// Notes that a call of the store failed.
+    pub fn store_failed(&self, step: &'static str, error: &store::Error) {
+        self.metrics.store_failures.inc();
+        if !self.store_lost.replace(true) {
+            log::warn!(kind = "store", step = step, cause = error.to_string(); "the store does not answer");
+        }
+    }
+
+    /// Time since the store last answered.
+    pub fn store_silence(&self) -> Duration {
+        self.clock.now().since(self.store_heard.get())
+    }
+
+    /// Whether callers are taken: a plan is known and the daemon is not stopping.
+    pub fn is_ready(&self) -> bool {
+        self.plan_version() > 0 && !self.pool.borrow().is_empty() && !self.is_stopping()
+    }
+
+    /// Whether the daemon is stopping.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.get().is_some()
+    }
+
+    /// Notes that SIGTERM came.
+    pub fn stop(&self) {
+        self.stopping.set(Some(self.clock.now()));
+    }
+
+    /// Whether a stopping daemon takes nothing new any more.
+    pub fn is_closed(&self) -> bool {
+        let taking = self.settings.grace().mul_f64(TAKING_PART);
+        let since = self.stopping.get();
+        since.is_some_and(|since| self.clock.now().since(since) > taking)
+    }
+
+    /// Requests in progress.
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Begins to ask a peer for plan `version`; `false` if that is being done.
+    pub fn begin_asking(&self, version: u64) -> bool {
+        if self.asking.get() >= version {
+            return false;
+        }
+        self.asking.set(version);
+        true
+    }
+
+    /// Ends it.
+    pub fn end_asking(&self) {
+        self.asking.set(0);
+    }
+}
+
+/// A request in progress; it is over when this is dropped.
+#[derive(Debug)]
+pub struct Open {
+    shared: Rc<Shared>,
+}
+
+impl Open {
+    /// Counts one more request in progress.
+    pub fn new(shared: &Rc<Shared>) -> Self {
+        shared.open.set(shared.open.get() + 1);
+        shared.metrics.open.set(shared.open.get() as u64);
+        Self {
+            shared: Rc::clone(shared),
+        }
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        let shared = &self.shared;
+        shared.open.set(shared.open.get() - 1);
+        shared.metrics.open.set(shared.open.get() as u64);
+    }
+}
+
+/// A request at work at a replica; it is over there when this is dropped.
+#[derive(Debug)]
+pub struct Claim {
+    shared: Rc<Shared>,
+    /// The replica.
+    pub key: Key,
+    tokens: u64,
+}
+
+impl Claim {
+    /// Counts one more request of `tokens` at the replica `key`.
+    pub fn new(shared: &Rc<Shared>, key: Key, tokens: u64) -> Self {
+        shared.pool.borrow_mut().begin(key, tokens);
+        Self {
+            shared: Rc::clone(shared),
+            key,
+            tokens,
+        }
+    }
+}
+
+impl Drop for Claim {
+    fn drop(&mut self) {
+        self.shared.pool.borrow_mut().end(self.key, self.tokens);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/stop.rs
@@ -0,0 +1,83 @@
+//! Signals: a graceful stop, and reading the settings again.
+
+use std::path::Path;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use tokio::signal::unix::Signal;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::sleep_until;
+use tokio::time::timeout;
+
+use crate::error::Error;
+use crate::settings::Settings;
+use crate::shared::Shared;
+use crate::watch::INSTANCES;
+
+/// Time for which a stopping daemon stays for callers that keep an old address answer: three times
+/// the time that answers are to be kept, and some to spare.
+const LINGER: Duration = Duration::from_millis(3_300);
+/// Time before the end of the grace at which the daemon ends, whatever is in progress.
+const RESERVE: Duration = Duration::from_millis(300);
+/// Pause between two looks whether requests are in progress.
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
+/// Time for taking the own row out of the store.
+const UNLIST_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Waits for a signal that ends the daemon, and until it has ended gracefully.
+///
+/// # Errors
+/// If signals cannot be received.
+pub async fn wait(shared: &Shared, path: &Path) -> Result<(), Error> {
+    let mut terminate = on(SignalKind::terminate())?;
+    let mut interrupt = on(SignalKind::interrupt())?;
+    let mut hangup = on(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => reload(shared, path.to_owned()),
+        }
+    }
+    log::info!(kind = "stop", open = shared.open() as u64; "stopping");
+    shared.stop();
+    shared.members.borrow_mut().leave(shared.clock.now());
+    let name = shared.settings.instance.clone();
+    let begun = Instant::now();
+    let unlisted = timeout(UNLIST_TIMEOUT, shared.store.remove(INSTANCES, &name)).await;
+    if let Ok(Err(error)) = unlisted {
+        log::warn!(kind = "store", step = "leaving", cause = error.to_string(); "the own row could not be removed");
+    }
+    let last = begun + shared.settings.grace().saturating_sub(RESERVE);
+    sleep_until((begun + LINGER).min(last)).await;
+    while shared.open() > 0 && Instant::now() < last {
+        sleep(LOOK_AGAIN).await;
+    }
+    log::info!(kind = "stop", open = shared.open() as u64; "stopped");
+    Ok(())
+}
+
+/// Reads the settings again. Addresses and name stay those of the start; what differs is told.
+fn reload(shared: &Shared, path: PathBuf) {
+    match Settings::read(&path) {
+        Ok(settings) if settings == shared.settings => {
+            log::info!(kind = "reload"; "settings read again; nothing changed");
+        }
+        Ok(_) => {
+            log::warn!(kind = "reload"; "settings differ; they take effect at the next start");
+        }
+        Err(error) => {
+            log::error!(kind = "reload", cause = error.to_string(); "settings cannot be read; those in force stay");
+        }
+    }
+}
+
+fn on(kind: SignalKind) -> Result<Signal, Error> {
+    signal(kind).map_err(|error| Error::Start {
+        step: "signals",
+        cause: error.to_string(),
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/store.rs
@@ -0,0 +1,194 @@
+//! Client of the platform's store.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use platform::store;
+use platform::store::Rows;
+use tokio::time::timeout;
+
+use crate::links::Failure;
+use crate::links::Links;
+
+/// Bytes of an answer at most; the store's own limit is 1 MB of rows, which base64 makes a third
+/// larger.
+const MAX_ANSWER: usize = 4 * 1024 * 1024;
+/// Time for an answer, besides the time that a watch waits. The store answers in some
+/// milliseconds; a slow one is still of use below this.
+const CALL_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// Why a call failed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Error {
+    /// The store cannot be reached or did not answer in time.
+    Silent {
+        /// What was called.
+        step: &'static str,
+        /// What went wrong.
+        cause: String,
+    },
+    /// The store refused.
+    Refused {
+        /// What was called.
+        step: &'static str,
+        /// Its answer.
+        status: StatusCode,
+    },
+    /// The history that a watch asked for is gone.
+    Compacted,
+    /// The answer cannot be read.
+    Garbled(platform::error::Error),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Silent { step, cause } => write!(f, "store, {step}: {cause}"),
+            Self::Refused { step, status } => write!(f, "store, {step}: status {status}"),
+            Self::Compacted => write!(f, "store, watching: the history is gone"),
+            Self::Garbled(error) => write!(f, "store, answer: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Calls the store, over connections of its own that it keeps open.
+#[derive(Debug)]
+pub struct Store {
+    address: SocketAddr,
+    links: Links,
+}
+
+impl Store {
+    /// A client of the store at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            links: Links::new(),
+        }
+    }
+
+    /// Reads all rows of `table`.
+    ///
+    /// # Errors
+    /// [`Error`].
+    pub async fn read(&self, table: &str) -> Result<Rows, Error> {
+        let mut all = self.page(table, None).await?;
+        while all.more {
+            let last = all.rows.last().map(|row| row.key.clone());
+            let page = self.page(table, last.as_deref()).await?;
+            all.rows.extend(page.rows);
+            all.more = page.more;
+        }
+        Ok(all)
+    }
+
+    /// Waits up to `wait` for rows of `table` that changed after `version`.
+    ///
+    /// # Errors
+    /// [`Error`]; `Compacted` if the rows have to be read anew.
+    pub async fn watch(&self, table: &str, version: u64, wait: Duration) -> Result<Rows, Error> {
+        let path = store::watch_path(table, version, wait.as_millis() as u64);
+        let body = self.get("watching", path, CALL_TIMEOUT + wait).await?;
+        Rows::read(&body).map_err(Error::Garbled)
+    }
+
+    /// Writes one row, whatever it holds.
+    ///
+    /// # Errors
+    /// [`Error`]; the row may be written all the same.
+    pub async fn write(&self, table: &str, key: &str, value: &[u8]) -> Result<(), Error> {
+        let body = store::write_body(table, key, value);
+        self.transact("writing", body).await
+    }
+
+    /// Removes one row.
+    ///
+    /// # Errors
+    /// [`Error`]; the row may be removed all the same.
+    pub async fn remove(&self, table: &str, key: &str) -> Result<(), Error> {
+        let body = store::remove_body(table, key);
+        self.transact("removing", body).await
+    }
+
+    async fn page(&self, table: &str, after: Option<&str>) -> Result<Rows, Error> {
+        let path = store::read_path(table, after);
+        let body = self.get("reading", path, CALL_TIMEOUT).await?;
+        Rows::read(&body).map_err(Error::Garbled)
+    }
+
+    async fn get(
+        &self,
+        step: &'static str,
+        path: String,
+        limit: Duration,
+    ) -> Result<Bytes, Error> {
+        let request = Request::builder().method(Method::GET).uri(path);
+        self.call(step, request, Bytes::new(), limit).await
+    }
+
+    async fn transact(&self, step: &'static str, body: Vec<u8>) -> Result<(), Error> {
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(store::TRANSACTION_PATH)
+            .header(header::CONTENT_TYPE, "application/json");
+        self.call(step, request, body.into(), CALL_TIMEOUT).await?;
+        Ok(())
+    }
+
+    async fn call(
+        &self,
+        step: &'static str,
+        request: http::request::Builder,
+        body: Bytes,
+        limit: Duration,
+    ) -> Result<Bytes, Error> {
+        let request = request
+            .header(header::HOST, self.address.to_string())
+            .body(Full::new(body))
+            .map_err(|error| silent(step, &error))?;
+        match timeout(limit, self.exchange(step, request)).await {
+            Ok(answer) => answer,
+            Err(elapsed) => Err(silent(step, &elapsed)),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        step: &'static str,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Bytes, Error> {
+        let sent = self.links.send(self.address, request, false).await;
+        let (answer, link) = sent.map_err(|failure| match failure {
+            Failure::NotSent { cause, .. } | Failure::Lost { cause } => {
+                Error::Silent { step, cause }
+            }
+        })?;
+        let status = answer.status();
+        let body = Limited::new(answer.into_body(), MAX_ANSWER);
+        let body = body.collect().await.map_err(|error| silent(step, &error))?;
+        self.links.keep(link, None);
+        match status {
+            StatusCode::OK => Ok(body.to_bytes()),
+            StatusCode::GONE => Err(Error::Compacted),
+            status => Err(Error::Refused { step, status }),
+        }
+    }
+}
+
+fn silent(step: &'static str, cause: &impl ToString) -> Error {
+    Error::Silent {
+        step,
+        cause: cause.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/stream.rs
@@ -0,0 +1,335 @@
+//! Generations: the prompt is read by a prefill replica, the tokens are made by a decode replica,
+//! and the events are passed on as they come.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use platform::caller::Task;
+use platform::engine::Prefill;
+use platform::reply;
+use relay::attempt::Attempt;
+use relay::attempt::Next;
+use relay::attempt::Outcome;
+use relay::event::Splitter;
+use relay::plan::Mode;
+use relay::pool::Key;
+use relay::replica::Stage;
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::Sender;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
+
+use crate::body::Body;
+use crate::body::Broken;
+use crate::job::Job;
+use crate::own;
+use crate::place;
+use crate::plain;
+use crate::send;
+use crate::send::Reply;
+use crate::shared::Shared;
+
+/// Parts of an answer that wait for a slow caller before its replica is no longer read.
+const MAX_WAITING: usize = 32;
+/// Part of the objective for reading the prompt elsewhere; what is left is enough for the decode
+/// replica to read it itself, at half the speed.
+const PREFILL_PART: f64 = 0.45;
+/// Bytes of the answer to a prefill at most.
+const MAX_PREFILL_ANSWER: usize = 16 * 1024;
+/// Silence after which a resumable stream goes on at another replica. A decode step takes some
+/// ten milliseconds, and several tokens come in one event.
+const STALL: Duration = Duration::from_millis(900);
+
+/// Serves `job`.
+pub async fn serve(shared: &Rc<Shared>, mut job: Job) -> Response<Body> {
+    let mut attempt = Attempt::new(job.route.mode, job.route.max_attempts);
+    let mut tried = Vec::new();
+    let opened = timeout_at(job.deadline, open(shared, &job, &mut attempt, &mut tried, None));
+    match opened.await {
+        Ok(Ok(reply)) if reply.head.status == StatusCode::OK => {
+            pass_on(shared, job, attempt, tried, reply)
+        }
+        Ok(Ok(reply)) => failure(shared, job, reply).await,
+        Ok(Err(Next::Unknown)) => {
+            plain::finish(&mut job, "unknown", own::unknown, "the replica was lost")
+        }
+        Ok(Err(_)) => plain::refuse(&mut job, "no replica took the request"),
+        Err(_) if attempt.sends() == 0 => plain::refuse(&mut job, "no replica in time"),
+        Err(_) => plain::finish(&mut job, "overdue", own::overdue, "no answer in time"),
+    }
+}
+
+/// Finds a replica that answers; `last_event` is the id of the last event that was passed on.
+///
+/// # Errors
+/// What to tell the caller.
+async fn open(
+    shared: &Rc<Shared>,
+    job: &Job,
+    attempt: &mut Attempt,
+    tried: &mut Vec<Key>,
+    last_event: Option<u64>,
+) -> Result<Reply, Next> {
+    let mut task = last_event.map(|last_event| Task::Resume { last_event });
+    loop {
+        let Some(place) = place::find(shared, job, tried).await else {
+            return Err(if attempt.may_have_run() { Next::Unknown } else { Next::Refuse });
+        };
+        let now = match &task {
+            Some(task) => task.clone(),
+            None => prefill(shared, job).await,
+        };
+        let key = place.key();
+        tried.push(key);
+        attempt.sent();
+        let sent = send::send(shared, job, key, now, place.reservation());
+        let outcome = match sent.await {
+            Ok(reply) => {
+                place.used();
+                return Ok(reply);
+            }
+            Err(outcome) => outcome,
+        };
+        match attempt.after(outcome, || shared.take_retry(&job.service)) {
+            Next::Retry => {}
+            next => return Err(next),
+        }
+        // The KV cache may be gone; the next replica reads the prompt itself.
+        task = task.or(Some(Task::Answer));
+    }
+}
+
+/// Has the prompt read by a prefill replica; if that fails, the decode replica is to read it.
+async fn prefill(shared: &Rc<Shared>, job: &Job) -> Task {
+    let Some(key) = shared.choose(&job.service, Some(Stage::Prefill), &[]) else {
+        return Task::Answer;
+    };
+    let limit = job.arrived + job.route.objective.mul_f64(PREFILL_PART);
+    let read = read_prompt(shared, job, key);
+    match timeout_at(limit.min(job.deadline), read).await {
+        Ok(Ok(task)) => task,
+        Ok(Err(_)) => Task::Answer,
+        Err(_) => {
+            send::note(shared, job, key, Outcome::Lost, "the prompt was not read in time", 0);
+            Task::Answer
+        }
+    }
+}
+
+async fn read_prompt(shared: &Rc<Shared>, job: &Job, key: Key) -> Result<Task, Outcome> {
+    let address = shared
+        .pool
+        .borrow()
+        .get(key)
+        .map(|server| server.replica.address)
+        .ok_or(Outcome::NotSent)?;
+    let reply = send::send(shared, job, key, Task::Prefill, None).await?;
+    let read = send::whole(shared, reply, MAX_PREFILL_ANSWER).await;
+    let body = match read {
+        Ok((head, _, body)) if head.status == StatusCode::OK => body,
+        Ok((head, ..)) => {
+            send::note(shared, job, key, Outcome::Failed, "prefill", head.status.as_u16());
+            return Err(Outcome::Failed);
+        }
+        Err(outcome) => {
+            send::note(shared, job, key, outcome, "its answer broke off", 0);
+            return Err(outcome);
+        }
+    };
+    match Prefill::read(&body) {
+        Ok(prefill) => {
+            send::note_success(shared, key);
+            Ok(Task::Decode {
+                address,
+                handle: prefill.handle,
+            })
+        }
+        Err(error) => {
+            send::note(shared, job, key, Outcome::Lost, &error.to_string(), 200);
+            Err(Outcome::Lost)
+        }
+    }
+}
+
+/// Passes a replica's failure on.
+async fn failure(shared: &Rc<Shared>, mut job: Job, reply: Reply) -> Response<Body> {
+    let key = reply.claim.key;
+    let status = reply.head.status;
+    let read = timeout_at(job.deadline, send::whole(shared, reply, MAX_PREFILL_ANSWER)).await;
+    send::note(shared, &job, key, Outcome::Failed, "its own failure", status.as_u16());
+    match read {
+        Ok(Ok((_, headers, body))) => {
+            job.end("failed", status.as_u16(), "the replica's own failure");
+            let mut response = Response::new(Body::whole(body));
+            *response.status_mut() = status;
+            *response.headers_mut() = reply::headers(&headers);
+            response
+        }
+        _ => plain::finish(&mut job, "unknown", own::unknown, "the replica was lost"),
+    }
+}
+
+/// Answers with the replica's head, and passes its events on in a task of its own.
+fn pass_on(
+    shared: &Rc<Shared>,
+    job: Job,
+    attempt: Attempt,
+    tried: Vec<Key>,
+    reply: Reply,
+) -> Response<Body> {
+    let (parts, body) = mpsc::channel(MAX_WAITING);
+    let mut response = Response::new(Body::parts(body));
+    *response.headers_mut() = reply::headers(reply.response.headers());
+    let flow = Flow {
+        shared: Rc::clone(shared),
+        job,
+        attempt,
+        tried,
+        splitter: Splitter::new(),
+        parts,
+        started: false,
+    };
+    tokio::task::spawn_local(flow.run(reply));
+    response
+}
+
+/// A stream that is being passed on.
+struct Flow {
+    shared: Rc<Shared>,
+    job: Job,
+    attempt: Attempt,
+    tried: Vec<Key>,
+    splitter: Splitter,
+    parts: Sender<Result<Bytes, Broken>>,
+    started: bool,
+}
+
+/// How a replica's part of a stream ended.
+enum End {
+    /// It is complete.
+    Complete,
+    /// The caller left.
+    Left,
+    /// Time is up.
+    Overdue,
+    /// The replica broke off or fell silent.
+    Broken(String),
+}
+
+impl Flow {
+    async fn run(mut self, reply: Reply) {
+        let mut reply = reply;
+        loop {
+            let key = reply.claim.key;
+            match self.copy(reply).await {
+                End::Complete => {
+                    send::note_success(&self.shared, key);
+                    return self.job.end("answered", 200, "");
+                }
+                // The job logs it.
+                End::Left => return,
+                End::Overdue => return self.break_off("overdue", "time is up").await,
+                End::Broken(cause) => {
+                    send::note(&self.shared, &self.job, key, Outcome::Lost, &cause, 0);
+                    match self.resume().await {
+                        Some(next) => reply = next,
+                        None => return self.break_off("broken", "the replica broke off").await,
+                    }
+                }
+            }
+        }
+    }
+
+    /// Passes on what one replica sends.
+    async fn copy(&mut self, reply: Reply) -> End {
+        let Reply {
+            head,
+            response,
+            link,
+            claim,
+        } = reply;
+        let mut body: Incoming = response.into_body();
+        let resumable = matches!(self.job.route.mode, Mode::Stream { resumable: true })
+            && self.attempt.may_run_again();
+        loop {
+            let silent_at = if resumable { self.job.deadline.min(Instant::now() + STALL) } else { self.job.deadline };
+            let frame = tokio::select! {
+                frame = timeout_at(silent_at, body.frame()) => frame,
+                () = self.parts.closed() => return End::Left,
+            };
+            match frame {
+                Err(_) if Instant::now() >= self.job.deadline => return End::Overdue,
+                Err(_) => return End::Broken("no event for too long".to_owned()),
+                Ok(Some(Err(error))) => return End::Broken(error.to_string()),
+                Ok(Some(Ok(frame))) => {
+                    let Ok(data) = frame.into_data() else { continue };
+                    let whole = self.splitter.push(&data);
+                    if !self.pass(whole).await {
+                        return End::Left;
+                    }
+                }
+                Ok(None) => {
+                    let rest = self.splitter.finish();
+                    if !self.pass(rest).await {
+                        return End::Left;
+                    }
+                    if !head.closes {
+                        self.shared.links.keep(link, head.keep_alive_s);
+                    }
+                    drop(claim);
+                    return End::Complete;
+                }
+            }
+        }
+    }
+
+    /// Sends bytes to the caller; `false` if it left.
+    async fn pass(&mut self, bytes: Vec<u8>) -> bool {
+        if bytes.is_empty() {
+            return true;
+        }
+        if !self.started {
+            self.started = true;
+            let age = self.job.age().as_secs_f64();
+            self.shared.metrics.latency(&self.job.route.name, age);
+        }
+        self.parts.send(Ok(bytes.into())).await.is_ok()
+    }
+
+    /// Finds another replica that goes on after the last event.
+    async fn resume(&mut self) -> Option<Reply> {
+        self.splitter.drop_partial();
+        let service = self.job.service.clone();
+        let shared = Rc::clone(&self.shared);
+        let next = self
+            .attempt
+            .after(Outcome::Lost, || shared.take_retry(&service));
+        if next != Next::Retry {
+            return None;
+        }
+        let last_event = self.splitter.last_id().or(self.job.call.last_event);
+        let opened = open(
+            &self.shared,
+            &self.job,
+            &mut self.attempt,
+            &mut self.tried,
+            last_event,
+        );
+        let reply = tokio::select! {
+            opened = timeout_at(self.job.deadline, opened) => opened.ok()?.ok()?,
+            () = self.parts.closed() => return None,
+        };
+        (reply.head.status == StatusCode::OK).then_some(reply)
+    }
+
+    async fn break_off(&mut self, outcome: &'static str, cause: &str) {
+        self.job.end(outcome, 200, cause);
+        // A caller that left needs no break.
+        let _ = self.parts.send(Err(Broken)).await;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/watch.rs
@@ -0,0 +1,136 @@
+//! What the store tells: the plan, the replicas and the other instances.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use platform::plan;
+use platform::replica;
+use platform::store::Row;
+use platform::store::Rows;
+use relay::replica::Snapshot;
+use tokio::time::sleep;
+
+use crate::card::Card;
+use crate::shared::Shared;
+use crate::store::Error;
+
+/// How long one watch of the plan waits. Short, so that a watch that hangs on a dead connection is
+/// over well before an edit has to be in force (2 s and more).
+const PLAN_WAIT: Duration = Duration::from_millis(2_500);
+/// Pause after a plan was read, so that edits in quick succession are read together.
+const PLAN_PAUSE: Duration = Duration::from_millis(150);
+/// Time between two readings of the replicas; a replica that leaves must get nothing 2 s later.
+const REPLICAS_PERIOD: Duration = Duration::from_millis(600);
+/// Time between two readings of the instances; gossip is the faster source.
+const INSTANCES_PERIOD: Duration = Duration::from_secs(6);
+/// Pause after a failed call, so that a store in trouble is not pressed further.
+const RETRY_PAUSE: Duration = Duration::from_millis(350);
+/// Table in which every instance has a row with its card.
+pub const INSTANCES: &str = "instances";
+
+/// Follows the plan, forever.
+pub async fn plan(shared: Rc<Shared>) {
+    let mut version = None;
+    loop {
+        let told = match version {
+            None => shared.store.read(plan::TABLE).await,
+            Some(version) => shared.store.watch(plan::TABLE, version, PLAN_WAIT).await,
+        };
+        match told {
+            Ok(rows) => {
+                shared.store_answered("plan");
+                version = Some(rows.version);
+                take_plan(&shared, &rows);
+                sleep(PLAN_PAUSE).await;
+            }
+            Err(Error::Compacted) => {
+                log::info!(kind = "store", step = "plan"; "history is gone; reading anew");
+                version = None;
+            }
+            Err(error) => {
+                shared.store_failed("plan", &error);
+                version = None;
+                sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Reads the replicas again and again, forever.
+pub async fn replicas(shared: Rc<Shared>) {
+    loop {
+        match shared.store.read(replica::TABLE).await {
+            Ok(rows) => {
+                shared.store_answered("replicas");
+                shared.take_replicas("store", &snapshot(&rows));
+                sleep(REPLICAS_PERIOD).await;
+            }
+            Err(error) => {
+                shared.note_outage();
+                shared.store_failed("replicas", &error);
+                sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Keeps the own row among the instances and reads those of the others, forever.
+pub async fn instances(shared: Rc<Shared>) {
+    loop {
+        let pause = match shared.store.read(INSTANCES).await {
+            Ok(rows) => {
+                shared.store_answered("instances");
+                take_instances(&shared, &rows).await;
+                INSTANCES_PERIOD
+            }
+            Err(error) => {
+                shared.store_failed("instances", &error);
+                RETRY_PAUSE
+            }
+        };
+        sleep(pause).await;
+    }
+}
+
+fn take_plan(shared: &Shared, rows: &Rows) {
+    let newest = rows.rows.iter().rev().find(|row| row.key == plan::KEY);
+    let Some(value) = newest.and_then(|row| row.value.as_deref()) else {
+        return;
+    };
+    match plan::read(value) {
+        Ok(plan) => shared.take_plan("store", plan),
+        Err(error) => {
+            log::error!(kind = "plan", cause = error.to_string(); "a plan cannot be read; the one in force stays");
+        }
+    }
+}
+
+fn snapshot(rows: &Rows) -> Snapshot {
+    let read = |row: &Row| match replica::read(&row.key, row.value.as_deref()?) {
+        Ok(replica) => Some(replica),
+        Err(error) => {
+            log::warn!(kind = "replica", replica = row.key, cause = error.to_string(); "an entry cannot be read");
+            None
+        }
+    };
+    Snapshot {
+        version: rows.version,
+        replicas: rows.rows.iter().filter_map(read).collect(),
+    }
+}
+
+/// Takes the cards of the instances, and writes the own one if it is missing or old.
+async fn take_instances(shared: &Shared, rows: &Rows) {
+    let read = |row: &Row| serde_json::from_slice::<Card>(row.value.as_deref()?).ok();
+    let cards: Vec<Card> = rows.rows.iter().filter_map(read).collect();
+    let own = shared.own_card();
+    let listed = cards.contains(&own);
+    shared.members.borrow_mut().list(shared.clock.now(), &cards);
+    if listed || shared.is_stopping() {
+        return;
+    }
+    let value = serde_json::to_vec(&own).unwrap_or_default();
+    if let Err(error) = shared.store.write(INSTANCES, &own.name, &value).await {
+        shared.store_failed("registering", &error);
+    }
+}
--- /dev/null
+++ b/crates/relay/src/budget.rs
@@ -0,0 +1,67 @@
+//! Budget of retries: this daemon's share of what all daemons together may send.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use ident::Time;
+
+/// What all daemons together may retry.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Rule {
+    /// Retries for each request of callers.
+    pub ratio: f64,
+    /// Retries besides, over all daemons.
+    pub slack: f64,
+    /// Span over which both are counted; any span of this length.
+    pub window: Duration,
+}
+
+/// Part of the ratio that is used; the rest covers retries that are counted in a window whose
+/// requests lie just before it.
+const RATIO_PART: f64 = 0.8;
+/// Part of the slack that is used; the rest covers daemons that restart and forget what they sent.
+const SLACK_PART: f64 = 0.7;
+
+/// Requests and retries of one service at this daemon.
+#[derive(Debug, Default)]
+pub struct Budget {
+    requests: VecDeque<Time>,
+    retries: VecDeque<Time>,
+}
+
+impl Budget {
+    /// An unused budget.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Counts a request of a caller.
+    pub fn request(&mut self, now: Time, rule: &Rule) {
+        forget(&mut self.requests, now, rule.window);
+        self.requests.push_back(now);
+    }
+
+    /// Takes one retry out of the budget, if one is left; `daemons` share the slack.
+    pub fn take(&mut self, now: Time, rule: &Rule, daemons: usize) -> bool {
+        if self.left(now, rule, daemons) < 1.0 {
+            return false;
+        }
+        self.retries.push_back(now);
+        true
+    }
+
+    /// Retries that are left at `now`.
+    pub fn left(&mut self, now: Time, rule: &Rule, daemons: usize) -> f64 {
+        forget(&mut self.requests, now, rule.window);
+        forget(&mut self.retries, now, rule.window);
+        let earned = self.requests.len() as f64 * rule.ratio * RATIO_PART;
+        let share = rule.slack * SLACK_PART / daemons.max(1) as f64;
+        earned + share - self.retries.len() as f64
+    }
+}
+
+fn forget(times: &mut VecDeque<Time>, now: Time, window: Duration) {
+    while times.front().is_some_and(|time| now.since(*time) > window) {
+        times.pop_front();
+    }
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,19 @@
+//! Decisions about requests that are relayed to replicas.
+//!
+//! The crate is pure: time and random numbers are passed in, and what it decides is carried out by
+//! the `gateway` crate.
+//!
+//! - [`plan`]: the configuration in force; which route a request takes.
+//! - [`pool`]: what is known of the replicas; which one is to serve a request.
+//! - [`budget`]: how many retries may still be sent to a service.
+//! - [`attempt`]: what follows when a send failed.
+//! - [`event`]: cutting a stream into whole events, so that it can be resumed.
+//! - [`directory`]: which instances callers are told to connect to.
+
+pub mod attempt;
+pub mod budget;
+pub mod directory;
+pub mod event;
+pub mod plan;
+pub mod pool;
+pub mod replica;
