Change stages under a fenced claim; wait for prefills at work; let refused generations come back later

Cause: decode memory binds in bursts (14 to 15 answers/s of 20 to 28 asked) while four of nine replicas read prompts at a fifth of their speed; prompts given up after 405 ms are read in vain (0.76 a thousand tokens).

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! but the writing of log lines.
 
 pub mod asides;
+pub mod ask;
 pub mod body;
 pub mod callers;
 pub mod card;
@@ -25,6 +26,7 @@
 pub mod send;
 pub mod settings;
 pub mod shared;
+pub mod stages;
 pub mod stop;
 pub mod store;
 pub mod stream;
@@ -116,6 +118,7 @@
     spawn_local(watch::plan(Rc::clone(&shared)));
     spawn_local(watch::replicas(Rc::clone(&shared)));
     spawn_local(watch::instances(Rc::clone(&shared)));
+    spawn_local(stages::run(Rc::clone(&shared)));
     spawn_local(housekeeping(Rc::clone(&shared)));
     let own = Rc::clone(&shared);
     spawn_local(async move {
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -166,6 +166,12 @@
             .collect()
     }
 
+    /// Whether this daemon is the one that is to act on `key`.
+    pub fn owns(&self, key: u64) -> bool {
+        let owner = self.fleet.as_ref().and_then(|fleet| fleet.owner(key));
+        owner == Some(self.own.instance())
+    }
+
     /// Where daemons of other known instances listen.
     pub fn peers(&self) -> Vec<SocketAddr> {
         self.cards.values().map(|card| card.peers).collect()
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -5,37 +5,27 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::Method;
-use http::Request;
 use http::StatusCode;
-use http::header;
-use http_body_util::BodyExt;
-use http_body_util::Full;
-use http_body_util::Limited;
 use platform::engine;
 use platform::engine::Reservation;
 use relay::pool::Key;
 use relay::replica::Stage;
 use tokio::time::Instant;
 use tokio::time::sleep;
-use tokio::time::timeout;
 
+use crate::ask;
+use crate::ask::Call;
 use crate::job::Job;
-use crate::links::Failure;
 use crate::plain;
 use crate::shared::Shared;
 
-/// Time for the answer to a reservation; replicas answer it without waiting.
-const RESERVE_TIMEOUT: Duration = Duration::from_millis(150);
 /// Part of the objective for which a request waits for a place.
 const WAIT_PART: f64 = 0.2;
 /// Pause between two rounds over replicas that had no room; a place comes free about every 60 ms.
 const ROUND_PAUSE: Duration = Duration::from_millis(60);
 /// Replicas asked in one round.
 const ROUND: usize = 3;
-/// Bytes of the answer to a reservation at most.
-const MAX_ANSWER: usize = 4 * 1024;
 
 /// A decode replica that is to serve a request.
 #[derive(Debug)]
@@ -49,6 +39,7 @@
 struct Reserved {
     shared: Rc<Shared>,
     address: SocketAddr,
+    replica: String,
     id: String,
     used: bool,
 }
@@ -140,71 +131,50 @@
     let Some(replica) = replica else {
         return Asked::Failed("the replica is gone".to_owned());
     };
-    let body = engine::reserve_body(job.tokens(), life);
-    let request = Request::builder()
-        .method(Method::POST)
-        .uri(engine::RESERVE_PATH)
-        .header(header::HOST, replica.address.to_string())
-        .header(header::CONTENT_TYPE, "application/json")
-        .body(Full::new(Bytes::from(body)));
-    let request = match request {
-        Ok(request) => request,
-        Err(error) => return Asked::Failed(error.to_string()),
+    let call = Call {
+        to: replica.address,
+        replica: replica.id.clone(),
+        method: Method::POST,
+        path: engine::RESERVE_PATH.to_owned(),
+        body: engine::reserve_body(job.tokens(), life),
     };
-    match timeout(RESERVE_TIMEOUT, call(shared, replica.address, request)).await {
-        Err(_) => Asked::Failed("no answer in time".to_owned()),
-        Ok(Err(cause)) => Asked::Failed(cause),
-        Ok(Ok((StatusCode::OK, body))) => match Reservation::read(&body) {
+    match ask::call(shared, call).await {
+        Err(cause) => Asked::Failed(cause),
+        Ok((StatusCode::OK, body)) => match Reservation::read(&body) {
             Ok(reservation) => Asked::Room(Reserved {
                 shared: Rc::clone(shared),
                 address: replica.address,
+                replica: replica.id,
                 id: reservation.id,
                 used: false,
             }),
             Err(error) => Asked::Failed(error.to_string()),
         },
-        Ok(Ok((status, _))) => {
+        Ok((status, _)) => {
             log::info!(kind = "reserve", request = job.call.id, replica = replica.id, status = status.as_u16(), tokens = job.tokens(); "no room");
             Asked::NoRoom
         }
     }
 }
 
-/// One short call of a replica.
-async fn call(
-    shared: &Shared,
-    to: SocketAddr,
-    request: Request<Full<Bytes>>,
-) -> Result<(StatusCode, Bytes), String> {
-    let sent = shared.links.send(to, request, false).await;
-    let (answer, link) = sent.map_err(|failure| match failure {
-        Failure::NotSent { step, cause } => format!("{step}: {cause}"),
-        Failure::Lost { cause } => cause,
-    })?;
-    let status = answer.status();
-    let body = Limited::new(answer.into_body(), MAX_ANSWER).collect().await;
-    let body = body.map_err(|error| error.to_string())?;
-    shared.links.keep(link, None);
-    Ok((status, body.to_bytes()))
-}
-
 impl Drop for Reserved {
     fn drop(&mut self) {
         if self.used {
             return;
         }
         let shared = Rc::clone(&self.shared);
-        let address = self.address;
-        let request = Request::builder()
-            .method(Method::DELETE)
-            .uri(engine::unreserve_path(&self.id))
-            .header(header::HOST, address.to_string())
-            .body(Full::new(Bytes::new()));
+        let call = Call {
+            to: self.address,
+            replica: self.replica.clone(),
+            method: Method::DELETE,
+            path: engine::unreserve_path(&self.id),
+            body: Vec::new(),
+        };
         tokio::task::spawn_local(async move {
-            let Ok(request) = request else { return };
-            let given = timeout(RESERVE_TIMEOUT, call(&shared, address, request)).await;
-            if !matches!(given, Ok(Ok((StatusCode::OK, _)))) {
-                log::info!(kind = "reserve", replica = address.to_string(); "a reservation could not be given back; it lapses");
+            let replica = call.replica.clone();
+            let given = ask::call(&shared, call).await;
+            if !matches!(given, Ok((StatusCode::OK, _))) {
+                log::info!(kind = "reserve", replica = replica; "a reservation could not be given back; it lapses");
             }
         });
     }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -151,16 +151,16 @@
         None if attempt.may_have_run() => {
             finish(job, "unknown", own::unknown, "the replica was lost")
         }
-        None => refuse(job, "no replica took the request"),
+        None => refuse(job, own::COME_BACK, "no replica took the request"),
     }
 }
 
-/// Refuses `job`, which has not run.
-pub fn refuse(job: &mut Job, cause: &'static str) -> Response<Body> {
+/// Refuses `job`, which has not run and may come back after `come_back`.
+pub fn refuse(job: &mut Job, come_back: Duration, cause: &'static str) -> Response<Body> {
     job.end("refused", 503, cause);
     own::refuse(
         &job.call.id,
-        own::COME_BACK,
+        come_back,
         "no replica could take the request; it has not run\n",
     )
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -28,6 +28,9 @@
     pub seeds: Vec<SocketAddr>,
     /// What all instances together may retry.
     pub retry: Retry,
+    /// Part of the replicas of a model that are to read prompts; absent, none changes its stage.
+    #[serde(default)]
+    pub prefill_share: Option<f64>,
     /// Seconds from SIGTERM until the process is killed.
     pub grace_s: f64,
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -29,6 +29,11 @@
 /// progress.
 const TAKING_PART: f64 = 0.5;
 
+/// Time of a decode replica for an answer until one was seen: some hundred tokens of 8 ms.
+const ANSWER_LENGTH: Duration = Duration::from_secs(3);
+/// Weight of the newest answer in the mean.
+const LENGTH_STEP: f64 = 0.1;
+
 /// State of the daemon; one thread uses it.
 #[derive(Debug)]
 pub struct Shared {
@@ -48,6 +53,8 @@
     pub metrics: Metrics,
     plan: RefCell<Option<Rc<Plan>>>,
     budgets: RefCell<HashMap<String, Budget>>,
+    /// Mean time of a decode replica for an answer, by service.
+    lengths: RefCell<HashMap<String, Duration>>,
     rule: Rule,
     near: Zone,
     own: Card,
@@ -82,6 +89,7 @@
             metrics,
             plan: RefCell::new(None),
             budgets: RefCell::new(HashMap::new()),
+            lengths: RefCell::new(HashMap::new()),
             rule: settings.retry_rule(),
             near,
             own,
@@ -182,6 +190,21 @@
         server.map_or(0.0, |server| server.failure_share(self.clock.now()))
     }
 
+    /// Notes how long a decode replica was at work on an answer of `service`.
+    pub fn note_answer(&self, service: &str, took: Duration) {
+        let mut lengths = self.lengths.borrow_mut();
+        let mean = lengths.entry(service.to_owned()).or_insert(ANSWER_LENGTH);
+        *mean = mean.mul_f64(1.0 - LENGTH_STEP) + took.mul_f64(LENGTH_STEP);
+    }
+
+    /// When a caller of `service` may come back that found no room: about when the answers that
+    /// are being made have ended, spread so that callers do not come back together.
+    pub fn come_back(&self, service: &str) -> Duration {
+        let lengths = self.lengths.borrow();
+        let mean = lengths.get(service).copied().unwrap_or(ANSWER_LENGTH);
+        mean.mul_f64(rand::random_range(0.75..1.25))
+    }
+
     /// Counts a request for `service` in its budget of retries.
     pub fn count_request(&self, service: &str) {
         let mut budgets = self.budgets.borrow_mut();
--- /dev/null
+++ b/crates/gateway/src/stages.rs
@@ -0,0 +1,171 @@
+//! Orders to engines to change their stage.
+//!
+//! Engines do not all check fencing tokens, and an order without an answer may be carried out many
+//! seconds later. So at most one daemon gives orders for a service in any [`TERM`], by the store's
+//! clock: before an order it writes a row under a condition, and the version of the row is the
+//! fencing token. An order is given only within [`FRESH`] of that write, so that a daemon that was
+//! frozen meanwhile gives none.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::Method;
+use http::StatusCode;
+use ident::Pool;
+use platform::engine;
+use platform::engine::Report;
+use platform::store::Rows;
+use relay::balance::Balance;
+use relay::pool::Key;
+use relay::replica::Replica;
+use relay::replica::Stage;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::ask;
+use crate::ask::Call;
+use crate::shared::Shared;
+use crate::store::Error;
+
+/// Table with one row for each service, which tells who gave the last order and when.
+const ORDERS: &str = "orders";
+/// Time between two looks at the division.
+const PERIOD: Duration = Duration::from_millis(500);
+/// Time after an order in which no other daemon gives one: orders without an answer are carried out
+/// up to 12 s later, and holders must not take turns within 3 s.
+const TERM: Duration = Duration::from_secs(16);
+/// Time after the write of the row in which the order may be given.
+const FRESH: Duration = Duration::from_millis(400);
+
+/// Who gave the last order for a service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Term {
+    holder: String,
+    /// The store's clock, in milliseconds.
+    at_ms: u64,
+}
+
+/// Watches the division of each model's replicas, forever.
+pub async fn run(shared: Rc<Shared>) {
+    let Some(share) = shared.settings.prefill_share else {
+        return;
+    };
+    let mut balances: HashMap<String, Balance> = HashMap::new();
+    loop {
+        sleep(PERIOD).await;
+        let Some(plan) = shared.plan().filter(|_| shared.is_ready()) else {
+            continue;
+        };
+        let services = plan.services.iter();
+        let engines = services.filter_map(|(name, service)| Some((name, service.engine?)));
+        for (service, engine) in engines {
+            let balance = balances.entry(service.clone());
+            let balance = balance.or_insert_with(|| Balance::new(engine.stage_change));
+            look(&shared, service, balance, share).await;
+        }
+    }
+}
+
+async fn look(shared: &Shared, service: &str, balance: &mut Balance, share: f64) {
+    let now = shared.clock.now();
+    let counts = shared.pool.borrow().counts(now, service);
+    let due = balance.due(now, counts, share);
+    let owns = shared.members.borrow().owns(Pool::new(service).0);
+    let Some(stage) = due.filter(|_| owns) else {
+        return;
+    };
+    let Some(replica) = candidate(shared, service, stage) else {
+        return;
+    };
+    balance.ordered(now);
+    match change(shared, service, &replica, stage).await {
+        Ok(status) => {
+            log::info!(kind = "order", replica = replica.id, stage = format!("{stage:?}"), prefill = counts.prefill as u64, decode = counts.decode as u64, status = status.as_u16(); "ordered a change of stage");
+        }
+        Err(cause) => {
+            log::warn!(kind = "order", replica = replica.id, stage = format!("{stage:?}"), cause = cause; "no order was given, or its outcome is unknown");
+        }
+    }
+}
+
+/// The least loaded replica of the other stage.
+fn candidate(shared: &Shared, service: &str, to: Stage) -> Option<Replica> {
+    let from = match to {
+        Stage::Prefill => Stage::Decode,
+        Stage::Decode => Stage::Prefill,
+    };
+    let key: Key = shared.choose(service, Some(from), &[])?;
+    let pool = shared.pool.borrow();
+    pool.get(key).map(|server| server.replica.clone())
+}
+
+async fn change(
+    shared: &Shared,
+    service: &str,
+    replica: &Replica,
+    stage: Stage,
+) -> Result<StatusCode, String> {
+    let report = Call {
+        to: replica.address,
+        replica: replica.id.clone(),
+        method: Method::GET,
+        path: engine::REPORT_PATH.to_owned(),
+        body: Vec::new(),
+    };
+    let (_, body) = ask::call(shared, report).await?;
+    let report = Report::read(&body).map_err(|error| error.to_string())?;
+    if report.busy {
+        return Err("the engine carries out an order".to_owned());
+    }
+    let (fence, written) = claim(shared, service).await?;
+    if written.elapsed() > FRESH {
+        return Err("the claim is too old".to_owned());
+    }
+    let holder = &shared.settings.instance;
+    let order = Call {
+        to: replica.address,
+        replica: replica.id.clone(),
+        method: Method::POST,
+        path: engine::ORDER_PATH.to_owned(),
+        body: engine::stage_body(stage, holder, fence, report.orders),
+    };
+    let (status, _) = ask::call(shared, order).await?;
+    Ok(status)
+}
+
+/// Becomes the one that gives orders for `service`; gives the fencing token and the time at which
+/// the write was begun.
+async fn claim(shared: &Shared, service: &str) -> Result<(u64, Instant), String> {
+    let rows = shared
+        .store
+        .read(ORDERS)
+        .await
+        .map_err(|error| text(&error))?;
+    let held = rows.rows.iter().find(|row| row.key == service);
+    let value = held.and_then(|row| row.value.as_deref());
+    let term = value.and_then(|value| serde_json::from_slice::<Term>(value).ok());
+    let holder = &shared.settings.instance;
+    if term.is_some_and(|term| term.holder != *holder && !is_over(&term, &rows)) {
+        return Err("another daemon gave the last order".to_owned());
+    }
+    let own = Term {
+        holder: holder.clone(),
+        at_ms: rows.now_ms,
+    };
+    let value = serde_json::to_vec(&own).map_err(|error| error.to_string())?;
+    let version = held.map_or(0, |row| row.version);
+    let begun = Instant::now();
+    let swapped = shared.store.swap(ORDERS, service, &value, version).await;
+    Ok((swapped.map_err(|error| text(&error))?, begun))
+}
+
+fn is_over(term: &Term, rows: &Rows) -> bool {
+    rows.now_ms.saturating_sub(term.at_ms) > TERM.as_millis() as u64
+}
+
+fn text(error: &Error) -> String {
+    error.to_string()
+}
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -13,6 +13,7 @@
 use http_body_util::Full;
 use http_body_util::Limited;
 use platform::store;
+use platform::store::Done;
 use platform::store::Rows;
 use tokio::time::timeout;
 
@@ -45,6 +46,8 @@
     },
     /// The history that a watch asked for is gone.
     Compacted,
+    /// A row was not at the version that a write asked for.
+    Conflict,
     /// The answer cannot be read.
     Garbled(platform::error::Error),
 }
@@ -55,6 +58,7 @@
             Self::Silent { step, cause } => write!(f, "store, {step}: {cause}"),
             Self::Refused { step, status } => write!(f, "store, {step}: status {status}"),
             Self::Compacted => write!(f, "store, watching: the history is gone"),
+            Self::Conflict => write!(f, "store, claiming: another daemon was faster"),
             Self::Garbled(error) => write!(f, "store, answer: {error}"),
         }
     }
@@ -109,7 +113,25 @@
     /// [`Error`]; the row may be written all the same.
     pub async fn write(&self, table: &str, key: &str, value: &[u8]) -> Result<(), Error> {
         let body = store::write_body(table, key, value);
-        self.transact("writing", body).await
+        self.transact("writing", body).await?;
+        Ok(())
+    }
+
+    /// Writes one row if it is still at `version` (0 if it does not exist); gives its new version.
+    ///
+    /// # Errors
+    /// [`Error`]; `Conflict` if it is not. After any other error it may be written all the same.
+    pub async fn swap(
+        &self,
+        table: &str,
+        key: &str,
+        value: &[u8],
+        version: u64,
+    ) -> Result<u64, Error> {
+        let body = store::swap_body(table, key, value, version);
+        let answer = self.transact("claiming", body).await?;
+        let done = Done::read(&answer).map_err(Error::Garbled)?;
+        Ok(done.version)
     }
 
     /// Removes one row.
@@ -118,7 +140,8 @@
     /// [`Error`]; the row may be removed all the same.
     pub async fn remove(&self, table: &str, key: &str) -> Result<(), Error> {
         let body = store::remove_body(table, key);
-        self.transact("removing", body).await
+        self.transact("removing", body).await?;
+        Ok(())
     }
 
     async fn page(&self, table: &str, after: Option<&str>) -> Result<Rows, Error> {
@@ -132,13 +155,12 @@
         self.call(step, request, Bytes::new(), limit).await
     }
 
-    async fn transact(&self, step: &'static str, body: Vec<u8>) -> Result<(), Error> {
+    async fn transact(&self, step: &'static str, body: Vec<u8>) -> Result<Bytes, Error> {
         let request = Request::builder()
             .method(Method::POST)
             .uri(store::TRANSACTION_PATH)
             .header(header::CONTENT_TYPE, "application/json");
-        self.call(step, request, body.into(), CALL_TIMEOUT).await?;
-        Ok(())
+        self.call(step, request, body.into(), CALL_TIMEOUT).await
     }
 
     async fn call(
@@ -176,6 +198,7 @@
         match status {
             StatusCode::OK => Ok(body.to_bytes()),
             StatusCode::GONE => Err(Error::Compacted),
+            StatusCode::PRECONDITION_FAILED => Err(Error::Conflict),
             status => Err(Error::Refused { step, status }),
         }
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -24,6 +24,7 @@
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
+use crate::ask;
 use crate::body::Body;
 use crate::body::Broken;
 use crate::job::Job;
@@ -39,6 +40,8 @@
 /// Part of the objective for reading the prompt elsewhere; what is left is enough for the decode
 /// replica to read it itself, at half the speed.
 const PREFILL_PART: f64 = 0.45;
+/// Times the objective that a replica which is at work is waited for.
+const PREFILL_MOST: f64 = 2.0;
 /// Bytes of the answer to a prefill at most.
 const MAX_PREFILL_ANSWER: usize = 16 * 1024;
 /// Silence after which a resumable stream goes on at another replica. A decode step takes some
@@ -61,12 +64,16 @@
         Ok(Err(Next::Unknown)) => {
             plain::finish(&mut job, "unknown", own::unknown, "the replica was lost")
         }
-        Ok(Err(_)) => plain::refuse(&mut job, "no replica took the request"),
-        Err(_) if attempt.sends() == 0 => plain::refuse(&mut job, "no replica in time"),
+        Ok(Err(_)) => refuse(shared, &mut job, "no replica took the request"),
+        Err(_) if attempt.sends() == 0 => refuse(shared, &mut job, "no replica in time"),
         Err(_) => plain::finish(&mut job, "overdue", own::overdue, "no answer in time"),
     }
 }
 
+fn refuse(shared: &Shared, job: &mut Job, cause: &'static str) -> Response<Body> {
+    plain::refuse(job, shared.come_back(&job.service), cause)
+}
+
 /// Finds a replica that answers; `last_event` is the id of the last event that was passed on.
 ///
 /// # Errors
@@ -124,9 +131,7 @@
     if rand::random::<f64>() < shared.failure_share(key) {
         return Some(Task::Answer);
     }
-    let limit = job.arrived + job.route.objective.mul_f64(PREFILL_PART);
-    let read = read_prompt(shared, job, key);
-    match timeout_at(limit.min(job.deadline), read).await {
+    match timeout_at(job.deadline, patiently(shared, job, key)).await {
         Ok(Ok(task)) => return Some(task),
         Ok(Err(Outcome::NotSent)) => return Some(Task::Answer),
         Ok(Err(_)) => {}
@@ -138,6 +143,28 @@
     shared.take_retry(&job.service).then_some(Task::Answer)
 }
 
+/// Has the prompt read; a replica that is late but answers a question is waited for, since a read
+/// that is given up is read in vain.
+async fn patiently(shared: &Rc<Shared>, job: &Job, key: Key) -> Result<Task, Outcome> {
+    let late = job.arrived + job.route.objective.mul_f64(PREFILL_PART);
+    let last = job.arrived + job.route.objective.mul_f64(PREFILL_MOST);
+    let mut read = std::pin::pin!(read_prompt(shared, job, key));
+    if let Ok(read) = timeout_at(late, &mut read).await {
+        return read;
+    }
+    if !ask::answers(shared, key).await {
+        let cause = "the prompt is not read, and the replica does not answer";
+        send::note(shared, job, key, Outcome::Lost, cause, 0);
+        return Err(Outcome::Lost);
+    }
+    if let Ok(read) = timeout_at(last, read).await {
+        return read;
+    }
+    let cause = "the prompt was not read in time";
+    send::note(shared, job, key, Outcome::Lost, cause, 0);
+    Err(Outcome::Lost)
+}
+
 async fn read_prompt(shared: &Rc<Shared>, job: &Job, key: Key) -> Result<Task, Outcome> {
     let address = shared
         .pool
@@ -284,6 +311,7 @@
             link,
             claim,
         } = reply;
+        let begun = Instant::now();
         let mut body: Incoming = response.into_body();
         let resumable = matches!(self.job.route.mode, Mode::Stream { resumable: true })
             && self.attempt.may_run_again();
@@ -318,6 +346,8 @@
                     if !head.closes {
                         self.shared.links.keep(link, head.keep_alive_s);
                     }
+                    let service = &self.job.service;
+                    self.shared.note_answer(service, begun.elapsed());
                     drop(claim);
                     return End::Complete;
                 }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -23,6 +23,11 @@
 const REPLICAS_PERIOD: Duration = Duration::from_millis(600);
 /// Time between two readings of the instances; gossip is the faster source.
 const INSTANCES_PERIOD: Duration = Duration::from_secs(6);
+/// Time between two readings of the instances while fewer than [`SETTLED`] readings in a row told
+/// the same: at a common start, each instance writes its row after the others have read theirs.
+const SETTLING_PERIOD: Duration = Duration::from_millis(700);
+/// See [`SETTLING_PERIOD`].
+const SETTLED: u32 = 3;
 /// Pause after a failed call, so that a store in trouble is not pressed further.
 const RETRY_PAUSE: Duration = Duration::from_millis(350);
 /// Table in which every instance has a row with its card.
@@ -76,12 +81,24 @@
 
 /// Keeps the own row among the instances and reads those of the others, forever.
 pub async fn instances(shared: Rc<Shared>) {
+    let mut same = 0;
+    let mut count = 0;
     loop {
         let pause = match shared.store.read(INSTANCES).await {
             Ok(rows) => {
                 shared.store_answered("instances");
                 take_instances(&shared, &rows).await;
-                INSTANCES_PERIOD
+                same = if count == rows.rows.len() {
+                    same + 1
+                } else {
+                    0
+                };
+                count = rows.rows.len();
+                if same < SETTLED {
+                    SETTLING_PERIOD
+                } else {
+                    INSTANCES_PERIOD
+                }
             }
             Err(error) => {
                 shared.store_failed("instances", &error);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -5,12 +5,14 @@
 //!
 //! - [`plan`]: the configuration in force; which route a request takes.
 //! - [`pool`]: what is known of the replicas; which one is to serve a request.
+//! - [`balance`]: how replicas divide into those that read prompts and those that make tokens.
 //! - [`budget`]: how many retries may still be sent to a service.
 //! - [`attempt`]: what follows when a send failed.
 //! - [`event`]: cutting a stream into whole events, so that it can be resumed.
 //! - [`directory`]: which instances callers are told to connect to.
 
 pub mod attempt;
+pub mod balance;
 pub mod budget;
 pub mod directory;
 pub mod event;
--- a/crates/relay/src/plan.rs
+++ b/crates/relay/src/plan.rs
@@ -92,6 +92,8 @@
 pub struct Engine {
     /// Tokens that the memory of one replica holds.
     pub memory_tokens: u64,
+    /// Time that a replica takes to change its stage.
+    pub stage_change: Duration,
     /// Longest time for which memory can be reserved; zero where it cannot.
     pub max_reservation: Duration,
 }
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -8,6 +8,7 @@
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
+use crate::balance::Counts;
 use crate::replica::Load;
 use crate::replica::Replica;
 use crate::replica::Snapshot;
@@ -130,6 +131,23 @@
         self.servers.values().map(|server| &server.replica)
     }
 
+    /// Replicas of `service` that take requests, by stage.
+    pub fn counts(&self, now: Time, service: &str) -> Counts {
+        let count = |stage| {
+            let servers = self.servers.values();
+            let fitting = servers.filter(|server| {
+                server.usable(now)
+                    && server.replica.service == service
+                    && server.replica.stage == Some(stage)
+            });
+            fitting.count()
+        };
+        Counts {
+            prefill: count(Stage::Prefill),
+            decode: count(Stage::Decode),
+        }
+    }
+
     /// Whether any replica is known.
     pub fn is_empty(&self) -> bool {
         self.servers.is_empty()
