Let one daemon of each data centre read the store for the others

Change: rendezvous hashing names a reader a data centre; others ask it by datagram every 450 ms, compare a hash of the list, and read the store themselves if the answer is missing or old; lapsing entries are passed on with the time left. A silent replica is left only for a reserved place elsewhere. Tests: relay/tests/pool.rs.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -97,14 +97,17 @@
     }
 }
 
-/// Asks the daemon at `peer` for what is newer there.
-pub async fn ask(shared: &Shared, peer: SocketAddr) {
+/// Asks the daemon at `peer` for what is newer there; `false` if it does not answer.
+pub async fn ask(shared: &Shared, peer: SocketAddr) -> bool {
     let ask = Ask {
         plan: shared.plan_version(),
         replicas: shared.replicas_version(),
     };
     match timeout(ASK_TIMEOUT, question(peer, &ask)).await {
-        Ok(Ok(told)) => take(shared, told),
+        Ok(Ok(told)) => {
+            take(shared, told);
+            return true;
+        }
         Ok(Err(error)) => {
             log::info!(kind = "exchange", peer = peer.to_string(), cause = error.to_string(); "a peer did not answer");
         }
@@ -112,6 +115,7 @@
             log::info!(kind = "exchange", peer = peer.to_string(); "a peer did not answer in time");
         }
     }
+    false
 }
 
 fn take(shared: &Shared, told: Tell) {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -11,12 +11,15 @@
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
+use tokio::time::timeout;
 
 use crate::card::Card;
 use crate::exchange;
 use crate::members::Send;
+use crate::news::News;
 use crate::shared::Shared;
 
 /// Largest datagram that is sent; below the usual packet size, so that none is cut into parts.
@@ -32,9 +35,31 @@
     from: Card,
     /// Version of the sender's plan; 0 if it has none.
     plan: u64,
-    message: Message,
-    /// Another instance's card.
-    hint: Option<Card>,
+    content: Content,
+}
+
+/// What a datagram is for.
+#[derive(Debug, Serialize, Deserialize)]
+enum Content {
+    /// Membership.
+    Member {
+        message: Message,
+        /// Another instance's card.
+        hint: Option<Card>,
+    },
+    /// Asks the reader of the store for this data centre for news.
+    Question {
+        /// Repeated in the answer.
+        number: u32,
+        /// Hash of the sender's replicas.
+        digest: u64,
+    },
+    /// The answer.
+    News {
+        /// The number of the question.
+        number: u32,
+        news: News,
+    },
 }
 
 /// Takes part in the membership, forever.
@@ -43,6 +68,7 @@
 /// If the socket cannot be opened.
 pub async fn run(shared: Rc<Shared>) -> io::Result<()> {
     let socket = UdpSocket::bind(shared.settings.listen.peers).await?;
+    let socket = shared.datagrams.get_or_init(|| socket);
     let mut buffer = vec![0; 64 * 1024];
     let mut next = Time::ZERO;
     loop {
@@ -50,16 +76,16 @@
         let latest = tokio::time::Instant::now() + MAX_SLEEP;
         tokio::select! {
             received = socket.recv_from(&mut buffer) => match received {
-                Ok((length, from)) => receive(&shared, &buffer[..length], from),
+                Ok((length, from)) => receive(&shared, &buffer[..length], from).await,
                 Err(error) => log::debug!(kind = "gossip", cause = error.to_string(); "a datagram could not be received"),
             },
             () = sleep_until(due.min(latest)) => {}
         }
-        next = step(&shared, &socket).await;
+        next = step(&shared).await;
     }
 }
 
-async fn step(shared: &Shared, socket: &UdpSocket) -> Time {
+async fn step(shared: &Shared) -> Time {
     let now = shared.clock.now();
     let (sends, changed, next) = shared.members.borrow_mut().step(now);
     for member in changed {
@@ -67,30 +93,48 @@
         log::info!(kind = "member", instance = name, state = format!("{:?}", member.state); "a member changed");
     }
     for send in sends {
-        if let Err(error) = transmit(shared, socket, send).await {
-            log::debug!(kind = "gossip", cause = error.to_string(); "a datagram could not be sent");
-        }
+        let Send { to, message, hint } = send;
+        transmit(shared, to, Content::Member { message, hint }).await;
     }
     next
 }
 
-async fn transmit(shared: &Shared, socket: &UdpSocket, send: Send) -> io::Result<()> {
+/// Asks the daemon at `peer` for news; `None` if it does not answer in time.
+pub async fn question(shared: &Shared, peer: SocketAddr, patience: Duration) -> Option<News> {
+    let number = rand::random();
+    let (answer, answered) = oneshot::channel();
+    shared.questions.borrow_mut().insert(number, answer);
+    let digest = shared.pool.borrow().digest();
+    transmit(shared, peer, Content::Question { number, digest }).await;
+    let news = timeout(patience, answered).await;
+    shared.questions.borrow_mut().remove(&number);
+    news.ok()?.ok()
+}
+
+async fn transmit(shared: &Shared, to: SocketAddr, content: Content) {
     let datagram = Datagram {
         from: shared.own_card(),
         plan: shared.plan_version(),
-        message: send.message,
-        hint: send.hint,
+        content,
     };
+    if let Err(error) = write(shared, to, &datagram).await {
+        log::debug!(kind = "gossip", peer = to.to_string(), cause = error.to_string(); "a datagram could not be sent");
+    }
+}
+
+async fn write(shared: &Shared, to: SocketAddr, datagram: &Datagram) -> io::Result<()> {
     let bytes =
-        bincode::serde::encode_to_vec(&datagram, config::standard()).map_err(io::Error::other)?;
+        bincode::serde::encode_to_vec(datagram, config::standard()).map_err(io::Error::other)?;
     if bytes.len() > MAX_DATAGRAM {
         log::debug!(kind = "gossip", bytes = bytes.len(); "a datagram is large");
     }
-    socket.send_to(&bytes, send.to).await?;
+    let socket = shared.datagrams.get();
+    let socket = socket.ok_or_else(|| io::Error::other("the socket is not open yet"))?;
+    socket.send_to(&bytes, to).await?;
     Ok(())
 }
 
-fn receive(shared: &Rc<Shared>, bytes: &[u8], from: SocketAddr) {
+async fn receive(shared: &Rc<Shared>, bytes: &[u8], from: SocketAddr) {
     let read = bincode::serde::decode_from_slice::<Datagram, _>(bytes, config::standard());
     let datagram = match read {
         Ok((datagram, _)) => datagram,
@@ -99,12 +143,26 @@
             return;
         }
     };
-    let mut members = shared.members.borrow_mut();
-    if let Some(hint) = &datagram.hint {
-        members.learn(hint);
+    let sender = &datagram.from;
+    match datagram.content {
+        Content::Member { message, hint } => {
+            let mut members = shared.members.borrow_mut();
+            if let Some(hint) = &hint {
+                members.learn(hint);
+            }
+            members.receive(shared.clock.now(), sender, &message);
+        }
+        Content::Question { number, digest } => {
+            let news = News::new(shared, digest);
+            transmit(shared, sender.peers, Content::News { number, news }).await;
+        }
+        Content::News { number, news } => {
+            if let Some(answer) = shared.questions.borrow_mut().remove(&number) {
+                // The question may have timed out just now.
+                let _ = answer.send(news);
+            }
+        }
     }
-    members.receive(shared.clock.now(), &datagram.from, &datagram.message);
-    drop(members);
     if datagram.plan > shared.plan_version() {
         ask_for_plan(Rc::clone(shared), datagram.plan, datagram.from.peers);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod listen;
 pub mod members;
 pub mod metrics;
+pub mod news;
 pub mod output;
 pub mod own;
 pub mod place;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -17,6 +17,9 @@
 
 use crate::card::Card;
 
+/// Key by which the members of a data centre choose the one that reads the store for all.
+const POLLER: u64 = 1;
+
 /// The instances that this daemon knows.
 #[derive(Debug)]
 pub struct Members {
@@ -172,6 +175,13 @@
         owner == Some(self.own.instance())
     }
 
+    /// Where the daemon listens that reads the store for this data centre; `None` if that is this one.
+    pub fn poller(&self) -> Option<SocketAddr> {
+        let fleet = self.fleet.as_ref()?;
+        let poller = fleet.owner_in(self.own.data_centre, POLLER)?;
+        self.cards.get(&poller).map(|card| card.peers)
+    }
+
     /// Where daemons of other known instances listen.
     pub fn peers(&self) -> Vec<SocketAddr> {
         self.cards.values().map(|card| card.peers).collect()
--- /dev/null
+++ b/crates/gateway/src/news.rs
@@ -0,0 +1,54 @@
+//! What the reader of the store for a data centre tells the other daemons there.
+//!
+//! Calls of the store are paid for and bounded, so one daemon in each data centre reads it for all.
+//! A daemon that gets no answer, or an old one, reads the store itself.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::shared::Shared;
+
+/// News are of use up to this age; a replica that leaves must get nothing 2 s later, and the daemon
+/// that asks learns of it one period later.
+const MAX_AGE: Duration = Duration::from_millis(900);
+
+/// How the teller's knowledge compares with the asker's.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    /// Version of the teller's plan; 0 if it has none.
+    pub plan: u64,
+    /// Version of the store at which the teller's replicas stand.
+    pub replicas: u64,
+    /// Whether the asker's replicas are the same.
+    pub same: bool,
+    /// Milliseconds since the teller's replicas were read.
+    age_ms: u64,
+    /// Whether the store fails the teller.
+    store_lost: bool,
+}
+
+impl News {
+    /// The news for a daemon whose replicas have the hash `digest`.
+    pub fn new(shared: &Shared, digest: u64) -> Self {
+        let pool = shared.pool.borrow();
+        Self {
+            plan: shared.plan_version(),
+            replicas: pool.version(),
+            same: pool.digest() == digest,
+            age_ms: shared.replicas_age().as_millis() as u64,
+            store_lost: shared.is_store_lost(),
+        }
+    }
+
+    /// Time since the teller's replicas were read.
+    pub const fn age(&self) -> Duration {
+        Duration::from_millis(self.age_ms)
+    }
+
+    /// Whether the teller is a good source now.
+    pub fn is_fresh(&self) -> bool {
+        !self.store_lost && self.age() < MAX_AGE
+    }
+}
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,6 +1,7 @@
 //! What the parts of the daemon share.
 
 use std::cell::Cell;
+use std::cell::OnceCell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -15,12 +16,15 @@
 use relay::pool::Pool;
 use relay::pool::Want;
 use relay::replica::Snapshot;
+use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
 
 use crate::card::Card;
 use crate::clock::Clock;
 use crate::links::Links;
 use crate::members::Members;
 use crate::metrics::Metrics;
+use crate::news::News;
 use crate::settings::Settings;
 use crate::store;
 use crate::store::Store;
@@ -58,6 +62,12 @@
     rule: Rule,
     near: Zone,
     own: Card,
+    /// Socket for datagrams to other daemons, once it is open.
+    pub datagrams: OnceCell<UdpSocket>,
+    /// Questions to the poller that wait for an answer.
+    pub questions: RefCell<HashMap<u32, oneshot::Sender<News>>>,
+    /// When the replicas were last known to be up to date.
+    replicas_heard: Cell<Time>,
     /// When the store last answered.
     store_heard: Cell<Time>,
     /// Whether the store's last call failed.
@@ -93,6 +103,9 @@
             rule: settings.retry_rule(),
             near,
             own,
+            datagrams: OnceCell::new(),
+            questions: RefCell::new(HashMap::new()),
+            replicas_heard: Cell::new(Time::ZERO),
             store_heard: Cell::new(Time::ZERO),
             store_lost: Cell::new(false),
             stopping: Cell::new(None),
@@ -147,6 +160,7 @@
             log::info!(kind = "replicas", version = snapshot.version, source = source; "an older list of replicas is ignored");
             return;
         };
+        self.replicas_heard.set(self.clock.now());
         for change in changes {
             log::info!(kind = "replica", replica = change.id, belief = format!("{:?}", change.now), version = snapshot.version, source = source; "a replica changed");
         }
@@ -155,10 +169,26 @@
     /// The replicas, if they are newer than `version`.
     pub fn newer_replicas(&self, version: u64) -> Option<Snapshot> {
         let pool = self.pool.borrow();
-        (pool.version() > version).then(|| Snapshot {
-            version: pool.version(),
-            replicas: pool.replicas().cloned().collect(),
-        })
+        (pool.version() > version).then(|| pool.snapshot(self.clock.now()))
+    }
+
+    /// Notes that the replicas are the same as those that a peer has from `version`, which was read
+    /// `age` ago.
+    pub fn confirm_replicas(&self, version: u64, age: Duration) {
+        self.pool.borrow_mut().confirm(version);
+        let read = self.clock.now() - age;
+        self.replicas_heard.set(self.replicas_heard.get().max(read));
+        self.store_heard.set(self.store_heard.get().max(read));
+    }
+
+    /// Time since the replicas were up to date.
+    pub fn replicas_age(&self) -> Duration {
+        self.clock.now().since(self.replicas_heard.get())
+    }
+
+    /// Whether the store's last call failed.
+    pub fn is_store_lost(&self) -> bool {
+        self.store_lost.get()
     }
 
     /// Notes that the replicas could not be read.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -30,6 +30,7 @@
 use crate::job::Job;
 use crate::own;
 use crate::place;
+use crate::place::Place;
 use crate::plain;
 use crate::send;
 use crate::send::Reply;
@@ -44,18 +45,22 @@
 const PREFILL_MOST: f64 = 2.0;
 /// Bytes of the answer to a prefill at most.
 const MAX_PREFILL_ANSWER: usize = 16 * 1024;
-/// Silence after which a resumable stream goes on at another replica. A decode step takes some
-/// ten milliseconds, and several tokens come in one event.
-const STALL: Duration = Duration::from_millis(900);
+/// Silence after which a replica is asked whether it is there, and after twice of which a resumable
+/// stream goes on at another one. Callers leave after two seconds of silence or more, and the other
+/// replica needs some hundred milliseconds to read the prompt.
+const STALL: Duration = Duration::from_millis(800);
 
 /// Serves `job`.
 pub async fn serve(shared: &Rc<Shared>, mut job: Job) -> Response<Body> {
     let mut attempt = Attempt::new(job.route.mode, job.route.max_attempts);
     let mut tried = Vec::new();
-    let opened = timeout_at(
-        job.deadline,
-        open(shared, &job, &mut attempt, &mut tried, None),
-    );
+    let search = Search {
+        attempt: &mut attempt,
+        tried: &mut tried,
+        place: None,
+        task: None,
+    };
+    let opened = timeout_at(job.deadline, open(shared, &job, search));
     match opened.await {
         Ok(Ok(reply)) if reply.head.status == StatusCode::OK => {
             pass_on(shared, job, attempt, tried, reply)
@@ -74,25 +79,35 @@
     plain::refuse(job, shared.come_back(&job.service), cause)
 }
 
-/// Finds a replica that answers; `last_event` is the id of the last event that was passed on.
+/// Where a request was sent, and what the next replica is to do.
+struct Search<'a> {
+    attempt: &'a mut Attempt,
+    tried: &'a mut Vec<Key>,
+    /// A place that was found already.
+    place: Option<Place>,
+    /// `None` if the prompt is to be read by a prefill replica first.
+    task: Option<Task>,
+}
+
+/// Finds a replica that answers.
 ///
 /// # Errors
 /// What to tell the caller.
-async fn open(
-    shared: &Rc<Shared>,
-    job: &Job,
-    attempt: &mut Attempt,
-    tried: &mut Vec<Key>,
-    last_event: Option<u64>,
-) -> Result<Reply, Next> {
-    let mut task = last_event.map(|last_event| Task::Resume { last_event });
+async fn open(shared: &Rc<Shared>, job: &Job, search: Search<'_>) -> Result<Reply, Next> {
+    let Search {
+        attempt,
+        tried,
+        mut place,
+        mut task,
+    } = search;
     loop {
-        let Some(place) = place::find(shared, job, tried).await else {
-            return Err(if attempt.may_have_run() {
-                Next::Unknown
-            } else {
-                Next::Refuse
-            });
+        let found = match place.take() {
+            Some(place) => Some(place),
+            None => place::find(shared, job, tried).await,
+        };
+        let Some(place) = found else {
+            let unknown = attempt.may_have_run();
+            return Err(if unknown { Next::Unknown } else { Next::Refuse });
         };
         let now = match &task {
             Some(task) => task.clone(),
@@ -275,8 +290,10 @@
     Left,
     /// Time is up.
     Overdue,
-    /// The replica broke off or fell silent.
+    /// The replica broke off.
     Broken(String),
+    /// The replica fell silent, and there is a place at another one.
+    Silent(Place),
 }
 
 impl Flow {
@@ -294,11 +311,19 @@
                 End::Overdue => return self.break_off("overdue", "time is up").await,
                 End::Broken(cause) => {
                     send::note(&self.shared, &self.job, key, Outcome::Lost, &cause, 0);
-                    match self.resume().await {
+                    match self.resume(None).await {
                         Some(next) => reply = next,
                         None => return self.break_off("broken", "the replica broke off").await,
                     }
                 }
+                End::Silent(place) => {
+                    let cause = "no event for too long";
+                    send::note(&self.shared, &self.job, key, Outcome::Lost, cause, 0);
+                    match self.resume(Some(place)).await {
+                        Some(next) => reply = next,
+                        None => return self.break_off("broken", "the replica fell silent").await,
+                    }
+                }
             }
         }
     }
@@ -315,6 +340,7 @@
         let mut body: Incoming = response.into_body();
         let resumable = matches!(self.job.route.mode, Mode::Stream { resumable: true })
             && self.attempt.may_run_again();
+        let mut silences = 0;
         loop {
             let silent_at = if resumable {
                 self.job.deadline.min(Instant::now() + STALL)
@@ -327,7 +353,15 @@
             };
             match frame {
                 Err(_) if Instant::now() >= self.job.deadline => return End::Overdue,
-                Err(_) => return End::Broken("no event for too long".to_owned()),
+                // A replica that still answers may have set the request aside; it gets more time.
+                Err(_) if silences == 0 && ask::answers(&self.shared, claim.key).await => {
+                    silences += 1;
+                }
+                Err(_) => match self.other_place().await {
+                    Some(place) => return End::Silent(place),
+                    // Without another place, waiting is the best there is.
+                    None => silences += 1,
+                },
                 Ok(Some(Err(error))) => return End::Broken(error.to_string()),
                 Ok(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else {
@@ -368,8 +402,17 @@
         self.parts.send(Ok(bytes.into())).await.is_ok()
     }
 
-    /// Finds another replica that goes on after the last event.
-    async fn resume(&mut self) -> Option<Reply> {
+    /// A place at another replica, while the present one is silent.
+    async fn other_place(&self) -> Option<Place> {
+        let find = place::find(&self.shared, &self.job, &self.tried);
+        tokio::select! {
+            place = find => place,
+            () = self.parts.closed() => None,
+        }
+    }
+
+    /// Has another replica go on after the last event, at `place` if there is one.
+    async fn resume(&mut self, place: Option<Place>) -> Option<Reply> {
         self.splitter.drop_partial();
         let service = self.job.service.clone();
         let shared = Rc::clone(&self.shared);
@@ -380,13 +423,13 @@
             return None;
         }
         let last_event = self.splitter.last_id().or(self.job.call.last_event);
-        let opened = open(
-            &self.shared,
-            &self.job,
-            &mut self.attempt,
-            &mut self.tried,
-            last_event,
-        );
+        let search = Search {
+            attempt: &mut self.attempt,
+            tried: &mut self.tried,
+            place,
+            task: last_event.map(|last_event| Task::Resume { last_event }),
+        };
+        let opened = open(&self.shared, &self.job, search);
         let reply = tokio::select! {
             opened = timeout_at(self.job.deadline, opened) => opened.ok()?.ok()?,
             () = self.parts.closed() => return None,
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -1,5 +1,6 @@
 //! What the store tells: the plan, the replicas and the other instances.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,6 +12,8 @@
 use tokio::time::sleep;
 
 use crate::card::Card;
+use crate::exchange;
+use crate::gossip;
 use crate::shared::Shared;
 use crate::store::Error;
 
@@ -19,8 +22,12 @@
 const PLAN_WAIT: Duration = Duration::from_millis(2_500);
 /// Pause after a plan was read, so that edits in quick succession are read together.
 const PLAN_PAUSE: Duration = Duration::from_millis(150);
-/// Time between two readings of the replicas; a replica that leaves must get nothing 2 s later.
-const REPLICAS_PERIOD: Duration = Duration::from_millis(600);
+/// Time between two readings of the replicas, and between two questions to the daemon that reads
+/// them; a replica that leaves must get nothing 2 s later.
+const REPLICAS_PERIOD: Duration = Duration::from_millis(450);
+/// Time that the daemon which reads the store gets for an answer; a round trip takes some
+/// milliseconds.
+const NEWS_PATIENCE: Duration = Duration::from_millis(120);
 /// Time between two readings of the instances; gossip is the faster source.
 const INSTANCES_PERIOD: Duration = Duration::from_secs(6);
 /// Time between two readings of the instances while fewer than [`SETTLED`] readings in a row told
@@ -37,6 +44,11 @@
 pub async fn plan(shared: Rc<Shared>) {
     let mut version = None;
     loop {
+        if shared.members.borrow().poller().is_some() {
+            version = None;
+            sleep(REPLICAS_PERIOD).await;
+            continue;
+        }
         let told = match version {
             None => shared.store.read(plan::TABLE).await,
             Some(version) => shared.store.watch(plan::TABLE, version, PLAN_WAIT).await,
@@ -61,21 +73,63 @@
     }
 }
 
-/// Reads the replicas again and again, forever.
+/// Keeps the replicas up to date, forever: from the daemon that reads the store for this data
+/// centre, or from the store.
 pub async fn replicas(shared: Rc<Shared>) {
     loop {
-        match shared.store.read(replica::TABLE).await {
-            Ok(rows) => {
-                shared.store_answered("replicas");
-                shared.take_replicas("store", &snapshot(&rows));
-                sleep(REPLICAS_PERIOD).await;
-            }
-            Err(error) => {
-                shared.note_outage();
-                shared.store_failed("replicas", &error);
-                sleep(RETRY_PAUSE).await;
-            }
+        let poller = shared.members.borrow().poller();
+        let told = match poller {
+            Some(poller) => news(&shared, poller).await,
+            None => false,
+        };
+        let pause = match told {
+            true => REPLICAS_PERIOD,
+            false if read_replicas(&shared).await => REPLICAS_PERIOD,
+            false => RETRY_PAUSE,
+        };
+        if !told && poller.is_some() {
+            read_plan(&shared).await;
+        }
+        sleep(pause).await;
+    }
+}
+
+/// Asks the daemon at `poller`; `false` if it is no good source now.
+async fn news(shared: &Shared, poller: SocketAddr) -> bool {
+    let news = gossip::question(shared, poller, NEWS_PATIENCE).await;
+    match news {
+        Some(news) if !news.is_fresh() => false,
+        Some(news) if news.same && news.plan <= shared.plan_version() => {
+            shared.confirm_replicas(news.replicas, news.age());
+            true
+        }
+        Some(_) => exchange::ask(shared, poller).await,
+        None => false,
+    }
+}
+
+async fn read_replicas(shared: &Shared) -> bool {
+    match shared.store.read(replica::TABLE).await {
+        Ok(rows) => {
+            shared.store_answered("replicas");
+            shared.take_replicas("store", &snapshot(&rows));
+            true
+        }
+        Err(error) => {
+            shared.note_outage();
+            shared.store_failed("replicas", &error);
+            false
+        }
+    }
+}
+
+async fn read_plan(shared: &Shared) {
+    match shared.store.read(plan::TABLE).await {
+        Ok(rows) => {
+            shared.store_answered("plan");
+            take_plan(shared, &rows);
         }
+        Err(error) => shared.store_failed("plan", &error),
     }
 }
 
@@ -133,6 +187,7 @@
     Snapshot {
         version: rows.version,
         replicas: rows.rows.iter().filter_map(read).collect(),
+        lapsing: Vec::new(),
     }
 }
 
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -5,10 +5,12 @@
 
 use ident::Time;
 use ident::Zone;
+use rapidhash::v3::rapidhash_v3;
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
 use crate::balance::Counts;
+use crate::replica::Lapsing;
 use crate::replica::Load;
 use crate::replica::Replica;
 use crate::replica::Snapshot;
@@ -121,14 +123,47 @@
         self.version
     }
 
+    /// Hash of the replicas as they are listed; equal lists give equal hashes in every daemon.
+    pub fn digest(&self) -> u64 {
+        let servers = self.servers.values();
+        let listed = servers.filter(|server| server.lapses.is_none());
+        let mut replicas: Vec<&Replica> = listed.map(|server| &server.replica).collect();
+        replicas.sort_by(|left, right| left.id.cmp(&right.id));
+        let texts = replicas.into_iter().map(|replica| format!("{replica:?}"));
+        rapidhash_v3(texts.collect::<String>().as_bytes())
+    }
+
+    /// Notes that a peer whose list equals this daemon's has it from `version`.
+    pub fn confirm(&mut self, version: u64) {
+        self.version = self.version.max(version);
+    }
+
     /// The replica behind `key`, unless it is forgotten.
     pub fn get(&self, key: Key) -> Option<&Server> {
         self.servers.get(key)
     }
 
-    /// All replicas of which something is known.
+    /// All replicas that are listed.
     pub fn replicas(&self) -> impl Iterator<Item = &Replica> + '_ {
-        self.servers.values().map(|server| &server.replica)
+        let listed = self.servers.values().filter(|s| s.lapses.is_none());
+        listed.map(|server| &server.replica)
+    }
+
+    /// What a peer is told that has an older list.
+    pub fn snapshot(&self, now: Time) -> Snapshot {
+        let servers = self.servers.values();
+        let lapsing = servers.filter_map(|server| {
+            let until = server.lapses.filter(|until| now < *until)?;
+            Some(Lapsing {
+                replica: server.replica.clone(),
+                left: until.since(now),
+            })
+        });
+        Snapshot {
+            version: self.version,
+            replicas: self.replicas().cloned().collect(),
+            lapsing: lapsing.collect(),
+        }
     }
 
     /// Replicas of `service` that take requests, by stage.
@@ -173,6 +208,9 @@
         for replica in &snapshot.replicas {
             self.list(now, replica, &mut changes);
         }
+        for lapsing in &snapshot.lapsing {
+            self.lapse(now, lapsing, &mut changes);
+        }
         self.drop_missing(now, snapshot, &mut changes);
         Some(changes)
     }
@@ -297,6 +335,29 @@
         });
     }
 
+    /// Takes over from a peer that a replica is lapsing.
+    fn lapse(&mut self, now: Time, lapsing: &Lapsing, changes: &mut Vec<Change>) {
+        let id = &lapsing.replica.id;
+        let key = match self.by_id.get(id) {
+            Some(key) => *key,
+            None => {
+                let key = self
+                    .servers
+                    .insert(Server::new(lapsing.replica.clone(), now));
+                self.by_id.insert(id.clone(), key);
+                key
+            }
+        };
+        let server = &mut self.servers[key];
+        if server.lapses.is_none() {
+            server.lapses = Some(now + lapsing.left);
+            changes.push(Change {
+                id: id.clone(),
+                now: Belief::Lapsed,
+            });
+        }
+    }
+
     fn drop_missing(&mut self, now: Time, snapshot: &Snapshot, changes: &mut Vec<Change>) {
         let listed: Vec<&str> = snapshot.replicas.iter().map(|r| r.id.as_str()).collect();
         let outage = self.outage.map(|outage| outage + LAPSE_GRACE);
--- a/crates/relay/src/replica.rs
+++ b/crates/relay/src/replica.rs
@@ -1,6 +1,7 @@
 //! Replicas as the platform lists them.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use ident::Zone;
 use serde::Deserialize;
@@ -13,6 +14,17 @@
     pub version: u64,
     /// The replicas.
     pub replicas: Vec<Replica>,
+    /// Replicas that vanished from the list after an outage and may come back.
+    pub lapsing: Vec<Lapsing>,
+}
+
+/// A replica that is used though the list lacks it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lapsing {
+    /// The replica as it was listed last.
+    pub replica: Replica,
+    /// For how long it is used still.
+    pub left: Duration,
 }
 
 /// One run of one replica.
--- a/crates/relay/tests/pool.rs
+++ b/crates/relay/tests/pool.rs
@@ -31,6 +31,7 @@
     Snapshot {
         version,
         replicas: ids.iter().map(|id| replica(id)).collect(),
+        lapsing: Vec::new(),
     }
 }
 
@@ -106,6 +107,27 @@
     assert_eq!(chosen(&pool, after(9_000), &[]).as_deref(), Some("one"));
 }
 
+/// A daemon that learns of an outage from a peer alone uses a lapsed replica for as long as the peer.
+#[test]
+fn a_lapsing_replica_is_passed_on_with_the_time_that_is_left() {
+    let mut reader = Pool::new();
+    reader.apply(START, &snapshot(1, &["one"]));
+    let mut asker = reader_of(&reader, START);
+    reader.note_outage(START);
+    reader.apply(after(1_000), &snapshot(2, &[]));
+    assert_ne!(reader.digest(), asker.digest());
+    asker.apply(after(1_000), &reader.snapshot(after(1_000)));
+    assert_eq!(reader.digest(), asker.digest());
+    assert_eq!(chosen(&asker, after(1_800), &[]).as_deref(), Some("one"));
+    assert_eq!(chosen(&asker, after(2_000), &[]), None);
+}
+
+fn reader_of(pool: &Pool, now: Time) -> Pool {
+    let mut reader = Pool::new();
+    reader.apply(now, &pool.snapshot(now));
+    reader
+}
+
 #[test]
 fn a_replica_whose_address_another_has_gets_nothing() {
     let mut pool = Pool::new();
