Take no stream that a stop may have to cut

Ruled out: too short a grace (8 s is the platform's). Change: 2.7 s after SIGTERM a request is taken only if it is over by the end of the grace.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -73,14 +73,6 @@
         .plan()
         .map_or_else(Limits::default, |plan| plan.limits);
     let body = read_body(shared, &call.id, body, limits).await?;
-    if shared.is_closed() {
-        return Err(put_off(
-            shared,
-            &call.id,
-            STOPPING,
-            "this daemon is stopping",
-        ));
-    }
     let Some(plan) = shared.plan() else {
         return Err(put_off(shared, &call.id, STARTING, "no plan is known yet"));
     };
@@ -99,6 +91,10 @@
             "no route\n",
         ));
     };
+    if !shared.takes(route.timeout) {
+        let cause = "this daemon is stopping";
+        return Err(put_off(shared, &call.id, STOPPING, cause));
+    }
     let Some(service) = route.target(rand::random()) else {
         return Err(put_off(
             shared,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -29,10 +29,12 @@
 use crate::store;
 use crate::store::Store;
 
-/// Part of the grace in which a stopping daemon still takes requests; the rest is for those in
-/// progress.
-const TAKING_PART: f64 = 0.5;
+/// Time after SIGTERM in which any request is taken; callers may hold an old address answer for
+/// so long. After it, only those that are over by the end of the grace.
+const TAKING: Duration = Duration::from_millis(2_700);
 
+/// Time before the end of the grace at which a stopping daemon ends, whatever is in progress.
+pub const RESERVE: Duration = Duration::from_millis(300);
 /// Time of a decode replica for an answer until one was seen: some hundred tokens of 8 ms.
 const ANSWER_LENGTH: Duration = Duration::from_secs(3);
 /// Weight of the newest answer in the mean.
@@ -288,11 +290,14 @@
         self.stopping.set(Some(self.clock.now()));
     }
 
-    /// Whether a stopping daemon takes nothing new any more.
-    pub fn is_closed(&self) -> bool {
-        let taking = self.settings.grace().mul_f64(TAKING_PART);
-        let since = self.stopping.get();
-        since.is_some_and(|since| self.clock.now().since(since) > taking)
+    /// Whether a request that may last for `longest` is taken; a stopping daemon takes none that it
+    /// may have to cut.
+    pub fn takes(&self, longest: Duration) -> bool {
+        let Some(since) = self.stopping.get() else {
+            return true;
+        };
+        let elapsed = self.clock.now().since(since);
+        elapsed < TAKING || elapsed + longest < self.settings.grace().saturating_sub(RESERVE)
     }
 
     /// Requests in progress.
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -13,14 +13,13 @@
 
 use crate::error::Error;
 use crate::settings::Settings;
+use crate::shared::RESERVE;
 use crate::shared::Shared;
 use crate::watch::INSTANCES;
 
 /// Time for which a stopping daemon stays for callers that keep an old address answer: three times
 /// the time that answers are to be kept, and some to spare.
 const LINGER: Duration = Duration::from_millis(3_300);
-/// Time before the end of the grace at which the daemon ends, whatever is in progress.
-const RESERVE: Duration = Duration::from_millis(300);
 /// Pause between two looks whether requests are in progress.
 const LOOK_AGAIN: Duration = Duration::from_millis(50);
 /// Time for taking the own row out of the store.
