--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -11,6 +11,7 @@
 use hyper::body::SizeHint;
 use tokio::sync::mpsc::Receiver;
 
+use crate::phase::Busy;
 use crate::shared::Open;
 
 /// Why a body ends without being complete; the connection is broken off.
@@ -36,6 +37,7 @@
 pub struct Body {
     content: Content,
     open: Option<Open>,
+    busy: Option<Busy>,
 }
 
 #[derive(Debug)]
@@ -50,6 +52,7 @@
         Self {
             content: Content::Whole(Some(bytes)),
             open: None,
+            busy: None,
         }
     }
 
@@ -58,6 +61,7 @@
         Self {
             content: Content::Parts(parts),
             open: None,
+            busy: None,
         }
     }
 
@@ -67,6 +71,13 @@
         self.open = Some(open);
         self
     }
+
+    /// The same body, which keeps its connection busy.
+    #[must_use]
+    pub fn with_busy(mut self, busy: Busy) -> Self {
+        self.busy = Some(busy);
+        self
+    }
 }
 
 impl hyper::body::Body for Body {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod news;
 pub mod output;
 pub mod own;
+pub mod phase;
 pub mod place;
 pub mod plain;
 pub mod send;
@@ -62,6 +63,7 @@
 /// Bounds of the servers that callers send no requests to.
 const ASIDE: Bounds = Bounds {
     header_bytes: 8 * 1024,
+    header_timeout: Duration::from_secs(3),
     idle_timeout: Duration::from_secs(15),
 };
 
@@ -150,6 +152,7 @@
         .map_or_else(Limits::default, |plan| plan.limits);
     Bounds {
         header_bytes: limits.header_bytes,
+        header_timeout: limits.header_timeout,
         idle_timeout: limits.idle_timeout,
     }
 }
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -11,7 +11,6 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
@@ -19,6 +18,8 @@
 use crate::body::Body;
 use crate::error::Error;
 use crate::links;
+use crate::phase::Phase;
+use crate::phase::Watched;
 
 /// Pause after a failed accept; the usual cause is too many open files.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
@@ -28,7 +29,9 @@
 pub struct Bounds {
     /// Bytes of a request's head.
     pub header_bytes: usize,
-    /// Time that a connection may be idle, the head of a request included.
+    /// Time for a request's head, from its first byte.
+    pub header_timeout: Duration,
+    /// Time that a connection may be idle.
     pub idle_timeout: Duration,
 }
 
@@ -78,16 +81,24 @@
     if let Err(error) = links::tune(&socket) {
         log::debug!(kind = "listen", peer = peer.to_string(), cause = error.to_string(); "a socket could not be set up");
     }
+    let phase = Phase::new();
+    let own = phase.clone();
     let service = service_fn(move |request| {
         let answer = Rc::clone(&answer);
-        async move { Ok::<_, Infallible>(answer(request).await) }
+        let busy = own.begin();
+        async move {
+            let response = answer(request).await;
+            Ok::<_, Infallible>(response.map(|body| body.with_busy(busy)))
+        }
     });
+    let socket = Watched::new(socket, phase.clone());
     let served = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(bounds.idle_timeout)
         .max_buf_size(bounds.header_bytes.max(MIN_BUFFER))
-        .serve_connection(TokioIo::new(socket), service)
-        .await;
+        .serve_connection(TokioIo::new(socket), service);
+    let served = tokio::select! {
+        served = served => served,
+        () = phase.overdue(bounds.header_timeout, bounds.idle_timeout) => return,
+    };
     if let Err(error) = served {
         log::debug!(kind = "listen", peer = peer.to_string(), cause = error.to_string(); "a connection ended");
     }
--- /dev/null
+++ b/crates/gateway/src/phase.rs
@@ -0,0 +1,148 @@
+//! What a caller's connection is doing, so that slow heads and idle connections are given up.
+
+use std::cell::Cell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
+
+/// What a connection is doing.
+#[derive(Debug, Clone, Copy)]
+enum Doing {
+    /// Nothing since then.
+    Idle(Instant),
+    /// The head of a request has been coming in since then.
+    Head(Instant),
+    /// A request is being served.
+    Busy,
+}
+
+/// The phase of one connection, shared by its socket, its requests and its timer.
+#[derive(Debug, Clone)]
+pub struct Phase {
+    doing: Rc<Cell<Doing>>,
+}
+
+/// A request that is being served; the connection is idle again when this is dropped.
+#[derive(Debug)]
+pub struct Busy {
+    doing: Rc<Cell<Doing>>,
+}
+
+impl Phase {
+    /// A connection that was accepted now.
+    pub fn new() -> Self {
+        Self {
+            doing: Rc::new(Cell::new(Doing::Idle(Instant::now()))),
+        }
+    }
+
+    /// Notes that a request is being served.
+    pub fn begin(&self) -> Busy {
+        self.doing.set(Doing::Busy);
+        Busy {
+            doing: Rc::clone(&self.doing),
+        }
+    }
+
+    /// Waits until a head takes longer than `head`, or the connection is idle for longer than
+    /// `idle`.
+    pub async fn overdue(&self, head: Duration, idle: Duration) {
+        loop {
+            let now = Instant::now();
+            let due = match self.doing.get() {
+                Doing::Idle(since) => since + idle,
+                Doing::Head(since) => since + head,
+                Doing::Busy => now + head,
+            };
+            if due <= now {
+                return;
+            }
+            // A head may begin at any time.
+            sleep_until(due.min(now + head)).await;
+        }
+    }
+}
+
+impl Default for Phase {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.doing.set(Doing::Idle(Instant::now()));
+    }
+}
+
+/// A socket that notes when the head of a request begins.
+#[derive(Debug)]
+pub struct Watched {
+    socket: TcpStream,
+    phase: Phase,
+}
+
+impl Watched {
+    /// `socket`, whose phase is `phase`.
+    pub const fn new(socket: TcpStream, phase: Phase) -> Self {
+        Self { socket, phase }
+    }
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut self.socket).poll_read(context, buffer);
+        match self.phase.doing.get() {
+            Doing::Idle(_) if buffer.filled().len() > before => {
+                self.phase.doing.set(Doing::Head(Instant::now()));
+            }
+            _ => {}
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket).poll_write_vectored(context, parts)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.socket.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_shutdown(context)
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/common/caller.rs
@@ -0,0 +1,55 @@
+//! A caller.
+
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::time::Duration;
+
+use super::http;
+use super::http::Message;
+
+/// Longest time that a test waits for an answer; far above what any takes.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// A connection to a daemon.
+#[derive(Debug)]
+pub struct Caller {
+    /// The connection.
+    pub socket: TcpStream,
+}
+
+impl Caller {
+    /// Connects to `address`.
+    pub fn new(address: SocketAddr) -> io::Result<Self> {
+        let socket = TcpStream::connect(address)?;
+        socket.set_read_timeout(Some(PATIENCE))?;
+        Ok(Self { socket })
+    }
+
+    /// Sends a request and reads its answer; an empty message if there was none.
+    pub fn ask(&mut self, line: &str, headers: &[(&str, &str)], body: &[u8]) -> Message {
+        self.begin(line, headers, body);
+        self.read()
+    }
+
+    /// Sends a request.
+    pub fn begin(&mut self, line: &str, headers: &[(&str, &str)], body: &[u8]) {
+        let mut text = format!("{line} HTTP/1.1\r\nhost: shop.example\r\n");
+        for (name, value) in headers {
+            text.extend([name, ": ", value, "\r\n"]);
+        }
+        if !body.is_empty() {
+            text.extend(["content-length: ", &body.len().to_string(), "\r\n"]);
+        }
+        text.push_str("\r\n");
+        http::send(&mut self.socket, &[text.as_bytes(), body].concat());
+    }
+
+    /// Reads an answer; an empty message if there was none.
+    pub fn read(&mut self) -> Message {
+        http::read(&mut self.socket)
+            .ok()
+            .flatten()
+            .unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/common/daemon.rs
@@ -0,0 +1,178 @@
+//! The real daemon in a process of its own.
+
+use std::fs;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+
+use super::caller::Caller;
+use super::http::Message;
+
+/// Longest time that a test waits for something to happen.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// A daemon; killed when dropped.
+#[derive(Debug)]
+pub struct Daemon {
+    child: Child,
+    /// Where it takes requests.
+    pub callers: SocketAddr,
+    addresses: SocketAddr,
+    readiness: SocketAddr,
+    metrics: SocketAddr,
+    path: PathBuf,
+    lines: Arc<Mutex<Vec<String>>>,
+}
+
+/// Ports of each daemon; each has an address of its own.
+const PORTS: [u16; 5] = [7_001, 7_002, 7_003, 7_004, 7_005];
+
+/// A loopback address that nothing else of this process, or of another one, uses.
+pub fn new_ip() -> String {
+    static USED: AtomicU32 = AtomicU32::new(0);
+    let number = USED.fetch_add(1, Ordering::Relaxed);
+    let block = 64 + std::process::id() % 128;
+    format!(
+        "127.{block}.{}.{}",
+        std::process::id() / 128 % 256,
+        number % 250 + 1
+    )
+}
+
+impl Daemon {
+    /// Starts the daemon `name` at `ip`.
+    pub fn start(name: &str, ip: &str, store: SocketAddr, seeds: &[&str]) -> Self {
+        let at = |index: usize| SocketAddr::new(ip.parse().unwrap(), PORTS[index]);
+        let seeds: Vec<String> = seeds.iter().map(|ip| format!("\"{ip}:1\"")).collect();
+        let settings = format!(
+            "instance: {name}\ndata_centre: here\nlisten:\n  callers: \"{}\"\n  addresses: \"{}\"\n  readiness: \"{}\"\n  metrics: \"{}\"\n  peers: \"{}\"\nstore: \"{store}\"\nseeds: [{}]\nretry: {{ratio: 0.2, slack: 50, window_s: 10}}\ngrace_s: 8\n",
+            at(0),
+            at(1),
+            at(2),
+            at(3),
+            at(4),
+            seeds.join(", ")
+        );
+        let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+        let path = directory.join(format!("{name}.yaml"));
+        fs::write(&path, settings).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_waxwing-gateway"))
+            .arg("--config")
+            .arg(&path)
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let lines = Arc::new(Mutex::new(Vec::new()));
+        let kept = Arc::clone(&lines);
+        let output = BufReader::new(child.stdout.take().unwrap());
+        thread::spawn(move || {
+            for line in output.lines().map_while(Result::ok) {
+                kept.lock().unwrap().push(line);
+            }
+        });
+        Self {
+            child,
+            callers: at(0),
+            addresses: at(1),
+            readiness: at(2),
+            metrics: at(3),
+            path,
+            lines,
+        }
+    }
+
+    /// Its settings file.
+    pub fn settings(&self) -> &PathBuf {
+        &self.path
+    }
+
+    /// Status of the answer to the platform's question whether it is ready; 0 without an answer.
+    pub fn readiness(&self) -> u16 {
+        get(self.readiness, "/api/readyz").status()
+    }
+
+    /// Waits until it is ready.
+    pub fn until_ready(&self) -> &Self {
+        until("the daemon is ready", || self.readiness() == 200);
+        self
+    }
+
+    /// The body of its answer to a caller that asks for addresses.
+    pub fn addresses(&self) -> String {
+        let path = "/api/resolve?name=shop.example&region=r&zone=here";
+        String::from_utf8_lossy(&get(self.addresses, path).body).into_owned()
+    }
+
+    /// The text of its metrics.
+    pub fn metrics(&self) -> String {
+        String::from_utf8_lossy(&get(self.metrics, "/metrics").body).into_owned()
+    }
+
+    /// A caller connected to it.
+    pub fn caller(&self) -> Caller {
+        Caller::new(self.callers).unwrap()
+    }
+
+    /// The log lines so far that contain `text`.
+    pub fn logged(&self, text: &str) -> Vec<String> {
+        let lines = self.lines.lock().unwrap();
+        lines.iter().filter(|l| l.contains(text)).cloned().collect()
+    }
+
+    /// Sends it a signal.
+    pub fn signal(&self, signal: Signal) {
+        let pid = Pid::from_child(&self.child);
+        kill_process(pid, signal).unwrap();
+    }
+
+    /// Waits for its end.
+    pub fn wait(&mut self) -> ExitStatus {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status;
+            }
+            assert!(Instant::now() < end, "the daemon did not end");
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Waits until `holds`.
+pub fn until(what: &str, holds: impl Fn() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "waited in vain until {what}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+fn get(address: SocketAddr, path: &str) -> Message {
+    match Caller::new(address) {
+        Ok(mut caller) => caller.ask(&format!("GET {path}"), &[], b""),
+        Err(_) => Message::default(),
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/common/http.rs
@@ -0,0 +1,143 @@
+//! Just enough HTTP/1.1 to see and send exact bytes.
+
+use std::io;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+/// A message as it was read.
+#[derive(Debug, Clone, Default)]
+pub struct Message {
+    /// Request or status line.
+    pub line: String,
+    /// Header names in lower case.
+    pub headers: Vec<(String, String)>,
+    /// Its body, decoded.
+    pub body: Vec<u8>,
+    /// Whether the body came to its proper end.
+    pub whole: bool,
+}
+
+impl Message {
+    /// The value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(key, _)| key == name);
+        found.map(|(_, value)| value.as_str())
+    }
+
+    /// The status of an answer; 0 if there was none.
+    pub fn status(&self) -> u16 {
+        let mut words = self.line.split(' ');
+        words.nth(1).and_then(|word| word.parse().ok()).unwrap_or(0)
+    }
+
+    /// The path and query of a request.
+    pub fn path(&self) -> &str {
+        self.line.split(' ').nth(1).unwrap_or_default()
+    }
+}
+
+/// Reads one message; `None` at the end of the connection.
+pub fn read(socket: &mut TcpStream) -> io::Result<Option<Message>> {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        if socket.read(&mut byte)? == 0 {
+            return Ok(None);
+        }
+        head.push(byte[0]);
+    }
+    let text = String::from_utf8_lossy(&head).into_owned();
+    let mut lines = text.trim_end().split("\r\n");
+    let mut message = Message {
+        line: lines.next().unwrap_or_default().to_owned(),
+        ..Message::default()
+    };
+    for line in lines {
+        let (name, value) = line.split_once(':').unwrap_or((line, ""));
+        let pair = (name.to_ascii_lowercase(), value.trim().to_owned());
+        message.headers.push(pair);
+    }
+    read_body(socket, &mut message);
+    Ok(Some(message))
+}
+
+fn read_body(socket: &mut TcpStream, message: &mut Message) {
+    let length = message.header("content-length").map(str::to_owned);
+    let chunked = message.header("transfer-encoding") == Some("chunked");
+    message.whole = match length.and_then(|length| length.parse().ok()) {
+        Some(length) => {
+            message.body = vec![0; length];
+            socket.read_exact(&mut message.body).is_ok()
+        }
+        None if chunked => read_chunks(socket, &mut message.body).is_ok(),
+        None => true,
+    };
+}
+
+fn read_chunks(socket: &mut TcpStream, body: &mut Vec<u8>) -> io::Result<()> {
+    loop {
+        let mut line = Vec::new();
+        let mut byte = [0];
+        while !line.ends_with(b"\r\n") {
+            socket.read_exact(&mut byte)?;
+            line.push(byte[0]);
+        }
+        let text = String::from_utf8_lossy(&line);
+        let size = usize::from_str_radix(text.trim(), 16).map_err(io::Error::other)?;
+        let mut chunk = vec![0; size + 2];
+        socket.read_exact(&mut chunk)?;
+        if size == 0 {
+            return Ok(());
+        }
+        body.extend_from_slice(&chunk[..size]);
+    }
+}
+
+/// An answer with a length.
+pub fn answer(status: u16, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut text = format!("HTTP/1.1 {status} X\r\ncontent-length: {}\r\n", body.len());
+    for (name, value) in headers {
+        text.extend([name, ": ", value, "\r\n"]);
+    }
+    text.push_str("\r\n");
+    [text.as_bytes(), body].concat()
+}
+
+/// Serves each connection to a new port of `ip` in a thread of its own; ends with the process.
+pub fn serve(ip: &str, each: impl Fn(&mut TcpStream) + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind((ip, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    let each = Arc::new(each);
+    thread::spawn(move || {
+        for socket in listener.incoming() {
+            let each = Arc::clone(&each);
+            thread::spawn(move || {
+                if let Ok(mut socket) = socket {
+                    each(&mut socket);
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Sends `bytes`; `false` if the other side is gone.
+pub fn send(socket: &mut TcpStream, bytes: &[u8]) -> bool {
+    socket.write_all(bytes).is_ok()
+}
+
+/// Whether the other side closes the connection within `limit`.
+pub fn closes(socket: &mut TcpStream, limit: Duration) -> bool {
+    socket.set_read_timeout(Some(limit)).unwrap();
+    let mut byte = [0];
+    match socket.read(&mut byte) {
+        Ok(count) => count == 0,
+        Err(error) => error.kind() == io::ErrorKind::ConnectionReset,
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/common/replica.rs
@@ -0,0 +1,166 @@
+//! A stand-in for a replica: a script answers each request.
+
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+
+use serde_json::Value;
+use serde_json::json;
+
+use super::http;
+use super::http::Message;
+use super::http::answer;
+
+/// What a replica does with a request.
+#[derive(Debug, Clone)]
+pub enum Act {
+    /// Sends these bytes and keeps the connection.
+    Send(Vec<u8>),
+    /// Sends these bytes and closes the connection.
+    SendAndClose(Vec<u8>),
+    /// Sends these bytes, then nothing; notes when the other side closes.
+    SendAndHang(Vec<u8>),
+    /// Sends parts with a pause before each.
+    Slowly(Vec<Vec<u8>>, Duration),
+}
+
+type Script = dyn Fn(&Message) -> Act + Send + Sync;
+
+/// A replica.
+#[derive(Clone)]
+pub struct Replica {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its id.
+    pub id: String,
+    seen: Arc<Mutex<Vec<Message>>>,
+    left: Arc<Mutex<usize>>,
+}
+
+impl Replica {
+    /// Starts one that answers by `script`; reservations and reports are answered by itself.
+    pub fn start(id: &str, script: impl Fn(&Message) -> Act + Send + Sync + 'static) -> Self {
+        let seen = Arc::new(Mutex::new(Vec::new()));
+        let left = Arc::new(Mutex::new(0));
+        let script: Arc<Script> = Arc::new(script);
+        let (own_seen, own_left) = (Arc::clone(&seen), Arc::clone(&left));
+        let address = http::serve("127.0.0.1", move |socket| {
+            connection(socket, &script, &own_seen, &own_left);
+        });
+        Self {
+            address,
+            id: id.to_owned(),
+            seen,
+            left,
+        }
+    }
+
+    /// Its row in the store; `stage` is empty for a plain application.
+    pub fn row(&self, service: &str, stage: &str) -> Value {
+        let mut row = json!({"service": service, "addr": self.address, "zone": "here", "version": "v1",
+            "slots": 8, "state": "ready", "cold-left-ms": 0, "seq": 1});
+        if !stage.is_empty() {
+            row["stage"] = stage.into();
+        }
+        row
+    }
+
+    /// Requests that it saw, without reservations and reports.
+    pub fn seen(&self) -> Vec<Message> {
+        self.seen.lock().unwrap().clone()
+    }
+
+    /// Connections that the other side closed while it hung.
+    pub fn left(&self) -> usize {
+        *self.left.lock().unwrap()
+    }
+}
+
+fn connection(
+    socket: &mut TcpStream,
+    script: &Arc<Script>,
+    seen: &Mutex<Vec<Message>>,
+    left: &Mutex<usize>,
+) {
+    while let Ok(Some(request)) = http::read(socket) {
+        let act = match request.path() {
+            "/api/hold-take" => Act::Send(answer(200, &[], br#"{"hold":"h1"}"#)),
+            "/api/report" => Act::Send(answer(200, &[], br#"{"busy":false,"seq":0}"#)),
+            path if path.starts_with("/api/hold-drop/") => Act::Send(answer(200, &[], b"")),
+            _ => {
+                seen.lock().unwrap().push(request.clone());
+                script(&request)
+            }
+        };
+        match act {
+            Act::Send(bytes) => {
+                if !http::send(socket, &bytes) {
+                    return;
+                }
+            }
+            Act::SendAndClose(bytes) => {
+                http::send(socket, &bytes);
+                return;
+            }
+            Act::SendAndHang(bytes) => {
+                http::send(socket, &bytes);
+                if http::closes(socket, Duration::from_secs(30)) {
+                    *left.lock().unwrap() += 1;
+                }
+                return;
+            }
+            Act::Slowly(parts, pause) => {
+                for part in parts {
+                    thread::sleep(pause);
+                    if !http::send(socket, &part) {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// A signed answer to `request`.
+pub fn signed(request: &Message, status: u16, body: &[u8]) -> Vec<u8> {
+    let id = request.header("request-id").unwrap_or_default();
+    answer(
+        status,
+        &[
+            ("request-id", id),
+            ("response-seal", "s.1"),
+            ("server-load", "1,0,8"),
+        ],
+        body,
+    )
+}
+
+/// An answer that says that the request was not run.
+pub fn not_run(request: &Message) -> Vec<u8> {
+    let id = request.header("request-id").unwrap_or_default();
+    answer(503, &[("request-id", id), ("not-run", "1")], b"")
+}
+
+/// The head of a signed stream, in chunks.
+pub fn stream_head(request: &Message) -> Vec<u8> {
+    let id = request.header("request-id").unwrap_or_default();
+    format!(
+        "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nresponse-seal: s.1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+    )
+    .into_bytes()
+}
+
+/// One chunk of a stream; empty for its end.
+pub fn chunk(bytes: &[u8]) -> Vec<u8> {
+    let size = format!("{:x}\r\n", bytes.len()).into_bytes();
+    [&size, bytes, b"\r\n"].concat()
+}
+
+/// The events `from..=to` as one chunk.
+pub fn events(from: u64, to: u64) -> Vec<u8> {
+    let texts = (from..=to).map(|id| format!("id: {id}\ndata: t{id}\n\n"));
+    chunk(texts.collect::<String>().as_bytes())
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/common/store.rs
@@ -0,0 +1,160 @@
+//! A stand-in for the platform's store.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::Value;
+use serde_json::json;
+
+use super::http;
+use super::http::Message;
+
+#[derive(Debug, Default)]
+struct Inner {
+    version: u64,
+    rows: BTreeMap<(String, String), (Vec<u8>, u64)>,
+    down: bool,
+}
+
+/// The store; its rows can be changed by the test.
+#[derive(Debug, Clone, Default)]
+pub struct Store {
+    inner: Arc<(Mutex<Inner>, Condvar)>,
+}
+
+impl Store {
+    /// Starts one that listens on `ip`.
+    pub fn start(ip: &str) -> (Self, SocketAddr) {
+        let store = Self::default();
+        let own = store.clone();
+        let address = http::serve(ip, move |socket| own.connection(socket));
+        (store, address)
+    }
+
+    /// Writes a row.
+    pub fn put(&self, table: &str, key: &str, value: &Value) {
+        self.put_bytes(table, key, value.to_string().as_bytes());
+    }
+
+    /// Writes a row whose value need not be JSON.
+    pub fn put_bytes(&self, table: &str, key: &str, value: &[u8]) {
+        let mut inner = self.inner.0.lock().unwrap();
+        inner.version += 1;
+        let row = (value.to_vec(), inner.version);
+        inner.rows.insert((table.to_owned(), key.to_owned()), row);
+        self.inner.1.notify_all();
+    }
+
+    /// Removes a row.
+    pub fn remove(&self, table: &str, key: &str) {
+        let mut inner = self.inner.0.lock().unwrap();
+        inner.version += 1;
+        inner.rows.remove(&(table.to_owned(), key.to_owned()));
+        self.inner.1.notify_all();
+    }
+
+    /// Whether a row exists.
+    pub fn has(&self, table: &str, key: &str) -> bool {
+        let inner = self.inner.0.lock().unwrap();
+        inner.rows.contains_key(&(table.to_owned(), key.to_owned()))
+    }
+
+    /// Answers every call with 503, or no longer.
+    pub fn set_down(&self, down: bool) {
+        self.inner.0.lock().unwrap().down = down;
+    }
+
+    fn connection(&self, socket: &mut TcpStream) {
+        while let Ok(Some(request)) = http::read(socket) {
+            let (status, body) = self.answer(&request);
+            let body = body.to_string();
+            let json = [("content-type", "application/json")];
+            if !http::send(socket, &http::answer(status, &json, body.as_bytes())) {
+                return;
+            }
+        }
+    }
+
+    fn answer(&self, request: &Message) -> (u16, Value) {
+        if self.inner.0.lock().unwrap().down {
+            return (503, json!({}));
+        }
+        let (path, query) = request
+            .path()
+            .split_once('?')
+            .unwrap_or((request.path(), ""));
+        let field = |name: &str| {
+            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            let found = pairs.find(|(key, _)| *key == name);
+            found.map(|(_, value)| value.to_owned()).unwrap_or_default()
+        };
+        match path {
+            "/api/rows-get" => (200, self.rows(&field("table"), 0)),
+            "/api/rows-feed" => {
+                let after = field("after").parse().unwrap_or(0);
+                let wait = field("wait-ms").parse().unwrap_or(0);
+                self.wait(&field("table"), after, Duration::from_millis(wait));
+                (200, self.rows(&field("table"), after))
+            }
+            "/api/rows-tx" => self.transact(&request.body),
+            _ => (404, json!({})),
+        }
+    }
+
+    fn wait(&self, table: &str, after: u64, limit: Duration) {
+        let inner = self.inner.0.lock().unwrap();
+        let unchanged = |inner: &mut Inner| {
+            let mut rows = inner.rows.iter();
+            !rows.any(|((name, _), (_, version))| name == table && *version > after)
+        };
+        drop(self.inner.1.wait_timeout_while(inner, limit, unchanged));
+    }
+
+    fn rows(&self, table: &str, after: u64) -> Value {
+        let inner = self.inner.0.lock().unwrap();
+        let rows = inner.rows.iter();
+        let rows = rows.filter(|((name, _), (_, version))| name == table && *version > after);
+        let rows: Vec<Value> = rows
+            .map(|((table, key), (value, version))| {
+                json!({"table": table, "part": "", "key": key, "value": STANDARD.encode(value), "ver": version})
+            })
+            .collect();
+        json!({"rows": rows, "has-more": false, "ver": inner.version, "now-ms": 1})
+    }
+
+    fn transact(&self, body: &[u8]) -> (u16, Value) {
+        let call: Value = serde_json::from_slice(body).unwrap();
+        let name = |row: &Value| {
+            let text = |field: &str| row[field].as_str().unwrap().to_owned();
+            (text("table"), text("key"))
+        };
+        let mut inner = self.inner.0.lock().unwrap();
+        for row in call["expected"].as_array().unwrap() {
+            let held = inner
+                .rows
+                .get(&name(row))
+                .map_or(0, |(_, version)| *version);
+            if Some(held) != row["ver"].as_u64() {
+                return (412, json!({"rows": []}));
+            }
+        }
+        inner.version += 1;
+        for row in call["upserts"].as_array().unwrap() {
+            let value = STANDARD.decode(row["value"].as_str().unwrap()).unwrap();
+            let version = inner.version;
+            inner.rows.insert(name(row), (value, version));
+        }
+        for row in call["remove"].as_array().unwrap() {
+            inner.rows.remove(&name(row));
+        }
+        self.inner.1.notify_all();
+        (200, json!({"ver": inner.version, "now-ms": 1}))
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/ingress.rs
@@ -0,0 +1,109 @@
+//! Requests that are not proper, and limits.
+
+use rstest::rstest;
+
+use crate::common::http;
+use crate::common::replica::Act;
+use crate::common::replica::Replica;
+use crate::common::replica::signed;
+use crate::site::Site;
+
+fn site(name: &str) -> (Replica, Site) {
+    let replica = Replica::start("i-1", |request| Act::Send(signed(request, 200, b"x")));
+    let site = Site::start(name, &[(&replica, "app", "")]);
+    (replica, site)
+}
+
+#[rstest]
+#[case("no-id", "GET /read/1", &[], 400)]
+#[case("two-ids", "GET /read/1", &[("Request-Id", "a"), ("Request-Id", "b")], 400)]
+#[case("odd-deadline", "GET /read/1", &[("Request-Id", "a"), ("Deadline-Ms", "soon")], 400)]
+#[case("odd-counts", "GET /read/1", &[("Request-Id", "a"), ("Token-Counts", "12")], 400)]
+#[case("odd-parts", "GET /read/1", &[("Request-Id", "a"), ("Prompt-Prefix", "x:1")], 400)]
+#[case("no-route", "GET /none/1", &[("Request-Id", "a")], 404)]
+#[case("no-prefix", "GET /read", &[("Request-Id", "a")], 404)]
+#[case("long-body", "POST /read/1", &[("Request-Id", "a"), ("Content-Length", "100001")], 413)]
+#[case("two-lengths", "POST /read/1", &[("Request-Id", "a"), ("Content-Length", "1"), ("Content-Length", "2")], 400)]
+fn improper_requests_reach_no_replica(
+    #[case] name: &str,
+    #[case] line: &str,
+    #[case] headers: &[(&str, &str)],
+    #[case] status: u16,
+) {
+    let (replica, site) = site(name);
+    let told = site.daemon.caller().ask(line, headers, b"");
+    assert_eq!(told.status(), status);
+    assert!(replica.seen().is_empty());
+}
+
+#[test]
+fn a_head_that_is_too_long_is_rejected() {
+    let (replica, site) = site("long-head");
+    let long = "x".repeat(20_000);
+    let told = site.daemon.caller().ask(
+        "GET /read/1",
+        &[("Request-Id", "a"), ("X-Long", &long)],
+        b"",
+    );
+    assert_eq!(told.status(), 431);
+    assert!(replica.seen().is_empty());
+}
+
+/// A body that looks like a request is a body.
+#[test]
+fn a_request_inside_a_body_is_not_run() {
+    let (replica, site) = site("smuggled");
+    let inner = b"GET /read/2 HTTP/1.1\r\nhost: shop.example\r\nrequest-id: b\r\n\r\n";
+    let mut caller = site.daemon.caller();
+    let told = caller.ask("POST /none/1", &[("Request-Id", "a")], inner);
+    assert_eq!(told.status(), 404);
+    let told = caller.ask("POST /read/1", &[("Request-Id", "c")], inner);
+    assert_eq!(told.status(), 200);
+    let seen = replica.seen();
+    assert_eq!(seen.len(), 1);
+    assert_eq!(seen[0].body, inner);
+}
+
+#[test]
+fn chunks_go_before_a_length_that_contradicts_them() {
+    let (replica, site) = site("both");
+    let mut caller = site.daemon.caller();
+    let head = "POST /read/1 HTTP/1.1\r\nhost: shop.example\r\nrequest-id: a\r\ncontent-length: 3\r\ntransfer-encoding: chunked\r\n\r\n";
+    http::send(&mut caller.socket, head.as_bytes());
+    http::send(&mut caller.socket, b"5\r\nhello\r\n0\r\n\r\n");
+    let told = caller.read();
+    // Either is safe: the request is rejected, or it is relayed with the chunks as its only body.
+    let bodies: Vec<Vec<u8>> = replica.seen().into_iter().map(|seen| seen.body).collect();
+    assert!(told.status() == 400 && bodies.is_empty() || bodies == [b"hello"]);
+}
+
+#[test]
+fn a_slow_head_is_given_up() {
+    let (_replica, site) = site("slow-head");
+    let mut caller = site.daemon.caller();
+    http::send(&mut caller.socket, b"GET /read/1 HTTP/1.1\r\nhost: sh");
+    assert!(http::closes(
+        &mut caller.socket,
+        std::time::Duration::from_secs(10)
+    ));
+}
+
+#[test]
+fn a_connection_may_be_idle_for_longer_than_a_head_may_take() {
+    let (_replica, site) = site("idle");
+    let mut caller = site.daemon.caller();
+    assert!(!http::closes(
+        &mut caller.socket,
+        std::time::Duration::from_millis(2_500)
+    ));
+    caller
+        .socket
+        .set_read_timeout(Some(std::time::Duration::from_secs(30)))
+        .unwrap();
+    assert_eq!(
+        caller
+            .ask("GET /read/1", &[("Request-Id", "a")], b"")
+            .status(),
+        200
+    );
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/lifecycle.rs
@@ -0,0 +1,137 @@
+//! Start, stop, reload, settings, metrics.
+
+use std::fs;
+use std::process::Command;
+use std::time::Duration;
+
+use rstest::rstest;
+use rustix::process::Signal;
+
+use crate::common::daemon::until;
+use crate::common::replica::Act;
+use crate::common::replica::Replica;
+use crate::common::replica::chunk;
+use crate::common::replica::events;
+use crate::common::replica::signed;
+use crate::common::replica::stream_head;
+use crate::site::Site;
+use crate::site::generate;
+
+#[test]
+fn a_stop_finishes_what_is_in_progress() {
+    let replica = Replica::start("i-1", |request| {
+        let answer = signed(request, 200, b"late");
+        Act::Slowly(vec![answer], Duration::from_millis(1_500))
+    });
+    let mut site = Site::start("stopped", &[(&replica, "app", "")]);
+    let mut caller = site.daemon.caller();
+    caller.begin("POST /book/1", &crate::site::headers("a1"), b"");
+    until("the call arrives", || replica.seen().len() == 1);
+    site.daemon.signal(Signal::TERM);
+    until("it is not ready", || site.daemon.readiness() == 503);
+    let told = caller.read();
+    assert_eq!(
+        (told.status(), told.body.as_slice()),
+        (200, b"late".as_slice())
+    );
+    assert_eq!(told.header("connection"), Some("close"));
+    assert!(site.daemon.wait().success());
+}
+
+/// A stream that begins late after SIGTERM could be cut by the end of the grace.
+#[test]
+fn a_stopping_daemon_takes_no_stream_that_it_may_have_to_cut() {
+    let decode = Replica::start("i-d", |request| {
+        let rest = [events(2, 2), chunk(b"")].concat();
+        let parts = vec![[stream_head(request), events(1, 1)].concat(), rest];
+        Act::Slowly(parts, Duration::from_millis(1_900))
+    });
+    let mut site = Site::start("late-stream", &[(&decode, "llm", "decode")]);
+    let mut early = generate(&site.daemon, "/draft/1", "a1");
+    until("the request arrives", || decode.seen().len() == 1);
+    let mut slow = site.config_with_long_streams();
+    site.daemon.signal(Signal::TERM);
+    std::thread::sleep(Duration::from_millis(2_900));
+    let late = slow.ask("POST /draft/1", &crate::site::headers("a2"), b"prompt");
+    assert_eq!(late.status(), 503);
+    assert!(late.header("retry-after").is_some());
+    assert!(early.read().whole);
+    assert!(site.daemon.wait().success());
+}
+
+#[test]
+fn a_hangup_reads_the_settings_again_and_loses_nothing() {
+    let replica = Replica::start("i-1", |request| Act::Send(signed(request, 200, b"x")));
+    let site = Site::start("reloaded", &[(&replica, "app", "")]);
+    site.daemon.signal(Signal::HUP);
+    until("it is told", || {
+        !site.daemon.logged("nothing changed").is_empty()
+    });
+    fs::write(site.daemon.settings(), "instance: [").unwrap();
+    site.daemon.signal(Signal::HUP);
+    until("it is told", || {
+        !site.daemon.logged("those in force stay").is_empty()
+    });
+    assert_eq!(site.ask("GET /read/1", "a1").status(), 200);
+}
+
+#[test]
+fn metrics_and_log_lines_tell_of_a_request() {
+    let replica = Replica::start("i-1", |request| Act::Send(signed(request, 200, b"x")));
+    let site = Site::start("measured", &[(&replica, "app", "")]);
+    site.ask("GET /read/1", "a-77");
+    let metrics = site.daemon.metrics();
+    assert!(metrics.contains("waxwing_gateway_requests_total{outcome=\"answered\"} 1"));
+    assert!(metrics.contains("waxwing_gateway_plan_version 1"));
+    until("it is logged", || site.daemon.logged("a-77").len() >= 2);
+}
+
+const GOOD: &str = r#"
+instance: edge-1
+data_centre: here
+listen: {callers: "127.0.0.1:1", addresses: "127.0.0.1:2", readiness: "127.0.0.1:3", metrics: "127.0.0.1:4", peers: "127.0.0.1:5"}
+store: "127.0.0.1:6"
+retry: {ratio: 0.2, slack: 50, window_s: 10}
+grace_s: 8
+"#;
+
+#[rstest]
+#[case("good", GOOD, 0, "")]
+#[case("no-store", &GOOD.replace("store:", "stores:"), 3, "stores")]
+#[case("odd-address", &GOOD.replace("127.0.0.1:6", "here"), 3, "store")]
+#[case("odd-ratio", &GOOD.replace("ratio: 0.2", "ratio: -1"), 3, "retry.ratio")]
+#[case("no-window", &GOOD.replace("window_s: 10", "window_s: 0"), 3, "retry.window_s")]
+#[case("no-grace", &GOOD.replace("grace_s: 8", ""), 3, "grace_s")]
+#[case("no-yaml", "{", 3, "settings file")]
+fn settings_are_checked(
+    #[case] name: &str,
+    #[case] text: &str,
+    #[case] code: i32,
+    #[case] told: &str,
+) {
+    let path = format!("{}/check-{name}.yaml", env!("CARGO_TARGET_TMPDIR"));
+    fs::write(&path, text).unwrap();
+    let output = Command::new(env!("CARGO_BIN_EXE_waxwing-gateway"))
+        .args(["--config", &path, "--check"])
+        .output()
+        .unwrap();
+    let error = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(code), "{error}");
+    assert!(error.contains(told), "{error}");
+    assert!(code == 0 || error.contains("try:"), "{error}");
+}
+
+#[rstest]
+#[case(&[], 2)]
+#[case(&["--odd"], 2)]
+#[case(&["--config", "/nowhere.yaml"], 3)]
+#[case(&["--help"], 0)]
+#[case(&["--version"], 0)]
+fn the_command_line_is_checked(#[case] args: &[&str], #[case] code: i32) {
+    let output = Command::new(env!("CARGO_BIN_EXE_waxwing-gateway"))
+        .env_remove("WAXWING_SETTINGS")
+        .args(args)
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(code));
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/main.rs
@@ -0,0 +1,9 @@
+//! The real daemon against stand-ins for the platform and its replicas.
+
+mod common;
+mod ingress;
+mod lifecycle;
+mod plain;
+mod site;
+mod stream;
+mod world;
--- /dev/null
+++ b/crates/gateway/tests/gateway/plain.rs
@@ -0,0 +1,232 @@
+//! Plain calls.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use crate::common::daemon::until;
+use crate::common::http::answer;
+use crate::common::replica::Act;
+use crate::common::replica::Replica;
+use crate::common::replica::not_run;
+use crate::common::replica::signed;
+use crate::site::Site;
+use crate::site::headers;
+
+fn echo(id: &str) -> Replica {
+    Replica::start(id, |request| Act::Send(signed(request, 200, b"done")))
+}
+
+#[test]
+fn a_call_is_relayed_unchanged() {
+    let replica = echo("i-1");
+    let site = Site::start("relayed", &[(&replica, "app", "")]);
+    let mut caller = site.daemon.caller();
+    let sent = [
+        ("Request-Id", "a1"),
+        ("Deadline-Ms", "3000"),
+        ("X-Own", "kept"),
+        ("Connection", "keep-alive, X-Hop"),
+        ("X-Hop", "dropped"),
+        // Those are the system's to set.
+        ("Stage", "prefill"),
+        ("Kv-Source", "127.0.0.1:1/h"),
+        ("Kv-Hold", "h"),
+        ("Pin-Ms", "100"),
+        ("Kv-Backup", "127.0.0.1:1"),
+        ("Expect-Instance", "i-other"),
+    ];
+    let told = caller.ask("POST /read/a%2fb//c?x=1&y=%20", &sent, b"{\"a\": 1}");
+    assert_eq!(told.status(), 200);
+    assert_eq!(told.body, b"done");
+    assert_eq!(told.header("response-seal"), Some("s.1"));
+    let seen = replica.seen().remove(0);
+    assert_eq!(seen.line, "POST /read/a%2fb//c?x=1&y=%20 HTTP/1.1");
+    assert_eq!(seen.body, b"{\"a\": 1}");
+    assert_eq!(seen.header("request-id"), Some("a1"));
+    assert_eq!(seen.header("x-own"), Some("kept"));
+    assert_eq!(seen.header("expect-instance"), Some("i-1"));
+    for dropped in [
+        "x-hop",
+        "stage",
+        "kv-source",
+        "kv-hold",
+        "pin-ms",
+        "kv-backup",
+    ] {
+        assert_eq!(seen.header(dropped), None, "{dropped}");
+    }
+    let left: u64 = seen.header("deadline-ms").unwrap().parse().unwrap();
+    assert!(left <= 3_000);
+}
+
+#[test]
+fn a_chunked_body_arrives_whole() {
+    let replica = echo("i-1");
+    let site = Site::start("chunked", &[(&replica, "app", "")]);
+    let mut caller = site.daemon.caller();
+    let sent = [("Request-Id", "a1"), ("Transfer-Encoding", "chunked")];
+    caller.begin("POST /read/1", &sent, b"");
+    crate::common::http::send(&mut caller.socket, b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    assert_eq!(caller.read().status(), 200);
+    assert_eq!(replica.seen()[0].body, b"abcde");
+}
+
+#[test]
+fn a_call_that_may_run_once_is_not_sent_again_when_its_answer_is_lost() {
+    let replica = Replica::start("i-1", |_| Act::SendAndClose(Vec::new()));
+    let other = Replica::start("i-2", |_| Act::SendAndClose(Vec::new()));
+    let site = Site::start("once", &[(&replica, "app", ""), (&other, "app", "")]);
+    let told = site.ask("POST /book/1", "a1");
+    assert_eq!(told.status(), 502);
+    assert_eq!(replica.seen().len() + other.seen().len(), 1);
+}
+
+#[test]
+fn a_failure_of_an_idempotent_call_is_tried_elsewhere() {
+    let failed = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&failed);
+    let script = move |request: &crate::common::http::Message| {
+        let first = counted.fetch_add(1, Ordering::SeqCst) == 0;
+        Act::Send(signed(request, if first { 500 } else { 200 }, b"x"))
+    };
+    let one = Replica::start("i-1", script.clone());
+    let two = Replica::start("i-2", script);
+    let site = Site::start("elsewhere", &[(&one, "app", ""), (&two, "app", "")]);
+    assert_eq!(site.ask("GET /read/1", "a1").status(), 200);
+    assert_eq!((one.seen().len(), two.seen().len()), (1, 1));
+}
+
+#[test]
+fn a_failure_of_a_call_that_may_run_once_is_passed_on() {
+    let replica = Replica::start("i-1", |request| Act::Send(signed(request, 500, b"no")));
+    let site = Site::start("passed", &[(&replica, "app", "")]);
+    let told = site.ask("POST /book/1", "a1");
+    assert_eq!(
+        (told.status(), told.body.as_slice()),
+        (500, b"no".as_slice())
+    );
+    assert_eq!(told.header("response-seal"), Some("s.1"));
+}
+
+#[test]
+fn a_call_that_no_replica_ran_is_refused_with_a_time_to_come_back() {
+    let replica = Replica::start("i-1", |request| Act::Send(not_run(request)));
+    let site = Site::start("refused", &[(&replica, "app", "")]);
+    let told = site.ask("POST /book/1", "a1");
+    assert_eq!(told.status(), 503);
+    let seconds: f64 = told.header("retry-after").unwrap().parse().unwrap();
+    assert!(seconds < 4.0 / 3.0);
+    assert_eq!(told.header("response-seal"), None);
+}
+
+#[test]
+fn an_answer_without_signature_or_to_another_request_is_not_passed_on() {
+    let unsigned = Replica::start("i-1", |_| Act::Send(answer(200, &[], b"x")));
+    let site = Site::start("unsigned", &[(&unsigned, "app", "")]);
+    assert_eq!(site.ask("POST /book/1", "a1").status(), 502);
+    let other = Replica::start("i-2", |_| {
+        let headers = [("request-id", "zz"), ("response-seal", "s.1")];
+        Act::Send(answer(200, &headers, b"x"))
+    });
+    let site = Site::start("other-id", &[(&other, "app", "")]);
+    assert_eq!(site.ask("POST /book/1", "a1").status(), 502);
+}
+
+#[test]
+fn an_answer_that_breaks_off_is_not_passed_on() {
+    let replica = Replica::start("i-1", |request| {
+        let mut bytes = signed(request, 200, b"0123456789");
+        bytes.truncate(bytes.len() - 3);
+        Act::SendAndClose(bytes)
+    });
+    let site = Site::start("cut", &[(&replica, "app", "")]);
+    assert_eq!(site.ask("POST /book/1", "a1").status(), 502);
+}
+
+#[test]
+fn an_answer_without_length_ends_with_its_connection() {
+    let replica = Replica::start("i-1", |request| {
+        let id = request.header("request-id").unwrap_or_default();
+        let head = format!("HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nresponse-seal: s\r\n\r\nwhole");
+        Act::SendAndClose(head.into_bytes())
+    });
+    let site = Site::start("unframed", &[(&replica, "app", "")]);
+    let told = site.ask("POST /book/1", "a1");
+    assert_eq!(
+        (told.status(), told.body.as_slice()),
+        (200, b"whole".as_slice())
+    );
+}
+
+#[test]
+fn a_second_answer_reaches_nobody() {
+    let replica = Replica::start("i-1", |request| {
+        let extra = [("request-id", "old"), ("response-seal", "s")];
+        let extra = answer(200, &extra, b"extra");
+        Act::Send([signed(request, 200, b"mine"), extra].concat())
+    });
+    let site = Site::start("extra", &[(&replica, "app", "")]);
+    for number in 0..5 {
+        let told = site.ask("GET /read/1", &format!("a{number}"));
+        assert_eq!(
+            (told.status(), told.body.as_slice()),
+            (200, b"mine".as_slice())
+        );
+    }
+}
+
+#[test]
+fn a_replica_whose_address_another_has_is_left() {
+    let gone = Replica::start("i-1", |_| {
+        Act::Send(answer(421, &[("instance-id", "i-9")], b""))
+    });
+    let live = echo("i-2");
+    let site = Site::start("replaced", &[(&gone, "app", ""), (&live, "app", "")]);
+    for number in 0..6 {
+        assert_eq!(
+            site.ask("POST /book/1", &format!("a{number}")).status(),
+            200
+        );
+    }
+    assert!(gone.seen().len() <= 1);
+}
+
+#[test]
+fn a_call_is_answered_when_its_time_is_up() {
+    let replica = Replica::start("i-1", |_| Act::SendAndHang(Vec::new()));
+    let site = Site::start("overdue", &[(&replica, "app", "")]);
+    let mut caller = site.daemon.caller();
+    let sent = [("Request-Id", "a1"), ("Deadline-Ms", "300")];
+    assert_eq!(caller.ask("POST /book/1", &sent, b"").status(), 504);
+}
+
+#[test]
+fn a_caller_that_leaves_frees_the_replica() {
+    let replica = Replica::start("i-1", |_| Act::SendAndHang(Vec::new()));
+    let site = Site::start("left", &[(&replica, "app", "")]);
+    let mut caller = site.daemon.caller();
+    caller.begin("POST /book/1", &headers("a1"), b"");
+    until("the call arrives", || replica.seen().len() == 1);
+    drop(caller);
+    until("the replica is left", || replica.left() == 1);
+    until("it is logged", || {
+        !site.daemon.logged("caller-left").is_empty()
+    });
+}
+
+#[test]
+fn requests_follow_each_other_on_one_connection() {
+    let replica = echo("i-1");
+    let site = Site::start("kept", &[(&replica, "app", "")]);
+    let mut caller = site.daemon.caller();
+    for number in 0..3 {
+        let id = format!("a{number}");
+        assert_eq!(caller.ask("GET /read/1", &headers(&id), b"").status(), 200);
+    }
+    assert!(!crate::common::http::closes(
+        &mut caller.socket,
+        Duration::from_millis(100)
+    ));
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/site.rs
@@ -0,0 +1,123 @@
+//! One daemon in front of given replicas.
+
+use std::net::SocketAddr;
+
+use serde_json::Value;
+use serde_json::json;
+
+use crate::common::caller::Caller;
+use crate::common::daemon::Daemon;
+use crate::common::daemon::new_ip;
+use crate::common::daemon::until;
+use crate::common::http::Message;
+use crate::common::replica::Replica;
+use crate::common::store::Store;
+
+/// A store, one daemon, and the replicas that the test made.
+pub struct Site {
+    /// The store.
+    pub store: Store,
+    /// Where it is.
+    pub store_address: SocketAddr,
+    /// The daemon.
+    pub daemon: Daemon,
+    /// Its address.
+    pub ip: String,
+}
+
+/// A configuration with a route of each kind.
+pub fn config(version: u64) -> Value {
+    let route = |name: &str, kind: &str, service: &str, attempts: u32| {
+        json!({"name": name, "host": "shop.example", "prefix": format!("/{name}/"), "kind": kind,
+            "timeout-ms": 4000, "slo-ms": 1000, "priority": 1, "service": service,
+            "max-attempts": attempts, "sticky": false, "resumable": name == "resume"})
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("read", "idempotent", "app", 2),
+            route("book", "non_idempotent", "app", 1),
+            route("draft", "streaming", "llm", 1),
+            route("resume", "streaming", "llm", 2),
+        ],
+        "services": [
+            {"name": "app", "health-path": "/healthz", "max-conns": 50},
+            {"name": "llm", "health-path": "/healthz", "max-conns": 50, "engine": {
+                "slots": 8, "kv-tokens": 60000, "hold-ms": 2000.0, "stage-switch-s": 6.0}},
+        ],
+        "limits": {"max-header-bytes": 16384, "max-body-bytes": 100_000,
+            "header-timeout-ms": 1000, "idle-timeout-ms": 15000},
+    })
+}
+
+impl Site {
+    /// A daemon in front of `replicas`, each with its service and stage.
+    pub fn start(name: &str, replicas: &[(&Replica, &str, &str)]) -> Self {
+        let (store, store_address) = Store::start("127.0.0.1");
+        store.put("op", "config", &config(1));
+        for (replica, service, stage) in replicas {
+            store.put("servers", &replica.id, &replica.row(service, stage));
+        }
+        let ip = new_ip();
+        let daemon = Daemon::start(name, &ip, store_address, &[]);
+        if !replicas.is_empty() {
+            daemon.until_ready();
+        }
+        Self {
+            store,
+            store_address,
+            daemon,
+            ip,
+        }
+    }
+
+    /// Another daemon of the same store; it starts from the first one if `seeded`.
+    pub fn another(&self, name: &str, seeded: bool) -> Daemon {
+        let seeds = [self.ip.as_str()];
+        let seeds = if seeded { &seeds[..] } else { &[] };
+        Daemon::start(name, &new_ip(), self.store_address, seeds)
+    }
+
+    /// Sends one request of a new caller and reads the answer.
+    pub fn ask(&self, line: &str, id: &str) -> Message {
+        self.daemon.caller().ask(line, &headers(id), b"")
+    }
+
+    /// Waits until requests for `path` are no longer answered with `status`.
+    pub fn until_not(&self, path: &str, status: u16) {
+        until("the answer changes", || {
+            self.ask(&format!("GET {path}"), "probe").status() != status
+        });
+    }
+}
+
+/// Headers of a plain request.
+pub fn headers(id: &str) -> [(&str, &str); 2] {
+    [("Request-Id", id), ("Deadline-Ms", "4000")]
+}
+
+/// Sends a generation and gives the caller, whose answer is not read yet.
+pub fn generate(daemon: &Daemon, path: &str, id: &str) -> Caller {
+    let mut caller = daemon.caller();
+    let headers = [
+        ("Request-Id", id),
+        ("Deadline-Ms", "4000"),
+        ("Token-Counts", "1460,80"),
+        ("Prompt-Prefix", "5c1e07a2:800,91bd3f06:660"),
+    ];
+    caller.begin(&format!("POST {path}"), &headers, b"prompt");
+    caller
+}
+
+impl Site {
+    /// Lets generations last longer than the grace, and gives a caller that is connected.
+    pub fn config_with_long_streams(&self) -> Caller {
+        let mut longer = config(2);
+        longer["routes"][2]["timeout-ms"] = 14_000.into();
+        self.store.put("op", "config", &longer);
+        until("the plan is in force", || {
+            !self.daemon.logged("\"version\":2").is_empty()
+        });
+        self.daemon.caller()
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/stream.rs
@@ -0,0 +1,175 @@
+//! Generations.
+
+use std::time::Duration;
+
+use crate::common::daemon::until;
+use crate::common::http::Message;
+use crate::common::http::answer;
+use crate::common::replica::Act;
+use crate::common::replica::Replica;
+use crate::common::replica::chunk;
+use crate::common::replica::events;
+use crate::common::replica::not_run;
+use crate::common::replica::signed;
+use crate::common::replica::stream_head;
+use crate::site::Site;
+use crate::site::generate;
+
+fn prefill() -> Replica {
+    Replica::start("i-p", |_| {
+        let told = br#"{"kv-handle":"k1","tokens":1460,"version":1}"#;
+        Act::Send(answer(200, &[("content-type", "application/json")], told))
+    })
+}
+
+fn stream(request: &Message, from: u64, to: u64) -> Vec<u8> {
+    [stream_head(request), events(from, to), chunk(b"")].concat()
+}
+
+fn texts(from: u64, to: u64) -> String {
+    let texts: Vec<String> = (from..=to)
+        .map(|id| format!("id: {id}\ndata: t{id}\n\n"))
+        .collect();
+    texts.concat()
+}
+
+#[test]
+fn the_prompt_is_read_at_one_replica_and_the_tokens_are_made_at_another() {
+    let prefill = prefill();
+    let decode = Replica::start("i-d", |request| Act::Send(stream(request, 1, 5)));
+    let site = Site::start(
+        "staged",
+        &[(&prefill, "llm", "prefill"), (&decode, "llm", "decode")],
+    );
+    let told = generate(&site.daemon, "/draft/1", "a1").read();
+    assert!(told.whole);
+    assert_eq!(String::from_utf8_lossy(&told.body), texts(1, 5));
+    assert_eq!(told.header("response-seal"), Some("s.1"));
+    let read = prefill.seen().remove(0);
+    assert_eq!(read.header("stage"), Some("prefill"));
+    assert_eq!(read.header("request-id"), Some("a1"));
+    let made = decode.seen().remove(0);
+    let source = format!("{}/k1", prefill.address);
+    assert_eq!(made.header("kv-source"), Some(source.as_str()));
+    assert_eq!(made.header("kv-hold"), Some("h1"));
+    assert_eq!(made.header("stage"), None);
+    assert_eq!(made.body, b"prompt");
+}
+
+#[test]
+fn the_decode_replica_reads_the_prompt_where_no_other_does() {
+    let decode = Replica::start("i-d", |request| Act::Send(stream(request, 1, 2)));
+    let site = Site::start("alone", &[(&decode, "llm", "decode")]);
+    let told = generate(&site.daemon, "/draft/1", "a1").read();
+    assert!(told.whole);
+    assert_eq!(decode.seen()[0].header("kv-source"), None);
+}
+
+#[test]
+fn a_lost_prompt_is_read_by_the_next_decode_replica() {
+    let prefill = prefill();
+    let script = |request: &Message| match request.header("kv-source") {
+        Some(_) => Act::Send(not_run(request)),
+        None => Act::Send(stream(request, 1, 2)),
+    };
+    let one = Replica::start("i-1", script);
+    let two = Replica::start("i-2", script);
+    let replicas = [
+        (&prefill, "llm", "prefill"),
+        (&one, "llm", "decode"),
+        (&two, "llm", "decode"),
+    ];
+    let site = Site::start("lapsed", &replicas);
+    let told = generate(&site.daemon, "/draft/1", "a1").read();
+    assert_eq!((told.status(), told.whole), (200, true));
+    assert_eq!(one.seen().len() + two.seen().len(), 2);
+}
+
+#[test]
+fn a_stream_that_breaks_off_looks_broken_off() {
+    let decode = Replica::start("i-d", |request| {
+        let cut = b"id: 3\nda";
+        let bytes = [stream_head(request), events(1, 2), chunk(cut)].concat();
+        Act::SendAndClose(bytes)
+    });
+    let other = Replica::start("i-o", |request| Act::Send(stream(request, 1, 5)));
+    let site = Site::start("broken", &[(&decode, "llm", "decode")]);
+    let told = generate(&site.daemon, "/draft/1", "a1").read();
+    assert!(!told.whole);
+    // A stream that cannot be resumed runs nowhere else.
+    assert_eq!((decode.seen().len(), other.seen().len()), (1, 0));
+}
+
+#[test]
+fn a_resumable_stream_goes_on_at_another_replica() {
+    let script = |request: &Message| match request.header("last-event-id") {
+        Some("2") => Act::Send(stream(request, 3, 5)),
+        _ => Act::SendAndClose([stream_head(request), events(1, 2), chunk(b"id: 3\nda")].concat()),
+    };
+    let one = Replica::start("i-1", script);
+    let two = Replica::start("i-2", script);
+    let site = Site::start(
+        "resumed",
+        &[(&one, "llm", "decode"), (&two, "llm", "decode")],
+    );
+    let told = generate(&site.daemon, "/resume/1", "a1").read();
+    assert!(told.whole);
+    assert_eq!(String::from_utf8_lossy(&told.body), texts(1, 5));
+    assert_eq!(one.seen().len() + two.seen().len(), 2);
+}
+
+/// Silence alone ends no answer: without a place elsewhere the stream goes on when the replica does.
+#[test]
+fn a_silent_replica_is_kept_where_there_is_no_other() {
+    let decode = Replica::start("i-d", |request| {
+        let first = [stream_head(request), events(1, 2)].concat();
+        let rest = [events(3, 4), chunk(b"")].concat();
+        Act::Slowly(vec![first, rest], Duration::from_secs(2))
+    });
+    let site = Site::start("silent", &[(&decode, "llm", "decode")]);
+    let mut caller = site.daemon.caller();
+    let headers = [
+        ("Request-Id", "a1"),
+        ("Deadline-Ms", "9000"),
+        ("Token-Counts", "100,10"),
+    ];
+    caller.begin("POST /resume/1", &headers, b"prompt");
+    let told = caller.read();
+    // The route's time is 4 s; the first half of the answer came after 2 s, the rest after 4 s.
+    assert_eq!(told.status(), 200);
+    assert!(String::from_utf8_lossy(&told.body).starts_with(&texts(1, 2)));
+    assert_eq!(decode.seen().len(), 1);
+}
+
+#[test]
+fn a_generation_that_finds_no_room_is_refused() {
+    let full = Replica::start("i-d", |request| Act::Send(not_run(request)));
+    let site = Site::start("full", &[(&full, "llm", "decode")]);
+    let told = generate(&site.daemon, "/draft/1", "a1").read();
+    assert_eq!(told.status(), 503);
+    let seconds: f64 = told.header("retry-after").unwrap().parse().unwrap();
+    assert!(seconds > 1.0);
+}
+
+#[test]
+fn the_failure_of_an_engine_is_passed_on() {
+    let decode = Replica::start("i-d", |request| Act::Send(signed(request, 500, b"no")));
+    let site = Site::start("engine-failure", &[(&decode, "llm", "decode")]);
+    let told = generate(&site.daemon, "/draft/1", "a1").read();
+    assert_eq!(
+        (told.status(), told.body.as_slice()),
+        (500, b"no".as_slice())
+    );
+}
+
+#[test]
+fn a_caller_that_leaves_ends_the_generation() {
+    let decode = Replica::start("i-d", |request| {
+        Act::SendAndHang([stream_head(request), events(1, 2)].concat())
+    });
+    let site = Site::start("stream-left", &[(&decode, "llm", "decode")]);
+    let caller = generate(&site.daemon, "/draft/1", "a1");
+    until("the request arrives", || decode.seen().len() == 1);
+    drop(caller);
+    until("the replica is left", || decode.left() == 1);
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/world.rs
@@ -0,0 +1,135 @@
+//! What the daemon believes of plans, replicas and other daemons.
+
+use serde_json::json;
+
+use crate::common::daemon::Daemon;
+use crate::common::daemon::until;
+use crate::common::replica::Act;
+use crate::common::replica::Replica;
+use crate::common::replica::signed;
+use crate::site::Site;
+use crate::site::config;
+
+fn echo(id: &str) -> Replica {
+    Replica::start(id, |request| Act::Send(signed(request, 200, b"x")))
+}
+
+#[test]
+fn without_a_plan_requests_are_put_off() {
+    let replica = echo("i-1");
+    let site = Site::start("no-plan", &[]);
+    site.store.remove("op", "config");
+    let other = site.another("planless", false);
+    site.store.put("servers", "i-1", &replica.row("app", ""));
+    until("it answers", || other.readiness() != 0);
+    assert_eq!(other.readiness(), 503);
+    let told = other
+        .caller()
+        .ask("GET /read/1", &crate::site::headers("a"), b"");
+    assert_eq!(told.status(), 503);
+    assert!(told.header("retry-after").is_some());
+}
+
+#[test]
+fn a_newer_plan_comes_into_force_and_an_older_one_does_not() {
+    let replica = echo("i-1");
+    let site = Site::start("plans", &[(&replica, "app", "")]);
+    assert_eq!(site.ask("GET /read/1", "a1").status(), 200);
+    let mut newer = config(5);
+    newer["routes"][0]["prefix"] = "/renamed/".into();
+    site.store.put("op", "config", &newer);
+    site.until_not("/read/1", 200);
+    assert_eq!(site.ask("GET /renamed/1", "a2").status(), 200);
+    site.store.put("op", "config", &config(4));
+    site.store.put_bytes("op", "config", b"{not a plan");
+    until("it is told", || {
+        !site.daemon.logged("cannot be read").is_empty()
+    });
+    assert_eq!(site.ask("GET /renamed/1", "a3").status(), 200);
+    assert_eq!(site.ask("GET /read/1", "a4").status(), 404);
+}
+
+#[test]
+fn a_draining_replica_gets_nothing_new() {
+    let one = echo("i-1");
+    let two = echo("i-2");
+    let site = Site::start("draining", &[(&one, "app", ""), (&two, "app", "")]);
+    let mut row = one.row("app", "");
+    row["state"] = "draining".into();
+    site.store.put("servers", "i-1", &row);
+    until("it is known", || !site.daemon.logged("Draining").is_empty());
+    for number in 0..8 {
+        assert_eq!(site.ask("GET /read/1", &format!("a{number}")).status(), 200);
+    }
+    assert!(one.seen().is_empty());
+}
+
+#[test]
+fn an_outage_of_the_store_stops_nothing() {
+    let replica = echo("i-1");
+    let site = Site::start("outage", &[(&replica, "app", "")]);
+    site.store.set_down(true);
+    until("it is noticed", || {
+        !site.daemon.logged("the store does not answer").is_empty()
+    });
+    assert_eq!(site.daemon.readiness(), 200);
+    assert_eq!(site.ask("GET /read/1", "a1").status(), 200);
+    site.store.set_down(false);
+    until("it is noticed", || {
+        !site.daemon.logged("answers again").is_empty()
+    });
+}
+
+#[test]
+fn a_daemon_that_starts_while_the_store_is_down_learns_from_its_peers() {
+    let replica = echo("i-1");
+    let site = Site::start("seed", &[(&replica, "app", "")]);
+    site.store.set_down(true);
+    let late = site.another("late", true);
+    late.until_ready();
+    let told = late
+        .caller()
+        .ask("GET /read/1", &crate::site::headers("a1"), b"");
+    assert_eq!(told.status(), 200);
+}
+
+#[test]
+fn a_daemon_that_the_store_refuses_learns_of_changes_from_its_peers() {
+    let replica = echo("i-1");
+    let site = Site::start("told", &[(&replica, "app", "")]);
+    let other = site.another("hears", true);
+    other.until_ready();
+    // One of the two reads the store for both; the other one hears of it.
+    site.store.put("op", "config", &config(7));
+    for daemon in [&site.daemon, &other] {
+        until("the plan is in force", || {
+            !daemon.logged("\"version\":7").is_empty()
+        });
+    }
+}
+
+#[test]
+fn addresses_name_the_daemons_that_take_callers() {
+    let replica = echo("i-1");
+    let site = Site::start("names", &[(&replica, "app", "")]);
+    let other = site.another("named", false);
+    let told = |text: &str, daemon: &Daemon| text.contains(&daemon.callers.to_string());
+    let both = |text: &str| told(text, &site.daemon) && told(text, &other);
+    until("both are told", || {
+        both(&site.daemon.addresses()) && both(&other.addresses())
+    });
+    other.signal(rustix::process::Signal::TERM);
+    until("one is told", || !told(&site.daemon.addresses(), &other));
+    until("its row is gone", || !site.store.has("instances", "named"));
+    assert_eq!(other.readiness(), 503);
+}
+
+#[test]
+fn a_replica_that_cannot_be_read_is_told_and_left_out() {
+    let replica = echo("i-1");
+    let site = Site::start("odd-row", &[(&replica, "app", "")]);
+    site.store
+        .put("servers", "i-odd", &json!({"service": "app"}));
+    until("it is told", || !site.daemon.logged("i-odd").is_empty());
+    assert_eq!(site.ask("GET /read/1", "a1").status(), 200);
+}
