Explain a request's life from mixed logs; more metrics; logs that wait for nobody

Cause: an engineer with logs alone had no way from a request's id to its cause on the platform. Tests: mixed, doubled and cut lines; 3,000 requests while nobody reads the daemon's output.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -46,6 +46,7 @@
     waxwing drain replica decode-3
     waxwing explain order-17                  ask every instance about a request
     waxwing explain order-17 --log entry-1.log
+    cat edge-*.log | waxwing explain 9c41d07b --log -   a request's life, no daemon needed
 
 Exit codes: 0 done and in force, 1 other failure, 2 usage, 3 conflict, 4 rejected,
 5 accepted but not yet in force, 6 unreachable, 7 denied, 8 undecided, 9 not found.";
@@ -249,7 +250,7 @@
     options.optmulti(
         "",
         "log",
-        "also search this file of log lines; repeatable",
+        "also search this file of log lines; repeatable; - is standard input",
         "FILE",
     );
     options.optflag("h", "help", "print this help");
--- a/crates/ctl/src/commands/explain.rs
+++ b/crates/ctl/src/commands/explain.rs
@@ -1,6 +1,5 @@
 //! `explain`: what was decided for a request, and why.
 
-use std::fs;
 use std::path::Path;
 use std::path::PathBuf;
 
@@ -15,6 +14,8 @@
 use crate::error::Attempt;
 use crate::error::Error;
 use crate::output::Output;
+use crate::story;
+use crate::story::Log;
 
 /// Decision lines of one source.
 struct Found {
@@ -46,10 +47,17 @@
     logs: &[PathBuf],
     output: Output,
 ) -> Result<(), Error> {
-    let mut found = logs
+    let read: Vec<Log> = logs
         .iter()
-        .map(|path| search(path, request))
-        .collect::<Result<Vec<_>, _>>()?;
+        .map(|path| Log::read(path))
+        .collect::<Result<_, _>>()?;
+    if tell(&read, request, output) {
+        return Ok(());
+    }
+    let sources = logs.iter().zip(&read);
+    let mut found: Vec<Found> = sources
+        .map(|(path, log)| search(path, request, log))
+        .collect();
     let mut tried = Vec::new();
     match Config::new(options) {
         Ok(config) => ask(&Admin::new(config), request, &mut found, &mut tried).await?,
@@ -93,26 +101,35 @@
     Ok(())
 }
 
-/// The decision lines of a log file whose request contains `request`.
-fn search(path: &Path, request: &str) -> Result<Found, Error> {
-    let text = fs::read_to_string(path).map_err(|cause| Error::Read {
-        path: path.to_owned(),
-        cause,
-    })?;
-    // Other lines, and one cut off at the end, are passed over.
-    let values = text
-        .lines()
-        .filter_map(|line| serde_json::from_str::<Value>(line).ok());
-    let lines = values.filter(|line| {
+/// The decision lines of a log whose request contains `request`.
+fn search(path: &Path, request: &str, log: &Log) -> Found {
+    let lines = log.lines.iter().filter(|line| {
         let named = line["request"]
             .as_str()
             .is_some_and(|text| text.contains(request));
         named && line["kind"] == "decision"
     });
-    Ok(Found {
+    Found {
         source: path.display().to_string(),
-        lines: lines.collect(),
-    })
+        lines: lines.cloned().collect(),
+    }
+}
+
+/// Tells the life of `request` from the lines of gateway daemons; whether any names it.
+fn tell(logs: &[Log], request: &str, output: Output) -> bool {
+    let lines: Vec<Value> = logs.iter().flat_map(|log| log.lines.clone()).collect();
+    let life = story::tell(&lines, request);
+    for sentence in &life {
+        output.line(sentence);
+    }
+    let bad: usize = logs.iter().map(|log| log.bad).sum();
+    if bad > 0 {
+        output.line(&format!("({bad} lines could not be read)"));
+    }
+    if !life.is_empty() {
+        output.value(&json!({ "life": life, "bad_lines": bad }));
+    }
+    !life.is_empty()
 }
 
 fn print(found: &[Found], output: Output) {
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod error;
 pub mod exit_codes;
 pub mod output;
+pub mod story;
 pub mod submit;
 
 use crate::cli::Call;
--- a/crates/ctl/tests/waxwing/views.rs
+++ b/crates/ctl/tests/waxwing/views.rs
@@ -149,3 +149,65 @@
         .code(0)
         .out("admit decode-1");
 }
+
+const LIFE: [&str; 5] = [
+    r#"{"instance":"edge-1","up_ms":100,"time":"2026-12-02T10:00:05Z","kind":"send","request":"9c41","replica":"i-1","task":"answer","in_flight":2,"replicas":7,"plan":3,"left_ms":2490}"#,
+    // The time of day jumped back between these two lines.
+    r#"{"instance":"edge-1","up_ms":130,"time":"2026-12-02T10:00:01Z","kind":"failure","request":"9c41","replica":"i-1","cause":"connection reset","outcome":"Lost","status":0}"#,
+    r#"{"instance":"edge-1","up_ms":131,"time":"2026-12-02T10:00:01Z","kind":"retry","request":"9c41","granted":false,"left":"0.4","sharers":9}"#,
+    r#"{"instance":"edge-1","up_ms":132,"time":"2026-12-02T10:00:01Z","kind":"end","request":"9c41","outcome":"unknown","status":502,"ms":32,"cause":"the replica was lost"}"#,
+    r#"{"instance":"edge-1","up_ms":131,"time":"2026-12-02T10:00:01Z","kind":"end","request":"9c41-other","outcome":"answered"}"#,
+];
+
+#[track_caller]
+fn in_order(text: &str, parts: &[&str]) {
+    let places: Vec<usize> = parts
+        .iter()
+        .map(|part| {
+            text.find(part)
+                .unwrap_or_else(|| panic!("no `{part}` in {text}"))
+        })
+        .collect();
+    assert!(places.is_sorted(), "{text}");
+}
+
+#[test]
+fn a_life_is_told_in_order_from_mixed_doubled_and_cut_lines() {
+    let env = Env::new();
+    let mixed = [
+        LIFE[3],
+        LIFE[4],
+        LIFE[0],
+        LIFE[0],
+        "24.1 edge-1 {\"kind\":",
+        LIFE[2],
+    ];
+    let first = env.file("one.log", &mixed.join("\n"));
+    // A source may put its own words before a line.
+    let second = env.file("two.log", &format!("  7.1 edge-1 {}\n", LIFE[1]));
+    let ran = env
+        .run(&["explain", "9c41", "--log", &first, "--log", &second])
+        .code(0)
+        .out("(1 lines could not be read)");
+    in_order(
+        &ran.out,
+        &[
+            "sent to i-1",
+            "connection reset",
+            "no retry was left",
+            "END: outcome unknown",
+        ],
+    );
+    assert_eq!(ran.out.matches("sent to i-1").count(), 1);
+    assert!(!ran.out.contains("answered"));
+}
+
+#[test]
+fn a_life_that_no_line_tells_is_not_found() {
+    let env = Env::new();
+    let log = env.file("one.log", &LIFE.join("\n"));
+    env.run(&["explain", "9c4", "--log", &log]).code(9);
+    env.run(&["explain", "9c41", "--log", "/nowhere.log"])
+        .code(1)
+        .err("/nowhere.log");
+}
--- a/crates/gateway/src/asides.rs
+++ b/crates/gateway/src/asides.rs
@@ -49,6 +49,7 @@
 
 /// Answers a scraper of metrics.
 pub fn metrics(shared: &Rc<Shared>) -> Response<Body> {
+    shared.refresh_metrics();
     match shared.metrics.text() {
         Ok(text) => whole(text, "text/plain; version=0.0.4"),
         Err(error) => {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -90,7 +90,7 @@
     let (sends, changed, next) = shared.members.borrow_mut().step(now);
     for member in changed {
         let name = shared.members.borrow().name(member.instance);
-        log::info!(kind = "member", instance = name, state = format!("{:?}", member.state); "a member changed");
+        log::info!(kind = "member", member = name, state = format!("{:?}", member.state); "a member changed");
     }
     for send in sends {
         let Send { to, message, hint } = send;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,8 @@
 use std::io;
 use std::path::Path;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 use std::time::SystemTime;
 
@@ -72,13 +74,13 @@
 /// # Errors
 /// If it cannot start.
 pub fn run(settings: Settings, path: &Path) -> Result<(), Error> {
-    let _logs = start_logs()?;
-    let metrics = Metrics::new().map_err(|error| start("metrics", &error))?;
+    let (_logs, dropped) = start_logs(&settings.instance)?;
+    let metrics = Metrics::new(dropped).map_err(|error| start("metrics", &error))?;
     let runtime = Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|error| start("runtime", &error))?;
-    log::info!(kind = "start", instance = settings.instance, data_centre = settings.data_centre, version = env!("CARGO_PKG_VERSION"); "starting");
+    log::info!(kind = "start", data_centre = settings.data_centre, version = env!("CARGO_PKG_VERSION"); "starting");
     let shared = Rc::new(Shared::new(settings, metrics));
     LocalSet::new().block_on(&runtime, serve(shared, path))
 }
@@ -163,12 +165,16 @@
     since.map_or(0, |since| since.as_millis() as u64)
 }
 
-fn start_logs() -> Result<LoggerHandle, Error> {
-    let queue = Queue::new(Box::new(io::stdout())).map_err(|error| start("logs", &error))?;
-    LogSpecification::parse(LEVELS)
+/// Starts the logs; gives their handle and the count of dropped lines.
+fn start_logs(instance: &str) -> Result<(LoggerHandle, Arc<AtomicU64>), Error> {
+    let queue = Queue::new(Box::new(io::stdout()), instance.to_owned())
+        .map_err(|error| start("logs", &error))?;
+    let dropped = queue.dropped();
+    let handle = LogSpecification::parse(LEVELS)
         .map(Logger::with)
         .and_then(|logger| logger.log_to_writer(Box::new(queue)).start())
-        .map_err(|error| start("logs", &error))
+        .map_err(|error| start("logs", &error))?;
+    Ok((handle, dropped))
 }
 
 fn start(step: &'static str, cause: &impl ToString) -> Error {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,7 +1,14 @@
 //! Counters and histograms, served as text.
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64 as AtomicCount;
+use std::sync::atomic::Ordering;
+
 use prometheus::Encoder;
 use prometheus::Error;
+use prometheus::Gauge;
+use prometheus::GaugeVec;
+use prometheus::Histogram;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
 use prometheus::IntCounter;
@@ -28,6 +35,19 @@
     pub open: GenericGauge<AtomicU64>,
     /// Calls of the store that failed.
     pub store_failures: IntCounter,
+    /// Members in reach, this daemon among them.
+    pub members: GenericGauge<AtomicU64>,
+    /// Version of the store at which the replicas stand.
+    pub replicas_version: GenericGauge<AtomicU64>,
+    /// Seconds since the replicas were up to date.
+    pub replicas_age: Gauge,
+    /// Retries that are left, by service.
+    budget: GaugeVec,
+    /// Log lines that were dropped since the queue was full.
+    dropped: GenericGauge<AtomicU64>,
+    lines_dropped: Arc<AtomicCount>,
+    gaps: Histogram,
+    waits: Histogram,
     requests: IntCounterVec,
     sends: IntCounterVec,
     retries: IntCounterVec,
@@ -35,11 +55,11 @@
 }
 
 impl Metrics {
-    /// All at zero.
+    /// All at zero; `lines_dropped` counts log lines elsewhere.
     ///
     /// # Errors
     /// If a name is wrong or taken.
-    pub fn new() -> Result<Self, Error> {
+    pub fn new(lines_dropped: Arc<AtomicCount>) -> Result<Self, Error> {
         let registry = Registry::new();
         let gauge = |name: &str, help: &str| {
             let gauge = GenericGauge::<AtomicU64>::new(full(name), help)?;
@@ -54,11 +74,25 @@
             "Time from a request's head to its answer; for streams, to its first event",
         );
         let latency = HistogramVec::new(latency.buckets(LATENCIES.to_vec()), &["route"])?;
+        let histogram = |name: &str, help: &str| {
+            let options = HistogramOpts::new(full(name), help).buckets(LATENCIES.to_vec());
+            register(&registry, Histogram::with_opts(options)?)
+        };
+        let age = Gauge::new(full("replicas_age_seconds"), "Age of the list of replicas")?;
+        let budget = Opts::new(full("retries_left"), "Retries left in the budget");
         let failures = IntCounter::new(full("store_failures_total"), "Failed calls of the store")?;
         Ok(Self {
             plan_version: gauge("plan_version", "Version of the plan in force")?,
             open: gauge("open_requests", "Requests in progress")?,
             store_failures: register(&registry, failures)?,
+            members: gauge("members", "Members in reach")?,
+            replicas_version: gauge("replicas_version", "Store version of the replicas")?,
+            replicas_age: register(&registry, age)?,
+            budget: register(&registry, GaugeVec::new(budget, &["service"])?)?,
+            dropped: gauge("log_lines_dropped", "Log lines dropped since the start")?,
+            lines_dropped,
+            gaps: histogram("event_gap_seconds", "Time between two events of a stream")?,
+            waits: histogram("place_wait_seconds", "Wait for a place at a decode replica")?,
             requests: vector("requests_total", "Requests by outcome", &["outcome"])?,
             sends: vector("sends_total", "Sends to replicas by outcome", &["outcome"])?,
             retries: vector(
@@ -92,11 +126,27 @@
         self.latency.with_label_values(&[route]).observe(seconds);
     }
 
+    /// Notes the time between two events of a stream.
+    pub fn gap(&self, seconds: f64) {
+        self.gaps.observe(seconds);
+    }
+
+    /// Notes how long a request waited for a place at a decode replica.
+    pub fn wait(&self, seconds: f64) {
+        self.waits.observe(seconds);
+    }
+
+    /// Sets the retries that are left.
+    pub fn retries_left(&self, service: &str, left: f64) {
+        self.budget.with_label_values(&[service]).set(left);
+    }
+
     /// All figures as text.
     ///
     /// # Errors
     /// If a figure cannot be written.
     pub fn text(&self) -> Result<Vec<u8>, Error> {
+        self.dropped.set(self.lines_dropped.load(Ordering::Relaxed));
         let mut text = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
         Ok(text)
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -82,11 +82,16 @@
         });
     }
     let until = job.arrived + job.route.objective.mul_f64(WAIT_PART);
+    let begun = Instant::now();
+    let mut rounds = 0;
     loop {
         if let Some(place) = round(shared, job, tried, life).await {
+            shared.metrics.wait(begun.elapsed().as_secs_f64());
             return Some(place);
         }
+        rounds += 1;
         if Instant::now() + ROUND_PAUSE > until {
+            log::info!(kind = "reserve", request = job.call.id, rounds = rounds, tokens = job.tokens(); "no decode replica has room");
             return None;
         }
         sleep(ROUND_PAUSE).await;
@@ -150,10 +155,7 @@
             }),
             Err(error) => Asked::Failed(error.to_string()),
         },
-        Ok((status, _)) => {
-            log::info!(kind = "reserve", request = job.call.id, replica = replica.id, status = status.as_u16(), tokens = job.tokens(); "no room");
-            Asked::NoRoom
-        }
+        Ok(_) => Asked::NoRoom,
     }
 }
 
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -75,7 +75,7 @@
             }
             Ok(Err(outcome)) => outcome,
         };
-        match attempt.after(outcome, || shared.take_retry(&job.service)) {
+        match attempt.after(outcome, || shared.take_retry(&job.service, &job.call.id)) {
             Next::Retry => {}
             Next::Relay | Next::Unknown | Next::Refuse => {
                 return without_replica(&mut job, &attempt, failure);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -37,6 +37,9 @@
 pub const RESERVE: Duration = Duration::from_millis(300);
 /// Time of a decode replica for an answer until one was seen: some hundred tokens of 8 ms.
 const ANSWER_LENGTH: Duration = Duration::from_secs(3);
+/// Lines about rejected requests in a second at most; a caller that sends nothing but improper
+/// requests must not fill the logs.
+const MAX_REJECTED_LINES: u64 = 50;
 /// Weight of the newest answer in the mean.
 const LENGTH_STEP: f64 = 0.1;
 
@@ -80,6 +83,8 @@
     open: Cell<usize>,
     /// Version of the plan that a peer is being asked for.
     asking: Cell<u64>,
+    /// The present second, and the rejected requests in it.
+    rejected: Cell<(u64, u64)>,
 }
 
 impl Shared {
@@ -113,6 +118,7 @@
             stopping: Cell::new(None),
             open: Cell::new(0),
             asking: Cell::new(0),
+            rejected: Cell::new((0, 0)),
             settings,
         }
     }
@@ -244,16 +250,46 @@
         budget.request(self.clock.now(), &self.rule);
     }
 
-    /// Takes a retry out of the budget of `service`, if one is left.
-    pub fn take_retry(&self, service: &str) -> bool {
+    /// Takes a retry for `request` out of the budget of `service`, if one is left.
+    pub fn take_retry(&self, service: &str, request: &str) -> bool {
         let sharers = self.members.borrow().sharers();
+        let now = self.clock.now();
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.to_owned()).or_default();
-        let taken = budget.take(self.clock.now(), &self.rule, sharers);
+        let left = budget.left(now, &self.rule, sharers);
+        let taken = budget.take(now, &self.rule, sharers);
         self.metrics.retries(service, taken);
+        log::info!(kind = "retry", request = request, service = service, granted = taken, left = format!("{left:.1}"), sharers = sharers as u64; "a retry was asked of the budget");
         taken
     }
 
+    /// Brings up to date the figures that are read at a scrape.
+    pub fn refresh_metrics(&self) {
+        let now = self.clock.now();
+        let members = self.members.borrow();
+        let metrics = &self.metrics;
+        metrics.members.set(members.count() as u64);
+        metrics.replicas_version.set(self.replicas_version());
+        metrics.replicas_age.set(self.replicas_age().as_secs_f64());
+        for (service, budget) in self.budgets.borrow_mut().iter_mut() {
+            let left = budget.left(now, &self.rule, members.sharers());
+            metrics.retries_left(service, left);
+        }
+    }
+
+    /// Whether one more line about a rejected request may be logged in this second; tells how many
+    /// were left out in the last one.
+    pub fn may_log(&self) -> Option<u64> {
+        let second = self.clock.now().as_millis() / 1_000;
+        let (last, count) = self.rejected.get();
+        if last != second {
+            self.rejected.set((second, 1));
+            return Some(count.saturating_sub(MAX_REJECTED_LINES));
+        }
+        self.rejected.set((second, count + 1));
+        (count < MAX_REJECTED_LINES).then_some(0)
+    }
+
     /// Notes that the store answered.
     pub fn store_answered(&self, step: &'static str) {
         self.store_heard.set(self.clock.now());
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -124,7 +124,7 @@
             }
             Err(outcome) => outcome,
         };
-        match attempt.after(outcome, || shared.take_retry(&job.service)) {
+        match attempt.after(outcome, || shared.take_retry(&job.service, &job.call.id)) {
             Next::Retry => {}
             next => return Err(next),
         }
@@ -155,7 +155,9 @@
             send::note(shared, job, key, Outcome::Lost, cause, 0);
         }
     }
-    shared.take_retry(&job.service).then_some(Task::Answer)
+    shared
+        .take_retry(&job.service, &job.call.id)
+        .then_some(Task::Answer)
 }
 
 /// Has the prompt read; a replica that is late but answers a question is waited for, since a read
@@ -210,6 +212,7 @@
     match Prefill::read(&body) {
         Ok(prefill) => {
             send::note_success(shared, key);
+            log::info!(kind = "read", request = job.call.id, ms = job.age().as_millis() as u64; "the prompt is read");
             Ok(Task::Decode {
                 address,
                 handle: prefill.handle,
@@ -341,6 +344,7 @@
         let resumable = matches!(self.job.route.mode, Mode::Stream { resumable: true })
             && self.attempt.may_run_again();
         let mut silences = 0;
+        let mut last = begun;
         loop {
             let silent_at = if resumable {
                 self.job.deadline.min(Instant::now() + STALL)
@@ -368,6 +372,10 @@
                         continue;
                     };
                     let whole = self.splitter.push(&data);
+                    if !whole.is_empty() {
+                        self.shared.metrics.gap(last.elapsed().as_secs_f64());
+                        last = Instant::now();
+                    }
                     if !self.pass(whole).await {
                         return End::Left;
                     }
@@ -396,8 +404,10 @@
         }
         if !self.started {
             self.started = true;
-            let age = self.job.age().as_secs_f64();
-            self.shared.metrics.latency(&self.job.route.name, age);
+            let age = self.job.age();
+            let route = &self.job.route.name;
+            self.shared.metrics.latency(route, age.as_secs_f64());
+            log::info!(kind = "first", request = self.job.call.id, ms = age.as_millis() as u64; "the first event is passed on");
         }
         self.parts.send(Ok(bytes.into())).await.is_ok()
     }
@@ -415,10 +425,11 @@
     async fn resume(&mut self, place: Option<Place>) -> Option<Reply> {
         self.splitter.drop_partial();
         let service = self.job.service.clone();
+        let id = self.job.call.id.clone();
         let shared = Rc::clone(&self.shared);
         let next = self
             .attempt
-            .after(Outcome::Lost, || shared.take_retry(&service));
+            .after(Outcome::Lost, || shared.take_retry(&service, &id));
         if next != Next::Retry {
             return None;
         }
--- a/crates/gateway/tests/gateway/common/daemon.rs
+++ b/crates/gateway/tests/gateway/common/daemon.rs
@@ -58,6 +58,19 @@
 impl Daemon {
     /// Starts the daemon `name` at `ip`.
     pub fn start(name: &str, ip: &str, store: SocketAddr, seeds: &[&str]) -> Self {
+        let mut daemon = Self::start_unread(name, ip, store, seeds);
+        let kept = Arc::clone(&daemon.lines);
+        let output = BufReader::new(daemon.child.stdout.take().unwrap());
+        thread::spawn(move || {
+            for line in output.lines().map_while(Result::ok) {
+                kept.lock().unwrap().push(line);
+            }
+        });
+        daemon
+    }
+
+    /// Starts a daemon whose standard output nobody reads.
+    pub fn start_unread(name: &str, ip: &str, store: SocketAddr, seeds: &[&str]) -> Self {
         let at = |index: usize| SocketAddr::new(ip.parse().unwrap(), PORTS[index]);
         let seeds: Vec<String> = seeds.iter().map(|ip| format!("\"{ip}:1\"")).collect();
         let settings = format!(
@@ -72,20 +85,13 @@
         let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
         let path = directory.join(format!("{name}.yaml"));
         fs::write(&path, settings).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_waxwing-gateway"))
+        let child = Command::new(env!("CARGO_BIN_EXE_waxwing-gateway"))
             .arg("--config")
             .arg(&path)
             .stdout(Stdio::piped())
             .spawn()
             .unwrap();
         let lines = Arc::new(Mutex::new(Vec::new()));
-        let kept = Arc::clone(&lines);
-        let output = BufReader::new(child.stdout.take().unwrap());
-        thread::spawn(move || {
-            for line in output.lines().map_while(Result::ok) {
-                kept.lock().unwrap().push(line);
-            }
-        });
         Self {
             child,
             callers: at(0),
--- a/crates/gateway/tests/gateway/lifecycle.rs
+++ b/crates/gateway/tests/gateway/lifecycle.rs
@@ -86,6 +86,48 @@
     until("it is logged", || site.daemon.logged("a-77").len() >= 2);
 }
 
+/// Nobody reads the daemon's standard output: lines are dropped and counted, and no request waits.
+#[test]
+fn requests_do_not_wait_for_logs_that_nobody_reads() {
+    let replica = Replica::start("i-1", |request| Act::Send(signed(request, 200, b"x")));
+    let site = Site::start_unread("unread", &[(&replica, "app", "")]);
+    let mut caller = site.daemon.caller();
+    for number in 0..3_000 {
+        let id = format!("{number:0>200}");
+        assert_eq!(
+            caller
+                .ask("GET /read/1", &crate::site::headers(&id), b"")
+                .status(),
+            200
+        );
+    }
+    let metrics = site.daemon.metrics();
+    let dropped = metrics
+        .lines()
+        .find(|line| line.starts_with("waxwing_gateway_log_lines_dropped "));
+    let count: u64 = dropped
+        .unwrap()
+        .rsplit(' ')
+        .next()
+        .unwrap()
+        .parse()
+        .unwrap();
+    assert!(count > 0, "{metrics}");
+}
+
+#[test]
+fn improper_requests_do_not_fill_the_logs() {
+    let site = Site::start("flooded", &[]);
+    until("it answers", || site.daemon.readiness() != 0);
+    let begun = std::time::Instant::now();
+    let mut caller = site.daemon.caller();
+    for _ in 0..1_000 {
+        assert_eq!(caller.ask("GET /read/1", &[], b"").status(), 400);
+    }
+    let seconds = begun.elapsed().as_secs() as usize + 2;
+    assert!(site.daemon.logged("rejected").len() <= 50 * seconds);
+}
+
 const GOOD: &str = r#"
 instance: edge-1
 data_centre: here
--- a/crates/gateway/tests/gateway/site.rs
+++ b/crates/gateway/tests/gateway/site.rs
@@ -53,13 +53,27 @@
 impl Site {
     /// A daemon in front of `replicas`, each with its service and stage.
     pub fn start(name: &str, replicas: &[(&Replica, &str, &str)]) -> Self {
+        Self::with_daemon(replicas, |ip, store| Daemon::start(name, ip, store, &[]))
+    }
+
+    /// The same with a daemon whose log lines nobody reads.
+    pub fn start_unread(name: &str, replicas: &[(&Replica, &str, &str)]) -> Self {
+        Self::with_daemon(replicas, |ip, store| {
+            Daemon::start_unread(name, ip, store, &[])
+        })
+    }
+
+    fn with_daemon(
+        replicas: &[(&Replica, &str, &str)],
+        start: impl Fn(&str, SocketAddr) -> Daemon,
+    ) -> Self {
         let (store, store_address) = Store::start("127.0.0.1");
         store.put("op", "config", &config(1));
         for (replica, service, stage) in replicas {
             store.put("servers", &replica.id, &replica.row(service, stage));
         }
         let ip = new_ip();
-        let daemon = Daemon::start(name, &ip, store_address, &[]);
+        let daemon = start(&ip, store_address);
         if !replicas.is_empty() {
             daemon.until_ready();
         }
--- a/crates/logs/src/line.rs
+++ b/crates/logs/src/line.rs
@@ -15,7 +15,20 @@
 /// # Errors
 /// Those of `to`.
 pub fn write(to: &mut dyn Write, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
-    let mut fields = Fields(Map::new());
+    write_with(to, now, record, Map::new())
+}
+
+/// The same, with `more` fields.
+///
+/// # Errors
+/// Those of `to`.
+pub fn write_with(
+    to: &mut dyn Write,
+    now: &mut DeferredNow,
+    record: &Record<'_>,
+    more: Map<String, Value>,
+) -> io::Result<()> {
+    let mut fields = Fields(more);
     fields.put("time", now.format_rfc3339().into());
     fields.put("level", record.level().as_str().into());
     fields.put("target", record.target().into());
--- a/crates/logs/src/queue.rs
+++ b/crates/logs/src/queue.rs
@@ -9,10 +9,12 @@
 use std::sync::mpsc::Receiver;
 use std::sync::mpsc::SyncSender;
 use std::thread;
+use std::time::Instant;
 
 use flexi_logger::DeferredNow;
 use flexi_logger::writers::LogWriter;
 use log::Record;
+use serde_json::Map;
 
 use crate::line;
 
@@ -24,21 +26,29 @@
 pub struct Queue {
     lines: SyncSender<Vec<u8>>,
     dropped: Arc<AtomicU64>,
+    instance: String,
+    start: Instant,
 }
 
 impl Queue {
-    /// A queue whose lines a new thread writes to `to`.
+    /// A queue whose lines a new thread writes to `to`; each tells the name of the `instance`, and
+    /// the time since the start on a clock that does not jump.
     ///
     /// # Errors
     /// If the thread cannot be started.
-    pub fn new(to: Box<dyn Write + Send>) -> io::Result<Self> {
+    pub fn new(to: Box<dyn Write + Send>, instance: String) -> io::Result<Self> {
         let (lines, waiting) = mpsc::sync_channel(MAX_LINES);
         let dropped = Arc::new(AtomicU64::new(0));
         let counted = Arc::clone(&dropped);
         thread::Builder::new()
             .name("logs".to_owned())
             .spawn(move || drain(&waiting, to, &counted))?;
-        Ok(Self { lines, dropped })
+        Ok(Self {
+            lines,
+            dropped,
+            instance,
+            start: Instant::now(),
+        })
     }
 
     /// The count of lines dropped so far, shared with the queue.
@@ -50,7 +60,11 @@
 impl LogWriter for Queue {
     fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
         let mut text = Vec::with_capacity(256);
-        line::write(&mut text, now, record)?;
+        let mut more = Map::new();
+        more.insert("instance".to_owned(), self.instance.as_str().into());
+        let up_ms = self.start.elapsed().as_millis() as u64;
+        more.insert("up_ms".to_owned(), up_ms.into());
+        line::write_with(&mut text, now, record, more)?;
         text.push(b'\n');
         if self.lines.try_send(text).is_err() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
