Leave prompts to decode replicas where prefill is slow

Traced by logs: first events at 1.2 to 1.8 s from second 20 on. Ruled out: decode memory (places were free), a slow store. Change: the mean time of reads per replica, 40 % of the objective and up, leaves a growing part of the prompts to decode replicas; an order that could not be given is tried again without a pause.

--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -221,11 +221,16 @@
         pool.choose(self.clock.now(), &want, rand::random)
     }
 
-    /// Share of failures among the last sends to `key`.
-    pub fn failure_share(&self, key: Key) -> f64 {
+    /// Part of the prompts that decode replicas are to read, since `key` is slow or fails.
+    pub fn own_reads(&self, key: Key, objective: Duration) -> f64 {
         let pool = self.pool.borrow();
-        let server = pool.get(key);
-        server.map_or(0.0, |server| server.failure_share(self.clock.now()))
+        pool.own_reads(self.clock.now(), key, objective)
+    }
+
+    /// Notes that `key` took `took` to read a prompt.
+    pub fn note_read(&self, key: Key, took: Duration) {
+        let now = self.clock.now();
+        self.pool.borrow_mut().note_read(now, key, took);
     }
 
     /// Notes how long a decode replica was at work on an answer of `service`.
--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -80,12 +80,13 @@
     let Some(replica) = candidate(shared, service, stage) else {
         return;
     };
-    balance.ordered(now);
     match change(shared, service, &replica, stage).await {
         Ok(status) => {
+            balance.ordered(now);
             log::info!(kind = "order", replica = replica.id, stage = format!("{stage:?}"), prefill = counts.prefill as u64, decode = counts.decode as u64, status = status.as_u16(); "ordered a change of stage");
         }
         Err(cause) => {
+            balance.failed();
             log::warn!(kind = "order", replica = replica.id, stage = format!("{stage:?}"), cause = cause; "no order was given, or its outcome is unknown");
         }
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -141,9 +141,9 @@
     let Some(key) = shared.choose(&job.service, Some(Stage::Prefill), &[]) else {
         return Some(Task::Answer);
     };
-    // Where reads fail because too few replicas read prompts, a like share of the prompts is left
-    // to the decode replicas, and the rest is read in time.
-    if rand::random::<f64>() < shared.failure_share(key) {
+    // Where too few replicas read prompts, a part is left to the decode replicas, and the rest is
+    // read in time.
+    if rand::random::<f64>() < shared.own_reads(key, job.route.objective) {
         return Some(Task::Answer);
     }
     match timeout_at(job.deadline, patiently(shared, job, key)).await {
@@ -189,6 +189,7 @@
         .get(key)
         .map(|server| server.replica.address)
         .ok_or(Outcome::NotSent)?;
+    let begun = Instant::now();
     let reply = send::send(shared, job, key, Task::Prefill, None).await?;
     let read = send::whole(shared, reply, MAX_PREFILL_ANSWER).await;
     let body = match read {
@@ -212,6 +213,7 @@
     match Prefill::read(&body) {
         Ok(prefill) => {
             send::note_success(shared, key);
+            shared.note_read(key, begun.elapsed());
             log::info!(kind = "read", request = job.call.id, ms = job.age().as_millis() as u64; "the prompt is read");
             Ok(Task::Decode {
                 address,
--- a/crates/relay/src/balance.rs
+++ b/crates/relay/src/balance.rs
@@ -67,6 +67,11 @@
         (now.since(since) >= settle && !paused).then_some(stage)
     }
 
+    /// Notes that no order could be given; the division has to be off for a while again.
+    pub const fn failed(&mut self) {
+        self.off = None;
+    }
+
     /// Notes that a change was ordered.
     pub const fn ordered(&mut self, now: Time) {
         self.last = Some(now);
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -39,6 +39,17 @@
 const COLD: f64 = 0.5;
 /// Spread of the random part of a score; keeps daemons from choosing alike.
 const JITTER: f64 = 0.05;
+/// Weight of the newest read in the mean time of reads.
+const READ_STEP: f64 = 0.4;
+/// How long the mean time of reads counts without a further read.
+const READ_AGE: Duration = Duration::from_secs(2);
+/// Part of the objective up to which reads may last without any being left to decode replicas. An
+/// unloaded replica takes a quarter of it.
+const SLOW_FROM: f64 = 0.4;
+/// Part of the objective from which on as few as possible are sent.
+const SLOW_TO: f64 = 0.7;
+/// Most that is left to decode replicas; the rest tells when it is better again.
+const MAX_OWN_READS: f64 = 0.85;
 /// Tokens that a request of another daemon is taken for.
 const USUAL_TOKENS: f64 = 5_000.0;
 /// How long a replica that had no room is asked after those that were not asked.
@@ -59,6 +70,8 @@
     foreign: Option<(u32, Time)>,
     /// Share of failures among the last sends, and when it was brought up to date.
     failures: (f64, Time),
+    /// Mean time that it took to read a prompt, queue included, and when the last one was read.
+    read: Option<(Duration, Time)>,
     /// When it last had no room.
     full: Option<Time>,
     /// Whether a replica with another id answered at its address.
@@ -247,6 +260,28 @@
         }
     }
 
+    /// Notes that `key` took `took` to read a prompt.
+    pub fn note_read(&mut self, now: Time, key: Key, took: Duration) {
+        if let Some(server) = self.servers.get_mut(key) {
+            let mean = server.read_time(now).unwrap_or(took);
+            let mean = mean.mul_f64(1.0 - READ_STEP) + took.mul_f64(READ_STEP);
+            server.read = Some((mean, now));
+        }
+    }
+
+    /// Part of the prompts that a decode replica is to read itself, since the prefill replica `key`
+    /// takes long against `objective`.
+    pub fn own_reads(&self, now: Time, key: Key, objective: Duration) -> f64 {
+        let Some(server) = self.servers.get(key) else {
+            return 0.0;
+        };
+        let read = server.read_time(now).unwrap_or_default();
+        let part = read.as_secs_f64() / objective.as_secs_f64().max(f64::EPSILON);
+        let slow = (part - SLOW_FROM) / (SLOW_TO - SLOW_FROM);
+        slow.max(server.failure_share(now))
+            .clamp(0.0, MAX_OWN_READS)
+    }
+
     /// Notes that `key` had no room.
     pub fn full(&mut self, now: Time, key: Key) {
         if let Some(server) = self.servers.get_mut(key) {
@@ -397,6 +432,7 @@
             in_flight: 0,
             tokens: 0,
             foreign: None,
+            read: None,
             full: None,
             failures: (0.0, now),
             replaced: false,
@@ -409,6 +445,12 @@
         listed && !self.replica.draining && !self.replaced
     }
 
+    /// Mean time of reads, if one ended a short time ago.
+    fn read_time(&self, now: Time) -> Option<Duration> {
+        let (mean, at) = self.read?;
+        (now.since(at) < READ_AGE).then_some(mean)
+    }
+
     /// Requests at work here, those of other daemons among them as far as they are known.
     fn load(&self, now: Time) -> f64 {
         let foreign = self.foreign.map_or(0.0, |(count, told)| {
