--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -21,9 +21,10 @@
 use crate::shared::Shared;
 
 /// Part of the objective for which a request waits for a place.
-const WAIT_PART: f64 = 0.2;
-/// Pause between two rounds over replicas that had no room; a place comes free about every 60 ms.
-const ROUND_PAUSE: Duration = Duration::from_millis(60);
+const WAIT_PART: f64 = 0.22;
+/// Pause between two rounds over replicas that had no room; in overload a place comes free about
+/// every 60 ms.
+const ROUND_PAUSE: Duration = Duration::from_millis(30);
 /// Replicas asked in one round.
 const ROUND: usize = 3;
 
