--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -11,8 +11,8 @@
 use hyper::body::SizeHint;
 use tokio::sync::mpsc::Receiver;
 
+use crate::guard::Open;
 use crate::phase::Busy;
-use crate::shared::Open;
 
 /// Why a body ends without being complete; the connection is broken off.
 #[derive(Debug)]
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -21,10 +21,10 @@
 use tokio::time::timeout;
 
 use crate::body::Body;
+use crate::guard::Open;
 use crate::job::Job;
 use crate::own;
 use crate::plain;
-use crate::shared::Open;
 use crate::shared::Shared;
 use crate::stream;
 
--- /dev/null
+++ b/crates/gateway/src/guard.rs
@@ -0,0 +1,56 @@
+//! What is counted for as long as it lasts.
+
+use std::rc::Rc;
+
+use relay::pool::Key;
+
+use crate::shared::Shared;
+
+/// A request in progress; it is over when this is dropped.
+#[derive(Debug)]
+pub struct Open {
+    shared: Rc<Shared>,
+}
+
+impl Open {
+    /// Counts one more request in progress.
+    pub fn new(shared: &Rc<Shared>) -> Self {
+        shared.set_open(shared.open() + 1);
+        Self {
+            shared: Rc::clone(shared),
+        }
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.shared.set_open(self.shared.open() - 1);
+    }
+}
+
+/// A request at work at a replica; it is over there when this is dropped.
+#[derive(Debug)]
+pub struct Claim {
+    shared: Rc<Shared>,
+    /// The replica.
+    pub key: Key,
+    tokens: u64,
+}
+
+impl Claim {
+    /// Counts one more request of `tokens` at the replica `key`.
+    pub fn new(shared: &Rc<Shared>, key: Key, tokens: u64) -> Self {
+        shared.pool.borrow_mut().begin(key, tokens);
+        Self {
+            shared: Rc::clone(shared),
+            key,
+            tokens,
+        }
+    }
+}
+
+impl Drop for Claim {
+    fn drop(&mut self) {
+        self.shared.pool.borrow_mut().end(self.key, self.tokens);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/prefill.rs
@@ -0,0 +1,119 @@
+//! Reading a prompt at a prefill replica.
+
+use std::rc::Rc;
+
+use http::StatusCode;
+use platform::caller::Task;
+use platform::engine::Prefill;
+use relay::attempt::Outcome;
+use relay::pool::Key;
+use relay::replica::Stage;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
+
+use crate::ask;
+use crate::job::Job;
+use crate::send;
+use crate::shared::Shared;
+
+/// Part of the objective for reading the prompt elsewhere; what is left is enough for the decode
+/// replica to read it itself, at half the speed.
+const PREFILL_PART: f64 = 0.45;
+/// Times the objective that a replica which is at work is waited for.
+const PREFILL_MOST: f64 = 2.0;
+/// Bytes of the answer to a prefill at most.
+const MAX_PREFILL_ANSWER: usize = 16 * 1024;
+
+/// Has the prompt read by a prefill replica; if that fails, the decode replica is to read it.
+///
+/// A read that failed counts as an arrival, so that the send after it is a retry: `None` if the
+/// budget has none left.
+pub async fn read(shared: &Rc<Shared>, job: &Job) -> Option<Task> {
+    let Some(key) = shared.choose(&job.service, Some(Stage::Prefill), &[]) else {
+        return Some(Task::Answer);
+    };
+    // Where too few replicas read prompts, a part is left to the decode replicas, and the rest is
+    // read in time.
+    if rand::random::<f64>() < shared.own_reads(key, job.route.objective) {
+        return Some(Task::Answer);
+    }
+    match timeout_at(job.deadline, patiently(shared, job, key)).await {
+        Ok(Ok(task)) => return Some(task),
+        Ok(Err(Outcome::NotSent)) => return Some(Task::Answer),
+        Ok(Err(_)) => {}
+        Err(_) => {
+            let cause = "the prompt was not read in time";
+            send::note(shared, job, key, Outcome::Lost, cause, 0);
+        }
+    }
+    shared
+        .take_retry(&job.service, &job.call.id)
+        .then_some(Task::Answer)
+}
+
+/// Has the prompt read; a replica that is late but answers a question is waited for, since a read
+/// that is given up is read in vain.
+async fn patiently(shared: &Rc<Shared>, job: &Job, key: Key) -> Result<Task, Outcome> {
+    let late = job.arrived + job.route.objective.mul_f64(PREFILL_PART);
+    let last = job.arrived + job.route.objective.mul_f64(PREFILL_MOST);
+    let mut read = std::pin::pin!(read_prompt(shared, job, key));
+    if let Ok(read) = timeout_at(late, &mut read).await {
+        return read;
+    }
+    if !ask::answers(shared, key).await {
+        let cause = "the prompt is not read, and the replica does not answer";
+        send::note(shared, job, key, Outcome::Lost, cause, 0);
+        return Err(Outcome::Lost);
+    }
+    if let Ok(read) = timeout_at(last, read).await {
+        return read;
+    }
+    let cause = "the prompt was not read in time";
+    send::note(shared, job, key, Outcome::Lost, cause, 0);
+    Err(Outcome::Lost)
+}
+
+async fn read_prompt(shared: &Rc<Shared>, job: &Job, key: Key) -> Result<Task, Outcome> {
+    let address = shared
+        .pool
+        .borrow()
+        .get(key)
+        .map(|server| server.replica.address)
+        .ok_or(Outcome::NotSent)?;
+    let begun = Instant::now();
+    let reply = send::send(shared, job, key, Task::Prefill, None).await?;
+    let read = send::whole(shared, reply, MAX_PREFILL_ANSWER).await;
+    let body = match read {
+        Ok((head, _, body)) if head.status == StatusCode::OK => body,
+        Ok((head, ..)) => {
+            send::note(
+                shared,
+                job,
+                key,
+                Outcome::Failed,
+                "prefill",
+                head.status.as_u16(),
+            );
+            return Err(Outcome::Failed);
+        }
+        Err(outcome) => {
+            send::note(shared, job, key, outcome, "its answer broke off", 0);
+            return Err(outcome);
+        }
+    };
+    match Prefill::read(&body) {
+        Ok(prefill) => {
+            send::note_success(shared, key);
+            shared.note_read(key, begun.elapsed());
+            log::info!(kind = "read", request = job.call.id, ms = job.age().as_millis() as u64; "the prompt is read");
+            Ok(Task::Decode {
+                address,
+                handle: prefill.handle,
+            })
+        }
+        Err(error) => {
+            send::note(shared, job, key, Outcome::Lost, &error.to_string(), 200);
+            Err(Outcome::Lost)
+        }
+    }
+}
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -15,10 +15,10 @@
 use relay::plan::Mode;
 use relay::pool::Key;
 
+use crate::guard::Claim;
 use crate::job::Job;
 use crate::links::Failure;
 use crate::links::Link;
-use crate::shared::Claim;
 use crate::shared::Shared;
 
 /// The head of a replica's genuine answer, with what is needed to read the rest.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -346,6 +346,12 @@
         self.open.get()
     }
 
+    /// Counts the requests in progress anew.
+    pub fn set_open(&self, count: usize) {
+        self.open.set(count);
+        self.metrics.open.set(count as u64);
+    }
+
     /// Begins to ask a peer for plan `version`; `false` if that is being done.
     pub fn begin_asking(&self, version: u64) -> bool {
         if self.asking.get() >= version {
@@ -360,55 +366,3 @@
         self.asking.set(0);
     }
 }
-
-/// A request in progress; it is over when this is dropped.
-#[derive(Debug)]
-pub struct Open {
-    shared: Rc<Shared>,
-}
-
-impl Open {
-    /// Counts one more request in progress.
-    pub fn new(shared: &Rc<Shared>) -> Self {
-        shared.open.set(shared.open.get() + 1);
-        shared.metrics.open.set(shared.open.get() as u64);
-        Self {
-            shared: Rc::clone(shared),
-        }
-    }
-}
-
-impl Drop for Open {
-    fn drop(&mut self) {
-        let shared = &self.shared;
-        shared.open.set(shared.open.get() - 1);
-        shared.metrics.open.set(shared.open.get() as u64);
-    }
-}
-
-/// A request at work at a replica; it is over there when this is dropped.
-#[derive(Debug)]
-pub struct Claim {
-    shared: Rc<Shared>,
-    /// The replica.
-    pub key: Key,
-    tokens: u64,
-}
-
-impl Claim {
-    /// Counts one more request of `tokens` at the replica `key`.
-    pub fn new(shared: &Rc<Shared>, key: Key, tokens: u64) -> Self {
-        shared.pool.borrow_mut().begin(key, tokens);
-        Self {
-            shared: Rc::clone(shared),
-            key,
-            tokens,
-        }
-    }
-}
-
-impl Drop for Claim {
-    fn drop(&mut self) {
-        self.shared.pool.borrow_mut().end(self.key, self.tokens);
-    }
-}
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -28,8 +28,11 @@
 /// Time that the daemon which reads the store gets for an answer; a round trip takes some
 /// milliseconds.
 const NEWS_PATIENCE: Duration = Duration::from_millis(120);
-/// Time between two readings of the instances; gossip is the faster source.
+/// Time between two readings of the instances by the daemon that reads the store for its data
+/// centre; gossip is the faster source.
 const INSTANCES_PERIOD: Duration = Duration::from_secs(6);
+/// The same for the other daemons, which hear of new instances from it.
+const DISTANT_PERIOD: Duration = Duration::from_secs(30);
 /// Time between two readings of the instances while fewer than [`SETTLED`] readings in a row told
 /// the same: at a common start, each instance writes its row after the others have read theirs.
 const SETTLING_PERIOD: Duration = Duration::from_millis(700);
@@ -148,10 +151,10 @@
                     0
                 };
                 count = rows.rows.len();
-                if same < SETTLED {
-                    SETTLING_PERIOD
-                } else {
-                    INSTANCES_PERIOD
+                match shared.members.borrow().poller() {
+                    _ if same < SETTLED => SETTLING_PERIOD,
+                    Some(_) => DISTANT_PERIOD,
+                    None => INSTANCES_PERIOD,
                 }
             }
             Err(error) => {
