Write the last log lines of a process before it ends

Change: the end of the program waits up to 0.2 s for the lines taken. Test: a_stop_finishes_what_is_in_progress now asks for the line.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -41,13 +41,13 @@
 use std::path::Path;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 use std::time::SystemTime;
 
 use flexi_logger::LogSpecification;
 use flexi_logger::Logger;
 use flexi_logger::LoggerHandle;
+use logs::queue::Count;
 use logs::queue::Queue;
 use relay::plan::Limits;
 use tokio::runtime::Builder;
@@ -65,6 +65,8 @@
 const LEVELS: &str = "warn, gateway=info, waxwing_gateway=info";
 /// Time between two looks after idle connections and readiness.
 const HOUSEKEEPING: Duration = Duration::from_millis(100);
+/// Time that the last log lines of the process get; nobody may be reading them.
+const LAST_LINES: Duration = Duration::from_millis(200);
 /// Bounds of the servers that callers send no requests to.
 const ASIDE: Bounds = Bounds {
     header_bytes: 8 * 1024,
@@ -77,15 +79,17 @@
 /// # Errors
 /// If it cannot start.
 pub fn run(settings: Settings, path: &Path) -> Result<(), Error> {
-    let (_logs, dropped) = start_logs(&settings.instance)?;
-    let metrics = Metrics::new(dropped).map_err(|error| start("metrics", &error))?;
+    let (_logs, lines) = start_logs(&settings.instance)?;
+    let metrics = Metrics::new(Arc::clone(&lines)).map_err(|error| start("metrics", &error))?;
     let runtime = Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|error| start("runtime", &error))?;
     log::info!(kind = "start", data_centre = settings.data_centre, version = env!("CARGO_PKG_VERSION"); "starting");
     let shared = Rc::new(Shared::new(settings, metrics));
-    LocalSet::new().block_on(&runtime, serve(shared, path))
+    let served = LocalSet::new().block_on(&runtime, serve(shared, path));
+    lines.settle(LAST_LINES);
+    served
 }
 
 async fn serve(shared: Rc<Shared>, path: &Path) -> Result<(), Error> {
@@ -168,16 +172,16 @@
     since.map_or(0, |since| since.as_millis() as u64)
 }
 
-/// Starts the logs; gives their handle and the count of dropped lines.
-fn start_logs(instance: &str) -> Result<(LoggerHandle, Arc<AtomicU64>), Error> {
+/// Starts the logs; gives their handle and the counts of lines.
+fn start_logs(instance: &str) -> Result<(LoggerHandle, Arc<Count>), Error> {
     let queue = Queue::new(Box::new(io::stdout()), instance.to_owned())
         .map_err(|error| start("logs", &error))?;
-    let dropped = queue.dropped();
+    let count = queue.count();
     let handle = LogSpecification::parse(LEVELS)
         .map(Logger::with)
         .and_then(|logger| logger.log_to_writer(Box::new(queue)).start())
         .map_err(|error| start("logs", &error))?;
-    Ok((handle, dropped))
+    Ok((handle, count))
 }
 
 fn start(step: &'static str, cause: &impl ToString) -> Error {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,9 +1,8 @@
 //! Counters and histograms, served as text.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64 as AtomicCount;
-use std::sync::atomic::Ordering;
 
+use logs::queue::Count;
 use prometheus::Encoder;
 use prometheus::Error;
 use prometheus::Gauge;
@@ -45,7 +44,7 @@
     budget: GaugeVec,
     /// Log lines that were dropped since the queue was full.
     dropped: GenericGauge<AtomicU64>,
-    lines_dropped: Arc<AtomicCount>,
+    lines: Arc<Count>,
     gaps: Histogram,
     waits: Histogram,
     requests: IntCounterVec,
@@ -55,11 +54,11 @@
 }
 
 impl Metrics {
-    /// All at zero; `lines_dropped` counts log lines elsewhere.
+    /// All at zero; `lines` counts log lines.
     ///
     /// # Errors
     /// If a name is wrong or taken.
-    pub fn new(lines_dropped: Arc<AtomicCount>) -> Result<Self, Error> {
+    pub fn new(lines: Arc<Count>) -> Result<Self, Error> {
         let registry = Registry::new();
         let gauge = |name: &str, help: &str| {
             let gauge = GenericGauge::<AtomicU64>::new(full(name), help)?;
@@ -90,7 +89,7 @@
             replicas_age: register(&registry, age)?,
             budget: register(&registry, GaugeVec::new(budget, &["service"])?)?,
             dropped: gauge("log_lines_dropped", "Log lines dropped since the start")?,
-            lines_dropped,
+            lines,
             gaps: histogram("event_gap_seconds", "Time between two events of a stream")?,
             waits: histogram("place_wait_seconds", "Wait for a place at a decode replica")?,
             requests: vector("requests_total", "Requests by outcome", &["outcome"])?,
@@ -146,7 +145,7 @@
     /// # Errors
     /// If a figure cannot be written.
     pub fn text(&self) -> Result<Vec<u8>, Error> {
-        self.dropped.set(self.lines_dropped.load(Ordering::Relaxed));
+        self.dropped.set(self.lines.dropped());
         let mut text = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
         Ok(text)
--- a/crates/gateway/tests/gateway/lifecycle.rs
+++ b/crates/gateway/tests/gateway/lifecycle.rs
@@ -36,6 +36,9 @@
     );
     assert_eq!(told.header("connection"), Some("close"));
     assert!(site.daemon.wait().success());
+    until("the end is logged", || {
+        !site.daemon.logged("stopped").is_empty()
+    });
 }
 
 /// A stream that begins late after SIGTERM could be cut by the end of the grace.
--- a/crates/logs/src/queue.rs
+++ b/crates/logs/src/queue.rs
@@ -9,6 +9,7 @@
 use std::sync::mpsc::Receiver;
 use std::sync::mpsc::SyncSender;
 use std::thread;
+use std::time::Duration;
 use std::time::Instant;
 
 use flexi_logger::DeferredNow;
@@ -21,15 +22,42 @@
 /// Lines that wait at most; about 1 MB at 250 bytes a line.
 const MAX_LINES: usize = 4_096;
 
+/// Pause between two looks whether all lines are written.
+const SETTLE_PAUSE: Duration = Duration::from_millis(5);
+
 /// Takes lines without ever blocking; lines that find it full are dropped and counted.
 #[derive(Debug)]
 pub struct Queue {
     lines: SyncSender<Vec<u8>>,
-    dropped: Arc<AtomicU64>,
+    count: Arc<Count>,
     instance: String,
     start: Instant,
 }
 
+/// Lines taken, written and dropped so far.
+#[derive(Debug, Default)]
+pub struct Count {
+    taken: AtomicU64,
+    written: AtomicU64,
+    dropped: AtomicU64,
+}
+
+impl Count {
+    /// Lines that found the queue full.
+    pub fn dropped(&self) -> u64 {
+        self.dropped.load(Ordering::Relaxed)
+    }
+
+    /// Waits until all lines taken are written, for `limit` at most; for the end of a program.
+    pub fn settle(&self, limit: Duration) {
+        let end = Instant::now() + limit;
+        let open = || self.written.load(Ordering::Relaxed) < self.taken.load(Ordering::Relaxed);
+        while open() && Instant::now() < end {
+            thread::sleep(SETTLE_PAUSE);
+        }
+    }
+}
+
 impl Queue {
     /// A queue whose lines a new thread writes to `to`; each tells the name of the `instance`, and
     /// the time since the start on a clock that does not jump.
@@ -38,22 +66,22 @@
     /// If the thread cannot be started.
     pub fn new(to: Box<dyn Write + Send>, instance: String) -> io::Result<Self> {
         let (lines, waiting) = mpsc::sync_channel(MAX_LINES);
-        let dropped = Arc::new(AtomicU64::new(0));
-        let counted = Arc::clone(&dropped);
+        let count = Arc::new(Count::default());
+        let counted = Arc::clone(&count);
         thread::Builder::new()
             .name("logs".to_owned())
             .spawn(move || drain(&waiting, to, &counted))?;
         Ok(Self {
             lines,
-            dropped,
+            count,
             instance,
             start: Instant::now(),
         })
     }
 
-    /// The count of lines dropped so far, shared with the queue.
-    pub fn dropped(&self) -> Arc<AtomicU64> {
-        Arc::clone(&self.dropped)
+    /// The counts of lines, shared with the queue.
+    pub fn count(&self) -> Arc<Count> {
+        Arc::clone(&self.count)
     }
 }
 
@@ -66,9 +94,11 @@
         more.insert("up_ms".to_owned(), up_ms.into());
         line::write_with(&mut text, now, record, more)?;
         text.push(b'\n');
-        if self.lines.try_send(text).is_err() {
-            self.dropped.fetch_add(1, Ordering::Relaxed);
-        }
+        let counter = match self.lines.try_send(text) {
+            Ok(()) => &self.count.taken,
+            Err(_) => &self.count.dropped,
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
         Ok(())
     }
 
@@ -78,19 +108,18 @@
 }
 
 /// Writes lines until the queue is gone; tells of dropped ones as soon as there is room again.
-fn drain(waiting: &Receiver<Vec<u8>>, mut to: Box<dyn Write + Send>, dropped: &AtomicU64) {
+fn drain(waiting: &Receiver<Vec<u8>>, mut to: Box<dyn Write + Send>, count: &Count) {
     let mut told = 0;
     while let Ok(mut text) = waiting.recv() {
-        let count = dropped.load(Ordering::Relaxed);
-        if count > told {
-            let notice = format!(
-                "{{\"text\":\"log lines dropped\",\"count\":{}}}\n",
-                count - told
-            );
+        let dropped = count.dropped();
+        if dropped > told {
+            let lost = dropped - told;
+            let notice = format!("{{\"text\":\"log lines dropped\",\"count\":{lost}}}\n");
             text.extend_from_slice(notice.as_bytes());
-            told = count;
+            told = dropped;
         }
         // Nobody reads any more: the lines have nowhere to go, and the daemon goes on.
         let _ = to.write_all(&text).and_then(|()| to.flush());
+        count.written.fetch_add(1, Ordering::Relaxed);
     }
 }
