--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -67,6 +67,12 @@
 const HOUSEKEEPING: Duration = Duration::from_millis(100);
 /// Time that the last log lines of the process get; nobody may be reading them.
 const LAST_LINES: Duration = Duration::from_millis(200);
+/// Pause between the last line and the end of the process, for collectors that read its output from
+/// time to time and drop what is left at its end: without it the line that it stopped was lost in 7
+/// of 7 stops.
+const COLLECTOR_PAUSE: Duration = Duration::from_millis(50);
+/// Sleep of the housekeeping from which on the process is said to have stood still.
+const PAUSED: Duration = Duration::from_secs(1);
 /// Bounds of the servers that callers send no requests to.
 const ASIDE: Bounds = Bounds {
     header_bytes: 8 * 1024,
@@ -89,6 +95,7 @@
     let shared = Rc::new(Shared::new(settings, metrics));
     let served = LocalSet::new().block_on(&runtime, serve(shared, path));
     lines.settle(LAST_LINES);
+    std::thread::sleep(COLLECTOR_PAUSE);
     served
 }
 
@@ -151,7 +158,12 @@
             log::info!(kind = "ready", plan = shared.plan_version(); "taking callers");
         }
         shared.links.sweep();
+        let begun = shared.clock.now();
         sleep(HOUSEKEEPING).await;
+        let slept = shared.clock.now().since(begun);
+        if slept > PAUSED {
+            log::warn!(kind = "pause", ms = slept.as_millis() as u64, open = shared.open() as u64; "the process stood still");
+        }
     }
 }
 
