Take changed settings without a restart

Cause: settings may change without a signal; a difference was told only. Tests: two in lifecycle.rs.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -90,7 +90,7 @@
             continue;
         }
         let mut peers = shared.members.borrow().peers();
-        peers.extend(shared.settings.seed_peers());
+        peers.extend(shared.settings().seed_peers());
         if let Some(peer) = pick(&peers) {
             ask(&shared, peer).await;
         }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -67,7 +67,7 @@
 /// # Errors
 /// If the socket cannot be opened.
 pub async fn run(shared: Rc<Shared>) -> io::Result<()> {
-    let socket = UdpSocket::bind(shared.settings.listen.peers).await?;
+    let socket = UdpSocket::bind(shared.settings().listen.peers).await?;
     let socket = shared.datagrams.get_or_init(|| socket);
     let mut buffer = vec![0; 64 * 1024];
     let mut next = Time::ZERO;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod place;
 pub mod plain;
 pub mod prefill;
+pub mod reload;
 pub mod send;
 pub mod settings;
 pub mod shared;
@@ -100,7 +101,8 @@
 }
 
 async fn serve(shared: Rc<Shared>, path: &Path) -> Result<(), Error> {
-    let listen = &shared.settings.listen;
+    let settings = shared.settings();
+    let listen = &settings.listen;
     let callers = listen::bind("callers", listen.callers).await?;
     let addresses = listen::bind("addresses", listen.addresses).await?;
     let readiness = listen::bind("readiness", listen.readiness).await?;
@@ -138,6 +140,7 @@
     spawn_local(watch::replicas(Rc::clone(&shared)));
     spawn_local(watch::instances(Rc::clone(&shared)));
     spawn_local(stages::run(Rc::clone(&shared)));
+    spawn_local(reload::follow(Rc::clone(&shared), path.to_owned()));
     spawn_local(housekeeping(Rc::clone(&shared)));
     let own = Rc::clone(&shared);
     spawn_local(async move {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -109,6 +109,31 @@
         }
     }
 
+    /// Whether fields differ from `before` that take effect at a start only.
+    pub fn needs_restart(&self, before: &Self) -> bool {
+        let fixed = |settings: &Self| {
+            (
+                settings.instance.clone(),
+                settings.data_centre.clone(),
+                settings.listen.clone(),
+                settings.store,
+            )
+        };
+        fixed(self) != fixed(before)
+    }
+
+    /// The same with those fields as in `before`.
+    #[must_use]
+    pub fn with_fixed_of(self, before: &Self) -> Self {
+        Self {
+            instance: before.instance.clone(),
+            data_centre: before.data_centre.clone(),
+            listen: before.listen.clone(),
+            store: before.store,
+            ..self
+        }
+    }
+
     /// The bound on retries.
     pub fn retry_rule(&self) -> Rule {
         Rule {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -46,8 +46,8 @@
 /// State of the daemon; one thread uses it.
 #[derive(Debug)]
 pub struct Shared {
-    /// Settings at the start.
-    pub settings: Settings,
+    /// Settings in force.
+    settings: RefCell<Rc<Settings>>,
     /// Its clock.
     pub clock: Clock,
     /// Client of the store.
@@ -64,7 +64,6 @@
     budgets: RefCell<HashMap<String, Budget>>,
     /// Mean time of a decode replica for an answer, by service.
     lengths: RefCell<HashMap<String, Duration>>,
-    rule: Rule,
     near: Zone,
     own: Card,
     /// Socket for datagrams to other daemons, once it is open.
@@ -107,7 +106,6 @@
             plan: RefCell::new(None),
             budgets: RefCell::new(HashMap::new()),
             lengths: RefCell::new(HashMap::new()),
-            rule: settings.retry_rule(),
             near,
             own,
             datagrams: OnceCell::new(),
@@ -119,10 +117,24 @@
             open: Cell::new(0),
             asking: Cell::new(0),
             rejected: Cell::new((0, 0)),
-            settings,
+            settings: RefCell::new(Rc::new(settings)),
         }
     }
 
+    /// The settings in force.
+    pub fn settings(&self) -> Rc<Settings> {
+        Rc::clone(&self.settings.borrow())
+    }
+
+    /// Puts `settings` in force.
+    pub fn take_settings(&self, settings: Settings) {
+        *self.settings.borrow_mut() = Rc::new(settings);
+    }
+
+    fn rule(&self) -> Rule {
+        self.settings.borrow().retry_rule()
+    }
+
     /// The own card.
     pub fn own_card(&self) -> Card {
         self.own.clone()
@@ -252,7 +264,7 @@
     pub fn count_request(&self, service: &str) {
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.to_owned()).or_default();
-        budget.request(self.clock.now(), &self.rule);
+        budget.request(self.clock.now(), &self.rule());
     }
 
     /// Takes a retry for `request` out of the budget of `service`, if one is left.
@@ -261,8 +273,8 @@
         let now = self.clock.now();
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.to_owned()).or_default();
-        let left = budget.left(now, &self.rule, sharers);
-        let taken = budget.take(now, &self.rule, sharers);
+        let left = budget.left(now, &self.rule(), sharers);
+        let taken = budget.take(now, &self.rule(), sharers);
         self.metrics.retries(service, taken);
         log::info!(kind = "retry", request = request, service = service, granted = taken, left = format!("{left:.1}"), sharers = sharers as u64; "a retry was asked of the budget");
         taken
@@ -277,7 +289,7 @@
         metrics.replicas_version.set(self.replicas_version());
         metrics.replicas_age.set(self.replicas_age().as_secs_f64());
         for (service, budget) in self.budgets.borrow_mut().iter_mut() {
-            let left = budget.left(now, &self.rule, members.sharers());
+            let left = budget.left(now, &self.rule(), members.sharers());
             metrics.retries_left(service, left);
         }
     }
@@ -338,7 +350,7 @@
             return true;
         };
         let elapsed = self.clock.now().since(since);
-        elapsed < TAKING || elapsed + longest < self.settings.grace().saturating_sub(RESERVE)
+        elapsed < TAKING || elapsed + longest < self.settings().grace().saturating_sub(RESERVE)
     }
 
     /// Requests in progress.
--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -50,13 +50,12 @@
 
 /// Watches the division of each model's replicas, forever.
 pub async fn run(shared: Rc<Shared>) {
-    let Some(share) = shared.settings.prefill_share else {
-        return;
-    };
     let mut balances: HashMap<String, Balance> = HashMap::new();
     loop {
         sleep(PERIOD).await;
-        let Some(plan) = shared.plan().filter(|_| shared.is_ready()) else {
+        let share = shared.settings().prefill_share;
+        let plan = shared.plan().filter(|_| shared.is_ready());
+        let (Some(plan), Some(share)) = (plan, share) else {
             continue;
         };
         let services = plan.services.iter();
@@ -125,7 +124,7 @@
     if written.elapsed() > FRESH {
         return Err("the claim is too old".to_owned());
     }
-    let holder = &shared.settings.instance;
+    let holder = &shared.settings().instance;
     let order = Call {
         to: replica.address,
         replica: replica.id.clone(),
@@ -148,7 +147,7 @@
     let held = rows.rows.iter().find(|row| row.key == service);
     let value = held.and_then(|row| row.value.as_deref());
     let term = value.and_then(|value| serde_json::from_slice::<Term>(value).ok());
-    let holder = &shared.settings.instance;
+    let holder = &shared.settings().instance;
     if term.is_some_and(|term| term.holder != *holder && !is_over(&term, &rows)) {
         return Err("another daemon gave the last order".to_owned());
     }
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -1,4 +1,4 @@
-//! Signals: a graceful stop, and reading the settings again.
+//! Signals, and a graceful stop.
 
 use std::path::Path;
 use std::time::Duration;
@@ -12,7 +12,7 @@
 use tokio::time::timeout;
 
 use crate::error::Error;
-use crate::settings::Settings;
+use crate::reload;
 use crate::shared::RESERVE;
 use crate::shared::Shared;
 use crate::watch::INSTANCES;
@@ -37,19 +37,19 @@
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = hangup.recv() => reload(shared, path),
+            _ = hangup.recv() => reload::reload(shared, path),
         }
     }
     log::info!(kind = "stop", open = shared.open() as u64; "stopping");
     shared.stop();
     shared.members.borrow_mut().leave(shared.clock.now());
-    let name = shared.settings.instance.clone();
+    let name = shared.settings().instance.clone();
     let begun = Instant::now();
     let unlisted = timeout(UNLIST_TIMEOUT, shared.store.remove(INSTANCES, &name)).await;
     if let Ok(Err(error)) = unlisted {
         log::warn!(kind = "store", step = "leaving", cause = error.to_string(); "the own row could not be removed");
     }
-    let last = begun + shared.settings.grace().saturating_sub(RESERVE);
+    let last = begun + shared.settings().grace().saturating_sub(RESERVE);
     sleep_until((begun + LINGER).min(last)).await;
     while shared.open() > 0 && Instant::now() < last {
         sleep(LOOK_AGAIN).await;
@@ -58,21 +58,6 @@
     Ok(())
 }
 
-/// Reads the settings again. Addresses and name stay those of the start; what differs is told.
-fn reload(shared: &Shared, path: &Path) {
-    match Settings::read(path) {
-        Ok(settings) if settings == shared.settings => {
-            log::info!(kind = "reload"; "settings read again; nothing changed");
-        }
-        Ok(_) => {
-            log::warn!(kind = "reload"; "settings differ; they take effect at the next start");
-        }
-        Err(error) => {
-            log::error!(kind = "reload", cause = error.to_string(); "settings cannot be read; those in force stay");
-        }
-    }
-}
-
 fn on(kind: SignalKind) -> Result<Signal, Error> {
     signal(kind).map_err(|error| Error::Start {
         step: "signals",
--- a/crates/gateway/tests/gateway/lifecycle.rs
+++ b/crates/gateway/tests/gateway/lifecycle.rs
@@ -131,6 +131,38 @@
     assert!(site.daemon.logged("rejected").len() <= 50 * seconds);
 }
 
+#[test]
+fn settings_that_change_without_a_signal_come_into_force() {
+    let replica = Replica::start("i-1", |request| Act::Send(signed(request, 500, b"x")));
+    let other = Replica::start("i-2", |request| Act::Send(signed(request, 500, b"x")));
+    let site = Site::start("changed", &[(&replica, "app", ""), (&other, "app", "")]);
+    assert_eq!(site.ask("GET /read/1", "a1").status(), 500);
+    assert_eq!(replica.seen().len() + other.seen().len(), 2);
+    let text = fs::read_to_string(site.daemon.settings()).unwrap();
+    let text = text.replace("ratio: 0.2, slack: 50", "ratio: 0.0, slack: 0");
+    fs::write(site.daemon.settings(), text).unwrap();
+    until("it is told", || {
+        !site.daemon.logged("settings in force").is_empty()
+    });
+    // Without a budget a failure is not tried elsewhere.
+    assert_eq!(site.ask("GET /read/1", "a2").status(), 500);
+    assert_eq!(replica.seen().len() + other.seen().len(), 3);
+}
+
+#[test]
+fn an_address_that_changes_waits_for_the_next_start() {
+    let replica = Replica::start("i-1", |request| Act::Send(signed(request, 200, b"x")));
+    let site = Site::start("moved", &[(&replica, "app", "")]);
+    let text = fs::read_to_string(site.daemon.settings()).unwrap();
+    let text = text.replace("data_centre: here", "data_centre: there");
+    fs::write(site.daemon.settings(), text).unwrap();
+    site.daemon.signal(Signal::HUP);
+    until("it is told", || {
+        !site.daemon.logged("at the next start").is_empty()
+    });
+    assert_eq!(site.ask("GET /read/1", "a1").status(), 200);
+}
+
 const GOOD: &str = r#"
 instance: edge-1
 data_centre: here
