Soak real daemons under random faults

Change: three daemons, eight replicas and the store as separate processes and threads, faults from outside (signals, proxies that delay, reset, silence or cut one way, outages, replacement of replicas, changes of the plan), checked from what callers and replicas saw. Found while writing it: a hang-up sent to a process that another fault had just killed ended the soak itself (not the daemon).

--- a/crates/gateway/tests/gateway/common/daemon.rs
+++ b/crates/gateway/tests/gateway/common/daemon.rs
@@ -147,6 +147,12 @@
         kill_process(pid, signal).unwrap();
     }
 
+    /// Kills it.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
     /// Waits for its end.
     pub fn wait(&mut self) -> ExitStatus {
         let end = Instant::now() + PATIENCE;
@@ -162,8 +168,7 @@
 
 impl Drop for Daemon {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.kill();
     }
 }
 
--- /dev/null
+++ b/crates/gateway/tests/soak/callers.rs
@@ -0,0 +1,97 @@
+//! Callers, who send one request after another and note what they are told.
+
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use crate::common::caller::Caller;
+use crate::common::http::Message;
+use crate::ledger::Kind;
+use crate::ledger::Told;
+use crate::world::DAEMONS;
+use crate::world::World;
+
+/// How long a caller waits for the end of an answer.
+const PATIENCE: Duration = Duration::from_secs(3);
+/// Requests of each kind that have to be served at each daemon in the end.
+const LAST_ROUND: usize = 5;
+
+/// Sends requests until the run ends.
+pub fn run(world: &World, seed: u64) {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut number = 0;
+    while !world.ended() {
+        let kind = kind(rng.random_range(0..4));
+        let seat = rng.random_range(0..DAEMONS);
+        let id = format!("{seed}-{number}");
+        ask(world, seat, kind, &id);
+        number += 1;
+        thread::sleep(Duration::from_millis(rng.random_range(1..30)));
+    }
+}
+
+/// Whether all daemons serve every kind of request again within `limit`.
+///
+/// # Errors
+/// What is not served.
+pub fn recovers(world: &World, limit: Duration) -> Result<(), String> {
+    let end = Instant::now() + limit;
+    for seat in 0..DAEMONS {
+        for number in 0..4 {
+            let mut served = 0;
+            let mut tries = 0;
+            while served < LAST_ROUND {
+                let id = format!("last-{seat}-{number}-{tries}");
+                let told = ask(world, seat, kind(number), &id);
+                served += usize::from(told.status() == 200);
+                tries += 1;
+                if Instant::now() > end {
+                    return Err(format!("daemon {seat} does not serve {:?}", kind(number)));
+                }
+            }
+        }
+    }
+    Ok(())
+}
+
+const fn kind(number: usize) -> Kind {
+    match number {
+        0 => Kind::Once,
+        1 => Kind::Draft,
+        2 => Kind::Resumable,
+        _ => Kind::Idempotent,
+    }
+}
+
+fn ask(world: &World, seat: usize, kind: Kind, id: &str) -> Message {
+    let line = match kind {
+        Kind::Once => "POST /book/1",
+        Kind::Draft => "POST /draft/1",
+        Kind::Idempotent => "GET /read/1",
+        Kind::Resumable => "POST /resume/1",
+    };
+    let address = world.seats[seat].callers;
+    let begun = Instant::now();
+    let limit = PATIENCE.as_millis().to_string();
+    let headers = [
+        ("Request-Id", id),
+        ("Deadline-Ms", &limit),
+        ("Token-Counts", "100,20"),
+    ];
+    let told = Caller::new(address).map(|mut caller| caller.ask(line, &headers, b""));
+    let told = told.unwrap_or_default();
+    let seen = Told {
+        kind,
+        status: told.status(),
+        whole: told.whole,
+        body: String::from_utf8_lossy(&told.body).into_owned(),
+        took: (begun.elapsed(), PATIENCE),
+        disturbed: world.seats[seat].disturbed_since(begun),
+    };
+    world.ledger.told(id, seen);
+    told
+}
--- /dev/null
+++ b/crates/gateway/tests/soak/ledger.rs
@@ -0,0 +1,120 @@
+//! What callers and replicas saw, and whether it keeps the promises.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::time::Duration;
+
+/// Events of a complete stream.
+pub const EVENTS: u64 = 20;
+/// Time over the caller's own limit that a final answer may take, on a machine that also runs other
+/// tests; a paused daemon is excused.
+const LATE: Duration = Duration::from_secs(4);
+
+/// How often a request may run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// Once at most.
+    Once,
+    /// Once at most, answered with events.
+    Draft,
+    /// Any number of times.
+    Idempotent,
+    /// At another replica after an event.
+    Resumable,
+}
+
+/// What a caller was told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Told {
+    /// Kind of the request.
+    pub kind: Kind,
+    /// Status; 0 without an answer.
+    pub status: u16,
+    /// Whether the body came to its proper end.
+    pub whole: bool,
+    /// The body.
+    pub body: String,
+    /// Time to the end of the answer, and the caller's own limit.
+    pub took: (Duration, Duration),
+    /// Whether the daemon was paused, killed or stopped meanwhile.
+    pub disturbed: bool,
+}
+
+/// Everything that was seen.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    runs: Mutex<HashMap<String, u32>>,
+    told: Mutex<Vec<(String, Told)>>,
+}
+
+impl Ledger {
+    /// Notes that a replica runs `id`.
+    pub fn ran(&self, id: &str) {
+        *self.runs.lock().unwrap().entry(id.to_owned()).or_default() += 1;
+    }
+
+    /// Notes what the caller of `id` was told.
+    pub fn told(&self, id: &str, told: Told) {
+        self.told.lock().unwrap().push((id.to_owned(), told));
+    }
+
+    /// Counts of answers by status.
+    pub fn summary(&self) -> String {
+        let mut counts: BTreeMap<(u16, bool), u32> = BTreeMap::new();
+        for (_, told) in self.told.lock().unwrap().iter() {
+            *counts.entry((told.status, told.whole)).or_default() += 1;
+        }
+        let texts = counts.iter().map(|((status, whole), count)| match whole {
+            true => format!("{status}: {count}"),
+            false => format!("{status} cut: {count}"),
+        });
+        texts.collect::<Vec<_>>().join(", ")
+    }
+
+    /// Promises that were broken.
+    pub fn broken(&self) -> Vec<String> {
+        let runs = self.runs.lock().unwrap();
+        let told = self.told.lock().unwrap();
+        let checks = told.iter().filter_map(|(id, told)| {
+            let runs = runs.get(id).copied().unwrap_or(0);
+            let fault = fault(id, told, runs)?;
+            Some(format!("{id} ({:?}, {}): {fault}", told.kind, told.status))
+        });
+        checks.collect()
+    }
+}
+
+fn fault(id: &str, told: &Told, runs: u32) -> Option<String> {
+    let once = matches!(told.kind, Kind::Once | Kind::Draft);
+    let streams = matches!(told.kind, Kind::Draft | Kind::Resumable);
+    let (took, limit) = told.took;
+    match told {
+        _ if once && runs > 1 => Some(format!("ran {runs} times")),
+        told if told.status == 503 && runs > 0 => Some("refused, but it ran".to_owned()),
+        told if told.status == 404 => Some("its route was not known".to_owned()),
+        told if told.status == 200 && streams => events(id, told).err(),
+        told if told.status == 200 && told.whole && told.body != id => {
+            Some(format!("got the answer `{}`", told.body))
+        }
+        told if !told.disturbed && took > limit + LATE => Some(format!("answered after {took:?}")),
+        _ => None,
+    }
+}
+
+/// Checks that the events are those of `id`, in order, without gap or double.
+fn events(id: &str, told: &Told) -> Result<(), String> {
+    let whole = told.body.split("\n\n").collect::<Vec<_>>();
+    let (last, whole) = whole.split_last().ok_or("no body")?;
+    for (number, event) in (1..).zip(whole) {
+        let expected = format!("id: {number}\ndata: {id}");
+        if *event != expected {
+            return Err(format!("event {number} is `{event}`"));
+        }
+    }
+    match told.whole {
+        true if whole.len() as u64 != EVENTS => Err(format!("complete with {}", whole.len())),
+        true if !last.is_empty() => Err("complete with a cut event".to_owned()),
+        _ => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/soak/world.rs
@@ -0,0 +1,275 @@
+//! The store, the replicas and the daemons of one run.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::common::daemon::Daemon;
+use crate::common::daemon::new_ip;
+use crate::common::http::Message;
+use crate::common::http::answer;
+use crate::common::replica::Act;
+use crate::common::replica::Replica;
+use crate::common::replica::chunk;
+use crate::common::replica::not_run;
+use crate::common::replica::signed;
+use crate::common::replica::stream_head;
+use crate::common::store::Store;
+use crate::ledger::EVENTS;
+use crate::ledger::Ledger;
+use crate::proxy::Harm;
+use crate::proxy::Proxy;
+
+/// Daemons of a run.
+pub const DAEMONS: usize = 3;
+/// Time around a signal to a daemon in which its requests are excused from being answered.
+const DISTURBED: Duration = Duration::from_secs(3);
+
+/// A daemon's place: its address stays, its process changes.
+#[derive(Debug)]
+pub struct Seat {
+    name: String,
+    ip: String,
+    /// Where it takes requests.
+    pub callers: SocketAddr,
+    /// Its way to the store.
+    pub store: Proxy,
+    /// Its process.
+    pub daemon: Mutex<Daemon>,
+    disturbed: Mutex<Instant>,
+}
+
+/// A replica, the way to it, its service and its stage.
+type Way = (Replica, Proxy, &'static str, &'static str);
+
+/// Kills the daemons of a world when the run ends, also by a panic while threads still hold it.
+pub struct End(pub World);
+
+impl Drop for End {
+    fn drop(&mut self) {
+        self.0.end_callers();
+        for seat in self.0.seats.iter() {
+            let mut daemon = seat.daemon.lock().unwrap_or_else(PoisonError::into_inner);
+            daemon.kill();
+        }
+    }
+}
+
+/// Everything of one run.
+#[derive(Clone)]
+pub struct World {
+    /// What was seen.
+    pub ledger: Arc<Ledger>,
+    /// The store.
+    pub store: Store,
+    /// The daemons.
+    pub seats: Arc<Vec<Seat>>,
+    /// The ways to the replicas.
+    pub ways: Arc<Mutex<Vec<Way>>>,
+    version: Arc<AtomicU64>,
+    ended: Arc<AtomicBool>,
+    replicas: Arc<AtomicU64>,
+    seed: u64,
+}
+
+impl World {
+    /// Starts everything, and waits until all daemons are ready.
+    pub fn start(seed: u64) -> Self {
+        let (store, address) = Store::start("127.0.0.1");
+        let ips: Vec<String> = (0..DAEMONS).map(|_| new_ip()).collect();
+        let world = Self {
+            ledger: Arc::default(),
+            store,
+            seats: Arc::new(ips.iter().map(|ip| seat(ip, &ips, address, seed)).collect()),
+            ways: Arc::default(),
+            version: Arc::new(AtomicU64::new(0)),
+            ended: Arc::default(),
+            replicas: Arc::default(),
+            seed,
+        };
+        world.change_config();
+        for (count, service, stage) in [(3, "app", ""), (2, "llm", "prefill"), (3, "llm", "decode")]
+        {
+            for _ in 0..count {
+                world.add_replica(service, stage);
+            }
+        }
+        for seat in world.seats.iter() {
+            seat.daemon.lock().unwrap().until_ready();
+        }
+        world
+    }
+
+    /// Writes a configuration with a higher version and the same routes.
+    pub fn change_config(&self) {
+        let version = self.version.fetch_add(3, Ordering::SeqCst) + 3;
+        self.store.put("op", "config", &config(version));
+    }
+
+    /// Adds a replica.
+    pub fn add_replica(&self, service: &'static str, stage: &'static str) {
+        let number = self.replicas.fetch_add(1, Ordering::SeqCst);
+        let id = format!("i-{number}");
+        let rng = Mutex::new(Pcg64Mcg::seed_from_u64(self.seed * 977 + number));
+        let ledger = Arc::clone(&self.ledger);
+        let replica = Replica::start(&id, move |request| {
+            let draw: f64 = rng.lock().unwrap().random();
+            serve(&ledger, stage, request, draw)
+        });
+        let proxy = Proxy::start(replica.address);
+        let mut row = replica.row(service, stage);
+        row["addr"] = json!(proxy.address);
+        self.store.put("servers", &id, &row);
+        let way = (replica, proxy, service, stage);
+        self.ways.lock().unwrap().push(way);
+    }
+
+    /// Lets the replica at `index` drain, and adds one in its place.
+    pub fn replace_replica(&self, index: usize) {
+        let (replica, proxy, service, stage) = self.ways.lock().unwrap()[index].clone();
+        let mut row = replica.row(service, stage);
+        row["addr"] = json!(proxy.address);
+        row["state"] = "draining".into();
+        self.add_replica(service, stage);
+        self.store.put("servers", &replica.id, &row);
+        self.ways.lock().unwrap().remove(index);
+    }
+
+    /// Ends all harm.
+    pub fn heal(&self) {
+        self.store.set_down(false);
+        for seat in self.seats.iter() {
+            seat.store.set(Harm::None);
+        }
+        for (_, proxy, ..) in self.ways.lock().unwrap().iter() {
+            proxy.set(Harm::None);
+        }
+    }
+
+    /// Tells callers to end.
+    pub fn end_callers(&self) {
+        self.ended.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether callers are to end.
+    pub fn ended(&self) -> bool {
+        self.ended.load(Ordering::SeqCst)
+    }
+}
+
+impl Seat {
+    /// Notes that its process is disturbed by a signal now.
+    pub fn disturb(&self) {
+        *self.disturbed.lock().unwrap() = Instant::now();
+    }
+
+    /// Whether its process was disturbed since shortly before `begun`.
+    pub fn disturbed_since(&self, begun: Instant) -> bool {
+        *self.disturbed.lock().unwrap() + DISTURBED > begun
+    }
+
+    /// A new process for it.
+    pub fn start(&self) -> Daemon {
+        self.disturb();
+        Daemon::start(&self.name, &self.ip, self.store.address, &[])
+    }
+}
+
+fn seat(ip: &str, ips: &[String], store: SocketAddr, seed: u64) -> Seat {
+    let store = Proxy::start(store);
+    let name = format!("soak-{seed}-{}", ip.rsplit('.').next().unwrap_or_default());
+    let seeds: Vec<&str> = ips.iter().map(String::as_str).collect();
+    let daemon = Daemon::start(&name, ip, store.address, &seeds);
+    Seat {
+        callers: daemon.callers,
+        daemon: Mutex::new(daemon),
+        name,
+        ip: ip.to_owned(),
+        store,
+        disturbed: Mutex::new(Instant::now()),
+    }
+}
+
+/// What a replica does, by chance.
+fn serve(ledger: &Ledger, stage: &str, request: &Message, draw: f64) -> Act {
+    let id = request.header("request-id").unwrap_or_default();
+    if stage == "prefill" {
+        return match draw {
+            d if d < 0.05 => Act::Send(not_run(request)),
+            d if d < 0.08 => Act::SendAndClose(Vec::new()),
+            _ => Act::Send(answer(
+                200,
+                &[],
+                br#"{"kv-handle":"k","tokens":1,"version":1}"#,
+            )),
+        };
+    }
+    if draw < 0.06 {
+        return Act::Send(not_run(request));
+    }
+    ledger.ran(id);
+    let slow = Duration::from_millis((draw * 100.0) as u64);
+    match stage {
+        "decode" => {
+            let last: u64 = request
+                .header("last-event-id")
+                .map_or(0, |id| id.parse().unwrap());
+            let broken = draw < 0.12 && last + 5 < EVENTS;
+            let end = if broken { last + 5 } else { EVENTS };
+            let mut parts = vec![stream_head(request)];
+            parts.extend((last + 1..=end).map(|number| event(number, id)));
+            if broken {
+                Act::SendAndClose(parts.concat())
+            } else {
+                Act::Slowly([parts, vec![chunk(b"")]].concat(), Duration::from_millis(5))
+            }
+        }
+        _ => match draw {
+            d if d < 0.08 => Act::SendAndClose(Vec::new()),
+            d if d < 0.10 => Act::SendAndClose(signed(request, 200, id.as_bytes())[..40].to_vec()),
+            d if d < 0.16 => Act::Send(signed(request, 500, b"failure")),
+            _ => Act::Slowly(vec![signed(request, 200, id.as_bytes())], slow),
+        },
+    }
+}
+
+/// One event of the stream of the request `id`, as one chunk.
+fn event(number: u64, id: &str) -> Vec<u8> {
+    chunk(format!("id: {number}\ndata: {id}\n\n").as_bytes())
+}
+
+fn config(version: u64) -> Value {
+    let route = |name: &str, kind: &str, service: &str, attempts: u32| {
+        json!({"name": name, "host": "shop.example", "prefix": format!("/{name}/"), "kind": kind,
+            "timeout-ms": 3000, "slo-ms": 600, "priority": 1, "service": service,
+            "max-attempts": attempts, "resumable": name == "resume"})
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("read", "idempotent", "app", 2),
+            route("book", "non_idempotent", "app", 1),
+            route("draft", "streaming", "llm", 1),
+            route("resume", "streaming", "llm", 2),
+        ],
+        "services": [
+            {"name": "app", "health-path": "/healthz", "max-conns": 50},
+            {"name": "llm", "health-path": "/healthz", "max-conns": 50, "engine": {
+                "slots": 8, "kv-tokens": 60000, "hold-ms": 2000.0, "stage-switch-s": 6.0}},
+        ],
+        "limits": {"max-header-bytes": 16384, "max-body-bytes": 100_000,
+            "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+    })
+}
