--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -202,8 +202,12 @@
         self.parts.send(Ok(bytes.into())).await.is_ok()
     }
 
-    /// A place at another replica, while the present one is silent.
+    /// A place at another replica, while the present one is silent; none if no retry is left to go
+    /// there.
     async fn other_place(&self) -> Option<Place> {
+        if !self.shared.has_retry(&self.job.service) {
+            return None;
+        }
         let find = place::find(&self.shared, &self.job, &self.tried);
         tokio::select! {
             place = find => place,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -267,6 +267,14 @@
         budget.request(self.clock.now(), &self.rule());
     }
 
+    /// Whether a retry is left in the budget of `service`.
+    pub fn has_retry(&self, service: &str) -> bool {
+        let sharers = self.members.borrow().sharers();
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.to_owned()).or_default();
+        budget.left(self.clock.now(), &self.rule(), sharers) >= 1.0
+    }
+
     /// Takes a retry for `request` out of the budget of `service`, if one is left.
     pub fn take_retry(&self, service: &str, request: &str) -> bool {
         let sharers = self.members.borrow().sharers();
--- a/crates/gateway/tests/gateway/site.rs
+++ b/crates/gateway/tests/gateway/site.rs
@@ -1,5 +1,6 @@
 //! One daemon in front of given replicas.
 
+use std::fs;
 use std::net::SocketAddr;
 
 use serde_json::Value;
@@ -72,6 +73,16 @@
         Daemon::start(name, &new_ip(), self.store_address, seeds)
     }
 
+    /// Changes the settings file, and waits until it is in force.
+    pub fn change_settings(&self, before: &str, after: &str) {
+        let text = fs::read_to_string(self.daemon.settings()).unwrap();
+        assert!(text.contains(before), "{text}");
+        fs::write(self.daemon.settings(), text.replace(before, after)).unwrap();
+        until("the settings are in force", || {
+            !self.daemon.logged("settings in force").is_empty()
+        });
+    }
+
     /// Sends one request of a new caller and reads the answer.
     pub fn ask(&self, line: &str, id: &str) -> Message {
         self.daemon.caller().ask(line, &headers(id), b"")
--- a/crates/gateway/tests/gateway/stream.rs
+++ b/crates/gateway/tests/gateway/stream.rs
@@ -141,6 +141,25 @@
     assert_eq!(decode.seen().len(), 1);
 }
 
+/// The same where another replica has room, but going on there would be a retry too many.
+#[test]
+fn a_silent_replica_is_kept_where_no_retry_is_left() {
+    let script = |request: &Message| {
+        let first = [stream_head(request), events(1, 2)].concat();
+        let rest = [events(3, 4), chunk(b"")].concat();
+        Act::Slowly(vec![first, rest], Duration::from_millis(1_900))
+    };
+    let one = Replica::start("i-1", script);
+    let two = Replica::start("i-2", script);
+    let replicas = [(&one, "llm", "decode"), (&two, "llm", "decode")];
+    let site = Site::start("no-retry", &replicas);
+    site.change_settings("ratio: 0.2, slack: 50", "ratio: 0.0, slack: 0");
+    let told = generate(&site.daemon, "/resume/1", "a1").read();
+    assert!(told.whole, "{}", String::from_utf8_lossy(&told.body));
+    assert_eq!(String::from_utf8_lossy(&told.body), texts(1, 4));
+    assert_eq!(one.seen().len() + two.seen().len(), 1);
+}
+
 #[test]
 fn a_generation_that_finds_no_room_is_refused() {
     let full = Replica::start("i-d", |request| Act::Send(not_run(request)));
