--- a/crates/gateway/tests/gateway/stream.rs
+++ b/crates/gateway/tests/gateway/stream.rs
@@ -118,6 +118,20 @@
     assert_eq!(one.seen().len() + two.seen().len(), 2);
 }
 
+/// A prompt that was sent to be read has arrived at the service, whether it was read or not; what is
+/// sent after that is a retry.
+#[test]
+fn a_prompt_that_was_not_read_costs_a_retry() {
+    let prefill = Replica::start("i-p", |_| Act::SendAndClose(Vec::new()));
+    let decode = Replica::start("i-d", |request| Act::Send(stream(request, 1, 2)));
+    let replicas = [(&prefill, "llm", "prefill"), (&decode, "llm", "decode")];
+    let site = Site::start("unread-prompt", &replicas);
+    site.change_settings("ratio: 0.2, slack: 50", "ratio: 0.0, slack: 0");
+    let told = generate(&site.daemon, "/draft/1", "a1").read();
+    assert_eq!(told.status(), 503);
+    assert!(decode.seen().is_empty());
+}
+
 /// Silence alone ends no answer: without a place elsewhere the stream goes on when the replica does.
 #[test]
 fn a_silent_replica_is_kept_where_there_is_no_other() {
