--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -128,9 +128,14 @@
         .metrics
         .latency(&job.route.name, job.age().as_secs_f64());
     job.end("answered", answer.status.as_u16(), "");
-    let mut response = Response::new(Body::whole(answer.body));
-    *response.status_mut() = answer.status;
-    *response.headers_mut() = reply::headers(&answer.headers);
+    passed_on(answer.status, &answer.headers, answer.body)
+}
+
+/// A replica's whole answer, for the caller.
+pub fn passed_on(status: StatusCode, headers: &HeaderMap, body: Bytes) -> Response<Body> {
+    let mut response = Response::new(Body::whole(body));
+    *response.status_mut() = status;
+    *response.headers_mut() = reply::headers(headers);
     response
 }
 
@@ -143,10 +148,7 @@
                 answer.status.as_u16(),
                 "the replica's own failure",
             );
-            let mut response = Response::new(Body::whole(answer.body));
-            *response.status_mut() = answer.status;
-            *response.headers_mut() = reply::headers(&answer.headers);
-            response
+            passed_on(answer.status, &answer.headers, answer.body)
         }
         None if attempt.may_have_run() => {
             finish(job, "unknown", own::unknown, "the replica was lost")
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -6,7 +6,6 @@
 use http::Response;
 use http::StatusCode;
 use platform::caller::Task;
-use platform::reply;
 use relay::attempt::Attempt;
 use relay::attempt::Next;
 use relay::attempt::Outcome;
@@ -130,10 +129,7 @@
     match read {
         Ok(Ok((_, headers, body))) => {
             job.end("failed", status.as_u16(), "the replica's own failure");
-            let mut response = Response::new(Body::whole(body));
-            *response.status_mut() = status;
-            *response.headers_mut() = reply::headers(&headers);
-            response
+            plain::passed_on(status, &headers, body)
         }
         _ => plain::finish(&mut job, "unknown", own::unknown, "the replica was lost"),
     }
