Divide large fleets by share and square-root reserve; order several engines at once

Cause: a third of the replicas read prompts whatever their number. On 60 and 140 model replicas the prefill replicas were busy for 28 % of the time on average and 51 % in bursts, while decode memory was full (280 places for 397 generations at 1.8 times the traffic, 63 a second of 3.5 s each). Orders one at a time, nine seconds apart, could not have moved nine replicas before the traffic either. Ruled out: late finding of free places (a round asks three replicas, six rounds fit into the wait; places were simply taken). Change: wanted = 0.17 n + 0.5 sqrt(n), which is 3 of 9 and 4 of 12 as before, 14 of 60, 30 of 140; up to an eighth of the replicas is ordered under one claim and one fencing token. The small deployments want the same numbers as before.

--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -17,6 +17,7 @@
 use platform::engine::Report;
 use platform::store::Rows;
 use relay::balance::Balance;
+use relay::balance::Due;
 use relay::pool::Key;
 use relay::replica::Replica;
 use relay::replica::Stage;
@@ -39,6 +40,8 @@
 const TERM: Duration = Duration::from_secs(16);
 /// Time after the write of the row in which the order may be given.
 const FRESH: Duration = Duration::from_millis(400);
+/// Engines that are passed over in one round because they are busy or silent.
+const MAX_BUSY: usize = 3;
 
 /// Who gave the last order for a service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -73,66 +76,109 @@
     let counts = shared.pool.borrow().counts(now, service);
     let due = balance.due(now, counts, share);
     let owns = shared.members.borrow().owns(Pool::new(service).0);
-    let Some(stage) = due.filter(|_| owns) else {
+    let Some(due) = due.filter(|_| owns) else {
         return;
     };
-    let Some(replica) = candidate(shared, service, stage) else {
-        return;
+    let orders = prepare(shared, service, due).await;
+    let claimed = match orders.is_empty() {
+        true => Err("no engine can take an order".to_owned()),
+        false => claim(shared, service).await,
     };
-    match change(shared, service, &replica, stage).await {
-        Ok(status) => {
-            balance.ordered(now);
-            log::info!(kind = "order", replica = replica.id, stage = format!("{stage:?}"), prefill = counts.prefill as u64, decode = counts.decode as u64, status = status.as_u16(); "ordered a change of stage");
-        }
+    let (fence, written) = match claimed {
+        Ok(claimed) => claimed,
         Err(cause) => {
             balance.failed();
-            log::warn!(kind = "order", replica = replica.id, stage = format!("{stage:?}"), cause = cause; "no order was given, or its outcome is unknown");
+            log::warn!(kind = "order", service = service, stage = format!("{:?}", due.stage), cause = cause; "no order is given");
+            return;
+        }
+    };
+    let mut given = false;
+    for order in orders {
+        let replica = order.replica.id.clone();
+        let outcome = match written.elapsed() {
+            age if age > FRESH => Err("the claim is too old".to_owned()),
+            _ => give(shared, order, due.stage, fence).await,
+        };
+        match outcome {
+            Ok(status) => {
+                given = true;
+                log::info!(kind = "order", replica = replica, stage = format!("{:?}", due.stage), prefill = counts.prefill as u64, decode = counts.decode as u64, status = status.as_u16(); "ordered a change of stage");
+            }
+            Err(cause) => {
+                log::warn!(kind = "order", replica = replica, stage = format!("{:?}", due.stage), cause = cause; "no order was given, or its outcome is unknown");
+            }
         }
     }
+    match given {
+        true => balance.ordered(now),
+        false => balance.failed(),
+    }
 }
 
-/// The least loaded replica of the other stage.
-fn candidate(shared: &Shared, service: &str, to: Stage) -> Option<Replica> {
-    let from = match to {
+/// An order that can be given.
+#[derive(Debug)]
+struct Order {
+    replica: Replica,
+    /// Orders that the engine has taken so far.
+    taken: u64,
+}
+
+/// Orders to the least loaded replicas of the other stage that carry none out at present.
+async fn prepare(shared: &Shared, service: &str, due: Due) -> Vec<Order> {
+    let from = match due.stage {
         Stage::Prefill => Stage::Decode,
         Stage::Decode => Stage::Prefill,
     };
-    let key: Key = shared.choose(service, Some(from), &[])?;
-    let pool = shared.pool.borrow();
-    pool.get(key).map(|server| server.replica.clone())
+    let mut asked: Vec<Key> = Vec::new();
+    let mut orders = Vec::new();
+    while orders.len() < due.count && asked.len() < due.count + MAX_BUSY {
+        let Some(key) = shared.choose(service, Some(from), &asked) else {
+            break;
+        };
+        asked.push(key);
+        let replica = shared.pool.borrow().get(key).map(|s| s.replica.clone());
+        let Some(replica) = replica else { continue };
+        match report(shared, &replica).await {
+            Ok(report) if report.busy => {}
+            Ok(report) => orders.push(Order {
+                replica,
+                taken: report.orders,
+            }),
+            Err(cause) => {
+                log::info!(kind = "order", replica = replica.id, cause = cause; "an engine did not tell its state");
+            }
+        }
+    }
+    orders
 }
 
-async fn change(
-    shared: &Shared,
-    service: &str,
-    replica: &Replica,
-    stage: Stage,
-) -> Result<StatusCode, String> {
-    let report = Call {
+async fn report(shared: &Shared, replica: &Replica) -> Result<Report, String> {
+    let call = Call {
         to: replica.address,
         replica: replica.id.clone(),
         method: Method::GET,
         path: engine::REPORT_PATH.to_owned(),
         body: Vec::new(),
     };
-    let (_, body) = ask::call(shared, report).await?;
-    let report = Report::read(&body).map_err(|error| error.to_string())?;
-    if report.busy {
-        return Err("the engine carries out an order".to_owned());
-    }
-    let (fence, written) = claim(shared, service).await?;
-    if written.elapsed() > FRESH {
-        return Err("the claim is too old".to_owned());
-    }
+    let (_, body) = ask::call(shared, call).await?;
+    Report::read(&body).map_err(|error| error.to_string())
+}
+
+async fn give(
+    shared: &Shared,
+    order: Order,
+    stage: Stage,
+    fence: u64,
+) -> Result<StatusCode, String> {
     let holder = &shared.settings().instance;
-    let order = Call {
-        to: replica.address,
-        replica: replica.id.clone(),
+    let call = Call {
+        to: order.replica.address,
+        replica: order.replica.id,
         method: Method::POST,
         path: engine::ORDER_PATH.to_owned(),
-        body: engine::stage_body(stage, holder, fence, report.orders),
+        body: engine::stage_body(stage, holder, fence, order.taken),
     };
-    let (status, _) = ask::call(shared, order).await?;
+    let (status, _) = ask::call(shared, call).await?;
     Ok(status)
 }
 
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -5,5 +5,6 @@
 mod lifecycle;
 mod plain;
 mod site;
+mod stages;
 mod stream;
 mod world;
--- /dev/null
+++ b/crates/gateway/tests/gateway/stages.rs
@@ -0,0 +1,73 @@
+//! Orders to engines to change their stage.
+
+use std::collections::BTreeSet;
+use std::thread;
+use std::time::Duration;
+
+use serde_json::Value;
+
+use crate::common::daemon::until;
+use crate::common::http::Message;
+use crate::common::http::answer;
+use crate::common::replica::Act;
+use crate::common::replica::Replica;
+use crate::site::Site;
+
+const PREFILL: usize = 20;
+const DECODE: usize = 4;
+/// An eighth of the replicas.
+const AT_ONCE: usize = 3;
+
+fn engines() -> Vec<Replica> {
+    let accept = |_: &Message| Act::Send(answer(202, &[], b""));
+    let names = (0..PREFILL + DECODE).map(|number| format!("i-{number}"));
+    names.map(|name| Replica::start(&name, accept)).collect()
+}
+
+fn orders(engine: &Replica) -> Vec<Value> {
+    let seen = engine.seen();
+    let orders = seen.iter().filter(|seen| seen.path() == "/api/order");
+    orders
+        .map(|order| serde_json::from_slice(&order.body).unwrap())
+        .collect()
+}
+
+/// A shortage of decode replicas would otherwise last for as many changes of some seconds each as
+/// replicas are missing.
+#[test]
+fn several_engines_change_their_stage_at_once_and_each_is_told_once() {
+    let engines = engines();
+    let stages = engines.iter().enumerate().map(|(number, engine)| {
+        let stage = if number < PREFILL { "prefill" } else { "decode" };
+        (engine, "llm", stage)
+    });
+    let site = Site::start("stages", &stages.collect::<Vec<_>>());
+    site.change_settings("grace_s: 8", "grace_s: 8\nprefill_share: 0.1");
+    let given = || -> usize { engines.iter().map(|engine| orders(engine).len()).sum() };
+    until("the orders are given", || given() >= AT_ONCE);
+    // Longer than the division has to be off, and shorter than the pause after a change.
+    thread::sleep(Duration::from_millis(2_500));
+    let told: Vec<Vec<Value>> = engines.iter().map(orders).collect();
+    assert!(told.iter().all(|orders| orders.len() <= 1), "{told:?}");
+    let told: Vec<Value> = told.into_iter().flatten().collect();
+    assert_eq!(told.len(), AT_ONCE);
+    let fences: BTreeSet<u64> = told.iter().filter_map(|o| o["fence"].as_u64()).collect();
+    assert_eq!(fences.len(), 1, "one claim stands behind all of them");
+    for order in &told {
+        assert_eq!(order["op"], "stage");
+        assert_eq!(order["stage"], "decode");
+        assert_eq!(order["holder"], "stages");
+        assert_eq!(order["expected"], 0);
+    }
+    assert!(site.store.has("orders", "llm"));
+}
+
+#[test]
+fn without_a_share_no_engine_is_ordered() {
+    let engines = engines();
+    let stages = engines.iter().map(|engine| (engine, "llm", "prefill"));
+    let site = Site::start("no-stages", &stages.collect::<Vec<_>>());
+    thread::sleep(Duration::from_millis(2_500));
+    assert!(engines.iter().all(|engine| orders(engine).is_empty()));
+    assert!(!site.store.has("orders", "llm"));
+}
--- a/crates/relay/src/balance.rs
+++ b/crates/relay/src/balance.rs
@@ -1,4 +1,8 @@
 //! How the replicas of a model divide into those that read prompts and those that make tokens.
+//!
+//! The part that reads prompts is a share of all replicas and a reserve that grows with the square
+//! root of their number, as for any pool of servers with random arrivals: a few replicas need
+//! relatively more spare ones than many do.
 
 use std::time::Duration;
 
@@ -16,6 +20,20 @@
 /// it with a lag of a heartbeat and a reading.
 const PAUSE: Duration = Duration::from_secs(3);
 
+/// Replicas that read prompts beyond their share, times the square root of the number of replicas.
+const RESERVE: f64 = 0.5;
+/// Part of a service's replicas that changes at once at most; they serve nothing while they change.
+const MAX_CHANGING: f64 = 0.125;
+
+/// A change that is due.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Due {
+    /// The stage that lacks replicas.
+    pub stage: Stage,
+    /// Replicas of the other stage that are to change to it; one at least.
+    pub count: usize,
+}
+
 /// Replicas of one service that take requests, by stage.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Counts {
@@ -45,13 +63,14 @@
         }
     }
 
-    /// The stage that a replica of the other one is to change to now, if any; `share` is the part
-    /// of the replicas that are to read prompts.
-    pub fn due(&mut self, now: Time, counts: Counts, share: f64) -> Option<Stage> {
-        let Some(stage) = lacking(counts, share) else {
+    /// The change that is to be ordered now, if any; `share` is the part of the replicas that are to
+    /// read prompts, the reserve not counted.
+    pub fn due(&mut self, now: Time, counts: Counts, share: f64) -> Option<Due> {
+        let Some(due) = lacking(counts, share) else {
             self.off = None;
             return None;
         };
+        let stage = due.stage;
         let since = match self.off {
             Some((since, same)) if same == stage => since,
             _ => now,
@@ -64,7 +83,7 @@
         let paused = self
             .last
             .is_some_and(|last| now.since(last) < self.change + PAUSE);
-        (now.since(since) >= settle && !paused).then_some(stage)
+        (now.since(since) >= settle && !paused).then_some(due)
     }
 
     /// Notes that no order could be given; the division has to be off for a while again.
@@ -81,20 +100,25 @@
 
 /// Prefill replicas that `total` replicas are to have.
 pub fn wanted(total: usize, share: f64) -> usize {
-    let wanted = (total as f64 * share).round() as usize;
+    let total_f = total as f64;
+    let wanted = (total_f * share + RESERVE * total_f.sqrt()).round() as usize;
     wanted.clamp(1, total.saturating_sub(1).max(1))
 }
 
-/// The stage that lacks a replica, if the other one has one too many. A single missing prefill
-/// replica is no lack.
-fn lacking(counts: Counts, share: f64) -> Option<Stage> {
-    let total = counts.prefill + counts.decode;
+/// The change that brings the division right, if one stage has one replica too many. A single
+/// missing prefill replica is no lack.
+fn lacking(counts: Counts, share: f64) -> Option<Due> {
+    let Counts { prefill, decode } = counts;
+    let total = prefill + decode;
     let wanted = wanted(total, share);
-    match counts {
-        _ if total < 3 => None,
-        Counts { prefill, .. } if prefill > wanted => Some(Stage::Decode),
-        Counts { prefill: 0, .. } => Some(Stage::Prefill),
-        Counts { prefill, .. } if prefill + 1 < wanted => Some(Stage::Prefill),
-        _ => None,
-    }
+    let (stage, missing) = match prefill {
+        _ if total < 3 => return None,
+        prefill if prefill > wanted => (Stage::Decode, prefill - wanted),
+        0 => (Stage::Prefill, wanted),
+        prefill if prefill + 1 < wanted => (Stage::Prefill, wanted - prefill),
+        _ => return None,
+    };
+    let most = (total as f64 * MAX_CHANGING) as usize;
+    let count = missing.clamp(1, most.max(1));
+    Some(Due { stage, count })
 }
