--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -208,7 +208,7 @@
         if !self.shared.has_retry(&self.job.service) {
             return None;
         }
-        let find = place::find(&self.shared, &self.job, &self.tried);
+        let find = place::find_now(&self.shared, &self.job, &self.tried);
         tokio::select! {
             place = find => place,
             () = self.parts.closed() => None,
