--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -41,9 +41,6 @@
     pub arrived: Instant,
     /// When the answer has to be complete.
     pub deadline: Instant,
-    /// Whether its caller was refused before, so that its objective has passed and a second refusal
-    /// would be the last.
-    pub came_back: bool,
     shared: Rc<Shared>,
     done: bool,
 }
@@ -62,7 +59,6 @@
         arrived: Instant,
     ) -> Self {
         let patience = call.patience.unwrap_or(route.timeout).min(route.timeout);
-        let came_back = shared.came_back(&route, patience);
         Self {
             call,
             route,
@@ -74,7 +70,6 @@
             body,
             arrived,
             deadline: arrived + patience,
-            came_back,
             shared: Rc::clone(shared),
             done: false,
         }
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -22,12 +22,6 @@
 
 /// Part of the objective for which a request waits for a place.
 const WAIT_PART: f64 = 0.22;
-/// Part of the time left for which a request waits whose caller was refused before: places come
-/// free within the length of an answer, and callers come back once.
-const COME_BACK_PART: f64 = 0.3;
-/// Pause between its rounds; twice the usual one, so that requests which can still meet their
-/// objective find a free place first.
-const COME_BACK_PAUSE: Duration = Duration::from_millis(60);
 /// Pause between two rounds over replicas that had no room; in overload a place comes free about
 /// every 60 ms.
 const ROUND_PAUSE: Duration = Duration::from_millis(30);
@@ -89,7 +83,7 @@
         });
     }
     let begun = Instant::now();
-    let (until, pause) = wait(job);
+    let until = job.arrived + job.route.objective.mul_f64(WAIT_PART);
     let mut rounds = 0;
     loop {
         if let Some(place) = round(shared, job, tried, life).await {
@@ -97,11 +91,11 @@
             return Some(place);
         }
         rounds += 1;
-        if Instant::now() + pause > until || (job.came_back && shared.is_stopping()) {
-            log::info!(kind = "reserve", request = job.call.id, rounds = rounds, tokens = job.tokens(), came_back = job.came_back; "no decode replica has room");
+        if Instant::now() + ROUND_PAUSE > until {
+            log::info!(kind = "reserve", request = job.call.id, rounds = rounds, tokens = job.tokens(); "no decode replica has room");
             return None;
         }
-        sleep(pause).await;
+        sleep(ROUND_PAUSE).await;
     }
 }
 
@@ -118,20 +112,6 @@
     round(shared, job, tried, life).await
 }
 
-/// Until when `job` waits for a place, and the pause between two rounds.
-fn wait(job: &Job) -> (Instant, Duration) {
-    match job.came_back {
-        true => (
-            Instant::now() + job.left().mul_f64(COME_BACK_PART),
-            COME_BACK_PAUSE,
-        ),
-        false => (
-            job.arrived + job.route.objective.mul_f64(WAIT_PART),
-            ROUND_PAUSE,
-        ),
-    }
-}
-
 /// Asks some replicas, the best first.
 async fn round(shared: &Rc<Shared>, job: &Job, tried: &[Key], life: Duration) -> Option<Place> {
     let mut asked = tried.to_vec();
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -11,9 +11,7 @@
 use ident::Zone;
 use relay::budget::Budget;
 use relay::budget::Rule;
-use relay::patience::Patience;
 use relay::plan::Plan;
-use relay::plan::Route;
 use relay::pool::Key;
 use relay::pool::Pool;
 use relay::pool::Want;
@@ -66,8 +64,6 @@
     budgets: RefCell<HashMap<String, Budget>>,
     /// Mean time of a decode replica for an answer, by service.
     lengths: RefCell<HashMap<String, Duration>>,
-    /// What callers tell of their patience, by route.
-    patience: RefCell<HashMap<String, Patience>>,
     near: Zone,
     own: Card,
     /// Socket for datagrams to other daemons, once it is open.
@@ -110,7 +106,6 @@
             plan: RefCell::new(None),
             budgets: RefCell::new(HashMap::new()),
             lengths: RefCell::new(HashMap::new()),
-            patience: RefCell::new(HashMap::new()),
             near,
             own,
             datagrams: OnceCell::new(),
@@ -175,9 +170,6 @@
             }
         }
         self.metrics.plan_version.set(plan.version);
-        self.patience
-            .borrow_mut()
-            .retain(|name, _| plan.routes.iter().any(|route| route.name == *name));
         *self.plan.borrow_mut() = Some(Rc::new(plan));
     }
 
@@ -268,19 +260,6 @@
         mean.mul_f64(rand::random_range(0.75..1.25))
     }
 
-    /// Whether a caller of `route` that waits for `patience` came back after a refusal; notes its
-    /// patience.
-    pub fn came_back(&self, route: &Route, patience: Duration) -> bool {
-        let mut known = self.patience.borrow_mut();
-        match known.get_mut(&route.name) {
-            Some(known) => known.came_back(patience),
-            None => known
-                .entry(route.name.clone())
-                .or_default()
-                .came_back(patience),
-        }
-    }
-
     /// Closes the idle connections to `key`, which had no answer in time.
     pub fn forget_links(&self, key: Key) {
         let address = self.pool.borrow().get(key).map(|s| s.replica.address);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -16,7 +16,6 @@
 pub mod budget;
 pub mod directory;
 pub mod event;
-pub mod patience;
 pub mod plan;
 pub mod pool;
 pub mod replica;
