Leave silent connections and replicas; one start-up for both daemons

A watch of the plan on such a connection ended after its own 3.4 s, an edit has to be in force 3 s after the trouble at the latest; a call to a replica over one of up to four silent idle connections cost its limit each time; a repeatable call waited for a silent replica until its route's time and ended in 504. Ruled out by reading: peers' questions (a connection of their own each), calls that run once (always a new connection). Change: a call of the store without an answer ends the watch and closes the idle connections; a question to a replica without an answer closes those to its address; a repeatable call leaves a replica that is silent for twice the objective, if attempts and budget allow.

--- a/crates/ctl/src/commands/check.rs
+++ b/crates/ctl/src/commands/check.rs
@@ -62,9 +62,9 @@
     Ok(())
 }
 
-fn fault_of(path: &Path, fault: entry::error::Error) -> Error {
+fn fault_of(path: &Path, fault: launch::error::Error) -> Error {
     match fault {
-        entry::error::Error::Read { path, cause } => Error::Read { path, cause },
+        launch::error::Error::Read { path, cause } => Error::Read { path, cause },
         other => Error::File {
             path: path.to_owned(),
             faults: other.to_string(),
--- a/crates/entry/src/admin/mod.rs
+++ b/crates/entry/src/admin/mod.rs
@@ -11,6 +11,7 @@
 use http::Method;
 use http::Response;
 use http::StatusCode;
+use launch::error::Error;
 use store::Client;
 use volo_http::body::Body;
 use volo_http::request::Request;
@@ -19,7 +20,6 @@
 use volo_http::server::route::any;
 
 use crate::driver::inbox::Inbox;
-use crate::error::Error;
 use crate::listen::Listener;
 use crate::logs::Recent;
 use crate::metrics::Metrics;
--- a/crates/entry/src/callers/mod.rs
+++ b/crates/entry/src/callers/mod.rs
@@ -14,6 +14,7 @@
 
 use http::Response;
 use http::StatusCode;
+use launch::error::Error;
 use node::action::Tell;
 use volo_http::body::Body;
 use volo_http::request::Request;
@@ -28,7 +29,6 @@
 use crate::directory::Directory;
 use crate::driver::inbox::Inbox;
 use crate::driver::inbox::Wish;
-use crate::error::Error;
 use crate::listen::Listener;
 use crate::stop::Stop;
 
--- a/crates/entry/src/config/mod.rs
+++ b/crates/entry/src/config/mod.rs
@@ -9,7 +9,8 @@
 use std::path::Path;
 use std::time::Duration;
 
-use crate::error::Error;
+use launch::error::Error;
+
 use crate::secret::Secret;
 
 /// Settings of one daemon.
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -6,6 +6,8 @@
 use ident::Incarnation;
 use ident::Instance;
 use ident::Zone;
+use launch::error::Error;
+use launch::listen::bind;
 use node::Node;
 use node::settings::Settings;
 use tokio::net::TcpListener;
@@ -23,8 +25,6 @@
 use crate::driver::Driver;
 use crate::driver::Outlets;
 use crate::driver::inbox::Inbox;
-use crate::error::Error;
-use crate::listen;
 use crate::listen::Listener;
 use crate::logs;
 use crate::logs::Recent;
@@ -77,7 +77,7 @@
 }
 
 async fn serve(config: Config) -> Result<(), Error> {
-    let sockets = bind(&config).await?;
+    let sockets = sockets(&config).await?;
     let (inbox, inputs) = Inbox::new();
     stop::listen(inbox.clone()).map_err(|cause| Error::Start {
         step: "signals",
@@ -120,11 +120,11 @@
     Ok(())
 }
 
-async fn bind(config: &Config) -> Result<Sockets, Error> {
+async fn sockets(config: &Config) -> Result<Sockets, Error> {
     Ok(Sockets {
-        caller: listen::bind("caller", config.listen.caller).await?,
-        peer: listen::bind("peer", config.listen.peer).await?,
-        admin: listen::bind("admin", config.listen.admin).await?,
+        caller: bind("caller", config.listen.caller).await?,
+        peer: bind("peer", config.listen.peer).await?,
+        admin: bind("admin", config.listen.admin).await?,
     })
 }
 
--- a/crates/entry/src/listen.rs
+++ b/crates/entry/src/listen.rs
@@ -2,7 +2,6 @@
 
 use std::fmt;
 use std::io;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use socket2::SockRef;
@@ -13,8 +12,6 @@
 use volo::net::incoming::Incoming;
 use volo::net::incoming::MakeIncoming;
 
-use crate::error::Error;
-
 /// A caller whose machine is gone is noticed after about four times this.
 const KEEPALIVE: Duration = Duration::from_secs(5);
 const KEEPALIVE_RETRIES: u32 = 3;
@@ -40,20 +37,6 @@
     }
 }
 
-/// Listens on `address`, which the settings call `step`.
-///
-/// # Errors
-/// `Listen` if the address cannot be listened on.
-pub async fn bind(step: &'static str, address: SocketAddr) -> Result<TcpListener, Error> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|cause| Error::Listen {
-            step,
-            address,
-            cause,
-        })
-}
-
 impl MakeIncoming for Listener {
     type Incoming = Self;
 
--- a/crates/entry/src/logs.rs
+++ b/crates/entry/src/logs.rs
@@ -8,11 +8,10 @@
 use flexi_logger::LogSpecification;
 use flexi_logger::Logger;
 use flexi_logger::LoggerHandle;
+use launch::error::Error;
 use node::decision::Decision;
 use serde_json::Value;
 
-use crate::error::Error;
-
 /// What is logged: everything of this product, warnings of its libraries.
 const LEVELS: &str = "warn, entry=info, waxwingd=info";
 /// Decision lines kept for `explain`.
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,34 +1,27 @@
 //! `waxwingd`, the entry daemon.
 
-use std::env;
 use std::process::ExitCode;
 
-use entry::cli;
-use entry::cli::Command;
 use entry::config::Config;
-use entry::error::Error;
-use entry::output;
+use launch::Program;
 
-fn main() -> ExitCode {
-    match run() {
-        Ok(()) => entry::exit_codes::ExitCode::Success.into(),
-        Err(error) => {
-            output::print_error(&error);
-            error.exit_code().into()
-        }
-    }
-}
+const PROGRAM: Program = Program {
+    name: "waxwingd",
+    version: env!("CARGO_PKG_VERSION"),
+    brief: "Usage: waxwingd --config FILE [--check]
+
+Routes language-model requests and plain calls for one entry instance.
 
-fn run() -> Result<(), Error> {
-    let args = env::args().skip(1).collect::<Vec<_>>();
-    match cli::parse(&args)? {
-        Command::Help => output::print(&cli::help()),
-        Command::Version => output::print(cli::VERSION),
-        Command::Check { path } => {
-            Config::read(&path)?;
-            output::print("settings are valid");
-        }
-        Command::Run { path } => entry::run(Config::read(&path)?)?,
-    }
-    Ok(())
+Examples:
+    waxwingd --config entry-1.yaml            run with these settings
+    waxwingd --config entry-1.yaml --check    check the settings and exit
+
+SIGTERM and SIGINT stop it gracefully: requests in progress are finished first.
+Logs go to standard error, one JSON object a line.",
+    page: "docs/API.md",
+    variable: None,
+};
+
+fn main() -> ExitCode {
+    launch::run(&PROGRAM, Config::read, |config, _| entry::run(config)).into()
 }
--- a/crates/entry/src/metrics/mod.rs
+++ b/crates/entry/src/metrics/mod.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use launch::error::Error;
 use node::action::Count;
 use node::status::Status;
 use prometheus::Encoder;
@@ -14,7 +15,6 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
-use crate::error::Error;
 use crate::metrics::register::IntGauge;
 use crate::metrics::register::counter;
 use crate::metrics::register::gauge;
--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -54,7 +54,10 @@
         .map_err(|error| error.to_string())?;
     match timeout(TIMEOUT, exchange(shared, call.to, request)).await {
         Ok(answer) => answer,
-        Err(_) => Err("no answer in time".to_owned()),
+        Err(_) => {
+            shared.links.forget(call.to);
+            Err("no answer in time".to_owned())
+        }
     }
 }
 
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -127,6 +127,12 @@
         }
     }
 
+    /// Closes the idle connections to `address`: where one fell silent, the others may have as well,
+    /// and each of them would cost a call its time limit.
+    pub fn forget(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+
     /// Closes connections that were idle for too long.
     pub fn sweep(&self) {
         let mut idle = self.idle.borrow_mut();
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -16,7 +16,6 @@
 use tokio::time::sleep;
 
 use crate::body::Body;
-use crate::error::Error;
 use crate::links;
 use crate::phase::Phase;
 use crate::phase::Watched;
@@ -38,20 +37,6 @@
 /// Smallest buffer that `hyper` takes.
 const MIN_BUFFER: usize = 8 * 1024;
 
-/// Listens on `address`, which the settings call `step`.
-///
-/// # Errors
-/// `Listen` if the address cannot be listened on.
-pub async fn bind(step: &'static str, address: SocketAddr) -> Result<TcpListener, Error> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|cause| Error::Listen {
-            step,
-            address,
-            cause,
-        })
-}
-
 /// Serves the requests that come to `listener` with `answer`, forever.
 pub async fn serve<A, F>(listener: TcpListener, bounds: impl Fn() -> Bounds, answer: A)
 where
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -1,34 +1,28 @@
 //! `waxwing-gateway`, the daemon on the users' platform.
 
-use std::env;
 use std::process::ExitCode;
 
-use gateway::cli;
-use gateway::cli::Command;
-use gateway::error::Error;
-use gateway::output;
 use gateway::settings::Settings;
+use launch::Program;
 
-fn main() -> ExitCode {
-    match run() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            output::print_error(&error);
-            error.exit_code()
-        }
-    }
-}
+const PROGRAM: Program = Program {
+    name: "waxwing-gateway",
+    version: env!("CARGO_PKG_VERSION"),
+    brief: "Usage: waxwing-gateway --config FILE [--check]
+
+Relays callers' requests to replicas of model engines and plain applications.
 
-fn run() -> Result<(), Error> {
-    let args = env::args().skip(1).collect::<Vec<_>>();
-    match cli::parse(&args)? {
-        Command::Help => output::print(&cli::help()),
-        Command::Version => output::print(cli::VERSION),
-        Command::Check { path } => {
-            Settings::read(&path)?;
-            output::print("settings are valid");
-        }
-        Command::Run { path } => gateway::run(Settings::read(&path)?, &path)?,
-    }
-    Ok(())
+Examples:
+    waxwing-gateway --config edge-1.yaml            run with these settings
+    waxwing-gateway --config edge-1.yaml --check    check the settings and exit
+
+The variable WAXWING_SETTINGS names the file where --config does not.
+SIGTERM and SIGINT stop it gracefully; SIGHUP reads the settings again.
+Logs go to standard output, one JSON object a line.",
+    page: "docs/GATEWAY.md",
+    variable: Some("WAXWING_SETTINGS"),
+};
+
+fn main() -> ExitCode {
+    launch::run(&PROGRAM, Settings::read, gateway::run).into()
 }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -30,6 +30,10 @@
 /// Part of the objective that a request waits for a replica; one that is refused sooner may come
 /// back in time.
 const WAIT_PART: f64 = 0.2;
+/// Times the objective after which a silent replica is left for another one, where the request may be
+/// repeated. Nine in ten answers come within a third of the objective, and the slowest of a sound
+/// replica within one and a half.
+const SILENCE: f64 = 2.0;
 /// Pause between two looks for a replica.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 
@@ -52,7 +56,14 @@
         };
         tried.push(key);
         attempt.sent();
-        let outcome = match timeout_at(job.deadline, exchange(shared, &job, key)).await {
+        let until = patience(shared, &job, &attempt, &tried);
+        let outcome = match timeout_at(until, exchange(shared, &job, key)).await {
+            Err(_) if Instant::now() < job.deadline => {
+                shared.forget_links(key);
+                let cause = "no answer for too long";
+                send::note(shared, &job, key, Outcome::Lost, cause, 0);
+                Outcome::Lost
+            }
             Err(_) => {
                 send::note(shared, &job, key, Outcome::Lost, "no answer in time", 0);
                 return finish(&mut job, "overdue", own::overdue, "no answer in time");
@@ -84,6 +95,20 @@
     }
 }
 
+/// Until when a replica may stay silent: until the deadline, unless another one can take the request
+/// and may.
+fn patience(shared: &Shared, job: &Job, attempt: &Attempt, tried: &[Key]) -> Instant {
+    let may_move_on = attempt.may_move_on()
+        && shared.has_retry(&job.service)
+        && shared.choose(&job.service, None, tried).is_some();
+    let silence = Instant::now() + job.route.objective.mul_f64(SILENCE);
+    if may_move_on {
+        silence.min(job.deadline)
+    } else {
+        job.deadline
+    }
+}
+
 /// The replica to send to next; waits for one for a short part of the objective if nothing was
 /// sent yet.
 pub async fn replica(
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -6,11 +6,10 @@
 use std::path::Path;
 use std::time::Duration;
 
+use launch::error::Error;
 use relay::budget::Rule;
 use serde::Deserialize;
 
-use crate::error::Error;
-
 /// Settings of one daemon.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -75,6 +74,7 @@
         })?;
         Self::parse(&text).map_err(|cause| Error::Settings {
             path: path.to_owned(),
+            line: 0,
             cause,
         })
     }
--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -80,9 +80,10 @@
         return;
     };
     let orders = prepare(shared, service, due).await;
-    let claimed = match orders.is_empty() {
-        true => Err("no engine can take an order".to_owned()),
-        false => claim(shared, service).await,
+    let claimed = if orders.is_empty() {
+        Err("no engine can take an order".to_owned())
+    } else {
+        claim(shared, service).await
     };
     let (fence, written) = match claimed {
         Ok(claimed) => claimed,
@@ -109,9 +110,10 @@
             }
         }
     }
-    match given {
-        true => balance.ordered(now),
-        false => balance.failed(),
+    if given {
+        balance.ordered(now);
+    } else {
+        balance.failed();
     }
 }
 
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use launch::error::Error;
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -11,7 +12,6 @@
 use tokio::time::sleep_until;
 use tokio::time::timeout;
 
-use crate::error::Error;
 use crate::reload;
 use crate::shared::RESERVE;
 use crate::shared::Shared;
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -15,6 +15,7 @@
 use platform::store;
 use platform::store::Done;
 use platform::store::Rows;
+use tokio::sync::Notify;
 use tokio::time::timeout;
 
 use crate::links::Failure;
@@ -44,6 +45,8 @@
         /// Its answer.
         status: StatusCode,
     },
+    /// A watch was given up since another call had no answer in time.
+    GivenUp,
     /// The history that a watch asked for is gone.
     Compacted,
     /// A row was not at the version that a write asked for.
@@ -57,6 +60,7 @@
         match self {
             Self::Silent { step, cause } => write!(f, "store, {step}: {cause}"),
             Self::Refused { step, status } => write!(f, "store, {step}: status {status}"),
+            Self::GivenUp => write!(f, "store, watching: another call had no answer in time"),
             Self::Compacted => write!(f, "store, watching: the history is gone"),
             Self::Conflict => write!(f, "store, claiming: another daemon was faster"),
             Self::Garbled(error) => write!(f, "store, answer: {error}"),
@@ -71,6 +75,9 @@
 pub struct Store {
     address: SocketAddr,
     links: Links,
+    /// Told when a call had no answer in time, so that watches on connections of the same age do
+    /// not wait for their own limit.
+    silence: Notify,
 }
 
 impl Store {
@@ -79,6 +86,7 @@
         Self {
             address,
             links: Links::new(),
+            silence: Notify::new(),
         }
     }
 
@@ -97,13 +105,18 @@
         Ok(all)
     }
 
-    /// Waits up to `wait` for rows of `table` that changed after `version`.
+    /// Waits up to `wait` for rows of `table` that changed after `version`. Ends early when another
+    /// call has no answer in time: open connections may fall silent without an end, and a watch on
+    /// one of them would miss changes until its own limit.
     ///
     /// # Errors
-    /// [`Error`]; `Compacted` if the rows have to be read anew.
+    /// [`Error`]; `Compacted` and `GivenUp` if the rows have to be read anew.
     pub async fn watch(&self, table: &str, version: u64, wait: Duration) -> Result<Rows, Error> {
         let path = store::watch_path(table, version, wait.as_millis() as u64);
-        let body = self.get("watching", path, CALL_TIMEOUT + wait).await?;
+        let body = tokio::select! {
+            body = self.get("watching", path, CALL_TIMEOUT + wait) => body?,
+            () = self.silence.notified() => return Err(Error::GivenUp),
+        };
         Rows::read(&body).map_err(Error::Garbled)
     }
 
@@ -176,7 +189,11 @@
             .map_err(|error| silent(step, &error))?;
         match timeout(limit, self.exchange(step, request)).await {
             Ok(answer) => answer,
-            Err(elapsed) => Err(silent(step, &elapsed)),
+            Err(elapsed) => {
+                self.links.forget(self.address);
+                self.silence.notify_waiters();
+                Err(silent(step, &elapsed))
+            }
         }
     }
 
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -63,8 +63,8 @@
                 take_plan(&shared, &rows);
                 sleep(PLAN_PAUSE).await;
             }
-            Err(Error::Compacted) => {
-                log::info!(kind = "store", step = "plan"; "history is gone; reading anew");
+            Err(error @ (Error::Compacted | Error::GivenUp)) => {
+                log::info!(kind = "store", step = "plan", cause = error.to_string(); "reading the plan anew");
                 version = None;
             }
             Err(error) => {
--- a/crates/gateway/tests/gateway/common/store.rs
+++ b/crates/gateway/tests/gateway/common/store.rs
@@ -21,6 +21,10 @@
     version: u64,
     rows: BTreeMap<(String, String), (Vec<u8>, u64)>,
     down: bool,
+    /// Connections opened so far.
+    opened: u64,
+    /// Connections with a lower number get no answer any more.
+    silent_below: u64,
 }
 
 /// The store; its rows can be changed by the test.
@@ -71,9 +75,27 @@
         self.inner.0.lock().unwrap().down = down;
     }
 
+    /// Leaves all connections that are open without further answers; new ones work.
+    pub fn silence_open_connections(&self) {
+        let mut inner = self.inner.0.lock().unwrap();
+        inner.silent_below = inner.opened;
+    }
+
+    fn is_silent(&self, connection: u64) -> bool {
+        connection < self.inner.0.lock().unwrap().silent_below
+    }
+
     fn connection(&self, socket: &mut TcpStream) {
+        let number = {
+            let mut inner = self.inner.0.lock().unwrap();
+            inner.opened += 1;
+            inner.opened - 1
+        };
         while let Ok(Some(request)) = http::read(socket) {
             let (status, body) = self.answer(&request);
+            if self.is_silent(number) {
+                continue;
+            }
             let body = body.to_string();
             let json = [("content-type", "application/json")];
             if !http::send(socket, &http::answer(status, &json, body.as_bytes())) {
--- a/crates/gateway/tests/gateway/plain.rs
+++ b/crates/gateway/tests/gateway/plain.rs
@@ -230,3 +230,24 @@
         Duration::from_millis(100)
     ));
 }
+
+#[test]
+fn a_silent_replica_is_left_for_another_one_where_a_call_may_be_repeated() {
+    let silent = Replica::start("i-1", |_| Act::SendAndHang(Vec::new()));
+    let sound = echo("i-2");
+    let site = Site::start("silent", &[(&silent, "app", ""), (&sound, "app", "")]);
+    until("the silent one was tried", || {
+        assert_eq!(site.ask("GET /read/1", "a1").status(), 200);
+        !silent.seen().is_empty()
+    });
+    until("the silent one is left", || silent.left() > 0);
+}
+
+#[test]
+fn a_silent_replica_is_kept_where_a_call_may_run_once() {
+    let silent = Replica::start("i-1", |_| Act::SendAndHang(Vec::new()));
+    let other = Replica::start("i-2", |_| Act::SendAndHang(Vec::new()));
+    let site = Site::start("silent-once", &[(&silent, "app", ""), (&other, "app", "")]);
+    assert_eq!(site.ask("POST /book/1", "a1").status(), 504);
+    assert_eq!(silent.seen().len() + other.seen().len(), 1);
+}
--- a/crates/gateway/tests/gateway/stages.rs
+++ b/crates/gateway/tests/gateway/stages.rs
@@ -38,7 +38,11 @@
 fn several_engines_change_their_stage_at_once_and_each_is_told_once() {
     let engines = engines();
     let stages = engines.iter().enumerate().map(|(number, engine)| {
-        let stage = if number < PREFILL { "prefill" } else { "decode" };
+        let stage = if number < PREFILL {
+            "prefill"
+        } else {
+            "decode"
+        };
         (engine, "llm", stage)
     });
     let site = Site::start("stages", &stages.collect::<Vec<_>>());
--- a/crates/gateway/tests/gateway/world.rs
+++ b/crates/gateway/tests/gateway/world.rs
@@ -133,3 +133,20 @@
     until("it is told", || !site.daemon.logged("i-odd").is_empty());
     assert_eq!(site.ask("GET /read/1", "a1").status(), 200);
 }
+
+/// Connections may fall silent without an end while new ones work; a watch on such a one would
+/// miss an edit for as long as it waits.
+#[test]
+fn a_watch_is_given_up_once_another_call_of_the_store_has_no_answer() {
+    let replica = Replica::start("i-1", |request| Act::Send(signed(request, 200, b"x")));
+    let site = Site::start("silent-store", &[(&replica, "app", "")]);
+    site.store.silence_open_connections();
+    until("the watch is given up", || {
+        let given_up = site.daemon.logged("another call had no answer in time");
+        !given_up.is_empty()
+    });
+    let mut moved = config(2);
+    moved["routes"][0]["prefix"] = "/moved/".into();
+    site.store.put("op", "config", &moved);
+    site.until_not("/moved/1", 404);
+}
--- a/crates/entry/src/cli.rs
+++ b/crates/launch/src/cli.rs
@@ -1,26 +1,14 @@
-//! The command line.
+//! The command line of a daemon.
 
+use std::env;
 use std::path::PathBuf;
 
 use getopts::Matches;
 use getopts::Options;
 
+use crate::Program;
 use crate::error::Error;
 
-/// Name and version of the program.
-pub const VERSION: &str = concat!("waxwingd ", env!("CARGO_PKG_VERSION"));
-
-const BRIEF: &str = "Usage: waxwingd --config FILE [--check]
-
-Routes language-model requests and plain calls for one entry instance.
-
-Examples:
-    waxwingd --config entry-1.yaml            run with these settings
-    waxwingd --config entry-1.yaml --check    check the settings and exit
-
-SIGTERM and SIGINT stop it gracefully: requests in progress are finished first.
-Logs go to standard error, one JSON object a line.";
-
 /// What the command line asks for.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Command {
@@ -44,7 +32,7 @@
 ///
 /// # Errors
 /// `Usage` if they do not make a command.
-pub fn parse(args: &[String]) -> Result<Command, Error> {
+pub fn parse(program: &Program, args: &[String]) -> Result<Command, Error> {
     let matches = options().parse(args).map_err(|error| Error::Usage {
         cause: error.to_string(),
     })?;
@@ -55,26 +43,25 @@
             cause: format!("unexpected argument `{}`", m.free[0]),
         }),
         m if m.opt_present("check") => Ok(Command::Check {
-            path: config_path(m)?,
+            path: path(program, m)?,
         }),
         m => Ok(Command::Run {
-            path: config_path(m)?,
+            path: path(program, m)?,
         }),
     }
 }
 
 /// The help text.
-pub fn help() -> String {
-    options().usage(BRIEF)
+pub fn help(program: &Program) -> String {
+    options().usage(program.brief)
 }
 
-fn config_path(matches: &Matches) -> Result<PathBuf, Error> {
-    matches
-        .opt_str("config")
-        .map(PathBuf::from)
-        .ok_or_else(|| Error::Usage {
-            cause: "`--config FILE` is missing".to_owned(),
-        })
+fn path(program: &Program, matches: &Matches) -> Result<PathBuf, Error> {
+    let named = matches.opt_str("config").map(PathBuf::from);
+    let variable = || program.variable.and_then(env::var_os).map(PathBuf::from);
+    named.or_else(variable).ok_or_else(|| Error::Usage {
+        cause: "`--config FILE` is missing".to_owned(),
+    })
 }
 
 fn options() -> Options {
--- a/crates/entry/src/error.rs
+++ b/crates/launch/src/error.rs
@@ -1,10 +1,11 @@
-//! Errors that end the daemon.
+//! Errors that end a daemon.
 
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use crate::Program;
 use crate::exit_codes::ExitCode;
 
 /// Why the daemon cannot start or go on.
@@ -50,16 +51,27 @@
 }
 
 impl Error {
-    /// What to try.
-    pub fn advice(&self) -> &'static str {
+    /// Makes `Start` of what went wrong while `step` was started.
+    pub fn start(step: &'static str, cause: &impl ToString) -> Self {
+        Self::Start {
+            step,
+            cause: cause.to_string(),
+        }
+    }
+
+    /// What to try with `program`.
+    pub fn advice(&self, program: &Program) -> String {
+        let Program { name, page, .. } = program;
         match self {
-            Self::Usage { .. } => "`waxwingd --help`",
-            Self::Read { .. } => "check that the file exists and may be read",
-            Self::Settings { .. } => {
-                "correct the line, then `waxwingd --config FILE --check`; docs/API.md lists the fields"
+            Self::Usage { .. } => format!("`{name} --help`"),
+            Self::Read { .. } => "check that the file exists and may be read".to_owned(),
+            Self::Settings { .. } => format!(
+                "correct the field, then `{name} --config FILE --check`; {page} lists the fields"
+            ),
+            Self::Listen { .. } => "take an address of this machine with a free port".to_owned(),
+            Self::Start { .. } => {
+                "check the limits of the process (open files, threads)".to_owned()
             }
-            Self::Listen { .. } => "take an address of this machine with a free port",
-            Self::Start { .. } => "check the limits of the process (open files, threads)",
         }
     }
 
--- a/crates/entry/src/exit_codes.rs
+++ b/crates/launch/src/exit_codes.rs
@@ -1,4 +1,4 @@
-//! Exit codes of the daemon.
+//! Exit codes of a daemon.
 
 use std::process;
 
--- a/crates/gateway/src/output.rs
+++ b/crates/launch/src/output.rs
@@ -1,8 +1,9 @@
-//! What the program prints for people.
+//! What a daemon prints for people.
 
 use std::io;
 use std::io::Write;
 
+use crate::Program;
 use crate::error::Error;
 
 /// Prints `text` on standard output.
@@ -12,10 +13,7 @@
 }
 
 /// Prints `error` on standard error: the program, what was wrong, and what to try.
-pub fn print_error(error: &Error) {
-    let _ = writeln!(
-        io::stderr(),
-        "waxwing-gateway: {error}\n  try: {}",
-        error.advice()
-    );
+pub fn print_error(program: &Program, error: &Error) {
+    let advice = error.advice(program);
+    let _ = writeln!(io::stderr(), "{}: {error}\n  try: {advice}", program.name);
 }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -68,6 +68,11 @@
             && (self.runs == 0 || (self.mode.repeatable() && self.runs < self.max_runs))
     }
 
+    /// Whether it may be sent elsewhere while it may still be at work at the present replica.
+    pub fn may_move_on(&self) -> bool {
+        self.mode.repeatable() && self.sends < MAX_SENDS && self.runs + 1 < self.max_runs
+    }
+
     /// Notes that the request is sent.
     pub const fn sent(&mut self) {
         self.sends += 1;
--- a/crates/relay/tests/attempt.rs
+++ b/crates/relay/tests/attempt.rs
@@ -68,3 +68,22 @@
     }
     assert!(sends < 10);
 }
+
+#[rstest]
+#[case(Mode::Idempotent, 2, true)]
+#[case(Mode::Idempotent, 1, false)]
+#[case(RESUMABLE, 2, true)]
+#[case(Mode::Once, 3, false)]
+#[case(ONE_WAY, 3, false)]
+fn a_request_moves_on_only_if_one_more_replica_may_run_it(
+    #[case] mode: Mode,
+    #[case] max_runs: u32,
+    #[case] expected: bool,
+) {
+    let mut attempt = Attempt::new(mode, max_runs);
+    attempt.sent();
+    assert_eq!(attempt.may_move_on(), expected);
+    attempt.after(Outcome::Lost, || true);
+    attempt.sent();
+    assert!(!attempt.may_move_on());
+}
