Choose slow replicas last; call the store less at starts and in outages

Cause 1: nothing but failures, load and distance counted in the choice, so a replica four or eight times slower than its peers got its share as long as it answered. Cause 2: in an outage each of 74 daemons read replicas, plan and instances itself every 350 ms; at a start each took itself for the reader of its data centre until it knew the others. Change: ask the reader of another data centre; read directly only where none answers, or every 2 s while the store fails all readers; two readings of the instances at a start; retry them every 2 s. Also: `relay::pool` (468 lines) is parted into what is known of one replica (`server`), the choice (`score`) and the list (`pool`).

--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -13,6 +13,7 @@
 use ident::Incarnation;
 use ident::Instance;
 use ident::Time;
+use ident::Zone;
 use relay::directory::Entry;
 
 use crate::card::Card;
@@ -182,6 +183,23 @@
         self.cards.get(&poller).map(|card| card.peers)
     }
 
+    /// Where a daemon listens that reads the store for another data centre, drawn anew each time;
+    /// `None` if none is known.
+    pub fn distant_poller(&self) -> Option<SocketAddr> {
+        let fleet = self.fleet.as_ref()?;
+        let near = self.own.data_centre;
+        let mut distant: Vec<Zone> = self.cards.values().map(|card| card.data_centre).collect();
+        distant.retain(|zone| *zone != near);
+        distant.sort_unstable();
+        distant.dedup();
+        let pollers = distant
+            .into_iter()
+            .filter_map(|zone| fleet.owner_in(zone, POLLER));
+        let pollers: Vec<Instance> = pollers.collect();
+        let drawn = pollers.get(rand::random_range(0..pollers.len().max(1)))?;
+        self.cards.get(drawn).map(|card| card.peers)
+    }
+
     /// Where daemons of other known instances listen.
     pub fn peers(&self) -> Vec<SocketAddr> {
         self.cards.values().map(|card| card.peers).collect()
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -129,13 +129,17 @@
 
 /// Sends `job` to `key` and reads the whole answer.
 async fn exchange(shared: &Rc<Shared>, job: &Job, key: Key) -> Result<Answer, Outcome> {
+    let begun = Instant::now();
     let reply = send::send(shared, job, key, Task::Answer, None).await?;
     match send::whole(shared, reply, MAX_ANSWER).await {
-        Ok((head, headers, body)) => Ok(Answer {
-            status: head.status,
-            headers,
-            body,
-        }),
+        Ok((head, headers, body)) => {
+            shared.note_pace(key, begun.elapsed(), 1.0);
+            Ok(Answer {
+                status: head.status,
+                headers,
+                body,
+            })
+        }
         Err(outcome) => {
             send::note(shared, job, key, outcome, "its answer broke off", 0);
             Err(outcome)
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -105,6 +105,8 @@
         Ok(prefill) => {
             send::note_success(shared, key);
             shared.note_read(key, begun.elapsed());
+            let (prompt, _) = job.call.tokens.unwrap_or_default();
+            shared.note_pace(key, begun.elapsed(), prompt as f64);
             log::info!(kind = "read", request = job.call.id, ms = job.age().as_millis() as u64; "the prompt is read");
             Ok(Task::Decode {
                 address,
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -14,6 +14,7 @@
 use relay::attempt::Outcome;
 use relay::plan::Mode;
 use relay::pool::Key;
+use tokio::time::Instant;
 
 use crate::guard::Claim;
 use crate::job::Job;
@@ -60,6 +61,8 @@
     let (prompt, output) = job.call.tokens.unwrap_or_default();
     log::info!(kind = "send", request = job.call.id, replica = id, task = word(&task), in_flight = in_flight, prompt = prompt, output = output, replicas = shared.replicas_version(), reserved = reservation.is_some(), plan = job.plan, left_ms = job.left().as_millis() as u64; "sending");
     let prefill = task == Task::Prefill;
+    let decode = matches!(task, Task::Decode { .. });
+    let begun = Instant::now();
     let request = job.request(&id, task, reservation).map_err(|error| {
         log::error!(kind = "send", request = job.call.id, cause = error.to_string(); "a request cannot be built");
         Outcome::NotSent
@@ -85,12 +88,17 @@
         _ => None,
     };
     match outcome {
-        None => Ok(Reply {
-            head,
-            response,
-            link,
-            claim,
-        }),
+        None => {
+            if decode {
+                shared.note_pace(key, begun.elapsed(), 1.0);
+            }
+            Ok(Reply {
+                head,
+                response,
+                link,
+                claim,
+            })
+        }
         Some((outcome, cause)) => {
             let load = head
                 .load
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -14,8 +14,8 @@
 use relay::plan::Plan;
 use relay::pool::Key;
 use relay::pool::Pool;
-use relay::pool::Want;
 use relay::replica::Snapshot;
+use relay::score::Want;
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 
@@ -245,6 +245,12 @@
         self.pool.borrow_mut().note_read(now, key, took);
     }
 
+    /// Notes that `key` took `took` for `units` of work.
+    pub fn note_pace(&self, key: Key, took: Duration, units: f64) {
+        let now = self.clock.now();
+        self.pool.borrow_mut().note_pace(now, key, took, units);
+    }
+
     /// Notes how long a decode replica was at work on an answer of `service`.
     pub fn note_answer(&self, service: &str, took: Duration) {
         let mut lengths = self.lengths.borrow_mut();
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -9,6 +9,7 @@
 use platform::store::Row;
 use platform::store::Rows;
 use relay::replica::Snapshot;
+use tokio::time::Instant;
 use tokio::time::sleep;
 
 use crate::card::Card;
@@ -33,11 +34,17 @@
 const INSTANCES_PERIOD: Duration = Duration::from_secs(6);
 /// The same for the other daemons, which hear of new instances from it.
 const DISTANT_PERIOD: Duration = Duration::from_secs(30);
-/// Time between two readings of the instances while fewer than [`SETTLED`] readings in a row told
-/// the same: at a common start, each instance writes its row after the others have read theirs.
-const SETTLING_PERIOD: Duration = Duration::from_millis(700);
-/// See [`SETTLING_PERIOD`].
-const SETTLED: u32 = 3;
+/// Readings of the instances in quick succession after a start: at a common start, an instance
+/// writes its row after others have read theirs. Gossip tells of those that are later still.
+const STARTING_READS: u32 = 2;
+/// Time between the first two readings of the replicas, and of the instances: until the other
+/// members are known, each daemon takes itself for the one that reads the store.
+const STARTING_PERIOD: Duration = Duration::from_millis(1_500);
+/// Time between two readings of the store by a daemon that others read for, while the store fails
+/// those: often enough to notice that it serves this one alone.
+const DIRECT_PERIOD: Duration = Duration::from_secs(2);
+/// Time between two readings of the instances while the store fails; peers tell of each other.
+const INSTANCES_RETRY: Duration = Duration::from_secs(2);
 /// Pause after a failed call, so that a store in trouble is not pressed further.
 const RETRY_PAUSE: Duration = Duration::from_millis(350);
 /// Table in which every instance has a row with its card.
@@ -76,38 +83,75 @@
     }
 }
 
+/// What a daemon that reads the store had to say.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Heard {
+    /// It is up to date, and now this daemon is, too.
+    Fresh,
+    /// The store fails it.
+    Stale,
+    /// It did not answer.
+    Silent,
+}
+
 /// Keeps the replicas up to date, forever: from the daemon that reads the store for this data
-/// centre, or from the store.
+/// centre, from one that does for another, or from the store.
 pub async fn replicas(shared: Rc<Shared>) {
+    let mut next_direct = Instant::now();
+    let mut pause = STARTING_PERIOD;
     loop {
-        let poller = shared.members.borrow().poller();
-        let told = match poller {
-            Some(poller) => news(&shared, poller).await,
-            None => false,
+        let reads_for_others = shared.members.borrow().poller().is_none();
+        let heard = ask_readers(&shared).await;
+        let direct = match heard {
+            Heard::Fresh => false,
+            Heard::Stale => Instant::now() >= next_direct,
+            Heard::Silent => true,
         };
-        let pause = match told {
-            true => REPLICAS_PERIOD,
-            false if read_replicas(&shared).await => REPLICAS_PERIOD,
-            false => RETRY_PAUSE,
-        };
-        if !told && poller.is_some() {
+        let is_read = direct && read_replicas(&shared).await;
+        if direct && !reads_for_others {
             read_plan(&shared).await;
+            next_direct = Instant::now() + DIRECT_PERIOD.mul_f64(rand::random_range(0.75..1.25));
         }
-        sleep(pause).await;
+        let usual = if is_read || heard == Heard::Fresh {
+            REPLICAS_PERIOD
+        } else {
+            RETRY_PAUSE
+        };
+        sleep(pause.max(usual)).await;
+        pause = Duration::ZERO;
     }
 }
 
-/// Asks the daemon at `poller`; `false` if it is no good source now.
-async fn news(shared: &Shared, poller: SocketAddr) -> bool {
-    let news = gossip::question(shared, poller, NEWS_PATIENCE).await;
+/// Asks the daemons that read the store; `Silent` where this one does.
+async fn ask_readers(shared: &Shared) -> Heard {
+    let near = shared.members.borrow().poller();
+    let Some(near) = near else {
+        return Heard::Silent;
+    };
+    let heard = news(shared, near).await;
+    let distant = shared.members.borrow().distant_poller();
+    match (heard, distant) {
+        (Heard::Fresh, _) | (_, None) => heard,
+        (_, Some(distant)) => match news(shared, distant).await {
+            Heard::Silent => heard,
+            other => other,
+        },
+    }
+}
+
+/// Asks the daemon at `poller`.
+async fn news(shared: &Shared, poller: SocketAddr) -> Heard {
+    let Some(news) = gossip::question(shared, poller, NEWS_PATIENCE).await else {
+        return Heard::Silent;
+    };
     match news {
-        Some(news) if !news.is_fresh() => false,
-        Some(news) if news.same && news.plan <= shared.plan_version() => {
+        news if !news.is_fresh() => Heard::Stale,
+        news if news.same && news.plan <= shared.plan_version() => {
             shared.confirm_replicas(news.replicas, news.age());
-            true
+            Heard::Fresh
         }
-        Some(_) => exchange::ask(shared, poller).await,
-        None => false,
+        _ if exchange::ask(shared, poller).await => Heard::Fresh,
+        _ => Heard::Silent,
     }
 }
 
@@ -138,28 +182,22 @@
 
 /// Keeps the own row among the instances and reads those of the others, forever.
 pub async fn instances(shared: Rc<Shared>) {
-    let mut same = 0;
-    let mut count = 0;
+    let mut reads = 0;
     loop {
         let pause = match shared.store.read(INSTANCES).await {
             Ok(rows) => {
                 shared.store_answered("instances");
-                take_instances(&shared, &rows).await;
-                same = if count == rows.rows.len() {
-                    same + 1
-                } else {
-                    0
-                };
-                count = rows.rows.len();
+                let listed = take_instances(&shared, &rows).await;
+                reads += 1;
                 match shared.members.borrow().poller() {
-                    _ if same < SETTLED => SETTLING_PERIOD,
+                    _ if !listed || reads < STARTING_READS => STARTING_PERIOD,
                     Some(_) => DISTANT_PERIOD,
                     None => INSTANCES_PERIOD,
                 }
             }
             Err(error) => {
                 shared.store_failed("instances", &error);
-                RETRY_PAUSE
+                INSTANCES_RETRY.mul_f64(rand::random_range(0.75..1.25))
             }
         };
         sleep(pause).await;
@@ -194,18 +232,23 @@
     }
 }
 
-/// Takes the cards of the instances, and writes the own one if it is missing or old.
-async fn take_instances(shared: &Shared, rows: &Rows) {
+/// Takes the cards of the instances, and writes the own one if it is missing or old; whether the own
+/// one is as it should be.
+async fn take_instances(shared: &Shared, rows: &Rows) -> bool {
     let read = |row: &Row| serde_json::from_slice::<Card>(row.value.as_deref()?).ok();
     let cards: Vec<Card> = rows.rows.iter().filter_map(read).collect();
     let own = shared.own_card();
     let listed = cards.contains(&own);
     shared.members.borrow_mut().list(shared.clock.now(), &cards);
     if listed || shared.is_stopping() {
-        return;
+        return true;
     }
     let value = serde_json::to_vec(&own).unwrap_or_default();
-    if let Err(error) = shared.store.write(INSTANCES, &own.name, &value).await {
-        shared.store_failed("registering", &error);
+    match shared.store.write(INSTANCES, &own.name, &value).await {
+        Ok(()) => true,
+        Err(error) => {
+            shared.store_failed("registering", &error);
+            false
+        }
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,7 +4,8 @@
 //! the `gateway` crate.
 //!
 //! - [`plan`]: the configuration in force; which route a request takes.
-//! - [`pool`]: what is known of the replicas; which one is to serve a request.
+//! - [`pool`]: the replicas as they are listed, and what is known of each ([`server`]).
+//! - [`score`]: which replica is to serve a request.
 //! - [`balance`]: how replicas divide into those that read prompts and those that make tokens.
 //! - [`budget`]: how many retries may still be sent to a service.
 //! - [`attempt`]: what follows when a send failed.
@@ -19,3 +20,5 @@
 pub mod plan;
 pub mod pool;
 pub mod replica;
+pub mod score;
+pub mod server;
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use ident::Time;
-use ident::Zone;
 use rapidhash::v3::rapidhash_v3;
 use slotmap::SlotMap;
 use slotmap::new_key_type;
@@ -15,6 +14,9 @@
 use crate::replica::Replica;
 use crate::replica::Snapshot;
 use crate::replica::Stage;
+use crate::score;
+use crate::score::Want;
+use crate::server::Server;
 
 new_key_type! {
     /// A replica in the pool.
@@ -24,25 +26,6 @@
 /// How long after an outage of the list a replica that vanished from it is still used: entries that
 /// lapsed meanwhile are back within two seconds, and one that left may get nothing after that.
 const LAPSE_GRACE: Duration = Duration::from_millis(1_900);
-/// How long a told load counts; it fades out linearly. Replicas answer several times as often.
-const LOAD_AGE: Duration = Duration::from_secs(2);
-/// Time in which the share of failures falls to a third without further sends.
-const FAILURE_FADE: Duration = Duration::from_secs(4);
-/// Weight of the newest send in the share of failures.
-const FAILURE_STEP: f64 = 0.35;
-/// Places' worth of load that a share of failures of 1 counts for.
-const FAILURE_WEIGHT: f64 = 3.0;
-/// Places' worth of load that a replica of another data centre counts for more: bytes between
-/// data centres are paid for.
-const DISTANCE: f64 = 0.3;
-/// Places' worth of load that a replica which is still slow after its start counts for more.
-const COLD: f64 = 0.5;
-/// Spread of the random part of a score; keeps daemons from choosing alike.
-const JITTER: f64 = 0.05;
-/// Weight of the newest read in the mean time of reads.
-const READ_STEP: f64 = 0.4;
-/// How long the mean time of reads counts without a further read.
-const READ_AGE: Duration = Duration::from_secs(2);
 /// Part of the objective up to which reads may last without any being left to decode replicas. An
 /// unloaded replica takes a quarter of it.
 const SLOW_FROM: f64 = 0.4;
@@ -50,36 +33,6 @@
 const SLOW_TO: f64 = 0.7;
 /// Most that is left to decode replicas; the rest tells when it is better again.
 const MAX_OWN_READS: f64 = 0.85;
-/// Tokens that a request of another daemon is taken for.
-const USUAL_TOKENS: f64 = 5_000.0;
-/// How long a replica that had no room is asked after those that were not asked.
-const FULL_AGE: Duration = Duration::from_millis(200);
-/// Places' worth of load that it counts for.
-const FULL: f64 = 1.0;
-
-/// One replica and what this daemon has learnt of it.
-#[derive(Debug, Clone)]
-pub struct Server {
-    /// As the platform lists it.
-    pub replica: Replica,
-    /// Requests of this daemon that it is at work on.
-    pub in_flight: u32,
-    /// Tokens of these requests.
-    pub tokens: u64,
-    /// Requests of others that it told of last, and when.
-    foreign: Option<(u32, Time)>,
-    /// Share of failures among the last sends, and when it was brought up to date.
-    failures: (f64, Time),
-    /// Mean time that it took to read a prompt, queue included, and when the last one was read.
-    read: Option<(Duration, Time)>,
-    /// When it last had no room.
-    full: Option<Time>,
-    /// Whether a replica with another id answered at its address.
-    replaced: bool,
-    /// Until when it is used though the list lacks it.
-    lapses: Option<Time>,
-}
-
 /// A change of what this daemon believes of a replica.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Change {
@@ -102,19 +55,6 @@
     Gone,
 }
 
-/// What a request asks of a replica.
-#[derive(Debug, Clone, Copy)]
-pub struct Want<'a> {
-    /// Name of the service.
-    pub service: &'a str,
-    /// Part in serving a model; `None` for a plain application.
-    pub stage: Option<Stage>,
-    /// Replicas that it was sent to before.
-    pub tried: &'a [Key],
-    /// Data centre of this daemon.
-    pub near: Zone,
-}
-
 /// All replicas that this daemon knows.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -238,34 +178,36 @@
     /// Notes that a request of `tokens` is sent to `key`.
     pub fn begin(&mut self, key: Key, tokens: u64) {
         if let Some(server) = self.servers.get_mut(key) {
-            server.in_flight += 1;
-            server.tokens += tokens;
+            server.begin(tokens);
         }
     }
 
     /// Notes that a request of `tokens` sent to `key` is over there.
     pub fn end(&mut self, key: Key, tokens: u64) {
         if let Some(server) = self.servers.get_mut(key) {
-            server.in_flight = server.in_flight.saturating_sub(1);
-            server.tokens = server.tokens.saturating_sub(tokens);
+            server.end(tokens);
         }
     }
 
     /// Notes whether a send to `key` failed.
     pub fn note(&mut self, now: Time, key: Key, failed: bool) {
         if let Some(server) = self.servers.get_mut(key) {
-            let share = server.failure_share(now);
-            let sample = if failed { 1.0 } else { 0.0 };
-            server.failures = (share + FAILURE_STEP * (sample - share), now);
+            server.note(now, failed);
         }
     }
 
     /// Notes that `key` took `took` to read a prompt.
     pub fn note_read(&mut self, now: Time, key: Key, took: Duration) {
         if let Some(server) = self.servers.get_mut(key) {
-            let mean = server.read_time(now).unwrap_or(took);
-            let mean = mean.mul_f64(1.0 - READ_STEP) + took.mul_f64(READ_STEP);
-            server.read = Some((mean, now));
+            server.note_read(now, took);
+        }
+    }
+
+    /// Notes that `key` took `took` for `units` of work; units are alike for all replicas of one
+    /// stage of a service.
+    pub fn note_pace(&mut self, now: Time, key: Key, took: Duration, units: f64) {
+        if let Some(server) = self.servers.get_mut(key) {
+            server.note_pace(now, took.as_secs_f64() / units.max(1.0));
         }
     }
 
@@ -285,62 +227,27 @@
     /// Notes that `key` had no room.
     pub fn full(&mut self, now: Time, key: Key) {
         if let Some(server) = self.servers.get_mut(key) {
-            server.full = Some(now);
+            server.note_full(now);
         }
     }
 
     /// Takes the load that `key` told.
     pub fn told(&mut self, now: Time, key: Key, load: Load) {
         if let Some(server) = self.servers.get_mut(key) {
-            let others = (load.running + load.waiting).saturating_sub(server.in_flight);
-            server.foreign = Some((others, now));
+            server.told(now, load);
         }
     }
 
-    /// The replica for `want` with the lowest score, untried ones first; `None` if there is none.
+    /// The replica for `want` with the lowest score, `None` if there is none.
     ///
     /// `draw` gives evenly distributed numbers in `0.0..1.0`.
     pub fn choose(&self, now: Time, want: &Want<'_>, draw: impl Fn() -> f64) -> Option<Key> {
-        let fitting = self.servers.iter().filter(|(key, server)| {
-            server.usable(now)
-                && server.replica.service == want.service
-                && server.replica.stage == want.stage
-                && !want.tried.contains(key)
-        });
-        let scored = fitting.map(|(key, server)| {
-            let score = self.score(now, want, server) + draw() * JITTER;
-            (key, score)
-        });
-        let best = scored.min_by(|(_, left), (_, right)| left.total_cmp(right));
-        best.map(|(key, _)| key)
-    }
-
-    /// Load by places, raised by what speaks against the replica.
-    fn score(&self, now: Time, want: &Want<'_>, server: &Server) -> f64 {
-        let replica = &server.replica;
-        let near = replica.data_centre == want.near;
-        let distance = if near { 0.0 } else { DISTANCE };
-        let cold = if replica.cold { COLD } else { 0.0 };
-        let full = server.full.is_some_and(|at| now.since(at) < FULL_AGE);
-        let full = if full { FULL } else { 0.0 };
-        self.used(now, server) + full + FAILURE_WEIGHT * server.failure_share(now) + distance + cold
-    }
-
-    /// Part of the replica that is in use: of its memory for a decode replica, else of its places.
-    fn used(&self, now: Time, server: &Server) -> f64 {
-        let slots = f64::from(server.replica.slots.max(1));
-        let load = server.load(now);
-        match server.replica.stage {
-            None => load / slots,
-            Some(Stage::Prefill) => load,
-            Some(Stage::Decode) => match self.memory.get(&server.replica.service) {
-                Some(memory) => {
-                    let others = (load - f64::from(server.in_flight)) * USUAL_TOKENS;
-                    (server.tokens as f64 + others) / (*memory as f64)
-                }
-                None => load / slots,
-            },
-        }
+        let fitting = self.servers.iter();
+        let fitting: Vec<(Key, &Server)> = fitting
+            .filter(|(key, server)| want.fits(now, *key, server))
+            .collect();
+        let memory = self.memory.get(want.service).copied();
+        score::best(now, want, &fitting, memory, draw)
     }
 
     fn list(&mut self, now: Time, replica: &Replica, changes: &mut Vec<Change>) {
@@ -424,45 +331,3 @@
         }
     }
 }
-
-impl Server {
-    const fn new(replica: Replica, now: Time) -> Self {
-        Self {
-            replica,
-            in_flight: 0,
-            tokens: 0,
-            foreign: None,
-            read: None,
-            full: None,
-            failures: (0.0, now),
-            replaced: false,
-            lapses: None,
-        }
-    }
-
-    fn usable(&self, now: Time) -> bool {
-        let listed = self.lapses.is_none_or(|until| now < until);
-        listed && !self.replica.draining && !self.replaced
-    }
-
-    /// Mean time of reads, if one ended a short time ago.
-    fn read_time(&self, now: Time) -> Option<Duration> {
-        let (mean, at) = self.read?;
-        (now.since(at) < READ_AGE).then_some(mean)
-    }
-
-    /// Requests at work here, those of other daemons among them as far as they are known.
-    fn load(&self, now: Time) -> f64 {
-        let foreign = self.foreign.map_or(0.0, |(count, told)| {
-            let age = now.since(told).as_secs_f64() / LOAD_AGE.as_secs_f64();
-            f64::from(count) * (1.0 - age).max(0.0)
-        });
-        f64::from(self.in_flight) + foreign
-    }
-
-    /// Share of failures among the last sends; fades while nothing is sent.
-    pub fn failure_share(&self, now: Time) -> f64 {
-        let (share, at) = self.failures;
-        share * (-now.since(at).as_secs_f64() / FAILURE_FADE.as_secs_f64()).exp()
-    }
-}
--- /dev/null
+++ b/crates/relay/src/score.rs
@@ -0,0 +1,110 @@
+//! Which replica is to serve a request: the one with the lowest score.
+
+use ident::Time;
+use ident::Zone;
+
+use crate::pool::Key;
+use crate::replica::Stage;
+use crate::server::Server;
+
+/// Places' worth of load that a share of failures of 1 counts for.
+const FAILURE_WEIGHT: f64 = 3.0;
+/// Places' worth of load that a replica of another data centre counts for more: bytes between
+/// data centres are paid for.
+const DISTANCE: f64 = 0.3;
+/// Places' worth of load that a replica which is still slow after its start counts for more.
+const COLD: f64 = 0.5;
+/// Spread of the random part of a score; keeps daemons from choosing alike.
+const JITTER: f64 = 0.05;
+/// Tokens that a request of another daemon is taken for.
+const USUAL_TOKENS: f64 = 5_000.0;
+/// Places' worth of load that a replica without room counts for.
+const FULL: f64 = 1.0;
+/// Places' worth of load for each doubling of the usual time a unit of work, from the second one on:
+/// work of one kind differs by a factor of two on sound replicas.
+const SLOW_WEIGHT: f64 = 1.0;
+/// Doublings that count at most; a slower replica is not worse than one that fails.
+const SLOW_MOST: f64 = 2.0;
+
+/// What a request asks of a replica.
+#[derive(Debug, Clone, Copy)]
+pub struct Want<'a> {
+    /// Name of the service.
+    pub service: &'a str,
+    /// Part in serving a model; `None` for a plain application.
+    pub stage: Option<Stage>,
+    /// Replicas that it was sent to before.
+    pub tried: &'a [Key],
+    /// Data centre of this daemon.
+    pub near: Zone,
+}
+
+impl Want<'_> {
+    /// Whether `server` may be chosen.
+    pub(crate) fn fits(&self, now: Time, key: Key, server: &Server) -> bool {
+        server.usable(now)
+            && server.replica.service == self.service
+            && server.replica.stage == self.stage
+            && !self.tried.contains(&key)
+    }
+}
+
+/// The candidate with the lowest score; `memory` is what one engine of the service holds, in tokens,
+/// and `draw` gives evenly distributed numbers in `0.0..1.0`.
+pub(crate) fn best(
+    now: Time,
+    want: &Want<'_>,
+    candidates: &[(Key, &Server)],
+    memory: Option<u64>,
+    draw: impl Fn() -> f64,
+) -> Option<Key> {
+    let usual = usual_pace(now, candidates);
+    let scored = candidates.iter().map(|(key, server)| {
+        let load = used(now, server, memory) + against(now, want, server);
+        (*key, load + slowness(now, server, usual) + draw() * JITTER)
+    });
+    let best = scored.min_by(|(_, left), (_, right)| left.total_cmp(right));
+    best.map(|(key, _)| key)
+}
+
+/// What speaks against a replica besides its load and its pace.
+fn against(now: Time, want: &Want<'_>, server: &Server) -> f64 {
+    let near = server.replica.data_centre == want.near;
+    let distance = if near { 0.0 } else { DISTANCE };
+    let cold = if server.replica.cold { COLD } else { 0.0 };
+    let full = if server.is_full(now) { FULL } else { 0.0 };
+    full + FAILURE_WEIGHT * server.failure_share(now) + distance + cold
+}
+
+/// Median time a unit of work among the candidates that told one lately.
+fn usual_pace(now: Time, candidates: &[(Key, &Server)]) -> Option<f64> {
+    let known = candidates.iter().filter_map(|(_, server)| server.pace(now));
+    let mut known: Vec<f64> = known.collect();
+    let middle = known.len().checked_sub(1)? / 2;
+    let (_, median, _) = known.select_nth_unstable_by(middle, f64::total_cmp);
+    Some(*median)
+}
+
+fn slowness(now: Time, server: &Server, usual: Option<f64>) -> f64 {
+    match (server.pace(now), usual) {
+        (Some(pace), Some(usual)) if usual > 0.0 => {
+            let doublings = (pace / usual).log2() - 1.0;
+            SLOW_WEIGHT * doublings.clamp(0.0, SLOW_MOST)
+        }
+        _ => 0.0,
+    }
+}
+
+/// Part of the replica that is in use: of its memory for a decode replica, else of its places.
+fn used(now: Time, server: &Server, memory: Option<u64>) -> f64 {
+    let slots = f64::from(server.replica.slots.max(1));
+    let load = server.load(now);
+    match (server.replica.stage, memory) {
+        (Some(Stage::Prefill), _) => load,
+        (Some(Stage::Decode), Some(memory)) => {
+            let others = (load - f64::from(server.in_flight)) * USUAL_TOKENS;
+            (server.tokens as f64 + others) / (memory as f64)
+        }
+        (None, _) | (Some(Stage::Decode), None) => load / slots,
+    }
+}
--- a/crates/relay/tests/pool.rs
+++ b/crates/relay/tests/pool.rs
@@ -7,10 +7,10 @@
 use relay::pool::Belief;
 use relay::pool::Key;
 use relay::pool::Pool;
-use relay::pool::Want;
 use relay::replica::Replica;
 use relay::replica::Snapshot;
 use relay::replica::Stage;
+use relay::score::Want;
 
 const START: Time = Time::from_millis(100_000);
 
--- /dev/null
+++ b/crates/relay/tests/score.rs
@@ -0,0 +1,124 @@
+//! Slow replicas are left to themselves for a while.
+
+use std::time::Duration;
+
+use ident::Time;
+use ident::Zone;
+use relay::pool::Key;
+use relay::pool::Pool;
+use relay::replica::Replica;
+use relay::replica::Snapshot;
+use relay::replica::Stage;
+use relay::score::Want;
+use rstest::rstest;
+
+const START: Time = Time::from_millis(100_000);
+
+fn pool(stage: Option<Stage>, ids: &[&str]) -> Pool {
+    let replicas = ids.iter().map(|id| Replica {
+        id: (*id).to_owned(),
+        service: "app".to_owned(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        data_centre: Zone::new("here"),
+        stage,
+        slots: 4,
+        draining: false,
+        cold: false,
+    });
+    let mut pool = Pool::new();
+    pool.apply(
+        START,
+        &Snapshot {
+            version: 1,
+            replicas: replicas.collect(),
+            lapsing: Vec::new(),
+        },
+    );
+    pool
+}
+
+fn after(ms: u64) -> Time {
+    START + Duration::from_millis(ms)
+}
+
+/// Ids in the order in which they are chosen.
+fn order(pool: &Pool, stage: Option<Stage>, now: Time) -> Vec<String> {
+    let mut tried: Vec<Key> = Vec::new();
+    let mut ids = Vec::new();
+    loop {
+        let want = Want {
+            service: "app",
+            stage,
+            tried: &tried,
+            near: Zone::new("here"),
+        };
+        let Some(key) = pool.choose(now, &want, || 0.0) else {
+            return ids;
+        };
+        tried.push(key);
+        ids.extend(pool.get(key).map(|server| server.replica.id.clone()));
+    }
+}
+
+fn key(pool: &Pool, stage: Option<Stage>, id: &str) -> Key {
+    let mut tried = Vec::new();
+    loop {
+        let want = Want {
+            service: "app",
+            stage,
+            tried: &tried,
+            near: Zone::new("here"),
+        };
+        let key = pool.choose(START, &want, || 0.0).unwrap();
+        if pool.get(key).unwrap().replica.id == id {
+            return key;
+        }
+        tried.push(key);
+    }
+}
+
+fn note(pool: &mut Pool, stage: Option<Stage>, id: &str, ms: u64) {
+    let key = key(pool, stage, id);
+    pool.note_pace(START, key, Duration::from_millis(ms), 1.0);
+}
+
+#[rstest]
+#[case(None)]
+#[case(Some(Stage::Prefill))]
+#[case(Some(Stage::Decode))]
+fn a_slow_replica_is_chosen_last(#[case] stage: Option<Stage>) {
+    let mut pool = pool(stage, &["slow", "one", "two"]);
+    note(&mut pool, stage, "slow", 240);
+    note(&mut pool, stage, "one", 30);
+    note(&mut pool, stage, "two", 40);
+    assert_eq!(order(&pool, stage, after(500)).last().unwrap(), "slow");
+}
+
+#[test]
+fn it_is_tried_again_after_a_while() {
+    let mut pool = pool(None, &["slow", "one", "two"]);
+    note(&mut pool, None, "slow", 240);
+    note(&mut pool, None, "one", 30);
+    note(&mut pool, None, "two", 30);
+    assert_eq!(order(&pool, None, after(3_100))[0], "slow");
+}
+
+#[test]
+fn one_that_takes_up_to_twice_as_long_is_not_slow() {
+    let mut pool = pool(None, &["long", "one", "two"]);
+    note(&mut pool, None, "long", 59);
+    note(&mut pool, None, "one", 30);
+    note(&mut pool, None, "two", 30);
+    assert_eq!(order(&pool, None, after(500))[0], "long");
+}
+
+#[test]
+fn long_prompts_make_no_replica_slow() {
+    let stage = Some(Stage::Prefill);
+    let mut pool = pool(stage, &["one", "two"]);
+    let one = key(&pool, stage, "one");
+    let two = key(&pool, stage, "two");
+    pool.note_pace(START, one, Duration::from_millis(200), 11_000.0);
+    pool.note_pace(START, two, Duration::from_millis(20), 1_100.0);
+    assert_eq!(order(&pool, stage, after(500))[0], "one");
+}
