--- a/crates/bench/src/slopes/cut.rs
+++ b/crates/bench/src/slopes/cut.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use crate::report::Report;
-use crate::world::Size;
 use crate::world::World;
 use crate::world::list;
+use crate::world::size::Size;
 
 const COLUMNS: [&str; 10] = [
     "daemons",
--- a/crates/bench/src/slopes/frames.rs
+++ b/crates/bench/src/slopes/frames.rs
@@ -19,8 +19,8 @@
 
 use crate::report::Report;
 use crate::usage;
-use crate::world::Size;
 use crate::world::list;
+use crate::world::size::Size;
 
 const COLUMNS: [&str; 4] = ["size", "bytes", "encode_us", "decode_us"];
 /// Processor time that each figure takes at least, in seconds.
--- a/crates/bench/src/slopes/keeper.rs
+++ b/crates/bench/src/slopes/keeper.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use crate::report::Report;
-use crate::world::Size;
 use crate::world::World;
 use crate::world::kind::Kind;
+use crate::world::size::Size;
 
 const COLUMNS: [&str; 14] = [
     "daemons",
--- a/crates/bench/src/slopes/restarts.rs
+++ b/crates/bench/src/slopes/restarts.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use crate::report::Report;
-use crate::world::Size;
 use crate::world::World;
+use crate::world::size::Size;
 use crate::world::store::Calls;
 
 const COLUMNS: [&str; 9] = [
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -9,6 +9,7 @@
 mod control;
 pub mod kind;
 pub mod list;
+pub mod size;
 pub mod store;
 pub mod tally;
 
@@ -31,6 +32,7 @@
 use crate::world::backs::Backs;
 use crate::world::kind::Kind;
 use crate::world::list::Listing;
+use crate::world::size::Size;
 use crate::world::store::Store;
 use crate::world::tally::Tally;
 
@@ -47,21 +49,6 @@
 /// Start of the first runs, in milliseconds of the Unix clock.
 const STARTED_MS: u64 = 1_790_000_000_000;
 
-/// How large a world is.
-#[derive(Debug, Clone, Copy)]
-pub struct Size {
-    /// Daemons.
-    pub daemons: usize,
-    /// Data centres, spread over [`list::REGIONS`] regions.
-    pub zones: usize,
-    /// Replicas on the list from [`World::settle`] on.
-    pub replicas: usize,
-    /// Pools, each with its own model.
-    pub pools: usize,
-    /// Rows of the table.
-    pub rows: usize,
-}
-
 /// A daemon.
 #[derive(Debug)]
 struct Seat {
--- a/crates/bench/src/world/backs.rs
+++ b/crates/bench/src/world/backs.rs
@@ -17,8 +17,8 @@
 use node::ids::Order;
 use route::replica::Report;
 
-use crate::world::Size;
 use crate::world::list;
+use crate::world::size::Size;
 
 /// Time of a prefill.
 const PREFILL: Duration = Duration::from_millis(60);
--- a/crates/bench/src/world/list.rs
+++ b/crates/bench/src/world/list.rs
@@ -11,7 +11,7 @@
 use table::Table;
 use table::row::Row;
 
-use crate::world::Size;
+use crate::world::size::Size;
 
 /// Regions that the data centres are spread over.
 pub const REGIONS: usize = 3;
--- /dev/null
+++ b/crates/bench/src/world/size.rs
@@ -0,0 +1,16 @@
+//! How large a world is.
+
+/// How large a world is.
+#[derive(Debug, Clone, Copy)]
+pub struct Size {
+    /// Daemons.
+    pub daemons: usize,
+    /// Data centres, spread over `list::REGIONS` regions.
+    pub zones: usize,
+    /// Replicas on the list from `World::settle` on.
+    pub replicas: usize,
+    /// Pools, each with its own model.
+    pub pools: usize,
+    /// Rows of the table.
+    pub rows: usize,
+}
--- a/crates/bench/tests/world.rs
+++ b/crates/bench/tests/world.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use bench::world::Size;
 use bench::world::World;
 use bench::world::kind::Kind;
+use bench::world::size::Size;
 use rstest::rstest;
 
 const SECOND: Duration = Duration::from_secs(1);
--- a/crates/entry/src/platform/commit.rs
+++ b/crates/entry/src/platform/commit.rs
@@ -11,9 +11,9 @@
 use store::txn::Reply;
 use store::txn::Txn;
 use table::edit::Edit;
+use table::plan::Plan;
+use table::plan::Step;
 use table::stored;
-use table::stored::Plan;
-use table::stored::Step;
 use tokio::time::sleep;
 
 use super::Outcome;
@@ -51,7 +51,7 @@
 async fn attempt(client: &Client, edit: &Edit, sent: bool) -> Result<Option<Stored>, Error> {
     let txn = read::scans().with_read(&stored::edit_id_key(&edit.id));
     let records = read::records(client, txn).await?;
-    match stored::plan(edit, &records, clock::unix().as_secs())? {
+    match table::plan::plan(edit, &records, clock::unix().as_secs())? {
         Step::Applied(generation) if sent => Ok(Some(Stored::Committed { generation })),
         Step::Applied(generation) => Ok(Some(Stored::Repeated { generation })),
         Step::Commit(plan) => match client.txn(&transaction(&plan)).await? {
--- a/crates/entry/src/platform/history.rs
+++ b/crates/entry/src/platform/history.rs
@@ -2,8 +2,8 @@
 
 use store::Client;
 use store::txn::Txn;
+use table::plan::History;
 use table::stored;
-use table::stored::History;
 
 use super::error::Error;
 use super::read;
@@ -24,5 +24,7 @@
     });
     let records = read::records(client, txn).await?;
     let present = records.iter().filter(|record| record.version > 0);
-    Ok(present.map(stored::history).collect::<Result<_, _>>()?)
+    Ok(present
+        .map(table::plan::history)
+        .collect::<Result<_, _>>()?)
 }
--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -12,7 +12,7 @@
 use http_body_util::Full;
 use http_body_util::Limited;
 use platform::engine;
-use relay::pool::Key;
+use relay::server::Key;
 use tokio::time::timeout;
 
 use crate::links::Failure;
--- a/crates/gateway/src/card.rs
+++ b/crates/gateway/src/card.rs
@@ -18,6 +18,8 @@
     pub callers: SocketAddr,
     /// Where other daemons reach it, by TCP and UDP.
     pub peers: SocketAddr,
+    /// What its processor can do, in thousandths of a core.
+    pub capacity: u32,
 }
 
 impl Card {
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -15,7 +15,7 @@
 use relay::attempt::Outcome;
 use relay::event::Splitter;
 use relay::plan::Mode;
-use relay::pool::Key;
+use relay::server::Key;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::Sender;
 use tokio::time::Instant;
@@ -27,11 +27,11 @@
 use crate::job::Job;
 use crate::place;
 use crate::place::Place;
+use crate::search;
+use crate::search::Search;
 use crate::send;
 use crate::send::Reply;
 use crate::shared::Shared;
-use crate::stream;
-use crate::stream::Search;
 
 /// Parts of an answer that wait for a slow caller before its replica is no longer read.
 const MAX_WAITING: usize = 32;
@@ -234,7 +234,7 @@
             place,
             task: last_event.map(|last_event| Task::Resume { last_event }),
         };
-        let opened = stream::open(&self.shared, &self.job, search);
+        let opened = search::open(&self.shared, &self.job, search);
         let reply = tokio::select! {
             opened = timeout_at(self.job.deadline, opened) => opened.ok()?.ok()?,
             () = self.parts.closed() => return None,
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -35,6 +35,8 @@
     from: Card,
     /// Version of the sender's plan; 0 if it has none.
     plan: u64,
+    /// Whether the sender is strained.
+    strained: bool,
     content: Content,
 }
 
@@ -115,6 +117,7 @@
     let datagram = Datagram {
         from: shared.own_card(),
         plan: shared.plan_version(),
+        strained: shared.is_strained(),
         content,
     };
     if let Err(error) = write(shared, to, &datagram).await {
@@ -144,6 +147,9 @@
         }
     };
     let sender = &datagram.from;
+    if datagram.strained && sender.data_centre == shared.own_card().data_centre {
+        shared.heard_strain();
+    }
     match datagram.content {
         Content::Member { message, hint } => {
             let mut members = shared.members.borrow_mut();
@@ -153,7 +159,7 @@
             members.receive(shared.clock.now(), sender, &message);
         }
         Content::Question { number, digest } => {
-            let news = News::new(shared, digest);
+            let news = shared.news(digest);
             transmit(shared, sender.peers, Content::News { number, news }).await;
         }
         Content::News { number, news } => {
--- a/crates/gateway/src/guard.rs
+++ b/crates/gateway/src/guard.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use relay::pool::Key;
+use relay::server::Key;
 
 use crate::shared::Shared;
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod plain;
 pub mod prefill;
 pub mod reload;
+pub mod search;
 pub mod send;
 pub mod settings;
 pub mod shared;
@@ -166,6 +167,7 @@
         let begun = shared.clock.now();
         sleep(HOUSEKEEPING).await;
         let slept = shared.clock.now().since(begun);
+        shared.note_late(slept.saturating_sub(HOUSEKEEPING));
         if slept > PAUSED {
             log::warn!(kind = "pause", ms = slept.as_millis() as u64, open = shared.open() as u64; "the process stood still");
         }
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -166,6 +166,7 @@
             .map(|card| Entry {
                 data_centre: card.data_centre,
                 address: card.callers,
+                capacity: card.capacity,
             })
             .collect()
     }
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -8,8 +8,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::shared::Shared;
-
 /// News are of use up to this age; a replica that leaves must get nothing 2 s later, and the daemon
 /// that asks learns of it one period later.
 const MAX_AGE: Duration = Duration::from_millis(900);
@@ -27,18 +25,27 @@
     age_ms: u64,
     /// Whether the store fails the teller.
     store_lost: bool,
+    /// Whether the teller heard from a strained instance of its data centre.
+    pub strained: bool,
 }
 
 impl News {
-    /// The news for a daemon whose replicas have the hash `digest`.
-    pub fn new(shared: &Shared, digest: u64) -> Self {
-        let pool = shared.pool.borrow();
+    /// The news of a daemon with this `plan`, whose `replicas` were read `age` ago.
+    pub const fn new(
+        plan: u64,
+        replicas: u64,
+        same: bool,
+        age: Duration,
+        store_lost: bool,
+        strained: bool,
+    ) -> Self {
         Self {
-            plan: shared.plan_version(),
-            replicas: pool.version(),
-            same: pool.digest() == digest,
-            age_ms: shared.replicas_age().as_millis() as u64,
-            store_lost: shared.is_store_lost(),
+            plan,
+            replicas,
+            same,
+            age_ms: age.as_millis() as u64,
+            store_lost,
+            strained,
         }
     }
 
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -9,8 +9,8 @@
 use http::StatusCode;
 use platform::engine;
 use platform::engine::Reservation;
-use relay::pool::Key;
 use relay::replica::Stage;
+use relay::server::Key;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -6,8 +6,8 @@
 use platform::caller::Task;
 use platform::engine::Prefill;
 use relay::attempt::Outcome;
-use relay::pool::Key;
 use relay::replica::Stage;
+use relay::server::Key;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -13,7 +13,7 @@
 use platform::reply::Head;
 use relay::attempt::Outcome;
 use relay::plan::Mode;
-use relay::pool::Key;
+use relay::server::Key;
 use tokio::time::Instant;
 
 use crate::guard::Claim;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -32,6 +32,35 @@
     pub prefill_share: Option<f64>,
     /// Seconds from SIGTERM until the process is killed.
     pub grace_s: f64,
+    /// The processor of this instance.
+    #[serde(default)]
+    pub processor: Processor,
+}
+
+/// The processor of an instance.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Processor {
+    /// Part of the cores' time that the daemon may use.
+    pub share: f64,
+    /// Cores.
+    pub cores: f64,
+}
+
+impl Default for Processor {
+    fn default() -> Self {
+        Self {
+            share: 1.0,
+            cores: 1.0,
+        }
+    }
+}
+
+impl Processor {
+    /// What it can do, in thousandths of a core.
+    pub fn capacity(&self) -> u32 {
+        (self.share * self.cores * 1_000.0) as u32
+    }
 }
 
 /// Where a daemon listens.
@@ -95,6 +124,8 @@
             ("retry.ratio", self.retry.ratio),
             ("retry.slack", self.retry.slack),
             ("retry.window_s", self.retry.window_s),
+            ("processor.share", self.processor.share),
+            ("processor.cores", self.processor.cores),
         ];
         let wrong = |(_, figure): &(&str, f64)| !figure.is_finite() || *figure < 0.0;
         match figures.into_iter().find(wrong) {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -11,11 +11,13 @@
 use ident::Zone;
 use relay::budget::Budget;
 use relay::budget::Rule;
+use relay::directory::Breadth;
 use relay::plan::Plan;
-use relay::pool::Key;
 use relay::pool::Pool;
 use relay::replica::Snapshot;
 use relay::score::Want;
+use relay::server::Key;
+use relay::strain::Strain;
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 
@@ -64,6 +66,7 @@
     budgets: RefCell<HashMap<String, Budget>>,
     /// Mean time of a decode replica for an answer, by service.
     lengths: RefCell<HashMap<String, Duration>>,
+    strain: RefCell<Strain>,
     near: Zone,
     own: Card,
     /// Socket for datagrams to other daemons, once it is open.
@@ -95,6 +98,7 @@
             data_centre: near,
             callers: settings.listen.callers,
             peers: settings.listen.peers,
+            capacity: settings.processor.capacity(),
         };
         Self {
             clock: Clock::new(),
@@ -106,6 +110,7 @@
             plan: RefCell::new(None),
             budgets: RefCell::new(HashMap::new()),
             lengths: RefCell::new(HashMap::new()),
+            strain: RefCell::new(Strain::new()),
             near,
             own,
             datagrams: OnceCell::new(),
@@ -206,9 +211,17 @@
         self.clock.now().since(self.replicas_heard.get())
     }
 
-    /// Whether the store's last call failed.
-    pub fn is_store_lost(&self) -> bool {
-        self.store_lost.get()
+    /// The news for a daemon whose replicas have the hash `digest`.
+    pub fn news(&self, digest: u64) -> News {
+        let pool = self.pool.borrow();
+        News::new(
+            self.plan_version(),
+            pool.version(),
+            pool.digest() == digest,
+            self.replicas_age(),
+            self.store_lost.get(),
+            self.strain.borrow().is_near(self.clock.now()),
+        )
     }
 
     /// Notes that the replicas could not be read.
@@ -350,6 +363,46 @@
         self.clock.now().since(self.store_heard.get())
     }
 
+    /// Notes that a timer of this daemon came `late`.
+    pub fn note_late(&self, late: Duration) {
+        self.strained(|strain, now| strain.note(now, late));
+    }
+
+    /// Notes that another instance of this data centre told that it is strained.
+    pub fn heard_strain(&self) {
+        self.strained(Strain::heard);
+    }
+
+    /// Notes that an instance heard of one of this data centre that is strained.
+    pub fn told_strain(&self) {
+        self.strained(Strain::told);
+    }
+
+    fn strained(&self, change: impl FnOnce(&mut Strain, Time)) {
+        let now = self.clock.now();
+        let mut strain = self.strain.borrow_mut();
+        let before = strain.spreads(now);
+        change(&mut strain, now);
+        if strain.spreads(now) && !before {
+            log::info!(kind = "strain", own = strain.is_own(); "an instance is strained; callers are told of all instances of the data centre");
+        }
+    }
+
+    /// Whether this daemon is strained.
+    pub fn is_strained(&self) -> bool {
+        self.strain.borrow().is_own()
+    }
+
+    /// Which instances callers are told of.
+    pub fn breadth(&self) -> Breadth {
+        let spreads = self.strain.borrow().spreads(self.clock.now());
+        if spreads {
+            Breadth::All
+        } else {
+            Breadth::Large
+        }
+    }
+
     /// Whether callers are taken: a plan is known and the daemon is not stopping.
     pub fn is_ready(&self) -> bool {
         self.plan_version() > 0 && !self.pool.borrow().is_empty() && !self.is_stopping()
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -144,6 +144,9 @@
     let Some(news) = gossip::question(shared, poller, NEWS_PATIENCE).await else {
         return Heard::Silent;
     };
+    if news.strained && Some(poller) == shared.members.borrow().poller() {
+        shared.told_strain();
+    }
     match news {
         news if !news.is_fresh() => Heard::Stale,
         news if news.same && news.plan <= shared.plan_version() => {
--- a/crates/lab/src/world/seat.rs
+++ b/crates/lab/src/world/seat.rs
@@ -6,10 +6,10 @@
 use ident::Time;
 use route::cell::Cell;
 use route::cell::Hold;
-use route::cell::Settings;
 use route::phase::Phase;
 use route::replica::Report;
 use route::replica::Role;
+use route::settings::Settings;
 
 use crate::engine::Attempt;
 use crate::rival::Mode;
--- a/crates/node/src/asking.rs
+++ b/crates/node/src/asking.rs
@@ -8,7 +8,6 @@
 use ident::Instance;
 use ident::Key;
 use ident::Pool;
-use ident::Time;
 use ledger::ids::Call;
 use ledger::ids::Query;
 use wire::Body;
@@ -24,6 +23,7 @@
 use crate::event::Recorded;
 use crate::event::Stored;
 use crate::node::Node;
+use crate::question::Question;
 use crate::refusals::SOON;
 use crate::request::Request;
 
@@ -32,19 +32,6 @@
 /// Pause after which a runner is asked again.
 const ASK_AGAIN: Duration = Duration::from_millis(500);
 
-/// A caller waits for what another instance knows of its key.
-#[derive(Debug)]
-pub(crate) struct Question {
-    /// The caller's connection.
-    pub(crate) call: Call,
-    key: Key,
-    request: Option<Request>,
-    runner: Option<Instance>,
-    heard: Time,
-    asked: Time,
-    lookup: Option<Query>,
-}
-
 impl Node {
     /// Finds out what became of `key`, which belongs to another run.
     pub(crate) fn ask(
@@ -58,6 +45,7 @@
             return;
         };
         let alive = self
+            .members
             .fleet
             .by_incarnation(prefix.runner)
             .filter(|member| member.state != fleet::member::State::Dead)
@@ -84,12 +72,12 @@
             "key of another run",
             out,
         );
-        self.questions.insert(nonce, question);
+        self.requests.questions.insert(nonce, question);
         self.pursue(nonce, out);
     }
 
     fn pursue(&mut self, nonce: u64, out: &mut Vec<Action>) {
-        let Some(question) = self.questions.get_mut(&nonce) else {
+        let Some(question) = self.requests.questions.get_mut(&nonce) else {
             return;
         };
         question.asked = self.now;
@@ -102,7 +90,7 @@
 
     fn look_up(&mut self, nonce: u64, out: &mut Vec<Action>) {
         let query = self.query();
-        let Some(question) = self.questions.get_mut(&nonce) else {
+        let Some(question) = self.requests.questions.get_mut(&nonce) else {
             return;
         };
         let Some(prefix) = question.key.prefix() else {
@@ -122,7 +110,7 @@
         let now = self.now;
         let mut silent = Vec::new();
         let mut again = Vec::new();
-        for (nonce, question) in &self.questions {
+        for (nonce, question) in &self.requests.questions {
             match () {
                 () if now >= question.heard + SILENCE => silent.push(*nonce),
                 () if question.lookup.is_some() => (),
@@ -142,7 +130,7 @@
 
     /// A runner that was asked does not answer: its record in the store is looked for, once.
     fn runner_silent(&mut self, nonce: u64, out: &mut Vec<Action>) {
-        let Some(question) = self.questions.get_mut(&nonce) else {
+        let Some(question) = self.requests.questions.get_mut(&nonce) else {
             return;
         };
         if question.runner.take().is_some() && question.lookup.is_none() {
@@ -156,7 +144,7 @@
     }
 
     fn close(&mut self, nonce: u64, refusal: Refusal, out: &mut Vec<Action>) {
-        if let Some(question) = self.questions.remove(&nonce) {
+        if let Some(question) = self.requests.questions.remove(&nonce) {
             self.refuse(question.call, &question.key.to_string(), refusal, out);
         }
     }
@@ -169,6 +157,7 @@
         out: &mut Vec<Action>,
     ) -> bool {
         let found = self
+            .requests
             .questions
             .iter()
             .find(|(_, question)| question.lookup == Some(query));
@@ -200,7 +189,7 @@
         body: bytes::Bytes,
         out: &mut Vec<Action>,
     ) {
-        if let Some(question) = self.questions.remove(&nonce) {
+        if let Some(question) = self.requests.questions.remove(&nonce) {
             let tell = Tell::Answer {
                 status,
                 body,
@@ -219,7 +208,7 @@
         if !self.asks_repeatable(nonce) {
             return self.close(nonce, Self::unknown(), out);
         }
-        let Some(question) = self.questions.remove(&nonce) else {
+        let Some(question) = self.requests.questions.remove(&nonce) else {
             return;
         };
         let Some(request) = question.request else {
@@ -253,6 +242,7 @@
     /// Whether `request` may be run again after it was sent.
     pub(crate) fn is_repeatable(&self, request: &Request) -> bool {
         let rows = self
+            .tables
             .view
             .table()
             .map(|table| table.rows.as_slice())
@@ -266,7 +256,7 @@
     /// A runner answered.
     pub(crate) fn told(&mut self, nonce: u64, told: Told, out: &mut Vec<Action>) {
         let now = self.now;
-        let Some(question) = self.questions.get_mut(&nonce) else {
+        let Some(question) = self.requests.questions.get_mut(&nonce) else {
             return;
         };
         question.heard = now;
@@ -303,14 +293,14 @@
     }
 
     fn asks_repeatable(&self, nonce: u64) -> bool {
-        let question = self.questions.get(&nonce);
+        let question = self.requests.questions.get(&nonce);
         let request = question.and_then(|question| question.request.as_ref());
         request.is_some_and(|request| self.is_repeatable(request))
     }
 
     /// The runner has tried the key without an answer: it may try a repeatable request again.
     fn close_tried(&mut self, nonce: u64, outcome: Outcome, out: &mut Vec<Action>) {
-        let Some(question) = self.questions.get(&nonce) else {
+        let Some(question) = self.requests.questions.get(&nonce) else {
             return;
         };
         let repeatable = self.asks_repeatable(nonce);
@@ -325,7 +315,7 @@
     }
 
     fn follow_stream(&mut self, nonce: u64, token: &str, out: &mut Vec<Action>) {
-        if let Some(question) = self.questions.remove(&nonce) {
+        if let Some(question) = self.requests.questions.remove(&nonce) {
             self.resumed(question.call, &question.key.customer, token, 0, out);
         }
     }
--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -31,7 +31,7 @@
     /// Asks the keeper of its pool to place a waiting request.
     pub(crate) fn submit(&mut self, opened: OpenKey, out: &mut Vec<Action>) {
         let now = self.now;
-        let entry = &mut self.open[opened];
+        let entry = &mut self.requests.open[opened];
         entry.times.submitted = now;
         // A continuation's first token was told long ago: only the loss counts.
         let since = entry
@@ -47,18 +47,18 @@
     /// Sends unanswered submissions again; a keeper answers the same ticket the same way.
     pub(crate) fn resubmit(&mut self, out: &mut Vec<Action>) {
         let now = self.now;
-        let due = self.open_where(|entry| {
+        let due = self.requests.open_where(|entry| {
             entry.stage == Stage::Waiting && now >= entry.times.submitted + RESUBMIT
         });
         for opened in due {
-            let entry = &self.open[opened];
+            let entry = &self.requests.open[opened];
             if now >= entry.queued + entry.patience {
                 self.give_up(opened, Reason::NoReplica, SOON, out);
             } else {
                 self.submit(opened, out);
             }
         }
-        let expired = self.open_where(|entry| {
+        let expired = self.requests.open_where(|entry| {
             entry.stage == Stage::Prefill
                 && entry.order.is_none()
                 && now >= entry.times.submitted + RESULT_LIFE
@@ -77,7 +77,7 @@
 
     /// Tells the keeper how an attempt goes on.
     pub(crate) fn advance(&mut self, opened: OpenKey, phase: Phase, out: &mut Vec<Action>) {
-        let entry = &mut self.open[opened];
+        let entry = &mut self.requests.open[opened];
         entry.phase = Some(phase);
         let (pool, handle) = (entry.pool, entry.handle());
         self.send(self.keeper_of(pool), Body::Advance { handle, phase }, out);
@@ -85,7 +85,7 @@
 
     /// What a new keeper is told of a placed request.
     pub(crate) fn hold_of(&self, opened: OpenKey) -> Option<Hold> {
-        let entry = &self.open[opened];
+        let entry = &self.requests.open[opened];
         let place = entry.place?;
         Some(Hold {
             ticket: entry.ticket.clone(),
@@ -98,7 +98,7 @@
     /// The keeper decided about one of this daemon's attempts.
     pub(crate) fn decided(&mut self, from: Instance, verdict: Verdict, out: &mut Vec<Action>) {
         let handle = verdict.handle;
-        let Some(opened) = self.by_handle.get(&handle).copied() else {
+        let Some(opened) = self.requests.by_handle.get(&handle).copied() else {
             return self.send(
                 from,
                 Body::Advance {
@@ -108,7 +108,7 @@
                 out,
             );
         };
-        let entry = &self.open[opened];
+        let entry = &self.requests.open[opened];
         let (stage, place) = (entry.stage, entry.place);
         match verdict.choice {
             _ if !self.may_decide() => (),
@@ -131,7 +131,7 @@
             }
             Choice::Paired { prefill, decode } if is_moved(stage, place, prefill, decode) => {
                 self.log_place(opened, prefill, Some(decode), &verdict.why, out);
-                self.open[opened].place = Some(Place {
+                self.requests.open[opened].place = Some(Place {
                     prefill: Some(prefill),
                     run: decode,
                 });
@@ -163,7 +163,7 @@
             why.ttft.as_millis(),
             why.cached_blocks,
         );
-        let label = self.open[opened].label();
+        let label = self.requests.open[opened].label();
         self.log_with(&label, Step::Place, &choice, &alternatives, &reason, out);
     }
 }
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -40,7 +40,10 @@
             Ok(key) => key,
             Err(refusal) => return self.refuse(call, &request.customer, refusal, out),
         };
-        let known = key.as_ref().and_then(|key| self.keys.get(key)).cloned();
+        let known = key
+            .as_ref()
+            .and_then(|key| self.requests.keys.get(key))
+            .cloned();
         match (known, &key) {
             (Some(Mark::Failed), Some(_)) if self.is_repeatable(&request) => {
                 self.open_new(call, key, &request, Some(Outcome::Failed), out);
@@ -63,8 +66,8 @@
     /// Whether another instance may have run a repeatable key of this run: its prefix is older than
     /// the end of a pause in which this run may have counted as lost.
     fn may_run_elsewhere(&self, key: &Key, request: &Request) -> bool {
-        let paused = self.woke > self.begun;
-        let woke_s = self.unix_s() - self.now.since(self.woke).as_secs();
+        let paused = self.life.woke > self.begun;
+        let woke_s = self.unix_s() - self.now.since(self.life.woke).as_secs();
         let older = key.prefix().is_some_and(|prefix| prefix.issued <= woke_s);
         paused && older && self.is_repeatable(request)
     }
@@ -85,7 +88,7 @@
         match self.admit(call, key, request) {
             Ok(opened) => {
                 if earlier.is_some() {
-                    self.open[opened].reach = Reach::Touched;
+                    self.requests.open[opened].reach = Reach::Touched;
                 }
                 self.begin(opened, out);
             }
@@ -134,12 +137,12 @@
         if !repeatable && prefix.is_none() {
             return Err(not_run(Reason::KeyNeeded, Duration::ZERO));
         }
-        if self.open.len() >= self.settings.max_open {
+        if self.requests.open.len() >= self.settings.max_open {
             return Err(self.refusal_elsewhere(Outcome::NotRun, Reason::Full));
         }
         let now = self.unix_s();
         let issued = prefix.map_or(now, |prefix| prefix.issued);
-        match key.as_ref().map(|_| self.keys.admit(now, issued)) {
+        match key.as_ref().map(|_| self.requests.keys.admit(now, issued)) {
             Some(Admission::Expired) => Err(not_run(Reason::KeyExpired, Duration::ZERO)),
             Some(Admission::Full) => Err(self.refusal_elsewhere(Outcome::NotRun, Reason::Full)),
             Some(Admission::New) | None => Ok(self.insert(call, key, request, &row, repeatable)),
@@ -161,13 +164,13 @@
     /// for a while after it began to leave.
     pub(crate) fn is_closed(&self) -> bool {
         let span = self.settings.address_ttl * LEAVING_TTLS;
-        let since = self.leaving.or(self.drained);
+        let since = self.life.leaving.or(self.life.drained);
         since.is_some_and(|since| self.now >= since + span)
     }
 
     /// The row for a request; several pools of one service and class are drawn by their shares.
     fn pick_row(&mut self, request: &Request) -> Option<Row> {
-        let table = self.view.table()?;
+        let table = self.tables.view.table()?;
         let rows: Vec<Row> = table
             .rows
             .iter()
@@ -202,7 +205,7 @@
         let work = ticket_work(&request.work);
         let ticket = Ticket::new(handle, row.id(), work, self.settings.zone);
         let pool = Pool::new(&row.pool);
-        let opened = self.open.insert(Open {
+        let opened = self.requests.open.insert(Open {
             origin: Some(call),
             key: key.clone(),
             repeatable,
@@ -212,10 +215,12 @@
             targets: Targets::new(row),
             ..Open::new(call, &request.customer, pool, ticket, self.now)
         });
-        self.by_handle.insert(handle, opened);
-        self.by_call.insert(call, opened);
+        self.requests.by_handle.insert(handle, opened);
+        self.requests.by_call.insert(call, opened);
         if let Some(key) = key {
-            self.keys.mark(self.unix_s(), &key, Mark::Open(opened));
+            self.requests
+                .keys
+                .mark(self.unix_s(), &key, Mark::Open(opened));
         }
         opened
     }
@@ -225,9 +230,9 @@
     }
 
     fn begin(&mut self, opened: OpenKey, out: &mut Vec<Action>) {
-        let entry = &self.open[opened];
-        let pool = format!("pool {}", self.rows.pool_name(entry.pool));
-        let row = self.rows.row_name(entry.ticket.row);
+        let entry = &self.requests.open[opened];
+        let pool = format!("pool {}", self.tables.rows.pool_name(entry.pool));
+        let row = self.tables.rows.row_name(entry.ticket.row);
         let reason = format!("row {row}, attempt {}", entry.handle());
         self.log(&entry.label(), Step::Admit, &pool, &reason, out);
         self.submit(opened, out);
@@ -273,12 +278,15 @@
     }
 
     pub(crate) fn left(&mut self, call: Call, out: &mut Vec<Action>) {
-        self.questions.retain(|_, question| question.call != call);
-        let Some(opened) = self.by_call.remove(&call) else {
+        self.requests
+            .questions
+            .retain(|_, question| question.call != call);
+        let Some(opened) = self.requests.by_call.remove(&call) else {
             return;
         };
         let now = self.now;
         let Some(entry) = self
+            .requests
             .open
             .get_mut(opened)
             .filter(|entry| entry.call == Some(call))
@@ -298,9 +306,11 @@
     /// by now, and is verified first.
     pub(crate) fn give_up_left(&mut self, out: &mut Vec<Action>) {
         let now = self.now;
-        let gone = self.open_where(|entry| entry.is_left(now) && entry.withheld.is_none());
+        let gone = self
+            .requests
+            .open_where(|entry| entry.is_left(now) && entry.withheld.is_none());
         for opened in gone {
-            let entry = &mut self.open[opened];
+            let entry = &mut self.requests.open[opened];
             if entry.stage == Stage::Decode && entry.order.is_none() {
                 entry.withheld = Some(Vec::new());
             } else {
@@ -311,13 +321,13 @@
 
     /// Ends a request that nobody waits for, and releases all that it holds.
     pub(crate) fn abandon(&mut self, opened: OpenKey, reason: &str, out: &mut Vec<Action>) {
-        let outcome = if self.open[opened].is_touched() {
+        let outcome = if self.requests.open[opened].is_touched() {
             Outcome::Failed
         } else {
             Outcome::NotRun
         };
         let refusal = Self::refusal(outcome, Reason::Backend, SOON);
-        let label = self.open[opened].label();
+        let label = self.requests.open[opened].label();
         self.log(&label, Step::End, "abandoned", reason, out);
         self.end(opened, &End::Refused(refusal), out);
     }
--- a/crates/node/src/edits.rs
+++ b/crates/node/src/edits.rs
@@ -6,7 +6,6 @@
 use ident::Instance;
 use ident::Time;
 use ledger::ids::Call;
-use ledger::ids::Query;
 use table::edit::Edit;
 use wire::Body;
 
@@ -15,6 +14,7 @@
 use crate::action::Tell;
 use crate::action::Verdict;
 use crate::decision::Step;
+use crate::edition::Edition;
 use crate::event::Stored;
 use crate::node::Node;
 use crate::status::Force;
@@ -24,19 +24,6 @@
 /// Pause after which instances that have not noted a generation are told again.
 const ANNOUNCE_AGAIN: Duration = Duration::from_millis(300);
 
-/// An edit on its way.
-#[derive(Debug)]
-pub(crate) struct Edition {
-    call: Call,
-    edit: Edit,
-    pub(crate) commit: Query,
-    /// Once it is committed: its generation, and whether an earlier try had committed it.
-    made: Option<(u64, bool)>,
-    noted: BTreeSet<Instance>,
-    since: Time,
-    announced: Time,
-}
-
 impl Node {
     /// An operator's edit arrived.
     pub(crate) fn edited(&mut self, call: Call, edit: Edit, out: &mut Vec<Action>) {
@@ -61,7 +48,7 @@
             since: self.now,
             announced: self.now,
         };
-        self.desk.editions.insert(number, edition);
+        self.tables.desk.editions.insert(number, edition);
         out.push(Action::Query { query, ask });
     }
 
@@ -75,15 +62,15 @@
             Some(made) => self.announce(number, made, out),
             None => self.close_edition(number, refused(outcome), out),
         }
-        if self.view.behind() {
+        if self.tables.view.behind() {
             self.read(Ask::Table, out);
         }
     }
 
     fn announce(&mut self, number: u64, made: (u64, bool), out: &mut Vec<Action>) {
         let now = self.now;
-        self.view.announce(made.0);
-        if let Some(edition) = self.desk.editions.get_mut(&number) {
+        self.tables.view.announce(made.0);
+        if let Some(edition) = self.tables.desk.editions.get_mut(&number) {
             edition.made = Some(made);
             edition.since = now;
         }
@@ -93,7 +80,7 @@
 
     fn announce_to_rest(&mut self, number: u64, out: &mut Vec<Action>) {
         let now = self.now;
-        let Some(edition) = self.desk.editions.get_mut(&number) else {
+        let Some(edition) = self.tables.desk.editions.get_mut(&number) else {
             return;
         };
         edition.announced = now;
@@ -102,6 +89,7 @@
         };
         let noted = edition.noted.clone();
         let rest: Vec<Instance> = self
+            .members
             .fleet
             .members()
             .map(|member| member.instance)
@@ -126,27 +114,27 @@
         generation: u64,
         out: &mut Vec<Action>,
     ) {
-        self.view.announce(generation);
+        self.tables.view.announce(generation);
         self.send(from, Body::Noted { edit }, out);
-        if self.view.behind() {
+        if self.tables.view.behind() {
             self.send(from, Body::Pull, out);
         }
     }
 
     pub(crate) fn noted(&mut self, from: Instance, edit: u64, out: &mut Vec<Action>) {
-        if let Some(edition) = self.desk.editions.get_mut(&edit) {
+        if let Some(edition) = self.tables.desk.editions.get_mut(&edit) {
             edition.noted.insert(from);
             self.try_accept(edit, out);
         }
     }
 
     fn try_accept(&mut self, number: u64, out: &mut Vec<Action>) {
-        let known = self.fleet.known();
-        let Some(edition) = self.desk.editions.get(&number) else {
+        let known = self.members.fleet.known();
+        let Some(edition) = self.tables.desk.editions.get(&number) else {
             return;
         };
         let listed = |instance: &&Instance| {
-            **instance == self.settings.instance || self.seats.contains_key(*instance)
+            **instance == self.settings.instance || self.members.seats.contains_key(*instance)
         };
         let noted = edition.noted.iter().filter(listed).count();
         match edition.made {
@@ -165,7 +153,7 @@
         let now = self.now;
         let mut again = Vec::new();
         let mut late = Vec::new();
-        for (number, edition) in &self.desk.editions {
+        for (number, edition) in &self.tables.desk.editions {
             match edition.made {
                 Some(_) if now >= edition.since + NOTE_TIMEOUT => late.push(*number),
                 Some(_) if now >= edition.announced + ANNOUNCE_AGAIN => again.push(*number),
@@ -186,7 +174,7 @@
     }
 
     fn close_edition(&mut self, number: u64, verdict: Verdict, out: &mut Vec<Action>) {
-        if let Some(edition) = self.desk.editions.remove(&number) {
+        if let Some(edition) = self.tables.desk.editions.remove(&number) {
             let Edit { operator, id, .. } = &edition.edit;
             self.log(
                 operator,
@@ -203,10 +191,10 @@
     pub fn force(&self, now: Time, generation: u64) -> Force {
         let mut missing = Vec::new();
         let silence = self.settings.lease * 2;
-        for seat in self.seats.values() {
+        for seat in self.members.seats.values() {
             let here = seat.instance == self.settings.instance;
-            let reached = match self.desk.told.get(&seat.instance) {
-                _ if here => self.view.generation() >= generation,
+            let reached = match self.tables.desk.told.get(&seat.instance) {
+                _ if here => self.tables.view.generation() >= generation,
                 Some(heard) => heard.generation >= generation || now >= heard.at + silence,
                 None => now >= self.begun + silence,
             };
@@ -214,7 +202,7 @@
                 missing.push(seat.name.clone());
             }
         }
-        let known = self.seats.len();
+        let known = self.members.seats.len();
         Force {
             generation,
             in_force: known - missing.len(),
--- a/crates/node/src/endings.rs
+++ b/crates/node/src/endings.rs
@@ -25,7 +25,7 @@
         after: Duration,
         out: &mut Vec<Action>,
     ) {
-        let entry = &self.open[opened];
+        let entry = &self.requests.open[opened];
         let elsewhere = entry.is_keyed() && entry.repeatable && !self.may_decide();
         let outcome = match () {
             () if elsewhere => Outcome::Unknown,
@@ -39,7 +39,7 @@
 
     /// Counts the prefill work of an attempt that comes to nothing.
     pub(crate) fn waste(&mut self, opened: OpenKey, out: &mut Vec<Action>) {
-        let computed = std::mem::take(&mut self.open[opened].computed);
+        let computed = std::mem::take(&mut self.requests.open[opened].computed);
         if computed > 0 {
             out.push(Action::Count(Count::Wasted(computed)));
         }
@@ -62,12 +62,12 @@
         self.remember_end(opened, end);
         self.tell_askers(opened, end, out);
         self.tell_end(opened, end, out);
-        let Some(entry) = self.open.remove(opened) else {
+        let Some(entry) = self.requests.open.remove(opened) else {
             return;
         };
-        self.by_handle.remove(&entry.ticket.handle);
+        self.requests.by_handle.remove(&entry.ticket.handle);
         if let Some(call) = entry.call {
-            self.by_call.remove(&call);
+            self.requests.by_call.remove(&call);
         }
         let done = matches!(end, End::Streamed { .. });
         for hold in [entry.prefill_hold, entry.decode_hold]
@@ -75,7 +75,7 @@
             .flatten()
         {
             if done || superseded {
-                self.holds.erase(hold);
+                self.requests.holds.erase(hold);
             } else {
                 self.release_hold(Some(hold), out);
             }
@@ -83,17 +83,17 @@
     }
 
     fn remember_end(&mut self, opened: OpenKey, end: &End) {
-        let entry = &self.open[opened];
+        let entry = &self.requests.open[opened];
         let Some(key) = entry.key.clone() else {
             return;
         };
         let token = self.token_of(opened);
-        let entry = &self.open[opened];
+        let entry = &self.requests.open[opened];
         let now = self.unix_s();
         let mark = match end {
             End::Answered { status, body } => {
                 if !entry.repeatable {
-                    self.journal.push(&key, *status, body);
+                    self.requests.journal.push(&key, *status, body);
                 }
                 let kept = (body.len() <= ledger::keys::MAX_BODY).then(|| body.clone());
                 Some(Mark::Answered {
@@ -109,13 +109,13 @@
             },
         };
         match mark {
-            Some(mark) => self.keys.mark(now, &key, mark),
-            None => self.keys.forget(&key),
+            Some(mark) => self.requests.keys.mark(now, &key, mark),
+            None => self.requests.keys.forget(&key),
         }
     }
 
     fn tell_end(&mut self, opened: OpenKey, end: &End, out: &mut Vec<Action>) {
-        let entry = &self.open[opened];
+        let entry = &self.requests.open[opened];
         let label = entry.label();
         let call = entry.call;
         let (word, reason) = match end {
--- /dev/null
+++ b/crates/node/src/journal.rs
@@ -0,0 +1,57 @@
+//! Outcomes of non-repeatable calls that are to be written to the store.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use ident::Incarnation;
+use ident::Key;
+use ledger::ids::Query;
+use ledger::keys::MAX_BODY;
+
+/// Most outcomes that wait; beyond it the oldest are dropped and stay unknown after a death.
+pub(crate) const MAX_WAITING: usize = 16_384;
+
+/// One outcome, with the incarnation that its key names.
+#[derive(Debug, Clone)]
+pub(crate) struct Line {
+    pub(crate) runner: Incarnation,
+    pub(crate) outcome: (String, u16, Option<Bytes>),
+}
+
+/// Outcomes on their way to the store.
+#[derive(Debug)]
+pub(crate) struct Journal {
+    pub(crate) waiting: VecDeque<Line>,
+    pub(crate) sent: Option<(Query, Vec<Line>)>,
+    pub(crate) sequence: u64,
+}
+
+impl Journal {
+    pub(crate) const fn new() -> Self {
+        Self {
+            waiting: VecDeque::new(),
+            sent: None,
+            sequence: 0,
+        }
+    }
+
+    /// Whether all outcomes are written.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.waiting.is_empty() && self.sent.is_none()
+    }
+
+    pub(crate) fn push(&mut self, key: &Key, status: u16, body: &Bytes) {
+        let Some(prefix) = key.prefix() else {
+            return;
+        };
+        if self.waiting.len() >= MAX_WAITING {
+            self.waiting.pop_front();
+        }
+        let body = (body.len() <= MAX_BODY).then(|| body.clone());
+        let outcome = (key.to_string(), status, body);
+        self.waiting.push_back(Line {
+            runner: prefix.runner,
+            outcome,
+        });
+    }
+}
--- a/crates/node/src/keeping.rs
+++ b/crates/node/src/keeping.rs
@@ -13,7 +13,6 @@
 use ident::Replica;
 use ident::Time;
 use rand::Rng;
-use route::cell;
 use route::cell::Cell;
 use route::cell::Hold;
 use route::phase::Phase;
@@ -26,6 +25,8 @@
 use crate::action::Action;
 use crate::decision::Step;
 use crate::event::Inspection;
+use crate::kept::Kept;
+use crate::kept::Placed;
 use crate::node::Node;
 
 /// Time in which a new keeper of a pool places nothing, so that owners can report first.
@@ -35,42 +36,13 @@
 /// Time without an answer to inspections after which a replica counts as lost.
 const SILENCE: Duration = Duration::from_millis(750);
 
-/// An attempt as the keeper knows it.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Placed {
-    pub(crate) owner: Instance,
-    pub(crate) incarnation: Incarnation,
-    pub(crate) since: Time,
-}
-
-/// What the keeper knows of one replica's answers.
-#[derive(Debug, Clone, Copy, Default)]
-struct Watch {
-    /// Since when inspections have been unanswered.
-    unanswered: Option<Time>,
-    /// Whether it counts as lost.
-    lost: bool,
-    /// Last cache event seen.
-    after: u64,
-}
-
-/// A pool kept by this daemon.
-#[derive(Debug)]
-pub(crate) struct Kept {
-    pub(crate) name: String,
-    pub(crate) cell: Cell,
-    ready: Time,
-    pub(crate) placed: BTreeMap<Handle, Placed>,
-    watches: BTreeMap<Replica, Watch>,
-    /// Memory found without a live owner, and since when.
-    pub(crate) orphans: BTreeMap<(Replica, Handle), Time>,
-    generation: u64,
-}
-
 impl Node {
     /// The keeper of `pool`; this daemon itself if every instance is leaving.
     pub(crate) fn keeper_of(&self, pool: Pool) -> Instance {
-        self.fleet.owner(pool.0).unwrap_or(self.settings.instance)
+        self.members
+            .fleet
+            .owner(pool.0)
+            .unwrap_or(self.settings.instance)
     }
 
     fn is_keeper(&self, pool: Pool) -> bool {
@@ -80,20 +52,25 @@
     /// Follows changes of membership and list: begins and ends keeping, and tells new keepers what
     /// this daemon has placed with them.
     pub(crate) fn reassign(&mut self, out: &mut Vec<Action>) {
-        let mut pools: Vec<Pool> = self.backends.values().map(|backend| backend.pool).collect();
-        pools.extend(self.open.values().map(|entry| entry.pool));
+        let mut pools: Vec<Pool> = self
+            .replicas
+            .backends
+            .values()
+            .map(|backend| backend.pool)
+            .collect();
+        pools.extend(self.requests.open.values().map(|entry| entry.pool));
         pools.sort_unstable();
         pools.dedup();
         for pool in pools {
             let owner = self.keeper_of(pool);
-            if self.keepers.insert(pool, owner) != Some(owner) {
+            if self.pools.keepers.insert(pool, owner) != Some(owner) {
                 self.keeper_moved(pool, owner, out);
             }
         }
     }
 
     fn keeper_moved(&mut self, pool: Pool, owner: Instance, out: &mut Vec<Action>) {
-        let name = self.rows.pool_name(pool);
+        let name = self.tables.rows.pool_name(pool);
         self.log(
             &name,
             Step::Member,
@@ -104,11 +81,11 @@
         if owner == self.settings.instance {
             self.begin_keeping(pool, name);
         } else {
-            self.cells.remove(&pool);
+            self.pools.cells.remove(&pool);
         }
-        let mine = self.open_where(|entry| entry.pool == pool);
+        let mine = self.requests.open_where(|entry| entry.pool == pool);
         for opened in mine {
-            if self.open[opened].place.is_some() {
+            if self.requests.open[opened].place.is_some() {
                 self.tell_keeper_adopted(opened, out);
             } else {
                 self.submit(opened, out);
@@ -117,8 +94,9 @@
     }
 
     fn begin_keeping(&mut self, pool: Pool, name: String) {
-        let mut cell = Cell::new(cell::Settings::default(), self.rng.next_u64());
+        let mut cell = Cell::new(route::settings::Settings::default(), self.rng.next_u64());
         let alone = self
+            .members
             .fleet
             .alive()
             .all(|member| member.instance == self.settings.instance);
@@ -135,7 +113,7 @@
             orphans: BTreeMap::new(),
             generation: 0,
         };
-        self.cells.insert(pool, kept);
+        self.pools.cells.insert(pool, kept);
         self.refresh_cell(pool);
         self.timers.inspect = self.now;
         self.timers.cells = self.now;
@@ -143,7 +121,7 @@
 
     /// Puts list and table in force in every kept pool.
     pub(crate) fn refresh_cells(&mut self) {
-        let pools: Vec<Pool> = self.cells.keys().copied().collect();
+        let pools: Vec<Pool> = self.pools.cells.keys().copied().collect();
         for pool in pools {
             self.refresh_cell(pool);
         }
@@ -153,6 +131,7 @@
     fn refresh_cell(&mut self, pool: Pool) {
         let now = self.now;
         let members: Vec<Member> = self
+            .replicas
             .backends
             .values()
             .filter(|backend| backend.pool == pool)
@@ -165,6 +144,7 @@
             })
             .collect();
         let rules: Vec<Rule> = self
+            .tables
             .view
             .table()
             .iter()
@@ -172,9 +152,9 @@
             .filter(|row| Pool::new(&row.pool) == pool)
             .map(rule)
             .collect();
-        let name = self.rows.pool_name(pool);
-        let generation = self.view.generation();
-        if let Some(kept) = self.cells.get_mut(&pool) {
+        let name = self.tables.rows.pool_name(pool);
+        let generation = self.tables.view.generation();
+        if let Some(kept) = self.pools.cells.get_mut(&pool) {
             kept.name = name;
             kept.generation = generation;
             kept.cell.set_members(now, &members);
@@ -183,7 +163,8 @@
     }
 
     fn is_drained(&self, replica: &str) -> bool {
-        self.view
+        self.tables
+            .view
             .table()
             .is_some_and(|table| table.drains_replica(replica))
     }
@@ -206,16 +187,16 @@
     }
 
     fn incarnation_of(&self, instance: Instance) -> Incarnation {
-        let current = self.fleet.current(instance);
+        let current = self.members.fleet.current(instance);
         current.map_or(Incarnation(0), |member| member.incarnation)
     }
 
     fn cell_of(&mut self, row: ident::Row) -> Option<&mut Kept> {
-        let pool = self.rows.get(row)?.pool;
+        let pool = self.tables.rows.get(row)?.pool;
         if !self.is_keeper(pool) {
             return None;
         }
-        self.cells.get_mut(&pool)
+        self.pools.cells.get_mut(&pool)
     }
 
     /// An owner reports progress.
@@ -223,6 +204,7 @@
         let now = self.now;
         let ended = matches!(phase, Phase::Finished { .. } | Phase::Gone);
         for kept in self
+            .pools
             .cells
             .values_mut()
             .filter(|kept| kept.placed.contains_key(&handle))
@@ -259,7 +241,7 @@
         let mut next = Time::NEVER;
         let mut verdicts = Vec::new();
         let may_decide = self.may_decide();
-        for kept in self.cells.values_mut() {
+        for kept in self.pools.cells.values_mut() {
             if may_decide && now >= kept.ready {
                 kept.cell.settled(now);
                 next = next.min(kept.cell.step(now, &mut verdicts));
@@ -277,6 +259,7 @@
         let handle = verdict.handle;
         let refused = matches!(verdict.choice, route::verdict::Choice::Refused { .. });
         let kept = self
+            .pools
             .cells
             .values_mut()
             .find(|kept| kept.placed.contains_key(&handle));
@@ -296,16 +279,16 @@
     pub(crate) fn inspect(&mut self, out: &mut Vec<Action>) {
         let now = self.now;
         self.timers.inspect = now + self.settings.inspect_every / INSPECT_PARTS as u32;
-        self.inspect_part = (self.inspect_part + 1) % INSPECT_PARTS;
-        if self.inspect_part == 0 {
+        self.replicas.inspect_part = (self.replicas.inspect_part + 1) % INSPECT_PARTS;
+        if self.replicas.inspect_part == 0 {
             self.recheck_suspects(out);
         }
-        for backend in self.backends.values() {
+        for backend in self.replicas.backends.values() {
             let replica = backend.replica;
-            if replica.0 % INSPECT_PARTS != self.inspect_part {
+            if replica.0 % INSPECT_PARTS != self.replicas.inspect_part {
                 continue;
             }
-            let Some(kept) = self.cells.get_mut(&backend.pool) else {
+            let Some(kept) = self.pools.cells.get_mut(&backend.pool) else {
                 continue;
             };
             let watch = kept.watches.entry(replica).or_default();
@@ -331,8 +314,12 @@
             return;
         };
         self.verify(replica, &inspection.works, out);
-        let pool = self.backends.get(&replica).map(|backend| backend.pool);
-        if let Some(pool) = pool.filter(|pool| self.cells.contains_key(pool)) {
+        let pool = self
+            .replicas
+            .backends
+            .get(&replica)
+            .map(|backend| backend.pool);
+        if let Some(pool) = pool.filter(|pool| self.pools.cells.contains_key(pool)) {
             self.take_report(pool, replica, &inspection);
             self.sweep(pool, replica, &inspection.works, out);
         }
@@ -340,7 +327,7 @@
 
     fn take_report(&mut self, pool: Pool, replica: Replica, inspection: &Inspection) {
         let now = self.now;
-        let Some(kept) = self.cells.get_mut(&pool) else {
+        let Some(kept) = self.pools.cells.get_mut(&pool) else {
             return;
         };
         let watch = kept.watches.entry(replica).or_default();
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -9,7 +9,6 @@
 use fleet::member::State;
 use ident::Incarnation;
 use ident::Instance;
-use ident::Time;
 use ledger::stage::Stage;
 use rand::Rng;
 use wire::Body;
@@ -19,50 +18,19 @@
 use crate::action::Reason;
 use crate::decision::Step;
 use crate::list::List;
+use crate::membership::member;
 use crate::node::Node;
 use crate::open::End;
 use crate::refusals::SOON;
-use crate::settings::Settings;
 
 /// Longest wait for unwritten records and unconfirmed releases once nothing else is in progress:
 /// the store or an engine may be out for long, and keepers sweep what is left.
 const CLEANUP_WAIT: Duration = Duration::from_secs(10);
 
-/// The membership of a daemon at its start.
-pub(crate) fn fleet(settings: &Settings, now: Time, seed: u64) -> Fleet {
-    let mut fleet = Fleet::new(
-        member(settings, settings.incarnation, settings.started_ms),
-        fleet::Settings::default(),
-        seed,
-    );
-    let entries: Vec<Entry> = settings
-        .seeds
-        .iter()
-        .map(|instance| Entry {
-            instance: *instance,
-            zone: settings.zone,
-            leaving: false,
-        })
-        .collect();
-    fleet.set_list(now, &entries);
-    fleet
-}
-
-fn member(settings: &Settings, incarnation: Incarnation, started: u64) -> Member {
-    Member {
-        instance: settings.instance,
-        incarnation,
-        zone: settings.zone,
-        state: State::Alive,
-        version: 0,
-        started,
-    }
-}
-
 impl Node {
     pub(crate) fn step_fleet(&mut self, out: &mut Vec<Action>) {
         let mut outputs = Vec::new();
-        self.timers.fleet = self.fleet.step(self.now, &mut outputs);
+        self.timers.fleet = self.members.fleet.step(self.now, &mut outputs);
         for output in outputs {
             match output {
                 fleet::Output::Send { to, message } => {
@@ -73,7 +41,7 @@
                 }
             }
         }
-        if self.fleet.declared_dead() {
+        if self.members.fleet.declared_dead() {
             self.reincarnate(out);
         }
     }
@@ -94,20 +62,20 @@
     fn reincarnate(&mut self, out: &mut Vec<Action>) {
         let former = self.incarnation();
         let fresh = Incarnation(self.rng.next_u64());
-        self.former.push(former);
-        let started = self.unix_ms().max(self.fleet.me().started + 1);
+        self.members.former.push(former);
+        let started = self.unix_ms().max(self.members.fleet.me().started + 1);
         let mut fleet = Fleet::new(
             member(&self.settings, fresh, started),
             fleet::Settings::default(),
             self.rng.next_u64(),
         );
         fleet.set_list(self.now, &self.entries());
-        self.fleet = fleet;
-        if self.leaving.is_some() {
-            self.fleet.leave(self.now);
+        self.members.fleet = fleet;
+        if self.life.leaving.is_some() {
+            self.members.fleet.leave(self.now);
         }
-        self.cells.clear();
-        self.keepers.clear();
+        self.pools.cells.clear();
+        self.pools.keepers.clear();
         let reason = format!("run {former} was declared dead while it was paused");
         let name = self.settings.name.clone();
         self.log(&name, Step::Member, &format!("run {fresh}"), &reason, out);
@@ -118,7 +86,7 @@
     }
 
     fn entries(&self) -> Vec<Entry> {
-        let seats = self.seats.values().map(|seat| Entry {
+        let seats = self.members.seats.values().map(|seat| Entry {
             instance: seat.instance,
             zone: seat.zone,
             leaving: seat.leaving,
@@ -143,7 +111,7 @@
     /// Ends requests that another instance may have run while this one was out of contact: keyed,
     /// repeatable, and without a stream that shows who reads it.
     fn end_retaken(&mut self, out: &mut Vec<Action>) {
-        let retaken = self.open_where(|entry| {
+        let retaken = self.requests.open_where(|entry| {
             entry.is_keyed() && entry.repeatable && entry.stage != Stage::Decode
         });
         for opened in retaken {
@@ -154,7 +122,7 @@
 
     /// Asks a peer for the platform's list while none is known here.
     pub(crate) fn pull_list(&mut self, out: &mut Vec<Action>) {
-        if self.is_listed {
+        if self.replicas.is_listed {
             return;
         }
         for peer in self.some_peers(1) {
@@ -163,38 +131,38 @@
     }
 
     pub(crate) fn list_pulled(&mut self, from: Instance, out: &mut Vec<Action>) {
-        if let Some(copy) = self.list_copy.clone() {
+        if let Some(copy) = self.replicas.list_copy.clone() {
             self.send(from, Body::ListPush(copy), out);
         }
     }
 
     pub(crate) fn list_pushed(&mut self, copy: Bytes, out: &mut Vec<Action>) {
-        if !self.is_listed {
+        if !self.replicas.is_listed {
             out.push(Action::UseList(copy));
         }
     }
 
     pub(crate) fn listed(&mut self, list: List, out: &mut Vec<Action>) {
-        self.is_listed = true;
-        self.seats = list
+        self.replicas.is_listed = true;
+        self.members.seats = list
             .instances
             .into_iter()
             .map(|seat| (seat.instance, seat))
             .collect();
-        let before = std::mem::take(&mut self.backends);
-        self.backends = list
+        let before = std::mem::take(&mut self.replicas.backends);
+        self.replicas.backends = list
             .replicas
             .into_iter()
             .map(|found| (found.replica, found))
             .collect();
         for replica in before
             .keys()
-            .filter(|replica| !self.backends.contains_key(replica))
+            .filter(|replica| !self.replicas.backends.contains_key(replica))
         {
-            self.holds.erase_replica(*replica);
+            self.requests.holds.erase_replica(*replica);
         }
         let entries = self.entries();
-        self.fleet.set_list(self.now, &entries);
+        self.members.fleet.set_list(self.now, &entries);
         self.timers.fleet = self.now;
         self.reassign(out);
         self.refresh_cells();
@@ -202,9 +170,9 @@
 
     /// A planned stop: nothing in progress is cut off.
     pub(crate) fn stop(&mut self, out: &mut Vec<Action>) {
-        if self.leaving.is_none() {
-            self.leaving = Some(self.now);
-            self.fleet.leave(self.now);
+        if self.life.leaving.is_none() {
+            self.life.leaving = Some(self.now);
+            self.members.fleet.leave(self.now);
             self.timers.fleet = self.now;
             let name = self.settings.name.clone();
             self.log(&name, Step::Member, "leaving", "planned stop", out);
@@ -214,15 +182,15 @@
 
     /// Ends a planned stop once nothing is in progress.
     pub(crate) fn try_finish(&mut self, out: &mut Vec<Action>) {
-        let idle = self.open.is_empty() && self.questions.is_empty();
-        if self.finished || self.leaving.is_none() || !self.is_closed() || !idle {
-            self.idle_since = None;
+        let idle = self.requests.open.is_empty() && self.requests.questions.is_empty();
+        if self.life.finished || self.life.leaving.is_none() || !self.is_closed() || !idle {
+            self.life.idle_since = None;
             return;
         }
-        let since = *self.idle_since.get_or_insert(self.now);
-        let clean = self.journal.is_empty() && self.holds.is_empty();
+        let since = *self.life.idle_since.get_or_insert(self.now);
+        let clean = self.requests.journal.is_empty() && self.requests.holds.is_empty();
         if clean || self.now >= since + CLEANUP_WAIT {
-            self.finished = true;
+            self.life.finished = true;
             out.push(Action::Finished);
         }
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,101 +1,50 @@
 //! The state of a daemon and its one entry point.
 
-use std::collections::BTreeMap;
-use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use bytes::Bytes;
-use fleet::Fleet;
-use ident::Handle;
 use ident::Incarnation;
 use ident::Instance;
-use ident::Pool;
 use ident::Replica;
 use ident::Time;
-use ledger::holds::Holds;
-use ledger::ids::Call;
 use ledger::ids::Order;
 use ledger::ids::Query;
-use ledger::keys::Memory;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
-use slotmap::SlotMap;
-use table::view::View;
 use wire::Body;
 use wire::Frame;
 
 use crate::action::Action;
-use crate::asking::Question;
 use crate::decision::Decision;
 use crate::decision::Step;
 use crate::event::Event;
 use crate::ids;
-use crate::keeping::Kept;
-use crate::list::Backend;
-use crate::list::Seat;
-use crate::members;
-use crate::open::Open;
-use crate::open::OpenKey;
-use crate::recording::Journal;
-use crate::rows::Rows;
+use crate::membership;
 use crate::settings::Settings;
-use crate::tables::Desk;
+use crate::state::Life;
+use crate::state::Members;
+use crate::state::Pools;
+use crate::state::Purpose;
+use crate::state::Replicas;
+use crate::state::Requests;
+use crate::state::Tables;
 use crate::timers::Timers;
 
-/// What an order was for.
-#[derive(Debug, Clone, Copy)]
-pub(crate) enum Purpose {
-    /// Prefill of an open request.
-    Prefill(OpenKey),
-    /// Decode of an open request, or reading its stream.
-    Decode(OpenKey),
-    /// Plain call of an open request.
-    Plain(OpenKey),
-    /// Release of a hold.
-    Cancel,
-}
-
 /// The decision core of a daemon.
 #[derive(Debug)]
 pub struct Node {
     pub(crate) settings: Settings,
     pub(crate) now: Time,
     pub(crate) begun: Time,
-    /// When the last pause longer than the lease ended.
-    pub(crate) woke: Time,
     pub(crate) rng: Pcg64Mcg,
-    pub(crate) fleet: Fleet,
-    /// Former incarnations of this process, given up after a pause.
-    pub(crate) former: Vec<Incarnation>,
-    pub(crate) view: View,
-    pub(crate) desk: Desk,
-    pub(crate) rows: Rows,
-    pub(crate) seats: BTreeMap<Instance, Seat>,
-    pub(crate) backends: BTreeMap<Replica, Backend>,
-    /// Whether a list was told; without one no replica is known.
-    pub(crate) is_listed: bool,
-    /// The part of the replicas that was inspected last.
-    pub(crate) inspect_part: u64,
-    pub(crate) list_copy: Option<Bytes>,
-    pub(crate) open: SlotMap<OpenKey, Open>,
-    pub(crate) by_handle: HashMap<Handle, OpenKey>,
-    pub(crate) by_call: HashMap<Call, OpenKey>,
-    pub(crate) orders: HashMap<Order, Purpose>,
-    pub(crate) holds: Holds,
-    pub(crate) keys: Memory<OpenKey>,
-    pub(crate) cells: BTreeMap<Pool, Kept>,
-    pub(crate) keepers: BTreeMap<Pool, Instance>,
-    pub(crate) questions: HashMap<u64, Question>,
-    pub(crate) journal: Journal,
+    pub(crate) members: Members,
+    pub(crate) tables: Tables,
+    pub(crate) replicas: Replicas,
+    pub(crate) pools: Pools,
+    pub(crate) requests: Requests,
+    pub(crate) life: Life,
     pub(crate) timers: Timers,
-    pub(crate) leaving: Option<Time>,
-    pub(crate) finished: bool,
-    /// Since when a planned stop waits for records and releases only.
-    pub(crate) idle_since: Option<Time>,
-    /// Since when the table marks this instance to drain.
-    pub(crate) drained: Option<Time>,
     /// Frames of this daemon to itself.
     pub(crate) local: VecDeque<Body>,
     counter: u64,
@@ -104,38 +53,17 @@
 impl Node {
     /// A daemon at its start: no table, no list, nothing open.
     pub fn new(settings: Settings, now: Time, seed: u64) -> Self {
-        let fleet = members::fleet(&settings, now, seed);
-        let window = settings.window.as_secs();
         Self {
             now,
             begun: now,
-            woke: now,
             rng: Pcg64Mcg::seed_from_u64(seed),
-            fleet,
-            former: Vec::new(),
-            view: View::new(settings.lease),
-            desk: Desk::new(),
-            rows: Rows::new(),
-            seats: BTreeMap::new(),
-            backends: BTreeMap::new(),
-            is_listed: false,
-            inspect_part: 0,
-            list_copy: None,
-            open: SlotMap::with_key(),
-            by_handle: HashMap::new(),
-            by_call: HashMap::new(),
-            orders: HashMap::new(),
-            holds: Holds::new(),
-            keys: Memory::new(window, settings.max_keys),
-            cells: BTreeMap::new(),
-            keepers: BTreeMap::new(),
-            questions: HashMap::new(),
-            journal: Journal::new(),
+            members: Members::new(membership::fleet(&settings, now, seed)),
+            tables: Tables::new(&settings),
+            replicas: Replicas::new(),
+            pools: Pools::new(),
+            requests: Requests::new(&settings),
+            life: Life::new(now),
             timers: Timers::new(now),
-            leaving: None,
-            finished: false,
-            idle_since: None,
-            drained: None,
             local: VecDeque::new(),
             counter: 0,
             settings,
@@ -177,7 +105,7 @@
             Event::Inspected { replica, state } => self.inspected(replica, state, out),
             Event::Frame(frame) => self.frame(*frame, out),
             Event::Unreachable { .. } | Event::Tick => (),
-            Event::ListCopy(copy) => self.list_copy = Some(copy),
+            Event::ListCopy(copy) => self.replicas.list_copy = Some(copy),
             Event::Listed(list) => self.listed(list, out),
             Event::Stored { query, outcome } => self.stored(query, outcome, out),
             Event::Edited { call, edit } => self.edited(call, edit, out),
@@ -198,16 +126,10 @@
         self.counter
     }
 
-    /// The open requests that `wanted` holds for.
-    pub(crate) fn open_where(&self, wanted: impl Fn(&Open) -> bool) -> Vec<OpenKey> {
-        let found = self.open.iter().filter(|(_, entry)| wanted(entry));
-        found.map(|(opened, _)| opened).collect()
-    }
-
     /// A fresh order for `purpose`.
     pub(crate) fn order(&mut self, purpose: Purpose) -> Order {
         let order = ids::Order(self.number());
-        self.orders.insert(order, purpose);
+        self.requests.orders.insert(order, purpose);
         order
     }
 
@@ -218,7 +140,7 @@
 
     /// This run of this daemon.
     pub(crate) fn incarnation(&self) -> Incarnation {
-        self.fleet.me().incarnation
+        self.members.fleet.me().incarnation
     }
 
     /// Seconds of the Unix clock, moved on by the monotonic clock.
@@ -248,6 +170,7 @@
     pub(crate) fn some_peers(&mut self, count: usize) -> Vec<Instance> {
         let me = self.settings.instance;
         let mut peers: Vec<Instance> = self
+            .members
             .fleet
             .alive()
             .map(|member| member.instance)
@@ -289,20 +212,22 @@
             choice: choice.to_owned(),
             alternatives: alternatives.to_owned(),
             reason: reason.to_owned(),
-            generation: self.view.generation(),
+            generation: self.tables.view.generation(),
         }));
     }
 
     /// The name of a replica, for log lines.
     pub(crate) fn replica_name(&self, replica: Replica) -> String {
-        self.backends
+        self.replicas
+            .backends
             .get(&replica)
             .map_or_else(|| replica.to_string(), |found| found.name.clone())
     }
 
     /// The name of an instance, for log lines.
     pub(crate) fn instance_name(&self, instance: Instance) -> String {
-        self.seats
+        self.members
+            .seats
             .get(&instance)
             .map_or_else(|| instance.to_string(), |seat| seat.name.clone())
     }
@@ -310,8 +235,9 @@
     /// Whether decisions may be made now: a list is known, the table is up to date, and after a pause a peer was
     /// heard or the store was read.
     pub(crate) fn may_decide(&self) -> bool {
-        let caught_up = !self.fleet.paused(self.now) || self.desk.proved_since(self.woke);
-        self.view.fresh(self.now) && caught_up && self.is_listed
+        let caught_up =
+            !self.members.fleet.paused(self.now) || self.tables.desk.proved_since(self.life.woke);
+        self.tables.view.fresh(self.now) && caught_up && self.replicas.is_listed
     }
 }
 
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -11,10 +11,10 @@
 use crate::event::Failure;
 use crate::event::Reply;
 use crate::node::Node;
-use crate::node::Purpose;
 use crate::open::End;
 use crate::open::OpenKey;
 use crate::open::Place;
+use crate::state::Purpose;
 
 impl Node {
     pub(crate) fn start_prefill(&mut self, opened: OpenKey, place: Place, out: &mut Vec<Action>) {
@@ -23,7 +23,7 @@
         };
         let order = self.order(Purpose::Prefill(opened));
         let owner = self.incarnation();
-        let entry = &mut self.open[opened];
+        let entry = &mut self.requests.open[opened];
         let route::ticket::Work::Model {
             prompt_tokens,
             max_tokens,
@@ -41,7 +41,11 @@
         entry.dispatch(self.now);
         entry.enter(Stage::Prefill, out);
         let priority = entry.priority;
-        entry.prefill_hold = Some(self.holds.take(prefill, handle, owner, fence, order));
+        entry.prefill_hold = Some(
+            self.requests
+                .holds
+                .take(prefill, handle, owner, fence, order),
+        );
         let task = Task::Prefill {
             call,
             prompt_tokens,
@@ -69,7 +73,7 @@
     ) {
         let order = self.order(Purpose::Decode(opened));
         let owner = self.incarnation();
-        let entry = &mut self.open[opened];
+        let entry = &mut self.requests.open[opened];
         let (handle, fence) = (entry.handle(), entry.fence);
         let max_tokens = match entry.ticket.work {
             route::ticket::Work::Model { max_tokens, .. } => max_tokens,
@@ -80,7 +84,11 @@
         entry.order = Some(order);
         entry.dispatch(self.now);
         entry.enter(Stage::Decode, out);
-        entry.decode_hold = Some(self.holds.take(replica, handle, owner, fence, order));
+        entry.decode_hold = Some(
+            self.requests
+                .holds
+                .take(replica, handle, owner, fence, order),
+        );
         let task = Task::Decode {
             source,
             max_tokens,
@@ -101,7 +109,7 @@
     pub(crate) fn start_plain(&mut self, opened: OpenKey, replica: Replica, out: &mut Vec<Action>) {
         let order = self.order(Purpose::Plain(opened));
         let owner = self.incarnation();
-        let entry = &mut self.open[opened];
+        let entry = &mut self.requests.open[opened];
         let Some(call) = entry.origin else {
             return;
         };
@@ -125,8 +133,8 @@
     }
 
     pub(crate) fn answered(&mut self, order: Order, reply: Reply, out: &mut Vec<Action>) {
-        let purpose = self.orders.remove(&order);
-        self.holds.closed(order);
+        let purpose = self.requests.orders.remove(&order);
+        self.requests.holds.closed(order);
         match (purpose, reply) {
             (Some(Purpose::Cancel), _) => self.release_confirmed(order, out),
             (
@@ -150,7 +158,7 @@
             (Some(Purpose::Plain(opened)), Reply::Plain { status, body })
                 if self.is_current(opened, order) =>
             {
-                self.open[opened].landed(false);
+                self.requests.open[opened].landed(false);
                 self.end(opened, &End::Answered { status, body }, out);
             }
             _ => (),
@@ -158,8 +166,8 @@
     }
 
     pub(crate) fn failed(&mut self, order: Order, failure: Failure, out: &mut Vec<Action>) {
-        let purpose = self.orders.remove(&order);
-        self.holds.closed(order);
+        let purpose = self.requests.orders.remove(&order);
+        self.requests.holds.closed(order);
         match purpose {
             Some(Purpose::Cancel) => self.release_failed(order, failure),
             Some(Purpose::Prefill(opened) | Purpose::Plain(opened))
@@ -178,17 +186,18 @@
 
     /// Whether `order` carries the present work of an open request.
     pub(crate) fn is_current(&self, opened: OpenKey, order: Order) -> bool {
-        self.open
+        self.requests
+            .open
             .get(opened)
             .is_some_and(|entry| entry.order == Some(order))
     }
 
     fn touch(&mut self, opened: OpenKey, failure: Failure) {
-        self.open[opened].landed(failure == Failure::NotSent);
+        self.requests.open[opened].landed(failure == Failure::NotSent);
     }
 
     fn prefilled(&mut self, opened: OpenKey, computed: u32, cached: u32, out: &mut Vec<Action>) {
-        let entry = &mut self.open[opened];
+        let entry = &mut self.requests.open[opened];
         entry.landed(false);
         entry.computed = computed;
         let Some(Place {
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -17,7 +17,7 @@
     pub(crate) fn body(&mut self, from: Instance, body: Body, out: &mut Vec<Action>) {
         match body {
             Body::Gossip(message) => {
-                self.fleet.receive(self.now, from, &message);
+                self.members.fleet.receive(self.now, from, &message);
                 self.timers.fleet = self.now;
             }
             Body::News(news) => self.news(from, news, out),
--- a/crates/node/src/queries.rs
+++ b/crates/node/src/queries.rs
@@ -20,7 +20,7 @@
 impl Node {
     /// The table in force here.
     pub fn table(&self) -> Option<&Table> {
-        self.view.table()
+        self.tables.view.table()
     }
 
     /// The state of this daemon.
@@ -28,15 +28,16 @@
         Status {
             name: self.settings.name.clone(),
             incarnation: self.incarnation().to_string(),
-            generation: self.view.generation(),
-            fresh: self.view.fresh(now) && self.is_listed,
-            store_age_ms: self.desk.store_age(now).map(millis),
-            leaving: self.leaving.is_some(),
-            open: self.open.len(),
-            holds: self.holds.len(),
-            keys: self.keys.len(),
+            generation: self.tables.view.generation(),
+            fresh: self.tables.view.fresh(now) && self.replicas.is_listed,
+            store_age_ms: self.tables.desk.store_age(now).map(millis),
+            leaving: self.life.leaving.is_some(),
+            open: self.requests.open.len(),
+            holds: self.requests.holds.len(),
+            keys: self.requests.keys.len(),
             pools: self.pools(),
             members: self
+                .members
                 .seats
                 .values()
                 .map(|seat| self.member(now, seat.instance))
@@ -45,7 +46,8 @@
     }
 
     fn pools(&self) -> Vec<Pool> {
-        self.cells
+        self.pools
+            .cells
             .values()
             .map(|kept| Pool {
                 name: kept.name.clone(),
@@ -56,7 +58,7 @@
     }
 
     fn member(&self, now: Time, instance: Instance) -> Member {
-        let current = self.fleet.current(instance);
+        let current = self.members.fleet.current(instance);
         let state = current.map_or_else(
             || "unheard".to_owned(),
             |member| format!("{:?}", member.state).to_lowercase(),
@@ -64,8 +66,9 @@
         Member {
             name: self.instance_name(instance),
             state,
-            generation: self.desk.generation_told(instance),
+            generation: self.tables.desk.generation_told(instance),
             heard_ms: self
+                .members
                 .fleet
                 .heard(instance)
                 .map(|heard| millis(now.since(heard))),
@@ -75,11 +78,13 @@
     /// Addresses for callers: live instances that take requests, those of `near` first.
     pub fn addresses(&self, _now: Time, near: Zone) -> Vec<Address> {
         let mut addresses: Vec<Address> = self
+            .members
             .fleet
             .serving()
             .filter_map(|member| {
-                let seat = self.seats.get(&member.instance)?;
+                let seat = self.members.seats.get(&member.instance)?;
                 let marked = self
+                    .tables
                     .view
                     .table()
                     .is_some_and(|table| table.drains_instance(&seat.name));
--- a/crates/node/src/readers.rs
+++ b/crates/node/src/readers.rs
@@ -13,11 +13,11 @@
 use crate::event::Failure;
 use crate::http_status;
 use crate::node::Node;
-use crate::node::Purpose;
 use crate::open::End;
 use crate::open::Open;
 use crate::open::OpenKey;
 use crate::open::Withheld;
+use crate::state::Purpose;
 use crate::takeovers::TAKEOVER_STEP;
 
 /// Attach orders that may fail in a row before the stream counts as lost.
@@ -32,7 +32,7 @@
         out: &mut Vec<Action>,
     ) {
         let now = self.now;
-        let entry = &mut self.open[opened];
+        let entry = &mut self.requests.open[opened];
         if let (Some(withheld), Some(order)) = (&mut entry.withheld, entry.order) {
             return withheld.push(Withheld::End(order, failure));
         }
@@ -81,16 +81,18 @@
     /// Reads streams again whose last reading failed a while ago.
     pub(crate) fn attach_again(&mut self, out: &mut Vec<Action>) {
         let now = self.now;
-        let due = self.open_where(|entry| entry.attach_at.is_some_and(|at| now >= at));
+        let due = self
+            .requests
+            .open_where(|entry| entry.attach_at.is_some_and(|at| now >= at));
         for opened in due {
-            let offset = self.open[opened].sequence.delivered();
+            let offset = self.requests.open[opened].sequence.delivered();
             self.attach(opened, offset, out);
         }
     }
 
     /// The stream cannot be read any more: it is continued elsewhere if its prompt is at hand.
     pub(crate) fn stream_lost(&mut self, opened: OpenKey, failure: Failure, out: &mut Vec<Action>) {
-        let adopted = self.open[opened].origin.is_none();
+        let adopted = self.requests.open[opened].origin.is_none();
         match failure {
             _ if !adopted => self.retry(opened, failure, out),
             Failure::Refused { .. } => {
@@ -102,9 +104,9 @@
 
     /// The engine of an adopted stream is out of reach from here; others may still read it.
     fn leave_to_others(&mut self, opened: OpenKey, failure: Failure, out: &mut Vec<Action>) {
-        let hold = self.open[opened].decode_hold;
+        let hold = self.requests.open[opened].decode_hold;
         if let Some(hold) = hold.filter(|_| failure == Failure::NotSent) {
-            self.holds.erase(hold);
+            self.requests.holds.erase(hold);
         }
         let refusal = self.refusal_elsewhere(Outcome::Unknown, Reason::StreamLost);
         self.end(opened, &End::Refused(refusal), out);
@@ -114,7 +116,7 @@
     pub(crate) fn attach(&mut self, opened: OpenKey, offset: u32, out: &mut Vec<Action>) {
         let order = self.order(Purpose::Decode(opened));
         let owner = self.incarnation();
-        let entry = &mut self.open[opened];
+        let entry = &mut self.requests.open[opened];
         let Some(place) = entry.place else {
             return;
         };
@@ -128,10 +130,13 @@
         entry.sequence = Sequence::new(offset);
         entry.withheld = None;
         match entry.decode_hold {
-            Some(hold) => self.holds.reopen(hold, order, owner, fence),
+            Some(hold) => self.requests.holds.reopen(hold, order, owner, fence),
             None => {
-                let hold = self.holds.take(place.run, handle, owner, fence, order);
-                self.open[opened].decode_hold = Some(hold);
+                let hold = self
+                    .requests
+                    .holds
+                    .take(place.run, handle, owner, fence, order);
+                self.requests.open[opened].decode_hold = Some(hold);
             }
         }
         let task = Task::Attach { offset };
--- a/crates/node/src/refusals.rs
+++ b/crates/node/src/refusals.rs
@@ -100,7 +100,11 @@
 
     /// A refusal that names the one instance to go to.
     pub(crate) fn refusal_at(&self, reason: Reason, instance: Instance) -> Refusal {
-        let addresses = self.seats.get(&instance).map(|seat| seat.caller.clone());
+        let addresses = self
+            .members
+            .seats
+            .get(&instance)
+            .map(|seat| seat.caller.clone());
         Refusal {
             outcome: Outcome::NotRun,
             reason,
--- a/crates/node/src/releases.rs
+++ b/crates/node/src/releases.rs
@@ -9,21 +9,21 @@
 use crate::event::Failure;
 use crate::http_status;
 use crate::node::Node;
-use crate::node::Purpose;
+use crate::state::Purpose;
 
 impl Node {
     /// Begins the release of a hold; its starting order is aborted first.
     pub(crate) fn release_hold(&mut self, hold: Option<HoldKey>, out: &mut Vec<Action>) {
         let now = self.now;
-        let start = hold.and_then(|hold| self.holds.release(now, hold));
+        let start = hold.and_then(|hold| self.requests.holds.release(now, hold));
         out.extend(start.map(|order| Action::Abort { order }));
     }
 
     /// Sends the releases that are due.
     pub(crate) fn run_releases(&mut self, out: &mut Vec<Action>) {
-        while let Some(cancel) = self.holds.due(self.now) {
+        while let Some(cancel) = self.requests.holds.due(self.now) {
             let order = self.order(Purpose::Cancel);
-            self.holds.sent(cancel.hold, order);
+            self.requests.holds.sent(cancel.hold, order);
             let handle = cancel.handle;
             let replica = self.replica_name(cancel.replica);
             self.log(
@@ -45,7 +45,7 @@
     }
 
     pub(crate) fn release_confirmed(&mut self, order: Order, _out: &mut Vec<Action>) {
-        self.holds.confirmed(order);
+        self.requests.holds.confirmed(order);
     }
 
     pub(crate) fn release_failed(&mut self, order: Order, failure: Failure) {
@@ -53,8 +53,8 @@
             Failure::Refused {
                 status: http_status::CONFLICT,
                 ..
-            } => self.holds.overtaken(order),
-            _ => self.holds.failed(self.now, order),
+            } => self.requests.holds.overtaken(order),
+            _ => self.requests.holds.failed(self.now, order),
         }
     }
 }
--- a/crates/node/src/retries.rs
+++ b/crates/node/src/retries.rs
@@ -23,7 +23,7 @@
     /// A decode replica did not take the request: its prefill result may still be kept, so another
     /// decode replica is asked for.
     pub(crate) fn ask_other_decode(&mut self, opened: OpenKey, out: &mut Vec<Action>) {
-        let entry = &mut self.open[opened];
+        let entry = &mut self.requests.open[opened];
         entry.enter(Stage::Prefill, out);
         entry.order = None;
         entry.times.submitted = self.now;
@@ -42,7 +42,7 @@
 
     /// Tries a request again after `failure`, or ends it.
     pub(crate) fn retry(&mut self, opened: OpenKey, failure: Failure, out: &mut Vec<Action>) {
-        let entry = &self.open[opened];
+        let entry = &self.requests.open[opened];
         let spent = entry.ticket.attempt + 1 >= MAX_ATTEMPTS;
         let may_repeat = entry.repeatable || !entry.is_touched();
         match () {
@@ -58,7 +58,7 @@
         self.waste(opened, out);
         self.advance(opened, Phase::Gone, out);
         let fresh = self.fresh_handle();
-        let entry = &mut self.open[opened];
+        let entry = &mut self.requests.open[opened];
         let former = entry.ticket.handle;
         let label = entry.label();
         let failed = entry.place.map(|place| match entry.stage {
@@ -85,8 +85,8 @@
         for hold in holds {
             self.release_hold(hold, out);
         }
-        self.by_handle.remove(&former);
-        self.by_handle.insert(fresh, opened);
+        self.requests.by_handle.remove(&former);
+        self.requests.by_handle.insert(fresh, opened);
         let reason = format!("{failure:?} at {}", self.named(failed));
         self.log(
             &label,
--- a/crates/node/src/stalls.rs
+++ b/crates/node/src/stalls.rs
@@ -27,14 +27,14 @@
     /// Aborts orders past their limit and sends their requests on.
     pub(crate) fn break_stalls(&mut self, out: &mut Vec<Action>) {
         let now = self.now;
-        let stalled = self.open_where(|entry| now >= limit(entry));
+        let stalled = self.requests.open_where(|entry| now >= limit(entry));
         for opened in stalled {
             self.break_stall(opened, out);
         }
     }
 
     fn break_stall(&mut self, opened: OpenKey, out: &mut Vec<Action>) {
-        let entry = &mut self.open[opened];
+        let entry = &mut self.requests.open[opened];
         entry.landed(false);
         if let Some(order) = entry.order.take() {
             out.push(Action::Abort { order });
--- a/crates/node/src/streams.rs
+++ b/crates/node/src/streams.rs
@@ -10,18 +10,18 @@
 use crate::action::Tell;
 use crate::event::Piece;
 use crate::node::Node;
-use crate::node::Purpose;
 use crate::open::End;
 use crate::open::Open;
 use crate::open::OpenKey;
 use crate::open::Withheld;
+use crate::state::Purpose;
 
 impl Node {
     pub(crate) fn streamed(&mut self, order: Order, piece: Piece, out: &mut Vec<Action>) {
-        let Some(Purpose::Decode(opened)) = self.orders.get(&order).copied() else {
+        let Some(Purpose::Decode(opened)) = self.requests.orders.get(&order).copied() else {
             return;
         };
-        match self.open.get_mut(opened) {
+        match self.requests.open.get_mut(opened) {
             Some(entry) if entry.order != Some(order) => (),
             Some(Open {
                 withheld: Some(withheld),
@@ -56,21 +56,21 @@
     }
 
     fn imported(&mut self, opened: OpenKey, out: &mut Vec<Action>) {
-        let entry = &mut self.open[opened];
+        let entry = &mut self.requests.open[opened];
         entry.computed = 0;
         entry.attach_tries = 0;
         entry.times.progress = self.now;
         if let Some(hold) = entry.prefill_hold.take() {
-            self.holds.erase(hold);
+            self.requests.holds.erase(hold);
         }
-        if !matches!(self.open[opened].phase, Some(Phase::Decoding)) {
+        if !matches!(self.requests.open[opened].phase, Some(Phase::Decoding)) {
             self.advance(opened, Phase::Decoding, out);
         }
     }
 
     fn tokens(&mut self, opened: OpenKey, run: Run, out: &mut Vec<Action>) {
         let now = self.now;
-        let entry = &mut self.open[opened];
+        let entry = &mut self.requests.open[opened];
         entry.attach_tries = 0;
         entry.times.progress = now;
         let mut ready = Vec::new();
@@ -89,13 +89,13 @@
             }));
         }
         if arrival == Arrival::Broken {
-            let offset = self.open[opened].sequence.delivered();
+            let offset = self.requests.open[opened].sequence.delivered();
             self.attach(opened, offset, out);
         }
     }
 
     fn stream_end(&mut self, opened: OpenKey, tokens: u32, out: &mut Vec<Action>) {
-        let delivered = self.open[opened].sequence.delivered();
+        let delivered = self.requests.open[opened].sequence.delivered();
         if delivered < tokens {
             self.attach(opened, delivered, out);
         } else {
@@ -105,7 +105,7 @@
 
     /// Compares a finished request with its targets.
     pub(crate) fn count_targets(&self, opened: OpenKey, out: &mut Vec<Action>) {
-        let entry = &self.open[opened];
+        let entry = &self.requests.open[opened];
         let first = entry.times.first.unwrap_or(self.now);
         let ttft = first.since(entry.times.arrived).as_micros() as u64;
         let last = entry.times.last.unwrap_or(first);
--- a/crates/node/src/sweeping.rs
+++ b/crates/node/src/sweeping.rs
@@ -49,13 +49,14 @@
     }
 
     fn is_placed(&self, pool: Pool, handle: Handle) -> bool {
-        self.cells
+        self.pools
+            .cells
             .get(&pool)
             .is_some_and(|kept| kept.placed.contains_key(&handle))
     }
 
     fn live_owner(&self, owner: Incarnation) -> Option<Instance> {
-        let member = self.fleet.by_incarnation(owner)?;
+        let member = self.members.fleet.by_incarnation(owner)?;
         let alive = member.state != fleet::member::State::Dead;
         alive.then_some(member.instance)
     }
@@ -63,8 +64,8 @@
     /// Whether this daemon may judge that owners are gone: cut off from the majority, it would take
     /// the whole fleet for dead.
     fn may_sweep(&self) -> bool {
-        let majority = self.fleet.reachable() * 2 > self.fleet.known();
-        majority && !self.fleet.paused(self.now)
+        let majority = self.members.fleet.reachable() * 2 > self.members.fleet.known();
+        majority && !self.members.fleet.paused(self.now)
     }
 
     fn note_orphans(
@@ -77,7 +78,7 @@
         let now = self.now;
         let grace = self.settings.orphan_grace;
         let may_sweep = self.may_sweep();
-        let Some(kept) = self.cells.get_mut(&pool) else {
+        let Some(kept) = self.pools.cells.get_mut(&pool) else {
             return;
         };
         kept.orphans.retain(|(at, handle), _| {
@@ -102,8 +103,9 @@
 
     fn sweep_one(&mut self, replica: Replica, held: Held, out: &mut Vec<Action>) {
         let handle = held.handle;
-        if !self.holds.has(replica, handle) {
-            self.holds
+        if !self.requests.holds.has(replica, handle) {
+            self.requests
+                .holds
                 .take_orphan(self.now, replica, handle, held.owner, held.fence);
         }
         let name = self.replica_name(replica);
@@ -128,8 +130,8 @@
     ) {
         let mut disowned = Vec::new();
         for handle in handles {
-            match self.by_handle.get(handle).copied() {
-                Some(opened) if self.open[opened].place.is_some() => {
+            match self.requests.by_handle.get(handle).copied() {
+                Some(opened) if self.requests.open[opened].place.is_some() => {
                     self.tell_keeper_adopted(opened, out);
                 }
                 Some(_) => (),
@@ -152,10 +154,13 @@
     pub(crate) fn disowned(&mut self, replica: Replica, handles: &[Handle], out: &mut Vec<Action>) {
         for handle in handles {
             self.advanced(*handle, Phase::Gone);
-            if self.backends.contains_key(&replica) && !self.holds.has(replica, *handle) {
+            if self.replicas.backends.contains_key(&replica)
+                && !self.requests.holds.has(replica, *handle)
+            {
                 let fence = self.unix_ms();
                 let owner = handle.owner;
-                self.holds
+                self.requests
+                    .holds
                     .take_orphan(self.now, replica, *handle, owner, fence);
                 let name = self.replica_name(replica);
                 self.log(
@@ -179,7 +184,7 @@
         }
         let mut gone = Vec::new();
         let mut questions: BTreeMap<Instance, Vec<Handle>> = BTreeMap::new();
-        for kept in self.cells.values() {
+        for kept in self.pools.cells.values() {
             for (handle, placed) in &kept.placed {
                 let dead = self.live_owner(placed.incarnation).is_none();
                 let grace = self.settings.orphan_grace + AUDIT_AGE;
--- a/crates/node/src/takeovers.rs
+++ b/crates/node/src/takeovers.rs
@@ -32,7 +32,7 @@
     /// Tells the present connection the head of the stream, once.
     pub(crate) fn tell_head(&mut self, opened: OpenKey, out: &mut Vec<Action>) {
         let token = self.token_of(opened);
-        let entry = &mut self.open[opened];
+        let entry = &mut self.requests.open[opened];
         let handle = entry.handle();
         match (entry.call, token) {
             (Some(call), Some(token)) if !entry.headed => {
@@ -48,7 +48,7 @@
 
     /// The sealed resume token of a stream.
     pub(crate) fn token_of(&self, opened: OpenKey) -> Option<String> {
-        let entry = &self.open[opened];
+        let entry = &self.requests.open[opened];
         let place = entry.place?;
         let Work::Model {
             prompt_tokens,
@@ -84,9 +84,9 @@
             let refusal = Self::refusal(Outcome::NotRun, Reason::BadToken, Duration::ZERO);
             return self.refuse(call, customer, refusal, out);
         };
-        match self.by_handle.get(&token.handle).copied() {
+        match self.requests.by_handle.get(&token.handle).copied() {
             Some(opened) => self.take_over_locally(opened, call, offset, false, out),
-            None if !self.backends.contains_key(&token.replica) => {
+            None if !self.replicas.backends.contains_key(&token.replica) => {
                 let refusal = self.refusal_elsewhere(Outcome::Unknown, Reason::NoReplica);
                 self.refuse(call, customer, refusal, out);
             }
@@ -103,15 +103,15 @@
         brings_body: bool,
         out: &mut Vec<Action>,
     ) {
-        let entry = &mut self.open[opened];
+        let entry = &mut self.requests.open[opened];
         if let Some(former) = entry.call.replace(call) {
-            self.by_call.remove(&former);
+            self.requests.by_call.remove(&former);
             out.push(Action::Tell {
                 call: former,
                 tell: Tell::Superseded,
             });
         }
-        self.by_call.insert(call, opened);
+        self.requests.by_call.insert(call, opened);
         entry.origin = brings_body.then_some(call);
         entry.times.left = None;
         entry.headed = false;
@@ -131,12 +131,12 @@
 
     /// Takes over a stream that another daemon, or a former run, began.
     pub(crate) fn adopt(&mut self, call: Call, token: &Token, offset: u32, out: &mut Vec<Action>) {
-        if self.open.len() >= self.settings.max_open {
+        if self.requests.open.len() >= self.settings.max_open {
             let refusal = self.refusal_elsewhere(Outcome::NotRun, Reason::Full);
             return self.refuse(call, &token.customer, refusal, out);
         }
         let opened = self.insert_adopted(call, token, offset);
-        let label = self.open[opened].label();
+        let label = self.requests.open[opened].label();
         let choice = format!("{} at {}", token.handle, self.replica_name(token.replica));
         let reason = format!("resume token, from token {offset}");
         self.log(&label, Step::Adopt, &choice, &reason, out);
@@ -147,7 +147,7 @@
 
     /// Tells the keeper of a placed request that this daemon owns it.
     pub(crate) fn tell_keeper_adopted(&mut self, opened: OpenKey, out: &mut Vec<Action>) {
-        let keeper = self.keeper_of(self.open[opened].pool);
+        let keeper = self.keeper_of(self.requests.open[opened].pool);
         if let Some(hold) = self.hold_of(opened) {
             self.send(keeper, Body::Adopt(Box::new(hold)), out);
         }
@@ -162,10 +162,11 @@
         };
         let ticket = Ticket::new(token.handle, token.row, work, self.settings.zone);
         let targets = self
+            .tables
             .rows
             .get(token.row)
             .map_or_else(Targets::none, |brief| brief.targets);
-        let opened = self.open.insert(Open {
+        let opened = self.requests.open.insert(Open {
             stage: Stage::Decode,
             place: Some(Place {
                 prefill: None,
@@ -178,8 +179,8 @@
             targets,
             ..Open::new(call, &token.customer, token.pool, ticket, self.now)
         });
-        self.by_handle.insert(token.handle, opened);
-        self.by_call.insert(call, opened);
+        self.requests.by_handle.insert(token.handle, opened);
+        self.requests.by_call.insert(call, opened);
         opened
     }
 }
--- a/crates/node/src/telling.rs
+++ b/crates/node/src/telling.rs
@@ -21,7 +21,7 @@
 impl Node {
     /// Another instance asks what became of a key that names this run.
     pub(crate) fn asked(&mut self, from: Instance, nonce: u64, key: &Key, out: &mut Vec<Action>) {
-        let told = match self.keys.get(key).cloned() {
+        let told = match self.requests.keys.get(key).cloned() {
             Some(Mark::Open(opened)) => self.told_open(
                 opened,
                 Asker {
@@ -43,9 +43,9 @@
         let Some(prefix) = key.prefix() else {
             return Told::OtherRun;
         };
-        let expired = self.keys.admit(self.unix_s(), prefix.issued) == Admission::Expired;
+        let expired = self.requests.keys.admit(self.unix_s(), prefix.issued) == Admission::Expired;
         match prefix.runner {
-            runner if self.former.contains(&runner) => Told::Expired,
+            runner if self.members.former.contains(&runner) => Told::Expired,
             runner if runner != self.incarnation() => Told::OtherRun,
             _ if expired => Told::Expired,
             _ => Told::NotSeen,
@@ -53,11 +53,11 @@
     }
 
     fn told_open(&mut self, opened: OpenKey, asker: Asker) -> Told {
-        let streams = self.open[opened].stage == Stage::Decode;
+        let streams = self.requests.open[opened].stage == Stage::Decode;
         match self.token_of(opened).filter(|_| streams) {
             Some(token) => Told::Streaming { token },
             None => {
-                let askers = &mut self.open[opened].askers;
+                let askers = &mut self.requests.open[opened].askers;
                 if !askers.iter().any(|other| other.nonce == asker.nonce) {
                     askers.push(asker);
                 }
@@ -68,7 +68,7 @@
 
     /// Tells instances that asked for a request how it ended.
     pub(crate) fn tell_askers(&mut self, opened: OpenKey, end: &End, out: &mut Vec<Action>) {
-        let askers = std::mem::take(&mut self.open[opened].askers);
+        let askers = std::mem::take(&mut self.requests.open[opened].askers);
         if askers.is_empty() {
             return;
         }
--- a/crates/node/src/verifying.rs
+++ b/crates/node/src/verifying.rs
@@ -23,6 +23,7 @@
     /// lease, and others may have taken its streams over.
     pub(crate) fn suspect_streams(&mut self, out: &mut Vec<Action>) {
         for entry in self
+            .requests
             .open
             .values_mut()
             .filter(|entry| entry.stage == Stage::Decode)
@@ -35,6 +36,7 @@
     /// Asks the replicas of withheld streams for their state.
     pub(crate) fn recheck_suspects(&mut self, out: &mut Vec<Action>) {
         let replicas: BTreeSet<Replica> = self
+            .requests
             .open
             .values()
             .filter(|entry| entry.withheld.is_some())
@@ -49,11 +51,11 @@
 
     /// Verifies suspect streams against what their replica holds.
     pub(crate) fn verify(&mut self, replica: Replica, works: &[Held], out: &mut Vec<Action>) {
-        let suspects = self.open_where(|entry| {
+        let suspects = self.requests.open_where(|entry| {
             entry.withheld.is_some() && entry.place.is_some_and(|place| place.run == replica)
         });
         for opened in suspects {
-            let handle = self.open[opened].handle();
+            let handle = self.requests.open[opened].handle();
             let held = works.iter().find(|held| held.handle == handle).copied();
             self.verify_one(opened, held, out);
         }
@@ -64,7 +66,7 @@
     fn verify_one(&mut self, opened: OpenKey, held: Option<Held>, out: &mut Vec<Action>) {
         let mine = self.incarnation();
         let now = self.now;
-        let entry = &mut self.open[opened];
+        let entry = &mut self.requests.open[opened];
         let just_sent = now < entry.times.progress + ORDER_TRAVEL;
         let withheld = entry.withheld.take().unwrap_or_default();
         match held {
--- a/crates/relay/src/balance.rs
+++ b/crates/relay/src/balance.rs
@@ -21,9 +21,15 @@
 const PAUSE: Duration = Duration::from_secs(3);
 
 /// Replicas that read prompts beyond their share, times the square root of the number of replicas.
-const RESERVE: f64 = 0.5;
-/// Part of a service's replicas that changes at once at most; they serve nothing while they change.
-const MAX_CHANGING: f64 = 0.125;
+const RESERVE: f64 = 0.65;
+/// Part of a service's replicas that changes to decode at once at most; they serve nothing while
+/// they change.
+const MAX_TO_DECODE: f64 = 0.25;
+/// The same for changes to prefill; fewer, since prefill replicas that crashed are often back soon.
+const MAX_TO_PREFILL: f64 = 0.125;
+/// Growth of the number of replicas from which on the division is looked at anew: at a common start
+/// they register one after the other, and a division of half of them is not that of all.
+const GROWN: f64 = 1.1;
 
 /// A change that is due.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -48,11 +54,21 @@
 pub struct Balance {
     /// Time that a replica takes to change.
     change: Duration,
-    /// Since when it is off, and the stage that lacks replicas.
-    off: Option<(Time, Stage)>,
+    /// What is off, if anything is.
+    off: Option<Off>,
     last: Option<Time>,
 }
 
+/// A division that is off.
+#[derive(Debug, Clone, Copy)]
+struct Off {
+    since: Time,
+    /// The stage that lacks replicas.
+    stage: Stage,
+    /// Replicas of both stages at that time.
+    total: usize,
+}
+
 impl Balance {
     /// Nothing seen yet; a replica takes `change` to change its stage.
     pub const fn new(change: Duration) -> Self {
@@ -70,20 +86,24 @@
             self.off = None;
             return None;
         };
-        let stage = due.stage;
-        let since = match self.off {
-            Some((since, same)) if same == stage => since,
-            _ => now,
+        let total = counts.prefill + counts.decode;
+        let off = match self.off {
+            Some(off) if off.stage == due.stage && !grown(off.total, total) => off,
+            _ => Off {
+                since: now,
+                stage: due.stage,
+                total,
+            },
         };
-        self.off = Some((since, stage));
-        let settle = match stage {
+        self.off = Some(off);
+        let settle = match due.stage {
             Stage::Decode => SETTLE,
             Stage::Prefill => SHORTAGE,
         };
         let paused = self
             .last
             .is_some_and(|last| now.since(last) < self.change + PAUSE);
-        (now.since(since) >= settle && !paused).then_some(due)
+        (now.since(off.since) >= settle && !paused).then_some(due)
     }
 
     /// Notes that no order could be given; the division has to be off for a while again.
@@ -98,6 +118,10 @@
     }
 }
 
+fn grown(before: usize, now: usize) -> bool {
+    now as f64 > before as f64 * GROWN
+}
+
 /// Prefill replicas that `total` replicas are to have.
 pub fn wanted(total: usize, share: f64) -> usize {
     let total_f = total as f64;
@@ -118,7 +142,11 @@
         prefill if prefill + 1 < wanted => (Stage::Prefill, wanted - prefill),
         _ => return None,
     };
-    let most = (total as f64 * MAX_CHANGING) as usize;
+    let part = match stage {
+        Stage::Decode => MAX_TO_DECODE,
+        Stage::Prefill => MAX_TO_PREFILL,
+    };
+    let most = (total as f64 * part) as usize;
     let count = missing.clamp(1, most.max(1));
     Some(Due { stage, count })
 }
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -10,6 +10,10 @@
 /// leave callers without another address when it fails.
 const ENOUGH: usize = 2;
 
+/// Part of the largest instance's capacity from which on an instance is large. The fewer instances
+/// take requests, the more each of them knows of the replicas' load from its own requests.
+const LARGE: f64 = 0.5;
+
 /// An instance that takes callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Entry {
@@ -17,18 +21,45 @@
     pub data_centre: Zone,
     /// Where callers connect.
     pub address: SocketAddr,
+    /// What its processor can do, in thousandths of a core.
+    pub capacity: u32,
+}
+
+/// Which instances of a data centre callers are told of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Breadth {
+    /// The large ones, if there are enough.
+    Large,
+    /// All.
+    All,
 }
 
-/// The addresses for a caller in `near`: those of its data centre if there are enough, else all.
-pub fn answer(entries: &[Entry], near: Option<Zone>) -> Vec<SocketAddr> {
+/// The addresses for a caller in `near`: those instances of its data centre that `breadth` says if
+/// there are enough, else all.
+pub fn answer(entries: &[Entry], near: Option<Zone>, breadth: Breadth) -> Vec<SocketAddr> {
     let own = entries
         .iter()
         .filter(|entry| near == Some(entry.data_centre));
-    let own: Vec<SocketAddr> = own.map(|entry| entry.address).collect();
-    let mut told = match own.len() {
-        count if count >= ENOUGH => own,
-        _ => entries.iter().map(|entry| entry.address).collect(),
+    let own: Vec<Entry> = own.copied().collect();
+    let large = match breadth {
+        Breadth::Large => large(&own),
+        Breadth::All => Vec::new(),
     };
-    told.truncate(MAX_ADDRESSES);
-    told
+    let told = match (large.len(), own.len()) {
+        (count, _) if count >= ENOUGH => large,
+        (_, count) if count >= ENOUGH => own,
+        _ => entries.to_vec(),
+    };
+    let told = told.iter().take(MAX_ADDRESSES);
+    told.map(|entry| entry.address).collect()
+}
+
+/// Those that have at least [`LARGE`] of the largest one's capacity.
+fn large(entries: &[Entry]) -> Vec<Entry> {
+    let largest = entries.iter().map(|entry| entry.capacity).max();
+    let least = f64::from(largest.unwrap_or_default()) * LARGE;
+    let large = entries
+        .iter()
+        .filter(|entry| f64::from(entry.capacity) >= least);
+    large.copied().collect()
 }
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -6,7 +6,6 @@
 use ident::Time;
 use rapidhash::v3::rapidhash_v3;
 use slotmap::SlotMap;
-use slotmap::new_key_type;
 
 use crate::balance::Counts;
 use crate::replica::Lapsing;
@@ -16,13 +15,9 @@
 use crate::replica::Stage;
 use crate::score;
 use crate::score::Want;
+use crate::server::Key;
 use crate::server::Server;
 
-new_key_type! {
-    /// A replica in the pool.
-    pub struct Key;
-}
-
 /// How long after an outage of the list a replica that vanished from it is still used: entries that
 /// lapsed meanwhile are back within two seconds, and one that left may get nothing after that.
 const LAPSE_GRACE: Duration = Duration::from_millis(1_900);
--- a/crates/relay/src/score.rs
+++ b/crates/relay/src/score.rs
@@ -3,8 +3,8 @@
 use ident::Time;
 use ident::Zone;
 
-use crate::pool::Key;
 use crate::replica::Stage;
+use crate::server::Key;
 use crate::server::Server;
 
 /// Places' worth of load that a share of failures of 1 counts for.
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -3,10 +3,16 @@
 use std::time::Duration;
 
 use ident::Time;
+use slotmap::new_key_type;
 
 use crate::replica::Load;
 use crate::replica::Replica;
 
+new_key_type! {
+    /// A replica in the pool.
+    pub struct Key;
+}
+
 /// How long a told load counts; it fades out linearly. Replicas answer several times as often.
 const LOAD_AGE: Duration = Duration::from_secs(2);
 /// Time in which the share of failures falls to a third without further sends.
--- a/crates/relay/tests/score.rs
+++ b/crates/relay/tests/score.rs
@@ -4,12 +4,12 @@
 
 use ident::Time;
 use ident::Zone;
-use relay::pool::Key;
 use relay::pool::Pool;
 use relay::replica::Replica;
 use relay::replica::Snapshot;
 use relay::replica::Stage;
 use relay::score::Want;
+use relay::server::Key;
 use rstest::rstest;
 
 const START: Time = Time::from_millis(100_000);
--- a/crates/route/src/cell.rs
+++ b/crates/route/src/cell.rs
@@ -7,10 +7,8 @@
 mod grant;
 mod progress;
 mod rank;
-mod settings;
 
 pub use adopt::Hold;
-pub use settings::Settings;
 
 use std::collections::BTreeMap;
 use std::collections::HashSet;
@@ -37,6 +35,7 @@
 use crate::row::Lane;
 use crate::rule::Rule;
 use crate::server::Key;
+use crate::settings::Settings;
 use crate::token::Fit;
 use crate::turnover::Turnover;
 use crate::verdict::Verdict;
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -23,5 +23,6 @@
 pub mod policy;
 pub mod replica;
 pub mod rule;
+pub mod settings;
 pub mod ticket;
 pub mod verdict;
--- a/crates/route/src/policy.rs
+++ b/crates/route/src/policy.rs
@@ -18,10 +18,10 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::cache::Cache;
-use crate::cell::Settings;
 use crate::link::Links;
 use crate::pool::Pool;
 use crate::server::Key;
+use crate::settings::Settings;
 use crate::ticket::Ticket;
 use crate::turnover::Turnover;
 
--- a/crates/route/tests/bounds.rs
+++ b/crates/route/tests/bounds.rs
@@ -20,11 +20,11 @@
 use proptest::proptest;
 use proptest::test_runner::TestCaseError;
 use route::cell::Cell;
-use route::cell::Settings;
 use route::phase::Phase;
 use route::replica::Member;
 use route::replica::Report;
 use route::rule::Rule;
+use route::settings::Settings;
 use route::verdict::Choice;
 use route::verdict::Verdict;
 
--- a/crates/route/tests/keeper.rs
+++ b/crates/route/tests/keeper.rs
@@ -7,11 +7,11 @@
 use ident::Replica;
 use ident::Time;
 use route::cell::Hold;
-use route::cell::Settings;
 use route::phase::Phase;
 use route::replica::Member;
 use route::replica::Report;
 use route::replica::Role;
+use route::settings::Settings;
 use route::verdict::Choice;
 use rstest::rstest;
 
--- /dev/null
+++ b/crates/scenario/src/command.rs
@@ -0,0 +1,47 @@
+//! The operators' command, run against a fleet.
+
+use std::ffi::OsStr;
+use std::process::Command;
+
+use crate::error::Error;
+use crate::fleet::Fleet;
+use crate::settings::OPERATOR;
+use crate::settings::TOKEN;
+
+const COMMAND: &str = "waxwing";
+
+impl Fleet {
+    /// Runs the operators' command against all daemons of the fleet; gives what it printed.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Exited`] with the command's output unless it exits with 0.
+    pub async fn waxwing<S: AsRef<OsStr>>(&self, args: &[S]) -> Result<String, Error> {
+        let program = self.programs.join(COMMAND);
+        if !program.exists() {
+            return Err(Error::Missing { program });
+        }
+        let mut command = Command::new(&program);
+        command
+            .args(args)
+            .env("WAXWING_TOKEN", TOKEN)
+            .arg("--operator")
+            .arg(OPERATOR);
+        for listen in self.daemons.values() {
+            command.arg("--admin").arg(&listen.admin);
+        }
+        let output = tokio::task::spawn_blocking(move || command.output())
+            .await
+            .map_err(|cause| Error::io("run", COMMAND, cause.into()))?
+            .map_err(|cause| Error::io("run", program.display(), cause))?;
+        let text = String::from_utf8_lossy(&output.stdout).into_owned();
+        if output.status.success() {
+            return Ok(text);
+        }
+        let errors = String::from_utf8_lossy(&output.stderr);
+        Err(Error::Exited {
+            name: COMMAND.to_owned(),
+            log: format!("{text}{errors}"),
+        })
+    }
+}
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod address;
 pub mod ask;
 pub mod caller;
+mod command;
 mod control;
 pub mod demo;
 pub mod error;
@@ -12,6 +13,8 @@
 pub mod play;
 pub mod port;
 pub mod process;
+mod programs;
+pub mod refusal;
 pub mod reply;
 pub mod script;
 pub mod settings;
--- a/crates/scenario/src/play.rs
+++ b/crates/scenario/src/play.rs
@@ -6,6 +6,7 @@
 pub mod connection;
 pub mod decisions;
 mod edition;
+mod edits;
 pub mod promise;
 pub mod request;
 mod wait;
--- a/crates/scenario/src/play/connection.rs
+++ b/crates/scenario/src/play/connection.rs
@@ -7,8 +7,8 @@
 use tokio::time::Instant;
 
 use crate::error::Error;
+use crate::refusal::Refusal;
 use crate::reply::Outcome;
-use crate::reply::Refusal;
 use crate::reply::Reply;
 use crate::stream::Event;
 use crate::stream::Head;
--- a/crates/scenario/src/process.rs
+++ b/crates/scenario/src/process.rs
@@ -8,12 +8,16 @@
 use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
+use std::time::Duration;
 
 use rustix::process::Pid;
 use rustix::process::Signal;
 
 use crate::error::Error;
 
+/// Longest wait for a process to listen or to become ready.
+pub const START_LIMIT: Duration = Duration::from_secs(20);
+
 /// Lines of output that an error shows.
 const TAIL_LINES: usize = 12;
 
--- a/crates/scenario/src/script.rs
+++ b/crates/scenario/src/script.rs
@@ -1,8 +1,8 @@
 //! The test language: a scenario is a page of YAML.
 //!
 //! It says what is promised and what fails, what is started under which table, and then step by
-//! step what happens and what is expected. [`crate::play`] carries it out. Beside the expectations
-//! of a page, [`crate::play::promise`] checks at the end of each what must hold in all of them.
+//! step what happens and what is expected. the module `play` carries it out. Beside the expectations
+//! of a page, `play::promise` checks at the end of each what must hold in all of them.
 
 pub mod expect;
 pub mod start;
--- a/crates/scenario/src/stream.rs
+++ b/crates/scenario/src/stream.rs
@@ -8,7 +8,7 @@
 use volo_http::response::Response;
 
 use crate::error::Error;
-use crate::reply::Refusal;
+use crate::refusal::Refusal;
 
 /// An open stream of tokens.
 pub struct Stream {
--- a/crates/table/src/diff.rs
+++ b/crates/table/src/diff.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::Table;
-use crate::row::KEY_COLUMNS;
+use crate::limits::KEY_COLUMNS;
 use crate::row::Row;
 
 /// What changes from `a` to `b`, one line each.
--- a/crates/table/src/error.rs
+++ b/crates/table/src/error.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use crate::Table;
-use crate::row::MAX_TEXT;
+use crate::limits::MAX_TEXT;
 
 /// Where a fault stands.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/table/src/file.rs
+++ b/crates/table/src/file.rs
@@ -12,8 +12,9 @@
 use crate::error::Error;
 use crate::error::Place;
 use crate::error::Report;
+use crate::limits;
+use crate::limits::KEY_COLUMNS;
 use crate::row;
-use crate::row::KEY_COLUMNS;
 use crate::row::Range;
 use crate::row::Row;
 use crate::row::is_name;
@@ -86,20 +87,20 @@
     fn row(self) -> Row {
         let long = |value: Option<i64>, default: u32| value.map_or(default, |value| value as u32);
         let short = |value: Option<i64>, default: u8| value.map_or(default, |value| value as u8);
-        let ttft_ms = long(self.ttft_ms, row::DEFAULT_TTFT_MS);
+        let ttft_ms = long(self.ttft_ms, limits::DEFAULT_TTFT_MS);
         Row {
             service: self.service.unwrap_or_default(),
             class: self.class.unwrap_or_default(),
             pool: self.pool.unwrap_or_default(),
-            share: long(self.share, row::DEFAULT_SHARE),
-            priority: short(self.priority, row::DEFAULT_PRIORITY),
+            share: long(self.share, limits::DEFAULT_SHARE),
+            priority: short(self.priority, limits::DEFAULT_PRIORITY),
             ttft_ms,
-            tbt_ms: long(self.tbt_ms, row::DEFAULT_TBT_MS),
-            max_wait_ms: long(self.max_wait_ms, row::DEFAULT_MAX_WAIT_MS.max(ttft_ms)),
-            prefill_ceiling: long(self.prefill_ceiling, row::DEFAULT_PREFILL_CEILING),
-            decode_ceiling: long(self.decode_ceiling, row::DEFAULT_DECODE_CEILING),
-            retry_percent: short(self.retry_percent, row::DEFAULT_RETRY_PERCENT),
-            waste_percent: short(self.waste_percent, row::DEFAULT_WASTE_PERCENT),
+            tbt_ms: long(self.tbt_ms, limits::DEFAULT_TBT_MS),
+            max_wait_ms: long(self.max_wait_ms, limits::DEFAULT_MAX_WAIT_MS.max(ttft_ms)),
+            prefill_ceiling: long(self.prefill_ceiling, limits::DEFAULT_PREFILL_CEILING),
+            decode_ceiling: long(self.decode_ceiling, limits::DEFAULT_DECODE_CEILING),
+            retry_percent: short(self.retry_percent, limits::DEFAULT_RETRY_PERCENT),
+            waste_percent: short(self.waste_percent, limits::DEFAULT_WASTE_PERCENT),
             repeatable: self.repeatable.unwrap_or(true),
         }
     }
--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -10,12 +10,12 @@
 pub mod edit;
 pub mod error;
 pub mod file;
+pub mod limits;
+pub mod plan;
 pub mod row;
 pub mod stored;
 pub mod view;
 
-mod plan;
-
 use std::collections::BTreeSet;
 
 use serde::Deserialize;
--- a/crates/table/src/stored.rs
+++ b/crates/table/src/stored.rs
@@ -23,13 +23,6 @@
 use crate::drain::Mark;
 use crate::edit::Conflict;
 use crate::error::Report;
-pub use crate::plan::History;
-pub use crate::plan::Plan;
-pub use crate::plan::Requirement;
-pub use crate::plan::Step;
-pub use crate::plan::Write;
-pub use crate::plan::history;
-pub use crate::plan::plan;
 use crate::row::Row;
 
 /// The key of the generation.
