--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -24,12 +24,17 @@
 /// Bytes of the answer to a prefill at most.
 const MAX_PREFILL_ANSWER: usize = 16 * 1024;
 
-/// Has the prompt read by a prefill replica; if that fails, the decode replica is to read it.
+/// Has the prompt read by a prefill replica, in the data centre of the decode replica `decode` if one
+/// is idle there: a KV cache is thousands of times as large as prompt and answer, and its transfer
+/// between data centres takes twice as long and costs more. If the read fails, the decode replica is
+/// to read the prompt.
 ///
 /// A read that failed counts as an arrival, so that the send after it is a retry: `None` if the
 /// budget has none left.
-pub async fn read(shared: &Rc<Shared>, job: &Job) -> Option<Task> {
-    let Some(key) = shared.choose(&job.service, Some(Stage::Prefill), &[]) else {
+pub async fn read(shared: &Rc<Shared>, job: &Job, decode: Key) -> Option<Task> {
+    let near = shared.data_centre_of(decode);
+    let chosen = shared.choose_near(&job.service, Some(Stage::Prefill), &[], near);
+    let Some(key) = chosen else {
         return Some(Task::Answer);
     };
     // Where too few replicas read prompts, a part is left to the decode replicas, and the rest is
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -48,11 +48,11 @@
             let unknown = attempt.may_have_run();
             return Err(if unknown { Next::Unknown } else { Next::Refuse });
         };
+        let key = place.key();
         let now = match &task {
             Some(task) => task.clone(),
-            None => prefill::read(shared, job).await.ok_or(Next::Refuse)?,
+            None => prefill::read(shared, job, key).await.ok_or(Next::Refuse)?,
         };
-        let key = place.key();
         tried.push(key);
         attempt.sent();
         let sent = send::send(shared, job, key, now, place.reservation());
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -235,17 +235,35 @@
         service: &str,
         stage: Option<relay::replica::Stage>,
         tried: &[Key],
+    ) -> Option<Key> {
+        self.choose_near(service, stage, tried, self.near)
+    }
+
+    /// The same, preferring replicas of the data centre `near`.
+    pub fn choose_near(
+        &self,
+        service: &str,
+        stage: Option<relay::replica::Stage>,
+        tried: &[Key],
+        near: Zone,
     ) -> Option<Key> {
         let want = Want {
             service,
             stage,
             tried,
-            near: self.near,
+            near,
         };
         let pool = self.pool.borrow();
         pool.choose(self.clock.now(), &want, rand::random)
     }
 
+    /// The data centre of `key`; this daemon's own if the replica is gone.
+    pub fn data_centre_of(&self, key: Key) -> Zone {
+        let pool = self.pool.borrow();
+        pool.get(key)
+            .map_or(self.near, |server| server.replica.data_centre)
+    }
+
     /// Part of the prompts that decode replicas are to read, since `key` is slow or fails.
     pub fn own_reads(&self, key: Key, objective: Duration) -> f64 {
         let pool = self.pool.borrow();
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -33,11 +33,11 @@
 /// centre; gossip is the faster source.
 const INSTANCES_PERIOD: Duration = Duration::from_secs(6);
 /// The same for the other daemons, which hear of new instances from it.
-const DISTANT_PERIOD: Duration = Duration::from_secs(30);
+const DISTANT_PERIOD: Duration = Duration::from_mins(2);
 /// Readings of the instances in quick succession after a start: at a common start, an instance
 /// writes its row after others have read theirs. Gossip tells of those that are later still.
 const STARTING_READS: u32 = 2;
-/// Time between the first two readings of the replicas, and of the instances: until the other
+/// Time between the first two readings of the plan, the replicas and the instances: until the other
 /// members are known, each daemon takes itself for the one that reads the store.
 const STARTING_PERIOD: Duration = Duration::from_millis(1_500);
 /// Time between two readings of the store by a daemon that others read for, while the store fails
@@ -53,6 +53,7 @@
 /// Follows the plan, forever.
 pub async fn plan(shared: Rc<Shared>) {
     let mut version = None;
+    let mut pause = STARTING_PERIOD;
     loop {
         if shared.members.borrow().poller().is_some() {
             version = None;
@@ -68,7 +69,8 @@
                 shared.store_answered("plan");
                 version = Some(rows.version);
                 take_plan(&shared, &rows);
-                sleep(PLAN_PAUSE).await;
+                sleep(pause).await;
+                pause = PLAN_PAUSE;
             }
             Err(error @ (Error::Compacted | Error::GivenUp)) => {
                 log::info!(kind = "store", step = "plan", cause = error.to_string(); "reading the plan anew");
