Explain frozen daemons, silent replicas and lost ends; strain needs more than one pause

Cause: of twelve failed requests two were explained in part only (a daemon that stood still; a replica that fell silent under a stream that cannot be resumed). Change: `explain` tells what its daemon went through meanwhile (pause, stop, strain) and that it was started again without a word; log lines name the run of the process; the first silence of any stream is a line with the replica and whether it answers a question. On the way: a line about a replica that did not answer was told as one without room; a single pause of a process counted as strain (a look counts 100 ms at most now, 20 of the 30 ms that it takes).

--- a/crates/ctl/tests/waxwing/views.rs
+++ b/crates/ctl/tests/waxwing/views.rs
@@ -211,3 +211,54 @@
         .code(1)
         .err("/nowhere.log");
 }
+
+const FROZEN: [&str; 6] = [
+    r#"{"instance":"edge-1","run":"a1","up_ms":90,"time":"2026-12-02T10:00:00Z","kind":"pause","ms":1200,"open":0}"#,
+    r#"{"instance":"edge-1","run":"a1","up_ms":100,"time":"2026-12-02T10:00:05Z","kind":"send","request":"77aa","replica":"i-1","task":"decode","in_flight":2,"replicas":7,"plan":3,"left_ms":13900}"#,
+    r#"{"instance":"edge-1","run":"a1","up_ms":7300,"time":"2026-12-02T10:00:12Z","kind":"pause","ms":7000,"open":3}"#,
+    r#"{"instance":"edge-2","run":"b1","up_ms":7300,"time":"2026-12-02T10:00:12Z","kind":"pause","ms":5000,"open":3}"#,
+    r#"{"instance":"edge-1","run":"a1","up_ms":7301,"time":"2026-12-02T10:00:12Z","kind":"silence","request":"77aa","replica":"i-1","ms":800,"answers":false}"#,
+    r#"{"instance":"edge-1","run":"a1","up_ms":7310,"time":"2026-12-02T10:00:12Z","kind":"end","request":"77aa","outcome":"caller-left","status":0,"ms":7210}"#,
+];
+
+#[test]
+fn a_life_tells_that_its_daemon_stood_still_and_a_replica_fell_silent() {
+    let env = Env::new();
+    let log = env.file("one.log", &FROZEN.join("\n"));
+    let ran = env.run(&["explain", "77aa", "--log", &log]).code(0);
+    in_order(
+        &ran.out,
+        &[
+            "sent to i-1",
+            "stood still for 7000 ms",
+            "i-1 has been silent for 800 ms; asked on another connection, it does not answer",
+            "END: the caller left",
+        ],
+    );
+    assert!(!ran.out.contains("1200"), "before the request");
+    assert!(!ran.out.contains("5000"), "another daemon");
+}
+
+#[test]
+fn a_life_without_an_end_tells_that_the_daemon_was_started_again() {
+    let env = Env::new();
+    let anew = r#"{"instance":"edge-1","run":"a2","up_ms":0,"time":"2026-12-02T10:00:09Z","kind":"start"}"#;
+    let log = env.file("one.log", &[FROZEN[1], anew].join("\n"));
+    env.run(&["explain", "77aa", "--log", &log]).code(0).out(
+        "the process of edge-1 ended without a word and was started again at 2026-12-02T10:00:09Z",
+    );
+    let log = env.file("two.log", FROZEN[1]);
+    env.run(&["explain", "77aa", "--log", &log])
+        .code(0)
+        .out("NO END is told: the lines end before the request");
+}
+
+#[test]
+fn a_replica_that_was_asked_for_room_in_vain_is_told() {
+    let env = Env::new();
+    let asked = r#"{"instance":"edge-1","run":"a1","up_ms":95,"time":"2026-12-02T10:00:05Z","kind":"reserve","request":"77aa","cause":"no answer in time"}"#;
+    let log = env.file("one.log", asked);
+    env.run(&["explain", "77aa", "--log", &log])
+        .code(0)
+        .out("a decode replica did not answer when it was asked for room: no answer in time");
+}
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -136,7 +136,7 @@
         let mut silences = 0;
         let mut last = begun;
         loop {
-            let silent_at = if resumable {
+            let silent_at = if resumable || silences == 0 {
                 self.job.deadline.min(Instant::now() + STALL)
             } else {
                 self.job.deadline
@@ -148,7 +148,8 @@
             match frame {
                 Err(_) if Instant::now() >= self.job.deadline => return End::Overdue,
                 // A replica that still answers may have set the request aside; it gets more time.
-                Err(_) if silences == 0 && ask::answers(&self.shared, claim.key).await => {
+                // One whose stream cannot be resumed is waited for in any case.
+                Err(_) if silences == 0 && (self.still_answers(claim.key).await || !resumable) => {
                     silences += 1;
                 }
                 Err(_) => match self.other_place().await {
@@ -202,6 +203,16 @@
         self.parts.send(Ok(bytes.into())).await.is_ok()
     }
 
+    /// Whether the replica, which has been silent for [`STALL`], answers a question.
+    async fn still_answers(&self, key: Key) -> bool {
+        let answers = ask::answers(&self.shared, key).await;
+        let pool = self.shared.pool.borrow();
+        let replica = pool.get(key).map_or("", |server| &server.replica.id);
+        let ms = STALL.as_millis() as u64;
+        log::info!(kind = "silence", request = self.job.call.id, replica = replica, ms = ms, answers = answers; "a replica sends nothing");
+        answers
+    }
+
     /// A place at another replica, while the present one is silent; none if no retry is left to go
     /// there.
     async fn other_place(&self) -> Option<Place> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -64,6 +64,8 @@
 
 /// What is logged: everything of this product, warnings of its libraries.
 const LEVELS: &str = "warn, gateway=info, waxwing_gateway=info";
+/// Bound of the numbers that tell the runs of an instance apart in its log lines.
+const MAX_RUN: u32 = 1 << 24;
 /// Time between two looks after idle connections and readiness.
 const HOUSEKEEPING: Duration = Duration::from_millis(100);
 /// Time that the last log lines of the process get; nobody may be reading them.
@@ -193,7 +195,8 @@
 
 /// Starts the logs; gives their handle and the counts of lines.
 fn start_logs(instance: &str) -> Result<(LoggerHandle, Arc<Count>), Error> {
-    let queue = Queue::new(Box::new(io::stdout()), instance.to_owned())
+    let run = format!("{:06x}", rand::random_range(0..MAX_RUN));
+    let queue = Queue::new(Box::new(io::stdout()), instance.to_owned(), run)
         .map_err(|error| start("logs", &error))?;
     let count = queue.count();
     let handle = LogSpecification::parse(LEVELS)
--- a/crates/gateway/tests/gateway/stream.rs
+++ b/crates/gateway/tests/gateway/stream.rs
@@ -206,3 +206,21 @@
     drop(caller);
     until("the replica is left", || decode.left() == 1);
 }
+
+/// Without the line, nothing tells why the caller of a stream that cannot be resumed left.
+#[test]
+fn a_replica_that_falls_silent_is_told_also_where_a_stream_cannot_be_resumed() {
+    let decode = Replica::start("i-d", |request| {
+        Act::SendAndHang([stream_head(request), events(1, 1)].concat())
+    });
+    let site = Site::start("silent-once-stream", &[(&decode, "llm", "decode")]);
+    let caller = generate(&site.daemon, "/draft/1", "a1");
+    until("the silence is told", || {
+        let told = site.daemon.logged("\"kind\":\"silence\"");
+        told.iter()
+            .any(|line| line.contains("\"answers\":\"true\""))
+    });
+    drop(caller);
+    until("the replica is left", || decode.left() == 1);
+    assert_eq!(decode.seen().len(), 1);
+}
--- a/crates/logs/src/queue.rs
+++ b/crates/logs/src/queue.rs
@@ -31,6 +31,7 @@
     lines: SyncSender<Vec<u8>>,
     count: Arc<Count>,
     instance: String,
+    run: String,
     start: Instant,
 }
 
@@ -59,12 +60,12 @@
 }
 
 impl Queue {
-    /// A queue whose lines a new thread writes to `to`; each tells the name of the `instance`, and
-    /// the time since the start on a clock that does not jump.
+    /// A queue whose lines a new thread writes to `to`; each tells the name of the `instance`, the
+    /// `run` of its process, and the time since the start on a clock that does not jump.
     ///
     /// # Errors
     /// If the thread cannot be started.
-    pub fn new(to: Box<dyn Write + Send>, instance: String) -> io::Result<Self> {
+    pub fn new(to: Box<dyn Write + Send>, instance: String, run: String) -> io::Result<Self> {
         let (lines, waiting) = mpsc::sync_channel(MAX_LINES);
         let count = Arc::new(Count::default());
         let counted = Arc::clone(&count);
@@ -75,6 +76,7 @@
             lines,
             count,
             instance,
+            run,
             start: Instant::now(),
         })
     }
@@ -90,6 +92,7 @@
         let mut text = Vec::with_capacity(256);
         let mut more = Map::new();
         more.insert("instance".to_owned(), self.instance.as_str().into());
+        more.insert("run".to_owned(), self.run.as_str().into());
         let up_ms = self.start.elapsed().as_millis() as u64;
         more.insert("up_ms".to_owned(), up_ms.into());
         line::write_with(&mut text, now, record, more)?;
--- a/crates/relay/src/strain.rs
+++ b/crates/relay/src/strain.rs
@@ -9,8 +9,8 @@
 
 /// Weight of the newest look in the mean lateness.
 const STEP: f64 = 0.2;
-/// Lateness of one look that counts at most; a process that stood still is not strained for long.
-const LATE_MOST: Duration = Duration::from_millis(200);
+/// Lateness of one look that counts at most: a process that stood still once is not strained.
+const LATE_MOST: Duration = Duration::from_millis(100);
 /// Mean lateness of a timer from which on an instance is strained. An instance that uses a fifth of its
 /// processor is late by a millisecond or two.
 const LATE: Duration = Duration::from_millis(30);
