One error type for calls to peers, one file of baselines, membership tests by theme

Cause: the error types of `store` and `engine` were near twins (28 lines and more), three baselines of `route` shared their skeleton, and `fleet/tests/membership.rs` had 573 lines.

--- a/crates/engine/src/error.rs
+++ b/crates/engine/src/error.rs
@@ -1,9 +1,7 @@
 //! Why a call to a replica failed.
 
 use std::fmt;
-use std::net::SocketAddr;
 
-use bytes::Bytes;
 use serde::Deserialize;
 
 /// The call that failed.
@@ -42,85 +40,20 @@
     }
 }
 
-/// A failed call, with the step and the peer at which it failed.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Error {
-    /// No connection was made: no byte of the call can have arrived.
-    NotSent {
-        /// The call.
-        step: Step,
-        /// The replica.
-        peer: SocketAddr,
-        /// What went wrong.
-        cause: String,
-    },
-    /// The call may have arrived, and its effect is not known.
-    Lost {
-        /// The call.
-        step: Step,
-        /// The replica.
-        peer: SocketAddr,
-        /// What went wrong.
-        cause: String,
-    },
-    /// The replica answered that it did not carry the call out.
-    Refused {
-        /// The call.
-        step: Step,
-        /// The replica.
-        peer: SocketAddr,
-        /// HTTP status.
-        status: u16,
-        /// Body of the answer.
-        body: Bytes,
-    },
-    /// The replica answered, and its answer cannot be read.
-    Malformed {
-        /// The call.
-        step: Step,
-        /// The replica.
-        peer: SocketAddr,
-        /// What went wrong.
-        cause: String,
-    },
-}
+/// A failed call to a replica.
+pub type Error = call::Error<Step>;
 
 #[derive(Debug, Deserialize)]
 struct Fenced {
     fence: u64,
 }
 
-impl Error {
-    /// The highest fencing number that a refusing replica has seen, if it told.
-    pub fn fence(&self) -> Option<u64> {
-        match self {
-            Self::Refused { body, .. } => serde_json::from_slice::<Fenced>(body)
-                .ok()
-                .map(|fenced| fenced.fence),
-            _ => None,
-        }
-    }
-}
-
-impl fmt::Display for Error {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::NotSent { step, peer, cause } => {
-                write!(f, "{step} was not sent to {peer}: {cause}")
-            }
-            Self::Lost { step, peer, cause } => {
-                write!(f, "{step} was sent to {peer}, answer lost: {cause}")
-            }
-            Self::Refused {
-                step, peer, status, ..
-            } => {
-                write!(f, "{step} was refused by {peer} with status {status}")
-            }
-            Self::Malformed { step, peer, cause } => {
-                write!(f, "{step}: unreadable answer of {peer}: {cause}")
-            }
-        }
+/// The highest fencing number that a refusing replica has seen, if it told.
+pub fn fence(error: &Error) -> Option<u64> {
+    match error {
+        Error::Refused { body, .. } => serde_json::from_slice::<Fenced>(body)
+            .ok()
+            .map(|fenced| fenced.fence),
+        _ => None,
     }
 }
-
-impl std::error::Error for Error {}
--- a/crates/engine/tests/stream.rs
+++ b/crates/engine/tests/stream.rs
@@ -104,7 +104,7 @@
     let answer = "HTTP/1.1 409 Conflict\r\nContent-Length: 11\r\n\r\n{\"fence\":9}";
     let peer = peer_with(vec![answer]).await;
     let error = Client::new().attach(peer, &request()).await.unwrap_err();
-    assert_eq!(error.fence(), Some(9));
+    assert_eq!(engine::error::fence(&error), Some(9));
     let body = Bytes::from_static(b"{\"fence\":9}");
     assert_eq!(
         error,
--- a/crates/entry/src/backends/run.rs
+++ b/crates/entry/src/backends/run.rs
@@ -134,7 +134,7 @@
         Fault::Client(Error::Lost { .. } | Error::Malformed { .. }) => Failure::Lost,
         Fault::Client(error @ Error::Refused { status, .. }) => Failure::Refused {
             status: *status,
-            fence: error.fence(),
+            fence: engine::error::fence(error),
         },
         // Both free all that the attempt held there.
         Fault::Stream(Reason::Lost) => Failure::Refused {
--- a/crates/fake/tests/prefill.rs
+++ b/crates/fake/tests/prefill.rs
@@ -69,8 +69,8 @@
     client.order(peer, &order(9)).await.unwrap();
     let old = client.order(peer, &order(8)).await;
     if fences {
-        assert_eq!(stale.unwrap_err().fence(), Some(5));
-        assert_eq!(old.unwrap_err().fence(), Some(9));
+        assert_eq!(engine::error::fence(&stale.unwrap_err()), Some(5));
+        assert_eq!(engine::error::fence(&old.unwrap_err()), Some(9));
     } else {
         assert!(stale.unwrap().released);
         old.unwrap();
--- a/crates/fleet/tests/net/mod.rs
+++ b/crates/fleet/tests/net/mod.rs
@@ -23,6 +23,8 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
+/// A second.
+pub const SECOND: Duration = Duration::from_secs(1);
 /// One-way delay of every message, in microseconds, and what is added to it at most at random.
 const DELAY_US: u64 = 1_500;
 const JITTER_US: u64 = 1_000;
@@ -327,3 +329,12 @@
     let bytes = bincode::serde::encode_to_vec(message, bincode::config::standard());
     bytes.expect("a message serialises").len()
 }
+
+/// `count` daemons that know each other.
+pub fn converged(count: usize, seed: u64) -> Net {
+    let mut net = Net::new(count, seed);
+    net.converge(SECOND * 30);
+    net.run(SECOND * 2);
+    net.reset_counters();
+    net
+}
--- a/crates/lab/src/rival.rs
+++ b/crates/lab/src/rival.rs
@@ -34,9 +34,9 @@
         policy,
     };
     vec![
-        each(policy::round_robin::policy()),
-        each(policy::least_loaded::policy()),
-        each(policy::two_choices::policy()),
+        each(policy::baseline::round_robin()),
+        each(policy::baseline::least_loaded()),
+        each(policy::baseline::two_choices()),
         keeper(policy::reserved::policy()),
         keeper(policy::predicted::policy()),
         keeper(policy::affine::policy()),
--- a/crates/route/src/policy.rs
+++ b/crates/route/src/policy.rs
@@ -1,13 +1,11 @@
 //! What varies between policies: the order of waiting requests and the choice of replicas.
 
 pub mod affine;
+pub mod baseline;
 pub mod deadline;
-pub mod least_loaded;
 pub mod oracle;
 pub mod predicted;
 pub mod reserved;
-pub mod round_robin;
-pub mod two_choices;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::Method;
 use http::StatusCode;
 use serde::Deserialize;
@@ -180,6 +181,7 @@
             step,
             peer: self.peer,
             status: status.as_u16(),
+            body: Bytes::new(),
         }
     }
 
