--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -15,7 +15,7 @@
 use http::Request;
 use http::Response;
 use relay::plan::Plan;
-use relay::replica::Snapshot;
+use relay::replica::Update;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -52,7 +52,7 @@
     /// The plan, if it is newer than the asker's.
     plan: Option<Plan>,
     /// The replicas, if they are newer than the asker's.
-    replicas: Option<Snapshot>,
+    replicas: Option<Update>,
     cards: Vec<Card>,
 }
 
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -10,7 +10,7 @@
 
 /// News are of use up to this age; a replica that leaves must get nothing 2 s later, and the daemon
 /// that asks learns of it one period later.
-const MAX_AGE: Duration = Duration::from_millis(900);
+const MAX_AGE: Duration = Duration::from_secs(1);
 
 /// How the teller's knowledge compares with the asker's.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -14,7 +14,7 @@
 use relay::directory::Breadth;
 use relay::plan::Plan;
 use relay::pool::Pool;
-use relay::replica::Snapshot;
+use relay::replica::Update;
 use relay::score::Want;
 use relay::server::Key;
 use relay::strain::Strain;
@@ -178,23 +178,24 @@
         *self.plan.borrow_mut() = Some(Rc::new(plan));
     }
 
-    /// Takes a list of replicas.
-    pub fn take_replicas(&self, source: &'static str, snapshot: &Snapshot) {
-        let changes = self.pool.borrow_mut().apply(self.clock.now(), snapshot);
+    /// Takes news of the replicas.
+    pub fn take_replicas(&self, source: &'static str, update: &Update) {
+        let version = update.version();
+        let changes = self.pool.borrow_mut().take(self.clock.now(), update);
         let Some(changes) = changes else {
-            log::info!(kind = "replicas", version = snapshot.version, source = source; "an older list of replicas is ignored");
+            log::info!(kind = "replicas", version = version, source = source; "older news of the replicas are ignored");
             return;
         };
         self.replicas_heard.set(self.clock.now());
         for change in changes {
-            log::info!(kind = "replica", replica = change.id, belief = format!("{:?}", change.now), version = snapshot.version, source = source; "a replica changed");
+            log::info!(kind = "replica", replica = change.id, belief = format!("{:?}", change.now), version = version, source = source; "a replica changed");
         }
     }
 
-    /// The replicas, if they are newer than `version`.
-    pub fn newer_replicas(&self, version: u64) -> Option<Snapshot> {
+    /// What changed of the replicas after `version`, if anything did.
+    pub fn newer_replicas(&self, version: u64) -> Option<Update> {
         let pool = self.pool.borrow();
-        (pool.version() > version).then(|| pool.snapshot(self.clock.now()))
+        (pool.version() > version).then(|| pool.update(self.clock.now(), version))
     }
 
     /// Notes that the replicas are the same as those that a peer has from `version`, which was read
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -8,7 +8,10 @@
 use platform::replica;
 use platform::store::Row;
 use platform::store::Rows;
+use relay::replica::Delta;
+use relay::replica::Replica;
 use relay::replica::Snapshot;
+use relay::replica::Update;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
@@ -23,9 +26,15 @@
 const PLAN_WAIT: Duration = Duration::from_millis(2_500);
 /// Pause after a plan was read, so that edits in quick succession are read together.
 const PLAN_PAUSE: Duration = Duration::from_millis(150);
-/// Time between two readings of the replicas, and between two questions to the daemon that reads
-/// them; a replica that leaves must get nothing 2 s later.
+/// Time between two questions to the daemon that reads the store; a replica that leaves must get
+/// nothing 2 s later.
 const REPLICAS_PERIOD: Duration = Duration::from_millis(450);
+/// How long one watch of the replicas waits; an answer proves that the list is up to date, and the
+/// others take news of up to a second's age.
+const REPLICAS_WAIT: Duration = Duration::from_millis(350);
+/// Pause of the daemon that reads the store between two watches, so that changes in quick succession
+/// are read together.
+const REPLICAS_PAUSE: Duration = Duration::from_millis(300);
 /// Time that the daemon which reads the store gets for an answer; a round trip takes some
 /// milliseconds.
 const NEWS_PATIENCE: Duration = Duration::from_millis(120);
@@ -114,10 +123,11 @@
             read_plan(&shared).await;
             next_direct = Instant::now() + DIRECT_PERIOD.mul_f64(rand::random_range(0.75..1.25));
         }
-        let usual = if is_read || heard == Heard::Fresh {
-            REPLICAS_PERIOD
-        } else {
-            RETRY_PAUSE
+        let usual = match heard {
+            Heard::Fresh => REPLICAS_PERIOD,
+            _ if is_read && reads_for_others => REPLICAS_PAUSE,
+            _ if is_read => REPLICAS_PERIOD,
+            _ => RETRY_PAUSE,
         };
         sleep(pause.max(usual)).await;
         pause = Duration::ZERO;
@@ -161,10 +171,10 @@
 }
 
 async fn read_replicas(shared: &Shared) -> bool {
-    match shared.store.read(replica::TABLE).await {
-        Ok(rows) => {
+    match replicas_news(shared).await {
+        Ok(update) => {
             shared.store_answered("replicas");
-            shared.take_replicas("store", &snapshot(&rows));
+            shared.take_replicas("store", &update);
             true
         }
         Err(error) => {
@@ -175,6 +185,25 @@
     }
 }
 
+/// What changed of the replicas, or all of them where that is not known.
+async fn replicas_news(shared: &Shared) -> Result<Update, Error> {
+    let since = shared.replicas_version();
+    if since == 0 {
+        return all_replicas(shared).await;
+    }
+    let watched = shared.store.watch(replica::TABLE, since, REPLICAS_WAIT);
+    match watched.await {
+        Ok(rows) => Ok(Update::Changed(delta(since, &rows))),
+        Err(Error::Compacted) => all_replicas(shared).await,
+        Err(error) => Err(error),
+    }
+}
+
+async fn all_replicas(shared: &Shared) -> Result<Update, Error> {
+    let rows = shared.store.read(replica::TABLE).await?;
+    Ok(Update::All(snapshot(&rows)))
+}
+
 async fn read_plan(shared: &Shared) {
     match shared.store.read(plan::TABLE).await {
         Ok(rows) => {
@@ -223,17 +252,36 @@
 }
 
 fn snapshot(rows: &Rows) -> Snapshot {
-    let read = |row: &Row| match replica::read(&row.key, row.value.as_deref()?) {
+    Snapshot {
+        version: rows.version,
+        replicas: rows.rows.iter().filter_map(read_replica).collect(),
+        lapsing: Vec::new(),
+    }
+}
+
+/// The changes in `rows`; an entry that cannot be read is as good as none.
+fn delta(since: u64, rows: &Rows) -> Delta {
+    let mut delta = Delta {
+        since,
+        version: rows.version,
+        ..Delta::default()
+    };
+    for row in &rows.rows {
+        match read_replica(row) {
+            Some(replica) => delta.replicas.push(replica),
+            None => delta.gone.push(row.key.clone()),
+        }
+    }
+    delta
+}
+
+fn read_replica(row: &Row) -> Option<Replica> {
+    match replica::read(&row.key, row.value.as_deref()?) {
         Ok(replica) => Some(replica),
         Err(error) => {
             log::warn!(kind = "replica", replica = row.key, cause = error.to_string(); "an entry cannot be read");
             None
         }
-    };
-    Snapshot {
-        version: rows.version,
-        replicas: rows.rows.iter().filter_map(read).collect(),
-        lapsing: Vec::new(),
     }
 }
 
--- a/crates/relay/src/replica.rs
+++ b/crates/relay/src/replica.rs
@@ -18,6 +18,40 @@
     pub lapsing: Vec<Lapsing>,
 }
 
+/// What changed between two versions of the store.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Delta {
+    /// The version that it changes.
+    pub since: u64,
+    /// The version that it leads to.
+    pub version: u64,
+    /// Replicas that are new or changed.
+    pub replicas: Vec<Replica>,
+    /// Ids of replicas that are no longer listed.
+    pub gone: Vec<String>,
+    /// All replicas that vanished from the list after an outage and may come back.
+    pub lapsing: Vec<Lapsing>,
+}
+
+/// News of the replicas.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Update {
+    /// All of them.
+    All(Snapshot),
+    /// What changed.
+    Changed(Delta),
+}
+
+impl Update {
+    /// The version of the store that it leads to.
+    pub const fn version(&self) -> u64 {
+        match self {
+            Self::All(snapshot) => snapshot.version,
+            Self::Changed(delta) => delta.version,
+        }
+    }
+}
+
 /// A replica that is used though the list lacks it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Lapsing {
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -36,6 +36,8 @@
 pub struct Server {
     /// As the platform lists it.
     pub replica: Replica,
+    /// Version of the store at which its entry changed last, as far as this daemon knows.
+    pub(crate) changed: u64,
     /// Requests of this daemon that it is at work on.
     pub in_flight: u32,
     /// Tokens of these requests.
@@ -57,9 +59,10 @@
 }
 
 impl Server {
-    pub(crate) const fn new(replica: Replica, now: Time) -> Self {
+    pub(crate) const fn new(replica: Replica, changed: u64, now: Time) -> Self {
         Self {
             replica,
+            changed,
             in_flight: 0,
             tokens: 0,
             foreign: None,
--- a/crates/relay/tests/pool.rs
+++ b/crates/relay/tests/pool.rs
@@ -6,9 +6,11 @@
 use ident::Zone;
 use relay::pool::Belief;
 use relay::pool::Pool;
+use relay::replica::Delta;
 use relay::replica::Replica;
 use relay::replica::Snapshot;
 use relay::replica::Stage;
+use relay::replica::Update;
 use relay::score::Want;
 use relay::server::Key;
 
@@ -172,3 +174,89 @@
     };
     assert!(pool.choose(START, &decode, || 0.0).is_none());
 }
+
+fn told(reader: &Pool, since: u64) -> Delta {
+    match reader.update(after(5_000), since) {
+        Update::Changed(delta) => delta,
+        Update::All(_) => panic!("all are told"),
+    }
+}
+
+#[test]
+fn a_peer_is_told_what_changed() {
+    let mut reader = Pool::new();
+    reader.apply(START, &snapshot(3, &["one", "two"]));
+    reader.apply(after(500), &snapshot(5, &["two", "three"]));
+    let delta = told(&reader, 3);
+    let ids: Vec<&str> = delta.replicas.iter().map(|r| r.id.as_str()).collect();
+    assert_eq!((delta.since, delta.version), (3, 5));
+    assert_eq!(ids, ["three"]);
+    assert_eq!(delta.gone, ["one"]);
+    let mut asker = Pool::new();
+    asker.apply(START, &snapshot(3, &["one", "two"]));
+    asker.take(after(600), &Update::Changed(delta)).unwrap();
+    assert_eq!(asker.digest(), reader.digest());
+    assert_eq!(asker.version(), 5);
+    assert!(told(&reader, 5).replicas.is_empty());
+}
+
+#[test]
+fn a_peer_from_before_the_first_list_is_told_all() {
+    let mut reader = Pool::new();
+    reader.apply(START, &snapshot(3, &["one"]));
+    assert!(matches!(reader.update(START, 2), Update::All(_)));
+    assert!(matches!(reader.update(START, 0), Update::All(_)));
+}
+
+#[test]
+fn changes_of_a_version_that_is_not_reached_are_not_taken() {
+    let mut pool = Pool::new();
+    pool.apply(START, &snapshot(3, &["one"]));
+    let late = Delta {
+        since: 4,
+        version: 6,
+        gone: vec!["one".to_owned()],
+        ..Delta::default()
+    };
+    assert!(pool.apply_delta(after(100), &late).is_none());
+    let old = Delta {
+        since: 1,
+        version: 2,
+        ..late
+    };
+    assert!(pool.apply_delta(after(100), &old).is_none());
+    assert_eq!(chosen(&pool, after(200), &[]).unwrap(), "one");
+}
+
+/// Entries that lapsed with an outage come back within two seconds; with changes alone nobody lists
+/// the ones that did not.
+#[test]
+fn a_replica_that_lapsed_by_a_change_is_dropped_when_its_time_is_over() {
+    let mut pool = Pool::new();
+    pool.apply(START, &snapshot(3, &["one", "two"]));
+    pool.note_outage(after(1_000));
+    let lapsed = Delta {
+        since: 3,
+        version: 4,
+        gone: vec!["one".to_owned(), "two".to_owned()],
+        ..Delta::default()
+    };
+    pool.apply_delta(after(1_500), &lapsed).unwrap();
+    assert!(chosen(&pool, after(1_600), &[]).is_some());
+    let back = Delta {
+        since: 4,
+        version: 5,
+        replicas: vec![replica("two")],
+        ..Delta::default()
+    };
+    pool.apply_delta(after(2_000), &back).unwrap();
+    assert_eq!(chosen(&pool, after(3_500), &[]).unwrap(), "two");
+    let nothing = Delta {
+        since: 5,
+        version: 6,
+        ..Delta::default()
+    };
+    let changes = pool.apply_delta(after(3_500), &nothing).unwrap();
+    assert_eq!(changes[0].now, Belief::Gone);
+    assert_eq!(told(&pool, 5).gone, ["one"]);
+}
