--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod figure;
 pub mod network;
 pub mod rival;
+pub mod site;
 pub mod summary;
 pub mod workload;
 pub mod world;
--- /dev/null
+++ b/crates/lab/src/site/run.rs
@@ -0,0 +1,333 @@
+//! One run in virtual time.
+
+use std::cmp::Ordering;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use ident::Time;
+use ident::Zone;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use relay::pool::Pool;
+use relay::replica::Load;
+use relay::replica::Replica;
+use relay::replica::Snapshot;
+use relay::replica::Stage;
+use relay::score::Want;
+use relay::server::Key;
+
+use crate::site::engine::Engine;
+use crate::site::figures::Figures;
+use crate::site::setup::Choice;
+use crate::site::setup::Setup;
+
+/// Time for the first token, in milliseconds.
+const OBJECTIVE_MS: f64 = 900.0;
+/// The gateway's wait for a place, its pause between rounds and the replicas that it asks in one.
+const WAIT_MS: f64 = 0.22 * OBJECTIVE_MS;
+const ROUND_PAUSE_MS: f64 = 30.0;
+const ROUND: usize = 3;
+/// Way to a replica and back.
+const ROUND_TRIP_MS: f64 = 2.0;
+/// Mean time after which a refused caller comes back; it is spread by a quarter.
+const COME_BACK_MS: f64 = 3_500.0;
+/// Bytes of the KV cache a token, and of a link in a millisecond.
+const TOKEN_BYTES: f64 = 35_136.0;
+const LINK_BYTES_MS: f64 = 92_500_000.0;
+/// Time to set a transfer up.
+const TRANSFER_SETUP_MS: f64 = 2.5;
+/// Mean, spread (of the logarithm) and bound of prompt tokens and of events.
+const PROMPT: (f64, f64, f64) = (5_000.0, 0.5, 11_000.0);
+const EVENTS: (f64, f64, f64) = (70.0, 0.7, 170.0);
+/// Tokens in one event.
+const STRIDE: f64 = 6.0;
+/// Length of a cycle of load and of the burst in it.
+const CYCLE_MS: f64 = 11_000.0;
+const BURST_MS: f64 = 5_000.0;
+
+/// A request on its way.
+#[derive(Debug, Clone, Copy)]
+struct Job {
+    daemon: usize,
+    prompt: u64,
+    tokens: u64,
+    /// When its first attempt came.
+    first: f64,
+    /// When this attempt came.
+    came: f64,
+    came_back: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Arrives,
+    LooksForPlace(Job),
+    IsRead(Job, Key, Key, f64),
+    Ends(usize, Key, u64),
+}
+
+#[derive(Debug)]
+struct Event {
+    at: f64,
+    step: Step,
+}
+
+impl PartialEq for Event {
+    fn eq(&self, other: &Self) -> bool {
+        self.at.total_cmp(&other.at) == Ordering::Equal
+    }
+}
+
+impl Eq for Event {}
+
+impl PartialOrd for Event {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Event {
+    fn cmp(&self, other: &Self) -> Ordering {
+        other.at.total_cmp(&self.at)
+    }
+}
+
+/// The world of one run.
+#[derive(Debug)]
+struct World {
+    setup: Setup,
+    random: Pcg64Mcg,
+    events: BinaryHeap<Event>,
+    engines: Vec<Engine>,
+    pools: Vec<Pool>,
+    /// A pool that no daemon tells anything.
+    ignorant: Pool,
+    figures: Figures,
+}
+
+/// Plays `setup` with the random numbers of `seed`.
+pub fn run(setup: Setup, seed: u64) -> Figures {
+    let mut world = World::new(setup, seed);
+    world.push(0.0, Step::Arrives);
+    while let Some(Event { at, step }) = world.events.pop() {
+        match step {
+            Step::Arrives => world.arrive(at),
+            Step::LooksForPlace(job) => world.look_for_place(at, job),
+            Step::IsRead(job, prefill, decode, begun) => {
+                world.read(at, job, prefill, decode, begun)
+            }
+            Step::Ends(daemon, key, tokens) => world.end(daemon, key, tokens),
+        }
+    }
+    world.figures
+}
+
+impl World {
+    fn new(setup: Setup, seed: u64) -> Self {
+        let count = setup.prefill + setup.decode;
+        let replicas: Vec<Replica> = (0..count).map(|index| replica(index, &setup)).collect();
+        let list = Snapshot {
+            version: 1,
+            replicas,
+            lapsing: Vec::new(),
+        };
+        let pool = || {
+            let mut pool = Pool::new();
+            pool.set_memory("llm", setup.memory);
+            pool.apply(Time::ZERO, &list);
+            pool
+        };
+        let pools = (0..setup.daemons).map(|_| pool());
+        let slow = |index: usize| index == 0 || index == setup.prefill;
+        let engines = (0..count).map(|index| {
+            let slowness = if slow(index) { setup.slowness } else { 1.0 };
+            Engine::new(setup.memory, slowness)
+        });
+        Self {
+            setup,
+            random: Pcg64Mcg::seed_from_u64(seed),
+            events: BinaryHeap::new(),
+            engines: engines.collect(),
+            pools: pools.collect(),
+            ignorant: pool(),
+            figures: Figures::new(),
+        }
+    }
+
+    fn push(&mut self, at: f64, step: Step) {
+        self.events.push(Event { at, step });
+    }
+
+    fn arrive(&mut self, now: f64) {
+        if now > self.setup.length.as_secs_f64() * 1_000.0 {
+            return;
+        }
+        let prompt = self.size(PROMPT);
+        let output = self.size(EVENTS) * STRIDE;
+        let job = Job {
+            daemon: self.random.random_range(0..self.setup.daemons),
+            prompt: prompt as u64,
+            tokens: (prompt + output) as u64,
+            first: now,
+            came: now,
+            came_back: false,
+        };
+        self.figures.asked += 1;
+        self.push(now, Step::LooksForPlace(job));
+        let burst = now % CYCLE_MS > CYCLE_MS - BURST_MS;
+        let factor = if burst { self.setup.burst } else { 1.0 };
+        let gap = -self.random.random::<f64>().max(f64::MIN_POSITIVE).ln();
+        self.push(
+            now + gap * 1_000.0 / (self.setup.rate * factor),
+            Step::Arrives,
+        );
+    }
+
+    /// Draws a size with this mean, spread and bound.
+    fn size(&mut self, (mean, spread, most): (f64, f64, f64)) -> f64 {
+        // A sum of twelve even numbers is close to a normal one.
+        let normal = (0..12).map(|_| self.random.random::<f64>()).sum::<f64>() - 6.0;
+        let median = mean / (spread * spread / 2.0).exp();
+        (median * (spread * normal).exp()).clamp(1.0, most)
+    }
+
+    fn look_for_place(&mut self, now: f64, job: Job) {
+        let mut asked = Vec::new();
+        for _ in 0..ROUND {
+            let Some(key) = self.choose(now, job.daemon, Stage::Decode, &asked) else {
+                break;
+            };
+            asked.push(key);
+            let engine = self.engine(job.daemon, key);
+            if self.engines[engine].reserve(job.tokens) {
+                self.send_to_prefill(now + ROUND_TRIP_MS * asked.len() as f64, job, key);
+                return;
+            }
+            self.pools[job.daemon].full(time(now), key);
+        }
+        if now + ROUND_PAUSE_MS <= job.came + WAIT_MS {
+            self.push(now + ROUND_PAUSE_MS, Step::LooksForPlace(job));
+            return;
+        }
+        if job.came_back {
+            self.figures.refused += 1;
+            return;
+        }
+        let back = now + COME_BACK_MS * self.random.random_range(0.75..1.25);
+        let daemon = self.random.random_range(0..self.setup.daemons);
+        let job = Job {
+            daemon,
+            came: back,
+            came_back: true,
+            ..job
+        };
+        self.push(back, Step::LooksForPlace(job));
+    }
+
+    fn send_to_prefill(&mut self, now: f64, job: Job, decode: Key) {
+        self.pools[job.daemon].begin(decode, job.tokens);
+        let Some(prefill) = self.choose(now, job.daemon, Stage::Prefill, &[]) else {
+            return;
+        };
+        self.pools[job.daemon].begin(prefill, job.prompt);
+        let engine = self.engine(job.daemon, prefill);
+        let done = self.engines[engine].read(now, job.prompt) + ROUND_TRIP_MS;
+        self.push(done, Step::IsRead(job, prefill, decode, now));
+    }
+
+    fn read(&mut self, now: f64, job: Job, prefill: Key, decode: Key, begun: f64) {
+        let engine = self.engine(job.daemon, prefill);
+        self.engines[engine].was_read();
+        let took = Duration::from_secs_f64((now - begun) / 1_000.0);
+        let running = self.engines[engine].running();
+        let pool = &mut self.pools[job.daemon];
+        pool.end(prefill, job.prompt);
+        pool.told(time(now), prefill, load(running));
+        pool.note_read(time(now), prefill, took);
+        pool.note_pace(time(now), prefill, took, job.prompt as f64);
+        self.figures.read.saturating_record((now - begun) as u64);
+        let transfer = TRANSFER_SETUP_MS + job.prompt as f64 * TOKEN_BYTES / LINK_BYTES_MS;
+        let engine = self.engine(job.daemon, decode);
+        let step = self.engines[engine].step();
+        let first = now + ROUND_TRIP_MS + transfer + step;
+        let head = Duration::from_secs_f64((first - now) / 1_000.0);
+        self.pools[job.daemon].note_pace(time(first), decode, head, 1.0);
+        let waited = first - job.first;
+        self.figures.first.saturating_record(waited as u64);
+        if waited <= OBJECTIVE_MS {
+            self.figures.in_time += 1;
+        } else {
+            self.figures.late += 1;
+        }
+        let output = (job.tokens - job.prompt) as f64;
+        let end = Step::Ends(job.daemon, decode, job.tokens);
+        self.push(first + output * step, end);
+    }
+
+    fn end(&mut self, daemon: usize, key: Key, tokens: u64) {
+        let engine = self.engine(daemon, key);
+        self.engines[engine].release(tokens);
+        self.pools[daemon].end(key, tokens);
+    }
+
+    fn choose(&mut self, now: f64, daemon: usize, stage: Stage, tried: &[Key]) -> Option<Key> {
+        let want = Want {
+            service: "llm",
+            stage: Some(stage),
+            tried,
+            near: Zone::new("here"),
+        };
+        let draws: Vec<f64> = (0..self.engines.len())
+            .map(|_| self.random.random())
+            .collect();
+        let next = std::cell::Cell::new(0);
+        let draw = || {
+            let at = next.replace(next.get() + 1);
+            draws[at % draws.len()]
+        };
+        match self.setup.choice {
+            Choice::Score => self.pools[daemon].choose(time(now), &want, draw),
+            Choice::Chance => {
+                // A pool that knows nothing chooses by its draws alone; its keys are the same.
+                self.ignorant.choose(time(now), &want, draw)
+            }
+        }
+    }
+
+    /// Index of the engine behind `key`; ids are indices.
+    fn engine(&self, daemon: usize, key: Key) -> usize {
+        let server = self.pools[daemon].get(key);
+        let id = server.map_or("0", |server| &server.replica.id);
+        id.parse().unwrap_or_default()
+    }
+}
+
+const fn load(running: u32) -> Load {
+    Load {
+        running,
+        waiting: 0,
+    }
+}
+
+fn time(ms: f64) -> Time {
+    Time::from_millis(ms as u64)
+}
+
+fn replica(index: usize, setup: &Setup) -> Replica {
+    let stage = if index < setup.prefill {
+        Stage::Prefill
+    } else {
+        Stage::Decode
+    };
+    Replica {
+        id: index.to_string(),
+        service: "llm".to_owned(),
+        address: std::net::SocketAddr::from(([127, 0, 0, 1], 1)),
+        data_centre: Zone::new("here"),
+        stage: Some(stage),
+        slots: 64,
+        draining: false,
+        cold: false,
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/site.rs
@@ -0,0 +1,60 @@
+//! The emulated fleet of the users' platform.
+
+use std::time::Duration;
+
+use lab::site::figures::Figures;
+use lab::site::run;
+use lab::site::setup::Choice;
+use lab::site::setup::Setup;
+use rstest::rstest;
+
+const SLOWNESS: f64 = 4.0;
+
+fn short(setup: Setup) -> Setup {
+    Setup {
+        length: Duration::from_secs(11),
+        ..setup
+    }
+}
+
+fn played(setup: Setup, seed: u64) -> Figures {
+    run::run(short(setup), seed)
+}
+
+#[rstest]
+#[case(Setup::krmiva(6, 24))]
+#[case(Setup::krmiva(67, 47))]
+#[case(Setup::qureshi(8, 12).with_choice(Choice::Chance))]
+#[case(Setup::qureshi(8, 12).with_slowness(SLOWNESS))]
+fn every_request_ends_once(#[case] setup: Setup) {
+    let figures = played(setup, 1);
+    assert!(figures.asked > 500);
+    let ended = figures.in_time + figures.late + figures.refused;
+    assert_eq!(ended, figures.asked);
+}
+
+#[test]
+fn equal_seeds_give_equal_runs_and_others_do_not() {
+    let setup = Setup::qureshi(8, 12);
+    let rows = [1, 1, 2].map(|seed| played(setup, seed).row());
+    assert_eq!(rows[0], rows[1]);
+    assert_ne!(rows[0], rows[2]);
+}
+
+#[test]
+fn an_idle_fleet_serves_all_in_time() {
+    let idle = Setup {
+        rate: 5.0,
+        ..Setup::krmiva(6, 24)
+    };
+    let figures = played(idle, 1);
+    assert_eq!(figures.in_time, figures.asked);
+}
+
+#[test]
+fn a_slow_replica_is_left_where_replicas_are_chosen_by_score() {
+    let slow = Setup::qureshi(8, 12).with_slowness(SLOWNESS);
+    let score = played(slow, 1);
+    let chance = played(slow.with_choice(Choice::Chance), 1);
+    assert!(score.in_time_share() > chance.in_time_share());
+}
