--- a/crates/bench/src/world/kind.rs
+++ b/crates/bench/src/world/kind.rs
@@ -73,7 +73,7 @@
             Event::Inspected { .. } => Self::Inspect,
             Event::Listed(_) => Self::List,
             Event::Stored { .. } | Event::Edited { .. } => Self::Store,
-            Event::Tick | Event::Unreachable { .. } | Event::Stop => Self::Timer,
+            Event::Tick | Event::Stop => Self::Timer,
             _ => Self::Caller,
         }
     }
--- a/crates/entry/src/peers/link.rs
+++ b/crates/entry/src/peers/link.rs
@@ -12,7 +12,6 @@
 use h2::client::ResponseFuture;
 use http::Request;
 use ident::Instance;
-use node::event::Event;
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
@@ -52,7 +51,6 @@
             End::Unreachable(error) => {
                 report(&shared, to, &error);
                 shared.metrics.frames_dropped(queue.clear());
-                shared.inbox.event(Event::Unreachable { peer: to }).await;
                 backoff = (backoff * 2).min(MAX_BACKOFF);
             }
         }
--- a/crates/lab/src/site/run.rs
+++ b/crates/lab/src/site/run.rs
@@ -115,7 +115,7 @@
             Step::Arrives => world.arrive(at),
             Step::LooksForPlace(job) => world.look_for_place(at, job),
             Step::IsRead(job, prefill, decode, begun) => {
-                world.read(at, job, prefill, decode, begun)
+                world.read(at, job, prefill, decode, begun);
             }
             Step::Ends(daemon, key, tokens) => world.end(daemon, key, tokens),
         }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -1,7 +1,6 @@
 //! What happens to a daemon: the input of [`crate::Node::step`].
 
 use bytes::Bytes;
-use ident::Instance;
 use ident::Replica;
 use route::replica::Report;
 use table::Table;
@@ -70,11 +69,6 @@
     },
     /// A peer's frame.
     Frame(Box<Frame>),
-    /// A peer could not be reached with a frame.
-    Unreachable {
-        /// The peer.
-        peer: Instance,
-    },
     /// The platform's list of instances and replicas.
     Listed(List),
     /// A copy of the platform's list in its own form, kept for peers that cannot read it.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -104,7 +104,7 @@
             Event::Failed { order, failure } => self.failed(order, failure, out),
             Event::Inspected { replica, state } => self.inspected(replica, state, out),
             Event::Frame(frame) => self.frame(*frame, out),
-            Event::Unreachable { .. } | Event::Tick => (),
+            Event::Tick => (),
             Event::ListCopy(copy) => self.replicas.list_copy = Some(copy),
             Event::Listed(list) => self.listed(list, out),
             Event::Stored { query, outcome } => self.stored(query, outcome, out),
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -10,6 +10,9 @@
 /// leave callers without another address when it fails.
 const ENOUGH: usize = 2;
 
+/// Large instances of the caller's data centre from which on no large ones of others are told. All of
+/// two may fail together, and the small ones that were left out would have served meanwhile.
+const LARGE_ENOUGH: usize = 4;
 /// Part of the largest instance's capacity from which on an instance is large. The fewer instances
 /// take requests, the more each of them knows of the replicas' load from its own requests.
 const LARGE: f64 = 0.5;
@@ -42,10 +45,13 @@
         .filter(|entry| near == Some(entry.data_centre));
     let own: Vec<Entry> = own.copied().collect();
     let large = match breadth {
-        Breadth::Large => large(&own),
+        Breadth::Large => large(&own, &own),
         Breadth::All => Vec::new(),
     };
     let told = match (large.len(), own.len()) {
+        (count, all) if count >= ENOUGH && count < all.min(LARGE_ENOUGH) => {
+            self::large(entries, &own)
+        }
         (count, _) if count >= ENOUGH => large,
         (_, count) if count >= ENOUGH => own,
         _ => entries.to_vec(),
@@ -54,9 +60,9 @@
     told.map(|entry| entry.address).collect()
 }
 
-/// Those that have at least [`LARGE`] of the largest one's capacity.
-fn large(entries: &[Entry]) -> Vec<Entry> {
-    let largest = entries.iter().map(|entry| entry.capacity).max();
+/// Those of `entries` that have at least [`LARGE`] of the capacity of the largest one in `own`.
+fn large(entries: &[Entry], own: &[Entry]) -> Vec<Entry> {
+    let largest = own.iter().map(|entry| entry.capacity).max();
     let least = f64::from(largest.unwrap_or_default()) * LARGE;
     let large = entries
         .iter()
