A target between tokens that no batch meets limits no batch

Cause of requests refused as doomed with a thousand slots free: engines took 100 ms a token in any batch, the default target is 50 ms. The fitted line gave a largest batch below one, taken as one, so every decode replica was given a single request at a time. Ruled out: ceilings, prefill (8 free replicas) and shares: the same test with a target of 200 ms places all. Change: where a request misses its target alone as well, the target limits nothing.

--- a/crates/route/src/token.rs
+++ b/crates/route/src/token.rs
@@ -45,11 +45,16 @@
         (time + slope * (batch - mean)).max(0.0)
     }
 
-    /// The largest batch that keeps `target` seconds between tokens, at most `slots`.
+    /// The largest batch that keeps `target` seconds between tokens, at most `slots`. A target that a
+    /// request misses alone as well limits nothing: small batches would leave slots free and serve
+    /// nobody better.
     pub fn limit(&self, target: f64, slots: u32) -> u32 {
         let Some((mean, time, slope)) = self.line() else {
             return slots;
         };
+        if self.time(1.0) > target {
+            return slots;
+        }
         let most = mean + (target * MARGIN - time) / slope;
         (most.max(1.0) as u32).min(slots)
     }
