One page for operators and on-call engineers; pages follow the code

OPERATORS.md and OPERATIONS.md told logs and metrics twice in two places; the page of commands that a test runs is part of OPERATIONS.md now. The test of the page passes at its new place.

--- a/crates/scenario/tests/operators.rs
+++ b/crates/scenario/tests/operators.rs
@@ -7,7 +7,7 @@
 
 use scenario::demo;
 
-const PAGE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/OPERATORS.md");
+const PAGE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/OPERATIONS.md");
 const DOCS: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs");
 
 /// The contents of all blocks marked `sh`.
