--- /dev/null
+++ b/crates/gateway/src/shared/choice.rs
@@ -0,0 +1,92 @@
+//! Choosing replicas, and what is learnt of them.
+
+use std::time::Duration;
+
+use ident::Zone;
+use relay::score::Want;
+use relay::server::Key;
+
+use crate::shared::Shared;
+
+/// Time of a decode replica for an answer until one was seen: some hundred tokens of 8 ms.
+const ANSWER_LENGTH: Duration = Duration::from_secs(3);
+/// Weight of the newest answer in the mean.
+const LENGTH_STEP: f64 = 0.1;
+
+impl Shared {
+    /// The replica to send a request to, and marks it as at work on it.
+    pub fn choose(
+        &self,
+        service: &str,
+        stage: Option<relay::replica::Stage>,
+        tried: &[Key],
+    ) -> Option<Key> {
+        self.choose_near(service, stage, tried, self.near)
+    }
+
+    /// The same, preferring replicas of the data centre `near`.
+    pub fn choose_near(
+        &self,
+        service: &str,
+        stage: Option<relay::replica::Stage>,
+        tried: &[Key],
+        near: Zone,
+    ) -> Option<Key> {
+        let want = Want {
+            service,
+            stage,
+            tried,
+            near,
+        };
+        let pool = self.pool.borrow();
+        pool.choose(self.clock.now(), &want, rand::random)
+    }
+
+    /// The data centre of `key`; this daemon's own if the replica is gone.
+    pub fn data_centre_of(&self, key: Key) -> Zone {
+        let pool = self.pool.borrow();
+        pool.get(key)
+            .map_or(self.near, |server| server.replica.data_centre)
+    }
+
+    /// Part of the prompts that decode replicas are to read, since `key` is slow or fails.
+    pub fn own_reads(&self, key: Key, objective: Duration) -> f64 {
+        let pool = self.pool.borrow();
+        pool.own_reads(self.clock.now(), key, objective)
+    }
+
+    /// Notes that `key` took `took` to read a prompt.
+    pub fn note_read(&self, key: Key, took: Duration) {
+        let now = self.clock.now();
+        self.pool.borrow_mut().note_read(now, key, took);
+    }
+
+    /// Notes that `key` took `took` for `units` of work.
+    pub fn note_pace(&self, key: Key, took: Duration, units: f64) {
+        let now = self.clock.now();
+        self.pool.borrow_mut().note_pace(now, key, took, units);
+    }
+
+    /// Notes how long a decode replica was at work on an answer of `service`.
+    pub fn note_answer(&self, service: &str, took: Duration) {
+        let mut lengths = self.lengths.borrow_mut();
+        let mean = lengths.entry(service.to_owned()).or_insert(ANSWER_LENGTH);
+        *mean = mean.mul_f64(1.0 - LENGTH_STEP) + took.mul_f64(LENGTH_STEP);
+    }
+
+    /// When a caller of `service` may come back that found no room: about when the answers that
+    /// are being made have ended, spread so that callers do not come back together.
+    pub fn come_back(&self, service: &str) -> Duration {
+        let lengths = self.lengths.borrow();
+        let mean = lengths.get(service).copied().unwrap_or(ANSWER_LENGTH);
+        mean.mul_f64(rand::random_range(0.75..1.25))
+    }
+
+    /// Closes the idle connections to `key`, which had no answer in time.
+    pub fn forget_links(&self, key: Key) {
+        let address = self.pool.borrow().get(key).map(|s| s.replica.address);
+        if let Some(address) = address {
+            self.links.forget(address);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/shared/knowledge.rs
@@ -0,0 +1,133 @@
+//! Plan, replicas and store: what this daemon knows and how old it is.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use relay::plan::Plan;
+use relay::replica::Update;
+
+use crate::news::News;
+use crate::shared::Shared;
+use crate::store;
+
+impl Shared {
+    /// The plan in force.
+    pub fn plan(&self) -> Option<Rc<Plan>> {
+        self.plan.borrow().clone()
+    }
+
+    /// Version of the plan in force; 0 if there is none.
+    pub fn plan_version(&self) -> u64 {
+        self.plan.borrow().as_ref().map_or(0, |plan| plan.version)
+    }
+
+    /// Version of the store at which the replicas stand.
+    pub fn replicas_version(&self) -> u64 {
+        self.pool.borrow().version()
+    }
+
+    /// Puts `plan` in force, unless one as new is; `source` is where it came from.
+    pub fn take_plan(&self, source: &'static str, plan: Plan) {
+        let before = self.plan_version();
+        if plan.version <= before {
+            return;
+        }
+        log::info!(kind = "plan", version = plan.version, before = before, source = source, routes = plan.routes.len() as u64; "a plan is in force");
+        for (name, service) in &plan.services {
+            if let Some(engine) = service.engine {
+                self.pool
+                    .borrow_mut()
+                    .set_memory(name, engine.memory_tokens);
+            }
+        }
+        self.metrics.plan_version.set(plan.version);
+        *self.plan.borrow_mut() = Some(Rc::new(plan));
+    }
+
+    /// Takes news of the replicas.
+    pub fn take_replicas(&self, source: &'static str, update: &Update) {
+        let version = update.version();
+        let changes = self.pool.borrow_mut().take(self.clock.now(), update);
+        let Some(changes) = changes else {
+            log::info!(kind = "replicas", version = version, source = source; "older news of the replicas are ignored");
+            return;
+        };
+        self.replicas_heard.set(self.clock.now());
+        for change in changes {
+            log::info!(kind = "replica", replica = change.id, belief = format!("{:?}", change.now), version = version, source = source; "a replica changed");
+        }
+    }
+
+    /// What changed of the replicas after `version`, if anything did.
+    pub fn newer_replicas(&self, version: u64) -> Option<Update> {
+        let pool = self.pool.borrow();
+        (pool.version() > version).then(|| pool.update(self.clock.now(), version))
+    }
+
+    /// Notes that the replicas are the same as those that a peer has from `version`, which was read
+    /// `age` ago.
+    pub fn confirm_replicas(&self, version: u64, age: Duration) {
+        self.pool.borrow_mut().confirm(version);
+        let read = self.clock.now() - age;
+        self.replicas_heard.set(self.replicas_heard.get().max(read));
+        self.store_heard.set(self.store_heard.get().max(read));
+    }
+
+    /// Time since the replicas were up to date.
+    pub fn replicas_age(&self) -> Duration {
+        self.clock.now().since(self.replicas_heard.get())
+    }
+
+    /// The news for a daemon whose replicas have the hash `digest`.
+    pub fn news(&self, digest: u64) -> News {
+        let pool = self.pool.borrow();
+        News::new(
+            self.plan_version(),
+            pool.version(),
+            pool.digest() == digest,
+            self.replicas_age(),
+            self.store_lost.get(),
+            self.strain.borrow().is_near(self.clock.now()),
+        )
+    }
+
+    /// Notes that the replicas could not be read.
+    pub fn note_outage(&self) {
+        self.pool.borrow_mut().note_outage(self.clock.now());
+    }
+
+    /// Notes that the store answered.
+    pub fn store_answered(&self, step: &'static str) {
+        self.store_heard.set(self.clock.now());
+        if self.store_lost.replace(false) {
+            log::info!(kind = "store", step = step; "the store answers again");
+        }
+    }
+
+    /// Notes that a call of the store failed.
+    pub fn store_failed(&self, step: &'static str, error: &store::Error) {
+        self.metrics.store_failures.inc();
+        if !self.store_lost.replace(true) {
+            log::warn!(kind = "store", step = step, cause = error.to_string(); "the store does not answer");
+        }
+    }
+
+    /// Time since the store last answered.
+    pub fn store_silence(&self) -> Duration {
+        self.clock.now().since(self.store_heard.get())
+    }
+
+    /// Begins to ask a peer for plan `version`; `false` if that is being done.
+    pub fn begin_asking(&self, version: u64) -> bool {
+        if self.asking.get() >= version {
+            return false;
+        }
+        self.asking.set(version);
+        true
+    }
+
+    /// Ends it.
+    pub fn end_asking(&self) {
+        self.asking.set(0);
+    }
+}
--- /dev/null
+++ b/crates/relay/src/belief.rs
@@ -0,0 +1,23 @@
+//! What this daemon believes of replicas.
+
+/// A change of what this daemon believes of a replica.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Change {
+    /// Id of the replica.
+    pub id: String,
+    /// What it is now.
+    pub now: Belief,
+}
+
+/// What this daemon believes of a replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Belief {
+    /// It may be sent requests.
+    Ready,
+    /// It takes nothing new.
+    Draining,
+    /// The list lacks it after an outage; it is used until that is settled.
+    Lapsed,
+    /// It is gone.
+    Gone,
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,9 +15,11 @@
 
 pub mod attempt;
 pub mod balance;
+pub mod belief;
 pub mod budget;
 pub mod directory;
 pub mod event;
+mod gone;
 pub mod plan;
 pub mod pool;
 pub mod replica;
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -1,9 +1,9 @@
 //! What this daemon knows of the replicas, and which one is to serve a request.
 
+mod list;
+
 use std::cell::Cell;
 use std::collections::HashMap;
-use std::collections::HashSet;
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use ident::Time;
@@ -11,23 +11,15 @@
 use slotmap::SlotMap;
 
 use crate::balance::Counts;
-use crate::replica::Delta;
-use crate::replica::Lapsing;
+use crate::gone::Gone;
 use crate::replica::Load;
 use crate::replica::Replica;
-use crate::replica::Snapshot;
 use crate::replica::Stage;
-use crate::replica::Update;
 use crate::score;
 use crate::score::Want;
 use crate::server::Key;
 use crate::server::Server;
 
-/// How long after an outage of the list a replica that vanished from it is still used: entries that
-/// lapsed meanwhile are back within two seconds, and one that left may get nothing after that.
-const LAPSE_GRACE: Duration = Duration::from_millis(1_900);
-/// Replicas no longer listed that are remembered for peers; a fleet of 930 replaces some hundred a day.
-const MAX_GONE: usize = 2_000;
 /// Part of the objective up to which reads may last without any being left to decode replicas. An
 /// unloaded replica takes a quarter of it.
 const SLOW_FROM: f64 = 0.4;
@@ -35,27 +27,6 @@
 const SLOW_TO: f64 = 0.7;
 /// Most that is left to decode replicas; the rest tells when it is better again.
 const MAX_OWN_READS: f64 = 0.85;
-/// A change of what this daemon believes of a replica.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Change {
-    /// Id of the replica.
-    pub id: String,
-    /// What it is now.
-    pub now: Belief,
-}
-
-/// What this daemon believes of a replica.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Belief {
-    /// It may be sent requests.
-    Ready,
-    /// It takes nothing new.
-    Draining,
-    /// The list lacks it after an outage; it is used until that is settled.
-    Lapsed,
-    /// It is gone.
-    Gone,
-}
 
 /// All replicas that this daemon knows.
 #[derive(Debug, Default)]
@@ -70,25 +41,6 @@
     gone: Gone,
 }
 
-/// Replicas that are no longer listed, so that peers can be told of changes alone.
-#[derive(Debug, Default)]
-struct Gone {
-    /// Ids with the version at which they were missing, in order.
-    ids: VecDeque<(u64, String)>,
-    /// The version from which on `ids` is complete.
-    since: u64,
-}
-
-impl Gone {
-    fn push(&mut self, version: u64, id: &str) {
-        self.ids.push_back((version, id.to_owned()));
-        if self.ids.len() > MAX_GONE {
-            let dropped = self.ids.pop_front();
-            self.since = dropped.map_or(self.since, |(version, _)| version);
-        }
-    }
-}
-
 impl Pool {
     /// An empty pool.
     pub fn new() -> Self {
@@ -132,44 +84,6 @@
         listed.map(|server| &server.replica)
     }
 
-    /// What a peer is told whose list is of the version `since`: what changed, if that is known.
-    pub fn update(&self, now: Time, since: u64) -> Update {
-        if since < self.gone.since {
-            return Update::All(self.snapshot(now));
-        }
-        let servers = self.servers.values();
-        let changed = servers.filter(|server| server.changed > since && server.lapses.is_none());
-        let gone = self.gone.ids.iter().filter(|(version, _)| *version > since);
-        Update::Changed(Delta {
-            since,
-            version: self.version,
-            replicas: changed.map(|server| server.replica.clone()).collect(),
-            gone: gone.map(|(_, id)| id.clone()).collect(),
-            lapsing: self.lapsing(now),
-        })
-    }
-
-    /// All replicas, for a peer that has none.
-    pub fn snapshot(&self, now: Time) -> Snapshot {
-        Snapshot {
-            version: self.version,
-            replicas: self.replicas().cloned().collect(),
-            lapsing: self.lapsing(now),
-        }
-    }
-
-    fn lapsing(&self, now: Time) -> Vec<Lapsing> {
-        let servers = self.servers.values();
-        let lapsing = servers.filter_map(|server| {
-            let until = server.lapses.filter(|until| now < *until)?;
-            Some(Lapsing {
-                replica: server.replica.clone(),
-                left: until.since(now),
-            })
-        });
-        lapsing.collect()
-    }
-
     /// Replicas of `service` that take requests, by stage.
     pub fn counts(&self, now: Time, service: &str) -> Counts {
         let count = |stage| {
@@ -202,60 +116,6 @@
         self.memory.insert(service.to_owned(), tokens);
     }
 
-    /// Takes news; `None` if they are older than what was taken before, or change a version that is
-    /// not reached yet.
-    pub fn take(&mut self, now: Time, update: &Update) -> Option<Vec<Change>> {
-        match update {
-            Update::All(snapshot) => self.apply(now, snapshot),
-            Update::Changed(delta) => self.apply_delta(now, delta),
-        }
-    }
-
-    /// Takes a list; one that is older than a list taken before is ignored (`None`).
-    pub fn apply(&mut self, now: Time, snapshot: &Snapshot) -> Option<Vec<Change>> {
-        if snapshot.version < self.version {
-            return None;
-        }
-        if self.servers.is_empty() {
-            self.gone.since = snapshot.version;
-        }
-        self.reach(snapshot.version);
-        let mut changes = Vec::new();
-        for replica in &snapshot.replicas {
-            self.list(now, replica, &mut changes);
-        }
-        for lapsing in &snapshot.lapsing {
-            self.lapse(now, lapsing, &mut changes);
-        }
-        let listed: HashSet<&str> = snapshot.replicas.iter().map(|r| r.id.as_str()).collect();
-        self.drop_where(now, |id| !listed.contains(id), &mut changes);
-        Some(changes)
-    }
-
-    /// Takes changes; `None` if they are older than what was taken before, or change a version that is
-    /// not reached yet.
-    pub fn apply_delta(&mut self, now: Time, delta: &Delta) -> Option<Vec<Change>> {
-        if delta.version < self.version || delta.since > self.version {
-            return None;
-        }
-        self.reach(delta.version);
-        let mut changes = Vec::new();
-        for replica in &delta.replicas {
-            self.list(now, replica, &mut changes);
-        }
-        for lapsing in &delta.lapsing {
-            self.lapse(now, lapsing, &mut changes);
-        }
-        let gone: HashSet<&str> = delta.gone.iter().map(String::as_str).collect();
-        self.drop_where(now, |id| gone.contains(id), &mut changes);
-        Some(changes)
-    }
-
-    fn reach(&mut self, version: u64) {
-        self.version = version;
-        self.digest.set(None);
-    }
-
     /// Notes that another replica answered at the address of `key`.
     pub fn replaced(&mut self, key: Key) {
         if let Some(server) = self.servers.get_mut(key) {
@@ -337,90 +197,4 @@
         let memory = self.memory.get(want.service).copied();
         score::best(now, want, &fitting, memory, draw)
     }
-
-    fn list(&mut self, now: Time, replica: &Replica, changes: &mut Vec<Change>) {
-        let belief = if replica.draining {
-            Belief::Draining
-        } else {
-            Belief::Ready
-        };
-        match self.by_id.get(&replica.id).copied() {
-            Some(key) => {
-                let server = &mut self.servers[key];
-                let same = server.replica.draining == replica.draining && server.lapses.is_none();
-                if server.replica != *replica || server.lapses.is_some() {
-                    server.changed = self.version;
-                }
-                server.replica = replica.clone();
-                server.lapses = None;
-                if same {
-                    return;
-                }
-            }
-            None => {
-                let server = Server::new(replica.clone(), self.version, now);
-                let key = self.servers.insert(server);
-                self.by_id.insert(replica.id.clone(), key);
-            }
-        }
-        changes.push(Change {
-            id: replica.id.clone(),
-            now: belief,
-        });
-    }
-
-    /// Takes over from a peer that a replica is lapsing.
-    fn lapse(&mut self, now: Time, lapsing: &Lapsing, changes: &mut Vec<Change>) {
-        let id = &lapsing.replica.id;
-        let key = match self.by_id.get(id) {
-            Some(key) => *key,
-            None => {
-                let server = Server::new(lapsing.replica.clone(), self.version, now);
-                let key = self.servers.insert(server);
-                self.by_id.insert(id.clone(), key);
-                key
-            }
-        };
-        let server = &mut self.servers[key];
-        if server.lapses.is_none() {
-            server.lapses = Some(now + lapsing.left);
-            changes.push(Change {
-                id: id.clone(),
-                now: Belief::Lapsed,
-            });
-        }
-    }
-
-    /// Drops the replicas that are `missing` from the list; after an outage they are used a while
-    /// longer, and those are dropped whose time is over.
-    fn drop_where(&mut self, now: Time, missing: impl Fn(&str) -> bool, changes: &mut Vec<Change>) {
-        let outage = self.outage.map(|outage| outage + LAPSE_GRACE);
-        let returns_until = outage.filter(|until| now < *until);
-        let mut gone = Vec::new();
-        for (key, server) in &mut self.servers {
-            let id = server.replica.id.as_str();
-            match (server.lapses, returns_until) {
-                (Some(until), _) if now < until => {}
-                (None, _) if !missing(id) => {}
-                (None, Some(until)) if !server.replica.draining => {
-                    server.lapses = Some(until);
-                    changes.push(Change {
-                        id: id.to_owned(),
-                        now: Belief::Lapsed,
-                    });
-                }
-                _ => gone.push(key),
-            }
-        }
-        for key in gone {
-            if let Some(server) = self.servers.remove(key) {
-                self.by_id.remove(&server.replica.id);
-                self.gone.push(self.version, &server.replica.id);
-                changes.push(Change {
-                    id: server.replica.id,
-                    now: Belief::Gone,
-                });
-            }
-        }
-    }
 }
--- a/crates/relay/tests/pool.rs
+++ b/crates/relay/tests/pool.rs
@@ -4,7 +4,7 @@
 
 use ident::Time;
 use ident::Zone;
-use relay::pool::Belief;
+use relay::belief::Belief;
 use relay::pool::Pool;
 use relay::replica::Delta;
 use relay::replica::Replica;
