Leave a silent replica only with its retry in hand

Cause, found on reading: whether a retry was left was asked before the wait and taken after the first send was broken off; a retry that another request took meanwhile ended the call with 502 though its replica might still have answered. Change: the retry is taken at the moment of leaving, and without one the same send is waited for. Test: no retry left, the call waits for its route's time at one replica.

--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -56,37 +56,25 @@
         };
         tried.push(key);
         attempt.sent();
-        let until = patience(shared, &job, &attempt, &tried);
-        let outcome = match timeout_at(until, exchange(shared, &job, key)).await {
-            Err(_) if Instant::now() < job.deadline => {
-                shared.forget_links(key);
-                let cause = "no answer for too long";
-                send::note(shared, &job, key, Outcome::Lost, cause, 0);
-                Outcome::Lost
-            }
-            Err(_) => {
-                send::note(shared, &job, key, Outcome::Lost, "no answer in time", 0);
+        let may_leave = attempt.may_move_on();
+        let next = match send_to(shared, &job, key, may_leave, &tried).await {
+            Sent::Overdue => {
                 return finish(&mut job, "overdue", own::overdue, "no answer in time");
             }
-            Ok(Ok(answer)) if is_failure(&job, &answer) => {
-                send::note(
-                    shared,
-                    &job,
-                    key,
-                    Outcome::Failed,
-                    "its own failure",
-                    answer.status.as_u16(),
-                );
+            Sent::Left => attempt.after(Outcome::Lost, || true),
+            Sent::Answered(answer) if is_failure(&job, &answer) => {
+                let (cause, status) = ("its own failure", answer.status.as_u16());
+                send::note(shared, &job, key, Outcome::Failed, cause, status);
                 failure = Some(answer);
-                Outcome::Failed
+                after(shared, &job, &mut attempt, Outcome::Failed)
             }
-            Ok(Ok(answer)) => {
+            Sent::Answered(answer) => {
                 send::note_success(shared, key);
                 return relay(shared, &mut job, answer);
             }
-            Ok(Err(outcome)) => outcome,
+            Sent::Failed(outcome) => after(shared, &job, &mut attempt, outcome),
         };
-        match attempt.after(outcome, || shared.take_retry(&job.service, &job.call.id)) {
+        match next {
             Next::Retry => {}
             Next::Relay | Next::Unknown | Next::Refuse => {
                 return without_replica(&mut job, &attempt, failure);
@@ -95,18 +83,58 @@
     }
 }
 
-/// Until when a replica may stay silent: until the deadline, unless another one can take the request
-/// and may.
-fn patience(shared: &Shared, job: &Job, attempt: &Attempt, tried: &[Key]) -> Instant {
-    let may_move_on = attempt.may_move_on()
-        && shared.has_retry(&job.service)
-        && shared.choose(&job.service, None, tried).is_some();
+fn after(shared: &Shared, job: &Job, attempt: &mut Attempt, outcome: Outcome) -> Next {
+    attempt.after(outcome, || shared.take_retry(&job.service, &job.call.id))
+}
+
+/// How one send ended.
+enum Sent {
+    /// With a whole answer.
+    Answered(Answer),
+    /// Without one.
+    Failed(Outcome),
+    /// The replica was silent for too long and is left for another one; the retry is taken.
+    Left,
+    /// Time is up.
+    Overdue,
+}
+
+/// Sends `job` to `key`; leaves it if it is silent, another replica than those `tried` can take the
+/// request, and a retry is left. Without all of these, waiting is the best there is.
+async fn send_to(shared: &Rc<Shared>, job: &Job, key: Key, may_leave: bool, tried: &[Key]) -> Sent {
+    let mut exchange = std::pin::pin!(exchange(shared, job, key));
     let silence = Instant::now() + job.route.objective.mul_f64(SILENCE);
-    if may_move_on {
+    let first = if may_leave {
         silence.min(job.deadline)
     } else {
         job.deadline
+    };
+    let ended = match timeout_at(first, &mut exchange).await {
+        Err(_) if leaves(shared, job, key, tried) => return Sent::Left,
+        Err(_) => timeout_at(job.deadline, exchange).await,
+        ended => ended,
+    };
+    match ended {
+        Ok(Ok(answer)) => Sent::Answered(answer),
+        Ok(Err(outcome)) => Sent::Failed(outcome),
+        Err(_) => {
+            send::note(shared, job, key, Outcome::Lost, "no answer in time", 0);
+            Sent::Overdue
+        }
+    }
+}
+
+/// Whether the silent replica `key` is left; takes the retry that this needs.
+fn leaves(shared: &Shared, job: &Job, key: Key, tried: &[Key]) -> bool {
+    let leaves = Instant::now() < job.deadline
+        && shared.choose(&job.service, None, tried).is_some()
+        && shared.take_retry(&job.service, &job.call.id);
+    if leaves {
+        shared.forget_links(key);
+        let cause = "no answer for too long";
+        send::note(shared, job, key, Outcome::Lost, cause, 0);
     }
+    leaves
 }
 
 /// The replica to send to next; waits for one for a short part of the objective if nothing was
--- a/crates/gateway/tests/gateway/plain.rs
+++ b/crates/gateway/tests/gateway/plain.rs
@@ -251,3 +251,17 @@
     assert_eq!(site.ask("POST /book/1", "a1").status(), 504);
     assert_eq!(silent.seen().len() + other.seen().len(), 1);
 }
+
+/// Broken off for a retry that is not granted, a call would end sooner and no better.
+#[test]
+fn a_silent_replica_is_kept_where_no_retry_is_left() {
+    let silent = Replica::start("i-1", |_| Act::SendAndHang(Vec::new()));
+    let other = Replica::start("i-2", |_| Act::SendAndHang(Vec::new()));
+    let site = Site::start(
+        "silent-budget",
+        &[(&silent, "app", ""), (&other, "app", "")],
+    );
+    site.change_settings("ratio: 0.2, slack: 50", "ratio: 0, slack: 0");
+    assert_eq!(site.ask("GET /read/1", "a1").status(), 504);
+    assert_eq!(silent.seen().len() + other.seen().len(), 1);
+}
