Give each test daemon a settings file of its own

Cause of a test that waited in vain once (a_silent_replica_is_kept_where_there_is_no_other): a test written today gave its daemon the same name, so both daemons read the one settings file, and which was there first was chance. Change: the file's name has the daemon's address in it.

--- a/crates/gateway/tests/gateway/common/daemon.rs
+++ b/crates/gateway/tests/gateway/common/daemon.rs
@@ -83,7 +83,7 @@
             seeds.join(", ")
         );
         let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-        let path = directory.join(format!("{name}.yaml"));
+        let path = directory.join(format!("{name}-{ip}.yaml"));
         fs::write(&path, settings).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_waxwing-gateway"))
             .arg("--config")
