--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -109,7 +109,7 @@
 /// centre, from one that does for another, or from the store.
 pub async fn replicas(shared: Rc<Shared>) {
     let mut next_direct = Instant::now();
-    let mut pause = STARTING_PERIOD;
+    let mut starting = STARTING_PERIOD;
     loop {
         let reads_for_others = shared.members.borrow().poller().is_none();
         let heard = ask_readers(&shared).await;
@@ -129,8 +129,11 @@
             _ if is_read => REPLICAS_PERIOD,
             _ => RETRY_PAUSE,
         };
-        sleep(pause.max(usual)).await;
-        pause = Duration::ZERO;
+        if is_read {
+            sleep(usual.max(std::mem::take(&mut starting))).await;
+        } else {
+            sleep(usual).await;
+        }
     }
 }
 
