--- a/crates/ctl/src/story.rs
+++ b/crates/ctl/src/story.rs
@@ -72,7 +72,7 @@
 }
 
 /// Kinds of lines about a whole daemon that bear on each of its requests at that time.
-const OF_DAEMON: [&str; 3] = ["pause", "stop", "strain"];
+const OF_DAEMON: [&str; 3] = ["pause", "stop", "overload"];
 
 /// The life of `request` in plain words, in order of time; empty if no line names it.
 pub fn tell(lines: &[Value], request: &str) -> Vec<String> {
@@ -203,7 +203,7 @@
         ),
         "pause" => format!("(the process stood still for {} ms)", text("ms")),
         "stop" => format!("(the daemon is {})", text("text")),
-        "strain" => "(an instance of the data centre was strained)".to_owned(),
+        "overload" => "(an instance of the data centre was overloaded)".to_owned(),
         "end" => format!("END: {}", end(&text("outcome"), &text)),
         _ => text("text"),
     }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -35,8 +35,8 @@
     from: Card,
     /// Version of the sender's plan; 0 if it has none.
     plan: u64,
-    /// Whether the sender is strained.
-    strained: bool,
+    /// Whether the sender is overloaded.
+    overloaded: bool,
     content: Content,
 }
 
@@ -117,7 +117,7 @@
     let datagram = Datagram {
         from: shared.own_card(),
         plan: shared.plan_version(),
-        strained: shared.is_strained(),
+        overloaded: shared.is_overloaded(),
         content,
     };
     if let Err(error) = write(shared, to, &datagram).await {
@@ -147,8 +147,8 @@
         }
     };
     let sender = &datagram.from;
-    if datagram.strained && sender.data_centre == shared.own_card().data_centre {
-        shared.heard_strain();
+    if datagram.overloaded && sender.data_centre == shared.own_card().data_centre {
+        shared.heard_overload();
     }
     match datagram.content {
         Content::Member { message, hint } => {
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -25,8 +25,8 @@
     age_ms: u64,
     /// Whether the store fails the teller.
     store_lost: bool,
-    /// Whether the teller heard from a strained instance of its data centre.
-    pub strained: bool,
+    /// Whether the teller heard from a overloaded instance of its data centre.
+    pub overloaded: bool,
 }
 
 impl News {
@@ -37,7 +37,7 @@
         same: bool,
         age: Duration,
         store_lost: bool,
-        strained: bool,
+        overloaded: bool,
     ) -> Self {
         Self {
             plan,
@@ -45,7 +45,7 @@
             same,
             age_ms: age.as_millis() as u64,
             store_lost,
-            strained,
+            overloaded,
         }
     }
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -2,8 +2,8 @@
 
 mod choice;
 mod knowledge;
+mod overload;
 mod retries;
-mod strain;
 
 use std::cell::Cell;
 use std::cell::OnceCell;
@@ -15,9 +15,9 @@
 use ident::Time;
 use ident::Zone;
 use relay::budget::Budget;
+use relay::overload::Overload;
 use relay::plan::Plan;
 use relay::pool::Pool;
-use relay::strain::Strain;
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 
@@ -61,7 +61,7 @@
     budgets: RefCell<HashMap<String, Budget>>,
     /// Mean time of a decode replica for an answer, by service.
     lengths: RefCell<HashMap<String, Duration>>,
-    strain: RefCell<Strain>,
+    overload: RefCell<Overload>,
     near: Zone,
     own: Card,
     /// Socket for datagrams to other daemons, once it is open.
@@ -105,7 +105,7 @@
             plan: RefCell::new(None),
             budgets: RefCell::new(HashMap::new()),
             lengths: RefCell::new(HashMap::new()),
-            strain: RefCell::new(Strain::new()),
+            overload: RefCell::new(Overload::new()),
             near,
             own,
             datagrams: OnceCell::new(),
--- a/crates/gateway/src/shared/knowledge.rs
+++ b/crates/gateway/src/shared/knowledge.rs
@@ -87,7 +87,7 @@
             pool.digest() == digest,
             self.replicas_age(),
             self.store_lost.get(),
-            self.strain.borrow().is_near(self.clock.now()),
+            self.overload.borrow().is_near(self.clock.now()),
         )
     }
 
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -159,8 +159,8 @@
     let Some(news) = gossip::question(shared, poller, NEWS_PATIENCE).await else {
         return Heard::Silent;
     };
-    if news.strained && Some(poller) == shared.members.borrow().poller() {
-        shared.told_strain();
+    if news.overloaded && Some(poller) == shared.members.borrow().poller() {
+        shared.told_overload();
     }
     match news {
         news if !news.is_fresh() => Heard::Stale,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,7 +10,7 @@
 //! - [`budget`]: how many retries may still be sent to a service.
 //! - [`attempt`]: what follows when a send failed.
 //! - [`event`]: cutting a stream into whole events, so that it can be resumed.
-//! - [`strain`]: whether instances have more work than they can do.
+//! - [`overload`]: whether instances have more work than they can do.
 //! - [`directory`]: which instances callers are told to connect to.
 
 pub mod attempt;
@@ -20,9 +20,9 @@
 pub mod directory;
 pub mod event;
 mod gone;
+pub mod overload;
 pub mod plan;
 pub mod pool;
 pub mod replica;
 pub mod score;
 pub mod server;
-pub mod strain;
