--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -25,7 +25,7 @@
     age_ms: u64,
     /// Whether the store fails the teller.
     store_lost: bool,
-    /// Whether the teller heard from a overloaded instance of its data centre.
+    /// Whether the teller heard from an overloaded instance of its data centre.
     pub overloaded: bool,
 }
 
