Look for a distant reader only where the near one fails; one want in the score's tests

Found on the last reading of the diff: every question to the near reader (each 450 ms) first listed, sorted and ranked the instances of all other data centres, though the answer is needed only when the near reader is not up to date. Behaviour is the same. Also: a doc line of `choose` that said it marks the replica, which it does not; a test file that spelt its request three times.

--- a/crates/gateway/src/shared/choice.rs
+++ b/crates/gateway/src/shared/choice.rs
@@ -14,7 +14,7 @@
 const LENGTH_STEP: f64 = 0.1;
 
 impl Shared {
-    /// The replica to send a request to, and marks it as at work on it.
+    /// The replica to send a request to; `None` if there is none that was not tried.
     pub fn choose(
         &self,
         service: &str,
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -144,13 +144,16 @@
         return Heard::Silent;
     };
     let heard = news(shared, near).await;
+    if heard == Heard::Fresh {
+        return heard;
+    }
     let distant = shared.members.borrow().distant_poller();
-    match (heard, distant) {
-        (Heard::Fresh, _) | (_, None) => heard,
-        (_, Some(distant)) => match news(shared, distant).await {
-            Heard::Silent => heard,
-            other => other,
-        },
+    let Some(distant) = distant else {
+        return heard;
+    };
+    match news(shared, distant).await {
+        Heard::Silent => heard,
+        other => other,
     }
 }
 
--- a/crates/relay/tests/score.rs
+++ b/crates/relay/tests/score.rs
@@ -41,18 +41,21 @@
     START + Duration::from_millis(ms)
 }
 
+fn want(stage: Option<Stage>, tried: &[Key]) -> Want<'_> {
+    Want {
+        service: "app",
+        stage,
+        tried,
+        near: Zone::new("here"),
+    }
+}
+
 /// Ids in the order in which they are chosen.
 fn order(pool: &Pool, stage: Option<Stage>, now: Time) -> Vec<String> {
     let mut tried: Vec<Key> = Vec::new();
     let mut ids = Vec::new();
     loop {
-        let want = Want {
-            service: "app",
-            stage,
-            tried: &tried,
-            near: Zone::new("here"),
-        };
-        let Some(key) = pool.choose(now, &want, || 0.0) else {
+        let Some(key) = pool.choose(now, &want(stage, &tried), || 0.0) else {
             return ids;
         };
         tried.push(key);
@@ -63,13 +66,7 @@
 fn key(pool: &Pool, stage: Option<Stage>, id: &str) -> Key {
     let mut tried = Vec::new();
     loop {
-        let want = Want {
-            service: "app",
-            stage,
-            tried: &tried,
-            near: Zone::new("here"),
-        };
-        let key = pool.choose(START, &want, || 0.0).unwrap();
+        let key = pool.choose(START, &want(stage, &tried), || 0.0).unwrap();
         if pool.get(key).unwrap().replica.id == id {
             return key;
         }
