--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -7,31 +7,39 @@
 use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt;
+use hyper::body::Frame;
 use hyper::body::Incoming;
 use platform::caller::Task;
 use platform::reply;
 use relay::attempt::Attempt;
 use relay::attempt::Next;
-use relay::attempt::Outcome;
+use relay::attempt::Outcome as Sent;
+use relay::event;
 use relay::event::Splitter;
 use relay::plan::Mode;
 use relay::server::Key;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::Sender;
 use tokio::time::Instant;
+use tokio::time::error::Elapsed;
 use tokio::time::timeout_at;
 
 use crate::ask;
 use crate::body::Body;
 use crate::body::Broken;
 use crate::job::Job;
+use crate::mover;
+use crate::mover::Outcome;
+use crate::mover::Stopped;
 use crate::place;
 use crate::place::Place;
 use crate::search;
+use crate::search::Opened;
 use crate::search::Search;
 use crate::send;
 use crate::send::Reply;
 use crate::shared::Shared;
+use crate::track::Track;
 
 /// Parts of an answer that wait for a slow caller before its replica is no longer read.
 const MAX_WAITING: usize = 32;
@@ -40,17 +48,27 @@
 /// replica needs some hundred milliseconds to read the prompt.
 const STALL: Duration = Duration::from_millis(800);
 
+/// Time between two events from which on it is told in the log; callers take answers with longer pauses
+/// for late.
+const LONG_GAP: Duration = Duration::from_millis(300);
+/// Time for the end of a stream whose run was stopped; its events are on their way by then.
+const LAST_EVENTS: Duration = Duration::from_millis(100);
+/// Time for which no run is moved from a replica that did not move one.
+const UNMOVED: Duration = Duration::from_millis(300);
+/// Time for which a run that was moved stays where it is.
+const MOVED: Duration = Duration::from_millis(500);
+
 /// Answers with the replica's head, and passes its events on in a task of its own.
 pub fn pass_on(
     shared: &Rc<Shared>,
     job: Job,
     attempt: Attempt,
     tried: Vec<Key>,
-    reply: Reply,
+    opened: Opened,
 ) -> Response<Body> {
     let (parts, body) = mpsc::channel(MAX_WAITING);
     let mut response = Response::new(Body::parts(body));
-    *response.headers_mut() = reply::headers(reply.response.headers());
+    *response.headers_mut() = reply::headers(opened.reply.response.headers());
     let flow = Flow {
         shared: Rc::clone(shared),
         job,
@@ -59,8 +77,10 @@
         splitter: Splitter::new(),
         parts,
         started: false,
+        track: opened.track,
+        events: 0,
     };
-    tokio::task::spawn_local(flow.run(reply));
+    tokio::task::spawn_local(flow.run(opened.reply));
     response
 }
 
@@ -73,6 +93,10 @@
     splitter: Splitter,
     parts: Sender<Result<Bytes, Broken>>,
     started: bool,
+    /// The run at the present replica, if it is followed.
+    track: Option<Track>,
+    /// Events passed on.
+    events: u64,
 }
 
 /// How a replica's part of a stream ended.
@@ -87,6 +111,18 @@
     Broken(String),
     /// The replica fell silent, and there is a place at another one.
     Silent(Place),
+    /// The run stopped so that it can go on elsewhere.
+    Stopped(Stopped),
+}
+
+/// What comes next while a replica is read.
+enum Step {
+    /// A part of the body, its end, or silence until a moment.
+    Read(Result<Option<Result<Frame<Bytes>, hyper::Error>>, Elapsed>),
+    /// The run is to go on at another replica.
+    Move(Key),
+    /// The caller left.
+    Left,
 }
 
 impl Flow {
@@ -97,13 +133,20 @@
             match self.copy(reply).await {
                 End::Complete => {
                     send::note_success(&self.shared, key);
+                    if let Some(track) = &mut self.track {
+                        track.complete();
+                    }
                     return self.job.end("answered", 200, "");
                 }
                 // The job logs it.
                 End::Left => return,
                 End::Overdue => return self.break_off("overdue", "time is up").await,
+                End::Stopped(stopped) => match self.go_on(stopped).await {
+                    Some(next) => reply = next,
+                    None => return self.break_off("broken", "the run could not go on").await,
+                },
                 End::Broken(cause) => {
-                    send::note(&self.shared, &self.job, key, Outcome::Lost, &cause, 0);
+                    send::note(&self.shared, &self.job, key, Sent::Lost, &cause, 0);
                     match self.resume(None).await {
                         Some(next) => reply = next,
                         None => return self.break_off("broken", "the replica broke off").await,
@@ -111,7 +154,7 @@
                 }
                 End::Silent(place) => {
                     let cause = "no event for too long";
-                    send::note(&self.shared, &self.job, key, Outcome::Lost, cause, 0);
+                    send::note(&self.shared, &self.job, key, Sent::Lost, cause, 0);
                     match self.resume(Some(place)).await {
                         Some(next) => reply = next,
                         None => return self.break_off("broken", "the replica fell silent").await,
@@ -135,16 +178,37 @@
             && self.attempt.may_run_again();
         let mut silences = 0;
         let mut last = begun;
+        let mut stopped = None;
         loop {
-            let silent_at = if resumable || silences == 0 {
+            let silent_at = if stopped.is_some() {
+                Instant::now() + LAST_EVENTS
+            } else if resumable || silences == 0 {
                 self.job.deadline.min(Instant::now() + STALL)
             } else {
                 self.job.deadline
             };
-            let frame = tokio::select! {
-                frame = timeout_at(silent_at, body.frame()) => frame,
-                () = self.parts.closed() => return End::Left,
+            let step = tokio::select! {
+                read = timeout_at(silent_at, body.frame()) => Step::Read(read),
+                to = ordered(&mut self.track), if stopped.is_none() => Step::Move(to),
+                () = self.parts.closed() => Step::Left,
+            };
+            let frame = match step {
+                Step::Read(frame) => frame,
+                Step::Left => {
+                    if let Some(stopped) = &stopped {
+                        mover::free(&self.shared, stopped);
+                    }
+                    return End::Left;
+                }
+                Step::Move(to) => {
+                    stopped = self.stop(claim.key, to).await;
+                    continue;
+                }
             };
+            // What the replica sent before it stopped the run is read to its end.
+            if let Some(stopped) = stopped.take_if(|_| !matches!(frame, Ok(Some(Ok(_))))) {
+                return End::Stopped(stopped);
+            }
             match frame {
                 Err(_) if Instant::now() >= self.job.deadline => return End::Overdue,
                 // A replica that still answers may have set the request aside; it gets more time.
@@ -164,7 +228,7 @@
                     };
                     let whole = self.splitter.push(&data);
                     if !whole.is_empty() {
-                        self.shared.metrics.gap(last.elapsed().as_secs_f64());
+                        self.note_gap(claim.key, last);
                         last = Instant::now();
                     }
                     if !self.pass(whole).await {
@@ -193,6 +257,11 @@
         if bytes.is_empty() {
             return true;
         }
+        let events = event::count(&bytes);
+        self.events += events;
+        if let Some(track) = &self.track {
+            track.events(events);
+        }
         if !self.started {
             self.started = true;
             let age = self.job.age();
@@ -203,6 +272,76 @@
         self.parts.send(Ok(bytes.into())).await.is_ok()
     }
 
+    /// Notes the time since the last event; a long one, at which a run was set aside or its replica fell
+    /// silent, is told in the log.
+    fn note_gap(&self, key: Key, last: Instant) {
+        let gap = last.elapsed();
+        self.shared.metrics.gap(gap.as_secs_f64());
+        if self.started && gap > LONG_GAP {
+            let pool = self.shared.pool.borrow();
+            let replica = pool.get(key).map_or("", |server| &server.replica.id);
+            log::info!(kind = "gap", request = self.job.call.id, replica = replica, ms = gap.as_millis() as u64, events = self.events; "no event came for a while");
+        }
+    }
+
+    /// Stops the run at `from` so that it can go on at `to`; `None` if it goes on where it is.
+    async fn stop(&self, from: Key, to: Key) -> Option<Stopped> {
+        let request = &self.job.call.id;
+        let granted = self.shared.take_retry(&self.job.service, request);
+        let outcome = if granted {
+            mover::stop(&self.shared, request, from, to).await
+        } else {
+            Outcome::Unchanged("no retry is left")
+        };
+        let pool = self.shared.pool.borrow();
+        let name = |key| pool.get(key).map_or("", |server| &server.replica.id);
+        let (stopped, cause) = match outcome {
+            Outcome::Stopped(stopped) => (Some(stopped), String::new()),
+            Outcome::Unchanged(cause) => (None, cause.to_owned()),
+            Outcome::Unknown(cause) => (None, cause),
+        };
+        let copied = stopped.as_ref().is_some_and(|s| s.places.len() > 1);
+        log::info!(kind = "move", request = request, replica = name(from), to = name(to), stopped = stopped.is_some(), copied = copied, events = self.events, cause = cause; "a run is to go on at another replica");
+        if let Some(track) = self.track.as_ref().filter(|_| stopped.is_none()) {
+            track.keep(UNMOVED);
+        }
+        stopped
+    }
+
+    /// Has a run that stopped go on, at the other replica if it has a copy of the memory.
+    async fn go_on(&mut self, stopped: Stopped) -> Option<Reply> {
+        self.splitter.drop_partial();
+        let last_event = self.splitter.last_id().or(self.job.call.last_event)?;
+        for key in &stopped.places {
+            let task = Task::GoOn {
+                address: stopped.address,
+                handle: stopped.handle.clone(),
+                last_event,
+            };
+            let sent = send::send(&self.shared, &self.job, *key, task, None);
+            let sent = tokio::select! {
+                sent = timeout_at(self.job.deadline, sent) => sent.ok()?,
+                () = self.parts.closed() => {
+                    mover::free(&self.shared, &stopped);
+                    return None;
+                }
+            };
+            match sent {
+                Ok(reply) if reply.head.status == StatusCode::OK => {
+                    if let Some(track) = &mut self.track {
+                        track.moved(*key);
+                        track.settle(MOVED);
+                    }
+                    return Some(reply);
+                }
+                Ok(_) | Err(Sent::Failed | Sent::Lost) => break,
+                Err(Sent::NotRun | Sent::NotSent) => {}
+            }
+        }
+        mover::free(&self.shared, &stopped);
+        self.resume(None).await
+    }
+
     /// Whether the replica, which has been silent for [`STALL`], answers a question.
     async fn still_answers(&self, key: Key) -> bool {
         let answers = ask::answers(&self.shared, key).await;
@@ -219,7 +358,7 @@
         if !self.shared.has_retry(&self.job.service) {
             return None;
         }
-        let find = place::find_now(&self.shared, &self.job, &self.tried);
+        let find = place::find_now(&self.shared, &self.job, &self.tried, self.made());
         tokio::select! {
             place = find => place,
             () = self.parts.closed() => None,
@@ -234,23 +373,37 @@
         let shared = Rc::clone(&self.shared);
         let next = self
             .attempt
-            .after(Outcome::Lost, || shared.take_retry(&service, &id));
+            .after(Sent::Lost, || shared.take_retry(&service, &id));
         if next != Next::Retry {
             return None;
         }
         let last_event = self.splitter.last_id().or(self.job.call.last_event);
+        let made = self.made();
         let search = Search {
             attempt: &mut self.attempt,
             tried: &mut self.tried,
             place,
-            task: last_event.map(|last_event| Task::Resume { last_event }),
+            made,
+            last_event,
         };
         let opened = search::open(&self.shared, &self.job, search);
-        let reply = tokio::select! {
+        let opened = tokio::select! {
             opened = timeout_at(self.job.deadline, opened) => opened.ok()?.ok()?,
             () = self.parts.closed() => return None,
         };
-        (reply.head.status == StatusCode::OK).then_some(reply)
+        if opened.reply.head.status != StatusCode::OK {
+            return None;
+        }
+        self.track = opened.track;
+        Some(opened.reply)
+    }
+
+    /// Tokens that were made so far.
+    fn made(&self) -> u64 {
+        let runs = self.shared.runs.borrow();
+        self.track
+            .as_ref()
+            .map_or(0, |track| runs.made_by(track.id()))
     }
 
     async fn break_off(&mut self, outcome: &'static str, cause: &str) {
@@ -259,3 +412,11 @@
         let _ = self.parts.send(Err(Broken)).await;
     }
 }
+
+/// Waits until the run is to go on elsewhere; forever if it is not followed.
+async fn ordered(track: &mut Option<Track>) -> Key {
+    match track {
+        Some(track) => track.ordered().await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -8,6 +8,7 @@
 use bincode::config;
 use fleet::Message;
 use ident::Time;
+use relay::claims::Claim;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::net::UdpSocket;
@@ -62,6 +63,8 @@
         number: u32,
         news: News,
     },
+    /// What the sender's runs at decode replicas hold.
+    Claims(Vec<Claim>),
 }
 
 /// Takes part in the membership, forever.
@@ -113,6 +116,11 @@
     news.ok()?.ok()
 }
 
+/// Tells the daemon at `peer` what this one's runs hold.
+pub async fn tell(shared: &Shared, peer: SocketAddr, claims: Vec<Claim>) {
+    transmit(shared, peer, Content::Claims(claims)).await;
+}
+
 async fn transmit(shared: &Shared, to: SocketAddr, content: Content) {
     let datagram = Datagram {
         from: shared.own_card(),
@@ -168,6 +176,11 @@
                 let _ = answer.send(news);
             }
         }
+        Content::Claims(claims) => {
+            let now = shared.clock.now();
+            let peer = sender.instance();
+            shared.claims.borrow_mut().take(now, peer, claims);
+        }
     }
     if datagram.plan > shared.plan_version() {
         ask_for_plan(Rc::clone(shared), datagram.plan, datagram.from.peers);
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -14,6 +14,7 @@
 use platform::caller::Hop;
 use platform::caller::Task;
 use relay::plan::Route;
+use relay::runs::Size;
 use tokio::time::Instant;
 
 use crate::shared::Shared;
@@ -118,6 +119,18 @@
         prompt + output.min(most)
     }
 
+    /// What the generation asks of a decode replica, after `made` tokens were made.
+    pub fn size(&self, made: u64) -> Size {
+        let (prompt, most) = self.call.tokens.unwrap_or_default();
+        let estimate = self.call.expected_output.unwrap_or(most / 2);
+        Size {
+            prompt,
+            estimate: estimate.min(most),
+            most,
+            made,
+        }
+    }
+
     /// Notes how the request ended.
     pub fn end(&mut self, outcome: &'static str, status: u16, cause: &str) {
         self.done = true;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod listen;
 pub mod members;
 pub mod metrics;
+pub mod mover;
 pub mod news;
 pub mod own;
 pub mod phase;
@@ -34,6 +35,7 @@
 pub mod stop;
 pub mod store;
 pub mod stream;
+pub mod track;
 pub mod watch;
 
 use std::io;
@@ -144,6 +146,7 @@
     spawn_local(watch::replicas(Rc::clone(&shared)));
     spawn_local(watch::instances(Rc::clone(&shared)));
     spawn_local(stages::run(Rc::clone(&shared)));
+    spawn_local(track::run(Rc::clone(&shared)));
     spawn_local(reload::follow(Rc::clone(&shared), path.to_owned()));
     spawn_local(housekeeping(Rc::clone(&shared)));
     let own = Rc::clone(&shared);
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -201,6 +201,11 @@
         self.cards.get(drawn).map(|card| card.peers)
     }
 
+    /// Where the daemon of `instance` listens for others, if it is known.
+    pub fn peer(&self, instance: Instance) -> Option<SocketAddr> {
+        self.cards.get(&instance).map(|card| card.peers)
+    }
+
     /// Where daemons of other known instances listen.
     pub fn peers(&self) -> Vec<SocketAddr> {
         self.cards.values().map(|card| card.peers).collect()
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -7,8 +7,10 @@
 
 use http::Method;
 use http::StatusCode;
-use platform::engine;
+use platform::engine as wire;
 use platform::engine::Reservation;
+use relay::admission::Ask;
+use relay::plan::Engine;
 use relay::replica::Stage;
 use relay::server::Key;
 use tokio::time::Instant;
@@ -19,9 +21,8 @@
 use crate::job::Job;
 use crate::plain;
 use crate::shared::Shared;
+use crate::track::Track;
 
-/// Part of the objective for which a request waits for a place.
-const WAIT_PART: f64 = 0.22;
 /// Pause between two rounds over replicas that had no room; in overload a place comes free about
 /// every 60 ms.
 const ROUND_PAUSE: Duration = Duration::from_millis(30);
@@ -33,6 +34,7 @@
 pub struct Place {
     key: Key,
     reserved: Option<Reserved>,
+    track: Option<Track>,
 }
 
 /// A reservation; given back if it is dropped unused.
@@ -64,29 +66,31 @@
         self.reserved.as_ref().map(|reserved| reserved.id.as_str())
     }
 
-    /// Notes that the request has taken the reservation up.
-    pub fn used(mut self) {
-        if let Some(reserved) = &mut self.reserved {
+    /// Notes that the request has taken the reservation up; gives the run that has begun.
+    pub fn used(self) -> Option<Track> {
+        if let Some(mut reserved) = self.reserved {
             reserved.used = true;
         }
+        self.track
     }
 }
 
-/// Finds a place for `job` at a replica that is not among `tried`; `None` if there is no room.
-pub async fn find(shared: &Rc<Shared>, job: &Job, tried: &[Key]) -> Option<Place> {
-    let life = reservation_life(shared, job);
-    if life.is_zero() {
+/// Finds a place for `job`, of which `made` tokens were made, at a replica that is not among `tried`;
+/// `None` if there is no room.
+pub async fn find(shared: &Rc<Shared>, job: &Job, tried: &[Key], made: u64) -> Option<Place> {
+    let Some(engine) = engine(shared, job) else {
         let key = plain::replica(shared, job, Some(Stage::Decode), tried).await?;
         return Some(Place {
             key,
             reserved: None,
+            track: None,
         });
-    }
+    };
     let begun = Instant::now();
-    let until = job.arrived + job.route.objective.mul_f64(WAIT_PART);
+    let until = job.arrived + job.route.objective.mul_f64(shared.settings().placing.wait);
     let mut rounds = 0;
     loop {
-        if let Some(place) = round(shared, job, tried, life).await {
+        if let Some(place) = round(shared, job, tried, engine, made).await {
             shared.metrics.wait(begun.elapsed().as_secs_f64());
             return Some(place);
         }
@@ -100,29 +104,46 @@
 }
 
 /// Finds a place like [`find`], but does not wait for one.
-pub async fn find_now(shared: &Rc<Shared>, job: &Job, tried: &[Key]) -> Option<Place> {
-    let life = reservation_life(shared, job);
-    if life.is_zero() {
+pub async fn find_now(shared: &Rc<Shared>, job: &Job, tried: &[Key], made: u64) -> Option<Place> {
+    let Some(engine) = engine(shared, job) else {
         let key = shared.choose(&job.service, Some(Stage::Decode), tried)?;
         return Some(Place {
             key,
             reserved: None,
+            track: None,
         });
-    }
-    round(shared, job, tried, life).await
+    };
+    round(shared, job, tried, engine, made).await
 }
 
 /// Asks some replicas, the best first.
-async fn round(shared: &Rc<Shared>, job: &Job, tried: &[Key], life: Duration) -> Option<Place> {
+async fn round(
+    shared: &Rc<Shared>,
+    job: &Job,
+    tried: &[Key],
+    engine: Engine,
+    made: u64,
+) -> Option<Place> {
+    let placing = shared.settings().placing;
+    let size = job.size(made);
+    let ask = Ask {
+        curve: shared.runs.borrow().ask(&job.service, size),
+        spreads: placing.spreads,
+        spare: placing.spare,
+    };
+    let expected = size.estimate as f64 * placing.reserve;
+    let tokens = size.prompt + (expected as u64).max(made);
     let mut asked = tried.to_vec();
     for _ in 0..ROUND {
-        let key = shared.choose(&job.service, Some(Stage::Decode), &asked)?;
+        let key = shared.choose_room(&job.service, &asked, ask)?;
         asked.push(key);
-        match reserve(shared, job, key, life).await {
+        let track = Track::new(shared, &job.service, key, size, engine.event_tokens);
+        match reserve(shared, tokens, key, engine.max_reservation).await {
             Asked::Room(reserved) => {
                 return Some(Place {
                     key,
                     reserved: Some(reserved),
+                    track: Some(track),
                 });
             }
             Asked::NoRoom => shared.pool.borrow_mut().full(shared.clock.now(), key),
@@ -135,17 +156,14 @@
     None
 }
 
-/// How long a reservation may last; zero where replicas keep none.
-fn reservation_life(shared: &Shared, job: &Job) -> Duration {
-    let plan = shared.plan();
-    let service = plan
-        .as_ref()
-        .and_then(|plan| plan.services.get(&job.service));
-    let engine = service.and_then(|service| service.engine);
-    engine.map_or(Duration::ZERO, |engine| engine.max_reservation)
+/// The engine that serves `job`; `None` where replicas keep no reservations.
+fn engine(shared: &Shared, job: &Job) -> Option<Engine> {
+    let plan = shared.plan()?;
+    let engine = plan.services.get(&job.service)?.engine?;
+    (!engine.max_reservation.is_zero()).then_some(engine)
 }
 
-async fn reserve(shared: &Rc<Shared>, job: &Job, key: Key, life: Duration) -> Asked {
+async fn reserve(shared: &Rc<Shared>, tokens: u64, key: Key, life: Duration) -> Asked {
     let replica = shared.pool.borrow().get(key).map(|s| s.replica.clone());
     let Some(replica) = replica else {
         return Asked::Failed("the replica is gone".to_owned());
@@ -154,8 +172,8 @@
         to: replica.address,
         replica: replica.id.clone(),
         method: Method::POST,
-        path: engine::RESERVE_PATH.to_owned(),
-        body: engine::reserve_body(job.tokens(), life),
+        path: wire::RESERVE_PATH.to_owned(),
+        body: wire::reserve_body(tokens, life),
     };
     match ask::call(shared, call).await {
         Err(cause) => Asked::Failed(cause),
@@ -183,7 +201,7 @@
             to: self.address,
             replica: self.replica.clone(),
             method: Method::DELETE,
-            path: engine::unreserve_path(&self.id),
+            path: wire::unreserve_path(&self.id),
             body: Vec::new(),
         };
         tokio::task::spawn_local(async move {
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -1,5 +1,6 @@
 //! Reading a prompt at a prefill replica.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use http::StatusCode;
@@ -21,6 +22,8 @@
 const PREFILL_PART: f64 = 0.45;
 /// Times the objective that a replica which is at work is waited for.
 const PREFILL_MOST: f64 = 2.0;
+/// Replicas that a prompt is sent to at most.
+const MAX_READS: usize = 2;
 /// Bytes of the answer to a prefill at most.
 const MAX_PREFILL_ANSWER: usize = 16 * 1024;
 
@@ -31,34 +34,69 @@
 ///
 /// A read that failed counts as an arrival, so that the send after it is a retry: `None` if the
 /// budget has none left.
-pub async fn read(shared: &Rc<Shared>, job: &Job, decode: Key) -> Option<Task> {
+pub async fn read(
+    shared: &Rc<Shared>,
+    job: &Job,
+    decode: Key,
+    last_event: Option<u64>,
+) -> Option<Task> {
     let near = shared.data_centre_of(decode);
-    let chosen = shared.choose_near(&job.service, Some(Stage::Prefill), &[], near);
-    let Some(key) = chosen else {
-        return Some(Task::Answer);
-    };
-    // Where too few replicas read prompts, a part is left to the decode replicas, and the rest is
-    // read in time.
-    if rand::random::<f64>() < shared.own_reads(key, job.route.objective) {
-        return Some(Task::Answer);
-    }
-    match timeout_at(job.deadline, patiently(shared, job, key)).await {
-        Ok(Ok(task)) => return Some(task),
-        Ok(Err(Outcome::NotSent)) => return Some(Task::Answer),
-        Ok(Err(_)) => {}
-        Err(_) => {
-            let cause = "the prompt was not read in time";
-            send::note(shared, job, key, Outcome::Lost, cause, 0);
+    let mut tried = Vec::new();
+    while tried.len() < MAX_READS {
+        let chosen = shared.choose_near(&job.service, Some(Stage::Prefill), &tried, near);
+        let Some(key) = chosen else { break };
+        // Where too few replicas read prompts, a part is left to the decode replicas, and the rest is
+        // read in time.
+        if rand::random::<f64>() < shared.own_reads(key, job.route.objective) {
+            break;
+        }
+        tried.push(key);
+        match timeout_at(job.deadline, patiently(shared, job, key)).await {
+            Ok(Ok(read)) => return Some(decode_task(read, last_event)),
+            Ok(Err(Outcome::NotSent)) => continue,
+            Ok(Err(_)) => {}
+            Err(_) => {
+                let cause = "the prompt was not read in time";
+                send::note(shared, job, key, Outcome::Lost, cause, 0);
+            }
         }
+        if !shared.take_retry(&job.service, &job.call.id) {
+            return None;
+        }
+    }
+    Some(own_read(last_event))
+}
+
+/// The task of a decode replica that reads the prompt itself.
+pub const fn own_read(last_event: Option<u64>) -> Task {
+    match last_event {
+        Some(last_event) => Task::Resume { last_event },
+        None => Task::Answer,
+    }
+}
+
+/// The task of a decode replica for which the prompt was read.
+fn decode_task(read: Read, last_event: Option<u64>) -> Task {
+    let Read { address, handle } = read;
+    match last_event {
+        Some(last_event) => Task::GoOn {
+            address,
+            handle,
+            last_event,
+        },
+        None => Task::Decode { address, handle },
     }
-    shared
-        .take_retry(&job.service, &job.call.id)
-        .then_some(Task::Answer)
+}
+
+/// A prompt that was read.
+struct Read {
+    address: SocketAddr,
+    handle: String,
 }
 
 /// Has the prompt read; a replica that is late but answers a question is waited for, since a read
 /// that is given up is read in vain.
-async fn patiently(shared: &Rc<Shared>, job: &Job, key: Key) -> Result<Task, Outcome> {
+async fn patiently(shared: &Rc<Shared>, job: &Job, key: Key) -> Result<Read, Outcome> {
     let late = job.arrived + job.route.objective.mul_f64(PREFILL_PART);
     let last = job.arrived + job.route.objective.mul_f64(PREFILL_MOST);
     let mut read = std::pin::pin!(read_prompt(shared, job, key));
@@ -78,7 +116,7 @@
     Err(Outcome::Lost)
 }
 
-async fn read_prompt(shared: &Rc<Shared>, job: &Job, key: Key) -> Result<Task, Outcome> {
+async fn read_prompt(shared: &Rc<Shared>, job: &Job, key: Key) -> Result<Read, Outcome> {
     let address = shared
         .pool
         .borrow()
@@ -113,7 +151,7 @@
             let (prompt, _) = job.call.tokens.unwrap_or_default();
             shared.note_pace(key, begun.elapsed(), prompt as f64);
             log::info!(kind = "read", request = job.call.id, ms = job.age().as_millis() as u64; "the prompt is read");
-            Ok(Task::Decode {
+            Ok(Read {
                 address,
                 handle: prefill.handle,
             })
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -14,6 +14,7 @@
 use crate::send;
 use crate::send::Reply;
 use crate::shared::Shared;
+use crate::track::Track;
 
 /// Where a request was sent, and what the next replica is to do.
 #[derive(Debug)]
@@ -24,42 +25,57 @@
     pub tried: &'a mut Vec<Key>,
     /// A place that was found already.
     pub place: Option<Place>,
-    /// `None` if the prompt is to be read by a prefill replica first.
-    pub task: Option<Task>,
+    /// Id of the event after which the stream goes on.
+    pub last_event: Option<u64>,
+    /// Tokens that were made before.
+    pub made: u64,
+}
+
+/// A replica's answer, and the run there if it is followed.
+#[derive(Debug)]
+pub struct Opened {
+    /// The answer's head, with what is needed to read the rest.
+    pub reply: Reply,
+    /// The run.
+    pub track: Option<Track>,
 }
 
 /// Finds a replica that answers.
 ///
 /// # Errors
 /// What to tell the caller.
-pub async fn open(shared: &Rc<Shared>, job: &Job, search: Search<'_>) -> Result<Reply, Next> {
+pub async fn open(shared: &Rc<Shared>, job: &Job, search: Search<'_>) -> Result<Opened, Next> {
     let Search {
         attempt,
         tried,
         mut place,
-        mut task,
+        last_event,
+        made,
     } = search;
+    let mut own_read = None;
     loop {
         let found = match place.take() {
             Some(place) => Some(place),
-            None => place::find(shared, job, tried).await,
+            None => place::find(shared, job, tried, made).await,
         };
         let Some(place) = found else {
             let unknown = attempt.may_have_run();
             return Err(if unknown { Next::Unknown } else { Next::Refuse });
         };
         let key = place.key();
-        let now = match &task {
-            Some(task) => task.clone(),
-            None => prefill::read(shared, job, key).await.ok_or(Next::Refuse)?,
+        let task = match &own_read {
+            Some(task) => Task::clone(task),
+            None => prefill::read(shared, job, key, last_event)
+                .await
+                .ok_or(Next::Refuse)?,
         };
         tried.push(key);
         attempt.sent();
-        let sent = send::send(shared, job, key, now, place.reservation());
+        let sent = send::send(shared, job, key, task, place.reservation());
         let outcome = match sent.await {
             Ok(reply) => {
-                place.used();
-                return Ok(reply);
+                let track = place.used();
+                return Ok(Opened { reply, track });
             }
             Err(outcome) => outcome,
         };
@@ -68,6 +84,6 @@
             next => return Err(next),
         }
         // The KV cache may be gone; the next replica reads the prompt itself.
-        task = task.or(Some(Task::Answer));
+        own_read = Some(prefill::own_read(last_event));
     }
 }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -174,6 +174,7 @@
         Task::Answer => "answer",
         Task::Prefill => "prefill",
         Task::Decode { .. } => "decode",
+        Task::GoOn { .. } => "go-on",
         Task::Resume { .. } => "resume",
     }
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -35,6 +35,37 @@
     /// The processor of this instance.
     #[serde(default)]
     pub processor: Processor,
+    /// How generations get places at decode replicas.
+    #[serde(default)]
+    pub placing: Placing,
+}
+
+/// How generations get places at decode replicas.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Placing {
+    /// Part of the tokens that the caller expects for which memory is reserved, beside the prompt.
+    pub reserve: f64,
+    /// Standard deviations of the forecast that the memory has to last for.
+    pub spreads: f64,
+    /// Part of the memory that new generations leave free.
+    pub spare: f64,
+    /// Part of the objective for which a generation waits for a place.
+    pub wait: f64,
+    /// Whether runs are moved before the memory of their replica ends.
+    pub moves: bool,
+}
+
+impl Default for Placing {
+    fn default() -> Self {
+        Self {
+            reserve: 0.0,
+            spreads: 2.5,
+            spare: 0.0,
+            wait: 0.22,
+            moves: true,
+        }
+    }
 }
 
 /// The processor of an instance.
@@ -126,6 +157,10 @@
             ("retry.window_s", self.retry.window_s),
             ("processor.share", self.processor.share),
             ("processor.cores", self.processor.cores),
+            ("placing.reserve", self.placing.reserve),
+            ("placing.spreads", self.placing.spreads),
+            ("placing.spare", self.placing.spare),
+            ("placing.wait", self.placing.wait),
         ];
         let wrong = |(_, figure): &(&str, f64)| !figure.is_finite() || *figure < 0.0;
         match figures.into_iter().find(wrong) {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -15,11 +15,16 @@
 use ident::Time;
 use ident::Zone;
 use relay::budget::Budget;
+use relay::claims::Claims;
 use relay::overload::Overload;
 use relay::plan::Plan;
 use relay::pool::Pool;
+use relay::runs::Id;
+use relay::runs::Runs;
+use relay::server::Key;
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 
 use crate::card::Card;
 use crate::clock::Clock;
@@ -57,6 +62,12 @@
     pub pool: RefCell<Pool>,
     /// Counters and histograms.
     pub metrics: Metrics,
+    /// Runs of this daemon at decode replicas.
+    pub runs: RefCell<Runs>,
+    /// What other daemons told of theirs.
+    pub claims: RefCell<Claims>,
+    /// By run, where it is to go on.
+    pub orders: RefCell<HashMap<Id, watch::Sender<Option<Key>>>>,
     plan: RefCell<Option<Rc<Plan>>>,
     budgets: RefCell<HashMap<String, Budget>>,
     /// Mean time of a decode replica for an answer, by service.
@@ -102,6 +113,9 @@
             members: RefCell::new(Members::new(own.clone())),
             pool: RefCell::new(Pool::new()),
             metrics,
+            runs: RefCell::new(Runs::new()),
+            claims: RefCell::new(Claims::new()),
+            orders: RefCell::new(HashMap::new()),
             plan: RefCell::new(None),
             budgets: RefCell::new(HashMap::new()),
             lengths: RefCell::new(HashMap::new()),
--- a/crates/gateway/src/shared/choice.rs
+++ b/crates/gateway/src/shared/choice.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use ident::Zone;
+use relay::admission::Ask;
+use relay::replica::Stage;
 use relay::score::Want;
 use relay::server::Key;
 
@@ -15,12 +17,7 @@
 
 impl Shared {
     /// The replica to send a request to; `None` if there is none that was not tried.
-    pub fn choose(
-        &self,
-        service: &str,
-        stage: Option<relay::replica::Stage>,
-        tried: &[Key],
-    ) -> Option<Key> {
+    pub fn choose(&self, service: &str, stage: Option<Stage>, tried: &[Key]) -> Option<Key> {
         self.choose_near(service, stage, tried, self.near)
     }
 
@@ -28,7 +25,7 @@
     pub fn choose_near(
         &self,
         service: &str,
-        stage: Option<relay::replica::Stage>,
+        stage: Option<Stage>,
         tried: &[Key],
         near: Zone,
     ) -> Option<Key> {
@@ -37,6 +34,21 @@
             stage,
             tried,
             near,
+            ask: None,
+        };
+        let pool = self.pool.borrow();
+        pool.choose(self.clock.now(), &want, rand::random)
+    }
+
+    /// The decode replica to send a generation to, which asks for so much memory; `None` if none that
+    /// was not tried has room.
+    pub fn choose_room(&self, service: &str, tried: &[Key], ask: Ask) -> Option<Key> {
+        let want = Want {
+            service,
+            stage: Some(Stage::Decode),
+            tried,
+            near: self.near,
+            ask: Some(ask),
         };
         let pool = self.pool.borrow();
         pool.choose(self.clock.now(), &want, rand::random)
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -32,14 +32,15 @@
         attempt: &mut attempt,
         tried: &mut tried,
         place: None,
-        task: None,
+        last_event: None,
+        made: 0,
     };
     let opened = timeout_at(job.deadline, search::open(shared, &job, search));
     match opened.await {
-        Ok(Ok(reply)) if reply.head.status == StatusCode::OK => {
-            flow::pass_on(shared, job, attempt, tried, reply)
+        Ok(Ok(opened)) if opened.reply.head.status == StatusCode::OK => {
+            flow::pass_on(shared, job, attempt, tried, opened)
         }
-        Ok(Ok(reply)) => failure(shared, job, reply).await,
+        Ok(Ok(opened)) => failure(shared, job, opened.reply).await,
         Ok(Err(Next::Unknown)) => {
             plain::finish(&mut job, "unknown", own::unknown, "the replica was lost")
         }
--- /dev/null
+++ b/crates/gateway/src/track.rs
@@ -0,0 +1,244 @@
+//! The runs of this daemon: followed while they last, told to other daemons, moved when it is time.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ident::Time;
+use relay::claims::Claim;
+use relay::forecast::Curve;
+use relay::rescue;
+use relay::rescue::Move;
+use relay::runs::Id;
+use relay::runs::Size;
+use relay::server::Key;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use crate::gossip;
+use crate::shared::Shared;
+
+/// Time between two looks at the memory of the replicas; a move has to be begun some hundred
+/// milliseconds before the memory ends.
+const LOOK: Duration = Duration::from_millis(50);
+/// Time between two messages to other daemons at most: what was told is expected to go on.
+const SILENCE: Duration = Duration::from_millis(400);
+/// Time between two messages at least, where something changed.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Daemons that are told at most, besides those drawn by chance: those that have runs.
+const MAX_TOLD: usize = 16;
+/// Daemons drawn by chance in each round, so that those with runs find each other.
+const DRAWN: usize = 2;
+
+/// A run that this daemon follows; over when this is dropped.
+#[derive(Debug)]
+pub struct Track {
+    shared: Rc<Shared>,
+    id: Id,
+    /// Tokens in one event.
+    event_tokens: u64,
+    orders: watch::Receiver<Option<Key>>,
+    complete: bool,
+}
+
+impl Track {
+    /// Notes that a run of `size` gets a place at `server`.
+    pub fn new(
+        shared: &Rc<Shared>,
+        service: &str,
+        server: Key,
+        size: Size,
+        event_tokens: u64,
+    ) -> Self {
+        let id = shared.runs.borrow_mut().begin(service, server, size);
+        let (order, orders) = watch::channel(None);
+        shared.orders.borrow_mut().insert(id, order);
+        shared.foresee(server);
+        Self {
+            shared: Rc::clone(shared),
+            id,
+            event_tokens,
+            orders,
+            complete: false,
+        }
+    }
+
+    /// Its id among the runs.
+    pub const fn id(&self) -> Id {
+        self.id
+    }
+
+    /// Notes that `events` events came.
+    pub fn events(&self, events: u64) {
+        let now = self.shared.clock.now();
+        let tokens = events * self.event_tokens;
+        self.shared.runs.borrow_mut().made(now, self.id, tokens);
+    }
+
+    /// Notes that the run goes on at `server`.
+    pub fn moved(&mut self, server: Key) {
+        self.shared.runs.borrow_mut().moved(self.id, server);
+        self.orders.mark_unchanged();
+        self.shared.foresee(server);
+    }
+
+    /// Leaves the run where it is for `pause`.
+    pub fn settle(&self, pause: Duration) {
+        let until = self.shared.clock.now() + pause;
+        self.shared.runs.borrow_mut().settle(self.id, until);
+    }
+
+    /// Notes that the replica did not move the run: no other is moved from there for `pause`.
+    pub fn keep(&self, pause: Duration) {
+        let until = self.shared.clock.now() + pause;
+        self.shared.runs.borrow_mut().keep(self.id, until);
+    }
+
+    /// Notes that the run ended with its last event.
+    pub const fn complete(&mut self) {
+        self.complete = true;
+    }
+
+    /// Waits until the run is to go on elsewhere.
+    pub async fn ordered(&mut self) -> Key {
+        loop {
+            if self.orders.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+            let to = *self.orders.borrow_and_update();
+            if let Some(to) = to {
+                return to;
+            }
+        }
+    }
+}
+
+impl Drop for Track {
+    fn drop(&mut self) {
+        let now = self.shared.clock.now();
+        let server = self.shared.runs.borrow().get(self.id).map(|run| run.server);
+        self.shared.orders.borrow_mut().remove(&self.id);
+        self.shared
+            .runs
+            .borrow_mut()
+            .end(now, self.id, self.complete);
+        if let Some(server) = server {
+            self.shared.foresee(server);
+        }
+    }
+}
+
+impl Shared {
+    /// Brings what the runs at `server` will hold up to date.
+    pub fn foresee(&self, server: Key) {
+        let now = self.clock.now();
+        let (runs, claims) = (self.runs.borrow(), self.claims.borrow());
+        self.pool.borrow_mut().foresee(now, server, &runs, &claims);
+    }
+}
+
+/// Looks after the runs, forever.
+pub async fn run(shared: Rc<Shared>) {
+    let mut told = Told::default();
+    loop {
+        sleep(LOOK).await;
+        look(&shared);
+        if shared.runs.borrow().iter().next().is_some() || told.any {
+            tell(&shared, &mut told).await;
+        }
+    }
+}
+
+fn look(shared: &Shared) {
+    let now = shared.clock.now();
+    shared.claims.borrow_mut().sweep(now);
+    let (runs, claims) = (shared.runs.borrow(), shared.claims.borrow());
+    shared.pool.borrow_mut().foresee_all(now, &runs, &claims);
+    let plan = shared.plan().filter(|_| shared.settings().placing.moves);
+    let Some(plan) = plan else { return };
+    let moves = {
+        let pool = shared.pool.borrow();
+        rescue::due(now, &pool, &runs, &claims, |run, from, ask| {
+            let service = &runs.get(run)?.service;
+            let engine = plan.services.get(service)?.engine?;
+            engine
+                .moves
+                .then(|| shared.choose_room(service, &[from], ask))?
+        })
+    };
+    for Move { run, to } in moves {
+        if let Some(order) = shared.orders.borrow().get(&run) {
+            order.send_replace(Some(to));
+        }
+    }
+}
+
+/// What was told last.
+#[derive(Debug, Default)]
+struct Told {
+    at: Time,
+    /// Runs by replica, which change when one begins or ends.
+    runs: Vec<(u64, u16)>,
+    /// Whether there were any.
+    any: bool,
+}
+
+async fn tell(shared: &Shared, told: &mut Told) {
+    let now = shared.clock.now();
+    let since = now.since(told.at);
+    let claims = claims(shared, now);
+    let runs: Vec<(u64, u16)> = claims.iter().map(|c| (c.replica, c.runs)).collect();
+    let pause = if runs == told.runs { SILENCE } else { PAUSE };
+    if since < pause {
+        return;
+    }
+    *told = Told {
+        at: now,
+        any: !runs.is_empty(),
+        runs,
+    };
+    for to in audience(shared) {
+        gossip::tell(shared, to, claims.clone()).await;
+    }
+}
+
+/// What the runs of this daemon hold, by replica.
+fn claims(shared: &Shared, now: Time) -> Vec<Claim> {
+    let runs = shared.runs.borrow();
+    let pool = shared.pool.borrow();
+    let mut keys: Vec<Key> = runs.iter().map(|(_, run)| run.server).collect();
+    keys.sort_unstable();
+    keys.dedup();
+    let claim = |key: Key| {
+        let here = || runs.iter().filter(|(_, run)| run.server == key);
+        let curve = here().fold(Curve::default(), |sum, (id, _)| {
+            sum.plus(&runs.curve(now, id))
+        });
+        let newest = here().filter_map(|(_, run)| run.started()).max();
+        let newest_ms = newest.map_or(u16::MAX, |at| {
+            now.since(at).as_millis().min(u128::from(u16::MAX - 1)) as u16
+        });
+        let id = &pool.get(key)?.replica.id;
+        Some(Claim::new(id, here().count() as u16, newest_ms, &curve))
+    };
+    keys.into_iter().filter_map(claim).collect()
+}
+
+/// The daemons that are told: those that have runs, and some others.
+fn audience(shared: &Shared) -> Vec<SocketAddr> {
+    let members = shared.members.borrow();
+    let peers = members.peers();
+    if peers.len() <= MAX_TOLD {
+        return peers;
+    }
+    let claims = shared.claims.borrow();
+    let active = claims.active().filter_map(|peer| members.peer(peer));
+    let mut to: Vec<SocketAddr> = active.take(MAX_TOLD).collect();
+    for _ in 0..DRAWN {
+        let drawn = peers[rand::random_range(0..peers.len())];
+        if !to.contains(&drawn) {
+            to.push(drawn);
+        }
+    }
+    to
+}
--- a/crates/gateway/tests/gateway/common/replica.rs
+++ b/crates/gateway/tests/gateway/common/replica.rs
@@ -4,6 +4,8 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -25,6 +27,8 @@
     SendAndHang(Vec<u8>),
     /// Sends parts with a pause before each.
     Slowly(Vec<Vec<u8>>, Duration),
+    /// The same, until the run is stopped; then closes the connection in the midst of the answer.
+    UntilStopped(Vec<Vec<u8>>, Duration, Arc<AtomicBool>),
 }
 
 type Script = dyn Fn(&Message) -> Act + Send + Sync;
@@ -112,6 +116,14 @@
                 }
                 return;
             }
+            Act::UntilStopped(parts, pause, stopped) => {
+                for part in parts {
+                    thread::sleep(pause);
+                    if stopped.load(Ordering::SeqCst) || !http::send(socket, &part) {
+                        return;
+                    }
+                }
+            }
             Act::Slowly(parts, pause) => {
                 for part in parts {
                     thread::sleep(pause);
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod common;
 mod ingress;
 mod lifecycle;
+mod moves;
 mod plain;
 mod site;
 mod stages;
--- /dev/null
+++ b/crates/gateway/tests/gateway/moves.rs
@@ -0,0 +1,290 @@
+//! Runs that go on at another replica before the memory of theirs ends.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use serde_json::Value;
+
+use crate::common::caller::Caller;
+use crate::common::daemon::until;
+use crate::common::http::Message;
+use crate::common::http::answer;
+use crate::common::replica::Act;
+use crate::common::replica::Replica;
+use crate::common::replica::chunk;
+use crate::common::replica::events;
+use crate::common::replica::not_run;
+use crate::common::replica::stream_head;
+use crate::site::Site;
+use crate::site::config;
+use crate::site::generate;
+
+/// Events of an answer.
+const EVENTS: u64 = 40;
+/// Time between two of them.
+const PAUSE: Duration = Duration::from_millis(60);
+
+/// How the first replica answers a move.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Answer {
+    /// The run is stopped and its memory is copied.
+    Copied,
+    /// The run is stopped, and its memory cannot be copied.
+    OnlyStopped,
+    /// There is no such run.
+    Unknown,
+    /// The run is stopped, and the answer is lost; asked again, it is told.
+    LostOnce,
+    /// The run is stopped, and no answer ever comes.
+    Lost,
+}
+
+/// A replica that makes events until it is asked to move a run.
+struct Source {
+    replica: Replica,
+    moves: Arc<Mutex<Vec<Value>>>,
+}
+
+/// The parts of a stream that goes on after the event `after`.
+fn parts(request: &Message, after: u64) -> Vec<Vec<u8>> {
+    let mut parts = vec![stream_head(request)];
+    parts.extend((after + 1..=EVENTS).map(|id| events(id, id)));
+    parts.push(chunk(b""));
+    parts
+}
+
+fn last_event(request: &Message) -> u64 {
+    let last = request.header("last-event-id");
+    last.map_or(0, |last| last.parse().unwrap())
+}
+
+impl Source {
+    fn start(how: Answer) -> Self {
+        let moves: Arc<Mutex<Vec<Value>>> = Arc::default();
+        let stops: Arc<Mutex<HashMap<String, Arc<AtomicBool>>>> = Arc::default();
+        let seen = Arc::clone(&moves);
+        let replica = Replica::start("i-1", move |request| match request.path() {
+            "/api/kv-move" => {
+                let asked: Value = serde_json::from_slice(&request.body).unwrap();
+                let id = asked["id"].as_str().unwrap().to_owned();
+                let mut seen = seen.lock().unwrap();
+                seen.push(asked);
+                if how == Answer::Unknown {
+                    return Act::Send(answer(404, &[], b"{}"));
+                }
+                if let Some(stop) = stops.lock().unwrap().get(&id) {
+                    stop.store(true, Ordering::SeqCst);
+                }
+                let told = br#"{"kv-handle":"m1","created":5}"#;
+                match how {
+                    Answer::OnlyStopped => Act::Send(answer(503, &[], told)),
+                    Answer::Lost => Act::SendAndClose(Vec::new()),
+                    Answer::LostOnce if seen.len() == 1 => Act::SendAndClose(Vec::new()),
+                    _ => Act::Send(answer(200, &[], told)),
+                }
+            }
+            path if path.starts_with("/api/") => Act::Send(answer(200, &[], b"{}")),
+            _ => {
+                let stop = Arc::new(AtomicBool::new(false));
+                let id = request.header("request-id").unwrap().to_owned();
+                stops.lock().unwrap().insert(id, Arc::clone(&stop));
+                Act::UntilStopped(parts(request, last_event(request)), PAUSE, stop)
+            }
+        });
+        Self { replica, moves }
+    }
+
+    /// The requests that went on from memory, without calls of the daemon's own.
+    fn continued(&self) -> Vec<Message> {
+        continued(&self.replica)
+    }
+
+    fn moves(&self) -> Vec<Value> {
+        self.moves.lock().unwrap().clone()
+    }
+}
+
+fn continued(replica: &Replica) -> Vec<Message> {
+    let seen = replica.seen().into_iter();
+    seen.filter(|request| request.header("kv-source").is_some())
+        .collect()
+}
+
+/// The replica that a run goes to.
+fn target() -> Replica {
+    Replica::start("i-2", |request| {
+        Act::Slowly(parts(request, last_event(request)), PAUSE)
+    })
+}
+
+/// A site whose replicas hold the prompts of two runs and about half of what they make.
+fn site(name: &str, source: &Source) -> Site {
+    let site = Site::start(name, &[(&source.replica, "llm", "decode")]);
+    let mut small = config(2);
+    let engine = &mut small["services"][1]["engine"];
+    engine["kv-tokens"] = 6_000.into();
+    engine["moves"] = true.into();
+    engine["stride"] = 70.into();
+    site.store.put("op", "config", &small);
+    until("the plan is in force", || {
+        let plans = site.daemon.logged("\"kind\":\"plan\"");
+        plans.iter().any(|line| line.contains("\"version\":2"))
+    });
+    site
+}
+
+/// Two generations at the first replica; the second replica is listed when both make tokens.
+fn two_runs(site: &Site, source: &Source, target: &Replica, path: &str) -> (Caller, Caller) {
+    let older = generate(&site.daemon, path, "a1");
+    until("the first run begins", || {
+        !site.daemon.logged("\"kind\":\"first\"").is_empty()
+    });
+    let newer = generate(&site.daemon, path, "a2");
+    until("both runs are there", || {
+        let seen = source.replica.seen().into_iter();
+        seen.filter(|request| request.body == b"prompt").count() == 2
+    });
+    let row = target.row("llm", "decode");
+    site.store.put("servers", &target.id, &row);
+    (older, newer)
+}
+
+fn texts() -> String {
+    let texts = (1..=EVENTS).map(|id| format!("id: {id}\ndata: t{id}\n\n"));
+    texts.collect()
+}
+
+/// Both answers have every event once, in order.
+fn both_are_whole(callers: (Caller, Caller)) {
+    for mut caller in [callers.0, callers.1] {
+        let told = caller.read();
+        assert!(told.whole, "{}", String::from_utf8_lossy(&told.body));
+        assert_eq!(String::from_utf8_lossy(&told.body), texts());
+    }
+}
+
+#[test]
+fn the_newer_run_goes_on_at_the_replica_with_room() {
+    let source = Source::start(Answer::Copied);
+    let target = target();
+    let site = site("moved", &source);
+    both_are_whole(two_runs(&site, &source, &target, "/draft/1"));
+    let moves = source.moves();
+    assert_eq!(moves.len(), 1);
+    assert_eq!(moves[0]["id"], "a2");
+    assert_eq!(moves[0]["to"], target.address.to_string());
+    let continued = continued(&target);
+    assert_eq!(continued.len(), 1);
+    let handle = format!("{}/m1", source.replica.address);
+    assert_eq!(continued[0].header("kv-source"), Some(handle.as_str()));
+    assert!(last_event(&continued[0]) > 0);
+}
+
+#[test]
+fn a_run_whose_memory_cannot_be_copied_goes_on_where_it_was() {
+    let source = Source::start(Answer::OnlyStopped);
+    let target = target();
+    let site = site("not-copied", &source);
+    both_are_whole(two_runs(&site, &source, &target, "/draft/1"));
+    assert!(!source.continued().is_empty());
+    assert!(continued(&target).is_empty());
+}
+
+#[test]
+fn a_run_that_the_replica_does_not_know_is_left_alone() {
+    let source = Source::start(Answer::Unknown);
+    let target = target();
+    let site = site("move-unknown", &source);
+    both_are_whole(two_runs(&site, &source, &target, "/draft/1"));
+    assert!(!source.moves().is_empty());
+    assert!(continued(&target).is_empty());
+    assert!(source.continued().is_empty());
+}
+
+#[test]
+fn a_move_whose_answer_is_lost_is_asked_for_again() {
+    let source = Source::start(Answer::LostOnce);
+    let target = target();
+    let site = site("move-lost-once", &source);
+    both_are_whole(two_runs(&site, &source, &target, "/draft/1"));
+    assert_eq!(source.moves().len(), 2);
+    assert_eq!(continued(&target).len(), 1);
+}
+
+/// Without the memory, a stream that can be resumed has its prompt read again.
+#[test]
+fn a_resumable_run_whose_move_is_lost_is_resumed() {
+    let source = Source::start(Answer::Lost);
+    let target = target();
+    let site = site("move-lost", &source);
+    both_are_whole(two_runs(&site, &source, &target, "/resume/1"));
+    assert!(continued(&target).is_empty());
+    let resumed = target.seen();
+    assert!(resumed.iter().any(|request| last_event(request) > 0));
+}
+
+/// It may run once, so nothing else can be done; the caller sees that it is not whole.
+#[test]
+fn a_run_whose_move_is_lost_and_that_cannot_be_resumed_breaks_off() {
+    let source = Source::start(Answer::Lost);
+    let target = target();
+    let site = site("move-lost-once-only", &source);
+    let (mut older, mut newer) = two_runs(&site, &source, &target, "/draft/1");
+    assert!(!newer.read().whole);
+    assert!(older.read().whole);
+    assert!(target.seen().is_empty());
+}
+
+#[test]
+fn a_run_goes_on_where_it_was_if_the_other_replica_refuses_it() {
+    let source = Source::start(Answer::Copied);
+    let target = Replica::start("i-2", |request| Act::Send(not_run(request)));
+    let site = site("move-refused", &source);
+    both_are_whole(two_runs(&site, &source, &target, "/draft/1"));
+    assert!(!continued(&target).is_empty());
+    assert!(!source.continued().is_empty());
+}
+
+#[test]
+fn memory_that_nobody_goes_on_from_is_freed() {
+    let source = Source::start(Answer::Copied);
+    // Takes the request, says nothing for long.
+    let target = Replica::start("i-2", |request| {
+        Act::Slowly(parts(request, last_event(request)), Duration::from_secs(3))
+    });
+    let site = site("move-left", &source);
+    let (older, newer) = two_runs(&site, &source, &target, "/draft/1");
+    until("the run goes on", || !continued(&target).is_empty());
+    drop((older, newer));
+    until("the memory is freed", || {
+        let seen = source.replica.seen();
+        let freed = |request: &Message| request.path() == "/api/kv-handle/m1";
+        seen.iter().any(freed)
+    });
+}
+
+#[test]
+fn nothing_moves_without_a_retry() {
+    let source = Source::start(Answer::Copied);
+    let target = target();
+    let site = site("move-no-retry", &source);
+    site.change_settings("ratio: 0.2, slack: 50", "ratio: 0.0, slack: 0");
+    both_are_whole(two_runs(&site, &source, &target, "/draft/1"));
+    assert!(source.moves().is_empty());
+}
+
+#[test]
+fn nothing_moves_where_that_is_switched_off() {
+    let source = Source::start(Answer::Copied);
+    let target = target();
+    let site = site("move-off", &source);
+    site.change_settings("grace_s:", "placing: {moves: false}\ngrace_s:");
+    both_are_whole(two_runs(&site, &source, &target, "/draft/1"));
+    thread::sleep(PAUSE);
+    assert!(source.moves().is_empty());
+}
--- a/crates/lab/src/site/run.rs
+++ b/crates/lab/src/site/run.rs
@@ -277,6 +277,7 @@
             stage: Some(stage),
             tried,
             near: Zone::new("here"),
+            ask: None,
         };
         let draws: Vec<f64> = (0..self.engines.len())
             .map(|_| self.random.random())
--- /dev/null
+++ b/crates/relay/src/claims.rs
@@ -0,0 +1,134 @@
+//! What other daemons told of their runs at decode replicas.
+//!
+//! A replica's own report is most of a second old, and in a burst its memory fills in less. So each
+//! daemon tells the others what its runs will hold. What is told is summed up by replica, so that it
+//! is as long as the sender has replicas in use, however many runs there are.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use ident::Instance;
+use ident::Time;
+use rapidhash::v3::rapidhash_v3;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::forecast::AHEAD;
+use crate::forecast::Curve;
+
+/// Tokens that the figures of a claim are rounded to; engines give memory in such blocks.
+const UNIT: f32 = 16.0;
+/// How long a claim counts: some three times as long as daemons are silent at most, since datagrams
+/// are lost at times. The runs of a daemon that died are over by then.
+const LIFE: Duration = Duration::from_millis(1_200);
+
+/// What the runs of one daemon at one replica will hold.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// Hash of the replica's id.
+    pub replica: u64,
+    /// How many runs there are.
+    pub runs: u16,
+    /// Milliseconds since the newest of those that make tokens began to; `u16::MAX` if none does.
+    pub newest_ms: u16,
+    /// Tokens expected at each moment, in units of 16.
+    mean: [u16; AHEAD.len()],
+    /// Standard deviation, in the same units.
+    spread: [u16; AHEAD.len()],
+}
+
+impl Claim {
+    /// `runs` runs at the replica `id` that will hold `curve`.
+    pub fn new(id: &str, runs: u16, newest_ms: u16, curve: &Curve) -> Self {
+        let units = |tokens: f32| (tokens / UNIT).round() as u16;
+        Self {
+            replica: hash(id),
+            runs,
+            newest_ms,
+            mean: curve.mean().map(units),
+            spread: curve.spread().map(units),
+        }
+    }
+
+    fn curve(&self) -> Curve {
+        let tokens = |units: u16| f32::from(units) * UNIT;
+        Curve::with_spread(self.mean.map(tokens), self.spread.map(tokens))
+    }
+}
+
+/// What all other daemons together hold at one replica.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Others {
+    /// What they will hold.
+    pub curve: Curve,
+    /// Their runs.
+    pub runs: u32,
+    /// Time since the newest of their runs began to make tokens.
+    pub newest: Option<Duration>,
+}
+
+/// What each of the other daemons told last.
+#[derive(Debug, Default)]
+pub struct Claims {
+    told: HashMap<Instance, Told>,
+}
+
+#[derive(Debug)]
+struct Told {
+    at: Time,
+    claims: Vec<Claim>,
+}
+
+impl Claims {
+    /// Nothing told yet.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes what `peer` tells; replaces what it told before.
+    pub fn take(&mut self, now: Time, peer: Instance, claims: Vec<Claim>) {
+        self.told.insert(peer, Told { at: now, claims });
+    }
+
+    /// Forgets what is too old.
+    pub fn sweep(&mut self, now: Time) {
+        self.told.retain(|_, told| now.since(told.at) < LIFE);
+    }
+
+    /// Daemons whose claims count, that have runs.
+    pub fn active(&self) -> impl Iterator<Item = Instance> + '_ {
+        let active = self.told.iter().filter(|(_, told)| !told.claims.is_empty());
+        active.map(|(peer, _)| *peer)
+    }
+
+    /// What the others hold at the replica `id`.
+    pub fn others(&self, now: Time, id: &str) -> Others {
+        let replica = hash(id);
+        let mut others = Others::default();
+        for told in self.told.values() {
+            let age = now.since(told.at);
+            if age >= LIFE {
+                continue;
+            }
+            for claim in told.claims.iter().filter(|claim| claim.replica == replica) {
+                let curve = claim.curve().later(age.as_secs_f64());
+                others.curve = others.curve.plus(&curve);
+                others.runs += u32::from(claim.runs);
+                others.newest = youngest(others.newest, claim.newest_ms, age);
+            }
+        }
+        others
+    }
+}
+
+fn youngest(so_far: Option<Duration>, newest_ms: u16, age: Duration) -> Option<Duration> {
+    if newest_ms == u16::MAX {
+        return so_far;
+    }
+    let newest = Duration::from_millis(u64::from(newest_ms)) + age;
+    Some(so_far.map_or(newest, |so_far| so_far.min(newest)))
+}
+
+fn hash(id: &str) -> u64 {
+    rapidhash_v3(id.as_bytes())
+}
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -52,6 +52,12 @@
     }
 }
 
+/// Events in `bytes`, which begin and end with whole ones.
+pub fn count(bytes: &[u8]) -> u64 {
+    let lines = bytes.split(|byte| *byte == b'\n');
+    lines.filter(|line| line.starts_with(b"id:")).count() as u64
+}
+
 /// The end of the last empty line at or after `from`.
 fn last_boundary(bytes: &[u8], from: usize) -> Option<usize> {
     let end_at = |index: usize| match &bytes[..=index] {
--- /dev/null
+++ b/crates/relay/src/forecast.rs
@@ -0,0 +1,144 @@
+//! What runs will hold of a replica's memory over the next seconds.
+//!
+//! A run holds its prompt and the tokens that it has made, so it grows at a known pace until it ends,
+//! and then gives everything back. Runs of a burst are of one age: they fit when they are taken and no
+//! longer do two seconds later. A sum of what each may need at most would leave half of the memory
+//! unused, since some end while others grow. So the sum is taken at several moments ahead, each run
+//! with the chance that it is still there.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::length::Length;
+
+/// Moments ahead that are looked at, in seconds; closer together where decisions are near. An answer
+/// takes some seconds; what comes after the last moment is decided when it is nearer.
+pub const AHEAD: [f64; 6] = [0.0, 0.3, 0.7, 1.4, 2.4, 4.0];
+/// Chance of going on below which a run is taken for one that ends at any moment: more tokens were
+/// made than any answer had lately.
+const RARE: f64 = 0.01;
+/// Seconds that such a run goes on for in the mean.
+const RARE_STAY: f64 = 1.0;
+
+/// Memory over the moments [`AHEAD`], in tokens: what is expected, and how far that may be off.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Curve {
+    mean: [f32; AHEAD.len()],
+    variance: [f32; AHEAD.len()],
+}
+
+/// One run.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Run {
+    /// Tokens of its prompt.
+    pub prompt: f64,
+    /// Tokens that it has made.
+    pub made: f64,
+    /// Tokens that the caller expects in all.
+    pub estimate: f64,
+    /// Tokens that it makes at most.
+    pub most: f64,
+    /// Tokens that it makes in a second.
+    pub pace: f64,
+}
+
+impl Run {
+    /// Tokens that it holds now.
+    pub fn held(&self) -> f64 {
+        self.prompt + self.made
+    }
+
+    /// What it will hold, where answers are as long as `length` says.
+    pub fn curve(&self, length: &Length) -> Curve {
+        let now = length.beyond(self.made, self.estimate);
+        let mut curve = Curve::default();
+        for (index, ahead) in AHEAD.into_iter().enumerate() {
+            let made = self.made + self.pace * ahead;
+            let goes_on = match made {
+                _ if ahead == 0.0 => 1.0,
+                made if made >= self.most => 0.0,
+                _ if now < RARE => (-ahead / RARE_STAY).exp(),
+                made => length.beyond(made, self.estimate) / now,
+            };
+            let size = self.prompt + made;
+            curve.mean[index] = (goes_on * size) as f32;
+            curve.variance[index] = (goes_on * (1.0 - goes_on) * size * size) as f32;
+        }
+        curve
+    }
+}
+
+impl Curve {
+    /// Memory that stays as it is.
+    pub const fn flat(tokens: f64) -> Self {
+        Self {
+            mean: [tokens as f32; AHEAD.len()],
+            variance: [0.0; AHEAD.len()],
+        }
+    }
+
+    /// What is expected at each moment, and how far that may be off, as standard deviations.
+    pub(crate) fn with_spread(mean: [f32; AHEAD.len()], spread: [f32; AHEAD.len()]) -> Self {
+        Self {
+            mean,
+            variance: spread.map(|spread| spread * spread),
+        }
+    }
+
+    /// Tokens expected at each moment.
+    pub const fn mean(&self) -> [f32; AHEAD.len()] {
+        self.mean
+    }
+
+    /// Standard deviation at each moment.
+    pub fn spread(&self) -> [f32; AHEAD.len()] {
+        self.variance.map(|variance| variance.max(0.0).sqrt())
+    }
+
+    /// Both together.
+    #[must_use]
+    pub fn plus(&self, other: &Self) -> Self {
+        let mut sum = *self;
+        for index in 0..AHEAD.len() {
+            sum.mean[index] += other.mean[index];
+            sum.variance[index] += other.variance[index];
+        }
+        sum
+    }
+
+    /// The curve as it is seen `seconds` later.
+    #[must_use]
+    pub fn later(&self, seconds: f64) -> Self {
+        let moments = AHEAD.map(|ahead| ahead + seconds);
+        Self {
+            mean: moments.map(|at| between(&self.mean, at)),
+            variance: moments.map(|at| between(&self.variance, at)),
+        }
+    }
+
+    /// Most that is held at any of the moments, with `spreads` times the standard deviation on top.
+    pub fn peak(&self, spreads: f64) -> f64 {
+        self.peak_within(f64::INFINITY, spreads)
+    }
+
+    /// The same for the moments up to `seconds` ahead.
+    pub fn peak_within(&self, seconds: f64, spreads: f64) -> f64 {
+        let moments = self.mean.iter().zip(&self.variance).zip(AHEAD);
+        let near = moments.filter(|(_, ahead)| *ahead <= seconds);
+        let values = near.map(|((mean, variance), _)| {
+            f64::from(*mean) + spreads * f64::from(variance.max(0.0)).sqrt()
+        });
+        values.fold(0.0, f64::max)
+    }
+}
+
+/// The value at `at` seconds, on straight lines between the moments; the last one holds on.
+fn between(values: &[f32; AHEAD.len()], at: f64) -> f32 {
+    let Some(upper) = AHEAD.iter().position(|ahead| *ahead >= at) else {
+        return values[AHEAD.len() - 1];
+    };
+    let lower = upper.saturating_sub(1);
+    let width = (AHEAD[upper] - AHEAD[lower]).max(f64::MIN_POSITIVE);
+    let part = ((at - AHEAD[lower]) / width) as f32;
+    values[lower] + part * (values[upper] - values[lower])
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,19 +10,30 @@
 //! - [`budget`]: how many retries may still be sent to a service.
 //! - [`attempt`]: what follows when a send failed.
 //! - [`event`]: cutting a stream into whole events, so that it can be resumed.
+//! - [`length`]: how long answers become, learnt from those that ended.
+//! - [`forecast`]: what runs will hold of a replica's memory over the next seconds.
+//! - [`runs`], [`claims`]: the runs of this daemon, and what the others told of theirs.
+//! - [`admission`]: whether a replica has room for a run, now and until it ends.
+//! - [`rescue`]: which run goes on elsewhere before the memory of its replica ends.
 //! - [`overload`]: whether instances have more work than they can do.
 //! - [`directory`]: which instances callers are told to connect to.
 
+pub mod admission;
 pub mod attempt;
 pub mod balance;
 pub mod belief;
 pub mod budget;
+pub mod claims;
 pub mod directory;
 pub mod event;
+pub mod forecast;
 mod gone;
+pub mod length;
 pub mod overload;
 pub mod plan;
 pub mod pool;
 pub mod replica;
+pub mod rescue;
+pub mod runs;
 pub mod score;
 pub mod server;
--- a/crates/relay/src/plan.rs
+++ b/crates/relay/src/plan.rs
@@ -96,6 +96,10 @@
     pub stage_change: Duration,
     /// Longest time for which memory can be reserved; zero where it cannot.
     pub max_reservation: Duration,
+    /// Whether the memory of a run can be moved to another engine.
+    pub moves: bool,
+    /// Tokens in one event of a stream; the last one may have fewer.
+    pub event_tokens: u64,
 }
 
 /// Bounds on what a caller may send.
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -11,10 +11,12 @@
 use slotmap::SlotMap;
 
 use crate::balance::Counts;
+use crate::claims::Claims;
 use crate::gone::Gone;
 use crate::replica::Load;
 use crate::replica::Replica;
 use crate::replica::Stage;
+use crate::runs::Runs;
 use crate::score;
 use crate::score::Want;
 use crate::server::Key;
@@ -116,6 +118,34 @@
         self.memory.insert(service.to_owned(), tokens);
     }
 
+    /// Tokens that one engine of `service` holds; `None` if that is not known.
+    pub fn memory(&self, service: &str) -> Option<u64> {
+        self.memory.get(service).copied()
+    }
+
+    /// Brings what the runs at `key` will hold up to date, from this daemon's own `runs` and the
+    /// `claims` of others.
+    pub fn foresee(&mut self, now: Time, key: Key, runs: &Runs, claims: &Claims) {
+        let Some(server) = self.servers.get_mut(key) else {
+            return;
+        };
+        let others = claims.others(now, &server.replica.id);
+        let own = runs.iter().filter(|(_, entry)| entry.server == key);
+        let curves = own.map(|(id, _)| runs.curve(now, id));
+        server.forecast = curves.fold(others.curve, |sum, curve| sum.plus(&curve));
+        server.told_runs = others.runs;
+    }
+
+    /// The same for all replicas that make tokens.
+    pub fn foresee_all(&mut self, now: Time, runs: &Runs, claims: &Claims) {
+        let decoding = self.servers.iter();
+        let decoding = decoding.filter(|(_, server)| server.replica.stage == Some(Stage::Decode));
+        let keys: Vec<Key> = decoding.map(|(key, _)| key).collect();
+        for key in keys {
+            self.foresee(now, key, runs, claims);
+        }
+    }
+
     /// Notes that another replica answered at the address of `key`.
     pub fn replaced(&mut self, key: Key) {
         if let Some(server) = self.servers.get_mut(key) {
@@ -190,11 +220,12 @@
     ///
     /// `draw` gives evenly distributed numbers in `0.0..1.0`.
     pub fn choose(&self, now: Time, want: &Want<'_>, draw: impl Fn() -> f64) -> Option<Key> {
+        let memory = self.memory(want.service);
         let fitting = self.servers.iter();
         let fitting: Vec<(Key, &Server)> = fitting
             .filter(|(key, server)| want.fits(now, *key, server))
+            .filter(|(_, server)| want.has_room(now, server, memory))
             .collect();
-        let memory = self.memory.get(want.service).copied();
         score::best(now, want, &fitting, memory, draw)
     }
 }
--- /dev/null
+++ b/crates/relay/src/runs.rs
@@ -0,0 +1,228 @@
+//! The runs of this daemon at decode replicas: how far they are, and what they will hold.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use ident::Time;
+use slotmap::SecondaryMap;
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+
+use crate::forecast::Curve;
+use crate::forecast::Run;
+use crate::length::Length;
+use crate::server::Key;
+
+new_key_type! {
+    /// A run of this daemon.
+    pub struct Id;
+}
+
+/// Seconds that an answer as long as estimated takes until some were seen.
+const USUAL_ANSWER: f64 = 3.0;
+/// Weight of the newest answer in the mean pace of a service.
+const PACE_STEP: f64 = 0.1;
+/// Time for which a run has to make tokens before its own pace counts: some ten steps.
+const PACE_FROM: f64 = 0.25;
+
+/// What a generation asks of a decode replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Size {
+    /// Tokens of its prompt.
+    pub prompt: u64,
+    /// Tokens that the caller expects.
+    pub estimate: u64,
+    /// Tokens that may be made at most.
+    pub most: u64,
+    /// Tokens that were made before, at another replica.
+    pub made: u64,
+}
+
+/// One run of this daemon.
+#[derive(Debug, Clone)]
+pub struct Entry {
+    /// Its service.
+    pub service: String,
+    /// Its replica.
+    pub server: Key,
+    size: Size,
+    /// Tokens made in all.
+    made: f64,
+    /// When the first event came from this replica, and the tokens made by then.
+    started: Option<(Time, f64)>,
+    /// Until when it is not moved: a move is in progress, or one failed.
+    settled: Option<Time>,
+}
+
+/// What was learnt of the answers of one service.
+#[derive(Debug, Default)]
+struct Learnt {
+    length: Length,
+    /// Mean tokens a second.
+    pace: Option<f64>,
+}
+
+/// All runs of this daemon.
+#[derive(Debug, Default)]
+pub struct Runs {
+    entries: SlotMap<Id, Entry>,
+    learnt: HashMap<String, Learnt>,
+    /// Until when no run leaves a replica, since it did not move one.
+    unmoved: SecondaryMap<Key, Time>,
+}
+
+impl Entry {
+    /// When it began to make tokens at its replica; `None` before.
+    pub fn started(&self) -> Option<Time> {
+        self.started.map(|(at, _)| at)
+    }
+
+    /// Whether it may be moved at `now`.
+    pub fn is_movable(&self, now: Time) -> bool {
+        self.started.is_some() && self.settled.is_none_or(|until| until <= now)
+    }
+
+    fn pace(&self, now: Time) -> Option<f64> {
+        let (at, before) = self.started?;
+        let seconds = now.since(at).as_secs_f64();
+        (seconds > PACE_FROM && self.made > before).then(|| (self.made - before) / seconds)
+    }
+}
+
+impl Runs {
+    /// None.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Notes that a run of `size` gets a place at `server`.
+    pub fn begin(&mut self, service: &str, server: Key, size: Size) -> Id {
+        if !self.learnt.contains_key(service) {
+            self.learnt.insert(service.to_owned(), Learnt::default());
+        }
+        self.entries.insert(Entry {
+            service: service.to_owned(),
+            server,
+            size,
+            made: size.made as f64,
+            started: None,
+            settled: None,
+        })
+    }
+
+    /// Notes that `tokens` came.
+    pub fn made(&mut self, now: Time, id: Id, tokens: u64) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.made += tokens as f64;
+            if entry.started.is_none() {
+                entry.started = Some((now, entry.made));
+            }
+        }
+    }
+
+    /// Notes that the run goes on at `server`.
+    pub fn moved(&mut self, id: Id, server: Key) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.server = server;
+            entry.started = None;
+        }
+    }
+
+    /// Leaves the run where it is until `until`.
+    pub fn settle(&mut self, id: Id, until: Time) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.settled = Some(until);
+        }
+    }
+
+    /// Notes that the replica of `id` did not move it, or may not have: no run leaves it until `until`.
+    pub fn keep(&mut self, id: Id, until: Time) {
+        if let Some(entry) = self.entries.get(id) {
+            self.unmoved.insert(entry.server, until);
+        }
+    }
+
+    /// Whether runs may leave `server` at `now`.
+    pub fn may_leave(&self, now: Time, server: Key) -> bool {
+        self.unmoved.get(server).is_none_or(|until| *until <= now)
+    }
+
+    /// Notes that the run is over; if it is `complete`, its length is learnt.
+    pub fn end(&mut self, now: Time, id: Id, complete: bool) {
+        let Some(entry) = self.entries.remove(id) else {
+            return;
+        };
+        let Some(learnt) = self.learnt.get_mut(&entry.service) else {
+            return;
+        };
+        if !complete || entry.made <= 0.0 {
+            return;
+        }
+        learnt.length.note(entry.made, entry.size.estimate as f64);
+        if let Some(pace) = entry.pace(now) {
+            let mean = learnt.pace.unwrap_or(pace);
+            learnt.pace = Some(mean + PACE_STEP * (pace - mean));
+        }
+    }
+
+    /// The run `id`.
+    pub fn get(&self, id: Id) -> Option<&Entry> {
+        self.entries.get(id)
+    }
+
+    /// All runs.
+    pub fn iter(&self) -> impl Iterator<Item = (Id, &Entry)> {
+        self.entries.iter()
+    }
+
+    /// Tokens that `id` holds now.
+    pub fn held(&self, id: Id) -> u64 {
+        let entry = self.entries.get(id);
+        entry.map_or(0, |entry| entry.size.prompt + entry.made as u64)
+    }
+
+    /// Tokens that `id` has made.
+    pub fn made_by(&self, id: Id) -> u64 {
+        self.entries.get(id).map_or(0, |entry| entry.made as u64)
+    }
+
+    /// What a run of `size` of `service` will hold, if it begins now.
+    pub fn ask(&self, service: &str, size: Size) -> Curve {
+        let learnt = self.learnt.get(service);
+        let pace = learnt.and_then(|learnt| learnt.pace);
+        let run = run(size, size.made as f64, pace);
+        match learnt {
+            Some(learnt) => run.curve(&learnt.length),
+            None => run.curve(&Length::new()),
+        }
+    }
+
+    /// What the run `id` will hold.
+    pub fn curve(&self, now: Time, id: Id) -> Curve {
+        let Some(entry) = self.entries.get(id) else {
+            return Curve::default();
+        };
+        let learnt = &self.learnt[&entry.service];
+        let pace = entry.pace(now).or(learnt.pace);
+        run(entry.size, entry.made, pace).curve(&learnt.length)
+    }
+
+    /// Mean time that an answer of `size` takes.
+    pub fn duration(&self, service: &str, size: Size) -> Duration {
+        let learnt = self.learnt.get(service);
+        let pace = learnt.and_then(|learnt| learnt.pace);
+        let pace = run(size, 0.0, pace).pace;
+        Duration::from_secs_f64(size.estimate as f64 / pace)
+    }
+}
+
+fn run(size: Size, made: f64, pace: Option<f64>) -> Run {
+    let estimate = size.estimate.max(1) as f64;
+    Run {
+        prompt: size.prompt as f64,
+        made,
+        estimate,
+        most: size.most as f64,
+        pace: pace.unwrap_or(estimate / USUAL_ANSWER).max(1.0),
+    }
+}
--- a/crates/relay/src/score.rs
+++ b/crates/relay/src/score.rs
@@ -3,6 +3,7 @@
 use ident::Time;
 use ident::Zone;
 
+use crate::admission::Ask;
 use crate::replica::Stage;
 use crate::server::Key;
 use crate::server::Server;
@@ -37,6 +38,8 @@
     pub tried: &'a [Key],
     /// Data centre of this daemon.
     pub near: Zone,
+    /// What it asks of the memory of a decode replica, if that is to be looked at.
+    pub ask: Option<Ask>,
 }
 
 impl Want<'_> {
@@ -47,6 +50,14 @@
             && server.replica.stage == self.stage
             && !self.tried.contains(&key)
     }
+
+    /// Whether `server`, whose engine holds `memory` tokens if that is known, has room.
+    pub(crate) fn has_room(&self, now: Time, server: &Server, memory: Option<u64>) -> bool {
+        match (self.ask, memory) {
+            (Some(ask), Some(memory)) => ask.fits(now, server, memory),
+            _ => true,
+        }
+    }
 }
 
 /// The candidate with the lowest score; `memory` is what one engine of the service holds, in tokens,
@@ -60,7 +71,7 @@
 ) -> Option<Key> {
     let usual = usual_pace(now, candidates);
     let scored = candidates.iter().map(|(key, server)| {
-        let load = used(now, server, memory) + against(now, want, server);
+        let load = used(now, want, server, memory) + against(now, want, server);
         (*key, load + slowness(now, server, usual) + draw() * JITTER)
     });
     let best = scored.min_by(|(_, left), (_, right)| left.total_cmp(right));
@@ -96,15 +107,16 @@
 }
 
 /// Part of the replica that is in use: of its memory for a decode replica, else of its places.
-fn used(now: Time, server: &Server, memory: Option<u64>) -> f64 {
+fn used(now: Time, want: &Want<'_>, server: &Server, memory: Option<u64>) -> f64 {
     let slots = f64::from(server.replica.slots.max(1));
     let load = server.load(now);
-    match (server.replica.stage, memory) {
-        (Some(Stage::Prefill), _) => load,
-        (Some(Stage::Decode), Some(memory)) => {
-            let others = (load - f64::from(server.in_flight)) * USUAL_TOKENS;
+    match (server.replica.stage, memory, want.ask) {
+        (Some(Stage::Prefill), ..) => load,
+        (Some(Stage::Decode), Some(memory), Some(ask)) => ask.used(now, server, memory),
+        (Some(Stage::Decode), Some(memory), None) => {
+            let others = server.foreign(now) * USUAL_TOKENS;
             (server.tokens as f64 + others) / (memory as f64)
         }
-        (None, _) | (Some(Stage::Decode), None) => load / slots,
+        (None, ..) | (Some(Stage::Decode), None, _) => load / slots,
     }
 }
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -5,6 +5,7 @@
 use ident::Time;
 use slotmap::new_key_type;
 
+use crate::forecast::Curve;
 use crate::replica::Load;
 use crate::replica::Replica;
 
@@ -54,6 +55,10 @@
     full: Option<Time>,
     /// Whether a replica with another id answered at its address.
     pub(crate) replaced: bool,
+    /// What the runs that this daemon knows of will hold, its own and those of others.
+    pub(crate) forecast: Curve,
+    /// Runs of other daemons among them.
+    pub(crate) told_runs: u32,
     /// Until when it is used though the list lacks it.
     pub(crate) lapses: Option<Time>,
 }
@@ -71,6 +76,8 @@
             full: None,
             failures: (0.0, now),
             replaced: false,
+            forecast: Curve::flat(0.0),
+            told_runs: 0,
             lapses: None,
         }
     }
@@ -135,11 +142,15 @@
 
     /// Requests at work here, those of other daemons among them as far as they are known.
     pub(crate) fn load(&self, now: Time) -> f64 {
-        let foreign = self.foreign.map_or(0.0, |(count, told)| {
+        f64::from(self.in_flight) + self.foreign(now)
+    }
+
+    /// Requests of other daemons at work here, as far as the replica told; fades with time.
+    pub(crate) fn foreign(&self, now: Time) -> f64 {
+        self.foreign.map_or(0.0, |(count, told)| {
             let age = now.since(told).as_secs_f64() / LOAD_AGE.as_secs_f64();
             f64::from(count) * (1.0 - age).max(0.0)
-        });
-        f64::from(self.in_flight) + foreign
+        })
     }
 
     /// Share of failures among the last sends; fades while nothing is sent.
--- /dev/null
+++ b/crates/relay/tests/admission.rs
@@ -0,0 +1,113 @@
+//! Room for a run, now and until it ends.
+
+use ident::Time;
+use ident::Zone;
+use relay::admission::Ask;
+use relay::claims::Claims;
+use relay::pool::Pool;
+use relay::replica::Load;
+use relay::replica::Replica;
+use relay::replica::Snapshot;
+use relay::replica::Stage;
+use relay::runs::Runs;
+use relay::runs::Size;
+use relay::score::Want;
+use relay::server::Key;
+
+const NOW: Time = Time::from_millis(100_000);
+const SIZE: Size = Size {
+    prompt: 5_000,
+    estimate: 4_000,
+    most: 8_000,
+    made: 0,
+};
+
+fn pool(memory: u64) -> Pool {
+    let mut pool = Pool::new();
+    pool.set_memory("llm", memory);
+    let replica = Replica {
+        id: "i-1".to_owned(),
+        service: "llm".to_owned(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        data_centre: Zone::new("here"),
+        stage: Some(Stage::Decode),
+        slots: 64,
+        draining: false,
+        cold: false,
+    };
+    let list = Snapshot {
+        version: 1,
+        replicas: vec![replica],
+        lapsing: Vec::new(),
+    };
+    pool.apply(NOW, &list);
+    pool
+}
+
+fn choose(pool: &Pool, ask: Option<Ask>) -> Option<Key> {
+    let want = Want {
+        service: "llm",
+        stage: Some(Stage::Decode),
+        tried: &[],
+        near: Zone::new("here"),
+        ask,
+    };
+    pool.choose(NOW, &want, || 0.0)
+}
+
+/// Runs that are taken at once by a replica of `memory` tokens.
+fn taken(memory: u64, spreads: f64, spare: f64) -> usize {
+    let mut pool = pool(memory);
+    let mut runs = Runs::new();
+    let mut count = 0;
+    loop {
+        let ask = Ask {
+            curve: runs.ask("llm", SIZE),
+            spreads,
+            spare,
+        };
+        let Some(key) = choose(&pool, Some(ask)) else {
+            return count;
+        };
+        runs.begin("llm", key, SIZE);
+        pool.foresee(NOW, key, &runs, &Claims::new());
+        count += 1;
+    }
+}
+
+#[test]
+fn runs_that_come_together_are_taken_for_what_they_will_hold() {
+    // Prompts alone would be 20, and with the most that each may make 7.
+    let count = taken(100_000, 0.0, 0.0);
+    assert!((11..17).contains(&count), "{count}");
+}
+
+#[test]
+fn certainty_costs_places() {
+    assert!(taken(100_000, 2.5, 0.0) < taken(100_000, 0.0, 0.0));
+    assert!(taken(100_000, 0.0, 0.2) < taken(100_000, 0.0, 0.0));
+}
+
+#[test]
+fn a_large_replica_takes_more_for_each_token_of_its_memory() {
+    let (small, large) = (taken(30_000, 2.5, 0.0), taken(300_000, 2.5, 0.0));
+    assert!(large > 10 * small, "{small} and {large}");
+}
+
+#[test]
+fn runs_that_only_the_replica_tells_of_count() {
+    let mut pool = pool(30_000);
+    let key = choose(&pool, None).unwrap();
+    let ask = Ask {
+        curve: Runs::new().ask("llm", SIZE),
+        spreads: 0.0,
+        spare: 0.0,
+    };
+    assert!(choose(&pool, Some(ask)).is_some());
+    let load = Load {
+        running: 6,
+        waiting: 0,
+    };
+    pool.told(NOW, key, load);
+    assert!(choose(&pool, Some(ask)).is_none());
+}
--- /dev/null
+++ b/crates/relay/tests/forecast.rs
@@ -0,0 +1,73 @@
+//! What runs will hold of a replica's memory.
+
+use relay::forecast::Curve;
+use relay::forecast::Run;
+use relay::length::Length;
+
+fn run(made: f64) -> Run {
+    Run {
+        prompt: 5_000.0,
+        made,
+        estimate: 4_000.0,
+        most: 8_000.0,
+        pace: 1_200.0,
+    }
+}
+
+/// `count` runs that have made `made` tokens.
+fn runs(count: usize, made: f64) -> Curve {
+    let one = run(made).curve(&Length::new());
+    (0..count).fold(Curve::default(), |sum, _| sum.plus(&one))
+}
+
+#[test]
+fn a_run_holds_its_prompt_and_what_it_made() {
+    let curve = run(640.0).curve(&Length::new());
+    assert!((curve.mean()[0] - 5_640.0).abs() < 1.0);
+    assert!(curve.spread()[0] < 1.0);
+}
+
+#[test]
+fn runs_of_one_age_hold_more_in_a_moment_than_now() {
+    let burst = runs(10, 0.0);
+    assert!(burst.peak(0.0) > 1.2 * f64::from(burst.mean()[0]));
+}
+
+#[test]
+fn runs_near_their_end_hold_most_now() {
+    let ending = runs(10, 6_000.0);
+    let now = f64::from(ending.mean()[0]);
+    assert!((ending.peak(0.0) - now).abs() < 1.0);
+}
+
+#[test]
+fn what_is_uncertain_asks_for_more_room() {
+    let burst = runs(10, 0.0);
+    assert!(burst.peak(2.0) > burst.peak(0.0));
+}
+
+#[test]
+fn a_run_that_made_the_most_is_over_at_once() {
+    let curve = run(8_000.0).curve(&Length::new());
+    assert!(curve.mean()[1..].iter().all(|mean| *mean < 1.0));
+}
+
+#[test]
+fn a_run_longer_than_any_before_goes_on_for_a_while() {
+    let mut length = Length::new();
+    for _ in 0..2_000 {
+        length.note(2_000.0, 4_000.0);
+    }
+    let curve = run(7_000.0).curve(&length);
+    assert!(curve.mean()[1] > 5_000.0);
+    assert!(curve.mean().iter().all(|mean| mean.is_finite()));
+}
+
+#[test]
+fn a_curve_seen_later_starts_further_on() {
+    let burst = runs(10, 0.0);
+    let later = burst.later(0.3);
+    assert!((later.mean()[0] - burst.mean()[1]).abs() < 1.0);
+    let much_later = burst.later(60.0);
+    assert!((much_later.mean()[0] - burst.mean()[5]).abs() < 1.0);
+}
--- a/crates/relay/tests/pool.rs
+++ b/crates/relay/tests/pool.rs
@@ -43,6 +43,7 @@
         stage: None,
         tried,
         near: Zone::new("here"),
+        ask: None,
     }
 }
 
--- a/crates/relay/tests/score.rs
+++ b/crates/relay/tests/score.rs
@@ -47,6 +47,7 @@
         stage,
         tried,
         near: Zone::new("here"),
+        ask: None,
     }
 }
 
