Tell peers of a lapsed replica whose time ran out

The reader of the store had seen an outage, so it used the vanished replica until 25.8 s; the list had the entry as lapsing until then, and as gone from the next reading (25.84 s) on. A peer that asked in between was told version 59 with neither, and stood at that version from then on, so nothing more was told. Ruled out by logged questions: a silent reader (it answered each 450 ms), a stale hash (the answers say that the lists differ), a reading by the peer itself. Change: what ran out of time is told as gone; a peer whose list differs at the same version is told all. The test failed before the first half of the change.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -45,6 +45,8 @@
     plan: u64,
     /// Version of the store at which the asker's replicas stand.
     replicas: u64,
+    /// Hash of the asker's replicas.
+    digest: u64,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -102,6 +104,7 @@
     let ask = Ask {
         plan: shared.plan_version(),
         replicas: shared.replicas_version(),
+        digest: shared.pool.borrow().digest(),
     };
     match timeout(ASK_TIMEOUT, question(peer, &ask)).await {
         Ok(Ok(told)) => {
@@ -194,7 +197,7 @@
             .plan()
             .filter(|plan| plan.version > ask.plan)
             .map(|plan| (*plan).clone()),
-        replicas: shared.newer_replicas(ask.replicas),
+        replicas: shared.newer_replicas(ask.replicas, ask.digest),
         cards: shared.members.borrow().cards(),
     }
 }
--- a/crates/gateway/src/shared/knowledge.rs
+++ b/crates/gateway/src/shared/knowledge.rs
@@ -58,10 +58,10 @@
         }
     }
 
-    /// What changed of the replicas after `version`, if anything did.
-    pub fn newer_replicas(&self, version: u64) -> Option<Update> {
+    /// What a peer is told whose replicas stand at `version` and have the hash `digest`.
+    pub fn newer_replicas(&self, version: u64, digest: u64) -> Option<Update> {
         let pool = self.pool.borrow();
-        (pool.version() > version).then(|| pool.update(self.clock.now(), version))
+        pool.newer(self.clock.now(), version, digest)
     }
 
     /// Notes that the replicas are the same as those that a peer has from `version`, which was read
--- a/crates/relay/src/pool/list.rs
+++ b/crates/relay/src/pool/list.rs
@@ -20,6 +20,19 @@
 const LAPSE_GRACE: Duration = Duration::from_millis(1_900);
 
 impl Pool {
+    /// What a peer is told whose list is of the version `since` and has the hash `digest`; `None` if
+    /// there is nothing to tell. Where lists of one version differ, a peer that is told nothing would
+    /// go on with its own until the next change.
+    pub fn newer(&self, now: Time, since: u64, digest: u64) -> Option<Update> {
+        match self.version {
+            version if version > since => Some(self.update(now, since)),
+            version if version == since && digest != self.digest() => {
+                Some(Update::All(self.snapshot(now)))
+            }
+            _ => None,
+        }
+    }
+
     /// What a peer is told whose list is of the version `since`: what changed, if that is known.
     pub fn update(&self, now: Time, since: u64) -> Update {
         if since < self.gone.since {
@@ -28,11 +41,15 @@
         let servers = self.servers.values();
         let changed = servers.filter(|server| server.changed > since && server.lapses.is_none());
         let gone = self.gone.ids.iter().filter(|(version, _)| *version > since);
+        let gone = gone.map(|(_, id)| id.clone());
+        // Their time ran out since the last reading, and the peer may still list them.
+        let over = self.servers.values().filter(|server| server.is_over(now));
+        let over = over.map(|server| server.replica.id.clone());
         Update::Changed(Delta {
             since,
             version: self.version,
             replicas: changed.map(|server| server.replica.clone()).collect(),
-            gone: gone.map(|(_, id)| id.clone()).collect(),
+            gone: gone.chain(over).collect(),
             lapsing: self.lapsing(now),
         })
     }
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -87,6 +87,11 @@
         listed && !self.replica.draining && !self.replaced
     }
 
+    /// Whether the list lacks it and the time is over for which it was used on.
+    pub(crate) fn is_over(&self, now: Time) -> bool {
+        self.lapses.is_some_and(|until| until <= now)
+    }
+
     pub(crate) fn begin(&mut self, tokens: u64) {
         self.in_flight += 1;
         self.tokens += tokens;
--- a/crates/relay/tests/pool.rs
+++ b/crates/relay/tests/pool.rs
@@ -261,3 +261,35 @@
     assert_eq!(changes[0].now, Belief::Gone);
     assert_eq!(told(&pool, 5).gone, ["one"]);
 }
+
+/// A reader whose lapsed replica ran out of time between two readings of the store.
+fn reader_past_a_lapse() -> (Pool, Pool) {
+    let mut reader = Pool::new();
+    reader.apply(START, &snapshot(1, &["one", "two"]));
+    let asker = reader_of(&reader, START);
+    reader.note_outage(START);
+    reader.apply(after(1_000), &snapshot(2, &["two"]));
+    (reader, asker)
+}
+
+#[test]
+fn a_peer_that_asks_between_the_end_of_a_lapse_and_the_next_reading_drops_the_replica() {
+    let (reader, mut asker) = reader_past_a_lapse();
+    let now = after(2_000);
+    let update = reader.newer(now, asker.version(), asker.digest()).unwrap();
+    asker.take(now, &update);
+    assert_eq!(asker.replicas().count(), 1);
+    assert_eq!(asker.digest(), reader.digest());
+}
+
+#[test]
+fn a_peer_whose_list_differs_at_the_same_version_is_told_all() {
+    let (reader, _) = reader_past_a_lapse();
+    let mut asker = Pool::new();
+    asker.apply(START, &snapshot(2, &["one", "two"]));
+    let now = after(2_000);
+    let update = reader.newer(now, 2, asker.digest()).unwrap();
+    asker.take(now, &update);
+    assert_eq!(asker.digest(), reader.digest());
+    assert!(reader.newer(now, 2, asker.digest()).is_none());
+}
