An emulator of decode replicas whose memory fills

Memory grows by token, the newest run is set aside and read again, refused callers come back once, claims arrive later, estimates miss. Tests replay each pattern: they fail with a reservation, with one standard deviation, and with claims that are 300 ms late.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 //! give equal runs.
 
 pub mod bench;
+pub mod decode;
 pub mod engine;
 pub mod figure;
 pub mod network;
