First come, first served among those who wait at a daemon; no more room asked for than if no run ends

There answers add little to what a run holds, and three standard deviations of the chance that runs end asked for 20,000 tokens that no run could fill, which large prompts did not find. Change: what is expected with its deviation is bounded by what is held if no run ends; generations of one service take turns at their daemon.

Also: waxwing account puts each generation in log files to the cause that it was lost for, by second; the lines first, gap and move tell what it needs.

--- /dev/null
+++ b/crates/ctl/src/account.rs
@@ -0,0 +1,175 @@
+//! Where generations were lost: each put to one cause, told from the log lines of gateway daemons.
+//!
+//! A daemon knows one attempt of a caller. One that was refused and came back counts as two here.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use serde_json::Value;
+
+/// Pauses in streams of one replica within this time are put to the replica, not to one run.
+const TOGETHER_MS: u64 = 700;
+/// Streams that pause together from which on the replica is the cause.
+const MANY: usize = 3;
+
+/// How one generation ended, and for which reason.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Cause {
+    /// Complete and on time.
+    InTime,
+    /// No decode replica had room.
+    Refused,
+    /// The first event came after the objective.
+    FirstLate,
+    /// Its stream paused, and those of its replica did as well: the replica read a prompt.
+    ReplicaPaused,
+    /// Its stream paused alone: its replica set it aside.
+    SetAside,
+    /// It went on at another replica after its own was lost.
+    Resumed,
+    /// The stream broke off.
+    BrokenOff,
+    /// The caller left.
+    CallerLeft,
+    /// The replica's own failure.
+    Failed,
+    /// Its daemon was killed, or the logs end before it does.
+    NoEnd,
+    /// Anything else.
+    Other,
+}
+
+impl Cause {
+    /// In plain words.
+    pub const fn text(self) -> &'static str {
+        match self {
+            Self::InTime => "in time",
+            Self::Refused => "refused: no decode replica had room",
+            Self::FirstLate => "late: first event after the objective",
+            Self::ReplicaPaused => "late: all streams of the replica paused",
+            Self::SetAside => "late: the stream paused alone",
+            Self::Resumed => "late: went on elsewhere after its replica was lost",
+            Self::BrokenOff => "broken off",
+            Self::CallerLeft => "the caller left",
+            Self::Failed => "the replica's own failure",
+            Self::NoEnd => "no end in the logs",
+            Self::Other => "other",
+        }
+    }
+}
+
+/// What the lines tell of one generation.
+#[derive(Debug, Default)]
+struct Generation {
+    /// Second of the last line about it.
+    second: u64,
+    late: bool,
+    resumed: bool,
+    /// Replica and time of the first pause.
+    pause: Option<(String, u64)>,
+    outcome: Option<String>,
+}
+
+/// Counts by cause, of all and by second.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Account {
+    /// Generations by cause.
+    pub causes: BTreeMap<Cause, u64>,
+    /// The same by second of the daemons' clocks.
+    pub seconds: BTreeMap<u64, BTreeMap<Cause, u64>>,
+}
+
+impl Account {
+    /// Puts the generations of `lines` to causes.
+    pub fn new(lines: &[Value]) -> Self {
+        let mut generations: HashMap<&str, Generation> = HashMap::new();
+        let mut pauses: HashMap<String, Vec<u64>> = HashMap::new();
+        for line in lines {
+            let Some(request) = line["request"].as_str() else {
+                continue;
+            };
+            let at = milliseconds(line);
+            if line["kind"] == "gap" {
+                pauses.entry(text(line, "replica")).or_default().push(at);
+            }
+            if is_of_generation(line) || generations.contains_key(request) {
+                note(generations.entry(request).or_default(), line, at);
+            }
+        }
+        let mut account = Self::default();
+        for generation in generations.values() {
+            let cause = cause(generation, &pauses);
+            *account.causes.entry(cause).or_default() += 1;
+            let second = account.seconds.entry(generation.second).or_default();
+            *second.entry(cause).or_default() += 1;
+        }
+        account
+    }
+
+    /// Generations.
+    pub fn total(&self) -> u64 {
+        self.causes.values().sum()
+    }
+}
+
+/// Whether only generations have such lines.
+fn is_of_generation(line: &Value) -> bool {
+    match line["kind"].as_str() {
+        Some("reserve" | "read" | "first" | "gap" | "move") => true,
+        Some("send") => line["prompt"].as_u64().is_some_and(|prompt| prompt > 0),
+        _ => false,
+    }
+}
+
+fn note(generation: &mut Generation, line: &Value, at: u64) {
+    generation.second = at / 1_000;
+    match line["kind"].as_str() {
+        Some("first") => generation.late |= text(line, "late") == "true",
+        Some("gap") if generation.pause.is_none() => {
+            generation.pause = Some((text(line, "replica"), at));
+        }
+        Some("retry") => generation.resumed |= text(line, "granted") == "true",
+        Some("end") => generation.outcome = Some(text(line, "outcome")),
+        _ => {}
+    }
+}
+
+fn cause(generation: &Generation, pauses: &HashMap<String, Vec<u64>>) -> Cause {
+    let together = |(replica, at): &(String, u64)| {
+        let times = pauses.get(replica).map_or(&[][..], Vec::as_slice);
+        let near = times.iter().filter(|time| time.abs_diff(*at) < TOGETHER_MS);
+        near.count() > MANY
+    };
+    match (generation.outcome.as_deref(), &generation.pause) {
+        (None, _) => Cause::NoEnd,
+        (Some("answered"), _) if generation.late => Cause::FirstLate,
+        (Some("answered"), Some(pause)) if together(pause) => Cause::ReplicaPaused,
+        (Some("answered"), Some(_)) if generation.resumed => Cause::Resumed,
+        (Some("answered"), Some(_)) => Cause::SetAside,
+        (Some("answered"), None) => Cause::InTime,
+        (Some("refused"), _) => Cause::Refused,
+        (Some("broken" | "unknown" | "overdue"), _) => Cause::BrokenOff,
+        (Some("caller-left"), _) => Cause::CallerLeft,
+        (Some("failed"), _) => Cause::Failed,
+        (Some(_), _) => Cause::Other,
+    }
+}
+
+/// Milliseconds of the day at which a line was written; daemons of a fleet differ little.
+fn milliseconds(line: &Value) -> u64 {
+    let time = text(line, "time");
+    let clock = time.get(11..23).unwrap_or_default();
+    let mut parts = clock
+        .split([':', '.'])
+        .map(|part| part.parse().unwrap_or(0));
+    let mut next = || -> u64 { parts.next().unwrap_or(0) };
+    ((next() * 60 + next()) * 60 + next()) * 1_000 + next()
+}
+
+fn text(line: &Value, name: &str) -> String {
+    match &line[name] {
+        Value::String(text) => text.clone(),
+        Value::Null => String::new(),
+        other => other.to_string(),
+    }
+}
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -18,7 +18,7 @@
     ("wait", &["table apply", "table force", "drain", "undrain"]),
     ("note", &["table apply", "drain", "undrain"]),
     ("edit-id", &["table apply", "drain", "undrain"]),
-    ("log", &["explain"]),
+    ("log", &["explain", "account"]),
 ];
 
 const BRIEF: &str = "Usage: waxwing [options] COMMAND
@@ -35,6 +35,7 @@
                             take the mark away
     status                  show each instance as it sees itself and the others
     explain REQUEST         show what was decided for a request, and why
+    account                 put each generation in log files to the cause that it was late or lost for
     config check FILE       check the settings file of a daemon
 
 Examples:
@@ -47,6 +48,7 @@
     waxwing explain order-17                  ask every instance about a request
     waxwing explain order-17 --log entry-1.log
     cat edge-*.log | waxwing explain 9c41d07b --log -   a request's life, no daemon needed
+    cat edge-*.log | waxwing account --log -            what was lost, by cause and moment
 
 Exit codes: 0 done and in force, 1 other failure, 2 usage, 3 conflict, 4 rejected,
 5 accepted but not yet in force, 6 unreachable, 7 denied, 8 undecided, 9 not found.";
@@ -94,6 +96,8 @@
     Status,
     /// Show the decisions for a request; log files to search in.
     Explain(String, Vec<PathBuf>),
+    /// Put generations to causes; log files to read.
+    Account(Vec<PathBuf>),
     /// Check settings of a daemon.
     ConfigCheck(PathBuf),
     /// Print the help text.
@@ -160,20 +164,23 @@
         ["drain", kind, name] => Ok(Command::Drain(mark(kind, name)?, submission(matches)?)),
         ["undrain", kind, name] => Ok(Command::Undrain(mark(kind, name)?, submission(matches)?)),
         ["status"] => Ok(Command::Status),
-        ["explain", request] => {
-            let logs = matches
-                .opt_strs("log")
-                .into_iter()
-                .map(PathBuf::from)
-                .collect();
-            Ok(Command::Explain(request.to_owned(), logs))
-        }
+        ["explain", request] => Ok(Command::Explain(request.to_owned(), logs(matches))),
+        ["account"] => match logs(matches) {
+            logs if logs.is_empty() => Err(usage("account: --log FILE is missing".to_owned())),
+            logs => Ok(Command::Account(logs)),
+        },
         ["config", "check", file] => Ok(Command::ConfigCheck(file.into())),
         [] => Err(usage("no command given".to_owned())),
         _ => Err(usage(format!("`{}` is not a command", words.join(" ")))),
     }
 }
 
+/// The log files that are named.
+fn logs(matches: &Matches) -> Vec<PathBuf> {
+    let logs = matches.opt_strs("log").into_iter();
+    logs.map(PathBuf::from).collect()
+}
+
 /// Refuses options that the command would ignore.
 fn check_options(matches: &Matches, words: &[&str]) -> Result<(), Error> {
     let line = words.join(" ");
--- /dev/null
+++ b/crates/ctl/src/commands/account.rs
@@ -0,0 +1,65 @@
+//! `account`: where generations were lost, by cause and moment.
+
+use std::path::PathBuf;
+
+use serde_json::json;
+
+use crate::account::Account;
+use crate::account::Cause;
+use crate::error::Error;
+use crate::output::Output;
+use crate::story::Log;
+
+/// Prints the account of all `logs` together.
+pub(super) fn run(logs: &[PathBuf], output: Output) -> Result<(), Error> {
+    let mut lines = Vec::new();
+    let mut bad = 0;
+    for path in logs {
+        let log = Log::read(path)?;
+        lines.extend(log.lines);
+        bad += log.bad;
+    }
+    let account = Account::new(&lines);
+    let causes = account.causes.iter();
+    let causes = causes.map(|(cause, count)| json!({"cause": cause.text(), "count": count}));
+    let value = json!({"generations": account.total(), "causes": causes.collect::<Vec<_>>()});
+    output.value(&value);
+    for line in tell(&account, bad) {
+        output.line(&line);
+    }
+    Ok(())
+}
+
+fn tell(account: &Account, bad: usize) -> Vec<String> {
+    let total = account.total().max(1) as f64;
+    let mut lines = vec![format!(
+        "{} generations ({bad} lines could not be read)",
+        account.total()
+    )];
+    let mut causes: Vec<(&Cause, &u64)> = account.causes.iter().collect();
+    causes.sort_by_key(|(_, count)| std::cmp::Reverse(**count));
+    for (cause, count) in causes {
+        let share = 100.0 * *count as f64 / total;
+        lines.push(format!("{count:6} {share:5.1} %  {}", cause.text()));
+    }
+    lines.push("seconds in which some were lost:".to_owned());
+    for (second, causes) in &account.seconds {
+        let lost = causes.iter().filter(|(cause, _)| **cause != Cause::InTime);
+        let lost: Vec<String> = lost
+            .map(|(cause, count)| format!("{count} {}", cause.text()))
+            .collect();
+        if !lost.is_empty() {
+            lines.push(format!("{}  {}", clock(*second), lost.join(", ")));
+        }
+    }
+    lines
+}
+
+fn clock(second: u64) -> String {
+    format!(
+        "{:02}:{:02}:{:02}",
+        second / 3_600,
+        second / 60 % 60,
+        second % 60
+    )
+}
--- a/crates/ctl/src/commands/mod.rs
+++ b/crates/ctl/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The commands, one module each.
 
+mod account;
 mod apply;
 mod check;
 mod drain;
@@ -44,6 +45,7 @@
         Command::Undrain(mark, how) => drain::run(&admin()?, mark, false, how, output).await,
         Command::Status => status::run(&admin()?, output).await,
         Command::Explain(request, logs) => explain::run(&call.options, request, logs, output).await,
+        Command::Account(logs) => account::run(logs, output),
         Command::ConfigCheck(path) => check::settings(path, output),
     }
 }
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,6 +1,7 @@
 //! The operators' command: reads and edits the table, marks instances and replicas to drain, and
 //! explains decisions, all through the admin addresses of the daemons.
 
+pub mod account;
 pub mod answer;
 pub mod base;
 pub mod cli;
--- a/crates/ctl/src/story.rs
+++ b/crates/ctl/src/story.rs
@@ -201,6 +201,29 @@
                 "does not answer"
             }
         ),
+        "gap" => format!(
+            "no event came from {} for {} ms, after {} events",
+            text("replica"),
+            text("ms"),
+            text("events")
+        ),
+        "move" if text("stopped") == "true" => format!(
+            "the run left {}, whose memory was about to end, for {} after {} events{}",
+            text("replica"),
+            text("to"),
+            text("events"),
+            if text("copied") == "true" {
+                ""
+            } else {
+                "; its memory could not be copied"
+            }
+        ),
+        "move" => format!(
+            "the run was to leave {} for {} and did not: {}",
+            text("replica"),
+            text("to"),
+            text("cause")
+        ),
         "pause" => format!("(the process stood still for {} ms)", text("ms")),
         "stop" => format!("(the daemon is {})", text("text")),
         "overload" => "(an instance of the data centre was overloaded)".to_owned(),
--- /dev/null
+++ b/crates/ctl/tests/account.rs
@@ -0,0 +1,100 @@
+//! Generations are put to the causes that they were lost for.
+
+use ctl::account::Account;
+use ctl::account::Cause;
+use rstest::rstest;
+use serde_json::Value;
+use serde_json::json;
+
+fn line(request: &str, kind: &str, ms: u32, more: &Value) -> Value {
+    let time = format!("2026-12-02T10:00:{:02}.{:03}+00:00", ms / 1_000, ms % 1_000);
+    let mut line = json!({"request": request, "kind": kind, "time": time});
+    let fields = more.as_object().unwrap().clone();
+    line.as_object_mut().unwrap().extend(fields);
+    line
+}
+
+fn end(request: &str, ms: u32, outcome: &str) -> Value {
+    line(request, "end", ms, &json!({"outcome": outcome}))
+}
+
+fn gap(request: &str, ms: u32, replica: &str) -> Value {
+    line(request, "gap", ms, &json!({"replica": replica, "ms": 640}))
+}
+
+fn first(request: &str, late: bool) -> Value {
+    line(request, "first", 500, &json!({"ms": 500, "late": late}))
+}
+
+fn only(lines: &[Value]) -> Cause {
+    let account = Account::new(lines);
+    assert_eq!(account.total(), 1);
+    *account.causes.keys().next().unwrap()
+}
+
+#[rstest]
+#[case("answered", Cause::InTime)]
+#[case("refused", Cause::Refused)]
+#[case("broken", Cause::BrokenOff)]
+#[case("unknown", Cause::BrokenOff)]
+#[case("overdue", Cause::BrokenOff)]
+#[case("caller-left", Cause::CallerLeft)]
+#[case("failed", Cause::Failed)]
+#[case("something new", Cause::Other)]
+fn the_end_tells_the_cause(#[case] outcome: &str, #[case] cause: Cause) {
+    let lines = [first("a", false), end("a", 4_000, outcome)];
+    assert_eq!(only(&lines), cause);
+}
+
+#[test]
+fn a_late_first_event_is_the_cause_whatever_follows() {
+    let lines = [
+        first("a", true),
+        gap("a", 2_000, "i-1"),
+        end("a", 4_000, "answered"),
+    ];
+    assert_eq!(only(&lines), Cause::FirstLate);
+}
+
+#[test]
+fn a_stream_that_pauses_alone_was_set_aside() {
+    let lines = [
+        first("a", false),
+        gap("a", 2_000, "i-1"),
+        end("a", 4_000, "answered"),
+    ];
+    assert_eq!(only(&lines), Cause::SetAside);
+}
+
+#[test]
+fn a_stream_that_went_on_elsewhere_was_resumed() {
+    let retry = line("a", "retry", 1_900, &json!({"granted": "true"}));
+    let lines = [
+        first("a", false),
+        retry,
+        gap("a", 2_000, "i-1"),
+        end("a", 4_000, "answered"),
+    ];
+    assert_eq!(only(&lines), Cause::Resumed);
+}
+
+#[test]
+fn streams_that_pause_together_are_put_to_their_replica() {
+    let requests = ["a", "b", "c", "d"];
+    let mut lines = Vec::new();
+    for (index, request) in requests.iter().enumerate() {
+        lines.push(first(request, false));
+        lines.push(gap(request, 2_000 + index as u32 * 100, "i-1"));
+        lines.push(end(request, 4_000, "answered"));
+    }
+    let account = Account::new(&lines);
+    assert_eq!(account.causes[&Cause::ReplicaPaused], 4);
+    assert_eq!(account.seconds[&36_004][&Cause::ReplicaPaused], 4);
+}
+
+#[test]
+fn plain_calls_do_not_count_and_generations_without_an_end_do() {
+    let plain = line("p", "send", 100, &json!({"prompt": 0}));
+    let lines = [plain, end("p", 200, "answered"), first("a", false)];
+    assert_eq!(only(&lines), Cause::NoEnd);
+}
--- a/crates/ctl/tests/waxwing/views.rs
+++ b/crates/ctl/tests/waxwing/views.rs
@@ -262,3 +262,13 @@
         .code(0)
         .out("a decode replica did not answer when it was asked for room: no answer in time");
 }
+
+#[test]
+fn a_move_is_told() {
+    let env = Env::new();
+    let moved = r#"{"instance":"edge-1","run":"a1","up_ms":95,"time":"2026-12-02T10:00:05Z","kind":"move","request":"77aa","replica":"i-1","to":"i-2","stopped":"true","copied":"true","events":12,"cause":""}"#;
+    let log = env.file("one.log", moved);
+    env.run(&["explain", "77aa", "--log", &log])
+        .code(0)
+        .out("the run left i-1, whose memory was about to end, for i-2 after 12 events");
+}
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -48,8 +48,8 @@
 /// replica needs some hundred milliseconds to read the prompt.
 const STALL: Duration = Duration::from_millis(800);
 
-/// Time between two events from which on it is told in the log; callers take answers with longer pauses
-/// for late.
+/// Time between two events from which on it is told in the log, where the route does not say how long a
+/// stream may pause.
 const LONG_GAP: Duration = Duration::from_millis(300);
 /// Time for the end of a stream whose run was stopped; its events are on their way by then.
 const LAST_EVENTS: Duration = Duration::from_millis(100);
@@ -267,7 +267,7 @@
             let age = self.job.age();
             let route = &self.job.route.name;
             self.shared.metrics.latency(route, age.as_secs_f64());
-            log::info!(kind = "first", request = self.job.call.id, ms = age.as_millis() as u64; "the first event is passed on");
+            log::info!(kind = "first", request = self.job.call.id, ms = age.as_millis() as u64, late = age > self.job.route.objective; "the first event is passed on");
         }
         self.parts.send(Ok(bytes.into())).await.is_ok()
     }
@@ -277,7 +277,7 @@
     fn note_gap(&self, key: Key, last: Instant) {
         let gap = last.elapsed();
         self.shared.metrics.gap(gap.as_secs_f64());
-        if self.started && gap > LONG_GAP {
+        if self.started && gap > self.job.route.pause.unwrap_or(LONG_GAP) {
             let pool = self.shared.pool.borrow();
             let replica = pool.get(key).map_or("", |server| &server.replica.id);
             log::info!(kind = "gap", request = self.job.call.id, replica = replica, ms = gap.as_millis() as u64, events = self.events; "no event came for a while");
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod store;
 pub mod stream;
 pub mod track;
+pub mod turn;
 pub mod watch;
 
 use std::io;
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -22,6 +22,7 @@
 use crate::plain;
 use crate::shared::Shared;
 use crate::track::Track;
+use crate::turn::Turn;
 
 /// Pause between two rounds over replicas that had no room; in overload a place comes free about
 /// every 60 ms.
@@ -96,9 +97,15 @@
     let begun = Instant::now();
     let placing = shared.settings().placing;
     let until = job.arrived + job.route.objective.mul_f64(placing.wait);
+    let turn = Turn::new(shared, &job.service);
     let mut rounds = 0;
     loop {
-        if let Some(place) = round(shared, job, tried, engine, made).await {
+        let found = if turn.is_now() {
+            round(shared, job, tried, engine, made).await
+        } else {
+            None
+        };
+        if let Some(place) = found {
             shared.metrics.wait(begun.elapsed().as_secs_f64());
             return Some(place);
         }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -16,6 +16,7 @@
 use ident::Zone;
 use relay::budget::Budget;
 use relay::claims::Claims;
+use relay::line::Line;
 use relay::overload::Overload;
 use relay::plan::Plan;
 use relay::pool::Pool;
@@ -69,7 +70,9 @@
     pub claims: RefCell<Claims>,
     /// By run, where it is to go on.
     pub orders: RefCell<HashMap<Id, watch::Sender<Option<Key>>>>,
-    /// A run of this daemon ended.
+    /// Generations that wait for a place.
+    pub line: RefCell<Line>,
+    /// A run of this daemon ended, or another generation's turn came.
     pub room: Notify,
     /// A run began or moved.
     pub runs_changed: Notify,
@@ -121,6 +124,7 @@
             runs: RefCell::new(Runs::new()),
             claims: RefCell::new(Claims::new()),
             orders: RefCell::new(HashMap::new()),
+            line: RefCell::new(Line::new()),
             room: Notify::new(),
             runs_changed: Notify::new(),
             plan: RefCell::new(None),
--- /dev/null
+++ b/crates/gateway/src/turn.rs
@@ -0,0 +1,41 @@
+//! A generation's turn among those that wait at this daemon.
+
+use std::rc::Rc;
+
+use relay::line::Ticket;
+
+use crate::shared::Shared;
+
+/// A place in the line of a service; left when this is dropped.
+#[derive(Debug)]
+pub struct Turn {
+    shared: Rc<Shared>,
+    service: String,
+    ticket: Ticket,
+}
+
+impl Turn {
+    /// Joins the line of `service`.
+    pub fn new(shared: &Rc<Shared>, service: &str) -> Self {
+        Self {
+            shared: Rc::clone(shared),
+            service: service.to_owned(),
+            ticket: shared.line.borrow_mut().join(service),
+        }
+    }
+
+    /// Whether it is this one's turn.
+    pub fn is_now(&self) -> bool {
+        let line = self.shared.line.borrow();
+        line.is_first(&self.service, self.ticket)
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        let mut line = self.shared.line.borrow_mut();
+        line.leave(&self.service, self.ticket);
+        drop(line);
+        self.shared.room.notify_waiters();
+    }
+}
--- a/crates/relay/src/claims.rs
+++ b/crates/relay/src/claims.rs
@@ -37,6 +37,8 @@
     mean: [u16; AHEAD.len()],
     /// Standard deviation, in the same units.
     spread: [u16; AHEAD.len()],
+    /// Tokens at each moment if no run ends, in the same units.
+    most: [u16; AHEAD.len()],
 }
 
 impl Claim {
@@ -50,12 +52,17 @@
             newest_ms,
             mean: curve.mean().map(units),
             spread: curve.spread().map(units),
+            most: curve.most().map(units),
         }
     }
 
     fn curve(&self) -> Curve {
         let tokens = |units: u16| f32::from(units) * UNIT;
-        Curve::with_spread(self.mean.map(tokens), self.spread.map(tokens))
+        Curve::with_spread(
+            self.mean.map(tokens),
+            self.spread.map(tokens),
+            self.most.map(tokens),
+        )
     }
 }
 
--- a/crates/relay/src/forecast.rs
+++ b/crates/relay/src/forecast.rs
@@ -20,11 +20,13 @@
 /// Seconds that such a run goes on for in the mean.
 const RARE_STAY: f64 = 1.0;
 
-/// Memory over the moments [`AHEAD`], in tokens: what is expected, and how far that may be off.
+/// Memory over the moments [`AHEAD`], in tokens: what is expected, how far that may be off, and what is
+/// held if no run ends. Where answers add little to what a run holds, the last is the closest bound.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct Curve {
     mean: [f32; AHEAD.len()],
     variance: [f32; AHEAD.len()],
+    most: [f32; AHEAD.len()],
 }
 
 /// One run.
@@ -63,6 +65,7 @@
             let size = self.prompt + made;
             curve.mean[index] = (goes_on * size) as f32;
             curve.variance[index] = (goes_on * (1.0 - goes_on) * size * size) as f32;
+            curve.most[index] = (self.prompt + made.min(self.most.max(self.made))) as f32;
         }
         curve
     }
@@ -74,14 +77,21 @@
         Self {
             mean: [tokens as f32; AHEAD.len()],
             variance: [0.0; AHEAD.len()],
+            most: [tokens as f32; AHEAD.len()],
         }
     }
 
-    /// What is expected at each moment, and how far that may be off, as standard deviations.
-    pub(crate) fn with_spread(mean: [f32; AHEAD.len()], spread: [f32; AHEAD.len()]) -> Self {
+    /// What is expected at each moment, how far that may be off as standard deviations, and what is held
+    /// if no run ends.
+    pub(crate) fn with_spread(
+        mean: [f32; AHEAD.len()],
+        spread: [f32; AHEAD.len()],
+        most: [f32; AHEAD.len()],
+    ) -> Self {
         Self {
             mean,
             variance: spread.map(|spread| spread * spread),
+            most,
         }
     }
 
@@ -90,6 +100,11 @@
         self.mean
     }
 
+    /// Tokens held at each moment if no run ends.
+    pub const fn most(&self) -> [f32; AHEAD.len()] {
+        self.most
+    }
+
     /// Standard deviation at each moment.
     pub fn spread(&self) -> [f32; AHEAD.len()] {
         self.variance.map(|variance| variance.max(0.0).sqrt())
@@ -102,6 +117,7 @@
         for index in 0..AHEAD.len() {
             sum.mean[index] += other.mean[index];
             sum.variance[index] += other.variance[index];
+            sum.most[index] += other.most[index];
         }
         sum
     }
@@ -113,20 +129,23 @@
         Self {
             mean: moments.map(|at| between(&self.mean, at)),
             variance: moments.map(|at| between(&self.variance, at)),
+            most: moments.map(|at| between(&self.most, at)),
         }
     }
 
-    /// Most that is held at any of the moments, with `spreads` times the standard deviation on top.
+    /// Most that is held at any of the moments: what is expected and `spreads` times the standard
+    /// deviation on top, and no more than if no run ends.
     pub fn peak(&self, spreads: f64) -> f64 {
         self.peak_within(f64::INFINITY, spreads)
     }
 
     /// The same for the moments up to `seconds` ahead.
     pub fn peak_within(&self, seconds: f64, spreads: f64) -> f64 {
-        let moments = self.mean.iter().zip(&self.variance).zip(AHEAD);
-        let near = moments.filter(|(_, ahead)| *ahead <= seconds);
-        let values = near.map(|((mean, variance), _)| {
-            f64::from(*mean) + spreads * f64::from(variance.max(0.0)).sqrt()
+        let near = (0..AHEAD.len()).filter(|index| AHEAD[*index] <= seconds);
+        let values = near.map(|index| {
+            let spread = f64::from(self.variance[index].max(0.0)).sqrt();
+            let surely = f64::from(self.mean[index]) + spreads * spread;
+            surely.min(f64::from(self.most[index]))
         });
         values.fold(0.0, f64::max)
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`length`]: how long answers become, learnt from those that ended.
 //! - [`forecast`]: what runs will hold of a replica's memory over the next seconds.
 //! - [`runs`], [`claims`]: the runs of this daemon, and what the others told of theirs.
+//! - [`line`]: who goes first among the generations that wait at one daemon.
 //! - [`admission`]: whether a replica has room for a run, now and until it ends.
 //! - [`rescue`]: which run goes on elsewhere before the memory of its replica ends.
 //! - [`overload`]: whether instances have more work than they can do.
@@ -29,6 +30,7 @@
 pub mod forecast;
 mod gone;
 pub mod length;
+pub mod line;
 pub mod overload;
 pub mod plan;
 pub mod pool;
--- a/crates/relay/tests/forecast.rs
+++ b/crates/relay/tests/forecast.rs
@@ -71,3 +71,18 @@
     let much_later = burst.later(60.0);
     assert!((much_later.mean()[0] - burst.mean()[5]).abs() < 1.0);
 }
+
+/// Where answers add little to what a run holds, whether some end soon makes no difference.
+#[test]
+fn no_more_is_asked_for_than_if_no_run_ends() {
+    let small = Run {
+        estimate: 400.0,
+        most: 1_000.0,
+        pace: 120.0,
+        ..run(100.0)
+    };
+    let one = small.curve(&Length::new());
+    let ten = (0..10).fold(Curve::default(), |sum, _| sum.plus(&one));
+    assert!(ten.peak(3.0) <= 10.0 * 6_000.0);
+    assert!(ten.peak(3.0) <= f64::from(ten.most()[5]) + 1.0);
+}
--- /dev/null
+++ b/crates/relay/tests/line.rs
@@ -0,0 +1,31 @@
+//! Who goes first among those that wait.
+
+use relay::line::Line;
+
+#[test]
+fn the_first_come_is_first_until_it_leaves() {
+    let mut line = Line::new();
+    let tickets: Vec<_> = (0..3).map(|_| line.join("llm")).collect();
+    assert!(line.is_first("llm", tickets[0]));
+    assert!(!line.is_first("llm", tickets[1]));
+    line.leave("llm", tickets[0]);
+    assert!(line.is_first("llm", tickets[1]));
+}
+
+#[test]
+fn one_that_leaves_from_the_midst_holds_up_nobody() {
+    let mut line = Line::new();
+    let tickets: Vec<_> = (0..3).map(|_| line.join("llm")).collect();
+    line.leave("llm", tickets[1]);
+    line.leave("llm", tickets[0]);
+    assert!(line.is_first("llm", tickets[2]));
+}
+
+#[test]
+fn services_have_lines_of_their_own() {
+    let mut line = Line::new();
+    line.join("llm");
+    let other = line.join("other");
+    assert!(line.is_first("other", other));
+    assert!(!line.is_first("third", other));
+}
