--- a/crates/relay/src/claims.rs
+++ b/crates/relay/src/claims.rs
@@ -4,6 +4,7 @@
 //! daemon tells the others what its runs will hold. What is told is summed up by replica, so that it
 //! is as long as the sender has replicas in use, however many runs there are.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -82,7 +83,8 @@
 /// What each of the other daemons told last.
 #[derive(Debug, Default)]
 pub struct Claims {
-    told: HashMap<Instance, Told>,
+    /// In a fixed order, so that sums of the same claims are the same to the last bit.
+    told: BTreeMap<Instance, Told>,
 }
 
 #[derive(Debug)]
--- a/crates/relay/src/rescue.rs
+++ b/crates/relay/src/rescue.rs
@@ -5,7 +5,7 @@
 //! another replica takes some milliseconds. So the daemon whose run would be set aside moves it, if
 //! another replica has room; daemons know from each other's claims whose run is the newest.
 
-use std::collections::HashSet;
+use std::collections::BTreeSet;
 
 use ident::Time;
 
@@ -45,7 +45,7 @@
     claims: &Claims,
     mut choose: impl FnMut(Id, Key, Ask) -> Option<Key>,
 ) -> Vec<Move> {
-    let servers: HashSet<Key> = runs.iter().map(|(_, entry)| entry.server).collect();
+    let servers: BTreeSet<Key> = runs.iter().map(|(_, entry)| entry.server).collect();
     let ending = servers
         .into_iter()
         .filter(|key| is_ending(now, pool, *key) && runs.may_leave(now, *key));
