Give the reads of resumed streams their time, and let them wait for a place

Found on the read of the diff: the time for a read counted from the request's arrival, so the prompt of a stream that was resumed two seconds later had none: its replica was asked whether it lives, the read was given up while in progress, another one began, and the decode replica read the prompt in the end, for three retries. Change: a read has three tenths of the objective before the question and the objective before it is given up, however old the request; a resumed stream waits for a place as new ones do, and before them. The test failed without the change.

--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -1,18 +1,17 @@
 //! Passing the events of a stream on, from one replica after another if it can be resumed.
 
+mod next;
+
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::Response;
-use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::body::Frame;
 use hyper::body::Incoming;
-use platform::caller::Task;
 use platform::reply;
 use relay::attempt::Attempt;
-use relay::attempt::Next;
 use relay::attempt::Outcome as Sent;
 use relay::event;
 use relay::event::Splitter;
@@ -24,18 +23,13 @@
 use tokio::time::error::Elapsed;
 use tokio::time::timeout_at;
 
-use crate::ask;
 use crate::body::Body;
 use crate::body::Broken;
 use crate::job::Job;
 use crate::mover;
-use crate::mover::Outcome;
 use crate::mover::Stopped;
-use crate::place;
 use crate::place::Place;
-use crate::search;
 use crate::search::Opened;
-use crate::search::Search;
 use crate::send;
 use crate::send::Reply;
 use crate::shared::Shared;
@@ -53,11 +47,6 @@
 const LONG_GAP: Duration = Duration::from_millis(300);
 /// Time for the end of a stream whose run was stopped; its events are on their way by then.
 const LAST_EVENTS: Duration = Duration::from_millis(100);
-/// Time for which no run is moved from a replica that did not move one.
-const UNMOVED: Duration = Duration::from_millis(300);
-/// Time for which a run that was moved stays where it is.
-const MOVED: Duration = Duration::from_millis(500);
-
 /// Answers with the replica's head, and passes its events on in a task of its own.
 pub fn pass_on(
     shared: &Rc<Shared>,
@@ -284,128 +273,6 @@
         }
     }
 
-    /// Stops the run at `from` so that it can go on at `to`; `None` if it goes on where it is.
-    async fn stop(&self, from: Key, to: Key) -> Option<Stopped> {
-        let request = &self.job.call.id;
-        let granted = self.shared.take_retry(&self.job.service, request);
-        let outcome = if granted {
-            mover::stop(&self.shared, request, from, to).await
-        } else {
-            Outcome::Unchanged("no retry is left")
-        };
-        let pool = self.shared.pool.borrow();
-        let name = |key| pool.get(key).map_or("", |server| &server.replica.id);
-        let (stopped, cause) = match outcome {
-            Outcome::Stopped(stopped) => (Some(stopped), String::new()),
-            Outcome::Unchanged(cause) => (None, cause.to_owned()),
-            Outcome::Unknown(cause) => (None, cause),
-        };
-        let copied = stopped.as_ref().is_some_and(|s| s.places.len() > 1);
-        log::info!(kind = "move", request = request, replica = name(from), to = name(to), stopped = stopped.is_some(), copied = copied, events = self.events, cause = cause; "a run is to go on at another replica");
-        if let Some(track) = self.track.as_ref().filter(|_| stopped.is_none()) {
-            track.keep(UNMOVED);
-        }
-        stopped
-    }
-
-    /// Has a run that stopped go on, at the other replica if it has a copy of the memory.
-    async fn go_on(&mut self, stopped: Stopped) -> Option<Reply> {
-        self.splitter.drop_partial();
-        let last_event = self.splitter.last_id().or(self.job.call.last_event)?;
-        for key in &stopped.places {
-            let task = Task::GoOn {
-                address: stopped.address,
-                handle: stopped.handle.clone(),
-                last_event,
-            };
-            let sent = send::send(&self.shared, &self.job, *key, task, None);
-            let sent = tokio::select! {
-                sent = timeout_at(self.job.deadline, sent) => sent.ok()?,
-                () = self.parts.closed() => {
-                    mover::free(&self.shared, &stopped);
-                    return None;
-                }
-            };
-            match sent {
-                Ok(reply) if reply.head.status == StatusCode::OK => {
-                    if let Some(track) = &mut self.track {
-                        track.moved(*key);
-                        track.settle(MOVED);
-                    }
-                    return Some(reply);
-                }
-                Ok(_) | Err(Sent::Failed | Sent::Lost) => break,
-                Err(Sent::NotRun | Sent::NotSent) => {}
-            }
-        }
-        mover::free(&self.shared, &stopped);
-        self.resume(None).await
-    }
-
-    /// Whether the replica, which has been silent for [`STALL`], answers a question.
-    async fn still_answers(&self, key: Key) -> bool {
-        let answers = ask::answers(&self.shared, key).await;
-        let pool = self.shared.pool.borrow();
-        let replica = pool.get(key).map_or("", |server| &server.replica.id);
-        let ms = STALL.as_millis() as u64;
-        log::info!(kind = "silence", request = self.job.call.id, replica = replica, ms = ms, answers = answers; "a replica sends nothing");
-        answers
-    }
-
-    /// A place at another replica, while the present one is silent; none if no retry is left to go
-    /// there.
-    async fn other_place(&self) -> Option<Place> {
-        if !self.shared.has_retry(&self.job.service) {
-            return None;
-        }
-        let find = place::find_now(&self.shared, &self.job, &self.tried, self.made());
-        tokio::select! {
-            place = find => place,
-            () = self.parts.closed() => None,
-        }
-    }
-
-    /// Has another replica go on after the last event, at `place` if there is one.
-    async fn resume(&mut self, place: Option<Place>) -> Option<Reply> {
-        self.splitter.drop_partial();
-        let service = self.job.service.clone();
-        let id = self.job.call.id.clone();
-        let shared = Rc::clone(&self.shared);
-        let next = self
-            .attempt
-            .after(Sent::Lost, || shared.take_retry(&service, &id));
-        if next != Next::Retry {
-            return None;
-        }
-        let last_event = self.splitter.last_id().or(self.job.call.last_event);
-        let made = self.made();
-        let search = Search {
-            attempt: &mut self.attempt,
-            tried: &mut self.tried,
-            place,
-            made,
-            last_event,
-        };
-        let opened = search::open(&self.shared, &self.job, search);
-        let opened = tokio::select! {
-            opened = timeout_at(self.job.deadline, opened) => opened.ok()?.ok()?,
-            () = self.parts.closed() => return None,
-        };
-        if opened.reply.head.status != StatusCode::OK {
-            return None;
-        }
-        self.track = opened.track;
-        Some(opened.reply)
-    }
-
-    /// Tokens that were made so far.
-    fn made(&self) -> u64 {
-        let runs = self.shared.runs.borrow();
-        self.track
-            .as_ref()
-            .map_or(0, |track| runs.made_by(track.id()))
-    }
-
     async fn break_off(&mut self, outcome: &'static str, cause: &str) {
         self.job.end(outcome, 200, cause);
         // A caller that left needs no break.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -50,6 +50,7 @@
     requests: IntCounterVec,
     sends: IntCounterVec,
     retries: IntCounterVec,
+    moves: IntCounterVec,
     latency: HistogramVec,
 }
 
@@ -99,6 +100,7 @@
                 "Retries by service and whether the budget had one",
                 &["service", "granted"],
             )?,
+            moves: vector("moves_total", "Runs that were to move", &["outcome"])?,
             latency: register(&registry, latency)?,
             registry,
         })
@@ -120,6 +122,11 @@
         self.retries.with_label_values(&[service, granted]).inc();
     }
 
+    /// Counts a run that was to go on elsewhere, and whether it did.
+    pub fn moved(&self, outcome: &str) {
+        self.moves.with_label_values(&[outcome]).inc();
+    }
+
     /// Notes the time to an answer.
     pub fn latency(&self, route: &str, seconds: f64) {
         self.latency.with_label_values(&[route]).observe(seconds);
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -96,11 +96,14 @@
     };
     let begun = Instant::now();
     let placing = shared.settings().placing;
-    let until = job.arrived + job.route.objective.mul_f64(placing.wait);
+    // A stream that is resumed is late already, and without a place it breaks off.
+    let resumed = made > 0;
+    let from = if resumed { begun } else { job.arrived };
+    let until = from + job.route.objective.mul_f64(placing.wait);
     let turn = Turn::new(shared, &job.service);
     let mut rounds = 0;
     loop {
-        let found = if turn.is_now() {
+        let found = if resumed || turn.is_now() {
             round(shared, job, tried, engine, made).await
         } else {
             None
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -22,6 +22,9 @@
 const PREFILL_PART: f64 = 0.45;
 /// Times the objective that a replica which is at work is waited for.
 const PREFILL_MOST: f64 = 2.0;
+/// Part of the objective that a replica has at least, however long ago the request came: a read takes a
+/// quarter of it, and the prompt of a stream that is resumed is read long after the objective.
+const PREFILL_LEAST: f64 = 0.3;
 /// Replicas that a prompt is sent to at most.
 const MAX_READS: usize = 2;
 /// Bytes of the answer to a prefill at most.
@@ -99,8 +102,10 @@
 /// Has the prompt read; a replica that is late but answers a question is waited for, since a read
 /// that is given up is read in vain.
 async fn patiently(shared: &Rc<Shared>, job: &Job, key: Key) -> Result<Read, Outcome> {
-    let late = job.arrived + job.route.objective.mul_f64(PREFILL_PART);
-    let last = job.arrived + job.route.objective.mul_f64(PREFILL_MOST);
+    let objective = job.route.objective;
+    let soonest = Instant::now() + objective.mul_f64(PREFILL_LEAST);
+    let late = (job.arrived + objective.mul_f64(PREFILL_PART)).max(soonest);
+    let last = (job.arrived + objective.mul_f64(PREFILL_MOST)).max(soonest + objective);
     let mut read = std::pin::pin!(read_prompt(shared, job, key));
     if let Ok(read) = timeout_at(late, &mut read).await {
         return read;
--- a/crates/gateway/tests/gateway/stream.rs
+++ b/crates/gateway/tests/gateway/stream.rs
@@ -224,3 +224,37 @@
     until("the replica is left", || decode.left() == 1);
     assert_eq!(decode.seen().len(), 1);
 }
+
+/// The time for a read counts from its beginning where a stream is resumed: counted from the request, it
+/// was over before the read began, and the decode replica held all of its streams up to read itself.
+#[test]
+fn the_prompt_of_a_stream_that_is_resumed_late_is_read_by_a_prefill_replica() {
+    let prefill = Replica::start("i-p", |_| {
+        let told = br#"{"kv-handle":"k1","tokens":1460,"version":1}"#;
+        let read = answer(200, &[("content-type", "application/json")], told);
+        Act::Slowly(vec![read], Duration::from_millis(150))
+    });
+    let script = |request: &Message| match request.header("last-event-id") {
+        Some("2") => Act::Send(stream(request, 3, 5)),
+        _ => {
+            // Two events in the first 2.2 s, and then the end.
+            let first = [stream_head(request), events(1, 1)].concat();
+            let parts = vec![first, events(2, 2), chunk(b"id: 3\nda"), b"x".to_vec()];
+            Act::Slowly(parts, Duration::from_millis(700))
+        }
+    };
+    let one = Replica::start("i-1", script);
+    let two = Replica::start("i-2", script);
+    let replicas = [
+        (&prefill, "llm", "prefill"),
+        (&one, "llm", "decode"),
+        (&two, "llm", "decode"),
+    ];
+    let site = Site::start("resumed-late", &replicas);
+    let told = generate(&site.daemon, "/resume/1", "a1").read();
+    assert!(told.whole);
+    assert_eq!(String::from_utf8_lossy(&told.body), texts(1, 5));
+    let resumed = [one.seen(), two.seen()].concat();
+    let resumed = resumed.iter().find(|r| r.header("last-event-id").is_some());
+    assert!(resumed.unwrap().header("kv-source").is_some());
+}
