Wait 0.22 of the objective, and limit reads of decode replicas by number alone

Two causes: prompts take 0.33 s to be read there, so a wait of half of the objective made answers late; and the limit on reads by size took the pace of reads, which holds a fixed time too, so that decode replicas read hardly any prompt though prefill replicas were slow.

--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -50,8 +50,7 @@
         let Some(key) = chosen else { break };
         // Where too few replicas read prompts, a part is left to the decode replicas, and the rest is
         // read in time.
-        let (prompt, _) = job.call.tokens.unwrap_or_default();
-        let may_read = shared.may_read(decode, prompt, job.route.pause);
+        let may_read = shared.may_read(decode);
         if may_read && rand::random::<f64>() < shared.own_reads(key, job.route.objective) {
             break;
         }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -62,7 +62,7 @@
             reserve: 0.0,
             spreads: 3.0,
             spare: 0.0,
-            wait: 0.5,
+            wait: 0.22,
             moves: true,
         }
     }
--- a/crates/gateway/src/shared/choice.rs
+++ b/crates/gateway/src/shared/choice.rs
@@ -61,9 +61,9 @@
             .map_or(self.near, |server| server.replica.data_centre)
     }
 
-    /// Whether the decode replica `key` can read a prompt without making its streams late.
-    pub fn may_read(&self, key: Key, tokens: u64, pause: Option<Duration>) -> bool {
-        self.pool.borrow().may_read(key, tokens, pause)
+    /// Whether the decode replica `key` may read a prompt itself.
+    pub fn may_read(&self, key: Key) -> bool {
+        self.pool.borrow().may_read(key)
     }
 
     /// Part of the prompts that decode replicas are to read, since `key` is slow or fails.
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -33,15 +33,6 @@
 /// Replicas that are weighed for one request, drawn anew each time where there are more; the best of
 /// so many is among the best fiftieth of all, and weighing 930 took 77 us in place of 16.
 const MAX_WEIGHED: usize = 64;
-/// Times as long that a decode replica takes to read a prompt as a prefill replica does.
-const OWN_READ_SLOWNESS: f64 = 2.0;
-/// Part of the longest pause in a stream that such a read may last; the events themselves have the
-/// rest.
-const OWN_READ_PART: f64 = 0.75;
-/// Growth of the fastest read with each later one, so that it is forgotten after some hundred reads if
-/// all replicas become slower.
-const READ_PACE_FADE: f64 = 1.005;
-
 /// All replicas that this daemon knows.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -50,8 +41,6 @@
     version: u64,
     outage: Option<Time>,
     memory: HashMap<String, u64>,
-    /// Seconds a token of the fastest reads of prompts, by service.
-    read_paces: HashMap<String, f64>,
     /// Hash of the list, until the list changes.
     digest: Cell<Option<u64>>,
     gone: Gone,
@@ -201,32 +190,16 @@
     /// Notes that `key` took `took` for `units` of work; units are alike for all replicas of one
     /// stage of a service.
     pub fn note_pace(&mut self, now: Time, key: Key, took: Duration, units: f64) {
-        let Some(server) = self.servers.get_mut(key) else {
-            return;
-        };
-        let pace = took.as_secs_f64() / units.max(1.0);
-        server.note_pace(now, pace);
-        if server.replica.stage == Some(Stage::Prefill) {
-            let service = server.replica.service.clone();
-            let best = self.read_paces.entry(service).or_insert(pace);
-            *best = (*best * READ_PACE_FADE).min(pace);
+        if let Some(server) = self.servers.get_mut(key) {
+            server.note_pace(now, took.as_secs_f64() / units.max(1.0));
         }
     }
 
-    /// Whether `decode` can read a prompt of `tokens` without making the streams there late, whose events
-    /// may be `pause` apart. A decode replica reads at half the speed and makes next to no tokens
-    /// meanwhile, so each read is one long pause in all of its streams.
-    pub fn may_read(&self, decode: Key, tokens: u64, pause: Option<Duration>) -> bool {
-        let Some(server) = self.servers.get(decode) else {
-            return true;
-        };
-        let alone = server.known_runs <= 1;
-        let pace = self.read_paces.get(&server.replica.service);
-        let (Some(pace), Some(pause)) = (pace, pause) else {
-            return alone || server.reads == 0;
-        };
-        let read = OWN_READ_SLOWNESS * pace * tokens as f64;
-        alone || (server.reads == 0 && read < OWN_READ_PART * pause.as_secs_f64())
+    /// Whether `decode` may read a prompt itself. A decode replica makes next to no tokens while it reads,
+    /// so each read is a pause in all of its streams; two in a row are a long one.
+    pub fn may_read(&self, decode: Key) -> bool {
+        let server = self.servers.get(decode);
+        server.is_none_or(|server| server.reads == 0 || server.known_runs <= 1)
     }
 
     /// Part of the prompts that a decode replica is to read itself, since the prefill replica `key`
