--- a/crates/gateway/src/track.rs
+++ b/crates/gateway/src/track.rs
@@ -6,7 +6,6 @@
 
 use ident::Time;
 use relay::claims::Claim;
-use relay::forecast::Curve;
 use relay::rescue;
 use relay::rescue::Move;
 use relay::runs::Id;
@@ -229,20 +228,7 @@
     let mut keys: Vec<Key> = runs.iter().map(|(_, run)| run.server).collect();
     keys.sort_unstable();
     keys.dedup();
-    let claim = |key: Key| {
-        let here = || runs.iter().filter(|(_, run)| run.server == key);
-        let curve = here().fold(Curve::default(), |sum, (id, _)| {
-            sum.plus(&runs.curve(now, id))
-        });
-        let newest = here().filter_map(|(_, run)| run.started()).max();
-        let newest_ms = newest.map_or(u16::MAX, |at| {
-            now.since(at).as_millis().min(u128::from(u16::MAX - 1)) as u16
-        });
-        let id = &pool.get(key)?.replica.id;
-        let reads = here().filter(|(_, run)| run.is_read()).count() as u16;
-        let count = here().count() as u16;
-        Some(Claim::new(id, count, reads, newest_ms, &curve))
-    };
+    let claim = |key: Key| runs.claim(now, key, &pool.get(key)?.replica.id);
     keys.into_iter().filter_map(claim).collect()
 }
 
--- a/crates/lab/src/decode/daemon.rs
+++ b/crates/lab/src/decode/daemon.rs
@@ -8,7 +8,6 @@
 use relay::admission::Ask;
 use relay::claims::Claim;
 use relay::claims::Claims;
-use relay::forecast::Curve;
 use relay::pool::Pool;
 use relay::replica::Replica;
 use relay::replica::Snapshot;
@@ -139,20 +138,8 @@
     }
 
     fn claim(&self, now: Time, key: Key) -> Option<Claim> {
-        let here = || self.runs.iter().filter(|(_, run)| run.server == key);
-        let count = here().count() as u16;
-        if count == 0 {
-            return None;
-        }
-        let curve = here().fold(Curve::default(), |sum, (id, _)| {
-            sum.plus(&self.runs.curve(now, id))
-        });
-        let newest = here().filter_map(|(_, run)| run.started()).max();
-        let newest_ms = newest.map_or(u16::MAX, |at| {
-            now.since(at).as_millis().min(u128::from(u16::MAX - 1)) as u16
-        });
         let id = &self.pool.get(key)?.replica.id;
-        Some(Claim::new(id, count, 0, newest_ms, &curve))
+        self.runs.claim(now, key, id)
     }
 
     /// Takes what the daemon `peer` told.
--- a/crates/relay/src/runs.rs
+++ b/crates/relay/src/runs.rs
@@ -8,6 +8,7 @@
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
+use crate::claims::Claim;
 use crate::forecast::Curve;
 use crate::forecast::Run;
 use crate::length::Length;
@@ -223,6 +224,24 @@
         run(entry.size, entry.made, pace).curve(&learnt.length)
     }
 
+    /// What other daemons are told of the runs at `server`, the replica `id`; `None` if there are none.
+    pub fn claim(&self, now: Time, server: Key, id: &str) -> Option<Claim> {
+        let here = || self.entries.iter().filter(|(_, run)| run.server == server);
+        let count = here().count() as u16;
+        if count == 0 {
+            return None;
+        }
+        let curve = here().fold(Curve::default(), |sum, (run, _)| {
+            sum.plus(&self.curve(now, run))
+        });
+        let newest = here().filter_map(|(_, run)| run.started()).max();
+        let newest_ms = newest.map_or(u16::MAX, |at| {
+            now.since(at).as_millis().min(u128::from(u16::MAX - 1)) as u16
+        });
+        let reads = here().filter(|(_, run)| run.is_read()).count() as u16;
+        Some(Claim::new(id, count, reads, newest_ms, &curve))
+    }
+
     /// Mean time that an answer of `size` takes.
     pub fn duration(&self, service: &str, size: Size) -> Duration {
         let learnt = self.learnt.get(service);
