Tell silent replicas, have late ones take their turn, read at decode replicas later, start small data centres at once

Now a daemon tells the others which replicas did not answer it, unless half of all do not (then it is cut off itself); they are asked last by all who had no answer from them in the last 300 ms. Tests: relay/tests/refusals.rs.

They let others go first for 1.6 objectives and then take their turn.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -180,6 +180,9 @@
             let now = shared.clock.now();
             let peer = sender.instance();
             let reads = told.all || !told.readings.is_empty();
+            if !told.silent.is_empty() {
+                shared.pool.borrow_mut().hear_silent(now, &told.silent);
+            }
             let mut claims = shared.claims.borrow_mut();
             claims.take(now, peer, told);
             if reads {
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -97,22 +97,26 @@
         });
     };
     let begun = Instant::now();
-    let placing = shared.settings().placing;
-    // A stream that is resumed is late already, and without a place it breaks off.
-    let kind = kind(job, made);
-    let resumed = kind == Kind::Resumed;
-    let from = if resumed { begun } else { job.arrived };
-    let usual = Terms {
-        wait: placing.wait,
-        spare: placing.spare,
+    let objective = job.route.objective;
+    let first = kind(job, made);
+    // What is late already waits from now on.
+    let from = if first == Kind::New {
+        job.arrived
+    } else {
+        begun
     };
-    let terms = kind.terms(usual);
-    let until = from + job.route.objective.mul_f64(terms.wait);
-    let turn = Turn::new(shared, &job.service, kind == Kind::Returned);
+    let until = from + objective.mul_f64(first.terms(usual(shared)).wait);
+    let mut turn = Turn::new(shared, &job.service, first == Kind::Returned);
+    let mut kind = first;
     let mut rounds = 0;
     loop {
-        let found = if resumed || turn.is_now() {
-            round(shared, job, tried, engine, made).await
+        if kind != kind.after(objective, begun.elapsed()) {
+            kind = Kind::Due;
+            turn = Turn::new(shared, &job.service, false);
+        }
+        // A stream that is resumed waits for nobody: without a place it breaks off.
+        let found = if first == Kind::Due || turn.is_now() {
+            round(shared, job, tried, engine, kind, made).await
         } else {
             None
         };
@@ -122,7 +126,9 @@
         }
         rounds += 1;
         if Instant::now() + ROUND_PAUSE > until {
-            log::info!(kind = "reserve", request = job.call.id, rounds = rounds, tokens = job.tokens(); "no decode replica has room");
+            let read = shared.read_time(&job.service, job.prompt());
+            let read_ms = read.unwrap_or_default().as_millis() as u64;
+            log::info!(kind = "reserve", request = job.call.id, class = format!("{first:?}"), rounds = rounds, tokens = job.tokens(), read_ms = read_ms; "no decode replica has room");
             return None;
         }
         // Another round is due when a run ends here, or others told of theirs.
@@ -140,7 +146,7 @@
             track: None,
         });
     };
-    round(shared, job, tried, engine, made).await
+    round(shared, job, tried, engine, Kind::Due, made).await
 }
 
 /// Asks some replicas, the best first.
@@ -149,21 +155,17 @@
     job: &Job,
     tried: &[Key],
     engine: Engine,
+    kind: Kind,
     made: u64,
 ) -> Option<Place> {
     let placing = shared.settings().placing;
     let size = job.size(made);
-    let kind = kind(job, made);
-    let usual = Terms {
-        wait: placing.wait,
-        spare: placing.spare,
-    };
     let read = shared.read_time(&job.service, size.prompt);
     let idle = kind.idle_part(job.route.objective, job.age(), read.unwrap_or_default());
     let ask = Ask {
         curve: shared.runs.borrow().ask(&job.service, size),
         spreads: placing.spreads,
-        spare: kind.terms(usual).spare.max(idle),
+        spare: kind.terms(usual(shared)).spare.max(idle),
     };
     let expected = size.estimate as f64 * placing.reserve;
     let tokens = size.prompt + (expected as u64).max(made);
@@ -174,7 +176,8 @@
         let track = Track::new(shared, &job.service, key, size, engine.event_tokens);
         match reserve(shared, tokens, key, engine.max_reservation).await {
             Asked::Room(reserved) => {
-                shared.pool.borrow_mut().roomy(key);
+                let now = shared.clock.now();
+                shared.pool.borrow_mut().roomy(now, key);
                 return Some(Place {
                     key,
                     reserved: Some(reserved),
@@ -183,10 +186,8 @@
             }
             Asked::NoRoom => shared.pool.borrow_mut().full(shared.clock.now(), key),
             Asked::Failed(cause) => {
-                let now = shared.clock.now();
-                let mut pool = shared.pool.borrow_mut();
-                pool.note(now, key, true);
-                pool.silent(now, key);
+                shared.pool.borrow_mut().note(shared.clock.now(), key, true);
+                shared.note_silent(key);
                 log::info!(kind = "reserve", request = job.call.id, cause = cause; "a replica did not answer");
             }
         }
@@ -199,7 +200,16 @@
     match job.call.last_event {
         None if made == 0 && job.returned => Kind::Returned,
         None if made == 0 => Kind::New,
-        _ => Kind::Resumed,
+        _ => Kind::Due,
+    }
+}
+
+/// The terms of a new generation.
+fn usual(shared: &Shared) -> Terms {
+    let placing = shared.settings().placing;
+    Terms {
+        wait: placing.wait,
+        spare: placing.spare,
     }
 }
 
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -131,6 +131,7 @@
         return read;
     }
     if !ask::answers(shared, key).await {
+        shared.note_silent(key);
         let cause = "the prompt is not read, and the replica does not answer";
         send::note(shared, job, key, Outcome::Lost, cause, 0);
         return Err(Outcome::Lost);
--- a/crates/gateway/src/shared/choice.rs
+++ b/crates/gateway/src/shared/choice.rs
@@ -128,6 +128,12 @@
         patience.waited(limit) >= least.max(route.objective)
     }
 
+    /// Notes that `key` did not answer a question, and has the other daemons told.
+    pub fn note_silent(&self, key: Key) {
+        self.pool.borrow_mut().silent(self.clock.now(), key);
+        self.runs_changed.notify_one();
+    }
+
     /// Closes the idle connections to `key`, which had no answer in time.
     pub fn forget_links(&self, key: Key) {
         let address = self.pool.borrow().get(key).map(|s| s.replica.address);
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -50,6 +50,9 @@
 /// Time after a start for which a daemon waits for the one that reads the store, before it reads plan and
 /// replicas itself: at a common start of 295 instances, 3,500 calls fell when each read them all.
 const START_PATIENCE: Duration = Duration::from_millis(1_200);
+/// Time after a later start for which the list of instances is waited for: the store answers in some
+/// milliseconds, or its tables do not all answer.
+const LIST_PATIENCE: Duration = Duration::from_millis(100);
 /// Pause between two questions to that one meanwhile.
 const START_PAUSE: Duration = Duration::from_millis(60);
 /// Daemons of a data centre that try the store themselves in one period while it fails their reader. More
@@ -118,14 +121,17 @@
     until_listed(&shared).await;
     loop {
         let reads_for_others = shared.members.borrow().poller().is_none();
-        let heard = ask_readers(&shared).await;
-        // Where few start at once, their calls are fewer than the time that waiting costs their callers.
-        let is_starting = shared.replicas_version() == 0
-            && Instant::now() < patience
-            && shared.members.borrow().near_count() > DIRECT_READERS;
+        let phase = phase(&shared, patience);
+        let heard = match phase {
+            Phase::StartsWithFew => Heard::Silent,
+            Phase::StartsWithMany | Phase::Steady => ask_readers(&shared).await,
+        };
+        if phase == Phase::StartsWithMany && heard != Heard::Fresh && !reads_for_others {
+            sleep(START_PAUSE.mul_f64(rand::random_range(0.5..1.5))).await;
+            continue;
+        }
         let direct = match heard {
             Heard::Fresh => false,
-            _ if is_starting && !reads_for_others => false,
             Heard::Stale => Instant::now() >= next_direct,
             Heard::Silent => true,
         };
@@ -136,9 +142,6 @@
         }
         let usual = match heard {
             Heard::Fresh => REPLICAS_PERIOD,
-            _ if is_starting && !reads_for_others => {
-                START_PAUSE.mul_f64(rand::random_range(0.5..1.5))
-            }
             _ if is_read && reads_for_others => REPLICAS_PAUSE,
             _ if is_read => REPLICAS_PERIOD,
             _ => RETRY_PAUSE,
@@ -147,11 +150,38 @@
     }
 }
 
+/// Where this daemon stands after its start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// It knows no replicas, and its data centre has few instances: their calls of the store cost less than
+    /// their callers' waiting would.
+    StartsWithFew,
+    /// It knows no replicas, and many instances may be starting with it.
+    StartsWithMany,
+    /// It knows the replicas, or has waited for long enough.
+    Steady,
+}
+
+/// The phase of a daemon that waits until `patience` at most.
+fn phase(shared: &Shared, patience: Instant) -> Phase {
+    let instances = shared.members.borrow().near_count();
+    match shared.replicas_version() {
+        0 if instances <= DIRECT_READERS => Phase::StartsWithFew,
+        0 if Instant::now() < patience => Phase::StartsWithMany,
+        _ => Phase::Steady,
+    }
+}
+
 /// Waits until the other instances are known, since it follows from them who reads the store.
 async fn until_listed(shared: &Shared) {
     let mut listed = shared.listed.subscribe();
+    let patience = if shared.settings().first_start {
+        START_PATIENCE
+    } else {
+        LIST_PATIENCE
+    };
     // Without the list, each daemon is on its own.
-    let _ = timeout(START_PATIENCE, listed.wait_for(|listed| *listed)).await;
+    let _ = timeout(patience, listed.wait_for(|listed| *listed)).await;
 }
 
 /// The time until this daemon tries the store again that fails its reader: `period` where a data centre has
@@ -264,6 +294,8 @@
             }
             Err(error) => {
                 shared.store_failed("instances", &error);
+                // Nobody waits for a list that does not come.
+                shared.listed.send_replace(true);
                 seldom(&shared, INSTANCES_RETRY)
             }
         };
--- a/crates/gateway/tests/gateway/common/daemon.rs
+++ b/crates/gateway/tests/gateway/common/daemon.rs
@@ -58,7 +58,16 @@
 impl Daemon {
     /// Starts the daemon `name` at `ip`.
     pub fn start(name: &str, ip: &str, store: SocketAddr, seeds: &[&str]) -> Self {
-        let mut daemon = Self::start_unread(name, ip, store, seeds);
+        Self::start_unread(name, ip, store, seeds).read()
+    }
+
+    /// The same with a daemon that is told that the whole system starts for the first time.
+    pub fn first_start(name: &str, ip: &str, store: SocketAddr) -> Self {
+        Self::spawn(name, ip, store, &[], "first_start: true\n").read()
+    }
+
+    fn read(mut self) -> Self {
+        let daemon = &mut self;
         let kept = Arc::clone(&daemon.lines);
         let output = BufReader::new(daemon.child.stdout.take().unwrap());
         thread::spawn(move || {
@@ -66,15 +75,19 @@
                 kept.lock().unwrap().push(line);
             }
         });
-        daemon
+        self
     }
 
     /// Starts a daemon whose standard output nobody reads.
     pub fn start_unread(name: &str, ip: &str, store: SocketAddr, seeds: &[&str]) -> Self {
+        Self::spawn(name, ip, store, seeds, "")
+    }
+
+    fn spawn(name: &str, ip: &str, store: SocketAddr, seeds: &[&str], more: &str) -> Self {
         let at = |index: usize| SocketAddr::new(ip.parse().unwrap(), PORTS[index]);
         let seeds: Vec<String> = seeds.iter().map(|ip| format!("\"{ip}:1\"")).collect();
         let settings = format!(
-            "instance: {name}\ndata_centre: here\nlisten:\n  callers: \"{}\"\n  addresses: \"{}\"\n  readiness: \"{}\"\n  metrics: \"{}\"\n  peers: \"{}\"\nstore: \"{store}\"\nseeds: [{}]\nretry: {{ratio: 0.2, slack: 50, window_s: 10}}\ngrace_s: 8\n",
+            "instance: {name}\ndata_centre: here\nlisten:\n  callers: \"{}\"\n  addresses: \"{}\"\n  readiness: \"{}\"\n  metrics: \"{}\"\n  peers: \"{}\"\nstore: \"{store}\"\nseeds: [{}]\nretry: {{ratio: 0.2, slack: 50, window_s: 10}}\ngrace_s: 8\n{more}",
             at(0),
             at(1),
             at(2),
--- a/crates/gateway/tests/gateway/common/store.rs
+++ b/crates/gateway/tests/gateway/common/store.rs
@@ -56,6 +56,13 @@
         self.inner.1.notify_all();
     }
 
+    /// The value of a row that holds JSON.
+    pub fn get(&self, table: &str, key: &str) -> Option<Value> {
+        let inner = self.inner.0.lock().unwrap();
+        let (value, _) = inner.rows.get(&(table.to_owned(), key.to_owned()))?;
+        serde_json::from_slice(value).ok()
+    }
+
     /// Removes a row.
     pub fn remove(&self, table: &str, key: &str) {
         let mut inner = self.inner.0.lock().unwrap();
--- a/crates/gateway/tests/gateway/site.rs
+++ b/crates/gateway/tests/gateway/site.rs
@@ -73,6 +73,11 @@
         Daemon::start(name, &new_ip(), self.store_address, seeds)
     }
 
+    /// Another daemon of the same store, which is told that the whole system starts for the first time.
+    pub fn first_start(&self, name: &str) -> Daemon {
+        Daemon::first_start(name, &new_ip(), self.store_address)
+    }
+
     /// Changes the settings file, and waits until it is in force.
     pub fn change_settings(&self, before: &str, after: &str) {
         let text = fs::read_to_string(self.daemon.settings()).unwrap();
--- a/crates/gateway/tests/gateway/world.rs
+++ b/crates/gateway/tests/gateway/world.rs
@@ -150,3 +150,57 @@
     site.store.put("op", "config", &moved);
     site.until_not("/moved/1", 404);
 }
+
+/// Lists `count` instances beside those of the test; nobody is there.
+fn list_dead(site: &Site, count: usize) {
+    until("the own row is written", || {
+        site.store.has("instances", "crowded")
+    });
+    let own = site.store.get("instances", "crowded").unwrap();
+    for number in 0..count {
+        let mut dead = own.clone();
+        dead["name"] = format!("dead-{number}").into();
+        for field in ["callers", "peers"] {
+            dead[field] = format!("127.250.0.{}:9", number + 1).into();
+        }
+        let name = format!("dead-{number}");
+        site.store.put("instances", &name, &dead);
+    }
+}
+
+/// In a large data centre the list names the daemon that reads the store; it may be one that died.
+#[test]
+fn a_daemon_whose_reader_is_dead_reads_the_store_itself() {
+    let replica = echo("i-1");
+    let site = Site::start("crowded", &[(&replica, "app", "")]);
+    list_dead(&site, 40);
+    let late = site.another("crowded-too", false);
+    late.until_ready();
+    let told = late
+        .caller()
+        .ask("GET /read/1", &crate::site::headers("a1"), b"");
+    assert_eq!(told.status(), 200);
+}
+
+#[test]
+fn calls_of_the_store_are_counted_by_purpose() {
+    let replica = echo("i-1");
+    let site = Site::start("counted", &[(&replica, "app", "")]);
+    let metrics = site.daemon.metrics();
+    for labels in [
+        "step=\"reading\",table=\"servers\"",
+        "step=\"reading\",table=\"op\"",
+    ] {
+        let line = format!("waxwing_gateway_store_calls_total{{{labels}}} 1");
+        assert!(metrics.contains(&line), "{metrics}");
+    }
+}
+
+#[test]
+fn a_first_start_writes_the_own_row_before_it_reads_those_of_others() {
+    let replica = echo("i-1");
+    let site = Site::start("earlier", &[(&replica, "app", "")]);
+    let first = site.first_start("first");
+    first.until_ready();
+    assert!(site.store.has("instances", "first"));
+}
--- a/crates/relay/src/claims.rs
+++ b/crates/relay/src/claims.rs
@@ -108,6 +108,8 @@
     pub claims: Vec<Claim>,
     /// Its prompts that are being read, by replica.
     pub readings: Vec<Reading>,
+    /// Hashes of replicas that have not answered it lately.
+    pub silent: Vec<u64>,
 }
 
 impl Told {
@@ -117,6 +119,7 @@
             all: true,
             claims,
             readings: Vec::new(),
+            silent: Vec::new(),
         }
     }
 
@@ -126,9 +129,16 @@
             all: false,
             claims,
             readings: Vec::new(),
+            silent: Vec::new(),
         }
     }
 
+    /// The same with replicas that do not answer.
+    #[must_use]
+    pub fn with_silent(self, silent: Vec<u64>) -> Self {
+        Self { silent, ..self }
+    }
+
     /// The same with prompts that are being read.
     #[must_use]
     pub fn with_readings(self, readings: Vec<Reading>) -> Self {
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -26,9 +26,11 @@
 
 /// Part of the objective up to which reads may last without any being left to decode replicas. An
 /// unloaded replica takes a quarter of it.
-const SLOW_FROM: f64 = 0.5;
+const SLOW_FROM: f64 = 0.7;
 /// Part of the objective from which on as few as possible are sent.
-const SLOW_TO: f64 = 0.75;
+const SLOW_TO: f64 = 1.0;
+/// Part of the replicas that may be silent at once if it is they, and not this daemon, that are cut off.
+const MAX_SILENT: f64 = 0.5;
 /// Weight of the newest read in the mean pace of a service's replicas.
 const READ_PACE_STEP: f64 = 0.05;
 /// Most that is left to decode replicas; the rest tells when it is better again.
@@ -278,7 +280,27 @@
         }
     }
 
-    /// Notes that `key` did not answer when a reservation was asked for.
+    /// Hashes of the replicas that have not answered this daemon lately. None if they are many: then it is
+    /// this daemon that is cut off.
+    pub fn silent_replicas(&self, now: Time) -> Vec<u64> {
+        let silent = self.servers.values().filter(|server| server.is_silent(now));
+        let silent: Vec<u64> = silent.map(|server| server.hash).collect();
+        if silent.len() as f64 > self.servers.len() as f64 * MAX_SILENT {
+            return Vec::new();
+        }
+        silent
+    }
+
+    /// Takes from another daemon which replicas do not answer it.
+    pub fn hear_silent(&mut self, now: Time, silent: &[u64]) {
+        for server in self.servers.values_mut() {
+            if silent.contains(&server.hash) {
+                server.hear_silent(now);
+            }
+        }
+    }
+
+    /// Notes that `key` did not answer a question.
     pub fn silent(&mut self, now: Time, key: Key) {
         if let Some(server) = self.servers.get_mut(key) {
             server.note_silent(now);
@@ -286,9 +308,9 @@
     }
 
     /// Notes that `key` had room.
-    pub fn roomy(&mut self, key: Key) {
+    pub fn roomy(&mut self, now: Time, key: Key) {
         if let Some(server) = self.servers.get_mut(key) {
-            server.note_room();
+            server.note_room(now);
         }
     }
 
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -35,6 +35,8 @@
 const FULL_AGE: Duration = Duration::from_millis(200);
 /// The same for one that did not answer; asking it costs a caller most of the time that it waits.
 const SILENT_AGE: Duration = Duration::from_millis(800);
+/// How long an answer to this daemon counts for more than what others say of the replica.
+const ANSWERED_AGE: Duration = Duration::from_millis(300);
 /// Doublings of these times at most, one for each time in a row: a replica that is leaving refuses each
 /// reservation and looks the emptier the longer it does. With a third of 320 replicas leaving unnoticed,
 /// nearly all reservations were asked of those.
@@ -65,6 +67,10 @@
     pace: Option<(f64, Time)>,
     /// Reservations in a row that failed, and until when it is asked after the others.
     refused: (u32, Time),
+    /// When it last answered this daemon.
+    answered: Option<Time>,
+    /// When it last did not answer this daemon.
+    silent: Option<Time>,
     /// Whether a replica with another id answered at its address.
     pub(crate) replaced: bool,
     /// What the runs that this daemon knows of will hold, its own and those of others.
@@ -92,6 +98,8 @@
             unread: None,
             pace: None,
             refused: (0, Time::ZERO),
+            answered: None,
+            silent: None,
             failures: (0.0, now),
             replaced: false,
             forecast: Curve::flat(0.0),
@@ -140,6 +148,9 @@
     pub(crate) fn note(&mut self, now: Time, failed: bool) {
         let share = self.failure_share(now);
         let sample = if failed { 1.0 } else { 0.0 };
+        if !failed {
+            self.note_room(now);
+        }
         self.failures = (share + FAILURE_STEP * (sample - share), now);
     }
 
@@ -161,19 +172,37 @@
 
     /// Notes that it had no room.
     pub(crate) fn note_full(&mut self, now: Time) {
+        self.answered = Some(now);
         self.note_refused(now, FULL_AGE);
     }
 
-    /// Notes that it did not answer when a reservation was asked for.
+    /// Notes that it did not answer.
     pub(crate) fn note_silent(&mut self, now: Time) {
+        self.silent = Some(now);
         self.note_refused(now, SILENT_AGE);
     }
 
-    /// Notes that it had room.
-    pub(crate) const fn note_room(&mut self) {
+    /// Notes that it had room, or did its work.
+    pub(crate) const fn note_room(&mut self, now: Time) {
+        self.answered = Some(now);
         self.refused = (0, Time::ZERO);
     }
 
+    /// Takes from another daemon that it does not answer, unless it answered this one a moment ago.
+    pub(crate) fn hear_silent(&mut self, now: Time) {
+        let answered = self.answered.is_some_and(|at| now.since(at) < ANSWERED_AGE);
+        if !answered && self.refusals(now) == 0 {
+            self.note_refused(now, SILENT_AGE);
+        }
+    }
+
+    /// Whether it did not answer this daemon a moment ago, and has not answered since.
+    pub(crate) fn is_silent(&self, now: Time) -> bool {
+        self.silent.is_some_and(|at| {
+            now.since(at) < SILENT_AGE && self.answered.is_none_or(|answered| answered < at)
+        })
+    }
+
     fn note_refused(&mut self, now: Time, age: Duration) {
         let (count, until) = self.refused;
         // Answers to questions that were asked before the last refusal count as one with it.
--- a/crates/relay/src/teller.rs
+++ b/crates/relay/src/teller.rs
@@ -43,6 +43,8 @@
     told: BTreeMap<u64, Count>,
     /// Tokens that are being read, by the hash of the replica.
     read: BTreeMap<u64, u32>,
+    /// Replicas that do not answer, by their hashes.
+    silent: Vec<u64>,
 }
 
 impl Teller {
@@ -60,11 +62,13 @@
             replica: *replica,
             tokens: *tokens,
         };
-        let is_silent = counts.is_empty() && read.is_empty();
-        let same = counts == self.told && read == self.read;
+        let silent = pool.silent_replicas(now);
+        let news = silent.iter().any(|hash| !self.silent.contains(hash));
+        let nothing = counts.is_empty() && read.is_empty() && silent.is_empty();
+        let same = counts == self.told && read == self.read && !news;
         let all = now.since(self.last_all) >= ALL_PERIOD;
         let told = match all {
-            true if is_silent && same => return None,
+            true if nothing && same => return None,
             false if same || now.since(self.last) < PAUSE => return None,
             true => {
                 let claims = counts.iter().filter_map(claim).collect();
@@ -85,6 +89,8 @@
                     .with_readings(begun.map(reading).chain(over).collect())
             }
         };
+        let told = told.with_silent(silent.clone());
+        self.silent = silent;
         self.last = now;
         if all {
             self.last_all = now;
--- a/crates/relay/src/timing.rs
+++ b/crates/relay/src/timing.rs
@@ -17,12 +17,15 @@
 const LATE_READ: f64 = 0.5;
 /// Part of its memory that a decode replica has to have free for a prompt that it reads itself since
 /// all others would be late: it makes next to no tokens meanwhile.
-const IDLE: f64 = 0.5;
+const IDLE: f64 = 0.2;
 /// Part of a replica's memory that late generations leave free: a usual run of a replica with seven.
 const LATE_SPARE: f64 = 0.1;
 /// Times the objective for which late generations wait for a place. Callers leave after four times it
 /// without an event, and what is left is enough to read the prompt.
-const LATE_WAIT: f64 = 2.5;
+const LATE_WAIT: f64 = 2.4;
+/// Times the objective for which they let all others go first; after that they take their turn, since most
+/// callers do not come back a second time.
+const YIELD: f64 = 1.6;
 /// Callers' limits that are remembered of a route.
 const REMEMBERED: usize = 128;
 /// Part of them that is taken for those of callers which come for the first time: they have the longest
@@ -36,8 +39,8 @@
     New,
     /// It was refused, and its caller has come back.
     Returned,
-    /// Its replica was lost, and it goes on elsewhere.
-    Resumed,
+    /// It is late and has no other chance: its replica was lost, or it has let others go first for long.
+    Due,
 }
 
 /// How it looks for a place.
@@ -50,10 +53,19 @@
 }
 
 impl Kind {
+    /// The kind of one that has waited here for `waited`.
+    #[must_use]
+    pub fn after(self, objective: Duration, waited: Duration) -> Self {
+        match self {
+            Self::Returned if waited >= objective.mul_f64(YIELD) => Self::Due,
+            kind => kind,
+        }
+    }
+
     /// The terms of this kind, where `usual` are those of a new generation.
     pub fn terms(self, usual: Terms) -> Terms {
         match self {
-            Self::New | Self::Resumed => usual,
+            Self::New | Self::Due => usual,
             Self::Returned => Terms {
                 wait: usual.wait.max(LATE_WAIT),
                 spare: usual.spare.max(LATE_SPARE),
@@ -68,7 +80,7 @@
         let timely = match self {
             Self::New => age + read <= objective.mul_f64(READ_BY),
             Self::Returned => read <= objective.mul_f64(LATE_READ),
-            Self::Resumed => true,
+            Self::Due => true,
         };
         if timely { 0.0 } else { IDLE }
     }
--- a/crates/relay/tests/refusals.rs
+++ b/crates/relay/tests/refusals.rs
@@ -108,7 +108,7 @@
                 tried.push(key);
                 continue;
             }
-            self.pool.roomy(key);
+            self.pool.roomy(now, key);
             let run = self.runs.begin("llm", key, SIZE);
             self.ends.push((ms + RUN_MS, run));
             self.begun += 1;
@@ -184,6 +184,53 @@
         world.pool.full(at(ms), first);
     }
     assert_ne!(world.choose(at(4_000), &[]), Some(first));
-    world.pool.roomy(first);
+    world.pool.roomy(at(4_000), first);
     assert_eq!(world.choose(at(4_000), &[]), Some(first));
 }
+
+/// A question to a dark replica costs a caller most of its time: one daemon's is enough for all.
+#[test]
+fn a_replica_that_does_not_answer_one_daemon_is_asked_last_by_all() {
+    let (mut one, mut other) = (World::new(), World::new());
+    let dark = one.choose(START, &[]).unwrap();
+    let hash = one.pool.get(dark).unwrap().hash;
+    assert!(one.pool.silent_replicas(START).is_empty());
+    one.pool.silent(START, dark);
+    assert_eq!(one.pool.silent_replicas(START), [hash]);
+    let here = other.choose(START, &[]).unwrap();
+    assert_eq!(other.pool.get(here).unwrap().hash, hash);
+    other.pool.hear_silent(START, &[hash]);
+    assert_ne!(other.choose(START, &[]), Some(here));
+}
+
+#[test]
+fn a_replica_that_has_just_answered_is_not_given_up_on_hearsay() {
+    let mut world = World::new();
+    let key = world.choose(START, &[]).unwrap();
+    let hash = world.pool.get(key).unwrap().hash;
+    world.pool.roomy(START, key);
+    world.pool.hear_silent(START, &[hash]);
+    assert_eq!(world.choose(START, &[]), Some(key));
+}
+
+#[test]
+fn an_answer_ends_the_silence() {
+    let mut world = World::new();
+    let key = world.choose(START, &[]).unwrap();
+    world.pool.silent(START, key);
+    let later = START + Duration::from_millis(100);
+    world.pool.roomy(later, key);
+    assert!(world.pool.silent_replicas(later).is_empty());
+}
+
+#[test]
+fn a_daemon_that_is_cut_off_gives_no_replica_a_bad_name() {
+    let mut world = World::new();
+    let mut tried = Vec::new();
+    while let Some(key) = world.choose(START, &tried) {
+        world.pool.silent(START, key);
+        tried.push(key);
+    }
+    assert_eq!(tried.len(), REPLICAS);
+    assert!(world.pool.silent_replicas(START).is_empty());
+}
--- a/crates/relay/tests/timing.rs
+++ b/crates/relay/tests/timing.rs
@@ -20,7 +20,7 @@
 #[case::too_old(Kind::New, 500, 300, false)]
 #[case::late_and_free(Kind::Returned, 1_500, 300, true)]
 #[case::late_and_others_wait(Kind::Returned, 0, 500, false)]
-#[case::resumed(Kind::Resumed, 5_000, 5_000, true)]
+#[case::resumed(Kind::Due, 5_000, 5_000, true)]
 fn a_place_is_taken_only_if_the_prompt_is_read_in_time(
     #[case] kind: Kind,
     #[case] age_ms: u64,
@@ -36,12 +36,21 @@
 #[test]
 fn who_is_late_waits_longer_and_leaves_room() {
     assert_eq!(Kind::New.terms(USUAL), USUAL);
-    assert_eq!(Kind::Resumed.terms(USUAL), USUAL);
+    assert_eq!(Kind::Due.terms(USUAL), USUAL);
     let returned = Kind::Returned.terms(USUAL);
     assert!(returned.wait > 1.0);
     assert!(returned.spare > 0.0);
 }
 
+/// Most callers do not come back a second time.
+#[test]
+fn who_is_late_lets_others_go_first_for_a_while_only() {
+    let after = |kind: Kind, ms| kind.after(OBJECTIVE, Duration::from_millis(ms));
+    assert_eq!(after(Kind::Returned, 500), Kind::Returned);
+    assert_eq!(after(Kind::Returned, 1_500), Kind::Due);
+    assert_eq!(after(Kind::New, 5_000), Kind::New);
+}
+
 #[test]
 fn callers_that_came_back_are_known_by_their_limits() {
     let mut patience = Patience::new();
