Have the list of replicas passed on by neighbours at a common start

Cause: at a start of 295 instances 60 of them waited in vain for the one that reads the store for their data centre and read plan and replicas themselves; its link carries some thirty lists of 75 KB a second. Now each that has the list passes it on.

--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -217,6 +217,16 @@
         member.is_some_and(|member| member.state == State::Dead)
     }
 
+    /// Where a daemon of this data centre listens, drawn anew each time; `None` if no other is known.
+    pub fn neighbour(&self) -> Option<SocketAddr> {
+        let near = self.own.data_centre;
+        let others = self.cards.values();
+        let others = others.filter(|card| card.data_centre == near);
+        let others: Vec<SocketAddr> = others.map(|card| card.peers).collect();
+        let drawn = rand::random_range(0..others.len().max(1));
+        others.get(drawn).copied()
+    }
+
     /// Instances of this data centre, this one among them.
     pub fn near_count(&self) -> usize {
         let near = self.own.data_centre;
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -49,7 +49,7 @@
 const FIRST_START_PAUSE: Duration = Duration::from_millis(450);
 /// Time after a start for which a daemon waits for the one that reads the store, before it reads plan and
 /// replicas itself: at a common start of 295 instances, 3,500 calls fell when each read them all.
-const START_PATIENCE: Duration = Duration::from_millis(1_200);
+const START_PATIENCE: Duration = Duration::from_millis(1_500);
 /// Time after a later start for which the list of instances is waited for: the store answers in some
 /// milliseconds, or its tables do not all answer.
 const LIST_PATIENCE: Duration = Duration::from_millis(100);
@@ -127,6 +127,7 @@
             Phase::StartsWithMany | Phase::Steady => ask_readers(&shared).await,
         };
         if phase == Phase::StartsWithMany && heard != Heard::Fresh && !reads_for_others {
+            ask_neighbour(&shared).await;
             sleep(START_PAUSE.mul_f64(rand::random_range(0.5..1.5))).await;
             continue;
         }
@@ -212,6 +213,15 @@
     }
 }
 
+/// Asks any daemon of this data centre. At a common start the one that reads the store would have to pass
+/// a list of 75 KB and more on to some sixty others through one link; each that has it passes it on.
+async fn ask_neighbour(shared: &Shared) {
+    let neighbour = shared.members.borrow().neighbour();
+    if let Some(neighbour) = neighbour {
+        news(shared, neighbour).await;
+    }
+}
+
 /// Asks the daemon at `poller`.
 async fn news(shared: &Shared, poller: SocketAddr) -> Heard {
     let Some(news) = gossip::question(shared, poller, NEWS_PATIENCE).await else {
