--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -145,7 +145,7 @@
     spawn_local(exchange::follow(Rc::clone(&shared)));
     spawn_local(watch::plan(Rc::clone(&shared)));
     spawn_local(watch::replicas(Rc::clone(&shared)));
-    spawn_local(watch::instances(Rc::clone(&shared)));
+    spawn_local(watch::instances::follow(Rc::clone(&shared)));
     spawn_local(stages::run(Rc::clone(&shared)));
     spawn_local(track::run(Rc::clone(&shared)));
     spawn_local(reload::follow(Rc::clone(&shared), path.to_owned()));
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -15,7 +15,7 @@
 use crate::reload;
 use crate::shared::RESERVE;
 use crate::shared::Shared;
-use crate::watch::INSTANCES;
+use crate::watch::instances;
 
 /// Time for which a stopping daemon stays for callers that keep an old address answer: three times
 /// the time that answers are to be kept, and some to spare.
@@ -61,7 +61,7 @@
     shared.members.borrow_mut().leave(shared.clock.now());
     let name = shared.settings().instance.clone();
     let begun = Instant::now();
-    let unlisted = timeout(UNLIST_TIMEOUT, shared.store.remove(INSTANCES, &name)).await;
+    let unlisted = timeout(UNLIST_TIMEOUT, shared.store.remove(instances::TABLE, &name)).await;
     if let Ok(Err(error)) = unlisted {
         log::warn!(kind = "store", step = "leaving", cause = error.to_string(); "the own row could not be removed");
     }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -1,22 +1,20 @@
 //! What the store tells: the plan, the replicas and the other instances.
 
+pub mod instances;
+mod rows;
+
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use platform::plan;
 use platform::replica;
-use platform::store::Row;
 use platform::store::Rows;
-use relay::replica::Delta;
-use relay::replica::Replica;
-use relay::replica::Snapshot;
 use relay::replica::Update;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-use crate::card::Card;
 use crate::exchange;
 use crate::gossip;
 use crate::shared::Shared;
@@ -39,14 +37,6 @@
 /// Time that the daemon which reads the store gets for an answer; a round trip takes some
 /// milliseconds.
 const NEWS_PATIENCE: Duration = Duration::from_millis(120);
-/// Time between two readings of the instances by the daemon that reads the store for its data
-/// centre; gossip is the faster source.
-const INSTANCES_PERIOD: Duration = Duration::from_secs(6);
-/// The same for the other daemons, which hear of new instances from it.
-const DISTANT_PERIOD: Duration = Duration::from_mins(2);
-/// Pause between writing the own row and reading those of the others when the whole system starts for
-/// the first time; instances start within 300 ms of each other.
-const FIRST_START_PAUSE: Duration = Duration::from_millis(450);
 /// Time after a start for which a daemon waits for the one that reads the store, before it reads plan and
 /// replicas itself: at a common start of 295 instances, 3,500 calls fell when each read them all.
 const START_PATIENCE: Duration = Duration::from_millis(1_500);
@@ -61,12 +51,8 @@
 /// Time between two readings of the store by a daemon that others read for, while the store fails
 /// those: often enough to notice that it serves this one alone.
 const DIRECT_PERIOD: Duration = Duration::from_secs(2);
-/// Time between two readings of the instances while the store fails; peers tell of each other.
-const INSTANCES_RETRY: Duration = Duration::from_secs(2);
 /// Pause after a failed call, so that a store in trouble is not pressed further.
 const RETRY_PAUSE: Duration = Duration::from_millis(350);
-/// Table in which every instance has a row with its card.
-pub const INSTANCES: &str = "instances";
 
 /// Follows the plan, forever.
 pub async fn plan(shared: Rc<Shared>) {
@@ -264,7 +250,7 @@
     }
     let watched = shared.store.watch(replica::TABLE, since, REPLICAS_WAIT);
     match watched.await {
-        Ok(rows) => Ok(Update::Changed(delta(shared, since, &rows))),
+        Ok(rows) => Ok(Update::Changed(rows::delta(shared, since, &rows))),
         Err(Error::Compacted) => all_replicas(shared).await,
         Err(error) => Err(error),
     }
@@ -272,7 +258,7 @@
 
 async fn all_replicas(shared: &Shared) -> Result<Update, Error> {
     let rows = shared.store.read(replica::TABLE).await?;
-    Ok(Update::All(snapshot(shared, &rows)))
+    Ok(Update::All(rows::snapshot(shared, &rows)))
 }
 
 async fn read_plan(shared: &Shared) {
@@ -285,34 +271,6 @@
     }
 }
 
-/// Keeps the own row among the instances and reads those of the others, forever.
-pub async fn instances(shared: Rc<Shared>) {
-    if shared.settings().first_start && register(&shared).await {
-        sleep(FIRST_START_PAUSE).await;
-    }
-    loop {
-        let pause = match shared.store.read(INSTANCES).await {
-            Ok(rows) => {
-                shared.store_answered("instances");
-                let registered = take_instances(&shared, &rows).await;
-                shared.listed.send_replace(true);
-                match shared.members.borrow().poller() {
-                    _ if !registered => INSTANCES_RETRY,
-                    Some(_) => DISTANT_PERIOD,
-                    None => INSTANCES_PERIOD,
-                }
-            }
-            Err(error) => {
-                shared.store_failed("instances", &error);
-                // Nobody waits for a list that does not come.
-                shared.listed.send_replace(true);
-                seldom(&shared, INSTANCES_RETRY)
-            }
-        };
-        sleep(pause).await;
-    }
-}
-
 fn take_plan(shared: &Shared, rows: &Rows) {
     let newest = rows.rows.iter().rev().find(|row| row.key == plan::KEY);
     let Some(value) = newest.and_then(|row| row.value.as_deref()) else {
@@ -325,76 +283,3 @@
         }
     }
 }
-
-fn snapshot(shared: &Shared, rows: &Rows) -> Snapshot {
-    let replicas = rows.rows.iter();
-    let replicas = replicas.filter_map(|row| read_replica(shared, row));
-    Snapshot {
-        version: rows.version,
-        replicas: replicas.collect(),
-        lapsing: Vec::new(),
-    }
-}
-
-/// The changes in `rows`; an entry that cannot be read is as good as none.
-fn delta(shared: &Shared, since: u64, rows: &Rows) -> Delta {
-    let mut delta = Delta {
-        since,
-        version: rows.version,
-        ..Delta::default()
-    };
-    for row in &rows.rows {
-        match read_replica(shared, row) {
-            Some(replica) => delta.replicas.push(replica),
-            None => delta.gone.push(row.key.clone()),
-        }
-    }
-    delta
-}
-
-fn read_replica(shared: &Shared, row: &Row) -> Option<Replica> {
-    let own = shared.own_card();
-    match replica::read(&row.key, row.value.as_deref()?) {
-        // A request would come back to this daemon as one of a caller.
-        Ok(replica) if replica.address.ip() == own.peers.ip() => None,
-        Ok(replica) => Some(replica),
-        Err(_) if !shared.is_new_unreadable(&row.key) => None,
-        Err(error) => {
-            log::warn!(kind = "replica", replica = row.key, cause = error.to_string(); "an entry cannot be read");
-            None
-        }
-    }
-}
-
-/// Takes the cards of the instances, and writes the own one if it is missing or old; whether the own
-/// one is as it should be.
-async fn take_instances(shared: &Shared, rows: &Rows) -> bool {
-    let read = |row: &Row| serde_json::from_slice::<Card>(row.value.as_deref()?).ok();
-    let cards: Vec<Card> = rows.rows.iter().filter_map(read).collect();
-    let own = shared.own_card();
-    let listed = cards.contains(&own);
-    shared.members.borrow_mut().list(shared.clock.now(), &cards);
-    if listed || shared.is_stopping() {
-        return true;
-    }
-    register(shared).await
-}
-
-/// Writes the own row; whether that succeeded.
-async fn register(shared: &Shared) -> bool {
-    let own = shared.own_card();
-    let value = match serde_json::to_vec(&own) {
-        Ok(value) => value,
-        Err(error) => {
-            log::error!(kind = "store", step = "registering", cause = error.to_string(); "the own row cannot be written");
-            return false;
-        }
-    };
-    match shared.store.write(INSTANCES, &own.name, &value).await {
-        Ok(()) => true,
-        Err(error) => {
-            shared.store_failed("registering", &error);
-            false
-        }
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/watch/instances.rs
@@ -0,0 +1,86 @@
+//! The other instances, as the store lists them.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use platform::store::Row;
+use platform::store::Rows;
+use tokio::time::sleep;
+
+use crate::card::Card;
+use crate::shared::Shared;
+use crate::watch::seldom;
+
+/// Time between two readings of the instances by the daemon that reads the store for its data
+/// centre; gossip is the faster source.
+const PERIOD: Duration = Duration::from_secs(6);
+/// The same for the other daemons, which hear of new instances from it.
+const DISTANT_PERIOD: Duration = Duration::from_mins(2);
+/// Pause between writing the own row and reading those of the others when the whole system starts for
+/// the first time; instances start within 300 ms of each other.
+const FIRST_START_PAUSE: Duration = Duration::from_millis(450);
+/// Time between two readings of the instances while the store fails; peers tell of each other.
+const RETRY: Duration = Duration::from_secs(2);
+/// Table in which every instance has a row with its card.
+pub const TABLE: &str = "instances";
+
+/// Keeps the own row among the instances and reads those of the others, forever.
+pub async fn follow(shared: Rc<Shared>) {
+    if shared.settings().first_start && register(&shared).await {
+        sleep(FIRST_START_PAUSE).await;
+    }
+    loop {
+        let pause = match shared.store.read(TABLE).await {
+            Ok(rows) => {
+                shared.store_answered("instances");
+                let registered = take_instances(&shared, &rows).await;
+                shared.listed.send_replace(true);
+                match shared.members.borrow().poller() {
+                    _ if !registered => RETRY,
+                    Some(_) => DISTANT_PERIOD,
+                    None => PERIOD,
+                }
+            }
+            Err(error) => {
+                shared.store_failed("instances", &error);
+                // Nobody waits for a list that does not come.
+                shared.listed.send_replace(true);
+                seldom(&shared, RETRY)
+            }
+        };
+        sleep(pause).await;
+    }
+}
+
+/// Takes the cards of the instances, and writes the own one if it is missing or old; whether the own
+/// one is as it should be.
+async fn take_instances(shared: &Shared, rows: &Rows) -> bool {
+    let read = |row: &Row| serde_json::from_slice::<Card>(row.value.as_deref()?).ok();
+    let cards: Vec<Card> = rows.rows.iter().filter_map(read).collect();
+    let own = shared.own_card();
+    let listed = cards.contains(&own);
+    shared.members.borrow_mut().list(shared.clock.now(), &cards);
+    if listed || shared.is_stopping() {
+        return true;
+    }
+    register(shared).await
+}
+
+/// Writes the own row; whether that succeeded.
+async fn register(shared: &Shared) -> bool {
+    let own = shared.own_card();
+    let value = match serde_json::to_vec(&own) {
+        Ok(value) => value,
+        Err(error) => {
+            log::error!(kind = "store", step = "registering", cause = error.to_string(); "the own row cannot be written");
+            return false;
+        }
+    };
+    match shared.store.write(TABLE, &own.name, &value).await {
+        Ok(()) => true,
+        Err(error) => {
+            shared.store_failed("registering", &error);
+            false
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/watch/rows.rs
@@ -0,0 +1,51 @@
+//! Rows of the store with entries of replicas.
+
+use platform::replica;
+use platform::store::Row;
+use platform::store::Rows;
+use relay::replica::Delta;
+use relay::replica::Replica;
+use relay::replica::Snapshot;
+
+use crate::shared::Shared;
+
+/// All replicas that `rows` name.
+pub fn snapshot(shared: &Shared, rows: &Rows) -> Snapshot {
+    let replicas = rows.rows.iter();
+    let replicas = replicas.filter_map(|row| read_replica(shared, row));
+    Snapshot {
+        version: rows.version,
+        replicas: replicas.collect(),
+        lapsing: Vec::new(),
+    }
+}
+
+/// The changes in `rows`; an entry that cannot be read is as good as none.
+pub fn delta(shared: &Shared, since: u64, rows: &Rows) -> Delta {
+    let mut delta = Delta {
+        since,
+        version: rows.version,
+        ..Delta::default()
+    };
+    for row in &rows.rows {
+        match read_replica(shared, row) {
+            Some(replica) => delta.replicas.push(replica),
+            None => delta.gone.push(row.key.clone()),
+        }
+    }
+    delta
+}
+
+fn read_replica(shared: &Shared, row: &Row) -> Option<Replica> {
+    let own = shared.own_card();
+    match replica::read(&row.key, row.value.as_deref()?) {
+        // A request would come back to this daemon as one of a caller.
+        Ok(replica) if replica.address.ip() == own.peers.ip() => None,
+        Ok(replica) => Some(replica),
+        Err(_) if !shared.is_new_unreadable(&row.key) => None,
+        Err(error) => {
+            log::warn!(kind = "replica", replica = row.key, cause = error.to_string(); "an entry cannot be read");
+            None
+        }
+    }
+}
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -1,5 +1,6 @@
 //! What this daemon knows of the replicas, and which one is to serve a request.
 
+mod incarnation;
 mod list;
 
 use std::cell::Cell;
@@ -227,11 +228,11 @@
                 .as_ref()
                 .map(|all| all.get(&hash).copied().unwrap_or(0))
         };
-        let mut servers = self.servers.values_mut();
-        servers
-            .by_ref()
-            .filter(|server| server.replica.stage == Some(Stage::Prefill))
-            .for_each(|server| server.unread = told(server.hash));
+        for server in self.servers.values_mut() {
+            if server.replica.stage == Some(Stage::Prefill) {
+                server.unread = told(server.hash);
+            }
+        }
     }
 
     /// What this daemon has sent to be read, by replica.
--- a/crates/relay/src/pool/list.rs
+++ b/crates/relay/src/pool/list.rs
@@ -2,7 +2,6 @@
 
 use std::cmp::Ordering;
 use std::collections::HashSet;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use ident::Time;
@@ -10,7 +9,6 @@
 use crate::belief::Belief;
 use crate::belief::Change;
 use crate::pool::Pool;
-use crate::replica::Birth;
 use crate::replica::Delta;
 use crate::replica::Lapsing;
 use crate::replica::Replica;
@@ -181,54 +179,13 @@
         changed
     }
 
-    fn insert(&mut self, now: Time, replica: &Replica) -> Key {
+    pub(super) fn insert(&mut self, now: Time, replica: &Replica) -> Key {
         let server = Server::new(replica.clone(), self.version, now);
         let key = self.servers.insert(server);
         self.by_id.insert(replica.id.clone(), key);
         key
     }
 
-    /// Puts a new incarnation in the place of the one behind `key`. It gets a key of its own, so that
-    /// nothing that was learnt of the earlier one, and no run there, is counted for it.
-    fn restart(&mut self, now: Time, key: Key, replica: &Replica, changes: &mut Vec<Change>) {
-        self.servers.remove(key);
-        self.restarted.insert(key, ());
-        self.insert(now, replica);
-        changes.push(Change {
-            id: replica.id.clone(),
-            now: Belief::Restarted,
-        });
-    }
-
-    /// Notes that the replica behind `key` told `birth` in an answer; the changes if that is a later
-    /// incarnation than the one that is listed.
-    pub fn answered(&mut self, now: Time, key: Key, birth: Option<Birth>) -> Vec<Change> {
-        let mut changes = Vec::new();
-        let Some(server) = self.servers.get(key) else {
-            return changes;
-        };
-        let replica = Replica {
-            birth,
-            ..server.replica.clone()
-        };
-        if replica.compare(server.replica.birth) == Ordering::Greater {
-            self.digest.set(None);
-            self.restart(now, key, &replica, &mut changes);
-        }
-        changes
-    }
-
-    /// Where the replica `id` is.
-    pub fn address(&self, id: &str) -> Option<SocketAddr> {
-        let key = self.by_id.get(id)?;
-        Some(self.servers[*key].replica.address)
-    }
-
-    /// Whether the incarnation behind `key` ended, and its replica has started again.
-    pub fn has_restarted(&self, key: Key) -> bool {
-        self.restarted.contains_key(key)
-    }
-
     /// Takes over from a peer that a replica is lapsing.
     fn lapse(&mut self, now: Time, lapsing: &Lapsing, changes: &mut Vec<Change>) {
         let id = &lapsing.replica.id;
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -42,6 +42,15 @@
 /// nearly all reservations were asked of those.
 const MAX_DOUBLINGS: u32 = 4;
 
+/// Reservations that failed at a replica.
+#[derive(Debug, Clone, Copy, Default)]
+struct Refused {
+    /// How many in a row.
+    count: u32,
+    /// Until when it is asked after the others.
+    until: Time,
+}
+
 /// One replica and what this daemon has learnt of it.
 #[derive(Debug, Clone)]
 pub struct Server {
@@ -65,8 +74,7 @@
     pub(crate) unread: Option<u64>,
     /// Mean seconds a unit of work, and when the last work ended.
     pace: Option<(f64, Time)>,
-    /// Reservations in a row that failed, and until when it is asked after the others.
-    refused: (u32, Time),
+    refused: Refused,
     /// When it last answered this daemon.
     answered: Option<Time>,
     /// When it last did not answer this daemon.
@@ -97,7 +105,7 @@
             read: None,
             unread: None,
             pace: None,
-            refused: (0, Time::ZERO),
+            refused: Refused::default(),
             answered: None,
             silent: None,
             failures: (0.0, now),
@@ -185,7 +193,10 @@
     /// Notes that it had room, or did its work.
     pub(crate) const fn note_room(&mut self, now: Time) {
         self.answered = Some(now);
-        self.refused = (0, Time::ZERO);
+        self.refused = Refused {
+            count: 0,
+            until: Time::ZERO,
+        };
     }
 
     /// Takes from another daemon that it does not answer, unless it answered this one a moment ago.
@@ -204,11 +215,14 @@
     }
 
     fn note_refused(&mut self, now: Time, age: Duration) {
-        let (count, until) = self.refused;
+        let Refused { count, until } = self.refused;
         // Answers to questions that were asked before the last refusal count as one with it.
         let count = if now < until { count } else { count + 1 };
         let doublings = count.saturating_sub(1).min(MAX_DOUBLINGS);
-        self.refused = (count.max(1), until.max(now + age * 2_u32.pow(doublings)));
+        self.refused = Refused {
+            count: count.max(1),
+            until: until.max(now + age * 2_u32.pow(doublings)),
+        };
     }
 
     pub(crate) fn told(&mut self, now: Time, load: Load) {
@@ -230,9 +244,10 @@
 
     /// Reservations in a row that failed, while it is asked after the others for that; else 0.
     pub(crate) fn refusals(&self, now: Time) -> u32 {
-        match self.refused {
-            (count, until) if now < until => count,
-            _ => 0,
+        if now < self.refused.until {
+            self.refused.count
+        } else {
+            0
         }
     }
 
--- a/crates/relay/src/timing.rs
+++ b/crates/relay/src/timing.rs
@@ -18,7 +18,8 @@
 /// Part of its memory that a decode replica has to have free for a prompt that it reads itself since
 /// all others would be late: it makes next to no tokens meanwhile.
 const IDLE: f64 = 0.2;
-/// Part of a replica's memory that late generations leave free: a usual run of a replica with seven.
+/// Part of a replica's memory that late generations leave free: most of a run, where a replica has room for
+/// seven.
 const LATE_SPARE: f64 = 0.1;
 /// Times the objective for which late generations wait for a place. Callers leave after four times it
 /// without an event, and what is left is enough to read the prompt.
