Tests of relay share their replicas, lists and wishes

Nine test files built the same replica, list and want by hand; crates/relay/tests/common has one of each now, and the gateway's tests one stand-in that reads prompts and one way to ask a daemon. No assertion changed.

--- a/crates/gateway/tests/gateway/birth.rs
+++ b/crates/gateway/tests/gateway/birth.rs
@@ -8,7 +8,6 @@
 
 use crate::common::daemon::until;
 use crate::common::http::Message;
-use crate::common::http::answer;
 use crate::common::replica::Act;
 use crate::common::replica::Replica;
 use crate::common::replica::chunk;
@@ -130,10 +129,7 @@
 /// A prompt that is read once more arrives at the service once more.
 #[test]
 fn the_prompt_of_a_resumed_stream_is_read_again_only_within_the_budget() {
-    let prefill = Replica::start("i-p", |_| {
-        let told = br#"{"kv-handle":"k1","tokens":1460,"version":1}"#;
-        Act::Send(answer(200, &[("content-type", "application/json")], told))
-    });
+    let prefill = Replica::prefill("i-p");
     let script = |request: &Message| match request.header("last-event-id") {
         Some("2") => rest(request),
         _ => Act::SendAndClose([stream_head(request), events(1, 2), chunk(b"id: 3\nda")].concat()),
--- a/crates/gateway/tests/gateway/common/replica.rs
+++ b/crates/gateway/tests/gateway/common/replica.rs
@@ -73,6 +73,14 @@
         self.born.store(ms, Ordering::SeqCst);
     }
 
+    /// Starts one that reads prompts; their memory is called `k1`.
+    pub fn prefill(id: &str) -> Self {
+        Self::start(id, |_| {
+            let told = br#"{"kv-handle":"k1","tokens":1460,"version":1}"#;
+            Act::Send(answer(200, &[("content-type", "application/json")], told))
+        })
+    }
+
     /// Its row in the store; `stage` is empty for a plain application.
     pub fn row(&self, service: &str, stage: &str) -> Value {
         let mut row = json!({"service": service, "addr": self.address, "zone": "here", "version": "v1",
--- a/crates/gateway/tests/gateway/site.rs
+++ b/crates/gateway/tests/gateway/site.rs
@@ -90,7 +90,7 @@
 
     /// Sends one request of a new caller and reads the answer.
     pub fn ask(&self, line: &str, id: &str) -> Message {
-        self.daemon.caller().ask(line, &headers(id), b"")
+        ask(&self.daemon, line, id)
     }
 
     /// Waits until requests for `path` are no longer answered with `status`.
@@ -101,6 +101,11 @@
     }
 }
 
+/// Sends one request of a new caller to `daemon` and reads the answer.
+pub fn ask(daemon: &Daemon, line: &str, id: &str) -> Message {
+    daemon.caller().ask(line, &headers(id), b"")
+}
+
 /// Headers of a plain request.
 pub fn headers(id: &str) -> [(&str, &str); 2] {
     [("Request-Id", id), ("Deadline-Ms", "4000")]
--- a/crates/gateway/tests/gateway/stream.rs
+++ b/crates/gateway/tests/gateway/stream.rs
@@ -15,13 +15,6 @@
 use crate::site::Site;
 use crate::site::generate;
 
-fn prefill() -> Replica {
-    Replica::start("i-p", |_| {
-        let told = br#"{"kv-handle":"k1","tokens":1460,"version":1}"#;
-        Act::Send(answer(200, &[("content-type", "application/json")], told))
-    })
-}
-
 fn stream(request: &Message, from: u64, to: u64) -> Vec<u8> {
     [stream_head(request), events(from, to), chunk(b"")].concat()
 }
@@ -35,7 +28,7 @@
 
 #[test]
 fn the_prompt_is_read_at_one_replica_and_the_tokens_are_made_at_another() {
-    let prefill = prefill();
+    let prefill = Replica::prefill("i-p");
     let decode = Replica::start("i-d", |request| Act::Send(stream(request, 1, 5)));
     let site = Site::start(
         "staged",
@@ -67,7 +60,7 @@
 
 #[test]
 fn a_lost_prompt_is_read_by_the_next_decode_replica() {
-    let prefill = prefill();
+    let prefill = Replica::prefill("i-p");
     let script = |request: &Message| match request.header("kv-source") {
         Some(_) => Act::Send(not_run(request)),
         None => Act::Send(stream(request, 1, 2)),
--- a/crates/gateway/tests/gateway/world.rs
+++ b/crates/gateway/tests/gateway/world.rs
@@ -8,6 +8,7 @@
 use crate::common::replica::Replica;
 use crate::common::replica::signed;
 use crate::site::Site;
+use crate::site::ask;
 use crate::site::config;
 
 fn echo(id: &str) -> Replica {
@@ -23,9 +24,7 @@
     site.store.put("servers", "i-1", &replica.row("app", ""));
     until("it answers", || other.readiness() != 0);
     assert_eq!(other.readiness(), 503);
-    let told = other
-        .caller()
-        .ask("GET /read/1", &crate::site::headers("a"), b"");
+    let told = ask(&other, "GET /read/1", "a");
     assert_eq!(told.status(), 503);
     assert!(told.header("retry-after").is_some());
 }
@@ -87,9 +86,7 @@
     site.store.set_down(true);
     let late = site.another("late", true);
     late.until_ready();
-    let told = late
-        .caller()
-        .ask("GET /read/1", &crate::site::headers("a1"), b"");
+    let told = ask(&late, "GET /read/1", "a1");
     assert_eq!(told.status(), 200);
 }
 
@@ -176,9 +173,7 @@
     list_dead(&site, 40);
     let late = site.another("crowded-too", false);
     late.until_ready();
-    let told = late
-        .caller()
-        .ask("GET /read/1", &crate::site::headers("a1"), b"");
+    let told = ask(&late, "GET /read/1", "a1");
     assert_eq!(told.status(), 200);
 }
 
--- a/crates/lab/src/decode/setup.rs
+++ b/crates/lab/src/decode/setup.rs
@@ -91,25 +91,8 @@
     pub load: Load,
     /// How generations are placed.
     pub policy: Policy,
-    /// How those are treated that were refused and came back, too late for their objective.
-    pub returned: Returned,
 }
 
-/// How generations are treated that came back.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Returned {
-    /// Part of a replica's memory that they leave free.
-    pub spare: f64,
-    /// Times the objective for which they wait for a place.
-    pub wait: f64,
-}
-
-/// Like those that come for the first time.
-pub const ALIKE: Returned = Returned {
-    spare: 0.0,
-    wait: 0.5,
-};
-
 /// All come at once, twice.
 pub const CROWD: Load = Load {
     name: "crowd",
@@ -190,16 +173,9 @@
             claim_ms: 2.0,
             load,
             policy,
-            returned: ALIKE,
         }
     }
 
-    /// The same with generations that came back treated so.
-    #[must_use]
-    pub const fn with_returned(self, returned: Returned) -> Self {
-        Self { returned, ..self }
-    }
-
     /// Six replicas whose answers add little to what a run holds.
     pub const fn steady(load: Load, policy: Policy) -> Self {
         let doubling = Self::doubling(load, policy);
--- a/crates/relay/tests/admission.rs
+++ b/crates/relay/tests/admission.rs
@@ -1,17 +1,15 @@
 //! Room for a run, now and until it ends.
 
+mod common;
+
 use ident::Time;
-use ident::Zone;
 use relay::admission::Ask;
 use relay::claims::Claims;
 use relay::pool::Pool;
 use relay::replica::Load;
-use relay::replica::Replica;
-use relay::replica::Snapshot;
 use relay::replica::Stage;
 use relay::runs::Runs;
 use relay::runs::Size;
-use relay::score::Want;
 use relay::server::Key;
 
 const NOW: Time = Time::from_millis(100_000);
@@ -23,36 +21,14 @@
 };
 
 fn pool(memory: u64) -> Pool {
-    let mut pool = Pool::new();
+    let replica = common::replica("i-1", "llm", Some(Stage::Decode), 64);
+    let mut pool = common::pool(NOW, vec![replica]);
     pool.set_memory("llm", memory);
-    let replica = Replica {
-        id: "i-1".to_owned(),
-        service: "llm".to_owned(),
-        address: "127.0.0.1:1".parse().unwrap(),
-        data_centre: Zone::new("here"),
-        stage: Some(Stage::Decode),
-        slots: 64,
-        draining: false,
-        cold: false,
-        birth: None,
-    };
-    let list = Snapshot {
-        version: 1,
-        replicas: vec![replica],
-        lapsing: Vec::new(),
-    };
-    pool.apply(NOW, &list);
     pool
 }
 
 fn choose(pool: &Pool, ask: Option<Ask>) -> Option<Key> {
-    let want = Want {
-        service: "llm",
-        stage: Some(Stage::Decode),
-        tried: &[],
-        near: Zone::new("here"),
-        ask,
-    };
+    let want = common::want("llm", Some(Stage::Decode), &[], ask);
     pool.choose(NOW, &want, || 0.0)
 }
 
--- a/crates/relay/tests/birth.rs
+++ b/crates/relay/tests/birth.rs
@@ -1,10 +1,11 @@
 //! Replicas that start again under the id that they had.
 
+mod common;
+
 use std::time::Duration;
 
 use ident::Instance;
 use ident::Time;
-use ident::Zone;
 use relay::belief::Belief;
 use relay::claims;
 use relay::claims::Claim;
@@ -16,12 +17,10 @@
 use relay::replica::Delta;
 use relay::replica::Lapsing;
 use relay::replica::Replica;
-use relay::replica::Snapshot;
 use relay::replica::Stage;
 use relay::replica::Update;
 use relay::runs::Runs;
 use relay::runs::Size;
-use relay::score::Want;
 use relay::server::Key;
 use rstest::rstest;
 
@@ -38,15 +37,8 @@
 
 fn replica(birth: Option<u64>, stage: Stage) -> Replica {
     Replica {
-        id: "i-1".to_owned(),
         birth: birth.map(Birth),
-        service: "llm".to_owned(),
-        address: "127.0.0.1:1".parse().unwrap(),
-        data_centre: Zone::new("here"),
-        stage: Some(stage),
-        slots: 4,
-        draining: false,
-        cold: false,
+        ..common::replica("i-1", "llm", Some(stage), 4)
     }
 }
 
@@ -59,11 +51,7 @@
 
 /// Takes a list with this incarnation alone; the beliefs that changed.
 fn list(pool: &mut Pool, version: u64, birth: Option<u64>) -> Vec<Belief> {
-    let snapshot = Snapshot {
-        version,
-        replicas: vec![replica(birth, Stage::Decode)],
-        lapsing: Vec::new(),
-    };
+    let snapshot = common::snapshot(version, vec![replica(birth, Stage::Decode)]);
     let changes = pool.apply(NOW, &snapshot).unwrap_or_default();
     changes.into_iter().map(|change| change.now).collect()
 }
@@ -74,13 +62,7 @@
 }
 
 fn key_of(pool: &Pool, stage: Stage) -> Option<Key> {
-    let want = Want {
-        service: "llm",
-        stage: Some(stage),
-        tried: &[],
-        near: Zone::new("here"),
-        ask: None,
-    };
+    let want = common::want("llm", Some(stage), &[], None);
     pool.choose(NOW, &want, || 0.0)
 }
 
@@ -226,11 +208,7 @@
     assert_eq!(key(&pool), None);
     list(&mut pool, 2, None);
     assert_eq!(key(&pool), None, "nothing changed");
-    let snapshot = Snapshot {
-        version: 3,
-        replicas: vec![replica(None, Stage::Prefill)],
-        lapsing: Vec::new(),
-    };
+    let snapshot = common::snapshot(3, vec![replica(None, Stage::Prefill)]);
     pool.apply(NOW, &snapshot).unwrap();
     assert!(key(&pool).is_some());
 }
--- a/crates/relay/tests/pool.rs
+++ b/crates/relay/tests/pool.rs
@@ -1,9 +1,10 @@
 //! What is believed of replicas, and which one is chosen.
 
+mod common;
+
 use std::time::Duration;
 
 use ident::Time;
-use ident::Zone;
 use relay::belief::Belief;
 use relay::pool::Pool;
 use relay::replica::Delta;
@@ -17,35 +18,15 @@
 const START: Time = Time::from_millis(100_000);
 
 fn replica(id: &str) -> Replica {
-    Replica {
-        id: id.to_owned(),
-        service: "app".to_owned(),
-        address: "127.0.0.1:1".parse().unwrap(),
-        data_centre: Zone::new("here"),
-        stage: None,
-        slots: 4,
-        draining: false,
-        cold: false,
-        birth: None,
-    }
+    common::replica(id, "app", None, 4)
 }
 
 fn snapshot(version: u64, ids: &[&str]) -> Snapshot {
-    Snapshot {
-        version,
-        replicas: ids.iter().map(|id| replica(id)).collect(),
-        lapsing: Vec::new(),
-    }
+    common::snapshot(version, ids.iter().map(|id| replica(id)).collect())
 }
 
 fn want(tried: &[Key]) -> Want<'_> {
-    Want {
-        service: "app",
-        stage: None,
-        tried,
-        near: Zone::new("here"),
-        ask: None,
-    }
+    common::want("app", None, tried, None)
 }
 
 fn chosen(pool: &Pool, now: Time, tried: &[Key]) -> Option<String> {
--- a/crates/relay/tests/readings.rs
+++ b/crates/relay/tests/readings.rs
@@ -1,20 +1,18 @@
 //! Prompts that are being read: what daemons know of each other's, and what follows.
 
+mod common;
+
 use std::time::Duration;
 
 use ident::Instance;
 use ident::Time;
-use ident::Zone;
 use relay::claims;
 use relay::claims::Claims;
 use relay::claims::Reading;
 use relay::claims::Told;
 use relay::pool::Pool;
-use relay::replica::Replica;
-use relay::replica::Snapshot;
 use relay::replica::Stage;
 use relay::runs::Runs;
-use relay::score::Want;
 use relay::server::Key;
 use relay::teller::Teller;
 
@@ -25,35 +23,11 @@
 const OBJECTIVE: Duration = Duration::from_millis(900);
 
 fn pool(replicas: usize) -> Pool {
-    let replicas = (0..replicas).map(|index| Replica {
-        id: index.to_string(),
-        birth: None,
-        service: "llm".to_owned(),
-        address: "127.0.0.1:1".parse().unwrap(),
-        data_centre: Zone::new("here"),
-        stage: Some(Stage::Prefill),
-        slots: 32,
-        draining: false,
-        cold: false,
-    });
-    let mut pool = Pool::new();
-    let list = Snapshot {
-        version: 1,
-        replicas: replicas.collect(),
-        lapsing: Vec::new(),
-    };
-    pool.apply(NOW, &list).unwrap();
-    pool
+    common::pool(NOW, common::engines(replicas, Stage::Prefill, 32))
 }
 
 fn choose(pool: &Pool) -> Key {
-    let want = Want {
-        service: "llm",
-        stage: Some(Stage::Prefill),
-        tried: &[],
-        near: Zone::new("here"),
-        ask: None,
-    };
+    let want = common::want("llm", Some(Stage::Prefill), &[], None);
     pool.choose(NOW, &want, || 0.5).unwrap()
 }
 
--- a/crates/relay/tests/reads.rs
+++ b/crates/relay/tests/reads.rs
@@ -1,21 +1,19 @@
 //! Prompts that a decode replica reads itself.
 
+mod common;
+
 use ident::Instance;
 use ident::Time;
-use ident::Zone;
 use relay::claims;
 use relay::claims::Claim;
 use relay::claims::Claims;
 use relay::claims::Told;
 use relay::forecast::Curve;
 use relay::pool::Pool;
-use relay::replica::Replica;
-use relay::replica::Snapshot;
 use relay::replica::Stage;
 use relay::runs::Id;
 use relay::runs::Runs;
 use relay::runs::Size;
-use relay::score::Want;
 use relay::server::Key;
 
 const NOW: Time = Time::from_millis(100_000);
@@ -36,24 +34,8 @@
 
 impl World {
     fn new() -> Self {
-        let replica = |id: &str, stage| Replica {
-            id: id.to_owned(),
-            service: "llm".to_owned(),
-            address: "127.0.0.1:1".parse().unwrap(),
-            data_centre: Zone::new("here"),
-            stage: Some(stage),
-            slots: 64,
-            draining: false,
-            cold: false,
-            birth: None,
-        };
-        let mut pool = Pool::new();
-        let list = Snapshot {
-            version: 1,
-            replicas: vec![replica("d", Stage::Decode)],
-            lapsing: Vec::new(),
-        };
-        pool.apply(NOW, &list);
+        let replica = common::replica("d", "llm", Some(Stage::Decode), 64);
+        let pool = common::pool(NOW, vec![replica]);
         let decode = key(&pool, Stage::Decode);
         Self {
             pool,
@@ -74,13 +56,7 @@
 }
 
 fn key(pool: &Pool, stage: Stage) -> Key {
-    let want = Want {
-        service: "llm",
-        stage: Some(stage),
-        tried: &[],
-        near: Zone::new("here"),
-        ask: None,
-    };
+    let want = common::want("llm", Some(stage), &[], None);
     pool.choose(NOW, &want, || 0.0).unwrap()
 }
 
--- a/crates/relay/tests/refusals.rs
+++ b/crates/relay/tests/refusals.rs
@@ -1,19 +1,17 @@
 //! Replicas that refuse reservations though nothing that is known says why.
 
+mod common;
+
 use std::time::Duration;
 
 use ident::Time;
-use ident::Zone;
 use relay::admission::Ask;
 use relay::claims::Claims;
 use relay::pool::Pool;
-use relay::replica::Replica;
-use relay::replica::Snapshot;
 use relay::replica::Stage;
 use relay::runs::Id;
 use relay::runs::Runs;
 use relay::runs::Size;
-use relay::score::Want;
 use relay::server::Key;
 
 const START: Time = Time::from_millis(100_000);
@@ -45,25 +43,8 @@
 
 impl World {
     fn new() -> Self {
-        let replicas = (0..REPLICAS).map(|index| Replica {
-            id: index.to_string(),
-            birth: None,
-            service: "llm".to_owned(),
-            address: "127.0.0.1:1".parse().unwrap(),
-            data_centre: Zone::new("here"),
-            stage: Some(Stage::Decode),
-            slots: 32,
-            draining: false,
-            cold: false,
-        });
-        let mut pool = Pool::new();
+        let mut pool = common::pool(START, common::engines(REPLICAS, Stage::Decode, 32));
         pool.set_memory("llm", MEMORY);
-        let list = Snapshot {
-            version: 1,
-            replicas: replicas.collect(),
-            lapsing: Vec::new(),
-        };
-        pool.apply(START, &list).unwrap();
         Self {
             pool,
             runs: Runs::new(),
@@ -76,17 +57,12 @@
     }
 
     fn choose(&self, now: Time, tried: &[Key]) -> Option<Key> {
-        let want = Want {
-            service: "llm",
-            stage: Some(Stage::Decode),
-            tried,
-            near: Zone::new("here"),
-            ask: Some(Ask {
-                curve: self.runs.ask("llm", SIZE),
-                spreads: 3.0,
-                spare: 0.0,
-            }),
+        let ask = Ask {
+            curve: self.runs.ask("llm", SIZE),
+            spreads: 3.0,
+            spare: 0.0,
         };
+        let want = common::want("llm", Some(Stage::Decode), tried, Some(ask));
         self.pool.choose(now, &want, || 0.5)
     }
 
--- a/crates/relay/tests/rescue.rs
+++ b/crates/relay/tests/rescue.rs
@@ -1,10 +1,11 @@
 //! Runs go on elsewhere before the memory of their replica ends.
 
+mod common;
+
 use std::time::Duration;
 
 use ident::Instance;
 use ident::Time;
-use ident::Zone;
 use relay::admission::Ask;
 use relay::claims;
 use relay::claims::Claim;
@@ -12,8 +13,6 @@
 use relay::claims::Told;
 use relay::forecast::Curve;
 use relay::pool::Pool;
-use relay::replica::Replica;
-use relay::replica::Snapshot;
 use relay::replica::Stage;
 use relay::rescue;
 use relay::rescue::Move;
@@ -42,25 +41,8 @@
 impl World {
     /// `count` replicas of one service.
     fn new(count: usize) -> Self {
-        let replicas = (0..count).map(|index| Replica {
-            id: index.to_string(),
-            service: "llm".to_owned(),
-            address: "127.0.0.1:1".parse().unwrap(),
-            data_centre: Zone::new("here"),
-            stage: Some(Stage::Decode),
-            slots: 64,
-            draining: false,
-            cold: false,
-            birth: None,
-        });
-        let mut pool = Pool::new();
+        let mut pool = common::pool(START, common::engines(count, Stage::Decode, 64));
         pool.set_memory("llm", MEMORY);
-        let list = Snapshot {
-            version: 1,
-            replicas: replicas.collect(),
-            lapsing: Vec::new(),
-        };
-        pool.apply(START, &list);
         Self {
             pool,
             runs: Runs::new(),
@@ -70,13 +52,7 @@
     }
 
     fn want(tried: &[Key], ask: Option<Ask>) -> Want<'_> {
-        Want {
-            service: "llm",
-            stage: Some(Stage::Decode),
-            tried,
-            near: Zone::new("here"),
-            ask,
-        }
+        common::want("llm", Some(Stage::Decode), tried, ask)
     }
 
     fn key(&self, id: &str) -> Key {
--- a/crates/relay/tests/score.rs
+++ b/crates/relay/tests/score.rs
@@ -1,12 +1,11 @@
 //! Slow replicas are left to themselves for a while.
 
+mod common;
+
 use std::time::Duration;
 
 use ident::Time;
-use ident::Zone;
 use relay::pool::Pool;
-use relay::replica::Replica;
-use relay::replica::Snapshot;
 use relay::replica::Stage;
 use relay::score::Want;
 use relay::server::Key;
@@ -15,27 +14,8 @@
 const START: Time = Time::from_millis(100_000);
 
 fn pool(stage: Option<Stage>, ids: &[&str]) -> Pool {
-    let replicas = ids.iter().map(|id| Replica {
-        id: (*id).to_owned(),
-        service: "app".to_owned(),
-        address: "127.0.0.1:1".parse().unwrap(),
-        data_centre: Zone::new("here"),
-        stage,
-        slots: 4,
-        draining: false,
-        cold: false,
-        birth: None,
-    });
-    let mut pool = Pool::new();
-    pool.apply(
-        START,
-        &Snapshot {
-            version: 1,
-            replicas: replicas.collect(),
-            lapsing: Vec::new(),
-        },
-    );
-    pool
+    let replicas = ids.iter().map(|id| common::replica(id, "app", stage, 4));
+    common::pool(START, replicas.collect())
 }
 
 fn after(ms: u64) -> Time {
@@ -43,13 +23,7 @@
 }
 
 fn want(stage: Option<Stage>, tried: &[Key]) -> Want<'_> {
-    Want {
-        service: "app",
-        stage,
-        tried,
-        near: Zone::new("here"),
-        ask: None,
-    }
+    common::want("app", stage, tried, None)
 }
 
 /// Ids in the order in which they are chosen.
--- a/crates/relay/tests/teller.rs
+++ b/crates/relay/tests/teller.rs
@@ -1,20 +1,18 @@
 //! What a daemon tells the others of its runs.
 
+mod common;
+
 use std::time::Duration;
 
 use ident::Instance;
 use ident::Time;
-use ident::Zone;
 use relay::claims::Claims;
 use relay::claims::Told;
 use relay::pool::Pool;
-use relay::replica::Replica;
-use relay::replica::Snapshot;
 use relay::replica::Stage;
 use relay::runs::Id;
 use relay::runs::Runs;
 use relay::runs::Size;
-use relay::score::Want;
 use relay::server::Key;
 use relay::teller::Teller;
 
@@ -37,24 +35,7 @@
 
 impl World {
     fn new() -> Self {
-        let replicas = (0..REPLICAS).map(|index| Replica {
-            id: index.to_string(),
-            birth: None,
-            service: "llm".to_owned(),
-            address: "127.0.0.1:1".parse().unwrap(),
-            data_centre: Zone::new("here"),
-            stage: Some(Stage::Decode),
-            slots: 32,
-            draining: false,
-            cold: false,
-        });
-        let mut pool = Pool::new();
-        let list = Snapshot {
-            version: 1,
-            replicas: replicas.collect(),
-            lapsing: Vec::new(),
-        };
-        pool.apply(START, &list).unwrap();
+        let pool = common::pool(START, common::engines(REPLICAS, Stage::Decode, 32));
         let mut keys = Vec::new();
         while let Some(key) = choose(&pool, &keys) {
             keys.push(key);
@@ -82,13 +63,7 @@
 }
 
 fn choose(pool: &Pool, tried: &[Key]) -> Option<Key> {
-    let want = Want {
-        service: "llm",
-        stage: Some(Stage::Decode),
-        tried,
-        near: Zone::new("here"),
-        ask: None,
-    };
+    let want = common::want("llm", Some(Stage::Decode), tried, None);
     pool.choose(START, &want, || 0.0)
 }
 
