--- a/crates/gateway/src/flow/next.rs
+++ b/crates/gateway/src/flow/next.rs
@@ -64,10 +64,7 @@
         self.splitter.drop_partial();
         let last_event = self.splitter.last_id().or(self.job.call.last_event)?;
         for key in &stopped.places {
-            if !self.shared.allow(&self.job, Work::Run) {
-                break;
-            }
-            let Some(permit) = self.job.permit(Work::Run) else {
+            let Some(permit) = self.shared.permit(&self.job, Work::Run) else {
                 break;
             };
             let task = Task::GoOn {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -135,9 +135,8 @@
 
     /// Tokens of the prompt and, as far as can be told, of the answer.
     pub fn tokens(&self) -> u64 {
-        let (prompt, most) = self.call.tokens.unwrap_or_default();
-        let output = self.call.expected_output.unwrap_or(most / 2);
-        prompt + output.min(most)
+        let size = self.size(0);
+        size.prompt + size.estimate
     }
 
     /// What the generation asks of a decode replica, after `made` tokens were made.
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -59,10 +59,7 @@
             break;
         }
         // The first read is no retry; that of a stream which is resumed is one.
-        if !shared.allow(job, Work::Read) {
-            break;
-        }
-        let Some(permit) = job.permit(Work::Read) else {
+        let Some(permit) = shared.permit(job, Work::Read) else {
             break;
         };
         tried.push(key);
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -69,7 +69,7 @@
     reservation: Option<&str>,
 ) -> Result<Reply, Outcome> {
     let tokens = match task {
-        Task::Prefill => job.call.tokens.unwrap_or_default().0,
+        Task::Prefill => job.prompt(),
         _ => job.tokens(),
     };
     let claim = Claim::new(shared, key, tokens, task == Task::Prefill);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -10,6 +10,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -180,6 +181,11 @@
         self.own.clone()
     }
 
+    /// Where this daemon is.
+    pub const fn own_ip(&self) -> IpAddr {
+        self.own.peers.ip()
+    }
+
     /// Brings up to date the figures that are read at a scrape.
     pub fn refresh_metrics(&self) {
         let now = self.clock.now();
--- a/crates/gateway/src/shared/retries.rs
+++ b/crates/gateway/src/shared/retries.rs
@@ -1,6 +1,7 @@
 //! Budgets of retries, by service.
 
 use relay::budget::Rule;
+use relay::permit::Permit;
 use relay::permit::Work;
 
 use crate::job::Job;
@@ -49,4 +50,9 @@
         }
         granted
     }
+
+    /// The permit for `work` that `job` holds, or one out of the budget.
+    pub fn permit(&self, job: &Job, work: Work) -> Option<Permit> {
+        self.allow(job, work).then(|| job.permit(work))?
+    }
 }
--- a/crates/gateway/src/watch/rows.rs
+++ b/crates/gateway/src/watch/rows.rs
@@ -1,5 +1,7 @@
 //! Rows of the store with entries of replicas.
 
+use std::net::IpAddr;
+
 use platform::replica;
 use platform::store::Row;
 use platform::store::Rows;
@@ -11,8 +13,9 @@
 
 /// All replicas that `rows` name.
 pub fn snapshot(shared: &Shared, rows: &Rows) -> Snapshot {
+    let own = shared.own_ip();
     let replicas = rows.rows.iter();
-    let replicas = replicas.filter_map(|row| read_replica(shared, row));
+    let replicas = replicas.filter_map(|row| read_replica(shared, own, row));
     Snapshot {
         version: rows.version,
         replicas: replicas.collect(),
@@ -27,8 +30,9 @@
         version: rows.version,
         ..Delta::default()
     };
+    let own = shared.own_ip();
     for row in &rows.rows {
-        match read_replica(shared, row) {
+        match read_replica(shared, own, row) {
             Some(replica) => delta.replicas.push(replica),
             None => delta.gone.push(row.key.clone()),
         }
@@ -36,11 +40,10 @@
     delta
 }
 
-fn read_replica(shared: &Shared, row: &Row) -> Option<Replica> {
-    let own = shared.own_card();
+fn read_replica(shared: &Shared, own: IpAddr, row: &Row) -> Option<Replica> {
     match replica::read(&row.key, row.value.as_deref()?) {
         // A request would come back to this daemon as one of a caller.
-        Ok(replica) if replica.address.ip() == own.peers.ip() => None,
+        Ok(replica) if replica.address.ip() == own => None,
         Ok(replica) => Some(replica),
         Err(_) if !shared.is_new_unreadable(&row.key) => None,
         Err(error) => {
--- a/crates/lab/src/decode/daemon.rs
+++ b/crates/lab/src/decode/daemon.rs
@@ -60,20 +60,19 @@
         number(&self.pool, key)
     }
 
-    /// The replica for a run of `size`; if `certainty` is given, one whose memory lasts for so many standard
-    /// deviations and keeps such a part of it free.
+    /// The replica for a run of `size`; if `spreads` is given, one whose memory lasts so surely.
     pub fn choose(
         &self,
         now: Time,
         size: Size,
         tried: &[Key],
-        certainty: Option<(f64, f64)>,
+        spreads: Option<f64>,
         draw: impl Fn() -> f64,
     ) -> Option<Key> {
-        let ask = certainty.map(|(spreads, spare)| Ask {
+        let ask = spreads.map(|spreads| Ask {
             curve: self.runs.ask(SERVICE, size),
             spreads,
-            spare,
+            spare: 0.0,
         });
         self.pool.choose(now, &want(tried, ask), draw)
     }
--- a/crates/lab/src/decode/run.rs
+++ b/crates/lab/src/decode/run.rs
@@ -210,7 +210,7 @@
         match self.requests[request].state {
             State::Waits { next, until } if next <= now => self.look_for_place(request, until),
             State::Away { until } if until <= now => {
-                let wait = self.setup.objective_ms * self.setup.returned.wait;
+                let wait = self.setup.objective_ms * WAIT_PART;
                 let daemon = (self.draw() * self.setup.daemons as f64) as usize;
                 let request = &mut self.requests[request];
                 request.daemon = daemon;
@@ -242,20 +242,10 @@
     }
 
     fn look_for_place(&mut self, request: usize, until: f64) {
-        let Request {
-            daemon,
-            size,
-            came_back,
-            ..
-        } = self.requests[request];
-        let spare = if came_back {
-            self.setup.returned.spare
-        } else {
-            0.0
-        };
+        let Request { daemon, size, .. } = self.requests[request];
         let (spreads, tokens) = match self.setup.policy {
             Policy::Reserve => (None, (size.prompt + size.estimate) as f64),
-            Policy::Forecast { spreads, .. } => (Some((spreads, spare)), size.prompt as f64),
+            Policy::Forecast { spreads, .. } => (Some(spreads), size.prompt as f64),
         };
         let time = self.time();
         let mut tried = Vec::new();
--- a/crates/relay/src/claims.rs
+++ b/crates/relay/src/claims.rs
@@ -114,22 +114,18 @@
 
 impl Told {
     /// All runs.
-    pub const fn all(claims: Vec<Claim>) -> Self {
+    pub fn all(claims: Vec<Claim>) -> Self {
         Self {
             all: true,
-            claims,
-            readings: Vec::new(),
-            silent: Vec::new(),
+            ..Self::changed(claims)
         }
     }
 
     /// The runs at some replicas.
-    pub const fn changed(claims: Vec<Claim>) -> Self {
+    pub fn changed(claims: Vec<Claim>) -> Self {
         Self {
-            all: false,
             claims,
-            readings: Vec::new(),
-            silent: Vec::new(),
+            ..Self::default()
         }
     }
 
--- a/crates/relay/src/pool/list.rs
+++ b/crates/relay/src/pool/list.rs
@@ -138,17 +138,14 @@
             Belief::Ready
         };
         let known = self.by_id.get(&replica.id).copied();
-        let order = known.map(|key| replica.compare(self.servers[key].replica.birth));
-        match (known, order) {
+        let known = known.map(|key| (key, replica.compare(self.servers[key].replica.birth)));
+        match known {
             // An entry of an earlier incarnation that came late.
-            (Some(_), Some(Ordering::Less)) => return,
-            (Some(key), Some(Ordering::Greater)) => self.restart(now, key, replica, changes),
-            (Some(key), _) => {
-                if !self.update_entry(key, replica) {
-                    return;
-                }
-            }
-            (None, _) => {
+            Some((_, Ordering::Less)) => return,
+            Some((key, Ordering::Greater)) => self.restart(now, key, replica, changes),
+            Some((key, Ordering::Equal)) if !self.update_entry(key, replica) => return,
+            Some((_, Ordering::Equal)) => {}
+            None => {
                 self.insert(now, replica);
             }
         }
--- a/crates/relay/src/runs.rs
+++ b/crates/relay/src/runs.rs
@@ -1,7 +1,6 @@
 //! The runs of this daemon at decode replicas: how far they are, and what they will hold.
 
 use std::collections::HashMap;
-use std::time::Duration;
 
 use ident::Time;
 use slotmap::SecondaryMap;
@@ -242,14 +241,6 @@
         let reads = here().filter(|(_, run)| run.is_read()).count() as u16;
         Some(Claim::new(hash, count, reads, newest_ms, &curve))
     }
-
-    /// Mean time that an answer of `size` takes.
-    pub fn duration(&self, service: &str, size: Size) -> Duration {
-        let learnt = self.learnt.get(service);
-        let pace = learnt.and_then(|learnt| learnt.pace);
-        let pace = run(size, 0.0, pace).pace;
-        Duration::from_secs_f64(size.estimate as f64 / pace)
-    }
 }
 
 fn run(size: Size, made: f64, pace: Option<f64>) -> Run {
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -191,12 +191,9 @@
     }
 
     /// Notes that it had room, or did its work.
-    pub(crate) const fn note_room(&mut self, now: Time) {
+    pub(crate) fn note_room(&mut self, now: Time) {
         self.answered = Some(now);
-        self.refused = Refused {
-            count: 0,
-            until: Time::ZERO,
-        };
+        self.refused = Refused::default();
     }
 
     /// Takes from another daemon that it does not answer, unless it answered this one a moment ago.
@@ -218,9 +215,9 @@
         let Refused { count, until } = self.refused;
         // Answers to questions that were asked before the last refusal count as one with it.
         let count = if now < until { count } else { count + 1 };
-        let doublings = count.saturating_sub(1).min(MAX_DOUBLINGS);
+        let doublings = (count - 1).min(MAX_DOUBLINGS);
         self.refused = Refused {
-            count: count.max(1),
+            count,
             until: until.max(now + age * 2_u32.pow(doublings)),
         };
     }
--- a/crates/relay/src/teller.rs
+++ b/crates/relay/src/teller.rs
@@ -55,6 +55,10 @@
 
     /// What is to be told at `now`, if anything.
     pub fn due(&mut self, now: Time, runs: &Runs, pool: &Pool) -> Option<Told> {
+        let all = now.since(self.last_all) >= ALL_PERIOD;
+        if !all && now.since(self.last) < PAUSE {
+            return None;
+        }
         let counts = count(runs, pool);
         let read: BTreeMap<u64, u32> = pool.readings().map(|r| (r.replica, r.tokens)).collect();
         let claim = |(replica, count): (&u64, &Count)| runs.claim(now, count.key, *replica);
@@ -66,10 +70,9 @@
         let news = silent.iter().any(|hash| !self.silent.contains(hash));
         let nothing = counts.is_empty() && read.is_empty() && silent.is_empty();
         let same = counts == self.told && read == self.read && !news;
-        let all = now.since(self.last_all) >= ALL_PERIOD;
         let told = match all {
             true if nothing && same => return None,
-            false if same || now.since(self.last) < PAUSE => return None,
+            false if same => return None,
             true => {
                 let claims = counts.iter().filter_map(claim).collect();
                 Told::all(claims).with_readings(read.iter().map(reading).collect())
