Log a fingerprint of each request that is sent

Cause: the incident's collected output cannot tell whether two attempts carry the same request, since each attempt has an id of its own. Change: send and failure lines tell a hash of method, host, path with query, and body. No decision uses it yet.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -16,6 +16,7 @@
 use hyper::body::Body as _;
 use hyper::body::Incoming;
 use platform::caller::Call;
+use relay::fingerprint::Fingerprint;
 use relay::plan::Limits;
 use tokio::time::Instant;
 use tokio::time::timeout;
@@ -106,9 +107,12 @@
     shared.count_request(service);
     let service = service.to_owned();
     let route = route.clone();
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let fingerprint = Fingerprint::new(parts.method.as_str(), &host, path, &body);
     Ok(Job::new(
         shared,
         call,
+        fingerprint,
         route,
         plan.version,
         service,
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -14,6 +14,7 @@
 use platform::caller::Call;
 use platform::caller::Hop;
 use platform::caller::Task;
+use relay::fingerprint::Fingerprint;
 use relay::permit::Allowance;
 use relay::permit::Permit;
 use relay::permit::Work;
@@ -28,6 +29,8 @@
 pub struct Job {
     /// What its headers say.
     pub call: Call,
+    /// What is the same for all attempts with this request.
+    pub fingerprint: Fingerprint,
     /// Its route.
     pub route: Route,
     /// Version of the plan that the route is of.
@@ -60,6 +63,7 @@
     pub fn new(
         shared: &Rc<Shared>,
         call: Call,
+        fingerprint: Fingerprint,
         route: Route,
         plan: u64,
         service: String,
@@ -71,6 +75,7 @@
         let patience = call.patience.unwrap_or(route.timeout).min(route.timeout);
         Self {
             call,
+            fingerprint,
             route,
             plan,
             service,
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -81,7 +81,7 @@
         return Err(Outcome::NotSent);
     };
     let (prompt, output) = job.call.tokens.unwrap_or_default();
-    log::info!(kind = "send", request = job.call.id, replica = id, task = word(&task), in_flight = in_flight, prompt = prompt, output = output, replicas = shared.replicas_version(), reserved = reservation.is_some(), plan = job.plan, left_ms = job.left().as_millis() as u64; "sending");
+    log::info!(kind = "send", request = job.call.id, content = job.fingerprint.to_string(), replica = id, task = word(&task), in_flight = in_flight, prompt = prompt, output = output, replicas = shared.replicas_version(), reserved = reservation.is_some(), plan = job.plan, left_ms = job.left().as_millis() as u64; "sending");
     let prefill = task == Task::Prefill;
     let decode = matches!(task, Task::Decode { .. });
     let begun = Instant::now();
@@ -144,7 +144,7 @@
         Outcome::Failed => "failed",
         Outcome::Lost => "lost",
     });
-    log::info!(kind = "failure", request = job.call.id, replica = replica, outcome = format!("{outcome:?}"), status = status, cause = cause; "a send failed");
+    log::info!(kind = "failure", request = job.call.id, content = job.fingerprint.to_string(), replica = replica, outcome = format!("{outcome:?}"), status = status, cause = cause; "a send failed");
 }
 
 /// Notes that a send to `key` ended well.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`balance`]: how replicas divide into those that read prompts and those that make tokens.
 //! - [`budget`]: how many retries may still be sent to a service; [`permit`]: leave for one send.
 //! - [`attempt`]: what follows when a send failed.
+//! - [`fingerprint`]: which attempts of callers carry the same request.
 //! - [`event`]: cutting a stream into whole events, so that it can be resumed.
 //! - [`length`]: how long answers become, learnt from those that ended.
 //! - [`forecast`]: what runs will hold of a replica's memory over the next seconds.
@@ -29,6 +30,7 @@
 pub mod claims;
 pub mod directory;
 pub mod event;
+pub mod fingerprint;
 pub mod forecast;
 mod gone;
 pub mod length;
