Test that a request which ended three replicas is sent to no other one

Cause, as the test brings it about: a daemon remembers nothing beyond one attempt of a caller, and tells the others nothing of it. The stand-in for a replica can end now: its port closes with all its connections.

--- a/crates/gateway/tests/gateway/common/http.rs
+++ b/crates/gateway/tests/gateway/common/http.rs
@@ -3,10 +3,14 @@
 use std::io;
 use std::io::Read;
 use std::io::Write;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -109,22 +113,62 @@
     [text.as_bytes(), body].concat()
 }
 
-/// Serves each connection to a new port of `ip` in a thread of its own; ends with the process.
-pub fn serve(ip: &str, each: impl Fn(&mut TcpStream) + Send + Sync + 'static) -> SocketAddr {
-    let listener = TcpListener::bind((ip, 0)).unwrap();
-    let address = listener.local_addr().unwrap();
-    let each = Arc::new(each);
-    thread::spawn(move || {
-        for socket in listener.incoming() {
-            let each = Arc::clone(&each);
-            thread::spawn(move || {
-                if let Ok(mut socket) = socket {
-                    each(&mut socket);
+/// A listener whose connections are served by threads of their own, until it is stopped.
+#[derive(Debug, Clone)]
+pub struct Server {
+    /// Where it listens.
+    pub address: SocketAddr,
+    sockets: Arc<Mutex<Vec<TcpStream>>>,
+    stopped: Arc<AtomicBool>,
+}
+
+impl Server {
+    /// Serves each connection to a new port of `ip`.
+    pub fn start(ip: &str, each: impl Fn(&mut TcpStream) + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind((ip, 0)).unwrap();
+        let server = Self {
+            address: listener.local_addr().unwrap(),
+            sockets: Arc::default(),
+            stopped: Arc::default(),
+        };
+        let own = server.clone();
+        let each = Arc::new(each);
+        thread::spawn(move || {
+            for socket in listener.incoming() {
+                if own.stopped.load(Ordering::SeqCst) {
+                    return;
                 }
-            });
+                let Ok(mut socket) = socket else { continue };
+                own.sockets.lock().unwrap().extend(socket.try_clone());
+                let each = Arc::clone(&each);
+                thread::spawn(move || {
+                    each(&mut socket);
+                    // The copy that `stop` shuts down would keep it open.
+                    let _ = socket.shutdown(Shutdown::Both);
+                });
+            }
+        });
+        server
+    }
+
+    /// Closes the port and all connections, as the end of a process does.
+    pub fn stop(&self) {
+        self.stopped.store(true, Ordering::SeqCst);
+        // Wakes the listener, which then ends.
+        drop(TcpStream::connect(self.address));
+        while TcpStream::connect(self.address).is_ok() {
+            thread::sleep(Duration::from_millis(1));
+        }
+        for socket in self.sockets.lock().unwrap().drain(..) {
+            // One that is closed already needs nothing.
+            let _ = socket.shutdown(Shutdown::Both);
         }
-    });
-    address
+    }
+}
+
+/// Serves each connection to a new port of `ip` in a thread of its own; ends with the process.
+pub fn serve(ip: &str, each: impl Fn(&mut TcpStream) + Send + Sync + 'static) -> SocketAddr {
+    Server::start(ip, each).address
 }
 
 /// Sends `bytes`; `false` if the other side is gone.
--- a/crates/gateway/tests/gateway/common/replica.rs
+++ b/crates/gateway/tests/gateway/common/replica.rs
@@ -4,6 +4,7 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -15,6 +16,7 @@
 
 use super::http;
 use super::http::Message;
+use super::http::Server;
 use super::http::answer;
 
 /// What a replica does with a request.
@@ -30,6 +32,8 @@
     Slowly(Vec<Vec<u8>>, Duration),
     /// The same, until the run is stopped; then closes the connection in the midst of the answer.
     UntilStopped(Vec<Vec<u8>>, Duration, Arc<AtomicBool>),
+    /// Sends these bytes, then ends with all that it was doing.
+    Crash(Vec<u8>),
 }
 
 type Script = dyn Fn(&Message) -> Act + Send + Sync;
@@ -45,6 +49,7 @@
     left: Arc<Mutex<usize>>,
     /// When it started, as it tells in answers of its own; 0 if it does not.
     born: Arc<AtomicU64>,
+    server: Arc<OnceLock<Server>>,
 }
 
 impl Replica {
@@ -56,18 +61,30 @@
         let born = Arc::new(AtomicU64::new(0));
         let (own_seen, own_left) = (Arc::clone(&seen), Arc::clone(&left));
         let own_born = Arc::clone(&born);
-        let address = http::serve("127.0.0.1", move |socket| {
-            connection(socket, &script, &own_seen, &own_left, &own_born);
+        let server = Arc::new(OnceLock::<Server>::new());
+        let own_server = Arc::clone(&server);
+        let started = Server::start("127.0.0.1", move |socket| {
+            if connection(socket, &script, &own_seen, &own_left, &own_born) == Left::Crashed {
+                own_server.wait().stop();
+            }
         });
+        let address = started.address;
+        server.set(started).unwrap();
         Self {
             address,
             id: id.to_owned(),
             seen,
             left,
             born,
+            server,
         }
     }
 
+    /// Ends it with all that it is doing.
+    pub fn crash(&self) {
+        self.server.wait().stop();
+    }
+
     /// Tells from now on that it started at `ms`.
     pub fn set_born(&self, ms: u64) {
         self.born.store(ms, Ordering::SeqCst);
@@ -102,13 +119,22 @@
     }
 }
 
+/// How a replica left a connection.
+#[derive(Debug, PartialEq)]
+enum Left {
+    /// It closed it, or the other side did.
+    Closed,
+    /// The whole replica is to end.
+    Crashed,
+}
+
 fn connection(
     socket: &mut TcpStream,
     script: &Arc<Script>,
     seen: &Mutex<Vec<Message>>,
     left: &Mutex<usize>,
     born: &AtomicU64,
-) {
+) -> Left {
     while let Ok(Some(request)) = http::read(socket) {
         let act = match request.path() {
             "/api/hold-take" => {
@@ -128,38 +154,43 @@
         match act {
             Act::Send(bytes) => {
                 if !http::send(socket, &bytes) {
-                    return;
+                    return Left::Closed;
                 }
             }
             Act::SendAndClose(bytes) => {
                 http::send(socket, &bytes);
-                return;
+                return Left::Closed;
             }
             Act::SendAndHang(bytes) => {
                 http::send(socket, &bytes);
                 if http::closes(socket, Duration::from_secs(30)) {
                     *left.lock().unwrap() += 1;
                 }
-                return;
+                return Left::Closed;
             }
             Act::UntilStopped(parts, pause, stopped) => {
                 for part in parts {
                     thread::sleep(pause);
                     if stopped.load(Ordering::SeqCst) || !http::send(socket, &part) {
-                        return;
+                        return Left::Closed;
                     }
                 }
             }
+            Act::Crash(bytes) => {
+                http::send(socket, &bytes);
+                return Left::Crashed;
+            }
             Act::Slowly(parts, pause) => {
                 for part in parts {
                     thread::sleep(pause);
                     if !http::send(socket, &part) {
-                        return;
+                        return Left::Closed;
                     }
                 }
             }
         }
     }
+    Left::Closed
 }
 
 /// A signed answer to `request`.
--- a/crates/gateway/tests/gateway/common/store.rs
+++ b/crates/gateway/tests/gateway/common/store.rs
@@ -63,6 +63,12 @@
         serde_json::from_slice(value).ok()
     }
 
+    /// How many rows `table` has.
+    pub fn rows_of(&self, table: &str) -> usize {
+        let inner = self.inner.0.lock().unwrap();
+        inner.rows.keys().filter(|(name, _)| name == table).count()
+    }
+
     /// Removes a row.
     pub fn remove(&self, table: &str, key: &str) {
         let mut inner = self.inner.0.lock().unwrap();
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod lifecycle;
 mod moves;
 mod plain;
+mod quarantine;
 mod site;
 mod stages;
 mod stream;
--- /dev/null
+++ b/crates/gateway/tests/gateway/quarantine.rs
@@ -0,0 +1,218 @@
+//! Callers sent one generation again and again, each attempt with an id of its own and most of them at another
+//! daemon, and each replica that began to run it ended within 0.12 s. No daemon remembered anything beyond one
+//! attempt, so each attempt had its prompt read and ended one replica more: nine within 14 s, six of them
+//! after three had ended under the same request. Each time the output of the daemons had one line
+//! `error reading a body from connection` for that request, and one for every other stream of the replica.
+
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use rstest::rstest;
+
+use crate::common::caller::Caller;
+use crate::common::daemon::Daemon;
+use crate::common::daemon::until;
+use crate::common::http::Message;
+use crate::common::replica::Act;
+use crate::common::replica::Replica;
+use crate::common::replica::chunk;
+use crate::common::replica::events;
+use crate::common::replica::signed;
+use crate::common::replica::stream_head;
+use crate::site::Site;
+use crate::site::ask;
+use crate::site::generate;
+
+/// Replicas that a request may end before no other one gets it.
+const ENDED: usize = 3;
+/// Time in which each daemon knows what another one saw; their messages take some milliseconds.
+const SETTLED: Duration = Duration::from_secs(6);
+/// Replicas of a test: enough for each attempt to find one.
+const REPLICAS: usize = 8;
+
+/// Replicas that end when they begin to run a request for a path with `crash` in it, and serve all others.
+fn fragile(count: usize) -> Vec<Replica> {
+    let script = |request: &Message| {
+        if request.path().contains("crash") {
+            return Act::Crash([stream_head(request), events(1, 1)].concat());
+        }
+        Act::Send([stream_head(request), events(1, 2), chunk(b"")].concat())
+    };
+    let ids = (1..=count).map(|number| format!("i-{number}"));
+    ids.map(|id| Replica::start(&id, script)).collect()
+}
+
+fn site(name: &str, prefill: &Replica, decode: &[Replica]) -> Site {
+    let decode = decode.iter().map(|replica| (replica, "llm", "decode"));
+    let replicas: Vec<_> = decode.chain([(prefill, "llm", "prefill")]).collect();
+    Site::start(name, &replicas)
+}
+
+fn runs(replicas: &[Replica]) -> usize {
+    replicas.iter().map(|replica| replica.seen().len()).sum()
+}
+
+/// Has `count` attempts with the request end one replica each.
+fn crash(daemon: &Daemon, count: usize) {
+    for number in 0..count {
+        let told = generate(daemon, "/draft/crash", &format!("c{number}")).read();
+        assert!(!told.whole);
+    }
+}
+
+/// Whether `daemon` tells in its log that it sends the request to no replica any more.
+fn holds(daemon: &Daemon) -> bool {
+    !daemon.logged("\"kind\":\"quarantine\"").is_empty()
+}
+
+/// Waits until it does, for so long that what the daemons tell each other has come; whether the request is
+/// sent on all the same is for the test to see.
+fn until_held(daemon: &Daemon) {
+    let end = Instant::now() + SETTLED;
+    while !holds(daemon) && Instant::now() < end {
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+#[rstest]
+#[case::once("/draft/crash")]
+#[case::resumable("/resume/crash")]
+fn a_request_that_ended_three_replicas_is_sent_to_none(#[case] path: &str) {
+    let (prefill, decode) = (Replica::prefill("i-p"), fragile(REPLICAS));
+    let site = site(&path.replace('/', "-"), &prefill, &decode);
+    let mut answers = Vec::new();
+    for number in 0..ENDED {
+        assert!(
+            !generate(&site.daemon, path, &format!("c{number}"))
+                .read()
+                .whole
+        );
+    }
+    until_held(&site.daemon);
+    for number in 0..ENDED {
+        let told = generate(&site.daemon, path, &format!("q{number}")).read();
+        answers.push((told.status(), told.header("retry-after").is_some()));
+    }
+    assert_eq!(runs(&decode), ENDED);
+    assert_eq!(answers, [(503, true); ENDED]);
+    // Another request is served.
+    let told = generate(&site.daemon, "/draft/sound", "s1").read();
+    assert!(told.whole);
+}
+
+/// A call that nobody may repeat ends its replica as well; its caller may send it again.
+#[test]
+fn a_request_that_ended_three_replicas_is_sent_to_none_if_it_is_a_call() {
+    let script = |_: &Message| Act::Crash(Vec::new());
+    let ids = (1..=REPLICAS).map(|number| format!("i-{number}"));
+    let replicas: Vec<Replica> = ids.map(|id| Replica::start(&id, script)).collect();
+    let listed: Vec<_> = replicas.iter().map(|r| (r, "app", "")).collect();
+    let site = Site::start("booked", &listed);
+    for number in 0..ENDED {
+        let told = site.ask("POST /book/lorry", &format!("c{number}"));
+        assert_eq!(told.status(), 502);
+    }
+    until_held(&site.daemon);
+    assert_eq!(site.ask("POST /book/lorry", "q1").status(), 503);
+    assert_eq!(runs(&replicas), ENDED);
+}
+
+#[test]
+fn the_other_daemons_send_it_to_none_either() {
+    let (prefill, decode) = (Replica::prefill("i-p"), fragile(REPLICAS));
+    let site = site("told", &prefill, &decode);
+    let others = [site.another("told-2", true), site.another("told-3", true)];
+    for daemon in &others {
+        daemon.until_ready();
+    }
+    // Each of them sees a replica end, and none sees three.
+    crash(&site.daemon, 1);
+    crash(&others[0], 1);
+    crash(&others[1], 1);
+    for daemon in others.iter().chain([&site.daemon]) {
+        until_held(daemon);
+        generate(daemon, "/draft/crash", "q1").read();
+    }
+    assert_eq!(runs(&decode), ENDED);
+}
+
+#[test]
+fn a_daemon_that_starts_later_sends_it_to_none() {
+    let (prefill, decode) = (Replica::prefill("i-p"), fragile(REPLICAS));
+    let mut site = site("kept", &prefill, &decode);
+    crash(&site.daemon, ENDED);
+    until_held(&site.daemon);
+    let end = Instant::now() + SETTLED;
+    while site.store.rows_of("quarantine") < ENDED && Instant::now() < end {
+        thread::sleep(Duration::from_millis(20));
+    }
+    // Nobody is left who could tell.
+    site.daemon.kill();
+    let next = site.another("kept-2", false);
+    next.until_ready();
+    until_held(&next);
+    generate(&next, "/draft/crash", "q1").read();
+    assert_eq!(runs(&decode), ENDED);
+}
+
+/// A replica that breaks off an answer and goes on has not ended.
+#[test]
+fn a_request_whose_answers_break_off_is_sent_again() {
+    let broken =
+        |request: &Message| Act::SendAndClose([stream_head(request), events(1, 1)].concat());
+    let decode: Vec<Replica> = ["i-1", "i-2"].map(|id| Replica::start(id, broken)).into();
+    let prefill = Replica::prefill("i-p");
+    let site = site("cut", &prefill, &decode);
+    for number in 0..2 * ENDED {
+        let told = generate(&site.daemon, "/draft/cut", &format!("c{number}")).read();
+        assert_eq!(told.status(), 200);
+        // Long enough for the daemon to ask the replica whether it is there.
+        thread::sleep(Duration::from_millis(100));
+    }
+    assert_eq!(runs(&decode), 2 * ENDED);
+}
+
+/// Many callers ask the same at once, and replicas end for reasons of their own.
+#[test]
+fn a_request_that_is_served_elsewhere_is_not_blamed_for_replicas_that_end() {
+    let answers = |request: &Message| match request.header("request-id") {
+        Some(id) if id.starts_with('w') => Act::SendAndHang(Vec::new()),
+        _ => Act::Send(signed(request, 200, b"done")),
+    };
+    let replicas: Vec<Replica> = (0..=ENDED)
+        .map(|number| Replica::start(&format!("i-{number}"), answers))
+        .collect();
+    let listed: Vec<_> = replicas.iter().map(|r| (r, "app", "")).collect();
+    let site = Site::start("popular", &listed);
+    assert_eq!(site.ask("GET /read/stock", "a1").status(), 200);
+    let waiting: Vec<Caller> = (0..ENDED)
+        .map(|number| {
+            let mut caller = site.daemon.caller();
+            let id = format!("w{number}");
+            caller.begin(
+                "GET /read/stock",
+                &[("Request-Id", &id), ("Deadline-Ms", "4000")],
+                b"",
+            );
+            caller
+        })
+        .collect();
+    let hangs = |replica: &Replica| {
+        let seen = replica.seen();
+        seen.iter()
+            .any(|request| request.header("request-id") != Some("a1"))
+    };
+    until("they are at work", || {
+        replicas.iter().filter(|replica| hangs(replica)).count() > 1
+    });
+    for replica in replicas.iter().skip(1) {
+        replica.crash();
+    }
+    drop(waiting);
+    until("the daemon knows that they ended", || {
+        !site.daemon.logged("\"kind\":\"suspect\"").is_empty()
+            || site.daemon.logged("\"kind\":\"failure\"").len() > 1
+    });
+    assert_eq!(ask(&site.daemon, "GET /read/stock", "a2").status(), 200);
+}
