--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`budget`]: how many retries may still be sent to a service; [`permit`]: leave for one send.
 //! - [`attempt`]: what follows when a send failed.
 //! - [`fingerprint`]: which attempts of callers carry the same request.
+//! - [`quarantine`]: requests under which replicas ended, and which are sent to none any more.
 //! - [`event`]: cutting a stream into whole events, so that it can be resumed.
 //! - [`length`]: how long answers become, learnt from those that ended.
 //! - [`forecast`]: what runs will hold of a replica's memory over the next seconds.
@@ -39,6 +40,7 @@
 pub mod permit;
 pub mod plan;
 pub mod pool;
+pub mod quarantine;
 pub mod replica;
 pub mod rescue;
 pub mod runs;
--- /dev/null
+++ b/crates/relay/tests/quarantine.rs
@@ -0,0 +1,140 @@
+//! Requests under which replicas ended.
+
+use std::time::Duration;
+
+use relay::fingerprint::Fingerprint;
+use relay::quarantine::Change;
+use relay::quarantine::LIMIT;
+use relay::quarantine::Quarantine;
+use relay::quarantine::Record;
+use relay::quarantine::UnixMs;
+
+const REQUEST: Fingerprint = Fingerprint(7);
+const NOW: UnixMs = UnixMs(1_780_000_000_000);
+
+fn later(time: Duration) -> UnixMs {
+    UnixMs(NOW.0 + time.as_millis() as u64)
+}
+
+/// A daemon that saw the replicas `ended` end.
+fn after(ended: &[u64]) -> Quarantine {
+    let mut quarantine = Quarantine::new();
+    for replica in ended {
+        quarantine.note_end(NOW, REQUEST, *replica);
+    }
+    quarantine
+}
+
+fn is_held(quarantine: &Quarantine) -> bool {
+    quarantine.held_for(NOW, REQUEST).is_some()
+}
+
+#[test]
+fn the_third_replica_that_ends_holds_the_request() {
+    let mut quarantine = after(&[1, 2]);
+    assert!(!is_held(&quarantine));
+    assert_eq!(quarantine.note_end(NOW, REQUEST, 3), Change::Held);
+    assert!(is_held(&quarantine));
+    assert_eq!(quarantine.held(), 1);
+    assert_eq!(quarantine.held_for(NOW, Fingerprint(8)), None);
+}
+
+#[test]
+fn one_replica_counts_once() {
+    let mut quarantine = after(&[1, 2, 2, 1]);
+    assert!(!is_held(&quarantine));
+    assert_eq!(quarantine.note_end(NOW, REQUEST, 2), Change::None);
+}
+
+#[test]
+fn what_daemons_saw_adds_up_in_any_order() {
+    let tellers = [after(&[1]), after(&[2, 1]), after(&[3])];
+    let records = tellers.iter().filter_map(|teller| teller.get(REQUEST));
+    let records: Vec<&Record> = records.collect();
+    let heard = |order: [usize; LIMIT]| {
+        let mut quarantine = Quarantine::new();
+        for index in order {
+            quarantine.take(NOW, records[index]);
+        }
+        (is_held(&quarantine), quarantine.digest())
+    };
+    assert!(heard([0, 1, 2]).0);
+    assert_eq!(heard([0, 1, 2]), heard([2, 1, 0]));
+}
+
+#[test]
+fn daemons_that_know_of_different_ends_compare_as_different() {
+    assert_ne!(after(&[1, 2]).digest(), after(&[1, 3]).digest());
+    assert_ne!(after(&[1, 2]).digest(), after(&[1, 2, 3]).digest());
+    // Once it is held, it does not matter under which ends.
+    assert_eq!(after(&[1, 2, 3]).digest(), after(&[4, 5, 6]).digest());
+    // One end is common and not compared.
+    assert_eq!(after(&[1]).digest(), Quarantine::new().digest());
+}
+
+#[test]
+fn a_request_that_was_served_lately_is_not_blamed() {
+    let mut quarantine = Quarantine::new();
+    assert!(!quarantine.note_served(NOW, REQUEST));
+    for replica in 1..=5 {
+        let change = quarantine.note_end(later(Duration::from_secs(50)), REQUEST, replica);
+        assert_eq!(change, Change::Innocent);
+    }
+    assert!(!is_held(&quarantine));
+}
+
+#[test]
+fn a_request_that_was_served_long_ago_is_blamed() {
+    let mut quarantine = Quarantine::new();
+    quarantine.note_served(NOW, REQUEST);
+    for replica in 1..=3 {
+        quarantine.note_end(later(Duration::from_secs(70)), REQUEST, replica);
+    }
+    assert!(is_held(&quarantine));
+}
+
+#[test]
+fn a_teller_hears_that_the_request_was_served_elsewhere() {
+    let mut teller = after(&[1, 2]);
+    let mut other = Quarantine::new();
+    other.note_served(NOW, REQUEST);
+    for _ in 0..2 {
+        let told = teller.get(REQUEST).unwrap().clone();
+        assert_eq!(other.take(NOW, &told), Change::Innocent);
+    }
+    teller.take(NOW, other.get(REQUEST).unwrap());
+    assert_eq!(teller.digest(), Quarantine::new().digest());
+    assert!(teller.get(REQUEST).unwrap().ends.is_empty());
+}
+
+#[test]
+fn an_end_is_withdrawn_when_the_request_is_served() {
+    let mut quarantine = after(&[1, 2]);
+    assert!(quarantine.note_served(NOW, REQUEST));
+    assert!(quarantine.get(REQUEST).unwrap().ends.is_empty());
+    assert!(!quarantine.note_served(NOW, REQUEST));
+}
+
+#[test]
+fn a_record_is_forgotten_a_day_after_the_last_end() {
+    let mut quarantine = after(&[1, 2, 3]);
+    quarantine.sweep(later(Duration::from_hours(23)));
+    assert!(is_held(&quarantine));
+    let told = quarantine.get(REQUEST).unwrap().clone();
+    let next_day = later(Duration::from_hours(25));
+    assert_eq!(quarantine.held_for(next_day, REQUEST), None);
+    quarantine.sweep(next_day);
+    assert_eq!((quarantine.held(), quarantine.digest()), (0, 0));
+    // Nobody brings it back.
+    assert_eq!(quarantine.take(next_day, &told), Change::None);
+}
+
+#[test]
+fn many_single_ends_do_not_push_out_a_request_that_is_held() {
+    let mut quarantine = after(&[1, 2, 3]);
+    for other in 100..20_000 {
+        quarantine.note_end(NOW, Fingerprint(other), 1);
+    }
+    assert!(is_held(&quarantine));
+    assert_eq!(quarantine.held(), 1);
+}
