Send a request under which three replicas ended to no replica any more

Cause: the daemons remembered nothing beyond one attempt of a caller. Each new attempt with the same path and body had a fresh allowance, at whichever daemon it came to, and ended one replica more. Ruled out: retries within one attempt (one read and one run each in the callers' log); replicas that ended for a reason of their own (a request of equal size at each of eight, begun within 0.12 s of their end; the test brings it about with one request alone). Change: a replica that is lost while at work is asked whether it is there; a closed port, another replica at its address, a new start, or its end in the list put the end down to the requests that it was at work on. From the third ended replica on, the request is refused at once, and each send looks again, so that one that waited for a place or a retry is held, too. A request that was served within a minute is not blamed: many callers ask the same, and replicas of a rack end together.

--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -1,5 +1,6 @@
 //! Short calls of replicas that are no requests of callers.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -12,6 +13,7 @@
 use http_body_util::Full;
 use http_body_util::Limited;
 use platform::engine;
+use platform::engine::Report;
 use relay::server::Key;
 use tokio::time::timeout;
 
@@ -38,11 +40,34 @@
     pub body: Vec<u8>,
 }
 
+/// Why a call has no answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Error {
+    /// Nothing listens at the address.
+    Refused,
+    /// Something else; the call may have been carried out.
+    Failed {
+        /// What went wrong.
+        cause: String,
+    },
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Refused => write!(f, "asking: connection refused"),
+            Self::Failed { cause } => write!(f, "asking: {cause}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
 /// Makes `call`; gives the status and the body of the answer.
 ///
 /// # Errors
-/// What went wrong; the call may have been carried out.
-pub async fn call(shared: &Shared, call: Call) -> Result<(StatusCode, Bytes), String> {
+/// [`Error`].
+pub async fn call(shared: &Shared, call: Call) -> Result<(StatusCode, Bytes), Error> {
     let (name, id) = engine::aimed_at(&call.replica);
     let request = Request::builder()
         .method(call.method)
@@ -51,12 +76,12 @@
         .header(header::CONTENT_TYPE, "application/json")
         .header(name, id)
         .body(Full::new(Bytes::from(call.body)))
-        .map_err(|error| error.to_string())?;
+        .map_err(|error| failed(&error))?;
     match timeout(TIMEOUT, exchange(shared, call.to, request)).await {
         Ok(answer) => answer,
         Err(_) => {
             shared.links.forget(call.to);
-            Err("no answer in time".to_owned())
+            Err(failed(&"no answer in time"))
         }
     }
 }
@@ -65,23 +90,49 @@
     shared: &Shared,
     to: SocketAddr,
     request: Request<Full<Bytes>>,
-) -> Result<(StatusCode, Bytes), String> {
+) -> Result<(StatusCode, Bytes), Error> {
     let sent = shared.links.send(to, request, false).await;
     let (answer, link) = sent.map_err(|failure| match failure {
-        Failure::NotSent { step, cause } => format!("{step}: {cause}"),
-        Failure::Lost { cause } => cause,
+        Failure::Refused { .. } => Error::Refused,
+        Failure::NotSent { step, cause } => failed(&format!("{step}: {cause}")),
+        Failure::Lost { cause } => failed(&cause),
     })?;
     let status = answer.status();
     let body = Limited::new(answer.into_body(), MAX_ANSWER).collect().await;
-    let body = body.map_err(|error| error.to_string())?;
+    let body = body.map_err(|error| failed(&error))?;
     shared.links.keep(link, None);
     Ok((status, body.to_bytes()))
 }
 
+fn failed(cause: &impl ToString) -> Error {
+    Error::Failed {
+        cause: cause.to_string(),
+    }
+}
+
+/// What a question to a replica tells.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Presence {
+    /// It is there.
+    Here,
+    /// Its process ended.
+    Ended,
+    /// Nothing; it does not answer.
+    Unknown,
+}
+
 /// Whether the replica `key` answers a question.
 pub async fn answers(shared: &Shared, key: Key) -> bool {
+    presence(shared, key).await == Presence::Here
+}
+
+/// Asks whether the replica `key` is there. Another one at its address, and one that has started again under
+/// its id, tell that it ended.
+pub async fn presence(shared: &Shared, key: Key) -> Presence {
     let replica = shared.pool.borrow().get(key).map(|s| s.replica.clone());
-    let Some(replica) = replica else { return false };
+    let Some(replica) = replica else {
+        return Presence::Ended;
+    };
     let report = Call {
         to: replica.address,
         replica: replica.id,
@@ -89,5 +140,22 @@
         path: engine::REPORT_PATH.to_owned(),
         body: Vec::new(),
     };
-    matches!(call(shared, report).await, Ok((StatusCode::OK, _)))
+    match call(shared, report).await {
+        Ok((StatusCode::OK, body)) => {
+            let birth = Report::read(&body).ok().and_then(|report| report.birth);
+            shared.note_birth(key, birth);
+            present(shared, key)
+        }
+        Ok((StatusCode::MISDIRECTED_REQUEST, _)) | Err(Error::Refused) => Presence::Ended,
+        // It answers, though not as it should.
+        Ok(_) => Presence::Here,
+        Err(Error::Failed { .. }) => Presence::Unknown,
+    }
+}
+
+fn present(shared: &Shared, key: Key) -> Presence {
+    if shared.pool.borrow().has_restarted(key) {
+        return Presence::Ended;
+    }
+    Presence::Here
 }
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -40,8 +40,7 @@
     let open = Open::new(&shared);
     let (parts, body) = request.into_parts();
     let mut response = match admit(&shared, parts, body, arrived).await {
-        Ok(job) if job.route.mode.streams() => stream::serve(&shared, job).await,
-        Ok(job) => plain::serve(&shared, job).await,
+        Ok(job) => dispatch(&shared, job).await,
         Err(response) => response,
     };
     if shared.is_stopping() {
@@ -51,6 +50,15 @@
     response.map(|body| body.with_open(open))
 }
 
+/// Serves `job`, unless replicas ended under the same request: then it has not run and will not.
+async fn dispatch(shared: &Rc<Shared>, mut job: Job) -> Response<Body> {
+    match shared.held_for(job.fingerprint) {
+        Some(left) => plain::refuse(&mut job, left, "replicas ended under this request"),
+        None if job.route.mode.streams() => stream::serve(shared, job).await,
+        None => plain::serve(shared, job).await,
+    }
+}
+
 /// Reads the request in full and finds its route.
 ///
 /// # Errors
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -1,6 +1,9 @@
-//! The steady clock of the daemon; the time of day decides nothing.
+//! The steady clock of the daemon. The time of day decides nothing within an hour.
+
+use std::time::SystemTime;
 
 use ident::Time;
+use relay::quarantine::UnixMs;
 use tokio::time::Instant;
 
 /// Gives times since its start.
@@ -33,3 +36,9 @@
         Self::new()
     }
 }
+
+/// The time of day; it may jump and differ between instances by seconds.
+pub fn unix() -> UnixMs {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    UnixMs(since.map_or(0, |since| since.as_millis() as u64))
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -15,6 +15,7 @@
 use http::Request;
 use http::Response;
 use relay::plan::Plan;
+use relay::quarantine::Record;
 use relay::replica::Update;
 use serde::Deserialize;
 use serde::Serialize;
@@ -49,6 +50,8 @@
     digest: u64,
     /// Instances that the asker knows.
     instances: u32,
+    /// Requests under which replicas ended, as the asker knows.
+    quarantine: Vec<Record>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -59,6 +62,8 @@
     replicas: Option<Update>,
     /// The instances, if the asker knows fewer.
     cards: Vec<Card>,
+    /// Requests under which replicas ended, as the teller knows.
+    quarantine: Vec<Record>,
 }
 
 /// Answers other daemons, forever.
@@ -109,6 +114,7 @@
         replicas: shared.replicas_version(),
         digest: shared.pool.borrow().digest(),
         instances: shared.members.borrow().known() as u32,
+        quarantine: shared.quarantine.borrow().suspects(),
     };
     match timeout(ASK_TIMEOUT, question(peer, &ask)).await {
         Ok(Ok(told)) => {
@@ -129,6 +135,7 @@
     for card in &told.cards {
         shared.members.borrow_mut().learn(card);
     }
+    shared.take_records("peer", &told.quarantine);
     if let Some(plan) = told.plan {
         shared.take_plan("peer", plan);
     }
@@ -196,6 +203,8 @@
 }
 
 fn shared_view(shared: &Shared, ask: &Ask) -> Tell {
+    let mut records = shared.take_records("peer", &ask.quarantine);
+    records.extend(shared.quarantine.borrow().suspects());
     let members = shared.members.borrow();
     let knows_more = members.known() as u32 > ask.instances;
     Tell {
@@ -209,6 +218,7 @@
         } else {
             Vec::new()
         },
+        quarantine: records,
     }
 }
 
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -124,6 +124,7 @@
             match self.copy(reply).await {
                 End::Complete => {
                     send::note_success(&self.shared, key);
+                    self.shared.note_served(self.job.fingerprint);
                     if let Some(track) = &mut self.track {
                         track.complete();
                     }
--- a/crates/gateway/src/flow/next.rs
+++ b/crates/gateway/src/flow/next.rs
@@ -88,7 +88,7 @@
                     }
                     return Some(reply);
                 }
-                Ok(_) | Err(Sent::Failed | Sent::Lost) => break,
+                Ok(_) | Err(Sent::Failed | Sent::Lost | Sent::Held) => break,
                 Err(Sent::NotRun | Sent::NotSent) => {}
             }
         }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -9,6 +9,7 @@
 use fleet::Message;
 use ident::Time;
 use relay::claims::Told;
+use relay::quarantine::Record;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::net::UdpSocket;
@@ -21,6 +22,7 @@
 use crate::exchange;
 use crate::members::Send;
 use crate::news::News;
+use crate::quarantine;
 use crate::shared::Shared;
 
 /// Largest datagram that is sent; below the usual packet size, so that none is cut into parts.
@@ -38,6 +40,8 @@
     plan: u64,
     /// Whether the sender is overloaded.
     overloaded: bool,
+    /// Hash of the sender's records of requests under which replicas ended.
+    quarantine: u64,
     content: Content,
 }
 
@@ -65,6 +69,8 @@
     },
     /// What the sender's runs at decode replicas hold.
     Claims(Told),
+    /// Requests under which replicas ended.
+    Quarantine(Vec<Record>),
 }
 
 /// Takes part in the membership, forever.
@@ -121,11 +127,17 @@
     transmit(shared, peer, Content::Claims(told)).await;
 }
 
+/// Tells the daemon at `peer` of `records`, which fit into one datagram.
+pub async fn tell_records(shared: &Shared, peer: SocketAddr, records: Vec<Record>) {
+    transmit(shared, peer, Content::Quarantine(records)).await;
+}
+
 async fn transmit(shared: &Shared, to: SocketAddr, content: Content) {
     let datagram = Datagram {
         from: shared.own_card(),
         plan: shared.plan_version(),
         overloaded: shared.is_overloaded(),
+        quarantine: shared.quarantine.borrow().digest(),
         content,
     };
     if let Err(error) = write(shared, to, &datagram).await {
@@ -176,6 +188,10 @@
                 let _ = answer.send(news);
             }
         }
+        Content::Quarantine(records) => {
+            let innocent = shared.take_records("peer", &records);
+            quarantine::tell(shared, sender.peers, &innocent).await;
+        }
         Content::Claims(told) => {
             let now = shared.clock.now();
             let peer = sender.instance();
@@ -190,6 +206,9 @@
             }
         }
     }
+    if datagram.quarantine != shared.quarantine.borrow().digest() {
+        quarantine::compare(Rc::clone(shared), datagram.from.peers, datagram.quarantine);
+    }
     if datagram.plan > shared.plan_version() {
         ask_for_plan(Rc::clone(shared), datagram.plan, datagram.from.peers);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod place;
 pub mod plain;
 pub mod prefill;
+pub mod quarantine;
 pub mod reload;
 pub mod search;
 pub mod send;
@@ -44,7 +45,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::SystemTime;
 
 use flexi_logger::LogSpecification;
 use flexi_logger::Logger;
@@ -148,6 +148,8 @@
     spawn_local(watch::instances::follow(Rc::clone(&shared)));
     spawn_local(stages::run(Rc::clone(&shared)));
     spawn_local(track::run(Rc::clone(&shared)));
+    spawn_local(quarantine::run(Rc::clone(&shared)));
+    spawn_local(quarantine::kept::run(Rc::clone(&shared)));
     spawn_local(reload::follow(Rc::clone(&shared), path.to_owned()));
     spawn_local(housekeeping(Rc::clone(&shared)));
     let own = Rc::clone(&shared);
@@ -166,7 +168,7 @@
         let joined = shared.members.borrow().joined();
         if !joined && shared.is_ready() {
             let now = shared.clock.now();
-            shared.members.borrow_mut().join(now, unix_ms());
+            shared.members.borrow_mut().join(now, clock::unix().0);
             log::info!(kind = "ready", plan = shared.plan_version(); "taking callers");
         }
         shared.links.sweep();
@@ -191,12 +193,6 @@
     }
 }
 
-/// Milliseconds of the Unix clock; orders the runs of an instance and nothing else.
-fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    since.map_or(0, |since| since.as_millis() as u64)
-}
-
 /// Starts the logs; gives their handle and the counts of lines.
 fn start_logs(instance: &str) -> Result<(LoggerHandle, Arc<Count>), Error> {
     let run = format!("{:06x}", rand::random_range(0..MAX_RUN));
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -43,6 +43,11 @@
         /// What went wrong.
         cause: String,
     },
+    /// Nothing listens at the address; no byte of the request left.
+    Refused {
+        /// What the system said.
+        cause: String,
+    },
     /// The request left; it may have run.
     Lost {
         /// What went wrong.
@@ -160,10 +165,15 @@
 /// Opens a connection to `to`.
 ///
 /// # Errors
-/// `NotSent` always.
+/// `Refused` or `NotSent`.
 pub async fn connect(to: SocketAddr) -> Result<Link, Failure> {
     let socket = match timeout(CONNECT_TIMEOUT, TcpStream::connect(to)).await {
         Ok(Ok(socket)) => socket,
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            return Err(Failure::Refused {
+                cause: error.to_string(),
+            });
+        }
         Ok(Err(error)) => return Err(not_sent("connecting", &error)),
         Err(elapsed) => return Err(not_sent("connecting", &elapsed)),
     };
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -32,6 +32,8 @@
     pub plan_version: GenericGauge<AtomicU64>,
     /// Requests in progress.
     pub open: GenericGauge<AtomicU64>,
+    /// Requests that are sent to no replica, since replicas ended under them.
+    pub quarantined: GenericGauge<AtomicU64>,
     /// Calls of the store that failed.
     pub store_failures: IntCounter,
     /// Calls of the store, by step and table.
@@ -86,6 +88,7 @@
         Ok(Self {
             plan_version: gauge("plan_version", "Version of the plan in force")?,
             open: gauge("open_requests", "Requests in progress")?,
+            quarantined: gauge("quarantined", "Requests that are sent to no replica")?,
             store_calls: vector(
                 "store_calls_total",
                 "Calls of the store by step and table",
--- a/crates/gateway/src/mover.rs
+++ b/crates/gateway/src/mover.rs
@@ -59,7 +59,7 @@
         let (status, body) = match ask::call(shared, call).await {
             Ok(answer) => answer,
             Err(error) => {
-                cause = error;
+                cause = error.to_string();
                 continue;
             }
         };
@@ -103,7 +103,7 @@
     let shared = Rc::clone(shared);
     tokio::task::spawn_local(async move {
         if let Err(cause) = ask::call(&shared, call).await {
-            log::info!(kind = "move", cause = cause; "the memory of a run could not be freed; it lapses");
+            log::info!(kind = "move", cause = cause.to_string(); "the memory of a run could not be freed; it lapses");
         }
     });
 }
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -228,7 +228,7 @@
         body: wire::reserve_body(tokens, life),
     };
     match ask::call(shared, call).await {
-        Err(cause) => Asked::Failed(cause),
+        Err(error) => Asked::Failed(error.to_string()),
         Ok((StatusCode::OK, body)) => match Reservation::read(&body) {
             Ok(reservation) => {
                 shared.note_birth(key, reservation.birth);
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -62,7 +62,12 @@
         tried.push(key);
         attempt.sent();
         let may_leave = attempt.may_move_on();
-        let next = match send_to(shared, &job, key, permit, may_leave, &tried).await {
+        let sent = send_to(shared, &job, key, permit, may_leave, &tried).await;
+        if matches!(sent, Sent::Answered(_)) {
+            // With a failure of its own, too: the replica has run it and is there.
+            shared.note_served(job.fingerprint);
+        }
+        let next = match sent {
             Sent::Overdue => {
                 return finish(&mut job, "overdue", own::overdue, "no answer in time");
             }
--- /dev/null
+++ b/crates/gateway/src/quarantine/kept.rs
@@ -0,0 +1,134 @@
+//! Records in the store, for daemons that start when nobody is left who could tell them.
+
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use platform::store::Edit;
+use platform::store::Row;
+use relay::fingerprint::Fingerprint;
+use relay::quarantine::End;
+use relay::quarantine::Record;
+use relay::quarantine::UnixMs;
+use tokio::time::sleep;
+
+use crate::clock;
+use crate::shared::Shared;
+
+/// Table with a row for each ended replica of each suspect request, and one for the time at which such a
+/// request was served. Rows are written once and by any daemon, so that no writer undoes another one's.
+pub const TABLE: &str = "quarantine";
+/// What the key of the row with the time of service ends with.
+const SERVED: &str = "served";
+/// Pause after a failed call.
+const PAUSE: Duration = Duration::from_millis(700);
+/// Time in which what many callers lose at once is gathered for one write, and peers tell that a request was
+/// served elsewhere.
+const GATHER: Duration = Duration::from_millis(200);
+/// Rows in one transaction at most.
+const MAX_ROWS: usize = 100;
+
+/// Reads the records once, then writes those that this daemon notes, forever.
+pub async fn run(shared: Rc<Shared>) {
+    // Nothing was kept before the whole system's first start.
+    if !shared.settings().first_start {
+        while !restore(&shared).await {
+            sleep(PAUSE).await;
+        }
+    }
+    let mut unkept = HashSet::new();
+    loop {
+        if unkept.is_empty() {
+            shared.inquiries.unkept().await;
+            sleep(GATHER).await;
+        }
+        unkept.extend(shared.inquiries.take_unkept());
+        unkept.retain(|fingerprint| is_suspect(&shared, *fingerprint));
+        let rows: Vec<Edit> = unkept.iter().flat_map(|f| rows(&shared, *f)).collect();
+        let mut kept = true;
+        for some in rows.chunks(MAX_ROWS) {
+            kept &= write(&shared, some).await;
+        }
+        if kept {
+            unkept.clear();
+        } else {
+            sleep(PAUSE).await;
+        }
+    }
+}
+
+/// Whether the record is kept: one more end would hold the request, or it was cleared.
+fn is_suspect(shared: &Shared, fingerprint: Fingerprint) -> bool {
+    let quarantine = shared.quarantine.borrow();
+    let record = quarantine.get(fingerprint);
+    record.is_some_and(|record| record.is_suspect() || record.served > UnixMs(0))
+}
+
+fn rows(shared: &Shared, fingerprint: Fingerprint) -> Vec<Edit> {
+    let quarantine = shared.quarantine.borrow();
+    let Some(record) = quarantine.get(fingerprint) else {
+        return Vec::new();
+    };
+    let row = |name: &str, at: UnixMs| Edit::Write {
+        key: format!("{fingerprint}.{name}"),
+        value: at.0.to_string().into_bytes(),
+    };
+    let ends = record.ends.iter();
+    let ends = ends.map(|end| row(&format!("{:016x}", end.replica), end.at));
+    let served = (record.served > UnixMs(0)).then(|| row(SERVED, record.served));
+    ends.chain(served).collect()
+}
+
+async fn write(shared: &Shared, rows: &[Edit]) -> bool {
+    match shared.store.edit(TABLE, rows).await {
+        Ok(()) => true,
+        Err(error) => {
+            shared.store_failed("quarantine", &error);
+            false
+        }
+    }
+}
+
+/// Takes the rows of the store, and removes those whose time is over; whether the store answered.
+async fn restore(shared: &Shared) -> bool {
+    let rows = match shared.store.read(TABLE).await {
+        Ok(rows) => rows.rows,
+        Err(error) => {
+            shared.store_failed("quarantine", &error);
+            return false;
+        }
+    };
+    shared.store_answered("quarantine");
+    let now = clock::unix();
+    let mut over = Vec::new();
+    for row in &rows {
+        match read(row) {
+            Some(record) if record.expires() > now => {
+                shared.take_records("store", &[record]);
+            }
+            _ => over.push(Edit::Remove {
+                key: row.key.clone(),
+            }),
+        }
+    }
+    for some in over.chunks(MAX_ROWS) {
+        // What stays is removed by the next daemon that starts.
+        write(shared, some).await;
+    }
+    true
+}
+
+/// The record that one row tells; `None` if it cannot be read.
+fn read(row: &Row) -> Option<Record> {
+    let (fingerprint, name) = row.key.split_once('.')?;
+    let fingerprint = Fingerprint(u64::from_str_radix(fingerprint, 16).ok()?);
+    let at = std::str::from_utf8(row.value.as_deref()?).ok()?;
+    let at = UnixMs(at.parse().ok()?);
+    if name == SERVED {
+        return Some(Record::served(fingerprint, at));
+    }
+    let replica = u64::from_str_radix(name, 16).ok()?;
+    let mut record = Record::new(fingerprint);
+    record.ends.push(End { replica, at });
+    Some(record)
+}
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -38,7 +38,8 @@
 }
 
 /// Sends `job` to the replica `key`, which is to do `task`, and reads the head of the answer. The permit
-/// goes back to the job if no byte of the request left.
+/// goes back to the job if no byte of the request left. What waited for a place or a retry meanwhile is held
+/// here, if replicas ended under the same request.
 ///
 /// # Errors
 /// How the send ended, if not in a genuine answer.
@@ -54,8 +55,12 @@
         Task::Prefill => Work::Read,
         _ => Work::Run,
     };
-    let sent = send_once(shared, job, key, task, reservation).await;
-    if matches!(sent, Err(Outcome::NotSent)) {
+    shared.inquired(job.fingerprint).await;
+    let sent = match shared.held_for(job.fingerprint) {
+        None => send_once(shared, job, key, task, reservation).await,
+        Some(_) => Err(Outcome::Held),
+    };
+    if matches!(sent, Err(Outcome::NotSent | Outcome::Held)) {
         job.allowance.borrow_mut().put(work, permit);
     }
     sent
@@ -134,6 +139,9 @@
 
 /// Notes that a send to `key` ended in `outcome`.
 pub fn note(shared: &Shared, job: &Job, key: Key, outcome: Outcome, cause: &str, status: u16) {
+    if outcome == Outcome::Lost {
+        shared.inquire(job.fingerprint, key);
+    }
     let now = shared.clock.now();
     let mut pool = shared.pool.borrow_mut();
     pool.note(now, key, true);
@@ -143,6 +151,7 @@
         Outcome::NotRun => "unrun",
         Outcome::Failed => "failed",
         Outcome::Lost => "lost",
+        Outcome::Held => "held",
     });
     log::info!(kind = "failure", request = job.call.id, content = job.fingerprint.to_string(), replica = replica, outcome = format!("{outcome:?}"), status = status, cause = cause; "a send failed");
 }
@@ -185,6 +194,7 @@
 fn failed(shared: &Shared, job: &Job, key: Key, failure: &Failure) -> Outcome {
     let (outcome, cause) = match failure {
         Failure::NotSent { step, cause } => (Outcome::NotSent, format!("{step}: {cause}")),
+        Failure::Refused { cause } => (Outcome::NotSent, format!("connecting: {cause}")),
         Failure::Lost { cause } => (Outcome::Lost, cause.clone()),
     };
     note(shared, job, key, outcome, &cause, 0);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod knowledge;
 mod overload;
+mod quarantine;
 mod retries;
 
 use std::cell::Cell;
@@ -22,6 +23,7 @@
 use relay::overload::Overload;
 use relay::plan::Plan;
 use relay::pool::Pool;
+use relay::quarantine::Quarantine;
 use relay::runs::Id;
 use relay::runs::Runs;
 use relay::server::Key;
@@ -37,6 +39,7 @@
 use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::news::News;
+use crate::quarantine::Inquiries;
 use crate::settings::Settings;
 use crate::store::Store;
 
@@ -76,6 +79,10 @@
     pub runs: RefCell<Runs>,
     /// What other daemons told of theirs.
     pub claims: RefCell<Claims>,
+    /// Requests under which replicas ended.
+    pub quarantine: RefCell<Quarantine>,
+    /// Lost replicas that are being asked whether they are there.
+    pub inquiries: Inquiries,
     /// By run, where it is to go on.
     pub orders: RefCell<HashMap<Id, watch::Sender<Option<Key>>>>,
     /// Generations that wait for a place.
@@ -139,6 +146,8 @@
             metrics,
             runs: RefCell::new(Runs::new()),
             claims: RefCell::new(Claims::new()),
+            quarantine: RefCell::new(Quarantine::new()),
+            inquiries: Inquiries::new(),
             orders: RefCell::new(HashMap::new()),
             line: RefCell::new(Line::new()),
             room: Notify::new(),
--- /dev/null
+++ b/crates/gateway/src/shared/quarantine.rs
@@ -0,0 +1,93 @@
+//! Requests under which replicas ended: what this daemon notes, and what it is told.
+
+use std::time::Duration;
+
+use relay::fingerprint::Fingerprint;
+use relay::quarantine::Change;
+use relay::quarantine::Record;
+use relay::quarantine::UnixMs;
+use relay::server::Key;
+
+use crate::clock;
+use crate::shared::Shared;
+
+impl Shared {
+    /// Time for which the request is sent to no replica; `None` if it may be sent.
+    pub fn held_for(&self, fingerprint: Fingerprint) -> Option<Duration> {
+        let quarantine = self.quarantine.borrow();
+        quarantine.held_for(clock::unix(), fingerprint)
+    }
+
+    /// Notes that the replica behind `key` was lost while at work on the request, and has it found out whether
+    /// the replica ended.
+    pub fn inquire(&self, fingerprint: Fingerprint, key: Key) {
+        // One that leaves by plan breaks off what it has not finished.
+        let Some(replica) = self.pool.borrow().missed(key) else {
+            return;
+        };
+        self.inquiries.begin(key, replica, fingerprint);
+    }
+
+    /// Notes that `replica` ended while at work on the request `fingerprint`, and has that told and kept.
+    pub fn note_end(&self, fingerprint: Fingerprint, replica: u64) {
+        let now = clock::unix();
+        let change = self
+            .quarantine
+            .borrow_mut()
+            .note_end(now, fingerprint, replica);
+        let quarantine = self.quarantine.borrow();
+        let ends = quarantine.get(fingerprint).map_or(0, |r| r.ends.len());
+        log::info!(kind = "suspect", content = fingerprint.to_string(), replica = format!("{replica:016x}"), ends = ends as u64, change = format!("{change:?}"); "a replica ended while at work on a request");
+        if matches!(change, Change::Held | Change::Other) {
+            self.inquiries.tell(fingerprint);
+        }
+        drop(quarantine);
+        self.note_change("own", fingerprint, change);
+    }
+
+    /// Notes that a replica served the request.
+    pub fn note_served(&self, fingerprint: Fingerprint) {
+        let now = clock::unix();
+        let cleared = self.quarantine.borrow_mut().note_served(now, fingerprint);
+        if cleared {
+            self.inquiries.tell(fingerprint);
+            self.note_change("own", fingerprint, Change::Other);
+        }
+    }
+
+    /// Takes records that a peer or the store told; gives those of which the teller has to hear that the
+    /// request was served.
+    pub fn take_records(&self, source: &'static str, records: &[Record]) -> Vec<Record> {
+        let now = clock::unix();
+        let mut innocent = Vec::new();
+        for record in records {
+            let change = self.quarantine.borrow_mut().take(now, record);
+            self.note_change(source, record.fingerprint, change);
+            if change == Change::Innocent {
+                let quarantine = self.quarantine.borrow();
+                innocent.extend(quarantine.get(record.fingerprint).cloned());
+                // The teller has written its ends to the store.
+                if record.is_suspect() {
+                    self.inquiries.keep(record.fingerprint);
+                }
+            }
+        }
+        innocent
+    }
+
+    /// Forgets records whose time is over.
+    pub fn sweep_records(&self, now: UnixMs) {
+        self.quarantine.borrow_mut().sweep(now);
+        self.metrics
+            .quarantined
+            .set(self.quarantine.borrow().held() as u64);
+    }
+
+    fn note_change(&self, source: &'static str, fingerprint: Fingerprint, change: Change) {
+        let quarantine = self.quarantine.borrow();
+        self.metrics.quarantined.set(quarantine.held() as u64);
+        if change == Change::Held {
+            log::warn!(kind = "quarantine", content = fingerprint.to_string(), source = source, held = quarantine.held() as u64; "replicas ended under a request; it is sent to none any more");
+        }
+    }
+}
--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -165,7 +165,8 @@
         path: engine::REPORT_PATH.to_owned(),
         body: Vec::new(),
     };
-    let (_, body) = ask::call(shared, call).await?;
+    let called = ask::call(shared, call).await;
+    let (_, body) = called.map_err(|error| error.to_string())?;
     Report::read(&body).map_err(|error| error.to_string())
 }
 
@@ -183,7 +184,8 @@
         path: engine::ORDER_PATH.to_owned(),
         body: engine::stage_body(stage, holder, fence, order.taken),
     };
-    let (status, _) = ask::call(shared, call).await?;
+    let called = ask::call(shared, call).await;
+    let (status, _) = called.map_err(|error| error.to_string())?;
     Ok(status)
 }
 
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -14,6 +14,7 @@
 use http_body_util::Limited;
 use platform::store;
 use platform::store::Done;
+use platform::store::Edit;
 use platform::store::Rows;
 use prometheus::IntCounterVec;
 use tokio::sync::Notify;
@@ -161,6 +162,16 @@
         Ok(())
     }
 
+    /// Makes `edits` in one transaction, whatever the rows hold.
+    ///
+    /// # Errors
+    /// [`Error`]; the edits may be made all the same.
+    pub async fn edit(&self, table: &str, edits: &[Edit]) -> Result<(), Error> {
+        let body = store::edit_body(table, edits);
+        self.transact("editing", table, body).await?;
+        Ok(())
+    }
+
     async fn page(&self, table: &str, after: Option<&str>) -> Result<Rows, Error> {
         self.count("reading", table);
         let path = store::read_path(table, after);
@@ -219,9 +230,9 @@
     ) -> Result<Bytes, Error> {
         let sent = self.links.send(self.address, request, false).await;
         let (answer, link) = sent.map_err(|failure| match failure {
-            Failure::NotSent { cause, .. } | Failure::Lost { cause } => {
-                Error::Silent { step, cause }
-            }
+            Failure::NotSent { cause, .. }
+            | Failure::Refused { cause }
+            | Failure::Lost { cause } => Error::Silent { step, cause },
         })?;
         let status = answer.status();
         let body = Limited::new(answer.into_body(), MAX_ANSWER);
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -17,6 +17,8 @@
     Failed,
     /// The request left and no usable answer came; it may have run.
     Lost,
+    /// Nothing was sent, since replicas ended while at work on the request; see [`crate::quarantine`].
+    Held,
 }
 
 /// What to do next.
@@ -83,10 +85,12 @@
     pub fn after(&mut self, outcome: Outcome, in_budget: impl FnOnce() -> bool) -> Next {
         match outcome {
             Outcome::Failed | Outcome::Lost => self.runs += 1,
-            Outcome::NotSent | Outcome::NotRun => {}
+            Outcome::NotSent | Outcome::NotRun | Outcome::Held => {}
         }
         // A send that never arrived is no load on the service and needs no budget.
-        let may = self.may_run_again() && (outcome == Outcome::NotSent || in_budget());
+        let may = outcome != Outcome::Held
+            && self.may_run_again()
+            && (outcome == Outcome::NotSent || in_budget());
         match outcome {
             _ if may => Next::Retry,
             Outcome::Failed => Next::Relay,
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -47,8 +47,8 @@
     by_id: HashMap<String, Key>,
     /// Mean seconds that a token of a prompt takes, by service.
     read_paces: HashMap<String, f64>,
-    /// Incarnations that ended while their replica started again; at most one a slot of `servers`.
-    restarted: SecondaryMap<Key, ()>,
+    /// Hashes of incarnations that ended while their replica started again; at most one a slot of `servers`.
+    restarted: SecondaryMap<Key, u64>,
     version: u64,
     outage: Option<Time>,
     memory: HashMap<String, u64>,
--- a/crates/relay/src/pool/incarnation.rs
+++ b/crates/relay/src/pool/incarnation.rs
@@ -22,8 +22,9 @@
         replica: &Replica,
         changes: &mut Vec<Change>,
     ) {
-        self.servers.remove(key);
-        self.restarted.insert(key, ());
+        if let Some(server) = self.servers.remove(key) {
+            self.restarted.insert(key, server.hash);
+        }
         self.insert(now, replica);
         changes.push(Change {
             id: replica.id.clone(),
@@ -55,6 +56,15 @@
         Some(self.servers[*key].replica.address)
     }
 
+    /// Hash of the incarnation behind `key` if it would be missed: `None` if it is leaving, or left the list, by
+    /// plan.
+    pub fn missed(&self, key: Key) -> Option<u64> {
+        match self.servers.get(key) {
+            Some(server) => (!server.replica.draining).then_some(server.hash),
+            None => self.restarted.get(key).copied(),
+        }
+    }
+
     /// Whether the incarnation behind `key` ended, and its replica has started again.
     pub fn has_restarted(&self, key: Key) -> bool {
         self.restarted.contains_key(key)
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -93,7 +93,7 @@
     }
 
     /// When it is forgotten.
-    fn expires(&self) -> UnixMs {
+    pub fn expires(&self) -> UnixMs {
         let last = self.ends.iter().map(|end| end.at).max();
         last.unwrap_or(self.served).plus(KEEP)
     }
