Count the time for which a machine was suspended

Cause: both daemons measured ages, limits, leases and claims by the steady clock, which stands while the machine is suspended: the list of replicas, a claim to give orders (0.4 s after its write at most), reservations, idle connections, the callers' time left, and what daemons tell of each other's runs were all younger than they are. Change: a crate boottime with moments of the clock that counts suspensions, and timers that are set anew when a watch, which looks each 100 ms, notices one. Gateway, entry and the clients of store and engines use it in place of the steady clock; the daemons' two equal clocks are one.

--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use boottime::timer;
 use bytes::Bytes;
 use http::Method;
 use http::header;
@@ -258,7 +259,7 @@
     async fn collect(&self, step: Step, peer: SocketAddr, answer: Answer) -> Result<Bytes, Error> {
         let Answer { body, guard, .. } = answer;
         let body = Limited::new(body, self.body_limit).collect();
-        let collected = tokio::time::timeout(self.limits.head, body).await;
+        let collected = timer::timeout(self.limits.head, body).await;
         drop(guard);
         match collected {
             Ok(Ok(body)) => Ok(body.to_bytes()),
--- a/crates/engine/src/direct.rs
+++ b/crates/engine/src/direct.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use boottime::timer;
 use bytes::Bytes;
 use http::HeaderValue;
 use http::header::CONNECTION;
@@ -65,7 +66,7 @@
         .headers_mut()
         .insert(CONNECTION, HeaderValue::from_static("close"));
 
-    let stream = tokio::time::timeout(limits.connect, connect(peer))
+    let stream = timer::timeout(limits.connect, connect(peer))
         .await
         .map_err(|_| not_sent("connecting timed out".to_owned()))?
         .map_err(|e| not_sent(e.to_string()))?;
@@ -75,7 +76,7 @@
         .map_err(|e| not_sent(e.to_string()))?;
     let guard = Guard(tokio::spawn(connection).abort_handle());
 
-    let answer = tokio::time::timeout(limits.head, sender.send_request(request))
+    let answer = timer::timeout(limits.head, sender.send_request(request))
         .await
         .map_err(|_| lost("no answer in time".to_owned()))?
         .map_err(|e| lost(e.to_string()))?;
--- a/crates/engine/src/pooled.rs
+++ b/crates/engine/src/pooled.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use boottime::timer;
 use bytes::Bytes;
 use http::Method;
 use serde::de::DeserializeOwned;
@@ -48,7 +49,7 @@
         request: (Method, &str, Vec<u8>),
     ) -> Result<T, Error> {
         let exchange = self.send(step, peer, request);
-        let answer = tokio::time::timeout(timeout, exchange).await;
+        let answer = timer::timeout(timeout, exchange).await;
         let body = answer.unwrap_or_else(|elapsed| {
             Err(Error::Lost {
                 step,
--- a/crates/entry/src/admin/edit.rs
+++ b/crates/entry/src/admin/edit.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use boottime::timer::timeout;
 use bytes::Bytes;
 use http::Response;
 use http::StatusCode;
@@ -11,7 +12,6 @@
 use node::action::Verdict;
 use serde_json::json;
 use table::edit::Edit;
-use tokio::time::timeout;
 use volo_http::body::Body;
 use volo_http::request::Request;
 
--- a/crates/entry/src/callers/body.rs
+++ b/crates/entry/src/callers/body.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
+use boottime::timer::timeout;
 use bytes::Bytes;
 use bytes::BytesMut;
 use http::HeaderMap;
 use http::StatusCode;
 use http::header;
 use http_body_util::BodyExt;
-use tokio::time::timeout;
 use volo_http::body::Body;
 
 use super::Shared;
--- a/crates/entry/src/clock.rs
+++ b/crates/entry/src/clock.rs
@@ -1,42 +1,16 @@
 //! The daemon's clocks.
 
 use std::time::Duration;
-use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
-use ident::Time;
+use boottime::timer::Watch;
+use boottime::timer::sleep;
 
-/// A monotonic clock with its origin at the start of the daemon.
-#[derive(Debug, Clone, Copy)]
-pub struct Clock {
-    origin: Instant,
-}
-
-impl Clock {
-    /// A clock whose origin is now.
-    pub fn new() -> Self {
-        Self {
-            origin: Instant::now(),
-        }
-    }
+pub use boottime::Clock;
 
-    /// The present point.
-    pub fn now(&self) -> Time {
-        Time(self.origin.elapsed().as_micros() as u64)
-    }
-
-    /// How long it is until `point`; zero if it has passed.
-    pub fn until(&self, point: Time) -> Duration {
-        point.since(self.now())
-    }
-}
-
-impl Default for Clock {
-    fn default() -> Self {
-        Self::new()
-    }
-}
+/// Time between two looks whether the machine was suspended.
+const LOOK: Duration = Duration::from_millis(100);
 
 /// Time since the start of the Unix clock; zero if the system's clock is set before it.
 pub fn unix() -> Duration {
@@ -44,3 +18,14 @@
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default()
 }
+
+/// Has all timers count the time for which the machine was suspended, forever.
+pub async fn watch() {
+    let mut suspensions = Watch::new();
+    loop {
+        sleep(LOOK).await;
+        if let Some(time) = suspensions.look() {
+            log::warn!(step = "clock"; "the machine was suspended for {time:?}");
+        }
+    }
+}
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use boottime::timer::sleep;
 use ident::Incarnation;
 use ident::Instance;
 use ident::Zone;
@@ -12,7 +13,6 @@
 use node::settings::Settings;
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
-use tokio::time::sleep;
 
 use crate::admin;
 use crate::backends::Backends;
@@ -100,6 +100,7 @@
         proof: config.secret.proof(peers::PURPOSE),
     };
     let outlets = outlets(&parts, peers.clone());
+    tokio::spawn(clock::watch());
     tokio::spawn(Driver::new(clock, node, outlets).run(inputs));
     tokio::spawn(peers::serve(sockets.peer, peers));
     tokio::spawn(platform::watch_list(
--- a/crates/entry/src/driver/mod.rs
+++ b/crates/entry/src/driver/mod.rs
@@ -9,6 +9,7 @@
 
 use std::sync::Arc;
 
+use boottime::timer::sleep;
 use engine::Claim;
 use node::Node;
 use node::action::Action;
@@ -18,7 +19,6 @@
 use node::event::Piece;
 use node::ids::Call;
 use tokio::sync::mpsc;
-use tokio::time::sleep;
 
 use crate::backends::Backends;
 use crate::clock::Clock;
--- a/crates/entry/src/listen.rs
+++ b/crates/entry/src/listen.rs
@@ -4,10 +4,10 @@
 use std::io;
 use std::time::Duration;
 
+use boottime::timer::sleep;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
 use tokio::net::TcpListener;
-use tokio::time::sleep;
 use volo::net::conn::Conn;
 use volo::net::incoming::Incoming;
 use volo::net::incoming::MakeIncoming;
--- a/crates/entry/src/peers/link.rs
+++ b/crates/entry/src/peers/link.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use boottime::timer::sleep;
+use boottime::timer::timeout;
 use bytes::Bytes;
 use h2::Ping;
 use h2::PingPong;
@@ -14,8 +16,6 @@
 use ident::Instance;
 use socket2::SockRef;
 use tokio::net::TcpStream;
-use tokio::time::sleep;
-use tokio::time::timeout;
 
 use super::PATH;
 use super::PROOF;
--- a/crates/entry/src/peers/queue.rs
+++ b/crates/entry/src/peers/queue.rs
@@ -6,9 +6,9 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use boottime::Instant;
 use bytes::Bytes;
 use tokio::sync::Notify;
-use tokio::time::Instant;
 use wire::Body;
 
 /// Frames that may wait.
--- a/crates/entry/src/peers/server.rs
+++ b/crates/entry/src/peers/server.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use boottime::timer::sleep;
+use boottime::timer::timeout;
 use bytes::Bytes;
 use h2::RecvStream;
 use h2::server;
@@ -22,8 +24,6 @@
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::sleep;
-use tokio::time::timeout;
 use wire::Decoder;
 
 use super::PATH;
--- a/crates/entry/src/peers/watchdog.rs
+++ b/crates/entry/src/peers/watchdog.rs
@@ -1,10 +1,10 @@
 //! Notices that the process was paused.
 
+use boottime::Instant;
 use std::time::Duration;
-use std::time::Instant;
 
+use boottime::timer::sleep;
 use tokio::sync::watch;
-use tokio::time::sleep;
 
 const EVERY: Duration = Duration::from_millis(100);
 /// A gap this long counts as a pause.
--- a/crates/entry/src/platform/commit.rs
+++ b/crates/entry/src/platform/commit.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use boottime::timer::sleep;
 use node::event::Stored;
 use store::Client;
 use store::txn::Reply;
@@ -14,7 +15,6 @@
 use table::plan::Plan;
 use table::plan::Step;
 use table::stored;
-use tokio::time::sleep;
 
 use super::Outcome;
 use super::error::Error;
--- a/crates/entry/src/platform/list.rs
+++ b/crates/entry/src/platform/list.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use boottime::timer::sleep;
 use ident::Instance;
 use ident::Pool;
 use ident::Replica;
@@ -16,7 +17,6 @@
 use store::Client;
 use store::list;
 use store::list::State;
-use tokio::time::sleep;
 
 use crate::directory;
 use crate::directory::Directory;
--- a/crates/entry/src/platform/sweep.rs
+++ b/crates/entry/src/platform/sweep.rs
@@ -5,12 +5,12 @@
 
 use std::time::Duration;
 
+use boottime::timer::sleep;
 use node::status::Status;
 use store::Client;
 use store::Error;
 use store::txn::Row;
 use store::txn::Txn;
-use tokio::time::sleep;
 
 use super::outcomes;
 use crate::clock;
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -11,11 +11,11 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use boottime::timer::sleep;
 use node::event::Event;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::sync::watch;
-use tokio::time::sleep;
 
 use crate::driver::inbox::Inbox;
 
--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use boottime::timer::timeout;
 use bytes::Bytes;
 use http::Method;
 use http::Request;
@@ -15,7 +16,6 @@
 use platform::engine;
 use platform::engine::Report;
 use relay::server::Key;
-use tokio::time::timeout;
 
 use crate::links::Failure;
 use crate::shared::Shared;
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -3,6 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use boottime::Instant;
+use boottime::timer::timeout;
 use bytes::Bytes;
 use http::HeaderValue;
 use http::Request;
@@ -18,8 +20,6 @@
 use platform::caller::Call;
 use relay::fingerprint::Fingerprint;
 use relay::plan::Limits;
-use tokio::time::Instant;
-use tokio::time::timeout;
 
 use crate::body::Body;
 use crate::guard::Open;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -9,6 +9,8 @@
 use std::time::Duration;
 
 use bincode::config;
+use boottime::timer::sleep;
+use boottime::timer::timeout;
 use bytes::Bytes;
 use bytes::BytesMut;
 use h2::RecvStream;
@@ -23,8 +25,6 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
-use tokio::time::sleep;
-use tokio::time::timeout;
 
 use crate::card::Card;
 use crate::shared::Shared;
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -5,6 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use boottime::Instant;
+use boottime::timer::Elapsed;
+use boottime::timer::timeout_at;
 use bytes::Bytes;
 use http::Response;
 use http_body_util::BodyExt;
@@ -19,9 +22,6 @@
 use relay::server::Key;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::Sender;
-use tokio::time::Instant;
-use tokio::time::error::Elapsed;
-use tokio::time::timeout_at;
 
 use crate::body::Body;
 use crate::body::Broken;
--- a/crates/gateway/src/flow/next.rs
+++ b/crates/gateway/src/flow/next.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
+use boottime::timer::timeout_at;
 use http::StatusCode;
 use platform::caller::Task;
 use relay::attempt::Next;
 use relay::attempt::Outcome as Sent;
 use relay::permit::Work;
 use relay::server::Key;
-use tokio::time::timeout_at;
 
 use crate::ask;
 use crate::flow::Flow;
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -6,6 +6,10 @@
 use std::time::Duration;
 
 use bincode::config;
+use boottime::Instant;
+use boottime::timer::sleep;
+use boottime::timer::sleep_until;
+use boottime::timer::timeout;
 use fleet::Message;
 use ident::Time;
 use relay::claims::Told;
@@ -14,15 +18,11 @@
 use serde::Serialize;
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
-use tokio::time::sleep;
-use tokio::time::sleep_until;
-use tokio::time::timeout;
 
 use crate::card::Card;
 use crate::exchange;
 use crate::members::Send;
 use crate::news::News;
-use crate::quarantine;
 use crate::shared::Shared;
 
 /// Largest datagram that is sent; below the usual packet size, so that none is cut into parts.
@@ -32,6 +32,13 @@
 /// Time that the store gets to tell a newer plan before the peer that has it is asked.
 const PLAN_PATIENCE: Duration = Duration::from_millis(300);
 
+/// Records of requests under which replicas ended, in one datagram: 75 bytes each, and 200 for its head.
+const MAX_RECORDS: usize = 12;
+/// Time that datagrams on their way get before a peer whose records differ is asked for them.
+const RECORDS_PATIENCE: Duration = Duration::from_millis(300);
+/// Pause after such a question, so that many differences are made good by few.
+const RECORDS_PAUSE: Duration = Duration::from_millis(700);
+
 /// One datagram.
 #[derive(Debug, Serialize, Deserialize)]
 struct Datagram {
@@ -84,7 +91,7 @@
     let mut next = Time::ZERO;
     loop {
         let due = shared.clock.instant(next);
-        let latest = tokio::time::Instant::now() + MAX_SLEEP;
+        let latest = Instant::now() + MAX_SLEEP;
         tokio::select! {
             received = socket.recv_from(&mut buffer) => match received {
                 Ok((length, from)) => receive(&shared, &buffer[..length], from).await,
@@ -127,9 +134,11 @@
     transmit(shared, peer, Content::Claims(told)).await;
 }
 
-/// Tells the daemon at `peer` of `records`, which fit into one datagram.
-pub async fn tell_records(shared: &Shared, peer: SocketAddr, records: Vec<Record>) {
-    transmit(shared, peer, Content::Quarantine(records)).await;
+/// Tells the daemon at `peer` of `records`.
+pub async fn tell_records(shared: &Shared, peer: SocketAddr, records: &[Record]) {
+    for some in records.chunks(MAX_RECORDS) {
+        transmit(shared, peer, Content::Quarantine(some.to_vec())).await;
+    }
 }
 
 async fn transmit(shared: &Shared, to: SocketAddr, content: Content) {
@@ -190,7 +199,7 @@
         }
         Content::Quarantine(records) => {
             let innocent = shared.take_records("peer", &records);
-            quarantine::tell(shared, sender.peers, &innocent).await;
+            tell_records(shared, sender.peers, &innocent).await;
         }
         Content::Claims(told) => {
             let now = shared.clock.now();
@@ -207,7 +216,7 @@
         }
     }
     if datagram.quarantine != shared.quarantine.borrow().digest() {
-        quarantine::compare(Rc::clone(shared), datagram.from.peers, datagram.quarantine);
+        compare_records(Rc::clone(shared), datagram.from.peers, datagram.quarantine);
     }
     if datagram.plan > shared.plan_version() {
         ask_for_plan(Rc::clone(shared), datagram.plan, datagram.from.peers);
@@ -227,3 +236,18 @@
         shared.end_asking();
     });
 }
+
+/// Compares records with `peer`, whose hash of them is `digest`, once what is on its way has come.
+fn compare_records(shared: Rc<Shared>, peer: SocketAddr, digest: u64) {
+    if !shared.inquiries.begin_comparing() {
+        return;
+    }
+    tokio::task::spawn_local(async move {
+        sleep(RECORDS_PATIENCE).await;
+        if shared.quarantine.borrow().digest() != digest {
+            exchange::ask(&shared, peer).await;
+            sleep(RECORDS_PAUSE).await;
+        }
+        shared.inquiries.end_comparing();
+    });
+}
--- /dev/null
+++ b/crates/gateway/src/inquiries.rs
@@ -0,0 +1,118 @@
+//! Lost replicas of which it is being found out whether they ended, and requests to tell of.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::collections::HashSet;
+
+use relay::fingerprint::Fingerprint;
+use relay::server::Key;
+use tokio::sync::Notify;
+use tokio::sync::futures::Notified;
+
+/// What is being found out, and what is to be told.
+#[derive(Debug, Default)]
+pub struct Inquiries {
+    /// Requests that each lost replica was at work on.
+    open: RefCell<HashMap<Key, HashSet<Fingerprint>>>,
+    /// Lost replicas that are not asked yet, with their hashes.
+    new: RefCell<Vec<(Key, u64)>>,
+    /// Requests of which the other daemons are to be told.
+    untold: RefCell<HashSet<Fingerprint>>,
+    /// Requests whose records are to be kept in the store.
+    unkept: RefCell<HashSet<Fingerprint>>,
+    changed: Notify,
+    unkept_changed: Notify,
+    closed: Notify,
+    comparing: Cell<bool>,
+}
+
+impl Inquiries {
+    /// None.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Has it found out whether `replica`, behind `key`, ended while at work on the request.
+    pub fn begin(&self, key: Key, replica: u64, fingerprint: Fingerprint) {
+        let mut open = self.open.borrow_mut();
+        let requests = open.entry(key).or_default();
+        if requests.is_empty() {
+            self.new.borrow_mut().push((key, replica));
+            self.changed.notify_one();
+        }
+        requests.insert(fingerprint);
+    }
+
+    /// Has the record of the request told and kept.
+    pub fn tell(&self, fingerprint: Fingerprint) {
+        self.untold.borrow_mut().insert(fingerprint);
+        self.changed.notify_one();
+        self.keep(fingerprint);
+    }
+
+    /// Has the record of the request kept in the store.
+    pub fn keep(&self, fingerprint: Fingerprint) {
+        self.unkept.borrow_mut().insert(fingerprint);
+        self.unkept_changed.notify_one();
+    }
+
+    /// Replicas that are to be asked.
+    pub fn take_new(&self) -> Vec<(Key, u64)> {
+        self.new.take()
+    }
+
+    /// Requests of which others are to be told.
+    pub fn take_untold(&self) -> HashSet<Fingerprint> {
+        self.untold.take()
+    }
+
+    /// Requests whose records are to be kept.
+    pub fn take_unkept(&self) -> HashSet<Fingerprint> {
+        self.unkept.take()
+    }
+
+    /// Waits for something to ask or to tell.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
+    /// Waits for something to keep.
+    pub async fn unkept(&self) {
+        self.unkept_changed.notified().await;
+    }
+
+    /// Begins to compare records with a peer; `false` if that is being done with another.
+    pub fn begin_comparing(&self) -> bool {
+        !self.comparing.replace(true)
+    }
+
+    /// Ends it.
+    pub fn end_comparing(&self) {
+        self.comparing.set(false);
+    }
+
+    /// Whether it is being found out what became of a replica that was at work on the request.
+    pub fn concerns(&self, fingerprint: Fingerprint) -> bool {
+        let open = self.open.borrow();
+        open.values()
+            .any(|requests| requests.contains(&fingerprint))
+    }
+
+    /// Gives the requests that the lost replica behind `key` was at work on, once it is asked no longer.
+    pub fn take_requests(&self, key: Key) -> HashSet<Fingerprint> {
+        let requests = self.open.borrow_mut().remove(&key);
+        requests.unwrap_or_default()
+    }
+
+    /// Wakes what waits for a verdict.
+    pub fn close(&self) {
+        self.closed.notify_waiters();
+    }
+
+    /// Waits until it is found out what became of a replica. One that is found out after this call, and before
+    /// the first poll, counts.
+    pub fn closed(&self) -> Notified<'_> {
+        self.closed.notified()
+    }
+}
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use boottime::Instant;
 use bytes::Bytes;
 use http::HeaderMap;
 use http::Method;
@@ -20,7 +21,6 @@
 use relay::permit::Work;
 use relay::plan::Route;
 use relay::runs::Size;
-use tokio::time::Instant;
 
 use crate::shared::Shared;
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod flow;
 pub mod gossip;
 pub mod guard;
+pub mod inquiries;
 pub mod job;
 pub mod links;
 pub mod listen;
@@ -46,6 +47,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use boottime::timer::Watch;
+use boottime::timer::sleep;
 use flexi_logger::LogSpecification;
 use flexi_logger::Logger;
 use flexi_logger::LoggerHandle;
@@ -57,7 +60,6 @@
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 use tokio::task::spawn_local;
-use tokio::time::sleep;
 
 use crate::listen::Bounds;
 use crate::metrics::Metrics;
@@ -164,6 +166,7 @@
 
 /// Becomes a member once ready, and closes connections that were idle for too long.
 async fn housekeeping(shared: Rc<Shared>) {
+    let mut suspensions = Watch::new();
     loop {
         let joined = shared.members.borrow().joined();
         if !joined && shared.is_ready() {
@@ -174,6 +177,9 @@
         shared.links.sweep();
         let begun = shared.clock.now();
         sleep(HOUSEKEEPING).await;
+        if let Some(time) = suspensions.look() {
+            log::warn!(kind = "suspended", ms = time.as_millis() as u64; "the machine was suspended");
+        }
         let slept = shared.clock.now().since(begun);
         shared.note_late(slept.saturating_sub(HOUSEKEEPING));
         if slept > PAUSED {
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -6,6 +6,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use boottime::Instant;
+use boottime::timer::timeout;
 use bytes::Bytes;
 use http::Request;
 use http::Response;
@@ -17,8 +19,6 @@
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use tokio::time::Instant;
-use tokio::time::timeout;
 
 /// Time for a new connection; a round trip takes a few milliseconds, and a machine without power
 /// answers never.
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use boottime::timer::sleep;
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
@@ -13,7 +14,6 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::time::sleep;
 
 use crate::body::Body;
 use crate::links;
--- a/crates/gateway/src/phase.rs
+++ b/crates/gateway/src/phase.rs
@@ -8,12 +8,12 @@
 use std::task::Poll;
 use std::time::Duration;
 
+use boottime::Instant;
+use boottime::timer::sleep_until;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
-use tokio::time::Instant;
-use tokio::time::sleep_until;
 
 /// What a connection is doing.
 #[derive(Debug, Clone, Copy)]
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -5,6 +5,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use boottime::Instant;
+use boottime::timer::timeout;
 use http::Method;
 use http::StatusCode;
 use platform::engine as wire;
@@ -15,8 +17,6 @@
 use relay::server::Key;
 use relay::timing::Kind;
 use relay::timing::Terms;
-use tokio::time::Instant;
-use tokio::time::timeout;
 
 use crate::ask;
 use crate::ask::Call;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -3,6 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use boottime::Instant;
+use boottime::timer::sleep;
+use boottime::timer::timeout_at;
 use bytes::Bytes;
 use http::HeaderMap;
 use http::Response;
@@ -17,9 +20,6 @@
 use relay::plan::Mode;
 use relay::replica::Stage;
 use relay::server::Key;
-use tokio::time::Instant;
-use tokio::time::sleep;
-use tokio::time::timeout_at;
 
 use crate::body::Body;
 use crate::job::Job;
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use boottime::Instant;
+use boottime::timer::timeout_at;
 use http::StatusCode;
 use platform::caller::Task;
 use platform::engine::Prefill;
@@ -11,8 +13,6 @@
 use relay::permit::Work;
 use relay::replica::Stage;
 use relay::server::Key;
-use tokio::time::Instant;
-use tokio::time::timeout_at;
 
 use crate::ask;
 use crate::job::Job;
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -6,19 +6,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use boottime::Instant;
+use boottime::timer::timeout_at;
 use relay::fingerprint::Fingerprint;
-use relay::quarantine::Record;
-use tokio::time::Instant;
-use tokio::time::sleep;
-use tokio::time::timeout_at;
 
 use crate::clock;
-use crate::exchange;
 use crate::gossip;
 use crate::shared::Shared;
 
-pub use inquiry::Inquiries;
-
 /// When a record is told, counted from the end of the replica: datagrams may be lost, and a request that comes
 /// again some seconds later must meet daemons that know of it.
 const ROUNDS: [Duration; 3] = [
@@ -26,15 +21,8 @@
     Duration::from_millis(250),
     Duration::from_secs(1),
 ];
-/// Records in one datagram: 75 bytes each, and 200 for its head.
-const MAX_TOLD: usize = 12;
 /// Time between two looks for records whose time is over.
 const SWEEP_PERIOD: Duration = Duration::from_mins(1);
-/// Time that datagrams on their way get before a peer whose records differ is asked for them.
-const PATIENCE: Duration = Duration::from_millis(300);
-/// Pause after such a question.
-const PAUSE: Duration = Duration::from_millis(700);
-
 /// A record that is to be told.
 #[derive(Debug, Clone, Copy)]
 struct Telling {
@@ -94,28 +82,6 @@
     }
     let peers = shared.members.borrow().peers();
     for peer in peers {
-        tell(shared, peer, &records).await;
-    }
-}
-
-/// Tells the daemon at `peer` of `records`.
-pub async fn tell(shared: &Shared, peer: std::net::SocketAddr, records: &[Record]) {
-    for some in records.chunks(MAX_TOLD) {
-        gossip::tell_records(shared, peer, some.to_vec()).await;
+        gossip::tell_records(shared, peer, &records).await;
     }
 }
-
-/// Compares records with `peer`, whose hash of them is `digest`, once what is on its way has come.
-pub fn compare(shared: Rc<Shared>, peer: std::net::SocketAddr, digest: u64) {
-    if !shared.inquiries.begin_comparing() {
-        return;
-    }
-    tokio::task::spawn_local(async move {
-        sleep(PATIENCE).await;
-        if shared.quarantine.borrow().digest() != digest {
-            exchange::ask(&shared, peer).await;
-            sleep(PAUSE).await;
-        }
-        shared.inquiries.end_comparing();
-    });
-}
--- a/crates/gateway/src/quarantine/kept.rs
+++ b/crates/gateway/src/quarantine/kept.rs
@@ -4,13 +4,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use boottime::timer::sleep;
 use platform::store::Edit;
 use platform::store::Row;
 use relay::fingerprint::Fingerprint;
 use relay::quarantine::End;
 use relay::quarantine::Record;
 use relay::quarantine::UnixMs;
-use tokio::time::sleep;
 
 use crate::clock;
 use crate::shared::Shared;
--- a/crates/gateway/src/reload.rs
+++ b/crates/gateway/src/reload.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::time::sleep;
+use boottime::timer::sleep;
 
 use crate::settings::Settings;
 use crate::shared::Shared;
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use boottime::Instant;
 use bytes::Bytes;
 use http::HeaderMap;
 use http::Response;
@@ -16,7 +17,6 @@
 use relay::permit::Work;
 use relay::plan::Mode;
 use relay::server::Key;
-use tokio::time::Instant;
 
 use crate::guard::Claim;
 use crate::job::Job;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -35,11 +35,11 @@
 
 use crate::card::Card;
 use crate::clock::Clock;
+use crate::inquiries::Inquiries;
 use crate::links::Links;
 use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::news::News;
-use crate::quarantine::Inquiries;
 use crate::settings::Settings;
 use crate::store::Store;
 
--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -11,6 +11,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use boottime::Instant;
+use boottime::timer::sleep;
 use http::Method;
 use http::StatusCode;
 use ident::Pool;
@@ -24,8 +26,6 @@
 use relay::server::Key;
 use serde::Deserialize;
 use serde::Serialize;
-use tokio::time::Instant;
-use tokio::time::sleep;
 
 use crate::ask;
 use crate::ask::Call;
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -3,14 +3,14 @@
 use std::path::Path;
 use std::time::Duration;
 
+use boottime::Instant;
+use boottime::timer::sleep;
+use boottime::timer::sleep_until;
+use boottime::timer::timeout;
 use launch::error::Error;
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
-use tokio::time::Instant;
-use tokio::time::sleep;
-use tokio::time::sleep_until;
-use tokio::time::timeout;
 
 use crate::reload;
 use crate::shared::RESERVE;
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use boottime::timer::timeout;
 use bytes::Bytes;
 use http::Method;
 use http::Request;
@@ -18,7 +19,6 @@
 use platform::store::Rows;
 use prometheus::IntCounterVec;
 use tokio::sync::Notify;
-use tokio::time::timeout;
 
 use crate::links::Failure;
 use crate::links::Links;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -3,12 +3,12 @@
 
 use std::rc::Rc;
 
+use boottime::timer::timeout_at;
 use http::Response;
 use http::StatusCode;
 use relay::attempt::Attempt;
 use relay::attempt::Next;
 use relay::attempt::Outcome;
-use tokio::time::timeout_at;
 
 use crate::body::Body;
 use crate::flow;
--- a/crates/gateway/src/track.rs
+++ b/crates/gateway/src/track.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use boottime::Instant;
+use boottime::timer::timeout_at;
 use relay::rescue;
 use relay::rescue::Move;
 use relay::runs::Id;
@@ -11,8 +13,6 @@
 use relay::server::Key;
 use relay::teller::Teller;
 use tokio::sync::watch;
-use tokio::time::Instant;
-use tokio::time::timeout_at;
 
 use crate::gossip;
 use crate::shared::Shared;
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -7,13 +7,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use boottime::Instant;
+use boottime::timer::sleep;
+use boottime::timer::timeout;
 use platform::plan;
 use platform::replica;
 use platform::store::Rows;
 use relay::replica::Update;
-use tokio::time::Instant;
-use tokio::time::sleep;
-use tokio::time::timeout;
 
 use crate::exchange;
 use crate::gossip;
--- a/crates/gateway/src/watch/instances.rs
+++ b/crates/gateway/src/watch/instances.rs
@@ -3,9 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use boottime::timer::sleep;
 use platform::store::Row;
 use platform::store::Rows;
-use tokio::time::sleep;
 
 use crate::card::Card;
 use crate::shared::Shared;
--- a/crates/logs/src/queue.rs
+++ b/crates/logs/src/queue.rs
@@ -10,8 +10,8 @@
 use std::sync::mpsc::SyncSender;
 use std::thread;
 use std::time::Duration;
-use std::time::Instant;
 
+use boottime::Instant;
 use flexi_logger::DeferredNow;
 use flexi_logger::writers::LogWriter;
 use log::Record;
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use boottime::timer;
 use bytes::Bytes;
 use http::Method;
 use http::StatusCode;
@@ -156,7 +157,7 @@
             let body = body.map_err(|e| self.lost(step, e.to_string()))?;
             Ok(Answer { status, body })
         };
-        match tokio::time::timeout(self.timeout, exchange).await {
+        match timer::timeout(self.timeout, exchange).await {
             Ok(answer) => answer,
             Err(elapsed) => Err(self.lost(step, elapsed.to_string())),
         }
