Take a request for served only where a replica answered with success

Cause: a replica that fails in its own way answers 500 at once; a request that would end a sound replica was taken for served, and the ends of the next minute did not count. Found by reading the code; the test failed first (502 in place of 503). Also, rows of held requests are read at each start: whether it is the whole system's first one is not known for sure to a daemon that is started again early.

--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -63,8 +63,7 @@
         attempt.sent();
         let may_leave = attempt.may_move_on();
         let sent = send_to(shared, &job, key, permit, may_leave, &tried).await;
-        if matches!(sent, Sent::Answered(_)) {
-            // With a failure of its own, too: the replica has run it and is there.
+        if matches!(&sent, Sent::Answered(answer) if answer.status.is_success()) {
             shared.note_served(job.fingerprint);
         }
         let next = match sent {
--- a/crates/gateway/src/quarantine/kept.rs
+++ b/crates/gateway/src/quarantine/kept.rs
@@ -30,11 +30,8 @@
 
 /// Reads the records once, then writes those that this daemon notes, forever.
 pub async fn run(shared: Rc<Shared>) {
-    // Nothing was kept before the whole system's first start.
-    if !shared.settings().first_start {
-        while !restore(&shared).await {
-            sleep(PAUSE).await;
-        }
+    while !restore(&shared).await {
+        sleep(PAUSE).await;
     }
     let mut unkept = HashSet::new();
     loop {
--- a/crates/gateway/tests/gateway/quarantine.rs
+++ b/crates/gateway/tests/gateway/quarantine.rs
@@ -155,6 +155,27 @@
     assert_eq!(runs(&decode), ENDED);
 }
 
+/// A replica that fails in its own way rejects what would end a sound one.
+#[test]
+fn a_request_that_a_replica_failed_was_not_served() {
+    let script = |request: &Message| match request.header("request-id") {
+        Some("f1") => Act::Send(signed(request, 500, b"failed")),
+        _ => Act::Crash(Vec::new()),
+    };
+    let ids = (1..=REPLICAS).map(|number| format!("i-{number}"));
+    let replicas: Vec<Replica> = ids.map(|id| Replica::start(&id, script)).collect();
+    let listed: Vec<_> = replicas.iter().map(|r| (r, "app", "")).collect();
+    let site = Site::start("failed-first", &listed);
+    assert_eq!(site.ask("POST /book/lorry", "f1").status(), 500);
+    for number in 0..ENDED {
+        let told = site.ask("POST /book/lorry", &format!("c{number}"));
+        assert_eq!(told.status(), 502);
+    }
+    until_held(&site.daemon);
+    assert_eq!(site.ask("POST /book/lorry", "q1").status(), 503);
+    assert_eq!(runs(&replicas), 1 + ENDED);
+}
+
 /// A daemon that was cut off while the others were told has to hear of it afterwards, from any of them.
 #[test]
 fn a_daemon_that_was_told_nothing_hears_of_it_from_its_peers() {
