Hold requests by what is still being found out, and tell daemons that start

Change: a replica that broke off and answers no question for 1 s counts as ended; a request waits, and is then held, where ends and open questions together reach three, unless it was served lately; a daemon that starts asks a peer for all records; rows are written for suspect requests alone, and cleared ones only if they had been written. The soak counts the sends that reach replicas once the daemons are in touch: three at most, as the users allow.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -52,6 +52,8 @@
     instances: u32,
     /// Requests under which replicas ended, as the asker knows.
     quarantine: Vec<Record>,
+    /// Whether the asker has to be told of all of these, and not of the suspect ones alone.
+    all_records: bool,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -115,6 +117,7 @@
         digest: shared.pool.borrow().digest(),
         instances: shared.members.borrow().known() as u32,
         quarantine: shared.quarantine.borrow().suspects(),
+        all_records: !shared.inquiries.has_caught_up(),
     };
     match timeout(ASK_TIMEOUT, question(peer, &ask)).await {
         Ok(Ok(told)) => {
@@ -136,6 +139,7 @@
         shared.members.borrow_mut().learn(card);
     }
     shared.take_records("peer", &told.quarantine);
+    shared.inquiries.catch_up();
     if let Some(plan) = told.plan {
         shared.take_plan("peer", plan);
     }
@@ -204,7 +208,12 @@
 
 fn shared_view(shared: &Shared, ask: &Ask) -> Tell {
     let mut records = shared.take_records("peer", &ask.quarantine);
-    records.extend(shared.quarantine.borrow().suspects());
+    let quarantine = shared.quarantine.borrow();
+    records.extend(if ask.all_records {
+        quarantine.all()
+    } else {
+        quarantine.suspects()
+    });
     let members = shared.members.borrow();
     let knows_more = members.known() as u32 > ask.instances;
     Tell {
--- a/crates/gateway/src/inquiries.rs
+++ b/crates/gateway/src/inquiries.rs
@@ -25,6 +25,8 @@
     unkept_changed: Notify,
     closed: Notify,
     comparing: Cell<bool>,
+    /// Whether a peer has told all of its records since this daemon started.
+    caught_up: Cell<bool>,
 }
 
 impl Inquiries {
@@ -44,11 +46,10 @@
         requests.insert(fingerprint);
     }
 
-    /// Has the record of the request told and kept.
+    /// Has the other daemons told of the request.
     pub fn tell(&self, fingerprint: Fingerprint) {
         self.untold.borrow_mut().insert(fingerprint);
         self.changed.notify_one();
-        self.keep(fingerprint);
     }
 
     /// Has the record of the request kept in the store.
@@ -92,11 +93,23 @@
         self.comparing.set(false);
     }
 
-    /// Whether it is being found out what became of a replica that was at work on the request.
-    pub fn concerns(&self, fingerprint: Fingerprint) -> bool {
+    /// Whether a peer has told all of its records since this daemon started.
+    pub fn has_caught_up(&self) -> bool {
+        self.caught_up.get()
+    }
+
+    /// Notes that a peer has.
+    pub fn catch_up(&self) {
+        self.caught_up.set(true);
+    }
+
+    /// Lost replicas that were at work on the request, and of which it is being found out whether they ended.
+    pub fn count(&self, fingerprint: Fingerprint) -> usize {
         let open = self.open.borrow();
-        open.values()
-            .any(|requests| requests.contains(&fingerprint))
+        let with = open
+            .values()
+            .filter(|requests| requests.contains(&fingerprint));
+        with.count()
     }
 
     /// Gives the requests that the lost replica behind `key` was at work on, once it is asked no longer.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -152,6 +152,10 @@
     spawn_local(track::run(Rc::clone(&shared)));
     spawn_local(quarantine::run(Rc::clone(&shared)));
     spawn_local(quarantine::kept::run(Rc::clone(&shared)));
+    // Nobody has records when all start together for the first time.
+    if !settings.first_start {
+        spawn_local(quarantine::catch_up(Rc::clone(&shared)));
+    }
     spawn_local(reload::follow(Rc::clone(&shared), path.to_owned()));
     spawn_local(housekeeping(Rc::clone(&shared)));
     let own = Rc::clone(&shared);
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -7,10 +7,12 @@
 use std::time::Duration;
 
 use boottime::Instant;
+use boottime::timer::sleep;
 use boottime::timer::timeout_at;
 use relay::fingerprint::Fingerprint;
 
 use crate::clock;
+use crate::exchange;
 use crate::gossip;
 use crate::shared::Shared;
 
@@ -23,6 +25,11 @@
 ];
 /// Time between two looks for records whose time is over.
 const SWEEP_PERIOD: Duration = Duration::from_mins(1);
+/// Pause between two looks for a peer to ask at the start.
+const LOOK_AGAIN: Duration = Duration::from_millis(100);
+/// Such looks at most; a daemon that is alone has nobody to ask.
+const MAX_TRIES: u32 = 30;
+
 /// A record that is to be told.
 #[derive(Debug, Clone, Copy)]
 struct Telling {
@@ -85,3 +92,20 @@
         gossip::tell_records(shared, peer, &records).await;
     }
 }
+
+/// Asks a peer for all records once this daemon has started; the store has only those that nearly hold a request.
+pub async fn catch_up(shared: Rc<Shared>) {
+    while !shared.is_ready() {
+        sleep(LOOK_AGAIN).await;
+    }
+    for _ in 0..MAX_TRIES {
+        if shared.inquiries.has_caught_up() {
+            return;
+        }
+        let peers = shared.members.borrow().peers();
+        if let Some(peer) = peers.get(rand::random_range(0..peers.len().max(1))) {
+            exchange::ask(&shared, *peer).await;
+        }
+        sleep(LOOK_AGAIN).await;
+    }
+}
--- a/crates/gateway/src/quarantine/inquiry.rs
+++ b/crates/gateway/src/quarantine/inquiry.rs
@@ -7,19 +7,21 @@
 use boottime::timer::sleep;
 use boottime::timer::timeout;
 use relay::fingerprint::Fingerprint;
+use relay::quarantine::LIMIT;
 use relay::server::Key;
 
 use crate::ask;
 use crate::ask::Presence;
+use crate::clock;
 use crate::shared::Shared;
 
 /// Pause between two questions to a replica that does not answer.
 const ASK_AGAIN: Duration = Duration::from_millis(300);
-/// Time after which a replica that does not answer and is still listed is no longer asked. Entries of replicas
-/// that end without a word are removed within 3.6 s.
-const GIVE_UP: Duration = Duration::from_millis(4_500);
-/// Time that a suspect request waits for what is being found out, before it is sent again: a replica that is
-/// there answers within some milliseconds, and a port that is closed refuses as soon.
+/// Time after which a replica that answers no question counts as ended: its answer broke off, and who sends the
+/// request again must know by then. The list would tell up to 3.6 s after the end.
+const GIVE_UP: Duration = Duration::from_secs(1);
+/// Time that a request waits for what is being found out, before it is sent again: a replica that is there
+/// answers within some milliseconds, and a port that is closed refuses as soon.
 const VERDICT: Duration = Duration::from_millis(400);
 
 /// Finds out whether `replica`, behind `key`, ended.
@@ -31,7 +33,7 @@
         presence = ask::presence(&shared, key).await;
     }
     for fingerprint in shared.inquiries.take_requests(key) {
-        if presence == Presence::Ended {
+        if presence != Presence::Here {
             shared.note_end(fingerprint, replica);
         }
     }
@@ -40,23 +42,29 @@
 }
 
 impl Shared {
-    /// Waits for what is being found out about a request that one more ended replica would hold.
-    pub async fn inquired(&self, fingerprint: Fingerprint) {
-        let is_suspect = |shared: &Self| {
-            let quarantine = shared.quarantine.borrow();
-            let record = quarantine.get(fingerprint);
-            record.is_some_and(|record| record.is_suspect() && !record.is_held())
-        };
-        let verdict = async {
+    /// Whether the request may be sent to a replica. Waits for a short time where replicas that were lost with
+    /// it may have ended, and would hold it together with those that have.
+    pub async fn may_send(&self, fingerprint: Fingerprint) -> bool {
+        let decided = async {
             loop {
                 let closed = self.inquiries.closed();
-                if !is_suspect(self) || !self.inquiries.concerns(fingerprint) {
-                    return;
+                if self.held_for(fingerprint).is_some() {
+                    return false;
+                }
+                if !self.is_in_question(fingerprint) {
+                    return true;
                 }
                 closed.await;
             }
         };
-        // Without a verdict in time it goes on like any other.
-        let _ = timeout(VERDICT, verdict).await;
+        timeout(VERDICT, decided).await.unwrap_or(false)
+    }
+
+    /// Whether the replicas that were lost with the request would hold it if all of them have ended.
+    fn is_in_question(&self, fingerprint: Fingerprint) -> bool {
+        let quarantine = self.quarantine.borrow();
+        let ends = quarantine.get(fingerprint).map_or(0, |r| r.ends.len());
+        ends + self.inquiries.count(fingerprint) >= LIMIT
+            && !quarantine.is_innocent(clock::unix(), fingerprint)
     }
 }
--- a/crates/gateway/src/quarantine/kept.rs
+++ b/crates/gateway/src/quarantine/kept.rs
@@ -40,7 +40,6 @@
             sleep(GATHER).await;
         }
         unkept.extend(shared.inquiries.take_unkept());
-        unkept.retain(|fingerprint| is_suspect(&shared, *fingerprint));
         let rows: Vec<Edit> = unkept.iter().flat_map(|f| rows(&shared, *f)).collect();
         let mut kept = true;
         for some in rows.chunks(MAX_ROWS) {
@@ -54,13 +53,6 @@
     }
 }
 
-/// Whether the record is kept: one more end would hold the request, or it was cleared.
-fn is_suspect(shared: &Shared, fingerprint: Fingerprint) -> bool {
-    let quarantine = shared.quarantine.borrow();
-    let record = quarantine.get(fingerprint);
-    record.is_some_and(|record| record.is_suspect() || record.served > UnixMs(0))
-}
-
 fn rows(shared: &Shared, fingerprint: Fingerprint) -> Vec<Edit> {
     let quarantine = shared.quarantine.borrow();
     let Some(record) = quarantine.get(fingerprint) else {
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -55,10 +55,10 @@
         Task::Prefill => Work::Read,
         _ => Work::Run,
     };
-    shared.inquired(job.fingerprint).await;
-    let sent = match shared.held_for(job.fingerprint) {
-        None => send_once(shared, job, key, task, reservation).await,
-        Some(_) => Err(Outcome::Held),
+    let sent = if shared.may_send(job.fingerprint).await {
+        send_once(shared, job, key, task, reservation).await
+    } else {
+        Err(Outcome::Held)
     };
     if matches!(sent, Err(Outcome::NotSent | Outcome::Held)) {
         job.allowance.borrow_mut().put(work, permit);
--- a/crates/gateway/src/shared/quarantine.rs
+++ b/crates/gateway/src/shared/quarantine.rs
@@ -31,28 +31,31 @@
     /// Notes that `replica` ended while at work on the request `fingerprint`, and has that told and kept.
     pub fn note_end(&self, fingerprint: Fingerprint, replica: u64) {
         let now = clock::unix();
-        let change = self
-            .quarantine
-            .borrow_mut()
-            .note_end(now, fingerprint, replica);
-        let quarantine = self.quarantine.borrow();
+        let mut quarantine = self.quarantine.borrow_mut();
+        let change = quarantine.note_end(now, fingerprint, replica);
         let ends = quarantine.get(fingerprint).map_or(0, |r| r.ends.len());
+        let is_suspect = quarantine.get(fingerprint).is_some_and(Record::is_suspect);
+        drop(quarantine);
         log::info!(kind = "suspect", content = fingerprint.to_string(), replica = format!("{replica:016x}"), ends = ends as u64, change = format!("{change:?}"); "a replica ended while at work on a request");
         if matches!(change, Change::Held | Change::Other) {
             self.inquiries.tell(fingerprint);
+            if is_suspect {
+                self.inquiries.keep(fingerprint);
+            }
         }
-        drop(quarantine);
         self.note_change("own", fingerprint, change);
     }
 
     /// Notes that a replica served the request.
     pub fn note_served(&self, fingerprint: Fingerprint) {
         let now = clock::unix();
-        let cleared = self.quarantine.borrow_mut().note_served(now, fingerprint);
-        if cleared {
-            self.inquiries.tell(fingerprint);
-            self.note_change("own", fingerprint, Change::Other);
+        let blamed = self.quarantine.borrow_mut().note_served(now, fingerprint);
+        let Some(blamed) = blamed else { return };
+        self.inquiries.tell(fingerprint);
+        if blamed.is_suspect() {
+            self.inquiries.keep(fingerprint);
         }
+        self.note_change("own", fingerprint, Change::Other);
     }
 
     /// Takes records that a peer or the store told; gives those of which the teller has to hear that the
--- a/crates/gateway/tests/gateway/common/http.rs
+++ b/crates/gateway/tests/gateway/common/http.rs
@@ -1,5 +1,6 @@
 //! Just enough HTTP/1.1 to see and send exact bytes.
 
+use std::collections::HashMap;
 use std::io;
 use std::io::Read;
 use std::io::Write;
@@ -118,7 +119,8 @@
 pub struct Server {
     /// Where it listens.
     pub address: SocketAddr,
-    sockets: Arc<Mutex<Vec<TcpStream>>>,
+    /// Open connections, by number.
+    sockets: Arc<Mutex<HashMap<usize, TcpStream>>>,
     stopped: Arc<AtomicBool>,
 }
 
@@ -134,17 +136,19 @@
         let own = server.clone();
         let each = Arc::new(each);
         thread::spawn(move || {
-            for socket in listener.incoming() {
+            for (number, socket) in listener.incoming().enumerate() {
                 if own.stopped.load(Ordering::SeqCst) {
                     return;
                 }
                 let Ok(mut socket) = socket else { continue };
-                own.sockets.lock().unwrap().extend(socket.try_clone());
+                let sockets = Arc::clone(&own.sockets);
+                if let Ok(copy) = socket.try_clone() {
+                    sockets.lock().unwrap().insert(number, copy);
+                }
                 let each = Arc::clone(&each);
                 thread::spawn(move || {
                     each(&mut socket);
-                    // The copy that `stop` shuts down would keep it open.
-                    let _ = socket.shutdown(Shutdown::Both);
+                    sockets.lock().unwrap().remove(&number);
                 });
             }
         });
@@ -159,7 +163,7 @@
         while TcpStream::connect(self.address).is_ok() {
             thread::sleep(Duration::from_millis(1));
         }
-        for socket in self.sockets.lock().unwrap().drain(..) {
+        for (_, socket) in self.sockets.lock().unwrap().drain() {
             // One that is closed already needs nothing.
             let _ = socket.shutdown(Shutdown::Both);
         }
--- a/crates/gateway/tests/soak/callers.rs
+++ b/crates/gateway/tests/soak/callers.rs
@@ -13,10 +13,17 @@
 use crate::ledger::Kind;
 use crate::ledger::Told;
 use crate::world::DAEMONS;
+use crate::world::FATAL;
 use crate::world::World;
 
 /// How long a caller waits for the end of an answer.
 const PATIENCE: Duration = Duration::from_secs(3);
+/// Replicas that may end under one request.
+const ENDS: usize = 3;
+/// Sends of it that may reach replicas after that: a daemon that was killed takes with it what it alone had seen.
+const MAX_SENDS: usize = 3;
+/// Time in which all daemons know that a replica ended: the row of one that ends is removed after 1.3 s.
+const KNOWN: Duration = Duration::from_secs(3);
 /// Log lines that are shown of a daemon that does not serve.
 const LAST_LINES: usize = 12;
 /// Requests of each kind that have to be served at each daemon in the end.
@@ -36,6 +43,69 @@
     }
 }
 
+/// Sends the request under which replicas end, each attempt with an id of its own, until the run ends.
+pub fn run_fatal(world: &World, seed: u64) {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    while !world.ended() {
+        ask_fatal(
+            world,
+            rng.random_range(0..DAEMONS),
+            &rng.random::<u64>().to_string(),
+        );
+        thread::sleep(Duration::from_millis(rng.random_range(50..800)));
+    }
+}
+
+/// Whether the request under which replicas end reaches none any more, wherever it comes, but for a few sends:
+/// three have ended, and the daemons were in touch for some seconds.
+///
+/// # Errors
+/// How many it reached.
+pub fn is_held(world: &World) -> Result<(), String> {
+    while world.ledger.ends() < ENDS {
+        ask_fatal(world, 0, &format!("fatal-{}", rand::random::<u64>()));
+        thread::sleep(KNOWN);
+    }
+    let before = world.ledger.sends();
+    for seat in (0..DAEMONS).cycle().take(DAEMONS * LAST_ROUND) {
+        ask_fatal(world, seat, &format!("fatal-{}", rand::random::<u64>()));
+    }
+    match world.ledger.sends() - before {
+        0..=MAX_SENDS => Ok(()),
+        sends => Err(format!(
+            "a request under which {} replicas ended reached {sends} more; the daemons' lines of it:\n    {}",
+            world.ledger.ends(),
+            told_of_ends(world).join("\n    ")
+        )),
+    }
+}
+
+/// What the daemons logged of replicas that ended while at work.
+fn told_of_ends(world: &World) -> Vec<String> {
+    let kinds = ["suspect", "quarantine", "inquiry"].map(|kind| format!("\"kind\":\"{kind}\""));
+    let lines = world.seats.iter().flat_map(|seat| {
+        let daemon = seat.daemon.lock().unwrap();
+        kinds
+            .iter()
+            .flat_map(|kind| daemon.logged(kind))
+            .collect::<Vec<_>>()
+    });
+    lines.collect()
+}
+
+fn ask_fatal(world: &World, seat: usize, id: &str) {
+    let limit = PATIENCE.as_millis().to_string();
+    let headers = [
+        ("Request-Id", id),
+        ("Deadline-Ms", &limit),
+        ("Token-Counts", "100,20"),
+    ];
+    let address = world.seats[seat].callers;
+    if let Ok(mut caller) = Caller::new(address) {
+        caller.ask(&format!("POST {FATAL}"), &headers, b"");
+    }
+}
+
 /// Whether all daemons serve every kind of request again within `limit`.
 ///
 /// # Errors
--- a/crates/gateway/tests/soak/faults.rs
+++ b/crates/gateway/tests/soak/faults.rs
@@ -49,10 +49,13 @@
             6 => world.change_config(),
             7 => world.replace_replica(way),
             _ => {
-                let proxy = world.ways.lock().unwrap()[way].1.clone();
-                proxy.set(harm);
-                thread::sleep(length);
-                proxy.set(Harm::None);
+                let proxy = world.ways.lock().unwrap().get(way).map(|way| way.1.clone());
+                // One that ended just now needs no harm.
+                if let Some(proxy) = proxy {
+                    proxy.set(harm);
+                    thread::sleep(length);
+                    proxy.set(Harm::None);
+                }
             }
         }));
         thread::sleep(Duration::from_millis(rng.random_range(50..700)));
--- a/crates/gateway/tests/soak/ledger.rs
+++ b/crates/gateway/tests/soak/ledger.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// Events of a complete stream.
@@ -46,6 +48,10 @@
 pub struct Ledger {
     runs: Mutex<HashMap<String, u32>>,
     told: Mutex<Vec<(String, Told)>>,
+    /// Replicas that were reached by the request under which they end.
+    reached: AtomicUsize,
+    /// Those that ended.
+    ended: AtomicUsize,
 }
 
 impl Ledger {
@@ -54,6 +60,22 @@
         *self.runs.lock().unwrap().entry(id.to_owned()).or_default() += 1;
     }
 
+    /// Notes that the request under which replicas end reached one, which `ends` or only reads its prompt.
+    pub fn reached(&self, ends: bool) {
+        self.reached.fetch_add(1, Ordering::SeqCst);
+        self.ended.fetch_add(usize::from(ends), Ordering::SeqCst);
+    }
+
+    /// Replicas that it reached so far.
+    pub fn sends(&self) -> usize {
+        self.reached.load(Ordering::SeqCst)
+    }
+
+    /// Replicas that ended under it so far.
+    pub fn ends(&self) -> usize {
+        self.ended.load(Ordering::SeqCst)
+    }
+
     /// Notes what the caller of `id` was told.
     pub fn told(&self, id: &str, told: Told) {
         self.told.lock().unwrap().push((id.to_owned(), told));
@@ -69,7 +91,8 @@
             true => format!("{status}: {count}"),
             false => format!("{status} cut: {count}"),
         });
-        texts.collect::<Vec<_>>().join(", ")
+        let texts = texts.collect::<Vec<_>>().join(", ");
+        format!("{texts}; {} replicas ended", self.ends())
     }
 
     /// Promises that were broken.
--- a/crates/gateway/tests/soak/main.rs
+++ b/crates/gateway/tests/soak/main.rs
@@ -25,7 +25,8 @@
 
 /// Seeds of a run without `SOAK_SEEDS`. Beside the first, seeds that failed once:
 /// 101: SIGHUP came before the daemon took signals and ended it.
-const SEEDS: [u64; 2] = [1, 101];
+/// 3: daemons that were started again knew nothing of replicas that had ended under a request.
+const SEEDS: [u64; 3] = [1, 101, 3];
 /// Length of a run without `SOAK_SECONDS`.
 const SECONDS: u64 = 5;
 /// Callers that send at the same time.
@@ -33,6 +34,9 @@
 /// Time after the last fault in which everything has to work again.
 const RECOVERY: Duration = Duration::from_secs(12);
 
+/// Time after the faults from which on the daemons have to know what each of them saw.
+const IN_TOUCH: Duration = Duration::from_secs(3);
+
 fn seeds() -> Vec<u64> {
     let Ok(text) = env::var("SOAK_SEEDS") else {
         return SEEDS.to_vec();
@@ -75,17 +79,25 @@
             thread::spawn(move || callers::run(&world, seed * 1_000 + number))
         })
         .collect();
+    let fatal = {
+        let world = world.clone();
+        thread::spawn(move || callers::run_fatal(&world, seed))
+    };
     faults::run(&world, seed, Duration::from_secs(seconds()));
     world.heal();
     world.end_callers();
     for caller in callers {
         caller.join().unwrap();
     }
+    fatal.join().unwrap();
     let recovered = callers::recovers(&world, RECOVERY);
+    thread::sleep(IN_TOUCH);
+    let held = callers::is_held(&world);
     // What is still at work at a replica shows within its longest answer.
     thread::sleep(Duration::from_millis(1_500));
     let mut broken = world.ledger.broken();
     broken.extend(recovered.err());
+    broken.extend(held.err());
     println!("seed {seed}: {}", world.ledger.summary());
     broken
 }
--- a/crates/gateway/tests/soak/proxy.rs
+++ b/crates/gateway/tests/soak/proxy.rs
@@ -12,7 +12,7 @@
 
 use socket2::SockRef;
 
-use crate::common::http;
+use crate::common::http::Server;
 
 /// What happens to connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -35,6 +35,7 @@
     /// Where it listens.
     pub address: SocketAddr,
     harm: Arc<Mutex<Harm>>,
+    server: Server,
 }
 
 impl Proxy {
@@ -42,7 +43,7 @@
     pub fn start(target: SocketAddr) -> Self {
         let harm = Arc::new(Mutex::new(Harm::None));
         let shared = Arc::clone(&harm);
-        let address = http::serve("127.0.0.1", move |socket| {
+        let server = Server::start("127.0.0.1", move |socket| {
             let Ok(other) = TcpStream::connect(target) else {
                 return;
             };
@@ -56,7 +57,17 @@
             }
             drop(back.join());
         });
-        Self { address, harm }
+        let address = server.address;
+        Self {
+            address,
+            harm,
+            server,
+        }
+    }
+
+    /// Closes its port, as the end of what is behind it does.
+    pub fn stop(&self) {
+        self.server.stop();
     }
 
     /// Harms connections from now on.
--- a/crates/gateway/tests/soak/world.rs
+++ b/crates/gateway/tests/soak/world.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -35,6 +36,10 @@
 
 /// Daemons of a run.
 pub const DAEMONS: usize = 3;
+/// Path of the request under which each replica ends that runs it.
+pub const FATAL: &str = "/draft/fatal";
+/// Part of the replicas that end whose address refuses afterwards; the others accept and close.
+const REFUSES: f64 = 0.7;
 /// Time around a signal to a daemon in which its requests are excused from being answered.
 const DISTURBED: Duration = Duration::from_secs(3);
 
@@ -125,10 +130,18 @@
         let number = self.replicas.fetch_add(1, Ordering::SeqCst);
         let id = format!("i-{number}");
         let rng = Mutex::new(Pcg64Mcg::seed_from_u64(self.seed * 977 + number));
-        let ledger = Arc::clone(&self.ledger);
+        let world = self.clone();
+        let own = id.clone();
         let replica = Replica::start(&id, move |request| {
             let draw: f64 = rng.lock().unwrap().random();
-            serve(&ledger, stage, request, draw)
+            if request.path() == FATAL {
+                world.ledger.reached(stage == "decode");
+            }
+            if request.path() == FATAL && stage == "decode" {
+                world.end_replica(&own, draw);
+                return Act::Crash(stream_head(request));
+            }
+            serve(&world.ledger, stage, request, draw)
         });
         let proxy = Proxy::start(replica.address);
         let mut row = replica.row(service, stage);
@@ -138,15 +151,40 @@
         self.ways.lock().unwrap().push(way);
     }
 
+    /// Ends the replica `id`, whose address refuses or, by `draw`, falls silent; another one is listed in its place
+    /// some time later.
+    fn end_replica(&self, id: &str, draw: f64) {
+        let mut ways = self.ways.lock().unwrap();
+        let index = ways.iter().position(|(replica, ..)| replica.id == id);
+        let Some(index) = index else { return };
+        let (_, proxy, ..) = ways.remove(index);
+        drop(ways);
+        if draw < REFUSES {
+            proxy.stop();
+        }
+        let world = self.clone();
+        let id = id.to_owned();
+        thread::spawn(move || {
+            thread::sleep(Duration::from_secs_f64(0.3 + draw));
+            world.store.remove("servers", &id);
+            world.add_replica("llm", "decode");
+        });
+    }
+
     /// Lets the replica at `index` drain, and adds one in its place.
     pub fn replace_replica(&self, index: usize) {
-        let (replica, proxy, service, stage) = self.ways.lock().unwrap()[index].clone();
+        let mut ways = self.ways.lock().unwrap();
+        if index >= ways.len() {
+            return;
+        }
+        let (replica, proxy, service, stage) = ways.remove(index);
         let mut row = replica.row(service, stage);
         row["addr"] = json!(proxy.address);
         row["state"] = "draining".into();
-        self.add_replica(service, stage);
+        // Under the lock, so that the row of one that ends is not written again.
         self.store.put("servers", &replica.id, &row);
-        self.ways.lock().unwrap().remove(index);
+        drop(ways);
+        self.add_replica(service, stage);
     }
 
     /// Ends all harm.
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -175,6 +175,14 @@
         record.is_held().then_some(Duration::from_millis(left))
     }
 
+    /// Whether `fingerprint` was served lately, so that no end is put down to it.
+    pub fn is_innocent(&self, now: UnixMs, fingerprint: Fingerprint) -> bool {
+        let own = self.served.get(&fingerprint).copied();
+        let told = self.records.get(&fingerprint).map(|record| record.served);
+        let served = own.max(told).unwrap_or_default();
+        served > UnixMs(0) && now <= served.plus(INNOCENT)
+    }
+
     /// How many requests are held.
     pub const fn held(&self) -> usize {
         self.held
@@ -191,6 +199,11 @@
         suspects.cloned().collect()
     }
 
+    /// All records, for a daemon that starts.
+    pub fn all(&self) -> Vec<Record> {
+        self.records.values().cloned().collect()
+    }
+
     /// Notes that `replica` ended while at work on `fingerprint`.
     pub fn note_end(&mut self, now: UnixMs, fingerprint: Fingerprint, replica: u64) -> Change {
         let mut record = Record::new(fingerprint);
@@ -198,8 +211,8 @@
         self.take(now, &record)
     }
 
-    /// Notes that `fingerprint` was served; whether that clears it of ends that others were told of.
-    pub fn note_served(&mut self, now: UnixMs, fingerprint: Fingerprint) -> bool {
+    /// Notes that `fingerprint` was served; gives its record as it was, if ends were put down to it.
+    pub fn note_served(&mut self, now: UnixMs, fingerprint: Fingerprint) -> Option<Record> {
         if self.served.insert(fingerprint, now).is_none() {
             self.served_order.push_back(fingerprint);
         }
@@ -208,11 +221,9 @@
             first.map(|first| self.served.remove(&first));
         }
         let record = self.records.get(&fingerprint);
-        let is_blamed = record.is_some_and(|record| !record.ends.is_empty());
-        if is_blamed {
-            self.take(now, &Record::served(fingerprint, now));
-        }
-        is_blamed
+        let blamed = record.filter(|record| !record.ends.is_empty()).cloned()?;
+        self.take(now, &Record::served(fingerprint, now));
+        Some(blamed)
     }
 
     /// Takes what another daemon, or the store, told.
--- a/crates/relay/tests/quarantine.rs
+++ b/crates/relay/tests/quarantine.rs
@@ -75,7 +75,10 @@
 #[test]
 fn a_request_that_was_served_lately_is_not_blamed() {
     let mut quarantine = Quarantine::new();
-    assert!(!quarantine.note_served(NOW, REQUEST));
+    assert!(!quarantine.is_innocent(NOW, REQUEST));
+    assert!(quarantine.note_served(NOW, REQUEST).is_none());
+    assert!(quarantine.is_innocent(later(Duration::from_secs(50)), REQUEST));
+    assert!(!quarantine.is_innocent(later(Duration::from_secs(70)), REQUEST));
     for replica in 1..=5 {
         let change = quarantine.note_end(later(Duration::from_secs(50)), REQUEST, replica);
         assert_eq!(change, Change::Innocent);
@@ -110,9 +113,13 @@
 #[test]
 fn an_end_is_withdrawn_when_the_request_is_served() {
     let mut quarantine = after(&[1, 2]);
-    assert!(quarantine.note_served(NOW, REQUEST));
+    assert!(
+        quarantine
+            .note_served(NOW, REQUEST)
+            .is_some_and(|record| record.is_suspect())
+    );
     assert!(quarantine.get(REQUEST).unwrap().ends.is_empty());
-    assert!(!quarantine.note_served(NOW, REQUEST));
+    assert!(quarantine.note_served(NOW, REQUEST).is_none());
 }
 
 #[test]
