Test that daemons which are all killed stay below the budget of retries

Found by looking for the cause of the incident elsewhere: what is counted against a common limit and forgotten at a start. A daemon that starts has its whole share of the slack again; if all are killed with theirs used up, 1.4 of the slack is sent in one window.

--- a/crates/relay/tests/budget.rs
+++ b/crates/relay/tests/budget.rs
@@ -43,3 +43,20 @@
     assert!(budget.take(Time::from_millis(9_900), &RULE, 3).is_none());
     assert_eq!(taken(&mut budget, Time::from_millis(10_100), 3), first);
 }
+
+/// All daemons may be killed at once, when their budgets are used up, and start again knowing nothing of it.
+#[test]
+fn daemons_that_are_all_killed_and_start_again_stay_below_the_rule() {
+    for daemons in [1, 3, 9] {
+        let mut sum = 0;
+        for _ in 0..daemons {
+            let mut before = Budget::new();
+            sum += taken(&mut before, Time::from_millis(60_000), daemons);
+            let mut after = Budget::new();
+            for ms in [0, 3_000, 9_900] {
+                sum += taken(&mut after, Time::from_millis(ms), daemons);
+            }
+        }
+        assert!(sum as f64 <= RULE.slack, "{sum} by {daemons}");
+    }
+}
