Start with a part of the retries that a killed fleet cannot exceed

Cause: a daemon's use of the common budget of retries is forgotten at its end, and its next start had the whole share again. Change: in the first window after a start 0.3 of the slack is shared, then 0.7 as before; together they are the slack. Ruled out: keeping the count in the store (a write a retry), and a part that grows through the window (before its end the sum of both processes passes the slack).

--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -21,8 +21,11 @@
 /// Part of the ratio that is used; the rest covers retries that are counted in a window whose
 /// requests lie just before it.
 const RATIO_PART: f64 = 0.8;
-/// Part of the slack that is used; the rest covers daemons that restart and forget what they sent.
+/// Part of the slack that is used.
 const SLACK_PART: f64 = 0.7;
+/// The same in the first window after the start of the process: all daemons may have been killed with their parts
+/// used up, and know nothing of it. Both parts together are the slack.
+const STARTING_SLACK_PART: f64 = 0.3;
 
 /// Requests and retries of one service at this daemon.
 #[derive(Debug, Default)]
@@ -52,12 +55,16 @@
         Some(Permit::new())
     }
 
-    /// Retries that are left at `now`.
+    /// Retries that are left at `now`, a time since the start of the process.
     pub fn left(&mut self, now: Time, rule: &Rule, daemons: usize) -> f64 {
         forget(&mut self.requests, now, rule.window);
         forget(&mut self.retries, now, rule.window);
         let earned = self.requests.len() as f64 * rule.ratio * RATIO_PART;
-        let share = rule.slack * SLACK_PART / daemons.max(1) as f64;
+        let part = match now.since(Time::ZERO) {
+            age if age < rule.window => STARTING_SLACK_PART,
+            _ => SLACK_PART,
+        };
+        let share = rule.slack * part / daemons.max(1) as f64;
         earned + share - self.retries.len() as f64
     }
 }
