--- a/crates/gateway/tests/gateway/birth.rs
+++ b/crates/gateway/tests/gateway/birth.rs
@@ -142,8 +142,12 @@
         (&two, "llm", "decode"),
     ];
     let site = Site::start("read-again", &replicas);
-    // Enough for one retry.
-    site.change_settings("ratio: 0.2, slack: 50", "ratio: 0.0, slack: 2");
+    // Enough for one retry, in the window that begins with the daemon.
+    let (usual, little) = ("slack: 50, window_s: 10", "slack: 4, window_s: 600");
+    site.change_settings(
+        &format!("ratio: 0.2, {usual}"),
+        &format!("ratio: 0.0, {little}"),
+    );
     let told = generate(&site.daemon, "/resume/1", "a1").read();
     assert!(told.whole);
     assert_eq!(prefill.seen().len(), 1);
