Tell requests with a single end once

When many replicas end together, each of their requests has one end, nearly all of them innocent, and each was told to all daemons three times. The second end tells what was missed of the first. Figures (argued, no run): 110 KB in place of 330 at 400 daemons for one that had requests at a replica that ended.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -17,7 +17,8 @@
 use crate::shared::Shared;
 
 /// When a record is told, counted from the end of the replica: datagrams may be lost, and a request that comes
-/// again some seconds later must meet daemons that know of it.
+/// again some seconds later must meet daemons that know of it. One with a single end is told in the first round
+/// alone: when many replicas end together, thousands of innocent requests have one.
 const ROUNDS: [Duration; 3] = [
     Duration::ZERO,
     Duration::from_millis(250),
@@ -78,10 +79,16 @@
     let now = Instant::now();
     let mut records = Vec::new();
     for telling in tellings.iter_mut() {
-        if telling.due().is_some_and(|due| due <= now) {
-            telling.told += 1;
-            records.extend(shared.quarantine.borrow().get(telling.fingerprint).cloned());
+        if telling.due().is_none_or(|due| due > now) {
+            continue;
         }
+        let quarantine = shared.quarantine.borrow();
+        let record = quarantine.get(telling.fingerprint);
+        let single = record.is_some_and(|record| record.ends.len() == 1);
+        if telling.told == 0 || !single {
+            records.extend(record.cloned());
+        }
+        telling.told += 1;
     }
     tellings.retain(|telling| telling.due().is_some());
     if records.is_empty() {
--- a/crates/gateway/tests/gateway/quarantine.rs
+++ b/crates/gateway/tests/gateway/quarantine.rs
@@ -44,6 +44,18 @@
     ids.map(|id| Replica::start(&id, script)).collect()
 }
 
+/// Applications that answer by `script`.
+fn applications(script: fn(&Message) -> Act) -> Vec<Replica> {
+    let ids = (1..=REPLICAS).map(|number| format!("i-{number}"));
+    ids.map(|id| Replica::start(&id, script)).collect()
+}
+
+/// A daemon in front of applications.
+fn calls(name: &str, replicas: &[Replica]) -> Site {
+    let listed: Vec<_> = replicas.iter().map(|r| (r, "app", "")).collect();
+    Site::start(name, &listed)
+}
+
 fn site(name: &str, prefill: &Replica, decode: &[Replica]) -> Site {
     let decode = decode.iter().map(|replica| (replica, "llm", "decode"));
     let replicas: Vec<_> = decode.chain([(prefill, "llm", "prefill")]).collect();
@@ -104,10 +116,8 @@
 #[test]
 fn a_request_that_ended_three_replicas_is_sent_to_none_if_it_is_a_call() {
     let script = |_: &Message| Act::Crash(Vec::new());
-    let ids = (1..=REPLICAS).map(|number| format!("i-{number}"));
-    let replicas: Vec<Replica> = ids.map(|id| Replica::start(&id, script)).collect();
-    let listed: Vec<_> = replicas.iter().map(|r| (r, "app", "")).collect();
-    let site = Site::start("booked", &listed);
+    let replicas = applications(script);
+    let site = calls("booked", &replicas);
     for number in 0..ENDED {
         let told = site.ask("POST /book/lorry", &format!("c{number}"));
         assert_eq!(told.status(), 502);
@@ -162,10 +172,8 @@
         Some("f1") => Act::Send(signed(request, 500, b"failed")),
         _ => Act::Crash(Vec::new()),
     };
-    let ids = (1..=REPLICAS).map(|number| format!("i-{number}"));
-    let replicas: Vec<Replica> = ids.map(|id| Replica::start(&id, script)).collect();
-    let listed: Vec<_> = replicas.iter().map(|r| (r, "app", "")).collect();
-    let site = Site::start("failed-first", &listed);
+    let replicas = applications(script);
+    let site = calls("failed-first", &replicas);
     assert_eq!(site.ask("POST /book/lorry", "f1").status(), 500);
     for number in 0..ENDED {
         let told = site.ask("POST /book/lorry", &format!("c{number}"));
@@ -222,8 +230,7 @@
     let replicas: Vec<Replica> = (0..=ENDED)
         .map(|number| Replica::start(&format!("i-{number}"), answers))
         .collect();
-    let listed: Vec<_> = replicas.iter().map(|r| (r, "app", "")).collect();
-    let site = Site::start("popular", &listed);
+    let site = calls("popular", &replicas);
     assert_eq!(site.ask("GET /read/stock", "a1").status(), 200);
     // As many as there are replicas, twice: each of these gets one.
     let ids: Vec<String> = (0..2 * replicas.len()).map(|n| format!("w{n}")).collect();
