--- a/crates/gateway/tests/gateway/birth.rs
+++ b/crates/gateway/tests/gateway/birth.rs
@@ -136,12 +136,7 @@
     };
     let one = Replica::start("i-1", script);
     let two = Replica::start("i-2", script);
-    let replicas = [
-        (&prefill, "llm", "prefill"),
-        (&one, "llm", "decode"),
-        (&two, "llm", "decode"),
-    ];
-    let site = Site::start("read-again", &replicas);
+    let site = Site::staged("read-again", &prefill, &[&one, &two]);
     // Enough for one retry, in the window that begins with the daemon.
     let (usual, little) = ("slack: 50, window_s: 10", "slack: 4, window_s: 600");
     site.change_settings(
--- a/crates/gateway/tests/gateway/quarantine.rs
+++ b/crates/gateway/tests/gateway/quarantine.rs
@@ -57,9 +57,7 @@
 }
 
 fn site(name: &str, prefill: &Replica, decode: &[Replica]) -> Site {
-    let decode = decode.iter().map(|replica| (replica, "llm", "decode"));
-    let replicas: Vec<_> = decode.chain([(prefill, "llm", "prefill")]).collect();
-    Site::start(name, &replicas)
+    Site::staged(name, prefill, &decode.iter().collect::<Vec<_>>())
 }
 
 fn runs(replicas: &[Replica]) -> usize {
--- a/crates/gateway/tests/gateway/site.rs
+++ b/crates/gateway/tests/gateway/site.rs
@@ -37,7 +37,14 @@
         Self::with_daemon(replicas, |ip, store| Daemon::start(name, ip, store, &[]))
     }
 
-    /// The same with a daemon whose log lines nobody reads.
+    /// A daemon in front of one replica that reads prompts and some that make tokens.
+    pub fn staged(name: &str, prefill: &Replica, decode: &[&Replica]) -> Self {
+        let decode = decode.iter().map(|replica| (*replica, "llm", "decode"));
+        let replicas: Vec<_> = decode.chain([(prefill, "llm", "prefill")]).collect();
+        Self::start(name, &replicas)
+    }
+
+    /// A daemon in front of `replicas` whose log lines nobody reads.
     pub fn start_unread(name: &str, replicas: &[(&Replica, &str, &str)]) -> Self {
         Self::with_daemon(replicas, |ip, store| {
             Daemon::start_unread(name, ip, store, &[])
--- a/crates/gateway/tests/gateway/stream.rs
+++ b/crates/gateway/tests/gateway/stream.rs
@@ -30,10 +30,7 @@
 fn the_prompt_is_read_at_one_replica_and_the_tokens_are_made_at_another() {
     let prefill = Replica::prefill("i-p");
     let decode = Replica::start("i-d", |request| Act::Send(stream(request, 1, 5)));
-    let site = Site::start(
-        "staged",
-        &[(&prefill, "llm", "prefill"), (&decode, "llm", "decode")],
-    );
+    let site = Site::staged("staged", &prefill, &[&decode]);
     let told = generate(&site.daemon, "/draft/1", "a1").read();
     assert!(told.whole);
     assert_eq!(String::from_utf8_lossy(&told.body), texts(1, 5));
@@ -67,12 +64,7 @@
     };
     let one = Replica::start("i-1", script);
     let two = Replica::start("i-2", script);
-    let replicas = [
-        (&prefill, "llm", "prefill"),
-        (&one, "llm", "decode"),
-        (&two, "llm", "decode"),
-    ];
-    let site = Site::start("lapsed", &replicas);
+    let site = Site::staged("lapsed", &prefill, &[&one, &two]);
     let told = generate(&site.daemon, "/draft/1", "a1").read();
     assert_eq!((told.status(), told.whole), (200, true));
     assert_eq!(one.seen().len() + two.seen().len(), 2);
@@ -117,8 +109,7 @@
 fn a_prompt_that_was_not_read_costs_a_retry() {
     let prefill = Replica::start("i-p", |_| Act::SendAndClose(Vec::new()));
     let decode = Replica::start("i-d", |request| Act::Send(stream(request, 1, 2)));
-    let replicas = [(&prefill, "llm", "prefill"), (&decode, "llm", "decode")];
-    let site = Site::start("unread-prompt", &replicas);
+    let site = Site::staged("unread-prompt", &prefill, &[&decode]);
     site.change_settings("ratio: 0.2, slack: 50", "ratio: 0.0, slack: 0");
     let told = generate(&site.daemon, "/draft/1", "a1").read();
     assert_eq!(told.status(), 503);
@@ -238,12 +229,7 @@
     };
     let one = Replica::start("i-1", script);
     let two = Replica::start("i-2", script);
-    let replicas = [
-        (&prefill, "llm", "prefill"),
-        (&one, "llm", "decode"),
-        (&two, "llm", "decode"),
-    ];
-    let site = Site::start("resumed-late", &replicas);
+    let site = Site::staged("resumed-late", &prefill, &[&one, &two]);
     let told = generate(&site.daemon, "/resume/1", "a1").read();
     assert!(told.whole);
     assert_eq!(String::from_utf8_lossy(&told.body), texts(1, 5));
