Call requests under which replicas ended quarantined

They were called held, which is the word for memory and slots at replicas; the field's term is used throughout. A request that is refused in the middle of its search for a replica tells the quarantine as the cause, and its end as the time to come back. No decision changes.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -52,8 +52,8 @@
 
 /// Serves `job`, unless replicas ended under the same request: then it has not run and will not.
 async fn dispatch(shared: &Rc<Shared>, mut job: Job) -> Response<Body> {
-    match shared.held_for(job.fingerprint) {
-        Some(left) => plain::refuse(&mut job, left, "replicas ended under this request"),
+    match shared.quarantined_for(job.fingerprint) {
+        Some(left) => plain::refuse(shared, &mut job, left, plain::QUARANTINED),
         None if job.route.mode.streams() => stream::serve(shared, job).await,
         None => plain::serve(shared, job).await,
     }
--- a/crates/gateway/src/flow/next.rs
+++ b/crates/gateway/src/flow/next.rs
@@ -88,7 +88,7 @@
                     }
                     return Some(reply);
                 }
-                Ok(_) | Err(Sent::Failed | Sent::Lost | Sent::Held) => break,
+                Ok(_) | Err(Sent::Failed | Sent::Lost | Sent::Quarantined) => break,
                 Err(Sent::NotRun | Sent::NotSent) => {}
             }
         }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -39,6 +39,9 @@
 /// Pause between two looks for a replica.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 
+/// Why a quarantined request is refused.
+pub const QUARANTINED: &str = "replicas ended under this request";
+
 /// A whole answer of a replica.
 #[derive(Debug)]
 struct Answer {
@@ -54,10 +57,10 @@
     let mut failure = None;
     loop {
         let Some(key) = replica(shared, &job, None, &tried).await else {
-            return without_replica(&mut job, &attempt, failure);
+            return without_replica(shared, &mut job, &attempt, failure);
         };
         let Some(permit) = job.permit(Work::Run) else {
-            return without_replica(&mut job, &attempt, failure);
+            return without_replica(shared, &mut job, &attempt, failure);
         };
         tried.push(key);
         attempt.sent();
@@ -86,7 +89,7 @@
         match next {
             Next::Retry => {}
             Next::Relay | Next::Unknown | Next::Refuse => {
-                return without_replica(&mut job, &attempt, failure);
+                return without_replica(shared, &mut job, &attempt, failure);
             }
         }
     }
@@ -232,7 +235,12 @@
 }
 
 /// The answer when no replica is left to try.
-fn without_replica(job: &mut Job, attempt: &Attempt, failure: Option<Answer>) -> Response<Body> {
+fn without_replica(
+    shared: &Shared,
+    job: &mut Job,
+    attempt: &Attempt,
+    failure: Option<Answer>,
+) -> Response<Body> {
     match failure {
         Some(answer) => {
             job.end(
@@ -245,12 +253,21 @@
         None if attempt.may_have_run() => {
             finish(job, "unknown", own::unknown, "the replica was lost")
         }
-        None => refuse(job, own::COME_BACK, "no replica took the request"),
+        None => refuse(shared, job, own::COME_BACK, "no replica took the request"),
     }
 }
 
-/// Refuses `job`, which has not run and may come back after `come_back`.
-pub fn refuse(job: &mut Job, come_back: Duration, cause: &'static str) -> Response<Body> {
+/// Refuses `job`, which has not run and may come back after `come_back`, or when it is quarantined no longer.
+pub fn refuse(
+    shared: &Shared,
+    job: &mut Job,
+    come_back: Duration,
+    cause: &'static str,
+) -> Response<Body> {
+    let (come_back, cause) = match shared.quarantined_for(job.fingerprint) {
+        Some(left) => (left, QUARANTINED),
+        None => (come_back, cause),
+    };
     job.end("refused", 503, cause);
     own::refuse(
         &job.call.id,
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -100,7 +100,7 @@
     }
 }
 
-/// Asks a peer for all records once this daemon has started; the store has only those that nearly hold a request.
+/// Asks a peer for all records once this daemon has started; the store has only those that nearly quarantine a request.
 pub async fn catch_up(shared: Rc<Shared>) {
     while !shared.is_ready() {
         sleep(LOOK_AGAIN).await;
--- a/crates/gateway/src/quarantine/inquiry.rs
+++ b/crates/gateway/src/quarantine/inquiry.rs
@@ -43,12 +43,12 @@
 
 impl Shared {
     /// Whether the request may be sent to a replica. Waits for a short time where replicas that were lost with
-    /// it may have ended, and would hold it together with those that have.
+    /// it may have ended, and would quarantine it together with those that have.
     pub async fn may_send(&self, fingerprint: Fingerprint) -> bool {
         let decided = async {
             loop {
                 let closed = self.inquiries.closed();
-                if self.held_for(fingerprint).is_some() {
+                if self.quarantined_for(fingerprint).is_some() {
                     return false;
                 }
                 if !self.is_in_question(fingerprint) {
@@ -60,7 +60,7 @@
         timeout(VERDICT, decided).await.unwrap_or(false)
     }
 
-    /// Whether the replicas that were lost with the request would hold it if all of them have ended.
+    /// Whether the replicas that were lost with the request would quarantine it if all of them have ended.
     fn is_in_question(&self, fingerprint: Fingerprint) -> bool {
         let quarantine = self.quarantine.borrow();
         let ends = quarantine.get(fingerprint).map_or(0, |r| r.ends.len());
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -38,7 +38,7 @@
 }
 
 /// Sends `job` to the replica `key`, which is to do `task`, and reads the head of the answer. The permit
-/// goes back to the job if no byte of the request left. What waited for a place or a retry meanwhile is held
+/// goes back to the job if no byte of the request left. What waited for a place or a retry meanwhile is quarantined
 /// here, if replicas ended under the same request.
 ///
 /// # Errors
@@ -58,9 +58,9 @@
     let sent = if shared.may_send(job.fingerprint).await {
         send_once(shared, job, key, task, reservation).await
     } else {
-        Err(Outcome::Held)
+        Err(Outcome::Quarantined)
     };
-    if matches!(sent, Err(Outcome::NotSent | Outcome::Held)) {
+    if matches!(sent, Err(Outcome::NotSent | Outcome::Quarantined)) {
         job.allowance.borrow_mut().put(work, permit);
     }
     sent
@@ -151,7 +151,7 @@
         Outcome::NotRun => "unrun",
         Outcome::Failed => "failed",
         Outcome::Lost => "lost",
-        Outcome::Held => "held",
+        Outcome::Quarantined => "quarantined",
     });
     log::info!(kind = "failure", request = job.call.id, content = job.fingerprint.to_string(), replica = replica, outcome = format!("{outcome:?}"), status = status, cause = cause; "a send failed");
 }
--- a/crates/gateway/src/shared/quarantine.rs
+++ b/crates/gateway/src/shared/quarantine.rs
@@ -13,9 +13,9 @@
 
 impl Shared {
     /// Time for which the request is sent to no replica; `None` if it may be sent.
-    pub fn held_for(&self, fingerprint: Fingerprint) -> Option<Duration> {
+    pub fn quarantined_for(&self, fingerprint: Fingerprint) -> Option<Duration> {
         let quarantine = self.quarantine.borrow();
-        quarantine.held_for(clock::unix(), fingerprint)
+        quarantine.quarantined_for(clock::unix(), fingerprint)
     }
 
     /// Notes that the replica behind `key` was lost while at work on the request, and has it found out whether
@@ -37,7 +37,7 @@
         let is_suspect = quarantine.get(fingerprint).is_some_and(Record::is_suspect);
         drop(quarantine);
         log::info!(kind = "suspect", content = fingerprint.to_string(), replica = format!("{replica:016x}"), ends = ends as u64, change = format!("{change:?}"); "a replica ended while at work on a request");
-        if matches!(change, Change::Held | Change::Other) {
+        if matches!(change, Change::Quarantined | Change::Other) {
             self.inquiries.tell(fingerprint);
             if is_suspect {
                 self.inquiries.keep(fingerprint);
@@ -83,14 +83,16 @@
         self.quarantine.borrow_mut().sweep(now);
         self.metrics
             .quarantined
-            .set(self.quarantine.borrow().held() as u64);
+            .set(self.quarantine.borrow().quarantined() as u64);
     }
 
     fn note_change(&self, source: &'static str, fingerprint: Fingerprint, change: Change) {
         let quarantine = self.quarantine.borrow();
-        self.metrics.quarantined.set(quarantine.held() as u64);
-        if change == Change::Held {
-            log::warn!(kind = "quarantine", content = fingerprint.to_string(), source = source, held = quarantine.held() as u64; "replicas ended under a request; it is sent to none any more");
+        self.metrics
+            .quarantined
+            .set(quarantine.quarantined() as u64);
+        if change == Change::Quarantined {
+            log::warn!(kind = "quarantine", content = fingerprint.to_string(), source = source, quarantined = quarantine.quarantined() as u64; "replicas ended under a request; it is sent to none any more");
         }
     }
 }
--- a/crates/gateway/tests/gateway/quarantine.rs
+++ b/crates/gateway/tests/gateway/quarantine.rs
@@ -73,15 +73,15 @@
 }
 
 /// Whether `daemon` tells in its log that it sends the request to no replica any more.
-fn holds(daemon: &Daemon) -> bool {
+fn quarantines(daemon: &Daemon) -> bool {
     !daemon.logged("\"kind\":\"quarantine\"").is_empty()
 }
 
 /// Waits until it does, for so long that what the daemons tell each other has come; whether the request is
 /// sent on all the same is for the test to see.
-fn until_held(daemon: &Daemon) {
+fn until_quarantined(daemon: &Daemon) {
     let end = Instant::now() + SETTLED;
-    while !holds(daemon) && Instant::now() < end {
+    while !quarantines(daemon) && Instant::now() < end {
         thread::sleep(Duration::from_millis(20));
     }
 }
@@ -98,7 +98,7 @@
         let told = generate(&site.daemon, path, &format!("c{number}")).read();
         assert!(!told.whole || told.status() == 503);
     }
-    until_held(&site.daemon);
+    until_quarantined(&site.daemon);
     for number in 0..ENDED {
         let told = generate(&site.daemon, path, &format!("q{number}")).read();
         answers.push((told.status(), told.header("retry-after").is_some()));
@@ -120,7 +120,7 @@
         let told = site.ask("POST /book/lorry", &format!("c{number}"));
         assert_eq!(told.status(), 502);
     }
-    until_held(&site.daemon);
+    until_quarantined(&site.daemon);
     assert_eq!(site.ask("POST /book/lorry", "q1").status(), 503);
     assert_eq!(runs(&replicas), ENDED);
 }
@@ -138,7 +138,7 @@
     crash(&others[0], 1);
     crash(&others[1], 1);
     for daemon in others.iter().chain([&site.daemon]) {
-        until_held(daemon);
+        until_quarantined(daemon);
         generate(daemon, "/draft/crash", "q1").read();
     }
     assert_eq!(runs(&decode), ENDED);
@@ -149,7 +149,7 @@
     let (prefill, decode) = (Replica::prefill("i-p"), fragile(REPLICAS));
     let mut site = site("kept", &prefill, &decode);
     crash(&site.daemon, ENDED);
-    until_held(&site.daemon);
+    until_quarantined(&site.daemon);
     let end = Instant::now() + SETTLED;
     while site.store.keys("quarantine").len() < ENDED && Instant::now() < end {
         thread::sleep(Duration::from_millis(20));
@@ -158,7 +158,7 @@
     site.daemon.kill();
     let next = site.another("kept-2", false);
     next.until_ready();
-    until_held(&next);
+    until_quarantined(&next);
     generate(&next, "/draft/crash", "q1").read();
     assert_eq!(runs(&decode), ENDED);
 }
@@ -177,7 +177,7 @@
         let told = site.ask("POST /book/lorry", &format!("c{number}"));
         assert_eq!(told.status(), 502);
     }
-    until_held(&site.daemon);
+    until_quarantined(&site.daemon);
     assert_eq!(site.ask("POST /book/lorry", "q1").status(), 503);
     assert_eq!(runs(&replicas), 1 + ENDED);
 }
@@ -188,7 +188,7 @@
     let (prefill, decode) = (Replica::prefill("i-p"), fragile(REPLICAS));
     let site = site("unheard", &prefill, &decode);
     crash(&site.daemon, ENDED);
-    until_held(&site.daemon);
+    until_quarantined(&site.daemon);
     // What was told is over by now, and the next daemon learns nothing from the store.
     thread::sleep(Duration::from_millis(1_500));
     for key in site.store.keys("quarantine") {
@@ -196,7 +196,7 @@
     }
     let next = site.another("unheard-2", true);
     next.until_ready();
-    until_held(&next);
+    until_quarantined(&next);
     generate(&next, "/draft/crash", "q1").read();
     assert_eq!(runs(&decode), ENDED);
 }
@@ -249,5 +249,5 @@
         site.daemon.logged("\"presence\":\"Ended\"").len() >= ENDED
     });
     assert_eq!(ask(&site.daemon, "GET /read/stock", "a2").status(), 200);
-    assert!(!holds(&site.daemon));
+    assert!(!quarantines(&site.daemon));
 }
--- a/crates/gateway/tests/soak/callers.rs
+++ b/crates/gateway/tests/soak/callers.rs
@@ -61,7 +61,7 @@
 ///
 /// # Errors
 /// How many it reached.
-pub fn is_held(world: &World) -> Result<(), String> {
+pub fn is_quarantined(world: &World) -> Result<(), String> {
     while world.ledger.ends() < ENDS {
         ask_fatal(world, 0, &format!("fatal-{}", rand::random::<u64>()));
         thread::sleep(KNOWN);
--- a/crates/gateway/tests/soak/main.rs
+++ b/crates/gateway/tests/soak/main.rs
@@ -92,12 +92,12 @@
     fatal.join().unwrap();
     let recovered = callers::recovers(&world, RECOVERY);
     thread::sleep(IN_TOUCH);
-    let held = callers::is_held(&world);
+    let quarantined = callers::is_quarantined(&world);
     // What is still at work at a replica shows within its longest answer.
     thread::sleep(Duration::from_millis(1_500));
     let mut broken = world.ledger.broken();
     broken.extend(recovered.err());
-    broken.extend(held.err());
+    broken.extend(quarantined.err());
     println!("seed {seed}: {}", world.ledger.summary());
     broken
 }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -18,7 +18,7 @@
     /// The request left and no usable answer came; it may have run.
     Lost,
     /// Nothing was sent, since replicas ended while at work on the request; see [`crate::quarantine`].
-    Held,
+    Quarantined,
 }
 
 /// What to do next.
@@ -85,10 +85,10 @@
     pub fn after(&mut self, outcome: Outcome, in_budget: impl FnOnce() -> bool) -> Next {
         match outcome {
             Outcome::Failed | Outcome::Lost => self.runs += 1,
-            Outcome::NotSent | Outcome::NotRun | Outcome::Held => {}
+            Outcome::NotSent | Outcome::NotRun | Outcome::Quarantined => {}
         }
         // A send that never arrived is no load on the service and needs no budget.
-        let may = outcome != Outcome::Held
+        let may = outcome != Outcome::Quarantined
             && self.may_run_again()
             && (outcome == Outcome::NotSent || in_budget());
         match outcome {
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -2,7 +2,7 @@
 //!
 //! A request that ends each replica which runs it comes again, since its caller sees a failure and may come
 //! to any daemon. So each daemon records under which requests replicas ended, the daemons tell each other,
-//! and from [`LIMIT`] ended replicas on the request is held.
+//! and from [`LIMIT`] ended replicas on the request is quarantined.
 //!
 //! Records are merged: ends are collected, and the latest time at which the request was served counts. The
 //! order in which daemons hear of them makes no difference.
@@ -16,10 +16,10 @@
 
 use crate::fingerprint::Fingerprint;
 
-/// Replicas that may end while they are at work on one request before it is held. One or two may end for
+/// Replicas that may end while they are at work on one request before it is quarantined. One or two may end for
 /// a reason of their own while the request is there by chance, and it is sent again.
 pub const LIMIT: usize = 3;
-/// Ends from which on a record is kept in the store and compared between daemons: one more holds the request.
+/// Ends from which on a record is kept in the store and compared between daemons: one more quarantines the request.
 const SUSPECT: usize = LIMIT - 1;
 /// Time after the last end for which a record counts. The request would end replicas again until the engines
 /// are replaced, which takes operators a day.
@@ -83,11 +83,11 @@
     }
 
     /// Whether the request is sent to no replica any more.
-    pub const fn is_held(&self) -> bool {
+    pub const fn is_quarantined(&self) -> bool {
         self.ends.len() >= LIMIT
     }
 
-    /// Whether one more end would hold the request, or it is held.
+    /// Whether one more end would quarantine the request, or it is quarantined.
     pub const fn is_suspect(&self) -> bool {
         self.ends.len() >= SUSPECT
     }
@@ -103,11 +103,11 @@
     }
 
     /// Its part of the hash that daemons compare. Which replicas ended counts only while one more would
-    /// hold the request.
+    /// quarantine the request.
     fn weight(&self) -> u64 {
         let replicas = self.ends.iter().map(|end| end.replica);
         match self {
-            record if record.is_held() => record.fingerprint.0,
+            record if record.is_quarantined() => record.fingerprint.0,
             record if record.is_suspect() => {
                 record.fingerprint.0 ^ replicas.fold(0, u64::wrapping_add)
             }
@@ -135,8 +135,8 @@
 pub enum Change {
     /// Nothing.
     None,
-    /// The request is held from now on.
-    Held,
+    /// The request is quarantined from now on.
+    Quarantined,
     /// An end that was told does not count, since the request was served; the teller is to be told.
     Innocent,
     /// Something else.
@@ -153,8 +153,8 @@
     served_order: VecDeque<Fingerprint>,
     /// Hash of the suspect records; equal sets give equal hashes.
     digest: u64,
-    /// Held requests.
-    held: usize,
+    /// Quarantined requests.
+    quarantined: usize,
 }
 
 impl Quarantine {
@@ -168,11 +168,13 @@
         self.records.get(&fingerprint)
     }
 
-    /// Time for which `fingerprint` is held still; `None` if it is not.
-    pub fn held_for(&self, now: UnixMs, fingerprint: Fingerprint) -> Option<Duration> {
+    /// Time for which `fingerprint` stays quarantined; `None` if it is not.
+    pub fn quarantined_for(&self, now: UnixMs, fingerprint: Fingerprint) -> Option<Duration> {
         let record = self.records.get(&fingerprint)?;
         let left = record.expires().0.checked_sub(now.0)?;
-        record.is_held().then_some(Duration::from_millis(left))
+        record
+            .is_quarantined()
+            .then_some(Duration::from_millis(left))
     }
 
     /// Whether `fingerprint` was served lately, so that no end is put down to it.
@@ -183,12 +185,12 @@
         served > UnixMs(0) && now <= served.plus(INNOCENT)
     }
 
-    /// How many requests are held.
-    pub const fn held(&self) -> usize {
-        self.held
+    /// How many requests are quarantined.
+    pub const fn quarantined(&self) -> usize {
+        self.quarantined
     }
 
-    /// Hash of what daemons compare: the records that are held or nearly so.
+    /// Hash of what daemons compare: the records of requests that are quarantined or nearly so.
     pub const fn digest(&self) -> u64 {
         self.digest
     }
@@ -239,9 +241,9 @@
         if let Some(served) = self.served.get(&fingerprint) {
             record.merge(&Record::served(fingerprint, *served));
         }
-        let is_void = |end: &End| !record.is_held() && !record.has(end);
+        let is_void = |end: &End| !record.is_quarantined() && !record.has(end);
         let change = match &record {
-            record if record.is_held() && !before.is_held() => Change::Held,
+            record if record.is_quarantined() && !before.is_quarantined() => Change::Quarantined,
             _ if told.ends.iter().any(is_void) => Change::Innocent,
             record if *record == before => Change::None,
             _ => Change::Other,
@@ -262,7 +264,7 @@
     fn replace(&mut self, before: &Record, record: Record) {
         self.discount(before);
         self.digest = self.digest.wrapping_add(record.weight());
-        self.held += usize::from(record.is_held());
+        self.quarantined += usize::from(record.is_quarantined());
         self.records.insert(record.fingerprint, record);
         if self.records.len() > MAX_RECORDS {
             self.make_room();
@@ -285,6 +287,6 @@
 
     fn discount(&mut self, record: &Record) {
         self.digest = self.digest.wrapping_sub(record.weight());
-        self.held -= usize::from(record.is_held());
+        self.quarantined -= usize::from(record.is_quarantined());
     }
 }
--- a/crates/relay/tests/attempt.rs
+++ b/crates/relay/tests/attempt.rs
@@ -20,8 +20,8 @@
 // What never left costs no budget.
 #[case(Mode::Once, 1, Outcome::NotSent, false, Next::Retry)]
 // One that ended replicas is sent to no other one, and has not run where this is its first send.
-#[case(Mode::Idempotent, 2, Outcome::Held, true, Next::Refuse)]
-#[case(Mode::Once, 1, Outcome::Held, true, Next::Refuse)]
+#[case(Mode::Idempotent, 2, Outcome::Quarantined, true, Next::Refuse)]
+#[case(Mode::Once, 1, Outcome::Quarantined, true, Next::Refuse)]
 // What may be repeated is, while attempts and budget last.
 #[case(Mode::Idempotent, 2, Outcome::Lost, true, Next::Retry)]
 #[case(Mode::Idempotent, 2, Outcome::Lost, false, Next::Unknown)]
@@ -55,7 +55,7 @@
     attempt.sent();
     assert_eq!(attempt.after(Outcome::Lost, || true), Next::Retry);
     attempt.sent();
-    assert_eq!(attempt.after(Outcome::Held, || true), Next::Unknown);
+    assert_eq!(attempt.after(Outcome::Quarantined, || true), Next::Unknown);
 }
 
 #[test]
--- a/crates/relay/tests/quarantine.rs
+++ b/crates/relay/tests/quarantine.rs
@@ -25,24 +25,24 @@
     quarantine
 }
 
-fn is_held(quarantine: &Quarantine) -> bool {
-    quarantine.held_for(NOW, REQUEST).is_some()
+fn is_quarantined(quarantine: &Quarantine) -> bool {
+    quarantine.quarantined_for(NOW, REQUEST).is_some()
 }
 
 #[test]
 fn the_third_replica_that_ends_holds_the_request() {
     let mut quarantine = after(&[1, 2]);
-    assert!(!is_held(&quarantine));
-    assert_eq!(quarantine.note_end(NOW, REQUEST, 3), Change::Held);
-    assert!(is_held(&quarantine));
-    assert_eq!(quarantine.held(), 1);
-    assert_eq!(quarantine.held_for(NOW, Fingerprint(8)), None);
+    assert!(!is_quarantined(&quarantine));
+    assert_eq!(quarantine.note_end(NOW, REQUEST, 3), Change::Quarantined);
+    assert!(is_quarantined(&quarantine));
+    assert_eq!(quarantine.quarantined(), 1);
+    assert_eq!(quarantine.quarantined_for(NOW, Fingerprint(8)), None);
 }
 
 #[test]
 fn one_replica_counts_once() {
     let mut quarantine = after(&[1, 2, 2, 1]);
-    assert!(!is_held(&quarantine));
+    assert!(!is_quarantined(&quarantine));
     assert_eq!(quarantine.note_end(NOW, REQUEST, 2), Change::None);
 }
 
@@ -56,7 +56,7 @@
         for index in order {
             quarantine.take(NOW, records[index]);
         }
-        (is_held(&quarantine), quarantine.digest())
+        (is_quarantined(&quarantine), quarantine.digest())
     };
     assert!(heard([0, 1, 2]).0);
     assert_eq!(heard([0, 1, 2]), heard([2, 1, 0]));
@@ -66,7 +66,7 @@
 fn daemons_that_know_of_different_ends_compare_as_different() {
     assert_ne!(after(&[1, 2]).digest(), after(&[1, 3]).digest());
     assert_ne!(after(&[1, 2]).digest(), after(&[1, 2, 3]).digest());
-    // Once it is held, it does not matter under which ends.
+    // Once it is quarantined, it does not matter under which ends.
     assert_eq!(after(&[1, 2, 3]).digest(), after(&[4, 5, 6]).digest());
     // One end is common and not compared.
     assert_eq!(after(&[1]).digest(), Quarantine::new().digest());
@@ -83,7 +83,7 @@
         let change = quarantine.note_end(later(Duration::from_secs(50)), REQUEST, replica);
         assert_eq!(change, Change::Innocent);
     }
-    assert!(!is_held(&quarantine));
+    assert!(!is_quarantined(&quarantine));
 }
 
 #[test]
@@ -93,7 +93,7 @@
     for replica in 1..=3 {
         quarantine.note_end(later(Duration::from_secs(70)), REQUEST, replica);
     }
-    assert!(is_held(&quarantine));
+    assert!(is_quarantined(&quarantine));
 }
 
 #[test]
@@ -126,12 +126,12 @@
 fn a_record_is_forgotten_a_day_after_the_last_end() {
     let mut quarantine = after(&[1, 2, 3]);
     quarantine.sweep(later(Duration::from_hours(23)));
-    assert!(is_held(&quarantine));
+    assert!(is_quarantined(&quarantine));
     let told = quarantine.get(REQUEST).unwrap().clone();
     let next_day = later(Duration::from_hours(25));
-    assert_eq!(quarantine.held_for(next_day, REQUEST), None);
+    assert_eq!(quarantine.quarantined_for(next_day, REQUEST), None);
     quarantine.sweep(next_day);
-    assert_eq!((quarantine.held(), quarantine.digest()), (0, 0));
+    assert_eq!((quarantine.quarantined(), quarantine.digest()), (0, 0));
     // Nobody brings it back.
     assert_eq!(quarantine.take(next_day, &told), Change::None);
 }
@@ -142,6 +142,6 @@
     for other in 100..20_000 {
         quarantine.note_end(NOW, Fingerprint(other), 1);
     }
-    assert!(is_held(&quarantine));
-    assert_eq!(quarantine.held(), 1);
+    assert!(is_quarantined(&quarantine));
+    assert_eq!(quarantine.quarantined(), 1);
 }
