Tests wait until the daemon takes requests, and show its log where they fail

The test waited until the replica was believed, but not for the plan, which the daemon reads apart from the replicas. Between the two it refuses requests, as it should.

Seen in: 2 of 360 runs with 90 at a time; the daemon's log of both tells "no plan is known yet" 0 to 3 ms before "a plan is in force". Ruled out: a port that was taken over by another test's replica (nothing ended at that moment), a connection that was not made in time (no line of a send), the quarantine (no such line).

--- a/crates/gateway/tests/gateway/birth.rs
+++ b/crates/gateway/tests/gateway/birth.rs
@@ -28,7 +28,8 @@
     row
 }
 
-/// Lists `replica` as started at `born`, and waits until that is believed.
+/// Lists `replica` as started at `born`, and waits until that is believed and the daemon takes requests: it reads
+/// the plan apart from the replicas, and until then it refuses them.
 fn list(site: &Site, replica: &Replica, service: &str, stage: &str, born: u64) {
     let before = site.daemon.logged("a replica changed").len();
     let row = row(replica, service, stage, born);
@@ -36,6 +37,7 @@
     until("it is believed", || {
         site.daemon.logged("a replica changed").len() > before
     });
+    site.daemon.until_ready();
 }
 
 fn begins_and_hangs(request: &Message) -> Act {
--- a/crates/gateway/tests/gateway/common/daemon.rs
+++ b/crates/gateway/tests/gateway/common/daemon.rs
@@ -26,6 +26,8 @@
 
 /// Longest time that a test waits for something to happen.
 const PATIENCE: Duration = Duration::from_secs(30);
+/// Log lines of a daemon that a failed test shows.
+const SHOWN_LINES: usize = 40;
 
 /// A daemon; killed when dropped.
 #[derive(Debug)]
@@ -166,6 +168,16 @@
         let _ = self.child.wait();
     }
 
+    /// Prints its last log lines beside the failure of a test, which cannot be explained without them.
+    fn print_lines(&self) {
+        let lines = self.logged("");
+        let last = lines.len().saturating_sub(SHOWN_LINES);
+        println!("log of the daemon at {}:", self.callers);
+        for line in &lines[last..] {
+            println!("{line}");
+        }
+    }
+
     /// Waits for its end.
     pub fn wait(&mut self) -> ExitStatus {
         let end = Instant::now() + PATIENCE;
@@ -182,6 +194,9 @@
 impl Drop for Daemon {
     fn drop(&mut self) {
         self.kill();
+        if thread::panicking() {
+            self.print_lines();
+        }
     }
 }
 
--- a/crates/gateway/tests/gateway/lifecycle.rs
+++ b/crates/gateway/tests/gateway/lifecycle.rs
@@ -1,6 +1,7 @@
 //! Start, stop, reload, settings, metrics.
 
 use std::fs;
+use std::process;
 use std::process::Command;
 use std::time::Duration;
 
@@ -138,12 +139,7 @@
     let site = Site::start("changed", &[(&replica, "app", ""), (&other, "app", "")]);
     assert_eq!(site.ask("GET /read/1", "a1").status(), 500);
     assert_eq!(replica.seen().len() + other.seen().len(), 2);
-    let text = fs::read_to_string(site.daemon.settings()).unwrap();
-    let text = text.replace("ratio: 0.2, slack: 50", "ratio: 0.0, slack: 0");
-    fs::write(site.daemon.settings(), text).unwrap();
-    until("it is told", || {
-        !site.daemon.logged("settings in force").is_empty()
-    });
+    site.change_settings("ratio: 0.2, slack: 50", "ratio: 0.0, slack: 0");
     // Without a budget a failure is not tried elsewhere.
     assert_eq!(site.ask("GET /read/1", "a2").status(), 500);
     assert_eq!(replica.seen().len() + other.seen().len(), 3);
@@ -186,7 +182,9 @@
     #[case] code: i32,
     #[case] told: &str,
 ) {
-    let path = format!("{}/check-{name}.yaml", env!("CARGO_TARGET_TMPDIR"));
+    // Several runs of the tests may share the directory.
+    let run = process::id();
+    let path = format!("{}/check-{name}-{run}.yaml", env!("CARGO_TARGET_TMPDIR"));
     fs::write(&path, text).unwrap();
     let output = Command::new(env!("CARGO_BIN_EXE_waxwing-gateway"))
         .args(["--config", &path, "--check"])
