--- a/crates/gateway/tests/gateway/common/daemon.rs
+++ b/crates/gateway/tests/gateway/common/daemon.rs
@@ -156,10 +156,14 @@
         lines.iter().filter(|l| l.contains(text)).cloned().collect()
     }
 
+    /// The id of its process.
+    pub fn pid(&self) -> Pid {
+        Pid::from_child(&self.child)
+    }
+
     /// Sends it a signal.
     pub fn signal(&self, signal: Signal) {
-        let pid = Pid::from_child(&self.child);
-        kill_process(pid, signal).unwrap();
+        kill_process(self.pid(), signal).unwrap();
     }
 
     /// Kills it.
--- a/crates/gateway/tests/gateway/common/replica.rs
+++ b/crates/gateway/tests/gateway/common/replica.rs
@@ -7,6 +7,7 @@
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -37,6 +38,17 @@
 }
 
 type Script = dyn Fn(&Message) -> Act + Send + Sync;
+type Reports = OnceLock<Box<dyn Fn() -> bool + Send + Sync>>;
+
+/// What its connections share with the test.
+#[derive(Default)]
+struct State {
+    seen: Mutex<Vec<Message>>,
+    left: AtomicUsize,
+    /// When it started, as it tells in answers of its own; 0 if it does not.
+    born: AtomicU64,
+    reports: Reports,
+}
 
 /// A replica.
 #[derive(Clone)]
@@ -45,26 +57,20 @@
     pub address: SocketAddr,
     /// Its id.
     pub id: String,
-    seen: Arc<Mutex<Vec<Message>>>,
-    left: Arc<Mutex<usize>>,
-    /// When it started, as it tells in answers of its own; 0 if it does not.
-    born: Arc<AtomicU64>,
+    state: Arc<State>,
     server: Arc<OnceLock<Server>>,
 }
 
 impl Replica {
     /// Starts one that answers by `script`; reservations and reports are answered by itself.
     pub fn start(id: &str, script: impl Fn(&Message) -> Act + Send + Sync + 'static) -> Self {
-        let seen = Arc::new(Mutex::new(Vec::new()));
-        let left = Arc::new(Mutex::new(0));
         let script: Arc<Script> = Arc::new(script);
-        let born = Arc::new(AtomicU64::new(0));
-        let (own_seen, own_left) = (Arc::clone(&seen), Arc::clone(&left));
-        let own_born = Arc::clone(&born);
+        let state = Arc::new(State::default());
+        let own_state = Arc::clone(&state);
         let server = Arc::new(OnceLock::<Server>::new());
         let own_server = Arc::clone(&server);
         let started = Server::start("127.0.0.1", move |socket| {
-            if connection(socket, &script, &own_seen, &own_left, &own_born) == Left::Crashed {
+            if connection(socket, &script, &own_state) == Left::Crashed {
                 own_server.wait().stop();
             }
         });
@@ -73,13 +79,16 @@
         Self {
             address,
             id: id.to_owned(),
-            seen,
-            left,
-            born,
+            state,
             server,
         }
     }
 
+    /// Asks `answers` each time whether a question for its report is answered.
+    pub fn set_reports(&self, answers: impl Fn() -> bool + Send + Sync + 'static) {
+        assert!(self.state.reports.set(Box::new(answers)).is_ok());
+    }
+
     /// Ends it with all that it is doing.
     pub fn crash(&self) {
         self.server.wait().stop();
@@ -87,7 +96,7 @@
 
     /// Tells from now on that it started at `ms`.
     pub fn set_born(&self, ms: u64) {
-        self.born.store(ms, Ordering::SeqCst);
+        self.state.born.store(ms, Ordering::SeqCst);
     }
 
     /// Starts one that reads prompts; their memory is called `k1`.
@@ -110,12 +119,12 @@
 
     /// Requests that it saw, without reservations and reports.
     pub fn seen(&self) -> Vec<Message> {
-        self.seen.lock().unwrap().clone()
+        self.state.seen.lock().unwrap().clone()
     }
 
     /// Connections that the other side closed while it hung.
     pub fn left(&self) -> usize {
-        *self.left.lock().unwrap()
+        self.state.left.load(Ordering::SeqCst)
     }
 }
 
@@ -128,26 +137,21 @@
     Crashed,
 }
 
-fn connection(
-    socket: &mut TcpStream,
-    script: &Arc<Script>,
-    seen: &Mutex<Vec<Message>>,
-    left: &Mutex<usize>,
-    born: &AtomicU64,
-) -> Left {
+fn connection(socket: &mut TcpStream, script: &Arc<Script>, state: &State) -> Left {
     while let Ok(Some(request)) = http::read(socket) {
         let act = match request.path() {
             "/api/hold-take" => {
-                let told = match born.load(Ordering::SeqCst) {
+                let told = match state.born.load(Ordering::SeqCst) {
                     0 => json!({"hold": "h1"}),
                     born => json!({"hold": "h1", "born": born}),
                 };
                 Act::Send(answer(200, &[], told.to_string().as_bytes()))
             }
+            "/api/report" if state.reports.get().is_some_and(|answers| !answers()) => continue,
             "/api/report" => Act::Send(answer(200, &[], br#"{"busy":false,"seq":0}"#)),
             path if path.starts_with("/api/hold-drop/") => Act::Send(answer(200, &[], b"")),
             _ => {
-                seen.lock().unwrap().push(request.clone());
+                state.seen.lock().unwrap().push(request.clone());
                 script(&request)
             }
         };
@@ -164,7 +168,7 @@
             Act::SendAndHang(bytes) => {
                 http::send(socket, &bytes);
                 if http::closes(socket, Duration::from_secs(30)) {
-                    *left.lock().unwrap() += 1;
+                    state.left.fetch_add(1, Ordering::SeqCst);
                 }
                 return Left::Closed;
             }
--- a/crates/gateway/tests/gateway/quarantine.rs
+++ b/crates/gateway/tests/gateway/quarantine.rs
@@ -4,11 +4,16 @@
 //! after three had ended under the same request. Each time the output of the daemons had one line
 //! `error reading a body from connection` for that request, and one for every other stream of the replica.
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
 use rstest::rstest;
+use rustix::process::Signal;
+use rustix::process::kill_process;
 
 use crate::common::caller::Caller;
 use crate::common::daemon::Daemon;
@@ -29,6 +34,8 @@
 const ENDED: usize = 3;
 /// Time in which each daemon knows what another one saw; their messages take some milliseconds.
 const SETTLED: Duration = Duration::from_secs(6);
+/// Longer than a replica that does not answer is asked.
+const STOPPED: Duration = Duration::from_millis(1_500);
 /// Replicas of a test: enough for each attempt to find one.
 const REPLICAS: usize = 8;
 
@@ -218,6 +225,32 @@
     assert_eq!(runs(&decode), 2 * ENDED);
 }
 
+/// A process that is stopped, or whose machine is suspended, while it asks a replica has asked for no longer than
+/// before, however late it is.
+#[test]
+fn a_replica_has_not_ended_since_the_daemon_stood_still_while_it_asked() {
+    let replica = Replica::start("i-1", |_| Act::SendAndClose(Vec::new()));
+    let site = calls("asks-late", std::slice::from_ref(&replica));
+    let daemon = site.daemon.pid();
+    let asked = Arc::new(AtomicBool::new(false));
+    let own_asked = Arc::clone(&asked);
+    replica.set_reports(move || {
+        let again = own_asked.swap(true, Ordering::SeqCst);
+        if !again {
+            kill_process(daemon, Signal::STOP).unwrap();
+        }
+        again
+    });
+    let mut caller = site.daemon.caller();
+    caller.begin("POST /book/lorry", &headers("a1"), b"");
+    until("the replica is asked", || asked.load(Ordering::SeqCst));
+    thread::sleep(STOPPED);
+    site.daemon.signal(Signal::CONT);
+    let verdicts = || site.daemon.logged("a replica was lost while at work");
+    until("it is found out", || !verdicts().is_empty());
+    assert!(verdicts()[0].contains("\"presence\":\"Here\""));
+}
+
 /// Many callers ask the same at once, and replicas end for reasons of their own.
 #[test]
 fn a_request_that_is_served_elsewhere_is_not_blamed_for_replicas_that_end() {
