Draw peers by the library, name a request's path once, count quarantined requests at a scrape

The path of a request was taken from its URI twice. The gauge of quarantined requests was set at two places that change records, and is set where the other gauges are, at each scrape.

Behaviour is the same but for one thing: the daemons drawn by chance for a round of claims are two different ones, where the same one could be drawn twice.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -23,6 +23,7 @@
 
 use crate::body::Body;
 use crate::guard::Open;
+use crate::job;
 use crate::job::Job;
 use crate::own;
 use crate::plain;
@@ -115,7 +116,7 @@
     shared.count_request(service);
     let service = service.to_owned();
     let route = route.clone();
-    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let path = job::path(&parts.uri);
     let fingerprint = Fingerprint::new(parts.method.as_str(), &host, path, &body);
     Ok(Job::new(
         shared,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -17,6 +17,7 @@
 use h2::RecvStream;
 use http::Request;
 use http::Response;
+use rand::seq::IndexedRandom;
 use relay::plan::Plan;
 use relay::quarantine::Record;
 use relay::replica::Update;
@@ -104,8 +105,8 @@
         }
         let mut peers = shared.members.borrow().peers();
         peers.extend(shared.settings().seed_peers());
-        if let Some(peer) = pick(&peers) {
-            ask(&shared, peer).await;
+        if let Some(peer) = peers.choose(&mut rand::rng()) {
+            ask(&shared, *peer).await;
         }
     }
 }
@@ -149,13 +150,6 @@
     }
 }
 
-fn pick(peers: &[SocketAddr]) -> Option<SocketAddr> {
-    match peers.len() {
-        0 => None,
-        count => peers.get(rand::random_range(0..count)).copied(),
-    }
-}
-
 async fn question(peer: SocketAddr, ask: &Ask) -> io::Result<Tell> {
     let socket = TcpStream::connect(peer).await?;
     let (mut client, connection) = h2::client::handshake(socket)
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -10,6 +10,7 @@
 use http::Method;
 use http::Request;
 use http::Uri;
+use http::uri::PathAndQuery;
 use http_body_util::Full;
 use platform::caller;
 use platform::caller::Call;
@@ -124,10 +125,9 @@
             reservation,
             priority: None,
         };
-        let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
         let mut request = Request::builder()
             .method(self.method.clone())
-            .uri(path)
+            .uri(path(&self.uri))
             .body(Full::new(self.body.clone()))?;
         *request.headers_mut() = caller::headers(&self.headers, &hop);
         Ok(request)
@@ -165,6 +165,11 @@
     }
 }
 
+/// Path and query of a request: what replicas are sent of its URI, and what tells it from others.
+pub fn path(uri: &Uri) -> &str {
+    uri.path_and_query().map_or("/", PathAndQuery::as_str)
+}
+
 impl Drop for Job {
     fn drop(&mut self) {
         if !self.done {
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -15,6 +15,7 @@
 use ident::Instance;
 use ident::Time;
 use ident::Zone;
+use rand::seq::IteratorRandom;
 use relay::directory::Entry;
 
 use crate::card::Card;
@@ -222,9 +223,7 @@
         let near = self.own.data_centre;
         let others = self.cards.values();
         let others = others.filter(|card| card.data_centre == near);
-        let others: Vec<SocketAddr> = others.map(|card| card.peers).collect();
-        let drawn = rand::random_range(0..others.len().max(1));
-        others.get(drawn).copied()
+        others.map(|card| card.peers).choose(&mut rand::rng())
     }
 
     /// Instances of this data centre, this one among them.
@@ -243,9 +242,8 @@
         distant.sort_unstable();
         distant.dedup();
         let pollers = distant.into_iter().filter_map(|zone| self.poller_in(zone));
-        let pollers: Vec<Instance> = pollers.collect();
-        let drawn = pollers.get(rand::random_range(0..pollers.len().max(1)))?;
-        self.cards.get(drawn).map(|card| card.peers)
+        let drawn = pollers.choose(&mut rand::rng())?;
+        self.cards.get(&drawn).map(|card| card.peers)
     }
 
     /// Where the daemon of `instance` listens for others, if it is known.
@@ -283,8 +281,7 @@
 
     fn address(&self, to: Instance, message: Message) -> Option<Send> {
         let card = self.cards.get(&to)?;
-        let skipped = rand::random_range(0..self.cards.len());
-        let hint = self.cards.values().nth(skipped);
+        let hint = self.cards.values().choose(&mut rand::rng());
         Some(Send {
             to: card.peers,
             message,
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -9,6 +9,7 @@
 use boottime::Instant;
 use boottime::timer::sleep;
 use boottime::timer::timeout_at;
+use rand::seq::IndexedRandom;
 use relay::fingerprint::Fingerprint;
 
 use crate::clock;
@@ -110,7 +111,7 @@
             return;
         }
         let peers = shared.members.borrow().peers();
-        if let Some(peer) = peers.get(rand::random_range(0..peers.len().max(1))) {
+        if let Some(peer) = peers.choose(&mut rand::rng()) {
             exchange::ask(&shared, *peer).await;
         }
         sleep(LOOK_AGAIN).await;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -202,6 +202,8 @@
         let metrics = &self.metrics;
         metrics.members.set(members.count() as u64);
         metrics.replicas_version.set(self.replicas_version());
+        let quarantined = self.quarantine.borrow().quarantined();
+        metrics.quarantined.set(quarantined as u64);
         metrics.replicas_age.set(self.replicas_age().as_secs_f64());
         for (service, budget) in self.budgets.borrow_mut().iter_mut() {
             let left = budget.left(now, &self.rule(), members.sharers());
--- a/crates/gateway/src/shared/quarantine.rs
+++ b/crates/gateway/src/shared/quarantine.rs
@@ -43,7 +43,7 @@
                 self.inquiries.keep(fingerprint);
             }
         }
-        self.note_change("own", fingerprint, change);
+        self.tell_change("own", fingerprint, change);
     }
 
     /// Notes that a replica served the request.
@@ -55,7 +55,7 @@
         if blamed.is_suspect() {
             self.inquiries.keep(fingerprint);
         }
-        self.note_change("own", fingerprint, Change::Other);
+        self.tell_change("own", fingerprint, Change::Other);
     }
 
     /// Takes records that a peer or the store told; gives those of which the teller has to hear that the
@@ -65,7 +65,7 @@
         let mut innocent = Vec::new();
         for record in records {
             let change = self.quarantine.borrow_mut().take(now, record);
-            self.note_change(source, record.fingerprint, change);
+            self.tell_change(source, record.fingerprint, change);
             if change == Change::Innocent {
                 let quarantine = self.quarantine.borrow();
                 innocent.extend(quarantine.get(record.fingerprint).cloned());
@@ -81,18 +81,12 @@
     /// Forgets records whose time is over.
     pub fn sweep_records(&self, now: UnixMs) {
         self.quarantine.borrow_mut().sweep(now);
-        self.metrics
-            .quarantined
-            .set(self.quarantine.borrow().quarantined() as u64);
     }
 
-    fn note_change(&self, source: &'static str, fingerprint: Fingerprint, change: Change) {
-        let quarantine = self.quarantine.borrow();
-        self.metrics
-            .quarantined
-            .set(quarantine.quarantined() as u64);
+    fn tell_change(&self, source: &'static str, fingerprint: Fingerprint, change: Change) {
         if change == Change::Quarantined {
-            log::warn!(kind = "quarantine", content = fingerprint.to_string(), source = source, quarantined = quarantine.quarantined() as u64; "replicas ended under a request; it is sent to none any more");
+            let quarantined = self.quarantine.borrow().quarantined();
+            log::warn!(kind = "quarantine", content = fingerprint.to_string(), source = source, quarantined = quarantined as u64; "replicas ended under a request; it is sent to none any more");
         }
     }
 }
--- a/crates/gateway/src/track.rs
+++ b/crates/gateway/src/track.rs
@@ -6,6 +6,7 @@
 
 use boottime::Instant;
 use boottime::timer::timeout_at;
+use rand::seq::IndexedRandom;
 use relay::rescue;
 use relay::rescue::Move;
 use relay::runs::Id;
@@ -202,10 +203,9 @@
     let claims = shared.claims.borrow();
     let active = claims.active().filter_map(|peer| members.peer(peer));
     let mut to: Vec<SocketAddr> = active.take(MAX_TOLD).collect();
-    for _ in 0..DRAWN {
-        let drawn = peers[rand::random_range(0..peers.len())];
-        if !to.contains(&drawn) {
-            to.push(drawn);
+    for drawn in peers.sample(&mut rand::rng(), DRAWN) {
+        if !to.contains(drawn) {
+            to.push(*drawn);
         }
     }
     to
