Part the inquiries from what is told and kept, each with a task of its own

Inquiries held five things: lost replicas, requests to tell, requests to keep, and two flags about peers; one task asked, told and swept. What is asked, told and written, and when, is the same.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -119,7 +119,7 @@
         digest: shared.pool.borrow().digest(),
         instances: shared.members.borrow().known() as u32,
         quarantine: shared.quarantine.borrow().suspects(),
-        all_records: !shared.inquiries.has_caught_up(),
+        all_records: !shared.has_all_records(),
     };
     match within(ASK_TIMEOUT, question(peer, &ask)).await {
         Ok(Ok(told)) => {
@@ -141,7 +141,7 @@
         shared.members.borrow_mut().learn(card);
     }
     shared.take_records("peer", &told.quarantine);
-    shared.inquiries.catch_up();
+    shared.note_all_records();
     if let Some(plan) = told.plan {
         shared.take_plan("peer", plan);
     }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -239,7 +239,7 @@
 
 /// Compares records with `peer`, whose hash of them is `digest`, once what is on its way has come.
 fn compare_records(shared: Rc<Shared>, peer: SocketAddr, digest: u64) {
-    if !shared.inquiries.begin_comparing() {
+    if !shared.begin_comparing() {
         return;
     }
     tokio::task::spawn_local(async move {
@@ -248,6 +248,6 @@
             exchange::ask(&shared, peer).await;
             sleep(RECORDS_PAUSE).await;
         }
-        shared.inquiries.end_comparing();
+        shared.end_comparing();
     });
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod metrics;
 pub mod mover;
 pub mod news;
+pub mod outbox;
 pub mod own;
 pub mod phase;
 pub mod place;
@@ -150,8 +151,10 @@
     spawn_local(watch::instances::follow(Rc::clone(&shared)));
     spawn_local(stages::run(Rc::clone(&shared)));
     spawn_local(track::run(Rc::clone(&shared)));
-    spawn_local(quarantine::run(Rc::clone(&shared)));
+    spawn_local(quarantine::inquiry::run(Rc::clone(&shared)));
+    spawn_local(quarantine::tell::run(Rc::clone(&shared)));
     spawn_local(quarantine::kept::run(Rc::clone(&shared)));
+    spawn_local(quarantine::sweep(Rc::clone(&shared)));
     // Nobody has records when all start together for the first time.
     if !settings.first_start {
         spawn_local(quarantine::catch_up(Rc::clone(&shared)));
--- a/crates/gateway/src/quarantine/inquiry.rs
+++ b/crates/gateway/src/quarantine/inquiry.rs
@@ -25,8 +25,18 @@
 /// answers within some milliseconds, and a port that is closed refuses as soon.
 const VERDICT: Duration = Duration::from_millis(400);
 
+/// Has each lost replica asked whether it is there, forever.
+pub async fn run(shared: Rc<Shared>) {
+    loop {
+        for (key, replica) in shared.inquiries.take_new() {
+            tokio::task::spawn_local(find_out(Rc::clone(&shared), key, replica));
+        }
+        shared.inquiries.opened().await;
+    }
+}
+
 /// Finds out whether `replica`, behind `key`, ended.
-pub(super) async fn run(shared: Rc<Shared>, key: Key, replica: u64) {
+async fn find_out(shared: Rc<Shared>, key: Key, replica: u64) {
     let begun = Instant::now();
     let presence = ask_for_presence(&shared, key).await;
     for fingerprint in shared.inquiries.take_requests(key) {
--- a/crates/gateway/src/quarantine/kept.rs
+++ b/crates/gateway/src/quarantine/kept.rs
@@ -36,10 +36,10 @@
     let mut unkept = HashSet::new();
     loop {
         if unkept.is_empty() {
-            shared.inquiries.unkept().await;
+            shared.unkept.added().await;
             sleep(GATHER).await;
         }
-        unkept.extend(shared.inquiries.take_unkept());
+        unkept.extend(shared.unkept.take());
         let rows: Vec<Edit> = unkept.iter().flat_map(|f| rows(&shared, *f)).collect();
         let mut kept = true;
         for some in rows.chunks(MAX_ROWS) {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -40,6 +40,7 @@
 use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::news::News;
+use crate::outbox::Outbox;
 use crate::settings::Settings;
 use crate::store::Store;
 
@@ -83,6 +84,10 @@
     pub quarantine: RefCell<Quarantine>,
     /// Lost replicas that are being asked whether they are there.
     pub inquiries: Inquiries,
+    /// Requests of whose records the other daemons are to be told.
+    pub untold: Outbox,
+    /// Requests whose records the store is to keep.
+    pub unkept: Outbox,
     /// By run, where it is to go on.
     pub orders: RefCell<HashMap<Id, watch::Sender<Option<Key>>>>,
     /// Generations that wait for a place.
@@ -122,6 +127,10 @@
     open: Cell<usize>,
     /// Version of the plan that a peer is being asked for.
     asking: Cell<u64>,
+    /// Whether records of the quarantine are being compared with a peer.
+    comparing: Cell<bool>,
+    /// Whether a peer has told all of its records of the quarantine since the start.
+    all_records: Cell<bool>,
     /// The present second, and the rejected requests in it.
     rejected: Cell<(u64, u64)>,
 }
@@ -148,6 +157,8 @@
             claims: RefCell::new(Claims::new()),
             quarantine: RefCell::new(Quarantine::new()),
             inquiries: Inquiries::new(),
+            untold: Outbox::new(),
+            unkept: Outbox::new(),
             orders: RefCell::new(HashMap::new()),
             line: RefCell::new(Line::new()),
             room: Notify::new(),
@@ -170,6 +181,8 @@
             stopping: Cell::new(None),
             open: Cell::new(0),
             asking: Cell::new(0),
+            comparing: Cell::new(false),
+            all_records: Cell::new(false),
             rejected: Cell::new((0, 0)),
             settings: RefCell::new(Rc::new(settings)),
         }
--- a/crates/gateway/src/shared/quarantine.rs
+++ b/crates/gateway/src/shared/quarantine.rs
@@ -5,7 +5,6 @@
 use relay::fingerprint::Fingerprint;
 use relay::quarantine::Change;
 use relay::quarantine::Record;
-use relay::quarantine::UnixMs;
 use relay::server::Key;
 
 use crate::clock;
@@ -25,7 +24,7 @@
         let Some(replica) = self.pool.borrow().missed(key) else {
             return;
         };
-        self.inquiries.begin(key, replica, fingerprint);
+        self.inquiries.open(key, replica, fingerprint);
     }
 
     /// Notes that `replica` ended while at work on the request `fingerprint`, and has that told and kept.
@@ -38,12 +37,12 @@
         drop(quarantine);
         log::info!(kind = "suspect", content = fingerprint.to_string(), replica = format!("{replica:016x}"), ends = ends as u64, change = format!("{change:?}"); "a replica ended while at work on a request");
         if matches!(change, Change::Quarantined | Change::Other) {
-            self.inquiries.tell(fingerprint);
+            self.untold.add(fingerprint);
             if is_suspect {
-                self.inquiries.keep(fingerprint);
+                self.unkept.add(fingerprint);
             }
         }
-        self.tell_change("own", fingerprint, change);
+        self.log_change("own", fingerprint, change);
     }
 
     /// Notes that a replica served the request.
@@ -51,11 +50,11 @@
         let now = clock::unix();
         let blamed = self.quarantine.borrow_mut().note_served(now, fingerprint);
         let Some(blamed) = blamed else { return };
-        self.inquiries.tell(fingerprint);
+        self.untold.add(fingerprint);
         if blamed.is_suspect() {
-            self.inquiries.keep(fingerprint);
+            self.unkept.add(fingerprint);
         }
-        self.tell_change("own", fingerprint, Change::Other);
+        self.log_change("own", fingerprint, Change::Other);
     }
 
     /// Takes records that a peer or the store told; gives those of which the teller has to hear that the
@@ -65,25 +64,40 @@
         let mut innocent = Vec::new();
         for record in records {
             let change = self.quarantine.borrow_mut().take(now, record);
-            self.tell_change(source, record.fingerprint, change);
+            self.log_change(source, record.fingerprint, change);
             if change == Change::Innocent {
                 let quarantine = self.quarantine.borrow();
                 innocent.extend(quarantine.get(record.fingerprint).cloned());
                 // The teller has written its ends to the store.
                 if record.is_suspect() {
-                    self.inquiries.keep(record.fingerprint);
+                    self.unkept.add(record.fingerprint);
                 }
             }
         }
         innocent
     }
 
-    /// Forgets records whose time is over.
-    pub fn sweep_records(&self, now: UnixMs) {
-        self.quarantine.borrow_mut().sweep(now);
+    /// Whether a peer has told all of its records since this daemon started.
+    pub fn has_all_records(&self) -> bool {
+        self.all_records.get()
     }
 
-    fn tell_change(&self, source: &'static str, fingerprint: Fingerprint, change: Change) {
+    /// Notes that a peer has.
+    pub fn note_all_records(&self) {
+        self.all_records.set(true);
+    }
+
+    /// Begins to compare records with a peer; `false` if that is being done with another.
+    pub fn begin_comparing(&self) -> bool {
+        !self.comparing.replace(true)
+    }
+
+    /// Ends it.
+    pub fn end_comparing(&self) {
+        self.comparing.set(false);
+    }
+
+    fn log_change(&self, source: &'static str, fingerprint: Fingerprint, change: Change) {
         if change == Change::Quarantined {
             let quarantined = self.quarantine.borrow().quarantined();
             log::warn!(kind = "quarantine", content = fingerprint.to_string(), source = source, quarantined = quarantined as u64; "replicas ended under a request; it is sent to none any more");
--- a/crates/relay/tests/quarantine.rs
+++ b/crates/relay/tests/quarantine.rs
@@ -30,7 +30,7 @@
 }
 
 #[test]
-fn the_third_replica_that_ends_holds_the_request() {
+fn the_third_replica_that_ends_quarantines_the_request() {
     let mut quarantine = after(&[1, 2]);
     assert!(!is_quarantined(&quarantine));
     assert_eq!(quarantine.note_end(NOW, REQUEST, 3), Change::Quarantined);
@@ -137,7 +137,7 @@
 }
 
 #[test]
-fn many_single_ends_do_not_push_out_a_request_that_is_held() {
+fn many_single_ends_do_not_push_out_a_quarantined_request() {
     let mut quarantine = after(&[1, 2, 3]);
     for other in 100..20_000 {
         quarantine.note_end(NOW, Fingerprint(other), 1);
