Name what is known of served requests by what it is

Ends were 'blamed' on requests, and requests served lately were 'innocent'; code, log and pages now say whom an end is put down to and which request was served lately. The log's word for such a change is Served.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -198,8 +198,8 @@
             }
         }
         Content::Quarantine(records) => {
-            let innocent = shared.take_records("peer", &records);
-            tell_records(shared, sender.peers, &innocent).await;
+            let served = shared.take_records("peer", &records);
+            tell_records(shared, sender.peers, &served).await;
         }
         Content::Claims(told) => {
             let now = shared.clock.now();
--- a/crates/gateway/src/quarantine/inquiry.rs
+++ b/crates/gateway/src/quarantine/inquiry.rs
@@ -23,7 +23,7 @@
 const MAX_QUESTIONS: usize = 3;
 /// Time that a request waits for what is being found out, before it is sent again: a replica that is there
 /// answers within some milliseconds, and a port that is closed refuses as soon.
-const VERDICT: Duration = Duration::from_millis(400);
+const WAIT: Duration = Duration::from_millis(400);
 
 /// Has each lost replica asked whether it is there, forever.
 pub async fn run(shared: Rc<Shared>) {
@@ -74,7 +74,7 @@
                 closed.await;
             }
         };
-        timeout(VERDICT, decided).await.unwrap_or(false)
+        timeout(WAIT, decided).await.unwrap_or(false)
     }
 
     /// Whether the replicas that were lost with the request would quarantine it if all of them have ended.
@@ -82,6 +82,6 @@
         let quarantine = self.quarantine.borrow();
         let ends = quarantine.get(fingerprint).map_or(0, |r| r.ends.len());
         ends + self.inquiries.count(fingerprint) >= LIMIT
-            && !quarantine.is_innocent(clock::unix(), fingerprint)
+            && !quarantine.was_served_lately(clock::unix(), fingerprint)
     }
 }
--- a/crates/gateway/src/quarantine/tell.rs
+++ b/crates/gateway/src/quarantine/tell.rs
@@ -13,7 +13,7 @@
 
 /// When a record is told, counted from the end of the replica: datagrams may be lost, and a request that comes
 /// again some seconds later must meet daemons that know of it. One with a single end is told in the first round
-/// alone: when many replicas end together, thousands of innocent requests have one.
+/// alone: when many replicas end together, thousands of sound requests have one.
 const ROUNDS: [Duration; 3] = [
     Duration::ZERO,
     Duration::from_millis(250),
--- a/crates/gateway/src/shared/quarantine.rs
+++ b/crates/gateway/src/shared/quarantine.rs
@@ -48,10 +48,10 @@
     /// Notes that a replica served the request.
     pub fn note_served(&self, fingerprint: Fingerprint) {
         let now = clock::unix();
-        let blamed = self.quarantine.borrow_mut().note_served(now, fingerprint);
-        let Some(blamed) = blamed else { return };
+        let record = self.quarantine.borrow_mut().note_served(now, fingerprint);
+        let Some(record) = record else { return };
         self.untold.add(fingerprint);
-        if blamed.is_suspect() {
+        if record.is_suspect() {
             self.unkept.add(fingerprint);
         }
         self.log_change("own", fingerprint, Change::Other);
@@ -61,20 +61,20 @@
     /// request was served.
     pub fn take_records(&self, source: &'static str, records: &[Record]) -> Vec<Record> {
         let now = clock::unix();
-        let mut innocent = Vec::new();
+        let mut served = Vec::new();
         for record in records {
             let change = self.quarantine.borrow_mut().take(now, record);
             self.log_change(source, record.fingerprint, change);
-            if change == Change::Innocent {
+            if change == Change::Served {
                 let quarantine = self.quarantine.borrow();
-                innocent.extend(quarantine.get(record.fingerprint).cloned());
+                served.extend(quarantine.get(record.fingerprint).cloned());
                 // The teller has written its ends to the store.
                 if record.is_suspect() {
                     self.unkept.add(record.fingerprint);
                 }
             }
         }
-        innocent
+        served
     }
 
     /// Whether a peer has told all of its records since this daemon started.
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -27,7 +27,7 @@
 /// Time after a request was served for which no end is put down to it. One that ends each replica is served
 /// nowhere; one that many callers send at once is at work at several replicas that end together, as those of
 /// one rack do. Also covers the difference between the daemons' clocks.
-const INNOCENT: Duration = Duration::from_mins(1);
+const SERVED_LATELY: Duration = Duration::from_mins(1);
 /// Records at most: those of the runs at 128 replicas of 64 slots that end together.
 const MAX_RECORDS: usize = 8_192;
 /// Served requests that are remembered at most.
@@ -123,9 +123,9 @@
                 self.ends.push(*end);
             }
         }
-        let innocent_until = self.served.plus(INNOCENT);
+        let counted_after = self.served.plus(SERVED_LATELY);
         let served = self.served > UnixMs(0);
-        self.ends.retain(|end| !served || end.at > innocent_until);
+        self.ends.retain(|end| !served || end.at > counted_after);
         self.ends.truncate(LIMIT);
     }
 }
@@ -138,7 +138,7 @@
     /// The request is quarantined from now on.
     Quarantined,
     /// An end that was told does not count, since the request was served; the teller is to be told.
-    Innocent,
+    Served,
     /// Something else.
     Other,
 }
@@ -178,11 +178,11 @@
     }
 
     /// Whether `fingerprint` was served lately, so that no end is put down to it.
-    pub fn is_innocent(&self, now: UnixMs, fingerprint: Fingerprint) -> bool {
+    pub fn was_served_lately(&self, now: UnixMs, fingerprint: Fingerprint) -> bool {
         let own = self.served.get(&fingerprint).copied();
         let told = self.records.get(&fingerprint).map(|record| record.served);
         let served = own.max(told).unwrap_or_default();
-        served > UnixMs(0) && now <= served.plus(INNOCENT)
+        served > UnixMs(0) && now <= served.plus(SERVED_LATELY)
     }
 
     /// How many requests are quarantined.
@@ -223,9 +223,9 @@
             first.map(|first| self.served.remove(&first));
         }
         let record = self.records.get(&fingerprint);
-        let blamed = record.filter(|record| !record.ends.is_empty()).cloned()?;
+        let known = record.filter(|record| !record.ends.is_empty()).cloned()?;
         self.take(now, &Record::served(fingerprint, now));
-        Some(blamed)
+        Some(known)
     }
 
     /// Takes what another daemon, or the store, told.
@@ -241,10 +241,10 @@
         if let Some(served) = self.served.get(&fingerprint) {
             record.merge(&Record::served(fingerprint, *served));
         }
-        let is_void = |end: &End| !record.is_quarantined() && !record.has(end);
+        let is_dropped = |end: &End| !record.is_quarantined() && !record.has(end);
         let change = match &record {
             record if record.is_quarantined() && !before.is_quarantined() => Change::Quarantined,
-            _ if told.ends.iter().any(is_void) => Change::Innocent,
+            _ if told.ends.iter().any(is_dropped) => Change::Served,
             record if *record == before => Change::None,
             _ => Change::Other,
         };
--- a/crates/relay/tests/quarantine.rs
+++ b/crates/relay/tests/quarantine.rs
@@ -73,21 +73,21 @@
 }
 
 #[test]
-fn a_request_that_was_served_lately_is_not_blamed() {
+fn a_request_that_was_served_lately_counts_no_end() {
     let mut quarantine = Quarantine::new();
-    assert!(!quarantine.is_innocent(NOW, REQUEST));
+    assert!(!quarantine.was_served_lately(NOW, REQUEST));
     assert!(quarantine.note_served(NOW, REQUEST).is_none());
-    assert!(quarantine.is_innocent(later(Duration::from_secs(50)), REQUEST));
-    assert!(!quarantine.is_innocent(later(Duration::from_secs(70)), REQUEST));
+    assert!(quarantine.was_served_lately(later(Duration::from_secs(50)), REQUEST));
+    assert!(!quarantine.was_served_lately(later(Duration::from_secs(70)), REQUEST));
     for replica in 1..=5 {
         let change = quarantine.note_end(later(Duration::from_secs(50)), REQUEST, replica);
-        assert_eq!(change, Change::Innocent);
+        assert_eq!(change, Change::Served);
     }
     assert!(!is_quarantined(&quarantine));
 }
 
 #[test]
-fn a_request_that_was_served_long_ago_is_blamed() {
+fn a_request_that_was_served_long_ago_counts_ends() {
     let mut quarantine = Quarantine::new();
     quarantine.note_served(NOW, REQUEST);
     for replica in 1..=3 {
@@ -103,7 +103,7 @@
     other.note_served(NOW, REQUEST);
     for _ in 0..2 {
         let told = teller.get(REQUEST).unwrap().clone();
-        assert_eq!(other.take(NOW, &told), Change::Innocent);
+        assert_eq!(other.take(NOW, &told), Change::Served);
     }
     teller.take(NOW, other.get(REQUEST).unwrap());
     assert_eq!(teller.digest(), Quarantine::new().digest());
