A quarantine is lifted by a row and the start of one daemon

The page for operators said to remove the request's rows and to restart the daemons. In a rolling restart that lifts nothing: each daemon that starts is told by the others.

No code of the product changed.

--- a/crates/gateway/tests/gateway/quarantine.rs
+++ b/crates/gateway/tests/gateway/quarantine.rs
@@ -10,6 +10,8 @@
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use rstest::rstest;
 use rustix::process::Signal;
@@ -170,6 +172,31 @@
     assert_eq!(runs(&decode), ENDED);
 }
 
+/// Operators who have mended the engines write when: all daemons hear of it from the one that starts next.
+#[test]
+fn operators_lift_a_quarantine_by_a_row() {
+    let (prefill, decode) = (Replica::prefill("i-p"), fragile(REPLICAS));
+    let site = site("lifted", &prefill, &decode);
+    crash(&site.daemon, ENDED);
+    until_quarantined(&site.daemon);
+    until("it is kept", || {
+        site.store.keys("quarantine").len() >= ENDED
+    });
+    let keys = site.store.keys("quarantine");
+    let (content, _) = keys[0].split_once('.').unwrap();
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    let row = format!("{content}.served");
+    site.store
+        .put("quarantine", &row, &(now.as_millis() as u64).into());
+    let next = site.another("lifted-2", true);
+    next.until_ready();
+    for daemon in [&next, &site.daemon] {
+        until("it is sent again", || {
+            generate(daemon, "/draft/crash", "l1").read().status() != 503
+        });
+    }
+}
+
 /// A replica that fails in its own way rejects what would end a sound one.
 #[test]
 fn a_request_that_a_replica_failed_was_not_served() {
