Part reads and silence from the pool, and tell callers of a quarantined request why it is refused

A caller whose request is quarantined was told "no replica could take the request", as if another moment or daemon helped; it is told that replicas ended under it. Status and time to come back are the same.

--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -41,6 +41,10 @@
 
 /// Why a quarantined request is refused.
 pub const QUARANTINED: &str = "replicas ended under this request";
+/// What its caller is told: to send it elsewhere, or at once again, does not help.
+const QUARANTINED_TEXT: &str = "replicas ended under this request; it has not run\n";
+/// What other callers are told.
+const REFUSED_TEXT: &str = "no replica could take the request; it has not run\n";
 
 /// A whole answer of a replica.
 #[derive(Debug)]
@@ -264,16 +268,12 @@
     come_back: Duration,
     cause: &'static str,
 ) -> Response<Body> {
-    let (come_back, cause) = match shared.quarantined_for(job.fingerprint) {
-        Some(left) => (left, QUARANTINED),
-        None => (come_back, cause),
+    let (come_back, cause, text) = match shared.quarantined_for(job.fingerprint) {
+        Some(left) => (left, QUARANTINED, QUARANTINED_TEXT),
+        None => (come_back, cause, REFUSED_TEXT),
     };
     job.end("refused", 503, cause);
-    own::refuse(
-        &job.call.id,
-        come_back,
-        "no replica could take the request; it has not run\n",
-    )
+    own::refuse(&job.call.id, come_back, text)
 }
 
 /// Ends `job` with an answer of this daemon's own.
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -2,6 +2,8 @@
 
 mod incarnation;
 mod list;
+mod reads;
+mod silence;
 
 use std::cell::Cell;
 use std::collections::HashMap;
@@ -14,7 +16,6 @@
 
 use crate::balance::Counts;
 use crate::claims::Claims;
-use crate::claims::Reading;
 use crate::gone::Gone;
 use crate::replica::Load;
 use crate::replica::Replica;
@@ -25,21 +26,10 @@
 use crate::server::Key;
 use crate::server::Server;
 
-/// Part of the objective up to which reads may last without any being left to decode replicas. An
-/// unloaded replica takes a quarter of it.
-const SLOW_FROM: f64 = 0.7;
-/// Part of the objective from which on as few as possible are sent.
-const SLOW_TO: f64 = 1.0;
-/// Part of the replicas that may be silent at once if it is they, and not this daemon, that are cut off.
-const MAX_SILENT: f64 = 0.5;
-/// Weight of the newest read in the mean pace of a service's replicas.
-const READ_PACE_STEP: f64 = 0.05;
-/// Most that is left to decode replicas; the rest tells when it is better again.
-const MAX_OWN_READS: f64 = 0.85;
-
 /// Replicas that are weighed for one request, drawn anew each time where there are more; the best of
 /// so many is among the best fiftieth of all, and weighing 930 took 77 us in place of 16.
 const MAX_WEIGHED: usize = 64;
+
 /// All replicas that this daemon knows.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -192,60 +182,6 @@
         }
     }
 
-    /// Tokens that `key` is to read, as far as is known.
-    pub fn queued(&self, key: Key) -> u64 {
-        self.servers.get(key).map_or(0, Server::queued)
-    }
-
-    /// Notes that `key` took `took` to read `tokens`, those that waited before them included.
-    pub fn note_read(&mut self, now: Time, key: Key, took: Duration, tokens: u64) {
-        let Some(server) = self.servers.get_mut(key) else {
-            return;
-        };
-        let seconds = took.as_secs_f64() / tokens.max(1) as f64;
-        server.note_read(now, seconds);
-        let mean = self.read_paces.entry(server.replica.service.clone());
-        let mean = mean.or_insert(seconds);
-        *mean += READ_PACE_STEP * (seconds - *mean);
-    }
-
-    /// Time that `key` will take to read a prompt of `tokens`, by what it is to read before; `None` if
-    /// no prompt was read yet.
-    pub fn read_time(&self, now: Time, key: Key, tokens: u64) -> Option<Duration> {
-        let server = self.servers.get(key)?;
-        let usual = self.read_paces.get(&server.replica.service).copied();
-        let pace = server.read_pace(now).or(usual)?;
-        Some(Duration::from_secs_f64(
-            pace * (server.queued() + tokens) as f64,
-        ))
-    }
-
-    /// Takes what other daemons have sent to be read.
-    pub fn take_readings(&mut self, now: Time, claims: &Claims) {
-        let unread = claims.unread(now);
-        let told = |hash| {
-            unread
-                .as_ref()
-                .map(|all| all.get(&hash).copied().unwrap_or(0))
-        };
-        for server in self.servers.values_mut() {
-            if server.replica.stage == Some(Stage::Prefill) {
-                server.unread = told(server.hash);
-            }
-        }
-    }
-
-    /// What this daemon has sent to be read, by replica.
-    pub fn readings(&self) -> impl Iterator<Item = Reading> + '_ {
-        let servers = self.servers.values();
-        let reading = servers
-            .filter(|server| server.replica.stage == Some(Stage::Prefill) && server.tokens > 0);
-        reading.map(|server| Reading {
-            replica: server.hash,
-            tokens: server.tokens.min(u64::from(u32::MAX)) as u32,
-        })
-    }
-
     /// Notes that `key` took `took` for `units` of work; units are alike for all replicas of one
     /// stage of a service.
     pub fn note_pace(&mut self, now: Time, key: Key, took: Duration, units: f64) {
@@ -254,26 +190,6 @@
         }
     }
 
-    /// Whether `decode` may read a prompt itself. A decode replica makes next to no tokens while it reads,
-    /// so each read is a pause in all of its streams; two in a row are a long one.
-    pub fn may_read(&self, decode: Key) -> bool {
-        let server = self.servers.get(decode);
-        server.is_none_or(|server| server.reads == 0 || server.known_runs <= 1)
-    }
-
-    /// Part of the prompts of `tokens` that a decode replica is to read itself, since the prefill replica
-    /// `key` takes long against `objective`.
-    pub fn own_reads(&self, now: Time, key: Key, tokens: u64, objective: Duration) -> f64 {
-        let Some(server) = self.servers.get(key) else {
-            return 0.0;
-        };
-        let read = self.read_time(now, key, tokens).unwrap_or_default();
-        let part = read.as_secs_f64() / objective.as_secs_f64().max(f64::EPSILON);
-        let slow = (part - SLOW_FROM) / (SLOW_TO - SLOW_FROM);
-        slow.max(server.failure_share(now))
-            .clamp(0.0, MAX_OWN_READS)
-    }
-
     /// Notes that `key` had no room.
     pub fn full(&mut self, now: Time, key: Key) {
         if let Some(server) = self.servers.get_mut(key) {
@@ -281,33 +197,6 @@
         }
     }
 
-    /// Hashes of the replicas that have not answered this daemon lately. None if they are many: then it is
-    /// this daemon that is cut off.
-    pub fn silent_replicas(&self, now: Time) -> Vec<u64> {
-        let silent = self.servers.values().filter(|server| server.is_silent(now));
-        let silent: Vec<u64> = silent.map(|server| server.hash).collect();
-        if silent.len() as f64 > self.servers.len() as f64 * MAX_SILENT {
-            return Vec::new();
-        }
-        silent
-    }
-
-    /// Takes from another daemon which replicas do not answer it.
-    pub fn hear_silent(&mut self, now: Time, silent: &[u64]) {
-        for server in self.servers.values_mut() {
-            if silent.contains(&server.hash) {
-                server.hear_silent(now);
-            }
-        }
-    }
-
-    /// Notes that `key` did not answer a question.
-    pub fn silent(&mut self, now: Time, key: Key) {
-        if let Some(server) = self.servers.get_mut(key) {
-            server.note_silent(now);
-        }
-    }
-
     /// Notes that `key` had room.
     pub fn roomy(&mut self, now: Time, key: Key) {
         if let Some(server) = self.servers.get_mut(key) {
