Find a request's target in a module of its own, with typed errors, and judge an answer's head apart from sending

callers::admit read, checked, found the route and built the job in 70 lines, and Job::new took nine arguments under an exception to the linter. Where a request goes is target::find now, whose errors say why there is no target; answers, log lines and their order are the same. send_once had the judgement of an answer's head in its midst; it is fault() now.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -29,6 +29,7 @@
 use crate::plain;
 use crate::shared::Shared;
 use crate::stream;
+use crate::target;
 
 /// Time after which a caller may come back to a daemon that has no plan yet.
 const STARTING: Duration = Duration::from_millis(500);
@@ -83,54 +84,36 @@
         .plan()
         .map_or_else(Limits::default, |plan| plan.limits);
     let body = read_body(shared, &call.id, body, limits).await?;
-    let Some(plan) = shared.plan() else {
-        return Err(put_off(shared, &call.id, STARTING, "no plan is known yet"));
-    };
     let host = host(&parts).unwrap_or_default();
-    let Some(route) = plan.route(&host, parts.uri.path()) else {
-        let cause = format!(
-            "no route for {host}{} in plan {}",
-            parts.uri.path(),
-            plan.version
-        );
-        return Err(reject(
-            shared,
-            &call.id,
-            StatusCode::NOT_FOUND,
-            &cause,
-            "no route\n",
-        ));
-    };
-    if !shared.takes(route.timeout) {
-        let cause = "this daemon is stopping";
-        return Err(put_off(shared, &call.id, STOPPING, cause));
-    }
-    let Some(service) = route.target(rand::random()) else {
-        return Err(put_off(
-            shared,
-            &call.id,
-            STARTING,
-            "the route has no service",
-        ));
-    };
-    shared.count_request(service);
-    let service = service.to_owned();
-    let route = route.clone();
+    let target = target::find(shared, &host, parts.uri.path())
+        .map_err(|error| answer(shared, &call.id, &error))?;
+    shared.count_request(&target.service);
     let path = job::path(&parts.uri);
     let fingerprint = Fingerprint::new(parts.method.as_str(), &host, path, &body);
     Ok(Job::new(
         shared,
         call,
+        target,
         fingerprint,
-        route,
-        plan.version,
-        service,
         parts,
         body,
         arrived,
     ))
 }
 
+/// The answer to the request `id`, which has no target.
+fn answer(shared: &Shared, id: &str, error: &target::Error) -> Response<Body> {
+    match error {
+        target::Error::NoPlan => put_off(shared, id, STARTING, "no plan is known yet"),
+        target::Error::NoRoute { place, plan } => {
+            let cause = format!("no route for {place} in plan {plan}");
+            reject(shared, id, StatusCode::NOT_FOUND, &cause, "no route\n")
+        }
+        target::Error::Stopping => put_off(shared, id, STOPPING, "this daemon is stopping"),
+        target::Error::NoService => put_off(shared, id, STARTING, "the route has no service"),
+    }
+}
+
 async fn read_body(
     shared: &Shared,
     id: &str,
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -24,6 +24,7 @@
 use relay::runs::Size;
 
 use crate::shared::Shared;
+use crate::target::Target;
 
 /// A request that was read in full and found its route.
 #[derive(Debug)]
@@ -60,18 +61,20 @@
 
 impl Job {
     /// A request that arrived at `arrived`.
-    #[expect(clippy::too_many_arguments, reason = "each is one part of a request")]
     pub fn new(
         shared: &Rc<Shared>,
         call: Call,
+        target: Target,
         fingerprint: Fingerprint,
-        route: Route,
-        plan: u64,
-        service: String,
         parts: http::request::Parts,
         body: Bytes,
         arrived: Instant,
     ) -> Self {
+        let Target {
+            route,
+            plan,
+            service,
+        } = target;
         let returned = shared.has_returned(&route, &service, call.patience);
         let patience = call.patience.unwrap_or(route.timeout).min(route.timeout);
         Self {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod stop;
 pub mod store;
 pub mod stream;
+pub mod target;
 pub mod track;
 pub mod turn;
 pub mod watch;
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -103,37 +103,37 @@
     if let Some(load) = head.load {
         shared.pool.borrow_mut().told(shared.clock.now(), key, load);
     }
-    let outcome = match &head {
-        head if head.other_replica => {
-            shared.pool.borrow_mut().replaced(key);
-            Some((Outcome::NotRun, "another replica has its address"))
-        }
+    if head.other_replica {
+        shared.pool.borrow_mut().replaced(key);
+    }
+    if let Some((outcome, cause)) = fault(&head, prefill) {
+        let load = head
+            .load
+            .map_or((0, 0), |load| (load.running, load.waiting));
+        let cause = format!("{cause}; running {}, waiting {}", load.0, load.1);
+        note(shared, job, key, outcome, &cause, head.status.as_u16());
+        return Err(outcome);
+    }
+    if decode {
+        shared.note_pace(key, begun.elapsed(), 1.0);
+    }
+    Ok(Reply {
+        head,
+        response,
+        link,
+        claim,
+    })
+}
+
+/// Why an answer with this head is none to the request; `None` if it is one.
+fn fault(head: &Head, prefill: bool) -> Option<(Outcome, &'static str)> {
+    match head {
+        head if head.other_replica => Some((Outcome::NotRun, "another replica has its address")),
         head if head.not_run => Some((Outcome::NotRun, "it did not run the request")),
         // The answer to a prefill is for this daemon and bears no signature.
         head if prefill && head.status == StatusCode::OK => None,
         head if !head.genuine => Some((Outcome::Lost, "its answer is not genuine")),
         _ => None,
-    };
-    match outcome {
-        None => {
-            if decode {
-                shared.note_pace(key, begun.elapsed(), 1.0);
-            }
-            Ok(Reply {
-                head,
-                response,
-                link,
-                claim,
-            })
-        }
-        Some((outcome, cause)) => {
-            let load = head
-                .load
-                .map_or((0, 0), |load| (load.running, load.waiting));
-            let cause = format!("{cause}; running {}, waiting {}", load.0, load.1);
-            note(shared, job, key, outcome, &cause, head.status.as_u16());
-            Err(outcome)
-        }
     }
 }
 
