--- a/crates/gateway/tests/gateway/common/replica.rs
+++ b/crates/gateway/tests/gateway/common/replica.rs
@@ -37,8 +37,20 @@
     Crash(Vec<u8>),
 }
 
+impl Act {
+    /// The bytes of a whole answer; none where the connection does not outlast it.
+    fn bytes(&self) -> Vec<u8> {
+        match self {
+            Self::Send(bytes) => bytes.clone(),
+            Self::Slowly(parts, _) => parts.concat(),
+            _ => Vec::new(),
+        }
+    }
+}
+
 type Script = dyn Fn(&Message) -> Act + Send + Sync;
 type Reports = OnceLock<Box<dyn Fn() -> bool + Send + Sync>>;
+type Stutter = OnceLock<Box<dyn Fn(&Message) -> bool + Send + Sync>>;
 
 /// What its connections share with the test.
 #[derive(Default)]
@@ -48,6 +60,12 @@
     /// When it started, as it tells in answers of its own; 0 if it does not.
     born: AtomicU64,
     reports: Reports,
+    /// Which requests are answered twice.
+    stutter: Stutter,
+    /// Second answers that were sent.
+    second_answers: AtomicUsize,
+    /// Reservations that were made.
+    holds: AtomicUsize,
 }
 
 /// A replica.
@@ -89,6 +107,17 @@
         assert!(self.state.reports.set(Box::new(answers)).is_ok());
     }
 
+    /// Answers those requests twice for which `twice` holds. The second answer comes late: on the same connection,
+    /// where the answer to the next request is due, and ahead of it.
+    pub fn set_stutter(&self, twice: impl Fn(&Message) -> bool + Send + Sync + 'static) {
+        assert!(self.state.stutter.set(Box::new(twice)).is_ok());
+    }
+
+    /// Second answers that it sent.
+    pub fn second_answers(&self) -> usize {
+        self.state.second_answers.load(Ordering::SeqCst)
+    }
+
     /// Ends it with all that it is doing.
     pub fn crash(&self) {
         self.server.wait().stop();
@@ -138,23 +167,18 @@
 }
 
 fn connection(socket: &mut TcpStream, script: &Arc<Script>, state: &State) -> Left {
+    let mut second_answer = Vec::new();
     while let Ok(Some(request)) = http::read(socket) {
-        let act = match request.path() {
-            "/api/hold-take" => {
-                let told = match state.born.load(Ordering::SeqCst) {
-                    0 => json!({"hold": "h1"}),
-                    born => json!({"hold": "h1", "born": born}),
-                };
-                Act::Send(answer(200, &[], told.to_string().as_bytes()))
-            }
-            "/api/report" if state.reports.get().is_some_and(|answers| !answers()) => continue,
-            "/api/report" => Act::Send(answer(200, &[], br#"{"busy":false,"seq":0}"#)),
-            path if path.starts_with("/api/hold-drop/") => Act::Send(answer(200, &[], b"")),
-            _ => {
-                state.seen.lock().unwrap().push(request.clone());
-                script(&request)
-            }
+        if !second_answer.is_empty() {
+            state.second_answers.fetch_add(1, Ordering::SeqCst);
+            http::send(socket, &std::mem::take(&mut second_answer));
+        }
+        let Some(act) = act(&request, script, state) else {
+            continue;
         };
+        if state.stutter.get().is_some_and(|twice| twice(&request)) {
+            second_answer = act.bytes();
+        }
         match act {
             Act::Send(bytes) => {
                 if !http::send(socket, &bytes) {
@@ -197,6 +221,28 @@
     Left::Closed
 }
 
+/// What a replica does with `request`; `None` if it does not answer.
+fn act(request: &Message, script: &Arc<Script>, state: &State) -> Option<Act> {
+    match request.path() {
+        "/api/hold-take" => {
+            let number = state.holds.fetch_add(1, Ordering::SeqCst) + 1;
+            let mut told = json!({"hold": format!("h{number}")});
+            match state.born.load(Ordering::SeqCst) {
+                0 => {}
+                born => told["born"] = born.into(),
+            }
+            Some(Act::Send(answer(200, &[], told.to_string().as_bytes())))
+        }
+        "/api/report" if state.reports.get().is_some_and(|answers| !answers()) => None,
+        "/api/report" => Some(Act::Send(answer(200, &[], br#"{"busy":false,"seq":0}"#))),
+        path if path.starts_with("/api/hold-drop/") => Some(Act::Send(answer(200, &[], b""))),
+        _ => {
+            state.seen.lock().unwrap().push(request.clone());
+            Some(script(request))
+        }
+    }
+}
+
 /// A signed answer to `request`.
 pub fn signed(request: &Message, status: u16, body: &[u8]) -> Vec<u8> {
     let id = request.header("request-id").unwrap_or_default();
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod moves;
 mod plain;
 mod quarantine;
+mod second_answers;
 mod site;
 mod stages;
 mod stream;
