--- a/crates/ctl/src/story.rs
+++ b/crates/ctl/src/story.rs
@@ -155,15 +155,20 @@
     };
     match kind {
         "send" => format!(
-            "sent to {} to {} ({} of this daemon at work there, list of replicas {}, plan {}, {} ms left)",
+            "sent to {} to {}{} ({} of this daemon at work there, list of replicas {}, plan {}, {} ms left)",
             text("replica"),
             task(&text("task")),
+            cache(&text("cache")),
             text("in_flight"),
             text("replicas"),
             text("plan"),
             text("left_ms")
         ),
-        "read" => format!("the prompt was read after {} ms", text("ms")),
+        "read" => format!(
+            "the prompt was read after {} ms{}",
+            text("ms"),
+            cache(&text("cache"))
+        ),
         "first" => format!("the first event went to the caller after {} ms", text("ms")),
         "reserve" if !line["cause"].is_null() => format!(
             "a decode replica did not answer when it was asked for room: {}",
@@ -232,6 +237,14 @@
     }
 }
 
+/// Which KV cache a line names; nothing if it names none.
+fn cache(name: &str) -> String {
+    match name {
+        "" | "?" => String::new(),
+        name => format!(" (KV cache {name})"),
+    }
+}
+
 fn task(word: &str) -> &str {
     match word {
         "prefill" => "read the prompt",
--- a/crates/ctl/tests/waxwing/views.rs
+++ b/crates/ctl/tests/waxwing/views.rs
@@ -272,3 +272,23 @@
         .code(0)
         .out("the run left i-1, whose memory was about to end, for i-2 after 12 events");
 }
+
+const READ_ELSEWHERE: [&str; 2] = [
+    r#"{"instance":"edge-1","up_ms":100,"time":"2026-12-02T10:00:02Z","kind":"read","request":"9c41","ms":50,"cache":"k7","earlier":3}"#,
+    r#"{"instance":"edge-1","up_ms":101,"time":"2026-12-02T10:00:02Z","kind":"send","request":"9c41","replica":"i-2","task":"decode","cache":"k7","in_flight":1,"replicas":4,"plan":2,"left_ms":3900}"#,
+];
+
+/// Two requests that went on from one KV cache can be told by its name alone.
+#[test]
+fn a_life_names_the_cache_that_a_generation_goes_on_from() {
+    let env = Env::new();
+    let log = env.file("one.log", &READ_ELSEWHERE.join("\n"));
+    let ran = env.run(&["explain", "9c41", "--log", &log]).code(0);
+    in_order(
+        &ran.out,
+        &[
+            "the prompt was read after 50 ms (KV cache k7)",
+            "sent to i-2 to make tokens from the prompt read elsewhere (KV cache k7)",
+        ],
+    );
+}
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -61,6 +61,8 @@
     sender: SendRequest<Full<Bytes>>,
     task: Task,
     address: SocketAddr,
+    /// Exchanges on it before the present one.
+    earlier: u32,
     idle_since: Instant,
     keep: Duration,
 }
@@ -124,6 +126,7 @@
             Duration::from_secs(seconds).mul_f64(IDLE_PART)
         });
         link.idle_since = Instant::now();
+        link.earlier = link.earlier.saturating_add(1);
         let mut idle = self.idle.borrow_mut();
         let links = idle.entry(link.address).or_default();
         links.push(link);
@@ -156,6 +159,11 @@
 }
 
 impl Link {
+    /// Exchanges on it before the present one; the answer to one of them may still arrive.
+    pub const fn earlier(&self) -> u32 {
+        self.earlier
+    }
+
     fn is_usable(&self) -> bool {
         let open = !self.task.0.is_finished() && !self.sender.is_closed();
         open && self.sender.is_ready() && self.idle_since.elapsed() < self.keep
@@ -190,6 +198,7 @@
         sender,
         task: Task(task.abort_handle()),
         address: to,
+        earlier: 0,
         idle_since: Instant::now(),
         keep: IDLE_TIMEOUT,
     })
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -86,7 +86,7 @@
         return Err(Outcome::NotSent);
     };
     let (prompt, output) = job.call.tokens.unwrap_or_default();
-    log::info!(kind = "send", request = job.call.id, content = job.fingerprint.to_string(), replica = id, task = word(&task), in_flight = in_flight, prompt = prompt, output = output, replicas = shared.replicas_version(), reserved = reservation.is_some(), plan = job.plan, left_ms = job.left().as_millis() as u64; "sending");
+    log::info!(kind = "send", request = job.call.id, content = job.fingerprint.to_string(), replica = id, task = word(&task), cache = cache(&task), in_flight = in_flight, prompt = prompt, output = output, replicas = shared.replicas_version(), reserved = reservation.is_some(), plan = job.plan, left_ms = job.left().as_millis() as u64; "sending");
     let prefill = task == Task::Prefill;
     let decode = matches!(task, Task::Decode { .. });
     let begun = Instant::now();
@@ -201,6 +201,14 @@
     outcome
 }
 
+/// Name of the KV cache, or of the moved memory, that `task` goes on from; empty if there is none.
+fn cache(task: &Task) -> &str {
+    match task {
+        Task::Decode { handle, .. } | Task::GoOn { handle, .. } => handle,
+        Task::Answer | Task::Prefill | Task::Resume { .. } => "",
+    }
+}
+
 const fn word(task: &Task) -> &'static str {
     match task {
         Task::Answer => "answer",
