Take the answer to a prefill only if it names the request

What callers saw: a generation went on from the KV cache of another request, and was answered as if all were well. Cause: an answer was matched to its request by its place on the connection. The id in it was compared for answers that are passed on, since it is part of what makes them genuine; a prefill's answer bears no signature, and was taken before that check. A replica that answers twice, the second time late, shifted all prefills on that connection by one.

Ruled out: the two answers arriving before the next request; the library then finds bytes on an idle connection and closes it. An answer passed on to another caller: the id was compared there.

The 421 of another request says no longer that another replica has the address.

--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -159,7 +159,7 @@
 }
 
 impl Link {
-    /// Exchanges on it before the present one; the answer to one of them may still arrive.
+    /// Exchanges on it before the present one.
     pub const fn earlier(&self) -> u32 {
         self.earlier
     }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use platform::caller::Task;
 use platform::reply::Head;
+use platform::reply::Subject;
 use relay::attempt::Outcome;
 use relay::permit::Permit;
 use relay::permit::Work;
@@ -100,6 +101,10 @@
         Err(failure) => return Err(failed(shared, job, key, &failure)),
     };
     let head = Head::read(&job.call.id, response.status(), response.headers());
+    // Replicas may answer twice, the second time late.
+    if head.subject == Subject::Other {
+        return Err(foreign(shared, job, key, &head, &link));
+    }
     if let Some(load) = head.load {
         shared.pool.borrow_mut().told(shared.clock.now(), key, load);
     }
@@ -125,6 +130,15 @@
     })
 }
 
+/// Notes that the answer is another request's; this one may run all the same.
+fn foreign(shared: &Shared, job: &Job, key: Key, head: &Head, link: &Link) -> Outcome {
+    let earlier = link.earlier();
+    let cause = format!("the answer is another request's; exchanges before: {earlier}");
+    let outcome = Outcome::Lost;
+    note(shared, job, key, outcome, &cause, head.status.as_u16());
+    outcome
+}
+
 /// Why an answer with this head is none to the request; `None` if it is one.
 fn fault(head: &Head, prefill: bool) -> Option<(Outcome, &'static str)> {
     match head {
