On a used connection, take an answer without an id for nobody's

Cause: an answer without an id counted as the request's own. That holds on a new connection, where nothing else was asked; on a used one it may be the second answer to anything.

Ruled out: that a signature alone tells whose answer it is; the daemon cannot read it. Keeping such a connection and rejecting the next answer: each second request would be lost at a replica that never names one, so the connection is closed instead.

Change: an answer without an id is taken on a new connection alone, and the connection is not kept after it.

--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -234,9 +234,7 @@
                     if !self.pass(rest).await {
                         return End::Left;
                     }
-                    if !head.closes {
-                        self.shared.links.keep(link, head.keep_alive_s);
-                    }
+                    self.shared.links.keep_after(&head, link);
                     let service = &self.job.service;
                     self.shared.note_answer(service, begun.elapsed());
                     drop(claim);
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -16,6 +16,8 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use platform::reply::Head;
+use platform::reply::Subject;
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -135,6 +137,14 @@
         }
     }
 
+    /// Keeps `link` after the whole answer with this head, unless the replica closes it or named no request: without
+    /// a name a late second answer could not be told from the next one.
+    pub fn keep_after(&self, head: &Head, link: Link) {
+        if head.subject == Subject::Own && !head.closes {
+            self.keep(link, head.keep_alive_s);
+        }
+    }
+
     /// Closes the idle connections to `address`: where one fell silent, the others may have as well,
     /// and each of them would cost a call its time limit.
     pub fn forget(&self, address: SocketAddr) {
@@ -164,6 +174,16 @@
         self.earlier
     }
 
+    /// Whether an answer that says it belongs to `subject` is the one to the present exchange. Replicas may answer
+    /// twice, the second time late: where an exchange went before, only the id tells whose answer arrives.
+    pub const fn is_answered(&self, subject: Subject) -> bool {
+        match subject {
+            Subject::Own => true,
+            Subject::Other => false,
+            Subject::Unnamed => self.earlier == 0,
+        }
+    }
+
     fn is_usable(&self) -> bool {
         let open = !self.task.0.is_finished() && !self.sender.is_closed();
         open && self.sender.is_ready() && self.idle_since.elapsed() < self.keep
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -12,7 +12,6 @@
 use hyper::body::Incoming;
 use platform::caller::Task;
 use platform::reply::Head;
-use platform::reply::Subject;
 use relay::attempt::Outcome;
 use relay::permit::Permit;
 use relay::permit::Work;
@@ -101,8 +100,7 @@
         Err(failure) => return Err(failed(shared, job, key, &failure)),
     };
     let head = Head::read(&job.call.id, response.status(), response.headers());
-    // Replicas may answer twice, the second time late.
-    if head.subject == Subject::Other {
+    if !link.is_answered(head.subject) {
         return Err(foreign(shared, job, key, &head, &link));
     }
     if let Some(load) = head.load {
@@ -195,9 +193,7 @@
     let (parts, body) = response.into_parts();
     match Limited::new(body, most).collect().await {
         Ok(body) => {
-            if !head.closes {
-                shared.links.keep(link, head.keep_alive_s);
-            }
+            shared.links.keep_after(&head, link);
             drop(claim);
             Ok((head, parts.headers, body.to_bytes()))
         }
--- a/crates/gateway/tests/gateway/second_answers.rs
+++ b/crates/gateway/tests/gateway/second_answers.rs
@@ -69,3 +69,63 @@
         );
     }
 }
+
+/// An application that answers with the id of the request; its answers name the request if `names`.
+fn application(names: bool) -> Replica {
+    Replica::start("i-a", move |request| {
+        let headers = [("request-id", id(request)), ("response-seal", "s.1")];
+        let headers = if names { &headers[..] } else { &headers[1..] };
+        Act::Send(answer(200, headers, id(request).as_bytes()))
+    })
+}
+
+/// Asks one call after another, and gives those whose answer was another one's.
+fn foreign_answers(site: &Site) -> Vec<(String, String)> {
+    let asked = (0..6).map(|number| {
+        let id = format!("a{number}");
+        let told = site.ask("GET /read/1", &id);
+        let body = String::from_utf8_lossy(&told.body).into_owned();
+        (id, told.status(), body)
+    });
+    let answered = asked.filter(|(id, status, body)| *status == 200 && id != body);
+    answered.map(|(id, _, body)| (id, body)).collect()
+}
+
+#[test]
+fn a_call_gets_its_own_answer_where_calls_are_answered_twice() {
+    let replica = application(true);
+    replica.set_stutter(|_| true);
+    let site = Site::start("called-twice", &[(&replica, "app", "")]);
+    assert_eq!(foreign_answers(&site), []);
+    assert!(replica.second_answers() > 0);
+}
+
+/// On a connection that carried other requests, an answer without an id may be the second one to any of them.
+#[test]
+fn a_call_gets_its_own_answer_where_answers_name_no_request() {
+    let replica = application(false);
+    replica.set_stutter(|_| true);
+    let site = Site::start("unnamed", &[(&replica, "app", "")]);
+    assert_eq!(foreign_answers(&site), []);
+    assert_eq!(site.ask("GET /read/1", "last").status(), 200);
+}
+
+#[test]
+fn a_stream_has_its_own_events_where_streams_are_answered_twice() {
+    let decode = Replica::start("i-d", |request| {
+        let event = chunk(format!("id: 1\ndata: {}\n\n", id(request)).as_bytes());
+        Act::Send([stream_head(request), event, chunk(b"")].concat())
+    });
+    decode.set_stutter(|request| request.path() == "/resume/1");
+    let site = Site::start("streamed-twice", &[(&decode, "llm", "decode")]);
+    for number in 0..6 {
+        let id = format!("a{number}");
+        let told = generate(&site.daemon, "/resume/1", &id).read();
+        let body = String::from_utf8_lossy(&told.body).into_owned();
+        assert!(
+            told.status() != 200 || body == format!("id: 1\ndata: {id}\n\n"),
+            "{body}"
+        );
+    }
+    assert!(decode.second_answers() > 0);
+}
