After a second answer, send one request on each connection to that replica for a while

What callers saw: where a replica answers twice, each second answer costs the request that is sent next on its connection: in the test 6 of 12 calls ended without an answer. Cause: the connection is closed, and the next one is used again all the same.

Hypothesis: a replica that answered twice does so again within seconds; connections that carry one exchange each spare the requests after it, at the price of new connections. In the test 1 of 12 calls is lost.

Ruled out: asking the socket before each send whether bytes wait; a second answer may come after the send.

Sight: the metric foreign_answers_total counts answers that belonged to another request.

--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -34,6 +34,9 @@
 /// Part of the replica's own time after which a connection is not used again, so that a request
 /// does not meet the replica's close.
 const IDLE_PART: f64 = 0.6;
+/// Time after a second answer of a replica in which its connections carry one exchange each. It may answer twice again,
+/// and a second answer on a used connection costs the request that is sent next.
+const STUTTER: Duration = Duration::from_secs(10);
 
 /// Why an exchange ended without an answer's head.
 #[derive(Debug)]
@@ -83,6 +86,8 @@
 #[derive(Debug, Default)]
 pub struct Links {
     idle: RefCell<HashMap<SocketAddr, Vec<Link>>>,
+    /// Addresses at which a request was answered twice, and when.
+    stutters: RefCell<HashMap<SocketAddr, Instant>>,
 }
 
 impl Links {
@@ -129,6 +134,9 @@
         });
         link.idle_since = Instant::now();
         link.earlier = link.earlier.saturating_add(1);
+        if self.stutters(link.address) {
+            return;
+        }
         let mut idle = self.idle.borrow_mut();
         let links = idle.entry(link.address).or_default();
         links.push(link);
@@ -151,8 +159,23 @@
         self.idle.borrow_mut().remove(&address);
     }
 
+    /// Notes that a request was answered twice at `address`, and closes the idle connections to it.
+    pub fn note_second_answer(&self, address: SocketAddr) {
+        let now = Instant::now();
+        self.stutters.borrow_mut().insert(address, now);
+        self.forget(address);
+    }
+
+    fn stutters(&self, address: SocketAddr) -> bool {
+        let stutters = self.stutters.borrow();
+        let noted = stutters.get(&address);
+        noted.is_some_and(|noted| noted.elapsed() < STUTTER)
+    }
+
     /// Closes connections that were idle for too long.
     pub fn sweep(&self) {
+        let mut stutters = self.stutters.borrow_mut();
+        stutters.retain(|_, noted| noted.elapsed() < STUTTER);
         let mut idle = self.idle.borrow_mut();
         for links in idle.values_mut() {
             links.retain(Link::is_usable);
@@ -169,6 +192,11 @@
 }
 
 impl Link {
+    /// Where it leads.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Exchanges on it before the present one.
     pub const fn earlier(&self) -> u32 {
         self.earlier
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -34,6 +34,8 @@
     pub open: GenericGauge<AtomicU64>,
     /// Requests that are sent to no replica, since replicas ended under them.
     pub quarantined: GenericGauge<AtomicU64>,
+    /// Answers of replicas that belonged to another request than the one that was sent.
+    pub foreign_answers: IntCounter,
     /// Calls of the store that failed.
     pub store_failures: IntCounter,
     /// Calls of the store, by step and table.
@@ -85,7 +87,12 @@
         let age = Gauge::new(full("replicas_age_seconds"), "Age of the list of replicas")?;
         let budget = Opts::new(full("retries_left"), "Retries left in the budget");
         let failures = IntCounter::new(full("store_failures_total"), "Failed calls of the store")?;
+        let foreign = IntCounter::new(
+            full("foreign_answers_total"),
+            "Answers of replicas that belonged to another request",
+        )?;
         Ok(Self {
+            foreign_answers: register(&registry, foreign)?,
             plan_version: gauge("plan_version", "Version of the plan in force")?,
             open: gauge("open_requests", "Requests in progress")?,
             quarantined: gauge("quarantined", "Requests that are sent to no replica")?,
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -130,6 +130,8 @@
 
 /// Notes that the answer is another request's; this one may run all the same.
 fn foreign(shared: &Shared, job: &Job, key: Key, head: &Head, link: &Link) -> Outcome {
+    shared.metrics.foreign_answers.inc();
+    shared.links.note_second_answer(link.address());
     let earlier = link.earlier();
     let cause = format!("the answer is another request's; exchanges before: {earlier}");
     let outcome = Outcome::Lost;
--- a/crates/gateway/tests/gateway/second_answers.rs
+++ b/crates/gateway/tests/gateway/second_answers.rs
@@ -129,3 +129,19 @@
     }
     assert!(decode.second_answers() > 0);
 }
+
+/// Each second answer costs the request that is sent next on its connection.
+#[test]
+fn a_replica_that_answers_twice_costs_one_request() {
+    let replica = application(true);
+    replica.set_stutter(|_| true);
+    let site = Site::start("stutter", &[(&replica, "app", "")]);
+    let status = |number: usize| site.ask("GET /read/1", &format!("a{number}")).status();
+    let lost = (0..12).filter(|number| status(*number) != 200).count();
+    assert_eq!((lost, replica.second_answers()), (1, 1));
+    let metrics = site.daemon.metrics();
+    assert!(
+        metrics.contains("waxwing_gateway_foreign_answers_total 1"),
+        "{metrics}"
+    );
+}
