Give each call of a replica whose answer names nothing a connection of its own

What callers saw: a run that was moved went on from the memory of another run; two generations came with one reservation; a generation got 502 because its reservation had been answered by the stream before it. What they saw later: a request quarantined for the end of a replica that was there, and an engine counted as ordered that had refused.

Cause: reservations, reports, orders, moves and frees shared the connections of requests and of each other. Their answers name nothing, so the place on the connection alone told whose answer it was. A replica that answers twice puts its second answer where the next one is due.

Ruled out: an id on these calls (replicas do not send it back, and one that does not know the path would run the call); a look at the form of the answer (the second answer to a move has the form of any answer to a move).

Change: `ask::call` always opens a connection. Its answer holds it, and it closes with the answer, so that one that cannot be read, or refuses, keeps nothing. A reservation that was read keeps it for a request, whose answer names it, for as long as the replica's Keep-Alive says and not after Connection: close.

Conclusion: an answer without a name is matched by a connection that carried nothing before it.

--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -1,4 +1,5 @@
-//! Short calls of replicas that are no requests of callers.
+//! Short calls of replicas that are no requests of callers. Their answers name nothing, so that only a connection of
+//! its own tells to which call an answer belongs.
 
 use std::fmt;
 use std::net::SocketAddr;
@@ -15,9 +16,12 @@
 use http_body_util::Limited;
 use platform::engine;
 use platform::engine::Report;
+use platform::reply::Head;
 use relay::server::Key;
 
 use crate::links::Failure;
+use crate::links::Link;
+use crate::links::Links;
 use crate::shared::Shared;
 
 /// Time for the answer; replicas answer such calls without waiting for a slot.
@@ -40,6 +44,27 @@
     pub body: Vec<u8>,
 }
 
+/// A whole answer. Its connection closes when this is dropped.
+#[derive(Debug)]
+pub struct Answer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its body.
+    pub body: Bytes,
+    head: Head,
+    link: Link,
+}
+
+impl Answer {
+    /// Keeps the connection for a request of a caller, whose answer names it: a second answer to this call is not
+    /// taken for that one.
+    pub fn keep(self, links: &Links) {
+        if !self.head.closes {
+            links.keep(self.link, self.head.keep_alive_s);
+        }
+    }
+}
+
 /// Why a call has no answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Error {
@@ -63,11 +88,11 @@
 
 impl std::error::Error for Error {}
 
-/// Makes `call`; gives the status and the body of the answer.
+/// Makes `call` and gives the answer.
 ///
 /// # Errors
 /// [`Error`].
-pub async fn call(shared: &Shared, call: Call) -> Result<(StatusCode, Bytes), Error> {
+pub async fn call(shared: &Shared, call: Call) -> Result<Answer, Error> {
     let (name, id) = engine::aimed_at(&call.replica);
     let request = Request::builder()
         .method(call.method)
@@ -86,22 +111,30 @@
     }
 }
 
+/// Sends `request` on a connection of its own: on one that was used before, the second answer to another exchange
+/// would be taken for the answer.
 async fn exchange(
     shared: &Shared,
     to: SocketAddr,
     request: Request<Full<Bytes>>,
-) -> Result<(StatusCode, Bytes), Error> {
-    let sent = shared.links.send(to, request, false).await;
+) -> Result<Answer, Error> {
+    let sent = shared.links.send(to, request, true).await;
     let (answer, link) = sent.map_err(|failure| match failure {
         Failure::Refused { .. } => Error::Refused,
         Failure::NotSent { step, cause } => failed(&format!("{step}: {cause}")),
         Failure::Lost { cause } => failed(&cause),
     })?;
-    let status = answer.status();
-    let body = Limited::new(answer.into_body(), MAX_ANSWER).collect().await;
+    let (parts, body) = answer.into_parts();
+    // The id is not used: no call bears one.
+    let head = Head::read("", parts.status, &parts.headers);
+    let body = Limited::new(body, MAX_ANSWER).collect().await;
     let body = body.map_err(|error| failed(&error))?;
-    shared.links.keep(link, None);
-    Ok((status, body.to_bytes()))
+    Ok(Answer {
+        status: parts.status,
+        body: body.to_bytes(),
+        head,
+        link,
+    })
 }
 
 fn failed(cause: &impl ToString) -> Error {
@@ -141,12 +174,13 @@
         body: Vec::new(),
     };
     match call(shared, report).await {
-        Ok((StatusCode::OK, body)) => {
-            let birth = Report::read(&body).ok().and_then(|report| report.birth);
-            shared.note_birth(key, birth);
+        Ok(answer) if answer.status == StatusCode::OK => {
+            let report = Report::read(&answer.body).ok();
+            shared.note_birth(key, report.and_then(|report| report.birth));
             present(shared, key)
         }
-        Ok((StatusCode::MISDIRECTED_REQUEST, _)) | Err(Error::Refused) => Presence::Ended,
+        Ok(answer) if answer.status == StatusCode::MISDIRECTED_REQUEST => Presence::Ended,
+        Err(Error::Refused) => Presence::Ended,
         // It answers, though not as it should.
         Ok(_) => Presence::Here,
         Err(Error::Failed { .. }) => Presence::Unknown,
--- a/crates/gateway/src/mover.rs
+++ b/crates/gateway/src/mover.rs
@@ -56,26 +56,26 @@
             path: engine::MOVE_PATH.to_owned(),
             body: engine::move_body(request, target.address),
         };
-        let (status, body) = match ask::call(shared, call).await {
+        let answer = match ask::call(shared, call).await {
             Ok(answer) => answer,
             Err(error) => {
                 cause = error.to_string();
                 continue;
             }
         };
-        let places = match status {
+        let places = match answer.status {
             StatusCode::OK => vec![to, from],
             StatusCode::NOT_FOUND => return Outcome::Unchanged("the replica does not run it"),
             _ => vec![from],
         };
-        return match Moved::read(&body) {
+        return match Moved::read(&answer.body) {
             Ok(moved) => Outcome::Stopped(Stopped {
                 from,
                 address: source.address,
                 handle: moved.handle,
                 places,
             }),
-            Err(_) if status == StatusCode::OK => Outcome::Unknown("no handle".to_owned()),
+            Err(_) if answer.status == StatusCode::OK => Outcome::Unknown("no handle".to_owned()),
             Err(_) => Outcome::Unchanged("the replica does not move it"),
         };
     }
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -229,8 +229,9 @@
     };
     match ask::call(shared, call).await {
         Err(error) => Asked::Failed(error.to_string()),
-        Ok((StatusCode::OK, body)) => match Reservation::read(&body) {
+        Ok(answer) if answer.status == StatusCode::OK => match Reservation::read(&answer.body) {
             Ok(reservation) => {
+                answer.keep(&shared.links);
                 shared.note_birth(key, reservation.birth);
                 Asked::Room(Reserved {
                     shared: Rc::clone(shared),
@@ -262,7 +263,7 @@
         tokio::task::spawn_local(async move {
             let replica = call.replica.clone();
             let given = ask::call(&shared, call).await;
-            if !matches!(given, Ok((StatusCode::OK, _))) {
+            if !given.is_ok_and(|answer| answer.status == StatusCode::OK) {
                 log::info!(kind = "reserve", replica = replica; "a reservation could not be given back; it lapses");
             }
         });
--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -166,8 +166,8 @@
         body: Vec::new(),
     };
     let called = ask::call(shared, call).await;
-    let (_, body) = called.map_err(|error| error.to_string())?;
-    Report::read(&body).map_err(|error| error.to_string())
+    let answer = called.map_err(|error| error.to_string())?;
+    Report::read(&answer.body).map_err(|error| error.to_string())
 }
 
 async fn give(
@@ -185,8 +185,8 @@
         body: engine::stage_body(stage, holder, fence, order.taken),
     };
     let called = ask::call(shared, call).await;
-    let (status, _) = called.map_err(|error| error.to_string())?;
-    Ok(status)
+    let answer = called.map_err(|error| error.to_string())?;
+    Ok(answer.status)
 }
 
 /// Becomes the one that gives orders for `service`; gives the fencing token and the time at which
--- a/crates/gateway/tests/gateway/common/replica.rs
+++ b/crates/gateway/tests/gateway/common/replica.rs
@@ -50,6 +50,7 @@
 
 type Script = dyn Fn(&Message) -> Act + Send + Sync;
 type Reports = OnceLock<Box<dyn Fn() -> bool + Send + Sync>>;
+type Calls = OnceLock<Box<dyn Fn(&Message) -> Option<Vec<u8>> + Send + Sync>>;
 type Stutter = OnceLock<Box<dyn Fn(&Message) -> bool + Send + Sync>>;
 
 /// What its connections share with the test.
@@ -60,10 +61,14 @@
     /// When it started, as it tells in answers of its own; 0 if it does not.
     born: AtomicU64,
     reports: Reports,
+    /// Answers to calls of the daemon's own in place of the usual ones.
+    calls: Calls,
     /// Which requests are answered twice.
     stutter: Stutter,
     /// Second answers that were sent.
     second_answers: AtomicUsize,
+    /// Connections that were opened to it.
+    connections: AtomicUsize,
     /// Reservations that were made.
     holds: AtomicUsize,
 }
@@ -88,6 +93,7 @@
         let server = Arc::new(OnceLock::<Server>::new());
         let own_server = Arc::clone(&server);
         let started = Server::start("127.0.0.1", move |socket| {
+            own_state.connections.fetch_add(1, Ordering::SeqCst);
             if connection(socket, &script, &own_state) == Left::Crashed {
                 own_server.wait().stop();
             }
@@ -107,6 +113,12 @@
         assert!(self.state.reports.set(Box::new(answers)).is_ok());
     }
 
+    /// Answers a reservation, a report or another call of the daemon's own with what `answers` gives for it, if it
+    /// gives anything.
+    pub fn set_calls(&self, answers: impl Fn(&Message) -> Option<Vec<u8>> + Send + Sync + 'static) {
+        assert!(self.state.calls.set(Box::new(answers)).is_ok());
+    }
+
     /// Answers those requests twice for which `twice` holds. The second answer comes late: on the same connection,
     /// where the answer to the next request is due, and ahead of it.
     pub fn set_stutter(&self, twice: impl Fn(&Message) -> bool + Send + Sync + 'static) {
@@ -118,6 +130,11 @@
         self.state.second_answers.load(Ordering::SeqCst)
     }
 
+    /// Connections that were opened to it.
+    pub fn connections(&self) -> usize {
+        self.state.connections.load(Ordering::SeqCst)
+    }
+
     /// Ends it with all that it is doing.
     pub fn crash(&self) {
         self.server.wait().stop();
@@ -223,6 +240,9 @@
 
 /// What a replica does with `request`; `None` if it does not answer.
 fn act(request: &Message, script: &Arc<Script>, state: &State) -> Option<Act> {
+    if let Some(bytes) = state.calls.get().and_then(|answers| answers(request)) {
+        return Some(Act::Send(bytes));
+    }
     match request.path() {
         "/api/hold-take" => {
             let number = state.holds.fetch_add(1, Ordering::SeqCst) + 1;
