Do not take a replica for ended that closes new connections

Cause: the questions whether a lost replica is there go over connections of their own. A replica that has too many connections closes new ones at once. Three such questions counted like three without any answer: as the end.

Ruled out: more questions (a replica can be full for longer than a request may wait); a connection that opens as a sign of life (a process that hangs takes connections as well, and counts as ended on purpose).

Change: `ask::call` tells a connection that was taken and closed from one without an answer in time.

Conclusion: a closed connection speaks for a process behind the port. Reservations that end so still count as a silent replica, as before.

--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -70,6 +70,11 @@
 pub enum Error {
     /// Nothing listens at the address.
     Refused,
+    /// The connection was taken and closed before an answer came; the call may have been carried out.
+    Closed {
+        /// What went wrong.
+        cause: String,
+    },
     /// Something else; the call may have been carried out.
     Failed {
         /// What went wrong.
@@ -81,7 +86,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Refused => write!(f, "asking: connection refused"),
-            Self::Failed { cause } => write!(f, "asking: {cause}"),
+            Self::Closed { cause } | Self::Failed { cause } => write!(f, "asking: {cause}"),
         }
     }
 }
@@ -121,8 +126,11 @@
     let sent = shared.links.send(to, request, true).await;
     let (answer, link) = sent.map_err(|failure| match failure {
         Failure::Refused { .. } => Error::Refused,
-        Failure::NotSent { step, cause } => failed(&format!("{step}: {cause}")),
-        Failure::Lost { cause } => failed(&cause),
+        Failure::NotSent {
+            step: "connecting",
+            cause,
+        } => failed(&format!("connecting: {cause}")),
+        Failure::NotSent { cause, .. } | Failure::Lost { cause } => Error::Closed { cause },
     })?;
     let (parts, body) = answer.into_parts();
     // The id is not used: no call bears one.
@@ -150,6 +158,8 @@
     Here,
     /// Its process ended.
     Ended,
+    /// It takes connections and closes them without an answer: it has too many, or ends at this moment.
+    Closing,
     /// Nothing; it does not answer.
     Unknown,
 }
@@ -183,6 +193,7 @@
         Err(Error::Refused) => Presence::Ended,
         // It answers, though not as it should.
         Ok(_) => Presence::Here,
+        Err(Error::Closed { .. }) => Presence::Closing,
         Err(Error::Failed { .. }) => Presence::Unknown,
     }
 }
--- a/crates/gateway/src/quarantine/inquiry.rs
+++ b/crates/gateway/src/quarantine/inquiry.rs
@@ -51,7 +51,11 @@
 async fn ask_for_presence(shared: &Shared, key: Key) -> Presence {
     for question in 1..=MAX_QUESTIONS {
         match ask::presence(shared, key).await {
-            Presence::Unknown if question < MAX_QUESTIONS => sleep(ASK_AGAIN).await,
+            Presence::Unknown | Presence::Closing if question < MAX_QUESTIONS => {
+                sleep(ASK_AGAIN).await;
+            }
+            // One that was ending would refuse connections by now; this one only takes no more of them.
+            Presence::Closing => return Presence::Here,
             presence => return presence,
         }
     }
--- a/crates/gateway/tests/gateway/common/replica.rs
+++ b/crates/gateway/tests/gateway/common/replica.rs
@@ -69,6 +69,8 @@
     second_answers: AtomicUsize,
     /// Connections that were opened to it.
     connections: AtomicUsize,
+    /// Whether it closes each new connection at once.
+    crowded: AtomicBool,
     /// Reservations that were made.
     holds: AtomicUsize,
 }
@@ -94,6 +96,9 @@
         let own_server = Arc::clone(&server);
         let started = Server::start("127.0.0.1", move |socket| {
             own_state.connections.fetch_add(1, Ordering::SeqCst);
+            if own_state.crowded.load(Ordering::SeqCst) {
+                return;
+            }
             if connection(socket, &script, &own_state) == Left::Crashed {
                 own_server.wait().stop();
             }
@@ -135,6 +140,11 @@
         self.state.connections.load(Ordering::SeqCst)
     }
 
+    /// Closes each new connection at once from now on, as one that has too many does.
+    pub fn crowd(&self) {
+        self.state.crowded.store(true, Ordering::SeqCst);
+    }
+
     /// Ends it with all that it is doing.
     pub fn crash(&self) {
         self.server.wait().stop();
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod birth;
 mod common;
+mod crowded;
 mod ingress;
 mod lifecycle;
 mod moves;
