--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -2,12 +2,14 @@
 
 mod birth;
 mod common;
+mod crowded;
 mod ingress;
 mod lifecycle;
 mod moves;
 mod plain;
 mod quarantine;
 mod second_answers;
+mod second_calls;
 mod site;
 mod stages;
 mod stream;
