Close the connection of a reservation with its answer, and tell unreachable replicas by type

What callers saw: where a replica answered its reservations twice, the generation that went on with the connection of its reservation met the second answer and ended with 502, six of six. Cause: the connection of a call that names nothing was kept for the request after it.

Change: each such call closes its connection; streams share theirs, so that six generations one after another open seven connections where they opened six. The log of a send, and whether a replica closes new connections, went by the text of a step; failures are told by type now.

Ruled out: keeping both kinds (six of six lost); a new connection for each stream as well (not measured).

--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -16,12 +16,9 @@
 use http_body_util::Limited;
 use platform::engine;
 use platform::engine::Report;
-use platform::reply::Head;
 use relay::server::Key;
 
 use crate::links::Failure;
-use crate::links::Link;
-use crate::links::Links;
 use crate::shared::Shared;
 
 /// Time for the answer; replicas answer such calls without waiting for a slot.
@@ -44,25 +41,13 @@
     pub body: Vec<u8>,
 }
 
-/// A whole answer. Its connection closes when this is dropped.
+/// A whole answer.
 #[derive(Debug)]
 pub struct Answer {
     /// Its status.
     pub status: StatusCode,
     /// Its body.
     pub body: Bytes,
-    head: Head,
-    link: Link,
-}
-
-impl Answer {
-    /// Keeps the connection for a request of a caller, whose answer names it: a second answer to this call is not
-    /// taken for that one.
-    pub fn keep(self, links: &Links) {
-        if !self.head.closes {
-            links.keep(self.link, self.head.keep_alive_s);
-        }
-    }
 }
 
 /// Why a call has no answer.
@@ -116,33 +101,24 @@
     }
 }
 
-/// Sends `request` on a connection of its own: on one that was used before, the second answer to another exchange
-/// would be taken for the answer.
+/// Sends `request` on a connection of its own, which closes with the answer: on one that was used before, the second
+/// answer to another exchange would be taken for it, and a second answer to this one would cost the next request.
 async fn exchange(
     shared: &Shared,
     to: SocketAddr,
     request: Request<Full<Bytes>>,
 ) -> Result<Answer, Error> {
     let sent = shared.links.send(to, request, true).await;
-    let (answer, link) = sent.map_err(|failure| match failure {
+    // Dropping the link closes the connection, which is too early before the body is read.
+    let (answer, _link) = sent.map_err(|failure| match failure {
         Failure::Refused { .. } => Error::Refused,
-        Failure::NotSent {
-            step: "connecting",
-            cause,
-        } => failed(&format!("connecting: {cause}")),
-        Failure::NotSent { cause, .. } | Failure::Lost { cause } => Error::Closed { cause },
+        Failure::Unreachable { cause } => failed(&format!("connecting: {cause}")),
+        Failure::NotSent { cause } | Failure::Lost { cause } => Error::Closed { cause },
     })?;
-    let (parts, body) = answer.into_parts();
-    // The id is not used: no call bears one.
-    let head = Head::read("", parts.status, &parts.headers);
-    let body = Limited::new(body, MAX_ANSWER).collect().await;
-    let body = body.map_err(|error| failed(&error))?;
-    Ok(Answer {
-        status: parts.status,
-        body: body.to_bytes(),
-        head,
-        link,
-    })
+    let status = answer.status();
+    let body = Limited::new(answer.into_body(), MAX_ANSWER).collect().await;
+    let body = body.map_err(|error| failed(&error))?.to_bytes();
+    Ok(Answer { status, body })
 }
 
 fn failed(cause: &impl ToString) -> Error {
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -41,18 +41,21 @@
 /// Why an exchange ended without an answer's head.
 #[derive(Debug)]
 pub enum Failure {
-    /// No byte of the request left.
-    NotSent {
-        /// What was tried.
-        step: &'static str,
-        /// What went wrong.
-        cause: String,
-    },
     /// Nothing listens at the address; no byte of the request left.
     Refused {
         /// What the system said.
         cause: String,
     },
+    /// There is no connection for another reason; no byte of the request left.
+    Unreachable {
+        /// What went wrong.
+        cause: String,
+    },
+    /// The connection ended before a byte of the request left.
+    NotSent {
+        /// What went wrong.
+        cause: String,
+    },
     /// The request left; it may have run.
     Lost {
         /// What went wrong.
@@ -121,7 +124,9 @@
         match link.sender.try_send_request(request).await {
             Ok(answer) => Ok((answer, link)),
             Err(mut error) => match error.take_message() {
-                Some(_) => Err(not_sent("sending", error.error())),
+                Some(_) => Err(Failure::NotSent {
+                    cause: error.error().to_string(),
+                }),
                 None => Err(lost(error.error())),
             },
         }
@@ -221,7 +226,7 @@
 /// Opens a connection to `to`.
 ///
 /// # Errors
-/// `Refused` or `NotSent`.
+/// `Refused` or `Unreachable`.
 pub async fn connect(to: SocketAddr) -> Result<Link, Failure> {
     let socket = match timeout(CONNECT_TIMEOUT, TcpStream::connect(to)).await {
         Ok(Ok(socket)) => socket,
@@ -230,13 +235,13 @@
                 cause: error.to_string(),
             });
         }
-        Ok(Err(error)) => return Err(not_sent("connecting", &error)),
-        Err(elapsed) => return Err(not_sent("connecting", &elapsed)),
+        Ok(Err(error)) => return Err(unreachable(&error)),
+        Err(elapsed) => return Err(unreachable(&elapsed)),
     };
-    tune(&socket).map_err(|error| not_sent("connecting", &error))?;
+    tune(&socket).map_err(|error| unreachable(&error))?;
     let (sender, connection) = http1::handshake(TokioIo::new(socket))
         .await
-        .map_err(|error| not_sent("connecting", &error))?;
+        .map_err(|error| unreachable(&error))?;
     let task = tokio::task::spawn_local(async move {
         if let Err(error) = connection.await {
             log::debug!(peer = to.to_string(), cause = error.to_string(); "connection ended");
@@ -261,9 +266,8 @@
     SockRef::from(socket).set_tcp_user_timeout(Some(UNCONFIRMED_TIMEOUT))
 }
 
-fn not_sent(step: &'static str, cause: &impl ToString) -> Failure {
-    Failure::NotSent {
-        step,
+fn unreachable(cause: &impl ToString) -> Failure {
+    Failure::Unreachable {
         cause: cause.to_string(),
     }
 }
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -231,7 +231,6 @@
         Err(error) => Asked::Failed(error.to_string()),
         Ok(answer) if answer.status == StatusCode::OK => match Reservation::read(&answer.body) {
             Ok(reservation) => {
-                answer.keep(&shared.links);
                 shared.note_birth(key, reservation.birth);
                 Asked::Room(Reserved {
                     shared: Rc::clone(shared),
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -205,8 +205,10 @@
 
 fn failed(shared: &Shared, job: &Job, key: Key, failure: &Failure) -> Outcome {
     let (outcome, cause) = match failure {
-        Failure::NotSent { step, cause } => (Outcome::NotSent, format!("{step}: {cause}")),
-        Failure::Refused { cause } => (Outcome::NotSent, format!("connecting: {cause}")),
+        Failure::Refused { cause } | Failure::Unreachable { cause } => {
+            (Outcome::NotSent, format!("connecting: {cause}"))
+        }
+        Failure::NotSent { cause } => (Outcome::NotSent, format!("sending: {cause}")),
         Failure::Lost { cause } => (Outcome::Lost, cause.clone()),
     };
     note(shared, job, key, outcome, &cause, 0);
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -239,8 +239,9 @@
     ) -> Result<Bytes, Error> {
         let sent = self.links.send(self.address, request, false).await;
         let (answer, link) = sent.map_err(|failure| match failure {
-            Failure::NotSent { cause, .. }
-            | Failure::Refused { cause }
+            Failure::Refused { cause }
+            | Failure::Unreachable { cause }
+            | Failure::NotSent { cause }
             | Failure::Lost { cause } => Error::Silent { step, cause },
         })?;
         let status = answer.status();
