A body in parts is complete only after an explicit end

Callers could be told that an answer is complete though the task that passed its events on had ended without a word (a panic, a task that is dropped): the body counted as complete as soon as its senders were gone, and the last chunk was written.

Cause: the end of the channel stood for the end of the answer, and breaking off was a message that only a task that is well could send.

Ruled out: that the panic ends the daemon, which would close the connection without the last chunk; the runtime catches panics of spawned tasks.

Change: the end is a message of its own (body::Part::End); senders that are gone without one break the body off. Whether the log told an end is not part of it.

Conclusion: seen in no log; a fault in the code, not shown to be a cause of the cases at hand.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -5,6 +5,7 @@
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 
 use bytes::Bytes;
 use hyper::body::Frame;
@@ -43,7 +44,16 @@
 #[derive(Debug)]
 enum Content {
     Whole(Option<Bytes>),
-    Parts(Receiver<Result<Bytes, Broken>>),
+    Parts(Receiver<Part>),
+}
+
+/// What comes next of a body in parts.
+#[derive(Debug)]
+pub enum Part {
+    /// Some of its bytes.
+    Data(Bytes),
+    /// Its end; a body without one is broken off.
+    End,
 }
 
 impl Body {
@@ -56,8 +66,9 @@
         }
     }
 
-    /// A body that comes in parts; it is complete when the senders are gone.
-    pub const fn parts(parts: Receiver<Result<Bytes, Broken>>) -> Self {
+    /// A body that comes in parts. It is complete after [`Part::End`] and broken off if the senders are gone before: the
+    /// caller of a task that ended without a word must not take the answer for complete.
+    pub const fn parts(parts: Receiver<Part>) -> Self {
         Self {
             content: Content::Parts(parts),
             open: None,
@@ -90,9 +101,14 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
         match &mut self.content {
             Content::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
-            Content::Parts(parts) => parts
-                .poll_recv(context)
-                .map(|part| part.map(|part| part.map(Frame::data))),
+            Content::Parts(parts) => match ready!(parts.poll_recv(context)) {
+                Some(Part::Data(bytes)) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+                Some(Part::End) => {
+                    self.content = Content::Whole(None);
+                    Poll::Ready(None)
+                }
+                None => Poll::Ready(Some(Err(Broken))),
+            },
         }
     }
 
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -24,7 +24,7 @@
 use tokio::sync::mpsc::Sender;
 
 use crate::body::Body;
-use crate::body::Broken;
+use crate::body::Part;
 use crate::job::Job;
 use crate::mover;
 use crate::mover::Stopped;
@@ -80,7 +80,7 @@
     attempt: Attempt,
     tried: Vec<Key>,
     splitter: Splitter,
-    parts: Sender<Result<Bytes, Broken>>,
+    parts: Sender<Part>,
     started: bool,
     /// The run at the present replica, if it is followed.
     track: Option<Track>,
@@ -128,20 +128,23 @@
                     if let Some(track) = &mut self.track {
                         track.complete();
                     }
-                    return self.job.end("answered", 200, "");
+                    self.job.end("answered", 200, "");
+                    // A caller that left needs no end.
+                    let _ = self.parts.send(Part::End).await;
+                    return;
                 }
                 // The job logs it.
                 End::Left => return,
-                End::Overdue => return self.break_off("overdue", "time is up").await,
+                End::Overdue => return self.break_off("overdue", "time is up"),
                 End::Stopped(stopped) => match self.go_on(stopped).await {
                     Some(next) => reply = next,
-                    None => return self.break_off("broken", "the run could not go on").await,
+                    None => return self.break_off("broken", "the run could not go on"),
                 },
                 End::Broken(cause) => {
                     send::note(&self.shared, &self.job, key, Sent::Lost, &cause, 0);
                     match self.resume(None).await {
                         Some(next) => reply = next,
-                        None => return self.break_off("broken", "the replica broke off").await,
+                        None => return self.break_off("broken", "the replica broke off"),
                     }
                 }
                 End::Silent(place) => {
@@ -149,7 +152,7 @@
                     send::note(&self.shared, &self.job, key, Sent::Lost, cause, 0);
                     match self.resume(Some(place)).await {
                         Some(next) => reply = next,
-                        None => return self.break_off("broken", "the replica fell silent").await,
+                        None => return self.break_off("broken", "the replica fell silent"),
                     }
                 }
             }
@@ -261,7 +264,7 @@
             self.shared.metrics.latency(route, age.as_secs_f64());
             log::info!(kind = "first", request = self.job.call.id, ms = age.as_millis() as u64, late = age > self.job.route.objective; "the first event is passed on");
         }
-        self.parts.send(Ok(bytes.into())).await.is_ok()
+        self.parts.send(Part::Data(bytes.into())).await.is_ok()
     }
 
     /// Notes the time since the last event; a long one, at which a run was set aside or its replica fell
@@ -276,10 +279,9 @@
         }
     }
 
-    async fn break_off(&mut self, outcome: &'static str, cause: &str) {
+    /// Ends the request; its body has no end and is broken off.
+    fn break_off(mut self, outcome: &'static str, cause: &str) {
         self.job.end(outcome, 200, cause);
-        // A caller that left needs no break.
-        let _ = self.parts.send(Err(Broken)).await;
     }
 }
 
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -11,4 +11,5 @@
 mod site;
 mod stages;
 mod stream;
+mod whole;
 mod world;
