Break off a stream without a length that ends in the midst of an event

A caller of a stream got its first events, a part of one and the end of the answer, as if it were complete, when the replica's answer had neither a length nor chunks and its connection was closed in the midst of an event. A resumable stream did not go on elsewhere.

Cause: hyper ends a body without a length where its connection ends, and the bytes of the unfinished event were passed on as the rest of a complete stream. A process that is killed closes its connections in the same way.

Ruled out: a reset is an error of the body and was broken off before. An answer in chunks or with a length that ends early is an error as well (test stream::a_stream_that_breaks_off_looks_broken_off).

Change: where the answer does not tell its own end, an unfinished event counts as broken off, and the stream goes on elsewhere if it can. Where it tells its end, the bytes are passed on unchanged, as before (test).

--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -10,7 +10,9 @@
 use boottime::timer::timeout_at;
 use bytes::Bytes;
 use http::Response;
+use http::header;
 use http_body_util::BodyExt;
+use hyper::body::Body as _;
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use platform::reply;
@@ -168,6 +170,7 @@
             claim,
         } = reply;
         let begun = Instant::now();
+        let tells_end = tells_end(&response);
         let mut body: Incoming = response.into_body();
         let resumable = matches!(self.job.route.mode, Mode::Stream { resumable: true })
             && self.attempt.may_run_again();
@@ -232,6 +235,10 @@
                         return End::Left;
                     }
                 }
+                // A killed process closes its connections as well; the caller must not take the cut for the end.
+                Ok(None) if !tells_end && self.splitter.is_partial() => {
+                    return End::Broken("it ended in the midst of an event".to_owned());
+                }
                 Ok(None) => {
                     let rest = self.splitter.finish();
                     if !self.pass(rest).await {
@@ -285,6 +292,15 @@
     }
 }
 
+/// Whether an answer tells where its body ends; else the body ends with its connection.
+fn tells_end(response: &Response<Incoming>) -> bool {
+    let encodings = response.headers().get_all(header::TRANSFER_ENCODING);
+    let last = encodings.iter().next_back();
+    let last = last.and_then(|line| line.to_str().ok()?.rsplit(',').next());
+    let chunked = last.is_some_and(|last| last.trim().eq_ignore_ascii_case("chunked"));
+    chunked || response.body().size_hint().exact().is_some()
+}
+
 /// Waits until the run is to go on elsewhere; forever if it is not followed.
 async fn ordered(track: &mut Option<Track>) -> Key {
     match track {
--- a/crates/gateway/tests/gateway/whole.rs
+++ b/crates/gateway/tests/gateway/whole.rs
@@ -8,6 +8,15 @@
 use http_body_util::BodyExt;
 use tokio::sync::mpsc;
 
+use crate::common::http::Message;
+use crate::common::replica::Act;
+use crate::common::replica::Replica;
+use crate::common::replica::chunk;
+use crate::common::replica::events;
+use crate::common::replica::stream_head;
+use crate::site::Site;
+use crate::site::generate;
+
 /// What a caller gets of a body that comes in parts, or `None` if it is broken off.
 async fn collected(body: Body) -> Option<Bytes> {
     let body = body.collect().await.ok()?;
@@ -21,3 +30,73 @@
     drop(parts);
     assert_eq!(collected(body).await, None);
 }
+
+/// The head of a signed stream that has no length and ends with its connection.
+fn unframed_head(request: &Message) -> Vec<u8> {
+    let id = request.header("request-id").unwrap_or_default();
+    let lines = [
+        "HTTP/1.1 200 OK",
+        &format!("request-id: {id}"),
+        "response-seal: s.1",
+        "content-type: text/event-stream",
+    ];
+    format!("{}\r\n\r\n", lines.join("\r\n")).into_bytes()
+}
+
+/// The events `from..=to`.
+fn texts(from: u64, to: u64) -> String {
+    let texts = (from..=to).map(|id| format!("id: {id}\ndata: t{id}\n\n"));
+    texts.collect()
+}
+
+/// A stream without a length that goes to the event `last` and on with `rest`.
+fn unframed(request: &Message, last: u64, rest: &[u8]) -> Act {
+    let events = texts(1, last).into_bytes();
+    Act::SendAndClose([&unframed_head(request), &events, rest].concat())
+}
+
+#[test]
+fn a_stream_without_a_length_that_ends_in_the_midst_of_an_event_is_broken_off() {
+    let decode = Replica::start("i-d", |request| unframed(request, 2, b"id: 3\nda"));
+    let site = Site::start("unframed-cut", &[(&decode, "llm", "decode")]);
+    let told = generate(&site.daemon, "/draft/1", "a1").read();
+    assert_eq!((told.status(), told.whole), (200, false));
+}
+
+#[test]
+fn a_stream_without_a_length_that_ends_in_the_midst_of_an_event_goes_on_elsewhere() {
+    let script = |request: &Message| match request.header("last-event-id") {
+        Some("2") => Act::Send([stream_head(request), events(3, 5), chunk(b"")].concat()),
+        _ => unframed(request, 2, b"id: 3\nda"),
+    };
+    let one = Replica::start("i-1", script);
+    let two = Replica::start("i-2", script);
+    let replicas = [(&one, "llm", "decode"), (&two, "llm", "decode")];
+    let site = Site::start("unframed-resumed", &replicas);
+    let told = generate(&site.daemon, "/resume/1", "a1").read();
+    assert!(told.whole);
+    assert_eq!(String::from_utf8_lossy(&told.body), texts(1, 5));
+}
+
+#[test]
+fn a_stream_without_a_length_that_ends_after_an_event_is_complete() {
+    let decode = Replica::start("i-d", |request| unframed(request, 2, b""));
+    let site = Site::start("unframed", &[(&decode, "llm", "decode")]);
+    let told = generate(&site.daemon, "/draft/1", "a1").read();
+    assert!(told.whole);
+    assert_eq!(String::from_utf8_lossy(&told.body), texts(1, 2));
+}
+
+/// A replica that says where its answer ends is believed: the caller gets the bytes unchanged.
+#[test]
+fn a_stream_in_chunks_that_ends_without_an_empty_line_is_passed_on_unchanged() {
+    let decode = Replica::start("i-d", |request| {
+        let last = chunk(b"id: 3\ndata: t3\n");
+        Act::Send([stream_head(request), events(1, 2), last, chunk(b"")].concat())
+    });
+    let site = Site::start("no-empty-line", &[(&decode, "llm", "decode")]);
+    let told = generate(&site.daemon, "/draft/1", "a1").read();
+    assert!(told.whole);
+    let whole = format!("{}id: 3\ndata: t3\n", texts(1, 2));
+    assert_eq!(String::from_utf8_lossy(&told.body), whole);
+}
