Resume a stream only where an id tells what the caller has

A caller of a resumable stream could get events twice, or a part of a long event followed by another event, when its replica broke off: after an event without an id, or with one that is no number, the other replica was asked to go on after an earlier event, or from the beginning; and an event over 256 KiB, which is passed on in parts, counted as whole as soon as its id had been read.

Cause: the splitter kept the last number it could read, not what it had given out last.

Ruled out: an unfinished event that is held is dropped before the stream goes on (there was a test).

Change: the splitter keeps the position (nothing, after the event N, after an event without a number, inside an event), and a stream goes on elsewhere only from the first two. Where it cannot, a silent replica is waited for as for a stream that cannot be resumed, and no move is ordered that could not be carried on; a move before the first event had ended the stream, as it has no event to go on after (found by reading, no test). Comments do not change the position.

Tests: whole::a_stream_that_was_passed_on_beyond_its_last_id_goes_on_nowhere, 3 cases, all failed on the code before (sent twice instead of once; two of them looked complete).

--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -172,12 +172,15 @@
         let begun = Instant::now();
         let tells_end = tells_end(&response);
         let mut body: Incoming = response.into_body();
-        let resumable = matches!(self.job.route.mode, Mode::Stream { resumable: true })
+        let may_run_again = matches!(self.job.route.mode, Mode::Stream { resumable: true })
             && self.attempt.may_run_again();
         let mut silences = 0;
         let mut last = begun;
         let mut stopped = None;
         loop {
+            let position = self.splitter.resumes_after(self.job.call.last_event);
+            let resumable = may_run_again && position.is_ok();
+            let movable = stopped.is_none() && matches!(position, Ok(Some(_)));
             let silent_at = if stopped.is_some() {
                 Instant::now() + LAST_EVENTS
             } else if resumable || silences == 0 {
@@ -187,7 +190,7 @@
             };
             let step = tokio::select! {
                 read = timeout_at(silent_at, body.frame()) => Step::Read(read),
-                to = ordered(&mut self.track), if stopped.is_none() => Step::Move(to),
+                to = ordered(&mut self.track), if movable => Step::Move(to),
                 () = self.shared.restarted(claim.key), if stopped.is_none() => Step::Restarted,
                 () = self.parts.closed() => Step::Left,
             };
--- a/crates/gateway/src/flow/next.rs
+++ b/crates/gateway/src/flow/next.rs
@@ -61,8 +61,7 @@
 
     /// Has a run that stopped go on, at the other replica if it has a copy of the memory.
     pub(super) async fn go_on(&mut self, stopped: Stopped) -> Option<Reply> {
-        self.splitter.drop_partial();
-        let last_event = self.splitter.last_id().or(self.job.call.last_event)?;
+        let last_event = self.splitter.resume(self.job.call.last_event).ok()??;
         for key in &stopped.places {
             let Some(permit) = self.shared.permit(&self.job, Work::Run) else {
                 break;
@@ -121,14 +120,13 @@
 
     /// Has another replica go on after the last event, at `place` if there is one.
     pub(super) async fn resume(&mut self, place: Option<Place>) -> Option<Reply> {
-        self.splitter.drop_partial();
+        let last_event = self.splitter.resume(self.job.call.last_event).ok()?;
         let (shared, job) = (&self.shared, &self.job);
         let in_budget = || shared.allow(job, Work::Run);
         let next = self.attempt.after(Sent::Lost, in_budget);
         if next != Next::Retry {
             return None;
         }
-        let last_event = self.splitter.last_id().or(self.job.call.last_event);
         let made = self.made();
         let search = Search {
             attempt: &mut self.attempt,
--- a/crates/gateway/tests/gateway/whole.rs
+++ b/crates/gateway/tests/gateway/whole.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use gateway::body::Body;
 use http_body_util::BodyExt;
+use rstest::rstest;
 use tokio::sync::mpsc;
 
 use crate::common::http::Message;
@@ -100,3 +101,34 @@
     let whole = format!("{}id: 3\ndata: t3\n", texts(1, 2));
     assert_eq!(String::from_utf8_lossy(&told.body), whole);
 }
+
+/// Two replicas of which each cuts its stream after `first`, and never goes on after that as asked; gives the answer and
+/// how often the stream was sent.
+fn cut(name: &str, first: &[u8]) -> (Message, usize) {
+    let first = first.to_vec();
+    let script = move |request: &Message| match request.header("last-event-id") {
+        Some("9") => Act::Send([stream_head(request), events(10, 10), chunk(b"")].concat()),
+        _ => Act::SendAndClose([stream_head(request), chunk(&first)].concat()),
+    };
+    let one = Replica::start("i-1", script.clone());
+    let two = Replica::start("i-2", script);
+    let replicas = [(&one, "llm", "decode"), (&two, "llm", "decode")];
+    let site = Site::start(name, &replicas);
+    let told = generate(&site.daemon, "/resume/1", "a1").read();
+    (told, one.seen().len() + two.seen().len())
+}
+
+/// Nothing says where another replica is to go on: after an event that has no number, and in the midst of one that was
+/// too long to be held.
+#[rstest]
+#[case("no-number", b"id: 9\ndata: t9\n\nid: x\ndata: tx\n\n".to_vec())]
+#[case("no-id", b"data: t\n\n".to_vec())]
+#[case("long", format!("id: 9\ndata: {}", "x".repeat(300_000)).into_bytes())]
+fn a_stream_that_was_passed_on_beyond_its_last_id_goes_on_nowhere(
+    #[case] name: &str,
+    #[case] first: Vec<u8>,
+) {
+    let (told, sent) = cut(name, &first);
+    assert_eq!((told.status(), told.whole, sent), (200, false, 1));
+    assert!(told.body.is_empty() || told.body == first);
+}
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -1,13 +1,46 @@
 //! Cutting a stream of events (`text/event-stream`) into whole events.
 
+use std::fmt;
+
 /// Bytes of one event at most; longer ones are passed on in parts.
 const MAX_EVENT: usize = 256 * 1024;
 
+/// Why a stream cannot go on from another replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Error {
+    /// No id tells what was given out last.
+    Unnumbered,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unnumbered => write!(f, "no id tells the last event"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// What was given out last.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+enum Position {
+    /// Nothing.
+    #[default]
+    Start,
+    /// The whole event with this id.
+    After(u64),
+    /// A whole event without a number.
+    Unnumbered,
+    /// A part of an event that is too long to be held.
+    Inside,
+}
+
 /// Collects bytes and gives out whole events.
 #[derive(Debug, Default)]
 pub struct Splitter {
     pending: Vec<u8>,
-    last_id: Option<u64>,
+    position: Position,
 }
 
 impl Splitter {
@@ -16,39 +49,67 @@
         Self::default()
     }
 
-    /// Id of the last whole event that was given out.
-    pub const fn last_id(&self) -> Option<u64> {
-        self.last_id
-    }
-
-    /// Whether bytes of an unfinished event are held.
+    /// Whether the bytes so far end in an unfinished event.
     pub fn is_partial(&self) -> bool {
-        !self.pending.is_empty()
+        !self.pending.is_empty() || self.position == Position::Inside
     }
 
     /// Takes bytes in and gives out all events that they complete.
     pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
         let searched = self.pending.len().saturating_sub(3);
         self.pending.extend_from_slice(bytes);
-        let end = match last_boundary(&self.pending, searched) {
-            Some(end) => end,
-            None if self.pending.len() > MAX_EVENT => self.pending.len(),
-            None => return Vec::new(),
-        };
-        let rest = self.pending.split_off(end);
-        let whole = std::mem::replace(&mut self.pending, rest);
-        self.last_id = last_id(&whole).or(self.last_id);
-        whole
+        match last_boundary(&self.pending, searched) {
+            Some(end) => {
+                let whole = self.take(end);
+                self.position = match position(&whole) {
+                    Some(position) => position,
+                    None if self.position == Position::Inside => Position::Unnumbered,
+                    None => self.position,
+                };
+                whole
+            }
+            None if self.pending.len() > MAX_EVENT => {
+                let part = self.take(self.pending.len());
+                self.position = Position::Inside;
+                part
+            }
+            None => Vec::new(),
+        }
     }
 
     /// Gives out what is left when the stream ended as complete.
     pub fn finish(&mut self) -> Vec<u8> {
-        std::mem::take(&mut self.pending)
+        self.take(self.pending.len())
     }
 
-    /// Drops an unfinished event, before the stream goes on from another replica.
-    pub fn drop_partial(&mut self) {
+    /// Id of the event after which another replica can go on: that of the last one that was given out, or `asked`, where
+    /// the stream itself was to go on, if there was none.
+    ///
+    /// # Errors
+    /// [`Error::Unnumbered`] if something was given out that another replica would repeat.
+    pub const fn resumes_after(&self, asked: Option<u64>) -> Result<Option<u64>, Error> {
+        match self.position {
+            Position::Start => Ok(asked),
+            Position::After(id) => Ok(Some(id)),
+            Position::Unnumbered | Position::Inside => Err(Error::Unnumbered),
+        }
+    }
+
+    /// Drops an unfinished event, since the stream goes on from another replica, and gives what
+    /// [`Splitter::resumes_after`] tells.
+    ///
+    /// # Errors
+    /// Those of [`Splitter::resumes_after`].
+    pub fn resume(&mut self, asked: Option<u64>) -> Result<Option<u64>, Error> {
+        let last = self.resumes_after(asked)?;
         self.pending.clear();
+        Ok(last)
+    }
+
+    /// Takes the first `length` bytes out.
+    fn take(&mut self, length: usize) -> Vec<u8> {
+        let rest = self.pending.split_off(length);
+        std::mem::replace(&mut self.pending, rest)
     }
 }
 
@@ -67,11 +128,26 @@
     (from..bytes.len()).rev().find_map(end_at)
 }
 
-/// The last `id` field of whole events.
-fn last_id(bytes: &[u8]) -> Option<u64> {
-    let mut lines = bytes.rsplit(|byte| *byte == b'\n');
-    lines.find_map(|line| {
-        let value = line.strip_prefix(b"id:")?;
-        std::str::from_utf8(value).ok()?.trim().parse().ok()
-    })
+/// What the last of these whole events is known by; `None` if there are only comments.
+fn position(whole: &[u8]) -> Option<Position> {
+    let mut has_fields = false;
+    for line in whole.rsplit(|byte| *byte == b'\n') {
+        match line {
+            [] | [b'\r'] if has_fields => break,
+            [] | [b'\r'] | [b':', ..] => {}
+            line => match id(line) {
+                Some(position) => return Some(position),
+                None => has_fields = true,
+            },
+        }
+    }
+    has_fields.then_some(Position::Unnumbered)
+}
+
+/// What an event is known by whose `id` field is `line`; `None` if it is another field.
+fn id(line: &[u8]) -> Option<Position> {
+    let value = line.strip_prefix(b"id:")?;
+    let text = std::str::from_utf8(value).ok();
+    let number = text.and_then(|text| text.trim().parse().ok());
+    Some(number.map_or(Position::Unnumbered, Position::After))
 }
