Join two runs of a stream only where the second goes on with the next event

A caller of a resumable stream whose replica broke off got events twice, or missed some, in an answer that looked complete, when the other replica began anew, repeated the last event or skipped one.

Cause: the other replica was asked to go on after the last event, and what it sent was taken for that without a look at its ids.

Ruled out: events of another request; the head of each answer is compared by its id (send.rs). An event that was cut is dropped before (there was a test).

Change: the first id after the joint must be the last one plus one; else the replica's part counts as broken off, nothing of it reaches the caller, and the stream goes on at one more replica or is broken off. What stands before that id (comments, the line that tells a version) is passed on with it. Repeated events are not dropped so that the rest could be joined: a run that did not go on where it was asked to is another run.

Tests: whole::a_replica_that_goes_on_elsewhere_than_it_was_asked_to_is_not_joined, 4 cases, all failed on the code before; relay's only_the_next_event_is_joined and the_first_event_of_a_resumed_stream_follows_the_one_that_its_caller_has need the new error and did not compile on it.

Conclusion: a way for answers to be joined wrongly; not shown to be a cause of the cases at hand.

--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -229,7 +229,10 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
-                    let whole = self.splitter.push(&data);
+                    let whole = match self.splitter.push(&data) {
+                        Ok(whole) => whole,
+                        Err(error) => return End::Broken(error.to_string()),
+                    };
                     if !whole.is_empty() {
                         self.note_gap(claim.key, last);
                         last = Instant::now();
@@ -243,7 +246,10 @@
                     return End::Broken("it ended in the midst of an event".to_owned());
                 }
                 Ok(None) => {
-                    let rest = self.splitter.finish();
+                    let rest = match self.splitter.finish() {
+                        Ok(rest) => rest,
+                        Err(error) => return End::Broken(error.to_string()),
+                    };
                     if !self.pass(rest).await {
                         return End::Left;
                     }
--- a/crates/gateway/tests/gateway/whole.rs
+++ b/crates/gateway/tests/gateway/whole.rs
@@ -102,6 +102,48 @@
     assert_eq!(String::from_utf8_lossy(&told.body), whole);
 }
 
+/// Two replicas of which each cuts its stream after the event 2, and goes on with `rest` when it is asked to.
+fn resumed(name: &str, rest: &str) -> Message {
+    let rest = rest.to_owned();
+    let script = move |request: &Message| match request.header("last-event-id") {
+        Some("2") => {
+            let rest = chunk(rest.as_bytes());
+            Act::Send([stream_head(request), rest, chunk(b"")].concat())
+        }
+        _ => Act::SendAndClose([stream_head(request), events(1, 2)].concat()),
+    };
+    let one = Replica::start("i-1", script.clone());
+    let two = Replica::start("i-2", script);
+    let replicas = [(&one, "llm", "decode"), (&two, "llm", "decode")];
+    let site = Site::start(name, &replicas);
+    generate(&site.daemon, "/resume/1", "a1").read()
+}
+
+/// What a caller gets is its stream up to where it went wrong, and then no end.
+#[rstest]
+#[case("repeats-all", &texts(1, 5))]
+#[case("repeats-one", &texts(2, 5))]
+#[case("skips-one", &texts(4, 5))]
+#[case("skips-in-part", "id: 4\ndata: t4\n")]
+fn a_replica_that_goes_on_elsewhere_than_it_was_asked_to_is_not_joined(
+    #[case] name: &str,
+    #[case] rest: &str,
+) {
+    let told = resumed(name, rest);
+    assert_eq!(String::from_utf8_lossy(&told.body), texts(1, 2));
+    assert_eq!((told.status(), told.whole), (200, false));
+}
+
+/// Comments and the line that tells a new version stand before the id.
+#[test]
+fn an_event_that_follows_the_last_one_is_joined_whatever_stands_before_its_id() {
+    let rest = format!(": on\n\nweight-versions: 2\n{}", texts(3, 5));
+    let told = resumed("follows", &rest);
+    assert!(told.whole);
+    let whole = format!("{}{rest}", texts(1, 2));
+    assert_eq!(String::from_utf8_lossy(&told.body), whole);
+}
+
 /// Two replicas of which each cuts its stream after `first`, and never goes on after that as asked; gives the answer and
 /// how often the stream was sent.
 fn cut(name: &str, first: &[u8]) -> (Message, usize) {
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -10,12 +10,18 @@
 pub enum Error {
     /// No id tells what was given out last.
     Unnumbered,
+    /// The first event of the other replica is not the next one.
+    Misplaced {
+        /// Id of the last event that was given out.
+        last: u64,
+    },
 }
 
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Unnumbered => write!(f, "no id tells the last event"),
+            Self::Misplaced { last } => write!(f, "its first event is not the one after {last}"),
         }
     }
 }
@@ -41,6 +47,8 @@
 pub struct Splitter {
     pending: Vec<u8>,
     position: Position,
+    /// Id of the last event before another replica went on, until that one's first event is known to be the next.
+    joint: Option<u64>,
 }
 
 impl Splitter {
@@ -55,30 +63,36 @@
     }
 
     /// Takes bytes in and gives out all events that they complete.
-    pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
+    ///
+    /// # Errors
+    /// [`Error::Misplaced`]; nothing more is to be given out of the present replica's stream.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, Error> {
         let searched = self.pending.len().saturating_sub(3);
         self.pending.extend_from_slice(bytes);
         match last_boundary(&self.pending, searched) {
             Some(end) => {
-                let whole = self.take(end);
+                let whole = self.take(end)?;
                 self.position = match position(&whole) {
                     Some(position) => position,
                     None if self.position == Position::Inside => Position::Unnumbered,
                     None => self.position,
                 };
-                whole
+                Ok(whole)
             }
             None if self.pending.len() > MAX_EVENT => {
-                let part = self.take(self.pending.len());
+                let part = self.take(self.pending.len())?;
                 self.position = Position::Inside;
-                part
+                Ok(part)
             }
-            None => Vec::new(),
+            None => Ok(Vec::new()),
         }
     }
 
     /// Gives out what is left when the stream ended as complete.
-    pub fn finish(&mut self) -> Vec<u8> {
+    ///
+    /// # Errors
+    /// [`Error::Misplaced`].
+    pub fn finish(&mut self) -> Result<Vec<u8>, Error> {
         self.take(self.pending.len())
     }
 
@@ -96,20 +110,30 @@
     }
 
     /// Drops an unfinished event, since the stream goes on from another replica, and gives what
-    /// [`Splitter::resumes_after`] tells.
+    /// [`Splitter::resumes_after`] tells. The first event of that replica has to be the next one.
     ///
     /// # Errors
     /// Those of [`Splitter::resumes_after`].
     pub fn resume(&mut self, asked: Option<u64>) -> Result<Option<u64>, Error> {
         let last = self.resumes_after(asked)?;
         self.pending.clear();
+        self.joint = last;
         Ok(last)
     }
 
-    /// Takes the first `length` bytes out.
-    fn take(&mut self, length: usize) -> Vec<u8> {
+    /// Takes the first `length` bytes out. A replica that repeats or skips events tells another run's, which must not be
+    /// joined to what the caller has.
+    fn take(&mut self, length: usize) -> Result<Vec<u8>, Error> {
         let rest = self.pending.split_off(length);
-        std::mem::replace(&mut self.pending, rest)
+        let taken = std::mem::replace(&mut self.pending, rest);
+        match (self.joint, first_id(&taken)) {
+            (None, _) | (Some(_), None) => Ok(taken),
+            (Some(last), Some(first)) if first == Position::After(last.saturating_add(1)) => {
+                self.joint = None;
+                Ok(taken)
+            }
+            (Some(last), Some(_)) => Err(Error::Misplaced { last }),
+        }
     }
 }
 
@@ -128,6 +152,11 @@
     (from..bytes.len()).rev().find_map(end_at)
 }
 
+/// What the first event that has an `id` field is known by.
+fn first_id(bytes: &[u8]) -> Option<Position> {
+    bytes.split(|byte| *byte == b'\n').find_map(id)
+}
+
 /// What the last of these whole events is known by; `None` if there are only comments.
 fn position(whole: &[u8]) -> Option<Position> {
     let mut has_fields = false;
--- a/crates/relay/tests/event.rs
+++ b/crates/relay/tests/event.rs
@@ -16,11 +16,11 @@
     let mut splitter = Splitter::new();
     let mut passed = Vec::new();
     for part in STREAM.chunks(size) {
-        let whole = splitter.push(part);
+        let whole = splitter.push(part).unwrap();
         assert!(whole.is_empty() || whole.ends_with(b"\n\n"));
         passed.extend(whole);
     }
-    passed.extend(splitter.finish());
+    passed.extend(splitter.finish().unwrap());
     assert_eq!(passed, STREAM);
     assert_eq!(splitter.resumes_after(None), Ok(Some(3)));
 }
@@ -28,7 +28,7 @@
 #[test]
 fn the_last_id_is_that_of_a_whole_event() {
     let mut splitter = Splitter::new();
-    splitter.push(b"id: 1\ndata: a\n\nid: 2\nda");
+    splitter.push(b"id: 1\ndata: a\n\nid: 2\nda").unwrap();
     assert_eq!(splitter.resumes_after(None), Ok(Some(1)));
     assert!(splitter.is_partial());
 }
@@ -36,16 +36,16 @@
 #[test]
 fn an_unfinished_event_is_dropped_before_another_replica_goes_on() {
     let mut splitter = Splitter::new();
-    splitter.push(b"id: 1\ndata: a\n\nid: 2\nda");
+    splitter.push(b"id: 1\ndata: a\n\nid: 2\nda").unwrap();
     assert_eq!(splitter.resume(None), Ok(Some(1)));
-    let passed = splitter.push(b"id: 2\ndata: b\n\n");
+    let passed = splitter.push(b"id: 2\ndata: b\n\n").unwrap();
     assert_eq!(passed, b"id: 2\ndata: b\n\n");
 }
 
 #[test]
 fn carriage_returns_end_lines_too() {
     let mut splitter = Splitter::new();
-    let passed = splitter.push(b"id: 4\r\ndata: a\r\n\r\nid");
+    let passed = splitter.push(b"id: 4\r\ndata: a\r\n\r\nid").unwrap();
     assert_eq!(passed, b"id: 4\r\ndata: a\r\n\r\n");
     assert_eq!(splitter.resumes_after(None), Ok(Some(4)));
 }
@@ -54,12 +54,35 @@
 fn an_event_that_is_too_long_to_be_held_is_unfinished_until_its_empty_line_comes() {
     let mut splitter = Splitter::new();
     let long = format!("id: 1\ndata: {}", "x".repeat(300_000));
-    assert_eq!(splitter.push(long.as_bytes()), long.as_bytes());
+    assert_eq!(splitter.push(long.as_bytes()).unwrap(), long.as_bytes());
     assert!(splitter.is_partial());
-    assert_eq!(splitter.push(b"\n\n"), b"\n\n");
+    assert_eq!(splitter.push(b"\n\n").unwrap(), b"\n\n");
     assert!(!splitter.is_partial());
     // Its id is no longer known.
     assert_eq!(splitter.resumes_after(None), Err(Error::Unnumbered));
-    splitter.push(b"id: 2\ndata: b\n\n");
+    splitter.push(b"id: 2\ndata: b\n\n").unwrap();
     assert_eq!(splitter.resumes_after(None), Ok(Some(2)));
 }
+
+/// Another replica that repeats or skips events, or tells no number, goes on with another run.
+#[rstest]
+#[case(b"id: 1\ndata: a\n\n")]
+#[case(b"id: 2\ndata: b\n\nid: 3\ndata: c\n\n")]
+#[case(b"id: 4\ndata: d\n\n")]
+#[case(b"id: x\ndata: d\n\n")]
+fn only_the_next_event_is_joined(#[case] first: &[u8]) {
+    let mut splitter = Splitter::new();
+    splitter.push(b"id: 2\ndata: b\n\n").unwrap();
+    splitter.resume(None).unwrap();
+    assert_eq!(splitter.push(first), Err(Error::Misplaced { last: 2 }));
+}
+
+#[test]
+fn the_first_event_of_a_resumed_stream_follows_the_one_that_its_caller_has() {
+    let mut splitter = Splitter::new();
+    assert_eq!(splitter.resume(Some(7)), Ok(Some(7)));
+    assert_eq!(
+        splitter.push(b"id: 9\ndata: i\n\n"),
+        Err(Error::Misplaced { last: 7 })
+    );
+}
