Reset the connection of an HTTP/1.0 caller whose answer is cut

A caller that speaks HTTP/1.0 got a stream that was broken off (a lost replica, time that was up, the end of the daemon) as a complete one.

Cause: an answer to HTTP/1.0 has no chunks; it ends with its connection, and hyper closes that properly in each of these cases.

Ruled out: answers with a length and answers in chunks; there a caller sees that the rest is missing, so that their connections are closed as before and bytes on their way still arrive.

Change: while an answer without a length to HTTP/1.0 lacks its end, the socket resets the connection when it is dropped. A daemon that is killed cannot do so.

Tests: whole::a_caller_without_chunks_can_tell_that_its_answer_is_broken_off and _that_the_daemon_ended failed on the code before (the connection came to a proper end), and passed after; _gets_a_whole_answer passed on both.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -86,6 +86,7 @@
     /// The same body, which keeps its connection busy.
     #[must_use]
     pub fn with_busy(mut self, busy: Busy) -> Self {
+        busy.set_unfinished(matches!(self.content, Content::Parts(_)));
         self.busy = Some(busy);
         self
     }
@@ -105,6 +106,9 @@
                 Some(Part::Data(bytes)) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
                 Some(Part::End) => {
                     self.content = Content::Whole(None);
+                    if let Some(busy) = &self.busy {
+                        busy.set_unfinished(false);
+                    }
                     Poll::Ready(None)
                 }
                 None => Poll::Ready(Some(Err(Broken))),
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -68,9 +68,9 @@
     }
     let phase = Phase::new();
     let own = phase.clone();
-    let service = service_fn(move |request| {
+    let service = service_fn(move |request: Request<Incoming>| {
         let answer = Rc::clone(&answer);
-        let busy = own.begin();
+        let busy = own.begin(request.version());
         async move {
             let response = answer(request).await;
             Ok::<_, Infallible>(response.map(|body| body.with_busy(busy)))
--- a/crates/gateway/src/phase.rs
+++ b/crates/gateway/src/phase.rs
@@ -10,6 +10,7 @@
 
 use boottime::Instant;
 use boottime::timer::sleep_until;
+use http::Version;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -30,12 +31,17 @@
 #[derive(Debug, Clone)]
 pub struct Phase {
     doing: Rc<Cell<Doing>>,
+    /// Whether the end of the connection would now look like the end of an answer that is not complete.
+    cuts: Rc<Cell<bool>>,
 }
 
 /// A request that is being served; the connection is idle again when this is dropped.
 #[derive(Debug)]
 pub struct Busy {
     doing: Rc<Cell<Doing>>,
+    cuts: Rc<Cell<bool>>,
+    /// Whether an answer without a length ends with the connection.
+    ends_with_connection: bool,
 }
 
 impl Phase {
@@ -43,14 +49,17 @@
     pub fn new() -> Self {
         Self {
             doing: Rc::new(Cell::new(Doing::Idle(Instant::now()))),
+            cuts: Rc::new(Cell::new(false)),
         }
     }
 
-    /// Notes that a request is being served.
-    pub fn begin(&self) -> Busy {
+    /// Notes that a request of this HTTP version is being served.
+    pub fn begin(&self, version: Version) -> Busy {
         self.doing.set(Doing::Busy);
         Busy {
             doing: Rc::clone(&self.doing),
+            cuts: Rc::clone(&self.cuts),
+            ends_with_connection: version < Version::HTTP_11,
         }
     }
 
@@ -79,13 +88,21 @@
     }
 }
 
+impl Busy {
+    /// Notes whether the answer, which has no length, is still to be completed.
+    pub fn set_unfinished(&self, unfinished: bool) {
+        self.cuts.set(unfinished && self.ends_with_connection);
+    }
+}
+
 impl Drop for Busy {
     fn drop(&mut self) {
         self.doing.set(Doing::Idle(Instant::now()));
     }
 }
 
-/// A socket that notes when the head of a request begins.
+/// A socket that notes when the head of a request begins, and resets the connection if its end would look like that of
+/// an answer.
 #[derive(Debug)]
 pub struct Watched {
     socket: TcpStream,
@@ -99,6 +116,15 @@
     }
 }
 
+impl Drop for Watched {
+    fn drop(&mut self) {
+        if self.phase.cuts.get() {
+            // Resets the connection: a caller without chunks would take a proper end for that of its answer.
+            let _ = self.socket.set_zero_linger();
+        }
+    }
+}
+
 impl AsyncRead for Watched {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/gateway/tests/gateway/whole.rs
+++ b/crates/gateway/tests/gateway/whole.rs
@@ -3,12 +3,20 @@
 //! ended in the midst of an event was passed on as if it had been complete, and nothing compared the first event of a
 //! replica that went on with the last one that the caller had.
 
+use std::io::Read;
+use std::thread;
+use std::time::Duration;
+
 use bytes::Bytes;
 use gateway::body::Body;
 use http_body_util::BodyExt;
 use rstest::rstest;
+use rustix::process::Signal;
 use tokio::sync::mpsc;
 
+use crate::common::caller::Caller;
+use crate::common::daemon::until;
+use crate::common::http;
 use crate::common::http::Message;
 use crate::common::replica::Act;
 use crate::common::replica::Replica;
@@ -174,3 +182,70 @@
     assert_eq!((told.status(), told.whole, sent), (200, false, 1));
     assert!(told.body.is_empty() || told.body == first);
 }
+
+/// What a caller that speaks HTTP/1.0 reads to the end of its connection, and whether that is a proper end.
+fn old_answer(caller: Caller) -> (String, bool) {
+    let mut socket = caller.socket;
+    let lines = [
+        "POST /draft/1 HTTP/1.0",
+        "host: shop.example",
+        "request-id: a1",
+        "deadline-ms: 14000",
+        "token-counts: 1460,80",
+    ];
+    http::send(
+        &mut socket,
+        format!("{}\r\n\r\n", lines.join("\r\n")).as_bytes(),
+    );
+    let mut bytes = Vec::new();
+    let ended = socket.read_to_end(&mut bytes).is_ok();
+    (String::from_utf8_lossy(&bytes).into_owned(), ended)
+}
+
+/// Such an answer ends with its connection, so only a reset tells that it was cut.
+#[test]
+fn a_caller_without_chunks_can_tell_that_its_answer_is_broken_off() {
+    let decode = Replica::start("i-d", |request| {
+        let parts = vec![
+            [stream_head(request), events(1, 2)].concat(),
+            chunk(b"id: 3\nda"),
+        ];
+        Act::Slowly(
+            [parts, vec![b"broken".to_vec()]].concat(),
+            Duration::from_millis(50),
+        )
+    });
+    let site = Site::start("old-cut", &[(&decode, "llm", "decode")]);
+    let (told, ended) = old_answer(site.daemon.caller());
+    assert!(!ended, "{told}");
+}
+
+#[test]
+fn a_caller_without_chunks_gets_a_whole_answer() {
+    let decode = Replica::start("i-d", |request| {
+        Act::Send([stream_head(request), events(1, 2), chunk(b"")].concat())
+    });
+    let site = Site::start("old-whole", &[(&decode, "llm", "decode")]);
+    let (told, ended) = old_answer(site.daemon.caller());
+    assert!(ended);
+    assert!(told.ends_with(&texts(1, 2)), "{told}");
+}
+
+/// The daemon's end is one of the ways in which an answer is cut.
+#[test]
+fn a_caller_without_chunks_can_tell_that_the_daemon_ended() {
+    let decode = Replica::start("i-d", |request| {
+        Act::SendAndHang([stream_head(request), events(1, 2)].concat())
+    });
+    let mut site = Site::start("old-end", &[(&decode, "llm", "decode")]);
+    let caller = site.config_with_long_streams();
+    let (told, ended) = thread::scope(|scope| {
+        let caller = scope.spawn(|| old_answer(caller));
+        until("the request arrives", || decode.seen().len() == 1);
+        site.daemon.signal(Signal::TERM);
+        caller.join().unwrap()
+    });
+    assert!(told.ends_with(&texts(1, 2)), "{told}");
+    assert!(!ended);
+    site.daemon.wait();
+}
