A stream without a length that may have been stopped for a move is not complete

A caller of a stream got a part of its events as a complete answer when its run was stopped so that it could go on at another replica, the answer to that order was lost, and the stream had neither chunks nor a length.

Cause: the stream of a run that is stopped is closed without its end. Where the end is that of the connection, this looks like the end of the answer, and the stream was taken for complete since nobody knew that the run had been stopped.

Ruled out: a move whose answer arrives; there the run goes on whatever the end of the stream looks like. Streams in chunks: the closed connection is an error (test moves::a_run_whose_move_is_lost_and_that_cannot_be_resumed_breaks_off).

Change: after a move whose outcome is unknown, the end of such a stream counts as broken off; it is resumed if it can be, else its caller sees that it was cut.

Conclusion: needs a lost answer and a stream without a length; not shown to be a cause of the cases at hand.

--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -70,6 +70,7 @@
         started: false,
         track: opened.track,
         events: 0,
+        may_be_stopped: false,
     };
     tokio::task::spawn_local(flow.run(opened.reply));
     response
@@ -88,6 +89,8 @@
     track: Option<Track>,
     /// Events passed on.
     events: u64,
+    /// Whether the run at the present replica may have been stopped without an answer that tells it.
+    may_be_stopped: bool,
 }
 
 /// How a replica's part of a stream ended.
@@ -171,6 +174,7 @@
         } = reply;
         let begun = Instant::now();
         let tells_end = tells_end(&response);
+        self.may_be_stopped = false;
         let mut body: Incoming = response.into_body();
         let may_run_again = matches!(self.job.route.mode, Mode::Stream { resumable: true })
             && self.attempt.may_run_again();
@@ -241,10 +245,14 @@
                         return End::Left;
                     }
                 }
-                // A killed process closes its connections as well; the caller must not take the cut for the end.
+                // A killed process closes its connections as well, and a run that is stopped its own; the caller must
+                // not take the cut for the end.
                 Ok(None) if !tells_end && self.splitter.is_partial() => {
                     return End::Broken("it ended in the midst of an event".to_owned());
                 }
+                Ok(None) if !tells_end && self.may_be_stopped => {
+                    return End::Broken("the run may have been stopped".to_owned());
+                }
                 Ok(None) => {
                     let rest = match self.splitter.finish() {
                         Ok(rest) => rest,
--- a/crates/gateway/src/flow/next.rs
+++ b/crates/gateway/src/flow/next.rs
@@ -30,7 +30,7 @@
 
 impl Flow {
     /// Stops the run at `from` so that it can go on at `to`; `None` if it goes on where it is.
-    pub(super) async fn stop(&self, from: Key, to: Key) -> Option<Stopped> {
+    pub(super) async fn stop(&mut self, from: Key, to: Key) -> Option<Stopped> {
         let request = &self.job.call.id;
         let granted = self.shared.allow(&self.job, Work::Run);
         let outcome = if granted {
@@ -38,6 +38,7 @@
         } else {
             Outcome::Unchanged("no retry is left")
         };
+        self.may_be_stopped |= matches!(outcome, Outcome::Unknown(_));
         let pool = self.shared.pool.borrow();
         let name = |key| pool.get(key).map_or("", |server| &server.replica.id);
         let (stopped, cause) = match outcome {
--- a/crates/gateway/tests/gateway/moves.rs
+++ b/crates/gateway/tests/gateway/moves.rs
@@ -42,6 +42,8 @@
     LostOnce,
     /// The run is stopped, and no answer ever comes.
     Lost,
+    /// The same, and the stream has neither chunks nor a length.
+    LostWithoutLength,
 }
 
 /// A replica that makes events until it is asked to move a run.
@@ -58,6 +60,17 @@
     parts
 }
 
+/// The same without chunks; its end is that of the connection.
+fn parts_without_length(request: &Message) -> Vec<Vec<u8>> {
+    let head = String::from_utf8(stream_head(request)).unwrap();
+    let mut parts = vec![
+        head.replace("transfer-encoding: chunked\r\n", "")
+            .into_bytes(),
+    ];
+    parts.extend((1..=EVENTS).map(|id| format!("id: {id}\ndata: t{id}\n\n").into_bytes()));
+    parts
+}
+
 fn last_event(request: &Message) -> u64 {
     let last = request.header("last-event-id");
     last.map_or(0, |last| last.parse().unwrap())
@@ -83,7 +96,7 @@
                 let told = br#"{"kv-handle":"m1","created":5}"#;
                 match how {
                     Answer::OnlyStopped => Act::Send(answer(503, &[], told)),
-                    Answer::Lost => Act::SendAndClose(Vec::new()),
+                    Answer::Lost | Answer::LostWithoutLength => Act::SendAndClose(Vec::new()),
                     Answer::LostOnce if seen.len() == 1 => Act::SendAndClose(Vec::new()),
                     _ => Act::Send(answer(200, &[], told)),
                 }
@@ -93,7 +106,11 @@
                 let stop = Arc::new(AtomicBool::new(false));
                 let id = request.header("request-id").unwrap().to_owned();
                 stops.lock().unwrap().insert(id, Arc::clone(&stop));
-                Act::UntilStopped(parts(request, last_event(request)), PAUSE, stop)
+                let parts = match how {
+                    Answer::LostWithoutLength => parts_without_length(request),
+                    _ => parts(request, last_event(request)),
+                };
+                Act::UntilStopped(parts, PAUSE, stop)
             }
         });
         Self { replica, moves }
@@ -240,6 +257,18 @@
     assert!(target.seen().is_empty());
 }
 
+/// A stream without a length ends with its connection; that of a run that was stopped is closed as well.
+#[test]
+fn a_stream_without_a_length_whose_move_is_lost_does_not_look_complete() {
+    let source = Source::start(Answer::LostWithoutLength);
+    let target = target();
+    let site = site("move-lost-unframed", &source);
+    let (_older, mut newer) = two_runs(&site, &source, &target, "/draft/1");
+    let told = newer.read();
+    assert!(!told.whole, "{}", String::from_utf8_lossy(&told.body));
+    assert!(!source.moves().is_empty());
+}
+
 #[test]
 fn a_run_goes_on_where_it_was_if_the_other_replica_refuses_it() {
     let source = Source::start(Answer::Copied);
