--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -10,7 +10,9 @@
 use boottime::timer::timeout_at;
 use bytes::Bytes;
 use http::Response;
+use http::header;
 use http_body_util::BodyExt;
+use hyper::body::Body as _;
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use platform::reply;
@@ -24,7 +26,7 @@
 use tokio::sync::mpsc::Sender;
 
 use crate::body::Body;
-use crate::body::Broken;
+use crate::body::Part;
 use crate::job::Job;
 use crate::mover;
 use crate::mover::Stopped;
@@ -68,6 +70,7 @@
         started: false,
         track: opened.track,
         events: 0,
+        may_be_stopped: false,
     };
     tokio::task::spawn_local(flow.run(opened.reply));
     response
@@ -80,12 +83,14 @@
     attempt: Attempt,
     tried: Vec<Key>,
     splitter: Splitter,
-    parts: Sender<Result<Bytes, Broken>>,
+    parts: Sender<Part>,
     started: bool,
     /// The run at the present replica, if it is followed.
     track: Option<Track>,
     /// Events passed on.
     events: u64,
+    /// Whether the run at the present replica may have been stopped without an answer that tells it.
+    may_be_stopped: bool,
 }
 
 /// How a replica's part of a stream ended.
@@ -128,20 +133,23 @@
                     if let Some(track) = &mut self.track {
                         track.complete();
                     }
-                    return self.job.end("answered", 200, "");
+                    self.job.end("answered", 200, "");
+                    // A caller that left needs no end.
+                    let _ = self.parts.send(Part::End).await;
+                    return;
                 }
                 // The job logs it.
                 End::Left => return,
-                End::Overdue => return self.break_off("overdue", "time is up").await,
+                End::Overdue => return self.break_off("overdue", "time is up"),
                 End::Stopped(stopped) => match self.go_on(stopped).await {
                     Some(next) => reply = next,
-                    None => return self.break_off("broken", "the run could not go on").await,
+                    None => return self.break_off("broken", "the run could not go on"),
                 },
                 End::Broken(cause) => {
                     send::note(&self.shared, &self.job, key, Sent::Lost, &cause, 0);
                     match self.resume(None).await {
                         Some(next) => reply = next,
-                        None => return self.break_off("broken", "the replica broke off").await,
+                        None => return self.break_off("broken", "the replica broke off"),
                     }
                 }
                 End::Silent(place) => {
@@ -149,7 +157,7 @@
                     send::note(&self.shared, &self.job, key, Sent::Lost, cause, 0);
                     match self.resume(Some(place)).await {
                         Some(next) => reply = next,
-                        None => return self.break_off("broken", "the replica fell silent").await,
+                        None => return self.break_off("broken", "the replica fell silent"),
                     }
                 }
             }
@@ -165,13 +173,18 @@
             claim,
         } = reply;
         let begun = Instant::now();
+        let tells_end = tells_end(&response);
+        self.may_be_stopped = false;
         let mut body: Incoming = response.into_body();
-        let resumable = matches!(self.job.route.mode, Mode::Stream { resumable: true })
+        let may_run_again = matches!(self.job.route.mode, Mode::Stream { resumable: true })
             && self.attempt.may_run_again();
         let mut silences = 0;
         let mut last = begun;
         let mut stopped = None;
         loop {
+            let position = self.splitter.resumes_after(self.job.call.last_event);
+            let resumable = may_run_again && position.is_ok();
+            let movable = stopped.is_none() && matches!(position, Ok(Some(_)));
             let silent_at = if stopped.is_some() {
                 Instant::now() + LAST_EVENTS
             } else if resumable || silences == 0 {
@@ -181,7 +194,7 @@
             };
             let step = tokio::select! {
                 read = timeout_at(silent_at, body.frame()) => Step::Read(read),
-                to = ordered(&mut self.track), if stopped.is_none() => Step::Move(to),
+                to = ordered(&mut self.track), if movable => Step::Move(to),
                 () = self.shared.restarted(claim.key), if stopped.is_none() => Step::Restarted,
                 () = self.parts.closed() => Step::Left,
             };
@@ -220,7 +233,10 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
-                    let whole = self.splitter.push(&data);
+                    let whole = match self.splitter.push(&data) {
+                        Ok(whole) => whole,
+                        Err(error) => return End::Broken(error.to_string()),
+                    };
                     if !whole.is_empty() {
                         self.note_gap(claim.key, last);
                         last = Instant::now();
@@ -229,8 +245,19 @@
                         return End::Left;
                     }
                 }
+                // A killed process closes its connections as well, and a run that is stopped its own; the caller must
+                // not take the cut for the end.
+                Ok(None) if !tells_end && self.splitter.is_partial() => {
+                    return End::Broken("it ended in the midst of an event".to_owned());
+                }
+                Ok(None) if !tells_end && self.may_be_stopped => {
+                    return End::Broken("the run may have been stopped".to_owned());
+                }
                 Ok(None) => {
-                    let rest = self.splitter.finish();
+                    let rest = match self.splitter.finish() {
+                        Ok(rest) => rest,
+                        Err(error) => return End::Broken(error.to_string()),
+                    };
                     if !self.pass(rest).await {
                         return End::Left;
                     }
@@ -261,7 +288,7 @@
             self.shared.metrics.latency(route, age.as_secs_f64());
             log::info!(kind = "first", request = self.job.call.id, ms = age.as_millis() as u64, late = age > self.job.route.objective; "the first event is passed on");
         }
-        self.parts.send(Ok(bytes.into())).await.is_ok()
+        self.parts.send(Part::Data(bytes.into())).await.is_ok()
     }
 
     /// Notes the time since the last event; a long one, at which a run was set aside or its replica fell
@@ -276,13 +303,21 @@
         }
     }
 
-    async fn break_off(&mut self, outcome: &'static str, cause: &str) {
+    /// Ends the request; its body has no end and is broken off.
+    fn break_off(mut self, outcome: &'static str, cause: &str) {
         self.job.end(outcome, 200, cause);
-        // A caller that left needs no break.
-        let _ = self.parts.send(Err(Broken)).await;
     }
 }
 
+/// Whether an answer tells where its body ends; else the body ends with its connection.
+fn tells_end(response: &Response<Incoming>) -> bool {
+    let encodings = response.headers().get_all(header::TRANSFER_ENCODING);
+    let last = encodings.iter().next_back();
+    let last = last.and_then(|line| line.to_str().ok()?.rsplit(',').next());
+    let chunked = last.is_some_and(|last| last.trim().eq_ignore_ascii_case("chunked"));
+    chunked || response.body().size_hint().exact().is_some()
+}
+
 /// Waits until the run is to go on elsewhere; forever if it is not followed.
 async fn ordered(track: &mut Option<Track>) -> Key {
     match track {
--- a/crates/gateway/src/flow/next.rs
+++ b/crates/gateway/src/flow/next.rs
@@ -30,7 +30,7 @@
 
 impl Flow {
     /// Stops the run at `from` so that it can go on at `to`; `None` if it goes on where it is.
-    pub(super) async fn stop(&self, from: Key, to: Key) -> Option<Stopped> {
+    pub(super) async fn stop(&mut self, from: Key, to: Key) -> Option<Stopped> {
         let request = &self.job.call.id;
         let granted = self.shared.allow(&self.job, Work::Run);
         let outcome = if granted {
@@ -38,6 +38,7 @@
         } else {
             Outcome::Unchanged("no retry is left")
         };
+        self.may_be_stopped |= matches!(outcome, Outcome::Unknown(_));
         let pool = self.shared.pool.borrow();
         let name = |key| pool.get(key).map_or("", |server| &server.replica.id);
         let (stopped, cause) = match outcome {
@@ -61,8 +62,7 @@
 
     /// Has a run that stopped go on, at the other replica if it has a copy of the memory.
     pub(super) async fn go_on(&mut self, stopped: Stopped) -> Option<Reply> {
-        self.splitter.drop_partial();
-        let last_event = self.splitter.last_id().or(self.job.call.last_event)?;
+        let last_event = self.splitter.resume(self.job.call.last_event).ok()??;
         for key in &stopped.places {
             let Some(permit) = self.shared.permit(&self.job, Work::Run) else {
                 break;
@@ -121,14 +121,13 @@
 
     /// Has another replica go on after the last event, at `place` if there is one.
     pub(super) async fn resume(&mut self, place: Option<Place>) -> Option<Reply> {
-        self.splitter.drop_partial();
+        let last_event = self.splitter.resume(self.job.call.last_event).ok()?;
         let (shared, job) = (&self.shared, &self.job);
         let in_budget = || shared.allow(job, Work::Run);
         let next = self.attempt.after(Sent::Lost, in_budget);
         if next != Next::Retry {
             return None;
         }
-        let last_event = self.splitter.last_id().or(self.job.call.last_event);
         let made = self.made();
         let search = Search {
             attempt: &mut self.attempt,
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -13,4 +13,5 @@
 mod site;
 mod stages;
 mod stream;
+mod whole;
 mod world;
--- /dev/null
+++ b/crates/gateway/tests/gateway/whole.rs
@@ -0,0 +1,251 @@
+//! Answers that were cut looked complete. A body that is passed on in parts counted as complete as soon as nobody could
+//! add to it, so a task that ended without a word finished the answer for its caller. A stream that had no length and
+//! ended in the midst of an event was passed on as if it had been complete, and nothing compared the first event of a
+//! replica that went on with the last one that the caller had.
+
+use std::io::Read;
+use std::thread;
+use std::time::Duration;
+
+use bytes::Bytes;
+use gateway::body::Body;
+use http_body_util::BodyExt;
+use rstest::rstest;
+use rustix::process::Signal;
+use tokio::sync::mpsc;
+
+use crate::common::caller::Caller;
+use crate::common::daemon::until;
+use crate::common::http;
+use crate::common::http::Message;
+use crate::common::replica::Act;
+use crate::common::replica::Replica;
+use crate::common::replica::chunk;
+use crate::common::replica::events;
+use crate::common::replica::stream_head;
+use crate::site::Site;
+use crate::site::generate;
+
+/// What a caller gets of a body that comes in parts, or `None` if it is broken off.
+async fn collected(body: Body) -> Option<Bytes> {
+    let body = body.collect().await.ok()?;
+    Some(body.to_bytes())
+}
+
+#[tokio::test]
+async fn a_body_that_nobody_adds_to_any_more_is_broken_off() {
+    let (parts, body) = mpsc::channel(4);
+    let body = Body::parts(body);
+    drop(parts);
+    assert_eq!(collected(body).await, None);
+}
+
+/// The head of a signed stream that has no length and ends with its connection.
+fn unframed_head(request: &Message) -> Vec<u8> {
+    let id = request.header("request-id").unwrap_or_default();
+    let lines = [
+        "HTTP/1.1 200 OK",
+        &format!("request-id: {id}"),
+        "response-seal: s.1",
+        "content-type: text/event-stream",
+    ];
+    format!("{}\r\n\r\n", lines.join("\r\n")).into_bytes()
+}
+
+/// The events `from..=to`.
+fn texts(from: u64, to: u64) -> String {
+    let texts = (from..=to).map(|id| format!("id: {id}\ndata: t{id}\n\n"));
+    texts.collect()
+}
+
+/// A stream without a length that goes to the event `last` and on with `rest`.
+fn unframed(request: &Message, last: u64, rest: &[u8]) -> Act {
+    let events = texts(1, last).into_bytes();
+    Act::SendAndClose([&unframed_head(request), &events, rest].concat())
+}
+
+#[test]
+fn a_stream_without_a_length_that_ends_in_the_midst_of_an_event_is_broken_off() {
+    let decode = Replica::start("i-d", |request| unframed(request, 2, b"id: 3\nda"));
+    let site = Site::start("unframed-cut", &[(&decode, "llm", "decode")]);
+    let told = generate(&site.daemon, "/draft/1", "a1").read();
+    assert_eq!((told.status(), told.whole), (200, false));
+}
+
+#[test]
+fn a_stream_without_a_length_that_ends_in_the_midst_of_an_event_goes_on_elsewhere() {
+    let script = |request: &Message| match request.header("last-event-id") {
+        Some("2") => Act::Send([stream_head(request), events(3, 5), chunk(b"")].concat()),
+        _ => unframed(request, 2, b"id: 3\nda"),
+    };
+    let one = Replica::start("i-1", script);
+    let two = Replica::start("i-2", script);
+    let replicas = [(&one, "llm", "decode"), (&two, "llm", "decode")];
+    let site = Site::start("unframed-resumed", &replicas);
+    let told = generate(&site.daemon, "/resume/1", "a1").read();
+    assert!(told.whole);
+    assert_eq!(String::from_utf8_lossy(&told.body), texts(1, 5));
+}
+
+#[test]
+fn a_stream_without_a_length_that_ends_after_an_event_is_complete() {
+    let decode = Replica::start("i-d", |request| unframed(request, 2, b""));
+    let site = Site::start("unframed", &[(&decode, "llm", "decode")]);
+    let told = generate(&site.daemon, "/draft/1", "a1").read();
+    assert!(told.whole);
+    assert_eq!(String::from_utf8_lossy(&told.body), texts(1, 2));
+}
+
+/// A replica that says where its answer ends is believed: the caller gets the bytes unchanged.
+#[test]
+fn a_stream_in_chunks_that_ends_without_an_empty_line_is_passed_on_unchanged() {
+    let decode = Replica::start("i-d", |request| {
+        let last = chunk(b"id: 3\ndata: t3\n");
+        Act::Send([stream_head(request), events(1, 2), last, chunk(b"")].concat())
+    });
+    let site = Site::start("no-empty-line", &[(&decode, "llm", "decode")]);
+    let told = generate(&site.daemon, "/draft/1", "a1").read();
+    assert!(told.whole);
+    let whole = format!("{}id: 3\ndata: t3\n", texts(1, 2));
+    assert_eq!(String::from_utf8_lossy(&told.body), whole);
+}
+
+/// Two replicas of which each cuts its stream after the event 2, and goes on with `rest` when it is asked to.
+fn resumed(name: &str, rest: &str) -> Message {
+    let rest = rest.to_owned();
+    let script = move |request: &Message| match request.header("last-event-id") {
+        Some("2") => {
+            let rest = chunk(rest.as_bytes());
+            Act::Send([stream_head(request), rest, chunk(b"")].concat())
+        }
+        _ => Act::SendAndClose([stream_head(request), events(1, 2)].concat()),
+    };
+    let one = Replica::start("i-1", script.clone());
+    let two = Replica::start("i-2", script);
+    let replicas = [(&one, "llm", "decode"), (&two, "llm", "decode")];
+    let site = Site::start(name, &replicas);
+    generate(&site.daemon, "/resume/1", "a1").read()
+}
+
+/// What a caller gets is its stream up to where it went wrong, and then no end.
+#[rstest]
+#[case("repeats-all", &texts(1, 5))]
+#[case("repeats-one", &texts(2, 5))]
+#[case("skips-one", &texts(4, 5))]
+#[case("skips-in-part", "id: 4\ndata: t4\n")]
+fn a_replica_that_goes_on_elsewhere_than_it_was_asked_to_is_not_joined(
+    #[case] name: &str,
+    #[case] rest: &str,
+) {
+    let told = resumed(name, rest);
+    assert_eq!(String::from_utf8_lossy(&told.body), texts(1, 2));
+    assert_eq!((told.status(), told.whole), (200, false));
+}
+
+/// Comments and the line that tells a new version stand before the id.
+#[test]
+fn an_event_that_follows_the_last_one_is_joined_whatever_stands_before_its_id() {
+    let rest = format!(": on\n\nweight-versions: 2\n{}", texts(3, 5));
+    let told = resumed("follows", &rest);
+    assert!(told.whole);
+    let whole = format!("{}{rest}", texts(1, 2));
+    assert_eq!(String::from_utf8_lossy(&told.body), whole);
+}
+
+/// Two replicas of which each cuts its stream after `first`, and never goes on after that as asked; gives the answer and
+/// how often the stream was sent.
+fn cut(name: &str, first: &[u8]) -> (Message, usize) {
+    let first = first.to_vec();
+    let script = move |request: &Message| match request.header("last-event-id") {
+        Some("9") => Act::Send([stream_head(request), events(10, 10), chunk(b"")].concat()),
+        _ => Act::SendAndClose([stream_head(request), chunk(&first)].concat()),
+    };
+    let one = Replica::start("i-1", script.clone());
+    let two = Replica::start("i-2", script);
+    let replicas = [(&one, "llm", "decode"), (&two, "llm", "decode")];
+    let site = Site::start(name, &replicas);
+    let told = generate(&site.daemon, "/resume/1", "a1").read();
+    (told, one.seen().len() + two.seen().len())
+}
+
+/// Nothing says where another replica is to go on: after an event that has no number, and in the midst of one that was
+/// too long to be held.
+#[rstest]
+#[case("no-number", b"id: 9\ndata: t9\n\nid: x\ndata: tx\n\n".to_vec())]
+#[case("no-id", b"data: t\n\n".to_vec())]
+#[case("long", format!("id: 9\ndata: {}", "x".repeat(300_000)).into_bytes())]
+fn a_stream_that_was_passed_on_beyond_its_last_id_goes_on_nowhere(
+    #[case] name: &str,
+    #[case] first: Vec<u8>,
+) {
+    let (told, sent) = cut(name, &first);
+    assert_eq!((told.status(), told.whole, sent), (200, false, 1));
+    assert!(told.body.is_empty() || told.body == first);
+}
+
+/// What a caller that speaks HTTP/1.0 reads to the end of its connection, and whether that is a proper end.
+fn old_answer(caller: Caller) -> (String, bool) {
+    let mut socket = caller.socket;
+    let lines = [
+        "POST /draft/1 HTTP/1.0",
+        "host: shop.example",
+        "request-id: a1",
+        "deadline-ms: 14000",
+        "token-counts: 1460,80",
+    ];
+    http::send(
+        &mut socket,
+        format!("{}\r\n\r\n", lines.join("\r\n")).as_bytes(),
+    );
+    let mut bytes = Vec::new();
+    let ended = socket.read_to_end(&mut bytes).is_ok();
+    (String::from_utf8_lossy(&bytes).into_owned(), ended)
+}
+
+/// Such an answer ends with its connection, so only a reset tells that it was cut.
+#[test]
+fn a_caller_without_chunks_can_tell_that_its_answer_is_broken_off() {
+    let decode = Replica::start("i-d", |request| {
+        let parts = vec![
+            [stream_head(request), events(1, 2)].concat(),
+            chunk(b"id: 3\nda"),
+        ];
+        Act::Slowly(
+            [parts, vec![b"broken".to_vec()]].concat(),
+            Duration::from_millis(50),
+        )
+    });
+    let site = Site::start("old-cut", &[(&decode, "llm", "decode")]);
+    let (told, ended) = old_answer(site.daemon.caller());
+    assert!(!ended, "{told}");
+}
+
+#[test]
+fn a_caller_without_chunks_gets_a_whole_answer() {
+    let decode = Replica::start("i-d", |request| {
+        Act::Send([stream_head(request), events(1, 2), chunk(b"")].concat())
+    });
+    let site = Site::start("old-whole", &[(&decode, "llm", "decode")]);
+    let (told, ended) = old_answer(site.daemon.caller());
+    assert!(ended);
+    assert!(told.ends_with(&texts(1, 2)), "{told}");
+}
+
+/// The daemon's end is one of the ways in which an answer is cut.
+#[test]
+fn a_caller_without_chunks_can_tell_that_the_daemon_ended() {
+    let decode = Replica::start("i-d", |request| {
+        Act::SendAndHang([stream_head(request), events(1, 2)].concat())
+    });
+    let mut site = Site::start("old-end", &[(&decode, "llm", "decode")]);
+    let caller = site.config_with_long_streams();
+    let (told, ended) = thread::scope(|scope| {
+        let caller = scope.spawn(|| old_answer(caller));
+        until("the request arrives", || decode.seen().len() == 1);
+        site.daemon.signal(Signal::TERM);
+        caller.join().unwrap()
+    });
+    assert!(told.ends_with(&texts(1, 2)), "{told}");
+    assert!(!ended);
+    site.daemon.wait();
+}
