Pass on no change of protocols and no body that is packed in transfer

What callers saw: a signed 101 of a replica, after which the connection ended, and a signed 200 whose chunks were compressed, without the header that tells it. Cause: only the encoding of the content was looked at, and any status. Ruled out: unpacking it; nobody asked for it.

--- a/crates/gateway/tests/gateway/whole.rs
+++ b/crates/gateway/tests/gateway/whole.rs
@@ -249,3 +249,24 @@
     assert!(!ended);
     site.daemon.wait();
 }
+
+/// An answer that no caller asked for (a change of protocols) and one whose body is packed are none to pass on, signed
+/// or not.
+#[rstest]
+#[case(
+    "switched",
+    "HTTP/1.1 101 S\r\nrequest-id: a1\r\nresponse-seal: s\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n"
+)]
+#[case(
+    "packed",
+    "HTTP/1.1 200 OK\r\nrequest-id: a1\r\nresponse-seal: s\r\ntransfer-encoding: gzip, chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"
+)]
+fn an_answer_that_a_caller_cannot_read_is_not_passed_on(
+    #[case] name: &str,
+    #[case] text: &'static str,
+) {
+    let replica = Replica::start("i-a", move |_| Act::Send(text.into()));
+    let site = Site::start(name, &[(&replica, "app", "")]);
+    let told = site.ask("POST /book/1", "a1");
+    assert_eq!((told.status(), told.header("response-seal")), (502, None));
+}
