Join runs whose ids skip numbers

What callers would see: a stream whose ids go up by more than one breaks off instead of going on at another replica. Cause: the first event after the joint had to be the next number, while ids are only said to increase. Ruled out: taking any later id; where ids went up by one, a gap is a missing event.

Change: a gap at the joint counts only where there was none before. The new test's first case failed before, all three pass now.

--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -47,6 +47,8 @@
 pub struct Splitter {
     pending: Vec<u8>,
     position: Position,
+    /// Whether an event came whose id is not the one after that of the event before.
+    skips: bool,
     /// Id of the last event before another replica went on, until that one's first event is known to be the next.
     joint: Option<u64>,
 }
@@ -72,6 +74,7 @@
         match last_boundary(&self.pending, searched) {
             Some(end) => {
                 let whole = self.take(end)?;
+                self.skips |= skips(self.position, &whole);
                 self.position = match position(&whole) {
                     Some(position) => position,
                     None if self.position == Position::Inside => Position::Unnumbered,
@@ -121,20 +124,24 @@
         Ok(last)
     }
 
-    /// Takes the first `length` bytes out. A replica that repeats or skips events tells another run's, which must not be
-    /// joined to what the caller has.
+    /// Takes the first `length` bytes out. A replica that repeats events, or skips some where ids went up by one, tells
+    /// another run's, which must not be joined to what the caller has.
     fn take(&mut self, length: usize) -> Result<Vec<u8>, Error> {
         let rest = self.pending.split_off(length);
         let taken = std::mem::replace(&mut self.pending, rest);
         match (self.joint, first_id(&taken)) {
             (None, _) | (Some(_), None) => Ok(taken),
-            (Some(last), Some(first)) if first == Position::After(last.saturating_add(1)) => {
+            (Some(last), Some(Position::After(first))) if self.follows(last, first) => {
                 self.joint = None;
                 Ok(taken)
             }
             (Some(last), Some(_)) => Err(Error::Misplaced { last }),
         }
     }
+
+    const fn follows(&self, last: u64, first: u64) -> bool {
+        first > last && (self.skips || first == last.saturating_add(1))
+    }
 }
 
 /// Events in `bytes`, which begin and end with whole ones.
@@ -152,6 +159,20 @@
     (from..bytes.len()).rev().find_map(end_at)
 }
 
+/// Whether ids among these whole events, which come after `position`, go up by more than one.
+fn skips(position: Position, whole: &[u8]) -> bool {
+    let mut last = position;
+    for next in whole.split(|byte| *byte == b'\n').filter_map(id) {
+        match (last, next) {
+            (Position::After(last), Position::After(next)) if next > last.saturating_add(1) => {
+                return true;
+            }
+            _ => last = next,
+        }
+    }
+    false
+}
+
 /// What the first event that has an `id` field is known by.
 fn first_id(bytes: &[u8]) -> Option<Position> {
     bytes.split(|byte| *byte == b'\n').find_map(id)
--- a/crates/relay/tests/event.rs
+++ b/crates/relay/tests/event.rs
@@ -86,3 +86,19 @@
         Err(Error::Misplaced { last: 7 })
     );
 }
+
+/// Ids need not go up by one; where they did not, a gap at the joint tells nothing.
+#[rstest]
+#[case(b"id: 9\ndata: c\n\n", true)]
+#[case(b"id: 6\ndata: c\n\n", false)]
+#[case(b"id: 2\ndata: a\n\n", false)]
+fn a_stream_whose_ids_skip_numbers_goes_on_with_any_later_one(
+    #[case] first: &[u8],
+    #[case] joined: bool,
+) {
+    let mut splitter = Splitter::new();
+    splitter.push(b"id: 2\ndata: a\n\n").unwrap();
+    splitter.push(b"id: 6\ndata: b\n\n").unwrap();
+    splitter.resume(None).unwrap();
+    assert_eq!(splitter.push(first).is_ok(), joined);
+}
