Let a link of the stand-ins send answers twice, the second one where the next is due

Servers were seen to answer a request twice, the second time after the next request had gone out on the same kept connection. The library under the stand-ins cannot write an answer that no request asked for, so the link in front of any of them does it: in mode `repeat` it keeps what came back since the last request, and sends it again when the next request comes, before that one's own answer. Test: fake, link.

The two directions of a connection are joined in one place now, as the answer of one is sent on account of the other; a weak sender leaves the end of a connection as it was.

--- a/crates/fake/src/link/forward.rs
+++ b/crates/fake/src/link/forward.rs
@@ -16,6 +16,8 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use super::answer::Answer;
+
 /// Chunks under way in one direction of one connection.
 const CHUNKS: usize = 64;
 /// Size of a chunk.
@@ -34,6 +36,17 @@
     Hang,
     /// Forwards each byte later.
     Delay,
+    /// Sends each answer a second time, as soon as the next request comes on the same connection.
+    Repeat,
+}
+
+/// Which way bytes go.
+#[derive(Debug, Clone, Copy)]
+enum Way {
+    /// From the near side, which asks.
+    There,
+    /// From the far side, which answers.
+    Back,
 }
 
 /// The mode of a route, and its delay.
@@ -54,9 +67,14 @@
         far.set_nodelay(true).ok()?;
         let (near_read, near_write) = near.into_split();
         let (far_read, far_write) = far.into_split();
+        let (there, sent) = mpsc::channel(CHUNKS);
+        let (back, returned) = mpsc::channel(CHUNKS);
+        let answer = Answer::new(back.downgrade());
         tokio::join!(
-            carry(near_read, far_write, state.clone()),
-            carry(far_read, near_write, state.clone())
+            read(near_read, there, state.clone(), Way::There, &answer),
+            write(far_write, sent, state.clone()),
+            read(far_read, back, state.clone(), Way::Back, &answer),
+            write(near_write, returned, state.clone())
         );
         Some(())
     };
@@ -79,19 +97,13 @@
     Some(())
 }
 
-/// Carries bytes in one direction until the reading side ends.
-async fn carry(from: OwnedReadHalf, to: OwnedWriteHalf, state: watch::Receiver<State>) {
-    let (sender, receiver) = mpsc::channel(CHUNKS);
-    tokio::join!(
-        read(from, sender, state.clone()),
-        write(to, receiver, state)
-    );
-}
-
+/// Reads the bytes of one direction until its side ends.
 async fn read(
     mut from: OwnedReadHalf,
     chunks: mpsc::Sender<(Instant, Bytes)>,
     state: watch::Receiver<State>,
+    way: Way,
+    answer: &Answer,
 ) {
     loop {
         let mut buffer = BytesMut::with_capacity(CHUNK_BYTES);
@@ -102,13 +114,15 @@
         let state = *state.borrow();
         let delay = match state.mode {
             Mode::Delay => state.delay,
-            Mode::Pass | Mode::Cut | Mode::Hang => Duration::ZERO,
+            Mode::Pass | Mode::Cut | Mode::Hang | Mode::Repeat => Duration::ZERO,
         };
-        if chunks
-            .send((Instant::now() + delay, buffer.freeze()))
-            .await
-            .is_err()
-        {
+        let chunk = buffer.freeze();
+        match way {
+            _ if state.mode != Mode::Repeat => {}
+            Way::There => answer.repeat().await,
+            Way::Back => answer.note(&chunk),
+        }
+        if chunks.send((Instant::now() + delay, chunk)).await.is_err() {
             return;
         }
     }
--- a/crates/fake/src/link/mod.rs
+++ b/crates/fake/src/link/mod.rs
@@ -1,5 +1,6 @@
-//! A TCP forwarder that can be cut, held up or delayed.
+//! A TCP forwarder that can be cut, held up or delayed, or sends answers twice.
 
+mod answer;
 mod forward;
 mod route;
 
--- a/crates/fake/tests/link.rs
+++ b/crates/fake/tests/link.rs
@@ -106,3 +106,18 @@
     echo(&mut stream).await.unwrap();
     assert!(begin.elapsed() >= SHORT, "{:?}", begin.elapsed());
 }
+
+#[rstest]
+#[tokio::test]
+async fn a_repeating_link_sends_an_answer_again_where_the_next_one_is_due() {
+    let (control, port) = link_to_echo().await;
+    set(control, port, "repeat", 0).await;
+    let mut stream = TcpStream::connect((Ipv4Addr::LOCALHOST, port))
+        .await
+        .unwrap();
+    echo(&mut stream).await.unwrap();
+    stream.write_all(b"next").await.unwrap();
+    let mut answers = [0; 8];
+    stream.read_exact(&mut answers).await.unwrap();
+    assert_eq!(&answers, b"pingnext");
+}
