Move the client of one connection a call to the crate that both clients stand on

The client of the platform needs what the client of engines has for calls that start work: one TCP connection, one request. No change of behaviour.

--- a/crates/engine/src/direct.rs
+++ b/crates/call/src/direct.rs
@@ -1,10 +1,14 @@
 //! Requests that each take a fresh connection.
 //!
-//! A call that must run at most once may be neither sent twice nor sent on a kept connection that
-//! the peer is about to close, where nobody can tell whether it arrived. `volo-http`'s client
-//! always hands out idle connections of its pool, also one returned while a new one is being
-//! opened, and reports failed connects and failed exchanges alike. So its nearest kin, the
-//! connection layer of `hyper` on which it stands, is used here: one TCP connection, one request.
+//! Two failures rule kept connections out. An answer that does not name its request is known by
+//! its place on the connection alone, so a late second answer to one request would count as the
+//! answer to the next. And a call that must run at most once may be neither sent twice nor sent on
+//! a connection that the peer is about to close, where nobody can tell whether it arrived.
+//!
+//! `volo-http`'s client always hands out idle connections of its pool, also one returned while a
+//! new one is being opened, and reports failed connects and failed exchanges alike. So its nearest
+//! kin, the connection layer of `hyper` on which it stands, is used here: one TCP connection, one
+//! request.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -14,28 +18,29 @@
 use http::HeaderValue;
 use http::header::CONNECTION;
 use http::header::HOST;
+use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
-use crate::error::Error;
-use crate::error::Step;
+use crate::Error;
 
 /// Limits of one exchange.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Limits {
+pub struct Limits {
     /// Longest wait for the connection.
-    pub(crate) connect: Duration,
+    pub connect: Duration,
     /// Longest wait for the head of the answer.
-    pub(crate) head: Duration,
+    pub head: Duration,
 }
 
 /// Closes the connection when dropped, whatever it still carries.
 #[derive(Debug)]
-pub(crate) struct Guard(AbortHandle);
+pub struct Guard(AbortHandle);
 
 impl Drop for Guard {
     fn drop(&mut self) {
@@ -45,19 +50,52 @@
 
 /// The head of an answer, and the body as long as the guard lives.
 #[derive(Debug)]
-pub(crate) struct Answer {
-    pub(crate) head: http::response::Parts,
-    pub(crate) body: Incoming,
-    pub(crate) guard: Guard,
+pub struct Answer {
+    /// Status and headers.
+    pub head: http::response::Parts,
+    /// The body, to be read yet.
+    pub body: Incoming,
+    /// Keeps the connection open.
+    pub guard: Guard,
+}
+
+impl Answer {
+    /// Reads the whole body, at most `limit` bytes, and closes the connection.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Lost`] if it does not end in `timeout`, breaks off or is longer.
+    pub async fn collect<S>(
+        self,
+        step: S,
+        peer: SocketAddr,
+        timeout: Duration,
+        limit: usize,
+    ) -> Result<Bytes, Error<S>> {
+        let Self { body, guard, .. } = self;
+        let body = Limited::new(body, limit).collect();
+        let collected = timer::timeout(timeout, body).await;
+        drop(guard);
+        let cause = match collected {
+            Ok(Ok(body)) => return Ok(body.to_bytes()),
+            Ok(Err(e)) => e.to_string(),
+            Err(elapsed) => elapsed.to_string(),
+        };
+        Err(Error::Lost { step, peer, cause })
+    }
 }
 
 /// Sends `request` once to `peer`.
-pub(crate) async fn send(
-    step: Step,
+///
+/// # Errors
+///
+/// [`Error::NotSent`] if no connection was made, and [`Error::Lost`] if no head of an answer came.
+pub async fn send<S: Copy>(
+    step: S,
     peer: SocketAddr,
     limits: Limits,
     mut request: http::Request<Full<Bytes>>,
-) -> Result<Answer, Error> {
+) -> Result<Answer, Error<S>> {
     let not_sent = |cause: String| Error::NotSent { step, peer, cause };
     let lost = |cause: String| Error::Lost { step, peer, cause };
     let host = HeaderValue::try_from(peer.to_string()).map_err(|e| not_sent(e.to_string()))?;
--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -3,13 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use boottime::timer;
+use ::call::direct;
+use ::call::direct::Answer;
+use ::call::direct::Limits;
 use bytes::Bytes;
 use http::Method;
 use http::header;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use serde::Serialize;
 
 use crate::Claim;
@@ -17,9 +17,6 @@
 use crate::call;
 use crate::cancel;
 use crate::decode;
-use crate::direct;
-use crate::direct::Answer;
-use crate::direct::Limits;
 use crate::error::Error;
 use crate::error::Step;
 use crate::order;
@@ -257,23 +254,9 @@
     }
 
     async fn collect(&self, step: Step, peer: SocketAddr, answer: Answer) -> Result<Bytes, Error> {
-        let Answer { body, guard, .. } = answer;
-        let body = Limited::new(body, self.body_limit).collect();
-        let collected = timer::timeout(self.limits.head, body).await;
-        drop(guard);
-        match collected {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(e)) => Err(Error::Lost {
-                step,
-                peer,
-                cause: e.to_string(),
-            }),
-            Err(elapsed) => Err(Error::Lost {
-                step,
-                peer,
-                cause: elapsed.to_string(),
-            }),
-        }
+        answer
+            .collect(step, peer, self.limits.head, self.body_limit)
+            .await
     }
 }
 
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -9,7 +9,6 @@
 pub mod claim;
 pub mod client;
 pub mod decode;
-mod direct;
 pub mod error;
 pub mod order;
 mod pooled;
--- a/crates/engine/src/stream.rs
+++ b/crates/engine/src/stream.rs
@@ -4,12 +4,12 @@
 
 use bytes::Buf;
 use bytes::BytesMut;
+use call::direct::Answer;
+use call::direct::Guard;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use serde::Deserialize;
 
-use crate::direct::Answer;
-use crate::direct::Guard;
 use crate::error::Error;
 use crate::error::Step;
 
