Give each cancel, order and read of the state a connection of its own

What callers saw: with an engine or application that answers twice, the second time late, the keeper of a pool placed requests by an older state of the replica; an order was told what the one before had made of the engine; a cancel was told a state, counted as lost and was repeated. No caller's text was mixed by it: prefills, decodes, attachments and calls took a connection of their own before.

Cause: cancel, order and state went over kept connections, where their answers, which do not name their call, are known by their place alone.

Ruled out: unasked bytes on an idle connection (the library closes it; the fault needs the next request to be out already).

An answer is now bound by the limit of bodies as well. The test `a_kept_connection_tells_...` in tests/stream.rs is renamed, as cancels keep none; it asserts what it did.

--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -11,16 +11,17 @@
 use http::header;
 use http_body_util::Full;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 use crate::Claim;
 use crate::attach;
 use crate::call;
 use crate::cancel;
+use crate::control;
 use crate::decode;
 use crate::error::Error;
 use crate::error::Step;
 use crate::order;
-use crate::pooled::Pool;
 use crate::prefill;
 use crate::state::State;
 use crate::stream::Stream;
@@ -34,14 +35,11 @@
 /// Largest body of an answer.
 const BODY: usize = 16 << 20;
 
-/// A client of any number of engines and applications; clones share its kept connections.
+/// A client of any number of engines and applications.
 ///
-/// What starts work (`prefill`, `decode`, `attach`, `call`) takes a fresh connection each time;
-/// what may be repeated (`cancel`, `state`, `order`) uses kept ones. Dropping a future or a stream
-/// closes its connection.
+/// Each call takes a fresh connection. Dropping a future or a stream closes its connection.
 #[derive(Debug, Clone)]
 pub struct Client {
-    pool: Pool,
     limits: Limits,
     control: Duration,
     body_limit: usize,
@@ -57,7 +55,6 @@
     /// A client with the usual limits.
     pub fn new() -> Self {
         Self {
-            pool: Pool::new(),
             limits: Limits {
                 connect: CONNECT,
                 head: WORK,
@@ -150,9 +147,7 @@
     /// See [`Error`].
     pub async fn cancel(&self, peer: SocketAddr, claim: &Claim) -> Result<cancel::Reply, Error> {
         let request = (Method::POST, "/v1/cancel", json(claim));
-        self.pool
-            .exchange(Step::Cancel, peer, self.control, request)
-            .await
+        self.exchange(Step::Cancel, peer, request).await
     }
 
     /// Reads the state of an engine or application, with cache events after number `after`.
@@ -163,9 +158,7 @@
     pub async fn state(&self, peer: SocketAddr, after: u64) -> Result<State, Error> {
         let path = format!("/v1/state?after={after}");
         let request = (Method::GET, path.as_str(), Vec::new());
-        self.pool
-            .exchange(Step::State, peer, self.control, request)
-            .await
+        self.exchange(Step::State, peer, request).await
     }
 
     /// Changes what an engine serves.
@@ -179,9 +172,7 @@
         request: &order::Request,
     ) -> Result<order::Reply, Error> {
         let request = (Method::POST, "/v1/order", json(request));
-        self.pool
-            .exchange(Step::Order, peer, self.control, request)
-            .await
+        self.exchange(Step::Order, peer, request).await
     }
 
     /// Carries out a plain application call, whose bytes leave this process at most once.
@@ -223,6 +214,16 @@
         })
     }
 
+    /// Carries out a call that may be repeated.
+    async fn exchange<T: DeserializeOwned>(
+        &self,
+        step: Step,
+        peer: SocketAddr,
+        request: (Method, &str, Vec<u8>),
+    ) -> Result<T, Error> {
+        control::exchange(step, peer, self.control, self.body_limit, request).await
+    }
+
     /// Posts JSON on a fresh connection; an answer other than 200 is a refusal.
     async fn post<T: Serialize>(
         &self,
--- a/crates/engine/tests/stream.rs
+++ b/crates/engine/tests/stream.rs
@@ -119,7 +119,7 @@
 
 #[rstest]
 #[tokio::test]
-async fn a_kept_connection_tells_a_failed_connect_from_a_lost_answer() {
+async fn a_cancel_tells_a_failed_connect_from_a_lost_answer() {
     let client = Client::new();
     let lost = client
         .cancel(peer_with(vec![]).await, &claim())
