Give each call of the platform's service a connection of its own

What callers saw, if the service answers twice, the second time late: the daemon read one key's row as that of another, so a caller who asked again could be told the recorded outcome of somebody else's request; a transaction whose requirement failed counted as committed.

Cause: all calls went over kept connections, and their answers, which do not name their call, are known by their place alone.

Ruled out: rows of a read could be held against the keys asked for, but a transaction without reads has no rows, an object's bytes name nothing, and lists have no key.

Change: the client uses `call::direct`, as that of engines does. Bodies of answers are bounded (64 MiB), which they were not.

--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -1,23 +1,21 @@
 //! The client.
 //!
-//! The library's client keeps connections and sends each request on one of them once. It reports
-//! a failed connect and a failed exchange with the same kind; the source of its error tells them
-//! apart, and whatever is not surely a failed connect counts as [`Error::Lost`].
+//! Answers do not name their call, so each call takes a connection of its own: on a kept one a
+//! late second answer would be taken for the answer to the next call. Whatever is not surely a
+//! failed connect counts as [`Error::Lost`].
 
-use std::error::Error as _;
-use std::fmt;
-use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use boottime::timer;
 use bytes::Bytes;
+use call::direct;
+use call::direct::Limits;
 use http::Method;
 use http::StatusCode;
+use http_body_util::Full;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
-use volo_http::body::BodyConversion;
-use volo_http::error::ClientError;
 
 use crate::error::Error;
 use crate::error::Step;
@@ -26,11 +24,14 @@
 use crate::txn::Row;
 use crate::txn::Txn;
 
+/// Largest body of an answer, in bytes.
+const BODY: usize = 64 << 20;
+
 /// An answer as it came.
 #[derive(Debug)]
 struct Answer {
     status: StatusCode,
-    body: Vec<u8>,
+    body: Bytes,
 }
 
 #[derive(Debug, Deserialize)]
@@ -38,31 +39,17 @@
     rows: Vec<Row>,
 }
 
-/// A client of the platform; clones share its connections.
-#[derive(Clone)]
+/// A client of the platform.
+#[derive(Debug, Clone)]
 pub struct Client {
     peer: SocketAddr,
     timeout: Duration,
-    http: volo_http::client::Client,
-}
-
-impl fmt::Debug for Client {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Client")
-            .field("peer", &self.peer)
-            .finish_non_exhaustive()
-    }
 }
 
 impl Client {
     /// A client of the platform at `peer` that gives each call up after `timeout`.
-    pub fn new(peer: SocketAddr, timeout: Duration) -> Self {
-        let http = volo_http::client::Client::default();
-        Self {
-            peer,
-            timeout,
-            http,
-        }
+    pub const fn new(peer: SocketAddr, timeout: Duration) -> Self {
+        Self { peer, timeout }
     }
 
     /// Carries out a transaction.
@@ -113,7 +100,7 @@
             .send(Step::Fetch, Method::GET, &path, Vec::new())
             .await?;
         match answer.status {
-            StatusCode::OK => Ok(Some(answer.body)),
+            StatusCode::OK => Ok(Some(answer.body.to_vec())),
             StatusCode::NOT_FOUND => Ok(None),
             status => Err(self.refused(Step::Fetch, status)),
         }
@@ -148,21 +135,39 @@
         path: &str,
         body: Vec<u8>,
     ) -> Result<Answer, Error> {
-        let exchange = async {
-            let uri = format!("http://{}{path}", self.peer);
-            let request = self.http.request(method, uri).data(body);
-            let response = request.send().await.map_err(|e| self.failed(step, &e))?;
-            let status = response.status();
-            let body = response.into_body().into_vec().await;
-            let body = body.map_err(|e| self.lost(step, e.to_string()))?;
-            Ok(Answer { status, body })
-        };
+        let exchange = self.exchange(step, method, path, body);
         match timer::timeout(self.timeout, exchange).await {
             Ok(answer) => answer,
             Err(elapsed) => Err(self.lost(step, elapsed.to_string())),
         }
     }
 
+    async fn exchange(
+        &self,
+        step: Step,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<Answer, Error> {
+        let limits = Limits {
+            connect: self.timeout,
+            head: self.timeout,
+        };
+        let request = http::Request::builder()
+            .method(method)
+            .uri(path)
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|e| Error::NotSent {
+                step,
+                peer: self.peer,
+                cause: e.to_string(),
+            })?;
+        let answer = direct::send(step, self.peer, limits, request).await?;
+        let status = answer.head.status;
+        let body = answer.collect(step, self.peer, self.timeout, BODY).await?;
+        Ok(Answer { status, body })
+    }
+
     fn read<T: DeserializeOwned>(&self, step: Step, answer: &Answer) -> Result<T, Error> {
         serde_json::from_slice(&answer.body).map_err(|e| Error::Malformed {
             step,
@@ -193,20 +198,6 @@
             cause,
         }
     }
-
-    fn failed(&self, step: Step, error: &ClientError) -> Error {
-        let cause = error.to_string();
-        match error.source() {
-            // The library passes the operating system's error on from connecting alone; errors of
-            // an exchange come as `hyper::Error`.
-            Some(source) if source.is::<io::Error>() => Error::NotSent {
-                step,
-                peer: self.peer,
-                cause,
-            },
-            _ => self.lost(step, cause),
-        }
-    }
 }
 
 fn query(name: &str, value: &str) -> String {
