Number questions to runners so that no other run of the asker uses the number

What callers saw: a caller who repeated a key of another run was told the answer to somebody else's request. It takes a daemon that asked the runner about a request in progress, was started again, and asked the same runner about another key.

Cause: questions were numbered from one in each run, and the runner sends its answer when the request ends, to the instance by its name. The answer to the question of the earlier run had the number of one of the new run, and nothing else ties it to a key.

Ruled out: a second answer to one question (it is closed by the first; `InProgress` changes nothing); edits (`Noted`), whose numbers hold the incarnation already; verdicts, advances, claims and disowned attempts, which name handles, and these hold the incarnation. The key in the answer was weighed: it does the same, and changes the frames' layout, so that daemons of both versions could not talk.

Change: `unique_number`, what edits did, for both. By the same numbers two instances that ask about one request no longer pass for one (`told_open` compares numbers alone, and the second was told by its next question only).

--- a/crates/node/src/asking.rs
+++ b/crates/node/src/asking.rs
@@ -50,7 +50,7 @@
             .by_incarnation(prefix.runner)
             .filter(|member| member.state != fleet::member::State::Dead)
             .map(|member| member.instance);
-        let nonce = self.number();
+        let nonce = self.unique_number();
         let (now, runner) = (self.now, alive);
         let question = Question {
             call,
--- a/crates/node/src/edits.rs
+++ b/crates/node/src/edits.rs
@@ -36,7 +36,7 @@
                 out,
             );
         }
-        let number = self.number() ^ self.incarnation().0;
+        let number = self.unique_number();
         let query = self.query();
         let ask = Ask::Commit(Box::new(edit.clone()));
         let edition = Edition {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -126,6 +126,12 @@
         self.counter
     }
 
+    /// A number not used before in any run. Peers repeat it in answers, which may come when this
+    /// instance has started again: counted from one, it would name a question of the new run.
+    pub(crate) fn unique_number(&mut self) -> u64 {
+        self.number() ^ self.incarnation().0
+    }
+
     /// A fresh order for `purpose`.
     pub(crate) fn order(&mut self, purpose: Purpose) -> Order {
         let order = ids::Order(self.number());
--- a/crates/node/tests/one/mod.rs
+++ b/crates/node/tests/one/mod.rs
@@ -1,8 +1,11 @@
 //! One core with idle replicas and a store; the test answers its orders.
+#![allow(dead_code, reason = "no test file uses all of it")]
 
 use std::time::Duration;
 
 use bytes::Bytes;
+use fleet::Message;
+use fleet::member::Member;
 use ident::Incarnation;
 use ident::Instance;
 use ident::Pool;
@@ -33,6 +36,9 @@
 use route::replica::Role;
 use table::Table;
 use table::row::Row;
+use wire::Body;
+use wire::Frame;
+
 const INCARNATION: Incarnation = Incarnation(0x91c5_b8f0_aa31_e2d4);
 const STARTED_MS: u64 = 1_700_000_000_000;
 const ZONE: &str = "osijek-a";
@@ -44,15 +50,26 @@
     now: Time,
     pub orders: Vec<(Order, Task)>,
     pub tells: Vec<(Call, Tell)>,
+    pub sent: Vec<(Instance, Body)>,
 }
 
 impl One {
     pub fn new() -> Self {
+        Self::with_incarnation(INCARNATION)
+    }
+
+    /// The core as the run `incarnation` of its instance.
+    pub fn with_incarnation(incarnation: Incarnation) -> Self {
+        let settings = Settings {
+            incarnation,
+            ..settings()
+        };
         let mut one = Self {
-            node: Node::new(settings(), Time::ZERO, 7),
+            node: Node::new(settings, Time::ZERO, 7),
             now: Time::ZERO,
             orders: Vec::new(),
             tells: Vec::new(),
+            sent: Vec::new(),
         };
         one.feed(Event::Listed(list()));
         one.run(Duration::from_millis(500));
@@ -77,6 +94,7 @@
         match action {
             Action::Order { order, task, .. } => self.orders.push((order, task)),
             Action::Tell { call, tell } => self.tells.push((call, tell)),
+            Action::Send { to, frame } => self.sent.push((to, frame.body)),
             Action::Fault { cause } => panic!("fault: {cause}"),
             Action::Query { query, ask } => {
                 let outcome = answer(&ask);
@@ -113,6 +131,18 @@
         self.run(Duration::from_millis(100));
     }
 
+    /// Lets the core take a frame from `peer`, a live member.
+    pub fn hear(&mut self, peer: &Member, body: Body) {
+        let frame = Box::new(Frame::new(peer.instance, peer.incarnation, body));
+        self.feed(Event::Frame(frame));
+    }
+
+    /// Lets `peer` join.
+    pub fn join(&mut self, peer: &Member) {
+        let news = vec![*peer];
+        self.hear(peer, Body::Gossip(Message::Ping { seq: 1, news }));
+    }
+
     /// Lets the prefill that was ordered last end well; the decode order that follows.
     pub fn prefill(&mut self) -> (Order, Task) {
         let (order, task) = self.last();
@@ -191,8 +221,13 @@
     }
 }
 
-fn request() -> Request {
-    let prefix = Prefix::new(INCARNATION, STARTED_MS / 1_000);
+/// The beginning of the keys that name the run `runner`.
+pub fn prefix(runner: Incarnation) -> Prefix {
+    Prefix::new(runner, STARTED_MS / 1_000)
+}
+
+pub fn request() -> Request {
+    let prefix = prefix(INCARNATION);
     Request {
         customer: "farm-17".to_owned(),
         class: "default".to_owned(),
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -125,7 +125,7 @@
     Adopt(Box<Hold>),
     /// What became of `key`?
     Ask {
-        /// Matches the answer to the question.
+        /// Matches the answer to the question; never used by another run of the asker.
         nonce: u64,
         /// The key.
         key: Key,
