Count an answer about the table only if this run asked for it

What callers saw: nothing yet; a daemon that was started again could decide by a table that nobody had proved to be the newest, by the time that the answer of a peer to its earlier run had waited (at most half a second in a queue, and what the network adds).

Cause: a question tells its time on the asker's clock, which begins at zero in each run, and the peer sends the same number back to the instance. A late answer to the earlier run passed for one to a question of the new run; a time that was still to come counted as now.

Ruled out: late second answers to a question of the same run (they prove what the first did, from the same time).

Change: the time is counted from a point that only the run knows (its incarnation), and answers from outside the run's own time prove nothing. Frames keep their layout; peers only repeat the number. It takes up to nine bytes in place of five (bincode; not measured).

Pings of the membership (`fleet`) number from zero in each run as well; an acknowledgement to the earlier run can count for one ping of the new run. It names its sender, who is there; left as it is.

--- a/crates/node/src/proofs.rs
+++ b/crates/node/src/proofs.rs
@@ -29,7 +29,7 @@
     pub(crate) fn tell_news(&mut self, out: &mut Vec<Action>) {
         self.timers.news = self.now + NEWS_EVERY;
         self.pull_list(out);
-        let news = self.my_news(self.now.0, false);
+        let news = self.my_news(self.now.0.wrapping_add(self.incarnation().0), false);
         for peer in self.some_peers(self.news_fanout()) {
             self.send(peer, Body::News(news), out);
         }
@@ -68,8 +68,7 @@
         self.note_told(from, news);
         match () {
             () if self.tables.view.behind() => self.send(from, Body::Pull, out),
-            () if news.answer => self.take_proof(news),
-            () => (),
+            () => self.take_proof(news),
         }
         if !news.answer {
             let answer = self.my_news(news.asked, true);
@@ -77,19 +76,23 @@
         }
     }
 
+    /// When this run asked what `news` answers; `None` if it answers nothing that this run asked.
+    ///
+    /// Clocks of all runs begin at zero, so that a late answer to an earlier run would pass for one
+    /// to a question asked just now: questions tell the time from a point that no two runs share.
+    fn asked_at(&self, news: News) -> Option<Time> {
+        let asked = Time(news.asked.wrapping_sub(self.incarnation().0));
+        Some(asked).filter(|asked| news.answer && (self.begun..=self.now).contains(asked))
+    }
+
     fn note_told(&mut self, from: Instance, news: News) {
-        let asked = Time(news.asked).min(self.now);
         let before = self
             .tables
             .desk
             .told
             .get(&from)
             .and_then(|heard| heard.settled);
-        let settled = if news.answer && news.settled {
-            before.max(Some(asked))
-        } else {
-            before
-        };
+        let settled = before.max(self.asked_at(news).filter(|_| news.settled));
         let heard = Heard {
             generation: news.generation,
             at: self.now,
@@ -100,7 +103,9 @@
 
     /// An answer proves as much as its sender could prove when the question was asked.
     fn take_proof(&mut self, news: News) {
-        let asked = Time(news.asked).min(self.now);
+        let Some(asked) = self.asked_at(news) else {
+            return;
+        };
         let age = news
             .store_age_ms
             .filter(|_| news.generation == self.tables.view.generation());
--- a/crates/node/tests/one/mod.rs
+++ b/crates/node/tests/one/mod.rs
@@ -43,6 +43,8 @@
 const STARTED_MS: u64 = 1_700_000_000_000;
 const ZONE: &str = "osijek-a";
 const PACE: Duration = Duration::from_millis(1);
+/// How long a peer takes to answer a ping.
+const PING_ANSWER: Duration = Duration::from_millis(20);
 
 /// A core with idle replicas and a store; orders are answered by the test.
 pub struct One {
@@ -51,6 +53,8 @@
     pub orders: Vec<(Order, Task)>,
     pub tells: Vec<(Call, Tell)>,
     pub sent: Vec<(Instance, Body)>,
+    /// Whether the store answers.
+    pub stored: bool,
 }
 
 impl One {
@@ -70,6 +74,7 @@
             orders: Vec::new(),
             tells: Vec::new(),
             sent: Vec::new(),
+            stored: true,
         };
         one.feed(Event::Listed(list()));
         one.run(Duration::from_millis(500));
@@ -97,7 +102,7 @@
             Action::Send { to, frame } => self.sent.push((to, frame.body)),
             Action::Fault { cause } => panic!("fault: {cause}"),
             Action::Query { query, ask } => {
-                let outcome = answer(&ask);
+                let outcome = if self.stored { answer(&ask) } else { failed() };
                 return Some(Event::Stored { query, outcome });
             }
             Action::Inspect { replica, .. } => {
@@ -143,6 +148,25 @@
         self.hear(peer, Body::Gossip(Message::Ping { seq: 1, news }));
     }
 
+    /// Runs for `span`, in which `peer` answers the pings it gets.
+    pub fn run_beside(&mut self, peer: &Member, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            let first = self.sent.len();
+            self.run(PING_ANSWER);
+            let pings = self.sent[first..]
+                .iter()
+                .filter_map(|(to, body)| match body {
+                    Body::Gossip(Message::Ping { seq, .. }) if *to == peer.instance => Some(*seq),
+                    _ => None,
+                });
+            for seq in pings.collect::<Vec<u32>>() {
+                let news = vec![*peer];
+                self.hear(peer, Body::Gossip(Message::Ack { seq, news }));
+            }
+        }
+    }
+
     /// Lets the prefill that was ordered last end well; the decode order that follows.
     pub fn prefill(&mut self) -> (Order, Task) {
         let (order, task) = self.last();
@@ -198,10 +222,14 @@
         Ask::Table => Stored::Table(Box::new(table())),
         Ask::Outcome { .. } => Stored::Outcome(None),
         Ask::Record { .. } => Stored::Recorded,
-        Ask::Commit(_) => Stored::Failed {
-            maybe: false,
-            cause: "no edits here".to_owned(),
-        },
+        Ask::Commit(_) => failed(),
+    }
+}
+
+fn failed() -> Stored {
+    Stored::Failed {
+        maybe: false,
+        cause: "not answered here".to_owned(),
     }
 }
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -48,7 +48,8 @@
     pub store_age_ms: Option<u32>,
     /// Whether the sender knows of no higher generation than its own.
     pub settled: bool,
-    /// The time of the question on the asker's own clock, in microseconds.
+    /// The time of the question in microseconds, counted from a point that the asking run alone
+    /// knows.
     pub asked: u64,
     /// Whether this answers a question; a question is answered with the same `asked`.
     pub answer: bool,
