Escape the slashes of a customer's name in the text of a key

What callers saw: nothing known; a customer whose name holds a slash (any visible text is taken) could be told the recorded outcome of another customer's request once its runner was gone.

Cause: outcomes are recorded and looked up under `customer/key`, and both parts may hold slashes: `farm` with key `P.x/P.y` and `farm/P.x` with key `P.y` share one text (P a prefix).

Ruled out: keys in memory, questions between daemons and resume tokens, which hold customer and key apart.

Change: slashes and per cent signs of the customer are escaped. Texts of customers without them, and so their records, are as they were; an outcome recorded before for another counts as not recorded, which is answered with `unknown`.

Before: ident/tests/parse.rs, `keys_of_two_customers_never_read_alike` with a slash, fails. After: passes. Its other case fails where only slashes are escaped (tried).

--- a/crates/ident/src/key.rs
+++ b/crates/ident/src/key.rs
@@ -5,6 +5,7 @@
 //! same runner through whichever instance it arrives, without any agreement between instances.
 
 use std::fmt;
+use std::fmt::Write;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -72,8 +73,17 @@
     }
 }
 
+/// Customer and text with a slash between them. Slashes of the customer are escaped: outcomes are
+/// recorded under this form, and no two keys may share it.
 impl fmt::Display for Key {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}/{}", self.customer, self.text)
+        for letter in self.customer.chars() {
+            match letter {
+                '%' => f.write_str("%25")?,
+                '/' => f.write_str("%2F")?,
+                _ => f.write_char(letter)?,
+            }
+        }
+        write!(f, "/{}", self.text)
     }
 }
--- a/crates/ident/tests/parse.rs
+++ b/crates/ident/tests/parse.rs
@@ -78,3 +78,24 @@
         prop_assert!(handle.is_err() || text.contains('-'));
     }
 }
+
+/// The outcome of a request is recorded and looked up under its key as text. A slash in the name
+/// of a customer made two customers' keys read alike, and one of them could be told the recorded
+/// answer of the other.
+#[rstest]
+#[case::slash("farm", "91c5b8f0aa31e2d4.6930b2f1.x/91c5b8f0aa31e2d4.6930b2f1.y")]
+#[case::escaped("farm%2F91c5b8f0aa31e2d4.6930b2f1.x", "91c5b8f0aa31e2d4.6930b2f1.y")]
+fn keys_of_two_customers_never_read_alike(#[case] customer: &str, #[case] text: &str) {
+    let key = Key::new(
+        "farm/91c5b8f0aa31e2d4.6930b2f1.x",
+        "91c5b8f0aa31e2d4.6930b2f1.y",
+    );
+    assert!(key.prefix().is_some());
+    assert_ne!(Key::new(customer, text).to_string(), key.to_string());
+}
+
+#[test]
+fn a_key_of_a_plain_customer_reads_as_it_is() {
+    let key = Key::new("farm-17", "a/b%c");
+    assert_eq!(key.to_string(), "farm-17/a/b%c");
+}
