--- a/crates/scenario/src/control.rs
+++ b/crates/scenario/src/control.rs
@@ -39,7 +39,8 @@
             .map(drop)
     }
 
-    /// Sets the mode of the planned link from `from` to `to`: `pass`, `cut`, `hang` or `delay`.
+    /// Sets the mode of the planned link from `from` to `to`: `pass`, `cut`, `hang`, `delay` or
+    /// `repeat`.
     ///
     /// # Errors
     ///
--- a/crates/scenario/src/play/act.rs
+++ b/crates/scenario/src/play/act.rs
@@ -37,6 +37,7 @@
             Step::Cut(links) => self.link(&links, "cut", 0).await,
             Step::Hang(links) => self.link(&links, "hang", 0).await,
             Step::Slow(slow) => self.slow(slow).await,
+            Step::Repeat(links) => self.link(&links, "repeat", 0).await,
             Step::Mend(links) => self.link(&links, "pass", 0).await,
             Step::Fault(fault) => self.fleet.fault(&fault.at, &fault.mode, fault.ms).await,
             Step::Edit(edit) => self.edit(edit).await,
--- a/crates/scenario/src/script/step.rs
+++ b/crates/scenario/src/script/step.rs
@@ -36,6 +36,8 @@
     Hang(Between),
     /// Delays what passes over links.
     Slow(Slow),
+    /// Has links send each answer a second time, where the next one on the connection is due.
+    Repeat(Between),
     /// Puts links in order again.
     Mend(Between),
     /// Sets a fault of a stand-in.
