Note when a pause ended

What callers saw: after a pause of a daemon, a caller who repeated a key was told `not_run` by it, though another instance may have run the request meanwhile; the caller may then send it under another key, and it runs twice.

Cause: the moment at which a pause ended was read in two places and never set, so it stayed at the start of the process: the core never knew that it had been paused (`may_run_elsewhere`), and any proof since its start counted as one since the pause (`may_decide`).

Ruled out: the resend itself, which is right for a repeatable request; the table's freshness, which asks for newer proof by itself.

Change: waking sets it.

Before: node/tests/pauses.rs, case `paused`, fails (NotRun for Unknown); its other case, without a pause, passes before and after.

It was found while looking for what ties the answer to an inspection to its question.

--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -96,6 +96,7 @@
 
     /// The clock jumped by more than the lease: this process was paused.
     pub(crate) fn woke(&mut self, out: &mut Vec<Action>) {
+        self.life.woke = self.now;
         let name = self.settings.name.clone();
         self.log(
             &name,
--- a/crates/node/tests/one/mod.rs
+++ b/crates/node/tests/one/mod.rs
@@ -148,6 +148,11 @@
         self.hear(peer, Body::Gossip(Message::Ping { seq: 1, news }));
     }
 
+    /// Lets time pass in which the core is paused.
+    pub fn pause(&mut self, span: Duration) {
+        self.now = self.now + span;
+    }
+
     /// Runs for `span`, in which `peer` answers the pings it gets.
     pub fn run_beside(&mut self, peer: &Member, span: Duration) {
         let end = self.now + span;
