Take no answer to an inspection that was asked for before a pause

What callers saw: a daemon that woke from a pause could tell its caller the tokens of a stream that another daemon had taken over meanwhile, so that two connections were told the same stream at once.

Cause: on waking, streams are withheld and their replicas asked who reads them. Any answer of the replica counted as the answer, also one to the regular question from before the pause, which had waited in the socket and shows the reader of that time.

Ruled out: the timeout of the question, which does not help (an answer that is there is taken first, however late); answers to a question of another daemon (one connection each).

Change: action and event carry the time of the question; answers to questions from before the end of the pause count for nothing, and the next regular question follows within a quarter of a second. The times stay in the process: no protocol changes.

--- a/crates/bench/src/world/act.rs
+++ b/crates/bench/src/world/act.rs
@@ -24,10 +24,18 @@
     match action {
         Action::Send { to, frame } => send(world, index, to, frame),
         Action::Query { query, ask } => ask_store(world, index, query, &ask),
-        Action::Inspect { replica, .. } => {
+        Action::Inspect { replica, asked, .. } => {
             let state = Some(world.backs.inspect(world.now, replica));
             let at = world.now + backs::ANSWER;
-            world.push(at, index, Event::Inspected { replica, state });
+            world.push(
+                at,
+                index,
+                Event::Inspected {
+                    replica,
+                    asked,
+                    state,
+                },
+            );
         }
         Action::Order {
             order,
--- a/crates/entry/src/backends/mod.rs
+++ b/crates/entry/src/backends/mod.rs
@@ -15,6 +15,7 @@
 use engine::Client;
 use ident::Handle;
 use ident::Replica;
+use ident::Time;
 use node::action::Task;
 use node::event::Event;
 use node::event::Failure;
@@ -115,8 +116,8 @@
         }
     }
 
-    /// Asks `replica` for its state; `Event::Inspected` follows.
-    pub fn inspect(&self, replica: Replica, after: u64) {
+    /// Asks `replica` for its state; `Event::Inspected` follows and repeats `asked`.
+    pub fn inspect(&self, replica: Replica, after: u64, asked: Time) {
         let address = self
             .directory
             .backend(replica)
@@ -128,7 +129,13 @@
                 Some(address) => inspect::inspect(&client, address, after).await,
                 None => None,
             };
-            inbox.event(Event::Inspected { replica, state }).await;
+            inbox
+                .event(Event::Inspected {
+                    replica,
+                    asked,
+                    state,
+                })
+                .await;
         });
     }
 
--- a/crates/entry/src/driver/mod.rs
+++ b/crates/entry/src/driver/mod.rs
@@ -199,7 +199,11 @@
                 }
             }
             Action::Abort { order } => self.outlets.backends.abort(order),
-            Action::Inspect { replica, after } => self.outlets.backends.inspect(replica, after),
+            Action::Inspect {
+                replica,
+                after,
+                asked,
+            } => self.outlets.backends.inspect(replica, after, asked),
             Action::Tell { call, tell } => self.tell(call, tell),
             Action::Send { to, frame } => self.outlets.peers.send(to, &frame),
             Action::Query { query, ask } => self.outlets.platform.query(query, ask),
--- a/crates/node/examples/drive.rs
+++ b/crates/node/examples/drive.rs
@@ -119,9 +119,13 @@
                 let outcome = answer_query(&ask);
                 self.feed(Event::Stored { query, outcome });
             }
-            Action::Inspect { replica, .. } => {
+            Action::Inspect { replica, asked, .. } => {
                 let state = Some(idle());
-                self.feed(Event::Inspected { replica, state });
+                self.feed(Event::Inspected {
+                    replica,
+                    asked,
+                    state,
+                });
             }
             Action::Tell { call, tell } => println!("{call:?} is told {}", shown(&tell)),
             Action::Log(decision) => println!(
--- a/crates/node/src/action.rs
+++ b/crates/node/src/action.rs
@@ -5,6 +5,7 @@
 use ident::Incarnation;
 use ident::Instance;
 use ident::Replica;
+use ident::Time;
 use table::edit::Edit;
 use wire::Frame;
 
@@ -42,6 +43,8 @@
         replica: Replica,
         /// Last cache event seen.
         after: u64,
+        /// When it is asked; `Event::Inspected` repeats it.
+        asked: Time,
     },
     /// Say something to a caller.
     Tell {
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use ident::Replica;
+use ident::Time;
 use route::replica::Report;
 use table::Table;
 use table::edit::Edit;
@@ -64,6 +65,8 @@
     Inspected {
         /// The replica.
         replica: Replica,
+        /// When it was asked, as the action said.
+        asked: Time,
         /// Its state; `None` if it did not answer in time.
         state: Option<Inspection>,
     },
--- a/crates/node/src/keeping.rs
+++ b/crates/node/src/keeping.rs
@@ -299,18 +299,24 @@
                 kept.cell.lost(now, replica);
             }
             let after = watch.after;
-            out.push(Action::Inspect { replica, after });
+            out.push(Action::Inspect {
+                replica,
+                after,
+                asked: now,
+            });
         }
     }
 
-    /// A replica answered an inspection, or failed to.
+    /// A replica answered an inspection, or failed to. An answer to a question from before a pause
+    /// counts for nothing: the replica may have another reader or owner by now.
     pub(crate) fn inspected(
         &mut self,
         replica: Replica,
+        asked: Time,
         state: Option<Inspection>,
         out: &mut Vec<Action>,
     ) {
-        let Some(inspection) = state else {
+        let Some(inspection) = state.filter(|_| asked >= self.life.woke) else {
             return;
         };
         self.verify(replica, &inspection.works, out);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -102,7 +102,11 @@
             Event::Answered { order, reply } => self.answered(order, reply, out),
             Event::Streamed { order, piece } => self.streamed(order, piece, out),
             Event::Failed { order, failure } => self.failed(order, failure, out),
-            Event::Inspected { replica, state } => self.inspected(replica, state, out),
+            Event::Inspected {
+                replica,
+                asked,
+                state,
+            } => self.inspected(replica, asked, state, out),
             Event::Frame(frame) => self.frame(*frame, out),
             Event::Tick => (),
             Event::ListCopy(copy) => self.replicas.list_copy = Some(copy),
--- a/crates/node/src/verifying.rs
+++ b/crates/node/src/verifying.rs
@@ -35,6 +35,7 @@
 
     /// Asks the replicas of withheld streams for their state.
     pub(crate) fn recheck_suspects(&mut self, out: &mut Vec<Action>) {
+        let asked = self.now;
         let replicas: BTreeSet<Replica> = self
             .requests
             .open
@@ -42,11 +43,11 @@
             .filter(|entry| entry.withheld.is_some())
             .filter_map(|entry| entry.place.map(|place| place.run))
             .collect();
-        out.extend(
-            replicas
-                .into_iter()
-                .map(|replica| Action::Inspect { replica, after: 0 }),
-        );
+        out.extend(replicas.into_iter().map(|replica| Action::Inspect {
+            replica,
+            after: 0,
+            asked,
+        }));
     }
 
     /// Verifies suspect streams against what their replica holds.
--- a/crates/node/tests/one/mod.rs
+++ b/crates/node/tests/one/mod.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use fleet::Message;
 use fleet::member::Member;
+use ident::Handle;
 use ident::Incarnation;
 use ident::Instance;
 use ident::Pool;
@@ -20,6 +21,7 @@
 use node::action::Tell;
 use node::event::Event;
 use node::event::Failure;
+use node::event::Held;
 use node::event::Inspection;
 use node::event::Piece;
 use node::event::Reply;
@@ -53,6 +55,10 @@
     pub orders: Vec<(Order, Task)>,
     pub tells: Vec<(Call, Tell)>,
     pub sent: Vec<(Instance, Body)>,
+    /// Whether replicas answer inspections.
+    pub inspected: bool,
+    /// Inspections that the test is to answer.
+    pub inspections: Vec<(Replica, Time)>,
     /// Whether the store answers.
     pub stored: bool,
 }
@@ -74,6 +80,8 @@
             orders: Vec::new(),
             tells: Vec::new(),
             sent: Vec::new(),
+            inspected: true,
+            inspections: Vec::new(),
             stored: true,
         };
         one.feed(Event::Listed(list()));
@@ -105,10 +113,15 @@
                 let outcome = if self.stored { answer(&ask) } else { failed() };
                 return Some(Event::Stored { query, outcome });
             }
-            Action::Inspect { replica, .. } => {
+            Action::Inspect { replica, asked, .. } if self.inspected => {
                 let state = Some(idle());
-                return Some(Event::Inspected { replica, state });
+                return Some(Event::Inspected {
+                    replica,
+                    asked,
+                    state,
+                });
             }
+            Action::Inspect { replica, asked, .. } => self.inspections.push((replica, asked)),
             _ => (),
         }
         None
@@ -148,6 +161,36 @@
         self.hear(peer, Body::Gossip(Message::Ping { seq: 1, news }));
     }
 
+    /// Answers `inspections`: each replica holds the stream told last, with this core as its reader
+    /// and `fence`.
+    pub fn answer_inspections(&mut self, inspections: Vec<(Replica, Time)>, fence: u64) {
+        let held = Held {
+            handle: self.handle(),
+            owner: INCARNATION,
+            fence,
+            done: false,
+        };
+        for (replica, asked) in inspections {
+            let state = Some(Inspection {
+                works: vec![held],
+                ..idle()
+            });
+            self.feed(Event::Inspected {
+                replica,
+                asked,
+                state,
+            });
+        }
+    }
+
+    fn handle(&self) -> Handle {
+        let mut heads = self.tells.iter().rev().filter_map(|(_, tell)| match tell {
+            Tell::Head { handle, .. } => Some(*handle),
+            _ => None,
+        });
+        heads.next().expect("a head was told")
+    }
+
     /// Lets time pass in which the core is paused.
     pub fn pause(&mut self, span: Duration) {
         self.now = self.now + span;
@@ -238,7 +281,7 @@
     }
 }
 
-fn idle() -> Inspection {
+pub fn idle() -> Inspection {
     let report = Report {
         age: Duration::ZERO,
         boot: 1,
--- a/crates/node/tests/streams.rs
+++ b/crates/node/tests/streams.rs
@@ -17,6 +17,8 @@
 use crate::one::One;
 const FIRST: Call = Call(1);
 const SECOND: Call = Call(2);
+/// Not above the fencing number of the reader.
+const OWN_FENCE: u64 = 0;
 const NOT_FOUND: Failure = Failure::Refused {
     status: 404,
     fence: None,
@@ -127,3 +129,26 @@
     one.stream(order, 5, 1);
     assert_eq!(one.tokens(FIRST), [(0, 5), (5, 1)]);
 }
+
+/// A replica was asked what it holds and answered; the answer lay in the daemon's socket while the
+/// daemon was paused. Another daemon took the stream over meanwhile. On waking, the daemon took
+/// the old answer for the one to the question it asks on waking, saw itself as the reader, and
+/// told its caller the tokens of a stream that was no longer its own.
+#[test]
+fn a_state_told_before_a_pause_does_not_show_who_reads_a_stream_after_it() {
+    let mut one = One::new();
+    one.arrive(FIRST);
+    let (order, _) = one.prefill();
+    one.stream(order, 0, 3);
+    one.inspected = false;
+    one.run(Duration::from_millis(250));
+    let early = std::mem::take(&mut one.inspections);
+    assert!(!early.is_empty());
+    one.pause(Duration::from_secs(4));
+    one.stream(order, 3, 2);
+    one.answer_inspections(early, OWN_FENCE);
+    assert_eq!(one.tokens(FIRST), [(0, 3)]);
+    let own = std::mem::take(&mut one.inspections);
+    one.answer_inspections(own, OWN_FENCE);
+    assert_eq!(one.tokens(FIRST), [(0, 3), (3, 2)]);
+}
--- a/crates/node/tests/world/actions.rs
+++ b/crates/node/tests/world/actions.rs
@@ -42,9 +42,17 @@
                 self.order(ticket, replica, handle, owner, fence, task);
             }
             Action::Abort { order } => self.abort(super::ticket(host, run, order)),
-            Action::Inspect { replica, .. } => {
+            Action::Inspect { replica, asked, .. } => {
                 let micros = self.rng.random_range(300..3_000);
-                self.after_micros(micros, Item::Inspect { host, run, replica });
+                self.after_micros(
+                    micros,
+                    Item::Inspect {
+                        host,
+                        run,
+                        replica,
+                        asked,
+                    },
+                );
             }
             Action::Tell { call, tell } => self.tell(host, call, tell),
             Action::Send { to, frame } => self.send(host, to, &frame),
--- a/crates/node/tests/world/item.rs
+++ b/crates/node/tests/world/item.rs
@@ -3,6 +3,7 @@
 use ident::Handle;
 use ident::Incarnation;
 use ident::Replica;
+use ident::Time;
 use node::action::Ask;
 use node::action::Task;
 use node::action::Tell;
@@ -52,6 +53,7 @@
         host: usize,
         run: u32,
         replica: Replica,
+        asked: Time,
     },
     /// Something reaches a caller.
     Caller { caller: usize, note: Note },
--- a/crates/node/tests/world/mod.rs
+++ b/crates/node/tests/world/mod.rs
@@ -233,7 +233,12 @@
                 query,
                 ask,
             } => self.query_arrives(host, run, query, ask),
-            Item::Inspect { host, run, replica } => self.inspect(host, run, replica),
+            Item::Inspect {
+                host,
+                run,
+                replica,
+                asked,
+            } => self.inspect(host, run, replica, asked),
             Item::Caller { caller, note } => self.caller_notes(caller, note),
             Item::Operator { operator, verdict } => self.operator_hears(operator, &verdict),
             Item::Edit { host, which } => self.add_operator(Fault::Edit, host, which),
--- a/crates/node/tests/world/replicas.rs
+++ b/crates/node/tests/world/replicas.rs
@@ -5,6 +5,7 @@
 use ident::Handle;
 use ident::Incarnation;
 use ident::Replica;
+use ident::Time;
 use node::action::Task;
 use node::event::Event;
 use node::event::Failure;
@@ -200,7 +201,7 @@
         self.take_order(&arriving);
     }
 
-    pub(super) fn inspect(&mut self, host: usize, run: u32, replica: Replica) {
+    pub(super) fn inspect(&mut self, host: usize, run: u32, replica: Replica, asked: Time) {
         let Some(engine) = self.engine_of(replica) else {
             return;
         };
@@ -212,7 +213,11 @@
         } else {
             Duration::from_micros(self.rng.random_range(300..3_000))
         };
-        let event = Event::Inspected { replica, state };
+        let event = Event::Inspected {
+            replica,
+            asked,
+            state,
+        };
         self.after(delay, Item::Event { host, run, event });
     }
 }
