Let only a ping that this run sent end a pause

Cause: pings are numbered from zero in each run and acknowledged to the instance. A late acknowledgement to the earlier run has a higher number than any ping of the new run, and counted as the answer to one sent after the pause.

Ruled out: acknowledgements that waited in the sockets of the same run (their numbers are lower).

Change: only numbers sent since the pause count. An acknowledgement to the earlier run whose number this run has used as well still passes; it comes from a peer that was there within what a frame may wait.

Before: the new test in fleet/tests/pauses.rs fails. After: it passes, with all others of the crate (12, 25, 7, 13, 12 in the five files).

`fleet` is shared with the gateway, which does not ask whether it was paused.

--- a/crates/fleet/src/clock.rs
+++ b/crates/fleet/src/clock.rs
@@ -44,9 +44,13 @@
         self.planned = Some(next);
     }
 
-    /// Notes an answer to the message `seq`.
-    pub(crate) fn answered(&mut self, seq: u32) {
-        if self.unanswered.is_some_and(|first| seq >= first) {
+    /// Notes an answer to the message `seq`; `next` is the next sequence number. Numbers from there
+    /// on were sent by an earlier run, if at all, and tell nothing of the time after the gap.
+    pub(crate) fn answered(&mut self, seq: u32, next: u32) {
+        if self
+            .unanswered
+            .is_some_and(|first| (first..next).contains(&seq))
+        {
             self.unanswered = None;
         }
     }
--- a/crates/fleet/src/swim.rs
+++ b/crates/fleet/src/swim.rs
@@ -204,7 +204,7 @@
     }
 
     fn acknowledged(&mut self, from: Instance, seq: u32) {
-        self.clock.answered(seq);
+        self.clock.answered(seq, self.seq);
         if self.probe.is_some_and(|probe| probe.seq == seq) {
             self.probe = None;
             self.outcomes.push(true);
--- a/crates/fleet/tests/pauses.rs
+++ b/crates/fleet/tests/pauses.rs
@@ -112,6 +112,30 @@
     assert!(!fleet.paused(late));
 }
 
+/// A daemon asked its peers who is there, was started again, and was paused soon after. Runs number
+/// their pings from zero, so a late answer to the earlier run had a higher number than any ping of
+/// the new one, and passed for the answer to a ping sent after the pause: the daemon counted as
+/// heard by its peers, and decided again.
+#[test]
+fn an_answer_to_a_ping_that_this_run_never_sent_does_not_end_a_pause() {
+    let mut fleet = Fleet::new(member(0, 0), Settings::default(), 1);
+    let mut out = Vec::new();
+    fleet.set_list(Time::ZERO, &entries(0..2));
+    fleet.step(Time::ZERO, &mut out);
+    let news = vec![member(1, 0)];
+    let hello = Message::Ping {
+        seq: 1,
+        news: news.clone(),
+    };
+    fleet.receive(Time::from_millis(10), instance(1), &hello);
+    fleet.step(Time::from_millis(10), &mut out);
+    let late = Time::from_millis(9_000);
+    fleet.step(late, &mut out);
+    let seq = pings(&out).into_iter().max().expect("a ping was sent") + 1;
+    fleet.receive(late, instance(1), &Message::Ack { seq, news });
+    assert!(fleet.paused(late));
+}
+
 fn pings(out: &[Output]) -> Vec<u32> {
     let pings = out.iter().filter_map(|output| match output {
         Output::Send {
