--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -102,7 +102,11 @@
             Event::Answered { order, reply } => self.answered(order, reply, out),
             Event::Streamed { order, piece } => self.streamed(order, piece, out),
             Event::Failed { order, failure } => self.failed(order, failure, out),
-            Event::Inspected { replica, state } => self.inspected(replica, state, out),
+            Event::Inspected {
+                replica,
+                asked,
+                state,
+            } => self.inspected(replica, asked, state, out),
             Event::Frame(frame) => self.frame(*frame, out),
             Event::Tick => (),
             Event::ListCopy(copy) => self.replicas.list_copy = Some(copy),
@@ -126,6 +130,12 @@
         self.counter
     }
 
+    /// A number not used before in any run. Peers repeat it in answers, which may come when this
+    /// instance has started again: counted from one, it would name a question of the new run.
+    pub(crate) fn unique_number(&mut self) -> u64 {
+        self.number() ^ self.incarnation().0
+    }
+
     /// A fresh order for `purpose`.
     pub(crate) fn order(&mut self, purpose: Purpose) -> Order {
         let order = ids::Order(self.number());
--- a/crates/node/tests/one/mod.rs
+++ b/crates/node/tests/one/mod.rs
@@ -1,8 +1,12 @@
 //! One core with idle replicas and a store; the test answers its orders.
+#![allow(dead_code, reason = "no test file uses all of it")]
 
 use std::time::Duration;
 
 use bytes::Bytes;
+use fleet::Message;
+use fleet::member::Member;
+use ident::Handle;
 use ident::Incarnation;
 use ident::Instance;
 use ident::Pool;
@@ -17,6 +21,7 @@
 use node::action::Tell;
 use node::event::Event;
 use node::event::Failure;
+use node::event::Held;
 use node::event::Inspection;
 use node::event::Piece;
 use node::event::Reply;
@@ -33,10 +38,15 @@
 use route::replica::Role;
 use table::Table;
 use table::row::Row;
+use wire::Body;
+use wire::Frame;
+
 const INCARNATION: Incarnation = Incarnation(0x91c5_b8f0_aa31_e2d4);
 const STARTED_MS: u64 = 1_700_000_000_000;
 const ZONE: &str = "osijek-a";
 const PACE: Duration = Duration::from_millis(1);
+/// How long a peer takes to answer a ping.
+const PING_ANSWER: Duration = Duration::from_millis(20);
 
 /// A core with idle replicas and a store; orders are answered by the test.
 pub struct One {
@@ -44,15 +54,35 @@
     now: Time,
     pub orders: Vec<(Order, Task)>,
     pub tells: Vec<(Call, Tell)>,
+    pub sent: Vec<(Instance, Body)>,
+    /// Whether replicas answer inspections.
+    pub inspected: bool,
+    /// Inspections that the test is to answer.
+    pub inspections: Vec<(Replica, Time)>,
+    /// Whether the store answers.
+    pub stored: bool,
 }
 
 impl One {
     pub fn new() -> Self {
+        Self::with_incarnation(INCARNATION)
+    }
+
+    /// The core as the run `incarnation` of its instance.
+    pub fn with_incarnation(incarnation: Incarnation) -> Self {
+        let settings = Settings {
+            incarnation,
+            ..settings()
+        };
         let mut one = Self {
-            node: Node::new(settings(), Time::ZERO, 7),
+            node: Node::new(settings, Time::ZERO, 7),
             now: Time::ZERO,
             orders: Vec::new(),
             tells: Vec::new(),
+            sent: Vec::new(),
+            inspected: true,
+            inspections: Vec::new(),
+            stored: true,
         };
         one.feed(Event::Listed(list()));
         one.run(Duration::from_millis(500));
@@ -77,15 +107,21 @@
         match action {
             Action::Order { order, task, .. } => self.orders.push((order, task)),
             Action::Tell { call, tell } => self.tells.push((call, tell)),
+            Action::Send { to, frame } => self.sent.push((to, frame.body)),
             Action::Fault { cause } => panic!("fault: {cause}"),
             Action::Query { query, ask } => {
-                let outcome = answer(&ask);
+                let outcome = if self.stored { answer(&ask) } else { failed() };
                 return Some(Event::Stored { query, outcome });
             }
-            Action::Inspect { replica, .. } => {
+            Action::Inspect { replica, asked, .. } if self.inspected => {
                 let state = Some(idle());
-                return Some(Event::Inspected { replica, state });
+                return Some(Event::Inspected {
+                    replica,
+                    asked,
+                    state,
+                });
             }
+            Action::Inspect { replica, asked, .. } => self.inspections.push((replica, asked)),
             _ => (),
         }
         None
@@ -113,6 +149,72 @@
         self.run(Duration::from_millis(100));
     }
 
+    /// Lets the core take a frame from `peer`, a live member.
+    pub fn hear(&mut self, peer: &Member, body: Body) {
+        let frame = Box::new(Frame::new(peer.instance, peer.incarnation, body));
+        self.feed(Event::Frame(frame));
+    }
+
+    /// Lets `peer` join.
+    pub fn join(&mut self, peer: &Member) {
+        let news = vec![*peer];
+        self.hear(peer, Body::Gossip(Message::Ping { seq: 1, news }));
+    }
+
+    /// Answers `inspections`: each replica holds the stream told last, with this core as its reader
+    /// and `fence`.
+    pub fn answer_inspections(&mut self, inspections: Vec<(Replica, Time)>, fence: u64) {
+        let held = Held {
+            handle: self.handle(),
+            owner: INCARNATION,
+            fence,
+            done: false,
+        };
+        for (replica, asked) in inspections {
+            let state = Some(Inspection {
+                works: vec![held],
+                ..idle()
+            });
+            self.feed(Event::Inspected {
+                replica,
+                asked,
+                state,
+            });
+        }
+    }
+
+    fn handle(&self) -> Handle {
+        let mut heads = self.tells.iter().rev().filter_map(|(_, tell)| match tell {
+            Tell::Head { handle, .. } => Some(*handle),
+            _ => None,
+        });
+        heads.next().expect("a head was told")
+    }
+
+    /// Lets time pass in which the core is paused.
+    pub fn pause(&mut self, span: Duration) {
+        self.now = self.now + span;
+    }
+
+    /// Runs for `span`, in which `peer` answers the pings it gets.
+    pub fn run_beside(&mut self, peer: &Member, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            let first = self.sent.len();
+            self.run(PING_ANSWER);
+            let pings = self.sent[first..]
+                .iter()
+                .filter_map(|(to, body)| match body {
+                    Body::Gossip(Message::Ping { seq, .. }) if *to == peer.instance => Some(*seq),
+                    _ => None,
+                });
+            for seq in pings.collect::<Vec<u32>>() {
+                let news = vec![*peer];
+                self.hear(peer, Body::Gossip(Message::Ack { seq, news }));
+            }
+        }
+    }
+
     /// Lets the prefill that was ordered last end well; the decode order that follows.
     pub fn prefill(&mut self) -> (Order, Task) {
         let (order, task) = self.last();
@@ -168,14 +270,18 @@
         Ask::Table => Stored::Table(Box::new(table())),
         Ask::Outcome { .. } => Stored::Outcome(None),
         Ask::Record { .. } => Stored::Recorded,
-        Ask::Commit(_) => Stored::Failed {
-            maybe: false,
-            cause: "no edits here".to_owned(),
-        },
+        Ask::Commit(_) => failed(),
     }
 }
 
-fn idle() -> Inspection {
+fn failed() -> Stored {
+    Stored::Failed {
+        maybe: false,
+        cause: "not answered here".to_owned(),
+    }
+}
+
+pub fn idle() -> Inspection {
     let report = Report {
         age: Duration::ZERO,
         boot: 1,
@@ -191,8 +297,13 @@
     }
 }
 
-fn request() -> Request {
-    let prefix = Prefix::new(INCARNATION, STARTED_MS / 1_000);
+/// The beginning of the keys that name the run `runner`.
+pub fn prefix(runner: Incarnation) -> Prefix {
+    Prefix::new(runner, STARTED_MS / 1_000)
+}
+
+pub fn request() -> Request {
+    let prefix = prefix(INCARNATION);
     Request {
         customer: "farm-17".to_owned(),
         class: "default".to_owned(),
