Call the store over a new connection each time

What callers saw: nothing that is traced to it; engines got orders under a fencing token that the daemon did not hold, and a daemon did not learn of a new replica.

Cause: an answer of the store names no call, and was matched to one by its place on a connection that was kept. Where the store answered twice, the second answer to the reading of a table was taken for the answer to the compare-and-swap after it: it has a version as well, which became the fencing token. Rows of the plan and of the instances were taken for entries of replicas. The store's page does not say that it answers twice; the daemon is made safe all the same, since a token that nobody holds cannot be taken back.

Ruled out: telling the answers apart by what is in them. Rows name their table, but an empty answer and that to a transaction name nothing, and a second answer to an earlier watch of the same table is of the right table. A header of our own is not known to be echoed.

Change: each call takes a new connection, which is closed after it.

Conclusion: no answer of the store can be taken for that to another call, as long as it answers on the connection of the call.

--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -73,7 +73,8 @@
 
 impl std::error::Error for Error {}
 
-/// Calls the store, over connections of its own that it keeps open.
+/// Calls the store, each time over a new connection: an answer names no call, so that a late second answer to an
+/// earlier call on the same connection could not be told from the answer to the present one.
 #[derive(Debug)]
 pub struct Store {
     address: SocketAddr,
@@ -225,7 +226,6 @@
         match timeout(limit, self.exchange(step, request)).await {
             Ok(answer) => answer,
             Err(elapsed) => {
-                self.links.forget(self.address);
                 self.silence.notify_waiters();
                 Err(silent(step, &elapsed))
             }
@@ -237,8 +237,9 @@
         step: &'static str,
         request: Request<Full<Bytes>>,
     ) -> Result<Bytes, Error> {
-        let sent = self.links.send(self.address, request, false).await;
-        let (answer, link) = sent.map_err(|failure| match failure {
+        let sent = self.links.send(self.address, request, true).await;
+        // Dropping the link closes the connection, which is too early before the body is read.
+        let (answer, _link) = sent.map_err(|failure| match failure {
             Failure::NotSent { cause, .. }
             | Failure::Refused { cause }
             | Failure::Lost { cause } => Error::Silent { step, cause },
@@ -246,7 +247,6 @@
         let status = answer.status();
         let body = Limited::new(answer.into_body(), MAX_ANSWER);
         let body = body.collect().await.map_err(|error| silent(step, &error))?;
-        self.links.keep(link, None);
         match status {
             StatusCode::OK => Ok(body.to_bytes()),
             StatusCode::GONE => Err(Error::Compacted),
--- a/crates/gateway/tests/gateway/common/store.rs
+++ b/crates/gateway/tests/gateway/common/store.rs
@@ -25,6 +25,12 @@
     opened: u64,
     /// Connections with a lower number get no answer any more.
     silent_below: u64,
+    /// Calls that came so far.
+    calls: u64,
+    /// Whether each call is answered twice.
+    stutters: bool,
+    /// Second answers that were sent.
+    second_answers: u64,
 }
 
 /// The store; its rows can be changed by the test.
@@ -89,6 +95,30 @@
         self.inner.0.lock().unwrap().down = down;
     }
 
+    /// Answers each call twice from now on. The second answer comes late: on the same connection, where the answer to
+    /// the next call is due, and ahead of it.
+    pub fn stutter(&self) {
+        self.inner.0.lock().unwrap().stutters = true;
+    }
+
+    /// Second answers that it sent.
+    pub fn second_answers(&self) -> u64 {
+        self.inner.0.lock().unwrap().second_answers
+    }
+
+    /// Connections that were opened, and calls that came, so far.
+    pub fn load(&self) -> (u64, u64) {
+        let inner = self.inner.0.lock().unwrap();
+        (inner.opened, inner.calls)
+    }
+
+    /// Version of a row; 0 if it does not exist.
+    pub fn version(&self, table: &str, key: &str) -> u64 {
+        let inner = self.inner.0.lock().unwrap();
+        let row = inner.rows.get(&(table.to_owned(), key.to_owned()));
+        row.map_or(0, |(_, version)| *version)
+    }
+
     /// Leaves all connections that are open without further answers; new ones work.
     pub fn silence_open_connections(&self) {
         let mut inner = self.inner.0.lock().unwrap();
@@ -105,16 +135,26 @@
             inner.opened += 1;
             inner.opened - 1
         };
+        let mut second_answer = Vec::new();
         while let Ok(Some(request)) = http::read(socket) {
+            self.inner.0.lock().unwrap().calls += 1;
+            if !second_answer.is_empty() {
+                self.inner.0.lock().unwrap().second_answers += 1;
+                http::send(socket, &std::mem::take(&mut second_answer));
+            }
             let (status, body) = self.answer(&request);
             if self.is_silent(number) {
                 continue;
             }
             let body = body.to_string();
             let json = [("content-type", "application/json")];
-            if !http::send(socket, &http::answer(status, &json, body.as_bytes())) {
+            let bytes = http::answer(status, &json, body.as_bytes());
+            if !http::send(socket, &bytes) {
                 return;
             }
+            if self.inner.0.lock().unwrap().stutters {
+                second_answer = bytes;
+            }
         }
     }
 
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod plain;
 mod quarantine;
 mod second_answers;
+mod second_store;
 mod site;
 mod stages;
 mod stream;
