Connect to the store once more where the first packet is lost

What callers would see: nothing; a daemon would take the store for lost, and ask it and its peers more often.

Cause: since each call has a connection of its own, a lost packet that opens one costs the call, as connecting has 300 ms and the system sends that packet again after a second. On a kept connection the system makes the loss good.

Ruled out: a longer time for connecting, since it is shared with the calls of replicas, where a machine without power must be found out soon.

Change: a call of which no byte left is sent once more. The limit of the call holds for both attempts.

Figures, test second_store::a_call_outlasts_...: a listener that drops such packets for 150 ms.

--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -9,11 +9,13 @@
 use bytes::Bytes;
 use http::Method;
 use http::Request;
+use http::Response;
 use http::StatusCode;
 use http::header;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
+use hyper::body::Incoming;
 use platform::store;
 use platform::store::Done;
 use platform::store::Edit;
@@ -22,6 +24,7 @@
 use tokio::sync::Notify;
 
 use crate::links::Failure;
+use crate::links::Link;
 use crate::links::Links;
 
 /// Bytes of an answer at most; the store's own limit is 1 MB of rows, which base64 makes a third
@@ -31,6 +34,10 @@
 /// milliseconds; a slow one is still of use below this.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Attempts to connect for one call: each call needs a new connection, and a lost packet that opens it is sent again
+/// only after a second.
+const CONNECT_ATTEMPTS: usize = 2;
+
 /// Why a call failed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Error {
@@ -232,12 +239,26 @@
         }
     }
 
+    /// Sends `request`, and once more if no byte of it left.
+    async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, Link), Failure> {
+        for _ in 1..CONNECT_ATTEMPTS {
+            match self.links.send(self.address, request.clone(), true).await {
+                Err(Failure::NotSent { .. }) => {}
+                sent => return sent,
+            }
+        }
+        self.links.send(self.address, request, true).await
+    }
+
     async fn exchange(
         &self,
         step: &'static str,
         request: Request<Full<Bytes>>,
     ) -> Result<Bytes, Error> {
-        let sent = self.links.send(self.address, request, true).await;
+        let sent = self.send(request).await;
         // Dropping the link closes the connection, which is too early before the body is read.
         let (answer, _link) = sent.map_err(|failure| match failure {
             Failure::NotSent { cause, .. }
--- a/crates/gateway/tests/gateway/second_store.rs
+++ b/crates/gateway/tests/gateway/second_store.rs
@@ -4,12 +4,24 @@
 //! one table were taken for those of another, and a new replica did not become known.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
 
+use gateway::store::Store;
+use prometheus::IntCounterVec;
+use prometheus::Opts;
 use serde_json::Value;
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
+use tokio::runtime;
+use tokio::task::LocalSet;
 
 use crate::common::daemon::until;
+use crate::common::http;
 use crate::common::http::Message;
 use crate::common::http::answer;
 use crate::common::replica::Act;
@@ -27,6 +39,9 @@
 /// a reading of the instances.
 const MAX_CONNECTIONS: u64 = 12;
 
+/// Time for which the system drops packets that open a connection; less than one attempt to connect takes.
+const CLOGGED: Duration = Duration::from_millis(150);
+
 fn application(name: &str) -> Replica {
     Replica::start(name, |_: &Message| Act::Send(answer(202, &[], b"")))
 }
@@ -100,3 +115,38 @@
     assert!(opened <= MAX_CONNECTIONS, "{opened} connections");
     assert_eq!(site.store.second_answers(), 0);
 }
+
+/// A listener that drops packets which open a connection, as a link that loses packets does, for a short time. Then it
+/// answers one call.
+fn clogged() -> SocketAddr {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    socket.bind(&any.into()).unwrap();
+    socket.listen(0).unwrap();
+    let listener = TcpListener::from(socket);
+    let address = listener.local_addr().unwrap();
+    // The only connection that may wait to be accepted.
+    let waiting = TcpStream::connect(address).unwrap();
+    thread::spawn(move || {
+        thread::sleep(CLOGGED);
+        drop(waiting);
+        for socket in listener.incoming() {
+            let mut socket = socket.unwrap();
+            if matches!(http::read(&mut socket), Ok(Some(_))) {
+                http::send(&mut socket, &answer(200, &[], br#"{"ver":7,"now-ms":1}"#));
+            }
+        }
+    });
+    address
+}
+
+/// Where each call opens a connection, a lost packet would else cost the call.
+#[test]
+fn a_call_outlasts_the_loss_of_the_packet_that_opens_its_connection() {
+    let calls = IntCounterVec::new(Opts::new("calls", "Calls."), &["step", "table"]).unwrap();
+    let store = Store::new(clogged(), calls);
+    let runtime = runtime::Builder::new_current_thread().enable_all().build();
+    let swap = store.swap("orders", "llm", b"", 0);
+    let written = LocalSet::new().block_on(&runtime.unwrap(), swap);
+    assert_eq!(written, Ok(7));
+}
