Refuse rows of another table than the one that was asked for

What callers saw: nothing that is traced to it; a daemon took the row of the plan for the entry of a replica, where the store answered twice.

Cause: rows were read without a look at the table that each names. One connection for each call keeps the answers apart; this is the second lock on the same door.

Ruled out: refusing rows that name no table. On a connection of its own, such an answer can be nobody else's.

Change: an answer with a row of another table is refused whole, as one that cannot be read.

Conclusion: rows of another table are not taken in, whichever way they come.

--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -131,7 +131,7 @@
             body = self.get("watching", path, CALL_TIMEOUT + wait) => body?,
             () = self.silence.notified() => return Err(Error::GivenUp),
         };
-        Rows::read(&body).map_err(Error::Garbled)
+        Rows::read(table, &body).map_err(Error::Garbled)
     }
 
     /// Writes one row, whatever it holds.
@@ -185,7 +185,7 @@
         self.count("reading", table);
         let path = store::read_path(table, after);
         let body = self.get("reading", path, CALL_TIMEOUT).await?;
-        Rows::read(&body).map_err(Error::Garbled)
+        Rows::read(table, &body).map_err(Error::Garbled)
     }
 
     fn count(&self, step: &str, table: &str) {
