--- a/crates/fleet/src/detect.rs
+++ b/crates/fleet/src/detect.rs
@@ -7,6 +7,7 @@
 use crate::Message;
 use crate::Output;
 use crate::member::State;
+use crate::probe::Indirect;
 use crate::probe::Probe;
 use crate::roster::Suspicion;
 
@@ -25,23 +26,21 @@
 impl Fleet {
     /// Asks helpers once the direct answer is overdue.
     pub(crate) fn ask_helpers(&mut self, now: Time) {
-        let due = |probe: &Probe| !probe.indirect && now >= probe.sent + self.settings.direct;
-        let Some(mut probe) = self.probe.filter(due) else {
+        let direct = self.settings.direct;
+        let due = |probe: &&Probe| probe.indirect.is_none() && now >= probe.sent + direct;
+        let Some(target) = self.probe.as_ref().filter(due).map(|probe| probe.target) else {
             return;
         };
-        probe.indirect = true;
-        self.probe = Some(probe);
         let helpers = self.pick(self.settings.helpers, |member| {
-            member.state != State::Suspect && member.instance != probe.target
+            member.state != State::Suspect && member.instance != target
         });
-        for helper in helpers {
-            let news = self.compose(helper);
-            let message = Message::Probe {
-                seq: probe.seq,
-                target: probe.target,
-                news,
-            };
-            self.send(helper, message);
+        let seq = self.next_seq();
+        for helper in &helpers {
+            let news = self.compose(*helper);
+            self.send(*helper, Message::Probe { seq, target, news });
+        }
+        if let Some(probe) = &mut self.probe {
+            probe.indirect = Some(Indirect { seq, helpers });
         }
     }
 
@@ -173,7 +172,7 @@
             target,
             incarnation,
             sent: now,
-            indirect: false,
+            indirect: None,
         });
     }
 }
--- a/crates/fleet/src/probe.rs
+++ b/crates/fleet/src/probe.rs
@@ -9,14 +9,31 @@
 use rand_pcg::Pcg64Mcg;
 
 /// The probe of this period.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(crate) struct Probe {
     pub(crate) seq: u32,
     pub(crate) target: Instance,
     pub(crate) incarnation: Incarnation,
     pub(crate) sent: Time,
-    /// Whether helpers have been asked.
-    pub(crate) indirect: bool,
+    /// Set once helpers have been asked.
+    pub(crate) indirect: Option<Indirect>,
+}
+
+/// The part of a probe that helpers were asked for.
+#[derive(Debug, Clone)]
+pub(crate) struct Indirect {
+    /// Other than that of the direct ping, which another instance answers if it has the address of the target.
+    pub(crate) seq: u32,
+    pub(crate) helpers: Vec<Instance>,
+}
+
+impl Probe {
+    /// Whether an answer of `from` to the message `seq` is the target's, by itself or through a helper.
+    pub(crate) fn is_answered(&self, from: Instance, seq: u32) -> bool {
+        let direct = from == self.target && seq == self.seq;
+        let indirect = self.indirect.as_ref();
+        direct || indirect.is_some_and(|asked| asked.seq == seq && asked.helpers.contains(&from))
+    }
 }
 
 /// The ping of a suspected member in this period.
--- a/crates/fleet/src/swim.rs
+++ b/crates/fleet/src/swim.rs
@@ -167,7 +167,8 @@
         if self.declared_dead() {
             return Time::NEVER;
         }
-        let probe = self.probe.filter(|probe| !probe.indirect);
+        let probe = self.probe.as_ref();
+        let probe = probe.filter(|probe| probe.indirect.is_none());
         let probe = probe.map(|probe| probe.sent + self.settings.direct);
         let suspicions = self.roster.suspicions.values();
         let suspicions = suspicions.map(|suspicion| suspicion.deadline);
@@ -205,7 +206,8 @@
 
     fn acknowledged(&mut self, from: Instance, seq: u32) {
         self.clock.answered(seq);
-        if self.probe.is_some_and(|probe| probe.seq == seq) {
+        let probe = self.probe.as_ref();
+        if probe.is_some_and(|probe| probe.is_answered(from, seq)) {
             self.probe = None;
             self.outcomes.push(true);
         }
