Number the pings of each run of a daemon from another start

What callers saw: nothing that is traced to it. A daemon that stood still right after it was started again may judge others by the time that it missed.

Cause: each run numbered its pings from zero, so that a late answer to the run before was one to this run, and any high number counted as an answer to a ping that was sent since the pause.

Ruled out: a longer number or the run in the message, since daemons of two versions talk to each other while they are replaced.

Change: numbers begin with a part of the incarnation, which is random; only numbers that were given out since the pause end it.

Conclusion: an answer is tied to the run that asked.

--- a/crates/fleet/src/clock.rs
+++ b/crates/fleet/src/clock.rs
@@ -15,7 +15,7 @@
 pub(crate) struct Clock {
     planned: Option<Time>,
     slack: Duration,
-    /// The first sequence number sent after the last gap, until it or a later one is answered.
+    /// The first sequence number sent after the last gap, until it or a later one that was sent is answered.
     unanswered: Option<u32>,
 }
 
@@ -44,9 +44,10 @@
         self.planned = Some(next);
     }
 
-    /// Notes an answer to the message `seq`.
-    pub(crate) fn answered(&mut self, seq: u32) {
-        if self.unanswered.is_some_and(|first| seq >= first) {
+    /// Notes an answer to the message `seq`; `next` is the next sequence number.
+    pub(crate) fn answered(&mut self, seq: u32, next: u32) {
+        let sent_since = |first| seq.wrapping_sub(first) < next.wrapping_sub(first);
+        if self.unanswered.is_some_and(sent_since) {
             self.unanswered = None;
         }
     }
--- a/crates/fleet/src/swim.rs
+++ b/crates/fleet/src/swim.rs
@@ -66,7 +66,8 @@
             clock: Clock::new(settings.period),
             outputs: Vec::new(),
             rng: Pcg64Mcg::seed_from_u64(seed),
-            seq: 0,
+            // Else an answer to the run before would be one to this run.
+            seq: me.incarnation.0 as u32,
             next_period: Time::ZERO,
             probe: None,
             outcomes: Outcomes::default(),
@@ -205,7 +206,7 @@
     }
 
     fn acknowledged(&mut self, from: Instance, seq: u32) {
-        self.clock.answered(seq);
+        self.clock.answered(seq, self.seq);
         let probe = self.probe.as_ref();
         if probe.is_some_and(|probe| probe.is_answered(from, seq)) {
             self.probe = None;
--- a/crates/fleet/tests/answers.rs
+++ b/crates/fleet/tests/answers.rs
@@ -46,6 +46,17 @@
     pings.collect()
 }
 
+/// The last number under which `fleet` asks in `periods` periods, from `start` on.
+fn last_number(fleet: &mut Fleet, start: Time, periods: u32) -> u32 {
+    let end = start + Settings::default().period * periods;
+    let mut out = Vec::new();
+    let mut next = start;
+    while next < end {
+        next = fleet.step(next, &mut out);
+    }
+    pings(&out).last().unwrap().1
+}
+
 /// The index of an instance.
 fn index_of(name: Instance) -> usize {
     (0..COUNT).find(|index| instance(*index) == name).unwrap()
@@ -103,3 +114,21 @@
     fleet.receive(asked, instance(helper), &ack(helper, number.unwrap()));
     assert!(!suspects(&mut fleet, target));
 }
+
+/// A daemon that stood still judges nobody until it was answered again. What a peer answered to the run before may still
+/// lie in the sockets.
+#[rstest]
+fn an_answer_to_the_run_before_does_not_end_a_pause(#[values(1, 2, 3, 4)] seed: u64) {
+    let (mut former, _) = greeted(seed);
+    let old = last_number(&mut former, ASKED, 20);
+    let mut fleet = Fleet::new(member(0, 1), Settings::default(), seed);
+    fleet.set_list(Time::ZERO, &entries(0..COUNT));
+    fleet.step(Time::ZERO, &mut Vec::new());
+    let woken = Time::from_millis(5_000);
+    fleet.receive(woken, instance(1), &ack(1, old));
+    assert!(fleet.paused(woken));
+    let own = last_number(&mut fleet, woken, 1);
+    let answered = woken + Settings::default().period;
+    fleet.receive(answered, instance(1), &ack(1, own));
+    assert!(!fleet.paused(answered));
+}
