Open the connection for the next call of the store ahead

What callers saw: nothing; a plan edited while connections had fallen silent came into force late.

Ruled out: a shorter watch, as reads are paid for; opening the connection beside a watch only (tried: the test fails, since a daemon that has just started has read plan and replicas but watches nothing yet).

Change: an answer has the connection for a later call opened; each still carries one call. A call without an answer closes those that were opened ahead, as it did with kept ones.

Conclusion: silence is met as soon as when connections were kept.

--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use boottime::Instant;
@@ -23,6 +24,7 @@
 use prometheus::IntCounterVec;
 use tokio::sync::Notify;
 
+use crate::links;
 use crate::links::Failure;
 use crate::links::Link;
 use crate::links::Links;
@@ -80,12 +82,13 @@
 
 impl std::error::Error for Error {}
 
-/// Calls the store, each time over a new connection: an answer names no call, so that a late second answer to an
-/// earlier call on the same connection could not be told from the answer to the present one.
+/// Calls the store, each time over a connection that carried no call before: an answer names no call, so that a late
+/// second answer to an earlier one could not be told from the answer to the present one.
 #[derive(Debug)]
 pub struct Store {
     address: SocketAddr,
-    links: Links,
+    /// Connections for later calls.
+    links: Rc<Links>,
     calls: IntCounterVec,
     /// Told when a call had no answer in time, so that watches on connections of the same age do
     /// not wait for their own limit.
@@ -97,7 +100,7 @@
     pub fn new(address: SocketAddr, calls: IntCounterVec) -> Self {
         Self {
             address,
-            links: Links::new(),
+            links: Rc::new(Links::new()),
             calls,
             silence: Notify::new(),
         }
@@ -181,6 +184,17 @@
         Ok(())
     }
 
+    /// Opens the connection of a later call. Between two calls, it is the one that falls silent together with those of
+    /// watches: the later call then has no answer, and the watches are given up.
+    fn open_ahead(&self) {
+        let (address, links) = (self.address, Rc::clone(&self.links));
+        tokio::task::spawn_local(async move {
+            if let Ok(link) = links::connect(address).await {
+                links.keep(link, None);
+            }
+        });
+    }
+
     async fn page(&self, table: &str, after: Option<&str>) -> Result<Rows, Error> {
         self.count("reading", table);
         let path = store::read_path(table, after);
@@ -233,6 +247,7 @@
         match timeout(limit, self.exchange(step, request)).await {
             Ok(answer) => answer,
             Err(elapsed) => {
+                self.links.forget(self.address);
                 self.silence.notify_waiters();
                 Err(silent(step, &elapsed))
             }
@@ -245,12 +260,12 @@
         request: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, Link), Failure> {
         for _ in 1..CONNECT_ATTEMPTS {
-            match self.links.send(self.address, request.clone(), true).await {
+            match self.links.send(self.address, request.clone(), false).await {
                 Err(Failure::NotSent { .. }) => {}
                 sent => return sent,
             }
         }
-        self.links.send(self.address, request, true).await
+        self.links.send(self.address, request, false).await
     }
 
     async fn exchange(
@@ -265,6 +280,7 @@
             | Failure::Refused { cause }
             | Failure::Lost { cause } => Error::Silent { step, cause },
         })?;
+        self.open_ahead();
         let status = answer.status();
         let body = Limited::new(answer.into_body(), MAX_ANSWER);
         let body = body.collect().await.map_err(|error| silent(step, &error))?;
