Confirm only the list of replicas that a peer was asked about

What callers saw: nothing that is traced to it. A replica that left or came between two lists could stay unknown until the next answer, half a second later, showed another hash.

Cause: the answer to a question for news says whether the teller's list equals the asker's, by the hash in the question. A list that the asker took from a third daemon meanwhile was confirmed with the version of the teller's.

Ruled out: the answer to another question (a random number ties the two, and it is used up by the first answer).

Change: an answer about another list than the present one confirms nothing, and the teller's list is asked for.

Conclusion: an answer is tied to its question by number and to the list by its hash, when asked and when answered.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -129,7 +129,13 @@
     shared.questions.borrow_mut().remove(&number);
     let news = news.ok()?.ok()?;
     // The answer may have waited here while the machine was suspended.
-    Some(news.older_by(begun.elapsed()))
+    let news = news.older_by(begun.elapsed());
+    let is_unchanged = shared.pool.borrow().digest() == digest;
+    Some(if is_unchanged {
+        news
+    } else {
+        news.of_another_list()
+    })
 }
 
 /// Tells the daemon at `peer` what this one's runs hold.
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -56,6 +56,14 @@
         self
     }
 
+    /// The same for an asker whose replicas are others by now than those it asked about: they are not confirmed, or
+    /// changes between them and the teller's would never be asked for.
+    #[must_use]
+    pub const fn of_another_list(mut self) -> Self {
+        self.same = false;
+        self
+    }
+
     /// Time since the teller's replicas were read.
     pub const fn age(&self) -> Duration {
         Duration::from_millis(self.age_ms)
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod birth;
 mod common;
 mod ingress;
+mod late_news;
 mod lifecycle;
 mod moves;
 mod plain;
