--- a/crates/fleet/src/clock.rs
+++ b/crates/fleet/src/clock.rs
@@ -15,7 +15,7 @@
 pub(crate) struct Clock {
     planned: Option<Time>,
     slack: Duration,
-    /// The first sequence number sent after the last gap, until it or a later one is answered.
+    /// The first sequence number sent after the last gap, until it or a later one that was sent is answered.
     unanswered: Option<u32>,
 }
 
@@ -44,13 +44,11 @@
         self.planned = Some(next);
     }
 
-    /// Notes an answer to the message `seq`; `next` is the next sequence number. Numbers from there
-    /// on were sent by an earlier run, if at all, and tell nothing of the time after the gap.
+    /// Notes an answer to the message `seq`; `next` is the next sequence number. Other numbers than those
+    /// from the gap up to there tell nothing of the time after the gap.
     pub(crate) fn answered(&mut self, seq: u32, next: u32) {
-        if self
-            .unanswered
-            .is_some_and(|first| (first..next).contains(&seq))
-        {
+        let sent_since = |first| seq.wrapping_sub(first) < next.wrapping_sub(first);
+        if self.unanswered.is_some_and(sent_since) {
             self.unanswered = None;
         }
     }
--- a/crates/fleet/src/swim.rs
+++ b/crates/fleet/src/swim.rs
@@ -66,7 +66,8 @@
             clock: Clock::new(settings.period),
             outputs: Vec::new(),
             rng: Pcg64Mcg::seed_from_u64(seed),
-            seq: 0,
+            // Else an answer to the run before would be one to this run.
+            seq: me.incarnation.0 as u32,
             next_period: Time::ZERO,
             probe: None,
             outcomes: Outcomes::default(),
@@ -167,7 +168,8 @@
         if self.declared_dead() {
             return Time::NEVER;
         }
-        let probe = self.probe.filter(|probe| !probe.indirect);
+        let probe = self.probe.as_ref();
+        let probe = probe.filter(|probe| probe.indirect.is_none());
         let probe = probe.map(|probe| probe.sent + self.settings.direct);
         let suspicions = self.roster.suspicions.values();
         let suspicions = suspicions.map(|suspicion| suspicion.deadline);
@@ -205,7 +207,8 @@
 
     fn acknowledged(&mut self, from: Instance, seq: u32) {
         self.clock.answered(seq, self.seq);
-        if self.probe.is_some_and(|probe| probe.seq == seq) {
+        let probe = self.probe.as_ref();
+        if probe.is_some_and(|probe| probe.is_answered(from, seq)) {
             self.probe = None;
             self.outcomes.push(true);
         }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use boottime::Instant;
@@ -9,11 +10,13 @@
 use bytes::Bytes;
 use http::Method;
 use http::Request;
+use http::Response;
 use http::StatusCode;
 use http::header;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
+use hyper::body::Incoming;
 use platform::store;
 use platform::store::Done;
 use platform::store::Edit;
@@ -21,7 +24,9 @@
 use prometheus::IntCounterVec;
 use tokio::sync::Notify;
 
+use crate::links;
 use crate::links::Failure;
+use crate::links::Link;
 use crate::links::Links;
 
 /// Bytes of an answer at most; the store's own limit is 1 MB of rows, which base64 makes a third
@@ -73,11 +78,13 @@
 
 impl std::error::Error for Error {}
 
-/// Calls the store, over connections of its own that it keeps open.
+/// Calls the store, each time over a connection that carried no call before: an answer names no call, so that a late
+/// second answer to an earlier one could not be told from the answer to the present one.
 #[derive(Debug)]
 pub struct Store {
     address: SocketAddr,
-    links: Links,
+    /// Connections for later calls.
+    links: Rc<Links>,
     calls: IntCounterVec,
     /// Told when a call had no answer in time, so that watches on connections of the same age do
     /// not wait for their own limit.
@@ -89,7 +96,7 @@
     pub fn new(address: SocketAddr, calls: IntCounterVec) -> Self {
         Self {
             address,
-            links: Links::new(),
+            links: Rc::new(Links::new()),
             calls,
             silence: Notify::new(),
         }
@@ -123,7 +130,7 @@
             body = self.get("watching", path, CALL_TIMEOUT + wait) => body?,
             () = self.silence.notified() => return Err(Error::GivenUp),
         };
-        Rows::read(&body).map_err(Error::Garbled)
+        Rows::read(table, &body).map_err(Error::Garbled)
     }
 
     /// Writes one row, whatever it holds.
@@ -173,11 +180,22 @@
         Ok(())
     }
 
+    /// Opens the connection of a later call. Between two calls, it is the one that falls silent together with those of
+    /// watches: the later call then has no answer, and the watches are given up.
+    fn open_ahead(&self) {
+        let (address, links) = (self.address, Rc::clone(&self.links));
+        tokio::task::spawn_local(async move {
+            if let Ok(link) = links::connect(address).await {
+                links.keep(link, None);
+            }
+        });
+    }
+
     async fn page(&self, table: &str, after: Option<&str>) -> Result<Rows, Error> {
         self.count("reading", table);
         let path = store::read_path(table, after);
         let body = self.get("reading", path, CALL_TIMEOUT).await?;
-        Rows::read(&body).map_err(Error::Garbled)
+        Rows::read(table, &body).map_err(Error::Garbled)
     }
 
     fn count(&self, step: &str, table: &str) {
@@ -232,22 +250,38 @@
         }
     }
 
+    /// Sends `request`, and once more if no byte of it left: each call needs a new connection, and a lost packet that
+    /// opens one is sent again only after a second.
+    async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, Link), Failure> {
+        let sent = self.links.send(self.address, request.clone(), false).await;
+        match sent {
+            Err(Failure::Unreachable { .. } | Failure::NotSent { .. }) => {
+                self.links.send(self.address, request, false).await
+            }
+            sent => sent,
+        }
+    }
+
     async fn exchange(
         &self,
         step: &'static str,
         request: Request<Full<Bytes>>,
     ) -> Result<Bytes, Error> {
-        let sent = self.links.send(self.address, request, false).await;
-        let (answer, link) = sent.map_err(|failure| match failure {
+        let sent = self.send(request).await;
+        // Dropping the link closes the connection, which is too early before the body is read.
+        let (answer, _link) = sent.map_err(|failure| match failure {
             Failure::Refused { cause }
             | Failure::Unreachable { cause }
             | Failure::NotSent { cause }
             | Failure::Lost { cause } => Error::Silent { step, cause },
         })?;
+        self.open_ahead();
         let status = answer.status();
         let body = Limited::new(answer.into_body(), MAX_ANSWER);
         let body = body.collect().await.map_err(|error| silent(step, &error))?;
-        self.links.keep(link, None);
         match status {
             StatusCode::OK => Ok(body.to_bytes()),
             StatusCode::GONE => Err(Error::Compacted),
