--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -55,7 +55,7 @@
 /// Serves `job`, unless replicas ended under the same request: then it has not run and will not.
 async fn dispatch(shared: &Rc<Shared>, mut job: Job) -> Response<Body> {
     match shared.quarantined_for(job.fingerprint) {
-        Some(left) => plain::refuse(shared, &mut job, left, plain::QUARANTINED),
+        Some(left) => plain::refuse_quarantined(&mut job, left),
         None if job.route.mode.streams() => stream::serve(shared, job).await,
         None => plain::serve(shared, job).await,
     }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -40,7 +40,7 @@
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 
 /// Why a quarantined request is refused.
-pub const QUARANTINED: &str = "replicas ended under this request";
+const QUARANTINED: &str = "replicas ended under this request";
 /// What its caller is told: to send it elsewhere, or at once again, does not help.
 const QUARANTINED_TEXT: &str = "replicas ended under this request; it has not run\n";
 /// What other callers are told.
@@ -268,10 +268,23 @@
     come_back: Duration,
     cause: &'static str,
 ) -> Response<Body> {
-    let (come_back, cause, text) = match shared.quarantined_for(job.fingerprint) {
-        Some(left) => (left, QUARANTINED, QUARANTINED_TEXT),
-        None => (come_back, cause, REFUSED_TEXT),
-    };
+    match shared.quarantined_for(job.fingerprint) {
+        Some(left) => refuse_quarantined(job, left),
+        None => refuse_with(job, come_back, cause, REFUSED_TEXT),
+    }
+}
+
+/// Refuses `job`, which has not run and will not for the time `left`: replicas ended under the same request.
+pub fn refuse_quarantined(job: &mut Job, left: Duration) -> Response<Body> {
+    refuse_with(job, left, QUARANTINED, QUARANTINED_TEXT)
+}
+
+fn refuse_with(
+    job: &mut Job,
+    come_back: Duration,
+    cause: &'static str,
+    text: &'static str,
+) -> Response<Body> {
     job.end("refused", 503, cause);
     own::refuse(&job.call.id, come_back, text)
 }
