Read a replica's part of a stream in a module of its own

flow.rs had one function of a hundred lines that chose what to wait for, took in what came, and judged the end. flow/copy.rs has a step of each kind in a function of its own, with what belongs to one replica's part in one type.

--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -1,26 +1,18 @@
 //! Passing the events of a stream on, from one replica after another if it can be resumed.
 
+mod copy;
 mod next;
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use boottime::Instant;
-use boottime::timer::Elapsed;
-use boottime::timer::timeout_at;
-use bytes::Bytes;
 use http::Response;
-use http::header;
-use http_body_util::BodyExt;
-use hyper::body::Body as _;
-use hyper::body::Frame;
-use hyper::body::Incoming;
 use platform::reply;
 use relay::attempt::Attempt;
 use relay::attempt::Outcome as Sent;
 use relay::event;
 use relay::event::Splitter;
-use relay::plan::Mode;
 use relay::server::Key;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::Sender;
@@ -28,7 +20,6 @@
 use crate::body::Body;
 use crate::body::Part;
 use crate::job::Job;
-use crate::mover;
 use crate::mover::Stopped;
 use crate::place::Place;
 use crate::search::Opened;
@@ -47,8 +38,7 @@
 /// Time between two events from which on it is told in the log, where the route does not say how long a
 /// stream may pause.
 const LONG_GAP: Duration = Duration::from_millis(300);
-/// Time for the end of a stream whose run was stopped; its events are on their way by then.
-const LAST_EVENTS: Duration = Duration::from_millis(100);
+
 /// Answers with the replica's head, and passes its events on in a task of its own.
 pub fn pass_on(
     shared: &Rc<Shared>,
@@ -109,18 +99,6 @@
     Stopped(Stopped),
 }
 
-/// What comes next while a replica is read.
-enum Step {
-    /// A part of the body, its end, or silence until a moment.
-    Read(Result<Option<Result<Frame<Bytes>, hyper::Error>>, Elapsed>),
-    /// The run is to go on at another replica.
-    Move(Key),
-    /// The replica has started again, and the run with it is lost.
-    Restarted,
-    /// The caller left.
-    Left,
-}
-
 impl Flow {
     async fn run(mut self, reply: Reply) {
         let mut reply = reply;
@@ -164,113 +142,6 @@
         }
     }
 
-    /// Passes on what one replica sends.
-    async fn copy(&mut self, reply: Reply) -> End {
-        let Reply {
-            head,
-            response,
-            link,
-            claim,
-        } = reply;
-        let begun = Instant::now();
-        let tells_end = tells_end(&response);
-        self.may_be_stopped = false;
-        let mut body: Incoming = response.into_body();
-        let may_run_again = matches!(self.job.route.mode, Mode::Stream { resumable: true })
-            && self.attempt.may_run_again();
-        let mut silences = 0;
-        let mut last = begun;
-        let mut stopped = None;
-        loop {
-            let position = self.splitter.resumes_after(self.job.call.last_event);
-            let resumable = may_run_again && position.is_ok();
-            let movable = stopped.is_none() && matches!(position, Ok(Some(_)));
-            let silent_at = if stopped.is_some() {
-                Instant::now() + LAST_EVENTS
-            } else if resumable || silences == 0 {
-                self.job.deadline.min(Instant::now() + STALL)
-            } else {
-                self.job.deadline
-            };
-            let step = tokio::select! {
-                read = timeout_at(silent_at, body.frame()) => Step::Read(read),
-                to = ordered(&mut self.track), if movable => Step::Move(to),
-                () = self.shared.restarted(claim.key), if stopped.is_none() => Step::Restarted,
-                () = self.parts.closed() => Step::Left,
-            };
-            let frame = match step {
-                Step::Read(frame) => frame,
-                Step::Left => {
-                    if let Some(stopped) = &stopped {
-                        mover::free(&self.shared, stopped);
-                    }
-                    return End::Left;
-                }
-                Step::Restarted => return End::Broken("the replica has started again".to_owned()),
-                Step::Move(to) => {
-                    stopped = self.stop(claim.key, to).await;
-                    continue;
-                }
-            };
-            // What the replica sent before it stopped the run is read to its end.
-            if let Some(stopped) = stopped.take_if(|_| !matches!(frame, Ok(Some(Ok(_))))) {
-                return End::Stopped(stopped);
-            }
-            match frame {
-                Err(_) if Instant::now() >= self.job.deadline => return End::Overdue,
-                // A replica that still answers may have set the request aside; it gets more time.
-                // One whose stream cannot be resumed is waited for in any case.
-                Err(_) if silences == 0 && (self.still_answers(claim.key).await || !resumable) => {
-                    silences += 1;
-                }
-                Err(_) => match self.other_place().await {
-                    Some(place) => return End::Silent(place),
-                    // Without another place, waiting is the best there is.
-                    None => silences += 1,
-                },
-                Ok(Some(Err(error))) => return End::Broken(error.to_string()),
-                Ok(Some(Ok(frame))) => {
-                    let Ok(data) = frame.into_data() else {
-                        continue;
-                    };
-                    let whole = match self.splitter.push(&data) {
-                        Ok(whole) => whole,
-                        Err(error) => return End::Broken(error.to_string()),
-                    };
-                    if !whole.is_empty() {
-                        self.note_gap(claim.key, last);
-                        last = Instant::now();
-                    }
-                    if !self.pass(whole).await {
-                        return End::Left;
-                    }
-                }
-                // A killed process closes its connections as well, and a run that is stopped its own; the caller must
-                // not take the cut for the end.
-                Ok(None) if !tells_end && self.splitter.is_partial() => {
-                    return End::Broken("it ended in the midst of an event".to_owned());
-                }
-                Ok(None) if !tells_end && self.may_be_stopped => {
-                    return End::Broken("the run may have been stopped".to_owned());
-                }
-                Ok(None) => {
-                    let rest = match self.splitter.finish() {
-                        Ok(rest) => rest,
-                        Err(error) => return End::Broken(error.to_string()),
-                    };
-                    if !self.pass(rest).await {
-                        return End::Left;
-                    }
-                    self.shared.links.keep_after(&head, link);
-                    let service = &self.job.service;
-                    self.shared.note_answer(service, begun.elapsed());
-                    drop(claim);
-                    return End::Complete;
-                }
-            }
-        }
-    }
-
     /// Sends bytes to the caller; `false` if it left.
     async fn pass(&mut self, bytes: Vec<u8>) -> bool {
         if bytes.is_empty() {
@@ -308,20 +179,3 @@
         self.job.end(outcome, 200, cause);
     }
 }
-
-/// Whether an answer tells where its body ends; else the body ends with its connection.
-fn tells_end(response: &Response<Incoming>) -> bool {
-    let encodings = response.headers().get_all(header::TRANSFER_ENCODING);
-    let last = encodings.iter().next_back();
-    let last = last.and_then(|line| line.to_str().ok()?.rsplit(',').next());
-    let chunked = last.is_some_and(|last| last.trim().eq_ignore_ascii_case("chunked"));
-    chunked || response.body().size_hint().exact().is_some()
-}
-
-/// Waits until the run is to go on elsewhere; forever if it is not followed.
-async fn ordered(track: &mut Option<Track>) -> Key {
-    match track {
-        Some(track) => track.ordered().await,
-        None => std::future::pending().await,
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/flow/copy.rs
@@ -0,0 +1,237 @@
+//! Reading what one replica sends of a stream.
+
+use std::cmp::min;
+use std::time::Duration;
+
+use boottime::Instant;
+use boottime::timer::Elapsed;
+use boottime::timer::timeout_at;
+use bytes::Bytes;
+use http::Response;
+use http::header;
+use http_body_util::BodyExt;
+use hyper::body::Body as _;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use platform::reply::Head;
+use relay::plan::Mode;
+use relay::server::Key;
+
+use crate::flow::End;
+use crate::flow::Flow;
+use crate::flow::STALL;
+use crate::guard::Claim;
+use crate::links::Link;
+use crate::mover;
+use crate::mover::Stopped;
+use crate::send::Reply;
+use crate::track::Track;
+
+/// Time for the end of a stream whose run was stopped; its events are on their way by then.
+const LAST_EVENTS: Duration = Duration::from_millis(100);
+
+/// What a replica sends next: a part of the body, its end, or nothing until a moment.
+type Read = Result<Option<Result<Frame<Bytes>, hyper::Error>>, Elapsed>;
+
+/// A replica's part of a stream while it is read.
+#[derive(Debug)]
+struct Source {
+    head: Head,
+    body: Incoming,
+    link: Link,
+    claim: Claim,
+    /// Whether the answer tells where its body ends; else the body ends with its connection.
+    tells_end: bool,
+    begun: Instant,
+    /// When the last event came.
+    last: Instant,
+    /// Times that it was silent.
+    silences: u32,
+    /// Set once the run is stopped so that it can go on elsewhere.
+    stopped: Option<Stopped>,
+}
+
+/// What comes next while a replica is read.
+enum Step {
+    /// Something is read, or silence.
+    Read(Read),
+    /// The run is to go on at another replica.
+    Move(Key),
+    /// The replica has started again, and the run with it is lost.
+    Restarted,
+    /// The caller left.
+    Left,
+}
+
+impl Source {
+    fn new(reply: Reply) -> Self {
+        let Reply {
+            head,
+            response,
+            link,
+            claim,
+        } = reply;
+        let begun = Instant::now();
+        Self {
+            head,
+            tells_end: tells_end(&response),
+            body: response.into_body(),
+            link,
+            claim,
+            begun,
+            last: begun,
+            silences: 0,
+            stopped: None,
+        }
+    }
+}
+
+impl Flow {
+    /// Passes on what one replica sends.
+    pub(super) async fn copy(&mut self, reply: Reply) -> End {
+        let mut source = Source::new(reply);
+        self.may_be_stopped = false;
+        loop {
+            let end = match self.next(&mut source).await {
+                Step::Read(read) => self.take(&mut source, read).await,
+                Step::Move(to) => {
+                    source.stopped = self.stop(source.claim.key, to).await;
+                    None
+                }
+                Step::Restarted => Some(End::Broken("the replica has started again".to_owned())),
+                Step::Left => {
+                    if let Some(stopped) = &source.stopped {
+                        mover::free(&self.shared, stopped);
+                    }
+                    Some(End::Left)
+                }
+            };
+            match end {
+                Some(End::Complete) => {
+                    self.complete(source);
+                    return End::Complete;
+                }
+                Some(end) => return end,
+                None => {}
+            }
+        }
+    }
+
+    async fn next(&mut self, source: &mut Source) -> Step {
+        let position = self.splitter.resumes_after(self.job.call.last_event);
+        let runs = source.stopped.is_none();
+        let movable = runs && matches!(position, Ok(Some(_)));
+        let now = Instant::now();
+        let silent_at = if !runs {
+            now + LAST_EVENTS
+        } else if source.silences == 0 || self.is_resumable() {
+            min(self.job.deadline, now + STALL)
+        } else {
+            self.job.deadline
+        };
+        tokio::select! {
+            read = timeout_at(silent_at, source.body.frame()) => Step::Read(read),
+            to = ordered(&mut self.track), if movable => Step::Move(to),
+            () = self.shared.restarted(source.claim.key), if runs => Step::Restarted,
+            () = self.parts.closed() => Step::Left,
+        }
+    }
+
+    /// Whether the stream can go on at another replica.
+    fn is_resumable(&self) -> bool {
+        let position = self.splitter.resumes_after(self.job.call.last_event);
+        matches!(self.job.route.mode, Mode::Stream { resumable: true })
+            && self.attempt.may_run_again()
+            && position.is_ok()
+    }
+
+    /// Takes in what was read; the end of the replica's part, if this is it.
+    async fn take(&mut self, source: &mut Source, read: Read) -> Option<End> {
+        // What the replica sent before it stopped the run is read to its end.
+        let is_more = matches!(read, Ok(Some(Ok(_))));
+        if let Some(stopped) = source.stopped.take_if(|_| !is_more) {
+            return Some(End::Stopped(stopped));
+        }
+        match read {
+            Err(_) if Instant::now() >= self.job.deadline => Some(End::Overdue),
+            Err(_) => self.wait_on(source).await,
+            Ok(Some(Err(error))) => Some(End::Broken(error.to_string())),
+            Ok(Some(Ok(frame))) => self.take_frame(source, frame).await,
+            Ok(None) => self.end(source).await,
+        }
+    }
+
+    /// What follows a silence: the replica is waited for, or left for another one.
+    async fn wait_on(&self, source: &mut Source) -> Option<End> {
+        let key = source.claim.key;
+        // A replica that still answers may have set the request aside; it gets more time.
+        // One whose stream cannot be resumed is waited for in any case.
+        let waits = source.silences == 0 && (self.still_answers(key).await || !self.is_resumable());
+        let place = if waits {
+            None
+        } else {
+            self.other_place().await
+        };
+        // Without another place, waiting is the best there is.
+        source.silences += 1;
+        place.map(End::Silent)
+    }
+
+    async fn take_frame(&mut self, source: &mut Source, frame: Frame<Bytes>) -> Option<End> {
+        // Trailers are for this connection.
+        let data = frame.into_data().ok()?;
+        let whole = match self.splitter.push(&data) {
+            Ok(whole) => whole,
+            Err(error) => return Some(End::Broken(error.to_string())),
+        };
+        if !whole.is_empty() {
+            self.note_gap(source.claim.key, source.last);
+            source.last = Instant::now();
+        }
+        let taken = self.pass(whole).await;
+        (!taken).then_some(End::Left)
+    }
+
+    /// Whether the end of the body is that of the stream. A killed process closes its connections as well, and a run that
+    /// is stopped its own; the caller must not take the cut for the end.
+    async fn end(&mut self, source: &Source) -> Option<End> {
+        if !source.tells_end && self.splitter.is_partial() {
+            let cause = "it ended in the midst of an event";
+            return Some(End::Broken(cause.to_owned()));
+        }
+        if !source.tells_end && self.may_be_stopped {
+            let cause = "the run may have been stopped";
+            return Some(End::Broken(cause.to_owned()));
+        }
+        let rest = match self.splitter.finish() {
+            Ok(rest) => rest,
+            Err(error) => return Some(End::Broken(error.to_string())),
+        };
+        let taken = self.pass(rest).await;
+        Some(if taken { End::Complete } else { End::Left })
+    }
+
+    /// Keeps the connection of a stream that is complete.
+    fn complete(&self, source: Source) {
+        self.shared.links.keep_after(&source.head, source.link);
+        let service = &self.job.service;
+        self.shared.note_answer(service, source.begun.elapsed());
+    }
+}
+
+/// Whether an answer tells where its body ends; else the body ends with its connection.
+fn tells_end(response: &Response<Incoming>) -> bool {
+    let encodings = response.headers().get_all(header::TRANSFER_ENCODING);
+    let last = encodings.iter().next_back();
+    let last = last.and_then(|line| line.to_str().ok()?.rsplit(',').next());
+    let chunked = last.is_some_and(|last| last.trim().eq_ignore_ascii_case("chunked"));
+    chunked || response.body().size_hint().exact().is_some()
+}
+
+/// Waits until the run is to go on elsewhere; forever if it is not followed.
+async fn ordered(track: &mut Option<Track>) -> Key {
+    match track {
+        Some(track) => track.ordered().await,
+        None => std::future::pending().await,
+    }
+}
