Soak with replicas that answer twice, and callers that keep connections

What callers saw: answers that belong to another request. No run of real processes reproduced it: the replicas of the soak answered once, prefills were all named alike, and each request had a connection of its own.

Change: one in ten answers of the soak's replicas comes twice on the same connection, ahead of the next answer or 1 to 50 ms later between two answers, whole or in halves; calls of the daemons' own included. Answers bear the id of no request, have no length, or are cut, by chance. KV caches are named after the request. Checked besides: a generation goes on from its own KV cache, a reservation is brought by one request, nothing arrives unasked on a connection that a caller keeps.

Conclusion: the KV cache of another request is the case that was reported, its reservation a second one.

--- a/crates/gateway/tests/gateway/common/replica.rs
+++ b/crates/gateway/tests/gateway/common/replica.rs
@@ -48,10 +48,20 @@
     }
 }
 
+/// How the second answer to a request comes, on the same connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Second {
+    /// Time after which it comes, between two answers; without one it comes where the answer to the next request is
+    /// due, and ahead of it.
+    pub wait: Option<Duration>,
+    /// Parts in which it comes after that time, which passes between them as well.
+    pub parts: usize,
+}
+
 type Script = dyn Fn(&Message) -> Act + Send + Sync;
 type Reports = OnceLock<Box<dyn Fn() -> bool + Send + Sync>>;
 type Calls = OnceLock<Box<dyn Fn(&Message) -> Option<Vec<u8>> + Send + Sync>>;
-type Stutter = OnceLock<Box<dyn Fn(&Message) -> bool + Send + Sync>>;
+type Stutter = OnceLock<Box<dyn Fn(&Message) -> Option<Second> + Send + Sync>>;
 
 /// What its connections share with the test.
 #[derive(Default)]
@@ -127,7 +137,19 @@
     /// Answers those requests twice for which `twice` holds. The second answer comes late: on the same connection,
     /// where the answer to the next request is due, and ahead of it.
     pub fn set_stutter(&self, twice: impl Fn(&Message) -> bool + Send + Sync + 'static) {
-        assert!(self.state.stutter.set(Box::new(twice)).is_ok());
+        let next = Second {
+            wait: None,
+            parts: 1,
+        };
+        self.set_second_answers(move |request| twice(request).then_some(next));
+    }
+
+    /// Asks `how` for each request whether it is answered again.
+    pub fn set_second_answers(
+        &self,
+        how: impl Fn(&Message) -> Option<Second> + Send + Sync + 'static,
+    ) {
+        assert!(self.state.stutter.set(Box::new(how)).is_ok());
     }
 
     /// Second answers that it sent.
@@ -193,9 +215,37 @@
     Crashed,
 }
 
-fn connection(socket: &mut TcpStream, script: &Arc<Script>, state: &State) -> Left {
+/// Sends an answer a second time once `wait` is over, in `parts` parts; `writing` is held while a whole answer is sent.
+fn send_late(
+    socket: &TcpStream,
+    writing: &Arc<Mutex<()>>,
+    state: &Arc<State>,
+    bytes: Vec<u8>,
+    wait: Duration,
+    parts: usize,
+) {
+    let Ok(mut socket) = socket.try_clone() else {
+        return;
+    };
+    let (writing, state) = (Arc::clone(writing), Arc::clone(state));
+    thread::spawn(move || {
+        thread::sleep(wait);
+        let _sent = writing.lock().unwrap();
+        state.second_answers.fetch_add(1, Ordering::SeqCst);
+        for (number, part) in bytes.chunks(bytes.len().div_ceil(parts).max(1)).enumerate() {
+            if number > 0 {
+                thread::sleep(wait);
+            }
+            http::send(&mut socket, part);
+        }
+    });
+}
+
+fn connection(socket: &mut TcpStream, script: &Arc<Script>, state: &Arc<State>) -> Left {
     let mut second_answer = Vec::new();
+    let writing = Arc::new(Mutex::new(()));
     while let Ok(Some(request)) = http::read(socket) {
+        let _answered = writing.lock().unwrap();
         if !second_answer.is_empty() {
             state.second_answers.fetch_add(1, Ordering::SeqCst);
             http::send(socket, &std::mem::take(&mut second_answer));
@@ -203,8 +253,16 @@
         let Some(act) = act(&request, script, state) else {
             continue;
         };
-        if state.stutter.get().is_some_and(|twice| twice(&request)) {
-            second_answer = act.bytes();
+        let bytes = act.bytes();
+        let second = state.stutter.get().and_then(|how| how(&request));
+        match second {
+            Some(_) if bytes.is_empty() => {}
+            Some(Second { wait: None, .. }) => second_answer = bytes,
+            Some(Second {
+                wait: Some(wait),
+                parts,
+            }) => send_late(socket, &writing, state, bytes, wait, parts),
+            None => {}
         }
         match act {
             Act::Send(bytes) => {
--- a/crates/gateway/tests/soak/callers.rs
+++ b/crates/gateway/tests/soak/callers.rs
@@ -1,5 +1,6 @@
 //! Callers, who send one request after another and note what they are told.
 
+use std::io::ErrorKind;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -30,6 +31,8 @@
 const KNOWN: Duration = Duration::from_secs(3);
 /// Log lines that are shown of a daemon that does not serve.
 const LAST_LINES: usize = 12;
+/// Bytes that are shown of what nobody asked for.
+const SHOWN_BYTES: usize = 200;
 /// Requests of each kind that have to be served at each daemon in the end.
 const LAST_ROUND: usize = 5;
 
@@ -37,11 +40,12 @@
 pub fn run(world: &World, seed: u64) {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let mut number = 0;
+    let mut open: [Option<Caller>; DAEMONS] = Default::default();
     while !world.ended() {
         let kind = kind(rng.random_range(0..4));
         let seat = rng.random_range(0..DAEMONS);
         let id = format!("{seed}-{number}");
-        ask(world, seat, kind, &id);
+        ask(world, seat, kind, &id, &mut open[seat]);
         number += 1;
         thread::sleep(Duration::from_millis(rng.random_range(1..30)));
     }
@@ -135,7 +139,7 @@
             let mut tries = 0;
             while served < LAST_ROUND {
                 let id = format!("last-{seat}-{number}-{tries}");
-                let told = ask(world, seat, kind(number), &id);
+                let told = ask(world, seat, kind(number), &id, &mut None);
                 served += usize::from(told.status() == 200);
                 tries += 1;
                 if Instant::now() > end {
@@ -165,7 +169,8 @@
     }
 }
 
-fn ask(world: &World, seat: usize, kind: Kind, id: &str) -> Message {
+/// Sends a request on the `open` connection, if the daemon keeps it, and keeps the one that it used.
+fn ask(world: &World, seat: usize, kind: Kind, id: &str, open: &mut Option<Caller>) -> Message {
     let line = match kind {
         Kind::Once => "POST /book/1",
         Kind::Draft => "POST /draft/1",
@@ -180,8 +185,15 @@
         ("Deadline-Ms", &limit),
         ("Token-Counts", "100,20"),
     ];
-    let told = Caller::new(address).map(|mut caller| caller.ask(line, &headers, b""));
-    let told = told.unwrap_or_default();
+    let kept = open.take().filter(|caller| is_open(world, seat, caller));
+    let told = match kept.map_or_else(|| Caller::new(address), Ok) {
+        Ok(mut caller) => {
+            let told = caller.ask(line, &headers, b"");
+            *open = keeps(&told).then_some(caller);
+            told
+        }
+        Err(_) => Message::default(),
+    };
     let seen = Told {
         kind,
         status: told.status(),
@@ -193,3 +205,50 @@
     world.ledger.told(id, seen);
     told
 }
+
+/// Whether the connection can be used after this answer.
+fn keeps(told: &Message) -> bool {
+    let closes = told.header("connection") == Some("close");
+    told.status() != 0 && told.whole && !closes
+}
+
+/// What became of a connection on which no answer is due.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Idle {
+    /// It can be used.
+    Open,
+    /// The daemon closed it.
+    Closed,
+    /// Bytes that nobody asked for.
+    Unasked(String),
+}
+
+impl Idle {
+    /// Looks at the connection of `caller`.
+    pub fn look(caller: &Caller) -> Self {
+        let socket = &caller.socket;
+        let mut bytes = [0; SHOWN_BYTES];
+        let peeked = socket
+            .set_nonblocking(true)
+            .and_then(|()| socket.peek(&mut bytes));
+        let restored = socket.set_nonblocking(false);
+        match peeked {
+            Ok(count @ 1..) => Self::Unasked(String::from_utf8_lossy(&bytes[..count]).into_owned()),
+            Err(error) if error.kind() == ErrorKind::WouldBlock && restored.is_ok() => Self::Open,
+            _ => Self::Closed,
+        }
+    }
+}
+
+/// Whether the connection to the daemon at `seat` can be used again.
+fn is_open(world: &World, seat: usize, caller: &Caller) -> bool {
+    match Idle::look(caller) {
+        Idle::Open => true,
+        Idle::Closed => false,
+        Idle::Unasked(text) => {
+            let what = format!("daemon {seat} sent `{text}`, which nobody asked for");
+            world.ledger.mixed(&what);
+            false
+        }
+    }
+}
--- a/crates/gateway/tests/soak/ledger.rs
+++ b/crates/gateway/tests/soak/ledger.rs
@@ -7,6 +7,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use crate::common::http::Message;
+use crate::script;
+
 /// Events of a complete stream.
 pub const EVENTS: u64 = 20;
 /// Time over the caller's own limit that a final answer may take, on a machine that also runs other
@@ -14,7 +17,7 @@
 const LATE: Duration = Duration::from_secs(4);
 
 /// How often a request may run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Kind {
     /// Once at most.
     Once,
@@ -52,6 +55,14 @@
     reached: AtomicUsize,
     /// Those that ended.
     ended: AtomicUsize,
+    /// Answers that came twice.
+    doubled: AtomicUsize,
+    /// Requests that brought a reservation, by replica and reservation.
+    reservations: Mutex<HashMap<(String, String), String>>,
+    /// Requests that brought a KV cache.
+    caches: AtomicUsize,
+    /// What belonged to another request.
+    mixed: Mutex<Vec<String>>,
 }
 
 impl Ledger {
@@ -76,23 +87,63 @@
         self.ended.load(Ordering::SeqCst)
     }
 
+    /// Notes that an answer comes twice.
+    pub fn doubled(&self) {
+        self.doubled.fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// Notes that something reached one whom it does not belong to.
+    pub fn mixed(&self, what: &str) {
+        self.mixed.lock().unwrap().push(format!("MIXED: {what}"));
+    }
+
+    /// Notes what `request` brings to `replica`, which checks neither: the KV cache that it goes on from, and its
+    /// reservation.
+    pub fn brings(&self, replica: &str, request: &Message) {
+        let id = request.header("request-id").unwrap_or_default();
+        if let Some(source) = request.header("kv-source") {
+            self.caches.fetch_add(1, Ordering::SeqCst);
+            let handle = source.rsplit_once('/').map_or("", |(_, handle)| handle);
+            if handle != script::handle(id) {
+                self.mixed(&format!("{id} goes on from the KV cache `{handle}`"));
+            }
+        }
+        if let Some(hold) = request.header("kv-hold") {
+            let key = (replica.to_owned(), hold.to_owned());
+            let mut reservations = self.reservations.lock().unwrap();
+            let first = reservations.entry(key).or_insert_with(|| id.to_owned());
+            if first != id {
+                self.mixed(&format!(
+                    "{id} brings `{hold}` of {replica}, as {first} did"
+                ));
+            }
+        }
+    }
+
     /// Notes what the caller of `id` was told.
     pub fn told(&self, id: &str, told: Told) {
         self.told.lock().unwrap().push((id.to_owned(), told));
     }
 
-    /// Counts of answers by status.
+    /// Counts of answers by kind of request and status.
     pub fn summary(&self) -> String {
-        let mut counts: BTreeMap<(u16, bool), u32> = BTreeMap::new();
+        let mut counts: BTreeMap<(Kind, u16, bool), u32> = BTreeMap::new();
         for (_, told) in self.told.lock().unwrap().iter() {
-            *counts.entry((told.status, told.whole)).or_default() += 1;
+            let key = (told.kind, told.status, told.whole);
+            *counts.entry(key).or_default() += 1;
         }
-        let texts = counts.iter().map(|((status, whole), count)| match whole {
-            true => format!("{status}: {count}"),
-            false => format!("{status} cut: {count}"),
+        let texts = counts.iter().map(|((kind, status, whole), count)| {
+            let cut = if *whole { "" } else { " cut" };
+            format!("{kind:?} {status}{cut}: {count}")
         });
         let texts = texts.collect::<Vec<_>>().join(", ");
-        format!("{texts}; {} replicas ended", self.ends())
+        format!(
+            "{texts}; {} replicas ended, {} answers doubled, {} requests with a KV cache, {} with a reservation",
+            self.ends(),
+            self.doubled.load(Ordering::SeqCst),
+            self.caches.load(Ordering::SeqCst),
+            self.reservations.lock().unwrap().len()
+        )
     }
 
     /// Promises that were broken.
@@ -104,7 +155,8 @@
             let fault = fault(id, told, runs)?;
             Some(format!("{id} ({:?}, {}): {fault}", told.kind, told.status))
         });
-        checks.collect()
+        let mixed = self.mixed.lock().unwrap();
+        checks.chain(mixed.iter().cloned()).collect()
     }
 }
 
@@ -118,7 +170,7 @@
         told if told.status == 404 => Some("its route was not known".to_owned()),
         told if told.status == 200 && streams => events(id, told).err(),
         told if told.status == 200 && told.whole && told.body != id => {
-            Some(format!("got the answer `{}`", told.body))
+            Some(format!("MIXED: got the answer `{}`", told.body))
         }
         told if !told.disturbed && took > limit + LATE => Some(format!("answered after {took:?}")),
         _ => None,
@@ -132,7 +184,7 @@
     for (number, event) in (1..).zip(whole) {
         let expected = format!("id: {number}\ndata: {id}");
         if *event != expected {
-            return Err(format!("event {number} is `{event}`"));
+            return Err(format!("MIXED: event {number} is `{event}`"));
         }
     }
     match told.whole {
--- a/crates/gateway/tests/soak/world.rs
+++ b/crates/gateway/tests/soak/world.rs
@@ -11,28 +11,21 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use rand::RngExt;
-use rand::SeedableRng;
-use rand_pcg::Pcg64Mcg;
 use serde_json::json;
 
 use crate::common::daemon::Daemon;
 use crate::common::daemon::new_ip;
 use crate::common::daemon::until;
-use crate::common::http::Message;
-use crate::common::http::answer;
 use crate::common::replica::Act;
 use crate::common::replica::Replica;
-use crate::common::replica::chunk;
-use crate::common::replica::not_run;
-use crate::common::replica::signed;
 use crate::common::replica::stream_head;
 use crate::common::store;
 use crate::common::store::Store;
-use crate::ledger::EVENTS;
 use crate::ledger::Ledger;
 use crate::proxy::Harm;
 use crate::proxy::Proxy;
+use crate::script;
+use crate::script::Chance;
 
 /// Daemons of a run.
 pub const DAEMONS: usize = 3;
@@ -88,11 +81,13 @@
     ended: Arc<AtomicBool>,
     replicas: Arc<AtomicU64>,
     seed: u64,
+    /// Whether second answers are the only fault.
+    pub only_doubled: bool,
 }
 
 impl World {
     /// Starts everything, and waits until all daemons are ready.
-    pub fn start(seed: u64) -> Self {
+    pub fn start(seed: u64, only_doubled: bool) -> Self {
         let (store, address) = Store::start("127.0.0.1");
         let ips: Vec<String> = (0..DAEMONS).map(|_| new_ip()).collect();
         let world = Self {
@@ -104,6 +99,7 @@
             ended: Arc::default(),
             replicas: Arc::default(),
             seed,
+            only_doubled,
         };
         world.change_config();
         for (count, service, stage) in [(3, "app", ""), (2, "llm", "prefill"), (3, "llm", "decode")]
@@ -129,19 +125,27 @@
     pub fn add_replica(&self, service: &'static str, stage: &'static str) {
         let number = self.replicas.fetch_add(1, Ordering::SeqCst);
         let id = format!("i-{number}");
-        let rng = Mutex::new(Pcg64Mcg::seed_from_u64(self.seed * 977 + number));
+        let chance = Chance::new(self.seed * 977 + number, self.only_doubled);
+        let stutter = Chance::new(self.seed * 983 + number, false);
         let world = self.clone();
         let own = id.clone();
         let replica = Replica::start(&id, move |request| {
-            let draw: f64 = rng.lock().unwrap().random();
+            let (draw, odd) = chance.draw();
             if request.path() == FATAL {
                 world.ledger.reached(stage == "decode");
             }
+            if stage == "decode" {
+                world.ledger.brings(&own, request);
+            }
             if request.path() == FATAL && stage == "decode" {
                 world.end_replica(&own, draw);
                 return Act::Crash(stream_head(request));
             }
-            serve(&world.ledger, stage, request, draw)
+            script::serve(&world.ledger, stage, request, (draw, odd))
+        });
+        let ledger = Arc::clone(&self.ledger);
+        replica.set_second_answers(move |_| {
+            script::second(stutter.draw()).inspect(|_| ledger.doubled())
         });
         let proxy = Proxy::start(replica.address);
         let mut row = replica.row(service, stage);
@@ -198,6 +202,16 @@
         }
     }
 
+    /// Answers that the daemons which still run took for another request's.
+    pub fn refused_answers(&self) -> usize {
+        let seats = self.seats.iter();
+        let counts = seats.map(|seat| {
+            let daemon = seat.daemon.lock().unwrap();
+            daemon.logged("answer is another request's").len()
+        });
+        counts.sum()
+    }
+
     /// Tells callers to end.
     pub fn end_callers(&self) {
         self.ended.store(true, Ordering::SeqCst);
@@ -246,51 +260,3 @@
         disturbed: Mutex::new(Instant::now()),
     }
 }
-
-/// What a replica does, by chance.
-fn serve(ledger: &Ledger, stage: &str, request: &Message, draw: f64) -> Act {
-    let id = request.header("request-id").unwrap_or_default();
-    if stage == "prefill" {
-        return match draw {
-            d if d < 0.05 => Act::Send(not_run(request)),
-            d if d < 0.08 => Act::SendAndClose(Vec::new()),
-            _ => Act::Send(answer(
-                200,
-                &[],
-                br#"{"kv-handle":"k","tokens":1,"version":1}"#,
-            )),
-        };
-    }
-    if draw < 0.06 {
-        return Act::Send(not_run(request));
-    }
-    ledger.ran(id);
-    let slow = Duration::from_millis((draw * 100.0) as u64);
-    match stage {
-        "decode" => {
-            let last: u64 = request
-                .header("last-event-id")
-                .map_or(0, |id| id.parse().unwrap());
-            let broken = draw < 0.12 && last + 5 < EVENTS;
-            let end = if broken { last + 5 } else { EVENTS };
-            let mut parts = vec![stream_head(request)];
-            parts.extend((last + 1..=end).map(|number| event(number, id)));
-            if broken {
-                Act::SendAndClose(parts.concat())
-            } else {
-                Act::Slowly([parts, vec![chunk(b"")]].concat(), Duration::from_millis(5))
-            }
-        }
-        _ => match draw {
-            d if d < 0.08 => Act::SendAndClose(Vec::new()),
-            d if d < 0.10 => Act::SendAndClose(signed(request, 200, id.as_bytes())[..40].to_vec()),
-            d if d < 0.16 => Act::Send(signed(request, 500, b"failure")),
-            _ => Act::Slowly(vec![signed(request, 200, id.as_bytes())], slow),
-        },
-    }
-}
-
-/// One event of the stream of the request `id`, as one chunk.
-fn event(number: u64, id: &str) -> Vec<u8> {
-    chunk(format!("id: {number}\ndata: {id}\n\n").as_bytes())
-}
