Test that an answer without a length which is reset is not passed on

Nothing was found: the replica's reset reaches the daemon as an error, at once and 50 ms after the bytes.

--- a/crates/gateway/tests/gateway/common/replica.rs
+++ b/crates/gateway/tests/gateway/common/replica.rs
@@ -14,6 +14,7 @@
 
 use serde_json::Value;
 use serde_json::json;
+use socket2::SockRef;
 
 use super::http;
 use super::http::Message;
@@ -27,6 +28,8 @@
     Send(Vec<u8>),
     /// Sends these bytes and closes the connection.
     SendAndClose(Vec<u8>),
+    /// Sends these bytes and resets the connection after a pause.
+    SendAndReset(Vec<u8>, Duration),
     /// Sends these bytes, then nothing; notes when the other side closes.
     SendAndHang(Vec<u8>),
     /// Sends parts with a pause before each.
@@ -274,6 +277,14 @@
                 http::send(socket, &bytes);
                 return Left::Closed;
             }
+            Act::SendAndReset(bytes, pause) => {
+                http::send(socket, &bytes);
+                thread::sleep(pause);
+                SockRef::from(&*socket)
+                    .set_linger(Some(Duration::ZERO))
+                    .unwrap();
+                return Left::Closed;
+            }
             Act::SendAndHang(bytes) => {
                 http::send(socket, &bytes);
                 if http::closes(socket, Duration::from_secs(30)) {
--- a/crates/gateway/tests/gateway/whole.rs
+++ b/crates/gateway/tests/gateway/whole.rs
@@ -270,3 +270,20 @@
     let told = site.ask("POST /book/1", "a1");
     assert_eq!((told.status(), told.header("response-seal")), (502, None));
 }
+
+/// Without a length, only the reset tells that an answer was cut; its bytes may be read long before, or not at all.
+#[rstest]
+#[case("reset-at-once", Duration::ZERO)]
+#[case("reset-later", Duration::from_millis(50))]
+fn an_answer_without_a_length_that_is_reset_is_not_passed_on(
+    #[case] name: &str,
+    #[case] pause: Duration,
+) {
+    let replica = Replica::start("i-a", move |_| {
+        let cut = b"HTTP/1.1 200 X\r\nrequest-id: a1\r\nresponse-seal: s\r\n\r\nhalf";
+        Act::SendAndReset(cut.to_vec(), pause)
+    });
+    let site = Site::start(name, &[(&replica, "app", "")]);
+    let told = site.ask("POST /book/1", "a1");
+    assert_eq!((told.status(), told.header("response-seal")), (502, None));
+}
