Send a stream that may run once on a connection of its own

Cause: the connection of a stream that had ended was used again, and its second answer came where theirs was due. Calls that may run once had a new connection already.

Hypothesis: a new connection for these streams as well loses none, for the price of the connections.

Ruled out: a new connection for all streams; those that can be resumed go on elsewhere.

--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -15,7 +15,6 @@
 use relay::attempt::Outcome;
 use relay::permit::Permit;
 use relay::permit::Work;
-use relay::plan::Mode;
 use relay::server::Key;
 
 use crate::guard::Claim;
@@ -94,7 +93,8 @@
         log::error!(kind = "send", request = job.call.id, cause = error.to_string(); "a request cannot be built");
         Outcome::NotSent
     })?;
-    let fresh = job.route.mode == Mode::Once;
+    // A second answer on a used connection, or its end, costs the request; one that may run once is lost with it.
+    let fresh = !prefill && !job.route.mode.repeatable();
     let (response, link) = match shared.links.send(address, request, fresh).await {
         Ok(answer) => answer,
         Err(failure) => return Err(failed(shared, job, key, &failure)),
