--- a/crates/gateway/tests/gateway/second_answers.rs
+++ b/crates/gateway/tests/gateway/second_answers.rs
@@ -1,8 +1,8 @@
-//! Replicas answered some requests twice. The second answer came late, on the same connection, where the answer to the
-//! next request was due, and callers were given what belonged to somebody else: the daemon compared the id in the
-//! answers that it passed on, but took the answer to a prefill as it came. The next generation then went on from the KV
-//! cache of the one before. The log told it only where both lines stood side by side: `the prompt is read` for the second
-//! request 1 ms after it was sent, and the handle in its `Kv-Source` was the one that the first had used up.
+//! A replica that read prompts answered some requests twice. The second answer came late, on the same connection, where the
+//! answer to the next prompt was due, and was taken for it: the id in an answer was compared only where the answer is passed
+//! on to a caller. From then on each generation went on from the KV cache of the one before it, and all ended as answered.
+//! With one answer in ten doubled, three daemons did so 159 times in 20 runs of five seconds, in each of them; no plain
+//! answer went astray. The line `read` shows it by a `cache` that the line before named already, with `earlier` above 0.
 
 use serde_json::json;
 
