--- a/crates/gateway/tests/gateway/crowded.rs
+++ b/crates/gateway/tests/gateway/crowded.rs
@@ -5,13 +5,22 @@
 
 use std::sync::Arc;
 use std::sync::OnceLock;
+use std::time::Duration;
 
 use crate::common::daemon::until;
+use crate::common::http::Message;
 use crate::common::replica::Act;
 use crate::common::replica::Replica;
+use crate::common::replica::chunk;
+use crate::common::replica::events;
+use crate::common::replica::stream_head;
 use crate::site::Site;
+use crate::site::generate;
 use crate::site::headers;
 
+/// Longer than the silence after which the daemon asks, and shorter than that after which it goes elsewhere in any case.
+const LONG_PAUSE: Duration = Duration::from_millis(1_100);
+
 /// Sends a call, and gives what the daemon finds out of the replica that broke it off.
 fn verdict(site: &Site) -> String {
     let mut caller = site.daemon.caller();
@@ -71,3 +80,64 @@
             .is_empty()
     });
 }
+
+/// A replica that has as many connections as it takes still serves those that are open, and the daemon has one of these.
+/// It is not silent, and a generation that could be sent there is not to be refused.
+#[test]
+fn a_replica_that_closes_new_connections_is_sent_generations_on_an_open_one() {
+    let decode = Replica::start("i-d", |request| {
+        Act::Send([stream_head(request), events(1, 5), chunk(b"")].concat())
+    });
+    let site = Site::start("crowded-open", &[(&decode, "llm", "decode")]);
+    assert_eq!(
+        generate(&site.daemon, "/draft/1", "a1").read().status(),
+        200
+    );
+    decode.crowd();
+    let told = generate(&site.daemon, "/draft/1", "a2").read();
+    let silent = site.daemon.logged("a replica did not answer");
+    assert_eq!((told.status(), silent.len()), (200, 0), "{silent:?}");
+}
+
+/// A stream pauses for longer than the daemon waits before it asks whether the replica is there. That one takes no more
+/// connections, and goes on with its stream soon; another replica has room.
+#[test]
+fn a_stream_of_a_replica_that_closes_new_connections_is_not_broken_off_at_the_first_pause() {
+    let pausing = |request: &Message| match request.header("last-event-id") {
+        Some(_) => Act::Send([stream_head(request), events(3, 5), chunk(b"")].concat()),
+        None => Act::Slowly(
+            vec![
+                [stream_head(request), events(1, 2)].concat(),
+                [events(3, 5), chunk(b"")].concat(),
+            ],
+            LONG_PAUSE,
+        ),
+    };
+    let one = Replica::start("i-1", pausing);
+    let two = Replica::start("i-2", pausing);
+    let replicas = [(&one, "llm", "decode"), (&two, "llm", "decode")];
+    let site = Site::start("crowded-pause", &replicas);
+    // Leaves an open connection to each replica that it used.
+    for number in 0..4 {
+        assert!(
+            generate(&site.daemon, "/resume/1", &format!("b{number}"))
+                .read()
+                .whole
+        );
+    }
+    let sent = one.seen().len() + two.seen().len();
+    let mut caller = generate(&site.daemon, "/resume/1", "a1");
+    until("it is sent", || one.seen().len() + two.seen().len() > sent);
+    let last = |replica: &Replica| {
+        let seen = replica.seen();
+        seen.last()
+            .is_some_and(|request| request.header("request-id") == Some("a1"))
+    };
+    if last(&one) {
+        one.crowd()
+    } else {
+        two.crowd()
+    }
+    assert!(caller.read().whole);
+    assert_eq!(one.seen().len() + two.seen().len(), sent + 1);
+}
--- a/crates/gateway/tests/gateway/moves.rs
+++ b/crates/gateway/tests/gateway/moves.rs
@@ -8,6 +8,7 @@
 use std::thread;
 use std::time::Duration;
 
+use rstest::rstest;
 use serde_json::Value;
 
 use crate::common::caller::Caller;
@@ -44,6 +45,8 @@
     Lost,
     /// The same, and the stream has neither chunks nor a length.
     LostWithoutLength,
+    /// The same at first; asked again, the replica answers with this status and names no memory.
+    LostThen(u16),
 }
 
 /// A replica that makes events until it is asked to move a run.
@@ -97,7 +100,10 @@
                 match how {
                     Answer::OnlyStopped => Act::Send(answer(503, &[], told)),
                     Answer::Lost | Answer::LostWithoutLength => Act::SendAndClose(Vec::new()),
-                    Answer::LostOnce if seen.len() == 1 => Act::SendAndClose(Vec::new()),
+                    Answer::LostOnce | Answer::LostThen(_) if seen.len() == 1 => {
+                        Act::SendAndClose(Vec::new())
+                    }
+                    Answer::LostThen(status) => Act::Send(answer(status, &[], b"{}")),
                     _ => Act::Send(answer(200, &[], told)),
                 }
             }
@@ -107,7 +113,9 @@
                 let id = request.header("request-id").unwrap().to_owned();
                 stops.lock().unwrap().insert(id, Arc::clone(&stop));
                 let parts = match how {
-                    Answer::LostWithoutLength => parts_without_length(request),
+                    Answer::LostWithoutLength | Answer::LostThen(_) => {
+                        parts_without_length(request)
+                    }
                     _ => parts(request, last_event(request)),
                 };
                 Act::UntilStopped(parts, PAUSE, stop)
@@ -269,6 +277,26 @@
     assert!(!source.moves().is_empty());
 }
 
+/// The first question stopped the run, and its answer was lost. Asked again, the replica says that it has no such run any
+/// more (404), that the first question is still in progress (409) or that it has no room (503). None of these says that
+/// the run goes on, so the end of its connection is not the end of the answer.
+#[rstest]
+#[case::no_such_run(404)]
+#[case::in_progress(409)]
+#[case::no_room(503)]
+fn a_stream_without_a_length_whose_second_move_is_refused_does_not_look_complete(
+    #[case] status: u16,
+) {
+    let source = Source::start(Answer::LostThen(status));
+    let target = target();
+    let site = site(&format!("move-lost-then-{status}"), &source);
+    let (_older, mut newer) = two_runs(&site, &source, &target, "/draft/1");
+    let told = newer.read();
+    assert!(source.moves().len() >= 2, "{:?}", source.moves());
+    assert_ne!(String::from_utf8_lossy(&told.body), texts());
+    assert!(!told.whole, "{}", String::from_utf8_lossy(&told.body));
+}
+
 #[test]
 fn a_run_goes_on_where_it_was_if_the_other_replica_refuses_it() {
     let source = Source::start(Answer::Copied);
--- a/crates/gateway/tests/gateway/second_answers.rs
+++ b/crates/gateway/tests/gateway/second_answers.rs
@@ -4,6 +4,12 @@
 //! cache of the one before. The log told it only where both lines stood side by side: `the prompt is read` for the second
 //! request 1 ms after it was sent, and the handle in its `Kv-Source` was the one that the first had used up.
 
+use std::collections::HashSet;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use rstest::rstest;
 use serde_json::json;
 
 use crate::common::http::Message;
@@ -145,3 +151,82 @@
         "{metrics}"
     );
 }
+
+/// A prompt is read twice for one request where its stream breaks off and goes on elsewhere. Both reads have the same id,
+/// so the id does not tell the late second answer to the first read from the answer to the second one. The stream must
+/// not go on from a KV cache that was used up: its name may be another request's by then, and the one that was read anew
+/// is never taken.
+#[test]
+fn a_stream_that_is_resumed_goes_on_from_the_prompt_that_was_read_last() {
+    let reads = AtomicUsize::new(0);
+    let prefill = Replica::start("i-p", move |request| {
+        let read = reads.fetch_add(1, Ordering::SeqCst) + 1;
+        let told = json!({"kv-handle": format!("k{read}"), "tokens": 1460, "version": 1});
+        let headers = [("request-id", id(request))];
+        Act::Send(answer(200, &headers, told.to_string().as_bytes()))
+    });
+    prefill.set_stutter(|_| true);
+    let script = |request: &Message| match request.header("last-event-id") {
+        Some("2") => Act::Send([stream_head(request), events(3, 5), chunk(b"")].concat()),
+        _ => Act::SendAndClose([stream_head(request), events(1, 2)].concat()),
+    };
+    let one = Replica::start("i-1", script);
+    let two = Replica::start("i-2", script);
+    let site = Site::staged("resumed-read-twice", &prefill, &[&one, &two]);
+    generate(&site.daemon, "/resume/1", "a1").read();
+    let used: Vec<_> = [&one, &two].into_iter().flat_map(sources).collect();
+    assert_eq!(used.len(), 2, "{used:?}");
+    let distinct: HashSet<_> = used
+        .iter()
+        .filter_map(|(_, source)| source.as_ref())
+        .collect();
+    let from_caches = used.iter().filter(|(_, source)| source.is_some()).count();
+    assert_eq!(distinct.len(), from_caches, "{used:?}");
+}
+
+/// Both answers come at once, or the second one comes in two halves: the first half with the answer before, the other
+/// one later, while the connection is idle or where the next answer is due.
+#[rstest]
+#[case::whole("at-once", 1.0)]
+#[case::cut_in_the_head("cut-in-head", 0.3)]
+#[case::cut_in_the_body("cut-in-body", 0.97)]
+fn a_call_gets_its_own_answer_where_second_answers_come_early(
+    #[case] name: &str,
+    #[case] part: f64,
+) {
+    let replica = Replica::start("i-a", move |request| {
+        let headers = [("request-id", id(request)), ("response-seal", "s.1")];
+        let told = answer(200, &headers, id(request).as_bytes());
+        let (first, rest) = told.split_at((told.len() as f64 * part) as usize);
+        let at_once = [&told, first].concat();
+        Act::Slowly(vec![at_once, rest.to_vec()], Duration::from_millis(3))
+    });
+    let site = Site::start(&format!("early-{name}"), &[(&replica, "app", "")]);
+    let mut lost = 0;
+    for number in 0..40 {
+        let id = format!("a{number}");
+        let told = site.ask("GET /read/1", &id);
+        let body = String::from_utf8_lossy(&told.body).into_owned();
+        assert!(told.status() != 200 || body == id, "{id}: {body}");
+        lost += usize::from(told.status() != 200);
+    }
+    assert!(lost < 5, "{lost} of 40 were lost");
+}
+
+/// An answer names no request on a connection that carried another one before: it may be the second answer to that one.
+#[test]
+fn a_call_does_not_get_an_unnamed_answer_on_a_connection_that_was_used() {
+    let replica = Replica::start("i-a", |request| {
+        let headers = [("request-id", id(request)), ("response-seal", "s.1")];
+        let headers = if id(request) == "a0" {
+            &headers[..]
+        } else {
+            &headers[1..]
+        };
+        Act::Send(answer(200, headers, id(request).as_bytes()))
+    });
+    let site = Site::start("unnamed-later", &[(&replica, "app", "")]);
+    assert_eq!(site.ask("GET /read/1", "a0").status(), 200);
+    assert_ne!(site.ask("GET /read/1", "a1").status(), 200);
+    assert_eq!(site.ask("GET /read/1", "a2").status(), 200);
+}
