Test that a prompt is not given up at a replica that takes no more connections

Fails at this commit, twice of two runs: the question whether the replica is there is asked on a new connection, and its close counts as silence.

--- a/crates/gateway/tests/gateway/crowded.rs
+++ b/crates/gateway/tests/gateway/crowded.rs
@@ -9,6 +9,7 @@
 
 use crate::common::daemon::until;
 use crate::common::http::Message;
+use crate::common::http::answer;
 use crate::common::replica::Act;
 use crate::common::replica::Replica;
 use crate::common::replica::chunk;
@@ -21,6 +22,9 @@
 /// Longer than the silence after which the daemon asks, and shorter than that after which it goes elsewhere in any case.
 const LONG_PAUSE: Duration = Duration::from_millis(1_100);
 
+/// Longer than the part of the objective after which the daemon asks, and shorter than the time that it waits then.
+const LONG_READ: Duration = Duration::from_millis(700);
+
 /// Sends a call, and gives what the daemon finds out of the replica that broke it off.
 fn verdict(site: &Site) -> String {
     let mut caller = site.daemon.caller();
@@ -141,3 +145,32 @@
     assert!(caller.read().whole);
     assert_eq!(one.seen().len() + two.seen().len(), sent + 1);
 }
+
+/// A prompt takes longer than the daemon waits before it asks whether the replica is there. That one takes no more
+/// connections, and is about to answer; a read that is given up is read in vain.
+#[test]
+fn a_prompt_is_not_given_up_where_its_replica_closes_new_connections() {
+    let prefill = Replica::start("i-p", |request| {
+        let id = request.header("request-id").unwrap_or_default();
+        let told = answer(
+            200,
+            &[("request-id", id)],
+            br#"{"kv-handle":"k1","tokens":1460,"version":1}"#,
+        );
+        Act::Slowly(vec![told], LONG_READ)
+    });
+    let decode = Replica::start("i-d", |request| {
+        Act::Send([stream_head(request), events(1, 5), chunk(b"")].concat())
+    });
+    let site = Site::staged("crowded-read", &prefill, &[&decode]);
+    let mut caller = generate(&site.daemon, "/draft/1", "a1");
+    until("the prompt is sent", || prefill.seen().len() == 1);
+    prefill.crowd();
+    assert_eq!(caller.read().status(), 200);
+    let seen = decode.seen();
+    let given_up = site
+        .daemon
+        .logged("the prompt is not read, and the replica does not answer");
+    assert!(given_up.is_empty(), "{given_up:?}");
+    assert!(seen[0].header("kv-source").is_some());
+}
