--- a/crates/gateway/tests/gateway/crowded.rs
+++ b/crates/gateway/tests/gateway/crowded.rs
@@ -138,9 +138,9 @@
             .is_some_and(|request| request.header("request-id") == Some("a1"))
     };
     if last(&one) {
-        one.crowd()
+        one.crowd();
     } else {
-        two.crowd()
+        two.crowd();
     }
     assert!(caller.read().whole);
     assert_eq!(one.seen().len() + two.seen().len(), sent + 1);
--- a/crates/gateway/tests/gateway/second_answers.rs
+++ b/crates/gateway/tests/gateway/second_answers.rs
@@ -7,6 +7,7 @@
 use std::collections::HashSet;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::thread;
 use std::time::Duration;
 
 use rstest::rstest;
@@ -22,6 +23,9 @@
 use crate::site::Site;
 use crate::site::generate;
 
+/// Longer than the time for which a replica that answered twice is not trusted.
+const STUTTER: Duration = Duration::from_millis(10_500);
+
 fn id(request: &Message) -> &str {
     request.header("request-id").unwrap_or_default()
 }
@@ -230,3 +234,22 @@
     assert_ne!(site.ask("GET /read/1", "a1").status(), 200);
     assert_eq!(site.ask("GET /read/1", "a2").status(), 200);
 }
+
+/// Connections carry one exchange each for some time after a second answer, and several again after that.
+#[test]
+fn a_replica_that_answered_twice_once_is_trusted_again() {
+    let replica = application(true);
+    replica.set_stutter(|request| id(request) == "a0");
+    let site = Site::start("stutter-ends", &[(&replica, "app", "")]);
+    for number in 0..4 {
+        site.ask("GET /read/1", &format!("a{number}"));
+    }
+    // One of these asked whether the replica is there.
+    assert_eq!((replica.second_answers(), replica.connections()), (1, 4));
+    thread::sleep(STUTTER);
+    for number in 4..8 {
+        let told = site.ask("GET /read/1", &format!("a{number}"));
+        assert_eq!(told.status(), 200);
+    }
+    assert_eq!(replica.connections(), 5);
+}
