Take the end of a run for unknown where a question to move it had no answer

Cause: the first question to move the run stopped it, and its answer was lost; asked again, the replica knew no such run, or was at it, or had no room, and the daemon took that for a run that goes on. Ruled out: asking once; the second question is what finds the memory again.

Change: what a later answer says of an unmoved run does not count after a question without an answer.

--- a/crates/gateway/src/mover.rs
+++ b/crates/gateway/src/mover.rs
@@ -11,6 +11,7 @@
 use relay::server::Key;
 
 use crate::ask;
+use crate::ask::Answer;
 use crate::ask::Call;
 use crate::shared::Shared;
 
@@ -47,7 +48,7 @@
     let Some((source, target)) = replicas(shared, from, to) else {
         return Outcome::Unchanged("a replica is gone");
     };
-    let mut cause = String::new();
+    let mut lost = None;
     for _ in 0..TRIES {
         let call = Call {
             to: source.address,
@@ -56,30 +57,40 @@
             path: engine::MOVE_PATH.to_owned(),
             body: engine::move_body(request, target.address),
         };
-        let answer = match ask::call(shared, call).await {
-            Ok(answer) => answer,
+        let outcome = match ask::call(shared, call).await {
+            Ok(answer) => outcome(&answer, (from, source.address), to),
             Err(error) => {
-                cause = error.to_string();
+                lost = Some(error.to_string());
                 continue;
             }
         };
-        let places = match answer.status {
-            StatusCode::OK => vec![to, from],
-            StatusCode::NOT_FOUND => return Outcome::Unchanged("the replica does not run it"),
-            _ => vec![from],
-        };
-        return match Moved::read(&answer.body) {
-            Ok(moved) => Outcome::Stopped(Stopped {
-                from,
-                address: source.address,
-                handle: moved.handle,
-                places,
-            }),
-            Err(_) if answer.status == StatusCode::OK => Outcome::Unknown("no handle".to_owned()),
-            Err(_) => Outcome::Unchanged("the replica does not move it"),
+        return match (outcome, lost) {
+            // The question that has no answer may have stopped the run.
+            (Outcome::Unchanged(_), Some(cause)) => Outcome::Unknown(cause),
+            (outcome, _) => outcome,
         };
     }
-    Outcome::Unknown(cause)
+    Outcome::Unknown(lost.unwrap_or_default())
+}
+
+/// What the answer of the replica behind `from` says.
+fn outcome(answer: &Answer, from: (Key, SocketAddr), to: Key) -> Outcome {
+    let (from, address) = from;
+    let places = match answer.status {
+        StatusCode::OK => vec![to, from],
+        StatusCode::NOT_FOUND => return Outcome::Unchanged("the replica does not run it"),
+        _ => vec![from],
+    };
+    match Moved::read(&answer.body) {
+        Ok(moved) => Outcome::Stopped(Stopped {
+            from,
+            address,
+            handle: moved.handle,
+            places,
+        }),
+        Err(_) if answer.status == StatusCode::OK => Outcome::Unknown("no handle".to_owned()),
+        Err(_) => Outcome::Unchanged("the replica does not move it"),
+    }
 }
 
 fn replicas(shared: &Shared, from: Key, to: Key) -> Option<(Replica, Replica)> {
