Send a request a second time to a replica on a new connection

Cause: both reads have one id, so that the late second answer to the first was taken for the answer to the second. Ruled out: an id of the daemon's own for the second read; replicas run no id that no caller sent.

Change: where the request was sent to the replica before, the connection is new.

--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -22,6 +22,7 @@
 use relay::permit::Work;
 use relay::plan::Route;
 use relay::runs::Size;
+use relay::server::Key;
 
 use crate::shared::Shared;
 use crate::target::Target;
@@ -55,6 +56,8 @@
     pub returned: bool,
     /// Leave for sends to replicas.
     pub allowance: RefCell<Allowance>,
+    /// Replicas that it was sent to.
+    sent_to: RefCell<Vec<Key>>,
     shared: Rc<Shared>,
     done: bool,
 }
@@ -91,6 +94,7 @@
             deadline: arrived + patience,
             returned,
             allowance: RefCell::new(Allowance::new()),
+            sent_to: RefCell::default(),
             shared: Rc::clone(shared),
             done: false,
         }
@@ -111,6 +115,14 @@
         self.allowance.borrow_mut().take(work)
     }
 
+    /// Notes a send to the replica `key`; whether it is the first one there.
+    pub fn note_send(&self, key: Key) -> bool {
+        let mut sent_to = self.sent_to.borrow_mut();
+        let is_first = !sent_to.contains(&key);
+        sent_to.push(key);
+        is_first
+    }
+
     /// The request for `replica`, which is to do `task`.
     ///
     /// # Errors
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -93,8 +93,10 @@
         log::error!(kind = "send", request = job.call.id, cause = error.to_string(); "a request cannot be built");
         Outcome::NotSent
     })?;
-    // A second answer on a used connection, or its end, costs the request; one that may run once is lost with it.
-    let fresh = !prefill && !job.route.mode.repeatable();
+    // A second answer on a used connection, or its end, costs the request; one that may run once is lost with it. Where
+    // the request was sent before, a second answer to that send has its id.
+    let is_first = job.note_send(key);
+    let fresh = !is_first || !(prefill || job.route.mode.repeatable());
     let (response, link) = match shared.links.send(address, request, fresh).await {
         Ok(answer) => answer,
         Err(failure) => return Err(failed(shared, job, key, &failure)),
