Stand-in store tells of removed rows

Watches of the stand-in never told that a row was removed, so that replicas whose rows tests and the soak take away stayed in the daemons' lists for good. It tells them as the platform does now. Found by a test that waited in vain for it.

--- a/crates/gateway/tests/gateway/common/store.rs
+++ b/crates/gateway/tests/gateway/common/store.rs
@@ -20,6 +20,8 @@
 struct Inner {
     version: u64,
     rows: BTreeMap<(String, String), (Vec<u8>, u64)>,
+    /// Versions at which rows were removed.
+    removed: BTreeMap<(String, String), u64>,
     down: bool,
     /// Connections opened so far.
     opened: u64,
@@ -33,6 +35,27 @@
     second_answers: u64,
 }
 
+impl Inner {
+    /// Removes a row at the present version.
+    fn remove(&mut self, table: &str, key: &str) {
+        let row = (table.to_owned(), key.to_owned());
+        if self.rows.remove(&row).is_some() {
+            self.removed.insert(row, self.version);
+        }
+    }
+
+    /// The rows of `table` that were removed after a version and have not been written again.
+    fn tombstones(&self, table: &str, after: u64) -> Vec<Value> {
+        let removed = self.removed.iter().filter(|(row, version)| {
+            row.0 == table && **version > after && !self.rows.contains_key(*row)
+        });
+        let tombstones = removed.map(|((table, key), version)| {
+            json!({"table": table, "part": "", "key": key, "ver": version, "tombstone": true})
+        });
+        tombstones.collect()
+    }
+}
+
 /// The store; its rows can be changed by the test.
 #[derive(Debug, Clone, Default)]
 pub struct Store {
@@ -80,7 +103,7 @@
     pub fn remove(&self, table: &str, key: &str) {
         let mut inner = self.inner.0.lock().unwrap();
         inner.version += 1;
-        inner.rows.remove(&(table.to_owned(), key.to_owned()));
+        inner.remove(table, key);
         self.inner.1.notify_all();
     }
 
@@ -172,12 +195,12 @@
             found.map(|(_, value)| value.to_owned()).unwrap_or_default()
         };
         match path {
-            "/api/rows-get" => (200, self.rows(&field("table"), 0)),
+            "/api/rows-get" => (200, self.rows(&field("table"), None)),
             "/api/rows-feed" => {
                 let after = field("after").parse().unwrap_or(0);
                 let wait = field("wait-ms").parse().unwrap_or(0);
                 self.wait(&field("table"), after, Duration::from_millis(wait));
-                (200, self.rows(&field("table"), after))
+                (200, self.rows(&field("table"), Some(after)))
             }
             "/api/rows-tx" => self.transact(&request.body),
             _ => (404, json!({})),
@@ -189,19 +212,25 @@
         let unchanged = |inner: &mut Inner| {
             let mut rows = inner.rows.iter();
             !rows.any(|((name, _), (_, version))| name == table && *version > after)
+                && inner.tombstones(table, after).is_empty()
         };
         drop(self.inner.1.wait_timeout_while(inner, limit, unchanged));
     }
 
-    fn rows(&self, table: &str, after: u64) -> Value {
+    /// The rows of `table`, or what changed of them after a version.
+    fn rows(&self, table: &str, after: Option<u64>) -> Value {
         let inner = self.inner.0.lock().unwrap();
         let rows = inner.rows.iter();
-        let rows = rows.filter(|((name, _), (_, version))| name == table && *version > after);
-        let rows: Vec<Value> = rows
+        let since = after.unwrap_or(0);
+        let rows = rows.filter(|((name, _), (_, version))| name == table && *version > since);
+        let mut rows: Vec<Value> = rows
             .map(|((table, key), (value, version))| {
                 json!({"table": table, "part": "", "key": key, "value": STANDARD.encode(value), "ver": version})
             })
             .collect();
+        if let Some(after) = after {
+            rows.extend(inner.tombstones(table, after));
+        }
         json!({"rows": rows, "has-more": false, "ver": inner.version, "now-ms": 1})
     }
 
@@ -228,7 +257,8 @@
             inner.rows.insert(name(row), (value, version));
         }
         for row in call["remove"].as_array().unwrap() {
-            inner.rows.remove(&name(row));
+            let (table, key) = name(row);
+            inner.remove(&table, &key);
         }
         self.inner.1.notify_all();
         (200, json!({"ver": inner.version, "now-ms": 1}))
