Take a replica that closes new connections for full, and for ended once it is not listed

Cause: questions and reservations take connections of their own now, and a replica with as many as it takes closes them; that counted as no answer. For the quarantine it counted as being there, also where something else had the port of one that ended.

Ruled out: a reservation on a used connection; its answer names nothing.

Change: a closed connection counts as an answer to whether a replica is at work, as no room for a reservation, and is asked again for 4.2 s where a replica was lost: one that ended is not listed any more by then.

--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -140,9 +140,10 @@
     Unknown,
 }
 
-/// Whether the replica `key` answers a question.
+/// Whether the replica `key` is at work as far as a question tells: it answers, or takes no more connections.
 pub async fn answers(shared: &Shared, key: Key) -> bool {
-    presence(shared, key).await == Presence::Here
+    let presence = presence(shared, key).await;
+    matches!(presence, Presence::Here | Presence::Closing)
 }
 
 /// Asks whether the replica `key` is there. Another one at its address, and one that has started again under
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -228,6 +228,8 @@
         body: wire::reserve_body(tokens, life),
     };
     match ask::call(shared, call).await {
+        // It takes no more connections.
+        Err(ask::Error::Closed { .. }) => Asked::NoRoom,
         Err(error) => Asked::Failed(error.to_string()),
         Ok(answer) if answer.status == StatusCode::OK => match Reservation::read(&answer.body) {
             Ok(reservation) => {
--- a/crates/gateway/src/quarantine/inquiry.rs
+++ b/crates/gateway/src/quarantine/inquiry.rs
@@ -21,6 +21,9 @@
 /// who sends the request again must know by then, and the list would tell up to 3.6 s after the end. Counted, since
 /// time passes without a question where this process is stopped or its machine suspended.
 const MAX_QUESTIONS: usize = 3;
+/// Questions after which a replica that closes each connection counts as there: one that ended would not be listed any
+/// more, since its lease runs out 3.6 s after its end at the latest.
+const MAX_CLOSED: usize = 14;
 /// Time that a request waits for what is being found out, before it is sent again: a replica that is there
 /// answers within some milliseconds, and a port that is closed refuses as soon.
 const WAIT: Duration = Duration::from_millis(400);
@@ -49,17 +52,17 @@
 }
 
 async fn ask_for_presence(shared: &Shared, key: Key) -> Presence {
-    for question in 1..=MAX_QUESTIONS {
+    let mut unanswered = 0;
+    for _ in 0..MAX_CLOSED {
         match ask::presence(shared, key).await {
-            Presence::Unknown | Presence::Closing if question < MAX_QUESTIONS => {
-                sleep(ASK_AGAIN).await;
-            }
-            // One that was ending would refuse connections by now; this one only takes no more of them.
-            Presence::Closing => return Presence::Here,
+            Presence::Unknown if unanswered + 1 == MAX_QUESTIONS => return Presence::Unknown,
+            Presence::Unknown => unanswered += 1,
+            Presence::Closing => {}
             presence => return presence,
         }
+        sleep(ASK_AGAIN).await;
     }
-    Presence::Unknown
+    Presence::Here
 }
 
 impl Shared {
