A test waits for the log line that it asks for

It read the daemon's log at once after the answer, and found nothing once in a full run beside much load; the line send was not there yet either.

--- a/crates/gateway/tests/gateway/birth.rs
+++ b/crates/gateway/tests/gateway/birth.rs
@@ -111,8 +111,9 @@
     let told = generate(&site.daemon, "/draft/1", "a1").read();
     assert!(told.whole);
     assert_eq!(decode.seen().len(), 1);
-    let restarted = site.daemon.logged("Restarted");
-    assert_eq!(restarted.len(), 1);
+    let restarted = || site.daemon.logged("Restarted").len();
+    until("its log line is read", || restarted() > 0);
+    assert_eq!(restarted(), 1);
 }
 
 #[test]
