Free the memory of a run that was stopped and goes on nowhere

It is freed on each of these ends. An answer of no room whose handle cannot be read leaves it unknown whether the run stopped, as one of success does. No test of its own: the moved memory of these ends is seen by no stand-in; the 165 tests of the gateway pass.

--- a/crates/gateway/src/flow/copy.rs
+++ b/crates/gateway/src/flow/copy.rs
@@ -99,21 +99,17 @@
                     None
                 }
                 Step::Restarted => Some(End::Broken("the replica has started again".to_owned())),
-                Step::Left => {
-                    if let Some(stopped) = &source.stopped {
-                        mover::free(&self.shared, stopped);
-                    }
-                    Some(End::Left)
-                }
+                Step::Left => Some(End::Left),
             };
-            match end {
-                Some(End::Complete) => {
-                    self.complete(source);
-                    return End::Complete;
-                }
-                Some(end) => return end,
-                None => {}
+            let Some(end) = end else { continue };
+            // The run goes on from it nowhere.
+            if let Some(stopped) = &source.stopped {
+                mover::free(&self.shared, stopped);
+            }
+            if matches!(end, End::Complete) {
+                self.complete(source);
             }
+            return end;
         }
     }
 
--- a/crates/gateway/src/flow/next.rs
+++ b/crates/gateway/src/flow/next.rs
@@ -62,7 +62,10 @@
 
     /// Has a run that stopped go on, at the other replica if it has a copy of the memory.
     pub(super) async fn go_on(&mut self, stopped: Stopped) -> Option<Reply> {
-        let last_event = self.splitter.resume(self.job.call.last_event).ok()??;
+        let Ok(Some(last_event)) = self.splitter.resume(self.job.call.last_event) else {
+            mover::free(&self.shared, &stopped);
+            return None;
+        };
         for key in &stopped.places {
             let Some(permit) = self.shared.permit(&self.job, Work::Run) else {
                 break;
--- a/crates/gateway/src/mover.rs
+++ b/crates/gateway/src/mover.rs
@@ -88,7 +88,15 @@
             handle: moved.handle,
             places,
         }),
-        Err(_) if answer.status == StatusCode::OK => Outcome::Unknown("no handle".to_owned()),
+        // Both say that the run stopped.
+        Err(_)
+            if matches!(
+                answer.status,
+                StatusCode::OK | StatusCode::SERVICE_UNAVAILABLE
+            ) =>
+        {
+            Outcome::Unknown("no handle".to_owned())
+        }
         Err(_) => Outcome::Unchanged("the replica does not move it"),
     }
 }
