Connect to a replica a second time where the first packet is lost

What callers would see: generations that are refused or late, since a replica counts as silent that is there. Cause: calls of replicas take a connection each now, and the system sends a lost packet that opens one again after a second, while a call has 150 ms; on a kept connection it made the loss good within some milliseconds.

Hypothesis: a second attempt after 50 ms spares that. Ruled out: a longer call; a replica that is gone has to be found out soon. The test connects where packets are dropped for 10 ms; one attempt fails there.

--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -18,6 +18,7 @@
 use platform::engine::Report;
 use relay::server::Key;
 
+use crate::links;
 use crate::links::Failure;
 use crate::shared::Shared;
 
@@ -92,7 +93,7 @@
         .header(name, id)
         .body(Full::new(Bytes::from(call.body)))
         .map_err(|error| failed(&error))?;
-    match timeout(TIMEOUT, exchange(shared, call.to, request)).await {
+    match timeout(TIMEOUT, exchange(call.to, request)).await {
         Ok(answer) => answer,
         Err(_) => {
             shared.links.forget(call.to);
@@ -103,12 +104,11 @@
 
 /// Sends `request` on a connection of its own, which closes with the answer: on one that was used before, the second
 /// answer to another exchange would be taken for it, and a second answer to this one would cost the next request.
-async fn exchange(
-    shared: &Shared,
-    to: SocketAddr,
-    request: Request<Full<Bytes>>,
-) -> Result<Answer, Error> {
-    let sent = shared.links.send(to, request, true).await;
+async fn exchange(to: SocketAddr, request: Request<Full<Bytes>>) -> Result<Answer, Error> {
+    let sent = match links::connect_twice(to).await {
+        Ok(link) => links::exchange(link, request).await,
+        Err(failure) => Err(failure),
+    };
     // Dropping the link closes the connection, which is too early before the body is read.
     let (answer, _link) = sent.map_err(|failure| match failure {
         Failure::Refused { .. } => Error::Refused,
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -25,6 +25,8 @@
 /// Time for a new connection; a round trip takes a few milliseconds, and a machine without power
 /// answers never.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time for the first of two attempts to connect.
+const FIRST_CONNECT: Duration = Duration::from_millis(50);
 /// Time after which the system gives up sent bytes that the peer does not confirm.
 const UNCONFIRMED_TIMEOUT: Duration = Duration::from_secs(3);
 /// Idle connections kept to one address; a daemon rarely has more requests at one replica.
@@ -120,16 +122,7 @@
                 },
             }
         }
-        let mut link = connect(to).await?;
-        match link.sender.try_send_request(request).await {
-            Ok(answer) => Ok((answer, link)),
-            Err(mut error) => match error.take_message() {
-                Some(_) => Err(Failure::NotSent {
-                    cause: error.error().to_string(),
-                }),
-                None => Err(lost(error.error())),
-            },
-        }
+        exchange(connect(to).await?, request).await
     }
 
     /// Keeps `link` for another request; `keep_alive_s` is what the replica told.
@@ -223,6 +216,37 @@
     }
 }
 
+/// Opens a connection to `to`, with a second attempt where the first one takes long: the system sends a lost packet that
+/// opens a connection again only after a second.
+///
+/// # Errors
+/// `Refused` or `Unreachable`.
+pub async fn connect_twice(to: SocketAddr) -> Result<Link, Failure> {
+    match timeout(FIRST_CONNECT, connect(to)).await {
+        Ok(connected) => connected,
+        Err(_) => connect(to).await,
+    }
+}
+
+/// Sends `request` on `link`, a new connection, and gives the head of the answer.
+///
+/// # Errors
+/// `NotSent` or `Lost`.
+pub async fn exchange(
+    mut link: Link,
+    request: Request<Full<Bytes>>,
+) -> Result<(Response<Incoming>, Link), Failure> {
+    match link.sender.try_send_request(request).await {
+        Ok(answer) => Ok((answer, link)),
+        Err(mut error) => match error.take_message() {
+            Some(_) => Err(Failure::NotSent {
+                cause: error.error().to_string(),
+            }),
+            None => Err(lost(error.error())),
+        },
+    }
+}
+
 /// Opens a connection to `to`.
 ///
 /// # Errors
--- a/crates/gateway/tests/gateway/second_store.rs
+++ b/crates/gateway/tests/gateway/second_store.rs
@@ -10,6 +10,7 @@
 use std::thread;
 use std::time::Duration;
 
+use gateway::links;
 use gateway::store::Store;
 use prometheus::IntCounterVec;
 use prometheus::Opts;
@@ -41,6 +42,10 @@
 
 /// Time for which the system drops packets that open a connection; less than one attempt to connect takes.
 const CLOGGED: Duration = Duration::from_millis(150);
+/// The same, less than the first of two attempts takes.
+const CLOGGED_SHORTLY: Duration = Duration::from_millis(10);
+/// Times that a second attempt may come while the packets are still dropped, since the machine is busy.
+const TRIES: usize = 20;
 
 fn application(name: &str) -> Replica {
     Replica::start(name, |_: &Message| Act::Send(answer(202, &[], b"")))
@@ -118,7 +123,7 @@
 
 /// A listener that drops packets which open a connection, as a link that loses packets does, for a short time. Then it
 /// answers one call.
-fn clogged() -> SocketAddr {
+fn clogged(span: Duration) -> SocketAddr {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
     let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
     socket.bind(&any.into()).unwrap();
@@ -128,7 +133,7 @@
     // The only connection that may wait to be accepted.
     let waiting = TcpStream::connect(address).unwrap();
     thread::spawn(move || {
-        thread::sleep(CLOGGED);
+        thread::sleep(span);
         drop(waiting);
         for socket in listener.incoming() {
             let mut socket = socket.unwrap();
@@ -144,9 +149,28 @@
 #[test]
 fn a_call_outlasts_the_loss_of_the_packet_that_opens_its_connection() {
     let calls = IntCounterVec::new(Opts::new("calls", "Calls."), &["step", "table"]).unwrap();
-    let store = Store::new(clogged(), calls);
+    let store = Store::new(clogged(CLOGGED), calls);
     let runtime = runtime::Builder::new_current_thread().enable_all().build();
     let swap = store.swap("orders", "llm", b"", 0);
     let written = LocalSet::new().block_on(&runtime.unwrap(), swap);
     assert_eq!(written, Ok(7));
 }
+
+/// A call of a replica has less time; one whose first packet is lost would count as silent.
+#[test]
+fn a_second_attempt_connects_where_the_first_packet_is_lost() {
+    let runtime = runtime::Builder::new_current_thread().enable_all().build();
+    let attempts = async {
+        let mut connected = false;
+        for _ in 0..TRIES {
+            connected |= links::connect_twice(clogged(CLOGGED_SHORTLY)).await.is_ok();
+            if connected {
+                break;
+            }
+        }
+        let once = links::connect(clogged(CLOGGED_SHORTLY)).await;
+        (once.is_ok(), connected)
+    };
+    let connected = LocalSet::new().block_on(&runtime.unwrap(), attempts);
+    assert_eq!(connected, (false, true));
+}
