Only a question that may have been carried out leaves a run's state unknown

Found by a newcomer's read. A move whose connection was refused counted as one that may have stopped the run, so that a stream without a length would be broken off at its proper end. Errors of calls are told apart by whether the call left. The memory of a stopped run is freed at the deadline too.

--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -56,13 +56,18 @@
 pub enum Error {
     /// Nothing listens at the address.
     Refused,
-    /// The connection was taken and closed before an answer came; the call may have been carried out.
+    /// There is no connection for another reason.
+    Unreachable {
+        /// What went wrong.
+        cause: String,
+    },
+    /// The connection ended, or its bytes were no HTTP, before an answer came; the call may have been carried out.
     Closed {
         /// What went wrong.
         cause: String,
     },
-    /// Something else; the call may have been carried out.
-    Failed {
+    /// There is no whole answer in time; the call may have been carried out.
+    Unanswered {
         /// What went wrong.
         cause: String,
     },
@@ -72,13 +77,21 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Refused => write!(f, "asking: connection refused"),
-            Self::Closed { cause } | Self::Failed { cause } => write!(f, "asking: {cause}"),
+            Self::Unreachable { cause } => write!(f, "connecting: {cause}"),
+            Self::Closed { cause } | Self::Unanswered { cause } => write!(f, "asking: {cause}"),
         }
     }
 }
 
 impl std::error::Error for Error {}
 
+impl Error {
+    /// Whether the call may have been carried out.
+    pub const fn is_uncertain(&self) -> bool {
+        !matches!(self, Self::Refused | Self::Unreachable { .. })
+    }
+}
+
 /// Makes `call` and gives the answer.
 ///
 /// # Errors
@@ -92,12 +105,12 @@
         .header(header::CONTENT_TYPE, "application/json")
         .header(name, id)
         .body(Full::new(Bytes::from(call.body)))
-        .map_err(|error| failed(&error))?;
+        .map_err(|error| unanswered(&error))?;
     match timeout(TIMEOUT, exchange(call.to, request)).await {
         Ok(answer) => answer,
         Err(_) => {
             shared.links.forget(call.to);
-            Err(failed(&"no answer in time"))
+            Err(unanswered(&"no answer in time"))
         }
     }
 }
@@ -109,20 +122,20 @@
         Ok(link) => links::exchange(link, request).await,
         Err(failure) => Err(failure),
     };
-    // Dropping the link closes the connection, which is too early before the body is read.
+    // Held until the body is read: dropping it closes the connection.
     let (answer, _link) = sent.map_err(|failure| match failure {
         Failure::Refused { .. } => Error::Refused,
-        Failure::Unreachable { cause } => failed(&format!("connecting: {cause}")),
+        Failure::Unreachable { cause } => Error::Unreachable { cause },
         Failure::NotSent { cause } | Failure::Lost { cause } => Error::Closed { cause },
     })?;
     let status = answer.status();
     let body = Limited::new(answer.into_body(), MAX_ANSWER).collect().await;
-    let body = body.map_err(|error| failed(&error))?.to_bytes();
+    let body = body.map_err(|error| unanswered(&error))?.to_bytes();
     Ok(Answer { status, body })
 }
 
-fn failed(cause: &impl ToString) -> Error {
-    Error::Failed {
+fn unanswered(cause: &impl ToString) -> Error {
+    Error::Unanswered {
         cause: cause.to_string(),
     }
 }
@@ -171,7 +184,7 @@
         // It answers, though not as it should.
         Ok(_) => Presence::Here,
         Err(Error::Closed { .. }) => Presence::Closing,
-        Err(Error::Failed { .. }) => Presence::Unknown,
+        Err(Error::Unreachable { .. } | Error::Unanswered { .. }) => Presence::Unknown,
     }
 }
 
--- a/crates/gateway/src/flow/next.rs
+++ b/crates/gateway/src/flow/next.rs
@@ -77,11 +77,12 @@
             };
             let sent = send::send(&self.shared, &self.job, *key, task, None, permit);
             let sent = tokio::select! {
-                sent = timeout_at(self.job.deadline, sent) => sent.ok()?,
-                () = self.parts.closed() => {
-                    mover::free(&self.shared, &stopped);
-                    return None;
-                }
+                sent = timeout_at(self.job.deadline, sent) => sent.ok(),
+                () = self.parts.closed() => None,
+            };
+            let Some(sent) = sent else {
+                mover::free(&self.shared, &stopped);
+                return None;
             };
             match sent {
                 Ok(reply) if reply.head.status == StatusCode::OK => {
--- a/crates/gateway/src/mover.rs
+++ b/crates/gateway/src/mover.rs
@@ -58,9 +58,10 @@
             body: engine::move_body(request, target.address),
         };
         let outcome = match ask::call(shared, call).await {
-            Ok(answer) => outcome(&answer, (from, source.address), to),
+            Ok(answer) => read_answer(&answer, from, source.address, to),
             Err(error) => {
-                lost = Some(error.to_string());
+                // Another question does not undo what this one may have done.
+                lost = lost.or_else(|| error.is_uncertain().then(|| error.to_string()));
                 continue;
             }
         };
@@ -70,12 +71,14 @@
             (outcome, _) => outcome,
         };
     }
-    Outcome::Unknown(lost.unwrap_or_default())
+    lost.map_or(
+        Outcome::Unchanged("the replica cannot be reached"),
+        Outcome::Unknown,
+    )
 }
 
-/// What the answer of the replica behind `from` says.
-fn outcome(answer: &Answer, from: (Key, SocketAddr), to: Key) -> Outcome {
-    let (from, address) = from;
+/// What the answer of the replica behind `from`, which is at `address`, says.
+fn read_answer(answer: &Answer, from: Key, address: SocketAddr, to: Key) -> Outcome {
     let places = match answer.status {
         StatusCode::OK => vec![to, from],
         StatusCode::NOT_FOUND => return Outcome::Unchanged("the replica does not run it"),
@@ -88,7 +91,7 @@
             handle: moved.handle,
             places,
         }),
-        // Both say that the run stopped.
+        // 200 and 503, which is no room at the other replica, both mean that the run stopped.
         Err(_)
             if matches!(
                 answer.status,
