Look for no id in the rest of an event that was cut

An event over 256 KiB is passed on in parts, which are cut anywhere; a part that begins with id: would have told where the stream goes on.

--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -39,7 +39,7 @@
     /// A whole event without a number.
     Unnumbered,
     /// A part of an event that is too long to be held.
-    Inside,
+    InsideEvent,
 }
 
 /// Collects bytes and gives out whole events.
@@ -47,10 +47,11 @@
 pub struct Splitter {
     pending: Vec<u8>,
     position: Position,
-    /// Whether an event came whose id is not the one after that of the event before.
-    skips: bool,
+    /// Whether an event came whose id is not the one after that of the event before. Without two events it is not known,
+    /// and ids count as going up by one.
+    ids_have_gaps: bool,
     /// Id of the last event before another replica went on, until that one's first event is known to be the next.
-    joint: Option<u64>,
+    resumed_after: Option<u64>,
 }
 
 impl Splitter {
@@ -61,7 +62,7 @@
 
     /// Whether the bytes so far end in an unfinished event.
     pub fn is_partial(&self) -> bool {
-        !self.pending.is_empty() || self.position == Position::Inside
+        !self.pending.is_empty() || self.position == Position::InsideEvent
     }
 
     /// Takes bytes in and gives out all events that they complete.
@@ -73,18 +74,23 @@
         self.pending.extend_from_slice(bytes);
         match last_boundary(&self.pending, searched) {
             Some(end) => {
-                let whole = self.take(end)?;
-                self.skips |= skips(self.position, &whole);
-                self.position = match position(&whole) {
+                let whole = self.take_checked(end)?;
+                let events = match self.position {
+                    // The rest of an event that was cut anywhere has no fields.
+                    Position::InsideEvent => after_first_boundary(&whole),
+                    _ => &whole[..],
+                };
+                self.ids_have_gaps |= has_gap(self.position, events);
+                self.position = match position_after(events) {
                     Some(position) => position,
-                    None if self.position == Position::Inside => Position::Unnumbered,
+                    None if self.position == Position::InsideEvent => Position::Unnumbered,
                     None => self.position,
                 };
                 Ok(whole)
             }
             None if self.pending.len() > MAX_EVENT => {
-                let part = self.take(self.pending.len())?;
-                self.position = Position::Inside;
+                let part = self.take_checked(self.pending.len())?;
+                self.position = Position::InsideEvent;
                 Ok(part)
             }
             None => Ok(Vec::new()),
@@ -96,7 +102,7 @@
     /// # Errors
     /// [`Error::Misplaced`].
     pub fn finish(&mut self) -> Result<Vec<u8>, Error> {
-        self.take(self.pending.len())
+        self.take_checked(self.pending.len())
     }
 
     /// Id of the event after which another replica can go on: that of the last one that was given out, or `asked`, where
@@ -108,31 +114,31 @@
         match self.position {
             Position::Start => Ok(asked),
             Position::After(id) => Ok(Some(id)),
-            Position::Unnumbered | Position::Inside => Err(Error::Unnumbered),
+            Position::Unnumbered | Position::InsideEvent => Err(Error::Unnumbered),
         }
     }
 
     /// Drops an unfinished event, since the stream goes on from another replica, and gives what
-    /// [`Splitter::resumes_after`] tells. The first event of that replica has to be the next one.
+    /// [`Splitter::resumes_after`] tells. The first event of that replica that has an id has to be the next one.
     ///
     /// # Errors
     /// Those of [`Splitter::resumes_after`].
     pub fn resume(&mut self, asked: Option<u64>) -> Result<Option<u64>, Error> {
         let last = self.resumes_after(asked)?;
         self.pending.clear();
-        self.joint = last;
+        self.resumed_after = last;
         Ok(last)
     }
 
-    /// Takes the first `length` bytes out. A replica that repeats events, or skips some where ids went up by one, tells
-    /// another run's, which must not be joined to what the caller has.
-    fn take(&mut self, length: usize) -> Result<Vec<u8>, Error> {
+    /// Takes the first `length` bytes out. The first id after a resume must follow the last one; otherwise the events are
+    /// another run's, and must not be joined to what the caller has.
+    fn take_checked(&mut self, length: usize) -> Result<Vec<u8>, Error> {
         let rest = self.pending.split_off(length);
         let taken = std::mem::replace(&mut self.pending, rest);
-        match (self.joint, first_id(&taken)) {
+        match (self.resumed_after, first_id(&taken)) {
             (None, _) | (Some(_), None) => Ok(taken),
             (Some(last), Some(Position::After(first))) if self.follows(last, first) => {
-                self.joint = None;
+                self.resumed_after = None;
                 Ok(taken)
             }
             (Some(last), Some(_)) => Err(Error::Misplaced { last }),
@@ -140,7 +146,7 @@
     }
 
     const fn follows(&self, last: u64, first: u64) -> bool {
-        first > last && (self.skips || first == last.saturating_add(1))
+        first > last && (self.ids_have_gaps || first == last.saturating_add(1))
     }
 }
 
@@ -152,17 +158,28 @@
 
 /// The end of the last empty line at or after `from`.
 fn last_boundary(bytes: &[u8], from: usize) -> Option<usize> {
-    let end_at = |index: usize| match &bytes[..=index] {
+    let mut ends = (from..bytes.len()).rev();
+    ends.find_map(|index| boundary_at(bytes, index))
+}
+
+/// What follows the first empty line.
+fn after_first_boundary(bytes: &[u8]) -> &[u8] {
+    let end = (0..bytes.len()).find_map(|index| boundary_at(bytes, index));
+    &bytes[end.unwrap_or(bytes.len())..]
+}
+
+/// The end of an empty line that ends with the byte at `index`.
+fn boundary_at(bytes: &[u8], index: usize) -> Option<usize> {
+    match &bytes[..=index] {
         [.., b'\n', b'\n'] | [.., b'\n', b'\r', b'\n'] => Some(index + 1),
         _ => None,
-    };
-    (from..bytes.len()).rev().find_map(end_at)
+    }
 }
 
 /// Whether ids among these whole events, which come after `position`, go up by more than one.
-fn skips(position: Position, whole: &[u8]) -> bool {
+fn has_gap(position: Position, whole: &[u8]) -> bool {
     let mut last = position;
-    for next in whole.split(|byte| *byte == b'\n').filter_map(id) {
+    for next in whole.split(|byte| *byte == b'\n').filter_map(id_field) {
         match (last, next) {
             (Position::After(last), Position::After(next)) if next > last.saturating_add(1) => {
                 return true;
@@ -173,19 +190,19 @@
     false
 }
 
-/// What the first event that has an `id` field is known by.
+/// The position after the first event that has an `id` field.
 fn first_id(bytes: &[u8]) -> Option<Position> {
-    bytes.split(|byte| *byte == b'\n').find_map(id)
+    bytes.split(|byte| *byte == b'\n').find_map(id_field)
 }
 
-/// What the last of these whole events is known by; `None` if there are only comments.
-fn position(whole: &[u8]) -> Option<Position> {
+/// The position after these whole events; `None` if there are only comments.
+fn position_after(whole: &[u8]) -> Option<Position> {
     let mut has_fields = false;
     for line in whole.rsplit(|byte| *byte == b'\n') {
         match line {
             [] | [b'\r'] if has_fields => break,
             [] | [b'\r'] | [b':', ..] => {}
-            line => match id(line) {
+            line => match id_field(line) {
                 Some(position) => return Some(position),
                 None => has_fields = true,
             },
@@ -194,8 +211,8 @@
     has_fields.then_some(Position::Unnumbered)
 }
 
-/// What an event is known by whose `id` field is `line`; `None` if it is another field.
-fn id(line: &[u8]) -> Option<Position> {
+/// The position after an event whose `id` field is `line`; `None` if it is another field.
+fn id_field(line: &[u8]) -> Option<Position> {
     let value = line.strip_prefix(b"id:")?;
     let text = std::str::from_utf8(value).ok();
     let number = text.and_then(|text| text.trim().parse().ok());
--- a/crates/relay/tests/event.rs
+++ b/crates/relay/tests/event.rs
@@ -87,6 +87,19 @@
     );
 }
 
+/// The rest of an event that was cut since it is too long is no line of fields, whatever it begins with.
+#[test]
+fn the_rest_of_a_cut_event_tells_no_id() {
+    let mut splitter = Splitter::new();
+    let mut long = b"data: ".to_vec();
+    long.resize(300_000, b'x');
+    assert!(!splitter.push(&long).unwrap().is_empty());
+    splitter.push(b"id: 7\n\n").unwrap();
+    assert_eq!(splitter.resumes_after(None), Err(Error::Unnumbered));
+    splitter.push(b"id: 8\ndata: b\n\n").unwrap();
+    assert_eq!(splitter.resumes_after(None), Ok(Some(8)));
+}
+
 /// Ids need not go up by one; where they did not, a gap at the joint tells nothing.
 #[rstest]
 #[case(b"id: 9\ndata: c\n\n", true)]
