Names and comments that stopped a newcomer

stutter, joint, cuts, earlier, and functions named like the types beside them; which failures count in foreign_answers_total; what the numbers of questions to a lost replica mean; a log line where a reservation's connection is closed, a connection is not opened ahead, or a reset cannot be set. One function sends on one connection.

--- a/crates/call/src/direct.rs
+++ b/crates/call/src/direct.rs
@@ -5,10 +5,8 @@
 //! answer to the next. And a call that must run at most once may be neither sent twice nor sent on
 //! a connection that the peer is about to close, where nobody can tell whether it arrived.
 //!
-//! `volo-http`'s client always hands out idle connections of its pool, also one returned while a
-//! new one is being opened, and reports failed connects and failed exchanges alike. So its nearest
-//! kin, the connection layer of `hyper` on which it stands, is used here: one TCP connection, one
-//! request.
+//! One TCP connection, one request, on `hyper`'s connection layer, which reports a failed connect apart from a failed
+//! exchange.
 
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/ctl/tests/waxwing/views.rs
+++ b/crates/ctl/tests/waxwing/views.rs
@@ -274,7 +274,7 @@
 }
 
 const READ_ELSEWHERE: [&str; 2] = [
-    r#"{"instance":"edge-1","up_ms":100,"time":"2026-12-02T10:00:02Z","kind":"read","request":"9c41","ms":50,"cache":"k7","earlier":3}"#,
+    r#"{"instance":"edge-1","up_ms":100,"time":"2026-12-02T10:00:02Z","kind":"read","request":"9c41","ms":50,"cache":"k7","exchanges_before":3}"#,
     r#"{"instance":"edge-1","up_ms":101,"time":"2026-12-02T10:00:02Z","kind":"send","request":"9c41","replica":"i-2","task":"decode","cache":"k7","in_flight":1,"replicas":4,"plan":2,"left_ms":3900}"#,
 ];
 
--- a/crates/fleet/src/probe.rs
+++ b/crates/fleet/src/probe.rs
@@ -22,7 +22,8 @@
 /// The part of a probe that helpers were asked for.
 #[derive(Debug, Clone)]
 pub(crate) struct Indirect {
-    /// Other than that of the direct ping, which another instance answers if it has the address of the target.
+    /// Differs from [`Probe::seq`]: an instance that has the target's address now answers the direct ping under its own
+    /// name, and if it is a helper too, that answer would count as the target's.
     pub(crate) seq: u32,
     pub(crate) helpers: Vec<Instance>,
 }
--- a/crates/fleet/src/swim.rs
+++ b/crates/fleet/src/swim.rs
@@ -66,7 +66,8 @@
             clock: Clock::new(settings.period),
             outputs: Vec::new(),
             rng: Pcg64Mcg::seed_from_u64(seed),
-            // Else an answer to the run before would be one to this run.
+            // Starts at a part of the incarnation, which is random: counted from zero, an answer to the previous run
+            // would match.
             seq: me.incarnation.0 as u32,
             next_period: Time::ZERO,
             probe: None,
--- a/crates/gateway/src/flow/copy.rs
+++ b/crates/gateway/src/flow/copy.rs
@@ -14,6 +14,7 @@
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use platform::reply::Head;
+use relay::event;
 use relay::plan::Mode;
 use relay::server::Key;
 
@@ -42,9 +43,9 @@
     claim: Claim,
     /// Whether the answer tells where its body ends; else the body ends with its connection.
     tells_end: bool,
+    /// When its answer began.
     begun: Instant,
-    /// When the last event came.
-    last: Instant,
+    last_event_at: Instant,
     /// Times that it was silent.
     silences: u32,
     /// Set once the run is stopped so that it can go on elsewhere.
@@ -79,7 +80,7 @@
             link,
             claim,
             begun,
-            last: begun,
+            last_event_at: begun,
             silences: 0,
             stopped: None,
         }
@@ -92,8 +93,8 @@
         let mut source = Source::new(reply);
         self.may_be_stopped = false;
         loop {
-            let end = match self.next(&mut source).await {
-                Step::Read(read) => self.take(&mut source, read).await,
+            let end = match self.next_step(&mut source).await {
+                Step::Read(read) => self.handle_read(&mut source, read).await,
                 Step::Move(to) => {
                     source.stopped = self.stop(source.claim.key, to).await;
                     None
@@ -102,21 +103,21 @@
                 Step::Left => Some(End::Left),
             };
             let Some(end) = end else { continue };
-            // The run goes on from it nowhere.
+            // No replica will continue from the memory that was kept for the move.
             if let Some(stopped) = &source.stopped {
                 mover::free(&self.shared, stopped);
             }
             if matches!(end, End::Complete) {
-                self.complete(source);
+                self.keep_link(source);
             }
             return end;
         }
     }
 
-    async fn next(&mut self, source: &mut Source) -> Step {
-        let position = self.splitter.resumes_after(self.job.call.last_event);
+    async fn next_step(&mut self, source: &mut Source) -> Step {
         let runs = source.stopped.is_none();
-        let movable = runs && matches!(position, Ok(Some(_)));
+        // A run goes on elsewhere only after an event whose id is known.
+        let movable = runs && matches!(self.position(), Ok(Some(_)));
         let now = Instant::now();
         let silent_at = if !runs {
             now + LAST_EVENTS
@@ -133,16 +134,20 @@
         }
     }
 
+    /// Id of the last event that the caller has.
+    const fn position(&self) -> Result<Option<u64>, event::Error> {
+        self.splitter.resumes_after(self.job.call.last_event)
+    }
+
     /// Whether the stream can go on at another replica.
     fn is_resumable(&self) -> bool {
-        let position = self.splitter.resumes_after(self.job.call.last_event);
         matches!(self.job.route.mode, Mode::Stream { resumable: true })
             && self.attempt.may_run_again()
-            && position.is_ok()
+            && self.position().is_ok()
     }
 
     /// Takes in what was read; the end of the replica's part, if this is it.
-    async fn take(&mut self, source: &mut Source, read: Read) -> Option<End> {
+    async fn handle_read(&mut self, source: &mut Source, read: Read) -> Option<End> {
         // What the replica sent before it stopped the run is read to its end.
         let is_more = matches!(read, Ok(Some(Ok(_))));
         if let Some(stopped) = source.stopped.take_if(|_| !is_more) {
@@ -152,8 +157,8 @@
             Err(_) if Instant::now() >= self.job.deadline => Some(End::Overdue),
             Err(_) => self.wait_on(source).await,
             Ok(Some(Err(error))) => Some(End::Broken(error.to_string())),
-            Ok(Some(Ok(frame))) => self.take_frame(source, frame).await,
-            Ok(None) => self.end(source).await,
+            Ok(Some(Ok(frame))) => self.handle_frame(source, frame).await,
+            Ok(None) => Some(self.finish(source).await),
         }
     }
 
@@ -173,7 +178,7 @@
         place.map(End::Silent)
     }
 
-    async fn take_frame(&mut self, source: &mut Source, frame: Frame<Bytes>) -> Option<End> {
+    async fn handle_frame(&mut self, source: &mut Source, frame: Frame<Bytes>) -> Option<End> {
         // Trailers are for this connection.
         let data = frame.into_data().ok()?;
         let whole = match self.splitter.push(&data) {
@@ -181,34 +186,35 @@
             Err(error) => return Some(End::Broken(error.to_string())),
         };
         if !whole.is_empty() {
-            self.note_gap(source.claim.key, source.last);
-            source.last = Instant::now();
+            self.note_gap(source.claim.key, source.last_event_at);
+            source.last_event_at = Instant::now();
         }
         let taken = self.pass(whole).await;
         (!taken).then_some(End::Left)
     }
 
-    /// Whether the end of the body is that of the stream. A killed process closes its connections as well, and a run that
-    /// is stopped its own; the caller must not take the cut for the end.
-    async fn end(&mut self, source: &Source) -> Option<End> {
+    /// Ends the replica's part: passes the rest on, unless the end may be a cut. A killed process closes its connections as
+    /// well, and a run that is stopped its own.
+    async fn finish(&mut self, source: &Source) -> End {
         if !source.tells_end && self.splitter.is_partial() {
-            let cause = "it ended in the midst of an event";
-            return Some(End::Broken(cause.to_owned()));
+            return End::Broken("it ended in the midst of an event".to_owned());
         }
         if !source.tells_end && self.may_be_stopped {
-            let cause = "the run may have been stopped";
-            return Some(End::Broken(cause.to_owned()));
+            return End::Broken("the run may have been stopped".to_owned());
         }
         let rest = match self.splitter.finish() {
             Ok(rest) => rest,
-            Err(error) => return Some(End::Broken(error.to_string())),
+            Err(error) => return End::Broken(error.to_string()),
         };
-        let taken = self.pass(rest).await;
-        Some(if taken { End::Complete } else { End::Left })
+        if self.pass(rest).await {
+            End::Complete
+        } else {
+            End::Left
+        }
     }
 
-    /// Keeps the connection of a stream that is complete.
-    fn complete(&self, source: Source) {
+    /// Notes how long a complete stream took, and keeps its connection.
+    fn keep_link(&self, source: Source) {
         self.shared.links.keep_after(&source.head, source.link);
         let service = &self.job.service;
         self.shared.note_answer(service, source.begun.elapsed());
@@ -217,11 +223,8 @@
 
 /// Whether an answer tells where its body ends; else the body ends with its connection.
 fn tells_end(response: &Response<Incoming>) -> bool {
-    let encodings = response.headers().get_all(header::TRANSFER_ENCODING);
-    let last = encodings.iter().next_back();
-    let last = last.and_then(|line| line.to_str().ok()?.rsplit(',').next());
-    let chunked = last.is_some_and(|last| last.trim().eq_ignore_ascii_case("chunked"));
-    chunked || response.body().size_hint().exact().is_some()
+    let in_chunks = response.headers().contains_key(header::TRANSFER_ENCODING);
+    in_chunks || response.body().size_hint().exact().is_some()
 }
 
 /// Waits until the run is to go on elsewhere; forever if it is not followed.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -1,6 +1,7 @@
 //! One request of a caller while it is served.
 
 use std::cell::RefCell;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -57,7 +58,7 @@
     /// Leave for sends to replicas.
     pub allowance: RefCell<Allowance>,
     /// Replicas that it was sent to.
-    sent_to: RefCell<Vec<Key>>,
+    sent_to: RefCell<HashSet<Key>>,
     shared: Rc<Shared>,
     done: bool,
 }
@@ -115,12 +116,10 @@
         self.allowance.borrow_mut().take(work)
     }
 
-    /// Notes a send to the replica `key`; whether it is the first one there.
-    pub fn note_send(&self, key: Key) -> bool {
-        let mut sent_to = self.sent_to.borrow_mut();
-        let is_first = !sent_to.contains(&key);
-        sent_to.push(key);
-        is_first
+    /// Notes a send to the replica `key`; whether it is the first one there. Callers give each of their attempts an id of
+    /// its own, so that sends of other jobs need not be known.
+    pub fn is_first_send(&self, key: Key) -> bool {
+        self.sent_to.borrow_mut().insert(key)
     }
 
     /// The request for `replica`, which is to do `task`.
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -25,7 +25,7 @@
 /// Time for a new connection; a round trip takes a few milliseconds, and a machine without power
 /// answers never.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time for the first of two attempts to connect.
+/// Time for the first of two attempts to connect: a call has 150 ms in all, and a round trip takes a few.
 const FIRST_CONNECT: Duration = Duration::from_millis(50);
 /// Time after which the system gives up sent bytes that the peer does not confirm.
 const UNCONFIRMED_TIMEOUT: Duration = Duration::from_secs(3);
@@ -38,7 +38,7 @@
 const IDLE_PART: f64 = 0.6;
 /// Time after a second answer of a replica in which its connections carry one exchange each. It may answer twice again,
 /// and a second answer on a used connection costs the request that is sent next.
-const STUTTER: Duration = Duration::from_secs(10);
+const SINGLE_USE_TIME: Duration = Duration::from_secs(10);
 
 /// Why an exchange ended without an answer's head.
 #[derive(Debug)]
@@ -71,8 +71,8 @@
     sender: SendRequest<Full<Bytes>>,
     task: Task,
     address: SocketAddr,
-    /// Exchanges on it before the present one.
-    earlier: u32,
+    /// Exchanges on it so far.
+    exchanges: u32,
     idle_since: Instant,
     keep: Duration,
 }
@@ -92,7 +92,7 @@
 pub struct Links {
     idle: RefCell<HashMap<SocketAddr, Vec<Link>>>,
     /// Addresses at which a request was answered twice, and when.
-    stutters: RefCell<HashMap<SocketAddr, Instant>>,
+    answered_twice_at: RefCell<HashMap<SocketAddr, Instant>>,
 }
 
 impl Links {
@@ -113,26 +113,25 @@
         fresh: bool,
     ) -> Result<(Response<Incoming>, Link), Failure> {
         let mut request = request;
-        while let Some(mut link) = (!fresh).then(|| self.take(to)).flatten() {
-            match link.sender.try_send_request(request).await {
-                Ok(answer) => return Ok((answer, link)),
-                Err(mut error) => match error.take_message() {
-                    Some(unsent) => request = unsent,
-                    None => return Err(lost(error.error())),
-                },
+        while let Some(link) = (!fresh).then(|| self.take(to)).flatten() {
+            match try_exchange(link, request).await {
+                Err(Attempt::Unsent {
+                    request: unsent, ..
+                }) => request = *unsent,
+                Err(Attempt::Lost(failure)) => return Err(failure),
+                Ok(answer) => return Ok(answer),
             }
         }
         exchange(connect(to).await?, request).await
     }
 
-    /// Keeps `link` for another request; `keep_alive_s` is what the replica told.
+    /// Keeps `link` for another request, unless the replica answered twice lately; `keep_alive_s` is what it told.
     pub fn keep(&self, mut link: Link, keep_alive_s: Option<u64>) {
         link.keep = keep_alive_s.map_or(IDLE_TIMEOUT, |seconds| {
             Duration::from_secs(seconds).mul_f64(IDLE_PART)
         });
         link.idle_since = Instant::now();
-        link.earlier = link.earlier.saturating_add(1);
-        if self.stutters(link.address) {
+        if self.is_single_use(link.address) {
             return;
         }
         let mut idle = self.idle.borrow_mut();
@@ -160,20 +159,20 @@
     /// Notes that a request was answered twice at `address`, and closes the idle connections to it.
     pub fn note_second_answer(&self, address: SocketAddr) {
         let now = Instant::now();
-        self.stutters.borrow_mut().insert(address, now);
+        self.answered_twice_at.borrow_mut().insert(address, now);
         self.forget(address);
     }
 
-    fn stutters(&self, address: SocketAddr) -> bool {
-        let stutters = self.stutters.borrow();
-        let noted = stutters.get(&address);
-        noted.is_some_and(|noted| noted.elapsed() < STUTTER)
+    fn is_single_use(&self, address: SocketAddr) -> bool {
+        let noted = self.answered_twice_at.borrow();
+        let noted = noted.get(&address);
+        noted.is_some_and(|noted| noted.elapsed() < SINGLE_USE_TIME)
     }
 
     /// Closes connections that were idle for too long.
     pub fn sweep(&self) {
-        let mut stutters = self.stutters.borrow_mut();
-        stutters.retain(|_, noted| noted.elapsed() < STUTTER);
+        let mut noted = self.answered_twice_at.borrow_mut();
+        noted.retain(|_, at| at.elapsed() < SINGLE_USE_TIME);
         let mut idle = self.idle.borrow_mut();
         for links in idle.values_mut() {
             links.retain(Link::is_usable);
@@ -195,18 +194,18 @@
         self.address
     }
 
-    /// Exchanges on it before the present one.
-    pub const fn earlier(&self) -> u32 {
-        self.earlier
+    /// Exchanges on it before the last one.
+    pub const fn exchanges_before(&self) -> u32 {
+        self.exchanges.saturating_sub(1)
     }
 
-    /// Whether an answer that says it belongs to `subject` is the one to the present exchange. Replicas may answer
+    /// Whether an answer that says it belongs to `subject` may be the one to the last exchange. Replicas may answer
     /// twice, the second time late: where an exchange went before, only the id tells whose answer arrives.
-    pub const fn is_answered(&self, subject: Subject) -> bool {
+    pub const fn may_answer(&self, subject: Subject) -> bool {
         match subject {
             Subject::Own => true,
             Subject::Other => false,
-            Subject::Unnamed => self.earlier == 0,
+            Subject::Unnamed => self.exchanges_before() == 0,
         }
     }
 
@@ -233,17 +232,49 @@
 /// # Errors
 /// `NotSent` or `Lost`.
 pub async fn exchange(
-    mut link: Link,
+    link: Link,
     request: Request<Full<Bytes>>,
 ) -> Result<(Response<Incoming>, Link), Failure> {
+    try_exchange(link, request)
+        .await
+        .map_err(|attempt| match attempt {
+            Attempt::Unsent { cause, .. } => Failure::NotSent { cause },
+            Attempt::Lost(failure) => failure,
+        })
+}
+
+/// Why sending on one connection failed.
+enum Attempt {
+    /// The connection ended before a byte of the request left.
+    Unsent {
+        /// It may be sent elsewhere.
+        request: Box<Request<Full<Bytes>>>,
+        cause: String,
+    },
+    /// The request left.
+    Lost(Failure),
+}
+
+async fn try_exchange(
+    mut link: Link,
+    request: Request<Full<Bytes>>,
+) -> Result<(Response<Incoming>, Link), Attempt> {
     match link.sender.try_send_request(request).await {
-        Ok(answer) => Ok((answer, link)),
-        Err(mut error) => match error.take_message() {
-            Some(_) => Err(Failure::NotSent {
-                cause: error.error().to_string(),
-            }),
-            None => Err(lost(error.error())),
-        },
+        Ok(answer) => {
+            link.exchanges = link.exchanges.saturating_add(1);
+            Ok((answer, link))
+        }
+        Err(mut error) => {
+            let request = error.take_message();
+            let cause = error.error().to_string();
+            Err(match request {
+                Some(request) => Attempt::Unsent {
+                    request: Box::new(request),
+                    cause,
+                },
+                None => Attempt::Lost(Failure::Lost { cause }),
+            })
+        }
     }
 }
 
@@ -275,7 +306,7 @@
         sender,
         task: Task(task.abort_handle()),
         address: to,
-        earlier: 0,
+        exchanges: 0,
         idle_since: Instant::now(),
         keep: IDLE_TIMEOUT,
     })
@@ -295,9 +326,3 @@
         cause: cause.to_string(),
     }
 }
-
-fn lost(cause: &hyper::Error) -> Failure {
-    Failure::Lost {
-        cause: cause.to_string(),
-    }
-}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -34,7 +34,7 @@
     pub open: GenericGauge<AtomicU64>,
     /// Requests that are sent to no replica, since replicas ended under them.
     pub quarantined: GenericGauge<AtomicU64>,
-    /// Answers of replicas that belonged to another request than the one that was sent.
+    /// Answers of replicas that were, or may have been, another request's.
     pub foreign_answers: IntCounter,
     /// Calls of the store that failed.
     pub store_failures: IntCounter,
@@ -89,7 +89,7 @@
         let failures = IntCounter::new(full("store_failures_total"), "Failed calls of the store")?;
         let foreign = IntCounter::new(
             full("foreign_answers_total"),
-            "Answers of replicas that belonged to another request",
+            "Answers of replicas that were, or may have been, another request's",
         )?;
         Ok(Self {
             foreign_answers: register(&registry, foreign)?,
--- a/crates/gateway/src/phase.rs
+++ b/crates/gateway/src/phase.rs
@@ -31,15 +31,15 @@
 #[derive(Debug, Clone)]
 pub struct Phase {
     doing: Rc<Cell<Doing>>,
-    /// Whether the end of the connection would now look like the end of an answer that is not complete.
-    cuts: Rc<Cell<bool>>,
+    /// Whether an answer without a length is being sent: an orderly close would pass a cut off as its end.
+    reset_on_close: Rc<Cell<bool>>,
 }
 
 /// A request that is being served; the connection is idle again when this is dropped.
 #[derive(Debug)]
 pub struct Busy {
     doing: Rc<Cell<Doing>>,
-    cuts: Rc<Cell<bool>>,
+    reset_on_close: Rc<Cell<bool>>,
     /// Whether an answer without a length ends with the connection.
     ends_with_connection: bool,
 }
@@ -49,7 +49,7 @@
     pub fn new() -> Self {
         Self {
             doing: Rc::new(Cell::new(Doing::Idle(Instant::now()))),
-            cuts: Rc::new(Cell::new(false)),
+            reset_on_close: Rc::new(Cell::new(false)),
         }
     }
 
@@ -58,7 +58,7 @@
         self.doing.set(Doing::Busy);
         Busy {
             doing: Rc::clone(&self.doing),
-            cuts: Rc::clone(&self.cuts),
+            reset_on_close: Rc::clone(&self.reset_on_close),
             ends_with_connection: version < Version::HTTP_11,
         }
     }
@@ -91,7 +91,8 @@
 impl Busy {
     /// Notes whether the answer, which has no length, is still to be completed.
     pub fn set_unfinished(&self, unfinished: bool) {
-        self.cuts.set(unfinished && self.ends_with_connection);
+        self.reset_on_close
+            .set(unfinished && self.ends_with_connection);
     }
 }
 
@@ -101,8 +102,8 @@
     }
 }
 
-/// A socket that notes when the head of a request begins, and resets the connection if its end would look like that of
-/// an answer.
+/// A socket that notes when the head of a request begins, and resets the connection if an orderly close would pass a cut
+/// answer off as complete.
 #[derive(Debug)]
 pub struct Watched {
     socket: TcpStream,
@@ -118,9 +119,11 @@
 
 impl Drop for Watched {
     fn drop(&mut self) {
-        if self.phase.cuts.get() {
-            // Resets the connection: a caller without chunks would take a proper end for that of its answer.
-            let _ = self.socket.set_zero_linger();
+        if !self.phase.reset_on_close.get() {
+            return;
+        }
+        if let Err(error) = self.socket.set_zero_linger() {
+            log::warn!(kind = "listen", cause = error.to_string(); "a connection with a cut answer is closed in order");
         }
     }
 }
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -229,7 +229,10 @@
     };
     match ask::call(shared, call).await {
         // It takes no more connections.
-        Err(ask::Error::Closed { .. }) => Asked::NoRoom,
+        Err(ask::Error::Closed { cause }) => {
+            log::info!(kind = "reserve", replica = replica.id, cause = cause; "a replica closed the connection of a reservation");
+            Asked::NoRoom
+        }
         Err(error) => Asked::Failed(error.to_string()),
         Ok(answer) if answer.status == StatusCode::OK => match Reservation::read(&answer.body) {
             Ok(reservation) => {
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -158,7 +158,7 @@
     let begun = Instant::now();
     let before = shared.pool.borrow().queued(key);
     let reply = send::send(shared, job, key, Task::Prefill, None, permit).await?;
-    let earlier = reply.link.earlier();
+    let exchanges_before = reply.link.exchanges_before();
     let read = send::whole(shared, reply, MAX_PREFILL_ANSWER).await;
     let body = match read {
         Ok((head, _, body)) if head.status == StatusCode::OK => body,
@@ -185,7 +185,7 @@
             let prompt = job.prompt();
             shared.note_read(key, begun.elapsed(), before + prompt);
             shared.note_pace(key, begun.elapsed(), prompt as f64);
-            log::info!(kind = "read", request = job.call.id, ms = job.age().as_millis() as u64, cache = prefill.handle, earlier = earlier; "the prompt is read");
+            log::info!(kind = "read", request = job.call.id, ms = job.age().as_millis() as u64, cache = prefill.handle, exchanges_before = exchanges_before; "the prompt is read");
             Ok(Read {
                 address,
                 handle: prefill.handle,
--- a/crates/gateway/src/quarantine/inquiry.rs
+++ b/crates/gateway/src/quarantine/inquiry.rs
@@ -20,10 +20,10 @@
 /// Questions without an answer from which on a replica counts as ended, about a second after its answer broke off:
 /// who sends the request again must know by then, and the list would tell up to 3.6 s after the end. Counted, since
 /// time passes without a question where this process is stopped or its machine suspended.
-const MAX_QUESTIONS: usize = 3;
-/// Questions after which a replica that closes each connection counts as there: one that ended would not be listed any
-/// more, since its lease runs out 3.6 s after its end at the latest.
-const MAX_CLOSED: usize = 14;
+const MAX_UNANSWERED: usize = 3;
+/// Questions in all. Their pauses take 3.9 s, longer than the 3.6 s after which a replica that ended is no longer listed;
+/// one that still closes connections then is there.
+const MAX_QUESTIONS: usize = 14;
 /// Time that a request waits for what is being found out, before it is sent again: a replica that is there
 /// answers within some milliseconds, and a port that is closed refuses as soon.
 const WAIT: Duration = Duration::from_millis(400);
@@ -53,14 +53,16 @@
 
 async fn ask_for_presence(shared: &Shared, key: Key) -> Presence {
     let mut unanswered = 0;
-    for _ in 0..MAX_CLOSED {
+    for question in 1..=MAX_QUESTIONS {
         match ask::presence(shared, key).await {
-            Presence::Unknown if unanswered + 1 == MAX_QUESTIONS => return Presence::Unknown,
+            Presence::Unknown if unanswered + 1 == MAX_UNANSWERED => return Presence::Unknown,
             Presence::Unknown => unanswered += 1,
             Presence::Closing => {}
             presence => return presence,
         }
-        sleep(ASK_AGAIN).await;
+        if question < MAX_QUESTIONS {
+            sleep(ASK_AGAIN).await;
+        }
     }
     Presence::Here
 }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use platform::caller::Task;
 use platform::reply::Head;
+use platform::reply::Subject;
 use relay::attempt::Outcome;
 use relay::permit::Permit;
 use relay::permit::Work;
@@ -93,16 +94,16 @@
         log::error!(kind = "send", request = job.call.id, cause = error.to_string(); "a request cannot be built");
         Outcome::NotSent
     })?;
-    // A second answer on a used connection, or its end, costs the request; one that may run once is lost with it. Where
-    // the request was sent before, a second answer to that send has its id.
-    let is_first = job.note_send(key);
+    // A new connection, since a request that may run once must not be lost to a late second answer, and since the second
+    // answer to an earlier send of this request to the replica has the same id.
+    let is_first = job.is_first_send(key);
     let fresh = !is_first || !(prefill || job.route.mode.repeatable());
     let (response, link) = match shared.links.send(address, request, fresh).await {
         Ok(answer) => answer,
         Err(failure) => return Err(failed(shared, job, key, &failure)),
     };
     let head = Head::read(&job.call.id, response.status(), response.headers());
-    if !link.is_answered(head.subject) {
+    if !link.may_answer(head.subject) {
         return Err(foreign(shared, job, key, &head, &link));
     }
     if let Some(load) = head.load {
@@ -130,12 +131,15 @@
     })
 }
 
-/// Notes that the answer is another request's; this one may run all the same.
+/// Notes that the answer is, or may be, another request's; this one may run all the same.
 fn foreign(shared: &Shared, job: &Job, key: Key, head: &Head, link: &Link) -> Outcome {
     shared.metrics.foreign_answers.inc();
     shared.links.note_second_answer(link.address());
-    let earlier = link.earlier();
-    let cause = format!("the answer is another request's; exchanges before: {earlier}");
+    let whose = match head.subject {
+        Subject::Unnamed => "the answer names no request",
+        _ => "the answer is another request's",
+    };
+    let cause = format!("{whose}; exchanges before: {}", link.exchanges_before());
     let outcome = Outcome::Lost;
     note(shared, job, key, outcome, &cause, head.status.as_u16());
     outcome
@@ -179,7 +183,8 @@
     shared.metrics.send("answered");
 }
 
-/// Reads the rest of a whole answer, and keeps the connection for another request.
+/// Reads the rest of a whole answer, and keeps the connection for another request. An answer without a length is whole
+/// where its connection ends without a reset.
 ///
 /// # Errors
 /// `Lost` if it breaks off or is longer than `most` bytes.
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -180,13 +180,16 @@
         Ok(())
     }
 
-    /// Opens the connection of a later call. Between two calls, it is the one that falls silent together with those of
+    /// Opens the connection of a later call while nobody waits for it. It also falls silent together with those of
     /// watches: the later call then has no answer, and the watches are given up.
     fn open_ahead(&self) {
         let (address, links) = (self.address, Rc::clone(&self.links));
         tokio::task::spawn_local(async move {
-            if let Ok(link) = links::connect(address).await {
-                links.keep(link, None);
+            match links::connect(address).await {
+                Ok(link) => links.keep(link, None),
+                Err(failure) => {
+                    log::debug!(kind = "store", cause = format!("{failure:?}"); "no connection was opened ahead");
+                }
             }
         });
     }
@@ -250,8 +253,8 @@
         }
     }
 
-    /// Sends `request`, and once more if no byte of it left: each call needs a new connection, and a lost packet that
-    /// opens one is sent again only after a second.
+    /// Sends `request`, and once more if it could not connect in time or the connection ended unused: each call needs a
+    /// new connection, and the system sends a lost packet that opens one again only after a second.
     async fn send(
         &self,
         request: Request<Full<Bytes>>,
@@ -271,7 +274,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Bytes, Error> {
         let sent = self.send(request).await;
-        // Dropping the link closes the connection, which is too early before the body is read.
+        // Held until the body is read: dropping it closes the connection.
         let (answer, _link) = sent.map_err(|failure| match failure {
             Failure::Refused { cause }
             | Failure::Unreachable { cause }
--- a/crates/gateway/tests/gateway/common/replica.rs
+++ b/crates/gateway/tests/gateway/common/replica.rs
@@ -64,7 +64,7 @@
 type Script = dyn Fn(&Message) -> Act + Send + Sync;
 type Reports = OnceLock<Box<dyn Fn() -> bool + Send + Sync>>;
 type Calls = OnceLock<Box<dyn Fn(&Message) -> Option<Vec<u8>> + Send + Sync>>;
-type Stutter = OnceLock<Box<dyn Fn(&Message) -> Option<Second> + Send + Sync>>;
+type Again = OnceLock<Box<dyn Fn(&Message) -> Option<Second> + Send + Sync>>;
 
 /// What its connections share with the test.
 #[derive(Default)]
@@ -77,7 +77,7 @@
     /// Answers to calls of the daemon's own in place of the usual ones.
     calls: Calls,
     /// Which requests are answered twice.
-    stutter: Stutter,
+    again: Again,
     /// Second answers that were sent.
     second_answers: AtomicUsize,
     /// Connections that were opened to it.
@@ -139,7 +139,7 @@
 
     /// Answers those requests twice for which `twice` holds. The second answer comes late: on the same connection,
     /// where the answer to the next request is due, and ahead of it.
-    pub fn set_stutter(&self, twice: impl Fn(&Message) -> bool + Send + Sync + 'static) {
+    pub fn answer_twice_if(&self, twice: impl Fn(&Message) -> bool + Send + Sync + 'static) {
         let next = Second {
             wait: None,
             parts: 1,
@@ -152,7 +152,7 @@
         &self,
         how: impl Fn(&Message) -> Option<Second> + Send + Sync + 'static,
     ) {
-        assert!(self.state.stutter.set(Box::new(how)).is_ok());
+        assert!(self.state.again.set(Box::new(how)).is_ok());
     }
 
     /// Second answers that it sent.
@@ -257,7 +257,7 @@
             continue;
         };
         let bytes = act.bytes();
-        let second = state.stutter.get().and_then(|how| how(&request));
+        let second = state.again.get().and_then(|how| how(&request));
         match second {
             Some(_) if bytes.is_empty() => {}
             Some(Second { wait: None, .. }) => second_answer = bytes,
--- a/crates/gateway/tests/gateway/second_answers.rs
+++ b/crates/gateway/tests/gateway/second_answers.rs
@@ -2,7 +2,7 @@
 //! answer to the next prompt was due, and was taken for it: the id in an answer was compared only where the answer is passed
 //! on to a caller. From then on each generation went on from the KV cache of the one before it, and all ended as answered.
 //! With one answer in ten doubled, three daemons did so 159 times in 20 runs of five seconds, in each of them; no plain
-//! answer went astray. The line `read` shows it by a `cache` that the line before named already, with `earlier` above 0.
+//! answer went astray. The line `read` shows it by a `cache` that the line before named already, with `exchanges_before` above 0.
 
 use std::collections::HashSet;
 use std::sync::atomic::AtomicUsize;
@@ -25,7 +25,7 @@
 use crate::site::generate;
 
 /// Longer than the time for which a replica that answered twice is not trusted.
-const STUTTER: Duration = Duration::from_millis(10_500);
+const TRUSTED_AGAIN: Duration = Duration::from_millis(10_500);
 
 fn id(request: &Message) -> &str {
     request.header("request-id").unwrap_or_default()
@@ -63,7 +63,7 @@
 #[test]
 fn a_generation_goes_on_from_its_own_prompt_where_prefills_are_answered_twice() {
     let prefill = reader();
-    prefill.set_stutter(|_| true);
+    prefill.answer_twice_if(|_| true);
     let decode = writer("i-d");
     let site = Site::staged("read-twice", &prefill, &[&decode]);
     for number in 0..6 {
@@ -105,7 +105,7 @@
 #[test]
 fn a_call_gets_its_own_answer_where_calls_are_answered_twice() {
     let replica = application(true);
-    replica.set_stutter(|_| true);
+    replica.answer_twice_if(|_| true);
     let site = Site::start("called-twice", &[(&replica, "app", "")]);
     assert_eq!(foreign_answers(&site), []);
     assert!(replica.second_answers() > 0);
@@ -115,7 +115,7 @@
 #[test]
 fn a_call_gets_its_own_answer_where_answers_name_no_request() {
     let replica = application(false);
-    replica.set_stutter(|_| true);
+    replica.answer_twice_if(|_| true);
     let site = Site::start("unnamed", &[(&replica, "app", "")]);
     assert_eq!(foreign_answers(&site), []);
     assert_eq!(site.ask("GET /read/1", "last").status(), 200);
@@ -127,7 +127,7 @@
         let event = chunk(format!("id: 1\ndata: {}\n\n", id(request)).as_bytes());
         Act::Send([stream_head(request), event, chunk(b"")].concat())
     });
-    decode.set_stutter(|request| request.path() == "/resume/1");
+    decode.answer_twice_if(|request| request.path() == "/resume/1");
     let site = Site::start("streamed-twice", &[(&decode, "llm", "decode")]);
     for number in 0..6 {
         let id = format!("a{number}");
@@ -145,7 +145,7 @@
 #[test]
 fn a_replica_that_answers_twice_costs_one_request() {
     let replica = application(true);
-    replica.set_stutter(|_| true);
+    replica.answer_twice_if(|_| true);
     let site = Site::start("stutter", &[(&replica, "app", "")]);
     let status = |number: usize| site.ask("GET /read/1", &format!("a{number}")).status();
     let lost = (0..12).filter(|number| status(*number) != 200).count();
@@ -170,7 +170,7 @@
         let headers = [("request-id", id(request))];
         Act::Send(answer(200, &headers, told.to_string().as_bytes()))
     });
-    prefill.set_stutter(|_| true);
+    prefill.answer_twice_if(|_| true);
     let script = |request: &Message| match request.header("last-event-id") {
         Some("2") => Act::Send([stream_head(request), events(3, 5), chunk(b"")].concat()),
         _ => Act::SendAndClose([stream_head(request), events(1, 2)].concat()),
@@ -240,7 +240,7 @@
 #[test]
 fn a_replica_that_answered_twice_once_is_trusted_again() {
     let replica = application(true);
-    replica.set_stutter(|request| id(request) == "a0");
+    replica.answer_twice_if(|request| id(request) == "a0");
     let site = Site::start("stutter-ends", &[(&replica, "app", "")]);
     for number in 0..4 {
         site.ask("GET /read/1", &format!("a{number}"));
@@ -248,7 +248,7 @@
     // One of these asked whether the replica is there.
     until("it has asked", || replica.connections() == 4);
     assert_eq!(replica.second_answers(), 1);
-    thread::sleep(STUTTER);
+    thread::sleep(TRUSTED_AGAIN);
     for number in 4..8 {
         let told = site.ask("GET /read/1", &format!("a{number}"));
         assert_eq!(told.status(), 200);
--- a/crates/gateway/tests/gateway/second_calls.rs
+++ b/crates/gateway/tests/gateway/second_calls.rs
@@ -68,7 +68,7 @@
     let decode = writer("i-d");
     let reserved = Arc::new(AtomicUsize::new(0));
     let own_reserved = Arc::clone(&reserved);
-    decode.set_stutter(move |request| {
+    decode.answer_twice_if(move |request| {
         let twice = request.path() == "/api/hold-take";
         own_reserved.fetch_add(usize::from(twice), Ordering::SeqCst);
         twice
@@ -102,7 +102,7 @@
     #[case] lost: usize,
 ) {
     let decode = writer("i-d");
-    decode.set_stutter(move |request| request.path() == path);
+    decode.answer_twice_if(move |request| request.path() == path);
     let site = Site::start(name, &[(&decode, "llm", "decode")]);
     let is_lost = |number: &usize| {
         let told = generate(&site.daemon, path, &format!("a{number}")).read();
@@ -116,7 +116,7 @@
 #[test]
 fn no_generation_is_lost_where_reservations_are_answered_twice() {
     let decode = writer("i-d");
-    decode.set_stutter(|request| request.path() == "/api/hold-take");
+    decode.answer_twice_if(|request| request.path() == "/api/hold-take");
     let site = Site::start("reserve-then-stream", &[(&decode, "llm", "decode")]);
     for number in 0..GENERATIONS {
         let told = generate(&site.daemon, "/draft/1", &format!("a{number}")).read();
@@ -224,7 +224,7 @@
 #[test]
 fn a_run_goes_on_from_its_own_memory_where_moves_are_answered_twice() {
     let source = source();
-    source.set_stutter(|request| request.path() == "/api/kv-move");
+    source.answer_twice_if(|request| request.path() == "/api/kv-move");
     let target = Replica::start("i-2", |request| Act::Slowly(parts(request), PAUSE));
     let site = Site::start("moved-twice", &[(&source, "llm", "decode")]);
     let callers = four_runs(&site, &source);
@@ -277,7 +277,7 @@
         };
         report(request, there)
     });
-    replica.set_stutter(|request| request.path() == "/api/report");
+    replica.answer_twice_if(|request| request.path() == "/api/report");
     let site = Site::start(&format!("reported-{second}"), &[(&replica, "app", "")]);
     let verdicts = || site.daemon.logged("a replica was lost while at work");
     assert_eq!(lose(&site, "c1"), 502);
@@ -352,7 +352,7 @@
 #[case::orders("/api/order")]
 fn an_order_has_its_own_answer_where_calls_are_answered_twice(#[case] path: &'static str) {
     let (engine, given) = engine("i-0");
-    engine.set_stutter(move |request| request.path() == path);
+    engine.answer_twice_if(move |request| request.path() == path);
     let others = ["i-1", "i-2", "i-3"].map(busy);
     let engines = others.iter().chain([&engine]);
     let listed: Vec<_> = engines.map(|engine| (engine, "llm", "prefill")).collect();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -130,7 +130,7 @@
         self.counter
     }
 
-    /// A number not used before in any run. Peers repeat it in answers, which may come when this
+    /// A number that differs from those of other runs, but for a chance of about 2^-64 each. Peers repeat it in answers, which may come when this
     /// instance has started again: counted from one, it would name a question of the new run.
     pub(crate) fn unique_number(&mut self) -> u64 {
         self.number() ^ self.incarnation().0
--- a/crates/node/src/proofs.rs
+++ b/crates/node/src/proofs.rs
@@ -66,9 +66,10 @@
     pub(crate) fn news(&mut self, from: Instance, news: News, out: &mut Vec<Action>) {
         self.tables.view.announce(news.generation);
         self.note_told(from, news);
-        match () {
-            () if self.tables.view.behind() => self.send(from, Body::Pull, out),
-            () => self.take_proof(news),
+        if self.tables.view.behind() {
+            self.send(from, Body::Pull, out);
+        } else {
+            self.take_proof(news);
         }
         if !news.answer {
             let answer = self.my_news(news.asked, true);
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -126,7 +126,7 @@
     Adopt(Box<Hold>),
     /// What became of `key`?
     Ask {
-        /// Matches the answer to the question; never used by another run of the asker.
+        /// Matches the answer to the question; other than those of other runs of the asker.
         nonce: u64,
         /// The key.
         key: Key,
