One function for a call of one exchange, for engines and the platform alike

Two clients held the same exchange, each with a limit for connecting that could not end before the limit of the whole, so that a peer that drops packets was told as lost where nothing was sent. call::direct::exchange gives connecting half of the time. The tests of call, engine and store pass.

--- a/crates/call/src/direct.rs
+++ b/crates/call/src/direct.rs
@@ -14,6 +14,9 @@
 use boottime::timer;
 use bytes::Bytes;
 use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::StatusCode;
 use http::header::CONNECTION;
 use http::header::HOST;
 use http_body_util::BodyExt;
@@ -92,7 +95,7 @@
     step: S,
     peer: SocketAddr,
     limits: Limits,
-    mut request: http::Request<Full<Bytes>>,
+    mut request: Request<Full<Bytes>>,
 ) -> Result<Answer, Error<S>> {
     let not_sent = |cause: String| Error::NotSent { step, peer, cause };
     let lost = |cause: String| Error::Lost { step, peer, cause };
@@ -120,6 +123,48 @@
     Ok(Answer { head, body, guard })
 }
 
+/// Sends a request once to `peer` and reads its whole answer, of at most `limit` bytes; `timeout` spans all of it. Half
+/// of it is for connecting, so that a peer that cannot be reached is told from one that does not answer.
+///
+/// # Errors
+///
+/// Those of [`send`] and [`Answer::collect`].
+pub async fn exchange<S: Copy>(
+    step: S,
+    peer: SocketAddr,
+    timeout: Duration,
+    limit: usize,
+    (method, path, body): (Method, &str, Vec<u8>),
+) -> Result<(StatusCode, Bytes), Error<S>> {
+    let limits = Limits {
+        connect: timeout / 2,
+        head: timeout,
+    };
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .body(Full::new(Bytes::from(body)))
+        .map_err(|e| Error::NotSent {
+            step,
+            peer,
+            cause: e.to_string(),
+        })?;
+    let exchange = async {
+        let answer = send(step, peer, limits, request).await?;
+        let status = answer.head.status;
+        let body = answer.collect(step, peer, timeout, limit).await?;
+        Ok((status, body))
+    };
+    match timer::timeout(timeout, exchange).await {
+        Ok(answer) => answer,
+        Err(elapsed) => Err(Error::Lost {
+            step,
+            peer,
+            cause: elapsed.to_string(),
+        }),
+    }
+}
+
 async fn connect(peer: SocketAddr) -> std::io::Result<TcpStream> {
     let stream = TcpStream::connect(peer).await?;
     stream.set_nodelay(true)?;
--- a/crates/engine/src/control.rs
+++ b/crates/engine/src/control.rs
@@ -7,11 +7,7 @@
 use std::time::Duration;
 
 use ::call::direct;
-use ::call::direct::Limits;
-use boottime::timer;
-use bytes::Bytes;
 use http::Method;
-use http_body_util::Full;
 use serde::de::DeserializeOwned;
 
 use crate::error::Error;
@@ -25,52 +21,18 @@
     body_limit: usize,
     request: (Method, &str, Vec<u8>),
 ) -> Result<T, Error> {
-    let exchange = send(step, peer, timeout, body_limit, request);
-    let answer = timer::timeout(timeout, exchange).await;
-    let body = answer.unwrap_or_else(|elapsed| {
-        Err(Error::Lost {
+    let (status, body) = direct::exchange(step, peer, timeout, body_limit, request).await?;
+    if !status.is_success() {
+        return Err(Error::Refused {
             step,
             peer,
-            cause: elapsed.to_string(),
-        })
-    })?;
+            status: status.as_u16(),
+            body,
+        });
+    }
     serde_json::from_slice(&body).map_err(|e| Error::Malformed {
         step,
         peer,
         cause: e.to_string(),
     })
 }
-
-async fn send(
-    step: Step,
-    peer: SocketAddr,
-    timeout: Duration,
-    body_limit: usize,
-    (method, path, body): (Method, &str, Vec<u8>),
-) -> Result<Bytes, Error> {
-    let limits = Limits {
-        connect: timeout,
-        head: timeout,
-    };
-    let request = http::Request::builder()
-        .method(method)
-        .uri(path)
-        .body(Full::new(Bytes::from(body)))
-        .map_err(|e| Error::NotSent {
-            step,
-            peer,
-            cause: e.to_string(),
-        })?;
-    let answer = direct::send(step, peer, limits, request).await?;
-    let status = answer.head.status;
-    let body = answer.collect(step, peer, timeout, body_limit).await?;
-    if status.is_success() {
-        return Ok(body);
-    }
-    Err(Error::Refused {
-        step,
-        peer,
-        status: status.as_u16(),
-        body,
-    })
-}
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -7,13 +7,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use boottime::timer;
 use bytes::Bytes;
 use call::direct;
-use call::direct::Limits;
 use http::Method;
 use http::StatusCode;
-use http_body_util::Full;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
@@ -135,36 +132,8 @@
         path: &str,
         body: Vec<u8>,
     ) -> Result<Answer, Error> {
-        let exchange = self.exchange(step, method, path, body);
-        match timer::timeout(self.timeout, exchange).await {
-            Ok(answer) => answer,
-            Err(elapsed) => Err(self.lost(step, elapsed.to_string())),
-        }
-    }
-
-    async fn exchange(
-        &self,
-        step: Step,
-        method: Method,
-        path: &str,
-        body: Vec<u8>,
-    ) -> Result<Answer, Error> {
-        let limits = Limits {
-            connect: self.timeout,
-            head: self.timeout,
-        };
-        let request = http::Request::builder()
-            .method(method)
-            .uri(path)
-            .body(Full::new(Bytes::from(body)))
-            .map_err(|e| Error::NotSent {
-                step,
-                peer: self.peer,
-                cause: e.to_string(),
-            })?;
-        let answer = direct::send(step, self.peer, limits, request).await?;
-        let status = answer.head.status;
-        let body = answer.collect(step, self.peer, self.timeout, BODY).await?;
+        let request = (method, path, body);
+        let (status, body) = direct::exchange(step, self.peer, self.timeout, BODY, request).await?;
         Ok(Answer { status, body })
     }
 
