Do not reuse a departed replica because a peer had an outage

Symptom: requests reached a replica more than two seconds after the store had acknowledged its departure (DRAIN).

Cause: a daemon that has lost the store keeps using replicas whose entries have vanished for another 1.9 s, since entries also lapse during an outage of the store. It did so even if the store was silent to this daemon alone and a peer with a working connection had reported the replica as gone. It then reported the replica as lapsing to the other daemons, which put it back into use although they had already dropped it.

Fix: a replica that a peer reports as gone is dropped, even after a local outage, because the peer has already applied the grace period. A replica that this daemon knows to be gone is not added back because a peer reports it as lapsing; one that is listed again is no longer remembered as gone.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -20,6 +20,7 @@
 use rand::seq::IndexedRandom;
 use relay::plan::Plan;
 use relay::quarantine::Record;
+use relay::replica::Source;
 use relay::replica::Update;
 use serde::Deserialize;
 use serde::Serialize;
@@ -149,7 +150,7 @@
         shared.take_plan("peer", plan);
     }
     if let Some(replicas) = told.replicas {
-        shared.take_replicas("peer", &replicas);
+        shared.take_replicas(Source::Peer, &replicas);
     }
 }
 
--- a/crates/gateway/src/shared/knowledge.rs
+++ b/crates/gateway/src/shared/knowledge.rs
@@ -7,6 +7,7 @@
 use relay::belief::Change;
 use relay::plan::Plan;
 use relay::replica::Birth;
+use relay::replica::Source;
 use relay::replica::Update;
 use relay::server::Key;
 
@@ -58,15 +59,16 @@
     }
 
     /// Takes news of the replicas.
-    pub fn take_replicas(&self, source: &'static str, update: &Update) {
+    pub fn take_replicas(&self, source: Source, update: &Update) {
         let version = update.version();
-        let changes = self.pool.borrow_mut().take(self.clock.now(), update);
+        let now = self.clock.now();
+        let changes = self.pool.borrow_mut().take(now, source, update);
         let Some(changes) = changes else {
-            log::info!(kind = "replicas", version = version, source = source; "older news of the replicas are ignored");
+            log::info!(kind = "replicas", version = version, source = source.name(); "older news of the replicas are ignored");
             return;
         };
-        self.replicas_heard.set(self.clock.now());
-        self.tell_changes(source, &changes);
+        self.replicas_heard.set(now);
+        self.tell_changes(source.name(), &changes);
     }
 
     /// Takes from an answer of `key` when its replica started.
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -13,6 +13,7 @@
 use platform::plan;
 use platform::replica;
 use platform::store::Rows;
+use relay::replica::Source;
 use relay::replica::Update;
 
 use crate::exchange;
@@ -231,7 +232,7 @@
     match replicas_news(shared).await {
         Ok(update) => {
             shared.store_answered("replicas");
-            shared.take_replicas("store", &update);
+            shared.take_replicas(Source::Store, &update);
             true
         }
         Err(error) => {
--- a/crates/gateway/tests/gateway/late_news.rs
+++ b/crates/gateway/tests/gateway/late_news.rs
@@ -14,6 +14,7 @@
 use logs::queue::Count;
 use platform::replica;
 use relay::replica::Snapshot;
+use relay::replica::Source;
 use relay::replica::Update;
 use serde_json::json;
 use tokio::runtime::Builder;
@@ -63,7 +64,7 @@
     {}
     let change = async {
         if changes {
-            asker.take_replicas("peer", &list());
+            asker.take_replicas(Source::Peer, &list());
         }
     };
     // The question is on its way before the list is taken.
--- a/crates/relay/src/gone.rs
+++ b/crates/relay/src/gone.rs
@@ -15,6 +15,16 @@
 }
 
 impl Gone {
+    /// Returns whether `id` is recorded as no longer listed.
+    pub(crate) fn contains(&self, id: &str) -> bool {
+        self.ids.iter().any(|(_, gone_id)| gone_id == id)
+    }
+
+    /// Forgets `id`, which is listed again.
+    pub(crate) fn forget(&mut self, id: &str) {
+        self.ids.retain(|(_, gone_id)| gone_id != id);
+    }
+
     /// Notes that `id` is missing at `version`.
     pub(crate) fn push(&mut self, version: u64, id: &str) {
         self.ids.push_back((version, id.to_owned()));
--- a/crates/relay/src/pool/list.rs
+++ b/crates/relay/src/pool/list.rs
@@ -13,6 +13,7 @@
 use crate::replica::Lapsing;
 use crate::replica::Replica;
 use crate::replica::Snapshot;
+use crate::replica::Source;
 use crate::replica::Update;
 use crate::server::Key;
 use crate::server::Server;
@@ -79,15 +80,31 @@
 
     /// Takes news; `None` if they are older than what was taken before, or change a version that is
     /// not reached yet.
-    pub fn take(&mut self, now: Time, update: &Update) -> Option<Vec<Change>> {
+    pub fn take(&mut self, now: Time, source: Source, update: &Update) -> Option<Vec<Change>> {
         match update {
-            Update::All(snapshot) => self.apply(now, snapshot),
-            Update::Changed(delta) => self.apply_delta(now, delta),
+            Update::All(snapshot) => self.take_snapshot(now, source, snapshot),
+            Update::Changed(delta) => self.take_delta(now, source, delta),
         }
     }
 
-    /// Takes a list; one that is older than a list taken before is ignored (`None`).
+    /// Applies a snapshot read from the store. Returns `None` if it is older than the current
+    /// version.
     pub fn apply(&mut self, now: Time, snapshot: &Snapshot) -> Option<Vec<Change>> {
+        self.take_snapshot(now, Source::Store, snapshot)
+    }
+
+    /// Applies a delta read from the store. Returns `None` if it is older than the current version,
+    /// or if its base version has not been reached yet.
+    pub fn apply_delta(&mut self, now: Time, delta: &Delta) -> Option<Vec<Change>> {
+        self.take_delta(now, Source::Store, delta)
+    }
+
+    fn take_snapshot(
+        &mut self,
+        now: Time,
+        source: Source,
+        snapshot: &Snapshot,
+    ) -> Option<Vec<Change>> {
         if snapshot.version < self.version {
             return None;
         }
@@ -102,14 +119,14 @@
         for lapsing in &snapshot.lapsing {
             self.lapse(now, lapsing, &mut changes);
         }
-        let listed: HashSet<&str> = snapshot.replicas.iter().map(|r| r.id.as_str()).collect();
-        self.drop_where(now, |id| !listed.contains(id), &mut changes);
+        let listed = snapshot.replicas.iter();
+        let lapsing = snapshot.lapsing.iter().map(|lapsing| &lapsing.replica);
+        let reported: HashSet<&str> = listed.chain(lapsing).map(|r| r.id.as_str()).collect();
+        self.drop_where(now, source, |id| !reported.contains(id), &mut changes);
         Some(changes)
     }
 
-    /// Takes changes; `None` if they are older than what was taken before, or change a version that is
-    /// not reached yet.
-    pub fn apply_delta(&mut self, now: Time, delta: &Delta) -> Option<Vec<Change>> {
+    fn take_delta(&mut self, now: Time, source: Source, delta: &Delta) -> Option<Vec<Change>> {
         if delta.version < self.version || delta.since > self.version {
             return None;
         }
@@ -122,7 +139,7 @@
             self.lapse(now, lapsing, &mut changes);
         }
         let gone: HashSet<&str> = delta.gone.iter().map(String::as_str).collect();
-        self.drop_where(now, |id| gone.contains(id), &mut changes);
+        self.drop_where(now, source, |id| gone.contains(id), &mut changes);
         Some(changes)
     }
 
@@ -177,17 +194,20 @@
     }
 
     pub(super) fn insert(&mut self, now: Time, replica: &Replica) -> Key {
+        self.gone.forget(&replica.id);
         let server = Server::new(replica.clone(), self.version, now);
         let key = self.servers.insert(server);
         self.by_id.insert(replica.id.clone(), key);
         key
     }
 
-    /// Takes over from a peer that a replica is lapsing.
+    /// Marks a replica as lapsing because a peer reported it. Ignored for a replica recorded as
+    /// gone, since the outage may have affected only the peer.
     fn lapse(&mut self, now: Time, lapsing: &Lapsing, changes: &mut Vec<Change>) {
         let id = &lapsing.replica.id;
         let key = match self.by_id.get(id) {
             Some(key) => *key,
+            None if self.gone.contains(id) => return,
             None => self.insert(now, &lapsing.replica),
         };
         let server = &mut self.servers[key];
@@ -201,17 +221,27 @@
         }
     }
 
-    /// Drops the replicas that are `missing` from the list; after an outage they are used a while
-    /// longer, and those are dropped whose time is over.
-    fn drop_where(&mut self, now: Time, missing: impl Fn(&str) -> bool, changes: &mut Vec<Change>) {
-        let outage = self.outage.map(|outage| outage + LAPSE_GRACE);
-        let returns_until = outage.filter(|until| now < *until);
+    /// Drops the replicas that are `missing` from the list. If the update was read from the store
+    /// shortly after an outage, their entries may only have lapsed, so they stay in use until
+    /// `LAPSE_GRACE` has passed since the outage. Updates from peers get no grace period, because
+    /// the peer has already applied it. Also drops replicas whose grace period has ended.
+    fn drop_where(
+        &mut self,
+        now: Time,
+        source: Source,
+        missing: impl Fn(&str) -> bool,
+        changes: &mut Vec<Change>,
+    ) {
+        let outage = self.outage.filter(|_| source == Source::Store);
+        let returns_until = outage.map(|outage| outage + LAPSE_GRACE);
+        let returns_until = returns_until.filter(|until| now < *until);
         let mut gone = Vec::new();
         for (key, server) in &mut self.servers {
             let id = server.replica.id.as_str();
+            let is_missing = missing(id);
             match (server.lapses, returns_until) {
-                (Some(until), _) if now < until => {}
-                (None, _) if !missing(id) => {}
+                (Some(until), _) if now < until && (!is_missing || source == Source::Store) => {}
+                (None, _) if !is_missing => {}
                 (None, Some(until)) if !server.replica.draining => {
                     server.lapses = Some(until);
                     changes.push(Change {
--- a/crates/relay/src/replica.rs
+++ b/crates/relay/src/replica.rs
@@ -43,6 +43,25 @@
     Changed(Delta),
 }
 
+/// Origin of an update.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// Read from the store by this daemon.
+    Store,
+    /// Received from another daemon.
+    Peer,
+}
+
+impl Source {
+    /// Returns the name used in log lines.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Peer => "peer",
+        }
+    }
+}
+
 impl Update {
     /// The version of the store that it leads to.
     pub const fn version(&self) -> u64 {
--- a/crates/relay/tests/birth.rs
+++ b/crates/relay/tests/birth.rs
@@ -17,6 +17,7 @@
 use relay::replica::Delta;
 use relay::replica::Lapsing;
 use relay::replica::Replica;
+use relay::replica::Source;
 use relay::replica::Stage;
 use relay::replica::Update;
 use relay::runs::Runs;
@@ -128,7 +129,7 @@
     list(&mut teller, 2, Some(SECOND));
     let update = teller.newer(NOW, 1, told.digest()).unwrap();
     assert!(matches!(update, Update::Changed(_)));
-    told.take(NOW, &update).unwrap();
+    told.take(NOW, Source::Peer, &update).unwrap();
     assert_eq!(birth(&told), Some(SECOND));
     assert_eq!(told.digest(), teller.digest());
 }
--- a/crates/relay/tests/pool.rs
+++ b/crates/relay/tests/pool.rs
@@ -10,10 +10,12 @@
 use relay::replica::Delta;
 use relay::replica::Replica;
 use relay::replica::Snapshot;
+use relay::replica::Source;
 use relay::replica::Stage;
 use relay::replica::Update;
 use relay::score::Want;
 use relay::server::Key;
+use rstest::rstest;
 
 const START: Time = Time::from_millis(100_000);
 
@@ -177,7 +179,9 @@
     assert_eq!(delta.gone, ["one"]);
     let mut asker = Pool::new();
     asker.apply(START, &snapshot(3, &["one", "two"]));
-    asker.take(after(600), &Update::Changed(delta)).unwrap();
+    asker
+        .take(after(600), Source::Peer, &Update::Changed(delta))
+        .unwrap();
     assert_eq!(asker.digest(), reader.digest());
     assert_eq!(asker.version(), 5);
     assert!(told(&reader, 5).replicas.is_empty());
@@ -259,7 +263,7 @@
     let (reader, mut asker) = reader_past_a_lapse();
     let now = after(2_000);
     let update = reader.newer(now, asker.version(), asker.digest()).unwrap();
-    asker.take(now, &update);
+    asker.take(now, Source::Peer, &update);
     assert_eq!(asker.replicas().count(), 1);
     assert_eq!(asker.digest(), reader.digest());
 }
@@ -271,11 +275,79 @@
     asker.apply(START, &snapshot(2, &["one", "two"]));
     let now = after(2_000);
     let update = reader.newer(now, 2, asker.digest()).unwrap();
-    asker.take(now, &update);
+    asker.take(now, Source::Peer, &update);
     assert_eq!(asker.digest(), reader.digest());
     assert!(reader.newer(now, 2, asker.digest()).is_none());
 }
 
+/// Guards against reusing a departed replica that a peer with an outage reports as lapsing.
+#[test]
+fn a_replica_that_is_gone_is_not_used_again_because_a_peer_reports_it_as_lapsing() {
+    let mut reader = Pool::new();
+    reader.apply(START, &snapshot(1, &["one", "two"]));
+    let mut asker = reader_of(&reader, START);
+    asker.apply(after(500), &snapshot(2, &["two"]));
+    reader.note_outage(after(1_000));
+    reader.apply(after(1_100), &snapshot(3, &["two"]));
+    let updates = [
+        reader.update(after(1_200), 2),
+        Update::All(reader.snapshot(after(1_200))),
+    ];
+    for update in updates {
+        asker.take(after(1_200), Source::Peer, &update).unwrap();
+        assert_eq!(chosen(&asker, after(1_200), &[]).unwrap(), "two");
+        assert_eq!(asker.replicas().count(), 1);
+        let key = asker.choose(after(1_200), &want(&[]), || 0.0).unwrap();
+        assert_eq!(chosen(&asker, after(1_200), &[key]), None);
+    }
+}
+
+/// Guards against applying the grace period to a removal reported by a peer without an outage.
+#[rstest]
+#[case::delta(false, false)]
+#[case::snapshot(true, false)]
+#[case::delta_for_a_lapsing_replica(false, true)]
+#[case::snapshot_without_a_lapsing_replica(true, true)]
+fn a_replica_that_a_peer_reports_as_gone_is_dropped_after_a_local_outage(
+    #[case] is_snapshot: bool,
+    #[case] is_lapsing: bool,
+) {
+    let mut reader = Pool::new();
+    reader.apply(START, &snapshot(1, &["one"]));
+    let mut asker = reader_of(&reader, START);
+    reader.apply(after(1_000), &snapshot(2, &[]));
+    asker.note_outage(after(1_100));
+    if is_lapsing {
+        let changes = asker.apply(after(1_150), &snapshot(1, &[])).unwrap();
+        assert_eq!(changes[0].now, Belief::Lapsed);
+    }
+    let update = if is_snapshot {
+        Update::All(reader.snapshot(after(1_200)))
+    } else {
+        reader.update(after(1_200), 1)
+    };
+    let changes = asker.take(after(1_200), Source::Peer, &update).unwrap();
+    assert_eq!(changes[0].now, Belief::Gone);
+    assert_eq!(chosen(&asker, after(1_200), &[]), None);
+}
+
+/// Guards against reporting a replica that was listed again and lapses as gone.
+#[test]
+fn a_lapsing_replica_that_had_left_before_is_used_by_a_peer() {
+    let mut reader = Pool::new();
+    reader.apply(START, &snapshot(1, &["one"]));
+    let mut asker = reader_of(&reader, START);
+    reader.apply(after(100), &snapshot(2, &[]));
+    reader.apply(after(200), &snapshot(3, &["one"]));
+    reader.note_outage(after(1_000));
+    reader.apply(after(1_100), &snapshot(4, &[]));
+    let update = reader.update(after(1_200), 1);
+    let changes = asker.take(after(1_200), Source::Peer, &update).unwrap();
+    assert_eq!(changes.len(), 1);
+    assert_eq!(changes[0].now, Belief::Lapsed);
+    assert_eq!(chosen(&asker, after(1_200), &[]).as_deref(), Some("one"));
+}
+
 /// Of many replicas some are weighed; where none of them has room, the others are.
 #[test]
 fn the_only_replica_that_is_left_of_many_is_found() {
