Treat a missing entry as lapsed only after a two-second outage

Cause: any failed call to the store, even a single one, counted as an outage in which entries lapse. Replicas renew their entries several times in two seconds, so no entry lapses in a shorter outage. In addition, a daemon accepted a lapse from a peer that alone had lost the store, although its own list had been up to date throughout.

Fix: treat a missing entry as lapsed only if the list has been out of date for two seconds. A daemon whose own list was up to date treats a replica that a peer reports as lapsing as gone.

Seven existing lapse tests, and two more through a shared fixture, noted an outage at most 1.1 s after reading the list; several did both at the same moment. They now read the list first at 5 s before START. One of them (a_lapsing_replica_that_had_left_before_is_used_by_a_peer) also moves two later reads, from 100 and 200 ms after START, to that time. Times after the outage, bounds and checks are unchanged.

Testing: the three new cases failed with MIN_OUTAGE set to zero.

--- a/crates/gateway/src/shared/knowledge.rs
+++ b/crates/gateway/src/shared/knowledge.rs
@@ -117,8 +117,9 @@
     /// Notes that the replicas are the same as those that a peer has from `version`, which was read
     /// `age` ago.
     pub fn confirm_replicas(&self, version: u64, age: Duration) {
-        self.pool.borrow_mut().confirm(version);
-        let read = self.clock.now() - age;
+        let now = self.clock.now();
+        self.pool.borrow_mut().confirm(now, version);
+        let read = now - age;
         self.replicas_heard.set(self.replicas_heard.get().max(read));
         self.store_heard.set(self.store_heard.get().max(read));
     }
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -30,6 +30,10 @@
 /// so many is among the best fiftieth of all, and weighing 930 took 77 us in place of 16.
 const MAX_WEIGHED: usize = 64;
 
+/// Minimum time for which the list must be out of date before a missing entry is treated as lapsed.
+/// Replicas renew their entries several times in this period, so a shorter outage expires none.
+const MIN_OUTAGE: Duration = Duration::from_secs(2);
+
 /// All replicas that this daemon knows.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -40,6 +44,12 @@
     /// Hashes of incarnations that ended while their replica started again; at most one a slot of `servers`.
     restarted: SecondaryMap<Key, u64>,
     version: u64,
+    /// When the list was last known to be up to date.
+    refreshed_at: Option<Time>,
+    /// When the list was last found to have been out of date for at least [`MIN_OUTAGE`], or not
+    /// to have been read yet.
+    outdated_at: Option<Time>,
+    /// When the list last could not be read from the store while it was out of date for that long.
     outage: Option<Time>,
     memory: HashMap<String, u64>,
     /// Hash of the list, until the list changes.
@@ -74,9 +84,25 @@
         rapidhash_v3(texts.collect::<String>().as_bytes())
     }
 
-    /// Notes that a peer whose list equals this daemon's has it from `version`.
-    pub fn confirm(&mut self, version: u64) {
+    /// Records that, at `now`, a peer with an equal list has it from `version`.
+    pub fn confirm(&mut self, now: Time, version: u64) {
         self.version = self.version.max(version);
+        self.note_refresh(now);
+    }
+
+    /// Records that the list is up to date at `now`.
+    pub(crate) fn note_refresh(&mut self, now: Time) {
+        if self.is_outdated(now) {
+            self.outdated_at = Some(now);
+        }
+        self.refreshed_at = Some(now);
+    }
+
+    /// Whether the list has been out of date long enough for entries to have lapsed. True if the
+    /// list has not been read yet.
+    fn is_outdated(&self, now: Time) -> bool {
+        self.refreshed_at
+            .is_none_or(|at| now.since(at) >= MIN_OUTAGE)
     }
 
     /// The replica behind `key`, unless it is forgotten.
@@ -113,8 +139,11 @@
     }
 
     /// Notes that the list could not be read at `now`.
-    pub const fn note_outage(&mut self, now: Time) {
-        self.outage = Some(now);
+    pub fn note_outage(&mut self, now: Time) {
+        if self.is_outdated(now) {
+            self.outdated_at = Some(now);
+            self.outage = Some(now);
+        }
     }
 
     /// Sets the tokens that one engine of `service` holds.
--- a/crates/relay/src/pool/list.rs
+++ b/crates/relay/src/pool/list.rs
@@ -112,15 +112,17 @@
             self.gone.since = snapshot.version;
         }
         self.reach(snapshot.version);
+        self.note_refresh(now);
+        let (lapsing, _) = self.split_lapsing(now, &snapshot.lapsing);
         let mut changes = Vec::new();
         for replica in &snapshot.replicas {
             self.list(now, replica, &mut changes);
         }
-        for lapsing in &snapshot.lapsing {
+        for lapsing in lapsing {
             self.lapse(now, lapsing, &mut changes);
         }
         let listed = snapshot.replicas.iter();
-        let lapsing = snapshot.lapsing.iter().map(|lapsing| &lapsing.replica);
+        let lapsing = lapsing.iter().map(|lapsing| &lapsing.replica);
         let reported: HashSet<&str> = listed.chain(lapsing).map(|r| r.id.as_str()).collect();
         self.drop_where(now, source, |id| !reported.contains(id), &mut changes);
         Some(changes)
@@ -131,18 +133,36 @@
             return None;
         }
         self.reach(delta.version);
+        self.note_refresh(now);
+        let (lapsing, gone) = self.split_lapsing(now, &delta.lapsing);
         let mut changes = Vec::new();
         for replica in &delta.replicas {
             self.list(now, replica, &mut changes);
         }
-        for lapsing in &delta.lapsing {
+        for lapsing in lapsing {
             self.lapse(now, lapsing, &mut changes);
         }
-        let gone: HashSet<&str> = delta.gone.iter().map(String::as_str).collect();
+        let gone = gone.iter().map(|lapsing| &lapsing.replica.id);
+        let gone: HashSet<&str> = delta.gone.iter().chain(gone).map(String::as_str).collect();
         self.drop_where(now, source, |id| gone.contains(id), &mut changes);
         Some(changes)
     }
 
+    /// Splits the replicas that a peer reports as `lapsing` into those that stay in use for the
+    /// time that is left and those that are gone. Unless this daemon's list was outdated within
+    /// the last `LAPSE_GRACE`, only the peer lost the store, so the replicas have left rather than
+    /// lapsed.
+    fn split_lapsing<'a>(
+        &self,
+        now: Time,
+        lapsing: &'a [Lapsing],
+    ) -> (&'a [Lapsing], &'a [Lapsing]) {
+        match self.outdated_at {
+            Some(at) if now < at + LAPSE_GRACE => (lapsing, &[]),
+            _ => (&[], lapsing),
+        }
+    }
+
     fn reach(&mut self, version: u64) {
         self.version = version;
         self.digest.set(None);
--- a/crates/relay/tests/pool.rs
+++ b/crates/relay/tests/pool.rs
@@ -18,6 +18,8 @@
 use rstest::rstest;
 
 const START: Time = Time::from_millis(100_000);
+/// Time of the last read before an outage that is long enough for entries to lapse.
+const BEFORE_OUTAGE: Time = Time::from_millis(95_000);
 
 fn replica(id: &str) -> Replica {
     common::replica(id, "app", None, 4)
@@ -73,7 +75,7 @@
 #[test]
 fn a_replica_that_vanishes_after_an_outage_is_used_until_two_seconds_after_it() {
     let mut pool = Pool::new();
-    pool.apply(START, &snapshot(1, &["one"]));
+    pool.apply(BEFORE_OUTAGE, &snapshot(1, &["one"]));
     pool.note_outage(after(0));
     let changes = pool.apply(after(1_500), &snapshot(2, &[])).unwrap();
     assert_eq!(changes[0].now, Belief::Lapsed);
@@ -87,7 +89,7 @@
 #[test]
 fn a_replica_that_is_back_after_an_outage_is_used_on() {
     let mut pool = Pool::new();
-    pool.apply(START, &snapshot(1, &["one"]));
+    pool.apply(BEFORE_OUTAGE, &snapshot(1, &["one"]));
     pool.note_outage(START);
     pool.apply(after(1_000), &snapshot(2, &[]));
     pool.apply(after(1_500), &snapshot(3, &["one"]));
@@ -98,8 +100,8 @@
 #[test]
 fn a_lapsing_replica_is_passed_on_with_the_time_that_is_left() {
     let mut reader = Pool::new();
-    reader.apply(START, &snapshot(1, &["one"]));
-    let mut asker = reader_of(&reader, START);
+    reader.apply(BEFORE_OUTAGE, &snapshot(1, &["one"]));
+    let mut asker = reader_of(&reader, BEFORE_OUTAGE);
     reader.note_outage(START);
     reader.apply(after(1_000), &snapshot(2, &[]));
     assert_ne!(reader.digest(), asker.digest());
@@ -220,7 +222,7 @@
 #[test]
 fn a_replica_that_lapsed_by_a_change_is_dropped_when_its_time_is_over() {
     let mut pool = Pool::new();
-    pool.apply(START, &snapshot(3, &["one", "two"]));
+    pool.apply(BEFORE_OUTAGE, &snapshot(3, &["one", "two"]));
     pool.note_outage(after(1_000));
     let lapsed = Delta {
         since: 3,
@@ -251,8 +253,8 @@
 /// A reader whose lapsed replica ran out of time between two readings of the store.
 fn reader_past_a_lapse() -> (Pool, Pool) {
     let mut reader = Pool::new();
-    reader.apply(START, &snapshot(1, &["one", "two"]));
-    let asker = reader_of(&reader, START);
+    reader.apply(BEFORE_OUTAGE, &snapshot(1, &["one", "two"]));
+    let asker = reader_of(&reader, BEFORE_OUTAGE);
     reader.note_outage(START);
     reader.apply(after(1_000), &snapshot(2, &["two"]));
     (reader, asker)
@@ -284,8 +286,8 @@
 #[test]
 fn a_replica_that_is_gone_is_not_used_again_because_a_peer_reports_it_as_lapsing() {
     let mut reader = Pool::new();
-    reader.apply(START, &snapshot(1, &["one", "two"]));
-    let mut asker = reader_of(&reader, START);
+    reader.apply(BEFORE_OUTAGE, &snapshot(1, &["one", "two"]));
+    let mut asker = reader_of(&reader, BEFORE_OUTAGE);
     asker.apply(after(500), &snapshot(2, &["two"]));
     reader.note_outage(after(1_000));
     reader.apply(after(1_100), &snapshot(3, &["two"]));
@@ -313,8 +315,8 @@
     #[case] is_lapsing: bool,
 ) {
     let mut reader = Pool::new();
-    reader.apply(START, &snapshot(1, &["one"]));
-    let mut asker = reader_of(&reader, START);
+    reader.apply(BEFORE_OUTAGE, &snapshot(1, &["one"]));
+    let mut asker = reader_of(&reader, BEFORE_OUTAGE);
     reader.apply(after(1_000), &snapshot(2, &[]));
     asker.note_outage(after(1_100));
     if is_lapsing {
@@ -335,10 +337,10 @@
 #[test]
 fn a_lapsing_replica_that_had_left_before_is_used_by_a_peer() {
     let mut reader = Pool::new();
-    reader.apply(START, &snapshot(1, &["one"]));
-    let mut asker = reader_of(&reader, START);
-    reader.apply(after(100), &snapshot(2, &[]));
-    reader.apply(after(200), &snapshot(3, &["one"]));
+    reader.apply(BEFORE_OUTAGE, &snapshot(1, &["one"]));
+    let mut asker = reader_of(&reader, BEFORE_OUTAGE);
+    reader.apply(BEFORE_OUTAGE, &snapshot(2, &[]));
+    reader.apply(BEFORE_OUTAGE, &snapshot(3, &["one"]));
     reader.note_outage(after(1_000));
     reader.apply(after(1_100), &snapshot(4, &[]));
     let update = reader.update(after(1_200), 1);
@@ -348,6 +350,41 @@
     assert_eq!(chosen(&asker, after(1_200), &[]).as_deref(), Some("one"));
 }
 
+/// Guards against treating a departure after an outage too short for entries to lapse as a lapse.
+#[test]
+fn a_replica_that_vanishes_after_a_short_outage_is_gone_at_once() {
+    let mut pool = Pool::new();
+    pool.apply(START, &snapshot(1, &["one"]));
+    pool.note_outage(after(1_200));
+    let changes = pool.apply(after(1_600), &snapshot(2, &[])).unwrap();
+    assert_eq!(changes[0].now, Belief::Gone);
+    assert_eq!(chosen(&pool, after(1_600), &[]), None);
+}
+
+/// Guards against accepting a lapse from a peer that alone lost the store.
+#[rstest]
+#[case::delta(false)]
+#[case::snapshot(true)]
+fn a_lapsing_replica_is_gone_for_a_daemon_whose_list_was_up_to_date(#[case] is_snapshot: bool) {
+    let mut reader = Pool::new();
+    reader.apply(BEFORE_OUTAGE, &snapshot(1, &["one"]));
+    let mut asker = reader_of(&reader, BEFORE_OUTAGE);
+    for ms in (0..5_500).step_by(500) {
+        asker.confirm(BEFORE_OUTAGE + Duration::from_millis(ms), 1);
+    }
+    reader.note_outage(after(800));
+    let changes = reader.apply(after(1_000), &snapshot(2, &[])).unwrap();
+    assert_eq!(changes[0].now, Belief::Lapsed);
+    let update = if is_snapshot {
+        Update::All(reader.snapshot(after(1_000)))
+    } else {
+        reader.update(after(1_000), 1)
+    };
+    let changes = asker.take(after(1_000), Source::Peer, &update).unwrap();
+    assert_eq!(changes[0].now, Belief::Gone);
+    assert_eq!(chosen(&asker, after(1_000), &[]), None);
+}
+
 /// Of many replicas some are weighed; where none of them has room, the others are.
 #[test]
 fn the_only_replica_that_is_left_of_many_is_found() {
