Bound the age of the replica list when other daemons answer late

Visible effect: callers' requests could go to a replica that left up to about three seconds earlier.

Cause: daemons take the list from the daemon that reads the store for their data centre. Each peer that answered late cost up to 0.8 s, and only one of two other data centres, chosen at random, was asked. A daemon whose reader had lost the store read it itself only 1.5 to 2.5 s after its last reading. And an answer from the store was dated by its arrival, so one that took a second to arrive counted as new.

Change: - The readers get 300 ms in total; after that a daemon that none of them answered reads the store itself. - The readers of all other data centres are asked in turn. - A daemon whose readers have lost the store reads it again 0.45 to 0.75 s after its last reading, in data centres of up to 8 instances. - Answers are dated by the earliest time at which the store can have given them, and peers send the age of the list that they pass on.

With news at most 1 s old, a pause of 0.45 s and the 300 ms, a daemon that reaches the store asks it when its list is at most 1.75 s old; in larger data centres, and where all readers have lost the store at once, later.

Testing: the new test failed with the earlier period (4 reads in 8 s, where 5 are required) and passes now.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -17,6 +17,7 @@
 use h2::RecvStream;
 use http::Request;
 use http::Response;
+use ident::Time;
 use rand::seq::IndexedRandom;
 use relay::plan::Plan;
 use relay::quarantine::Record;
@@ -65,6 +66,8 @@
     plan: Option<Plan>,
     /// The replicas, if they are newer than the asker's.
     replicas: Option<Update>,
+    /// Time since the teller's replicas were read from the store.
+    replicas_age: Duration,
     /// The instances, if the asker knows fewer.
     cards: Vec<Card>,
     /// Requests under which replicas ended, as the teller knows.
@@ -123,10 +126,11 @@
         all_records: !shared.has_all_records(),
     };
     let begun = Instant::now();
+    let asked_at = shared.clock.now();
     match timeout(ASK_TIMEOUT, question(peer, &ask)).await {
         // A list that came later was told before the machine was suspended.
         Ok(Ok(told)) if begun.elapsed() <= ASK_TIMEOUT => {
-            take(shared, told);
+            take(shared, asked_at, told);
             return true;
         }
         Ok(Err(error)) => {
@@ -139,7 +143,8 @@
     false
 }
 
-fn take(shared: &Shared, told: Tell) {
+/// Applies the answer to a question that was sent at `asked_at`.
+fn take(shared: &Shared, asked_at: Time, told: Tell) {
     let now = shared.clock.now();
     for card in &told.cards {
         shared.members.borrow_mut().learn(now, card);
@@ -150,7 +155,7 @@
         shared.take_plan("peer", plan);
     }
     if let Some(replicas) = told.replicas {
-        shared.take_replicas(Source::Peer, &replicas);
+        shared.take_replicas(Source::Peer, asked_at - told.replicas_age, &replicas);
     }
 }
 
@@ -221,6 +226,7 @@
             .filter(|plan| plan.version > ask.plan)
             .map(|plan| (*plan).clone()),
         replicas: shared.newer_replicas(ask.replicas, ask.digest),
+        replicas_age: shared.replicas_age(),
         cards: if knows_more {
             members.cards()
         } else {
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -18,6 +18,7 @@
 use ident::Time;
 use ident::Zone;
 use rand::seq::IteratorRandom;
+use rand::seq::SliceRandom;
 use relay::directory::Entry;
 
 use crate::card::Card;
@@ -318,17 +319,17 @@
         1 + others.filter(|card| card.data_centre == near).count()
     }
 
-    /// Where a daemon listens that reads the store for another data centre, drawn anew each time;
-    /// `None` if none is known.
-    pub fn distant_poller(&self) -> Option<SocketAddr> {
+    /// Peer addresses of the daemons that read the store for other data centres, in random order.
+    pub fn distant_pollers(&self) -> Vec<SocketAddr> {
         let near = self.own.data_centre;
         let mut distant: Vec<Zone> = self.cards.values().map(|card| card.data_centre).collect();
         distant.retain(|zone| *zone != near);
         distant.sort_unstable();
         distant.dedup();
+        distant.shuffle(&mut rand::rng());
         let pollers = distant.into_iter().filter_map(|zone| self.poller_in(zone));
-        let drawn = pollers.choose(&mut rand::rng())?;
-        self.cards.get(&drawn).map(|card| card.peers)
+        let cards = pollers.filter_map(|poller| self.cards.get(&poller));
+        cards.map(|card| card.peers).collect()
     }
 
     /// Where the daemon of `instance` listens for others, if it is known.
--- a/crates/gateway/src/shared/knowledge.rs
+++ b/crates/gateway/src/shared/knowledge.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use ident::Time;
 use relay::belief::Belief;
 use relay::belief::Change;
 use relay::plan::Plan;
@@ -58,8 +59,8 @@
         *self.plan.borrow_mut() = Some(Rc::new(plan));
     }
 
-    /// Takes news of the replicas.
-    pub fn take_replicas(&self, source: Source, update: &Update) {
+    /// Applies an update of the replicas that reflects the store as of `read_at`.
+    pub fn take_replicas(&self, source: Source, read_at: Time, update: &Update) {
         let version = update.version();
         let now = self.clock.now();
         let changes = self.pool.borrow_mut().take(now, source, update);
@@ -67,7 +68,7 @@
             log::info!(kind = "replicas", version = version, source = source.name(); "older news of the replicas are ignored");
             return;
         };
-        self.replicas_heard.set(now);
+        self.note_replicas_read(read_at);
         self.tell_changes(source.name(), &changes);
     }
 
@@ -120,10 +121,16 @@
         let now = self.clock.now();
         self.pool.borrow_mut().confirm(now, version);
         let read = now - age;
-        self.replicas_heard.set(self.replicas_heard.get().max(read));
+        self.note_replicas_read(read);
         self.store_heard.set(self.store_heard.get().max(read));
     }
 
+    /// Advances the time at which the replicas were last known to be current; never moves it back.
+    fn note_replicas_read(&self, read_at: Time) {
+        self.replicas_heard
+            .set(self.replicas_heard.get().max(read_at));
+    }
+
     /// Time since the replicas were up to date.
     pub fn replicas_age(&self) -> Duration {
         self.clock.now().since(self.replicas_heard.get())
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -10,6 +10,8 @@
 use boottime::Instant;
 use boottime::timer::sleep;
 use boottime::timer::timeout;
+use boottime::timer::timeout_at;
+use ident::Time;
 use platform::plan;
 use platform::replica;
 use platform::store::Rows;
@@ -38,6 +40,10 @@
 /// Time that the daemon which reads the store gets for an answer; a round trip takes some
 /// milliseconds.
 const NEWS_PATIENCE: Duration = Duration::from_millis(120);
+/// Total time for asking the daemons that read the store, after which this daemon reads it itself.
+/// Together with the maximum age of news and the pause before ([`REPLICAS_PERIOD`]), this keeps the
+/// list well below an age of 2 s, after which a replica that leaves must get no requests.
+const READERS_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time after a start for which a daemon waits for the one that reads the store, before it reads plan and
 /// replicas itself: at a common start of 295 instances, 3,500 calls fell when each read them all.
 const START_PATIENCE: Duration = Duration::from_millis(1_500);
@@ -51,7 +57,7 @@
 const DIRECT_READERS: usize = 8;
 /// Time between two readings of the store by a daemon that others read for, while the store fails
 /// those: often enough to notice that it serves this one alone.
-const DIRECT_PERIOD: Duration = Duration::from_secs(2);
+const DIRECT_PERIOD: Duration = Duration::from_millis(600);
 /// Pause after a failed call, so that a store in trouble is not pressed further.
 const RETRY_PAUSE: Duration = Duration::from_millis(350);
 
@@ -111,7 +117,8 @@
         let phase = phase(&shared, patience);
         let heard = match phase {
             Phase::StartsWithFew => Heard::Silent,
-            Phase::StartsWithMany | Phase::Steady => ask_readers(&shared).await,
+            Phase::StartsWithMany => ask_readers(&shared, START_PATIENCE).await,
+            Phase::Steady => ask_readers(&shared, READERS_TIMEOUT).await,
         };
         if phase == Phase::StartsWithMany && heard != Heard::Fresh && !reads_for_others {
             ask_neighbour(&shared).await;
@@ -180,24 +187,26 @@
     period.mul_f64(share * rand::random_range(0.75..1.25))
 }
 
-/// Asks the daemons that read the store; `Silent` where this one does.
-async fn ask_readers(shared: &Shared) -> Heard {
+/// Asks the daemons that read the store, starting with the one for this data centre, until one is
+/// up to date or `limit` has passed. Returns `Silent` if none answers or if this daemon reads the
+/// store for others.
+async fn ask_readers(shared: &Shared, limit: Duration) -> Heard {
+    let deadline = Instant::now() + limit;
     let near = shared.members.borrow().poller();
     let Some(near) = near else {
         return Heard::Silent;
     };
-    let heard = news(shared, near).await;
-    if heard == Heard::Fresh {
-        return heard;
-    }
-    let distant = shared.members.borrow().distant_poller();
-    let Some(distant) = distant else {
-        return heard;
-    };
-    match news(shared, distant).await {
-        Heard::Silent => heard,
-        other => other,
+    let distant = shared.members.borrow().distant_pollers();
+    let mut heard = Heard::Silent;
+    for poller in std::iter::once(near).chain(distant) {
+        match timeout_at(deadline, news(shared, poller)).await {
+            Ok(Heard::Fresh) => return Heard::Fresh,
+            Ok(Heard::Stale) => heard = Heard::Stale,
+            Ok(Heard::Silent) => {}
+            Err(_) => break,
+        }
     }
+    heard
 }
 
 /// Asks any daemon of this data centre. At a common start the one that reads the store would have to pass
@@ -229,10 +238,12 @@
 }
 
 async fn read_replicas(shared: &Shared) -> bool {
+    let started_at = shared.clock.now();
     match replicas_news(shared).await {
         Ok(update) => {
             shared.store_answered("replicas");
-            shared.take_replicas(Source::Store, &update);
+            let read_at = earliest_read_time(started_at, shared.clock.now(), &update);
+            shared.take_replicas(Source::Store, read_at, &update);
             true
         }
         Err(error) => {
@@ -243,6 +254,18 @@
     }
 }
 
+/// Earliest time at which the store can have produced the answer to a call that was sent at
+/// `started_at` and completed at `now`. The time of arrival would make a delayed answer look
+/// current. The store answers a watch without changes only once [`REPLICAS_WAIT`] has elapsed.
+fn earliest_read_time(started_at: Time, now: Time, update: &Update) -> Time {
+    match update {
+        Update::Changed(delta) if delta.is_empty() && now.since(started_at) >= REPLICAS_WAIT => {
+            started_at + REPLICAS_WAIT
+        }
+        _ => started_at,
+    }
+}
+
 /// What changed of the replicas, or all of them where that is not known.
 async fn replicas_news(shared: &Shared) -> Result<Update, Error> {
     let since = shared.replicas_version();
--- a/crates/gateway/tests/gateway/common/store.rs
+++ b/crates/gateway/tests/gateway/common/store.rs
@@ -6,6 +6,8 @@
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use base64::Engine;
@@ -22,7 +24,6 @@
     rows: BTreeMap<(String, String), (Vec<u8>, u64)>,
     /// Versions at which rows were removed.
     removed: BTreeMap<(String, String), u64>,
-    down: bool,
     /// Connections opened so far.
     opened: u64,
     /// Connections with a lower number get no answer any more.
@@ -60,6 +61,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Store {
     inner: Arc<(Mutex<Inner>, Condvar)>,
+    /// Whether calls at this address are answered with 503.
+    down: Arc<AtomicBool>,
 }
 
 impl Store {
@@ -71,6 +74,18 @@
         (store, address)
     }
 
+    /// Serves the same rows at another address on `ip`; [`Self::set_down`] applies to each address
+    /// separately.
+    pub fn at_another_address(&self, ip: &str) -> (Self, SocketAddr) {
+        let store = Self {
+            inner: Arc::clone(&self.inner),
+            down: Arc::default(),
+        };
+        let own = store.clone();
+        let address = http::serve(ip, move |socket| own.connection(socket));
+        (store, address)
+    }
+
     /// Writes a row.
     pub fn put(&self, table: &str, key: &str, value: &Value) {
         self.put_bytes(table, key, value.to_string().as_bytes());
@@ -113,9 +128,9 @@
         inner.rows.contains_key(&(table.to_owned(), key.to_owned()))
     }
 
-    /// Answers every call with 503, or no longer.
+    /// Sets whether every call at this address is answered with 503.
     pub fn set_down(&self, down: bool) {
-        self.inner.0.lock().unwrap().down = down;
+        self.down.store(down, Ordering::SeqCst);
     }
 
     /// Answers each call twice from now on. The second answer comes late: on the same connection, where the answer to
@@ -182,7 +197,7 @@
     }
 
     fn answer(&self, request: &Message) -> (u16, Value) {
-        if self.inner.0.lock().unwrap().down {
+        if self.down.load(Ordering::SeqCst) {
             return (503, json!({}));
         }
         let (path, query) = request
--- a/crates/gateway/tests/gateway/late_news.rs
+++ b/crates/gateway/tests/gateway/late_news.rs
@@ -64,7 +64,7 @@
     {}
     let change = async {
         if changes {
-            asker.take_replicas(Source::Peer, &list());
+            asker.take_replicas(Source::Peer, asker.clock.now(), &list());
         }
     };
     // The question is on its way before the list is taken.
--- a/crates/gateway/tests/gateway/world.rs
+++ b/crates/gateway/tests/gateway/world.rs
@@ -1,8 +1,12 @@
 //! What the daemon believes of plans, replicas and other daemons.
 
+use std::thread;
+use std::time::Duration;
+
 use serde_json::json;
 
 use crate::common::daemon::Daemon;
+use crate::common::daemon::new_ip;
 use crate::common::daemon::until;
 use crate::common::replica::Act;
 use crate::common::replica::Replica;
@@ -148,6 +152,46 @@
     site.until_not("/moved/1", 404);
 }
 
+/// Number of watch calls for the replicas that `daemon` has sent to the store.
+fn watch_count(daemon: &Daemon) -> u64 {
+    let metrics = daemon.metrics();
+    let name = "waxwing_gateway_store_calls_total{step=\"watching\",table=\"servers\"} ";
+    let mut counts = metrics.lines().filter_map(|line| line.strip_prefix(name));
+    counts.next().map_or(0, |count| count.parse().unwrap())
+}
+
+/// Guards against a list of replicas that is seconds out of date because the daemon that reads the
+/// store for others cannot reach it.
+#[test]
+fn a_daemon_whose_reader_has_lost_the_store_reads_it_often() {
+    let replica = echo("i-1");
+    let site = Site::start("loses-store", &[(&replica, "app", "")]);
+    let (other_store, address) = site.store.at_another_address("127.0.0.1");
+    let other = Daemon::start("keeps-store", &new_ip(), address, &[&site.ip]);
+    other.until_ready();
+    let is_reader = |daemon: &Daemon| {
+        let before = watch_count(daemon);
+        thread::sleep(Duration::from_secs(2));
+        watch_count(daemon) > before
+    };
+    until("exactly one daemon reads the store", || {
+        is_reader(&site.daemon) != is_reader(&other)
+    });
+    let (reader, store, asker) = if is_reader(&site.daemon) {
+        (&site.daemon, &site.store, &other)
+    } else {
+        (&other, &other_store, &site.daemon)
+    };
+    store.set_down(true);
+    until("the reader logs that the store does not answer", || {
+        !reader.logged("the store does not answer").is_empty()
+    });
+    let before = watch_count(asker);
+    thread::sleep(Duration::from_secs(8));
+    let count = watch_count(asker) - before;
+    assert!(count >= 5, "{count} watch calls in 8 s");
+}
+
 /// Lists `count` instances beside those of the test; nobody is there.
 fn list_dead(site: &Site, count: usize) {
     until("the own row is written", || {
--- a/crates/relay/src/replica.rs
+++ b/crates/relay/src/replica.rs
@@ -34,6 +34,13 @@
     pub lapsing: Vec<Lapsing>,
 }
 
+impl Delta {
+    /// Whether the delta contains no changes.
+    pub const fn is_empty(&self) -> bool {
+        self.replicas.is_empty() && self.gone.is_empty() && self.lapsing.is_empty()
+    }
+}
+
 /// News of the replicas.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Update {
