Log the request limits that replicas send in their answers

Replicas in need send in their answers the number of requests per second that they accept from all daemons together.

Read the limit, store it with the replica, and log each change (kind "limit"). An unsigned answer does not lift a limit.

--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -134,6 +134,10 @@
     if head.other_replica {
         shared.pool.borrow_mut().replaced(key);
     }
+    // An unsigned answer may come from an intermediary, so it cannot lift a limit.
+    if head.limit.is_some() || head.genuine {
+        shared.note_limit(key, head.limit);
+    }
     if let Some((outcome, cause)) = fault(&head, prefill) {
         let load = head
             .load
--- a/crates/gateway/src/shared/choice.rs
+++ b/crates/gateway/src/shared/choice.rs
@@ -58,6 +58,17 @@
         pool.choose(self.clock.now(), &want, rand::random)
     }
 
+    /// Records the request limit in an answer of `key`, and logs a change.
+    pub fn note_limit(&self, key: Key, limit: Option<f64>) {
+        let mut pool = self.pool.borrow_mut();
+        if !pool.set_limit(key, limit) {
+            return;
+        }
+        let replica = pool.get(key).map_or("", |server| &server.replica.id);
+        let rate = limit.map_or("none".to_owned(), |rate| rate.to_string());
+        log::info!(kind = "limit", replica = replica, rate = rate; "replica request limit changed");
+    }
+
     /// The data centre of `key`; this daemon's own if the replica is gone.
     pub fn data_centre_of(&self, key: Key) -> Zone {
         let pool = self.pool.borrow();
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -204,6 +204,14 @@
         }
     }
 
+    /// Sets the request limit of `key`, or clears it if `limit` is `None`. Returns whether the limit changed.
+    pub fn set_limit(&mut self, key: Key, limit: Option<f64>) -> bool {
+        let Some(server) = self.servers.get_mut(key) else {
+            return false;
+        };
+        std::mem::replace(&mut server.limit, limit) != limit
+    }
+
     /// Notes whether a send to `key` failed.
     pub fn note(&mut self, now: Time, key: Key, failed: bool) {
         if let Some(server) = self.servers.get_mut(key) {
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -79,6 +79,8 @@
     answered: Option<Time>,
     /// When it last did not answer this daemon.
     silent: Option<Time>,
+    /// Limit in requests per second, across all daemons; `None` if it has none.
+    pub limit: Option<f64>,
     /// Whether a replica with another id answered at its address.
     pub(crate) replaced: bool,
     /// What the runs that this daemon knows of will hold, its own and those of others.
@@ -109,6 +111,7 @@
             answered: None,
             silent: None,
             failures: (0.0, now),
+            limit: None,
             replaced: false,
             forecast: Curve::flat(0.0),
             told_runs: 0,
