Enforce the request limits of replicas across all daemons

Callers saw no effect.

Class: what a replica reports about its capacity is not shared between daemons, or not respected.

Before sending a request to a limited replica, a daemon now asks the daemon that keeps the count for this replica, as for customer quotas. If no replica is left, a call is refused at once unless a token comes free within the time that it may wait for a replica; it is told the shortest remaining time of the throttled replicas. Only the keeper grants requests to a replica; deputies and pockets do not. Runs are not moved to limited replicas, and a silent replica is not abandoned for a limited one.

Rejected alternative, on paper: a fixed share of the limit for each daemon. With more daemons than the limit allows requests in some seconds, the first request of each daemon alone exceeds it, and an unused share is lost.

--- a/crates/customer/src/keeper.rs
+++ b/crates/customer/src/keeper.rs
@@ -14,8 +14,8 @@
 
 use crate::bucket::Bucket;
 use crate::bucket::Verdict;
-use crate::list::Id;
 use crate::quota::Limit;
+use crate::quota::Subject;
 use crate::quota::Tolerance;
 
 /// What a daemon may decide on a customer's quota, by its own view of the members.
@@ -33,7 +33,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Ask {
     /// Whose quota.
-    pub customer: Id,
+    pub subject: Subject,
     /// How much.
     pub units: f64,
     /// What for.
@@ -90,7 +90,7 @@
 /// The buckets that a daemon keeps.
 #[derive(Debug, Default)]
 pub struct Keeper {
-    buckets: HashMap<(Id, Role), Bucket>,
+    buckets: HashMap<(Subject, Role), Bucket>,
 }
 
 impl Keeper {
@@ -110,13 +110,18 @@
         tolerance: &Tolerance,
         ask: &Ask,
     ) -> Told {
-        let limit = match role {
-            Role::Keeper => limit,
-            Role::Deputy => tolerance.deputy(limit),
-            Role::Outsider => return Told::unsure(),
+        let (limit, start) = match (role, ask.subject) {
+            (Role::Keeper, Subject::Customer(_)) => (limit, tolerance.start(limit)),
+            (Role::Deputy, Subject::Customer(_)) => {
+                let limit = tolerance.deputy(limit);
+                (limit, tolerance.start(limit))
+            }
+            // The limit of a replica must not be exceeded, so a new bucket starts empty.
+            (Role::Keeper, Subject::Replica(_)) => (limit, 0.0),
+            (Role::Deputy, Subject::Replica(_)) | (Role::Outsider, _) => return Told::unsure(),
         };
-        let bucket = self.buckets.entry((ask.customer, role));
-        let bucket = bucket.or_insert_with(|| Bucket::new(since, tolerance.start(limit)));
+        let bucket = self.buckets.entry((ask.subject, role));
+        let bucket = bucket.or_insert_with(|| Bucket::new(since, start));
         let decision = match ask.purpose {
             Purpose::Run { patience_ms } => {
                 let patience = Duration::from_millis(patience_ms.into());
@@ -146,9 +151,9 @@
         }
     }
 
-    /// Forgets the buckets of all for whom `is_customer` does not hold.
-    pub fn retain(&mut self, is_customer: impl Fn(Id) -> bool) {
-        self.buckets.retain(|(id, _), _| is_customer(*id));
+    /// Removes the buckets of all subjects for which `is_known` returns false.
+    pub fn retain(&mut self, is_known: impl Fn(Subject) -> bool) {
+        self.buckets.retain(|(subject, _), _| is_known(*subject));
     }
 }
 
--- a/crates/customer/tests/bound.rs
+++ b/crates/customer/tests/bound.rs
@@ -11,6 +11,7 @@
 use customer::list::Id;
 use customer::pocket::Pocket;
 use customer::quota::Limit;
+use customer::quota::Subject;
 use customer::quota::Tolerance;
 use ident::Time;
 use proptest::collection::vec;
@@ -102,7 +103,7 @@
 
     fn ask(&mut self, now: Time, daemon: usize, purpose: Purpose, units: f64) -> Option<Decision> {
         let ask = Ask {
-            customer: CUSTOMER,
+            subject: Subject::Customer(CUSTOMER),
             units,
             purpose,
         };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod guard;
 pub mod inquiries;
 pub mod job;
+pub mod limit;
 pub mod links;
 pub mod listen;
 pub mod members;
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -21,6 +21,7 @@
 use crate::ask;
 use crate::ask::Call;
 use crate::job::Job;
+use crate::limit;
 use crate::plain;
 use crate::shared::Shared;
 use crate::track::Track;
@@ -134,7 +135,8 @@
 /// Finds a place like [`find`], but does not wait for one.
 pub async fn find_now(shared: &Rc<Shared>, job: &Job, tried: &[Key], made: u64) -> Option<Place> {
     let Some(engine) = engine(shared, job) else {
-        let key = shared.choose(&job.service, Some(Stage::Decode), tried)?;
+        let choose = || shared.choose(&job.service, Some(Stage::Decode), tried);
+        let key = limit::choose_admitted(shared, choose).await?;
         return Some(Place {
             key,
             reserved: None,
@@ -166,7 +168,8 @@
     let tokens = size.prompt + (expected as u64).max(made);
     let mut asked = tried.to_vec();
     for _ in 0..ROUND {
-        let key = shared.choose_room(&job.service, &asked, ask)?;
+        let choose = || shared.choose_room(&job.service, &asked, ask);
+        let key = limit::choose_admitted(shared, choose).await?;
         asked.push(key);
         let track = Track::new(shared, &job.service, key, size, engine.event_tokens);
         match reserve(shared, tokens, key, engine.max_reservation).await {
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -23,6 +23,7 @@
 
 use crate::body::Body;
 use crate::job::Job;
+use crate::limit;
 use crate::own;
 use crate::send;
 use crate::shared::Shared;
@@ -163,10 +164,12 @@
     }
 }
 
-/// Whether the silent replica `key` is left; takes the retry that this needs.
+/// Whether to leave the silent replica `key` for another one that has no request limit; takes the retry that this needs.
 fn leaves(shared: &Shared, job: &Job, key: Key, tried: &[Key]) -> bool {
     let leaves = Instant::now() < job.deadline
-        && shared.choose(&job.service, None, tried).is_some()
+        && shared
+            .choose(&job.service, None, tried)
+            .is_some_and(|other| !shared.is_limited(other))
         && shared.allow(job, Work::Run);
     if leaves {
         shared.forget_links(key);
@@ -179,18 +182,24 @@
 /// The replica to send to next; waits for one for a short part of the objective if nothing was
 /// sent yet.
 pub async fn replica(
-    shared: &Shared,
+    shared: &Rc<Shared>,
     job: &Job,
     stage: Option<Stage>,
     tried: &[Key],
 ) -> Option<Key> {
     let until = job.arrived + job.route.objective.mul_f64(WAIT_PART);
     loop {
-        match shared.choose(&job.service, stage, tried) {
-            Some(key) => return Some(key),
-            None if tried.is_empty() && Instant::now() < until => sleep(LOOK_AGAIN).await,
-            None => return None,
+        let choose = || shared.choose(&job.service, stage, tried);
+        if let Some(key) = limit::choose_admitted(shared, choose).await {
+            return Some(key);
         }
+        // Waiting does not help if the throttled replicas stay throttled for longer.
+        let throttled = shared.throttle_remaining(&job.service);
+        let earliest = Instant::now() + throttled.unwrap_or_default();
+        if !tried.is_empty() || earliest >= until {
+            return None;
+        }
+        sleep(LOOK_AGAIN).await;
     }
 }
 
@@ -259,7 +268,11 @@
         None if attempt.may_have_run() => {
             finish(job, "unknown", own::unknown, "the replica was lost")
         }
-        None => refuse(shared, job, own::COME_BACK, "no replica took the request"),
+        None => {
+            let throttle = shared.throttle_remaining(&job.service);
+            let come_back = throttle.unwrap_or(own::COME_BACK);
+            refuse(shared, job, come_back, "no replica took the request")
+        }
     }
 }
 
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -16,6 +16,7 @@
 
 use crate::ask;
 use crate::job::Job;
+use crate::limit;
 use crate::send;
 use crate::shared::Shared;
 
@@ -49,7 +50,8 @@
     let mut tried = Vec::new();
     let mut failed = false;
     while tried.len() < MAX_READS {
-        let chosen = shared.choose_near(&job.service, Some(Stage::Prefill), &tried, near);
+        let choose = || shared.choose_near(&job.service, Some(Stage::Prefill), &tried, near);
+        let chosen = limit::choose_admitted(shared, choose).await;
         let Some(key) = chosen else { break };
         // Where too few replicas read prompts, a part is left to the decode replicas, and the rest is
         // read in time.
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -11,6 +11,7 @@
 use customer::keeper::Decision;
 use customer::keeper::Purpose;
 use customer::keeper::Told;
+use customer::quota::Subject;
 use http::Response;
 
 use crate::body::Body;
@@ -31,7 +32,7 @@
 fn demand(job: &Job) -> Option<Demand> {
     let customer = job.customer()?;
     Some(Demand {
-        customer: customer.id(),
+        subject: Subject::Customer(customer.id()),
         limit: customer.limit?,
         units: customer.unit.count(job.call.tokens),
     })
--- a/crates/gateway/src/quota/asking.rs
+++ b/crates/gateway/src/quota/asking.rs
@@ -10,6 +10,7 @@
 use customer::keeper::Told;
 use customer::pocket::Number;
 use customer::quota::Limit;
+use customer::quota::Subject;
 use tokio::sync::oneshot;
 
 use crate::gossip;
@@ -51,7 +52,7 @@
     let (window, allowance) = pocket(shared, demand.limit);
     let now = shared.clock.now();
     let mut quotas = shared.quotas.borrow_mut();
-    let pocket = quotas.pocket(demand.customer);
+    let pocket = quotas.pocket(demand.subject);
     pocket.spend(now, window, allowance, demand.units)
 }
 
@@ -60,7 +61,7 @@
     let (window, allowance) = pocket(shared, demand.limit);
     let now = shared.clock.now();
     let mut quotas = shared.quotas.borrow_mut();
-    let pocket = quotas.pocket(demand.customer);
+    let pocket = quotas.pocket(demand.subject);
     pocket.overspend(now, window, allowance, demand.units)
 }
 
@@ -73,7 +74,11 @@
 
 /// Asks the keeper, and its deputy where the keeper is silent or cannot tell; `None` if neither tells.
 pub async fn ask(shared: &Rc<Shared>, demand: Demand, purpose: Purpose) -> Option<Heard> {
-    let keepers = shared.members.borrow().keepers(demand.customer.0);
+    let mut keepers = shared.members.borrow().keepers(demand.subject.key());
+    if matches!(demand.subject, Subject::Replica(_)) {
+        // Only the keeper may grant requests to a replica.
+        keepers.truncate(1);
+    }
     let own = shared.own_card().instance();
     for (instance, address) in keepers {
         let heard = if instance == own {
--- a/crates/gateway/src/quota/keeping.rs
+++ b/crates/gateway/src/quota/keeping.rs
@@ -7,8 +7,8 @@
 use customer::keeper::Purpose;
 use customer::keeper::Role;
 use customer::keeper::Told;
-use customer::list::Id;
 use customer::quota::Limit;
+use customer::quota::Subject;
 
 use crate::quotas::Demand;
 use crate::quotas::Message;
@@ -17,12 +17,12 @@
 /// Number of what is told without a question.
 pub const UNANSWERED: u32 = 0;
 
-/// What this daemon decides; by its own plan's quota if the plan has the customer.
+/// Decides on `ask`. A customer's quota in this daemon's own plan takes precedence over `limit`.
 pub fn decide(shared: &Shared, ask: &Ask, limit: Limit) -> Told {
     let now = shared.clock.now();
-    let limit = shared.quota_of(ask.customer).unwrap_or(limit);
+    let limit = shared.quota_of(ask.subject).unwrap_or(limit);
     let tolerance = shared.settings().quota_tolerance();
-    let role = role(shared, ask.customer);
+    let role = role(shared, ask.subject);
     let since = shared.members.borrow().changed_at();
     let mut quotas = shared.quotas.borrow_mut();
     quotas
@@ -30,9 +30,9 @@
         .decide(now, since, role, limit, &tolerance, ask)
 }
 
-fn role(shared: &Shared, customer: Id) -> Role {
+fn role(shared: &Shared, subject: Subject) -> Role {
     let members = shared.members.borrow();
-    let keepers = members.keepers(customer.0);
+    let keepers = members.keepers(subject.key());
     let own = members.own().instance();
     match keepers.first() {
         _ if !members.is_majority(shared.clock.now()) => Role::Outsider,
--- a/crates/gateway/src/quotas.rs
+++ b/crates/gateway/src/quotas.rs
@@ -7,9 +7,9 @@
 use customer::keeper::Keeper;
 use customer::keeper::Purpose;
 use customer::keeper::Told;
-use customer::list::Id;
 use customer::pocket::Pocket;
 use customer::quota::Limit;
+use customer::quota::Subject;
 use ident::Time;
 use serde::Deserialize;
 use serde::Serialize;
@@ -21,7 +21,7 @@
     /// The buckets that it keeps.
     pub keeper: Keeper,
     /// What it admitted unasked.
-    pub pockets: HashMap<Id, Pocket>,
+    pub pockets: HashMap<Subject, Pocket>,
     /// Questions to other daemons, by number.
     pub pending: HashMap<u32, Pending>,
     /// Daemons that did not answer, and until when they are not asked.
@@ -37,7 +37,7 @@
         number: u32,
         /// What is asked.
         ask: Ask,
-        /// The customer's quota by the asker's plan.
+        /// The limit as known to the asker.
         limit: Limit,
     },
     /// Its answer.
@@ -55,24 +55,24 @@
         Self::default()
     }
 
-    /// Forgets the customers that are no more.
-    pub fn retain(&mut self, is_customer: impl Fn(Id) -> bool) {
-        self.keeper.retain(&is_customer);
-        self.pockets.retain(|id, _| is_customer(*id));
+    /// Removes the subjects for which `is_known` returns false.
+    pub fn retain(&mut self, is_known: impl Fn(Subject) -> bool) {
+        self.keeper.retain(&is_known);
+        self.pockets.retain(|subject, _| is_known(*subject));
     }
 
-    /// What was admitted unasked of `customer`.
-    pub fn pocket(&mut self, customer: Id) -> &mut Pocket {
-        self.pockets.entry(customer).or_default()
+    /// What was admitted unasked for `subject`.
+    pub fn pocket(&mut self, subject: Subject) -> &mut Pocket {
+        self.pockets.entry(subject).or_default()
     }
 }
 
-/// What a request asks of its customer's quota.
+/// What a request asks of a limit.
 #[derive(Debug, Clone, Copy)]
 pub struct Demand {
-    /// The customer.
-    pub customer: Id,
-    /// The quota by the plan that the request was admitted under.
+    /// What the limit applies to.
+    pub subject: Subject,
+    /// The customer's quota in the plan that the request was admitted under, or the limit set by the replica.
     pub limit: Limit,
     /// What the request counts.
     pub units: f64,
@@ -82,7 +82,7 @@
     /// The question to the keeper.
     pub const fn ask(self, purpose: Purpose) -> Ask {
         Ask {
-            customer: self.customer,
+            subject: self.subject,
             units: self.units,
             purpose,
         }
--- a/crates/gateway/src/shared/choice.rs
+++ b/crates/gateway/src/shared/choice.rs
@@ -69,6 +69,18 @@
         log::info!(kind = "limit", replica = replica, rate = rate; "replica request limit changed");
     }
 
+    /// Whether `key` has a request limit.
+    pub fn is_limited(&self, key: Key) -> bool {
+        let pool = self.pool.borrow();
+        pool.get(key).is_some_and(|server| server.limit.is_some())
+    }
+
+    /// Time until the first throttled replica of `service` may be chosen again; `None` if none is throttled.
+    pub fn throttle_remaining(&self, service: &str) -> Option<Duration> {
+        let pool = self.pool.borrow();
+        pool.throttle_remaining(self.clock.now(), service)
+    }
+
     /// The data centre of `key`; this daemon's own if the replica is gone.
     pub fn data_centre_of(&self, key: Key) -> Zone {
         let pool = self.pool.borrow();
--- a/crates/gateway/src/shared/customers.rs
+++ b/crates/gateway/src/shared/customers.rs
@@ -1,8 +1,8 @@
 //! Whose requests are.
 
-use customer::list::Id;
 use customer::list::List;
 use customer::quota::Limit;
+use customer::quota::Subject;
 
 use crate::job::Job;
 use crate::shared::Shared;
@@ -34,8 +34,11 @@
         self.metrics.customer(name, outcome);
     }
 
-    /// The quota of `customer` by the plan in force.
-    pub fn quota_of(&self, customer: Id) -> Option<Limit> {
+    /// The quota of `subject` in the plan in force; `None` if the plan sets none.
+    pub fn quota_of(&self, subject: Subject) -> Option<Limit> {
+        let Subject::Customer(customer) = subject else {
+            return None;
+        };
         let plan = self.plan()?;
         plan.customers.as_ref()?.get(customer)?.limit
     }
--- a/crates/gateway/src/shared/knowledge.rs
+++ b/crates/gateway/src/shared/knowledge.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use customer::quota::Subject;
 use ident::Time;
 use relay::belief::Belief;
 use relay::belief::Change;
@@ -51,7 +52,13 @@
         patiences.retain(|name, _| is_route(name));
         let customers = plan.customers.as_ref();
         let is_customer = |id| customers.is_some_and(|customers| customers.get(id).is_some());
-        self.quotas.borrow_mut().retain(is_customer);
+        let pool = self.pool.borrow();
+        let is_known = |subject| match subject {
+            Subject::Customer(id) => is_customer(id),
+            Subject::Replica(hash) => pool.servers().any(|server| server.hash == hash),
+        };
+        self.quotas.borrow_mut().retain(is_known);
+        drop(pool);
         if let Some(customers) = customers {
             self.name_customers(customers);
         }
--- a/crates/gateway/src/track.rs
+++ b/crates/gateway/src/track.rs
@@ -172,9 +172,11 @@
         rescue::due(now, &pool, &runs, &claims, |run, from, ask| {
             let service = &runs.get(run)?.service;
             let engine = plan.services.get(service)?.engine?;
-            engine
+            let to = engine
                 .moves
-                .then(|| shared.choose_room(service, &[from], ask))?
+                .then(|| shared.choose_room(service, &[from], ask))??;
+            // A move cannot wait for a limited replica to admit the request.
+            (!shared.is_limited(to)).then_some(to)
         })
     };
     for Move { run, to } in moves {
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod keys;
 mod late_news;
 mod lifecycle;
+mod limit;
 mod members;
 mod moves;
 mod plain;
--- a/crates/lab/src/quota/way.rs
+++ b/crates/lab/src/quota/way.rs
@@ -13,6 +13,7 @@
 use customer::list::Id;
 use customer::pocket::Pocket;
 use customer::quota::Limit;
+use customer::quota::Subject;
 use ident::Time;
 
 use crate::quota::load::Load;
@@ -187,7 +188,7 @@
         units: f64,
     ) -> Option<Decision> {
         let ask = Ask {
-            customer: CUSTOMER,
+            subject: Subject::Customer(CUSTOMER),
             units,
             purpose,
         };
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -110,6 +110,11 @@
         self.servers.get(key)
     }
 
+    /// All known replicas, listed or not.
+    pub fn servers(&self) -> impl Iterator<Item = &Server> + '_ {
+        self.servers.values()
+    }
+
     /// All replicas that are listed.
     pub fn replicas(&self) -> impl Iterator<Item = &Replica> + '_ {
         let listed = self.servers.values().filter(|s| s.lapses.is_none());
@@ -204,14 +209,35 @@
         }
     }
 
-    /// Sets the request limit of `key`, or clears it if `limit` is `None`. Returns whether the limit changed.
+    /// Sets the request limit of `key`, or clears it and ends throttling if `limit` is `None`. Returns whether the limit changed.
     pub fn set_limit(&mut self, key: Key, limit: Option<f64>) -> bool {
         let Some(server) = self.servers.get_mut(key) else {
             return false;
         };
+        if limit.is_none() {
+            server.throttled_until = Time::ZERO;
+        }
         std::mem::replace(&mut server.limit, limit) != limit
     }
 
+    /// Excludes `key` from selection until `until`.
+    pub fn throttle(&mut self, key: Key, until: Time) {
+        if let Some(server) = self.servers.get_mut(key) {
+            server.throttled_until = until;
+        }
+    }
+
+    /// Time until the first throttled replica of `service` may be chosen again; `None` if none is throttled.
+    pub fn throttle_remaining(&self, now: Time, service: &str) -> Option<Duration> {
+        let servers = self.servers.values();
+        let throttled = servers.filter(|server| {
+            server.usable(now) && server.throttled_until > now && server.replica.service == service
+        });
+        throttled
+            .map(|server| server.throttled_until.since(now))
+            .min()
+    }
+
     /// Notes whether a send to `key` failed.
     pub fn note(&mut self, now: Time, key: Key, failed: bool) {
         if let Some(server) = self.servers.get_mut(key) {
--- a/crates/relay/src/score.rs
+++ b/crates/relay/src/score.rs
@@ -52,6 +52,7 @@
     /// Whether `server` may be chosen.
     pub(crate) fn fits(&self, now: Time, key: Key, server: &Server) -> bool {
         server.usable(now)
+            && server.throttled_until <= now
             && server.replica.service == self.service
             && server.replica.stage == self.stage
             && !self.tried.contains(&key)
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -81,6 +81,8 @@
     silent: Option<Time>,
     /// Limit in requests per second, across all daemons; `None` if it has none.
     pub limit: Option<f64>,
+    /// Until when it is excluded from selection because of its limit.
+    pub(crate) throttled_until: Time,
     /// Whether a replica with another id answered at its address.
     pub(crate) replaced: bool,
     /// What the runs that this daemon knows of will hold, its own and those of others.
@@ -112,6 +114,7 @@
             silent: None,
             failures: (0.0, now),
             limit: None,
+            throttled_until: Time::ZERO,
             replaced: false,
             forecast: Curve::flat(0.0),
             told_runs: 0,
--- a/crates/relay/tests/pool.rs
+++ b/crates/relay/tests/pool.rs
@@ -385,6 +385,27 @@
     assert_eq!(chosen(&asker, after(1_000), &[]), None);
 }
 
+/// Guards against a throttled replica that is chosen too early, or stays throttled after its limit is lifted.
+#[test]
+fn a_throttled_replica_is_chosen_again_after_the_pause_or_without_a_limit() {
+    let mut pool = Pool::new();
+    pool.apply(START, &snapshot(1, &["one"]));
+    let key = pool.choose(START, &want(&[]), || 0.0).unwrap();
+    assert!(pool.set_limit(key, Some(2.0)));
+    assert!(!pool.set_limit(key, Some(2.0)));
+    assert!(chosen(&pool, START, &[]).is_some());
+    assert_eq!(pool.throttle_remaining(START, "app"), None);
+    pool.throttle(key, after(500));
+    assert_eq!(chosen(&pool, after(499), &[]), None);
+    let remaining = pool.throttle_remaining(after(400), "app");
+    assert_eq!(remaining, Some(Duration::from_millis(100)));
+    assert_eq!(pool.throttle_remaining(after(400), "another"), None);
+    assert!(chosen(&pool, after(500), &[]).is_some());
+    pool.throttle(key, after(9_000));
+    assert!(pool.set_limit(key, None));
+    assert!(chosen(&pool, after(500), &[]).is_some());
+}
+
 /// Of many replicas some are weighed; where none of them has room, the others are.
 #[test]
 fn the_only_replica_that_is_left_of_many_is_found() {
