Stop sending requests to a replica long after it started draining

Visible effect: a generation can reach a decode replica over two seconds after the store acknowledged that the replica leaves (DRAIN).

Cause: a decode replica is chosen and reserved before the prompt is read at another replica, which may take up to twice the objective. What the daemon learnt of the decode replica in that time was not checked before the send. The same applies to requests that wait while a lost replica is asked whether it is there.

Change: check the replica again before each send. Later than 250 ms after the daemon learnt that a replica is draining, or once the time of a lapsed one is over, nothing more is sent to it. The request goes to another replica, at the cost of reading the prompt there. A run that was stopped to be moved does not continue at a replica that has left, either (by the same check; no test of its own).

Testing: the gateway test failed before the change (the draining replica received the generation) and passes with it.

--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -100,12 +100,20 @@
         _ => job.tokens(),
     };
     let claim = Claim::new(shared, key, tokens, task == Task::Prefill);
+    let now = shared.clock.now();
     let target = shared.pool.borrow().get(key).map(|server| {
         let replica = &server.replica;
-        (replica.id.clone(), replica.address, server.in_flight)
+        let target = (replica.id.clone(), replica.address, server.in_flight);
+        (target, server.may_receive(now))
     });
-    let Some((id, address, in_flight)) = target else {
-        return Err(Outcome::NotSent);
+    let (id, address, in_flight) = match target {
+        Some((target, true)) => target,
+        Some((_, false)) => {
+            let cause = "the replica is draining or no longer listed";
+            note(shared, job, key, Outcome::NotSent, cause, 0);
+            return Err(Outcome::NotSent);
+        }
+        None => return Err(Outcome::NotSent),
     };
     let (prompt, output) = job.call.tokens.unwrap_or_default();
     log::info!(kind = "send", request = job.call.id, content = job.fingerprint.to_string(), replica = id, task = word(&task), cache = cache(&task), in_flight = in_flight, prompt = prompt, output = output, replicas = shared.replicas_version(), reserved = reservation.is_some(), plan = job.plan, left_ms = job.left().as_millis() as u64; "sending");
--- a/crates/gateway/tests/gateway/stream.rs
+++ b/crates/gateway/tests/gateway/stream.rs
@@ -1,5 +1,9 @@
 //! Generations.
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
 use std::time::Duration;
 
 use crate::common::daemon::until;
@@ -46,6 +50,40 @@
     assert_eq!(made.body, b"prompt");
 }
 
+/// Guards against sending a generation to a decode replica that started draining while the prompt was being read.
+#[test]
+fn a_generation_goes_to_another_replica_if_its_own_drains_while_the_prompt_is_read() {
+    let prefill_released = Arc::new(AtomicBool::new(false));
+    let released = Arc::clone(&prefill_released);
+    let prefill = Replica::start("i-p", move |request| {
+        while !released.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(5));
+        }
+        let id = request.header("request-id").unwrap_or_default();
+        let body = br#"{"kv-handle":"k1","tokens":1460,"version":1}"#;
+        Act::Send(answer(200, &[("request-id", id)], body))
+    });
+    let draining = Replica::start("i-1", |request| Act::Send(stream(request, 1, 2)));
+    let other = Replica::start("i-2", |request| Act::Send(stream(request, 1, 2)));
+    let site = Site::staged("left-meanwhile", &prefill, &[&draining]);
+    let mut caller = generate(&site.daemon, "/draft/1", "a1");
+    until("the prompt is being read", || !prefill.seen().is_empty());
+    let mut row = draining.row("llm", "decode");
+    row["state"] = "draining".into();
+    site.store.put("servers", "i-1", &row);
+    site.store
+        .put("servers", "i-2", &other.row("llm", "decode"));
+    until("the daemon has learnt that the replica is draining", || {
+        !site.daemon.logged("Draining").is_empty()
+    });
+    thread::sleep(Duration::from_millis(400));
+    prefill_released.store(true, Ordering::SeqCst);
+    let told = caller.read();
+    assert_eq!((told.status(), told.whole), (200, true));
+    assert!(draining.seen().is_empty());
+    assert_eq!(other.seen().len(), 1);
+}
+
 #[test]
 fn the_decode_replica_reads_the_prompt_where_no_other_does() {
     let decode = Replica::start("i-d", |request| Act::Send(stream(request, 1, 2)));
--- a/crates/relay/src/pool/list.rs
+++ b/crates/relay/src/pool/list.rs
@@ -180,7 +180,7 @@
             // An entry of an earlier incarnation that came late.
             Some((_, Ordering::Less)) => return,
             Some((key, Ordering::Greater)) => self.restart(now, key, replica, changes),
-            Some((key, Ordering::Equal)) if !self.update_entry(key, replica) => return,
+            Some((key, Ordering::Equal)) if !self.update_entry(now, key, replica) => return,
             Some((_, Ordering::Equal)) => {}
             None => {
                 self.insert(now, replica);
@@ -193,7 +193,7 @@
     }
 
     /// Takes a changed entry of a replica that is known; whether its state is another one.
-    fn update_entry(&mut self, key: Key, replica: &Replica) -> bool {
+    fn update_entry(&mut self, now: Time, key: Key, replica: &Replica) -> bool {
         let version = self.version;
         let server = &mut self.servers[key];
         let is_listed = server.lapses.is_none();
@@ -208,6 +208,11 @@
             // A replica whose entry changes is there: it refused since its stage was another one.
             server.replaced = false;
         }
+        server.draining_since = match server.draining_since {
+            _ if !replica.draining => None,
+            None => Some(now),
+            since => since,
+        };
         server.replica = replica;
         server.lapses = None;
         changed
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -42,6 +42,10 @@
 /// nearly all reservations were asked of those.
 const MAX_DOUBLINGS: u32 = 4;
 
+/// How long requests already assigned to a replica are still sent to it after this daemon learnt that it is draining. Covers
+/// requests whose prompt is read within this time, and ends before the replica must no longer receive any.
+const DRAINING_GRACE: Duration = Duration::from_millis(250);
+
 /// Reservations that failed at a replica.
 #[derive(Debug, Clone, Copy, Default)]
 struct Refused {
@@ -95,6 +99,8 @@
     pub(crate) reads: u32,
     /// Until when it is used though the list lacks it.
     pub(crate) lapses: Option<Time>,
+    /// When this daemon learnt that it is draining; `None` if it is not, or was draining when first listed.
+    pub(crate) draining_since: Option<Time>,
 }
 
 impl Server {
@@ -121,6 +127,7 @@
             known_runs: 0,
             reads: 0,
             lapses: None,
+            draining_since: None,
         }
     }
 
@@ -129,6 +136,15 @@
         listed && !self.replica.draining && !self.replaced
     }
 
+    /// Whether a request that is assigned to it may still be sent: not after `DRAINING_GRACE`, nor once it is no longer used
+    /// after it left the list.
+    pub fn may_receive(&self, now: Time) -> bool {
+        let grace_ended = self
+            .draining_since
+            .is_some_and(|since| now.since(since) > DRAINING_GRACE);
+        !grace_ended && !self.is_over(now)
+    }
+
     /// Takes what the runs of `others` will hold, in place of all that was known.
     pub(crate) const fn expect(&mut self, others: Others) {
         self.forecast = others.curve;
--- a/crates/relay/tests/pool.rs
+++ b/crates/relay/tests/pool.rs
@@ -61,6 +61,23 @@
     assert_eq!(chosen(&pool, START, &[]), None);
 }
 
+/// Guards against sending a request to a replica long after the replica started draining.
+#[test]
+fn a_draining_replica_receives_assigned_requests_only_during_the_grace_period() {
+    let mut pool = Pool::new();
+    pool.apply(START, &snapshot(1, &["one"]));
+    let key = pool.choose(START, &want(&[]), || 0.0).unwrap();
+    let mut leaving = snapshot(2, &["one"]);
+    leaving.replicas[0].draining = true;
+    pool.apply(after(1_000), &leaving).unwrap();
+    leaving.version = 3;
+    pool.apply(after(1_200), &leaving).unwrap();
+    assert!(pool.get(key).unwrap().may_receive(after(1_250)));
+    assert!(!pool.get(key).unwrap().may_receive(after(1_251)));
+    pool.apply(after(1_300), &snapshot(4, &["one"])).unwrap();
+    assert!(pool.get(key).unwrap().may_receive(after(9_000)));
+}
+
 #[test]
 fn a_replica_that_vanishes_in_calm_is_gone_at_once() {
     let mut pool = Pool::new();
