Soak: check rate limits that replicas set across all daemons

One in three application replicas in the soak sets a limit of one request per second (number 0 at the start, later replacements by their number). From 3 s after the first request to such a replica, no 4 s window may contain more requests than 1.5 times what the limit allows, plus 5, plus 6 for each daemon that was paused, killed, stopped or started shortly before or during the window. Such a daemon may send the open requests of each caller before it learns of the limit.

--- a/crates/gateway/tests/soak/ledger.rs
+++ b/crates/gateway/tests/soak/ledger.rs
@@ -11,6 +11,7 @@
 use crate::common::http::Message;
 use crate::customer;
 use crate::customer::Customer;
+use crate::limit;
 use crate::script;
 
 /// Events of a complete stream.
@@ -66,6 +67,8 @@
     caches: AtomicUsize,
     /// When requests of the customer with a quota first ran.
     limited: Mutex<Vec<Instant>>,
+    /// Arrival times of requests at each rate-limited replica, by replica ID.
+    limited_arrivals: Mutex<HashMap<String, Vec<Instant>>>,
     /// What belonged to another request.
     mixed: Mutex<Vec<String>>,
 }
@@ -82,6 +85,23 @@
         }
     }
 
+    /// Records the arrival of a request at the rate-limited `replica`.
+    pub fn record_limited_arrival(&self, replica: &str) {
+        let mut arrivals = self.limited_arrivals.lock().unwrap();
+        let times = arrivals.entry(replica.to_owned()).or_default();
+        times.push(Instant::now());
+    }
+
+    /// Returns a message for each replica whose rate limit was exceeded. `disturbances` holds the disturbance times of
+    /// each daemon.
+    pub fn exceeded_limits(&self, disturbances: &[Vec<Instant>]) -> Vec<String> {
+        let arrivals = self.limited_arrivals.lock().unwrap();
+        let excess = arrivals
+            .values()
+            .filter_map(|times| limit::excess(times, disturbances));
+        excess.collect()
+    }
+
     /// Notes that a replica runs `id`.
     pub fn ran(&self, id: &str) {
         let mut runs = self.runs.lock().unwrap();
--- a/crates/gateway/tests/soak/main.rs
+++ b/crates/gateway/tests/soak/main.rs
@@ -14,6 +14,7 @@
 mod customer;
 mod faults;
 mod ledger;
+mod limit;
 mod proxy;
 mod script;
 mod world;
@@ -128,6 +129,7 @@
     // What is still at work at a replica shows within its longest answer.
     thread::sleep(Duration::from_millis(1_500));
     broken.extend(world.ledger.broken());
+    broken.extend(world.ledger.exceeded_limits(&world.disturbances()));
     println!(
         "seed {seed}: {}; {} answers known as another request's",
         world.ledger.summary(),
--- a/crates/gateway/tests/soak/world.rs
+++ b/crates/gateway/tests/soak/world.rs
@@ -23,6 +23,7 @@
 use crate::common::store::Store;
 use crate::customer;
 use crate::ledger::Ledger;
+use crate::limit;
 use crate::proxy::Harm;
 use crate::proxy::Proxy;
 use crate::script;
@@ -34,6 +35,8 @@
 pub const FATAL: &str = "/draft/fatal";
 /// Part of the replicas that end whose address refuses afterwards; the others accept and close.
 const REFUSES: f64 = 0.7;
+/// Application replicas whose number is a multiple of this have a rate limit.
+const LIMITED_REPLICA_INTERVAL: u64 = 3;
 /// Time around a signal to a daemon in which its requests are excused from being answered.
 const DISTURBED: Duration = Duration::from_secs(3);
 
@@ -48,7 +51,8 @@
     pub store: Proxy,
     /// Its process.
     pub daemon: Mutex<Daemon>,
-    disturbed: Mutex<Instant>,
+    /// Times at which its process was started, paused, resumed, killed or stopped.
+    disturbances: Mutex<Vec<Instant>>,
 }
 
 /// A replica, the way to it, its service and its stage.
@@ -131,6 +135,7 @@
         let stutter = Chance::new(self.seed * 983 + number, false);
         let world = self.clone();
         let own = id.clone();
+        let is_limited = stage.is_empty() && number.is_multiple_of(LIMITED_REPLICA_INTERVAL);
         let replica = Replica::start(&id, move |request| {
             let (draw, odd) = chance.draw();
             if request.path() == FATAL {
@@ -144,7 +149,12 @@
                 world.end_replica(&own, draw);
                 return Act::Crash(stream_head(request));
             }
-            script::serve(&world.ledger, stage, request, (draw, odd))
+            let act = script::serve(&world.ledger, stage, request, (draw, odd));
+            if !is_limited || request.path().starts_with("/api/") {
+                return act;
+            }
+            world.ledger.record_limited_arrival(&own);
+            limit::add_limit_header(act)
         });
         let ledger = Arc::clone(&self.ledger);
         replica.set_second_answers(move |_| {
@@ -215,6 +225,13 @@
         counts.sum()
     }
 
+    /// Returns the disturbance times of each daemon, including its starts.
+    pub fn disturbances(&self) -> Vec<Vec<Instant>> {
+        let seats = self.seats.iter();
+        let times = seats.map(|seat| seat.disturbances.lock().unwrap().clone());
+        times.collect()
+    }
+
     /// Tells callers to end.
     pub fn end_callers(&self) {
         self.ended.store(true, Ordering::SeqCst);
@@ -229,12 +246,14 @@
 impl Seat {
     /// Notes that its process is disturbed by a signal now.
     pub fn disturb(&self) {
-        *self.disturbed.lock().unwrap() = Instant::now();
+        self.disturbances.lock().unwrap().push(Instant::now());
     }
 
     /// Whether its process was disturbed since shortly before `begun`.
     pub fn disturbed_since(&self, begun: Instant) -> bool {
-        *self.disturbed.lock().unwrap() + DISTURBED > begun
+        let disturbances = self.disturbances.lock().unwrap();
+        let last = disturbances.last();
+        last.is_some_and(|last| *last + DISTURBED > begun)
     }
 
     /// A new process for it.
@@ -267,6 +286,6 @@
         name,
         ip: ip.to_owned(),
         store,
-        disturbed: Mutex::new(Instant::now()),
+        disturbances: Mutex::new(vec![Instant::now()]),
     }
 }
