--- a/crates/customer/src/keeper.rs
+++ b/crates/customer/src/keeper.rs
@@ -15,8 +15,8 @@
 use crate::bucket::Bucket;
 use crate::bucket::Verdict;
 use crate::quota::Limit;
-use crate::quota::Subject;
 use crate::quota::Tolerance;
+use crate::subject::Subject;
 
 /// What a daemon may decide on a customer's quota, by its own view of the members.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
--- a/crates/customer/src/lib.rs
+++ b/crates/customer/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod list;
 pub mod pocket;
 pub mod quota;
+pub mod subject;
--- a/crates/customer/src/quota.rs
+++ b/crates/customer/src/quota.rs
@@ -5,8 +5,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::list::Id;
-
 /// Part of the tolerance that a bucket starts with whose past is not known: its keeper has just taken it over or started.
 const START_PART: f64 = 0.06;
 /// Part that the deputies of a silent keeper admit together in one window.
@@ -14,24 +12,6 @@
 /// Part that all daemons together admit in one window without having asked.
 const POCKET_PART: f64 = 0.12;
 
-/// What a limit applies to, across all daemons.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub enum Subject {
-    /// The requests of a customer.
-    Customer(Id),
-    /// The requests sent to a replica, identified by its hash.
-    Replica(u64),
-}
-
-impl Subject {
-    /// Hashing key that selects the daemon that keeps the count.
-    pub const fn key(self) -> u64 {
-        match self {
-            Self::Customer(Id(key)) | Self::Replica(key) => key,
-        }
-    }
-}
-
 /// A rate limit for a subject, across all daemons.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Limit {
--- a/crates/customer/tests/replica.rs
+++ b/crates/customer/tests/replica.rs
@@ -8,8 +8,8 @@
 use customer::keeper::Purpose;
 use customer::keeper::Role;
 use customer::quota::Limit;
-use customer::quota::Subject;
 use customer::quota::Tolerance;
+use customer::subject::Subject;
 use ident::Time;
 use rstest::rstest;
 
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -7,7 +7,7 @@
 use customer::keeper::Decision;
 use customer::keeper::Purpose;
 use customer::quota::Limit;
-use customer::quota::Subject;
+use customer::subject::Subject;
 use relay::server::Key;
 use relay::server::Server;
 
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -11,7 +11,7 @@
 use customer::keeper::Decision;
 use customer::keeper::Purpose;
 use customer::keeper::Told;
-use customer::quota::Subject;
+use customer::subject::Subject;
 use http::Response;
 
 use crate::body::Body;
--- a/crates/gateway/src/quota/asking.rs
+++ b/crates/gateway/src/quota/asking.rs
@@ -10,7 +10,7 @@
 use customer::keeper::Told;
 use customer::pocket::Number;
 use customer::quota::Limit;
-use customer::quota::Subject;
+use customer::subject::Subject;
 use tokio::sync::oneshot;
 
 use crate::gossip;
--- a/crates/gateway/src/quota/keeping.rs
+++ b/crates/gateway/src/quota/keeping.rs
@@ -8,7 +8,7 @@
 use customer::keeper::Role;
 use customer::keeper::Told;
 use customer::quota::Limit;
-use customer::quota::Subject;
+use customer::subject::Subject;
 
 use crate::quotas::Demand;
 use crate::quotas::Message;
--- a/crates/gateway/src/quotas.rs
+++ b/crates/gateway/src/quotas.rs
@@ -9,7 +9,7 @@
 use customer::keeper::Told;
 use customer::pocket::Pocket;
 use customer::quota::Limit;
-use customer::quota::Subject;
+use customer::subject::Subject;
 use ident::Time;
 use serde::Deserialize;
 use serde::Serialize;
--- a/crates/gateway/src/shared/customers.rs
+++ b/crates/gateway/src/shared/customers.rs
@@ -2,7 +2,7 @@
 
 use customer::list::List;
 use customer::quota::Limit;
-use customer::quota::Subject;
+use customer::subject::Subject;
 
 use crate::job::Job;
 use crate::shared::Shared;
--- a/crates/gateway/src/shared/knowledge.rs
+++ b/crates/gateway/src/shared/knowledge.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use customer::quota::Subject;
+use customer::subject::Subject;
 use ident::Time;
 use relay::belief::Belief;
 use relay::belief::Change;
--- a/crates/lab/src/quota/way.rs
+++ b/crates/lab/src/quota/way.rs
@@ -13,7 +13,7 @@
 use customer::list::Id;
 use customer::pocket::Pocket;
 use customer::quota::Limit;
-use customer::quota::Subject;
+use customer::subject::Subject;
 use ident::Time;
 
 use crate::quota::load::Load;
