Forget a single slow answer after a second

Cause: one measurement set the replica's mean, which was believed for 3 s. Ruled out: the limit itself (the keeper granted what was asked); a minimum of two measurements before any is believed, as a slow replica would then always get a second request at once. Change: a measurement that no other one within 6 s before confirms counts for 1 s; confirmed ones for 3 s as before. Tests: four cases in relay/tests/score.rs, two of them red before.

--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -32,6 +32,11 @@
 /// How long the mean time per unit is used without further work; a replica avoided for its slowness
 /// is tried again after it.
 const PACE_AGE: Duration = Duration::from_secs(3);
+/// The same if no other work ended within [`PACE_CONFIRMATION`] before: a single piece of work may
+/// take long by chance.
+const SINGLE_PACE_AGE: Duration = Duration::from_secs(1);
+/// Time within which a second measurement confirms the first.
+const PACE_CONFIRMATION: Duration = Duration::from_secs(6);
 /// How long a replica is ranked behind the others after its first refusal.
 const REFUSED_AGE: Duration = Duration::from_millis(200);
 /// The same for a replica that did not answer. Longer, since trying it uses up most of the time
@@ -58,6 +63,17 @@
     until: Time,
 }
 
+/// Mean time that a replica takes per unit of work.
+#[derive(Debug, Clone, Copy)]
+struct Pace {
+    /// Seconds per unit.
+    mean: f64,
+    /// When the last work ended.
+    at: Time,
+    /// How long the mean is used without further work.
+    max_age: Duration,
+}
+
 /// One replica and what this daemon knows of it.
 #[derive(Debug, Clone)]
 pub struct Server {
@@ -79,8 +95,8 @@
     prefill_pace: Option<(f64, Time)>,
     /// Tokens that it has yet to prefill for other daemons; `None` if no other daemon has reported.
     pub(crate) peer_prefill_tokens: Option<u64>,
-    /// Mean seconds per unit of work, and when the last work ended.
-    pace: Option<(f64, Time)>,
+    /// Mean time per unit of work.
+    pace: Option<Pace>,
     refusals: Refusals,
     /// When it last answered this daemon.
     last_answer: Option<Time>,
@@ -201,7 +217,18 @@
 
     pub(crate) fn record_work(&mut self, now: Time, seconds: f64) {
         let mean = self.pace(now).unwrap_or(seconds);
-        self.pace = Some((mean + PACE_WEIGHT * (seconds - mean), now));
+        let is_confirmed = self
+            .pace
+            .is_some_and(|before| now.since(before.at) < PACE_CONFIRMATION);
+        self.pace = Some(Pace {
+            mean: mean + PACE_WEIGHT * (seconds - mean),
+            at: now,
+            max_age: if is_confirmed {
+                PACE_AGE
+            } else {
+                SINGLE_PACE_AGE
+            },
+        });
     }
 
     /// Records that it refused a reservation.
@@ -264,8 +291,8 @@
 
     /// Mean seconds per unit of work, if measured recently.
     pub(crate) fn pace(&self, now: Time) -> Option<f64> {
-        let (mean, at) = self.pace?;
-        (now.since(at) < PACE_AGE).then_some(mean)
+        let pace = self.pace?;
+        (now.since(pace.at) < pace.max_age).then_some(pace.mean)
     }
 
     /// Number of successive failed reservations while it is ranked behind the others for them;
--- a/crates/relay/tests/score.rs
+++ b/crates/relay/tests/score.rs
@@ -78,6 +78,28 @@
     assert_eq!(order(&pool, None, after(3_100))[0], "slow");
 }
 
+/// One answer may be slow by chance, for example because this machine was busy.
+#[rstest]
+#[case::single(&[0], 1_100, true)]
+#[case::single_before(&[0], 900, false)]
+#[case::confirmed(&[0, 1_100], 4_000, false)]
+#[case::confirmed_after(&[0, 1_100], 4_200, true)]
+fn a_single_slow_answer_counts_for_a_shorter_time(
+    #[case] slow_answers: &[u64],
+    #[case] at: u64,
+    #[case] is_first: bool,
+) {
+    let mut pool = pool(None, &["slow", "one", "two"]);
+    let keys = ["slow", "one", "two"].map(|id| key(&pool, None, id));
+    for ms in slow_answers {
+        pool.record_work(after(*ms), keys[0], Duration::from_millis(240), 1.0);
+    }
+    for key in &keys[1..] {
+        pool.record_work(after(at - 100), *key, Duration::from_millis(30), 1.0);
+    }
+    assert_eq!(order(&pool, None, after(at))[0] == "slow", is_first);
+}
+
 #[test]
 fn a_replica_up_to_twice_as_slow_is_not_penalized() {
     let mut pool = pool(None, &["long", "one", "two"]);
