Count members lost shortly after a start against the majority

Cause: for 3 s after joining, all known instances counted as reachable, also those that had been met and were lost. Ruled out: the detection of the loss (the daemon counted one member) and the keeper (it asked for the majority). Change: an instance that was a member and is out of reach counts as lost at any time; one not met yet still counts as reachable until the membership has settled. Test: members::members_lost_shortly_after_joining_count_against_the_majority.

--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -209,25 +209,31 @@
     }
 
     /// Whether the reachable members outnumber the instances that may be running out of reach. For
-    /// `SETTLING_TIME` after joining, all known instances count as members. A daemon that knows of
-    /// no other is not a majority.
+    /// `SETTLING_TIME` after joining, all known instances count as reachable, except members that
+    /// were lost meanwhile. A daemon that knows of no other is not a majority.
     pub fn is_majority(&self, now: Time) -> bool {
         let knows_others = self.is_listed || !self.others.is_empty();
         match &self.fleet {
             None => false,
             Some(_) if !knows_others => false,
-            Some(fleet) => !self.is_settled || fleet.alive().count() > self.absent(now, fleet),
+            Some(fleet) if !self.is_settled => {
+                let absent = self.absent(now, fleet);
+                let lost = absent.filter(|instance| fleet.current(*instance).is_some());
+                let lost = lost.count();
+                self.known_count().saturating_sub(lost) > lost
+            }
+            Some(fleet) => fleet.alive().count() > self.absent(now, fleet).count(),
         }
     }
 
-    /// Number of unreachable instances that may be running.
-    fn absent(&self, now: Time, fleet: &Fleet) -> usize {
+    /// The unreachable instances that may be running.
+    fn absent(&self, now: Time, fleet: &Fleet) -> impl Iterator<Item = Instance> {
         let reachable: HashSet<Instance> = fleet.alive().map(|member| member.instance).collect();
-        let absent = self.absent.iter().filter(|(instance, since)| {
+        let absent = self.absent.iter().filter(move |(instance, since)| {
             // The info of a reachable member may have arrived after its membership record.
             now.since(**since) < ABSENCE_TIMEOUT && !reachable.contains(*instance)
         });
-        absent.count()
+        absent.map(|(instance, _)| *instance)
     }
 
     /// The keeper of `key` and its deputy, with their addresses for peers.
--- a/crates/gateway/tests/gateway/members.rs
+++ b/crates/gateway/tests/gateway/members.rs
@@ -2,8 +2,12 @@
 
 use std::time::Duration;
 
+use fleet::Member;
+use fleet::Message;
+use fleet::member::State;
 use gateway::instance_info::InstanceInfo;
 use gateway::members::Members;
+use ident::Incarnation;
 use ident::Time;
 use ident::Zone;
 
@@ -41,3 +45,37 @@
     members.step(much_later);
     assert!(members.is_majority(much_later));
 }
+
+/// Guards against a daemon that exceeds quotas because it counts lost members as reachable for some
+/// seconds after its start.
+#[test]
+fn members_lost_shortly_after_joining_count_against_the_majority() {
+    let mut members = Members::new(card(1));
+    members.set_listed(Time::ZERO, &[card(1), card(2), card(3)]);
+    members.join(Time::ZERO, 1);
+    let record = |number: u8| {
+        let instance = card(number).instance();
+        Member::new(instance, Incarnation(number.into()), 1, Zone::new("here"))
+    };
+    let (second, third) = (record(2), record(3));
+    let page = |news: &[Member]| Message::Page {
+        news: news.to_vec(),
+    };
+    let now = Time::from_millis(500);
+    members.receive(now, &card(2), &page(&[second, third]));
+    members.step(now);
+    assert!(members.is_majority(now));
+    let now = Time::from_millis(2_000);
+    members.receive(
+        now,
+        &card(2),
+        &page(&[second, third.with_state(State::Dead)]),
+    );
+    members.receive(
+        now,
+        &card(3),
+        &page(&[third, second.with_state(State::Dead)]),
+    );
+    members.step(now);
+    assert!(!members.is_majority(now));
+}
