Send nothing to evacuated data centres, and no more to cold replicas than they tolerate

Cause: nothing read the operator's rows for evacuations; being cold was a penalty in the score and no limit. Change: relay::evacuation holds the evacuated data centres with the version of the store; a higher version goes first. The poller reads the rows with the plan's watch, every datagram and every answer to a peer carries the set, and a daemon has it before its plan. Such replicas are chosen for nothing, and gateway::send withholds what was placed before. A cold replica has a request limit over all daemons, kept by the keeper of its count like the limits that replicas name; after an evacuation its replicas count as cold for as long as their service's replicas stay cold.

--- a/crates/ctl/src/timeline.rs
+++ b/crates/ctl/src/timeline.rs
@@ -72,7 +72,7 @@
 }
 
 /// Kinds of lines about a daemon as a whole, which affect all of its requests at that time.
-const DAEMON_KINDS: [&str; 3] = ["pause", "stop", "overload"];
+const DAEMON_KINDS: [&str; 4] = ["pause", "stop", "overload", "evacuation"];
 
 /// Describes what happened to `request`, in order of time; empty if no line names it.
 pub fn build(lines: &[Value], request: &str) -> Vec<String> {
@@ -96,7 +96,9 @@
                 && overlaps_request(&request_lines, line, ended)
         })
         .collect();
+    let evacuations = earlier_evacuations(&parsed, &request_lines);
     request_lines.extend(daemon_lines);
+    request_lines.extend(evacuations);
     sort_and_dedup(&mut request_lines);
     let mut timeline: Vec<String> = request_lines
         .iter()
@@ -129,6 +131,36 @@
     started && (!ended || last.is_some_and(|last| line.up_ms <= *last))
 }
 
+/// The lines about evacuations that were in force at a run of the request when the run began to
+/// handle it.
+fn earlier_evacuations<'a, 'b>(
+    parsed: &'a [(LineHeader, &'b Value)],
+    request_lines: &[&(LineHeader, &Value)],
+) -> Vec<&'a (LineHeader, &'b Value)> {
+    let is_earlier = |line: &LineHeader| {
+        let mut same_run = request_lines
+            .iter()
+            .filter(|(other, _)| other.instance == line.instance && other.run == line.run);
+        let earliest = same_run.clone().map(|(other, _)| other.up_ms).min();
+        same_run.next().is_some() && earliest.is_some_and(|earliest| line.up_ms < earliest)
+    };
+    let mut latest = HashMap::new();
+    let lines = parsed.iter().filter(|(line, _)| line.kind == "evacuation");
+    for entry in lines.filter(|(line, _)| is_earlier(line)) {
+        let (line, value) = entry;
+        let name = value["evacuated_data_centre"].to_string();
+        let run = (line.instance.clone(), line.run.clone(), name);
+        let known: &mut &(LineHeader, &Value) = latest.entry(run).or_insert(entry);
+        if known.0.up_ms <= line.up_ms {
+            *known = entry;
+        }
+    }
+    let latest = latest.into_values();
+    latest
+        .filter(|(_, value)| value["begins"] == true)
+        .collect()
+}
+
 /// Orders lines by run and time, and removes duplicates.
 fn sort_and_dedup(request_lines: &mut Vec<&(LineHeader, &Value)>) {
     // The time of day may jump, so it only orders the runs; `up_ms` orders the lines of a run.
@@ -247,6 +279,15 @@
         ),
         "pause" => format!("(the process did not run for {} ms)", text("ms")),
         "stop" => format!("(the daemon is {})", text("text")),
+        "evacuation" => format!(
+            "(the evacuation of {} {})",
+            text("evacuated_data_centre"),
+            if text("begins") == "true" {
+                "begins"
+            } else {
+                "ends"
+            }
+        ),
         "overload" => "(an instance of the data centre was overloaded)".to_owned(),
         "end" => format!("END: {}", describe_end(&text("outcome"), &text)),
         _ => text("text"),
--- a/crates/ctl/tests/waxwing/views.rs
+++ b/crates/ctl/tests/waxwing/views.rs
@@ -249,6 +249,32 @@
     assert!(!output.stdout.contains("5000"), "another daemon");
 }
 
+const EVACUATION_LINES: [&str; 6] = [
+    r#"{"instance":"edge-1","run":"a1","up_ms":40,"time":"2026-12-02T10:00:00Z","kind":"evacuation","evacuated_data_centre":"osijek-a","begins":true}"#,
+    r#"{"instance":"edge-1","run":"a1","up_ms":50,"time":"2026-12-02T10:00:00Z","kind":"evacuation","evacuated_data_centre":"dakovo-c","begins":true}"#,
+    r#"{"instance":"edge-1","run":"a1","up_ms":60,"time":"2026-12-02T10:00:00Z","kind":"evacuation","evacuated_data_centre":"dakovo-c","begins":false}"#,
+    r#"{"instance":"edge-2","run":"b1","up_ms":60,"time":"2026-12-02T10:00:00Z","kind":"evacuation","evacuated_data_centre":"vinkovci-b","begins":true}"#,
+    r#"{"instance":"edge-1","run":"a1","up_ms":100,"time":"2026-12-02T10:00:05Z","kind":"reserve","request":"77aa","tokens":5000,"rounds":3}"#,
+    r#"{"instance":"edge-1","run":"a1","up_ms":110,"time":"2026-12-02T10:00:05Z","kind":"end","request":"77aa","outcome":"refused","status":503,"ms":10}"#,
+];
+
+#[test]
+fn timeline_shows_evacuations_in_force() {
+    let env = Env::new();
+    let log = env.write_file("one.log", &EVACUATION_LINES.join("\n"));
+    let output = env.run(&["explain", "77aa", "--log", &log]).assert_code(0);
+    assert_in_order(
+        &output.stdout,
+        &[
+            "the evacuation of osijek-a begins",
+            "no decode replica had room",
+            "END: refused",
+        ],
+    );
+    assert!(!output.stdout.contains("dakovo-c"), "ended before");
+    assert!(!output.stdout.contains("vinkovci-b"), "another daemon");
+}
+
 #[test]
 fn timeline_without_end_shows_restart_of_daemon() {
     let env = Env::new();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,4 +1,4 @@
-//! Exchange of plan, replicas, instances and quarantine records between daemons, for when the store
+//! Exchange of plan, evacuations, replicas, instances and quarantine records between daemons, for when the store
 //! is silent.
 //!
 //! Each request is one `h2` stream; requests and responses are encoded with `bincode`.
@@ -20,6 +20,7 @@
 use http::Response;
 use ident::Time;
 use rand::seq::IndexedRandom;
+use relay::evacuation::Evacuations;
 use relay::plan::Plan;
 use relay::quarantine::Record;
 use relay::replica::Source;
@@ -65,6 +66,8 @@
 struct SyncResponse {
     /// The plan, if it is newer than the requester's.
     plan: Option<Plan>,
+    /// The evacuated data centres.
+    evacuations: Evacuations,
     /// The replicas, if they are newer than the requester's.
     replicas: Option<Update>,
     /// Time since the responder's replicas were read from the store.
@@ -153,6 +156,8 @@
     }
     shared.merge_records("peer", &response.quarantine);
     shared.note_all_records();
+    // Before the plan, since callers are accepted once a plan is known.
+    shared.apply_evacuations("peer", &response.evacuations);
     if let Some(plan) = response.plan {
         shared.apply_plan("peer", plan);
     }
@@ -227,6 +232,7 @@
             .plan()
             .filter(|plan| plan.version > request.plan)
             .map(|plan| (*plan).clone()),
+        evacuations: shared.evacuations(),
         replicas: shared.newer_replicas(request.replicas, request.digest),
         replicas_age: shared.replicas_age(),
         cards: if knows_more {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -1,8 +1,9 @@
 //! Datagrams between daemons: membership, status of the poller, claims, quarantine records and
 //! quotas.
 //!
-//! Each datagram also carries the version of the sender's plan and a hash of its quarantine
-//! records, from which the receiver sees whether it has to fetch newer ones.
+//! Each datagram also carries the evacuated data centres, which are few, and the version of the
+//! sender's plan and a hash of its quarantine records, from which the receiver sees whether it has
+//! to fetch newer ones.
 
 use std::io;
 use std::net::SocketAddr;
@@ -17,6 +18,7 @@
 use fleet::Message;
 use ident::Time;
 use relay::claims::ClaimUpdate;
+use relay::evacuation::Evacuations;
 use relay::quarantine::Record;
 use serde::Deserialize;
 use serde::Serialize;
@@ -52,6 +54,8 @@
     from: InstanceInfo,
     /// Version of the sender's plan; 0 if it has none.
     plan: u64,
+    /// The evacuated data centres that the sender knows.
+    evacuations: Evacuations,
     /// Whether the sender is overloaded.
     overloaded: bool,
     /// Hash of the sender's quarantine records.
@@ -173,6 +177,7 @@
     let datagram = Datagram {
         from: shared.own_info(),
         plan: shared.plan_version(),
+        evacuations: shared.evacuations(),
         overloaded: shared.is_overloaded(),
         quarantine: shared.quarantine.borrow().digest(),
         content,
@@ -207,6 +212,7 @@
     if datagram.overloaded && sender.data_centre == shared.own_info().data_centre {
         shared.record_overload_report();
     }
+    shared.apply_evacuations("peer", &datagram.evacuations);
     match datagram.content {
         Content::Member { message, hint } => {
             let mut members = shared.members.borrow_mut();
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -1,5 +1,6 @@
-//! Enforces request limits that a replica sets for all daemons together. Before each request to a
-//! limited replica, a daemon asks the keeper of the count.
+//! Enforces request limits of replicas for all daemons together: those that a replica reports, and
+//! what a cold replica tolerates. Before each request to a limited replica, a daemon asks the keeper
+//! of the count.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,8 +9,9 @@
 use customer::keeper::Purpose;
 use customer::quota::Limit;
 use customer::subject::Subject;
+use ident::Time;
+use relay::pool::Pool;
 use relay::server::Key;
-use relay::server::Server;
 
 use crate::quota::client;
 use crate::quotas::Demand;
@@ -38,7 +40,7 @@
 
 /// Asks whether a request may be sent to the replica `key` now, and throttles the replica if not.
 async fn try_admit(shared: &Rc<Shared>, key: Key) -> bool {
-    let demand = shared.pool.borrow().get(key).and_then(demand);
+    let demand = demand(&shared.pool.borrow(), shared.clock.now(), key);
     let Some(demand) = demand else {
         return true;
     };
@@ -57,12 +59,12 @@
     false
 }
 
-/// The units that a request takes from the limit of `server`; `None` if the replica has no limit.
-fn demand(server: &Server) -> Option<Demand> {
+/// The units that a request takes from the limit of `key`; `None` if the replica has no limit.
+fn demand(pool: &Pool, now: Time, key: Key) -> Option<Demand> {
     Some(Demand {
-        subject: Subject::Replica(server.hash),
+        subject: Subject::Replica(pool.get(key)?.hash),
         limit: Limit {
-            rate: server.limit?.max(MIN_RATE),
+            rate: pool.request_limit(now, key)?.max(MIN_RATE),
             burst: BURST,
         },
         units: 1.0,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -32,6 +32,8 @@
     pub plan_version: GenericGauge<AtomicU64>,
     /// Requests in progress.
     pub open: GenericGauge<AtomicU64>,
+    /// Evacuated data centres; 1 for each.
+    evacuated: GaugeVec,
     /// Quarantined requests, which are sent to no replica because replicas ended under them.
     pub quarantined: GenericGauge<AtomicU64>,
     /// Answers of replicas that belonged, or may have belonged, to another request.
@@ -90,6 +92,7 @@
             "Age of the list of replicas",
         )?;
         let budget = Opts::new(full_name("retries_left"), "Retries left in the budget");
+        let evacuated = Opts::new(full_name("evacuated"), "Evacuated data centres; 1 for each");
         let failures = IntCounter::new(
             full_name("store_failures_total"),
             "Failed calls of the store",
@@ -101,6 +104,7 @@
         Ok(Self {
             foreign_answers: register(&registry, foreign_answers)?,
             plan_version: gauge("plan_version", "Version of the plan in force")?,
+            evacuated: register(&registry, GaugeVec::new(evacuated, &["data_centre"])?)?,
             open: gauge("open_requests", "Requests in progress")?,
             quarantined: gauge("quarantined", "Quarantined requests, sent to no replica")?,
             store_calls: vector(
@@ -135,6 +139,14 @@
         })
     }
 
+    /// Sets the evacuated data centres.
+    pub fn evacuated<'a>(&self, names: impl Iterator<Item = &'a str>) {
+        self.evacuated.reset();
+        for name in names {
+            self.evacuated.with_label_values(&[name]).set(1.0);
+        }
+    }
+
     /// Counts a request that ended with `outcome`.
     pub fn request(&self, outcome: &str) {
         self.requests.with_label_values(&[outcome]).inc();
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -110,7 +110,7 @@
     let (id, address, in_flight) = match target {
         Some((target, true)) => target,
         Some((_, false)) => {
-            let cause = "the replica is draining or no longer listed";
+            let cause = "the replica is draining, evacuated or no longer listed";
             record_failure(shared, job, key, Outcome::NotSent, cause, 0);
             return Err(Outcome::NotSent);
         }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -2,6 +2,7 @@
 
 mod choice;
 mod customers;
+mod evacuations;
 mod overload;
 mod quarantine;
 mod retries;
@@ -20,6 +21,7 @@
 use ident::Zone;
 use relay::budget::RetryBudget;
 use relay::claims::Claims;
+use relay::evacuation::Evacuations;
 use relay::overload::Overload;
 use relay::plan::Plan;
 use relay::pool::Pool;
@@ -108,6 +110,7 @@
     /// Unreadable entries that have been logged.
     logged_unreadable: RefCell<HashSet<String>>,
     plan: RefCell<Option<Rc<Plan>>>,
+    evacuations: RefCell<Evacuations>,
     /// Customers with a label of their own in the metrics.
     labelled_customers: RefCell<HashSet<String>>,
     budgets: RefCell<HashMap<String, RetryBudget>>,
@@ -175,6 +178,7 @@
             instances_listed: watch::Sender::new(false),
             logged_unreadable: RefCell::new(HashSet::new()),
             plan: RefCell::new(None),
+            evacuations: RefCell::default(),
             labelled_customers: RefCell::new(HashSet::new()),
             budgets: RefCell::new(HashMap::new()),
             answer_times: RefCell::new(HashMap::new()),
--- a/crates/gateway/src/shared/choice.rs
+++ b/crates/gateway/src/shared/choice.rs
@@ -74,7 +74,7 @@
     /// Whether `key` has a request limit.
     pub fn is_limited(&self, key: Key) -> bool {
         let pool = self.pool.borrow();
-        pool.get(key).is_some_and(|server| server.limit.is_some())
+        pool.request_limit(self.clock.now(), key).is_some()
     }
 
     /// Time until the first throttled replica of `service` may be chosen again; `None` if none is
--- a/crates/gateway/src/shared/store_state.rs
+++ b/crates/gateway/src/shared/store_state.rs
@@ -41,10 +41,10 @@
         }
         log::info!(kind = "plan", version = plan.version, before = before, source = source, routes = plan.routes.len() as u64; "a plan is in force");
         for (name, service) in &plan.services {
+            let mut pool = self.pool.borrow_mut();
+            pool.set_cold_start(name, service.cold_start);
             if let Some(engine) = service.engine {
-                self.pool
-                    .borrow_mut()
-                    .set_memory(name, engine.memory_tokens);
+                pool.set_memory(name, engine.memory_tokens);
             }
         }
         let is_route = |name: &String| plan.routes.iter().any(|route| route.name == *name);
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -12,6 +12,7 @@
 use boottime::timer::timeout;
 use boottime::timer::timeout_at;
 use ident::Time;
+use platform::evacuation;
 use platform::plan;
 use platform::replica;
 use platform::store::Rows;
@@ -75,6 +76,7 @@
         match read {
             Ok(rows) => {
                 shared.store_answered("plan");
+                apply_evacuations(&shared, version, &rows);
                 version = Some(rows.version);
                 apply_stored_plan(&shared, &rows);
                 sleep(PLAN_PAUSE).await;
@@ -285,12 +287,26 @@
     match shared.store.read(plan::TABLE).await {
         Ok(rows) => {
             shared.store_answered("plan");
+            apply_evacuations(shared, None, &rows);
             apply_stored_plan(shared, &rows);
         }
         Err(error) => shared.store_failed("plan", &error),
     }
 }
 
+/// Applies the evacuations in `rows`: all rows of the operator's table, or those that changed after
+/// version `since`. Must precede the plan, since callers are accepted once a plan is known.
+fn apply_evacuations(shared: &Shared, since: Option<u64>, rows: &Rows) {
+    let evacuations = match since {
+        None => evacuation::read_all(rows),
+        Some(_) => {
+            let changes = evacuation::changes(rows);
+            shared.evacuations().after(rows.version, &changes)
+        }
+    };
+    shared.apply_evacuations("store", &evacuations);
+}
+
 fn apply_stored_plan(shared: &Shared, rows: &Rows) {
     let newest = rows.rows.iter().rev().find(|row| row.key == plan::KEY);
     let Some(value) = newest.and_then(|row| row.value.as_deref()) else {
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -1,8 +1,10 @@
 //! Tests of the gateway binary against a stand-in store and scripted replicas.
 
+mod cold;
 mod common;
 mod connection_limits;
 mod discovery;
+mod evacuation;
 mod ingress;
 mod keys;
 mod lifecycle;
--- a/crates/gateway/tests/soak/callers.rs
+++ b/crates/gateway/tests/soak/callers.rs
@@ -37,6 +37,10 @@
 const MAX_PRINTED_BYTES: usize = 200;
 /// Requests of each kind that each daemon must serve after the faults.
 const RECOVERY_REQUESTS: usize = 5;
+/// Time until an evacuation must be in force at every daemon.
+const EVACUATION_BOUND: Duration = Duration::from_secs(3);
+/// Requests that each daemon gets during the evacuation.
+const EVACUATION_REQUESTS: usize = 8;
 
 /// Sends requests until the callers are stopped.
 pub fn run(cluster: &Cluster, seed: u64) {
@@ -181,6 +185,27 @@
     Ok(())
 }
 
+/// Evacuates a data centre and checks that it gets no requests from any daemon after
+/// [`EVACUATION_BOUND`].
+pub fn check_evacuation(cluster: &Cluster) -> Result<(), String> {
+    cluster.set_evacuated(true);
+    thread::sleep(EVACUATION_BOUND);
+    let before = cluster.evacuated_requests();
+    for instance in 0..DAEMONS {
+        for number in 0..EVACUATION_REQUESTS {
+            let id = Customer::Unlimited.id(&format!("evacuated-{instance}-{number}"));
+            let kind = nth_kind(number);
+            send_request(cluster, instance, kind, Customer::Unlimited, &id, &mut None);
+        }
+    }
+    let sent = cluster.evacuated_requests() - before;
+    cluster.set_evacuated(false);
+    match sent {
+        0 => Ok(()),
+        sent => Err(format!("{sent} requests reached an evacuated data centre")),
+    }
+}
+
 const fn nth_kind(number: usize) -> Kind {
     match number {
         0 => Kind::Once,
--- a/crates/gateway/tests/soak/cluster.rs
+++ b/crates/gateway/tests/soak/cluster.rs
@@ -37,6 +37,8 @@
 const REFUSING_FRACTION: f64 = 0.7;
 /// Application replicas whose number is a multiple of this have a rate limit.
 const LIMITED_REPLICA_INTERVAL: u64 = 3;
+/// Data centre of the replicas with an odd number, which is evacuated at times.
+const EVACUATED: &str = "there";
 /// Time after a disturbance of a daemon in which new requests to it are excused from being answered in time.
 const DISTURBANCE_MARGIN: Duration = Duration::from_secs(3);
 
@@ -174,6 +176,7 @@
         let proxy = Proxy::start(replica.address);
         let mut row = replica.row(service, stage);
         row["addr"] = json!(proxy.address);
+        row["zone"] = data_centre(&id).into();
         self.store.put("servers", &id, &row);
         let entry = (replica, proxy, service, stage);
         self.replicas.lock().unwrap().push(entry);
@@ -208,6 +211,7 @@
         let (replica, proxy, service, stage) = replicas.remove(index);
         let mut row = replica.row(service, stage);
         row["addr"] = json!(proxy.address);
+        row["zone"] = data_centre(&replica.id).into();
         row["state"] = "draining".into();
         // Under the lock, so that the row of an ended replica is not written again.
         self.store.put("servers", &replica.id, &row);
@@ -215,9 +219,29 @@
         self.add_replica(service, stage);
     }
 
-    /// Ends the faults of the store and of all proxies.
+    /// Begins or ends the evacuation of a data centre with about half of the replicas.
+    pub fn set_evacuated(&self, evacuated: bool) {
+        let key = format!("evacuate/{EVACUATED}");
+        if evacuated {
+            self.store.put("op", &key, &json!({}));
+        } else {
+            self.store.remove("op", &key);
+        }
+    }
+
+    /// Number of requests that the current replicas of this data centre received so far.
+    pub fn evacuated_requests(&self) -> usize {
+        let replicas = self.replicas.lock().unwrap();
+        let there = replicas
+            .iter()
+            .filter(|(replica, ..)| data_centre(&replica.id) == EVACUATED);
+        there.map(|(replica, ..)| replica.requests().len()).sum()
+    }
+
+    /// Ends the faults of the store and of all proxies, and the evacuation.
     pub fn clear_faults(&self) {
         self.store.set_down(false);
+        self.set_evacuated(false);
         for instance in self.instances.iter() {
             instance.store_proxy.set_fault(ConnectionFault::None);
         }
@@ -285,6 +309,16 @@
     }
 }
 
+/// The data centre of the replica `id`.
+fn data_centre(id: &str) -> &'static str {
+    let number = id.rsplit('-').next().unwrap_or_default();
+    if number.ends_with(['1', '3', '5', '7', '9']) {
+        EVACUATED
+    } else {
+        "here"
+    }
+}
+
 fn start_instance(ip: &str, ips: &[String], store: SocketAddr, seed: u64) -> Instance {
     let store_proxy = Proxy::start(store);
     let name = format!("soak-{seed}-{}", ip.rsplit('.').next().unwrap_or_default());
--- a/crates/gateway/tests/soak/faults.rs
+++ b/crates/gateway/tests/soak/faults.rs
@@ -50,7 +50,12 @@
                     .store_proxy
                     .set_fault(ConnectionFault::None);
             }
-            6 => cluster.change_config(),
+            6 => {
+                cluster.change_config();
+                cluster.set_evacuated(true);
+                thread::sleep(length);
+                cluster.set_evacuated(false);
+            }
             7 => cluster.replace_replica(replica),
             _ => {
                 let proxy = cluster
--- a/crates/gateway/tests/soak/main.rs
+++ b/crates/gateway/tests/soak/main.rs
@@ -132,6 +132,7 @@
         violations.extend(callers::check_recovery(&cluster, RECOVERY_TIMEOUT).err());
         thread::sleep(SYNC_TIME);
         violations.extend(callers::check_quarantine(&cluster).err());
+        violations.extend(callers::check_evacuation(&cluster).err());
     }
     // Requests that still run at a replica end within the duration of its longest answer.
     thread::sleep(Duration::from_millis(1_500));
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`plan`]: the configuration in force, and the route of a request.
 //! - [`pool`]: the listed replicas, and the state of each ([`server`]).
 //! - [`replica`]: entries of the list of replicas; [`replica_state`]: changes of a replica's state.
+//! - [`evacuation`]: data centres whose replicas get no requests.
 //! - [`score`]: selection of the replica for a request.
 //! - [`balance`]: division of the replicas of a model into prefill and decode.
 //! - [`budget`]: retries that a service may still get; [`permit`]: permission for one send.
@@ -31,6 +32,7 @@
 pub mod claim_publisher;
 pub mod claims;
 pub mod directory;
+pub mod evacuation;
 pub mod event;
 pub mod fingerprint;
 pub mod forecast;
--- a/crates/relay/src/plan.rs
+++ b/crates/relay/src/plan.rs
@@ -113,10 +113,21 @@
 /// A group of interchangeable replicas.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Service {
+    /// What its replicas tolerate while they are cold; `None` if they have no limit then.
+    pub cold_start: Option<ColdStart>,
     /// Properties of its model engines; `None` for a plain application.
     pub engine: Option<Engine>,
 }
 
+/// What a replica tolerates while it is cold.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct ColdStart {
+    /// How long a replica stays cold after its start.
+    pub duration: Duration,
+    /// Maximum requests per second; a replica that gets many more crashes.
+    pub max_rate: f64,
+}
+
 /// Properties of the model engines of a service.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub struct Engine {
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -1,21 +1,26 @@
 //! The replicas that this daemon knows, and the choice of one for a request.
 
+mod cold;
+mod evacuation;
 mod incarnation;
 mod list;
 mod prefill;
 mod silence;
 
 use std::cell::Cell;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Duration;
 
 use ident::Time;
+use ident::Zone;
 use rapidhash::v3::rapidhash_v3;
 use slotmap::SecondaryMap;
 use slotmap::SlotMap;
 
 use crate::balance::StageCounts;
 use crate::claims::Claims;
+use crate::plan::ColdStart;
 use crate::replica::Load;
 use crate::replica::Replica;
 use crate::replica::Stage;
@@ -52,6 +57,10 @@
     /// When the list last could not be read from the store while it was out of date for that long.
     last_outage: Option<Time>,
     memory: HashMap<String, u64>,
+    /// What cold replicas tolerate, by service.
+    cold_starts: HashMap<String, ColdStart>,
+    /// Data centres whose replicas get no requests.
+    evacuated: BTreeSet<Zone>,
     /// Cached hash of the list, cleared when the list changes.
     digest: Cell<Option<u64>>,
     tombstones: Tombstones,
@@ -214,10 +223,11 @@
         let Some(server) = self.servers.get_mut(key) else {
             return false;
         };
-        if limit.is_none() {
+        let before = std::mem::replace(&mut server.limit, limit);
+        if before.is_some() && limit.is_none() {
             server.throttled_until = Time::ZERO;
         }
-        std::mem::replace(&mut server.limit, limit) != limit
+        before != limit
     }
 
     /// Excludes `key` from selection until `until`.
--- a/crates/relay/src/pool/list.rs
+++ b/crates/relay/src/pool/list.rs
@@ -239,6 +239,7 @@
             None => Some(now),
             since => since,
         };
+        server.evacuated = self.evacuated.contains(&replica.data_centre);
         server.replica = replica;
         server.lapses_at = None;
         changed
@@ -246,7 +247,8 @@
 
     pub(super) fn insert(&mut self, now: Time, replica: &Replica) -> Key {
         self.tombstones.remove(&replica.id);
-        let server = Server::new(replica.clone(), self.version, now);
+        let mut server = Server::new(replica.clone(), self.version, now);
+        server.evacuated = self.evacuated.contains(&replica.data_centre);
         let key = self.servers.insert(server);
         self.by_id.insert(replica.id.clone(), key);
         key
--- a/crates/relay/src/replica.rs
+++ b/crates/relay/src/replica.rs
@@ -112,7 +112,7 @@
     pub slots: u32,
     /// Whether it accepts no new requests.
     pub draining: bool,
-    /// Whether it is still slow after its start.
+    /// Whether it is cold: slow, and able to take only some requests per second.
     pub cold: bool,
 }
 
--- a/crates/relay/src/score.rs
+++ b/crates/relay/src/score.rs
@@ -13,7 +13,7 @@
 const FAILURE_WEIGHT: f64 = 3.0;
 /// Penalty of a replica in another data centre: traffic between data centres costs money.
 const REMOTE_PENALTY: f64 = 0.3;
-/// Penalty of a replica that is still slow after its start.
+/// Penalty of a replica that is cold.
 const COLD_PENALTY: f64 = 0.5;
 /// Range of the random part of a score, which keeps daemons from making the same choice.
 const JITTER: f64 = 0.05;
@@ -92,7 +92,7 @@
 fn penalty(now: Time, criteria: &Criteria<'_>, server: &Server) -> f64 {
     let is_local = server.replica.data_centre == criteria.data_centre;
     let distance = if is_local { 0.0 } else { REMOTE_PENALTY };
-    let cold = if server.replica.cold {
+    let cold = if server.is_cold(now) {
         COLD_PENALTY
     } else {
         0.0
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -102,12 +102,16 @@
     last_answer: Option<Time>,
     /// When it last failed to answer this daemon.
     last_no_answer: Option<Time>,
-    /// Limit in requests per second, across all daemons; `None` if it has none.
+    /// Limit that it reports, in requests per second across all daemons; `None` if it has none.
     pub limit: Option<f64>,
     /// Until when it is excluded from selection because of its limit.
     pub(crate) throttled_until: Time,
     /// Whether a replica with another id answered at its address.
     pub(crate) replaced: bool,
+    /// Whether its data centre is evacuated.
+    pub(crate) evacuated: bool,
+    /// Until when it may be cold although its entry does not show it.
+    pub(crate) assumed_cold_until: Time,
     /// Memory forecast for the known runs of all daemons.
     pub(crate) forecast: Curve,
     /// Known runs of other daemons.
@@ -142,6 +146,8 @@
             limit: None,
             throttled_until: Time::ZERO,
             replaced: false,
+            evacuated: false,
+            assumed_cold_until: Time::ZERO,
             forecast: Curve::flat(0.0),
             peer_runs: 0,
             known_runs: 0,
@@ -153,16 +159,21 @@
 
     pub(crate) fn is_available(&self, now: Time) -> bool {
         let listed = self.lapses_at.is_none_or(|until| now < until);
-        listed && !self.replica.draining && !self.replaced
+        listed && !self.replica.draining && !self.replaced && !self.evacuated
+    }
+
+    /// Whether it is cold, or may be.
+    pub(crate) fn is_cold(&self, now: Time) -> bool {
+        self.replica.cold || now < self.assumed_cold_until
     }
 
     /// Whether a request assigned to it may still be sent: not after `DRAINING_GRACE`, nor once its
-    /// use after leaving the list has ended.
+    /// use after leaving the list has ended, nor while its data centre is evacuated.
     pub fn may_receive(&self, now: Time) -> bool {
         let grace_ended = self
             .draining_since
             .is_some_and(|since| now.since(since) > DRAINING_GRACE);
-        !grace_ended && !self.has_lapsed(now)
+        !grace_ended && !self.has_lapsed(now) && !self.evacuated
     }
 
     /// Replaces the forecast by that of the runs of `others`.
