Serve requests of routes and customers with home regions only there

Cause: nothing read the home regions of a route or customer, so their requests could go to replicas anywhere. Ruled out: a check at the send alone (a prefill or a move of a run would still pick a replica outside, and be refused). Change: relay::homes finds the data centres that both allow, with the route; every choice of a replica takes them, moves of runs too. Callers of a host with homes are told of instances in their own region and in the homes. Setting: regions.

--- a/crates/customer/src/list.rs
+++ b/crates/customer/src/list.rs
@@ -39,6 +39,8 @@
     pub unit: Unit,
     /// Its quota; `None` if it has none.
     pub limit: Option<Limit>,
+    /// Regions in which its requests may be served; empty if they may be served anywhere.
+    pub homes: Vec<String>,
 }
 
 /// All customers, indexed by the digests of their keys and by id.
--- a/crates/customer/tests/list.rs
+++ b/crates/customer/tests/list.rs
@@ -12,6 +12,7 @@
         priority: None,
         unit: Unit::Requests,
         limit: None,
+        homes: Vec::new(),
     }
 }
 
--- a/crates/gateway/src/auxiliary.rs
+++ b/crates/gateway/src/auxiliary.rs
@@ -10,6 +10,7 @@
 use http::header;
 use hyper::body::Incoming;
 use platform::directory;
+use platform::directory::Query;
 
 use crate::body::Body;
 use crate::responses;
@@ -24,9 +25,11 @@
     if request.uri().path() != directory::ADDRESSES_PATH {
         return responses::answer(StatusCode::NOT_FOUND, "", "not found\n");
     }
-    let near = request.uri().query().and_then(directory::data_centre);
+    let query = Query::read(request.uri().query().unwrap_or_default());
     let open = shared.members.borrow().advertised();
-    let endpoints = relay::directory::select_addresses(&open, near, shared.advertised_scope());
+    let open = shared.within_homes(open, &query);
+    let scope = shared.advertised_scope();
+    let endpoints = relay::directory::select_addresses(&open, query.data_centre, scope);
     if endpoints.is_empty() {
         return responses::answer(
             StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -20,6 +20,7 @@
 use platform::caller::ReplicaRequest;
 use platform::caller::Task;
 use relay::fingerprint::Fingerprint;
+use relay::homes::Homes;
 use relay::permit::Permit;
 use relay::permit::RequestPermits;
 use relay::permit::Work;
@@ -30,6 +31,7 @@
 
 use crate::quota::charge::Charge;
 use crate::shared::Shared;
+use crate::shared::choice::Destination;
 use crate::target::Owner;
 use crate::target::Target;
 
@@ -48,6 +50,8 @@
     pub service: String,
     /// Who the request belongs to.
     pub owner: Owner,
+    /// Data centres in which it may be served.
+    pub homes: Homes,
     /// HTTP method.
     pub method: Method,
     /// Path and query.
@@ -90,6 +94,7 @@
             plan,
             service,
             owner,
+            homes,
         } = target;
         let returned = shared.was_refused_before(&route, &service, call.timeout);
         let patience = call.timeout.unwrap_or(route.timeout).min(route.timeout);
@@ -100,6 +105,7 @@
             plan,
             service,
             owner,
+            homes,
             method: parts.method,
             uri: parts.uri,
             headers: parts.headers,
@@ -116,6 +122,14 @@
         }
     }
 
+    /// Where it may be served.
+    pub fn destination(&self) -> Destination<'_> {
+        Destination {
+            service: &self.service,
+            homes: self.homes.data_centres(),
+        }
+    }
+
     /// Time until the deadline.
     pub fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -127,7 +127,7 @@
         }
         rounds += 1;
         if Instant::now() + ROUND_PAUSE > until {
-            let prefill_time = shared.estimate_prefill_time(&job.service, job.prompt_tokens());
+            let prefill_time = shared.estimate_prefill_time(job.destination(), job.prompt_tokens());
             let read_ms = prefill_time.unwrap_or_default().as_millis() as u64;
             log::info!(kind = "reserve", request = job.call.id, class = format!("{kind:?}"), rounds = rounds, tokens = job.expected_tokens(), read_ms = read_ms; "no decode replica has room");
             return None;
@@ -145,7 +145,7 @@
     generated: u64,
 ) -> Option<Placement> {
     let Some(engine) = reserving_engine(shared, job) else {
-        let choose = || shared.choose(&job.service, Some(Stage::Decode), tried);
+        let choose = || shared.choose(job.destination(), Some(Stage::Decode), tried);
         let key = limit::choose_admitted(shared, choose).await?;
         return Some(Placement {
             key,
@@ -167,7 +167,7 @@
 ) -> Option<Placement> {
     let placing = shared.settings().placing;
     let size = job.size(generated);
-    let prefill_time = shared.estimate_prefill_time(&job.service, size.prompt);
+    let prefill_time = shared.estimate_prefill_time(job.destination(), size.prompt);
     let idle = kind.required_idle_share(
         job.route.objective,
         job.age(),
@@ -182,10 +182,10 @@
     let tokens = size.prompt + (expected as u64).max(generated);
     let mut asked = tried.to_vec();
     for _ in 0..REPLICAS_PER_ROUND {
-        let choose = || shared.choose_decode(&job.service, &asked, memory_demand);
+        let choose = || shared.choose_decode(job.destination(), &asked, memory_demand);
         let key = limit::choose_admitted(shared, choose).await?;
         asked.push(key);
-        let tracked_run = TrackedRun::new(shared, &job.service, key, size, engine.event_tokens);
+        let tracked_run = TrackedRun::new(shared, job, key, size, engine.event_tokens);
         match reserve(shared, tokens, key, engine.max_reservation).await {
             ReserveOutcome::Granted(reserved) => {
                 let now = shared.clock.now();
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -171,7 +171,7 @@
 fn try_abandon(shared: &Shared, job: &Job, key: Key, tried: &[Key]) -> bool {
     let abandons = Instant::now() < job.deadline
         && shared
-            .choose(&job.service, None, tried)
+            .choose(job.destination(), None, tried)
             .is_some_and(|other| !shared.is_limited(other))
         && shared.ensure_permit(job, Work::Run);
     if abandons {
@@ -191,7 +191,7 @@
 ) -> Option<Key> {
     let until = job.arrived + job.route.objective.mul_f64(MAX_WAIT_FRACTION);
     loop {
-        let choose = || shared.choose(&job.service, stage, tried);
+        let choose = || shared.choose(job.destination(), stage, tried);
         if let Some(key) = limit::choose_admitted(shared, choose).await {
             return Some(key);
         }
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -51,7 +51,7 @@
     let mut tried = Vec::new();
     let mut failed = false;
     while tried.len() < MAX_PREFILLS {
-        let choose = || shared.choose_near(&job.service, Some(Stage::Prefill), &tried, near);
+        let choose = || shared.choose_near(job.destination(), Some(Stage::Prefill), &tried, near);
         let chosen = limit::choose_admitted(shared, choose).await;
         let Some(key) = chosen else { break };
         // With too few prefill replicas, the decode replicas take a share of the prompts, so that
--- a/crates/gateway/src/run_tracking.rs
+++ b/crates/gateway/src/run_tracking.rs
@@ -9,6 +9,7 @@
 use boottime::timer::timeout_at;
 use rand::seq::IndexedRandom;
 use relay::claim_publisher::ClaimPublisher;
+use relay::homes::Homes;
 use relay::migration;
 use relay::migration::Move;
 use relay::runs::RunId;
@@ -17,7 +18,9 @@
 use tokio::sync::watch;
 
 use crate::gossip;
+use crate::job::Job;
 use crate::shared::Shared;
+use crate::shared::choice::Destination;
 
 /// Interval of the memory checks; a migration has to start some hundred milliseconds before the
 /// memory of a replica is full.
@@ -27,6 +30,14 @@
 /// Random daemons that claims are sent to in each round, so that daemons with runs find each other.
 const RANDOM_PEERS: usize = 2;
 
+/// Tells a run to continue at another replica.
+#[derive(Debug)]
+pub struct MoveOrder {
+    target: watch::Sender<Option<Key>>,
+    /// Data centres to which it may move.
+    homes: Homes,
+}
+
 /// A tracked run; it ends when this is dropped.
 #[derive(Debug)]
 pub struct TrackedRun {
@@ -39,16 +50,14 @@
 }
 
 impl TrackedRun {
-    /// Records that a run of `size` starts at `server`.
-    pub fn new(
-        shared: &Rc<Shared>,
-        service: &str,
-        server: Key,
-        size: Size,
-        event_tokens: u64,
-    ) -> Self {
-        let id = shared.runs.borrow_mut().begin(service, server, size);
-        let (order, orders) = watch::channel(None);
+    /// Records that a run of `job` with `size` starts at `server`.
+    pub fn new(shared: &Rc<Shared>, job: &Job, server: Key, size: Size, event_tokens: u64) -> Self {
+        let id = shared.runs.borrow_mut().begin(&job.service, server, size);
+        let (target, orders) = watch::channel(None);
+        let order = MoveOrder {
+            target,
+            homes: job.homes.clone(),
+        };
         shared.move_targets.borrow_mut().insert(id, order);
         shared.update_forecast(server);
         shared.runs_changed.notify_one();
@@ -180,21 +189,26 @@
         .update_all_forecasts(now, &runs, &claims);
     let plan = shared.plan().filter(|_| shared.settings().placing.moves);
     let Some(plan) = plan else { return };
+    let orders = shared.move_targets.borrow();
     let moves = {
         let pool = shared.pool.borrow();
         migration::due_moves(now, &pool, &runs, &claims, |run, from, ask| {
             let service = &runs.get(run)?.service;
             let engine = plan.services.get(service)?.engine?;
+            let to = Destination {
+                service,
+                homes: orders.get(&run)?.homes.data_centres(),
+            };
             let to = engine
                 .moves
-                .then(|| shared.choose_decode(service, &[from], ask))??;
+                .then(|| shared.choose_decode(to, &[from], ask))??;
             // A migration cannot wait for a limited replica to admit the request.
             (!shared.is_limited(to)).then_some(to)
         })
     };
     for Move { run, to } in moves {
-        if let Some(order) = shared.move_targets.borrow().get(&run) {
-            order.send_replace(Some(to));
+        if let Some(order) = orders.get(&run) {
+            order.target.send_replace(Some(to));
         }
     }
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of the daemon, validated before it starts.
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::net::IpAddr;
 use std::net::SocketAddr;
@@ -19,6 +20,9 @@
     pub instance: String,
     /// Name of its data centre.
     pub data_centre: String,
+    /// Region of each data centre; needed for routes and customers with home regions.
+    #[serde(default)]
+    pub regions: BTreeMap<String, String>,
     /// Where it listens.
     pub listen: Listen,
     /// Address of the platform's store.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,8 +1,9 @@
 //! State that the tasks of the daemon share.
 
-mod choice;
+pub mod choice;
 mod customers;
 mod evacuations;
+mod homes;
 mod overload;
 mod quarantine;
 mod retries;
@@ -28,7 +29,6 @@
 use relay::quarantine::Quarantine;
 use relay::runs::RunId;
 use relay::runs::Runs;
-use relay::server::Key;
 use relay::timing::CallerTimeouts;
 use relay::wait_queue::WaitQueue;
 use tokio::net::UdpSocket;
@@ -45,6 +45,7 @@
 use crate::poller_status::PollerStatus;
 use crate::probes::Probes;
 use crate::quotas::Quotas;
+use crate::run_tracking::MoveOrder;
 use crate::settings::Settings;
 use crate::store::Store;
 
@@ -96,7 +97,7 @@
     /// Requests whose quarantine records have to be written to the store.
     pub unstored: Outbox,
     /// Replica to which a run has to move, by run.
-    pub move_targets: RefCell<HashMap<RunId, watch::Sender<Option<Key>>>>,
+    pub move_targets: RefCell<HashMap<RunId, MoveOrder>>,
     /// Generations that wait for a decode replica.
     pub queue: RefCell<WaitQueue>,
     /// Notified when a run of this daemon ended or the queue advanced.
--- a/crates/gateway/src/shared/choice.rs
+++ b/crates/gateway/src/shared/choice.rs
@@ -21,24 +21,34 @@
 /// Weight of the newest answer in the moving average.
 const ANSWER_TIME_WEIGHT: f64 = 0.1;
 
+/// Where a request may be served.
+#[derive(Debug, Clone, Copy)]
+pub struct Destination<'a> {
+    /// Name of the service.
+    pub service: &'a str,
+    /// Data centres; `None` if it may be served anywhere.
+    pub homes: Option<&'a [Zone]>,
+}
+
 impl Shared {
     /// Chooses the replica to send a request to; `None` if no untried one is available.
-    pub fn choose(&self, service: &str, stage: Option<Stage>, tried: &[Key]) -> Option<Key> {
-        self.choose_near(service, stage, tried, self.data_centre)
+    pub fn choose(&self, to: Destination<'_>, stage: Option<Stage>, tried: &[Key]) -> Option<Key> {
+        self.choose_near(to, stage, tried, self.data_centre)
     }
 
     /// Like [`Self::choose`], but prefers replicas of `data_centre`.
     pub fn choose_near(
         &self,
-        service: &str,
+        to: Destination<'_>,
         stage: Option<Stage>,
         tried: &[Key],
         data_centre: Zone,
     ) -> Option<Key> {
         let criteria = Criteria {
-            service,
+            service: to.service,
             stage,
             tried,
+            homes: to.homes,
             data_centre,
             demand: None,
         };
@@ -48,11 +58,17 @@
 
     /// Chooses the decode replica for a generation that needs the memory `demand`; `None` if no
     /// untried one has room.
-    pub fn choose_decode(&self, service: &str, tried: &[Key], demand: MemoryDemand) -> Option<Key> {
+    pub fn choose_decode(
+        &self,
+        to: Destination<'_>,
+        tried: &[Key],
+        demand: MemoryDemand,
+    ) -> Option<Key> {
         let criteria = Criteria {
-            service,
+            service: to.service,
             stage: Some(Stage::Decode),
             tried,
+            homes: to.homes,
             data_centre: self.data_centre,
             demand: Some(demand),
         };
@@ -103,10 +119,10 @@
         pool.decode_prefill_share(self.clock.now(), key, tokens, objective)
     }
 
-    /// Time until a prompt of `tokens` for `service` is prefilled at the best replica; `None` if
-    /// that is not known.
-    pub fn estimate_prefill_time(&self, service: &str, tokens: u64) -> Option<Duration> {
-        let key = self.choose(service, Some(Stage::Prefill), &[])?;
+    /// Time until a prompt of `tokens` is prefilled at the best replica; `None` if that is not
+    /// known.
+    pub fn estimate_prefill_time(&self, to: Destination<'_>, tokens: u64) -> Option<Duration> {
+        let key = self.choose(to, Some(Stage::Prefill), &[])?;
         let pool = self.pool.borrow();
         pool.estimate_prefill_time(self.clock.now(), key, tokens)
     }
--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -30,6 +30,7 @@
 use crate::control;
 use crate::control::Call;
 use crate::shared::Shared;
+use crate::shared::choice::Destination;
 use crate::store::Error;
 
 /// Table with one row for each service: the instance that sent the last order and when.
@@ -132,10 +133,14 @@
         Stage::Prefill => Stage::Decode,
         Stage::Decode => Stage::Prefill,
     };
+    let to = Destination {
+        service,
+        homes: None,
+    };
     let mut tried: Vec<Key> = Vec::new();
     let mut orders = Vec::new();
     while orders.len() < due.count && tried.len() < due.count + MAX_SKIPPED {
-        let Some(key) = shared.choose(service, Some(from), &tried) else {
+        let Some(key) = shared.choose(to, Some(from), &tried) else {
             break;
         };
         tried.push(key);
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -4,6 +4,7 @@
 
 use customer::digest::Digest;
 use customer::list::Customer;
+use relay::homes::Homes;
 use relay::plan::Caller;
 use relay::plan::Denied;
 use relay::plan::Plan;
@@ -22,6 +23,8 @@
     pub service: String,
     /// Who the request belongs to.
     pub owner: Owner,
+    /// Data centres in which it may be served.
+    pub homes: Homes,
 }
 
 /// Who a request belongs to.
@@ -78,11 +81,13 @@
         return Err(Error::Stopping);
     }
     let service = route.target(rand::random()).ok_or(Error::NoService)?;
+    let homes = shared.homes(route, &owner);
     Ok(Target {
         route: route.clone(),
         plan: plan.version,
         service: service.to_owned(),
         owner,
+        homes,
     })
 }
 
--- a/crates/gateway/tests/gateway/common/daemon.rs
+++ b/crates/gateway/tests/gateway/common/daemon.rs
@@ -79,6 +79,18 @@
         Self::spawn(name, ip, store, seeds, extra_settings).collect_log_lines()
     }
 
+    /// Starts the daemon `name` at `ip` in `data_centre`, with additional lines in its settings file.
+    pub fn start_in(
+        data_centre: &str,
+        name: &str,
+        ip: &str,
+        store: SocketAddr,
+        seeds: &[&str],
+        extra_settings: &str,
+    ) -> Self {
+        Self::spawn_in(data_centre, name, ip, store, seeds, extra_settings).collect_log_lines()
+    }
+
     fn collect_log_lines(mut self) -> Self {
         let daemon = &mut self;
         let collected = Arc::clone(&daemon.lines);
@@ -107,11 +119,22 @@
         store: SocketAddr,
         seeds: &[&str],
         extra_settings: &str,
+    ) -> Self {
+        Self::spawn_in("here", name, ip, store, seeds, extra_settings)
+    }
+
+    fn spawn_in(
+        data_centre: &str,
+        name: &str,
+        ip: &str,
+        store: SocketAddr,
+        seeds: &[&str],
+        extra_settings: &str,
     ) -> Self {
         let at = |index: usize| SocketAddr::new(ip.parse().unwrap(), PORTS[index]);
         let seeds: Vec<String> = seeds.iter().map(|ip| format!("\"{ip}:1\"")).collect();
         let settings = format!(
-            "instance: {name}\ndata_centre: here\nlisten:\n  callers: \"{}\"\n  addresses: \"{}\"\n  readiness: \"{}\"\n  metrics: \"{}\"\n  peers: \"{}\"\nstore: \"{store}\"\nseeds: [{}]\nretry: {{ratio: 0.2, slack: 50, window_s: 10}}\ngrace_s: 8\n{extra_settings}",
+            "instance: {name}\ndata_centre: {data_centre}\nlisten:\n  callers: \"{}\"\n  addresses: \"{}\"\n  readiness: \"{}\"\n  metrics: \"{}\"\n  peers: \"{}\"\nstore: \"{store}\"\nseeds: [{}]\nretry: {{ratio: 0.2, slack: 50, window_s: 10}}\ngrace_s: 8\n{extra_settings}",
             at(0),
             at(1),
             at(2),
@@ -158,8 +181,13 @@
 
     /// Body of its answer to an address lookup.
     pub fn addresses(&self) -> String {
-        let path = "/api/resolve?name=shop.example&region=r&zone=here";
-        String::from_utf8_lossy(&get(self.addresses, path).body).into_owned()
+        self.addresses_for("r", "here")
+    }
+
+    /// Body of its answer to an address lookup by a caller in `data_centre` of `region`.
+    pub fn addresses_for(&self, region: &str, data_centre: &str) -> String {
+        let path = format!("/api/resolve?name=shop.example&region={region}&zone={data_centre}");
+        String::from_utf8_lossy(&get(self.addresses, &path).body).into_owned()
     }
 
     /// The text of its metrics.
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod connection_limits;
 mod discovery;
 mod evacuation;
+mod homes;
 mod ingress;
 mod keys;
 mod lifecycle;
--- a/crates/lab/src/decode/daemon.rs
+++ b/crates/lab/src/decode/daemon.rs
@@ -128,6 +128,7 @@
         service: SERVICE,
         stage: Some(Stage::Decode),
         tried,
+        homes: None,
         data_centre: Zone::new("here"),
         demand,
     }
--- a/crates/lab/src/site/run.rs
+++ b/crates/lab/src/site/run.rs
@@ -278,6 +278,7 @@
             service: "llm",
             stage: Some(stage),
             tried,
+            homes: None,
             data_centre: Zone::new("here"),
             demand: None,
         };
--- a/crates/relay/examples/decide.rs
+++ b/crates/relay/examples/decide.rs
@@ -116,6 +116,7 @@
         service: "llm",
         stage: Some(Stage::Decode),
         tried,
+        homes: None,
         data_centre: Zone::new("here"),
         demand,
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`pool`]: the listed replicas, and the state of each ([`server`]).
 //! - [`replica`]: entries of the list of replicas; [`replica_state`]: changes of a replica's state.
 //! - [`evacuation`]: data centres whose replicas get no requests.
+//! - [`homes`]: data centres in which a request may be served.
 //! - [`score`]: selection of the replica for a request.
 //! - [`balance`]: division of the replicas of a model into prefill and decode.
 //! - [`budget`]: retries that a service may still get; [`permit`]: permission for one send.
@@ -36,6 +37,7 @@
 pub mod event;
 pub mod fingerprint;
 pub mod forecast;
+pub mod homes;
 pub mod length;
 pub mod migration;
 pub mod overload;
--- a/crates/relay/src/plan.rs
+++ b/crates/relay/src/plan.rs
@@ -52,6 +52,8 @@
     pub max_attempts: u32,
     /// Whether callers need no API key although there are customers.
     pub public: bool,
+    /// Regions in which its requests may be served; empty if they may be served anywhere.
+    pub homes: Vec<String>,
 }
 
 /// The customer of a request, or why it has none.
@@ -222,11 +224,18 @@
     ///
     /// The port and the case of `host` are ignored.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
-        let name = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
-        let indices = self.by_host.get(&name)?;
-        let mut routes = indices.iter().map(|index| &self.routes[*index]);
+        let mut routes = self.routes_of(host);
         routes.find(|route| path.starts_with(&route.prefix))
     }
+
+    /// The routes of `host`, longest prefix first.
+    ///
+    /// The port and the case of `host` are ignored.
+    pub fn routes_of(&self, host: &str) -> impl Iterator<Item = &Route> {
+        let name = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
+        let indices = self.by_host.get(&name).into_iter().flatten();
+        indices.map(|index| &self.routes[*index])
+    }
 }
 
 impl Route {
--- a/crates/relay/src/score.rs
+++ b/crates/relay/src/score.rs
@@ -42,6 +42,8 @@
     pub stage: Option<Stage>,
     /// Replicas that the request has already been sent to.
     pub tried: &'a [Key],
+    /// Data centres in which the request may be served; `None` if it may be served anywhere.
+    pub homes: Option<&'a [Zone]>,
     /// Preferred data centre.
     pub data_centre: Zone,
     /// Memory needed at a decode replica, if it is to be checked.
@@ -55,9 +57,14 @@
             && server.throttled_until <= now
             && server.replica.service == self.service
             && server.replica.stage == self.stage
+            && self.is_home(server.replica.data_centre)
             && !self.tried.contains(&key)
     }
 
+    fn is_home(&self, data_centre: Zone) -> bool {
+        self.homes.is_none_or(|homes| homes.contains(&data_centre))
+    }
+
     /// Whether `server` has room. `memory` is the size of its engine's memory in tokens, if known.
     pub(crate) fn has_room(&self, now: Time, server: &Server, memory: Option<u64>) -> bool {
         match (self.demand, memory) {
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -61,6 +61,7 @@
         service,
         stage,
         tried,
+        homes: None,
         data_centre: Zone::new("here"),
         demand,
     }
--- a/crates/relay/tests/plan.rs
+++ b/crates/relay/tests/plan.rs
@@ -23,6 +23,7 @@
         targets: vec![target("a", 90), target("b", 10)],
         public: false,
         max_attempts: 1,
+        homes: Vec::new(),
     }
 }
 
