Choose the poller of a data centre among its large instances

Cause: the poller answers every other daemon of its data centre twice a second and sends the complete list at a common start; rendezvous hashing may choose an instance with 0.12 of a core and a link of 20 Mbit/s for 190 others. Change: only instances with at least half of the largest one's capacity are candidates; the pollers of other data centres are looked up only when the own one is not up to date. Test: members::the_poller_is_a_large_instance.

--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -20,6 +20,7 @@
 use rand::seq::IteratorRandom;
 use rand::seq::SliceRandom;
 use relay::directory::Endpoint;
+use relay::directory::LARGE_SHARE;
 
 use crate::instance_info::InstanceInfo;
 
@@ -287,18 +288,29 @@
     }
 
     /// The poller of `data_centre`: chosen among the members, or, for [`SETTLING_TIME`] after
-    /// joining, among all listed instances that are not known to be dead.
+    /// joining, among all listed instances that are not known to be dead. Only large instances are
+    /// chosen, since the poller serves all others of its data centre.
     fn poller_in(&self, data_centre: Zone) -> Option<Instance> {
         let fleet = self.fleet.as_ref();
-        match fleet.filter(|_| self.is_settled) {
-            Some(fleet) => fleet.owner_in(data_centre, POLLER_KEY),
+        let mut candidates: Vec<&InstanceInfo> = match fleet.filter(|_| self.is_settled) {
+            Some(fleet) => {
+                let local = fleet.serving().filter(|member| member.zone == data_centre);
+                local
+                    .filter_map(|member| self.info(member.instance))
+                    .collect()
+            }
             None => {
-                let local = self
-                    .not_dead()
-                    .filter(|info| info.data_centre == data_centre);
-                owner::choose(POLLER_KEY, local.map(InstanceInfo::instance))
+                let all = self.not_dead();
+                all.filter(|info| info.data_centre == data_centre).collect()
             }
-        }
+        };
+        let largest = candidates.iter().map(|info| info.capacity).max()?;
+        let least = f64::from(largest) * LARGE_SHARE;
+        candidates.retain(|info| f64::from(info.capacity) >= least);
+        owner::choose(
+            POLLER_KEY,
+            candidates.into_iter().map(InstanceInfo::instance),
+        )
     }
 
     /// Instances that are not known to be dead, including this one.
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -194,9 +194,13 @@
     let Some(local) = local else {
         return PollerState::Silent;
     };
+    let mut poller_state = match timeout_at(deadline, refresh_from(shared, local)).await {
+        Ok(PollerState::Fresh) => return PollerState::Fresh,
+        Ok(poller_state) => poller_state,
+        Err(_) => return PollerState::Silent,
+    };
     let remote = shared.members.borrow().remote_pollers();
-    let mut poller_state = PollerState::Silent;
-    for poller in std::iter::once(local).chain(remote) {
+    for poller in remote {
         match timeout_at(deadline, refresh_from(shared, poller)).await {
             Ok(PollerState::Fresh) => return PollerState::Fresh,
             Ok(PollerState::Stale) => poller_state = PollerState::Stale,
--- a/crates/gateway/tests/gateway/members.rs
+++ b/crates/gateway/tests/gateway/members.rs
@@ -79,3 +79,23 @@
     members.step(now);
     assert!(!members.is_majority(now));
 }
+
+/// The poller serves all daemons of its data centre: a small instance would fall behind.
+#[test]
+fn the_poller_is_a_large_instance() {
+    let sized = |number: u8, capacity: u32| InstanceInfo {
+        capacity,
+        ..card(number)
+    };
+    let large = sized(200, 1_000);
+    let mut listed: Vec<InstanceInfo> = (1..100).map(|number| sized(number, 120)).collect();
+    listed.push(large.clone());
+    let mut members = Members::new(sized(1, 120));
+    members.set_listed(Time::ZERO, &listed);
+    members.join(Time::ZERO, 1);
+    assert_eq!(members.poller(), Some(large.peers));
+    let mut members = Members::new(large);
+    members.set_listed(Time::ZERO, &listed);
+    members.join(Time::ZERO, 1);
+    assert_eq!(members.poller(), None);
+}
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -15,7 +15,7 @@
 const MIN_LARGE: usize = 4;
 /// Fraction of the largest instance's capacity that makes an instance large. The fewer instances
 /// take requests, the more each of them knows of the replicas' load from its own requests.
-const LARGE_SHARE: f64 = 0.5;
+pub const LARGE_SHARE: f64 = 0.5;
 
 /// An instance that accepts callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
