Let the work for a request follow the replicas it concerns, not their number

Each choice, each look at the forecasts (20 a second), each message with claims, each update and each answer to a peer went over all 10,000 replicas, and a list of 10,000 was logged line by line by each of 985 daemons. Ruled out: subsets of the replicas for each daemon (an outage of a subset's members would need them drawn anew). Change: indices by id, hash, service and stage, and version of the last change (relay::pool::index); a running sum of the entries' hashes in place of sorting and formatting all of them; forecasts and pending prefills of the replicas that have any; pending prefills of others are added up when a prefill replica is chosen, not with each message; records of removed replicas as many as are listed; at most 50 lines for one update.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -248,21 +248,14 @@
         Content::Claims(update) => {
             let now = shared.clock.now();
             let peer = sender.instance();
-            let has_readings = update.all || !update.readings.is_empty();
             if !update.silent.is_empty() {
                 shared
                     .pool
                     .borrow_mut()
                     .apply_silent_report(now, &update.silent);
             }
-            let mut claims = shared.claims.borrow_mut();
-            claims.apply(now, peer, update);
-            if has_readings {
-                shared
-                    .pool
-                    .borrow_mut()
-                    .update_pending_prefills(now, &claims);
-            }
+            shared.pending_prefills_outdated.set(true);
+            shared.claims.borrow_mut().apply(now, peer, update);
         }
     }
     if datagram.quarantine != shared.quarantine.borrow().digest() {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -86,6 +86,10 @@
     pub runs: RefCell<Runs>,
     /// Runs that other daemons report.
     pub claims: RefCell<Claims>,
+    /// Whether peers have reported since the pending prefills in `pool` were updated.
+    pub pending_prefills_outdated: Cell<bool>,
+    /// When the memory forecasts of all replicas were last updated.
+    pub forecasts_updated_at: Cell<Time>,
     /// Requests under which replicas ended.
     pub quarantine: RefCell<Quarantine>,
     /// Quotas of customers.
@@ -166,6 +170,8 @@
             metrics,
             runs: RefCell::new(Runs::new()),
             claims: RefCell::new(Claims::new()),
+            pending_prefills_outdated: Cell::new(false),
+            forecasts_updated_at: Cell::new(Time::ZERO),
             quarantine: RefCell::new(Quarantine::new()),
             quotas: RefCell::new(Quotas::new()),
             probes: Probes::new(),
--- a/crates/gateway/src/shared/choice.rs
+++ b/crates/gateway/src/shared/choice.rs
@@ -44,6 +44,9 @@
         tried: &[Key],
         data_centre: Zone,
     ) -> Option<Key> {
+        if stage == Some(Stage::Prefill) {
+            self.update_pending_prefills();
+        }
         let criteria = Criteria {
             service: to.service,
             stage,
@@ -56,6 +59,16 @@
         pool.choose(self.clock.now(), &criteria, rand::random)
     }
 
+    /// Updates the pending prefills of other daemons before they are needed. Peers report far more
+    /// often than this daemon chooses a prefill replica.
+    fn update_pending_prefills(&self) {
+        if self.pending_prefills_outdated.replace(false) {
+            let claims = self.claims.borrow();
+            let mut pool = self.pool.borrow_mut();
+            pool.update_pending_prefills(self.clock.now(), &claims);
+        }
+    }
+
     /// Chooses the decode replica for a generation that needs the memory `demand`; `None` if no
     /// untried one has room.
     pub fn choose_decode(
--- a/crates/gateway/src/shared/store_state.rs
+++ b/crates/gateway/src/shared/store_state.rs
@@ -17,6 +17,10 @@
 use crate::shared::Shared;
 use crate::store;
 
+/// Maximum number of lines about replicas that changed together. A line for each replica of a large
+/// fleet takes a small instance longer than reading the list.
+const MAX_CHANGE_LINES: usize = 50;
+
 impl Shared {
     /// The plan in force.
     pub fn plan(&self) -> Option<Rc<Plan>> {
@@ -88,11 +92,17 @@
 
     fn log_changes(&self, source: &'static str, changes: &[StateChange]) {
         let version = self.replicas_version();
-        for change in changes {
+        let omitted = changes.len().saturating_sub(MAX_CHANGE_LINES);
+        if omitted > 0 {
+            log::info!(kind = "replicas", version = version, source = source, omitted = omitted as u64; "more replicas changed than are logged");
+        }
+        for change in changes.iter().take(MAX_CHANGE_LINES) {
             log::info!(kind = "replica", replica = change.id, belief = format!("{:?}", change.now), version = version, source = source; "a replica changed");
-            if change.now == ReplicaState::Restarted {
-                self.drop_earlier_incarnation(&change.id);
-            }
+        }
+        let restarted = changes.iter();
+        let restarted = restarted.filter(|change| change.now == ReplicaState::Restarted);
+        for change in restarted {
+            self.drop_earlier_incarnation(&change.id);
         }
     }
 
--- a/crates/relay/examples/decide.rs
+++ b/crates/relay/examples/decide.rs
@@ -1,6 +1,6 @@
 //! Measures the cost of placing a generation, by fleet size.
 //!
-//! `cargo run --release -p relay --example decide` prints, for fleets of 9 to 930 replicas, the
+//! `cargo run --release -p relay --example decide` prints, for fleets of 9 to 20,000 replicas, the
 //! median time to choose a decode replica, and the time to update the forecasts of all replicas.
 
 use std::time::Duration;
@@ -24,11 +24,21 @@
 use relay::server::Key;
 
 /// Fleets: decode replicas, and runs at all of them.
-const FLEETS: [(usize, usize); 4] = [(9, 120), (44, 590), (140, 1_870), (930, 12_400)];
+const FLEETS: [(usize, usize); 7] = [
+    (9, 120),
+    (44, 590),
+    (140, 1_870),
+    (930, 12_400),
+    (10_000, 1_000),
+    (10_000, 12_400),
+    (20_000, 24_800),
+];
 /// Runs of this daemon.
 const OWN_RUNS: usize = 31;
 /// Maximum number of daemons that send their claims to one daemon.
 const PEERS: usize = 16;
+/// Number of measured updates.
+const UPDATES: usize = 50;
 /// Number of measured decisions.
 const DECISIONS: usize = 2_000;
 const SIZE: Size = Size {
@@ -80,9 +90,15 @@
             ClaimUpdate::all(claims_of_peer.collect()),
         );
     }
-    let begun = Instant::now();
-    pool.update_all_forecasts(now, &own, &claims);
-    let update = begun.elapsed();
+    let mut updates: Vec<Duration> = (0..UPDATES)
+        .map(|_| {
+            let begun = Instant::now();
+            pool.update_all_forecasts(now, &own, &claims);
+            begun.elapsed()
+        })
+        .collect();
+    updates.sort_unstable();
+    let update = updates[UPDATES / 2];
     let demand = MemoryDemand {
         curve: own.forecast("llm", SIZE),
         spreads: 3.0,
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -2,7 +2,9 @@
 
 mod cold;
 mod evacuation;
+mod forecast;
 mod incarnation;
+mod index;
 mod list;
 mod prefill;
 mod silence;
@@ -14,17 +16,15 @@
 
 use ident::Time;
 use ident::Zone;
-use rapidhash::v3::rapidhash_v3;
 use slotmap::SecondaryMap;
 use slotmap::SlotMap;
 
 use crate::balance::StageCounts;
-use crate::claims::Claims;
 use crate::plan::ColdStart;
+use crate::pool::index::Index;
 use crate::replica::Load;
 use crate::replica::Replica;
 use crate::replica::Stage;
-use crate::runs::Runs;
 use crate::score;
 use crate::score::Criteria;
 use crate::server::Key;
@@ -43,7 +43,21 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     servers: SlotMap<Key, Server>,
-    by_id: HashMap<String, Key>,
+    index: Index,
+    /// Replicas that are missing from the list and still used.
+    lapsing: BTreeSet<Key>,
+    /// Replicas with a forecast.
+    with_forecast: Vec<Key>,
+    /// Prefill replicas with pending prompts of other daemons.
+    with_peer_prefills: Vec<Key>,
+    /// Whether other daemons have reported.
+    peers_report: bool,
+    /// Replicas with requests of this daemon.
+    with_requests: BTreeSet<Key>,
+    /// Replicas that failed to answer this daemon.
+    unresponsive: BTreeSet<Key>,
+    /// Replicas examined so far, for requests and for updates.
+    examined: Cell<u64>,
     /// Mean seconds to prefill a token, by service.
     prefill_paces: HashMap<String, f64>,
     /// Hashes of ended incarnations whose replica has restarted; at most one per slot of `servers`.
@@ -61,8 +75,6 @@
     cold_starts: HashMap<String, ColdStart>,
     /// Data centres whose replicas get no requests.
     evacuated: BTreeSet<Zone>,
-    /// Cached hash of the list, cleared when the list changes.
-    digest: Cell<Option<u64>>,
     tombstones: Tombstones,
 }
 
@@ -78,19 +90,8 @@
     }
 
     /// Hash of the listed replicas; equal lists have equal hashes at every daemon.
-    pub fn digest(&self) -> u64 {
-        let digest = self.digest.get().unwrap_or_else(|| self.hash());
-        self.digest.set(Some(digest));
-        digest
-    }
-
-    fn hash(&self) -> u64 {
-        let servers = self.servers.values();
-        let listed = servers.filter(|server| server.lapses_at.is_none());
-        let mut replicas: Vec<&Replica> = listed.map(|server| &server.replica).collect();
-        replicas.sort_by(|left, right| left.id.cmp(&right.id));
-        let texts = replicas.into_iter().map(|replica| format!("{replica:?}"));
-        rapidhash_v3(texts.collect::<String>().as_bytes())
+    pub const fn digest(&self) -> u64 {
+        self.index.digest()
     }
 
     /// Records that, at `now`, a peer with an equal list has it from `version`.
@@ -133,13 +134,9 @@
     /// Counts the available replicas of `service`, by stage.
     pub fn stage_counts(&self, now: Time, service: &str) -> StageCounts {
         let count = |stage| {
-            let servers = self.servers.values();
-            let eligible = servers.filter(|server| {
-                server.is_available(now)
-                    && server.replica.service == service
-                    && server.replica.stage == Some(stage)
-            });
-            eligible.count()
+            let keys = self.index.group(service, Some(stage));
+            let available = keys.filter(|key| self.servers[*key].is_available(now));
+            available.count()
         };
         StageCounts {
             prefill: count(Stage::Prefill),
@@ -170,32 +167,6 @@
         self.memory.get(service).copied()
     }
 
-    /// Updates the memory forecast of `key` from this daemon's `runs` and the `claims` of others.
-    pub fn update_forecast(&mut self, now: Time, key: Key, runs: &Runs, claims: &Claims) {
-        let Some(server) = self.servers.get_mut(key) else {
-            return;
-        };
-        server.reset_forecast(claims.peer_usage(now, server.hash));
-        for (id, entry) in runs.iter().filter(|(_, entry)| entry.server == key) {
-            server.add_run(&runs.curve(now, id), entry.is_prefilling());
-        }
-    }
-
-    /// Updates the memory forecasts and the pending prefills of all replicas.
-    pub fn update_all_forecasts(&mut self, now: Time, runs: &Runs, claims: &Claims) {
-        self.update_pending_prefills(now, claims);
-        let usage = claims.all_peer_usage(now);
-        for server in self.servers.values_mut() {
-            let others = usage.get(&server.hash);
-            server.reset_forecast(others.copied().unwrap_or_default());
-        }
-        for (id, entry) in runs.iter() {
-            if let Some(server) = self.servers.get_mut(entry.server) {
-                server.add_run(&runs.curve(now, id), entry.is_prefilling());
-            }
-        }
-    }
-
     /// Records that another replica answered at the address of `key`.
     pub fn mark_replaced(&mut self, key: Key) {
         if let Some(server) = self.servers.get_mut(key) {
@@ -207,6 +178,7 @@
     pub fn start_request(&mut self, key: Key, tokens: u64) {
         if let Some(server) = self.servers.get_mut(key) {
             server.start_request(tokens);
+            self.with_requests.insert(key);
         }
     }
 
@@ -214,6 +186,9 @@
     pub fn end_request(&mut self, key: Key, tokens: u64) {
         if let Some(server) = self.servers.get_mut(key) {
             server.end_request(tokens);
+            if server.in_flight == 0 {
+                self.with_requests.remove(&key);
+            }
         }
     }
 
@@ -240,12 +215,10 @@
     /// Time until the first throttled replica of `service` may be chosen again; `None` if none is
     /// throttled.
     pub fn throttle_remaining(&self, now: Time, service: &str) -> Option<Duration> {
-        let servers = self.servers.values();
-        let throttled = servers.filter(|server| {
-            server.is_available(now)
-                && server.throttled_until > now
-                && server.replica.service == service
-        });
+        let servers = self.index.of_service(service);
+        let servers = servers.map(|key| &self.servers[key]);
+        let throttled =
+            servers.filter(|server| server.is_available(now) && server.throttled_until > now);
         throttled
             .map(|server| server.throttled_until.since(now))
             .min()
@@ -297,29 +270,54 @@
         draw: impl Fn() -> f64,
     ) -> Option<Key> {
         let memory = self.memory(criteria.service);
-        let eligible = self.servers.iter();
-        let mut eligible: Vec<(Key, &Server)> = eligible
-            .filter(|(key, server)| criteria.matches(now, *key, server))
-            .collect();
-        let sampled = sample(&mut eligible, &draw);
+        let mut keys: Vec<Key> = self.index.group(criteria.service, criteria.stage).collect();
+        let (sampled, rest) = self.sample(now, criteria, &mut keys, &draw);
         let best = |candidates: &[(Key, &Server)]| {
             let with_room = candidates.iter().copied();
             let with_room = with_room.filter(|(_, server)| criteria.has_room(now, server, memory));
             score::best(now, criteria, &with_room.collect::<Vec<_>>(), memory, &draw)
         };
-        best(&eligible[..sampled]).or_else(|| best(&eligible[sampled..]))
+        best(&sampled).or_else(|| best(&self.eligible(now, criteria, rest)))
+    }
+
+    /// Returns a random sample of up to [`MAX_SCORED`] eligible replicas among `keys`, and the keys
+    /// that were not examined for it.
+    fn sample<'a>(
+        &self,
+        now: Time,
+        criteria: &Criteria<'_>,
+        keys: &'a mut [Key],
+        draw: impl Fn() -> f64,
+    ) -> (Vec<(Key, &Server)>, &'a [Key]) {
+        let count = keys.len();
+        if count <= MAX_SCORED {
+            return (self.eligible(now, criteria, keys), &[]);
+        }
+        let mut sampled = Vec::with_capacity(MAX_SCORED);
+        let mut examined = 0;
+        while examined < count && sampled.len() < MAX_SCORED {
+            let other = examined + (draw() * (count - examined) as f64) as usize;
+            keys.swap(examined, other.min(count - 1));
+            sampled.extend(self.eligible(now, criteria, &keys[examined..=examined]));
+            examined += 1;
+        }
+        (sampled, &keys[examined..])
     }
-}
 
-/// Moves a random sample of [`MAX_SCORED`] candidates to the front and returns its size.
-fn sample(candidates: &mut [(Key, &Server)], draw: impl Fn() -> f64) -> usize {
-    let count = candidates.len();
-    if count <= MAX_SCORED {
-        return count;
+    fn eligible(&self, now: Time, criteria: &Criteria<'_>, keys: &[Key]) -> Vec<(Key, &Server)> {
+        self.note_examined(keys.len());
+        let servers = keys.iter().map(|key| (*key, &self.servers[*key]));
+        let eligible = servers.filter(|(key, server)| criteria.matches(now, *key, server));
+        eligible.collect()
     }
-    for index in 0..MAX_SCORED {
-        let other = index + (draw() * (count - index) as f64) as usize;
-        candidates.swap(index, other.min(count - 1));
+
+    /// Number of replicas examined so far, for requests and for updates. Shows whether the work
+    /// grows with the fleet.
+    pub const fn examined(&self) -> u64 {
+        self.examined.get()
+    }
+
+    fn note_examined(&self, count: usize) {
+        self.examined.set(self.examined.get() + count as u64);
     }
-    MAX_SCORED
 }
--- a/crates/relay/src/pool/incarnation.rs
+++ b/crates/relay/src/pool/incarnation.rs
@@ -22,7 +22,7 @@
         replica: &Replica,
         changes: &mut Vec<StateChange>,
     ) {
-        if let Some(server) = self.servers.remove(key) {
+        if let Some(server) = self.remove(key) {
             self.restarted.insert(key, server.hash);
         }
         self.insert(now, replica);
@@ -44,7 +44,6 @@
             ..server.replica.clone()
         };
         if replica.compare_incarnation(server.replica.birth) == Ordering::Greater {
-            self.digest.set(None);
             self.restart(now, key, &replica, &mut changes);
         }
         changes
@@ -52,8 +51,8 @@
 
     /// Address of the replica `id`.
     pub fn address(&self, id: &str) -> Option<SocketAddr> {
-        let key = self.by_id.get(id)?;
-        Some(self.servers[*key].replica.address)
+        let key = self.index.by_id(id)?;
+        Some(self.servers[key].replica.address)
     }
 
     /// Hash of the incarnation with `key` if its end would be unplanned; `None` if it is draining
--- a/crates/relay/src/pool/list.rs
+++ b/crates/relay/src/pool/list.rs
@@ -1,6 +1,7 @@
 //! Applies updates of the list of replicas and creates updates for peers.
 
 use std::cmp::Ordering;
+use std::collections::BTreeSet;
 use std::collections::HashSet;
 use std::time::Duration;
 
@@ -43,25 +44,21 @@
         if since < self.tombstones.since {
             return Update::All(self.snapshot(now));
         }
-        let servers = self.servers.values();
-        let changed = servers.filter(|server| server.changed > since && server.lapses_at.is_none());
-        let gone = self
-            .tombstones
-            .ids
-            .iter()
-            .filter(|(version, _)| *version > since);
-        let gone = gone.map(|(_, id)| id.clone());
+        let servers = self.index.changed_after(since);
+        let servers = servers.map(|key| &self.servers[key]);
+        let changed = servers.filter(|server| server.lapses_at.is_none());
+        let changed: Vec<Replica> = changed.map(|server| server.replica.clone()).collect();
+        self.note_examined(changed.len());
+        let gone = self.tombstones.after(since).map(str::to_owned);
         // Their grace period ended after the last read of the list, and the peer may still list
         // them.
-        let lapsed = self
-            .servers
-            .values()
-            .filter(|server| server.has_lapsed(now));
+        let lapsed = self.lapsing.iter().map(|key| &self.servers[*key]);
+        let lapsed = lapsed.filter(|server| server.has_lapsed(now));
         let lapsed = lapsed.map(|server| server.replica.id.clone());
         Update::Changed(Delta {
             since,
             version: self.version,
-            replicas: changed.map(|server| server.replica.clone()).collect(),
+            replicas: changed,
             gone: gone.chain(lapsed).collect(),
             lapsing: self.lapsing(now),
         })
@@ -77,7 +74,7 @@
     }
 
     fn lapsing(&self, now: Time) -> Vec<Lapsing> {
-        let servers = self.servers.values();
+        let servers = self.lapsing.iter().map(|key| &self.servers[*key]);
         let lapsing = servers.filter_map(|server| {
             let until = server.lapses_at.filter(|until| now < *until)?;
             Some(Lapsing {
@@ -126,7 +123,7 @@
         if self.servers.is_empty() {
             self.tombstones.since = snapshot.version;
         }
-        self.set_version(snapshot.version);
+        self.version = snapshot.version;
         self.note_refresh(now);
         let (lapsing, _) = self.split_lapsing(now, &snapshot.lapsing);
         let mut changes = Vec::new();
@@ -139,7 +136,9 @@
         let listed = snapshot.replicas.iter();
         let lapsing = lapsing.iter().map(|lapsing| &lapsing.replica);
         let reported: HashSet<&str> = listed.chain(lapsing).map(|r| r.id.as_str()).collect();
-        self.drop_where(now, source, |id| !reported.contains(id), &mut changes);
+        let all = self.servers.keys().collect();
+        let is_missing = |id: &str| !reported.contains(id);
+        self.drop_where(now, source, all, is_missing, &mut changes);
         Some(changes)
     }
 
@@ -152,7 +151,7 @@
         if delta.version < self.version || delta.since > self.version {
             return None;
         }
-        self.set_version(delta.version);
+        self.version = delta.version;
         self.note_refresh(now);
         let (lapsing, gone) = self.split_lapsing(now, &delta.lapsing);
         let mut changes = Vec::new();
@@ -164,7 +163,10 @@
         }
         let gone = gone.iter().map(|lapsing| &lapsing.replica.id);
         let gone: HashSet<&str> = delta.gone.iter().chain(gone).map(String::as_str).collect();
-        self.drop_where(now, source, |id| gone.contains(id), &mut changes);
+        let keys = gone.iter().filter_map(|id| self.index.by_id(id));
+        let affected = keys.chain(self.lapsing.iter().copied()).collect();
+        let is_missing = |id: &str| gone.contains(id);
+        self.drop_where(now, source, affected, is_missing, &mut changes);
         Some(changes)
     }
 
@@ -183,18 +185,13 @@
         }
     }
 
-    fn set_version(&mut self, version: u64) {
-        self.version = version;
-        self.digest.set(None);
-    }
-
     fn upsert(&mut self, now: Time, replica: &Replica, changes: &mut Vec<StateChange>) {
         let belief = if replica.draining {
             ReplicaState::Draining
         } else {
             ReplicaState::Ready
         };
-        let known = self.by_id.get(&replica.id).copied();
+        let known = self.index.by_id(&replica.id);
         let known = known.map(|key| {
             (
                 key,
@@ -219,29 +216,31 @@
 
     /// Updates the entry of a known replica. Returns whether its state changed.
     fn update_entry(&mut self, now: Time, key: Key, replica: &Replica) -> bool {
-        let version = self.version;
         let server = &mut self.servers[key];
-        let is_listed = server.lapses_at.is_none();
-        let changed = server.replica.draining != replica.draining || !is_listed;
-        let birth = replica.birth.or(server.replica.birth);
+        let is_listed = server.is_listed();
         let replica = Replica {
-            birth,
+            birth: replica.birth.or(server.replica.birth),
             ..replica.clone()
         };
-        if server.replica != replica || !is_listed {
-            server.changed = version;
-            // A replica whose entry changes is alive: it refused requests because its stage had
-            // changed.
-            server.replaced = false;
+        if server.replica == replica && is_listed {
+            return false;
         }
+        let changed = server.replica.draining != replica.draining || !is_listed;
+        self.index.remove(key, server);
+        server.changed = self.version;
+        // A replica whose entry changes is alive: it refused requests because its stage had
+        // changed.
+        server.replaced = false;
+        server.evacuated = self.evacuated.contains(&replica.data_centre);
         server.draining_since = match server.draining_since {
             _ if !replica.draining => None,
             None => Some(now),
             since => since,
         };
-        server.evacuated = self.evacuated.contains(&replica.data_centre);
-        server.replica = replica;
+        server.set_entry(replica);
         server.lapses_at = None;
+        self.index.insert(key, server);
+        self.lapsing.remove(&key);
         changed
     }
 
@@ -249,24 +248,34 @@
         self.tombstones.remove(&replica.id);
         let mut server = Server::new(replica.clone(), self.version, now);
         server.evacuated = self.evacuated.contains(&replica.data_centre);
+        server.peer_prefill_tokens = self.no_peer_prefills();
         let key = self.servers.insert(server);
-        self.by_id.insert(replica.id.clone(), key);
+        self.index.insert(key, &self.servers[key]);
         key
     }
 
+    pub(super) fn remove(&mut self, key: Key) -> Option<Server> {
+        let server = self.servers.remove(key)?;
+        self.index.remove(key, &server);
+        self.lapsing.remove(&key);
+        self.with_requests.remove(&key);
+        self.unresponsive.remove(&key);
+        Some(server)
+    }
+
     /// Marks a replica as lapsing because a peer reported it. Ignored for a replica recorded as
     /// gone, since the outage may have affected only the peer.
     fn mark_lapsing(&mut self, now: Time, lapsing: &Lapsing, changes: &mut Vec<StateChange>) {
         let id = &lapsing.replica.id;
-        let key = match self.by_id.get(id) {
-            Some(key) => *key,
+        let key = match self.index.by_id(id) {
+            Some(key) => key,
             None if self.tombstones.contains(id) => return,
             None => self.insert(now, &lapsing.replica),
         };
-        let server = &mut self.servers[key];
+        let server = &self.servers[key];
         let is_same = lapsing.replica.compare_incarnation(server.replica.birth) == Ordering::Equal;
-        if is_same && server.lapses_at.is_none() {
-            server.lapses_at = Some(now + lapsing.left);
+        if is_same && server.is_listed() {
+            self.lapse(key, now + lapsing.left);
             changes.push(StateChange {
                 id: id.clone(),
                 now: ReplicaState::Lapsed,
@@ -274,7 +283,7 @@
         }
     }
 
-    /// Drops the replicas that are `missing` from the list. If the update was read from the store
+    /// Drops those of the replicas `keys` that are `missing` from the list. If the update was read from the store
     /// shortly after an outage, their entries may only have lapsed, so they stay in use until
     /// `LAPSE_GRACE` has passed since the outage. Updates from peers get no grace period, because
     /// the peer has already applied it. Also drops replicas whose grace period has ended.
@@ -282,38 +291,50 @@
         &mut self,
         now: Time,
         source: Source,
+        keys: BTreeSet<Key>,
         missing: impl Fn(&str) -> bool,
         changes: &mut Vec<StateChange>,
     ) {
         let outage = self.last_outage.filter(|_| source == Source::Store);
         let returns_until = outage.map(|outage| outage + LAPSE_GRACE);
         let returns_until = returns_until.filter(|until| now < *until);
-        let mut gone = Vec::new();
-        for (key, server) in &mut self.servers {
-            let id = server.replica.id.as_str();
-            let is_missing = missing(id);
+        self.note_examined(keys.len());
+        for key in keys {
+            let server = &self.servers[key];
+            let is_missing = missing(&server.replica.id);
             match (server.lapses_at, returns_until) {
                 (Some(until), _) if now < until && (!is_missing || source == Source::Store) => {}
                 (None, _) if !is_missing => {}
                 (None, Some(until)) if !server.replica.draining => {
-                    server.lapses_at = Some(until);
                     changes.push(StateChange {
-                        id: id.to_owned(),
+                        id: server.replica.id.clone(),
                         now: ReplicaState::Lapsed,
                     });
+                    self.lapse(key, until);
                 }
-                _ => gone.push(key),
-            }
-        }
-        for key in gone {
-            if let Some(server) = self.servers.remove(key) {
-                self.by_id.remove(&server.replica.id);
-                self.tombstones.add(self.version, &server.replica.id);
-                changes.push(StateChange {
-                    id: server.replica.id,
-                    now: ReplicaState::Gone,
-                });
+                _ => self.drop_replica(key, changes),
             }
         }
     }
+
+    /// Keeps using `key` until `until` although it is missing from the list.
+    fn lapse(&mut self, key: Key, until: Time) {
+        let server = &mut self.servers[key];
+        self.index.remove(key, server);
+        server.lapses_at = Some(until);
+        self.index.insert(key, server);
+        self.lapsing.insert(key);
+    }
+
+    fn drop_replica(&mut self, key: Key, changes: &mut Vec<StateChange>) {
+        let Some(server) = self.remove(key) else {
+            return;
+        };
+        let id = server.replica.id;
+        self.tombstones.add(self.version, &id, self.servers.len());
+        changes.push(StateChange {
+            id,
+            now: ReplicaState::Gone,
+        });
+    }
 }
--- a/crates/relay/src/pool/prefill.rs
+++ b/crates/relay/src/pool/prefill.rs
@@ -55,21 +55,41 @@
     /// Updates the pending prefills of other daemons.
     pub fn update_pending_prefills(&mut self, now: Time, claims: &Claims) {
         let pending = claims.pending_prefills(now);
-        let tokens_of = |hash| {
-            pending
-                .as_ref()
-                .map(|all| all.get(&hash).copied().unwrap_or(0))
+        let is_changed = self.peers_report != pending.is_some();
+        self.peers_report = pending.is_some();
+        let none = self.no_peer_prefills();
+        let outdated = std::mem::take(&mut self.with_peer_prefills);
+        let outdated = if is_changed {
+            self.servers.keys().collect()
+        } else {
+            outdated
         };
-        for server in self.servers.values_mut() {
-            if server.replica.stage == Some(Stage::Prefill) {
-                server.peer_prefill_tokens = tokens_of(server.hash);
+        self.note_examined(outdated.len());
+        for key in outdated {
+            if let Some(server) = self.servers.get_mut(key) {
+                server.peer_prefill_tokens = none;
             }
         }
+        for (hash, tokens) in pending.unwrap_or_default() {
+            let Some(key) = self.index.by_hash(hash) else {
+                continue;
+            };
+            if let Some(server) = self.servers.get_mut(key) {
+                server.peer_prefill_tokens = Some(tokens);
+                self.with_peer_prefills.push(key);
+            }
+        }
+    }
+
+    /// Pending prefills of other daemons at a replica of which none reports any.
+    pub(super) fn no_peer_prefills(&self) -> Option<u64> {
+        self.peers_report.then_some(0)
     }
 
     /// Pending prefills of this daemon, by replica.
     pub fn prefill_backlogs(&self) -> impl Iterator<Item = PrefillBacklog> + '_ {
-        let servers = self.servers.values();
+        let servers = self.with_requests.iter();
+        let servers = servers.filter_map(|key| self.servers.get(*key));
         let busy = servers
             .filter(|server| server.replica.stage == Some(Stage::Prefill) && server.tokens > 0);
         busy.map(|server| PrefillBacklog {
--- a/crates/relay/src/replica.rs
+++ b/crates/relay/src/replica.rs
@@ -128,7 +128,7 @@
 }
 
 /// Stage of serving a model.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Stage {
     /// Prefills prompts.
     Prefill,
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use ident::Time;
+use rapidhash::v3::rapidhash_v3;
 use slotmap::new_key_type;
 
 use crate::claims;
@@ -81,6 +82,8 @@
     pub replica: Replica,
     /// Hash of its id and start time, which identifies it in claims.
     pub hash: u64,
+    /// Hash of the entry.
+    pub(crate) entry_hash: u64,
     /// Version of the store at which its entry last changed, as far as this daemon knows.
     pub(crate) changed: u64,
     /// Requests of this daemon in progress there.
@@ -114,6 +117,8 @@
     pub(crate) assumed_cold_until: Time,
     /// Memory forecast for the known runs of all daemons.
     pub(crate) forecast: Curve,
+    /// Whether the pool lists it as a replica with a forecast.
+    pub(crate) has_forecast: bool,
     /// Known runs of other daemons.
     pub(crate) peer_runs: u32,
     /// Known runs of all daemons.
@@ -131,6 +136,7 @@
     pub(crate) fn new(replica: Replica, changed: u64, now: Time) -> Self {
         Self {
             hash: claims::incarnation_hash(&replica.id, replica.birth),
+            entry_hash: entry_hash(&replica),
             replica,
             changed,
             in_flight: 0,
@@ -149,6 +155,7 @@
             evacuated: false,
             assumed_cold_until: Time::ZERO,
             forecast: Curve::flat(0.0),
+            has_forecast: false,
             peer_runs: 0,
             known_runs: 0,
             prefills: 0,
@@ -157,6 +164,17 @@
         }
     }
 
+    /// Whether it is in the list.
+    pub(crate) const fn is_listed(&self) -> bool {
+        self.lapses_at.is_none()
+    }
+
+    /// Replaces the entry.
+    pub(crate) fn set_entry(&mut self, replica: Replica) {
+        self.entry_hash = entry_hash(&replica);
+        self.replica = replica;
+    }
+
     pub(crate) fn is_available(&self, now: Time) -> bool {
         let listed = self.lapses_at.is_none_or(|until| now < until);
         listed && !self.replica.draining && !self.replaced && !self.evacuated
@@ -336,3 +354,8 @@
         share * (-now.since(at).as_secs_f64() / FAILURE_DECAY.as_secs_f64()).exp()
     }
 }
+
+/// Hash of all fields of an entry; equal at every daemon.
+fn entry_hash(replica: &Replica) -> u64 {
+    rapidhash_v3(format!("{replica:?}").as_bytes())
+}
--- a/crates/relay/src/tombstones.rs
+++ b/crates/relay/src/tombstones.rs
@@ -1,36 +1,54 @@
 //! Records replicas that were removed from the list.
 
+use std::collections::HashMap;
 use std::collections::VecDeque;
 
-/// Maximum number of records; a fleet of 930 replaces about a hundred replicas a day.
-const MAX_GONE: usize = 2_000;
+/// Minimum number of records that are kept.
+const MIN_KEPT: usize = 2_000;
 
 /// Ids of removed replicas, so that peers can be sent changes instead of the whole list.
 #[derive(Debug, Default)]
 pub(crate) struct Tombstones {
-    /// Ids with the version at which they were missing, in order.
-    pub(crate) ids: VecDeque<(u64, String)>,
-    /// The version since which `ids` is complete.
+    /// Versions at which replicas were missing, by id.
+    versions: HashMap<String, u64>,
+    /// Ids with their versions, in order; those that `versions` does not have are void.
+    order: VecDeque<(u64, String)>,
+    /// The version since which the records are complete.
     pub(crate) since: u64,
 }
 
 impl Tombstones {
     /// Returns whether `id` is recorded as removed.
     pub(crate) fn contains(&self, id: &str) -> bool {
-        self.ids.iter().any(|(_, gone_id)| gone_id == id)
+        self.versions.contains_key(id)
     }
 
     /// Removes the record of `id`, which is listed again.
     pub(crate) fn remove(&mut self, id: &str) {
-        self.ids.retain(|(_, gone_id)| gone_id != id);
+        self.versions.remove(id);
     }
 
-    /// Records that `id` is missing at `version`.
-    pub(crate) fn add(&mut self, version: u64, id: &str) {
-        self.ids.push_back((version, id.to_owned()));
-        if self.ids.len() > MAX_GONE {
-            let dropped = self.ids.pop_front();
-            self.since = dropped.map_or(self.since, |(version, _)| version);
+    /// Records that `id` is missing at `version`. Drops the oldest records if there are more than
+    /// listed replicas: then the whole list is hardly larger than the changes.
+    pub(crate) fn add(&mut self, version: u64, id: &str, listed: usize) {
+        self.versions.insert(id.to_owned(), version);
+        self.order.push_back((version, id.to_owned()));
+        while self.order.len() > listed.max(MIN_KEPT) {
+            let Some((version, id)) = self.order.pop_front() else {
+                return;
+            };
+            if self.versions.get(&id) == Some(&version) {
+                self.versions.remove(&id);
+            }
+            self.since = version;
         }
     }
+
+    /// Ids that have been missing since a version after `since`.
+    pub(crate) fn after(&self, since: u64) -> impl Iterator<Item = &str> {
+        let first = self.order.partition_point(|(version, _)| *version <= since);
+        let records = self.order.range(first..);
+        let valid = records.filter(|(version, id)| self.versions.get(id) == Some(version));
+        valid.map(|(_, id)| id.as_str())
+    }
 }
