Do not check memory every 50 ms at daemons without runs

Cause: 935 of the fleet's 985 daemons take no callers and woke 20 times a second to update forecasts that nobody read. Change: such a daemon waits for its first run; forecasts are updated before a placement if they are older than 50 ms.

--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -165,6 +165,7 @@
     kind: Kind,
     generated: u64,
 ) -> Option<Placement> {
+    shared.refresh_forecasts();
     let placing = shared.settings().placing;
     let size = job.size(generated);
     let prefill_time = shared.estimate_prefill_time(job.destination(), size.prompt);
--- a/crates/gateway/src/run_tracking.rs
+++ b/crates/gateway/src/run_tracking.rs
@@ -7,6 +7,7 @@
 
 use boottime::Instant;
 use boottime::timer::timeout_at;
+use ident::Time;
 use rand::seq::IndexedRandom;
 use relay::claim_publisher::ClaimPublisher;
 use relay::homes::Homes;
@@ -153,6 +154,23 @@
 }
 
 impl Shared {
+    /// Updates the memory forecasts before they are needed, if they were not updated lately. A
+    /// daemon without runs does not update them otherwise.
+    pub fn refresh_forecasts(&self) {
+        let now = self.clock.now();
+        if now.since(self.forecasts_updated_at.get()) >= CHECK_INTERVAL {
+            self.update_all_forecasts(now);
+        }
+    }
+
+    fn update_all_forecasts(&self, now: Time) {
+        self.forecasts_updated_at.set(now);
+        self.claims.borrow_mut().remove_expired(now);
+        let (runs, claims) = (self.runs.borrow(), self.claims.borrow());
+        let mut pool = self.pool.borrow_mut();
+        pool.update_all_forecasts(now, &runs, &claims);
+    }
+
     /// Updates the memory forecast of `server`.
     pub fn update_forecast(&self, server: Key) {
         let now = self.clock.now();
@@ -169,8 +187,12 @@
     let mut next_check = Instant::now();
     loop {
         let changed = shared.runs_changed.notified();
-        // Changes are published at once, everything else at the next check.
-        let _ = timeout_at(next_check, changed).await;
+        if publisher.is_idle() && is_idle(&shared) {
+            changed.await;
+        } else {
+            // Changes are published at once, everything else at the next check.
+            let _ = timeout_at(next_check, changed).await;
+        }
         if Instant::now() >= next_check {
             next_check = Instant::now() + CHECK_INTERVAL;
             check_memory(&shared);
@@ -179,14 +201,17 @@
     }
 }
 
+/// Whether this daemon has nothing to check or to report again.
+fn is_idle(shared: &Shared) -> bool {
+    let now = shared.clock.now();
+    let silent = shared.pool.borrow().silent_replicas(now);
+    shared.runs.borrow().is_empty() && silent.is_empty()
+}
+
 fn check_memory(shared: &Shared) {
     let now = shared.clock.now();
-    shared.claims.borrow_mut().remove_expired(now);
+    shared.update_all_forecasts(now);
     let (runs, claims) = (shared.runs.borrow(), shared.claims.borrow());
-    shared
-        .pool
-        .borrow_mut()
-        .update_all_forecasts(now, &runs, &claims);
     let plan = shared.plan().filter(|_| shared.settings().placing.moves);
     let Some(plan) = plan else { return };
     let orders = shared.move_targets.borrow();
--- a/crates/relay/src/claim_publisher.rs
+++ b/crates/relay/src/claim_publisher.rs
@@ -53,6 +53,11 @@
         Self::default()
     }
 
+    /// Whether the other daemons know of no runs and prefills of this one.
+    pub fn is_idle(&self) -> bool {
+        self.sent_counts.is_empty() && self.sent_prefills.is_empty()
+    }
+
     /// Returns the update to send at `now`, if any.
     pub fn due(&mut self, now: Time, runs: &Runs, pool: &Pool) -> Option<ClaimUpdate> {
         let all = now.since(self.last_full) >= FULL_INTERVAL;
--- a/crates/relay/src/runs.rs
+++ b/crates/relay/src/runs.rs
@@ -193,6 +193,11 @@
         self.entries.get(id)
     }
 
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// All runs.
     pub fn iter(&self) -> impl Iterator<Item = (RunId, &RunState)> {
         self.entries.iter()
