Pass the first list of replicas and instances on within a data centre

Cause: 1.5 s after a common start each of 985 daemons read the complete list of 10,000 replicas itself (20 calls, 1.7 MB), since its poller had not sent it yet: a constant that holds while the fleet is small. Each also read the list of all instances (2 calls), which grows with the square of their number. Ruled out: a longer constant (holds at one size only); reading from the seeds (the list would cross data centres). Change: a daemon without a list asks the poller and a random peer of its data centre until one has it; own readings are spread over a time in proportion to the number of instances there, so that about eight daemons read in each 1.5 s. A first list has 4 s to arrive in place of 0.8. At the first start, instances register, get the list of instances from a seed, and once more from the poller; seeds and pollers alone read it from the store.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -37,6 +37,9 @@
 
 /// Timeout of one request, including the connection.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(800);
+/// The same for a daemon without a list of replicas, which gets the complete one: that of a large
+/// fleet takes a slow link about half a second, and a peer may send it to many at once.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(4);
 /// Maximum size of a message in bytes; a plan of some thousand routes stays below.
 const MAX_MESSAGE: usize = 4 * 1024 * 1024;
 /// Interval between requests while the store is silent.
@@ -52,6 +55,8 @@
     plan: u64,
     /// Store version of the requester's replicas.
     replicas: u64,
+    /// Whether the response has to leave out the replicas.
+    omit_replicas: bool,
     /// Hash of the requester's replicas.
     digest: u64,
     /// Number of instances that the requester knows.
@@ -90,7 +95,7 @@
                 let shared = Rc::clone(&shared);
                 tokio::task::spawn_local(async move {
                     let answered =
-                        timeout(REQUEST_TIMEOUT, serve_connection(&shared, socket)).await;
+                        timeout(FIRST_REQUEST_TIMEOUT, serve_connection(&shared, socket)).await;
                     if let Ok(Err(error)) = answered {
                         log::debug!(kind = "exchange", peer = peer.to_string(), cause = error.to_string(); "a request was not answered");
                     }
@@ -122,19 +127,34 @@
 
 /// Fetches and applies what is newer at the daemon at `peer`; `false` if it does not answer.
 pub async fn fetch_newer(shared: &Shared, peer: SocketAddr) -> bool {
+    fetch(shared, peer, false).await
+}
+
+/// Like [`fetch_newer`], but without the replicas: the list of a large fleet comes from the own data
+/// centre.
+pub async fn fetch_instances(shared: &Shared, peer: SocketAddr) -> bool {
+    fetch(shared, peer, true).await
+}
+
+async fn fetch(shared: &Shared, peer: SocketAddr, omit_replicas: bool) -> bool {
     let message = SyncRequest {
         plan: shared.plan_version(),
         replicas: shared.replicas_version(),
+        omit_replicas,
         digest: shared.pool.borrow().digest(),
         instances: shared.members.borrow().known_count() as u32,
         quarantine: shared.quarantine.borrow().suspects(),
         all_records: !shared.has_all_records(),
     };
+    let limit = match message.replicas {
+        0 if !omit_replicas => FIRST_REQUEST_TIMEOUT,
+        _ => REQUEST_TIMEOUT,
+    };
     let started = Instant::now();
     let sent_at = shared.clock.now();
-    match timeout(REQUEST_TIMEOUT, request_update(peer, &message)).await {
+    match timeout(limit, request_update(peer, &message)).await {
         // A response that arrives later was sent before the machine was suspended.
-        Ok(Ok(response)) if started.elapsed() <= REQUEST_TIMEOUT => {
+        Ok(Ok(response)) if started.elapsed() <= limit => {
             apply(shared, sent_at, response);
             return true;
         }
@@ -233,7 +253,11 @@
             .filter(|plan| plan.version > request.plan)
             .map(|plan| (*plan).clone()),
         evacuations: shared.evacuations(),
-        replicas: shared.newer_replicas(request.replicas, request.digest),
+        replicas: if request.omit_replicas {
+            None
+        } else {
+            shared.newer_replicas(request.replicas, request.digest)
+        },
         replicas_age: shared.replicas_age(),
         cards: if knows_more {
             members.all_instances()
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -264,6 +264,12 @@
         Duration::from_secs_f64(self.grace_s)
     }
 
+    /// Whether this instance is one of the seeds, or there are none.
+    pub fn is_seed(&self) -> bool {
+        let own: IpAddr = self.listen.peers.ip();
+        self.seeds.is_empty() || self.seeds.iter().any(|seed| seed.ip() == own)
+    }
+
     /// Peer addresses of the seeds, without this instance.
     pub fn seed_peers(&self) -> Vec<SocketAddr> {
         let own: IpAddr = self.listen.peers.ip();
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -42,8 +42,10 @@
 /// with the maximum age of a status and the pause before ([`REPLICAS_PERIOD`]), it keeps the list
 /// well below an age of 2 s, after which a leaving replica must get no requests.
 const POLLERS_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time after a start for which a daemon waits for the poller before it reads plan and replicas
-/// itself: when 295 instances started together and each read them all, that took 3,500 calls.
+/// Time after a start for which a daemon waits for the poller and its peers before it reads plan and
+/// replicas itself, if its data centre has up to [`DIRECT_READERS`] instances. With more instances,
+/// the readings are spread over a time in proportion to their number: the complete list takes many
+/// calls, and the first daemon that has it passes it on.
 const START_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Timeout of waiting for the list of instances, other than at the first start of the whole system:
 /// the store answers in some milliseconds, or some of its tables do not answer at all.
@@ -108,22 +110,22 @@
 /// Keeps the replicas up to date, forever: from the poller of this data centre, from that of
 /// another one, or from the store.
 pub async fn follow_replicas(shared: Rc<Shared>) {
-    let start_deadline = Instant::now() + START_TIMEOUT;
-    let mut next_direct = Instant::now();
+    let started = Instant::now();
+    let turn: f64 = rand::random();
+    let mut next_direct = started;
     wait_for_instances(&shared).await;
     loop {
         let is_poller = shared.members.borrow().poller().is_none();
-        let phase = start_phase(&shared, start_deadline);
-        let poller_state = match phase {
+        let poller_state = match start_phase(&shared, started, turn) {
             StartPhase::FewInstances => PollerState::Silent,
-            StartPhase::ManyInstances => refresh_from_pollers(&shared, START_TIMEOUT).await,
-            StartPhase::Steady => refresh_from_pollers(&shared, POLLERS_TIMEOUT).await,
+            StartPhase::ManyInstances if !is_poller => {
+                if !refresh_from_local(&shared).await {
+                    sleep(START_PAUSE.mul_f64(rand::random_range(0.5..1.5))).await;
+                }
+                continue;
+            }
+            _ => refresh_from_pollers(&shared, POLLERS_TIMEOUT).await,
         };
-        if phase == StartPhase::ManyInstances && poller_state != PollerState::Fresh && !is_poller {
-            refresh_from_local_peer(&shared).await;
-            sleep(START_PAUSE.mul_f64(rand::random_range(0.5..1.5))).await;
-            continue;
-        }
         let reads_store = match poller_state {
             PollerState::Fresh => false,
             PollerState::Stale => Instant::now() >= next_direct,
@@ -156,12 +158,14 @@
     Steady,
 }
 
-/// The phase of a daemon whose start timeout ends at `start_deadline`.
-fn start_phase(shared: &Shared, start_deadline: Instant) -> StartPhase {
+/// The phase of a daemon that started at `started`; `turn`, a random number uniform in `0.0..1.0`,
+/// is its place among those that read the store themselves if nobody passes the list on.
+fn start_phase(shared: &Shared, started: Instant, turn: f64) -> StartPhase {
     let instances = shared.members.borrow().local_count();
+    let spread = START_TIMEOUT.mul_f64(instances as f64 / DIRECT_READERS as f64);
     match shared.replicas_version() {
         0 if instances <= DIRECT_READERS => StartPhase::FewInstances,
-        0 if Instant::now() < start_deadline => StartPhase::ManyInstances,
+        0 if started.elapsed() < START_TIMEOUT + spread.mul_f64(turn) => StartPhase::ManyInstances,
         _ => StartPhase::Steady,
     }
 }
@@ -170,7 +174,7 @@
 async fn wait_for_instances(shared: &Shared) {
     let mut listed = shared.instances_listed.subscribe();
     let limit = if shared.settings().first_start {
-        START_TIMEOUT
+        instances::JOIN_TIMEOUT
     } else {
         LIST_TIMEOUT
     };
@@ -211,13 +215,20 @@
     poller_state
 }
 
-/// Asks a random daemon of this data centre. At a common start the poller would have to send a list
-/// of 75 KB and more to some sixty daemons over one link, so each daemon that has it passes it on.
-async fn refresh_from_local_peer(shared: &Shared) {
-    let peer = shared.members.borrow().random_local_peer();
-    if let Some(peer) = peer {
-        refresh_from(shared, peer).await;
+/// Asks the poller of this data centre, and a random daemon of it. At a common start the poller
+/// would have to send the complete list to all of them over one link, so each daemon that has it
+/// passes it on. Returns whether one of the two is up to date.
+async fn refresh_from_local(shared: &Shared) -> bool {
+    let (poller, peer) = {
+        let members = shared.members.borrow();
+        (members.poller(), members.random_local_peer())
+    };
+    for peer in [poller, peer].into_iter().flatten() {
+        if refresh_from(shared, peer).await == PollerState::Fresh {
+            return true;
+        }
     }
+    false
 }
 
 /// Requests the status of the daemon at `poller` and fetches what is newer there.
--- a/crates/gateway/src/watch/instances.rs
+++ b/crates/gateway/src/watch/instances.rs
@@ -3,10 +3,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use boottime::Instant;
 use boottime::timer::sleep;
 use platform::store::Row;
 use platform::store::Rows;
+use rand::seq::IndexedRandom;
 
+use crate::exchange;
 use crate::instance_info::InstanceInfo;
 use crate::shared::Shared;
 use crate::watch::scaled_period;
@@ -15,42 +18,107 @@
 const PERIOD: Duration = Duration::from_secs(6);
 /// The same for other daemons, which learn of new instances from the poller.
 const OTHERS_PERIOD: Duration = Duration::from_mins(2);
-/// Pause between writing the own row and reading all rows when the whole system starts for the
-/// first time; instances start within 300 ms of each other.
-const FIRST_START_PAUSE: Duration = Duration::from_millis(450);
+/// Pauses of a seed before its first readings when the whole system starts for the first time.
+/// Instances start within 300 ms of each other, and a large fleet takes seconds to register.
+const SEED_PAUSES: [Duration; 4] = [
+    Duration::from_millis(450),
+    Duration::from_secs(1),
+    Duration::from_millis(1_500),
+    Duration::from_secs(2),
+];
 /// Interval between readings of the instances while the store fails; peers exchange them as well.
 const RETRY: Duration = Duration::from_secs(2);
+/// Mean pause between two attempts to register and to get the instances from a seed.
+const JOIN_PAUSE: Duration = Duration::from_millis(500);
+/// Time after which an instance that got no list from a seed reads the store. If all instances read
+/// the list at a common start, its transfer grows with the square of their number.
+pub(super) const JOIN_TIMEOUT: Duration = Duration::from_secs(6);
 /// Table with one row for each instance, holding its info.
 pub const TABLE: &str = "instances";
 
-/// Keeps the own row in the table and reads those of the other instances, forever.
+/// Keeps the own row in the table and learns of the other instances, forever.
 pub async fn follow(shared: Rc<Shared>) {
-    if shared.settings().first_start && register(&shared).await {
-        sleep(FIRST_START_PAUSE).await;
+    let mut early_pauses = [].iter();
+    let mut is_current = false;
+    if shared.settings().first_start {
+        if shared.settings().is_seed() {
+            is_current = register(&shared).await;
+            early_pauses = SEED_PAUSES.iter();
+        } else if join_through_seeds(&shared).await {
+            is_current = true;
+            sleep(PERIOD).await;
+            refresh_from_poller(&shared).await;
+        }
     }
+    let mut read_at = Instant::now();
     loop {
-        let pause = match shared.store.read(TABLE).await {
-            Ok(rows) => {
-                shared.store_answered("instances");
-                let registered = apply_instances(&shared, &rows).await;
-                shared.instances_listed.send_replace(true);
-                match shared.members.borrow().poller() {
-                    _ if !registered => RETRY,
-                    Some(_) => OTHERS_PERIOD,
-                    None => PERIOD,
-                }
-            }
-            Err(error) => {
-                shared.store_failed("instances", &error);
-                // Tasks that wait for the list must continue without it.
-                shared.instances_listed.send_replace(true);
-                scaled_period(&shared, RETRY)
-            }
+        let early_pause = early_pauses.next();
+        if let Some(pause) = early_pause {
+            sleep(*pause).await;
+        }
+        let is_poller = shared.members.borrow().poller().is_none();
+        let is_due = read_at.elapsed() >= scaled_period(&shared, OTHERS_PERIOD);
+        if !is_current || is_poller || is_due || early_pause.is_some() {
+            read_at = Instant::now();
+            is_current = read_instances(&shared).await;
+        }
+        let pause = match early_pause {
+            Some(_) => Duration::ZERO,
+            None if is_current => PERIOD,
+            None => scaled_period(&shared, RETRY),
         };
         sleep(pause).await;
     }
 }
 
+/// Reads and applies the list; returns whether the own row is up to date.
+async fn read_instances(shared: &Shared) -> bool {
+    let registered = match shared.store.read(TABLE).await {
+        Ok(rows) => {
+            shared.store_answered("instances");
+            apply_instances(shared, &rows).await
+        }
+        Err(error) => {
+            shared.store_failed("instances", &error);
+            false
+        }
+    };
+    // Tasks that wait for the list must continue without it.
+    shared.instances_listed.send_replace(true);
+    registered
+}
+
+/// Gets the instances that registered after this one from the poller, which reads the list.
+async fn refresh_from_poller(shared: &Shared) {
+    let poller = shared.members.borrow().poller();
+    if let Some(poller) = poller {
+        exchange::fetch_instances(shared, poller).await;
+    }
+}
+
+/// Writes the own row and gets the instances from a seed; returns whether both succeeded within
+/// [`JOIN_TIMEOUT`].
+async fn join_through_seeds(shared: &Shared) -> bool {
+    let started = Instant::now();
+    let seeds = shared.settings().seed_peers();
+    let mut registered = false;
+    while started.elapsed() < JOIN_TIMEOUT {
+        registered = registered || register(shared).await;
+        if let Some(seed) = seeds.choose(&mut rand::rng()) {
+            exchange::fetch_instances(shared, *seed).await;
+        }
+        let knows_others = shared.members.borrow().known_count() > 1;
+        if knows_others {
+            shared.instances_listed.send_replace(true);
+        }
+        if registered && knows_others {
+            return true;
+        }
+        sleep(JOIN_PAUSE.mul_f64(rand::random_range(0.5..1.5))).await;
+    }
+    false
+}
+
 /// Applies the list of instances and writes the own row if it is missing or outdated; returns
 /// whether the own row is up to date.
 async fn apply_instances(shared: &Shared, rows: &Rows) -> bool {
