Give instances seeds, and let seeds and pollers alone read the list of instances

Test: discovery::instances_that_start_together_get_the_list_from_a_seed (12 daemons, at most three readers).

--- a/crates/gateway/src/quarantine/storage.rs
+++ b/crates/gateway/src/quarantine/storage.rs
@@ -29,9 +29,10 @@
 /// Maximum number of rows in one transaction.
 const MAX_ROWS: usize = 100;
 
-/// Loads the records once, then writes those that this daemon adds, forever.
+/// Loads the records once, unless the whole system starts for the first time and there are none, then
+/// writes those that this daemon adds, forever.
 pub async fn run(shared: Rc<Shared>) {
-    while !load(&shared).await {
+    while !shared.settings().first_start && !load(&shared).await {
         sleep(PAUSE).await;
     }
     let mut unstored = HashSet::new();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -264,10 +264,10 @@
         Duration::from_secs_f64(self.grace_s)
     }
 
-    /// Whether this instance is one of the seeds, or there are none.
+    /// Whether this instance is one of the seeds.
     pub fn is_seed(&self) -> bool {
         let own: IpAddr = self.listen.peers.ip();
-        self.seeds.is_empty() || self.seeds.iter().any(|seed| seed.ip() == own)
+        self.seeds.iter().any(|seed| seed.ip() == own)
     }
 
     /// Peer addresses of the seeds, without this instance.
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -10,7 +10,6 @@
 use boottime::Instant;
 use boottime::timer::sleep;
 use boottime::timer::timeout;
-use boottime::timer::timeout_at;
 use ident::Time;
 use platform::evacuation;
 use platform::plan;
@@ -38,7 +37,7 @@
 const REPLICAS_PAUSE: Duration = Duration::from_millis(300);
 /// Timeout of a status request to a poller; a round trip takes some milliseconds.
 const POLLER_TIMEOUT: Duration = Duration::from_millis(120);
-/// Total timeout of requests to pollers, after which this daemon reads the store itself. Together
+/// Time after which no further poller is asked and this daemon reads the store itself. Together
 /// with the maximum age of a status and the pause before ([`REPLICAS_PERIOD`]), it keeps the list
 /// well below an age of 2 s, after which a leaving replica must get no requests.
 const POLLERS_TIMEOUT: Duration = Duration::from_millis(300);
@@ -191,25 +190,27 @@
 }
 
 /// Asks the pollers, starting with that of this data centre, until one is up to date or `limit` has
-/// passed. Returns `Silent` if none answers or if this daemon is the poller.
+/// passed. A poller that answers gets time to send what is newer: after a change, all daemons of its
+/// data centre fetch it at once, and reading the store instead would cost each of them more. Returns `Silent` if none answers or if this daemon is the poller.
 async fn refresh_from_pollers(shared: &Shared, limit: Duration) -> PollerState {
     let deadline = Instant::now() + limit;
     let local = shared.members.borrow().poller();
     let Some(local) = local else {
         return PollerState::Silent;
     };
-    let mut poller_state = match timeout_at(deadline, refresh_from(shared, local)).await {
-        Ok(PollerState::Fresh) => return PollerState::Fresh,
-        Ok(poller_state) => poller_state,
-        Err(_) => return PollerState::Silent,
-    };
+    let mut poller_state = refresh_from(shared, local).await;
+    if poller_state == PollerState::Fresh {
+        return PollerState::Fresh;
+    }
     let remote = shared.members.borrow().remote_pollers();
     for poller in remote {
-        match timeout_at(deadline, refresh_from(shared, poller)).await {
-            Ok(PollerState::Fresh) => return PollerState::Fresh,
-            Ok(PollerState::Stale) => poller_state = PollerState::Stale,
-            Ok(PollerState::Silent) => {}
-            Err(_) => break,
+        if Instant::now() >= deadline {
+            break;
+        }
+        match refresh_from(shared, poller).await {
+            PollerState::Fresh => return PollerState::Fresh,
+            PollerState::Stale => poller_state = PollerState::Stale,
+            PollerState::Silent => {}
         }
     }
     poller_state
--- a/crates/gateway/src/watch/instances.rs
+++ b/crates/gateway/src/watch/instances.rs
@@ -18,10 +18,13 @@
 const PERIOD: Duration = Duration::from_secs(6);
 /// The same for other daemons, which learn of new instances from the poller.
 const OTHERS_PERIOD: Duration = Duration::from_mins(2);
-/// Pauses of a seed before its first readings when the whole system starts for the first time.
-/// Instances start within 300 ms of each other, and a large fleet takes seconds to register.
+/// Pause between writing the own row and reading all rows when the whole system starts for the
+/// first time; instances start within 300 ms of each other.
+const FIRST_START_PAUSE: Duration = Duration::from_millis(450);
+/// Pauses of a seed before its first readings. Others learn the list from it, and a large fleet takes
+/// seconds to register.
 const SEED_PAUSES: [Duration; 4] = [
-    Duration::from_millis(450),
+    FIRST_START_PAUSE,
     Duration::from_secs(1),
     Duration::from_millis(1_500),
     Duration::from_secs(2),
@@ -38,37 +41,53 @@
 
 /// Keeps the own row in the table and learns of the other instances, forever.
 pub async fn follow(shared: Rc<Shared>) {
-    let mut early_pauses = [].iter();
-    let mut is_current = false;
-    if shared.settings().first_start {
-        if shared.settings().is_seed() {
-            is_current = register(&shared).await;
-            early_pauses = SEED_PAUSES.iter();
-        } else if join_through_seeds(&shared).await {
-            is_current = true;
-            sleep(PERIOD).await;
-            refresh_from_poller(&shared).await;
-        }
-    }
+    let settings = shared.settings();
+    let mut is_current = match settings.first_start {
+        false => false,
+        true if settings.seeds.is_empty() => register_and_read(&shared, &[FIRST_START_PAUSE]).await,
+        true if settings.is_seed() => register_and_read(&shared, &SEED_PAUSES).await,
+        true => start_through_seeds(&shared).await,
+    };
     let mut read_at = Instant::now();
     loop {
-        let early_pause = early_pauses.next();
-        if let Some(pause) = early_pause {
-            sleep(*pause).await;
-        }
         let is_poller = shared.members.borrow().poller().is_none();
         let is_due = read_at.elapsed() >= scaled_period(&shared, OTHERS_PERIOD);
-        if !is_current || is_poller || is_due || early_pause.is_some() {
+        if !is_current || is_poller || is_due {
             read_at = Instant::now();
             is_current = read_instances(&shared).await;
         }
-        let pause = match early_pause {
-            Some(_) => Duration::ZERO,
-            None if is_current => PERIOD,
-            None => scaled_period(&shared, RETRY),
-        };
-        sleep(pause).await;
+        sleep(if is_current {
+            PERIOD
+        } else {
+            scaled_period(&shared, RETRY)
+        })
+        .await;
+    }
+}
+
+/// Registers this instance and reads the list after each of `pauses`, while the others register;
+/// returns whether the own row is up to date.
+async fn register_and_read(shared: &Shared, pauses: &[Duration]) -> bool {
+    let mut is_current = register(shared).await;
+    for pause in pauses {
+        sleep(*pause).await;
+        is_current = read_instances(shared).await;
+    }
+    is_current
+}
+
+/// Registers this instance and gets the list from a seed, and once more from the poller when all
+/// have registered; returns whether the own row is up to date.
+async fn start_through_seeds(shared: &Shared) -> bool {
+    if !join_through_seeds(shared).await {
+        return false;
     }
+    sleep(PERIOD).await;
+    let poller = shared.members.borrow().poller();
+    if let Some(poller) = poller {
+        exchange::fetch_instances(shared, poller).await;
+    }
+    true
 }
 
 /// Reads and applies the list; returns whether the own row is up to date.
@@ -88,14 +107,6 @@
     registered
 }
 
-/// Gets the instances that registered after this one from the poller, which reads the list.
-async fn refresh_from_poller(shared: &Shared) {
-    let poller = shared.members.borrow().poller();
-    if let Some(poller) = poller {
-        exchange::fetch_instances(shared, poller).await;
-    }
-}
-
 /// Writes the own row and gets the instances from a seed; returns whether both succeeded within
 /// [`JOIN_TIMEOUT`].
 async fn join_through_seeds(shared: &Shared) -> bool {
--- a/crates/gateway/tests/gateway/discovery.rs
+++ b/crates/gateway/tests/gateway/discovery.rs
@@ -259,3 +259,36 @@
     first.wait_until_ready();
     assert!(site.store.has("instances", "first"));
 }
+
+/// At a common start, each daemon that reads the whole list of instances makes the transfer grow
+/// with the square of their number.
+#[test]
+fn instances_that_start_together_get_the_list_from_a_seed() {
+    const INSTANCES: usize = 12;
+    let replica = echo("i-1");
+    let site = Site::start("together", &[(&replica, "app", "")]);
+    let ips: Vec<String> = (0..INSTANCES).map(|_| new_ip()).collect();
+    let daemons: Vec<Daemon> = ips
+        .iter()
+        .enumerate()
+        .map(|(number, ip)| {
+            let extra = "first_start: true\n";
+            let name = format!("together-{number}");
+            Daemon::start_with_settings(&name, ip, site.store_address, &[&ips[0]], extra)
+        })
+        .collect();
+    for daemon in &daemons {
+        daemon.wait_until_ready();
+        wait_until("the daemon knows the others", || {
+            let members = format!("waxwing_gateway_members {}", INSTANCES + 1);
+            daemon.metrics().contains(&members)
+        });
+    }
+    let readers = daemons.iter().filter(|daemon| {
+        let line = "waxwing_gateway_store_calls_total{step=\"reading\",table=\"instances\"}";
+        daemon.metrics().contains(line)
+    });
+    // The seed reads it, and so may a daemon that is the poller.
+    let readers = readers.count();
+    assert!((1..=3).contains(&readers), "{readers} daemons read it");
+}
