Count lost members that the fleet forgot, and measure no work below 10 ms

Change: members that became unreachable are remembered apart; one unit of work counts as at least 10 ms. Tests: members::members_lost_shortly_after_joining_count_against_the_majority now with unlisted members (red before), score::differences_of_some_milliseconds_make_no_replica_slow (red before).

--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -51,6 +51,9 @@
     is_listed: bool,
     /// Instances that are not reachable members and did not leave, with the time since when.
     absent: HashMap<Instance, Time>,
+    /// Those that were members before they became unreachable. The fleet forgets dead members that
+    /// are not listed.
+    lost: HashSet<Instance>,
     /// Time of the last known change of the membership.
     changed_at: Time,
     /// Largest number of instances seen at once; divides the retry budget that all share.
@@ -80,6 +83,7 @@
             listed: Vec::new(),
             is_listed: false,
             absent: HashMap::new(),
+            lost: HashSet::new(),
             changed_at: Time::ZERO,
             max_alive: 1,
         }
@@ -196,10 +200,12 @@
             // A member that leaves on purpose is not on the other side of a network partition.
             State::Alive | State::Leaving => {
                 self.absent.remove(&member.instance);
+                self.lost.remove(&member.instance);
             }
             State::Suspect if before != Some(State::Suspect) => {}
             State::Suspect | State::Dead => {
                 self.absent.insert(member.instance, now);
+                self.lost.insert(member.instance);
             }
         }
     }
@@ -219,7 +225,7 @@
             Some(_) if !knows_others => false,
             Some(fleet) if !self.is_settled => {
                 let absent = self.absent(now, fleet);
-                let lost = absent.filter(|instance| fleet.current(*instance).is_some());
+                let lost = absent.filter(|instance| self.lost.contains(instance));
                 let lost = lost.count();
                 self.known_count().saturating_sub(lost) > lost
             }
@@ -322,7 +328,7 @@
     fn is_dead(&self, instance: Instance) -> bool {
         let fleet = self.fleet.as_ref();
         let member = fleet.and_then(|fleet| fleet.current(instance));
-        member.is_some_and(|member| member.state == State::Dead)
+        member.is_some_and(|member| member.state == State::Dead) || self.lost.contains(&instance)
     }
 
     /// Peer address of a random other daemon of this data centre; `None` if no other is known.
--- a/crates/gateway/tests/gateway/members.rs
+++ b/crates/gateway/tests/gateway/members.rs
@@ -51,7 +51,7 @@
 #[test]
 fn members_lost_shortly_after_joining_count_against_the_majority() {
     let mut members = Members::new(card(1));
-    members.set_listed(Time::ZERO, &[card(1), card(2), card(3)]);
+    members.set_listed(Time::ZERO, &[card(1)]);
     members.join(Time::ZERO, 1);
     let record = |number: u8| {
         let instance = card(number).instance();
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -35,6 +35,10 @@
 /// so many is among the best 2 % of all, and scoring 930 took 77 us instead of 16.
 const MAX_SCORED: usize = 64;
 
+/// Shortest time that is measured for one unit of work. Below it, differences between replicas come
+/// from the network and from this machine.
+const MIN_WORK: Duration = Duration::from_millis(10);
+
 /// Minimum time for which the list must be out of date before a missing entry is treated as lapsed.
 /// Replicas renew their entries several times in this period, so a shorter outage expires none.
 const MIN_OUTAGE: Duration = Duration::from_secs(2);
@@ -232,9 +236,14 @@
     }
 
     /// Records that `key` took `took` for `units` of work. Units must be comparable among the
-    /// replicas of one stage of a service.
+    /// replicas of one stage of a service. A single unit counts as at least [`MIN_WORK`].
     pub fn record_work(&mut self, now: Time, key: Key, took: Duration, units: f64) {
         if let Some(server) = self.servers.get_mut(key) {
+            let took = if units > 1.0 {
+                took
+            } else {
+                took.max(MIN_WORK)
+            };
             server.record_work(now, took.as_secs_f64() / units.max(1.0));
         }
     }
--- a/crates/relay/tests/score.rs
+++ b/crates/relay/tests/score.rs
@@ -100,6 +100,16 @@
     assert_eq!(order(&pool, None, after(at))[0] == "slow", is_first);
 }
 
+/// A busy machine or network easily makes a quick answer some milliseconds later.
+#[test]
+fn differences_of_some_milliseconds_make_no_replica_slow() {
+    let mut pool = pool(None, &["later", "one", "two"]);
+    record(&mut pool, None, "later", 9);
+    record(&mut pool, None, "one", 1);
+    record(&mut pool, None, "two", 1);
+    assert_eq!(order(&pool, None, after(500))[0], "later");
+}
+
 #[test]
 fn a_replica_up_to_twice_as_slow_is_not_penalized() {
     let mut pool = pool(None, &["long", "one", "two"]);
