Pause between requests for the first list while no peer has it

Cause, from reading: a daemon without a list is up to date for a second after its start, by its clock, so daemons that start together asked each other without a pause for that time. Change: the pause is left out only once the list is there. Ruled out as a test: the number of requests depends on the speed of the machine.

--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -118,7 +118,9 @@
         let poller_state = match start_phase(&shared, started, turn) {
             StartPhase::FewInstances => PollerState::Silent,
             StartPhase::ManyInstances if !is_poller => {
-                if !refresh_from_local(&shared).await {
+                refresh_from_local(&shared).await;
+                // A peer that has just started, too, is up to date without a list.
+                if shared.replicas_version() == 0 {
                     sleep(START_PAUSE.mul_f64(rand::random_range(0.5..1.5))).await;
                 }
                 continue;
@@ -191,7 +193,8 @@
 
 /// Asks the pollers, starting with that of this data centre, until one is up to date or `limit` has
 /// passed. A poller that answers gets time to send what is newer: after a change, all daemons of its
-/// data centre fetch it at once, and reading the store instead would cost each of them more. Returns `Silent` if none answers or if this daemon is the poller.
+/// data centre fetch it at once, and reading the store instead would cost each of them more. Returns
+/// `Silent` if none answers or if this daemon is the poller.
 async fn refresh_from_pollers(shared: &Shared, limit: Duration) -> PollerState {
     let deadline = Instant::now() + limit;
     let local = shared.members.borrow().poller();
@@ -216,20 +219,19 @@
     poller_state
 }
 
-/// Asks the poller of this data centre, and a random daemon of it. At a common start the poller
-/// would have to send the complete list to all of them over one link, so each daemon that has it
-/// passes it on. Returns whether one of the two is up to date.
-async fn refresh_from_local(shared: &Shared) -> bool {
+/// Asks the poller of this data centre, and a random daemon of it if the poller is not up to date.
+/// At a common start the poller would have to send the complete list to all of them over one link,
+/// so each daemon that has it passes it on.
+async fn refresh_from_local(shared: &Shared) {
     let (poller, peer) = {
         let members = shared.members.borrow();
         (members.poller(), members.random_local_peer())
     };
     for peer in [poller, peer].into_iter().flatten() {
         if refresh_from(shared, peer).await == PollerState::Fresh {
-            return true;
+            return;
         }
     }
-    false
 }
 
 /// Requests the status of the daemon at `poller` and fetches what is newer there.
