--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod members;
 pub mod metrics;
 pub mod migration;
+pub mod move_order;
 pub mod outbox;
 pub mod phase;
 pub mod placement;
--- a/crates/gateway/src/run_tracking.rs
+++ b/crates/gateway/src/run_tracking.rs
@@ -10,7 +10,6 @@
 use ident::Time;
 use rand::seq::IndexedRandom;
 use relay::claim_publisher::ClaimPublisher;
-use relay::homes::Homes;
 use relay::migration;
 use relay::migration::Move;
 use relay::runs::RunId;
@@ -20,6 +19,7 @@
 
 use crate::gossip;
 use crate::job::Job;
+use crate::move_order::MoveOrder;
 use crate::shared::Shared;
 use crate::shared::choice::Destination;
 
@@ -31,14 +31,6 @@
 /// Random daemons that claims are sent to in each round, so that daemons with runs find each other.
 const RANDOM_PEERS: usize = 2;
 
-/// Tells a run to continue at another replica.
-#[derive(Debug)]
-pub struct MoveOrder {
-    target: watch::Sender<Option<Key>>,
-    /// Data centres to which it may move.
-    homes: Homes,
-}
-
 /// A tracked run; it ends when this is dropped.
 #[derive(Debug)]
 pub struct TrackedRun {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -41,11 +41,11 @@
 use crate::instance_info::InstanceInfo;
 use crate::members::Members;
 use crate::metrics::Metrics;
+use crate::move_order::MoveOrder;
 use crate::outbox::Outbox;
 use crate::poller_status::PollerStatus;
 use crate::probes::Probes;
 use crate::quotas::Quotas;
-use crate::run_tracking::MoveOrder;
 use crate::settings::Settings;
 use crate::store::Store;
 
