Log whether connections to the replicas of a service can be opened

A service now counts as unreachable once connections to three replicas in a row, or to all it has, failed with none opened in between; random replicas are probed by connections without a request until most accept one again. A line of kind reach and the gauge unreachable_services show it. A control call that could not connect is told from one that got no answer: the second attempt to connect leaves part of the 150 ms.

Nothing is decided by it yet.

--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -38,6 +38,9 @@
 /// Time for the first of two attempts to connect: a control call has 150 ms in total, and a round
 /// trip takes a few.
 const FIRST_CONNECT_TIMEOUT: Duration = Duration::from_millis(50);
+/// Time for the second attempt. Leaves part of the 150 ms, so that a replica that cannot be reached
+/// is told from one that does not answer.
+const SECOND_CONNECT_TIMEOUT: Duration = Duration::from_millis(80);
 /// Time after which the system drops a connection with unacknowledged bytes.
 const UNCONFIRMED_TIMEOUT: Duration = Duration::from_secs(3);
 /// Idle time after which a connection is closed if the replica states no keep-alive time.
@@ -204,6 +207,11 @@
     }
 }
 
+/// Whether `to` accepts a connection, which is closed at once.
+pub async fn accepts_connection(to: SocketAddr) -> bool {
+    connect_with_retry(to).await.is_ok()
+}
+
 /// Opens a connection to `to`, with a second attempt if the first one is slow: the system
 /// retransmits a lost SYN only after a second.
 ///
@@ -212,7 +220,9 @@
 pub async fn connect_with_retry(to: SocketAddr) -> Result<Connection, Failure> {
     match timeout(FIRST_CONNECT_TIMEOUT, connect(to)).await {
         Ok(connected) => connected,
-        Err(_) => connect(to).await,
+        Err(_) => timeout(SECOND_CONNECT_TIMEOUT, connect(to))
+            .await
+            .unwrap_or_else(|elapsed| Err(unreachable(&elapsed))),
     }
 }
 
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -119,8 +119,15 @@
         .map_err(|error| unanswered(&error))?;
     match timeout(TIMEOUT, exchange(call.to, request)).await {
         Ok(answer) => {
-            if let Ok(answer) = &answer {
-                apply_head(shared, call.key, answer);
+            match &answer {
+                Ok(answer) => {
+                    shared.note_reached(call.key);
+                    apply_head(shared, call.key, answer);
+                }
+                Err(Error::Refused | Error::Unreachable { .. }) => {
+                    shared.note_unreached(call.key);
+                }
+                Err(Error::Closed { .. } | Error::Unanswered { .. }) => {}
             }
             answer
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod quarantine;
 pub mod quota;
 pub mod quotas;
+pub mod reach_probe;
 pub mod reload;
 pub mod responses;
 pub mod run_tracking;
@@ -157,6 +158,7 @@
     spawn_local(watch::instances::follow(Rc::clone(&shared)));
     spawn_local(stages::run(Rc::clone(&shared)));
     spawn_local(run_tracking::run(Rc::clone(&shared)));
+    spawn_local(reach_probe::run(Rc::clone(&shared)));
     spawn_local(quarantine::probe::run(Rc::clone(&shared)));
     spawn_local(quarantine::announce::run(Rc::clone(&shared)));
     spawn_local(quarantine::storage::run(Rc::clone(&shared)));
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -46,6 +46,8 @@
     pub members: GenericGauge<AtomicU64>,
     /// Store version of the list of replicas.
     pub replicas_version: GenericGauge<AtomicU64>,
+    /// Services to whose replicas this daemon cannot connect.
+    pub unreachable_services: GenericGauge<AtomicU64>,
     /// Seconds since the replicas were last known to be up to date.
     pub replicas_age: Gauge,
     /// Retries left in the budget, by service.
@@ -116,6 +118,10 @@
             store_failures: register(&registry, failures)?,
             members: gauge("members", "Reachable members")?,
             replicas_version: gauge("replicas_version", "Store version of the replicas")?,
+            unreachable_services: gauge(
+                "unreachable_services",
+                "Services to whose replicas this daemon cannot connect",
+            )?,
             replicas_age: register(&registry, age)?,
             budget: register(&registry, GaugeVec::new(budget, &["service"])?)?,
             dropped_lines: gauge("log_lines_dropped", "Log lines dropped since the start")?,
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -176,6 +176,7 @@
         && shared.ensure_permit(job, Work::Run);
     if abandons {
         shared.close_idle_links(key);
+        shared.doubt_reach(key);
         let cause = "the replica was silent for too long";
         send::record_failure(shared, job, key, Outcome::Lost, cause, 0);
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -6,6 +6,7 @@
 mod homes;
 mod overload;
 mod quarantine;
+mod reach;
 mod retries;
 mod store_state;
 
@@ -110,6 +111,8 @@
     pub runs_changed: Notify,
     /// Notified when a replica restarted under its id.
     pub restarts: Notify,
+    /// Notified when a service may be unreachable.
+    pub reach_doubted: Notify,
     /// Whether the first reading of the instances from the store has ended.
     pub instances_listed: watch::Sender<bool>,
     /// Unreadable entries that have been logged.
@@ -182,6 +185,7 @@
             capacity_changed: Notify::new(),
             runs_changed: Notify::new(),
             restarts: Notify::new(),
+            reach_doubted: Notify::new(),
             instances_listed: watch::Sender::new(false),
             logged_unreadable: RefCell::new(HashSet::new()),
             plan: RefCell::new(None),
@@ -237,6 +241,8 @@
         metrics.replicas_version.set(self.replicas_version());
         let quarantined = self.quarantine.borrow().quarantined();
         metrics.quarantined.set(quarantined as u64);
+        let lost = self.pool.borrow().reach().lost().count();
+        metrics.unreachable_services.set(lost as u64);
         metrics.replicas_age.set(self.replicas_age().as_secs_f64());
         for (service, budget) in self.budgets.borrow_mut().iter_mut() {
             let left = budget.remaining(now, &self.retry_policy(), members.sharers());
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`replica`]: entries of the list of replicas; [`replica_state`]: changes of a replica's state.
 //! - [`evacuation`]: data centres whose replicas get no requests.
 //! - [`homes`]: data centres in which a request may be served.
+//! - [`reach`]: whether this daemon is partitioned from the replicas of a service.
 //! - [`score`]: selection of the replica for a request.
 //! - [`balance`]: division of the replicas of a model into prefill and decode.
 //! - [`budget`]: retries that a service may still get; [`permit`]: permission for one send.
@@ -46,6 +47,7 @@
 pub mod plan;
 pub mod pool;
 pub mod quarantine;
+pub mod reach;
 pub mod replica;
 pub mod replica_state;
 mod retained_notices;
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -8,6 +8,7 @@
 mod list;
 mod notice;
 mod prefill;
+mod reach;
 mod silence;
 
 use std::cell::Cell;
@@ -24,6 +25,7 @@
 use crate::balance::StageCounts;
 use crate::plan::ColdStart;
 use crate::pool::index::Index;
+use crate::reach::Reach;
 use crate::replica::Load;
 use crate::replica::Replica;
 use crate::replica::Stage;
@@ -85,6 +87,7 @@
     /// When the last evacuation of each data centre ended.
     evacuation_ends: BTreeMap<Zone, Time>,
     tombstones: Tombstones,
+    reach: Reach,
     /// Notices of replicas that are not in `servers` at present.
     retained_notices: RetainedNotices,
 }
--- a/crates/relay/src/pool/index.rs
+++ b/crates/relay/src/pool/index.rs
@@ -78,6 +78,25 @@
         group.into_iter().flatten().copied()
     }
 
+    /// Number of replicas of `service`.
+    pub(super) fn count(&self, service: &str) -> usize {
+        let stages = self.groups.get(service);
+        stages.map_or(0, |stages| stages.values().map(IndexSet::len).sum())
+    }
+
+    /// The replica of `service` at `fraction`, from 0 to 1, of all its replicas.
+    pub(super) fn at(&self, service: &str, fraction: f64) -> Option<Key> {
+        let stages = self.groups.get(service)?;
+        let mut position = (fraction * self.count(service) as f64) as usize;
+        for group in stages.values() {
+            match group.get_index(position) {
+                Some(key) => return Some(*key),
+                None => position -= group.len(),
+            }
+        }
+        None
+    }
+
     /// The replicas whose entries changed after `version`.
     pub(super) fn changed_after(&self, version: u64) -> impl Iterator<Item = Key> {
         let changed = self.by_change.range(version.saturating_add(1)..);
--- /dev/null
+++ b/crates/relay/src/pool/reach.rs
@@ -0,0 +1,79 @@
+//! Which services this daemon reaches, from its connections to their replicas.
+
+use ident::Time;
+
+use crate::pool::Pool;
+use crate::reach::Change;
+use crate::reach::Reach;
+use crate::server::Key;
+
+/// Replicas probed at once to find out whether their service is reachable.
+const MAX_PROBED: usize = 3;
+/// Draws for them; a service may have fewer replicas, and one may be drawn twice.
+const MAX_DRAWS: usize = 12;
+
+impl Pool {
+    /// Reachability of the services.
+    pub const fn reach(&self) -> &Reach {
+        &self.reach
+    }
+
+    /// Records that no connection to `key` could be opened.
+    pub fn record_unreached(&mut self, now: Time, key: Key) -> Option<Change> {
+        let service = &self.servers.get(key)?.replica.service;
+        let replicas = self.index.count(service);
+        self.reach.record_unreached(now, service, key, replicas)
+    }
+
+    /// Records that a connection to `key` was opened.
+    pub fn record_reached(&mut self, key: Key) {
+        if let Some(server) = self.servers.get(key) {
+            self.reach.record_reached(&server.replica.service);
+        }
+    }
+
+    /// Suspects that the service of `key` is unreachable; see [`Reach::doubt`].
+    pub fn doubt_reach(&mut self, key: Key) {
+        if let Some(server) = self.servers.get(key) {
+            self.reach.doubt(&server.replica.service);
+        }
+    }
+
+    /// Records that `reached` of `probed` replicas of `service` accepted a connection.
+    pub fn record_probes(
+        &mut self,
+        now: Time,
+        service: &str,
+        reached: usize,
+        probed: usize,
+    ) -> Option<Change> {
+        self.reach.record_probes(now, service, reached, probed)
+    }
+
+    /// Whether the service of `key` is unreachable.
+    pub fn is_service_lost(&self, key: Key) -> bool {
+        let server = self.servers.get(key);
+        server.is_some_and(|server| self.reach.is_lost(&server.replica.service))
+    }
+
+    /// Up to [`MAX_PROBED`] random replicas of `service` other than `except`. `draw` returns random
+    /// numbers uniform in `0.0..1.0`.
+    pub fn probe_targets(
+        &self,
+        service: &str,
+        except: Option<Key>,
+        draw: impl Fn() -> f64,
+    ) -> Vec<Key> {
+        let mut targets = Vec::new();
+        // Drawing with replacement does not go over all replicas.
+        for _ in 0..MAX_DRAWS {
+            let key = self.index.at(service, draw());
+            let key = key.filter(|key| !targets.contains(key) && except != Some(*key));
+            targets.extend(key);
+            if targets.len() == MAX_PROBED {
+                break;
+            }
+        }
+        targets
+    }
+}
