Add failing tests of instances that are partitioned from replicas

Two daemons share a store; one of them reaches the replicas through gates that a test cuts: reset, silent, or open connections going on while new ones are refused. Three seconds after the cut the instance serves 0 of 12 requests of each kind and the other one 12 of 12, in all three ways; after a reset or silent cut it books sound replicas as ended under the requests that it had there. That an instance uses its own way again after the cut holds.

--- a/crates/gateway/src/shared/reach.rs
+++ b/crates/gateway/src/shared/reach.rs
@@ -20,7 +20,7 @@
         drop(pool);
         self.reach_doubted.notify_one();
         if let (Some(change), Some(service)) = (change, service) {
-            self.log_reach(&service, change);
+            log_reach(&service, change);
         }
     }
 
@@ -37,7 +37,7 @@
         let change = pool.record_probes(now, service, reached, probed);
         drop(pool);
         if let Some(change) = change {
-            self.log_reach(service, change);
+            log_reach(service, change);
         }
     }
 
@@ -45,15 +45,15 @@
     pub fn is_unreachable(&self, service: &str) -> bool {
         self.pool.borrow().reach().is_lost(service)
     }
+}
 
-    fn log_reach(&self, service: &str, change: Change) {
-        match change {
-            Change::Lost { unreached, since } => {
-                log::warn!(kind = "reach", service = service, reachable = false, unreached = unreached as u64, ms = since.as_millis() as u64; "no connection to the replicas of a service can be opened");
-            }
-            Change::Restored { after } => {
-                log::warn!(kind = "reach", service = service, reachable = true, ms = after.as_millis() as u64; "the replicas of a service accept connections again");
-            }
+fn log_reach(service: &str, change: Change) {
+    match change {
+        Change::Lost { unreached, since } => {
+            log::warn!(kind = "reach", service = service, reachable = false, unreached = unreached as u64, ms = since.as_millis() as u64; "no connection to the replicas of a service can be opened");
+        }
+        Change::Restored { after } => {
+            log::warn!(kind = "reach", service = service, reachable = true, ms = after.as_millis() as u64; "the replicas of a service accept connections again");
         }
     }
 }
--- a/crates/gateway/tests/gateway/common/mod.rs
+++ b/crates/gateway/tests/gateway/common/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod caller;
 pub mod daemon;
+pub mod gate;
 pub mod http;
 pub mod replica;
 pub mod store;
--- a/crates/gateway/tests/gateway/common/store.rs
+++ b/crates/gateway/tests/gateway/common/store.rs
@@ -63,6 +63,8 @@
     inner: Arc<(Mutex<Inner>, Condvar)>,
     /// Whether calls at this address are answered with 503.
     down: Arc<AtomicBool>,
+    /// Addresses of replicas that callers of this address get in place of the listed ones.
+    views: Arc<Vec<(SocketAddr, SocketAddr)>>,
 }
 
 impl Store {
@@ -77,9 +79,16 @@
     /// Serves the same rows at another address on `ip`; [`Self::set_down`] applies to each address
     /// separately.
     pub fn at_another_address(&self, ip: &str) -> (Self, SocketAddr) {
+        self.with_view(ip, &[])
+    }
+
+    /// Like [`Self::at_another_address`], with the second address of each pair of `views` in place of the first one in
+    /// the entries of replicas.
+    pub fn with_view(&self, ip: &str, views: &[(SocketAddr, SocketAddr)]) -> (Self, SocketAddr) {
         let store = Self {
             inner: Arc::clone(&self.inner),
             down: Arc::default(),
+            views: Arc::new(views.to_vec()),
         };
         let own = store.clone();
         let address = http::serve(ip, move |socket| own.serve_connection(socket));
@@ -240,7 +249,8 @@
         let rows = rows.filter(|((name, _), (_, version))| name == table && *version > since);
         let mut rows: Vec<Value> = rows
             .map(|((table, key), (value, version))| {
-                json!({"table": table, "part": "", "key": key, "value": STANDARD.encode(value), "ver": version})
+                let value = STANDARD.encode(self.view(value));
+                json!({"table": table, "part": "", "key": key, "value": value, "ver": version})
             })
             .collect();
         if let Some(after) = after {
@@ -249,6 +259,19 @@
         json!({"rows": rows, "has-more": false, "ver": inner.version, "now-ms": 1})
     }
 
+    /// `value` with the addresses that callers of this address get.
+    fn view(&self, value: &[u8]) -> Vec<u8> {
+        let mut text = String::from_utf8_lossy(value).into_owned();
+        for (listed, seen) in self.views.iter() {
+            text = text.replace(&format!("\"{listed}\""), &format!("\"{seen}\""));
+        }
+        if self.views.is_empty() {
+            value.to_vec()
+        } else {
+            text.into_bytes()
+        }
+    }
+
     fn transact(&self, body: &[u8]) -> (u16, Value) {
         let call: Value = serde_json::from_slice(body).unwrap();
         let name = |row: &Value| {
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod list_confirmation;
 mod members;
 mod migration;
+mod partition;
 mod plain;
 mod quarantine;
 mod quotas;
