Hand requests to a peer while the own way to the replicas is cut

Ruled out for these refusals: quarantine (none of 81 ends names it) and the directory (callers keep addresses and connections).

A service whose replicas cannot be connected to is now served through a peer, and so is a request for which no connection could be opened before that is known. The peer agrees before it gets the request, so that nothing can have run until then; it runs its own choice of replicas, retries and resumption and does not hand on. Route, customer and quota stay with the instance of the caller: its plan decides and its keeper is charged, once. The hop carries the age and the time left, the permits that are unused and the number of replicas that may run the request. A caller that leaves resets the stream, which ends the request at the peer. A peer that is lost after it got the request means 502. Peers without a way of their own decline; if all that are asked do, the request is refused at once. Offers are taken only from the address of a known instance, within the limits for callers.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -26,8 +26,10 @@
 
 use crate::body::Body;
 use crate::guard::OpenRequest;
+use crate::handoff;
 use crate::job;
 use crate::job::Job;
+use crate::job::Timing;
 use crate::plain;
 use crate::quota;
 use crate::responses;
@@ -47,7 +49,7 @@
     let open = OpenRequest::new(&shared);
     let (parts, body) = request.into_parts();
     let mut response = match admit(&shared, parts, body, arrived).await {
-        Ok(job) => dispatch(&shared, job).await,
+        Ok(job) => Box::pin(dispatch(&shared, job)).await,
         Err(response) => response,
     };
     if shared.is_stopping() {
@@ -58,20 +60,38 @@
 }
 
 /// Serves `job`. A request whose content is quarantined is refused without running.
-async fn dispatch(shared: &Rc<Shared>, mut job: Job) -> Response<Body> {
-    match shared.quarantined_for(job.fingerprint) {
-        Some(remaining) => plain::refuse_quarantined(&mut job, remaining),
-        None => {
-            if let Some(response) = quota::admit(shared, &mut job).await {
-                return response;
-            }
-            if job.route.mode.streams() {
-                stream::serve(shared, job).await
-            } else {
-                plain::serve(shared, job).await
-            }
+///
+/// The quota of a request that was handed over is charged by the instance that handed it over.
+pub async fn dispatch(shared: &Rc<Shared>, mut job: Job) -> Response<Body> {
+    if let Some(remaining) = shared.quarantined_for(job.fingerprint) {
+        return plain::refuse_quarantined(&mut job, remaining);
+    }
+    if job.origin.is_none()
+        && let Some(response) = quota::admit(shared, &mut job).await
+    {
+        return response;
+    }
+    if handoff::applies(shared, &job) {
+        let runs = job.route.max_attempts;
+        let untaken = match handoff::serve(shared, job, runs).await {
+            Ok(response) => return response,
+            Err(untaken) => untaken,
+        };
+        job = *untaken.job;
+        if untaken.is_hopeless {
+            return handoff::refuse(shared, &mut job);
         }
     }
+    serve_locally(shared, job).await
+}
+
+/// Serves `job` by the replicas.
+async fn serve_locally(shared: &Rc<Shared>, job: Job) -> Response<Body> {
+    if job.route.mode.streams() {
+        stream::serve(shared, job).await
+    } else {
+        plain::serve(shared, job).await
+    }
 }
 
 /// Reads the whole request and finds its route.
@@ -107,6 +127,7 @@
     shared.count_request(&target.service);
     let path = job::path_and_query(&parts.uri);
     let fingerprint = Fingerprint::new(parts.method.as_str(), &host, path, &body);
+    let timing = Timing::of_caller(shared, &call, &target, arrived);
     Ok(Job::new(
         shared,
         call,
@@ -114,7 +135,7 @@
         fingerprint,
         parts,
         body,
-        arrived,
+        timing,
     ))
 }
 
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -97,9 +97,14 @@
 impl std::error::Error for Error {}
 
 impl Error {
+    /// Whether no connection could be opened.
+    pub const fn is_unconnected(&self) -> bool {
+        matches!(self, Self::Refused | Self::Unreachable { .. })
+    }
+
     /// Whether the call may have been carried out.
     pub const fn is_uncertain(&self) -> bool {
-        !matches!(self, Self::Refused | Self::Unreachable { .. })
+        !self.is_unconnected()
     }
 }
 
@@ -124,10 +129,8 @@
                     shared.note_reached(call.key);
                     apply_head(shared, call.key, answer);
                 }
-                Err(Error::Refused | Error::Unreachable { .. }) => {
-                    shared.note_unreached(call.key);
-                }
-                Err(Error::Closed { .. } | Error::Unanswered { .. }) => {}
+                Err(error) if error.is_unconnected() => shared.note_unreached(call.key),
+                Err(_) => {}
             }
             answer
         }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -6,7 +6,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bincode::config;
@@ -16,6 +15,7 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use h2::RecvStream;
+use h2::server::SendResponse;
 use http::Request;
 use http::Response;
 use ident::Time;
@@ -28,13 +28,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::sync::Semaphore;
 
 use crate::instance_info::InstanceInfo;
 use crate::shared::Shared;
 
+/// Path of a request.
+pub const PATH: &str = "/";
 /// Timeout of one request, including the connection.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(800);
 /// The same for a daemon without a list of replicas, which gets the complete one: that of a large
@@ -46,8 +46,6 @@
 const PERIOD: Duration = Duration::from_millis(700);
 /// Time without an answer of the store after which peers are asked.
 const STORE_SILENCE: Duration = Duration::from_millis(1_500);
-/// Maximum number of connections served at once.
-const MAX_CONNECTIONS: usize = 64;
 
 #[derive(Debug, Serialize, Deserialize)]
 struct SyncRequest {
@@ -83,33 +81,6 @@
     quarantine: Vec<Record>,
 }
 
-/// Answers requests of other daemons, forever.
-pub async fn serve(shared: Rc<Shared>, listener: TcpListener) {
-    let slots = Arc::new(Semaphore::new(MAX_CONNECTIONS));
-    loop {
-        let Ok(permit) = Arc::clone(&slots).acquire_owned().await else {
-            return;
-        };
-        match listener.accept().await {
-            Ok((socket, peer)) => {
-                let shared = Rc::clone(&shared);
-                tokio::task::spawn_local(async move {
-                    let answered =
-                        timeout(FIRST_REQUEST_TIMEOUT, serve_connection(&shared, socket)).await;
-                    if let Ok(Err(error)) = answered {
-                        log::debug!(kind = "exchange", peer = peer.to_string(), cause = error.to_string(); "a request was not answered");
-                    }
-                    drop(permit);
-                });
-            }
-            Err(error) => {
-                log::warn!(kind = "exchange", cause = error.to_string(); "failed to accept a connection");
-                sleep(PERIOD).await;
-            }
-        }
-    }
-}
-
 /// Fetches newer state from random peers while the store is silent or no plan is known, forever.
 pub async fn poll_peers(shared: Rc<Shared>) {
     loop {
@@ -196,7 +167,7 @@
             log::debug!(kind = "exchange", cause = error.to_string(); "connection to a peer ended");
         }
     });
-    let request = Request::post(format!("http://{peer}/"))
+    let request = Request::post(format!("http://{peer}{PATH}"))
         .body(())
         .map_err(io::Error::other)?;
     let (answer, mut body) = client
@@ -210,31 +181,30 @@
     response
 }
 
-async fn serve_connection(shared: &Shared, socket: TcpStream) -> io::Result<()> {
-    let mut connection = h2::server::handshake(socket)
-        .await
-        .map_err(io::Error::other)?;
-    while let Some(request) = connection.accept().await {
-        let (request, mut respond) = request.map_err(io::Error::other)?;
-        let body = request.into_body();
-        let answer = async {
-            let message: SyncRequest = decode(body).await?;
-            let encoded = encode(&response_to(shared, &message))?;
-            let mut stream = respond
-                .send_response(Response::new(()), false)
-                .map_err(io::Error::other)?;
-            stream.send_data(encoded, true).map_err(io::Error::other)
-        };
-        // The body of the request arrives only while the connection is polled.
-        let mut answer = std::pin::pin!(answer);
-        tokio::select! {
-            done = &mut answer => done?,
-            closed = std::future::poll_fn(|context| connection.poll_closed(context)) => {
-                return closed.map_err(io::Error::other);
-            }
-        }
+/// Answers a request of another daemon.
+pub async fn serve(
+    shared: Rc<Shared>,
+    peer: SocketAddr,
+    body: RecvStream,
+    respond: SendResponse<Bytes>,
+) {
+    let answered = timeout(FIRST_REQUEST_TIMEOUT, answer(&shared, body, respond)).await;
+    if let Ok(Err(error)) = answered {
+        log::debug!(kind = "exchange", peer = peer.to_string(), cause = error.to_string(); "a request was not answered");
     }
-    Ok(())
+}
+
+async fn answer(
+    shared: &Shared,
+    body: RecvStream,
+    mut respond: SendResponse<Bytes>,
+) -> io::Result<()> {
+    let message: SyncRequest = decode(body).await?;
+    let encoded = encode(&response_to(shared, &message))?;
+    let mut stream = respond
+        .send_response(Response::new(()), false)
+        .map_err(io::Error::other)?;
+    stream.send_data(encoded, true).map_err(io::Error::other)
 }
 
 fn response_to(shared: &Shared, request: &SyncRequest) -> SyncResponse {
--- a/crates/gateway/src/guard.rs
+++ b/crates/gateway/src/guard.rs
@@ -29,6 +29,28 @@
     }
 }
 
+/// A request of a peer that is being served; over when this is dropped.
+#[derive(Debug)]
+pub struct HandedOver {
+    shared: Rc<Shared>,
+}
+
+impl HandedOver {
+    /// Counts one more request of a peer.
+    pub fn new(shared: &Rc<Shared>) -> Self {
+        shared.set_handed_over(shared.handed_over() + 1);
+        Self {
+            shared: Rc::clone(shared),
+        }
+    }
+}
+
+impl Drop for HandedOver {
+    fn drop(&mut self) {
+        self.shared.set_handed_over(self.shared.handed_over() - 1);
+    }
+}
+
 /// A request in flight at a replica; finished there when this is dropped.
 #[derive(Debug)]
 pub struct InFlight {
--- /dev/null
+++ b/crates/gateway/src/handoff.rs
@@ -0,0 +1,163 @@
+//! Hands requests to peers while this daemon cannot connect to the replicas of their service.
+//!
+//! A peer is asked first whether it takes a request, and gets the request only then: until it has
+//! agreed, nothing can have run. It serves the request like one of its own callers, except that it
+//! does not hand it on, and that this daemon has found the route, checked the API key and charged
+//! the quota. Each request is one `h2` stream; its end without an error marks a complete answer.
+
+pub mod client;
+pub mod forward;
+pub mod message;
+pub mod peers;
+pub mod server;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use boottime::timer::timeout_at;
+use http::Response;
+use relay::attempt::Attempt;
+use relay::permit::Permit;
+use relay::permit::Work;
+
+use crate::body::Body;
+use crate::handoff::client::Answered;
+use crate::handoff::client::Offer;
+use crate::handoff::client::Offered;
+use crate::handoff::peers::Decline;
+use crate::job::Job;
+use crate::plain;
+use crate::responses;
+use crate::shared::Shared;
+
+/// Peers asked for one request at most.
+const MAX_PEERS: usize = 6;
+/// Time beyond the deadline of a request for the answer of a peer, which applies the same deadline.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(150);
+/// `Retry-After` if no peer reaches the replicas either; about the time between two probes.
+const RETRY_AFTER: Duration = Duration::from_millis(800);
+
+/// A request that no peer took.
+#[derive(Debug)]
+pub struct Untaken {
+    /// The request, which has not run at a peer.
+    pub job: Box<Job>,
+    /// Whether peers were asked and none of them reaches the replicas.
+    pub is_hopeless: bool,
+}
+
+/// Whether `job` has to be handed to a peer instead of being sent to a replica.
+pub fn applies(shared: &Shared, job: &Job) -> bool {
+    job.origin.is_none() && shared.is_unreachable(&job.service)
+}
+
+/// Whether `job`, for which `attempt` found no replica, may be handed to a peer: no connection to a
+/// replica could be opened, and it may run.
+pub fn may_follow(shared: &Shared, job: &Job, attempt: &Attempt) -> bool {
+    let missed = job.missed_replica.get() || shared.is_unreachable(&job.service);
+    missed
+        && job.origin.is_none()
+        && attempt.may_run_again()
+        && shared.ensure_permit(job, Work::Run)
+}
+
+/// Refuses `job`, whose service neither this daemon nor a peer reaches.
+pub fn refuse(shared: &Shared, job: &mut Job) -> Response<Body> {
+    plain::refuse(shared, job, RETRY_AFTER, "no instance reaches a replica")
+}
+
+/// Has a peer serve `job`, which may run at `runs` replicas.
+///
+/// # Errors
+/// The request, if no peer took it.
+pub async fn serve(shared: &Rc<Shared>, job: Job, runs: u32) -> Result<Response<Body>, Untaken> {
+    let mut job = job;
+    let mut tried = Vec::new();
+    let mut unreachable = 0;
+    while tried.len() < MAX_PEERS {
+        let Some(peer) = shared.choose_peer(&job, &tried) else {
+            break;
+        };
+        tried.push(peer);
+        let declined = match client::offer(shared, peer, &job.service).await {
+            Offer::Declined(decline) => decline,
+            Offer::Accepted(offered) => {
+                let Some(permit) = job.take_permit(Work::Run) else {
+                    break;
+                };
+                match exchange(shared, job, peer, offered, runs, permit).await {
+                    Ok(response) => return Ok(response),
+                    Err((unserved, decline)) => {
+                        job = *unserved;
+                        decline
+                    }
+                }
+            }
+        };
+        unreachable += usize::from(declined == Decline::Unreachable);
+        shared.note_declined(peer, &job.service, &declined);
+    }
+    shared.metrics.handoff("untaken");
+    log::info!(kind = "handoff", request = job.call.id, service = job.service, asked = tried.len() as u64, unreachable = unreachable as u64; "no peer took a request");
+    Err(Untaken {
+        job: Box::new(job),
+        is_hopeless: !tried.is_empty() && unreachable == tried.len(),
+    })
+}
+
+/// Sends `job` to `peer`, which has agreed to take it, and forwards the answer.
+///
+/// # Errors
+/// The request, if the peer found out that it does not reach the replicas either.
+async fn exchange(
+    shared: &Rc<Shared>,
+    job: Job,
+    peer: SocketAddr,
+    offered: Offered,
+    runs: u32,
+    permit: Permit,
+) -> Result<Response<Body>, (Box<Job>, Decline)> {
+    let mut job = job;
+    let charge_before = job.charge.as_ref().map(|charge| charge.set_ran(true));
+    let answered = timeout_at(job.deadline + DEADLINE_MARGIN, offered.send(&job, runs)).await;
+    if is_refused(&answered)
+        && let (Some(charge), Some(before)) = (&job.charge, charge_before)
+    {
+        charge.set_ran(before);
+    }
+    match answered {
+        Ok(Ok(answered)) if answered.answer.is_unreachable => {
+            job.permits.borrow_mut().put(Work::Run, permit);
+            Err((Box::new(job), Decline::Unreachable))
+        }
+        Ok(Ok(answered)) => {
+            shared.note_taken(peer, &job);
+            Ok(forward::start(shared, job, peer, answered).await)
+        }
+        Ok(Err(error)) => {
+            shared.note_lost_peer(peer, &job, &error.to_string());
+            let cause = "the peer that served it was lost";
+            Ok(plain::finish(
+                &mut job,
+                "unknown",
+                responses::unknown,
+                cause,
+            ))
+        }
+        Err(elapsed) => {
+            shared.note_lost_peer(peer, &job, &elapsed.to_string());
+            let cause = "no answer of a peer in time";
+            Ok(plain::finish(
+                &mut job,
+                "overdue",
+                responses::overdue,
+                cause,
+            ))
+        }
+    }
+}
+
+fn is_refused<L, E>(answered: &Result<Result<Answered, E>, L>) -> bool {
+    matches!(answered, Ok(Ok(answered)) if answered.answer.is_refused)
+}
--- /dev/null
+++ b/crates/gateway/src/handoff/client.rs
@@ -0,0 +1,158 @@
+//! Offers requests to peers and sends those that they take.
+
+use std::io;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use boottime::timer::timeout;
+use bytes::Bytes;
+use bytes::BytesMut;
+use h2::RecvStream;
+use h2::SendStream;
+use h2::client::SendRequest;
+use http::Request;
+use http::StatusCode;
+use relay::permit::Work;
+use tokio::net::TcpSocket;
+
+use crate::handoff::message;
+use crate::handoff::message::Answer;
+use crate::handoff::peers::Decline;
+use crate::job::Job;
+use crate::shared::Shared;
+
+/// Time for a peer to agree, including the connection; two round trips take a few milliseconds.
+const OFFER_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Result of an offer.
+#[derive(Debug)]
+pub enum Offer {
+    /// The peer takes the request.
+    Accepted(Offered),
+    /// It does not.
+    Declined(Decline),
+}
+
+/// A request that a peer has agreed to take.
+#[derive(Debug)]
+pub struct Offered {
+    origin: String,
+    request: SendStream<Bytes>,
+    response: RecvStream,
+}
+
+/// The head of a peer's answer, and the rest of it.
+#[derive(Debug)]
+pub struct Answered {
+    /// The head.
+    pub answer: Answer,
+    /// Start of the body.
+    pub start: Bytes,
+    /// The rest of the body.
+    pub rest: RecvStream,
+}
+
+/// Asks `peer` whether it takes a request for `service`.
+pub async fn offer(shared: &Rc<Shared>, peer: SocketAddr, service: &str) -> Offer {
+    let offered = timeout(OFFER_TIMEOUT, try_offer(shared, peer, service)).await;
+    let cause = match offered {
+        Ok(Ok(offer)) => return offer,
+        Ok(Err(error)) => error.to_string(),
+        Err(elapsed) => elapsed.to_string(),
+    };
+    // A connection without an answer may be silent for good.
+    shared.peers.close(peer);
+    Offer::Declined(Decline::Failed(cause))
+}
+
+async fn try_offer(shared: &Rc<Shared>, peer: SocketAddr, service: &str) -> io::Result<Offer> {
+    let mut sender = sender(shared, peer).await?;
+    let request = Request::post(format!("http://{peer}{}", message::PATH))
+        .header(message::SERVICE, service)
+        .body(())
+        .map_err(io::Error::other)?;
+    let (response, request) = sender
+        .send_request(request, false)
+        .map_err(io::Error::other)?;
+    let response = response.await.map_err(io::Error::other)?;
+    Ok(match response.status() {
+        StatusCode::OK => Offer::Accepted(Offered {
+            origin: shared.own_info().name,
+            request,
+            response: response.into_body(),
+        }),
+        StatusCode::SERVICE_UNAVAILABLE => Offer::Declined(Decline::Unreachable),
+        status => Offer::Declined(Decline::Failed(format!("status {status}"))),
+    })
+}
+
+/// A connection to `peer` that takes another request.
+async fn sender(shared: &Rc<Shared>, peer: SocketAddr) -> io::Result<SendRequest<Bytes>> {
+    if let Some(sender) = shared.peers.sender(peer)
+        && let Ok(sender) = sender.ready().await
+    {
+        return Ok(sender);
+    }
+    let sender = connect(shared.own_ip(), peer).await?;
+    shared.peers.keep(peer, &sender);
+    sender.ready().await.map_err(io::Error::other)
+}
+
+/// Connects to `peer` from the address by which it knows this instance.
+async fn connect(own: IpAddr, peer: SocketAddr) -> io::Result<SendRequest<Bytes>> {
+    let socket = match peer {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind(SocketAddr::new(own, 0))?;
+    socket.set_nodelay(true)?;
+    let stream = socket.connect(peer).await?;
+    let (sender, connection) = h2::client::handshake(stream)
+        .await
+        .map_err(io::Error::other)?;
+    tokio::task::spawn_local(async move {
+        if let Err(error) = connection.await {
+            log::debug!(kind = "handoff", peer = peer.to_string(), cause = error.to_string(); "connection to a peer ended");
+        }
+    });
+    Ok(sender)
+}
+
+impl Offered {
+    /// Sends `job`, which may run at `runs` replicas, and reads the head of the answer.
+    ///
+    /// # Errors
+    /// If the peer was lost; the request may have run.
+    pub async fn send(mut self, job: &Job, runs: u32) -> io::Result<Answered> {
+        let may_prefill = job.permits.borrow().has(Work::Read);
+        let head = message::Request::new(&self.origin, job, runs, may_prefill);
+        let bytes = message::encode(&head, &job.body)?;
+        self.request
+            .send_data(bytes, true)
+            .map_err(io::Error::other)?;
+        let mut received = BytesMut::new();
+        loop {
+            if let Some(answer) = message::take_head(&mut received)? {
+                return Ok(Answered {
+                    answer,
+                    start: received.freeze(),
+                    rest: self.response,
+                });
+            }
+            received.extend_from_slice(&read(&mut self.response).await?);
+        }
+    }
+}
+
+/// Reads the next part of a message.
+async fn read(body: &mut RecvStream) -> io::Result<Bytes> {
+    let part = body.data().await;
+    let part = part.ok_or_else(|| io::Error::other("the answer has no head"))?;
+    let part = part.map_err(io::Error::other)?;
+    body.flow_control()
+        .release_capacity(part.len())
+        .map_err(io::Error::other)?;
+    Ok(part)
+}
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -72,14 +72,42 @@
     pub charge: Option<Charge>,
     /// Permits for sends to replicas.
     pub permits: RefCell<RequestPermits>,
+    /// Instance that handed the request over; `None` if it came from a caller.
+    pub origin: Option<String>,
+    /// Whether no connection to a replica could be opened.
+    pub missed_replica: Cell<bool>,
     /// Replicas that received the request.
     sent_to: RefCell<HashSet<Key>>,
     shared: Rc<Shared>,
     end_recorded: bool,
 }
 
+/// Times of a request.
+#[derive(Debug, Clone, Copy)]
+pub struct Timing {
+    /// When the head was read.
+    pub arrived: Instant,
+    /// When the answer has to be complete.
+    pub deadline: Instant,
+    /// Whether it is a retry after a refusal, too late for the objective.
+    pub returned: bool,
+}
+
+impl Timing {
+    /// Times of a request that a caller sent to `target` at `arrived`.
+    pub fn of_caller(shared: &Shared, call: &Call, target: &Target, arrived: Instant) -> Self {
+        let route = &target.route;
+        let patience = call.timeout.unwrap_or(route.timeout).min(route.timeout);
+        Self {
+            arrived,
+            deadline: arrived + patience,
+            returned: shared.was_refused_before(route, &target.service, call.timeout),
+        }
+    }
+}
+
 impl Job {
-    /// A request that arrived at `arrived`.
+    /// A request with its target.
     pub fn new(
         shared: &Rc<Shared>,
         call: Call,
@@ -87,7 +115,7 @@
         fingerprint: Fingerprint,
         parts: http::request::Parts,
         body: Bytes,
-        arrived: Instant,
+        timing: Timing,
     ) -> Self {
         let Target {
             route,
@@ -96,8 +124,11 @@
             owner,
             homes,
         } = target;
-        let returned = shared.was_refused_before(&route, &service, call.timeout);
-        let patience = call.timeout.unwrap_or(route.timeout).min(route.timeout);
+        let Timing {
+            arrived,
+            deadline,
+            returned,
+        } = timing;
         Self {
             call,
             fingerprint,
@@ -111,17 +142,26 @@
             headers: parts.headers,
             body,
             arrived,
-            deadline: arrived + patience,
+            deadline,
             returned,
             response_started: Cell::new(false),
             charge: None,
             permits: RefCell::new(RequestPermits::new()),
+            origin: None,
+            missed_replica: Cell::new(false),
             sent_to: RefCell::default(),
             shared: Rc::clone(shared),
             end_recorded: false,
         }
     }
 
+    /// The same request, which the instance `origin` handed over.
+    #[must_use]
+    pub fn with_origin(mut self, origin: String) -> Self {
+        self.origin = Some(origin);
+        self
+    }
+
     /// Where it may be served.
     pub fn destination(&self) -> Destination<'_> {
         Destination {
@@ -222,10 +262,16 @@
         }
     }
 
-    /// Records and logs how the request ended.
+    /// Records and logs how the request ended. One that was handed over is counted by the instance
+    /// that its caller is connected to.
     pub fn end(&mut self, outcome: &'static str, status: u16, cause: &str) {
         self.end_recorded = true;
         let ms = self.age().as_millis() as u64;
+        if let Some(origin) = &self.origin {
+            self.shared.metrics.handoff("served");
+            log::info!(kind = "handoff", request = self.call.id, service = self.service, origin = origin, outcome = outcome, status = status, ms = ms, cause = cause; "a request of a peer ended");
+            return;
+        }
         self.shared.metrics.request(outcome);
         let customer = self.customer().map_or("", |customer| &customer.name);
         self.shared.count_customer(customer, outcome);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod forward;
 pub mod gossip;
 pub mod guard;
+pub mod handoff;
 pub mod instance_info;
 pub mod job;
 pub mod limit;
@@ -23,6 +24,7 @@
 pub mod migration;
 pub mod move_order;
 pub mod outbox;
+pub mod peer_server;
 pub mod phase;
 pub mod placement;
 pub mod plain;
@@ -151,7 +153,7 @@
         || AUXILIARY,
         move |_| std::future::ready(auxiliary::metrics(&state)),
     ));
-    spawn_local(exchange::serve(Rc::clone(&shared), peers));
+    spawn_local(peer_server::run(Rc::clone(&shared), peers));
     spawn_local(exchange::poll_peers(Rc::clone(&shared)));
     spawn_local(watch::follow_plan(Rc::clone(&shared)));
     spawn_local(watch::follow_replicas(Rc::clone(&shared)));
@@ -191,6 +193,7 @@
             log::info!(kind = "ready", plan = shared.plan_version(); "taking callers");
         }
         shared.connections.close_expired();
+        shared.peers.remove_expired();
         let started = shared.clock.now();
         sleep(HOUSEKEEPING_PERIOD).await;
         if let Some(time) = suspensions.check() {
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -281,6 +282,25 @@
             .collect()
     }
 
+    /// Peer addresses and capacities of the other instances that are advertised, in `data_centres` if
+    /// these are given.
+    pub fn serving_peers<'a>(
+        &'a self,
+        data_centres: Option<&'a [Zone]>,
+    ) -> impl Iterator<Item = (SocketAddr, u32)> + 'a {
+        let alive = self.fleet.iter().flat_map(Fleet::alive);
+        let alive = alive.filter(|member| member.state == State::Alive);
+        let infos = alive.filter_map(|member| self.others.get(&member.instance));
+        infos
+            .filter(move |info| data_centres.is_none_or(|list| list.contains(&info.data_centre)))
+            .map(|info| (info.peers, info.capacity))
+    }
+
+    /// Whether another instance has the address `ip` for its peers.
+    pub fn has_instance_at(&self, ip: IpAddr) -> bool {
+        self.others.values().any(|info| info.peers.ip() == ip)
+    }
+
     /// Whether this daemon owns `key`.
     pub fn is_owner(&self, key: u64) -> bool {
         let owner = self.fleet.as_ref().and_then(|fleet| fleet.owner(key));
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -60,6 +60,7 @@
     requests: IntCounterVec,
     sends: IntCounterVec,
     notices: IntCounterVec,
+    handoffs: IntCounterVec,
     retries: IntCounterVec,
     customers: IntCounterVec,
     moves: IntCounterVec,
@@ -135,6 +136,11 @@
                 "Answers in which a replica says that it is draining or asks for a pause",
                 &["notice"],
             )?,
+            handoffs: vector(
+                "handoffs_total",
+                "Requests handed to peers by outcome, and those served for peers",
+                &["outcome"],
+            )?,
             retries: vector(
                 "retries_total",
                 "Retries by service and whether the budget granted them",
@@ -179,6 +185,11 @@
         self.notices.with_label_values(&[notice]).inc();
     }
 
+    /// Counts a request that was handed to a peer, or served for one, with `outcome`.
+    pub fn handoff(&self, outcome: &str) {
+        self.handoffs.with_label_values(&[outcome]).inc();
+    }
+
     /// Counts a retry requested from the budget.
     pub fn retries(&self, service: &str, granted: bool) {
         let granted = if granted { "yes" } else { "no" };
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -59,7 +59,9 @@
     /// Nothing may be sent to the replica.
     Withheld,
     /// The replica did not answer.
-    Failed(String),
+    Failed(control::Error),
+    /// The replica is no longer listed.
+    Unlisted,
 }
 
 impl Placement {
@@ -129,6 +131,9 @@
             return Some(placement);
         }
         rounds += 1;
+        if shared.is_unreachable(&job.service) {
+            return None;
+        }
         // Waiting is useless if all decode replicas stay excluded beyond the limit.
         let excluded = shared.exclusion_remaining(job.destination(), Some(Stage::Decode));
         if Instant::now() + excluded.unwrap_or_default().max(ROUND_PAUSE) > until {
@@ -202,20 +207,26 @@
                     tracked_run: Some(tracked_run),
                 });
             }
-            ReserveOutcome::Withheld => {}
+            ReserveOutcome::Withheld | ReserveOutcome::Unlisted => {}
             ReserveOutcome::NoRoom => shared
                 .pool
                 .borrow_mut()
                 .record_full(shared.clock.now(), key),
-            ReserveOutcome::Failed(cause) => {
+            ReserveOutcome::Failed(error) => {
+                if error.is_unconnected() {
+                    job.missed_replica.set(true);
+                }
                 shared
                     .pool
                     .borrow_mut()
                     .record_result(shared.clock.now(), key, true);
                 shared.note_unresponsive(key);
-                log::info!(kind = "reserve", request = job.call.id, cause = cause; "a replica did not answer");
+                log::info!(kind = "reserve", request = job.call.id, cause = error.to_string(); "a replica did not answer");
             }
         }
+        if shared.is_unreachable(&job.service) {
+            break;
+        }
     }
     None
 }
@@ -248,7 +259,7 @@
 async fn reserve(shared: &Rc<Shared>, tokens: u64, key: Key, lifetime: Duration) -> ReserveOutcome {
     let replica = shared.pool.borrow().get(key).map(|s| s.replica.clone());
     let Some(replica) = replica else {
-        return ReserveOutcome::Failed("the replica is no longer listed".to_owned());
+        return ReserveOutcome::Unlisted;
     };
     // The replica may have said something else since it was chosen.
     if shared.withheld_cause(key).is_some() {
@@ -268,7 +279,7 @@
             log::info!(kind = "reserve", replica = replica.id, cause = cause; "a replica closed the connection of a reservation request");
             ReserveOutcome::NoRoom
         }
-        Err(error) => ReserveOutcome::Failed(error.to_string()),
+        Err(error) => ReserveOutcome::Failed(error),
         Ok(answer) if answer.status == StatusCode::OK => match Reservation::read(&answer.body) {
             Ok(reservation) => {
                 shared.update_birth(key, reservation.birth);
@@ -287,7 +298,9 @@
                     ReserveOutcome::Granted(reserved)
                 }
             }
-            Err(error) => ReserveOutcome::Failed(error.to_string()),
+            Err(error) => ReserveOutcome::Failed(control::Error::Unanswered {
+                cause: error.to_string(),
+            }),
         },
         Ok(_) => ReserveOutcome::NoRoom,
     }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -22,6 +22,7 @@
 use relay::server::Key;
 
 use crate::body::Body;
+use crate::handoff;
 use crate::job::Job;
 use crate::limit;
 use crate::responses;
@@ -29,7 +30,7 @@
 use crate::shared::Shared;
 
 /// Largest answer in bytes; it is buffered until it is complete.
-const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+pub const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 /// Fraction of the objective that a request waits for a replica. A request refused this early can
 /// still be retried within the objective.
 const MAX_WAIT_FRACTION: f64 = 0.2;
@@ -58,16 +59,17 @@
 }
 
 /// Serves `job` with one replica after another until one answers or no retry is allowed.
-pub async fn serve(shared: &Rc<Shared>, mut job: Job) -> Response<Body> {
+pub async fn serve(shared: &Rc<Shared>, job: Job) -> Response<Body> {
+    let mut job = job;
     let mut attempt = Attempt::new(job.route.mode, job.route.max_attempts);
     let mut tried = Vec::new();
     let mut failure = None;
     loop {
         let Some(key) = choose_replica(shared, &job, None, &tried).await else {
-            return respond_without_replica(shared, &mut job, &attempt, failure);
+            return end_without_replica(shared, job, &attempt, failure).await;
         };
         let Some(permit) = job.take_permit(Work::Run) else {
-            return respond_without_replica(shared, &mut job, &attempt, failure);
+            return end_without_replica(shared, job, &attempt, failure).await;
         };
         tried.push(key);
         attempt.record_send();
@@ -95,9 +97,9 @@
             SendResult::Failed(outcome) => next_after(shared, &job, &mut attempt, outcome),
         };
         match next {
-            Next::Retry => {}
-            Next::Relay | Next::Unknown | Next::Refuse => {
-                return respond_without_replica(shared, &mut job, &attempt, failure);
+            Next::Retry if !shared.is_unreachable(&job.service) => {}
+            Next::Retry | Next::Relay | Next::Unknown | Next::Refuse => {
+                return end_without_replica(shared, job, &attempt, failure).await;
             }
         }
     }
@@ -252,6 +254,24 @@
     response
 }
 
+/// Ends `job`, for which no replica is left to try: a peer serves it if connections could not be
+/// opened, and it may run.
+async fn end_without_replica(
+    shared: &Rc<Shared>,
+    job: Job,
+    attempt: &Attempt,
+    failure: Option<Answer>,
+) -> Response<Body> {
+    let mut job = job;
+    if failure.is_none() && handoff::may_follow(shared, &job, attempt) {
+        match handoff::serve(shared, job, attempt.runs_left()).await {
+            Ok(response) => return response,
+            Err(untaken) => job = *untaken.job,
+        }
+    }
+    respond_without_replica(shared, &mut job, attempt, failure)
+}
+
 /// The response when no replica is left to try.
 fn respond_without_replica(
     shared: &Shared,
--- a/crates/gateway/src/responses.rs
+++ b/crates/gateway/src/responses.rs
@@ -16,6 +16,10 @@
 /// milliseconds.
 pub const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(400);
 
+/// Marks a response that refuses a request, which has not run.
+#[derive(Debug, Clone, Copy)]
+pub struct Refused;
+
 /// A response with `status` and a plain text.
 pub fn answer(status: StatusCode, id: &str, text: &'static str) -> Response<Body> {
     let mut response = Response::new(Body::whole(Bytes::from_static(text.as_bytes())));
@@ -46,6 +50,7 @@
     text: &'static str,
 ) -> Response<Body> {
     let mut response = answer(status, id, text);
+    response.extensions_mut().insert(Refused);
     let seconds = format!("{:.2}", retry_after.as_secs_f64());
     if let Ok(seconds) = HeaderValue::from_str(&seconds) {
         response.headers_mut().insert(header::RETRY_AFTER, seconds);
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -133,7 +133,7 @@
         .connections
         .send(address, request, needs_new_connection)
         .await;
-    note_reach(shared, key, &sent);
+    note_reach(shared, job, key, &sent);
     let (head, response, connection) = own_answer(shared, job, key, sent).await?;
     if let Some(load) = head.load {
         shared
@@ -168,12 +168,20 @@
 }
 
 /// Records what the connection for a send shows of the way to the replica `key`.
-fn note_reach(shared: &Shared, key: Key, sent: &Result<(Response<Incoming>, Connection), Failure>) {
+fn note_reach(
+    shared: &Shared,
+    job: &Job,
+    key: Key,
+    sent: &Result<(Response<Incoming>, Connection), Failure>,
+) {
     match sent {
         // A kept connection may outlive the way for new ones.
         Ok((_, connection)) if connection.exchanges_before() > 0 => {}
         Ok(_) => shared.note_reached(key),
-        Err(Failure::Refused { .. } | Failure::Unreachable { .. }) => shared.note_unreached(key),
+        Err(Failure::Refused { .. } | Failure::Unreachable { .. }) => {
+            job.missed_replica.set(true);
+            shared.note_unreached(key);
+        }
         Err(Failure::NotSent { .. } | Failure::Lost { .. }) => {}
     }
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -3,6 +3,7 @@
 pub mod choice;
 mod customers;
 mod evacuations;
+mod handoff;
 mod homes;
 mod overload;
 mod quarantine;
@@ -39,6 +40,7 @@
 
 use crate::clock::Clock;
 use crate::connections::pool::ConnectionPool;
+use crate::handoff::peers::Peers;
 use crate::instance_info::InstanceInfo;
 use crate::members::Members;
 use crate::metrics::Metrics;
@@ -77,6 +79,8 @@
     pub store: Store,
     /// Connections to replicas.
     pub connections: ConnectionPool,
+    /// Peers that requests are handed to.
+    pub peers: Peers,
     /// The other instances.
     pub members: RefCell<Members>,
     /// The replicas.
@@ -143,6 +147,8 @@
     stopping_since: Cell<Option<Time>>,
     /// Requests in progress.
     open_requests: Cell<usize>,
+    /// Requests of peers that are being served.
+    handed_over: Cell<usize>,
     /// Version of the plan that is being fetched from a peer; 0 if none is.
     plan_being_fetched: Cell<u64>,
     /// Whether records of the quarantine are being compared with a peer.
@@ -168,6 +174,7 @@
             clock: Clock::new(),
             store: Store::new(settings.store, metrics.store_calls.clone()),
             connections: ConnectionPool::new(),
+            peers: Peers::new(),
             members: RefCell::new(Members::new(own.clone())),
             pool: RefCell::new(Pool::new()),
             metrics,
@@ -204,6 +211,7 @@
             store_failing: Cell::new(false),
             stopping_since: Cell::new(None),
             open_requests: Cell::new(0),
+            handed_over: Cell::new(0),
             plan_being_fetched: Cell::new(0),
             is_comparing: Cell::new(false),
             has_all_records: Cell::new(false),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -13,6 +13,7 @@
 
 use crate::body::Body;
 use crate::forward;
+use crate::handoff;
 use crate::job::Job;
 use crate::plain;
 use crate::responses;
@@ -48,6 +49,15 @@
             responses::unknown,
             "the replica was lost",
         ),
+        Ok(Err(_)) if handoff::may_follow(shared, &job, &attempt) => {
+            match handoff::serve(shared, job, attempt.runs_left()).await {
+                Ok(response) => response,
+                Err(untaken) => {
+                    job = *untaken.job;
+                    refuse(shared, &mut job, "no replica accepted the request")
+                }
+            }
+        }
         Ok(Err(_)) => refuse(shared, &mut job, "no replica accepted the request"),
         Err(_) if attempt.sends() == 0 => refuse(shared, &mut job, "no replica in time"),
         Err(_) => plain::finish(&mut job, "overdue", responses::overdue, "no answer in time"),
--- a/crates/gateway/tests/gateway/partition.rs
+++ b/crates/gateway/tests/gateway/partition.rs
@@ -32,8 +32,9 @@
 const MIN_SERVED: f64 = 2.0 / 3.0;
 /// Pause between two requests.
 const INTERVAL: Duration = Duration::from_millis(50);
-/// Path of a generation that takes seconds.
+/// Paths of a generation and of a call that take a second or more.
 const SLOW_DRAFT: &str = "/draft/slow";
+const SLOW_READ: &str = "/read/slow";
 /// Requests sent to each daemon before the cut.
 const WARM_UP: usize = 4;
 
@@ -42,6 +43,7 @@
     cut: Daemon,
     sound: Daemon,
     gates: Vec<(Gate, &'static str)>,
+    replicas: Vec<Replica>,
 }
 
 impl Site {
@@ -51,7 +53,8 @@
         store.put("op", "config", &config(1));
         let echo = |id: &str| {
             Replica::start(id, |request| {
-                Action::Send(signed_answer(request, 200, b"answer"))
+                let parts = vec![signed_answer(request, 200, b"answer")];
+                Action::SendSlowly(parts, pause(request))
             })
         };
         let engine = |id: &str| {
@@ -87,6 +90,7 @@
             cut: start("here", "cut", through_gates),
             sound: start("there", "sound", address),
             gates,
+            replicas: replicas.into_iter().map(|(replica, ..)| replica).collect(),
         };
         site.cut.wait_until_ready();
         site.sound.wait_until_ready();
@@ -111,6 +115,12 @@
         }
     }
 
+    /// Number of requests for `path` that arrived at replicas.
+    fn arrived(&self, path: &str) -> usize {
+        let requests = self.replicas.iter().flat_map(Replica::requests);
+        requests.filter(|request| request.path() == path).count()
+    }
+
     fn heal(&self) {
         for (gate, _) in &self.gates {
             gate.heal();
@@ -121,7 +131,7 @@
 /// Pause of an engine between the parts of its answer.
 fn pause(request: &Message) -> Duration {
     match request.path() {
-        SLOW_DRAFT => Duration::from_millis(800),
+        SLOW_DRAFT | SLOW_READ => Duration::from_millis(800),
         _ => Duration::ZERO,
     }
 }
@@ -214,10 +224,16 @@
     wait_until("the streams have begun", || {
         site.cut.logged("forwarded the first event").len() >= 2 + 2 * WARM_UP
     });
-    site.cut(cut, &["app", "llm"]);
     let reads: Vec<Caller> = (0..3)
-        .map(|number| Kind::Read.start(&site.cut, &format!("lost-{number}")))
+        .map(|number| {
+            let mut caller = site.cut.caller();
+            let id = format!("lost-{number}");
+            caller.start_request(&format!("GET {SLOW_READ}"), &headers(&id), b"");
+            caller
+        })
         .collect();
+    wait_until("the calls have arrived", || site.arrived(SLOW_READ) >= 3);
+    site.cut(cut, &["app", "llm"]);
     wait_until("a loss is looked into", || {
         !site
             .cut
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -72,6 +72,11 @@
             && (self.runs == 0 || (self.mode.repeatable() && self.runs < self.max_runs))
     }
 
+    /// Number of replicas that may still run it.
+    pub const fn runs_left(&self) -> u32 {
+        self.max_runs.saturating_sub(self.runs)
+    }
+
     /// Whether it may be sent to another replica while the present one may still be running it.
     pub fn may_fail_over(&self) -> bool {
         self.mode.repeatable() && self.sends < MAX_SENDS && self.runs + 1 < self.max_runs
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -158,6 +158,11 @@
         }
     }
 
+    /// Whether a replica of `service` is known.
+    pub fn has_service(&self, service: &str) -> bool {
+        self.index.count(service) > 0
+    }
+
     /// Whether no replica is known.
     pub fn is_empty(&self) -> bool {
         self.servers.is_empty()
