Ask a peer whether a replica ended that this instance may only not reach

In the users' record the six instances that were cut off booked 25 ends of replicas under the requests that they had there; none had ended. Cause: a refused or unanswered probe counted as the end of the replica, whoever else was reached.

The class: what an instance learns of itself, here the loss of its own way, booked as a fact about others and told to them. An end counts now only if other replicas of the service accept connections; otherwise a peer that reaches the service is asked to probe the replica. If no peer reaches the service either, its replicas are gone and the end counts; if no peer answers, nothing is concluded.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -123,7 +123,7 @@
     };
     let started = Instant::now();
     let sent_at = shared.clock.now();
-    match timeout(limit, request_update(peer, &message)).await {
+    match timeout(limit, call(peer, PATH, &message)).await {
         // A response that arrives later was sent before the machine was suspended.
         Ok(Ok(response)) if started.elapsed() <= limit => {
             apply(shared, sent_at, response);
@@ -157,7 +157,15 @@
     }
 }
 
-async fn request_update(peer: SocketAddr, message: &SyncRequest) -> io::Result<SyncResponse> {
+/// Sends `message` for `path` to `peer` on a new connection and reads the answer.
+///
+/// # Errors
+/// If the peer does not answer.
+pub async fn call<Q: Serialize, A: DeserializeOwned>(
+    peer: SocketAddr,
+    path: &str,
+    message: &Q,
+) -> io::Result<A> {
     let socket = TcpStream::connect(peer).await?;
     let (mut client, connection) = h2::client::handshake(socket)
         .await
@@ -167,7 +175,7 @@
             log::debug!(kind = "exchange", cause = error.to_string(); "connection to a peer ended");
         }
     });
-    let request = Request::post(format!("http://{peer}{PATH}"))
+    let request = Request::post(format!("http://{peer}{path}"))
         .body(())
         .map_err(io::Error::other)?;
     let (answer, mut body) = client
@@ -194,13 +202,18 @@
     }
 }
 
-async fn answer(
-    shared: &Shared,
-    body: RecvStream,
-    mut respond: SendResponse<Bytes>,
-) -> io::Result<()> {
+async fn answer(shared: &Shared, body: RecvStream, respond: SendResponse<Bytes>) -> io::Result<()> {
     let message: SyncRequest = decode(body).await?;
-    let encoded = encode(&response_to(shared, &message))?;
+    self::respond(respond, &response_to(shared, &message))
+}
+
+/// Sends `message` as the answer to a request.
+///
+/// # Errors
+/// If it cannot be encoded, or the connection has ended.
+pub fn respond(respond: SendResponse<Bytes>, message: &impl Serialize) -> io::Result<()> {
+    let mut respond = respond;
+    let encoded = encode(message)?;
     let mut stream = respond
         .send_response(Response::new(()), false)
         .map_err(io::Error::other)?;
@@ -244,7 +257,11 @@
         .map_err(io::Error::other)
 }
 
-async fn decode<T: DeserializeOwned>(mut body: RecvStream) -> io::Result<T> {
+/// Reads and decodes a message.
+///
+/// # Errors
+/// If it is cut off, too long or malformed.
+pub async fn decode<T: DeserializeOwned>(mut body: RecvStream) -> io::Result<T> {
     let mut bytes = BytesMut::new();
     while let Some(part) = body.data().await {
         let part = part.map_err(io::Error::other)?;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod plain;
 pub mod poller_status;
 pub mod prefill;
+pub mod presence;
 pub mod probes;
 pub mod quarantine;
 pub mod quota;
--- a/crates/gateway/src/peer_server.rs
+++ b/crates/gateway/src/peer_server.rs
@@ -23,6 +23,7 @@
 use crate::exchange;
 use crate::handoff;
 use crate::handoff::message;
+use crate::presence;
 use crate::shared::Shared;
 
 /// Maximum number of connections served at once.
@@ -102,6 +103,12 @@
 ) {
     match request.uri().path() {
         exchange::PATH => exchange::serve(shared, peer, request.into_body(), respond).await,
+        presence::PATH => {
+            let answered = presence::serve(&shared, request.into_body(), respond).await;
+            if let Err(error) = answered {
+                log::debug!(kind = "exchange", peer = peer.to_string(), cause = error.to_string(); "a request was not answered");
+            }
+        }
         message::PATH => handoff::server::serve(shared, peer, request, respond).await,
         path => {
             log::info!(kind = "exchange", peer = peer.to_string(), path = path; "a peer of another version sent an unknown request");
--- a/crates/gateway/src/quarantine/probe.rs
+++ b/crates/gateway/src/quarantine/probe.rs
@@ -13,6 +13,7 @@
 use crate::clock;
 use crate::control;
 use crate::control::Presence;
+use crate::presence;
 use crate::shared::Shared;
 
 /// Pause between two probes of a replica that does not answer.
@@ -43,13 +44,14 @@
 async fn probe(shared: Rc<Shared>, key: Key, replica: u64) {
     let started = Instant::now();
     let presence = probe_presence(&shared, key).await;
+    let has_ended = presence != Presence::Here && !presence::is_running(&shared, key).await;
     for fingerprint in shared.probes.take_requests(key) {
-        if presence != Presence::Here {
+        if has_ended {
             shared.note_end(fingerprint, replica);
         }
     }
     shared.probes.notify_finished();
-    log::info!(kind = "inquiry", replica = format!("{replica:016x}"), presence = format!("{presence:?}"), ms = started.elapsed().as_millis() as u64; "a replica was lost while at work");
+    log::info!(kind = "inquiry", replica = format!("{replica:016x}"), presence = format!("{presence:?}"), ended = has_ended, ms = started.elapsed().as_millis() as u64; "a replica was lost while at work");
 }
 
 async fn probe_presence(shared: &Shared, key: Key) -> Presence {
--- a/crates/gateway/src/reach_probe.rs
+++ b/crates/gateway/src/reach_probe.rs
@@ -29,6 +29,14 @@
     }
 }
 
+impl Shared {
+    /// Probes random replicas of `service`; returns whether it is reachable.
+    pub async fn verify_reach(&self, service: &str) -> bool {
+        probe(self, service).await;
+        !self.pool.borrow().reach().is_doubtful(service)
+    }
+}
+
 async fn probe(shared: &Shared, service: &str) {
     let targets = shared
         .pool
--- a/crates/relay/src/pool/reach.rs
+++ b/crates/relay/src/pool/reach.rs
@@ -50,10 +50,10 @@
         self.reach.record_probes(now, service, reached, probed)
     }
 
-    /// Whether the service of `key` is unreachable.
-    pub fn is_service_lost(&self, key: Key) -> bool {
-        let server = self.servers.get(key);
-        server.is_some_and(|server| self.reach.is_lost(&server.replica.service))
+    /// The replica `id` and its service.
+    pub fn find(&self, id: &str) -> Option<(Key, &str)> {
+        let key = self.index.by_id(id)?;
+        Some((key, &self.servers[key].replica.service))
     }
 
     /// Up to [`MAX_PROBED`] random replicas of `service` other than `except`. `draw` returns random
