Book failures of the own way neither on replicas nor with peers

An instance that is cut off from one of several services reported all its replicas as silent to the peers, which ranked them last for 0.8 to 12.8 s: the exception for a cut counted silent replicas among those of all services. After the cut its own failure shares and refused reservations, which differ by replica by chance, went on deciding for up to 12.8 s.

Replicas of a service that may be unreachable are reported only once another one of it was reached, and what failed is forgotten when the service is reachable again. Looked at for the same cause and sound: retry budget (a send that did not connect takes none), pace (successes only), cold marks, lapses and evacuations (from the store), quotas and limits (kept by peers that are reached).

Tests, failing before: replicas_of_a_service_that_may_be_unreachable_are_not_ reported_as_silent, failures_are_forgotten_once_their_service_is_reachable_again.

--- a/crates/gateway/src/reach_probe.rs
+++ b/crates/gateway/src/reach_probe.rs
@@ -25,6 +25,8 @@
             continue;
         }
         join_all(doubtful.iter().map(|service| probe(&shared, service))).await;
+        // Silent replicas of services that turned out to be reachable are reported now.
+        shared.runs_changed.notify_one();
         sleep(PERIOD).await;
     }
 }
--- a/crates/relay/src/pool/reach.rs
+++ b/crates/relay/src/pool/reach.rs
@@ -39,7 +39,8 @@
         }
     }
 
-    /// Records that `reached` of `probed` replicas of `service` accepted a connection.
+    /// Records that `reached` of `probed` replicas of `service` accepted a connection. If it is
+    /// reachable again, its replicas no longer count as failing: that was the way to them.
     pub fn record_probes(
         &mut self,
         now: Time,
@@ -47,7 +48,23 @@
         reached: usize,
         probed: usize,
     ) -> Option<Change> {
-        self.reach.record_probes(now, service, reached, probed)
+        let unreached: Vec<Key> = self.reach.unreached(service).collect();
+        let change = self.reach.record_probes(now, service, reached, probed);
+        if change.is_some() {
+            self.forget_failures(now, service, &unreached);
+        }
+        change
+    }
+
+    /// Forgets that `unreached`, and the replicas of `service` that did not answer, failed.
+    fn forget_failures(&mut self, now: Time, service: &str, unreached: &[Key]) {
+        for key in unreached.iter().chain(&self.unresponsive) {
+            let server = self.servers.get_mut(*key);
+            let server = server.filter(|server| server.replica.service == service);
+            if let Some(server) = server {
+                server.forget_failures(now);
+            }
+        }
     }
 
     /// The replica `id` and its service.
--- a/crates/relay/src/pool/silence.rs
+++ b/crates/relay/src/pool/silence.rs
@@ -9,12 +9,13 @@
 const MAX_SILENT: f64 = 0.5;
 
 impl Pool {
-    /// Hashes of the replicas that have not answered this daemon lately; empty if there are so many
-    /// that this daemon must be cut off.
+    /// Hashes of the replicas that have not answered this daemon lately, without those of services
+    /// that this daemon may not reach; empty if there are so many that this daemon must be cut off.
     pub fn silent_replicas(&self, now: Time) -> Vec<u64> {
         let servers = self.unresponsive.iter();
         let servers = servers.filter_map(|key| self.servers.get(*key));
-        let silent = servers.filter(|server| server.is_silent(now));
+        let reached = servers.filter(|server| !self.reach.is_doubtful(&server.replica.service));
+        let silent = reached.filter(|server| server.is_silent(now));
         let silent: Vec<u64> = silent.map(|server| server.hash).collect();
         if silent.len() as f64 > self.servers.len() as f64 * MAX_SILENT {
             return Vec::new();
--- a/crates/relay/src/reach.rs
+++ b/crates/relay/src/reach.rs
@@ -134,6 +134,12 @@
         evidence.is_some_and(|evidence| evidence.lost_at.is_some())
     }
 
+    /// Replicas of `service` that were not reached since another one was.
+    pub fn unreached(&self, service: &str) -> impl Iterator<Item = Key> {
+        let evidence = self.services.get(service).into_iter();
+        evidence.flat_map(|evidence| evidence.unreached.keys().copied())
+    }
+
     /// Services whose replicas have to be probed.
     pub fn doubtful(&self) -> impl Iterator<Item = &str> {
         let open = self.services.iter().filter(|(_, e)| e.is_open());
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -310,6 +310,13 @@
         self.refusals = Refusals::default();
     }
 
+    /// Forgets failed sends and reservations.
+    pub(crate) fn forget_failures(&mut self, now: Time) {
+        self.failures = (0.0, now);
+        self.refusals = Refusals::default();
+        self.last_no_answer = None;
+    }
+
     /// Applies a report of another daemon that it does not answer, unless it has just answered this
     /// daemon.
     pub(crate) fn apply_silent_report(&mut self, now: Time) {
--- a/crates/relay/tests/reach.rs
+++ b/crates/relay/tests/reach.rs
@@ -100,6 +100,35 @@
     assert!(!pool.reach().is_doubtful("app"));
 }
 
+/// Guards against reports to peers that replicas do not answer which only this daemon does not reach.
+#[test]
+fn replicas_of_a_service_that_may_be_unreachable_are_not_reported_as_silent() {
+    let mut pool = app_pool(9);
+    let keys = keys(&pool, "app");
+    pool.record_no_answer(NOW, keys[0]);
+    pool.record_unreached(NOW, keys[0]);
+    assert!(pool.silent_replicas(NOW).is_empty());
+    pool.record_reached(keys[1]);
+    assert_eq!(pool.silent_replicas(NOW).len(), 1);
+}
+
+/// Guards against an uneven choice of replicas after a cut, by what failed during it.
+#[test]
+fn failures_are_forgotten_once_their_service_is_reachable_again() {
+    let mut pool = app_pool(9);
+    let keys = keys(&pool, "app");
+    for key in &keys[..3] {
+        pool.record_result(NOW, *key, true);
+        pool.record_no_answer(NOW, *key);
+        pool.record_unreached(NOW, *key);
+    }
+    pool.record_probes(NOW, "app", 3, 3).unwrap();
+    for key in keys {
+        assert_eq!(pool.get(key).unwrap().failure_share(NOW), 0.0);
+    }
+    assert!(pool.silent_replicas(NOW).is_empty());
+}
+
 #[test]
 fn doubt_ends_with_the_first_replica_that_is_reached() {
     let mut pool = app_pool(9);
