Resume a stream through a peer when the own way to the replicas is cut

A stream that was running when its instance lost the way to the replicas was broken off (reset), or silent until its deadline (silent cut), though it may be resumed and a peer reaches the replicas: resumption knew replicas only. It now goes on through a peer after its last event, within the attempts and the budget; the peer's events are split and counted like a replica's.

Test: a_resumable_stream_goes_on_through_a_peer_when_the_own_way_is_cut, reset and silent, red before.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,6 +1,7 @@
 //! Forwards the events of a stream to the caller. A resumable stream continues at another replica
 //! when its replica fails.
 
+mod peer_stream;
 mod replica_stream;
 mod resume;
 
@@ -20,6 +21,7 @@
 
 use crate::body::Body;
 use crate::body::Part;
+use crate::handoff::client::Answered;
 use crate::job::Job;
 use crate::migration::StoppedRun;
 use crate::placement::Placement;
@@ -63,7 +65,7 @@
         events: 0,
         may_have_stopped: false,
     };
-    tokio::task::spawn_local(forwarder.run(opened.reply));
+    tokio::task::spawn_local(forwarder.run(Source::Replica(Box::new(opened.reply))));
     response
 }
 
@@ -85,6 +87,14 @@
     may_have_stopped: bool,
 }
 
+/// Where a part of a stream comes from.
+enum Source {
+    /// A replica.
+    Replica(Box<Reply>),
+    /// A peer.
+    Peer(Answered),
+}
+
 /// How the part of a stream from one replica ended.
 enum End {
     /// The stream is complete.
@@ -102,14 +112,19 @@
 }
 
 impl Forwarder {
-    async fn run(mut self, reply: Reply) {
-        let mut reply = reply;
+    async fn run(mut self, source: Source) {
+        let mut source = source;
         loop {
-            let key = reply.guard.key;
-            match self.forward_from(reply).await {
+            let (key, end) = match source {
+                Source::Replica(reply) => (Some(reply.guard.key), self.forward_from(*reply).await),
+                Source::Peer(answered) => (None, self.forward_from_peer(answered).await),
+            };
+            match end {
                 End::Complete => {
-                    send::record_success(&self.shared, key);
-                    self.shared.note_served(self.job.fingerprint);
+                    if let Some(key) = key {
+                        send::record_success(&self.shared, key);
+                        self.shared.note_served(self.job.fingerprint);
+                    }
                     if let Some(tracked_run) = &mut self.tracked_run {
                         tracked_run.mark_complete();
                     }
@@ -122,21 +137,20 @@
                 End::CallerLeft => return,
                 End::TimedOut => return self.abort("overdue", "the deadline passed"),
                 End::Stopped(stopped) => match self.continue_run(stopped).await {
-                    Some(next) => reply = next,
+                    Some(next) => source = Source::Replica(Box::new(next)),
                     None => return self.abort("broken", "the run could not continue"),
                 },
                 End::Broken(cause) => {
-                    send::record_failure(&self.shared, &self.job, key, Sent::Lost, &cause, 0);
-                    match self.resume(None).await {
-                        Some(next) => reply = next,
+                    self.record_loss(key, &cause);
+                    match self.resume_anywhere(None).await {
+                        Some(next) => source = next,
                         None => return self.abort("broken", "the replica cut off its answer"),
                     }
                 }
                 End::Silent(placement) => {
-                    let cause = "the replica sent no event for too long";
-                    send::record_failure(&self.shared, &self.job, key, Sent::Lost, cause, 0);
-                    match self.resume(Some(placement)).await {
-                        Some(next) => reply = next,
+                    self.record_loss(key, "the replica sent no event for too long");
+                    match self.resume_anywhere(Some(placement)).await {
+                        Some(next) => source = next,
                         None => return self.abort("broken", "the replica stalled"),
                     }
                 }
@@ -144,6 +158,13 @@
         }
     }
 
+    /// Records that the replica `key`, if the part came from one, was lost.
+    fn record_loss(&self, key: Option<Key>, cause: &str) {
+        if let Some(key) = key {
+            send::record_failure(&self.shared, &self.job, key, Sent::Lost, cause, 0);
+        }
+    }
+
     /// Sends bytes to the caller; `false` if the caller is gone.
     async fn send_to_caller(&mut self, bytes: Vec<u8>) -> bool {
         if bytes.is_empty() {
--- a/crates/gateway/src/forward/replica_stream.rs
+++ b/crates/gateway/src/forward/replica_stream.rs
@@ -140,7 +140,7 @@
     }
 
     /// Whether the stream can continue at another replica.
-    fn is_resumable(&self) -> bool {
+    pub(super) fn is_resumable(&self) -> bool {
         matches!(self.job.route.mode, Mode::Stream { resumable: true })
             && self.attempt.may_run_again()
             && self.position().is_ok()
@@ -165,9 +165,14 @@
     /// Handles a silence: keeps waiting, or returns `Silent` with a placement elsewhere.
     async fn handle_silence(&self, source: &mut ReplicaStream) -> Option<End> {
         let key = source.guard.key;
+        let responds = source.silences == 0 && self.is_responsive(key).await;
+        if !responds && self.is_resumable() && !self.reaches_service().await {
+            let cause = "no connection to the replicas can be opened";
+            return Some(End::Broken(cause.to_owned()));
+        }
         // A replica that is still responsive may have preempted the request and gets more time. A
         // stream that cannot be resumed has to wait in any case.
-        let waits = source.silences == 0 && (self.is_responsive(key).await || !self.is_resumable());
+        let waits = source.silences == 0 && (responds || !self.is_resumable());
         let placement = if waits {
             None
         } else {
@@ -178,6 +183,12 @@
         placement.map(End::Silent)
     }
 
+    /// Whether other replicas of the service accept connections, or this daemon may not hand the
+    /// request to a peer.
+    async fn reaches_service(&self) -> bool {
+        self.job.origin.is_some() || self.shared.verify_reach(&self.job.service).await
+    }
+
     async fn handle_frame(
         &mut self,
         source: &mut ReplicaStream,
--- a/crates/gateway/src/handoff.rs
+++ b/crates/gateway/src/handoff.rs
@@ -11,6 +11,7 @@
 pub mod peers;
 pub mod server;
 
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,13 +19,11 @@
 use boottime::timer::timeout_at;
 use http::Response;
 use relay::attempt::Attempt;
-use relay::permit::Permit;
 use relay::permit::Work;
 
 use crate::body::Body;
 use crate::handoff::client::Answered;
 use crate::handoff::client::Offer;
-use crate::handoff::client::Offered;
 use crate::handoff::peers::Decline;
 use crate::job::Job;
 use crate::plain;
@@ -38,6 +37,22 @@
 /// `Retry-After` if no peer reaches the replicas either; about the time between two probes.
 const RETRY_AFTER: Duration = Duration::from_millis(800);
 
+/// What came of offering a request to peers.
+#[derive(Debug)]
+pub enum Taken {
+    /// The peer with this address answers it.
+    Answered(SocketAddr, Answered),
+    /// The peer that took it was lost; it may have run.
+    Lost,
+    /// The peer that took it did not answer in time; it may have run.
+    Overdue,
+    /// No peer took it; it has not run there.
+    Untaken {
+        /// Whether peers were asked and none of them reaches the replicas.
+        is_hopeless: bool,
+    },
+}
+
 /// A request that no peer took.
 #[derive(Debug)]
 pub struct Untaken {
@@ -73,10 +88,40 @@
 /// The request, if no peer took it.
 pub async fn serve(shared: &Rc<Shared>, job: Job, runs: u32) -> Result<Response<Body>, Untaken> {
     let mut job = job;
+    match offer(shared, &job, runs, None).await {
+        Taken::Answered(peer, answered) => Ok(forward::start(shared, job, peer, answered).await),
+        Taken::Lost => {
+            let cause = "the peer that served it was lost";
+            Ok(plain::finish(
+                &mut job,
+                "unknown",
+                responses::unknown,
+                cause,
+            ))
+        }
+        Taken::Overdue => {
+            let cause = "no answer of a peer in time";
+            Ok(plain::finish(
+                &mut job,
+                "overdue",
+                responses::overdue,
+                cause,
+            ))
+        }
+        Taken::Untaken { is_hopeless } => Err(Untaken {
+            job: Box::new(job),
+            is_hopeless,
+        }),
+    }
+}
+
+/// Offers `job` to one peer after another until one answers it. It may run at `runs` replicas; its
+/// stream continues after `last_event`, if that is given.
+pub async fn offer(shared: &Rc<Shared>, job: &Job, runs: u32, last_event: Option<u64>) -> Taken {
     let mut tried = Vec::new();
     let mut unreachable = 0;
     while tried.len() < MAX_PEERS {
-        let Some(peer) = shared.choose_peer(&job, &tried) else {
+        let Some(peer) = shared.choose_peer(job, &tried) else {
             break;
         };
         tried.push(peer);
@@ -86,12 +131,13 @@
                 let Some(permit) = job.take_permit(Work::Run) else {
                     break;
                 };
-                match exchange(shared, job, peer, offered, runs, permit).await {
-                    Ok(response) => return Ok(response),
-                    Err((unserved, decline)) => {
-                        job = *unserved;
-                        decline
+                let message = offered.message(job, runs, last_event);
+                match exchange(shared, job, peer, offered.send(&message, &job.body)).await {
+                    Taken::Untaken { .. } => {
+                        job.permits.borrow_mut().put(Work::Run, permit);
+                        Decline::Unreachable
                     }
+                    taken => return taken,
                 }
             }
         };
@@ -100,64 +146,38 @@
     }
     shared.metrics.handoff("untaken");
     log::info!(kind = "handoff", request = job.call.id, service = job.service, asked = tried.len() as u64, unreachable = unreachable as u64; "no peer took a request");
-    Err(Untaken {
-        job: Box::new(job),
+    Taken::Untaken {
         is_hopeless: !tried.is_empty() && unreachable == tried.len(),
-    })
+    }
 }
 
-/// Sends `job` to `peer`, which has agreed to take it, and forwards the answer.
-///
-/// # Errors
-/// The request, if the peer found out that it does not reach the replicas either.
+/// Waits for the answer of `peer`, which has agreed to take `job`. `Untaken` if the peer found out
+/// that it does not reach the replicas either.
 async fn exchange(
     shared: &Rc<Shared>,
-    job: Job,
+    job: &Job,
     peer: SocketAddr,
-    offered: Offered,
-    runs: u32,
-    permit: Permit,
-) -> Result<Response<Body>, (Box<Job>, Decline)> {
-    let mut job = job;
+    sent: impl Future<Output = io::Result<Answered>>,
+) -> Taken {
     let charge_before = job.charge.as_ref().map(|charge| charge.set_ran(true));
-    let answered = timeout_at(job.deadline + DEADLINE_MARGIN, offered.send(&job, runs)).await;
-    if is_refused(&answered)
-        && let (Some(charge), Some(before)) = (&job.charge, charge_before)
-    {
+    let answered = timeout_at(job.deadline + DEADLINE_MARGIN, sent).await;
+    let is_refused = matches!(&answered, Ok(Ok(answered)) if answered.answer.is_refused);
+    if let (true, Some(charge), Some(before)) = (is_refused, &job.charge, charge_before) {
         charge.set_ran(before);
     }
     match answered {
-        Ok(Ok(answered)) if answered.answer.is_unreachable => {
-            job.permits.borrow_mut().put(Work::Run, permit);
-            Err((Box::new(job), Decline::Unreachable))
-        }
+        Ok(Ok(answered)) if answered.answer.is_unreachable => Taken::Untaken { is_hopeless: true },
         Ok(Ok(answered)) => {
-            shared.note_taken(peer, &job);
-            Ok(forward::start(shared, job, peer, answered).await)
+            shared.note_taken(peer, job);
+            Taken::Answered(peer, answered)
         }
         Ok(Err(error)) => {
-            shared.note_lost_peer(peer, &job, &error.to_string());
-            let cause = "the peer that served it was lost";
-            Ok(plain::finish(
-                &mut job,
-                "unknown",
-                responses::unknown,
-                cause,
-            ))
+            shared.note_lost_peer(peer, job, &error.to_string());
+            Taken::Lost
         }
         Err(elapsed) => {
-            shared.note_lost_peer(peer, &job, &elapsed.to_string());
-            let cause = "no answer of a peer in time";
-            Ok(plain::finish(
-                &mut job,
-                "overdue",
-                responses::overdue,
-                cause,
-            ))
+            shared.note_lost_peer(peer, job, &elapsed.to_string());
+            Taken::Overdue
         }
     }
 }
-
-fn is_refused<L, E>(answered: &Result<Result<Answered, E>, L>) -> bool {
-    matches!(answered, Ok(Ok(answered)) if answered.answer.is_refused)
-}
--- a/crates/gateway/src/handoff/client.rs
+++ b/crates/gateway/src/handoff/client.rs
@@ -14,7 +14,6 @@
 use h2::client::SendRequest;
 use http::Request;
 use http::StatusCode;
-use relay::permit::Work;
 use tokio::net::TcpSocket;
 
 use crate::handoff::message;
@@ -121,14 +120,21 @@
 }
 
 impl Offered {
-    /// Sends `job`, which may run at `runs` replicas, and reads the head of the answer.
+    /// The message for `job`, which may run at `runs` replicas and continues after `last_event`.
+    pub fn message(&self, job: &Job, runs: u32, last_event: Option<u64>) -> message::Request {
+        let mut head = message::Request::new(&self.origin, job, runs);
+        if let Some(last_event) = last_event {
+            head.set_last_event(last_event);
+        }
+        head
+    }
+
+    /// Sends a request and reads the head of the answer.
     ///
     /// # Errors
     /// If the peer was lost; the request may have run.
-    pub async fn send(mut self, job: &Job, runs: u32) -> io::Result<Answered> {
-        let may_prefill = job.permits.borrow().has(Work::Read);
-        let head = message::Request::new(&self.origin, job, runs, may_prefill);
-        let bytes = message::encode(&head, &job.body)?;
+    pub async fn send(mut self, head: &message::Request, body: &[u8]) -> io::Result<Answered> {
+        let bytes = message::encode(head, body)?;
         self.request
             .send_data(bytes, true)
             .map_err(io::Error::other)?;
--- a/crates/gateway/src/handoff/message.rs
+++ b/crates/gateway/src/handoff/message.rs
@@ -13,7 +13,9 @@
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
+use platform::caller;
 use relay::fingerprint::Fingerprint;
+use relay::permit::Work;
 use relay::plan::Route;
 use serde::Deserialize;
 use serde::Serialize;
@@ -96,7 +98,7 @@
 
 impl Request {
     /// The message for `job`, which may run at `runs` replicas.
-    pub fn new(origin: &str, job: &Job, runs: u32, may_prefill: bool) -> Self {
+    pub fn new(origin: &str, job: &Job, runs: u32) -> Self {
         Self {
             origin: origin.to_owned(),
             method: job.method.to_string(),
@@ -117,9 +119,17 @@
             time_left: job.time_left(),
             returned: job.returned,
             runs,
-            may_prefill,
+            may_prefill: job.permits.borrow().has(Work::Read),
         }
     }
+
+    /// Has the stream continue after `last_event`.
+    pub fn set_last_event(&mut self, last_event: u64) {
+        let name = caller::last_event_header();
+        self.headers.retain(|(header, _)| header != name.as_str());
+        let value = last_event.to_string().into_bytes();
+        self.headers.push((name.as_str().to_owned(), value));
+    }
 }
 
 /// Headers as names and values.
--- a/crates/gateway/tests/gateway/partition.rs
+++ b/crates/gateway/tests/gateway/partition.rs
@@ -32,8 +32,9 @@
 const MIN_SERVED: f64 = 2.0 / 3.0;
 /// Pause between two requests.
 const INTERVAL: Duration = Duration::from_millis(50);
-/// Paths of a generation and of a call that take a second or more.
+/// Paths of generations and of a call that take a second or more.
 const SLOW_DRAFT: &str = "/draft/slow";
+const SLOW_STREAM: &str = "/resume/slow";
 const SLOW_READ: &str = "/read/slow";
 /// Requests sent to each daemon before the cut.
 const WARM_UP: usize = 4;
@@ -59,7 +60,12 @@
         };
         let engine = |id: &str| {
             Replica::start(id, |request| {
-                let parts = vec![stream_head(request), events(1, 2), events(3, 3), chunk(b"")];
+                let last = request
+                    .header("last-event-id")
+                    .map_or(0, |id| id.parse().unwrap());
+                let mut parts = vec![stream_head(request)];
+                parts.extend((last + 1..=3).map(|id| events(id, id)));
+                parts.push(chunk(b""));
                 Action::SendSlowly(parts, pause(request))
             })
         };
@@ -132,6 +138,7 @@
 fn pause(request: &Message) -> Duration {
     match request.path() {
         SLOW_DRAFT | SLOW_READ => Duration::from_millis(800),
+        SLOW_STREAM => Duration::from_millis(250),
         _ => Duration::ZERO,
     }
 }
@@ -248,6 +255,26 @@
     assert!(ends.is_empty(), "{ends:?}");
 }
 
+/// Guards against breaking off a stream that a peer can resume.
+#[rstest]
+#[case::reset(Cut::Reset)]
+#[case::silent(Cut::Silent)]
+fn a_resumable_stream_goes_on_through_a_peer_when_the_own_way_is_cut(#[case] cut: Cut) {
+    let site = Site::start("goes-on");
+    let mut stream = start_generation(&site.cut, SLOW_STREAM, "slow");
+    wait_until("the stream has begun", || {
+        site.cut
+            .logged("\"slow\"")
+            .iter()
+            .any(|line| line.contains("the first event"))
+    });
+    site.cut(cut, &["app", "llm"]);
+    let answer = stream.read();
+    assert!(answer.complete, "{answer:?}");
+    let expected = "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\nid: 3\ndata: t3\n\n";
+    assert_eq!(String::from_utf8_lossy(&answer.body), expected);
+}
+
 /// Guards against going on through peers once the own way is open again.
 #[test]
 fn an_instance_uses_its_own_way_again_once_it_is_open() {
