--- a/crates/gateway/src/handoff.rs
+++ b/crates/gateway/src/handoff.rs
@@ -142,12 +142,13 @@
             }
         };
         unreachable += usize::from(declined == Decline::Unreachable);
-        shared.note_declined(peer, &job.service, &declined);
+        shared.note_declined(peer, &job.service, declined);
     }
     shared.metrics.handoff("untaken");
     log::info!(kind = "handoff", request = job.call.id, service = job.service, asked = tried.len() as u64, unreachable = unreachable as u64; "no peer took a request");
+    let all_declined = !tried.is_empty() && unreachable == tried.len();
     Taken::Untaken {
-        is_hopeless: !tried.is_empty() && unreachable == tried.len(),
+        is_hopeless: all_declined || shared.is_hopeless(job),
     }
 }
 
--- a/crates/gateway/src/handoff/peers.rs
+++ b/crates/gateway/src/handoff/peers.rs
@@ -39,8 +39,8 @@
 #[derive(Debug, Default)]
 pub struct Peers {
     connections: RefCell<HashMap<SocketAddr, (SendRequest<Bytes>, Instant)>>,
-    /// When a peer declined a request of a service.
-    declined_at: RefCell<HashMap<(SocketAddr, String), Instant>>,
+    /// How and when a peer declined a request of a service.
+    declined: RefCell<HashMap<(SocketAddr, String), (Decline, Instant)>>,
     /// The last peers that took a request, by service.
     takers: RefCell<HashMap<String, Vec<SocketAddr>>>,
 }
@@ -71,9 +71,10 @@
     }
 
     /// Records that `peer` declined a request of `service`.
-    pub fn note_declined(&self, peer: SocketAddr, service: &str) {
+    pub fn note_declined(&self, peer: SocketAddr, service: &str, decline: Decline) {
         let key = (peer, service.to_owned());
-        self.declined_at.borrow_mut().insert(key, Instant::now());
+        let entry = (decline, Instant::now());
+        self.declined.borrow_mut().insert(key, entry);
         if let Some(takers) = self.takers.borrow_mut().get_mut(service) {
             takers.retain(|taker| *taker != peer);
         }
@@ -90,11 +91,11 @@
         }
     }
 
-    /// Whether `peer` declined a request of `service` a short time ago.
-    pub fn has_declined(&self, peer: SocketAddr, service: &str) -> bool {
-        let declined_at = self.declined_at.borrow();
-        let at = declined_at.get(&(peer, service.to_owned()));
-        at.is_some_and(|at| at.elapsed() < DECLINE_TIME)
+    /// How `peer` declined a request of `service` a short time ago; `None` if it did not.
+    pub fn decline(&self, peer: SocketAddr, service: &str) -> Option<Decline> {
+        let declined = self.declined.borrow();
+        let (decline, at) = declined.get(&(peer, service.to_owned()))?;
+        (at.elapsed() < DECLINE_TIME).then(|| decline.clone())
     }
 
     /// The last peers that took a request of `service`.
@@ -110,7 +111,7 @@
     pub fn remove_expired(&self) {
         let mut connections = self.connections.borrow_mut();
         connections.retain(|_, (_, used_at)| used_at.elapsed() < IDLE_TIMEOUT);
-        let mut declined_at = self.declined_at.borrow_mut();
-        declined_at.retain(|_, at| at.elapsed() < DECLINE_TIME);
+        let mut declined = self.declined.borrow_mut();
+        declined.retain(|_, (_, at)| at.elapsed() < DECLINE_TIME);
     }
 }
--- a/crates/gateway/src/shared/handoff.rs
+++ b/crates/gateway/src/shared/handoff.rs
@@ -15,7 +15,7 @@
         let homes = job.homes.data_centres();
         let members = self.members.borrow();
         let open = members.serving_peers(homes).filter(|(peer, _)| {
-            !tried.contains(peer) && !self.peers.has_declined(*peer, &job.service)
+            !tried.contains(peer) && self.peers.decline(*peer, &job.service).is_none()
         });
         let open: Vec<(SocketAddr, u32)> = open.collect();
         let mut takers = self.peers.takers(&job.service);
@@ -28,10 +28,20 @@
         known.filter(|_| !tried.is_empty()).or_else(any)
     }
 
+    /// Whether there are peers for `job`, and all of them said a short time ago that they do not reach
+    /// the replicas.
+    pub fn is_hopeless(&self, job: &Job) -> bool {
+        let members = self.members.borrow();
+        let mut peers = members.serving_peers(job.homes.data_centres()).peekable();
+        let unreachable = Some(Decline::Unreachable);
+        peers.peek().is_some()
+            && peers.all(|(peer, _)| self.peers.decline(peer, &job.service) == unreachable)
+    }
+
     /// Records that `peer` did not take a request of `service`.
-    pub fn note_declined(&self, peer: SocketAddr, service: &str, decline: &Decline) {
-        self.peers.note_declined(peer, service);
+    pub fn note_declined(&self, peer: SocketAddr, service: &str, decline: Decline) {
         log::info!(kind = "handoff", peer = peer.to_string(), service = service, cause = decline.to_string(); "a peer did not take a request");
+        self.peers.note_declined(peer, service, decline);
     }
 
     /// Records that `peer` served `job`.
@@ -44,7 +54,8 @@
     /// Records that `peer` was lost while it served `job`.
     pub fn note_lost_peer(&self, peer: SocketAddr, job: &Job, cause: &str) {
         self.peers.close(peer);
-        self.peers.note_declined(peer, &job.service);
+        let decline = Decline::Failed(cause.to_owned());
+        self.peers.note_declined(peer, &job.service, decline);
         self.metrics.handoff("lost");
         log::warn!(kind = "handoff", request = job.call.id, service = job.service, peer = peer.to_string(), cause = cause; "a peer was lost while it served a request");
     }
