Test what holds for a request that is handed to a peer

The caller that leaves, a peer that is lost, no instance with a way, one service of two, time, customer and quota, home regions, strangers and other versions.

--- a/crates/gateway/tests/gateway/common/daemon.rs
+++ b/crates/gateway/tests/gateway/common/daemon.rs
@@ -38,6 +38,8 @@
     addresses: SocketAddr,
     readiness: SocketAddr,
     metrics: SocketAddr,
+    /// Address for other daemons.
+    pub peers: SocketAddr,
     path: PathBuf,
     lines: Arc<Mutex<Vec<String>>>,
 }
@@ -158,6 +160,7 @@
             addresses: at(1),
             readiness: at(2),
             metrics: at(3),
+            peers: at(4),
             path,
             lines,
         }
--- /dev/null
+++ b/crates/gateway/tests/gateway/cut_site.rs
@@ -0,0 +1,198 @@
+//! Test setup of two daemons, one of which reaches the replicas through gates that a test can cut.
+
+use std::time::Duration;
+
+use serde_json::Value;
+
+use crate::common::caller::Caller;
+use crate::common::daemon::Daemon;
+use crate::common::daemon::new_ip;
+use crate::common::daemon::wait_until;
+use crate::common::gate::Cut;
+use crate::common::gate::Gate;
+use crate::common::http::Message;
+use crate::common::replica::Action;
+use crate::common::replica::Replica;
+use crate::common::replica::chunk;
+use crate::common::replica::events;
+use crate::common::replica::signed_answer;
+use crate::common::replica::stream_head;
+use crate::common::store::Store;
+use crate::site::config;
+use crate::site::headers;
+use crate::site::start_generation;
+
+/// Paths of generations and of a call that take a second or more.
+pub const SLOW_DRAFT: &str = "/draft/slow";
+pub const SLOW_STREAM: &str = "/resume/slow";
+pub const SLOW_READ: &str = "/read/slow";
+/// All kinds of requests.
+pub const KINDS: [Kind; 4] = [Kind::Read, Kind::Book, Kind::Draft, Kind::Resume];
+/// Requests of each kind sent before the cut.
+pub const WARM_UP: usize = 4;
+
+/// Two daemons in different data centres that share a store; the first one reaches the replicas through gates.
+pub struct Site {
+    /// The daemon that a test cuts off.
+    pub cut: Daemon,
+    /// The other one.
+    pub sound: Daemon,
+    gates: Vec<(Gate, &'static str)>,
+    /// All replicas.
+    pub replicas: Vec<Replica>,
+}
+
+impl Site {
+    /// Starts both daemons and waits until they know each other.
+    pub fn start(name: &str) -> Self {
+        Self::start_with(name, &config(1), "")
+    }
+
+    /// The same with `plan` and additional lines in the settings of both daemons.
+    pub fn start_with(name: &str, plan: &Value, settings: &str) -> Self {
+        let (store, address) = Store::start("127.0.0.1");
+        store.put("op", "config", plan);
+        let echo = |id: &str| {
+            Replica::start(id, |request| {
+                if request.path().ends_with("/hang") {
+                    return Action::SendAndHang(Vec::new());
+                }
+                let parts = vec![signed_answer(request, 200, b"answer")];
+                Action::SendSlowly(parts, pause(request))
+            })
+        };
+        let engine = |id: &str| {
+            Replica::start(id, |request| {
+                if request.path().ends_with("/hang") {
+                    return Action::SendAndHang(Vec::new());
+                }
+                let last = request
+                    .header("last-event-id")
+                    .map_or(0, |id| id.parse().unwrap());
+                let mut parts = vec![stream_head(request)];
+                parts.extend((last + 1..=3).map(|id| events(id, id)));
+                parts.push(chunk(b""));
+                Action::SendSlowly(parts, pause(request))
+            })
+        };
+        let replicas = [
+            (echo("i-app-1"), "app", ""),
+            (echo("i-app-2"), "app", ""),
+            (echo("i-app-3"), "app", ""),
+            (engine("i-decode-1"), "llm", "decode"),
+            (engine("i-decode-2"), "llm", "decode"),
+            (engine("i-decode-3"), "llm", "decode"),
+            (Replica::start_prefill("i-prefill"), "llm", "prefill"),
+        ];
+        let mut gates = Vec::new();
+        let mut views = Vec::new();
+        for (replica, service, stage) in &replicas {
+            store.put("servers", &replica.id, &replica.row(service, stage));
+            let gate = Gate::start(replica.address);
+            views.push((replica.address, gate.address));
+            gates.push((gate, *service));
+        }
+        let (_, through_gates) = store.with_view("127.0.0.1", &views);
+        let start = |data_centre: &str, role: &str, store| {
+            let name = format!("{name}-{role}");
+            let settings = format!("first_start: true\n{settings}");
+            Daemon::start_in(data_centre, &name, &new_ip(), store, &[], &settings)
+        };
+        let site = Self {
+            cut: start("here", "cut", through_gates),
+            sound: start("there", "sound", address),
+            gates,
+            replicas: replicas.into_iter().map(|(replica, ..)| replica).collect(),
+        };
+        site.cut.wait_until_ready();
+        site.sound.wait_until_ready();
+        wait_until("the daemons know each other", || {
+            let knows = |daemon: &Daemon| daemon.metrics().contains("gateway_members 2");
+            knows(&site.cut) && knows(&site.sound)
+        });
+        site
+    }
+
+    /// Sends some requests of each kind through the first daemon, which keeps connections after that.
+    pub fn warm_up(&self) {
+        for number in 0..WARM_UP {
+            for kind in KINDS {
+                assert!(kind.is_served_by(&self.cut, &format!("warm-{number}")));
+            }
+        }
+    }
+
+    /// Cuts the first daemon off from the replicas of `services`.
+    pub fn cut(&self, cut: Cut, services: &[&str]) {
+        for (gate, service) in &self.gates {
+            if services.contains(service) {
+                gate.cut(cut);
+            }
+        }
+    }
+
+    /// Requests for `path` that replicas got to run.
+    pub fn arrived(&self, path: &str) -> Vec<Message> {
+        let requests = self.replicas.iter().flat_map(Replica::requests);
+        let requests = requests.filter(|request| request.header("stage").is_none());
+        requests.filter(|request| request.path() == path).collect()
+    }
+
+    /// Opens all ways again.
+    pub fn heal(&self) {
+        for (gate, _) in &self.gates {
+            gate.heal();
+        }
+    }
+}
+
+/// Pause of an engine between the parts of its answer.
+fn pause(request: &Message) -> Duration {
+    match request.path() {
+        SLOW_DRAFT | SLOW_READ => Duration::from_millis(800),
+        SLOW_STREAM => Duration::from_millis(250),
+        _ => Duration::ZERO,
+    }
+}
+
+/// Kind of request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Kind {
+    /// A call that may be repeated.
+    Read,
+    /// A call that runs at most once.
+    Book,
+    /// A generation that runs at most once.
+    Draft,
+    /// A generation that another replica may resume.
+    Resume,
+}
+
+impl Kind {
+    /// Sends a request as a new caller.
+    pub fn start(self, daemon: &Daemon, id: &str) -> Caller {
+        let id = format!("{self:?}-{id}");
+        let mut caller = daemon.caller();
+        match self {
+            Self::Read => caller.start_request("GET /read/1", &headers(&id), b""),
+            Self::Book => caller.start_request("POST /book/1", &headers(&id), b"body"),
+            Self::Draft => return start_generation(daemon, "/draft/1", &id),
+            Self::Resume => return start_generation(daemon, "/resume/1", &id),
+        }
+        caller
+    }
+
+    /// Whether `daemon` serves a request at the first try.
+    pub fn is_served_by(self, daemon: &Daemon, id: &str) -> bool {
+        let answer = self.start(daemon, id).read();
+        answer.status() == 200 && answer.complete && self.is_whole(&answer)
+    }
+
+    fn is_whole(self, answer: &Message) -> bool {
+        let text = String::from_utf8_lossy(&answer.body);
+        match self {
+            Self::Read | Self::Book => text == "answer",
+            Self::Draft | Self::Resume => text.matches("id: ").count() == 3,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/handoff.rs
@@ -0,0 +1,210 @@
+//! What holds for a request that an instance hands to a peer.
+
+use std::net::SocketAddr;
+
+use http::Request;
+use rstest::rstest;
+use serde_json::json;
+use tokio::net::TcpStream;
+use tokio::runtime::Builder;
+
+use crate::common::daemon::Daemon;
+use crate::common::daemon::wait_until;
+use crate::common::gate::Cut;
+use crate::common::replica::Replica;
+use crate::cut_site::KINDS;
+use crate::cut_site::Kind;
+use crate::cut_site::Site;
+use crate::site::config;
+use crate::site::headers;
+use crate::site::start_generation;
+
+/// Path of a call and of a generation that never end.
+const ENDLESS_CALL: &str = "/book/hang";
+const ENDLESS_DRAFT: &str = "/draft/hang";
+/// API key of the customer in these tests.
+const KEY: &str = "asnmgkcuyj8pjbvk9m68";
+
+/// A site whose first daemon knows that it does not reach the services.
+fn start_cut_off(name: &str) -> Site {
+    let site = Site::start(name);
+    cut_off(&site);
+    site
+}
+
+fn cut_off(site: &Site) {
+    site.cut(Cut::Reset, &["app", "llm"]);
+    wait_until("both services are unreachable", || {
+        Kind::Book.is_served_by(&site.cut, "early");
+        Kind::Draft.is_served_by(&site.cut, "early");
+        site.cut
+            .logged("no connection to the replicas of a service")
+            .len()
+            >= 2
+    });
+}
+
+#[rstest]
+#[case::call(ENDLESS_CALL)]
+#[case::generation(ENDLESS_DRAFT)]
+fn a_caller_that_leaves_ends_its_request_at_the_replica(#[case] path: &str) {
+    let site = start_cut_off("leaves");
+    let mut caller = site.cut.caller();
+    if path == ENDLESS_DRAFT {
+        caller = start_generation(&site.cut, path, "a1");
+    } else {
+        caller.start_request(&format!("POST {path}"), &headers("a1"), b"body");
+    }
+    wait_until("the request has arrived", || site.arrived(path).len() == 1);
+    drop(caller);
+    let abandoned = || {
+        site.replicas
+            .iter()
+            .map(Replica::abandoned_count)
+            .sum::<usize>()
+    };
+    wait_until("the replica sees the end", || abandoned() == 1);
+}
+
+/// Guards against a promise that the request has not run, and against a second run.
+#[rstest]
+#[case::call(ENDLESS_CALL)]
+#[case::generation(ENDLESS_DRAFT)]
+fn a_request_whose_peer_is_lost_may_have_run_and_is_not_sent_again(#[case] path: &str) {
+    let mut site = start_cut_off("peer-lost");
+    let mut caller = site.cut.caller();
+    if path == ENDLESS_DRAFT {
+        caller = start_generation(&site.cut, path, "a1");
+    } else {
+        caller.start_request(&format!("POST {path}"), &headers("a1"), b"body");
+    }
+    wait_until("the request has arrived", || site.arrived(path).len() == 1);
+    site.sound.kill();
+    assert_eq!(caller.read().status(), 502);
+    assert_eq!(site.arrived(path).len(), 1);
+}
+
+#[test]
+fn a_request_is_refused_at_once_if_no_instance_reaches_a_replica() {
+    let site = Site::start("nobody");
+    site.cut(Cut::Reset, &["app"]);
+    for replica in &site.replicas {
+        replica.crash();
+    }
+    wait_until("both daemons know that they reach nothing", || {
+        Kind::Read.is_served_by(&site.sound, "early");
+        Kind::Read.is_served_by(&site.cut, "early");
+        let knows = |daemon: &Daemon| {
+            !daemon
+                .logged("no connection to the replicas of a service")
+                .is_empty()
+        };
+        knows(&site.cut) && knows(&site.sound)
+    });
+    let answer = Kind::Read.start(&site.cut, "late").read();
+    assert_eq!(answer.status(), 503);
+    assert!(answer.header("retry-after").is_some());
+    let id = "\"Read-late\"";
+    assert!(
+        site.cut
+            .logged(id)
+            .iter()
+            .all(|line| !line.contains("\"sending\""))
+    );
+    assert!(site.sound.logged(id).is_empty());
+}
+
+#[test]
+fn only_requests_of_the_service_that_is_cut_off_go_through_a_peer() {
+    let site = Site::start("one-service");
+    site.cut(Cut::Reset, &["app"]);
+    wait_until("the service is unreachable", || {
+        Kind::Book.is_served_by(&site.cut, "early");
+        !site
+            .cut
+            .logged("no connection to the replicas of a service")
+            .is_empty()
+    });
+    for kind in KINDS {
+        assert!(kind.is_served_by(&site.cut, "late"), "{kind:?}");
+        let sent = site.cut.logged(&format!("\"{kind:?}-late\""));
+        let is_own = sent.iter().any(|line| line.contains("\"sending\""));
+        assert_eq!(
+            is_own,
+            matches!(kind, Kind::Draft | Kind::Resume),
+            "{kind:?}"
+        );
+    }
+}
+
+/// Guards against a replica that gets more time than the caller gave, or the key of a customer, and against a quota
+/// that is charged twice.
+#[test]
+fn time_customer_and_quota_are_those_of_the_instance_of_the_caller() {
+    let mut plan = config(1);
+    plan["tenants"] = json!([{"name": "krmiva", "api-keys": [KEY], "unit": "token_count",
+        "plain-tokens": 100, "rate-per-s": 1_000_000.0, "burst": 1_000_000}]);
+    let site = Site::start_with("customer", &plan, "");
+    site.cut(Cut::Reset, &["app", "llm"]);
+    let headers = [
+        ("Request-Id", "a1"),
+        ("Deadline-Ms", "3000"),
+        ("X-Api-Key", KEY),
+    ];
+    wait_until("a request goes through the peer", || {
+        let mut caller = site.cut.caller();
+        let answer = caller.send_and_read("POST /book/1", &headers, b"body");
+        answer.status() == 200 && site.sound.logged("a request of a peer ended").len() == 1
+    });
+    let arrived = site.arrived("/book/1").pop().unwrap();
+    assert_eq!(arrived.header("tenant"), Some("krmiva"));
+    assert_eq!(arrived.header("x-api-key"), None);
+    assert_eq!(arrived.body, b"body");
+    let time: u64 = arrived.header("deadline-ms").unwrap().parse().unwrap();
+    assert!(time <= 3_000, "{time}");
+    assert!(site.sound.logged("asked for a quota decision").is_empty());
+}
+
+#[test]
+fn a_request_is_not_handed_to_a_peer_outside_of_its_home_regions() {
+    let mut plan = config(1);
+    plan["routes"][1]["home-regions"] = json!(["east"]);
+    let regions = "regions: {here: east, there: west}\n";
+    let site = Site::start_with("not-home", &plan, regions);
+    site.cut(Cut::Reset, &["app", "llm"]);
+    wait_until("the service is unreachable", || {
+        Kind::Read.is_served_by(&site.cut, "early");
+        !site
+            .cut
+            .logged("no connection to the replicas of a service")
+            .is_empty()
+    });
+    assert!(Kind::Read.is_served_by(&site.cut, "late"));
+    assert_eq!(Kind::Book.start(&site.cut, "late").read().status(), 503);
+    assert!(site.arrived("/book/1").is_empty());
+}
+
+/// Sends a request of another daemon from an address that no instance has; returns the status of the answer.
+fn offer_as_stranger(peer: SocketAddr, path: &str) -> u16 {
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let socket = TcpStream::connect(peer).await.unwrap();
+        let (mut sender, connection) = h2::client::handshake(socket).await.unwrap();
+        tokio::spawn(connection);
+        let request = Request::post(format!("http://{peer}{path}"));
+        let request = request.header("service", "app").body(()).unwrap();
+        let (answer, _request) = sender.send_request(request, false).unwrap();
+        answer.await.unwrap().status().as_u16()
+    })
+}
+
+#[rstest]
+#[case::stranger("/handoff/1", 403)]
+#[case::other_version("/handoff/2", 404)]
+fn requests_that_no_known_instance_hands_over_are_declined(
+    #[case] path: &str,
+    #[case] status: u16,
+) {
+    let site = Site::start("stranger");
+    assert_eq!(offer_as_stranger(site.sound.peers, path), status);
+}
