Cut daemons off from replicas in the soak

The daemons of the soak connect to replicas from their own addresses (a new setting, source), and packet filters on the sockets before the replicas drop what some of them send: new connections only, or open ones too; one or two daemons; one service or all. It is a fault like the others, and at the end daemons that were cut off for three seconds have to serve two thirds of what the others do at the first try. What a replica says of itself binds the daemon that sent the request, which the daemons' lines tell for requests that a peer served.

--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -6,6 +6,7 @@
 use std::collections::VecDeque;
 use std::future::poll_fn;
 use std::io;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -27,6 +28,7 @@
 use platform::reply;
 use platform::reply::RequestMatch;
 use socket2::SockRef;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
@@ -207,22 +209,71 @@
     }
 }
 
-/// Whether `to` accepts a connection, which is closed at once.
-pub async fn accepts_connection(to: SocketAddr) -> bool {
-    connect_with_retry(to).await.is_ok()
+/// Opens connections.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Connector {
+    /// Own address of the connections; the system chooses one if absent.
+    source: Option<IpAddr>,
 }
 
-/// Opens a connection to `to`, with a second attempt if the first one is slow: the system
-/// retransmits a lost SYN only after a second.
-///
-/// # Errors
-/// `Refused` or `Unreachable`.
-pub async fn connect_with_retry(to: SocketAddr) -> Result<Connection, Failure> {
-    match timeout(FIRST_CONNECT_TIMEOUT, connect(to)).await {
-        Ok(connected) => connected,
-        Err(_) => timeout(SECOND_CONNECT_TIMEOUT, connect(to))
-            .await
-            .unwrap_or_else(|elapsed| Err(unreachable(&elapsed))),
+impl Connector {
+    /// Opens connections from `source`.
+    pub const fn new(source: Option<IpAddr>) -> Self {
+        Self { source }
+    }
+
+    /// Whether `to` accepts a connection, which is closed at once.
+    pub async fn is_accepted(self, to: SocketAddr) -> bool {
+        self.connect_with_retry(to).await.is_ok()
+    }
+
+    /// Opens a connection to `to`, with a second attempt if the first one is slow: the system
+    /// retransmits a lost SYN only after a second.
+    ///
+    /// # Errors
+    /// `Refused` or `Unreachable`.
+    pub async fn connect_with_retry(self, to: SocketAddr) -> Result<Connection, Failure> {
+        match timeout(FIRST_CONNECT_TIMEOUT, self.connect(to)).await {
+            Ok(connected) => connected,
+            Err(_) => timeout(SECOND_CONNECT_TIMEOUT, self.connect(to))
+                .await
+                .unwrap_or_else(|elapsed| Err(unreachable(&elapsed))),
+        }
+    }
+
+    /// Opens a connection to `to`.
+    ///
+    /// # Errors
+    /// `Refused` or `Unreachable`.
+    pub async fn connect(self, to: SocketAddr) -> Result<Connection, Failure> {
+        let socket = match timeout(CONNECT_TIMEOUT, self.open(to)).await {
+            Ok(Ok(socket)) => socket,
+            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                return Err(Failure::Refused {
+                    cause: error.to_string(),
+                });
+            }
+            Ok(Err(error)) => return Err(unreachable(&error)),
+            Err(elapsed) => return Err(unreachable(&elapsed)),
+        };
+        configure_socket(&socket).map_err(|error| unreachable(&error))?;
+        Connection::open(Socket::new(socket), to).await
+    }
+
+    /// Opens a socket to `to`.
+    ///
+    /// # Errors
+    /// Errors of the system.
+    pub async fn open(self, to: SocketAddr) -> io::Result<TcpStream> {
+        let Some(source) = self.source else {
+            return TcpStream::connect(to).await;
+        };
+        let socket = match to {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.bind(SocketAddr::new(source, 0))?;
+        socket.connect(to).await
     }
 }
 
@@ -278,25 +329,6 @@
     }
 }
 
-/// Opens a connection to `to`.
-///
-/// # Errors
-/// `Refused` or `Unreachable`.
-pub async fn connect(to: SocketAddr) -> Result<Connection, Failure> {
-    let socket = match timeout(CONNECT_TIMEOUT, TcpStream::connect(to)).await {
-        Ok(Ok(socket)) => socket,
-        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
-            return Err(Failure::Refused {
-                cause: error.to_string(),
-            });
-        }
-        Ok(Err(error)) => return Err(unreachable(&error)),
-        Err(elapsed) => return Err(unreachable(&elapsed)),
-    };
-    configure_socket(&socket).map_err(|error| unreachable(&error))?;
-    Connection::open(Socket::new(socket), to).await
-}
-
 /// Sets the options of a socket that carries requests.
 ///
 /// # Errors
--- a/crates/gateway/src/connections/pool.rs
+++ b/crates/gateway/src/connections/pool.rs
@@ -15,10 +15,10 @@
 use platform::reply::RequestMatch;
 
 use crate::connections::Connection;
+use crate::connections::Connector;
 use crate::connections::ExchangeError;
 use crate::connections::Failure;
 use crate::connections::IDLE_TIMEOUT;
-use crate::connections::connect;
 use crate::connections::exchange;
 use crate::connections::try_exchange;
 
@@ -34,15 +34,20 @@
 /// Idle connections by address.
 #[derive(Debug, Default)]
 pub struct ConnectionPool {
+    /// Opens the connections.
+    pub connector: Connector,
     idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
     /// When a request was last answered twice, by address.
     duplicate_answer_at: RefCell<HashMap<SocketAddr, Instant>>,
 }
 
 impl ConnectionPool {
-    /// An empty pool.
-    pub fn new() -> Self {
-        Self::default()
+    /// An empty pool of connections that `connector` opens.
+    pub fn new(connector: Connector) -> Self {
+        Self {
+            connector,
+            ..Self::default()
+        }
     }
 
     /// Sends `request` to `to` and returns the head of the answer. Opens a new connection if
@@ -66,7 +71,7 @@
                 Ok(answer) => return Ok(answer),
             }
         }
-        exchange(connect(to).await?, request).await
+        exchange(self.connector.connect(to).await?, request).await
     }
 
     /// Keeps `connection` for reuse, unless the replica recently answered twice. `keep_alive_s` is
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -122,7 +122,7 @@
         .header(name, id)
         .body(Full::new(Bytes::from(call.body)))
         .map_err(|error| unanswered(&error))?;
-    match timeout(TIMEOUT, exchange(call.to, request)).await {
+    match timeout(TIMEOUT, exchange(shared, call.to, request)).await {
         Ok(answer) => {
             match &answer {
                 Ok(answer) => {
@@ -152,8 +152,12 @@
 /// Sends `request` on a new connection that is closed after the answer. On a reused one, a
 /// duplicate answer to an earlier exchange would be mistaken for this answer, and a duplicate of
 /// this one would fail the next request.
-async fn exchange(to: SocketAddr, request: Request<Full<Bytes>>) -> Result<Answer, Error> {
-    let sent = match connections::connect_with_retry(to).await {
+async fn exchange(
+    shared: &Shared,
+    to: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Result<Answer, Error> {
+    let sent = match shared.connections.connector.connect_with_retry(to).await {
         Ok(connection) => connections::exchange(connection, request).await,
         Err(failure) => Err(failure),
     };
--- a/crates/gateway/src/handoff/client.rs
+++ b/crates/gateway/src/handoff/client.rs
@@ -14,8 +14,8 @@
 use h2::client::SendRequest;
 use http::Request;
 use http::StatusCode;
-use tokio::net::TcpSocket;
 
+use crate::connections::Connector;
 use crate::handoff::message;
 use crate::handoff::message::Answer;
 use crate::handoff::peers::Decline;
@@ -101,13 +101,8 @@
 
 /// Connects to `peer` from the address by which it knows this instance.
 async fn connect(own: IpAddr, peer: SocketAddr) -> io::Result<SendRequest<Bytes>> {
-    let socket = match peer {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    socket.bind(SocketAddr::new(own, 0))?;
-    socket.set_nodelay(true)?;
-    let stream = socket.connect(peer).await?;
+    let stream = Connector::new(Some(own)).open(peer).await?;
+    stream.set_nodelay(true)?;
     let (sender, connection) = h2::client::handshake(stream)
         .await
         .map_err(io::Error::other)?;
--- a/crates/gateway/src/reach_probe.rs
+++ b/crates/gateway/src/reach_probe.rs
@@ -7,7 +7,6 @@
 use futures::future::join_all;
 use relay::server::Key;
 
-use crate::connections;
 use crate::shared::Shared;
 
 /// Pause between two rounds of probes.
@@ -52,7 +51,7 @@
 async fn probe_replica(shared: &Shared, key: Key) -> bool {
     let address = shared.pool.borrow().get(key).map(|s| s.replica.address);
     let Some(address) = address else { return false };
-    let accepts = connections::accepts_connection(address).await;
+    let accepts = shared.connections.connector.is_accepted(address).await;
     if accepts {
         shared.note_reached(key);
     } else {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -25,6 +25,9 @@
     pub regions: BTreeMap<String, String>,
     /// Where it listens.
     pub listen: Listen,
+    /// Own address of connections to replicas; the system chooses one if absent.
+    #[serde(default)]
+    pub source: Option<IpAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
     /// Addresses of instances to contact first; only the IP is used, and they may be outdated.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -39,6 +39,7 @@
 use tokio::sync::watch;
 
 use crate::clock::Clock;
+use crate::connections::Connector;
 use crate::connections::pool::ConnectionPool;
 use crate::handoff::peers::Peers;
 use crate::instance_info::InstanceInfo;
@@ -173,7 +174,7 @@
         Self {
             clock: Clock::new(),
             store: Store::new(settings.store, metrics.store_calls.clone()),
-            connections: ConnectionPool::new(),
+            connections: ConnectionPool::new(Connector::new(settings.source)),
             peers: Peers::new(),
             members: RefCell::new(Members::new(own.clone())),
             pool: RefCell::new(Pool::new()),
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -24,8 +24,8 @@
 use prometheus::IntCounterVec;
 use tokio::sync::Notify;
 
-use crate::connections;
 use crate::connections::Connection;
+use crate::connections::Connector;
 use crate::connections::Failure;
 use crate::connections::pool::ConnectionPool;
 
@@ -97,7 +97,7 @@
     pub fn new(address: SocketAddr, calls: IntCounterVec) -> Self {
         Self {
             address,
-            connections: Rc::new(ConnectionPool::new()),
+            connections: Rc::new(ConnectionPool::new(Connector::default())),
             calls,
             timeouts: Notify::new(),
         }
@@ -187,7 +187,7 @@
     fn preconnect(&self) {
         let (address, connections) = (self.address, Rc::clone(&self.connections));
         tokio::task::spawn_local(async move {
-            match connections::connect(address).await {
+            match connections.connector.connect(address).await {
                 Ok(connection) => connections.keep(connection, None),
                 Err(failure) => {
                     log::debug!(kind = "store", cause = format!("{failure:?}"); "failed to open a connection for a later call");
--- a/crates/gateway/tests/gateway/common/http.rs
+++ b/crates/gateway/tests/gateway/common/http.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::io::Read;
 use std::io::Write;
+use std::net::Ipv4Addr;
 use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -15,6 +16,9 @@
 use std::thread;
 use std::time::Duration;
 
+use socket2::SockFilter;
+use socket2::SockRef;
+
 /// A request or an answer as it was read.
 #[derive(Debug, Clone, Default)]
 pub struct Message {
@@ -121,6 +125,8 @@
     pub address: SocketAddr,
     /// Open connections, by number.
     sockets: Arc<Mutex<HashMap<usize, TcpStream>>>,
+    /// The listener, until the server is stopped.
+    listener: Arc<Mutex<Option<TcpListener>>>,
     stopped: Arc<AtomicBool>,
 }
 
@@ -129,6 +135,7 @@
     pub fn start(ip: &str, handler: impl Fn(&mut TcpStream) + Send + Sync + 'static) -> Self {
         let listener = TcpListener::bind((ip, 0)).unwrap();
         let server = Self {
+            listener: Arc::new(Mutex::new(listener.try_clone().ok())),
             address: listener.local_addr().unwrap(),
             sockets: Arc::default(),
             stopped: Arc::default(),
@@ -155,9 +162,24 @@
         server
     }
 
+    /// Drops the packets of `sources` that open connections and, if `open_too` is set, those of open connections.
+    #[allow(dead_code, reason = "used by the soak only")]
+    pub fn drop_packets(&self, sources: &[Ipv4Addr], open_too: bool) {
+        let filter = packet_filter(sources);
+        if let Some(listener) = self.listener.lock().unwrap().as_ref() {
+            SockRef::from(listener).attach_filter(&filter).unwrap();
+        }
+        let open_filter = packet_filter(if open_too { sources } else { &[] });
+        for socket in self.sockets.lock().unwrap().values() {
+            // Fails if the connection has just ended.
+            let _ = SockRef::from(socket).attach_filter(&open_filter);
+        }
+    }
+
     /// Closes the port and all connections, as the end of a process does.
     pub fn stop(&self) {
         self.stopped.store(true, Ordering::SeqCst);
+        self.listener.lock().unwrap().take();
         // Wakes the listener, which then ends.
         drop(TcpStream::connect(self.address));
         while TcpStream::connect(self.address).is_ok() {
@@ -170,6 +192,29 @@
     }
 }
 
+/// A filter that drops the packets of `sources` and passes all others.
+#[allow(dead_code, reason = "used by the soak only")]
+fn packet_filter(sources: &[Ipv4Addr]) -> Vec<SockFilter> {
+    /// Offset of the source address, from the start of the IP header.
+    const SOURCE: u32 = 0xfff0_0000 + 12;
+    const LOAD_WORD: u16 = 0x20;
+    const JUMP_IF_EQUAL: u16 = 0x15;
+    const RETURN: u16 = 0x06;
+    let mut filter = vec![SockFilter::new(LOAD_WORD, 0, 0, SOURCE)];
+    for (number, source) in sources.iter().enumerate() {
+        let to_drop = (sources.len() - number) as u8;
+        filter.push(SockFilter::new(
+            JUMP_IF_EQUAL,
+            to_drop,
+            0,
+            u32::from(*source),
+        ));
+    }
+    filter.push(SockFilter::new(RETURN, 0, 0, u32::MAX));
+    filter.push(SockFilter::new(RETURN, 0, 0, 0));
+    filter
+}
+
 /// Starts a server that is not stopped before the process ends; returns its address.
 pub fn serve(ip: &str, handler: impl Fn(&mut TcpStream) + Send + Sync + 'static) -> SocketAddr {
     Server::start(ip, handler).address
--- a/crates/gateway/tests/gateway/second_store.rs
+++ b/crates/gateway/tests/gateway/second_store.rs
@@ -10,7 +10,7 @@
 use std::thread;
 use std::time::Duration;
 
-use gateway::connections;
+use gateway::connections::Connector;
 use gateway::store::Store;
 use prometheus::IntCounterVec;
 use prometheus::Opts;
@@ -164,14 +164,17 @@
     let attempts = async {
         let mut connected = false;
         for _ in 0..MAX_ATTEMPTS {
-            connected |= connections::connect_with_retry(lossy_listener(SHORT_DROP_TIME))
+            connected |= Connector::default()
+                .connect_with_retry(lossy_listener(SHORT_DROP_TIME))
                 .await
                 .is_ok();
             if connected {
                 break;
             }
         }
-        let once = connections::connect(lossy_listener(SHORT_DROP_TIME)).await;
+        let once = Connector::default()
+            .connect(lossy_listener(SHORT_DROP_TIME))
+            .await;
         (once.is_ok(), connected)
     };
     let connected = LocalSet::new().block_on(&runtime.unwrap(), attempts);
--- a/crates/gateway/tests/soak/callers.rs
+++ b/crates/gateway/tests/soak/callers.rs
@@ -12,6 +12,7 @@
 use crate::cluster::Cluster;
 use crate::cluster::DAEMONS;
 use crate::cluster::FATAL;
+use crate::cluster::Partition;
 use crate::common::caller::Caller;
 use crate::common::http::Message;
 use crate::customer::Customer;
@@ -42,6 +43,13 @@
 /// Requests that each daemon gets during the evacuation.
 const EVACUATION_REQUESTS: usize = 8;
 
+/// Time after which daemons that are cut off from the replicas have to serve like the others.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Requests of each kind that each daemon gets then.
+const PARTITION_ROUNDS: usize = 8;
+/// Least number of requests that they serve, as a fraction of what the others do.
+const MIN_SERVED: f64 = 2.0 / 3.0;
+
 /// Sends requests until the callers are stopped.
 pub fn run(cluster: &Cluster, seed: u64) {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
@@ -224,6 +232,65 @@
     }
 }
 
+/// Cuts one or two daemons off from all replicas and checks that, after [`CONTACT_TIME`], they serve nearly as many
+/// requests as the others at the first try.
+///
+/// # Errors
+/// Returns how many they served.
+pub fn check_partition(cluster: &Cluster, seed: u64) -> Result<(), String> {
+    let first = seed as usize % DAEMONS;
+    let partition = Partition {
+        daemons: (first..=first + seed as usize / DAEMONS % 2)
+            .map(|number| number % DAEMONS)
+            .collect(),
+        service: None,
+        open_too: seed.is_multiple_of(2),
+    };
+    cluster.set_partition(&partition);
+    let cut_at = Instant::now();
+    let mut number = 0;
+    while cut_at.elapsed() < CONTACT_TIME {
+        send_to_all(cluster, &partition, &format!("early-{number}"));
+        number += 1;
+    }
+    let mut served = (0, 0);
+    for number in 0..PARTITION_ROUNDS {
+        let (cut_off, others) = send_to_all(cluster, &partition, &format!("cut-{number}"));
+        served = (served.0 + cut_off, served.1 + others);
+    }
+    cluster.set_partition(&Partition::default());
+    let cut_off = served.0 as f64 / partition.daemons.len() as f64;
+    let others = served.1 as f64 / (DAEMONS - partition.daemons.len()) as f64;
+    if cut_off >= others * MIN_SERVED {
+        return Ok(());
+    }
+    let sent = PARTITION_ROUNDS * 4;
+    Err(format!(
+        "RECOVER: daemons {:?} were cut off from all replicas and served {cut_off} of {sent} requests, the others {others}",
+        partition.daemons
+    ))
+}
+
+/// Sends a request of each kind to each daemon; returns how many the daemons that are cut off served, and the others.
+fn send_to_all(cluster: &Cluster, partition: &Partition, name: &str) -> (usize, usize) {
+    let mut served = (0, 0);
+    for instance in 0..DAEMONS {
+        for number in 0..4 {
+            let id = Customer::Unlimited.id(&format!("{name}-{instance}-{number}"));
+            let kind = nth_kind(number);
+            let response =
+                send_request(cluster, instance, kind, Customer::Unlimited, &id, &mut None);
+            let is_served = usize::from(response.status() == 200);
+            if partition.daemons.contains(&instance) {
+                served.0 += is_served;
+            } else {
+                served.1 += is_served;
+            }
+        }
+    }
+    served
+}
+
 const fn nth_kind(number: usize) -> Kind {
     match number {
         0 => Kind::Once,
--- a/crates/gateway/tests/soak/cluster.rs
+++ b/crates/gateway/tests/soak/cluster.rs
@@ -1,5 +1,6 @@
 //! Runs the store, the replicas and the daemons of one seed.
 
+use std::collections::HashMap;
 use std::mem;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -12,6 +13,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use serde_json::Value;
 use serde_json::json;
 
 use crate::common::daemon::Daemon;
@@ -34,6 +36,8 @@
 
 /// Number of daemons.
 pub const DAEMONS: usize = 3;
+/// Text of the line that a daemon logs when a peer answers a request.
+const PEER_ANSWERS: &str = "a peer answers a request";
 /// Path of the request that ends each decode replica that runs it.
 pub const FATAL: &str = "/draft/fatal";
 /// Fraction of the ended replicas whose address refuses connections; the others accept and close them.
@@ -102,6 +106,18 @@
     seed: u64,
     /// Whether second answers are the only fault of the run.
     pub only_second_answers: bool,
+    partition: Arc<Mutex<Partition>>,
+}
+
+/// Daemons that are cut off from replicas.
+#[derive(Debug, Clone, Default)]
+pub struct Partition {
+    /// Numbers of the daemons.
+    pub daemons: Vec<usize>,
+    /// Service whose replicas they are cut off from; all if `None`.
+    pub service: Option<&'static str>,
+    /// Whether open connections are cut too.
+    pub open_too: bool,
 }
 
 impl Cluster {
@@ -124,6 +140,7 @@
             replica_count: Arc::default(),
             seed,
             only_second_answers,
+            partition: Arc::default(),
         };
         cluster.change_config();
         for (count, service, stage) in [(3, "app", ""), (2, "llm", "prefill"), (3, "llm", "decode")]
@@ -198,6 +215,7 @@
                 .inspect(|_| history.record_second_answer())
         });
         let proxy = Proxy::start(replica.address);
+        self.apply_partition(&proxy, service);
         let mut row = replica.row(service, stage);
         row["addr"] = json!(proxy.address);
         row["zone"] = data_centre(&id).into();
@@ -206,6 +224,22 @@
         self.replicas.lock().unwrap().push(entry);
     }
 
+    /// Cuts daemons off from replicas, also from those that are added later. Replaces an earlier partition.
+    pub fn set_partition(&self, partition: &Partition) {
+        *self.partition.lock().unwrap() = partition.clone();
+        for (_, proxy, service, ..) in self.replicas.lock().unwrap().iter() {
+            self.apply_partition(proxy, service);
+        }
+    }
+
+    fn apply_partition(&self, proxy: &Proxy, service: &str) {
+        let partition = self.partition.lock().unwrap().clone();
+        let concerns = partition.service.is_none_or(|cut| cut == service);
+        let daemons = partition.daemons.iter().filter(|_| concerns);
+        let sources = daemons.map(|daemon| self.instances[*daemon].ip.parse().unwrap());
+        proxy.cut_off(&sources.collect::<Vec<_>>(), partition.open_too);
+    }
+
     /// Ends the replica `id`; `draw` decides whether its address then refuses connections or closes them. After 0.3 to
     /// 1.3 s, another replica takes its place in the store.
     fn end_replica(&self, id: &str, draw: f64) {
@@ -268,6 +302,7 @@
     pub fn clear_faults(&self) {
         self.store.set_down(false);
         self.set_evacuated(false);
+        self.set_partition(&Partition::default());
         for instance in self.instances.iter() {
             instance.store_proxy.set_fault(ConnectionFault::None);
         }
@@ -284,6 +319,29 @@
         running + ended.iter().map(|p| p.logged(text).len()).sum::<usize>()
     }
 
+    /// The daemons that served requests for others, by request.
+    pub fn handed_over(&self) -> HashMap<String, usize> {
+        let lines = (0..DAEMONS).flat_map(|daemon| {
+            let instance = &self.instances[daemon];
+            let ended = instance.ended.lock().unwrap();
+            let mut lines = instance.daemon.lock().unwrap().logged(PEER_ANSWERS);
+            lines.extend(
+                ended
+                    .iter()
+                    .flat_map(|process| process.logged(PEER_ANSWERS)),
+            );
+            lines
+        });
+        let served = lines.filter_map(|line| {
+            let line: Value = serde_json::from_str(&line).ok()?;
+            let peer: SocketAddr = line["peer"].as_str()?.parse().ok()?;
+            let mut instances = self.instances.iter();
+            let server = instances.position(|instance| instance.callers.ip() == peer.ip())?;
+            Some((line["request"].as_str()?.to_owned(), server))
+        });
+        served.collect()
+    }
+
     /// Returns the disturbance times of each daemon, including its starts.
     pub fn disturbances(&self) -> Vec<Vec<Instant>> {
         let instances = self.instances.iter();
@@ -329,7 +387,7 @@
             &self.ip,
             self.store_proxy.address,
             &[],
-            &customer::settings(),
+            &settings(&self.ip),
         );
         // Until it logs this, the process has not installed its signal handlers.
         wait_until("the daemon starts", || {
@@ -350,11 +408,16 @@
     }
 }
 
+/// Additional settings of the daemon at `ip`, which connects to replicas from there.
+fn settings(ip: &str) -> String {
+    format!("source: \"{ip}\"\n{}", customer::settings())
+}
+
 fn start_instance(ip: &str, ips: &[String], store: SocketAddr, seed: u64) -> Instance {
     let store_proxy = Proxy::start(store);
     let name = format!("soak-{seed}-{}", ip.rsplit('.').next().unwrap_or_default());
     let seeds: Vec<&str> = ips.iter().map(String::as_str).collect();
-    let settings = format!("first_start: true\n{}", customer::settings());
+    let settings = format!("first_start: true\n{}", settings(ip));
     let daemon = Daemon::start_with_settings(&name, ip, store_proxy.address, &seeds, &settings);
     Instance {
         callers: daemon.callers,
--- a/crates/gateway/tests/soak/faults.rs
+++ b/crates/gateway/tests/soak/faults.rs
@@ -11,6 +11,7 @@
 
 use crate::cluster::Cluster;
 use crate::cluster::DAEMONS;
+use crate::cluster::Partition;
 use crate::proxy::ConnectionFault;
 
 /// Starts faults for `duration`, then waits until all of them have ended.
@@ -19,7 +20,7 @@
     let end = Instant::now() + duration;
     let mut running = Vec::new();
     while Instant::now() < end {
-        let kind = rng.random_range(0..9);
+        let kind = rng.random_range(0..10);
         let instance = rng.random_range(0..DAEMONS);
         let replica = rng.random_range(0..8);
         let length = Duration::from_millis(rng.random_range(200..1_800));
@@ -57,6 +58,7 @@
                 cluster.set_evacuated(false);
             }
             7 => cluster.replace_replica(replica),
+            8 => partition(&cluster, instance, replica, length),
             _ => {
                 let proxy = cluster
                     .replicas
@@ -81,6 +83,20 @@
     }
 }
 
+/// Cuts one or two daemons off from the replicas of one service or of all, in a way that `draw` decides.
+fn partition(cluster: &Cluster, instance: usize, draw: usize, duration: Duration) {
+    let partition = Partition {
+        daemons: (instance..=instance + draw % 2)
+            .map(|number| number % DAEMONS)
+            .collect(),
+        service: [None, Some("app"), Some("llm"), None][draw / 2],
+        open_too: draw % 4 < 2,
+    };
+    cluster.set_partition(&partition);
+    thread::sleep(duration);
+    cluster.set_partition(&Partition::default());
+}
+
 fn signal(cluster: &Cluster, instance: usize, signal: Signal) {
     cluster.instances[instance]
         .daemon
--- a/crates/gateway/tests/soak/main.rs
+++ b/crates/gateway/tests/soak/main.rs
@@ -136,22 +136,25 @@
         thread::sleep(SYNC_TIME);
         violations.extend(callers::check_quarantine(&cluster).err());
         violations.extend(callers::check_evacuation(&cluster).err());
+        violations.extend(callers::check_partition(&cluster, seed).err());
     }
     // Requests that still run at a replica end within the duration of its longest answer.
     thread::sleep(Duration::from_millis(1_500));
     violations.extend(cluster.history.broken_promises());
     violations.extend(cluster.history.exceeded_limits(&cluster.disturbances()));
-    violations.extend(cluster.notices.violations(&cluster.disturbances()));
+    let notices = &cluster.notices;
+    violations.extend(notices.violations(&cluster.disturbances(), &cluster.handed_over()));
     let count = |text| {
         let counts = (0..DAEMONS).map(|daemon| cluster.logged_count(daemon, text));
         counts.sum::<usize>()
     };
     println!(
-        "seed {seed}: {}; {}; {} second answers skipped, {} answers rejected as another request's",
+        "seed {seed}: {}; {}; {} second answers skipped, {} answers rejected as another request's, {} answered by peers",
         cluster.history.summary(),
         cluster.notices.summary(),
         count("skipped a duplicate answer"),
         count("answer is another request's"),
+        count("a peer answers a request"),
     );
     violations
 }
--- a/crates/gateway/tests/soak/notices.rs
+++ b/crates/gateway/tests/soak/notices.rs
@@ -110,15 +110,30 @@
     }
 
     /// Messages about requests that should not have been sent. `disturbances` holds the disturbance
-    /// times of each daemon, which excuse it.
-    pub fn violations(&self, disturbances: &[Vec<Instant>]) -> Vec<String> {
+    /// times of each daemon, which excuse it, and `handed_over` the daemons that served requests which another one
+    /// got from the caller.
+    pub fn violations(
+        &self,
+        disturbances: &[Vec<Instant>],
+        handed_over: &HashMap<String, usize>,
+    ) -> Vec<String> {
+        let by_sender = |contact: &Contact| Contact {
+            daemon: *handed_over.get(&contact.request).unwrap_or(&contact.daemon),
+            ..contact.clone()
+        };
         let is_disturbed = |daemon: usize, from: Instant, to: Instant| {
             disturbances[daemon]
                 .iter()
                 .any(|at| (from..to).contains(at))
         };
         let arrivals = self.arrivals.lock().unwrap();
-        let late = self.draining.lock().unwrap().iter().find_map(|notice| {
+        let arrivals = arrivals
+            .iter()
+            .map(|(contact, at)| (by_sender(contact), *at));
+        let arrivals: Vec<(Contact, Instant)> = arrivals.collect();
+        let draining = self.draining.lock().unwrap();
+        let late = draining.iter().map(by_sender).find_map(|notice| {
+            let notice = &notice;
             let late = arrivals.iter().find(|(arrival, sent_at)| {
                 arrival.is_same_pair(notice)
                     && *sent_at > notice.at + DRAIN_TIME
@@ -128,7 +143,9 @@
             let Contact { request, replica, daemon, .. } = notice;
             Some(format!("DRAIN: {replica} got {} from daemon {daemon} {elapsed:?} after its answer to {request}", late.0.request))
         });
-        let excess = self.backoffs.lock().unwrap().iter().find_map(|notice| {
+        let backoffs = self.backoffs.lock().unwrap();
+        let excess = backoffs.iter().map(by_sender).find_map(|notice| {
+            let notice = &notice;
             let window = notice.at + REACTION_TIME..notice.at + BACKOFF;
             let early = arrivals.iter().filter(|(arrival, _)| {
                 arrival.is_same_pair(notice) && window.contains(&arrival.at)
--- a/crates/gateway/tests/soak/proxy.rs
+++ b/crates/gateway/tests/soak/proxy.rs
@@ -2,6 +2,7 @@
 
 use std::io::Read;
 use std::io::Write;
+use std::net::Ipv4Addr;
 use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpStream;
@@ -70,6 +71,12 @@
         self.server.stop();
     }
 
+    /// Cuts the way of the daemons at `sources` to the target: new connections are not answered and, if `open_too` is
+    /// set, what they send on open ones does not arrive. Replaces an earlier cut.
+    pub fn cut_off(&self, sources: &[Ipv4Addr], open_too: bool) {
+        self.server.drop_packets(sources, open_too);
+    }
+
     /// Applies `fault` to all connections from now on.
     pub fn set_fault(&self, fault: ConnectionFault) {
         *self.fault.lock().unwrap() = fault;
