Keep callers that do not read from holding up others that the same peer serves

One connection carries all requests that are handed to a peer, with a window of 64 KiB for all of them together: callers that stopped reading filled it, and no other answer of that peer got through (read of the code; with four such callers the test could not even begin its streams). The connection takes a window for each of its 64 requests now.

Test, failing before: callers_that_do_not_read_hold_up_no_others.

--- a/crates/gateway/src/handoff/client.rs
+++ b/crates/gateway/src/handoff/client.rs
@@ -11,6 +11,7 @@
 use bytes::BytesMut;
 use h2::RecvStream;
 use h2::SendStream;
+use h2::client::Builder;
 use h2::client::SendRequest;
 use http::Request;
 use http::StatusCode;
@@ -20,11 +21,16 @@
 use crate::handoff::message::Answer;
 use crate::handoff::peers::Decline;
 use crate::job::Job;
+use crate::peer_server::MAX_REQUESTS;
 use crate::shared::Shared;
 
 /// Time for a peer to agree, including the connection; two round trips take a few milliseconds.
 const OFFER_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Bytes of one answer that a peer may send before they are read. A connection takes as many for
+/// each of its requests, or a caller that does not read would hold up all others.
+const STREAM_WINDOW: u32 = 64 * 1024;
+
 /// Result of an offer.
 #[derive(Debug)]
 pub enum Offer {
@@ -103,7 +109,10 @@
 async fn connect(own: IpAddr, peer: SocketAddr) -> io::Result<SendRequest<Bytes>> {
     let stream = Connector::new(Some(own)).open(peer).await?;
     stream.set_nodelay(true)?;
-    let (sender, connection) = h2::client::handshake(stream)
+    let (sender, connection) = Builder::new()
+        .initial_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(STREAM_WINDOW * MAX_REQUESTS)
+        .handshake(stream)
         .await
         .map_err(io::Error::other)?;
     tokio::task::spawn_local(async move {
--- a/crates/gateway/src/peer_server.rs
+++ b/crates/gateway/src/peer_server.rs
@@ -29,7 +29,7 @@
 /// Maximum number of connections served at once.
 const MAX_CONNECTIONS: usize = 128;
 /// Maximum number of requests in progress on a connection.
-const MAX_REQUESTS: u32 = 64;
+pub const MAX_REQUESTS: u32 = 64;
 /// Largest header section of a request in bytes; what peers send is in the body.
 const MAX_HEADER_BYTES: u32 = 8 * 1024;
 /// Time to open a connection, and idle time after which one is closed.
--- a/crates/gateway/tests/gateway/cut_site.rs
+++ b/crates/gateway/tests/gateway/cut_site.rs
@@ -26,6 +26,11 @@
 pub const SLOW_DRAFT: &str = "/draft/slow";
 pub const SLOW_STREAM: &str = "/resume/slow";
 pub const SLOW_READ: &str = "/read/slow";
+/// Path of a generation whose answer is far larger than the buffers on its way.
+pub const FLOOD: &str = "/draft/flood";
+/// Events of this answer, and bytes of each.
+const FLOOD_EVENTS: u64 = 1_024;
+const FLOOD_EVENT_BYTES: usize = 32 * 1024;
 /// All kinds of requests.
 pub const KINDS: [Kind; 4] = [Kind::Read, Kind::Book, Kind::Draft, Kind::Resume];
 /// Requests of each kind sent before the cut.
@@ -66,6 +71,9 @@
                 if request.path().ends_with("/hang") {
                     return Action::SendAndHang(Vec::new());
                 }
+                if request.path() == FLOOD {
+                    return Action::SendAndHang([stream_head(request), flood()].concat());
+                }
                 let last = request
                     .header("last-event-id")
                     .map_or(0, |id| id.parse().unwrap());
@@ -146,6 +154,13 @@
     }
 }
 
+fn flood() -> Vec<u8> {
+    let data = "x".repeat(FLOOD_EVENT_BYTES);
+    let events =
+        (1..=FLOOD_EVENTS).map(|id| chunk(format!("id: {id}\ndata: {data}\n\n").as_bytes()));
+    events.collect::<Vec<_>>().concat()
+}
+
 /// Pause of an engine between the parts of its answer.
 fn pause(request: &Message) -> Duration {
     match request.path() {
--- a/crates/gateway/tests/gateway/handoff.rs
+++ b/crates/gateway/tests/gateway/handoff.rs
@@ -1,6 +1,8 @@
 //! What holds for a request that an instance hands to a peer.
 
 use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
 
 use http::Request;
 use rstest::rstest;
@@ -8,10 +10,12 @@
 use tokio::net::TcpStream;
 use tokio::runtime::Builder;
 
+use crate::common::caller::Caller;
 use crate::common::daemon::Daemon;
 use crate::common::daemon::wait_until;
 use crate::common::gate::Cut;
 use crate::common::replica::Replica;
+use crate::cut_site::FLOOD;
 use crate::cut_site::KINDS;
 use crate::cut_site::Kind;
 use crate::cut_site::Site;
@@ -22,6 +26,10 @@
 /// Path of a call and of a generation that never end.
 const ENDLESS_CALL: &str = "/book/hang";
 const ENDLESS_DRAFT: &str = "/draft/hang";
+/// Callers that do not read their answers.
+const SLOW_READERS: usize = 4;
+/// Time in which an answer that is not read fills the buffers on its way.
+const BUFFERING_TIME: Duration = Duration::from_secs(1);
 /// API key of the customer in these tests.
 const KEY: &str = "asnmgkcuyj8pjbvk9m68";
 
@@ -66,6 +74,27 @@
     wait_until("the replica sees the end", || abandoned() == 1);
 }
 
+/// Guards against callers that do not read and hold up all others that the same peer serves.
+#[test]
+fn callers_that_do_not_read_hold_up_no_others() {
+    let site = start_cut_off("slow-readers");
+    let ids: Vec<String> = (0..SLOW_READERS).map(|n| format!("slow-{n}")).collect();
+    let unread = ids.iter().map(|id| start_generation(&site.cut, FLOOD, id));
+    let _unread: Vec<Caller> = unread.collect();
+    wait_until("the streams have begun", || {
+        let lines = site.sound.logged("\"slow-");
+        lines
+            .iter()
+            .filter(|line| line.contains("the first event"))
+            .count()
+            == SLOW_READERS
+    });
+    thread::sleep(BUFFERING_TIME);
+    for kind in KINDS {
+        assert!(kind.is_served_by(&site.cut, "late"), "{kind:?}");
+    }
+}
+
 /// Guards against a promise that the request has not run, and against a second run.
 #[rstest]
 #[case::call(ENDLESS_CALL)]
