--- a/crates/ctl/src/timeline.rs
+++ b/crates/ctl/src/timeline.rs
@@ -277,6 +277,26 @@
             text("to"),
             text("cause")
         ),
+        "handoff" if !line["origin"].is_null() => format!(
+            "served for {}: {}",
+            text("origin"),
+            describe_end(&text("outcome"), &text)
+        ),
+        "handoff" if !line["asked"].is_null() => format!(
+            "none of {} peers took it, {} of them do not reach the replicas",
+            text("asked"),
+            text("unreachable")
+        ),
+        "handoff" if !line["cause"].is_null() => format!(
+            "the peer {} was lost while it served the request: {}",
+            text("peer"),
+            text("cause")
+        ),
+        "handoff" => format!(
+            "no connection to the replicas could be opened; the peer {} answers after {} ms",
+            text("peer"),
+            text("ms")
+        ),
         "pause" => format!("(the process did not run for {} ms)", text("ms")),
         "stop" => format!("(the daemon is {})", text("text")),
         "evacuation" => format!(
