--- a/crates/ctl/src/timeline.rs
+++ b/crates/ctl/src/timeline.rs
@@ -277,40 +277,54 @@
             text("to"),
             text("cause")
         ),
-        "handoff" if !line["origin"].is_null() => format!(
+        "handoff" => describe_handoff(line, &text),
+        "pause" | "stop" | "evacuation" | "overload" => describe_surroundings(kind, &text),
+        "end" => format!("END: {}", describe_end(&text("outcome"), &text)),
+        _ => text("text"),
+    }
+}
+
+/// Describes a line about the daemon instead of the request.
+fn describe_surroundings(kind: &str, text: &impl Fn(&str) -> String) -> String {
+    match kind {
+        "pause" => format!("(the process did not run for {} ms)", text("ms")),
+        "stop" => format!("(the daemon is {})", text("text")),
+        "evacuation" => format!(
+            "(the evacuation of {} {})",
+            text("evacuated_data_centre"),
+            if text("begins") == "true" {
+                "begins"
+            } else {
+                "ends"
+            }
+        ),
+        _ => "(an instance of the data centre was overloaded)".to_owned(),
+    }
+}
+
+/// Describes what came of handing a request to a peer, or of serving one for a peer.
+fn describe_handoff(line: &Value, text: &impl Fn(&str) -> String) -> String {
+    match line {
+        line if !line["origin"].is_null() => format!(
             "served for {}: {}",
             text("origin"),
-            describe_end(&text("outcome"), &text)
+            describe_end(&text("outcome"), text)
         ),
-        "handoff" if !line["asked"].is_null() => format!(
+        line if !line["asked"].is_null() => format!(
             "none of {} peers took it, {} of them do not reach the replicas",
             text("asked"),
             text("unreachable")
         ),
-        "handoff" if !line["cause"].is_null() => format!(
+        line if !line["cause"].is_null() => format!(
             "the peer {} was lost while it served the request: {}",
             text("peer"),
             text("cause")
         ),
-        "handoff" => format!(
+        _ => format!(
             "no connection to the replicas could be opened; the peer {} answers after {} ms",
             text("peer"),
             text("ms")
         ),
-        "pause" => format!("(the process did not run for {} ms)", text("ms")),
-        "stop" => format!("(the daemon is {})", text("text")),
-        "evacuation" => format!(
-            "(the evacuation of {} {})",
-            text("evacuated_data_centre"),
-            if text("begins") == "true" {
-                "begins"
-            } else {
-                "ends"
-            }
-        ),
-        "overload" => "(an instance of the data centre was overloaded)".to_owned(),
-        "end" => format!("END: {}", describe_end(&text("outcome"), &text)),
-        _ => text("text"),
     }
 }
 
--- a/crates/ctl/tests/waxwing/views.rs
+++ b/crates/ctl/tests/waxwing/views.rs
@@ -160,6 +160,26 @@
         .assert_stdout("admit decode-1");
 }
 
+/// Guards against a request that ends at one instance while another one's lines tell what ran.
+#[test]
+fn timeline_shows_both_instances_of_a_request_that_was_handed_over() {
+    let env = Env::new();
+    let lines = [
+        r#"{"instance":"edge-1","up_ms":5,"time":"2026-12-02T10:00:01Z","kind":"handoff","request":"9c41","peer":"10.1.0.2:7380","ms":12}"#,
+        r#"{"instance":"edge-1","up_ms":9,"time":"2026-12-02T10:00:03Z","kind":"end","request":"9c41","outcome":"answered","status":200,"ms":30}"#,
+        r#"{"instance":"edge-2","up_ms":7,"time":"2026-12-02T10:00:02Z","kind":"handoff","request":"9c41","origin":"edge-1","outcome":"answered","status":200,"ms":29}"#,
+    ];
+    let log = env.write_file("handed.log", &lines.join("\n"));
+    let output = env.run(&["explain", "9c41", "--log", &log]).assert_code(0);
+    // Clocks of instances differ, so the lines of each one stay together.
+    let parts = [
+        "the peer 10.1.0.2:7380 answers",
+        "END: answered",
+        "served for edge-1: answered",
+    ];
+    assert_in_order(&output.stdout, &parts);
+}
+
 const REQUEST_LINES: [&str; 5] = [
     r#"{"instance":"edge-1","up_ms":100,"time":"2026-12-02T10:00:05Z","kind":"send","request":"9c41","replica":"i-1","task":"answer","in_flight":2,"replicas":7,"plan":3,"left_ms":2490}"#,
     // The time of day jumps back before this line.
