Attribute what a replica says in the soak to the daemon that sent the request

A request that its own daemon had sent first, and that a peer served after that, was put down to the peer as a whole, refusal included. Daemons connect from their own addresses now, and the proxies on from the same ones, so that each replica sees which daemon sent a request; DRAIN and BUDGET hold for that one. Messages about broken promises come with the daemons' lines about the requests that they name.

--- a/crates/gateway/tests/gateway/common/replica.rs
+++ b/crates/gateway/tests/gateway/common/replica.rs
@@ -21,6 +21,9 @@
 use super::http::Server;
 use super::http::answer;
 
+/// Header that a replica adds to a request it received: the IP address that the connection came from.
+pub const SOURCE: &str = "test-source";
+
 /// How a replica handles a request.
 #[derive(Debug, Clone)]
 pub enum Action {
@@ -256,7 +259,11 @@
 ) -> ConnectionEnd {
     let mut second_answer = Vec::new();
     let write_lock = Arc::new(Mutex::new(()));
-    while let Ok(Some(request)) = http::read(socket) {
+    while let Ok(Some(mut request)) = http::read(socket) {
+        if let Ok(peer) = socket.peer_addr() {
+            let source = (SOURCE.to_owned(), peer.ip().to_string());
+            request.headers.push(source);
+        }
         let _guard = write_lock.lock().unwrap();
         if !second_answer.is_empty() {
             state.second_answers.fetch_add(1, Ordering::SeqCst);
--- a/crates/gateway/tests/soak/callers.rs
+++ b/crates/gateway/tests/soak/callers.rs
@@ -164,7 +164,7 @@
         ("X-Api-Key", Customer::Unlimited.key()),
     ];
     let address = cluster.instances[instance].callers;
-    cluster.notices.record_sent(id, instance);
+    cluster.notices.record_sent(id);
     match Caller::new(address) {
         Ok(mut caller) => caller.send_and_read(&format!("POST {FATAL}"), &headers, b""),
         Err(_) => Message::default(),
@@ -324,7 +324,7 @@
         ("Token-Counts", TOKEN_COUNTS),
         ("X-Api-Key", customer.key()),
     ];
-    cluster.notices.record_sent(id, instance);
+    cluster.notices.record_sent(id);
     let reused = connection
         .take()
         .filter(|caller| is_usable(cluster, instance, caller));
@@ -336,7 +336,7 @@
         }
         Err(_) => Message::default(),
     };
-    cluster.notices.record_response(id, instance, &response);
+    cluster.notices.record_response(id, &response);
     let record = ResponseRecord {
         kind,
         status: response.status(),
--- a/crates/gateway/tests/soak/cluster.rs
+++ b/crates/gateway/tests/soak/cluster.rs
@@ -1,7 +1,7 @@
 //! Runs the store, the replicas and the daemons of one seed.
 
-use std::collections::HashMap;
 use std::mem;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -13,14 +13,15 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use serde_json::Value;
 use serde_json::json;
 
 use crate::common::daemon::Daemon;
 use crate::common::daemon::new_ip;
 use crate::common::daemon::wait_until;
+use crate::common::http::Message;
 use crate::common::replica::Action;
 use crate::common::replica::Replica;
+use crate::common::replica::SOURCE;
 use crate::common::replica::stream_head;
 use crate::common::store;
 use crate::common::store::Store;
@@ -36,8 +37,6 @@
 
 /// Number of daemons.
 pub const DAEMONS: usize = 3;
-/// Text of the line that a daemon logs when a peer answers a request.
-const PEER_ANSWERS: &str = "a peer answers a request";
 /// Path of the request that ends each decode replica that runs it.
 pub const FATAL: &str = "/draft/fatal";
 /// Fraction of the ended replicas whose address refuses connections; the others accept and close them.
@@ -202,7 +201,10 @@
             } else {
                 action
             };
-            cluster.notices.record_arrival(&own_id, request, &action);
+            if let Some(sender) = cluster.sender(request) {
+                let notices = &cluster.notices;
+                notices.record_arrival(&own_id, sender, request, &action);
+            }
             if !is_limited {
                 return action;
             }
@@ -319,27 +321,23 @@
         running + ended.iter().map(|p| p.logged(text).len()).sum::<usize>()
     }
 
-    /// The daemons that served requests for others, by request.
-    pub fn handed_over(&self) -> HashMap<String, usize> {
-        let lines = (0..DAEMONS).flat_map(|daemon| {
-            let instance = &self.instances[daemon];
+    /// Log lines of all daemons about the request `id`.
+    pub fn lines_about(&self, id: &str) -> Vec<String> {
+        let id = format!("\"request\":\"{id}\"");
+        let lines = self.instances.iter().flat_map(|instance| {
             let ended = instance.ended.lock().unwrap();
-            let mut lines = instance.daemon.lock().unwrap().logged(PEER_ANSWERS);
-            lines.extend(
-                ended
-                    .iter()
-                    .flat_map(|process| process.logged(PEER_ANSWERS)),
-            );
+            let mut lines: Vec<String> = ended.iter().flat_map(|p| p.logged(&id)).collect();
+            lines.extend(instance.daemon.lock().unwrap().logged(&id));
             lines
         });
-        let served = lines.filter_map(|line| {
-            let line: Value = serde_json::from_str(&line).ok()?;
-            let peer: SocketAddr = line["peer"].as_str()?.parse().ok()?;
-            let mut instances = self.instances.iter();
-            let server = instances.position(|instance| instance.callers.ip() == peer.ip())?;
-            Some((line["request"].as_str()?.to_owned(), server))
-        });
-        served.collect()
+        lines.collect()
+    }
+
+    /// The daemon that sent `request` to a replica.
+    fn sender(&self, request: &Message) -> Option<usize> {
+        let source: IpAddr = request.header(SOURCE)?.parse().ok()?;
+        let mut instances = self.instances.iter();
+        instances.position(|instance| instance.callers.ip() == source)
     }
 
     /// Returns the disturbance times of each daemon, including its starts.
--- a/crates/gateway/tests/soak/customer.rs
+++ b/crates/gateway/tests/soak/customer.rs
@@ -42,6 +42,16 @@
         }
     }
 
+    /// Whether `text` looks like the id of a customer's request.
+    pub fn is_request_id(text: &str) -> bool {
+        let customers = [Self::Limited, Self::Unlimited, Self::Unknown];
+        let mut names = customers.iter().map(|customer| customer.name());
+        names.any(|name| {
+            text.strip_prefix(name)
+                .is_some_and(|rest| rest.starts_with('-'))
+        })
+    }
+
     /// API key that its requests carry.
     pub const fn key(self) -> &'static str {
         match self {
--- a/crates/gateway/tests/soak/main.rs
+++ b/crates/gateway/tests/soak/main.rs
@@ -32,6 +32,7 @@
 use crate::common::daemon::wait_until;
 use crate::common::http;
 use crate::common::http::Server;
+use crate::customer::Customer;
 
 /// Seeds used without `SOAK_SEEDS`. All but the first have failed before:
 /// 101: SIGHUP arrived before the daemon had installed its signal handlers and terminated it.
@@ -143,7 +144,10 @@
     violations.extend(cluster.history.broken_promises());
     violations.extend(cluster.history.exceeded_limits(&cluster.disturbances()));
     let notices = &cluster.notices;
-    violations.extend(notices.violations(&cluster.disturbances(), &cluster.handed_over()));
+    violations.extend(notices.violations(&cluster.disturbances()));
+    for id in violations.iter().flat_map(|text| request_ids(text)) {
+        println!("lines about {id}:\n{}", cluster.lines_about(id).join("\n"));
+    }
     let count = |text| {
         let counts = (0..DAEMONS).map(|daemon| cluster.logged_count(daemon, text));
         counts.sum::<usize>()
@@ -159,6 +163,12 @@
     violations
 }
 
+/// The ids of requests that a message about a broken promise names.
+fn request_ids(text: &str) -> impl Iterator<Item = &str> {
+    let words = text.split(|c: char| !c.is_ascii_alphanumeric() && c != '-');
+    words.filter(|word| Customer::is_request_id(word))
+}
+
 /// Causes all kinds of faults for `duration`.
 fn cause_faults(cluster: &Cluster, seed: u64, duration: Duration) {
     let fatal = {
--- a/crates/gateway/tests/soak/notices.rs
+++ b/crates/gateway/tests/soak/notices.rs
@@ -33,18 +33,11 @@
     at: Instant,
 }
 
-/// A request as its caller sent it.
-#[derive(Debug, Clone, Copy)]
-struct Sent {
-    daemon: usize,
-    at: Instant,
-}
-
 /// Observations of one run.
 #[derive(Debug, Default)]
 pub struct Notices {
-    /// Requests by id.
-    sent: Mutex<HashMap<String, Sent>>,
+    /// Times at which callers sent requests, by id.
+    sent: Mutex<HashMap<String, Instant>>,
     /// Requests that reached replicas, with the times at which their callers sent them.
     arrivals: Mutex<Vec<(Contact, Instant)>>,
     /// Answers that callers received from draining replicas.
@@ -56,41 +49,45 @@
 }
 
 impl Notices {
-    /// Records that a caller sends the request `id` to `daemon`.
-    pub fn record_sent(&self, id: &str, daemon: usize) {
-        let sent = Sent {
-            daemon,
-            at: Instant::now(),
-        };
-        self.sent.lock().unwrap().insert(id.to_owned(), sent);
+    /// Records that a caller sends the request `id`.
+    pub fn record_sent(&self, id: &str) {
+        let now = Instant::now();
+        self.sent.lock().unwrap().insert(id.to_owned(), now);
     }
 
-    /// Records that `request` reached `replica`, and that it is answered by `action`.
-    pub fn record_arrival(&self, replica: &str, request: &Message, action: &Action) {
+    /// Records that `request` of `daemon` reached `replica`, and that it is answered by `action`.
+    pub fn record_arrival(&self, replica: &str, daemon: usize, request: &Message, action: &Action) {
         let id = request.header("request-id").unwrap_or_default();
         let sent = self.sent.lock().unwrap().get(id).copied();
         let Some(sent) = sent else { return };
         let contact = Contact {
             request: id.to_owned(),
             replica: replica.to_owned(),
-            daemon: sent.daemon,
+            daemon,
             at: Instant::now(),
         };
         if asks_for_no_requests(action) {
             self.backoffs.lock().unwrap().push(contact.clone());
         }
-        self.arrivals.lock().unwrap().push((contact, sent.at));
+        self.arrivals.lock().unwrap().push((contact, sent));
     }
 
-    /// Records the response to the request `id`, which was sent to `daemon`.
-    pub fn record_response(&self, id: &str, daemon: usize, response: &Message) {
-        if response.header(LEAVING) == Some("1") {
-            self.draining.lock().unwrap().push(Contact {
-                request: id.to_owned(),
-                replica: response.header(REPLICA).unwrap_or_default().to_owned(),
-                daemon,
-                at: Instant::now(),
-            });
+    /// Records the response to the request `id`. What it says of a replica binds the daemon that sent the request
+    /// there, which need not be the one that the caller is connected to.
+    pub fn record_response(&self, id: &str, response: &Message) {
+        if response.header(LEAVING) != Some("1") {
+            return;
+        }
+        let replica = response.header(REPLICA).unwrap_or_default();
+        let arrivals = self.arrivals.lock().unwrap();
+        let mut contacts = arrivals.iter().rev().map(|(contact, _)| contact);
+        let answered = contacts.find(|c| c.request == id && c.replica == replica);
+        if let Some(answered) = answered.cloned() {
+            let at = Instant::now();
+            self.draining
+                .lock()
+                .unwrap()
+                .push(Contact { at, ..answered });
         }
     }
 
@@ -110,30 +107,15 @@
     }
 
     /// Messages about requests that should not have been sent. `disturbances` holds the disturbance
-    /// times of each daemon, which excuse it, and `handed_over` the daemons that served requests which another one
-    /// got from the caller.
-    pub fn violations(
-        &self,
-        disturbances: &[Vec<Instant>],
-        handed_over: &HashMap<String, usize>,
-    ) -> Vec<String> {
-        let by_sender = |contact: &Contact| Contact {
-            daemon: *handed_over.get(&contact.request).unwrap_or(&contact.daemon),
-            ..contact.clone()
-        };
+    /// times of each daemon, which excuse it.
+    pub fn violations(&self, disturbances: &[Vec<Instant>]) -> Vec<String> {
         let is_disturbed = |daemon: usize, from: Instant, to: Instant| {
             disturbances[daemon]
                 .iter()
                 .any(|at| (from..to).contains(at))
         };
         let arrivals = self.arrivals.lock().unwrap();
-        let arrivals = arrivals
-            .iter()
-            .map(|(contact, at)| (by_sender(contact), *at));
-        let arrivals: Vec<(Contact, Instant)> = arrivals.collect();
-        let draining = self.draining.lock().unwrap();
-        let late = draining.iter().map(by_sender).find_map(|notice| {
-            let notice = &notice;
+        let late = self.draining.lock().unwrap().iter().find_map(|notice| {
             let late = arrivals.iter().find(|(arrival, sent_at)| {
                 arrival.is_same_pair(notice)
                     && *sent_at > notice.at + DRAIN_TIME
@@ -143,15 +125,16 @@
             let Contact { request, replica, daemon, .. } = notice;
             Some(format!("DRAIN: {replica} got {} from daemon {daemon} {elapsed:?} after its answer to {request}", late.0.request))
         });
-        let backoffs = self.backoffs.lock().unwrap();
-        let excess = backoffs.iter().map(by_sender).find_map(|notice| {
-            let notice = &notice;
+        let excess = self.backoffs.lock().unwrap().iter().find_map(|notice| {
             let window = notice.at + REACTION_TIME..notice.at + BACKOFF;
             let early = arrivals.iter().filter(|(arrival, _)| {
                 arrival.is_same_pair(notice) && window.contains(&arrival.at)
             });
-            let after_ms: Vec<u128> = early
-                .map(|(arrival, _)| (arrival.at - notice.at).as_millis())
+            let after_ms: Vec<(&str, u128)> = early
+                .map(|(arrival, _)| {
+                    let ms = (arrival.at - notice.at).as_millis();
+                    (arrival.request.as_str(), ms)
+                })
                 .collect();
             let count = after_ms.len();
             let excused = is_disturbed(notice.daemon, notice.at, window.end)
--- a/crates/gateway/tests/soak/proxy.rs
+++ b/crates/gateway/tests/soak/proxy.rs
@@ -11,7 +11,10 @@
 use std::thread;
 use std::time::Duration;
 
+use socket2::Domain;
 use socket2::SockRef;
+use socket2::Socket;
+use socket2::Type;
 
 use crate::common::http::Server;
 
@@ -45,7 +48,7 @@
         let fault = Arc::new(Mutex::new(ConnectionFault::None));
         let shared = Arc::clone(&fault);
         let server = Server::start("127.0.0.1", move |socket| {
-            let Ok(target_socket) = TcpStream::connect(target) else {
+            let Some(target_socket) = connect_like(socket, target) else {
                 return;
             };
             let (Ok(from), Ok(to)) = (socket.try_clone(), target_socket.try_clone()) else {
@@ -83,6 +86,15 @@
     }
 }
 
+/// Connects to `target` from the IP address that `socket` came from, so that replicas see whose request it is.
+fn connect_like(socket: &TcpStream, target: SocketAddr) -> Option<TcpStream> {
+    let source = SocketAddr::new(socket.peer_addr().ok()?.ip(), 0);
+    let connected = Socket::new(Domain::IPV4, Type::STREAM, None).ok()?;
+    connected.bind(&source.into()).ok()?;
+    connected.connect(&target.into()).ok()?;
+    Some(connected.into())
+}
+
 fn forward(
     mut from: TcpStream,
     mut to: TcpStream,
