Give callers the idle time of the plan before an unread answer is cut off

A caller that did not read for three seconds lost its answer: TCP_USER_TIMEOUT, 3 s on all sockets of ours, also ends a connection whose other side has closed its window, on Linux. Sockets of callers have the plan's idle time now; those to replicas and the store keep 3 s, which a replica that is silent for a second does not reach.

Test, failing before: a_caller_may_pause_while_it_reads_an_answer.

--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -43,7 +43,8 @@
 /// Time for the second attempt. Leaves part of the 150 ms, so that a replica that cannot be reached
 /// is told from one that does not answer.
 const SECOND_CONNECT_TIMEOUT: Duration = Duration::from_millis(80);
-/// Time after which the system drops a connection with unacknowledged bytes.
+/// Time after which the system drops a connection to a replica or the store with unacknowledged
+/// bytes.
 const UNCONFIRMED_TIMEOUT: Duration = Duration::from_secs(3);
 /// Idle time after which a connection is closed if the replica states no keep-alive time.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
@@ -256,7 +257,7 @@
             Ok(Err(error)) => return Err(unreachable(&error)),
             Err(elapsed) => return Err(unreachable(&elapsed)),
         };
-        configure_socket(&socket).map_err(|error| unreachable(&error))?;
+        configure_socket(&socket, UNCONFIRMED_TIMEOUT).map_err(|error| unreachable(&error))?;
         Connection::open(Socket::new(socket), to).await
     }
 
@@ -329,13 +330,14 @@
     }
 }
 
-/// Sets the options of a socket that carries requests.
+/// Sets the options of a socket that carries requests. The system drops the connection if bytes stay
+/// unacknowledged for `unconfirmed`, also because the other side does not read.
 ///
 /// # Errors
 /// Errors of the system.
-pub fn configure_socket(socket: &TcpStream) -> io::Result<()> {
+pub fn configure_socket(socket: &TcpStream, unconfirmed: Duration) -> io::Result<()> {
     socket.set_nodelay(true)?;
-    SockRef::from(socket).set_tcp_user_timeout(Some(UNCONFIRMED_TIMEOUT))
+    SockRef::from(socket).set_tcp_user_timeout(Some(unconfirmed))
 }
 
 /// The same failure for a request that was sent before: it may have run.
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -30,7 +30,7 @@
     pub header_bytes: usize,
     /// Time for a request head, from its first byte.
     pub header_timeout: Duration,
-    /// Time that a connection may be idle.
+    /// Time that a connection may be idle, or its other side not read.
     pub idle_timeout: Duration,
 }
 
@@ -63,7 +63,7 @@
     A: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
-    if let Err(error) = connections::configure_socket(&socket) {
+    if let Err(error) = connections::configure_socket(&socket, bounds.idle_timeout) {
         log::debug!(kind = "listen", peer = peer.to_string(), cause = error.to_string(); "cannot set socket options");
     }
     let phase = Phase::new();
--- a/crates/gateway/tests/gateway/handoff.rs
+++ b/crates/gateway/tests/gateway/handoff.rs
@@ -78,11 +78,11 @@
 #[test]
 fn callers_that_do_not_read_hold_up_no_others() {
     let site = start_cut_off("slow-readers");
-    let ids: Vec<String> = (0..SLOW_READERS).map(|n| format!("slow-{n}")).collect();
+    let ids: Vec<String> = (0..SLOW_READERS).map(|n| format!("unread-{n}")).collect();
     let unread = ids.iter().map(|id| start_generation(&site.cut, FLOOD, id));
     let _unread: Vec<Caller> = unread.collect();
     wait_until("the streams have begun", || {
-        let lines = site.sound.logged("\"slow-");
+        let lines = site.sound.logged("\"unread-");
         lines
             .iter()
             .filter(|line| line.contains("the first event"))
--- a/crates/gateway/tests/gateway/ingress.rs
+++ b/crates/gateway/tests/gateway/ingress.rs
@@ -1,5 +1,8 @@
 //! Invalid requests of callers, and limits on what they send.
 
+use std::thread;
+use std::time::Duration;
+
 use rstest::rstest;
 
 use crate::common::http;
@@ -7,6 +10,12 @@
 use crate::common::replica::Replica;
 use crate::common::replica::signed_answer;
 use crate::site::Site;
+use crate::site::headers;
+
+/// Bytes of an answer that is larger than the buffers on its way.
+const LONG_ANSWER: usize = 7 * 1024 * 1024;
+/// Time for which a caller does not read it.
+const READING_PAUSE: Duration = Duration::from_secs(6);
 
 fn start_site(name: &str) -> (Replica, Site) {
     let replica = Replica::start("i-1", |request| {
@@ -113,3 +122,18 @@
         200
     );
 }
+
+/// Guards against cutting off an answer because its caller does not read for a while.
+#[test]
+fn a_caller_may_pause_while_it_reads_an_answer() {
+    let answer = vec![b'x'; LONG_ANSWER];
+    let replica = Replica::start("i-1", move |request| {
+        Action::Send(signed_answer(request, 200, &answer))
+    });
+    let site = Site::start("pauses", &[(&replica, "app", "")]);
+    let mut caller = site.daemon.caller();
+    caller.start_request("GET /read/1", &headers("a1"), b"");
+    thread::sleep(READING_PAUSE);
+    let answer = caller.read();
+    assert_eq!((answer.complete, answer.body.len()), (true, LONG_ANSWER));
+}
