--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -167,7 +167,7 @@
     })
 }
 
-/// Records what the connection for a send shows of the way to the replica `key`.
+/// Records what the connection for a send shows of the path to the replica `key`.
 fn note_reach(
     shared: &Shared,
     job: &Job,
@@ -175,7 +175,7 @@
     sent: &Result<(Response<Incoming>, Connection), Failure>,
 ) {
     match sent {
-        // A kept connection may outlive the way for new ones.
+        // A kept connection may outlive the path for new ones.
         Ok((_, connection)) if connection.exchanges_before() > 0 => {}
         Ok(_) => shared.note_reached(key),
         Err(Failure::Refused { .. } | Failure::Unreachable { .. }) => {
--- a/crates/gateway/tests/gateway/common/gate.rs
+++ b/crates/gateway/tests/gateway/common/gate.rs
@@ -1,4 +1,4 @@
-//! The way of one daemon to a replica, which a test can cut.
+//! The network path from one daemon to a replica, which a test can cut.
 
 use std::io;
 use std::io::ErrorKind;
@@ -18,12 +18,12 @@
 use socket2::Socket;
 use socket2::Type;
 
-/// Pause between looks at the state of the way.
+/// Pause between looks at the state of the path.
 const POLL: Duration = Duration::from_millis(2);
 /// Connections that fill the queue of a listener without a backlog.
 const FILLERS: usize = 2;
 
-/// How a way is cut.
+/// How a path is cut.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Cut {
     /// New connections are refused, open ones reset.
@@ -34,7 +34,7 @@
     NewOnly,
 }
 
-/// A listener that forwards connections to a replica unless the way is cut.
+/// A listener that forwards connections to a replica unless the path is cut.
 #[derive(Debug, Clone)]
 pub struct Gate {
     /// Listening address.
@@ -43,7 +43,7 @@
 }
 
 impl Gate {
-    /// An open way to `target`.
+    /// An open path to `target`.
     pub fn start(target: SocketAddr) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let gate = Self {
@@ -55,12 +55,12 @@
         gate
     }
 
-    /// Cuts the way.
+    /// Cuts the path.
     pub fn cut(&self, cut: Cut) {
         *self.cut.lock().unwrap() = Some(cut);
     }
 
-    /// Opens the way again.
+    /// Opens the path again.
     pub fn heal(&self) {
         *self.cut.lock().unwrap() = None;
     }
--- a/crates/gateway/tests/gateway/cut_site.rs
+++ b/crates/gateway/tests/gateway/cut_site.rs
@@ -26,7 +26,7 @@
 pub const SLOW_DRAFT: &str = "/draft/slow";
 pub const SLOW_STREAM: &str = "/resume/slow";
 pub const SLOW_READ: &str = "/read/slow";
-/// Path of a generation whose answer is far larger than the buffers on its way.
+/// Path of a generation whose answer is far larger than the socket buffers.
 pub const FLOOD: &str = "/draft/flood";
 /// Events of this answer, and bytes of each.
 const FLOOD_EVENTS: u64 = 1_024;
@@ -146,7 +146,7 @@
         requests.filter(|request| request.path() == path).collect()
     }
 
-    /// Opens all ways again.
+    /// Opens all paths again.
     pub fn heal(&self) {
         for (gate, _) in &self.gates {
             gate.heal();
--- a/crates/gateway/tests/gateway/handoff.rs
+++ b/crates/gateway/tests/gateway/handoff.rs
@@ -28,7 +28,7 @@
 const ENDLESS_DRAFT: &str = "/draft/hang";
 /// Callers that do not read their answers.
 const SLOW_READERS: usize = 4;
-/// Time in which an answer that is not read fills the buffers on its way.
+/// Time in which an answer that is not read fills the socket buffers.
 const BUFFERING_TIME: Duration = Duration::from_secs(1);
 /// API key of the customer in these tests.
 const KEY: &str = "asnmgkcuyj8pjbvk9m68";
--- a/crates/gateway/tests/gateway/ingress.rs
+++ b/crates/gateway/tests/gateway/ingress.rs
@@ -12,7 +12,7 @@
 use crate::site::Site;
 use crate::site::headers;
 
-/// Bytes of an answer that is larger than the buffers on its way.
+/// Bytes of an answer that is larger than the socket buffers.
 const LONG_ANSWER: usize = 7 * 1024 * 1024;
 /// Time for which a caller does not read it.
 const READING_PAUSE: Duration = Duration::from_secs(6);
--- a/crates/gateway/tests/gateway/partition.rs
+++ b/crates/gateway/tests/gateway/partition.rs
@@ -38,12 +38,12 @@
     served.count()
 }
 
-/// Guards against refusing what the other instances serve, only because the own way to the replicas is cut.
+/// Guards against refusing what the other instances serve, only because this instance is partitioned from the replicas.
 #[rstest]
 #[case::reset(Cut::Reset)]
 #[case::silent(Cut::Silent)]
 #[case::kept_connections_live_on(Cut::NewOnly)]
-fn an_instance_without_a_way_to_the_replicas_serves_through_a_peer(#[case] cut: Cut) {
+fn an_instance_partitioned_from_the_replicas_serves_through_a_peer(#[case] cut: Cut) {
     let site = Site::start("through-peer");
     site.warm_up();
     site.cut(cut, &["app", "llm"]);
@@ -112,7 +112,7 @@
 #[rstest]
 #[case::reset(Cut::Reset)]
 #[case::silent(Cut::Silent)]
-fn a_resumable_stream_goes_on_through_a_peer_when_the_own_way_is_cut(#[case] cut: Cut) {
+fn a_resumable_stream_goes_on_through_a_peer_after_a_partition(#[case] cut: Cut) {
     let site = Site::start("goes-on");
     site.warm_up();
     let mut stream = start_generation(&site.cut, SLOW_STREAM, "slow");
@@ -129,10 +129,10 @@
     assert_eq!(String::from_utf8_lossy(&answer.body), expected);
 }
 
-/// Guards against going on through peers once the own way is open again.
+/// Guards against going on through peers once the partition has healed.
 #[test]
-fn an_instance_uses_its_own_way_again_once_it_is_open() {
-    let site = Site::start("own-way");
+fn an_instance_sends_to_replicas_again_once_the_partition_has_healed() {
+    let site = Site::start("healed");
     site.warm_up();
     site.cut(Cut::Reset, &["app", "llm"]);
     let both = |text: &str| site.cut.logged(text).len() >= 2;
--- a/crates/gateway/tests/soak/proxy.rs
+++ b/crates/gateway/tests/soak/proxy.rs
@@ -74,7 +74,7 @@
         self.server.stop();
     }
 
-    /// Cuts the way of the daemons at `sources` to the target: new connections are not answered and, if `open_too` is
+    /// Cuts the path from the daemons at `sources` to the target: new connections are not answered and, if `open_too` is
     /// set, what they send on open ones does not arrive. Replaces an earlier cut.
     pub fn cut_off(&self, sources: &[Ipv4Addr], open_too: bool) {
         self.server.drop_packets(sources, open_too);
--- a/crates/relay/src/pool/reach.rs
+++ b/crates/relay/src/pool/reach.rs
@@ -40,7 +40,7 @@
     }
 
     /// Records that `reached` of `probed` replicas of `service` accepted a connection. If it is
-    /// reachable again, its replicas no longer count as failing: that was the way to them.
+    /// reachable again, its replicas no longer count as failing: the path to them did.
     pub fn record_probes(
         &mut self,
         now: Time,
