Excuse refusals in the soak that a daemon could not have read

By the lines of the daemon it had given the refused prefill up 0.4 s before, and its process was killed after that; a partition had held the request up, and the replica refused it when its sender was gone. A daemon that was disturbed, or cut off, between the sending of a request and its refusal is excused from that refusal.

--- a/crates/gateway/tests/soak/callers.rs
+++ b/crates/gateway/tests/soak/callers.rs
@@ -259,6 +259,7 @@
         served = (served.0 + cut_off, served.1 + others);
     }
     cluster.set_partition(&Partition::default());
+    cluster.notices.record_partition(&partition.daemons, cut_at);
     let cut_off = served.0 as f64 / partition.daemons.len() as f64;
     let others = served.1 as f64 / (DAEMONS - partition.daemons.len()) as f64;
     if cut_off >= others * MIN_SERVED {
--- a/crates/gateway/tests/soak/faults.rs
+++ b/crates/gateway/tests/soak/faults.rs
@@ -92,9 +92,11 @@
         service: [None, Some("app"), Some("llm"), None][draw / 2],
         open_too: draw % 4 < 2,
     };
+    let from = Instant::now();
     cluster.set_partition(&partition);
     thread::sleep(duration);
     cluster.set_partition(&Partition::default());
+    cluster.notices.record_partition(&partition.daemons, from);
 }
 
 fn signal(cluster: &Cluster, instance: usize, signal: Signal) {
