Do not forward a peer's refusal of a request that may have run before

A peer knows nothing of sends before the handoff. Such a request ends with 502 now.

Test, failing before: a_request_that_may_have_run_before_is_not_refused.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -20,6 +20,7 @@
 use hyper::body::Incoming;
 use platform::caller;
 use platform::caller::Call;
+use relay::attempt::Attempt;
 use relay::fingerprint::Fingerprint;
 use relay::plan::Denied;
 use relay::plan::Limits;
@@ -72,8 +73,8 @@
         return response;
     }
     if handoff::applies(shared, &job) {
-        let runs = job.route.max_attempts;
-        let untaken = match handoff::serve(shared, job, runs).await {
+        let attempt = Attempt::new(job.route.mode, job.route.max_attempts);
+        let untaken = match handoff::serve(shared, job, &attempt).await {
             Ok(response) => return response,
             Err(untaken) => untaken,
         };
--- a/crates/gateway/src/handoff.rs
+++ b/crates/gateway/src/handoff.rs
@@ -82,13 +82,27 @@
     plain::refuse(shared, job, RETRY_AFTER, "no instance reaches a replica")
 }
 
-/// Has a peer serve `job`, which may run at `runs` replicas.
+/// Has a peer serve `job` after `attempt`.
 ///
 /// # Errors
 /// The request, if no peer took it.
-pub async fn serve(shared: &Rc<Shared>, job: Job, runs: u32) -> Result<Response<Body>, Untaken> {
+pub async fn serve(
+    shared: &Rc<Shared>,
+    job: Job,
+    attempt: &Attempt,
+) -> Result<Response<Body>, Untaken> {
     let mut job = job;
-    match offer(shared, &job, runs, None).await {
+    match offer(shared, &job, attempt.runs_left(), None).await {
+        // The peer does not know that the request may have run before.
+        Taken::Answered(_, answered) if answered.answer.is_refused && attempt.may_have_run() => {
+            let cause = "the replica was lost";
+            Ok(plain::finish(
+                &mut job,
+                "unknown",
+                responses::unknown,
+                cause,
+            ))
+        }
         Taken::Answered(peer, answered) => Ok(forward::start(shared, job, peer, answered).await),
         Taken::Lost => {
             let cause = "the peer that served it was lost";
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -264,7 +264,7 @@
 ) -> Response<Body> {
     let mut job = job;
     if failure.is_none() && handoff::may_follow(shared, &job, attempt) {
-        match handoff::serve(shared, job, attempt.runs_left()).await {
+        match handoff::serve(shared, job, attempt).await {
             Ok(response) => return response,
             Err(untaken) => job = *untaken.job,
         }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -50,7 +50,7 @@
             "the replica was lost",
         ),
         Ok(Err(_)) if handoff::may_follow(shared, &job, &attempt) => {
-            match handoff::serve(shared, job, attempt.runs_left()).await {
+            match handoff::serve(shared, job, &attempt).await {
                 Ok(response) => response,
                 Err(untaken) => {
                     job = *untaken.job;
--- a/crates/gateway/tests/gateway/cut_site.rs
+++ b/crates/gateway/tests/gateway/cut_site.rs
@@ -1,5 +1,8 @@
 //! Test setup of two daemons, one of which reaches the replicas through gates that a test can cut.
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use serde_json::Value;
@@ -15,6 +18,7 @@
 use crate::common::replica::Replica;
 use crate::common::replica::chunk;
 use crate::common::replica::events;
+use crate::common::replica::not_run_answer;
 use crate::common::replica::signed_answer;
 use crate::common::replica::stream_head;
 use crate::common::store::Store;
@@ -31,6 +35,8 @@
 /// Events of this answer, and bytes of each.
 const FLOOD_EVENTS: u64 = 1_024;
 const FLOOD_EVENT_BYTES: usize = 32 * 1024;
+/// Path of a call that is not answered where it arrives first, and not run anywhere after that.
+pub const FIRST_HANGS: &str = "/read/first-hangs";
 /// All kinds of requests.
 pub const KINDS: [Kind; 4] = [Kind::Read, Kind::Book, Kind::Draft, Kind::Resume];
 /// Requests of each kind sent before the cut.
@@ -57,8 +63,17 @@
     pub fn start_with(name: &str, plan: &Value, settings: &str) -> Self {
         let (store, address) = Store::start("127.0.0.1");
         store.put("op", "config", plan);
+        let hung = Arc::new(AtomicBool::new(false));
         let echo = |id: &str| {
-            Replica::start(id, |request| {
+            let hung = Arc::clone(&hung);
+            Replica::start(id, move |request| {
+                match request.path() {
+                    FIRST_HANGS if hung.swap(true, Ordering::SeqCst) => {
+                        return Action::Send(not_run_answer(request));
+                    }
+                    FIRST_HANGS => return Action::SendAndHang(Vec::new()),
+                    _ => {}
+                }
                 if request.path().ends_with("/hang") {
                     return Action::SendAndHang(Vec::new());
                 }
--- a/crates/gateway/tests/gateway/handoff.rs
+++ b/crates/gateway/tests/gateway/handoff.rs
@@ -15,6 +15,7 @@
 use crate::common::daemon::wait_until;
 use crate::common::gate::Cut;
 use crate::common::replica::Replica;
+use crate::cut_site::FIRST_HANGS;
 use crate::cut_site::FLOOD;
 use crate::cut_site::KINDS;
 use crate::cut_site::Kind;
@@ -113,6 +114,20 @@
     assert_eq!(site.arrived(path).len(), 1);
 }
 
+/// Guards against forwarding a refusal of the peer, which promises that the request has not run.
+#[test]
+fn a_request_that_may_have_run_before_is_not_refused() {
+    let site = Site::start("ran-before");
+    let mut caller = site.cut.caller();
+    caller.start_request(&format!("GET {FIRST_HANGS}"), &headers("a1"), b"");
+    wait_until("the request has arrived", || {
+        site.arrived(FIRST_HANGS).len() == 1
+    });
+    site.cut(Cut::Silent, &["app", "llm"]);
+    assert_eq!(caller.read().status(), 502);
+    assert!(!site.cut.logged("a peer answers a request").is_empty());
+}
+
 #[test]
 fn a_request_is_refused_at_once_if_no_instance_reaches_a_replica() {
     let site = Site::start("nobody");
