Break the circle of imports between handoff, plain and peer_server

How requests end has a module of its own, ending; the server of handoffs gets the function that serves a request; shared limits stand with the messages. No change of behaviour.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -26,6 +26,7 @@
 use relay::plan::Limits;
 
 use crate::body::Body;
+use crate::ending;
 use crate::guard::OpenRequest;
 use crate::handoff;
 use crate::job;
@@ -65,7 +66,7 @@
 /// The quota of a request that was handed over is charged by the instance that handed it over.
 pub async fn dispatch(shared: &Rc<Shared>, mut job: Job) -> Response<Body> {
     if let Some(remaining) = shared.quarantined_for(job.fingerprint) {
-        return plain::refuse_quarantined(&mut job, remaining);
+        return ending::refuse_quarantined(&mut job, remaining);
     }
     if job.origin.is_none()
         && let Some(response) = quota::admit(shared, &mut job).await
--- a/crates/gateway/src/handoff.rs
+++ b/crates/gateway/src/handoff.rs
@@ -22,18 +22,17 @@
 use relay::permit::Work;
 
 use crate::body::Body;
+use crate::ending;
 use crate::handoff::client::Answered;
 use crate::handoff::client::Offer;
+use crate::handoff::message::DEADLINE_MARGIN;
 use crate::handoff::peers::Decline;
 use crate::job::Job;
-use crate::plain;
 use crate::responses;
 use crate::shared::Shared;
 
 /// Peers asked for one request at most.
 const MAX_PEERS: usize = 6;
-/// Time beyond the deadline of a request for the answer of a peer, which applies the same deadline.
-const DEADLINE_MARGIN: Duration = Duration::from_millis(150);
 /// `Retry-After` if no peer reaches the replicas either; about the time between two probes.
 const RETRY_AFTER: Duration = Duration::from_millis(800);
 
@@ -79,7 +78,7 @@
 
 /// Refuses `job`, whose service neither this daemon nor a peer reaches.
 pub fn refuse(shared: &Shared, job: &mut Job) -> Response<Body> {
-    plain::refuse(shared, job, RETRY_AFTER, "no instance reaches a replica")
+    ending::refuse(shared, job, RETRY_AFTER, "no instance reaches a replica")
 }
 
 /// Has a peer serve `job` after `attempt`.
@@ -96,7 +95,7 @@
         // The peer does not know that the request may have run before.
         Taken::Answered(_, answered) if answered.answer.is_refused && attempt.may_have_run() => {
             let cause = "the replica was lost";
-            Ok(plain::finish(
+            Ok(ending::finish(
                 &mut job,
                 "unknown",
                 responses::unknown,
@@ -106,7 +105,7 @@
         Taken::Answered(peer, answered) => Ok(forward::start(shared, job, peer, answered).await),
         Taken::Lost => {
             let cause = "the peer that served it was lost";
-            Ok(plain::finish(
+            Ok(ending::finish(
                 &mut job,
                 "unknown",
                 responses::unknown,
@@ -115,7 +114,7 @@
         }
         Taken::Overdue => {
             let cause = "no answer of a peer in time";
-            Ok(plain::finish(
+            Ok(ending::finish(
                 &mut job,
                 "overdue",
                 responses::overdue,
--- a/crates/gateway/src/handoff/client.rs
+++ b/crates/gateway/src/handoff/client.rs
@@ -19,9 +19,9 @@
 use crate::connections::Connector;
 use crate::handoff::message;
 use crate::handoff::message::Answer;
+use crate::handoff::message::MAX_REQUESTS;
 use crate::handoff::peers::Decline;
 use crate::job::Job;
-use crate::peer_server::MAX_REQUESTS;
 use crate::shared::Shared;
 
 /// Time for a peer to agree, including the connection; two round trips take a few milliseconds.
--- a/crates/gateway/src/handoff/forward.rs
+++ b/crates/gateway/src/handoff/forward.rs
@@ -16,13 +16,13 @@
 
 use crate::body::Body;
 use crate::body::Part;
-use crate::handoff::DEADLINE_MARGIN;
+use crate::ending;
+use crate::ending::MAX_ANSWER_BYTES;
 use crate::handoff::client::Answered;
 use crate::handoff::message;
 use crate::handoff::message::Answer;
+use crate::handoff::message::DEADLINE_MARGIN;
 use crate::job::Job;
-use crate::plain;
-use crate::plain::MAX_ANSWER_BYTES;
 use crate::responses;
 use crate::shared::Shared;
 
@@ -71,7 +71,7 @@
 fn lost(shared: &Shared, job: &mut Job, peer: SocketAddr, cause: &str) -> Response<Body> {
     shared.note_lost_peer(peer, job, cause);
     let cause = "the peer that served it was lost";
-    plain::finish(job, "unknown", responses::unknown, cause)
+    ending::finish(job, "unknown", responses::unknown, cause)
 }
 
 /// Outcome of a request that a peer answered with `status`.
--- a/crates/gateway/src/handoff/message.rs
+++ b/crates/gateway/src/handoff/message.rs
@@ -27,6 +27,10 @@
 
 /// Path of a handoff. It names the version of the messages: a daemon that does not know it declines.
 pub const PATH: &str = "/handoff/1";
+/// Maximum number of requests in progress on a connection between daemons.
+pub const MAX_REQUESTS: u32 = 64;
+/// Time beyond the deadline of a request for the answer of a peer, which applies the same deadline.
+pub const DEADLINE_MARGIN: Duration = Duration::from_millis(150);
 /// Header that names the service in an offer.
 pub const SERVICE: &str = "service";
 /// Largest head of a message in bytes: the headers of a caller, its route and its customer.
--- a/crates/gateway/src/handoff/server.rs
+++ b/crates/gateway/src/handoff/server.rs
@@ -24,7 +24,6 @@
 use relay::plan::Limits;
 
 use crate::body::Body;
-use crate::callers;
 use crate::guard::HandedOver;
 use crate::guard::OpenRequest;
 use crate::handoff::message;
@@ -40,14 +39,15 @@
 /// Requests of peers served at once at most.
 const MAX_REQUESTS: usize = 256;
 
-/// Decides whether to take the request that `peer` offers, and serves it.
+/// Decides whether to take the request that `peer` offers, and serves it by `dispatch`.
 pub async fn serve(
     shared: Rc<Shared>,
     peer: SocketAddr,
     offer: Request<RecvStream>,
     respond: SendResponse<Bytes>,
+    dispatch: impl AsyncFnOnce(Job) -> Response<Body>,
 ) {
-    if let Err(error) = try_serve(&shared, peer, offer, respond).await {
+    if let Err(error) = try_serve(&shared, peer, offer, respond, dispatch).await {
         log::info!(kind = "handoff", peer = peer.to_string(), cause = error.to_string(); "a request of a peer ended early");
     }
 }
@@ -57,6 +57,7 @@
     peer: SocketAddr,
     offer: Request<RecvStream>,
     mut respond: SendResponse<Bytes>,
+    dispatch: impl AsyncFnOnce(Job) -> Response<Body>,
 ) -> io::Result<()> {
     let status = decide(shared, peer, &offer);
     let is_declined = status != StatusCode::OK;
@@ -74,7 +75,7 @@
     let served = async {
         let job = receive(shared, offer.into_body()).await?;
         let service = job.service.clone();
-        let response = Box::pin(callers::dispatch(shared, job)).await;
+        let response = dispatch(job).await;
         Ok::<_, io::Error>((service, response))
     };
     let (service, response) = tokio::select! {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod clock;
 pub mod connections;
 pub mod control;
+pub mod ending;
 pub mod exchange;
 pub mod forward;
 pub mod gossip;
--- a/crates/gateway/src/peer_server.rs
+++ b/crates/gateway/src/peer_server.rs
@@ -20,16 +20,16 @@
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 
+use crate::callers;
 use crate::exchange;
 use crate::handoff;
 use crate::handoff::message;
+use crate::handoff::message::MAX_REQUESTS;
 use crate::presence;
 use crate::shared::Shared;
 
 /// Maximum number of connections served at once.
 const MAX_CONNECTIONS: usize = 128;
-/// Maximum number of requests in progress on a connection.
-pub const MAX_REQUESTS: u32 = 64;
 /// Largest header section of a request in bytes; what peers send is in the body.
 const MAX_HEADER_BYTES: u32 = 8 * 1024;
 /// Time to open a connection, and idle time after which one is closed.
@@ -109,7 +109,11 @@
                 log::debug!(kind = "exchange", peer = peer.to_string(), cause = error.to_string(); "a request was not answered");
             }
         }
-        message::PATH => handoff::server::serve(shared, peer, request, respond).await,
+        message::PATH => {
+            let state = Rc::clone(&shared);
+            let dispatch = async move |job| Box::pin(callers::dispatch(&state, job)).await;
+            handoff::server::serve(shared, peer, request, respond, dispatch).await;
+        }
         path => {
             log::info!(kind = "exchange", peer = peer.to_string(), path = path; "a peer of another version sent an unknown request");
             let mut head = Response::new(());
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -22,6 +22,7 @@
 use relay::server::Key;
 
 use crate::body::Body;
+use crate::ending;
 use crate::handoff;
 use crate::job::Job;
 use crate::limit;
@@ -29,8 +30,6 @@
 use crate::send;
 use crate::shared::Shared;
 
-/// Largest answer in bytes; it is buffered until it is complete.
-pub const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 /// Fraction of the objective that a request waits for a replica. A request refused this early can
 /// still be retried within the objective.
 const MAX_WAIT_FRACTION: f64 = 0.2;
@@ -41,15 +40,6 @@
 /// Interval at which a waiting request looks for a replica.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Logged cause when a quarantined request is refused.
-const QUARANTINED_CAUSE: &str = "replicas ended under this request";
-/// Response to a quarantined request; sending it elsewhere or again at once does not help.
-const QUARANTINED_TEXT: &str = "replicas ended under this request; it has not run\n";
-/// Logged cause when the API key of a request is revoked while the request waits.
-const DENIED_CAUSE: &str = "its API key was revoked";
-/// Response to other refused requests.
-const REFUSED_TEXT: &str = "no replica could take the request; it has not run\n";
-
 /// The complete answer of a replica.
 #[derive(Debug)]
 struct Answer {
@@ -80,7 +70,12 @@
         }
         let next = match sent {
             SendResult::TimedOut => {
-                return finish(&mut job, "overdue", responses::overdue, "no answer in time");
+                return ending::finish(
+                    &mut job,
+                    "overdue",
+                    responses::overdue,
+                    "no answer in time",
+                );
             }
             SendResult::Abandoned => attempt.next_step(Outcome::Lost, || true),
             SendResult::Answered(answer) if is_retryable_failure(&job, &answer) => {
@@ -217,7 +212,7 @@
 ) -> Result<Answer, Outcome> {
     let begun = Instant::now();
     let reply = send::send(shared, job, key, Task::Answer, None, permit).await?;
-    match send::read_whole(shared, reply, MAX_ANSWER_BYTES).await {
+    match send::read_whole(shared, reply, ending::MAX_ANSWER_BYTES).await {
         Ok((head, headers, body)) => {
             shared.record_work(key, begun.elapsed(), 1.0);
             Ok(Answer {
@@ -289,60 +284,12 @@
             forwarded(answer.status, &answer.headers, answer.body)
         }
         None if attempt.may_have_run() => {
-            finish(job, "unknown", responses::unknown, "the replica was lost")
+            ending::finish(job, "unknown", responses::unknown, "the replica was lost")
         }
         None => {
             let excluded = shared.exclusion_remaining(job.destination(), None);
             let retry_after = excluded.unwrap_or(responses::DEFAULT_RETRY_AFTER);
-            refuse(shared, job, retry_after, "no replica accepted the request")
+            ending::refuse(shared, job, retry_after, "no replica accepted the request")
         }
     }
 }
-
-/// Refuses `job`, which has not run. The caller may retry after `retry_after`, or after the end of
-/// its quarantine.
-pub fn refuse(
-    shared: &Shared,
-    job: &mut Job,
-    retry_after: Duration,
-    cause: &'static str,
-) -> Response<Body> {
-    match shared.quarantined_for(job.fingerprint) {
-        Some(remaining) => refuse_quarantined(job, remaining),
-        None if shared.is_revoked(job) => finish(job, "rejected", responses::denied, DENIED_CAUSE),
-        None => refuse_with(job, retry_after, cause, REFUSED_TEXT),
-    }
-}
-
-/// Refuses `job`, whose content is quarantined for another `remaining`; it has not run.
-pub fn refuse_quarantined(job: &mut Job, remaining: Duration) -> Response<Body> {
-    refuse_with(job, remaining, QUARANTINED_CAUSE, QUARANTINED_TEXT)
-}
-
-/// Refuses `job`, which exceeds its customer's quota and has not run.
-pub fn refuse_beyond_quota(job: &mut Job, retry_after: Duration) -> Response<Body> {
-    job.end("beyond-quota", 429, "beyond the customer's quota");
-    responses::refuse_beyond_quota(&job.call.id, retry_after)
-}
-
-fn refuse_with(
-    job: &mut Job,
-    retry_after: Duration,
-    cause: &'static str,
-    text: &'static str,
-) -> Response<Body> {
-    job.end("refused", 503, cause);
-    responses::refuse(&job.call.id, retry_after, text)
-}
-
-/// Ends `job` with a response of this daemon.
-pub fn finish(
-    job: &mut Job,
-    outcome: &'static str,
-    answer: fn(&str) -> Response<Body>,
-    cause: &'static str,
-) -> Response<Body> {
-    let response = answer(&job.call.id);
-    job.end(outcome, response.status().as_u16(), cause);
-    response
-}
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -16,8 +16,8 @@
 use http::Response;
 
 use crate::body::Body;
+use crate::ending;
 use crate::job::Job;
-use crate::plain;
 use crate::quota::charge::Charge;
 use crate::quota::charge::Source;
 use crate::quota::client::KeeperReply;
@@ -60,7 +60,7 @@
         }
         Some((Decision::Refused { come_back_ms }, _)) => {
             let retry_after = Duration::from_millis(come_back_ms.into());
-            Some(plain::refuse_beyond_quota(job, retry_after))
+            Some(ending::refuse_beyond_quota(job, retry_after))
         }
         _ => match client::overspend_locally(shared, demand) {
             Some(number) => {
@@ -69,7 +69,7 @@
             }
             None => {
                 let cause = "no keeper decided on the quota";
-                Some(plain::refuse(shared, job, UNDECIDED_RETRY_AFTER, cause))
+                Some(ending::refuse(shared, job, UNDECIDED_RETRY_AFTER, cause))
             }
         },
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -12,6 +12,7 @@
 use relay::replica::Stage;
 
 use crate::body::Body;
+use crate::ending;
 use crate::forward;
 use crate::handoff;
 use crate::job::Job;
@@ -43,7 +44,7 @@
             forward::start(shared, job, attempt, tried, opened)
         }
         Ok(Ok(opened)) => forward_failure(shared, job, opened.reply).await,
-        Ok(Err(Next::Unknown)) => plain::finish(
+        Ok(Err(Next::Unknown)) => ending::finish(
             &mut job,
             "unknown",
             responses::unknown,
@@ -60,14 +61,14 @@
         }
         Ok(Err(_)) => refuse(shared, &mut job, "no replica accepted the request"),
         Err(_) if attempt.sends() == 0 => refuse(shared, &mut job, "no replica in time"),
-        Err(_) => plain::finish(&mut job, "overdue", responses::overdue, "no answer in time"),
+        Err(_) => ending::finish(&mut job, "overdue", responses::overdue, "no answer in time"),
     }
 }
 
 fn refuse(shared: &Shared, job: &mut Job, cause: &'static str) -> Response<Body> {
     let excluded = shared.exclusion_remaining(job.destination(), Some(Stage::Decode));
     let retry_after = excluded.unwrap_or_else(|| shared.retry_after(&job.service));
-    plain::refuse(shared, job, retry_after, cause)
+    ending::refuse(shared, job, retry_after, cause)
 }
 
 /// Forwards a replica's error response.
@@ -96,7 +97,7 @@
             );
             plain::forwarded(status, &headers, body)
         }
-        _ => plain::finish(
+        _ => ending::finish(
             &mut job,
             "unknown",
             responses::unknown,
