Log the software version of the replica of each send, and resumptions of callers

The entry's version is kept in the list of replicas and logged with `send`; `Resumes` is read, and the line `resumption` names the attempt that began the stream. `waxwing explain` shows both. Nothing is decided by either yet.

The list that daemons exchange has a field more, so that its path names a version now (`/exchange/2`): a daemon of another version answers 404, and the list is read from the store instead.

--- a/crates/ctl/src/timeline.rs
+++ b/crates/ctl/src/timeline.rs
@@ -191,6 +191,12 @@
     }
 }
 
+/// The version of a replica's software in parentheses; empty in lines that do not name it.
+fn describe_version(software: &Value) -> String {
+    let named = software.as_str().filter(|version| !version.is_empty());
+    named.map_or_else(String::new, |version| format!(" (version {version})"))
+}
+
 fn describe_line(kind: &str, line: &Value) -> String {
     let text = |name: &str| match &line[name] {
         Value::String(text) => text.clone(),
@@ -199,8 +205,9 @@
     };
     match kind {
         "send" => format!(
-            "sent to {} to {}{} ({} of this daemon's requests in progress there, replica list {}, plan {}, {} ms left)",
+            "sent to {}{} to {}{} ({} of this daemon's requests in progress there, replica list {}, plan {}, {} ms left)",
             text("replica"),
+            describe_version(&line["software"]),
             describe_task(&text("task")),
             describe_cache(&text("cache")),
             text("in_flight"),
@@ -208,6 +215,11 @@
             text("plan"),
             text("left_ms")
         ),
+        "resumption" => format!(
+            "the caller resumes the stream of its attempt {} after event {}",
+            text("resumes"),
+            text("last_event")
+        ),
         "quota" => describe_quota(line, &text),
         "read" => format!(
             "the prefill was finished after {} ms{}",
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -129,6 +129,10 @@
     shared.count_request(&target.service);
     let path = job::path_and_query(&parts.uri);
     let fingerprint = Fingerprint::new(parts.method.as_str(), &host, path, &body);
+    if call.is_resumption() {
+        let resumes = call.resumes.as_deref().unwrap_or_default();
+        log::info!(kind = "resumption", request = call.id, resumes = resumes, last_event = call.last_event; "a caller resumes a stream");
+    }
     let timing = Timing::of_caller(shared, &call, &target, arrived);
     Ok(Job::new(
         shared,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -33,8 +33,8 @@
 use crate::instance_info::InstanceInfo;
 use crate::shared::Shared;
 
-/// Path of a request.
-pub const PATH: &str = "/";
+/// Path of a request; names the version of the messages.
+pub const PATH: &str = "/exchange/2";
 /// Timeout of one request, including the connection.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(800);
 /// The same for a daemon without a list of replicas, which gets the complete one: that of a large
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -104,19 +104,20 @@
     let now = shared.clock.now();
     let target = shared.pool.borrow().get(key).map(|server| {
         let replica = &server.replica;
+        let software = replica.software.clone().unwrap_or_default();
         let target = (replica.id.clone(), replica.address, server.in_flight);
-        (target, server.withheld_cause(now))
+        (target, software, server.withheld_cause(now))
     });
-    let (id, address, in_flight) = match target {
-        Some((target, None)) => target,
-        Some((_, Some(cause))) => {
+    let ((id, address, in_flight), software) = match target {
+        Some((target, software, None)) => (target, software),
+        Some((_, _, Some(cause))) => {
             record_failure(shared, job, key, Outcome::NotSent, cause, 0);
             return Err(Outcome::NotSent);
         }
         None => return Err(Outcome::NotSent),
     };
     let (prompt, output) = job.call.tokens.unwrap_or_default();
-    log::info!(kind = "send", request = job.call.id, content = job.fingerprint.to_string(), replica = id, task = task_name(&task), cache = cache_handle(&task), in_flight = in_flight, prompt = prompt, output = output, replicas = shared.replicas_version(), reserved = reservation.is_some(), plan = job.plan, left_ms = job.time_left().as_millis() as u64; "sending");
+    log::info!(kind = "send", request = job.call.id, content = job.fingerprint.to_string(), replica = id, software = software, task = task_name(&task), cache = cache_handle(&task), in_flight = in_flight, prompt = prompt, output = output, replicas = shared.replicas_version(), reserved = reservation.is_some(), plan = job.plan, left_ms = job.time_left().as_millis() as u64; "sending");
     let prefill = task == Task::Prefill;
     let decode = matches!(task, Task::Decode { .. });
     let begun = Instant::now();
--- a/crates/lab/src/decode/daemon.rs
+++ b/crates/lab/src/decode/daemon.rs
@@ -151,5 +151,6 @@
         draining: false,
         cold: false,
         birth: None,
+        software: Some("v1".to_owned()),
     }
 }
--- a/crates/lab/src/site/run.rs
+++ b/crates/lab/src/site/run.rs
@@ -334,5 +334,6 @@
         draining: false,
         cold: false,
         birth: None,
+        software: Some("v1".to_owned()),
     }
 }
--- a/crates/relay/examples/decide.rs
+++ b/crates/relay/examples/decide.rs
@@ -149,6 +149,7 @@
         draining: false,
         cold: false,
         birth: None,
+        software: Some("v1".to_owned()),
     });
     Snapshot {
         version: 1,
--- a/crates/relay/src/replica.rs
+++ b/crates/relay/src/replica.rs
@@ -100,6 +100,9 @@
     pub id: String,
     /// Start time; `None` if replicas do not report it and use a new id for each start.
     pub birth: Option<Birth>,
+    /// Version of its software, to be compared for equality only; `None` until the list shows that
+    /// of an incarnation which was learnt from an answer.
+    pub software: Option<String>,
     /// Name of the service.
     pub service: String,
     /// Address for requests.
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -17,6 +17,7 @@
     Replica {
         id: id.to_owned(),
         birth: None,
+        software: Some("v1".to_owned()),
         service: service.to_owned(),
         address: "127.0.0.1:1".parse().unwrap(),
         data_centre: Zone::new("here"),
