--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -29,3 +29,4 @@
 mod stages;
 mod stream;
 mod truncation;
+mod versions;
--- /dev/null
+++ b/crates/gateway/tests/gateway/versions.rs
@@ -0,0 +1,198 @@
+//! Streams while replicas of several software versions serve side by side.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use rstest::rstest;
+
+use crate::common::caller::Caller;
+use crate::common::daemon::Daemon;
+use crate::common::daemon::wait_until;
+use crate::common::http::Message;
+use crate::common::replica::Action;
+use crate::common::replica::Replica;
+use crate::common::replica::chunk;
+use crate::common::replica::events;
+use crate::common::replica::stream_head;
+use crate::site::Site;
+use crate::site::start_generation;
+
+/// Path of a stream that may be resumed.
+const PATH: &str = "/resume/1";
+/// Events of a stream, and the pause between two of them.
+const EVENTS: u64 = 20;
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// A decode replica of one software version.
+struct Engine {
+    replica: Replica,
+    version: &'static str,
+    /// Set to break off its streams.
+    is_broken: Arc<AtomicBool>,
+}
+
+impl Engine {
+    fn start(id: &str, version: &'static str) -> Self {
+        let is_broken = Arc::new(AtomicBool::new(false));
+        let stopped = Arc::clone(&is_broken);
+        let replica = Replica::start(id, move |request| {
+            let last = request.header("last-event-id");
+            let last: u64 = last.map_or(0, |id| id.parse().unwrap());
+            let mut parts = vec![stream_head(request)];
+            parts.extend((last + 1..=EVENTS).map(|id| events(id, id)));
+            parts.push(chunk(b""));
+            Action::SendUntilStopped(parts, PAUSE, Arc::clone(&stopped))
+        });
+        Self {
+            replica,
+            version,
+            is_broken,
+        }
+    }
+
+    /// Lists it in `data_centre`.
+    fn list(&self, site: &Site, data_centre: &str) {
+        let mut row = self.replica.row("llm", "decode");
+        row["version"] = self.version.into();
+        row["zone"] = data_centre.into();
+        site.store.put("servers", &self.replica.id, &row);
+    }
+
+    /// Breaks off its streams and removes it from the list.
+    fn end(&self, site: &Site) {
+        site.store.remove("servers", &self.replica.id);
+        self.is_broken.store(true, Ordering::SeqCst);
+    }
+
+    fn runs(&self) -> usize {
+        self.replica.requests().len()
+    }
+}
+
+/// A site with one replica, at which the stream `a1` has begun.
+fn start_stream(name: &str, first: &Engine) -> (Site, Caller) {
+    let site = Site::start(name, &[]);
+    first.list(&site, "here");
+    site.daemon.wait_until_ready();
+    let stream = begin_stream(&site);
+    (site, stream)
+}
+
+fn begin_stream(site: &Site) -> Caller {
+    let stream = start_generation(&site.daemon, PATH, "a1");
+    wait_until("the stream has begun", || {
+        !site.daemon.logged("the first event").is_empty()
+    });
+    stream
+}
+
+/// Waits until `daemon` knows the replicas `ids`.
+fn wait_until_known(daemon: &Daemon, ids: &[&str]) {
+    wait_until("the replicas are known", || {
+        let changes = daemon.logged("a replica changed");
+        let is_known = |id: &&str| changes.iter().any(|line| line.contains(*id));
+        ids.iter().all(is_known)
+    });
+}
+
+/// Resumes the stream that the attempt `begun` received its first event of, and returns the answer.
+fn resume(daemon: &Daemon, id: &str, begun: &str, last_event: &str) -> Message {
+    let headers = [
+        ("Request-Id", id),
+        ("Deadline-Ms", "4000"),
+        ("Token-Counts", "1460,80"),
+        ("Last-Event-Id", last_event),
+        ("Resumes", begun),
+    ];
+    let mut caller = daemon.caller();
+    caller.send_and_read(&format!("POST {PATH}"), &headers, b"prompt")
+}
+
+fn event_texts(from: u64, to: u64) -> String {
+    let texts = (from..=to).map(|id| format!("id: {id}\ndata: t{id}\n\n"));
+    texts.collect()
+}
+
+/// Guards against joining events of two software versions in one answer.
+#[rstest]
+#[case::newer_beside("v1", "v1.1")]
+#[case::older_beside("v1.1", "v1")]
+fn a_broken_stream_goes_on_at_the_version_that_began_it(
+    #[case] version: &'static str,
+    #[case] other_version: &'static str,
+) {
+    let first = Engine::start("i-first", version);
+    let (site, mut stream) = start_stream("goes-on-at-version", &first);
+    let same = Engine::start("i-same", version);
+    let other = Engine::start("i-other", other_version);
+    same.list(&site, "there");
+    other.list(&site, "here");
+    wait_until_known(&site.daemon, &["i-same", "i-other"]);
+    first.end(&site);
+    let answer = stream.read();
+    assert_eq!((same.runs(), other.runs()), (1, 0));
+    assert!(answer.complete, "{answer:?}");
+    assert_eq!(
+        String::from_utf8_lossy(&answer.body),
+        event_texts(1, EVENTS)
+    );
+}
+
+/// Guards against taking a caller's next attempt for a new stream.
+#[test]
+fn a_caller_resumes_its_stream_at_the_version_that_began_it() {
+    let first = Engine::start("i-first", "v1");
+    let (site, mut stream) = start_stream("resumed-by-caller", &first);
+    let other = Engine::start("i-other", "v1.1");
+    other.list(&site, "here");
+    wait_until_known(&site.daemon, &["i-other"]);
+    first.end(&site);
+    drop(stream.read());
+    let same = Engine::start("i-same", "v1");
+    same.list(&site, "there");
+    wait_until_known(&site.daemon, &["i-same"]);
+    let answer = resume(&site.daemon, "a2", "a1", "1");
+    assert_eq!((same.runs(), other.runs()), (1, 0));
+    assert_eq!(
+        String::from_utf8_lossy(&answer.body),
+        event_texts(2, EVENTS)
+    );
+}
+
+/// Guards against forgetting the version with the instance that knew it.
+#[rstest]
+#[case::while_it_runs(false)]
+#[case::after_it_was_killed(true)]
+fn a_caller_resumes_its_stream_at_another_instance_at_the_version_that_began_it(
+    #[case] is_killed: bool,
+) {
+    let first = Engine::start("i-first", "v1");
+    let mut site = Site::start("resumed-elsewhere", &[]);
+    first.list(&site, "here");
+    let another = site.start_another("resumed-elsewhere-too", true);
+    another.wait_until_ready();
+    site.daemon.wait_until_ready();
+    wait_until("the daemons know each other", || {
+        let knows = |daemon: &Daemon| daemon.metrics().contains("gateway_members 2");
+        knows(&site.daemon) && knows(&another)
+    });
+    let stream = begin_stream(&site);
+    if is_killed {
+        site.daemon.kill();
+    }
+    drop(stream);
+    let same = Engine::start("i-same", "v1");
+    let other = Engine::start("i-other", "v1.1");
+    same.list(&site, "there");
+    other.list(&site, "here");
+    first.end(&site);
+    wait_until_known(&another, &["i-same", "i-other"]);
+    let answer = resume(&another, "a2", "a1", "1");
+    assert_eq!((same.runs(), other.runs()), (1, 0));
+    assert_eq!(
+        String::from_utf8_lossy(&answer.body),
+        event_texts(2, EVENTS)
+    );
+}
