Continue a stream only at the software version that began it

Cause: the version of a replica's entry was read and thrown away, so that all that is chosen for a stream was chosen among all versions.

Change: the version is one more condition on candidates (`Criteria::software`), beside stage, home and the replicas that were tried, for every kind of send. A stream is bound to the version that brings its first event, and from then on its destination names it: resumptions, moves, streams that go on through a peer (the handoff names the version, `/handoff/2`), and the replica that prefills the prompt, whose KV cache the answering one reads. An incarnation that an answer reveals before the list has no known version: a stream may begin there, but none goes on there. No event of a replica that is known to have restarted is forwarded.

Ruled out: a check beside each way (six of them today, and the next one would be forgotten); comparing the versions in an order (a version may come back).

Before: versions::a_broken_stream_goes_on_at_the_version_that_began_it (both orders of versions), a_broken_stream_ends_where_only_other_versions_are_left and a_prompt_is_prefilled_by_the_version_that_answers failed. After: they pass. Red as before: what callers resume themselves.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -61,6 +61,7 @@
         splitter: Splitter::new(),
         parts,
         started: false,
+        software: None,
         tracked_run: opened.tracked_run,
         events: 0,
         may_have_stopped: false,
@@ -78,6 +79,8 @@
     splitter: Splitter,
     parts: Sender<Part>,
     started: bool,
+    /// Software version of the current replica; `None` if it is unknown, as behind a peer.
+    software: Option<String>,
     /// The run at the current replica, if it is tracked.
     tracked_run: Option<TrackedRun>,
     /// Events forwarded so far.
@@ -175,6 +178,9 @@
         if let Some(tracked_run) = &self.tracked_run {
             tracked_run.record_events(events);
         }
+        if let Some(software) = &self.software {
+            self.job.bind(software);
+        }
         if !self.started {
             self.started = true;
             let age = self.job.age();
--- a/crates/gateway/src/forward/peer_stream.rs
+++ b/crates/gateway/src/forward/peer_stream.rs
@@ -25,7 +25,10 @@
 
     async fn resume_at_peer(&mut self) -> Option<Answered> {
         let last_event = self.splitter.resume(self.job.call.last_event).ok()?;
-        if !self.is_resumable() || !handoff::may_follow(&self.shared, &self.job, &self.attempt) {
+        if !self.is_resumable()
+            || !self.knows_version()
+            || !handoff::may_follow(&self.shared, &self.job, &self.attempt)
+        {
             return None;
         }
         let runs = self.attempt.runs_left();
@@ -46,6 +49,7 @@
 
     /// Forwards the rest of the stream from a peer.
     pub(super) async fn forward_from_peer(&mut self, answered: Answered) -> End {
+        self.software = None;
         let Answered { start, rest, .. } = answered;
         let mut rest = rest;
         let mut data = start;
--- a/crates/gateway/src/forward/replica_stream.rs
+++ b/crates/gateway/src/forward/replica_stream.rs
@@ -31,6 +31,9 @@
 /// Time to read the remaining events of a stopped run; they are already in transit.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Logged cause when the replica restarted under its id.
+const RESTARTED_CAUSE: &str = "the replica restarted";
+
 /// What a read returns: a frame of the body, its end, or a timeout.
 type BodyRead = Result<Option<Result<Frame<Bytes>, hyper::Error>>, Elapsed>;
 
@@ -71,6 +74,7 @@
             response,
             connection,
             guard,
+            ..
         } = reply;
         let begun = Instant::now();
         Self {
@@ -90,6 +94,7 @@
 impl Forwarder {
     /// Forwards one replica's part of the stream.
     pub(super) async fn forward_from(&mut self, reply: Reply) -> End {
+        self.software.clone_from(&reply.software);
         let mut source = ReplicaStream::new(reply);
         self.may_have_stopped = false;
         loop {
@@ -99,7 +104,7 @@
                     source.stopped = self.stop_for_migration(source.guard.key, to).await;
                     None
                 }
-                Step::Restarted => Some(End::Broken("the replica restarted".to_owned())),
+                Step::Restarted => Some(End::Broken(RESTARTED_CAUSE.to_owned())),
                 Step::CallerLeft => Some(End::CallerLeft),
             };
             let Some(end) = end else { continue };
@@ -194,6 +199,10 @@
         source: &mut ReplicaStream,
         frame: Frame<Bytes>,
     ) -> Option<End> {
+        // The events may be those of another incarnation, with another software version.
+        if self.shared.has_restarted(source.guard.key) {
+            return Some(End::Broken(RESTARTED_CAUSE.to_owned()));
+        }
         // Trailers apply only to this connection.
         let data = frame.into_data().ok()?;
         let whole = match self.splitter.push(&data) {
@@ -201,6 +210,7 @@
             Err(error) => return Some(End::Broken(error.to_string())),
         };
         if !whole.is_empty() {
+            self.learn_version(source.guard.key);
             self.record_gap(source.guard.key, source.last_event_at);
             source.last_event_at = Instant::now();
         }
@@ -208,6 +218,14 @@
         (!taken).then_some(End::CallerLeft)
     }
 
+    /// Looks up the software version of the replica `key` if it was unknown when the request was sent:
+    /// an answer shows a new incarnation before the list shows its version.
+    fn learn_version(&mut self, key: Key) {
+        if self.software.is_none() {
+            self.software = self.shared.software_of(key);
+        }
+    }
+
     /// Ends the replica's part and forwards the rest, unless the body may have been cut off: a
     /// killed process closes its connections as well, and so does a stopped run.
     async fn finish(&mut self, source: &ReplicaStream) -> End {
--- a/crates/gateway/src/forward/resume.rs
+++ b/crates/gateway/src/forward/resume.rs
@@ -131,6 +131,9 @@
     /// Resumes the stream after its last event at another replica, at `placement` if there is one.
     pub(super) async fn resume(&mut self, placement: Option<Placement>) -> Option<Reply> {
         let last_event = self.splitter.resume(self.job.call.last_event).ok()?;
+        if !self.knows_version() {
+            return None;
+        }
         let (shared, job) = (&self.shared, &self.job);
         let in_budget = || shared.ensure_permit(job, Work::Run);
         let next = self.attempt.next_step(Sent::Lost, in_budget);
@@ -157,6 +160,11 @@
         Some(opened.reply)
     }
 
+    /// Whether the software version is known at which the stream has to continue, if it has begun.
+    pub(super) fn knows_version(&self) -> bool {
+        self.job.software().is_some() || !self.started
+    }
+
     /// Tokens generated so far.
     fn generated_tokens(&self) -> u64 {
         let runs = self.shared.runs.borrow();
--- a/crates/gateway/src/handoff/message.rs
+++ b/crates/gateway/src/handoff/message.rs
@@ -26,7 +26,7 @@
 use crate::target;
 
 /// Path of a handoff. It names the version of the messages: a daemon that does not know it declines.
-pub const PATH: &str = "/handoff/1";
+pub const PATH: &str = "/handoff/2";
 /// Maximum number of requests in progress on a connection between daemons.
 pub const MAX_REQUESTS: u32 = 64;
 /// Time beyond the deadline of a request for the answer of a peer, which applies the same deadline.
@@ -67,6 +67,8 @@
     pub returned: bool,
     /// Number of replicas that may run it.
     pub runs: u32,
+    /// Software version that its stream is bound to.
+    pub software: Option<String>,
     /// Whether its prompt has not been sent to a prefill replica yet.
     pub may_prefill: bool,
 }
@@ -123,6 +125,7 @@
             time_left: job.time_left(),
             returned: job.returned,
             runs,
+            software: job.software().map(str::to_owned),
             may_prefill: job.permits.borrow().has(Work::Read),
         }
     }
--- a/crates/gateway/src/handoff/server.rs
+++ b/crates/gateway/src/handoff/server.rs
@@ -166,6 +166,9 @@
         returned: head.returned,
     };
     let job = Job::new(shared, call, target, head.fingerprint, parts, body, timing);
+    if let Some(software) = &head.software {
+        job.bind(software);
+    }
     if !head.may_prefill {
         let _spent = job.take_permit(Work::Read);
     }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -1,6 +1,7 @@
 //! A caller's request while it is served.
 
 use std::cell::Cell;
+use std::cell::OnceCell;
 use std::cell::RefCell;
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -76,6 +77,9 @@
     pub origin: Option<String>,
     /// Whether no connection to a replica could be opened.
     pub missed_replica: Cell<bool>,
+    /// Software version that brought the first event of the stream, in this attempt of the caller or
+    /// in an earlier one.
+    software: OnceCell<String>,
     /// Replicas that received the request.
     sent_to: RefCell<HashSet<Key>>,
     shared: Rc<Shared>,
@@ -149,6 +153,7 @@
             permits: RefCell::new(RequestPermits::new()),
             origin: None,
             missed_replica: Cell::new(false),
+            software: OnceCell::new(),
             sent_to: RefCell::default(),
             shared: Rc::clone(shared),
             end_recorded: false,
@@ -167,9 +172,22 @@
         Destination {
             service: &self.service,
             homes: self.homes.data_centres(),
+            software: self.software(),
         }
     }
 
+    /// Software version that the stream is bound to, from its first event on; `None` before.
+    pub fn software(&self) -> Option<&str> {
+        self.software.get().map(String::as_str)
+    }
+
+    /// Binds the stream to the software version that brings its first event. Later calls have no
+    /// effect.
+    pub fn bind(&self, software: &str) {
+        // The stream may be bound already.
+        let _ = self.software.set(software.to_owned());
+    }
+
     /// Time until the deadline.
     pub fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -19,6 +19,7 @@
 use crate::limit;
 use crate::send;
 use crate::shared::Shared;
+use crate::shared::choice::Destination;
 
 /// Fraction of the objective allowed for a remote prefill. The rest is enough for the decode
 /// replica to prefill the prompt itself at half the speed.
@@ -36,8 +37,8 @@
 
 /// Prefills the prompt at a prefill replica, preferably an idle one in the data centre of the
 /// decode replica `decode`: a KV cache is thousands of times as large as prompt and answer, and its
-/// transfer between data centres takes twice as long and costs more. If this fails, the decode
-/// replica prefills the prompt.
+/// transfer between data centres takes twice as long and costs more. If this fails, or none has the
+/// software version of the decode replica, the decode replica prefills the prompt.
 ///
 /// A failed prefill counts as an arrival, so the next send is a retry: `None` if the retry budget
 /// is exhausted.
@@ -48,10 +49,16 @@
     last_event: Option<u64>,
 ) -> Option<Task> {
     let near = shared.data_centre_of(decode);
+    // The version that writes a KV cache is the only one that can read it.
+    let software = shared.software_of(decode);
+    let to = Destination {
+        software: software.as_deref(),
+        ..job.destination()
+    };
     let mut tried = Vec::new();
     let mut failed = false;
     while tried.len() < MAX_PREFILLS {
-        let choose = || shared.choose_near(job.destination(), Some(Stage::Prefill), &tried, near);
+        let choose = || shared.choose_near(to, Some(Stage::Prefill), &tried, near);
         let chosen = limit::choose_admitted(shared, choose).await;
         let Some(key) = chosen else { break };
         // With too few prefill replicas, the decode replicas take a share of the prompts, so that
--- a/crates/gateway/src/run_tracking.rs
+++ b/crates/gateway/src/run_tracking.rs
@@ -215,6 +215,8 @@
             let to = Destination {
                 service,
                 homes: orders.get(&run)?.homes.data_centres(),
+                // The version that writes a KV cache is the only one that can read it.
+                software: Some(pool.get(from)?.replica.software.as_deref()?),
             };
             let to = engine
                 .moves
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -35,6 +35,8 @@
     pub connection: Connection,
     /// Counts the request at the replica.
     pub guard: InFlight,
+    /// Software version of the replica.
+    pub software: Option<String>,
 }
 
 /// Sends `job` to the replica `key` for `task` and reads the head of the answer. The permit returns
@@ -104,7 +106,7 @@
     let now = shared.clock.now();
     let target = shared.pool.borrow().get(key).map(|server| {
         let replica = &server.replica;
-        let software = replica.software.clone().unwrap_or_default();
+        let software = replica.software.clone();
         let target = (replica.id.clone(), replica.address, server.in_flight);
         (target, software, server.withheld_cause(now))
     });
@@ -117,7 +119,7 @@
         None => return Err(Outcome::NotSent),
     };
     let (prompt, output) = job.call.tokens.unwrap_or_default();
-    log::info!(kind = "send", request = job.call.id, content = job.fingerprint.to_string(), replica = id, software = software, task = task_name(&task), cache = cache_handle(&task), in_flight = in_flight, prompt = prompt, output = output, replicas = shared.replicas_version(), reserved = reservation.is_some(), plan = job.plan, left_ms = job.time_left().as_millis() as u64; "sending");
+    log::info!(kind = "send", request = job.call.id, content = job.fingerprint.to_string(), replica = id, software = software.as_deref().unwrap_or_default(), task = task_name(&task), cache = cache_handle(&task), in_flight = in_flight, prompt = prompt, output = output, replicas = shared.replicas_version(), reserved = reservation.is_some(), plan = job.plan, left_ms = job.time_left().as_millis() as u64; "sending");
     let prefill = task == Task::Prefill;
     let decode = matches!(task, Task::Decode { .. });
     let begun = Instant::now();
@@ -165,6 +167,7 @@
         response,
         connection,
         guard,
+        software,
     })
 }
 
@@ -299,6 +302,7 @@
         response,
         connection,
         guard,
+        ..
     } = reply;
     let (parts, body) = response.into_parts();
     match Limited::new(body, max_bytes).collect().await {
--- a/crates/gateway/src/shared/choice.rs
+++ b/crates/gateway/src/shared/choice.rs
@@ -31,6 +31,8 @@
     pub service: &'a str,
     /// Data centres; `None` if it may be served anywhere.
     pub homes: Option<&'a [Zone]>,
+    /// Software version that has to serve it; `None` if any may.
+    pub software: Option<&'a str>,
 }
 
 impl Shared {
@@ -55,6 +57,7 @@
             stage,
             tried,
             homes: to.homes,
+            software: to.software,
             data_centre,
             demand: None,
         };
@@ -85,6 +88,7 @@
             stage: Some(Stage::Decode),
             tried,
             homes: to.homes,
+            software: to.software,
             data_centre: self.data_centre,
             demand: Some(demand),
         };
@@ -166,6 +170,7 @@
             stage,
             tried: &[],
             homes: to.homes,
+            software: to.software,
             data_centre: self.data_centre,
             demand: None,
         };
@@ -180,6 +185,12 @@
             .map_or(self.data_centre, |server| server.replica.data_centre)
     }
 
+    /// Software version of `key`; `None` if it is unknown or the replica is gone.
+    pub fn software_of(&self, key: Key) -> Option<String> {
+        let pool = self.pool.borrow();
+        pool.get(key)?.replica.software.clone()
+    }
+
     /// Whether the decode replica `key` may run a prefill itself.
     pub fn may_prefill(&self, key: Key) -> bool {
         self.pool.borrow().may_prefill(key)
--- a/crates/gateway/src/shared/store_state.rs
+++ b/crates/gateway/src/shared/store_state.rs
@@ -116,11 +116,16 @@
         self.restarts.notify_waiters();
     }
 
+    /// Whether the replica behind `key` has restarted.
+    pub fn has_restarted(&self, key: Key) -> bool {
+        self.pool.borrow().has_restarted(key)
+    }
+
     /// Waits until the replica behind `key` has restarted; forever if it does not.
     pub async fn restarted(&self, key: Key) {
         loop {
             let restarted = self.restarts.notified();
-            if self.pool.borrow().has_restarted(key) {
+            if self.has_restarted(key) {
                 return;
             }
             restarted.await;
--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -137,6 +137,7 @@
     let to = Destination {
         service,
         homes: None,
+        software: None,
     };
     let mut tried: Vec<Key> = Vec::new();
     let mut orders = Vec::new();
--- a/crates/gateway/tests/gateway/handoff.rs
+++ b/crates/gateway/tests/gateway/handoff.rs
@@ -243,8 +243,8 @@
 }
 
 #[rstest]
-#[case::stranger("/handoff/1", 403)]
-#[case::other_version("/handoff/2", 404)]
+#[case::stranger("/handoff/2", 403)]
+#[case::other_version("/handoff/1", 404)]
 fn requests_that_no_known_instance_hands_over_are_declined(
     #[case] path: &str,
     #[case] status: u16,
--- a/crates/gateway/tests/gateway/versions.rs
+++ b/crates/gateway/tests/gateway/versions.rs
@@ -140,6 +140,19 @@
     );
 }
 
+/// Guards against going on at any version rather than breaking off the answer.
+#[test]
+fn a_broken_stream_ends_where_only_other_versions_are_left() {
+    let first = Engine::start("i-first", "v1");
+    let (site, mut stream) = start_stream("ends-at-version", &first);
+    let other = Engine::start("i-other", "v1.1");
+    other.list(&site, "here");
+    wait_until_known(&site.daemon, &["i-other"]);
+    first.end(&site);
+    assert!(!stream.read().complete);
+    assert_eq!(other.runs(), 0);
+}
+
 /// Guards against taking a caller's next attempt for a new stream.
 #[test]
 fn a_caller_resumes_its_stream_at_the_version_that_began_it() {
@@ -196,3 +209,19 @@
         event_texts(2, EVENTS)
     );
 }
+
+/// Guards against a KV cache that one version wrote and another one reads.
+#[test]
+fn a_prompt_is_prefilled_by_the_version_that_answers() {
+    let prefill = Replica::start_prefill("i-prefill");
+    let decode = Engine::start("i-decode", "v1");
+    let site = Site::start("prefill-version", &[]);
+    let mut row = prefill.row("llm", "prefill");
+    row["version"] = "v1.1".into();
+    site.store.put("servers", &prefill.id, &row);
+    decode.list(&site, "here");
+    wait_until_known(&site.daemon, &["i-prefill", "i-decode"]);
+    site.daemon.wait_until_ready();
+    assert!(start_generation(&site.daemon, PATH, "a1").read().complete);
+    assert!(prefill.requests().is_empty());
+}
--- a/crates/lab/src/decode/daemon.rs
+++ b/crates/lab/src/decode/daemon.rs
@@ -129,6 +129,7 @@
         stage: Some(Stage::Decode),
         tried,
         homes: None,
+        software: None,
         data_centre: Zone::new("here"),
         demand,
     }
--- a/crates/lab/src/site/run.rs
+++ b/crates/lab/src/site/run.rs
@@ -279,6 +279,7 @@
             stage: Some(stage),
             tried,
             homes: None,
+            software: None,
             data_centre: Zone::new("here"),
             demand: None,
         };
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -224,7 +224,8 @@
         let mut least: Option<Duration> = None;
         for key in self.index.group(criteria.service, criteria.stage) {
             let server = &self.servers[key];
-            if !server.is_available(now) || !criteria.is_home(server) {
+            let is_eligible = criteria.is_home(server) && criteria.is_compatible(server);
+            if !server.is_available(now) || !is_eligible {
                 continue;
             }
             let remaining = server.excluded_until().since(now);
--- a/crates/relay/src/pool/incarnation.rs
+++ b/crates/relay/src/pool/incarnation.rs
@@ -39,8 +39,10 @@
         let Some(server) = self.servers.get(key) else {
             return changes;
         };
+        // It may run another version than the listed incarnation.
         let replica = Replica {
             birth,
+            software: None,
             ..server.replica.clone()
         };
         if replica.compare_incarnation(server.replica.birth) == Ordering::Greater {
--- a/crates/relay/src/score.rs
+++ b/crates/relay/src/score.rs
@@ -44,6 +44,8 @@
     pub tried: &'a [Key],
     /// Data centres in which the request may be served; `None` if it may be served anywhere.
     pub homes: Option<&'a [Zone]>,
+    /// Software version that has to serve the request; `None` if any may.
+    pub software: Option<&'a str>,
     /// Preferred data centre.
     pub data_centre: Zone,
     /// Memory needed at a decode replica, if it is to be checked.
@@ -57,6 +59,7 @@
             && server.replica.service == self.service
             && server.replica.stage == self.stage
             && self.is_home(server)
+            && self.is_compatible(server)
             && !self.tried.contains(&key)
     }
 
@@ -66,6 +69,11 @@
         self.homes.is_none_or(|homes| homes.contains(data_centre))
     }
 
+    /// Whether the software version of `server` may serve the request.
+    pub(crate) fn is_compatible(&self, server: &Server) -> bool {
+        self.software.is_none() || server.replica.software.as_deref() == self.software
+    }
+
     /// Whether `server` has room. `memory` is the size of its engine's memory in tokens, if known.
     pub(crate) fn has_room(&self, now: Time, server: &Server, memory: Option<u64>) -> bool {
         match (self.demand, memory) {
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -63,6 +63,7 @@
         stage,
         tried,
         homes: None,
+        software: None,
         data_centre: Zone::new("here"),
         demand,
     }
--- a/crates/relay/tests/homes.rs
+++ b/crates/relay/tests/homes.rs
@@ -56,6 +56,7 @@
     let criteria = Criteria {
         data_centre: Zone::new("a1"),
         homes: homes.data_centres(),
+        software: None,
         ..common::criteria("app", None, &[], None)
     };
     let chosen = pool.choose(START, &criteria, || 0.0);
--- a/crates/relay/tests/restarts.rs
+++ b/crates/relay/tests/restarts.rs
@@ -161,6 +161,9 @@
     // The list still has the earlier incarnation.
     assert!(list(&mut pool, 2, Some(FIRST)).is_empty());
     assert_eq!(birth(&pool), Some(SECOND));
+    // The new one may run another version than the listed one.
+    let software = pool.get(key(&pool).unwrap()).unwrap();
+    assert_eq!(software.replica.software, None);
     // A late answer of the earlier incarnation.
     let second = key(&pool).unwrap();
     assert!(
