Resume a caller's stream only at the software version that began it

Cause: a caller's next attempt was a new request to every instance, the one that had served the stream included. Nothing read Resumes, and an instance that ended took what it knew with it.

Change: the version of each stream is recorded under the id of the attempt that it begins with, when the request is sent to a decode replica, and announced in a datagram to two other instances by rendezvous hashing. A resumption asks up to four instances (100 ms at most), binds the request to the version that they name, and is refused with 503 if nobody knows it, or at once if no replica of that version is listed. Only one version counts as evidence: if the list has been followed without a gap for as long as a stream can be resumed (twice the longest timeout of a route with streams) and shows one version all the while, then that one. As long as this holds nothing is announced; when it ceases to, the streams in progress are announced. An instance that stops hands over what it knows.

Ruled out: a row in the store for each stream (11,000 a second at the design size; the store takes some hundred writes); a question to all (985 datagrams for each resumption, and the one that knows is often the one that died); memory of one instance (dies with it); announcing always (twice 113 bytes for each stream, 3 to 6 KB/s of the 13 KB/s of control at 13 to 27 streams a second and daemon, argued).

Datagrams get a content at the end of the list: daemons of an earlier version cannot read it, and log a line, but all others.

--- a/crates/ctl/src/timeline.rs
+++ b/crates/ctl/src/timeline.rs
@@ -220,6 +220,14 @@
             text("resumes"),
             text("last_event")
         ),
+        "begin" if text("source") == "unknown" => {
+            "nobody knows which software version began the stream".to_owned()
+        }
+        "begin" => format!(
+            "the stream was begun by version {} ({})",
+            text("software"),
+            text("source")
+        ),
         "quota" => describe_quota(line, &text),
         "read" => format!(
             "the prefill was finished after {} ms{}",
--- /dev/null
+++ b/crates/gateway/src/begins.rs
@@ -0,0 +1,254 @@
+//! Which software version began each stream: announces it to other daemons, and finds it out for
+//! streams that callers resume.
+//!
+//! Replicas of several versions may serve a service side by side, and what they write does not fit
+//! together. A caller resumes a stream because its connection broke, often with the instance that
+//! knew the version. So each daemon announces the versions of its streams to two others, chosen by
+//! rendezvous hashing, unless only one version has served for as long as a stream can be resumed.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use boottime::Instant;
+use boottime::timer::timeout_at;
+use relay::begins::Begin;
+use relay::begins::Stream;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::mpsc;
+
+use crate::gossip;
+use crate::job::Job;
+use crate::shared::Shared;
+
+/// Other daemons that a stream is announced to.
+const COPIES: usize = 2;
+/// Daemons that are asked about a stream. More than hold it, since daemons may differ on the members.
+const MAX_ASKED: usize = 4;
+/// Time for their answers; a round trip takes a few milliseconds, a busy daemon some tens.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
+/// Streams in one datagram, to stay below the usual packet size.
+const MAX_BEGINS: usize = 24;
+/// Time for which a stream may be resumed after its begin, as a multiple of the timeout of its route:
+/// it lasts for up to one, and its caller returns within another one.
+pub const LIFETIME_FACTOR: u32 = 2;
+
+/// Message about the begins of streams between daemons.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Message {
+    /// Announces streams.
+    Began(Vec<Begin>),
+    /// Asks which version began a stream.
+    Ask {
+        /// Repeated in the answer.
+        number: u32,
+        /// The stream; `None` if the caller does not name it.
+        stream: Option<Stream>,
+        /// Its service.
+        service: String,
+    },
+    /// The answer.
+    Told {
+        /// Number of the question.
+        number: u32,
+        /// What the daemon knows.
+        finding: Finding,
+    },
+}
+
+/// What a daemon knows of the begin of a stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Finding {
+    /// This version began it.
+    Began(String),
+    /// Only this version has served for as long as a stream can be resumed.
+    Only(String),
+    /// It may have been any version.
+    Unknown,
+}
+
+impl Finding {
+    /// The version that began the stream, if it is known.
+    fn into_software(self) -> Option<String> {
+        match self {
+            Self::Began(software) | Self::Only(software) => Some(software),
+            Self::Unknown => None,
+        }
+    }
+
+    const fn name(&self) -> &'static str {
+        match self {
+            Self::Began(_) => "began",
+            Self::Only(_) => "only",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// Questions to other daemons that wait for answers, by number.
+pub type Questions = HashMap<u32, mpsc::UnboundedSender<Finding>>;
+
+/// The stream of `job`: its own, or the one that it resumes; `None` if its caller does not name that.
+pub fn stream(job: &Job) -> Option<Stream> {
+    match &job.call.resumes {
+        Some(begun) => Some(Stream::new(begun)),
+        None if job.call.last_event.is_some() => None,
+        None => Some(Stream::new(&job.call.id)),
+    }
+}
+
+/// Records, and announces if needed, that replicas of the version `software` serve the stream of `job`.
+pub async fn announce(shared: &Shared, job: &Job, software: &str) {
+    let Some(stream) = stream(job).filter(|_| !job.is_announced(software)) else {
+        return;
+    };
+    job.set_announced(software);
+    let lifetime = job.route.timeout * LIFETIME_FACTOR;
+    shared
+        .begins
+        .borrow_mut()
+        .begin(shared.clock.now(), stream, &job.service, software, lifetime);
+    announce_due(shared).await;
+}
+
+/// Announces the streams of services with several versions that are not announced yet.
+pub async fn announce_due(shared: &Shared) {
+    let now = shared.clock.now();
+    let is_due = |service: &str| shared.only_version(service).is_none();
+    let due = shared.begins.borrow_mut().take_unannounced(now, is_due);
+    send(shared, due).await;
+}
+
+/// Hands all known streams over to other daemons, before this one leaves.
+pub async fn hand_over(shared: &Shared) {
+    let all = shared.begins.borrow().all(shared.clock.now());
+    send(shared, all).await;
+}
+
+/// Announces `begins` to the daemons that keep them.
+async fn send(shared: &Shared, begins: Vec<Begin>) {
+    let mut by_daemon: HashMap<SocketAddr, Vec<Begin>> = HashMap::new();
+    for begin in begins {
+        for daemon in others(shared, begin.stream, COPIES) {
+            by_daemon.entry(daemon).or_default().push(begin.clone());
+        }
+    }
+    for (daemon, begins) in by_daemon {
+        for chunk in begins.chunks(MAX_BEGINS) {
+            gossip::send_begins(shared, daemon, Message::Began(chunk.to_vec())).await;
+        }
+    }
+}
+
+/// The first `count` other daemons for `stream`.
+fn others(shared: &Shared, stream: Stream, count: usize) -> Vec<SocketAddr> {
+    let members = shared.members.borrow();
+    let own = members.own().instance();
+    let ranked = members.rank(stream.0, count + 1).into_iter();
+    let others = ranked.filter(|(instance, _)| *instance != own);
+    others.map(|(_, address)| address).take(count).collect()
+}
+
+/// Binds `job` to the version that began its stream; `false` if nobody knows that version.
+pub async fn bind(shared: &Shared, job: &Job) -> bool {
+    let asked_at = Instant::now();
+    let finding = find(shared, job).await;
+    let source = finding.name();
+    let software = finding.into_software();
+    shared.metrics.resumption(source);
+    log::info!(kind = "begin", request = job.call.id, resumes = job.call.resumes.as_deref().unwrap_or_default(), software = software.as_deref().unwrap_or_default(), source = source, ms = asked_at.elapsed().as_millis() as u64; "looked up the software version that began a stream");
+    let Some(software) = software else {
+        return false;
+    };
+    job.bind(&software);
+    true
+}
+
+/// Finds out which version began the stream of `job`: from this daemon or from others that know the
+/// stream, or because there was only one version.
+async fn find(shared: &Shared, job: &Job) -> Finding {
+    let stream = stream(job);
+    let own = find_locally(shared, stream, &job.service);
+    if matches!(own, Finding::Began(_)) {
+        return own;
+    }
+    match (ask(shared, stream, &job.service).await, own) {
+        (told @ Finding::Began(_), _) => told,
+        (_, own @ Finding::Only(_)) => own,
+        (told, _) => told,
+    }
+}
+
+fn find_locally(shared: &Shared, stream: Option<Stream>, service: &str) -> Finding {
+    let now = shared.clock.now();
+    let begins = shared.begins.borrow();
+    let began = stream.and_then(|stream| begins.software(now, stream));
+    match (began, shared.only_version(service)) {
+        (Some(software), _) => Finding::Began(software.to_owned()),
+        (None, Some(only)) => Finding::Only(only),
+        (None, None) => Finding::Unknown,
+    }
+}
+
+/// Asks other daemons, until one knows the stream.
+async fn ask(shared: &Shared, stream: Option<Stream>, service: &str) -> Finding {
+    let daemons = others(shared, stream.unwrap_or(Stream(rand::random())), MAX_ASKED);
+    let number = rand::random();
+    let (answer, mut answers) = mpsc::unbounded_channel();
+    shared.begin_questions.borrow_mut().insert(number, answer);
+    for daemon in &daemons {
+        let question = Message::Ask {
+            number,
+            stream,
+            service: service.to_owned(),
+        };
+        gossip::send_begins(shared, *daemon, question).await;
+    }
+    let deadline = Instant::now() + ANSWER_TIMEOUT;
+    let mut best = Finding::Unknown;
+    for _ in &daemons {
+        match timeout_at(deadline, answers.recv()).await {
+            Ok(Some(told @ Finding::Began(_))) => {
+                best = told;
+                break;
+            }
+            Ok(Some(told @ Finding::Only(_))) => best = told,
+            Ok(Some(Finding::Unknown)) => {}
+            Ok(None) | Err(_) => break,
+        }
+    }
+    shared.begin_questions.borrow_mut().remove(&number);
+    best
+}
+
+/// Handles a message of another daemon; returns the answer to a question.
+pub fn receive(shared: &Rc<Shared>, message: Message) -> Option<Message> {
+    match message {
+        Message::Began(begins) => {
+            let now = shared.clock.now();
+            let mut known = shared.begins.borrow_mut();
+            for begin in &begins {
+                known.learn(now, begin);
+            }
+            None
+        }
+        Message::Ask {
+            number,
+            stream,
+            service,
+        } => {
+            let finding = find_locally(shared, stream, &service);
+            Some(Message::Told { number, finding })
+        }
+        Message::Told { number, finding } => {
+            let questions = shared.begin_questions.borrow();
+            if let Some(question) = questions.get(&number) {
+                // The question may have been answered just now.
+                let _ = question.send(finding);
+            }
+            None
+        }
+    }
+}
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -25,6 +25,7 @@
 use relay::plan::Denied;
 use relay::plan::Limits;
 
+use crate::begins;
 use crate::body::Body;
 use crate::ending;
 use crate::guard::OpenRequest;
@@ -44,6 +45,9 @@
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// `Retry-After` while this daemon is stopping; another daemon serves the retry.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
+/// `Retry-After` of a resumption if the version that began the stream is unknown; by then, lost
+/// members are known and others are asked.
+const UNKNOWN_BEGIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Serves one request.
 pub async fn serve(shared: Rc<Shared>, request: Request<Incoming>) -> Response<Body> {
@@ -68,6 +72,9 @@
     if let Some(remaining) = shared.quarantined_for(job.fingerprint) {
         return ending::refuse_quarantined(&mut job, remaining);
     }
+    if let Some(response) = bind_resumption(shared, &mut job).await {
+        return response;
+    }
     if job.origin.is_none()
         && let Some(response) = quota::admit(shared, &mut job).await
     {
@@ -87,6 +94,31 @@
     serve_locally(shared, job).await
 }
 
+/// Binds a stream that a caller resumes to the software version that began it. Returns the refusal if
+/// that version is unknown or has no replicas: nothing else may continue the stream.
+async fn bind_resumption(shared: &Rc<Shared>, job: &mut Job) -> Option<Response<Body>> {
+    let is_resumption = job.route.mode.streams() && job.call.is_resumption();
+    if !is_resumption || job.software().is_some() {
+        return None;
+    }
+    if !begins::bind(shared, job).await {
+        let cause = "the software version that began the stream is unknown";
+        return Some(ending::refuse(
+            shared,
+            job,
+            UNKNOWN_BEGIN_RETRY_AFTER,
+            cause,
+        ));
+    }
+    let software = job.software()?;
+    if shared.pool.borrow().has_version(&job.service, software) {
+        return None;
+    }
+    let retry_after = shared.retry_after(&job.service);
+    let cause = "no replica has the software version that began the stream";
+    Some(ending::refuse(shared, job, retry_after, cause))
+}
+
 /// Serves `job` by the replicas.
 async fn serve_locally(shared: &Rc<Shared>, job: Job) -> Response<Body> {
     if job.route.mode.streams() {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -19,6 +19,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::Sender;
 
+use crate::begins;
 use crate::body::Body;
 use crate::body::Part;
 use crate::handoff::client::Answered;
@@ -180,6 +181,8 @@
         }
         if let Some(software) = &self.software {
             self.job.bind(software);
+            // The version may have been unknown when the request was sent.
+            begins::announce(&self.shared, &self.job, software).await;
         }
         if !self.started {
             self.started = true;
--- a/crates/gateway/src/forward/peer_stream.rs
+++ b/crates/gateway/src/forward/peer_stream.rs
@@ -25,10 +25,10 @@
 
     async fn resume_at_peer(&mut self) -> Option<Answered> {
         let last_event = self.splitter.resume(self.job.call.last_event).ok()?;
-        if !self.is_resumable()
-            || !self.knows_version()
-            || !handoff::may_follow(&self.shared, &self.job, &self.attempt)
-        {
+        if !self.is_resumable() || !self.find_version().await {
+            return None;
+        }
+        if !handoff::may_follow(&self.shared, &self.job, &self.attempt) {
             return None;
         }
         let runs = self.attempt.runs_left();
--- a/crates/gateway/src/forward/resume.rs
+++ b/crates/gateway/src/forward/resume.rs
@@ -10,6 +10,7 @@
 use relay::permit::Work;
 use relay::server::Key;
 
+use crate::begins;
 use crate::control;
 use crate::forward::Forwarder;
 use crate::forward::STALL_TIMEOUT;
@@ -131,7 +132,7 @@
     /// Resumes the stream after its last event at another replica, at `placement` if there is one.
     pub(super) async fn resume(&mut self, placement: Option<Placement>) -> Option<Reply> {
         let last_event = self.splitter.resume(self.job.call.last_event).ok()?;
-        if !self.knows_version() {
+        if !self.find_version().await {
             return None;
         }
         let (shared, job) = (&self.shared, &self.job);
@@ -160,9 +161,11 @@
         Some(opened.reply)
     }
 
-    /// Whether the software version is known at which the stream has to continue, if it has begun.
-    pub(super) fn knows_version(&self) -> bool {
-        self.job.software().is_some() || !self.started
+    /// Finds out the software version at which the stream has to continue, if it has begun: only the
+    /// peer knows it that forwarded the first event. Returns `false` if it is not known.
+    pub(super) async fn find_version(&self) -> bool {
+        let is_known = self.job.software().is_some() || !self.started;
+        is_known || begins::bind(&self.shared, &self.job).await
     }
 
     /// Tokens generated so far.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -25,6 +25,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 
+use crate::begins;
 use crate::exchange;
 use crate::instance_info::InstanceInfo;
 use crate::members::Outgoing;
@@ -91,6 +92,9 @@
     Quarantine(Vec<Record>),
     /// Use of customers' quotas.
     Quota(quotas::Message),
+    /// Begins of streams. Further contents follow at the end: daemons of an earlier version cannot
+    /// read those, but all others.
+    Begins(begins::Message),
 }
 
 /// Takes part in the membership, forever.
@@ -173,6 +177,11 @@
     send(shared, peer, Content::Quota(message)).await;
 }
 
+/// Sends a message about the begins of streams to the daemon at `peer`.
+pub async fn send_begins(shared: &Shared, peer: SocketAddr, message: begins::Message) {
+    send(shared, peer, Content::Begins(message)).await;
+}
+
 async fn send(shared: &Shared, to: SocketAddr, content: Content) {
     let datagram = Datagram {
         from: shared.own_info(),
@@ -245,6 +254,11 @@
                 send(shared, to, Content::Quota(message)).await;
             }
         }
+        Content::Begins(message) => {
+            if let Some(answer) = begins::receive(shared, message) {
+                send(shared, sender.peers, Content::Begins(answer)).await;
+            }
+        }
         Content::Claims(update) => {
             let now = shared.clock.now();
             let peer = sender.instance();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! of log lines is done on one thread.
 
 pub mod auxiliary;
+pub mod begins;
 pub mod body;
 pub mod callers;
 pub mod clock;
@@ -196,6 +197,9 @@
         }
         shared.connections.close_expired();
         shared.peers.remove_expired();
+        begins::announce_due(&shared).await;
+        let now = shared.clock.now();
+        shared.begins.borrow_mut().remove_expired(now);
         let started = shared.clock.now();
         sleep(HOUSEKEEPING_PERIOD).await;
         if let Some(time) = suspensions.check() {
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -246,10 +246,15 @@
 
     /// The keeper of `key` and its deputy, with their addresses for peers.
     pub fn keepers(&self, key: u64) -> Vec<(Instance, SocketAddr)> {
+        self.rank(key, KEEPERS)
+    }
+
+    /// The first `count` instances for `key` by rendezvous hashing, with their addresses for peers.
+    pub fn rank(&self, key: u64, count: usize) -> Vec<(Instance, SocketAddr)> {
         let fleet = self.fleet.as_ref();
         let ranked = match fleet.filter(|_| self.is_settled) {
-            Some(fleet) => owner::rank(key, fleet.serving().map(|member| member.instance), KEEPERS),
-            None => owner::rank(key, self.not_dead().map(InstanceInfo::instance), KEEPERS),
+            Some(fleet) => owner::rank(key, fleet.serving().map(|member| member.instance), count),
+            None => owner::rank(key, self.not_dead().map(InstanceInfo::instance), count),
         };
         let at = |instance| Some((instance, self.info(instance)?.peers));
         ranked.into_iter().filter_map(at).collect()
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -61,6 +61,7 @@
     sends: IntCounterVec,
     notices: IntCounterVec,
     handoffs: IntCounterVec,
+    resumptions: IntCounterVec,
     retries: IntCounterVec,
     customers: IntCounterVec,
     moves: IntCounterVec,
@@ -141,6 +142,11 @@
                 "Requests handed to peers by outcome, and those served for peers",
                 &["outcome"],
             )?,
+            resumptions: vector(
+                "resumptions_total",
+                "Resumed streams by how the software version that began them was found out",
+                &["source"],
+            )?,
             retries: vector(
                 "retries_total",
                 "Retries by service and whether the budget granted them",
@@ -190,6 +196,11 @@
         self.handoffs.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a resumed stream whose software version was looked up, by how it was found out.
+    pub fn resumption(&self, source: &str) {
+        self.resumptions.with_label_values(&[source]).inc();
+    }
+
     /// Counts a retry requested from the budget.
     pub fn retries(&self, service: &str, granted: bool) {
         let granted = if granted { "yes" } else { "no" };
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -8,6 +8,7 @@
 use relay::permit::Work;
 use relay::server::Key;
 
+use crate::begins;
 use crate::job::Job;
 use crate::placement;
 use crate::placement::Placement;
@@ -75,6 +76,9 @@
         let Some(permit) = job.take_permit(Work::Run) else {
             return Err(next_without_placement(attempt));
         };
+        if let Some(software) = shared.software_of(key) {
+            begins::announce(shared, job, &software).await;
+        }
         tried.push(key);
         attempt.record_send();
         let sent = send::send(shared, job, key, task, placement.reservation(), permit);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -22,6 +22,7 @@
 
 use ident::Time;
 use ident::Zone;
+use relay::begins::Begins;
 use relay::budget::RetryBudget;
 use relay::claims::Claims;
 use relay::evacuation::Evacuations;
@@ -38,6 +39,7 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
+use crate::begins::Questions;
 use crate::clock::Clock;
 use crate::connections::Connector;
 use crate::connections::pool::ConnectionPool;
@@ -100,6 +102,12 @@
     pub quarantine: RefCell<Quarantine>,
     /// Quotas of customers.
     pub quotas: RefCell<Quotas>,
+    /// Software versions that began streams.
+    pub begins: RefCell<Begins>,
+    /// Questions to other daemons about them.
+    pub begin_questions: RefCell<Questions>,
+    /// Longest time for which a stream may be resumed after its begin.
+    stream_lifetime: Cell<Duration>,
     /// Lost replicas that are being probed.
     pub probes: Probes,
     /// Requests whose quarantine records have to be sent to the other daemons.
@@ -185,6 +193,9 @@
             forecasts_updated_at: Cell::new(Time::ZERO),
             quarantine: RefCell::new(Quarantine::new()),
             quotas: RefCell::new(Quotas::new()),
+            begins: RefCell::new(Begins::new()),
+            begin_questions: RefCell::new(Questions::new()),
+            stream_lifetime: Cell::new(Duration::ZERO),
             probes: Probes::new(),
             unannounced: Outbox::new(),
             unstored: Outbox::new(),
--- a/crates/gateway/src/shared/store_state.rs
+++ b/crates/gateway/src/shared/store_state.rs
@@ -13,6 +13,7 @@
 use relay::replica_state::StateChange;
 use relay::server::Key;
 
+use crate::begins::LIFETIME_FACTOR;
 use crate::poller_status::PollerStatus;
 use crate::shared::Shared;
 use crate::store;
@@ -51,6 +52,11 @@
                 pool.set_memory(name, engine.memory_tokens);
             }
         }
+        let streams = plan.routes.iter().filter(|route| route.mode.streams());
+        let longest = streams.map(|route| route.timeout * LIFETIME_FACTOR).max();
+        // Streams that began under an earlier plan may last longer.
+        let lifetime = self.stream_lifetime.get().max(longest.unwrap_or_default());
+        self.stream_lifetime.set(lifetime);
         let is_route = |name: &String| plan.routes.iter().any(|route| route.name == *name);
         let mut caller_timeouts = self.caller_timeouts.borrow_mut();
         caller_timeouts.retain(|name, _| is_route(name));
@@ -83,6 +89,14 @@
         self.log_changes(source.name(), &changes);
     }
 
+    /// The only software version that served `service` for as long as a stream can be resumed; `None` if
+    /// there were several, or if this daemon cannot exclude it.
+    pub fn only_version(&self, service: &str) -> Option<String> {
+        let (now, period) = (self.clock.now(), self.stream_lifetime.get());
+        let pool = self.pool.borrow();
+        pool.only_version(now, service, period).map(str::to_owned)
+    }
+
     /// Records the start time of the replica behind `key`, taken from one of its answers.
     pub fn update_birth(&self, key: Key, birth: Option<Birth>) {
         let now = self.clock.now();
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -12,6 +12,7 @@
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
+use crate::begins;
 use crate::reload;
 use crate::shared::STOP_MARGIN;
 use crate::shared::Shared;
@@ -60,6 +61,7 @@
     log::info!(kind = "stop", open = shared.open_requests() as u64; "stopping");
     shared.begin_stop();
     shared.members.borrow_mut().leave(shared.clock.now());
+    begins::hand_over(shared).await;
     let name = shared.settings().instance.clone();
     let started = Instant::now();
     let unlisted = timeout(UNLIST_TIMEOUT, shared.store.remove(instances::TABLE, &name)).await;
--- a/crates/gateway/tests/gateway/site.rs
+++ b/crates/gateway/tests/gateway/site.rs
@@ -34,7 +34,14 @@
 impl Site {
     /// Starts a daemon in front of `replicas`, each with its service and stage.
     pub fn start(name: &str, replicas: &[(&Replica, &str, &str)]) -> Self {
-        Self::with_daemon(replicas, |ip, store| Daemon::start(name, ip, store, &[]))
+        Self::start_with_plan(name, &config(1), replicas)
+    }
+
+    /// The same with `plan`.
+    pub fn start_with_plan(name: &str, plan: &Value, replicas: &[(&Replica, &str, &str)]) -> Self {
+        Self::with_daemon(plan, replicas, |ip, store| {
+            Daemon::start(name, ip, store, &[])
+        })
     }
 
     /// Starts a daemon in front of one prefill replica and some decode replicas.
@@ -46,17 +53,18 @@
 
     /// Starts a daemon in front of `replicas` whose standard output is not read.
     pub fn start_with_unread_output(name: &str, replicas: &[(&Replica, &str, &str)]) -> Self {
-        Self::with_daemon(replicas, |ip, store| {
+        Self::with_daemon(&config(1), replicas, |ip, store| {
             Daemon::start_with_unread_output(name, ip, store, &[])
         })
     }
 
     fn with_daemon(
+        plan: &Value,
         replicas: &[(&Replica, &str, &str)],
         start: impl Fn(&str, SocketAddr) -> Daemon,
     ) -> Self {
         let (store, store_address) = Store::start("127.0.0.1");
-        store.put("op", "config", &config(1));
+        store.put("op", "config", plan);
         for (replica, service, stage) in replicas {
             store.put("servers", &replica.id, &replica.row(service, stage));
         }
--- a/crates/gateway/tests/gateway/versions.rs
+++ b/crates/gateway/tests/gateway/versions.rs
@@ -3,9 +3,12 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::thread;
 use std::time::Duration;
 
 use rstest::rstest;
+use rustix::process::Signal;
+use serde_json::Value;
 
 use crate::common::caller::Caller;
 use crate::common::daemon::Daemon;
@@ -16,6 +19,7 @@
 use crate::common::replica::chunk;
 use crate::common::replica::events;
 use crate::common::replica::stream_head;
+use crate::common::store;
 use crate::site::Site;
 use crate::site::start_generation;
 
@@ -88,6 +92,15 @@
     stream
 }
 
+/// Waits until each of `daemons` knows `count` members, itself included.
+fn wait_until_members(daemons: &[&Daemon], count: usize) {
+    let line = format!("gateway_members {count}\n");
+    wait_until("the members are known", || {
+        let knows = |daemon: &&Daemon| daemon.metrics().contains(&line);
+        daemons.iter().all(knows)
+    });
+}
+
 /// Waits until `daemon` knows the replicas `ids`.
 fn wait_until_known(daemon: &Daemon, ids: &[&str]) {
     wait_until("the replicas are known", || {
@@ -187,10 +200,7 @@
     let another = site.start_another("resumed-elsewhere-too", true);
     another.wait_until_ready();
     site.daemon.wait_until_ready();
-    wait_until("the daemons know each other", || {
-        let knows = |daemon: &Daemon| daemon.metrics().contains("gateway_members 2");
-        knows(&site.daemon) && knows(&another)
-    });
+    wait_until_members(&[&site.daemon, &another], 2);
     let stream = begin_stream(&site);
     if is_killed {
         site.daemon.kill();
@@ -210,6 +220,136 @@
     );
 }
 
+/// Guards against guessing the version of a stream that nobody knows.
+#[test]
+fn a_resumption_whose_version_is_unknown_is_refused() {
+    let one = Engine::start("i-one", "v1");
+    let other = Engine::start("i-other", "v1.1");
+    let site = Site::start("unknown-version", &[]);
+    one.list(&site, "here");
+    other.list(&site, "here");
+    wait_until_known(&site.daemon, &["i-one", "i-other"]);
+    site.daemon.wait_until_ready();
+    let answer = resume(&site.daemon, "a2", "a1", "1");
+    assert_eq!(answer.status(), 503);
+    assert!(answer.header("retry-after").is_some());
+    assert_eq!((one.runs(), other.runs()), (0, 0));
+}
+
+/// A plan whose streams can be resumed for a second only.
+fn short_plan() -> Value {
+    store::config(1, 500, 300)
+}
+
+/// Guards against refusing all resumptions where instances have lost their state, although no other version serves.
+#[test]
+fn a_resumption_of_an_unknown_stream_is_served_if_only_one_version_has_served_for_long() {
+    let one = Engine::start("i-one", "v1");
+    let site = Site::start_with_plan("only-version", &short_plan(), &[]);
+    one.list(&site, "here");
+    site.daemon.wait_until_ready();
+    assert_eq!(resume(&site.daemon, "a2", "a1", "18").status(), 503);
+    thread::sleep(Duration::from_millis(1_200));
+    let answer = resume(&site.daemon, "a3", "a1", "18");
+    let expected = event_texts(19, EVENTS);
+    assert_eq!(String::from_utf8_lossy(&answer.body), expected);
+    // An instance that has just started learns it from the other one.
+    let another = site.start_another("only-version-too", true);
+    another.wait_until_ready();
+    wait_until_members(&[&another], 2);
+    let answer = resume(&another, "a4", "a1", "18");
+    assert_eq!(String::from_utf8_lossy(&answer.body), expected);
+    let other = Engine::start("i-other", "v1.1");
+    other.list(&site, "here");
+    wait_until_known(&site.daemon, &["i-other"]);
+    assert_eq!(resume(&site.daemon, "b2", "b1", "18").status(), 503);
+    assert_eq!(other.runs(), 0);
+}
+
+/// Guards against announcing nothing of the streams that were running when another version came.
+#[test]
+fn a_stream_that_began_before_another_version_came_is_resumed_elsewhere() {
+    let first = Engine::start("i-first", "v1");
+    let plan = store::config(1, 1_500, 500);
+    let mut site = Site::start_with_plan("before-release", &plan, &[]);
+    first.list(&site, "here");
+    let another = site.start_another("before-release-too", true);
+    another.wait_until_ready();
+    site.daemon.wait_until_ready();
+    wait_until_members(&[&site.daemon, &another], 2);
+    thread::sleep(Duration::from_millis(3_500));
+    let stream = begin_stream(&site);
+    let same = Engine::start("i-same", "v1");
+    let other = Engine::start("i-other", "v1.1");
+    same.list(&site, "there");
+    other.list(&site, "here");
+    wait_until_known(&site.daemon, &["i-same", "i-other"]);
+    wait_until_known(&another, &["i-same", "i-other"]);
+    // Time for the announcement.
+    thread::sleep(Duration::from_millis(300));
+    site.daemon.kill();
+    drop(stream);
+    first.end(&site);
+    let answer = resume(&another, "a2", "a1", "18");
+    assert_eq!((same.runs(), other.runs()), (1, 0));
+    assert_eq!(
+        String::from_utf8_lossy(&answer.body),
+        event_texts(19, EVENTS)
+    );
+}
+
+/// Guards against losing the versions of streams when all instances are stopped one after the other.
+#[test]
+fn an_instance_that_stops_hands_its_knowledge_of_streams_over() {
+    let first = Engine::start("i-first", "v1");
+    let other = Engine::start("i-other", "v1.1");
+    let mut site = Site::start("handed-over", &[]);
+    first.list(&site, "here");
+    let mut second = site.start_another("handed-over-2", true);
+    second.wait_until_ready();
+    site.daemon.wait_until_ready();
+    wait_until_members(&[&site.daemon, &second], 2);
+    let mut stream = begin_stream(&site);
+    other.list(&site, "here");
+    let third = site.start_another("handed-over-3", true);
+    third.wait_until_ready();
+    wait_until_members(&[&second], 3);
+    // Only the second one knows the stream besides its own daemon, which is killed.
+    site.daemon.kill();
+    drop(stream.read());
+    wait_until_members(&[&second], 2);
+    second.signal(Signal::TERM);
+    second.wait_for_exit();
+    wait_until_known(&third, &["i-first", "i-other"]);
+    let answer = resume(&third, "a2", "a1", "1");
+    assert_eq!(
+        String::from_utf8_lossy(&answer.body),
+        event_texts(2, EVENTS)
+    );
+    assert_eq!(other.runs(), 0);
+}
+
+/// Guards against keeping a caller waiting for a version that is gone.
+#[test]
+fn a_resumption_is_refused_at_once_if_its_version_has_no_replicas() {
+    let first = Engine::start("i-first", "v1");
+    let (site, mut stream) = start_stream("version-gone", &first);
+    let other = Engine::start("i-other", "v1.1");
+    other.list(&site, "here");
+    wait_until_known(&site.daemon, &["i-other"]);
+    first.end(&site);
+    drop(stream.read());
+    wait_until("the replica is gone", || {
+        !site.daemon.logged("\"belief\":\"Gone\"").is_empty()
+    });
+    let answer = resume(&site.daemon, "a2", "a1", "1");
+    assert_eq!(answer.status(), 503);
+    assert!(answer.header("retry-after").is_some());
+    let lines = site.daemon.logged("\"request\":\"a2\"");
+    assert!(!lines.iter().any(|line| line.contains("has room")));
+    assert_eq!(other.runs(), 0);
+}
+
 /// Guards against a KV cache that one version wrote and another one reads.
 #[test]
 fn a_prompt_is_prefilled_by_the_version_that_answers() {
--- /dev/null
+++ b/crates/relay/src/begins.rs
@@ -0,0 +1,154 @@
+//! The software versions that began streams, so that callers can resume them at any instance.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use ident::Time;
+use rapidhash::v3::rapidhash_v3;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Identifies a stream: hash of the id of the attempt that received its first event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Stream(pub u64);
+
+impl Stream {
+    /// The stream whose first event the attempt `id` received.
+    pub fn new(id: &str) -> Self {
+        Self(rapidhash_v3(id.as_bytes()))
+    }
+}
+
+/// Which version began a stream, as one daemon announces it to others.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Begin {
+    /// The stream.
+    pub stream: Stream,
+    /// The version.
+    pub software: String,
+    /// Number of versions before it that brought no event; announcements may overtake each other.
+    pub change: u8,
+    /// Time for which the stream may be resumed.
+    pub lifetime: Duration,
+}
+
+/// What a daemon knows of one stream.
+#[derive(Debug, Clone)]
+struct Record {
+    software: String,
+    change: u8,
+    expires: Time,
+}
+
+/// The streams that a daemon knows: its own, and those that others announced to it.
+#[derive(Debug, Default)]
+pub struct Begins {
+    records: HashMap<Stream, Record>,
+    /// Streams of this daemon that it has not announced, with their services.
+    unannounced: HashMap<Stream, String>,
+}
+
+impl Begins {
+    /// No streams.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records that `software` begins or resumes `stream` of `service` at this daemon, which has to
+    /// be announced.
+    pub fn begin(
+        &mut self,
+        now: Time,
+        stream: Stream,
+        service: &str,
+        software: &str,
+        lifetime: Duration,
+    ) {
+        let known = self.records.get(&stream);
+        let change = known.map_or(0, |known| {
+            known.change + u8::from(known.software != software)
+        });
+        let record = Record {
+            software: software.to_owned(),
+            change,
+            expires: now + lifetime,
+        };
+        self.records.insert(stream, record);
+        self.unannounced.insert(stream, service.to_owned());
+    }
+
+    /// Records what another daemon announced.
+    pub fn learn(&mut self, now: Time, begin: &Begin) {
+        let expires = now + begin.lifetime;
+        match self.records.get_mut(&begin.stream) {
+            Some(known) if known.change > begin.change => {}
+            Some(known) if known.software == begin.software => {
+                known.expires = known.expires.max(expires);
+                known.change = known.change.max(begin.change);
+            }
+            _ => {
+                let record = Record {
+                    software: begin.software.clone(),
+                    change: begin.change,
+                    expires,
+                };
+                self.records.insert(begin.stream, record);
+            }
+        }
+    }
+
+    /// The version that began `stream`, if it is known.
+    pub fn software(&self, now: Time, stream: Stream) -> Option<&str> {
+        let record = self.records.get(&stream)?;
+        (now < record.expires).then_some(record.software.as_str())
+    }
+
+    /// Returns the streams of this daemon that it has not announced and whose service meets `is_due`;
+    /// they count as announced from now on.
+    pub fn take_unannounced(&mut self, now: Time, is_due: impl Fn(&str) -> bool) -> Vec<Begin> {
+        let due = self
+            .unannounced
+            .extract_if(|_, service| is_due(service.as_str()));
+        let records = due.filter_map(|(stream, _)| Some((stream, self.records.get(&stream)?)));
+        records
+            .map(|(stream, record)| record.begin(now, stream))
+            .collect()
+    }
+
+    /// All streams, for the daemons that have to know them after this one has left.
+    pub fn all(&self, now: Time) -> Vec<Begin> {
+        let records = self.records.iter();
+        let records = records.filter(|(_, record)| now < record.expires);
+        records
+            .map(|(stream, record)| record.begin(now, *stream))
+            .collect()
+    }
+
+    /// Forgets the streams that no caller can resume any more.
+    pub fn remove_expired(&mut self, now: Time) {
+        self.records.retain(|_, record| now < record.expires);
+        self.unannounced
+            .retain(|stream, _| self.records.contains_key(stream));
+    }
+
+    /// Number of known streams.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether no stream is known.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+}
+
+impl Record {
+    fn begin(&self, now: Time, stream: Stream) -> Begin {
+        Begin {
+            stream,
+            software: self.software.clone(),
+            change: self.change,
+            lifetime: self.expires.since(now),
+        }
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod admission;
 pub mod attempt;
 pub mod balance;
+pub mod begins;
 pub mod budget;
 pub mod claim_publisher;
 pub mod claims;
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -10,6 +10,7 @@
 mod prefill;
 mod reach;
 mod silence;
+mod versions;
 
 use std::cell::Cell;
 use std::collections::BTreeMap;
@@ -25,6 +26,7 @@
 use crate::balance::StageCounts;
 use crate::plan::ColdStart;
 use crate::pool::index::Index;
+use crate::pool::versions::Versions;
 use crate::reach::Reach;
 use crate::replica::Load;
 use crate::replica::Replica;
@@ -53,6 +55,7 @@
 pub struct Pool {
     servers: SlotMap<Key, Server>,
     index: Index,
+    versions: Versions,
     /// Replicas that are missing from the list and still used.
     lapsing: BTreeSet<Key>,
     /// Replicas with a forecast.
--- a/crates/relay/src/pool/list.rs
+++ b/crates/relay/src/pool/list.rs
@@ -227,6 +227,8 @@
         }
         let changed = server.replica.draining != replica.draining || !is_listed;
         self.index.remove(key, server);
+        self.versions.remove(now, &server.replica);
+        self.versions.add(&replica);
         server.changed = self.version;
         // A replica whose entry changes is alive: it refused requests because its stage had
         // changed.
@@ -251,6 +253,7 @@
         server.evacuated = self.evacuated.contains(&replica.data_centre);
         server.assumed_cold_until = self.assumed_cold_until(replica);
         server.peer_prefill_tokens = self.no_peer_prefills();
+        self.versions.add(replica);
         let key = self.servers.insert(server);
         self.index.insert(key, &self.servers[key]);
         key
@@ -261,6 +264,7 @@
         self.retained_notices
             .keep(now, key, &server.replica, server.notices);
         self.index.remove(key, &server);
+        self.versions.remove(now, &server.replica);
         self.lapsing.remove(&key);
         self.with_requests.remove(&key);
         self.unresponsive.remove(&key);
