--- a/crates/ctl/tests/waxwing/views.rs
+++ b/crates/ctl/tests/waxwing/views.rs
@@ -1,5 +1,6 @@
 //! Commands that read without changing anything.
 
+use rstest::rstest;
 use serde_json::Value;
 use serde_json::json;
 
@@ -295,6 +296,34 @@
     assert!(!output.stdout.contains("vinkovci-b"), "another daemon");
 }
 
+const RESUMPTION_LINES: [&str; 5] = [
+    r#"{"instance":"edge-1","run":"a1","up_ms":100,"time":"2026-12-02T10:00:05Z","kind":"resumption","request":"77aa","resumes":"66bb","last_event":7}"#,
+    r#"{"instance":"edge-1","run":"a1","up_ms":102,"time":"2026-12-02T10:00:05Z","kind":"begin","request":"77aa","resumes":"66bb","software":"v1.1","source":"began","ms":2}"#,
+    r#"{"instance":"edge-1","run":"a1","up_ms":200,"time":"2026-12-02T10:00:05Z","kind":"send","request":"77aa","replica":"i-1","software":"v1.1","task":"answer","in_flight":2,"replicas":7,"plan":3,"left_ms":13900}"#,
+    r#"{"instance":"edge-1","run":"a1","up_ms":300,"time":"2026-12-02T10:00:06Z","kind":"begin","request":"88cc","resumes":"99dd","software":"","source":"unknown","ms":100}"#,
+    r#"{"instance":"edge-1","run":"a1","up_ms":301,"time":"2026-12-02T10:00:06Z","kind":"end","request":"88cc","outcome":"refused","status":503,"ms":101,"cause":"the software version that began the stream is unknown"}"#,
+];
+
+#[rstest]
+#[case::known("77aa", &[
+    "the caller resumes the stream of its attempt 66bb after event 7",
+    "the stream was begun by version v1.1 (began)",
+    "sent to i-1 (version v1.1) to answer",
+])]
+#[case::unknown("88cc", &[
+    "nobody knows which software version began the stream",
+    "END: refused, it has not run: the software version that began the stream is unknown",
+])]
+fn timeline_shows_the_software_version_of_a_resumed_stream(
+    #[case] request: &str,
+    #[case] expected: &[&str],
+) {
+    let env = Env::new();
+    let log = env.write_file("one.log", &RESUMPTION_LINES.join("\n"));
+    let output = env.run(&["explain", request, "--log", &log]).assert_code(0);
+    assert_in_order(&output.stdout, expected);
+}
+
 #[test]
 fn timeline_without_end_shows_restart_of_daemon() {
     let env = Env::new();
--- a/crates/gateway/src/begins.rs
+++ b/crates/gateway/src/begins.rs
@@ -116,7 +116,15 @@
 /// Announces the streams of services with several versions that are not announced yet.
 pub async fn announce_due(shared: &Shared) {
     let now = shared.clock.now();
-    let is_due = |service: &str| shared.only_version(service).is_none();
+    let mut known: HashMap<String, bool> = HashMap::new();
+    let is_due = |service: &str| match known.get(service) {
+        Some(is_due) => *is_due,
+        None => {
+            let is_due = shared.only_version(service).is_none();
+            known.insert(service.to_owned(), is_due);
+            is_due
+        }
+    };
     let due = shared.begins.borrow_mut().take_unannounced(now, is_due);
     send(shared, due).await;
 }
--- a/crates/relay/src/begins.rs
+++ b/crates/relay/src/begins.rs
@@ -105,7 +105,11 @@
 
     /// Returns the streams of this daemon that it has not announced and whose service meets `is_due`;
     /// they count as announced from now on.
-    pub fn take_unannounced(&mut self, now: Time, is_due: impl Fn(&str) -> bool) -> Vec<Begin> {
+    pub fn take_unannounced(
+        &mut self,
+        now: Time,
+        mut is_due: impl FnMut(&str) -> bool,
+    ) -> Vec<Begin> {
         let due = self
             .unannounced
             .extract_if(|_, service| is_due(service.as_str()));
--- a/crates/relay/tests/begins.rs
+++ b/crates/relay/tests/begins.rs
@@ -40,7 +40,7 @@
     let due = begins.take_unannounced(at(1), |service| service == SERVICE);
     assert_eq!(due.len(), 1);
     assert_eq!(due[0].software, "v1");
-    assert_eq!(due[0].lifetime, LIFETIME - Duration::from_secs(1));
+    assert_eq!(due[0].lifetime, Duration::from_secs(29));
     assert!(
         begins
             .take_unannounced(at(1), |service| service == SERVICE)
