Soak: replicas of two software versions, and callers that resume streams

Model replicas have one of two versions by their number, so that each replacement may bring the other one, and write it into their events. Callers whose answer is cut off, or whose connection breaks at their own side after some events, resume the stream at random daemons with Resumes. Checked: all events of a stream, over all attempts, come from one version (ORDER); after the faults, of the streams whose version has two replicas at least half as large a share is resumed as of new streams begins (LOST).

--- a/crates/gateway/tests/soak/callers.rs
+++ b/crates/gateway/tests/soak/callers.rs
@@ -19,6 +19,7 @@
 use crate::customer::TOKEN_COUNTS;
 use crate::history::Kind;
 use crate::history::ResponseRecord;
+use crate::resumption;
 
 /// Time limit of each request, sent as `Deadline-Ms`.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
@@ -53,6 +54,7 @@
 /// Sends requests until the callers are stopped.
 pub fn run(cluster: &Cluster, seed: u64) {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut resumption_rng = Pcg64Mcg::seed_from_u64(!seed);
     let mut number = 0;
     let mut connections: [Option<Caller>; DAEMONS] = Default::default();
     while !cluster.callers_stopped() {
@@ -60,7 +62,7 @@
         let instance = rng.random_range(0..DAEMONS);
         let customer = Customer::for_request(number);
         let id = customer.id(&format!("{seed}-{number}"));
-        send_request(
+        let response = send_request(
             cluster,
             instance,
             kind,
@@ -68,6 +70,9 @@
             &id,
             &mut connections[instance],
         );
+        if kind == Kind::Resumable {
+            resumption::run(cluster, &mut resumption_rng, customer, &id, &response);
+        }
         number += 1;
         thread::sleep(Duration::from_millis(rng.random_range(1..30)));
     }
@@ -301,14 +306,47 @@
     }
 }
 
+/// A stream that a caller resumes.
+#[derive(Debug, Clone, Copy)]
+pub struct Resumed<'a> {
+    /// Id of the attempt that received its first event.
+    pub begun: &'a str,
+    /// Id of the last event that the caller received.
+    pub last_event: u64,
+}
+
+/// Resumes a stream on a new connection.
+pub fn resume(
+    cluster: &Cluster,
+    instance: usize,
+    customer: Customer,
+    id: &str,
+    resumed: Resumed<'_>,
+) -> Message {
+    let (kind, resumed) = (Kind::Resumable, Some(resumed));
+    send(cluster, instance, kind, customer, id, resumed, &mut None)
+}
+
 /// Sends a request, on `connection` if it is usable, and stores the connection that it used there for the next one.
-fn send_request(
+pub fn send_request(
     cluster: &Cluster,
     instance: usize,
     kind: Kind,
     customer: Customer,
     id: &str,
     connection: &mut Option<Caller>,
+) -> Message {
+    send(cluster, instance, kind, customer, id, None, connection)
+}
+
+fn send(
+    cluster: &Cluster,
+    instance: usize,
+    kind: Kind,
+    customer: Customer,
+    id: &str,
+    resumed: Option<Resumed<'_>>,
+    connection: &mut Option<Caller>,
 ) -> Message {
     let line = match kind {
         Kind::Once => "POST /book/1",
@@ -319,12 +357,20 @@
     let address = cluster.instances[instance].callers;
     let start = Instant::now();
     let timeout = REQUEST_TIMEOUT.as_millis().to_string();
-    let headers = [
+    let last_event = resumed.map_or(0, |resumed| resumed.last_event);
+    let last_event_text = last_event.to_string();
+    let mut headers = vec![
         ("Request-Id", id),
         ("Deadline-Ms", &timeout),
         ("Token-Counts", TOKEN_COUNTS),
         ("X-Api-Key", customer.key()),
     ];
+    if let Some(resumed) = resumed {
+        headers.extend([
+            ("Last-Event-Id", last_event_text.as_str()),
+            ("Resumes", resumed.begun),
+        ]);
+    }
     cluster.notices.record_sent(id);
     let reused = connection
         .take()
@@ -343,6 +389,7 @@
         status: response.status(),
         complete: response.complete,
         body: String::from_utf8_lossy(&response.body).into_owned(),
+        first_event: last_event + 1,
         elapsed_and_limit: (start.elapsed(), REQUEST_TIMEOUT),
         disturbed: cluster.instances[instance].was_disturbed_since(start),
     };
--- a/crates/gateway/tests/soak/cluster.rs
+++ b/crates/gateway/tests/soak/cluster.rs
@@ -166,6 +166,7 @@
     pub fn add_replica(&self, service: &'static str, stage: &'static str) {
         let number = self.replica_count.fetch_add(1, Ordering::SeqCst);
         let id = format!("i-{number}");
+        let version = script::version(number);
         let random = RandomSource::new(self.seed * 977 + number, self.only_second_answers);
         let second_answer_random = RandomSource::new(self.seed * 983 + number, false);
         let cluster = self.clone();
@@ -189,8 +190,12 @@
                 cluster.end_replica(&own_id, draw);
                 return Action::Crash(stream_head(request));
             }
-            let action =
-                script::choose_action(&cluster.history, stage, request, (draw, malformed_draw));
+            let action = script::choose_action(
+                &cluster.history,
+                (stage, version),
+                request,
+                (draw, malformed_draw),
+            );
             if request.path().starts_with("/api/") {
                 return action;
             }
@@ -221,6 +226,7 @@
         let mut row = replica.row(service, stage);
         row["addr"] = json!(proxy.address);
         row["zone"] = data_centre(&id).into();
+        row["version"] = version.into();
         self.store.put("servers", &id, &row);
         let entry = (replica, proxy, service, stage, is_draining);
         self.replicas.lock().unwrap().push(entry);
@@ -277,10 +283,20 @@
         let mut row = replica.row(service, stage);
         row["addr"] = json!(proxy.address);
         row["zone"] = data_centre(&replica.id).into();
+        row["version"] = script::version(number(&replica.id)).into();
         row["state"] = "draining".into();
         self.store.put("servers", &replica.id, &row);
     }
 
+    /// Number of decode replicas of the software version `version`.
+    pub fn decode_replicas(&self, version: &str) -> usize {
+        let replicas = self.replicas.lock().unwrap();
+        let decode = replicas.iter().filter(|entry| entry.3 == "decode");
+        decode
+            .filter(|entry| script::version(number(&entry.0.id)) == version)
+            .count()
+    }
+
     /// Begins or ends the evacuation of a data centre with about half of the replicas.
     pub fn set_evacuated(&self, evacuated: bool) {
         let key = format!("evacuate/{EVACUATED}");
@@ -396,10 +412,14 @@
     }
 }
 
+fn number(id: &str) -> u64 {
+    let number = id.rsplit('-').next().unwrap_or_default();
+    number.parse().unwrap()
+}
+
 /// The data centre of the replica `id`.
 fn data_centre(id: &str) -> &'static str {
-    let number = id.rsplit('-').next().unwrap_or_default();
-    if number.ends_with(['1', '3', '5', '7', '9']) {
+    if number(id) % 2 == 1 {
         EVACUATED
     } else {
         "here"
--- a/crates/gateway/tests/soak/history.rs
+++ b/crates/gateway/tests/soak/history.rs
@@ -1,6 +1,7 @@
 //! Records what callers and replicas observe and checks it against the promises.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
@@ -44,6 +45,8 @@
     pub complete: bool,
     /// The body.
     pub body: String,
+    /// Id of the first event that the caller expects.
+    pub first_event: u64,
     /// Time until the end of the answer, and the time limit of the caller.
     pub elapsed_and_limit: (Duration, Duration),
     /// Whether the daemon was paused, killed or stopped during the request.
@@ -69,6 +72,8 @@
     quota_runs: Mutex<Vec<Instant>>,
     /// Arrival times of requests at each rate-limited replica, by replica ID.
     limited_arrivals: Mutex<HashMap<String, Vec<Instant>>>,
+    /// Attempts of callers to resume a stream, by status.
+    resumptions: Mutex<BTreeMap<u16, u32>>,
     /// Messages about data that belonged to another request or customer.
     misdirected: Mutex<Vec<String>>,
 }
@@ -135,6 +140,18 @@
         self.second_answers.fetch_add(1, Ordering::SeqCst);
     }
 
+    /// Records how a resumed stream ended.
+    pub fn record_resumption(&self, status: u16) {
+        let mut resumptions = self.resumptions.lock().unwrap();
+        *resumptions.entry(status).or_default() += 1;
+    }
+
+    /// Records that a stream was resumed by another software version than the one that began it.
+    pub fn record_joined_versions(&self, id: &str, begun: &str, resumed: &str) {
+        let text = format!("ORDER: {id} resumes at {resumed} a stream of {begun}");
+        self.misdirected.lock().unwrap().push(text);
+    }
+
     /// Records that data reached a request or customer to which it does not belong.
     pub fn record_misdirected(&self, what: &str) {
         self.misdirected
@@ -191,7 +208,8 @@
         });
         let texts = texts.collect::<Vec<_>>().join(", ");
         format!(
-            "{texts}; {} replicas ended, {} answers sent twice, {} requests with a KV cache, {} with a reservation",
+            "{texts}; resumptions by status {:?}; {} replicas ended, {} answers sent twice, {} requests with a KV cache, {} with a reservation",
+            self.resumptions.lock().unwrap(),
             self.ended_replicas(),
             self.second_answers.load(Ordering::SeqCst),
             self.cache_uses.load(Ordering::SeqCst),
@@ -245,16 +263,19 @@
 fn check_events(id: &str, response: &ResponseRecord) -> Result<(), String> {
     let parts = response.body.split("\n\n").collect::<Vec<_>>();
     let (last, parts) = parts.split_last().ok_or("no body")?;
-    for (number, event) in (1..).zip(parts) {
-        let expected = format!("id: {number}\ndata: {id}");
-        if *event != expected {
-            return Err(format!("MIXED: event {number} is `{event}`"));
-        }
+    let mut versions = BTreeSet::new();
+    for (number, event) in (response.first_event..).zip(parts) {
+        let expected = format!("id: {number}\ndata: {id} ");
+        let version = event.strip_prefix(&expected);
+        let version = version.ok_or_else(|| format!("MIXED: event {number} is `{event}`"))?;
+        versions.insert(version);
+    }
+    if versions.len() > 1 {
+        return Err(format!("ORDER: events of the versions {versions:?}"));
     }
+    let last_event = response.first_event + parts.len() as u64 - 1;
     match response.complete {
-        true if parts.len() as u64 != STREAM_EVENTS => {
-            Err(format!("complete with {} events", parts.len()))
-        }
+        true if last_event != STREAM_EVENTS => Err(format!("complete with {} events", parts.len())),
         true if !last.is_empty() => Err("complete, but its last event is cut".to_owned()),
         _ => Ok(()),
     }
--- a/crates/gateway/tests/soak/main.rs
+++ b/crates/gateway/tests/soak/main.rs
@@ -18,6 +18,7 @@
 mod limit;
 mod notices;
 mod proxy;
+mod resumption;
 mod script;
 
 use std::env;
@@ -137,6 +138,7 @@
         thread::sleep(SYNC_TIME);
         violations.extend(callers::check_quarantine(&cluster).err());
         violations.extend(callers::check_evacuation(&cluster).err());
+        violations.extend(resumption::check(&cluster).err());
         violations.extend(callers::check_partition(&cluster, seed).err());
     }
     // Requests that still run at a replica end within the duration of its longest answer.
--- a/crates/gateway/tests/soak/script.rs
+++ b/crates/gateway/tests/soak/script.rs
@@ -27,6 +27,8 @@
 const UNKNOWN_ID_FRACTION: f64 = 0.02;
 /// Request id that no request has.
 const UNKNOWN_ID: &str = "nobody";
+/// Software versions that serve side by side; each replacement of a replica may bring another one.
+const VERSIONS: [&str; 2] = ["v1", "v1.1"];
 /// A draw at which a replica behaves correctly.
 const NO_FAULT: f64 = 1.0;
 
@@ -80,7 +82,7 @@
 /// Chooses how a replica handles `request`; `malformed_draw` decides whether its answer is malformed.
 pub fn choose_action(
     history: &History,
-    stage: &str,
+    (stage, version): (&str, &str),
     request: &Message,
     (draw, malformed_draw): (f64, f64),
 ) -> Action {
@@ -92,7 +94,7 @@
         _ if draw < 0.06 => {
             return maybe_replace_id(Action::Send(not_run_answer(request)), malformed_draw);
         }
-        "decode" => generate(request, draw),
+        "decode" => generate(request, version, draw),
         _ => answer_call(request, draw, malformed_draw),
     };
     history.record_run(request_id(request));
@@ -145,15 +147,15 @@
     }
 }
 
-/// Streams the events of a generation.
-fn generate(request: &Message, draw: f64) -> Action {
+/// Streams the events of a generation, which name the software version that wrote them.
+fn generate(request: &Message, version: &str, draw: f64) -> Action {
     let last_id: u64 = request
         .header("last-event-id")
         .map_or(0, |id| id.parse().unwrap());
     let is_cut = draw < 0.12 && last_id + 5 < STREAM_EVENTS;
     let end = if is_cut { last_id + 5 } else { STREAM_EVENTS };
     let mut parts = vec![stream_head(request)];
-    parts.extend((last_id + 1..=end).map(|number| event(number, request_id(request))));
+    parts.extend((last_id + 1..=end).map(|number| event(number, request_id(request), version)));
     if is_cut {
         return Action::SendAndClose(parts.concat());
     }
@@ -211,7 +213,12 @@
     lines.collect::<String>().into_bytes()
 }
 
+/// Software version of the model replica with this number.
+pub fn version(number: u64) -> &'static str {
+    VERSIONS[number as usize / 2 % VERSIONS.len()]
+}
+
 /// Encodes one event of the stream of the request `id` as a chunk.
-fn event(number: u64, id: &str) -> Vec<u8> {
-    chunk(format!("id: {number}\ndata: {id}\n\n").as_bytes())
+fn event(number: u64, id: &str, version: &str) -> Vec<u8> {
+    chunk(format!("id: {number}\ndata: {id} {version}\n\n").as_bytes())
 }
