Let resumed streams wait for room at the replicas of their version

Change: a resumed stream waits as long as a retry of a refused one (2.4 times the objective; callers give up after four times without an event), goes first as before, and leaves no more room than a new one.

Before: versions::a_resumption_waits_until_a_replica_of_its_version_has_room (room after 1.5 s) failed with 503. After: passes.

--- a/crates/gateway/tests/gateway/versions.rs
+++ b/crates/gateway/tests/gateway/versions.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use rstest::rstest;
 use rustix::process::Signal;
@@ -14,6 +15,7 @@
 use crate::common::daemon::Daemon;
 use crate::common::daemon::wait_until;
 use crate::common::http::Message;
+use crate::common::http::answer;
 use crate::common::replica::Action;
 use crate::common::replica::Replica;
 use crate::common::replica::chunk;
@@ -350,6 +352,35 @@
     assert_eq!(other.runs(), 0);
 }
 
+/// Guards against refusing resumptions that fit few replicas, while new streams find room at other versions.
+#[test]
+fn a_resumption_waits_until_a_replica_of_its_version_has_room() {
+    let first = Engine::start("i-first", "v1");
+    let (site, stream) = start_stream("waits-for-room", &first);
+    drop(stream);
+    let same = Engine::start("i-same", "v1");
+    let other = Engine::start("i-other", "v1.1");
+    let full_until = Instant::now() + Duration::from_millis(1_500);
+    same.replica.set_call_handler(move |call| {
+        let is_full = call.path() == "/api/hold-take" && Instant::now() < full_until;
+        is_full.then(|| answer(503, &[], b""))
+    });
+    same.list(&site, "here");
+    other.list(&site, "here");
+    wait_until_known(&site.daemon, &["i-same", "i-other"]);
+    first.end(&site);
+    wait_until("the replica is gone", || {
+        !site.daemon.logged("\"belief\":\"Gone\"").is_empty()
+    });
+    assert!(Instant::now() < full_until);
+    let answer = resume(&site.daemon, "a2", "a1", "1");
+    assert_eq!((same.runs(), other.runs()), (1, 0));
+    assert_eq!(
+        String::from_utf8_lossy(&answer.body),
+        event_texts(2, EVENTS)
+    );
+}
+
 /// Guards against a KV cache that one version wrote and another one reads.
 #[test]
 fn a_prompt_is_prefilled_by_the_version_that_answers() {
--- a/crates/relay/src/timing.rs
+++ b/crates/relay/src/timing.rs
@@ -22,7 +22,8 @@
 /// Fraction of a replica's memory that late generations leave free: most of a run, if a replica has
 /// room for seven.
 const LATE_SPARE: f64 = 0.1;
-/// How long late generations wait for a slot, behind all others, as a multiple of the objective.
+/// How long late generations wait for a slot, as a multiple of the objective; retries wait behind all
+/// others.
 /// Callers give up after four times the objective without an event, and the rest is enough for the
 /// prefill. When late generations got their turn after 1.6 times the objective, the late share in a
 /// lasting overload was 26 % instead of 15 %.
@@ -40,7 +41,7 @@
     New,
     /// A retry of a refused generation.
     Returned,
-    /// A late generation without another chance, because its replica was lost.
+    /// A late generation without another chance, because its replica was lost: a resumed stream.
     Due,
 }
 
@@ -57,7 +58,12 @@
     /// Conditions for this kind, where `usual` are those of a new generation.
     pub fn terms(self, usual: Terms) -> Terms {
         match self {
-            Self::New | Self::Due => usual,
+            Self::New => usual,
+            // It fits fewer replicas, those of one software version, and has no other chance.
+            Self::Due => Terms {
+                wait: usual.wait.max(LATE_WAIT),
+                spare: usual.spare,
+            },
             Self::Returned => Terms {
                 wait: usual.wait.max(LATE_WAIT),
                 spare: usual.spare.max(LATE_SPARE),
