--- a/crates/gateway/tests/gateway/cut_site.rs
+++ b/crates/gateway/tests/gateway/cut_site.rs
@@ -29,6 +29,7 @@
 /// Paths of generations and of a call that take a second or more.
 pub const SLOW_DRAFT: &str = "/draft/slow";
 pub const SLOW_STREAM: &str = "/resume/slow";
+pub const SLOWER_STREAM: &str = "/resume/slower";
 pub const SLOW_READ: &str = "/read/slow";
 /// Path of a generation whose answer is far larger than the socket buffers.
 pub const FLOOD: &str = "/draft/flood";
@@ -48,6 +49,7 @@
     pub cut: Daemon,
     /// The other one.
     pub sound: Daemon,
+    store: Store,
     gates: Vec<(Gate, &'static str)>,
     /// All replicas.
     pub replicas: Vec<Replica>,
@@ -124,6 +126,7 @@
         let site = Self {
             cut: start("here", "cut", through_gates),
             sound: start("there", "sound", address),
+            store,
             gates,
             replicas: replicas.into_iter().map(|(replica, ..)| replica).collect(),
         };
@@ -163,6 +166,24 @@
         }
     }
 
+    /// Lists the decode replica `id` with the software version `version`.
+    pub fn set_version(&self, id: &str, version: &str) {
+        let replica = self.replicas.iter().find(|replica| replica.id == id);
+        let mut row = replica.unwrap().row("llm", "decode");
+        row["version"] = version.into();
+        self.store.put("servers", id, &row);
+    }
+
+    /// Lists one more replica, and waits until both daemons know it and all that was listed before.
+    pub fn wait_for_list(&self) {
+        let mut row = self.replicas[0].row("app", "");
+        row["state"] = "draining".into();
+        self.store.put("servers", "i-last", &row);
+        for daemon in [&self.cut, &self.sound] {
+            wait_until("the list is read", || !daemon.logged("i-last").is_empty());
+        }
+    }
+
     /// Requests for `path` that replicas got to run.
     pub fn arrived(&self, path: &str) -> Vec<Message> {
         let requests = self.replicas.iter().flat_map(Replica::requests);
@@ -190,6 +211,7 @@
     match request.path() {
         SLOW_DRAFT | SLOW_READ => Duration::from_millis(800),
         SLOW_STREAM => Duration::from_millis(250),
+        SLOWER_STREAM => Duration::from_millis(400),
         _ => Duration::ZERO,
     }
 }
--- a/crates/gateway/tests/gateway/partition.rs
+++ b/crates/gateway/tests/gateway/partition.rs
@@ -10,11 +10,13 @@
 use crate::common::daemon::Daemon;
 use crate::common::daemon::wait_until;
 use crate::common::gate::Cut;
+use crate::common::replica::Replica;
 use crate::cut_site::KINDS;
 use crate::cut_site::Kind;
 use crate::cut_site::SLOW_DRAFT;
 use crate::cut_site::SLOW_READ;
 use crate::cut_site::SLOW_STREAM;
+use crate::cut_site::SLOWER_STREAM;
 use crate::cut_site::Site;
 use crate::cut_site::WARM_UP;
 use crate::site::headers;
@@ -129,6 +131,38 @@
     assert_eq!(String::from_utf8_lossy(&answer.body), expected);
 }
 
+/// Guards against a peer that resumes the stream at another software version.
+#[test]
+fn a_stream_goes_on_through_a_peer_at_the_version_that_began_it() {
+    let site = Site::start("peer-version");
+    site.warm_up();
+    let mut stream = start_generation(&site.cut, SLOWER_STREAM, "slow");
+    wait_until("the stream has begun", || {
+        let lines = site.cut.logged("\"slow\"");
+        lines.iter().any(|line| line.contains("the first event"))
+    });
+    let runs = |replica: &Replica| {
+        let requests = replica.requests();
+        let runs = requests
+            .iter()
+            .filter(|request| request.path() == SLOWER_STREAM);
+        runs.filter(|request| request.header("stage").is_none())
+            .count()
+    };
+    let decode = || site.replicas.iter().filter(|r| r.id.contains("decode"));
+    let first = decode().find(|replica| runs(replica) == 1).unwrap();
+    let others: Vec<&Replica> = decode().filter(|replica| replica.id != first.id).collect();
+    for other in &others {
+        site.set_version(&other.id, "v1.1");
+    }
+    site.wait_for_list();
+    site.cut(Cut::Reset, &["app", "llm"]);
+    let answer = stream.read();
+    assert_eq!(others.iter().map(|other| runs(other)).sum::<usize>(), 0);
+    assert!(answer.complete, "{answer:?}");
+    assert_eq!(runs(first), 2);
+}
+
 /// Guards against going on through peers once the partition has healed.
 #[test]
 fn an_instance_sends_to_replicas_again_once_the_partition_has_healed() {
