Ask a replica without reservations which incarnation it is before a generation

What callers would see: a stream that goes on at a replica that restarted under its id with another version, while the list still shows the earlier incarnation. A reservation shows the start time, and such a placement is dropped; services whose engines take no reservations learnt nothing.

Before: versions::a_stream_goes_on_at_no_later_incarnation_of_a_listed_replica, without reservations, failed (the stream went on there); with reservations it passed. After: both pass.

--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -9,6 +9,8 @@
 use relay::server::Key;
 
 use crate::begins;
+use crate::control;
+use crate::control::Presence;
 use crate::job::Job;
 use crate::placement;
 use crate::placement::Placement;
@@ -64,6 +66,10 @@
             return Err(next_without_placement(attempt));
         };
         let key = placement.key();
+        if !is_listed_incarnation(shared, &placement).await {
+            tried.push(key);
+            continue;
+        }
         let task = match &local_prefill {
             Some(task) => Task::clone(task),
             None => prefill::prefill_remotely(shared, job, key, last_event)
@@ -98,6 +104,17 @@
     }
 }
 
+/// Whether the replica has not restarted since its entry was listed: its software version may have
+/// changed then. A reservation has shown it; without one, a replica that reports its start is asked.
+async fn is_listed_incarnation(shared: &Shared, placement: &Placement) -> bool {
+    let key = placement.key();
+    if placement.reservation().is_none() && shared.reports_birth(key) {
+        control::probe(shared, key).await != Presence::Ended
+    } else {
+        !shared.has_restarted(key)
+    }
+}
+
 /// How to answer the caller when no further send is possible.
 const fn next_without_placement(attempt: &Attempt) -> Next {
     if attempt.may_have_run() {
--- a/crates/gateway/src/shared/choice.rs
+++ b/crates/gateway/src/shared/choice.rs
@@ -191,6 +191,13 @@
         pool.get(key)?.replica.software.clone()
     }
 
+    /// Whether the list shows when `key` started.
+    pub fn reports_birth(&self, key: Key) -> bool {
+        let pool = self.pool.borrow();
+        pool.get(key)
+            .is_some_and(|server| server.replica.birth.is_some())
+    }
+
     /// Whether the decode replica `key` may run a prefill itself.
     pub fn may_prefill(&self, key: Key) -> bool {
         self.pool.borrow().may_prefill(key)
--- a/crates/gateway/tests/gateway/versions.rs
+++ b/crates/gateway/tests/gateway/versions.rs
@@ -10,6 +10,7 @@
 use rstest::rstest;
 use rustix::process::Signal;
 use serde_json::Value;
+use serde_json::json;
 
 use crate::common::caller::Caller;
 use crate::common::daemon::Daemon;
@@ -31,6 +32,9 @@
 const EVENTS: u64 = 20;
 const PAUSE: Duration = Duration::from_millis(50);
 
+/// Start time of a replica, in Unix milliseconds.
+const START_MS: u64 = 1_780_000_000_000;
+
 /// A decode replica of one software version.
 struct Engine {
     replica: Replica,
@@ -381,6 +385,36 @@
     );
 }
 
+/// Guards against events of a replica that restarted under its id, with another version than the list shows.
+#[rstest]
+#[case::with_reservations(2_000)]
+#[case::without_reservations(0)]
+fn a_stream_goes_on_at_no_later_incarnation_of_a_listed_replica(#[case] reservation_ms: u64) {
+    let mut plan = store::config(1, 4_000, 1_000);
+    plan["services"][1]["engine"]["hold-ms"] = reservation_ms.into();
+    let first = Engine::start("i-first", "v1");
+    let site = Site::start_with_plan("later-incarnation", &plan, &[]);
+    first.list(&site, "here");
+    site.daemon.wait_until_ready();
+    let mut stream = begin_stream(&site);
+    let restarted = Engine::start("i-restarted", "v1");
+    restarted.replica.set_call_handler(|call| {
+        let body = match call.path() {
+            "/api/hold-take" => json!({"hold": "h1", "born": START_MS + 1}),
+            "/api/report" => json!({"busy": false, "seq": 0, "born": START_MS + 1}),
+            _ => return None,
+        };
+        Some(answer(200, &[], body.to_string().as_bytes()))
+    });
+    let mut row = restarted.replica.row("llm", "decode");
+    row["born"] = START_MS.into();
+    site.store.put("servers", "i-restarted", &row);
+    wait_until_known(&site.daemon, &["i-restarted"]);
+    first.end(&site);
+    assert!(!stream.read().complete);
+    assert_eq!(restarted.runs(), 0);
+}
+
 /// Guards against a KV cache that one version wrote and another one reads.
 #[test]
 fn a_prompt_is_prefilled_by_the_version_that_answers() {
