--- a/crates/lab/src/bin/site.rs
+++ b/crates/lab/src/bin/site.rs
@@ -17,6 +17,8 @@
 const SEEDS: u64 = 3;
 /// Factor on the times of the slow replicas.
 const SLOWNESS: f64 = 4.0;
+/// Fractions of the replicas that a release has given another software version.
+const RELEASED: [f64; 3] = [0.1, 0.3, 0.5];
 /// Prefill replicas out of 140.
 const PREFILL: [usize; 7] = [14, 18, 21, 24, 30, 38, 47];
 /// Daemons that take requests.
@@ -68,6 +70,11 @@
         row("qureshi", Setup::qureshi(8, 12).with_choice(choice), seeds);
         let slow = Setup::krmiva(6, 24).with_slowness(SLOWNESS);
         row("krmiva, slow", slow.with_choice(choice), seeds);
+        for released in RELEASED {
+            let fleet = format!("krmiva, {:.0} % released", released * 100.0);
+            let setup = Setup::krmiva(6, 24).with_released(released);
+            row(&fleet, setup.with_choice(choice), seeds);
+        }
     }
     let lines = DAEMONS.map(|daemons| Line {
         name: format!("{daemons} daemons"),
--- a/crates/lab/src/site/run.rs
+++ b/crates/lab/src/site/run.rs
@@ -195,7 +195,7 @@
     fn place(&mut self, now: f64, job: Job) {
         let mut tried = Vec::new();
         for _ in 0..REPLICAS_PER_ROUND {
-            let Some(key) = self.choose(now, job.daemon, Stage::Decode, &tried) else {
+            let Some(key) = self.choose(now, job.daemon, Stage::Decode, None, &tried) else {
                 break;
             };
             tried.push(key);
@@ -227,7 +227,10 @@
 
     fn send_to_prefill(&mut self, now: f64, job: Job, decode: Key) {
         self.pools[job.daemon].start_request(decode, job.tokens);
-        let Some(prefill) = self.choose(now, job.daemon, Stage::Prefill, &[]) else {
+        let server = self.pools[job.daemon].get(decode);
+        let software = server.and_then(|server| server.replica.software.clone());
+        let Some(prefill) = self.choose(now, job.daemon, Stage::Prefill, software.as_deref(), &[])
+        else {
             return;
         };
         self.pools[job.daemon].start_request(prefill, job.prompt);
@@ -273,13 +276,21 @@
         self.pools[daemon].end_request(key, tokens);
     }
 
-    fn choose(&mut self, now: f64, daemon: usize, stage: Stage, tried: &[Key]) -> Option<Key> {
+    /// Chooses a replica, of the software version `software` if that is given.
+    fn choose(
+        &mut self,
+        now: f64,
+        daemon: usize,
+        stage: Stage,
+        software: Option<&str>,
+        tried: &[Key],
+    ) -> Option<Key> {
         let criteria = Criteria {
             service: "llm",
             stage: Some(stage),
             tried,
             homes: None,
-            software: None,
+            software,
             data_centre: Zone::new("here"),
             demand: None,
         };
@@ -320,11 +331,13 @@
 }
 
 fn replica(index: usize, setup: &Setup) -> Replica {
-    let stage = if index < setup.prefill {
-        Stage::Prefill
+    let (stage, number, count) = if index < setup.prefill {
+        (Stage::Prefill, index, setup.prefill)
     } else {
-        Stage::Decode
+        (Stage::Decode, index - setup.prefill, setup.decode)
     };
+    let is_released = (number as f64) < setup.released * count as f64;
+    let software = if is_released { "v1.1" } else { "v1" };
     Replica {
         id: index.to_string(),
         service: "llm".to_owned(),
@@ -335,6 +348,6 @@
         draining: false,
         cold: false,
         birth: None,
-        software: Some("v1".to_owned()),
+        software: Some(software.to_owned()),
     }
 }
--- a/crates/lab/src/site/setup.rs
+++ b/crates/lab/src/site/setup.rs
@@ -32,6 +32,8 @@
     pub choice: Choice,
     /// Factor on the times of the first prefill and the first decode replica.
     pub slowness: f64,
+    /// Fraction of the replicas of each stage with another software version than the rest.
+    pub released: f64,
 }
 
 impl Setup {
@@ -47,6 +49,7 @@
             length: Duration::from_secs(66),
             choice: Choice::Score,
             slowness: 1.0,
+            released: 0.0,
         }
     }
 
@@ -65,6 +68,12 @@
         Self { choice, ..self }
     }
 
+    /// Gives a fraction of the replicas of each stage another software version.
+    #[must_use]
+    pub const fn with_released(self, released: f64) -> Self {
+        Self { released, ..self }
+    }
+
     /// Makes one replica of each stage slow.
     #[must_use]
     pub const fn with_slowness(self, slowness: f64) -> Self {
--- a/crates/lab/tests/site.rs
+++ b/crates/lab/tests/site.rs
@@ -26,6 +26,7 @@
 #[case(Setup::krmiva(67, 47))]
 #[case(Setup::qureshi(8, 12).with_choice(Choice::Chance))]
 #[case(Setup::qureshi(8, 12).with_slowness(SLOWNESS))]
+#[case(Setup::krmiva(6, 24).with_released(0.3))]
 fn every_request_ends_once(#[case] setup: Setup) {
     let stats = run_short(setup, 1);
     assert!(stats.offered > 500);
