Doubt all services once one is unreachable

After a cut from all replicas each service was noticed by itself, with requests that met the cut: streams were refused while calls were already handed to peers, or the other way round.

Before: all_services_are_doubtful_once_one_is_unreachable failed; after: passes.

--- a/crates/relay/src/pool/reach.rs
+++ b/crates/relay/src/pool/reach.rs
@@ -22,7 +22,14 @@
     pub fn record_unreached(&mut self, now: Time, key: Key) -> Option<Change> {
         let service = &self.servers.get(key)?.replica.service;
         let replicas = self.index.count(service);
-        self.reach.record_unreached(now, service, key, replicas)
+        let change = self.reach.record_unreached(now, service, key, replicas);
+        if change.is_some() {
+            // A partition seldom concerns one service alone.
+            for service in self.index.services() {
+                self.reach.doubt(service);
+            }
+        }
+        change
     }
 
     /// Records that a connection to `key` was opened.
