--- a/crates/relay/src/pool/index.rs
+++ b/crates/relay/src/pool/index.rs
@@ -78,11 +78,6 @@
         group.into_iter().flatten().copied()
     }
 
-    /// All services that have or had replicas.
-    pub(super) fn services(&self) -> impl Iterator<Item = &str> {
-        self.groups.keys().map(String::as_str)
-    }
-
     /// Number of replicas of `service`.
     pub(super) fn count(&self, service: &str) -> usize {
         let stages = self.groups.get(service);
--- a/crates/relay/src/pool/reach.rs
+++ b/crates/relay/src/pool/reach.rs
@@ -22,14 +22,7 @@
     pub fn record_unreached(&mut self, now: Time, key: Key) -> Option<Change> {
         let service = &self.servers.get(key)?.replica.service;
         let replicas = self.index.count(service);
-        let change = self.reach.record_unreached(now, service, key, replicas);
-        if change.is_some() {
-            // A partition seldom concerns one service alone.
-            for service in self.index.services() {
-                self.reach.doubt(service);
-            }
-        }
-        change
+        self.reach.record_unreached(now, service, key, replicas)
     }
 
     /// Records that a connection to `key` was opened.
