Refuse a resumption at once if its version only has draining replicas; bind a stream once

Found in review. A stream was bound, and its id hashed, with each part that was forwarded; only until it is bound now. The number of a change saturates.

--- a/crates/gateway/src/begins.rs
+++ b/crates/gateway/src/begins.rs
@@ -101,9 +101,10 @@
 
 /// Records, and announces if needed, that replicas of the version `software` serve the stream of `job`.
 pub async fn announce(shared: &Shared, job: &Job, software: &str) {
-    let Some(stream) = stream(job).filter(|_| !job.is_announced(software)) else {
+    if job.is_announced(software) {
         return;
-    };
+    }
+    let Some(stream) = stream(job) else { return };
     job.set_announced(software);
     let lifetime = job.route.timeout * LIFETIME_FACTOR;
     shared
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -111,7 +111,7 @@
         ));
     }
     let software = job.software()?;
-    if shared.pool.borrow().has_version(&job.service, software) {
+    if shared.pool.borrow().serves_version(&job.service, software) {
         return None;
     }
     let retry_after = shared.retry_after(&job.service);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -179,11 +179,7 @@
         if let Some(tracked_run) = &self.tracked_run {
             tracked_run.record_events(events);
         }
-        if let Some(software) = &self.software {
-            self.job.bind(software);
-            // The version may have been unknown when the request was sent.
-            begins::announce(&self.shared, &self.job, software).await;
-        }
+        self.bind_to_version().await;
         if !self.started {
             self.started = true;
             let age = self.job.age();
@@ -194,6 +190,18 @@
         self.parts.send(Part::Data(bytes.into())).await.is_ok()
     }
 
+    /// Binds the stream to the software version of the replica, if that brings its first event.
+    async fn bind_to_version(&self) {
+        if self.job.software().is_some() {
+            return;
+        }
+        if let Some(software) = &self.software {
+            self.job.bind(software);
+            // The version may have been unknown when the request was sent.
+            begins::announce(&self.shared, &self.job, software).await;
+        }
+    }
+
     /// Records the time since the last event. A long pause is logged: the run was preempted or its
     /// replica stalled.
     fn record_gap(&self, key: Key, last: Instant) {
--- a/crates/relay/src/begins.rs
+++ b/crates/relay/src/begins.rs
@@ -66,7 +66,8 @@
     ) {
         let known = self.records.get(&stream);
         let change = known.map_or(0, |known| {
-            known.change + u8::from(known.software != software)
+            let is_other = known.software != software;
+            known.change.saturating_add(u8::from(is_other))
         });
         let record = Record {
             software: software.to_owned(),
--- a/crates/relay/src/pool/versions.rs
+++ b/crates/relay/src/pool/versions.rs
@@ -22,6 +22,8 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Usage {
     replicas: usize,
+    /// Replicas of them that are draining.
+    draining: usize,
     /// When the last replica was removed.
     ended_at: Time,
 }
@@ -31,6 +33,7 @@
         let versions = self.services.entry(replica.service.clone()).or_default();
         let usage = versions.entry(replica.software.clone()).or_default();
         usage.replicas += 1;
+        usage.draining += usize::from(replica.draining);
     }
 
     pub(super) fn remove(&mut self, now: Time, replica: &Replica) {
@@ -39,6 +42,7 @@
         };
         if let Some(usage) = versions.get_mut(&replica.software) {
             usage.replicas = usage.replicas.saturating_sub(1);
+            usage.draining = usage.draining.saturating_sub(replica.draining.into());
             usage.ended_at = now;
         }
         versions.retain(|_, usage| usage.replicas > 0 || now.since(usage.ended_at) < RETENTION);
@@ -71,10 +75,10 @@
         self.versions.only(now, service, period)
     }
 
-    /// Whether a replica of `service` has the software version `software`.
-    pub fn has_version(&self, service: &str, software: &str) -> bool {
+    /// Whether a replica of `service` that is not draining has the software version `software`.
+    pub fn serves_version(&self, service: &str, software: &str) -> bool {
         let versions = self.versions.services.get(service);
         let usage = versions.and_then(|versions| versions.get(&Some(software.to_owned())));
-        usage.is_some_and(|usage| usage.replicas > 0)
+        usage.is_some_and(|usage| usage.replicas > usage.draining)
     }
 }
--- a/crates/relay/tests/begins.rs
+++ b/crates/relay/tests/begins.rs
@@ -120,6 +120,31 @@
     assert_eq!(pool.only_version(at(65), "other", LIFETIME), None);
 }
 
+/// Guards against waiting for a version that takes no new requests any more.
+#[test]
+fn a_version_whose_replicas_drain_does_not_serve() {
+    let mut pool = Pool::new();
+    let one = replica("i-1", Some("v1"));
+    let leaving = Replica {
+        draining: true,
+        ..one.clone()
+    };
+    list(&mut pool, at(0), 1, std::slice::from_ref(&one));
+    assert!(pool.serves_version(SERVICE, "v1"));
+    list(&mut pool, at(1), 2, &[leaving, replica("i-2", Some("v1"))]);
+    assert!(pool.serves_version(SERVICE, "v1"));
+    list(&mut pool, at(2), 3, &[replica("i-2", Some("v1.1"))]);
+    assert!(!pool.serves_version(SERVICE, "v1"));
+    list(&mut pool, at(3), 4, std::slice::from_ref(&one));
+    assert!(pool.serves_version(SERVICE, "v1"));
+    let leaving = Replica {
+        draining: true,
+        ..one
+    };
+    list(&mut pool, at(4), 5, &[leaving]);
+    assert!(!pool.serves_version(SERVICE, "v1"));
+}
+
 #[rstest]
 #[case::other(Some("v1.1"))]
 #[case::unknown(None)]
@@ -135,9 +160,9 @@
         &[one.clone(), replica("i-2", software)],
     );
     assert_eq!(pool.only_version(at(41), SERVICE, LIFETIME), None);
-    assert_eq!(pool.has_version(SERVICE, "v1.1"), software.is_some());
+    assert_eq!(pool.serves_version(SERVICE, "v1.1"), software.is_some());
     list(&mut pool, at(42), 3, &[one]);
-    assert!(!pool.has_version(SERVICE, "v1.1"));
+    assert!(!pool.serves_version(SERVICE, "v1.1"));
     follow(&mut pool, 43, 71);
     assert_eq!(pool.only_version(at(71), SERVICE, LIFETIME), None);
     follow(&mut pool, 72, 73);
