Name messages about begins like those of other protocols, and forget abandoned questions

Announcement, Question and Answer, as a reader would look them up. A question whose caller left while it waited for answers stayed in the table; it is removed with the next question.

--- a/crates/gateway/src/begins.rs
+++ b/crates/gateway/src/begins.rs
@@ -39,9 +39,9 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Message {
     /// Announces streams.
-    Began(Vec<Begin>),
+    Announcement(Vec<Begin>),
     /// Asks which version began a stream.
-    Ask {
+    Question {
         /// Repeated in the answer.
         number: u32,
         /// The stream; `None` if the caller does not name it.
@@ -50,7 +50,7 @@
         service: String,
     },
     /// The answer.
-    Told {
+    Answer {
         /// Number of the question.
         number: u32,
         /// What the daemon knows.
@@ -146,7 +146,7 @@
     }
     for (daemon, begins) in by_daemon {
         for chunk in begins.chunks(MAX_BEGINS) {
-            gossip::send_begins(shared, daemon, Message::Began(chunk.to_vec())).await;
+            gossip::send_begins(shared, daemon, Message::Announcement(chunk.to_vec())).await;
         }
     }
 }
@@ -206,9 +206,14 @@
     let daemons = others(shared, stream.unwrap_or(Stream(rand::random())), MAX_ASKED);
     let number = rand::random();
     let (answer, mut answers) = mpsc::unbounded_channel();
-    shared.begin_questions.borrow_mut().insert(number, answer);
+    {
+        let mut questions = shared.begin_questions.borrow_mut();
+        // A caller that left while its question waited for answers.
+        questions.retain(|_, answer| !answer.is_closed());
+        questions.insert(number, answer);
+    }
     for daemon in &daemons {
-        let question = Message::Ask {
+        let question = Message::Question {
             number,
             stream,
             service: service.to_owned(),
@@ -235,7 +240,7 @@
 /// Handles a message of another daemon; returns the answer to a question.
 pub fn receive(shared: &Rc<Shared>, message: Message) -> Option<Message> {
     match message {
-        Message::Began(begins) => {
+        Message::Announcement(begins) => {
             let now = shared.clock.now();
             let mut known = shared.begins.borrow_mut();
             for begin in &begins {
@@ -243,15 +248,15 @@
             }
             None
         }
-        Message::Ask {
+        Message::Question {
             number,
             stream,
             service,
         } => {
             let finding = find_locally(shared, stream, &service);
-            Some(Message::Told { number, finding })
+            Some(Message::Answer { number, finding })
         }
-        Message::Told { number, finding } => {
+        Message::Answer { number, finding } => {
             let questions = shared.begin_questions.borrow();
             if let Some(question) = questions.get(&number) {
                 // The question may have been answered just now.
--- a/crates/gateway/src/forward/resume.rs
+++ b/crates/gateway/src/forward/resume.rs
@@ -161,8 +161,8 @@
         Some(opened.reply)
     }
 
-    /// Finds out the software version at which the stream has to continue, if it has begun: only the
-    /// peer knows it that forwarded the first event. Returns `false` if it is not known.
+    /// Finds out the software version at which the stream has to continue, if it has begun. Only the
+    /// peer knows it if that forwarded the first event. Returns `false` if nobody knows it.
     pub(super) async fn find_version(&self) -> bool {
         let is_known = self.job.software().is_some() || !self.started;
         is_known || begins::bind(&self.shared, &self.job).await
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -92,8 +92,8 @@
     Quarantine(Vec<Record>),
     /// Use of customers' quotas.
     Quota(quotas::Message),
-    /// Begins of streams. Further contents follow at the end: daemons of an earlier version cannot
-    /// read those, but all others.
+    /// Begins of streams. New contents are added at the end, so that daemons of an earlier version can
+    /// read all others.
     Begins(begins::Message),
 }
 
