--- /dev/null
+++ b/crates/gateway/tests/gateway/resumptions.rs
@@ -0,0 +1,250 @@
+//! Callers that resume streams while replicas of several software versions serve side by side.
+
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use rstest::rstest;
+use rustix::process::Signal;
+use serde_json::Value;
+
+use crate::common::daemon::Daemon;
+use crate::common::daemon::wait_until;
+use crate::common::http::Message;
+use crate::common::http::answer;
+use crate::common::store;
+use crate::site::Site;
+use crate::version_site::EVENTS;
+use crate::version_site::Engine;
+use crate::version_site::PATH;
+use crate::version_site::begin_stream;
+use crate::version_site::event_texts;
+use crate::version_site::start_stream;
+use crate::version_site::wait_until_known;
+use crate::version_site::wait_until_members;
+
+/// Resumes the stream that the attempt `begun` received its first event of, and returns the answer.
+fn resume(daemon: &Daemon, id: &str, begun: &str, last_event: &str) -> Message {
+    let headers = [
+        ("Request-Id", id),
+        ("Deadline-Ms", "4000"),
+        ("Token-Counts", "1460,80"),
+        ("Last-Event-Id", last_event),
+        ("Resumes", begun),
+    ];
+    let mut caller = daemon.caller();
+    caller.send_and_read(&format!("POST {PATH}"), &headers, b"prompt")
+}
+
+/// Guards against taking a caller's next attempt for a new stream.
+#[test]
+fn a_caller_resumes_its_stream_at_the_version_that_began_it() {
+    let first = Engine::start("i-first", "v1");
+    let (site, mut stream) = start_stream("resumed-by-caller", &first);
+    let other = Engine::start("i-other", "v1.1");
+    other.list(&site, "here");
+    wait_until_known(&site.daemon, &["i-other"]);
+    first.end(&site);
+    drop(stream.read());
+    let same = Engine::start("i-same", "v1");
+    same.list(&site, "there");
+    wait_until_known(&site.daemon, &["i-same"]);
+    let answer = resume(&site.daemon, "a2", "a1", "1");
+    assert_eq!((same.runs(), other.runs()), (1, 0));
+    assert_eq!(
+        String::from_utf8_lossy(&answer.body),
+        event_texts(2, EVENTS)
+    );
+}
+
+/// Guards against forgetting the version with the instance that knew it.
+#[rstest]
+#[case::while_it_runs(false)]
+#[case::after_it_was_killed(true)]
+fn a_caller_resumes_its_stream_at_another_instance_at_the_version_that_began_it(
+    #[case] is_killed: bool,
+) {
+    let first = Engine::start("i-first", "v1");
+    let mut site = Site::start("resumed-elsewhere", &[]);
+    first.list(&site, "here");
+    let another = site.start_another("resumed-elsewhere-too", true);
+    another.wait_until_ready();
+    site.daemon.wait_until_ready();
+    wait_until_members(&[&site.daemon, &another], 2);
+    let stream = begin_stream(&site);
+    if is_killed {
+        site.daemon.kill();
+    }
+    drop(stream);
+    let same = Engine::start("i-same", "v1");
+    let other = Engine::start("i-other", "v1.1");
+    same.list(&site, "there");
+    other.list(&site, "here");
+    first.end(&site);
+    wait_until_known(&another, &["i-same", "i-other"]);
+    let answer = resume(&another, "a2", "a1", "1");
+    assert_eq!((same.runs(), other.runs()), (1, 0));
+    assert_eq!(
+        String::from_utf8_lossy(&answer.body),
+        event_texts(2, EVENTS)
+    );
+}
+
+/// Guards against guessing the version of a stream that nobody knows.
+#[test]
+fn a_resumption_whose_version_is_unknown_is_refused() {
+    let one = Engine::start("i-one", "v1");
+    let other = Engine::start("i-other", "v1.1");
+    let site = Site::start("unknown-version", &[]);
+    one.list(&site, "here");
+    other.list(&site, "here");
+    wait_until_known(&site.daemon, &["i-one", "i-other"]);
+    site.daemon.wait_until_ready();
+    let answer = resume(&site.daemon, "a2", "a1", "1");
+    assert_eq!(answer.status(), 503);
+    assert!(answer.header("retry-after").is_some());
+    assert_eq!((one.runs(), other.runs()), (0, 0));
+}
+
+/// A plan whose streams can be resumed for a second only.
+fn short_plan() -> Value {
+    store::config(1, 500, 300)
+}
+
+/// Guards against refusing all resumptions where instances have lost their state, although no other version serves.
+#[test]
+fn a_resumption_of_an_unknown_stream_is_served_if_only_one_version_has_served_for_long() {
+    let one = Engine::start("i-one", "v1");
+    let site = Site::start_with_plan("only-version", &short_plan(), &[]);
+    one.list(&site, "here");
+    site.daemon.wait_until_ready();
+    assert_eq!(resume(&site.daemon, "a2", "a1", "18").status(), 503);
+    thread::sleep(Duration::from_millis(1_200));
+    let answer = resume(&site.daemon, "a3", "a1", "18");
+    let expected = event_texts(19, EVENTS);
+    assert_eq!(String::from_utf8_lossy(&answer.body), expected);
+    // An instance that has just started learns it from the other one.
+    let another = site.start_another("only-version-too", true);
+    another.wait_until_ready();
+    wait_until_members(&[&another], 2);
+    let answer = resume(&another, "a4", "a1", "18");
+    assert_eq!(String::from_utf8_lossy(&answer.body), expected);
+    let other = Engine::start("i-other", "v1.1");
+    other.list(&site, "here");
+    wait_until_known(&site.daemon, &["i-other"]);
+    assert_eq!(resume(&site.daemon, "b2", "b1", "18").status(), 503);
+    assert_eq!(other.runs(), 0);
+}
+
+/// Guards against announcing nothing of the streams that were running when another version came.
+#[test]
+fn a_stream_that_began_before_another_version_came_is_resumed_elsewhere() {
+    let first = Engine::start("i-first", "v1");
+    let plan = store::config(1, 1_500, 500);
+    let mut site = Site::start_with_plan("before-release", &plan, &[]);
+    first.list(&site, "here");
+    let another = site.start_another("before-release-too", true);
+    another.wait_until_ready();
+    site.daemon.wait_until_ready();
+    wait_until_members(&[&site.daemon, &another], 2);
+    thread::sleep(Duration::from_millis(3_500));
+    let stream = begin_stream(&site);
+    let same = Engine::start("i-same", "v1");
+    let other = Engine::start("i-other", "v1.1");
+    same.list(&site, "there");
+    other.list(&site, "here");
+    wait_until_known(&site.daemon, &["i-same", "i-other"]);
+    wait_until_known(&another, &["i-same", "i-other"]);
+    // Time for the announcement.
+    thread::sleep(Duration::from_millis(300));
+    site.daemon.kill();
+    drop(stream);
+    first.end(&site);
+    let answer = resume(&another, "a2", "a1", "18");
+    assert_eq!((same.runs(), other.runs()), (1, 0));
+    assert_eq!(
+        String::from_utf8_lossy(&answer.body),
+        event_texts(19, EVENTS)
+    );
+}
+
+/// Guards against losing the versions of streams when all instances are stopped one after the other.
+#[test]
+fn an_instance_that_stops_hands_its_knowledge_of_streams_over() {
+    let first = Engine::start("i-first", "v1");
+    let other = Engine::start("i-other", "v1.1");
+    let mut site = Site::start("handed-over", &[]);
+    first.list(&site, "here");
+    let mut second = site.start_another("handed-over-2", true);
+    second.wait_until_ready();
+    site.daemon.wait_until_ready();
+    wait_until_members(&[&site.daemon, &second], 2);
+    let mut stream = begin_stream(&site);
+    other.list(&site, "here");
+    let third = site.start_another("handed-over-3", true);
+    third.wait_until_ready();
+    wait_until_members(&[&second], 3);
+    // Only the second one knows the stream besides its own daemon, which is killed.
+    site.daemon.kill();
+    drop(stream.read());
+    wait_until_members(&[&second], 2);
+    second.signal(Signal::TERM);
+    second.wait_for_exit();
+    wait_until_known(&third, &["i-first", "i-other"]);
+    let answer = resume(&third, "a2", "a1", "1");
+    assert_eq!(
+        String::from_utf8_lossy(&answer.body),
+        event_texts(2, EVENTS)
+    );
+    assert_eq!(other.runs(), 0);
+}
+
+/// Guards against keeping a caller waiting for a version that is gone.
+#[test]
+fn a_resumption_is_refused_at_once_if_its_version_has_no_replicas() {
+    let first = Engine::start("i-first", "v1");
+    let (site, mut stream) = start_stream("version-gone", &first);
+    let other = Engine::start("i-other", "v1.1");
+    other.list(&site, "here");
+    wait_until_known(&site.daemon, &["i-other"]);
+    first.end(&site);
+    drop(stream.read());
+    wait_until("the replica is gone", || {
+        !site.daemon.logged("\"belief\":\"Gone\"").is_empty()
+    });
+    let answer = resume(&site.daemon, "a2", "a1", "1");
+    assert_eq!(answer.status(), 503);
+    assert!(answer.header("retry-after").is_some());
+    let lines = site.daemon.logged("\"request\":\"a2\"");
+    assert!(!lines.iter().any(|line| line.contains("has room")));
+    assert_eq!(other.runs(), 0);
+}
+
+/// Guards against refusing resumptions that fit few replicas, while new streams find room at other versions.
+#[test]
+fn a_resumption_waits_until_a_replica_of_its_version_has_room() {
+    let first = Engine::start("i-first", "v1");
+    let (site, stream) = start_stream("waits-for-room", &first);
+    drop(stream);
+    let same = Engine::start("i-same", "v1");
+    let other = Engine::start("i-other", "v1.1");
+    let full_until = Instant::now() + Duration::from_millis(1_500);
+    same.replica.set_call_handler(move |call| {
+        let is_full = call.path() == "/api/hold-take" && Instant::now() < full_until;
+        is_full.then(|| answer(503, &[], b""))
+    });
+    same.list(&site, "here");
+    other.list(&site, "here");
+    wait_until_known(&site.daemon, &["i-same", "i-other"]);
+    first.end(&site);
+    wait_until("the replica is gone", || {
+        !site.daemon.logged("\"belief\":\"Gone\"").is_empty()
+    });
+    assert!(Instant::now() < full_until);
+    let answer = resume(&site.daemon, "a2", "a1", "1");
+    assert_eq!((same.runs(), other.runs()), (1, 0));
+    assert_eq!(
+        String::from_utf8_lossy(&answer.body),
+        event_texts(2, EVENTS)
+    );
+}
