Break the circles of imports of begins and versions

Messages, and what this daemon knows and answers, are modules of their own; the record of versions stands beside the pool, like the other parts of its state. Code is moved only.

--- a/crates/gateway/src/begins.rs
+++ b/crates/gateway/src/begins.rs
@@ -6,19 +6,22 @@
 //! knew the version. So each daemon announces the versions of its streams to two others, chosen by
 //! rendezvous hashing, unless only one version has served for as long as a stream can be resumed.
 
+pub mod lookup;
+pub mod message;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 use boottime::Instant;
 use boottime::timer::timeout_at;
 use relay::begins::Begin;
 use relay::begins::Stream;
-use serde::Deserialize;
-use serde::Serialize;
 use tokio::sync::mpsc;
 
+use crate::begins::message::Finding;
+use crate::begins::message::LIFETIME_FACTOR;
+use crate::begins::message::Message;
 use crate::gossip;
 use crate::job::Job;
 use crate::shared::Shared;
@@ -31,64 +34,6 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
 /// Streams in one datagram, to stay below the usual packet size.
 const MAX_BEGINS: usize = 24;
-/// Time for which a stream may be resumed after its begin, as a multiple of the timeout of its route:
-/// it lasts for up to one, and its caller returns within another one.
-pub const LIFETIME_FACTOR: u32 = 2;
-
-/// Message about the begins of streams between daemons.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub enum Message {
-    /// Announces streams.
-    Announcement(Vec<Begin>),
-    /// Asks which version began a stream.
-    Question {
-        /// Repeated in the answer.
-        number: u32,
-        /// The stream; `None` if the caller does not name it.
-        stream: Option<Stream>,
-        /// Its service.
-        service: String,
-    },
-    /// The answer.
-    Answer {
-        /// Number of the question.
-        number: u32,
-        /// What the daemon knows.
-        finding: Finding,
-    },
-}
-
-/// What a daemon knows of the begin of a stream.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Finding {
-    /// This version began it.
-    Began(String),
-    /// Only this version has served for as long as a stream can be resumed.
-    Only(String),
-    /// It may have been any version.
-    Unknown,
-}
-
-impl Finding {
-    /// The version that began the stream, if it is known.
-    fn into_software(self) -> Option<String> {
-        match self {
-            Self::Began(software) | Self::Only(software) => Some(software),
-            Self::Unknown => None,
-        }
-    }
-
-    const fn name(&self) -> &'static str {
-        match self {
-            Self::Began(_) => "began",
-            Self::Only(_) => "only",
-            Self::Unknown => "unknown",
-        }
-    }
-}
-
-/// Questions to other daemons that wait for answers, by number.
-pub type Questions = HashMap<u32, mpsc::UnboundedSender<Finding>>;
 
 /// The stream of `job`: its own, or the one that it resumes; `None` if its caller does not name that.
 pub fn stream(job: &Job) -> Option<Stream> {
@@ -179,7 +124,7 @@
 /// stream, or because there was only one version.
 async fn find(shared: &Shared, job: &Job) -> Finding {
     let stream = stream(job);
-    let own = find_locally(shared, stream, &job.service);
+    let own = lookup::find(shared, stream, &job.service);
     if matches!(own, Finding::Began(_)) {
         return own;
     }
@@ -190,17 +135,6 @@
     }
 }
 
-fn find_locally(shared: &Shared, stream: Option<Stream>, service: &str) -> Finding {
-    let now = shared.clock.now();
-    let begins = shared.begins.borrow();
-    let began = stream.and_then(|stream| begins.software(now, stream));
-    match (began, shared.only_version(service)) {
-        (Some(software), _) => Finding::Began(software.to_owned()),
-        (None, Some(only)) => Finding::Only(only),
-        (None, None) => Finding::Unknown,
-    }
-}
-
 /// Asks other daemons, until one knows the stream.
 async fn ask(shared: &Shared, stream: Option<Stream>, service: &str) -> Finding {
     let daemons = others(shared, stream.unwrap_or(Stream(rand::random())), MAX_ASKED);
@@ -236,33 +170,3 @@
     shared.begin_questions.borrow_mut().remove(&number);
     best
 }
-
-/// Handles a message of another daemon; returns the answer to a question.
-pub fn receive(shared: &Rc<Shared>, message: Message) -> Option<Message> {
-    match message {
-        Message::Announcement(begins) => {
-            let now = shared.clock.now();
-            let mut known = shared.begins.borrow_mut();
-            for begin in &begins {
-                known.learn(now, begin);
-            }
-            None
-        }
-        Message::Question {
-            number,
-            stream,
-            service,
-        } => {
-            let finding = find_locally(shared, stream, &service);
-            Some(Message::Answer { number, finding })
-        }
-        Message::Answer { number, finding } => {
-            let questions = shared.begin_questions.borrow();
-            if let Some(question) = questions.get(&number) {
-                // The question may have been answered just now.
-                let _ = question.send(finding);
-            }
-            None
-        }
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/begins/message.rs
@@ -0,0 +1,69 @@
+//! Messages about the begins of streams between daemons.
+
+use std::collections::HashMap;
+
+use relay::begins::Begin;
+use relay::begins::Stream;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::mpsc;
+
+/// Time for which a stream may be resumed after its begin, as a multiple of the timeout of its route:
+/// it lasts for up to one, and its caller returns within another one.
+pub const LIFETIME_FACTOR: u32 = 2;
+
+/// Message about the begins of streams between daemons.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Message {
+    /// Announces streams.
+    Announcement(Vec<Begin>),
+    /// Asks which version began a stream.
+    Question {
+        /// Repeated in the answer.
+        number: u32,
+        /// The stream; `None` if the caller does not name it.
+        stream: Option<Stream>,
+        /// Its service.
+        service: String,
+    },
+    /// The answer.
+    Answer {
+        /// Number of the question.
+        number: u32,
+        /// What the daemon knows.
+        finding: Finding,
+    },
+}
+
+/// What a daemon knows of the begin of a stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Finding {
+    /// This version began it.
+    Began(String),
+    /// Only this version has served for as long as a stream can be resumed.
+    Only(String),
+    /// It may have been any version.
+    Unknown,
+}
+
+impl Finding {
+    /// The version that began the stream, if it is known.
+    pub fn into_software(self) -> Option<String> {
+        match self {
+            Self::Began(software) | Self::Only(software) => Some(software),
+            Self::Unknown => None,
+        }
+    }
+
+    /// Name used in log lines and metrics.
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Began(_) => "began",
+            Self::Only(_) => "only",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// Questions to other daemons that wait for answers, by number.
+pub type Questions = HashMap<u32, mpsc::UnboundedSender<Finding>>;
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -25,7 +25,8 @@
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 
-use crate::begins;
+use crate::begins::lookup;
+use crate::begins::message;
 use crate::exchange;
 use crate::instance_info::InstanceInfo;
 use crate::members::Outgoing;
@@ -94,7 +95,7 @@
     Quota(quotas::Message),
     /// Begins of streams. New contents are added at the end, so that daemons of an earlier version can
     /// read all others.
-    Begins(begins::Message),
+    Begins(message::Message),
 }
 
 /// Takes part in the membership, forever.
@@ -178,7 +179,7 @@
 }
 
 /// Sends a message about the begins of streams to the daemon at `peer`.
-pub async fn send_begins(shared: &Shared, peer: SocketAddr, message: begins::Message) {
+pub async fn send_begins(shared: &Shared, peer: SocketAddr, message: message::Message) {
     send(shared, peer, Content::Begins(message)).await;
 }
 
@@ -255,7 +256,7 @@
             }
         }
         Content::Begins(message) => {
-            if let Some(answer) = begins::receive(shared, message) {
+            if let Some(answer) = lookup::receive(shared, message) {
                 send(shared, sender.peers, Content::Begins(answer)).await;
             }
         }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -39,7 +39,7 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
-use crate::begins::Questions;
+use crate::begins::message::Questions;
 use crate::clock::Clock;
 use crate::connections::Connector;
 use crate::connections::pool::ConnectionPool;
--- a/crates/gateway/src/shared/store_state.rs
+++ b/crates/gateway/src/shared/store_state.rs
@@ -13,7 +13,7 @@
 use relay::replica_state::StateChange;
 use relay::server::Key;
 
-use crate::begins::LIFETIME_FACTOR;
+use crate::begins::message::LIFETIME_FACTOR;
 use crate::poller_status::PollerStatus;
 use crate::shared::Shared;
 use crate::store;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -57,4 +57,5 @@
 pub mod server;
 pub mod timing;
 mod tombstones;
+mod versions;
 pub mod wait_queue;
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -26,7 +26,6 @@
 use crate::balance::StageCounts;
 use crate::plan::ColdStart;
 use crate::pool::index::Index;
-use crate::pool::versions::Versions;
 use crate::reach::Reach;
 use crate::replica::Load;
 use crate::replica::Replica;
@@ -37,6 +36,7 @@
 use crate::server::Key;
 use crate::server::Server;
 use crate::tombstones::Tombstones;
+use crate::versions::Versions;
 
 /// Maximum number of replicas that are scored for one request, sampled anew each time. The best of
 /// so many is among the best 2 % of all, and scoring 930 took 77 us instead of 16.
