--- a/crates/gateway/tests/gateway/common/daemon.rs
+++ b/crates/gateway/tests/gateway/common/daemon.rs
@@ -209,6 +209,16 @@
         lines.iter().filter(|l| l.contains(text)).cloned().collect()
     }
 
+    /// All log lines about the request `id`, once it has ended here: lines are read in the background.
+    pub fn lines_about(&self, id: &str) -> Vec<String> {
+        let id = format!("\"request\":\"{id}\"");
+        wait_until("the end of the request is logged", || {
+            let lines = self.logged(&id);
+            lines.iter().any(|line| line.contains("\"kind\":\"end\""))
+        });
+        self.logged(&id)
+    }
+
     /// Process id.
     pub fn pid(&self) -> Pid {
         Pid::from_child(&self.child)
--- a/crates/gateway/tests/gateway/handoff.rs
+++ b/crates/gateway/tests/gateway/handoff.rs
@@ -172,14 +172,9 @@
     let answer = Kind::Read.start(&site.cut, "late").read();
     assert_eq!(answer.status(), 503);
     assert!(answer.header("retry-after").is_some());
-    let id = "\"Read-late\"";
-    assert!(
-        site.cut
-            .logged(id)
-            .iter()
-            .all(|line| !line.contains("\"sending\""))
-    );
-    assert!(site.sound.logged(id).is_empty());
+    let lines = site.cut.lines_about("Read-late");
+    assert!(lines.iter().all(|line| !line.contains("\"sending\"")));
+    assert!(site.sound.logged("\"Read-late\"").is_empty());
 }
 
 #[test]
@@ -195,7 +190,7 @@
     });
     for kind in KINDS {
         assert!(kind.is_served_by(&site.cut, "late"), "{kind:?}");
-        let sent = site.cut.logged(&format!("\"{kind:?}-late\""));
+        let sent = site.cut.lines_about(&format!("{kind:?}-late"));
         let is_own = sent.iter().any(|line| line.contains("\"sending\""));
         assert_eq!(
             is_own,
--- a/crates/gateway/tests/gateway/partition.rs
+++ b/crates/gateway/tests/gateway/partition.rs
@@ -181,8 +181,7 @@
     });
     for kind in KINDS {
         assert!(kind.is_served_by(&site.cut, "late"), "{kind:?}");
-        let id = format!("\"{kind:?}-late\"");
-        let own = site.cut.logged(&id);
+        let own = site.cut.lines_about(&format!("{kind:?}-late"));
         assert!(
             own.iter().any(|line| line.contains("\"sending\"")),
             "{own:?}"
