--- a/crates/ctl/src/timeline/describe.rs
+++ b/crates/ctl/src/timeline/describe.rs
@@ -8,6 +8,12 @@
     named.map_or_else(String::new, |version| format!(" (version {version})"))
 }
 
+/// The shared parts of a prompt; empty in lines that do not name any.
+fn describe_parts(parts: &Value) -> String {
+    let named = parts.as_str().filter(|parts| !parts.is_empty());
+    named.map_or_else(String::new, |parts| format!(", prompt parts {parts}"))
+}
+
 /// Describes a line of this `kind`.
 pub(super) fn describe_line(kind: &str, line: &Value) -> String {
     let text = |name: &str| match &line[name] {
@@ -17,11 +23,12 @@
     };
     match kind {
         "send" => format!(
-            "sent to {}{} to {}{} ({} of this daemon's requests in progress there, replica list {}, plan {}, {} ms left)",
+            "sent to {}{} to {}{}{} ({} of this daemon's requests in progress there, replica list {}, plan {}, {} ms left)",
             text("replica"),
             describe_version(&line["software"]),
             describe_task(&text("task")),
             describe_cache(&text("cache")),
+            describe_parts(&line["parts"]),
             text("in_flight"),
             text("replicas"),
             text("plan"),
--- a/crates/ctl/tests/waxwing/views.rs
+++ b/crates/ctl/tests/waxwing/views.rs
@@ -299,7 +299,7 @@
 const RESUMPTION_LINES: [&str; 5] = [
     r#"{"instance":"edge-1","run":"a1","up_ms":100,"time":"2026-12-02T10:00:05Z","kind":"resumption","request":"77aa","resumes":"66bb","last_event":7}"#,
     r#"{"instance":"edge-1","run":"a1","up_ms":102,"time":"2026-12-02T10:00:05Z","kind":"begin","request":"77aa","resumes":"66bb","software":"v1.1","source":"began","ms":2}"#,
-    r#"{"instance":"edge-1","run":"a1","up_ms":200,"time":"2026-12-02T10:00:05Z","kind":"send","request":"77aa","replica":"i-1","software":"v1.1","task":"answer","in_flight":2,"replicas":7,"plan":3,"left_ms":13900}"#,
+    r#"{"instance":"edge-1","run":"a1","up_ms":200,"time":"2026-12-02T10:00:05Z","kind":"send","request":"77aa","parts":"5c1e07a2,e4402b7d","replica":"i-1","software":"v1.1","task":"answer","in_flight":2,"replicas":7,"plan":3,"left_ms":13900}"#,
     r#"{"instance":"edge-1","run":"a1","up_ms":300,"time":"2026-12-02T10:00:06Z","kind":"begin","request":"88cc","resumes":"99dd","software":"","source":"unknown","ms":100}"#,
     r#"{"instance":"edge-1","run":"a1","up_ms":301,"time":"2026-12-02T10:00:06Z","kind":"end","request":"88cc","outcome":"refused","status":503,"ms":101,"cause":"the software version that began the stream is unknown"}"#,
 ];
@@ -308,7 +308,7 @@
 #[case::known("77aa", &[
     "the caller resumes the stream of its attempt 66bb after event 7",
     "the stream was begun by version v1.1 (began)",
-    "sent to i-1 (version v1.1) to answer",
+    "sent to i-1 (version v1.1) to answer, prompt parts 5c1e07a2,e4402b7d",
 ])]
 #[case::unknown("88cc", &[
     "nobody knows which software version began the stream",
