--- a/crates/gateway/tests/gateway/common/replica.rs
+++ b/crates/gateway/tests/gateway/common/replica.rs
@@ -398,14 +398,28 @@
     .into_bytes()
 }
 
+/// The head of a signed stream that has no length and ends with its connection.
+pub fn stream_head_without_length(request: &Message) -> Vec<u8> {
+    let id = request.header("request-id").unwrap_or_default();
+    format!(
+        "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nresponse-seal: s.1\r\ncontent-type: text/event-stream\r\n\r\n"
+    )
+    .into_bytes()
+}
+
 /// One chunk of a stream; an empty one ends the stream.
 pub fn chunk(bytes: &[u8]) -> Vec<u8> {
     let size = format!("{:x}\r\n", bytes.len()).into_bytes();
     [&size, bytes, b"\r\n"].concat()
 }
 
+/// The events `from..=to`.
+pub fn event_texts(from: u64, to: u64) -> String {
+    let texts = (from..=to).map(|id| format!("id: {id}\ndata: t{id}\n\n"));
+    texts.collect()
+}
+
 /// The events `from..=to` as one chunk.
 pub fn events(from: u64, to: u64) -> Vec<u8> {
-    let texts = (from..=to).map(|id| format!("id: {id}\ndata: t{id}\n\n"));
-    chunk(texts.collect::<String>().as_bytes())
+    chunk(event_texts(from, to).as_bytes())
 }
--- a/crates/gateway/tests/gateway/truncation.rs
+++ b/crates/gateway/tests/gateway/truncation.rs
@@ -20,8 +20,10 @@
 use crate::common::replica::Action;
 use crate::common::replica::Replica;
 use crate::common::replica::chunk;
+use crate::common::replica::event_texts;
 use crate::common::replica::events;
 use crate::common::replica::stream_head;
+use crate::common::replica::stream_head_without_length;
 use crate::site::Site;
 use crate::site::start_generation;
 
@@ -39,28 +41,10 @@
     assert_eq!(collect_body(body).await, None);
 }
 
-/// The head of a signed stream that has no length and ends with its connection.
-fn head_without_length(request: &Message) -> Vec<u8> {
-    let id = request.header("request-id").unwrap_or_default();
-    let lines = [
-        "HTTP/1.1 200 OK",
-        &format!("request-id: {id}"),
-        "response-seal: s.1",
-        "content-type: text/event-stream",
-    ];
-    format!("{}\r\n\r\n", lines.join("\r\n")).into_bytes()
-}
-
-/// The events `from..=to`.
-fn event_texts(from: u64, to: u64) -> String {
-    let texts = (from..=to).map(|id| format!("id: {id}\ndata: t{id}\n\n"));
-    texts.collect()
-}
-
 /// A stream without a length that consists of the events up to `last` and `rest`.
 fn stream_without_length(request: &Message, last: u64, rest: &[u8]) -> Action {
     let events = event_texts(1, last).into_bytes();
-    Action::SendAndClose([&head_without_length(request), &events, rest].concat())
+    Action::SendAndClose([&stream_head_without_length(request), &events, rest].concat())
 }
 
 #[test]
