Keep more ends in a quarantine record than quarantine a request

Cause, found by reading before: a record was cut to three ends before a later service withdrew some of them, so that four ends and one service gave none or one end, depending on their order. Records keep 16 now, the earliest and the latest; of two times of one end the earlier one counts. Datagrams are filled by the number of records and ends in place of twelve records.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -43,8 +43,9 @@
 /// Time to wait for a newer plan from the store before it is fetched from a peer.
 const PLAN_DELAY: Duration = Duration::from_millis(300);
 
-/// Maximum number of quarantine records in one datagram: 75 bytes each, and 200 for its head.
-const MAX_RECORDS: usize = 12;
+/// Maximum number of records and ends in one datagram of quarantine records: up to 19 bytes each,
+/// and 200 for its head.
+const MAX_RECORD_ITEMS: usize = 48;
 /// Time to wait for datagrams in flight before differing records are fetched from a peer.
 const RECORDS_DELAY: Duration = Duration::from_millis(300);
 /// Pause after such a fetch, so that one fetch covers many differences.
@@ -168,11 +169,24 @@
 
 /// Sends `records` to the daemon at `peer`, in as many datagrams as needed.
 pub async fn send_records(shared: &Shared, peer: SocketAddr, records: &[Record]) {
-    for chunk in records.chunks(MAX_RECORDS) {
+    let mut rest = records;
+    while !rest.is_empty() {
+        let (chunk, others) = rest.split_at(fitting_records(rest));
+        rest = others;
         send(shared, peer, Content::Quarantine(chunk.to_vec())).await;
     }
 }
 
+/// Number of the first `records` that fit into one datagram; at least one.
+fn fitting_records(records: &[Record]) -> usize {
+    let items = records.iter().scan(0, |items, record| {
+        *items += 1 + record.ends.len();
+        Some(*items)
+    });
+    let fitting = items.take_while(|items| *items <= MAX_RECORD_ITEMS);
+    fitting.count().max(1)
+}
+
 /// Sends a message about a customer's quota to the daemon at `peer`.
 pub async fn send_quota(shared: &Shared, peer: SocketAddr, message: quotas::Message) {
     send(shared, peer, Content::Quota(message)).await;
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -20,6 +20,9 @@
 /// Number of replicas that may end while running a request before it is quarantined. One or two may
 /// end for unrelated reasons, and the request is sent again.
 pub const LIMIT: usize = 3;
+/// Maximum number of ends of one record: the earliest ones and the latest. More than [`LIMIT`], so
+/// that a service that withdraws some of them leaves the same ones in whatever order records merge.
+pub const MAX_ENDS: usize = 16;
 /// Number of ends from which a record is kept in the store and compared between daemons: one more
 /// quarantines the request.
 const SUSPECT: usize = LIMIT - 1;
@@ -61,7 +64,7 @@
 pub struct Record {
     /// The request.
     pub fingerprint: Fingerprint,
-    /// Distinct replicas that ended, at most [`LIMIT`].
+    /// Distinct replicas that ended, in order of time, at most [`MAX_ENDS`].
     pub ends: Vec<End>,
     /// When the request was last served, as far as known; zero if never.
     pub served: UnixMs,
@@ -123,14 +126,19 @@
     fn merge(&mut self, other: &Self) {
         self.served = self.served.max(other.served);
         for end in &other.ends {
-            if !self.has(end) {
-                self.ends.push(*end);
+            match self.ends.iter_mut().find(|known| known.replica == end.replica) {
+                Some(known) => known.at = known.at.min(end.at),
+                None => self.ends.push(*end),
             }
         }
         let counted_after = self.served.plus(SERVED_GRACE);
         let served = self.served > UnixMs(0);
         self.ends.retain(|end| !served || end.at > counted_after);
-        self.ends.truncate(LIMIT);
+        self.ends.sort_by_key(|end| (end.at, end.replica));
+        if self.ends.len() > MAX_ENDS {
+            let latest = self.ends.len() - 1;
+            self.ends.drain(MAX_ENDS - 1..latest);
+        }
     }
 }
 
--- a/crates/relay/tests/quarantine.rs
+++ b/crates/relay/tests/quarantine.rs
@@ -4,6 +4,7 @@
 
 use relay::fingerprint::Fingerprint;
 use relay::quarantine::Change;
+use relay::quarantine::End;
 use relay::quarantine::LIMIT;
 use relay::quarantine::Quarantine;
 use relay::quarantine::Record;
@@ -62,6 +63,32 @@
     assert_eq!(merged([0, 1, 2]), merged([2, 1, 0]));
 }
 
+/// A service withdraws the ends before it; the later ones must remain, whether they merged before or after it.
+#[test]
+fn four_ends_and_one_service_merge_in_any_order() {
+    let late = later(Duration::from_secs(70));
+    let mut fourth = Record::new(REQUEST);
+    fourth.ends.push(End {
+        replica: 4,
+        at: late,
+    });
+    let records = [
+        after(&[1, 2, 3]).get(REQUEST).unwrap().clone(),
+        fourth,
+        Record::served(REQUEST, NOW),
+    ];
+    let merged = |order: [usize; 3]| {
+        let mut quarantine = Quarantine::new();
+        for index in order {
+            quarantine.merge(late, &records[index]);
+        }
+        quarantine.get(REQUEST).unwrap().ends.clone()
+    };
+    assert_eq!(merged([0, 1, 2]).len(), 1);
+    assert_eq!(merged([0, 1, 2]), merged([2, 1, 0]));
+    assert_eq!(merged([0, 1, 2]), merged([0, 2, 1]));
+}
+
 #[test]
 fn different_ends_give_different_digests() {
     assert_ne!(after(&[1, 2]).digest(), after(&[1, 3]).digest());
