Quarantine parts of prompts under which replicas end

What callers saw: one part of a prompt crashed each replica that began to answer, whatever else the request held; 23 and 21 replicas ended, since ends were put down to whole requests and each request was a new one. The key was narrower than what was learnt is true of.

Change: the whole request and each shared part of its prompt (all but the last; by service, whatever the model or route) are contents that ends are put down to, by the records, messages and rows that were there. What tells the part from the sound ones beside it: - served in full within a minute, at any daemon, as before; - runs that wrote for half a second before the end do not count, nor does a prefill; - a part is not held responsible for ends that another quarantined content covers which the request does not have; - ends within a second count once, unless most replicas that ended then had the part; alone they withhold a part for one to three minutes, then few daemons try again; - a part that becomes quarantined is cleared by a daemon where a replica has been writing an answer on it for half a second and is still there. A refusal names the part (text, log line), withheld_total counts; prompts that were read before wait for no run.

Ruled out: an allowance by caller (they come from many), a second record of parts. The test of the row by which operators lift a quarantine writes one for each quarantined content now: the parts of a request that came alone have its ends.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -65,12 +65,12 @@
     response.map(|body| body.with_open_request(open))
 }
 
-/// Serves `job`. A request whose content is quarantined is refused without running.
+/// Serves `job`. A request with a quarantined content is refused without running.
 ///
 /// The quota of a request that was handed over is charged by the instance that handed it over.
 pub async fn dispatch(shared: &Rc<Shared>, mut job: Job) -> Response<Body> {
-    if let Some(remaining) = shared.quarantined_for(job.fingerprint) {
-        return ending::refuse_quarantined(&mut job, remaining);
+    if let Some(withheld) = shared.withheld(&job.content) {
+        return ending::refuse_withheld(shared, &mut job, &withheld);
     }
     if let Some(response) = bind_resumption(shared, &mut job).await {
         return response;
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -4,7 +4,7 @@
 use std::time::SystemTime;
 
 pub use boottime::Clock;
-use relay::quarantine::UnixMs;
+use relay::quarantine::record::UnixMs;
 
 /// The time of day; clocks of instances differ by seconds.
 pub fn unix() -> UnixMs {
--- a/crates/gateway/src/ending.rs
+++ b/crates/gateway/src/ending.rs
@@ -3,16 +3,14 @@
 use std::time::Duration;
 
 use http::Response;
+use relay::fingerprint::Part;
+use relay::quarantine::Withheld;
 
 use crate::body::Body;
 use crate::job::Job;
 use crate::responses;
 use crate::shared::Shared;
 
-/// Logged cause when a quarantined request is refused.
-const QUARANTINED_CAUSE: &str = "replicas ended under this request";
-/// Response to a quarantined request; sending it elsewhere or again at once does not help.
-const QUARANTINED_TEXT: &str = "replicas ended under this request; it has not run\n";
 /// Logged cause when the API key of a request is revoked while the request waits.
 const DENIED_CAUSE: &str = "its API key was revoked";
 /// Response to other refused requests.
@@ -28,16 +26,31 @@
     retry_after: Duration,
     cause: &'static str,
 ) -> Response<Body> {
-    match shared.quarantined_for(job.fingerprint) {
-        Some(remaining) => refuse_quarantined(job, remaining),
+    match shared.withheld(&job.content) {
+        Some(withheld) => refuse_withheld(shared, job, &withheld),
         None if shared.is_revoked(job) => finish(job, "rejected", responses::denied, DENIED_CAUSE),
         None => refuse_with(job, retry_after, cause, REFUSED_TEXT),
     }
 }
 
-/// Refuses `job`, whose content is quarantined for another `remaining`; it has not run.
-pub fn refuse_quarantined(job: &mut Job, remaining: Duration) -> Response<Body> {
-    refuse_with(job, remaining, QUARANTINED_CAUSE, QUARANTINED_TEXT)
+/// Refuses `job`, which is `withheld` and has not run; sending it elsewhere or again at once does not
+/// help.
+pub fn refuse_withheld(shared: &Shared, job: &mut Job, withheld: &Withheld) -> Response<Body> {
+    let (kind, cause, log) = match &withheld.part {
+        Some(Part { id, fingerprint }) => {
+            let cause = format!("replicas ended under the part {id} of this prompt");
+            let log = format!("{cause}, content {fingerprint}");
+            ("part", cause, log)
+        }
+        None => {
+            let cause = "replicas ended under this request".to_owned();
+            ("request", cause.clone(), cause)
+        }
+    };
+    shared.metrics.withheld(kind);
+    job.end("refused", 503, &log);
+    let text = format!("{cause}; it has not run\n");
+    responses::refuse(&job.call.id, withheld.remaining, text)
 }
 
 /// Refuses `job`, which exceeds its customer's quota and has not run.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -22,7 +22,7 @@
 use rand::seq::IndexedRandom;
 use relay::evacuation::Evacuations;
 use relay::plan::Plan;
-use relay::quarantine::Record;
+use relay::quarantine::record::Record;
 use relay::replica::Source;
 use relay::replica::Update;
 use serde::Deserialize;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -19,6 +19,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::Sender;
 
+use crate::answers::OpenAnswer;
 use crate::begins;
 use crate::body::Body;
 use crate::body::Part;
@@ -39,6 +40,10 @@
 /// needs a few hundred milliseconds to prefill the prompt.
 const STALL_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Time between two events of a replica from which its run counts as begun long ago: a part of a
+/// prompt that crashes replicas does so within about 100 ms after the first event.
+pub const MIN_WRITING_TIME: Duration = Duration::from_millis(500);
+
 /// Pause between two events that is logged if the route sets no limit for pauses.
 const LONG_GAP: Duration = Duration::from_millis(300);
 
@@ -65,6 +70,8 @@
         software: None,
         tracked_run: opened.tracked_run,
         events: 0,
+        written: None,
+        answer: None,
         may_have_stopped: false,
     };
     tokio::task::spawn_local(forwarder.run(Source::Replica(Box::new(opened.reply))));
@@ -86,6 +93,10 @@
     tracked_run: Option<TrackedRun>,
     /// Events forwarded so far.
     events: u64,
+    /// When the first event of the current replica arrived, and the last one.
+    written: Option<(Instant, Instant)>,
+    /// The answer that the current replica is writing, from its first event on.
+    answer: Option<OpenAnswer>,
     /// Whether the run at the current replica may have been stopped by a request that got no
     /// answer.
     may_have_stopped: bool,
@@ -127,7 +138,7 @@
                 End::Complete => {
                     if let Some(key) = key {
                         send::record_success(&self.shared, key);
-                        self.shared.note_served(self.job.fingerprint);
+                        self.shared.note_served(&self.job.content);
                     }
                     if let Some(tracked_run) = &mut self.tracked_run {
                         tracked_run.mark_complete();
@@ -165,10 +176,20 @@
     /// Records that the replica `key`, if the part came from one, was lost.
     fn record_loss(&self, key: Option<Key>, cause: &str) {
         if let Some(key) = key {
+            if self.has_been_writing() {
+                self.job.record_writing(key);
+            }
             send::record_failure(&self.shared, &self.job, key, Sent::Lost, cause, 0);
         }
     }
 
+    /// Whether the current replica has been writing the answer for a while.
+    fn has_been_writing(&self) -> bool {
+        let written = self.written;
+        written
+            .is_some_and(|(first, last)| last.saturating_duration_since(first) >= MIN_WRITING_TIME)
+    }
+
     /// Sends bytes to the caller; `false` if the caller is gone.
     async fn send_to_caller(&mut self, bytes: Vec<u8>) -> bool {
         if bytes.is_empty() {
--- a/crates/gateway/src/forward/replica_stream.rs
+++ b/crates/gateway/src/forward/replica_stream.rs
@@ -18,6 +18,7 @@
 use relay::plan::Mode;
 use relay::server::Key;
 
+use crate::answers::OpenAnswer;
 use crate::connections::Connection;
 use crate::forward::End;
 use crate::forward::Forwarder;
@@ -97,6 +98,7 @@
         self.software.clone_from(&reply.software);
         let mut source = ReplicaStream::new(reply);
         self.may_have_stopped = false;
+        self.written = None;
         loop {
             let end = match self.next_step(&mut source).await {
                 Step::Read(read) => self.handle_read(&mut source, read).await,
@@ -108,6 +110,7 @@
                 Step::CallerLeft => Some(End::CallerLeft),
             };
             let Some(end) = end else { continue };
+            self.answer = None;
             // No replica will continue from the KV cache kept for the migration.
             if let Some(stopped) = &source.stopped {
                 migration::free_cache(&self.shared, stopped);
@@ -212,7 +215,13 @@
         if !whole.is_empty() {
             self.learn_version(source.guard.key);
             self.record_gap(source.guard.key, source.last_event_at);
-            source.last_event_at = Instant::now();
+            let now = Instant::now();
+            source.last_event_at = now;
+            self.written = Some((self.written.map_or(now, |(first, _)| first), now));
+            let key = source.guard.key;
+            let answers = &self.shared.answers;
+            let answer = || OpenAnswer::new(answers, key, &self.job.content);
+            self.answer.get_or_insert_with(answer);
         }
         let taken = self.send_to_caller(whole).await;
         (!taken).then_some(End::CallerLeft)
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -19,7 +19,7 @@
 use ident::Time;
 use relay::claims::ClaimUpdate;
 use relay::evacuation::Evacuations;
-use relay::quarantine::Record;
+use relay::quarantine::record::Record;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::net::UdpSocket;
--- a/crates/gateway/src/handoff/message.rs
+++ b/crates/gateway/src/handoff/message.rs
@@ -110,7 +110,7 @@
             method: job.method.to_string(),
             uri: job::path_and_query(&job.uri).to_owned(),
             headers: to_pairs(&job.headers),
-            fingerprint: job.fingerprint,
+            fingerprint: job.content.whole,
             route: job.route.clone(),
             plan: job.plan,
             service: job.service.clone(),
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::cell::OnceCell;
 use std::cell::RefCell;
-use std::collections::HashSet;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,6 +20,7 @@
 use platform::caller::Call;
 use platform::caller::ReplicaRequest;
 use platform::caller::Task;
+use relay::fingerprint::Content;
 use relay::fingerprint::Fingerprint;
 use relay::homes::Homes;
 use relay::permit::Permit;
@@ -30,6 +31,7 @@
 use relay::runs::Size;
 use relay::server::Key;
 
+use crate::probes::Suspect;
 use crate::quota::charge::Charge;
 use crate::shared::Shared;
 use crate::shared::choice::Destination;
@@ -41,8 +43,8 @@
 pub struct Job {
     /// Parsed headers.
     pub call: Call,
-    /// Identifies the content of the request across attempts.
-    pub fingerprint: Fingerprint,
+    /// What of it replicas may crash on.
+    pub content: Content,
     /// Route of the request.
     pub route: Route,
     /// Version of the plan that contains the route.
@@ -82,12 +84,23 @@
     software: OnceCell<String>,
     /// Software version that was last announced to have begun the stream.
     announced: RefCell<Option<String>>,
-    /// Replicas that received the request.
-    sent_to: RefCell<HashSet<Key>>,
+    /// Replicas that received the request, and how far they got.
+    sent_to: RefCell<HashMap<Key, Progress>>,
     shared: Rc<Shared>,
     end_recorded: bool,
 }
 
+/// How far a replica got with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Progress {
+    /// It was to prefill the prompt.
+    Reads,
+    /// It was to answer.
+    Begins,
+    /// It has been writing the answer for a while.
+    Writes,
+}
+
 /// Times of a request.
 #[derive(Debug, Clone, Copy)]
 pub struct Timing {
@@ -135,9 +148,10 @@
             deadline,
             returned,
         } = timing;
+        let content = Content::new(fingerprint, &service, &call.parts);
         Self {
             call,
-            fingerprint,
+            content,
             route,
             plan,
             service,
@@ -216,10 +230,35 @@
         self.permits.borrow_mut().take(work)
     }
 
-    /// Records a send to the replica `key`; returns whether it is the first one there. Each attempt
-    /// of a caller has its own id, so sends of other jobs do not matter.
-    pub fn record_first_send(&self, key: Key) -> bool {
-        self.sent_to.borrow_mut().insert(key)
+    /// Records a send to the replica `key` that makes it do `work`; returns whether it is the first
+    /// one there. Each attempt of a caller has its own id, so sends of other jobs do not matter.
+    pub fn record_send(&self, key: Key, work: Work) -> bool {
+        let progress = match work {
+            Work::Read => Progress::Reads,
+            Work::Run => Progress::Begins,
+        };
+        self.sent_to.borrow_mut().insert(key, progress).is_none()
+    }
+
+    /// Records that the replica `key` has been writing the answer for a while.
+    pub fn record_writing(&self, key: Key) {
+        self.sent_to.borrow_mut().insert(key, Progress::Writes);
+    }
+
+    /// What the replica `key` may have crashed on if it ended now. A part of a prompt crashes its
+    /// replica as the answer begins.
+    pub fn suspects(&self, key: Key) -> Vec<Suspect> {
+        let whole = Suspect {
+            fingerprint: self.content.whole,
+            part: None,
+        };
+        let begins = self.sent_to.borrow().get(&key) == Some(&Progress::Begins);
+        let parts = self.content.parts.iter().filter(|_| begins);
+        let parts = parts.map(|part| Suspect {
+            fingerprint: part.fingerprint,
+            part: Some(part.id.clone()),
+        });
+        [whole].into_iter().chain(parts).collect()
     }
 
     /// Builds the request to `replica` for `task`.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! platform; this crate holds sockets, timers, settings, logs and metrics. All work but the writing
 //! of log lines is done on one thread.
 
+pub mod answers;
 pub mod auxiliary;
 pub mod begins;
 pub mod body;
@@ -166,6 +167,7 @@
     spawn_local(reach_probe::run(Rc::clone(&shared)));
     spawn_local(quarantine::probe::run(Rc::clone(&shared)));
     spawn_local(quarantine::announce::run(Rc::clone(&shared)));
+    spawn_local(quarantine::clear::run(Rc::clone(&shared)));
     spawn_local(quarantine::storage::run(Rc::clone(&shared)));
     spawn_local(quarantine::remove_expired(Rc::clone(&shared)));
     // At the first start of the whole system no peer has records.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -34,7 +34,7 @@
     pub open: GenericGauge<AtomicU64>,
     /// Evacuated data centres; 1 for each.
     evacuated: GaugeVec,
-    /// Quarantined requests, which are sent to no replica because replicas ended under them.
+    /// Requests and parts of prompts under which so many replicas ended that they are quarantined.
     pub quarantined: GenericGauge<AtomicU64>,
     /// Answers of replicas that belonged, or may have belonged, to another request.
     pub foreign_answers: IntCounter,
@@ -58,6 +58,7 @@
     event_gaps: Histogram,
     place_waits: Histogram,
     requests: IntCounterVec,
+    withheld: IntCounterVec,
     sends: IntCounterVec,
     notices: IntCounterVec,
     handoffs: IntCounterVec,
@@ -111,7 +112,12 @@
             plan_version: gauge("plan_version", "Version of the plan in force")?,
             evacuated: register(&registry, GaugeVec::new(evacuated, &["data_centre"])?)?,
             open: gauge("open_requests", "Requests in progress")?,
-            quarantined: gauge("quarantined", "Quarantined requests, sent to no replica")?,
+            quarantined: gauge("quarantined", "Quarantined requests and parts of prompts")?,
+            withheld: vector(
+                "withheld_total",
+                "Requests refused because they, or a part of their prompt, are quarantined",
+                &["content"],
+            )?,
             store_calls: vector(
                 "store_calls_total",
                 "Calls of the store by step and table",
@@ -191,6 +197,11 @@
         self.notices.with_label_values(&[notice]).inc();
     }
 
+    /// Counts a refused request of which `content`, `request` or `part`, is quarantined.
+    pub fn withheld(&self, content: &str) {
+        self.withheld.with_label_values(&[content]).inc();
+    }
+
     /// Counts a request that was handed to a peer, or served for one, with `outcome`.
     pub fn handoff(&self, outcome: &str) {
         self.handoffs.with_label_values(&[outcome]).inc();
--- a/crates/gateway/src/outbox.rs
+++ b/crates/gateway/src/outbox.rs
@@ -1,4 +1,5 @@
-//! Requests whose quarantine records have to be sent to other daemons or written to the store.
+//! Contents of requests that wait for a task, such as those whose quarantine records have to be sent
+//! to other daemons or written to the store.
 
 use std::cell::RefCell;
 use std::collections::HashSet;
@@ -6,10 +7,10 @@
 use relay::fingerprint::Fingerprint;
 use tokio::sync::Notify;
 
-/// Set of requests that waits for one consumer.
+/// Set of contents that waits for one consumer.
 #[derive(Debug, Default)]
 pub struct Outbox {
-    requests: RefCell<HashSet<Fingerprint>>,
+    contents: RefCell<HashSet<Fingerprint>>,
     added: Notify,
 }
 
@@ -19,19 +20,19 @@
         Self::default()
     }
 
-    /// Adds a request and wakes the consumer.
+    /// Adds a content and wakes the consumer.
     pub fn add(&self, fingerprint: Fingerprint) {
-        self.requests.borrow_mut().insert(fingerprint);
+        self.contents.borrow_mut().insert(fingerprint);
         self.added.notify_one();
     }
 
-    /// Waits until a request is added.
+    /// Waits until a content is added.
     pub async fn added(&self) {
         self.added.notified().await;
     }
 
-    /// Takes all requests out.
+    /// Takes all contents out.
     pub fn take(&self) -> HashSet<Fingerprint> {
-        self.requests.take()
+        self.contents.take()
     }
 }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -66,7 +66,7 @@
         let may_abandon = attempt.may_fail_over();
         let sent = send_to(shared, &job, key, permit, may_abandon, &tried).await;
         if matches!(&sent, SendResult::Answered(answer) if answer.status.is_success()) {
-            shared.note_served(job.fingerprint);
+            shared.note_served(&job.content);
         }
         let next = match sent {
             SendResult::TimedOut => {
--- a/crates/gateway/src/probes.rs
+++ b/crates/gateway/src/probes.rs
@@ -9,11 +9,20 @@
 use tokio::sync::Notify;
 use tokio::sync::futures::Notified;
 
-/// Lost replicas that are being probed, and the requests they were at work on.
+/// A content that replicas may crash on.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Suspect {
+    /// Identifies it.
+    pub fingerprint: Fingerprint,
+    /// Id of the part of a prompt; `None` for a whole request.
+    pub part: Option<String>,
+}
+
+/// Lost replicas that are being probed, and the contents they were at work on.
 #[derive(Debug, Default)]
 pub struct Probes {
-    /// Requests that were in progress at each lost replica.
-    requests: RefCell<HashMap<Key, HashSet<Fingerprint>>>,
+    /// Contents that were in progress at each lost replica.
+    suspects: RefCell<HashMap<Key, HashSet<Suspect>>>,
     /// Lost replicas whose probe has not started, with their hashes.
     unstarted: RefCell<Vec<(Key, u64)>>,
     added: Notify,
@@ -26,16 +35,16 @@
         Self::default()
     }
 
-    /// Adds the request to the probe of `replica`, behind `key`; requests a probe if none is in
+    /// Adds `suspects` to the probe of `replica`, behind `key`; requests a probe if none is in
     /// progress.
-    pub fn add(&self, key: Key, replica: u64, fingerprint: Fingerprint) {
-        let mut lost = self.requests.borrow_mut();
-        let requests = lost.entry(key).or_default();
-        if requests.is_empty() {
+    pub fn add(&self, key: Key, replica: u64, suspects: Vec<Suspect>) {
+        let mut lost = self.suspects.borrow_mut();
+        let known = lost.entry(key).or_default();
+        if known.is_empty() {
             self.unstarted.borrow_mut().push((key, replica));
             self.added.notify_one();
         }
-        requests.insert(fingerprint);
+        known.extend(suspects);
     }
 
     /// Waits until a probe is requested.
@@ -48,19 +57,20 @@
         self.unstarted.take()
     }
 
-    /// Number of replicas being probed that were at work on the request.
+    /// Number of replicas being probed that were at work on the content.
     pub fn count(&self, fingerprint: Fingerprint) -> usize {
-        let lost = self.requests.borrow();
-        let matching = lost
-            .values()
-            .filter(|requests| requests.contains(&fingerprint));
-        matching.count()
+        let lost = self.suspects.borrow();
+        let has = |suspects: &HashSet<Suspect>| {
+            let mut suspects = suspects.iter();
+            suspects.any(|suspect| suspect.fingerprint == fingerprint)
+        };
+        lost.values().filter(|suspects| has(suspects)).count()
     }
 
-    /// Ends the probe of the replica behind `key` and returns the requests it was at work on.
-    pub fn take_requests(&self, key: Key) -> HashSet<Fingerprint> {
-        let requests = self.requests.borrow_mut().remove(&key);
-        requests.unwrap_or_default()
+    /// Ends the probe of the replica behind `key` and returns the contents it was at work on.
+    pub fn take_suspects(&self, key: Key) -> HashSet<Suspect> {
+        let suspects = self.suspects.borrow_mut().remove(&key);
+        suspects.unwrap_or_default()
     }
 
     /// Wakes the tasks that wait for a probe to finish.
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -2,6 +2,7 @@
 //! stores it.
 
 pub mod announce;
+pub mod clear;
 pub mod probe;
 pub mod storage;
 
--- a/crates/gateway/src/quarantine/announce.rs
+++ b/crates/gateway/src/quarantine/announce.rs
@@ -6,7 +6,7 @@
 use boottime::Instant;
 use boottime::timer::timeout_at;
 use relay::fingerprint::Fingerprint;
-use relay::quarantine::Record;
+use relay::quarantine::record::Record;
 
 use crate::gossip;
 use crate::shared::Shared;
--- a/crates/gateway/src/quarantine/probe.rs
+++ b/crates/gateway/src/quarantine/probe.rs
@@ -6,8 +6,7 @@
 use boottime::Instant;
 use boottime::timer::sleep;
 use boottime::timer::timeout;
-use relay::fingerprint::Fingerprint;
-use relay::quarantine::LIMIT;
+use relay::fingerprint::Content;
 use relay::server::Key;
 
 use crate::clock;
@@ -45,9 +44,9 @@
     let started = Instant::now();
     let presence = probe_presence(&shared, key).await;
     let has_ended = presence != Presence::Here && !presence::is_running(&shared, key).await;
-    for fingerprint in shared.probes.take_requests(key) {
+    for suspect in shared.probes.take_suspects(key) {
         if has_ended {
-            shared.note_end(fingerprint, replica);
+            shared.note_end(&suspect, replica);
         }
     }
     shared.probes.notify_finished();
@@ -74,16 +73,16 @@
 }
 
 impl Shared {
-    /// Whether the request may be sent to a replica. Waits up to `MAX_WAIT` while the outcome of
-    /// probes may quarantine it.
-    pub async fn may_send(&self, fingerprint: Fingerprint) -> bool {
+    /// Whether a request with `content` may be sent to a replica. Waits up to `MAX_WAIT` while the
+    /// outcome of probes may quarantine it.
+    pub async fn may_send(&self, content: &Content) -> bool {
         let decision = async {
             loop {
                 let finished = self.probes.finished();
-                if self.quarantined_for(fingerprint).is_some() {
+                if self.withheld(content).is_some() {
                     return false;
                 }
-                if !self.may_become_quarantined(fingerprint) {
+                if !self.may_become_withheld(content) {
                     return true;
                 }
                 finished.await;
@@ -92,11 +91,9 @@
         timeout(MAX_WAIT, decision).await.unwrap_or(false)
     }
 
-    /// Whether the request would be quarantined if all replicas being probed have ended.
-    fn may_become_quarantined(&self, fingerprint: Fingerprint) -> bool {
+    fn may_become_withheld(&self, content: &Content) -> bool {
         let quarantine = self.quarantine.borrow();
-        let ends = quarantine.get(fingerprint).map_or(0, |r| r.ends.len());
-        ends + self.probes.count(fingerprint) >= LIMIT
-            && !quarantine.was_served_lately(clock::unix(), fingerprint)
+        let probed = |fingerprint| self.probes.count(fingerprint);
+        quarantine.may_become_withheld(clock::unix(), content, probed)
     }
 }
--- a/crates/gateway/src/quarantine/storage.rs
+++ b/crates/gateway/src/quarantine/storage.rs
@@ -8,9 +8,9 @@
 use platform::store::Edit;
 use platform::store::Row;
 use relay::fingerprint::Fingerprint;
-use relay::quarantine::End;
-use relay::quarantine::Record;
-use relay::quarantine::UnixMs;
+use relay::quarantine::record::End;
+use relay::quarantine::record::Record;
+use relay::quarantine::record::UnixMs;
 
 use crate::clock;
 use crate::shared::Shared;
--- a/crates/gateway/src/responses.rs
+++ b/crates/gateway/src/responses.rs
@@ -21,8 +21,8 @@
 pub struct Refused;
 
 /// A response with `status` and a plain text.
-pub fn answer(status: StatusCode, id: &str, text: &'static str) -> Response<Body> {
-    let mut response = Response::new(Body::whole(Bytes::from_static(text.as_bytes())));
+pub fn answer(status: StatusCode, id: &str, text: impl Into<Bytes>) -> Response<Body> {
+    let mut response = Response::new(Body::whole(text.into()));
     *response.status_mut() = status;
     let headers = response.headers_mut();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
@@ -33,7 +33,7 @@
 }
 
 /// The request has not run; retry after `retry_after`.
-pub fn refuse(id: &str, retry_after: Duration, text: &'static str) -> Response<Body> {
+pub fn refuse(id: &str, retry_after: Duration, text: impl Into<Bytes>) -> Response<Body> {
     with_retry_after(StatusCode::SERVICE_UNAVAILABLE, id, retry_after, text)
 }
 
@@ -47,7 +47,7 @@
     status: StatusCode,
     id: &str,
     retry_after: Duration,
-    text: &'static str,
+    text: impl Into<Bytes>,
 ) -> Response<Body> {
     let mut response = answer(status, id, text);
     response.extensions_mut().insert(Refused);
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -57,7 +57,7 @@
         Task::Prefill => Work::Read,
         _ => Work::Run,
     };
-    let sent = if !shared.may_send(job.fingerprint).await {
+    let sent = if !shared.may_send(&job.content).await {
         Err(Outcome::Quarantined)
     } else if shared.is_revoked(job) {
         Err(Outcome::Denied)
@@ -119,7 +119,7 @@
         None => return Err(Outcome::NotSent),
     };
     let (prompt, output) = job.call.tokens.unwrap_or_default();
-    log::info!(kind = "send", request = job.call.id, content = job.fingerprint.to_string(), parts = job.call.parts.join(","), replica = id, software = software.as_deref().unwrap_or_default(), task = task_name(&task), cache = cache_handle(&task), in_flight = in_flight, prompt = prompt, output = output, replicas = shared.replicas_version(), reserved = reservation.is_some(), plan = job.plan, left_ms = job.time_left().as_millis() as u64; "sending");
+    log::info!(kind = "send", request = job.call.id, content = job.content.whole.to_string(), parts = job.call.parts.join(","), replica = id, software = software.as_deref().unwrap_or_default(), task = task_name(&task), cache = cache_handle(&task), in_flight = in_flight, prompt = prompt, output = output, replicas = shared.replicas_version(), reserved = reservation.is_some(), plan = job.plan, left_ms = job.time_left().as_millis() as u64; "sending");
     let prefill = task == Task::Prefill;
     let decode = matches!(task, Task::Decode { .. });
     let begun = Instant::now();
@@ -130,7 +130,8 @@
     // Use a new connection if the request must not run twice, since a late duplicate answer would
     // lose it, and for a second send to the same replica, since a duplicate answer to the first one
     // carries the same id.
-    let is_first = job.record_first_send(key);
+    let work = if prefill { Work::Read } else { Work::Run };
+    let is_first = job.record_send(key, work);
     let needs_new_connection = !is_first || !(prefill || job.route.mode.repeatable());
     let sent = shared
         .connections
@@ -263,7 +264,7 @@
     status: u16,
 ) {
     if outcome == Outcome::Lost {
-        shared.probe_lost(job.fingerprint, key);
+        shared.probe_lost(key, job.suspects(key));
     }
     let now = shared.clock.now();
     let mut pool = shared.pool.borrow_mut();
@@ -277,7 +278,7 @@
         Outcome::Quarantined => "quarantined",
         Outcome::Denied => "denied",
     });
-    log::info!(kind = "failure", request = job.call.id, content = job.fingerprint.to_string(), replica = replica, outcome = format!("{outcome:?}"), status = status, cause = cause; "a send failed");
+    log::info!(kind = "failure", request = job.call.id, content = job.content.whole.to_string(), replica = replica, outcome = format!("{outcome:?}"), status = status, cause = cause; "a send failed");
 }
 
 /// Records that a send to `key` succeeded.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -39,6 +39,7 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
+use crate::answers::Answers;
 use crate::begins::message::Questions;
 use crate::clock::Clock;
 use crate::connections::Connector;
@@ -98,7 +99,7 @@
     pub pending_prefills_outdated: Cell<bool>,
     /// When the memory forecasts of all replicas were last updated.
     pub forecasts_updated_at: Cell<Time>,
-    /// Requests under which replicas ended.
+    /// Requests and parts of prompts under which replicas ended.
     pub quarantine: RefCell<Quarantine>,
     /// Quotas of customers.
     pub quotas: RefCell<Quotas>,
@@ -110,9 +111,13 @@
     stream_lifetime: Cell<Duration>,
     /// Lost replicas that are being probed.
     pub probes: Probes,
-    /// Requests whose quarantine records have to be sent to the other daemons.
+    /// Answers that replicas are writing.
+    pub answers: Rc<Answers>,
+    /// Contents that were quarantined and may be cleared by an answer in progress.
+    pub newly_quarantined: Outbox,
+    /// Contents whose quarantine records have to be sent to the other daemons.
     pub unannounced: Outbox,
-    /// Requests whose quarantine records have to be written to the store.
+    /// Contents whose quarantine records have to be written to the store.
     pub unstored: Outbox,
     /// Replica to which a run has to move, by run.
     pub move_targets: RefCell<HashMap<RunId, MoveOrder>>,
@@ -191,12 +196,14 @@
             claims: RefCell::new(Claims::new()),
             pending_prefills_outdated: Cell::new(false),
             forecasts_updated_at: Cell::new(Time::ZERO),
-            quarantine: RefCell::new(Quarantine::new()),
+            quarantine: RefCell::new(Quarantine::new().with_seed(rand::random())),
             quotas: RefCell::new(Quotas::new()),
             begins: RefCell::new(Begins::new()),
             begin_questions: RefCell::new(Questions::new()),
             stream_lifetime: Cell::new(Duration::ZERO),
             probes: Probes::new(),
+            answers: Rc::new(Answers::new()),
+            newly_quarantined: Outbox::new(),
             unannounced: Outbox::new(),
             unstored: Outbox::new(),
             move_targets: RefCell::new(HashMap::new()),
--- a/crates/gateway/src/shared/quarantine.rs
+++ b/crates/gateway/src/shared/quarantine.rs
@@ -1,42 +1,45 @@
-//! Quarantine records of requests under which replicas ended: own observations and received ones.
-
-use std::time::Duration;
+//! Quarantine records of contents under which replicas ended: own observations and received ones.
 
+use relay::fingerprint::Content;
 use relay::fingerprint::Fingerprint;
 use relay::quarantine::Change;
-use relay::quarantine::Record;
+use relay::quarantine::Withheld;
+use relay::quarantine::record::Record;
 use relay::server::Key;
 
 use crate::clock;
+use crate::probes::Suspect;
 use crate::shared::Shared;
 
 impl Shared {
-    /// Remaining time for which the request is quarantined; `None` if it may be sent.
-    pub fn quarantined_for(&self, fingerprint: Fingerprint) -> Option<Duration> {
+    /// Why a request with `content` is sent to no replica; `None` if it may be sent.
+    pub fn withheld(&self, content: &Content) -> Option<Withheld> {
         let quarantine = self.quarantine.borrow();
-        quarantine.quarantined_for(clock::unix(), fingerprint)
+        quarantine.withheld(clock::unix(), content)
     }
 
-    /// Starts a probe of the replica behind `key`, which was lost while at work on the request, to
-    /// find out whether it ended.
-    pub fn probe_lost(&self, fingerprint: Fingerprint, key: Key) {
+    /// Starts a probe of the replica behind `key`, which was lost while at work on `suspects`, to find
+    /// out whether it ended.
+    pub fn probe_lost(&self, key: Key, suspects: Vec<Suspect>) {
         // A draining replica cuts off unfinished requests when it leaves.
         let Some(replica) = self.pool.borrow().unplanned_loss(key) else {
             return;
         };
-        self.probes.add(key, replica, fingerprint);
+        self.probes.add(key, replica, suspects);
     }
 
-    /// Records that `replica` ended while at work on the request `fingerprint`; queues the record
-    /// for peers and the store.
-    pub fn note_end(&self, fingerprint: Fingerprint, replica: u64) {
+    /// Records that `replica` ended while at work on `suspect`; queues the record for peers and the
+    /// store.
+    pub fn note_end(&self, suspect: &Suspect, replica: u64) {
         let now = clock::unix();
+        let fingerprint = suspect.fingerprint;
+        let part = suspect.part.as_deref().unwrap_or_default();
         let mut quarantine = self.quarantine.borrow_mut();
         let change = quarantine.note_end(now, fingerprint, replica);
         let ends = quarantine.get(fingerprint).map_or(0, |r| r.ends.len());
         let is_suspect = quarantine.get(fingerprint).is_some_and(Record::is_suspect);
         drop(quarantine);
-        log::info!(kind = "suspect", content = fingerprint.to_string(), replica = format!("{replica:016x}"), ends = ends as u64, change = format!("{change:?}"); "a replica ended while at work on a request");
+        log::info!(kind = "suspect", content = fingerprint.to_string(), part = part, replica = format!("{replica:016x}"), ends = ends as u64, change = format!("{change:?}"); "a replica ended while at work on a request");
         if matches!(change, Change::Quarantined | Change::Other) {
             self.unannounced.add(fingerprint);
             if is_suspect {
@@ -46,8 +49,15 @@
         self.log_change("own", fingerprint, change);
     }
 
-    /// Records that a replica served the request.
-    pub fn note_served(&self, fingerprint: Fingerprint) {
+    /// Records that a replica served a request with `content` in full.
+    pub fn note_served(&self, content: &Content) {
+        for fingerprint in content.fingerprints() {
+            self.note_content_served(fingerprint);
+        }
+    }
+
+    /// Records that a content was served, or outlived where it would have crashed its replica.
+    pub fn note_content_served(&self, fingerprint: Fingerprint) {
         let now = clock::unix();
         let record = self.quarantine.borrow_mut().note_served(now, fingerprint);
         let Some(record) = record else { return };
@@ -55,10 +65,17 @@
         if record.is_suspect() {
             self.unstored.add(fingerprint);
         }
-        self.log_change("own", fingerprint, Change::Other);
+        self.log_change("own", fingerprint, Change::Cleared);
     }
 
-    /// Merges records from a peer or the store; returns the records of requests that were served
+    /// Whether ends of replicas are attributed to the content.
+    pub fn has_ended_replicas(&self, fingerprint: Fingerprint) -> bool {
+        let quarantine = self.quarantine.borrow();
+        let record = quarantine.get(fingerprint);
+        record.is_some_and(|record| !record.ends.is_empty())
+    }
+
+    /// Merges records from a peer or the store; returns the records of contents that were served
     /// meanwhile, which the sender has to receive.
     pub fn merge_records(&self, source: &'static str, records: &[Record]) -> Vec<Record> {
         let now = clock::unix();
@@ -99,9 +116,17 @@
     }
 
     fn log_change(&self, source: &'static str, fingerprint: Fingerprint, change: Change) {
-        if change == Change::Quarantined {
-            let quarantined = self.quarantine.borrow().quarantined();
-            log::warn!(kind = "quarantine", content = fingerprint.to_string(), source = source, quarantined = quarantined as u64; "replicas ended under a request; it is quarantined");
+        let content = fingerprint.to_string();
+        match change {
+            Change::Quarantined => {
+                self.newly_quarantined.add(fingerprint);
+                let quarantined = self.quarantine.borrow().quarantined();
+                log::warn!(kind = "quarantine", content = content, source = source, quarantined = quarantined as u64; "replicas ended under a request or a part of prompts; it is quarantined");
+            }
+            Change::Cleared => {
+                log::info!(kind = "cleared", content = content, source = source; "ends of replicas no longer count, since the content was served");
+            }
+            Change::None | Change::Served | Change::Other => {}
         }
     }
 }
--- a/crates/gateway/tests/gateway/part_site.rs
+++ b/crates/gateway/tests/gateway/part_site.rs
@@ -138,8 +138,9 @@
 /// Sends a generation whose prompt has the part [`FIRST`], `parts`, and one of its own.
 pub fn start_prompt(daemon: &Daemon, parts: &[&str], own: usize) -> Caller {
     let shared = [FIRST].into_iter().chain(parts.iter().copied());
-    let prompt: String = shared.map(|part| format!("{part}:200,")).collect();
-    start_whole_prompt(daemon, &format!("{prompt}a{own:07x}:260"), own)
+    let shared: Vec<&str> = shared.collect();
+    let prompt = format!("{}:200,a{own:07x}:260", shared.join(":200,"));
+    start_whole_prompt(daemon, &prompt, own)
 }
 
 /// Sends a generation with these parts of its prompt.
--- a/crates/gateway/tests/gateway/quarantine.rs
+++ b/crates/gateway/tests/gateway/quarantine.rs
@@ -193,8 +193,8 @@
     assert_eq!(run_count(&decode), QUARANTINE_THRESHOLD);
 }
 
-/// After repairing the engines, operators write the time to the store; the next daemon to start reads the row and sends
-/// it to the others.
+/// After repairing the engines, operators write the time to the store for each quarantined content; the next daemon to
+/// start reads the rows and sends them to the others.
 #[test]
 fn operators_lift_a_quarantine_by_a_row() {
     let (prefill, decode) = (
@@ -205,14 +205,16 @@
     crash_replicas(&site.daemon, QUARANTINE_THRESHOLD);
     wait_until_quarantined(&site.daemon);
     wait_until("the quarantine is stored", || {
-        site.store.keys("quarantine").len() >= QUARANTINE_THRESHOLD
+        site.store.keys("quarantine").len() >= 2 * QUARANTINE_THRESHOLD
     });
-    let keys = site.store.keys("quarantine");
-    let (content, _) = keys[0].split_once('.').unwrap();
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
-    let row = format!("{content}.served");
-    site.store
-        .put("quarantine", &row, &(now.as_millis() as u64).into());
+    // The request, and the part of its prompt that no other request had.
+    for key in site.store.keys("quarantine") {
+        let (content, _) = key.split_once('.').unwrap();
+        let row = format!("{content}.served");
+        site.store
+            .put("quarantine", &row, &(now.as_millis() as u64).into());
+    }
     let next = site.start_another("lifted-2", true);
     next.wait_until_ready();
     for daemon in [&next, &site.daemon] {
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -1,172 +1,83 @@
-//! Quarantines requests that make replicas crash.
+//! Quarantines contents that make replicas crash: requests, and parts of prompts.
 //!
 //! A request that crashes each replica it runs on comes again, since its caller sees a failure and
-//! may retry at any daemon. So each daemon records which replicas ended while running a request,
-//! the daemons exchange these records, and after [`LIMIT`] ended replicas the request is
-//! quarantined.
+//! may retry at any daemon; a part of a prompt that does comes with other requests. So each daemon
+//! records which replicas ended while running a content, the daemons exchange these records, and
+//! after [`LIMIT`] ended replicas the content is quarantined.
 //!
-//! Merging records is commutative: the ends are united, and the latest time at which the request
+//! Requests that crash replicas share parts with sound ones, and run beside sound ones. A part is not
+//! held responsible for ends that another quarantined content explains, nor for more than one of the
+//! ends that came together with those of other replicas.
+//!
+//! Merging records is commutative: the ends are united, and the latest time at which the content
 //! was served counts.
 
+mod ended;
+pub mod record;
+mod served;
+
 use std::collections::HashMap;
-use std::collections::VecDeque;
 use std::time::Duration;
 
-use serde::Deserialize;
-use serde::Serialize;
-
+use crate::fingerprint::Content;
 use crate::fingerprint::Fingerprint;
-
-/// Number of replicas that may end while running a request before it is quarantined. One or two may
-/// end for unrelated reasons, and the request is sent again.
-pub const LIMIT: usize = 3;
-/// Maximum number of ends of one record: the earliest ones and the latest. More than [`LIMIT`], so
-/// that a service that withdraws some of them leaves the same ones in whatever order records merge.
-pub const MAX_ENDS: usize = 16;
-/// Number of ends from which a record is kept in the store and compared between daemons: one more
-/// quarantines the request.
-const SUSPECT: usize = LIMIT - 1;
-/// How long a record is kept after the last end. The request would crash replicas until the engines
-/// are replaced, which takes operators a day.
-const RECORD_TTL: Duration = Duration::from_hours(24);
-/// Time after a request was served during which no end is attributed to it. A request that crashes
-/// replicas is served nowhere, whereas one that many callers send at once runs on several replicas
-/// that may end together, such as those of one rack. Also covers the clock difference between
-/// daemons.
-const SERVED_GRACE: Duration = Duration::from_mins(1);
+use crate::fingerprint::Part;
+use crate::quarantine::ended::Ended;
+use crate::quarantine::record::End;
+use crate::quarantine::record::LIMIT;
+use crate::quarantine::record::RECORD_TTL;
+use crate::quarantine::record::Record;
+use crate::quarantine::record::SERVED_GRACE;
+use crate::quarantine::record::UnixMs;
+use crate::quarantine::served::Served;
+
+/// How long a part of a prompt is quarantined at least if all replicas ended together: they may have
+/// had another cause, which the next request with the part shows.
+const TOGETHER_TTL: Duration = Duration::from_mins(1);
+/// Time over which the daemons spread these next requests, so that few run before the first one has
+/// shown the cause.
+const TRIAL_SPREAD: Duration = Duration::from_mins(2);
 /// Maximum number of records: those of the runs at 128 replicas of 64 slots that end together.
 const MAX_RECORDS: usize = 8_192;
-/// Maximum number of served requests that are remembered.
-const MAX_SERVED: usize = 1_024;
-
-/// Wall-clock time in milliseconds since the Unix epoch. Comparable between daemons, and advances
-/// while a machine is suspended.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct UnixMs(pub u64);
-
-impl UnixMs {
-    const fn plus(self, time: Duration) -> Self {
-        Self(self.0.saturating_add(time.as_millis() as u64))
-    }
-}
-
-/// The end of a replica while it was running a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct End {
-    /// Hash of the replica's id and start time, as in [`crate::server::Server::hash`].
-    pub replica: u64,
-    /// When a daemon recorded it.
-    pub at: UnixMs,
-}
-
-/// Ends attributed to one request.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Record {
-    /// The request.
-    pub fingerprint: Fingerprint,
-    /// Distinct replicas that ended, in order of time, at most [`MAX_ENDS`].
-    pub ends: Vec<End>,
-    /// When the request was last served, as far as known; zero if never.
-    pub served: UnixMs,
-}
-
-impl Record {
-    /// Creates a record without ends.
-    pub const fn new(fingerprint: Fingerprint) -> Self {
-        Self {
-            fingerprint,
-            ends: Vec::new(),
-            served: UnixMs(0),
-        }
-    }
-
-    /// Creates a record of the time at which the request was served.
-    pub const fn served(fingerprint: Fingerprint, at: UnixMs) -> Self {
-        Self {
-            fingerprint,
-            ends: Vec::new(),
-            served: at,
-        }
-    }
-
-    /// Whether the request is quarantined.
-    pub const fn is_quarantined(&self) -> bool {
-        self.ends.len() >= LIMIT
-    }
-
-    /// Whether the request is quarantined, or one more end would quarantine it.
-    pub const fn is_suspect(&self) -> bool {
-        self.ends.len() >= SUSPECT
-    }
-
-    /// When the record expires.
-    pub fn expires(&self) -> UnixMs {
-        let last = self.ends.iter().map(|end| end.at).max();
-        last.unwrap_or(self.served).plus(RECORD_TTL)
-    }
-
-    fn has(&self, end: &End) -> bool {
-        self.ends.iter().any(|known| known.replica == end.replica)
-    }
-
-    /// Contribution to the hash that daemons compare. The identity of the ended replicas matters
-    /// only while one more end would quarantine the request.
-    fn digest_part(&self) -> u64 {
-        let replicas = self.ends.iter().map(|end| end.replica);
-        match self {
-            record if record.is_quarantined() => record.fingerprint.0,
-            record if record.is_suspect() => {
-                record.fingerprint.0 ^ replicas.fold(0, u64::wrapping_add)
-            }
-            _ => 0,
-        }
-    }
-
-    /// Adds what `other` has in addition.
-    fn merge(&mut self, other: &Self) {
-        self.served = self.served.max(other.served);
-        for end in &other.ends {
-            match self.ends.iter_mut().find(|known| known.replica == end.replica) {
-                Some(known) => known.at = known.at.min(end.at),
-                None => self.ends.push(*end),
-            }
-        }
-        let counted_after = self.served.plus(SERVED_GRACE);
-        let served = self.served > UnixMs(0);
-        self.ends.retain(|end| !served || end.at > counted_after);
-        self.ends.sort_by_key(|end| (end.at, end.replica));
-        if self.ends.len() > MAX_ENDS {
-            let latest = self.ends.len() - 1;
-            self.ends.drain(MAX_ENDS - 1..latest);
-        }
-    }
-}
 
 /// Effect of merging a record.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Change {
     /// Nothing changed.
     None,
-    /// The request is quarantined from now on.
+    /// The content is quarantined from now on.
     Quarantined,
-    /// A received end does not count because the request was served; the sender should be informed.
+    /// A received end does not count because the content was served; the sender should be informed.
     Served,
+    /// Ends no longer count because the content was served.
+    Cleared,
     /// Another change.
     Other,
 }
 
+/// A quarantined content of a request, because of which the request is sent to no replica.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Withheld {
+    /// The part of its prompt; `None` for the whole request.
+    pub part: Option<Part>,
+    /// For how long.
+    pub remaining: Duration,
+}
+
 /// All records of one daemon.
 #[derive(Debug, Default)]
 pub struct Quarantine {
     records: HashMap<Fingerprint, Record>,
-    /// Requests that this daemon has served lately.
-    served: HashMap<Fingerprint, UnixMs>,
-    /// The same requests, in the order in which they were first served.
-    served_order: VecDeque<Fingerprint>,
+    /// What this daemon has served lately.
+    served: Served,
+    /// All replicas that ended.
+    ended: Ended,
     /// Hash of the suspect records; equal sets have equal hashes.
     digest: u64,
-    /// Number of quarantined requests.
+    /// Number of records with [`LIMIT`] ends.
     quarantined: usize,
+    /// Differs between daemons, so that they send requests again at different times.
+    seed: u64,
 }
 
 impl Quarantine {
@@ -175,11 +86,58 @@
         Self::default()
     }
 
+    /// The same with another seed than the other daemons have.
+    #[must_use]
+    pub const fn with_seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+
     /// Returns the record of `fingerprint`.
     pub fn get(&self, fingerprint: Fingerprint) -> Option<&Record> {
         self.records.get(&fingerprint)
     }
 
+    /// Why a request with `content` is sent to no replica; `None` if it may be sent.
+    pub fn withheld(&self, now: UnixMs, content: &Content) -> Option<Withheld> {
+        let whole = self.quarantined_for(now, content.whole);
+        let whole = whole.map(|remaining| Withheld {
+            part: None,
+            remaining,
+        });
+        // Of several parts with the same ends, the later ones are shared by fewer requests.
+        let mut parts = content.parts.iter().rev().filter_map(|part| {
+            Some(Withheld {
+                part: Some(part.clone()),
+                remaining: self.part_withheld_for(now, part.fingerprint, content)?,
+            })
+        });
+        whole.or_else(|| parts.next())
+    }
+
+    /// Whether [`Self::withheld`] would hold back a request with `content` if all replicas that are
+    /// being probed had ended; `probed` returns their number for a content.
+    pub fn may_become_withheld(
+        &self,
+        now: UnixMs,
+        content: &Content,
+        probed: impl Fn(Fingerprint) -> usize,
+    ) -> bool {
+        let is_open =
+            |fingerprint| probed(fingerprint) > 0 && !self.was_served_lately(now, fingerprint);
+        let reaches_limit = |fingerprint, ends| ends + probed(fingerprint) >= LIMIT;
+        let may_be_cause = |part| {
+            let record = self.records.get(&part);
+            record.is_none_or(|record| !self.is_explained(record, content))
+        };
+        let ends = self.records.get(&content.whole).map_or(0, |r| r.ends.len());
+        let mut parts = content.parts.iter().map(|part| part.fingerprint);
+        (is_open(content.whole) && reaches_limit(content.whole, ends))
+            || parts.any(|part| {
+                is_open(part) && reaches_limit(part, self.count_causes(part)) && may_be_cause(part)
+            })
+    }
+
     /// Time for which `fingerprint` remains quarantined; `None` if it is not.
     pub fn quarantined_for(&self, now: UnixMs, fingerprint: Fingerprint) -> Option<Duration> {
         let record = self.records.get(&fingerprint)?;
@@ -189,15 +147,64 @@
             .then_some(Duration::from_millis(left))
     }
 
+    /// Time for which `part` of the prompt of a request with `content` is withheld.
+    fn part_withheld_for(
+        &self,
+        now: UnixMs,
+        part: Fingerprint,
+        content: &Content,
+    ) -> Option<Duration> {
+        let record = self.records.get(&part).filter(|r| r.is_quarantined())?;
+        let left = self.withheld_until(record).0.checked_sub(now.0)?;
+        let is_cause = self.count_causes(part) >= LIMIT && !self.is_explained(record, content);
+        is_cause.then_some(Duration::from_millis(left))
+    }
+
+    /// Until when a part of a prompt with `record` is quarantined.
+    fn withheld_until(&self, record: &Record) -> UnixMs {
+        let last = record.ends.last().map(|end| end.at).unwrap_or_default();
+        if !record.ended_together() {
+            return record.expires();
+        }
+        let share = (record.fingerprint.0 ^ self.seed) as f64 / u64::MAX as f64;
+        last.plus(TOGETHER_TTL).plus(TRIAL_SPREAD.mul_f64(share))
+    }
+
+    /// Number of causes that the ends attributed to the part may have had, at least.
+    fn count_causes(&self, part: Fingerprint) -> usize {
+        let Some(record) = self.records.get(&part) else {
+            return 0;
+        };
+        if !record.is_quarantined() {
+            return record.ends.len();
+        }
+        let others = self.records.values().filter(|other| other.is_quarantined());
+        let others = others.filter(|other| !other.covers(record));
+        let explained = others.flat_map(|other| other.ends.iter().map(|end| end.replica));
+        self.ended.count_causes(record, &explained.collect())
+    }
+
+    /// Whether each end in `record`, of a part of a request with `content`, can be attributed to one
+    /// other content that the request does not have: a part that sound requests share with those that
+    /// crash replicas, or that ran beside them.
+    fn is_explained(&self, record: &Record, content: &Content) -> bool {
+        let explains = |other: &Record| {
+            other.is_quarantined()
+                && other.covers(record)
+                && content.fingerprints().all(|own| own != other.fingerprint)
+        };
+        self.records.values().any(explains)
+    }
+
     /// Whether `fingerprint` was served lately, so that no end is attributed to it.
     pub fn was_served_lately(&self, now: UnixMs, fingerprint: Fingerprint) -> bool {
-        let own = self.served.get(&fingerprint).copied();
+        let own = self.served.get(fingerprint);
         let reported = self.records.get(&fingerprint).map(|record| record.served);
         let served = own.max(reported).unwrap_or_default();
         served > UnixMs(0) && now <= served.plus(SERVED_GRACE)
     }
 
-    /// Number of quarantined requests.
+    /// Number of contents under which [`LIMIT`] replicas ended.
     pub const fn quarantined(&self) -> usize {
         self.quarantined
     }
@@ -228,13 +235,7 @@
     /// Records that `fingerprint` was served. Returns its previous record if ends were attributed
     /// to it.
     pub fn note_served(&mut self, now: UnixMs, fingerprint: Fingerprint) -> Option<Record> {
-        if self.served.insert(fingerprint, now).is_none() {
-            self.served_order.push_back(fingerprint);
-        }
-        if self.served_order.len() > MAX_SERVED {
-            let first = self.served_order.pop_front();
-            first.map(|first| self.served.remove(&first));
-        }
+        self.served.insert(now, fingerprint);
         let record = self.records.get(&fingerprint);
         let known = record.filter(|record| !record.ends.is_empty()).cloned()?;
         self.merge(now, &Record::served(fingerprint, now));
@@ -246,19 +247,23 @@
         if other.expires() <= now {
             return Change::None;
         }
+        for end in &other.ends {
+            self.ended.insert(end.replica, end.at);
+        }
         let fingerprint = other.fingerprint;
         let known = self.records.get(&fingerprint).cloned();
         let before = known.unwrap_or_else(|| Record::new(fingerprint));
         let mut record = before.clone();
         record.merge(other);
-        if let Some(served) = self.served.get(&fingerprint) {
-            record.merge(&Record::served(fingerprint, *served));
+        if let Some(served) = self.served.get(fingerprint) {
+            record.merge(&Record::served(fingerprint, served));
         }
-        let is_dropped = |end: &End| !record.is_quarantined() && !record.has(end);
+        let is_dropped = |end: &End| !record.is_quarantined() && !record.has(end.replica);
         let change = match &record {
             record if record.is_quarantined() && !before.is_quarantined() => Change::Quarantined,
             _ if other.ends.iter().any(is_dropped) => Change::Served,
             record if *record == before => Change::None,
+            record if record.ends.len() < before.ends.len() => Change::Cleared,
             _ => Change::Other,
         };
         self.replace(&before, record);
@@ -272,6 +277,8 @@
         for record in expired {
             self.remove(&record);
         }
+        let oldest = now.0.saturating_sub(RECORD_TTL.as_millis() as u64);
+        self.ended.remove_until(UnixMs(oldest));
     }
 
     fn replace(&mut self, before: &Record, record: Record) {
--- a/crates/relay/tests/quarantine.rs
+++ b/crates/relay/tests/quarantine.rs
@@ -4,11 +4,11 @@
 
 use relay::fingerprint::Fingerprint;
 use relay::quarantine::Change;
-use relay::quarantine::End;
-use relay::quarantine::LIMIT;
 use relay::quarantine::Quarantine;
-use relay::quarantine::Record;
-use relay::quarantine::UnixMs;
+use relay::quarantine::record::End;
+use relay::quarantine::record::LIMIT;
+use relay::quarantine::record::Record;
+use relay::quarantine::record::UnixMs;
 
 const REQUEST: Fingerprint = Fingerprint(7);
 const NOW: UnixMs = UnixMs(1_780_000_000_000);
