Do not take the end of a replica for the end of its answer

What callers saw: an answer that has neither a length nor chunks ends with its connection, and so it does if its replica crashes. Such an answer counted as complete (a stream cut between two events, a call cut anywhere), and as a service: it cleared the ends of the very part that had crashed the replica, at all daemons, for a minute.

Cause: the end of a connection was taken for what only a replica that outlives it shows. Change: after such an answer the replica is asked whether it is there, as after a loss. If it ended, the answer is cut off (a resumable stream goes on elsewhere); only if it is there, the request counts as served; if neither is known, or it leaves by plan, the answer is complete, and nothing is concluded. One control call for each answer of this kind, none for others.

The two new tests of truncation failed before too.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -72,6 +72,7 @@
         events: 0,
         written: None,
         answer: None,
+        is_end_proven: false,
         may_have_stopped: false,
     };
     tokio::task::spawn_local(forwarder.run(Source::Replica(Box::new(opened.reply))));
@@ -97,6 +98,8 @@
     written: Option<(Instant, Instant)>,
     /// The answer that the current replica is writing, from its first event on.
     answer: Option<OpenAnswer>,
+    /// Whether it is known that the answer of the current replica ended before its process did.
+    is_end_proven: bool,
     /// Whether the run at the current replica may have been stopped by a request that got no
     /// answer.
     may_have_stopped: bool,
@@ -138,7 +141,9 @@
                 End::Complete => {
                     if let Some(key) = key {
                         send::record_success(&self.shared, key);
-                        self.shared.note_served(&self.job.content);
+                        if self.is_end_proven {
+                            self.shared.note_served(&self.job.content);
+                        }
                     }
                     if let Some(tracked_run) = &mut self.tracked_run {
                         tracked_run.mark_complete();
--- a/crates/gateway/src/forward/replica_stream.rs
+++ b/crates/gateway/src/forward/replica_stream.rs
@@ -7,10 +7,7 @@
 use boottime::timer::Elapsed;
 use boottime::timer::timeout_at;
 use bytes::Bytes;
-use http::Response;
-use http::header;
 use http_body_util::BodyExt;
-use hyper::body::Body as _;
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use platform::reply::Head;
@@ -26,7 +23,9 @@
 use crate::guard::InFlight;
 use crate::migration;
 use crate::migration::StoppedRun;
+use crate::quarantine::probe;
 use crate::run_tracking::TrackedRun;
+use crate::send;
 use crate::send::Reply;
 
 /// Time to read the remaining events of a stopped run; they are already in transit.
@@ -80,7 +79,7 @@
         let begun = Instant::now();
         Self {
             head,
-            has_explicit_end: has_explicit_end(&response),
+            has_explicit_end: send::has_explicit_end(&response),
             body: response.into_body(),
             connection,
             guard,
@@ -244,6 +243,15 @@
         if !source.has_explicit_end && self.may_have_stopped {
             return End::Broken("the run may have been stopped".to_owned());
         }
+        let outlives = if source.has_explicit_end {
+            Some(true)
+        } else {
+            probe::outlives_answer(&self.shared, source.guard.key).await
+        };
+        if outlives == Some(false) {
+            return End::Broken("the replica ended with its answer".to_owned());
+        }
+        self.is_end_proven = outlives == Some(true);
         let rest = match self.splitter.finish() {
             Ok(rest) => rest,
             Err(error) => return End::Broken(error.to_string()),
@@ -265,12 +273,6 @@
     }
 }
 
-/// Whether the answer marks the end of its body; otherwise the body ends with the connection.
-fn has_explicit_end(response: &Response<Incoming>) -> bool {
-    let in_chunks = response.headers().contains_key(header::TRANSFER_ENCODING);
-    in_chunks || response.body().size_hint().exact().is_some()
-}
-
 /// Waits for an order to migrate the run; never returns if the run is not tracked.
 async fn next_order(tracked_run: &mut Option<TrackedRun>) -> Key {
     match tracked_run {
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -46,6 +46,8 @@
     status: StatusCode,
     headers: HeaderMap,
     body: Bytes,
+    /// Whether it is known that it ended before the process of the replica did.
+    is_end_proven: bool,
 }
 
 /// Serves `job` with one replica after another until one answers or no retry is allowed.
@@ -65,7 +67,8 @@
         attempt.record_send();
         let may_abandon = attempt.may_fail_over();
         let sent = send_to(shared, &job, key, permit, may_abandon, &tried).await;
-        if matches!(&sent, SendResult::Answered(answer) if answer.status.is_success()) {
+        if matches!(&sent, SendResult::Answered(answer) if answer.status.is_success() && answer.is_end_proven)
+        {
             shared.note_served(&job.content);
         }
         let next = match sent {
@@ -213,12 +216,13 @@
     let begun = Instant::now();
     let reply = send::send(shared, job, key, Task::Answer, None, permit).await?;
     match send::read_whole(shared, reply, ending::MAX_ANSWER_BYTES).await {
-        Ok((head, headers, body)) => {
+        Ok(whole) => {
             shared.record_work(key, begun.elapsed(), 1.0);
             Ok(Answer {
-                status: head.status,
-                headers,
-                body,
+                status: whole.head.status,
+                headers: whole.headers,
+                body: whole.body,
+                is_end_proven: whole.is_end_proven,
             })
         }
         Err(outcome) => {
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -180,15 +180,15 @@
     let exchanges_before = reply.connection.exchanges_before();
     let answer = send::read_whole(shared, reply, MAX_PREFILL_ANSWER_BYTES).await;
     let body = match answer {
-        Ok((head, _, body)) if head.status == StatusCode::OK => body,
-        Ok((head, ..)) => {
+        Ok(whole) if whole.head.status == StatusCode::OK => whole.body,
+        Ok(whole) => {
             send::record_failure(
                 shared,
                 job,
                 key,
                 Outcome::Failed,
                 "prefill",
-                head.status.as_u16(),
+                whole.head.status.as_u16(),
             );
             return Err(Outcome::Failed);
         }
--- a/crates/gateway/src/quarantine/probe.rs
+++ b/crates/gateway/src/quarantine/probe.rs
@@ -53,6 +53,17 @@
     log::info!(kind = "inquiry", replica = format!("{replica:016x}"), presence = format!("{presence:?}"), ended = has_ended, ms = started.elapsed().as_millis() as u64; "a replica was lost while at work");
 }
 
+/// Whether the replica `key`, of which an answer has just ended with its connection, is still there;
+/// `None` if that is unknown, or if it leaves by plan. The end of its process ends an answer, too.
+pub async fn outlives_answer(shared: &Rc<Shared>, key: Key) -> Option<bool> {
+    shared.pool.borrow().unplanned_loss(key)?;
+    match control::probe(shared, key).await {
+        Presence::Here => Some(true),
+        Presence::Ended if !presence::is_running(shared, key).await => Some(false),
+        Presence::Ended | Presence::Closing | Presence::Unknown => None,
+    }
+}
+
 async fn probe_presence(shared: &Shared, key: Key) -> Presence {
     let mut unanswered = 0;
     for number in 1..=MAX_PROBES {
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -7,8 +7,10 @@
 use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
+use http::header;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
 use platform::caller::Task;
 use platform::reply::Head;
@@ -22,6 +24,7 @@
 use crate::connections::Failure;
 use crate::guard::InFlight;
 use crate::job::Job;
+use crate::quarantine::probe;
 use crate::shared::Shared;
 
 /// The head of a replica's genuine answer, and what is needed to read the rest.
@@ -288,16 +291,35 @@
     shared.metrics.send("answered");
 }
 
+/// A complete answer of a replica.
+#[derive(Debug)]
+pub struct Whole {
+    /// The parsed head.
+    pub head: Head,
+    /// Headers as received.
+    pub headers: HeaderMap,
+    /// The complete body.
+    pub body: Bytes,
+    /// Whether it is known that the answer ended before the process of the replica did.
+    pub is_end_proven: bool,
+}
+
+/// Whether the answer marks the end of its body; otherwise the body ends with the connection.
+pub fn has_explicit_end(response: &Response<Incoming>) -> bool {
+    let in_chunks = response.headers().contains_key(header::TRANSFER_ENCODING);
+    in_chunks || response.body().size_hint().exact().is_some()
+}
+
 /// Reads the rest of an answer and keeps the connection for reuse. An answer without a length is
-/// complete if its connection closes without a reset.
+/// complete if its connection closes without a reset, and not because its replica ended.
 ///
 /// # Errors
 /// `Lost` if the answer is cut off or longer than `max_bytes`.
 pub async fn read_whole(
-    shared: &Shared,
+    shared: &Rc<Shared>,
     reply: Reply,
     max_bytes: usize,
-) -> Result<(Head, HeaderMap, Bytes), Outcome> {
+) -> Result<Whole, Outcome> {
     let Reply {
         head,
         response,
@@ -305,15 +327,26 @@
         guard,
         ..
     } = reply;
+    let has_explicit_end = has_explicit_end(&response);
     let (parts, body) = response.into_parts();
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(body) => {
-            shared.connections.keep_after(&head, connection);
-            drop(guard);
-            Ok((head, parts.headers, body.to_bytes()))
-        }
-        Err(_) => Err(Outcome::Lost),
+    let body = Limited::new(body, max_bytes).collect().await;
+    let body = body.map_err(|_| Outcome::Lost)?.to_bytes();
+    let outlives = if has_explicit_end {
+        Some(true)
+    } else {
+        probe::outlives_answer(shared, guard.key).await
+    };
+    if outlives == Some(false) {
+        return Err(Outcome::Lost);
     }
+    shared.connections.keep_after(&head, connection);
+    drop(guard);
+    Ok(Whole {
+        head,
+        headers: parts.headers,
+        body,
+        is_end_proven: outlives == Some(true),
+    })
 }
 
 fn record_exchange_failure(shared: &Shared, job: &Job, key: Key, failure: &Failure) -> Outcome {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -89,13 +89,13 @@
         status.as_u16(),
     );
     match read {
-        Ok(Ok((_, headers, body))) => {
+        Ok(Ok(whole)) => {
             job.end(
                 "failed",
                 status.as_u16(),
                 "the replica answered with an error",
             );
-            plain::forwarded(status, &headers, body)
+            plain::forwarded(status, &whole.headers, whole.body)
         }
         _ => ending::finish(
             &mut job,
--- a/crates/gateway/tests/gateway/quarantine.rs
+++ b/crates/gateway/tests/gateway/quarantine.rs
@@ -27,6 +27,7 @@
 use crate::common::replica::events;
 use crate::common::replica::signed_answer;
 use crate::common::replica::stream_head;
+use crate::common::replica::stream_head_without_length;
 use crate::site::Site;
 use crate::site::headers;
 use crate::site::send_and_read;
@@ -335,16 +336,21 @@
 }
 
 /// Many callers send the same request at once, and replicas end for unrelated reasons.
-#[test]
-fn a_request_that_is_served_elsewhere_is_not_quarantined_when_replicas_end() {
-    let answers = |request: &Message| match request.header("request-id") {
+#[rstest]
+#[case("popular", |request: &Message| Action::Send(signed_answer(request, 200, b"done")))]
+#[case("popular-bare", |request: &Message| Action::SendAndClose(stream_head_without_length(request)))]
+fn a_request_that_is_served_elsewhere_is_not_quarantined_when_replicas_end(
+    #[case] name: &str,
+    #[case] serve: fn(&Message) -> Action,
+) {
+    let answers = move |request: &Message| match request.header("request-id") {
         Some(id) if id.starts_with('w') => Action::SendAndHang(Vec::new()),
-        _ => Action::Send(signed_answer(request, 200, b"done")),
+        _ => serve(request),
     };
     let replicas: Vec<Replica> = (0..=QUARANTINE_THRESHOLD)
         .map(|number| Replica::start(&format!("i-{number}"), answers))
         .collect();
-    let site = start_call_site("popular", &replicas);
+    let site = start_call_site(name, &replicas);
     assert_eq!(site.send_and_read("GET /read/stock", "a1").status(), 200);
     // Twice as many requests as replicas, so that each replica gets one.
     let ids: Vec<String> = (0..2 * replicas.len()).map(|n| format!("w{n}")).collect();
--- a/crates/gateway/tests/gateway/truncation.rs
+++ b/crates/gateway/tests/gateway/truncation.rs
@@ -81,6 +81,40 @@
     assert_eq!(String::from_utf8_lossy(&response.body), event_texts(1, 2));
 }
 
+/// The end of a process closes its connections in the same way as the end of an answer does.
+#[test]
+fn an_answer_without_a_length_that_ends_with_its_replica_is_cut() {
+    let script = |request: &Message| {
+        let events = event_texts(1, 2).into_bytes();
+        Action::Crash([stream_head_without_length(request), events].concat())
+    };
+    let decode = Replica::start("i-d", script);
+    let app = Replica::start("i-a", script);
+    let replicas = [(&decode, "llm", "decode"), (&app, "app", "")];
+    let site = Site::start("unframed-crash", &replicas);
+    let response = start_generation(&site.daemon, "/draft/1", "a1").read();
+    assert_eq!((response.status(), response.complete), (200, false));
+    assert_eq!(site.send_and_read("POST /book/1", "b1").status(), 502);
+}
+
+#[test]
+fn a_stream_without_a_length_that_ends_with_its_replica_continues_elsewhere() {
+    let script = |request: &Message| match request.header("last-event-id") {
+        Some("2") => Action::Send([stream_head(request), events(3, 5), chunk(b"")].concat()),
+        _ => {
+            let events = event_texts(1, 2).into_bytes();
+            Action::Crash([stream_head_without_length(request), events].concat())
+        }
+    };
+    let one = Replica::start("i-1", script);
+    let two = Replica::start("i-2", script);
+    let replicas = [(&one, "llm", "decode"), (&two, "llm", "decode")];
+    let site = Site::start("unframed-crash-resumed", &replicas);
+    let response = start_generation(&site.daemon, "/resume/1", "a1").read();
+    assert!(response.complete);
+    assert_eq!(String::from_utf8_lossy(&response.body), event_texts(1, 5));
+}
+
 /// A stream whose replica marks its end counts as complete, and the caller gets the bytes unchanged.
 #[test]
 fn a_chunked_stream_that_ends_without_an_empty_line_is_forwarded_unchanged() {
