Count a service as unreachable only if none of many random replicas is reached

Cause: three failed connections in a row counted as the loss of the own path, and the questions to replicas that were lost while at work were among them. Where many listed replicas are dead, three in a row are likely, at all instances at once, so that no peer took the requests either.

Change: failed connections are a doubt. Three random replicas are probed, as before, and within 50 ms thirteen more if none of them accepts; the service is unreachable if none of all does. Ruled out: not counting the questions alone (sends and probes give three in a row, too).

--- a/crates/gateway/src/reach_probe.rs
+++ b/crates/gateway/src/reach_probe.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use boottime::timer::sleep;
+use boottime::timer::timeout;
+use futures::future::join;
 use futures::future::join_all;
 use relay::server::Key;
 
@@ -11,6 +13,13 @@
 
 /// Pause between two rounds of probes.
 const PERIOD: Duration = Duration::from_millis(400);
+/// Replicas of a service probed first.
+const FEW_PROBES: usize = 3;
+/// Replicas probed before the service counts as unreachable, or all if it has fewer: half of those
+/// that are listed may have ended with a data centre.
+const MANY_PROBES: usize = 16;
+/// Time for the answer of the first ones; replicas in reach accept a connection sooner.
+const WIDEN_AFTER: Duration = Duration::from_millis(50);
 
 /// Probes random replicas of each doubtful service, until it is known to be reachable; forever.
 pub async fn run(shared: Rc<Shared>) {
@@ -38,14 +47,48 @@
     }
 }
 
+/// Probes a few random replicas of `service`, and many if none of the few accepts a connection.
 async fn probe(shared: &Shared, service: &str) {
-    let targets = shared
-        .pool
-        .borrow()
-        .probe_targets(service, None, rand::random);
-    let accepted = join_all(targets.iter().map(|key| probe_replica(shared, *key))).await;
-    let reached = accepted.iter().filter(|accepted| **accepted).count();
-    shared.note_reach_probes(service, reached, targets.len());
+    let many = {
+        let pool = shared.pool.borrow();
+        pool.probe_targets(service, MANY_PROBES, rand::random)
+    };
+    let (few, others) = many.split_at(many.len().min(FEW_PROBES));
+    let mut few = std::pin::pin!(probe_replicas(shared, few));
+    let early = timeout(WIDEN_AFTER, &mut few).await.ok();
+    let is_reached = early.is_some_and(|few| few.reached > 0);
+    let is_decided = is_reached || !shared.pool.borrow().reach().is_doubtful(service);
+    let others = async {
+        if is_decided || shared.is_unreachable(service) {
+            Probed::default()
+        } else {
+            probe_replicas(shared, others).await
+        }
+    };
+    let few = async {
+        match early {
+            Some(few) => few,
+            None => few.await,
+        }
+    };
+    let (few, others) = join(few, others).await;
+    let reached = few.reached + others.reached;
+    shared.note_reach_probes(service, reached, few.probed + others.probed);
+}
+
+/// Result of probing some replicas.
+#[derive(Debug, Clone, Copy, Default)]
+struct Probed {
+    reached: usize,
+    probed: usize,
+}
+
+async fn probe_replicas(shared: &Shared, keys: &[Key]) -> Probed {
+    let accepted = join_all(keys.iter().map(|key| probe_replica(shared, *key))).await;
+    Probed {
+        reached: accepted.iter().filter(|accepted| **accepted).count(),
+        probed: keys.len(),
+    }
 }
 
 async fn probe_replica(shared: &Shared, key: Key) -> bool {
--- a/crates/gateway/src/shared/reach.rs
+++ b/crates/gateway/src/shared/reach.rs
@@ -15,13 +15,9 @@
     pub fn note_unreached(&self, key: Key) {
         let now = self.clock.now();
         let mut pool = self.pool.borrow_mut();
-        let change = pool.record_unreached(now, key);
-        let service = pool.get(key).map(|server| server.replica.service.clone());
+        pool.record_unreached(now, key);
         drop(pool);
         self.reach_doubted.notify_one();
-        if let (Some(change), Some(service)) = (change, service) {
-            log_reach(&service, change);
-        }
     }
 
     /// Has the service of `key` probed, which was silent for too long.
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod common;
 mod connection_limits;
 mod cut_site;
+mod dead_replicas;
 mod discovery;
 mod draining;
 mod evacuation;
--- a/crates/relay/src/pool/reach.rs
+++ b/crates/relay/src/pool/reach.rs
@@ -7,10 +7,8 @@
 use crate::reach::Reach;
 use crate::server::Key;
 
-/// Replicas probed at once to find out whether their service is reachable.
-const MAX_PROBED: usize = 3;
-/// Draws for them; a service may have fewer replicas, and one may be drawn twice.
-const MAX_DRAWS: usize = 12;
+/// Draws for each replica to probe; a service may have fewer replicas, and one may be drawn twice.
+const DRAWS: usize = 4;
 
 impl Pool {
     /// Reachability of the services.
@@ -19,10 +17,11 @@
     }
 
     /// Records that no connection to `key` could be opened.
-    pub fn record_unreached(&mut self, now: Time, key: Key) -> Option<Change> {
-        let service = &self.servers.get(key)?.replica.service;
-        let replicas = self.index.count(service);
-        self.reach.record_unreached(now, service, key, replicas)
+    pub fn record_unreached(&mut self, now: Time, key: Key) {
+        if let Some(server) = self.servers.get(key) {
+            let service = &server.replica.service;
+            self.reach.record_unreached(now, service, key);
+        }
     }
 
     /// Records that a connection to `key` was opened.
@@ -49,8 +48,10 @@
         probed: usize,
     ) -> Option<Change> {
         let unreached: Vec<Key> = self.reach.unreached(service).collect();
-        let change = self.reach.record_probes(now, service, reached, probed);
-        if change.is_some() {
+        let replicas = self.index.count(service);
+        let reach = &mut self.reach;
+        let change = reach.record_probes(now, service, reached, probed, replicas);
+        if matches!(change, Some(Change::Restored { .. })) {
             self.forget_failures(now, service, &unreached);
         }
         change
@@ -73,21 +74,15 @@
         Some((key, &self.servers[key].replica.service))
     }
 
-    /// Up to [`MAX_PROBED`] random replicas of `service` other than `except`. `draw` returns random
-    /// numbers uniform in `0.0..1.0`.
-    pub fn probe_targets(
-        &self,
-        service: &str,
-        except: Option<Key>,
-        draw: impl Fn() -> f64,
-    ) -> Vec<Key> {
+    /// Up to `count` different random replicas of `service`. `draw` returns random numbers uniform in
+    /// `0.0..1.0`.
+    pub fn probe_targets(&self, service: &str, count: usize, draw: impl Fn() -> f64) -> Vec<Key> {
         let mut targets = Vec::new();
         // Drawing with replacement does not go over all replicas.
-        for _ in 0..MAX_DRAWS {
+        for _ in 0..DRAWS * count {
             let key = self.index.at(service, draw());
-            let key = key.filter(|key| !targets.contains(key) && except != Some(*key));
-            targets.extend(key);
-            if targets.len() == MAX_PROBED {
+            targets.extend(key.filter(|key| !targets.contains(key)));
+            if targets.len() == count {
                 break;
             }
         }
--- a/crates/relay/src/reach.rs
+++ b/crates/relay/src/reach.rs
@@ -1,8 +1,9 @@
 //! Whether this daemon can open connections to the replicas of a service.
 //!
-//! A single replica that cannot be reached has failed. If no connection to any of several replicas
-//! can be opened, either all of them have failed or this daemon is partitioned from them. Only peers
-//! can tell which, so no conclusion about the replicas is drawn meanwhile.
+//! A replica that cannot be reached has failed, and so may several in a row have: the store lists
+//! replicas for seconds after they ended. If none of many random replicas can be reached, either all
+//! of them have failed or this daemon is partitioned from them. Only peers can tell which, so no
+//! conclusion about the replicas is drawn meanwhile.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -12,8 +13,8 @@
 
 use crate::server::Key;
 
-/// Number of replicas in a row that have to be unreached for their service to be unreachable; fewer
-/// if it has fewer.
+/// Number of replicas in a row that have to be unreached, the probed ones included, for their service
+/// to be unreachable; fewer if it has fewer.
 const MIN_UNREACHED: usize = 3;
 /// Time after which a failure to connect is no longer evidence.
 const EVIDENCE_AGE: Duration = Duration::from_secs(3);
@@ -58,28 +59,12 @@
         Self::default()
     }
 
-    /// Records that no connection to the replica `key` of `service`, which has `replicas`, could be
-    /// opened.
-    pub fn record_unreached(
-        &mut self,
-        now: Time,
-        service: &str,
-        key: Key,
-        replicas: usize,
-    ) -> Option<Change> {
+    /// Records that no connection to the replica `key` of `service` could be opened.
+    pub fn record_unreached(&mut self, now: Time, service: &str, key: Key) {
         let evidence = self.services.entry(service.to_owned()).or_default();
         let unreached = &mut evidence.unreached;
         unreached.retain(|_, at| now.since(*at) < EVIDENCE_AGE);
         unreached.insert(key, now);
-        let first = unreached.values().min().copied().unwrap_or(now);
-        if evidence.lost_at.is_some() || unreached.len() < MIN_UNREACHED.min(replicas) {
-            return None;
-        }
-        evidence.lost_at = Some(now);
-        Some(Change::Lost {
-            unreached: unreached.len(),
-            since: now.since(first),
-        })
     }
 
     /// Records that a connection to a replica of `service` was opened. A service that is unreachable
@@ -92,20 +77,30 @@
         }
     }
 
-    /// Records that `reached` of `probed` random replicas of `service` accepted a connection. The
-    /// service is reachable again if most of them did.
+    /// Records that `reached` of `probed` random replicas of `service`, which has `replicas`, accepted
+    /// a connection. The service is unreachable if none did, and reachable again if most of them did.
     pub fn record_probes(
         &mut self,
         now: Time,
         service: &str,
         reached: usize,
         probed: usize,
+        replicas: usize,
     ) -> Option<Change> {
         let evidence = self.services.get_mut(service)?;
         evidence.is_doubted = false;
         if evidence.lost_at.is_none() {
             let unreached = &mut evidence.unreached;
             unreached.retain(|_, at| reached == 0 && now.since(*at) < EVIDENCE_AGE);
+            let first = unreached.values().min().copied().unwrap_or(now);
+            if probed == 0 || unreached.len() < MIN_UNREACHED.min(replicas).max(1) {
+                return None;
+            }
+            evidence.lost_at = Some(now);
+            return Some(Change::Lost {
+                unreached: unreached.len(),
+                since: now.since(first),
+            });
         }
         if reached * 2 <= probed {
             return None;
