Fetch the quarantine records of several peers at a start

Cause found by reading, shown by a test: a daemon that starts asks one peer for all records and is content with any answer. Two that restart together tell each other that there are none; a single end that a third one knows is not compared and ends with it. Change: the records of three peers are fetched, the further ones as they become known, for half a minute. The new test failed three times of three before (4 replicas ended, 3 allowed), passes after. No message changes its shape; two more exchanges at a restart.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -146,7 +146,6 @@
         shared.members.borrow_mut().learn(now, instance);
     }
     shared.merge_records("peer", &response.quarantine);
-    shared.note_all_records();
     // Before the plan, since callers are accepted once a plan is known.
     shared.apply_evacuations("peer", &response.evacuations);
     if let Some(plan) = response.plan {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -171,7 +171,9 @@
     spawn_local(quarantine::storage::run(Rc::clone(&shared)));
     spawn_local(quarantine::remove_expired(Rc::clone(&shared)));
     // At the first start of the whole system no peer has records.
-    if !settings.first_start {
+    if settings.first_start {
+        shared.note_all_records();
+    } else {
         spawn_local(quarantine::fetch_records(Rc::clone(&shared)));
     }
     spawn_local(reload::follow(Rc::clone(&shared), path.to_owned()));
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -6,6 +6,7 @@
 pub mod probe;
 pub mod storage;
 
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,9 +19,13 @@
 
 /// Interval between removals of expired records.
 const SWEEP_PERIOD: Duration = Duration::from_mins(1);
-/// Pause between attempts to fetch the records at the start.
+/// Pause between attempts to fetch the records at the start, until the first peer answers.
 const PEER_PAUSE: Duration = Duration::from_millis(100);
-/// Maximum number of attempts; a daemon that is alone has no peer.
+/// Pause between attempts to fetch them from further peers, which may become known later.
+const FURTHER_PEER_PAUSE: Duration = Duration::from_secs(1);
+/// Peers that are asked: one that has just started itself has no records.
+const RECORD_SOURCES: usize = 3;
+/// Maximum number of attempts; a daemon may have fewer peers.
 const MAX_TRIES: u32 = 30;
 
 /// Removes expired records, forever.
@@ -31,20 +36,29 @@
     }
 }
 
-/// Fetches all records from a peer once this daemon is ready; the store has only those of suspect
-/// requests.
+/// Fetches all records from several peers once this daemon is ready; the store has only those of
+/// suspect contents.
 pub async fn fetch_records(shared: Rc<Shared>) {
     while !shared.is_ready() {
         sleep(PEER_PAUSE).await;
     }
+    let mut sources = HashSet::new();
     for _ in 0..MAX_TRIES {
-        if shared.has_all_records() {
-            return;
+        let mut peers = shared.members.borrow().peer_addresses();
+        peers.retain(|peer| !sources.contains(peer));
+        if let Some(peer) = peers.choose(&mut rand::rng())
+            && exchange::fetch_newer(&shared, *peer).await
+        {
+            sources.insert(*peer);
         }
-        let peers = shared.members.borrow().peer_addresses();
-        if let Some(peer) = peers.choose(&mut rand::rng()) {
-            exchange::fetch_newer(&shared, *peer).await;
+        match sources.len() {
+            RECORD_SOURCES.. => break,
+            0 => sleep(PEER_PAUSE).await,
+            _ => sleep(FURTHER_PEER_PAUSE).await,
         }
-        sleep(PEER_PAUSE).await;
+    }
+    // Without any, the next exchange with a peer asks for all records.
+    if !sources.is_empty() {
+        shared.note_all_records();
     }
 }
--- a/crates/gateway/src/shared/quarantine.rs
+++ b/crates/gateway/src/shared/quarantine.rs
@@ -95,12 +95,12 @@
         served
     }
 
-    /// Whether a peer has sent all of its records since this daemon started.
+    /// Whether peers have sent all of their records since this daemon started.
     pub fn has_all_records(&self) -> bool {
         self.has_all_records.get()
     }
 
-    /// Records that a peer has sent all of its records.
+    /// Records that peers have sent all of their records.
     pub fn note_all_records(&self) {
         self.has_all_records.set(true);
     }
--- a/crates/gateway/tests/gateway/quarantine.rs
+++ b/crates/gateway/tests/gateway/quarantine.rs
@@ -19,6 +19,7 @@
 
 use crate::common::caller::Caller;
 use crate::common::daemon::Daemon;
+use crate::common::daemon::new_ip;
 use crate::common::daemon::wait_until;
 use crate::common::http::Message;
 use crate::common::replica::Action;
@@ -269,6 +270,42 @@
     assert_eq!(run_count(&decode), QUARANTINE_THRESHOLD);
 }
 
+/// Two daemons restart at the same time, and the third one, which knows of an end, answers neither of them at first. What
+/// the two tell each other is not all there is to know.
+#[test]
+fn a_restarted_daemon_asks_more_than_one_peer_for_ends() {
+    let (prefill, decode) = (
+        Replica::start_prefill("i-p"),
+        crashing_replicas(REPLICA_COUNT),
+    );
+    let mut site = start_site("two-restarts", &prefill, &decode);
+    crash_replicas(&site.daemon, 1);
+    let end = "a replica ended while at work on a request";
+    wait_until("the end is noted", || !site.daemon.logged(end).is_empty());
+    site.daemon.signal(Signal::STOP);
+    let ips = [new_ip(), new_ip()];
+    let seeds = [site.ip.as_str(), &ips[0], &ips[1]];
+    let start = |number: usize| {
+        let name = format!("two-restarts-{number}");
+        Daemon::start(&name, &ips[number], site.store_address, &seeds)
+    };
+    let restarted = [start(0), start(1)];
+    for daemon in &restarted {
+        daemon.wait_until_ready();
+        wait_until("the other daemon is known", || {
+            !daemon.logged("a member changed").is_empty()
+        });
+    }
+    thread::sleep(PROPAGATION_TIME);
+    site.daemon.signal(Signal::CONT);
+    thread::sleep(PROPAGATION_TIME);
+    site.daemon.kill();
+    crash_replicas(&restarted[0], QUARANTINE_THRESHOLD - 1);
+    wait_until_quarantined(&restarted[0]);
+    start_generation(&restarted[0], "/draft/crash", "q1").read();
+    assert_eq!(run_count(&decode), QUARANTINE_THRESHOLD);
+}
+
 /// A replica that cuts an answer and keeps running has not ended.
 #[test]
 fn a_request_whose_answers_are_cut_is_not_quarantined() {
