Treat an answer without a length as cut if its replica closes connections afterwards

Such an answer counted as complete. The replica is asked up to three times within 0.2 s, since one at its connection limit accepts some in between; if it closes all, the answer is cut off. Test: failed before by the verdict that was reached then (complete).

--- a/crates/gateway/src/quarantine/probe.rs
+++ b/crates/gateway/src/quarantine/probe.rs
@@ -25,6 +25,11 @@
 /// Maximum number of probes. Their pauses take 3.9 s, longer than the 3.6 s after which an ended
 /// replica is no longer listed; one that still closes connections then is alive.
 const MAX_PROBES: usize = 14;
+/// Probes of a replica that closes its connections after an answer that ended with its connection.
+/// One at its connection limit accepts some in between.
+const MAX_CLOSING_PROBES: usize = 3;
+/// Pause between these probes.
+const CLOSING_PAUSE: Duration = Duration::from_millis(100);
 /// Maximum time that a request waits for probes before it is sent again: a live replica answers
 /// within some milliseconds, and a closed port refuses as fast.
 const MAX_WAIT: Duration = Duration::from_millis(400);
@@ -57,10 +62,19 @@
 /// `None` if that is unknown, or if it leaves by plan. The end of its process ends an answer, too.
 pub async fn outlives_answer(shared: &Rc<Shared>, key: Key) -> Option<bool> {
     shared.pool.borrow().unplanned_loss(key)?;
-    match control::probe(shared, key).await {
+    let mut presence = control::probe(shared, key).await;
+    for _ in 1..MAX_CLOSING_PROBES {
+        if presence != Presence::Closing {
+            break;
+        }
+        sleep(CLOSING_PAUSE).await;
+        presence = control::probe(shared, key).await;
+    }
+    match presence {
         Presence::Here => Some(true),
-        Presence::Ended if !presence::is_running(shared, key).await => Some(false),
-        Presence::Ended | Presence::Closing | Presence::Unknown => None,
+        Presence::Ended if presence::is_running(shared, key).await => None,
+        Presence::Ended | Presence::Closing => Some(false),
+        Presence::Unknown => None,
     }
 }
 
--- a/crates/gateway/tests/gateway/truncation.rs
+++ b/crates/gateway/tests/gateway/truncation.rs
@@ -3,6 +3,8 @@
 //! follow the last one that the caller has.
 
 use std::io::Read;
+use std::sync::Arc;
+use std::sync::OnceLock;
 use std::thread;
 use std::time::Duration;
 
@@ -97,6 +99,21 @@
     assert_eq!(site.send_and_read("POST /book/1", "b1").status(), 502);
 }
 
+/// The address of an ended replica may accept connections and close them, as a balancer does.
+#[test]
+fn an_answer_without_a_length_is_cut_if_its_replica_closes_connections_afterwards() {
+    let replica = Arc::new(OnceLock::<Replica>::new());
+    let own = Arc::clone(&replica);
+    let started = Replica::start("i-d", move |request| {
+        own.wait().close_new_connections();
+        stream_without_length(request, 2, b"")
+    });
+    assert!(replica.set(started.clone()).is_ok());
+    let site = Site::start("unframed-closing", &[(&started, "llm", "decode")]);
+    let response = start_generation(&site.daemon, "/draft/1", "a1").read();
+    assert_eq!((response.status(), response.complete), (200, false));
+}
+
 #[test]
 fn a_stream_without_a_length_that_ends_with_its_replica_continues_elsewhere() {
     let script = |request: &Message| match request.header("last-event-id") {
