Soak: a part of prompts that crashes replicas, answers without a length

Prompts have parts; requests with one that crashes each decode replica, no two alike, go to all daemons during the faults, and replicas crash in chunks, before, between and within events. One stream in ten has neither a length nor chunks, whole or cut within an event. After the faults, the part reaches three more replicas at most once five have crashed or it is refused. Resets of the proxies are resets now: closing a connection in order would end an answer without a length.

--- a/crates/gateway/tests/soak/callers.rs
+++ b/crates/gateway/tests/soak/callers.rs
@@ -19,6 +19,7 @@
 use crate::customer::TOKEN_COUNTS;
 use crate::history::Kind;
 use crate::history::ResponseRecord;
+use crate::parts;
 use crate::resumption;
 
 /// Time limit of each request, sent as `Deadline-Ms`.
@@ -131,24 +132,11 @@
         sends => Err(format!(
             "a request under which {} replicas ended reached {sends} more; log lines of the daemons:\n    {}",
             cluster.history.ended_replicas(),
-            quarantine_log_lines(cluster).join("\n    ")
+            cluster.quarantine_log_lines().join("\n    ")
         )),
     }
 }
 
-/// Log lines of the daemons about replicas that ended while they ran a request.
-fn quarantine_log_lines(cluster: &Cluster) -> Vec<String> {
-    let kinds = ["suspect", "quarantine", "inquiry"].map(|kind| format!("\"kind\":\"{kind}\""));
-    let lines = cluster.instances.iter().flat_map(|instance| {
-        let daemon = instance.daemon.lock().unwrap();
-        kinds
-            .iter()
-            .flat_map(|kind| daemon.logged(kind))
-            .collect::<Vec<_>>()
-    });
-    lines.collect()
-}
-
 fn new_id() -> String {
     Customer::Unlimited.id(&format!("fatal-{}", rand::random::<u64>()))
 }
@@ -359,10 +347,12 @@
     let timeout = REQUEST_TIMEOUT.as_millis().to_string();
     let last_event = resumed.map_or(0, |resumed| resumed.last_event);
     let last_event_text = last_event.to_string();
+    let prompt = parts::sound_prompt(id);
     let mut headers = vec![
         ("Request-Id", id),
         ("Deadline-Ms", &timeout),
         ("Token-Counts", TOKEN_COUNTS),
+        ("Prompt-Prefix", &prompt),
         ("X-Api-Key", customer.key()),
     ];
     if let Some(resumed) = resumed {
--- a/crates/gateway/tests/soak/cluster.rs
+++ b/crates/gateway/tests/soak/cluster.rs
@@ -30,6 +30,7 @@
 use crate::limit;
 use crate::notices;
 use crate::notices::Notices;
+use crate::parts;
 use crate::proxy::ConnectionFault;
 use crate::proxy::Proxy;
 use crate::script;
@@ -190,6 +191,13 @@
                 cluster.end_replica(&own_id, draw);
                 return Action::Crash(stream_head(request));
             }
+            if parts::is_crashing(request) && !request.path().starts_with("/api/") {
+                cluster.history.record_part_send(stage == "decode");
+                if stage == "decode" {
+                    cluster.end_replica(&own_id, draw);
+                    return parts::crash(request, malformed_draw);
+                }
+            }
             let action = script::choose_action(
                 &cluster.history,
                 (stage, version),
@@ -337,6 +345,18 @@
         running + ended.iter().map(|p| p.logged(text).len()).sum::<usize>()
     }
 
+    /// Log lines of the daemons about replicas that ended while they ran a request.
+    pub fn quarantine_log_lines(&self) -> Vec<String> {
+        let kinds = ["suspect", "quarantine", "inquiry", "cleared"];
+        let kinds = kinds.map(|kind| format!("\"kind\":\"{kind}\""));
+        let lines = self.instances.iter().flat_map(|instance| {
+            let daemon = instance.daemon.lock().unwrap();
+            let lines = kinds.iter().flat_map(|kind| daemon.logged(kind));
+            lines.collect::<Vec<_>>()
+        });
+        lines.collect()
+    }
+
     /// Log lines of all daemons about the request `id`.
     pub fn lines_about(&self, id: &str) -> Vec<String> {
         let id = format!("\"request\":\"{id}\"");
--- a/crates/gateway/tests/soak/history.rs
+++ b/crates/gateway/tests/soak/history.rs
@@ -62,6 +62,10 @@
     fatal_sends: AtomicUsize,
     /// Replicas that ended under it.
     ended_replicas: AtomicUsize,
+    /// Times that the part of prompts that crashes replicas reached one.
+    part_sends: AtomicUsize,
+    /// Replicas that crashed on it.
+    crashed_replicas: AtomicUsize,
     /// Answers that replicas sent twice.
     second_answers: AtomicUsize,
     /// First request that used each reservation, by replica and reservation.
@@ -135,6 +139,23 @@
         self.ended_replicas.load(Ordering::SeqCst)
     }
 
+    /// Records that the part of prompts that crashes replicas reached one, which `crashes` or only prefills the prompt.
+    pub fn record_part_send(&self, crashes: bool) {
+        self.part_sends.fetch_add(1, Ordering::SeqCst);
+        self.crashed_replicas
+            .fetch_add(usize::from(crashes), Ordering::SeqCst);
+    }
+
+    /// Times that this part reached a replica so far.
+    pub fn part_sends(&self) -> usize {
+        self.part_sends.load(Ordering::SeqCst)
+    }
+
+    /// Number of replicas that crashed on it so far.
+    pub fn crashed_replicas(&self) -> usize {
+        self.crashed_replicas.load(Ordering::SeqCst)
+    }
+
     /// Records that a replica sends an answer twice.
     pub fn record_second_answer(&self) {
         self.second_answers.fetch_add(1, Ordering::SeqCst);
@@ -208,9 +229,10 @@
         });
         let texts = texts.collect::<Vec<_>>().join(", ");
         format!(
-            "{texts}; resumptions by status {:?}; {} replicas ended, {} answers sent twice, {} requests with a KV cache, {} with a reservation",
+            "{texts}; resumptions by status {:?}; {} replicas ended, {} crashed on a part, {} answers sent twice, {} requests with a KV cache, {} with a reservation",
             self.resumptions.lock().unwrap(),
             self.ended_replicas(),
+            self.crashed_replicas(),
             self.second_answers.load(Ordering::SeqCst),
             self.cache_uses.load(Ordering::SeqCst),
             self.reservations.lock().unwrap().len()
--- a/crates/gateway/tests/soak/main.rs
+++ b/crates/gateway/tests/soak/main.rs
@@ -17,6 +17,7 @@
 mod history;
 mod limit;
 mod notices;
+mod parts;
 mod proxy;
 mod resumption;
 mod script;
@@ -137,6 +138,7 @@
         violations.extend(callers::check_recovery(&cluster, RECOVERY_TIMEOUT).err());
         thread::sleep(SYNC_TIME);
         violations.extend(callers::check_quarantine(&cluster).err());
+        violations.extend(parts::check(&cluster).err());
         violations.extend(callers::check_evacuation(&cluster).err());
         violations.extend(resumption::check(&cluster).err());
         violations.extend(callers::check_partition(&cluster, seed).err());
@@ -177,8 +179,13 @@
         let cluster = cluster.clone();
         thread::spawn(move || callers::run_fatal(&cluster, seed))
     };
+    let crashing = {
+        let cluster = cluster.clone();
+        thread::spawn(move || parts::run(&cluster, seed))
+    };
     faults::run(cluster, seed, duration);
     cluster.clear_faults();
     cluster.stop_callers();
     fatal.join().unwrap();
+    crashing.join().unwrap();
 }
--- a/crates/gateway/tests/soak/proxy.rs
+++ b/crates/gateway/tests/soak/proxy.rs
@@ -11,8 +11,8 @@
 use std::thread;
 use std::time::Duration;
 
+use rustix::net::connect_unspec;
 use socket2::Domain;
-use socket2::SockRef;
 use socket2::Socket;
 use socket2::Type;
 
@@ -111,8 +111,8 @@
         }
     }
     if *fault.lock().unwrap() == ConnectionFault::Reset {
-        // With a linger time of zero, closing resets the connection.
-        drop(SockRef::from(&to).set_linger(Some(Duration::ZERO)));
+        // Disconnecting resets a connection; closing it would end an answer without a length in order.
+        let _ = connect_unspec(&to);
     }
     drop(to.shutdown(Shutdown::Both));
     drop(from.shutdown(Shutdown::Both));
--- a/crates/gateway/tests/soak/script.rs
+++ b/crates/gateway/tests/soak/script.rs
@@ -16,6 +16,7 @@
 use crate::common::replica::not_run_answer;
 use crate::common::replica::signed_answer;
 use crate::common::replica::stream_head;
+use crate::common::replica::stream_head_without_length;
 use crate::history::History;
 use crate::history::STREAM_EVENTS;
 
@@ -29,6 +30,8 @@
 const UNKNOWN_ID: &str = "nobody";
 /// Software versions that serve side by side; each replacement of a replica may bring another one.
 const VERSIONS: [&str; 2] = ["v1", "v1.1"];
+/// Fraction of the streams that are sent in chunks.
+const CHUNKED_FRACTION: f64 = 0.9;
 /// A draw at which a replica behaves correctly.
 const NO_FAULT: f64 = 1.0;
 
@@ -94,7 +97,7 @@
         _ if draw < 0.06 => {
             return maybe_replace_id(Action::Send(not_run_answer(request)), malformed_draw);
         }
-        "decode" => generate(request, version, draw),
+        "decode" => generate(request, version, draw, malformed_draw),
         _ => answer_call(request, draw, malformed_draw),
     };
     history.record_run(request_id(request));
@@ -147,15 +150,29 @@
     }
 }
 
-/// Streams the events of a generation, which name the software version that wrote them.
-fn generate(request: &Message, version: &str, draw: f64) -> Action {
+/// Streams the events of a generation, which name the software version that wrote them. Some streams have neither a
+/// length nor chunks, and are cut within an event.
+fn generate(request: &Message, version: &str, draw: f64, malformed_draw: f64) -> Action {
     let last_id: u64 = request
         .header("last-event-id")
         .map_or(0, |id| id.parse().unwrap());
     let is_cut = draw < 0.12 && last_id + 5 < STREAM_EVENTS;
     let end = if is_cut { last_id + 5 } else { STREAM_EVENTS };
+    let numbers = last_id + 1..=end;
+    if malformed_draw > CHUNKED_FRACTION && malformed_draw < NO_FAULT {
+        let events = numbers.map(|number| event_text(number, request_id(request), version));
+        let mut bytes = [
+            stream_head_without_length(request),
+            events.collect::<String>().into(),
+        ]
+        .concat();
+        if is_cut {
+            bytes.truncate(bytes.len() - 3);
+        }
+        return Action::SendAndClose(bytes);
+    }
     let mut parts = vec![stream_head(request)];
-    parts.extend((last_id + 1..=end).map(|number| event(number, request_id(request), version)));
+    parts.extend(numbers.map(|number| event(number, request_id(request), version)));
     if is_cut {
         return Action::SendAndClose(parts.concat());
     }
@@ -218,7 +235,12 @@
     VERSIONS[number as usize / 2 % VERSIONS.len()]
 }
 
+/// One event of the stream of the request `id`.
+fn event_text(number: u64, id: &str, version: &str) -> String {
+    format!("id: {number}\ndata: {id} {version}\n\n")
+}
+
 /// Encodes one event of the stream of the request `id` as a chunk.
 fn event(number: u64, id: &str, version: &str) -> Vec<u8> {
-    chunk(format!("id: {number}\ndata: {id} {version}\n\n").as_bytes())
+    chunk(event_text(number, id, version).as_bytes())
 }
