Probe many replicas before a verdict also if the first three do not answer

Now the further ones are probed whenever none of the first accepted within 50 ms, unless the service is unreachable already. No test of ours has replicas that hang without a cut. A comment and a condition say what they are for.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -40,8 +40,8 @@
 /// needs a few hundred milliseconds to prefill the prompt.
 const STALL_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Time between two events of a replica from which its run counts as begun long ago: a part of a
-/// prompt that crashes replicas does so within about 100 ms after the first event.
+/// Time between two events of a replica after which its end is not put down to parts of the prompt: a
+/// part crashes its replica as the answer begins.
 pub const MIN_WRITING_TIME: Duration = Duration::from_millis(500);
 
 /// Pause between two events that is logged if the route sets no limit for pauses.
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -50,6 +50,13 @@
     is_end_proven: bool,
 }
 
+impl Answer {
+    /// Whether the replica served the request, and did not crash on it.
+    fn is_proven_success(&self) -> bool {
+        self.status.is_success() && self.is_end_proven
+    }
+}
+
 /// Serves `job` with one replica after another until one answers or no retry is allowed.
 pub async fn serve(shared: &Rc<Shared>, job: Job) -> Response<Body> {
     let mut job = job;
@@ -67,8 +74,7 @@
         attempt.record_send();
         let may_abandon = attempt.may_fail_over();
         let sent = send_to(shared, &job, key, permit, may_abandon, &tried).await;
-        if matches!(&sent, SendResult::Answered(answer) if answer.status.is_success() && answer.is_end_proven)
-        {
+        if matches!(&sent, SendResult::Answered(answer) if answer.is_proven_success()) {
             shared.note_served(&job.content);
         }
         let next = match sent {
--- a/crates/gateway/src/reach_probe.rs
+++ b/crates/gateway/src/reach_probe.rs
@@ -1,5 +1,6 @@
 //! Probes the replicas of services that may be unreachable, by connections without a request.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -47,48 +48,35 @@
     }
 }
 
-/// Probes a few random replicas of `service`, and many if none of the few accepts a connection.
+/// Probes a few random replicas of `service`, and many unless one of the few soon accepts a
+/// connection. Few are enough while it is unreachable.
 async fn probe(shared: &Shared, service: &str) {
     let many = {
         let pool = shared.pool.borrow();
         pool.probe_targets(service, MANY_PROBES, rand::random)
     };
     let (few, others) = many.split_at(many.len().min(FEW_PROBES));
-    let mut few = std::pin::pin!(probe_replicas(shared, few));
-    let early = timeout(WIDEN_AFTER, &mut few).await.ok();
-    let is_reached = early.is_some_and(|few| few.reached > 0);
-    let is_decided = is_reached || !shared.pool.borrow().reach().is_doubtful(service);
-    let others = async {
-        if is_decided || shared.is_unreachable(service) {
-            Probed::default()
-        } else {
-            probe_replicas(shared, others).await
-        }
-    };
-    let few = async {
-        match early {
-            Some(few) => few,
-            None => few.await,
-        }
-    };
-    let (few, others) = join(few, others).await;
-    let reached = few.reached + others.reached;
-    shared.note_reach_probes(service, reached, few.probed + others.probed);
-}
-
-/// Result of probing some replicas.
-#[derive(Debug, Clone, Copy, Default)]
-struct Probed {
-    reached: usize,
-    probed: usize,
+    let reached = Cell::new(0);
+    let mut first = std::pin::pin!(probe_replicas(shared, few, &reached));
+    let is_done = timeout(WIDEN_AFTER, &mut first).await.is_ok();
+    let is_narrow = reached.get() > 0 || shared.is_unreachable(service);
+    let others = if is_narrow { &[] } else { others };
+    let second = probe_replicas(shared, others, &reached);
+    if is_done {
+        second.await;
+    } else {
+        join(first, second).await;
+    }
+    shared.note_reach_probes(service, reached.get(), few.len() + others.len());
 }
 
-async fn probe_replicas(shared: &Shared, keys: &[Key]) -> Probed {
-    let accepted = join_all(keys.iter().map(|key| probe_replica(shared, *key))).await;
-    Probed {
-        reached: accepted.iter().filter(|accepted| **accepted).count(),
-        probed: keys.len(),
-    }
+/// Probes the replicas `keys`, and counts in `reached` those that accept a connection.
+async fn probe_replicas(shared: &Shared, keys: &[Key], reached: &Cell<usize>) {
+    let probes = keys.iter().map(async |key| {
+        let accepts = probe_replica(shared, *key).await;
+        reached.set(reached.get() + usize::from(accepts));
+    });
+    join_all(probes).await;
 }
 
 async fn probe_replica(shared: &Shared, key: Key) -> bool {
