--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -25,6 +25,7 @@
 use crate::quarantine::ended::Ended;
 use crate::quarantine::record::End;
 use crate::quarantine::record::LIMIT;
+use crate::quarantine::record::MAX_ENDS;
 use crate::quarantine::record::RECORD_TTL;
 use crate::quarantine::record::Record;
 use crate::quarantine::record::SERVED_GRACE;
@@ -175,7 +176,8 @@
         let Some(record) = self.records.get(&part) else {
             return 0;
         };
-        if !record.is_quarantined() {
+        // With as many as a record keeps, the others cannot be told from those of further parts.
+        if !record.is_quarantined() || record.ends.len() == MAX_ENDS {
             return record.ends.len();
         }
         let others = self.records.values().filter(|other| other.is_quarantined());
--- a/crates/relay/tests/quarantine_parts.rs
+++ b/crates/relay/tests/quarantine_parts.rs
@@ -163,6 +163,20 @@
     }
 }
 
+/// Records keep some of the ends only, so that those of the other parts cannot be told apart.
+#[test]
+fn parts_that_crash_many_replicas_at_once_are_withheld() {
+    let mut quarantine = Quarantine::new();
+    for replica in 0..90 {
+        let part = ["a", "b", "c"][replica as usize % 3];
+        let content = request(replica, &[FIRST, part]);
+        end(&mut quarantine, 5 * replica, &content, replica);
+    }
+    for part in ["a", "b", "c"] {
+        assert!(withheld_part(&quarantine, 5_000, &[FIRST, part]).is_some());
+    }
+}
+
 /// After ends that came together, few daemons find out at a time whether the part was the cause.
 #[test]
 fn daemons_send_a_part_again_at_different_times() {
