--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 //! seeds give equal runs.
 
 pub mod bench;
+pub mod crash;
 pub mod decode;
 pub mod engine;
 pub mod network;
