Probe only replicas that can be sent requests to find out whether a service is reachable

Change: draining, evacuated and replaced replicas are neither probed nor counted. Unit test draining_replicas_are_not_probed.

--- a/crates/gateway/src/reach_probe.rs
+++ b/crates/gateway/src/reach_probe.rs
@@ -53,7 +53,7 @@
 async fn probe(shared: &Shared, service: &str) {
     let many = {
         let pool = shared.pool.borrow();
-        pool.probe_targets(service, MANY_PROBES, rand::random)
+        pool.probe_targets(shared.clock.now(), service, MANY_PROBES, rand::random)
     };
     let (few, others) = many.split_at(many.len().min(FEW_PROBES));
     let reached = Cell::new(0);
--- a/crates/relay/src/pool/index.rs
+++ b/crates/relay/src/pool/index.rs
@@ -78,6 +78,12 @@
         group.into_iter().flatten().copied()
     }
 
+    /// The replicas of `service`.
+    pub(super) fn of_service(&self, service: &str) -> impl Iterator<Item = Key> {
+        let stages = self.groups.get(service).into_iter();
+        stages.flat_map(|stages| stages.values().flatten().copied())
+    }
+
     /// Number of replicas of `service`.
     pub(super) fn count(&self, service: &str) -> usize {
         let stages = self.groups.get(service);
--- a/crates/relay/src/pool/reach.rs
+++ b/crates/relay/src/pool/reach.rs
@@ -4,6 +4,7 @@
 
 use crate::pool::Pool;
 use crate::reach::Change;
+use crate::reach::MIN_UNREACHED;
 use crate::reach::Reach;
 use crate::server::Key;
 
@@ -48,7 +49,10 @@
         probed: usize,
     ) -> Option<Change> {
         let unreached: Vec<Key> = self.reach.unreached(service).collect();
-        let replicas = self.index.count(service);
+        let available = self.index.of_service(service);
+        let available = available.filter(|key| self.servers[*key].is_available(now));
+        // More do not matter, so this does not go over all replicas.
+        let replicas = available.take(MIN_UNREACHED).count();
         let reach = &mut self.reach;
         let change = reach.record_probes(now, service, reached, probed, replicas);
         if matches!(change, Some(Change::Restored { .. })) {
@@ -74,14 +78,22 @@
         Some((key, &self.servers[key].replica.service))
     }
 
-    /// Up to `count` different random replicas of `service`. `draw` returns random numbers uniform in
-    /// `0.0..1.0`.
-    pub fn probe_targets(&self, service: &str, count: usize, draw: impl Fn() -> f64) -> Vec<Key> {
+    /// Up to `count` different random replicas of `service` that can be sent requests. `draw` returns
+    /// random numbers uniform in `0.0..1.0`.
+    pub fn probe_targets(
+        &self,
+        now: Time,
+        service: &str,
+        count: usize,
+        draw: impl Fn() -> f64,
+    ) -> Vec<Key> {
         let mut targets = Vec::new();
         // Drawing with replacement does not go over all replicas.
         for _ in 0..DRAWS * count {
             let key = self.index.at(service, draw());
-            targets.extend(key.filter(|key| !targets.contains(key)));
+            let is_available = |key: &Key| self.servers[*key].is_available(now);
+            let key = key.filter(|key| is_available(key) && !targets.contains(key));
+            targets.extend(key);
             if targets.len() == count {
                 break;
             }
--- a/crates/relay/src/reach.rs
+++ b/crates/relay/src/reach.rs
@@ -14,8 +14,8 @@
 use crate::server::Key;
 
 /// Number of replicas in a row that have to be unreached, the probed ones included, for their service
-/// to be unreachable; fewer if it has fewer.
-const MIN_UNREACHED: usize = 3;
+/// to be unreachable; fewer if fewer can be sent requests.
+pub const MIN_UNREACHED: usize = 3;
 /// Time after which a failure to connect is no longer evidence.
 const EVIDENCE_AGE: Duration = Duration::from_secs(3);
 
@@ -77,8 +77,9 @@
         }
     }
 
-    /// Records that `reached` of `probed` random replicas of `service`, which has `replicas`, accepted
-    /// a connection. The service is unreachable if none did, and reachable again if most of them did.
+    /// Records that `reached` of `probed` random replicas of `service` accepted a connection. It has
+    /// `replicas` that can be sent requests, or more if that is [`MIN_UNREACHED`]. The service is
+    /// unreachable if none did, and reachable again if most of them did.
     pub fn record_probes(
         &mut self,
         now: Time,
@@ -93,7 +94,7 @@
             let unreached = &mut evidence.unreached;
             unreached.retain(|_, at| reached == 0 && now.since(*at) < EVIDENCE_AGE);
             let first = unreached.values().min().copied().unwrap_or(now);
-            if probed == 0 || unreached.len() < MIN_UNREACHED.min(replicas).max(1) {
+            if unreached.is_empty() || unreached.len() < MIN_UNREACHED.min(replicas) {
                 return None;
             }
             evidence.lost_at = Some(now);
--- a/crates/relay/tests/reach.rs
+++ b/crates/relay/tests/reach.rs
@@ -167,10 +167,25 @@
             state.get()
         }
     };
-    let targets = pool.probe_targets("app", 3, draw);
+    let targets = pool.probe_targets(NOW, "app", 3, draw);
     let app = keys(&pool, "app");
     assert_eq!(targets.len(), 3);
     assert!(targets.iter().all(|key| app.contains(key)));
     assert!(targets[0] != targets[1] && targets[1] != targets[2] && targets[0] != targets[2]);
-    assert!(pool.probe_targets("none", 3, || 0.5).is_empty());
+    assert!(pool.probe_targets(NOW, "none", 3, || 0.5).is_empty());
+}
+
+/// A draining replica that is reached serves nobody.
+#[test]
+fn draining_replicas_are_not_probed() {
+    let mut draining = replica("d", "app", None, 8);
+    draining.draining = true;
+    let pool = pool(NOW, vec![draining, replica("1", "app", None, 8)]);
+    let draw = std::cell::Cell::new(0.0);
+    let targets = pool.probe_targets(NOW, "app", 16, || {
+        draw.set((draw.get() + 0.377) % 1.0);
+        draw.get()
+    });
+    assert_eq!(targets.len(), 1);
+    assert_eq!(pool.get(targets[0]).unwrap().replica.id, "1");
 }
