--- a/crates/gateway/tests/soak/callers.rs
+++ b/crates/gateway/tests/soak/callers.rs
@@ -260,11 +260,22 @@
     }
     let sent = PARTITION_ROUNDS * 4;
     Err(format!(
-        "RECOVER: daemons {:?} were cut off from all replicas and served {cut_off} of {sent} requests, the others {others}",
-        partition.daemons
+        "RECOVER: daemons {:?} were cut off from all replicas and served {cut_off} of {sent} requests, the others {others}; log lines of the daemons:\n    {}",
+        partition.daemons,
+        partition_log_lines(cluster, &partition).join("\n    ")
     ))
 }
 
+/// Log lines of the daemons that are cut off, about the requests that they got after [`CONTACT_TIME`].
+fn partition_log_lines(cluster: &Cluster, partition: &Partition) -> Vec<String> {
+    let lines = partition.daemons.iter().flat_map(|daemon| {
+        let daemon = cluster.instances[*daemon].daemon.lock().unwrap();
+        let lines = ["\"kind\":\"reach\"", "-cut-"].map(|text| daemon.logged(text));
+        lines.concat()
+    });
+    lines.collect()
+}
+
 /// Sends a request of each kind to each daemon; returns how many the daemons that are cut off served, and the others.
 fn send_to_all(cluster: &Cluster, partition: &Partition, name: &str) -> (usize, usize) {
     let mut served = (0, 0);
