Give no verdict on reach without a replica to probe; ask peers before an answer is cut

Where no replica of a service can be sent requests (all draining or evacuated), one failed connection made the service unreachable: the new unit test failed before.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -40,8 +40,8 @@
 /// needs a few hundred milliseconds to prefill the prompt.
 const STALL_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Time between two events of a replica after which its end is not put down to parts of the prompt: a
-/// part crashes its replica as the answer begins.
+/// Time for which a replica has to have been writing an answer for its end not to be attributed to
+/// parts of the prompt: a part crashes its replica as the answer begins.
 pub const MIN_WRITING_TIME: Duration = Duration::from_millis(500);
 
 /// Pause between two events that is logged if the route sets no limit for pauses.
--- a/crates/gateway/src/quarantine/clear.rs
+++ b/crates/gateway/src/quarantine/clear.rs
@@ -13,9 +13,9 @@
 use crate::forward::MIN_WRITING_TIME;
 use crate::shared::Shared;
 
-/// Pause between two checks.
+/// Longest pause before a check.
 const PERIOD: Duration = Duration::from_millis(300);
-/// Number of checks; an answer that has just begun is old enough for the last ones.
+/// Number of checks; an answer that has just begun is old enough for a later one.
 const MAX_CHECKS: usize = 4;
 
 /// Looks for answers on each part that becomes quarantined, forever.
--- a/crates/gateway/src/quarantine/probe.rs
+++ b/crates/gateway/src/quarantine/probe.rs
@@ -72,9 +72,12 @@
     }
     match presence {
         Presence::Here => Some(true),
-        Presence::Ended if presence::is_running(shared, key).await => None,
-        Presence::Ended | Presence::Closing => Some(false),
         Presence::Unknown => None,
+        // The path of this daemon may be cut.
+        Presence::Ended | Presence::Closing => {
+            let is_running = presence::is_running(shared, key).await;
+            (!is_running).then_some(false)
+        }
     }
 }
 
--- a/crates/relay/src/pool/reach.rs
+++ b/crates/relay/src/pool/reach.rs
@@ -51,7 +51,7 @@
         let unreached: Vec<Key> = self.reach.unreached(service).collect();
         let available = self.index.of_service(service);
         let available = available.filter(|key| self.servers[*key].is_available(now));
-        // More do not matter, so this does not go over all replicas.
+        // Counting more would go over all replicas.
         let replicas = available.take(MIN_UNREACHED).count();
         let reach = &mut self.reach;
         let change = reach.record_probes(now, service, reached, probed, replicas);
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -216,7 +216,7 @@
         self.digest
     }
 
-    /// Records of requests that are quarantined or one end short of it.
+    /// Records of contents that are quarantined or one end short of it.
     pub fn suspects(&self) -> Vec<Record> {
         let suspects = self.records.values().filter(|record| record.is_suspect());
         suspects.cloned().collect()
--- a/crates/relay/src/quarantine/record.rs
+++ b/crates/relay/src/quarantine/record.rs
@@ -14,7 +14,7 @@
 /// that a service that withdraws some of them leaves the same ones in whatever order records merge.
 pub const MAX_ENDS: usize = 16;
 /// Number of ends from which a record is kept in the store and compared between daemons: one more
-/// quarantines the request.
+/// quarantines the content.
 const SUSPECT: usize = LIMIT - 1;
 /// How long a record is kept after the last end. The request would crash replicas until the engines
 /// are replaced, which takes operators a day.
@@ -113,7 +113,7 @@
     }
 
     /// Contribution to the hash that daemons compare. The identity of the ended replicas matters
-    /// only while one more end would quarantine the request.
+    /// only while one more end would quarantine the content.
     pub(super) fn digest_part(&self) -> u64 {
         let replicas = self.ends.iter().map(|end| end.replica);
         match self {
--- a/crates/relay/src/reach.rs
+++ b/crates/relay/src/reach.rs
@@ -13,8 +13,8 @@
 
 use crate::server::Key;
 
-/// Number of replicas in a row that have to be unreached, the probed ones included, for their service
-/// to be unreachable; fewer if fewer can be sent requests.
+/// Number of replicas in a row, with those probed, that have to be unreached for their service to be
+/// unreachable; fewer if fewer can be sent requests.
 pub const MIN_UNREACHED: usize = 3;
 /// Time after which a failure to connect is no longer evidence.
 const EVIDENCE_AGE: Duration = Duration::from_secs(3);
@@ -77,8 +77,8 @@
         }
     }
 
-    /// Records that `reached` of `probed` random replicas of `service` accepted a connection. It has
-    /// `replicas` that can be sent requests, or more if that is [`MIN_UNREACHED`]. The service is
+    /// Records that `reached` of `probed` random replicas of `service` accepted a connection, of the
+    /// `replicas` that can be sent requests; [`MIN_UNREACHED`] also stands for more. The service is
     /// unreachable if none did, and reachable again if most of them did.
     pub fn record_probes(
         &mut self,
@@ -94,7 +94,8 @@
             let unreached = &mut evidence.unreached;
             unreached.retain(|_, at| reached == 0 && now.since(*at) < EVIDENCE_AGE);
             let first = unreached.values().min().copied().unwrap_or(now);
-            if unreached.is_empty() || unreached.len() < MIN_UNREACHED.min(replicas) {
+            // Without a replica to probe, the failures show nothing of the path.
+            if probed == 0 || unreached.len() < MIN_UNREACHED.min(replicas).max(1) {
                 return None;
             }
             evidence.lost_at = Some(now);
--- a/crates/relay/tests/reach.rs
+++ b/crates/relay/tests/reach.rs
@@ -189,3 +189,15 @@
     assert_eq!(targets.len(), 1);
     assert_eq!(pool.get(targets[0]).unwrap().replica.id, "1");
 }
+
+/// All replicas of a service may be draining.
+#[test]
+fn failures_without_a_replica_to_probe_do_not_make_a_service_unreachable() {
+    let mut draining = replica("d", "app", None, 8);
+    draining.draining = true;
+    let mut pool = pool(NOW, vec![draining]);
+    let (key, _) = pool.find("d").unwrap();
+    pool.record_unreached(NOW, key);
+    assert_eq!(pool.record_probes(NOW, "app", 0, 0), None);
+    assert!(!pool.reach().is_lost("app"));
+}
