--- a/crates/gateway/tests/soak/callers.rs
+++ b/crates/gateway/tests/soak/callers.rs
@@ -217,11 +217,15 @@
             send_request(cluster, instance, kind, Customer::Unlimited, &id, &mut None);
         }
     }
-    let sent = cluster.evacuated_requests() - before;
+    let mut sent = cluster.evacuated_requests();
+    sent.retain(|request| !before.contains(request));
     cluster.set_evacuated(false);
-    match sent {
+    match sent.len() {
         0 => Ok(()),
-        sent => Err(format!("{sent} requests reached an evacuated data centre")),
+        count => Err(format!(
+            "{count} requests reached an evacuated data centre:\n    {}",
+            sent.join("\n    ")
+        )),
     }
 }
 
--- a/crates/gateway/tests/soak/cluster.rs
+++ b/crates/gateway/tests/soak/cluster.rs
@@ -315,13 +315,22 @@
         }
     }
 
-    /// Number of requests that the current replicas of this data centre received so far.
-    pub fn evacuated_requests(&self) -> usize {
+    /// The requests that the current replicas of this data centre received so far.
+    pub fn evacuated_requests(&self) -> Vec<String> {
         let replicas = self.replicas.lock().unwrap();
         let there = replicas
             .iter()
             .filter(|(replica, ..)| data_centre(&replica.id) == EVACUATED);
-        there.map(|(replica, ..)| replica.requests().len()).sum()
+        let received = there.flat_map(|(replica, ..)| {
+            let requests = replica.requests().into_iter();
+            let id = replica.id.clone();
+            requests.enumerate().map(move |(number, request)| {
+                let source = request.header(SOURCE).unwrap_or_default();
+                let sent = request.header("request-id").unwrap_or_default();
+                format!("{id} {number}: {} {sent} from {source}", request.line)
+            })
+        });
+        received.collect()
     }
 
     /// Ends the faults of the store and of all proxies, and the evacuation.
