--- a/crates/customer/src/lib.rs
+++ b/crates/customer/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod list;
 pub mod local_budget;
 pub mod quota;
+pub mod rank;
 pub mod subject;
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -7,6 +7,7 @@
 mod index;
 mod list;
 mod notice;
+mod pace;
 mod prefill;
 mod reach;
 mod silence;
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -10,6 +10,7 @@
 use crate::claims::PeerUsage;
 use crate::forecast::Curve;
 use crate::notices::Notices;
+use crate::pace::Pace;
 use crate::replica::Load;
 use crate::replica::Replica;
 
@@ -67,7 +68,7 @@
 
 /// Mean time that a replica takes per unit of work.
 #[derive(Debug, Clone, Copy)]
-struct Pace {
+struct WorkPace {
     /// Seconds per unit.
     mean: f64,
     /// When the last work ended.
@@ -100,7 +101,9 @@
     /// Tokens that it has yet to prefill for other daemons; `None` if no other daemon has reported.
     pub(crate) peer_prefill_tokens: Option<u64>,
     /// Mean time per unit of work.
-    pace: Option<Pace>,
+    work_pace: Option<WorkPace>,
+    /// Time per token at its stage, by the newest measurement of any daemon.
+    pub(crate) token_pace: Option<Pace>,
     refusals: Refusals,
     /// When it last answered this daemon.
     last_answer: Option<Time>,
@@ -145,7 +148,8 @@
             peer_requests: None,
             prefill_pace: None,
             peer_prefill_tokens: None,
-            pace: None,
+            work_pace: None,
+            token_pace: None,
             refusals: Refusals::default(),
             last_answer: None,
             last_no_answer: None,
@@ -279,9 +283,9 @@
     pub(crate) fn record_work(&mut self, now: Time, seconds: f64) {
         let mean = self.pace(now).unwrap_or(seconds);
         let is_confirmed = self
-            .pace
+            .work_pace
             .is_some_and(|before| now.since(before.at) < PACE_CONFIRMATION);
-        self.pace = Some(Pace {
+        self.work_pace = Some(WorkPace {
             mean: mean + PACE_WEIGHT * (seconds - mean),
             at: now,
             max_age: if is_confirmed {
@@ -359,7 +363,7 @@
 
     /// Mean seconds per unit of work, if measured recently.
     pub(crate) fn pace(&self, now: Time) -> Option<f64> {
-        let pace = self.pace?;
+        let pace = self.work_pace?;
         (now.since(pace.at) < pace.max_age).then_some(pace.mean)
     }
 
