Take an answer without a length only from a connection without earlier requests

Callers got the second answer to another request behind their own. Cause: the body of an answer without a length or chunks ends with its connection, and the replica wrote the second answer to an earlier request of that kept connection before it closed it. Ruled out: ids (both heads name their own request), chunks, pipelining of ours. Change: such an answer counts as lost if the connection had other requests; repeatable requests go to another replica, the others have a new connection in any case.

--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -155,7 +155,8 @@
     if head.limit.is_some() || head.genuine {
         shared.note_limit(key, head.limit);
     }
-    if let Some((outcome, cause)) = invalid_reason(&head, prefill) {
+    let is_exact = has_explicit_end(&response) || connection.exchanges_before() == 0;
+    if let Some((outcome, cause)) = invalid_reason(&head, prefill, is_exact) {
         let load = head
             .load
             .map_or((0, 0), |load| (load.running, load.waiting));
@@ -245,11 +246,16 @@
     outcome
 }
 
-/// Why an answer with this head is not valid for the request; `None` if it is.
-fn invalid_reason(head: &Head, prefill: bool) -> Option<(Outcome, &'static str)> {
+/// Why an answer with this head is not valid for the request; `None` if it is. If its end is not
+/// exact, a duplicate answer to an earlier request of the connection could be taken for a part of it.
+fn invalid_reason(head: &Head, prefill: bool, is_exact: bool) -> Option<(Outcome, &'static str)> {
     match head {
         head if head.other_replica => Some((Outcome::NotRun, "another replica has its address")),
         head if head.not_run => Some((Outcome::NotRun, "the replica did not run the request")),
+        _ if !is_exact => {
+            let cause = "the answer has no length, on a connection that had other requests";
+            Some((Outcome::Lost, cause))
+        }
         // The answer to a prefill is meant for this daemon and is not signed.
         head if prefill && head.status == StatusCode::OK => None,
         head if !head.genuine => Some((Outcome::Lost, "the answer is not genuine")),
--- a/crates/gateway/tests/gateway/second_answers.rs
+++ b/crates/gateway/tests/gateway/second_answers.rs
@@ -6,7 +6,9 @@
 //! The log line `read` shows the fault by a `cache` that the line before names too, with `exchanges_before` above 0.
 
 use std::collections::HashSet;
+use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -21,6 +23,7 @@
 use crate::common::replica::Replica;
 use crate::common::replica::chunk;
 use crate::common::replica::events;
+use crate::common::replica::signed_answer;
 use crate::common::replica::stream_head;
 use crate::site::Site;
 use crate::site::start_generation;
@@ -346,3 +349,39 @@
     }
     assert_eq!(replica.connection_count(), 4);
 }
+
+/// Guards against forwarding the second answer to an earlier request as the end of an answer that has no length: it
+/// comes before the connection ends, where more of the body may come.
+#[test]
+fn an_answer_without_a_length_is_not_taken_from_a_connection_with_earlier_requests() {
+    let is_done = Arc::new(AtomicBool::new(false));
+    let start = |name: &str| {
+        let is_done = Arc::clone(&is_done);
+        let previous = Mutex::new(None::<String>);
+        Replica::start(name, move |request| {
+            let earlier = previous.lock().unwrap().replace(id(request).to_owned());
+            match earlier {
+                Some(earlier) if !is_done.swap(true, Ordering::SeqCst) => {
+                    let seal = "response-seal: s.1\r\n";
+                    let own = id(request);
+                    let unframed =
+                        format!("HTTP/1.1 200 X\r\nrequest-id: {own}\r\n{seal}\r\n{own}");
+                    let headers = [("request-id", earlier.as_str()), ("response-seal", "s.1")];
+                    let second = answer(200, &headers, earlier.as_bytes());
+                    Action::SendAndClose([unframed.into_bytes(), second].concat())
+                }
+                _ => Action::Send(signed_answer(request, 200, id(request).as_bytes())),
+            }
+        })
+    };
+    let (one, other) = (start("i-1"), start("i-2"));
+    let replicas = [(&one, "app", ""), (&other, "app", "")];
+    let site = Site::start("second-behind-unframed", &replicas);
+    for number in 0..6 {
+        let request = format!("a{number}");
+        let response = site.send_and_read("GET /read/1", &request);
+        let body = String::from_utf8_lossy(&response.body).into_owned();
+        assert_eq!((response.status(), body), (200, request));
+    }
+    assert!(is_done.load(Ordering::SeqCst));
+}
