Order within a quota: keepers grant by rank and whether a request can be in time

Cause: a bucket granted what refills within a tenth of the objective, so requests with the longest objective held the level far below zero, urgent ones and calls found nothing while a customer was beyond its quota, and callers that returned late took units from first attempts.

Change: the bucket counts recent demand by standing (customer::demand) and grants a request only beside what those ahead of it will ask for in the next half second. Where standings compete, all wait as long as the least patient; a tenth of the rate is kept for those behind, in equal parts. Return times count those ahead. Daemons tell standings by Ask2, answered by Told2, only where requests of a customer differ, and ask older daemons as before. Bad units are refused and logged once a minute, ranks clamped where they are decoded. Fields of the log lines quota and end, metrics quota_decisions_total and returns_total.

--- a/crates/customer/src/keeper.rs
+++ b/crates/customer/src/keeper.rs
@@ -17,6 +17,7 @@
 use crate::bucket::Verdict;
 use crate::quota::Limit;
 use crate::quota::Tolerance;
+use crate::rank::Standing;
 use crate::subject::Subject;
 
 /// Role of a daemon for a customer's quota, in its own view of the members.
@@ -41,6 +42,24 @@
     pub purpose: Purpose,
 }
 
+/// A request with its place in the order of service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RankedRequest {
+    /// The request.
+    pub request: QuotaRequest,
+    /// Its place.
+    pub standing: Standing,
+}
+
+/// What a keeper decided.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Ruling {
+    /// The reply to the daemon that asked.
+    pub reply: QuotaReply,
+    /// Units that the request had to leave to those ahead of it.
+    pub ahead: f64,
+}
+
 /// Purpose of a [`QuotaRequest`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Purpose {
@@ -109,8 +128,15 @@
         role: Role,
         limit: Limit,
         tolerance: &Tolerance,
-        ask: &QuotaRequest,
-    ) -> QuotaReply {
+        ask: &RankedRequest,
+    ) -> Ruling {
+        let RankedRequest {
+            request: ask,
+            standing,
+        } = ask;
+        if !ask.is_valid() {
+            return Ruling::unsure();
+        }
         let (limit, start) = match (role, ask.subject) {
             (Role::Keeper, Subject::Customer(_)) => (limit, tolerance.initial_level(limit)),
             (Role::Deputy, Subject::Customer(_)) => {
@@ -120,7 +146,7 @@
             // The limit of a replica must never be exceeded, so a new bucket starts empty.
             (Role::Keeper, Subject::Replica(_)) => (limit, 0.0),
             (Role::Deputy, Subject::Replica(_)) | (Role::NoMajority, _) => {
-                return QuotaReply::unsure();
+                return Ruling::unsure();
             }
         };
         let bucket = self.buckets.entry((ask.subject, role));
@@ -128,7 +154,7 @@
         let decision = match ask.purpose {
             Purpose::Run { patience_ms } => {
                 let patience = Duration::from_millis(patience_ms.into());
-                match bucket.take(now, limit, ask.units, patience) {
+                match bucket.take(now, limit, ask.units, patience, *standing) {
                     Verdict::Granted { after } => Decision::Granted {
                         after_ms: ceil_ms(after),
                     },
@@ -148,9 +174,13 @@
                 Decision::Counted
             }
         };
-        QuotaReply {
+        let reply = QuotaReply {
             decision,
             left: bucket.level(now, limit),
+        };
+        Ruling {
+            reply,
+            ahead: bucket.reserve(limit, ask.units, *standing),
         }
     }
 
@@ -160,6 +190,31 @@
     }
 }
 
+impl QuotaRequest {
+    /// Whether its units can be counted: they are finite and not negative.
+    pub fn is_valid(&self) -> bool {
+        self.units.is_finite() && self.units >= 0.0
+    }
+
+    /// The request with its place in the order of service.
+    pub const fn ranked(self, standing: Standing) -> RankedRequest {
+        RankedRequest {
+            request: self,
+            standing,
+        }
+    }
+}
+
+impl Ruling {
+    /// The ruling of a daemon that cannot decide.
+    pub const fn unsure() -> Self {
+        Self {
+            reply: QuotaReply::unsure(),
+            ahead: 0.0,
+        }
+    }
+}
+
 impl QuotaReply {
     /// The reply of a daemon that cannot decide.
     pub const fn unsure() -> Self {
--- a/crates/customer/src/lib.rs
+++ b/crates/customer/src/lib.rs
@@ -5,6 +5,7 @@
 //! ask it, and fall back to their own [`local_budget::LocalBudget`] if it does not answer.
 
 pub mod bucket;
+pub mod demand;
 pub mod digest;
 pub mod keeper;
 pub mod list;
--- a/crates/customer/src/rank.rs
+++ b/crates/customer/src/rank.rs
@@ -10,8 +10,12 @@
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
+#[serde(from = "u8", into = "u8")]
 pub struct Rank(u8);
 
+/// Rank of requests of unknown rank.
+const MIDDLE: Rank = Rank::new(RANKS as u8 / 2);
+
 /// Place of a request in the order of service: first its rank, then whether it can be in time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Standing {
@@ -34,7 +38,23 @@
     }
 }
 
+impl From<u8> for Rank {
+    fn from(value: u8) -> Self {
+        Self::new(value)
+    }
+}
+
+impl From<Rank> for u8 {
+    fn from(rank: Rank) -> Self {
+        rank.value()
+    }
+}
+
 impl Standing {
+    /// Standing of requests that do not differ from the others of their customer, or of which only
+    /// older daemons know more.
+    pub const PLAIN: Self = Self::new(MIDDLE);
+
     /// The standing of a request of `rank` that can be in time.
     pub const fn new(rank: Rank) -> Self {
         Self {
@@ -43,6 +63,11 @@
         }
     }
 
+    /// Its place among all standings; 0 is the first.
+    pub const fn index(self) -> usize {
+        2 * self.rank.value() as usize + self.returned as usize
+    }
+
     /// Returns the standing with whether the request was refused before.
     #[must_use]
     pub const fn with_returned(self, returned: bool) -> Self {
--- a/crates/customer/tests/bound.rs
+++ b/crates/customer/tests/bound.rs
@@ -13,6 +13,9 @@
 use customer::local_budget::LocalBudget;
 use customer::quota::Limit;
 use customer::quota::Tolerance;
+use customer::rank::RANKS;
+use customer::rank::Rank;
+use customer::rank::Standing;
 use customer::subject::Subject;
 use ident::Time;
 use proptest::collection::vec;
@@ -42,7 +45,11 @@
 #[derive(Debug, Clone)]
 enum Event {
     /// A request arrives at a daemon.
-    Request { daemon: usize, units: u64 },
+    Request {
+        daemon: usize,
+        units: u64,
+        standing: Standing,
+    },
     /// The daemons from this index on are cut off from the others; `DAEMONS` heals the partition.
     Cut { from: usize },
     /// A daemon is killed and restarts without state.
@@ -105,18 +112,26 @@
         }
     }
 
-    fn ask(&mut self, now: Time, daemon: usize, purpose: Purpose, units: f64) -> Option<Decision> {
+    fn ask(
+        &mut self,
+        now: Time,
+        daemon: usize,
+        purpose: Purpose,
+        units: f64,
+        standing: Standing,
+    ) -> Option<Decision> {
         let ask = QuotaRequest {
             subject: Subject::Customer(CUSTOMER),
             units,
             purpose,
-        };
+        }
+        .ranked(standing);
         for keeper in self.ranked(daemon) {
             if self.is_cut(keeper) != self.is_cut(daemon) {
                 continue;
             }
             let role = self.role(keeper);
-            let reply = self.keepers[keeper].decide(
+            let ruling = self.keepers[keeper].decide(
                 now,
                 self.members_since[keeper],
                 role,
@@ -124,19 +139,19 @@
                 &TOLERANCE,
                 &ask,
             );
-            if reply.decision != Decision::Unsure {
-                return Some(reply.decision);
+            if ruling.reply.decision != Decision::Unsure {
+                return Some(ruling.reply.decision);
             }
         }
         None
     }
 
     /// Decides on a request in the same way as the gateway.
-    fn request(&mut self, now: Time, daemon: usize, units: f64) {
+    fn request(&mut self, now: Time, daemon: usize, units: f64, standing: Standing) {
         let allowance = TOLERANCE.local_budget(LIMIT, DAEMONS);
         if let Some(spend_id) = self.local_budgets[daemon].spend(now, WINDOW, allowance, units) {
             self.admitted.push((now, units));
-            match self.ask(now, daemon, Purpose::Ran, units) {
+            match self.ask(now, daemon, Purpose::Ran, units, standing) {
                 Some(Decision::Counted) => self.local_budgets[daemon].settle(spend_id),
                 Some(Decision::Overdrawn { free_ms }) => {
                     let free_in = Duration::from_millis(free_ms.into());
@@ -146,7 +161,10 @@
             }
             return;
         }
-        let admitted = match self.ask(now, daemon, Purpose::Run { patience_ms: 0 }, units) {
+        // Who may wait is of a later rank, as where objectives grow with the ranks.
+        let patience_ms = 20 * u32::from(standing.rank.value());
+        let purpose = Purpose::Run { patience_ms };
+        let admitted = match self.ask(now, daemon, purpose, units, standing) {
             Some(Decision::Granted { .. }) => true,
             Some(_) => false,
             None => {
@@ -183,7 +201,13 @@
 
 fn event() -> impl Strategy<Value = Event> {
     prop_oneof![
-        400 => (0..DAEMONS, 1..=MAX_REQUEST_UNITS).prop_map(|(daemon, units)| Event::Request { daemon, units }),
+        400 => (0..DAEMONS, 1..=MAX_REQUEST_UNITS, 0..RANKS as u8, any::<bool>()).prop_map(
+            |(daemon, units, rank, returned)| Event::Request {
+                daemon,
+                units,
+                standing: Standing::new(Rank::new(rank)).with_returned(returned),
+            },
+        ),
         2 => (1..=DAEMONS).prop_map(|from| Event::Cut { from }),
         1 => (0..DAEMONS).prop_map(|daemon| Event::Kill { daemon }),
     ]
@@ -203,7 +227,11 @@
         }
         for event in events {
             match event {
-                Event::Request { daemon, units } => simulation.request(now, *daemon, *units as f64),
+                Event::Request {
+                    daemon,
+                    units,
+                    standing,
+                } => simulation.request(now, *daemon, *units as f64, *standing),
                 Event::Cut { from } => {
                     simulation.first_cut_off = *from;
                     cut_since.insert(*from, now);
@@ -238,6 +266,7 @@
         let of_step = (0..requests).map(move |number| Event::Request {
             daemon: (step * requests + number * 5) % DAEMONS,
             units,
+            standing: Standing::PLAIN,
         });
         of_step.collect()
     };
--- a/crates/customer/tests/bucket.rs
+++ b/crates/customer/tests/bucket.rs
@@ -5,6 +5,7 @@
 use customer::bucket::Bucket;
 use customer::bucket::Verdict;
 use customer::quota::Limit;
+use customer::rank::Standing;
 use ident::Time;
 use rstest::rstest;
 
@@ -21,7 +22,13 @@
 
 fn take(bucket: &mut Bucket, at_ms: u64, units: f64, patience_ms: u64) -> Verdict {
     let patience = Duration::from_millis(patience_ms);
-    bucket.take(Time::from_millis(at_ms), LIMIT, units, patience)
+    bucket.take(
+        Time::from_millis(at_ms),
+        LIMIT,
+        units,
+        patience,
+        Standing::PLAIN,
+    )
 }
 
 #[test]
@@ -89,7 +96,13 @@
     #[case] after: f64,
 ) {
     let mut bucket = Bucket::new(Time::ZERO, level);
-    bucket.take(Time::ZERO, LIMIT, units, Duration::from_secs(5));
+    bucket.take(
+        Time::ZERO,
+        LIMIT,
+        units,
+        Duration::from_secs(5),
+        Standing::PLAIN,
+    );
     bucket.refund(Time::ZERO, LIMIT, units);
     assert!((bucket.level(Time::ZERO, LIMIT) - after).abs() < 1e-9);
 }
@@ -101,8 +114,8 @@
         rate: 1.0,
         burst: 10.0,
     };
-    let taken = bucket.take(Time::ZERO, lower, 10.0, Duration::ZERO);
+    let taken = bucket.take(Time::ZERO, lower, 10.0, Duration::ZERO, Standing::PLAIN);
     assert_eq!(taken, granted(0));
-    let taken = bucket.take(Time::ZERO, lower, 10.0, Duration::ZERO);
+    let taken = bucket.take(Time::ZERO, lower, 10.0, Duration::ZERO, Standing::PLAIN);
     assert!(matches!(taken, Verdict::Refused { .. }));
 }
--- a/crates/customer/tests/replica.rs
+++ b/crates/customer/tests/replica.rs
@@ -9,6 +9,7 @@
 use customer::keeper::Role;
 use customer::quota::Limit;
 use customer::quota::Tolerance;
+use customer::rank::Standing;
 use customer::subject::Subject;
 use ident::Time;
 use rstest::rstest;
@@ -30,10 +31,11 @@
         subject: Subject::Replica(7),
         units: 1.0,
         purpose: Purpose::Run { patience_ms: 0 },
-    };
+    }
+    .ranked(Standing::PLAIN);
     let now = START + Duration::from_millis(ms);
-    let reply = keeper.decide(now, since, role, LIMIT, &TOLERANCE, &ask);
-    reply.decision
+    let ruling = keeper.decide(now, since, role, LIMIT, &TOLERANCE, &ask);
+    ruling.reply.decision
 }
 
 /// Guards against a customer tolerance that is applied to a replica.
--- a/crates/gateway/src/ending.rs
+++ b/crates/gateway/src/ending.rs
@@ -48,6 +48,7 @@
         }
     };
     shared.metrics.withheld(kind);
+    job.retry_after = Some(withheld.remaining);
     job.end("refused", 503, &log);
     let text = format!("{cause}; it has not run\n");
     responses::refuse(&job.call.id, withheld.remaining, text)
@@ -55,6 +56,7 @@
 
 /// Refuses `job`, which exceeds its customer's quota and has not run.
 pub fn refuse_beyond_quota(job: &mut Job, retry_after: Duration) -> Response<Body> {
+    job.retry_after = Some(retry_after);
     job.end("beyond-quota", 429, "beyond the customer's quota");
     responses::refuse_beyond_quota(&job.call.id, retry_after)
 }
@@ -65,6 +67,7 @@
     cause: &'static str,
     text: &'static str,
 ) -> Response<Body> {
+    job.retry_after = Some(retry_after);
     job.end("refused", 503, cause);
     responses::refuse(&job.call.id, retry_after, text)
 }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -259,14 +259,9 @@
             let served = shared.merge_records("peer", &records);
             send_records(shared, sender.peers, &served).await;
         }
-        Content::Quota(quotas::Message::Ask { number, ask, limit }) => {
-            if let Some(answer) = keeper::answer(shared, number, ask, limit) {
-                send(shared, sender.peers, Content::Quota(answer)).await;
-            }
-        }
-        Content::Quota(quotas::Message::Told { number, told }) => {
-            if let Some((to, message)) = keeper::handle_answer(shared, number, told) {
-                send(shared, to, Content::Quota(message)).await;
+        Content::Quota(message) => {
+            if let Some((to, answer)) = keeper::receive(shared, sender.peers, message) {
+                send(shared, to, Content::Quota(answer)).await;
             }
         }
         Content::Begins(message) => {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -10,12 +10,15 @@
 use boottime::Instant;
 use bytes::Bytes;
 use customer::list::Customer;
+use customer::rank::Rank;
+use customer::rank::Standing;
 use http::HeaderMap;
 use http::Method;
 use http::Request;
 use http::Uri;
 use http::uri::PathAndQuery;
 use http_body_util::Full;
+use log::kv::Value;
 use platform::caller;
 use platform::caller::Call;
 use platform::caller::ReplicaRequest;
@@ -69,6 +72,11 @@
     pub deadline: Instant,
     /// Whether this is a retry after a refusal, too late for the objective.
     pub returned: bool,
+    /// Whether it is a request of a customer with a quota that returned too late for the objective; also
+    /// known for plain calls. Only its standing depends on it.
+    pub late_return: bool,
+    /// The time that the caller is told to wait if the request is refused.
+    pub retry_after: Option<Duration>,
     /// Whether the head of a replica's answer was sent to the caller.
     pub response_started: Cell<bool>,
     /// Units taken from the customer's quota.
@@ -164,6 +172,8 @@
             arrived,
             deadline,
             returned,
+            late_return: false,
+            retry_after: None,
             response_started: Cell::new(false),
             charge: None,
             permits: RefCell::new(RequestPermits::new()),
@@ -301,6 +311,12 @@
         own.unwrap_or(self.route.priority)
     }
 
+    /// Its place in the order of service.
+    pub fn standing(&self) -> Standing {
+        let returned = self.returned || self.late_return;
+        Standing::new(Rank::new(self.priority())).with_returned(returned)
+    }
+
     fn caller(&self) -> Caller<'_> {
         match &self.owner {
             Owner::Anyone => Caller::Anyone,
@@ -345,7 +361,15 @@
         self.shared.metrics.request(outcome);
         let customer = self.customer().map_or("", |customer| &customer.name);
         self.shared.count_customer(customer, outcome);
-        log::info!(kind = "end", request = self.call.id, customer = customer, route = self.route.name, service = self.service, plan = self.plan, outcome = outcome, status = status, ms = ms, cause = cause; "request ended");
+        let standing = self.standing();
+        if standing.returned {
+            self.shared.metrics.quota.returned(standing, status);
+        }
+        let retry_after_ms = match self.retry_after {
+            Some(time) => Value::from(time.as_millis() as u64),
+            None => Value::from(""),
+        };
+        log::info!(kind = "end", request = self.call.id, customer = customer, rank = standing.rank.value(), returned = standing.returned, retry_after_ms = retry_after_ms, route = self.route.name, service = self.service, plan = self.plan, outcome = outcome, status = status, ms = ms, cause = cause; "request ended");
     }
 }
 
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -68,5 +68,6 @@
             burst: BURST,
         },
         units: 1.0,
+        standing: None,
     })
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Metrics of the daemon, exported in the Prometheus text format.
 
+pub mod quota;
+
 use std::sync::Arc;
 
 use logs::queue::LineCounters;
@@ -19,6 +21,8 @@
 use prometheus::core::Collector;
 use prometheus::core::GenericGauge;
 
+use crate::metrics::quota::QuotaMetrics;
+
 /// Upper bounds of the latency buckets, in seconds; the objectives lie between 0.15 and 2 s.
 const LATENCIES: [f64; 12] = [
     0.01, 0.025, 0.05, 0.1, 0.15, 0.3, 0.6, 0.9, 1.5, 3.0, 6.0, 14.0,
@@ -65,6 +69,8 @@
     resumptions: IntCounterVec,
     retries: IntCounterVec,
     customers: IntCounterVec,
+    /// Customers' quotas.
+    pub quota: QuotaMetrics,
     moves: IntCounterVec,
     latency: HistogramVec,
 }
@@ -163,6 +169,7 @@
                 "Requests by customer and outcome; customers with small quotas count as others",
                 &["customer", "outcome"],
             )?,
+            quota: QuotaMetrics::new(&registry)?,
             moves: vector("moves_total", "Migrations of runs by outcome", &["outcome"])?,
             latency: register(&registry, latency)?,
             registry,
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -12,8 +12,10 @@
 use customer::keeper::Decision;
 use customer::keeper::Purpose;
 use customer::keeper::QuotaReply;
+use customer::rank::Standing;
 use customer::subject::Subject;
 use http::Response;
+use log::kv::Value;
 
 use crate::body::Body;
 use crate::ending;
@@ -30,18 +32,36 @@
 const UNDECIDED_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// The units that `job` takes from its customer's quota; `None` without a customer or a quota.
-fn demand(job: &Job) -> Option<Demand> {
+fn demand(shared: &Shared, job: &Job) -> Option<Demand> {
     let customer = job.customer()?;
     Some(Demand {
         subject: Subject::Customer(customer.id()),
         limit: customer.limit?,
         units: customer.unit.count(job.call.tokens),
+        standing: distinct_standing(shared, job),
     })
 }
 
+/// The standing of `job` among the requests of its customer; `None` if it is the same for all but
+/// those that returned. Where ranks do not differ, any rank serves, and the one that counts for requests
+/// without a standing is taken.
+fn distinct_standing(shared: &Shared, job: &Job) -> Option<Standing> {
+    let plan = shared.plan();
+    let ranks_differ = plan.zip(job.customer());
+    let ranks_differ = ranks_differ.is_some_and(|(plan, customer)| plan.ranks_differ(customer));
+    let standing = job.standing();
+    match (ranks_differ, standing.returned) {
+        (true, _) => Some(standing),
+        (false, true) => Some(Standing::PLAIN.with_returned(true)),
+        (false, false) => None,
+    }
+}
+
 /// Charges `job` to its customer's quota; returns the response if the quota does not admit it.
 pub async fn admit(shared: &Rc<Shared>, job: &mut Job) -> Option<Response<Body>> {
-    let demand = demand(job)?;
+    job.customer()?.limit?;
+    job.late_return = shared.is_late_return(job);
+    let demand = demand(shared, job)?;
     if let Some(number) = client::spend_locally(shared, demand) {
         job.charge = Some(Charge::new(shared, demand, Source::LocalBudget(number)));
         return None;
@@ -79,5 +99,12 @@
     let answer = reply.map_or(QuotaReply::unsure(), |reply| reply.answer);
     let keeper = reply.map_or(String::new(), |reply| reply.keeper_name(shared));
     let customer = job.customer().map_or("", |customer| &customer.name);
-    log::info!(kind = "quota", request = job.call.id, customer = customer, units = demand.units as u64, decision = format!("{:?}", answer.decision), left = answer.left as i64, keeper = keeper, ms = job.age().as_millis() as u64; "asked for a quota decision");
+    let ahead = reply.map_or(0.0, |reply| reply.ahead);
+    let standing = job.standing();
+    let come_back_ms = match answer.decision {
+        Decision::Refused { come_back_ms } => Value::from(come_back_ms),
+        _ => Value::from(""),
+    };
+    shared.metrics.quota.decision(standing, answer.decision);
+    log::info!(kind = "quota", request = job.call.id, customer = customer, rank = standing.rank.value(), returned = standing.returned, units = demand.units as u64, ahead = ahead as u64, decision = format!("{:?}", answer.decision), come_back_ms = come_back_ms, left = answer.left as i64, keeper = keeper, ms = job.age().as_millis() as u64; "asked for a quota decision");
 }
--- a/crates/gateway/src/quota/client.rs
+++ b/crates/gateway/src/quota/client.rs
@@ -8,8 +8,10 @@
 use customer::keeper::Decision;
 use customer::keeper::Purpose;
 use customer::keeper::QuotaReply;
+use customer::keeper::Ruling;
 use customer::local_budget::SpendId;
 use customer::quota::Limit;
+use customer::rank::Standing;
 use customer::subject::Subject;
 use tokio::sync::oneshot;
 
@@ -36,11 +38,21 @@
 pub struct KeeperReply {
     /// The decision.
     pub answer: QuotaReply,
+    /// Units that the request had to leave to those ahead of it.
+    pub ahead: f64,
     /// Address of the daemon that decided; `None` for this one.
     pub keeper: Option<SocketAddr>,
 }
 
 impl KeeperReply {
+    const fn new(ruling: Ruling, keeper: Option<SocketAddr>) -> Self {
+        Self {
+            answer: ruling.reply,
+            ahead: ruling.ahead,
+            keeper,
+        }
+    }
+
     /// Address or name of the daemon that decided.
     pub fn keeper_name(&self, shared: &Shared) -> String {
         match self.keeper {
@@ -86,16 +98,12 @@
     let own = shared.own_info().instance();
     for (instance, address) in keepers {
         let reply = if instance == own {
-            Some(KeeperReply {
-                answer: keeper::decide(shared, &demand.request(purpose), demand.limit),
-                keeper: None,
-            })
+            let request = demand.request(purpose);
+            let ruling = keeper::decide(shared, &request, demand.limit, demand.standing);
+            Some(KeeperReply::new(ruling, None))
         } else {
-            let answer = ask_peer(shared, address, demand, purpose).await;
-            answer.map(|answer| KeeperReply {
-                answer,
-                keeper: Some(address),
-            })
+            let ruling = ask_peer(shared, address, demand, purpose).await;
+            ruling.map(|ruling| KeeperReply::new(ruling, Some(address)))
         };
         if let Some(reply) = reply.filter(|reply| reply.answer.decision != Decision::Unsure) {
             return Some(reply);
@@ -108,7 +116,7 @@
 pub fn refund(shared: &Rc<Shared>, keeper: Option<SocketAddr>, demand: Demand) {
     let ask = demand.request(Purpose::GiveBack);
     let Some(keeper) = keeper else {
-        keeper::decide(shared, &ask, demand.limit);
+        keeper::decide(shared, &ask, demand.limit, None);
         return;
     };
     let shared = Rc::clone(shared);
@@ -116,22 +124,56 @@
     tokio::task::spawn_local(async move { gossip::send_quota(&shared, keeper, message).await });
 }
 
-/// Asks the daemon at `to`; `None` if it does not answer in time, or failed to do so recently.
+/// Asks the daemon at `to`; `None` if it does not answer in time, or failed to do so recently. One that
+/// may be too old to read the standing is asked again without it.
 async fn ask_peer(
     shared: &Shared,
     to: SocketAddr,
     demand: Demand,
     purpose: Purpose,
-) -> Option<QuotaReply> {
+) -> Option<Ruling> {
     let now = shared.clock.now();
-    let (answer, answered) = oneshot::channel();
-    let number = rand::random_range(NO_REPLY + 1..=u32::MAX);
-    {
+    let reads_standings = {
         let mut quotas = shared.quotas.borrow_mut();
         quotas.unresponsive.retain(|_, until| *until > now);
         if quotas.unresponsive.contains_key(&to) {
             return None;
         }
+        quotas.reads_standings(now, to)
+    };
+    let is_run = matches!(purpose, Purpose::Run { .. });
+    let is_read = is_run && reads_standings != Some(false);
+    let standing = demand.standing.filter(|_| is_read);
+    let mut ruling = exchange(shared, to, demand, purpose, standing).await;
+    if ruling.is_none() && standing.is_some() && reads_standings.is_none() {
+        let now = shared.clock.now();
+        shared
+            .quotas
+            .borrow_mut()
+            .record_reads_standings(now, to, false);
+        ruling = exchange(shared, to, demand, purpose, None).await;
+    }
+    if ruling.is_none() {
+        let until = shared.clock.now() + SILENT_PERIOD;
+        shared.quotas.borrow_mut().unresponsive.insert(to, until);
+        log::info!(kind = "quota", peer = to.to_string(), ms = ANSWER_TIMEOUT.as_millis() as u64; "a quota keeper does not answer");
+    }
+    ruling
+}
+
+/// Sends one question to the daemon at `to`; `None` if it does not answer in time.
+async fn exchange(
+    shared: &Shared,
+    to: SocketAddr,
+    demand: Demand,
+    purpose: Purpose,
+    standing: Option<Standing>,
+) -> Option<Ruling> {
+    let now = shared.clock.now();
+    let (answer, answered) = oneshot::channel();
+    let number = rand::random_range(NO_REPLY + 1..=u32::MAX);
+    {
+        let mut quotas = shared.quotas.borrow_mut();
         quotas
             .pending
             .retain(|_, pending| now.since(pending.sent) < PENDING_TIMEOUT);
@@ -143,19 +185,7 @@
         };
         quotas.pending.insert(number, pending);
     }
-    let message = Message::Ask {
-        number,
-        ask: demand.request(purpose),
-        limit: demand.limit,
-    };
+    let message = Message::asking(number, demand, purpose, standing);
     gossip::send_quota(shared, to, message).await;
-    match timeout(ANSWER_TIMEOUT, answered).await {
-        Ok(reply) => reply.ok(),
-        Err(_) => {
-            let until = shared.clock.now() + SILENT_PERIOD;
-            shared.quotas.borrow_mut().unresponsive.insert(to, until);
-            log::info!(kind = "quota", peer = to.to_string(), ms = ANSWER_TIMEOUT.as_millis() as u64; "a quota keeper does not answer");
-            None
-        }
-    }
+    timeout(ANSWER_TIMEOUT, answered).await.ok()?.ok()
 }
--- a/crates/lab/src/quota/run.rs
+++ b/crates/lab/src/quota/run.rs
@@ -4,6 +4,7 @@
 
 use customer::bucket::Bucket;
 use customer::bucket::Verdict;
+use customer::rank::Standing;
 use ident::Time;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -64,7 +65,8 @@
                 continue;
             }
             let patience = Duration::ZERO;
-            let ideal_verdict = ideal.take(now, load.limit_at(now), units, patience);
+            let ideal_verdict =
+                ideal.take(now, load.limit_at(now), units, patience, Standing::PLAIN);
             if matches!(ideal_verdict, Verdict::Granted { .. }) {
                 sums.0 += units;
             }
--- a/crates/lab/src/quota/scheme.rs
+++ b/crates/lab/src/quota/scheme.rs
@@ -13,6 +13,7 @@
 use customer::list::CustomerId;
 use customer::local_budget::LocalBudget;
 use customer::quota::Limit;
+use customer::rank::Standing;
 use customer::subject::Subject;
 use ident::Time;
 
@@ -148,7 +149,7 @@
 
     fn take_local(&mut self, now: Time, daemon: usize, limit: Limit, units: f64) -> bool {
         let bucket = &mut self.daemons[daemon].bucket;
-        let taken = bucket.take(now, limit, units, Duration::ZERO);
+        let taken = bucket.take(now, limit, units, Duration::ZERO, Standing::PLAIN);
         matches!(taken, Verdict::Granted { .. })
     }
 
@@ -192,7 +193,8 @@
             subject: Subject::Customer(CUSTOMER),
             units,
             purpose,
-        };
+        }
+        .ranked(Standing::PLAIN);
         for to in self.keeper_and_deputy(now, from) {
             if to != from {
                 self.messages += 1;
@@ -211,11 +213,11 @@
             let tolerance = self.load.tolerance;
             let keeper = &mut self.daemons[to];
             let since = keeper.members_changed;
-            let reply = keeper
+            let ruling = keeper
                 .keeper
                 .decide(now, since, role, limit, &tolerance, &request);
-            if reply.decision != Decision::Unsure {
-                return Some(reply.decision);
+            if ruling.reply.decision != Decision::Unsure {
+                return Some(ruling.reply.decision);
             }
         }
         None
--- a/crates/relay/src/plan.rs
+++ b/crates/relay/src/plan.rs
@@ -195,6 +195,14 @@
         }
     }
 
+    /// Whether requests of `customer` differ in rank: it has none of its own, and the routes that it
+    /// may use have several.
+    pub fn ranks_differ(&self, customer: &Customer) -> bool {
+        let mut ranks = self.routes.iter().filter(|route| !route.public);
+        let first = ranks.next().map(|route| route.priority);
+        customer.priority.is_none() && ranks.any(|route| Some(route.priority) != first)
+    }
+
     /// Returns the plan with `customers`, whose API keys callers need.
     #[must_use]
     pub fn with_customers(self, customers: CustomerList) -> Self {
