Order within a quota: tests with daemons and an earlier keeper, and the time in the body of refusals

Cause: nothing showed the order and its messages through daemons, nor that an earlier version is asked as before.

Change: tests with a daemon and with a keeper that the test plays (Datagram and Content of gossip are public for it). The body of a 429 names the time, since callers honour only a part of Retry-After. Plan::ranks_differ has a test.

--- a/crates/customer/tests/order/bucket.rs
+++ b/crates/customer/tests/order/bucket.rs
@@ -60,6 +60,28 @@
     }
 }
 
+proptest! {
+    /// Guards the bound of the quota: the order only refuses more.
+    #[test]
+    fn nothing_is_granted_that_the_bucket_alone_would_refuse(
+        load in vec((0_u64..10, 1.0..12_000.0, 0_u64..300, 0_u8..2, any::<bool>()), 400..1_200),
+    ) {
+        let mut bucket = Bucket::new(Time::ZERO, LIMIT.burst);
+        let mut ms = 0;
+        for (pause_ms, units, patience_ms, rank, returned) in load {
+            ms += pause_ms;
+            let (now, patience) = (Time::from_millis(ms), Duration::from_millis(patience_ms));
+            let standing = Standing::new(Rank::new(rank)).with_returned(returned);
+            let missing: f64 = units - bucket.level(now, LIMIT);
+            let wait = Duration::from_secs_f64(missing.max(0.0) / LIMIT.rate);
+            match bucket.take(now, LIMIT, units, patience, standing) {
+                Verdict::Granted { after } => prop_assert!(after == wait && wait <= patience),
+                Verdict::Refused { come_back } => prop_assert!(!come_back.is_zero()),
+            }
+        }
+    }
+}
+
 /// Units that no standing may use would be lost.
 #[test]
 fn a_full_bucket_grants_anything() {
--- a/crates/customer/tests/order/faults.rs
+++ b/crates/customer/tests/order/faults.rs
@@ -22,7 +22,6 @@
 use crate::crowd::Crowd;
 use crate::crowd::LENGTH;
 use crate::crowd::LIMIT;
-use crate::crowd::Record;
 use crate::crowd::START;
 use crate::crowd::TOLERANCE;
 use crate::load::GENERATION;
@@ -30,6 +29,7 @@
 use crate::load::WITHIN;
 use crate::load::assert_bounds;
 use crate::load::groups;
+use crate::outcome::Record;
 
 /// A new keeper knows no demand, so the order needs a second of it.
 #[test]
--- a/crates/customer/tests/order/load.rs
+++ b/crates/customer/tests/order/load.rs
@@ -5,7 +5,7 @@
 use crate::crowd::Group;
 use crate::crowd::LENGTH;
 use crate::crowd::LIMIT;
-use crate::crowd::Outcome;
+use crate::outcome::Outcome;
 
 /// Units of a generation and of a call.
 pub const GENERATION: f64 = 5_700.0;
--- a/crates/customer/tests/order/main.rs
+++ b/crates/customer/tests/order/main.rs
@@ -4,4 +4,5 @@
 mod crowd;
 mod faults;
 mod load;
+mod outcome;
 mod shares;
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -53,24 +53,27 @@
 
 /// One datagram.
 #[derive(Debug, Serialize, Deserialize)]
-struct Datagram {
-    from: InstanceInfo,
+pub struct Datagram {
+    /// The sender.
+    pub from: InstanceInfo,
     /// Version of the sender's plan; 0 if it has none.
-    plan: u64,
+    pub plan: u64,
     /// The evacuated data centres that the sender knows.
-    evacuations: Evacuations,
+    pub evacuations: Evacuations,
     /// Whether the sender is overloaded.
-    overloaded: bool,
+    pub overloaded: bool,
     /// Hash of the sender's quarantine records.
-    quarantine: u64,
-    content: Content,
+    pub quarantine: u64,
+    /// What it is about.
+    pub content: Content,
 }
 
 /// Content of a datagram.
 #[derive(Debug, Serialize, Deserialize)]
-enum Content {
+pub enum Content {
     /// Membership protocol.
     Member {
+        /// The message.
         message: Message,
         /// Info of another instance.
         hint: Option<InstanceInfo>,
@@ -86,6 +89,7 @@
     News {
         /// The number of the question.
         number: u32,
+        /// The answer.
         news: PollerStatus,
     },
     /// What the sender's runs hold at decode replicas.
--- a/crates/gateway/src/responses.rs
+++ b/crates/gateway/src/responses.rs
@@ -39,7 +39,11 @@
 
 /// The request has not run because its customer's quota is exhausted; retry after `retry_after`.
 pub fn refuse_beyond_quota(id: &str, retry_after: Duration) -> Response<Body> {
-    let text = "beyond the quota of this customer; the request has not run\n";
+    // Callers that honour only a part of `Retry-After` learn from the text that they are too early.
+    let seconds = retry_after.as_secs_f64();
+    let text = format!(
+        "beyond the quota of this customer; the request has not run; come back after {seconds:.2} s\n"
+    );
     with_retry_after(StatusCode::TOO_MANY_REQUESTS, id, retry_after, text)
 }
 
--- a/crates/gateway/src/shared/choice.rs
+++ b/crates/gateway/src/shared/choice.rs
@@ -12,7 +12,6 @@
 use relay::server::Key;
 use relay::server::Server;
 
-use crate::job::Job;
 use crate::shared::Shared;
 
 /// Assumed time of a decode replica for an answer before the first one: some hundred tokens of 8
@@ -272,18 +271,6 @@
         timeout.estimate_waited(limit) >= least.max(route.objective)
     }
 
-    /// Whether `job` was probably refused before and came back after its objective: its caller's limit
-    /// is shorter than that of others by at least that time. Other than [`Self::was_refused_before`], it
-    /// also tells for plain calls.
-    pub fn is_late_return(&self, job: &Job) -> bool {
-        let Some(limit) = job.call.timeout.filter(|_| !job.route.mode.streams()) else {
-            return job.returned;
-        };
-        let mut timeouts = self.caller_timeouts.borrow_mut();
-        let timeout = timeouts.entry(job.route.name.clone()).or_default();
-        timeout.estimate_waited(limit) >= job.route.objective
-    }
-
     /// Records that `key` did not answer a control call, and triggers a report to the other
     /// daemons.
     pub fn note_unresponsive(&self, key: Key) {
--- a/crates/gateway/src/shared/customers.rs
+++ b/crates/gateway/src/shared/customers.rs
@@ -46,6 +46,18 @@
         plan.customers.as_ref()?.get(customer)?.limit
     }
 
+    /// Whether `job` was probably refused before and came back after its objective: its caller's limit
+    /// is shorter than that of others by at least that time. Other than [`Self::was_refused_before`], it
+    /// also tells for plain calls.
+    pub fn is_late_return(&self, job: &Job) -> bool {
+        let Some(limit) = job.call.timeout.filter(|_| !job.route.mode.streams()) else {
+            return job.returned;
+        };
+        let mut timeouts = self.caller_timeouts.borrow_mut();
+        let timeout = timeouts.entry(job.route.name.clone()).or_default();
+        timeout.estimate_waited(limit) >= job.route.objective
+    }
+
     /// Whether `job` may no longer be sent to a replica because the plan in force has withdrawn its
     /// API key from its customer. A stream that has begun continues to its end.
     pub fn is_revoked(&self, job: &Job) -> bool {
--- a/crates/relay/tests/plan.rs
+++ b/crates/relay/tests/plan.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use customer::list::Customer;
+use customer::list::Unit;
 use relay::plan::Limits;
 use relay::plan::Mode;
 use relay::plan::Plan;
@@ -76,3 +78,31 @@
     empty.targets.clear();
     assert_eq!(empty.target(0.5), None);
 }
+
+#[rstest]
+// A public route takes no units from a customer's quota, and a customer's own rank is that of all of
+// its requests.
+#[case([0, 0, 0], false, None, false)]
+#[case([0, 2, 0], false, None, true)]
+#[case([0, 0, 2], true, None, false)]
+#[case([0, 2, 0], false, Some(1), false)]
+fn ranks_of_a_customer_differ_with_the_routes_that_it_may_use(
+    #[case] priorities: [u8; 3],
+    #[case] is_last_public: bool,
+    #[case] own: Option<u8>,
+    #[case] differ: bool,
+) {
+    let mut plan = plan();
+    for (route, priority) in plan.routes.iter_mut().zip(priorities) {
+        route.priority = priority;
+    }
+    plan.routes[2].public = is_last_public;
+    let customer = Customer {
+        name: "krmiva".to_owned(),
+        priority: own,
+        unit: Unit::Requests,
+        limit: None,
+        homes: Vec::new(),
+    };
+    assert_eq!(plan.ranks_differ(&customer), differ);
+}
