Record in the store that one software version alone serves, for instances that start together

Cause: an instance can name the only version after it has followed the list for as long as a stream can be resumed, and nobody is left to ask. Ruled out: asking more peers (all have started), trusting the present list alone (a version may have come and gone). Change: the owner of a service records the only version and the list's version every 5 s; an instance that is asked for an unknown stream reads the record and what changed since. At the first start of the whole system no stream has begun before.

--- a/crates/gateway/src/begins.rs
+++ b/crates/gateway/src/begins.rs
@@ -4,10 +4,12 @@
 //! Replicas of several versions may serve a service side by side, and what they write does not fit
 //! together. A caller resumes a stream because its connection broke, often with the instance that
 //! knew the version. So each daemon announces the versions of its streams to two others, chosen by
-//! rendezvous hashing, unless only one version has served for as long as a stream can be resumed.
+//! rendezvous hashing, unless only one version has served for as long as a stream can be resumed. The
+//! store has a record of that for daemons that start together.
 
 pub mod lookup;
 pub mod message;
+pub mod storage;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -131,10 +133,18 @@
     match (ask(shared, stream, &job.service).await, own) {
         (told @ Finding::Began(_), _) => told,
         (_, own @ Finding::Only(_)) => own,
-        (told, _) => told,
+        (told @ Finding::Only(_), _) => told,
+        (Finding::Unknown, _) => find_recorded(shared, stream, &job.service).await,
     }
 }
 
+/// Finds out from the store whether there was only one version: after a start of all daemons, none
+/// of them knows what was before.
+async fn find_recorded(shared: &Shared, stream: Option<Stream>, service: &str) -> Finding {
+    storage::find(shared, service).await;
+    lookup::find(shared, stream, service)
+}
+
 /// Asks other daemons, until one knows the stream.
 async fn ask(shared: &Shared, stream: Option<Stream>, service: &str) -> Finding {
     let daemons = others(shared, stream.unwrap_or(Stream(rand::random())), MAX_ASKED);
--- /dev/null
+++ b/crates/gateway/src/begins/storage.rs
@@ -0,0 +1,120 @@
+//! Records in the store that one software version alone served a service, for daemons that start when
+//! no peer can tell.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use boottime::timer::sleep;
+use ident::Pool;
+use platform::replica;
+use relay::epoch::Epoch;
+
+use crate::shared::Shared;
+use crate::watch::rows;
+
+/// Table with one row for each service whose streams can be resumed.
+const TABLE: &str = "versions";
+/// Interval between records. Well below the history that the store keeps, from which a daemon that
+/// starts reads what changed since.
+const PERIOD: Duration = Duration::from_secs(5);
+/// Pause after a failed attempt to read the records; callers that resume streams come in bursts.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Maximum age of the list of replicas of a daemon that records.
+const MAX_LIST_AGE: Duration = Duration::from_secs(1);
+
+/// Records the services of which this daemon knows the only version, forever.
+pub async fn run(shared: Rc<Shared>) {
+    loop {
+        sleep(PERIOD).await;
+        for service in resumable_services(&shared) {
+            let is_owner = shared.members.borrow().is_owner(Pool::new(&service).0);
+            let software = shared.only_version(&service).filter(|_| is_owner);
+            if let Some(software) = software {
+                record(&shared, &service, software).await;
+            }
+        }
+    }
+}
+
+/// The services whose streams callers may resume.
+fn resumable_services(shared: &Shared) -> Vec<String> {
+    let plan = shared.plan().filter(|_| shared.is_ready());
+    let Some(plan) = plan else {
+        return Vec::new();
+    };
+    let routes = plan.routes.iter();
+    let resumable = routes.filter(|route| route.mode.streams() && route.mode.repeatable());
+    let targets = resumable.flat_map(|route| &route.targets);
+    let mut services: Vec<String> = targets.map(|target| target.service.clone()).collect();
+    services.sort_unstable();
+    services.dedup();
+    services
+}
+
+async fn record(shared: &Shared, service: &str, software: String) {
+    if shared.replicas_age() > MAX_LIST_AGE {
+        return;
+    }
+    let epoch = Epoch::new(software, shared.replicas_version());
+    let value = match serde_json::to_vec(&epoch) {
+        Ok(value) => value,
+        Err(error) => {
+            log::error!(kind = "begin", service = service, cause = error.to_string(); "the only version of a service cannot be encoded");
+            return;
+        }
+    };
+    match shared.store.write(TABLE, service, &value).await {
+        Ok(()) => shared.store_answered("versions"),
+        Err(error) => shared.store_failed("versions", &error),
+    }
+}
+
+/// Looks up in the store whether one version alone has served `service`. Returns whether this daemon
+/// knows it now.
+pub async fn find(shared: &Shared, service: &str) -> bool {
+    if !shared.begin_reading_versions(RETRY_PAUSE) {
+        return false;
+    }
+    let Some(epoch) = read(shared, service).await else {
+        return false;
+    };
+    let now = shared.clock.now();
+    let changes = match shared
+        .store
+        .watch(replica::TABLE, epoch.list, Duration::ZERO)
+        .await
+    {
+        Ok(changed) => rows::delta(shared, epoch.list, &changed),
+        Err(error) => {
+            log::info!(kind = "begin", service = service, cause = error.to_string(); "the changes since the record of the only version are not known");
+            return false;
+        }
+    };
+    let holds = epoch.holds_after(service, &changes);
+    log::info!(kind = "begin", service = service, software = epoch.software, list = epoch.list, changed = changes.replicas.len() as u64, gone = changes.gone.len() as u64, holds = holds; "read the record of the only version");
+    if holds {
+        let mut pool = shared.pool.borrow_mut();
+        pool.vouch_version(now, service, epoch.software);
+    }
+    holds
+}
+
+/// The record of `service`; `None` if there is none.
+async fn read(shared: &Shared, service: &str) -> Option<Epoch> {
+    let rows = match shared.store.read(TABLE).await {
+        Ok(rows) => rows.rows,
+        Err(error) => {
+            shared.store_failed("versions", &error);
+            return None;
+        }
+    };
+    shared.store_answered("versions");
+    let row = rows.into_iter().find(|row| row.key == service)?;
+    match serde_json::from_slice(&row.value.unwrap_or_default()) {
+        Ok(epoch) => Some(epoch),
+        Err(error) => {
+            log::warn!(kind = "begin", service = service, cause = error.to_string(); "the record of the only version cannot be read");
+            None
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -165,13 +165,15 @@
     spawn_local(stages::run(Rc::clone(&shared)));
     spawn_local(run_tracking::run(Rc::clone(&shared)));
     spawn_local(reach_probe::run(Rc::clone(&shared)));
+    spawn_local(begins::storage::run(Rc::clone(&shared)));
     spawn_local(quarantine::probe::run(Rc::clone(&shared)));
     spawn_local(quarantine::announce::run(Rc::clone(&shared)));
     spawn_local(quarantine::clear::run(Rc::clone(&shared)));
     spawn_local(quarantine::storage::run(Rc::clone(&shared)));
     spawn_local(quarantine::remove_expired(Rc::clone(&shared)));
-    // At the first start of the whole system no peer has records.
+    // At the first start of the whole system no stream has begun, and no peer has records.
     if settings.first_start {
+        shared.pool.borrow_mut().note_first_start();
         shared.note_all_records();
     } else {
         spawn_local(quarantine::fetch_records(Rc::clone(&shared)));
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -109,6 +109,8 @@
     pub begin_questions: RefCell<Questions>,
     /// Longest time for which a stream may be resumed after its begin.
     stream_lifetime: Cell<Duration>,
+    /// Until when the records of only versions are not read from the store again.
+    versions_read_until: Cell<Time>,
     /// Lost replicas that are being probed.
     pub probes: Probes,
     /// Answers that replicas are writing.
@@ -201,6 +203,7 @@
             begins: RefCell::new(Begins::new()),
             begin_questions: RefCell::new(Questions::new()),
             stream_lifetime: Cell::new(Duration::ZERO),
+            versions_read_until: Cell::new(Time::ZERO),
             probes: Probes::new(),
             answers: Rc::new(Answers::new()),
             newly_quarantined: Outbox::new(),
--- a/crates/gateway/src/shared/store_state.rs
+++ b/crates/gateway/src/shared/store_state.rs
@@ -97,6 +97,17 @@
         pool.only_version(now, service, period).map(str::to_owned)
     }
 
+    /// Whether the records of only versions may be read from the store now; if so, not again for
+    /// `pause`.
+    pub fn begin_reading_versions(&self, pause: Duration) -> bool {
+        let now = self.clock.now();
+        let may_read = now >= self.versions_read_until.get();
+        if may_read {
+            self.versions_read_until.set(now + pause);
+        }
+        may_read
+    }
+
     /// Records the start time of the replica behind `key`, taken from one of its answers.
     pub fn update_birth(&self, key: Key, birth: Option<Birth>) {
         let now = self.clock.now();
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -1,7 +1,7 @@
 //! Keeps the plan, the replicas and the list of instances up to date from the store or from peers.
 
 pub mod instances;
-mod rows;
+pub mod rows;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- /dev/null
+++ b/crates/gateway/tests/gateway/epochs.rs
@@ -0,0 +1,82 @@
+//! Resumed streams after all daemons have ended: the store has a record of the only software version.
+
+use serde_json::Value;
+use serde_json::json;
+
+use crate::common::daemon::wait_until;
+use crate::common::store;
+use crate::resumptions::resume;
+use crate::site::Site;
+use crate::version_site::EVENTS;
+use crate::version_site::Engine;
+use crate::version_site::event_texts;
+
+/// A plan whose streams can be resumed for a short time only.
+fn short_plan() -> Value {
+    store::config(1, 500, 300)
+}
+
+/// A site whose only daemon has recorded that the version of `engine` alone has served, and was killed.
+fn killed_site(name: &str, engine: &Engine) -> Site {
+    let mut site = Site::start_with_plan(name, &short_plan(), &[]);
+    engine.list(&site, "here");
+    site.daemon.wait_until_ready();
+    wait_until("the version is recorded", || {
+        site.store.has("versions", "llm")
+    });
+    site.daemon.kill();
+    site
+}
+
+/// Guards against refusing every resumption after a common start, when nobody knows what served before.
+#[test]
+fn a_stream_is_resumed_after_all_daemons_were_killed() {
+    let one = Engine::start("i-one", "v1");
+    let site = killed_site("recorded", &one);
+    let another = site.start_another("recorded-too", false);
+    another.wait_until_ready();
+    let answer = resume(&another, "a2", "a1", "18");
+    let expected = event_texts(19, EVENTS);
+    assert_eq!(String::from_utf8_lossy(&answer.body), expected);
+}
+
+/// Guards against trusting a record while another version may have begun the stream.
+#[test]
+fn a_record_does_not_hold_after_another_version_was_listed() {
+    let one = Engine::start("i-one", "v1");
+    let other = Engine::start("i-other", "v1.1");
+    let site = killed_site("recorded-before", &one);
+    other.list(&site, "here");
+    let another = site.start_another("recorded-before-too", false);
+    another.wait_until_ready();
+    assert_eq!(resume(&another, "a2", "a1", "18").status(), 503);
+    assert_eq!((one.runs(), other.runs()), (0, 0));
+}
+
+#[test]
+fn a_record_does_not_hold_after_a_replica_has_left() {
+    let one = Engine::start("i-one", "v1");
+    let other = Engine::start("i-other", "v1.1");
+    let site = killed_site("recorded-left", &one);
+    other.list(&site, "here");
+    other.end(&site);
+    let another = site.start_another("recorded-left-too", false);
+    another.wait_until_ready();
+    assert_eq!(resume(&another, "a2", "a1", "18").status(), 503);
+    assert_eq!(one.runs(), 0);
+}
+
+#[test]
+fn an_unreadable_record_is_ignored_and_logged() {
+    let one = Engine::start("i-one", "v1");
+    let site = killed_site("recorded-badly", &one);
+    site.store.put("versions", "llm", &json!({"software": 7}));
+    let another = site.start_another("recorded-badly-too", false);
+    another.wait_until_ready();
+    assert_eq!(resume(&another, "a2", "a1", "18").status(), 503);
+    assert!(
+        !another
+            .logged("record of the only version cannot")
+            .is_empty()
+    );
+}
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod dead_replicas;
 mod discovery;
 mod draining;
+mod epochs;
 mod evacuation;
 mod handoff;
 mod homes;
--- a/crates/gateway/tests/gateway/resumptions.rs
+++ b/crates/gateway/tests/gateway/resumptions.rs
@@ -24,7 +24,7 @@
 use crate::version_site::wait_until_members;
 
 /// Resumes the stream that the attempt `begun` received its first event of, and returns the answer.
-fn resume(daemon: &Daemon, id: &str, begun: &str, last_event: &str) -> Message {
+pub fn resume(daemon: &Daemon, id: &str, begun: &str, last_event: &str) -> Message {
     let headers = [
         ("Request-Id", id),
         ("Deadline-Ms", "4000"),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`attempt`]: the next step after a failed send.
 //! - [`fingerprint`]: recognition of repeated attempts of one request.
 //! - [`quarantine`]: requests that crash replicas and are no longer sent.
+//! - [`begins`], [`epoch`]: the software versions that began streams.
 //! - [`event`]: splitting of a stream into whole events, so that it can be resumed.
 //! - [`length`]: distribution of answer lengths, learnt from completed answers.
 //! - [`forecast`]: memory that runs will hold over the next seconds.
@@ -36,6 +37,7 @@
 pub mod claim_publisher;
 pub mod claims;
 pub mod directory;
+pub mod epoch;
 pub mod evacuation;
 pub mod event;
 pub mod fingerprint;
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -81,6 +81,11 @@
     /// When the list was last found to have been out of date for at least [`MIN_OUTAGE`], or not
     /// to have been read yet.
     outdated_at: Option<Time>,
+    /// Whether no stream can have begun before the list was first read.
+    starts_first: bool,
+    /// Software versions that alone served before the daemon followed the list, by service, and
+    /// when that was found out.
+    vouched: HashMap<String, (String, Time)>,
     /// When the list last could not be read from the store while it was out of date for that long.
     last_outage: Option<Time>,
     memory: HashMap<String, u64>,
@@ -121,6 +126,7 @@
     /// Records that the list is up to date at `now`.
     pub(crate) fn note_refresh(&mut self, now: Time) {
         if self.is_outdated(now) {
+            self.starts_first &= self.outdated_at.is_none();
             self.outdated_at = Some(now);
         }
         self.refreshed_at = Some(now);
--- a/crates/relay/src/pool/versions.rs
+++ b/crates/relay/src/pool/versions.rs
@@ -7,16 +7,32 @@
 use crate::pool::Pool;
 
 impl Pool {
+    /// Records that the whole system starts for the first time: no stream began before.
+    pub const fn note_first_start(&mut self) {
+        self.starts_first = self.outdated_at.is_none();
+    }
+
+    /// Records that, until `now`, no version but `software` has served `service` for as long as a
+    /// stream can be resumed.
+    pub fn vouch_version(&mut self, now: Time, service: &str, software: String) {
+        self.vouched.insert(service.to_owned(), (software, now));
+    }
+
     /// The only software version that served `service` throughout the last `period`. `None` if there
-    /// were several, or if this daemon cannot exclude it: it has not followed the list for so long.
+    /// were several, or if this daemon cannot exclude it: it has not followed the list for so long,
+    /// and no record shows what was before.
     pub fn only_version(&self, now: Time, service: &str, period: Duration) -> Option<&str> {
-        let followed = self
-            .outdated_at
-            .is_some_and(|since| now.since(since) >= period);
-        if !followed || self.is_outdated(now) {
-            return None;
-        }
-        self.versions.only(now, service, period)
+        let followed_since = self.outdated_at.filter(|_| !self.is_outdated(now))?;
+        let only = self.versions.only(now, service, period)?;
+        let is_followed = now.since(followed_since) >= period || self.starts_first;
+        (is_followed || self.is_vouched(service, only, followed_since)).then_some(only)
+    }
+
+    /// Whether `software` is recorded as the only version before a time since which this daemon has
+    /// followed the list without a gap.
+    fn is_vouched(&self, service: &str, software: &str, followed_since: Time) -> bool {
+        let vouched = self.vouched.get(service);
+        vouched.is_some_and(|(only, at)| only == software && *at >= followed_since)
     }
 
     /// Whether a replica of `service` that is not draining has the software version `software`.
