Decode replicas of uneven speed: placement by expected end, forecasts by replica, moves off slow ones

Cause: replicas of three speeds, some of them slow for seconds, were treated alike. Long answers at slow replicas did not end before their callers' deadlines, fast replicas held more than forecast, and runs stayed at replicas that had turned slow.

Change: relay::answer tells what a replica of a known pace makes of an answer. The decode branch of the score counts the probability that it is late like a share of failures, and slowness mildly; the demand of a candidate follows its pace; a run's forecast follows the pace of its replica until its own rate is measured. relay::migration::slow moves runs that will probably be late to replicas that are known to be twice as fast; the log line move tells the reason. Without known paces, choices and forecasts are equal to the last bit.

--- a/crates/gateway/src/forward/replica_stream.rs
+++ b/crates/gateway/src/forward/replica_stream.rs
@@ -23,6 +23,7 @@
 use crate::guard::InFlight;
 use crate::migration;
 use crate::migration::StoppedRun;
+use crate::move_order::Target;
 use crate::quarantine::probe;
 use crate::run_tracking::TrackedRun;
 use crate::send;
@@ -60,7 +61,7 @@
     /// The result of a read, or a timeout.
     Read(BodyRead),
     /// The run has to continue at another replica.
-    Migrate(Key),
+    Migrate(Target),
     /// The replica restarted, so the run is lost.
     Restarted,
     /// The caller closed the connection.
@@ -101,8 +102,8 @@
         loop {
             let end = match self.next_step(&mut source).await {
                 Step::Read(read) => self.handle_read(&mut source, read).await,
-                Step::Migrate(to) => {
-                    source.stopped = self.stop_for_migration(source.guard.key, to).await;
+                Step::Migrate(target) => {
+                    source.stopped = self.stop_for_migration(source.guard.key, target).await;
                     None
                 }
                 Step::Restarted => Some(End::Broken(RESTARTED_CAUSE.to_owned())),
@@ -135,7 +136,7 @@
         };
         tokio::select! {
             read = timeout_at(silent_at, source.body.frame()) => Step::Read(read),
-            to = next_order(&mut self.tracked_run), if may_migrate => Step::Migrate(to),
+            target = next_order(&mut self.tracked_run), if may_migrate => Step::Migrate(target),
             () = self.shared.restarted(source.guard.key), if is_running => Step::Restarted,
             () = self.parts.closed() => Step::CallerLeft,
         }
@@ -274,7 +275,7 @@
 }
 
 /// Waits for an order to migrate the run; never returns if the run is not tracked.
-async fn next_order(tracked_run: &mut Option<TrackedRun>) -> Key {
+async fn next_order(tracked_run: &mut Option<TrackedRun>) -> Target {
     match tracked_run {
         Some(tracked_run) => tracked_run.next_order().await,
         None => std::future::pending().await,
--- a/crates/gateway/src/forward/resume.rs
+++ b/crates/gateway/src/forward/resume.rs
@@ -17,6 +17,7 @@
 use crate::migration;
 use crate::migration::Outcome;
 use crate::migration::StoppedRun;
+use crate::move_order::Target;
 use crate::placement;
 use crate::placement::Placement;
 use crate::search;
@@ -30,8 +31,13 @@
 const MOVED_PAUSE: Duration = Duration::from_millis(500);
 
 impl Forwarder {
-    /// Stops the run at `from` to continue at `to`; `None` if it stays where it is.
-    pub(super) async fn stop_for_migration(&mut self, from: Key, to: Key) -> Option<StoppedRun> {
+    /// Stops the run at `from` to continue at `target`; `None` if it stays where it is.
+    pub(super) async fn stop_for_migration(
+        &mut self,
+        from: Key,
+        target: Target,
+    ) -> Option<StoppedRun> {
+        let Target { to, reason } = target;
         let request = &self.job.call.id;
         let granted = self.shared.ensure_permit(&self.job, Work::Run);
         let outcome = if granted {
@@ -54,7 +60,7 @@
         };
         self.shared.metrics.moved(moved);
         let copied = stopped.as_ref().is_some_and(|s| s.candidates.len() > 1);
-        log::info!(kind = "move", request = request, replica = name(from), to = name(to), stopped = stopped.is_some(), copied = copied, events = self.events, cause = cause; "ordered a run to continue at another replica");
+        log::info!(kind = "move", request = request, replica = name(from), to = name(to), reason = reason.name(), stopped = stopped.is_some(), copied = copied, events = self.events, cause = cause; "ordered a run to continue at another replica");
         if let Some(tracked_run) = self.tracked_run.as_ref().filter(|_| stopped.is_none()) {
             tracked_run.block_moves_from_replica(UNMOVED_PAUSE);
         }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -16,10 +16,12 @@
 use http::Uri;
 use http::uri::PathAndQuery;
 use http_body_util::Full;
+use ident::Time;
 use platform::caller;
 use platform::caller::Call;
 use platform::caller::ReplicaRequest;
 use platform::caller::Task;
+use relay::answer::Limits;
 use relay::fingerprint::Content;
 use relay::fingerprint::Fingerprint;
 use relay::homes::Homes;
@@ -332,6 +334,15 @@
         }
     }
 
+    /// What the caller expects of the speed of the answer, whose events have `event_tokens`.
+    pub fn limits(&self, now: Time, event_tokens: u64) -> Limits {
+        Limits {
+            deadline: now + self.time_left(),
+            pause: self.route.pause,
+            event_tokens,
+        }
+    }
+
     /// Records and logs how the request ended. One that was handed over is counted by the instance
     /// that its caller is connected to.
     pub fn end(&mut self, outcome: &'static str, status: u16, cause: &str) {
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -189,11 +189,19 @@
         spreads: placing.spreads,
         spare: kind.terms(new_request_terms(shared)).spare.max(idle),
     };
+    let now = shared.clock.now();
+    let limits = job.limits(now, engine.event_tokens);
+    let delay = prefill_time.unwrap_or_default();
+    let answer = shared
+        .runs
+        .borrow()
+        .answer(now, &job.service, size, limits, delay);
     let expected = size.estimate as f64 * placing.reserve;
     let tokens = size.prompt + (expected as u64).max(generated);
     let mut asked = tried.to_vec();
     for _ in 0..REPLICAS_PER_ROUND {
-        let choose = || shared.choose_decode(job.destination(), &asked, memory_demand);
+        let choose =
+            || shared.choose_decode(job.destination(), &asked, memory_demand, Some(&answer));
         let key = limit::choose_admitted(shared, choose).await?;
         asked.push(key);
         let tracked_run = TrackedRun::new(shared, job, key, size, engine.event_tokens);
--- a/crates/gateway/src/run_tracking.rs
+++ b/crates/gateway/src/run_tracking.rs
@@ -1,6 +1,7 @@
 //! Tracks the runs of this daemon at decode replicas, reports them to other daemons, and orders
 //! migrations.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,9 +10,13 @@
 use boottime::timer::timeout_at;
 use ident::Time;
 use rand::seq::IndexedRandom;
+use relay::admission::MemoryDemand;
+use relay::answer::Answer;
 use relay::claim_publisher::ClaimPublisher;
 use relay::migration;
 use relay::migration::Move;
+use relay::migration::slow;
+use relay::plan::Plan;
 use relay::runs::RunId;
 use relay::runs::Size;
 use relay::server::Key;
@@ -20,6 +25,8 @@
 use crate::gossip;
 use crate::job::Job;
 use crate::move_order::MoveOrder;
+use crate::move_order::Reason;
+use crate::move_order::Target;
 use crate::shared::Shared;
 use crate::shared::choice::Destination;
 
@@ -38,7 +45,7 @@
     id: RunId,
     /// Tokens per event.
     event_tokens: u64,
-    orders: watch::Receiver<Option<Key>>,
+    orders: watch::Receiver<Option<Target>>,
     complete: bool,
 }
 
@@ -46,6 +53,9 @@
     /// Records that a run of `job` with `size` starts at `server`.
     pub fn new(shared: &Rc<Shared>, job: &Job, server: Key, size: Size, event_tokens: u64) -> Self {
         let id = shared.runs.borrow_mut().begin(&job.service, server, size);
+        let limits = job.limits(shared.clock.now(), event_tokens);
+        shared.runs.borrow_mut().set_limits(id, limits);
+        shared.note_token_pace(id, server);
         let (target, orders) = watch::channel(None);
         let order = MoveOrder {
             target,
@@ -88,6 +98,7 @@
     /// Records that the run continues at `server`.
     pub fn record_move(&mut self, server: Key) {
         self.shared.runs.borrow_mut().record_move(self.id, server);
+        self.shared.note_token_pace(self.id, server);
         self.orders.mark_unchanged();
         self.shared.update_forecast(server);
         self.shared.runs_changed.notify_one();
@@ -114,15 +125,15 @@
         self.complete = true;
     }
 
-    /// Waits until the run has to continue at another replica, and returns that replica.
-    pub async fn next_order(&mut self) -> Key {
+    /// Waits until the run has to continue at another replica, and returns where.
+    pub async fn next_order(&mut self) -> Target {
         loop {
             if self.orders.changed().await.is_err() {
                 std::future::pending::<()>().await;
             }
-            let to = *self.orders.borrow_and_update();
-            if let Some(to) = to {
-                return to;
+            let target = *self.orders.borrow_and_update();
+            if let Some(target) = target {
+                return target;
             }
         }
     }
@@ -163,6 +174,12 @@
         pool.update_all_forecasts(now, &runs, &claims);
     }
 
+    /// Records how fast `server`, the replica of `run`, is by what is known of it.
+    fn note_token_pace(&self, run: RunId, server: Key) {
+        let pace = self.pool.borrow().token_pace(self.clock.now(), server);
+        self.runs.borrow_mut().set_token_pace(run, pace);
+    }
+
     /// Updates the memory forecast of `server`.
     pub fn update_forecast(&self, server: Key) {
         let now = self.clock.now();
@@ -187,7 +204,7 @@
         }
         if Instant::now() >= next_check {
             next_check = Instant::now() + CHECK_INTERVAL;
-            check_memory(&shared);
+            check_runs(&shared);
         }
         publish_claims(&shared, &mut publisher).await;
     }
@@ -200,38 +217,67 @@
     shared.runs.borrow().is_empty() && silent.is_empty()
 }
 
-fn check_memory(shared: &Shared) {
+/// Orders the runs that have to leave their replica to move.
+fn check_runs(shared: &Shared) {
     let now = shared.clock.now();
     shared.update_all_forecasts(now);
     let (runs, claims) = (shared.runs.borrow(), shared.claims.borrow());
     let plan = shared.plan().filter(|_| shared.settings().placing.moves);
     let Some(plan) = plan else { return };
-    let orders = shared.move_targets.borrow();
-    let moves = {
-        let pool = shared.pool.borrow();
-        migration::due_moves(now, &pool, &runs, &claims, |run, from, ask| {
-            let service = &runs.get(run)?.service;
-            let engine = plan.services.get(service)?.engine?;
-            let to = Destination {
-                service,
-                homes: orders.get(&run)?.homes.data_centres(),
-                // The version that writes a KV cache is the only one that can read it.
-                software: Some(pool.get(from)?.replica.software.as_deref()?),
-            };
-            let to = engine
-                .moves
-                .then(|| shared.choose_decode(to, &[from], ask))??;
-            // A migration cannot wait for a limited replica to admit the request.
-            (!shared.is_limited(to)).then_some(to)
-        })
+    let pool = shared.pool.borrow();
+    let choose = |run, from, demand, answer: Option<&Answer>| {
+        choose_target(shared, &plan, run, from, demand, answer)
     };
-    for Move { run, to } in moves {
-        if let Some(order) = orders.get(&run) {
-            order.target.send_replace(Some(to));
+    let by_memory = migration::due_moves(now, &pool, &runs, &claims, |run, from, demand| {
+        choose(run, from, demand, runs.answer_of(now, run).as_ref())
+    });
+    let by_speed = slow::due_moves(now, &pool, &runs, |run, from, demand, answer| {
+        choose(run, from, demand, Some(answer))
+    });
+    let by_memory = by_memory.into_iter().map(|due| (due, Reason::Memory));
+    let by_speed = by_speed.into_iter().map(|due| (due, Reason::Slow));
+    let mut left: BTreeSet<Key> = BTreeSet::new();
+    for (Move { run, to }, reason) in by_memory.chain(by_speed) {
+        let from = runs.get(run).map(|entry| entry.server);
+        if !from.is_some_and(|from| left.insert(from)) {
+            continue;
+        }
+        if let Some(order) = shared.move_targets.borrow().get(&run) {
+            order.target.send_replace(Some(Target { to, reason }));
         }
     }
 }
 
+/// The replica to which `run` may move from `from`; `None` if its service has no moves, or no
+/// replica has room.
+fn choose_target(
+    shared: &Shared,
+    plan: &Plan,
+    run: RunId,
+    from: Key,
+    demand: MemoryDemand,
+    answer: Option<&Answer>,
+) -> Option<Key> {
+    let (runs, orders, pool) = (
+        shared.runs.borrow(),
+        shared.move_targets.borrow(),
+        shared.pool.borrow(),
+    );
+    let service = &runs.get(run)?.service;
+    let engine = plan.services.get(service)?.engine?;
+    let to = Destination {
+        service,
+        homes: orders.get(&run)?.homes.data_centres(),
+        // The version that writes a KV cache is the only one that can read it.
+        software: Some(pool.get(from)?.replica.software.as_deref()?),
+    };
+    let to = engine
+        .moves
+        .then(|| shared.choose_decode(to, &[from], demand, answer))??;
+    // A migration cannot wait for a limited replica to admit the request.
+    (!shared.is_limited(to)).then_some(to)
+}
+
 async fn publish_claims(shared: &Shared, publisher: &mut ClaimPublisher) {
     let now = shared.clock.now();
     let due = publisher.due(now, &shared.runs.borrow(), &shared.pool.borrow());
--- a/crates/gateway/src/shared/choice.rs
+++ b/crates/gateway/src/shared/choice.rs
@@ -4,6 +4,7 @@
 
 use ident::Zone;
 use relay::admission::MemoryDemand;
+use relay::answer::Answer;
 use relay::plan::Route;
 use relay::pool::Pool;
 use relay::replica::Notice;
@@ -60,6 +61,7 @@
             software: to.software,
             data_centre,
             demand: None,
+            answer: None,
         };
         let pool = self.pool.borrow();
         pool.choose(self.clock.now(), &criteria, rand::random)
@@ -75,13 +77,14 @@
         }
     }
 
-    /// Chooses the decode replica for a generation that needs the memory `demand`; `None` if no
-    /// untried one has room.
+    /// Chooses the decode replica for `answer` of a generation that needs the memory `demand`; `None`
+    /// if no untried one has room.
     pub fn choose_decode(
         &self,
         to: Destination<'_>,
         tried: &[Key],
         demand: MemoryDemand,
+        answer: Option<&Answer>,
     ) -> Option<Key> {
         let criteria = Criteria {
             service: to.service,
@@ -91,6 +94,7 @@
             software: to.software,
             data_centre: self.data_centre,
             demand: Some(demand),
+            answer,
         };
         let pool = self.pool.borrow();
         pool.choose(self.clock.now(), &criteria, rand::random)
@@ -173,6 +177,7 @@
             software: to.software,
             data_centre: self.data_centre,
             demand: None,
+            answer: None,
         };
         let pool = self.pool.borrow();
         pool.exclusion_remaining(self.clock.now(), &criteria)
--- a/crates/relay/src/forecast.rs
+++ b/crates/relay/src/forecast.rs
@@ -19,6 +19,8 @@
 const MIN_SURVIVAL: f64 = 0.01;
 /// Mean remaining seconds of such a run.
 const OVERLONG_MEAN_S: f64 = 1.0;
+/// Shortest time for a token that is taken from a measurement, in seconds.
+const MIN_PACE_S: f64 = 1e-6;
 
 /// Memory in tokens at the [`HORIZONS`]: mean, variance, and the amount if no run ends. Where
 /// answers add little to the prompts, the last is the tightest bound.
@@ -50,18 +52,40 @@
         self.prompt + self.generated
     }
 
+    /// The same run at a replica that takes `seconds` for a token.
+    #[must_use]
+    pub fn at_pace(&self, seconds: f64) -> Self {
+        Self {
+            tokens_per_s: 1.0 / seconds.max(MIN_PACE_S),
+            ..*self
+        }
+    }
+
+    /// Probability that the run still generates after `seconds`, given the distribution of answer
+    /// lengths.
+    pub fn survival(&self, length: &LengthDistribution, seconds: f64) -> f64 {
+        let now = length.share_longer_than(self.generated, self.estimate);
+        self.survival_given(length, now, seconds)
+    }
+
+    /// The same, given the share of answers that are longer than this one `now`.
+    fn survival_given(&self, length: &LengthDistribution, now: f64, ahead: f64) -> f64 {
+        let generated = self.generated + self.tokens_per_s * ahead;
+        match generated {
+            _ if ahead == 0.0 => 1.0,
+            generated if generated >= self.max_tokens => 0.0,
+            _ if now < MIN_SURVIVAL => (-ahead / OVERLONG_MEAN_S).exp(),
+            generated => length.share_longer_than(generated, self.estimate) / now,
+        }
+    }
+
     /// Forecast of the run's memory, given the distribution of answer lengths.
     pub fn curve(&self, length: &LengthDistribution) -> Curve {
         let now = length.share_longer_than(self.generated, self.estimate);
         let mut curve = Curve::default();
         for (index, ahead) in HORIZONS.into_iter().enumerate() {
             let generated = self.generated + self.tokens_per_s * ahead;
-            let survival = match generated {
-                _ if ahead == 0.0 => 1.0,
-                generated if generated >= self.max_tokens => 0.0,
-                _ if now < MIN_SURVIVAL => (-ahead / OVERLONG_MEAN_S).exp(),
-                generated => length.share_longer_than(generated, self.estimate) / now,
-            };
+            let survival = self.survival_given(length, now, ahead);
             let size = self.prompt + generated;
             curve.mean[index] = (survival * size) as f32;
             curve.variance[index] = (survival * (1.0 - survival) * size * size) as f32;
--- a/crates/relay/src/length.rs
+++ b/crates/relay/src/length.rs
@@ -20,7 +20,7 @@
 const DECAY_ANSWERS: f64 = 100.0;
 
 /// Distribution of the ratio of generated to estimated tokens.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct LengthDistribution {
     weights: [f64; BINS],
     total: f64,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,7 +10,7 @@
 //! - [`homes`]: data centres in which a request may be served.
 //! - [`reach`]: whether this daemon is partitioned from the replicas of a service.
 //! - [`score`]: selection of the replica for a request.
-//! - [`pace`]: how fast replicas work.
+//! - [`pace`]: how fast replicas work; [`answer`]: what a replica of a given speed makes of an answer.
 //! - [`balance`]: division of the replicas of a model into prefill and decode.
 //! - [`budget`]: retries that a service may still get; [`permit`]: permission for one send.
 //! - [`attempt`]: the next step after a failed send.
@@ -29,6 +29,7 @@
 //! - [`directory`]: addresses of the instances that callers may connect to.
 
 pub mod admission;
+pub mod answer;
 pub mod attempt;
 pub mod balance;
 pub mod begins;
--- a/crates/relay/src/migration.rs
+++ b/crates/relay/src/migration.rs
@@ -5,6 +5,8 @@
 //! run's KV cache to another replica takes some milliseconds. So the daemon of that run moves it,
 //! if another replica has room; claims show each daemon whose run is the newest.
 
+pub mod slow;
+
 use std::collections::BTreeSet;
 
 use ident::Time;
--- a/crates/relay/src/runs.rs
+++ b/crates/relay/src/runs.rs
@@ -1,16 +1,22 @@
 //! Tracks the progress of this daemon's runs at decode replicas and forecasts their memory.
 
+mod recent_pace;
+
 use std::collections::HashMap;
+use std::time::Duration;
 
 use ident::Time;
 use slotmap::SecondaryMap;
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
+use crate::answer::Answer;
+use crate::answer::Limits;
 use crate::claims::Claim;
 use crate::forecast::Curve;
 use crate::forecast::Run;
 use crate::length::LengthDistribution;
+use crate::runs::recent_pace::RecentPace;
 use crate::server::Key;
 
 new_key_type! {
@@ -54,6 +60,11 @@
     is_prefilling: bool,
     /// Not moved before this time: a move is in progress, or one failed.
     no_move_before: Option<Time>,
+    /// What its caller expects of its speed, if known.
+    limits: Option<Limits>,
+    /// Seconds per token of its replica when it came there, if known.
+    token_pace: Option<f64>,
+    recent_pace: RecentPace,
 }
 
 /// Statistics of the answers of one service.
@@ -89,6 +100,12 @@
         self.is_prefilling
     }
 
+    /// Seconds per token over the last second; `None` if it has not generated for long enough.
+    pub fn recent_pace(&self, now: Time) -> Option<f64> {
+        let event_tokens = self.limits.map_or(0, |limits| limits.event_tokens);
+        self.recent_pace.seconds(now, event_tokens as f64)
+    }
+
     fn tokens_per_s(&self, now: Time) -> Option<f64> {
         let (at, before) = self.started?;
         let seconds = now.since(at).as_secs_f64();
@@ -117,9 +134,27 @@
             started: None,
             is_prefilling: false,
             no_move_before: None,
+            limits: None,
+            token_pace: None,
+            recent_pace: RecentPace::default(),
         })
     }
 
+    /// Records what the caller of `id` expects of its speed.
+    pub fn set_limits(&mut self, id: RunId, limits: Limits) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.limits = Some(limits);
+        }
+    }
+
+    /// Records that the replica of `id` takes `seconds` for a token, `None` if that is not known. It
+    /// counts until the rate of the run itself is measured.
+    pub fn set_token_pace(&mut self, id: RunId, seconds: Option<f64>) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.token_pace = seconds;
+        }
+    }
+
     /// Records that the replica of `id` prefills the prompt itself.
     pub fn mark_prefilling(&mut self, id: RunId) {
         if let Some(entry) = self.entries.get_mut(id) {
@@ -132,6 +167,7 @@
         if let Some(entry) = self.entries.get_mut(id) {
             entry.generated += tokens as f64;
             entry.is_prefilling = false;
+            entry.recent_pace.record(now, entry.generated);
             if entry.started.is_none() {
                 entry.started = Some((now, entry.generated));
             }
@@ -143,6 +179,8 @@
         if let Some(entry) = self.entries.get_mut(id) {
             entry.server = server;
             entry.started = None;
+            entry.token_pace = None;
+            entry.recent_pace = RecentPace::default();
         }
     }
 
@@ -227,13 +265,43 @@
         }
     }
 
+    /// The answer of a run of `size` of `service`, with `limits`, if it begins to generate in
+    /// `delay`.
+    pub fn answer(
+        &self,
+        now: Time,
+        service: &str,
+        size: Size,
+        limits: Limits,
+        delay: Duration,
+    ) -> Answer {
+        let stats = self.stats.get(service);
+        let length = stats.map_or_else(LengthDistribution::new, |stats| stats.length.clone());
+        let tokens_per_s = stats.and_then(|stats| stats.tokens_per_s);
+        let time_left = limits.deadline.since(now).saturating_sub(delay);
+        let run = run(size, size.generated as f64, tokens_per_s);
+        Answer::new(run, length, limits, time_left)
+    }
+
+    /// The rest of the answer of the run `id`; `None` if its limits are not known.
+    pub fn answer_of(&self, now: Time, id: RunId) -> Option<Answer> {
+        let entry = self.entries.get(id)?;
+        let size = Size {
+            generated: entry.generated as u64,
+            ..entry.size
+        };
+        let service = &entry.service;
+        Some(self.answer(now, service, size, entry.limits?, Duration::ZERO))
+    }
+
     /// Memory forecast for the run `id`.
     pub fn curve(&self, now: Time, id: RunId) -> Curve {
         let Some(entry) = self.entries.get(id) else {
             return Curve::default();
         };
         let stats = &self.stats[&entry.service];
-        let tokens_per_s = entry.tokens_per_s(now).or(stats.tokens_per_s);
+        let known = entry.token_pace.map(|seconds| 1.0 / seconds);
+        let tokens_per_s = entry.tokens_per_s(now).or(known).or(stats.tokens_per_s);
         run(entry.size, entry.generated, tokens_per_s).curve(&stats.length)
     }
 
--- a/crates/relay/src/score.rs
+++ b/crates/relay/src/score.rs
@@ -4,6 +4,7 @@
 use ident::Zone;
 
 use crate::admission::MemoryDemand;
+use crate::answer::Answer;
 use crate::replica::Stage;
 use crate::server::Key;
 use crate::server::Server;
@@ -28,7 +29,12 @@
 const SLOW_WEIGHT: f64 = 1.0;
 /// Maximum number of doublings that count; a slower replica is not worse than one that fails.
 const MAX_SLOW_DOUBLINGS: f64 = 2.0;
-
+/// Penalty of a decode replica with the median time per token: of two that are equally filled, the
+/// faster one ends the answer sooner. A run of usual size weighs as much.
+const TOKEN_SLOWNESS_WEIGHT: f64 = 0.2;
+/// Largest ratio to the median that counts; what a slower replica does to deadlines and pauses
+/// counts by itself.
+const MAX_TOKEN_SLOWNESS: f64 = 2.0;
 /// Penalty of a decode replica that is prefilling a prompt: it generates almost no tokens
 /// meanwhile.
 const PREFILL_PENALTY: f64 = 0.3;
@@ -50,6 +56,8 @@
     pub data_centre: Zone,
     /// Memory needed at a decode replica, if it is to be checked.
     pub demand: Option<MemoryDemand>,
+    /// The answer that a decode replica is to make, if its speed is to be considered.
+    pub answer: Option<&'a Answer>,
 }
 
 impl Criteria<'_> {
@@ -61,6 +69,9 @@
             && self.is_home(server)
             && self.is_compatible(server)
             && !self.tried.contains(&key)
+            && self
+                .answer
+                .is_none_or(|answer| answer.accepts(server.token_pace(now)))
     }
 
     /// Whether the request may be served in the data centre of `server`.
@@ -76,11 +87,31 @@
 
     /// Whether `server` has room. `memory` is the size of its engine's memory in tokens, if known.
     pub(crate) fn has_room(&self, now: Time, server: &Server, memory: Option<u64>) -> bool {
-        match (self.demand, memory) {
+        match (self.demand_at(now, server), memory) {
             (Some(demand), Some(memory)) => demand.fits(now, server, memory),
             _ => true,
         }
     }
+
+    /// The memory needed at `server`, by its speed if that is known.
+    fn demand_at(&self, now: Time, server: &Server) -> Option<MemoryDemand> {
+        let demand = self.demand?;
+        match (self.answer, server.token_pace(now)) {
+            (Some(answer), Some(pace)) => Some(MemoryDemand {
+                curve: answer.curve(pace),
+                ..demand
+            }),
+            _ => Some(demand),
+        }
+    }
+
+    /// Probability that the answer is late at `server`; 0 if the speed of `server` is not known.
+    fn share_late(&self, now: Time, server: &Server) -> f64 {
+        match (self.answer, server.token_pace(now)) {
+            (Some(answer), Some(pace)) => answer.share_late(pace),
+            _ => 0.0,
+        }
+    }
 }
 
 /// Returns the candidate with the lowest score. `memory` is the size of an engine's memory in
@@ -92,13 +123,15 @@
     memory: Option<u64>,
     draw: impl Fn() -> f64,
 ) -> Option<Key> {
-    let median = median_pace(now, candidates);
+    let median = median_pace(candidates.iter().map(|(_, server)| server.pace(now)));
+    let median_token_pace = criteria
+        .answer
+        .and_then(|_| median_pace(candidates.iter().map(|(_, server)| server.token_pace(now))));
     let scored = candidates.iter().map(|(key, server)| {
         let load = relative_load(now, criteria, server, memory) + penalty(now, criteria, server);
-        (
-            *key,
-            load + slowness_penalty(now, server, median) + draw() * JITTER,
-        )
+        let slowness = slowness_penalty(now, server, median)
+            + token_slowness_penalty(now, server, median_token_pace);
+        (*key, load + slowness + draw() * JITTER)
     });
     let best = scored.min_by(|(_, left), (_, right)| left.total_cmp(right));
     best.map(|(key, _)| key)
@@ -123,13 +156,14 @@
     } else {
         0.0
     };
-    refused + prefilling + FAILURE_WEIGHT * server.failure_share(now) + distance + cold
+    let (failing, late) = (server.failure_share(now), criteria.share_late(now, server));
+    let unserved = failing + late - failing * late;
+    refused + prefilling + FAILURE_WEIGHT * unserved + distance + cold
 }
 
 /// Median time per unit of work among the candidates with a recent measurement.
-fn median_pace(now: Time, candidates: &[(Key, &Server)]) -> Option<f64> {
-    let paces = candidates.iter().filter_map(|(_, server)| server.pace(now));
-    let mut paces: Vec<f64> = paces.collect();
+fn median_pace(paces: impl Iterator<Item = Option<f64>>) -> Option<f64> {
+    let mut paces: Vec<f64> = paces.flatten().collect();
     let middle = paces.len().checked_sub(1)? / 2;
     let (_, median, _) = paces.select_nth_unstable_by(middle, f64::total_cmp);
     Some(*median)
@@ -145,6 +179,18 @@
     }
 }
 
+/// Penalty for the time per token of an answer. A replica of unknown speed counts as one of the
+/// median's.
+fn token_slowness_penalty(now: Time, server: &Server, median: Option<f64>) -> f64 {
+    match (server.token_pace(now), median) {
+        (Some(pace), Some(median)) if median > 0.0 => {
+            TOKEN_SLOWNESS_WEIGHT * (pace / median).min(MAX_TOKEN_SLOWNESS)
+        }
+        (None, Some(_)) => TOKEN_SLOWNESS_WEIGHT,
+        _ => 0.0,
+    }
+}
+
 /// Load of a replica: the used fraction of the memory for a decode replica and of the slots for a
 /// plain one, and the number of queued prompts for a prefill replica.
 fn relative_load(now: Time, criteria: &Criteria<'_>, server: &Server, memory: Option<u64>) -> f64 {
@@ -153,7 +199,11 @@
     let queued = server
         .peer_prefill_tokens
         .map(|_| server.queued_tokens() as f64 / TYPICAL_RUN_TOKENS);
-    match (server.replica.stage, memory, criteria.demand) {
+    match (
+        server.replica.stage,
+        memory,
+        criteria.demand_at(now, server),
+    ) {
         (Some(Stage::Prefill), ..) => queued.unwrap_or(load),
         (Some(Stage::Decode), Some(memory), Some(demand)) => {
             demand.peak_utilization(now, server, memory)
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -361,6 +361,11 @@
         (now.since(at) < PREFILL_AGE).then_some(mean)
     }
 
+    /// Seconds per token at its stage, if known.
+    pub(crate) fn token_pace(&self, now: Time) -> Option<f64> {
+        self.token_pace?.current(now)
+    }
+
     /// Mean seconds per unit of work, if measured recently.
     pub(crate) fn pace(&self, now: Time) -> Option<f64> {
         let pace = self.work_pace?;
