Learn the paces of replicas, announce them, and choose prefill replicas by them

Cause: replicas of one service differ in speed, for good and for moments, and each daemon sees a given replica too rarely to know it. Prompts went to slow prefill replicas as often as to fast ones, and slow decode replicas prefilled prompts themselves, which paused their streams for longer than routes allow.

Change: - relay::pace: a prefill is measured where no queue was known before it, a generation from half a second of its events on, neither across a standstill of the own process nor for a caller that reads slowly. A faster prefill counts fully, a slower one by half. - Up to 8 paces follow the content of datagrams that are sent in any case, 20 of them a second at most, while replicas of a stage differ by more than a fifth and a minute longer. The newest measurement of any daemon counts. Older versions do not read what follows the content; an extension that cannot be read does not affect it. A pace is stored with its expiry, not the time of its measurement, which may lie before the origin of a new daemon's clock. - The load of a prefill replica is the expected end of the prompt in units of a typical one at the median pace; without a known pace it is as before. - A decode replica prefills no prompt that would pause its streams for longer than the route allows; before it does by chance, other prefill replicas are considered. - Log line `pace`, metrics replica_paces and pace_reports_total.

Shown by: relay tests pace (32), pace_load (2), score (21), decode_prefill (8), prefill_backlog (6), and pool, scale, restarts before the last test edits; gateway tests paces, stream, migration, handoff, resumptions, discovery, stages, restarts, parts.

--- a/crates/gateway/src/forward/replica_stream.rs
+++ b/crates/gateway/src/forward/replica_stream.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use platform::reply::Head;
 use relay::event;
+use relay::pace::meter::StreamMeter;
 use relay::plan::Mode;
 use relay::server::Key;
 
@@ -49,6 +50,8 @@
     /// When the answer began.
     begun: Instant,
     last_event_at: Instant,
+    /// Measures the pace of the replica.
+    meter: StreamMeter,
     /// Number of silences so far.
     silences: u32,
     /// Set once the run is stopped to continue at another replica.
@@ -85,6 +88,7 @@
             guard,
             begun,
             last_event_at: begun,
+            meter: StreamMeter::new(),
             silences: 0,
             stopped: None,
         }
@@ -221,11 +225,26 @@
             let answers = &self.shared.answers;
             let answer = || OpenAnswer::new(answers, key, &self.job.content);
             self.answer.get_or_insert_with(answer);
+            self.measure_pace(source, event::count_events(&whole));
         }
         let taken = self.send_to_caller(whole).await;
         (!taken).then_some(End::CallerLeft)
     }
 
+    /// Measures the pace of the replica by `events` that arrived, unless the caller reads slower
+    /// than the replica writes: its events wait before they are read.
+    fn measure_pace(&self, source: &mut ReplicaStream, events: u64) {
+        let Some(tracked_run) = &self.tracked_run else {
+            return;
+        };
+        if self.parts.capacity() == 0 {
+            source.meter.stop();
+        }
+        let tokens = events * tracked_run.event_tokens();
+        self.shared
+            .measure_decode(source.guard.key, &mut source.meter, tokens);
+    }
+
     /// Looks up the software version of the replica `key` if it was unknown when the request was sent:
     /// an answer shows a new incarnation before the list shows its version.
     fn learn_version(&mut self, key: Key) {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -3,41 +3,38 @@
 //!
 //! Each datagram also carries the evacuated data centres, which are few, and the version of the
 //! sender's plan and a hash of its quarantine records, from which the receiver sees whether it has
-//! to fetch newer ones.
+//! to fetch newer ones. Paces of replicas may follow a datagram.
+
+pub mod datagram;
 
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bincode::config;
 use boottime::Instant;
 use boottime::timer::sleep;
 use boottime::timer::sleep_until;
 use boottime::timer::timeout;
-use fleet::Message;
 use ident::Time;
 use relay::claims::ClaimUpdate;
-use relay::evacuation::Evacuations;
 use relay::quarantine::record::Record;
-use serde::Deserialize;
-use serde::Serialize;
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 
 use crate::begins::lookup;
 use crate::begins::message;
 use crate::exchange;
-use crate::instance_info::InstanceInfo;
+use crate::gossip::datagram::Content;
+use crate::gossip::datagram::Datagram;
+use crate::gossip::datagram::Extension;
+use crate::gossip::datagram::MAX_DATAGRAM;
 use crate::members::Outgoing;
 use crate::poller_status::PollerStatus;
 use crate::quota::keeper;
 use crate::quotas;
 use crate::shared::Shared;
 
-/// Size in bytes above which a datagram is logged; larger ones exceed the usual packet size and are
-/// fragmented.
-const MAX_DATAGRAM: usize = 1_400;
 /// Maximum sleep between two membership steps.
 const MAX_SLEEP: Duration = Duration::from_millis(500);
 /// Time to wait for a newer plan from the store before it is fetched from a peer.
@@ -51,54 +48,6 @@
 /// Pause after such a fetch, so that one fetch covers many differences.
 const RECORDS_PAUSE: Duration = Duration::from_millis(700);
 
-/// One datagram.
-#[derive(Debug, Serialize, Deserialize)]
-struct Datagram {
-    from: InstanceInfo,
-    /// Version of the sender's plan; 0 if it has none.
-    plan: u64,
-    /// The evacuated data centres that the sender knows.
-    evacuations: Evacuations,
-    /// Whether the sender is overloaded.
-    overloaded: bool,
-    /// Hash of the sender's quarantine records.
-    quarantine: u64,
-    content: Content,
-}
-
-/// Content of a datagram.
-#[derive(Debug, Serialize, Deserialize)]
-enum Content {
-    /// Membership protocol.
-    Member {
-        message: Message,
-        /// Info of another instance.
-        hint: Option<InstanceInfo>,
-    },
-    /// Asks another daemon how current its plan and replicas are.
-    Question {
-        /// Repeated in the answer.
-        number: u32,
-        /// Hash of the sender's replicas.
-        digest: u64,
-    },
-    /// Reply to `Question`.
-    News {
-        /// The number of the question.
-        number: u32,
-        news: PollerStatus,
-    },
-    /// What the sender's runs hold at decode replicas.
-    Claims(ClaimUpdate),
-    /// Records of requests under which replicas ended.
-    Quarantine(Vec<Record>),
-    /// Use of customers' quotas.
-    Quota(quotas::Message),
-    /// Begins of streams. New contents are added at the end, so that daemons of an earlier version can
-    /// read all others.
-    Begins(message::Message),
-}
-
 /// Takes part in the membership, forever.
 ///
 /// # Errors
@@ -212,8 +161,8 @@
 }
 
 async fn send_datagram(shared: &Shared, to: SocketAddr, datagram: &Datagram) -> io::Result<()> {
-    let bytes =
-        bincode::serde::encode_to_vec(datagram, config::standard()).map_err(io::Error::other)?;
+    let mut bytes = datagram.encode().map_err(io::Error::other)?;
+    append_paces(shared, &mut bytes)?;
     if bytes.len() > MAX_DATAGRAM {
         log::debug!(kind = "gossip", bytes = bytes.len(); "a datagram is large and may be fragmented");
     }
@@ -223,15 +172,36 @@
     Ok(())
 }
 
+/// Announces paces behind a datagram that has room for them.
+fn append_paces(shared: &Shared, bytes: &mut Vec<u8>) -> io::Result<()> {
+    if bytes.len() >= MAX_DATAGRAM {
+        return Ok(());
+    }
+    let paces = shared.due_paces();
+    let count = paces.len();
+    if count == 0 {
+        return Ok(());
+    }
+    let fits = datagram::append(bytes, &Extension::Paces(paces)).map_err(io::Error::other)?;
+    if fits {
+        shared.metrics.pace_reports("sent", count);
+    }
+    Ok(())
+}
+
 async fn receive(shared: &Rc<Shared>, bytes: &[u8], from: SocketAddr) {
-    let read = bincode::serde::decode_from_slice::<Datagram, _>(bytes, config::standard());
-    let datagram = match read {
-        Ok((datagram, _)) => datagram,
+    let (datagram, extension) = match Datagram::decode(bytes) {
+        Ok(read) => read,
         Err(error) => {
             log::warn!(kind = "gossip", peer = from.to_string(), cause = error.to_string(); "a datagram cannot be read");
             return;
         }
     };
+    match extension {
+        Some(Ok(Extension::Paces(reports))) => shared.merge_paces(&reports),
+        Some(Err(error)) => shared.log_unusable_pace(&error.to_string()),
+        None => {}
+    }
     let sender = &datagram.from;
     if datagram.overloaded && sender.data_centre == shared.own_info().data_centre {
         shared.record_overload_report();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -204,6 +204,7 @@
         begins::announce_due(&shared).await;
         let now = shared.clock.now();
         shared.begins.borrow_mut().remove_expired(now);
+        shared.note_running();
         let started = shared.clock.now();
         sleep(HOUSEKEEPING_PERIOD).await;
         if let Some(time) = suspensions.check() {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -48,6 +48,8 @@
     pub replicas_version: GenericGauge<AtomicU64>,
     /// Services to whose replicas this daemon cannot connect.
     pub unreachable_services: GenericGauge<AtomicU64>,
+    /// Replicas whose pace is known.
+    pub replica_paces: GenericGauge<AtomicU64>,
     /// Seconds since the replicas were last known to be up to date.
     pub replicas_age: Gauge,
     /// Retries left in the budget, by service.
@@ -66,6 +68,7 @@
     retries: IntCounterVec,
     customers: IntCounterVec,
     moves: IntCounterVec,
+    pace_reports: IntCounterVec,
     latency: HistogramVec,
 }
 
@@ -130,6 +133,7 @@
                 "unreachable_services",
                 "Services to whose replicas this daemon cannot connect",
             )?,
+            replica_paces: gauge("replica_paces", "Replicas whose pace is known")?,
             replicas_age: register(&registry, age)?,
             budget: register(&registry, GaugeVec::new(budget, &["service"])?)?,
             dropped_lines: gauge("log_lines_dropped", "Log lines dropped since the start")?,
@@ -164,6 +168,11 @@
                 &["customer", "outcome"],
             )?,
             moves: vector("moves_total", "Migrations of runs by outcome", &["outcome"])?,
+            pace_reports: vector(
+                "pace_reports_total",
+                "Paces of replicas announced to other daemons, and received from them",
+                &["direction"],
+            )?,
             latency: register(&registry, latency)?,
             registry,
         })
@@ -223,6 +232,12 @@
         self.moves.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts announced paces that were `sent` or `received`.
+    pub fn pace_reports(&self, direction: &str, count: usize) {
+        let counter = self.pace_reports.with_label_values(&[direction]);
+        counter.inc_by(count as u64);
+    }
+
     /// Records the time to an answer.
     pub fn latency(&self, route: &str, seconds: f64) {
         self.latency.with_label_values(&[route]).observe(seconds);
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -11,7 +11,6 @@
 use relay::attempt::Outcome;
 use relay::permit::Permit;
 use relay::permit::Work;
-use relay::replica::Stage;
 use relay::server::Key;
 
 use crate::control;
@@ -32,6 +31,8 @@
 const MIN_TIME_FRACTION: f64 = 0.3;
 /// Replicas that a prompt is sent to at most.
 const MAX_PREFILLS: usize = 2;
+/// Replicas considered for a prompt at most, including those that would be late or fail.
+const MAX_CONSIDERED: usize = 3;
 /// Largest answer to a prefill in bytes.
 const MAX_PREFILL_ANSWER_BYTES: usize = 16 * 1024;
 
@@ -56,26 +57,29 @@
         ..job.destination()
     };
     let mut tried = Vec::new();
+    let mut sends = 0;
     let mut failed = false;
-    while tried.len() < MAX_PREFILLS {
-        let choose = || shared.choose_near(to, Some(Stage::Prefill), &tried, near);
+    // One number for all replicas, so that a prompt goes to the first one that is fast enough.
+    let drawn = rand::random::<f64>();
+    while sends < MAX_PREFILLS && tried.len() < MAX_CONSIDERED {
+        let choose = || shared.choose_prefill(to, &tried, near, job.prompt_tokens());
         let chosen = limit::choose_admitted(shared, choose).await;
         let Some(key) = chosen else { break };
         // With too few prefill replicas, the decode replicas take a share of the prompts, so that
         // the rest is prefilled in time.
-        let may_read = shared.may_prefill(decode);
         let objective = job.route.objective;
-        if may_read
-            && rand::random::<f64>()
-                < shared.decode_prefill_share(key, job.prompt_tokens(), objective)
+        tried.push(key);
+        if drawn < shared.decode_prefill_share(key, job.prompt_tokens(), objective)
+            && shared.may_prefill(decode, &job.service, job.route.pause)
         {
-            break;
+            // This replica may be late or failing while others are not.
+            continue;
         }
         // The first prefill is not a retry; that of a resumed stream is one.
         let Some(permit) = shared.take_permit(job, Work::Read) else {
             break;
         };
-        tried.push(key);
+        sends += 1;
         match timeout_at(
             job.deadline,
             prefill_with_extension(shared, job, key, permit),
@@ -174,7 +178,7 @@
         .get(key)
         .map(|server| server.replica.address)
         .ok_or(Outcome::NotSent)?;
-    let begun = Instant::now();
+    let (begun, begun_at) = (Instant::now(), shared.clock.now());
     let queued_before = shared.pool.borrow().queued_tokens(key);
     let reply = send::send(shared, job, key, Task::Prefill, None, permit).await?;
     let exchanges_before = reply.connection.exchanges_before();
@@ -204,6 +208,7 @@
             let prompt = job.prompt_tokens();
             shared.record_prefill(key, begun.elapsed(), queued_before + prompt);
             shared.record_work(key, begun.elapsed(), prompt as f64);
+            shared.measure_prefill(key, begun_at, queued_before, prompt);
             log::info!(kind = "read", request = job.call.id, ms = job.age().as_millis() as u64, cache = prefill.handle, exchanges_before = exchanges_before; "the prompt is prefilled");
             Ok(PrefilledPrompt {
                 address,
--- a/crates/gateway/src/run_tracking.rs
+++ b/crates/gateway/src/run_tracking.rs
@@ -68,6 +68,11 @@
         self.id
     }
 
+    /// Tokens per event.
+    pub const fn event_tokens(&self) -> u64 {
+        self.event_tokens
+    }
+
     /// Records that the replica prefills the prompt itself.
     pub fn note_local_prefill(&self, server: Key) {
         self.shared.runs.borrow_mut().mark_prefilling(self.id);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -6,6 +6,7 @@
 mod handoff;
 mod homes;
 mod overload;
+pub mod pace;
 mod quarantine;
 mod reach;
 mod retries;
@@ -54,6 +55,7 @@
 use crate::probes::Probes;
 use crate::quotas::Quotas;
 use crate::settings::Settings;
+use crate::shared::pace::Paces;
 use crate::store::Store;
 
 /// Time after SIGTERM during which every request is accepted, since callers may use an earlier
@@ -97,6 +99,8 @@
     pub claims: RefCell<Claims>,
     /// Whether peers have reported since the pending prefills in `pool` were updated.
     pub pending_prefills_outdated: Cell<bool>,
+    /// Measurement and announcement of the paces of replicas.
+    pub paces: Paces,
     /// When the memory forecasts of all replicas were last updated.
     pub forecasts_updated_at: Cell<Time>,
     /// Requests and parts of prompts under which replicas ended.
@@ -195,6 +199,7 @@
             runs: RefCell::new(Runs::new()),
             claims: RefCell::new(Claims::new()),
             pending_prefills_outdated: Cell::new(false),
+            paces: Paces::new(),
             forecasts_updated_at: Cell::new(Time::ZERO),
             quarantine: RefCell::new(Quarantine::new().with_seed(rand::random())),
             quotas: RefCell::new(Quotas::new()),
@@ -268,6 +273,9 @@
         metrics.replicas_version.set(self.replicas_version());
         let quarantined = self.quarantine.borrow().quarantined();
         metrics.quarantined.set(quarantined as u64);
+        self.pool.borrow_mut().remove_expired_paces(now);
+        let paces = self.pool.borrow().pace_count();
+        metrics.replica_paces.set(paces as u64);
         let lost = self.pool.borrow().reach().lost().count();
         metrics.unreachable_services.set(lost as u64);
         metrics.replicas_age.set(self.replicas_age().as_secs_f64());
--- a/crates/gateway/src/shared/choice.rs
+++ b/crates/gateway/src/shared/choice.rs
@@ -38,31 +38,46 @@
 impl Shared {
     /// Chooses the replica to send a request to; `None` if no untried one is available.
     pub fn choose(&self, to: Destination<'_>, stage: Option<Stage>, tried: &[Key]) -> Option<Key> {
-        self.choose_near(to, stage, tried, self.data_centre)
+        let criteria = self.criteria(to, stage, tried);
+        let pool = self.pool.borrow();
+        pool.choose(self.clock.now(), &criteria, rand::random)
     }
 
-    /// Like [`Self::choose`], but prefers replicas of `data_centre`.
-    pub fn choose_near(
+    /// Chooses the prefill replica for a prompt of `tokens`, preferably one of `data_centre`.
+    pub fn choose_prefill(
         &self,
         to: Destination<'_>,
-        stage: Option<Stage>,
         tried: &[Key],
         data_centre: Zone,
+        tokens: u64,
     ) -> Option<Key> {
-        if stage == Some(Stage::Prefill) {
-            self.update_pending_prefills();
-        }
+        self.update_pending_prefills();
         let criteria = Criteria {
+            data_centre,
+            prompt_tokens: tokens,
+            ..self.criteria(to, Some(Stage::Prefill), tried)
+        };
+        let pool = self.pool.borrow();
+        pool.choose(self.clock.now(), &criteria, rand::random)
+    }
+
+    /// Criteria of a request from this data centre.
+    const fn criteria<'a>(
+        &self,
+        to: Destination<'a>,
+        stage: Option<Stage>,
+        tried: &'a [Key],
+    ) -> Criteria<'a> {
+        Criteria {
             service: to.service,
             stage,
             tried,
             homes: to.homes,
             software: to.software,
-            data_centre,
+            data_centre: self.data_centre,
             demand: None,
-        };
-        let pool = self.pool.borrow();
-        pool.choose(self.clock.now(), &criteria, rand::random)
+            prompt_tokens: 0,
+        }
     }
 
     /// Updates the pending prefills of other daemons before they are needed. Peers report far more
@@ -84,13 +99,8 @@
         demand: MemoryDemand,
     ) -> Option<Key> {
         let criteria = Criteria {
-            service: to.service,
-            stage: Some(Stage::Decode),
-            tried,
-            homes: to.homes,
-            software: to.software,
-            data_centre: self.data_centre,
             demand: Some(demand),
+            ..self.criteria(to, Some(Stage::Decode), tried)
         };
         let pool = self.pool.borrow();
         pool.choose(self.clock.now(), &criteria, rand::random)
@@ -165,15 +175,7 @@
         to: Destination<'_>,
         stage: Option<Stage>,
     ) -> Option<Duration> {
-        let criteria = Criteria {
-            service: to.service,
-            stage,
-            tried: &[],
-            homes: to.homes,
-            software: to.software,
-            data_centre: self.data_centre,
-            demand: None,
-        };
+        let criteria = self.criteria(to, stage, &[]);
         let pool = self.pool.borrow();
         pool.exclusion_remaining(self.clock.now(), &criteria)
     }
@@ -198,9 +200,15 @@
             .is_some_and(|server| server.replica.birth.is_some())
     }
 
-    /// Whether the decode replica `key` may run a prefill itself.
-    pub fn may_prefill(&self, key: Key) -> bool {
-        self.pool.borrow().may_prefill(key)
+    /// Whether the decode replica `key` may run a prefill itself, beside streams of `service` that
+    /// may pause for up to `longest` between two events.
+    pub fn may_prefill(&self, key: Key, service: &str, longest: Option<Duration>) -> bool {
+        let plan = self.plan();
+        let service = plan.as_ref().and_then(|plan| plan.services.get(service));
+        let engine = service.and_then(|service| service.engine);
+        let event_tokens = engine.map_or(0, |engine| engine.event_tokens);
+        let pool = self.pool.borrow();
+        pool.may_prefill(self.clock.now(), key, event_tokens, longest)
     }
 
     /// Fraction of the prompts that decode replicas have to prefill because the prefill replica
@@ -213,7 +221,7 @@
     /// Time until a prompt of `tokens` is prefilled at the best replica; `None` if that is not
     /// known.
     pub fn estimate_prefill_time(&self, to: Destination<'_>, tokens: u64) -> Option<Duration> {
-        let key = self.choose(to, Some(Stage::Prefill), &[])?;
+        let key = self.choose_prefill(to, &[], self.data_centre, tokens)?;
         let pool = self.pool.borrow();
         pool.estimate_prefill_time(self.clock.now(), key, tokens)
     }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod list_confirmation;
 mod members;
 mod migration;
+mod paces;
 mod part_site;
 mod partition;
 mod parts;
--- a/crates/lab/src/site/run.rs
+++ b/crates/lab/src/site/run.rs
@@ -293,6 +293,7 @@
             software,
             data_centre: Zone::new("here"),
             demand: None,
+            prompt_tokens: 0,
         };
         let draws: Vec<f64> = (0..self.engines.len())
             .map(|_| self.random.random())
--- a/crates/relay/examples/decide.rs
+++ b/crates/relay/examples/decide.rs
@@ -136,6 +136,7 @@
         software: None,
         data_centre: Zone::new("here"),
         demand,
+        prompt_tokens: 0,
     }
 }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,7 +10,7 @@
 //! - [`homes`]: data centres in which a request may be served.
 //! - [`reach`]: whether this daemon is partitioned from the replicas of a service.
 //! - [`score`]: selection of the replica for a request.
-//! - [`pace`]: how fast replicas work.
+//! - [`pace`]: how fast replicas work, and what daemons announce of it.
 //! - [`balance`]: division of the replicas of a model into prefill and decode.
 //! - [`budget`]: retries that a service may still get; [`permit`]: permission for one send.
 //! - [`attempt`]: the next step after a failed send.
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -21,6 +21,7 @@
 
 use ident::Time;
 use ident::Zone;
+use indexmap::IndexSet;
 use slotmap::SecondaryMap;
 use slotmap::SlotMap;
 
@@ -71,6 +72,8 @@
     unresponsive: BTreeSet<Key>,
     /// Replicas examined so far, for requests and for updates.
     examined: Cell<u64>,
+    /// Replicas with a pace.
+    with_pace: IndexSet<Key>,
     /// Mean seconds to prefill a token, by service.
     prefill_paces: HashMap<String, f64>,
     /// Hashes of ended incarnations whose replica has restarted; at most one per slot of `servers`.
--- a/crates/relay/src/pool/list.rs
+++ b/crates/relay/src/pool/list.rs
@@ -239,6 +239,10 @@
             None => Some(now),
             since => since,
         };
+        // A pace belongs to a stage.
+        if server.replica.stage != replica.stage {
+            server.token_pace = None;
+        }
         server.set_entry(replica);
         server.lapses_at = None;
         self.index.insert(key, server);
@@ -268,6 +272,7 @@
         self.lapsing.remove(&key);
         self.with_requests.remove(&key);
         self.unresponsive.remove(&key);
+        self.with_pace.swap_remove(&key);
         Some(server)
     }
 
--- a/crates/relay/src/pool/prefill.rs
+++ b/crates/relay/src/pool/prefill.rs
@@ -22,6 +22,8 @@
 /// Maximum share of prompts left to decode replicas; the rest shows when the prefill replica is
 /// faster again.
 const MAX_DECODE_PREFILL_SHARE: f64 = 0.85;
+/// Factor by which a prefill at a decode replica slows the streams there.
+const PREFILL_SLOWDOWN: f64 = 5.0;
 
 impl Pool {
     /// Tokens that `key` has yet to prefill, as far as known.
@@ -41,12 +43,13 @@
         *mean += PACE_WEIGHT * (seconds - *mean);
     }
 
-    /// Expected time for `key` to prefill a prompt of `tokens` after its queue; `None` before the
-    /// first measurement.
+    /// Expected time for `key` to prefill a prompt of `tokens` after its queue, by its own pace if
+    /// that is known, else by the mean of all; `None` before the first measurement.
     pub fn estimate_prefill_time(&self, now: Time, key: Key, tokens: u64) -> Option<Duration> {
         let server = self.servers.get(key)?;
         let service_pace = self.prefill_paces.get(&server.replica.service).copied();
-        let pace = server.prefill_pace(now).or(service_pace)?;
+        let pace = server.token_pace(now);
+        let pace = pace.or_else(|| server.prefill_pace(now)).or(service_pace)?;
         Some(Duration::from_secs_f64(
             pace * (server.queued_tokens() + tokens) as f64,
         ))
@@ -99,10 +102,24 @@
     }
 
     /// Whether `decode` may prefill a prompt itself. A decode replica generates almost no tokens
-    /// during a prefill, so each one pauses all of its streams; two in a row are a long pause.
-    pub fn may_prefill(&self, decode: Key) -> bool {
-        let server = self.servers.get(decode);
-        server.is_none_or(|server| server.prefills == 0 || server.known_runs <= 1)
+    /// during a prefill, so each one pauses all of its streams; two in a row are a long pause. At a
+    /// slow replica, a single one makes pauses longer than `longest` between two events of
+    /// `event_tokens` each; `None` if pauses are not limited.
+    pub fn may_prefill(
+        &self,
+        now: Time,
+        decode: Key,
+        event_tokens: u64,
+        longest: Option<Duration>,
+    ) -> bool {
+        let Some(server) = self.servers.get(decode) else {
+            return true;
+        };
+        let pauses = || {
+            let pause = event_tokens as f64 * server.token_pace(now)? * PREFILL_SLOWDOWN;
+            Some(pause > longest?.as_secs_f64())
+        };
+        server.known_runs <= 1 || (server.prefills == 0 && !pauses().unwrap_or(false))
     }
 
     /// Share of the prompts of `tokens` that a decode replica should prefill itself, because the
--- a/crates/relay/src/score.rs
+++ b/crates/relay/src/score.rs
@@ -50,6 +50,8 @@
     pub data_centre: Zone,
     /// Memory needed at a decode replica, if it is to be checked.
     pub demand: Option<MemoryDemand>,
+    /// Tokens of the prompt, for prefill replicas; 0 if it is not known.
+    pub prompt_tokens: u64,
 }
 
 impl Criteria<'_> {
@@ -92,9 +94,17 @@
     memory: Option<u64>,
     draw: impl Fn() -> f64,
 ) -> Option<Key> {
-    let median = median_pace(now, candidates);
+    let median = median(candidates.iter().filter_map(|(_, server)| server.pace(now)));
+    let token_paces = candidates
+        .iter()
+        .filter_map(|(_, server)| server.token_pace(now));
+    let token_pace = median_token_pace(criteria, token_paces);
     let scored = candidates.iter().map(|(key, server)| {
-        let load = relative_load(now, criteria, server, memory) + penalty(now, criteria, server);
+        let load = match token_pace {
+            Some(token_pace) => prefill_load(now, criteria, server, token_pace),
+            None => relative_load(now, criteria, server, memory),
+        };
+        let load = load + penalty(now, criteria, server);
         (
             *key,
             load + slowness_penalty(now, server, median) + draw() * JITTER,
@@ -126,15 +136,30 @@
     refused + prefilling + FAILURE_WEIGHT * server.failure_share(now) + distance + cold
 }
 
-/// Median time per unit of work among the candidates with a recent measurement.
-fn median_pace(now: Time, candidates: &[(Key, &Server)]) -> Option<f64> {
-    let paces = candidates.iter().filter_map(|(_, server)| server.pace(now));
-    let mut paces: Vec<f64> = paces.collect();
-    let middle = paces.len().checked_sub(1)? / 2;
-    let (_, median, _) = paces.select_nth_unstable_by(middle, f64::total_cmp);
+/// Median of `values`; `None` if there are none.
+fn median(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let mut values: Vec<f64> = values.collect();
+    let middle = values.len().checked_sub(1)? / 2;
+    let (_, median, _) = values.select_nth_unstable_by(middle, f64::total_cmp);
     Some(*median)
 }
 
+/// Median of the known `paces` of prefill replicas; `None` for other replicas.
+fn median_token_pace(criteria: &Criteria<'_>, paces: impl Iterator<Item = f64>) -> Option<f64> {
+    match criteria.stage {
+        Some(Stage::Prefill) => median(paces),
+        _ => None,
+    }
+}
+
+/// Load of a prefill replica: the expected time to the end of the prompt, in units of a typical
+/// prompt at the `median` pace. An unknown pace counts as the median.
+fn prefill_load(now: Time, criteria: &Criteria<'_>, server: &Server, median: f64) -> f64 {
+    let pace = server.token_pace(now).unwrap_or(median) / median;
+    let prompt = criteria.prompt_tokens as f64 / TYPICAL_RUN_TOKENS;
+    (relative_load(now, criteria, server, None) + prompt) * pace
+}
+
 fn slowness_penalty(now: Time, server: &Server, median: Option<f64>) -> f64 {
     match (server.pace(now), median) {
         (Some(pace), Some(median)) if median > 0.0 => {
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -245,6 +245,11 @@
         self.prefills += u32::from(is_prefilling);
     }
 
+    /// Known runs of all daemons there.
+    pub const fn known_runs(&self) -> u32 {
+        self.known_runs
+    }
+
     /// Whether it is missing from the list and its grace period is over.
     pub(crate) fn has_lapsed(&self, now: Time) -> bool {
         self.lapses_at.is_some_and(|until| until <= now)
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -66,5 +66,6 @@
         software: None,
         data_centre: Zone::new("here"),
         demand,
+        prompt_tokens: 0,
     }
 }
--- a/crates/relay/tests/decode_prefill.rs
+++ b/crates/relay/tests/decode_prefill.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use ident::Instance;
 use ident::Time;
 use relay::claims;
@@ -15,8 +17,10 @@
 use relay::runs::Runs;
 use relay::runs::Size;
 use relay::server::Key;
+use rstest::rstest;
 
 const NOW: Time = Time::from_millis(100_000);
+const EVENT_TOKENS: u64 = 8;
 const SIZE: Size = Size {
     prompt: 5_000,
     estimate: 4_000,
@@ -30,6 +34,7 @@
     runs: Runs,
     claims: Claims,
     decode: Key,
+    longest_pause: Option<Duration>,
 }
 
 impl Daemon {
@@ -42,6 +47,7 @@
             runs: Runs::new(),
             claims: Claims::new(),
             decode,
+            longest_pause: None,
         }
     }
 
@@ -52,7 +58,8 @@
     fn may_prefill(&mut self) -> bool {
         self.pool
             .update_all_forecasts(NOW, &self.runs, &self.claims);
-        self.pool.may_prefill(self.decode)
+        self.pool
+            .may_prefill(NOW, self.decode, EVENT_TOKENS, self.longest_pause)
     }
 }
 
@@ -104,3 +111,26 @@
         .apply(NOW, Instance(1), ClaimUpdate::all(vec![claim]));
     assert!(!daemon.may_prefill());
 }
+
+/// A slow replica pauses its streams for longer than their callers accept.
+#[rstest]
+#[case::usual_replica(8, Some(400), 2, true)]
+#[case::slow_replica(13, Some(400), 2, false)]
+#[case::no_limit(13, None, 2, true)]
+#[case::no_other_stream(13, Some(400), 1, true)]
+fn a_prompt_that_would_pause_streams_for_too_long_is_not_prefilled(
+    #[case] ms_per_token: u64,
+    #[case] longest_ms: Option<u64>,
+    #[case] runs: usize,
+    #[case] expected: bool,
+) {
+    let mut daemon = Daemon::new();
+    for _ in 0..runs {
+        daemon.run();
+    }
+    daemon.longest_pause = longest_ms.map(Duration::from_millis);
+    assert!(daemon.may_prefill(), "its pace is not known");
+    let pace = Duration::from_millis(ms_per_token).as_secs_f64();
+    daemon.pool.record_token_pace(NOW, daemon.decode, pace);
+    assert_eq!(daemon.may_prefill(), expected);
+}
--- a/crates/relay/tests/prefill_backlog.rs
+++ b/crates/relay/tests/prefill_backlog.rs
@@ -136,3 +136,14 @@
     let update = publisher.due(later, &runs, &pool).unwrap();
     assert_eq!((update.readings.len(), update.readings[0].tokens), (1, 0));
 }
+
+#[test]
+fn the_prefill_time_depends_on_the_pace_of_the_replica() {
+    let mut pool = pool(1);
+    let key = choose(&pool);
+    pool.record_prefill(NOW, key, Duration::from_millis(100), PROMPT);
+    pool.start_request(key, PROMPT);
+    pool.record_token_pace(NOW, key, 40e-6);
+    let expected = pool.estimate_prefill_time(NOW, key, PROMPT).unwrap();
+    assert_eq!(expected.as_millis(), u128::from(2 * PROMPT * 40 / 1_000));
+}
--- a/crates/relay/tests/score.rs
+++ b/crates/relay/tests/score.rs
@@ -1,10 +1,13 @@
-//! Avoidance of slow replicas.
+//! Avoidance of slow replicas, and the expected end of prefills.
 
 mod common;
 
 use std::time::Duration;
 
+use ident::Instance;
 use ident::Time;
+use relay::claims::ClaimUpdate;
+use relay::claims::Claims;
 use relay::pool::Pool;
 use relay::replica::Stage;
 use relay::score::Criteria;
@@ -129,3 +132,84 @@
     pool.record_work(START, two, Duration::from_millis(20), 1_100.0);
     assert_eq!(order(&pool, stage, after(500))[0], "one");
 }
+
+/// Prefill replicas `one` to `three` with `queued` tokens each, of which peers report none.
+fn prefill_pool(queued: [u64; 3]) -> Pool {
+    let stage = Some(Stage::Prefill);
+    let mut pool = pool(stage, &["one", "two", "three"]);
+    let update = ClaimUpdate::all(Vec::new()).with_readings(Vec::new());
+    let mut claims = Claims::new();
+    claims.apply(START, Instance(1), update);
+    pool.update_pending_prefills(START, &claims);
+    let keys = ["one", "two", "three"].map(|id| key(&pool, stage, id));
+    for (key, tokens) in keys.into_iter().zip(queued) {
+        pool.start_request(key, tokens);
+    }
+    pool
+}
+
+/// Ids of the prefill replicas in the order in which a prompt of `tokens` chooses them.
+fn prefill_order(pool: &Pool, tokens: u64) -> Vec<String> {
+    let mut tried: Vec<Key> = Vec::new();
+    let choose = |tried: &[Key]| {
+        let criteria = Criteria {
+            prompt_tokens: tokens,
+            ..criteria(Some(Stage::Prefill), tried)
+        };
+        pool.choose(START, &criteria, || 0.0)
+    };
+    while let Some(key) = choose(&tried) {
+        tried.push(key);
+    }
+    let servers = tried.iter().filter_map(|key| pool.get(*key));
+    servers.map(|server| server.replica.id.clone()).collect()
+}
+
+fn set_pace(pool: &mut Pool, id: &str, us_per_token: f64) {
+    let key = key(pool, Some(Stage::Prefill), id);
+    pool.record_token_pace(START, key, us_per_token * 1e-6);
+}
+
+#[rstest]
+#[case([0, 0, 0], 500, "one")]
+#[case([6_000, 3_000, 4_000], 11_000, "two")]
+#[case([6_000, 6_001, 5_999], 1_000, "three")]
+fn without_paces_the_length_of_a_prompt_does_not_matter(
+    #[case] queued: [u64; 3],
+    #[case] tokens: u64,
+    #[case] first: &str,
+) {
+    let pool = prefill_pool(queued);
+    let order = prefill_order(&pool, tokens);
+    assert_eq!(order[0], first);
+    assert_eq!(order, prefill_order(&pool, 0));
+}
+
+/// With 13, 21 and 33 us per token: the replica where the prompt is ready first is chosen.
+#[rstest]
+#[case::idle([0, 0, 0], 6_000, ["one", "two", "three"])]
+#[case::queue_at_the_fast_one([6_000, 0, 0], 6_000, ["two", "one", "three"])]
+#[case::long_prompt([6_000, 0, 0], 11_000, ["one", "two", "three"])]
+#[case::long_queues([20_000, 20_000, 0], 1_000, ["three", "one", "two"])]
+fn the_prefill_replica_that_is_ready_first_is_chosen(
+    #[case] queued: [u64; 3],
+    #[case] tokens: u64,
+    #[case] expected: [&str; 3],
+) {
+    let mut pool = prefill_pool(queued);
+    for (id, pace) in [("one", 13.0), ("two", 21.0), ("three", 33.0)] {
+        set_pace(&mut pool, id, pace);
+    }
+    assert_eq!(prefill_order(&pool, tokens), expected);
+}
+
+#[rstest]
+#[case::queue_at_the_median([0, 100, 0], "three")]
+#[case::queue_at_the_unknown([0, 0, 100], "two")]
+#[case::long_queues([0, 9_000, 9_000], "one")]
+fn an_unknown_pace_counts_as_the_median(#[case] queued: [u64; 3], #[case] first: &str) {
+    let mut pool = prefill_pool(queued);
+    set_pace(&mut pool, "one", 40.0);
+    set_pace(&mut pool, "two", 20.0);
+    assert_eq!(prefill_order(&pool, 6_000)[0], first);
+}
