--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -52,6 +52,8 @@
     pub replicas_version: GenericGauge<AtomicU64>,
     /// Services to whose replicas this daemon cannot connect.
     pub unreachable_services: GenericGauge<AtomicU64>,
+    /// Replicas whose pace is known.
+    pub replica_paces: GenericGauge<AtomicU64>,
     /// Seconds since the replicas were last known to be up to date.
     pub replicas_age: Gauge,
     /// Retries left in the budget, by service.
@@ -72,6 +74,7 @@
     /// Customers' quotas.
     pub quota: QuotaMetrics,
     moves: IntCounterVec,
+    pace_reports: IntCounterVec,
     latency: HistogramVec,
 }
 
@@ -136,6 +139,7 @@
                 "unreachable_services",
                 "Services to whose replicas this daemon cannot connect",
             )?,
+            replica_paces: gauge("replica_paces", "Replicas whose pace is known")?,
             replicas_age: register(&registry, age)?,
             budget: register(&registry, GaugeVec::new(budget, &["service"])?)?,
             dropped_lines: gauge("log_lines_dropped", "Log lines dropped since the start")?,
@@ -171,6 +175,11 @@
             )?,
             quota: QuotaMetrics::new(&registry)?,
             moves: vector("moves_total", "Migrations of runs by outcome", &["outcome"])?,
+            pace_reports: vector(
+                "pace_reports_total",
+                "Paces of replicas announced to other daemons, and received from them",
+                &["direction"],
+            )?,
             latency: register(&registry, latency)?,
             registry,
         })
@@ -230,6 +239,12 @@
         self.moves.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts announced paces that were `sent` or `received`.
+    pub fn pace_reports(&self, direction: &str, count: usize) {
+        let counter = self.pace_reports.with_label_values(&[direction]);
+        counter.inc_by(count as u64);
+    }
+
     /// Records the time to an answer.
     pub fn latency(&self, route: &str, seconds: f64) {
         self.latency.with_label_values(&[route]).observe(seconds);
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -19,6 +19,7 @@
 mod list_confirmation;
 mod members;
 mod migration;
+mod paces;
 mod part_site;
 mod partition;
 mod parts;
--- a/crates/lab/src/decode/daemon.rs
+++ b/crates/lab/src/decode/daemon.rs
@@ -133,6 +133,7 @@
         data_centre: Zone::new("here"),
         demand,
         answer: None,
+        prompt_tokens: 0,
     }
 }
 
--- a/crates/lab/src/site/run.rs
+++ b/crates/lab/src/site/run.rs
@@ -294,6 +294,7 @@
             data_centre: Zone::new("here"),
             demand: None,
             answer: None,
+            prompt_tokens: 0,
         };
         let draws: Vec<f64> = (0..self.engines.len())
             .map(|_| self.random.random())
--- a/crates/relay/src/score.rs
+++ b/crates/relay/src/score.rs
@@ -58,6 +58,8 @@
     pub demand: Option<MemoryDemand>,
     /// The answer that a decode replica is to make, if its speed is to be considered.
     pub answer: Option<&'a Answer>,
+    /// Tokens of the prompt, for prefill replicas; 0 if it is not known.
+    pub prompt_tokens: u64,
 }
 
 impl Criteria<'_> {
@@ -123,15 +125,22 @@
     memory: Option<u64>,
     draw: impl Fn() -> f64,
 ) -> Option<Key> {
-    let median = median_pace(candidates.iter().map(|(_, server)| server.pace(now)));
-    let median_token_pace = criteria
-        .answer
-        .and_then(|_| median_pace(candidates.iter().map(|(_, server)| server.token_pace(now))));
+    let median_pace = median(candidates.iter().filter_map(|(_, server)| server.pace(now)));
+    let token_paces = candidates
+        .iter()
+        .filter_map(|(_, server)| server.token_pace(now));
+    let median_token_pace = median(token_paces);
     let scored = candidates.iter().map(|(key, server)| {
-        let load = relative_load(now, criteria, server, memory) + penalty(now, criteria, server);
-        let slowness = slowness_penalty(now, server, median)
-            + token_slowness_penalty(now, server, median_token_pace);
-        (*key, load + slowness + draw() * JITTER)
+        let load = match (criteria.stage, median_token_pace) {
+            (Some(Stage::Prefill), Some(median)) => prefill_load(now, criteria, server, median),
+            _ => relative_load(now, criteria, server, memory),
+        };
+        let token_slowness = criteria.answer.map_or(0.0, |_| {
+            token_slowness_penalty(now, server, median_token_pace)
+        });
+        let slowness = slowness_penalty(now, server, median_pace) + token_slowness;
+        let score = load + penalty(now, criteria, server) + slowness + draw() * JITTER;
+        (*key, score)
     });
     let best = scored.min_by(|(_, left), (_, right)| left.total_cmp(right));
     best.map(|(key, _)| key)
@@ -161,14 +170,22 @@
     refused + prefilling + FAILURE_WEIGHT * unserved + distance + cold
 }
 
-/// Median time per unit of work among the candidates with a recent measurement.
-fn median_pace(paces: impl Iterator<Item = Option<f64>>) -> Option<f64> {
-    let mut paces: Vec<f64> = paces.flatten().collect();
-    let middle = paces.len().checked_sub(1)? / 2;
-    let (_, median, _) = paces.select_nth_unstable_by(middle, f64::total_cmp);
+/// Median of `values`; `None` if there are none.
+fn median(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let mut values: Vec<f64> = values.collect();
+    let middle = values.len().checked_sub(1)? / 2;
+    let (_, median, _) = values.select_nth_unstable_by(middle, f64::total_cmp);
     Some(*median)
 }
 
+/// Load of a prefill replica: the expected time to the end of the prompt, in units of a typical
+/// prompt at the `median` pace. An unknown pace counts as the median.
+fn prefill_load(now: Time, criteria: &Criteria<'_>, server: &Server, median: f64) -> f64 {
+    let pace = server.token_pace(now).unwrap_or(median) / median;
+    let prompt = criteria.prompt_tokens as f64 / TYPICAL_RUN_TOKENS;
+    (relative_load(now, criteria, server, None) + prompt) * pace
+}
+
 fn slowness_penalty(now: Time, server: &Server, median: Option<f64>) -> f64 {
     match (server.pace(now), median) {
         (Some(pace), Some(median)) if median > 0.0 => {
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -245,6 +245,11 @@
         self.prefills += u32::from(is_prefilling);
     }
 
+    /// Known runs of all daemons there.
+    pub const fn known_runs(&self) -> u32 {
+        self.known_runs
+    }
+
     /// Whether it is missing from the list and its grace period is over.
     pub(crate) fn has_lapsed(&self, now: Time) -> bool {
         self.lapses_at.is_some_and(|until| until <= now)
@@ -361,11 +366,6 @@
         (now.since(at) < PREFILL_AGE).then_some(mean)
     }
 
-    /// Seconds per token at its stage, if known.
-    pub(crate) fn token_pace(&self, now: Time) -> Option<f64> {
-        self.token_pace?.current(now)
-    }
-
     /// Mean seconds per unit of work, if measured recently.
     pub(crate) fn pace(&self, now: Time) -> Option<f64> {
         let pace = self.work_pace?;
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -67,5 +67,6 @@
         data_centre: Zone::new("here"),
         demand,
         answer: None,
+        prompt_tokens: 0,
     }
 }
