--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -65,6 +65,7 @@
     place_waits: Histogram,
     requests: IntCounterVec,
     withheld: IntCounterVec,
+    shed: IntCounterVec,
     sends: IntCounterVec,
     notices: IntCounterVec,
     handoffs: IntCounterVec,
@@ -127,6 +128,11 @@
                 "Requests refused because they, or a part of their prompt, are quarantined",
                 &["content"],
             )?,
+            shed: vector(
+                "shed_total",
+                "Calls refused because every replica would answer too late",
+                &["service"],
+            )?,
             store_calls: vector(
                 "store_calls_total",
                 "Calls of the store by step and table",
@@ -218,6 +224,11 @@
         self.withheld.with_label_values(&[content]).inc();
     }
 
+    /// Counts a call of `service` that was refused because every replica would answer too late.
+    pub fn shed(&self, service: &str) {
+        self.shed.with_label_values(&[service]).inc();
+    }
+
     /// Counts a request that was handed to a peer, or served for one, with `outcome`.
     pub fn handoff(&self, outcome: &str) {
         self.handoffs.with_label_values(&[outcome]).inc();
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -37,6 +37,13 @@
 /// one. 90% of answers take at most a third of the objective; the slowest answers of a healthy
 /// replica take 1.5 times the objective.
 const SILENCE_FACTOR: f64 = 2.0;
+/// Fraction of the objective within which the answer of a call has to be expected if it waits for a
+/// slot; the times of calls vary by about half of their mean.
+const IN_TIME_FRACTION: f64 = 0.6;
+/// Mean `Retry-After` of calls that would be late; a crowd lasts for some seconds.
+const CROWDED_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Logged cause of their refusal.
+const CROWDED_CAUSE: &str = "no replica would answer in time";
 /// Interval at which a waiting request looks for a replica.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -67,6 +74,10 @@
         let Some(key) = choose_replica(shared, &job, None, &tried).await else {
             return end_without_replica(shared, job, &attempt, failure).await;
         };
+        if tried.is_empty() && would_be_late(shared, &job, key) {
+            let retry_after = CROWDED_RETRY_AFTER.mul_f64(rand::random_range(0.75..1.25));
+            return ending::refuse(shared, &mut job, retry_after, CROWDED_CAUSE);
+        }
         let Some(permit) = job.take_permit(Work::Run) else {
             return end_without_replica(shared, job, &attempt, failure).await;
         };
@@ -109,6 +120,25 @@
     }
 }
 
+/// Whether a call would have to wait so long for a slot of `key`, the best replica, that its answer
+/// would be late. In a queue of such calls every answer is late.
+fn would_be_late(shared: &Shared, job: &Job, key: Key) -> bool {
+    let now = shared.clock.now();
+    let expected = shared.pool.borrow().queued_call_time(now, key);
+    let age = if job.standing().returned {
+        Duration::ZERO
+    } else {
+        job.age()
+    };
+    let allowed = job.route.objective.mul_f64(IN_TIME_FRACTION);
+    let Some(expected) = expected.filter(|expected| age + *expected > allowed) else {
+        return false;
+    };
+    shared.metrics.shed(&job.service);
+    log::info!(kind = "shed", request = job.call.id, service = job.service, expected_ms = expected.as_millis() as u64, age_ms = age.as_millis() as u64; "no replica would answer in time");
+    true
+}
+
 fn next_after(shared: &Shared, job: &Job, attempt: &mut Attempt, outcome: Outcome) -> Next {
     attempt.next_step(outcome, || shared.ensure_permit(job, Work::Run))
 }
@@ -220,10 +250,14 @@
     permit: Permit,
 ) -> Result<Answer, Outcome> {
     let begun = Instant::now();
+    let load = shared.pool.borrow().load(shared.clock.now(), key);
     let reply = send::send(shared, job, key, Task::Answer, None, permit).await?;
     match send::read_whole(shared, reply, ending::MAX_ANSWER_BYTES).await {
         Ok(whole) => {
             shared.record_work(key, begun.elapsed(), 1.0);
+            let now = shared.clock.now();
+            let mut pool = shared.pool.borrow_mut();
+            pool.record_call(now, key, begun.elapsed(), load);
             Ok(Answer {
                 status: whole.head.status,
                 headers: whole.headers,
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -1,5 +1,6 @@
 //! The replicas that this daemon knows, and the choice of one for a request.
 
+mod calls;
 mod cold;
 mod evacuation;
 mod forecast;
@@ -27,6 +28,7 @@
 
 use crate::balance::StageCounts;
 use crate::plan::ColdStart;
+use crate::pool::calls::Calls;
 use crate::pool::index::Index;
 use crate::reach::Reach;
 use crate::replica::Load;
@@ -76,6 +78,8 @@
     with_pace: IndexSet<Key>,
     /// Mean seconds to prefill a token, by service.
     prefill_paces: HashMap<String, f64>,
+    /// Plain calls by service.
+    calls: HashMap<String, Calls>,
     /// Hashes of ended incarnations whose replica has restarted; at most one per slot of `servers`.
     restarted: SecondaryMap<Key, u64>,
     version: u64,
--- /dev/null
+++ b/crates/relay/src/pool/calls.rs
@@ -0,0 +1,70 @@
+//! How long plain calls take at replicas that report how fast they work at the moment.
+//!
+//! A replica queues calls beyond its slots. With a full queue all of its answers are late, although it
+//! works as fast as ever; with a short one those that it takes are in time.
+
+use std::time::Duration;
+
+use ident::Time;
+
+use crate::pool::Pool;
+use crate::server::Key;
+use crate::server::Server;
+
+/// Weight of the newest answer in the mean time of the calls of a service.
+const MEAN_WEIGHT: f64 = 0.05;
+
+/// Calls of one service.
+#[derive(Debug, Default)]
+pub(super) struct Calls {
+    /// Mean seconds of a call that does not wait, on a replica that works as usual.
+    mean: Option<f64>,
+    /// Whether replicas of the service report how fast they work.
+    has_reports: bool,
+}
+
+impl Pool {
+    /// Records that replicas of the service of `key` report how fast they work.
+    pub(super) fn note_speed_reports(&mut self, key: Key) {
+        if let Some(server) = self.servers.get(key) {
+            let calls = self.calls.entry(server.replica.service.clone());
+            calls.or_default().has_reports = true;
+        }
+    }
+
+    /// Records that a call took `took` at `key`, which had `load` other requests when it was sent.
+    pub fn record_call(&mut self, now: Time, key: Key, took: Duration, load: f64) {
+        let Some(server) = self.servers.get(key) else {
+            return;
+        };
+        let factor = queue_factor(server, load) * server.slowdown(now).unwrap_or(1.0);
+        let seconds = took.as_secs_f64() / factor;
+        let calls = self.calls.entry(server.replica.service.clone());
+        let mean = &mut calls.or_default().mean;
+        let before = mean.unwrap_or(seconds);
+        *mean = Some(before + MEAN_WEIGHT * (seconds - before));
+    }
+
+    /// Requests at `key`, as far as known.
+    pub fn load(&self, now: Time, key: Key) -> f64 {
+        let server = self.servers.get(key);
+        server.map_or(0.0, |server| server.load(now))
+    }
+
+    /// Expected time to the answer of a call that has to wait for a slot of `key`. `None` if a slot is
+    /// free, or if replicas of its service do not report how fast they work.
+    pub fn queued_call_time(&self, now: Time, key: Key) -> Option<Duration> {
+        let server = self.servers.get(key)?;
+        let calls = self.calls.get(&server.replica.service)?;
+        let factor = queue_factor(server, server.load(now));
+        let mean = calls.mean.filter(|_| calls.has_reports && factor > 1.0)?;
+        let slowdown = server.slowdown(now).unwrap_or(1.0);
+        Duration::try_from_secs_f64(mean * factor * slowdown).ok()
+    }
+}
+
+/// Time of a call at `server` with `load` other requests, as a multiple of one that does not wait.
+fn queue_factor(server: &Server, load: f64) -> f64 {
+    let slots = f64::from(server.replica.slots.max(1));
+    ((load + 1.0) / slots).max(1.0)
+}
