Replicas that say that work takes longer at the moment are avoided

Cause: the fourth figure of the load that replicas add to answers was dropped; reservations and plain calls went to replicas that were slow for some hundred milliseconds.

A reservation whose answer tells 1.5 or more is kept only until another replica of the round grants one, then released. Plain calls weigh it for 300 ms: the load is that with which a further request would take as long at a replica of usual speed, so that an idle slow replica stands behind an idle usual one.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -55,6 +55,8 @@
     pub status: StatusCode,
     /// What the replica says of its own availability.
     pub notice: Notice,
+    /// How much longer than usual work takes there at this moment, as a factor, if it says so.
+    pub slowdown: Option<f64>,
     /// The complete body.
     pub body: Bytes,
 }
@@ -169,6 +171,7 @@
     })?;
     let status = answer.status();
     let notice = reply::read_notice(status, answer.headers());
+    let slowdown = reply::read_slowdown(answer.headers());
     let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES)
         .collect()
         .await;
@@ -176,6 +179,7 @@
     Ok(Answer {
         status,
         notice,
+        slowdown,
         body,
     })
 }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -33,6 +33,9 @@
 /// Replicas asked in one round.
 const REPLICAS_PER_ROUND: usize = 3;
 
+/// Slowdown from which a replica that granted a reservation is exchanged for another one.
+const MAX_SLOWDOWN: f64 = 1.5;
+
 /// The decode replica chosen for a request, with the reservation there.
 #[derive(Debug)]
 pub struct Placement {
@@ -54,7 +57,8 @@
 
 /// Result of asking one replica for a reservation.
 enum ReserveOutcome {
-    Granted(HeldReservation),
+    /// With how much longer than usual work takes there, if the replica says so.
+    Granted(HeldReservation, Option<f64>),
     NoRoom,
     /// Nothing may be sent to the replica.
     Withheld,
@@ -199,21 +203,29 @@
     let expected = size.estimate as f64 * placing.reserve;
     let tokens = size.prompt + (expected as u64).max(generated);
     let mut asked = tried.to_vec();
+    // At a replica that is slow at present; released once another one has granted a reservation.
+    let mut slow: Option<Placement> = None;
     for _ in 0..REPLICAS_PER_ROUND {
         let choose =
             || shared.choose_decode(job.destination(), &asked, memory_demand, Some(&answer));
-        let key = limit::choose_admitted(shared, choose).await?;
+        let Some(key) = limit::choose_admitted(shared, choose).await else {
+            break;
+        };
         asked.push(key);
         let tracked_run = TrackedRun::new(shared, job, key, size, engine.event_tokens);
         match reserve(shared, tokens, key, engine.max_reservation).await {
-            ReserveOutcome::Granted(reserved) => {
+            ReserveOutcome::Granted(reserved, slowdown) => {
                 let now = shared.clock.now();
                 shared.pool.borrow_mut().record_room(now, key);
-                return Some(Placement {
+                let placement = Placement {
                     key,
                     reserved: Some(reserved),
                     tracked_run: Some(tracked_run),
-                });
+                };
+                if slowdown.is_none_or(|slowdown| slowdown < MAX_SLOWDOWN) {
+                    return Some(placement);
+                }
+                slow = Some(placement);
             }
             ReserveOutcome::Withheld | ReserveOutcome::Unlisted => {}
             ReserveOutcome::NoRoom => shared
@@ -236,7 +248,7 @@
             break;
         }
     }
-    None
+    slow
 }
 
 /// The kind of generation, given that `job` has generated `generated` tokens so far.
@@ -303,7 +315,7 @@
                 if shared.is_draining(key) {
                     ReserveOutcome::Withheld
                 } else {
-                    ReserveOutcome::Granted(reserved)
+                    ReserveOutcome::Granted(reserved, answer.slowdown)
                 }
             }
             Err(error) => ReserveOutcome::Failed(control::Error::Unanswered {
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -148,6 +148,10 @@
             .borrow_mut()
             .record_load(shared.clock.now(), key, load);
     }
+    if let Some(slowdown) = head.slowdown {
+        let now = shared.clock.now();
+        shared.pool.borrow_mut().record_slowdown(now, key, slowdown);
+    }
     if head.other_replica {
         shared.pool.borrow_mut().mark_replaced(key);
     }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -30,6 +30,7 @@
 mod second_calls;
 mod second_store;
 mod site;
+mod slowdown;
 mod stages;
 mod stream;
 mod truncation;
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -282,6 +282,13 @@
         }
     }
 
+    /// Records that `key` said that work takes `slowdown` times as long as usual there.
+    pub fn record_slowdown(&mut self, now: Time, key: Key, slowdown: f64) {
+        if let Some(server) = self.servers.get_mut(key) {
+            server.record_slowdown(now, slowdown);
+        }
+    }
+
     /// Returns the replica with the lowest score that meets `criteria`, if any.
     ///
     /// `draw` returns random numbers uniform in `0.0..1.0`.
--- a/crates/relay/src/score.rs
+++ b/crates/relay/src/score.rs
@@ -212,6 +212,13 @@
             let peer_tokens = server.peer_requests(now) * TYPICAL_RUN_TOKENS;
             (server.tokens as f64 + peer_tokens) / (memory as f64)
         }
-        (None, ..) | (Some(Stage::Decode), None, _) => load / slots,
+        (None, ..) => plain_load(load, server.slowdown(now)) / slots,
+        (Some(Stage::Decode), None, _) => load / slots,
     }
 }
+
+/// Requests in progress at a replica of usual speed for which a further request would take as long as
+/// at one with `load` requests where work takes `slowdown` times as long.
+fn plain_load(load: f64, slowdown: Option<f64>) -> f64 {
+    slowdown.map_or(load, |slowdown| (load + 1.0) * slowdown - 1.0)
+}
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -22,6 +22,8 @@
 /// How long a reported load is used; its weight decreases linearly. Replicas answer several times
 /// as often.
 const LOAD_AGE: Duration = Duration::from_secs(2);
+/// How long a reported slowdown is used; it changes several times a second.
+const SLOWDOWN_AGE: Duration = Duration::from_millis(300);
 /// Time in which the failure share decays to 1/e, about a third, without further sends.
 const FAILURE_DECAY: Duration = Duration::from_secs(4);
 /// Weight of the newest send in the failure share.
@@ -94,6 +96,8 @@
     pub tokens: u64,
     /// Latest reported number of requests of others, and when.
     peer_requests: Option<(u32, Time)>,
+    /// How much longer than usual work takes, by its last answer, and when.
+    slowdown: Option<(f64, Time)>,
     /// Failure share of the recent sends, and when it was updated.
     failures: (f64, Time),
     /// Mean seconds to prefill a token, and when the last prefill ended.
@@ -146,6 +150,7 @@
             in_flight: 0,
             tokens: 0,
             peer_requests: None,
+            slowdown: None,
             prefill_pace: None,
             peer_prefill_tokens: None,
             work_pace: None,
@@ -355,6 +360,16 @@
         self.peer_requests = Some((others, now));
     }
 
+    pub(crate) const fn record_slowdown(&mut self, now: Time, slowdown: f64) {
+        self.slowdown = Some((slowdown, now));
+    }
+
+    /// How much longer than usual work takes there, as a factor, if it has just said so.
+    pub(crate) fn slowdown(&self, now: Time) -> Option<f64> {
+        let (slowdown, at) = self.slowdown?;
+        (now.since(at) < SLOWDOWN_AGE).then_some(slowdown)
+    }
+
     /// Mean seconds to prefill a token, if measured recently.
     pub(crate) fn prefill_pace(&self, now: Time) -> Option<f64> {
         let (mean, at) = self.prefill_pace?;
--- a/crates/relay/tests/score.rs
+++ b/crates/relay/tests/score.rs
@@ -100,6 +100,30 @@
     assert_eq!(order(&pool, None, after(at))[0] == "slow", is_first);
 }
 
+#[rstest]
+#[case::just_said(299, "two")]
+#[case::before(300, "one")]
+fn a_replica_that_says_that_work_takes_longer_is_avoided_for_a_moment(
+    #[case] at: u64,
+    #[case] first: &str,
+) {
+    let mut pool = pool(None, &["one", "two"]);
+    assert_eq!(order(&pool, None, after(at))[0], "one");
+    let slow = key(&pool, None, "one");
+    pool.record_slowdown(START, slow, 2.0);
+    assert_eq!(order(&pool, None, after(at))[0], first);
+}
+
+#[test]
+fn a_replica_that_works_as_usual_is_chosen_as_if_it_said_nothing() {
+    let mut pool = pool(None, &["one", "two"]);
+    for id in ["one", "two"] {
+        let usual = key(&pool, None, id);
+        pool.record_slowdown(START, usual, 1.0);
+    }
+    assert_eq!(order(&pool, None, START), ["one", "two"]);
+}
+
 /// A busy machine or network easily makes a quick answer some milliseconds later.
 #[test]
 fn differences_of_some_milliseconds_make_no_replica_slow() {
