Tests for room by speed and for paces that are no figures; such a pace is not used

A pace of zero, below it or without a value would have made a run's forecast undefined; Runs::set_token_pace drops it.

--- a/crates/relay/src/runs.rs
+++ b/crates/relay/src/runs.rs
@@ -151,7 +151,7 @@
     /// counts until the rate of the run itself is measured.
     pub fn set_token_pace(&mut self, id: RunId, seconds: Option<f64>) {
         if let Some(entry) = self.entries.get_mut(id) {
-            entry.token_pace = seconds;
+            entry.token_pace = seconds.filter(|seconds| seconds.is_finite() && *seconds > 0.0);
         }
     }
 
--- a/crates/relay/tests/uneven.rs
+++ b/crates/relay/tests/uneven.rs
@@ -297,6 +297,41 @@
     assert!(placed(4.0) < placed(0.3), "{} {}", placed(4.0), placed(0.3));
 }
 
+#[rstest]
+#[case::slow(Some(0.3), true)]
+#[case::fast(Some(4.0), false)]
+#[case::unknown(None, false)]
+fn whether_a_run_has_room_follows_the_speed_of_the_replica(
+    #[case] speed: Option<f64>,
+    #[case] has_room: bool,
+) {
+    let mut daemon = Daemon::new(1);
+    daemon.pool.set_memory("llm", 7_500);
+    if let Some(speed) = speed {
+        daemon.measure(&[speed]);
+    }
+    let long = Size {
+        estimate: 4_000,
+        max_tokens: 8_000,
+        ..SIZE
+    };
+    assert_eq!(daemon.choose(long).is_some(), has_room);
+}
+
+#[rstest]
+fn a_foreign_pace_keeps_no_run_from_being_placed(
+    #[values(0.0, -1.0, f64::NAN, f64::INFINITY, 1e300)] seconds: f64,
+) {
+    let mut daemon = Daemon::new(1);
+    let key = daemon.keys[0];
+    daemon.pool.record_token_pace(START, key, seconds);
+    assert_eq!(daemon.choose(SIZE), Some(key));
+    let run = daemon.begin(key, SIZE);
+    let curve = daemon.runs.curve(START, run);
+    assert!(curve.mean().iter().all(|mean| mean.is_finite()));
+    assert!(curve.peak(3.0) >= 5_000.0);
+}
+
 /// Why the speeds of the replicas are not known.
 #[derive(Debug, Clone, Copy)]
 enum Unknown {
