--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of the daemon, exported in the Prometheus text format.
 
+pub mod load;
 pub mod quota;
 
 use std::sync::Arc;
@@ -21,6 +22,7 @@
 use prometheus::core::Collector;
 use prometheus::core::GenericGauge;
 
+use crate::metrics::load::LoadMetrics;
 use crate::metrics::quota::QuotaMetrics;
 
 /// Upper bounds of the latency buckets, in seconds; the objectives lie between 0.15 and 2 s.
@@ -65,7 +67,8 @@
     place_waits: Histogram,
     requests: IntCounterVec,
     withheld: IntCounterVec,
-    shed: IntCounterVec,
+    /// What is refused under load.
+    pub load: LoadMetrics,
     sends: IntCounterVec,
     notices: IntCounterVec,
     handoffs: IntCounterVec,
@@ -128,11 +131,7 @@
                 "Requests refused because they, or a part of their prompt, are quarantined",
                 &["content"],
             )?,
-            shed: vector(
-                "shed_total",
-                "Calls refused because every replica would answer too late",
-                &["service"],
-            )?,
+            load: LoadMetrics::new(&registry)?,
             store_calls: vector(
                 "store_calls_total",
                 "Calls of the store by step and table",
@@ -224,11 +223,6 @@
         self.withheld.with_label_values(&[content]).inc();
     }
 
-    /// Counts a call of `service` that was refused because every replica would answer too late.
-    pub fn shed(&self, service: &str) {
-        self.shed.with_label_values(&[service]).inc();
-    }
-
     /// Counts a request that was handed to a peer, or served for one, with `outcome`.
     pub fn handoff(&self, outcome: &str) {
         self.handoffs.with_label_values(&[outcome]).inc();
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -303,6 +303,9 @@
         Ok(answer) if answer.status == StatusCode::OK => match Reservation::read(&answer.body) {
             Ok(reservation) => {
                 shared.update_birth(key, reservation.birth);
+                if let Some(slowdown) = answer.slowdown {
+                    shared.note_slowdown(key, slowdown);
+                }
                 let reserved = HeldReservation {
                     shared: Rc::clone(shared),
                     key,
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -134,7 +134,7 @@
     let Some(expected) = expected.filter(|expected| age + *expected > allowed) else {
         return false;
     };
-    shared.metrics.shed(&job.service);
+    shared.metrics.load.shed(&job.service);
     log::info!(kind = "shed", request = job.call.id, service = job.service, expected_ms = expected.as_millis() as u64, age_ms = age.as_millis() as u64; "no replica would answer in time");
     true
 }
--- a/crates/gateway/src/run_tracking.rs
+++ b/crates/gateway/src/run_tracking.rs
@@ -30,6 +30,11 @@
 use crate::shared::Shared;
 use crate::shared::choice::Destination;
 
+/// Retries that are left to failures: a run is moved for its slowness only if the budget holds more.
+const MIN_RETRIES_LEFT: f64 = 3.0;
+/// Pause between two moves of this daemon from one replica for its slowness: each copies a KV cache
+/// over the replica's link, which other transfers wait for.
+const SLOW_MOVE_PAUSE: Duration = Duration::from_secs(1);
 /// Interval of the memory checks; a migration has to start some hundred milliseconds before the
 /// memory of a replica is full.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -237,11 +242,14 @@
         choose(run, from, demand, runs.answer_of(now, run).as_ref())
     });
     let by_speed = slow::due_moves(now, &pool, &runs, |run, from, demand, answer| {
-        choose(run, from, demand, Some(answer))
+        let service = &runs.get(run)?.service;
+        let has_retries = shared.retries_left(service) >= MIN_RETRIES_LEFT;
+        has_retries.then(|| choose(run, from, demand, Some(answer)))?
     });
     let by_memory = by_memory.into_iter().map(|due| (due, Reason::Memory));
     let by_speed = by_speed.into_iter().map(|due| (due, Reason::Slow));
     let mut left: BTreeSet<Key> = BTreeSet::new();
+    let mut slow = Vec::new();
     for (Move { run, to }, reason) in by_memory.chain(by_speed) {
         let from = runs.get(run).map(|entry| entry.server);
         if !from.is_some_and(|from| left.insert(from)) {
@@ -250,6 +258,12 @@
         if let Some(order) = shared.move_targets.borrow().get(&run) {
             order.target.send_replace(Some(Target { to, reason }));
         }
+        slow.extend((reason == Reason::Slow).then_some(run));
+    }
+    drop(runs);
+    for run in slow {
+        let until = now + SLOW_MOVE_PAUSE;
+        shared.runs.borrow_mut().block_slow_moves(run, until);
     }
 }
 
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -149,8 +149,7 @@
             .record_load(shared.clock.now(), key, load);
     }
     if let Some(slowdown) = head.slowdown {
-        let now = shared.clock.now();
-        shared.pool.borrow_mut().record_slowdown(now, key, slowdown);
+        shared.note_slowdown(key, slowdown);
     }
     if head.other_replica {
         shared.pool.borrow_mut().mark_replaced(key);
--- a/crates/gateway/src/shared/pace.rs
+++ b/crates/gateway/src/shared/pace.rs
@@ -62,12 +62,24 @@
         self.paces.freeze.borrow_mut().tick(now);
     }
 
+    /// Records that `key` said that work takes `slowdown` times as long as usual there. From then on,
+    /// the paces of its service are measured and announced.
+    pub fn note_slowdown(&self, key: Key, slowdown: f64) {
+        let now = self.clock.now();
+        let mut pool = self.pool.borrow_mut();
+        if !pool.record_slowdown(now, key, slowdown) {
+            return;
+        }
+        let service = pool.get(key).map_or("", |server| &server.replica.service);
+        log::info!(kind = "speed", service = service; "replicas of a service report how fast they work");
+    }
+
     /// Records that `key` prefilled a prompt of `tokens` since `begun`, with `queued` tokens known
     /// to be queued before.
     pub fn measure_prefill(&self, key: Key, begun: Time, queued: u64, tokens: u64) {
         let now = self.clock.now();
         let stood_still = self.paces.standstill.borrow().occurred_since(now, begun);
-        if queued > 0 || stood_still {
+        if queued > 0 || stood_still || !self.pool.borrow().reports_speed(key) {
             return;
         }
         let took = now.since(begun);
@@ -80,6 +92,9 @@
 
     /// Records that events with `tokens` of one stream arrived from `key`.
     pub fn measure_decode(&self, key: Key, meter: &mut StreamMeter, tokens: u64) {
+        if !self.pool.borrow().reports_speed(key) {
+            return;
+        }
         let now = self.clock.now();
         let measured = meter.record(now, tokens, &self.paces.standstill.borrow());
         let Some((took, tokens)) = measured else {
--- a/crates/gateway/src/shared/retries.rs
+++ b/crates/gateway/src/shared/retries.rs
@@ -21,13 +21,15 @@
 
     /// Whether `job` holds a permit for another run or the budget could grant one.
     pub fn can_retry(&self, job: &Job) -> bool {
-        if job.permits.borrow().has(Work::Run) {
-            return true;
-        }
+        job.permits.borrow().has(Work::Run) || self.retries_left(&job.service) >= 1.0
+    }
+
+    /// Retries left in the budget of `service`.
+    pub fn retries_left(&self, service: &str) -> f64 {
         let sharers = self.members.borrow().sharers();
         let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets.entry(job.service.clone()).or_default();
-        budget.remaining(self.clock.now(), &self.retry_policy(), sharers) >= 1.0
+        let budget = budgets.entry(service.to_owned()).or_default();
+        budget.remaining(self.clock.now(), &self.retry_policy(), sharers)
     }
 
     /// Takes a permit for `work` from the budget if `job` holds none; returns whether it holds one.
--- a/crates/relay/src/migration/slow.rs
+++ b/crates/relay/src/migration/slow.rs
@@ -36,7 +36,7 @@
     let servers: BTreeSet<Key> = runs.iter().map(|(_, entry)| entry.server).collect();
     let mut moves: Vec<Move> = Vec::new();
     for from in servers {
-        if !runs.may_move_from(now, from) {
+        if !runs.may_leave_slow(now, from) {
             continue;
         }
         let Some((run, answer)) = late_run(now, pool, runs, from) else {
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -295,11 +295,18 @@
         }
     }
 
-    /// Records that `key` said that work takes `slowdown` times as long as usual there.
-    pub fn record_slowdown(&mut self, now: Time, key: Key, slowdown: f64) {
-        if let Some(server) = self.servers.get_mut(key) {
-            server.record_slowdown(now, slowdown);
-        }
+    /// Records that `key` said that work takes `slowdown` times as long as usual there. Returns
+    /// whether it is the first replica of its service that reports how fast it works.
+    pub fn record_slowdown(&mut self, now: Time, key: Key, slowdown: f64) -> bool {
+        let Some(server) = self.servers.get_mut(key) else {
+            return false;
+        };
+        server.record_slowdown(now, slowdown);
+        let service = server.replica.service.clone();
+        !std::mem::replace(
+            &mut self.calls.entry(service).or_default().has_reports,
+            true,
+        )
     }
 
     /// Returns the replica with the lowest score that meets `criteria`, if any.
--- a/crates/relay/src/pool/calls.rs
+++ b/crates/relay/src/pool/calls.rs
@@ -20,16 +20,15 @@
     /// Mean seconds of a call that does not wait, on a replica that works as usual.
     mean: Option<f64>,
     /// Whether replicas of the service report how fast they work.
-    has_reports: bool,
+    pub(super) has_reports: bool,
 }
 
 impl Pool {
-    /// Records that replicas of the service of `key` report how fast they work.
-    pub(super) fn note_speed_reports(&mut self, key: Key) {
-        if let Some(server) = self.servers.get(key) {
-            let calls = self.calls.entry(server.replica.service.clone());
-            calls.or_default().has_reports = true;
-        }
+    /// Whether replicas of the service of `key` report how fast they work.
+    pub fn reports_speed(&self, key: Key) -> bool {
+        let calls = self.servers.get(key);
+        let calls = calls.and_then(|server| self.calls.get(&server.replica.service));
+        calls.is_some_and(|calls| calls.has_reports)
     }
 
     /// Records that a call took `took` at `key`, which had `load` other requests when it was sent.
--- a/crates/relay/src/runs.rs
+++ b/crates/relay/src/runs.rs
@@ -80,6 +80,8 @@
 pub struct Runs {
     entries: SlotMap<RunId, RunState>,
     stats: HashMap<String, ServiceStats>,
+    /// No run leaves a slow replica for its slowness before this time, because another one just did.
+    no_slow_moves_before: SecondaryMap<Key, Time>,
     /// No run leaves a replica before this time, because the replica failed to move one.
     no_moves_before: SecondaryMap<Key, Time>,
 }
@@ -199,6 +201,20 @@
         }
     }
 
+    /// Records that `id` was ordered to move since its replica is slow: no other run leaves the replica
+    /// for that reason until `until`.
+    pub fn block_slow_moves(&mut self, id: RunId, until: Time) {
+        if let Some(entry) = self.entries.get(id) {
+            self.no_slow_moves_before.insert(entry.server, until);
+        }
+    }
+
+    /// Whether runs may be moved away from `server` at `now` since it is slow.
+    pub fn may_leave_slow(&self, now: Time, server: Key) -> bool {
+        let until = self.no_slow_moves_before.get(server);
+        self.may_move_from(now, server) && until.is_none_or(|until| *until <= now)
+    }
+
     /// Whether runs may be moved away from `server` at `now`.
     pub fn may_move_from(&self, now: Time, server: Key) -> bool {
         self.no_moves_before
