Tell replicas the rank of each request where requests of a service differ in it

Cause: replicas were told the priority of a customer alone, so that engines took all routes of a service for equal: generations of an urgent route queued behind, and were preempted like, those of the least urgent one.

Change: Plan::has_ranks tells which services have requests of more than one rank, by routes (public ones too) and customers. It is derived once for a plan and is no part of the encoding that daemons exchange, so older daemons read the same bytes. Job::rank (the customer's, else the route's) replaces Job::priority in the wait queue, and is told with each send where the service has ranks; elsewhere the customer's priority is told as before.

A test that a moved run tells the rank is missing: it is built by the same Job::build_request.

--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -10,6 +10,7 @@
 use boottime::Instant;
 use bytes::Bytes;
 use customer::list::Customer;
+use customer::rank::Rank;
 use http::HeaderMap;
 use http::Method;
 use http::Request;
@@ -276,7 +277,7 @@
             time_left: self.time_left(),
             task,
             reservation,
-            priority: self.customer().and_then(|customer| customer.priority),
+            priority: self.told_priority(),
             caller: self.caller(),
         };
         let mut request = Request::builder()
@@ -295,10 +296,25 @@
         }
     }
 
-    /// Priority; 0 is the most urgent.
-    pub fn priority(&self) -> u8 {
-        let own = self.customer().and_then(|customer| customer.priority);
-        own.unwrap_or(self.route.priority)
+    /// Its rank: the customer's, else the route's.
+    pub fn rank(&self) -> Rank {
+        self.route.rank(self.own_priority())
+    }
+
+    /// Priority that replicas are told: the rank if requests for the service differ in it by the
+    /// plan in force, otherwise the customer's own priority, if any.
+    fn told_priority(&self) -> Option<u8> {
+        let plan = self.shared.plan();
+        let has_ranks = plan.is_some_and(|plan| plan.has_ranks(&self.service));
+        if has_ranks {
+            Some(self.rank().value())
+        } else {
+            self.own_priority()
+        }
+    }
+
+    fn own_priority(&self) -> Option<u8> {
+        self.customer().and_then(|customer| customer.priority)
     }
 
     fn caller(&self) -> Caller<'_> {
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -117,7 +117,7 @@
         begun
     };
     let until = from + objective.mul_f64(kind.terms(new_request_terms(shared)).wait);
-    let queue_entry = QueueEntry::new(shared, &job.service, job.priority(), kind == Kind::Returned);
+    let queue_entry = QueueEntry::new(shared, &job.service, job.rank(), kind == Kind::Returned);
     let mut rounds = 0;
     loop {
         // A resumed stream does not wait for its turn: without a placement it is aborted.
--- a/crates/gateway/src/wait_queue.rs
+++ b/crates/gateway/src/wait_queue.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use customer::rank::Rank;
 use relay::wait_queue::Ticket;
 
 use crate::shared::Shared;
@@ -15,13 +16,13 @@
 }
 
 impl QueueEntry {
-    /// Joins the queue of `service`. With `late`, it queues behind requests of the same priority
+    /// Joins the queue of `service`. With `late`, it queues behind requests of the same rank
     /// that can still meet their objective.
-    pub fn new(shared: &Rc<Shared>, service: &str, priority: u8, late: bool) -> Self {
+    pub fn new(shared: &Rc<Shared>, service: &str, rank: Rank, late: bool) -> Self {
         Self {
             shared: Rc::clone(shared),
             service: service.to_owned(),
-            ticket: shared.queue.borrow_mut().join(service, priority, late),
+            ticket: shared.queue.borrow_mut().join(service, rank, late),
         }
     }
 
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -334,7 +334,7 @@
         Ok(read) => {
             if read.plan.version > shared.plan_version() {
                 for problem in &read.problems {
-                    log::error!(kind = "plan", version = read.plan.version, cause = problem; "a customer's row is invalid");
+                    log::error!(kind = "plan", version = read.plan.version, cause = problem; "a part of a plan is invalid");
                 }
             }
             shared.apply_plan("store", read.plan);
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -24,6 +24,7 @@
 mod plain;
 mod quarantine;
 mod quotas;
+mod ranks;
 mod restarts;
 mod resumptions;
 mod second_answers;
--- a/crates/relay/src/plan.rs
+++ b/crates/relay/src/plan.rs
@@ -1,11 +1,15 @@
 //! The configuration in force: routes, services and limits.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::collections::HashSet;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use customer::digest::Digest;
 use customer::list::Customer;
 use customer::list::CustomerList;
+use customer::rank::Rank;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -24,6 +28,9 @@
     pub customers: Option<CustomerList>,
     /// Indices of the routes of each host, longest prefix first.
     by_host: HashMap<String, Vec<usize>>,
+    /// Services whose requests differ in rank. Daemons exchange plans without it.
+    #[serde(skip)]
+    ranked: OnceLock<HashSet<String>>,
 }
 
 /// Maps the requests of one host and path prefix to services.
@@ -192,6 +199,7 @@
             limits,
             customers: None,
             by_host,
+            ranked: OnceLock::new(),
         }
     }
 
@@ -200,10 +208,17 @@
     pub fn with_customers(self, customers: CustomerList) -> Self {
         Self {
             customers: Some(customers),
+            ranked: OnceLock::new(),
             ..self
         }
     }
 
+    /// Whether requests for `service` can differ in rank, through their routes or their customers.
+    pub fn has_ranks(&self, service: &str) -> bool {
+        let services = || ranked_services(&self.routes, self.customers.as_ref());
+        self.ranked.get_or_init(services).contains(service)
+    }
+
     /// Returns the caller of a request on `route` with the API key `key`.
     ///
     /// # Errors
@@ -238,7 +253,34 @@
     }
 }
 
+/// The services whose requests have more than one rank.
+fn ranked_services(routes: &[Route], customers: Option<&CustomerList>) -> HashSet<String> {
+    let own_ranks = customers.into_iter().flat_map(CustomerList::iter);
+    let own_ranks: BTreeSet<Option<u8>> = own_ranks.map(|customer| customer.priority).collect();
+    let mut by_service: HashMap<&str, BTreeSet<Rank>> = HashMap::new();
+    for route in routes {
+        let ranks = match customers {
+            Some(_) if !route.public => {
+                let ranks = own_ranks.iter().map(|own| route.rank(*own));
+                ranks.collect()
+            }
+            _ => vec![route.rank(None)],
+        };
+        for target in &route.targets {
+            let known = by_service.entry(&target.service).or_default();
+            known.extend(&ranks);
+        }
+    }
+    let ranked = by_service.into_iter().filter(|(_, ranks)| ranks.len() > 1);
+    ranked.map(|(service, _)| service.to_owned()).collect()
+}
+
 impl Route {
+    /// Rank of a request on this route whose customer has the priority `own`, if any.
+    pub fn rank(&self, own: Option<u8>) -> Rank {
+        Rank::new(own.unwrap_or(self.priority))
+    }
+
     /// Returns the service for a request, given `draw`, a random number uniform in `0.0..1.0`.
     pub fn target(&self, draw: f64) -> Option<&str> {
         let total: u32 = self.targets.iter().map(|target| target.weight).sum();
--- a/crates/relay/src/wait_queue.rs
+++ b/crates/relay/src/wait_queue.rs
@@ -2,16 +2,17 @@
 //!
 //! Without an order, small requests take any room that becomes free, and a large one starves until
 //! it times out, although it came first and is worth the most to its caller. More urgent generations
-//! go first; of equal priority, those that can still be in time go before late ones.
+//! go first; of equal rank, those that can still be in time go before late ones.
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 
+use customer::rank::Rank;
+
 /// A place in the queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Ticket {
-    /// 0 is the most urgent.
-    priority: u8,
+    rank: Rank,
     late: bool,
     sequence: u64,
 }
@@ -29,10 +30,10 @@
         Self::default()
     }
 
-    /// Joins the queue of `service`, behind all others with the same `priority` and `late`.
-    pub fn join(&mut self, service: &str, priority: u8, late: bool) -> Ticket {
+    /// Joins the queue of `service`, behind all others with the same `rank` and `late`.
+    pub fn join(&mut self, service: &str, rank: Rank, late: bool) -> Ticket {
         let ticket = Ticket {
-            priority,
+            rank,
             late,
             sequence: self.next_sequence,
         };
--- a/crates/relay/tests/plan.rs
+++ b/crates/relay/tests/plan.rs
@@ -3,6 +3,10 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use customer::list::Customer;
+use customer::list::CustomerList;
+use customer::list::Unit;
+use customer::rank::Rank;
 use relay::plan::Limits;
 use relay::plan::Mode;
 use relay::plan::Plan;
@@ -76,3 +80,69 @@
     empty.targets.clear();
     assert_eq!(empty.target(0.5), None);
 }
+
+fn ranked_route(name: &str, service: &str, priority: u8, public: bool) -> Route {
+    Route {
+        priority,
+        public,
+        targets: vec![target(service, 1)],
+        ..route(name, "a.example", &format!("/{name}/"))
+    }
+}
+
+fn customer(name: &str, priority: Option<u8>) -> Customer {
+    Customer {
+        name: name.to_owned(),
+        priority,
+        unit: Unit::Requests,
+        limit: None,
+        homes: Vec::new(),
+    }
+}
+
+/// Routes by service, priority and whether they are public; customers by their own priority.
+#[rstest]
+#[case::one_route(&[("llm", 1, false)], None, false)]
+#[case::equal_routes(&[("llm", 1, false), ("llm", 1, true)], None, false)]
+#[case::routes_differ(&[("llm", 1, false), ("llm", 2, false)], None, true)]
+#[case::routes_of_other_services_differ(&[("llm", 1, false), ("app", 2, false)], None, false)]
+#[case::beyond_the_last_rank(&[("llm", 9, false), ("llm", 12, false)], None, false)]
+#[case::customers_without(&[("llm", 1, false)], Some(&[None, None][..]), false)]
+#[case::customers_alike(&[("llm", 1, false), ("llm", 2, false)], Some(&[Some(3), Some(3)][..]), false)]
+#[case::customers_differ(&[("llm", 1, false)], Some(&[Some(1), Some(3)][..]), true)]
+#[case::customer_differs_from_route(&[("llm", 1, false)], Some(&[Some(3), None][..]), true)]
+#[case::customer_like_route(&[("llm", 1, false)], Some(&[Some(1), None][..]), false)]
+#[case::public_route_differs(&[("llm", 1, false), ("llm", 2, true)], Some(&[Some(1)][..]), true)]
+#[case::public_routes_ignore_customers(&[("llm", 1, true)], Some(&[Some(1), Some(3)][..]), false)]
+#[case::nobody_may_ask(&[("llm", 1, false), ("llm", 2, false)], Some(&[][..]), false)]
+fn a_service_has_ranks_if_its_requests_differ(
+    #[case] routes: &[(&str, u8, bool)],
+    #[case] customers: Option<&[Option<u8>]>,
+    #[case] expected: bool,
+) {
+    let routes = routes.iter().enumerate();
+    let routes = routes.map(|(index, (service, priority, public))| {
+        ranked_route(&format!("r{index}"), service, *priority, *public)
+    });
+    let plan = Plan::new(1, routes.collect(), HashMap::new(), Limits::default());
+    let plan = match customers {
+        None => plan,
+        Some(customers) => {
+            let mut list = CustomerList::new();
+            for (index, priority) in customers.iter().enumerate() {
+                list.add(customer(&format!("c{index}"), *priority), [].into_iter());
+            }
+            plan.with_customers(list)
+        }
+    };
+    assert_eq!(plan.has_ranks("llm"), expected);
+    assert!(!plan.has_ranks("unknown"));
+}
+
+#[test]
+fn customers_rank_takes_precedence_over_routes() {
+    let route = ranked_route("r", "llm", 2, false);
+    assert_eq!(route.rank(None), Rank::new(2));
+    assert_eq!(route.rank(Some(0)), Rank::new(0));
+    assert_eq!(route.rank(Some(200)).value(), 9);
+}
