waxwing crowd: who waits and who is refused; ranks and speeds in waxwing explain

Cause: who is refused and why, by customer, rank and data centre, could only be found by hand from the log lines.

Change: a command beside account counts ended requests by customer (20, most refusals first), rank and data centre (from start lines): answered, late, refused beyond the quota, for want of room and otherwise by cause, return times told, returns served and refused, units and the keepers that decided. Fields that older daemons do not log count as unknown. explain describes rank, reserve, return time, the reason of a move, and the latest pace line of each replica that served the request.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -18,7 +18,7 @@
     ("wait", &["table apply", "table force", "drain", "undrain"]),
     ("note", &["table apply", "drain", "undrain"]),
     ("edit-id", &["table apply", "drain", "undrain"]),
-    ("log", &["explain", "account"]),
+    ("log", &["explain", "account", "crowd"]),
 ];
 
 const USAGE: &str = "Usage: waxwing [options] COMMAND
@@ -36,6 +36,7 @@
     status                  show the state of each instance and its view of the others
     explain REQUEST         show what was decided for a request, and why
     account                 count the generations in log files by why they were late or lost
+    crowd                   show from log files who waits, who is refused, and why
     config check FILE       check the settings file of a daemon
 
 Examples:
@@ -49,6 +50,7 @@
     waxwing explain order-17 --log entry-1.log
     cat edge-*.log | waxwing explain 9c41d07b --log -   timeline of a request, no daemon needed
     cat edge-*.log | waxwing account --log -            what was lost, by cause and time
+    cat edge-*.log | waxwing crowd --log -              who was refused, by customer and rank
 
 Exit codes: 0 done and in force, 1 other failure, 2 usage, 3 conflict, 4 rejected,
 5 accepted but not yet in force, 6 unreachable, 7 denied, 8 undecided, 9 not found.";
@@ -98,6 +100,8 @@
     Explain(String, Vec<PathBuf>),
     /// Count the generations in log files by cause.
     Account(Vec<PathBuf>),
+    /// Count the requests in log files by who sent them and what came of them.
+    Crowd(Vec<PathBuf>),
     /// Check the settings file of a daemon.
     ConfigCheck(PathBuf),
     /// Print the help text.
@@ -177,6 +181,10 @@
             }
             logs => Ok(Command::Account(logs)),
         },
+        ["crowd"] => match log_paths(matches) {
+            logs if logs.is_empty() => Err(usage_error("crowd: --log FILE is missing".to_owned())),
+            logs => Ok(Command::Crowd(logs)),
+        },
         ["config", "check", file] => Ok(Command::ConfigCheck(file.into())),
         [] => Err(usage_error("no command given".to_owned())),
         _ => Err(usage_error(format!(
--- a/crates/ctl/src/commands/mod.rs
+++ b/crates/ctl/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod account;
 mod apply;
 mod check;
+mod crowd;
 mod drain;
 mod explain;
 mod history;
@@ -54,6 +55,7 @@
             explain::run(&invocation.options, request, logs, output).await
         }
         Command::Account(logs) => account::run(logs, output),
+        Command::Crowd(logs) => crowd::run(logs, output),
         Command::ConfigCheck(path) => check::settings(path, output),
     }
 }
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod client;
 pub mod commands;
 pub mod config;
+pub mod crowd;
 pub mod error;
 pub mod exit_codes;
 pub mod output;
--- a/crates/ctl/src/timeline.rs
+++ b/crates/ctl/src/timeline.rs
@@ -100,7 +100,9 @@
         })
         .collect();
     let evacuations = earlier_evacuations(&parsed, &request_lines);
+    let paces = known_paces(&parsed, &request_lines);
     request_lines.extend(daemon_lines);
+    request_lines.extend(paces);
     request_lines.extend(evacuations);
     sort_and_dedup(&mut request_lines);
     let mut timeline: Vec<String> = request_lines
@@ -164,6 +166,35 @@
         .collect()
 }
 
+/// For each replica of the request, the latest line on its speed that a run of the request logged
+/// before the end of the request.
+fn known_paces<'a, 'b>(
+    parsed: &'a [(LineHeader, &'b Value)],
+    request_lines: &[&(LineHeader, &Value)],
+) -> Vec<&'a (LineHeader, &'b Value)> {
+    let concerns_request = |line: &LineHeader, value: &Value| {
+        let mut same_run = request_lines
+            .iter()
+            .filter(|(other, _)| other.instance == line.instance && other.run == line.run);
+        let is_used = same_run
+            .clone()
+            .any(|(_, other)| other["replica"] == value["replica"]);
+        is_used && same_run.any(|(other, _)| line.up_ms <= other.up_ms)
+    };
+    let mut latest = HashMap::new();
+    let lines = parsed.iter().filter(|(line, _)| line.kind == "pace");
+    for entry in lines.filter(|(line, value)| concerns_request(line, value)) {
+        let (line, value) = entry;
+        let replica = value["replica"].to_string();
+        let run = (line.instance.clone(), line.run.clone(), replica);
+        let known: &mut &(LineHeader, &Value) = latest.entry(run).or_insert(entry);
+        if known.0.up_ms <= line.up_ms {
+            *known = entry;
+        }
+    }
+    latest.into_values().collect()
+}
+
 /// Orders lines by run and time, and removes duplicates.
 fn sort_and_dedup(request_lines: &mut Vec<&(LineHeader, &Value)>) {
     // The time of day may jump, so it only orders the runs; `up_ms` orders the lines of a run.
--- a/crates/ctl/src/timeline/describe.rs
+++ b/crates/ctl/src/timeline/describe.rs
@@ -88,8 +88,9 @@
             text("events")
         ),
         "move" if text("stopped") == "true" => format!(
-            "the run moved from {}, whose memory was nearly full, to {} after {} events{}",
+            "the run moved from {}, {}, to {} after {} events{}",
             text("replica"),
+            describe_reason(line),
             text("to"),
             text("events"),
             if text("copied") == "true" {
@@ -105,8 +106,13 @@
             text("cause")
         ),
         "handoff" => describe_handoff(line, &text),
+        "pace" => describe_pace(line, &text),
         "pause" | "stop" | "evacuation" | "overload" => describe_surroundings(kind, &text),
-        "end" => format!("END: {}", describe_end(&text("outcome"), &text)),
+        "end" => format!(
+            "END: {}{}",
+            describe_end(&text("outcome"), &text),
+            describe_standing(line)
+        ),
         _ => text("text"),
     }
 }
@@ -182,13 +188,57 @@
     match line["keeper"].as_str() {
         None | Some("") => format!("{demand}; no keeper replied"),
         Some(keeper) => format!(
-            "{demand}; {keeper} replied after {} ms: {decision}, {} units left",
+            "{demand}; {keeper} replied after {} ms: {decision}, {} units left{}{}",
             text("ms"),
-            text("left")
+            text("left"),
+            describe_reserve(line),
+            describe_standing(line)
         ),
     }
 }
 
+/// The units left to requests that go first, and the return time; empty in lines without them.
+fn describe_reserve(line: &Value) -> String {
+    let positive = |name: &str| line[name].as_f64().filter(|value| *value > 0.0);
+    let ahead = positive("ahead").map_or_else(String::new, |units| {
+        format!(", {units} units reserved for more urgent requests")
+    });
+    let told = positive("come_back_ms")
+        .map_or_else(String::new, |ms| format!(", to come back after {ms} ms"));
+    ahead + &told
+}
+
+/// Rank, whether it was refused before, and the return time; empty in lines without them.
+fn describe_standing(line: &Value) -> String {
+    let rank = line["rank"].as_u64().map(|rank| format!("rank {rank}"));
+    let returned = line["returned"].as_bool().filter(|returned| *returned);
+    let returned = returned.map(|_| "refused before".to_owned());
+    let told = line["retry_after_ms"].as_u64().filter(|ms| *ms > 0);
+    let told = told.map(|ms| format!("told to come back after {ms} ms"));
+    let known: Vec<String> = [rank, returned, told].into_iter().flatten().collect();
+    if known.is_empty() {
+        return String::new();
+    }
+    format!(" ({})", known.join(", "))
+}
+
+/// Describes the speed that a daemon knows of a replica; older lines may lack fields.
+fn describe_pace(line: &Value, text: &impl Fn(&str) -> String) -> String {
+    let speed = line["us_per_token"].as_f64();
+    let speed = speed.map_or_else(|| "?".to_owned(), |us| format!("{us:.0}"));
+    format!(
+        "(the replica {} takes {speed} microseconds for a token, source {})",
+        text("replica"),
+        text("source")
+    )
+}
+
+/// Why a run is moved.
+fn describe_reason(line: &Value) -> &str {
+    let reason = line["reason"].as_str().filter(|reason| !reason.is_empty());
+    reason.unwrap_or("whose memory was nearly full")
+}
+
 /// Names the KV cache of a line; empty if the line has none.
 fn describe_cache(name: &str) -> String {
     match name {
--- a/crates/ctl/tests/waxwing/views.rs
+++ b/crates/ctl/tests/waxwing/views.rs
@@ -379,3 +379,111 @@
         ],
     );
 }
+
+/// Lines of requests that compete for a quota, and of one at a slow replica.
+const CROWD_LOG: &str = include_str!("../crowd.log");
+
+#[test]
+fn timeline_shows_rank_reserve_and_return_time() {
+    let env = Env::new();
+    let log = env.write_file("crowd.log", CROWD_LOG);
+    let output = env.run(&["explain", "a3", "--log", &log]).assert_code(0);
+    let parts = [
+        "1500 units left, 9000 units reserved for more urgent requests, to come back after 4000 ms (rank 2, refused before)",
+        "END: refused with 429",
+        "(rank 2, refused before, told to come back after 4000 ms)",
+    ];
+    assert_in_order(&output.stdout, &parts);
+}
+
+/// Lines of older daemons have none of these fields.
+#[test]
+fn timeline_without_ranks_is_unchanged() {
+    let env = Env::new();
+    let log = env.write_file("crowd.log", CROWD_LOG);
+    let output = env.run(&["explain", "c1", "--log", &log]).assert_code(0);
+    assert!(
+        output
+            .stdout
+            .contains("END: answered with 200 after 12 ms\n")
+    );
+}
+
+#[test]
+fn timeline_shows_why_a_run_moved_and_the_speed_of_its_replica() {
+    let env = Env::new();
+    let line = |up_ms: u32, kind: &str, more: &str| {
+        format!(
+            r#"{{"instance":"edge-1","run":"r","up_ms":{up_ms},"time":"2026-12-02T10:00:01Z","kind":"{kind}",{more}}}"#
+        )
+    };
+    let lines = [
+        line(
+            1,
+            "pace",
+            r#""replica":"i-1","us_per_token":9000.0,"source":"own""#,
+        ),
+        line(
+            2,
+            "pace",
+            r#""replica":"i-1","us_per_token":48000.0,"source":"own""#,
+        ),
+        line(
+            3,
+            "pace",
+            r#""replica":"i-2","us_per_token":7000.0,"source":"own""#,
+        ),
+        line(
+            4,
+            "send",
+            r#""request":"9c41","replica":"i-1","task":"decode""#,
+        ),
+        line(
+            5,
+            "move",
+            r#""request":"9c41","replica":"i-1","to":"i-3","stopped":true,"copied":true,"events":4,"reason":"which was too slow""#,
+        ),
+        line(
+            6,
+            "end",
+            r#""request":"9c41","outcome":"answered","status":200,"ms":30"#,
+        ),
+        line(
+            7,
+            "pace",
+            r#""replica":"i-1","us_per_token":9000.0,"source":"own""#,
+        ),
+    ];
+    let log = env.write_file("paces.log", &lines.join("\n"));
+    let output = env.run(&["explain", "9c41", "--log", &log]).assert_code(0);
+    let parts = [
+        "i-1 takes 48000 microseconds for a token",
+        "sent to i-1",
+        "moved from i-1, which was too slow, to i-3",
+        "END",
+    ];
+    assert_in_order(&output.stdout, &parts);
+    assert!(!output.stdout.contains("9000"), "{}", output.stdout);
+    assert!(!output.stdout.contains("i-2"), "{}", output.stdout);
+}
+
+#[test]
+fn crowd_prints_customers_ranks_and_data_centres() {
+    let env = Env::new();
+    let log = env.write_file("crowd.log", CROWD_LOG);
+    let output = env.run(&["crowd", "--log", &log]).assert_code(0);
+    let parts = [
+        "customer",
+        "krmiva",
+        "farma",
+        "rank",
+        "data centre",
+        "osijek",
+    ];
+    assert_in_order(&output.stdout, &parts);
+    let json = env.run(&["crowd", "--json", "--log", &log]).assert_code(0);
+    let report: Value = serde_json::from_str(&json.stdout).unwrap();
+    assert_eq!(report["customers"][0]["name"], "krmiva");
+    assert_eq!(report["customers"][0]["counts"]["beyond_quota"], 2);
+    env.run(&["crowd"]).assert_code(2);
+}
