--- a/crates/gateway/tests/gateway/migration.rs
+++ b/crates/gateway/tests/gateway/migration.rs
@@ -158,8 +158,14 @@
 
 /// Starts a site whose replicas have KV cache memory for the prompts of two runs and about half of their output.
 fn start_site(name: &str, source: &SourceReplica) -> Site {
+    start_site_with_priority(name, source, 1)
+}
+
+/// The same with this priority of the route `draft`; that of all others is 1.
+fn start_site_with_priority(name: &str, source: &SourceReplica, priority: u8) -> Site {
     let site = Site::start(name, &[(&source.replica, "llm", "decode")]);
     let mut small = config(2);
+    small["routes"][2]["priority"] = priority.into();
     let engine = &mut small["services"][1]["engine"];
     engine["kv-tokens"] = 6_000.into();
     engine["moves"] = true.into();
@@ -228,6 +234,18 @@
     assert!(last_event(&continued[0]) > 0);
 }
 
+/// Guards against a moved run that its new replica takes for more or less urgent than the old one did.
+#[test]
+fn a_moved_run_keeps_its_rank() {
+    let source = SourceReplica::start(MoveResponse::Copied);
+    let target = start_target();
+    let site = start_site_with_priority("moved-rank", &source, 4);
+    assert_both_complete(start_two_runs(&site, &source, &target, "/draft/1"));
+    let continued = continued(&target);
+    assert_eq!(continued.len(), 1);
+    assert_eq!(continued[0].header("request-priority"), Some("4"));
+}
+
 #[test]
 fn a_run_whose_kv_cache_cannot_be_copied_continues_at_its_replica() {
     let source = SourceReplica::start(MoveResponse::OnlyStopped);
