--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -29,6 +29,7 @@
 mod quota_order;
 mod quota_peer;
 mod quotas;
+mod ranks;
 mod restarts;
 mod resumptions;
 mod second_answers;
