--- a/crates/gateway/src/begins/storage.rs
+++ b/crates/gateway/src/begins/storage.rs
@@ -55,7 +55,11 @@
     if shared.replicas_age() > MAX_LIST_AGE {
         return;
     }
-    let epoch = Epoch::new(software, shared.replicas_version());
+    let epoch = {
+        let pool = shared.pool.borrow();
+        let listed = pool.replicas().map(|replica| replica.id.as_str());
+        Epoch::new(software, pool.version()).with_listed(listed)
+    };
     let value = match serde_json::to_vec(&epoch) {
         Ok(value) => value,
         Err(error) => {
