--- a/crates/gateway/src/shared/pace.rs
+++ b/crates/gateway/src/shared/pace.rs
@@ -141,7 +141,10 @@
 
     fn log_peer_pace(&self, now: Time, report: &PaceReport) {
         let key = self.pool.borrow().key_of(report.replica);
-        let Some(key) = key else { return };
+        let is_first = |key: &Key| !self.paces.log_filter.borrow().is_known(*key);
+        let Some(key) = key.filter(is_first) else {
+            return;
+        };
         let pace = self.pool.borrow().token_pace(now, key);
         if let Some(pace) = pace {
             self.log_pace(now, key, pace, "peer");
--- a/crates/relay/src/pace/log_filter.rs
+++ b/crates/relay/src/pace/log_filter.rs
@@ -25,6 +25,11 @@
         Self::default()
     }
 
+    /// Whether a pace of `key` was logged. A change that a peer measured is logged by the peer.
+    pub fn is_known(&self, key: Key) -> bool {
+        self.logged.contains_key(key)
+    }
+
     /// Whether to log at `now` that `key` takes `seconds` per token.
     pub fn is_due(&mut self, now: Time, key: Key, seconds: f64) -> bool {
         let changed = |logged: &f64| (seconds / logged).max(logged / seconds) > MIN_CHANGE;
--- a/crates/relay/tests/pace.rs
+++ b/crates/relay/tests/pace.rs
@@ -416,7 +416,9 @@
     let mut filter = LogFilter::new();
     let key = daemon.key(0);
     let paces = [USUAL, 1.2 * USUAL, 1.3 * USUAL, 1.1 * USUAL, USUAL];
+    assert!(!filter.is_known(key));
     let due = paces.map(|pace| filter.is_due(START, key, pace));
+    assert!(filter.is_known(key));
     assert_eq!(due, [true, false, true, false, true]);
     let keys = (1..30).map(|replica| daemon.key(replica));
     let lines = keys.filter(|key| filter.is_due(START, *key, USUAL)).count();
