--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -121,10 +121,18 @@
 }
 
 /// Whether a call would have to wait so long for a slot of `key`, the best replica, that its answer
-/// would be late. In a queue of such calls every answer is late.
+/// would be late. In a queue of such calls every answer is late. Never where customers have no quotas
+/// and replicas do not report how fast they work.
 fn would_be_late(shared: &Shared, job: &Job, key: Key) -> bool {
     let now = shared.clock.now();
-    let expected = shared.pool.borrow().queued_call_time(now, key);
+    let pool = shared.pool.borrow();
+    let has_quota = job
+        .customer()
+        .is_some_and(|customer| customer.limit.is_some());
+    if !has_quota && !pool.reports_speed(key) {
+        return false;
+    }
+    let expected = pool.queued_call_time(now, key);
     let age = if job.standing().returned {
         Duration::ZERO
     } else {
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -35,6 +35,7 @@
 mod second_answers;
 mod second_calls;
 mod second_store;
+mod shedding;
 mod site;
 mod slowdown;
 mod stages;
--- a/crates/gateway/tests/gateway/paces.rs
+++ b/crates/gateway/tests/gateway/paces.rs
@@ -126,16 +126,20 @@
     assert_eq!(bytes == before, !expected);
 }
 
-/// A prefill replica that takes `pause` for each prompt.
-fn prefill_replica(id: &str, pause: Duration) -> Replica {
+/// A prefill replica that takes `pause` for each prompt and reports `load`.
+fn prefill_replica(id: &str, pause: Duration, load: &'static str) -> Replica {
     Replica::start(id, move |request| {
         thread::sleep(pause);
         let id = request.header("request-id").unwrap_or_default();
         let body = br#"{"kv-handle":"k1","tokens":1460,"version":1}"#;
-        Action::Send(answer(200, &[("request-id", id)], body))
+        let headers = [("request-id", id), ("server-load", load)];
+        Action::Send(answer(200, &headers, body))
     })
 }
 
+/// Load of a replica that reports that it works as fast as usual.
+const LOAD_WITH_SPEED: &str = "1,0,8,100";
+
 fn generate(daemon: &Daemon, id: &str) {
     let response = start_generation(daemon, "/draft/1", id).read();
     assert_eq!(response.status(), 200);
@@ -155,8 +159,8 @@
     let decode = Replica::start("i-d", |request| {
         Action::Send([stream_head(request), events(1, 2), chunk(b"")].concat())
     });
-    let fast = prefill_replica("i-fast", Duration::ZERO);
-    let slow = prefill_replica("i-slow", SLOW);
+    let fast = prefill_replica("i-fast", Duration::ZERO, LOAD_WITH_SPEED);
+    let slow = prefill_replica("i-slow", SLOW, LOAD_WITH_SPEED);
     let replicas = [
         (&decode, "llm", "decode"),
         (&fast, "llm", "prefill"),
@@ -192,3 +196,25 @@
         "{metrics}"
     );
 }
+
+/// Guards against an effect where replicas do not report how fast they work.
+#[test]
+fn replicas_that_report_no_speed_are_not_measured() {
+    let decode = Replica::start("i-d", |request| {
+        Action::Send([stream_head(request), events(1, 2), chunk(b"")].concat())
+    });
+    let fast = prefill_replica("i-fast", Duration::ZERO, "1,0,8");
+    let slow = prefill_replica("i-slow", SLOW, "1,0,8");
+    let replicas = [
+        (&decode, "llm", "decode"),
+        (&fast, "llm", "prefill"),
+        (&slow, "llm", "prefill"),
+    ];
+    let site = Site::start("paces-unreported", &replicas);
+    for number in 0..8 {
+        generate(&site.daemon, &format!("a{number}"));
+    }
+    assert!(site.daemon.logged("\"kind\":\"pace\"").is_empty());
+    let metrics = site.daemon.metrics();
+    assert!(metrics.contains("replica_paces 0"), "{metrics}");
+}
--- a/crates/relay/src/pool/calls.rs
+++ b/crates/relay/src/pool/calls.rs
@@ -51,12 +51,12 @@
     }
 
     /// Expected time to the answer of a call that has to wait for a slot of `key`. `None` if a slot is
-    /// free, or if replicas of its service do not report how fast they work.
+    /// free, or no call was measured.
     pub fn queued_call_time(&self, now: Time, key: Key) -> Option<Duration> {
         let server = self.servers.get(key)?;
         let calls = self.calls.get(&server.replica.service)?;
         let factor = queue_factor(server, server.load(now));
-        let mean = calls.mean.filter(|_| calls.has_reports && factor > 1.0)?;
+        let mean = calls.mean.filter(|_| factor > 1.0)?;
         let slowdown = server.slowdown(now).unwrap_or(1.0);
         Duration::try_from_secs_f64(mean * factor * slowdown).ok()
     }
--- a/crates/relay/tests/calls.rs
+++ b/crates/relay/tests/calls.rs
@@ -87,11 +87,19 @@
 }
 
 #[test]
-fn nothing_is_expected_of_services_whose_replicas_report_no_speed() {
-    let (mut pool, key) = pool(false);
+fn nothing_is_expected_before_a_call_was_measured() {
+    let mut pool = common::pool(at(0), vec![replica("i-1")]);
+    let key = choose(&pool, at(0)).unwrap();
     pool.record_load(at(100), key, load(6, 24));
     assert_eq!(pool.queued_call_time(at(100), key), None);
-    assert!(!pool.reports_speed(key));
+}
+
+#[rstest]
+#[case(true)]
+#[case(false)]
+fn a_service_reports_speed_if_one_of_its_replicas_did(#[case] reports_speed: bool) {
+    let (pool, key) = pool(reports_speed);
+    assert_eq!(pool.reports_speed(key), reports_speed);
 }
 
 #[test]
