Mend what the review of quotas, records and shedding found

- a restart under the same id does not show in the record of the only version: nothing is recorded where replicas report their start
- a lost datagram does not mark a keeper as an earlier version
- requests that ran from the local budget leave the reserve to those ahead, or are asked for first
- a call is shed only if the next best replica is late, too; its mean is that of successes
- promises of later ranks fall with what is left for them
- after an answer without a length, connections to its replica are used once
- explain reads the field returned as daemons write it

--- a/crates/ctl/src/timeline/describe.rs
+++ b/crates/ctl/src/timeline/describe.rs
@@ -211,8 +211,8 @@
 /// Rank, whether it was refused before, and the return time; empty in lines without them.
 fn describe_standing(line: &Value) -> String {
     let rank = line["rank"].as_u64().map(|rank| format!("rank {rank}"));
-    let returned = line["returned"].as_bool().filter(|returned| *returned);
-    let returned = returned.map(|_| "refused before".to_owned());
+    let returned = line["returned"] == "true";
+    let returned = returned.then(|| "refused before".to_owned());
     let told = line["retry_after_ms"].as_u64().filter(|ms| *ms > 0);
     let told = told.map(|ms| format!("told to come back after {ms} ms"));
     let known: Vec<String> = [rank, returned, told].into_iter().flatten().collect();
--- a/crates/customer/src/bucket.rs
+++ b/crates/customer/src/bucket.rs
@@ -145,17 +145,25 @@
         for rank in 0..RANKS {
             let back = Standing::new(Rank::new(rank as u8)).with_returned(true);
             let refilled = self.rate_left(limit, back) * seconds;
-            let part = self.promised[rank].min((refilled - settled).max(0.0));
+            let unsettled = (limit.rate * seconds - settled).max(0.0);
+            let part = self.promised[rank].min(refilled).min(unsettled);
             self.promised[rank] -= part;
             settled += part;
         }
     }
 
-    /// Takes `units` for a request that already ran; returns whether enough were left.
+    /// Takes `units` for a request that already ran; returns whether enough were left, also for those
+    /// ahead of all others.
     pub fn debit(&mut self, now: Time, limit: Limit, units: f64) -> bool {
         let level = self.level(now, limit);
         self.level -= units;
-        level >= units.min(limit.burst)
+        let last = Standing::new(Rank::new(u8::MAX)).with_returned(true);
+        let reserve = if self.demand.is_mixed() {
+            self.reserve(limit, units, last)
+        } else {
+            0.0
+        };
+        level >= units.min(limit.burst) + reserve
     }
 
     /// Time until the level is no longer negative.
--- a/crates/customer/src/rank.rs
+++ b/crates/customer/src/rank.rs
@@ -51,8 +51,8 @@
 }
 
 impl Standing {
-    /// Standing of requests that do not differ from the others of their customer, or of which only
-    /// older daemons know more.
+    /// Standing of requests that do not differ from the others of their customer, or that daemons
+    /// without standings ask for.
     pub const PLAIN: Self = Self::new(MIDDLE);
 
     /// The standing of a request of `rank` that can be in time.
--- a/crates/gateway/src/begins/storage.rs
+++ b/crates/gateway/src/begins/storage.rs
@@ -57,6 +57,10 @@
     }
     let epoch = {
         let pool = shared.pool.borrow();
+        // Such a replica keeps its id when it restarts, with whatever version.
+        if pool.replicas().any(|replica| replica.birth.is_some()) {
+            return;
+        }
         let listed = pool.replicas().map(|replica| replica.id.as_str());
         Epoch::new(software, pool.version()).with_listed(listed)
     };
@@ -76,7 +80,8 @@
 /// Looks up in the store whether one version alone has served `service`. Returns whether this daemon
 /// knows it now.
 pub async fn find(shared: &Shared, service: &str) -> bool {
-    if !shared.begin_reading_versions(RETRY_PAUSE) {
+    let has_one_version = shared.pool.borrow().has_one_version(service);
+    if !has_one_version || !shared.begin_reading_versions(RETRY_PAUSE) {
         return false;
     }
     let Some(epoch) = read(shared, service).await else {
--- a/crates/gateway/src/connections/pool.rs
+++ b/crates/gateway/src/connections/pool.rs
@@ -38,7 +38,7 @@
     pub connector: Connector,
     idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
     /// When a request was last answered twice, by address.
-    duplicate_answer_at: RefCell<HashMap<SocketAddr, Instant>>,
+    single_use_since: RefCell<HashMap<SocketAddr, Instant>>,
 }
 
 impl ConnectionPool {
@@ -106,23 +106,34 @@
         self.idle.borrow_mut().remove(&address);
     }
 
+    /// Records that an answer from `address` had no length, and closes the idle connections to it: on a
+    /// connection that had other requests, the end of such an answer is not known.
+    pub fn record_answer_without_length(&self, address: SocketAddr) {
+        self.use_once(address);
+    }
+
     /// Records a duplicate answer from `address`, and closes the idle connections to it.
     pub fn record_duplicate_answer(&self, address: SocketAddr) {
+        self.use_once(address);
+    }
+
+    /// From now on for [`SINGLE_USE_TIME`], connections to `address` are used only once.
+    fn use_once(&self, address: SocketAddr) {
         let now = Instant::now();
-        self.duplicate_answer_at.borrow_mut().insert(address, now);
+        self.single_use_since.borrow_mut().insert(address, now);
         self.close_idle(address);
     }
 
     fn is_single_use(&self, address: SocketAddr) -> bool {
-        let duplicate_at = self.duplicate_answer_at.borrow();
-        let duplicate_at = duplicate_at.get(&address);
-        duplicate_at.is_some_and(|duplicate_at| duplicate_at.elapsed() < SINGLE_USE_TIME)
+        let since = self.single_use_since.borrow();
+        let since = since.get(&address);
+        since.is_some_and(|since| since.elapsed() < SINGLE_USE_TIME)
     }
 
-    /// Closes connections that were idle for too long, and forgets old duplicate answers.
+    /// Closes connections that were idle for too long, and forgets since when others are used once.
     pub fn close_expired(&self) {
-        let mut duplicate_at = self.duplicate_answer_at.borrow_mut();
-        duplicate_at.retain(|_, at| at.elapsed() < SINGLE_USE_TIME);
+        let mut since = self.single_use_since.borrow_mut();
+        since.retain(|_, at| at.elapsed() < SINGLE_USE_TIME);
         let mut idle = self.idle.borrow_mut();
         for connections in idle.values_mut() {
             connections.retain(Connection::is_usable);
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -43,7 +43,7 @@
 /// Mean `Retry-After` of calls that would be late; a crowd lasts for some seconds.
 const CROWDED_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Logged cause of their refusal.
-const CROWDED_CAUSE: &str = "no replica would answer in time";
+const CROWDED_CAUSE: &str = "the best replicas would answer too late";
 /// Interval at which a waiting request looks for a replica.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -74,10 +74,10 @@
         let Some(key) = choose_replica(shared, &job, None, &tried).await else {
             return end_without_replica(shared, job, &attempt, failure).await;
         };
-        if tried.is_empty() && would_be_late(shared, &job, key) {
+        let Some(key) = timely_replica(shared, &job, key, &tried) else {
             let retry_after = CROWDED_RETRY_AFTER.mul_f64(rand::random_range(0.75..1.25));
             return ending::refuse(shared, &mut job, retry_after, CROWDED_CAUSE);
-        }
+        };
         let Some(permit) = job.take_permit(Work::Run) else {
             return end_without_replica(shared, job, &attempt, failure).await;
         };
@@ -120,31 +120,43 @@
     }
 }
 
-/// Whether a call would have to wait so long for a slot of `key`, the best replica, that its answer
-/// would be late. In a queue of such calls every answer is late. Never where customers have no quotas
-/// and replicas do not report how fast they work.
-fn would_be_late(shared: &Shared, job: &Job, key: Key) -> bool {
-    let now = shared.clock.now();
-    let pool = shared.pool.borrow();
+/// The replica for the first send of a call: `key`, the best one, or the next best if the call would
+/// have to wait for a slot of `key` until its answer is late. `None` if it would at both: in a queue of
+/// such calls every answer is late. Always `key` where customers have no quotas and replicas do not
+/// report how fast they work, and for later sends.
+fn timely_replica(shared: &Shared, job: &Job, key: Key, tried: &[Key]) -> Option<Key> {
     let has_quota = job
         .customer()
         .is_some_and(|customer| customer.limit.is_some());
-    if !has_quota && !pool.reports_speed(key) {
-        return false;
+    let is_bounded = has_quota || shared.pool.borrow().reports_speed(key);
+    if !is_bounded || !tried.is_empty() {
+        return Some(key);
     }
-    let expected = pool.queued_call_time(now, key);
+    let Some(expected) = late_answer_time(shared, job, key) else {
+        return Some(key);
+    };
+    let other = shared.choose(job.destination(), None, &[key]);
+    let other = other.filter(|other| !shared.is_limited(*other));
+    if let Some(other) = other.filter(|other| late_answer_time(shared, job, *other).is_none()) {
+        return Some(other);
+    }
+    shared.metrics.load.shed(&job.service);
+    log::info!(kind = "shed", request = job.call.id, service = job.service, expected_ms = expected.as_millis() as u64, age_ms = job.age().as_millis() as u64; "the best replicas would answer too late");
+    None
+}
+
+/// Expected time to the answer of `key`, if the call has to wait for a slot and is expected to be late.
+/// One that returned late in any case is judged as if it had just come.
+fn late_answer_time(shared: &Shared, job: &Job, key: Key) -> Option<Duration> {
+    let now = shared.clock.now();
+    let expected = shared.pool.borrow().queued_call_time(now, key)?;
     let age = if job.standing().returned {
         Duration::ZERO
     } else {
         job.age()
     };
     let allowed = job.route.objective.mul_f64(IN_TIME_FRACTION);
-    let Some(expected) = expected.filter(|expected| age + *expected > allowed) else {
-        return false;
-    };
-    shared.metrics.load.shed(&job.service);
-    log::info!(kind = "shed", request = job.call.id, service = job.service, expected_ms = expected.as_millis() as u64, age_ms = age.as_millis() as u64; "no replica would answer in time");
-    true
+    (age + expected > allowed).then_some(expected)
 }
 
 fn next_after(shared: &Shared, job: &Job, attempt: &mut Attempt, outcome: Outcome) -> Next {
@@ -263,9 +275,11 @@
     match send::read_whole(shared, reply, ending::MAX_ANSWER_BYTES).await {
         Ok(whole) => {
             shared.record_work(key, begun.elapsed(), 1.0);
-            let now = shared.clock.now();
-            let mut pool = shared.pool.borrow_mut();
-            pool.record_call(now, key, begun.elapsed(), load);
+            if whole.head.status.is_success() {
+                let now = shared.clock.now();
+                let mut pool = shared.pool.borrow_mut();
+                pool.record_call(now, key, begun.elapsed(), load);
+            }
             Ok(Answer {
                 status: whole.head.status,
                 headers: whole.headers,
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -42,19 +42,9 @@
     })
 }
 
-/// The standing of `job` among the requests of its customer; `None` if it is the same for all but
-/// those that returned. Where ranks do not differ, any rank serves, and the one that counts for requests
-/// without a standing is taken.
+/// The standing of `job` among the requests of its customer; `None` if they have one rank.
 fn distinct_standing(shared: &Shared, job: &Job) -> Option<Standing> {
-    let plan = shared.plan();
-    let ranks_differ = plan.zip(job.customer());
-    let ranks_differ = ranks_differ.is_some_and(|(plan, customer)| plan.ranks_differ(customer));
-    let standing = job.standing();
-    match (ranks_differ, standing.returned) {
-        (true, _) => Some(standing),
-        (false, true) => Some(Standing::PLAIN.with_returned(true)),
-        (false, false) => None,
-    }
+    shared.has_ranks_of_customer(job).then(|| job.standing())
 }
 
 /// Charges `job` to its customer's quota; returns the response if the quota does not admit it.
--- a/crates/gateway/src/quota/client.rs
+++ b/crates/gateway/src/quota/client.rs
@@ -146,12 +146,13 @@
     let standing = demand.standing.filter(|_| is_read);
     let mut ruling = exchange(shared, to, demand, purpose, standing).await;
     if ruling.is_none() && standing.is_some() && reads_standings.is_none() {
-        let now = shared.clock.now();
-        shared
-            .quotas
-            .borrow_mut()
-            .record_reads_standings(now, to, false);
         ruling = exchange(shared, to, demand, purpose, None).await;
+        let now = shared.clock.now();
+        let mut quotas = shared.quotas.borrow_mut();
+        // A lost datagram says nothing of the version.
+        if ruling.is_some() && quotas.reads_standings(now, to).is_none() {
+            quotas.record_reads_standings(now, to, false);
+        }
     }
     if ruling.is_none() {
         let until = shared.clock.now() + SILENT_PERIOD;
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -158,7 +158,13 @@
     if head.limit.is_some() || head.genuine {
         shared.note_limit(key, head.limit);
     }
-    let is_exact = has_explicit_end(&response) || connection.exchanges_before() == 0;
+    let has_length = has_explicit_end(&response);
+    if !has_length {
+        shared
+            .connections
+            .record_answer_without_length(connection.address());
+    }
+    let is_exact = has_length || connection.exchanges_before() == 0;
     if let Some((outcome, cause)) = invalid_reason(&head, prefill, is_exact) {
         let load = head
             .load
--- a/crates/relay/src/epoch.rs
+++ b/crates/relay/src/epoch.rs
@@ -48,12 +48,14 @@
 
     /// Whether it still holds for `service` after `changes` of the replicas since [`Self::list`].
     ///
+    /// A replica that reports its start may have restarted under its id, with another version in between.
     /// A replica that is gone and was not listed came after the record, with any version.
     pub fn holds_after(&self, service: &str, changes: &Delta) -> bool {
         let was_listed = |id: &String| self.listed.binary_search(&id_hash(id)).is_ok();
         let is_complete = changes.since <= self.list && changes.gone.iter().all(was_listed);
         let mut others = changes.replicas.iter().filter(|replica| {
-            replica.service == service && replica.software.as_deref() != Some(&self.software)
+            let is_same = replica.software.as_deref() == Some(&self.software);
+            replica.service == service && (!is_same || replica.birth.is_some())
         });
         is_complete && others.next().is_none()
     }
--- a/crates/relay/src/pool/calls.rs
+++ b/crates/relay/src/pool/calls.rs
@@ -11,14 +11,17 @@
 use crate::server::Key;
 use crate::server::Server;
 
-/// Weight of the newest answer in the mean time of the calls of a service.
+/// Least weight of the newest answer in the mean time of the calls of a service; the first ones have
+/// equal weights.
 const MEAN_WEIGHT: f64 = 0.05;
 
 /// Calls of one service.
 #[derive(Debug, Default)]
 pub(super) struct Calls {
     /// Mean seconds of a call that does not wait, on a replica that works as usual.
-    mean: Option<f64>,
+    mean: f64,
+    /// Number of calls that were measured.
+    measured: u64,
     /// Whether replicas of the service report how fast they work.
     pub(super) has_reports: bool,
 }
@@ -39,9 +42,10 @@
         let factor = queue_factor(server, load) * server.slowdown(now).unwrap_or(1.0);
         let seconds = took.as_secs_f64() / factor;
         let calls = self.calls.entry(server.replica.service.clone());
-        let mean = &mut calls.or_default().mean;
-        let before = mean.unwrap_or(seconds);
-        *mean = Some(before + MEAN_WEIGHT * (seconds - before));
+        let calls = calls.or_default();
+        calls.measured += 1;
+        let weight = (1.0 / calls.measured as f64).max(MEAN_WEIGHT);
+        calls.mean += weight * (seconds - calls.mean);
     }
 
     /// Requests at `key`, as far as known.
@@ -56,9 +60,11 @@
         let server = self.servers.get(key)?;
         let calls = self.calls.get(&server.replica.service)?;
         let factor = queue_factor(server, server.load(now));
-        let mean = calls.mean.filter(|_| factor > 1.0)?;
+        if factor <= 1.0 || calls.measured == 0 {
+            return None;
+        }
         let slowdown = server.slowdown(now).unwrap_or(1.0);
-        Duration::try_from_secs_f64(mean * factor * slowdown).ok()
+        Duration::try_from_secs_f64(calls.mean * factor * slowdown).ok()
     }
 }
 
--- a/crates/relay/src/pool/versions.rs
+++ b/crates/relay/src/pool/versions.rs
@@ -28,6 +28,12 @@
         (is_followed || self.is_vouched(service, only, followed_since)).then_some(only)
     }
 
+    /// Whether the known replicas of `service` have one software version.
+    pub fn has_one_version(&self, service: &str) -> bool {
+        let now = self.refreshed_at.unwrap_or_default();
+        self.versions.only(now, service, Duration::ZERO).is_some()
+    }
+
     /// Whether `software` is recorded as the only version before a time since which this daemon has
     /// followed the list without a gap.
     fn is_vouched(&self, service: &str, software: &str, followed_since: Time) -> bool {
--- a/crates/relay/tests/epoch.rs
+++ b/crates/relay/tests/epoch.rs
@@ -7,6 +7,7 @@
 use ident::Time;
 use relay::epoch::Epoch;
 use relay::pool::Pool;
+use relay::replica::Birth;
 use relay::replica::Delta;
 use relay::replica::Replica;
 use relay::replica::Snapshot;
@@ -29,6 +30,14 @@
     }
 }
 
+/// A replica that reports its start, and has the version of the record again.
+fn restarted(id: &str) -> Replica {
+    Replica {
+        birth: Some(Birth(7)),
+        ..replica(id, SERVICE, Some("v1"))
+    }
+}
+
 fn snapshot(version: u64, software: &[&str]) -> Snapshot {
     let ids = ["i-1", "i-2", "i-3"].into_iter().zip(software);
     let replicas = ids.map(|(id, software)| replica(id, SERVICE, Some(software)));
@@ -50,6 +59,7 @@
 #[case::the_same_version(changes(RECORDED, vec![replica("i-4", SERVICE, Some("v1"))], &[]), true)]
 #[case::another_service(changes(RECORDED, vec![replica("i-5", "other", Some("v7"))], &[]), true)]
 #[case::another_version(changes(RECORDED, vec![replica("i-4", SERVICE, Some("v2"))], &[]), false)]
+#[case::a_restart_under_the_same_id(changes(RECORDED, vec![restarted("i-1")], &[]), false)]
 #[case::an_unknown_version(changes(RECORDED, vec![replica("i-4", SERVICE, None)], &[]), false)]
 #[case::a_listed_replica_left(changes(RECORDED, vec![], &["i-1"]), true)]
 #[case::another_replica_came_and_left(changes(RECORDED, vec![], &["i-1", "i-9"]), false)]
