Consider further prefill replicas only where paces are known

Cause: a prompt left to decode replicas went on to the next prefill replica also where no pace tells the replicas apart, so the decode replicas got fewer of them. Change: without a known pace the decode replica prefills, as before paces. Shown: gateway test another_prefill_replica_is_considered_where_paces_are_known.

--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -31,7 +31,8 @@
 const MIN_TIME_FRACTION: f64 = 0.3;
 /// Replicas that a prompt is sent to at most.
 const MAX_PREFILLS: usize = 2;
-/// Replicas considered for a prompt at most, including those that would be late or fail.
+/// Replicas considered for a prompt at most, including those of known pace that would be late or
+/// fail.
 const MAX_CONSIDERED: usize = 3;
 /// Largest answer to a prefill in bytes.
 const MAX_PREFILL_ANSWER_BYTES: usize = 16 * 1024;
@@ -69,11 +70,12 @@
         // the rest is prefilled in time.
         let objective = job.route.objective;
         tried.push(key);
-        if drawn < shared.decode_prefill_share(key, job.prompt_tokens(), objective)
-            && shared.may_prefill(decode, &job.service, job.route.pause)
-        {
-            // This replica may be late or failing while others are not.
-            continue;
+        let is_left = drawn < shared.decode_prefill_share(key, job.prompt_tokens(), objective)
+            && shared.may_prefill(decode, &job.service, job.route.pause);
+        match Step::new(is_left, shared.knows_pace(key)) {
+            Step::Send => {}
+            Step::Next => continue,
+            Step::Decode => break,
         }
         // The first prefill is not a retry; that of a resumed stream is one.
         let Some(permit) = shared.take_permit(job, Work::Read) else {
@@ -108,6 +110,30 @@
     Some(local_prefill_task(last_event))
 }
 
+/// What is done with a prompt once a prefill replica has been considered for it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// This replica prefills it.
+    Send,
+    /// The next one is considered.
+    Next,
+    /// The decode replica prefills it.
+    Decode,
+}
+
+impl Step {
+    /// The step after a replica whose share of prompts this one `is_left` out of, since the replica
+    /// is late or fails, and whose pace is known or not. Others may be better only where paces tell
+    /// them apart.
+    pub const fn new(is_left: bool, knows_pace: bool) -> Self {
+        match (is_left, knows_pace) {
+            (false, _) => Self::Send,
+            (true, true) => Self::Next,
+            (true, false) => Self::Decode,
+        }
+    }
+}
+
 /// The task for a decode replica that prefills the prompt itself.
 pub const fn local_prefill_task(last_event: Option<u64>) -> Task {
     match last_event {
--- a/crates/gateway/src/shared/pace.rs
+++ b/crates/gateway/src/shared/pace.rs
@@ -107,6 +107,17 @@
         self.note_measured(now, key, pace);
     }
 
+    /// Whether the pace of `key` is known.
+    pub fn knows_pace(&self, key: Key) -> bool {
+        let pool = self.pool.borrow();
+        pool.token_pace(self.clock.now(), key).is_some()
+    }
+
+    /// Whether this process stood still just before `now`, so that runs look slow which are not.
+    pub fn stood_still(&self, now: Time) -> bool {
+        self.paces.standstill.borrow().occurred_since(now, now)
+    }
+
     fn note_measured(&self, now: Time, key: Key, pace: Option<f64>) {
         if let Some(pace) = pace {
             self.paces.publisher.borrow_mut().note_measured(key);
--- a/crates/gateway/tests/gateway/paces.rs
+++ b/crates/gateway/tests/gateway/paces.rs
@@ -11,6 +11,7 @@
 use gateway::gossip::datagram::Extension;
 use gateway::gossip::datagram::MAX_DATAGRAM;
 use gateway::instance_info::InstanceInfo;
+use gateway::prefill::Step;
 use ident::Zone;
 use relay::evacuation::Evacuations;
 use relay::pace::report::MAX_REPORTS;
@@ -137,6 +138,20 @@
     })
 }
 
+/// Without paces, another replica is not known to be better than one that is late.
+#[rstest]
+#[case::in_time(false, false, Step::Send)]
+#[case::in_time_of_known_pace(false, true, Step::Send)]
+#[case::late(true, false, Step::Decode)]
+#[case::late_of_known_pace(true, true, Step::Next)]
+fn another_prefill_replica_is_considered_where_paces_are_known(
+    #[case] is_left: bool,
+    #[case] knows_pace: bool,
+    #[case] step: Step,
+) {
+    assert_eq!(Step::new(is_left, knows_pace), step);
+}
+
 /// Load of a replica that reports that it works as fast as usual.
 const LOAD_WITH_SPEED: &str = "1,0,8,100";
 
