Keep the reservation at the least slow of the slow replicas

Cause: the last slow grant of a round was kept. Change: the one with the lowest reported slowdown is kept, the others are released. Shown: gateway test the_least_slow_of_the_slow_replicas_is_kept.

--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -203,8 +203,9 @@
     let expected = size.estimate as f64 * placing.reserve;
     let tokens = size.prompt + (expected as u64).max(generated);
     let mut asked = tried.to_vec();
-    // At a replica that is slow at present; released once another one has granted a reservation.
-    let mut slow: Option<Placement> = None;
+    // At the least slow of the replicas that are slow at present, and its slowdown; released once
+    // another one has granted a reservation.
+    let mut slow: Option<(Placement, f64)> = None;
     for _ in 0..REPLICAS_PER_ROUND {
         let choose =
             || shared.choose_decode(job.destination(), &asked, memory_demand, Some(&answer));
@@ -222,10 +223,12 @@
                     reserved: Some(reserved),
                     tracked_run: Some(tracked_run),
                 };
-                if slowdown.is_none_or(|slowdown| slowdown < MAX_SLOWDOWN) {
+                let Some(slowdown) = slowdown.filter(|slowdown| *slowdown >= MAX_SLOWDOWN) else {
                     return Some(placement);
+                };
+                if slow.as_ref().is_none_or(|(_, least)| slowdown < *least) {
+                    slow = Some((placement, slowdown));
                 }
-                slow = Some(placement);
             }
             ReserveOutcome::Withheld | ReserveOutcome::Unlisted => {}
             ReserveOutcome::NoRoom => shared
@@ -248,7 +251,7 @@
             break;
         }
     }
-    slow
+    slow.map(|(placement, _)| placement)
 }
 
 /// The kind of generation, given that `job` has generated `generated` tokens so far.
--- a/crates/gateway/tests/gateway/slowdown.rs
+++ b/crates/gateway/tests/gateway/slowdown.rs
@@ -85,3 +85,19 @@
     assert_eq!(slow.answered(), 2);
     assert_eq!(slow.released.load(Ordering::SeqCst), 0);
 }
+
+#[test]
+fn the_least_slow_of_the_slow_replicas_is_kept() {
+    // Both orders occur: replicas that are alike are asked in random order.
+    let slow = Decode::start("i-1", "1,0,64,200");
+    let slower = Decode::start("i-2", "1,0,64,800");
+    let replicas = [&slow.replica, &slower.replica].map(|replica| (replica, "llm", "decode"));
+    let site = Site::start("slowdown-all", &replicas);
+    generate(&site, 12);
+    assert_eq!((slow.answered(), slower.answered()), (12, 0));
+    assert_eq!(slower.reserved.load(Ordering::SeqCst), 12);
+    wait_until("the reservations are released", || {
+        slower.released.load(Ordering::SeqCst) == 12
+    });
+    assert_eq!(slow.released.load(Ordering::SeqCst), 0);
+}
