Forget measurements of ended replicas whenever nothing is announced

Cause: once announced differences had lapsed, measured replicas piled up. Change: they are pruned at each comparison while nothing is announced. Shown: relay test measurements_of_ended_replicas_do_not_pile_up.

--- a/crates/relay/src/pace/publisher.rs
+++ b/crates/relay/src/pace/publisher.rs
@@ -46,8 +46,7 @@
     /// the replicas of each stage are alike and all announced differences have expired.
     pub fn due(&mut self, now: Time, pool: &mut Pool) -> Vec<PaceReport> {
         self.compare(now, pool);
-        let announces = self.uneven_at.is_some_and(|at| now.since(at) < PACE_TTL);
-        if !announces || !self.take_turn(now) {
+        if !self.announces(now) || !self.take_turn(now) {
             return Vec::new();
         }
         let mut reports = Vec::new();
@@ -60,6 +59,16 @@
         reports
     }
 
+    /// Number of replicas whose measurements wait to be announced.
+    pub fn waiting(&self) -> usize {
+        self.measured.len()
+    }
+
+    /// Whether replicas of a stage differed within the time after which a pace is forgotten.
+    fn announces(&self, now: Time) -> bool {
+        self.uneven_at.is_some_and(|at| now.since(at) < PACE_TTL)
+    }
+
     /// Fills `reports` with known paces by turns.
     fn add_known(&mut self, now: Time, pool: &Pool, reports: &mut Vec<PaceReport>) {
         let count = pool.pace_count();
@@ -92,7 +101,7 @@
         pool.remove_expired_paces(now);
         if pool.has_uneven_paces(now) {
             self.uneven_at = Some(now);
-        } else if self.uneven_at.is_none() {
+        } else if !self.announces(now) {
             // What is announced first are the differences, not what was measured before them.
             self.measured
                 .retain(|key| pool.token_pace(now, *key).is_some());
--- a/crates/relay/tests/pace.rs
+++ b/crates/relay/tests/pace.rs
@@ -425,3 +425,36 @@
     assert_eq!(lines, 20 - 3);
     assert!(filter.is_due(after(1_000), daemon.key(29), USUAL));
 }
+
+/// Replicas that end while nothing is announced are forgotten, also after differences have lapsed.
+#[test]
+fn measurements_of_ended_replicas_do_not_pile_up() {
+    let engines = |birth| {
+        let listed = |engine: Replica| Replica {
+            birth: Some(Birth(birth)),
+            ..engine
+        };
+        let engines = common::engines(2, Stage::Prefill, 32).into_iter();
+        engines.map(listed).collect::<Vec<_>>()
+    };
+    let mut pool = common::pool(START, engines(1));
+    let mut publisher = Publisher::new();
+    let quiet = PACE_TTL.as_millis() as u64 + 2_000;
+    for version in 1..50 {
+        let now = after(version * 1_000 + if version > 1 { quiet } else { 0 });
+        if version > 1 {
+            let list = common::snapshot(version, engines(version));
+            pool.apply(now, &list).unwrap();
+        }
+        for (replica, pace) in [USUAL, SLOW].into_iter().enumerate() {
+            let pace = if version == 1 { pace } else { USUAL };
+            let id = incarnation_hash(&replica.to_string(), Some(Birth(version)));
+            let key = pool.key_of(id).unwrap();
+            let took = Duration::from_secs_f64(pace * PROMPT as f64);
+            pool.measure_prefill(now, key, took, PROMPT).unwrap();
+            publisher.note_measured(key);
+        }
+        assert_eq!(publisher.due(now, &mut pool).is_empty(), version > 1);
+    }
+    assert_eq!(publisher.waiting(), 2);
+}
