Restrain moves for slowness; unknown paces and slowdowns in scores

Cause: several moves of one check shared the reserve of retries; a run could be moved for slowness again at once; a slow caller or a standstill of the process made runs look slow; a replica of unknown pace counted as never late; a very slow plain replica counted as worse than one that fails. Change: no search without paces; the moves ordered in the check count against the reserve; a run rests for five seconds after such an order; recent paces are measured anew while events wait; unknown paces count as the candidates' median; the slowdown that counts for plain calls is capped. Shown: relay tests in uneven.rs and score.rs.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -204,6 +204,10 @@
         self.events += events;
         if let Some(tracked_run) = &self.tracked_run {
             tracked_run.record_events(events);
+            if self.parts.capacity() == 0 {
+                // The replica is not read until the caller has read more.
+                tracked_run.reset_recent_pace();
+            }
         }
         self.bind_to_version().await;
         if !self.started {
--- a/crates/gateway/src/run_tracking.rs
+++ b/crates/gateway/src/run_tracking.rs
@@ -35,6 +35,9 @@
 /// Pause between two moves of this daemon from one replica for its slowness: each copies a KV cache
 /// over the replica's link, which other transfers wait for.
 const SLOW_MOVE_PAUSE: Duration = Duration::from_secs(1);
+/// Time for which a run that was ordered to move for its slowness is not ordered so again: a run for
+/// which this does not help would use up the retries and the links of the replicas.
+const SLOW_MOVE_REST: Duration = Duration::from_secs(5);
 /// Interval of the memory checks; a migration has to start some hundred milliseconds before the
 /// memory of a replica is full.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -105,6 +108,11 @@
             .record_tokens(now, self.id, tokens);
     }
 
+    /// Has the run's recent pace measured anew, since events wait for a slow caller.
+    pub fn reset_recent_pace(&self) {
+        self.shared.runs.borrow_mut().reset_recent_pace(self.id);
+    }
+
     /// Records that the run continues at `server`.
     pub fn record_move(&mut self, server: Key) {
         self.shared.runs.borrow_mut().record_move(self.id, server);
@@ -231,6 +239,10 @@
 fn check_runs(shared: &Shared) {
     let now = shared.clock.now();
     shared.update_all_forecasts(now);
+    let stood_still = shared.stood_still(now);
+    if stood_still {
+        shared.runs.borrow_mut().reset_recent_paces();
+    }
     let (runs, claims) = (shared.runs.borrow(), shared.claims.borrow());
     let plan = shared.plan().filter(|_| shared.settings().placing.moves);
     let Some(plan) = plan else { return };
@@ -241,11 +253,15 @@
     let by_memory = migration::due_moves(now, &pool, &runs, &claims, |run, from, demand| {
         choose(run, from, demand, runs.answer_of(now, run).as_ref())
     });
-    let by_speed = slow::due_moves(now, &pool, &runs, |run, from, demand, answer| {
-        let service = &runs.get(run)?.service;
-        let has_retries = shared.retries_left(service) >= MIN_RETRIES_LEFT;
-        has_retries.then(|| choose(run, from, demand, Some(answer)))?
-    });
+    let may_order = |service: &str, ordered: usize| {
+        shared.retries_left(service) - ordered as f64 >= MIN_RETRIES_LEFT
+    };
+    let by_speed = if stood_still || pool.pace_count() == 0 {
+        Vec::new()
+    } else {
+        let choose = |run, from, demand, answer: &Answer| choose(run, from, demand, Some(answer));
+        slow::due_moves(now, &pool, &runs, may_order, choose)
+    };
     let by_memory = by_memory.into_iter().map(|due| (due, Reason::Memory));
     let by_speed = by_speed.into_iter().map(|due| (due, Reason::Slow));
     let mut left: BTreeSet<Key> = BTreeSet::new();
@@ -262,8 +278,8 @@
     }
     drop(runs);
     for run in slow {
-        let until = now + SLOW_MOVE_PAUSE;
-        shared.runs.borrow_mut().block_slow_moves(run, until);
+        let (others, same) = (now + SLOW_MOVE_PAUSE, now + SLOW_MOVE_REST);
+        shared.runs.borrow_mut().block_slow_moves(run, others, same);
     }
 }
 
--- a/crates/relay/src/migration/slow.rs
+++ b/crates/relay/src/migration/slow.rs
@@ -25,16 +25,19 @@
 /// Shortest rest of an answer that is moved; a shorter one ends while it is moved.
 const MIN_REST: Duration = Duration::from_millis(500);
 
-/// Returns the moves that are due, at most one per slow replica and one per target. `choose` returns
-/// a replica with room other than the given one that is fast enough for the answer.
+/// Returns the moves that are due, at most one per slow replica and one per target. `may_order` tells
+/// whether another move may be ordered for a service besides as many as given. `choose` returns a
+/// replica with room other than the given one that is fast enough for the answer.
 pub fn due_moves(
     now: Time,
     pool: &Pool,
     runs: &Runs,
+    may_order: impl Fn(&str, usize) -> bool,
     mut choose: impl FnMut(RunId, Key, MemoryDemand, &Answer) -> Option<Key>,
 ) -> Vec<Move> {
     let servers: BTreeSet<Key> = runs.iter().map(|(_, entry)| entry.server).collect();
     let mut moves: Vec<Move> = Vec::new();
+    let service_of = |run: RunId| runs.get(run).map(|entry| entry.service.as_str());
     for from in servers {
         if !runs.may_leave_slow(now, from) {
             continue;
@@ -42,6 +45,11 @@
         let Some((run, answer)) = late_run(now, pool, runs, from) else {
             continue;
         };
+        let service = service_of(run);
+        let ordered = moves.iter().filter(|due| service_of(due.run) == service);
+        if !service.is_some_and(|service| may_order(service, ordered.count())) {
+            continue;
+        }
         let demand = MemoryDemand {
             curve: runs.curve(now, run),
             spreads: SPREADS,
@@ -59,7 +67,7 @@
 fn late_run(now: Time, pool: &Pool, runs: &Runs, from: Key) -> Option<(RunId, Answer)> {
     let known = pool.token_pace(now, from);
     let here = runs.iter().filter(|(_, entry)| entry.server == from);
-    let movable = here.filter(|(_, entry)| entry.is_movable(now));
+    let movable = here.filter(|(_, entry)| entry.may_leave_slow(now));
     let late = movable.filter_map(|(run, entry)| {
         let pace = entry.recent_pace(now).or(known)?;
         let answer = runs.answer_of(now, run)?;
--- a/crates/relay/src/runs.rs
+++ b/crates/relay/src/runs.rs
@@ -60,6 +60,8 @@
     is_prefilling: bool,
     /// Not moved before this time: a move is in progress, or one failed.
     no_move_before: Option<Time>,
+    /// Not moved for its slowness before this time, because it just was.
+    no_slow_move_before: Option<Time>,
     /// What its caller expects of its speed, if known.
     limits: Option<Limits>,
     /// Seconds per token of its replica when it came there, if known.
@@ -97,6 +99,11 @@
         self.started.is_some() && self.no_move_before.is_none_or(|until| until <= now)
     }
 
+    /// Whether it may be moved at `now` since its replica is slow.
+    pub fn may_leave_slow(&self, now: Time) -> bool {
+        self.is_movable(now) && self.no_slow_move_before.is_none_or(|until| until <= now)
+    }
+
     /// Whether its decode replica prefills the prompt.
     pub const fn is_prefilling(&self) -> bool {
         self.is_prefilling
@@ -136,6 +143,7 @@
             started: None,
             is_prefilling: false,
             no_move_before: None,
+            no_slow_move_before: None,
             limits: None,
             token_pace: None,
             recent_pace: RecentPace::default(),
@@ -176,6 +184,20 @@
         }
     }
 
+    /// Has the recent pace of `id` measured anew: what delays its events is not its replica.
+    pub fn reset_recent_pace(&mut self, id: RunId) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.recent_pace = RecentPace::default();
+        }
+    }
+
+    /// Has the recent paces of all runs measured anew.
+    pub fn reset_recent_paces(&mut self) {
+        for entry in self.entries.values_mut() {
+            entry.recent_pace = RecentPace::default();
+        }
+    }
+
     /// Records that the run continues at `server`.
     pub fn record_move(&mut self, id: RunId, server: Key) {
         if let Some(entry) = self.entries.get_mut(id) {
@@ -202,10 +224,11 @@
     }
 
     /// Records that `id` was ordered to move since its replica is slow: no other run leaves the replica
-    /// for that reason until `until`.
-    pub fn block_slow_moves(&mut self, id: RunId, until: Time) {
-        if let Some(entry) = self.entries.get(id) {
-            self.no_slow_moves_before.insert(entry.server, until);
+    /// for that reason until `others`, and it leaves none until `same`.
+    pub fn block_slow_moves(&mut self, id: RunId, others: Time, same: Time) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.no_slow_move_before = Some(same);
+            self.no_slow_moves_before.insert(entry.server, others);
         }
     }
 
--- a/crates/relay/src/score.rs
+++ b/crates/relay/src/score.rs
@@ -35,6 +35,8 @@
 /// Largest ratio to the median that counts; what a slower replica does to deadlines and pauses
 /// counts by itself.
 const MAX_TOKEN_SLOWNESS: f64 = 2.0;
+/// Largest slowdown of a plain replica that counts; a slower one is not worse than one that fails.
+const MAX_PLAIN_SLOWDOWN: f64 = 3.0;
 /// Penalty of a decode replica that is prefilling a prompt: it generates almost no tokens
 /// meanwhile.
 const PREFILL_PENALTY: f64 = 0.3;
@@ -107,9 +109,10 @@
         }
     }
 
-    /// Probability that the answer is late at `server`; 0 if the speed of `server` is not known.
-    fn share_late(&self, now: Time, server: &Server) -> f64 {
-        match (self.answer, server.token_pace(now)) {
+    /// Probability that the answer is late at `server`. A replica of unknown speed counts as one of
+    /// the `median`'s; 0 if that is not known either.
+    fn share_late(&self, now: Time, server: &Server, median: Option<f64>) -> f64 {
+        match (self.answer, server.token_pace(now).or(median)) {
             (Some(answer), Some(pace)) => answer.share_late(pace),
             _ => 0.0,
         }
@@ -139,15 +142,16 @@
             token_slowness_penalty(now, server, median_token_pace)
         });
         let slowness = slowness_penalty(now, server, median_pace) + token_slowness;
-        let score = load + penalty(now, criteria, server) + slowness + draw() * JITTER;
+        let score =
+            load + penalty(now, criteria, server, median_token_pace) + slowness + draw() * JITTER;
         (*key, score)
     });
     let best = scored.min_by(|(_, left), (_, right)| left.total_cmp(right));
     best.map(|(key, _)| key)
 }
 
-/// Penalties other than for load and slowness.
-fn penalty(now: Time, criteria: &Criteria<'_>, server: &Server) -> f64 {
+/// Penalties other than for load and slowness. `median` is the candidates' median time per token.
+fn penalty(now: Time, criteria: &Criteria<'_>, server: &Server, median: Option<f64>) -> f64 {
     let is_local = server.replica.data_centre == criteria.data_centre;
     let distance = if is_local { 0.0 } else { REMOTE_PENALTY };
     let cold = if server.is_cold(now) {
@@ -165,7 +169,8 @@
     } else {
         0.0
     };
-    let (failing, late) = (server.failure_share(now), criteria.share_late(now, server));
+    let failing = server.failure_share(now);
+    let late = criteria.share_late(now, server, median);
     let unserved = failing + late - failing * late;
     refused + prefilling + FAILURE_WEIGHT * unserved + distance + cold
 }
@@ -237,5 +242,7 @@
 /// Requests in progress at a replica of usual speed for which a further request would take as long as
 /// at one with `load` requests where work takes `slowdown` times as long.
 fn plain_load(load: f64, slowdown: Option<f64>) -> f64 {
-    slowdown.map_or(load, |slowdown| (load + 1.0) * slowdown - 1.0)
+    slowdown.map_or(load, |slowdown| {
+        (load + 1.0) * slowdown.min(MAX_PLAIN_SLOWDOWN) - 1.0
+    })
 }
--- a/crates/relay/tests/score.rs
+++ b/crates/relay/tests/score.rs
@@ -117,6 +117,18 @@
     assert_eq!(order(&pool, None, after(at))[0], first);
 }
 
+/// A slow replica still serves; one that always fails does not.
+#[test]
+fn a_very_slow_replica_is_preferred_to_one_that_fails() {
+    let mut pool = pool(None, &["failing", "slow"]);
+    let [failing, slow] = ["failing", "slow"].map(|id| key(&pool, None, id));
+    for ms in 0..50 {
+        pool.record_result(after(ms), failing, true);
+    }
+    pool.record_slowdown(after(50), slow, 50.0);
+    assert_eq!(order(&pool, None, after(50))[0], "slow");
+}
+
 #[test]
 fn a_replica_that_works_as_usual_is_chosen_as_if_it_said_nothing() {
     let mut pool = pool(None, &["one", "two"]);
--- a/crates/relay/tests/uneven.rs
+++ b/crates/relay/tests/uneven.rs
@@ -159,6 +159,7 @@
             self.now,
             &self.pool,
             &self.runs,
+            |_, _| true,
             |_, from, demand, answer| {
                 let tried = [from];
                 let criteria = criteria(&tried, Some(demand), Some(answer));
@@ -531,3 +532,125 @@
     daemon.now = daemon.now + Duration::from_millis(400);
     assert_eq!(daemon.slow_moves(), []);
 }
+
+/// Each move of a service for slowness takes from the same reserve of retries.
+#[rstest]
+#[case::none(0)]
+#[case::one(1)]
+#[case::two(2)]
+#[case::all(3)]
+fn no_more_runs_move_at_once_than_may(#[case] most: usize) {
+    let mut daemon = Daemon::new(6);
+    daemon.measure(&[0.12, 0.12, 0.12, 1.0, 1.0, 1.0]);
+    for replica in 0..3 {
+        let run = daemon.begin(daemon.keys[replica], SIZE);
+        daemon.runs.record_tokens(daemon.now, run, EVENT_TOKENS);
+    }
+    let moves = slow::due_moves(
+        daemon.now,
+        &daemon.pool,
+        &daemon.runs,
+        |service, ordered| service == "llm" && ordered < most,
+        |_, from, _, _| Some(daemon.keys[number(&daemon.pool, from) + 3]),
+    );
+    assert_eq!(moves.len(), most);
+}
+
+/// Two runs at a slow replica.
+fn two_slow_runs() -> (Daemon, [RunId; 2]) {
+    let mut daemon = Daemon::new(4);
+    daemon.measure(&[0.12, 1.0, 1.0, 1.0]);
+    let runs = [0; 2].map(|_| daemon.begin(daemon.keys[0], SIZE));
+    for run in runs {
+        daemon.runs.record_tokens(daemon.now, run, EVENT_TOKENS);
+    }
+    (daemon, runs)
+}
+
+#[rstest]
+#[case::at_once(0, 0)]
+#[case::before_the_pause_ends(999, 0)]
+#[case::after_the_pause(1_000, 1)]
+fn no_other_run_leaves_a_slow_replica_during_a_pause(#[case] ms: u64, #[case] count: usize) {
+    let (mut daemon, runs) = two_slow_runs();
+    let (others, same) = (Duration::from_secs(1), Duration::from_secs(5));
+    let (others, same) = (daemon.now + others, daemon.now + same);
+    daemon.runs.block_slow_moves(runs[0], others, same);
+    daemon.now = daemon.now + Duration::from_millis(ms);
+    let from = daemon.keys[0];
+    assert_eq!(daemon.runs.may_leave_slow(daemon.now, from), count > 0);
+    assert!(daemon.runs.may_leave_slow(daemon.now, daemon.keys[1]));
+    let moved: Vec<RunId> = daemon.slow_moves().iter().map(|due| due.run).collect();
+    assert_eq!(moved, runs[1..][..count]);
+}
+
+/// Moves for memory stay possible: without them, the replica would preempt the run.
+#[rstest]
+#[case::at_once(0, false)]
+#[case::before_the_rest_ends(4_999, false)]
+#[case::after_the_rest(5_000, true)]
+fn a_run_is_not_moved_for_its_slowness_again_for_a_while(
+    #[case] ms: u64,
+    #[case] may_leave: bool,
+    #[values(false, true)] moved: bool,
+) {
+    let (mut daemon, [run, other]) = two_slow_runs();
+    daemon.runs.end(daemon.now, other, false);
+    let same = daemon.now + Duration::from_secs(5);
+    daemon.runs.block_slow_moves(run, daemon.now, same);
+    if moved {
+        daemon.runs.record_move(run, daemon.keys[1]);
+        daemon.runs.record_tokens(daemon.now, run, EVENT_TOKENS);
+        daemon.measure(&[1.0, 0.12, 1.0, 1.0]);
+    }
+    daemon.now = daemon.now + Duration::from_millis(ms);
+    let entry = daemon.runs.get(run).unwrap();
+    assert_eq!(entry.may_leave_slow(daemon.now), may_leave);
+    assert!(entry.is_movable(daemon.now));
+    assert_eq!(!daemon.slow_moves().is_empty(), may_leave);
+}
+
+/// A slow caller or a standstill of the process delays events that the replica sent in time.
+#[rstest]
+#[case::one(false)]
+#[case::all(true)]
+fn a_run_whose_events_waited_is_measured_anew(#[case] all: bool) {
+    let mut daemon = Daemon::new(2);
+    daemon.measure(&[1.0, 1.0]);
+    let run = daemon.begin(daemon.keys[0], SIZE);
+    daemon.generate(run, 1.0, 1.0);
+    if all {
+        daemon.runs.reset_recent_paces();
+    } else {
+        daemon.runs.reset_recent_pace(run);
+    }
+    daemon.now = daemon.now + Duration::from_secs(8);
+    assert_eq!(daemon.slow_moves(), []);
+    daemon.generate(run, 0.12, 0.45);
+    assert_eq!(daemon.slow_moves(), []);
+    daemon.generate(run, 0.12, 1.5);
+    assert_eq!(daemon.slow_moves().len(), 1);
+}
+
+/// A replica that was avoided for its slowness would otherwise get the answers with the least time
+/// as soon as its pace has lapsed.
+#[rstest]
+#[case::lapsed(false)]
+#[case::restarted(true)]
+fn a_replica_of_unknown_pace_does_not_draw_the_answers_with_little_time(#[case] restarted: bool) {
+    let mut daemon = Daemon::new(3);
+    if restarted {
+        daemon.restart(2);
+    }
+    daemon.measure(&[0.12; 3]);
+    let unknown = daemon.keys[2];
+    daemon.now = daemon.now + Duration::from_secs(59);
+    daemon.measure(&[0.35, 0.35]);
+    daemon.now = daemon.now + Duration::from_secs(2);
+    assert!(daemon.pool.token_pace(daemon.now, unknown).is_none());
+    // The others are a little emptier.
+    daemon.begin(unknown, SIZE);
+    let answer = daemon.answer(SIZE);
+    assert!(answer.share_late(pace(0.35)) > 0.5);
+    assert_ne!(daemon.choose(SIZE), Some(unknown));
+}
