Cover ranks, a hot customer and uneven replicas in the fault soak

The soak knew neither routes of different rank nor replicas that report how fast they work, so that Ask2, the order within a quota and announced paces never met its faults.

Two routes to the application service differ in rank. After the faults the customer with a quota sends beyond it at all daemons; urgent requests must be served no less often than the others less 0.1, and neither may starve. Replicas with an odd number are slow by turns and say so in answers to requests and reservations; some streams are long enough to be measured.

Paces of prefill replicas are not measured, since the prompts are too short.

--- a/crates/gateway/tests/soak/callers.rs
+++ b/crates/gateway/tests/soak/callers.rs
@@ -356,6 +356,8 @@
         Kind::Draft => "POST /draft/1",
         Kind::Idempotent => "GET /read/1",
         Kind::Resumable => "POST /resume/1",
+        Kind::Urgent => "GET /urgent/1",
+        Kind::Patient => "GET /patient/1",
     };
     let address = cluster.instances[instance].callers;
     let start = Instant::now();
--- a/crates/gateway/tests/soak/cluster.rs
+++ b/crates/gateway/tests/soak/cluster.rs
@@ -27,6 +27,7 @@
 use crate::common::store::Store;
 use crate::customer;
 use crate::history::History;
+use crate::hot;
 use crate::limit;
 use crate::notices;
 use crate::notices::Notices;
@@ -160,6 +161,7 @@
         let version = self.version.fetch_add(3, Ordering::SeqCst) + 3;
         let mut config = store::config(version, 3_000, 600);
         config["tenants"] = customer::config();
+        hot::add_routes(&mut config);
         self.store.put("op", "config", &config);
     }
 
@@ -174,6 +176,7 @@
         let own_id = id.clone();
         let is_draining = Arc::new(AtomicBool::new(false));
         let says_draining = Arc::clone(&is_draining);
+        let started = Instant::now();
         let asks_for_pauses = number.is_multiple_of(notices::REFUSING_REPLICA_INTERVAL);
         let is_limited = stage.is_empty() && number.is_multiple_of(LIMITED_REPLICA_INTERVAL);
         let replica = Replica::start(&id, move |request| {
@@ -209,6 +212,7 @@
             }
             let action =
                 notices::add_headers(action, &own_id, says_draining.load(Ordering::SeqCst));
+            let action = script::slow_down(action, script::slowdown(number, started.elapsed()));
             let action = if asks_for_pauses {
                 notices::add_backoff(action)
             } else {
@@ -224,6 +228,7 @@
             cluster.history.record_limited_arrival(&own_id);
             limit::add_limit_header(action)
         });
+        replica.set_call_handler(script::reservations(number, started));
         let history = Arc::clone(&self.history);
         replica.set_second_answers(move |_| {
             script::second_answer(second_answer_random.draw())
--- a/crates/gateway/tests/soak/history.rs
+++ b/crates/gateway/tests/soak/history.rs
@@ -32,6 +32,10 @@
     Idempotent,
     /// Any number of times; a stream that another replica resumes after its last event.
     Resumable,
+    /// Any number of times, on a route of the first rank.
+    Urgent,
+    /// Any number of times, on a route of a later rank.
+    Patient,
 }
 
 /// A response as its caller received it.
--- a/crates/gateway/tests/soak/main.rs
+++ b/crates/gateway/tests/soak/main.rs
@@ -15,6 +15,7 @@
 mod customer;
 mod faults;
 mod history;
+mod hot;
 mod limit;
 mod notices;
 mod parts;
@@ -141,6 +142,7 @@
         violations.extend(parts::check(&cluster).err());
         violations.extend(callers::check_evacuation(&cluster).err());
         violations.extend(resumption::check(&cluster).err());
+        violations.extend(hot::check(&cluster).err());
         violations.extend(callers::check_partition(&cluster, seed).err());
     }
     // Requests that still run at a replica end within the duration of its longest answer.
@@ -157,12 +159,13 @@
         counts.sum::<usize>()
     };
     println!(
-        "seed {seed}: {}; {}; {} second answers skipped, {} answers rejected as another request's, {} answered by peers",
+        "seed {seed}: {}; {}; {} second answers skipped, {} answers rejected as another request's, {} answered by peers, {} paces of replicas logged",
         cluster.history.summary(),
         cluster.notices.summary(),
         count("skipped a duplicate answer"),
         count("answer is another request's"),
         count("a peer answers a request"),
+        count("the pace of a replica is known or has changed"),
     );
     violations
 }
--- a/crates/gateway/tests/soak/script.rs
+++ b/crates/gateway/tests/soak/script.rs
@@ -1,7 +1,10 @@
 //! Random behaviour of scripted replicas.
 
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use rand::RngExt;
 use rand::SeedableRng;
@@ -32,6 +35,18 @@
 const VERSIONS: [&str; 2] = ["v1", "v1.1"];
 /// Fraction of the streams that are sent in chunks.
 const CHUNKED_FRACTION: f64 = 0.9;
+/// Draw above which a stream is long enough for daemons to measure the pace of its replica.
+const LONG_FRACTION: f64 = 0.85;
+/// Pause before each event of a stream.
+const PAUSE: Duration = Duration::from_millis(5);
+/// Pause before each event of a long stream.
+const LONG_PAUSE: Duration = Duration::from_millis(26);
+/// Time for which a replica with an odd number is slow, and then as fast as usual.
+const SPELL: Duration = Duration::from_millis(700);
+/// Percentage of its usual time that a replica takes, and says so.
+const USUAL: u32 = 100;
+/// Percentage of its usual time that a slow replica takes, and says so.
+const SLOW: u32 = 250;
 /// A draw at which a replica behaves correctly.
 const NO_FAULT: f64 = 1.0;
 
@@ -122,6 +137,57 @@
     }
 }
 
+/// Percentage of its usual time that the replica with this number takes, `elapsed` after its start.
+pub fn slowdown(number: u64, elapsed: Duration) -> u32 {
+    let spell = elapsed.as_millis() / SPELL.as_millis() + u128::from(number / 2);
+    if number % 2 == 1 && spell.is_multiple_of(2) {
+        SLOW
+    } else {
+        USUAL
+    }
+}
+
+/// The load that a replica names in its answers.
+fn load(slowdown: u32) -> String {
+    format!("1,0,8,{slowdown}")
+}
+
+/// Lets an answer take `slowdown` percent of its time and say so.
+pub fn slow_down(action: Action, slowdown: u32) -> Action {
+    let line = format!("server-load: {}", load(slowdown));
+    match add_header(without_load(action), &line) {
+        Action::SendSlowly(parts, pause) => Action::SendSlowly(parts, pause * slowdown / USUAL),
+        action => action,
+    }
+}
+
+/// Removes the load from an answer that is sent whole.
+fn without_load(action: Action) -> Action {
+    match action {
+        Action::Send(bytes) => Action::Send(without_header(&bytes, "server-load")),
+        Action::SendAndClose(bytes) => Action::SendAndClose(without_header(&bytes, "server-load")),
+        Action::SendSlowly(mut parts, pause) => {
+            parts[0] = without_header(&parts[0], "server-load");
+            Action::SendSlowly(parts, pause)
+        }
+        action => action,
+    }
+}
+
+/// Answers reservations at the replica with this number, which started at `started`, with its load.
+pub fn reservations(number: u64, started: Instant) -> impl Fn(&Message) -> Option<Vec<u8>> {
+    let count = AtomicU64::new(0);
+    move |call| {
+        if call.path() != "/api/hold-take" {
+            return None;
+        }
+        let hold = count.fetch_add(1, Ordering::SeqCst) + 1;
+        let body = json!({"hold": format!("h{hold}")}).to_string();
+        let load = load(slowdown(number, started.elapsed()));
+        Some(answer(200, &[("server-load", &load)], body.as_bytes()))
+    }
+}
+
 /// Answers a control call of a daemon, which has no request id.
 fn answer_control_call(request: &Message) -> Option<Action> {
     match request.path() {
@@ -177,7 +243,9 @@
         return Action::SendAndClose(parts.concat());
     }
     parts.push(chunk(b""));
-    Action::SendSlowly(parts, Duration::from_millis(5))
+    let is_long = draw > LONG_FRACTION && draw < NO_FAULT;
+    let pause = if is_long { LONG_PAUSE } else { PAUSE };
+    Action::SendSlowly(parts, pause)
 }
 
 /// Answers a call.
@@ -192,17 +260,17 @@
             Action::SendAndClose(bytes[..bytes.len() - 1].to_vec())
         }
         _ if malformed_draw > 0.98 && malformed_draw < 1.0 => {
-            Action::SendAndClose(without_length(&bytes))
+            Action::SendAndClose(without_header(&bytes, "content-length"))
         }
         _ => Action::SendSlowly(vec![bytes], delay),
     }
 }
 
-/// Removes the length of `answer`, which then ends with the connection.
-fn without_length(answer: &[u8]) -> Vec<u8> {
+/// Removes the header `name` of `answer`; without its length, the answer ends with the connection.
+fn without_header(answer: &[u8], name: &str) -> Vec<u8> {
     let text = String::from_utf8_lossy(answer);
     let lines = text.split_inclusive("\r\n");
-    let kept = lines.filter(|line| !line.starts_with("content-length"));
+    let kept = lines.filter(|line| !line.starts_with(name));
     kept.collect::<String>().into_bytes()
 }
 
