--- a/crates/gateway/src/shared/pace.rs
+++ b/crates/gateway/src/shared/pace.rs
@@ -62,12 +62,24 @@
         self.paces.freeze.borrow_mut().tick(now);
     }
 
+    /// Records that `key` said that work takes `slowdown` times as long as usual there. From then on,
+    /// the paces of its service are measured and announced.
+    pub fn note_slowdown(&self, key: Key, slowdown: f64) {
+        let now = self.clock.now();
+        let mut pool = self.pool.borrow_mut();
+        if !pool.record_slowdown(now, key, slowdown) {
+            return;
+        }
+        let service = pool.get(key).map_or("", |server| &server.replica.service);
+        log::info!(kind = "speed", service = service; "replicas of a service report how fast they work");
+    }
+
     /// Records that `key` prefilled a prompt of `tokens` since `begun`, with `queued` tokens known
     /// to be queued before.
     pub fn measure_prefill(&self, key: Key, begun: Time, queued: u64, tokens: u64) {
         let now = self.clock.now();
         let stood_still = self.paces.standstill.borrow().occurred_since(now, begun);
-        if queued > 0 || stood_still {
+        if queued > 0 || stood_still || !self.pool.borrow().reports_speed(key) {
             return;
         }
         let took = now.since(begun);
@@ -80,6 +92,9 @@
 
     /// Records that events with `tokens` of one stream arrived from `key`.
     pub fn measure_decode(&self, key: Key, meter: &mut StreamMeter, tokens: u64) {
+        if !self.pool.borrow().reports_speed(key) {
+            return;
+        }
         let now = self.clock.now();
         let measured = meter.record(now, tokens, &self.paces.standstill.borrow());
         let Some((took, tokens)) = measured else {
@@ -92,6 +107,17 @@
         self.note_measured(now, key, pace);
     }
 
+    /// Whether the pace of `key` is known.
+    pub fn knows_pace(&self, key: Key) -> bool {
+        let pool = self.pool.borrow();
+        pool.token_pace(self.clock.now(), key).is_some()
+    }
+
+    /// Whether this process stood still just before `now`, so that runs look slow which are not.
+    pub fn stood_still(&self, now: Time) -> bool {
+        self.paces.standstill.borrow().occurred_since(now, now)
+    }
+
     fn note_measured(&self, now: Time, key: Key, pace: Option<f64>) {
         if let Some(pace) = pace {
             self.paces.publisher.borrow_mut().note_measured(key);
@@ -126,7 +152,10 @@
 
     fn log_peer_pace(&self, now: Time, report: &PaceReport) {
         let key = self.pool.borrow().key_of(report.replica);
-        let Some(key) = key else { return };
+        let is_first = |key: &Key| !self.paces.log_filter.borrow().is_known(*key);
+        let Some(key) = key.filter(is_first) else {
+            return;
+        };
         let pace = self.pool.borrow().token_pace(now, key);
         if let Some(pace) = pace {
             self.log_pace(now, key, pace, "peer");
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -1,5 +1,6 @@
 //! The replicas that this daemon knows, and the choice of one for a request.
 
+mod calls;
 mod cold;
 mod evacuation;
 mod forecast;
@@ -27,6 +28,7 @@
 
 use crate::balance::StageCounts;
 use crate::plan::ColdStart;
+use crate::pool::calls::Calls;
 use crate::pool::index::Index;
 use crate::reach::Reach;
 use crate::replica::Load;
@@ -76,6 +78,8 @@
     with_pace: IndexSet<Key>,
     /// Mean seconds to prefill a token, by service.
     prefill_paces: HashMap<String, f64>,
+    /// Plain calls by service.
+    calls: HashMap<String, Calls>,
     /// Hashes of ended incarnations whose replica has restarted; at most one per slot of `servers`.
     restarted: SecondaryMap<Key, u64>,
     version: u64,
@@ -291,6 +295,20 @@
         }
     }
 
+    /// Records that `key` said that work takes `slowdown` times as long as usual there. Returns
+    /// whether it is the first replica of its service that reports how fast it works.
+    pub fn record_slowdown(&mut self, now: Time, key: Key, slowdown: f64) -> bool {
+        let Some(server) = self.servers.get_mut(key) else {
+            return false;
+        };
+        server.record_slowdown(now, slowdown);
+        let service = server.replica.service.clone();
+        !std::mem::replace(
+            &mut self.calls.entry(service).or_default().has_reports,
+            true,
+        )
+    }
+
     /// Returns the replica with the lowest score that meets `criteria`, if any.
     ///
     /// `draw` returns random numbers uniform in `0.0..1.0`.
