Test unknown paces after a restart by a restart

Cause: the case of a restarted replica tested a lapsed pace. Change: the replica restarts after its pace was known, and has a new key. Shown: both cases fail if an unknown pace counts as never late.

--- a/crates/relay/tests/uneven.rs
+++ b/crates/relay/tests/uneven.rs
@@ -12,6 +12,7 @@
 use relay::claims::Claims;
 use relay::migration::Move;
 use relay::migration::slow;
+use relay::pace::PACE_TTL;
 use relay::pool::Pool;
 use relay::replica::Birth;
 use relay::replica::Replica;
@@ -81,11 +82,7 @@
     fn new(count: usize) -> Self {
         let mut pool = common::pool(START, common::engines(count, Stage::Decode, 64));
         pool.set_memory("llm", MEMORY);
-        let mut keys = Vec::new();
-        while let Some(key) = pool.choose(START, &criteria(&keys, None, None), || 0.0) {
-            keys.push(key);
-        }
-        keys.sort_unstable_by_key(|key| number(&pool, *key));
+        let keys = keys(&pool);
         Self {
             pool,
             runs: Runs::new(),
@@ -180,6 +177,16 @@
     }
 }
 
+/// Keys of all replicas in the order of their numbers.
+fn keys(pool: &Pool) -> Vec<Key> {
+    let mut keys = Vec::new();
+    while let Some(key) = pool.choose(START, &criteria(&keys, None, None), || 0.0) {
+        keys.push(key);
+    }
+    keys.sort_unstable_by_key(|key| number(pool, *key));
+    keys
+}
+
 fn number(pool: &Pool, key: Key) -> usize {
     pool.get(key).unwrap().replica.id.parse().unwrap()
 }
@@ -639,14 +646,17 @@
 #[case::restarted(true)]
 fn a_replica_of_unknown_pace_does_not_draw_the_answers_with_little_time(#[case] restarted: bool) {
     let mut daemon = Daemon::new(3);
+    daemon.restart(2);
+    daemon.keys = keys(&daemon.pool);
+    daemon.measure(&[0.12; 3]);
     if restarted {
-        daemon.restart(2);
+        daemon.restart(3);
+        daemon.keys = keys(&daemon.pool);
+    } else {
+        daemon.now = daemon.now + PACE_TTL;
     }
-    daemon.measure(&[0.12; 3]);
-    let unknown = daemon.keys[2];
-    daemon.now = daemon.now + Duration::from_secs(59);
     daemon.measure(&[0.35, 0.35]);
-    daemon.now = daemon.now + Duration::from_secs(2);
+    let unknown = daemon.keys[2];
     assert!(daemon.pool.token_pace(daemon.now, unknown).is_none());
     // The others are a little emptier.
     daemon.begin(unknown, SIZE);
