Order within a customer's quota by the route's rank

Change: the customer's rank is the same for all requests in its bucket; the route's orders them. Tests of both; the test that tied the order to a customer without a rank is replaced by one for either.

--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -328,10 +328,11 @@
         self.customer().and_then(|customer| customer.priority)
     }
 
-    /// Its place in the order of service.
+    /// Its place among the requests of its customer: the customer's own rank is the same for all of
+    /// them, so the route's counts.
     pub fn standing(&self) -> Standing {
         let returned = self.returned || self.late_return;
-        Standing::new(self.rank()).with_returned(returned)
+        Standing::new(self.route.rank(None)).with_returned(returned)
     }
 
     fn caller(&self) -> Caller<'_> {
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -42,9 +42,18 @@
     })
 }
 
-/// The standing of `job` among the requests of its customer; `None` if they have one rank.
+/// The standing of `job` among the requests of its customer; `None` if it is the same for all but
+/// those that returned. Where ranks do not differ, any rank serves, and the one that counts for requests
+/// without a standing is taken.
 fn distinct_standing(shared: &Shared, job: &Job) -> Option<Standing> {
-    shared.has_ranks_of_customer(job).then(|| job.standing())
+    let plan = shared.plan();
+    let ranks_differ = plan.is_some_and(|plan| plan.route_ranks_differ());
+    let standing = job.standing();
+    match (ranks_differ, standing.returned) {
+        (true, _) => Some(standing),
+        (false, true) => Some(Standing::PLAIN.with_returned(true)),
+        (false, false) => None,
+    }
 }
 
 /// Charges `job` to its customer's quota; returns the response if the quota does not admit it.
--- a/crates/gateway/src/shared/customers.rs
+++ b/crates/gateway/src/shared/customers.rs
@@ -48,11 +48,8 @@
 
     /// Whether `job` was probably refused before and came back after its objective: its caller's limit
     /// is shorter than that of others by at least that time. Unlike [`Self::was_refused_before`], it
-    /// also tells for plain calls. Never where the requests of its customer have one rank.
+    /// also tells for plain calls.
     pub fn is_late_return(&self, job: &Job) -> bool {
-        if !self.has_ranks_of_customer(job) {
-            return false;
-        }
         let Some(limit) = job.call.timeout.filter(|_| !job.route.mode.streams()) else {
             return job.returned;
         };
@@ -61,13 +58,6 @@
         timeout.estimate_waited(limit) >= job.route.objective
     }
 
-    /// Whether the requests of the customer of `job` differ in rank in the plan in force.
-    pub fn has_ranks_of_customer(&self, job: &Job) -> bool {
-        let plan = self.plan();
-        let known = plan.zip(job.customer());
-        known.is_some_and(|(plan, customer)| plan.ranks_differ(customer))
-    }
-
     /// Whether `job` may no longer be sent to a replica because the plan in force has withdrawn its
     /// API key from its customer. A stream that has begun continues to its end.
     pub fn is_revoked(&self, job: &Job) -> bool {
--- a/crates/gateway/tests/gateway/quota_messages.rs
+++ b/crates/gateway/tests/gateway/quota_messages.rs
@@ -237,15 +237,21 @@
     assert!(lines.iter().any(is_returned), "{lines:?}");
 }
 
-/// Guards against an effect on customers whose requests have one rank.
+/// Where ranks do not differ, only those that returned are told apart.
 #[test]
-fn returned_calls_of_one_rank_are_asked_for_as_before() {
+fn calls_that_returned_are_told_as_such_in_a_plan_with_one_rank() {
     let replica = echo();
     let plan = plan([5, 5], 100_000.0);
-    let (site, peer) = start_with_peer("order-returned-alike", &replica, &plan, current);
+    let (site, peer) = start_with_peer("order-returned-alike", &replica, &plan, late);
     for number in 0..4 {
         send(&site.daemon, "read", &format!("a{number}"), "4000");
     }
     send(&site.daemon, "read", "back", "2500");
-    assert_eq!(questions(&peer), [false; 5]);
+    assert_eq!(questions(&peer)[..5], [false, false, false, false, true]);
+    let received = peer.received();
+    let standing = received.iter().find_map(|message| match message {
+        Message::Ask2 { standing, .. } => Some(*standing),
+        _ => None,
+    });
+    assert_eq!(standing, Some(Standing::PLAIN.with_returned(true)));
 }
--- a/crates/relay/src/plan.rs
+++ b/crates/relay/src/plan.rs
@@ -203,12 +203,12 @@
         }
     }
 
-    /// Whether requests of `customer` differ in rank: it has none of its own, and the routes that it
-    /// may use have several.
-    pub fn ranks_differ(&self, customer: &Customer) -> bool {
+    /// Whether requests of one customer differ in rank by the routes that it may use. A rank of its
+    /// own is the same for all of them.
+    pub fn route_ranks_differ(&self) -> bool {
         let mut ranks = self.routes.iter().filter(|route| !route.public);
-        let first = ranks.next().map(|route| route.priority);
-        customer.priority.is_none() && ranks.any(|route| Some(route.priority) != first)
+        let first = ranks.next().map(|route| route.rank(None));
+        ranks.any(|route| Some(route.rank(None)) != first)
     }
 
     /// Returns the plan with `customers`, whose API keys callers need.
--- a/crates/relay/tests/plan.rs
+++ b/crates/relay/tests/plan.rs
@@ -82,16 +82,14 @@
 }
 
 #[rstest]
-// A public route takes no units from a customer's quota, and a customer's own rank is that of all of
-// its requests.
-#[case([0, 0, 0], false, None, false)]
-#[case([0, 2, 0], false, None, true)]
-#[case([0, 0, 2], true, None, false)]
-#[case([0, 2, 0], false, Some(1), false)]
+// A public route takes no units from a customer's quota.
+#[case([0, 0, 0], false, false)]
+#[case([0, 2, 0], false, true)]
+#[case([0, 0, 2], true, false)]
+#[case([9, 12, 9], false, false)]
 fn ranks_of_a_customer_differ_with_the_routes_that_it_may_use(
     #[case] priorities: [u8; 3],
     #[case] is_last_public: bool,
-    #[case] own: Option<u8>,
     #[case] differ: bool,
 ) {
     let mut plan = plan();
@@ -99,7 +97,11 @@
         route.priority = priority;
     }
     plan.routes[2].public = is_last_public;
-    assert_eq!(plan.ranks_differ(&customer("krmiva", own)), differ);
+    assert_eq!(plan.route_ranks_differ(), differ);
+    // A rank of the customer's own is the same for all of its requests.
+    let mut list = CustomerList::new();
+    list.add(customer("krmiva", Some(1)), [].into_iter());
+    assert_eq!(plan.with_customers(list).route_ranks_differ(), differ);
 }
 
 fn ranked_route(name: &str, service: &str, priority: u8, public: bool) -> Route {
