Record incarnations with the only version, so that restarts under the same id end it

Change: the record lists ids and incarnations; a restart under a listed id, or the end of a replica that reports its start, ends it. Shown: relay/tests/epoch.rs, a case each.

--- a/crates/gateway/src/begins/storage.rs
+++ b/crates/gateway/src/begins/storage.rs
@@ -57,12 +57,7 @@
     }
     let epoch = {
         let pool = shared.pool.borrow();
-        // Such a replica keeps its id when it restarts, with whatever version.
-        if pool.replicas().any(|replica| replica.birth.is_some()) {
-            return;
-        }
-        let listed = pool.replicas().map(|replica| replica.id.as_str());
-        Epoch::new(software, pool.version()).with_listed(listed)
+        Epoch::new(software, pool.version()).with_listed(pool.replicas())
     };
     let value = match serde_json::to_vec(&epoch) {
         Ok(value) => value,
--- a/crates/relay/src/epoch.rs
+++ b/crates/relay/src/epoch.rs
@@ -1,4 +1,4 @@
-//! That one software version alone served a service, as recorded for daemons that start later.
+//! Record that one software version alone served a service, for daemons that start later.
 //!
 //! A daemon that has just started cannot know which versions served before. If all daemons start
 //! together, nobody can tell it, and no caller could resume its stream.
@@ -7,10 +7,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::claims::incarnation_hash;
 use crate::replica::Delta;
+use crate::replica::Replica;
 
-/// Maximum number of replicas that a record lists: their hashes have to fit into a row of the store.
-const MAX_LISTED: usize = 4_000;
+/// Maximum number of replicas that a record lists: it has to fit into a row of the store.
+const MAX_LISTED: usize = 1_000;
 
 /// A record of a daemon that followed the list of replicas for as long as a stream can be resumed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -19,10 +21,19 @@
     pub software: String,
     /// Version of the store up to which that holds.
     pub list: u64,
-    /// Hashes of the ids of the replicas that were listed then, in order; empty if they were too
-    /// many.
+    /// The replicas that were listed then, in order; empty if they were too many.
     #[serde(default)]
-    listed: Vec<u32>,
+    listed: Vec<Listed>,
+}
+
+/// Hashes of a listed replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+struct Listed {
+    id: u32,
+    /// Of its id and start.
+    incarnation: u32,
+    /// Whether it reports its start, and may restart under its id.
+    born: bool,
 }
 
 impl Epoch {
@@ -35,10 +46,10 @@
         }
     }
 
-    /// Returns the record with the replicas `ids` that were listed.
+    /// Returns the record with the `replicas` that were listed.
     #[must_use]
-    pub fn with_listed<'a>(self, ids: impl Iterator<Item = &'a str>) -> Self {
-        let mut listed: Vec<u32> = ids.take(MAX_LISTED + 1).map(id_hash).collect();
+    pub fn with_listed<'a>(self, replicas: impl Iterator<Item = &'a Replica>) -> Self {
+        let mut listed: Vec<Listed> = replicas.take(MAX_LISTED + 1).map(Listed::new).collect();
         if listed.len() > MAX_LISTED {
             listed.clear();
         }
@@ -47,17 +58,42 @@
     }
 
     /// Whether it still holds for `service` after `changes` of the replicas since [`Self::list`].
-    ///
-    /// A replica that reports its start may have restarted under its id, with another version in between.
-    /// A replica that is gone and was not listed came after the record, with any version.
     pub fn holds_after(&self, service: &str, changes: &Delta) -> bool {
-        let was_listed = |id: &String| self.listed.binary_search(&id_hash(id)).is_ok();
-        let is_complete = changes.since <= self.list && changes.gone.iter().all(was_listed);
-        let mut others = changes.replicas.iter().filter(|replica| {
-            let is_same = replica.software.as_deref() == Some(&self.software);
-            replica.service == service && (!is_same || replica.birth.is_some())
-        });
-        is_complete && others.next().is_none()
+        let mut listed = changes.replicas.iter();
+        let mut gone = changes.gone.iter();
+        changes.since <= self.list
+            && listed.all(|replica| replica.service != service || self.allows(replica))
+            && gone.all(|id| self.allows_end(id))
+    }
+
+    /// Whether no other version can have served at `replica` since the record: a new incarnation may
+    /// not be the first one after that of the record.
+    fn allows(&self, replica: &Replica) -> bool {
+        let now = Listed::new(replica);
+        let is_same = self.find(now.id).is_some_and(|listed| *listed == now);
+        replica.software.as_deref() == Some(&self.software) && (is_same || !now.born)
+    }
+
+    /// Whether no other version can have served at the replica `id`, which is gone. One that was not
+    /// listed came after the record, and one that reports its start may have restarted.
+    fn allows_end(&self, id: &str) -> bool {
+        let listed = self.find(id_hash(id));
+        listed.is_some_and(|listed| !listed.born)
+    }
+
+    fn find(&self, id: u32) -> Option<&Listed> {
+        let found = self.listed.binary_search_by_key(&id, |listed| listed.id);
+        found.ok().map(|index| &self.listed[index])
+    }
+}
+
+impl Listed {
+    fn new(replica: &Replica) -> Self {
+        Self {
+            id: id_hash(&replica.id),
+            incarnation: incarnation_hash(&replica.id, replica.birth) as u32,
+            born: replica.birth.is_some(),
+        }
     }
 }
 
--- a/crates/relay/tests/epoch.rs
+++ b/crates/relay/tests/epoch.rs
@@ -30,10 +30,10 @@
     }
 }
 
-/// A replica that reports its start, and has the version of the record again.
-fn restarted(id: &str) -> Replica {
+/// A replica that reports its start.
+fn born(id: &str, birth: u64) -> Replica {
     Replica {
-        birth: Some(Birth(7)),
+        birth: Some(Birth(birth)),
         ..replica(id, SERVICE, Some("v1"))
     }
 }
@@ -59,26 +59,29 @@
 #[case::the_same_version(changes(RECORDED, vec![replica("i-4", SERVICE, Some("v1"))], &[]), true)]
 #[case::another_service(changes(RECORDED, vec![replica("i-5", "other", Some("v7"))], &[]), true)]
 #[case::another_version(changes(RECORDED, vec![replica("i-4", SERVICE, Some("v2"))], &[]), false)]
-#[case::a_restart_under_the_same_id(changes(RECORDED, vec![restarted("i-1")], &[]), false)]
 #[case::an_unknown_version(changes(RECORDED, vec![replica("i-4", SERVICE, None)], &[]), false)]
 #[case::a_listed_replica_left(changes(RECORDED, vec![], &["i-1"]), true)]
 #[case::another_replica_came_and_left(changes(RECORDED, vec![], &["i-1", "i-9"]), false)]
+#[case::the_same_incarnation(changes(RECORDED, vec![born("i-2", 7)], &[]), true)]
+#[case::a_restart_under_the_same_id(changes(RECORDED, vec![born("i-2", 8)], &[]), false)]
+#[case::a_later_replica_that_may_have_restarted(changes(RECORDED, vec![born("i-4", 8)], &[]), false)]
+#[case::a_replica_that_may_have_restarted_left(changes(RECORDED, vec![], &["i-2"]), false)]
 #[case::a_gap_in_the_history(changes(RECORDED + 1, vec![], &[]), false)]
 fn a_record_holds_until_another_version_may_have_served(
     #[case] changes: Delta,
     #[case] expected: bool,
 ) {
-    let listed = ["i-1", "i-2", "i-5"].into_iter();
-    let epoch = Epoch::new("v1".to_owned(), RECORDED).with_listed(listed);
+    let listed = [replica("i-1", SERVICE, Some("v1")), born("i-2", 7)];
+    let epoch = Epoch::new("v1".to_owned(), RECORDED).with_listed(listed.iter());
     assert_eq!(epoch.holds_after(SERVICE, &changes), expected);
 }
 
 /// A record has to fit into a row of the store.
 #[test]
 fn a_record_of_a_large_fleet_lists_no_replicas() {
-    let ids: Vec<String> = (0..5_000).map(|number| format!("i-{number}")).collect();
-    let listed = ids.iter().map(String::as_str);
-    let epoch = Epoch::new("v1".to_owned(), RECORDED).with_listed(listed);
+    let ids = (0..5_000).map(|number| format!("i-{number}"));
+    let listed: Vec<Replica> = ids.map(|id| replica(&id, SERVICE, Some("v1"))).collect();
+    let epoch = Epoch::new("v1".to_owned(), RECORDED).with_listed(listed.iter());
     assert_eq!(epoch, Epoch::new("v1".to_owned(), RECORDED));
     assert!(epoch.holds_after(SERVICE, &changes(RECORDED, vec![], &[])));
     assert!(!epoch.holds_after(SERVICE, &changes(RECORDED, vec![], &["i-1"])));
