--- a/crates/gateway/src/begins.rs
+++ b/crates/gateway/src/begins.rs
@@ -134,7 +134,10 @@
         (told @ Finding::Began(_), _) => told,
         (_, own @ Finding::Only(_)) => own,
         (told @ Finding::Only(_), _) => told,
-        (Finding::Unknown, _) => find_recorded(shared, stream, &job.service).await,
+        (Finding::Unknown, _) if shared.settings().version_records => {
+            find_recorded(shared, stream, &job.service).await
+        }
+        (Finding::Unknown, _) => Finding::Unknown,
     }
 }
 
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -312,12 +312,12 @@
         self.route.rank(self.own_priority())
     }
 
-    /// Priority that replicas are told: the rank if requests for the service differ in it by the
-    /// plan in force, otherwise the customer's own priority, if any.
+    /// Priority that replicas are told: the rank, if the settings say so and requests for the service
+    /// differ in it by the plan in force; otherwise the customer's own priority, if any.
     fn told_priority(&self) -> Option<u8> {
         let plan = self.shared.plan();
         let has_ranks = plan.is_some_and(|plan| plan.has_ranks(&self.service));
-        if has_ranks {
+        if has_ranks && self.shared.settings().placing.ranks {
             Some(self.rank().value())
         } else {
             self.own_priority()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -165,7 +165,9 @@
     spawn_local(stages::run(Rc::clone(&shared)));
     spawn_local(run_tracking::run(Rc::clone(&shared)));
     spawn_local(reach_probe::run(Rc::clone(&shared)));
-    spawn_local(begins::storage::run(Rc::clone(&shared)));
+    if settings.version_records {
+        spawn_local(begins::storage::run(Rc::clone(&shared)));
+    }
     spawn_local(quarantine::probe::run(Rc::clone(&shared)));
     spawn_local(quarantine::announce::run(Rc::clone(&shared)));
     spawn_local(quarantine::clear::run(Rc::clone(&shared)));
@@ -173,7 +175,9 @@
     spawn_local(quarantine::remove_expired(Rc::clone(&shared)));
     // At the first start of the whole system no stream has begun, and no peer has records.
     if settings.first_start {
-        shared.pool.borrow_mut().note_first_start();
+        if settings.version_records {
+            shared.pool.borrow_mut().note_first_start();
+        }
         shared.note_all_records();
     } else {
         spawn_local(quarantine::fetch_records(Rc::clone(&shared)));
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -36,6 +36,10 @@
     /// Whether the whole system starts for the first time and the store lists no instances yet.
     #[serde(default)]
     pub first_start: bool,
+    /// Whether the only software version of each service is recorded in the store, so that callers can
+    /// resume streams after all instances have ended.
+    #[serde(default)]
+    pub version_records: bool,
     /// Retry budget of all instances together.
     pub retry: Retry,
     /// Fraction of a model's replicas that should prefill; if absent, no replica changes its stage.
@@ -90,6 +94,9 @@
     pub spare: f64,
     /// Fraction of the objective for which a generation waits for a decode replica.
     pub wait: f64,
+    /// Whether replicas are told the rank of each request, where requests of a service differ in it:
+    /// they admit the more urgent first, and preempt the others for them.
+    pub ranks: bool,
     /// Whether runs are migrated before the memory of their replica is full.
     pub moves: bool,
 }
@@ -101,6 +108,7 @@
             spreads: 3.0,
             spare: 0.0,
             wait: 0.22,
+            ranks: false,
             moves: true,
         }
     }
--- a/crates/gateway/tests/gateway/epochs.rs
+++ b/crates/gateway/tests/gateway/epochs.rs
@@ -3,6 +3,8 @@
 use serde_json::Value;
 use serde_json::json;
 
+use crate::common::daemon::Daemon;
+use crate::common::daemon::new_ip;
 use crate::common::daemon::wait_until;
 use crate::common::store;
 use crate::resumptions::resume;
@@ -11,6 +13,9 @@
 use crate::version_site::Engine;
 use crate::version_site::event_texts;
 
+/// Settings with which versions are recorded.
+const WITH_RECORDS: &str = "version_records: true\n";
+
 /// A plan whose streams can be resumed for a short time only.
 fn short_plan() -> Value {
     store::config(1, 500, 300)
@@ -18,7 +23,7 @@
 
 /// A site whose only daemon has recorded that the version of `engine` alone has served, and was killed.
 fn killed_site(name: &str, engine: &Engine) -> Site {
-    let mut site = Site::start_with_plan(name, &short_plan(), &[]);
+    let mut site = Site::start_with_settings(name, &short_plan(), &[], WITH_RECORDS);
     engine.list(&site, "here");
     site.daemon.wait_until_ready();
     wait_until("the version is recorded", || {
@@ -28,12 +33,17 @@
     site
 }
 
+/// Starts a daemon that knows no other one.
+fn start_another(site: &Site, name: &str) -> Daemon {
+    Daemon::start_with_settings(name, &new_ip(), site.store_address, &[], WITH_RECORDS)
+}
+
 /// Guards against refusing every resumption after a common start, when nobody knows what served before.
 #[test]
 fn a_stream_is_resumed_after_all_daemons_were_killed() {
     let one = Engine::start("i-one", "v1");
     let site = killed_site("recorded", &one);
-    let another = site.start_another("recorded-too", false);
+    let another = start_another(&site, "recorded-too");
     another.wait_until_ready();
     let answer = resume(&another, "a2", "a1", "18");
     let expected = event_texts(19, EVENTS);
@@ -47,7 +57,7 @@
     let other = Engine::start("i-other", "v1.1");
     let site = killed_site("recorded-before", &one);
     other.list(&site, "here");
-    let another = site.start_another("recorded-before-too", false);
+    let another = start_another(&site, "recorded-before-too");
     another.wait_until_ready();
     assert_eq!(resume(&another, "a2", "a1", "18").status(), 503);
     assert_eq!((one.runs(), other.runs()), (0, 0));
@@ -60,7 +70,7 @@
     let site = killed_site("recorded-left", &one);
     other.list(&site, "here");
     other.end(&site);
-    let another = site.start_another("recorded-left-too", false);
+    let another = start_another(&site, "recorded-left-too");
     another.wait_until_ready();
     assert_eq!(resume(&another, "a2", "a1", "18").status(), 503);
     assert_eq!(one.runs(), 0);
@@ -71,7 +81,7 @@
     let one = Engine::start("i-one", "v1");
     let site = killed_site("recorded-badly", &one);
     site.store.put("versions", "llm", &json!({"software": 7}));
-    let another = site.start_another("recorded-badly-too", false);
+    let another = start_another(&site, "recorded-badly-too");
     another.wait_until_ready();
     assert_eq!(resume(&another, "a2", "a1", "18").status(), 503);
     assert!(
--- a/crates/gateway/tests/gateway/migration.rs
+++ b/crates/gateway/tests/gateway/migration.rs
@@ -161,9 +161,15 @@
     start_site_with_priority(name, source, 1)
 }
 
-/// The same with this priority of the route `draft`; that of all others is 1.
+/// The same with this priority of the route `draft`; that of all others is 1. Replicas are told if they
+/// differ.
 fn start_site_with_priority(name: &str, source: &SourceReplica, priority: u8) -> Site {
-    let site = Site::start(name, &[(&source.replica, "llm", "decode")]);
+    let replicas = [(&source.replica, "llm", "decode")];
+    let settings = match priority {
+        1 => "",
+        _ => "placing: {ranks: true}\n",
+    };
+    let site = Site::start_with_settings(name, &config(1), &replicas, settings);
     let mut small = config(2);
     small["routes"][2]["priority"] = priority.into();
     let engine = &mut small["services"][1]["engine"];
--- a/crates/gateway/tests/gateway/ranks.rs
+++ b/crates/gateway/tests/gateway/ranks.rs
@@ -21,6 +21,9 @@
 use crate::site::Site;
 use crate::site::config;
 
+/// Settings with which replicas are told ranks.
+const TELLS_RANKS: &str = "placing: {ranks: true}\n";
+
 const KEY: &str = "asnmgkcuyj8pjbvk9m68";
 const OTHER_KEY: &str = "k7b2ex5wa5xwyhks8nbk";
 /// Header that tells a replica the rank.
@@ -102,6 +105,10 @@
     }
 
     fn serve(&self, name: &str, plan: &Value) -> Site {
+        self.serve_with(name, plan, TELLS_RANKS)
+    }
+
+    fn serve_with(&self, name: &str, plan: &Value, settings: &str) -> Site {
         let [first, second] = &self.decode;
         let replicas = [
             (&self.app, "app", ""),
@@ -109,7 +116,7 @@
             (first, "llm", "decode"),
             (second, "llm", "decode"),
         ];
-        Site::start_with_plan(name, plan, &replicas)
+        Site::start_with_settings(name, plan, &replicas, settings)
     }
 
     /// What replicas received of the request `id`.
@@ -233,11 +240,21 @@
     assert_eq!(replicas.told("a2"), only(Some("6")));
 }
 
+/// Guards against a change of order at replicas where the operator did not ask for it.
+#[test]
+fn no_rank_is_told_without_the_setting() {
+    let replicas = Replicas::start();
+    let plan = with_priorities(1, [1, 4, 2, 2]);
+    let site = replicas.serve_with("ranks-unset", &plan, "");
+    assert_eq!(site.send_and_read("GET /read/1", "a1").status(), 200);
+    assert_eq!(replicas.told("a1"), only(None));
+}
+
 /// The peer finds the ranks in its own plan, and the rank of the request in the message.
 #[test]
 fn a_request_that_is_handed_over_keeps_its_rank() {
     let plan = with_customers(with_priorities(1, [1, 4, 2, 2]));
-    let site = cut_site::Site::start_with("ranks-handoff", &plan, "");
+    let site = cut_site::Site::start_with("ranks-handoff", &plan, TELLS_RANKS);
     site.cut(Cut::Reset, &["app", "llm"]);
     let book = |id: &str, key: &str| {
         let mut caller = site.cut.caller();
--- a/crates/gateway/tests/gateway/site.rs
+++ b/crates/gateway/tests/gateway/site.rs
@@ -44,6 +44,18 @@
         })
     }
 
+    /// The same with `plan` and additional `settings`.
+    pub fn start_with_settings(
+        name: &str,
+        plan: &Value,
+        replicas: &[(&Replica, &str, &str)],
+        settings: &str,
+    ) -> Self {
+        Self::with_daemon(plan, replicas, |ip, store| {
+            Daemon::start_with_settings(name, ip, store, &[], settings)
+        })
+    }
+
     /// Starts a daemon in front of one prefill replica and some decode replicas.
     pub fn start_with_prefill(name: &str, prefill: &Replica, decode: &[&Replica]) -> Self {
         let decode = decode.iter().map(|replica| (*replica, "llm", "decode"));
