--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod migration;
 pub mod move_order;
 pub mod outbox;
+pub mod paces;
 pub mod peer_server;
 pub mod phase;
 pub mod placement;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 pub mod load;
 pub mod quota;
+mod registration;
 
 use std::sync::Arc;
 
@@ -19,11 +20,12 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 use prometheus::core::AtomicU64;
-use prometheus::core::Collector;
 use prometheus::core::GenericGauge;
 
 use crate::metrics::load::LoadMetrics;
 use crate::metrics::quota::QuotaMetrics;
+use crate::metrics::registration::full_name;
+use crate::metrics::registration::register;
 
 /// Upper bounds of the latency buckets, in seconds; the objectives lie between 0.15 and 2 s.
 const LATENCIES: [f64; 12] = [
@@ -281,12 +283,3 @@
         Ok(text)
     }
 }
-
-fn full_name(name: &str) -> String {
-    format!("waxwing_gateway_{name}")
-}
-
-fn register<C: Collector + Clone + 'static>(registry: &Registry, metric: C) -> Result<C, Error> {
-    registry.register(Box::new(metric.clone()))?;
-    Ok(metric)
-}
--- a/crates/gateway/src/metrics/load.rs
+++ b/crates/gateway/src/metrics/load.rs
@@ -5,8 +5,8 @@
 use prometheus::Opts;
 use prometheus::Registry;
 
-use crate::metrics::full_name;
-use crate::metrics::register;
+use crate::metrics::registration::full_name;
+use crate::metrics::registration::register;
 
 /// Metrics of what is refused under load.
 #[derive(Debug)]
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -51,11 +51,11 @@
 use crate::metrics::Metrics;
 use crate::move_order::MoveOrder;
 use crate::outbox::Outbox;
+use crate::paces::Paces;
 use crate::poller_status::PollerStatus;
 use crate::probes::Probes;
 use crate::quotas::Quotas;
 use crate::settings::Settings;
-use crate::shared::pace::Paces;
 use crate::store::Store;
 
 /// Time after SIGTERM during which every request is accepted, since callers may use an earlier
--- a/crates/gateway/src/shared/pace.rs
+++ b/crates/gateway/src/shared/pace.rs
@@ -1,59 +1,19 @@
 //! Measures the paces of replicas, and exchanges them with other daemons.
 
-use std::cell::Cell;
-use std::cell::RefCell;
 use std::time::Duration;
 
 use ident::Time;
-use relay::pace::log_filter::LogFilter;
 use relay::pace::meter::StreamMeter;
-use relay::pace::publisher::Publisher;
 use relay::pace::report::MAX_REPORTS;
 use relay::pace::report::Merge;
 use relay::pace::report::PaceReport;
-use relay::pace::standstill::Standstill;
 use relay::server::Key;
 
 use crate::shared::Shared;
 
-/// Time without a run of the housekeeping, which runs every 100 ms, after which the process counts
-/// as having stood still; a shorter delay hardly changes a measurement.
-const MIN_STANDSTILL: Duration = Duration::from_millis(200);
-/// The same after which received datagrams are taken to have waited, so that ages in them are wrong.
-const MIN_FREEZE: Duration = Duration::from_secs(1);
 /// Interval between log lines about what cannot be used.
 const LOG_INTERVAL: Duration = Duration::from_mins(1);
 
-/// What this daemon needs to measure and announce paces.
-#[derive(Debug)]
-pub struct Paces {
-    publisher: RefCell<Publisher>,
-    standstill: RefCell<Standstill>,
-    freeze: RefCell<Standstill>,
-    log_filter: RefCell<LogFilter>,
-    /// When something unusable was last logged.
-    logged_unusable: Cell<Option<Time>>,
-}
-
-impl Paces {
-    /// Without measurements.
-    pub fn new() -> Self {
-        Self {
-            publisher: RefCell::new(Publisher::new()),
-            standstill: RefCell::new(Standstill::new(MIN_STANDSTILL)),
-            freeze: RefCell::new(Standstill::new(MIN_FREEZE)),
-            log_filter: RefCell::new(LogFilter::new()),
-            logged_unusable: Cell::new(None),
-        }
-    }
-}
-
-impl Default for Paces {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 impl Shared {
     /// Records that this daemon runs, which a frozen one does not; called by the housekeeping.
     pub fn note_running(&self) {
