--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod balance;
 pub mod begins;
 pub mod budget;
+mod call_times;
 pub mod claim_publisher;
 pub mod claims;
 pub mod directory;
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -27,8 +27,8 @@
 use slotmap::SlotMap;
 
 use crate::balance::StageCounts;
+use crate::call_times::Calls;
 use crate::plan::ColdStart;
-use crate::pool::calls::Calls;
 use crate::pool::index::Index;
 use crate::reach::Reach;
 use crate::replica::Load;
--- a/crates/relay/src/pool/calls.rs
+++ b/crates/relay/src/pool/calls.rs
@@ -15,17 +15,6 @@
 /// equal weights.
 const MEAN_WEIGHT: f64 = 0.05;
 
-/// Calls of one service.
-#[derive(Debug, Default)]
-pub(super) struct Calls {
-    /// Mean seconds of a call that does not wait, on a replica that works as usual.
-    mean: f64,
-    /// Number of calls that were measured.
-    measured: u64,
-    /// Whether replicas of the service report how fast they work.
-    pub(super) has_reports: bool,
-}
-
 impl Pool {
     /// Whether replicas of the service of `key` report how fast they work.
     pub fn reports_speed(&self, key: Key) -> bool {
