--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod evacuation;
 mod handoff;
 mod homes;
+mod idle_connections;
 mod ingress;
 mod keys;
 mod lifecycle;
--- a/crates/gateway/tests/gateway/migration.rs
+++ b/crates/gateway/tests/gateway/migration.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -49,12 +50,16 @@
     LostWithoutLength,
     /// Like `LostWithoutLength` for the first request; later ones get this status and no KV cache handle.
     LostThen(u16),
+    /// The replica is silent for a while; then it stops the run, and answers.
+    Silent(Duration),
 }
 
 /// A replica that streams events until it receives a move request for the run.
 struct SourceReplica {
     replica: Replica,
     moves: Arc<Mutex<Vec<Value>>>,
+    /// Number of continuations that it still refuses.
+    refusals: Arc<AtomicUsize>,
 }
 
 /// Parts of a stream that continues after the event `after`.
@@ -85,13 +90,17 @@
     fn start(move_response: MoveResponse) -> Self {
         let moves: Arc<Mutex<Vec<Value>>> = Arc::default();
         let stop_flags: Arc<Mutex<HashMap<String, Arc<AtomicBool>>>> = Arc::default();
-        let received = Arc::clone(&moves);
+        let own_moves = Arc::clone(&moves);
+        let refusals: Arc<AtomicUsize> = Arc::default();
+        let own_refusals = Arc::clone(&refusals);
         let replica = Replica::start("i-1", move |request| match request.path() {
             "/api/kv-move" => {
                 let move_request: Value = serde_json::from_slice(&request.body).unwrap();
                 let id = move_request["id"].as_str().unwrap().to_owned();
-                let mut received = received.lock().unwrap();
+                let mut received = own_moves.lock().unwrap();
+                let is_stop = move_request["last"] == true;
                 received.push(move_request);
+                let body = br#"{"kv-handle":"m1","created":5}"#;
                 match move_response {
                     MoveResponse::Unknown => return Action::Send(answer(404, &[], b"{}")),
                     MoveResponse::Backoff => {
@@ -99,10 +108,17 @@
                     }
                     _ => {}
                 }
+                if !is_stop {
+                    return Action::Send(answer(200, &[], body));
+                }
+                if let MoveResponse::Silent(silence) = move_response {
+                    drop(received);
+                    thread::sleep(silence);
+                    received = own_moves.lock().unwrap();
+                }
                 if let Some(stop) = stop_flags.lock().unwrap().get(&id) {
                     stop.store(true, Ordering::SeqCst);
                 }
-                let body = br#"{"kv-handle":"m1","created":5}"#;
                 match move_response {
                     MoveResponse::OnlyStopped => Action::Send(answer(503, &[], body)),
                     MoveResponse::Lost | MoveResponse::LostWithoutLength => {
@@ -116,6 +132,9 @@
                 }
             }
             path if path.starts_with("/api/") => Action::Send(answer(200, &[], b"{}")),
+            _ if request.header("kv-source").is_some() && takes_one(&own_refusals) => {
+                Action::Send(not_run_answer(request))
+            }
             _ => {
                 let stop = Arc::new(AtomicBool::new(false));
                 let id = request.header("request-id").unwrap().to_owned();
@@ -129,7 +148,16 @@
                 Action::SendUntilStopped(parts, EVENT_INTERVAL, stop)
             }
         });
-        Self { replica, moves }
+        Self {
+            replica,
+            moves,
+            refusals,
+        }
+    }
+
+    /// Refuses the next `count` requests that continue from a KV cache.
+    fn refuse_continuations(&self, count: usize) {
+        self.refusals.store(count, Ordering::SeqCst);
     }
 
     /// Requests that continue from a KV cache.
@@ -142,6 +170,14 @@
     }
 }
 
+/// Counts down; returns `false` at zero.
+fn takes_one(count: &AtomicUsize) -> bool {
+    let taken = count.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| {
+        left.checked_sub(1)
+    });
+    taken.is_ok()
+}
+
 fn continued(replica: &Replica) -> Vec<Message> {
     let received = replica.requests().into_iter();
     received
@@ -357,6 +393,30 @@
     );
 }
 
+/// A sound replica may be silent for a second. An order to stop a run that it carries out after that must not end the
+/// answer.
+#[rstest]
+#[case::once_only("/draft/1")]
+#[case::resumable("/resume/1")]
+fn a_stopped_run_of_a_silent_replica_continues(#[case] path: &str) {
+    let source = SourceReplica::start(MoveResponse::Silent(Duration::from_millis(1_200)));
+    let target = start_target();
+    let site = start_site(&format!("move-silent{}", path.replace('/', "-")), &source);
+    assert_both_complete(start_two_runs(&site, &source, &target, path));
+    assert!(!continued(&target).is_empty());
+}
+
+/// Both replicas refuse the continuation of a stopped run for a moment; its memory is kept for longer.
+#[test]
+fn a_stopped_run_that_no_replica_takes_at_first_continues() {
+    let source = SourceReplica::start(MoveResponse::OnlyStopped);
+    source.refuse_continuations(2);
+    let target = start_target();
+    let site = start_site("move-refused-at-first", &source);
+    assert_both_complete(start_two_runs(&site, &source, &target, "/draft/1"));
+    assert!(source.continued().len() > 2);
+}
+
 #[test]
 fn a_run_continues_at_its_replica_if_the_other_one_refuses_it() {
     let source = SourceReplica::start(MoveResponse::Copied);
