Apply the limits in force to connections that are open

Callers saw the connection close under a request that they sent within four fifths of the idle limit in force, after a change of the configuration had raised it. Cause: the limits of a connection (idle time, time and size of a head, time that an answer may be left unread) were read once, when it was accepted. Now each wait takes the largest limit in force since it began: a raised one counts at once, a lowered one from the next wait on, since the caller of an idle connection is not told. The size of a head is checked when it is complete.

Log line 'connection' tells when and why one was closed.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod auxiliary;
 pub mod begins;
 pub mod body;
+pub mod bounds;
 pub mod callers;
 pub mod clock;
 pub mod connections;
@@ -75,7 +76,7 @@
 use tokio::task::LocalSet;
 use tokio::task::spawn_local;
 
-use crate::listen::Bounds;
+use crate::bounds::Bounds;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 use crate::shared::Shared;
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -16,38 +16,32 @@
 use tokio::net::TcpStream;
 
 use crate::body::Body;
-use crate::connections;
+use crate::bounds;
+use crate::bounds::Bounds;
+use crate::bounds::InForce;
 use crate::phase::Phase;
 use crate::phase::TrackedSocket;
+use crate::responses;
 
 /// Pause after a failed accept; the usual cause is too many open files.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
-/// Limits of a server.
-#[derive(Debug, Clone, Copy)]
-pub struct Bounds {
-    /// Largest request head in bytes.
-    pub header_bytes: usize,
-    /// Time for a request head, from its first byte.
-    pub header_timeout: Duration,
-    /// Time that a connection may be idle, or its other side not read.
-    pub idle_timeout: Duration,
-}
-
-/// Smallest buffer size that `hyper` accepts.
-const MIN_BUFFER: usize = 8 * 1024;
+/// Smallest buffer for a request head, in bytes. The buffer of a connection keeps its size when the
+/// limit for heads is raised.
+const MIN_HEAD_BUFFER: usize = 64 * 1024;
 
 /// Serves the connections of `listener` with `answer`, forever.
-pub async fn serve<A, F>(listener: TcpListener, bounds: impl Fn() -> Bounds, answer: A)
+pub async fn serve<A, F>(listener: TcpListener, bounds: impl Fn() -> Bounds + 'static, answer: A)
 where
     A: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
     let answer = Rc::new(answer);
+    let bounds: InForce = Rc::new(bounds);
     loop {
         match listener.accept().await {
             Ok((socket, peer)) => {
-                let served = connection(socket, peer, bounds(), Rc::clone(&answer));
+                let served = connection(socket, peer, Rc::clone(&bounds), Rc::clone(&answer));
                 tokio::task::spawn_local(served);
             }
             Err(error) => {
@@ -58,33 +52,39 @@
     }
 }
 
-async fn connection<A, F>(socket: TcpStream, peer: SocketAddr, bounds: Bounds, answer: Rc<A>)
+async fn connection<A, F>(socket: TcpStream, peer: SocketAddr, bounds: InForce, answer: Rc<A>)
 where
     A: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
-    if let Err(error) = connections::configure_socket(&socket, bounds.idle_timeout) {
-        log::debug!(kind = "listen", peer = peer.to_string(), cause = error.to_string(); "cannot set socket options");
-    }
-    let phase = Phase::new();
+    let phase = Phase::new(&bounds);
     let own = phase.clone();
+    let buffer_bytes = bounds().header_bytes.max(MIN_HEAD_BUFFER);
     let service = service_fn(move |request: Request<Incoming>| {
         let answer = Rc::clone(&answer);
         let busy = own.begin(request.version());
+        let is_too_long = bounds::head_bytes(&request) > bounds().header_bytes;
         async move {
-            let response = answer(request).await;
+            let response = if is_too_long {
+                responses::head_too_long()
+            } else {
+                answer(request).await
+            };
             Ok::<_, Infallible>(response.map(|body| body.with_busy(busy)))
         }
     });
     let socket = TrackedSocket::new(socket, phase.clone());
     let served = http1::Builder::new()
-        .max_buf_size(bounds.header_bytes.max(MIN_BUFFER))
+        .max_buf_size(buffer_bytes)
         .serve_connection(TokioIo::new(socket), service);
-    let served = tokio::select! {
-        served = served => served,
-        () = phase.wait_until_expired(bounds.header_timeout, bounds.idle_timeout) => return,
-    };
-    if let Err(error) = served {
-        log::debug!(kind = "listen", peer = peer.to_string(), cause = error.to_string(); "a connection ended");
+    tokio::select! {
+        served = served => {
+            if let Err(error) = served {
+                log::debug!(kind = "listen", peer = peer.to_string(), cause = error.to_string(); "a connection ended");
+            }
+        }
+        expired = phase.wait_until_expired() => {
+            log::info!(kind = "connection", peer = peer.to_string(), cause = expired.name(); "closed a connection");
+        }
     }
 }
--- a/crates/gateway/src/phase.rs
+++ b/crates/gateway/src/phase.rs
@@ -2,6 +2,7 @@
 //! out.
 
 use std::cell::Cell;
+use std::fmt;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -17,90 +18,198 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+use crate::bounds::InForce;
+use crate::connections;
+
 /// Current activity of a connection.
 #[derive(Debug, Clone, Copy)]
 enum Activity {
-    /// Idle since this moment.
-    Idle(Instant),
-    /// Receiving the head of a request since this moment.
-    Head(Instant),
+    /// Idle.
+    Idle(Wait),
+    /// Receiving the head of a request.
+    Head(Wait),
     /// Serving a request.
     Busy,
 }
 
-/// The phase of one connection, shared by its socket, its requests and its timer.
-#[derive(Debug, Clone)]
-pub struct Phase {
-    activity: Rc<Cell<Activity>>,
+/// Waiting for the other side.
+#[derive(Debug, Clone, Copy)]
+struct Wait {
+    since: Instant,
+    /// The largest limit that was in force since then: the other side is not told of a lower one.
+    limit: Duration,
+}
+
+impl Wait {
+    fn new(limit: Duration) -> Self {
+        Self {
+            since: Instant::now(),
+            limit,
+        }
+    }
+
+    fn with_limit(self, in_force: Duration) -> Self {
+        Self {
+            limit: self.limit.max(in_force),
+            ..self
+        }
+    }
+
+    fn end(self) -> Instant {
+        self.since + self.limit
+    }
+}
+
+/// Why a connection expired.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Expired {
+    /// It was idle for too long.
+    Idle,
+    /// A request head took too long.
+    Head,
+}
+
+impl Expired {
+    /// Returns the name used in log lines.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Idle => "idle",
+            Self::Head => "head",
+        }
+    }
+}
+
+/// State of a connection that its socket, its requests and its timer share.
+struct State {
+    activity: Cell<Activity>,
     /// Whether a response without a length is being sent. An orderly close would make a truncated
     /// one look complete.
-    reset_on_close: Rc<Cell<bool>>,
+    reset_on_close: Cell<bool>,
+    /// Time for which the other side may leave the current response unread.
+    unread_limit: Cell<Duration>,
+    bounds: InForce,
+}
+
+impl State {
+    fn set_idle(&self) {
+        let limit = (self.bounds)().idle_timeout;
+        self.activity.set(Activity::Idle(Wait::new(limit)));
+    }
+
+    fn set_head(&self) {
+        let limit = (self.bounds)().header_timeout;
+        self.activity.set(Activity::Head(Wait::new(limit)));
+    }
+
+    /// Raises the limit of the current wait to the one in force. Returns when the connection expires,
+    /// and why; `None` while it serves a request.
+    fn expiry(&self) -> Option<(Instant, Expired)> {
+        let bounds = (self.bounds)();
+        let (activity, end) = match self.activity.get() {
+            Activity::Idle(wait) => {
+                let wait = wait.with_limit(bounds.idle_timeout);
+                (Activity::Idle(wait), Some((wait.end(), Expired::Idle)))
+            }
+            Activity::Head(wait) => {
+                let wait = wait.with_limit(bounds.header_timeout);
+                (Activity::Head(wait), Some((wait.end(), Expired::Head)))
+            }
+            Activity::Busy => (Activity::Busy, None),
+        };
+        self.activity.set(activity);
+        end
+    }
 }
 
+/// The phase of one connection, shared by its socket, its requests and its timer.
+#[derive(Clone)]
+pub struct Phase(Rc<State>);
+
 /// A request that is being served; the connection is idle when this is dropped.
-#[derive(Debug)]
 pub struct BusyGuard {
-    activity: Rc<Cell<Activity>>,
-    reset_on_close: Rc<Cell<bool>>,
+    state: Rc<State>,
     /// Whether a response without a length ends with the connection.
     ends_with_connection: bool,
 }
 
 impl Phase {
-    /// The phase of a new connection.
-    pub fn new() -> Self {
-        Self {
-            activity: Rc::new(Cell::new(Activity::Idle(Instant::now()))),
-            reset_on_close: Rc::new(Cell::new(false)),
-        }
+    /// The phase of a new connection with the limits that `bounds` returns.
+    pub fn new(bounds: &InForce) -> Self {
+        let in_force = bounds();
+        Self(Rc::new(State {
+            activity: Cell::new(Activity::Idle(Wait::new(in_force.idle_timeout))),
+            reset_on_close: Cell::new(false),
+            unread_limit: Cell::new(in_force.idle_timeout),
+            bounds: Rc::clone(bounds),
+        }))
     }
 
     /// Marks the start of a request with this HTTP version.
     pub fn begin(&self, version: Version) -> BusyGuard {
-        self.activity.set(Activity::Busy);
+        self.0.activity.set(Activity::Busy);
+        self.0.unread_limit.set((self.0.bounds)().idle_timeout);
         BusyGuard {
-            activity: Rc::clone(&self.activity),
-            reset_on_close: Rc::clone(&self.reset_on_close),
+            state: Rc::clone(&self.0),
             ends_with_connection: version < Version::HTTP_11,
         }
     }
 
-    /// Waits until a head takes longer than `head`, or the connection is idle for longer than
-    /// `idle`.
-    pub async fn wait_until_expired(&self, head: Duration, idle: Duration) {
+    /// Waits until a head takes too long, or the connection is idle for too long, by the limits in
+    /// force.
+    pub async fn wait_until_expired(&self) -> Expired {
         loop {
             let now = Instant::now();
-            let due = match self.activity.get() {
-                Activity::Idle(since) => since + idle,
-                Activity::Head(since) => since + head,
-                Activity::Busy => now + head,
-            };
-            if due <= now {
-                return;
+            // A head may begin, and limits change, at any time.
+            let next_check = now + (self.0.bounds)().header_timeout;
+            match self.0.expiry() {
+                Some((end, expired)) if end <= now => return expired,
+                Some((end, _)) => sleep_until(end.min(next_check)).await,
+                None => sleep_until(next_check).await,
             }
-            // A head may begin at any time.
-            sleep_until(due.min(now + head)).await;
         }
     }
+
+    /// Time for which the other side may leave bytes of the current response unread.
+    fn unread_limit(&self) -> Duration {
+        let in_force = (self.0.bounds)().idle_timeout;
+        let limit = self.0.unread_limit.get().max(in_force);
+        self.0.unread_limit.set(limit);
+        limit
+    }
+
+    /// Records that bytes arrived.
+    fn note_read(&self) {
+        if let Activity::Idle(_) = self.0.activity.get() {
+            self.0.set_head();
+        }
+    }
+}
+
+impl fmt::Debug for Phase {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("Phase").field(&self.0.activity).finish()
+    }
 }
 
-impl Default for Phase {
-    fn default() -> Self {
-        Self::new()
+impl fmt::Debug for BusyGuard {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("BusyGuard")
+            .field("ends_with_connection", &self.ends_with_connection)
+            .finish_non_exhaustive()
     }
 }
 
 impl BusyGuard {
     /// Sets whether a response without a length is incomplete.
     pub fn set_unfinished(&self, unfinished: bool) {
-        self.reset_on_close
-            .set(unfinished && self.ends_with_connection);
+        let resets = unfinished && self.ends_with_connection;
+        self.state.reset_on_close.set(resets);
     }
 }
 
 impl Drop for BusyGuard {
     fn drop(&mut self) {
-        self.activity.set(Activity::Idle(Instant::now()));
+        self.state.set_idle();
     }
 }
 
@@ -110,18 +219,37 @@
 pub struct TrackedSocket {
     socket: TcpStream,
     phase: Phase,
+    /// Time after which the system drops the connection if bytes stay unread.
+    unread_limit: Duration,
 }
 
 impl TrackedSocket {
     /// Wraps `socket` and reports to `phase`.
-    pub const fn new(socket: TcpStream, phase: Phase) -> Self {
-        Self { socket, phase }
+    pub fn new(socket: TcpStream, phase: Phase) -> Self {
+        let mut tracked = Self {
+            socket,
+            phase,
+            unread_limit: Duration::ZERO,
+        };
+        tracked.apply_unread_limit();
+        tracked
+    }
+
+    fn apply_unread_limit(&mut self) {
+        let limit = self.phase.unread_limit();
+        if limit == self.unread_limit {
+            return;
+        }
+        self.unread_limit = limit;
+        if let Err(error) = connections::configure_socket(&self.socket, limit) {
+            log::debug!(kind = "listen", cause = error.to_string(); "cannot set socket options");
+        }
     }
 }
 
 impl Drop for TrackedSocket {
     fn drop(&mut self) {
-        if !self.phase.reset_on_close.get() {
+        if !self.phase.0.reset_on_close.get() {
             return;
         }
         if let Err(error) = self.socket.set_zero_linger() {
@@ -138,11 +266,8 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.socket).poll_read(context, buffer);
-        match self.phase.activity.get() {
-            Activity::Idle(_) if buffer.filled().len() > before => {
-                self.phase.activity.set(Activity::Head(Instant::now()));
-            }
-            _ => {}
+        if buffer.filled().len() > before {
+            self.phase.note_read();
         }
         polled
     }
@@ -154,6 +279,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.apply_unread_limit();
         Pin::new(&mut self.socket).poll_write(context, bytes)
     }
 
@@ -162,6 +288,7 @@
         context: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.apply_unread_limit();
         Pin::new(&mut self.socket).poll_write_vectored(context, parts)
     }
 
--- a/crates/gateway/src/responses.rs
+++ b/crates/gateway/src/responses.rs
@@ -62,6 +62,12 @@
     response
 }
 
+/// The head of the request is longer than allowed; its id is not read.
+pub fn head_too_long() -> Response<Body> {
+    let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+    answer(status, "", "the request head is too long\n")
+}
+
 /// The request has not run because its API key is not valid.
 pub fn denied(id: &str) -> Response<Body> {
     answer(StatusCode::UNAUTHORIZED, id, caller::KEY_HELP)
