Read what has arrived before a connection expires

Callers saw a reset in place of an answer when their request, or the rest of its head, arrived while the daemon stood still. Cause: the timer of an idle connection and the read of the request were due together, and either won by chance; with the timer, unread bytes were dropped. The read goes first now, and after the end of a limit the connection gets 20 ms in which what had arrived is noticed.

--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -78,6 +78,8 @@
         .max_buf_size(buffer_bytes)
         .serve_connection(TokioIo::new(socket), service);
     tokio::select! {
+        // What has arrived is read before the connection may expire.
+        biased;
         served = served => {
             if let Err(error) = served {
                 log::debug!(kind = "listen", peer = peer.to_string(), cause = error.to_string(); "a connection ended");
--- a/crates/gateway/src/phase.rs
+++ b/crates/gateway/src/phase.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use boottime::Instant;
+use boottime::timer::sleep;
 use boottime::timer::sleep_until;
 use http::Version;
 use tokio::io::AsyncRead;
@@ -21,6 +22,10 @@
 use crate::bounds::InForce;
 use crate::connections;
 
+/// Time after the end of a limit in which bytes that arrived before are read. Those that arrived
+/// while the process stood still are noticed together with its timers.
+const READ_GRACE: Duration = Duration::from_millis(20);
+
 /// Current activity of a connection.
 #[derive(Debug, Clone, Copy)]
 enum Activity {
@@ -155,14 +160,20 @@
     }
 
     /// Waits until a head takes too long, or the connection is idle for too long, by the limits in
-    /// force.
+    /// force. What arrived before counts, also if the process stood still.
     pub async fn wait_until_expired(&self) -> Expired {
         loop {
             let now = Instant::now();
             // A head may begin, and limits change, at any time.
             let next_check = now + (self.0.bounds)().header_timeout;
             match self.0.expiry() {
-                Some((end, expired)) if end <= now => return expired,
+                Some((end, _)) if end <= now => {
+                    sleep(READ_GRACE).await;
+                    match self.0.expiry() {
+                        Some((end, expired)) if end <= now => return expired,
+                        _ => {}
+                    }
+                }
                 Some((end, _)) => sleep_until(end.min(next_check)).await,
                 None => sleep_until(next_check).await,
             }
