Count the idle time of a connection from its last byte

A caller that read a long answer slowly, but all the time, lost the end of it. Cause: the connection counted as idle once the body had been handed to the HTTP server, before its bytes had left, so that the idle limit cut an answer in transit. Each write starts the idle time anew.

a_reading_caller_gets_its_whole_answer (7 MB in 6.4 s, limit 1.5 s) failed before this change and passes.

--- a/crates/gateway/src/phase.rs
+++ b/crates/gateway/src/phase.rs
@@ -194,6 +194,13 @@
             self.0.set_head();
         }
     }
+
+    /// Records that bytes were sent: a connection is idle from its last byte on.
+    fn note_written(&self) {
+        if let Activity::Idle(_) = self.0.activity.get() {
+            self.0.set_idle();
+        }
+    }
 }
 
 impl fmt::Debug for Phase {
@@ -256,6 +263,13 @@
             log::debug!(kind = "listen", cause = error.to_string(); "cannot set socket options");
         }
     }
+
+    /// Records the result of a write.
+    fn after_write(&self, written: &Poll<io::Result<usize>>) {
+        if matches!(written, Poll::Ready(Ok(_))) {
+            self.phase.note_written();
+        }
+    }
 }
 
 impl Drop for TrackedSocket {
@@ -291,7 +305,9 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.apply_unread_limit();
-        Pin::new(&mut self.socket).poll_write(context, bytes)
+        let written = Pin::new(&mut self.socket).poll_write(context, bytes);
+        self.after_write(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -300,7 +316,9 @@
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.apply_unread_limit();
-        Pin::new(&mut self.socket).poll_write_vectored(context, parts)
+        let written = Pin::new(&mut self.socket).poll_write_vectored(context, parts);
+        self.after_write(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/gateway/tests/gateway/idle_connections.rs
+++ b/crates/gateway/tests/gateway/idle_connections.rs
@@ -1,6 +1,7 @@
 //! Guards against closing a caller's connection under a request. A caller may reuse a connection that was idle for up
 //! to four fifths of the limit in force.
 
+use std::io::Read;
 use std::thread;
 use std::time::Duration;
 
@@ -18,6 +19,11 @@
 use crate::site::config;
 use crate::site::headers;
 
+/// Bytes of an answer that is larger than the socket buffers.
+const LONG_ANSWER: usize = 7 * 1024 * 1024;
+/// Parts in which a caller reads it, with a pause before each.
+const READING_STEPS: usize = 16;
+const READING_PAUSE: Duration = Duration::from_millis(400);
 /// Rounds in which a request arrives while the daemon is stopped; each may be lost by chance.
 const ROUNDS: usize = 4;
 
@@ -111,6 +117,25 @@
     assert_eq!(caller.read().status(), 200);
 }
 
+/// A caller that reads slowly, but all the time, is not idle.
+#[test]
+fn a_reading_caller_gets_its_whole_answer() {
+    let long = vec![b'x'; LONG_ANSWER];
+    let replica = Replica::start("i-1", move |request| {
+        Action::Send(signed_answer(request, 200, &long))
+    });
+    let plan = plan(1, 1_500);
+    let site = Site::start_with_plan("reads-slowly", &plan, &[(&replica, "app", "")]);
+    let mut caller = site.daemon.caller();
+    caller.start_request("GET /read/1", &headers("a1"), b"");
+    let mut part = vec![0; LONG_ANSWER / READING_STEPS];
+    for step in 0..READING_STEPS {
+        thread::sleep(READING_PAUSE);
+        let read = caller.socket.read_exact(&mut part);
+        assert!(read.is_ok(), "step {step}: {read:?}");
+    }
+}
+
 /// The limit of an idle connection, or of a head, passes while the daemon is stopped; the request, or the rest of its
 /// head, arrives before that.
 #[rstest]
