Copy the KV cache of a run before the run is stopped

Callers saw streams cut off while their replicas were running. Cause: the order that stops a run was sent before the handle was known with which it can continue. The class: an order that cannot be taken back, without an answer, counts as not carried out.

The run is stopped after that, and if the stop has no answer and the stream ends early, it continues from the copy. A copy without a stop is freed. Field unsure and ms of the log line move, moves_total{late}.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -73,7 +73,7 @@
         written: None,
         answer: None,
         is_end_proven: false,
-        may_have_stopped: false,
+        unsure_stop: None,
     };
     tokio::task::spawn_local(forwarder.run(Source::Replica(Box::new(opened.reply))));
     response
@@ -100,9 +100,9 @@
     answer: Option<OpenAnswer>,
     /// Whether it is known that the answer of the current replica ended before its process did.
     is_end_proven: bool,
-    /// Whether the run at the current replica may have been stopped by a request that got no
-    /// answer.
-    may_have_stopped: bool,
+    /// How the run at the current replica continues if an order to stop it, which got no answer, is
+    /// carried out.
+    unsure_stop: Option<StoppedRun>,
 }
 
 /// Where a part of a stream comes from.
--- a/crates/gateway/src/forward/replica_stream.rs
+++ b/crates/gateway/src/forward/replica_stream.rs
@@ -101,7 +101,7 @@
     pub(super) async fn forward_from(&mut self, reply: Reply) -> End {
         self.software.clone_from(&reply.software);
         let mut source = ReplicaStream::new(reply);
-        self.may_have_stopped = false;
+        self.free_unsure_stop();
         self.written = None;
         loop {
             let end = match self.next_step(&mut source).await {
@@ -119,6 +119,7 @@
             if let Some(stopped) = &source.stopped {
                 migration::free_cache(&self.shared, stopped);
             }
+            self.free_unsure_stop();
             if matches!(end, End::Complete) {
                 self.keep_connection(source);
             }
@@ -168,7 +169,7 @@
         match read {
             Err(_) if Instant::now() >= self.job.deadline => Some(End::TimedOut),
             Err(_) => self.handle_silence(source).await,
-            Ok(Some(Err(error))) => Some(End::Broken(error.to_string())),
+            Ok(Some(Err(error))) => Some(self.broken(error.to_string())),
             Ok(Some(Ok(frame))) => self.handle_frame(source, frame).await,
             Ok(None) => Some(self.finish(source).await),
         }
@@ -258,10 +259,10 @@
     /// killed process closes its connections as well, and so does a stopped run.
     async fn finish(&mut self, source: &ReplicaStream) -> End {
         if !source.has_explicit_end && self.splitter.is_partial() {
-            return End::Broken("the answer ended in the middle of an event".to_owned());
+            return self.broken("the answer ended in the middle of an event".to_owned());
         }
-        if !source.has_explicit_end && self.may_have_stopped {
-            return End::Broken("the run may have been stopped".to_owned());
+        if !source.has_explicit_end && self.unsure_stop.is_some() {
+            return self.broken("the run may have been stopped".to_owned());
         }
         let outlives = if source.has_explicit_end {
             Some(true)
--- a/crates/gateway/src/forward/resume.rs
+++ b/crates/gateway/src/forward/resume.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use boottime::Instant;
 use boottime::timer::timeout_at;
 use http::StatusCode;
 use platform::caller::Task;
@@ -12,6 +13,7 @@
 
 use crate::begins;
 use crate::control;
+use crate::forward::End;
 use crate::forward::Forwarder;
 use crate::forward::STALL_TIMEOUT;
 use crate::migration;
@@ -38,20 +40,24 @@
         target: Target,
     ) -> Option<StoppedRun> {
         let Target { to, reason } = target;
+        let begun = Instant::now();
         let request = &self.job.call.id;
         let granted = self.shared.ensure_permit(&self.job, Work::Run);
-        let outcome = if granted {
-            migration::stop(&self.shared, request, from, to).await
+        let copied = if granted {
+            migration::copy(&self.shared, request, from, to).await
         } else {
-            Outcome::Unchanged("the retry budget is exhausted")
+            Err("the retry budget is exhausted")
+        };
+        let outcome = match copied {
+            Ok(copied) => migration::stop(&self.shared, request, copied).await,
+            Err(cause) => Outcome::Unchanged(cause),
         };
-        self.may_have_stopped |= matches!(outcome, Outcome::Unknown(_));
         let pool = self.shared.pool.borrow();
         let name = |key| pool.get(key).map_or("", |server| &server.replica.id);
-        let (stopped, cause) = match outcome {
-            Outcome::Stopped(stopped) => (Some(stopped), String::new()),
-            Outcome::Unchanged(cause) => (None, cause.to_owned()),
-            Outcome::Unknown(cause) => (None, cause),
+        let (stopped, unsure, cause) = match outcome {
+            Outcome::Stopped(stopped) => (Some(stopped), None, String::new()),
+            Outcome::Unchanged(cause) => (None, None, cause.to_owned()),
+            Outcome::Unknown(stopped, cause) => (None, Some(stopped), cause),
         };
         let moved = if stopped.is_some() {
             "moved"
@@ -60,13 +66,35 @@
         };
         self.shared.metrics.moved(moved);
         let copied = stopped.as_ref().is_some_and(|s| s.candidates.len() > 1);
-        log::info!(kind = "move", request = request, replica = name(from), to = name(to), reason = reason.name(), stopped = stopped.is_some(), copied = copied, events = self.events, cause = cause; "ordered a run to continue at another replica");
+        log::info!(kind = "move", request = request, replica = name(from), to = name(to), reason = reason.name(), stopped = stopped.is_some(), copied = copied, unsure = unsure.is_some(), ms = begun.elapsed().as_millis() as u64, events = self.events, cause = cause; "ordered a run to continue at another replica");
         if let Some(tracked_run) = self.tracked_run.as_ref().filter(|_| stopped.is_none()) {
             tracked_run.block_moves_from_replica(UNMOVED_PAUSE);
         }
+        drop(pool);
+        if unsure.is_some() {
+            self.unsure_stop = unsure;
+        }
         stopped
     }
 
+    /// The end of the replica's part, whose connection ended too early: the run may have been stopped
+    /// after all.
+    pub(super) fn broken(&mut self, cause: String) -> End {
+        let Some(stopped) = self.unsure_stop.take() else {
+            return End::Broken(cause);
+        };
+        self.shared.metrics.moved("late");
+        log::info!(kind = "move", request = self.job.call.id, late = true, events = self.events, cause = cause; "a run was stopped by an order that got no answer");
+        End::Stopped(stopped)
+    }
+
+    /// Frees the copy of a run that was not stopped.
+    pub(super) fn free_unsure_stop(&mut self) {
+        if let Some(stopped) = self.unsure_stop.take() {
+            migration::free_cache(&self.shared, &stopped);
+        }
+    }
+
     /// Continues a stopped run, at the other replica if that one has a copy of the KV cache.
     pub(super) async fn continue_run(&mut self, stopped: StoppedRun) -> Option<Reply> {
         let Ok(Some(last_event)) = self.splitter.resume(self.job.call.last_event) else {
--- a/crates/gateway/src/migration.rs
+++ b/crates/gateway/src/migration.rs
@@ -1,4 +1,8 @@
 //! Migrates the KV cache of a run to another replica.
+//!
+//! An order without an answer may be carried out later, and a stopped run can only be continued with
+//! the handle of its KV cache. So the cache is copied first, which disturbs nothing and names the
+//! handle; the run is stopped after that.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -7,16 +11,15 @@
 use http::StatusCode;
 use platform::engine;
 use platform::engine::MovedCache;
+use platform::engine::Phase;
 use relay::replica::Replica;
 use relay::server::Key;
 
 use crate::control;
-use crate::control::Answer;
 use crate::control::Call;
 use crate::shared::Shared;
 
-/// Attempts to start a migration. One whose answer was lost may have been carried out; a repeated
-/// request then returns the handle of the KV cache.
+/// Attempts to stop a run.
 const MAX_TRIES: usize = 2;
 
 /// A run that stopped to continue elsewhere.
@@ -32,82 +35,156 @@
     pub candidates: Vec<Key>,
 }
 
-/// Result of a migration.
+/// Result of an order to stop a run whose KV cache was copied.
 #[derive(Debug)]
 pub enum Outcome {
     /// The run stopped.
     Stopped(StoppedRun),
     /// The run continues where it is.
     Unchanged(&'static str),
-    /// The run may have stopped.
-    Unknown(String),
+    /// The run may have stopped, or may stop later; if so, it continues like this.
+    Unknown(StoppedRun, String),
 }
 
-/// Stops the run of `request` at `from` and copies its KV cache to `to`.
-pub async fn stop(shared: &Shared, request: &str, from: Key, to: Key) -> Outcome {
-    let Some((source, target)) = replicas(shared, from, to) else {
-        return Outcome::Unchanged("a replica is no longer listed");
-    };
+/// A run whose KV cache was copied to another replica. It goes on meanwhile.
+#[derive(Debug)]
+pub struct CopiedRun {
+    source: Replica,
+    target: Replica,
+    to: Key,
+    stopped: StoppedRun,
+}
+
+/// Copies the KV cache of the run of `request` at `from` to `to`.
+///
+/// # Errors
+/// Why there is no copy.
+pub async fn copy(
+    shared: &Shared,
+    request: &str,
+    from: Key,
+    to: Key,
+) -> Result<CopiedRun, &'static str> {
+    let (source, target) = replicas(shared, from, to).ok_or("a replica is no longer listed")?;
     if shared.backs_off(from) {
-        return Outcome::Unchanged("the replica asked for no requests");
+        return Err("the replica asked for no requests");
     }
     if let Some(cause) = shared.withheld_cause(to) {
-        return Outcome::Unchanged(cause);
+        return Err(cause);
+    }
+    let call = move_call(request, from, &source, &target, Phase::Copy);
+    let answer = control::call(shared, call).await;
+    let answer = answer.map_err(|_| "the replica did not answer")?;
+    match answer.status {
+        StatusCode::OK => {}
+        StatusCode::NOT_FOUND => return Err("the replica does not run the request"),
+        StatusCode::SERVICE_UNAVAILABLE => return Err("the other replica has no room"),
+        _ => return Err("the replica refused the migration"),
+    }
+    let moved = MovedCache::read(&answer.body).map_err(|_| "the answer has no handle")?;
+    let stopped = StoppedRun {
+        from,
+        address: source.address,
+        handle: moved.handle,
+        candidates: vec![to, from],
+    };
+    Ok(CopiedRun {
+        source,
+        target,
+        to,
+        stopped,
+    })
+}
+
+/// Stops the run of `request`, which was `copied`. Frees the copy if the run certainly goes on.
+pub async fn stop(shared: &Rc<Shared>, request: &str, copied: CopiedRun) -> Outcome {
+    let CopiedRun {
+        source,
+        target,
+        to,
+        mut stopped,
+    } = copied;
+    let answered = match shared.withheld_cause(to) {
+        Some(cause) => Err(Unstopped::Unchanged(cause)),
+        None => order_stop(shared, request, stopped.from, &source, &target).await,
+    };
+    match answered {
+        Ok(StopAnswer::Copied) => Outcome::Stopped(stopped),
+        Ok(StopAnswer::NoRoom) => {
+            stopped.candidates = vec![stopped.from];
+            Outcome::Stopped(stopped)
+        }
+        Err(Unstopped::Unknown(cause)) => Outcome::Unknown(stopped, cause),
+        Err(Unstopped::Unchanged(cause)) => {
+            free_cache(shared, &stopped);
+            Outcome::Unchanged(cause)
+        }
     }
+}
+
+/// How a replica stopped a run.
+enum StopAnswer {
+    /// The other replica has the whole KV cache.
+    Copied,
+    /// The other replica has no room for the rest.
+    NoRoom,
+}
+
+/// Why a run has not stopped.
+enum Unstopped {
+    /// It goes on.
+    Unchanged(&'static str),
+    /// It may have stopped, or may stop later.
+    Unknown(String),
+}
+
+async fn order_stop(
+    shared: &Shared,
+    request: &str,
+    from: Key,
+    source: &Replica,
+    target: &Replica,
+) -> Result<StopAnswer, Unstopped> {
     let mut uncertain = None;
     for _ in 0..MAX_TRIES {
-        let call = Call {
-            key: from,
-            to: source.address,
-            replica: source.id.clone(),
-            method: Method::POST,
-            path: engine::MOVE_PATH.to_owned(),
-            body: engine::move_body(request, target.address),
-        };
-        let outcome = match control::call(shared, call).await {
-            Ok(answer) => parse_answer(&answer, from, source.address, to),
+        let call = move_call(request, from, source, target, Phase::Stop);
+        let answer = match control::call(shared, call).await {
+            Ok(answer) => answer,
             Err(error) => {
                 // A later attempt does not undo what this one may have done.
                 uncertain = uncertain.or_else(|| error.is_uncertain().then(|| error.to_string()));
                 continue;
             }
         };
-        return match (outcome, uncertain) {
+        let has_handle = MovedCache::read(&answer.body).is_ok();
+        return match (answer.status, uncertain) {
+            (StatusCode::OK, _) => Ok(StopAnswer::Copied),
+            (StatusCode::SERVICE_UNAVAILABLE, _) if has_handle => Ok(StopAnswer::NoRoom),
+            (StatusCode::SERVICE_UNAVAILABLE, _) => {
+                Err(Unstopped::Unknown("the answer has no handle".to_owned()))
+            }
             // The unanswered attempt may have stopped the run.
-            (Outcome::Unchanged(_), Some(cause)) => Outcome::Unknown(cause),
-            (outcome, _) => outcome,
+            (_, Some(cause)) => Err(Unstopped::Unknown(cause)),
+            (StatusCode::NOT_FOUND, None) => {
+                Err(Unstopped::Unchanged("the replica does not run the request"))
+            }
+            _ => Err(Unstopped::Unchanged("the replica refused the migration")),
         };
     }
-    uncertain.map_or(
-        Outcome::Unchanged("the replica cannot be reached"),
-        Outcome::Unknown,
-    )
+    Err(uncertain.map_or(
+        Unstopped::Unchanged("the replica cannot be reached"),
+        Unstopped::Unknown,
+    ))
 }
 
-/// Interprets the answer of the replica `from` at `address`.
-fn parse_answer(answer: &Answer, from: Key, address: SocketAddr, to: Key) -> Outcome {
-    let candidates = match answer.status {
-        StatusCode::OK => vec![to, from],
-        StatusCode::NOT_FOUND => return Outcome::Unchanged("the replica does not run the request"),
-        _ => vec![from],
-    };
-    match MovedCache::read(&answer.body) {
-        Ok(moved) => Outcome::Stopped(StoppedRun {
-            from,
-            address,
-            handle: moved.handle,
-            candidates,
-        }),
-        // The run stopped with 200, and also with 503, which means no room at the other replica.
-        Err(_)
-            if matches!(
-                answer.status,
-                StatusCode::OK | StatusCode::SERVICE_UNAVAILABLE
-            ) =>
-        {
-            Outcome::Unknown("the answer has no handle".to_owned())
-        }
-        Err(_) => Outcome::Unchanged("the replica refused the migration"),
+fn move_call(request: &str, from: Key, source: &Replica, target: &Replica, phase: Phase) -> Call {
+    Call {
+        key: from,
+        to: source.address,
+        replica: source.id.clone(),
+        method: Method::POST,
+        path: engine::MOVE_PATH.to_owned(),
+        body: engine::move_body(request, target.address, phase),
     }
 }
 
@@ -118,7 +195,7 @@
     Some((source, target))
 }
 
-/// Frees the KV cache of a run that does not continue.
+/// Frees the KV cache of a run that does not continue from it, at both replicas.
 pub fn free_cache(shared: &Rc<Shared>, stopped: &StoppedRun) {
     let source = shared.pool.borrow().get(stopped.from).cloned();
     let Some(source) = source else { return };
