Ask again for replicas to continue a stopped run

Callers saw a stream cut off if neither the replica of a stopped run nor the other one took it on at once: each was asked once, within 0.3 s, although the KV cache is kept for seconds. Both are asked again, after 0.1 s and pauses that double, for up to two seconds, after which callers give up.

--- a/crates/gateway/src/forward/resume.rs
+++ b/crates/gateway/src/forward/resume.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use boottime::Instant;
+use boottime::timer::sleep;
 use boottime::timer::timeout_at;
 use http::StatusCode;
 use platform::caller::Task;
@@ -32,6 +33,24 @@
 /// Time that a migrated run stays at its new replica.
 const MOVED_PAUSE: Duration = Duration::from_millis(500);
 
+/// Time for which replicas are asked to continue a stopped run; callers give up after two seconds
+/// without an event.
+const CONTINUE_TIME: Duration = Duration::from_secs(2);
+/// First pause before they are asked again; each is twice as long as the one before.
+const CONTINUE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Result of an attempt to continue a stopped run.
+enum Continuation {
+    /// It goes on.
+    Running(Box<Reply>),
+    /// The replica did not take it, or there is no retry left.
+    Refused,
+    /// It may have gone on, and its events are lost.
+    Lost,
+    /// The caller closed the connection, or the deadline passed.
+    CallerLeft,
+}
+
 impl Forwarder {
     /// Stops the run at `from` to continue at `target`; `None` if it stays where it is.
     pub(super) async fn stop_for_migration(
@@ -95,44 +114,73 @@
         }
     }
 
-    /// Continues a stopped run, at the other replica if that one has a copy of the KV cache.
+    /// Continues a stopped run, at the other replica if that one has a copy of the KV cache. Replicas
+    /// may refuse it, or be silent, for a moment.
     pub(super) async fn continue_run(&mut self, stopped: StoppedRun) -> Option<Reply> {
         let Ok(Some(last_event)) = self.splitter.resume(self.job.call.last_event) else {
             migration::free_cache(&self.shared, &stopped);
             return None;
         };
-        for key in &stopped.candidates {
-            let Some(permit) = self.shared.take_permit(&self.job, Work::Run) else {
-                break;
-            };
-            let task = Task::Continue {
-                address: stopped.address,
-                handle: stopped.handle.clone(),
-                last_event,
-            };
-            let sent = send::send(&self.shared, &self.job, *key, task, None, permit);
-            let sent = tokio::select! {
-                sent = timeout_at(self.job.deadline, sent) => sent.ok(),
-                () = self.parts.closed() => None,
-            };
-            let Some(sent) = sent else {
-                migration::free_cache(&self.shared, &stopped);
-                return None;
-            };
-            match sent {
-                Ok(reply) if reply.head.status == StatusCode::OK => {
-                    if let Some(tracked_run) = &mut self.tracked_run {
-                        tracked_run.record_move(*key);
-                        tracked_run.block_moves(MOVED_PAUSE);
+        let until = self.job.deadline.min(Instant::now() + CONTINUE_TIME);
+        let mut pause = CONTINUE_PAUSE;
+        loop {
+            for key in &stopped.candidates {
+                match self.continue_at(*key, &stopped, last_event).await {
+                    Continuation::Running(reply) => return Some(*reply),
+                    Continuation::Refused => {}
+                    Continuation::Lost => {
+                        migration::free_cache(&self.shared, &stopped);
+                        return self.resume(None).await;
+                    }
+                    Continuation::CallerLeft => {
+                        migration::free_cache(&self.shared, &stopped);
+                        return None;
                     }
-                    return Some(reply);
                 }
-                Ok(_) | Err(Sent::Failed | Sent::Lost | Sent::Quarantined | Sent::Denied) => break,
-                Err(Sent::NotRun | Sent::NotSent) => {}
+            }
+            if Instant::now() + pause >= until {
+                migration::free_cache(&self.shared, &stopped);
+                return self.resume(None).await;
+            }
+            sleep(pause).await;
+            pause *= 2;
+        }
+    }
+
+    /// Continues a stopped run at the replica `key`.
+    async fn continue_at(
+        &mut self,
+        key: Key,
+        stopped: &StoppedRun,
+        last_event: u64,
+    ) -> Continuation {
+        let Some(permit) = self.shared.take_permit(&self.job, Work::Run) else {
+            return Continuation::Refused;
+        };
+        let task = Task::Continue {
+            address: stopped.address,
+            handle: stopped.handle.clone(),
+            last_event,
+        };
+        let sent = send::send(&self.shared, &self.job, key, task, None, permit);
+        let sent = tokio::select! {
+            sent = timeout_at(self.job.deadline, sent) => sent.ok(),
+            () = self.parts.closed() => None,
+        };
+        match sent {
+            None => Continuation::CallerLeft,
+            Some(Ok(reply)) if reply.head.status == StatusCode::OK => {
+                if let Some(tracked_run) = &mut self.tracked_run {
+                    tracked_run.record_move(key);
+                    tracked_run.block_moves(MOVED_PAUSE);
+                }
+                Continuation::Running(Box::new(reply))
+            }
+            Some(Err(Sent::NotRun | Sent::NotSent)) => Continuation::Refused,
+            Some(Ok(_) | Err(Sent::Failed | Sent::Lost | Sent::Quarantined | Sent::Denied)) => {
+                Continuation::Lost
             }
         }
-        migration::free_cache(&self.shared, &stopped);
-        self.resume(None).await
     }
 
     /// Whether the replica, which has been silent for [`STALL_TIMEOUT`], answers a probe.
