Keep the stream of a silent replica until another one continues it

Callers saw a resumable stream cut off whose replica was sound and silent for 1.3 s (1.9 s if it answers probes). Cause: the stream was given up before another replica had taken it; if none did, nothing was left. The class is that of a timer which ends what it has not looked at. Now the other replica is asked while the connection to the silent one stays open; whichever goes on first is forwarded, and the other one's connection is closed.

silent_replicas::a_stream_stays_at_a_silent_replica_if_no_other_takes_it failed in both cases before and passes; two more cases hold that each event comes once when the silent replica, or the other one, is first.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -26,7 +26,6 @@
 use crate::handoff::client::Answered;
 use crate::job::Job;
 use crate::migration::StoppedRun;
-use crate::placement::Placement;
 use crate::run_tracking::TrackedRun;
 use crate::search::Opened;
 use crate::send;
@@ -35,8 +34,8 @@
 
 /// Parts of a response buffered for a slow caller; beyond that, the replica is not read.
 const MAX_BUFFERED_PARTS: usize = 32;
-/// Silence after which a replica is probed. After twice this time, a resumable stream continues at
-/// another replica. Callers give up after two seconds of silence or more, and the other replica
+/// Silence after which a replica is probed. After twice this time, another replica is asked to
+/// continue a resumable stream. Callers give up after two seconds of silence or more, and the other replica
 /// needs a few hundred milliseconds to prefill the prompt.
 const STALL_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -123,8 +122,8 @@
     TimedOut,
     /// The replica's part was cut off.
     Broken(String),
-    /// The replica stalled, and there is a placement at another one.
-    Silent(Placement),
+    /// The replica is silent, and another one continues the stream.
+    Resumed(Box<Opened>),
     /// The run stopped to continue at another replica.
     Stopped(StoppedRun),
 }
@@ -162,16 +161,16 @@
                 },
                 End::Broken(cause) => {
                     self.record_loss(key, &cause);
-                    match self.resume_anywhere(None).await {
+                    match self.resume_anywhere().await {
                         Some(next) => source = next,
                         None => return self.abort("broken", "the replica cut off its answer"),
                     }
                 }
-                End::Silent(placement) => {
+                End::Resumed(opened) => {
                     self.record_loss(key, "the replica sent no event for too long");
-                    match self.resume_anywhere(Some(placement)).await {
-                        Some(next) => source = next,
-                        None => return self.abort("broken", "the replica stalled"),
+                    match self.take_over(*opened) {
+                        Some(next) => source = Source::Replica(Box::new(next)),
+                        None => return self.abort("broken", "the stream has no position"),
                     }
                 }
             }
--- a/crates/gateway/src/forward/peer_stream.rs
+++ b/crates/gateway/src/forward/peer_stream.rs
@@ -11,13 +11,11 @@
 use crate::handoff;
 use crate::handoff::Taken;
 use crate::handoff::client::Answered;
-use crate::placement::Placement;
 
 impl Forwarder {
-    /// Resumes the stream after its last event at another replica, at `placement` if there is one,
-    /// or through a peer.
-    pub(super) async fn resume_anywhere(&mut self, placement: Option<Placement>) -> Option<Source> {
-        if let Some(reply) = self.resume(placement).await {
+    /// Resumes the stream after its last event at another replica, or through a peer.
+    pub(super) async fn resume_anywhere(&mut self) -> Option<Source> {
+        if let Some(reply) = self.resume().await {
             return Some(Source::Replica(Box::new(reply)));
         }
         self.resume_at_peer().await.map(Source::Peer)
--- a/crates/gateway/src/forward/replica_stream.rs
+++ b/crates/gateway/src/forward/replica_stream.rs
@@ -55,6 +55,8 @@
     meter: StreamMeter,
     /// Number of silences so far.
     silences: u32,
+    /// What ended a silence.
+    early_read: Option<BodyRead>,
     /// Set once the run is stopped to continue at another replica.
     stopped: Option<StoppedRun>,
 }
@@ -91,6 +93,7 @@
             last_event_at: begun,
             meter: StreamMeter::new(),
             silences: 0,
+            early_read: None,
             stopped: None,
         }
     }
@@ -128,6 +131,9 @@
     }
 
     async fn next_step(&mut self, source: &mut ReplicaStream) -> Step {
+        if let Some(read) = source.early_read.take() {
+            return Step::Read(read);
+        }
         let is_running = source.stopped.is_none();
         // A run can only continue elsewhere after an event whose id is known.
         let may_migrate = is_running && matches!(self.position(), Ok(Some(_)));
@@ -175,8 +181,8 @@
         }
     }
 
-    /// Handles a silence: keeps waiting, or returns `Silent` with a placement elsewhere.
-    async fn handle_silence(&self, source: &mut ReplicaStream) -> Option<End> {
+    /// Handles a silence: keeps waiting, or has the stream continued by another replica.
+    async fn handle_silence(&mut self, source: &mut ReplicaStream) -> Option<End> {
         let key = source.guard.key;
         let responds = source.silences == 0 && self.is_responsive(key).await;
         if !responds && self.is_resumable() && !self.reaches_service().await {
@@ -191,9 +197,18 @@
         } else {
             self.find_other_placement().await
         };
-        // Without another placement, keep waiting.
         source.silences += 1;
-        placement.map(End::Silent)
+        tokio::select! {
+            biased;
+            // The replica goes on.
+            read = source.body.frame() => {
+                source.early_read = Some(Ok(read));
+                None
+            }
+            opened = self.open_elsewhere(placement?) => {
+                opened.map(|opened| End::Resumed(Box::new(opened)))
+            }
+        }
     }
 
     /// Whether other replicas of the service accept connections, or this daemon may not hand the
--- a/crates/gateway/src/forward/resume.rs
+++ b/crates/gateway/src/forward/resume.rs
@@ -24,6 +24,7 @@
 use crate::placement;
 use crate::placement::Placement;
 use crate::search;
+use crate::search::Opened;
 use crate::search::Search;
 use crate::send;
 use crate::send::Reply;
@@ -130,7 +131,7 @@
                     Continuation::Refused => {}
                     Continuation::Lost => {
                         migration::free_cache(&self.shared, &stopped);
-                        return self.resume(None).await;
+                        return self.resume().await;
                     }
                     Continuation::CallerLeft => {
                         migration::free_cache(&self.shared, &stopped);
@@ -140,7 +141,7 @@
             }
             if Instant::now() + pause >= until {
                 migration::free_cache(&self.shared, &stopped);
-                return self.resume(None).await;
+                return self.resume().await;
             }
             sleep(pause).await;
             pause *= 2;
@@ -211,9 +212,40 @@
         }
     }
 
-    /// Resumes the stream after its last event at another replica, at `placement` if there is one.
-    pub(super) async fn resume(&mut self, placement: Option<Placement>) -> Option<Reply> {
+    /// Resumes the stream after its last event at another replica.
+    pub(super) async fn resume(&mut self) -> Option<Reply> {
         let last_event = self.splitter.resume(self.job.call.last_event).ok()?;
+        let opened = self.open(None, last_event).await?;
+        self.tracked_run = opened.tracked_run;
+        Some(opened.reply)
+    }
+
+    /// Opens the stream at `placement`, while its replica is silent. That one is not given up: if no
+    /// other takes the stream, it may go on. Dropping the future closes what it opened.
+    pub(super) async fn open_elsewhere(&mut self, placement: Placement) -> Option<Opened> {
+        let last_event = self.splitter.resumes_after(self.job.call.last_event);
+        let (last_event, before) = (last_event.ok()?, self.attempt);
+        let opened = self.open(Some(placement), last_event).await;
+        // The loss that `open` counts has not happened.
+        if opened.is_none() && self.attempt.runs_left() + 1 == before.runs_left() {
+            self.attempt = before;
+        }
+        opened
+    }
+
+    /// Continues the stream as `opened`.
+    pub(super) fn take_over(&mut self, opened: Opened) -> Option<Reply> {
+        self.splitter.resume(self.job.call.last_event).ok()?;
+        self.tracked_run = opened.tracked_run;
+        Some(opened.reply)
+    }
+
+    /// Opens the stream after `last_event` at another replica, at `placement` if there is one.
+    async fn open(
+        &mut self,
+        placement: Option<Placement>,
+        last_event: Option<u64>,
+    ) -> Option<Opened> {
         if !self.find_version().await {
             return None;
         }
@@ -236,11 +268,7 @@
             opened = timeout_at(self.job.deadline, opened) => opened.ok()?.ok()?,
             () = self.parts.closed() => return None,
         };
-        if opened.reply.head.status != StatusCode::OK {
-            return None;
-        }
-        self.tracked_run = opened.tracked_run;
-        Some(opened.reply)
+        (opened.reply.head.status == StatusCode::OK).then_some(opened)
     }
 
     /// Finds out the software version at which the stream has to continue, if it has begun. Only the
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -37,6 +37,7 @@
 mod second_calls;
 mod second_store;
 mod shedding;
+mod silent_replicas;
 mod site;
 mod slowdown;
 mod stages;
--- /dev/null
+++ b/crates/gateway/tests/gateway/silent_replicas.rs
@@ -0,0 +1,93 @@
+//! Guards against ending an answer because its replica is silent for a moment: a sound one may be, and goes on.
+
+use std::time::Duration;
+
+use rstest::rstest;
+
+use crate::common::daemon::wait_until;
+use crate::common::http::Message;
+use crate::common::replica::Action;
+use crate::common::replica::Replica;
+use crate::common::replica::chunk;
+use crate::common::replica::event_texts;
+use crate::common::replica::events;
+use crate::common::replica::not_run_answer;
+use crate::common::replica::stream_head;
+use crate::site::Site;
+use crate::site::start_generation;
+
+/// Events of a complete answer.
+const EVENT_COUNT: u64 = 5;
+
+/// A replica that pauses before each half of the answer, and does or does not answer reports. Resumed
+/// streams have no pause.
+fn start_pausing(id: &str, pause: Duration, reports: bool) -> Replica {
+    let replica = Replica::start(id, move |request| match request.header("last-event-id") {
+        Some(last) => Action::Send(rest(request, last.parse().unwrap())),
+        None => Action::SendSlowly(
+            vec![
+                [stream_head(request), events(1, 2)].concat(),
+                [events(3, EVENT_COUNT), chunk(b"")].concat(),
+            ],
+            pause,
+        ),
+    });
+    replica.answer_reports_if(move || reports);
+    replica
+}
+
+fn rest(request: &Message, last: u64) -> Vec<u8> {
+    [
+        stream_head(request),
+        events(last + 1, EVENT_COUNT),
+        chunk(b""),
+    ]
+    .concat()
+}
+
+/// Checks that a resumable stream which begins at `pausing` is whole, with `other` in place during the pause.
+fn assert_whole(name: &str, pausing: &Replica, other: &Replica) {
+    let site = Site::start(name, &[(pausing, "llm", "decode")]);
+    let mut caller = start_generation(&site.daemon, "/resume/1", "a1");
+    wait_until("the run starts", || !pausing.requests().is_empty());
+    let row = other.row("llm", "decode");
+    site.store.put("servers", &other.id, &row);
+    let response = caller.read();
+    let body = String::from_utf8_lossy(&response.body);
+    assert_eq!(
+        (response.complete, body),
+        (true, event_texts(1, EVENT_COUNT).into())
+    );
+}
+
+#[rstest]
+#[case::that_answers_probes(1_900, true)]
+#[case::that_answers_nothing(1_300, false)]
+fn a_stream_stays_at_a_silent_replica_if_no_other_takes_it(
+    #[case] pause_ms: u64,
+    #[case] reports: bool,
+) {
+    let pausing = start_pausing("i-1", Duration::from_millis(pause_ms), reports);
+    let other = Replica::start("i-2", |request| Action::Send(not_run_answer(request)));
+    assert_whole(&format!("silent-{pause_ms}"), &pausing, &other);
+    assert!(!other.requests().is_empty());
+}
+
+/// The other replica would begin later than the silent one goes on.
+#[test]
+fn a_stream_stays_at_a_silent_replica_that_goes_on_first() {
+    let pausing = start_pausing("i-1", Duration::from_millis(1_300), false);
+    let other = Replica::start("i-2", |request| {
+        Action::SendSlowly(vec![rest(request, 2)], Duration::from_millis(1_500))
+    });
+    assert_whole("silent-first", &pausing, &other);
+    assert!(!other.requests().is_empty());
+}
+
+#[test]
+fn a_stream_goes_on_at_a_replica_that_begins_before_the_silent_one() {
+    let pausing = start_pausing("i-1", Duration::from_millis(1_900), false);
+    let other = start_pausing("i-2", Duration::ZERO, true);
+    assert_whole("silent-second", &pausing, &other);
+    assert_eq!(other.requests().len(), 1);
+}
