Keep the KV cache copy of a run that is moved a second time

Callers would see a stream cut after the second attempt to move its run: the first order to stop it got no answer and was not carried out, the second one was. Cause: the copy that the first attempt left for a late stop was freed as soon as the run stopped, and both attempts have the same handle, so the copy was freed under the continuation; DELETE at the source frees both ends. In the same way, a second attempt that certainly did not stop the run freed the copy, although the first order could still be carried out.

A new copy replaces the earlier one without freeing it, and an earlier order without an answer makes the result of a later one uncertain, as a lost first try already did.

--- a/crates/gateway/src/forward/resume.rs
+++ b/crates/gateway/src/forward/resume.rs
@@ -40,6 +40,9 @@
 /// First pause before they are asked again; each is twice as long as the one before.
 const CONTINUE_PAUSE: Duration = Duration::from_millis(100);
 
+/// Logged cause when an earlier order to stop a run got no answer.
+const UNANSWERED: &str = "an earlier order got no answer";
+
 /// Result of an attempt to continue a stopped run.
 enum Continuation {
     /// It goes on.
@@ -69,7 +72,11 @@
             Err("the retry budget is exhausted")
         };
         let outcome = match copied {
-            Ok(copied) => migration::stop(&self.shared, request, copied).await,
+            Ok(copied) => {
+                // Not freed: the new copy may have the same handle. One that has not expires.
+                let earlier = self.unsure_stop.take().map(|_| UNANSWERED.to_owned());
+                migration::stop(&self.shared, request, copied, earlier).await
+            }
             Err(cause) => Outcome::Unchanged(cause),
         };
         let pool = self.shared.pool.borrow();
--- a/crates/gateway/src/migration.rs
+++ b/crates/gateway/src/migration.rs
@@ -96,8 +96,14 @@
     })
 }
 
-/// Stops the run of `request`, which was `copied`. Frees the copy if the run certainly goes on.
-pub async fn stop(shared: &Rc<Shared>, request: &str, copied: CopiedRun) -> Outcome {
+/// Stops the run of `request`, which was `copied`. Frees the copy if the run certainly goes on. It may
+/// stop in any case if an `earlier` order got no answer.
+pub async fn stop(
+    shared: &Rc<Shared>,
+    request: &str,
+    copied: CopiedRun,
+    earlier: Option<String>,
+) -> Outcome {
     let CopiedRun {
         source,
         target,
@@ -105,8 +111,8 @@
         mut stopped,
     } = copied;
     let answered = match shared.withheld_cause(to) {
-        Some(cause) => Err(Unstopped::Unchanged(cause)),
-        None => order_stop(shared, request, stopped.from, &source, &target).await,
+        Some(cause) => Err(earlier.map_or(Unstopped::Unchanged(cause), Unstopped::Unknown)),
+        None => order_stop(shared, request, stopped.from, &source, &target, earlier).await,
     };
     match answered {
         Ok(StopAnswer::Copied) => Outcome::Stopped(stopped),
@@ -144,8 +150,9 @@
     from: Key,
     source: &Replica,
     target: &Replica,
+    earlier: Option<String>,
 ) -> Result<StopAnswer, Unstopped> {
-    let mut uncertain = None;
+    let mut uncertain = earlier;
     for _ in 0..MAX_TRIES {
         let call = move_call(request, from, source, target, Phase::Stop);
         let answer = match control::call(shared, call).await {
--- a/crates/gateway/tests/gateway/migration.rs
+++ b/crates/gateway/tests/gateway/migration.rs
@@ -31,6 +31,9 @@
 /// Time between two events.
 const EVENT_INTERVAL: Duration = Duration::from_millis(60);
 
+/// Orders to stop a run in one attempt to move it.
+const LOST_STOPS: usize = 2;
+
 /// How the source replica answers a move request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum MoveResponse {
@@ -54,6 +57,8 @@
     Silent(Duration),
     /// The run goes on, and no answer says whether it was copied.
     NoCopy,
+    /// The first orders to stop are lost on their way; later ones are carried out.
+    LostBefore,
 }
 
 /// A replica that streams events until it receives a move request for the run.
@@ -62,6 +67,8 @@
     moves: Arc<Mutex<Vec<Value>>>,
     /// Number of continuations that it still refuses.
     refusals: Arc<AtomicUsize>,
+    /// Number of orders to free a KV cache.
+    frees: Arc<AtomicUsize>,
 }
 
 /// Parts of a stream that continues after the event `after`.
@@ -95,6 +102,8 @@
         let own_moves = Arc::clone(&moves);
         let refusals: Arc<AtomicUsize> = Arc::default();
         let own_refusals = Arc::clone(&refusals);
+        let frees: Arc<AtomicUsize> = Arc::default();
+        let own_frees = Arc::clone(&frees);
         let replica = Replica::start("i-1", move |request| match request.path() {
             "/api/kv-move" => {
                 let move_request: Value = serde_json::from_slice(&request.body).unwrap();
@@ -121,10 +130,13 @@
                     thread::sleep(silence);
                     received = own_moves.lock().unwrap();
                 }
+                let stops = received.iter().filter(|m| m["last"] == true).count();
+                if move_response == MoveResponse::LostBefore && stops <= LOST_STOPS {
+                    return Action::SendAndClose(Vec::new());
+                }
                 if let Some(stop) = stop_flags.lock().unwrap().get(&id) {
                     stop.store(true, Ordering::SeqCst);
                 }
-                let stops = received.iter().filter(|m| m["last"] == true).count();
                 match move_response {
                     MoveResponse::OnlyStopped => Action::Send(answer(503, &[], body)),
                     MoveResponse::Lost | MoveResponse::LostWithoutLength => {
@@ -137,6 +149,10 @@
                     _ => Action::Send(answer(200, &[], body)),
                 }
             }
+            path if path.starts_with("/api/kv-handle/") => {
+                own_frees.fetch_add(1, Ordering::SeqCst);
+                Action::Send(answer(200, &[], b"{}"))
+            }
             path if path.starts_with("/api/") => Action::Send(answer(200, &[], b"{}")),
             _ if request.header("kv-source").is_some() && takes_one(&own_refusals) => {
                 Action::Send(not_run_answer(request))
@@ -158,6 +174,7 @@
             replica,
             moves,
             refusals,
+            frees,
         }
     }
 
@@ -370,6 +387,25 @@
     assert_eq!(continued(&target).len(), 1);
 }
 
+/// The KV cache of a run has the same handle in each attempt to move it.
+#[test]
+fn a_second_move_keeps_the_copy_that_the_run_continues_from() {
+    let source = SourceReplica::start(MoveResponse::LostBefore);
+    let frees = Arc::clone(&source.frees);
+    let target = Replica::start("i-2", move |request| {
+        thread::sleep(Duration::from_millis(50));
+        if frees.load(Ordering::SeqCst) > 0 {
+            return Action::Send(not_run_answer(request));
+        }
+        Action::SendSlowly(parts(request, last_event(request)), EVENT_INTERVAL)
+    });
+    let site = start_site("move-twice", &source);
+    assert_both_complete(start_two_runs(&site, &source, &target, "/draft/1"));
+    assert!(source.moves().len() > LOST_STOPS);
+    assert_eq!(continued(&target).len(), 1);
+    assert_eq!(source.frees.load(Ordering::SeqCst), 0);
+}
+
 /// A run is stopped only once the handle is known with which it can continue.
 #[test]
 fn a_run_whose_copy_has_no_answer_is_not_stopped() {
