Ask no other replica for a stream that may run nowhere else

Callers saw a resumable stream cut after a silence of its replica, although that one went on, if no other replica may run it by max-attempts. Cause: whether a silent replica may be left was decided by may_run_again, which does not count the run in progress; plain calls use may_fail_over. Since the stream is kept until another replica continues it, what was left was a placement in vain.

--- a/crates/gateway/src/forward/replica_stream.rs
+++ b/crates/gateway/src/forward/replica_stream.rs
@@ -140,7 +140,7 @@
         let now = Instant::now();
         let silent_at = if !is_running {
             now + DRAIN_TIMEOUT
-        } else if source.silences == 0 || self.is_resumable() {
+        } else if source.silences == 0 || self.may_fail_over() {
             min(self.job.deadline, now + STALL_TIMEOUT)
         } else {
             self.job.deadline
@@ -165,6 +165,11 @@
             && self.position().is_ok()
     }
 
+    /// Whether the stream may continue at another replica although the present one may go on.
+    fn may_fail_over(&self) -> bool {
+        self.attempt.may_fail_over() && self.is_resumable()
+    }
+
     /// Handles the result of a read; returns the end of the replica's part, if this is it.
     async fn handle_read(&mut self, source: &mut ReplicaStream, read: BodyRead) -> Option<End> {
         // Events sent before the run was stopped are forwarded to the last one.
@@ -185,13 +190,13 @@
     async fn handle_silence(&mut self, source: &mut ReplicaStream) -> Option<End> {
         let key = source.guard.key;
         let responds = source.silences == 0 && self.is_responsive(key).await;
-        if !responds && self.is_resumable() && !self.reaches_service().await {
+        if !responds && self.may_fail_over() && !self.reaches_service().await {
             let cause = "no connection to the replicas can be opened";
             return Some(End::Broken(cause.to_owned()));
         }
         // A replica that is still responsive may have preempted the request and gets more time. A
-        // stream that cannot be resumed has to wait in any case.
-        let waits = source.silences == 0 && (responds || !self.is_resumable());
+        // stream that no other replica may run has to wait in any case.
+        let waits = !self.may_fail_over() || source.silences == 0 && responds;
         let placement = if waits {
             None
         } else {
--- a/crates/gateway/tests/gateway/silent_replicas.rs
+++ b/crates/gateway/tests/gateway/silent_replicas.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
+use serde_json::Value;
 
 use crate::common::daemon::wait_until;
 use crate::common::http::Message;
@@ -14,6 +15,7 @@
 use crate::common::replica::not_run_answer;
 use crate::common::replica::stream_head;
 use crate::site::Site;
+use crate::site::config;
 use crate::site::start_generation;
 
 /// Events of a complete answer.
@@ -47,7 +49,12 @@
 
 /// Checks that a resumable stream which begins at `pausing` is whole, with `other` in place during the pause.
 fn assert_whole(name: &str, pausing: &Replica, other: &Replica) {
-    let site = Site::start(name, &[(pausing, "llm", "decode")]);
+    assert_whole_with_plan(name, &config(1), pausing, other);
+}
+
+/// The same with `plan`.
+fn assert_whole_with_plan(name: &str, plan: &Value, pausing: &Replica, other: &Replica) {
+    let site = Site::start_with_plan(name, plan, &[(pausing, "llm", "decode")]);
     let mut caller = start_generation(&site.daemon, "/resume/1", "a1");
     wait_until("the run starts", || !pausing.requests().is_empty());
     let row = other.row("llm", "decode");
@@ -73,6 +80,17 @@
     assert!(!other.requests().is_empty());
 }
 
+/// The silent replica is the last one that may run the stream.
+#[test]
+fn a_stream_stays_at_a_silent_replica_if_no_other_may_run_it() {
+    let pausing = start_pausing("i-1", Duration::from_millis(1_300), false);
+    let other = start_pausing("i-2", Duration::ZERO, true);
+    let mut plan = config(1);
+    plan["routes"][3]["max-attempts"] = 1.into();
+    assert_whole_with_plan("silent-last", &plan, &pausing, &other);
+    assert!(other.requests().is_empty());
+}
+
 /// The other replica would begin later than the silent one goes on.
 #[test]
 fn a_stream_stays_at_a_silent_replica_that_goes_on_first() {
