Count a request as open until the last byte of its response has left

Callers that read a long answer slowly saw it cut when their daemon was stopped, well before the end of the grace period: the daemon logged "stopped" with no open request while megabytes of the answer were unsent. Cause: a request counted as open until its body was handed to the HTTP server, which takes a whole answer at once and, of a stream, as much as its buffer holds. The class is that of the idle time of a connection: an end is counted before the last byte has left.

The request of a complete response stays open until the socket is flushed, which the HTTP server does when its buffer is empty, or until the connection ends. The stop still ends with the grace period.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -92,6 +92,15 @@
     }
 }
 
+impl Drop for Body {
+    /// The body is handed over before its bytes have left.
+    fn drop(&mut self) {
+        if let (Some(busy), Some(open)) = (&self.busy, self.open.take()) {
+            busy.keep_until_sent(open);
+        }
+    }
+}
+
 impl hyper::body::Body for Body {
     type Data = Bytes;
     type Error = Aborted;
--- a/crates/gateway/src/phase.rs
+++ b/crates/gateway/src/phase.rs
@@ -2,6 +2,7 @@
 //! out.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::fmt;
 use std::io;
 use std::pin::Pin;
@@ -21,6 +22,7 @@
 
 use crate::bounds::InForce;
 use crate::connections;
+use crate::guard::OpenRequest;
 
 /// Time after the end of a limit in which bytes that arrived before are read. Those that arrived
 /// while the process stood still are noticed together with its timers.
@@ -92,6 +94,8 @@
     reset_on_close: Cell<bool>,
     /// Time for which the other side may leave the current response unread.
     unread_limit: Cell<Duration>,
+    /// Requests whose responses are complete and partly unsent.
+    unsent: RefCell<Vec<OpenRequest>>,
     bounds: InForce,
 }
 
@@ -145,6 +149,7 @@
             activity: Cell::new(Activity::Idle(Wait::new(in_force.idle_timeout))),
             reset_on_close: Cell::new(false),
             unread_limit: Cell::new(in_force.idle_timeout),
+            unsent: RefCell::default(),
             bounds: Rc::clone(bounds),
         }))
     }
@@ -195,6 +200,11 @@
         }
     }
 
+    /// Records that all bytes of complete responses were sent.
+    fn note_flushed(&self) {
+        self.0.unsent.borrow_mut().clear();
+    }
+
     /// Records that bytes were sent: a connection is idle from its last byte on.
     fn note_written(&self) {
         if let Activity::Idle(_) = self.0.activity.get() {
@@ -223,6 +233,11 @@
         let resets = unfinished && self.ends_with_connection;
         self.state.reset_on_close.set(resets);
     }
+
+    /// Keeps `request`, whose response is complete, open until its last byte is sent.
+    pub fn keep_until_sent(&self, request: OpenRequest) {
+        self.state.unsent.borrow_mut().push(request);
+    }
 }
 
 impl Drop for BusyGuard {
@@ -326,7 +341,12 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_flush(context)
+        // Called only when nothing is buffered.
+        let flushed = Pin::new(&mut self.socket).poll_flush(context);
+        if matches!(flushed, Poll::Ready(Ok(()))) {
+            self.phase.note_flushed();
+        }
+        flushed
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/gateway/tests/gateway/lifecycle.rs
+++ b/crates/gateway/tests/gateway/lifecycle.rs
@@ -1,12 +1,14 @@
 //! Start and stop of the daemon, its settings, metrics and log.
 
 use std::fs;
+use std::io::Read;
 use std::process;
 use std::process::Command;
 use std::time::Duration;
 
 use rstest::rstest;
 use rustix::process::Signal;
+use socket2::SockRef;
 
 use crate::common::daemon::wait_until;
 use crate::common::replica::Action;
@@ -42,6 +44,29 @@
     });
 }
 
+/// An answer is in progress until its last byte has left, also if its caller reads slowly.
+#[test]
+fn a_stop_waits_for_an_answer_that_is_read_slowly() {
+    const LENGTH: usize = 7_000_000;
+    const RECEIVE_BUFFER: usize = 16 * 1024;
+    let replica = Replica::start("i-1", |request| {
+        Action::Send(signed_answer(request, 200, &vec![b'x'; LENGTH]))
+    });
+    let mut site = Site::start("stopped-slow", &[(&replica, "app", "")]);
+    let mut caller = site.daemon.caller();
+    // Keeps most of the answer from the buffers of the system.
+    SockRef::from(&caller.socket)
+        .set_recv_buffer_size(RECEIVE_BUFFER)
+        .unwrap();
+    caller.start_request("GET /read/1", &crate::site::headers("a1"), b"");
+    caller.socket.read_exact(&mut [0]).unwrap();
+    site.daemon.signal(Signal::TERM);
+    std::thread::sleep(Duration::from_millis(4_200));
+    let read = caller.socket.read_exact(&mut vec![0; LENGTH]);
+    assert!(read.is_ok(), "{read:?}");
+    assert!(site.daemon.wait_for_exit().success());
+}
+
 /// A stream accepted late after SIGTERM could be cut at the end of the grace period.
 #[test]
 fn a_stopping_daemon_accepts_no_stream_that_it_may_have_to_cut() {
