Apply the idle limit in force to a request body that arrives

Callers that sent a body slowly got 408 after a change of the configuration that allows them the time. Cause: the limit was read once, as the body began; the same class as the limits of a connection. The largest limit that is in force while the body arrives counts now.

idle_connections::a_raised_idle_limit_applies_to_a_body_that_arrives failed before with 408 (3 runs of 3) and passes. The answer was a true refusal: the request had not run.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -1,10 +1,12 @@
 //! Serves requests of callers: checks them, applies limits and finds their route.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use boottime::Instant;
-use boottime::timer::timeout;
+use boottime::timer::Elapsed;
+use boottime::timer::timeout_at;
 use bytes::Bytes;
 use customer::digest::Digest;
 use http::HeaderValue;
@@ -147,10 +149,7 @@
             "a header is missing or malformed\n",
         )
     })?;
-    let limits = shared
-        .plan()
-        .map_or_else(Limits::default, |plan| plan.limits);
-    let body = read_body(shared, &call.id, body, limits).await?;
+    let body = read_body(shared, &call.id, body).await?;
     let host = host(&parts).unwrap_or_default();
     let key = caller::key_digest(&parts.headers);
     let target = target::find(shared, &host, parts.uri.path(), key)
@@ -214,12 +213,8 @@
     }
 }
 
-async fn read_body(
-    shared: &Shared,
-    id: &str,
-    body: Incoming,
-    limits: Limits,
-) -> Result<Bytes, Response<Body>> {
+async fn read_body(shared: &Shared, id: &str, body: Incoming) -> Result<Bytes, Response<Body>> {
+    let limits = limits(shared);
     let too_long = || {
         reject(
             shared,
@@ -232,8 +227,8 @@
     if body.size_hint().lower() > limits.body_bytes as u64 {
         return Err(too_long());
     }
-    let whole = Limited::new(body, limits.body_bytes).collect();
-    match timeout(limits.idle_timeout, whole).await {
+    let whole = pin!(Limited::new(body, limits.body_bytes).collect());
+    match within_idle_limit(shared, whole).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_long()),
         Ok(Err(error)) => Err(reject(
@@ -253,6 +248,30 @@
     }
 }
 
+/// Waits for `future` for the largest idle limit that is in force meanwhile.
+async fn within_idle_limit<F: Future + Unpin>(
+    shared: &Shared,
+    mut future: F,
+) -> Result<F::Output, Elapsed> {
+    let begun = Instant::now();
+    let mut limit = Duration::ZERO;
+    loop {
+        let in_force = limits(shared).idle_timeout;
+        if in_force <= limit {
+            return Err(Elapsed);
+        }
+        limit = in_force;
+        if let Ok(output) = timeout_at(begun + limit, &mut future).await {
+            return Ok(output);
+        }
+    }
+}
+
+fn limits(shared: &Shared) -> Limits {
+    let plan = shared.plan();
+    plan.map_or_else(Limits::default, |plan| plan.limits)
+}
+
 fn host(parts: &Parts) -> Option<String> {
     let named = parts.headers.get(header::HOST);
     let named = named.and_then(|host| host.to_str().ok());
--- a/crates/gateway/tests/gateway/idle_connections.rs
+++ b/crates/gateway/tests/gateway/idle_connections.rs
@@ -169,3 +169,17 @@
         }
     }
 }
+
+#[test]
+fn a_raised_idle_limit_applies_to_a_body_that_arrives() {
+    let site = start_site("body-raised", 1_500);
+    let mut caller = site.daemon.caller();
+    assert_eq!(status(&mut caller, "a1"), 200);
+    let head = "POST /book/1 HTTP/1.1\r\nhost: shop.example\r\nrequest-id: r1\r\ncontent-length: 2\r\n\r\nx";
+    http::send(&mut caller.socket, head.as_bytes());
+    thread::sleep(Duration::from_millis(300));
+    set_plan(&site, &plan(2, 10_000));
+    thread::sleep(Duration::from_millis(1_700));
+    http::send(&mut caller.socket, b"x");
+    assert_eq!(caller.read().status(), 200);
+}
