Read what has arrived of a body before its time is up

Callers whose body arrived in time got 408 if the daemon stood still past the idle limit. Cause: the timer of the body and the rest of the body, which is read in parts, were due together, and the timer won before all parts were read. After the end of the limit the body gets 20 ms in which what has arrived is read, as a connection does.

The answer was a true refusal: the request had not run.

--- a/crates/gateway/src/bounds.rs
+++ b/crates/gateway/src/bounds.rs
@@ -6,6 +6,10 @@
 use http::HeaderMap;
 use http::Request;
 
+/// Time after the end of a limit in which bytes that arrived before are read. Those that arrived
+/// while the process stood still are noticed together with its timers.
+pub const READ_GRACE: Duration = Duration::from_millis(20);
+
 /// Limits of a server.
 #[derive(Debug, Clone, Copy)]
 pub struct Bounds {
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -6,6 +6,7 @@
 
 use boottime::Instant;
 use boottime::timer::Elapsed;
+use boottime::timer::timeout;
 use boottime::timer::timeout_at;
 use bytes::Bytes;
 use customer::digest::Digest;
@@ -29,6 +30,7 @@
 
 use crate::begins;
 use crate::body::Body;
+use crate::bounds::READ_GRACE;
 use crate::ending;
 use crate::guard::OpenRequest;
 use crate::handoff;
@@ -248,7 +250,8 @@
     }
 }
 
-/// Waits for `future` for the largest idle limit that is in force meanwhile.
+/// Waits for `future` for the largest idle limit that is in force meanwhile. What arrived before its end
+/// counts, also if the process stood still.
 async fn within_idle_limit<F: Future + Unpin>(
     shared: &Shared,
     mut future: F,
@@ -258,7 +261,7 @@
     loop {
         let in_force = limits(shared).idle_timeout;
         if in_force <= limit {
-            return Err(Elapsed);
+            return timeout(READ_GRACE, &mut future).await;
         }
         limit = in_force;
         if let Ok(output) = timeout_at(begun + limit, &mut future).await {
--- a/crates/gateway/src/phase.rs
+++ b/crates/gateway/src/phase.rs
@@ -21,13 +21,10 @@
 use tokio::net::TcpStream;
 
 use crate::bounds::InForce;
+use crate::bounds::READ_GRACE;
 use crate::connections;
 use crate::guard::OpenRequest;
 
-/// Time after the end of a limit in which bytes that arrived before are read. Those that arrived
-/// while the process stood still are noticed together with its timers.
-const READ_GRACE: Duration = Duration::from_millis(20);
-
 /// Current activity of a connection.
 #[derive(Debug, Clone, Copy)]
 enum Activity {
--- a/crates/gateway/tests/gateway/idle_connections.rs
+++ b/crates/gateway/tests/gateway/idle_connections.rs
@@ -183,3 +183,24 @@
     http::send(&mut caller.socket, b"x");
     assert_eq!(caller.read().status(), 200);
 }
+
+#[test]
+fn a_body_that_arrived_while_the_daemon_stood_still_is_read() {
+    const HALF: usize = 45_000;
+    let site = start_site("stopped-body", 1_500);
+    let mut caller = site.daemon.caller();
+    assert_eq!(status(&mut caller, "a1"), 200);
+    let head = format!(
+        "POST /book/1 HTTP/1.1\r\nhost: shop.example\r\nrequest-id: r1\r\ncontent-length: {}\r\n\r\n",
+        2 * HALF
+    );
+    let half = vec![b'x'; HALF];
+    http::send(&mut caller.socket, &[head.as_bytes(), &half].concat());
+    thread::sleep(Duration::from_millis(400));
+    site.daemon.signal(Signal::STOP);
+    thread::sleep(Duration::from_millis(100));
+    http::send(&mut caller.socket, &half);
+    thread::sleep(Duration::from_millis(1_300));
+    site.daemon.signal(Signal::CONT);
+    assert_eq!(caller.read().status(), 200);
+}
