--- a/crates/gateway/src/forward/resume.rs
+++ b/crates/gateway/src/forward/resume.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use boottime::Instant;
-use boottime::timer::sleep;
+use boottime::timer::sleep_until;
 use boottime::timer::timeout_at;
 use http::StatusCode;
 use platform::caller::Task;
@@ -34,8 +34,8 @@
 /// Time that a migrated run stays at its new replica.
 const MOVED_PAUSE: Duration = Duration::from_millis(500);
 
-/// Time for which replicas are asked to continue a stopped run; callers give up after two seconds
-/// without an event.
+/// Time after which replicas are asked for the last time to continue a stopped run; callers wait two
+/// seconds or more for an event.
 const CONTINUE_TIME: Duration = Duration::from_secs(2);
 /// First pause before they are asked again; each is twice as long as the one before.
 const CONTINUE_PAUSE: Duration = Duration::from_millis(100);
@@ -146,12 +146,17 @@
                     }
                 }
             }
-            if Instant::now() + pause >= until {
+            if Instant::now() >= until {
                 migration::free_cache(&self.shared, &stopped);
                 return self.resume().await;
             }
-            sleep(pause).await;
-            pause *= 2;
+            tokio::select! {
+                () = sleep_until(until.min(Instant::now() + pause)) => pause *= 2,
+                () = self.parts.closed() => {
+                    migration::free_cache(&self.shared, &stopped);
+                    return None;
+                }
+            }
         }
     }
 
@@ -172,8 +177,9 @@
         };
         let sent = send::send(&self.shared, &self.job, key, task, None, permit);
         let sent = tokio::select! {
-            sent = timeout_at(self.job.deadline, sent) => sent.ok(),
+            biased;
             () = self.parts.closed() => None,
+            sent = timeout_at(self.job.deadline, sent) => sent.ok(),
         };
         match sent {
             None => Continuation::CallerLeft,
--- a/crates/gateway/src/migration.rs
+++ b/crates/gateway/src/migration.rs
@@ -115,9 +115,12 @@
         None => order_stop(shared, request, stopped.from, &source, &target, earlier).await,
     };
     match answered {
-        Ok(StopAnswer::Copied) => Outcome::Stopped(stopped),
-        Ok(StopAnswer::NoRoom) => {
-            stopped.candidates = vec![stopped.from];
+        Ok(answer) => {
+            if !answer.is_copied {
+                // The other replica has no room for the rest.
+                stopped.candidates = vec![stopped.from];
+            }
+            stopped.handle = answer.handle.unwrap_or(stopped.handle);
             Outcome::Stopped(stopped)
         }
         Err(Unstopped::Unknown(cause)) => Outcome::Unknown(stopped, cause),
@@ -129,11 +132,11 @@
 }
 
 /// How a replica stopped a run.
-enum StopAnswer {
-    /// The other replica has the whole KV cache.
-    Copied,
-    /// The other replica has no room for the rest.
-    NoRoom,
+struct StopAnswer {
+    /// Whether the other replica has the whole KV cache.
+    is_copied: bool,
+    /// Handle of the KV cache, if the answer names it.
+    handle: Option<String>,
 }
 
 /// Why a run has not stopped.
@@ -163,10 +166,15 @@
                 continue;
             }
         };
-        let has_handle = MovedCache::read(&answer.body).is_ok();
+        let handle = MovedCache::read(&answer.body)
+            .ok()
+            .map(|moved| moved.handle);
+        let is_copied = answer.status == StatusCode::OK;
         return match (answer.status, uncertain) {
-            (StatusCode::OK, _) => Ok(StopAnswer::Copied),
-            (StatusCode::SERVICE_UNAVAILABLE, _) if has_handle => Ok(StopAnswer::NoRoom),
+            (StatusCode::OK, _) => Ok(StopAnswer { is_copied, handle }),
+            (StatusCode::SERVICE_UNAVAILABLE, _) if handle.is_some() => {
+                Ok(StopAnswer { is_copied, handle })
+            }
             (StatusCode::SERVICE_UNAVAILABLE, _) => {
                 Err(Unstopped::Unknown("the answer has no handle".to_owned()))
             }
