--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -41,6 +41,7 @@
 mod site;
 mod slowdown;
 mod stages;
+mod store_era;
 mod stream;
 mod truncation;
 mod version_site;
