--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -2,6 +2,7 @@
 
 pub mod choice;
 mod customers;
+mod era;
 mod evacuations;
 mod handoff;
 mod homes;
@@ -139,6 +140,8 @@
     pub reach_doubted: Notify,
     /// Whether the first reading of the instances from the store has ended.
     pub instances_listed: watch::Sender<bool>,
+    /// The latest era of the store.
+    era: watch::Sender<u64>,
     /// Unreadable entries that have been logged.
     logged_unreadable: RefCell<HashSet<String>>,
     plan: RefCell<Option<Rc<Plan>>>,
@@ -221,6 +224,7 @@
             restarts: Notify::new(),
             reach_doubted: Notify::new(),
             instances_listed: watch::Sender::new(false),
+            era: watch::Sender::new(0),
             logged_unreadable: RefCell::new(HashSet::new()),
             plan: RefCell::new(None),
             evacuations: RefCell::default(),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -59,6 +59,7 @@
 pub mod replica;
 pub mod replica_state;
 mod retained_notices;
+pub mod revision;
 pub mod runs;
 pub mod score;
 pub mod server;
