Order versions of the store by its era

What callers saw: requests to replicas two to three seconds after they had said that they leave, once the store had come back from a copy some seconds old.

Cause: versions of the store were compared as if they only rose. Lists with a lower version were ignored, a watch from a version of the lost history missed what was written at versions given out again, and evacuations at such a version never came into force.

Each answer of the store is read for its era. A version is a Revision, the era first, in lists, changes, tombstones, evacuations, status, exchange and the record of the only version. A watch or a conditional write over two eras counts as a gap or a conflict, an answer of an earlier era as an error. Changes never span eras: a peer with a list of an earlier era gets the whole one, and a status of an earlier era is not fresh. Daemons hear the era from each other, in the exchange (now /exchange/3) and behind datagrams, where earlier versions do not read it; without eras datagrams are as before.

A new era must neither lose nor revive what is known. Replicas and evacuations that its first list lacks stay for about two seconds, as after an outage; a peer passes on what is left of that time. Entries of one incarnation are ordered by the number that the replica gives them: an older one does not make a draining replica ready and does not bring a replica back that is known as gone, for ten seconds at most, after which an entry that nobody renews would have been removed. Within an era entries apply as they did.

Deployments whose store names no era behave as before, in era 0.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -54,6 +54,8 @@
     pub members: GenericGauge<AtomicU64>,
     /// Store version of the list of replicas.
     pub replicas_version: GenericGauge<AtomicU64>,
+    /// Latest era of the store.
+    pub store_era: GenericGauge<AtomicU64>,
     /// Services to whose replicas this daemon cannot connect.
     pub unreachable_services: GenericGauge<AtomicU64>,
     /// Replicas whose pace is known.
@@ -95,6 +97,8 @@
             let gauge = GenericGauge::<AtomicU64>::new(full_name(name), help)?;
             register(&registry, gauge)
         };
+        let counter =
+            |name: &str, help: &str| register(&registry, IntCounter::new(full_name(name), help)?);
         let vector = |name: &str, help: &str, labels: &[&str]| {
             let vector = IntCounterVec::new(Opts::new(full_name(name), help), labels)?;
             register(&registry, vector)
@@ -108,22 +112,15 @@
             let options = HistogramOpts::new(full_name(name), help).buckets(LATENCIES.to_vec());
             register(&registry, Histogram::with_opts(options)?)
         };
-        let age = Gauge::new(
-            full_name("replicas_age_seconds"),
-            "Age of the list of replicas",
-        )?;
+        let age = full_name("replicas_age_seconds");
+        let age = Gauge::new(age, "Age of the list of replicas")?;
         let budget = Opts::new(full_name("retries_left"), "Retries left in the budget");
         let evacuated = Opts::new(full_name("evacuated"), "Evacuated data centres; 1 for each");
-        let failures = IntCounter::new(
-            full_name("store_failures_total"),
-            "Failed calls of the store",
-        )?;
-        let foreign_answers = IntCounter::new(
-            full_name("foreign_answers_total"),
-            "Answers of replicas that belonged, or may have belonged, to another request",
-        )?;
         Ok(Self {
-            foreign_answers: register(&registry, foreign_answers)?,
+            foreign_answers: counter(
+                "foreign_answers_total",
+                "Answers of replicas that belonged, or may have belonged, to another request",
+            )?,
             plan_version: gauge("plan_version", "Version of the plan in force")?,
             evacuated: register(&registry, GaugeVec::new(evacuated, &["data_centre"])?)?,
             open: gauge("open_requests", "Requests in progress")?,
@@ -139,9 +136,13 @@
                 "Calls of the store by step and table",
                 &["step", "table"],
             )?,
-            store_failures: register(&registry, failures)?,
+            store_failures: counter("store_failures_total", "Failed calls of the store")?,
             members: gauge("members", "Reachable members")?,
             replicas_version: gauge("replicas_version", "Store version of the replicas")?,
+            store_era: gauge(
+                "store_era",
+                "Latest known era of the store; 0 if it has none",
+            )?,
             unreachable_services: gauge(
                 "unreachable_services",
                 "Services to whose replicas this daemon cannot connect",
--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -23,6 +23,7 @@
 use relay::balance::StageBalancer;
 use relay::replica::Replica;
 use relay::replica::Stage;
+use relay::revision::Revision;
 use relay::server::Key;
 use serde::Deserialize;
 use serde::Serialize;
@@ -227,10 +228,11 @@
         at_ms: rows.now_ms,
     };
     let value = serde_json::to_vec(&own).map_err(|error| error.to_string())?;
-    let version = held.map_or(0, |row| row.version);
+    let held = Revision::new(rows.revision.era, held.map_or(0, |row| row.version));
     let started = Instant::now();
-    let swapped = shared.store.swap(ORDERS, service, &value, version).await;
-    Ok((swapped.map_err(|error| cause(&error))?, started))
+    let swapped = shared.store.swap(ORDERS, service, &value, held).await;
+    let swapped = swapped.map_err(|error| cause(&error))?;
+    Ok((swapped.version, started))
 }
 
 fn has_expired(claim: &Claim, rows: &Rows) -> bool {
