Test drills of the store against the daemons

The stand-in store names an era once a test sets one, and comes back from a copy: rows, removed rows and versions go back, the era rises by one, a watch from a version that it does not have gets 410. Without an era no header is sent, as before.

`store_era` runs two daemons, one of which reads the store.

--- a/crates/gateway/tests/gateway/common/store.rs
+++ b/crates/gateway/tests/gateway/common/store.rs
@@ -18,12 +18,25 @@
 use super::http;
 use super::http::Message;
 
-#[derive(Debug, Default)]
-struct Inner {
+/// Header that names the era.
+const ERA: &str = "store-era";
+
+/// Everything that the store holds at one moment.
+#[derive(Debug, Clone, Default)]
+pub struct Backup {
     version: u64,
     rows: BTreeMap<(String, String), (Vec<u8>, u64)>,
     /// Versions at which rows were removed.
     removed: BTreeMap<(String, String), u64>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    data: Backup,
+    /// Number of the era that all answers name; none names it before a test sets it.
+    era: Option<u64>,
+    /// Times that the store has come back from a copy.
+    restores: u64,
     /// Connections opened so far.
     connections: u64,
     /// Connections with a lower number are no longer answered.
@@ -36,7 +49,15 @@
     second_answers: u64,
 }
 
-impl Inner {
+impl Backup {
+    /// Takes over the rows of `table` from `other`, and its version.
+    pub fn copy_table(&mut self, other: &Self, table: &str) {
+        let rows = other.rows.iter().filter(|(row, _)| row.0 == table);
+        let rows = rows.map(|(row, value)| (row.clone(), value.clone()));
+        self.rows.extend(rows);
+        self.version = other.version;
+    }
+
     /// Removes a row at the current version.
     fn remove(&mut self, table: &str, key: &str) {
         let row = (table.to_owned(), key.to_owned());
@@ -57,6 +78,25 @@
     }
 }
 
+/// An answer of the store.
+#[derive(Debug)]
+struct Answer {
+    status: u16,
+    body: Value,
+    /// The era of the data that the answer is made from.
+    era: Option<u64>,
+}
+
+impl Inner {
+    fn answer(&self, status: u16, body: Value) -> Answer {
+        Answer {
+            status,
+            body,
+            era: self.era,
+        }
+    }
+}
+
 /// The store; the test reads and writes its rows directly.
 #[derive(Debug, Clone, Default)]
 pub struct Store {
@@ -103,38 +143,64 @@
     /// Writes a row with any bytes as its value.
     pub fn put_bytes(&self, table: &str, key: &str, value: &[u8]) {
         let mut inner = self.inner.0.lock().unwrap();
-        inner.version += 1;
-        let row = (value.to_vec(), inner.version);
-        inner.rows.insert((table.to_owned(), key.to_owned()), row);
+        inner.data.version += 1;
+        let row = (value.to_vec(), inner.data.version);
+        inner
+            .data
+            .rows
+            .insert((table.to_owned(), key.to_owned()), row);
+        self.inner.1.notify_all();
+    }
+
+    /// Names the era `number` in all answers from now on; each restore raises it by one.
+    pub fn set_era(&self, number: u64) {
+        self.inner.0.lock().unwrap().era = Some(number);
+    }
+
+    /// Copies everything that the store holds.
+    pub fn back_up(&self) -> Backup {
+        self.inner.0.lock().unwrap().data.clone()
+    }
+
+    /// Comes back from `backup`: all that was written since is gone, and its versions are given out again. Ends the watches
+    /// that wait.
+    pub fn restore(&self, backup: &Backup) {
+        let mut inner = self.inner.0.lock().unwrap();
+        inner.data = backup.clone();
+        inner.era = inner.era.map(|era| era + 1);
+        inner.restores += 1;
         self.inner.1.notify_all();
     }
 
     /// The value of a row that holds JSON.
     pub fn get(&self, table: &str, key: &str) -> Option<Value> {
         let inner = self.inner.0.lock().unwrap();
-        let (value, _) = inner.rows.get(&(table.to_owned(), key.to_owned()))?;
+        let (value, _) = inner.data.rows.get(&(table.to_owned(), key.to_owned()))?;
         serde_json::from_slice(value).ok()
     }
 
     /// Keys of the rows of `table`.
     pub fn keys(&self, table: &str) -> Vec<String> {
         let inner = self.inner.0.lock().unwrap();
-        let keys = inner.rows.keys().filter(|(name, _)| name == table);
+        let keys = inner.data.rows.keys().filter(|(name, _)| name == table);
         keys.map(|(_, key)| key.clone()).collect()
     }
 
     /// Removes a row.
     pub fn remove(&self, table: &str, key: &str) {
         let mut inner = self.inner.0.lock().unwrap();
-        inner.version += 1;
-        inner.remove(table, key);
+        inner.data.version += 1;
+        inner.data.remove(table, key);
         self.inner.1.notify_all();
     }
 
     /// Whether a row exists.
     pub fn has(&self, table: &str, key: &str) -> bool {
         let inner = self.inner.0.lock().unwrap();
-        inner.rows.contains_key(&(table.to_owned(), key.to_owned()))
+        inner
+            .data
+            .rows
+            .contains_key(&(table.to_owned(), key.to_owned()))
     }
 
     /// Sets whether every call at this address is answered with 503.
@@ -162,7 +228,7 @@
     /// Version of a row; 0 if it does not exist.
     pub fn version(&self, table: &str, key: &str) -> u64 {
         let inner = self.inner.0.lock().unwrap();
-        let row = inner.rows.get(&(table.to_owned(), key.to_owned()));
+        let row = inner.data.rows.get(&(table.to_owned(), key.to_owned()));
         row.map_or(0, |(_, version)| *version)
     }
 
@@ -189,13 +255,15 @@
                 self.inner.0.lock().unwrap().second_answers += 1;
                 http::send(socket, &std::mem::take(&mut second_answer));
             }
-            let (status, body) = self.answer(&request);
+            let answer = self.answer(&request);
             if self.is_silent(number) {
                 continue;
             }
-            let body = body.to_string();
-            let json = [("content-type", "application/json")];
-            let bytes = http::answer(status, &json, body.as_bytes());
+            let body = answer.body.to_string();
+            let era = answer.era.map(|era| era.to_string());
+            let mut headers = vec![("content-type", "application/json")];
+            headers.extend(era.iter().map(|era| (ERA, era.as_str())));
+            let bytes = http::answer(answer.status, &headers, body.as_bytes());
             if !http::send(socket, &bytes) {
                 return;
             }
@@ -205,9 +273,9 @@
         }
     }
 
-    fn answer(&self, request: &Message) -> (u16, Value) {
+    fn answer(&self, request: &Message) -> Answer {
         if self.down.load(Ordering::SeqCst) {
-            return (503, json!({}));
+            return self.refusal(503);
         }
         let (path, query) = request
             .path()
@@ -219,32 +287,52 @@
             found.map(|(_, value)| value.to_owned()).unwrap_or_default()
         };
         match path {
-            "/api/rows-get" => (200, self.rows(&field("table"), None)),
+            "/api/rows-get" => {
+                let inner = self.inner.0.lock().unwrap();
+                inner.answer(200, self.rows(&inner.data, &field("table"), None))
+            }
             "/api/rows-feed" => {
                 let after = field("after").parse().unwrap_or(0);
                 let wait = field("wait-ms").parse().unwrap_or(0);
-                self.wait_for_change(&field("table"), after, Duration::from_millis(wait));
-                (200, self.rows(&field("table"), Some(after)))
+                self.watch(&field("table"), after, Duration::from_millis(wait))
             }
             "/api/rows-tx" => self.transact(&request.body),
-            _ => (404, json!({})),
+            _ => self.refusal(404),
         }
     }
 
-    fn wait_for_change(&self, table: &str, after: u64, limit: Duration) {
+    fn refusal(&self, status: u16) -> Answer {
+        self.inner.0.lock().unwrap().answer(status, json!({}))
+    }
+
+    /// The rows changed and removed after a version, as soon as there is one, the store comes back from a copy or `limit`
+    /// has passed.
+    fn watch(&self, table: &str, after: u64, limit: Duration) -> Answer {
         let inner = self.inner.0.lock().unwrap();
-        let unchanged = |inner: &mut Inner| {
-            let mut rows = inner.rows.iter();
-            !rows.any(|((name, _), (_, version))| name == table && *version > after)
-                && inner.tombstones(table, after).is_empty()
+        let restores = inner.restores;
+        let waits = |inner: &mut Inner| {
+            let data = &inner.data;
+            let mut rows = data.rows.iter();
+            inner.restores == restores
+                && after <= data.version
+                && !rows.any(|((name, _), (_, version))| name == table && *version > after)
+                && data.tombstones(table, after).is_empty()
         };
-        drop(self.inner.1.wait_timeout_while(inner, limit, unchanged));
+        let waited = self.inner.1.wait_timeout_while(inner, limit, waits);
+        let (inner, _) = waited.unwrap();
+        match inner.data.version {
+            // The store went away while the watch waited.
+            _ if inner.restores > restores && self.down.load(Ordering::SeqCst) => {
+                inner.answer(503, json!({}))
+            }
+            version if after > version => inner.answer(410, json!({})),
+            _ => inner.answer(200, self.rows(&inner.data, table, Some(after))),
+        }
     }
 
     /// The rows of `table`, or the rows changed and removed after a version.
-    fn rows(&self, table: &str, after: Option<u64>) -> Value {
-        let inner = self.inner.0.lock().unwrap();
-        let rows = inner.rows.iter();
+    fn rows(&self, data: &Backup, table: &str, after: Option<u64>) -> Value {
+        let rows = data.rows.iter();
         let since = after.unwrap_or(0);
         let rows = rows.filter(|((name, _), (_, version))| name == table && *version > since);
         let mut rows: Vec<Value> = rows
@@ -254,9 +342,9 @@
             })
             .collect();
         if let Some(after) = after {
-            rows.extend(inner.tombstones(table, after));
+            rows.extend(data.tombstones(table, after));
         }
-        json!({"rows": rows, "has-more": false, "ver": inner.version, "now-ms": 1})
+        json!({"rows": rows, "has-more": false, "ver": data.version, "now-ms": 1})
     }
 
     /// `value` with the addresses that callers of this address get.
@@ -272,7 +360,7 @@
         }
     }
 
-    fn transact(&self, body: &[u8]) -> (u16, Value) {
+    fn transact(&self, body: &[u8]) -> Answer {
         let call: Value = serde_json::from_slice(body).unwrap();
         let name = |row: &Value| {
             let text = |field: &str| row[field].as_str().unwrap().to_owned();
@@ -280,26 +368,24 @@
         };
         let mut inner = self.inner.0.lock().unwrap();
         for row in call["expected"].as_array().unwrap() {
-            let held = inner
-                .rows
-                .get(&name(row))
-                .map_or(0, |(_, version)| *version);
+            let held = inner.data.rows.get(&name(row));
+            let held = held.map_or(0, |(_, version)| *version);
             if Some(held) != row["ver"].as_u64() {
-                return (412, json!({"rows": []}));
+                return inner.answer(412, json!({"rows": []}));
             }
         }
-        inner.version += 1;
+        inner.data.version += 1;
         for row in call["upserts"].as_array().unwrap() {
             let value = STANDARD.decode(row["value"].as_str().unwrap()).unwrap();
-            let version = inner.version;
-            inner.rows.insert(name(row), (value, version));
+            let version = inner.data.version;
+            inner.data.rows.insert(name(row), (value, version));
         }
         for row in call["remove"].as_array().unwrap() {
             let (table, key) = name(row);
-            inner.remove(&table, &key);
+            inner.data.remove(&table, &key);
         }
         self.inner.1.notify_all();
-        (200, json!({"ver": inner.version, "now-ms": 1}))
+        inner.answer(200, json!({"ver": inner.data.version, "now-ms": 1}))
     }
 }
 
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -40,6 +40,7 @@
 mod site;
 mod slowdown;
 mod stages;
+mod store_era;
 mod stream;
 mod truncation;
 mod version_site;
