Soak idle connections, silent replicas and changed limits

Beside the other faults, drawn apart from them so that a seed keeps those it had: a replica is silent for about a second, the limits of callers' connections change. Four more callers keep connections idle for up to four fifths of the limit and send some heads in two halves. Checked beside the promises: a request ends without a complete answer only if a replica broke it off, the way to it was harmed, or a daemon was disturbed.

This commit alone was not run, only compiled.

--- a/crates/gateway/tests/soak/callers.rs
+++ b/crates/gateway/tests/soak/callers.rs
@@ -19,6 +19,8 @@
 use crate::customer::TOKEN_COUNTS;
 use crate::history::Kind;
 use crate::history::ResponseRecord;
+use crate::kept::Kept;
+use crate::losses::Attempt;
 use crate::parts;
 use crate::resumption;
 
@@ -57,7 +59,7 @@
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let mut resumption_rng = Pcg64Mcg::seed_from_u64(!seed);
     let mut number = 0;
-    let mut connections: [Option<Caller>; DAEMONS] = Default::default();
+    let mut connections: [Option<Kept>; DAEMONS] = Default::default();
     while !cluster.callers_stopped() {
         let kind = nth_kind(rng.random_range(0..4));
         let instance = rng.random_range(0..DAEMONS);
@@ -300,7 +302,8 @@
     served
 }
 
-const fn nth_kind(number: usize) -> Kind {
+/// A kind of request for each number.
+pub const fn nth_kind(number: usize) -> Kind {
     match number {
         0 => Kind::Once,
         1 => Kind::Draft,
@@ -327,7 +330,10 @@
     resumed: Resumed<'_>,
 ) -> Message {
     let (kind, resumed) = (Kind::Resumable, Some(resumed));
-    send(cluster, instance, kind, customer, id, resumed, &mut None)
+    let pause = Duration::ZERO;
+    send(
+        cluster, instance, kind, customer, id, resumed, pause, &mut None,
+    )
 }
 
 /// Sends a request, on `connection` if it is usable, and stores the connection that it used there for the next one.
@@ -337,11 +343,28 @@
     kind: Kind,
     customer: Customer,
     id: &str,
-    connection: &mut Option<Caller>,
+    connection: &mut Option<Kept>,
 ) -> Message {
-    send(cluster, instance, kind, customer, id, None, connection)
+    let pause = Duration::ZERO;
+    send_slowly(cluster, instance, kind, customer, id, pause, connection)
 }
 
+/// The same with a pause within the head.
+pub fn send_slowly(
+    cluster: &Cluster,
+    instance: usize,
+    kind: Kind,
+    customer: Customer,
+    id: &str,
+    pause: Duration,
+    connection: &mut Option<Kept>,
+) -> Message {
+    send(
+        cluster, instance, kind, customer, id, None, pause, connection,
+    )
+}
+
+#[allow(clippy::too_many_arguments, reason = "one for each part of a request")]
 fn send(
     cluster: &Cluster,
     instance: usize,
@@ -349,7 +372,8 @@
     customer: Customer,
     id: &str,
     resumed: Option<Resumed<'_>>,
-    connection: &mut Option<Caller>,
+    pause: Duration,
+    connection: &mut Option<Kept>,
 ) -> Message {
     let line = match kind {
         Kind::Once => "POST /book/1",
@@ -381,15 +405,47 @@
     cluster.notices.record_sent(id);
     let reused = connection
         .take()
-        .filter(|caller| is_usable(cluster, instance, caller));
-    let response = match reused.map_or_else(|| Caller::new(address), Ok) {
+        .filter(|kept| is_usable(cluster, instance, kept));
+    let idle_since = reused.as_ref().map(|kept| kept.idle_since);
+    let idle = idle_since.map(|since| since.elapsed());
+    let was_stopping = cluster.instances[instance].is_stopping();
+    let mut is_prompt = true;
+    let response = match reused.map_or_else(|| Caller::new(address), |kept| Ok(kept.caller)) {
         Ok(mut caller) => {
-            let response = caller.send_and_read(line, &headers, b"");
-            *connection = is_reusable(&response).then_some(caller);
+            let sent_from = Instant::now();
+            if pause.is_zero() {
+                caller.start_request(line, &headers, b"");
+            } else {
+                caller.start_slow_request(line, &headers, pause);
+            }
+            let allowed = cluster
+                .limits
+                .allowed_since(idle_since.unwrap_or(sent_from));
+            is_prompt = sent_from.elapsed() < allowed.head
+                && idle_since.is_none_or(|since| sent_from - since < allowed.idle);
+            let response = caller.read();
+            *connection = is_reusable(&response).then(|| Kept {
+                caller,
+                idle_since: Instant::now(),
+            });
             response
         }
         Err(_) => Message::default(),
     };
+    let used_from = idle_since.unwrap_or(start);
+    cluster.losses.record(Attempt {
+        id: id.to_owned(),
+        daemon: instance,
+        idle,
+        start,
+        end: Instant::now(),
+        status: response.status(),
+        is_complete: response.complete,
+        is_disturbed: was_stopping
+            || cluster.instances[instance].is_stopping()
+            || cluster.instances[instance].was_disturbed_since(used_from),
+        is_prompt,
+    });
     cluster.notices.record_response(id, &response);
     let record = ResponseRecord {
         kind,
@@ -440,11 +496,15 @@
     }
 }
 
-/// Whether the connection to `instance` can still be used; unsolicited bytes on it are recorded.
-fn is_usable(cluster: &Cluster, instance: usize, caller: &Caller) -> bool {
-    match IdleState::check(caller) {
+/// Whether the connection to `instance` may still be used; unsolicited bytes on it are recorded. A closed one is used
+/// unless the daemon had a reason: the caller may have looked an instant before.
+fn is_usable(cluster: &Cluster, instance: usize, kept: &Kept) -> bool {
+    let daemon = &cluster.instances[instance];
+    let allowed = cluster.limits.allowed_since(kept.idle_since);
+    match IdleState::check(&kept.caller) {
+        IdleState::Open | IdleState::Closed if kept.idle_since.elapsed() >= allowed.idle => false,
         IdleState::Open => true,
-        IdleState::Closed => false,
+        IdleState::Closed => !daemon.is_stopping() && !daemon.was_disturbed_since(kept.idle_since),
         IdleState::Unsolicited(text) => {
             let what = format!("daemon {instance} sent the unsolicited bytes `{text}`");
             cluster.history.record_misdirected(&what);
--- a/crates/gateway/tests/soak/cluster.rs
+++ b/crates/gateway/tests/soak/cluster.rs
@@ -28,7 +28,10 @@
 use crate::customer;
 use crate::history::History;
 use crate::hot;
+use crate::kept::LimitHistory;
+use crate::kept::Limits;
 use crate::limit;
+use crate::losses::Losses;
 use crate::notices;
 use crate::notices::Notices;
 use crate::parts;
@@ -50,7 +53,7 @@
 /// Time after which the row of a draining replica shows what its answers say.
 const DRAINING_ROW_DELAY: Duration = Duration::from_secs(4);
 /// Time after a disturbance of a daemon in which new requests to it are excused from being answered in time.
-const DISTURBANCE_MARGIN: Duration = Duration::from_secs(3);
+pub const DISTURBANCE_MARGIN: Duration = Duration::from_secs(3);
 
 /// An instance, which keeps its address when its process is replaced.
 #[derive(Debug)]
@@ -67,6 +70,8 @@
     ended: Mutex<Vec<Daemon>>,
     /// Times at which its process was started, paused, resumed, killed or stopped.
     disturbances: Mutex<Vec<Instant>>,
+    /// Whether its process has been told to stop and is not replaced yet.
+    is_stopping: AtomicBool,
 }
 
 /// A replica, the proxy in front of it, its service and its stage, and whether its answers say that it is draining.
@@ -95,6 +100,10 @@
     pub history: Arc<History>,
     /// What replicas said of their own availability, and where requests went afterwards.
     pub notices: Arc<Notices>,
+    /// Requests of callers and why they may have ended without a complete answer.
+    pub losses: Arc<Losses>,
+    /// Limits of callers' connections.
+    pub limits: Arc<LimitHistory>,
     /// Store that all daemons read.
     pub store: Store,
     /// Instances that callers use.
@@ -129,6 +138,8 @@
         let cluster = Self {
             history: Arc::default(),
             notices: Arc::default(),
+            losses: Arc::default(),
+            limits: Arc::default(),
             store,
             instances: Arc::new(
                 ips.iter()
@@ -156,12 +167,19 @@
         cluster
     }
 
-    /// Writes a configuration with a higher version and the same routes.
+    /// Writes a configuration with a higher version and these limits.
+    pub fn change_limits(&self, limits: Limits) {
+        self.limits.record(limits);
+        self.change_config();
+    }
+
+    /// Writes a configuration with a higher version and the same routes and limits.
     pub fn change_config(&self) {
         let version = self.version.fetch_add(3, Ordering::SeqCst) + 3;
         let mut config = store::config(version, 3_000, 600);
         config["tenants"] = customer::config();
         hot::add_routes(&mut config);
+        self.limits.current().write(&mut config);
         self.store.put("op", "config", &config);
     }
 
@@ -190,6 +208,11 @@
                     .history
                     .check_cache_and_reservation(&own_id, request);
             }
+            if let (Some(sender), false) =
+                (cluster.sender(request), request.path().starts_with("/api/"))
+            {
+                cluster.losses.record_visit(&own_id, sender, request);
+            }
             if request.path() == FATAL && stage == "decode" {
                 cluster.end_replica(&own_id, draw);
                 return Action::Crash(stream_head(request));
@@ -213,6 +236,9 @@
             let action =
                 notices::add_headers(action, &own_id, says_draining.load(Ordering::SeqCst));
             let action = script::slow_down(action, script::slowdown(number, started.elapsed()));
+            if stage != "prefill" {
+                cluster.losses.record_action(request, &action);
+            }
             let action = if asks_for_pauses {
                 notices::add_backoff(action)
             } else {
@@ -264,6 +290,7 @@
     /// Ends the replica `id`; `draw` decides whether its address then refuses connections or closes them. After 0.3 to
     /// 1.3 s, another replica takes its place in the store.
     fn end_replica(&self, id: &str, draw: f64) {
+        self.losses.record_crash(id);
         let mut replicas = self.replicas.lock().unwrap();
         let index = replicas.iter().position(|(replica, ..)| replica.id == id);
         let Some(index) = index else { return };
@@ -421,6 +448,16 @@
         last.is_some_and(|last| *last + DISTURBANCE_MARGIN > start)
     }
 
+    /// Whether its process has been told to stop and is not replaced yet.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::SeqCst)
+    }
+
+    /// Records whether its process has been told to stop.
+    pub fn set_stopping(&self, is_stopping: bool) {
+        self.is_stopping.store(is_stopping, Ordering::SeqCst);
+    }
+
     /// Replaces `daemon`, which has ended, by a new process at its address.
     pub fn replace(&self, daemon: &mut Daemon) {
         self.record_disturbance();
@@ -479,5 +516,6 @@
         ip: ip.to_owned(),
         store_proxy,
         disturbances: Mutex::new(vec![Instant::now()]),
+        is_stopping: AtomicBool::new(false),
     }
 }
--- a/crates/gateway/tests/soak/faults.rs
+++ b/crates/gateway/tests/soak/faults.rs
@@ -1,6 +1,7 @@
 //! Injects random, overlapping faults from outside the daemons.
 
 use std::thread;
+use std::thread::JoinHandle;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -12,13 +13,14 @@
 use crate::cluster::Cluster;
 use crate::cluster::DAEMONS;
 use crate::cluster::Partition;
+use crate::kept::Limits;
 use crate::proxy::ConnectionFault;
 
 /// Starts faults for `duration`, then waits until all of them have ended.
 pub fn run(cluster: &Cluster, seed: u64, duration: Duration) {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let end = Instant::now() + duration;
-    let mut running = Vec::new();
+    let mut running = vec![start_later_faults(cluster, seed, end)];
     while Instant::now() < end {
         let kind = rng.random_range(0..10);
         let instance = rng.random_range(0..DAEMONS);
@@ -83,6 +85,49 @@
     }
 }
 
+/// Starts silences of replicas and changes of limits until `end`. They have draws of their own, so that the others are
+/// those that a seed has always had.
+fn start_later_faults(cluster: &Cluster, seed: u64, end: Instant) -> JoinHandle<()> {
+    let cluster = cluster.clone();
+    thread::spawn(move || {
+        let mut rng = Pcg64Mcg::seed_from_u64(!seed);
+        let mut running = Vec::new();
+        while Instant::now() < end {
+            thread::sleep(Duration::from_millis(rng.random_range(50..900)));
+            let kind = rng.random_range(0..2);
+            let limits = Limits::draw(&mut rng);
+            let replica = rng.random_range(0..8);
+            let length = Duration::from_millis(rng.random_range(700..1_300));
+            let cluster = cluster.clone();
+            running.push(thread::spawn(move || match kind {
+                0 => silence(&cluster, replica, length),
+                _ => cluster.change_limits(limits),
+            }));
+        }
+        for thread in running {
+            thread.join().unwrap();
+        }
+    })
+}
+
+/// A sound replica falls silent and goes on: no connection is closed.
+fn silence(cluster: &Cluster, replica: usize, duration: Duration) {
+    let proxy = cluster
+        .replicas
+        .lock()
+        .unwrap()
+        .get(replica)
+        .map(|entry| (entry.0.id.clone(), entry.1.clone()));
+    // `None` if the replica has just ended.
+    if let Some((id, proxy)) = proxy {
+        let from = Instant::now();
+        proxy.set_fault(ConnectionFault::Stall);
+        thread::sleep(duration);
+        proxy.set_fault(ConnectionFault::None);
+        cluster.notices.record_silence(&id, from);
+    }
+}
+
 /// Cuts one or two daemons off from the replicas of one service or of all, in a way that `draw` decides.
 fn partition(cluster: &Cluster, instance: usize, draw: usize, duration: Duration) {
     let partition = Partition {
@@ -128,7 +173,9 @@
 fn restart(cluster: &Cluster, instance: usize) {
     let mut daemon = cluster.instances[instance].daemon.lock().unwrap();
     cluster.instances[instance].record_disturbance();
+    cluster.instances[instance].set_stopping(true);
     daemon.signal(Signal::TERM);
     daemon.wait_for_exit();
     cluster.instances[instance].replace(&mut daemon);
+    cluster.instances[instance].set_stopping(false);
 }
--- a/crates/gateway/tests/soak/main.rs
+++ b/crates/gateway/tests/soak/main.rs
@@ -16,7 +16,9 @@
 mod faults;
 mod history;
 mod hot;
+mod kept;
 mod limit;
+mod losses;
 mod notices;
 mod parts;
 mod proxy;
@@ -49,6 +51,8 @@
 const SECONDS: u64 = 5;
 /// Number of concurrent callers.
 const CALLERS: u64 = 6;
+/// Number of concurrent callers that keep connections idle.
+const IDLE_CALLERS: u64 = 4;
 /// Time after the last fault within which every daemon must serve requests again.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
 /// Time after recovery by which every daemon must know what the others have observed.
@@ -117,12 +121,16 @@
 fn run(seed: u64) -> Vec<String> {
     let cluster = Cluster::start(seed, env::var_os("SOAK_ONLY_DOUBLED").is_some());
     let _end = KillOnDrop(cluster.clone());
-    let callers: Vec<_> = (0..CALLERS)
+    let mut callers: Vec<_> = (0..CALLERS)
         .map(|number| {
             let cluster = cluster.clone();
             thread::spawn(move || callers::run(&cluster, seed * 1_000 + number))
         })
         .collect();
+    callers.extend((0..IDLE_CALLERS).map(|number| {
+        let cluster = cluster.clone();
+        thread::spawn(move || kept::run(&cluster, seed * 1_000 + CALLERS + number))
+    }));
     let duration = Duration::from_secs(seconds());
     if cluster.only_second_answers {
         thread::sleep(duration);
@@ -151,6 +159,8 @@
     violations.extend(cluster.history.exceeded_limits(&cluster.disturbances()));
     let notices = &cluster.notices;
     violations.extend(notices.violations(&cluster.disturbances()));
+    let losses = &cluster.losses;
+    violations.extend(losses.violations(notices, &cluster.disturbances()));
     for id in violations.iter().flat_map(|text| request_ids(text)) {
         println!("lines about {id}:\n{}", cluster.lines_about(id).join("\n"));
     }
@@ -159,9 +169,12 @@
         counts.sum::<usize>()
     };
     println!(
-        "seed {seed}: {}; {}; {} second answers skipped, {} answers rejected as another request's, {} answered by peers, {} paces of replicas logged",
+        "seed {seed}: {} silences, {} limits; {}; {}; {}; {} second answers skipped, {} answers rejected as another request's, {} answered by peers, {} paces of replicas logged",
+        cluster.notices.silence_count(),
+        cluster.limits.count(),
         cluster.history.summary(),
         cluster.notices.summary(),
+        cluster.losses.summary(),
         count("skipped a duplicate answer"),
         count("answer is another request's"),
         count("a peer answers a request"),
--- a/crates/gateway/tests/soak/notices.rs
+++ b/crates/gateway/tests/soak/notices.rs
@@ -48,6 +48,8 @@
     replica_faults: Mutex<Vec<(String, Instant, Instant)>>,
     /// Times during which a daemon was cut off from replicas, by daemon.
     partitions: Mutex<Vec<(usize, Instant, Instant)>>,
+    /// Times during which a sound replica was silent, by replica.
+    silences: Mutex<Vec<(String, Instant, Instant)>>,
 }
 
 impl Notices {
@@ -99,12 +101,33 @@
         self.replica_faults.lock().unwrap().push(fault);
     }
 
+    /// Records that `replica` was silent from `from` until now.
+    pub fn record_silence(&self, replica: &str, from: Instant) {
+        let silence = (replica.to_owned(), from, Instant::now());
+        self.silences.lock().unwrap().push(silence);
+    }
+
     /// Records that `daemons` were cut off from replicas from `from` until now.
     pub fn record_partition(&self, daemons: &[usize], from: Instant) {
         let partitions = daemons.iter().map(|daemon| (*daemon, from, Instant::now()));
         self.partitions.lock().unwrap().extend(partitions);
     }
 
+    /// Whether the way from `daemon` to `replica` was harmed between `start` and `end`.
+    pub fn was_harmed(&self, replica: &str, daemon: usize, start: Instant, end: Instant) -> bool {
+        let faults = self.replica_faults.lock().unwrap();
+        let mut faults = faults.iter().filter(|fault| fault.0 == replica);
+        let partitions = self.partitions.lock().unwrap();
+        let mut partitions = partitions.iter().filter(|cut| cut.0 == daemon);
+        faults.any(|(_, from, to)| *from < end && start < *to)
+            || partitions.any(|(_, from, to)| *from < end && start < *to)
+    }
+
+    /// Number of silences of replicas.
+    pub fn silence_count(&self) -> usize {
+        self.silences.lock().unwrap().len()
+    }
+
     /// Numbers of notices of each kind, for the summary.
     pub fn summary(&self) -> String {
         format!(
@@ -165,10 +188,13 @@
         partitions.any(|(_, from, to)| *from < refusal.at && sent_at < *to)
     }
 
-    /// Whether the connections of the replica were disturbed between its refusal and `until`.
+    /// Whether the connections of the replica were disturbed between its refusal and `until`, or it fell silent before
+    /// the refusal had left it.
     fn is_cut_off(&self, refusal: &Contact, until: Instant) -> bool {
         let faults = self.replica_faults.lock().unwrap();
-        let mut faults = faults.iter().filter(|fault| fault.0 == refusal.replica);
+        let silences = self.silences.lock().unwrap();
+        let faults = faults.iter().chain(silences.iter());
+        let mut faults = faults.filter(|fault| fault.0 == refusal.replica);
         faults.any(|(_, from, to)| *from < until && refusal.at < *to)
     }
 }
