Soak drills of the store

Beside the other faults, among those drawn apart from them: the store comes back from a copy 0.2 to 4 s old. Checked beside the promises: nothing sent 2 s after the acknowledgement of its draining row reaches a replica.

--- a/crates/gateway/tests/gateway/common/store.rs
+++ b/crates/gateway/tests/gateway/common/store.rs
@@ -157,6 +157,18 @@
         self.inner.0.lock().unwrap().era = Some(number);
     }
 
+    /// Version of the last write.
+    #[allow(dead_code, reason = "used by the soak only")]
+    pub fn last_version(&self) -> u64 {
+        self.inner.0.lock().unwrap().data.version
+    }
+
+    /// Times that it has come back from a copy.
+    #[allow(dead_code, reason = "used by the soak only")]
+    pub fn restore_count(&self) -> u64 {
+        self.inner.0.lock().unwrap().restores
+    }
+
     /// Copies everything that the store holds.
     pub fn back_up(&self) -> Backup {
         self.inner.0.lock().unwrap().data.clone()
--- a/crates/gateway/tests/soak/cluster.rs
+++ b/crates/gateway/tests/soak/cluster.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use serde_json::Value;
 use serde_json::json;
 
 use crate::common::daemon::Daemon;
@@ -26,6 +27,7 @@
 use crate::common::store;
 use crate::common::store::Store;
 use crate::customer;
+use crate::drills::Ledger;
 use crate::history::History;
 use crate::hot;
 use crate::kept::LimitHistory;
@@ -50,6 +52,8 @@
 const LIMITED_REPLICA_INTERVAL: u64 = 3;
 /// Data centre of the replicas with an odd number, which is evacuated at times.
 const EVACUATED: &str = "there";
+/// Key of the row that evacuates it.
+const EVACUATION: &str = "evacuate/there";
 /// Time after which the row of a draining replica shows what its answers say.
 const DRAINING_ROW_DELAY: Duration = Duration::from_secs(4);
 /// Time after a disturbance of a daemon in which new requests to it are excused from being answered in time.
@@ -104,6 +108,10 @@
     pub losses: Arc<Losses>,
     /// Limits of callers' connections.
     pub limits: Arc<LimitHistory>,
+    /// What the operator and the replicas wrote to the store.
+    pub ledger: Arc<Mutex<Ledger>>,
+    /// Number of faults that keep the store from answering.
+    outages: Arc<Mutex<u32>>,
     /// Store that all daemons read.
     pub store: Store,
     /// Instances that callers use.
@@ -134,12 +142,15 @@
     /// Starts all parts and waits until the daemons are ready.
     pub fn start(seed: u64, only_second_answers: bool) -> Self {
         let (store, address) = Store::start("127.0.0.1");
+        store.set_era(1);
         let ips: Vec<String> = (0..DAEMONS).map(|_| new_ip()).collect();
         let cluster = Self {
             history: Arc::default(),
             notices: Arc::default(),
             losses: Arc::default(),
             limits: Arc::default(),
+            ledger: Arc::default(),
+            outages: Arc::default(),
             store,
             instances: Arc::new(
                 ips.iter()
@@ -180,7 +191,7 @@
         config["tenants"] = customer::config();
         hot::add_routes(&mut config);
         self.limits.current().write(&mut config);
-        self.store.put("op", "config", &config);
+        self.ledger.lock().unwrap().configure(&self.store, config);
     }
 
     /// Starts a replica behind a proxy and lists it in the store.
@@ -266,11 +277,51 @@
         row["addr"] = json!(proxy.address);
         row["zone"] = data_centre(&id).into();
         row["version"] = version.into();
-        self.store.put("servers", &id, &row);
+        self.list(&id, row);
         let entry = (replica, proxy, service, stage, is_draining);
         self.replicas.lock().unwrap().push(entry);
     }
 
+    /// Writes the row of the replica `id`.
+    fn list(&self, id: &str, row: Value) {
+        let is_draining = is_draining(&row);
+        self.ledger.lock().unwrap().list(&self.store, id, row);
+        if is_draining {
+            self.notices.record_draining_row(id);
+        }
+    }
+
+    /// Writes what the operator wrote last again.
+    pub fn write_operator_rows(&self) {
+        self.ledger
+            .lock()
+            .unwrap()
+            .write_operator_rows(&self.store, EVACUATION);
+    }
+
+    /// Writes the row of the replica `id` again, or removes it if the replica has gone.
+    pub fn write_again(&self, id: &str) {
+        let mut ledger = self.ledger.lock().unwrap();
+        let row = ledger.write_again(&self.store, id);
+        if row.is_some_and(|row| is_draining(&row)) {
+            self.notices.record_draining_row(id);
+        }
+    }
+
+    /// The store answers nobody until [`Self::end_outage`].
+    pub fn begin_outage(&self) {
+        *self.outages.lock().unwrap() += 1;
+        self.store.set_down(true);
+    }
+
+    /// Ends an outage that began at `from`; the store answers once no other one lasts.
+    pub fn end_outage(&self, from: Instant) {
+        let mut outages = self.outages.lock().unwrap();
+        *outages -= 1;
+        self.store.set_down(*outages > 0);
+        self.notices.record_store_fault(None, from);
+    }
+
     /// Cuts daemons off from replicas, also from those that are added later. Replaces an earlier partition.
     pub fn set_partition(&self, partition: &Partition) {
         *self.partition.lock().unwrap() = partition.clone();
@@ -303,7 +354,7 @@
         let id = id.to_owned();
         thread::spawn(move || {
             thread::sleep(Duration::from_secs_f64(0.3 + draw));
-            cluster.store.remove("servers", &id);
+            cluster.ledger.lock().unwrap().unlist(&cluster.store, &id);
             cluster.add_replica("llm", "decode");
         });
     }
@@ -311,21 +362,36 @@
     /// Lets the replica at `index` drain and adds another one. Its answers say so at once, its row only after
     /// `DRAINING_ROW_DELAY`.
     pub fn replace_replica(&self, index: usize) {
-        let mut replicas = self.replicas.lock().unwrap();
-        if index >= replicas.len() {
+        let Some(entry) = self.take_replica(index) else {
             return;
-        }
-        let (replica, proxy, service, stage, is_draining) = replicas.remove(index);
-        drop(replicas);
-        is_draining.store(true, Ordering::SeqCst);
-        self.add_replica(service, stage);
+        };
+        entry.4.store(true, Ordering::SeqCst);
+        self.add_replica(entry.2, entry.3);
         thread::sleep(DRAINING_ROW_DELAY);
+        self.list_draining(&entry);
+    }
+
+    /// The same, but only its row says so, at once.
+    pub fn replace_silently(&self, index: usize) {
+        let Some(entry) = self.take_replica(index) else {
+            return;
+        };
+        self.add_replica(entry.2, entry.3);
+        self.list_draining(&entry);
+    }
+
+    fn take_replica(&self, index: usize) -> Option<ReplicaEntry> {
+        let mut replicas = self.replicas.lock().unwrap();
+        (index < replicas.len()).then(|| replicas.remove(index))
+    }
+
+    fn list_draining(&self, (replica, proxy, service, stage, _): &ReplicaEntry) {
         let mut row = replica.row(service, stage);
         row["addr"] = json!(proxy.address);
         row["zone"] = data_centre(&replica.id).into();
         row["version"] = script::version(number(&replica.id)).into();
         row["state"] = "draining".into();
-        self.store.put("servers", &replica.id, &row);
+        self.list(&replica.id, row);
     }
 
     /// Number of decode replicas of the software version `version`.
@@ -339,12 +405,8 @@
 
     /// Begins or ends the evacuation of a data centre with about half of the replicas.
     pub fn set_evacuated(&self, evacuated: bool) {
-        let key = format!("evacuate/{EVACUATED}");
-        if evacuated {
-            self.store.put("op", &key, &json!({}));
-        } else {
-            self.store.remove("op", &key);
-        }
+        let mut ledger = self.ledger.lock().unwrap();
+        ledger.evacuate(&self.store, EVACUATION, evacuated);
     }
 
     /// The requests that the current replicas of this data centre received so far.
@@ -483,6 +545,10 @@
     }
 }
 
+fn is_draining(row: &Value) -> bool {
+    row["state"] == "draining"
+}
+
 fn number(id: &str) -> u64 {
     let number = id.rsplit('-').next().unwrap_or_default();
     number.parse().unwrap()
--- a/crates/gateway/tests/soak/faults.rs
+++ b/crates/gateway/tests/soak/faults.rs
@@ -1,5 +1,6 @@
 //! Injects random, overlapping faults from outside the daemons.
 
+use std::sync::Arc;
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -13,6 +14,8 @@
 use crate::cluster::Cluster;
 use crate::cluster::DAEMONS;
 use crate::cluster::Partition;
+use crate::drills::Backups;
+use crate::drills::Drill;
 use crate::kept::Limits;
 use crate::proxy::ConnectionFault;
 
@@ -20,7 +23,7 @@
 pub fn run(cluster: &Cluster, seed: u64, duration: Duration) {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let end = Instant::now() + duration;
-    let mut running = vec![start_later_faults(cluster, seed, end)];
+    let mut running = start_later_faults(cluster, seed, end);
     while Instant::now() < end {
         let kind = rng.random_range(0..10);
         let instance = rng.random_range(0..DAEMONS);
@@ -40,11 +43,13 @@
             2 => restart(&cluster, instance),
             3 => signal(&cluster, instance, Signal::HUP),
             4 => {
-                cluster.store.set_down(true);
+                let from = Instant::now();
+                cluster.begin_outage();
                 thread::sleep(length);
-                cluster.store.set_down(false);
+                cluster.end_outage(from);
             }
             5 => {
+                let from = Instant::now();
                 cluster.instances[instance]
                     .store_proxy
                     .set_fault(connection_fault);
@@ -52,6 +57,7 @@
                 cluster.instances[instance]
                     .store_proxy
                     .set_fault(ConnectionFault::None);
+                cluster.notices.record_store_fault(Some(instance), from);
             }
             6 => {
                 cluster.change_config();
@@ -85,29 +91,34 @@
     }
 }
 
-/// Starts silences of replicas and changes of limits until `end`. They have draws of their own, so that the others are
-/// those that a seed has always had.
-fn start_later_faults(cluster: &Cluster, seed: u64, end: Instant) -> JoinHandle<()> {
+/// Starts drills of the store, silences of replicas and changes of limits until `end`. They have draws of their own, so
+/// that the others are those that a seed has always had.
+fn start_later_faults(cluster: &Cluster, seed: u64, end: Instant) -> Vec<JoinHandle<()>> {
+    let backups = Arc::new(Backups::default());
+    let (own, writer) = (Arc::clone(&backups), cluster.clone());
+    let copier = thread::spawn(move || own.run(&writer, end));
     let cluster = cluster.clone();
-    thread::spawn(move || {
+    let starter = thread::spawn(move || {
         let mut rng = Pcg64Mcg::seed_from_u64(!seed);
         let mut running = Vec::new();
         while Instant::now() < end {
             thread::sleep(Duration::from_millis(rng.random_range(50..900)));
-            let kind = rng.random_range(0..2);
-            let limits = Limits::draw(&mut rng);
+            let kind = rng.random_range(0..4);
+            let (drill, limits) = (Drill::draw(&mut rng), Limits::draw(&mut rng));
             let replica = rng.random_range(0..8);
             let length = Duration::from_millis(rng.random_range(700..1_300));
-            let cluster = cluster.clone();
+            let (cluster, backups) = (cluster.clone(), Arc::clone(&backups));
             running.push(thread::spawn(move || match kind {
-                0 => silence(&cluster, replica, length),
+                0 | 1 => drill.run(&cluster, &backups),
+                2 => silence(&cluster, replica, length),
                 _ => cluster.change_limits(limits),
             }));
         }
         for thread in running {
             thread.join().unwrap();
         }
-    })
+    });
+    vec![copier, starter]
 }
 
 /// A sound replica falls silent and goes on: no connection is closed.
--- a/crates/gateway/tests/soak/main.rs
+++ b/crates/gateway/tests/soak/main.rs
@@ -13,6 +13,7 @@
 mod callers;
 mod cluster;
 mod customer;
+mod drills;
 mod faults;
 mod history;
 mod hot;
@@ -169,7 +170,8 @@
         counts.sum::<usize>()
     };
     println!(
-        "seed {seed}: {} silences, {} limits; {}; {}; {}; {} second answers skipped, {} answers rejected as another request's, {} answered by peers, {} paces of replicas logged",
+        "seed {seed}: {} drills, {} silences, {} limits; {}; {}; {}; {} second answers skipped, {} answers rejected as another request's, {} answered by peers, {} paces of replicas logged",
+        cluster.store.restore_count(),
         cluster.notices.silence_count(),
         cluster.limits.count(),
         cluster.history.summary(),
--- a/crates/gateway/tests/soak/notices.rs
+++ b/crates/gateway/tests/soak/notices.rs
@@ -50,6 +50,10 @@
     partitions: Mutex<Vec<(usize, Instant, Instant)>>,
     /// Times during which a sound replica was silent, by replica.
     silences: Mutex<Vec<(String, Instant, Instant)>>,
+    /// When the store acknowledged rows that say that a replica is draining.
+    draining_rows: Mutex<Vec<(String, Instant)>>,
+    /// Times during which the store did not answer a daemon, or any if `None`.
+    store_faults: Mutex<Vec<(Option<usize>, Instant, Instant)>>,
 }
 
 impl Notices {
@@ -113,6 +117,18 @@
         self.partitions.lock().unwrap().extend(partitions);
     }
 
+    /// Records that the store has acknowledged a row which says that `replica` is draining.
+    pub fn record_draining_row(&self, replica: &str) {
+        let row = (replica.to_owned(), Instant::now());
+        self.draining_rows.lock().unwrap().push(row);
+    }
+
+    /// Records that the store did not answer `daemon`, or any, from `from` until now.
+    pub fn record_store_fault(&self, daemon: Option<usize>, from: Instant) {
+        let fault = (daemon, from, Instant::now());
+        self.store_faults.lock().unwrap().push(fault);
+    }
+
     /// Whether the way from `daemon` to `replica` was harmed between `start` and `end`.
     pub fn was_harmed(&self, replica: &str, daemon: usize, start: Instant, end: Instant) -> bool {
         let faults = self.replica_faults.lock().unwrap();
@@ -131,8 +147,9 @@
     /// Numbers of notices of each kind, for the summary.
     pub fn summary(&self) -> String {
         format!(
-            "{} answers of draining replicas, {} requests for a pause",
+            "{} answers and {} rows of draining replicas, {} requests for a pause",
             self.draining.lock().unwrap().len(),
+            self.draining_rows.lock().unwrap().len(),
             self.backoffs.lock().unwrap().len()
         )
     }
@@ -177,7 +194,28 @@
             };
             (count > MAX_REQUESTS && !excused).then(message)
         });
-        late.into_iter().chain(excess).collect()
+        let late_rows = self.draining_rows.lock().unwrap().iter().find_map(|(replica, at)| {
+            let known_at = *at + DRAIN_TIME;
+            let late = arrivals.iter().find(|(arrival, sent_at)| {
+                arrival.replica == *replica
+                    && *sent_at > known_at
+                    && !is_disturbed(arrival.daemon, *at, arrival.at)
+                    && !self.lacks_store(arrival.daemon, *at, known_at)
+            })?;
+            let Contact { request, daemon, .. } = &late.0;
+            let elapsed = late.0.at - *at;
+            Some(format!("DRAIN: {replica} got {request} from daemon {daemon} {elapsed:?} after its draining row was acknowledged"))
+        });
+        late.into_iter().chain(excess).chain(late_rows).collect()
+    }
+
+    /// Whether the store did not answer `daemon` at some time between `from` and `to`.
+    fn lacks_store(&self, daemon: usize, from: Instant, to: Instant) -> bool {
+        let faults = self.store_faults.lock().unwrap();
+        let mut faults = faults
+            .iter()
+            .filter(|fault| fault.0.is_none_or(|own| own == daemon));
+        faults.any(|(_, start, end)| *start < to && from < *end)
     }
 
     /// Whether a partition of the daemon may have held up a request that its caller sent at `sent_at`: the daemon may
