--- a/crates/gateway/tests/soak/faults.rs
+++ b/crates/gateway/tests/soak/faults.rs
@@ -1,6 +1,8 @@
 //! Injects random, overlapping faults from outside the daemons.
 
+use std::sync::Arc;
 use std::thread;
+use std::thread::JoinHandle;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -12,13 +14,16 @@
 use crate::cluster::Cluster;
 use crate::cluster::DAEMONS;
 use crate::cluster::Partition;
+use crate::drills::Backups;
+use crate::drills::Drill;
+use crate::kept::Limits;
 use crate::proxy::ConnectionFault;
 
 /// Starts faults for `duration`, then waits until all of them have ended.
 pub fn run(cluster: &Cluster, seed: u64, duration: Duration) {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let end = Instant::now() + duration;
-    let mut running = Vec::new();
+    let mut running = start_later_faults(cluster, seed, end);
     while Instant::now() < end {
         let kind = rng.random_range(0..10);
         let instance = rng.random_range(0..DAEMONS);
@@ -38,11 +43,13 @@
             2 => restart(&cluster, instance),
             3 => signal(&cluster, instance, Signal::HUP),
             4 => {
-                cluster.store.set_down(true);
+                let from = Instant::now();
+                cluster.begin_outage();
                 thread::sleep(length);
-                cluster.store.set_down(false);
+                cluster.end_outage(from);
             }
             5 => {
+                let from = Instant::now();
                 cluster.instances[instance]
                     .store_proxy
                     .set_fault(connection_fault);
@@ -50,6 +57,7 @@
                 cluster.instances[instance]
                     .store_proxy
                     .set_fault(ConnectionFault::None);
+                cluster.notices.record_store_fault(Some(instance), from);
             }
             6 => {
                 cluster.change_config();
@@ -83,6 +91,54 @@
     }
 }
 
+/// Starts drills of the store, silences of replicas and changes of limits until `end`. They have draws of their own, so
+/// that the others are those that a seed has always had.
+fn start_later_faults(cluster: &Cluster, seed: u64, end: Instant) -> Vec<JoinHandle<()>> {
+    let backups = Arc::new(Backups::default());
+    let (own, writer) = (Arc::clone(&backups), cluster.clone());
+    let copier = thread::spawn(move || own.run(&writer, end));
+    let cluster = cluster.clone();
+    let starter = thread::spawn(move || {
+        let mut rng = Pcg64Mcg::seed_from_u64(!seed);
+        let mut running = Vec::new();
+        while Instant::now() < end {
+            thread::sleep(Duration::from_millis(rng.random_range(50..900)));
+            let kind = rng.random_range(0..4);
+            let (drill, limits) = (Drill::draw(&mut rng), Limits::draw(&mut rng));
+            let replica = rng.random_range(0..8);
+            let length = Duration::from_millis(rng.random_range(700..1_300));
+            let (cluster, backups) = (cluster.clone(), Arc::clone(&backups));
+            running.push(thread::spawn(move || match kind {
+                0 | 1 => drill.run(&cluster, &backups),
+                2 => silence(&cluster, replica, length),
+                _ => cluster.change_limits(limits),
+            }));
+        }
+        for thread in running {
+            thread.join().unwrap();
+        }
+    });
+    vec![copier, starter]
+}
+
+/// A sound replica falls silent and goes on: no connection is closed.
+fn silence(cluster: &Cluster, replica: usize, duration: Duration) {
+    let proxy = cluster
+        .replicas
+        .lock()
+        .unwrap()
+        .get(replica)
+        .map(|entry| (entry.0.id.clone(), entry.1.clone()));
+    // `None` if the replica has just ended.
+    if let Some((id, proxy)) = proxy {
+        let from = Instant::now();
+        proxy.set_fault(ConnectionFault::Stall);
+        thread::sleep(duration);
+        proxy.set_fault(ConnectionFault::None);
+        cluster.notices.record_silence(&id, from);
+    }
+}
+
 /// Cuts one or two daemons off from the replicas of one service or of all, in a way that `draw` decides.
 fn partition(cluster: &Cluster, instance: usize, draw: usize, duration: Duration) {
     let partition = Partition {
@@ -128,7 +184,9 @@
 fn restart(cluster: &Cluster, instance: usize) {
     let mut daemon = cluster.instances[instance].daemon.lock().unwrap();
     cluster.instances[instance].record_disturbance();
+    cluster.instances[instance].set_stopping(true);
     daemon.signal(Signal::TERM);
     daemon.wait_for_exit();
     cluster.instances[instance].replace(&mut daemon);
+    cluster.instances[instance].set_stopping(false);
 }
