--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod discovery;
 mod draining;
 mod epochs;
+mod eras;
 mod evacuation;
 mod handoff;
 mod homes;
