Let a poller ask its peers as soon as the store refuses it

What callers saw: requests to a replica more than two seconds after it had said that it leaves, through the poller of a data centre, where the store refused this instance alone. No era or copy is needed for that.

Cause: a poller whose reading failed asked nobody. Only the exchange for a silent store did, 1.5 s after the last answer, once in 0.7 s, and an answer to the watch of the plan put that off. The other daemons find out from the poller's status and read the store themselves.

After a failed reading the poller now asks a random daemon of its data centre and then the pollers of the others, for 300 ms at most, which is one datagram in each period as long as the first one is up to date.

--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -134,6 +134,9 @@
             PollerState::Silent => true,
         };
         let is_read = reads_store && read_replicas(&shared).await;
+        if is_poller && !is_read {
+            refresh_from_peers(&shared, POLLERS_TIMEOUT).await;
+        }
         if reads_store && !is_poller {
             read_plan(&shared).await;
             next_direct = Instant::now() + scaled_period(&shared, DIRECT_PERIOD);
@@ -235,6 +238,22 @@
     }
 }
 
+/// Asks a random daemon of this data centre and the pollers of the others, until one is up to date
+/// or `limit` has passed: the store may refuse only this daemon, the poller.
+async fn refresh_from_peers(shared: &Shared, limit: Duration) {
+    let deadline = Instant::now() + limit;
+    let peers = {
+        let members = shared.members.borrow();
+        let local = members.random_local_peer();
+        local.into_iter().chain(members.remote_pollers())
+    };
+    for peer in peers {
+        if Instant::now() >= deadline || refresh_from(shared, peer).await == PollerState::Fresh {
+            return;
+        }
+    }
+}
+
 /// Requests the status of the daemon at `poller` and fetches what is newer there.
 async fn refresh_from(shared: &Shared, poller: SocketAddr) -> PollerState {
     let Some(status) = gossip::request_status(shared, poller, POLLER_TIMEOUT).await else {
