Allow large fleets the time for a whole list after a new era

The limit grows with the number of known replicas, 0.3 ms each, up to the 4 s of a first list; small fleets keep their limit, so that a peer that does not answer delays no departure. Argued from the size of the list, not measured.

Records of removed replicas keep the start and the number of writes only, not the entry.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -41,6 +41,9 @@
 /// The same for a daemon without a list of replicas, which gets the complete one: that of a large
 /// fleet takes a slow link about half a second, and a peer may send it to many at once.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time added to [`REQUEST_TIMEOUT`] for each replica of a complete list that replaces one of an
+/// earlier era: many daemons ask for it at once, as at a start.
+const REPLICA_TIMEOUT: Duration = Duration::from_micros(300);
 /// Maximum size of a message in bytes; a plan of some thousand routes stays below.
 const MAX_MESSAGE: usize = 4 * 1024 * 1024;
 /// Interval between requests while the store is silent.
@@ -124,7 +127,12 @@
         all_records: !shared.has_all_records(),
     };
     let limit = match message.replicas {
-        Revision { version: 0, .. } if !omit_replicas => FIRST_REQUEST_TIMEOUT,
+        _ if omit_replicas => REQUEST_TIMEOUT,
+        Revision { version: 0, .. } => FIRST_REQUEST_TIMEOUT,
+        Revision { era, .. } if era < message.era => {
+            let replicas = shared.pool.borrow().replicas().count() as u32;
+            FIRST_REQUEST_TIMEOUT.min(REQUEST_TIMEOUT + REPLICA_TIMEOUT * replicas)
+        }
         _ => REQUEST_TIMEOUT,
     };
     let started = Instant::now();
--- a/crates/relay/src/pool/list.rs
+++ b/crates/relay/src/pool/list.rs
@@ -417,11 +417,10 @@
         let Some(server) = self.remove(now, key) else {
             return;
         };
-        let id = server.replica.id.clone();
         let listed = self.servers.len();
-        self.tombstones.add(self.version, server.replica, listed);
+        self.tombstones.add(self.version, &server.replica, listed);
         changes.push(StateChange {
-            id,
+            id: server.replica.id,
             now: ReplicaState::Gone,
         });
     }
--- a/crates/relay/src/replica.rs
+++ b/crates/relay/src/replica.rs
@@ -137,10 +137,11 @@
         *self == other
     }
 
-    /// Whether this entry is of a later incarnation than `known`, or a later one of the same.
-    pub fn is_newer_than(&self, known: &Self) -> bool {
-        match self.compare_incarnation(known.birth) {
-            Ordering::Equal => self.writes > known.writes,
+    /// Whether this entry is of a later incarnation than the one that started at `birth`, or a later
+    /// one than the `writes`th of the same.
+    pub fn is_newer_than(&self, birth: Option<Birth>, writes: u64) -> bool {
+        match self.compare_incarnation(birth) {
+            Ordering::Equal => self.writes > writes,
             order => order == Ordering::Greater,
         }
     }
--- a/crates/relay/src/tombstones.rs
+++ b/crates/relay/src/tombstones.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::collections::VecDeque;
 
+use crate::replica::Birth;
 use crate::replica::Replica;
 use crate::revision::Revision;
 
@@ -14,8 +15,10 @@
 struct Tombstone {
     /// Version at which it was missing.
     version: Revision,
-    /// Its last entry.
-    replica: Replica,
+    /// Start time of its last incarnation.
+    birth: Option<Birth>,
+    /// Number of entries that this incarnation had written.
+    writes: u64,
 }
 
 /// Removed replicas, so that peers can be sent changes instead of the whole list, and that a store
@@ -40,7 +43,7 @@
     /// not newer than its last known one.
     pub(crate) fn predates_removal(&self, era: u64, replica: &Replica) -> bool {
         self.records.get(&replica.id).is_some_and(|removed| {
-            removed.version.era < era && !replica.is_newer_than(&removed.replica)
+            removed.version.era < era && !replica.is_newer_than(removed.birth, removed.writes)
         })
     }
 
@@ -51,10 +54,14 @@
 
     /// Records that `replica` is missing at `version`. Drops the oldest records if there are more
     /// than listed replicas: then the whole list is hardly larger than the changes.
-    pub(crate) fn add(&mut self, version: Revision, replica: Replica, listed: usize) {
-        let id = replica.id.clone();
-        self.order.push_back((version, id.clone()));
-        self.records.insert(id, Tombstone { version, replica });
+    pub(crate) fn add(&mut self, version: Revision, replica: &Replica, listed: usize) {
+        let record = Tombstone {
+            version,
+            birth: replica.birth,
+            writes: replica.writes,
+        };
+        self.records.insert(replica.id.clone(), record);
+        self.order.push_back((version, replica.id.clone()));
         while self.order.len() > listed.max(MIN_KEPT) {
             let Some((version, id)) = self.order.pop_front() else {
                 return;
