--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -1,6 +1,6 @@
 //! Client of the platform's store.
 
-mod era;
+pub mod era;
 
 use std::fmt;
 use std::net::SocketAddr;
@@ -31,7 +31,7 @@
 use crate::connections::Connector;
 use crate::connections::Failure;
 use crate::connections::pool::ConnectionPool;
-pub use crate::store::era::Era;
+use crate::store::era::Era;
 
 /// Maximum size of an answer in bytes; the store limits rows to 1 MB, which base64 makes a third
 /// larger.
