--- a/crates/gateway/src/begins/storage.rs
+++ b/crates/gateway/src/begins/storage.rs
@@ -85,17 +85,17 @@
     let now = shared.clock.now();
     let changes = match shared
         .store
-        .watch(replica::TABLE, epoch.list, Duration::ZERO)
+        .watch(replica::TABLE, epoch.list(), Duration::ZERO)
         .await
     {
-        Ok(changed) => rows::delta(shared, epoch.list, &changed),
+        Ok(changed) => rows::delta(shared, epoch.list(), &changed),
         Err(error) => {
             log::info!(kind = "begin", service = service, cause = error.to_string(); "the changes since the record of the only version are not known");
             return false;
         }
     };
     let holds = epoch.holds_after(service, &changes);
-    log::info!(kind = "begin", service = service, software = epoch.software, list = epoch.list, changed = changes.replicas.len() as u64, gone = changes.gone.len() as u64, holds = holds; "read the record of the only version");
+    log::info!(kind = "begin", service = service, software = epoch.software, era = epoch.list().era, list = epoch.list().version, changed = changes.replicas.len() as u64, gone = changes.gone.len() as u64, holds = holds; "read the record of the only version");
     if holds {
         let mut pool = shared.pool.borrow_mut();
         pool.vouch_version(now, service, epoch.software);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -25,6 +25,7 @@
 use relay::quarantine::record::Record;
 use relay::replica::Source;
 use relay::replica::Update;
+use relay::revision::Revision;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -34,7 +35,7 @@
 use crate::shared::Shared;
 
 /// Path of a request; names the version of the messages.
-pub const PATH: &str = "/exchange/2";
+pub const PATH: &str = "/exchange/3";
 /// Timeout of one request, including the connection.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(800);
 /// The same for a daemon without a list of replicas, which gets the complete one: that of a large
@@ -52,7 +53,9 @@
     /// Version of the requester's plan; 0 if it has none.
     plan: u64,
     /// Store version of the requester's replicas.
-    replicas: u64,
+    replicas: Revision,
+    /// The latest era of the store that the requester knows.
+    era: u64,
     /// Whether the response has to leave out the replicas.
     omit_replicas: bool,
     /// Hash of the requester's replicas.
@@ -67,6 +70,8 @@
 
 #[derive(Debug, Serialize, Deserialize)]
 struct SyncResponse {
+    /// The latest era of the store that the responder knows.
+    era: u64,
     /// The plan, if it is newer than the requester's.
     plan: Option<Plan>,
     /// The evacuated data centres.
@@ -111,6 +116,7 @@
     let message = SyncRequest {
         plan: shared.plan_version(),
         replicas: shared.replicas_version(),
+        era: shared.era(),
         omit_replicas,
         digest: shared.pool.borrow().digest(),
         instances: shared.members.borrow().known_count() as u32,
@@ -118,7 +124,7 @@
         all_records: !shared.has_all_records(),
     };
     let limit = match message.replicas {
-        0 if !omit_replicas => FIRST_REQUEST_TIMEOUT,
+        Revision { version: 0, .. } if !omit_replicas => FIRST_REQUEST_TIMEOUT,
         _ => REQUEST_TIMEOUT,
     };
     let started = Instant::now();
@@ -142,6 +148,7 @@
 /// Applies the response to a request that was sent at `sent_at`.
 fn apply(shared: &Shared, sent_at: Time, response: SyncResponse) {
     let now = shared.clock.now();
+    shared.note_era(response.era, "peer");
     for instance in &response.cards {
         shared.members.borrow_mut().learn(now, instance);
     }
@@ -220,6 +227,7 @@
 }
 
 fn response_to(shared: &Shared, request: &SyncRequest) -> SyncResponse {
+    shared.note_era(request.era, "peer");
     let mut records = shared.merge_records("peer", &request.quarantine);
     let quarantine = shared.quarantine.borrow();
     records.extend(if request.all_records {
@@ -230,6 +238,7 @@
     let members = shared.members.borrow();
     let knows_more = members.known_count() as u32 > request.instances;
     SyncResponse {
+        era: shared.era(),
         plan: shared
             .plan()
             .filter(|plan| plan.version > request.plan)
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -27,6 +27,7 @@
 use crate::exchange;
 use crate::gossip::datagram::Content;
 use crate::gossip::datagram::Datagram;
+use crate::gossip::datagram::Eras;
 use crate::gossip::datagram::Extension;
 use crate::gossip::datagram::MAX_DATAGRAM;
 use crate::members::Outgoing;
@@ -72,6 +73,7 @@
 }
 
 async fn step(shared: &Shared) -> Time {
+    shared.end_missing_evacuations();
     let now = shared.clock.now();
     let (sends, changed, next) = shared.members.borrow_mut().step(now);
     for member in changed {
@@ -162,7 +164,11 @@
 
 async fn send_datagram(shared: &Shared, to: SocketAddr, datagram: &Datagram) -> io::Result<()> {
     let mut bytes = datagram.encode().map_err(io::Error::other)?;
-    append_paces(shared, &mut bytes)?;
+    let has_paces = append_paces(shared, &mut bytes)?;
+    let eras = datagram.eras(shared.era());
+    if eras != Eras::default() {
+        datagram::append_eras(&mut bytes, !has_paces, eras).map_err(io::Error::other)?;
+    }
     if bytes.len() > MAX_DATAGRAM {
         log::debug!(kind = "gossip", bytes = bytes.len(); "a datagram is large and may be fragmented");
     }
@@ -172,35 +178,37 @@
     Ok(())
 }
 
-/// Announces paces behind a datagram that has room for them.
-fn append_paces(shared: &Shared, bytes: &mut Vec<u8>) -> io::Result<()> {
+/// Announces paces behind a datagram that has room for them. Returns whether it did.
+fn append_paces(shared: &Shared, bytes: &mut Vec<u8>) -> io::Result<bool> {
     if bytes.len() >= MAX_DATAGRAM {
-        return Ok(());
+        return Ok(false);
     }
     let paces = shared.due_paces();
     let count = paces.len();
     if count == 0 {
-        return Ok(());
+        return Ok(false);
     }
     let fits = datagram::append(bytes, &Extension::Paces(paces)).map_err(io::Error::other)?;
     if fits {
         shared.metrics.pace_reports("sent", count);
     }
-    Ok(())
+    Ok(fits)
 }
 
 async fn receive(shared: &Rc<Shared>, bytes: &[u8], from: SocketAddr) {
-    let (datagram, extension) = match Datagram::decode(bytes) {
+    let (datagram, extensions) = match Datagram::decode(bytes) {
         Ok(read) => read,
         Err(error) => {
             log::warn!(kind = "gossip", peer = from.to_string(), cause = error.to_string(); "a datagram cannot be read");
             return;
         }
     };
-    match extension {
-        Some(Ok(Extension::Paces(reports))) => shared.merge_paces(&reports),
-        Some(Err(error)) => shared.log_unusable_pace(&error.to_string()),
-        None => {}
+    for extension in extensions {
+        match extension {
+            Ok(Extension::Paces(reports)) => shared.merge_paces(&reports),
+            Ok(Extension::Eras(eras)) => shared.note_era(eras.latest, "peer"),
+            Err(error) => shared.log_unusable_pace(&error.to_string()),
+        }
     }
     let sender = &datagram.from;
     if datagram.overloaded && sender.data_centre == shared.own_info().data_centre {
--- a/crates/gateway/src/gossip/datagram.rs
+++ b/crates/gateway/src/gossip/datagram.rs
@@ -29,6 +29,7 @@
     /// Version of the sender's plan; 0 if it has none.
     pub plan: u64,
     /// The evacuated data centres that the sender knows.
+    #[serde(with = "without_era")]
     pub evacuations: Evacuations,
     /// Whether the sender is overloaded.
     pub overloaded: bool,
@@ -74,15 +75,29 @@
 }
 
 /// What follows a datagram. New extensions are added at the end; a daemon of an earlier version
-/// reads none of one that it does not know.
+/// reads none of one that it does not know, and one that knows only paces reads the first extension
+/// only.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum Extension {
     /// Paces of replicas.
     Paces(Vec<PaceReport>),
+    /// Eras of the versions in the datagram. Missing if the sender's store has none.
+    Eras(Eras),
 }
 
-/// What was read behind a datagram; `None` if nothing follows it.
-pub type ReadExtension = Option<Result<Extension, DecodeError>>;
+/// Eras of the store in which versions of a datagram were read.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Eras {
+    /// The latest era that the sender knows.
+    pub latest: u64,
+    /// Era of the evacuations.
+    pub evacuations: u64,
+    /// Era of the replicas in a status.
+    pub replicas: u64,
+}
+
+/// What was read behind a datagram, in order.
+pub type ReadExtensions = Vec<Result<Extension, DecodeError>>;
 
 impl Datagram {
     /// The datagram without an extension.
@@ -93,21 +108,62 @@
         bincode::serde::encode_to_vec(self, config::standard())
     }
 
+    /// The eras of its versions, for a sender that knows of the era `latest`.
+    pub const fn eras(&self, latest: u64) -> Eras {
+        let replicas = match &self.content {
+            Content::News { news, .. } => news.replicas.era,
+            _ => 0,
+        };
+        Eras {
+            latest,
+            evacuations: self.evacuations.version().era,
+            replicas,
+        }
+    }
+
     /// Reads a datagram and what follows it.
     ///
     /// # Errors
     /// If the datagram cannot be read. An extension that cannot be read does not affect it.
-    pub fn decode(bytes: &[u8]) -> Result<(Self, ReadExtension), DecodeError> {
-        let (datagram, length) = bincode::serde::decode_from_slice(bytes, config::standard())?;
-        let rest = bytes.get(length..).unwrap_or_default();
-        let extension = (!rest.is_empty()).then(|| {
-            let read = bincode::serde::decode_from_slice(rest, config::standard());
-            read.map(|(extension, _)| extension)
-        });
-        Ok((datagram, extension))
+    pub fn decode(bytes: &[u8]) -> Result<(Self, ReadExtensions), DecodeError> {
+        let (mut datagram, length): (Self, _) =
+            bincode::serde::decode_from_slice(bytes, config::standard())?;
+        let extensions = read_extensions(bytes.get(length..).unwrap_or_default());
+        for extension in extensions.iter().flatten() {
+            if let Extension::Eras(eras) = extension {
+                datagram.set_eras(*eras);
+            }
+        }
+        Ok((datagram, extensions))
+    }
+
+    fn set_eras(&mut self, eras: Eras) {
+        self.evacuations.set_era(eras.evacuations);
+        if let Content::News { news, .. } = &mut self.content {
+            news.replicas.era = eras.replicas;
+        }
     }
 }
 
+/// Reads extensions up to the first one that cannot be read.
+fn read_extensions(bytes: &[u8]) -> ReadExtensions {
+    let mut extensions = Vec::new();
+    let mut rest = bytes;
+    while !rest.is_empty() {
+        match bincode::serde::decode_from_slice(rest, config::standard()) {
+            Ok((extension, length)) => {
+                extensions.push(Ok(extension));
+                rest = rest.get(length..).unwrap_or_default();
+            }
+            Err(error) => {
+                extensions.push(Err(error));
+                break;
+            }
+        }
+    }
+    extensions
+}
+
 /// Appends `extension` to the bytes of a datagram, unless that would exceed [`MAX_DATAGRAM`].
 /// Returns whether it did.
 ///
@@ -121,3 +177,44 @@
     }
     Ok(fits)
 }
+
+/// Appends `eras` to the bytes of a datagram, whatever their length: without them, a receiver takes
+/// its versions for those of another era. `is_first` says that no extension precedes them, which a
+/// daemon of an earlier version reads as paces.
+///
+/// # Errors
+/// If they cannot be encoded.
+pub fn append_eras(bytes: &mut Vec<u8>, is_first: bool, eras: Eras) -> Result<(), EncodeError> {
+    let none = is_first.then(|| Extension::Paces(Vec::new()));
+    for extension in none.iter().chain([&Extension::Eras(eras)]) {
+        bytes.extend(bincode::serde::encode_to_vec(extension, config::standard())?);
+    }
+    Ok(())
+}
+
+/// Evacuations without the era of their version, as daemons of earlier versions send them.
+mod without_era {
+    use std::collections::BTreeSet;
+
+    use relay::evacuation::Evacuations;
+    use relay::revision::Revision;
+    use serde::Deserialize;
+    use serde::Deserializer;
+    use serde::Serialize;
+    use serde::Serializer;
+
+    pub(super) fn serialize<S: Serializer>(
+        evacuations: &Evacuations,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        let names: BTreeSet<&str> = evacuations.names().collect();
+        (evacuations.version().version, names).serialize(serializer)
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Evacuations, D::Error> {
+        let (version, names): (u64, BTreeSet<String>) = Deserialize::deserialize(deserializer)?;
+        Ok(Evacuations::new(Revision::new(0, version), names.into_iter()))
+    }
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -54,6 +54,8 @@
     pub members: GenericGauge<AtomicU64>,
     /// Store version of the list of replicas.
     pub replicas_version: GenericGauge<AtomicU64>,
+    /// Latest era of the store.
+    pub store_era: GenericGauge<AtomicU64>,
     /// Services to whose replicas this daemon cannot connect.
     pub unreachable_services: GenericGauge<AtomicU64>,
     /// Replicas whose pace is known.
@@ -142,6 +144,7 @@
             store_failures: register(&registry, failures)?,
             members: gauge("members", "Reachable members")?,
             replicas_version: gauge("replicas_version", "Store version of the replicas")?,
+            store_era: gauge("store_era", "Latest era of the store that is known; 0 if it has none")?,
             unreachable_services: gauge(
                 "unreachable_services",
                 "Services to whose replicas this daemon cannot connect",
--- a/crates/gateway/src/poller_status.rs
+++ b/crates/gateway/src/poller_status.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use relay::revision::Revision;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -17,8 +18,9 @@
 pub struct PollerStatus {
     /// Version of the sender's plan; 0 if it has none.
     pub plan: u64,
-    /// Store version of the sender's replicas.
-    pub replicas: u64,
+    /// Store version of the sender's replicas; its era follows the datagram.
+    #[serde(with = "version_only")]
+    pub replicas: Revision,
     /// Whether the requester has the same replicas.
     pub same: bool,
     /// Milliseconds since the sender's replicas were read.
@@ -33,7 +35,7 @@
     /// Creates the status of a daemon with this `plan`, whose `replicas` were read `age` ago.
     pub const fn new(
         plan: u64,
-        replicas: u64,
+        replicas: Revision,
         same: bool,
         age: Duration,
         store_lost: bool,
@@ -69,8 +71,36 @@
         Duration::from_millis(self.age_ms)
     }
 
-    /// Whether the sender is up to date enough to rely on.
-    pub fn is_fresh(&self) -> bool {
-        !self.store_lost && self.age() < MAX_AGE
+    /// Whether the sender is up to date enough to rely on, for a requester that knows of the era
+    /// `era` of the store.
+    pub fn is_fresh(&self, era: u64) -> bool {
+        !self.store_lost && self.age() < MAX_AGE && self.replicas.era >= era
+    }
+
+    /// Whether the requester, whose replicas are of `known`, has the same ones. Equal lists of two
+    /// eras may be followed by different changes.
+    pub const fn confirms(&self, known: Revision) -> bool {
+        self.same && self.replicas.era == known.era
+    }
+}
+
+/// A version without its era, as daemons of earlier versions send it.
+mod version_only {
+    use relay::revision::Revision;
+    use serde::Deserialize;
+    use serde::Deserializer;
+    use serde::Serializer;
+
+    pub(super) fn serialize<S: Serializer>(
+        revision: &Revision,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        serializer.serialize_u64(revision.version)
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Revision, D::Error> {
+        u64::deserialize(deserializer).map(|version| Revision::new(0, version))
     }
 }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -122,7 +122,7 @@
         None => return Err(Outcome::NotSent),
     };
     let (prompt, output) = job.call.tokens.unwrap_or_default();
-    log::info!(kind = "send", request = job.call.id, content = job.content.whole.to_string(), parts = job.call.parts.join(","), replica = id, software = software.as_deref().unwrap_or_default(), task = task_name(&task), cache = cache_handle(&task), in_flight = in_flight, prompt = prompt, output = output, replicas = shared.replicas_version(), reserved = reservation.is_some(), plan = job.plan, left_ms = job.time_left().as_millis() as u64; "sending");
+    log::info!(kind = "send", request = job.call.id, content = job.content.whole.to_string(), parts = job.call.parts.join(","), replica = id, software = software.as_deref().unwrap_or_default(), task = task_name(&task), cache = cache_handle(&task), in_flight = in_flight, prompt = prompt, output = output, replicas = shared.replicas_version().version, reserved = reservation.is_some(), plan = job.plan, left_ms = job.time_left().as_millis() as u64; "sending");
     let prefill = task == Task::Prefill;
     let decode = matches!(task, Task::Decode { .. });
     let begun = Instant::now();
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -27,7 +27,7 @@
 use relay::begins::Begins;
 use relay::budget::RetryBudget;
 use relay::claims::Claims;
-use relay::evacuation::Evacuations;
+use relay::evacuation::InForce;
 use relay::overload::Overload;
 use relay::plan::Plan;
 use relay::pool::Pool;
@@ -140,12 +140,10 @@
     pub reach_doubted: Notify,
     /// Whether the first reading of the instances from the store has ended.
     pub instances_listed: watch::Sender<bool>,
-    /// The latest era of the store.
-    era: watch::Sender<u64>,
     /// Unreadable entries that have been logged.
     logged_unreadable: RefCell<HashSet<String>>,
     plan: RefCell<Option<Rc<Plan>>>,
-    evacuations: RefCell<Evacuations>,
+    evacuations: RefCell<InForce>,
     /// Customers with a label of their own in the metrics.
     labelled_customers: RefCell<HashSet<String>>,
     budgets: RefCell<HashMap<String, RetryBudget>>,
@@ -224,7 +222,6 @@
             restarts: Notify::new(),
             reach_doubted: Notify::new(),
             instances_listed: watch::Sender::new(false),
-            era: watch::Sender::new(0),
             logged_unreadable: RefCell::new(HashSet::new()),
             plan: RefCell::new(None),
             evacuations: RefCell::default(),
@@ -277,7 +274,8 @@
         let members = self.members.borrow();
         let metrics = &self.metrics;
         metrics.members.set(members.alive_count() as u64);
-        metrics.replicas_version.set(self.replicas_version());
+        metrics.replicas_version.set(self.replicas_version().version);
+        metrics.store_era.set(self.era());
         let quarantined = self.quarantine.borrow().quarantined();
         metrics.quarantined.set(quarantined as u64);
         self.pool.borrow_mut().remove_expired_paces(now);
--- a/crates/gateway/src/shared/era.rs
+++ b/crates/gateway/src/shared/era.rs
@@ -7,21 +7,16 @@
 impl Shared {
     /// The latest era of the store that this daemon knows; 0 if the store has none.
     pub fn era(&self) -> u64 {
-        *self.era.borrow()
+        self.store.era().latest()
     }
 
     /// Changes of the era from now on.
     pub fn watch_era(&self) -> watch::Receiver<u64> {
-        self.era.subscribe()
+        self.store.era().subscribe()
     }
 
     /// Records that the store, or a peer as `source`, named `era`.
     pub fn note_era(&self, era: u64, source: &'static str) {
-        let before = self.era();
-        if era <= before {
-            return;
-        }
-        self.era.send_replace(era);
-        log::info!(kind = "era", before = before, era = era, source = source; "the store has a new era");
+        self.store.era().note(era, source);
     }
 }
--- a/crates/gateway/src/shared/store_state.rs
+++ b/crates/gateway/src/shared/store_state.rs
@@ -11,6 +11,7 @@
 use relay::replica::Update;
 use relay::replica_state::ReplicaState;
 use relay::replica_state::StateChange;
+use relay::revision::Revision;
 use relay::server::Key;
 
 use crate::begins::message::LIFETIME_FACTOR;
@@ -34,7 +35,7 @@
     }
 
     /// Store version of the list of replicas.
-    pub fn replicas_version(&self) -> u64 {
+    pub fn replicas_version(&self) -> Revision {
         self.pool.borrow().version()
     }
 
@@ -78,14 +79,17 @@
 
     /// Applies an update of the replicas that reflects the store as of `read_at`.
     pub fn apply_replicas(&self, source: Source, read_at: Time, update: &Update) {
-        let version = update.version();
+        let (revision, known) = (update.version(), self.replicas_version());
         let now = self.clock.now();
         let changes = self.pool.borrow_mut().apply_update(now, source, update);
         let Some(changes) = changes else {
-            log::info!(kind = "replicas", version = version, source = source.name(); "ignored an outdated list of replicas");
+            log::info!(kind = "replicas", era = revision.era, version = revision.version, known_era = known.era, known_version = known.version, source = source.name(); "ignored an outdated list of replicas");
             return;
         };
-        self.note_replicas_read(read_at);
+        // In a later era a list may have changed in the meantime, whenever it was read.
+        if revision.era >= self.era() {
+            self.note_replicas_read(read_at);
+        }
         self.log_changes(source.name(), &changes);
     }
 
@@ -116,13 +120,13 @@
     }
 
     pub(super) fn log_changes(&self, source: &'static str, changes: &[StateChange]) {
-        let version = self.replicas_version();
+        let Revision { era, version } = self.replicas_version();
         let omitted = changes.len().saturating_sub(MAX_CHANGE_LINES);
         if omitted > 0 {
-            log::info!(kind = "replicas", version = version, source = source, omitted = omitted as u64; "more replicas changed than are logged");
+            log::info!(kind = "replicas", era = era, version = version, source = source, omitted = omitted as u64; "more replicas changed than are logged");
         }
         for change in changes.iter().take(MAX_CHANGE_LINES) {
-            log::info!(kind = "replica", replica = change.id, belief = format!("{:?}", change.now), version = version, source = source; "a replica changed");
+            log::info!(kind = "replica", replica = change.id, belief = format!("{:?}", change.now), era = era, version = version, source = source; "a replica changed");
         }
         let restarted = changes.iter();
         let restarted = restarted.filter(|change| change.now == ReplicaState::Restarted);
@@ -159,16 +163,18 @@
 
     /// The update for a peer whose list of replicas has `version` and the hash `digest`; `None` if
     /// it needs none.
-    pub fn newer_replicas(&self, version: u64, digest: u64) -> Option<Update> {
+    pub fn newer_replicas(&self, version: Revision, digest: u64) -> Option<Update> {
         let pool = self.pool.borrow();
         pool.update_for_peer(self.clock.now(), version, digest)
     }
 
     /// Records that the replicas equal those that a peer read at store version `version`, `age`
-    /// ago.
-    pub fn confirm_replicas(&self, version: u64, age: Duration) {
+    /// ago. Lists of two eras confirm nothing of each other.
+    pub fn confirm_replicas(&self, version: Revision, age: Duration) {
         let now = self.clock.now();
-        self.pool.borrow_mut().confirm(now, version);
+        if !self.pool.borrow_mut().confirm(now, version) {
+            return;
+        }
         let read = now - age;
         self.note_replicas_read(read);
         self.store_answered_at
--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -2,7 +2,7 @@
 //!
 //! Not all engines check fencing tokens, and an order without an answer may be carried out many
 //! seconds later. So at most one daemon sends orders for a service in any `CLAIM_DURATION`, by the
-//! store's clock: it first claims the service with a conditional write of a row, whose version is
+//! store's clock: it first claims the service with a conditional write of a row, whose version makes
 //! the fencing token. An order is sent only within `MAX_CLAIM_AGE` of that write, so that a daemon
 //! that was frozen meanwhile sends none.
 
@@ -23,6 +23,7 @@
 use relay::balance::StageBalancer;
 use relay::replica::Replica;
 use relay::replica::Stage;
+use relay::revision::Revision;
 use relay::server::Key;
 use serde::Deserialize;
 use serde::Serialize;
@@ -42,6 +43,8 @@
 const CLAIM_DURATION: Duration = Duration::from_secs(16);
 /// Time after the write of the row during which orders may be sent.
 const MAX_CLAIM_AGE: Duration = Duration::from_millis(400);
+/// Why no order is sent after the store came back from a copy.
+const NEW_ERA: &str = "claims may have been lost with the last era of the store";
 /// Maximum number of engines skipped in one round because they are busy or do not answer.
 const MAX_SKIPPED: usize = 3;
 
@@ -87,7 +90,7 @@
     } else {
         claim(shared, service).await
     };
-    let (fence, claimed_at) = match claimed {
+    let (claim, claimed_at) = match claimed {
         Ok(claimed) => claimed,
         Err(cause) => {
             balancer.order_failed();
@@ -100,7 +103,8 @@
         let replica = order.replica.id.clone();
         let outcome = match claimed_at.elapsed() {
             age if age > MAX_CLAIM_AGE => Err("the claim is too old".to_owned()),
-            _ => send_order(shared, order, due.stage, fence).await,
+            _ if claim.era != shared.era() => Err(NEW_ERA.to_owned()),
+            _ => send_order(shared, order, due.stage, claim.fence()).await,
         };
         match outcome {
             Ok(status) => {
@@ -207,9 +211,12 @@
     Ok(answer.status)
 }
 
-/// Claims the right to send orders for `service`; returns the fencing token and the time at which
-/// the write began.
-async fn claim(shared: &Shared, service: &str) -> Result<(u64, Instant), String> {
+/// Claims the right to send orders for `service`; returns the version of the claim, which makes the
+/// fencing token, and the time at which the write began.
+async fn claim(shared: &Shared, service: &str) -> Result<(Revision, Instant), String> {
+    if may_lack_claims(shared) {
+        return Err(NEW_ERA.to_owned());
+    }
     let rows = shared
         .store
         .read(ORDERS)
@@ -227,12 +234,26 @@
         at_ms: rows.now_ms,
     };
     let value = serde_json::to_vec(&own).map_err(|error| error.to_string())?;
-    let version = held.map_or(0, |row| row.version);
+    // The row belongs to the era of this reading, which may be the first call of a new one.
+    if may_lack_claims(shared) {
+        return Err(NEW_ERA.to_owned());
+    }
+    let held = Revision::new(rows.revision.era, held.map_or(0, |row| row.version));
     let started = Instant::now();
-    let swapped = shared.store.swap(ORDERS, service, &value, version).await;
+    let swapped = shared.store.swap(ORDERS, service, &value, held).await;
     Ok((swapped.map_err(|error| cause(&error))?, started))
 }
 
+/// Whether the store may lack a claim under which another daemon still sends orders: it may have
+/// come back from a copy that is older than the claim. A daemon that has just started cannot tell
+/// whether the era that it finds is new, and waits as well, which only delays a change of stage. At
+/// the first start of the whole system there are no claims.
+fn may_lack_claims(shared: &Shared) -> bool {
+    let is_first_start = shared.settings().first_start;
+    let raised = shared.store.era().time_since_raised(is_first_start);
+    raised.is_some_and(|elapsed| elapsed < CLAIM_DURATION)
+}
+
 fn has_expired(claim: &Claim, rows: &Rows) -> bool {
     rows.now_ms.saturating_sub(claim.at_ms) > CLAIM_DURATION.as_millis() as u64
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -1,5 +1,7 @@
 //! Client of the platform's store.
 
+mod era;
+
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -22,12 +24,14 @@
 use platform::store::Edit;
 use platform::store::Rows;
 use prometheus::IntCounterVec;
+use relay::revision::Revision;
 use tokio::sync::Notify;
 
 use crate::connections::Connection;
 use crate::connections::Connector;
 use crate::connections::Failure;
 use crate::connections::pool::ConnectionPool;
+pub use crate::store::era::Era;
 
 /// Maximum size of an answer in bytes; the store limits rows to 1 MB, which base64 makes a third
 /// larger.
@@ -57,6 +61,15 @@
     GivenUp,
     /// The history that a watch needs has been compacted.
     Compacted,
+    /// The store has come back from a copy since the version that a watch starts from.
+    NewEra,
+    /// The answer is of an earlier era than another answer.
+    Outdated {
+        /// The step with the outdated answer.
+        step: &'static str,
+        /// Era of the answer.
+        era: u64,
+    },
     /// A row did not have the version that a conditional write requires.
     Conflict,
     /// The answer cannot be parsed.
@@ -70,6 +83,10 @@
             Self::Refused { step, status } => write!(f, "store, {step}: status {status}"),
             Self::GivenUp => write!(f, "store, watching: another call had no answer in time"),
             Self::Compacted => write!(f, "store, watching: the history has been compacted"),
+            Self::NewEra => write!(f, "store, watching: the store has come back from a copy"),
+            Self::Outdated { step, era } => {
+                write!(f, "store, {step}: the answer is of the earlier era {era}")
+            }
             Self::Conflict => write!(f, "store, claiming: another daemon has changed the row"),
             Self::Garbled(error) => write!(f, "store, answer: {error}"),
         }
@@ -87,6 +104,8 @@
     /// Connections opened for later calls.
     connections: Rc<ConnectionPool>,
     calls: IntCounterVec,
+    /// The latest era of the store.
+    era: Era,
     /// Notified when a call timed out, so that watches on connections of the same age do not wait
     /// for their own timeout.
     timeouts: Notify,
@@ -99,10 +118,16 @@
             address,
             connections: Rc::new(ConnectionPool::new(Connector::default())),
             calls,
+            era: Era::new(),
             timeouts: Notify::new(),
         }
     }
 
+    /// The era of the store.
+    pub const fn era(&self) -> &Era {
+        &self.era
+    }
+
     /// Reads all rows of `table`.
     ///
     /// # Errors
@@ -112,26 +137,42 @@
         while all.has_more {
             let last = all.rows.last().map(|row| row.key.clone());
             let page = self.page(table, last.as_deref()).await?;
+            if page.revision.era != all.revision.era {
+                all = self.page(table, None).await?;
+                continue;
+            }
             all.rows.extend(page.rows);
             all.has_more = page.has_more;
         }
         Ok(all)
     }
 
-    /// Waits up to `wait` for rows of `table` that changed after `version`. Ends early when another
+    /// Waits up to `wait` for rows of `table` that changed after `since`. Ends early when another
     /// call times out: open connections may hang without being closed, and a watch on one of them
     /// would miss changes until its own timeout.
     ///
     /// # Errors
-    /// [`Error`]; `Compacted` and `GivenUp` if all rows have to be read again.
-    pub async fn watch(&self, table: &str, version: u64, wait: Duration) -> Result<Rows, Error> {
+    /// [`Error`]; `Compacted`, `NewEra` and `GivenUp` if all rows have to be read again.
+    pub async fn watch(
+        &self,
+        table: &str,
+        since: Revision,
+        wait: Duration,
+    ) -> Result<Rows, Error> {
+        if since.era < self.era.latest() {
+            return Err(Error::NewEra);
+        }
         self.count("watching", table);
-        let path = store::watch_path(table, version, wait.as_millis() as u64);
-        let body = tokio::select! {
-            body = self.get("watching", path, CALL_TIMEOUT + wait) => body?,
+        let path = store::watch_path(table, since.version, wait.as_millis() as u64);
+        let (era, body) = tokio::select! {
+            answer = self.get("watching", path, CALL_TIMEOUT + wait) => answer?,
             () = self.timeouts.notified() => return Err(Error::GivenUp),
+            () = self.era.passed(since.era) => return Err(Error::NewEra),
         };
-        Rows::read(table, &body).map_err(Error::Garbled)
+        if era != since.era {
+            return Err(Error::NewEra);
+        }
+        Rows::read(table, era, &body).map_err(Error::Garbled)
     }
 
     /// Writes one row unconditionally.
@@ -144,22 +185,30 @@
         Ok(())
     }
 
-    /// Writes one row if it still has `version` (0 if it does not exist); returns its new version.
+    /// Writes one row if it still has the version of `revision` (0 if it does not exist); returns its
+    /// new version.
     ///
     /// # Errors
-    /// [`Error`]; `Conflict` if it has another version. After any other error it may have been
-    /// written nevertheless.
+    /// [`Error`]; `Conflict` if it has another version, or if the store is no longer in the era of
+    /// `revision`, where the same version may be that of another row. After any other error, or in
+    /// another era, it may have been written nevertheless.
     pub async fn swap(
         &self,
         table: &str,
         key: &str,
         value: &[u8],
-        version: u64,
-    ) -> Result<u64, Error> {
-        let body = store::swap_body(table, key, value, version);
-        let answer = self.transact("claiming", table, body).await?;
-        let done = Committed::read(&answer).map_err(Error::Garbled)?;
-        Ok(done.version)
+        revision: Revision,
+    ) -> Result<Revision, Error> {
+        if revision.era < self.era.latest() {
+            return Err(Error::Conflict);
+        }
+        let body = store::swap_body(table, key, value, revision.version);
+        let (era, answer) = self.transact("claiming", table, body).await?;
+        let done = Committed::read(era, &answer).map_err(Error::Garbled)?;
+        if era != revision.era {
+            return Err(Error::Conflict);
+        }
+        Ok(done.revision)
     }
 
     /// Removes one row.
@@ -199,22 +248,28 @@
     async fn page(&self, table: &str, after: Option<&str>) -> Result<Rows, Error> {
         self.count("reading", table);
         let path = store::read_path(table, after);
-        let body = self.get("reading", path, CALL_TIMEOUT).await?;
-        Rows::read(table, &body).map_err(Error::Garbled)
+        let (era, body) = self.get("reading", path, CALL_TIMEOUT).await?;
+        Rows::read(table, era, &body).map_err(Error::Garbled)
     }
 
     fn count(&self, step: &str, table: &str) {
         self.calls.with_label_values(&[step, table]).inc();
     }
 
-    async fn get(&self, step: &'static str, path: String, limit: Duration) -> Result<Bytes, Error> {
+    /// Returns the era and the body of the answer.
+    async fn get(
+        &self,
+        step: &'static str,
+        path: String,
+        limit: Duration,
+    ) -> Result<(u64, Bytes), Error> {
         loop {
             let started = Instant::now();
             let request = Request::builder().method(Method::GET).uri(&path);
-            let body = self.call(step, request, Bytes::new(), limit).await?;
+            let answer = self.call(step, request, Bytes::new(), limit).await?;
             // An answer that waited while the machine was suspended is outdated.
             if started.elapsed() <= limit {
-                return Ok(body);
+                return Ok(answer);
             }
             log::info!(kind = "store", step = step, ms = started.elapsed().as_millis() as u64; "an answer is outdated; calling again");
         }
@@ -225,7 +280,7 @@
         step: &'static str,
         table: &str,
         body: Vec<u8>,
-    ) -> Result<Bytes, Error> {
+    ) -> Result<(u64, Bytes), Error> {
         self.count(step, table);
         let request = Request::builder()
             .method(Method::POST)
@@ -240,7 +295,7 @@
         request: http::request::Builder,
         body: Bytes,
         limit: Duration,
-    ) -> Result<Bytes, Error> {
+    ) -> Result<(u64, Bytes), Error> {
         let request = request
             .header(header::HOST, self.address.to_string())
             .body(Full::new(body))
@@ -278,7 +333,7 @@
         &self,
         step: &'static str,
         request: Request<Full<Bytes>>,
-    ) -> Result<Bytes, Error> {
+    ) -> Result<(u64, Bytes), Error> {
         let sent = self.send(request).await;
         // The connection stays open until the body is read; dropping `_link` closes it.
         let (answer, _link) = sent.map_err(|failure| match failure {
@@ -289,13 +344,20 @@
         })?;
         self.preconnect();
         let status = answer.status();
+        let named = store::era(answer.headers());
         let body = Limited::new(answer.into_body(), MAX_ANSWER);
         let body = body
             .collect()
             .await
             .map_err(|error| no_answer(step, &error))?;
+        // A refusal may come from something before the store, which names no era.
+        if named.is_some() || status == StatusCode::OK {
+            self.era.note(named.unwrap_or_default(), "store");
+        }
+        let era = named.unwrap_or_default();
         match status {
-            StatusCode::OK => Ok(body.to_bytes()),
+            StatusCode::OK if era < self.era.latest() => Err(Error::Outdated { step, era }),
+            StatusCode::OK => Ok((era, body.to_bytes())),
             StatusCode::GONE => Err(Error::Compacted),
             StatusCode::PRECONDITION_FAILED => Err(Error::Conflict),
             status => Err(Error::Refused { step, status }),
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -17,6 +17,7 @@
 use platform::store::Rows;
 use relay::replica::Source;
 use relay::replica::Update;
+use relay::revision::Revision;
 
 use crate::exchange;
 use crate::gossip;
@@ -78,11 +79,11 @@
             Ok(rows) => {
                 shared.store_answered("plan");
                 apply_evacuations(&shared, version, &rows);
-                version = Some(rows.version);
+                version = Some(rows.revision);
                 apply_stored_plan(&shared, &rows);
                 sleep(PLAN_PAUSE).await;
             }
-            Err(error @ (Error::Compacted | Error::GivenUp)) => {
+            Err(error @ (Error::Compacted | Error::NewEra | Error::GivenUp)) => {
                 log::info!(kind = "store", step = "plan", cause = error.to_string(); "reading the whole plan again");
                 version = None;
             }
@@ -120,7 +121,7 @@
             StartPhase::ManyInstances if !is_poller => {
                 refresh_from_local(&shared).await;
                 // A peer that has just started, too, is up to date without a list.
-                if shared.replicas_version() == 0 {
+                if shared.replicas_version().version == 0 {
                     sleep(START_PAUSE.mul_f64(rand::random_range(0.5..1.5))).await;
                 }
                 continue;
@@ -164,7 +165,7 @@
 fn start_phase(shared: &Shared, started: Instant, turn: f64) -> StartPhase {
     let instances = shared.members.borrow().local_count();
     let spread = START_TIMEOUT.mul_f64(instances as f64 / DIRECT_READERS as f64);
-    match shared.replicas_version() {
+    match shared.replicas_version().version {
         0 if instances <= DIRECT_READERS => StartPhase::FewInstances,
         0 if started.elapsed() < START_TIMEOUT + spread.mul_f64(turn) => StartPhase::ManyInstances,
         _ => StartPhase::Steady,
@@ -243,8 +244,8 @@
         shared.record_relayed_report();
     }
     match status {
-        status if !status.is_fresh() => PollerState::Stale,
-        status if status.same && status.plan <= shared.plan_version() => {
+        status if !status.is_fresh(shared.era()) => PollerState::Stale,
+        status if status.confirms(shared.replicas_version()) && status.plan <= shared.plan_version() => {
             shared.confirm_replicas(status.replicas, status.age());
             PollerState::Fresh
         }
@@ -285,13 +286,16 @@
 /// Reads the changes of the replicas from the store, or all replicas if the changes are not known.
 async fn fetch_replicas(shared: &Shared) -> Result<Update, Error> {
     let since = shared.replicas_version();
-    if since == 0 {
+    if since.version == 0 {
         return fetch_all_replicas(shared).await;
     }
     let watched = shared.store.watch(replica::TABLE, since, REPLICAS_WAIT);
     match watched.await {
         Ok(rows) => Ok(Update::Changed(rows::delta(shared, since, &rows))),
-        Err(Error::Compacted) => fetch_all_replicas(shared).await,
+        Err(error @ (Error::Compacted | Error::NewEra)) => {
+            log::info!(kind = "store", step = "replicas", cause = error.to_string(); "reading all replicas again");
+            fetch_all_replicas(shared).await
+        }
         Err(error) => Err(error),
     }
 }
@@ -314,12 +318,12 @@
 
 /// Applies the evacuations in `rows`: all rows of the operator's table, or those that changed after
 /// version `since`. Must precede the plan, since callers are accepted once a plan is known.
-fn apply_evacuations(shared: &Shared, since: Option<u64>, rows: &Rows) {
+fn apply_evacuations(shared: &Shared, since: Option<Revision>, rows: &Rows) {
     let evacuations = match since {
         None => evacuation::read_all(rows),
         Some(_) => {
             let changes = evacuation::changes(rows);
-            shared.evacuations().after(rows.version, &changes)
+            shared.evacuations().after(rows.revision, &changes)
         }
     };
     shared.apply_evacuations("store", &evacuations);
--- a/crates/gateway/src/watch/rows.rs
+++ b/crates/gateway/src/watch/rows.rs
@@ -1,6 +1,7 @@
 //! Converts rows of the store to replicas.
 
 use std::net::IpAddr;
+use std::time::Duration;
 
 use platform::replica;
 use platform::store::Row;
@@ -8,6 +9,7 @@
 use relay::replica::Delta;
 use relay::replica::Replica;
 use relay::replica::Snapshot;
+use relay::revision::Revision;
 
 use crate::shared::Shared;
 
@@ -17,17 +19,18 @@
     let replicas = rows.rows.iter();
     let replicas = replicas.filter_map(|row| read_replica(shared, own, row));
     Snapshot {
-        version: rows.version,
+        version: rows.revision,
         replicas: replicas.collect(),
         lapsing: Vec::new(),
+        grace: Duration::ZERO,
     }
 }
 
 /// The changes in `rows`; an unreadable entry counts as removed.
-pub fn delta(shared: &Shared, since: u64, rows: &Rows) -> Delta {
+pub fn delta(shared: &Shared, since: Revision, rows: &Rows) -> Delta {
     let mut delta = Delta {
         since,
-        version: rows.version,
+        version: rows.revision,
         ..Delta::default()
     };
     let own = shared.own_ip();
--- a/crates/relay/src/epoch.rs
+++ b/crates/relay/src/epoch.rs
@@ -10,6 +10,7 @@
 use crate::claims::incarnation_hash;
 use crate::replica::Delta;
 use crate::replica::Replica;
+use crate::revision::Revision;
 
 /// Maximum number of replicas that a record lists: it has to fit into a row of the store.
 const MAX_LISTED: usize = 1_000;
@@ -20,7 +21,10 @@
     /// The only software version that served.
     pub software: String,
     /// Version of the store up to which that holds.
-    pub list: u64,
+    list: u64,
+    /// Era of that version; earlier records have none.
+    #[serde(default)]
+    era: u64,
     /// The replicas that were listed then, in order; empty if they were too many.
     #[serde(default)]
     listed: Vec<Listed>,
@@ -38,14 +42,20 @@
 
 impl Epoch {
     /// The record that `software` alone served up to version `list` of the store.
-    pub const fn new(software: String, list: u64) -> Self {
+    pub const fn new(software: String, list: Revision) -> Self {
         Self {
             software,
-            list,
+            list: list.version,
+            era: list.era,
             listed: Vec::new(),
         }
     }
 
+    /// Version of the store up to which it holds.
+    pub const fn list(&self) -> Revision {
+        Revision::new(self.era, self.list)
+    }
+
     /// Returns the record with the `replicas` that were listed.
     #[must_use]
     pub fn with_listed<'a>(self, replicas: impl Iterator<Item = &'a Replica>) -> Self {
@@ -57,11 +67,15 @@
         Self { listed, ..self }
     }
 
-    /// Whether it still holds for `service` after `changes` of the replicas since [`Self::list`].
+    /// Whether it still holds for `service` after `changes` of the replicas since [`Self::list`],
+    /// which must be of the same era.
     pub fn holds_after(&self, service: &str, changes: &Delta) -> bool {
         let mut listed = changes.replicas.iter();
         let mut gone = changes.gone.iter();
-        changes.since <= self.list
+        let list = self.list();
+        changes.since.era == list.era
+            && changes.version.era == list.era
+            && changes.since <= list
             && listed.all(|replica| replica.service != service || self.allows(replica))
             && gone.all(|id| self.allows_end(id))
     }
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -35,6 +35,7 @@
 use crate::replica::Replica;
 use crate::replica::Stage;
 use crate::retained_notices::RetainedNotices;
+use crate::revision::Revision;
 use crate::score;
 use crate::score::Criteria;
 use crate::server::Key;
@@ -82,7 +83,14 @@
     calls: HashMap<String, Calls>,
     /// Hashes of ended incarnations whose replica has restarted; at most one per slot of `servers`.
     restarted: SecondaryMap<Key, u64>,
-    version: u64,
+    version: Revision,
+    /// Until when replicas are used that are missing from the lists of a new era; earlier entries may
+    /// only have been lost with the copy of the store.
+    era_grace_until: Option<Time>,
+    /// Entries that are ignored since their replicas are known as gone, by id.
+    withheld: BTreeMap<String, Replica>,
+    /// Until when they are ignored.
+    withheld_until: Time,
     /// When the list was last known to be up to date.
     refreshed_at: Option<Time>,
     /// When the list was last found to have been out of date for at least [`MIN_OUTAGE`], or not
@@ -115,7 +123,7 @@
     }
 
     /// Version of the store that the list corresponds to.
-    pub const fn version(&self) -> u64 {
+    pub const fn version(&self) -> Revision {
         self.version
     }
 
@@ -124,10 +132,15 @@
         self.index.digest()
     }
 
-    /// Records that, at `now`, a peer with an equal list has it from `version`.
-    pub fn confirm(&mut self, now: Time, version: u64) {
+    /// Records that, at `now`, a peer with an equal list has it from `version`. Returns whether that
+    /// holds for the own list, which it does only within one era.
+    pub fn confirm(&mut self, now: Time, version: Revision) -> bool {
+        if version.era != self.version.era {
+            return false;
+        }
         self.version = self.version.max(version);
         self.note_refresh(now);
+        true
     }
 
     /// Records that the list is up to date at `now`.
--- a/crates/relay/src/pool/incarnation.rs
+++ b/crates/relay/src/pool/incarnation.rs
@@ -43,6 +43,7 @@
         let replica = Replica {
             birth,
             software: None,
+            writes: 0,
             ..server.replica.clone()
         };
         if replica.compare_incarnation(server.replica.birth) == Ordering::Greater {
--- a/crates/relay/src/pool/index.rs
+++ b/crates/relay/src/pool/index.rs
@@ -4,10 +4,12 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::ops::Bound;
 
 use indexmap::IndexSet;
 
 use crate::replica::Stage;
+use crate::revision::Revision;
 use crate::server::Key;
 use crate::server::Server;
 
@@ -21,7 +23,7 @@
     by_hash: HashMap<u64, Key>,
     groups: HashMap<String, HashMap<Option<Stage>, Group>>,
     /// All replicas by the version of the store at which their entries last changed.
-    by_change: BTreeMap<u64, BTreeSet<Key>>,
+    by_change: BTreeMap<Revision, BTreeSet<Key>>,
     /// Sum of the hashes of the listed entries, which does not depend on their order.
     digest: u64,
 }
@@ -104,8 +106,10 @@
     }
 
     /// The replicas whose entries changed after `version`.
-    pub(super) fn changed_after(&self, version: u64) -> impl Iterator<Item = Key> {
-        let changed = self.by_change.range(version.saturating_add(1)..);
+    pub(super) fn changed_after(&self, version: Revision) -> impl Iterator<Item = Key> {
+        let changed = self
+            .by_change
+            .range((Bound::Excluded(version), Bound::Unbounded));
         changed.flat_map(|(_, keys)| keys).copied()
     }
 
--- a/crates/relay/src/pool/list.rs
+++ b/crates/relay/src/pool/list.rs
@@ -16,6 +16,7 @@
 use crate::replica::Update;
 use crate::replica_state::ReplicaState;
 use crate::replica_state::StateChange;
+use crate::revision::Revision;
 use crate::server::Key;
 use crate::server::Server;
 
@@ -24,11 +25,15 @@
 /// requests after that.
 const LAPSE_GRACE: Duration = Duration::from_millis(1_900);
 
+/// How long after the begin of an era an entry is ignored that may come from a copy, of a replica
+/// known as gone. The store removes entries after three missing renewals, about four seconds.
+const WITHHOLDING: Duration = Duration::from_secs(10);
+
 impl Pool {
     /// Update for a peer whose list has the version `since` and the hash `digest`; `None` if it is
     /// up to date. If lists of the same version differ, the peer gets a complete one; otherwise it
     /// would keep its own until the next change.
-    pub fn update_for_peer(&self, now: Time, since: u64, digest: u64) -> Option<Update> {
+    pub fn update_for_peer(&self, now: Time, since: Revision, digest: u64) -> Option<Update> {
         match self.version {
             version if version > since => Some(self.update_since(now, since)),
             version if version == since && digest != self.digest() => {
@@ -40,7 +45,7 @@
 
     /// Update for a peer whose list has the version `since`: the changes, if they are known
     /// completely, otherwise the complete list.
-    pub fn update_since(&self, now: Time, since: u64) -> Update {
+    pub fn update_since(&self, now: Time, since: Revision) -> Update {
         if since < self.tombstones.since {
             return Update::All(self.snapshot(now));
         }
@@ -70,9 +75,16 @@
             version: self.version,
             replicas: self.replicas().cloned().collect(),
             lapsing: self.lapsing(now),
+            grace: self.era_grace(now),
         }
     }
 
+    /// Time for which replicas that are missing from the lists of a new era are still used.
+    fn era_grace(&self, now: Time) -> Duration {
+        let until = self.era_grace_until;
+        until.map_or(Duration::ZERO, |until| until.since(now))
+    }
+
     fn lapsing(&self, now: Time) -> Vec<Lapsing> {
         let servers = self.lapsing.iter().map(|key| &self.servers[*key]);
         let lapsing = servers.filter_map(|server| {
@@ -120,10 +132,20 @@
         if snapshot.version < self.version {
             return None;
         }
-        if self.servers.is_empty() {
+        let is_new_era = snapshot.version.era > self.version.era;
+        if is_new_era {
+            let grace = match source {
+                Source::Store => LAPSE_GRACE,
+                Source::Peer => snapshot.grace,
+            };
+            self.era_grace_until = Some(now + grace);
+            self.withheld_until = now + WITHHOLDING;
+        }
+        if is_new_era || self.servers.is_empty() {
             self.tombstones.since = snapshot.version;
         }
         self.version = snapshot.version;
+        self.withheld.clear();
         self.note_refresh(now);
         let (lapsing, _) = self.split_lapsing(now, &snapshot.lapsing);
         let mut changes = Vec::new();
@@ -138,7 +160,12 @@
         let reported: HashSet<&str> = listed.chain(lapsing).map(|r| r.id.as_str()).collect();
         let all = self.servers.keys().collect();
         let is_missing = |id: &str| !reported.contains(id);
-        self.drop_where(now, source, all, is_missing, &mut changes);
+        let returns_until = match source {
+            Source::Peer if is_new_era => self.era_grace_until,
+            source => self.returns_until(source),
+        };
+        self.drop_where(now, source, returns_until, all, is_missing, &mut changes);
+        self.release_withheld(now, &mut changes);
         Some(changes)
     }
 
@@ -148,7 +175,8 @@
         source: Source,
         delta: &Delta,
     ) -> Option<Vec<StateChange>> {
-        if delta.version < self.version || delta.since > self.version {
+        let is_one_era = delta.since.era == self.version.era;
+        if !is_one_era || delta.version < self.version || delta.since > self.version {
             return None;
         }
         self.version = delta.version;
@@ -166,14 +194,17 @@
         let keys = gone.iter().filter_map(|id| self.index.by_id(id));
         let affected = keys.chain(self.lapsing.iter().copied()).collect();
         let is_missing = |id: &str| gone.contains(id);
-        self.drop_where(now, source, affected, is_missing, &mut changes);
+        let returns_until = self.returns_until(source);
+        self.drop_where(now, source, returns_until, affected, is_missing, &mut changes);
+        self.withheld.retain(|id, _| !is_missing(id));
+        self.release_withheld(now, &mut changes);
         Some(changes)
     }
 
     /// Splits the replicas that a peer reports as `lapsing` into those that stay in use for the
-    /// time that is left and those that are gone. Unless this daemon's list was outdated within
-    /// the last `LAPSE_GRACE`, only the peer lost the store, so the replicas have left rather than
-    /// lapsed.
+    /// time that is left and those that are gone. Unless this daemon's list was outdated, or of an
+    /// earlier era, within the last `LAPSE_GRACE`, only the peer lost the store, so the replicas have
+    /// left rather than lapsed.
     fn split_lapsing<'a>(
         &self,
         now: Time,
@@ -181,6 +212,7 @@
     ) -> (&'a [Lapsing], &'a [Lapsing]) {
         match self.outdated_at {
             Some(at) if now < at + LAPSE_GRACE => (lapsing, &[]),
+            _ if !self.era_grace(now).is_zero() => (lapsing, &[]),
             _ => (&[], lapsing),
         }
     }
@@ -204,6 +236,10 @@
             Some((key, Ordering::Greater)) => self.restart(now, key, replica, changes),
             Some((key, Ordering::Equal)) if !self.update_entry(now, key, replica) => return,
             Some((_, Ordering::Equal)) => {}
+            None if self.tombstones.predates_removal(self.version.era, replica) => {
+                self.withheld.insert(replica.id.clone(), replica.clone());
+                return;
+            }
             None => {
                 self.insert(now, replica);
             }
@@ -214,15 +250,32 @@
         });
     }
 
+    /// Lists the replicas again whose entries seemed to come from a copy, once the store would have
+    /// removed those that are not renewed.
+    fn release_withheld(&mut self, now: Time, changes: &mut Vec<StateChange>) {
+        if now < self.withheld_until {
+            return;
+        }
+        for (_, replica) in std::mem::take(&mut self.withheld) {
+            self.tombstones.remove(&replica.id);
+            self.upsert(now, &replica, changes);
+        }
+    }
+
     /// Updates the entry of a known replica. Returns whether its state changed.
     fn update_entry(&mut self, now: Time, key: Key, replica: &Replica) -> bool {
         let server = &mut self.servers[key];
         let is_listed = server.is_listed();
+        // The copy from which the store came back may be older than what is known of a departure.
+        let is_kept_draining = server.outdates(self.version.era, replica);
         let replica = Replica {
             birth: replica.birth.or(server.replica.birth),
+            draining: replica.draining || is_kept_draining,
+            writes: replica.writes.max(server.replica.writes),
             ..replica.clone()
         };
-        if server.replica == replica && is_listed {
+        if server.replica.has_content_of(&replica) && is_listed {
+            server.replica.writes = replica.writes;
             return false;
         }
         let changed = server.replica.draining != replica.draining || !is_listed;
@@ -234,6 +287,9 @@
         // changed.
         server.replaced = false;
         server.evacuated = self.evacuated.contains(&replica.data_centre);
+        if !server.replica.draining {
+            server.draining_era = self.version.era;
+        }
         server.draining_since = match server.draining_since {
             _ if !replica.draining => None,
             None => Some(now),
@@ -252,6 +308,7 @@
 
     pub(super) fn insert(&mut self, now: Time, replica: &Replica) -> Key {
         self.tombstones.remove(&replica.id);
+        self.withheld.remove(&replica.id);
         let mut server = Server::new(replica.clone(), self.version, now);
         server.notices = self.retained_notices.take(replica);
         server.evacuated = self.evacuated.contains(&replica.data_centre);
@@ -296,20 +353,27 @@
         }
     }
 
-    /// Drops those of the replicas `keys` that are `missing` from the list. If the update was read from the store
-    /// shortly after an outage, their entries may only have lapsed, so they stay in use until
-    /// `LAPSE_GRACE` has passed since the outage. Updates from peers get no grace period, because
-    /// the peer has already applied it. Also drops replicas whose grace period has ended.
+    /// Until when replicas stay in use that are missing from an update by `source`. If it was read
+    /// from the store shortly after an outage or the begin of an era, their entries may only have
+    /// lapsed, so they stay until `LAPSE_GRACE` has passed since. Updates from peers get no grace
+    /// period, because the peer has already applied it.
+    fn returns_until(&self, source: Source) -> Option<Time> {
+        let outage = self.last_outage.map(|outage| outage + LAPSE_GRACE);
+        let until = outage.max(self.era_grace_until);
+        until.filter(|_| source == Source::Store)
+    }
+
+    /// Drops those of the replicas `keys` that are `missing` from the list, unless they stay in use
+    /// until `returns_until`. Also drops replicas whose grace period has ended.
     fn drop_where(
         &mut self,
         now: Time,
         source: Source,
+        returns_until: Option<Time>,
         keys: BTreeSet<Key>,
         missing: impl Fn(&str) -> bool,
         changes: &mut Vec<StateChange>,
     ) {
-        let outage = self.last_outage.filter(|_| source == Source::Store);
-        let returns_until = outage.map(|outage| outage + LAPSE_GRACE);
         let returns_until = returns_until.filter(|until| now < *until);
         self.note_examined(keys.len());
         for key in keys {
@@ -343,8 +407,9 @@
         let Some(server) = self.remove(now, key) else {
             return;
         };
-        let id = server.replica.id;
-        self.tombstones.add(self.version, &id, self.servers.len());
+        let id = server.replica.id.clone();
+        let listed = self.servers.len();
+        self.tombstones.add(self.version, server.replica, listed);
         changes.push(StateChange {
             id,
             now: ReplicaState::Gone,
--- a/crates/relay/src/replica.rs
+++ b/crates/relay/src/replica.rs
@@ -8,24 +8,29 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::revision::Revision;
+
 /// The complete list at one version of the store.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Snapshot {
     /// Version of the store.
-    pub version: u64,
+    pub version: Revision,
     /// Listed replicas.
     pub replicas: Vec<Replica>,
     /// Replicas that disappeared from the list after an outage and may return.
     pub lapsing: Vec<Lapsing>,
+    /// Remaining time for which replicas are used that a daemon with a list of an earlier era knows
+    /// and this list does not have.
+    pub grace: Duration,
 }
 
 /// Changes of the list between two versions of the store.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Delta {
     /// The base version.
-    pub since: u64,
+    pub since: Revision,
     /// The resulting version.
-    pub version: u64,
+    pub version: Revision,
     /// Replicas that are new or changed.
     pub replicas: Vec<Replica>,
     /// Ids of replicas that are no longer listed.
@@ -71,7 +76,7 @@
 
 impl Update {
     /// The resulting version of the store.
-    pub const fn version(&self) -> u64 {
+    pub const fn version(&self) -> Revision {
         match self {
             Self::All(snapshot) => snapshot.version,
             Self::Changed(delta) => delta.version,
@@ -117,9 +122,29 @@
     pub draining: bool,
     /// Whether it is cold: slow, and able to take only some requests per second.
     pub cold: bool,
+    /// Number of entries that this incarnation had written with this one. It orders entries of one
+    /// incarnation, whatever the store came back from.
+    pub writes: u64,
 }
 
 impl Replica {
+    /// Whether both entries say the same, however often they were written.
+    pub fn has_content_of(&self, other: &Self) -> bool {
+        let other = Self {
+            writes: self.writes,
+            ..other.clone()
+        };
+        *self == other
+    }
+
+    /// Whether this entry is of a later incarnation than `known`, or a later one of the same.
+    pub fn is_newer_than(&self, known: &Self) -> bool {
+        match self.compare_incarnation(known.birth) {
+            Ordering::Equal => self.writes > known.writes,
+            order => order == Ordering::Greater,
+        }
+    }
+
     /// Compares this incarnation with `known`, the start time of one with the same id. Without both
     /// start times they count as equal.
     pub fn compare_incarnation(&self, known: Option<Birth>) -> Ordering {
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -1,5 +1,6 @@
 //! State of one replica as known to this daemon.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use ident::Time;
@@ -13,6 +14,7 @@
 use crate::pace::Pace;
 use crate::replica::Load;
 use crate::replica::Replica;
+use crate::revision::Revision;
 
 new_key_type! {
     /// Identifies an incarnation of a replica in the pool.
@@ -89,7 +91,7 @@
     /// Hash of the entry.
     pub(crate) entry_hash: u64,
     /// Version of the store at which its entry last changed, as far as this daemon knows.
-    pub(crate) changed: u64,
+    pub(crate) changed: Revision,
     /// Requests of this daemon in progress there.
     pub in_flight: u32,
     /// Tokens of these requests.
@@ -136,12 +138,14 @@
     /// When this daemon learnt from the list that it is draining; `None` if it is not, or was
     /// draining when first listed.
     pub(crate) draining_since: Option<Time>,
+    /// Era of the list in which this daemon learnt that it is draining.
+    pub(crate) draining_era: u64,
     /// What it said of its availability. Kept regardless of the list, which may be older.
     pub(crate) notices: Notices,
 }
 
 impl Server {
-    pub(crate) fn new(replica: Replica, changed: u64, now: Time) -> Self {
+    pub(crate) fn new(replica: Replica, changed: Revision, now: Time) -> Self {
         Self {
             hash: claims::incarnation_hash(&replica.id, replica.birth),
             entry_hash: entry_hash(&replica),
@@ -170,6 +174,7 @@
             prefills: 0,
             lapses_at: None,
             draining_since: None,
+            draining_era: changed.era,
             notices: Notices::new(),
         }
     }
@@ -179,6 +184,19 @@
         self.lapses_at.is_none()
     }
 
+    /// Whether `replica`, an entry of the same incarnation in a list of `era`, is older than the known
+    /// one, which says that it is draining. One that was written as often is older only if the store
+    /// has come back from a copy since.
+    pub(crate) fn outdates(&self, era: u64, replica: &Replica) -> bool {
+        let known = &self.replica;
+        let is_older = match replica.writes.cmp(&known.writes) {
+            Ordering::Less => true,
+            Ordering::Equal => self.draining_era < era,
+            Ordering::Greater => false,
+        };
+        known.draining && !replica.draining && is_older
+    }
+
     /// Replaces the entry.
     pub(crate) fn set_entry(&mut self, replica: Replica) {
         self.entry_hash = entry_hash(&replica);
@@ -418,7 +436,11 @@
     }
 }
 
-/// Hash of all fields of an entry; equal at every daemon.
+/// Hash of all fields of an entry but the number of its writes; equal at every daemon.
 fn entry_hash(replica: &Replica) -> u64 {
-    rapidhash_v3(format!("{replica:?}").as_bytes())
+    let content = Replica {
+        writes: 0,
+        ..replica.clone()
+    };
+    rapidhash_v3(format!("{content:?}").as_bytes())
 }
--- a/crates/relay/src/tombstones.rs
+++ b/crates/relay/src/tombstones.rs
@@ -3,52 +3,79 @@
 use std::collections::HashMap;
 use std::collections::VecDeque;
 
+use crate::replica::Replica;
+use crate::revision::Revision;
+
 /// Minimum number of records that are kept.
 const MIN_KEPT: usize = 2_000;
 
-/// Ids of removed replicas, so that peers can be sent changes instead of the whole list.
+/// A removed replica.
+#[derive(Debug)]
+struct Tombstone {
+    /// Version at which it was missing.
+    version: Revision,
+    /// Its last entry.
+    replica: Replica,
+}
+
+/// Removed replicas, so that peers can be sent changes instead of the whole list, and that a store
+/// which comes back from a copy does not bring them back.
 #[derive(Debug, Default)]
 pub(crate) struct Tombstones {
-    /// Versions at which replicas were missing, by id.
-    versions: HashMap<String, u64>,
-    /// Ids with their versions, in order; those that `versions` does not have are void.
-    order: VecDeque<(u64, String)>,
+    /// The records, by id.
+    records: HashMap<String, Tombstone>,
+    /// Ids with their versions, in order; those that `records` does not have are void.
+    order: VecDeque<(Revision, String)>,
     /// The version since which the records are complete.
-    pub(crate) since: u64,
+    pub(crate) since: Revision,
 }
 
 impl Tombstones {
     /// Returns whether `id` is recorded as removed.
     pub(crate) fn contains(&self, id: &str) -> bool {
-        self.versions.contains_key(id)
+        self.records.contains_key(id)
+    }
+
+    /// Whether `replica` is an entry of an incarnation that was removed in an era before `era`, and
+    /// not newer than its last known one.
+    pub(crate) fn predates_removal(&self, era: u64, replica: &Replica) -> bool {
+        self.records.get(&replica.id).is_some_and(|removed| {
+            removed.version.era < era && !replica.is_newer_than(&removed.replica)
+        })
     }
 
     /// Removes the record of `id`, which is listed again.
     pub(crate) fn remove(&mut self, id: &str) {
-        self.versions.remove(id);
+        self.records.remove(id);
     }
 
-    /// Records that `id` is missing at `version`. Drops the oldest records if there are more than
-    /// listed replicas: then the whole list is hardly larger than the changes.
-    pub(crate) fn add(&mut self, version: u64, id: &str, listed: usize) {
-        self.versions.insert(id.to_owned(), version);
-        self.order.push_back((version, id.to_owned()));
+    /// Records that `replica` is missing at `version`. Drops the oldest records if there are more
+    /// than listed replicas: then the whole list is hardly larger than the changes.
+    pub(crate) fn add(&mut self, version: Revision, replica: Replica, listed: usize) {
+        let id = replica.id.clone();
+        self.order.push_back((version, id.clone()));
+        self.records.insert(id, Tombstone { version, replica });
         while self.order.len() > listed.max(MIN_KEPT) {
             let Some((version, id)) = self.order.pop_front() else {
                 return;
             };
-            if self.versions.get(&id) == Some(&version) {
-                self.versions.remove(&id);
+            if self.is_valid(version, &id) {
+                self.records.remove(&id);
             }
-            self.since = version;
+            self.since = self.since.max(version);
         }
     }
 
     /// Ids that have been missing since a version after `since`.
-    pub(crate) fn after(&self, since: u64) -> impl Iterator<Item = &str> {
+    pub(crate) fn after(&self, since: Revision) -> impl Iterator<Item = &str> {
         let first = self.order.partition_point(|(version, _)| *version <= since);
         let records = self.order.range(first..);
-        let valid = records.filter(|(version, id)| self.versions.get(id) == Some(version));
+        let valid = records.filter(|(version, id)| self.is_valid(*version, id));
         valid.map(|(_, id)| id.as_str())
     }
+
+    fn is_valid(&self, version: Revision, id: &str) -> bool {
+        let record = self.records.get(id);
+        record.is_some_and(|record| record.version == version)
+    }
 }
