--- a/crates/gateway/src/gossip/datagram.rs
+++ b/crates/gateway/src/gossip/datagram.rs
@@ -187,7 +187,10 @@
 pub fn append_eras(bytes: &mut Vec<u8>, is_first: bool, eras: Eras) -> Result<(), EncodeError> {
     let none = is_first.then(|| Extension::Paces(Vec::new()));
     for extension in none.iter().chain([&Extension::Eras(eras)]) {
-        bytes.extend(bincode::serde::encode_to_vec(extension, config::standard())?);
+        bytes.extend(bincode::serde::encode_to_vec(
+            extension,
+            config::standard(),
+        )?);
     }
     Ok(())
 }
@@ -215,6 +218,9 @@
         deserializer: D,
     ) -> Result<Evacuations, D::Error> {
         let (version, names): (u64, BTreeSet<String>) = Deserialize::deserialize(deserializer)?;
-        Ok(Evacuations::new(Revision::new(0, version), names.into_iter()))
+        Ok(Evacuations::new(
+            Revision::new(0, version),
+            names.into_iter(),
+        ))
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -97,6 +97,8 @@
             let gauge = GenericGauge::<AtomicU64>::new(full_name(name), help)?;
             register(&registry, gauge)
         };
+        let counter =
+            |name: &str, help: &str| register(&registry, IntCounter::new(full_name(name), help)?);
         let vector = |name: &str, help: &str, labels: &[&str]| {
             let vector = IntCounterVec::new(Opts::new(full_name(name), help), labels)?;
             register(&registry, vector)
@@ -116,16 +118,11 @@
         )?;
         let budget = Opts::new(full_name("retries_left"), "Retries left in the budget");
         let evacuated = Opts::new(full_name("evacuated"), "Evacuated data centres; 1 for each");
-        let failures = IntCounter::new(
-            full_name("store_failures_total"),
-            "Failed calls of the store",
-        )?;
-        let foreign_answers = IntCounter::new(
-            full_name("foreign_answers_total"),
-            "Answers of replicas that belonged, or may have belonged, to another request",
-        )?;
         Ok(Self {
-            foreign_answers: register(&registry, foreign_answers)?,
+            foreign_answers: counter(
+                "foreign_answers_total",
+                "Answers of replicas that belonged, or may have belonged, to another request",
+            )?,
             plan_version: gauge("plan_version", "Version of the plan in force")?,
             evacuated: register(&registry, GaugeVec::new(evacuated, &["data_centre"])?)?,
             open: gauge("open_requests", "Requests in progress")?,
@@ -141,10 +138,13 @@
                 "Calls of the store by step and table",
                 &["step", "table"],
             )?,
-            store_failures: register(&registry, failures)?,
+            store_failures: counter("store_failures_total", "Failed calls of the store")?,
             members: gauge("members", "Reachable members")?,
             replicas_version: gauge("replicas_version", "Store version of the replicas")?,
-            store_era: gauge("store_era", "Latest era of the store that is known; 0 if it has none")?,
+            store_era: gauge(
+                "store_era",
+                "Latest known era of the store; 0 if it has none",
+            )?,
             unreachable_services: gauge(
                 "unreachable_services",
                 "Services to whose replicas this daemon cannot connect",
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -274,7 +274,9 @@
         let members = self.members.borrow();
         let metrics = &self.metrics;
         metrics.members.set(members.alive_count() as u64);
-        metrics.replicas_version.set(self.replicas_version().version);
+        metrics
+            .replicas_version
+            .set(self.replicas_version().version);
         metrics.store_era.set(self.era());
         let quarantined = self.quarantine.borrow().quarantined();
         metrics.quarantined.set(quarantined as u64);
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -153,12 +153,7 @@
     ///
     /// # Errors
     /// [`Error`]; `Compacted`, `NewEra` and `GivenUp` if all rows have to be read again.
-    pub async fn watch(
-        &self,
-        table: &str,
-        since: Revision,
-        wait: Duration,
-    ) -> Result<Rows, Error> {
+    pub async fn watch(&self, table: &str, since: Revision, wait: Duration) -> Result<Rows, Error> {
         if since.era < self.era.latest() {
             return Err(Error::NewEra);
         }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -245,7 +245,10 @@
     }
     match status {
         status if !status.is_fresh(shared.era()) => PollerState::Stale,
-        status if status.confirms(shared.replicas_version()) && status.plan <= shared.plan_version() => {
+        status
+            if status.confirms(shared.replicas_version())
+                && status.plan <= shared.plan_version() =>
+        {
             shared.confirm_replicas(status.replicas, status.age());
             PollerState::Fresh
         }
--- a/crates/gateway/tests/gateway/list_confirmation.rs
+++ b/crates/gateway/tests/gateway/list_confirmation.rs
@@ -16,6 +16,7 @@
 use relay::replica::Snapshot;
 use relay::replica::Source;
 use relay::replica::Update;
+use relay::revision::Revision;
 use serde_json::json;
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
@@ -45,9 +46,10 @@
         "state": "ready", "cold-left-ms": 0, "seq": 1});
     let replica = replica::read("i-1", entry.to_string().as_bytes()).unwrap();
     Update::All(Snapshot {
-        version: 12,
+        version: Revision::new(0, 12),
         replicas: vec![replica],
         lapsing: Vec::new(),
+        grace: Duration::ZERO,
     })
 }
 
--- a/crates/gateway/tests/gateway/paces.rs
+++ b/crates/gateway/tests/gateway/paces.rs
@@ -85,22 +85,24 @@
 #[test]
 fn a_datagram_of_an_earlier_version_has_no_paces() {
     let bytes = bincode::serde::encode_to_vec(question(), config::standard()).unwrap();
-    let (read, extension) = Datagram::decode(&bytes).unwrap();
+    let (read, extensions) = Datagram::decode(&bytes).unwrap();
     assert!(is_question(&read));
-    assert!(extension.is_none());
+    assert!(extensions.is_empty());
 }
 
 #[test]
 fn paces_are_read_as_sent() {
     let mut bytes = question().encode().unwrap();
     datagram::append(&mut bytes, &paces()).unwrap();
-    let (read, extension) = Datagram::decode(&bytes).unwrap();
+    let (read, extensions) = Datagram::decode(&bytes).unwrap();
     assert!(is_question(&read));
-    let Some(Ok(Extension::Paces(read))) = extension else {
+    let [Ok(Extension::Paces(read))] = &extensions[..] else {
         panic!("no paces were read");
     };
-    let Extension::Paces(sent) = paces();
-    assert_eq!(read, sent);
+    let Extension::Paces(sent) = paces() else {
+        panic!("no paces are sent");
+    };
+    assert_eq!(*read, sent);
 }
 
 /// What a later version adds, or noise, does not affect the content.
@@ -111,9 +113,9 @@
 fn an_extension_that_cannot_be_read_does_not_affect_the_content(#[case] extension: &[u8]) {
     let mut bytes = question().encode().unwrap();
     bytes.extend(extension);
-    let (read, extension) = Datagram::decode(&bytes).unwrap();
+    let (read, extensions) = Datagram::decode(&bytes).unwrap();
     assert!(is_question(&read));
-    assert!(extension.is_some_and(|extension| extension.is_err()));
+    assert!(matches!(&extensions[..], [Err(_)]));
 }
 
 #[rstest]
--- a/crates/gateway/tests/gateway/second_store.rs
+++ b/crates/gateway/tests/gateway/second_store.rs
@@ -14,6 +14,7 @@
 use gateway::store::Store;
 use prometheus::IntCounterVec;
 use prometheus::Opts;
+use relay::revision::Revision;
 use serde_json::Value;
 use socket2::Domain;
 use socket2::Socket;
@@ -152,9 +153,9 @@
     let calls = IntCounterVec::new(Opts::new("calls", "Calls."), &["step", "table"]).unwrap();
     let store = Store::new(lossy_listener(DROP_TIME), calls);
     let runtime = runtime::Builder::new_current_thread().enable_all().build();
-    let swap = store.swap("orders", "llm", b"", 0);
+    let swap = store.swap("orders", "llm", b"", Revision::default());
     let written = LocalSet::new().block_on(&runtime.unwrap(), swap);
-    assert_eq!(written, Ok(7));
+    assert_eq!(written, Ok(Revision::new(0, 7)));
 }
 
 /// Calls of a replica have less time; without a second attempt, one lost packet would make the replica count as silent.
--- a/crates/gateway/tests/suspend.rs
+++ b/crates/gateway/tests/suspend.rs
@@ -79,7 +79,7 @@
     };
     let reading = async { tokio::join!(store.read("servers"), suspension) };
     let (read, ()) = LocalSet::new().run_until(reading).await;
-    assert_eq!(read.unwrap().version, 2);
+    assert_eq!(read.unwrap().revision.version, 2);
 }
 
 /// Progress of the test with a stand-in for the store.
--- a/crates/lab/src/decode/daemon.rs
+++ b/crates/lab/src/decode/daemon.rs
@@ -1,6 +1,7 @@
 //! State of one daemon: replicas, its own runs, and the claims of its peers.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use ident::Instance;
 use ident::Time;
@@ -15,6 +16,7 @@
 use relay::replica::Replica;
 use relay::replica::Snapshot;
 use relay::replica::Stage;
+use relay::revision::Revision;
 use relay::runs::RunId;
 use relay::runs::Runs;
 use relay::runs::Size;
@@ -42,9 +44,10 @@
         pool.set_memory(SERVICE, memory);
         let replicas = (0..count).map(replica).collect();
         let list = Snapshot {
-            version: 1,
+            version: Revision::new(0, 1),
             replicas,
             lapsing: Vec::new(),
+            grace: Duration::ZERO,
         };
         pool.apply(Time::ZERO, &list);
         Self {
@@ -153,6 +156,7 @@
         slots: 64,
         draining: false,
         cold: false,
+        writes: 1,
         birth: None,
         software: Some("v1".to_owned()),
     }
--- a/crates/lab/src/site/run.rs
+++ b/crates/lab/src/site/run.rs
@@ -14,6 +14,7 @@
 use relay::replica::Replica;
 use relay::replica::Snapshot;
 use relay::replica::Stage;
+use relay::revision::Revision;
 use relay::score::Criteria;
 use relay::server::Key;
 
@@ -128,9 +129,10 @@
         let count = setup.prefill + setup.decode;
         let replicas: Vec<Replica> = (0..count).map(|index| replica(index, &setup)).collect();
         let list = Snapshot {
-            version: 1,
+            version: Revision::new(0, 1),
             replicas,
             lapsing: Vec::new(),
+            grace: Duration::ZERO,
         };
         let pool = || {
             let mut pool = Pool::new();
@@ -349,6 +351,7 @@
         slots: 64,
         draining: false,
         cold: false,
+        writes: 1,
         birth: None,
         software: Some(software.to_owned()),
     }
--- a/crates/relay/examples/decide.rs
+++ b/crates/relay/examples/decide.rs
@@ -18,6 +18,7 @@
 use relay::replica::Replica;
 use relay::replica::Snapshot;
 use relay::replica::Stage;
+use relay::revision::Revision;
 use relay::runs::Runs;
 use relay::runs::Size;
 use relay::score::Criteria;
@@ -151,12 +152,14 @@
         slots: 64,
         draining: false,
         cold: false,
+        writes: 1,
         birth: None,
         software: Some("v1".to_owned()),
     });
     Snapshot {
-        version: 1,
+        version: Revision::new(0, 1),
         replicas: replicas.collect(),
         lapsing: Vec::new(),
+        grace: Duration::ZERO,
     }
 }
--- a/crates/relay/src/pool/list.rs
+++ b/crates/relay/src/pool/list.rs
@@ -195,7 +195,14 @@
         let affected = keys.chain(self.lapsing.iter().copied()).collect();
         let is_missing = |id: &str| gone.contains(id);
         let returns_until = self.returns_until(source);
-        self.drop_where(now, source, returns_until, affected, is_missing, &mut changes);
+        self.drop_where(
+            now,
+            source,
+            returns_until,
+            affected,
+            is_missing,
+            &mut changes,
+        );
         self.withheld.retain(|id, _| !is_missing(id));
         self.release_withheld(now, &mut changes);
         Some(changes)
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses its part")]
 
+use std::time::Duration;
+
 use ident::Time;
 use ident::Zone;
 use relay::admission::MemoryDemand;
@@ -9,6 +11,7 @@
 use relay::replica::Replica;
 use relay::replica::Snapshot;
 use relay::replica::Stage;
+use relay::revision::Revision;
 use relay::score::Criteria;
 use relay::server::Key;
 
@@ -25,6 +28,7 @@
         slots,
         draining: false,
         cold: false,
+        writes: 1,
     }
 }
 
@@ -38,9 +42,10 @@
 /// A snapshot with `replicas`.
 pub fn snapshot(version: u64, replicas: Vec<Replica>) -> Snapshot {
     Snapshot {
-        version,
+        version: Revision::new(0, version),
         replicas,
         lapsing: Vec::new(),
+        grace: Duration::ZERO,
     }
 }
 
--- a/crates/relay/tests/epoch.rs
+++ b/crates/relay/tests/epoch.rs
@@ -12,6 +12,7 @@
 use relay::replica::Replica;
 use relay::replica::Snapshot;
 use relay::replica::Stage;
+use relay::revision::Revision;
 use rstest::rstest;
 
 const LIFETIME: Duration = Duration::from_secs(30);
@@ -46,8 +47,8 @@
 
 fn changes(since: u64, replicas: Vec<Replica>, gone: &[&str]) -> Delta {
     Delta {
-        since,
-        version: RECORDED + 9,
+        since: Revision::new(0, since),
+        version: Revision::new(0, RECORDED + 9),
         replicas,
         gone: gone.iter().map(|id| (*id).to_owned()).collect(),
         ..Delta::default()
@@ -72,7 +73,7 @@
     #[case] expected: bool,
 ) {
     let listed = [replica("i-1", SERVICE, Some("v1")), born("i-2", 7)];
-    let epoch = Epoch::new("v1".to_owned(), RECORDED).with_listed(listed.iter());
+    let epoch = Epoch::new("v1".to_owned(), Revision::new(0, RECORDED)).with_listed(listed.iter());
     assert_eq!(epoch.holds_after(SERVICE, &changes), expected);
 }
 
@@ -81,8 +82,11 @@
 fn a_record_of_a_large_fleet_lists_no_replicas() {
     let ids = (0..5_000).map(|number| format!("i-{number}"));
     let listed: Vec<Replica> = ids.map(|id| replica(&id, SERVICE, Some("v1"))).collect();
-    let epoch = Epoch::new("v1".to_owned(), RECORDED).with_listed(listed.iter());
-    assert_eq!(epoch, Epoch::new("v1".to_owned(), RECORDED));
+    let epoch = Epoch::new("v1".to_owned(), Revision::new(0, RECORDED)).with_listed(listed.iter());
+    assert_eq!(
+        epoch,
+        Epoch::new("v1".to_owned(), Revision::new(0, RECORDED))
+    );
     assert!(epoch.holds_after(SERVICE, &changes(RECORDED, vec![], &[])));
     assert!(!epoch.holds_after(SERVICE, &changes(RECORDED, vec![], &["i-1"])));
 }
--- a/crates/relay/tests/evacuation.rs
+++ b/crates/relay/tests/evacuation.rs
@@ -9,9 +9,11 @@
 use ident::Zone;
 use relay::evacuation::Change;
 use relay::evacuation::Evacuations;
+use relay::evacuation::InForce;
 use relay::plan::ColdStart;
 use relay::pool::Pool;
 use relay::replica::Replica;
+use relay::revision::Revision;
 use rstest::rstest;
 
 const START: Time = Time::from_millis(100_000);
@@ -21,14 +23,17 @@
 };
 
 fn evacuations(version: u64, names: &[&str]) -> Evacuations {
-    Evacuations::new(version, names.iter().map(|name| (*name).to_owned()))
+    Evacuations::new(
+        Revision::new(0, version),
+        names.iter().map(|name| (*name).to_owned()),
+    )
 }
 
 fn change(name: &str, begins: bool, version: u64) -> Change {
     Change {
         data_centre: name.to_owned(),
         begins,
-        version,
+        version: Revision::new(0, version),
     }
 }
 
@@ -43,18 +48,20 @@
 #[case::same(evacuations(5, &["b"]), &["a"])]
 #[case::unread(Evacuations::default(), &["a"])]
 fn only_a_newer_reading_comes_into_force(#[case] other: Evacuations, #[case] expected: &[&str]) {
-    let mut known = evacuations(5, &["a"]);
-    known.merge(&other);
+    let mut known = InForce::default();
+    known.update(START, &evacuations(5, &["a"]));
+    known.update(START, &other);
     assert_eq!(known.names().collect::<Vec<_>>(), expected);
 }
 
 #[test]
 fn begins_and_ends_are_returned() {
-    let mut known = evacuations(5, &["a", "b"]);
-    let changes = known.merge(&evacuations(6, &["b", "c"]));
+    let mut known = InForce::default();
+    known.update(START, &evacuations(5, &["a", "b"]));
+    let changes = known.update(START, &evacuations(6, &["b", "c"]));
     assert_eq!(changes, [change("c", true, 6), change("a", false, 6)]);
-    assert!(known.merge(&evacuations(7, &["b", "c"])).is_empty());
-    assert_eq!(known.version(), 7);
+    assert!(known.update(START, &evacuations(7, &["b", "c"])).is_empty());
+    assert_eq!(known.reading().version(), Revision::new(0, 7));
 }
 
 /// A watch of the store may start before the reading that a peer sent. Its older changes must not
@@ -70,7 +77,7 @@
     #[case] expected: &[&str],
 ) {
     let known = evacuations(5, &["a"]);
-    let after = known.after(version, changes);
+    let after = known.after(Revision::new(0, version), changes);
     assert_eq!(after, evacuations(version, expected));
 }
 
--- a/crates/relay/tests/notices.rs
+++ b/crates/relay/tests/notices.rs
@@ -11,6 +11,7 @@
 use relay::replica::Replica;
 use relay::replica::Snapshot;
 use relay::replica_state::ReplicaState;
+use relay::revision::Revision;
 use relay::server::Key;
 use rstest::rstest;
 
@@ -78,8 +79,8 @@
             pool.apply(after(1_000), &list)
         } else {
             let delta = Delta {
-                since: version - 1,
-                version,
+                since: Revision::new(0, version - 1),
+                version: Revision::new(0, version),
                 replicas: list.replicas,
                 ..Delta::default()
             };
--- a/crates/relay/tests/pool.rs
+++ b/crates/relay/tests/pool.rs
@@ -13,6 +13,7 @@
 use relay::replica::Stage;
 use relay::replica::Update;
 use relay::replica_state::ReplicaState;
+use relay::revision::Revision;
 use relay::score::Criteria;
 use relay::server::Key;
 use rstest::rstest;
@@ -70,7 +71,7 @@
     let mut leaving = snapshot(2, &["one"]);
     leaving.replicas[0].draining = true;
     pool.apply(after(1_000), &leaving).unwrap();
-    leaving.version = 3;
+    leaving.version = Revision::new(0, 3);
     pool.apply(after(1_200), &leaving).unwrap();
     assert!(pool.get(key).unwrap().may_receive(after(1_250)));
     assert!(!pool.get(key).unwrap().may_receive(after(1_251)));
@@ -181,7 +182,7 @@
 }
 
 fn delta_since(reader: &Pool, since: u64) -> Delta {
-    match reader.update_since(after(5_000), since) {
+    match reader.update_since(after(5_000), Revision::new(0, since)) {
         Update::Changed(delta) => delta,
         Update::All(_) => panic!("expected a delta"),
     }
@@ -194,7 +195,10 @@
     reader.apply(after(500), &snapshot(5, &["two", "three"]));
     let delta = delta_since(&reader, 3);
     let ids: Vec<&str> = delta.replicas.iter().map(|r| r.id.as_str()).collect();
-    assert_eq!((delta.since, delta.version), (3, 5));
+    assert_eq!(
+        (delta.since, delta.version),
+        (Revision::new(0, 3), Revision::new(0, 5))
+    );
     assert_eq!(ids, ["three"]);
     assert_eq!(delta.gone, ["one"]);
     let mut peer = Pool::new();
@@ -202,7 +206,7 @@
     peer.apply_update(after(600), Source::Peer, &Update::Changed(delta))
         .unwrap();
     assert_eq!(peer.digest(), reader.digest());
-    assert_eq!(peer.version(), 5);
+    assert_eq!(peer.version(), Revision::new(0, 5));
     assert!(delta_since(&reader, 5).replicas.is_empty());
 }
 
@@ -210,8 +214,14 @@
 fn a_peer_older_than_the_first_list_gets_a_snapshot() {
     let mut reader = Pool::new();
     reader.apply(START, &snapshot(3, &["one"]));
-    assert!(matches!(reader.update_since(START, 2), Update::All(_)));
-    assert!(matches!(reader.update_since(START, 0), Update::All(_)));
+    assert!(matches!(
+        reader.update_since(START, Revision::new(0, 2)),
+        Update::All(_)
+    ));
+    assert!(matches!(
+        reader.update_since(START, Revision::new(0, 0)),
+        Update::All(_)
+    ));
 }
 
 #[test]
@@ -219,15 +229,15 @@
     let mut pool = Pool::new();
     pool.apply(START, &snapshot(3, &["one"]));
     let late = Delta {
-        since: 4,
-        version: 6,
+        since: Revision::new(0, 4),
+        version: Revision::new(0, 6),
         gone: vec!["one".to_owned()],
         ..Delta::default()
     };
     assert!(pool.apply_delta(after(100), &late).is_none());
     let old = Delta {
-        since: 1,
-        version: 2,
+        since: Revision::new(0, 1),
+        version: Revision::new(0, 2),
         ..late
     };
     assert!(pool.apply_delta(after(100), &old).is_none());
@@ -242,24 +252,24 @@
     pool.apply(BEFORE_OUTAGE, &snapshot(3, &["one", "two"]));
     pool.note_outage(after(1_000));
     let lapsed = Delta {
-        since: 3,
-        version: 4,
+        since: Revision::new(0, 3),
+        version: Revision::new(0, 4),
         gone: vec!["one".to_owned(), "two".to_owned()],
         ..Delta::default()
     };
     pool.apply_delta(after(1_500), &lapsed).unwrap();
     assert!(chosen(&pool, after(1_600), &[]).is_some());
     let back = Delta {
-        since: 4,
-        version: 5,
+        since: Revision::new(0, 4),
+        version: Revision::new(0, 5),
         replicas: vec![replica("two")],
         ..Delta::default()
     };
     pool.apply_delta(after(2_000), &back).unwrap();
     assert_eq!(chosen(&pool, after(3_500), &[]).unwrap(), "two");
     let nothing = Delta {
-        since: 5,
-        version: 6,
+        since: Revision::new(0, 5),
+        version: Revision::new(0, 6),
         ..Delta::default()
     };
     let changes = pool.apply_delta(after(3_500), &nothing).unwrap();
@@ -295,10 +305,16 @@
     let mut peer = Pool::new();
     peer.apply(START, &snapshot(2, &["one", "two"]));
     let now = after(2_000);
-    let update = reader.update_for_peer(now, 2, peer.digest()).unwrap();
+    let update = reader
+        .update_for_peer(now, Revision::new(0, 2), peer.digest())
+        .unwrap();
     peer.apply_update(now, Source::Peer, &update);
     assert_eq!(peer.digest(), reader.digest());
-    assert!(reader.update_for_peer(now, 2, peer.digest()).is_none());
+    assert!(
+        reader
+            .update_for_peer(now, Revision::new(0, 2), peer.digest())
+            .is_none()
+    );
 }
 
 /// Guards against reusing a departed replica that a peer with an outage reports as lapsing.
@@ -311,7 +327,7 @@
     reader.note_outage(after(1_000));
     reader.apply(after(1_100), &snapshot(3, &["two"]));
     let updates = [
-        reader.update_since(after(1_200), 2),
+        reader.update_since(after(1_200), Revision::new(0, 2)),
         Update::All(reader.snapshot(after(1_200))),
     ];
     for update in updates {
@@ -346,7 +362,7 @@
     let update = if is_snapshot {
         Update::All(reader.snapshot(after(1_200)))
     } else {
-        reader.update_since(after(1_200), 1)
+        reader.update_since(after(1_200), Revision::new(0, 1))
     };
     let changes = peer
         .apply_update(after(1_200), Source::Peer, &update)
@@ -365,7 +381,7 @@
     reader.apply(BEFORE_OUTAGE, &snapshot(3, &["one"]));
     reader.note_outage(after(1_000));
     reader.apply(after(1_100), &snapshot(4, &[]));
-    let update = reader.update_since(after(1_200), 1);
+    let update = reader.update_since(after(1_200), Revision::new(0, 1));
     let changes = peer
         .apply_update(after(1_200), Source::Peer, &update)
         .unwrap();
@@ -394,7 +410,10 @@
     reader.apply(BEFORE_OUTAGE, &snapshot(1, &["one"]));
     let mut peer = reader_of(&reader, BEFORE_OUTAGE);
     for ms in (0..5_500).step_by(500) {
-        peer.confirm(BEFORE_OUTAGE + Duration::from_millis(ms), 1);
+        peer.confirm(
+            BEFORE_OUTAGE + Duration::from_millis(ms),
+            Revision::new(0, 1),
+        );
     }
     reader.note_outage(after(800));
     let changes = reader.apply(after(1_000), &snapshot(2, &[])).unwrap();
@@ -402,7 +421,7 @@
     let update = if is_snapshot {
         Update::All(reader.snapshot(after(1_000)))
     } else {
-        reader.update_since(after(1_000), 1)
+        reader.update_since(after(1_000), Revision::new(0, 1))
     };
     let changes = peer
         .apply_update(after(1_000), Source::Peer, &update)
--- a/crates/relay/tests/restarts.rs
+++ b/crates/relay/tests/restarts.rs
@@ -20,6 +20,7 @@
 use relay::replica::Stage;
 use relay::replica::Update;
 use relay::replica_state::ReplicaState;
+use relay::revision::Revision;
 use relay::runs::Runs;
 use relay::runs::Size;
 use relay::server::Key;
@@ -109,8 +110,8 @@
 fn a_lapse_of_an_earlier_incarnation_is_ignored() {
     let mut pool = pool(Some(SECOND));
     let delta = Delta {
-        since: 1,
-        version: 2,
+        since: Revision::new(0, 1),
+        version: Revision::new(0, 2),
         lapsing: vec![Lapsing {
             replica: replica(Some(FIRST), Stage::Decode),
             left: Duration::from_millis(1),
@@ -127,7 +128,9 @@
     let mut peer = pool(Some(FIRST));
     let mut sender = pool(Some(FIRST));
     list(&mut sender, 2, Some(SECOND));
-    let update = sender.update_for_peer(NOW, 1, peer.digest()).unwrap();
+    let update = sender
+        .update_for_peer(NOW, Revision::new(0, 1), peer.digest())
+        .unwrap();
     assert!(matches!(update, Update::Changed(_)));
     peer.apply_update(NOW, Source::Peer, &update).unwrap();
     assert_eq!(birth(&peer), Some(SECOND));
--- a/crates/relay/tests/scale.rs
+++ b/crates/relay/tests/scale.rs
@@ -17,6 +17,7 @@
 use relay::replica::Replica;
 use relay::replica::Stage;
 use relay::replica::Update;
+use relay::revision::Revision;
 use relay::runs::Runs;
 use relay::runs::Size;
 use relay::server::Key;
@@ -109,8 +110,8 @@
 ) {
     let mut pool = fleet(count);
     let delta = Delta {
-        since: 1,
-        version: 2,
+        since: Revision::new(0, 1),
+        version: Revision::new(0, 2),
         replicas: vec![changed(1), changed(2)],
         gone: vec!["3".to_owned()],
         lapsing: Vec::new(),
@@ -118,7 +119,7 @@
     let steps = examined(&mut pool, |pool| {
         pool.apply_delta(START, &delta).unwrap();
         let after = START + Duration::from_millis(100);
-        let Update::Changed(passed_on) = pool.update_since(after, 1) else {
+        let Update::Changed(passed_on) = pool.update_since(after, Revision::new(0, 1)) else {
             panic!("a whole list is sent for three changes");
         };
         assert_eq!((passed_on.replicas.len(), passed_on.gone.len()), (2, 1));
@@ -131,13 +132,13 @@
 fn the_departure_of_many_is_passed_on_as_changes(#[values(1_000, 10_000, 20_000)] count: usize) {
     let mut pool = fleet(count);
     let delta = Delta {
-        since: 1,
-        version: 2,
+        since: Revision::new(0, 1),
+        version: Revision::new(0, 2),
         gone: (0..count / 3).map(|number| number.to_string()).collect(),
         ..Delta::default()
     };
     pool.apply_delta(START, &delta).unwrap();
-    let Update::Changed(passed_on) = pool.update_since(START, 1) else {
+    let Update::Changed(passed_on) = pool.update_since(START, Revision::new(0, 1)) else {
         panic!("the whole list is sent");
     };
     assert_eq!(passed_on.gone.len(), count / 3);
@@ -152,8 +153,8 @@
     let mut by_changes = common::pool(START, list.split_off(20));
     let first = by_changes.digest();
     let delta = |version, replicas: Vec<Replica>, gone: &[&str]| Delta {
-        since: 1,
-        version,
+        since: Revision::new(0, 1),
+        version: Revision::new(0, version),
         replicas,
         gone: gone.iter().map(|id| (*id).to_owned()).collect(),
         lapsing: Vec::new(),
