--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -112,10 +112,8 @@
             let options = HistogramOpts::new(full_name(name), help).buckets(LATENCIES.to_vec());
             register(&registry, Histogram::with_opts(options)?)
         };
-        let age = Gauge::new(
-            full_name("replicas_age_seconds"),
-            "Age of the list of replicas",
-        )?;
+        let age = full_name("replicas_age_seconds");
+        let age = Gauge::new(age, "Age of the list of replicas")?;
         let budget = Opts::new(full_name("retries_left"), "Retries left in the budget");
         let evacuated = Opts::new(full_name("evacuated"), "Evacuated data centres; 1 for each");
         Ok(Self {
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -87,6 +87,8 @@
     /// Until when replicas are used that are missing from the lists of a new era; earlier entries may
     /// only have been lost with the copy of the store.
     era_grace_until: Option<Time>,
+    /// Whether this daemon had a list of an earlier era, from which replicas can be missing.
+    knows_earlier_era: bool,
     /// Entries that are ignored since their replicas are known as gone, by id.
     withheld: BTreeMap<String, Replica>,
     /// Until when they are ignored.
--- a/crates/relay/src/pool/list.rs
+++ b/crates/relay/src/pool/list.rs
@@ -139,6 +139,7 @@
                 Source::Peer => snapshot.grace,
             };
             self.era_grace_until = Some(now + grace);
+            self.knows_earlier_era = self.version != Revision::default();
             self.withheld_until = now + WITHHOLDING;
         }
         if is_new_era || self.servers.is_empty() {
@@ -366,7 +367,8 @@
     /// period, because the peer has already applied it.
     fn returns_until(&self, source: Source) -> Option<Time> {
         let outage = self.last_outage.map(|outage| outage + LAPSE_GRACE);
-        let until = outage.max(self.era_grace_until);
+        let era = self.era_grace_until.filter(|_| self.knows_earlier_era);
+        let until = outage.max(era);
         until.filter(|_| source == Source::Store)
     }
 
