Write the own row again in a new era of the store

Seen by operators: an instance that registered after the copy from which the store came back is missing from the list for up to two minutes, in a fleet of 985 for longer, since only the poller reads the list every 6 s. Daemons that start meanwhile don't learn of it from the store.

Cause: nothing looked at the own row when the era rose.

Each daemon remembers the latest era that it knew when a call began that showed its row to be stored. In a newer era it writes the row, without reading the table, which is costly at 985 rows. Counting from the beginning of the call is what makes this hold: a write that the old store acknowledged while the news of the new era was on its way isn't taken for one in the new era.

Drills follow once the stand-in store has eras.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -164,6 +164,7 @@
     spawn_local(watch::follow_plan(Rc::clone(&shared)));
     spawn_local(watch::follow_replicas(Rc::clone(&shared)));
     spawn_local(watch::instances::follow(Rc::clone(&shared)));
+    spawn_local(watch::rewriting::run(Rc::clone(&shared)));
     spawn_local(stages::run(Rc::clone(&shared)));
     spawn_local(run_tracking::run(Rc::clone(&shared)));
     spawn_local(reach_probe::run(Rc::clone(&shared)));
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -142,6 +142,8 @@
     pub instances_listed: watch::Sender<bool>,
     /// The latest era of the store.
     era: watch::Sender<u64>,
+    /// Era in which the store was last known to have the own row.
+    own_row_era: Cell<u64>,
     /// Unreadable entries that have been logged.
     logged_unreadable: RefCell<HashSet<String>>,
     plan: RefCell<Option<Rc<Plan>>>,
@@ -225,6 +227,7 @@
             reach_doubted: Notify::new(),
             instances_listed: watch::Sender::new(false),
             era: watch::Sender::new(0),
+            own_row_era: Cell::new(0),
             logged_unreadable: RefCell::new(HashSet::new()),
             plan: RefCell::new(None),
             evacuations: RefCell::default(),
--- a/crates/gateway/src/shared/era.rs
+++ b/crates/gateway/src/shared/era.rs
@@ -24,4 +24,15 @@
         self.era.send_replace(era);
         log::info!(kind = "era", before = before, era = era, source = source; "the store has a new era");
     }
+
+    /// Records that the store has the own row, by the answer to a call that was sent while `era` was
+    /// the latest known one.
+    pub fn note_own_row(&self, era: u64) {
+        self.own_row_era.set(self.own_row_era.get().max(era));
+    }
+
+    /// Whether the store may have lost the own row, since it has come back from a copy.
+    pub fn may_lack_own_row(&self) -> bool {
+        self.own_row_era.get() < self.era()
+    }
 }
--- a/crates/gateway/src/watch/instances.rs
+++ b/crates/gateway/src/watch/instances.rs
@@ -92,10 +92,11 @@
 
 /// Reads and applies the list; returns whether the own row is up to date.
 async fn read_instances(shared: &Shared) -> bool {
+    let era = shared.era();
     let registered = match shared.store.read(TABLE).await {
         Ok(rows) => {
             shared.store_answered("instances");
-            apply_instances(shared, &rows).await
+            apply_instances(shared, era, &rows).await
         }
         Err(error) => {
             shared.store_failed("instances", &error);
@@ -130,26 +131,34 @@
     false
 }
 
-/// Applies the list of instances and writes the own row if it is missing or outdated; returns
-/// whether the own row is up to date.
-async fn apply_instances(shared: &Shared, rows: &Rows) -> bool {
-    let read = |row: &Row| serde_json::from_slice::<InstanceInfo>(row.value.as_deref()?).ok();
-    let instances: Vec<InstanceInfo> = rows.rows.iter().filter_map(read).collect();
+/// Applies the list of instances, read while `era` was the latest known one, and writes the own row if
+/// it is missing or outdated; returns whether the own row is up to date.
+async fn apply_instances(shared: &Shared, era: u64, rows: &Rows) -> bool {
+    let instances: Vec<InstanceInfo> = rows.rows.iter().filter_map(read_info).collect();
     let own = shared.own_info();
     let listed = instances.contains(&own);
     shared
         .members
         .borrow_mut()
         .set_listed(shared.clock.now(), &instances);
+    if listed {
+        shared.note_own_row(era);
+    }
     if listed || shared.is_stopping() {
         return true;
     }
     register(shared).await
 }
 
+/// The instance of a row; `None` if it is malformed.
+pub(super) fn read_info(row: &Row) -> Option<InstanceInfo> {
+    serde_json::from_slice(row.value.as_deref()?).ok()
+}
+
 /// Writes the own row; returns whether that succeeded.
-async fn register(shared: &Shared) -> bool {
+pub(super) async fn register(shared: &Shared) -> bool {
     let own = shared.own_info();
+    let era = shared.era();
     let value = match serde_json::to_vec(&own) {
         Ok(value) => value,
         Err(error) => {
@@ -158,7 +167,10 @@
         }
     };
     match shared.store.write(TABLE, &own.name, &value).await {
-        Ok(()) => true,
+        Ok(()) => {
+            shared.note_own_row(era);
+            true
+        }
         Err(error) => {
             shared.store_failed("registering", &error);
             false
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -33,6 +33,7 @@
 mod ranks;
 mod restarts;
 mod resumptions;
+mod rewritten_rows;
 mod second_answers;
 mod second_calls;
 mod second_store;
