Remove the rows of instances that left since the copy

Seen by operators: an instance that was stopped as planned is listed again after the store came back from a copy from before, and stays listed: it isn't there to remove its row, and nobody else does. It counts in the majority that may declare a member dead, and each daemon pings it for ever.

A poller that reads such a row, and that heard the instance leave and then took it for dead, removes the row if nobody answers at the instance's address, and only at the version that it read. That spares an instance that is started again under its name: it answers its peers before it writes its row, and a row written after the look has another version. All pollers may do it; the first one wins and the others no longer see the row. Only where the store has eras: elsewhere nothing changes.

Rows of instances that crashed stay, as before: they may be cut off.

Looked at as well: a listed row alone makes no member. Members come from SWIM messages only, and a record of the run that ended is refused by its incarnation. Until a daemon that starts has settled (3 s) it may take the instance for running, as with rows of crashed ones.

Evidence so far: unit tests of `Members`.

--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -55,6 +55,8 @@
     /// Those that were members before they became unreachable. The fleet forgets dead members that
     /// are not listed.
     lost: HashSet<Instance>,
+    /// Those that announced to leave and have not come back.
+    left: HashSet<Instance>,
     /// Time of the last known change of the membership.
     changed_at: Time,
     /// Largest number of instances seen at once; divides the retry budget that all share.
@@ -85,6 +87,7 @@
             is_listed: false,
             absent: HashMap::new(),
             lost: HashSet::new(),
+            left: HashSet::new(),
             changed_at: Time::ZERO,
             max_alive: 1,
         }
@@ -197,6 +200,15 @@
     /// Records whether `member` is reachable.
     fn note_absence(&mut self, now: Time, member: &Member, before: Option<State>) {
         self.changed_at = now;
+        match member.state {
+            State::Alive => {
+                self.left.remove(&member.instance);
+            }
+            State::Leaving => {
+                self.left.insert(member.instance);
+            }
+            State::Suspect | State::Dead => {}
+        }
         match member.state {
             // A member that leaves on purpose is not on the other side of a network partition.
             State::Alive | State::Leaving => {
@@ -350,6 +362,13 @@
         all.filter(|info| !self.is_dead(info.instance()))
     }
 
+    /// Whether `instance` announced to leave and is no longer a member.
+    pub fn has_left(&self, instance: Instance) -> bool {
+        let fleet = self.fleet.as_ref();
+        let member = fleet.and_then(|fleet| fleet.current(instance));
+        self.left.contains(&instance) && member.is_none_or(|member| member.state == State::Dead)
+    }
+
     fn is_dead(&self, instance: Instance) -> bool {
         let fleet = self.fleet.as_ref();
         let member = fleet.and_then(|fleet| fleet.current(instance));
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -172,6 +172,17 @@
         Ok(())
     }
 
+    /// Removes one row if it still has `version`.
+    ///
+    /// # Errors
+    /// [`Error`]; `Conflict` if it has another version. After any other error it may have been
+    /// removed nevertheless.
+    pub async fn remove_version(&self, table: &str, key: &str, version: u64) -> Result<(), Error> {
+        let body = store::remove_version_body(table, key, version);
+        self.transact("removing", table, body).await?;
+        Ok(())
+    }
+
     /// Applies `edits` unconditionally in one transaction.
     ///
     /// # Errors
--- a/crates/gateway/src/watch/instances.rs
+++ b/crates/gateway/src/watch/instances.rs
@@ -12,6 +12,7 @@
 use crate::exchange;
 use crate::instance_info::InstanceInfo;
 use crate::shared::Shared;
+use crate::watch::rewriting;
 use crate::watch::scaled_period;
 
 /// Interval between readings of the instances by the poller; gossip is the faster source.
@@ -141,6 +142,7 @@
         .members
         .borrow_mut()
         .set_listed(shared.clock.now(), &instances);
+    rewriting::remove_departed(shared, &rows.rows).await;
     if listed {
         shared.note_own_row(era);
     }
--- a/crates/gateway/tests/gateway/members.rs
+++ b/crates/gateway/tests/gateway/members.rs
@@ -99,3 +99,76 @@
     members.join(Time::ZERO, 1);
     assert_eq!(members.poller(), None);
 }
+
+/// A daemon that knows a second instance, which has left and is dead, and the record of its last run.
+fn members_without_second() -> (Members, Member) {
+    let mut members = Members::new(card(1));
+    members.set_listed(Time::ZERO, &[card(1), card(2)]);
+    members.join(Time::ZERO, 1);
+    let second = Member::new(card(2).instance(), Incarnation(2), 1, Zone::new("here"));
+    for state in [State::Alive, State::Leaving, State::Dead] {
+        receive_from_third(&mut members, second.with_state(state));
+    }
+    members.set_listed(Time::from_millis(1_000), &[card(1)]);
+    (members, second)
+}
+
+/// Hands a third instance's record of `member` to `members`.
+fn receive_from_third(members: &mut Members, member: Member) {
+    let now = Time::from_millis(1_000);
+    let third = Member::new(card(3).instance(), Incarnation(3), 1, Zone::new("here"));
+    let page = Message::Page {
+        news: vec![third, member],
+    };
+    members.receive(now, &card(3), &page);
+    members.step(now);
+}
+
+fn is_advertised(members: &Members, number: u8) -> bool {
+    let advertised = members.advertised();
+    let mut addresses = advertised.iter().map(|endpoint| endpoint.address);
+    addresses.any(|address| address == card(number).callers)
+}
+
+/// Guards against a store that comes back from a copy and has the row of an instance again that left since: callers would
+/// be told of an instance that does not run, and keys would belong to it.
+#[test]
+fn a_row_from_a_copy_does_not_bring_an_instance_back_that_left() {
+    let (mut members, second) = members_without_second();
+    let now = Time::from_millis(2_000);
+    members.set_listed(now, &[card(1), card(2), card(3)]);
+    receive_from_third(&mut members, second);
+    members.step(now);
+    assert!(members.has_left(card(2).instance()));
+    assert!(!is_advertised(&members, 2) && is_advertised(&members, 3));
+    assert_eq!(members.alive_count(), 2);
+    assert!((0..100).all(|key| members.rank(key, 1)[0].0 != card(2).instance()));
+}
+
+/// Guards against removing the row of an instance that runs.
+#[test]
+fn an_instance_that_leaves_counts_as_left_only_until_it_runs_again() {
+    let (mut members, second) = members_without_second();
+    let again = Member {
+        incarnation: Incarnation(20),
+        started: second.started + 1,
+        ..second
+    };
+    receive_from_third(&mut members, again);
+    assert!(!members.has_left(card(2).instance()));
+    assert!(is_advertised(&members, 2));
+    // One that is lost without having said that it leaves may come back.
+    receive_from_third(&mut members, again.with_state(State::Dead));
+    assert!(!members.has_left(card(2).instance()));
+}
+
+#[test]
+fn a_leaving_instance_counts_as_left_only_once_it_is_dead() {
+    let mut members = Members::new(card(1));
+    members.join(Time::ZERO, 1);
+    let second = Member::new(card(2).instance(), Incarnation(2), 1, Zone::new("here"));
+    receive_from_third(&mut members, second.with_state(State::Leaving));
+    assert!(!members.has_left(card(2).instance()));
+    receive_from_third(&mut members, second.with_state(State::Dead));
+    assert!(members.has_left(card(2).instance()));
+}
