Write quarantine records again that the store has lost

Seen by callers: a request that ended replicas ends some again after a start of all daemons, if the store had come back from a copy from before the record was written. A row is written once, by the daemon that saw the end, so a lost one was never replaced.

The time at which a content was served is written again only if the table has ends of that content: a record with one end was never stored, and thousands of them may have been cleared.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -175,6 +175,7 @@
     spawn_local(quarantine::announce::run(Rc::clone(&shared)));
     spawn_local(quarantine::clear::run(Rc::clone(&shared)));
     spawn_local(quarantine::storage::run(Rc::clone(&shared)));
+    spawn_local(quarantine::rewriting::run(Rc::clone(&shared)));
     spawn_local(quarantine::remove_expired(Rc::clone(&shared)));
     // At the first start of the whole system no stream has begun, and no peer has records.
     if settings.first_start {
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -324,6 +324,14 @@
         owner == Some(self.own.instance())
     }
 
+    /// Whether this daemon is the keeper of `key`; see [`Self::keepers`].
+    pub fn is_keeper(&self, key: u64) -> bool {
+        let keeper = self.rank(key, 1);
+        keeper
+            .first()
+            .is_some_and(|(instance, _)| *instance == self.own.instance())
+    }
+
     /// Peer address of this data centre's poller; `None` if that is this daemon.
     pub fn poller(&self) -> Option<SocketAddr> {
         let poller = self.poller_in(self.own.data_centre)?;
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -4,6 +4,7 @@
 pub mod announce;
 pub mod clear;
 pub mod probe;
+pub mod rewriting;
 pub mod storage;
 
 use std::collections::HashSet;
--- a/crates/gateway/src/quarantine/storage.rs
+++ b/crates/gateway/src/quarantine/storage.rs
@@ -1,5 +1,6 @@
 //! Quarantine records in the store, for daemons that start when no peer has them.
 
+use std::collections::BTreeSet;
 use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
@@ -27,7 +28,7 @@
 /// request was served elsewhere.
 const BATCH_DELAY: Duration = Duration::from_millis(200);
 /// Maximum number of rows in one transaction.
-const MAX_ROWS: usize = 100;
+pub(super) const MAX_ROWS: usize = 100;
 
 /// Loads the records once, unless the whole system starts for the first time and there are none, then
 /// writes those that this daemon adds, forever.
@@ -42,7 +43,11 @@
             sleep(BATCH_DELAY).await;
         }
         unstored.extend(shared.unstored.take());
-        let rows: Vec<Edit> = unstored.iter().flat_map(|f| rows_of(&shared, *f)).collect();
+        let rows = {
+            let quarantine = shared.quarantine.borrow();
+            let records = unstored.iter().filter_map(|f| quarantine.get(*f));
+            records.flat_map(rows_of).collect::<Vec<Edit>>()
+        };
         let mut stored = true;
         for chunk in rows.chunks(MAX_ROWS) {
             stored &= write(&shared, chunk).await;
@@ -55,13 +60,9 @@
     }
 }
 
-fn rows_of(shared: &Shared, fingerprint: Fingerprint) -> Vec<Edit> {
-    let quarantine = shared.quarantine.borrow();
-    let Some(record) = quarantine.get(fingerprint) else {
-        return Vec::new();
-    };
+fn rows_of(record: &Record) -> Vec<Edit> {
     let row = |name: &str, at: UnixMs| Edit::Write {
-        key: format!("{fingerprint}.{name}"),
+        key: format!("{}.{name}", record.fingerprint),
         value: at.0.to_string().into_bytes(),
     };
     let ends = record.ends.iter();
@@ -70,7 +71,23 @@
     ends.chain(served).collect()
 }
 
-async fn write(shared: &Shared, rows: &[Edit]) -> bool {
+/// The rows of `record` that the table lacks if it has the rows with `keys`. The table needs a record
+/// that is suspect, or that has been served since it was stored as suspect.
+pub fn missing_rows(keys: &BTreeSet<String>, record: &Record) -> Vec<Edit> {
+    let prefix = format!("{}.", record.fingerprint);
+    let is_stored = || {
+        let first = keys.range(prefix.clone()..).next();
+        first.is_some_and(|key| key.starts_with(&prefix))
+    };
+    let is_cleared = record.served > UnixMs(0);
+    if !record.is_suspect() && !(is_cleared && is_stored()) {
+        return Vec::new();
+    }
+    let rows = rows_of(record).into_iter();
+    rows.filter(|row| !keys.contains(row.key())).collect()
+}
+
+pub(super) async fn write(shared: &Shared, rows: &[Edit]) -> bool {
     match shared.store.edit(TABLE, rows).await {
         Ok(()) => true,
         Err(error) => {
--- a/crates/gateway/tests/gateway/members.rs
+++ b/crates/gateway/tests/gateway/members.rs
@@ -172,3 +172,15 @@
     receive_from_third(&mut members, second.with_state(State::Dead));
     assert!(members.has_left(card(2).instance()));
 }
+
+/// Guards against work of the whole fleet that nobody does, or that all do.
+#[test]
+fn exactly_one_daemon_is_the_keeper_of_a_key() {
+    let all = [card(1), card(2), card(3)];
+    let keepers = all.iter().filter(|own| {
+        let mut members = Members::new((*own).clone());
+        members.set_listed(Time::ZERO, &all);
+        members.is_keeper(7)
+    });
+    assert_eq!(keepers.count(), 1);
+}
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -222,6 +222,11 @@
         suspects.cloned().collect()
     }
 
+    /// The records.
+    pub fn records(&self) -> impl Iterator<Item = &Record> {
+        self.records.values()
+    }
+
     /// All records, for a daemon that starts.
     pub fn all(&self) -> Vec<Record> {
         self.records.values().cloned().collect()
