Record the only version of a service soon after a new era

Seen by callers: after a start of all daemons within 5 s of the store's return, streams can't be resumed, since the record is lost or is one of the earlier era, which nobody can use.

The pause between two records ends when the era rises. Until each service is recorded in the new era it is 300 ms, since the list of replicas may have to be read first.

Not in this commit: the list must have been read in the new era, and a record of another era must not be used. Both need the era in the version of the list.

--- a/crates/gateway/src/begins/storage.rs
+++ b/crates/gateway/src/begins/storage.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use boottime::timer::sleep;
+use boottime::timer::timeout;
 use ident::Pool;
 use platform::replica;
 use relay::epoch::Epoch;
@@ -17,6 +17,9 @@
 /// Interval between records. Well below the history that the store keeps, from which a daemon that
 /// starts reads what changed since.
 const PERIOD: Duration = Duration::from_secs(5);
+/// Interval between attempts in a new era, until each service is recorded in it: first the list of
+/// replicas must have been read in that era.
+const NEW_ERA_PAUSE: Duration = Duration::from_millis(300);
 /// Pause after a failed attempt to read the records; callers that resume streams come in bursts.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Maximum age of the list of replicas of a daemon that records.
@@ -24,18 +27,36 @@
 
 /// Records the services of which this daemon knows the only version, forever.
 pub async fn run(shared: Rc<Shared>) {
+    let mut eras = shared.watch_era();
+    let mut recorded_era = 0;
     loop {
-        sleep(PERIOD).await;
-        for service in resumable_services(&shared) {
-            let is_owner = shared.members.borrow().is_owner(Pool::new(&service).0);
-            let software = shared.only_version(&service).filter(|_| is_owner);
-            if let Some(software) = software {
-                record(&shared, &service, software).await;
-            }
+        let pause = if recorded_era < shared.era() {
+            NEW_ERA_PAUSE
+        } else {
+            PERIOD
+        };
+        // A new era ends the pause: nobody can use a record of an earlier one.
+        let _ = timeout(pause, eras.changed()).await;
+        let era = shared.era();
+        if record_all(&shared).await {
+            recorded_era = era;
         }
     }
 }
 
+/// Records the services of which this daemon knows the only version; returns whether nothing failed.
+async fn record_all(shared: &Shared) -> bool {
+    let mut is_done = true;
+    for service in resumable_services(shared) {
+        let is_owner = shared.members.borrow().is_owner(Pool::new(&service).0);
+        let software = shared.only_version(&service).filter(|_| is_owner);
+        if let Some(software) = software {
+            is_done &= record(shared, &service, software).await;
+        }
+    }
+    is_done
+}
+
 /// The services whose streams callers may resume.
 fn resumable_services(shared: &Shared) -> Vec<String> {
     let plan = shared.plan().filter(|_| shared.is_ready());
@@ -51,9 +72,10 @@
     services
 }
 
-async fn record(shared: &Shared, service: &str, software: String) {
+/// Records the only version of `service`; returns whether that succeeded.
+async fn record(shared: &Shared, service: &str, software: String) -> bool {
     if shared.replicas_age() > MAX_LIST_AGE {
-        return;
+        return false;
     }
     let epoch = {
         let pool = shared.pool.borrow();
@@ -63,12 +85,18 @@
         Ok(value) => value,
         Err(error) => {
             log::error!(kind = "begin", service = service, cause = error.to_string(); "the only version of a service cannot be encoded");
-            return;
+            return false;
         }
     };
     match shared.store.write(TABLE, service, &value).await {
-        Ok(()) => shared.store_answered("versions"),
-        Err(error) => shared.store_failed("versions", &error),
+        Ok(()) => {
+            shared.store_answered("versions");
+            true
+        }
+        Err(error) => {
+            shared.store_failed("versions", &error);
+            false
+        }
     }
 }
 
