Failing tests: rows that the store has lost are not written again

Against a stand-in store that comes back from a copy: the row of an instance that the copy lacks, the row of an instance that left since, and quarantine records.

--- a/crates/gateway/tests/gateway/rewritten_rows.rs
+++ b/crates/gateway/tests/gateway/rewritten_rows.rs
@@ -12,9 +12,21 @@
 use relay::quarantine::record::SERVED_GRACE;
 use relay::quarantine::record::UnixMs;
 use rstest::rstest;
+use rustix::process::Signal;
+
+use crate::common::daemon::Daemon;
+use crate::common::daemon::wait_until;
+use crate::common::http::Message;
+use crate::common::replica::Action;
+use crate::common::replica::Replica;
+use crate::common::replica::signed_answer;
+use crate::site::Site;
+use crate::site::send_and_read;
 
 /// Transactions per second that the store takes in one part.
 const PART_WRITES_PER_S: f64 = 300.0;
+/// Replicas that may end under a request before it is quarantined.
+const QUARANTINE_THRESHOLD: usize = 3;
 
 /// A record of `ends` replicas that ended under the content.
 fn record(ends: u64) -> Record {
@@ -81,3 +93,96 @@
     };
     assert_eq!(missing, [expected]);
 }
+
+fn start_replica(id: &str) -> Replica {
+    Replica::start(id, |request| {
+        Action::Send(signed_answer(request, 200, b"x"))
+    })
+}
+
+/// A site in an era of the store with a second daemon, both listed and members of each other's fleet.
+fn start_pair(name: &str, replica: &Replica) -> (Site, Daemon) {
+    let site = Site::start(name, &[(replica, "app", "")]);
+    site.store.set_era(1);
+    let second = site.start_another(&format!("{name}-2"), true);
+    second.wait_until_ready();
+    wait_until("both daemons are listed", || {
+        site.store.keys("instances").len() == 2
+    });
+    for (daemon, other) in [(&site.daemon, &second), (&second, &site.daemon)] {
+        wait_until("each daemon advertises the other one", || {
+            daemon.addresses().contains(&other.callers.to_string())
+        });
+    }
+    (site, second)
+}
+
+/// Guards against instances that are not listed for minutes, since only the poller reads the list often.
+#[test]
+fn each_instance_writes_its_row_again_when_the_copy_lacks_it() {
+    let replica = start_replica("i-1");
+    let (site, _second) = start_pair("relisted", &replica);
+    for key in site.store.keys("instances") {
+        site.store.remove("instances", &key);
+    }
+    let without_rows = site.store.back_up();
+    site.store.restore(&without_rows);
+    wait_until("both rows are written again", || {
+        site.store.keys("instances").len() == 2
+    });
+}
+
+/// Guards against an instance that left and is listed for ever, since the copy has its row.
+#[test]
+fn the_row_of_an_instance_that_left_since_the_copy_is_removed_again() {
+    let replica = start_replica("i-1");
+    let (site, mut second) = start_pair("unlisted", &replica);
+    let with_both = site.store.back_up();
+    second.signal(Signal::TERM);
+    second.wait_for_exit();
+    wait_until("the row is removed at the stop", || {
+        site.store.keys("instances").len() == 1
+    });
+    site.store.restore(&with_both);
+    assert_eq!(site.store.keys("instances").len(), 2);
+    wait_until("the row is removed again", || {
+        let addresses = site.daemon.addresses();
+        assert!(!addresses.contains(&second.callers.to_string()));
+        site.store.keys("instances").len() == 1
+    });
+    assert!(site.store.has("instances", "unlisted"));
+}
+
+/// Guards against a request that ends replicas again after a start of all daemons, since the store has lost that it did.
+#[test]
+fn a_quarantine_is_stored_again_when_the_copy_lacks_it() {
+    let script = |request: &Message| match request.path() {
+        path if path.contains("crash") => Action::Crash(Vec::new()),
+        _ => Action::Send(signed_answer(request, 200, b"x")),
+    };
+    let ids = (0..2 * QUARANTINE_THRESHOLD).map(|number| format!("i-{number}"));
+    let replicas: Vec<Replica> = ids.map(|id| Replica::start(&id, script)).collect();
+    let listed: Vec<_> = replicas.iter().map(|r| (r, "app", "")).collect();
+    let mut site = Site::start("restored", &listed);
+    site.store.set_era(1);
+    let before = site.store.back_up();
+    wait_until("the request is quarantined", || {
+        send_and_read(&site.daemon, "POST /book/crash", "c");
+        !site.daemon.logged("\"kind\":\"quarantine\"").is_empty()
+    });
+    wait_until("the quarantine is stored", || {
+        site.store.keys("quarantine").len() >= QUARANTINE_THRESHOLD
+    });
+    site.store.restore(&before);
+    assert!(site.store.keys("quarantine").is_empty());
+    wait_until("the quarantine is stored again", || {
+        site.store.keys("quarantine").len() >= QUARANTINE_THRESHOLD
+    });
+    // No running daemon knows of the quarantine any more.
+    site.daemon.kill();
+    let next = site.start_another("restored-2", false);
+    next.wait_until_ready();
+    wait_until("the next daemon reads the quarantine", || {
+        !next.logged("\"kind\":\"quarantine\"").is_empty()
+    });
+}
