Take the era of stored rows from the answers

The era that was known when a call began stood for that of its answer: a daemon that starts knows none yet, so each would have written its own row a second time after its start. Answers name their era now, so a row counts as stored in that one: the own row, the keys of the table of quarantine records, and the row of an instance that left, which is not removed by a version read in an earlier era.

--- a/crates/gateway/src/begins/storage.rs
+++ b/crates/gateway/src/begins/storage.rs
@@ -89,7 +89,7 @@
         }
     };
     match shared.store.write(TABLE, service, &value).await {
-        Ok(()) => {
+        Ok(_) => {
             shared.store_answered("versions");
             true
         }
--- a/crates/gateway/src/quarantine/rewriting.rs
+++ b/crates/gateway/src/quarantine/rewriting.rs
@@ -45,7 +45,7 @@
         table = match table {
             _ if !is_writer || !has_stored_records(&shared) => None,
             Some(table) if table.era == era => Some(table),
-            _ => read(&shared, era).await,
+            _ => read(&shared).await,
         };
         if let Some(table) = &mut table {
             write_missing(&shared, table).await;
@@ -60,12 +60,14 @@
     records.any(|record| record.is_suspect() || record.served > UnixMs(0))
 }
 
-async fn read(shared: &Shared, era: u64) -> Option<Table> {
+async fn read(shared: &Shared) -> Option<Table> {
     match shared.store.read(TABLE).await {
         Ok(rows) => {
             shared.store_answered("quarantine");
-            let keys = rows.rows.into_iter().map(|row| row.key).collect();
-            Some(Table { era, keys })
+            Some(Table {
+                era: rows.revision.era,
+                keys: rows.rows.into_iter().map(|row| row.key).collect(),
+            })
         }
         Err(error) => {
             shared.store_failed("quarantine", &error);
--- a/crates/gateway/src/shared/era.rs
+++ b/crates/gateway/src/shared/era.rs
@@ -20,8 +20,7 @@
         self.store.era().note(era, source);
     }
 
-    /// Records that the store has the own row, by the answer to a call that was sent while `era` was
-    /// the latest known one.
+    /// Records that the store had the own row in `era`.
     pub fn note_own_row(&self, era: u64) {
         self.own_row_era.set(self.own_row_era.get().max(era));
     }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -170,14 +170,14 @@
         Rows::read(table, era, &body).map_err(Error::Garbled)
     }
 
-    /// Writes one row unconditionally.
+    /// Writes one row unconditionally; returns the era in which it was written.
     ///
     /// # Errors
     /// [`Error`]; the row may have been written nevertheless.
-    pub async fn write(&self, table: &str, key: &str, value: &[u8]) -> Result<(), Error> {
+    pub async fn write(&self, table: &str, key: &str, value: &[u8]) -> Result<u64, Error> {
         let body = store::write_body(table, key, value);
-        self.transact("writing", table, body).await?;
-        Ok(())
+        let (era, _) = self.transact("writing", table, body).await?;
+        Ok(era)
     }
 
     /// Writes one row if it still has the version of `revision` (0 if it does not exist); returns its
@@ -216,13 +216,21 @@
         Ok(())
     }
 
-    /// Removes one row if it still has `version`.
+    /// Removes one row if it still has the version of `revision`.
     ///
     /// # Errors
-    /// [`Error`]; `Conflict` if it has another version. After any other error it may have been
-    /// removed nevertheless.
-    pub async fn remove_version(&self, table: &str, key: &str, version: u64) -> Result<(), Error> {
-        let body = store::remove_version_body(table, key, version);
+    /// [`Error`]; `Conflict` if it has another version, or if the store is no longer in the era of
+    /// `revision`. After any other error it may have been removed nevertheless.
+    pub async fn remove_version(
+        &self,
+        table: &str,
+        key: &str,
+        revision: Revision,
+    ) -> Result<(), Error> {
+        if revision.era < self.era.latest() {
+            return Err(Error::Conflict);
+        }
+        let body = store::remove_version_body(table, key, revision.version);
         self.transact("removing", table, body).await?;
         Ok(())
     }
--- a/crates/gateway/src/watch/instances.rs
+++ b/crates/gateway/src/watch/instances.rs
@@ -93,11 +93,10 @@
 
 /// Reads and applies the list; returns whether the own row is up to date.
 async fn read_instances(shared: &Shared) -> bool {
-    let era = shared.era();
     let registered = match shared.store.read(TABLE).await {
         Ok(rows) => {
             shared.store_answered("instances");
-            apply_instances(shared, era, &rows).await
+            apply_instances(shared, &rows).await
         }
         Err(error) => {
             shared.store_failed("instances", &error);
@@ -132,9 +131,9 @@
     false
 }
 
-/// Applies the list of instances, read while `era` was the latest known one, and writes the own row if
-/// it is missing or outdated; returns whether the own row is up to date.
-async fn apply_instances(shared: &Shared, era: u64, rows: &Rows) -> bool {
+/// Applies the list of instances and writes the own row if it is missing or outdated; returns
+/// whether the own row is up to date.
+async fn apply_instances(shared: &Shared, rows: &Rows) -> bool {
     let instances: Vec<InstanceInfo> = rows.rows.iter().filter_map(read_info).collect();
     let own = shared.own_info();
     let listed = instances.contains(&own);
@@ -142,9 +141,9 @@
         .members
         .borrow_mut()
         .set_listed(shared.clock.now(), &instances);
-    rewriting::remove_departed(shared, &rows.rows).await;
+    rewriting::remove_departed(shared, rows).await;
     if listed {
-        shared.note_own_row(era);
+        shared.note_own_row(rows.revision.era);
     }
     if listed || shared.is_stopping() {
         return true;
@@ -160,7 +159,6 @@
 /// Writes the own row; returns whether that succeeded.
 pub(super) async fn register(shared: &Shared) -> bool {
     let own = shared.own_info();
-    let era = shared.era();
     let value = match serde_json::to_vec(&own) {
         Ok(value) => value,
         Err(error) => {
@@ -169,7 +167,7 @@
         }
     };
     match shared.store.write(TABLE, &own.name, &value).await {
-        Ok(()) => {
+        Ok(era) => {
             shared.note_own_row(era);
             true
         }
--- a/crates/gateway/src/watch/rewriting.rs
+++ b/crates/gateway/src/watch/rewriting.rs
@@ -6,6 +6,8 @@
 
 use boottime::timer::sleep;
 use platform::store::Row;
+use platform::store::Rows;
+use relay::revision::Revision;
 
 use crate::exchange;
 use crate::shared::Shared;
@@ -51,7 +53,7 @@
 
 /// Removes the rows of instances that are known to have left, if this daemon is a poller: the copy has
 /// the row of an instance that left since.
-pub(super) async fn remove_departed(shared: &Shared, rows: &[Row]) {
+pub(super) async fn remove_departed(shared: &Shared, rows: &Rows) {
     let is_poller = shared.members.borrow().poller().is_none();
     if shared.era() == 0 || !is_poller {
         return;
@@ -60,26 +62,27 @@
         let info = instances::read_info(row);
         info.is_some_and(|info| shared.members.borrow().has_left(info.instance()))
     };
-    for row in rows.iter().filter(departed).take(MAX_DEPARTED) {
-        remove(shared, row).await;
+    for row in rows.rows.iter().filter(departed).take(MAX_DEPARTED) {
+        remove(shared, row, rows.revision.era).await;
     }
 }
 
-/// Removes `row` unless its instance runs again: an instance that starts answers its peers before it
+/// Removes `row`, read in `era`, unless its instance runs again: an instance that starts answers its peers before it
 /// writes its row, and is a member only once it is ready.
-async fn remove(shared: &Shared, row: &Row) {
+async fn remove(shared: &Shared, row: &Row, era: u64) {
     let Some(info) = instances::read_info(row) else {
         return;
     };
     if exchange::fetch_instances(shared, info.peers).await {
         return;
     }
+    let revision = Revision::new(era, row.version);
     let removed = shared
         .store
-        .remove_version(instances::TABLE, &row.key, row.version);
+        .remove_version(instances::TABLE, &row.key, revision);
     match removed.await {
         Ok(()) => {
-            log::info!(kind = "store", step = "rewriting", table = instances::TABLE, instance = info.name, era = shared.era(); "removed the row of an instance that has left");
+            log::info!(kind = "store", step = "rewriting", table = instances::TABLE, instance = info.name, era = era; "removed the row of an instance that has left");
         }
         Err(Error::Conflict) => {}
         Err(error) => shared.store_failed("unlisting", &error),
