Record the only version of a service with a list of the era only

Seen by callers: none yet; a record written in a new era with the list of the earlier one would name a version that nobody can use, and be the last one for 5 s.

A record is written once the list of replicas has been read in the latest era; until then the pause is 300 ms. Records of another era are not used, since a watch from their version fails.

Evidence: `a_version_is_recorded_in_a_new_era_before_the_next_record_is_due` fails (over 4.7 s after the last record) if the era doesn't end the pause, and passes now; `a_record_of_an_earlier_era_does_not_hold`.

--- a/crates/gateway/src/begins/storage.rs
+++ b/crates/gateway/src/begins/storage.rs
@@ -74,7 +74,9 @@
 
 /// Records the only version of `service`; returns whether that succeeded.
 async fn record(shared: &Shared, service: &str, software: String) -> bool {
-    if shared.replicas_age() > MAX_LIST_AGE {
+    // Versions of a list of an earlier era mean nothing to those who read the record.
+    let is_of_era = shared.replicas_version().era == shared.era();
+    if !is_of_era || shared.replicas_age() > MAX_LIST_AGE {
         return false;
     }
     let epoch = {
--- a/crates/gateway/tests/gateway/rewritten_rows.rs
+++ b/crates/gateway/tests/gateway/rewritten_rows.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::time::Duration;
+use std::time::Instant;
 
 use gateway::quarantine::storage::missing_rows;
 use gateway::watch::rewriting;
@@ -15,19 +16,28 @@
 use rustix::process::Signal;
 
 use crate::common::daemon::Daemon;
+use crate::common::daemon::new_ip;
 use crate::common::daemon::wait_until;
 use crate::common::http::Message;
 use crate::common::replica::Action;
 use crate::common::replica::Replica;
 use crate::common::replica::signed_answer;
+use crate::common::store;
+use crate::resumptions::resume;
 use crate::site::Site;
 use crate::site::send_and_read;
+use crate::version_site::Engine;
 
 /// Transactions per second that the store takes in one part.
 const PART_WRITES_PER_S: f64 = 300.0;
 /// Replicas that may end under a request before it is quarantined.
 const QUARANTINE_THRESHOLD: usize = 3;
 
+/// Settings with which versions are recorded.
+const WITH_RECORDS: &str = "version_records: true\n";
+/// Interval between two records of a version, less a part of a second.
+const RECORD_PERIOD: Duration = Duration::from_millis(4_700);
+
 /// A record of `ends` replicas that ended under the content.
 fn record(ends: u64) -> Record {
     let mut record = Record::new(Fingerprint(7));
@@ -186,3 +196,61 @@
         !next.logged("\"kind\":\"quarantine\"").is_empty()
     });
 }
+
+/// A site in an era of the store whose daemon has recorded that the version of `engine` alone has served.
+fn start_recorded_site(name: &str, engine: &Engine) -> Site {
+    let site = Site::start_with_settings(name, &store::config(1, 500, 300), &[], WITH_RECORDS);
+    site.store.set_era(1);
+    engine.list(&site, "here");
+    site.daemon.wait_until_ready();
+    wait_until("the version is recorded", || recorded_era(&site) == 1);
+    site
+}
+
+/// Era of the record of the only version; 0 without one.
+fn recorded_era(site: &Site) -> u64 {
+    let record = site.store.get("versions", "llm");
+    record.map_or(0, |record| record["era"].as_u64().unwrap())
+}
+
+/// Guards against a stream that goes on at a replica that can't continue it: a version that served between the copy and
+/// its return is in no list.
+#[test]
+fn a_record_of_an_earlier_era_does_not_hold() {
+    let one = Engine::start("i-one", "v1");
+    let mut site = start_recorded_site("recorded-earlier", &one);
+    site.daemon.kill();
+    let copy = site.store.back_up();
+    let other = Engine::start("i-other", "v1.1");
+    other.list(&site, "here");
+    other.end(&site);
+    site.store.restore(&copy);
+    let another = Daemon::start_with_settings(
+        "recorded-earlier-2",
+        &new_ip(),
+        site.store_address,
+        &[],
+        WITH_RECORDS,
+    );
+    another.wait_until_ready();
+    assert_eq!(resume(&another, "a2", "a1", "18").status(), 503);
+    assert_eq!(one.runs(), 0);
+}
+
+/// Guards against streams that can't be resumed after a start of all daemons soon after the store came back.
+#[test]
+fn a_version_is_recorded_in_a_new_era_before_the_next_record_is_due() {
+    let one = Engine::start("i-one", "v1");
+    let site = start_recorded_site("recorded-soon", &one);
+    let copy = site.store.back_up();
+    let before = site.store.version("versions", "llm");
+    wait_until("the version is recorded again", || {
+        site.store.version("versions", "llm") > before
+    });
+    let recorded_at = Instant::now();
+    site.store.restore(&copy);
+    wait_until("the version is recorded in the new era", || {
+        recorded_era(&site) == 2
+    });
+    assert!(recorded_at.elapsed() < RECORD_PERIOD);
+}
