--- a/crates/gateway/src/quarantine/storage.rs
+++ b/crates/gateway/src/quarantine/storage.rs
@@ -79,8 +79,9 @@
         let first = keys.range(prefix.clone()..).next();
         first.is_some_and(|key| key.starts_with(&prefix))
     };
-    let is_cleared = record.served > UnixMs(0);
-    if !record.is_suspect() && !(is_cleared && is_stored()) {
+    let was_served = record.served > UnixMs(0);
+    let is_needed = record.is_suspect() || (was_served && is_stored());
+    if !is_needed {
         return Vec::new();
     }
     let rows = rows_of(record).into_iter();
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -16,7 +16,7 @@
 use crate::reload;
 use crate::shared::STOP_MARGIN;
 use crate::shared::Shared;
-use crate::watch::instances;
+use crate::watch::registration;
 
 /// Minimum time that a stopping daemon stays up for callers with a cached address answer: three
 /// times the time that answers may be cached, plus a reserve.
@@ -64,7 +64,11 @@
     begins::hand_over(shared).await;
     let name = shared.settings().instance.clone();
     let started = Instant::now();
-    let unlisted = timeout(UNLIST_TIMEOUT, shared.store.remove(instances::TABLE, &name)).await;
+    let unlisted = timeout(
+        UNLIST_TIMEOUT,
+        shared.store.remove(registration::TABLE, &name),
+    )
+    .await;
     if let Ok(Err(error)) = unlisted {
         log::warn!(kind = "store", step = "leaving", cause = error.to_string(); "failed to remove the own row");
     }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -1,6 +1,7 @@
 //! Keeps the plan, the replicas and the list of instances up to date from the store or from peers.
 
 pub mod instances;
+pub mod registration;
 pub mod rewriting;
 pub mod rows;
 
--- a/crates/gateway/src/watch/instances.rs
+++ b/crates/gateway/src/watch/instances.rs
@@ -5,13 +5,13 @@
 
 use boottime::Instant;
 use boottime::timer::sleep;
-use platform::store::Row;
 use platform::store::Rows;
 use rand::seq::IndexedRandom;
 
 use crate::exchange;
 use crate::instance_info::InstanceInfo;
 use crate::shared::Shared;
+use crate::watch::registration;
 use crate::watch::rewriting;
 use crate::watch::scaled_period;
 
@@ -37,8 +37,6 @@
 /// Time after which an instance that got no list from a seed reads the store. If all instances read
 /// the list at a common start, its transfer grows with the square of their number.
 pub(super) const JOIN_TIMEOUT: Duration = Duration::from_secs(6);
-/// Table with one row for each instance, holding its info.
-pub const TABLE: &str = "instances";
 
 /// Keeps the own row in the table and learns of the other instances, forever.
 pub async fn follow(shared: Rc<Shared>) {
@@ -69,7 +67,7 @@
 /// Registers this instance and reads the list after each of `pauses`, while the others register;
 /// returns whether the own row is up to date.
 async fn register_and_read(shared: &Shared, pauses: &[Duration]) -> bool {
-    let mut is_current = register(shared).await;
+    let mut is_current = registration::register(shared).await;
     for pause in pauses {
         sleep(*pause).await;
         is_current = read_instances(shared).await;
@@ -93,7 +91,7 @@
 
 /// Reads and applies the list; returns whether the own row is up to date.
 async fn read_instances(shared: &Shared) -> bool {
-    let registered = match shared.store.read(TABLE).await {
+    let registered = match shared.store.read(registration::TABLE).await {
         Ok(rows) => {
             shared.store_answered("instances");
             apply_instances(shared, &rows).await
@@ -115,7 +113,7 @@
     let seeds = shared.settings().seed_peers();
     let mut registered = false;
     while started.elapsed() < JOIN_TIMEOUT {
-        registered = registered || register(shared).await;
+        registered = registered || registration::register(shared).await;
         if let Some(seed) = seeds.choose(&mut rand::rng()) {
             exchange::fetch_instances(shared, *seed).await;
         }
@@ -134,7 +132,11 @@
 /// Applies the list of instances and writes the own row if it is missing or outdated; returns
 /// whether the own row is up to date.
 async fn apply_instances(shared: &Shared, rows: &Rows) -> bool {
-    let instances: Vec<InstanceInfo> = rows.rows.iter().filter_map(read_info).collect();
+    let instances: Vec<InstanceInfo> = rows
+        .rows
+        .iter()
+        .filter_map(registration::read_info)
+        .collect();
     let own = shared.own_info();
     let listed = instances.contains(&own);
     shared
@@ -148,32 +150,5 @@
     if listed || shared.is_stopping() {
         return true;
     }
-    register(shared).await
-}
-
-/// The instance of a row; `None` if it is malformed.
-pub(super) fn read_info(row: &Row) -> Option<InstanceInfo> {
-    serde_json::from_slice(row.value.as_deref()?).ok()
-}
-
-/// Writes the own row; returns whether that succeeded.
-pub(super) async fn register(shared: &Shared) -> bool {
-    let own = shared.own_info();
-    let value = match serde_json::to_vec(&own) {
-        Ok(value) => value,
-        Err(error) => {
-            log::error!(kind = "store", step = "registering", cause = error.to_string(); "cannot encode the own row");
-            return false;
-        }
-    };
-    match shared.store.write(TABLE, &own.name, &value).await {
-        Ok(era) => {
-            shared.note_own_row(era);
-            true
-        }
-        Err(error) => {
-            shared.store_failed("registering", &error);
-            false
-        }
-    }
+    registration::register(shared).await
 }
--- a/crates/gateway/src/watch/rewriting.rs
+++ b/crates/gateway/src/watch/rewriting.rs
@@ -12,7 +12,7 @@
 use crate::exchange;
 use crate::shared::Shared;
 use crate::store::Error;
-use crate::watch::instances;
+use crate::watch::registration;
 
 /// Rate at which all daemons together write their rows again. The store takes 400 writes per second
 /// and more of all daemons, and 300 in one part; these also serve other purposes.
@@ -40,8 +40,8 @@
             return;
         }
         // The row may have been read from the store or written meanwhile.
-        if shared.may_lack_own_row() && instances::register(&shared).await {
-            log::info!(kind = "store", step = "rewriting", table = instances::TABLE, era = era, members = members as u64; "wrote the own row again");
+        if shared.may_lack_own_row() && registration::register(&shared).await {
+            log::info!(kind = "store", step = "rewriting", table = registration::TABLE, era = era, members = members as u64; "wrote the own row again");
         }
     }
 }
@@ -59,7 +59,7 @@
         return;
     }
     let departed = |row: &&Row| {
-        let info = instances::read_info(row);
+        let info = registration::read_info(row);
         info.is_some_and(|info| shared.members.borrow().has_left(info.instance()))
     };
     for row in rows.rows.iter().filter(departed).take(MAX_DEPARTED) {
@@ -70,7 +70,7 @@
 /// Removes `row`, read in `era`, unless its instance runs again: an instance that starts answers its peers before it
 /// writes its row, and is a member only once it is ready.
 async fn remove(shared: &Shared, row: &Row, era: u64) {
-    let Some(info) = instances::read_info(row) else {
+    let Some(info) = registration::read_info(row) else {
         return;
     };
     if exchange::fetch_instances(shared, info.peers).await {
@@ -79,10 +79,10 @@
     let revision = Revision::new(era, row.version);
     let removed = shared
         .store
-        .remove_version(instances::TABLE, &row.key, revision);
+        .remove_version(registration::TABLE, &row.key, revision);
     match removed.await {
         Ok(()) => {
-            log::info!(kind = "store", step = "rewriting", table = instances::TABLE, instance = info.name, era = era; "removed the row of an instance that has left");
+            log::info!(kind = "store", step = "rewriting", table = registration::TABLE, instance = info.name, era = era; "removed the row of an instance that has left");
         }
         Err(Error::Conflict) => {}
         Err(error) => shared.store_failed("unlisting", &error),
