--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -140,6 +140,8 @@
     pub reach_doubted: Notify,
     /// Whether the first reading of the instances from the store has ended.
     pub instances_listed: watch::Sender<bool>,
+    /// Era in which the store was last known to have the own row.
+    own_row_era: Cell<u64>,
     /// Unreadable entries that have been logged.
     logged_unreadable: RefCell<HashSet<String>>,
     plan: RefCell<Option<Rc<Plan>>>,
@@ -222,6 +224,7 @@
             restarts: Notify::new(),
             reach_doubted: Notify::new(),
             instances_listed: watch::Sender::new(false),
+            own_row_era: Cell::new(0),
             logged_unreadable: RefCell::new(HashSet::new()),
             plan: RefCell::new(None),
             evacuations: RefCell::default(),
--- a/crates/gateway/src/shared/era.rs
+++ b/crates/gateway/src/shared/era.rs
@@ -19,4 +19,14 @@
     pub fn note_era(&self, era: u64, source: &'static str) {
         self.store.era().note(era, source);
     }
+
+    /// Records that the store had the own row in `era`.
+    pub fn note_own_row(&self, era: u64) {
+        self.own_row_era.set(self.own_row_era.get().max(era));
+    }
+
+    /// Whether the store may have lost the own row, since it has come back from a copy.
+    pub fn may_lack_own_row(&self) -> bool {
+        self.own_row_era.get() < self.era()
+    }
 }
--- a/crates/gateway/src/watch/instances.rs
+++ b/crates/gateway/src/watch/instances.rs
@@ -5,13 +5,14 @@
 
 use boottime::Instant;
 use boottime::timer::sleep;
-use platform::store::Row;
 use platform::store::Rows;
 use rand::seq::IndexedRandom;
 
 use crate::exchange;
 use crate::instance_info::InstanceInfo;
 use crate::shared::Shared;
+use crate::watch::registration;
+use crate::watch::rewriting;
 use crate::watch::scaled_period;
 
 /// Interval between readings of the instances by the poller; gossip is the faster source.
@@ -36,8 +37,6 @@
 /// Time after which an instance that got no list from a seed reads the store. If all instances read
 /// the list at a common start, its transfer grows with the square of their number.
 pub(super) const JOIN_TIMEOUT: Duration = Duration::from_secs(6);
-/// Table with one row for each instance, holding its info.
-pub const TABLE: &str = "instances";
 
 /// Keeps the own row in the table and learns of the other instances, forever.
 pub async fn follow(shared: Rc<Shared>) {
@@ -68,7 +67,7 @@
 /// Registers this instance and reads the list after each of `pauses`, while the others register;
 /// returns whether the own row is up to date.
 async fn register_and_read(shared: &Shared, pauses: &[Duration]) -> bool {
-    let mut is_current = register(shared).await;
+    let mut is_current = registration::register(shared).await;
     for pause in pauses {
         sleep(*pause).await;
         is_current = read_instances(shared).await;
@@ -92,7 +91,7 @@
 
 /// Reads and applies the list; returns whether the own row is up to date.
 async fn read_instances(shared: &Shared) -> bool {
-    let registered = match shared.store.read(TABLE).await {
+    let registered = match shared.store.read(registration::TABLE).await {
         Ok(rows) => {
             shared.store_answered("instances");
             apply_instances(shared, &rows).await
@@ -114,7 +113,7 @@
     let seeds = shared.settings().seed_peers();
     let mut registered = false;
     while started.elapsed() < JOIN_TIMEOUT {
-        registered = registered || register(shared).await;
+        registered = registered || registration::register(shared).await;
         if let Some(seed) = seeds.choose(&mut rand::rng()) {
             exchange::fetch_instances(shared, *seed).await;
         }
@@ -133,35 +132,23 @@
 /// Applies the list of instances and writes the own row if it is missing or outdated; returns
 /// whether the own row is up to date.
 async fn apply_instances(shared: &Shared, rows: &Rows) -> bool {
-    let read = |row: &Row| serde_json::from_slice::<InstanceInfo>(row.value.as_deref()?).ok();
-    let instances: Vec<InstanceInfo> = rows.rows.iter().filter_map(read).collect();
+    let instances: Vec<InstanceInfo> = rows
+        .rows
+        .iter()
+        .filter_map(registration::read_info)
+        .collect();
     let own = shared.own_info();
     let listed = instances.contains(&own);
     shared
         .members
         .borrow_mut()
         .set_listed(shared.clock.now(), &instances);
+    rewriting::remove_departed(shared, rows).await;
+    if listed {
+        shared.note_own_row(rows.revision.era);
+    }
     if listed || shared.is_stopping() {
         return true;
     }
-    register(shared).await
-}
-
-/// Writes the own row; returns whether that succeeded.
-async fn register(shared: &Shared) -> bool {
-    let own = shared.own_info();
-    let value = match serde_json::to_vec(&own) {
-        Ok(value) => value,
-        Err(error) => {
-            log::error!(kind = "store", step = "registering", cause = error.to_string(); "cannot encode the own row");
-            return false;
-        }
-    };
-    match shared.store.write(TABLE, &own.name, &value).await {
-        Ok(()) => true,
-        Err(error) => {
-            shared.store_failed("registering", &error);
-            false
-        }
-    }
+    registration::register(shared).await
 }
