--- a/crates/gateway/tests/gateway/eras.rs
+++ b/crates/gateway/tests/gateway/eras.rs
@@ -18,6 +18,7 @@
 use ident::Zone;
 use prometheus::IntCounterVec;
 use prometheus::Opts;
+use relay::epoch::Epoch;
 use relay::evacuation::Evacuations;
 use relay::revision::Revision;
 use rstest::rstest;
@@ -164,6 +165,16 @@
     assert_eq!(status().confirms(known), expected);
 }
 
+/// The store may keep records of daemons of the earlier version.
+#[test]
+fn a_record_of_the_only_version_without_an_era_is_read() {
+    let record = json!({"software": "v1", "list": 42, "listed": []});
+    let epoch: Epoch = serde_json::from_value(record).unwrap();
+    assert_eq!(epoch.list(), Revision::new(0, 42));
+    let record = serde_json::to_value(Epoch::new("v1".to_owned(), EVACUATIONS)).unwrap();
+    assert_eq!(record["list"], EVACUATIONS.version);
+}
+
 /// Runs `calls` on a client of a store with the row `k` of the table `t`, in era 4.
 fn run<F: Future>(calls: impl FnOnce(common::store::Store, Store) -> F) -> F::Output {
     let (stand_in, address): (_, SocketAddr) = common::store::Store::start("127.0.0.1");
