--- a/crates/gateway/tests/soak/cluster.rs
+++ b/crates/gateway/tests/soak/cluster.rs
@@ -87,6 +87,7 @@
 impl Drop for KillOnDrop {
     fn drop(&mut self) {
         self.0.stop_callers();
+        self.0.stop_idle_callers();
         for instance in self.0.instances.iter() {
             let mut daemon = instance
                 .daemon
@@ -120,6 +121,7 @@
     pub replicas: Arc<Mutex<Vec<ReplicaEntry>>>,
     version: Arc<AtomicU64>,
     callers_stopped: Arc<AtomicBool>,
+    idle_callers_stopped: Arc<AtomicBool>,
     replica_count: Arc<AtomicU64>,
     seed: u64,
     /// Whether second answers are the only fault of the run.
@@ -160,6 +162,7 @@
             replicas: Arc::default(),
             version: Arc::new(AtomicU64::new(0)),
             callers_stopped: Arc::default(),
+            idle_callers_stopped: Arc::default(),
             replica_count: Arc::default(),
             seed,
             only_second_answers,
@@ -491,6 +494,16 @@
         self.callers_stopped.store(true, Ordering::SeqCst);
     }
 
+    /// Stops the callers that keep connections idle.
+    pub fn stop_idle_callers(&self) {
+        self.idle_callers_stopped.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether callers that keep connections idle have to stop.
+    pub fn idle_callers_stopped(&self) -> bool {
+        self.idle_callers_stopped.load(Ordering::SeqCst)
+    }
+
     /// Whether callers have to stop.
     pub fn callers_stopped(&self) -> bool {
         self.callers_stopped.load(Ordering::SeqCst)
--- a/crates/gateway/tests/soak/faults.rs
+++ b/crates/gateway/tests/soak/faults.rs
@@ -23,7 +23,7 @@
 pub fn run(cluster: &Cluster, seed: u64, duration: Duration) {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let end = Instant::now() + duration;
-    let mut running = start_later_faults(cluster, seed, end);
+    let mut running = start_sound_faults(cluster, !seed, end);
     while Instant::now() < end {
         let kind = rng.random_range(0..10);
         let instance = rng.random_range(0..DAEMONS);
@@ -91,15 +91,23 @@
     }
 }
 
+/// Causes for `duration` only what excuses no daemon and no replica, then waits until all of it has ended.
+pub fn run_sound(cluster: &Cluster, seed: u64, duration: Duration) {
+    let end = Instant::now() + duration;
+    for thread in start_sound_faults(cluster, seed.rotate_left(32), end) {
+        thread.join().unwrap();
+    }
+}
+
 /// Starts drills of the store, silences of replicas and changes of limits until `end`. They have draws of their own, so
 /// that the others are those that a seed has always had.
-fn start_later_faults(cluster: &Cluster, seed: u64, end: Instant) -> Vec<JoinHandle<()>> {
+fn start_sound_faults(cluster: &Cluster, seed: u64, end: Instant) -> Vec<JoinHandle<()>> {
     let backups = Arc::new(Backups::default());
     let (own, writer) = (Arc::clone(&backups), cluster.clone());
     let copier = thread::spawn(move || own.run(&writer, end));
     let cluster = cluster.clone();
     let starter = thread::spawn(move || {
-        let mut rng = Pcg64Mcg::seed_from_u64(!seed);
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let mut running = Vec::new();
         while Instant::now() < end {
             thread::sleep(Duration::from_millis(rng.random_range(50..900)));
--- a/crates/gateway/tests/soak/kept.rs
+++ b/crates/gateway/tests/soak/kept.rs
@@ -23,7 +23,7 @@
 /// Longest time for which a connection is kept idle.
 const MAX_IDLE: Duration = Duration::from_millis(3_500);
 /// Fraction of the heads that are sent in two halves.
-const SLOW_FRACTION: f64 = 0.3;
+const SLOW_FRACTION: f64 = 0.5;
 /// Interval at which an idle caller checks whether it has to stop.
 const STEP: Duration = Duration::from_millis(20);
 /// Limits of a connection that are drawn.
@@ -123,12 +123,12 @@
     pub idle_since: Instant,
 }
 
-/// Sends requests on kept connections until the callers are stopped.
+/// Sends requests on kept connections until these callers are stopped.
 pub fn run(cluster: &Cluster, seed: u64) {
     let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x1d1e);
     let mut connections: [Option<Kept>; DAEMONS] = Default::default();
     let mut number = 0;
-    while !cluster.callers_stopped() {
+    while !cluster.idle_callers_stopped() {
         let instance = rng.random_range(0..DAEMONS);
         let connection = &mut connections[instance];
         let since = connection
@@ -139,11 +139,11 @@
             .idle
             .min(MAX_IDLE)
             .mul_f64(rng.random_range(0.3..1.0));
-        while since.elapsed() < idle && !cluster.callers_stopped() {
+        while since.elapsed() < idle && !cluster.idle_callers_stopped() {
             thread::sleep(STEP.min(idle.saturating_sub(since.elapsed())));
         }
         let is_slow = rng.random::<f64>() < SLOW_FRACTION;
-        let pause = allowed.head.mul_f64(rng.random_range(0.1..0.9));
+        let pause = allowed.head.mul_f64(rng.random_range(0.5..0.95));
         let pause = if is_slow { pause } else { Duration::ZERO };
         let customer = Customer::Unlimited;
         let id = customer.id(&format!("kept-{seed}-{number}"));
--- a/crates/gateway/tests/soak/main.rs
+++ b/crates/gateway/tests/soak/main.rs
@@ -56,6 +56,8 @@
 const IDLE_CALLERS: u64 = 4;
 /// Time after the last fault within which every daemon must serve requests again.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
+/// Time after the faults for which the store is drilled, replicas are silent and limits change once more.
+const SOUND_TIME: Duration = Duration::from_secs(12);
 /// Time after recovery by which every daemon must know what the others have observed.
 const SYNC_TIME: Duration = Duration::from_secs(3);
 
@@ -122,16 +124,18 @@
 fn run(seed: u64) -> Vec<String> {
     let cluster = Cluster::start(seed, env::var_os("SOAK_ONLY_DOUBLED").is_some());
     let _end = KillOnDrop(cluster.clone());
-    let mut callers: Vec<_> = (0..CALLERS)
+    let callers: Vec<_> = (0..CALLERS)
         .map(|number| {
             let cluster = cluster.clone();
             thread::spawn(move || callers::run(&cluster, seed * 1_000 + number))
         })
         .collect();
-    callers.extend((0..IDLE_CALLERS).map(|number| {
-        let cluster = cluster.clone();
-        thread::spawn(move || kept::run(&cluster, seed * 1_000 + CALLERS + number))
-    }));
+    let idle_callers: Vec<_> = (0..IDLE_CALLERS)
+        .map(|number| {
+            let cluster = cluster.clone();
+            thread::spawn(move || kept::run(&cluster, seed * 1_000 + CALLERS + number))
+        })
+        .collect();
     let duration = Duration::from_secs(seconds());
     if cluster.only_second_answers {
         thread::sleep(duration);
@@ -151,9 +155,18 @@
         violations.extend(parts::check(&cluster).err());
         violations.extend(callers::check_evacuation(&cluster).err());
         violations.extend(resumption::check(&cluster).err());
+        let sound = {
+            let cluster = cluster.clone();
+            thread::spawn(move || faults::run_sound(&cluster, seed, SOUND_TIME))
+        };
         violations.extend(hot::check(&cluster).err());
+        sound.join().unwrap();
         violations.extend(callers::check_partition(&cluster, seed).err());
     }
+    cluster.stop_idle_callers();
+    for caller in idle_callers {
+        caller.join().unwrap();
+    }
     // Requests that still run at a replica end within the duration of its longest answer.
     thread::sleep(Duration::from_millis(1_500));
     violations.extend(cluster.history.broken_promises());
