--- a/crates/gateway/tests/soak/callers.rs
+++ b/crates/gateway/tests/soak/callers.rs
@@ -81,6 +81,21 @@
     }
 }
 
+/// Sends streams, each on a new connection, until the callers that keep connections idle are stopped.
+pub fn run_streams(cluster: &Cluster, seed: u64) {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut number = 0;
+    while !cluster.idle_callers_stopped() {
+        let instance = rng.random_range(0..DAEMONS);
+        let kind = [Kind::Draft, Kind::Resumable][number % 2];
+        let customer = Customer::Unlimited;
+        let id = customer.id(&format!("stream-{seed}-{number}"));
+        send_request(cluster, instance, kind, customer, &id, &mut None);
+        number += 1;
+        thread::sleep(Duration::from_millis(rng.random_range(1..30)));
+    }
+}
+
 /// Sends requests of each kind until one is served. One that never was is quarantined with the request under which
 /// replicas end, if it is in progress at three of them.
 pub fn serve_each_kind(cluster: &Cluster, timeout: Duration) {
--- a/crates/gateway/tests/soak/faults.rs
+++ b/crates/gateway/tests/soak/faults.rs
@@ -114,7 +114,7 @@
             let kind = rng.random_range(0..4);
             let (drill, limits) = (Drill::draw(&mut rng), Limits::draw(&mut rng));
             let replica = rng.random_range(0..8);
-            let length = Duration::from_millis(rng.random_range(700..1_300));
+            let length = Duration::from_millis(rng.random_range(800..1_400));
             let (cluster, backups) = (cluster.clone(), Arc::clone(&backups));
             running.push(thread::spawn(move || match kind {
                 0 | 1 => drill.run(&cluster, &backups),
--- a/crates/gateway/tests/soak/main.rs
+++ b/crates/gateway/tests/soak/main.rs
@@ -54,6 +54,8 @@
 const CALLERS: u64 = 6;
 /// Number of concurrent callers that keep connections idle.
 const IDLE_CALLERS: u64 = 4;
+/// Number of concurrent callers that send only streams, also while no daemon is disturbed.
+const STREAM_CALLERS: u64 = 3;
 /// Time after the last fault within which every daemon must serve requests again.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
 /// Time after the faults for which the store is drilled, replicas are silent and limits change once more.
@@ -136,6 +138,13 @@
             thread::spawn(move || kept::run(&cluster, seed * 1_000 + CALLERS + number))
         })
         .collect();
+    let stream_callers: Vec<_> = (0..STREAM_CALLERS)
+        .map(|number| {
+            let cluster = cluster.clone();
+            let number = CALLERS + IDLE_CALLERS + number;
+            thread::spawn(move || callers::run_streams(&cluster, seed * 1_000 + number))
+        })
+        .collect();
     let duration = Duration::from_secs(seconds());
     if cluster.only_second_answers {
         thread::sleep(duration);
@@ -164,7 +173,7 @@
         violations.extend(callers::check_partition(&cluster, seed).err());
     }
     cluster.stop_idle_callers();
-    for caller in idle_callers {
+    for caller in idle_callers.into_iter().chain(stream_callers) {
         caller.join().unwrap();
     }
     // Requests that still run at a replica end within the duration of its longest answer.
