--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -2,6 +2,7 @@
 
 pub mod choice;
 mod customers;
+mod era;
 mod evacuations;
 mod handoff;
 mod homes;
@@ -26,7 +27,7 @@
 use relay::begins::Begins;
 use relay::budget::RetryBudget;
 use relay::claims::Claims;
-use relay::evacuation::Evacuations;
+use relay::evacuation::InForce;
 use relay::overload::Overload;
 use relay::plan::Plan;
 use relay::pool::Pool;
@@ -142,7 +143,7 @@
     /// Unreadable entries that have been logged.
     logged_unreadable: RefCell<HashSet<String>>,
     plan: RefCell<Option<Rc<Plan>>>,
-    evacuations: RefCell<Evacuations>,
+    evacuations: RefCell<InForce>,
     /// Customers with a label of their own in the metrics.
     labelled_customers: RefCell<HashSet<String>>,
     budgets: RefCell<HashMap<String, RetryBudget>>,
@@ -273,7 +274,10 @@
         let members = self.members.borrow();
         let metrics = &self.metrics;
         metrics.members.set(members.alive_count() as u64);
-        metrics.replicas_version.set(self.replicas_version());
+        metrics
+            .replicas_version
+            .set(self.replicas_version().version);
+        metrics.store_era.set(self.era());
         let quarantined = self.quarantine.borrow().quarantined();
         metrics.quarantined.set(quarantined as u64);
         self.pool.borrow_mut().remove_expired_paces(now);
