--- a/crates/gateway/src/phase.rs
+++ b/crates/gateway/src/phase.rs
@@ -40,7 +40,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Wait {
     since: Instant,
-    /// The largest limit that was in force since then: the other side is not told of a lower one.
+    /// The largest limit in force since then: a lowered one applies from the next wait on.
     limit: Duration,
 }
 
--- a/crates/gateway/tests/gateway/eras.rs
+++ b/crates/gateway/tests/gateway/eras.rs
@@ -149,7 +149,7 @@
     assert!(paces.is_empty());
 }
 
-/// A peer that has not heard of the new era lists what was in force before.
+/// A peer with a list of the earlier era still has what was in force before.
 #[rstest]
 #[case::earlier_era(9, false)]
 #[case::same_era(8, true)]
--- a/crates/gateway/tests/gateway/idle_connections.rs
+++ b/crates/gateway/tests/gateway/idle_connections.rs
@@ -65,7 +65,7 @@
     assert_eq!(status(&mut caller, "a2"), 200);
 }
 
-/// A caller is not told of a new limit while its connection is idle.
+/// A limit that is lowered while a connection is idle applies from its next request on.
 #[test]
 fn an_idle_connection_keeps_its_limit_when_that_is_lowered() {
     let site = start_site("idle-lowered", 10_000);
--- a/crates/gateway/tests/gateway/members.rs
+++ b/crates/gateway/tests/gateway/members.rs
@@ -131,7 +131,7 @@
 }
 
 /// Guards against a store that comes back from a copy and has the row of an instance again that left since: callers would
-/// be told of an instance that does not run, and keys would belong to it.
+/// get the address of an instance that does not run, and keys would belong to it.
 #[test]
 fn a_row_from_a_copy_does_not_bring_an_instance_back_that_left() {
     let (mut members, second) = members_without_second();
