--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -1,5 +1,6 @@
 //! Connections to replicas and to the store.
 
+pub mod body;
 pub mod pool;
 mod socket;
 
@@ -21,7 +22,6 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
-use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -32,6 +32,7 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use crate::connections::body::Body;
 use crate::connections::socket::Socket;
 
 /// Time to open a connection; a round trip takes a few milliseconds, and a machine without power
@@ -145,8 +146,8 @@
     /// `Lost`.
     pub async fn next_answer(
         mut self,
-        duplicate: Response<Incoming>,
-    ) -> Result<(Response<Incoming>, Self), Failure> {
+        duplicate: Response<Body>,
+    ) -> Result<(Response<Body>, Self), Failure> {
         let mut body = Limited::new(duplicate.into_body(), MAX_DUPLICATE_BYTES);
         while let Some(frame) = body.frame().await {
             frame.map_err(|error| lost(&error))?;
@@ -285,7 +286,7 @@
 pub async fn exchange(
     connection: Connection,
     request: Request<Full<Bytes>>,
-) -> Result<(Response<Incoming>, Connection), Failure> {
+) -> Result<(Response<Body>, Connection), Failure> {
     try_exchange(connection, request)
         .await
         .map_err(|attempt| match attempt {
@@ -309,12 +310,12 @@
 async fn try_exchange(
     mut connection: Connection,
     request: Request<Full<Bytes>>,
-) -> Result<(Response<Incoming>, Connection), ExchangeError> {
+) -> Result<(Response<Body>, Connection), ExchangeError> {
     connection.record_request(&request);
     match connection.sender.try_send_request(request).await {
         Ok(answer) => {
             connection.exchanges = connection.exchanges.saturating_add(1);
-            Ok((answer, connection))
+            Ok((answer.map(Body::new), connection))
         }
         Err(mut error) => {
             let request = error.take_message();
--- a/crates/gateway/src/connections/pool.rs
+++ b/crates/gateway/src/connections/pool.rs
@@ -10,7 +10,6 @@
 use http::Request;
 use http::Response;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use platform::reply::Head;
 use platform::reply::RequestMatch;
 
@@ -19,6 +18,7 @@
 use crate::connections::ExchangeError;
 use crate::connections::Failure;
 use crate::connections::IDLE_TIMEOUT;
+use crate::connections::body::Body;
 use crate::connections::exchange;
 use crate::connections::try_exchange;
 
@@ -60,7 +60,7 @@
         to: SocketAddr,
         request: Request<Full<Bytes>>,
         force_new: bool,
-    ) -> Result<(Response<Incoming>, Connection), Failure> {
+    ) -> Result<(Response<Body>, Connection), Failure> {
         let mut request = request;
         while let Some(connection) = (!force_new).then(|| self.take_idle(to)).flatten() {
             match try_exchange(connection, request).await {
--- a/crates/gateway/src/forward/replica_stream.rs
+++ b/crates/gateway/src/forward/replica_stream.rs
@@ -9,7 +9,6 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Frame;
-use hyper::body::Incoming;
 use platform::reply::Head;
 use relay::event;
 use relay::pace::meter::StreamMeter;
@@ -18,6 +17,7 @@
 
 use crate::answers::OpenAnswer;
 use crate::connections::Connection;
+use crate::connections::body::Body;
 use crate::forward::End;
 use crate::forward::Forwarder;
 use crate::forward::STALL_TIMEOUT;
@@ -43,7 +43,7 @@
 #[derive(Debug)]
 struct ReplicaStream {
     head: Head,
-    body: Incoming,
+    body: Body,
     connection: Connection,
     guard: InFlight,
     /// Whether the answer marks the end of its body; otherwise the body ends with the connection.
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -11,7 +11,6 @@
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use hyper::body::Body as _;
-use hyper::body::Incoming;
 use platform::caller::Task;
 use platform::reply::Head;
 use platform::reply::RequestMatch;
@@ -22,6 +21,7 @@
 
 use crate::connections::Connection;
 use crate::connections::Failure;
+use crate::connections::body::Body;
 use crate::guard::InFlight;
 use crate::job::Job;
 use crate::quarantine::probe;
@@ -33,7 +33,7 @@
     /// The parsed head.
     pub head: Head,
     /// Headers and unread body.
-    pub response: Response<Incoming>,
+    pub response: Response<Body>,
     /// The connection; closed when this is dropped.
     pub connection: Connection,
     /// Counts the request at the replica.
@@ -190,7 +190,7 @@
     shared: &Shared,
     job: &Job,
     key: Key,
-    sent: &Result<(Response<Incoming>, Connection), Failure>,
+    sent: &Result<(Response<Body>, Connection), Failure>,
 ) {
     match sent {
         // A kept connection may outlive the path for new ones.
@@ -210,8 +210,8 @@
     shared: &Shared,
     job: &Job,
     key: Key,
-    sent: Result<(Response<Incoming>, Connection), Failure>,
-) -> Result<(Head, Response<Incoming>, Connection), Outcome> {
+    sent: Result<(Response<Body>, Connection), Failure>,
+) -> Result<(Head, Response<Body>, Connection), Outcome> {
     let mut sent = sent;
     loop {
         let (response, connection) =
@@ -320,7 +320,7 @@
 }
 
 /// Whether the answer marks the end of its body; otherwise the body ends with the connection.
-pub fn has_explicit_end(response: &Response<Incoming>) -> bool {
+pub fn has_explicit_end(response: &Response<Body>) -> bool {
     let in_chunks = response.headers().contains_key(header::TRANSFER_ENCODING);
     in_chunks || response.body().size_hint().exact().is_some()
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -18,7 +18,6 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
-use hyper::body::Incoming;
 use platform::store;
 use platform::store::Committed;
 use platform::store::Edit;
@@ -30,6 +29,7 @@
 use crate::connections::Connection;
 use crate::connections::Connector;
 use crate::connections::Failure;
+use crate::connections::body::Body;
 use crate::connections::pool::ConnectionPool;
 use crate::store::era::Era;
 
@@ -330,7 +330,7 @@
     async fn send(
         &self,
         request: Request<Full<Bytes>>,
-    ) -> Result<(Response<Incoming>, Connection), Failure> {
+    ) -> Result<(Response<Body>, Connection), Failure> {
         let sent = self
             .connections
             .send(self.address, request.clone(), false)
