--- a/crates/gateway/tests/gateway/common/replica.rs
+++ b/crates/gateway/tests/gateway/common/replica.rs
@@ -35,6 +35,9 @@
     SendAndReset(Vec<u8>, Duration),
     /// Sends these bytes, then nothing; counts the connection if the other side closes it.
     SendAndHang(Vec<u8>),
+    /// Sends the first bytes once and the second ones without end, with a pause after each time; counts the connection
+    /// once the other side closes it.
+    SendWithoutEnd(Vec<u8>, Vec<u8>, Duration),
     /// Sends parts with a pause before each.
     SendSlowly(Vec<Vec<u8>>, Duration),
     /// Like `SendSlowly`, but closes the connection in the middle of the answer once the flag is set.
@@ -211,7 +214,7 @@
         self.state.requests.lock().unwrap().clone()
     }
 
-    /// Number of connections that the other side closed during `SendAndHang`.
+    /// Number of connections that the other side closed during `SendAndHang` or `SendWithoutEnd`.
     pub fn abandoned_count(&self) -> usize {
         self.state.abandoned.load(Ordering::SeqCst)
     }
@@ -308,6 +311,11 @@
                 }
                 return ConnectionEnd::Closed;
             }
+            Action::SendWithoutEnd(first, repeated, pause) => {
+                send_without_end(socket, &first, &repeated, pause);
+                state.abandoned.fetch_add(1, Ordering::SeqCst);
+                return ConnectionEnd::Closed;
+            }
             Action::SendUntilStopped(parts, pause, stopped) => {
                 for part in parts {
                     thread::sleep(pause);
@@ -333,6 +341,21 @@
     ConnectionEnd::Closed
 }
 
+/// Sends `first`, then `repeated` with `pause` after each time, until the other side closes the connection.
+fn send_without_end(socket: &mut TcpStream, first: &[u8], repeated: &[u8], pause: Duration) {
+    const BATCH_BYTES: usize = 64 * 1024;
+    let times = match pause {
+        Duration::ZERO => BATCH_BYTES.div_ceil(repeated.len().max(1)),
+        _ => 1,
+    };
+    let repeated = repeated.repeat(times);
+    let mut is_open = http::send(socket, first);
+    while is_open {
+        is_open = http::send(socket, &repeated);
+        thread::sleep(pause);
+    }
+}
+
 /// Chooses how `request` is handled; `None` leaves it unanswered.
 fn choose_action(request: &Message, script: &Arc<Script>, state: &State) -> Option<Action> {
     if let Some(bytes) = state
