--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod dead_replicas;
 mod discovery;
 mod draining;
+mod endless_bytes;
 mod endless_streams;
 mod epochs;
 mod eras;
