A socket yields after 16 KB, so that no connection holds the only thread

What callers saw: while a replica sent interim responses or digits of a chunk's size without end, or a caller sent such digits in a body, everything of the daemon waited: readiness, timers, the answers of sound replicas. With twelve callers at such a replica the readiness address answered after 1.2 to 17.8 s, or not at all within the tests' read limit (debug build).

Cause: hyper's parser of heads and its decoder of chunks read on in one poll as long as bytes are ready. The runtime's own budget counts reads, not bytes, and a read may bring some hundred KB.

Change: all TCP sockets (replicas, store, callers, auxiliary servers, peers) are read through PacedStream. It counts the bytes since the socket was last pending; after 16 KB it is pending and wakes its task by the runtime's deferred wake-up, that is after the driver was polled: one such connection costs one part of 16 KB for each look at timers and sockets, however many tasks a tick runs. A read is cut to what is left of the 16 KB. An immediate wake-up would have let up to 61 such polls run in one tick of the LocalSet.

Ruled out: a smaller buffer of hyper alone (reads are smaller, their number in a poll is not bounded); a timer in the socket (the clock is read for each read and the bound depends on the machine).

--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -34,6 +34,7 @@
 
 use crate::connections::body::Body;
 use crate::connections::socket::Socket;
+use crate::pacing::PacedStream;
 
 /// Time to open a connection; a round trip takes a few milliseconds, and a machine without power
 /// never answers.
@@ -259,7 +260,7 @@
             Err(elapsed) => return Err(unreachable(&elapsed)),
         };
         configure_socket(&socket, UNCONFIRMED_TIMEOUT).map_err(|error| unreachable(&error))?;
-        Connection::open(Socket::new(socket), to).await
+        Connection::open(Socket::new(PacedStream::new(socket)), to).await
     }
 
     /// Opens a socket to `to`.
--- a/crates/gateway/src/connections/socket.rs
+++ b/crates/gateway/src/connections/socket.rs
@@ -12,13 +12,14 @@
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
-use tokio::net::TcpStream;
+
+use crate::pacing::PacedStream;
 
 /// A TCP stream, or a replay of one. A replay discards what is written, since its request was sent
 /// before, and can be read only after that: the client takes earlier bytes for unsolicited ones.
 #[derive(Debug)]
 pub struct Socket {
-    stream: TcpStream,
+    stream: PacedStream,
     /// Bytes of the stream that are read again.
     read_ahead: Bytes,
     is_replay: bool,
@@ -30,7 +31,7 @@
 
 impl Socket {
     /// A socket that reads from and writes to `stream`.
-    pub const fn new(stream: TcpStream) -> Self {
+    pub const fn new(stream: PacedStream) -> Self {
         Self {
             stream,
             read_ahead: Bytes::new(),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -32,6 +32,7 @@
 use tokio::net::TcpStream;
 
 use crate::instance_info::InstanceInfo;
+use crate::pacing::PacedStream;
 use crate::shared::Shared;
 
 /// Path of a request; names the version of the messages.
@@ -181,7 +182,7 @@
     message: &Q,
 ) -> io::Result<A> {
     let socket = TcpStream::connect(peer).await?;
-    let (mut client, connection) = h2::client::handshake(socket)
+    let (mut client, connection) = h2::client::handshake(PacedStream::new(socket))
         .await
         .map_err(io::Error::other)?;
     let driver = tokio::task::spawn_local(async move {
--- a/crates/gateway/src/handoff/client.rs
+++ b/crates/gateway/src/handoff/client.rs
@@ -22,6 +22,7 @@
 use crate::handoff::message::MAX_REQUESTS;
 use crate::handoff::peers::Decline;
 use crate::job::Job;
+use crate::pacing::PacedStream;
 use crate::shared::Shared;
 
 /// Time for a peer to agree, including the connection; two round trips take a few milliseconds.
@@ -112,7 +113,7 @@
     let (sender, connection) = Builder::new()
         .initial_window_size(STREAM_WINDOW)
         .initial_connection_window_size(STREAM_WINDOW * MAX_REQUESTS)
-        .handshake(stream)
+        .handshake(PacedStream::new(stream))
         .await
         .map_err(io::Error::other)?;
     tokio::task::spawn_local(async move {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod move_order;
 pub mod outbox;
 pub mod paces;
+pub mod pacing;
 pub mod peer_server;
 pub mod phase;
 pub mod placement;
--- a/crates/gateway/src/peer_server.rs
+++ b/crates/gateway/src/peer_server.rs
@@ -25,6 +25,7 @@
 use crate::handoff;
 use crate::handoff::message;
 use crate::handoff::message::MAX_REQUESTS;
+use crate::pacing::PacedStream;
 use crate::presence;
 use crate::shared::Shared;
 
@@ -72,7 +73,7 @@
     let handshake = Builder::new()
         .max_concurrent_streams(MAX_REQUESTS)
         .max_header_list_size(MAX_HEADER_BYTES)
-        .handshake(socket);
+        .handshake(PacedStream::new(socket));
     let connection = timeout(IDLE_TIMEOUT, handshake).await;
     let mut connection = connection
         .map_err(io::Error::other)?
--- a/crates/gateway/src/phase.rs
+++ b/crates/gateway/src/phase.rs
@@ -24,6 +24,7 @@
 use crate::bounds::READ_GRACE;
 use crate::connections;
 use crate::guard::OpenRequest;
+use crate::pacing::PacedStream;
 
 /// Current activity of a connection.
 #[derive(Debug, Clone, Copy)]
@@ -247,7 +248,7 @@
 /// would make a truncated response look complete.
 #[derive(Debug)]
 pub struct TrackedSocket {
-    socket: TcpStream,
+    socket: PacedStream,
     phase: Phase,
     /// Time after which the system drops the connection if bytes stay unread.
     unread_limit: Duration,
@@ -257,7 +258,7 @@
     /// Wraps `socket` and reports to `phase`.
     pub fn new(socket: TcpStream, phase: Phase) -> Self {
         let mut tracked = Self {
-            socket,
+            socket: PacedStream::new(socket),
             phase,
             unread_limit: Duration::ZERO,
         };
@@ -271,7 +272,7 @@
             return;
         }
         self.unread_limit = limit;
-        if let Err(error) = connections::configure_socket(&self.socket, limit) {
+        if let Err(error) = connections::configure_socket(self.socket.get_ref(), limit) {
             log::debug!(kind = "listen", cause = error.to_string(); "cannot set socket options");
         }
     }
@@ -289,7 +290,7 @@
         if !self.phase.0.reset_on_close.get() {
             return;
         }
-        if let Err(error) = self.socket.set_zero_linger() {
+        if let Err(error) = self.socket.get_ref().set_zero_linger() {
             log::warn!(kind = "listen", cause = error.to_string(); "cannot reset a connection with a truncated response");
         }
     }
