A connection is closed after 128 KB without a part of a message

What callers saw: a request whose replica sends interim responses, digits of a chunk's size or the like without end was busy until its deadline, and so was the daemon; a repeatable one had no time left for the sound replica. A caller with such a body kept its connection for the whole idle limit (15 s in the tests).

Cause: hyper bounds a head that is incomplete, extensions and trailers, but neither interim responses nor the digits of a chunk's size nor their sum, and a body without data is no progress that anything here counted.

Change: a meter for each connection counts the bytes read since the last head, or the last data of a body that its reader took. Beyond 128 KB the next read fails with an error that says so; the request is lost to its sender by the path that is there (retry, trouble of the replica), and a caller gets 400. For callers the buffer of a head is added, so that a head that is too long is answered as before. Heads of answers are bounded by buffers of 64 KB instead of hyper's 400 KB. A log line and a counter for each.

Why a sound answer never reaches it: hyper reads on only once the reader has taken what was read before, each read is cut to 16 KB, and any data taken starts the count again; answers of 200,000 chunks of one byte, of 4 MB in one chunk, and a stream whose caller waits pass whole.

Ruled out: a time limit (deadlines exist; up to them the daemon works in vain); a bound for each place (digits, lines, extensions): hyper has no such settings for all of them, and each new place would need its own.

--- a/crates/gateway/src/auxiliary.rs
+++ b/crates/gateway/src/auxiliary.rs
@@ -8,7 +8,6 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
-use hyper::body::Incoming;
 use platform::directory;
 use platform::directory::Query;
 
@@ -21,7 +20,7 @@
 const ADDRESSES_TTL_S: u64 = 1;
 
 /// Returns the addresses of the instances to a caller.
-pub fn addresses(shared: &Rc<Shared>, request: &Request<Incoming>) -> Response<Body> {
+pub fn addresses<B>(shared: &Rc<Shared>, request: &Request<B>) -> Response<Body> {
     if request.uri().path() != directory::ADDRESSES_PATH {
         return responses::answer(StatusCode::NOT_FOUND, "", "not found\n");
     }
@@ -42,7 +41,7 @@
 }
 
 /// Returns to the platform whether this daemon is ready.
-pub fn readiness(shared: &Rc<Shared>, request: &Request<Incoming>) -> Response<Body> {
+pub fn readiness<B>(shared: &Rc<Shared>, request: &Request<B>) -> Response<Body> {
     match request.uri().path() == directory::READY_PATH {
         true if shared.is_ready() => responses::answer(StatusCode::OK, "", "ready\n"),
         true => responses::answer(StatusCode::SERVICE_UNAVAILABLE, "", "not ready\n"),
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -20,7 +20,6 @@
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::body::Body as _;
-use hyper::body::Incoming;
 use platform::caller;
 use platform::caller::Call;
 use relay::attempt::Attempt;
@@ -31,6 +30,7 @@
 use crate::begins;
 use crate::body::Body;
 use crate::bounds::READ_GRACE;
+use crate::connections;
 use crate::ending;
 use crate::guard::OpenRequest;
 use crate::handoff;
@@ -54,7 +54,10 @@
 const UNKNOWN_BEGIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Serves one request.
-pub async fn serve(shared: Rc<Shared>, request: Request<Incoming>) -> Response<Body> {
+pub async fn serve(
+    shared: Rc<Shared>,
+    request: Request<connections::body::Body>,
+) -> Response<Body> {
     let arrived = Instant::now();
     let open = OpenRequest::new(&shared);
     let (parts, body) = request.into_parts();
@@ -139,7 +142,7 @@
 async fn admit(
     shared: &Rc<Shared>,
     mut parts: Parts,
-    body: Incoming,
+    body: connections::body::Body,
     arrived: Instant,
 ) -> Result<Job, Response<Body>> {
     let call = Call::read(&parts.headers).map_err(|error| {
@@ -215,7 +218,11 @@
     }
 }
 
-async fn read_body(shared: &Shared, id: &str, body: Incoming) -> Result<Bytes, Response<Body>> {
+async fn read_body(
+    shared: &Shared,
+    id: &str,
+    body: connections::body::Body,
+) -> Result<Bytes, Response<Body>> {
     let limits = limits(shared);
     let too_long = || {
         reject(
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -5,6 +5,7 @@
 mod socket;
 
 use std::collections::VecDeque;
+use std::error::Error;
 use std::future::poll_fn;
 use std::io;
 use std::net::IpAddr;
@@ -27,6 +28,7 @@
 use hyper_util::rt::TokioIo;
 use platform::reply;
 use platform::reply::RequestMatch;
+use prometheus::IntCounter;
 use socket2::SockRef;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
@@ -35,6 +37,8 @@
 use crate::connections::body::Body;
 use crate::connections::socket::Socket;
 use crate::pacing::PacedStream;
+use crate::progress::MAX_BYTES_BETWEEN_PARTS;
+use crate::progress::Meter;
 
 /// Time to open a connection; a round trip takes a few milliseconds, and a machine without power
 /// never answers.
@@ -55,6 +59,8 @@
 /// Maximum size in bytes of the body of a duplicate answer. The answer behind a longer one is given
 /// up.
 const MAX_DUPLICATE_BYTES: usize = 8 * 1024 * 1024;
+/// Size in bytes of the buffers of a connection, and of the largest head of an answer.
+const BUFFER_BYTES: usize = 64 * 1024;
 
 /// Why an exchange ended without the head of an answer.
 #[derive(Debug)]
@@ -95,6 +101,7 @@
     requests: VecDeque<HeaderValue>,
     /// Whether it only reads the answer to a request that was sent before.
     is_replay: bool,
+    meter: Meter,
     idle_since: Instant,
     keep: Duration,
 }
@@ -168,7 +175,10 @@
 
     /// Starts to drive a connection on `socket`, which is connected to `address`.
     async fn open(socket: Socket, address: SocketAddr) -> Result<Self, Failure> {
-        let (sender, mut connection) = http1::handshake(TokioIo::new(socket))
+        let meter = socket.meter().clone();
+        let (sender, mut connection) = http1::Builder::new()
+            .max_buf_size(BUFFER_BYTES)
+            .handshake(TokioIo::new(socket))
             .await
             .map_err(|error| unreachable(&error))?;
         let task = tokio::task::spawn_local(async move {
@@ -187,6 +197,7 @@
             method: Method::GET,
             requests: VecDeque::new(),
             is_replay: false,
+            meter,
             idle_since: Instant::now(),
             keep: IDLE_TIMEOUT,
         })
@@ -213,20 +224,34 @@
 }
 
 /// Opens connections.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Connector {
     /// Own address of the connections; the system chooses one if absent.
     source: Option<IpAddr>,
+    /// Counts connections that brought too many bytes.
+    floods: Option<IntCounter>,
 }
 
 impl Connector {
     /// Opens connections from `source`.
     pub const fn new(source: Option<IpAddr>) -> Self {
-        Self { source }
+        Self {
+            source,
+            floods: None,
+        }
+    }
+
+    /// Counts connections that bring too many bytes in `floods`.
+    #[must_use]
+    pub fn with_floods(self, floods: IntCounter) -> Self {
+        Self {
+            floods: Some(floods),
+            ..self
+        }
     }
 
     /// Whether `to` accepts a connection, which is closed at once.
-    pub async fn is_accepted(self, to: SocketAddr) -> bool {
+    pub async fn is_accepted(&self, to: SocketAddr) -> bool {
         self.connect_with_retry(to).await.is_ok()
     }
 
@@ -235,7 +260,7 @@
     ///
     /// # Errors
     /// `Refused` or `Unreachable`.
-    pub async fn connect_with_retry(self, to: SocketAddr) -> Result<Connection, Failure> {
+    pub async fn connect_with_retry(&self, to: SocketAddr) -> Result<Connection, Failure> {
         match timeout(FIRST_CONNECT_TIMEOUT, self.connect(to)).await {
             Ok(connected) => connected,
             Err(_) => timeout(SECOND_CONNECT_TIMEOUT, self.connect(to))
@@ -248,7 +273,7 @@
     ///
     /// # Errors
     /// `Refused` or `Unreachable`.
-    pub async fn connect(self, to: SocketAddr) -> Result<Connection, Failure> {
+    pub async fn connect(&self, to: SocketAddr) -> Result<Connection, Failure> {
         let socket = match timeout(CONNECT_TIMEOUT, self.open(to)).await {
             Ok(Ok(socket)) => socket,
             Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
@@ -260,14 +285,15 @@
             Err(elapsed) => return Err(unreachable(&elapsed)),
         };
         configure_socket(&socket, UNCONFIRMED_TIMEOUT).map_err(|error| unreachable(&error))?;
-        Connection::open(Socket::new(PacedStream::new(socket)), to).await
+        let meter = Meter::new(to, MAX_BYTES_BETWEEN_PARTS, self.floods.clone());
+        Connection::open(Socket::new(PacedStream::new(socket), meter), to).await
     }
 
     /// Opens a socket to `to`.
     ///
     /// # Errors
     /// Errors of the system.
-    pub async fn open(self, to: SocketAddr) -> io::Result<TcpStream> {
+    pub async fn open(&self, to: SocketAddr) -> io::Result<TcpStream> {
         let Some(source) = self.source else {
             return TcpStream::connect(to).await;
         };
@@ -316,11 +342,14 @@
     match connection.sender.try_send_request(request).await {
         Ok(answer) => {
             connection.exchanges = connection.exchanges.saturating_add(1);
-            Ok((answer.map(Body::new), connection))
+            connection.meter.note_part();
+            let meter = connection.meter.clone();
+            let answer = answer.map(|incoming| Body::new(incoming, meter));
+            Ok((answer, connection))
         }
         Err(mut error) => {
             let request = error.take_message();
-            let cause = error.error().to_string();
+            let cause = describe(error.error());
             Err(match request {
                 Some(request) => ExchangeError::Unsent {
                     request: Box::new(request),
@@ -342,6 +371,14 @@
     SockRef::from(socket).set_tcp_user_timeout(Some(unconfirmed))
 }
 
+/// What went wrong, with its cause.
+fn describe(error: &dyn Error) -> String {
+    match error.source() {
+        Some(cause) => format!("{error}: {}", describe(cause)),
+        None => error.to_string(),
+    }
+}
+
 /// The same failure for a request that was sent before: it may have run.
 fn after_send(failure: Failure) -> Failure {
     match failure {
--- a/crates/gateway/src/connections/body.rs
+++ b/crates/gateway/src/connections/body.rs
@@ -1,4 +1,4 @@
-//! The body of an answer.
+//! The body of a message that is being received.
 
 use std::pin::Pin;
 use std::task::Context;
@@ -9,16 +9,19 @@
 use hyper::body::Incoming;
 use hyper::body::SizeHint;
 
-/// The unread body of an answer.
+use crate::progress::Meter;
+
+/// The unread body of a message.
 #[derive(Debug)]
 pub struct Body {
     incoming: Incoming,
+    meter: Meter,
 }
 
 impl Body {
-    /// The body that the HTTP client reads.
-    pub const fn new(incoming: Incoming) -> Self {
-        Self { incoming }
+    /// The body that the HTTP client or server reads from a connection with `meter`.
+    pub const fn new(incoming: Incoming, meter: Meter) -> Self {
+        Self { incoming, meter }
     }
 }
 
@@ -30,7 +33,13 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        Pin::new(&mut self.incoming).poll_frame(context)
+        let polled = Pin::new(&mut self.incoming).poll_frame(context);
+        if let Poll::Ready(Some(Ok(frame))) = &polled
+            && frame.data_ref().is_some_and(|data| !data.is_empty())
+        {
+            self.meter.note_part();
+        }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/gateway/src/connections/socket.rs
+++ b/crates/gateway/src/connections/socket.rs
@@ -14,6 +14,7 @@
 use tokio::io::ReadBuf;
 
 use crate::pacing::PacedStream;
+use crate::progress::Meter;
 
 /// A TCP stream, or a replay of one. A replay discards what is written, since its request was sent
 /// before, and can be read only after that: the client takes earlier bytes for unsolicited ones.
@@ -27,20 +28,27 @@
     is_requested: bool,
     /// Waits for the request of a replay.
     reader: Option<Waker>,
+    meter: Meter,
 }
 
 impl Socket {
-    /// A socket that reads from and writes to `stream`.
-    pub const fn new(stream: PacedStream) -> Self {
+    /// A socket that reads from and writes to `stream`. Fails once `meter` is exceeded.
+    pub const fn new(stream: PacedStream, meter: Meter) -> Self {
         Self {
             stream,
             read_ahead: Bytes::new(),
             is_replay: false,
             is_requested: false,
             reader: None,
+            meter,
         }
     }
 
+    /// Counts the bytes that are read.
+    pub const fn meter(&self) -> &Meter {
+        &self.meter
+    }
+
     /// A replay that starts with `unused`, the bytes that were read and not used. `None` if there
     /// are none.
     pub fn into_replay(self, unused: &Bytes) -> Option<Self> {
@@ -73,10 +81,15 @@
             self.reader = Some(context.waker().clone());
             return Poll::Pending;
         }
+        self.meter.check()?;
         if self.read_ahead.is_empty() {
-            return Pin::new(&mut self.stream).poll_read(context, buffer);
+            let before = buffer.filled().len();
+            let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
+            self.meter.note_read(buffer.filled().len() - before);
+            return polled;
         }
         let length = self.read_ahead.len().min(buffer.remaining());
+        self.meter.note_read(length);
         buffer.put_slice(&self.read_ahead[..length]);
         self.read_ahead.advance(length);
         Poll::Ready(Ok(()))
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -12,6 +12,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use prometheus::IntCounter;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
@@ -19,8 +20,11 @@
 use crate::bounds;
 use crate::bounds::Bounds;
 use crate::bounds::InForce;
+use crate::connections;
 use crate::phase::Phase;
 use crate::phase::TrackedSocket;
+use crate::progress::MAX_BYTES_BETWEEN_PARTS;
+use crate::progress::Meter;
 use crate::responses;
 
 /// Pause after a failed accept; the usual cause is too many open files.
@@ -30,10 +34,15 @@
 /// limit for heads is raised.
 const MIN_HEAD_BUFFER: usize = 64 * 1024;
 
-/// Serves the connections of `listener` with `answer`, forever.
-pub async fn serve<A, F>(listener: TcpListener, bounds: impl Fn() -> Bounds + 'static, answer: A)
-where
-    A: Fn(Request<Incoming>) -> F + 'static,
+/// Serves the connections of `listener` with `answer`, forever. `floods` counts those that bring too
+/// many bytes between two parts of a request.
+pub async fn serve<A, F>(
+    listener: TcpListener,
+    bounds: impl Fn() -> Bounds + 'static,
+    floods: IntCounter,
+    answer: A,
+) where
+    A: Fn(Request<connections::body::Body>) -> F + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
     let answer = Rc::new(answer);
@@ -41,7 +50,11 @@
     loop {
         match listener.accept().await {
             Ok((socket, peer)) => {
-                let served = connection(socket, peer, Rc::clone(&bounds), Rc::clone(&answer));
+                // The buffer of a head has a bound of its own.
+                let max_bytes = MAX_BYTES_BETWEEN_PARTS + head_buffer(&bounds);
+                let meter = Meter::new(peer, max_bytes, Some(floods.clone()));
+                let served =
+                    connection(socket, peer, Rc::clone(&bounds), meter, Rc::clone(&answer));
                 tokio::task::spawn_local(served);
             }
             Err(error) => {
@@ -52,28 +65,40 @@
     }
 }
 
-async fn connection<A, F>(socket: TcpStream, peer: SocketAddr, bounds: InForce, answer: Rc<A>)
-where
-    A: Fn(Request<Incoming>) -> F + 'static,
+/// Size in bytes of the buffer for a head by the limits in force.
+fn head_buffer(bounds: &InForce) -> usize {
+    bounds().header_bytes.max(MIN_HEAD_BUFFER)
+}
+
+async fn connection<A, F>(
+    socket: TcpStream,
+    peer: SocketAddr,
+    bounds: InForce,
+    meter: Meter,
+    answer: Rc<A>,
+) where
+    A: Fn(Request<connections::body::Body>) -> F + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
     let phase = Phase::new(&bounds);
     let own = phase.clone();
-    let buffer_bytes = bounds().header_bytes.max(MIN_HEAD_BUFFER);
+    let buffer_bytes = head_buffer(&bounds);
+    let socket = TrackedSocket::new(socket, phase.clone(), meter.clone());
     let service = service_fn(move |request: Request<Incoming>| {
         let answer = Rc::clone(&answer);
         let busy = own.begin(request.version());
+        meter.note_part();
+        let meter = meter.clone();
         let is_too_long = bounds::head_bytes(&request) > bounds().header_bytes;
         async move {
             let response = if is_too_long {
                 responses::head_too_long()
             } else {
-                answer(request).await
+                answer(request.map(|body| connections::body::Body::new(body, meter))).await
             };
             Ok::<_, Infallible>(response.map(|body| body.with_busy(busy)))
         }
     });
-    let socket = TrackedSocket::new(socket, phase.clone());
     let served = http1::Builder::new()
         .max_buf_size(buffer_bytes)
         .serve_connection(TokioIo::new(socket), service);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -75,6 +75,7 @@
     pub load: LoadMetrics,
     sends: IntCounterVec,
     notices: IntCounterVec,
+    floods: IntCounterVec,
     handoffs: IntCounterVec,
     resumptions: IntCounterVec,
     retries: IntCounterVec,
@@ -161,6 +162,11 @@
                 "Answers in which a replica says that it is draining or asks for a pause",
                 &["notice"],
             )?,
+            floods: vector(
+                "floods_total",
+                "Connections closed since the other side sent too many bytes that belong to no message",
+                &["peer"],
+            )?,
             handoffs: vector(
                 "handoffs_total",
                 "Requests handed to peers by outcome, and those served for peers",
@@ -226,6 +232,12 @@
         self.withheld.with_label_values(&[content]).inc();
     }
 
+    /// Counts connections to or from `peer`, `replica`, `store` or `caller`, that were closed since
+    /// they brought too many bytes.
+    pub fn floods(&self, peer: &str) -> IntCounter {
+        self.floods.with_label_values(&[peer])
+    }
+
     /// Counts a request that was handed to a peer, or served for one, with `outcome`.
     pub fn handoff(&self, outcome: &str) {
         self.handoffs.with_label_values(&[outcome]).inc();
--- a/crates/gateway/src/phase.rs
+++ b/crates/gateway/src/phase.rs
@@ -25,6 +25,7 @@
 use crate::connections;
 use crate::guard::OpenRequest;
 use crate::pacing::PacedStream;
+use crate::progress::Meter;
 
 /// Current activity of a connection.
 #[derive(Debug, Clone, Copy)]
@@ -250,16 +251,18 @@
 pub struct TrackedSocket {
     socket: PacedStream,
     phase: Phase,
+    meter: Meter,
     /// Time after which the system drops the connection if bytes stay unread.
     unread_limit: Duration,
 }
 
 impl TrackedSocket {
-    /// Wraps `socket` and reports to `phase`.
-    pub fn new(socket: TcpStream, phase: Phase) -> Self {
+    /// Wraps `socket` and reports to `phase`. Fails once `meter` is exceeded.
+    pub fn new(socket: TcpStream, phase: Phase, meter: Meter) -> Self {
         let mut tracked = Self {
             socket: PacedStream::new(socket),
             phase,
+            meter,
             unread_limit: Duration::ZERO,
         };
         tracked.apply_unread_limit();
@@ -302,9 +305,12 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        self.meter.check()?;
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.socket).poll_read(context, buffer);
-        if buffer.filled().len() > before {
+        let length = buffer.filled().len() - before;
+        if length > 0 {
+            self.meter.note_read(length);
             self.phase.note_read();
         }
         polled
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -195,8 +195,11 @@
         };
         Self {
             clock: Clock::new(),
-            store: Store::new(settings.store, metrics.store_calls.clone()),
-            connections: ConnectionPool::new(Connector::new(settings.source)),
+            store: Store::new(settings.store, metrics.store_calls.clone())
+                .with_floods(metrics.floods("store")),
+            connections: ConnectionPool::new(
+                Connector::new(settings.source).with_floods(metrics.floods("replica")),
+            ),
             peers: Peers::new(),
             members: RefCell::new(Members::new(own.clone())),
             pool: RefCell::new(Pool::new()),
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -22,6 +22,7 @@
 use platform::store::Committed;
 use platform::store::Edit;
 use platform::store::Rows;
+use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use relay::revision::Revision;
 use tokio::sync::Notify;
@@ -123,6 +124,16 @@
         }
     }
 
+    /// Counts the connections that bring too many bytes in `floods`.
+    #[must_use]
+    pub fn with_floods(self, floods: IntCounter) -> Self {
+        let connector = Connector::default().with_floods(floods);
+        Self {
+            connections: Rc::new(ConnectionPool::new(connector)),
+            ..self
+        }
+    }
+
     /// The era of the store.
     pub const fn era(&self) -> &Era {
         &self.era
