Count a stream's silence from its last event, and bound what is no event

What callers saw: a resumable stream stayed until its deadline at a replica that sent a line, comments, fields or blocks without data after three events, fast or every 20 ms, although another replica was sound; the caller got up to megabytes that are no event.

Cause: each read started the timer of the silence anew, also one that brought no event; reads went before the timer as long as bytes were ready, and any byte of a silent replica counted as its answer while another one was asked. An event longer than 256 KB was forwarded in parts, after which no other replica could continue the stream.

Change: the silence is the time since the last event, less the time that the caller took to read; after its end what arrived before is read for 20 ms and no longer. While another replica is asked, only an event counts as going on. More than 512 KB without an event end the replica's part. Comments and blocks without data no longer bind the software version or count as the first event.

An event of any length was served before; one over 512 KB ends the stream now, since it cannot be told from bytes without end. Ruled out: a limit on comments per second, which a preempted run at a sound replica may reach.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -200,6 +200,7 @@
             return true;
         }
         let events = event::count_events(&bytes);
+        let has_event = event::contains_event(&bytes);
         self.events += events;
         if let Some(tracked_run) = &self.tracked_run {
             tracked_run.record_events(events);
@@ -208,8 +209,10 @@
                 tracked_run.reset_recent_pace();
             }
         }
-        self.bind_to_version().await;
-        if !self.started {
+        if has_event {
+            self.bind_to_version().await;
+        }
+        if has_event && !self.started {
             self.started = true;
             let age = self.job.age();
             let route = &self.job.route.name;
--- a/crates/gateway/src/forward/peer_stream.rs
+++ b/crates/gateway/src/forward/peer_stream.rs
@@ -1,10 +1,12 @@
 //! Continues a stream through a peer while no connection to the replicas can be opened.
 
+use boottime::Instant;
 use boottime::timer::timeout_at;
 use bytes::Bytes;
 use h2::RecvStream;
 use http::StatusCode;
 
+use crate::bounds::READ_GRACE;
 use crate::forward::End;
 use crate::forward::Forwarder;
 use crate::forward::Source;
@@ -80,6 +82,10 @@
         rest.flow_control()
             .release_capacity(unreleased)
             .map_err(broken)?;
+        // Parts may be ready without end.
+        if Instant::now() >= self.job.deadline + READ_GRACE {
+            return Err(End::TimedOut);
+        }
         tokio::select! {
             read = timeout_at(self.job.deadline, rest.data()) => match read {
                 Ok(part) => part.transpose().map_err(broken),
--- a/crates/gateway/src/forward/replica_stream.rs
+++ b/crates/gateway/src/forward/replica_stream.rs
@@ -1,6 +1,7 @@
 //! Reads one replica's part of a stream.
 
 use std::cmp::min;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use boottime::Instant;
@@ -11,11 +12,13 @@
 use hyper::body::Frame;
 use platform::reply::Head;
 use relay::event;
+use relay::event::Splitter;
 use relay::pace::meter::StreamMeter;
 use relay::plan::Mode;
 use relay::server::Key;
 
 use crate::answers::OpenAnswer;
+use crate::bounds::READ_GRACE;
 use crate::connections::Connection;
 use crate::connections::body::Body;
 use crate::forward::End;
@@ -53,10 +56,14 @@
     last_event_at: Instant,
     /// Measures the pace of the replica.
     meter: StreamMeter,
+    /// Since when it has sent no event. The time that the caller took to read is left out.
+    silent_since: Instant,
+    /// End of the time to read what arrived before the silence became too long.
+    grace_end: Option<Instant>,
     /// Number of silences so far.
     silences: u32,
-    /// What ended a silence.
-    early_read: Option<BodyRead>,
+    /// What was read while another replica was asked to continue the stream.
+    early_reads: VecDeque<BodyRead>,
     /// Set once the run is stopped to continue at another replica.
     stopped: Option<StoppedRun>,
 }
@@ -92,11 +99,50 @@
             begun,
             last_event_at: begun,
             meter: StreamMeter::new(),
+            silent_since: begun,
+            grace_end: None,
             silences: 0,
-            early_read: None,
+            early_reads: VecDeque::new(),
             stopped: None,
         }
     }
+
+    /// When the wait for an event ends that should end at `limit`. What arrived before is read for a
+    /// moment longer, and no further: bytes that are no event may arrive without end.
+    fn wait_end(&mut self, limit: Instant) -> Instant {
+        let now = Instant::now();
+        if now < limit {
+            self.grace_end = None;
+            return limit;
+        }
+        *self.grace_end.get_or_insert(now + READ_GRACE)
+    }
+
+    /// Starts to wait for the next event.
+    fn restart_silence(&mut self) {
+        self.silent_since = Instant::now();
+    }
+
+    /// Reads until there is an event after what `ahead` holds, or the body ends. Waits forever if too
+    /// many bytes arrive without one.
+    async fn read_event(&mut self, ahead: Splitter) {
+        let mut ahead = ahead;
+        loop {
+            let read = self.body.frame().await;
+            let data = match &read {
+                Some(Ok(frame)) => frame.data_ref().cloned().unwrap_or_default(),
+                Some(Err(_)) | None => return self.early_reads.push_back(Ok(read)),
+            };
+            let pushed = ahead.push(&data);
+            self.early_reads.push_back(Ok(read));
+            match pushed {
+                Ok(whole) if event::contains_event(&whole) => return,
+                Ok(_) => {}
+                Err(event::Error::TooLong { .. }) => std::future::pending().await,
+                Err(_) => return,
+            }
+        }
+    }
 }
 
 impl Forwarder {
@@ -111,6 +157,7 @@
                 Step::Read(read) => self.handle_read(&mut source, read).await,
                 Step::Migrate(target) => {
                     source.stopped = self.stop_for_migration(source.guard.key, target).await;
+                    source.restart_silence();
                     None
                 }
                 Step::Restarted => Some(End::Broken(RESTARTED_CAUSE.to_owned())),
@@ -131,22 +178,25 @@
     }
 
     async fn next_step(&mut self, source: &mut ReplicaStream) -> Step {
-        if let Some(read) = source.early_read.take() {
+        if let Some(read) = source.early_reads.pop_front() {
             return Step::Read(read);
         }
         let is_running = source.stopped.is_none();
         // A run can only continue elsewhere after an event whose id is known.
         let may_migrate = is_running && matches!(self.position(), Ok(Some(_)));
-        let now = Instant::now();
         let silent_at = if !is_running {
-            now + DRAIN_TIMEOUT
+            source.silent_since + DRAIN_TIMEOUT
         } else if source.silences == 0 || self.may_fail_over() {
-            min(self.job.deadline, now + STALL_TIMEOUT)
+            source.silent_since + STALL_TIMEOUT
         } else {
             self.job.deadline
         };
+        let end = source.wait_end(min(silent_at, self.job.deadline));
+        if Instant::now() >= end {
+            return Step::Read(Err(Elapsed));
+        }
         tokio::select! {
-            read = timeout_at(silent_at, source.body.frame()) => Step::Read(read),
+            read = timeout_at(end, source.body.frame()) => Step::Read(read),
             target = next_order(&mut self.tracked_run), if may_migrate => Step::Migrate(target),
             () = self.shared.restarted(source.guard.key), if is_running => Step::Restarted,
             () = self.parts.closed() => Step::CallerLeft,
@@ -203,14 +253,14 @@
             self.find_other_placement().await
         };
         source.silences += 1;
+        source.restart_silence();
+        let placement = placement?;
+        let ahead = self.splitter.clone();
         tokio::select! {
             biased;
             // The replica goes on.
-            read = source.body.frame() => {
-                source.early_read = Some(Ok(read));
-                None
-            }
-            opened = self.open_elsewhere(placement?) => {
+            () = source.read_event(ahead) => None,
+            opened = self.open_elsewhere(placement) => {
                 opened.map(|opened| End::Resumed(Box::new(opened)))
             }
         }
@@ -237,7 +287,8 @@
             Ok(whole) => whole,
             Err(error) => return Some(End::Broken(error.to_string())),
         };
-        if !whole.is_empty() {
+        let has_event = event::contains_event(&whole);
+        if has_event {
             self.learn_version(source.guard.key);
             self.record_gap(source.guard.key, source.last_event_at);
             let now = Instant::now();
@@ -249,7 +300,13 @@
             self.answer.get_or_insert_with(answer);
             self.measure_pace(source, event::count_events(&whole));
         }
+        let begun = Instant::now();
         let taken = self.send_to_caller(whole).await;
+        if has_event {
+            source.restart_silence();
+        } else {
+            source.silent_since = source.silent_since + begun.elapsed();
+        }
         (!taken).then_some(End::CallerLeft)
     }
 
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -4,10 +4,11 @@
 
 use std::fmt;
 
-/// Maximum size of a buffered event in bytes; larger ones are forwarded in parts.
-const MAX_EVENT_BYTES: usize = 256 * 1024;
+/// Maximum size in bytes of an event, and of what precedes it since the last one. A replica may send
+/// bytes that are no event without end.
+const MAX_EVENT_BYTES: usize = 512 * 1024;
 
-/// Why a stream cannot be resumed at another replica.
+/// Why a replica's events cannot be forwarded, or a stream cannot be resumed at another replica.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Error {
     /// The last forwarded event has no numeric id.
@@ -17,6 +18,11 @@
         /// Id of the last forwarded event.
         last: u64,
     },
+    /// Too many bytes arrived without an event.
+    TooLong {
+        /// Number of bytes since the last event.
+        bytes: usize,
+    },
 }
 
 impl fmt::Display for Error {
@@ -24,6 +30,7 @@
         match self {
             Self::Unnumbered => write!(f, "the last forwarded event has no id"),
             Self::Misplaced { last } => write!(f, "its first event does not follow event {last}"),
+            Self::TooLong { bytes } => write!(f, "{bytes} bytes without an event"),
         }
     }
 }
@@ -40,14 +47,14 @@
     After(u64),
     /// After a whole event without a numeric id.
     Unnumbered,
-    /// Inside an event that is too large to be buffered.
-    InsideEvent,
 }
 
 /// Buffers bytes and releases whole events.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Splitter {
     pending: Vec<u8>,
+    /// Number of bytes released since the last event.
+    released_since_event: usize,
     position: Position,
     /// Whether the ids of two successive events differed by more than one. Until this is seen, ids
     /// are assumed to increase by one.
@@ -65,38 +72,31 @@
 
     /// Whether the bytes so far end inside an event.
     pub fn is_partial(&self) -> bool {
-        !self.pending.is_empty() || self.position == Position::InsideEvent
+        !self.pending.is_empty()
     }
 
     /// Adds bytes and returns all events that they complete.
     ///
     /// # Errors
-    /// [`Error::Misplaced`]; the rest of the replica's stream must not be forwarded.
+    /// [`Error::Misplaced`] and [`Error::TooLong`]; the rest of the replica's stream must not be
+    /// forwarded.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, Error> {
         let searched = self.pending.len().saturating_sub(3);
         self.pending.extend_from_slice(bytes);
-        match last_boundary(&self.pending, searched) {
-            Some(end) => {
-                let whole = self.take_checked(end)?;
-                let events = match self.position {
-                    // The rest of an event that was split at an arbitrary byte has no fields.
-                    Position::InsideEvent => after_first_boundary(&whole),
-                    _ => &whole[..],
-                };
-                self.ids_have_gaps |= has_gap(self.position, events);
-                self.position = match position_after(events) {
-                    Some(position) => position,
-                    None if self.position == Position::InsideEvent => Position::Unnumbered,
-                    None => self.position,
-                };
-                Ok(whole)
-            }
-            None if self.pending.len() > MAX_EVENT_BYTES => {
-                let part = self.take_checked(self.pending.len())?;
-                self.position = Position::InsideEvent;
-                Ok(part)
-            }
-            None => Ok(Vec::new()),
+        let whole = match last_boundary(&self.pending, searched) {
+            Some(end) => self.take_checked(end)?,
+            None => Vec::new(),
+        };
+        self.ids_have_gaps |= has_gap(self.position, &whole);
+        if let Some(position) = position_after(&whole) {
+            self.position = position;
+            self.released_since_event = 0;
+            return Ok(whole);
+        }
+        self.released_since_event += whole.len();
+        match self.released_since_event + self.pending.len() {
+            bytes if bytes > MAX_EVENT_BYTES => Err(Error::TooLong { bytes }),
+            _ => Ok(whole),
         }
     }
 
@@ -117,7 +117,7 @@
         match self.position {
             Position::Start => Ok(requested),
             Position::After(id) => Ok(Some(id)),
-            Position::Unnumbered | Position::InsideEvent => Err(Error::Unnumbered),
+            Position::Unnumbered => Err(Error::Unnumbered),
         }
     }
 
@@ -128,7 +128,8 @@
     /// Those of [`Splitter::resumes_after`].
     pub fn resume(&mut self, requested: Option<u64>) -> Result<Option<u64>, Error> {
         let last = self.resumes_after(requested)?;
-        self.pending.clear();
+        self.pending = Vec::new();
+        self.released_since_event = 0;
         self.resumed_after = last;
         Ok(last)
     }
@@ -166,12 +167,6 @@
     ends.find_map(|index| boundary_at(bytes, index))
 }
 
-/// Bytes after the first empty line.
-fn after_first_boundary(bytes: &[u8]) -> &[u8] {
-    let end = (0..bytes.len()).find_map(|index| boundary_at(bytes, index));
-    &bytes[end.unwrap_or(bytes.len())..]
-}
-
 /// End of an empty line that ends with the byte at `index`.
 fn boundary_at(bytes: &[u8], index: usize) -> Option<usize> {
     match &bytes[..=index] {
@@ -199,20 +194,24 @@
     bytes.split(|byte| *byte == b'\n').find_map(id_field)
 }
 
-/// Position after these whole events; `None` if they are only comments.
+/// Whether there is an event in these whole blocks of lines, and not only comments and unknown fields.
+pub fn contains_event(whole: &[u8]) -> bool {
+    position_after(whole).is_some()
+}
+
+/// Position after these whole events; `None` if there is none.
 fn position_after(whole: &[u8]) -> Option<Position> {
-    let mut has_fields = false;
+    let mut has_data = false;
     for line in whole.rsplit(|byte| *byte == b'\n') {
         match line {
-            [] | [b'\r'] if has_fields => break,
-            [] | [b'\r'] | [b':', ..] => {}
+            [] | [b'\r'] if has_data => break,
             line => match id_field(line) {
                 Some(position) => return Some(position),
-                None => has_fields = true,
+                None => has_data |= line.starts_with(b"data"),
             },
         }
     }
-    has_fields.then_some(Position::Unnumbered)
+    has_data.then_some(Position::Unnumbered)
 }
 
 /// Position after an event whose `id` field is `line`; `None` if it is another field.
