Failing tests: a run whose continuation has no answer

The replica that takes a moved run loses the answer. A resumable stream waits there until its caller leaves, and the request is logged as broken although the caller left.

--- a/crates/gateway/tests/gateway/migration.rs
+++ b/crates/gateway/tests/gateway/migration.rs
@@ -226,7 +226,12 @@
 
 /// Starts the replica that a run migrates to.
 fn start_target() -> Replica {
-    Replica::start("i-2", |request| {
+    start_other("i-2")
+}
+
+/// Starts a replica that takes every run.
+fn start_other(id: &str) -> Replica {
+    Replica::start(id, |request| {
         Action::SendSlowly(parts(request, last_event(request)), EVENT_INTERVAL)
     })
 }
@@ -488,6 +493,42 @@
     assert!(source.continued().len() > 2);
 }
 
+/// A replica may take a continuation and lose the answer.
+#[test]
+fn a_stopped_run_whose_continuation_has_no_answer_is_resumed_elsewhere() {
+    let source = SourceReplica::start(MoveResponse::Copied);
+    let target = Replica::start("i-2", |_| Action::SendAndHang(Vec::new()));
+    let site = start_site("move-unanswered", &source);
+    let callers = start_two_runs(&site, &source, &target, "/resume/1");
+    wait_until("a run is continued", || !continued(&target).is_empty());
+    let other = start_other("i-3");
+    let row = other.row("llm", "decode");
+    site.store.put("servers", &other.id, &row);
+    assert_both_complete(callers);
+    wait_until("the continuation is given up", || {
+        target.abandoned_count() == continued(&target).len()
+    });
+}
+
+/// The caller leaves while a replica is asked to continue its run.
+#[test]
+fn a_caller_that_leaves_during_a_continuation_is_logged_as_that() {
+    let source = SourceReplica::start(MoveResponse::Copied);
+    let target = Replica::start("i-2", |_| Action::SendAndHang(Vec::new()));
+    let site = start_site("move-caller-left", &source);
+    let (older, newer) = start_two_runs(&site, &source, &target, "/draft/1");
+    wait_until("a run is continued", || !continued(&target).is_empty());
+    let id = continued(&target)[0]
+        .header("request-id")
+        .unwrap()
+        .to_owned();
+    drop((older, newer));
+    let lines = site.daemon.lines_about(&id);
+    let ends = |line: &&String| line.contains("\"kind\":\"end\"");
+    let end = lines.iter().find(ends).unwrap();
+    assert!(end.contains("\"outcome\":\"caller-left\""), "{end}");
+}
+
 #[test]
 fn a_run_continues_at_its_replica_if_the_other_one_refuses_it() {
     let source = SourceReplica::start(MoveResponse::Copied);
