Give up a continuation without an answer where the stream may be resumed

Cause: the head of a continuation's answer was waited for until the deadline, without what holds for a replica that falls silent in the middle of a stream, and the end of the wait, the caller's and the deadline's, were one result.

Evidence: the two tests failed before (no complete answer; outcome broken). The replica is tried no more, its connection is closed, and the KV cache freed. Ends are logged as what they are. Streams that may run once wait as before. The test's other replica sent its events too slowly for the deadline at first; it sends them at once now.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -156,8 +156,10 @@
                 End::CallerLeft => return,
                 End::TimedOut => return self.abort("overdue", "the deadline passed"),
                 End::Stopped(stopped) => match self.continue_run(stopped).await {
-                    Some(next) => source = Source::Replica(Box::new(next)),
-                    None => return self.abort("broken", "the run could not continue"),
+                    Ok(next) => source = Source::Replica(Box::new(next)),
+                    Err(End::CallerLeft) => return,
+                    Err(End::TimedOut) => return self.abort("overdue", "the deadline passed"),
+                    Err(_) => return self.abort("broken", "the run could not continue"),
                 },
                 End::Broken(cause) => {
                     self.record_loss(key, &cause);
--- a/crates/gateway/src/forward/replica_stream.rs
+++ b/crates/gateway/src/forward/replica_stream.rs
@@ -216,7 +216,7 @@
     }
 
     /// Whether the stream may continue at another replica although the present one may go on.
-    fn may_fail_over(&self) -> bool {
+    pub(super) fn may_fail_over(&self) -> bool {
         self.attempt.may_fail_over() && self.is_resumable()
     }
 
--- a/crates/gateway/src/forward/resume.rs
+++ b/crates/gateway/src/forward/resume.rs
@@ -43,6 +43,10 @@
 /// Logged cause when an earlier order to stop a run got no answer.
 const UNANSWERED: &str = "an earlier order got no answer";
 
+/// Time after which a replica that has not answered a continuation is given up, if another one may
+/// resume the stream. A sound replica may be silent for a second.
+const UNANSWERED_TIMEOUT: Duration = STALL_TIMEOUT.saturating_mul(2);
+
 /// Result of an attempt to continue a stopped run.
 enum Continuation {
     /// It goes on.
@@ -51,8 +55,10 @@
     Refused,
     /// It may have gone on, and its events are lost.
     Lost,
-    /// The caller closed the connection, or the deadline passed.
+    /// The caller closed the connection.
     CallerLeft,
+    /// The deadline passed.
+    TimedOut,
 }
 
 impl Forwarder {
@@ -124,38 +130,46 @@
 
     /// Continues a stopped run, at the other replica if that one has a copy of the KV cache. Replicas
     /// may refuse it, or be silent, for a moment.
-    pub(super) async fn continue_run(&mut self, stopped: StoppedRun) -> Option<Reply> {
-        let Ok(Some(last_event)) = self.splitter.resume(self.job.call.last_event) else {
+    ///
+    /// # Errors
+    /// How the stream ends instead.
+    pub(super) async fn continue_run(&mut self, stopped: StoppedRun) -> Result<Reply, End> {
+        let continued = self.try_continue(&stopped).await;
+        if !matches!(continued, Continuation::Running(_)) {
             migration::free_cache(&self.shared, &stopped);
-            return None;
+        }
+        match continued {
+            Continuation::Running(reply) => Ok(*reply),
+            Continuation::CallerLeft => Err(End::CallerLeft),
+            Continuation::TimedOut => Err(End::TimedOut),
+            Continuation::Refused | Continuation::Lost => {
+                let resumed = self.resume().await;
+                resumed.ok_or_else(|| End::Broken("the run could not continue".to_owned()))
+            }
+        }
+    }
+
+    /// Asks the replicas that may continue a stopped run until one takes it, or they have refused it for
+    /// too long.
+    async fn try_continue(&mut self, stopped: &StoppedRun) -> Continuation {
+        let Ok(Some(last_event)) = self.splitter.resume(self.job.call.last_event) else {
+            return Continuation::Refused;
         };
         let until = self.job.deadline.min(Instant::now() + CONTINUE_TIME);
         let mut pause = CONTINUE_PAUSE;
         loop {
             for key in &stopped.candidates {
-                match self.continue_at(*key, &stopped, last_event).await {
-                    Continuation::Running(reply) => return Some(*reply),
+                match self.continue_at(*key, stopped, last_event).await {
                     Continuation::Refused => {}
-                    Continuation::Lost => {
-                        migration::free_cache(&self.shared, &stopped);
-                        return self.resume().await;
-                    }
-                    Continuation::CallerLeft => {
-                        migration::free_cache(&self.shared, &stopped);
-                        return None;
-                    }
+                    continued => return continued,
                 }
             }
             if Instant::now() >= until {
-                migration::free_cache(&self.shared, &stopped);
-                return self.resume().await;
+                return Continuation::Refused;
             }
             tokio::select! {
                 () = sleep_until(until.min(Instant::now() + pause)) => pause *= 2,
-                () = self.parts.closed() => {
-                    migration::free_cache(&self.shared, &stopped);
-                    return None;
-                }
+                () = self.parts.closed() => return Continuation::CallerLeft,
             }
         }
     }
@@ -176,22 +190,33 @@
             last_event,
         };
         let sent = send::send(&self.shared, &self.job, key, task, None, permit);
+        let limit = if self.may_fail_over() {
+            self.job.deadline.min(Instant::now() + UNANSWERED_TIMEOUT)
+        } else {
+            self.job.deadline
+        };
         let sent = tokio::select! {
             biased;
-            () = self.parts.closed() => None,
-            sent = timeout_at(self.job.deadline, sent) => sent.ok(),
+            () = self.parts.closed() => return Continuation::CallerLeft,
+            sent = timeout_at(limit, sent) => sent,
         };
         match sent {
-            None => Continuation::CallerLeft,
-            Some(Ok(reply)) if reply.head.status == StatusCode::OK => {
+            Err(_) if limit >= self.job.deadline => Continuation::TimedOut,
+            Err(_) => {
+                let cause = "the continuation has no answer";
+                send::record_failure(&self.shared, &self.job, key, Sent::Lost, cause, 0);
+                self.tried.push(key);
+                Continuation::Lost
+            }
+            Ok(Ok(reply)) if reply.head.status == StatusCode::OK => {
                 if let Some(tracked_run) = &mut self.tracked_run {
                     tracked_run.record_move(key);
                     tracked_run.block_moves(MOVED_PAUSE);
                 }
                 Continuation::Running(Box::new(reply))
             }
-            Some(Err(Sent::NotRun | Sent::NotSent)) => Continuation::Refused,
-            Some(Ok(_) | Err(Sent::Failed | Sent::Lost | Sent::Quarantined | Sent::Denied)) => {
+            Ok(Err(Sent::NotRun | Sent::NotSent)) => Continuation::Refused,
+            Ok(Ok(_) | Err(Sent::Failed | Sent::Lost | Sent::Quarantined | Sent::Denied)) => {
                 Continuation::Lost
             }
         }
--- a/crates/gateway/tests/gateway/migration.rs
+++ b/crates/gateway/tests/gateway/migration.rs
@@ -226,12 +226,7 @@
 
 /// Starts the replica that a run migrates to.
 fn start_target() -> Replica {
-    start_other("i-2")
-}
-
-/// Starts a replica that takes every run.
-fn start_other(id: &str) -> Replica {
-    Replica::start(id, |request| {
+    Replica::start("i-2", |request| {
         Action::SendSlowly(parts(request, last_event(request)), EVENT_INTERVAL)
     })
 }
@@ -501,7 +496,9 @@
     let site = start_site("move-unanswered", &source);
     let callers = start_two_runs(&site, &source, &target, "/resume/1");
     wait_until("a run is continued", || !continued(&target).is_empty());
-    let other = start_other("i-3");
+    let other = Replica::start("i-3", |request| {
+        Action::Send(parts(request, last_event(request)).concat())
+    });
     let row = other.row("llm", "decode");
     site.store.put("servers", &other.id, &row);
     assert_both_complete(callers);
