--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -156,8 +156,10 @@
                 End::CallerLeft => return,
                 End::TimedOut => return self.abort("overdue", "the deadline passed"),
                 End::Stopped(stopped) => match self.continue_run(stopped).await {
-                    Some(next) => source = Source::Replica(Box::new(next)),
-                    None => return self.abort("broken", "the run could not continue"),
+                    Ok(next) => source = Source::Replica(Box::new(next)),
+                    Err(End::CallerLeft) => return,
+                    Err(End::TimedOut) => return self.abort("overdue", "the deadline passed"),
+                    Err(_) => return self.abort("broken", "the run could not continue"),
                 },
                 End::Broken(cause) => {
                     self.record_loss(key, &cause);
@@ -200,6 +202,7 @@
             return true;
         }
         let events = event::count_events(&bytes);
+        let has_event = event::contains_event(&bytes);
         self.events += events;
         if let Some(tracked_run) = &self.tracked_run {
             tracked_run.record_events(events);
@@ -208,8 +211,10 @@
                 tracked_run.reset_recent_pace();
             }
         }
-        self.bind_to_version().await;
-        if !self.started {
+        if has_event {
+            self.bind_to_version().await;
+        }
+        if has_event && !self.started {
             self.started = true;
             let age = self.job.age();
             let route = &self.job.route.name;
