A replica that answers reports without end has not ended

What callers saw: a request whose replica was lost while its reports came without end was booked as the cause of the replica's end (line inquiry: presence Unknown, ended true, after 2.4 s with interim responses, 14.5 s with digits of a chunk's size); three of them quarantine it.

Cause: a report without a complete answer within 150 ms counts as unanswered, and five of those as an end, whatever was received.

Change: a control call that brought bytes, but no complete answer, has an error of its own (Incomplete); a probe takes it like a connection that was closed without an answer: the replica is running. A process that ended sends nothing.

--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -173,6 +173,11 @@
         exchange(next, request).await.map_err(after_send)
     }
 
+    /// Counts the bytes that are read.
+    pub const fn meter(&self) -> &Meter {
+        &self.meter
+    }
+
     /// Starts to drive a connection on `socket`, which is connected to `address`.
     async fn open(socket: Socket, address: SocketAddr) -> Result<Self, Failure> {
         let meter = socket.meter().clone();
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -2,6 +2,7 @@
 //! carry no request id, so each call uses its own connection. What replicas say of their own
 //! availability in them applies like that in answers to requests.
 
+use std::cell::OnceCell;
 use std::cmp::Ordering;
 use std::fmt;
 use std::net::SocketAddr;
@@ -24,6 +25,7 @@
 
 use crate::connections;
 use crate::connections::Failure;
+use crate::progress::Meter;
 use crate::shared::Shared;
 
 /// Time for an answer; replicas answer control calls without waiting for a slot.
@@ -77,11 +79,17 @@
         /// What went wrong.
         cause: String,
     },
-    /// No complete answer arrived in time; the call may have been carried out.
+    /// Nothing arrived in time; the call may have been carried out.
     Unanswered {
         /// What went wrong.
         cause: String,
     },
+    /// The replica sent something, so it is running, but no complete answer in time, or too many
+    /// bytes; the call may have been carried out.
+    Incomplete {
+        /// What went wrong.
+        cause: String,
+    },
 }
 
 impl fmt::Display for Error {
@@ -89,7 +97,7 @@
         match self {
             Self::Refused => write!(f, "control call: connection refused"),
             Self::Unreachable { cause } => write!(f, "connecting: {cause}"),
-            Self::Closed { cause } | Self::Unanswered { cause } => {
+            Self::Closed { cause } | Self::Unanswered { cause } | Self::Incomplete { cause } => {
                 write!(f, "control call: {cause}")
             }
         }
@@ -124,7 +132,8 @@
         .header(name, id)
         .body(Full::new(Bytes::from(call.body)))
         .map_err(|error| unanswered(&error))?;
-    match timeout(TIMEOUT, exchange(shared, call.to, request)).await {
+    let meter = OnceCell::new();
+    match timeout(TIMEOUT, exchange(shared, call.to, request, &meter)).await {
         Ok(answer) => {
             match &answer {
                 Ok(answer) => {
@@ -134,15 +143,28 @@
                 Err(error) if error.is_unconnected() => shared.note_unreached(call.key),
                 Err(_) => {}
             }
-            answer
+            answer.map_err(|error| after_bytes(error, meter.get()))
         }
         Err(_) => {
             shared.connections.close_idle(call.to);
-            Err(unanswered(&"no answer in time"))
+            Err(after_bytes(unanswered(&"no answer in time"), meter.get()))
         }
     }
 }
 
+/// The same error on a connection with `meter`, which may have brought a part of an answer.
+fn after_bytes(error: Error, meter: Option<&Meter>) -> Error {
+    match (error, meter) {
+        (Error::Unanswered { cause }, Some(meter)) if meter.has_read() => {
+            Error::Incomplete { cause }
+        }
+        (Error::Closed { cause }, Some(meter)) if meter.is_exceeded() => {
+            Error::Incomplete { cause }
+        }
+        (error, _) => error,
+    }
+}
+
 /// Applies what the head of an answer shows of the replica `key`.
 fn apply_head(shared: &Shared, key: Key, answer: &Answer) {
     shared.apply_notice(key, answer.notice);
@@ -153,14 +175,18 @@
 
 /// Sends `request` on a new connection that is closed after the answer. On a reused one, a
 /// duplicate answer to an earlier exchange would be mistaken for this answer, and a duplicate of
-/// this one would fail the next request.
+/// this one would fail the next request. Sets `meter` to that of the connection.
 async fn exchange(
     shared: &Shared,
     to: SocketAddr,
     request: Request<Full<Bytes>>,
+    meter: &OnceCell<Meter>,
 ) -> Result<Answer, Error> {
     let sent = match shared.connections.connector.connect_with_retry(to).await {
-        Ok(connection) => connections::exchange(connection, request).await,
+        Ok(connection) => {
+            meter.get_or_init(|| connection.meter().clone());
+            connections::exchange(connection, request).await
+        }
         Err(failure) => Err(failure),
     };
     // Held until the body is read: dropping it closes the connection.
@@ -198,7 +224,7 @@
     /// The process of the replica ended.
     Ended,
     /// The replica accepts connections and closes them without an answer: it has too many, or
-    /// is about to exit.
+    /// is about to exit. Or it sends what is no complete answer.
     Closing,
     /// The replica does not answer.
     Unknown,
@@ -240,7 +266,7 @@
         Err(Error::Refused) => Presence::Ended,
         // The answer is an error, but the replica is running.
         Ok(_) => Presence::Here,
-        Err(Error::Closed { .. }) => Presence::Closing,
+        Err(Error::Closed { .. } | Error::Incomplete { .. }) => Presence::Closing,
         Err(Error::Unreachable { .. } | Error::Unanswered { .. }) => Presence::Unknown,
     }
 }
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -23,6 +23,7 @@
     peer: SocketAddr,
     max_bytes: usize,
     bytes: Cell<usize>,
+    has_read: Cell<bool>,
     is_exceeded: Cell<bool>,
     /// Counts connections that exceeded a bound.
     floods: Option<IntCounter>,
@@ -42,6 +43,7 @@
             peer,
             max_bytes,
             bytes: Cell::new(0),
+            has_read: Cell::new(false),
             is_exceeded: Cell::new(false),
             floods,
         }))
@@ -50,6 +52,14 @@
     /// Records that `bytes` arrived.
     pub fn note_read(&self, bytes: usize) {
         self.0.bytes.set(self.0.bytes.get().saturating_add(bytes));
+        if bytes > 0 {
+            self.0.has_read.set(true);
+        }
+    }
+
+    /// Whether anything has arrived.
+    pub fn has_read(&self) -> bool {
+        self.0.has_read.get()
     }
 
     /// Records a part of a message.
@@ -57,6 +67,11 @@
         self.0.bytes.set(0);
     }
 
+    /// Whether the connection exceeded a bound.
+    pub fn is_exceeded(&self) -> bool {
+        self.0.is_exceeded.get()
+    }
+
     /// Checks whether more bytes may be read.
     ///
     /// # Errors
@@ -70,7 +85,7 @@
         Err(io::Error::other(Flood { bytes }))
     }
 
-    /// Logs and counts, once, that the connection exceeded `bound` with `bytes`.
+    /// Records that the connection exceeded `bound` by its first `bytes` bytes.
     fn record_flood(&self, bound: &'static str, bytes: usize) {
         if self.0.is_exceeded.replace(true) {
             return;
