Skip at most 32 duplicate answers for a request

What callers saw: a replica that answers an earlier request of the connection again and again kept the call busy until its deadline; the daemon skipped 18,936 to 26,258 answers on two connections in the test.

Cause: each duplicate had a bound, their number had none.

Change: the connection counts the duplicates that it skipped and the bytes of their bodies; beyond 32 (as many as it knows requests) or 8 MB in all the answer is lost, logged as a flood and counted.

After: duplicates_without_end_are_not_skipped_without_end passes (at most 40 for a connection).

Ruled out: to forget a request once its duplicate was seen (a third copy would be another's answer, the same loss, and its log line would say something else).

--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -22,7 +22,6 @@
 use http::Response;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -56,8 +55,9 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Number of recent requests of a connection to which a duplicate answer is recognized.
 const MAX_KNOWN_REQUESTS: usize = 32;
-/// Maximum size in bytes of the body of a duplicate answer. The answer behind a longer one is given
-/// up.
+/// Maximum number of duplicate answers that are skipped for one request.
+const MAX_DUPLICATES: usize = MAX_KNOWN_REQUESTS;
+/// Maximum size in bytes of their bodies together. The answer behind longer ones is given up.
 const MAX_DUPLICATE_BYTES: usize = 8 * 1024 * 1024;
 /// Size in bytes of the buffers of a connection, and of the largest head of an answer.
 const BUFFER_BYTES: usize = 64 * 1024;
@@ -101,6 +101,10 @@
     requests: VecDeque<HeaderValue>,
     /// Whether it only reads the answer to a request that was sent before.
     is_replay: bool,
+    /// Number of duplicate answers skipped.
+    duplicates: usize,
+    /// Size in bytes of their bodies.
+    duplicate_bytes: usize,
     meter: Meter,
     idle_since: Instant,
     keep: Duration,
@@ -156,14 +160,13 @@
         mut self,
         duplicate: Response<Body>,
     ) -> Result<(Response<Body>, Self), Failure> {
-        let mut body = Limited::new(duplicate.into_body(), MAX_DUPLICATE_BYTES);
-        while let Some(frame) = body.frame().await {
-            frame.map_err(|error| lost(&error))?;
-        }
+        self.skip(duplicate.into_body()).await?;
         let rest = (&mut self.task.0).await.map_err(|error| lost(&error))?;
         let rest = rest.ok_or_else(|| lost(&"the connection ended after a duplicate answer"))?;
         let mut next = Self::open(rest, self.address).await.map_err(after_send)?;
         next.exchanges = self.exchanges.saturating_sub(1);
+        next.duplicates = self.duplicates;
+        next.duplicate_bytes = self.duplicate_bytes;
         next.requests = std::mem::take(&mut self.requests);
         next.is_replay = true;
         // Not written to the replica; only its method matters, which decides whether the answer
@@ -173,6 +176,24 @@
         exchange(next, request).await.map_err(after_send)
     }
 
+    /// Reads the body of a duplicate answer.
+    async fn skip(&mut self, body: Body) -> Result<(), Failure> {
+        self.duplicates += 1;
+        let mut body = body;
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| lost(&describe(&error)))?;
+            self.duplicate_bytes += frame.data_ref().map_or(0, Bytes::len);
+            if self.duplicate_bytes > MAX_DUPLICATE_BYTES {
+                break;
+            }
+        }
+        if self.duplicates > MAX_DUPLICATES || self.duplicate_bytes > MAX_DUPLICATE_BYTES {
+            self.meter.record_flood("duplicates", self.duplicate_bytes);
+            return Err(lost(&"too many duplicate answers"));
+        }
+        Ok(())
+    }
+
     /// Counts the bytes that are read.
     pub const fn meter(&self) -> &Meter {
         &self.meter
@@ -202,6 +223,8 @@
             method: Method::GET,
             requests: VecDeque::new(),
             is_replay: false,
+            duplicates: 0,
+            duplicate_bytes: 0,
             meter,
             idle_since: Instant::now(),
             keep: IDLE_TIMEOUT,
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -86,7 +86,7 @@
     }
 
     /// Records that the connection exceeded `bound` by its first `bytes` bytes.
-    fn record_flood(&self, bound: &'static str, bytes: usize) {
+    pub fn record_flood(&self, bound: &'static str, bytes: usize) {
         if self.0.is_exceeded.replace(true) {
             return;
         }
