Close an idle connection at once when bytes arrive on it

Cause: the task of a connection hands its socket back if bytes are left, for answers that follow a duplicate. On an idle connection nobody takes it: it stayed open until the pool was swept (100 ms), for the store until the next call.

Change: the socket is handed back only during an exchange.

--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -4,12 +4,14 @@
 pub mod pool;
 mod socket;
 
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::error::Error;
 use std::future::poll_fn;
 use std::io;
 use std::net::IpAddr;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use boottime::Instant;
@@ -106,12 +108,14 @@
     /// Size in bytes of their bodies.
     duplicate_bytes: usize,
     meter: Meter,
+    /// Whether it waits for its next request.
+    is_idle: Rc<Cell<bool>>,
     idle_since: Instant,
     keep: Duration,
 }
 
-/// Task that drives a connection. Returns the socket if bytes arrived that belong to no request.
-/// Dropping it closes the connection.
+/// Task that drives a connection. Returns the socket if bytes arrived during an exchange that belong
+/// to no request. Dropping it closes the connection.
 #[derive(Debug)]
 struct DriverTask(JoinHandle<Option<Socket>>);
 
@@ -207,11 +211,16 @@
             .handshake(TokioIo::new(socket))
             .await
             .map_err(|error| unreachable(&error))?;
+        let is_idle = Rc::new(Cell::new(true));
+        let is_unused = Rc::clone(&is_idle);
         let task = tokio::task::spawn_local(async move {
             let ended = poll_fn(|context| connection.poll_without_shutdown(context)).await;
             if let Err(error) = ended {
                 log::debug!(peer = address.to_string(), cause = error.to_string(); "connection ended");
             }
+            if is_unused.get() {
+                return None;
+            }
             let parts = connection.into_parts();
             parts.io.into_inner().into_replay(&parts.read_buf)
         });
@@ -226,6 +235,7 @@
             duplicates: 0,
             duplicate_bytes: 0,
             meter,
+            is_idle,
             idle_since: Instant::now(),
             keep: IDLE_TIMEOUT,
         })
@@ -367,6 +377,7 @@
     request: Request<Full<Bytes>>,
 ) -> Result<(Response<Body>, Connection), ExchangeError> {
     connection.record_request(&request);
+    connection.is_idle.set(false);
     match connection.sender.try_send_request(request).await {
         Ok(answer) => {
             connection.exchanges = connection.exchanges.saturating_add(1);
--- a/crates/gateway/src/connections/pool.rs
+++ b/crates/gateway/src/connections/pool.rs
@@ -81,6 +81,7 @@
             Duration::from_secs(seconds).mul_f64(IDLE_FRACTION)
         });
         connection.idle_since = Instant::now();
+        connection.is_idle.set(true);
         if connection.is_replay || self.is_single_use(connection.address) {
             return;
         }
