Bound the header sections of peers' answers and the wait for their questions

The server for peers bounded header sections at 8 KB; clients of peers had the library's 16 MB. A question about a replica whose parts are empty had no end in time.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -15,6 +15,7 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use h2::RecvStream;
+use h2::client::Builder;
 use h2::server::SendResponse;
 use http::Request;
 use http::Response;
@@ -33,6 +34,7 @@
 
 use crate::instance_info::InstanceInfo;
 use crate::pacing::PacedStream;
+use crate::peer_server::MAX_HEADER_BYTES;
 use crate::shared::Shared;
 
 /// Path of a request; names the version of the messages.
@@ -182,7 +184,9 @@
     message: &Q,
 ) -> io::Result<A> {
     let socket = TcpStream::connect(peer).await?;
-    let (mut client, connection) = h2::client::handshake(PacedStream::new(socket))
+    let (mut client, connection) = Builder::new()
+        .max_header_list_size(MAX_HEADER_BYTES)
+        .handshake(PacedStream::new(socket))
         .await
         .map_err(io::Error::other)?;
     let driver = tokio::task::spawn_local(async move {
--- a/crates/gateway/src/peer_server.rs
+++ b/crates/gateway/src/peer_server.rs
@@ -31,8 +31,8 @@
 
 /// Maximum number of connections served at once.
 const MAX_CONNECTIONS: usize = 128;
-/// Largest header section of a request in bytes; what peers send is in the body.
-const MAX_HEADER_BYTES: u32 = 8 * 1024;
+/// Largest header section of a message in bytes; what peers send is in the body.
+pub const MAX_HEADER_BYTES: u32 = 8 * 1024;
 /// Time to open a connection, and idle time after which one is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Pause after a failed accept.
--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -54,7 +54,8 @@
     body: RecvStream,
     respond: SendResponse<Bytes>,
 ) -> io::Result<()> {
-    let question: Question = exchange::decode(body).await?;
+    let question = timeout(TIMEOUT, exchange::decode(body)).await;
+    let question: Question = question.map_err(io::Error::other)??;
     let finding = find(shared, &question.replica).await;
     exchange::respond(respond, &finding)
 }
