Take only blocks with data for events

A replica that sends ids alone, without data, kept a resumable stream until its deadline (endless_streams, case ids_alone, failed before), and a field whose name begins with data counted as data. An event is a block with a data field; its id is the position. Events without end are sent without pauses in their test, which the timer alone would have ended before.

--- a/crates/gateway/tests/gateway/endless_streams.rs
+++ b/crates/gateway/tests/gateway/endless_streams.rs
@@ -23,20 +23,17 @@
 /// Most bytes that a caller may get beyond the events.
 const MAX_EXTRA_BYTES: usize = 1024 * 1024;
 
-/// A replica that sends `repeated` without end after three events, with `pause` after each time. It is asked for
-/// reports in vain if `reports` is not set. A stream that is resumed is complete.
-fn start_endless(id: &str, repeated: &[u8], pause_ms: u64, reports: bool) -> Replica {
+/// A replica that sends `repeated` without end after three events, with `pause_ms` after each time.
+fn start_endless(id: &str, repeated: &[u8], pause_ms: u64) -> Replica {
     let repeated = chunk(repeated);
-    let replica = Replica::start(id, move |request| match request.header("last-event-id") {
+    Replica::start(id, move |request| match request.header("last-event-id") {
         Some(last) => Action::Send(rest(request, last.parse().unwrap())),
         None => Action::SendWithoutEnd(
             [stream_head(request), events(1, 3)].concat(),
             repeated.clone(),
             Duration::from_millis(pause_ms),
         ),
-    });
-    replica.answer_reports_if(move || reports);
-    replica
+    })
 }
 
 fn rest(request: &Message, last: u64) -> Vec<u8> {
@@ -52,7 +49,7 @@
 fn only_events(body: &[u8]) -> String {
     let text = String::from_utf8_lossy(body);
     let blocks = text.split_inclusive("\n\n");
-    blocks.filter(|block| block.starts_with("id:")).collect()
+    blocks.filter(|block| block.contains("data:")).collect()
 }
 
 #[rstest]
@@ -64,11 +61,12 @@
 #[case::slow_fields(b"data: t\n", 20)]
 #[case::unknown_fields(b"x\n\n", 0)]
 #[case::slow_unknown_fields(b"x\n\n", 20)]
+#[case::ids_alone(b"id: 9\n\n", 0)]
 fn a_stream_continues_elsewhere_after_bytes_that_are_no_event(
     #[case] repeated: &[u8],
     #[case] pause_ms: u64,
 ) {
-    let endless = start_endless("i-1", repeated, pause_ms, true);
+    let endless = start_endless("i-1", repeated, pause_ms);
     let site = Site::start("endless", &[(&endless, "llm", "decode")]);
     let mut caller = start_generation(&site.daemon, "/resume/1", "a1");
     wait_until("the run starts", || !endless.requests().is_empty());
@@ -92,8 +90,8 @@
 #[case::comments(b": c\n\n", 0)]
 #[case::slow_comments(b": c\n\n", 20)]
 #[case::fields(b"data: t\n", 0)]
-fn a_stream_that_may_run_once_ends_by_its_deadline(#[case] repeated: &[u8], #[case] pause_ms: u64) {
-    let endless = start_endless("i-1", repeated, pause_ms, true);
+fn a_stream_that_may_run_once_is_cut(#[case] repeated: &[u8], #[case] pause_ms: u64) {
+    let endless = start_endless("i-1", repeated, pause_ms);
     let site = Site::start("endless-once", &[(&endless, "llm", "decode")]);
     let sent = Instant::now();
     let response = start_generation(&site.daemon, "/draft/1", "a1").read();
@@ -109,7 +107,7 @@
 /// Events without end are an answer, but only up to the deadline.
 #[test]
 fn a_stream_of_events_without_end_is_cut_at_its_deadline() {
-    let endless = start_endless("i-1", b"id: 9\ndata: t\n\n", 1, true);
+    let endless = start_endless("i-1", b"id: 9\ndata: t\n\n", 0);
     let site = Site::start("endless-events", &[(&endless, "llm", "decode")]);
     let sent = Instant::now();
     let response = start_generation(&site.daemon, "/draft/1", "a1").read();
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -194,24 +194,31 @@
     bytes.split(|byte| *byte == b'\n').find_map(id_field)
 }
 
-/// Whether there is an event in these whole blocks of lines, and not only comments and unknown fields.
+/// Whether one of these whole blocks of lines has data: comments and other fields alone are no event.
 pub fn contains_event(whole: &[u8]) -> bool {
     position_after(whole).is_some()
 }
 
-/// Position after these whole events; `None` if there is none.
+/// Position after the last of these whole blocks that has data; `None` if there is none.
 fn position_after(whole: &[u8]) -> Option<Position> {
-    let mut has_data = false;
+    let (mut id, mut has_data) = (None, false);
     for line in whole.rsplit(|byte| *byte == b'\n') {
         match line {
             [] | [b'\r'] if has_data => break,
-            line => match id_field(line) {
-                Some(position) => return Some(position),
-                None => has_data |= line.starts_with(b"data"),
-            },
+            [] | [b'\r'] => id = None,
+            line => {
+                id = id.or_else(|| id_field(line));
+                has_data |= is_data_field(line);
+            }
         }
     }
-    has_data.then_some(Position::Unnumbered)
+    has_data.then_some(id.unwrap_or(Position::Unnumbered))
+}
+
+/// Whether `line` is a `data` field.
+fn is_data_field(line: &[u8]) -> bool {
+    let rest = line.strip_prefix(b"data");
+    rest.is_some_and(|rest| matches!(rest, [] | [b'\r'] | [b':', ..]))
 }
 
 /// Position after an event whose `id` field is `line`; `None` if it is another field.
