Wait for a continuation until another replica has room

A replica that has taken a continuation is not asked to resume the same stream. A caller that left, or a deadline that passed, while a stream was resumed is logged as that.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -156,10 +156,8 @@
                 End::CallerLeft => return,
                 End::TimedOut => return self.abort("overdue", "the deadline passed"),
                 End::Stopped(stopped) => match self.continue_run(stopped).await {
-                    Ok(next) => source = Source::Replica(Box::new(next)),
-                    Err(End::CallerLeft) => return,
-                    Err(End::TimedOut) => return self.abort("overdue", "the deadline passed"),
-                    Err(_) => return self.abort("broken", "the run could not continue"),
+                    Some(next) => source = Source::Replica(Box::new(next)),
+                    None => return self.abort("broken", "the run could not continue"),
                 },
                 End::Broken(cause) => {
                     self.record_loss(key, &cause);
@@ -248,8 +246,17 @@
         }
     }
 
-    /// Ends the request and cuts off its response.
+    /// Ends the request and cuts off its response. A caller that left and a deadline that passed go
+    /// before `outcome`.
     fn abort(mut self, outcome: &'static str, cause: &str) {
-        self.job.end(outcome, 200, cause);
+        if self.parts.is_closed() {
+            // Dropping the job logs it.
+            return;
+        }
+        if Instant::now() >= self.job.deadline {
+            self.job.end("overdue", 200, "the deadline passed");
+        } else {
+            self.job.end(outcome, 200, cause);
+        }
     }
 }
--- a/crates/gateway/src/forward/peer_stream.rs
+++ b/crates/gateway/src/forward/peer_stream.rs
@@ -17,7 +17,7 @@
 impl Forwarder {
     /// Resumes the stream after its last event at another replica, or through a peer.
     pub(super) async fn resume_anywhere(&mut self) -> Option<Source> {
-        if let Some(reply) = self.resume().await {
+        if let Some(reply) = self.resume(None).await {
             return Some(Source::Replica(Box::new(reply)));
         }
         self.resume_at_peer().await.map(Source::Peer)
--- a/crates/gateway/src/forward/replica_stream.rs
+++ b/crates/gateway/src/forward/replica_stream.rs
@@ -250,7 +250,7 @@
         let placement = if waits {
             None
         } else {
-            self.find_other_placement().await
+            self.find_other_placement(None).await
         };
         source.silences += 1;
         source.restart_silence();
--- a/crates/gateway/src/forward/resume.rs
+++ b/crates/gateway/src/forward/resume.rs
@@ -1,5 +1,6 @@
 //! Continues a stream at another replica after its replica failed, stalled or ran out of memory.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use boottime::Instant;
@@ -55,10 +56,10 @@
     Refused,
     /// It may have gone on, and its events are lost.
     Lost,
-    /// The caller closed the connection.
-    CallerLeft,
-    /// The deadline passed.
-    TimedOut,
+    /// The replica has not answered for too long, and this placement is available at another one.
+    Unanswered(Placement),
+    /// The caller closed the connection, or the deadline passed.
+    Ended,
 }
 
 impl Forwarder {
@@ -130,22 +131,16 @@
 
     /// Continues a stopped run, at the other replica if that one has a copy of the KV cache. Replicas
     /// may refuse it, or be silent, for a moment.
-    ///
-    /// # Errors
-    /// How the stream ends instead.
-    pub(super) async fn continue_run(&mut self, stopped: StoppedRun) -> Result<Reply, End> {
+    pub(super) async fn continue_run(&mut self, stopped: StoppedRun) -> Option<Reply> {
         let continued = self.try_continue(&stopped).await;
         if !matches!(continued, Continuation::Running(_)) {
             migration::free_cache(&self.shared, &stopped);
         }
         match continued {
-            Continuation::Running(reply) => Ok(*reply),
-            Continuation::CallerLeft => Err(End::CallerLeft),
-            Continuation::TimedOut => Err(End::TimedOut),
-            Continuation::Refused | Continuation::Lost => {
-                let resumed = self.resume().await;
-                resumed.ok_or_else(|| End::Broken("the run could not continue".to_owned()))
-            }
+            Continuation::Running(reply) => Some(*reply),
+            Continuation::Ended => None,
+            Continuation::Refused | Continuation::Lost => self.resume(None).await,
+            Continuation::Unanswered(placement) => self.resume(Some(placement)).await,
         }
     }
 
@@ -161,7 +156,10 @@
             for key in &stopped.candidates {
                 match self.continue_at(*key, stopped, last_event).await {
                     Continuation::Refused => {}
-                    continued => return continued,
+                    continued => {
+                        self.tried.push(*key);
+                        return continued;
+                    }
                 }
             }
             if Instant::now() >= until {
@@ -169,7 +167,7 @@
             }
             tokio::select! {
                 () = sleep_until(until.min(Instant::now() + pause)) => pause *= 2,
-                () = self.parts.closed() => return Continuation::CallerLeft,
+                () = self.parts.closed() => return Continuation::Ended,
             }
         }
     }
@@ -190,33 +188,45 @@
             last_event,
         };
         let sent = send::send(&self.shared, &self.job, key, task, None, permit);
-        let limit = if self.may_fail_over() {
-            self.job.deadline.min(Instant::now() + UNANSWERED_TIMEOUT)
-        } else {
-            self.job.deadline
-        };
-        let sent = tokio::select! {
-            biased;
-            () = self.parts.closed() => return Continuation::CallerLeft,
-            sent = timeout_at(limit, sent) => sent,
-        };
-        match sent {
-            Err(_) if limit >= self.job.deadline => Continuation::TimedOut,
-            Err(_) => {
+        let mut sent = pin!(sent);
+        let mut limit = UNANSWERED_TIMEOUT;
+        let sent = loop {
+            let end = if self.may_fail_over() {
+                self.job.deadline.min(Instant::now() + limit)
+            } else {
+                self.job.deadline
+            };
+            tokio::select! {
+                biased;
+                () = self.parts.closed() => return Continuation::Ended,
+                sent = timeout_at(end, sent.as_mut()) => match sent {
+                    Ok(sent) => break sent,
+                    Err(_) if end >= self.job.deadline => return Continuation::Ended,
+                    Err(_) => {}
+                },
+            }
+            let placement = self.find_other_placement(Some(key)).await;
+            // The answer may have arrived meanwhile.
+            if let Ok(sent) = timeout_at(Instant::now(), sent.as_mut()).await {
+                break sent;
+            }
+            if let Some(placement) = placement {
                 let cause = "the continuation has no answer";
                 send::record_failure(&self.shared, &self.job, key, Sent::Lost, cause, 0);
-                self.tried.push(key);
-                Continuation::Lost
+                return Continuation::Unanswered(placement);
             }
-            Ok(Ok(reply)) if reply.head.status == StatusCode::OK => {
+            limit = STALL_TIMEOUT;
+        };
+        match sent {
+            Ok(reply) if reply.head.status == StatusCode::OK => {
                 if let Some(tracked_run) = &mut self.tracked_run {
                     tracked_run.record_move(key);
                     tracked_run.block_moves(MOVED_PAUSE);
                 }
                 Continuation::Running(Box::new(reply))
             }
-            Ok(Err(Sent::NotRun | Sent::NotSent)) => Continuation::Refused,
-            Ok(Ok(_) | Err(Sent::Failed | Sent::Lost | Sent::Quarantined | Sent::Denied)) => {
+            Err(Sent::NotRun | Sent::NotSent) => Continuation::Refused,
+            Ok(_) | Err(Sent::Failed | Sent::Lost | Sent::Quarantined | Sent::Denied) => {
                 Continuation::Lost
             }
         }
@@ -232,28 +242,25 @@
         answers
     }
 
-    /// Finds a placement at another replica while the current one is silent; `None` if the retry
-    /// budget is exhausted or no replica has room.
-    pub(super) async fn find_other_placement(&self) -> Option<Placement> {
+    /// Finds a placement at another replica, but not at `silent`, while the current one is silent; `None`
+    /// if the retry budget is exhausted or no replica has room.
+    pub(super) async fn find_other_placement(&self, silent: Option<Key>) -> Option<Placement> {
         if !self.shared.can_retry(&self.job) {
             return None;
         }
-        let find = placement::find_now(
-            &self.shared,
-            &self.job,
-            &self.tried,
-            self.generated_tokens(),
-        );
+        let tried: Vec<Key> = self.tried.iter().copied().chain(silent).collect();
+        let generated = self.generated_tokens();
+        let find = placement::find_now(&self.shared, &self.job, &tried, generated);
         tokio::select! {
             placement = find => placement,
             () = self.parts.closed() => None,
         }
     }
 
-    /// Resumes the stream after its last event at another replica.
-    pub(super) async fn resume(&mut self) -> Option<Reply> {
+    /// Resumes the stream after its last event at another replica, at `placement` if there is one.
+    pub(super) async fn resume(&mut self, placement: Option<Placement>) -> Option<Reply> {
         let last_event = self.splitter.resume(self.job.call.last_event).ok()?;
-        let opened = self.open(None, last_event).await?;
+        let opened = self.open(placement, last_event).await?;
         self.tracked_run = opened.tracked_run;
         Some(opened.reply)
     }
--- a/crates/gateway/tests/gateway/migration.rs
+++ b/crates/gateway/tests/gateway/migration.rs
@@ -507,6 +507,19 @@
     });
 }
 
+/// A sound replica may be silent for a second; no other one has room.
+#[test]
+fn a_continuation_that_is_answered_late_is_waited_for() {
+    let source = SourceReplica::start(MoveResponse::Copied);
+    let target = Replica::start("i-2", |request| {
+        let answer = parts(request, last_event(request)).concat();
+        Action::SendSlowly(vec![answer], Duration::from_millis(1_900))
+    });
+    let site = start_site("move-late-answer", &source);
+    assert_both_complete(start_two_runs(&site, &source, &target, "/resume/1"));
+    assert!(!continued(&target).is_empty());
+}
+
 /// The caller leaves while a replica is asked to continue its run.
 #[test]
 fn a_caller_that_leaves_during_a_continuation_is_logged_as_that() {
