Keep a replacement that is being opened when the silent replica fails

Cause: an error of the body counted as the replica going on, which dropped the request to the other one; silences were counted over the whole stream. Besides, by reading: after a failed attempt elsewhere the next one followed after 20 ms, and what was read meanwhile was kept as one frame for each chunk, however small. Found by the review. Now only an event or the regular end counts, an event ends the count of silences, each wait starts anew, and the bytes are kept in one buffer, bounded like an event.

--- a/crates/gateway/src/forward/replica_stream.rs
+++ b/crates/gateway/src/forward/replica_stream.rs
@@ -1,7 +1,6 @@
 //! Reads one replica's part of a stream.
 
 use std::cmp::min;
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use boottime::Instant;
@@ -62,8 +61,10 @@
     grace_end: Option<Instant>,
     /// Number of silences so far.
     silences: u32,
-    /// What was read while another replica was asked to continue the stream.
-    early_reads: VecDeque<BodyRead>,
+    /// Bytes that were read while another replica was asked to continue the stream.
+    early_bytes: Vec<u8>,
+    /// What ended the body, or its bytes, after them.
+    early_end: Option<BodyRead>,
     /// Set once the run is stopped to continue at another replica.
     stopped: Option<StoppedRun>,
 }
@@ -102,14 +103,15 @@
             silent_since: begun,
             grace_end: None,
             silences: 0,
-            early_reads: VecDeque::new(),
+            early_bytes: Vec::new(),
+            early_end: None,
             stopped: None,
         }
     }
 
-    /// When the wait for an event ends that should end at `limit`. What arrived before is read for a
-    /// moment longer, and no further: bytes that are no event may arrive without end.
-    fn wait_end(&mut self, limit: Instant) -> Instant {
+    /// When a wait for an event ends whose limit is `limit`. What arrived before is read for a moment
+    /// longer, and no further: bytes that are no event may arrive without end.
+    fn end_with_grace(&mut self, limit: Instant) -> Instant {
         let now = Instant::now();
         if now < limit {
             self.grace_end = None;
@@ -123,25 +125,31 @@
         self.silent_since = Instant::now();
     }
 
-    /// Reads until there is an event after what `ahead` holds, or the body ends. Waits forever if too
-    /// many bytes arrive without one.
+    /// Reads until there is an event after what `ahead` holds, or the regular end of the body. Waits
+    /// forever once the body has failed, or too many bytes arrived without an event.
     async fn read_event(&mut self, ahead: Splitter) {
         let mut ahead = ahead;
-        loop {
+        while self.early_end.is_none() {
             let read = self.body.frame().await;
-            let data = match &read {
-                Some(Ok(frame)) => frame.data_ref().cloned().unwrap_or_default(),
-                Some(Err(_)) | None => return self.early_reads.push_back(Ok(read)),
+            let Some(Ok(frame)) = read else {
+                let is_failed = read.is_some();
+                self.early_end = Some(Ok(read));
+                if is_failed {
+                    break;
+                }
+                return;
             };
-            let pushed = ahead.push(&data);
-            self.early_reads.push_back(Ok(read));
-            match pushed {
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            self.early_bytes.extend_from_slice(&data);
+            match ahead.push(&data) {
                 Ok(whole) if event::contains_event(&whole) => return,
                 Ok(_) => {}
-                Err(event::Error::TooLong { .. }) => std::future::pending().await,
-                Err(_) => return,
+                Err(_) => break,
             }
         }
+        std::future::pending::<()>().await;
     }
 }
 
@@ -178,7 +186,11 @@
     }
 
     async fn next_step(&mut self, source: &mut ReplicaStream) -> Step {
-        if let Some(read) = source.early_reads.pop_front() {
+        if !source.early_bytes.is_empty() {
+            let bytes = Bytes::from(std::mem::take(&mut source.early_bytes));
+            return Step::Read(Ok(Some(Ok(Frame::data(bytes)))));
+        }
+        if let Some(read) = source.early_end.take() {
             return Step::Read(read);
         }
         let is_running = source.stopped.is_none();
@@ -191,7 +203,7 @@
         } else {
             self.job.deadline
         };
-        let end = source.wait_end(min(silent_at, self.job.deadline));
+        let end = source.end_with_grace(min(silent_at, self.job.deadline));
         if Instant::now() >= end {
             return Step::Read(Err(Elapsed));
         }
@@ -255,15 +267,20 @@
         source.silences += 1;
         source.restart_silence();
         let placement = placement?;
-        let ahead = self.splitter.clone();
-        tokio::select! {
+        let (ahead, before) = (self.splitter.clone(), self.attempt);
+        let opened = tokio::select! {
             biased;
             // The replica goes on.
             () = source.read_event(ahead) => None,
-            opened = self.open_elsewhere(placement) => {
-                opened.map(|opened| End::Resumed(Box::new(opened)))
+            opened = self.open_elsewhere(placement) => opened,
+        };
+        if opened.is_none() {
+            if self.attempt.sends() == before.sends() {
+                self.attempt = before;
             }
+            source.restart_silence();
         }
+        opened.map(|opened| End::Resumed(Box::new(opened)))
     }
 
     /// Whether other replicas of the service accept connections, or this daemon may not hand the
@@ -293,6 +310,7 @@
             self.record_gap(source.guard.key, source.last_event_at);
             let now = Instant::now();
             source.last_event_at = now;
+            source.silences = 0;
             self.written = Some((self.written.map_or(now, |(first, _)| first), now));
             let key = source.guard.key;
             let answers = &self.shared.answers;
--- a/crates/gateway/tests/gateway/silent_replicas.rs
+++ b/crates/gateway/tests/gateway/silent_replicas.rs
@@ -109,3 +109,36 @@
     assert_whole("silent-second", &pausing, &other);
     assert_eq!(other.requests().len(), 1);
 }
+
+/// A run may be preempted more than once; each time, its replica gets the same time.
+#[test]
+fn a_stream_stays_at_a_replica_that_is_silent_twice() {
+    let pausing = Replica::start("i-1", |request| {
+        let first = [stream_head(request), events(1, 2)].concat();
+        let parts = vec![
+            first,
+            events(3, 4),
+            [events(5, EVENT_COUNT), chunk(b"")].concat(),
+        ];
+        Action::SendSlowly(parts, Duration::from_millis(1_100))
+    });
+    let other = Replica::start("i-2", |request| Action::Send(rest(request, 0)));
+    assert_whole("silent-twice", &pausing, &other);
+    assert_eq!(other.requests().len(), 0);
+}
+
+/// The other replica is about to answer when the silent one closes its connection.
+#[test]
+fn a_stream_that_is_being_resumed_survives_the_end_of_its_replica() {
+    let pausing = Replica::start("i-1", |request| {
+        let first = [stream_head(request), events(1, 2)].concat();
+        Action::SendAndReset(first, Duration::from_millis(1_900))
+    });
+    let other = Replica::start("i-2", |request| {
+        let last = request.header("last-event-id").unwrap_or("0");
+        let answer = rest(request, last.parse().unwrap());
+        Action::SendSlowly(vec![answer], Duration::from_millis(700))
+    });
+    assert_whole("reset-while-resumed", &pausing, &other);
+    assert_eq!(other.requests().len(), 1);
+}
