--- a/crates/gateway/src/handoff/forward.rs
+++ b/crates/gateway/src/handoff/forward.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use boottime::Instant;
 use boottime::timer::timeout_at;
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -16,6 +17,7 @@
 
 use crate::body::Body;
 use crate::body::Part;
+use crate::bounds::READ_GRACE;
 use crate::ending;
 use crate::ending::MAX_ANSWER_BYTES;
 use crate::handoff::client::Answered;
@@ -136,6 +138,10 @@
     }
     let deadline = job.deadline + DEADLINE_MARGIN;
     loop {
+        // Parts may be ready without end.
+        if Instant::now() >= deadline + READ_GRACE {
+            return job.end("overdue", status.as_u16(), "the deadline passed");
+        }
         let read = tokio::select! {
             read = timeout_at(deadline, rest.data()) => read,
             // Dropping the job logs it, and dropping the stream ends the request at the peer.
