Begin a stream elsewhere when its replica sends no head

What callers saw: a stream that may run again, whose first replica takes the request and loses the answer, waited until the deadline; callers leave before that and are logged as having left. Cause: the silence of a replica was looked at only after the head of its answer; plain calls look before it too.

Evidence: a_stream_without_a_head_begins_elsewhere failed before. Change: after twice the objective another replica is sought; the silent one is given up once that has room and a retry is granted, so that one which is only late is waited for (a_stream_whose_head_is_late_is_waited_for). The same order, retry first, for a continuation. Streams that may run once wait as before.

--- a/crates/gateway/src/forward/resume.rs
+++ b/crates/gateway/src/forward/resume.rs
@@ -210,7 +210,9 @@
             if let Ok(sent) = timeout_at(Instant::now(), sent.as_mut()).await {
                 break sent;
             }
-            if let Some(placement) = placement {
+            if let Some(placement) = placement
+                && self.shared.ensure_permit(&self.job, Work::Run)
+            {
                 let cause = "the continuation has no answer";
                 send::record_failure(&self.shared, &self.job, key, Sent::Lost, cause, 0);
                 return Continuation::Unanswered(placement);
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -36,7 +36,7 @@
 /// Multiple of the objective after which a repeatable request abandons a silent replica for another
 /// one. 90% of answers take at most a third of the objective; the slowest answers of a healthy
 /// replica take 1.5 times the objective.
-const SILENCE_FACTOR: f64 = 2.0;
+pub const SILENCE_FACTOR: f64 = 2.0;
 /// Fraction of the objective within which the answer of a call has to be expected if it waits for a
 /// slot; the times of calls vary by about half of their mean.
 const IN_TIME_FRACTION: f64 = 0.6;
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -1,10 +1,14 @@
 //! Finds a decode replica that answers a generation.
 
+use std::pin::pin;
 use std::rc::Rc;
+use std::time::Duration;
 
+use boottime::timer::sleep;
 use platform::caller::Task;
 use relay::attempt::Attempt;
 use relay::attempt::Next;
+use relay::attempt::Outcome;
 use relay::permit::Work;
 use relay::server::Key;
 
@@ -14,12 +18,16 @@
 use crate::job::Job;
 use crate::placement;
 use crate::placement::Placement;
+use crate::plain;
 use crate::prefill;
 use crate::run_tracking::TrackedRun;
 use crate::send;
 use crate::send::Reply;
 use crate::shared::Shared;
 
+/// Pause before another replica is sought again while the present one is silent.
+const RETRY_PAUSE: Duration = Duration::from_millis(800);
+
 /// Where a request was sent, and what the next replica has to do.
 #[derive(Debug)]
 pub struct Search<'a> {
@@ -52,13 +60,13 @@
     let Search {
         attempt,
         tried,
-        mut placement,
+        placement: mut next_placement,
         last_event,
         generated,
     } = search;
     let mut local_prefill = None;
     loop {
-        let found = match placement.take() {
+        let found = match next_placement.take() {
             Some(placement) => Some(placement),
             None => placement::find(shared, job, tried, generated).await,
         };
@@ -87,13 +95,24 @@
         }
         tried.push(key);
         attempt.record_send();
-        let sent = send::send(shared, job, key, task, placement.reservation(), permit);
-        let outcome = match sent.await {
-            Ok(reply) => {
+        let answer = {
+            let reservation = placement.reservation();
+            let sent = pin!(send::send(shared, job, key, task, reservation, permit));
+            let found = find_while_silent(shared, job, attempt, tried, generated);
+            first_answer(sent, found).await
+        };
+        let outcome = match answer {
+            Ok(Ok(reply)) => {
                 let tracked_run = placement.into_run();
                 return Ok(Opened { reply, tracked_run });
             }
-            Err(outcome) => outcome,
+            Ok(Err(outcome)) => outcome,
+            Err(other) => {
+                let cause = "the replica was silent for too long";
+                send::record_failure(shared, job, key, Outcome::Lost, cause, 0);
+                next_placement = Some(*other);
+                Outcome::Lost
+            }
         };
         match attempt.next_step(outcome, || shared.ensure_permit(job, Work::Run)) {
             Next::Retry => {}
@@ -104,6 +123,47 @@
     }
 }
 
+/// Waits for the result of a send, or for a placement at another replica. The send goes first.
+///
+/// # Errors
+/// The placement.
+async fn first_answer(
+    sent: impl Future<Output = Result<Reply, Outcome>>,
+    found: impl Future<Output = Placement>,
+) -> Result<Result<Reply, Outcome>, Box<Placement>> {
+    tokio::select! {
+        biased;
+        sent = sent => Ok(sent),
+        found = found => Err(Box::new(found)),
+    }
+}
+
+/// Finds a placement at a replica outside of `tried`, and takes the retry for it, once a request that may
+/// run again has had no answer for too long. Never returns for others.
+async fn find_while_silent(
+    shared: &Rc<Shared>,
+    job: &Job,
+    attempt: &Attempt,
+    tried: &[Key],
+    generated: u64,
+) -> Placement {
+    if !attempt.may_fail_over() {
+        return std::future::pending().await;
+    }
+    sleep(job.route.objective.mul_f64(plain::SILENCE_FACTOR)).await;
+    loop {
+        // Most requests never get here.
+        let find = || Box::pin(placement::find_now(shared, job, tried, generated));
+        if shared.can_retry(job)
+            && let Some(placement) = find().await
+            && shared.ensure_permit(job, Work::Run)
+        {
+            return placement;
+        }
+        sleep(RETRY_PAUSE).await;
+    }
+}
+
 /// Whether the replica has not restarted since its entry was listed: its software version may have
 /// changed then. A reservation has shown it; without one, a replica that reports its start is asked.
 async fn is_listed_incarnation(shared: &Shared, placement: &Placement) -> bool {
--- a/crates/gateway/tests/gateway/silent_replicas.rs
+++ b/crates/gateway/tests/gateway/silent_replicas.rs
@@ -7,6 +7,7 @@
 
 use crate::common::daemon::wait_until;
 use crate::common::http::Message;
+use crate::common::http::answer;
 use crate::common::replica::Action;
 use crate::common::replica::Replica;
 use crate::common::replica::chunk;
@@ -142,3 +143,29 @@
     assert_whole("reset-while-resumed", &pausing, &other);
     assert_eq!(other.requests().len(), 1);
 }
+
+/// A replica may run a request and lose its answer.
+#[test]
+fn a_stream_without_a_head_begins_elsewhere() {
+    let silent = Replica::start("i-1", |_| Action::SendAndHang(Vec::new()));
+    let other = Replica::start("i-2", |request| Action::Send(rest(request, 0)));
+    assert_whole("no-head", &silent, &other);
+    wait_until("the silent replica is given up", || {
+        silent.abandoned_count() == 1
+    });
+}
+
+/// No other replica has room.
+#[test]
+fn a_stream_whose_head_is_late_is_waited_for() {
+    let late = Replica::start("i-1", |request| {
+        Action::SendSlowly(vec![rest(request, 0)], Duration::from_secs(3))
+    });
+    let other = Replica::start("i-2", |request| Action::Send(not_run_answer(request)));
+    other.set_call_handler(|request| {
+        let is_reservation = request.path() == "/api/hold-take";
+        is_reservation.then(|| answer(503, &[], b""))
+    });
+    assert_whole("late-head", &late, &other);
+    assert_eq!(other.requests().len(), 0);
+}
