--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -4,11 +4,14 @@
 pub mod pool;
 mod socket;
 
+use std::cell::Cell;
 use std::collections::VecDeque;
+use std::error::Error;
 use std::future::poll_fn;
 use std::io;
 use std::net::IpAddr;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use boottime::Instant;
@@ -21,12 +24,12 @@
 use http::Response;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use platform::reply;
 use platform::reply::RequestMatch;
+use prometheus::IntCounter;
 use socket2::SockRef;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
@@ -34,6 +37,9 @@
 
 use crate::connections::body::Body;
 use crate::connections::socket::Socket;
+use crate::pacing::PacedStream;
+use crate::progress::MAX_BYTES_BETWEEN_PARTS;
+use crate::progress::Meter;
 
 /// Time to open a connection; a round trip takes a few milliseconds, and a machine without power
 /// never answers.
@@ -51,9 +57,12 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Number of recent requests of a connection to which a duplicate answer is recognized.
 const MAX_KNOWN_REQUESTS: usize = 32;
-/// Maximum size in bytes of the body of a duplicate answer. The answer behind a longer one is given
-/// up.
+/// Maximum number of duplicate answers that are skipped for one request.
+const MAX_DUPLICATES: usize = MAX_KNOWN_REQUESTS;
+/// Maximum size in bytes of their bodies together. The answer behind longer ones is given up.
 const MAX_DUPLICATE_BYTES: usize = 8 * 1024 * 1024;
+/// Size in bytes of the buffers of a connection, and of the largest head of an answer.
+const BUFFER_BYTES: usize = 64 * 1024;
 
 /// Why an exchange ended without the head of an answer.
 #[derive(Debug)]
@@ -94,12 +103,19 @@
     requests: VecDeque<HeaderValue>,
     /// Whether it only reads the answer to a request that was sent before.
     is_replay: bool,
+    /// Number of duplicate answers skipped.
+    duplicates: usize,
+    /// Size in bytes of their bodies.
+    duplicate_bytes: usize,
+    meter: Meter,
+    /// Whether it waits for its next request.
+    is_idle: Rc<Cell<bool>>,
     idle_since: Instant,
     keep: Duration,
 }
 
-/// Task that drives a connection. Returns the socket if bytes arrived that belong to no request.
-/// Dropping it closes the connection.
+/// Task that drives a connection. Returns the socket if bytes arrived during an exchange that belong
+/// to no request. Dropping it closes the connection.
 #[derive(Debug)]
 struct DriverTask(JoinHandle<Option<Socket>>);
 
@@ -148,14 +164,13 @@
         mut self,
         duplicate: Response<Body>,
     ) -> Result<(Response<Body>, Self), Failure> {
-        let mut body = Limited::new(duplicate.into_body(), MAX_DUPLICATE_BYTES);
-        while let Some(frame) = body.frame().await {
-            frame.map_err(|error| lost(&error))?;
-        }
+        self.skip(duplicate.into_body()).await?;
         let rest = (&mut self.task.0).await.map_err(|error| lost(&error))?;
         let rest = rest.ok_or_else(|| lost(&"the connection ended after a duplicate answer"))?;
         let mut next = Self::open(rest, self.address).await.map_err(after_send)?;
         next.exchanges = self.exchanges.saturating_sub(1);
+        next.duplicates = self.duplicates;
+        next.duplicate_bytes = self.duplicate_bytes;
         next.requests = std::mem::take(&mut self.requests);
         next.is_replay = true;
         // Not written to the replica; only its method matters, which decides whether the answer
@@ -165,16 +180,47 @@
         exchange(next, request).await.map_err(after_send)
     }
 
+    /// Reads the body of a duplicate answer.
+    async fn skip(&mut self, body: Body) -> Result<(), Failure> {
+        self.duplicates += 1;
+        let mut body = body;
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| lost(&describe(&error)))?;
+            self.duplicate_bytes += frame.data_ref().map_or(0, Bytes::len);
+            if self.duplicate_bytes > MAX_DUPLICATE_BYTES {
+                break;
+            }
+        }
+        if self.duplicates > MAX_DUPLICATES || self.duplicate_bytes > MAX_DUPLICATE_BYTES {
+            self.meter.record_flood("duplicates", self.duplicate_bytes);
+            return Err(lost(&"too many duplicate answers"));
+        }
+        Ok(())
+    }
+
+    /// Counts the bytes that are read.
+    pub const fn meter(&self) -> &Meter {
+        &self.meter
+    }
+
     /// Starts to drive a connection on `socket`, which is connected to `address`.
     async fn open(socket: Socket, address: SocketAddr) -> Result<Self, Failure> {
-        let (sender, mut connection) = http1::handshake(TokioIo::new(socket))
+        let meter = socket.meter().clone();
+        let (sender, mut connection) = http1::Builder::new()
+            .max_buf_size(BUFFER_BYTES)
+            .handshake(TokioIo::new(socket))
             .await
             .map_err(|error| unreachable(&error))?;
+        let is_idle = Rc::new(Cell::new(true));
+        let is_unused = Rc::clone(&is_idle);
         let task = tokio::task::spawn_local(async move {
             let ended = poll_fn(|context| connection.poll_without_shutdown(context)).await;
             if let Err(error) = ended {
                 log::debug!(peer = address.to_string(), cause = error.to_string(); "connection ended");
             }
+            if is_unused.get() {
+                return None;
+            }
             let parts = connection.into_parts();
             parts.io.into_inner().into_replay(&parts.read_buf)
         });
@@ -186,6 +232,10 @@
             method: Method::GET,
             requests: VecDeque::new(),
             is_replay: false,
+            duplicates: 0,
+            duplicate_bytes: 0,
+            meter,
+            is_idle,
             idle_since: Instant::now(),
             keep: IDLE_TIMEOUT,
         })
@@ -212,20 +262,34 @@
 }
 
 /// Opens connections.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Connector {
     /// Own address of the connections; the system chooses one if absent.
     source: Option<IpAddr>,
+    /// Counts connections that brought too many bytes.
+    floods: Option<IntCounter>,
 }
 
 impl Connector {
     /// Opens connections from `source`.
     pub const fn new(source: Option<IpAddr>) -> Self {
-        Self { source }
+        Self {
+            source,
+            floods: None,
+        }
+    }
+
+    /// Counts connections that bring too many bytes in `floods`.
+    #[must_use]
+    pub fn with_floods(self, floods: IntCounter) -> Self {
+        Self {
+            floods: Some(floods),
+            ..self
+        }
     }
 
     /// Whether `to` accepts a connection, which is closed at once.
-    pub async fn is_accepted(self, to: SocketAddr) -> bool {
+    pub async fn is_accepted(&self, to: SocketAddr) -> bool {
         self.connect_with_retry(to).await.is_ok()
     }
 
@@ -234,7 +298,7 @@
     ///
     /// # Errors
     /// `Refused` or `Unreachable`.
-    pub async fn connect_with_retry(self, to: SocketAddr) -> Result<Connection, Failure> {
+    pub async fn connect_with_retry(&self, to: SocketAddr) -> Result<Connection, Failure> {
         match timeout(FIRST_CONNECT_TIMEOUT, self.connect(to)).await {
             Ok(connected) => connected,
             Err(_) => timeout(SECOND_CONNECT_TIMEOUT, self.connect(to))
@@ -247,7 +311,7 @@
     ///
     /// # Errors
     /// `Refused` or `Unreachable`.
-    pub async fn connect(self, to: SocketAddr) -> Result<Connection, Failure> {
+    pub async fn connect(&self, to: SocketAddr) -> Result<Connection, Failure> {
         let socket = match timeout(CONNECT_TIMEOUT, self.open(to)).await {
             Ok(Ok(socket)) => socket,
             Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
@@ -259,14 +323,15 @@
             Err(elapsed) => return Err(unreachable(&elapsed)),
         };
         configure_socket(&socket, UNCONFIRMED_TIMEOUT).map_err(|error| unreachable(&error))?;
-        Connection::open(Socket::new(socket), to).await
+        let meter = Meter::new(to, MAX_BYTES_BETWEEN_PARTS, self.floods.clone());
+        Connection::open(Socket::new(PacedStream::new(socket), meter), to).await
     }
 
     /// Opens a socket to `to`.
     ///
     /// # Errors
     /// Errors of the system.
-    pub async fn open(self, to: SocketAddr) -> io::Result<TcpStream> {
+    pub async fn open(&self, to: SocketAddr) -> io::Result<TcpStream> {
         let Some(source) = self.source else {
             return TcpStream::connect(to).await;
         };
@@ -312,14 +377,18 @@
     request: Request<Full<Bytes>>,
 ) -> Result<(Response<Body>, Connection), ExchangeError> {
     connection.record_request(&request);
+    connection.is_idle.set(false);
     match connection.sender.try_send_request(request).await {
         Ok(answer) => {
             connection.exchanges = connection.exchanges.saturating_add(1);
-            Ok((answer.map(Body::new), connection))
+            connection.meter.note_part();
+            let meter = connection.meter.clone();
+            let answer = answer.map(|incoming| Body::new(incoming, meter));
+            Ok((answer, connection))
         }
         Err(mut error) => {
             let request = error.take_message();
-            let cause = error.error().to_string();
+            let cause = describe(error.error());
             Err(match request {
                 Some(request) => ExchangeError::Unsent {
                     request: Box::new(request),
@@ -341,6 +410,14 @@
     SockRef::from(socket).set_tcp_user_timeout(Some(unconfirmed))
 }
 
+/// What went wrong, with its cause.
+fn describe(error: &dyn Error) -> String {
+    match error.source() {
+        Some(cause) => format!("{error}: {}", describe(cause)),
+        None => error.to_string(),
+    }
+}
+
 /// The same failure for a request that was sent before: it may have run.
 fn after_send(failure: Failure) -> Failure {
     match failure {
--- a/crates/gateway/src/peer_server.rs
+++ b/crates/gateway/src/peer_server.rs
@@ -25,13 +25,14 @@
 use crate::handoff;
 use crate::handoff::message;
 use crate::handoff::message::MAX_REQUESTS;
+use crate::pacing::PacedStream;
 use crate::presence;
 use crate::shared::Shared;
 
 /// Maximum number of connections served at once.
 const MAX_CONNECTIONS: usize = 128;
-/// Largest header section of a request in bytes; what peers send is in the body.
-const MAX_HEADER_BYTES: u32 = 8 * 1024;
+/// Largest header section of a message in bytes; what peers send is in the body.
+pub const MAX_HEADER_BYTES: u32 = 8 * 1024;
 /// Time to open a connection, and idle time after which one is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Pause after a failed accept.
@@ -72,7 +73,7 @@
     let handshake = Builder::new()
         .max_concurrent_streams(MAX_REQUESTS)
         .max_header_list_size(MAX_HEADER_BYTES)
-        .handshake(socket);
+        .handshake(PacedStream::new(socket));
     let connection = timeout(IDLE_TIMEOUT, handshake).await;
     let mut connection = connection
         .map_err(io::Error::other)?
--- a/crates/gateway/src/phase.rs
+++ b/crates/gateway/src/phase.rs
@@ -24,6 +24,8 @@
 use crate::bounds::READ_GRACE;
 use crate::connections;
 use crate::guard::OpenRequest;
+use crate::pacing::PacedStream;
+use crate::progress::Meter;
 
 /// Current activity of a connection.
 #[derive(Debug, Clone, Copy)]
@@ -247,18 +249,20 @@
 /// would make a truncated response look complete.
 #[derive(Debug)]
 pub struct TrackedSocket {
-    socket: TcpStream,
+    socket: PacedStream,
     phase: Phase,
+    meter: Meter,
     /// Time after which the system drops the connection if bytes stay unread.
     unread_limit: Duration,
 }
 
 impl TrackedSocket {
-    /// Wraps `socket` and reports to `phase`.
-    pub fn new(socket: TcpStream, phase: Phase) -> Self {
+    /// Wraps `socket` and reports to `phase`. Fails once `meter` is exceeded.
+    pub fn new(socket: TcpStream, phase: Phase, meter: Meter) -> Self {
         let mut tracked = Self {
-            socket,
+            socket: PacedStream::new(socket),
             phase,
+            meter,
             unread_limit: Duration::ZERO,
         };
         tracked.apply_unread_limit();
@@ -271,7 +275,7 @@
             return;
         }
         self.unread_limit = limit;
-        if let Err(error) = connections::configure_socket(&self.socket, limit) {
+        if let Err(error) = connections::configure_socket(self.socket.get_ref(), limit) {
             log::debug!(kind = "listen", cause = error.to_string(); "cannot set socket options");
         }
     }
@@ -289,7 +293,7 @@
         if !self.phase.0.reset_on_close.get() {
             return;
         }
-        if let Err(error) = self.socket.set_zero_linger() {
+        if let Err(error) = self.socket.get_ref().set_zero_linger() {
             log::warn!(kind = "listen", cause = error.to_string(); "cannot reset a connection with a truncated response");
         }
     }
@@ -301,9 +305,12 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        self.meter.check()?;
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.socket).poll_read(context, buffer);
-        if buffer.filled().len() > before {
+        let length = buffer.filled().len() - before;
+        if length > 0 {
+            self.meter.note_read(length);
             self.phase.note_read();
         }
         polled
