Soak: ask all daemons for recovery at the same time

Cause: the 60 requests of the check were sent one after another, and the time of the answers counted as time of recovery. On a busy machine, where the pauses of the script grow, little of the 12 s was left for the third daemon.

The stated rule is that every daemon serves every kind 12 s after the last fault. The daemons are now asked at the same time, each for what it was asked before, and each has to serve all of it within the 12 s. Where a daemon was asked only after the others before, it is now asked from the first moment on; the bound on one daemon is the stated one.

--- a/crates/gateway/tests/soak/callers.rs
+++ b/crates/gateway/tests/soak/callers.rs
@@ -181,44 +181,67 @@
     }
 }
 
-/// Checks that all daemons serve every kind of request again within `timeout`.
+/// Checks that all daemons serve every kind of request again within `timeout`. They are asked at the same time, so that
+/// none is held to the time that answers of the others take.
 ///
 /// # Errors
 /// Returns the kind of request that a daemon does not serve.
 pub fn check_recovery(cluster: &Cluster, timeout: Duration) -> Result<(), String> {
-    let end = Instant::now() + timeout;
-    for instance in 0..DAEMONS {
-        for number in 0..4 {
-            let mut served = 0;
-            let mut tries = 0;
-            while served < RECOVERY_REQUESTS {
-                let id = Customer::Unlimited.id(&format!("last-{instance}-{number}-{tries}"));
-                let response = send_request(
-                    cluster,
-                    instance,
-                    nth_kind(number),
-                    Customer::Unlimited,
-                    &id,
-                    &mut None,
-                );
-                served += usize::from(response.status() == 200);
-                tries += 1;
-                if Instant::now() > end {
-                    let daemon = cluster.instances[instance].daemon.lock().unwrap();
-                    let lines = daemon.logged("").into_iter().rev().take(MAX_PRINTED_LINES);
-                    let lines: Vec<String> = lines.collect();
-                    return Err(format!(
-                        "daemon {instance} does not serve {:?} ({} requests sent), last answer `{}`; log lines, newest first:\n    {}",
-                        nth_kind(number),
-                        tries,
-                        response.line,
-                        lines.join("\n    ")
-                    ));
-                }
+    let start = Instant::now();
+    let daemons = (0..DAEMONS).map(|instance| {
+        let cluster = cluster.clone();
+        thread::spawn(move || check_daemon_recovery(&cluster, instance, start + timeout))
+    });
+    let daemons: Vec<_> = daemons.collect();
+    let results = daemons.into_iter().map(|daemon| daemon.join().unwrap());
+    let (recovered, failed): (Vec<_>, Vec<_>) = results.partition(Result::is_ok);
+    let elapsed = start.elapsed();
+    let replicas = cluster.describe_replicas();
+    println!(
+        "recovery took {elapsed:?}; requests and ms by daemon and kind: {recovered:?}; replicas {replicas:?}"
+    );
+    let failures: Vec<String> = failed.into_iter().filter_map(Result::err).collect();
+    if failures.is_empty() {
+        Ok(())
+    } else {
+        Err(failures.join("\n  "))
+    }
+}
+
+/// Checks that the daemon `instance` serves every kind of request before `end`; returns how many of each it was sent, and
+/// the time in ms that they took.
+fn check_daemon_recovery(
+    cluster: &Cluster,
+    instance: usize,
+    end: Instant,
+) -> Result<Vec<(u32, u128)>, String> {
+    let mut times = Vec::new();
+    for number in 0..4 {
+        let start = Instant::now();
+        let mut served = 0;
+        let mut tries = 0;
+        while served < RECOVERY_REQUESTS {
+            let id = Customer::Unlimited.id(&format!("last-{instance}-{number}-{tries}"));
+            let kind = nth_kind(number);
+            let customer = Customer::Unlimited;
+            let response = send_request(cluster, instance, kind, customer, &id, &mut None);
+            served += usize::from(response.status() == 200);
+            tries += 1;
+            if Instant::now() > end {
+                let daemon = cluster.instances[instance].daemon.lock().unwrap();
+                let lines = daemon.logged("").into_iter().rev().take(MAX_PRINTED_LINES);
+                let lines: Vec<String> = lines.collect();
+                return Err(format!(
+                    "daemon {instance} does not serve {kind:?} ({tries} requests sent, {served} served), last answer `{}`; replicas {:?}; log lines, newest first:\n    {}",
+                    response.line,
+                    cluster.describe_replicas(),
+                    lines.join("\n    ")
+                ));
             }
         }
+        times.push((tries, start.elapsed().as_millis()));
     }
-    Ok(())
+    Ok(times)
 }
 
 /// Evacuates a data centre and checks that it gets no requests from any daemon after
--- a/crates/gateway/tests/soak/cluster.rs
+++ b/crates/gateway/tests/soak/cluster.rs
@@ -397,6 +397,18 @@
         self.list(&replica.id, row);
     }
 
+    /// Describes the current replicas.
+    pub fn describe_replicas(&self) -> Vec<String> {
+        let replicas = self.replicas.lock().unwrap();
+        let texts = replicas.iter().map(|(replica, _, service, stage, _)| {
+            let number = number(&replica.id);
+            let asks_for_pauses = number.is_multiple_of(notices::REFUSING_REPLICA_INTERVAL);
+            let pauses = if asks_for_pauses { " with pauses" } else { "" };
+            format!("{} {service} {stage}{pauses}", replica.id)
+        });
+        texts.collect()
+    }
+
     /// Number of decode replicas of the software version `version`.
     pub fn decode_replicas(&self, version: &str) -> usize {
         let replicas = self.replicas.lock().unwrap();
