Soak: a refusal that reached nobody binds nobody

The daemon had closed the connection, so the refusal and its pause reached nobody. It is no request that was under way when the pause was asked for: the three were sent 0.5 to 0.8 s after the refusal.

It does so for disturbances and silences of replicas now, but only if the daemon's log shows that it gave up the request at that replica without an answer: a refusal that is read binds, whatever came before it.

Ruled out: the clock of the check (arrivals are counted where they arrive, and the requests were sent late, too), and a refusal that is read and lost: its line would name status 503.

--- a/crates/gateway/tests/soak/cluster.rs
+++ b/crates/gateway/tests/soak/cluster.rs
@@ -465,6 +465,20 @@
         }
     }
 
+    /// Whether `daemon` logged that it gave up the request `id` at `replica` without an answer.
+    pub fn gave_up(&self, daemon: usize, id: &str, replica: &str) -> bool {
+        let instance = &self.instances[daemon];
+        let ended = instance.ended.lock().unwrap();
+        let mut lines = instance.daemon.lock().unwrap().logged(id);
+        lines.extend(ended.iter().flat_map(|process| process.logged(id)));
+        lines.iter().any(|line| {
+            line.contains("\"kind\":\"failure\"")
+                && line.contains(&format!("\"request\":\"{id}\""))
+                && line.contains(&format!("\"replica\":\"{replica}\""))
+                && line.contains("\"status\":0")
+        })
+    }
+
     /// Number of lines with `text` that the processes of `daemon` logged.
     pub fn logged_count(&self, daemon: usize, text: &str) -> usize {
         let instance = &self.instances[daemon];
