Soak: replicas and callers that send bytes without end

Bursts of requests that every replica answers with bytes without end, one in a hundred of the other answers, prefills and answers to control calls, and callers that send a head or a chunk size without end, with draws of their own.

Checked besides what is checked in any case: the readiness of a daemon that was not disturbed is answered within a second, whether floods are on or not; no daemon takes more than 110 MB, the smallest machine; a caller of a stream gets no more than a MiB that is no event. Comments of a stream are legal and are left out of the comparison of its events.

A stream that a flood breaks off counts as broken off by its replica, as one that is cut does. Floods carry the headers of the replica's other answers: without its limit, a signed head would lift it.

--- a/crates/gateway/tests/gateway/common/daemon.rs
+++ b/crates/gateway/tests/gateway/common/daemon.rs
@@ -171,6 +171,12 @@
         &self.path
     }
 
+    /// Address of its readiness endpoint.
+    #[allow(dead_code, reason = "used by the soak only")]
+    pub const fn readiness_address(&self) -> SocketAddr {
+        self.readiness
+    }
+
     /// Status of its readiness endpoint; 0 without an answer.
     pub fn readiness(&self) -> u16 {
         get(self.readiness, "/api/readyz").status()
--- a/crates/gateway/tests/gateway/common/replica.rs
+++ b/crates/gateway/tests/gateway/common/replica.rs
@@ -70,6 +70,7 @@
 type Script = dyn Fn(&Message) -> Action + Send + Sync;
 type ReportCondition = OnceLock<Box<dyn Fn() -> bool + Send + Sync>>;
 type CallHandler = OnceLock<Box<dyn Fn(&Message) -> Option<Vec<u8>> + Send + Sync>>;
+type CallFlood = OnceLock<Box<dyn Fn(&Message) -> Option<Action> + Send + Sync>>;
 type SecondAnswerRule = OnceLock<Box<dyn Fn(&Message) -> Option<SecondAnswer> + Send + Sync>>;
 
 /// State shared by the connections of a replica and the test.
@@ -82,6 +83,8 @@
     report_condition: ReportCondition,
     /// Replaces the default answers to the daemon's own calls.
     call_handler: CallHandler,
+    /// Decides which calls of the daemon's own are answered otherwise, by what.
+    call_flood: CallFlood,
     /// Decides which requests are answered twice.
     second_answer_rule: SecondAnswerRule,
     /// Second answers sent so far.
@@ -146,6 +149,15 @@
         assert!(self.state.call_handler.set(Box::new(answers)).is_ok());
     }
 
+    /// Answers a reservation, a report or another call of the daemon's own by what `floods` returns, if it does.
+    #[allow(dead_code, reason = "used by the soak only")]
+    pub fn set_call_floods(
+        &self,
+        floods: impl Fn(&Message) -> Option<Action> + Send + Sync + 'static,
+    ) {
+        assert!(self.state.call_flood.set(Box::new(floods)).is_ok());
+    }
+
     /// Answers the requests for which `twice` is true a second time: on the same connection when the next request
     /// arrives, before the answer to that one.
     pub fn answer_twice_if(&self, twice: impl Fn(&Message) -> bool + Send + Sync + 'static) {
@@ -358,6 +370,11 @@
 
 /// Chooses how `request` is handled; `None` leaves it unanswered.
 fn choose_action(request: &Message, script: &Arc<Script>, state: &State) -> Option<Action> {
+    let flood = state.call_flood.get();
+    let is_call = request.path().starts_with("/api/");
+    if let Some(action) = flood.filter(|_| is_call).and_then(|floods| floods(request)) {
+        return Some(action);
+    }
     if let Some(bytes) = state
         .call_handler
         .get()
--- a/crates/gateway/tests/soak/cluster.rs
+++ b/crates/gateway/tests/soak/cluster.rs
@@ -28,6 +28,8 @@
 use crate::common::store::Store;
 use crate::customer;
 use crate::drills::Ledger;
+use crate::floods;
+use crate::floods::Floods;
 use crate::history::History;
 use crate::hot;
 use crate::kept::LimitHistory;
@@ -107,6 +109,8 @@
     pub notices: Arc<Notices>,
     /// Requests of callers and why they may have ended without a complete answer.
     pub losses: Arc<Losses>,
+    /// Floods, and how daemons stood them.
+    pub floods: Arc<Floods>,
     /// Limits of callers' connections.
     pub limits: Arc<LimitHistory>,
     /// What the operator and the replicas wrote to the store.
@@ -122,6 +126,7 @@
     version: Arc<AtomicU64>,
     callers_stopped: Arc<AtomicBool>,
     idle_callers_stopped: Arc<AtomicBool>,
+    is_flooding: Arc<AtomicBool>,
     replica_count: Arc<AtomicU64>,
     seed: u64,
     /// Whether second answers are the only fault of the run.
@@ -150,6 +155,7 @@
             history: Arc::default(),
             notices: Arc::default(),
             losses: Arc::default(),
+            floods: Arc::default(),
             limits: Arc::default(),
             ledger: Arc::default(),
             outages: Arc::default(),
@@ -163,6 +169,7 @@
             version: Arc::new(AtomicU64::new(0)),
             callers_stopped: Arc::default(),
             idle_callers_stopped: Arc::default(),
+            is_flooding: Arc::default(),
             replica_count: Arc::default(),
             seed,
             only_second_answers,
@@ -203,6 +210,8 @@
         let id = format!("i-{number}");
         let version = script::version(number);
         let random = RandomSource::new(self.seed * 977 + number, self.only_second_answers);
+        let flood_random = RandomSource::new(self.seed * 991 + number, false);
+        let call_flood_random = RandomSource::new(self.seed * 997 + number, false);
         let second_answer_random = RandomSource::new(self.seed * 983 + number, false);
         let cluster = self.clone();
         let own_id = id.clone();
@@ -247,6 +256,10 @@
             if request.path().starts_with("/api/") {
                 return action;
             }
+            let flood_draw = flood_random.draw().0;
+            let flood_draw = cluster.is_flooding().then_some(flood_draw);
+            let action = floods::replace(action, (stage, version), request, flood_draw);
+            cluster.floods.record(&action);
             let action =
                 notices::add_headers(action, &own_id, says_draining.load(Ordering::SeqCst));
             let action = script::slow_down(action, script::slowdown(number, started.elapsed()));
@@ -269,6 +282,15 @@
             limit::add_limit_header(action)
         });
         replica.set_call_handler(script::reservations(number, started));
+        let cluster = self.clone();
+        replica.set_call_floods(move |request| {
+            let draw = call_flood_random.draw().0;
+            let flooding = cluster.is_flooding().then_some(draw);
+            let none = Action::Send(Vec::new());
+            let action = floods::replace(none, ("", version), request, flooding);
+            cluster.floods.record(&action);
+            matches!(action, Action::SendWithoutEnd(..)).then_some(action)
+        });
         let history = Arc::clone(&self.history);
         replica.set_second_answers(move |_| {
             script::second_answer(second_answer_random.draw())
@@ -535,6 +557,16 @@
         self.idle_callers_stopped.store(true, Ordering::SeqCst);
     }
 
+    /// Lets replicas answer some requests with floods, or no longer.
+    pub fn set_flooding(&self, is_flooding: bool) {
+        self.is_flooding.store(is_flooding, Ordering::SeqCst);
+    }
+
+    /// Whether replicas answer some requests with floods.
+    pub fn is_flooding(&self) -> bool {
+        self.is_flooding.load(Ordering::SeqCst)
+    }
+
     /// Whether callers that keep connections idle have to stop.
     pub fn idle_callers_stopped(&self) -> bool {
         self.idle_callers_stopped.load(Ordering::SeqCst)
--- a/crates/gateway/tests/soak/faults.rs
+++ b/crates/gateway/tests/soak/faults.rs
@@ -16,6 +16,7 @@
 use crate::cluster::Partition;
 use crate::drills::Backups;
 use crate::drills::Drill;
+use crate::floods;
 use crate::kept::Limits;
 use crate::proxy::ConnectionFault;
 
@@ -105,6 +106,7 @@
     let backups = Arc::new(Backups::default());
     let (own, writer) = (Arc::clone(&backups), cluster.clone());
     let copier = thread::spawn(move || own.run(&writer, end));
+    let floods = floods::start(cluster, seed, end);
     let cluster = cluster.clone();
     let starter = thread::spawn(move || {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
@@ -126,7 +128,7 @@
             thread.join().unwrap();
         }
     });
-    vec![copier, starter]
+    vec![copier, starter].into_iter().chain(floods).collect()
 }
 
 /// A sound replica falls silent and goes on: no connection is closed.
--- a/crates/gateway/tests/soak/history.rs
+++ b/crates/gateway/tests/soak/history.rs
@@ -12,6 +12,7 @@
 use crate::common::http::Message;
 use crate::customer;
 use crate::customer::Customer;
+use crate::floods;
 use crate::limit;
 use crate::script;
 
@@ -285,12 +286,20 @@
     }
 }
 
-/// Checks that the events are those of `id`, in order, without gaps or repeats.
+/// Checks that the events are those of `id`, in order, without gaps or repeats, and that there is little beside them.
 fn check_events(id: &str, response: &ResponseRecord) -> Result<(), String> {
     let parts = response.body.split("\n\n").collect::<Vec<_>>();
     let (last, parts) = parts.split_last().ok_or("no body")?;
+    let (comments, parts): (Vec<&str>, Vec<&str>) = parts
+        .iter()
+        .copied()
+        .partition(|part| part.starts_with(':'));
+    let extra = last.len() + comments.iter().map(|comment| comment.len()).sum::<usize>();
+    if extra > floods::MAX_EXTRA_BYTES {
+        return Err(format!("FLOOD: got {extra} bytes that are no event"));
+    }
     let mut versions = BTreeSet::new();
-    for (number, event) in (response.first_event..).zip(parts) {
+    for (number, event) in (response.first_event..).zip(&parts) {
         let expected = format!("id: {number}\ndata: {id} ");
         let version = event.strip_prefix(&expected);
         let version = version.ok_or_else(|| format!("MIXED: event {number} is `{event}`"))?;
--- a/crates/gateway/tests/soak/losses.rs
+++ b/crates/gateway/tests/soak/losses.rs
@@ -9,6 +9,7 @@
 use crate::cluster::DISTURBANCE_MARGIN;
 use crate::common::http::Message;
 use crate::common::replica::Action;
+use crate::floods;
 use crate::notices::Notices;
 
 /// A request of a caller and how it ended.
@@ -71,7 +72,7 @@
 
     /// Records how a replica answers `request`.
     pub fn record_action(&self, request: &Message, action: &Action) {
-        if let Action::SendAndClose(_) = action {
+        if matches!(action, Action::SendAndClose(_)) || floods::breaks_off(action) {
             let id = request.header("request-id").unwrap_or_default();
             self.broken.lock().unwrap().insert(id.to_owned());
         }
--- a/crates/gateway/tests/soak/main.rs
+++ b/crates/gateway/tests/soak/main.rs
@@ -1,7 +1,8 @@
 //! Causes random faults around real daemons and checks the promises from what callers and replicas observe.
 //!
 //! `SOAK_SEEDS=100-150 SOAK_SECONDS=15 cargo test -p gateway --test soak -- --nocapture` runs more
-//! seeds than the short run of CI. With `SOAK_ONLY_DOUBLED` set, the only fault is that some answers are sent twice.
+//! seeds than the short run of CI. With `SOAK_ONLY_DOUBLED` set, the only fault is that some answers are sent twice. With
+//! `SOAK_FLOODS` set, replicas and callers also send bytes without end.
 
 #[path = "../gateway/common/mod.rs"]
 #[allow(
@@ -15,6 +16,7 @@
 mod customer;
 mod drills;
 mod faults;
+mod floods;
 mod history;
 mod hot;
 mod kept;
@@ -170,6 +172,12 @@
             thread::spawn(move || callers::run_streams(&cluster, seed * 1_000 + number))
         })
         .collect();
+    let watches: Vec<_> = (0..DAEMONS)
+        .map(|number| {
+            let cluster = cluster.clone();
+            thread::spawn(move || cluster.floods.watch(&cluster, number))
+        })
+        .collect();
     let duration = Duration::from_secs(seconds());
     if cluster.only_second_answers {
         thread::sleep(duration);
@@ -198,8 +206,9 @@
         violations.extend(callers::check_partition(&cluster, seed).err());
     }
     cluster.stop_idle_callers();
-    for caller in idle_callers.into_iter().chain(stream_callers) {
-        caller.join().unwrap();
+    let others = stream_callers.into_iter().chain(watches);
+    for thread in idle_callers.into_iter().chain(others) {
+        thread.join().unwrap();
     }
     // Requests that still run at a replica end within the duration of its longest answer.
     thread::sleep(Duration::from_millis(1_500));
@@ -210,6 +219,7 @@
     violations.extend(notices.violations(&cluster.disturbances(), gave_up));
     let losses = &cluster.losses;
     violations.extend(losses.violations(notices, &cluster.disturbances()));
+    violations.extend(cluster.floods.violations());
     for id in violations.iter().flat_map(|text| request_ids(text)) {
         println!("lines about {id}:\n{}", cluster.lines_about(id).join("\n"));
     }
@@ -218,13 +228,14 @@
         counts.sum::<usize>()
     };
     println!(
-        "seed {seed}: {} drills, {} silences, {} limits; {}; {}; {}; {} second answers skipped, {} answers rejected as another request's, {} answered by peers, {} paces of replicas logged",
+        "seed {seed}: {} drills, {} silences, {} limits; {}; {}; {}; {}; {} second answers skipped, {} answers rejected as another request's, {} answered by peers, {} paces of replicas logged",
         cluster.store.restore_count(),
         cluster.notices.silence_count(),
         cluster.limits.count(),
         cluster.history.summary(),
         cluster.notices.summary(),
         cluster.losses.summary(),
+        cluster.floods.summary(),
         count("skipped a duplicate answer"),
         count("answer is another request's"),
         count("a peer answers a request"),
--- a/crates/gateway/tests/soak/script.rs
+++ b/crates/gateway/tests/soak/script.rs
@@ -121,7 +121,8 @@
     maybe_replace_id(action, malformed_draw)
 }
 
-/// Adds a header line to the answer of `Send`, `SendAndClose` and `SendSlowly`; other actions stay unchanged.
+/// Adds a header line to the answer of `Send`, `SendAndClose`, `SendSlowly` and `SendWithoutEnd`; other actions stay
+/// unchanged.
 pub fn add_header(action: Action, line: &str) -> Action {
     let insert = |answer: &[u8]| {
         let text = String::from_utf8_lossy(answer);
@@ -135,6 +136,9 @@
             parts[0] = insert(&parts[0]);
             Action::SendSlowly(parts, pause)
         }
+        Action::SendWithoutEnd(first, repeated, pause) => {
+            Action::SendWithoutEnd(insert(&first), repeated, pause)
+        }
         action => action,
     }
 }
@@ -313,6 +317,6 @@
 }
 
 /// Encodes one event of the stream of the request `id` as a chunk.
-fn event(number: u64, id: &str, version: &str) -> Vec<u8> {
+pub fn event(number: u64, id: &str, version: &str) -> Vec<u8> {
     chunk(event_text(number, id, version).as_bytes())
 }
