--- a/crates/gateway/tests/gateway/stages.rs
+++ b/crates/gateway/tests/gateway/stages.rs
@@ -20,11 +20,30 @@
 const ORDERS_AT_ONCE: usize = 6;
 
 fn engines() -> Vec<Replica> {
-    let accept = |_: &Message| Action::Send(answer(202, &[], b""));
+    engines_answering_after(Duration::ZERO)
+}
+
+/// Engines that take `delay` to answer an order.
+fn engines_answering_after(delay: Duration) -> Vec<Replica> {
+    let accept = move |_: &Message| Action::SendSlowly(vec![answer(202, &[], b"")], delay);
     let names = (0..PREFILL_REPLICAS + DECODE_REPLICAS).map(|number| format!("i-{number}"));
     names.map(|name| Replica::start(&name, accept)).collect()
 }
 
+fn start_with_prefill_share(name: &str, engines: &[Replica]) -> Site {
+    let stages = engines.iter().enumerate().map(|(number, engine)| {
+        let stage = if number < PREFILL_REPLICAS {
+            "prefill"
+        } else {
+            "decode"
+        };
+        (engine, "llm", stage)
+    });
+    let site = Site::start(name, &stages.collect::<Vec<_>>());
+    site.change_settings("grace_s: 8", "grace_s: 8\nprefill_share: 0.1");
+    site
+}
+
 fn orders(engine: &Replica) -> Vec<Value> {
     let received = engine.requests();
     let orders = received
@@ -40,16 +59,7 @@
 #[test]
 fn several_engines_change_their_stage_at_once_and_each_gets_one_order() {
     let engines = engines();
-    let stages = engines.iter().enumerate().map(|(number, engine)| {
-        let stage = if number < PREFILL_REPLICAS {
-            "prefill"
-        } else {
-            "decode"
-        };
-        (engine, "llm", stage)
-    });
-    let site = Site::start("stages", &stages.collect::<Vec<_>>());
-    site.change_settings("grace_s: 8", "grace_s: 8\nprefill_share: 0.1");
+    let site = start_with_prefill_share("stages", &engines);
     let given = || -> usize { engines.iter().map(|engine| orders(engine).len()).sum() };
     wait_until("the orders are sent", || given() >= ORDERS_AT_ONCE);
     // Longer than the stages must be out of proportion before orders are sent, shorter than the pause after a change.
@@ -75,6 +85,37 @@
     assert!(site.store.has("orders", "llm"));
 }
 
+/// Guards against orders one after another within the short life of a claim: engines that answer
+/// slowly, but in time, would leave no time for the last ones.
+#[test]
+fn engines_that_answer_slowly_get_their_orders_under_one_claim() {
+    let engines = engines_answering_after(Duration::from_millis(100));
+    let _site = start_with_prefill_share("slow-stages", &engines);
+    let given = || -> usize { engines.iter().map(|engine| orders(engine).len()).sum() };
+    wait_until("the first orders are sent", || given() > 0);
+    // Longer than the orders of one claim take, shorter than the pause after a change.
+    thread::sleep(Duration::from_millis(2_500));
+    assert_eq!(given(), ORDERS_AT_ONCE);
+}
+
+/// Guards against further orders while the first ones, which have no answer, may still be carried
+/// out: too many engines would change their stage.
+#[test]
+fn orders_without_an_answer_are_followed_by_the_pause_after_a_change() {
+    let engines = engines_answering_after(Duration::from_secs(1));
+    let site = start_with_prefill_share("unanswered-stages", &engines);
+    let given = || -> usize { engines.iter().map(|engine| orders(engine).len()).sum() };
+    wait_until("the first orders are sent", || given() > 0);
+    // Longer than the stages must be out of proportion before orders are sent, shorter than the pause after a change.
+    thread::sleep(Duration::from_secs(5));
+    let claims: BTreeSet<u64> = engines
+        .iter()
+        .flat_map(orders)
+        .filter_map(|order| order["fence"].as_u64())
+        .collect();
+    assert_eq!(claims.len(), 1, "{:?}", site.daemon.logged("\"order\""));
+}
+
 /// Guards against orders to an engine that says with its report that it drains.
 #[rstest]
 #[case::by_a_header(&[("server-leaving", "1")], r#"{"busy":false,"seq":0}"#)]
