Pause stage changes after orders without an answer

What operators saw: while engines did not answer orders in time, a new claim with further orders followed every 2.4 s, to other engines; far more engines could change their stage than were due.

Cause: only an answered order counted as sent. An order without an answer may be accepted or carried out seconds later, and the next round knew nothing of it.

Why this holds: an error after the connection was open is uncertain (control::Error::is_uncertain) and starts the pause like an answer. Orders that were certainly not sent (refused connection, old claim, new era, withheld) start no pause, as before.

Ruled out: keeping the engines out that were ordered: their report says busy once they accept; before that the expected sequence number refuses only a second order to the same engine.

Cost: where all orders were lost and none is carried out, the next try comes after the pause (stage-switch-s and 3 s), not after 1.5 s.

--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -103,8 +103,8 @@
     let outcomes = join_all(orders.into_iter().map(async |order| {
         let replica = order.replica.id.clone();
         let outcome = match claimed_at.elapsed() {
-            age if age > MAX_CLAIM_AGE => Err("the claim is too old".to_owned()),
-            _ if claim.era != shared.era() => Err(NEW_ERA.to_owned()),
+            age if age > MAX_CLAIM_AGE => Err(Failure::not_sent("the claim is too old")),
+            _ if claim.era != shared.era() => Err(Failure::not_sent(NEW_ERA)),
             _ => send_order(shared, order, due.stage, claim.fence()).await,
         };
         (replica, outcome)
@@ -116,7 +116,12 @@
                 sent = true;
                 log::info!(kind = "order", replica = replica, stage = format!("{:?}", due.stage), prefill = counts.prefill as u64, decode = counts.decode as u64, status = status.as_u16(); "ordered a change of stage");
             }
-            Err(cause) => {
+            Err(Failure {
+                cause,
+                is_uncertain,
+            }) => {
+                // It may still be carried out.
+                sent |= is_uncertain;
                 log::warn!(kind = "order", replica = replica, stage = format!("{:?}", due.stage), cause = cause; "no order was sent, or its outcome is unknown");
             }
         }
@@ -137,6 +142,32 @@
     accepted: u64,
 }
 
+/// An order without an answer.
+#[derive(Debug)]
+struct Failure {
+    cause: String,
+    /// Whether the order may be carried out.
+    is_uncertain: bool,
+}
+
+impl Failure {
+    fn not_sent(cause: &str) -> Self {
+        Self {
+            cause: cause.to_owned(),
+            is_uncertain: false,
+        }
+    }
+}
+
+impl From<control::Error> for Failure {
+    fn from(error: control::Error) -> Self {
+        Self {
+            cause: error.to_string(),
+            is_uncertain: error.is_uncertain(),
+        }
+    }
+}
+
 /// Selects the least loaded replicas of the other stage that carry out no order at present.
 async fn select_orders(shared: &Shared, service: &str, due: Rebalance) -> Vec<Order> {
     let from = match due.stage {
@@ -197,10 +228,10 @@
     order: Order,
     stage: Stage,
     fence: u64,
-) -> Result<StatusCode, String> {
+) -> Result<StatusCode, Failure> {
     // The engine may have said something else since it was selected.
     if let Some(cause) = shared.withheld_cause(order.key) {
-        return Err(cause.to_owned());
+        return Err(Failure::not_sent(cause));
     }
     let holder = &shared.settings().instance;
     let call = Call {
@@ -211,9 +242,7 @@
         path: engine::ORDER_PATH.to_owned(),
         body: engine::stage_body(stage, holder, fence, order.accepted),
     };
-    let called = control::call(shared, call).await;
-    let answer = called.map_err(|error| error.to_string())?;
-    Ok(answer.status)
+    Ok(control::call(shared, call).await?.status)
 }
 
 /// Claims the right to send orders for `service`; returns the version of the claim, which makes the
