--- /dev/null
+++ b/crates/call/tests/endless.rs
@@ -0,0 +1,117 @@
+//! Peers that send bytes without end that are no answer.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use call::Error;
+use call::direct;
+use http::Method;
+use rstest::rstest;
+
+const CHUNKED_HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+const INFORMATIONAL_HEAD: &str = "HTTP/1.1 100 Continue\r\n\r\n";
+
+/// Time within which the readiness of a daemon has to be answered.
+const MAX_DELAY: Duration = Duration::from_secs(1);
+/// Timeout of the calls, far above the delay.
+const TIMEOUT: Duration = Duration::from_secs(8);
+/// Limit of an answer's body.
+const BODY_LIMIT: usize = 16 << 20;
+/// Bytes that a call may take that are no answer, with the buffers of the system on both sides.
+const MAX_BYTES: usize = 16 << 20;
+/// Calls at the same time.
+const CALLS: usize = 4;
+
+/// A peer that answers each request with `first` and then `repeated` without end.
+struct Peer {
+    address: SocketAddr,
+    sent: Arc<AtomicUsize>,
+}
+
+impl Peer {
+    fn start(first: &'static str, repeated: &'static str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let sent = Arc::new(AtomicUsize::new(0));
+        let total = Arc::clone(&sent);
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let total = Arc::clone(&total);
+                thread::spawn(move || pour(&mut stream.unwrap(), first, repeated, &total));
+            }
+        });
+        Self { address, sent }
+    }
+}
+
+fn pour(stream: &mut TcpStream, first: &str, repeated: &str, sent: &AtomicUsize) {
+    const BATCH_BYTES: usize = 64 * 1024;
+    let mut request = [0; 4096];
+    if stream.read(&mut request).is_err() || stream.write_all(first.as_bytes()).is_err() {
+        return;
+    }
+    let batch = repeated.repeat(BATCH_BYTES / repeated.len());
+    while let Ok(count) = stream.write(batch.as_bytes()) {
+        sent.fetch_add(count, Ordering::SeqCst);
+    }
+}
+
+async fn get(peer: SocketAddr) -> Result<(http::StatusCode, bytes::Bytes), Error<&'static str>> {
+    let request = (Method::GET, "/", Vec::new());
+    direct::exchange("get", peer, TIMEOUT, BODY_LIMIT, request).await
+}
+
+/// The longest time by which a timer was late until `done` returned true.
+async fn longest_delay(done: impl Fn() -> bool) -> Duration {
+    const PERIOD: Duration = Duration::from_millis(10);
+    let mut longest = Duration::ZERO;
+    while !done() {
+        let started = Instant::now();
+        tokio::time::sleep(PERIOD).await;
+        longest = longest.max(started.elapsed().saturating_sub(PERIOD));
+    }
+    longest
+}
+
+#[rstest]
+#[case::informational_heads(INFORMATIONAL_HEAD, INFORMATIONAL_HEAD)]
+#[case::zeros_of_a_chunk_size(CHUNKED_HEAD, "0")]
+#[case::fields_of_the_head("HTTP/1.1 200 OK\r\n", "a: b\r\n")]
+#[case::one_field_of_the_head("HTTP/1.1 200 OK\r\na: ", "b")]
+#[case::an_extension_of_a_chunk("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x")]
+#[case::trailers(
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+    "a: b\r\n"
+)]
+#[case::blank_lines("\r\n", "\r\n")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 1)]
+async fn bytes_that_are_no_answer_end_the_call_and_delay_nothing(
+    #[case] first: &'static str,
+    #[case] repeated: &'static str,
+) {
+    let peer = Peer::start(first, repeated);
+    let calls: Vec<_> = (0..CALLS)
+        .map(|_| tokio::spawn(get(peer.address)))
+        .collect();
+    let ended = || calls.iter().all(tokio::task::JoinHandle::is_finished);
+    let delay = longest_delay(ended).await;
+    for call in calls {
+        let answer = call.await.unwrap();
+        assert!(matches!(answer, Err(Error::Lost { .. })), "{answer:?}");
+    }
+    let sent = peer.sent.load(Ordering::SeqCst);
+    assert!(
+        sent <= CALLS * MAX_BYTES,
+        "{sent} bytes were taken, delay {delay:?}"
+    );
+    assert!(delay <= MAX_DELAY, "a timer was {delay:?} late");
+}
