Give up an answer of an engine after too many bytes that are none

What callers saw: while an engine, application or the store sent interim heads or digits of a chunk size without end, other requests waited, with few cores for seconds, until the timeout of that call (two minutes).

Cause: one poll of a connection reads on for as long as bytes are ready, and neither interim heads nor leading zeros of a chunk size have a limit in hyper.

Head fields, one endless field, extensions, trailers and blank lines were bounded before. Now all seven end within 256 KB a call.

Why this holds: every byte of these connections passes Socket; a head or data of the body starts the count again, so nothing else may go on. The buffer of a connection is 64 KB (hyper's default: some 400 KB), which bounds one read and with it the work of one poll: hyper turns at most 16 times in a poll that makes progress. A body is copied into one buffer: a list of chunks costs many times their bytes where chunks are of a byte.

Ruled out: a bound on bytes for each poll beside this one; what makes progress waits for its reader, and what makes none has ended after 256 KB. A bound of 128 KB would be reached by a sound answer whose reader is late: two buffers are read ahead.

--- a/crates/call/src/direct.rs
+++ b/crates/call/src/direct.rs
@@ -8,11 +8,13 @@
 //! Uses the connection layer of `hyper`, which reports a failed connect separately from a failed
 //! exchange.
 
+use std::error;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use boottime::timer;
 use bytes::Bytes;
+use bytes::BytesMut;
 use http::HeaderValue;
 use http::Method;
 use http::Request;
@@ -21,7 +23,6 @@
 use http::header::HOST;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -29,6 +30,12 @@
 use tokio::task::AbortHandle;
 
 use crate::Error;
+use crate::bound::Bound;
+use crate::progress::Progress;
+use crate::progress::Socket;
+
+/// Size of a connection's read buffer, and so of the head of an answer.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
 
 /// Timeouts of one exchange.
 #[derive(Debug, Clone, Copy)]
@@ -49,13 +56,36 @@
     }
 }
 
+/// The unread body of an answer.
+#[derive(Debug)]
+pub struct Body {
+    incoming: Incoming,
+    progress: Progress,
+}
+
+impl Body {
+    /// The next data; `None` after the last. Cancel safe: dropping the returned future loses none.
+    pub async fn next(&mut self) -> Option<Result<Bytes, String>> {
+        loop {
+            let frame = match self.incoming.frame().await? {
+                Ok(frame) => frame,
+                Err(error) => return Some(Err(describe(&error))),
+            };
+            if let Ok(data) = frame.into_data() {
+                self.progress.record();
+                return Some(Ok(data));
+            }
+        }
+    }
+}
+
 /// Head and unread body of an answer; the body can be read while the guard exists.
 #[derive(Debug)]
 pub struct Answer {
     /// Status and headers.
     pub head: http::response::Parts,
     /// The unread body.
-    pub body: Incoming,
+    pub body: Body,
     /// Closes the connection when dropped.
     pub guard: ConnectionGuard,
 }
@@ -74,12 +104,11 @@
         limit: usize,
     ) -> Result<Bytes, Error<S>> {
         let Self { body, guard, .. } = self;
-        let body = Limited::new(body, limit).collect();
-        let collected = timer::timeout(timeout, body).await;
+        let collected = timer::timeout(timeout, collect(body, peer, limit)).await;
         drop(guard);
         let cause = match collected {
-            Ok(Ok(body)) => return Ok(body.to_bytes()),
-            Ok(Err(e)) => e.to_string(),
+            Ok(Ok(body)) => return Ok(body),
+            Ok(Err(cause)) => cause,
             Err(elapsed) => elapsed.to_string(),
         };
         Err(Error::Lost { step, peer, cause })
@@ -110,7 +139,11 @@
         .map_err(|_| not_sent("connecting timed out".to_owned()))?
         .map_err(|e| not_sent(e.to_string()))?;
     // The HTTP/1 handshake only initialises state; it sends nothing.
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+    let progress = Progress::default();
+    let socket = Socket::new(stream, peer, progress.clone());
+    let (mut sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_BUFFER_BYTES)
+        .handshake(TokioIo::new(socket))
         .await
         .map_err(|e| not_sent(e.to_string()))?;
     let guard = ConnectionGuard(tokio::spawn(connection).abort_handle());
@@ -118,8 +151,10 @@
     let answer = timer::timeout(timeouts.head, sender.send_request(request))
         .await
         .map_err(|_| lost("no answer in time".to_owned()))?
-        .map_err(|e| lost(e.to_string()))?;
-    let (head, body) = answer.into_parts();
+        .map_err(|e| lost(describe(&e)))?;
+    progress.record();
+    let (head, incoming) = answer.into_parts();
+    let body = Body { incoming, progress };
     Ok(Answer { head, body, guard })
 }
 
@@ -166,6 +201,28 @@
     }
 }
 
+async fn collect(mut body: Body, peer: SocketAddr, limit: usize) -> Result<Bytes, String> {
+    let mut collected = BytesMut::new();
+    while let Some(data) = body.next().await {
+        let data = data?;
+        let bytes = collected.len() + data.len();
+        if bytes > limit {
+            Bound::Body.record(peer, bytes);
+            return Err(format!("the body is longer than {limit} bytes"));
+        }
+        collected.extend_from_slice(&data);
+    }
+    Ok(collected.freeze())
+}
+
+/// The error and what caused it.
+fn describe(error: &hyper::Error) -> String {
+    match error::Error::source(error) {
+        Some(cause) => format!("{error}: {cause}"),
+        None => error.to_string(),
+    }
+}
+
 async fn connect(peer: SocketAddr) -> std::io::Result<TcpStream> {
     let stream = TcpStream::connect(peer).await?;
     stream.set_nodelay(true)?;
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -1,7 +1,9 @@
 //! HTTP calls to a peer: a connection for each, and errors that show whether the call may have
 //! taken effect.
 
+pub mod bound;
 pub mod direct;
 mod error;
+mod progress;
 
 pub use error::Error;
--- a/crates/call/tests/endless.rs
+++ b/crates/call/tests/endless.rs
@@ -115,3 +115,45 @@
     );
     assert!(delay <= MAX_DELAY, "a timer was {delay:?} late");
 }
+
+/// Guards against a bound on bytes that counts those of a sound answer.
+#[rstest]
+#[case::with_a_length(1 << 20, None)]
+#[case::in_large_chunks(1 << 20, Some(1 << 20))]
+#[case::in_chunks_of_a_byte(16 << 10, Some(1))]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_long_answer_is_read_whole(#[case] part: usize, #[case] chunk: Option<usize>) {
+    const PARTS: usize = 12;
+    let head = match chunk {
+        None => format!(
+            "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n",
+            PARTS * part
+        ),
+        Some(_) => CHUNKED_HEAD.to_owned(),
+    };
+    let body = vec![b'x'; part];
+    let encoded = match chunk {
+        None => body,
+        Some(size) => body.chunks(size).flat_map(encode_chunk).collect(),
+    };
+    let end = chunk.map_or("", |_| "0\r\n\r\n");
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let sender = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let _read = stream.read(&mut [0; 4096]).unwrap();
+        stream.write_all(head.as_bytes()).unwrap();
+        for _ in 0..PARTS {
+            stream.write_all(&encoded).unwrap();
+        }
+        stream.write_all(end.as_bytes()).unwrap();
+    });
+    let (status, answer) = get(address).await.unwrap();
+    sender.join().unwrap();
+    assert_eq!((status.as_u16(), answer.len()), (200, PARTS * part));
+}
+
+fn encode_chunk(data: &[u8]) -> Vec<u8> {
+    let size = format!("{:x}\r\n", data.len()).into_bytes();
+    [&size, data, b"\r\n"].concat()
+}
--- a/crates/engine/src/stream.rs
+++ b/crates/engine/src/stream.rs
@@ -5,9 +5,8 @@
 use bytes::Buf;
 use bytes::BytesMut;
 use call::direct::Answer;
+use call::direct::Body;
 use call::direct::ConnectionGuard;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use serde::Deserialize;
 
 use crate::error::Error;
@@ -68,7 +67,7 @@
 #[derive(Debug)]
 pub struct Stream {
     peer: SocketAddr,
-    body: Incoming,
+    body: Body,
     buffer: BytesMut,
     ended: bool,
     _guard: ConnectionGuard,
@@ -106,12 +105,9 @@
             if self.buffer.len() > MAX_LINE_BYTES {
                 return Err(self.malformed("a line is too long".to_owned()));
             }
-            match self.body.frame().await {
-                Some(Ok(frame)) => {
-                    let data = frame.into_data().unwrap_or_default();
-                    self.buffer.extend_from_slice(&data);
-                }
-                Some(Err(e)) => return Err(self.lost(e.to_string())),
+            match self.body.next().await {
+                Some(Ok(data)) => self.buffer.extend_from_slice(&data),
+                Some(Err(cause)) => return Err(self.lost(cause)),
                 None => return Err(self.lost("broke off before its end".to_owned())),
             }
         }
--- a/crates/entry/src/metrics/mod.rs
+++ b/crates/entry/src/metrics/mod.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use call::bound::Bound;
 use launch::error::Error;
 use node::action::Count;
 use node::status::Status;
@@ -50,6 +51,7 @@
     retries: IntCounter,
     orders: IntCounterVec,
     faults: IntCounter,
+    given_up: IntCounterVec,
     frames_rejected: IntCounterVec,
     frames_dropped: IntCounter,
     frames_sent: IntCounter,
@@ -145,6 +147,10 @@
     }
 
     fn set_gauges(&self, status: &Status) {
+        for bound in Bound::ALL {
+            let counter = self.given_up.with_label_values(&[bound.as_str()]);
+            counter.inc_by(bound.reached().saturating_sub(counter.get()));
+        }
         self.open.set(status.open as u64);
         self.holds.set(status.holds as u64);
         self.keys.set(status.keys as u64);
@@ -230,6 +236,12 @@
             "Attempts without an owner that were cancelled.",
         )?,
         retries: counter(r, "attempts_retried_total", "Retried attempts.")?,
+        given_up: vector(
+            r,
+            "answers_given_up_total",
+            "Answers that were given up, by the bound that they reached.",
+            &["bound"],
+        )?,
         faults: counter(
             r,
             "faults_total",
