Bound the memory of all answers that waxwingd reads

What callers saw: nothing, until the daemon had no memory left. An answer of an engine or application may have 4 MB (16 MB for a client without that setting), one of the store 64 MB, and any number of them could be read at once.

Why this holds: every body that is collected takes its bytes from a memory that the clones of a client share. Beyond it the largest answer ends, whoever asks for the bytes that are too many: a small answer that is read beside large ones is not given up for them. Given up means lost: a repeatable request is tried again, another one is unknown, as after a cut connection.

Not counted: up to 64 KB of each connection's buffer, spare capacity of a body's buffer while it grows (up to its size again), and whole answers that wait for their caller.

Ruled out: to stop reading beyond the memory; answers that never end would hold it for two minutes each, and sound ones would wait for them.

--- a/crates/call/src/bound.rs
+++ b/crates/call/src/bound.rs
@@ -13,17 +13,20 @@
     Overhead,
     /// On the body of one answer.
     Body,
+    /// On the bodies of all answers that are being read.
+    Memory,
 }
 
 impl Bound {
     /// All bounds.
-    pub const ALL: [Self; 2] = [Self::Overhead, Self::Body];
+    pub const ALL: [Self; 3] = [Self::Overhead, Self::Body, Self::Memory];
 
     /// Its name in log lines and metrics.
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Overhead => "overhead",
             Self::Body => "body",
+            Self::Memory => "memory",
         }
     }
 
--- a/crates/call/src/direct.rs
+++ b/crates/call/src/direct.rs
@@ -31,6 +31,7 @@
 
 use crate::Error;
 use crate::bound::Bound;
+use crate::memory::Memory;
 use crate::progress::Progress;
 use crate::progress::Socket;
 
@@ -46,6 +47,15 @@
     pub head: Duration,
 }
 
+/// Bounds on the body of an answer.
+#[derive(Debug, Clone)]
+pub struct Limits {
+    /// Longest body, in bytes.
+    pub body: usize,
+    /// Memory that is shared with other answers.
+    pub memory: Memory,
+}
+
 /// Closes the connection when dropped, even if data is still in transit.
 #[derive(Debug)]
 pub struct ConnectionGuard(AbortHandle);
@@ -91,20 +101,20 @@
 }
 
 impl Answer {
-    /// Reads the whole body, of at most `limit` bytes, and closes the connection.
+    /// Reads the whole body within `limits`, and closes the connection.
     ///
     /// # Errors
     ///
-    /// [`Error::Lost`] if the body does not end within `timeout`, is truncated or is longer.
+    /// [`Error::Lost`] if the body does not end within `timeout`, is truncated or reaches a bound.
     pub async fn collect<S>(
         self,
         step: S,
         peer: SocketAddr,
         timeout: Duration,
-        limit: usize,
+        limits: &Limits,
     ) -> Result<Bytes, Error<S>> {
         let Self { body, guard, .. } = self;
-        let collected = timer::timeout(timeout, collect(body, peer, limit)).await;
+        let collected = timer::timeout(timeout, collect(body, peer, limits)).await;
         drop(guard);
         let cause = match collected {
             Ok(Ok(body)) => return Ok(body),
@@ -158,8 +168,7 @@
     Ok(Answer { head, body, guard })
 }
 
-/// Sends a request once to `peer` and reads its whole answer, of at most `limit` bytes, within
-/// `timeout`. Connecting may take half of `timeout`, so that an unreachable peer is distinguished
+/// Sends a request once to `peer` and reads its whole answer within `limits` and `timeout`. Connecting may take half of `timeout`, so that an unreachable peer is distinguished
 /// from one that does not answer.
 ///
 /// # Errors
@@ -169,7 +178,7 @@
     step: S,
     peer: SocketAddr,
     timeout: Duration,
-    limit: usize,
+    limits: &Limits,
     (method, path, body): (Method, &str, Vec<u8>),
 ) -> Result<(StatusCode, Bytes), Error<S>> {
     let timeouts = Timeouts {
@@ -188,7 +197,7 @@
     let exchange = async {
         let answer = send(step, peer, timeouts, request).await?;
         let status = answer.head.status;
-        let body = answer.collect(step, peer, timeout, limit).await?;
+        let body = answer.collect(step, peer, timeout, limits).await?;
         Ok((status, body))
     };
     match timer::timeout(timeout, exchange).await {
@@ -201,18 +210,29 @@
     }
 }
 
-async fn collect(mut body: Body, peer: SocketAddr, limit: usize) -> Result<Bytes, String> {
+async fn collect(mut body: Body, peer: SocketAddr, limits: &Limits) -> Result<Bytes, String> {
+    let mut share = limits.memory.share();
     let mut collected = BytesMut::new();
-    while let Some(data) = body.next().await {
-        let data = data?;
+    loop {
+        let data = tokio::select! {
+            biased;
+            () = share.ended() => {
+                Bound::Memory.record(peer, collected.len());
+                return Err("the memory for answers is used up".to_owned());
+            }
+            data = body.next() => data,
+        };
+        let Some(data) = data.transpose()? else {
+            return Ok(collected.freeze());
+        };
         let bytes = collected.len() + data.len();
-        if bytes > limit {
+        if bytes > limits.body {
             Bound::Body.record(peer, bytes);
-            return Err(format!("the body is longer than {limit} bytes"));
+            return Err(format!("the body is longer than {} bytes", limits.body));
         }
+        share.take(data.len());
         collected.extend_from_slice(&data);
     }
-    Ok(collected.freeze())
 }
 
 /// The error and what caused it.
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod bound;
 pub mod direct;
 mod error;
+pub mod memory;
 mod progress;
 
 pub use error::Error;
--- a/crates/call/tests/endless.rs
+++ b/crates/call/tests/endless.rs
@@ -14,6 +14,8 @@
 
 use call::Error;
 use call::direct;
+use call::direct::Limits;
+use call::memory::Memory;
 use http::Method;
 use rstest::rstest;
 
@@ -66,8 +68,12 @@
 }
 
 async fn get(peer: SocketAddr) -> Result<(http::StatusCode, bytes::Bytes), Error<&'static str>> {
+    let limits = Limits {
+        body: BODY_LIMIT,
+        memory: Memory::new(CALLS * BODY_LIMIT),
+    };
     let request = (Method::GET, "/", Vec::new());
-    direct::exchange("get", peer, TIMEOUT, BODY_LIMIT, request).await
+    direct::exchange("get", peer, TIMEOUT, &limits, request).await
 }
 
 /// The longest time by which a timer was late until `done` returned true.
--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -5,7 +5,9 @@
 
 use ::call::direct;
 use ::call::direct::Answer;
+use ::call::direct::Limits;
 use ::call::direct::Timeouts;
+use ::call::memory::Memory;
 use bytes::Bytes;
 use http::Method;
 use http::header;
@@ -34,15 +36,17 @@
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Largest body of an answer, in bytes.
 const MAX_BODY_BYTES: usize = 16 << 20;
+/// Memory for all answers that are being read, in bytes.
+const MEMORY_BYTES: usize = 64 << 20;
 
 /// A client for any number of engines and applications.
 ///
-/// Each call opens a new connection. Dropping a future or a stream closes its connection.
+/// Clones share the memory for answers. Each call opens a new connection. Dropping a future or a stream closes its connection.
 #[derive(Debug, Clone)]
 pub struct Client {
     timeouts: Timeouts,
     control: Duration,
-    body_limit: usize,
+    limits: Limits,
 }
 
 impl Default for Client {
@@ -60,7 +64,10 @@
                 head: WORK_TIMEOUT,
             },
             control: CONTROL_TIMEOUT,
-            body_limit: MAX_BODY_BYTES,
+            limits: Limits {
+                body: MAX_BODY_BYTES,
+                memory: Memory::new(MEMORY_BYTES),
+            },
         }
     }
 
@@ -88,7 +95,7 @@
     /// Sets the largest body of an answer, in bytes.
     #[must_use]
     pub fn with_body_limit(mut self, bytes: usize) -> Self {
-        self.body_limit = bytes;
+        self.limits.body = bytes;
         self
     }
 
@@ -221,7 +228,7 @@
         peer: SocketAddr,
         request: (Method, &str, Vec<u8>),
     ) -> Result<T, Error> {
-        control::exchange(step, peer, self.control, self.body_limit, request).await
+        control::exchange(step, peer, self.control, &self.limits, request).await
     }
 
     /// Posts JSON on a new connection; a status other than 2xx becomes [`Error::Refused`].
@@ -256,7 +263,7 @@
 
     async fn collect(&self, step: Step, peer: SocketAddr, answer: Answer) -> Result<Bytes, Error> {
         answer
-            .collect(step, peer, self.timeouts.head, self.body_limit)
+            .collect(step, peer, self.timeouts.head, &self.limits)
             .await
     }
 }
--- a/crates/engine/src/control.rs
+++ b/crates/engine/src/control.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use ::call::direct;
+use ::call::direct::Limits;
 use http::Method;
 use serde::de::DeserializeOwned;
 
@@ -18,10 +19,10 @@
     step: Step,
     peer: SocketAddr,
     timeout: Duration,
-    body_limit: usize,
+    limits: &Limits,
     request: (Method, &str, Vec<u8>),
 ) -> Result<T, Error> {
-    let (status, body) = direct::exchange(step, peer, timeout, body_limit, request).await?;
+    let (status, body) = direct::exchange(step, peer, timeout, limits, request).await?;
     if !status.is_success() {
         return Err(Error::Refused {
             step,
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -9,6 +9,8 @@
 
 use bytes::Bytes;
 use call::direct;
+use call::direct::Limits;
+use call::memory::Memory;
 use http::Method;
 use http::StatusCode;
 use serde::Deserialize;
@@ -21,7 +23,7 @@
 use crate::txn::Row;
 use crate::txn::Txn;
 
-/// Maximum length of an answer's body, in bytes.
+/// Maximum length of an answer's body, and of all that are being read together, in bytes.
 const MAX_BODY_BYTES: usize = 64 << 20;
 
 /// An answer that is not parsed yet.
@@ -41,12 +43,21 @@
 pub struct Client {
     peer: SocketAddr,
     timeout: Duration,
+    limits: Limits,
 }
 
 impl Client {
     /// A client of the platform at `peer`; each call times out after `timeout`.
-    pub const fn new(peer: SocketAddr, timeout: Duration) -> Self {
-        Self { peer, timeout }
+    pub fn new(peer: SocketAddr, timeout: Duration) -> Self {
+        let limits = Limits {
+            body: MAX_BODY_BYTES,
+            memory: Memory::new(MAX_BODY_BYTES),
+        };
+        Self {
+            peer,
+            timeout,
+            limits,
+        }
     }
 
     /// Executes a transaction.
@@ -136,7 +147,7 @@
     ) -> Result<Answer, Error> {
         let request = (method, path, body);
         let (status, body) =
-            direct::exchange(step, self.peer, self.timeout, MAX_BODY_BYTES, request).await?;
+            direct::exchange(step, self.peer, self.timeout, &self.limits, request).await?;
         Ok(Answer { status, body })
     }
 
