--- a/crates/node/tests/streams.rs
+++ b/crates/node/tests/streams.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use node::action::CallerMessage;
 use node::action::Outcome;
 use node::action::Reason;
@@ -152,3 +153,55 @@
     harness.answer_inspections(own, OWN_FENCE);
     assert_eq!(harness.tokens_sent(FIRST), [(0, 3), (3, 2)]);
 }
+
+/// Guards against a stream that is kept since pieces arrive which bring its caller nothing.
+#[rstest]
+#[case::imports(Piece::Imported)]
+#[case::repeated_tokens(tokens(0))]
+#[case::tokens_behind_a_gap(tokens(9))]
+fn pieces_without_progress_do_not_keep_a_stream(#[case] piece: Piece) {
+    let mut harness = Harness::new();
+    harness.send_request(FIRST);
+    let (order, _) = harness.finish_prefill();
+    harness.send_tokens(order, 0, 5);
+    for _ in 0..20 {
+        harness.run_for(Duration::from_millis(250));
+        let piece = piece.clone();
+        harness.feed(Event::Streamed { order, piece });
+    }
+    let (last, task) = harness.last_order();
+    assert_ne!(last, order, "{task:?}");
+    assert!(
+        matches!(task, Task::Prefill { done_tokens: 5, .. }),
+        "{task:?}"
+    );
+}
+
+/// Guards against a replica that is asked for the rest of a stream without end.
+#[rstest]
+#[case::imports(Piece::Imported)]
+#[case::repeated_tokens(tokens(0))]
+fn a_replica_that_brings_no_progress_is_left(#[case] piece: Piece) {
+    let mut harness = Harness::new();
+    harness.send_request(FIRST);
+    let (order, _) = harness.finish_prefill();
+    harness.send_tokens(order, 0, 5);
+    for _ in 0..20 {
+        let (order, task) = harness.last_order();
+        if matches!(task, Task::Prefill { .. }) {
+            return;
+        }
+        let piece = piece.clone();
+        harness.feed(Event::Streamed { order, piece });
+        harness.fail_order(order, Failure::Lost);
+    }
+    panic!("{:?}", harness.last_order());
+}
+
+fn tokens(offset: u32) -> Piece {
+    Piece::Tokens {
+        offset,
+        count: 1,
+        text: Bytes::from_static(b"w"),
+    }
+}
