Count only new tokens as progress of a stream

What callers saw: a stream stood still for as long as its engine sent imports, tokens that the caller had, or tokens behind a gap, while sound replicas were there; silence in the same place is noticed after 3 s and the stream goes on elsewhere.

Cause: every piece set the time of the last progress, and the number of failed attach orders to 0. So a stream was neither stalled, nor lost after three attach orders that brought nothing.

Why this holds: progress is the first import and tokens that can be delivered. An order that is sent starts the time again, as before. An engine sends the tokens of a stream in order, so a gap is not made good by waiting.

Ruled out: bytes that are no event. A line that is none ends the stream at once, and a line without end, however slow, is no event, so the stream is stalled after 3 s.

--- a/crates/node/src/open.rs
+++ b/crates/node/src/open.rs
@@ -235,6 +235,12 @@
         }
     }
 
+    /// Records that its replica brought it further.
+    pub const fn record_progress(&mut self, now: Time) {
+        self.times.progress = now;
+        self.attach_failures = 0;
+    }
+
     /// Records the end of an order; `unsent` if no byte of it reached the replica.
     pub fn record_order_end(&mut self, unsent: bool) {
         self.reach = match self.reach {
--- a/crates/node/src/streams.rs
+++ b/crates/node/src/streams.rs
@@ -58,12 +58,14 @@
     fn handle_import(&mut self, open_id: OpenId, out: &mut Vec<Action>) {
         let entry = &mut self.requests.open[open_id];
         entry.computed = 0;
-        entry.attach_failures = 0;
-        entry.times.progress = self.now;
+        let is_first = !matches!(entry.phase, Some(Phase::Decoding));
+        if is_first {
+            entry.record_progress(self.now);
+        }
         if let Some(hold) = entry.prefill_hold.take() {
             self.requests.holds.erase(hold);
         }
-        if !matches!(self.requests.open[open_id].phase, Some(Phase::Decoding)) {
+        if is_first {
             self.report_phase(open_id, Phase::Decoding, out);
         }
     }
@@ -71,11 +73,10 @@
     fn handle_tokens(&mut self, open_id: OpenId, run: TokenRun, out: &mut Vec<Action>) {
         let now = self.now;
         let entry = &mut self.requests.open[open_id];
-        entry.attach_failures = 0;
-        entry.times.progress = now;
         let mut ready = Vec::new();
         let arrival = entry.reassembler.push(run, &mut ready);
         if arrival == Arrival::Ready {
+            entry.record_progress(now);
             record_token_times(entry, now, out);
         }
         if let Some(call) = entry.call {
