--- a/crates/node/tests/streams.rs
+++ b/crates/node/tests/streams.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use ledger::reassembly::MAX_EARLY;
 use node::action::CallerMessage;
 use node::action::Outcome;
 use node::action::Reason;
@@ -179,9 +180,11 @@
 
 /// Guards against a replica that is asked for the rest of a stream without end.
 #[rstest]
-#[case::imports(Piece::Imported)]
-#[case::repeated_tokens(tokens(0))]
-fn a_replica_that_brings_no_progress_is_left(#[case] piece: Piece) {
+#[case::imports(vec![Piece::Imported])]
+#[case::repeated_tokens(vec![tokens(0)])]
+#[case::too_many_tokens_behind_a_gap((9..9 + MAX_EARLY as u32 + 1).map(tokens).collect())]
+#[case::an_end_before_the_last_token(vec![Piece::End { offset: 40 }])]
+fn a_replica_that_brings_no_progress_is_left(#[case] pieces: Vec<Piece>) {
     let mut harness = Harness::new();
     harness.send_request(FIRST);
     let (order, _) = harness.finish_prefill();
@@ -191,8 +194,9 @@
         if matches!(task, Task::Prefill { .. }) {
             return;
         }
-        let piece = piece.clone();
-        harness.feed(Event::Streamed { order, piece });
+        for piece in pieces.clone() {
+            harness.feed(Event::Streamed { order, piece });
+        }
         harness.fail_order(order, Failure::Lost);
     }
     panic!("{:?}", harness.last_order());
