Read a stream again three times at most without progress

What callers saw: nothing but silence. An engine that ended a stream before its last token, or whose tokens had a gap, was asked for the rest again at once, each time, for as long as it answered so: orders as fast as the network carries them.

Cause: only failed orders counted towards the three after which a stream is lost; an order that ended early, or was given up for a gap, did not.

Why this holds: both ways of asking again pass read_again, which counts; the count starts again with progress only.

--- a/crates/node/src/reattach.rs
+++ b/crates/node/src/reattach.rs
@@ -126,6 +126,22 @@
         self.end(open_id, &End::Refused(refusal), out);
     }
 
+    /// Reads the rest of a stream again whose tokens have a gap; after several times without
+    /// progress it is lost.
+    pub(crate) fn read_again(&mut self, open_id: OpenId, out: &mut Vec<Action>) {
+        let entry = &mut self.requests.open[open_id];
+        if entry.attach_failures < MAX_ATTACH_FAILURES {
+            entry.attach_failures += 1;
+            let offset = entry.reassembler.delivered();
+            return self.attach(open_id, offset, out);
+        }
+        entry.record_order_end(false);
+        if let Some(order) = entry.order.take() {
+            out.push(Action::Abort { order });
+        }
+        self.handle_lost_stream(open_id, Failure::Lost, out);
+    }
+
     /// Reads the stream of a request from `offset` in place of its present reader.
     pub(crate) fn attach(&mut self, open_id: OpenId, offset: u32, out: &mut Vec<Action>) {
         let order = self.new_order(OrderPurpose::Decode(open_id));
--- a/crates/node/src/streams.rs
+++ b/crates/node/src/streams.rs
@@ -90,15 +90,14 @@
             }));
         }
         if arrival == Arrival::Broken {
-            let offset = self.requests.open[open_id].reassembler.delivered();
-            self.attach(open_id, offset, out);
+            self.read_again(open_id, out);
         }
     }
 
     fn handle_stream_end(&mut self, open_id: OpenId, tokens: u32, out: &mut Vec<Action>) {
         let delivered = self.requests.open[open_id].reassembler.delivered();
         if delivered < tokens {
-            self.attach(open_id, delivered, out);
+            self.read_again(open_id, out);
         } else {
             self.end(open_id, &End::Streamed { tokens }, out);
         }
