--- a/crates/node/tests/streams.rs
+++ b/crates/node/tests/streams.rs
@@ -209,3 +209,24 @@
         text: Bytes::from_static(b"w"),
     }
 }
+
+/// Guards against a stream that goes on without end.
+#[test]
+fn an_answer_ends_with_the_most_tokens_that_were_asked_for() {
+    const MOST: u32 = 40;
+    let mut harness = Harness::new();
+    harness.send_request(FIRST);
+    let (order, _) = harness.finish_prefill();
+    harness.send_tokens(order, 0, MOST - 1);
+    for offset in MOST - 1..2 * MOST {
+        let piece = tokens(offset);
+        harness.feed(Event::Streamed { order, piece });
+    }
+    assert_eq!(harness.tokens_sent(FIRST), [(0, MOST - 1), (MOST - 1, 1)]);
+    assert!(matches!(
+        harness.responses.last(),
+        Some((FIRST, CallerMessage::Done { tokens: MOST }))
+    ));
+    // The engine still generates.
+    assert!(matches!(harness.orders.last(), Some((_, Task::Cancel))));
+}
