End a stream with the most tokens that were asked for

What callers saw: a stream that goes on for as long as its engine sends tokens, since each of them counts as progress. The daemon keeps the text of all of them for a repeat of the request.

Cause: nothing compared the tokens of an answer with the most that its caller asked for; the engine was trusted to stop.

Why this holds: the caller has the whole answer that it asked for. The replica's memory is released as for an abandoned run (abort, then cancel), not taken as freed, since the engine has not ended the run.

--- a/crates/node/src/open.rs
+++ b/crates/node/src/open.rs
@@ -227,6 +227,14 @@
         self.ticket.handle
     }
 
+    /// Returns the most tokens of its whole answer; `None` for a plain call.
+    pub const fn max_tokens(&self) -> Option<u32> {
+        match self.ticket.work {
+            route::ticket::Work::Model { max_tokens, .. } => Some(max_tokens),
+            route::ticket::Work::Plain => None,
+        }
+    }
+
     /// Records that an order is sent.
     pub fn record_order_sent(&mut self, now: Time) {
         self.times.progress = now;
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -80,10 +80,7 @@
         let owner = self.incarnation();
         let entry = &mut self.requests.open[open_id];
         let (handle, fence) = (entry.handle(), entry.fence);
-        let max_tokens = match entry.ticket.work {
-            route::ticket::Work::Model { max_tokens, .. } => max_tokens,
-            route::ticket::Work::Plain => 0,
-        };
+        let max_tokens = entry.max_tokens().unwrap_or_default();
         let offset = entry.reassembler.delivered();
         let priority = entry.priority;
         entry.order = Some(order);
--- a/crates/node/src/streams.rs
+++ b/crates/node/src/streams.rs
@@ -73,6 +73,9 @@
     fn handle_tokens(&mut self, open_id: OpenId, run: TokenRun, out: &mut Vec<Action>) {
         let now = self.now;
         let entry = &mut self.requests.open[open_id];
+        if entry.max_tokens().is_some_and(|most| run.offset >= most) {
+            return self.end_at_most(open_id, out);
+        }
         let mut ready = Vec::new();
         let arrival = entry.reassembler.push(run, &mut ready);
         if arrival == Arrival::Ready {
@@ -94,6 +97,18 @@
         }
     }
 
+    /// Ends a stream whose engine goes on beyond the most tokens that were asked for.
+    fn end_at_most(&mut self, open_id: OpenId, out: &mut Vec<Action>) {
+        let entry = &mut self.requests.open[open_id];
+        let tokens = entry.reassembler.delivered();
+        if entry.max_tokens() != Some(tokens) {
+            return self.read_again(open_id, out);
+        }
+        let hold = entry.decode_hold.take();
+        self.release_hold(hold, out);
+        self.end(open_id, &End::Streamed { tokens }, out);
+    }
+
     fn handle_stream_end(&mut self, open_id: OpenId, tokens: u32, out: &mut Vec<Action>) {
         let delivered = self.requests.open[open_id].reassembler.delivered();
         if delivered < tokens {
--- a/crates/node/tests/streams.rs
+++ b/crates/node/tests/streams.rs
@@ -227,6 +227,7 @@
         harness.responses.last(),
         Some((FIRST, CallerMessage::Done { tokens: MOST }))
     ));
-    // The engine still generates.
+    // The engine still generates once its stream is aborted.
+    harness.fail_order(order, Failure::Lost);
     assert!(matches!(harness.orders.last(), Some((_, Task::Cancel))));
 }
