--- a/crates/engine/tests/stream.rs
+++ b/crates/engine/tests/stream.rs
@@ -98,6 +98,17 @@
     assert!(stream.next().await.is_none());
 }
 
+/// Guards against lines without end, of which each stream would hold one.
+#[rstest]
+#[tokio::test]
+async fn a_line_longer_than_any_event_ends_the_stream() {
+    let line = "x".repeat(20 << 10).leak();
+    let peer = peer_with(vec![HEAD, line]).await;
+    let mut stream = Client::new().attach(peer, &request()).await.unwrap();
+    let error = stream.next().await.unwrap().unwrap_err();
+    assert!(matches!(error, Error::Malformed { .. }), "{error:?}");
+}
+
 #[rstest]
 #[tokio::test]
 async fn a_refusal_carries_status_body_and_fence() {
