Bound a line of an engine's stream by the size of an event

What callers saw: nothing, until the daemon had no memory left: a line could have 1 MB, and each stream held one.

Evidence: a line of 20 KB without an end was read on; now the stream ends as malformed and goes on elsewhere.

Why this holds: a line carries one token, whose text has some bytes. With 16 KB, 2,000 streams hold 32 MB, which is what control may take. Whole lines are bounded too, not only those that wait for their end.

Not bounded: the sum over streams; up to 64 KB of each connection's buffer; the 4,096 messages that may wait for one slow caller.

--- a/crates/call/src/bound.rs
+++ b/crates/call/src/bound.rs
@@ -15,11 +15,13 @@
     Body,
     /// On the bodies of all answers that are being read.
     Memory,
+    /// On one line of a stream.
+    Line,
 }
 
 impl Bound {
     /// All bounds.
-    pub const ALL: [Self; 3] = [Self::Overhead, Self::Body, Self::Memory];
+    pub const ALL: [Self; 4] = [Self::Overhead, Self::Body, Self::Memory, Self::Line];
 
     /// Its name in log lines and metrics.
     pub const fn as_str(self) -> &'static str {
@@ -27,6 +29,7 @@
             Self::Overhead => "overhead",
             Self::Body => "body",
             Self::Memory => "memory",
+            Self::Line => "line",
         }
     }
 
@@ -36,7 +39,7 @@
     }
 
     /// Logs and counts that it ended the answer of `peer` after `bytes`.
-    pub(crate) fn record(self, peer: SocketAddr, bytes: usize) {
+    pub fn record(self, peer: SocketAddr, bytes: usize) {
         REACHED[self as usize].fetch_add(1, Ordering::Relaxed);
         let peer = peer.to_string();
         log::warn!(step = "bound", peer = peer.as_str(), bound = self.as_str(), bytes = bytes as u64; "an answer was given up");
--- a/crates/engine/src/stream.rs
+++ b/crates/engine/src/stream.rs
@@ -4,6 +4,7 @@
 
 use bytes::Buf;
 use bytes::BytesMut;
+use call::bound::Bound;
 use call::direct::Answer;
 use call::direct::Body;
 use call::direct::ConnectionGuard;
@@ -12,8 +13,9 @@
 use crate::error::Error;
 use crate::error::Step;
 
-/// Longest line that an engine may send, in bytes.
-const MAX_LINE_BYTES: usize = 1 << 20;
+/// Longest line that an engine may send, in bytes; a line holds one token. Each stream holds that
+/// much.
+const MAX_LINE_BYTES: usize = 16 << 10;
 
 /// Why a stream ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
@@ -99,12 +101,15 @@
 
     async fn read(&mut self) -> Result<Event, Error> {
         loop {
-            if let Some(line) = self.next_line() {
-                return parse(&line).map_err(|cause| self.malformed(cause));
-            }
-            if self.buffer.len() > MAX_LINE_BYTES {
+            let line = self.next_line();
+            let length = line.as_ref().map_or(self.buffer.len(), |line| line.len());
+            if length > MAX_LINE_BYTES {
+                Bound::Line.record(self.peer, length);
                 return Err(self.malformed("a line is too long".to_owned()));
             }
+            if let Some(line) = line {
+                return parse(&line).map_err(|cause| self.malformed(cause));
+            }
             match self.body.next().await {
                 Some(Ok(data)) => self.buffer.extend_from_slice(&data),
                 Some(Err(cause)) => return Err(self.lost(cause)),
