Test waxwingd before an application that sends without end

Site::key_prefix waits until the daemon has read the list, as wait_until_ready does not show it: the first read may come before the list is published, the second half a second later.

--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -51,6 +51,14 @@
 
     /// Like [`Site::start`], with `more` settings for the daemon.
     pub async fn start_with(token_ms: u64, more: &str) -> Self {
+        let application = application::start(application::Settings::default(), ANY)
+            .await
+            .unwrap();
+        Self::start_before(application, token_ms, more).await
+    }
+
+    /// Like [`Site::start_with`], before the application at `application`.
+    pub async fn start_before(application: SocketAddr, token_ms: u64, more: &str) -> Self {
         let platform = platform::start(&platform::Settings::default(), ANY)
             .await
             .unwrap();
@@ -58,9 +66,6 @@
         let decode = engine::start(engine(Role::Decode, token_ms), ANY)
             .await
             .unwrap();
-        let application = application::start(application::Settings::default(), ANY)
-            .await
-            .unwrap();
         let daemon = Daemon::start(platform, more);
         let site = Self {
             daemon,
@@ -88,13 +93,17 @@
         }
     }
 
-    /// The prefix of idempotency keys for the daemon.
+    /// The prefix of idempotency keys for the daemon, once it has read the list.
     pub async fn key_prefix(&self) -> String {
-        let answer = http::get(self.daemon.caller, "/v1/addresses").await.json();
-        answer["addresses"][0]["key_prefix"]
-            .as_str()
-            .unwrap()
-            .to_owned()
+        let start = Instant::now();
+        loop {
+            let answer = http::get(self.daemon.caller, "/v1/addresses").await.json();
+            if let Some(prefix) = answer["addresses"][0]["key_prefix"].as_str() {
+                return prefix.to_owned();
+            }
+            assert!(start.elapsed() < TIMEOUT, "{answer}");
+            sleep(Duration::from_millis(20)).await;
+        }
     }
 
     /// Asserts that a request is served.
