--- a/crates/engine/src/stream.rs
+++ b/crates/engine/src/stream.rs
@@ -102,7 +102,7 @@
     async fn read(&mut self) -> Result<Event, Error> {
         loop {
             let line = self.next_line();
-            let length = line.as_ref().map_or(self.buffer.len(), |line| line.len());
+            let length = line.as_ref().map_or(self.buffer.len(), BytesMut::len);
             if length > MAX_LINE_BYTES {
                 Bound::Line.record(self.peer, length);
                 return Err(self.malformed("a line is too long".to_owned()));
--- a/crates/node/tests/streams.rs
+++ b/crates/node/tests/streams.rs
@@ -182,7 +182,7 @@
 #[rstest]
 #[case::imports(vec![Piece::Imported])]
 #[case::repeated_tokens(vec![tokens(0)])]
-#[case::too_many_tokens_behind_a_gap((9..9 + MAX_EARLY as u32 + 1).map(tokens).collect())]
+#[case::too_many_tokens_behind_a_gap((9..=9 + MAX_EARLY as u32).map(tokens).collect())]
 #[case::an_end_before_the_last_token(vec![Piece::End { offset: 40 }])]
 fn a_replica_that_brings_no_progress_is_left(#[case] pieces: Vec<Piece>) {
     let mut harness = Harness::new();
