--- a/crates/call/src/direct.rs
+++ b/crates/call/src/direct.rs
@@ -8,11 +8,13 @@
 //! Uses the connection layer of `hyper`, which reports a failed connect separately from a failed
 //! exchange.
 
+use std::error;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use boottime::timer;
 use bytes::Bytes;
+use bytes::BytesMut;
 use http::HeaderValue;
 use http::Method;
 use http::Request;
@@ -21,7 +23,6 @@
 use http::header::HOST;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -29,6 +30,13 @@
 use tokio::task::AbortHandle;
 
 use crate::Error;
+use crate::bound::Bound;
+use crate::memory::Memory;
+use crate::progress::Progress;
+use crate::progress::Socket;
+
+/// Size of a connection's read buffer, and so of the head of an answer.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
 
 /// Timeouts of one exchange.
 #[derive(Debug, Clone, Copy)]
@@ -39,6 +47,15 @@
     pub head: Duration,
 }
 
+/// Bounds on the body of an answer.
+#[derive(Debug, Clone)]
+pub struct Limits {
+    /// Longest body, in bytes.
+    pub body: usize,
+    /// Memory that is shared with other answers.
+    pub memory: Memory,
+}
+
 /// Closes the connection when dropped, even if data is still in transit.
 #[derive(Debug)]
 pub struct ConnectionGuard(AbortHandle);
@@ -49,37 +66,59 @@
     }
 }
 
+/// The unread body of an answer.
+#[derive(Debug)]
+pub struct Body {
+    incoming: Incoming,
+    progress: Progress,
+}
+
+impl Body {
+    /// The next data; `None` after the last. Cancel safe: dropping the returned future loses none.
+    pub async fn next(&mut self) -> Option<Result<Bytes, String>> {
+        loop {
+            let frame = match self.incoming.frame().await? {
+                Ok(frame) => frame,
+                Err(error) => return Some(Err(describe(&error))),
+            };
+            if let Ok(data) = frame.into_data() {
+                self.progress.record();
+                return Some(Ok(data));
+            }
+        }
+    }
+}
+
 /// Head and unread body of an answer; the body can be read while the guard exists.
 #[derive(Debug)]
 pub struct Answer {
     /// Status and headers.
     pub head: http::response::Parts,
     /// The unread body.
-    pub body: Incoming,
+    pub body: Body,
     /// Closes the connection when dropped.
     pub guard: ConnectionGuard,
 }
 
 impl Answer {
-    /// Reads the whole body, of at most `limit` bytes, and closes the connection.
+    /// Reads the whole body within `limits`, and closes the connection.
     ///
     /// # Errors
     ///
-    /// [`Error::Lost`] if the body does not end within `timeout`, is truncated or is longer.
+    /// [`Error::Lost`] if the body does not end within `timeout`, is truncated or reaches a bound.
     pub async fn collect<S>(
         self,
         step: S,
         peer: SocketAddr,
         timeout: Duration,
-        limit: usize,
+        limits: &Limits,
     ) -> Result<Bytes, Error<S>> {
         let Self { body, guard, .. } = self;
-        let body = Limited::new(body, limit).collect();
-        let collected = timer::timeout(timeout, body).await;
+        let collected = timer::timeout(timeout, collect(body, peer, limits)).await;
         drop(guard);
         let cause = match collected {
-            Ok(Ok(body)) => return Ok(body.to_bytes()),
-            Ok(Err(e)) => e.to_string(),
+            Ok(Ok(body)) => return Ok(body),
+            Ok(Err(cause)) => cause,
             Err(elapsed) => elapsed.to_string(),
         };
         Err(Error::Lost { step, peer, cause })
@@ -110,7 +149,11 @@
         .map_err(|_| not_sent("connecting timed out".to_owned()))?
         .map_err(|e| not_sent(e.to_string()))?;
     // The HTTP/1 handshake only initialises state; it sends nothing.
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+    let progress = Progress::default();
+    let socket = Socket::new(stream, peer, progress.clone());
+    let (mut sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_BUFFER_BYTES)
+        .handshake(TokioIo::new(socket))
         .await
         .map_err(|e| not_sent(e.to_string()))?;
     let guard = ConnectionGuard(tokio::spawn(connection).abort_handle());
@@ -118,13 +161,14 @@
     let answer = timer::timeout(timeouts.head, sender.send_request(request))
         .await
         .map_err(|_| lost("no answer in time".to_owned()))?
-        .map_err(|e| lost(e.to_string()))?;
-    let (head, body) = answer.into_parts();
+        .map_err(|e| lost(describe(&e)))?;
+    progress.record();
+    let (head, incoming) = answer.into_parts();
+    let body = Body { incoming, progress };
     Ok(Answer { head, body, guard })
 }
 
-/// Sends a request once to `peer` and reads its whole answer, of at most `limit` bytes, within
-/// `timeout`. Connecting may take half of `timeout`, so that an unreachable peer is distinguished
+/// Sends a request once to `peer` and reads its whole answer within `limits` and `timeout`. Connecting may take half of `timeout`, so that an unreachable peer is distinguished
 /// from one that does not answer.
 ///
 /// # Errors
@@ -134,7 +178,7 @@
     step: S,
     peer: SocketAddr,
     timeout: Duration,
-    limit: usize,
+    limits: &Limits,
     (method, path, body): (Method, &str, Vec<u8>),
 ) -> Result<(StatusCode, Bytes), Error<S>> {
     let timeouts = Timeouts {
@@ -153,7 +197,7 @@
     let exchange = async {
         let answer = send(step, peer, timeouts, request).await?;
         let status = answer.head.status;
-        let body = answer.collect(step, peer, timeout, limit).await?;
+        let body = answer.collect(step, peer, timeout, limits).await?;
         Ok((status, body))
     };
     match timer::timeout(timeout, exchange).await {
@@ -166,6 +210,39 @@
     }
 }
 
+async fn collect(mut body: Body, peer: SocketAddr, limits: &Limits) -> Result<Bytes, String> {
+    let mut share = limits.memory.share();
+    let mut collected = BytesMut::new();
+    loop {
+        let data = tokio::select! {
+            biased;
+            () = share.ended() => {
+                Bound::Memory.record(peer, collected.len());
+                return Err("the memory for answers is used up".to_owned());
+            }
+            data = body.next() => data,
+        };
+        let Some(data) = data.transpose()? else {
+            return Ok(collected.freeze());
+        };
+        let bytes = collected.len() + data.len();
+        if bytes > limits.body {
+            Bound::Body.record(peer, bytes);
+            return Err(format!("the body is longer than {} bytes", limits.body));
+        }
+        share.take(data.len());
+        collected.extend_from_slice(&data);
+    }
+}
+
+/// The error and what caused it.
+fn describe(error: &hyper::Error) -> String {
+    match error::Error::source(error) {
+        Some(cause) => format!("{error}: {cause}"),
+        None => error.to_string(),
+    }
+}
+
 async fn connect(peer: SocketAddr) -> std::io::Result<TcpStream> {
     let stream = TcpStream::connect(peer).await?;
     stream.set_nodelay(true)?;
--- a/crates/engine/src/stream.rs
+++ b/crates/engine/src/stream.rs
@@ -4,17 +4,18 @@
 
 use bytes::Buf;
 use bytes::BytesMut;
+use call::bound::Bound;
 use call::direct::Answer;
+use call::direct::Body;
 use call::direct::ConnectionGuard;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use serde::Deserialize;
 
 use crate::error::Error;
 use crate::error::Step;
 
-/// Longest line that an engine may send, in bytes.
-const MAX_LINE_BYTES: usize = 1 << 20;
+/// Longest line that an engine may send, in bytes; a line holds one token. Each stream holds that
+/// much.
+const MAX_LINE_BYTES: usize = 16 << 10;
 
 /// Why a stream ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
@@ -68,7 +69,7 @@
 #[derive(Debug)]
 pub struct Stream {
     peer: SocketAddr,
-    body: Incoming,
+    body: Body,
     buffer: BytesMut,
     ended: bool,
     _guard: ConnectionGuard,
@@ -100,18 +101,18 @@
 
     async fn read(&mut self) -> Result<Event, Error> {
         loop {
-            if let Some(line) = self.next_line() {
-                return parse(&line).map_err(|cause| self.malformed(cause));
-            }
-            if self.buffer.len() > MAX_LINE_BYTES {
+            let line = self.next_line();
+            let length = line.as_ref().map_or(self.buffer.len(), BytesMut::len);
+            if length > MAX_LINE_BYTES {
+                Bound::Line.record(self.peer, length);
                 return Err(self.malformed("a line is too long".to_owned()));
             }
-            match self.body.frame().await {
-                Some(Ok(frame)) => {
-                    let data = frame.into_data().unwrap_or_default();
-                    self.buffer.extend_from_slice(&data);
-                }
-                Some(Err(e)) => return Err(self.lost(e.to_string())),
+            if let Some(line) = line {
+                return parse(&line).map_err(|cause| self.malformed(cause));
+            }
+            match self.body.next().await {
+                Some(Ok(data)) => self.buffer.extend_from_slice(&data),
+                Some(Err(cause)) => return Err(self.lost(cause)),
                 None => return Err(self.lost("broke off before its end".to_owned())),
             }
         }
--- a/crates/node/src/streams.rs
+++ b/crates/node/src/streams.rs
@@ -58,12 +58,14 @@
     fn handle_import(&mut self, open_id: OpenId, out: &mut Vec<Action>) {
         let entry = &mut self.requests.open[open_id];
         entry.computed = 0;
-        entry.attach_failures = 0;
-        entry.times.progress = self.now;
+        let is_first = !matches!(entry.phase, Some(Phase::Decoding));
+        if is_first {
+            entry.record_progress(self.now);
+        }
         if let Some(hold) = entry.prefill_hold.take() {
             self.requests.holds.erase(hold);
         }
-        if !matches!(self.requests.open[open_id].phase, Some(Phase::Decoding)) {
+        if is_first {
             self.report_phase(open_id, Phase::Decoding, out);
         }
     }
@@ -71,11 +73,13 @@
     fn handle_tokens(&mut self, open_id: OpenId, run: TokenRun, out: &mut Vec<Action>) {
         let now = self.now;
         let entry = &mut self.requests.open[open_id];
-        entry.attach_failures = 0;
-        entry.times.progress = now;
+        if entry.max_tokens().is_some_and(|most| run.offset >= most) {
+            return self.end_at_most(open_id, out);
+        }
         let mut ready = Vec::new();
         let arrival = entry.reassembler.push(run, &mut ready);
         if arrival == Arrival::Ready {
+            entry.record_progress(now);
             record_token_times(entry, now, out);
         }
         if let Some(call) = entry.call {
@@ -89,15 +93,26 @@
             }));
         }
         if arrival == Arrival::Broken {
-            let offset = self.requests.open[open_id].reassembler.delivered();
-            self.attach(open_id, offset, out);
+            self.read_again(open_id, out);
+        }
+    }
+
+    /// Ends a stream whose engine goes on beyond the most tokens that were asked for.
+    fn end_at_most(&mut self, open_id: OpenId, out: &mut Vec<Action>) {
+        let entry = &mut self.requests.open[open_id];
+        let tokens = entry.reassembler.delivered();
+        if entry.max_tokens() != Some(tokens) {
+            return self.read_again(open_id, out);
         }
+        let hold = entry.decode_hold.take();
+        self.release_hold(hold, out);
+        self.end(open_id, &End::Streamed { tokens }, out);
     }
 
     fn handle_stream_end(&mut self, open_id: OpenId, tokens: u32, out: &mut Vec<Action>) {
         let delivered = self.requests.open[open_id].reassembler.delivered();
         if delivered < tokens {
-            self.attach(open_id, delivered, out);
+            self.read_again(open_id, out);
         } else {
             self.end(open_id, &End::Streamed { tokens }, out);
         }
--- a/crates/node/tests/streams.rs
+++ b/crates/node/tests/streams.rs
@@ -4,6 +4,8 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
+use ledger::reassembly::MAX_EARLY;
 use node::action::CallerMessage;
 use node::action::Outcome;
 use node::action::Reason;
@@ -152,3 +154,80 @@
     harness.answer_inspections(own, OWN_FENCE);
     assert_eq!(harness.tokens_sent(FIRST), [(0, 3), (3, 2)]);
 }
+
+/// Guards against a stream that is kept since pieces arrive which bring its caller nothing.
+#[rstest]
+#[case::imports(Piece::Imported)]
+#[case::repeated_tokens(tokens(0))]
+#[case::tokens_behind_a_gap(tokens(9))]
+fn pieces_without_progress_do_not_keep_a_stream(#[case] piece: Piece) {
+    let mut harness = Harness::new();
+    harness.send_request(FIRST);
+    let (order, _) = harness.finish_prefill();
+    harness.send_tokens(order, 0, 5);
+    for _ in 0..20 {
+        harness.run_for(Duration::from_millis(250));
+        let piece = piece.clone();
+        harness.feed(Event::Streamed { order, piece });
+    }
+    let (last, task) = harness.last_order();
+    assert_ne!(last, order, "{task:?}");
+    assert!(
+        matches!(task, Task::Prefill { done_tokens: 5, .. }),
+        "{task:?}"
+    );
+}
+
+/// Guards against a replica that is asked for the rest of a stream without end.
+#[rstest]
+#[case::imports(vec![Piece::Imported])]
+#[case::repeated_tokens(vec![tokens(0)])]
+#[case::too_many_tokens_behind_a_gap((9..=9 + MAX_EARLY as u32).map(tokens).collect())]
+#[case::an_end_before_the_last_token(vec![Piece::End { offset: 40 }])]
+fn a_replica_that_brings_no_progress_is_left(#[case] pieces: Vec<Piece>) {
+    let mut harness = Harness::new();
+    harness.send_request(FIRST);
+    let (order, _) = harness.finish_prefill();
+    harness.send_tokens(order, 0, 5);
+    for _ in 0..20 {
+        let (order, task) = harness.last_order();
+        if matches!(task, Task::Prefill { .. }) {
+            return;
+        }
+        for piece in pieces.clone() {
+            harness.feed(Event::Streamed { order, piece });
+        }
+        harness.fail_order(order, Failure::Lost);
+    }
+    panic!("{:?}", harness.last_order());
+}
+
+fn tokens(offset: u32) -> Piece {
+    Piece::Tokens {
+        offset,
+        count: 1,
+        text: Bytes::from_static(b"w"),
+    }
+}
+
+/// Guards against a stream that goes on without end.
+#[test]
+fn an_answer_ends_with_the_most_tokens_that_were_asked_for() {
+    const MOST: u32 = 40;
+    let mut harness = Harness::new();
+    harness.send_request(FIRST);
+    let (order, _) = harness.finish_prefill();
+    harness.send_tokens(order, 0, MOST - 1);
+    for offset in MOST - 1..2 * MOST {
+        let piece = tokens(offset);
+        harness.feed(Event::Streamed { order, piece });
+    }
+    assert_eq!(harness.tokens_sent(FIRST), [(0, MOST - 1), (MOST - 1, 1)]);
+    assert!(matches!(
+        harness.responses.last(),
+        Some((FIRST, CallerMessage::Done { tokens: MOST }))
+    ));
+    // The engine still generates once its stream is aborted.
+    harness.fail_order(order, Failure::Lost);
+    assert!(matches!(harness.orders.last(), Some((_, Task::Cancel))));
+}
