--- a/crates/call/src/direct.rs
+++ b/crates/call/src/direct.rs
@@ -168,8 +168,9 @@
     Ok(Answer { head, body, guard })
 }
 
-/// Sends a request once to `peer` and reads its whole answer within `limits` and `timeout`. Connecting may take half of `timeout`, so that an unreachable peer is distinguished
-/// from one that does not answer.
+/// Sends a request once to `peer` and reads its whole answer within `limits` and `timeout`. Connecting
+/// may take half of `timeout`, so that an unreachable peer is distinguished from one that does not
+/// answer.
 ///
 /// # Errors
 ///
--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -41,7 +41,8 @@
 
 /// A client for any number of engines and applications.
 ///
-/// Clones share the memory for answers. Each call opens a new connection. Dropping a future or a stream closes its connection.
+/// Clones share the memory for answers. Each call opens a new connection. Dropping a future or a stream
+/// closes its connection.
 #[derive(Debug, Clone)]
 pub struct Client {
     timeouts: Timeouts,
