Failing tests: memory over all requests together

With 110 MB in the settings the daemon peaks, in a debug build, at 221 MB (a large answer beside 24 without end), 224 MB (24 answers without end, in chunks and without a length), 379 MB (40 slow callers of answers of 6 MB) and 352 MB (40 bodies of 4 MB under way). The others of the nine fail as nothing is counted.

--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -12,6 +12,11 @@
 use relay::budget::RetryPolicy;
 use serde::Deserialize;
 
+/// Memory of an instance whose settings do not state it, in MB.
+const DEFAULT_MEMORY_MB: f64 = 512.0;
+/// Smallest memory of an instance, in MB: its budget has to hold a few of the largest answers.
+const MIN_MEMORY_MB: f64 = 64.0;
+
 /// Settings of one daemon.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -50,6 +55,9 @@
     /// The processor of this instance.
     #[serde(default)]
     pub processor: Processor,
+    /// Memory that the process may use, in MB. A part of it is the budget for requests and answers.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: f64,
     /// How generations are placed at decode replicas.
     #[serde(default)]
     pub placing: Placing,
@@ -140,6 +148,10 @@
     }
 }
 
+const fn default_memory_mb() -> f64 {
+    DEFAULT_MEMORY_MB
+}
+
 /// Addresses a daemon listens on.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -203,6 +215,7 @@
             ("retry.window_s", self.retry.window_s),
             ("processor.share", self.processor.share),
             ("processor.cores", self.processor.cores),
+            ("memory_mb", self.memory_mb),
             ("placing.reserve", self.placing.reserve),
             ("placing.spreads", self.placing.spreads),
             ("placing.spare", self.placing.spare),
@@ -217,6 +230,10 @@
                 "{field}: {value} is not allowed; must be a number of at least 0"
             )),
             None if self.instance.is_empty() => Err("instance: must not be empty".to_owned()),
+            None if self.memory_mb < MIN_MEMORY_MB => Err(format!(
+                "memory_mb: {} is not allowed; must be at least {MIN_MEMORY_MB}",
+                self.memory_mb
+            )),
             None if self.retry.window_s == 0.0 => Err(
                 "retry.window_s: 0 is not allowed; must be a number of seconds above 0".to_owned(),
             ),
@@ -235,6 +252,7 @@
                 settings.data_centre.clone(),
                 settings.listen.clone(),
                 settings.store,
+                settings.memory_mb,
             )
         };
         fixed(self) != fixed(before)
@@ -248,6 +266,7 @@
             data_centre: before.data_centre.clone(),
             listen: before.listen.clone(),
             store: before.store,
+            memory_mb: before.memory_mb,
             ..self
         }
     }
--- a/crates/gateway/tests/gateway/common/daemon.rs
+++ b/crates/gateway/tests/gateway/common/daemon.rs
@@ -224,6 +224,22 @@
         Pid::from_child(&self.child)
     }
 
+    /// Most bytes of memory that it has used at any time.
+    pub fn peak_memory(&self) -> usize {
+        let path = format!("/proc/{}/status", self.pid().as_raw_nonzero());
+        let status = fs::read_to_string(path).unwrap();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = peak.unwrap().trim().trim_end_matches(" kB");
+        1024 * kilobytes.parse::<usize>().unwrap()
+    }
+
+    /// The value of its metric `name`, which has no labels.
+    pub fn metric(&self, name: &str) -> f64 {
+        let metrics = self.metrics();
+        let value = metrics.lines().find_map(|line| line.strip_prefix(name));
+        value.map_or(f64::NAN, |value| value.trim().parse().unwrap())
+    }
+
     /// Sends it a signal.
     pub fn signal(&self, signal: Signal) {
         kill_process(self.pid(), signal).unwrap();
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -21,6 +21,7 @@
 mod limit;
 mod list_confirmation;
 mod members;
+mod memory;
 mod migration;
 mod paces;
 mod part_site;
