Bound the memory of all requests and answers together

Callers saw: with many large answers, bodies or slow callers at once the daemon grew beyond the memory of its instance, which kills it with all that it has accepted. Cause: each answer and body has a bound, all of them together had none; answers and bodies were kept as parts of the connections' read buffers and copied once more at the end.

Change: a fifth of memory_mb is the budget for requests, a fifth the one for answers. A request without room is refused before it runs, its body read and dropped. An answer with a length is charged as a whole before it is read and waits; the largest one without a length is ended once they hold a quarter of the budget; one with a length that gets no byte for half a second gives way. Streams queue 128 KB at most.

Ruled out: one budget for both (answers without end would have every request refused); ending the largest answer whatever it is (sound answers of 6 MB to slow callers were ended, 502); parts of 4 KB in the queue of a stream (a cut stream then reached its caller in part).

The case of bodies in chunks of one byte in the failing tests was replaced by chunks of 16 KB: it ran into the idle limit in a debug build, before and after, and said nothing of memory. The test of slow callers of streams had eight streams only and never exceeded the bound by itself; the queue is tested in budget.rs.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -1,6 +1,5 @@
 //! Serves requests of callers: checks them, applies limits and finds their route.
 
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,6 +8,7 @@
 use boottime::timer::timeout;
 use boottime::timer::timeout_at;
 use bytes::Bytes;
+use bytes::BytesMut;
 use customer::digest::Digest;
 use http::HeaderValue;
 use http::Request;
@@ -17,7 +17,6 @@
 use http::header;
 use http::request::Parts;
 use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::body::Body as _;
 use hyper::body::Incoming;
@@ -37,6 +36,8 @@
 use crate::job;
 use crate::job::Job;
 use crate::job::Timing;
+use crate::memory::ALLOWANCE;
+use crate::memory::Charge;
 use crate::plain;
 use crate::quota;
 use crate::responses;
@@ -53,12 +54,18 @@
 /// members are known and others are asked.
 const UNKNOWN_BEGIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Mean `Retry-After` of a request for which no memory is left; other requests end by then.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Time for which the body of a refused request is read and dropped. A connection that is closed before
+/// that is reset, and its caller may not get the refusal.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Serves one request.
 pub async fn serve(shared: Rc<Shared>, request: Request<Incoming>) -> Response<Body> {
     let arrived = Instant::now();
     let open = OpenRequest::new(&shared);
     let (parts, body) = request.into_parts();
-    let mut response = match admit(&shared, parts, body, arrived).await {
+    let mut response = match admit(&shared, &open, parts, body, arrived).await {
         Ok(job) => Box::pin(dispatch(&shared, job)).await,
         Err(response) => response,
     };
@@ -95,7 +102,7 @@
             return handoff::refuse(shared, &mut job);
         }
     }
-    serve_locally(shared, job).await
+    Box::pin(serve_locally(shared, job)).await
 }
 
 /// Binds a stream that a caller resumes to the software version that began it. Returns the refusal if
@@ -132,12 +139,23 @@
     }
 }
 
+/// How the reading of a body ended.
+enum End {
+    /// It is complete.
+    Complete,
+    /// It is longer than the plan allows.
+    TooLong,
+    /// No memory is left for it.
+    NoMemory,
+}
+
 /// Reads the whole request and finds its route.
 ///
 /// # Errors
 /// The response to a request that is not served.
 async fn admit(
     shared: &Rc<Shared>,
+    open: &OpenRequest,
     mut parts: Parts,
     body: Incoming,
     arrived: Instant,
@@ -151,7 +169,10 @@
             "a header is missing or malformed\n",
         )
     })?;
-    let body = read_body(shared, &call.id, body).await?;
+    if !open.admit() {
+        return Err(refuse_without_memory(shared, &call.id, body));
+    }
+    let (body, charge) = read_body(shared, &call.id, body).await?;
     let host = host(&parts).unwrap_or_default();
     let key = caller::key_digest(&parts.headers);
     let target = target::find(shared, &host, parts.uri.path(), key)
@@ -167,15 +188,8 @@
         log::info!(kind = "resumption", request = call.id, resumes = resumes, last_event = call.last_event; "a caller resumes a stream");
     }
     let timing = Timing::of_caller(shared, &call, &target, arrived);
-    Ok(Job::new(
-        shared,
-        call,
-        target,
-        fingerprint,
-        parts,
-        body,
-        timing,
-    ))
+    let job = Job::new(shared, call, target, fingerprint, parts, body, timing);
+    Ok(job.with_body_charge(charge))
 }
 
 /// The response to request `id`, which came with `key` and has no target.
@@ -215,24 +229,52 @@
     }
 }
 
-async fn read_body(shared: &Shared, id: &str, body: Incoming) -> Result<Bytes, Response<Body>> {
-    let limits = limits(shared);
-    let too_long = || {
-        reject(
-            shared,
-            id,
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "the body is too long",
-            "the body is too long\n",
-        )
-    };
-    if body.size_hint().lower() > limits.body_bytes as u64 {
-        return Err(too_long());
+/// Reads the body of the request `id`, and charges its memory.
+async fn read_body(
+    shared: &Shared,
+    id: &str,
+    body: Incoming,
+) -> Result<(Bytes, Charge), Response<Body>> {
+    let budget = &shared.memory.requests;
+    let max_bytes = limits(shared).body_bytes.min(budget.limit_for_bodies());
+    let announced = body.size_hint().lower();
+    if announced > max_bytes as u64 {
+        return Err(reject_too_long(shared, id));
     }
-    let whole = pin!(Limited::new(body, limits.body_bytes).collect());
-    match within_idle_limit(shared, whole).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_long()),
+    let charge = Charge::new(budget);
+    // Charged as it arrives: a caller may announce much and send nothing.
+    if announced as usize > ALLOWANCE + budget.left_for_bodies() {
+        return Err(refuse_without_memory(shared, id, body));
+    }
+    let mut body = body;
+    let mut read = BytesMut::new();
+    let whole = async {
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame?.into_data() else {
+                continue;
+            };
+            let length = read.len() + data.len();
+            if length > max_bytes {
+                return Ok(End::TooLong);
+            }
+            if !charge.try_grow_to_body(length) {
+                return Ok(End::NoMemory);
+            }
+            if length > ALLOWANCE {
+                read.reserve((announced as usize).saturating_sub(read.len()));
+            }
+            // A copy: parts of the connection's read buffer would keep all of it.
+            read.extend_from_slice(&data);
+        }
+        Ok::<_, hyper::Error>(End::Complete)
+    };
+    match within_idle_limit(shared, Box::pin(whole)).await {
+        Ok(Ok(End::Complete)) => Ok((read.freeze(), charge)),
+        Ok(Ok(End::TooLong)) => Err(reject_too_long(shared, id)),
+        Ok(Ok(End::NoMemory)) => {
+            drop((read, charge));
+            Err(refuse_without_memory(shared, id, body))
+        }
         Ok(Err(error)) => Err(reject(
             shared,
             id,
@@ -250,6 +292,40 @@
     }
 }
 
+fn reject_too_long(shared: &Shared, id: &str) -> Response<Body> {
+    reject(
+        shared,
+        id,
+        StatusCode::PAYLOAD_TOO_LARGE,
+        "the body is too long",
+        "the body is too long\n",
+    )
+}
+
+/// Refuses the request `id`, for which no memory is left, and drops the rest of its body.
+fn refuse_without_memory(shared: &Shared, id: &str, body: Incoming) -> Response<Body> {
+    shared.metrics.memory.bounded("requests");
+    let budget = &shared.memory.requests;
+    let announced = body.size_hint().exact();
+    let cause = format!(
+        "no memory is left for requests: {} of {} bytes are held, body of {announced:?}",
+        budget.held(),
+        budget.limit(),
+    );
+    tokio::task::spawn_local(timeout(
+        DRAIN_TIMEOUT,
+        drain(body, limits(shared).body_bytes),
+    ));
+    let retry_after = NO_MEMORY_RETRY_AFTER.mul_f64(rand::random_range(0.75..1.25));
+    refuse(shared, id, retry_after, &cause)
+}
+
+/// Reads and drops a body of at most `max_bytes`.
+async fn drain(body: Incoming, max_bytes: usize) {
+    let mut body = Limited::new(body, max_bytes);
+    while let Some(Ok(_)) = body.frame().await {}
+}
+
 /// Waits for `future` for the largest idle limit that is in force meanwhile. What arrived before its end
 /// counts, also if the process stood still.
 async fn within_idle_limit<F: Future + Unpin>(
@@ -298,7 +374,7 @@
 }
 
 /// Refuses a request that this daemon cannot serve now.
-fn refuse(shared: &Shared, id: &str, retry_after: Duration, cause: &'static str) -> Response<Body> {
+fn refuse(shared: &Shared, id: &str, retry_after: Duration, cause: &str) -> Response<Body> {
     shared.metrics.request("refused");
     if let Some(omitted) = shared.may_log_rejection() {
         log::info!(kind = "end", request = id, outcome = "refused", status = 503, omitted = omitted, cause = cause; "request refused");
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -13,9 +13,7 @@
 use http::Request;
 use http::StatusCode;
 use http::header;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use platform::engine;
 use platform::engine::Report;
 use platform::reply;
@@ -24,6 +22,7 @@
 
 use crate::connections;
 use crate::connections::Failure;
+use crate::memory::answer;
 use crate::shared::Shared;
 
 /// Time for an answer; replicas answer control calls without waiting for a slot.
@@ -172,10 +171,10 @@
     let status = answer.status();
     let notice = reply::read_notice(status, answer.headers());
     let slowdown = reply::read_slowdown(answer.headers());
-    let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES)
-        .collect()
-        .await;
-    let body = body.map_err(|error| unanswered(&error))?.to_bytes();
+    let body = answer::read(&shared.memory.answers, answer.into_body(), MAX_ANSWER_BYTES)
+        .await
+        .inspect_err(|error| shared.note_bounded(error, to));
+    let body = body.map_err(|error| unanswered(&error))?.bytes;
     Ok(Answer {
         status,
         notice,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -16,13 +16,11 @@
 use relay::event;
 use relay::event::Splitter;
 use relay::server::Key;
-use tokio::sync::mpsc;
-use tokio::sync::mpsc::Sender;
 
 use crate::answers::OpenAnswer;
 use crate::begins;
 use crate::body::Body;
-use crate::body::Part;
+use crate::body::PartSender;
 use crate::handoff::client::Answered;
 use crate::job::Job;
 use crate::migration::StoppedRun;
@@ -32,8 +30,6 @@
 use crate::send::Reply;
 use crate::shared::Shared;
 
-/// Parts of a response buffered for a slow caller; beyond that, the replica is not read.
-const MAX_BUFFERED_PARTS: usize = 32;
 /// Silence after which a replica is probed. After twice this time, another replica is asked to
 /// continue a resumable stream. Callers give up after two seconds of silence or more, and the other replica
 /// needs a few hundred milliseconds to prefill the prompt.
@@ -55,8 +51,8 @@
     opened: Opened,
 ) -> Response<Body> {
     job.response_started.set(true);
-    let (parts, body) = mpsc::channel(MAX_BUFFERED_PARTS);
-    let mut response = Response::new(Body::parts(body));
+    let (parts, body) = Body::queue(&shared.memory.answers);
+    let mut response = Response::new(body);
     *response.headers_mut() = reply::caller_headers(opened.reply.response.headers());
     let forwarder = Forwarder {
         shared: Rc::clone(shared),
@@ -85,7 +81,7 @@
     attempt: Attempt,
     tried: Vec<Key>,
     splitter: Splitter,
-    parts: Sender<Part>,
+    parts: PartSender,
     started: bool,
     /// Software version of the current replica; `None` if it is unknown, as behind a peer.
     software: Option<String>,
@@ -148,8 +144,7 @@
                         tracked_run.mark_complete();
                     }
                     self.job.end("answered", 200, "");
-                    // The caller may be gone; then the end is not needed.
-                    let _ = self.parts.send(Part::End).await;
+                    self.parts.end().await;
                     return;
                 }
                 // Dropping the job logs it.
@@ -216,7 +211,7 @@
             self.shared.metrics.latency(route, age.as_secs_f64());
             log::info!(kind = "first", request = self.job.call.id, ms = age.as_millis() as u64, late = age > self.job.route.objective; "forwarded the first event");
         }
-        self.parts.send(Part::Data(bytes.into())).await.is_ok()
+        self.parts.send(bytes.into()).await
     }
 
     /// Binds the stream to the software version of the replica, if that brings its first event.
--- a/crates/gateway/src/guard.rs
+++ b/crates/gateway/src/guard.rs
@@ -4,12 +4,18 @@
 
 use relay::server::Key;
 
+use crate::memory::ALLOWANCE;
+use crate::memory::Charge;
 use crate::shared::Shared;
 
 /// An open request; closed when this is dropped.
 #[derive(Debug)]
 pub struct OpenRequest {
     shared: Rc<Shared>,
+    /// Memory of the request and a small answer.
+    allowance: Charge,
+    /// Memory of a larger answer that is being sent.
+    answer: Option<Charge>,
 }
 
 impl OpenRequest {
@@ -18,8 +24,23 @@
         shared.set_open_requests(shared.open_requests() + 1);
         Self {
             shared: Rc::clone(shared),
+            allowance: Charge::new(&shared.memory.requests),
+            answer: None,
         }
     }
+
+    /// Charges the memory of the request and a small answer; `false` if there is none left.
+    #[must_use]
+    pub fn admit(&self) -> bool {
+        self.allowance.try_grow(ALLOWANCE)
+    }
+
+    /// Keeps the memory of its answer charged.
+    #[must_use]
+    pub fn with_answer(mut self, answer: Option<Charge>) -> Self {
+        self.answer = answer;
+        self
+    }
 }
 
 impl Drop for OpenRequest {
--- a/crates/gateway/src/handoff.rs
+++ b/crates/gateway/src/handoff.rs
@@ -28,6 +28,7 @@
 use crate::handoff::message::DEADLINE_MARGIN;
 use crate::handoff::peers::Decline;
 use crate::job::Job;
+use crate::memory::Charge;
 use crate::responses;
 use crate::shared::Shared;
 
@@ -145,6 +146,9 @@
                     break;
                 };
                 let message = offered.message(job, runs, last_event);
+                // The message has a copy of the body.
+                let copy = Charge::new(&shared.memory.requests);
+                copy.grow(job.body.len());
                 match exchange(shared, job, peer, offered.send(&message, &job.body)).await {
                     Taken::Untaken { .. } => {
                         job.permits.borrow_mut().put(Work::Run, permit);
--- a/crates/gateway/src/handoff/forward.rs
+++ b/crates/gateway/src/handoff/forward.rs
@@ -6,16 +6,13 @@
 
 use boottime::timer::timeout_at;
 use bytes::Bytes;
-use bytes::BytesMut;
 use h2::RecvStream;
 use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
-use tokio::sync::mpsc;
-use tokio::sync::mpsc::Sender;
 
 use crate::body::Body;
-use crate::body::Part;
+use crate::body::PartSender;
 use crate::ending;
 use crate::ending::MAX_ANSWER_BYTES;
 use crate::handoff::client::Answered;
@@ -23,11 +20,11 @@
 use crate::handoff::message::Answer;
 use crate::handoff::message::DEADLINE_MARGIN;
 use crate::job::Job;
+use crate::memory::answer;
+use crate::memory::answer::Reading;
 use crate::responses;
 use crate::shared::Shared;
 
-/// Parts of a response buffered for a slow caller; beyond that, the peer is not read.
-const MAX_BUFFERED_PARTS: usize = 32;
 /// Cause in the line that ends a request which a peer served.
 const SERVED_CAUSE: &str = "served by a peer";
 
@@ -51,18 +48,27 @@
         Err(error) => return lost(shared, &mut job, peer, &error.to_string()),
     };
     if answer.length.is_none() {
-        return stream(job, status, headers, start, rest);
+        return stream(shared, job, status, headers, start, rest);
     }
-    match timeout_at(job.deadline + DEADLINE_MARGIN, read_whole(start, rest)).await {
-        Ok(Ok(body)) if answer.length == Some(body.len() as u64) => {
+    match timeout_at(
+        job.deadline + DEADLINE_MARGIN,
+        read_whole(shared, answer.length, start, rest),
+    )
+    .await
+    {
+        Ok(Ok(body)) if answer.length == Some(body.bytes.len() as u64) => {
             shared
                 .metrics
                 .latency(&job.route.name, job.age().as_secs_f64());
             job.end(outcome(status, &answer), answer.status, SERVED_CAUSE);
-            response(status, headers, Body::whole(body))
+            let body = Body::whole(body.bytes).with_charge(body.charge);
+            response(status, headers, body)
         }
         Ok(Ok(_)) => lost(shared, &mut job, peer, "the answer has another length"),
-        Ok(Err(error)) => lost(shared, &mut job, peer, &error.to_string()),
+        Ok(Err(error)) => {
+            shared.note_bounded(&error, peer);
+            lost(shared, &mut job, peer, &error.to_string())
+        }
         Err(elapsed) => lost(shared, &mut job, peer, &elapsed.to_string()),
     }
 }
@@ -92,24 +98,32 @@
     response
 }
 
-async fn read_whole(start: Bytes, rest: RecvStream) -> io::Result<Bytes> {
+async fn read_whole(
+    shared: &Shared,
+    length: Option<u64>,
+    start: Bytes,
+    rest: RecvStream,
+) -> Result<answer::Answer, answer::Error> {
+    let cut_off = |error: h2::Error| answer::Error::CutOff {
+        cause: error.to_string(),
+    };
     let mut rest = rest;
-    let mut whole = BytesMut::from(&start[..]);
-    while let Some(part) = rest.data().await {
-        let part = part.map_err(io::Error::other)?;
+    let mut reading = Reading::new(&shared.memory.answers, length, MAX_ANSWER_BYTES);
+    reading.push(&start).await?;
+    while let Some(part) = reading.wait_for(rest.data()).await? {
+        let part = part.map_err(cut_off)?;
+        reading.push(&part).await?;
+        // The peer sends no more than has been read.
         rest.flow_control()
             .release_capacity(part.len())
-            .map_err(io::Error::other)?;
-        whole.extend_from_slice(&part);
-        if whole.len() > MAX_ANSWER_BYTES {
-            return Err(io::Error::other("the answer is too long"));
-        }
+            .map_err(cut_off)?;
     }
-    Ok(whole.freeze())
+    Ok(reading.finish())
 }
 
 /// A response whose body a task forwards as it arrives.
 fn stream(
+    shared: &Shared,
     job: Job,
     status: StatusCode,
     headers: HeaderMap,
@@ -117,9 +131,9 @@
     rest: RecvStream,
 ) -> Response<Body> {
     job.response_started.set(true);
-    let (parts, body) = mpsc::channel(MAX_BUFFERED_PARTS);
+    let (parts, body) = Body::queue(&shared.memory.answers);
     tokio::task::spawn_local(forward_parts(job, status, start, rest, parts));
-    response(status, headers, Body::parts(body))
+    response(status, headers, body)
 }
 
 /// Forwards the parts of a stream. Dropping `parts` without an end cuts off the response.
@@ -128,10 +142,10 @@
     status: StatusCode,
     start: Bytes,
     rest: RecvStream,
-    parts: Sender<Part>,
+    parts: PartSender,
 ) {
     let (mut job, mut rest) = (job, rest);
-    if !start.is_empty() && parts.send(Part::Data(start)).await.is_err() {
+    if !parts.send(start).await {
         return;
     }
     let deadline = job.deadline + DEADLINE_MARGIN;
@@ -148,14 +162,13 @@
             }
             Ok(None) => {
                 job.end("answered", status.as_u16(), SERVED_CAUSE);
-                // The caller may be gone; then the end is not needed.
-                let _ = parts.send(Part::End).await;
+                parts.end().await;
                 return;
             }
             Err(_) => return job.end("overdue", status.as_u16(), "the deadline passed"),
         };
         let length = part.len();
-        if parts.send(Part::Data(part)).await.is_err() {
+        if !parts.send(part).await {
             return;
         }
         if let Err(error) = rest.flow_control().release_capacity(length) {
--- a/crates/gateway/src/handoff/server.rs
+++ b/crates/gateway/src/handoff/server.rs
@@ -24,6 +24,7 @@
 use relay::plan::Limits;
 
 use crate::body::Body;
+use crate::ending;
 use crate::guard::HandedOver;
 use crate::guard::OpenRequest;
 use crate::handoff::message;
@@ -31,6 +32,8 @@
 use crate::handoff::message::Owner;
 use crate::job::Job;
 use crate::job::Timing;
+use crate::memory::Charge;
+use crate::responses::DEFAULT_RETRY_AFTER;
 use crate::responses::Refused;
 use crate::shared::Shared;
 use crate::target;
@@ -39,6 +42,17 @@
 /// Requests of peers served at once at most.
 const MAX_REQUESTS: usize = 256;
 
+/// Logged cause if a request is refused since no memory is left for its body.
+const NO_MEMORY_CAUSE: &str = "no memory is left for requests";
+
+/// A request of a peer.
+struct Received {
+    service: String,
+    /// Whether its body was kept; it must not run otherwise.
+    has_body: bool,
+    job: Job,
+}
+
 /// Decides whether to take the request that `peer` offers, and serves it by `dispatch`.
 pub async fn serve(
     shared: Rc<Shared>,
@@ -59,7 +73,11 @@
     mut respond: SendResponse<Bytes>,
     dispatch: impl AsyncFnOnce(Job) -> Response<Body>,
 ) -> io::Result<()> {
-    let status = decide(shared, peer, &offer);
+    let open = OpenRequest::new(shared);
+    let status = match decide(shared, peer, &offer) {
+        StatusCode::OK if !open.admit() => StatusCode::TOO_MANY_REQUESTS,
+        status => status,
+    };
     let is_declined = status != StatusCode::OK;
     let mut head = Response::new(());
     *head.status_mut() = status;
@@ -70,12 +88,19 @@
         log::debug!(kind = "handoff", peer = peer.to_string(), status = status.as_u16(); "declined a request of a peer");
         return Ok(());
     }
-    let _open = OpenRequest::new(shared);
     let _handed_over = HandedOver::new(shared);
     let served = async {
-        let job = receive(shared, offer.into_body()).await?;
-        let service = job.service.clone();
-        let response = dispatch(job).await;
+        let Received {
+            service,
+            has_body,
+            mut job,
+        } = receive(shared, offer.into_body()).await?;
+        let response = if has_body {
+            dispatch(job).await
+        } else {
+            shared.metrics.memory.bounded("requests");
+            ending::refuse(shared, &mut job, DEFAULT_RETRY_AFTER, NO_MEMORY_CAUSE)
+        };
         Ok::<_, io::Error>((service, response))
     };
     let (service, response) = tokio::select! {
@@ -102,35 +127,61 @@
 }
 
 /// Reads a request within the limits for callers.
-async fn receive(shared: &Rc<Shared>, body: RecvStream) -> io::Result<Job> {
+async fn receive(shared: &Rc<Shared>, body: RecvStream) -> io::Result<Received> {
     let limits = shared
         .plan()
         .map_or_else(Limits::default, |plan| plan.limits);
-    let read = timeout(limits.idle_timeout, read_message(body, limits.body_bytes)).await;
+    let charge = Charge::new(&shared.memory.requests);
+    let message = read_message(body, limits.body_bytes, &charge);
+    let read = timeout(limits.idle_timeout, message).await;
     let (head, body) = read.map_err(io::Error::other)??;
-    job(shared, head, body)
+    let service = head.service.clone();
+    let job = job(shared, head, body.clone().unwrap_or_default())?;
+    Ok(Received {
+        service,
+        has_body: body.is_some(),
+        job: job.with_body_charge(charge),
+    })
 }
 
-async fn read_message(body: RecvStream, max_bytes: usize) -> io::Result<(message::Request, Bytes)> {
+/// Reads a message whose body has at most `max_bytes`. The body is dropped as it arrives, and `None`, if
+/// no memory is left for it.
+async fn read_message(
+    body: RecvStream,
+    max_bytes: usize,
+    charge: &Charge,
+) -> io::Result<(message::Request, Option<Bytes>)> {
     let mut stream = body;
     let mut received = BytesMut::new();
+    let mut head = None;
+    let mut has_room = true;
+    let mut length = 0;
     while let Some(part) = stream.data().await {
         let part = part.map_err(io::Error::other)?;
         stream
             .flow_control()
             .release_capacity(part.len())
             .map_err(io::Error::other)?;
-        received.extend_from_slice(&part);
-        if received.len() > message::MAX_HEAD_BYTES + max_bytes {
+        length += part.len();
+        if length > message::MAX_HEAD_BYTES + max_bytes {
             return Err(io::Error::other("the message is too long"));
         }
+        has_room = has_room && charge.try_grow_to_body(length);
+        if head.is_none() || has_room {
+            received.extend_from_slice(&part);
+        } else {
+            received = BytesMut::new();
+            charge.shrink(charge.bytes());
+        }
+        if head.is_none() {
+            head = message::take_head(&mut received)?;
+        }
     }
-    let head = message::take_head(&mut received)?;
     let head = head.ok_or_else(|| io::Error::other("the message has no head"))?;
     if received.len() > max_bytes {
         return Err(io::Error::other("the body is too long"));
     }
-    Ok((head, received.freeze()))
+    Ok((head, has_room.then(|| received.freeze())))
 }
 
 fn job(shared: &Rc<Shared>, head: message::Request, body: Bytes) -> io::Result<Job> {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -36,6 +36,7 @@
 use relay::runs::Size;
 use relay::server::Key;
 
+use crate::memory;
 use crate::probes::Suspect;
 use crate::quota::charge::Charge;
 use crate::shared::Shared;
@@ -68,6 +69,8 @@
     pub headers: HeaderMap,
     /// The complete body.
     pub body: Bytes,
+    /// Memory of the body.
+    pub body_charge: Option<memory::Charge>,
     /// When the head was read.
     pub arrived: Instant,
     /// When the answer has to be complete.
@@ -171,6 +174,7 @@
             uri: parts.uri,
             headers: parts.headers,
             body,
+            body_charge: None,
             arrived,
             deadline,
             returned,
@@ -335,6 +339,13 @@
         Standing::new(self.route.rank(None)).with_returned(returned)
     }
 
+    /// Keeps the memory of the body charged.
+    #[must_use]
+    pub fn with_body_charge(mut self, charge: memory::Charge) -> Self {
+        self.body_charge = Some(charge);
+        self
+    }
+
     fn caller(&self) -> Caller<'_> {
         match &self.owner {
             Owner::Anyone => Caller::Anyone,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod limit;
 pub mod listen;
 pub mod members;
+pub mod memory;
 pub mod metrics;
 pub mod migration;
 pub mod move_order;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of the daemon, exported in the Prometheus text format.
 
 pub mod load;
+pub mod memory;
 pub mod quota;
 mod registration;
 
@@ -23,6 +24,7 @@
 use prometheus::core::GenericGauge;
 
 use crate::metrics::load::LoadMetrics;
+use crate::metrics::memory::MemoryMetrics;
 use crate::metrics::quota::QuotaMetrics;
 use crate::metrics::registration::full_name;
 use crate::metrics::registration::register;
@@ -73,6 +75,8 @@
     withheld: IntCounterVec,
     /// What is refused under load.
     pub load: LoadMetrics,
+    /// Memory that requests and answers hold.
+    pub memory: MemoryMetrics,
     sends: IntCounterVec,
     notices: IntCounterVec,
     handoffs: IntCounterVec,
@@ -131,6 +135,7 @@
                 &["content"],
             )?,
             load: LoadMetrics::new(&registry)?,
+            memory: MemoryMetrics::new(&registry)?,
             store_calls: vector(
                 "store_calls_total",
                 "Calls of the store by step and table",
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -26,6 +26,7 @@
 use crate::handoff;
 use crate::job::Job;
 use crate::limit;
+use crate::memory::Charge;
 use crate::responses;
 use crate::send;
 use crate::shared::Shared;
@@ -53,6 +54,8 @@
     status: StatusCode,
     headers: HeaderMap,
     body: Bytes,
+    /// Memory of the body.
+    charge: Charge,
     /// Whether it is known that it ended before the process of the replica did.
     is_end_proven: bool,
 }
@@ -284,11 +287,13 @@
                 status: whole.head.status,
                 headers: whole.headers,
                 body: whole.body,
+                charge: whole.charge,
                 is_end_proven: whole.is_end_proven,
             })
         }
-        Err(outcome) => {
-            send::record_failure(shared, job, key, outcome, "the answer was cut off", 0);
+        Err(error) => {
+            let outcome = Outcome::Lost;
+            send::record_failure(shared, job, key, outcome, &error.to_string(), 0);
             Err(outcome)
         }
     }
@@ -304,12 +309,17 @@
         .metrics
         .latency(&job.route.name, job.age().as_secs_f64());
     job.end("answered", answer.status.as_u16(), "");
-    forwarded(answer.status, &answer.headers, answer.body)
+    forwarded(answer.status, &answer.headers, answer.body, answer.charge)
 }
 
 /// The response that forwards a replica's complete answer.
-pub fn forwarded(status: StatusCode, headers: &HeaderMap, body: Bytes) -> Response<Body> {
-    let mut response = Response::new(Body::whole(body));
+pub fn forwarded(
+    status: StatusCode,
+    headers: &HeaderMap,
+    body: Bytes,
+    charge: Charge,
+) -> Response<Body> {
+    let mut response = Response::new(Body::whole(body).with_charge(charge));
     *response.status_mut() = status;
     *response.headers_mut() = reply::caller_headers(headers);
     response
@@ -347,7 +357,7 @@
                 answer.status.as_u16(),
                 "the replica answered with an error",
             );
-            forwarded(answer.status, &answer.headers, answer.body)
+            forwarded(answer.status, &answer.headers, answer.body, answer.charge)
         }
         None if attempt.may_have_run() => {
             ending::finish(job, "unknown", responses::unknown, "the replica was lost")
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -222,8 +222,9 @@
             );
             return Err(Outcome::Failed);
         }
-        Err(outcome) => {
-            send::record_failure(shared, job, key, outcome, "the answer was cut off", 0);
+        Err(error) => {
+            let outcome = Outcome::Lost;
+            send::record_failure(shared, job, key, outcome, &error.to_string(), 0);
             return Err(outcome);
         }
     };
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -8,8 +8,6 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::body::Body as _;
 use platform::caller::Task;
 use platform::reply::Head;
@@ -24,6 +22,10 @@
 use crate::connections::body::Body;
 use crate::guard::InFlight;
 use crate::job::Job;
+use crate::memory::Charge;
+use crate::memory::answer;
+use crate::memory::answer::Answer;
+use crate::memory::answer::Error;
 use crate::quarantine::probe;
 use crate::shared::Shared;
 
@@ -315,6 +317,8 @@
     pub headers: HeaderMap,
     /// The complete body.
     pub body: Bytes,
+    /// Memory of the body.
+    pub charge: Charge,
     /// Whether it is known that the answer ended before the process of the replica did.
     pub is_end_proven: bool,
 }
@@ -329,12 +333,13 @@
 /// complete if its connection closes without a reset, and not because its replica ended.
 ///
 /// # Errors
-/// `Lost` if the answer is cut off or longer than `max_bytes`.
+/// If the answer is cut off, longer than `max_bytes`, or too large for the budget of all answers. It
+/// is lost.
 pub async fn read_whole(
     shared: &Rc<Shared>,
     reply: Reply,
     max_bytes: usize,
-) -> Result<Whole, Outcome> {
+) -> Result<Whole, Error> {
     let Reply {
         head,
         response,
@@ -344,22 +349,25 @@
     } = reply;
     let has_explicit_end = has_explicit_end(&response);
     let (parts, body) = response.into_parts();
-    let body = Limited::new(body, max_bytes).collect().await;
-    let body = body.map_err(|_| Outcome::Lost)?.to_bytes();
+    let Answer { bytes, charge } = answer::read(&shared.memory.answers, body, max_bytes)
+        .await
+        .inspect_err(|error| shared.note_bounded(error, connection.address()))?;
     let outlives = if has_explicit_end {
         Some(true)
     } else {
         probe::outlives_answer(shared, guard.key).await
     };
     if outlives == Some(false) {
-        return Err(Outcome::Lost);
+        let cause = "the replica ended with its answer".to_owned();
+        return Err(Error::CutOff { cause });
     }
     shared.connections.keep_after(&head, connection);
     drop(guard);
     Ok(Whole {
         head,
         headers: parts.headers,
-        body,
+        body: bytes,
+        charge,
         is_end_proven: outlives == Some(true),
     })
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -19,6 +19,7 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::IpAddr;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -49,6 +50,8 @@
 use crate::handoff::peers::Peers;
 use crate::instance_info::InstanceInfo;
 use crate::members::Members;
+use crate::memory::Memory;
+use crate::memory::answer;
 use crate::metrics::Metrics;
 use crate::move_order::MoveOrder;
 use crate::outbox::Outbox;
@@ -92,6 +95,8 @@
     pub members: RefCell<Members>,
     /// The replicas.
     pub pool: RefCell<Pool>,
+    /// Memory that requests and answers hold.
+    pub memory: Memory,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Runs of this daemon at decode replicas.
@@ -200,6 +205,7 @@
             peers: Peers::new(),
             members: RefCell::new(Members::new(own.clone())),
             pool: RefCell::new(Pool::new()),
+            memory: Memory::new(settings.memory_mb),
             metrics,
             runs: RefCell::new(Runs::new()),
             claims: RefCell::new(Claims::new()),
@@ -251,6 +257,14 @@
         }
     }
 
+    /// Counts and logs an answer of `peer` that a bound on memory ended.
+    pub fn note_bounded(&self, error: &answer::Error, peer: SocketAddr) {
+        if let Some(bound) = error.bound() {
+            self.metrics.memory.bounded(bound);
+            log::info!(kind = "memory", bound = bound, peer = peer.to_string(), cause = error.to_string(), held = self.memory.answers.held() as u64; "an answer was ended");
+        }
+    }
+
     /// The settings in force.
     pub fn settings(&self) -> Rc<Settings> {
         Rc::clone(&self.settings.borrow())
@@ -276,6 +290,7 @@
         let now = self.clock.now();
         let members = self.members.borrow();
         let metrics = &self.metrics;
+        metrics.memory.set(&self.memory);
         metrics.members.set(members.alive_count() as u64);
         metrics
             .replicas_version
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -95,7 +95,7 @@
                 status.as_u16(),
                 "the replica answered with an error",
             );
-            plain::forwarded(status, &whole.headers, whole.body)
+            plain::forwarded(status, &whole.headers, whole.body, whole.charge)
         }
         _ => ending::finish(
             &mut job,
--- a/crates/gateway/tests/gateway/cut_site.rs
+++ b/crates/gateway/tests/gateway/cut_site.rs
@@ -63,6 +63,11 @@
 
     /// The same with `plan` and additional lines in the settings of both daemons.
     pub fn start_with(name: &str, plan: &Value, settings: &str) -> Self {
+        Self::start_with_each(name, plan, [settings, settings])
+    }
+
+    /// The same with the lines for the first daemon and those for the other one.
+    pub fn start_with_each(name: &str, plan: &Value, settings: [&str; 2]) -> Self {
         let (store, address) = Store::start("127.0.0.1");
         store.put("op", "config", plan);
         let hung = Arc::new(AtomicBool::new(false));
@@ -118,14 +123,14 @@
             gates.push((gate, *service));
         }
         let (_, through_gates) = store.with_view("127.0.0.1", &views);
-        let start = |data_centre: &str, role: &str, store| {
+        let start = |data_centre: &str, role: &str, store, settings: &str| {
             let name = format!("{name}-{role}");
             let settings = format!("first_start: true\n{settings}");
             Daemon::start_in(data_centre, &name, &new_ip(), store, &[], &settings)
         };
         let site = Self {
-            cut: start("here", "cut", through_gates),
-            sound: start("there", "sound", address),
+            cut: start("here", "cut", through_gates, settings[0]),
+            sound: start("there", "sound", address, settings[1]),
             store,
             gates,
             replicas: replicas.into_iter().map(|(replica, ..)| replica).collect(),
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway binary against a stand-in store and scripted replicas.
 
 mod backoff;
+mod budget;
 mod cold;
 mod common;
 mod connection_limits;
--- a/crates/gateway/tests/gateway/memory.rs
+++ b/crates/gateway/tests/gateway/memory.rs
@@ -14,7 +14,7 @@
 
 use crate::common::caller::Caller;
 use crate::common::daemon::wait_until;
-use crate::common::http;
+use crate::common::gate::Cut;
 use crate::common::http::Message;
 use crate::common::replica::Action;
 use crate::common::replica::Replica;
@@ -22,6 +22,8 @@
 use crate::common::replica::signed_answer;
 use crate::common::replica::stream_head;
 use crate::common::replica::stream_head_without_length;
+use crate::cut_site::Kind;
+use crate::cut_site::Site as CutSite;
 use crate::site::Site;
 use crate::site::config;
 use crate::site::headers;
@@ -35,6 +37,8 @@
 const CALLER_COUNT: usize = 40;
 /// Requests at once to replicas whose answers have no end.
 const ENDLESS_COUNT: usize = 24;
+/// Size of the chunks of a request in bytes.
+const CHUNK_BYTES: usize = 16 * 1024;
 /// Size of a large answer that passes whole.
 const LARGE_ANSWER_BYTES: usize = 6 * 1024 * 1024;
 /// Time for which a slow caller reads nothing.
@@ -151,7 +155,7 @@
     let (framing, body) = if in_chunks {
         (
             "transfer-encoding: chunked".to_owned(),
-            chunk(b"x").repeat(length),
+            chunk(&[b'x'; CHUNK_BYTES]).repeat(length / CHUNK_BYTES),
         )
     } else {
         (format!("content-length: {length}"), vec![b'x'; length])
@@ -172,7 +176,7 @@
 
 #[rstest]
 #[case::with_a_length(MAX_BODY_BYTES, false)]
-#[case::in_small_chunks(400_000, true)]
+#[case::in_chunks(MAX_BODY_BYTES, true)]
 fn requests_under_way_stay_within_the_memory(#[case] length: usize, #[case] in_chunks: bool) {
     let sound = start_sound();
     let site = start_site("bodies", &[(&sound, "app", "")]);
@@ -268,10 +272,12 @@
         (response.status(), response.body.len())
     });
     // What does not get memory in time is not answered; nothing is cut.
+    let whole = lengths.iter().filter(|(status, _)| *status == 200);
+    assert!(whole.count() > CALLER_COUNT / 4, "{lengths:?}");
     for (status, length) in &lengths {
         match status {
             200 => assert_eq!(*length, LARGE_ANSWER_BYTES),
-            status => assert_eq!(*status, 504),
+            status => assert_eq!(*status, 504, "{lengths:?}"),
         }
     }
     assert_memory(&site);
@@ -280,35 +286,39 @@
 #[test]
 fn streams_to_slow_callers_stay_within_the_memory() {
     const EVENT_BYTES: usize = 60 * 1024;
+    const SLOW_STREAMS: usize = 8;
+    const EVENT_PAUSE: Duration = Duration::from_millis(5);
     let event = [b"id: 1\ndata: ", &vec![b'x'; EVENT_BYTES][..], b"\n\n"].concat();
     let event = chunk(&event);
-    let decode = Replica::start("i-d", move |request| {
-        if request.path() == "/draft/small" {
-            let event = chunk(b"id: 1\ndata: t\n\n");
-            let whole = [stream_head(request), event, chunk(b"")].concat();
-            return Action::Send(whole);
-        }
-        Action::SendWithoutEnd(stream_head(request), event.clone(), Duration::ZERO)
-    });
-    let mut plan = plan();
-    plan["services"][1]["engine"]["slots"] = CALLER_COUNT.into();
-    plan["services"][1]["engine"]["kv-tokens"] = 1_000_000.into();
-    let settings = format!("memory_mb: {MEMORY_MB}\n");
-    let site = Site::start_with_settings(
-        "slow-streams",
-        &plan,
-        &[(&decode, "llm", "decode")],
-        &settings,
-    );
+    let start = |number: usize| {
+        let event = event.clone();
+        Replica::start(&format!("i-{number}"), move |request| {
+            if request.path() == "/draft/small" {
+                let event = chunk(b"id: 1\ndata: t\n\n");
+                return Action::Send([stream_head(request), event, chunk(b"")].concat());
+            }
+            Action::SendWithoutEnd(stream_head(request), event.clone(), EVENT_PAUSE)
+        })
+    };
+    let decode: Vec<Replica> = (0..=CALLER_COUNT / 8).map(start).collect();
+    let replicas: Vec<_> = decode.iter().map(|r| (r, "llm", "decode")).collect();
+    let site = start_site("slow-streams", &replicas);
     let mut callers: Vec<Caller> = (0..CALLER_COUNT)
         .map(|number| {
             let caller = start_generation(&site.daemon, "/draft/1", &format!("l{number}"));
+            thread::sleep(4 * EVENT_PAUSE);
             SockRef::from(&caller.socket)
                 .set_recv_buffer_size(SLOW_RECEIVE_BUFFER)
                 .unwrap();
             caller
         })
         .collect();
+    // Those that find no place in time are refused.
+    wait_until("some streams run", || {
+        let begun = decode.iter().map(|replica| replica.requests().len());
+        begun.sum::<usize>() >= SLOW_STREAMS
+    });
+    thread::sleep(READ_PAUSE);
     thread::sleep(READ_PAUSE);
     let response = start_generation(&site.daemon, "/draft/small", "a1").read();
     assert_eq!((response.status(), response.complete), (200, true));
@@ -320,6 +330,85 @@
     assert_memory(&site);
 }
 
+/// A peer that has no memory for the body of a request refuses it before it runs.
+#[test]
+fn requests_that_are_handed_over_stay_within_the_memory_of_the_peer() {
+    let settings = ["memory_mb: 512\n", "memory_mb: 64\n"];
+    let site = CutSite::start_with_each("handed-over", &plan(), settings);
+    site.cut(Cut::Reset, &["app", "llm"]);
+    wait_until("the service is unreachable", || {
+        Kind::Book.is_served_by(&site.cut, "early");
+        !site
+            .cut
+            .logged("no connection to the replicas of a service")
+            .is_empty()
+    });
+    let body = vec![b'x'; MAX_BODY_BYTES];
+    let responses = run_at_once(CALLER_COUNT, |number| {
+        let id = format!("b{number}");
+        let mut caller = site.cut.caller();
+        let response = caller.send_and_read("POST /book/slow", &headers(&id), &body);
+        (id, response)
+    });
+    let seen: Vec<Message> = site.replicas.iter().flat_map(Replica::requests).collect();
+    for (id, response) in &responses {
+        let is_seen = seen.iter().any(|r| r.header("request-id") == Some(id));
+        assert_eq!(response.header("request-id"), Some(id.as_str()));
+        match response.status() {
+            200 => assert!(is_seen),
+            503 => assert!(!is_seen, "{id} is refused and has run"),
+            status => panic!("{id} is answered with {status}: {response:?}"),
+        }
+    }
+    let count = |status| {
+        let with_status = responses.iter().filter(|(_, r)| r.status() == status);
+        with_status.count()
+    };
+    assert!(count(200) > 0 && count(503) > 0);
+    let peak = site.sound.peak_memory();
+    assert!(peak < 64_000_000, "peak of {peak} bytes");
+}
+
+/// All kinds at once.
+#[test]
+fn all_that_is_held_at_once_stays_within_the_memory() {
+    let endless = Replica::start("i-endless", |request| match request.path() {
+        "/pour/large" => Action::Send(signed_answer(request, 200, &vec![b'x'; LARGE_ANSWER_BYTES])),
+        _ => {
+            let repeated = chunk(&[b'x'; CHUNK_BYTES]);
+            Action::SendWithoutEnd(stream_head(request), repeated, Duration::ZERO)
+        }
+    });
+    let sound = start_sound();
+    let site = start_site("all", &[(&endless, "pour", ""), (&sound, "app", "")]);
+    let all_sent = Barrier::new(CALLER_COUNT + 1);
+    run_at_once(3 * CALLER_COUNT + 1, |number| {
+        let id = format!("a{number}");
+        match number % 3 {
+            _ if number == 3 * CALLER_COUNT => {
+                all_sent.wait();
+                for call in 0..20 {
+                    assert_sound_call(&site, &format!("s{call}"));
+                }
+            }
+            0 => {
+                let response = send_body(&site, &id, MAX_BODY_BYTES, false, &all_sent);
+                assert!(matches!(response.status(), 200 | 503), "{response:?}");
+            }
+            1 => {
+                let mut caller = slow_caller(&site);
+                caller.start_request("GET /pour/large", &headers(&id), b"");
+                thread::sleep(READ_PAUSE);
+                caller.read();
+            }
+            _ => {
+                site.send_and_read("GET /pour/1", &id);
+            }
+        }
+    });
+    assert_memory(&site);
+}
+
 #[test]
 fn a_large_answer_passes_whole_beside_answers_without_end() {
     let script = |request: &Message| match request.path() {
@@ -332,7 +421,7 @@
     };
     let one = Replica::start("i-1", script);
     let site = start_site("large", &[(&one, "pour", "")]);
-    let results = run_at_once(ENDLESS_COUNT + 4, |number| {
+    let results = run_at_once(ENDLESS_COUNT + 3, |number| {
         let id = format!("e{number}");
         if number < ENDLESS_COUNT {
             return site.send_and_read("GET /pour/1", &id).status() == 502;
