--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 pub mod flood;
 pub mod load;
+pub mod memory;
 pub mod quota;
 mod registration;
 
@@ -25,6 +26,7 @@
 
 use crate::metrics::flood::FloodMetrics;
 use crate::metrics::load::LoadMetrics;
+use crate::metrics::memory::MemoryMetrics;
 use crate::metrics::quota::QuotaMetrics;
 use crate::metrics::registration::full_name;
 use crate::metrics::registration::register;
@@ -75,6 +77,8 @@
     withheld: IntCounterVec,
     /// What is refused under load.
     pub load: LoadMetrics,
+    /// Memory that requests and answers hold.
+    pub memory: MemoryMetrics,
     sends: IntCounterVec,
     notices: IntCounterVec,
     /// Connections that bring too many bytes.
@@ -107,11 +111,6 @@
             let vector = IntCounterVec::new(Opts::new(full_name(name), help), labels)?;
             register(&registry, vector)
         };
-        let latency = HistogramOpts::new(
-            full_name("request_seconds"),
-            "Time from the head of a request to its answer; for streams, to the first event",
-        );
-        let latency = HistogramVec::new(latency.buckets(LATENCIES.to_vec()), &["route"])?;
         let histogram = |name: &str, help: &str| {
             let options = HistogramOpts::new(full_name(name), help).buckets(LATENCIES.to_vec());
             register(&registry, Histogram::with_opts(options)?)
@@ -135,6 +134,7 @@
                 &["content"],
             )?,
             load: LoadMetrics::new(&registry)?,
+            memory: MemoryMetrics::new(&registry)?,
             store_calls: vector(
                 "store_calls_total",
                 "Calls of the store by step and table",
@@ -193,7 +193,7 @@
                 "Paces of replicas announced to other daemons, and received from them",
                 &["direction"],
             )?,
-            latency: register(&registry, latency)?,
+            latency: register(&registry, latency_by_route()?)?,
             registry,
         })
     }
@@ -289,3 +289,11 @@
         Ok(text)
     }
 }
+
+fn latency_by_route() -> Result<HistogramVec, Error> {
+    let options = HistogramOpts::new(
+        full_name("request_seconds"),
+        "Time from the head of a request to its answer; for streams, to the first event",
+    );
+    HistogramVec::new(options.buckets(LATENCIES.to_vec()), &["route"])
+}
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway binary against a stand-in store and scripted replicas.
 
 mod backoff;
+mod budget;
 mod cold;
 mod common;
 mod connection_limits;
@@ -22,6 +23,7 @@
 mod limit;
 mod list_confirmation;
 mod members;
+mod memory;
 mod migration;
 mod paces;
 mod part_site;
