Answers that wait for memory: no silence of their replica, a second look before a stall ends one; charge unfinished events

Found by the review of the memory part, by reading: an answer that waited for this process's memory counted as the silence of its replica and was sent to another one, which waits as well; after the process stood still for two seconds, the first timer ended the largest answer although its bytes had arrived; the 500 KB that a stream may hold without an event were charged to nobody (unfinished_events_are_charged). Bytes read from a silent replica while another is asked are at most 64 KB.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -23,6 +23,7 @@
 use crate::body::PartSender;
 use crate::handoff::client::Answered;
 use crate::job::Job;
+use crate::memory::Charge;
 use crate::migration::StoppedRun;
 use crate::run_tracking::TrackedRun;
 use crate::search::Opened;
@@ -60,6 +61,7 @@
         attempt,
         tried,
         splitter: Splitter::new(),
+        unfinished: Charge::new(&shared.memory.answers),
         parts,
         started: false,
         software: None,
@@ -81,6 +83,8 @@
     attempt: Attempt,
     tried: Vec<Key>,
     splitter: Splitter,
+    /// Memory of a long unfinished event.
+    unfinished: Charge,
     parts: PartSender,
     started: bool,
     /// Software version of the current replica; `None` if it is unknown, as behind a peer.
--- a/crates/gateway/src/forward/replica_stream.rs
+++ b/crates/gateway/src/forward/replica_stream.rs
@@ -24,6 +24,7 @@
 use crate::forward::Forwarder;
 use crate::forward::STALL_TIMEOUT;
 use crate::guard::InFlight;
+use crate::memory::ALLOWANCE;
 use crate::migration;
 use crate::migration::StoppedRun;
 use crate::move_order::Target;
@@ -38,6 +39,11 @@
 /// Logged cause when the replica restarted under its id.
 const RESTARTED_CAUSE: &str = "the replica restarted";
 
+/// Logged cause when an unfinished event is too long for the memory that is left.
+const NO_MEMORY_CAUSE: &str = "no memory is left for an unfinished event";
+/// Bytes read at most from a silent replica while another one is asked to continue its stream.
+const MAX_EARLY_BYTES: usize = 64 * 1024;
+
 /// What a read returns: a frame of the body, its end, or a timeout.
 type BodyRead = Result<Option<Result<Frame<Bytes>, hyper::Error>>, Elapsed>;
 
@@ -145,8 +151,8 @@
             self.early_bytes.extend_from_slice(&data);
             match ahead.push(&data) {
                 Ok(whole) if event::contains_event(&whole) => return,
-                Ok(_) => {}
-                Err(_) => break,
+                Ok(_) if self.early_bytes.len() < MAX_EARLY_BYTES => {}
+                Ok(_) | Err(_) => break,
             }
         }
         std::future::pending::<()>().await;
@@ -325,7 +331,12 @@
         } else {
             source.silent_since = source.silent_since + begun.elapsed();
         }
-        (!taken).then_some(End::CallerLeft)
+        if !taken {
+            return Some(End::CallerLeft);
+        }
+        let pending = self.splitter.pending_bytes();
+        let has_room = self.unfinished.try_set(pending.saturating_sub(ALLOWANCE));
+        (!has_room).then(|| End::Broken(NO_MEMORY_CAUSE.to_owned()))
     }
 
     /// Measures the pace of the replica by `events` that arrived, unless the caller reads slower
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -76,6 +76,9 @@
     /// Whether it states its length.
     has_length: bool,
     read_at: Instant,
+    /// Whether it was found to have stalled. It is ended only if it is found so again: bytes may have
+    /// arrived while the process stood still.
+    is_suspected: bool,
     is_ended: bool,
     ended: Rc<Notify>,
 }
@@ -111,6 +114,11 @@
         self.held.get()
     }
 
+    /// Whether answers wait for room.
+    pub const fn is_awaited(&self) -> bool {
+        self.awaited.get() > 0
+    }
+
     /// Bytes that large bodies may hold.
     pub fn limit_for_bodies(&self) -> usize {
         (self.limit as f64 * (1.0 - SMALL_REQUESTS_FRACTION)) as usize
@@ -138,14 +146,17 @@
         let unbounded = readings.values().filter(|reading| !reading.has_length);
         let unbounded: usize = unbounded.map(|reading| reading.bytes).sum();
         let ends_unbounded = unbounded as f64 >= self.limit as f64 * UNBOUNDED_FRACTION;
-        let may_end = |reading: &ReadingState| {
+        let may_end = |reading: &mut ReadingState| {
             if reading.has_length {
-                reading.read_at.elapsed() >= STALL_TIMEOUT
+                let has_stalled = reading.read_at.elapsed() >= STALL_TIMEOUT;
+                std::mem::replace(&mut reading.is_suspected, has_stalled) && has_stalled
             } else {
                 ends_unbounded
             }
         };
-        let candidates = readings.iter_mut().filter(|(_, reading)| may_end(reading));
+        let candidates = readings
+            .iter_mut()
+            .filter_map(|(key, reading)| may_end(reading).then_some((key, reading)));
         match candidates.max_by_key(|(_, reading)| (!reading.has_length, reading.bytes)) {
             Some((key, _)) if Some(key) == own => Next::End,
             Some((_, reading)) => {
@@ -218,6 +229,18 @@
         self.budget.held.set(self.budget.held() + bytes);
     }
 
+    /// Sets the charge to `bytes` if that is less, or if the budget has as much left.
+    #[must_use]
+    pub fn try_set(&self, bytes: usize) -> bool {
+        match bytes.checked_sub(self.bytes()) {
+            Some(missing) => self.try_grow(missing),
+            None => {
+                self.shrink(self.bytes() - bytes);
+                true
+            }
+        }
+    }
+
     /// Frees `bytes`.
     pub fn shrink(&self, bytes: usize) {
         let bytes = bytes.min(self.bytes());
--- a/crates/gateway/src/memory/answer.rs
+++ b/crates/gateway/src/memory/answer.rs
@@ -103,6 +103,7 @@
             bytes: 0,
             has_length,
             read_at: Instant::now(),
+            is_suspected: false,
             is_ended: false,
             ended: Rc::clone(&ended),
         };
@@ -118,6 +119,7 @@
         if let Some(state) = self.budget.readings.borrow_mut().get_mut(self.key) {
             state.bytes = bytes;
             state.read_at = Instant::now();
+            state.is_suspected = false;
         }
     }
 }
@@ -188,7 +190,8 @@
         let budget = Rc::clone(&self.charge.budget);
         let has_length = self.length.is_some();
         let bytes = if has_length {
-            self.bytes.reserve(bytes);
+            let length = self.length.unwrap_or_default();
+            self.bytes.reserve(length.saturating_sub(self.bytes.len()));
             bytes
         } else {
             bytes.next_multiple_of(STEP)
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -228,7 +228,9 @@
 /// Decides whether to abandon the silent replica `key` for another one without a request limit, and
 /// takes the retry permit for it.
 fn try_abandon(shared: &Shared, job: &Job, key: Key, tried: &[Key]) -> bool {
+    // An answer that waits for memory of this process is no silence of its replica.
     let abandons = Instant::now() < job.deadline
+        && !shared.memory.answers.is_awaited()
         && shared
             .choose(job.destination(), None, tried)
             .is_some_and(|other| !shared.is_limited(other))
--- a/crates/gateway/tests/gateway/memory.rs
+++ b/crates/gateway/tests/gateway/memory.rs
@@ -370,6 +370,29 @@
 }
 
 /// All kinds at once.
+/// Most of a long event arrives, and then nothing.
+#[test]
+fn unfinished_events_are_charged() {
+    const STREAM_COUNT: usize = 4;
+    const UNFINISHED_BYTES: usize = 500_000;
+    let silent = Replica::start("i-1", |request| {
+        let line = chunk(&vec![b'x'; UNFINISHED_BYTES]);
+        Action::SendAndHang([stream_head(request), line].concat())
+    });
+    let site = start_site("memory-events", &[(&silent, "llm", "decode")]);
+    let callers: Vec<Caller> = (0..STREAM_COUNT)
+        .map(|number| start_generation(&site.daemon, "/draft/1", &format!("a{number}")))
+        .collect();
+    wait_until("all but the allowances are charged", || {
+        let held = site
+            .daemon
+            .metric("waxwing_gateway_memory_held_bytes{for=\"answers\"}");
+        held >= (STREAM_COUNT * (UNFINISHED_BYTES - CHUNK_BYTES)) as f64
+    });
+    drop(callers);
+    assert_memory(&site);
+}
+
 #[test]
 fn all_that_is_held_at_once_stays_within_the_memory() {
     let endless = Replica::start("i-endless", |request| match request.path() {
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -75,6 +75,11 @@
         !self.pending.is_empty()
     }
 
+    /// Number of buffered bytes of an unfinished event.
+    pub const fn pending_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Adds bytes and returns all events that they complete.
     ///
     /// # Errors
