--- a/crates/gateway/tests/soak/faults.rs
+++ b/crates/gateway/tests/soak/faults.rs
@@ -128,7 +128,7 @@
             thread.join().unwrap();
         }
     });
-    vec![copier, starter].into_iter().chain(floods).collect()
+    vec![copier, starter, floods]
 }
 
 /// A sound replica falls silent and goes on: no connection is closed.
--- a/crates/gateway/tests/soak/floods.rs
+++ b/crates/gateway/tests/soak/floods.rs
@@ -1,6 +1,5 @@
 //! Bytes without end that are no answer, from replicas, and no request, from callers.
 
-use std::env;
 use std::fs;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -31,8 +30,6 @@
 use crate::history::Kind;
 use crate::script;
 
-/// Whether floods are among the faults, without `SOAK_FLOODS`.
-const ENABLED: bool = false;
 /// Longest time in which the readiness of a daemon is answered.
 const READINESS_BOUND: Duration = Duration::from_secs(1);
 /// Peak memory of a daemon in KiB: that of the smallest machine, 110 MB.
@@ -112,11 +109,6 @@
     peak_kib: Mutex<u64>,
 }
 
-/// Whether floods are among the faults.
-pub fn is_enabled() -> bool {
-    ENABLED || env::var_os("SOAK_FLOODS").is_some()
-}
-
 /// The flood that a replica of `stage` sends in place of `action`, its answer to `request`; `draw` decides for requests
 /// that do not ask for one.
 pub fn replace(
@@ -276,9 +268,9 @@
 
 /// Starts bursts of requests that are answered with floods, and floods of callers, until `end`. They have draws of their
 /// own, so that a seed keeps the other faults that it had.
-pub fn start(cluster: &Cluster, seed: u64, end: Instant) -> Option<JoinHandle<()>> {
+pub fn start(cluster: &Cluster, seed: u64, end: Instant) -> JoinHandle<()> {
     let cluster = cluster.clone();
-    is_enabled().then(|| thread::spawn(move || run(&cluster, seed ^ 0xf100d, end)))
+    thread::spawn(move || run(&cluster, seed ^ 0xf100d, end))
 }
 
 fn run(cluster: &Cluster, seed: u64, end: Instant) {
--- a/crates/gateway/tests/soak/main.rs
+++ b/crates/gateway/tests/soak/main.rs
@@ -1,8 +1,7 @@
 //! Causes random faults around real daemons and checks the promises from what callers and replicas observe.
 //!
 //! `SOAK_SEEDS=100-150 SOAK_SECONDS=15 cargo test -p gateway --test soak -- --nocapture` runs more
-//! seeds than the short run of CI. With `SOAK_ONLY_DOUBLED` set, the only fault is that some answers are sent twice. With
-//! `SOAK_FLOODS` set, replicas and callers also send bytes without end.
+//! seeds than the short run of CI. With `SOAK_ONLY_DOUBLED` set, the only fault is that some answers are sent twice.
 
 #[path = "../gateway/common/mod.rs"]
 #[allow(
