--- a/crates/gateway/tests/soak/cluster.rs
+++ b/crates/gateway/tests/soak/cluster.rs
@@ -646,7 +646,9 @@
 
 /// Additional settings of the daemon at `ip`, which connects to replicas from there.
 fn settings(ip: &str) -> String {
-    format!("source: \"{ip}\"\n{}", customer::settings())
+    let memory_mb = floods::MEMORY_MB;
+    let quota = customer::settings();
+    format!("source: \"{ip}\"\nmemory_mb: {memory_mb}\n{quota}")
 }
 
 fn start_instance(ip: &str, ips: &[String], store: SocketAddr, seed: u64) -> Instance {
--- a/crates/gateway/tests/soak/floods.rs
+++ b/crates/gateway/tests/soak/floods.rs
@@ -32,8 +32,10 @@
 
 /// Longest time in which the readiness of a daemon is answered.
 const READINESS_BOUND: Duration = Duration::from_secs(1);
-/// Peak memory of a daemon in KiB: that of the smallest machine, 110 MB.
-const MAX_MEMORY_KIB: u64 = 110_000_000 / 1024;
+/// Memory of a daemon in MB, as on the smallest machines.
+pub const MEMORY_MB: u64 = 110;
+/// Peak memory of a daemon in KiB.
+const MAX_MEMORY_KIB: u64 = MEMORY_MB * 1_000_000 / 1024;
 /// Interval at which readiness and memory are measured.
 const INTERVAL: Duration = Duration::from_millis(100);
 /// Fraction of the answers to ordinary requests and of those to control calls that are floods.
