--- a/crates/gateway/src/bounds.rs
+++ b/crates/gateway/src/bounds.rs
@@ -10,6 +10,9 @@
 /// while the process stood still are noticed together with its timers.
 pub const READ_GRACE: Duration = Duration::from_millis(20);
 
+/// Largest header section of a message of a peer in bytes; what peers send is in the body.
+pub const MAX_PEER_HEADER_BYTES: u32 = 8 * 1024;
+
 /// Limits of a server.
 #[derive(Debug, Clone, Copy)]
 pub struct Bounds {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -32,9 +32,9 @@
 use serde::de::DeserializeOwned;
 use tokio::net::TcpStream;
 
+use crate::bounds::MAX_PEER_HEADER_BYTES;
 use crate::instance_info::InstanceInfo;
 use crate::pacing::PacedStream;
-use crate::peer_server::MAX_HEADER_BYTES;
 use crate::shared::Shared;
 
 /// Path of a request; names the version of the messages.
@@ -185,7 +185,7 @@
 ) -> io::Result<A> {
     let socket = TcpStream::connect(peer).await?;
     let (mut client, connection) = Builder::new()
-        .max_header_list_size(MAX_HEADER_BYTES)
+        .max_header_list_size(MAX_PEER_HEADER_BYTES)
         .handshake(PacedStream::new(socket))
         .await
         .map_err(io::Error::other)?;
--- a/crates/gateway/src/handoff/client.rs
+++ b/crates/gateway/src/handoff/client.rs
@@ -16,6 +16,7 @@
 use http::Request;
 use http::StatusCode;
 
+use crate::bounds::MAX_PEER_HEADER_BYTES;
 use crate::connections::Connector;
 use crate::handoff::message;
 use crate::handoff::message::Answer;
@@ -23,7 +24,6 @@
 use crate::handoff::peers::Decline;
 use crate::job::Job;
 use crate::pacing::PacedStream;
-use crate::peer_server::MAX_HEADER_BYTES;
 use crate::shared::Shared;
 
 /// Time for a peer to agree, including the connection; two round trips take a few milliseconds.
@@ -112,7 +112,7 @@
     let stream = Connector::new(Some(own)).open(peer).await?;
     stream.set_nodelay(true)?;
     let (sender, connection) = Builder::new()
-        .max_header_list_size(MAX_HEADER_BYTES)
+        .max_header_list_size(MAX_PEER_HEADER_BYTES)
         .initial_window_size(STREAM_WINDOW)
         .initial_connection_window_size(STREAM_WINDOW * MAX_REQUESTS)
         .handshake(PacedStream::new(stream))
--- a/crates/gateway/src/peer_server.rs
+++ b/crates/gateway/src/peer_server.rs
@@ -20,6 +20,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 
+use crate::bounds::MAX_PEER_HEADER_BYTES;
 use crate::callers;
 use crate::exchange;
 use crate::handoff;
@@ -31,8 +32,6 @@
 
 /// Maximum number of connections served at once.
 const MAX_CONNECTIONS: usize = 128;
-/// Largest header section of a message in bytes; what peers send is in the body.
-pub const MAX_HEADER_BYTES: u32 = 8 * 1024;
 /// Time to open a connection, and idle time after which one is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Pause after a failed accept.
@@ -72,7 +71,7 @@
     socket.set_nodelay(true)?;
     let handshake = Builder::new()
         .max_concurrent_streams(MAX_REQUESTS)
-        .max_header_list_size(MAX_HEADER_BYTES)
+        .max_header_list_size(MAX_PEER_HEADER_BYTES)
         .handshake(PacedStream::new(socket));
     let connection = timeout(IDLE_TIMEOUT, handshake).await;
     let mut connection = connection
