Review: LOST, streams that are taken up again after all daemons were killed

A script: 24 resumable streams, three replicas of one software version, all three daemons killed once and started again after 0.64 s.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,8 +2,10 @@
 //! was broken, with 0 if it held, and with 2 if the case could not run.
 
 mod daemon;
+mod engine;
 mod quota;
 mod replica;
+mod resume;
 mod store;
 mod wire;
 
@@ -18,6 +20,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let code = match case.as_str() {
         "quota" => quota::run(Path::new(folder), has_trouble),
+        "resume" => resume::run(Path::new(folder), has_trouble),
         _ => 2,
     };
     exit(code);
