--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,6 +7,7 @@
 mod replica;
 mod resume;
 mod store;
+mod twice;
 mod wire;
 
 use std::path::Path;
@@ -21,6 +22,7 @@
     let code = match case.as_str() {
         "quota" => quota::run(Path::new(folder), has_trouble),
         "resume" => resume::run(Path::new(folder), has_trouble),
+        "twice" => twice::run(Path::new(folder), has_trouble),
         _ => 2,
     };
     exit(code);
