--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -20,14 +20,19 @@
 
 /// Starts the replica `id`; returns its address.
 pub fn start(id: &str, runs: &Runs) -> SocketAddr {
+    start_with(id, runs, EVENTS, PAUSE)
+}
+
+/// The same for streams of `events`, with `pause` before each.
+pub fn start_with(id: &str, runs: &Runs, events: u64, pause: Duration) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let (id, runs) = (id.to_owned(), Arc::clone(runs));
-    wire::serve(listener, move |stream| serve(stream, &id, &runs));
+    wire::serve(listener, move |stream| serve(stream, &id, &runs, events, pause));
     address
 }
 
-fn serve(mut stream: BufReader<TcpStream>, id: &str, runs: &Runs) {
+fn serve(mut stream: BufReader<TcpStream>, id: &str, runs: &Runs, events: u64, pause: Duration) {
     while let Ok(Some(request)) = wire::read(&mut stream) {
         let own = [("Instance-Id", id)];
         if request.header("expect-instance").is_some_and(|expected| expected != id) {
@@ -51,8 +56,8 @@
         if stream.get_mut().write_all(head.as_bytes()).is_err() {
             return;
         }
-        for number in after + 1..=EVENTS {
-            thread::sleep(PAUSE);
+        for number in after + 1..=events {
+            thread::sleep(pause);
             let event = format!("id: {number}\ndata: event {number}\n\n");
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             // The run ends when its connection is closed.
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,6 +6,7 @@
 mod quota;
 mod replica;
 mod resume;
+mod roll;
 mod store;
 mod twice;
 mod wire;
@@ -21,6 +22,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let code = match case.as_str() {
         "quota" => quota::run(Path::new(folder), has_trouble),
+        "roll" => roll::run(Path::new(folder), has_trouble),
         "resume" => resume::run(Path::new(folder), has_trouble),
         "twice" => twice::run(Path::new(folder), has_trouble),
         _ => 2,
