Review: ORDER, a machine that stood still keeps the version of a stream that began at another one

Found by reading gateway::begins again: announce tells the version of a stream to the members of that moment, before there is an event. A machine that is no longer among them when the stream begins at another version keeps the first one, and takes it for the answer when a client comes back there.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,6 +3,7 @@
 
 mod daemon;
 mod engine;
+mod order;
 mod quota;
 mod replica;
 mod resume;
@@ -21,6 +22,7 @@
     };
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let code = match case.as_str() {
+        "order" => order::run(Path::new(folder), has_trouble),
         "quota" => quota::run(Path::new(folder), has_trouble),
         "roll" => roll::run(Path::new(folder), has_trouble),
         "resume" => resume::run(Path::new(folder), has_trouble),
