Review: case 9, streams are refused beside prefill replicas of their version

A release replaces the decode replicas of a service; two prefill replicas of the old version stay. The earlier cases' stand-ins gain a software version, chunked streams and changes of stage.

--- a/review/standins-2/clients.rs
+++ b/review/standins-2/clients.rs
@@ -1,8 +1,10 @@
 //! Clients of the daemons.
 
 use std::io::Write;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::thread;
 use std::time::Duration;
 
 use crate::http::Message;
@@ -25,6 +27,11 @@
 
 /// Sends `request` to `to` on a new connection, and reads the answer as far as it comes; `None` without the head of one.
 pub fn send(to: SocketAddr, request: &Request) -> Option<Message> {
+    send_for(to, request, None)
+}
+
+/// The same; the connection breaks after `time`.
+pub fn send_for(to: SocketAddr, request: &Request, time: Option<Duration>) -> Option<Message> {
     let mut stream = TcpStream::connect_timeout(&to, Duration::from_secs(1)).ok()?;
     stream.set_nodelay(true).ok()?;
     stream.set_read_timeout(Some(request.deadline)).ok()?;
@@ -46,6 +53,12 @@
         deadline.as_millis()
     );
     stream.write_all(text.as_bytes()).ok()?;
+    if let (Some(time), Ok(stream)) = (time, stream.try_clone()) {
+        thread::spawn(move || {
+            thread::sleep(time);
+            let _ = stream.shutdown(Shutdown::Both);
+        });
+    }
     Reader::new(stream).answer().ok()?
 }
 
--- a/review/standins-2/daemons.rs
+++ b/review/standins-2/daemons.rs
@@ -218,6 +218,7 @@
     service: String,
     zone: String,
     stage: String,
+    version: &'static str,
 }
 
 /// Runs of all replicas.
@@ -233,6 +234,20 @@
         service: &str,
         stage: &str,
         zone: &str,
+    ) -> Self {
+        Self::start_version(record, store, runs, name, service, stage, zone, "v1")
+    }
+
+    /// Starts a replica of the software version `version`.
+    pub fn start_version(
+        record: &Arc<Record>,
+        store: &Store,
+        runs: &Runs,
+        name: &str,
+        service: &str,
+        stage: &str,
+        zone: &str,
+        version: &'static str,
     ) -> Self {
         let program = std::env::current_exe().unwrap_or_else(|error| fail(&error.to_string()));
         let child = Command::new(program)
@@ -259,10 +274,18 @@
             service: service.clone(),
             zone: zone.to_owned(),
             stage: stage.to_owned(),
+            version,
         };
+        let (mut own, table) = (replica.clone(), store.clone());
         thread::spawn(move || {
+            let mut seq = 1;
             for line in lines.map_while(Result::ok) {
                 record.line(&format!("replica {name} of {service}: {line}"));
+                if let Some(stage) = line.strip_prefix("stage ") {
+                    own.stage = stage.to_owned();
+                    seq += 1;
+                    own.report(&table, "ready", seq);
+                }
                 if let Some(request) = line.strip_prefix("run ") {
                     let request = request.split(' ').next().unwrap_or_default().to_owned();
                     let run = Run {
@@ -288,8 +311,8 @@
             ),
         };
         let entry = format!(
-            "{{\"service\":\"{}\",\"addr\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":64,\"state\":\"{state}\",\"cold-left-ms\":0,{stage}\"seq\":{seq}}}",
-            self.service, self.address, self.zone
+            "{{\"service\":\"{}\",\"addr\":\"{}\",\"zone\":\"{}\",\"version\":\"{}\",\"slots\":64,\"state\":\"{state}\",\"cold-left-ms\":0,{stage}\"seq\":{seq}}}",
+            self.service, self.address, self.zone, self.version
         );
         store.write("servers", &self.name, &entry);
     }
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,6 +5,7 @@
 
 mod case_config;
 mod case_recover;
+mod case_stages;
 mod case_unframed;
 mod clients;
 mod daemons;
@@ -24,6 +25,7 @@
         ["replica", rest @ ..] => replica::run(rest),
         ["case", "unframed"] => case_unframed::run(),
         ["case", "config"] => case_config::run(),
+        ["case", "stages"] => case_stages::run(),
         ["case", "recover"] => case_recover::run(),
         _ => {
             eprintln!("usage: standin replica ... | standin case NAME");
--- a/review/standins-2/replica.rs
+++ b/review/standins-2/replica.rs
@@ -2,11 +2,14 @@
 //! instance, echoes the id, seals its answers and waits for nothing else.
 //!
 //! The path of a request says how it answers: `/..../plain` at once with a length; `/..../unframed` and
-//! `/..../events` in parts over a time, without a length, ending with the connection.
+//! `/..../events` in parts over a time, without a length, ending with the connection; `/..../stream` as a chunked
+//! stream of events, from `Last-Event-Id` on.
 
 use std::io::Write;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -15,6 +18,8 @@
 use crate::http;
 use crate::http::Message;
 use crate::http::Reader;
+use crate::json;
+use crate::json::Value;
 
 /// Parts of an answer without a length.
 pub const PARTS: usize = 30;
@@ -22,6 +27,13 @@
 pub const PAUSE: Duration = Duration::from_millis(60);
 /// Reservations and handles given out so far.
 static HOLDS: AtomicU64 = AtomicU64::new(1);
+/// Events of a stream, and the pause before each of them.
+pub const EVENTS: usize = 50;
+const EVENT_PAUSE: Duration = Duration::from_millis(200);
+/// `stage-switch-s`.
+const STAGE_SWITCH: Duration = Duration::from_secs(6);
+/// Orders accepted so far.
+static ORDERS: AtomicU64 = AtomicU64::new(0);
 /// Time that a plain call takes.
 const WORK: Duration = Duration::from_millis(30);
 
@@ -46,7 +58,8 @@
     let [name, service, stage] = args else {
         return 2;
     };
-    let (name, service, stage) = (name.to_string(), service.to_string(), stage.to_string());
+    let (name, service) = (name.to_string(), service.to_string());
+    let stage = Arc::new(Mutex::new(stage.to_string()));
     let Ok(listener) = TcpListener::bind("127.0.0.1:0") else {
         return 2;
     };
@@ -68,7 +81,28 @@
     let _ = output.flush();
 }
 
-fn connection(stream: TcpStream, name: &str, service: &str, stage: &str) {
+fn lock(stage: &Mutex<String>) -> std::sync::MutexGuard<'_, String> {
+    stage
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
+/// Changes the stage as ordered; it has none while it changes.
+fn change_stage(request: &Message, stage: &Arc<Mutex<String>>) {
+    let body = json::parse(&String::from_utf8_lossy(&request.body)).unwrap_or(Value::Null);
+    let to = body.get("stage").text().to_owned();
+    print_line(&format!("order {to}"));
+    ORDERS.fetch_add(1, Ordering::Relaxed);
+    *lock(stage) = "changing".to_owned();
+    let stage = Arc::clone(stage);
+    thread::spawn(move || {
+        thread::sleep(STAGE_SWITCH);
+        *lock(&stage) = to.clone();
+        print_line(&format!("stage {to}"));
+    });
+}
+
+fn connection(stream: TcpStream, name: &str, service: &str, stage: &Arc<Mutex<String>>) {
     let _ = stream.set_nodelay(true);
     let Ok(mut writer) = stream.try_clone() else {
         return;
@@ -88,8 +122,9 @@
     request: &Message,
     name: &str,
     service: &str,
-    stage: &str,
+    shared_stage: &Arc<Mutex<String>>,
 ) -> bool {
+    let stage = lock(shared_stage).clone();
     let expected = request.header("expect-instance");
     if expected.is_some_and(|expected| expected != name) {
         let headers = format!("Instance-Id: {name}\r\n");
@@ -98,9 +133,15 @@
     let own = format!("Instance-Id: {name}\r\nContent-Type: application/json\r\n");
     match request.path() {
         "/api/report" => {
-            let stage = if stage.is_empty() { "decode" } else { stage };
+            let is_busy = stage == "changing";
+            let stage = if stage == "prefill" {
+                "prefill"
+            } else {
+                "decode"
+            };
+            let orders = ORDERS.load(Ordering::Relaxed);
             let report = format!(
-                "{{\"stage\":\"{stage}\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"busy\":false,\"seq\":0,\"queue-len\":0,\"in-flight\":1,\"kv-used\":0,\"kv-total\":90000,\"kv-handles\":0}}"
+                "{{\"stage\":\"{stage}\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"busy\":{is_busy},\"seq\":{orders},\"queue-len\":0,\"in-flight\":1,\"kv-used\":0,\"kv-total\":90000,\"kv-handles\":0}}"
             );
             return http::answer(writer, "200 OK", &own, report.as_bytes()).is_ok();
         }
@@ -112,6 +153,10 @@
             );
             return http::answer(writer, "200 OK", &own, hold.as_bytes()).is_ok();
         }
+        "/api/order" => {
+            change_stage(request, shared_stage);
+            return http::answer(writer, "202 Accepted", &own, b"").is_ok();
+        }
         path if path.starts_with("/api/hold-drop/") || path.starts_with("/api/kv-handle/") => {
             return http::answer(writer, "200 OK", &own, b"").is_ok();
         }
@@ -124,7 +169,7 @@
         return http::answer(writer, "400 Bad Request", "Not-Run: 1\r\n", b"").is_ok();
     };
     let is_prefill = request.header("stage") == Some("prefill");
-    if is_prefill != (stage == "prefill") {
+    if is_prefill != (stage == "prefill") || stage == "changing" {
         let headers = format!("Instance-Id: {name}\r\nNot-Run: 1\r\n");
         return http::answer(writer, "421 Misdirected Request", &headers, b"").is_ok();
     }
@@ -148,6 +193,24 @@
         print_line(&format!("end {id}"));
         return sent.is_ok();
     }
+    if path.ends_with("/stream") {
+        let last = request
+            .header("last-event-id")
+            .and_then(|text| text.parse().ok());
+        let head = format!(
+            "HTTP/1.1 200 OK\r\n{seal}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        );
+        let mut sent = writer.write_all(head.as_bytes());
+        for index in last.unwrap_or(0)..EVENTS {
+            thread::sleep(EVENT_PAUSE);
+            let event = format!("id: {}\ndata: piece {index}\n\n", index + 1);
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            sent = sent.and_then(|()| writer.write_all(chunk.as_bytes()));
+        }
+        sent = sent.and_then(|()| writer.write_all(b"0\r\n\r\n"));
+        print_line(&format!("end {id} {}", sent.is_ok()));
+        return sent.is_ok();
+    }
     let kind = if path.ends_with("/events") {
         "text/event-stream"
     } else {
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -86,6 +86,18 @@
         self.shared.1.notify_all();
     }
 
+    /// Removes a row as the platform does when a replica has left.
+    pub fn remove(&self, table: &str, key: &str) {
+        let mut inner = self.inner();
+        inner.version += 1;
+        let version = inner.version;
+        if let Some(row) = inner.rows.get_mut(&(table.to_owned(), key.to_owned())) {
+            row.removed = true;
+            row.version = version;
+        }
+        self.shared.1.notify_all();
+    }
+
     /// Has the calls for `table` get no answer from now on, or those for no table.
     pub fn set_silent(&self, table: Option<&str>) {
         self.inner().silent = table.map(str::to_owned);
