--- a/review/standins-2/case_stages.rs
+++ b/review/standins-2/case_stages.rs
@@ -29,8 +29,8 @@
 const STAGES: [&str; 4] = ["prefill", "decode", "prefill", "decode"];
 /// Streams that run when the release begins.
 const STREAMS: usize = 24;
-/// New streams, over the time in which those are taken up again.
-const NEW_STREAMS: usize = 40;
+/// New streams, over the time in which those are taken up again and some seconds more.
+const NEW_STREAMS: usize = 60;
 const NEW_PAUSE: Duration = Duration::from_millis(200);
 const PAUSE: Duration = Duration::from_millis(40);
 const DEADLINE: Duration = Duration::from_secs(14);
