Let generations pass resumed streams that no replica can serve

Cause: a generation waits until it is first of its service's queue; a resumed stream whose version has no decode replica stood there for 2.4 objectives.

Change: a generation that no listed replica can serve (version, data centres, replicas tried) leaves the queue and returns to its place once one can.

--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -121,9 +121,14 @@
         begun
     };
     let until = from + objective.mul_f64(kind.terms(new_request_terms(shared)).wait);
-    let queue_entry = QueueEntry::new(shared, &job.service, job.rank(), kind == Kind::Returned);
+    let mut queue_entry = QueueEntry::new(shared, &job.service, job.rank(), kind == Kind::Returned);
     let mut rounds = 0;
     loop {
+        queue_entry.set_servable(shared.has_candidate(
+            job.destination(),
+            Some(Stage::Decode),
+            tried,
+        ));
         // A resumed stream does not wait for its turn: without a placement it is aborted.
         let found = if kind == Kind::Due || queue_entry.is_first() {
             try_round(shared, job, tried, engine, kind, generated).await
--- a/crates/gateway/src/shared/choice.rs
+++ b/crates/gateway/src/shared/choice.rs
@@ -44,6 +44,13 @@
         pool.choose(self.clock.now(), &criteria, rand::random)
     }
 
+    /// Whether a replica of `stage` other than `tried` may be chosen, with room or without.
+    pub fn has_candidate(&self, to: Destination<'_>, stage: Option<Stage>, tried: &[Key]) -> bool {
+        let criteria = self.criteria(to, stage, tried);
+        let pool = self.pool.borrow();
+        pool.has_candidate(self.clock.now(), &criteria)
+    }
+
     /// Chooses the prefill replica for a prompt of `tokens`, preferably one of `data_centre`.
     pub fn choose_prefill(
         &self,
--- a/crates/gateway/src/wait_queue.rs
+++ b/crates/gateway/src/wait_queue.rs
@@ -13,6 +13,7 @@
     shared: Rc<Shared>,
     service: String,
     ticket: Ticket,
+    is_queued: bool,
 }
 
 impl QueueEntry {
@@ -23,6 +24,23 @@
             shared: Rc::clone(shared),
             service: service.to_owned(),
             ticket: shared.queue.borrow_mut().join(service, rank, late),
+            is_queued: true,
+        }
+    }
+
+    /// Leaves the queue while no replica can serve this generation, so that it does not hold up
+    /// those that another replica can serve. It returns to its place once `can_be_served`.
+    pub fn set_servable(&mut self, can_be_served: bool) {
+        if can_be_served == self.is_queued {
+            return;
+        }
+        self.is_queued = can_be_served;
+        let mut queue = self.shared.queue.borrow_mut();
+        if can_be_served {
+            queue.rejoin(&self.service, self.ticket);
+        } else {
+            queue.leave(&self.service, self.ticket);
+            self.shared.capacity_changed.notify_waiters();
         }
     }
 
--- a/crates/gateway/tests/gateway/resumptions.rs
+++ b/crates/gateway/tests/gateway/resumptions.rs
@@ -12,8 +12,10 @@
 use crate::common::daemon::wait_until;
 use crate::common::http::Message;
 use crate::common::http::answer;
+use crate::common::replica::Replica;
 use crate::common::store;
 use crate::site::Site;
+use crate::site::start_generation;
 use crate::version_site::EVENTS;
 use crate::version_site::Engine;
 use crate::version_site::PATH;
@@ -248,3 +250,33 @@
         event_texts(2, EVENTS)
     );
 }
+
+/// Guards against refusing new streams beside idle replicas, while resumptions wait for a version without decode replicas.
+#[test]
+fn a_resumption_that_no_replica_can_serve_does_not_hold_up_new_streams() {
+    let first = Engine::start("i-first", "v1");
+    let (site, mut stream) = start_stream("holds-up-nobody", &first);
+    let prefill = Replica::start_prefill("i-prefill");
+    site.store
+        .put("servers", "i-prefill", &prefill.row("llm", "prefill"));
+    let other = Engine::start("i-other", "v1.1");
+    other.list(&site, "here");
+    wait_until_known(&site.daemon, &["i-prefill", "i-other"]);
+    first.end(&site);
+    drop(stream.read());
+    let mut resumption = site.daemon.caller();
+    let headers = [
+        ("Request-Id", "a2"),
+        ("Deadline-Ms", "4000"),
+        ("Token-Counts", "1460,80"),
+        ("Last-Event-Id", "1"),
+        ("Resumes", "a1"),
+    ];
+    resumption.start_request(&format!("POST {PATH}"), &headers, b"prompt");
+    wait_until("the resumption waits", || {
+        !site.daemon.logged("looked up the software").is_empty()
+    });
+    assert!(start_generation(&site.daemon, PATH, "b1").read().complete);
+    assert_eq!(other.runs(), 1);
+    assert_eq!(resumption.read().status(), 503);
+}
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -344,6 +344,15 @@
         best(&sampled).or_else(|| best(&self.eligible(now, criteria, rest)))
     }
 
+    /// Whether a replica meets `criteria`, with room or without.
+    pub fn has_candidate(&self, now: Time, criteria: &Criteria<'_>) -> bool {
+        let mut keys = self.index.group(criteria.service, criteria.stage);
+        keys.any(|key| {
+            self.note_examined(1);
+            criteria.matches(now, key, &self.servers[key])
+        })
+    }
+
     /// Returns a random sample of up to [`MAX_SCORED`] eligible replicas among `keys`, and the keys
     /// that were not examined for it.
     fn sample<'a>(
--- a/crates/relay/src/wait_queue.rs
+++ b/crates/relay/src/wait_queue.rs
@@ -43,6 +43,12 @@
         ticket
     }
 
+    /// Returns to the queue of `service` with a `ticket` from it, to the same place.
+    pub fn rejoin(&mut self, service: &str, ticket: Ticket) {
+        let waiting = self.waiting.entry(service.to_owned()).or_default();
+        waiting.insert(ticket);
+    }
+
     /// Whether `ticket` is the first in the queue of `service`.
     pub fn is_first(&self, service: &str, ticket: Ticket) -> bool {
         let waiting = self.waiting.get(service);
--- a/crates/relay/tests/wait_queue.rs
+++ b/crates/relay/tests/wait_queue.rs
@@ -56,3 +56,15 @@
     let urgent = queue.join("llm", Rank::new(0), false);
     assert!(queue.is_first("llm", urgent));
 }
+
+/// Guards against losing the place of a generation that no replica could serve for a time.
+#[test]
+fn a_generation_returns_to_its_place() {
+    let mut queue = WaitQueue::new();
+    let first = queue.join("llm", Rank::new(1), false);
+    let second = queue.join("llm", Rank::new(1), false);
+    queue.leave("llm", first);
+    assert!(queue.is_first("llm", second));
+    queue.rejoin("llm", first);
+    assert!(queue.is_first("llm", first));
+}
