Keep a decode replica for each version whose streams can be resumed

Cause: orders divide the replicas of a service by stage and do not look at versions. The version had no decode replica, its prefill replicas were idle, and the share of prefill replicas was right, so that no order was due.

Ruled out: the lookup of the version (found for all 24), the list of replicas, claims of orders (none was tried).

Change: where several versions serve, a version whose last decode replica drains or leaves gets one of its prefill replicas ordered to decode, under the usual claim; a shortage of prefill replicas leaves one decode replica of each version. A resumption is told when the change will have ended.

--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -36,6 +36,7 @@
 use relay::runs::RunId;
 use relay::runs::Runs;
 use relay::timing::CallerTimeouts;
+use relay::version_stages::VersionStages;
 use relay::wait_queue::WaitQueue;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -117,6 +118,8 @@
     pub begins: RefCell<Begins>,
     /// Questions to other daemons about them.
     pub begin_questions: RefCell<Questions>,
+    /// Stages of the software versions, by service.
+    pub version_stages: RefCell<HashMap<String, VersionStages>>,
     /// Longest time for which a stream may be resumed after its begin.
     stream_lifetime: Cell<Duration>,
     /// Until when the records of only versions are not read from the store again.
@@ -219,6 +222,7 @@
             quotas: RefCell::new(Quotas::new()),
             begins: RefCell::new(Begins::new()),
             begin_questions: RefCell::new(Questions::new()),
+            version_stages: RefCell::default(),
             stream_lifetime: Cell::new(Duration::ZERO),
             versions_read_until: Cell::new(Time::ZERO),
             probes: Probes::new(),
--- a/crates/gateway/src/shared/choice.rs
+++ b/crates/gateway/src/shared/choice.rs
@@ -180,15 +180,21 @@
     }
 
     /// Time until a replica of `stage` may be chosen again, if all available ones are throttled or
-    /// asked for no requests; otherwise `None`.
+    /// asked for no requests, or if one of the required version is changing to that stage; otherwise
+    /// `None`.
     pub fn exclusion_remaining(
         &self,
         to: Destination<'_>,
         stage: Option<Stage>,
     ) -> Option<Duration> {
+        let now = self.clock.now();
         let criteria = self.criteria(to, stage, &[]);
-        let pool = self.pool.borrow();
-        pool.exclusion_remaining(self.clock.now(), &criteria)
+        let excluded = self.pool.borrow().exclusion_remaining(now, &criteria);
+        excluded.or_else(|| {
+            let software = to.software.filter(|_| stage == Some(Stage::Decode))?;
+            let services = self.version_stages.borrow();
+            services.get(to.service)?.change_remaining(now, software)
+        })
     }
 
     /// The data centre of `key`; this daemon's own if the replica is gone.
--- a/crates/gateway/src/shared/store_state.rs
+++ b/crates/gateway/src/shared/store_state.rs
@@ -93,6 +93,11 @@
         self.log_changes(source.name(), &changes);
     }
 
+    /// Longest time for which a stream may be resumed after its begin.
+    pub const fn stream_lifetime(&self) -> Duration {
+        self.stream_lifetime.get()
+    }
+
     /// The only software version that served `service` for as long as a stream can be resumed; `None` if
     /// there were several, or if this daemon cannot exclude it.
     pub fn only_version(&self, service: &str) -> Option<String> {
--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -5,6 +5,9 @@
 //! store's clock: it first claims the service with a conditional write of a row, whose version makes
 //! the fencing token. An order is sent only within `MAX_CLAIM_AGE` of that write, so that a daemon
 //! that was frozen meanwhile sends none.
+//!
+//! Besides the division of the replicas, orders keep a decode replica for each software version whose
+//! streams can still be resumed.
 
 use std::cmp::Ordering;
 use std::collections::HashMap;
@@ -22,10 +25,12 @@
 use platform::store::Rows;
 use relay::balance::Rebalance;
 use relay::balance::StageBalancer;
+use relay::balance::StageCounts;
 use relay::replica::Replica;
 use relay::replica::Stage;
 use relay::revision::Revision;
 use relay::server::Key;
+use relay::version_stages::VersionStages;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -72,20 +77,91 @@
         for (service, engine) in engines {
             let balancer = balancers.entry(service.clone());
             let balancer = balancer.or_insert_with(|| StageBalancer::new(engine.stage_change));
+            track_version_stages(&shared, service, engine.stage_change);
             rebalance(&shared, service, balancer, share).await;
         }
     }
 }
 
+/// A change of stages that is due.
+#[derive(Debug)]
+struct Due {
+    change: Rebalance,
+    /// Software version of the replicas to change, if it is for the streams of that version.
+    software: Option<String>,
+}
+
+/// Records which versions of `service`, whose replicas take `change_time` to change their stage, have
+/// replicas of each stage.
+fn track_version_stages(shared: &Shared, service: &str, change_time: Duration) {
+    let now = shared.clock.now();
+    let counts = shared.pool.borrow().version_stage_counts(now, service);
+    let mut services = shared.version_stages.borrow_mut();
+    let stages = services.entry(service.to_owned());
+    let stages = stages.or_insert_with(|| VersionStages::new(change_time));
+    stages.update(now, &counts, shared.stream_lifetime());
+}
+
+/// The change of `service` that is due, if any. That for the streams of a version goes first: it
+/// cannot wait as long as a division that is out of proportion.
+fn find_due(
+    shared: &Shared,
+    service: &str,
+    balancer: &mut StageBalancer,
+    counts: StageCounts,
+    share: f64,
+) -> Option<Due> {
+    let now = shared.clock.now();
+    let rebalance = balancer.due(now, counts, share);
+    let services = shared.version_stages.borrow();
+    let software = services.get(service).and_then(|stages| stages.due(now));
+    match software {
+        Some(software) => Some(Due {
+            change: Rebalance {
+                stage: Stage::Decode,
+                count: 1,
+            },
+            software: Some(software.to_owned()),
+        }),
+        None => rebalance.map(|change| Due {
+            change,
+            software: None,
+        }),
+    }
+}
+
+/// Records whether orders for `due` were sent.
+fn note_orders(
+    shared: &Shared,
+    service: &str,
+    balancer: &mut StageBalancer,
+    due: &Due,
+    are_sent: bool,
+) {
+    let now = shared.clock.now();
+    let mut services = shared.version_stages.borrow_mut();
+    match (&due.software, services.get_mut(service)) {
+        (Some(software), Some(stages)) if are_sent => stages.order_sent(now, software),
+        (Some(software), Some(stages)) => return stages.order_failed(now, software),
+        _ => {}
+    }
+    if are_sent {
+        balancer.order_sent(now);
+    } else {
+        balancer.order_failed();
+    }
+}
+
 async fn rebalance(shared: &Shared, service: &str, balancer: &mut StageBalancer, share: f64) {
     let now = shared.clock.now();
     let counts = shared.pool.borrow().stage_counts(now, service);
-    let due = balancer.due(now, counts, share);
+    let due = find_due(shared, service, balancer, counts, share);
     let is_owner = shared.members.borrow().is_owner(Pool::new(service).0);
     let Some(due) = due.filter(|_| is_owner) else {
         return;
     };
-    let orders = select_orders(shared, service, due).await;
+    let stage = due.change.stage;
+    let orders = select_orders(shared, service, &due).await;
     let claimed = if orders.is_empty() {
         Err("no engine is available for an order".to_owned())
     } else {
@@ -94,8 +170,8 @@
     let (claim, claimed_at) = match claimed {
         Ok(claimed) => claimed,
         Err(cause) => {
-            balancer.order_failed();
-            log::warn!(kind = "order", service = service, stage = format!("{:?}", due.stage), cause = cause; "no order was sent");
+            note_orders(shared, service, balancer, &due, false);
+            log::warn!(kind = "order", service = service, stage = format!("{stage:?}"), cause = cause; "no order was sent");
             return;
         }
     };
@@ -105,7 +181,7 @@
         let outcome = match claimed_at.elapsed() {
             age if age > MAX_CLAIM_AGE => Err(Failure::not_sent("the claim is too old")),
             _ if claim.era != shared.era() => Err(Failure::not_sent(NEW_ERA)),
-            _ => send_order(shared, order, due.stage, claim.fence()).await,
+            _ => send_order(shared, order, stage, claim.fence()).await,
         };
         (replica, outcome)
     }));
@@ -114,7 +190,7 @@
         match outcome {
             Ok(status) => {
                 sent = true;
-                log::info!(kind = "order", replica = replica, stage = format!("{:?}", due.stage), prefill = counts.prefill as u64, decode = counts.decode as u64, status = status.as_u16(); "ordered a change of stage");
+                log::info!(kind = "order", replica = replica, stage = format!("{stage:?}"), software = due.software.as_deref().unwrap_or_default(), prefill = counts.prefill as u64, decode = counts.decode as u64, status = status.as_u16(); "ordered a change of stage");
             }
             Err(Failure {
                 cause,
@@ -122,15 +198,11 @@
             }) => {
                 // It may still be carried out.
                 sent |= is_uncertain;
-                log::warn!(kind = "order", replica = replica, stage = format!("{:?}", due.stage), cause = cause; "no order was sent, or its outcome is unknown");
+                log::warn!(kind = "order", replica = replica, stage = format!("{stage:?}"), cause = cause; "no order was sent, or its outcome is unknown");
             }
         }
     }
-    if sent {
-        balancer.order_sent(now);
-    } else {
-        balancer.order_failed();
-    }
+    note_orders(shared, service, balancer, &due, sent);
 }
 
 /// An order that can be sent.
@@ -169,19 +241,24 @@
 }
 
 /// Selects the least loaded replicas of the other stage that carry out no order at present.
-async fn select_orders(shared: &Shared, service: &str, due: Rebalance) -> Vec<Order> {
-    let from = match due.stage {
+async fn select_orders(shared: &Shared, service: &str, due: &Due) -> Vec<Order> {
+    let from = match due.change.stage {
         Stage::Prefill => Stage::Decode,
         Stage::Decode => Stage::Prefill,
     };
     let to = Destination {
         service,
         homes: None,
-        software: None,
+        software: due.software.as_deref(),
+    };
+    let count = due.change.count;
+    let mut tried = match from {
+        Stage::Prefill => Vec::new(),
+        Stage::Decode => kept_decode_replicas(shared, service),
     };
-    let mut tried: Vec<Key> = Vec::new();
+    let max_tried = tried.len() + count + MAX_SKIPPED;
     let mut orders = Vec::new();
-    while orders.len() < due.count && tried.len() < due.count + MAX_SKIPPED {
+    while orders.len() < count && tried.len() < max_tried {
         let Some(key) = shared.choose(to, Some(from), &tried) else {
             break;
         };
@@ -207,6 +284,25 @@
     orders
 }
 
+/// One decode replica of each software version, while several serve `service`: without it, the
+/// streams of the version could not be resumed.
+fn kept_decode_replicas(shared: &Shared, service: &str) -> Vec<Key> {
+    let now = shared.clock.now();
+    let counts = shared.pool.borrow().version_stage_counts(now, service);
+    if counts.len() < 2 {
+        return Vec::new();
+    }
+    let kept = counts.keys().filter_map(|software| {
+        let to = Destination {
+            service,
+            homes: None,
+            software: Some(software),
+        };
+        shared.choose(to, Some(Stage::Decode), &[])
+    });
+    kept.collect()
+}
+
 async fn fetch_report(shared: &Shared, key: Key, replica: &Replica) -> Result<Report, String> {
     let call = Call {
         key,
--- a/crates/gateway/tests/gateway/stages.rs
+++ b/crates/gateway/tests/gateway/stages.rs
@@ -12,7 +12,13 @@
 use crate::common::http::answer;
 use crate::common::replica::Action;
 use crate::common::replica::Replica;
+use crate::resumptions::resume;
 use crate::site::Site;
+use crate::site::config;
+use crate::version_site::EVENTS;
+use crate::version_site::Engine;
+use crate::version_site::begin_stream;
+use crate::version_site::event_texts;
 
 const PREFILL_REPLICAS: usize = 20;
 const DECODE_REPLICAS: usize = 4;
@@ -150,3 +156,98 @@
     assert!(engines.iter().all(|engine| orders(engine).is_empty()));
     assert!(!site.store.has("orders", "llm"));
 }
+
+/// Duration of a change of stage in the tests below.
+const CHANGE_SECONDS: f64 = 1.0;
+
+/// A configuration whose engines change their stage in [`CHANGE_SECONDS`].
+fn quick_change_plan() -> Value {
+    let mut plan = config(1);
+    plan["services"][1]["engine"]["stage-switch-s"] = CHANGE_SECONDS.into();
+    plan
+}
+
+/// Lists `replica` with its `stage` and software `version` in `data_centre`.
+fn list(site: &Site, replica: &Replica, stage: &str, version: &str, data_centre: &str) {
+    let mut row = replica.row("llm", stage);
+    row["version"] = version.into();
+    row["zone"] = data_centre.into();
+    site.store.put("servers", &replica.id, &row);
+}
+
+/// A prefill replica that takes orders, and generates like `decode` once it is listed as a decode replica.
+fn start_changing_prefill(id: &str) -> Replica {
+    Replica::start(id, |request| match request.path() {
+        "/api/order" => Action::Send(answer(202, &[], b"")),
+        _ if request.header("stage") == Some("prefill") => {
+            let body = br#"{"kv-handle":"k1","tokens":1460,"version":1}"#;
+            Action::Send(answer(200, &[("content-type", "application/json")], body))
+        }
+        _ => Engine::generate(request),
+    })
+}
+
+/// Guards against ending all streams of a version whose decode replicas a release has replaced, beside its prefill replicas.
+#[test]
+fn a_stream_goes_on_at_a_prefill_replica_of_its_version_once_that_has_changed() {
+    let settings = "prefill_share: 0.1\n";
+    let site = Site::start_with_settings("version-stages", &quick_change_plan(), &[], settings);
+    let prefill = ["i-prefill-1", "i-prefill-2"].map(start_changing_prefill);
+    let first = Engine::start("i-first", "v1");
+    let others = ["i-other-1", "i-other-2"].map(|id| Engine::start(id, "v1.1"));
+    for replica in &prefill {
+        list(&site, replica, "prefill", "v1", "here");
+    }
+    first.list(&site, "here");
+    site.daemon.wait_until_ready();
+    let mut stream = begin_stream(&site);
+    for other in &others {
+        other.list(&site, "here");
+    }
+    // Longer than the interval between two checks of the stages.
+    thread::sleep(Duration::from_secs(1));
+    let mut draining = first.replica.row("llm", "decode");
+    draining["state"] = "draining".into();
+    site.store.put("servers", "i-first", &draining);
+    let ordered = || prefill.iter().filter(|replica| !orders(replica).is_empty());
+    wait_until("a prefill replica is ordered to change", || {
+        ordered().count() > 0
+    });
+    first.end(&site);
+    drop(stream.read());
+    let early = resume(&site.daemon, "a2", "a1", "1");
+    assert_eq!(early.status(), 503);
+    let retry_after: f64 = early.header("retry-after").unwrap().parse().unwrap();
+    assert!(retry_after <= CHANGE_SECONDS + 1.5, "{retry_after}");
+    let changed = ordered().next().unwrap();
+    assert_eq!(orders(changed)[0]["stage"], "decode");
+    list(&site, changed, "decode", "v1", "here");
+    thread::sleep(Duration::from_secs(1));
+    let answer = resume(&site.daemon, "a3", "a1", "1");
+    assert_eq!(
+        String::from_utf8_lossy(&answer.body),
+        event_texts(2, EVENTS)
+    );
+    assert_eq!(others.iter().map(Engine::runs).sum::<usize>(), 0);
+    assert_eq!(ordered().count(), 1);
+}
+
+/// Guards against taking the last decode replica of a version away from its streams to correct the division.
+#[test]
+fn the_last_decode_replica_of_a_version_keeps_its_stage() {
+    let accept = |_: &Message| Action::Send(answer(202, &[], b""));
+    let last = Replica::start("i-last", accept);
+    let others = ["i-1", "i-2", "i-3"].map(|id| Replica::start(id, accept));
+    let site = Site::start_with_settings("last-decode", &config(1), &[], "prefill_share: 0.1\n");
+    // The nearest one is preferred for the change.
+    list(&site, &last, "decode", "v1", "here");
+    for other in &others {
+        list(&site, other, "decode", "v1.1", "there");
+    }
+    site.daemon.wait_until_ready();
+    wait_until("an engine is ordered to change", || {
+        let all = others.iter().chain([&last]);
+        all.flat_map(orders).count() > 0
+    });
+    assert!(orders(&last).is_empty());
+}
--- a/crates/gateway/tests/gateway/version_site.rs
+++ b/crates/gateway/tests/gateway/version_site.rs
@@ -8,6 +8,7 @@
 use crate::common::caller::Caller;
 use crate::common::daemon::Daemon;
 use crate::common::daemon::wait_until;
+use crate::common::http::Message;
 use crate::common::replica::Action;
 use crate::common::replica::Replica;
 use crate::common::replica::chunk;
@@ -35,12 +36,7 @@
         let is_broken = Arc::new(AtomicBool::new(false));
         let stopped = Arc::clone(&is_broken);
         let replica = Replica::start(id, move |request| {
-            let last = request.header("last-event-id");
-            let last: u64 = last.map_or(0, |id| id.parse().unwrap());
-            let mut parts = vec![stream_head(request)];
-            parts.extend((last + 1..=EVENTS).map(|id| events(id, id)));
-            parts.push(chunk(b""));
-            Action::SendUntilStopped(parts, PAUSE, Arc::clone(&stopped))
+            Action::SendUntilStopped(parts(request), PAUSE, Arc::clone(&stopped))
         });
         Self {
             replica,
@@ -49,6 +45,11 @@
         }
     }
 
+    /// Generates the rest of the stream of `request`.
+    pub fn generate(request: &Message) -> Action {
+        Action::SendSlowly(parts(request), PAUSE)
+    }
+
     /// Lists it in `data_centre`.
     pub fn list(&self, site: &Site, data_centre: &str) {
         let mut row = self.replica.row("llm", "decode");
@@ -68,6 +69,16 @@
     }
 }
 
+/// The head and the events that answer `request`.
+fn parts(request: &Message) -> Vec<Vec<u8>> {
+    let last = request.header("last-event-id");
+    let last: u64 = last.map_or(0, |id| id.parse().unwrap());
+    let mut parts = vec![stream_head(request)];
+    parts.extend((last + 1..=EVENTS).map(|id| events(id, id)));
+    parts.push(chunk(b""));
+    parts
+}
+
 /// A site with one replica, at which the stream `a1` has begun.
 pub fn start_stream(name: &str, first: &Engine) -> (Site, Caller) {
     let site = Site::start(name, &[]);
--- a/crates/relay/src/balance.rs
+++ b/crates/relay/src/balance.rs
@@ -41,7 +41,7 @@
 }
 
 /// Available replicas of one service, by stage.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct StageCounts {
     /// Prefill replicas.
     pub prefill: usize,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,7 +12,8 @@
 //! - [`score`]: selection of the replica for a request.
 //! - [`pace`]: how fast replicas work, and what daemons announce of it; [`answer`]: what a replica of a
 //!   given speed makes of an answer.
-//! - [`balance`]: division of the replicas of a model into prefill and decode.
+//! - [`balance`]: division of the replicas of a model into prefill and decode;
+//!   [`version_stages`]: versions whose streams need a decode replica.
 //! - [`budget`]: retries that a service may still get; [`permit`]: permission for one send.
 //! - [`attempt`]: the next step after a failed send.
 //! - [`fingerprint`]: recognition of repeated attempts of one request.
@@ -65,5 +66,6 @@
 pub mod server;
 pub mod timing;
 mod tombstones;
+pub mod version_stages;
 mod versions;
 pub mod wait_queue;
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -190,6 +190,32 @@
         }
     }
 
+    /// Counts the available replicas of `service` of each known software version, by stage.
+    pub fn version_stage_counts(&self, now: Time, service: &str) -> BTreeMap<String, StageCounts> {
+        let mut counts: BTreeMap<String, StageCounts> = BTreeMap::new();
+        for stage in [Stage::Prefill, Stage::Decode] {
+            for key in self.index.group(service, Some(stage)) {
+                let server = &self.servers[key];
+                let Some(software) = server.replica.software.as_ref() else {
+                    continue;
+                };
+                if !server.is_available(now) {
+                    continue;
+                }
+                // Without a new key for each replica of the fleet.
+                let counts = match counts.get_mut(software) {
+                    Some(counts) => counts,
+                    None => counts.entry(software.clone()).or_default(),
+                };
+                match stage {
+                    Stage::Prefill => counts.prefill += 1,
+                    Stage::Decode => counts.decode += 1,
+                }
+            }
+        }
+        counts
+    }
+
     /// Whether a replica of `service` is known.
     pub fn has_service(&self, service: &str) -> bool {
         self.index.count(service) > 0
