Save in the store which version began each stream

Cause: only the memory of running daemons tells which version began a stream; the record in the store covers the case of one version alone, and is off.

Change: with version_records, and while several versions may serve, each run of a daemon keeps a row with the versions of its streams, from their first event on, in one write for all of them every half second at most. A resumption that no daemon knows looks there; concurrent ones share a reading. An event makes the version final, so that a row stays true after the end of its daemon; the owner of the table removes rows that do not change for as long as a stream can be resumed. What is not found is refused as before.

--- a/crates/gateway/src/begins.rs
+++ b/crates/gateway/src/begins.rs
@@ -4,11 +4,12 @@
 //! Replicas of several versions may serve a service side by side, and what they write does not fit
 //! together. A caller resumes a stream because its connection broke, often with the instance that
 //! knew the version. So each daemon announces the versions of its streams to two others, chosen by
-//! rendezvous hashing, unless only one version has served for as long as a stream can be resumed. The
-//! store has a record of that for daemons that start together.
+//! rendezvous hashing, and saves them in the store, unless only one version has served for as long as
+//! a stream can be resumed. The store has a record of that. Both are for daemons that start together.
 
 pub mod lookup;
 pub mod message;
+pub mod saving;
 pub mod storage;
 
 use std::collections::HashMap;
@@ -34,6 +35,8 @@
 const MAX_ASKED: usize = 4;
 /// Time for their answers; a round trip takes a few milliseconds, a busy daemon some tens.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
+/// Pause after a reading of what the store has; callers that resume streams come in bursts.
+const READ_PAUSE: Duration = Duration::from_millis(300);
 /// Streams in one datagram, to stay below the usual packet size.
 const MAX_BEGINS: usize = 24;
 
@@ -61,20 +64,43 @@
     announce_due(shared).await;
 }
 
+/// Records that an event of the stream of `job` was forwarded, if its caller may resume it.
+pub fn note_event(shared: &Shared, job: &Job) {
+    let stream = stream(job).filter(|_| job.route.mode.repeatable());
+    if let Some(stream) = stream {
+        let mut begins = shared.begins.borrow_mut();
+        begins.note_event(stream, &job.service);
+    }
+}
+
 /// Announces the streams of services with several versions that are not announced yet.
 pub async fn announce_due(shared: &Shared) {
     let now = shared.clock.now();
+    let due = shared
+        .begins
+        .borrow_mut()
+        .take_unannounced(now, may_have_several_versions(shared));
+    send(shared, due).await;
+}
+
+/// Adds the begun streams of services with several versions to those that are kept in the store;
+/// returns whether any is new.
+fn save_due(shared: &Shared) -> bool {
+    let is_due = may_have_several_versions(shared);
+    shared.begins.borrow_mut().save_due(is_due)
+}
+
+/// Whether a service may have several versions, looked up once for each service.
+fn may_have_several_versions(shared: &Shared) -> impl FnMut(&str) -> bool {
     let mut known: HashMap<String, bool> = HashMap::new();
-    let is_due = |service: &str| match known.get(service) {
-        Some(is_due) => *is_due,
+    move |service| match known.get(service) {
+        Some(several) => *several,
         None => {
-            let is_due = shared.only_version(service).is_none();
-            known.insert(service.to_owned(), is_due);
-            is_due
+            let several = shared.only_version(service).is_none();
+            known.insert(service.to_owned(), several);
+            several
         }
-    };
-    let due = shared.begins.borrow_mut().take_unannounced(now, is_due);
-    send(shared, due).await;
+    }
 }
 
 /// Hands all known streams over to other daemons, before this one leaves.
@@ -135,16 +161,28 @@
         (_, own @ Finding::Only(_)) => own,
         (told @ Finding::Only(_), _) => told,
         (Finding::Unknown, _) if shared.settings().version_records => {
-            find_recorded(shared, stream, &job.service).await
+            find_stored(shared, stream, &job.service).await
         }
         (Finding::Unknown, _) => Finding::Unknown,
     }
 }
 
-/// Finds out from the store whether there was only one version: after a start of all daemons, none
-/// of them knows what was before.
-async fn find_recorded(shared: &Shared, stream: Option<Stream>, service: &str) -> Finding {
-    storage::find(shared, service).await;
+/// Finds out from the store which version began `stream`: after a start of all daemons, none of them
+/// knows what was before.
+async fn find_stored(shared: &Shared, stream: Option<Stream>, service: &str) -> Finding {
+    let readings = shared.begin_readings.get();
+    // Resumptions come in bursts: one reading is for all that wait for it.
+    let _turn = shared.begin_reading.lock().await;
+    let found = lookup::find(shared, stream, service);
+    let is_read = shared.begin_readings.get() > readings;
+    if found != Finding::Unknown || is_read || !shared.begin_reading_begins(READ_PAUSE) {
+        return found;
+    }
+    saving::load(shared).await;
+    if lookup::find(shared, stream, service) == Finding::Unknown {
+        storage::find(shared, service).await;
+    }
+    shared.begin_readings.set(readings + 1);
     lookup::find(shared, stream, service)
 }
 
--- a/crates/gateway/src/begins/storage.rs
+++ b/crates/gateway/src/begins/storage.rs
@@ -20,8 +20,6 @@
 /// Interval between attempts in a new era, until each service is recorded in it: first the list of
 /// replicas must have been read in that era.
 const NEW_ERA_PAUSE: Duration = Duration::from_millis(300);
-/// Pause after a failed attempt to read the records; callers that resume streams come in bursts.
-const RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Maximum age of the list of replicas of a daemon that records.
 const MAX_LIST_AGE: Duration = Duration::from_secs(1);
 
@@ -58,7 +56,7 @@
 }
 
 /// The services whose streams callers may resume.
-fn resumable_services(shared: &Shared) -> Vec<String> {
+pub fn resumable_services(shared: &Shared) -> Vec<String> {
     let plan = shared.plan().filter(|_| shared.is_ready());
     let Some(plan) = plan else {
         return Vec::new();
@@ -106,7 +104,7 @@
 /// knows it now.
 pub async fn find(shared: &Shared, service: &str) -> bool {
     let has_one_version = shared.pool.borrow().has_one_version(service);
-    if !has_one_version || !shared.begin_reading_versions(RETRY_PAUSE) {
+    if !has_one_version {
         return false;
     }
     let Some(epoch) = read(shared, service).await else {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -177,6 +177,7 @@
     spawn_local(reach_probe::run(Rc::clone(&shared)));
     if settings.version_records {
         spawn_local(begins::storage::run(Rc::clone(&shared)));
+        spawn_local(begins::saving::run(Rc::clone(&shared)));
     }
     spawn_local(quarantine::probe::run(Rc::clone(&shared)));
     spawn_local(quarantine::announce::run(Rc::clone(&shared)));
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -39,6 +39,7 @@
 use relay::version_stages::VersionStages;
 use relay::wait_queue::WaitQueue;
 use tokio::net::UdpSocket;
+use tokio::sync::Mutex;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -122,8 +123,12 @@
     pub version_stages: RefCell<HashMap<String, VersionStages>>,
     /// Longest time for which a stream may be resumed after its begin.
     stream_lifetime: Cell<Duration>,
-    /// Until when the records of only versions are not read from the store again.
-    versions_read_until: Cell<Time>,
+    /// Held while what the store has of them is read.
+    pub begin_reading: Mutex<()>,
+    /// Number of such readings.
+    pub begin_readings: Cell<u64>,
+    /// Until when that is not read again.
+    begins_read_until: Cell<Time>,
     /// Lost replicas that are being probed.
     pub probes: Probes,
     /// Answers that replicas are writing.
@@ -223,8 +228,10 @@
             begins: RefCell::new(Begins::new()),
             begin_questions: RefCell::new(Questions::new()),
             version_stages: RefCell::default(),
+            begin_reading: Mutex::default(),
+            begin_readings: Cell::default(),
+            begins_read_until: Cell::new(Time::ZERO),
             stream_lifetime: Cell::new(Duration::ZERO),
-            versions_read_until: Cell::new(Time::ZERO),
             probes: Probes::new(),
             answers: Rc::new(Answers::new()),
             newly_quarantined: Outbox::new(),
--- a/crates/gateway/src/shared/store_state.rs
+++ b/crates/gateway/src/shared/store_state.rs
@@ -106,13 +106,13 @@
         pool.only_version(now, service, period).map(str::to_owned)
     }
 
-    /// Whether the records of only versions may be read from the store now; if so, not again for
+    /// Whether what the store has of the begins of streams may be read now; if so, not again for
     /// `pause`.
-    pub fn begin_reading_versions(&self, pause: Duration) -> bool {
+    pub fn begin_reading_begins(&self, pause: Duration) -> bool {
         let now = self.clock.now();
-        let may_read = now >= self.versions_read_until.get();
+        let may_read = now >= self.begins_read_until.get();
         if may_read {
-            self.versions_read_until.set(now + pause);
+            self.begins_read_until.set(now + pause);
         }
         may_read
     }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -40,6 +40,7 @@
 mod restarts;
 mod resumptions;
 mod rewritten_rows;
+mod saved_begins;
 mod second_answers;
 mod second_calls;
 mod second_store;
--- a/crates/relay/src/begins.rs
+++ b/crates/relay/src/begins.rs
@@ -1,6 +1,8 @@
 //! The software versions that began streams, so that callers can resume them at any instance.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use ident::Time;
@@ -9,7 +11,7 @@
 use serde::Serialize;
 
 /// Identifies a stream: hash of the id of the attempt that received its first event.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Stream(pub u64);
 
 impl Stream {
@@ -38,6 +40,8 @@
     software: String,
     change: u8,
     expires: Time,
+    /// Whether an event of this version was forwarded; before that, another version may begin it.
+    is_begun: bool,
 }
 
 /// The streams that a daemon knows: its own, and those that others announced to it.
@@ -46,6 +50,10 @@
     records: HashMap<Stream, Record>,
     /// Streams of this daemon that it has not announced, with their services.
     unannounced: HashMap<Stream, String>,
+    /// Streams that this daemon began to forward and has not saved, with their services.
+    unsaved: HashMap<Stream, String>,
+    /// Streams that this daemon keeps saved.
+    saved: HashSet<Stream>,
 }
 
 impl Begins {
@@ -73,15 +81,37 @@
             software: software.to_owned(),
             change,
             expires: now + lifetime,
+            is_begun: known.is_some_and(|known| known.is_begun && known.software == software),
         };
         self.records.insert(stream, record);
         self.unannounced.insert(stream, service.to_owned());
     }
 
+    /// Records that this daemon forwarded an event of `stream`, of `service`, which therefore goes on
+    /// at no other version than that recorded with [`Self::begin`].
+    pub fn note_event(&mut self, stream: Stream, service: &str) {
+        if let Some(record) = self.records.get_mut(&stream) {
+            record.is_begun = true;
+            self.unsaved.insert(stream, service.to_owned());
+        }
+    }
+
+    /// Records that `software` began `stream`, as a daemon saved it after the first event.
+    pub fn restore(&mut self, now: Time, stream: Stream, software: &str, lifetime: Duration) {
+        let record = Record {
+            software: software.to_owned(),
+            change: 0,
+            expires: now + lifetime,
+            is_begun: true,
+        };
+        self.records.insert(stream, record);
+    }
+
     /// Records what another daemon announced.
     pub fn learn(&mut self, now: Time, begin: &Begin) {
         let expires = now + begin.lifetime;
         match self.records.get_mut(&begin.stream) {
+            Some(known) if known.is_begun && known.software != begin.software => {}
             Some(known) if known.change > begin.change => {}
             Some(known) if known.software == begin.software => {
                 known.expires = known.expires.max(expires);
@@ -92,6 +122,7 @@
                     software: begin.software.clone(),
                     change: begin.change,
                     expires,
+                    is_begun: false,
                 };
                 self.records.insert(begin.stream, record);
             }
@@ -120,6 +151,30 @@
             .collect()
     }
 
+    /// Keeps the begun streams whose service meets `is_due` saved from now on; returns whether any is
+    /// new.
+    pub fn save_due(&mut self, mut is_due: impl FnMut(&str) -> bool) -> bool {
+        let due = self
+            .unsaved
+            .extract_if(|_, service| is_due(service.as_str()));
+        let before = self.saved.len();
+        self.saved.extend(due.map(|(stream, _)| stream));
+        self.saved.len() > before
+    }
+
+    /// The streams to keep saved, with their versions: the `most` that can be resumed the longest.
+    pub fn saved(&self, now: Time, most: usize) -> Vec<(Stream, &str)> {
+        let streams = self.saved.iter();
+        let records = streams.filter_map(|stream| Some((*stream, self.records.get(stream)?)));
+        let mut live: Vec<_> = records.filter(|(_, record)| now < record.expires).collect();
+        live.sort_unstable_by_key(|(stream, record)| (Reverse(record.expires), *stream));
+        live.truncate(most);
+        let saved = live.into_iter();
+        saved
+            .map(|(stream, record)| (stream, record.software.as_str()))
+            .collect()
+    }
+
     /// All streams, for the daemons that have to know them after this one has left.
     pub fn all(&self, now: Time) -> Vec<Begin> {
         let records = self.records.iter();
@@ -134,6 +189,10 @@
         self.records.retain(|_, record| now < record.expires);
         self.unannounced
             .retain(|stream, _| self.records.contains_key(stream));
+        self.unsaved
+            .retain(|stream, _| self.records.contains_key(stream));
+        self.saved
+            .retain(|stream| self.records.contains_key(stream));
     }
 
     /// Number of known streams.
--- a/crates/relay/tests/begins.rs
+++ b/crates/relay/tests/begins.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use ident::Time;
+use relay::begins::Begin;
 use relay::begins::Begins;
 use relay::begins::Stream;
 use relay::pool::Pool;
@@ -168,3 +169,55 @@
     follow(&mut pool, 72, 73);
     assert_eq!(pool.only_version(at(73), SERVICE, LIFETIME), Some("v1"));
 }
+
+/// The begins that are kept saved at `at(1)`.
+fn saved(begins: &Begins, most: usize) -> Vec<(Stream, &str)> {
+    begins.saved(at(1), most)
+}
+
+#[test]
+fn a_stream_is_saved_once_it_has_begun_and_its_service_is_due() {
+    let mut begins = Begins::new();
+    let [sent, begun] = ["a1", "a2"].map(Stream::new);
+    for stream in [sent, begun] {
+        begins.begin(at(0), stream, SERVICE, "v1", LIFETIME);
+    }
+    begins.note_event(begun, SERVICE);
+    assert!(!begins.save_due(|_| false));
+    assert!(saved(&begins, 10).is_empty());
+    assert!(begins.save_due(|service| service == SERVICE));
+    assert_eq!(saved(&begins, 10), [(begun, "v1")]);
+    assert!(!begins.save_due(|_| true), "it is saved already");
+    begins.remove_expired(at(30));
+    assert!(begins.saved(at(30), 10).is_empty());
+}
+
+#[test]
+fn the_streams_that_can_be_resumed_the_longest_are_saved() {
+    let mut begins = Begins::new();
+    for (id, seconds) in [("a1", 0), ("a2", 1)] {
+        let stream = Stream::new(id);
+        begins.begin(at(seconds), stream, SERVICE, "v1", LIFETIME);
+        begins.note_event(stream, SERVICE);
+    }
+    begins.save_due(|_| true);
+    assert_eq!(saved(&begins, 1), [(Stream::new("a2"), "v1")]);
+}
+
+/// Guards against a stream that goes on at a version to which it was only sent.
+#[test]
+fn no_announcement_overrides_the_version_that_brought_an_event() {
+    let stream = Stream::new("a1");
+    let mut begins = Begins::new();
+    begins.restore(at(0), stream, "v1", LIFETIME);
+    begins.learn(
+        at(0),
+        &Begin {
+            stream,
+            software: "v1.1".to_owned(),
+            change: 3,
+            lifetime: LIFETIME,
+        },
+    );
+    assert_eq!(begins.software(at(1), stream), Some("v1"));
+}
