Record in the store by default which version served alone

Cause: the record of the only version was off, was first written 5 s after a start, and was read for a resumption only. After a common start no daemon knew the only version for 28 s, so nobody renewed the record, and a second common start found one that is older than the history of the store.

Change: records are on by default, are first written as soon as the list is read, and a daemon that lacks the history looks the version up after its start.

--- a/crates/gateway/src/begins/storage.rs
+++ b/crates/gateway/src/begins/storage.rs
@@ -17,39 +17,54 @@
 /// Interval between records. Well below the history that the store keeps, from which a daemon that
 /// starts reads what changed since.
 const PERIOD: Duration = Duration::from_secs(5);
-/// Interval between attempts in a new era, until each service is recorded in it: first the list of
-/// replicas must have been read in that era.
-const NEW_ERA_PAUSE: Duration = Duration::from_millis(300);
+/// Interval between attempts after a start and in a new era, until each service is recorded: first the
+/// list of replicas must have been read in that era.
+const FIRST_PAUSE: Duration = Duration::from_millis(300);
 /// Maximum age of the list of replicas of a daemon that records.
 const MAX_LIST_AGE: Duration = Duration::from_secs(1);
 
-/// Records the services of which this daemon knows the only version, forever.
+/// Records the services of which this daemon knows the only version, forever. After a start it takes
+/// that from the records.
 pub async fn run(shared: Rc<Shared>) {
     let mut eras = shared.watch_era();
-    let mut recorded_era = 0;
+    let mut recorded_era = None;
     loop {
-        let pause = if recorded_era < shared.era() {
-            NEW_ERA_PAUSE
-        } else {
-            PERIOD
+        let pause = match recorded_era {
+            Some(era) if era == shared.era() => PERIOD,
+            _ => FIRST_PAUSE,
         };
         // A new era ends the pause: nobody can use a record of an earlier one.
         let _ = timeout(pause, eras.changed()).await;
         let era = shared.era();
-        if record_all(&shared).await {
-            recorded_era = era;
+        let services = resumable_services(&shared);
+        if services.is_empty() {
+            continue;
+        }
+        vouch_all(&shared, &services).await;
+        if record_all(&shared, &services).await {
+            recorded_era = Some(era);
+        }
+    }
+}
+
+/// Looks up the only version of each of `services` that this daemon does not know for lack of time.
+/// Streams of several possible versions have to be announced and saved one by one.
+async fn vouch_all(shared: &Shared, services: &[String]) {
+    for service in services {
+        if shared.follows_one_version(service) && shared.only_version(service).is_none() {
+            find(shared, service).await;
         }
     }
 }
 
 /// Records the services of which this daemon knows the only version; returns whether nothing failed.
-async fn record_all(shared: &Shared) -> bool {
+async fn record_all(shared: &Shared, services: &[String]) -> bool {
     let mut is_done = true;
-    for service in resumable_services(shared) {
-        let is_owner = shared.members.borrow().is_owner(Pool::new(&service).0);
-        let software = shared.only_version(&service).filter(|_| is_owner);
+    for service in services {
+        let is_owner = shared.members.borrow().is_owner(Pool::new(service).0);
+        let software = shared.only_version(service).filter(|_| is_owner);
         if let Some(software) = software {
-            is_done &= record(shared, &service, software).await;
+            is_done &= record(shared, service, software).await;
         }
     }
     is_done
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -41,9 +41,9 @@
     /// Whether the whole system starts for the first time and the store lists no instances yet.
     #[serde(default)]
     pub first_start: bool,
-    /// Whether the only software version of each service is recorded in the store, so that callers can
-    /// resume streams after all instances have ended.
-    #[serde(default)]
+    /// Whether the store keeps which software versions began streams, so that callers can resume them
+    /// after all instances have ended.
+    #[serde(default = "default_version_records")]
     pub version_records: bool,
     /// Retry budget of all instances together.
     pub retry: Retry,
@@ -152,6 +152,10 @@
     DEFAULT_MEMORY_MB
 }
 
+const fn default_version_records() -> bool {
+    true
+}
+
 /// Addresses a daemon listens on.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/gateway/src/shared/store_state.rs
+++ b/crates/gateway/src/shared/store_state.rs
@@ -106,6 +106,15 @@
         pool.only_version(now, service, period).map(str::to_owned)
     }
 
+    /// Whether this daemon has seen no other software version of `service` than the present one for as
+    /// long as a stream can be resumed, or since it started.
+    pub fn follows_one_version(&self, service: &str) -> bool {
+        let (now, period) = (self.clock.now(), self.stream_lifetime.get());
+        self.pool
+            .borrow()
+            .has_seen_one_version(now, service, period)
+    }
+
     /// Whether what the store has of the begins of streams may be read now; if so, not again for
     /// `pause`.
     pub fn begin_reading_begins(&self, pause: Duration) -> bool {
--- a/crates/gateway/tests/gateway/epochs.rs
+++ b/crates/gateway/tests/gateway/epochs.rs
@@ -9,8 +9,10 @@
 use crate::common::store;
 use crate::resumptions::resume;
 use crate::site::Site;
+use crate::site::config;
 use crate::version_site::EVENTS;
 use crate::version_site::Engine;
+use crate::version_site::begin_stream;
 use crate::version_site::event_texts;
 
 /// Settings with which versions are recorded.
@@ -91,3 +93,65 @@
             .is_empty()
     });
 }
+
+/// A store with one engine, and the first daemon of the system, which has recorded the version of the engine.
+fn first_daemon(name: &str, engine: &Engine) -> Site {
+    let (store, store_address) = store::Store::start("127.0.0.1");
+    store.put("op", "config", &config(1));
+    store.put(
+        "servers",
+        &engine.replica.id,
+        &engine.replica.row("llm", "decode"),
+    );
+    let ip = new_ip();
+    let daemon = Daemon::first_start(name, &ip, store_address);
+    daemon.wait_until_ready();
+    wait_until("the version is recorded", || store.has("versions", "llm"));
+    Site {
+        store,
+        store_address,
+        daemon,
+        ip,
+    }
+}
+
+/// Guards against refusing every resumption where the settings do not mention records.
+#[test]
+fn a_stream_is_resumed_after_all_daemons_were_killed_with_default_settings() {
+    let one = Engine::start("i-one", "v1");
+    let mut site = first_daemon("by-default", &one);
+    drop(begin_stream(&site));
+    site.daemon.kill();
+    let another = Daemon::start("by-default-too", &new_ip(), site.store_address, &[]);
+    another.wait_until_ready();
+    let answer = resume(&another, "a2", "a1", "1");
+    assert_eq!(
+        String::from_utf8_lossy(&answer.body),
+        event_texts(2, EVENTS)
+    );
+}
+
+/// Guards against streams that nobody recorded between two common starts: a daemon that cannot tell whether one version
+/// alone has served records nothing.
+#[test]
+fn a_stream_is_resumed_after_all_daemons_were_killed_twice() {
+    let one = Engine::start("i-one", "v1");
+    let mut site = first_daemon("twice", &one);
+    site.daemon.kill();
+    let recorded = site.store.version("versions", "llm");
+    site.daemon = Daemon::start("twice-too", &new_ip(), site.store_address, &[]);
+    site.daemon.wait_until_ready();
+    wait_until("the version is recorded again", || {
+        site.store.version("versions", "llm") > recorded
+    });
+    drop(begin_stream(&site));
+    assert!(site.store.keys("begins").is_empty());
+    site.daemon.kill();
+    let another = Daemon::start("twice-three", &new_ip(), site.store_address, &[]);
+    another.wait_until_ready();
+    let answer = resume(&another, "a2", "a1", "1");
+    assert_eq!(
+        String::from_utf8_lossy(&answer.body),
+        event_texts(2, EVENTS)
+    );
+}
--- a/crates/relay/src/pool/versions.rs
+++ b/crates/relay/src/pool/versions.rs
@@ -28,6 +28,11 @@
         (is_followed || self.is_vouched(service, only, followed_since)).then_some(only)
     }
 
+    /// Whether all replicas of `service` that this daemon knew within `period` had one software version.
+    pub fn has_seen_one_version(&self, now: Time, service: &str, period: Duration) -> bool {
+        self.versions.only(now, service, period).is_some()
+    }
+
     /// Whether the known replicas of `service` have one software version.
     pub fn has_one_version(&self, service: &str) -> bool {
         let now = self.refreshed_at.unwrap_or_default();
