Forward no answer with an invalid status

Seen (report of other operators): an answer with status 000 reached a caller. Here 000 and 099 do not, but 600 and 999 did, signed, for calls and streams, and through waxwingd.

Cause: the HTTP library accepts 100 to 999, the protocol defines 100 to 599, and nothing else looked at the range.

Change: an answer has a status from 200 to 599; any other is lost, and its promise that the request did not run does not count.

--- a/crates/call/src/direct.rs
+++ b/crates/call/src/direct.rs
@@ -129,7 +129,8 @@
 ///
 /// # Errors
 ///
-/// [`Error::NotSent`] if connecting failed, and [`Error::Lost`] if no answer head was received.
+/// [`Error::NotSent`] if connecting failed, and [`Error::Lost`] if no head of a final answer was received
+/// whose status is valid (RFC 9110, section 15).
 pub async fn send<S: Copy>(
     step: S,
     peer: SocketAddr,
@@ -164,6 +165,9 @@
         .map_err(|e| lost(describe(&e)))?;
     progress.record();
     let (head, incoming) = answer.into_parts();
+    if !(200..600).contains(&head.status.as_u16()) {
+        return Err(lost(format!("invalid status {}", head.status.as_u16())));
+    }
     let body = Body { incoming, progress };
     Ok(Answer { head, body, guard })
 }
--- a/crates/gateway/tests/gateway/truncation.rs
+++ b/crates/gateway/tests/gateway/truncation.rs
@@ -321,6 +321,33 @@
     );
 }
 
+/// A status outside of the range that the protocol defines is no answer, signed or not.
+#[rstest]
+#[case::zero("000")]
+#[case::below_the_first("099")]
+#[case::above_the_last("600")]
+#[case::largest("999")]
+fn an_answer_with_an_invalid_status_is_not_forwarded(#[case] status: &str) {
+    let text = format!(
+        "HTTP/1.1 {status} X\r\nrequest-id: a1\r\nresponse-seal: s\r\ncontent-type: text/event-stream\r\ncontent-length: 2\r\n\r\nab"
+    );
+    let script = move |_: &Message| Action::Send(text.clone().into());
+    let app = Replica::start("i-a", script.clone());
+    let decode = Replica::start("i-d", script);
+    let replicas = [(&app, "app", ""), (&decode, "llm", "decode")];
+    let site = Site::start("invalid-status", &replicas);
+    for line in [
+        "POST /book/1",
+        "GET /read/1",
+        "POST /draft/1",
+        "POST /resume/1",
+    ] {
+        let response = site.send_and_read(line, "a1");
+        let found = (response.status(), response.header("response-seal"));
+        assert!(matches!(found, (502 | 503, None)), "{line}: {found:?}");
+    }
+}
+
 /// Without a length, only the reset shows that an answer was cut; its bytes may be read long before the reset, or never.
 #[rstest]
 #[case("reset-at-once", Duration::ZERO)]
