Queue streams that callers resume like returned requests

Hypothesis: with the record of the only version on, all callers whose streams broke off resume them at once after a common start. They went before all new streams, which are delayed by what is prefilled again.

Change: a stream that its caller resumes waits behind new ones of its rank, for 2.4 objectives as before; one that is resumed within an answer still goes first.

The test of the order for a version's stage failed in 2 of 4 runs: it waited for a change that had been due, so that the return time was that of any refusal. Its change now takes longer than any other return time, and the check has a lower bound.

--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -264,6 +264,7 @@
     match job.call.last_event {
         None if generated == 0 && job.returned => Kind::Returned,
         None if generated == 0 => Kind::New,
+        Some(_) if generated == 0 => Kind::Returned,
         _ => Kind::Due,
     }
 }
--- a/crates/gateway/tests/gateway/stages.rs
+++ b/crates/gateway/tests/gateway/stages.rs
@@ -12,6 +12,7 @@
 use crate::common::http::answer;
 use crate::common::replica::Action;
 use crate::common::replica::Replica;
+use crate::common::store;
 use crate::resumptions::resume;
 use crate::site::Site;
 use crate::site::config;
@@ -157,12 +158,12 @@
     assert!(!site.store.has("orders", "llm"));
 }
 
-/// Duration of a change of stage in the tests below.
-const CHANGE_SECONDS: f64 = 1.0;
+/// Duration of a change of stage, far longer than refused callers are told to wait otherwise.
+const CHANGE_SECONDS: f64 = 20.0;
 
-/// A configuration whose engines change their stage in [`CHANGE_SECONDS`].
-fn quick_change_plan() -> Value {
-    let mut plan = config(1);
+/// A configuration whose engines change their stage in [`CHANGE_SECONDS`], and whose streams wait far less for a replica.
+fn slow_change_plan() -> Value {
+    let mut plan = store::config(1, 4_000, 300);
     plan["services"][1]["engine"]["stage-switch-s"] = CHANGE_SECONDS.into();
     plan
 }
@@ -191,7 +192,7 @@
 #[test]
 fn a_stream_goes_on_at_a_prefill_replica_of_its_version_once_that_has_changed() {
     let settings = "prefill_share: 0.1\n";
-    let site = Site::start_with_settings("version-stages", &quick_change_plan(), &[], settings);
+    let site = Site::start_with_settings("version-stages", &slow_change_plan(), &[], settings);
     let prefill = ["i-prefill-1", "i-prefill-2"].map(start_changing_prefill);
     let first = Engine::start("i-first", "v1");
     let others = ["i-other-1", "i-other-2"].map(|id| Engine::start(id, "v1.1"));
@@ -218,7 +219,8 @@
     let early = resume(&site.daemon, "a2", "a1", "1");
     assert_eq!(early.status(), 503);
     let retry_after: f64 = early.header("retry-after").unwrap().parse().unwrap();
-    assert!(retry_after <= CHANGE_SECONDS + 1.5, "{retry_after}");
+    let most = CHANGE_SECONDS + 1.5;
+    assert!((most / 2.0..=most).contains(&retry_after), "{retry_after}");
     let changed = ordered().next().unwrap();
     assert_eq!(orders(changed)[0]["stage"], "decode");
     list(&site, changed, "decode", "v1", "here");
--- a/crates/relay/src/timing.rs
+++ b/crates/relay/src/timing.rs
@@ -39,9 +39,10 @@
 pub enum Kind {
     /// A first attempt, which can be in time.
     New,
-    /// A retry of a refused generation.
+    /// A retry of a refused generation, or a stream that its caller resumes: late in any case.
     Returned,
-    /// A late generation without another chance, because its replica was lost: a resumed stream.
+    /// A late generation without another chance, because its replica was lost: a stream that is resumed
+    /// within one answer.
     Due,
 }
 
