Cut no request at the end of a short grace period

Seen (report of other operators): requests that came late in the grace of a planned stop were passed on and cut without an answer. Here with a grace of 3 s: a call that may not be repeated, sent 1.6 s after SIGTERM, was cut 0.7 s later; a stream that waited for a place was cut 2.3 s after SIGTERM.

Cause: all requests were accepted for 2.7 s and the exit came 0.7 s before the end, whatever the grace; what waits did not look at the exit.

Change: all are accepted for a third of the grace, 2.7 s at most; the exit comes a sixth of the grace before its end, 0.7 s at most; what waits for a replica is refused 0.2 s before the exit. With a grace of 8 s, 2.67 s and 0.7 s.

Result: both new tests failed before (no answer) and hold (503, not run).

--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -145,7 +145,8 @@
         }
         // Waiting is useless if all decode replicas stay excluded beyond the limit.
         let excluded = shared.exclusion_remaining(job.destination(), Some(Stage::Decode));
-        if Instant::now() + excluded.unwrap_or_default().max(ROUND_PAUSE) > until {
+        let earliest = Instant::now() + excluded.unwrap_or_default().max(ROUND_PAUSE);
+        if earliest > shared.latest_wait(until) {
             let prefill_time = shared.estimate_prefill_time(job.destination(), job.prompt_tokens());
             let read_ms = prefill_time.unwrap_or_default().as_millis() as u64;
             log::info!(kind = "reserve", request = job.call.id, class = format!("{kind:?}"), rounds = rounds, tokens = job.expected_tokens(), read_ms = read_ms; "no decode replica has room");
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -260,7 +260,7 @@
         // Waiting is useless if all replicas stay excluded beyond the limit.
         let excluded = shared.exclusion_remaining(job.destination(), stage);
         let earliest = Instant::now() + excluded.unwrap_or_default();
-        if !tried.is_empty() || earliest >= until {
+        if !tried.is_empty() || earliest >= shared.latest_wait(until) {
             return None;
         }
         sleep(POLL_INTERVAL).await;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -23,6 +23,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use boottime::Instant;
 use ident::Time;
 use ident::Zone;
 use relay::begins::Begins;
@@ -68,11 +69,16 @@
 /// address answer for that long. Later, only requests are accepted that can complete within the
 /// grace period.
 const FULL_SERVICE: Duration = Duration::from_millis(2_700);
-
+/// Maximum fraction of the grace period for that; the rest is for what was accepted.
+const FULL_SERVICE_SHARE: f64 = 1.0 / 3.0;
 /// Time before the end of the grace period at which a stopping daemon exits, whatever is in
 /// progress. The last log lines take up to 250 ms; the rest covers a busy processor of a tenth of a
 /// core: with 300 ms in all, a daemon with one open stream was killed 0.26 s after its last line.
-pub const STOP_MARGIN: Duration = Duration::from_millis(700);
+const STOP_MARGIN: Duration = Duration::from_millis(700);
+/// Maximum fraction of the grace period for that; the last log lines are not waited for beyond it.
+const STOP_MARGIN_SHARE: f64 = 1.0 / 6.0;
+/// Time before the exit at which what still waits for a replica is refused.
+const REFUSAL_TIME: Duration = Duration::from_millis(200);
 /// Maximum log lines per second about rejected requests; a caller that sends only malformed
 /// requests must not fill the logs.
 const MAX_REJECTED_LINES: u64 = 50;
@@ -366,8 +372,26 @@
             return true;
         };
         let elapsed = self.clock.now().since(since);
-        elapsed < FULL_SERVICE
-            || elapsed + longest < self.settings().grace().saturating_sub(STOP_MARGIN)
+        let grace = self.settings().grace();
+        let full_service = FULL_SERVICE.min(grace.mul_f64(FULL_SERVICE_SHARE));
+        elapsed < full_service || elapsed + longest < self.stop_time()
+    }
+
+    /// Time from SIGTERM to the exit, whatever is in progress then.
+    pub fn stop_time(&self) -> Duration {
+        let grace = self.settings().grace();
+        grace.saturating_sub(STOP_MARGIN.min(grace.mul_f64(STOP_MARGIN_SHARE)))
+    }
+
+    /// Until when a request may wait for a replica that may do so until `latest`: a stopping daemon
+    /// refuses it while it can still answer.
+    pub fn latest_wait(&self, latest: Instant) -> Instant {
+        let Some(since) = self.stopping_since.get() else {
+            return latest;
+        };
+        let elapsed = self.clock.now().since(since);
+        let left = self.stop_time().saturating_sub(elapsed + REFUSAL_TIME);
+        latest.min(Instant::now() + left)
     }
 
     /// Requests in progress.
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -14,7 +14,6 @@
 
 use crate::begins;
 use crate::reload;
-use crate::shared::STOP_MARGIN;
 use crate::shared::Shared;
 use crate::watch::registration;
 
@@ -72,7 +71,7 @@
     if let Ok(Err(error)) = unlisted {
         log::warn!(kind = "store", step = "leaving", cause = error.to_string(); "failed to remove the own row");
     }
-    let deadline = started + shared.settings().grace().saturating_sub(STOP_MARGIN);
+    let deadline = started + shared.stop_time();
     sleep_until((started + LINGER).min(deadline)).await;
     while shared.open_requests() > 0 && Instant::now() < deadline {
         sleep(CHECK_PAUSE).await;
--- a/crates/gateway/tests/gateway/lifecycle.rs
+++ b/crates/gateway/tests/gateway/lifecycle.rs
@@ -11,12 +11,14 @@
 use socket2::SockRef;
 
 use crate::common::daemon::wait_until;
+use crate::common::http::answer;
 use crate::common::replica::Action;
 use crate::common::replica::Replica;
 use crate::common::replica::chunk;
 use crate::common::replica::events;
 use crate::common::replica::signed_answer;
 use crate::common::replica::stream_head;
+use crate::common::store;
 use crate::site::Site;
 use crate::site::start_generation;
 
@@ -254,3 +256,50 @@
         .unwrap();
     assert_eq!(output.status.code(), Some(code));
 }
+
+/// Grace period of the tests below in seconds.
+const SHORT_GRACE_S: u64 = 3;
+
+/// Sets the short grace period.
+fn shorten_grace(site: &Site) {
+    site.change_settings("grace_s: 8", &format!("grace_s: {SHORT_GRACE_S}"));
+}
+
+/// Guards against passing on a call that the end of the grace period may cut off without an answer.
+#[test]
+fn a_stopping_daemon_with_a_short_grace_period_accepts_no_call_that_it_may_have_to_cut() {
+    let replica = Replica::start("i-1", |request| {
+        let answer = signed_answer(request, 200, b"late");
+        Action::SendSlowly(vec![answer], Duration::from_millis(1_500))
+    });
+    let mut site = Site::start("late-call", &[(&replica, "app", "")]);
+    shorten_grace(&site);
+    let mut late = site.daemon.caller();
+    site.daemon.signal(Signal::TERM);
+    std::thread::sleep(Duration::from_millis(1_600));
+    let response = late.send_and_read("POST /book/1", &crate::site::headers("a1"), b"");
+    assert_eq!(response.status(), 503);
+    assert!(response.header("retry-after").is_some());
+    assert!(replica.requests().is_empty());
+    assert!(site.daemon.wait_for_exit().success());
+}
+
+/// Guards against ending without an answer to a request that waits for a replica.
+#[test]
+fn a_stopping_daemon_refuses_what_still_waits_at_the_end() {
+    let decode = Replica::start("i-d", |_| Action::SendAndHang(Vec::new()));
+    decode
+        .set_call_handler(|call| (call.path() == "/api/hold-take").then(|| answer(503, &[], b"")));
+    // A long objective lets streams wait for longer than the grace period.
+    let patient = store::config(1, 14_000, 14_000);
+    let mut site = Site::start_with_plan("waits-at-end", &patient, &[(&decode, "llm", "decode")]);
+    shorten_grace(&site);
+    let mut caller = start_generation(&site.daemon, "/draft/1", "a1");
+    wait_until("the stream asks for a place", || {
+        decode.connection_count() > 0
+    });
+    site.daemon.signal(Signal::TERM);
+    let response = caller.read();
+    assert_eq!(response.status(), 503);
+    assert!(site.daemon.wait_for_exit().success());
+}
