Count no id without data as an event of a run

Cause: count_events counted each line with an id, so that the run seemed to hold some 75,000 tokens, more than any replica has room for, and nothing took it.

Change: an event has an id and data, as for the rest of the splitter.

--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -160,10 +160,23 @@
     }
 }
 
-/// Counts the events in `bytes`, which starts and ends with whole events.
+/// Counts the events with an id in `bytes`, which starts and ends with whole blocks of lines. An id
+/// without data is no event.
 pub fn count_events(bytes: &[u8]) -> u64 {
-    let lines = bytes.split(|byte| *byte == b'\n');
-    lines.filter(|line| line.starts_with(b"id:")).count() as u64
+    let (mut events, mut has_id, mut has_data) = (0, false, false);
+    for line in bytes.split(|byte| *byte == b'\n').chain([&[][..]]) {
+        match line {
+            [] | [b'\r'] => {
+                events += u64::from(has_id && has_data);
+                (has_id, has_data) = (false, false);
+            }
+            line => {
+                has_id |= line.starts_with(b"id:");
+                has_data |= is_data_field(line);
+            }
+        }
+    }
+    events
 }
 
 /// End of the last empty line that ends at or after `from`.
--- a/crates/relay/tests/event.rs
+++ b/crates/relay/tests/event.rs
@@ -152,3 +152,16 @@
     splitter.resume(None).unwrap();
     assert_eq!(splitter.push(first).is_ok(), resumed);
 }
+
+/// Guards against taking bytes that are no event for tokens of a run: they would seem to fill the memory of its replica.
+#[rstest]
+#[case::events("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", 2)]
+#[case::line_ends_of_two_bytes("id: 1\r\ndata: a\r\n\r\n", 1)]
+#[case::the_last_one_is_unfinished("id: 1\ndata: a\n\nid: 2\ndata: b\n", 2)]
+#[case::ids_alone("id: 9\n\nid: 9\n\n", 0)]
+#[case::data_without_an_id("data: a\n\n", 0)]
+#[case::comments(": c\n\n", 0)]
+#[case::nothing("", 0)]
+fn events_with_an_id_are_counted(#[case] text: &str, #[case] expected: u64) {
+    assert_eq!(event::count_events(text.as_bytes()), expected);
+}
