Test answers without end to the daemon's own calls and of the store

A report of other operators: a replica sent bytes without end, the daemon kept them and ran out of memory. Bodies and heads of callers' requests have tests; reports, reservations, prefills and the store had none.

--- a/crates/gateway/tests/gateway/common/replica.rs
+++ b/crates/gateway/tests/gateway/common/replica.rs
@@ -150,7 +150,6 @@
     }
 
     /// Answers a reservation, a report or another call of the daemon's own by what `floods` returns, if it does.
-    #[allow(dead_code, reason = "used by the soak only")]
     pub fn set_call_floods(
         &self,
         floods: impl Fn(&Message) -> Option<Action> + Send + Sync + 'static,
--- a/crates/gateway/tests/gateway/memory.rs
+++ b/crates/gateway/tests/gateway/memory.rs
@@ -13,8 +13,11 @@
 use socket2::SockRef;
 
 use crate::common::caller::Caller;
+use crate::common::daemon::Daemon;
+use crate::common::daemon::new_ip;
 use crate::common::daemon::wait_until;
 use crate::common::gate::Cut;
+use crate::common::http;
 use crate::common::http::Message;
 use crate::common::replica::Action;
 use crate::common::replica::Replica;
@@ -43,6 +46,8 @@
 const LARGE_ANSWER_BYTES: usize = 6 * 1024 * 1024;
 /// Time for which a slow caller reads nothing.
 const READ_PAUSE: Duration = Duration::from_secs(1);
+/// Time for which a daemon calls a store, some ten times for each of its tables.
+const STORE_TIME: Duration = Duration::from_secs(5);
 /// Receive buffer of a slow caller in bytes.
 const SLOW_RECEIVE_BUFFER: usize = 16 * 1024;
 
@@ -455,3 +460,59 @@
     assert!(results.iter().all(|is_right| *is_right), "{results:?}");
     assert_memory(&site);
 }
+
+/// An endless answer to a call that the daemon makes for itself.
+fn pour(request: &Message) -> Action {
+    Action::SendWithoutEnd(
+        chunked_head(request),
+        chunk(&[b'x'; 16 * 1024]),
+        Duration::ZERO,
+    )
+}
+
+/// Guards against reports, reservations and prefills whose answers have no end.
+#[test]
+fn answers_without_end_to_the_calls_of_the_daemon_stay_within_the_memory() {
+    let decode = Replica::start("i-decode", pour);
+    decode.set_call_floods(|request| Some(pour(request)));
+    let prefill = Replica::start("i-prefill", pour);
+    prefill.set_call_floods(|request| Some(pour(request)));
+    let plain = Replica::start("i-plain", |request| {
+        Action::SendAndClose(chunked_head(request))
+    });
+    plain.set_call_floods(|request| Some(pour(request)));
+    let replicas = [
+        (&decode, "llm", "decode"),
+        (&prefill, "llm", "prefill"),
+        (&plain, "pour", ""),
+    ];
+    let site = start_site("endless-calls", &replicas);
+    let answers = run_at_once(CALLER_COUNT, |number| {
+        let line = if number % 2 == 0 {
+            "POST /resume/1"
+        } else {
+            "POST /pour/1"
+        };
+        site.send_and_read(line, &format!("a{number}")).status()
+    });
+    assert!(answers.iter().all(|status| *status >= 500), "{answers:?}");
+    assert_memory(&site);
+}
+
+/// Guards against a store whose answers have no end.
+#[test]
+fn answers_without_end_of_the_store_stay_within_the_memory() {
+    let store = http::serve("127.0.0.1", |socket| {
+        if matches!(http::read(socket), Ok(Some(_))) {
+            let head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+            http::send(socket, head);
+            while http::send(socket, &chunk(&[b'x'; 16 * 1024])) {}
+        }
+    });
+    let settings = format!("memory_mb: {MEMORY_MB}\n");
+    let daemon = Daemon::start_with_settings("endless-store", &new_ip(), store, &[], &settings);
+    thread::sleep(STORE_TIME);
+    let peak = daemon.peak_memory();
+    assert!(peak < MEMORY_MB * 1_000_000, "peak of {peak} bytes");
+    assert_eq!(daemon.readiness(), 503);
+}
