Save only the version whose replica brought the event

Found by reading: a stream that was sent to a replica of one version, without an event, and then begun by a replica whose version the list does not show yet, would have been saved with the first version, and could go on there (ORDER).

Change: an event is recorded with the version of its replica, and counts only if that is the one recorded last; with an unknown one nothing is saved.

Result: the new unit test fails without the comparison (by reading) and holds; saved_begins and epochs hold.

--- a/crates/gateway/src/begins.rs
+++ b/crates/gateway/src/begins.rs
@@ -64,12 +64,13 @@
     announce_due(shared).await;
 }
 
-/// Records that an event of the stream of `job` was forwarded, if its caller may resume it.
-pub fn note_event(shared: &Shared, job: &Job) {
+/// Records that an event of the stream of `job`, from a replica of the version `software`, was
+/// forwarded, if its caller may resume it.
+pub fn note_event(shared: &Shared, job: &Job, software: &str) {
     let stream = stream(job).filter(|_| job.route.mode.repeatable());
     if let Some(stream) = stream {
         let mut begins = shared.begins.borrow_mut();
-        begins.note_event(stream, &job.service);
+        begins.note_event(stream, &job.service, software);
     }
 }
 
@@ -175,7 +176,7 @@
     let _turn = shared.begin_reading.lock().await;
     let found = lookup::find(shared, stream, service);
     let is_read = shared.begin_readings.get() > readings;
-    if found != Finding::Unknown || is_read || !shared.begin_reading_begins(READ_PAUSE) {
+    if found != Finding::Unknown || is_read || !shared.may_read_begins(READ_PAUSE) {
         return found;
     }
     saving::load(shared).await;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -216,7 +216,9 @@
         }
         if has_event && !self.started {
             self.started = true;
-            begins::note_event(&self.shared, &self.job);
+            if let Some(software) = &self.software {
+                begins::note_event(&self.shared, &self.job, software);
+            }
             let age = self.job.age();
             let route = &self.job.route.name;
             self.shared.metrics.latency(route, age.as_secs_f64());
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -125,16 +125,16 @@
     pub begins: RefCell<Begins>,
     /// Questions to other daemons about them.
     pub begin_questions: RefCell<Questions>,
-    /// Stages of the software versions, by service.
-    pub version_stages: RefCell<HashMap<String, VersionStages>>,
     /// Longest time for which a stream may be resumed after its begin.
     stream_lifetime: Cell<Duration>,
-    /// Held while what the store has of them is read.
+    /// Held while what the store has of the begins of streams is read.
     pub begin_reading: Mutex<()>,
-    /// Number of such readings.
+    /// Number of such readings so far.
     pub begin_readings: Cell<u64>,
-    /// Until when that is not read again.
+    /// Until when there is no further one.
     begins_read_until: Cell<Time>,
+    /// Stages of the software versions, by service.
+    pub version_stages: RefCell<HashMap<String, VersionStages>>,
     /// Lost replicas that are being probed.
     pub probes: Probes,
     /// Answers that replicas are writing.
--- a/crates/gateway/src/shared/store_state.rs
+++ b/crates/gateway/src/shared/store_state.rs
@@ -117,7 +117,7 @@
 
     /// Whether what the store has of the begins of streams may be read now; if so, not again for
     /// `pause`.
-    pub fn begin_reading_begins(&self, pause: Duration) -> bool {
+    pub fn may_read_begins(&self, pause: Duration) -> bool {
         let now = self.clock.now();
         let may_read = now >= self.begins_read_until.get();
         if may_read {
--- a/crates/relay/src/begins.rs
+++ b/crates/relay/src/begins.rs
@@ -88,9 +88,11 @@
     }
 
     /// Records that this daemon forwarded an event of `stream`, of `service`, which therefore goes on
-    /// at no other version than that recorded with [`Self::begin`].
-    pub fn note_event(&mut self, stream: Stream, service: &str) {
-        if let Some(record) = self.records.get_mut(&stream) {
+    /// at no other version than `software`. Has no effect if another one was recorded last: the stream
+    /// was sent to a replica of an unknown version then.
+    pub fn note_event(&mut self, stream: Stream, service: &str, software: &str) {
+        let record = self.records.get_mut(&stream);
+        if let Some(record) = record.filter(|record| record.software == software) {
             record.is_begun = true;
             self.unsaved.insert(stream, service.to_owned());
         }
--- a/crates/relay/tests/begins.rs
+++ b/crates/relay/tests/begins.rs
@@ -182,7 +182,7 @@
     for stream in [sent, begun] {
         begins.begin(at(0), stream, SERVICE, "v1", LIFETIME);
     }
-    begins.note_event(begun, SERVICE);
+    begins.note_event(begun, SERVICE, "v1");
     assert!(!begins.save_due(|_| false));
     assert!(saved(&begins, 10).is_empty());
     assert!(begins.save_due(|service| service == SERVICE));
@@ -198,7 +198,7 @@
     for (id, seconds) in [("a1", 0), ("a2", 1)] {
         let stream = Stream::new(id);
         begins.begin(at(seconds), stream, SERVICE, "v1", LIFETIME);
-        begins.note_event(stream, SERVICE);
+        begins.note_event(stream, SERVICE, "v1");
     }
     begins.save_due(|_| true);
     assert_eq!(saved(&begins, 1), [(Stream::new("a2"), "v1")]);
@@ -221,3 +221,13 @@
     );
     assert_eq!(begins.software(at(1), stream), Some("v1"));
 }
+
+/// Guards against saving the version of an earlier send, which brought no event.
+#[test]
+fn an_event_of_another_version_than_that_of_the_last_send_is_not_saved() {
+    let stream = Stream::new("a1");
+    let mut begins = Begins::new();
+    begins.begin(at(0), stream, SERVICE, "v1", LIFETIME);
+    begins.note_event(stream, SERVICE, "v1.1");
+    assert!(!begins.save_due(|_| true));
+}
