Let a test replica send nothing after it has closed a connection

A trace of the stand-in shows that it answered `free-first-3-1` one byte short and closed the connection, but the thread that was to send the second answer to `free-first-3-0` kept a copy of the socket, and wrote `HTTP/1.1 500` after the end. The daemon read the `H` as the last byte of the body. A second answer comes between two answers; a replica that has closed its connection sends none.

Change: a second answer is dropped once the connection has ended, or may end with the answer that is sent. No check of the soak changes.

--- a/crates/gateway/tests/gateway/common/replica.rs
+++ b/crates/gateway/tests/gateway/common/replica.rs
@@ -240,10 +240,17 @@
     Crashed,
 }
 
-/// Sends an answer a second time after `delay`, in `parts` parts; `write_lock` is held while a whole answer is sent.
+/// The right to write on a connection, held while a whole answer is sent.
+#[derive(Debug, Default)]
+struct Writer {
+    /// Whether the replica has closed the connection, or may close it with the answer that is sent.
+    is_ended: bool,
+}
+
+/// Sends an answer a second time after `delay`, in `parts` parts, unless the replica closes the connection before.
 fn send_second_answer(
     socket: &TcpStream,
-    write_lock: &Arc<Mutex<()>>,
+    writer: &Arc<Mutex<Writer>>,
     state: &Arc<State>,
     bytes: Vec<u8>,
     delay: Duration,
@@ -252,10 +259,13 @@
     let Ok(mut socket) = socket.try_clone() else {
         return;
     };
-    let (write_lock, state) = (Arc::clone(write_lock), Arc::clone(state));
+    let (writer, state) = (Arc::clone(writer), Arc::clone(state));
     thread::spawn(move || {
         thread::sleep(delay);
-        let _guard = write_lock.lock().unwrap();
+        let writer = writer.lock().unwrap();
+        if writer.is_ended {
+            return;
+        }
         state.second_answers.fetch_add(1, Ordering::SeqCst);
         for (number, part) in bytes.chunks(bytes.len().div_ceil(parts).max(1)).enumerate() {
             if number > 0 {
@@ -272,13 +282,13 @@
     state: &Arc<State>,
 ) -> ConnectionEnd {
     let mut second_answer = Vec::new();
-    let write_lock = Arc::new(Mutex::new(()));
+    let shared_writer = Arc::new(Mutex::new(Writer::default()));
     while let Ok(Some(mut request)) = http::read(socket) {
         if let Ok(peer) = socket.peer_addr() {
             let source = (SOURCE.to_owned(), peer.ip().to_string());
             request.headers.push(source);
         }
-        let _guard = write_lock.lock().unwrap();
+        let mut writer = shared_writer.lock().unwrap();
         if !second_answer.is_empty() {
             state.second_answers.fetch_add(1, Ordering::SeqCst);
             http::send(socket, &std::mem::take(&mut second_answer));
@@ -287,6 +297,7 @@
             continue;
         };
         let bytes = action.bytes();
+        writer.is_ended = bytes.is_empty();
         let second = state.second_answer_rule.get().and_then(|how| how(&request));
         match second {
             Some(_) if bytes.is_empty() => {}
@@ -294,7 +305,7 @@
             Some(SecondAnswer {
                 delay: Some(delay),
                 parts,
-            }) => send_second_answer(socket, &write_lock, state, bytes, delay, parts),
+            }) => send_second_answer(socket, &shared_writer, state, bytes, delay, parts),
             None => {}
         }
         match action {
@@ -348,6 +359,7 @@
                 }
             }
         }
+        writer.is_ended = false;
     }
     ConnectionEnd::Closed
 }
