Follow a new duration of stage changes at once

Cause: the time that a replica takes to change its stage was taken from the plan when a service was first seen, and kept until the daemon ended. After a plan with a shorter time, orders waited as before, and callers of a version whose prefill replica becomes a decode replica were told to come back too late; after one with a longer time, a second order could follow while the first was carried out.

Change: both trackers get the time of the plan in force before each check. The pause after an order is counted from the order, not stored as an end.

Result: stages::a_shorter_change_in_a_new_plan_shortens_the_pause_between_orders failed before (timed out after 30 s: six orders), holds after.

--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -77,6 +77,7 @@
         for (service, engine) in engines {
             let balancer = balancers.entry(service.clone());
             let balancer = balancer.or_insert_with(|| StageBalancer::new(engine.stage_change));
+            balancer.set_change_time(engine.stage_change);
             track_version_stages(&shared, service, engine.stage_change);
             rebalance(&shared, service, balancer, share).await;
         }
@@ -99,6 +100,7 @@
     let mut services = shared.version_stages.borrow_mut();
     let stages = services.entry(service.to_owned());
     let stages = stages.or_insert_with(|| VersionStages::new(change_time));
+    stages.set_change_time(change_time);
     stages.update(now, &counts, shared.stream_lifetime());
 }
 
--- a/crates/gateway/tests/gateway/stages.rs
+++ b/crates/gateway/tests/gateway/stages.rs
@@ -123,6 +123,25 @@
     assert_eq!(claims.len(), 1, "{:?}", site.daemon.logged("\"order\""));
 }
 
+/// Guards against orders that are spaced by the duration of a change which the configuration no longer names.
+#[test]
+fn a_shorter_change_in_a_new_plan_shortens_the_pause_between_orders() {
+    let engines = engines();
+    let stages = engines.iter().map(|engine| (engine, "llm", "prefill"));
+    let stages: Vec<_> = stages.collect();
+    let site = Site::start_with_plan(
+        "shorter-change",
+        &plan_with_change(1, LONG_CHANGE_SECONDS),
+        &stages,
+    );
+    site.change_settings("grace_s: 8", "grace_s: 8\nprefill_share: 0.1");
+    let given = || -> usize { engines.iter().map(|engine| orders(engine).len()).sum() };
+    wait_until("the first orders are sent", || given() >= ORDERS_AT_ONCE);
+    let changed = plan_with_change(2, SHORT_CHANGE_SECONDS);
+    site.store.put("op", "config", &changed);
+    wait_until("further orders are sent", || given() > ORDERS_AT_ONCE);
+}
+
 /// Guards against orders to an engine that says with its report that it drains.
 #[rstest]
 #[case::by_a_header(&[("server-leaving", "1")], r#"{"busy":false,"seq":0}"#)]
@@ -161,10 +180,16 @@
 /// Duration of a change of stage, far longer than refused callers are told to wait otherwise.
 const CHANGE_SECONDS: f64 = 20.0;
 
-/// A configuration whose engines change their stage in [`CHANGE_SECONDS`], and whose streams wait far less for a replica.
-fn slow_change_plan() -> Value {
-    let mut plan = store::config(1, 4_000, 300);
-    plan["services"][1]["engine"]["stage-switch-s"] = CHANGE_SECONDS.into();
+/// Duration of a change of stage that leaves no time for a second order within a test.
+const LONG_CHANGE_SECONDS: f64 = 120.0;
+/// Duration of a change of stage that leaves time for two orders within a test.
+const SHORT_CHANGE_SECONDS: f64 = 0.5;
+
+/// A configuration whose engines change their stage in `seconds`, and whose streams wait far less than
+/// [`CHANGE_SECONDS`] for a replica.
+fn plan_with_change(version: u64, seconds: f64) -> Value {
+    let mut plan = store::config(version, 4_000, 300);
+    plan["services"][1]["engine"]["stage-switch-s"] = seconds.into();
     plan
 }
 
@@ -192,7 +217,12 @@
 #[test]
 fn a_stream_goes_on_at_a_prefill_replica_of_its_version_once_that_has_changed() {
     let settings = "prefill_share: 0.1\n";
-    let site = Site::start_with_settings("version-stages", &slow_change_plan(), &[], settings);
+    let site = Site::start_with_settings(
+        "version-stages",
+        &plan_with_change(1, CHANGE_SECONDS),
+        &[],
+        settings,
+    );
     let prefill = ["i-prefill-1", "i-prefill-2"].map(start_changing_prefill);
     let first = Engine::start("i-first", "v1");
     let others = ["i-other-1", "i-other-2"].map(|id| Engine::start(id, "v1.1"));
--- a/crates/relay/src/balance.rs
+++ b/crates/relay/src/balance.rs
@@ -79,6 +79,11 @@
         }
     }
 
+    /// Sets the time that a replica takes to change its stage.
+    pub const fn set_change_time(&mut self, change_time: Duration) {
+        self.change_time = change_time;
+    }
+
     /// Returns the change to order now, if any. `share` is the target fraction of prefill replicas
     /// without the reserve.
     pub fn due(&mut self, now: Time, counts: StageCounts, share: f64) -> Option<Rebalance> {
--- a/crates/relay/src/version_stages.rs
+++ b/crates/relay/src/version_stages.rs
@@ -33,8 +33,9 @@
     counts: StageCounts,
     /// When a decode replica of it was last available, if ever.
     decoded_until: Option<Time>,
-    /// Until when no order is sent.
-    paused_until: Time,
+    last_order: Option<Time>,
+    /// When an order may be sent again after one that could not be sent.
+    retry_at: Time,
 }
 
 impl VersionStages {
@@ -46,6 +47,11 @@
         }
     }
 
+    /// Sets the time that a replica takes to change its stage.
+    pub const fn set_change_time(&mut self, change_time: Duration) {
+        self.change_time = change_time;
+    }
+
     /// Records the available replicas of each version at `now`. Versions without decode replicas for
     /// `lifetime`, the time for which a stream can be resumed, are forgotten.
     pub fn update(
@@ -61,7 +67,8 @@
             let state = self.versions.entry(software.clone()).or_insert(State {
                 counts: *counts,
                 decoded_until: None,
-                paused_until: Time::ZERO,
+                last_order: None,
+                retry_at: Time::ZERO,
             });
             state.counts = *counts;
             if counts.decode > 0 {
@@ -82,7 +89,7 @@
             return None;
         }
         let mut versions = self.versions.iter();
-        let due = versions.find(|(_, state)| state.lacks_decode() && now >= state.paused_until);
+        let due = versions.find(|(_, state)| state.lacks_decode() && !self.is_paused(now, state));
         due.map(|(software, _)| software.as_str())
     }
 
@@ -96,19 +103,25 @@
 
     /// Records that a replica of `software` was ordered to change.
     pub fn order_sent(&mut self, now: Time, software: &str) {
-        self.pause(software, now + self.change_time + CHANGE_PAUSE);
+        if let Some(state) = self.versions.get_mut(software) {
+            state.last_order = Some(now);
+        }
     }
 
     /// Records that no order could be sent.
     pub fn order_failed(&mut self, now: Time, software: &str) {
-        self.pause(software, now + RETRY_PAUSE);
-    }
-
-    fn pause(&mut self, software: &str, until: Time) {
         if let Some(state) = self.versions.get_mut(software) {
-            state.paused_until = until;
+            state.retry_at = now + RETRY_PAUSE;
         }
     }
+
+    fn is_paused(&self, now: Time, state: &State) -> bool {
+        let pause = self.change_time + CHANGE_PAUSE;
+        now < state.retry_at
+            || state
+                .last_order
+                .is_some_and(|order| now.since(order) < pause)
+    }
 }
 
 impl State {
--- a/crates/relay/tests/balance.rs
+++ b/crates/relay/tests/balance.rs
@@ -77,6 +77,26 @@
     assert!(balancer.due(after(11_100), counts(40, 20), SHARE).is_some());
 }
 
+/// Guards against a pause that outlasts the change, or ends before it, once the configuration names another duration.
+#[rstest]
+#[case::shorter(Duration::from_secs(1), 6_000, true)]
+#[case::longer(Duration::from_secs(20), 24_000, false)]
+fn a_new_duration_of_changes_counts_for_the_present_pause(
+    #[case] change_time: Duration,
+    #[case] ms: u64,
+    #[case] is_due: bool,
+) {
+    let mut balancer = StageBalancer::new(CHANGE_TIME);
+    balancer.due(START, counts(40, 20), SHARE);
+    balancer.order_sent(after(2_000));
+    balancer.due(after(2_000), counts(40, 20), SHARE);
+    balancer.set_change_time(change_time);
+    assert_eq!(
+        balancer.due(after(ms), counts(40, 20), SHARE).is_some(),
+        is_due
+    );
+}
+
 #[test]
 fn a_corrected_division_restarts_the_delay() {
     let mut balancer = StageBalancer::new(CHANGE_TIME);
--- a/crates/relay/tests/version_stages.rs
+++ b/crates/relay/tests/version_stages.rs
@@ -121,3 +121,22 @@
     };
     assert_eq!(counted, BTreeMap::from([("a".to_owned(), counts)]));
 }
+
+/// Guards against callers that come back by a duration which the configuration no longer names.
+#[test]
+fn a_new_duration_of_changes_counts_for_the_time_that_is_left() {
+    let mut stages = tracked(BEFORE, LOST);
+    stages.set_change_time(CHANGE_TIME * 2);
+    let remaining = stages.change_remaining(after(1_000), "a");
+    assert_eq!(remaining, Some(Duration::from_millis(12_500)));
+}
+
+/// Guards against a pause that outlasts the change once the configuration names a shorter one.
+#[test]
+fn a_new_duration_of_changes_counts_for_the_present_pause() {
+    let mut stages = tracked(BEFORE, LOST);
+    stages.order_sent(after(1_000), "a");
+    stages.set_change_time(CHANGE_TIME / 6);
+    assert_eq!(stages.due(after(4_500)), None);
+    assert_eq!(stages.due(after(5_500)), Some("a"));
+}
