Keep a decode replica of each version in the homes of its streams

Cause: the stages of the versions of a service were tracked over all data centres. A stream of a route or customer with home regions could go on only there, so a version whose last decode replica at home had left, beside prefill replicas at home and a decode replica elsewhere, got no order, and its streams were refused until their callers gave up. The division could take the last decode replica at home as well.

Change: versions are tracked within each list of homes that the routes and customers of the service have, and orders are given within it. Without homes there is one list, as before.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod store;
 pub mod stream;
 pub mod target;
+pub mod version_stages;
 pub mod wait_queue;
 pub mod watch;
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -16,6 +16,7 @@
 use std::cell::Cell;
 use std::cell::OnceCell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::IpAddr;
@@ -30,6 +31,7 @@
 use relay::budget::RetryBudget;
 use relay::claims::Claims;
 use relay::evacuation::InForce;
+use relay::homes::Homes;
 use relay::overload::Overload;
 use relay::plan::Plan;
 use relay::pool::Pool;
@@ -133,8 +135,8 @@
     pub begin_readings: Cell<u64>,
     /// Until when there is no further one.
     begins_read_until: Cell<Time>,
-    /// Stages of the software versions, by service.
-    pub version_stages: RefCell<HashMap<String, VersionStages>>,
+    /// Stages of the software versions, by service and the homes of its streams.
+    pub version_stages: RefCell<HashMap<String, BTreeMap<Homes, VersionStages>>>,
     /// Lost replicas that are being probed.
     pub probes: Probes,
     /// Answers that replicas are writing.
--- a/crates/gateway/src/shared/choice.rs
+++ b/crates/gateway/src/shared/choice.rs
@@ -193,7 +193,9 @@
         excluded.or_else(|| {
             let software = to.software.filter(|_| stage == Some(Stage::Decode))?;
             let services = self.version_stages.borrow();
-            services.get(to.service)?.change_remaining(now, software)
+            let mut by_homes = services.get(to.service)?.iter();
+            let (_, stages) = by_homes.find(|(homes, _)| homes.data_centres() == to.homes)?;
+            stages.change_remaining(now, software)
         })
     }
 
--- a/crates/gateway/src/shared/homes.rs
+++ b/crates/gateway/src/shared/homes.rs
@@ -1,7 +1,9 @@
 //! Home regions of routes and customers.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
+use customer::list::CustomerList;
 use ident::Zone;
 use platform::directory::Query;
 use relay::directory::Endpoint;
@@ -22,6 +24,26 @@
         Homes::new(&self.settings().regions, &route.homes, of_customer)
     }
 
+    /// The data centres in which requests of `service` may be served: one list for each difference
+    /// between its routes and customers, without those that have no data centre.
+    pub fn homes_of_service(&self, plan: &Plan, service: &str) -> BTreeSet<Homes> {
+        let customers = plan.customers.iter().flat_map(CustomerList::iter);
+        let of_customers: BTreeSet<&[String]> = customers.map(|c| &c.homes[..]).collect();
+        let mut homes = BTreeSet::new();
+        for route in plan.routes.iter().filter(|route| route.serves(service)) {
+            if route.public || plan.customers.is_none() {
+                homes.insert(Homes::new(&self.settings().regions, &route.homes, &[]));
+            } else {
+                let lists = of_customers.iter();
+                homes.extend(
+                    lists.map(|list| Homes::new(&self.settings().regions, &route.homes, list)),
+                );
+            }
+        }
+        homes.retain(|homes| homes.data_centres() != Some(&[]));
+        homes
+    }
+
     /// Those of `open` that a caller may be sent to: if routes of its host have home regions, the
     /// instances in its own region and in the homes of all of these routes, unless there is none.
     pub fn within_homes(&self, open: Vec<Endpoint>, query: &Query) -> Vec<Endpoint> {
--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -20,6 +20,7 @@
 use http::Method;
 use http::StatusCode;
 use ident::Pool;
+use ident::Zone;
 use platform::engine;
 use platform::engine::Report;
 use platform::store::Rows;
@@ -30,7 +31,6 @@
 use relay::replica::Stage;
 use relay::revision::Revision;
 use relay::server::Key;
-use relay::version_stages::VersionStages;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -39,6 +39,8 @@
 use crate::shared::Shared;
 use crate::shared::choice::Destination;
 use crate::store::Error;
+use crate::version_stages;
+use crate::version_stages::Need;
 
 /// Table with one row for each service: the instance that sent the last order and when.
 const ORDERS: &str = "orders";
@@ -78,7 +80,7 @@
             let balancer = balancers.entry(service.clone());
             let balancer = balancer.or_insert_with(|| StageBalancer::new(engine.stage_change));
             balancer.set_change_time(engine.stage_change);
-            track_version_stages(&shared, service, engine.stage_change);
+            version_stages::track(&shared, &plan, service, engine.stage_change);
             rebalance(&shared, service, balancer, share).await;
         }
     }
@@ -88,20 +90,20 @@
 #[derive(Debug)]
 struct Due {
     change: Rebalance,
-    /// Software version of the replicas to change, if it is for the streams of that version.
-    software: Option<String>,
+    /// The version that needs the replica, if it is for the streams of one.
+    need: Option<Need>,
 }
 
-/// Records which versions of `service`, whose replicas take `change_time` to change their stage, have
-/// replicas of each stage.
-fn track_version_stages(shared: &Shared, service: &str, change_time: Duration) {
-    let now = shared.clock.now();
-    let counts = shared.pool.borrow().version_stage_counts(now, service);
-    let mut services = shared.version_stages.borrow_mut();
-    let stages = services.entry(service.to_owned());
-    let stages = stages.or_insert_with(|| VersionStages::new(change_time));
-    stages.set_change_time(change_time);
-    stages.update(now, &counts, shared.stream_lifetime());
+impl Due {
+    /// Software version of the replicas to change; `None` if any may change.
+    fn software(&self) -> Option<&str> {
+        self.need.as_ref().map(|need| need.software.as_str())
+    }
+
+    /// Data centres of the replicas to change; `None` if they may be anywhere.
+    fn homes(&self) -> Option<&[Zone]> {
+        self.need.as_ref()?.homes.data_centres()
+    }
 }
 
 /// The change of `service` that is due, if any. That for the streams of a version goes first: it
@@ -115,39 +117,36 @@
 ) -> Option<Due> {
     let now = shared.clock.now();
     let rebalance = balancer.due(now, counts, share);
-    let services = shared.version_stages.borrow();
-    let software = services.get(service).and_then(|stages| stages.due(now));
-    match software {
-        Some(software) => Some(Due {
+    match version_stages::due(shared, service) {
+        Some(need) => Some(Due {
             change: Rebalance {
                 stage: Stage::Decode,
                 count: 1,
             },
-            software: Some(software.to_owned()),
-        }),
-        None => rebalance.map(|change| Due {
-            change,
-            software: None,
+            need: Some(need),
         }),
+        None => rebalance.map(|change| Due { change, need: None }),
     }
 }
 
-/// Records whether orders for `due` were sent.
+/// Records that orders for `due` were sent to replicas in `data_centres`, or to none.
 fn note_orders(
     shared: &Shared,
     service: &str,
     balancer: &mut StageBalancer,
     due: &Due,
-    are_sent: bool,
+    data_centres: &[Zone],
 ) {
     let now = shared.clock.now();
-    let mut services = shared.version_stages.borrow_mut();
-    match (&due.software, services.get_mut(service)) {
-        (Some(software), Some(stages)) if are_sent => stages.order_sent(now, software),
-        (Some(software), Some(stages)) => return stages.order_failed(now, software),
-        _ => {}
+    let is_sent = !data_centres.is_empty();
+    match &due.need {
+        Some(need) if is_sent => {
+            version_stages::order_sent(shared, service, &need.software, data_centres);
+        }
+        Some(need) => return version_stages::order_failed(shared, service, need),
+        None => {}
     }
-    if are_sent {
+    if is_sent {
         balancer.order_sent(now);
     } else {
         balancer.order_failed();
@@ -172,14 +171,14 @@
     let (claim, claimed_at) = match claimed {
         Ok(claimed) => claimed,
         Err(cause) => {
-            note_orders(shared, service, balancer, &due, false);
+            note_orders(shared, service, balancer, &due, &[]);
             log::warn!(kind = "order", service = service, stage = format!("{stage:?}"), cause = cause; "no order was sent");
             return;
         }
     };
     // At once: a claim is too short for several slow answers in turn.
     let outcomes = join_all(orders.into_iter().map(async |order| {
-        let replica = order.replica.id.clone();
+        let replica = order.replica.clone();
         let outcome = match claimed_at.elapsed() {
             age if age > MAX_CLAIM_AGE => Err(Failure::not_sent("the claim is too old")),
             _ if claim.era != shared.era() => Err(Failure::not_sent(NEW_ERA)),
@@ -187,24 +186,24 @@
         };
         (replica, outcome)
     }));
-    let mut sent = false;
+    let mut reached = Vec::new();
     for (replica, outcome) in outcomes.await {
         match outcome {
             Ok(status) => {
-                sent = true;
-                log::info!(kind = "order", replica = replica, stage = format!("{stage:?}"), software = due.software.as_deref().unwrap_or_default(), prefill = counts.prefill as u64, decode = counts.decode as u64, status = status.as_u16(); "ordered a change of stage");
+                reached.push(replica.data_centre);
+                log::info!(kind = "order", replica = replica.id, stage = format!("{stage:?}"), software = due.software().unwrap_or_default(), prefill = counts.prefill as u64, decode = counts.decode as u64, status = status.as_u16(); "ordered a change of stage");
             }
             Err(Failure {
                 cause,
                 is_uncertain,
             }) => {
                 // It may still be carried out.
-                sent |= is_uncertain;
-                log::warn!(kind = "order", replica = replica, stage = format!("{stage:?}"), cause = cause; "no order was sent, or its outcome is unknown");
+                reached.extend(is_uncertain.then_some(replica.data_centre));
+                log::warn!(kind = "order", replica = replica.id, stage = format!("{stage:?}"), cause = cause; "no order was sent, or its outcome is unknown");
             }
         }
     }
-    note_orders(shared, service, balancer, &due, sent);
+    note_orders(shared, service, balancer, &due, &reached);
 }
 
 /// An order that can be sent.
@@ -250,13 +249,13 @@
     };
     let to = Destination {
         service,
-        homes: None,
-        software: due.software.as_deref(),
+        homes: due.homes(),
+        software: due.software(),
     };
     let count = due.change.count;
     let mut tried = match from {
         Stage::Prefill => Vec::new(),
-        Stage::Decode => kept_decode_replicas(shared, service),
+        Stage::Decode => version_stages::kept_decode_replicas(shared, service),
     };
     let max_tried = tried.len() + count + MAX_SKIPPED;
     let mut orders = Vec::new();
@@ -286,25 +285,6 @@
     orders
 }
 
-/// One decode replica of each software version, while several serve `service`: without it, the
-/// streams of the version could not be resumed.
-fn kept_decode_replicas(shared: &Shared, service: &str) -> Vec<Key> {
-    let now = shared.clock.now();
-    let counts = shared.pool.borrow().version_stage_counts(now, service);
-    if counts.len() < 2 {
-        return Vec::new();
-    }
-    let kept = counts.keys().filter_map(|software| {
-        let to = Destination {
-            service,
-            homes: None,
-            software: Some(software),
-        };
-        shared.choose(to, Some(Stage::Decode), &[])
-    });
-    kept.collect()
-}
-
 async fn fetch_report(shared: &Shared, key: Key, replica: &Replica) -> Result<Report, String> {
     let call = Call {
         key,
--- a/crates/gateway/tests/gateway/stages.rs
+++ b/crates/gateway/tests/gateway/stages.rs
@@ -6,6 +6,7 @@
 
 use rstest::rstest;
 use serde_json::Value;
+use serde_json::json;
 
 use crate::common::daemon::wait_until;
 use crate::common::http::Message;
@@ -283,3 +284,56 @@
     });
     assert!(orders(&last).is_empty());
 }
+
+/// Regions of the data centres, and a share that lets replicas change their stage.
+const REGIONS: &str = "regions: {here: east, there: west}\nprefill_share: 0.1\n";
+
+/// A configuration whose resumable streams may be served in `region` only.
+fn plan_with_home(region: &str) -> Value {
+    let mut plan = config(1);
+    plan["routes"][3]["home-regions"] = json!([region]);
+    plan
+}
+
+/// Guards against ending all streams of a version whose last decode replica is outside of their home regions.
+#[test]
+fn a_version_gets_a_decode_replica_in_the_home_region_of_its_streams() {
+    let plan = plan_with_home("east");
+    let site = Site::start_with_settings("home-stages", &plan, &[], REGIONS);
+    let prefill = ["i-near", "i-far"].map(start_changing_prefill);
+    list(&site, &prefill[0], "prefill", "v1", "here");
+    list(&site, &prefill[1], "prefill", "v1", "there");
+    let first = Engine::start("i-first", "v1");
+    let abroad = Engine::start("i-abroad", "v1");
+    let other = Engine::start("i-other", "v1.1");
+    first.list(&site, "here");
+    abroad.list(&site, "there");
+    other.list(&site, "here");
+    site.daemon.wait_until_ready();
+    // Longer than the interval between two checks of the stages.
+    thread::sleep(Duration::from_secs(1));
+    first.end(&site);
+    wait_until("the prefill replica at home is ordered to change", || {
+        !orders(&prefill[0]).is_empty()
+    });
+    assert_eq!(orders(&prefill[0])[0]["stage"], "decode");
+    assert!(orders(&prefill[1]).is_empty());
+}
+
+/// Guards against taking the last decode replica of a version in the home region of its streams to correct the division.
+#[test]
+fn the_last_decode_replica_of_a_version_in_a_home_region_keeps_its_stage() {
+    let accept = |_: &Message| Action::Send(answer(202, &[], b""));
+    let [near, last, other] = ["i-near", "i-last", "i-other"].map(|id| Replica::start(id, accept));
+    let plan = plan_with_home("west");
+    let site = Site::start_with_settings("home-decode", &plan, &[], REGIONS);
+    // The nearest one is kept for streams that may be served anywhere.
+    list(&site, &near, "decode", "v1", "here");
+    list(&site, &last, "decode", "v1", "there");
+    list(&site, &other, "decode", "v1.1", "there");
+    site.daemon.wait_until_ready();
+    wait_until("a change of stage is tried", || {
+        !site.daemon.logged("\"kind\":\"order\"").is_empty()
+    });
+    assert!(orders(&last).is_empty());
+}
--- a/crates/relay/src/homes.rs
+++ b/crates/relay/src/homes.rs
@@ -6,7 +6,7 @@
 use ident::Zone;
 
 /// The data centres in which a request may be served.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Homes {
     /// `None` if it may be served anywhere.
     data_centres: Option<Rc<[Zone]>>,
@@ -33,4 +33,10 @@
     pub fn data_centres(&self) -> Option<&[Zone]> {
         self.data_centres.as_deref()
     }
+
+    /// Whether the request may be served in `data_centre`.
+    pub fn contains(&self, data_centre: Zone) -> bool {
+        let list = self.data_centres();
+        list.is_none_or(|list| list.contains(&data_centre))
+    }
 }
--- a/crates/relay/src/plan.rs
+++ b/crates/relay/src/plan.rs
@@ -289,6 +289,11 @@
         Rank::new(own.unwrap_or(self.priority))
     }
 
+    /// Whether some of its requests are for `service`.
+    pub fn serves(&self, service: &str) -> bool {
+        self.targets.iter().any(|target| target.service == service)
+    }
+
     /// Returns the service for a request, given `draw`, a random number uniform in `0.0..1.0`.
     pub fn target(&self, draw: f64) -> Option<&str> {
         let total: u32 = self.targets.iter().map(|target| target.weight).sum();
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -28,6 +28,7 @@
 
 use crate::balance::StageCounts;
 use crate::call_times::Calls;
+use crate::homes::Homes;
 use crate::plan::ColdStart;
 use crate::pool::index::Index;
 use crate::reach::Reach;
@@ -190,8 +191,14 @@
         }
     }
 
-    /// Counts the available replicas of `service` of each known software version, by stage.
-    pub fn version_stage_counts(&self, now: Time, service: &str) -> BTreeMap<String, StageCounts> {
+    /// Counts the available replicas of `service` in `homes` of each known software version, by
+    /// stage.
+    pub fn version_stage_counts(
+        &self,
+        now: Time,
+        service: &str,
+        homes: &Homes,
+    ) -> BTreeMap<String, StageCounts> {
         let mut counts: BTreeMap<String, StageCounts> = BTreeMap::new();
         for stage in [Stage::Prefill, Stage::Decode] {
             for key in self.index.group(service, Some(stage)) {
@@ -199,7 +206,7 @@
                 let Some(software) = server.replica.software.as_ref() else {
                     continue;
                 };
-                if !server.is_available(now) {
+                if !server.is_available(now) || !homes.contains(server.replica.data_centre) {
                     continue;
                 }
                 // Without a new key for each replica of the fleet.
--- a/crates/relay/tests/version_stages.rs
+++ b/crates/relay/tests/version_stages.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use ident::Time;
+use ident::Zone;
 use relay::balance::StageCounts;
+use relay::homes::Homes;
 use relay::replica::Replica;
 use relay::replica::Stage;
 use relay::version_stages::VersionStages;
@@ -114,7 +116,7 @@
         unknown,
     ];
     let pool = common::pool(START, replicas);
-    let counted = pool.version_stage_counts(START, "llm");
+    let counted = pool.version_stage_counts(START, "llm", &Homes::default());
     let counts = StageCounts {
         prefill: 1,
         decode: 1,
@@ -122,6 +124,25 @@
     assert_eq!(counted, BTreeMap::from([("a".to_owned(), counts)]));
 }
 
+#[rstest]
+#[case::one_region(&["east"], 1)]
+#[case::both_regions(&["east", "west"], 2)]
+#[case::anywhere(&[], 2)]
+fn replicas_are_counted_in_the_homes_only(#[case] homes: &[&str], #[case] expected: usize) {
+    let regions = [("here", "east"), ("there", "west")];
+    let regions = regions.map(|(name, region)| (name.to_owned(), region.to_owned()));
+    let homes: Vec<String> = homes.iter().map(|region| (*region).to_owned()).collect();
+    let homes = Homes::new(&BTreeMap::from(regions), &homes, &[]);
+    let engine = |id: &str, data_centre: &str| Replica {
+        software: Some("a".to_owned()),
+        data_centre: Zone::new(data_centre),
+        ..common::replica(id, "llm", Some(Stage::Decode), 8)
+    };
+    let replicas = vec![engine("1", "here"), engine("2", "there")];
+    let counted = common::pool(START, replicas).version_stage_counts(START, "llm", &homes);
+    assert_eq!(counted["a"].decode, expected);
+}
+
 /// Guards against callers that come back by a duration which the configuration no longer names.
 #[test]
 fn a_new_duration_of_changes_counts_for_the_time_that_is_left() {
