Resume a stream at the version that brought an event, not at an earlier send

An instance records and announces the version when a request is sent. A machine that stood still kept the first announcement; the later one, that the stream began at another version, went to the members of that moment. When a caller came back there, its own record was believed at once, and so was the first answer of another instance. Nothing told what is expected from what is known.

Change: what an instance knows is `Began` once it forwarded an event or read a saved one, and `Sent` otherwise. Only `Began` ends a search; among sends the one after the most changes holds. A stream that goes to another version is announced to the four instances that are asked, not to two.

--- a/crates/gateway/src/begins.rs
+++ b/crates/gateway/src/begins.rs
@@ -32,6 +32,7 @@
 /// Other daemons that a stream is announced to.
 const COPIES: usize = 2;
 /// Daemons that are asked about a stream. More than hold it, since daemons may differ on the members.
+/// A stream that goes to another version is announced to all of them.
 const MAX_ASKED: usize = 4;
 /// Time for their answers; a round trip takes a few milliseconds, a busy daemon some tens.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
@@ -114,7 +115,8 @@
 async fn send(shared: &Shared, begins: Vec<Begin>) {
     let mut by_daemon: HashMap<SocketAddr, Vec<Begin>> = HashMap::new();
     for begin in begins {
-        for daemon in others(shared, begin.stream, COPIES) {
+        let count = if begin.change == 0 { COPIES } else { MAX_ASKED };
+        for daemon in others(shared, begin.stream, count) {
             by_daemon.entry(daemon).or_default().push(begin.clone());
         }
     }
@@ -150,21 +152,19 @@
 }
 
 /// Finds out which version began the stream of `job`: from this daemon or from others that know the
-/// stream, or because there was only one version.
+/// stream, or because there was only one version. A daemon that stood still, or missed an
+/// announcement, may know only an earlier send, so others are asked unless an event is known.
 async fn find(shared: &Shared, job: &Job) -> Finding {
     let stream = stream(job);
     let own = lookup::find(shared, stream, &job.service);
     if matches!(own, Finding::Began(_)) {
         return own;
     }
-    match (ask(shared, stream, &job.service).await, own) {
-        (told @ Finding::Began(_), _) => told,
-        (_, own @ Finding::Only(_)) => own,
-        (told @ Finding::Only(_), _) => told,
-        (Finding::Unknown, _) if shared.settings().version_records => {
+    match own.or_better(ask(shared, stream, &job.service).await) {
+        Finding::Unknown if shared.settings().version_records => {
             find_stored(shared, stream, &job.service).await
         }
-        (Finding::Unknown, _) => Finding::Unknown,
+        found => found,
     }
 }
 
@@ -187,7 +187,7 @@
     lookup::find(shared, stream, service)
 }
 
-/// Asks other daemons, until one knows the stream.
+/// Asks other daemons, until one knows which version began the stream.
 async fn ask(shared: &Shared, stream: Option<Stream>, service: &str) -> Finding {
     let daemons = others(shared, stream.unwrap_or(Stream(rand::random())), MAX_ASKED);
     let number = rand::random();
@@ -210,14 +210,12 @@
     let mut best = Finding::Unknown;
     for _ in &daemons {
         match timeout_at(deadline, answers.recv()).await {
-            Ok(Some(told @ Finding::Began(_))) => {
-                best = told;
-                break;
-            }
-            Ok(Some(told @ Finding::Only(_))) => best = told,
-            Ok(Some(Finding::Unknown)) => {}
+            Ok(Some(told)) => best = best.or_better(told),
             Ok(None) | Err(_) => break,
         }
+        if matches!(best, Finding::Began(_)) {
+            break;
+        }
     }
     shared.begin_questions.borrow_mut().remove(&number);
     best
--- a/crates/gateway/src/begins/lookup.rs
+++ b/crates/gateway/src/begins/lookup.rs
@@ -10,9 +10,13 @@
 pub fn find(shared: &Shared, stream: Option<Stream>, service: &str) -> Finding {
     let now = shared.clock.now();
     let begins = shared.begins.borrow();
-    let began = stream.and_then(|stream| begins.software(now, stream));
-    match (began, shared.only_version(service)) {
-        (Some(software), _) => Finding::Began(software.to_owned()),
+    let known = stream.and_then(|stream| begins.find(now, stream));
+    match (known, shared.only_version(service)) {
+        (Some(known), _) if known.is_begun => Finding::Began(known.software.to_owned()),
+        (Some(known), _) => Finding::Sent {
+            software: known.software.to_owned(),
+            change: known.change,
+        },
         (None, Some(only)) => Finding::Only(only),
         (None, None) => Finding::Unknown,
     }
--- a/crates/gateway/src/begins/message.rs
+++ b/crates/gateway/src/begins/message.rs
@@ -44,13 +44,24 @@
     Only(String),
     /// It may have been any version.
     Unknown,
+    /// The stream was sent to this version, which began it unless the daemon has missed that another
+    /// one did. New findings are added at the end, so that daemons of an earlier version can read all
+    /// others.
+    Sent {
+        /// The version.
+        software: String,
+        /// Number of versions before it that brought no event.
+        change: u8,
+    },
 }
 
 impl Finding {
     /// The version that began the stream, if it is known.
     pub fn into_software(self) -> Option<String> {
         match self {
-            Self::Began(software) | Self::Only(software) => Some(software),
+            Self::Began(software) | Self::Only(software) | Self::Sent { software, .. } => {
+                Some(software)
+            }
             Self::Unknown => None,
         }
     }
@@ -61,6 +72,26 @@
             Self::Began(_) => "began",
             Self::Only(_) => "only",
             Self::Unknown => "unknown",
+            Self::Sent { .. } => "sent",
+        }
+    }
+
+    /// The more certain one of `self` and `other`; `self` if they are alike.
+    #[must_use]
+    pub fn or_better(self, other: Self) -> Self {
+        if other.certainty() > self.certainty() {
+            other
+        } else {
+            self
+        }
+    }
+
+    const fn certainty(&self) -> (u8, u8) {
+        match self {
+            Self::Began(_) => (3, 0),
+            Self::Sent { change, .. } => (2, *change),
+            Self::Only(_) => (1, 0),
+            Self::Unknown => (0, 0),
         }
     }
 }
--- a/crates/gateway/tests/gateway/resumptions.rs
+++ b/crates/gateway/tests/gateway/resumptions.rs
@@ -12,6 +12,7 @@
 use crate::common::daemon::wait_until;
 use crate::common::http::Message;
 use crate::common::http::answer;
+use crate::common::replica::Action;
 use crate::common::replica::Replica;
 use crate::common::store;
 use crate::site::Site;
@@ -25,6 +26,10 @@
 use crate::version_site::wait_until_known;
 use crate::version_site::wait_until_members;
 
+/// Time for which a replica is silent before it closes the connection: longer than an instance without news counts as a
+/// member.
+const SILENCE: Duration = Duration::from_millis(2_500);
+
 /// Resumes the stream that the attempt `begun` received its first event of, and returns the answer.
 pub fn resume(daemon: &Daemon, id: &str, begun: &str, last_event: &str) -> Message {
     let headers = [
@@ -92,6 +97,42 @@
     );
 }
 
+/// Guards against joining two versions at an instance that stood still while the stream, sent to one, began at the other.
+#[test]
+fn a_stream_is_not_resumed_at_a_version_that_it_was_only_sent_to() {
+    let first = Replica::start("i-first", |_| Action::SendAndReset(Vec::new(), SILENCE));
+    let plan = store::config(1, 20_000, 8_000);
+    let site = Site::start_with_plan("only-sent", &plan, &[(&first, "llm", "decode")]);
+    let another = site.start_another("only-sent-too", true);
+    another.wait_until_ready();
+    site.daemon.wait_until_ready();
+    wait_until_members(&[&site.daemon, &another], 2);
+    another.signal(Signal::STOP);
+    let stream = start_generation(&site.daemon, PATH, "a1");
+    wait_until("the stream is sent to the first version", || {
+        !first.requests().is_empty()
+    });
+    let began = Engine::start("i-began", "v1.1");
+    began.list(&site, "here");
+    wait_until_known(&site.daemon, &["i-began"]);
+    wait_until("the stream has begun", || {
+        !site.daemon.logged("the first event").is_empty()
+    });
+    wait_until_members(&[&site.daemon], 1);
+    another.signal(Signal::CONT);
+    wait_until_members(&[&site.daemon, &another], 2);
+    let same = Engine::start("i-same", "v1");
+    same.list(&site, "here");
+    wait_until_known(&another, &["i-began", "i-same"]);
+    drop(stream);
+    let answer = resume(&another, "a2", "a1", "1");
+    assert_eq!((began.runs(), same.runs()), (2, 0));
+    assert_eq!(
+        String::from_utf8_lossy(&answer.body),
+        event_texts(2, EVENTS)
+    );
+}
+
 /// Guards against guessing the version of a stream that nobody knows.
 #[test]
 fn a_resumption_whose_version_is_unknown_is_refused() {
--- a/crates/relay/src/begins.rs
+++ b/crates/relay/src/begins.rs
@@ -34,6 +34,17 @@
     pub lifetime: Duration,
 }
 
+/// What is known of the version of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Known<'a> {
+    /// The version that the stream was sent to last, as far as the daemon knows.
+    pub software: &'a str,
+    /// Number of versions before it that brought no event.
+    pub change: u8,
+    /// Whether it brought an event, so that no other version can have begun the stream.
+    pub is_begun: bool,
+}
+
 /// What a daemon knows of one stream.
 #[derive(Debug, Clone)]
 struct Record {
@@ -131,10 +142,14 @@
         }
     }
 
-    /// The version that began `stream`, if it is known.
-    pub fn software(&self, now: Time, stream: Stream) -> Option<&str> {
+    /// What is known of `stream`.
+    pub fn find(&self, now: Time, stream: Stream) -> Option<Known<'_>> {
         let record = self.records.get(&stream)?;
-        (now < record.expires).then_some(record.software.as_str())
+        (now < record.expires).then_some(Known {
+            software: &record.software,
+            change: record.change,
+            is_begun: record.is_begun,
+        })
     }
 
     /// Returns the streams of this daemon that it has not announced and whose service meets `is_due`;
--- a/crates/relay/tests/begins.rs
+++ b/crates/relay/tests/begins.rs
@@ -7,6 +7,7 @@
 use ident::Time;
 use relay::begins::Begin;
 use relay::begins::Begins;
+use relay::begins::Known;
 use relay::begins::Stream;
 use relay::pool::Pool;
 use relay::replica::Replica;
@@ -20,14 +21,18 @@
     Time::ZERO + Duration::from_secs(1_000 + seconds)
 }
 
+fn software(begins: &Begins, now: Time, stream: Stream) -> Option<&str> {
+    begins.find(now, stream).map(|known| known.software)
+}
+
 #[test]
 fn a_stream_is_known_until_it_cannot_be_resumed() {
     let mut begins = Begins::new();
     let stream = Stream::new("a1");
     begins.begin(at(0), stream, SERVICE, "v1", LIFETIME);
-    assert_eq!(begins.software(at(29), stream), Some("v1"));
-    assert_eq!(begins.software(at(29), Stream::new("a2")), None);
-    assert_eq!(begins.software(at(30), stream), None);
+    assert_eq!(software(&begins, at(29), stream), Some("v1"));
+    assert_eq!(software(&begins, at(29), Stream::new("a2")), None);
+    assert_eq!(software(&begins, at(30), stream), None);
     begins.remove_expired(at(30));
     assert!(begins.is_empty());
     assert!(begins.take_unannounced(at(30), |_| true).is_empty());
@@ -66,7 +71,7 @@
     for index in order {
         keeper.learn(at(0), &announced[*index]);
     }
-    assert_eq!(keeper.software(at(1), stream), Some("v1.1"));
+    assert_eq!(software(&keeper, at(1), stream), Some("v1.1"));
 }
 
 #[test]
@@ -80,7 +85,7 @@
     let mut keeper = Begins::new();
     keeper.learn(at(0), &announce(at(0)));
     keeper.learn(at(20), &announce(at(20)));
-    assert_eq!(keeper.software(at(45), stream), Some("v1"));
+    assert_eq!(software(&keeper, at(45), stream), Some("v1"));
     assert_eq!(keeper.all(at(45)).len(), 1);
 }
 
@@ -219,7 +224,31 @@
             lifetime: LIFETIME,
         },
     );
-    assert_eq!(begins.software(at(1), stream), Some("v1"));
+    assert_eq!(software(&begins, at(1), stream), Some("v1"));
+}
+
+/// Guards against taking a version that a stream was only sent to for the one that began it.
+#[test]
+fn only_an_event_makes_a_version_final() {
+    let stream = Stream::new("a1");
+    let mut own = Begins::new();
+    own.begin(at(0), stream, SERVICE, "v1", LIFETIME);
+    own.begin(at(0), stream, SERVICE, "v1.1", LIFETIME);
+    let sent = Known {
+        software: "v1.1",
+        change: 1,
+        is_begun: false,
+    };
+    assert_eq!(own.find(at(1), stream), Some(sent));
+    let mut other = Begins::new();
+    other.learn(at(1), &own.take_unannounced(at(1), |_| true)[0]);
+    own.note_event(stream, SERVICE, "v1.1");
+    let began = Known {
+        is_begun: true,
+        ..sent
+    };
+    assert_eq!(own.find(at(1), stream), Some(began));
+    assert_eq!(other.find(at(1), stream), Some(sent));
 }
 
 /// Guards against saving the version of an earlier send, which brought no event.
