Build the lists of homes of a service from one set of callers

No change of behaviour: the two ways to build a list are one, and the comment says what the lists are. All 13 tests whose name has 'home' hold.

--- a/crates/gateway/src/shared/homes.rs
+++ b/crates/gateway/src/shared/homes.rs
@@ -24,21 +24,23 @@
         Homes::new(&self.settings().regions, &route.homes, of_customer)
     }
 
-    /// The data centres in which requests of `service` may be served: one list for each difference
-    /// between its routes and customers, without those that have no data centre.
+    /// The data centres in which requests of `service` may be served: one list for each combination
+    /// of home regions of its routes and customers, without empty ones.
     pub fn homes_of_service(&self, plan: &Plan, service: &str) -> BTreeSet<Homes> {
+        let settings = self.settings();
         let customers = plan.customers.iter().flat_map(CustomerList::iter);
         let of_customers: BTreeSet<&[String]> = customers.map(|c| &c.homes[..]).collect();
+        let anyone = BTreeSet::from([&[][..]]);
         let mut homes = BTreeSet::new();
         for route in plan.routes.iter().filter(|route| route.serves(service)) {
-            if route.public || plan.customers.is_none() {
-                homes.insert(Homes::new(&self.settings().regions, &route.homes, &[]));
+            let needs_customer = plan.customers.is_some() && !route.public;
+            let callers = if needs_customer {
+                &of_customers
             } else {
-                let lists = of_customers.iter();
-                homes.extend(
-                    lists.map(|list| Homes::new(&self.settings().regions, &route.homes, list)),
-                );
-            }
+                &anyone
+            };
+            let lists = callers.iter();
+            homes.extend(lists.map(|own| Homes::new(&settings.regions, &route.homes, own)));
         }
         homes.retain(|homes| homes.data_centres() != Some(&[]));
         homes
