Log who answered a lookup of a stream's version, and the age of the list

Begin lines now name the number of daemons asked, of answers, and the age of the list; first lines name the version. No logic is changed.

--- a/crates/gateway/src/begins.rs
+++ b/crates/gateway/src/begins.rs
@@ -41,6 +41,16 @@
 /// Streams in one datagram, to stay below the usual packet size.
 const MAX_BEGINS: usize = 24;
 
+/// Result of looking up which version began a stream.
+#[derive(Debug)]
+struct Lookup {
+    finding: Finding,
+    /// Number of other daemons that were asked.
+    asked: usize,
+    /// Number of answers until one knew the version.
+    answered: usize,
+}
+
 /// The stream of `job`: its own, or the one that it resumes; `None` if its caller does not name that.
 pub fn stream(job: &Job) -> Option<Stream> {
     match &job.call.resumes {
@@ -139,11 +149,16 @@
 /// Binds `job` to the version that began its stream; `false` if nobody knows that version.
 pub async fn bind(shared: &Shared, job: &Job) -> bool {
     let asked_at = Instant::now();
-    let finding = find(shared, job).await;
+    let list_age = shared.replicas_age();
+    let Lookup {
+        finding,
+        asked,
+        answered,
+    } = find(shared, job).await;
     let source = finding.name();
     let software = finding.into_software();
     shared.metrics.resumption(source);
-    log::info!(kind = "begin", request = job.call.id, resumes = job.call.resumes.as_deref().unwrap_or_default(), software = software.as_deref().unwrap_or_default(), source = source, ms = asked_at.elapsed().as_millis() as u64; "looked up the software version that began a stream");
+    log::info!(kind = "begin", request = job.call.id, resumes = job.call.resumes.as_deref().unwrap_or_default(), software = software.as_deref().unwrap_or_default(), source = source, asked = asked as u64, answered = answered as u64, list_ms = list_age.as_millis() as u64, ms = asked_at.elapsed().as_millis() as u64; "looked up the software version that began a stream");
     let Some(software) = software else {
         return false;
     };
@@ -154,18 +169,24 @@
 /// Finds out which version began the stream of `job`: from this daemon or from others that know the
 /// stream, or because there was only one version. A daemon that stood still, or missed an
 /// announcement, may know only an earlier send, so others are asked unless an event is known.
-async fn find(shared: &Shared, job: &Job) -> Finding {
+async fn find(shared: &Shared, job: &Job) -> Lookup {
     let stream = stream(job);
     let own = lookup::find(shared, stream, &job.service);
     if matches!(own, Finding::Began(_)) {
-        return own;
+        return Lookup {
+            finding: own,
+            asked: 0,
+            answered: 0,
+        };
     }
-    match own.or_better(ask(shared, stream, &job.service).await) {
+    let asked = ask(shared, stream, &job.service).await;
+    let finding = match own.or_better(asked.finding) {
         Finding::Unknown if shared.settings().version_records => {
             find_stored(shared, stream, &job.service).await
         }
         found => found,
-    }
+    };
+    Lookup { finding, ..asked }
 }
 
 /// Finds out from the store which version began `stream`: after a start of all daemons, none of them
@@ -188,7 +209,7 @@
 }
 
 /// Asks other daemons, until one knows which version began the stream.
-async fn ask(shared: &Shared, stream: Option<Stream>, service: &str) -> Finding {
+async fn ask(shared: &Shared, stream: Option<Stream>, service: &str) -> Lookup {
     let daemons = others(shared, stream.unwrap_or(Stream(rand::random())), MAX_ASKED);
     let number = rand::random();
     let (answer, mut answers) = mpsc::unbounded_channel();
@@ -208,15 +229,21 @@
     }
     let deadline = Instant::now() + ANSWER_TIMEOUT;
     let mut best = Finding::Unknown;
+    let mut answered = 0;
     for _ in &daemons {
         match timeout_at(deadline, answers.recv()).await {
             Ok(Some(told)) => best = best.or_better(told),
             Ok(None) | Err(_) => break,
         }
+        answered += 1;
         if matches!(best, Finding::Began(_)) {
             break;
         }
     }
     shared.begin_questions.borrow_mut().remove(&number);
-    best
+    Lookup {
+        finding: best,
+        asked: daemons.len(),
+        answered,
+    }
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -222,7 +222,7 @@
             let age = self.job.age();
             let route = &self.job.route.name;
             self.shared.metrics.latency(route, age.as_secs_f64());
-            log::info!(kind = "first", request = self.job.call.id, ms = age.as_millis() as u64, late = age > self.job.route.objective; "forwarded the first event");
+            log::info!(kind = "first", request = self.job.call.id, software = self.software.as_deref().unwrap_or_default(), ms = age.as_millis() as u64, late = age > self.job.route.objective; "forwarded the first event");
         }
         self.parts.send(bytes.into()).await
     }
