--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -26,6 +26,7 @@
 mod members;
 mod memory;
 mod migration;
+mod out_of_step;
 mod paces;
 mod part_site;
 mod partition;
