Begin no stream that may be resumed at an incarnation that is not listed

What callers would see: a stream that began at a replica which had just restarted under its id, with another software version, and is resumed at another daemon, goes on at the version that is listed.

Cause: an answer of a replica reveals a new incarnation before the list shows its version. A stream could begin there; its daemon had no version to announce, and the others found an earlier send of it or the only version that they knew.

Ruled out: events of an incarnation that is known to have restarted; they were not forwarded before.

Change: Criteria name the software versions that may serve a request, one of any, any listed one, and exactly one (relay::score::Version). A stream that may be resumed and has not begun takes a listed one.

--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -34,6 +34,7 @@
 use relay::plan::Caller;
 use relay::plan::Route;
 use relay::runs::Size;
+use relay::score::Version;
 use relay::server::Key;
 
 use crate::memory;
@@ -205,10 +206,19 @@
         Destination {
             service: &self.service,
             homes: self.homes.data_centres(),
-            software: self.software(),
+            software: match self.software() {
+                Some(software) => Version::Exactly(software),
+                None if self.may_be_resumed() => Version::Listed,
+                None => Version::Any,
+            },
         }
     }
 
+    /// Whether it is a stream that its caller may resume.
+    pub const fn may_be_resumed(&self) -> bool {
+        self.route.mode.streams() && self.route.mode.repeatable()
+    }
+
     /// Software version that the stream is bound to, from its first event on; `None` before.
     pub fn software(&self) -> Option<&str> {
         self.software.get().map(String::as_str)
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -11,6 +11,7 @@
 use relay::attempt::Outcome;
 use relay::permit::Permit;
 use relay::permit::Work;
+use relay::score::Version;
 use relay::server::Key;
 
 use crate::control;
@@ -54,7 +55,7 @@
     // The version that writes a KV cache is the only one that can read it.
     let software = shared.software_of(decode);
     let to = Destination {
-        software: software.as_deref(),
+        software: Version::exactly_or_any(software.as_deref()),
         ..job.destination()
     };
     let mut tried = Vec::new();
--- a/crates/gateway/src/run_tracking.rs
+++ b/crates/gateway/src/run_tracking.rs
@@ -19,6 +19,7 @@
 use relay::plan::Plan;
 use relay::runs::RunId;
 use relay::runs::Size;
+use relay::score::Version;
 use relay::server::Key;
 use tokio::sync::watch;
 
@@ -304,7 +305,7 @@
         service,
         homes: orders.get(&run)?.homes.data_centres(),
         // The version that writes a KV cache is the only one that can read it.
-        software: Some(pool.get(from)?.replica.software.as_deref()?),
+        software: Version::Exactly(pool.get(from)?.replica.software.as_deref()?),
     };
     let to = engine
         .moves
--- a/crates/gateway/src/shared/choice.rs
+++ b/crates/gateway/src/shared/choice.rs
@@ -10,6 +10,7 @@
 use relay::replica::Notice;
 use relay::replica::Stage;
 use relay::score::Criteria;
+use relay::score::Version;
 use relay::server::Key;
 use relay::server::Server;
 
@@ -32,8 +33,8 @@
     pub service: &'a str,
     /// Data centres; `None` if it may be served anywhere.
     pub homes: Option<&'a [Zone]>,
-    /// Software version that has to serve it; `None` if any may.
-    pub software: Option<&'a str>,
+    /// Software versions that may serve it.
+    pub software: Version<'a>,
 }
 
 impl Shared {
@@ -191,7 +192,10 @@
         let criteria = self.criteria(to, stage, &[]);
         let excluded = self.pool.borrow().exclusion_remaining(now, &criteria);
         excluded.or_else(|| {
-            let software = to.software.filter(|_| stage == Some(Stage::Decode))?;
+            let software = match to.software {
+                Version::Exactly(software) if stage == Some(Stage::Decode) => software,
+                _ => return None,
+            };
             let services = self.version_stages.borrow();
             let mut by_homes = services.get(to.service)?.iter();
             let (_, stages) = by_homes.find(|(homes, _)| homes.data_centres() == to.homes)?;
--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -30,6 +30,7 @@
 use relay::replica::Replica;
 use relay::replica::Stage;
 use relay::revision::Revision;
+use relay::score::Version;
 use relay::server::Key;
 use serde::Deserialize;
 use serde::Serialize;
@@ -250,7 +251,7 @@
     let to = Destination {
         service,
         homes: due.homes(),
-        software: due.software(),
+        software: Version::exactly_or_any(due.software()),
     };
     let count = due.change.count;
     let mut tried = match from {
--- a/crates/gateway/src/version_stages.rs
+++ b/crates/gateway/src/version_stages.rs
@@ -6,6 +6,7 @@
 use relay::homes::Homes;
 use relay::plan::Plan;
 use relay::replica::Stage;
+use relay::score::Version;
 use relay::server::Key;
 use relay::version_stages::VersionStages;
 
@@ -95,7 +96,7 @@
             let to = Destination {
                 service,
                 homes: homes.data_centres(),
-                software: Some(software),
+                software: Version::Exactly(software),
             };
             shared.choose(to, Some(Stage::Decode), &[])
         }));
--- a/crates/gateway/tests/gateway/versions.rs
+++ b/crates/gateway/tests/gateway/versions.rs
@@ -3,6 +3,7 @@
 use rstest::rstest;
 use serde_json::json;
 
+use crate::common::daemon::wait_until;
 use crate::common::http::answer;
 use crate::common::replica::Replica;
 use crate::common::store;
@@ -87,6 +88,31 @@
     assert_eq!(restarted.runs(), 0);
 }
 
+/// Guards against streams that other daemons cannot resume: a daemon that has met a new incarnation before the list shows
+/// it does not know its version, and has nothing to record.
+#[test]
+fn a_stream_that_may_be_resumed_begins_at_no_incarnation_that_is_not_listed() {
+    let site = Site::start("unlisted-incarnation", &[]);
+    let engine = Engine::start("i-restarted", "v1.1");
+    let report = json!({"hold": "h1", "born": START_MS + 1}).to_string();
+    engine.replica.set_call_handler(move |call| {
+        (call.path() == "/api/hold-take").then(|| answer(200, &[], report.as_bytes()))
+    });
+    let mut row = engine.replica.row("llm", "decode");
+    row["born"] = START_MS.into();
+    site.store.put("servers", "i-restarted", &row);
+    site.daemon.wait_until_ready();
+    wait_until_known(&site.daemon, &["i-restarted"]);
+    let early = start_generation(&site.daemon, PATH, "a1").read();
+    assert_eq!((early.status(), engine.runs()), (503, 0));
+    row["born"] = (START_MS + 1).into();
+    row["version"] = "v1.1".into();
+    site.store.put("servers", "i-restarted", &row);
+    wait_until("the stream begins", || {
+        start_generation(&site.daemon, PATH, "a2").read().complete
+    });
+}
+
 /// Guards against a KV cache that one version wrote and another one reads.
 #[test]
 fn a_prompt_is_prefilled_by_the_version_that_answers() {
--- a/crates/lab/src/decode/daemon.rs
+++ b/crates/lab/src/decode/daemon.rs
@@ -21,6 +21,7 @@
 use relay::runs::Runs;
 use relay::runs::Size;
 use relay::score::Criteria;
+use relay::score::Version;
 use relay::server::Key;
 
 /// Name of the only service.
@@ -132,7 +133,7 @@
         stage: Some(Stage::Decode),
         tried,
         homes: None,
-        software: None,
+        software: Version::Any,
         data_centre: Zone::new("here"),
         demand,
         answer: None,
--- a/crates/lab/src/site/run.rs
+++ b/crates/lab/src/site/run.rs
@@ -16,6 +16,7 @@
 use relay::replica::Stage;
 use relay::revision::Revision;
 use relay::score::Criteria;
+use relay::score::Version;
 use relay::server::Key;
 
 use crate::site::engine::Engine;
@@ -292,7 +293,7 @@
             stage: Some(stage),
             tried,
             homes: None,
-            software,
+            software: Version::exactly_or_any(software),
             data_centre: Zone::new("here"),
             demand: None,
             answer: None,
--- a/crates/relay/examples/decide.rs
+++ b/crates/relay/examples/decide.rs
@@ -22,6 +22,7 @@
 use relay::runs::Runs;
 use relay::runs::Size;
 use relay::score::Criteria;
+use relay::score::Version;
 use relay::server::Key;
 
 /// Fleets: decode replicas, and runs at all of them.
@@ -134,7 +135,7 @@
         stage: Some(Stage::Decode),
         tried,
         homes: None,
-        software: None,
+        software: Version::Any,
         data_centre: Zone::new("here"),
         demand,
         answer: None,
--- a/crates/relay/src/score.rs
+++ b/crates/relay/src/score.rs
@@ -41,6 +41,34 @@
 /// meanwhile.
 const PREFILL_PENALTY: f64 = 0.3;
 
+/// Software versions that may serve a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Version<'a> {
+    /// Any.
+    Any,
+    /// Any that the list of replicas shows: no stream that may be resumed begins at a version that
+    /// only this daemon has met.
+    Listed,
+    /// This one.
+    Exactly(&'a str),
+}
+
+impl<'a> Version<'a> {
+    /// The version `software`, or [`Version::Any`] without one.
+    pub fn exactly_or_any(software: Option<&'a str>) -> Self {
+        software.map_or(Self::Any, Self::Exactly)
+    }
+
+    /// Whether a replica of the version `software`, `None` if it is not listed, may serve.
+    fn allows(self, software: Option<&str>) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Listed => software.is_some(),
+            Self::Exactly(version) => software == Some(version),
+        }
+    }
+}
+
 /// Requirements of a request for its replica.
 #[derive(Debug, Clone, Copy)]
 pub struct Criteria<'a> {
@@ -52,8 +80,8 @@
     pub tried: &'a [Key],
     /// Data centres in which the request may be served; `None` if it may be served anywhere.
     pub homes: Option<&'a [Zone]>,
-    /// Software version that has to serve the request; `None` if any may.
-    pub software: Option<&'a str>,
+    /// Software versions that may serve the request.
+    pub software: Version<'a>,
     /// Preferred data centre.
     pub data_centre: Zone,
     /// Memory needed at a decode replica, if it is to be checked.
@@ -86,7 +114,7 @@
 
     /// Whether the software version of `server` may serve the request.
     pub(crate) fn is_compatible(&self, server: &Server) -> bool {
-        self.software.is_none() || server.replica.software.as_deref() == self.software
+        self.software.allows(server.replica.software.as_deref())
     }
 
     /// Whether `server` has room. `memory` is the size of its engine's memory in tokens, if known.
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -13,6 +13,7 @@
 use relay::replica::Stage;
 use relay::revision::Revision;
 use relay::score::Criteria;
+use relay::score::Version;
 use relay::server::Key;
 
 /// An available replica of `service`.
@@ -68,7 +69,7 @@
         stage,
         tried,
         homes: None,
-        software: None,
+        software: Version::Any,
         data_centre: Zone::new("here"),
         demand,
         answer: None,
--- a/crates/relay/tests/homes.rs
+++ b/crates/relay/tests/homes.rs
@@ -9,6 +9,7 @@
 use relay::homes::Homes;
 use relay::replica::Replica;
 use relay::score::Criteria;
+use relay::score::Version;
 use rstest::rstest;
 
 const START: Time = Time::from_millis(100_000);
@@ -56,7 +57,7 @@
     let criteria = Criteria {
         data_centre: Zone::new("a1"),
         homes: homes.data_centres(),
-        software: None,
+        software: Version::Any,
         ..common::criteria("app", None, &[], None)
     };
     let chosen = pool.choose(START, &criteria, || 0.0);
