Resume a stream by a record of its begin or a list newer than the question

What callers saw: a stream that began at one software version went on at another one (ORDER) where its caller resumed it at a daemon out of step.

Cause: 'nothing else exists', concluded from a view that is older than the question. A daemon that is cut off, stands still or follows a slow poller takes the version of its list for the only one for two seconds after the list was last known to be current; others send streams to a new version meanwhile. And a version that a stream was sent to counted as the one that began it where nobody answered the question, though a later send may have begun it.

Change: a begin is recorded, announced and saved when the first event is forwarded, so that a record never becomes false. What a stream was sent to is neither announced nor used. Without a record the only version counts if the list was read, or confirmed by a poller, by a reading that began after the resumption arrived; all resumptions that wait share one. What another daemon takes for the only version does not count. A stream that a peer may have begun without an event having arrived here is looked up too. A record of the only version counts from the question to the store on, not from its answer.

Ruled out: a lease on the belief together with a pause before a new version gets streams; it makes small services refuse streams in each release (versions.md).

--- a/crates/gateway/src/begins.rs
+++ b/crates/gateway/src/begins.rs
@@ -3,9 +3,13 @@
 //!
 //! Replicas of several versions may serve a service side by side, and what they write does not fit
 //! together. A caller resumes a stream because its connection broke, often with the instance that
-//! knew the version. So each daemon announces the versions of its streams to two others, chosen by
-//! rendezvous hashing, and saves them in the store, unless only one version has served for as long as
-//! a stream can be resumed. The store has a record of that. Both are for daemons that start together.
+//! knew the version. So each daemon announces the versions that began its streams to two others, chosen
+//! by rendezvous hashing, and saves them in the store, unless only one version has served for as long
+//! as a stream can be resumed. The store has a record of that. Both are for daemons that start
+//! together.
+//!
+//! No record, and no answer, does not mean that no other version began a stream: the only version
+//! counts if the list of replicas is newer than the question.
 
 pub mod lookup;
 pub mod message;
@@ -18,7 +22,9 @@
 
 use boottime::Instant;
 use boottime::timer::timeout_at;
+use ident::Time;
 use relay::begins::Begin;
+use relay::begins::Conflict;
 use relay::begins::Stream;
 use tokio::sync::mpsc;
 
@@ -28,16 +34,14 @@
 use crate::gossip;
 use crate::job::Job;
 use crate::shared::Shared;
+use crate::watch;
 
 /// Other daemons that a stream is announced to.
 const COPIES: usize = 2;
 /// Daemons that are asked about a stream. More than hold it, since daemons may differ on the members.
-/// A stream that goes to another version is announced to all of them.
 const MAX_ASKED: usize = 4;
 /// Time for their answers; a round trip takes a few milliseconds, a busy daemon some tens.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
-/// Pause after a reading of what the store has; callers that resume streams come in bursts.
-const READ_PAUSE: Duration = Duration::from_millis(300);
 /// Streams in one datagram, to stay below the usual packet size.
 const MAX_BEGINS: usize = 24;
 
@@ -51,6 +55,15 @@
     answered: usize,
 }
 
+impl Lookup {
+    /// Without a result so far.
+    const UNKNOWN: Self = Self {
+        finding: Finding::Unknown,
+        asked: 0,
+        answered: 0,
+    };
+}
+
 /// The stream of `job`: its own, or the one that it resumes; `None` if its caller does not name that.
 pub fn stream(job: &Job) -> Option<Stream> {
     match &job.call.resumes {
@@ -60,28 +73,23 @@
     }
 }
 
-/// Records, and announces if needed, that replicas of the version `software` serve the stream of `job`.
-pub async fn announce(shared: &Shared, job: &Job, software: &str) {
-    if job.is_announced(software) {
-        return;
-    }
-    let Some(stream) = stream(job) else { return };
-    job.set_announced(software);
+/// Records that the version `software` began the stream of `job`, if its caller may resume it, and
+/// announces that if needed. Precedes the first event on its way to the caller, who may resume the
+/// stream from then on.
+pub async fn record(shared: &Shared, job: &Job, software: &str) {
+    let stream = stream(job).filter(|_| job.may_be_resumed());
+    let Some(stream) = stream else { return };
     let lifetime = job.route.timeout * LIFETIME_FACTOR;
-    shared
+    let now = shared.clock.now();
+    let begun = shared
         .begins
         .borrow_mut()
-        .begin(shared.clock.now(), stream, &job.service, software, lifetime);
-    announce_due(shared).await;
-}
-
-/// Records that an event of the stream of `job`, from a replica of the version `software`, was
-/// forwarded, if its caller may resume it.
-pub fn note_event(shared: &Shared, job: &Job, software: &str) {
-    let stream = stream(job).filter(|_| job.route.mode.repeatable());
-    if let Some(stream) = stream {
-        let mut begins = shared.begins.borrow_mut();
-        begins.note_event(stream, &job.service, software);
+        .begin(now, stream, &job.service, software, lifetime);
+    match begun {
+        Ok(()) => announce_due(shared).await,
+        Err(Conflict) => {
+            log::error!(kind = "begin", request = job.call.id, software = software; "the stream is recorded as begun by another software version");
+        }
     }
 }
 
@@ -125,14 +133,13 @@
 async fn send(shared: &Shared, begins: Vec<Begin>) {
     let mut by_daemon: HashMap<SocketAddr, Vec<Begin>> = HashMap::new();
     for begin in begins {
-        let count = if begin.change == 0 { COPIES } else { MAX_ASKED };
-        for daemon in others(shared, begin.stream, count) {
+        for daemon in others(shared, begin.stream, COPIES) {
             by_daemon.entry(daemon).or_default().push(begin.clone());
         }
     }
     for (daemon, begins) in by_daemon {
         for chunk in begins.chunks(MAX_BEGINS) {
-            gossip::send_begins(shared, daemon, Message::Announcement(chunk.to_vec())).await;
+            gossip::send_begins(shared, daemon, Message::Begun(chunk.to_vec())).await;
         }
     }
 }
@@ -150,11 +157,12 @@
 pub async fn bind(shared: &Shared, job: &Job) -> bool {
     let asked_at = Instant::now();
     let list_age = shared.replicas_age();
+    let found = timeout_at(job.deadline, find(shared, job)).await;
     let Lookup {
         finding,
         asked,
         answered,
-    } = find(shared, job).await;
+    } = found.unwrap_or(Lookup::UNKNOWN);
     let source = finding.name();
     let software = finding.into_software();
     shared.metrics.resumption(source);
@@ -166,46 +174,64 @@
     true
 }
 
-/// Finds out which version began the stream of `job`: from this daemon or from others that know the
-/// stream, or because there was only one version. A daemon that stood still, or missed an
-/// announcement, may know only an earlier send, so others are asked unless an event is known.
+/// Finds out which version began the stream of `job`: from a daemon that recorded it, from what the
+/// store has, or because only one version can have.
 async fn find(shared: &Shared, job: &Job) -> Lookup {
+    let asked_at = shared.clock.now();
     let stream = stream(job);
-    let own = lookup::find(shared, stream, &job.service);
-    if matches!(own, Finding::Began(_)) {
+    let own = lookup::find(shared, stream);
+    if own != Finding::Unknown {
         return Lookup {
             finding: own,
-            asked: 0,
-            answered: 0,
+            ..Lookup::UNKNOWN
         };
     }
     let asked = ask(shared, stream, &job.service).await;
-    let finding = match own.or_better(asked.finding) {
-        Finding::Unknown if shared.settings().version_records => {
-            find_stored(shared, stream, &job.service).await
-        }
-        found => found,
+    let finding = match asked.finding {
+        Finding::Unknown => find_in_store(shared, asked_at, stream, &job.service).await,
+        began => began,
     };
     Lookup { finding, ..asked }
 }
 
-/// Finds out from the store which version began `stream`: after a start of all daemons, none of them
-/// knows what was before.
-async fn find_stored(shared: &Shared, stream: Option<Stream>, service: &str) -> Finding {
-    let readings = shared.begin_readings.get();
-    // Resumptions come in bursts: one reading is for all that wait for it.
-    let _turn = shared.begin_reading.lock().await;
-    let found = lookup::find(shared, stream, service);
-    let is_read = shared.begin_readings.get() > readings;
-    if found != Finding::Unknown || is_read || !shared.may_read_begins(READ_PAUSE) {
-        return found;
+/// Finds out which version began `stream`, of which no daemon that answered has a record. What the store
+/// had before `asked_at` does not count: the stream may have begun later, at a version that was not
+/// listed yet.
+async fn find_in_store(
+    shared: &Shared,
+    asked_at: Time,
+    stream: Option<Stream>,
+    service: &str,
+) -> Finding {
+    watch::confirm_replicas(shared, asked_at).await;
+    // The store does not answer.
+    if shared.replicas_current_at() < asked_at {
+        return Finding::Unknown;
+    }
+    if let Some(only) = only_version(shared, asked_at, service) {
+        return Finding::Only(only);
     }
-    saving::load(shared).await;
-    if lookup::find(shared, stream, service) == Finding::Unknown {
-        storage::find(shared, service).await;
+    if !shared.settings().version_records {
+        return Finding::Unknown;
     }
-    shared.begin_readings.set(readings + 1);
-    lookup::find(shared, stream, service)
+    let read = async || {
+        saving::load(shared).await;
+        storage::look_up(shared).await;
+    };
+    shared.begins_reading.after(shared, asked_at, read).await;
+    match lookup::find(shared, stream) {
+        Finding::Unknown => {
+            only_version(shared, asked_at, service).map_or(Finding::Unknown, Finding::Only)
+        }
+        began => began,
+    }
+}
+
+/// The only version that can have begun a stream of `service` before `asked_at`: a replica is listed
+/// before it gets a stream, so the list has to be at least that new.
+fn only_version(shared: &Shared, asked_at: Time, service: &str) -> Option<String> {
+    let is_confirmed = shared.replicas_current_at() >= asked_at;
+    shared.only_version(service).filter(|_| is_confirmed)
 }
 
 /// Asks other daemons, until one knows which version began the stream.
@@ -228,21 +254,20 @@
         gossip::send_begins(shared, *daemon, question).await;
     }
     let deadline = Instant::now() + ANSWER_TIMEOUT;
-    let mut best = Finding::Unknown;
+    let mut finding = Finding::Unknown;
     let mut answered = 0;
-    for _ in &daemons {
-        match timeout_at(deadline, answers.recv()).await {
-            Ok(Some(told)) => best = best.or_better(told),
-            Ok(None) | Err(_) => break,
-        }
-        answered += 1;
-        if matches!(best, Finding::Began(_)) {
+    while finding == Finding::Unknown && answered < daemons.len() {
+        let Ok(Some(answer)) = timeout_at(deadline, answers.recv()).await else {
             break;
+        };
+        answered += 1;
+        if matches!(answer, Finding::Began(_)) {
+            finding = answer;
         }
     }
     shared.begin_questions.borrow_mut().remove(&number);
     Lookup {
-        finding: best,
+        finding,
         asked: daemons.len(),
         answered,
     }
--- a/crates/gateway/src/begins/lookup.rs
+++ b/crates/gateway/src/begins/lookup.rs
@@ -1,44 +1,42 @@
 //! What this daemon knows of the begins of streams, and its answers to others.
 
+use relay::begins::Begin;
 use relay::begins::Stream;
 
 use crate::begins::message::Finding;
 use crate::begins::message::Message;
 use crate::shared::Shared;
 
-/// What this daemon knows of the begin of `stream`, of `service`.
-pub fn find(shared: &Shared, stream: Option<Stream>, service: &str) -> Finding {
+/// Whether this daemon knows which version began `stream`.
+pub fn find(shared: &Shared, stream: Option<Stream>) -> Finding {
     let now = shared.clock.now();
     let begins = shared.begins.borrow();
-    let known = stream.and_then(|stream| begins.find(now, stream));
-    match (known, shared.only_version(service)) {
-        (Some(known), _) if known.is_begun => Finding::Began(known.software.to_owned()),
-        (Some(known), _) => Finding::Sent {
-            software: known.software.to_owned(),
-            change: known.change,
-        },
-        (None, Some(only)) => Finding::Only(only),
-        (None, None) => Finding::Unknown,
+    let software = stream.and_then(|stream| begins.find(now, stream));
+    software.map_or(Finding::Unknown, |software| {
+        Finding::Began(software.to_owned())
+    })
+}
+
+/// Records a begin that another daemon announced or saved.
+pub fn learn(shared: &Shared, begin: &Begin) {
+    let now = shared.clock.now();
+    if shared.begins.borrow_mut().learn(now, begin).is_err() {
+        log::error!(kind = "begin", stream = begin.stream.0, software = begin.software; "a stream is recorded as begun by another software version");
     }
 }
 
 /// Handles a message of another daemon; returns the answer to a question.
 pub fn receive(shared: &Shared, message: Message) -> Option<Message> {
     match message {
-        Message::Announcement(begins) => {
-            let now = shared.clock.now();
-            let mut known = shared.begins.borrow_mut();
+        Message::Begun(begins) => {
             for begin in &begins {
-                known.learn(now, begin);
+                learn(shared, begin);
             }
             None
         }
-        Message::Question {
-            number,
-            stream,
-            service,
-        } => {
-            let finding = find(shared, stream, &service);
+        Message::Sent(_) => None,
+        Message::Question { number, stream, .. } => {
+            let finding = find(shared, stream);
             Some(Message::Answer { number, finding })
         }
         Message::Answer { number, finding } => {
--- a/crates/gateway/src/begins/message.rs
+++ b/crates/gateway/src/begins/message.rs
@@ -1,6 +1,7 @@
 //! Messages about the begins of streams between daemons.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use relay::begins::Begin;
 use relay::begins::Stream;
@@ -15,8 +16,9 @@
 /// Message about the begins of streams between daemons.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Message {
-    /// Announces streams.
-    Announcement(Vec<Begin>),
+    /// Streams and the versions that they were sent to, as daemons of an earlier version announce them.
+    /// It does not tell which version began a stream.
+    Sent(Vec<Sending>),
     /// Asks which version began a stream.
     Question {
         /// Repeated in the answer.
@@ -33,20 +35,31 @@
         /// What the daemon knows.
         finding: Finding,
     },
+    /// Announces streams and the versions that began them. New messages are added at the end, so that
+    /// daemons of an earlier version can read all others.
+    Begun(Vec<Begin>),
 }
 
-/// What a daemon knows of the begin of a stream.
+/// A stream and the version that it was sent to.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Sending {
+    stream: Stream,
+    software: String,
+    change: u8,
+    lifetime: Duration,
+}
+
+/// What is known of the begin of a stream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Finding {
     /// This version began it.
     Began(String),
-    /// Only this version has served for as long as a stream can be resumed.
+    /// Only this version has served for as long as a stream can be resumed. Of another daemon it proves
+    /// nothing: its list may be older than the stream.
     Only(String),
     /// It may have been any version.
     Unknown,
-    /// The stream was sent to this version, which began it unless the daemon has missed that another
-    /// one did. New findings are added at the end, so that daemons of an earlier version can read all
-    /// others.
+    /// The stream was sent to this version, as daemons of an earlier version answer. It proves nothing.
     Sent {
         /// The version.
         software: String,
@@ -59,10 +72,8 @@
     /// The version that began the stream, if it is known.
     pub fn into_software(self) -> Option<String> {
         match self {
-            Self::Began(software) | Self::Only(software) | Self::Sent { software, .. } => {
-                Some(software)
-            }
-            Self::Unknown => None,
+            Self::Began(software) | Self::Only(software) => Some(software),
+            Self::Unknown | Self::Sent { .. } => None,
         }
     }
 
@@ -71,27 +82,7 @@
         match self {
             Self::Began(_) => "began",
             Self::Only(_) => "only",
-            Self::Unknown => "unknown",
-            Self::Sent { .. } => "sent",
-        }
-    }
-
-    /// The more certain one of `self` and `other`; `self` if they are alike.
-    #[must_use]
-    pub fn or_better(self, other: Self) -> Self {
-        if other.certainty() > self.certainty() {
-            other
-        } else {
-            self
-        }
-    }
-
-    const fn certainty(&self) -> (u8, u8) {
-        match self {
-            Self::Began(_) => (3, 0),
-            Self::Sent { change, .. } => (2, *change),
-            Self::Only(_) => (1, 0),
-            Self::Unknown => (0, 0),
+            Self::Unknown | Self::Sent { .. } => "unknown",
         }
     }
 }
--- a/crates/gateway/src/begins/saving.rs
+++ b/crates/gateway/src/begins/saving.rs
@@ -15,12 +15,14 @@
 use boottime::timer::sleep;
 use ident::Pool;
 use platform::store::Row;
+use relay::begins::Begin;
 use relay::begins::Stream;
 use relay::revision::Revision;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::begins;
+use crate::begins::lookup;
 use crate::begins::storage;
 use crate::shared::Shared;
 use crate::store::Error;
@@ -131,12 +133,17 @@
         }
     };
     shared.store_answered("begins");
-    let (now, lifetime) = (shared.clock.now(), shared.stream_lifetime());
-    let mut known = shared.begins.borrow_mut();
+    let lifetime = shared.stream_lifetime();
     let mut streams = 0;
     for saved in rows.iter().filter_map(parse) {
         for (stream, software) in saved.begins() {
-            known.restore(now, stream, software, lifetime);
+            let software = software.to_owned();
+            let begin = Begin {
+                stream,
+                software,
+                lifetime,
+            };
+            lookup::learn(shared, &begin);
             streams += 1;
         }
     }
--- a/crates/gateway/src/begins/storage.rs
+++ b/crates/gateway/src/begins/storage.rs
@@ -47,6 +47,12 @@
     }
 }
 
+/// Looks up the only versions that this daemon does not know for lack of time.
+pub async fn look_up(shared: &Shared) {
+    let services = resumable_services(shared);
+    vouch_all(shared, &services).await;
+}
+
 /// Looks up the only version of each of `services` that this daemon does not know for lack of time.
 /// Streams of several possible versions have to be announced and saved one by one.
 async fn vouch_all(shared: &Shared, services: &[String]) {
@@ -117,7 +123,7 @@
 
 /// Looks up in the store whether one version alone has served `service`. Returns whether this daemon
 /// knows it now.
-pub async fn find(shared: &Shared, service: &str) -> bool {
+async fn find(shared: &Shared, service: &str) -> bool {
     let has_one_version = shared.pool.borrow().has_one_version(service);
     if !has_one_version {
         return false;
@@ -125,7 +131,8 @@
     let Some(epoch) = read(shared, service).await else {
         return false;
     };
-    let now = shared.clock.now();
+    // The answer shows the changes up to some moment after the question.
+    let asked_at = shared.clock.now();
     let changes = match shared
         .store
         .watch(replica::TABLE, epoch.list(), Duration::ZERO)
@@ -141,7 +148,7 @@
     log::info!(kind = "begin", service = service, software = epoch.software, era = epoch.list().era, list = epoch.list().version, changed = changes.replicas.len() as u64, gone = changes.gone.len() as u64, holds = holds; "read the record of the only version");
     if holds {
         let mut pool = shared.pool.borrow_mut();
-        pool.vouch_version(now, service, epoch.software);
+        pool.vouch_version(asked_at, service, epoch.software);
     }
     holds
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -65,6 +65,7 @@
         parts,
         started: false,
         software: None,
+        was_at_peer: false,
         tracked_run: opened.tracked_run,
         events: 0,
         written: None,
@@ -89,6 +90,8 @@
     started: bool,
     /// Software version of the current replica; `None` if it is unknown, as behind a peer.
     software: Option<String>,
+    /// Whether a peer served a part of it.
+    was_at_peer: bool,
     /// The run at the current replica, if it is tracked.
     tracked_run: Option<TrackedRun>,
     /// Events forwarded so far.
@@ -211,14 +214,9 @@
                 tracked_run.reset_recent_pace();
             }
         }
-        if has_event {
-            self.bind_to_version().await;
-        }
         if has_event && !self.started {
             self.started = true;
-            if let Some(software) = &self.software {
-                begins::note_event(&self.shared, &self.job, software);
-            }
+            self.record_begin().await;
             let age = self.job.age();
             let route = &self.job.route.name;
             self.shared.metrics.latency(route, age.as_secs_f64());
@@ -227,15 +225,14 @@
         self.parts.send(bytes.into()).await
     }
 
-    /// Binds the stream to the software version of the replica, if that brings its first event.
-    async fn bind_to_version(&self) {
-        if self.job.software().is_some() {
-            return;
-        }
+    /// Binds the stream to the software version that brings its first event, and records that. A peer
+    /// that brings it has done so.
+    async fn record_begin(&self) {
         if let Some(software) = &self.software {
             self.job.bind(software);
-            // The version may have been unknown when the request was sent.
-            begins::announce(&self.shared, &self.job, software).await;
+        }
+        if let Some(software) = self.job.software() {
+            begins::record(&self.shared, &self.job, software).await;
         }
     }
 
--- a/crates/gateway/src/forward/peer_stream.rs
+++ b/crates/gateway/src/forward/peer_stream.rs
@@ -50,6 +50,7 @@
     /// Forwards the rest of the stream from a peer.
     pub(super) async fn forward_from_peer(&mut self, answered: Answered) -> End {
         self.software = None;
+        self.was_at_peer = true;
         let Answered { start, rest, .. } = answered;
         let mut rest = rest;
         let mut data = start;
--- a/crates/gateway/src/forward/replica_stream.rs
+++ b/crates/gateway/src/forward/replica_stream.rs
@@ -14,7 +14,6 @@
 use relay::event::Splitter;
 use relay::pace::meter::StreamMeter;
 use relay::plan::Mode;
-use relay::server::Key;
 
 use crate::answers::OpenAnswer;
 use crate::bounds::READ_GRACE;
@@ -312,7 +311,6 @@
         };
         let has_event = event::contains_event(&whole);
         if has_event {
-            self.learn_version(source.guard.key);
             self.record_gap(source.guard.key, source.last_event_at);
             let now = Instant::now();
             source.last_event_at = now;
@@ -353,14 +351,6 @@
             .measure_decode(source.guard.key, &mut source.meter, tokens);
     }
 
-    /// Looks up the software version of the replica `key` if it was unknown when the request was sent:
-    /// an answer shows a new incarnation before the list shows its version.
-    fn learn_version(&mut self, key: Key) {
-        if self.software.is_none() {
-            self.software = self.shared.software_of(key);
-        }
-    }
-
     /// Ends the replica's part and forwards the rest, unless the body may have been cut off: a
     /// killed process closes its connections as well, and so does a stopped run.
     async fn finish(&mut self, source: &ReplicaStream) -> End {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -96,8 +96,6 @@
     /// Software version that brought the first event of the stream, in this attempt of the caller or
     /// in an earlier one.
     software: OnceCell<String>,
-    /// Software version that was last announced to have begun the stream.
-    announced: RefCell<Option<String>>,
     /// Replicas that received the request, and how far they got.
     sent_to: RefCell<HashMap<Key, Progress>>,
     shared: Rc<Shared>,
@@ -187,7 +185,6 @@
             origin: None,
             missed_replica: Cell::new(false),
             software: OnceCell::new(),
-            announced: RefCell::new(None),
             sent_to: RefCell::default(),
             shared: Rc::clone(shared),
             end_recorded: false,
@@ -231,16 +228,6 @@
         let _ = self.software.set(software.to_owned());
     }
 
-    /// Whether `software` is the version that was last announced to have begun the stream.
-    pub fn is_announced(&self, software: &str) -> bool {
-        self.announced.borrow().as_deref() == Some(software)
-    }
-
-    /// Records that `software` is announced to have begun the stream.
-    pub fn set_announced(&self, software: &str) {
-        *self.announced.borrow_mut() = Some(software.to_owned());
-    }
-
     /// Time until the deadline.
     pub fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod quota;
 pub mod quotas;
 pub mod reach_probe;
+pub mod reading;
 pub mod reload;
 pub mod responses;
 pub mod run_tracking;
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -12,7 +12,6 @@
 use relay::permit::Work;
 use relay::server::Key;
 
-use crate::begins;
 use crate::control;
 use crate::control::Presence;
 use crate::job::Job;
@@ -90,9 +89,6 @@
         let Some(permit) = job.take_permit(Work::Run) else {
             return Err(next_without_placement(attempt));
         };
-        if let Some(software) = shared.software_of(key) {
-            begins::announce(shared, job, &software).await;
-        }
         tried.push(key);
         attempt.record_send();
         let answer = {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -42,7 +42,6 @@
 use relay::version_stages::VersionStages;
 use relay::wait_queue::WaitQueue;
 use tokio::net::UdpSocket;
-use tokio::sync::Mutex;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -64,6 +63,7 @@
 use crate::poller_status::PollerStatus;
 use crate::probes::Probes;
 use crate::quotas::Quotas;
+use crate::reading::Reading;
 use crate::settings::Settings;
 use crate::store::Store;
 
@@ -129,12 +129,10 @@
     pub begin_questions: RefCell<Questions>,
     /// Longest time for which a stream may be resumed after its begin.
     stream_lifetime: Cell<Duration>,
-    /// Held while what the store has of the begins of streams is read.
-    pub begin_reading: Mutex<()>,
-    /// Number of such readings so far.
-    pub begin_readings: Cell<u64>,
-    /// Until when there is no further one.
-    begins_read_until: Cell<Time>,
+    /// Readings of the list of replicas for resumed streams.
+    pub list_reading: Reading,
+    /// Readings of what the store has of the begins of streams.
+    pub begins_reading: Reading,
     /// Stages of the software versions, by service and the homes of its streams.
     pub version_stages: RefCell<HashMap<String, BTreeMap<Homes, VersionStages>>>,
     /// Lost replicas that are being probed.
@@ -236,9 +234,8 @@
             begins: RefCell::new(Begins::new()),
             begin_questions: RefCell::new(Questions::new()),
             version_stages: RefCell::default(),
-            begin_reading: Mutex::default(),
-            begin_readings: Cell::default(),
-            begins_read_until: Cell::new(Time::ZERO),
+            list_reading: Reading::new(),
+            begins_reading: Reading::new(),
             stream_lifetime: Cell::new(Duration::ZERO),
             probes: Probes::new(),
             answers: Rc::new(Answers::new()),
--- a/crates/gateway/src/shared/store_state.rs
+++ b/crates/gateway/src/shared/store_state.rs
@@ -83,6 +83,9 @@
         let now = self.clock.now();
         let changes = self.pool.borrow_mut().apply_update(now, source, update);
         let Some(changes) = changes else {
+            if revision.era == known.era && revision.version <= known.version {
+                self.note_replicas_read(read_at);
+            }
             log::info!(kind = "replicas", era = revision.era, version = revision.version, known_era = known.era, known_version = known.version, source = source.name(); "ignored an outdated list of replicas");
             return;
         };
@@ -115,17 +118,6 @@
             .has_seen_one_version(now, service, period)
     }
 
-    /// Whether what the store has of the begins of streams may be read now; if so, not again for
-    /// `pause`.
-    pub fn may_read_begins(&self, pause: Duration) -> bool {
-        let now = self.clock.now();
-        let may_read = now >= self.begins_read_until.get();
-        if may_read {
-            self.begins_read_until.set(now + pause);
-        }
-        may_read
-    }
-
     /// Records the start time of the replica behind `key`, taken from one of its answers.
     pub fn update_birth(&self, key: Key, birth: Option<Birth>) {
         let now = self.clock.now();
@@ -201,9 +193,14 @@
             .set(self.replicas_current_at.get().max(read_at));
     }
 
-    /// Time since the replicas were last known to be up to date.
+    /// When the replicas were last known to be up to date.
+    pub const fn replicas_current_at(&self) -> Time {
+        self.replicas_current_at.get()
+    }
+
+    /// Time since then.
     pub fn replicas_age(&self) -> Duration {
-        self.clock.now().since(self.replicas_current_at.get())
+        self.clock.now().since(self.replicas_current_at())
     }
 
     /// The reply to a status request of a daemon whose replicas have the hash `digest`.
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -53,6 +53,11 @@
 /// Timeout of waiting for the list of instances, other than at the first start of the whole system:
 /// the store answers in some milliseconds, or some of its tables do not answer at all.
 const LIST_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time to wait for the next reading of a poller, which begins one every [`REPLICAS_WAIT`] and
+/// [`REPLICAS_PAUSE`].
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Pause between requests for it.
+const CONFIRM_PAUSE: Duration = Duration::from_millis(100);
 /// Mean pause between requests to the poller during [`START_TIMEOUT`].
 const START_PAUSE: Duration = Duration::from_millis(60);
 /// Number of daemons of a data centre that call the store in one period while it fails their
@@ -137,7 +142,7 @@
             PollerState::Stale => Instant::now() >= next_direct,
             PollerState::Silent => true,
         };
-        let is_read = reads_store && read_replicas(&shared).await;
+        let is_read = reads_store && read_replicas(&shared, REPLICAS_WAIT).await;
         if is_poller && !is_read {
             refresh_from_peers(&shared, POLLERS_TIMEOUT).await;
         }
@@ -280,12 +285,35 @@
     }
 }
 
-async fn read_replicas(shared: &Shared) -> bool {
+/// Brings the replicas up to date as of `asked_at` or later: from the store, or from a daemon that has
+/// read it since if it does not answer this one.
+pub async fn confirm_replicas(shared: &Shared, asked_at: Time) {
+    let is_confirmed = || shared.replicas_current_at() >= asked_at;
+    if is_confirmed() {
+        return;
+    }
+    let read = async || {
+        read_replicas(shared, Duration::ZERO).await;
+    };
+    shared.list_reading.after(shared, asked_at, read).await;
+    let until = Instant::now() + CONFIRM_TIMEOUT;
+    while !is_confirmed() && Instant::now() < until {
+        if shared.members.borrow().poller().is_none() {
+            refresh_from_peers(shared, POLLERS_TIMEOUT).await;
+        } else if refresh_from_pollers(shared, POLLERS_TIMEOUT).await != PollerState::Fresh {
+            return;
+        }
+        sleep(CONFIRM_PAUSE).await;
+    }
+}
+
+/// Reads the replicas from the store, which waits up to `wait` for changes; returns whether it answered.
+async fn read_replicas(shared: &Shared, wait: Duration) -> bool {
     let started_at = shared.clock.now();
-    match fetch_replicas(shared).await {
+    match fetch_replicas(shared, wait).await {
         Ok(update) => {
             shared.store_answered("replicas");
-            let read_at = earliest_read_time(started_at, shared.clock.now(), &update);
+            let read_at = earliest_read_time(started_at, shared.clock.now(), wait, &update);
             shared.apply_replicas(Source::Store, read_at, &update);
             true
         }
@@ -299,23 +327,23 @@
 
 /// Earliest time at which the store can have produced the answer to a call that was sent at
 /// `started_at` and completed at `now`. The time of arrival would make a delayed answer look
-/// current. The store answers a watch without changes only once [`REPLICAS_WAIT`] has elapsed.
-fn earliest_read_time(started_at: Time, now: Time, update: &Update) -> Time {
+/// current. The store answers a watch without changes only once `wait` has elapsed.
+fn earliest_read_time(started_at: Time, now: Time, wait: Duration, update: &Update) -> Time {
     match update {
-        Update::Changed(delta) if delta.is_empty() && now.since(started_at) >= REPLICAS_WAIT => {
-            started_at + REPLICAS_WAIT
+        Update::Changed(delta) if delta.is_empty() && now.since(started_at) >= wait => {
+            started_at + wait
         }
         _ => started_at,
     }
 }
 
 /// Reads the changes of the replicas from the store, or all replicas if the changes are not known.
-async fn fetch_replicas(shared: &Shared) -> Result<Update, Error> {
+async fn fetch_replicas(shared: &Shared, wait: Duration) -> Result<Update, Error> {
     let since = shared.replicas_version();
     if since.version == 0 {
         return fetch_all_replicas(shared).await;
     }
-    let watched = shared.store.watch(replica::TABLE, since, REPLICAS_WAIT);
+    let watched = shared.store.watch(replica::TABLE, since, wait);
     match watched.await {
         Ok(rows) => Ok(Update::Changed(rows::delta(shared, since, &rows))),
         Err(error @ (Error::Compacted | Error::NewEra)) => {
--- a/crates/relay/src/begins.rs
+++ b/crates/relay/src/begins.rs
@@ -26,42 +26,33 @@
 pub struct Begin {
     /// The stream.
     pub stream: Stream,
-    /// The version.
+    /// The version that brought its first event.
     pub software: String,
-    /// Number of versions before it that brought no event; announcements may overtake each other.
-    pub change: u8,
     /// Time for which the stream may be resumed.
     pub lifetime: Duration,
 }
 
-/// What is known of the version of a stream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Known<'a> {
-    /// The version that the stream was sent to last, as far as the daemon knows.
-    pub software: &'a str,
-    /// Number of versions before it that brought no event.
-    pub change: u8,
-    /// Whether it brought an event, so that no other version can have begun the stream.
-    pub is_begun: bool,
-}
-
 /// What a daemon knows of one stream.
 #[derive(Debug, Clone)]
 struct Record {
     software: String,
-    change: u8,
     expires: Time,
-    /// Whether an event of this version was forwarded; before that, another version may begin it.
-    is_begun: bool,
 }
 
+/// Two records name different versions for one stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Conflict;
+
 /// The streams that a daemon knows: its own, and those that others announced to it.
+///
+/// A stream is recorded once an event of it is forwarded: until then any version may still begin it,
+/// and from then on no other one can. So a record never becomes false.
 #[derive(Debug, Default)]
 pub struct Begins {
     records: HashMap<Stream, Record>,
     /// Streams of this daemon that it has not announced, with their services.
     unannounced: HashMap<Stream, String>,
-    /// Streams that this daemon began to forward and has not saved, with their services.
+    /// Streams of this daemon that it has not saved, with their services.
     unsaved: HashMap<Stream, String>,
     /// Streams that this daemon keeps saved.
     saved: HashSet<Stream>,
@@ -73,8 +64,11 @@
         Self::default()
     }
 
-    /// Records that `software` begins or resumes `stream` of `service` at this daemon, which has to
-    /// be announced.
+    /// Records that `software` began `stream` of `service`, which goes on at this daemon and has to be
+    /// announced and saved.
+    ///
+    /// # Errors
+    /// If another version is recorded, which is kept.
     pub fn begin(
         &mut self,
         now: Time,
@@ -82,74 +76,37 @@
         service: &str,
         software: &str,
         lifetime: Duration,
-    ) {
-        let known = self.records.get(&stream);
-        let change = known.map_or(0, |known| {
-            let is_other = known.software != software;
-            known.change.saturating_add(u8::from(is_other))
-        });
-        let record = Record {
-            software: software.to_owned(),
-            change,
-            expires: now + lifetime,
-            is_begun: known.is_some_and(|known| known.is_begun && known.software == software),
-        };
-        self.records.insert(stream, record);
+    ) -> Result<(), Conflict> {
+        self.record(stream, software, now + lifetime)?;
         self.unannounced.insert(stream, service.to_owned());
+        self.unsaved.insert(stream, service.to_owned());
+        Ok(())
     }
 
-    /// Records that this daemon forwarded an event of `stream`, of `service`, which therefore goes on
-    /// at no other version than `software`. Has no effect if another one was recorded last: the stream
-    /// was sent to a replica of an unknown version then.
-    pub fn note_event(&mut self, stream: Stream, service: &str, software: &str) {
-        let record = self.records.get_mut(&stream);
-        if let Some(record) = record.filter(|record| record.software == software) {
-            record.is_begun = true;
-            self.unsaved.insert(stream, service.to_owned());
-        }
+    /// Records what another daemon announced or saved.
+    ///
+    /// # Errors
+    /// If another version is recorded, which is kept.
+    pub fn learn(&mut self, now: Time, begin: &Begin) -> Result<(), Conflict> {
+        self.record(begin.stream, &begin.software, now + begin.lifetime)
     }
 
-    /// Records that `software` began `stream`, as a daemon saved it after the first event.
-    pub fn restore(&mut self, now: Time, stream: Stream, software: &str, lifetime: Duration) {
-        let record = Record {
+    fn record(&mut self, stream: Stream, software: &str, expires: Time) -> Result<(), Conflict> {
+        let record = self.records.entry(stream).or_insert_with(|| Record {
             software: software.to_owned(),
-            change: 0,
-            expires: now + lifetime,
-            is_begun: true,
-        };
-        self.records.insert(stream, record);
-    }
-
-    /// Records what another daemon announced.
-    pub fn learn(&mut self, now: Time, begin: &Begin) {
-        let expires = now + begin.lifetime;
-        match self.records.get_mut(&begin.stream) {
-            Some(known) if known.is_begun && known.software != begin.software => {}
-            Some(known) if known.change > begin.change => {}
-            Some(known) if known.software == begin.software => {
-                known.expires = known.expires.max(expires);
-                known.change = known.change.max(begin.change);
-            }
-            _ => {
-                let record = Record {
-                    software: begin.software.clone(),
-                    change: begin.change,
-                    expires,
-                    is_begun: false,
-                };
-                self.records.insert(begin.stream, record);
-            }
+            expires,
+        });
+        if record.software != software {
+            return Err(Conflict);
         }
+        record.expires = record.expires.max(expires);
+        Ok(())
     }
 
-    /// What is known of `stream`.
-    pub fn find(&self, now: Time, stream: Stream) -> Option<Known<'_>> {
+    /// The version that began `stream`, if it is known.
+    pub fn find(&self, now: Time, stream: Stream) -> Option<&str> {
         let record = self.records.get(&stream)?;
-        (now < record.expires).then_some(Known {
-            software: &record.software,
-            change: record.change,
-            is_begun: record.is_begun,
-        })
+        (now < record.expires).then_some(record.software.as_str())
     }
 
     /// Returns the streams of this daemon that it has not announced and whose service meets `is_due`;
@@ -228,7 +185,6 @@
         Begin {
             stream,
             software: self.software.clone(),
-            change: self.change,
             lifetime: self.expires.since(now),
         }
     }
