Upload more than the buffers of a connection hold in the tests of early answers

early_answers::an_early_answer_whose_connection_ends_during_the_upload_is_not_complete, case 1, failed once in a whole run of the gateway's tests beside five builds and plays (load 18 to 30): the answer to an upload of 4 MB counted as complete.

Cause: the test, not the daemon. Uploads of 4,194,304 bytes were meant not to fit into the buffers of a connection whose reader does not read. Measured on this machine, loopback: 4,252,779 bytes are taken within 0.3 s, in each of 20 trials. So on a busy machine the whole request is written before its answer is read, and the end of the connection is a regular one.

Change: 8 MB. The checks are the same. 18 tests pass.

--- a/crates/gateway/tests/gateway/early_answers.rs
+++ b/crates/gateway/tests/gateway/early_answers.rs
@@ -21,7 +21,7 @@
 use crate::site::config;
 
 /// Size of an upload in bytes; more than the buffers of a connection hold.
-const UPLOAD_BYTES: usize = 4 * 1024 * 1024;
+const UPLOAD_BYTES: usize = 8 * 1024 * 1024;
 /// Uploads of each kind: which end of a connection sees the reset first is a matter of chance.
 const UPLOADS: usize = 10;
 /// Time after which the daemon knows a change of the list of replicas.
