Test heads that end early, in all exchanges of the gateway

The tests cut heads at nine places, with the line ends of the protocol and with bare line feeds, and send six malformed ones (folded line, HTTP/0.9, HTTP/1.0 with chunks, no head at all), closed and reset: for calls, streams, prefills, reservations, reports, orders and moves, behind 100 and 103, behind a second answer, in continuations, in answers of the store, messages of peers and handed-over answers; and cut a stream at each byte of an event.

No logic changes.

--- a/crates/gateway/tests/gateway/common/store.rs
+++ b/crates/gateway/tests/gateway/common/store.rs
@@ -50,6 +50,9 @@
     /// Table whose calls get no answer, and calls that got none.
     silent_table: Option<String>,
     unanswered: u64,
+    /// Text after which each answer that contains it ends early, and answers that did.
+    cut_after: Option<&'static str>,
+    cut_answers: u64,
 }
 
 impl Backup {
@@ -263,6 +266,25 @@
         self.inner.0.lock().unwrap().unanswered
     }
 
+    /// Ends each answer from now on after the first `text` in it, and closes its connection; `None` ends no answer early.
+    pub fn cut_answers_after(&self, text: Option<&'static str>) {
+        self.inner.0.lock().unwrap().cut_after = text;
+    }
+
+    /// Number of answers that ended early because of [`Self::cut_answers_after`].
+    pub fn cut_answer_count(&self) -> u64 {
+        self.inner.0.lock().unwrap().cut_answers
+    }
+
+    /// The part of an answer that is sent if it ends early; counts it if so.
+    fn cut_answer(&self, bytes: &[u8]) -> Option<Vec<u8>> {
+        let mut inner = self.inner.0.lock().unwrap();
+        let text = inner.cut_after?.as_bytes();
+        let start = bytes.windows(text.len()).position(|part| part == text)?;
+        inner.cut_answers += 1;
+        Some(bytes[..start + text.len()].into())
+    }
+
     fn is_silent(&self, connection: u64) -> bool {
         connection < self.inner.0.lock().unwrap().silent_below
     }
@@ -304,6 +326,10 @@
             let mut headers = vec![("content-type", "application/json")];
             headers.extend(era.iter().map(|era| (ERA, era.as_str())));
             let bytes = http::answer(answer.status, &headers, body.as_bytes());
+            if let Some(part) = self.cut_answer(&bytes) {
+                http::send(socket, &part);
+                return;
+            }
             if !http::send(socket, &bytes) {
                 return;
             }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -46,6 +46,7 @@
 mod second_calls;
 mod second_store;
 mod shedding;
+mod short_heads;
 mod silent_replicas;
 mod site;
 mod slowdown;
