Reject a head that is filled up by that of the next answer

What callers would see: a 200 with the body of another answer, or none, framed as whole. A replica stops within a line of a head, and a second answer, such as a 500 of its own error handler, follows on the same connection. The parser takes the second status line for the rest of the reason phrase or of a value: the status of the first answer counts, with signature, id and length of either.

The class: a line is taken for what it can be, and nobody asks what it contains. Ruled out by tests: cuts in the version, the status, a field name, a length and between lines; the parser rejects those.

The check stands in `call`, which the gateway now uses.

--- a/crates/call/src/direct.rs
+++ b/crates/call/src/direct.rs
@@ -31,6 +31,7 @@
 
 use crate::Error;
 use crate::bound::Bound;
+use crate::joined;
 use crate::memory::Memory;
 use crate::progress::Progress;
 use crate::progress::Socket;
@@ -130,7 +131,7 @@
 /// # Errors
 ///
 /// [`Error::NotSent`] if connecting failed, and [`Error::Lost`] if no head of a final answer was received
-/// whose status is valid (RFC 9110, section 15).
+/// whose status is valid (RFC 9110, section 15), or the head is joined with that of another answer.
 pub async fn send<S: Copy>(
     step: S,
     peer: SocketAddr,
@@ -164,6 +165,9 @@
         .map_err(|_| lost("no answer in time".to_owned()))?
         .map_err(|e| lost(describe(&e)))?;
     progress.record();
+    if joined::is_joined(&answer) {
+        return Err(lost(joined::CAUSE.to_owned()));
+    }
     let (head, incoming) = answer.into_parts();
     if !(200..600).contains(&head.status.as_u16()) {
         return Err(lost(format!("invalid status {}", head.status.as_u16())));
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod bound;
 pub mod direct;
 mod error;
+pub mod joined;
 pub mod memory;
 mod progress;
 
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -17,6 +17,7 @@
 use boottime::Instant;
 use boottime::timer::timeout;
 use bytes::Bytes;
+use call::joined;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Method;
@@ -379,6 +380,7 @@
     connection.record_request(&request);
     connection.is_idle.set(false);
     match connection.sender.try_send_request(request).await {
+        Ok(answer) if joined::is_joined(&answer) => Err(ExchangeError::Lost(lost(&joined::CAUSE))),
         Ok(answer) => {
             connection.exchanges = connection.exchanges.saturating_add(1);
             connection.meter.note_part();
--- a/crates/gateway/tests/gateway/short_heads.rs
+++ b/crates/gateway/tests/gateway/short_heads.rs
@@ -189,6 +189,43 @@
     });
 }
 
+/// Guards against a head that is filled up with that of the next answer on its connection, such as that of an error: the
+/// status of the first and the length of the second are taken for one answer.
+#[rstest]
+fn a_head_that_ends_within_a_line_is_not_filled_up_by_the_next_answer(
+    #[values("/read/1", "/book/1", "/draft/1", "/resume/1")] path: &str,
+    #[values(
+        "HTTP/1.1 200 ",
+        "HTTP/1.1 200 O",
+        "HTTP/1.1 200 OK",
+        "x-first: ",
+        "x-first: a",
+        "response-se",
+        "response-seal:",
+        "response-seal: s.1"
+    )]
+    last: &'static str,
+) {
+    let script = move |request: &Message| {
+        let id = id(request);
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nx-first: ab\r\nresponse-seal: s.1\r\n\r\n"
+        );
+        let headers = [("request-id", id), ("response-seal", "s.2")];
+        // Only one of the heads names the request.
+        let headers = &headers[usize::from(!last.starts_with("HTTP"))..];
+        Action::Send([cut_after(&head, last), answer(500, headers, b"")].concat())
+    };
+    let app = Replica::start("i-a", script);
+    let decode = Replica::start("i-d", script);
+    let replicas = [(&app, "app", ""), (&decode, "llm", "decode")];
+    let site = Site::start("joined-heads", &replicas);
+    let response = request(&site, path, "a1");
+    assert!(!is_success(&response), "{response:?}");
+    assert_eq!(response.header("response-seal"), None, "{response:?}");
+    assert!(app.requests().len() + decode.requests().len() > 0);
+}
+
 /// Guards against a short head behind the second answer to an earlier request of the connection.
 #[rstest]
 fn an_answer_whose_head_ends_early_behind_a_second_answer_is_no_success(
