Cut a stream that ends without a length and without an event

What callers would see: an empty stream, or the rest of a resumed one missing, with a regular end: the replica stops behind its head and closes the connection, and the process lives on, so that the probe after an answer without a length finds it.

Cause: an end by close counts as whole between two events, and so does one before the first event, where nothing of the answer has come at all.

Change: such a part is broken. The stream continues elsewhere if it may, else it is cut. An answer with a length or chunks says itself that it is empty, and still counts as whole.

Test, seen red on the code before, both cases: short_heads::a_stream_without_a_length_and_without_an_event_is_not_complete.

--- a/crates/gateway/src/forward/replica_stream.rs
+++ b/crates/gateway/src/forward/replica_stream.rs
@@ -367,6 +367,9 @@
         if !source.has_explicit_end && self.splitter.is_partial() {
             return self.broken("the answer ended in the middle of an event".to_owned());
         }
+        if !source.has_explicit_end && self.written.is_none() {
+            return self.broken("the answer ended before its first event".to_owned());
+        }
         if !source.has_explicit_end && self.unsure_stop.is_some() {
             return self.broken("the run may have been stopped".to_owned());
         }
--- a/crates/gateway/tests/gateway/short_heads.rs
+++ b/crates/gateway/tests/gateway/short_heads.rs
@@ -555,6 +555,32 @@
     }
 }
 
+/// Guards against an empty answer without a length, such as is left of an answer whose replica stopped behind its head:
+/// without an event, nothing shows that a generation has ended.
+#[rstest]
+#[case::first("/draft/1", 0)]
+#[case::continuation("/resume/1", 2)]
+fn a_stream_without_a_length_and_without_an_event_is_not_complete(
+    #[case] path: &str,
+    #[case] first: u64,
+) {
+    let script = move |request: &Message| match request.header("last-event-id") {
+        None if first > 0 => {
+            Action::SendAndClose([stream_head(request), events(1, first)].concat())
+        }
+        _ => Action::SendAndClose(stream_head_without_length(request)),
+    };
+    let (one, two) = (Replica::start("i-1", script), Replica::start("i-2", script));
+    let replicas = [(&one, "llm", "decode"), (&two, "llm", "decode")];
+    let site = Site::start("empty-stream", &replicas);
+    let response = request(&site, path, "a1");
+    assert!(!is_success(&response), "{response:?}");
+    assert_eq!(
+        String::from_utf8_lossy(&response.body),
+        event_texts(1, first)
+    );
+}
+
 /// Guards against a list of replicas that is read from a part of an answer of the store: an empty one removes all.
 #[rstest]
 #[case::status_line("HTTP/1.1 20")]
