Reject the head of a peer's message that is shorter than it states

What callers would see: a handed-over stream whose first bytes are missing. A head whose stated length is too large takes the start of the body with it, since what the decoder leaves over was dropped. Peers state the right length today; only a damaged or foreign message brings it.

Change: a head has to be read to its stated length.

Test, seen red on the code before (stated lengths of 1 to 4 bytes too many were read): short_heads::the_head_of_a_handed_over_answer_has_the_length_that_it_states.

--- a/crates/gateway/src/handoff/message.rs
+++ b/crates/gateway/src/handoff/message.rs
@@ -174,7 +174,7 @@
 /// Takes a head from the start of `bytes`; `None` if it is not complete yet.
 ///
 /// # Errors
-/// If it is malformed or too long.
+/// If it is malformed, too long, or shorter than its stated length, which would take a part of the body.
 pub fn take_head<T: DeserializeOwned>(bytes: &mut impl Buf) -> io::Result<Option<T>> {
     let mut start = bytes.chunk();
     if start.len() < LENGTH_BYTES {
@@ -185,8 +185,13 @@
     let Some(encoded) = start.get(..length) else {
         return Ok(None);
     };
-    let (head, _) =
+    let (head, read) =
         bincode::serde::decode_from_slice(encoded, config::standard()).map_err(io::Error::other)?;
+    if read != length {
+        return Err(io::Error::other(
+            "the head of the message is shorter than its length",
+        ));
+    }
     bytes.advance(LENGTH_BYTES + length);
     Ok(Some(head))
 }
--- a/crates/gateway/tests/gateway/short_heads.rs
+++ b/crates/gateway/tests/gateway/short_heads.rs
@@ -677,6 +677,22 @@
     }
 }
 
+/// Guards against a head whose stated length is too small, or so large that it takes a part of the body away.
+#[test]
+fn the_head_of_a_handed_over_answer_has_the_length_that_it_states() {
+    let (bytes, head) = handed_answer();
+    let is_read = |stated: usize| {
+        let mut bytes = bytes.clone();
+        bytes[..4].copy_from_slice(&(stated as u32).to_be_bytes());
+        let taken = handoff::message::take_head::<handoff::message::Answer>(&mut &bytes[..]);
+        matches!(taken, Ok(Some(_)))
+    };
+    let read: Vec<usize> = (0..=bytes.len())
+        .filter(|stated| is_read(*stated))
+        .collect();
+    assert_eq!(read, [head - 4]);
+}
+
 /// What a peer sends of its answer to a request that it has agreed to take.
 #[derive(Debug, Clone, Copy)]
 enum PeerAnswer {
