Ask leaving replicas, too, whether they outlive an answer without a length

Cause: after such an answer its replica is probed, since the end of a process closes its connections as the end of an answer does; but not one whose loss counts as planned. That question belongs to the quarantine of contents, not to whether an answer is whole: a planned end may come in the middle of an answer, too.

Change: each replica is probed, one that left the list by the entry with which the request was sent; another incarnation there, by its start time, means that it ended. An answer of a replica that ends by plan right behind it, without a length, is now cut: nothing tells it from a cut one. Those of replicas that live on are complete, and now count as proven.

Tests, seen red on the code before, all 4 cases: truncation::an_answer_without_a_length_that_ends_with_its_leaving_replica_is_cut. The 4 cases of ..._of_a_leaving_replica_that_lives_on_is_complete held before and hold now. The cases of short_heads, truncation, early_answers, draining and handoff hold (208 tests).

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -19,6 +19,7 @@
 use platform::engine::Report;
 use platform::reply;
 use relay::replica::Notice;
+use relay::replica::Replica;
 use relay::server::Key;
 
 use crate::connections;
@@ -243,23 +244,29 @@
 /// that it ended.
 pub async fn probe(shared: &Shared, key: Key) -> Presence {
     let replica = shared.pool.borrow().get(key).map(|s| s.replica.clone());
-    let Some(replica) = replica else {
-        return Presence::Ended;
-    };
+    match replica {
+        Some(replica) => probe_at(shared, key, &replica).await,
+        None => Presence::Ended,
+    }
+}
+
+/// Probes `replica`, which had `key` and may have left the list.
+pub async fn probe_at(shared: &Shared, key: Key, replica: &Replica) -> Presence {
     let report = Call {
         key,
         to: replica.address,
-        replica: replica.id,
+        replica: replica.id.clone(),
         method: Method::GET,
         path: engine::REPORT_PATH.to_owned(),
         body: Vec::new(),
     };
     match call(shared, report).await {
         Ok(answer) if answer.status == StatusCode::OK => {
-            if let Ok(report) = Report::read(&answer.body) {
-                apply_report(shared, key, &report);
+            let report = Report::read(&answer.body).ok();
+            if let Some(report) = &report {
+                apply_report(shared, key, report);
             }
-            presence_after_report(shared, key)
+            presence_after_report(shared, key, replica, report.as_ref())
         }
         Ok(answer) if answer.status == StatusCode::MISDIRECTED_REQUEST => Presence::Ended,
         Err(Error::Refused) => Presence::Ended,
@@ -284,8 +291,16 @@
     }
 }
 
-fn presence_after_report(shared: &Shared, key: Key) -> Presence {
-    if shared.pool.borrow().has_restarted(key) {
+/// Whether `replica`, which had `key`, is the one that sent `report`.
+fn presence_after_report(
+    shared: &Shared,
+    key: Key,
+    replica: &Replica,
+    report: Option<&Report>,
+) -> Presence {
+    let birth = report.and_then(|report| report.birth);
+    let is_later = replica.compare_incarnation(birth) == Ordering::Less;
+    if is_later || shared.pool.borrow().has_restarted(key) {
         return Presence::Ended;
     }
     Presence::Here
--- a/crates/gateway/src/forward/replica_stream.rs
+++ b/crates/gateway/src/forward/replica_stream.rs
@@ -1,6 +1,7 @@
 //! Reads one replica's part of a stream.
 
 use std::cmp::min;
+use std::rc::Rc;
 use std::time::Duration;
 
 use boottime::Instant;
@@ -14,6 +15,7 @@
 use relay::event::Splitter;
 use relay::pace::meter::StreamMeter;
 use relay::plan::Mode;
+use relay::replica::Replica;
 use relay::server::Key;
 
 use crate::answers::OpenAnswer;
@@ -54,6 +56,8 @@
     body: Body,
     connection: Connection,
     guard: InFlight,
+    /// The replica when the request was sent.
+    replica: Rc<Replica>,
     /// Whether the answer marks the end of its body; otherwise the body ends with the connection.
     has_explicit_end: bool,
     /// When the answer began.
@@ -94,7 +98,7 @@
             response,
             connection,
             guard,
-            ..
+            replica,
         } = reply;
         let begun = Instant::now();
         Self {
@@ -103,6 +107,7 @@
             body: response.into_body(),
             connection,
             guard,
+            replica,
             begun,
             last_event_at: begun,
             meter: StreamMeter::new(),
@@ -162,7 +167,7 @@
 impl Forwarder {
     /// Forwards one replica's part of the stream.
     pub(super) async fn forward_from(&mut self, reply: Reply) -> End {
-        self.software.clone_from(&reply.software);
+        self.software.clone_from(&reply.replica.software);
         let mut source = ReplicaStream::new(reply);
         self.free_unsure_stop();
         self.written = None;
@@ -376,7 +381,7 @@
         let outlives = if source.has_explicit_end {
             Some(true)
         } else {
-            probe::outlives_answer(&self.shared, source.guard.key).await
+            probe::outlives_answer(&self.shared, source.guard.key, &source.replica).await
         };
         if outlives == Some(false) {
             return End::Broken("the replica ended with its answer".to_owned());
--- a/crates/gateway/src/quarantine/probe.rs
+++ b/crates/gateway/src/quarantine/probe.rs
@@ -7,6 +7,7 @@
 use boottime::timer::sleep;
 use boottime::timer::timeout;
 use relay::fingerprint::Content;
+use relay::replica::Replica;
 use relay::server::Key;
 
 use crate::clock;
@@ -58,17 +59,20 @@
     log::info!(kind = "inquiry", replica = format!("{replica:016x}"), presence = format!("{presence:?}"), ended = has_ended, ms = started.elapsed().as_millis() as u64; "a replica was lost while at work");
 }
 
-/// Whether the replica `key`, of which an answer has just ended with its connection, is still there;
-/// `None` if that is unknown, or if it leaves by plan. The end of its process ends an answer, too.
-pub async fn outlives_answer(shared: &Rc<Shared>, key: Key) -> Option<bool> {
-    shared.pool.borrow().unplanned_loss(key)?;
-    let mut presence = control::probe(shared, key).await;
+/// Whether `replica`, which had `key` and of which an answer has just ended with its connection, is still
+/// there; `None` if that is unknown. The end of its process ends an answer, too, also if the replica is
+/// draining or has left the list.
+pub async fn outlives_answer(shared: &Rc<Shared>, key: Key, replica: &Replica) -> Option<bool> {
+    if shared.has_restarted(key) {
+        return Some(false);
+    }
+    let mut presence = control::probe_at(shared, key, replica).await;
     for _ in 1..MAX_CLOSING_PROBES {
         if presence != Presence::Closing {
             break;
         }
         sleep(CLOSING_PAUSE).await;
-        presence = control::probe(shared, key).await;
+        presence = control::probe_at(shared, key, replica).await;
     }
     match presence {
         Presence::Here => Some(true),
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -15,6 +15,7 @@
 use relay::attempt::Outcome;
 use relay::permit::Permit;
 use relay::permit::Work;
+use relay::replica::Replica;
 use relay::server::Key;
 
 use crate::connections::Connection;
@@ -40,8 +41,8 @@
     pub connection: Connection,
     /// Counts the request at the replica.
     pub guard: InFlight,
-    /// Software version of the replica.
-    pub software: Option<String>,
+    /// The replica when the request was sent; it may leave the list meanwhile.
+    pub replica: Rc<Replica>,
 }
 
 /// Sends `job` to the replica `key` for `task` and reads the head of the answer. The permit returns
@@ -110,25 +111,23 @@
     let guard = InFlight::new(shared, key, tokens, task == Task::Prefill);
     let now = shared.clock.now();
     let target = shared.pool.borrow().get(key).map(|server| {
-        let replica = &server.replica;
-        let software = replica.software.clone();
-        let target = (replica.id.clone(), replica.address, server.in_flight);
-        (target, software, server.withheld_cause(now))
+        let target = (Rc::new(server.replica.clone()), server.in_flight);
+        (target, server.withheld_cause(now))
     });
-    let ((id, address, in_flight), software) = match target {
-        Some((target, software, None)) => (target, software),
-        Some((_, _, Some(cause))) => {
+    let (replica, in_flight) = match target {
+        Some((target, None)) => target,
+        Some((_, Some(cause))) => {
             record_failure(shared, job, key, Outcome::NotSent, cause, 0);
             return Err(Outcome::NotSent);
         }
         None => return Err(Outcome::NotSent),
     };
     let (prompt, output) = job.call.tokens.unwrap_or_default();
-    log::info!(kind = "send", request = job.call.id, content = job.content.whole.to_string(), parts = job.call.parts.join(","), replica = id, software = software.as_deref().unwrap_or_default(), task = task_name(&task), cache = cache_handle(&task), in_flight = in_flight, prompt = prompt, output = output, replicas = shared.replicas_version().version, reserved = reservation.is_some(), plan = job.plan, left_ms = job.time_left().as_millis() as u64; "sending");
+    log::info!(kind = "send", request = job.call.id, content = job.content.whole.to_string(), parts = job.call.parts.join(","), replica = replica.id, software = replica.software.as_deref().unwrap_or_default(), task = task_name(&task), cache = cache_handle(&task), in_flight = in_flight, prompt = prompt, output = output, replicas = shared.replicas_version().version, reserved = reservation.is_some(), plan = job.plan, left_ms = job.time_left().as_millis() as u64; "sending");
     let prefill = task == Task::Prefill;
     let decode = matches!(task, Task::Decode { .. });
     let begun = Instant::now();
-    let request = job.build_request(&id, task, reservation).map_err(|error| {
+    let request = job.build_request(&replica.id, task, reservation).map_err(|error| {
         log::error!(kind = "send", request = job.call.id, cause = error.to_string(); "cannot build a request");
         Outcome::NotSent
     })?;
@@ -140,7 +139,7 @@
     let needs_new_connection = !is_first || !(prefill || job.route.mode.repeatable());
     let sent = shared
         .connections
-        .send(address, request, needs_new_connection)
+        .send(replica.address, request, needs_new_connection)
         .await;
     note_reach(shared, job, key, &sent);
     let (head, response, connection) = own_answer(shared, job, key, sent).await?;
@@ -183,7 +182,7 @@
         response,
         connection,
         guard,
-        software,
+        replica,
     })
 }
 
@@ -345,7 +344,7 @@
         response,
         connection,
         guard,
-        ..
+        replica,
     } = reply;
     let has_explicit_end = has_explicit_end(&response);
     let (parts, body) = response.into_parts();
@@ -355,7 +354,7 @@
     let outlives = if has_explicit_end {
         Some(true)
     } else {
-        probe::outlives_answer(shared, guard.key).await
+        probe::outlives_answer(shared, guard.key, &replica).await
     };
     if outlives == Some(false) {
         let cause = "the replica ended with its answer".to_owned();
--- a/crates/gateway/tests/gateway/truncation.rs
+++ b/crates/gateway/tests/gateway/truncation.rs
@@ -13,6 +13,7 @@
 use http_body_util::BodyExt;
 use rstest::rstest;
 use rustix::process::Signal;
+use serde_json::Value;
 use tokio::sync::mpsc;
 
 use crate::common::caller::Caller;
@@ -29,6 +30,9 @@
 use crate::site::Site;
 use crate::site::start_generation;
 
+/// Time after which the daemon knows a change of the list of replicas.
+const LIST_TIME: Duration = Duration::from_millis(1_200);
+
 /// Returns the bytes of a body, or `None` if it is cut.
 async fn collect_body(body: Body) -> Option<Bytes> {
     let body = body.collect().await.ok()?;
@@ -114,6 +118,64 @@
     assert_eq!((response.status(), response.complete), (200, false));
 }
 
+/// Starts a replica that leaves while it works on a request: it drains or, unless `is_listed`, is removed from the list.
+/// It then answers with `action`, which is given an answer without a length. Returns whether calls and streams of it are
+/// complete.
+fn leave_during_answer(
+    name: &str,
+    service: &'static str,
+    is_listed: bool,
+    action: impl Fn(Vec<u8>) -> Action + Send + Sync + 'static,
+) -> bool {
+    let stage = if service == "llm" { "decode" } else { "" };
+    let site = Site::start(name, &[]);
+    let store = site.store.clone();
+    let listed = Arc::new(OnceLock::<Value>::new());
+    let own = Arc::clone(&listed);
+    let replica = Replica::start("i-1", move |request| {
+        let mut row = own.wait().clone();
+        row["state"] = "draining".into();
+        if is_listed {
+            store.put("servers", "i-1", &row);
+        } else {
+            store.remove("servers", "i-1");
+        }
+        thread::sleep(LIST_TIME);
+        let events = event_texts(1, 2).into_bytes();
+        action([stream_head_without_length(request), events].concat())
+    });
+    listed.set(replica.row(service, stage)).unwrap();
+    site.store
+        .put("servers", "i-1", &replica.row(service, stage));
+    site.daemon.wait_until_ready();
+    let response = match service {
+        "llm" => start_generation(&site.daemon, "/draft/1", "a1").read(),
+        _ => site.send_and_read("POST /book/1", "a1"),
+    };
+    assert_eq!(replica.requests().len(), 1);
+    response.status() == 200 && response.complete
+}
+
+/// Guards against taking the end of a replica for that of its answer since it leaves by plan.
+#[rstest]
+fn an_answer_without_a_length_that_ends_with_its_leaving_replica_is_cut(
+    #[values("app", "llm")] service: &'static str,
+    #[values(true, false)] is_listed: bool,
+) {
+    let is_complete = leave_during_answer("leaving-crash", service, is_listed, Action::Crash);
+    assert!(!is_complete);
+}
+
+/// Guards against losing the answers of replicas that leave by plan, and have time to finish them.
+#[rstest]
+fn an_answer_without_a_length_of_a_leaving_replica_that_lives_on_is_complete(
+    #[values("app", "llm")] service: &'static str,
+    #[values(true, false)] is_listed: bool,
+) {
+    let is_complete = leave_during_answer("leaving", service, is_listed, Action::SendAndClose);
+    assert!(is_complete);
+}
+
 #[test]
 fn a_stream_without_a_length_that_ends_with_its_replica_continues_elsewhere() {
     let script = |request: &Message| match request.header("last-event-id") {
