Lose an answer without a length whose peer ended with it, in waxwingd

What callers would see: a success of a plain application with a part of its body. The application has sent no length and ends while it writes; its end closes the connection as that of the answer does.

Change: after an answer that has neither a length nor chunks, the call connects to the peer once more; if that fails, the answer is lost. A peer that has stopped, but whose port is still open, is taken for alive.

Test, seen red on the code before: call/tests/short_heads.rs an_answer_without_a_length_that_ends_with_its_peer_is_lost. All tests of call, engine and store hold with the change.

--- a/crates/call/src/direct.rs
+++ b/crates/call/src/direct.rs
@@ -21,8 +21,10 @@
 use http::StatusCode;
 use http::header::CONNECTION;
 use http::header::HOST;
+use http::header::TRANSFER_ENCODING;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -102,11 +104,19 @@
 }
 
 impl Answer {
+    /// Whether the answer marks the end of its body; otherwise the body ends with the connection.
+    fn has_explicit_end(&self) -> bool {
+        let in_chunks = self.head.headers.contains_key(TRANSFER_ENCODING);
+        in_chunks || self.body.incoming.size_hint().exact().is_some()
+    }
+
     /// Reads the whole body within `limits`, and closes the connection.
     ///
     /// # Errors
     ///
-    /// [`Error::Lost`] if the body does not end within `timeout`, is truncated or reaches a bound.
+    /// [`Error::Lost`] if the body does not end within `timeout`, is truncated or reaches a bound, or if it
+    /// ends with its connection and the peer accepts no other: the end of its process closes connections,
+    /// too.
     pub async fn collect<S>(
         self,
         step: S,
@@ -114,8 +124,17 @@
         timeout: Duration,
         limits: &Limits,
     ) -> Result<Bytes, Error<S>> {
+        let has_explicit_end = self.has_explicit_end();
         let Self { body, guard, .. } = self;
-        let collected = timer::timeout(timeout, collect(body, peer, limits)).await;
+        let collected = async {
+            let body = collect(body, peer, limits).await?;
+            if !has_explicit_end {
+                let connected = connect(peer).await;
+                connected.map_err(|e| format!("the peer ended with its answer: {e}"))?;
+            }
+            Ok(body)
+        };
+        let collected = timer::timeout(timeout, collected).await;
         drop(guard);
         let cause = match collected {
             Ok(Ok(body)) => return Ok(body),
--- a/crates/call/tests/short_heads.rs
+++ b/crates/call/tests/short_heads.rs
@@ -5,6 +5,8 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::thread;
 use std::time::Duration;
 
@@ -43,14 +45,44 @@
     }
 }
 
+/// Answers without a length, which end with their connection.
+const WITHOUT_LENGTH: &str = "HTTP/1.1 200 OK\r\nx-first: ab\r\n\r\nhalf";
+
+/// Guards against taking the end of a peer for that of its answer: both close the connection.
+#[rstest]
+#[case::peer_ends(true)]
+#[case::peer_lives_on(false)]
+#[tokio::test]
+async fn an_answer_without_a_length_that_ends_with_its_peer_is_lost(#[case] ends: bool) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let listener = Arc::new(Mutex::new(Some(listener)));
+    let own_listener = Arc::clone(&listener);
+    thread::spawn(move || {
+        let mut listener = own_listener.lock().unwrap();
+        let (mut stream, _) = listener.as_ref().unwrap().accept().unwrap();
+        read_head(&mut stream);
+        if ends {
+            listener.take();
+        }
+        stream.write_all(WITHOUT_LENGTH.as_bytes()).unwrap();
+    });
+    assert_eq!(is_lost_at(address).await, ends);
+}
+
 /// Whether a call that is answered with `answer` is lost.
 async fn is_lost(answer: String) -> bool {
+    is_lost_at(start_peer(answer)).await
+}
+
+/// Whether a call of `peer` is lost.
+async fn is_lost_at(peer: SocketAddr) -> bool {
     let limits = Limits {
         body: BODY_LIMIT,
         memory: Memory::new(BODY_LIMIT),
     };
     let request = (Method::POST, "/", Vec::new());
-    let answered = direct::exchange("post", start_peer(answer), TIMEOUT, &limits, request).await;
+    let answered = direct::exchange("post", peer, TIMEOUT, &limits, request).await;
     matches!(answered, Err(Error::Lost { .. }))
 }
 
