Test answers in chunks that are cut at any byte

A guard, no fault: no cut of a size, a chunk or the last chunk is a success, closed or reset, for calls and streams. Holds on the code before, too.

--- a/crates/gateway/tests/gateway/short_heads.rs
+++ b/crates/gateway/tests/gateway/short_heads.rs
@@ -189,6 +189,35 @@
     });
 }
 
+/// Guards against the size of a chunk, or the end of the last one, that is read from a part of it.
+#[rstest]
+fn an_answer_in_chunks_that_is_cut_at_any_byte_is_no_success(
+    #[values("/book/1", "/draft/1")] path: &str,
+    #[values(Ending::Close, Ending::Reset)] ending: Ending,
+) {
+    const BODY: &[u8] = b"10\r\nid: 1\ndata: t1\n\n\r\n0\r\n\r\n";
+    let length = Arc::new(AtomicUsize::new(0));
+    let own_length = Arc::clone(&length);
+    let script = move |request: &Message| {
+        let part = &BODY[..own_length.load(Ordering::SeqCst)];
+        ending.after([&stream_head(request)[..], part].concat())
+    };
+    let app = Replica::start("i-a", script.clone());
+    let decode = Replica::start("i-d", script);
+    let replicas = [(&app, "app", ""), (&decode, "llm", "decode")];
+    let site = Site::start("short-chunk", &replicas);
+    for cut in 0..BODY.len() {
+        length.store(cut, Ordering::SeqCst);
+        let received = || app.requests().len() + decode.requests().len();
+        let before = received();
+        wait_until("a replica gets the request", || {
+            let response = request(&site, path, &format!("a{cut}"));
+            assert!(!is_success(&response), "{cut}: {response:?}");
+            received() > before
+        });
+    }
+}
+
 /// Guards against a head that is filled up with that of the next answer on its connection, such as that of an error: the
 /// status of the first and the length of the second are taken for one answer.
 #[rstest]
