--- a/crates/call/src/direct.rs
+++ b/crates/call/src/direct.rs
@@ -21,8 +21,10 @@
 use http::StatusCode;
 use http::header::CONNECTION;
 use http::header::HOST;
+use http::header::TRANSFER_ENCODING;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -31,6 +33,7 @@
 
 use crate::Error;
 use crate::bound::Bound;
+use crate::joined;
 use crate::memory::Memory;
 use crate::progress::Progress;
 use crate::progress::Socket;
@@ -101,11 +104,19 @@
 }
 
 impl Answer {
+    /// Whether the answer marks the end of its body; otherwise the body ends with the connection.
+    fn has_explicit_end(&self) -> bool {
+        let in_chunks = self.head.headers.contains_key(TRANSFER_ENCODING);
+        in_chunks || self.body.incoming.size_hint().exact().is_some()
+    }
+
     /// Reads the whole body within `limits`, and closes the connection.
     ///
     /// # Errors
     ///
-    /// [`Error::Lost`] if the body does not end within `timeout`, is truncated or reaches a bound.
+    /// [`Error::Lost`] if the body does not end within `timeout`, is truncated or reaches a bound, or if it
+    /// ends with its connection and the peer accepts no other: the end of its process closes connections,
+    /// too.
     pub async fn collect<S>(
         self,
         step: S,
@@ -113,8 +124,17 @@
         timeout: Duration,
         limits: &Limits,
     ) -> Result<Bytes, Error<S>> {
+        let has_explicit_end = self.has_explicit_end();
         let Self { body, guard, .. } = self;
-        let collected = timer::timeout(timeout, collect(body, peer, limits)).await;
+        let collected = async {
+            let body = collect(body, peer, limits).await?;
+            if !has_explicit_end {
+                let connected = connect(peer).await;
+                connected.map_err(|e| format!("the peer ended with its answer: {e}"))?;
+            }
+            Ok(body)
+        };
+        let collected = timer::timeout(timeout, collected).await;
         drop(guard);
         let cause = match collected {
             Ok(Ok(body)) => return Ok(body),
@@ -130,7 +150,7 @@
 /// # Errors
 ///
 /// [`Error::NotSent`] if connecting failed, and [`Error::Lost`] if no head of a final answer was received
-/// whose status is valid (RFC 9110, section 15).
+/// whose status is valid (RFC 9110, section 15), or the head is joined with that of another answer.
 pub async fn send<S: Copy>(
     step: S,
     peer: SocketAddr,
@@ -164,6 +184,9 @@
         .map_err(|_| lost("no answer in time".to_owned()))?
         .map_err(|e| lost(describe(&e)))?;
     progress.record();
+    if joined::is_joined(&answer) {
+        return Err(lost(joined::CAUSE.to_owned()));
+    }
     let (head, incoming) = answer.into_parts();
     if !(200..600).contains(&head.status.as_u16()) {
         return Err(lost(format!("invalid status {}", head.status.as_u16())));
--- a/crates/gateway/src/forward/replica_stream.rs
+++ b/crates/gateway/src/forward/replica_stream.rs
@@ -1,6 +1,7 @@
 //! Reads one replica's part of a stream.
 
 use std::cmp::min;
+use std::rc::Rc;
 use std::time::Duration;
 
 use boottime::Instant;
@@ -14,6 +15,7 @@
 use relay::event::Splitter;
 use relay::pace::meter::StreamMeter;
 use relay::plan::Mode;
+use relay::replica::Replica;
 
 use crate::answers::OpenAnswer;
 use crate::bounds::READ_GRACE;
@@ -53,6 +55,8 @@
     body: Body,
     connection: Connection,
     guard: InFlight,
+    /// The replica when the request was sent.
+    replica: Rc<Replica>,
     /// Whether the answer marks the end of its body; otherwise the body ends with the connection.
     has_explicit_end: bool,
     /// When the answer began.
@@ -93,7 +97,7 @@
             response,
             connection,
             guard,
-            ..
+            replica,
         } = reply;
         let begun = Instant::now();
         Self {
@@ -102,6 +106,7 @@
             body: response.into_body(),
             connection,
             guard,
+            replica,
             begun,
             last_event_at: begun,
             meter: StreamMeter::new(),
@@ -161,7 +166,7 @@
 impl Forwarder {
     /// Forwards one replica's part of the stream.
     pub(super) async fn forward_from(&mut self, reply: Reply) -> End {
-        self.software.clone_from(&reply.software);
+        self.software.clone_from(&reply.replica.software);
         let mut source = ReplicaStream::new(reply);
         self.free_unsure_stop();
         self.written = None;
@@ -357,13 +362,16 @@
         if !source.has_explicit_end && self.splitter.is_partial() {
             return self.broken("the answer ended in the middle of an event".to_owned());
         }
+        if !source.has_explicit_end && self.written.is_none() {
+            return self.broken("the answer ended before its first event".to_owned());
+        }
         if !source.has_explicit_end && self.unsure_stop.is_some() {
             return self.broken("the run may have been stopped".to_owned());
         }
         let outlives = if source.has_explicit_end {
             Some(true)
         } else {
-            probe::outlives_answer(&self.shared, source.guard.key).await
+            probe::outlives_answer(&self.shared, source.guard.key, &source.replica).await
         };
         if outlives == Some(false) {
             return End::Broken("the replica ended with its answer".to_owned());
