--- a/crates/call/tests/early.rs
+++ b/crates/call/tests/early.rs
@@ -16,7 +16,7 @@
 
 const TIMEOUT: Duration = Duration::from_secs(8);
 /// Size of a request in bytes; more than the buffers of a connection hold.
-const REQUEST_BYTES: usize = 4 << 20;
+const REQUEST_BYTES: usize = 8 << 20;
 const BODY_LIMIT: usize = 1 << 20;
 
 /// Starts a peer that reads the first bytes of a request and sends `answer` and the end of the connection.
