Log panics of the daemon's tasks

A panic ends only its task: the process runs on without what the task did (it no longer follows the plan or the list, accepts no callers, or is no member), and nothing in the log says so; the message goes to standard error only. Each panic is now a line of kind panic.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod watch;
 
 use std::io;
+use std::panic;
 use std::path::Path;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -258,9 +259,19 @@
         .map(Logger::with)
         .and_then(|logger| logger.log_to_writer(Box::new(queue)).start())
         .map_err(|error| start_error("logs", &error))?;
+    log_panics();
     Ok((handle, count))
 }
 
+/// Logs each panic, which ends only its task: the process runs on without what the task did.
+fn log_panics() {
+    let write = panic::take_hook();
+    panic::set_hook(Box::new(move |info| {
+        log::error!(kind = "panic", cause = info.to_string(); "a task ended by a panic");
+        write(info);
+    }));
+}
+
 fn start_error(step: &'static str, cause: &impl ToString) -> Error {
     Error::Start {
         step,
