Show with tests what odd rows, answers and messages do

Table-driven tests against the real daemon: entries of replicas that turn odd and good again, plans, rows of instances, quarantine, begins, versions and claims, answers of the store that are odd themselves, datagrams, responses of peers, and unit tests of what reads them. The stand-in for the store can answer with any body, and with any JSON in place of a row's value.

--- a/crates/fleet/tests/membership.rs
+++ b/crates/fleet/tests/membership.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use fleet::Fleet;
+use fleet::Member;
 use fleet::Message;
 use fleet::Settings;
 use fleet::member::State;
@@ -317,3 +318,19 @@
         }
     }
 }
+
+/// Guards against a record that leaves no later version to refute it with.
+#[test]
+fn a_suspicion_at_the_last_version_does_not_end_the_daemon() {
+    let mut fleet = Fleet::new(member(0, 0), Settings::default(), 1);
+    fleet.set_list(Time::ZERO, &entries(0..2));
+    let suspect = Member {
+        version: u32::MAX,
+        ..member(0, 0).with_state(State::Suspect)
+    };
+    let news = vec![member(1, 0), suspect];
+    fleet.receive(Time::ZERO, instance(1), &Message::Page { news });
+    fleet.leave(Time::ZERO);
+    fleet.step(Time::from_millis(1), &mut Vec::new());
+    assert_eq!(fleet.local_member().version, u32::MAX);
+}
--- a/crates/gateway/tests/gateway/common/store.rs
+++ b/crates/gateway/tests/gateway/common/store.rs
@@ -50,6 +50,11 @@
     /// Table whose calls get no answer, and calls that got none.
     silent_table: Option<String>,
     unanswered: u64,
+    /// Table whose calls get this body as their answer, and calls that got it.
+    odd_answer: Option<(String, String)>,
+    odd_answers: u64,
+    /// JSON that stands in answers for the value of a row, by the row's base64 text.
+    raw_values: BTreeMap<String, String>,
 }
 
 impl Backup {
@@ -155,6 +160,27 @@
         self.inner.1.notify_all();
     }
 
+    /// Writes a row whose value is `json` in answers, in place of a base64 text.
+    pub fn put_raw(&self, table: &str, key: &str, json: &str) {
+        let marker = format!("raw {table} {key}");
+        let encoded = format!("\"{}\"", STANDARD.encode(&marker));
+        let mut inner = self.inner.0.lock().unwrap();
+        inner.raw_values.insert(encoded, json.to_owned());
+        drop(inner);
+        self.put_bytes(table, key, marker.as_bytes());
+    }
+
+    /// Answers calls about a table with `body` from now on; `None` answers all with the rows again.
+    pub fn set_odd_answer(&self, answer: Option<(&str, &str)>) {
+        let answer = answer.map(|(table, body)| (table.to_owned(), body.to_owned()));
+        self.inner.0.lock().unwrap().odd_answer = answer;
+    }
+
+    /// Number of answers sent because of [`Self::set_odd_answer`].
+    pub fn odd_answer_count(&self) -> u64 {
+        self.inner.0.lock().unwrap().odd_answers
+    }
+
     /// Names the era `number` in all answers from now on; each restore raises it by one.
     pub fn set_era(&self, number: u64) {
         self.inner.0.lock().unwrap().era = Some(number);
@@ -271,14 +297,26 @@
     fn is_left_unanswered(&self, request: &Message) -> bool {
         let mut inner = self.inner.0.lock().unwrap();
         let silent = inner.silent_table.as_ref();
-        let is_silent = silent.is_some_and(|table| {
-            let field = format!("table={table}&");
-            format!("{}&", request.path()).contains(&field)
-        });
+        let is_silent = silent.is_some_and(|table| is_about(request, table));
         inner.unanswered += u64::from(is_silent);
         is_silent
     }
 
+    /// The text of the body of `answer` to `request`.
+    fn body(&self, request: &Message, answer: &Answer) -> String {
+        let mut inner = self.inner.0.lock().unwrap();
+        let odd = inner.odd_answer.as_ref();
+        if let Some((_, body)) = odd.filter(|(table, _)| is_about(request, table)) {
+            let body = body.clone();
+            inner.odd_answers += 1;
+            return body;
+        }
+        let values = inner.raw_values.iter();
+        values.fold(answer.body.to_string(), |body, (encoded, json)| {
+            body.replace(encoded, json)
+        })
+    }
+
     fn serve_connection(&self, socket: &mut TcpStream) {
         let number = {
             let mut inner = self.inner.0.lock().unwrap();
@@ -299,7 +337,7 @@
             if self.is_silent(number) {
                 continue;
             }
-            let body = answer.body.to_string();
+            let body = self.body(&request, &answer);
             let era = answer.era.map(|era| era.to_string());
             let mut headers = vec![("content-type", "application/json")];
             headers.extend(era.iter().map(|era| (ERA, era.as_str())));
@@ -429,6 +467,12 @@
     }
 }
 
+/// Whether `request` reads or watches `table`.
+fn is_about(request: &Message, table: &str) -> bool {
+    let field = format!("table={table}&");
+    format!("{}&", request.path()).contains(&field)
+}
+
 /// A configuration with a route of each kind; `timeout_ms` and `objective_ms` apply to all routes.
 pub fn config(version: u64, timeout_ms: u64, objective_ms: u64) -> Value {
     let route = |name: &str, kind: &str, service: &str, attempts: u32| {
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -26,6 +26,8 @@
 mod members;
 mod memory;
 mod migration;
+mod odd_messages;
+mod odd_rows;
 mod paces;
 mod part_site;
 mod partition;
--- a/crates/gateway/tests/gateway/stages.rs
+++ b/crates/gateway/tests/gateway/stages.rs
@@ -93,6 +93,19 @@
     assert!(site.store.has("orders", "llm"));
 }
 
+/// Guards against a claim that blocks the orders for a service forever.
+#[rstest]
+#[case::in_the_future(json!({"holder": "other", "at_ms": u64::MAX}))]
+#[case::mistyped(json!({"holder": 1, "at_ms": -1}))]
+#[case::not_a_claim(json!([[[]]]))]
+fn orders_are_sent_beside_an_odd_claim(#[case] claim: Value) {
+    let engines = engines();
+    let site = start_with_prefill_share("odd-claim", &engines);
+    site.store.put("orders", "llm", &claim);
+    let given = || -> usize { engines.iter().map(|engine| orders(engine).len()).sum() };
+    wait_until("the orders are sent", || given() >= ORDERS_AT_ONCE);
+}
+
 /// Guards against orders one after another within the short life of a claim: engines that answer
 /// slowly, but in time, would leave no time for the last ones.
 #[test]
--- a/crates/relay/tests/plan.rs
+++ b/crates/relay/tests/plan.rs
@@ -169,3 +169,12 @@
     assert_eq!(route.rank(Some(0)), Rank::new(0));
     assert_eq!(route.rank(Some(200)).value(), 9);
 }
+
+/// Guards against weights whose sum wraps around, so that services get other shares.
+#[test]
+fn the_largest_weights_share_a_route_evenly() {
+    let mut route = route("r", "a.example", "/");
+    route.targets = vec![target("a", u32::MAX), target("b", u32::MAX)];
+    assert_eq!(route.target(0.25), Some("a"));
+    assert_eq!(route.target(0.75), Some("b"));
+}
