Bound what a message between daemons may claim to contain

Seen: one datagram of 9 bytes, one row of `begins` of 10 bytes, a response of a peer or the head of a handed-over request ends the process (signal 6), or, with a larger number, the task that read it: the daemon is no member any more, or no longer fetches the list from peers. Cause: the codec allocates a text with the length that it claims before it reads its bytes, without a limit (`bincode`, `vec![0; len]`). Ruled out: lists (they grow as they are read), nesting (no type is recursive).

Changed: `gateway::codec` encodes and decodes everything that only daemons read, with a limit on the decoded size, that of the longest message.

--- a/crates/gateway/src/begins/saving.rs
+++ b/crates/gateway/src/begins/saving.rs
@@ -10,7 +10,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bincode::config;
 use boottime::Instant;
 use boottime::timer::sleep;
 use ident::Pool;
@@ -22,6 +21,7 @@
 
 use crate::begins;
 use crate::begins::storage;
+use crate::codec;
 use crate::shared::Shared;
 use crate::store::Error;
 
@@ -98,7 +98,7 @@
         let begins = shared.begins.borrow();
         let begins = begins.saved(shared.clock.now(), MAX_STREAMS);
         let saved = Saved::new(&begins);
-        let value = bincode::serde::encode_to_vec(&saved, config::standard());
+        let value = codec::encode(&saved);
         (value, begins.len())
     };
     let value = match value {
@@ -146,7 +146,7 @@
 /// The content of `row`; `None` if it cannot be read.
 fn parse(row: &Row) -> Option<Saved> {
     let value = row.value.as_deref().unwrap_or_default();
-    match bincode::serde::decode_from_slice(value, config::standard()) {
+    match codec::decode(value) {
         Ok((saved, _)) => Some(saved),
         Err(error) => {
             log::warn!(kind = "begin", key = row.key, cause = error.to_string(); "the saved begins of streams cannot be read");
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -8,7 +8,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bincode::config;
 use boottime::Instant;
 use boottime::timer::sleep;
 use boottime::timer::timeout;
@@ -33,6 +32,7 @@
 use tokio::net::TcpStream;
 
 use crate::bounds::MAX_PEER_HEADER_BYTES;
+use crate::codec;
 use crate::instance_info::InstanceInfo;
 use crate::pacing::PacedStream;
 use crate::shared::Shared;
@@ -273,7 +273,7 @@
 }
 
 fn encode<T: Serialize>(message: &T) -> io::Result<Bytes> {
-    bincode::serde::encode_to_vec(message, config::standard())
+    codec::encode(message)
         .map(Bytes::from)
         .map_err(io::Error::other)
 }
@@ -294,7 +294,6 @@
             return Err(io::Error::other("the message is too long"));
         }
     }
-    let (message, _) =
-        bincode::serde::decode_from_slice(&bytes, config::standard()).map_err(io::Error::other)?;
+    let (message, _) = codec::decode(&bytes).map_err(io::Error::other)?;
     Ok(message)
 }
--- a/crates/gateway/src/gossip/datagram.rs
+++ b/crates/gateway/src/gossip/datagram.rs
@@ -1,7 +1,6 @@
 //! The bytes of a datagram: its content, and behind it an extension, which earlier versions do not
 //! read.
 
-use bincode::config;
 use bincode::error::DecodeError;
 use bincode::error::EncodeError;
 use fleet::Message;
@@ -13,6 +12,7 @@
 use serde::Serialize;
 
 use crate::begins::message;
+use crate::codec;
 use crate::instance_info::InstanceInfo;
 use crate::poller_status::PollerStatus;
 use crate::quotas;
@@ -105,7 +105,7 @@
     /// # Errors
     /// If it cannot be encoded.
     pub fn encode(&self) -> Result<Vec<u8>, EncodeError> {
-        bincode::serde::encode_to_vec(self, config::standard())
+        codec::encode(self)
     }
 
     /// The eras of its versions, for a sender that knows of the era `latest`.
@@ -126,8 +126,7 @@
     /// # Errors
     /// If the datagram cannot be read. An extension that cannot be read does not affect it.
     pub fn decode(bytes: &[u8]) -> Result<(Self, ReadExtensions), DecodeError> {
-        let (mut datagram, length): (Self, _) =
-            bincode::serde::decode_from_slice(bytes, config::standard())?;
+        let (mut datagram, length): (Self, _) = codec::decode(bytes)?;
         let extensions = read_extensions(bytes.get(length..).unwrap_or_default());
         for extension in extensions.iter().flatten() {
             if let Extension::Eras(eras) = extension {
@@ -150,7 +149,7 @@
     let mut extensions = Vec::new();
     let mut rest = bytes;
     while !rest.is_empty() {
-        match bincode::serde::decode_from_slice(rest, config::standard()) {
+        match codec::decode(rest) {
             Ok((extension, length)) => {
                 extensions.push(Ok(extension));
                 rest = rest.get(length..).unwrap_or_default();
@@ -170,7 +169,7 @@
 /// # Errors
 /// If it cannot be encoded.
 pub fn append(bytes: &mut Vec<u8>, extension: &Extension) -> Result<bool, EncodeError> {
-    let extension = bincode::serde::encode_to_vec(extension, config::standard())?;
+    let extension = codec::encode(extension)?;
     let fits = bytes.len() + extension.len() <= MAX_DATAGRAM;
     if fits {
         bytes.extend(extension);
@@ -187,10 +186,7 @@
 pub fn append_eras(bytes: &mut Vec<u8>, is_first: bool, eras: Eras) -> Result<(), EncodeError> {
     let none = is_first.then(|| Extension::Paces(Vec::new()));
     for extension in none.iter().chain([&Extension::Eras(eras)]) {
-        bytes.extend(bincode::serde::encode_to_vec(
-            extension,
-            config::standard(),
-        )?);
+        bytes.extend(codec::encode(extension)?);
     }
     Ok(())
 }
--- a/crates/gateway/src/handoff/message.rs
+++ b/crates/gateway/src/handoff/message.rs
@@ -5,7 +5,6 @@
 use std::io;
 use std::time::Duration;
 
-use bincode::config;
 use bytes::Buf;
 use bytes::Bytes;
 use customer::digest::Digest;
@@ -21,6 +20,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::codec;
 use crate::job;
 use crate::job::Job;
 use crate::target;
@@ -165,7 +165,7 @@
 /// # Errors
 /// If it cannot be encoded or is too long.
 pub fn encode(head: &impl Serialize, body: &[u8]) -> io::Result<Bytes> {
-    let head = bincode::serde::encode_to_vec(head, config::standard()).map_err(io::Error::other)?;
+    let head = codec::encode(head).map_err(io::Error::other)?;
     check_length(head.len())?;
     let length = (head.len() as u32).to_be_bytes();
     Ok([&length[..], &head, body].concat().into())
@@ -185,8 +185,7 @@
     let Some(encoded) = start.get(..length) else {
         return Ok(None);
     };
-    let (head, _) =
-        bincode::serde::decode_from_slice(encoded, config::standard()).map_err(io::Error::other)?;
+    let (head, _) = codec::decode(encoded).map_err(io::Error::other)?;
     bytes.advance(LENGTH_BYTES + length);
     Ok(Some(head))
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod bounds;
 pub mod callers;
 pub mod clock;
+pub mod codec;
 pub mod connections;
 pub mod control;
 pub mod ending;
