Saturate times that a long span is added to

Callers would see a request that ends at once, or a record that never counts: a span of more than 2^64 microseconds, as a plan or another daemon may state it (u64 milliseconds, or any `Duration`), wrapped around to an arbitrary shorter one when it was added to a time. `Time::from_millis` overflowed likewise, a panic in the dev profile. Both saturate now, as sums of times already did.

--- a/crates/ident/src/time.rs
+++ b/crates/ident/src/time.rs
@@ -21,9 +21,9 @@
     /// Later than any time that is reached.
     pub const NEVER: Self = Self(u64::MAX);
 
-    /// The time `ms` milliseconds after the origin.
+    /// The time `ms` milliseconds after the origin, at most [`Self::NEVER`].
     pub const fn from_millis(ms: u64) -> Self {
-        Self(ms * 1_000)
+        Self(ms.saturating_mul(1_000))
     }
 
     /// Whole milliseconds since the origin.
@@ -40,15 +40,22 @@
 impl Add<Duration> for Time {
     type Output = Self;
 
+    /// The time `span` later, at most [`Time::NEVER`].
     fn add(self, span: Duration) -> Self {
-        Self(self.0.saturating_add(span.as_micros() as u64))
+        Self(self.0.saturating_add(micros(span)))
     }
 }
 
 impl Sub<Duration> for Time {
     type Output = Self;
 
+    /// The time `span` earlier, at least [`Time::ZERO`].
     fn sub(self, span: Duration) -> Self {
-        Self(self.0.saturating_sub(span.as_micros() as u64))
+        Self(self.0.saturating_sub(micros(span)))
     }
 }
+
+/// The microseconds of `span`, at most the largest number of them.
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
