Sum the weights of a route without overflow

Two services with the largest weight: each request of the route panicked (dev profile), or all went to the last service (the sum wrapped around). The sum is one of floating-point numbers now, as the draw that it scales.

Tests, red before: relay/tests/plan.rs the_largest_weights_share_a_route_evenly, odd_rows::an_odd_plan_is_served_or_ignored_and_the_next_one_followed (weights).

--- a/crates/relay/src/plan.rs
+++ b/crates/relay/src/plan.rs
@@ -296,8 +296,8 @@
 
     /// Returns the service for a request, given `draw`, a random number uniform in `0.0..1.0`.
     pub fn target(&self, draw: f64) -> Option<&str> {
-        let total: u32 = self.targets.iter().map(|target| target.weight).sum();
-        let mut left = draw * f64::from(total);
+        let weights = self.targets.iter().map(|target| f64::from(target.weight));
+        let mut left = draw * weights.sum::<f64>();
         for target in &self.targets {
             left -= f64::from(target.weight);
             if left < 0.0 {
