Reduce numbers of a plan that are too large to be added

Seen: a plan with a cold start, a reservation or a change of stage of 1e300 s ends the task that follows the plan (a panic in the conversion to a duration): no later plan comes into force, and the daemon that reads the plan for a failing store loses the list of replicas as well. A head of 2^64 - 1 bytes ends the task that accepts callers. A plan of a peer with the largest durations ends the task that fetches it. Ruled out: numbers beyond 64 bits or floating point (the plan cannot be read, the current one stays in force).

Changed: conversions saturate, and a plan comes into force with its numbers reduced to ranges in which sums and products of them fit: times to a year, bytes of a request to 1 GiB, tokens to 2^40 and 2^20 an event. Applied when a plan is read, with a line `a part of a plan is invalid`, and to plans and routes that peers send. A request that is handed over has no more time than its route.

--- a/crates/gateway/src/handoff/server.rs
+++ b/crates/gateway/src/handoff/server.rs
@@ -197,6 +197,9 @@
         Owner::Customer(customer, key) => target::Owner::Customer(Rc::new(customer), key),
     };
     let homes = shared.homes(&route, &owner);
+    route.reduce_numbers();
+    // That of the instance which took the request, too.
+    let longest = route.timeout;
     route.max_attempts = runs.min(route.max_attempts);
     let target = Target {
         route,
@@ -213,7 +216,7 @@
     let now = Instant::now();
     let timing = Timing {
         arrived: now - head.age,
-        deadline: now + head.time_left,
+        deadline: now + head.time_left.min(longest),
         returned: head.returned,
     };
     let job = Job::new(shared, call, target, head.fingerprint, parts, body, timing);
--- a/crates/gateway/src/shared/store_state.rs
+++ b/crates/gateway/src/shared/store_state.rs
@@ -40,11 +40,13 @@
     }
 
     /// Puts `plan` in force if it is newer than the current one; `source` says where it came from.
-    pub fn apply_plan(&self, source: &'static str, plan: Plan) {
+    pub fn apply_plan(&self, source: &'static str, mut plan: Plan) {
         let before = self.plan_version();
         if plan.version <= before {
             return;
         }
+        // A peer may have sent any numbers.
+        plan.reduce_numbers();
         log::info!(kind = "plan", version = plan.version, before = before, source = source, routes = plan.routes.len() as u64; "a plan is in force");
         for (name, service) in &plan.services {
             let mut pool = self.pool.borrow_mut();
--- a/crates/relay/src/plan.rs
+++ b/crates/relay/src/plan.rs
@@ -1,5 +1,7 @@
 //! The configuration in force: routes, services and limits.
 
+mod range;
+
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
