End the reading of a table whose pages do not continue each other

Seen: a store that says without end that there is more, with no rows or with the same ones, is called without a pause, each answer is kept, and the task that reads (the list, the plan, the instances) does nothing else. Cause: the loop over pages ended only by what the answer said.

Changed: a page that says there is more has to end with a later key than the one before, and a table has at most 1,000 pages; otherwise the reading fails like that of a garbled answer, and is repeated after the pause of a failing store.

--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -40,6 +40,8 @@
 /// Timeout of an answer, in addition to the waiting time of a watch. The store answers in some
 /// milliseconds; a slow one is still usable below this.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
+/// Maximum number of answers that make up a table, of 500 rows or 1 MB each.
+const MAX_PAGES: usize = 1_000;
 
 /// Why a call failed.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -142,19 +144,29 @@
     /// Reads all rows of `table`.
     ///
     /// # Errors
-    /// [`Error`].
+    /// [`Error`]; `Garbled` if a page does not continue the one before, or if there are too many.
     pub async fn read(&self, table: &str) -> Result<Rows, Error> {
         let mut all = self.page(table, None).await?;
-        while all.has_more {
+        for _ in 1..MAX_PAGES {
+            if !all.has_more {
+                return Ok(all);
+            }
             let last = all.rows.last().map(|row| row.key.clone());
             let page = self.page(table, last.as_deref()).await?;
             if page.revision.era != all.revision.era {
                 all = self.page(table, None).await?;
                 continue;
             }
+            let continues = page.rows.last().map(|row| &row.key) > last.as_ref();
+            if page.has_more && !continues {
+                return Err(endless(table, "a page does not continue the one before"));
+            }
             all.rows.extend(page.rows);
             all.has_more = page.has_more;
         }
+        if all.has_more {
+            return Err(endless(table, "the table has too many pages"));
+        }
         Ok(all)
     }
 
@@ -396,3 +408,10 @@
         cause: cause.to_string(),
     }
 }
+
+fn endless(table: &str, cause: &str) -> Error {
+    Error::Garbled(platform::error::Error::new(
+        "rows",
+        format!("of table {table:?}: {cause}"),
+    ))
+}
