Log what cannot be read once, not at each reading

Seen: a plan that cannot be read is logged as an error at each reading, which follows each failure of the store; saved begins and records of only versions that cannot be read at each lookup, up to three a second; datagrams each time. Entries of replicas were logged once.

Changed: unreadable rows are logged once each, 100 of a table at most, a plan once for each version of its row, and unreadable datagrams once a minute.

Test, red before: odd_rows::a_plan_that_cannot_be_read_is_logged_once_however_often_it_is_read. For the other rows and datagrams there is no test of the number of lines.

--- a/crates/gateway/src/begins/saving.rs
+++ b/crates/gateway/src/begins/saving.rs
@@ -134,7 +134,7 @@
     let (now, lifetime) = (shared.clock.now(), shared.stream_lifetime());
     let mut known = shared.begins.borrow_mut();
     let mut streams = 0;
-    for saved in rows.iter().filter_map(parse) {
+    for saved in rows.iter().filter_map(|row| parse(shared, row)) {
         for (stream, software) in saved.begins() {
             known.restore(now, stream, software, lifetime);
             streams += 1;
@@ -144,10 +144,11 @@
 }
 
 /// The content of `row`; `None` if it cannot be read.
-fn parse(row: &Row) -> Option<Saved> {
+fn parse(shared: &Shared, row: &Row) -> Option<Saved> {
     let value = row.value.as_deref().unwrap_or_default();
     match codec::decode(value) {
         Ok((saved, _)) => Some(saved),
+        Err(_) if !shared.may_log_unreadable(TABLE, &row.key) => None,
         Err(error) => {
             log::warn!(kind = "begin", key = row.key, cause = error.to_string(); "the saved begins of streams cannot be read");
             None
--- a/crates/gateway/src/begins/storage.rs
+++ b/crates/gateway/src/begins/storage.rs
@@ -159,6 +159,7 @@
     let row = rows.into_iter().find(|row| row.key == service)?;
     match serde_json::from_slice(&row.value.unwrap_or_default()) {
         Ok(epoch) => Some(epoch),
+        Err(_) if !shared.may_log_unreadable(TABLE, service) => None,
         Err(error) => {
             log::warn!(kind = "begin", service = service, cause = error.to_string(); "the record of the only version cannot be read");
             None
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -198,10 +198,7 @@
 async fn receive(shared: &Rc<Shared>, bytes: &[u8], from: SocketAddr) {
     let (datagram, extensions) = match Datagram::decode(bytes) {
         Ok(read) => read,
-        Err(error) => {
-            log::warn!(kind = "gossip", peer = from.to_string(), cause = error.to_string(); "a datagram cannot be read");
-            return;
-        }
+        Err(error) => return log_unreadable(shared, from, &error.to_string()),
     };
     for extension in extensions {
         match extension {
@@ -268,6 +265,13 @@
     }
 }
 
+/// Logs that a datagram cannot be read, once a minute: its sender may repeat it all the time.
+fn log_unreadable(shared: &Shared, from: SocketAddr, cause: &str) {
+    if shared.may_log_datagram() {
+        log::warn!(kind = "gossip", peer = from.to_string(), cause = cause; "a datagram cannot be read");
+    }
+}
+
 /// Fetches plan `version` from `peer`, unless the store delivers it first.
 fn fetch_plan(shared: Rc<Shared>, version: u64, peer: SocketAddr) {
     if !shared.begin_plan_fetch(version) {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -84,10 +84,13 @@
 /// Maximum log lines per second about rejected requests; a caller that sends only malformed
 /// requests must not fill the logs.
 const MAX_REJECTED_LINES: u64 = 50;
-/// Maximum number of unreadable replica entries that are logged, each once; another program that
+/// Maximum number of unreadable rows of a table that are logged, each once; another program that
 /// fills the table must not fill the logs.
 const MAX_UNREADABLE: usize = 100;
 
+/// Minimum time between two log lines about unreadable datagrams.
+const DATAGRAM_LOG_INTERVAL: Duration = Duration::from_mins(1);
+
 /// State of the daemon; one thread uses it.
 #[derive(Debug)]
 pub struct Shared {
@@ -163,8 +166,10 @@
     pub instances_listed: watch::Sender<bool>,
     /// Era in which the store was last known to have the own row.
     own_row_era: Cell<u64>,
-    /// Unreadable entries that have been logged.
-    logged_unreadable: RefCell<HashSet<String>>,
+    /// Unreadable rows that have been logged, by table.
+    logged_unreadable: RefCell<HashMap<&'static str, HashSet<String>>>,
+    /// When an unreadable datagram was last logged.
+    datagram_logged_at: Cell<Option<Time>>,
     plan: RefCell<Option<Rc<Plan>>>,
     evacuations: RefCell<InForce>,
     /// Customers with a label of their own in the metrics.
@@ -253,7 +258,8 @@
             reach_doubted: Notify::new(),
             instances_listed: watch::Sender::new(false),
             own_row_era: Cell::new(0),
-            logged_unreadable: RefCell::new(HashSet::new()),
+            logged_unreadable: RefCell::default(),
+            datagram_logged_at: Cell::default(),
             plan: RefCell::new(None),
             evacuations: RefCell::default(),
             labelled_customers: RefCell::new(HashSet::new()),
@@ -345,11 +351,23 @@
         (count < MAX_REJECTED_LINES).then_some(0)
     }
 
-    /// Whether to log that the entry `id` is unreadable: once per entry, up to `MAX_UNREADABLE`
-    /// entries.
-    pub fn may_log_unreadable(&self, id: &str) -> bool {
+    /// Whether to log that the row `key` of `table` is unreadable: once per row, up to
+    /// `MAX_UNREADABLE` rows of a table.
+    pub fn may_log_unreadable(&self, table: &'static str, key: &str) -> bool {
         let mut logged = self.logged_unreadable.borrow_mut();
-        logged.len() < MAX_UNREADABLE && logged.insert(id.to_owned())
+        let logged = logged.entry(table).or_default();
+        logged.len() < MAX_UNREADABLE && logged.insert(key.to_owned())
+    }
+
+    /// Whether to log now that a datagram is unreadable.
+    pub fn may_log_datagram(&self) -> bool {
+        let now = self.clock.now();
+        let logged = self.datagram_logged_at.get();
+        let is_due = logged.is_none_or(|at| now.since(at) >= DATAGRAM_LOG_INTERVAL);
+        if is_due {
+            self.datagram_logged_at.set(Some(now));
+        }
+        is_due
     }
 
     /// Whether callers are accepted: a plan and replicas are known and the daemon is not stopping.
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -357,7 +357,8 @@
 
 fn apply_stored_plan(shared: &Shared, rows: &Rows) {
     let newest = rows.rows.iter().rev().find(|row| row.key == plan::KEY);
-    let Some(value) = newest.and_then(|row| row.value.as_deref()) else {
+    let value = newest.and_then(|row| Some((row.version, row.value.as_deref()?)));
+    let Some((version, value)) = value else {
         return;
     };
     match plan::read(value) {
@@ -369,6 +370,8 @@
             }
             shared.apply_plan("store", read.plan);
         }
+        // A plan is read again after each failure of the store.
+        Err(_) if !shared.may_log_unreadable(plan::TABLE, &version.to_string()) => {}
         Err(error) => {
             log::error!(kind = "plan", cause = error.to_string(); "a plan cannot be read; the current one stays in force");
         }
--- a/crates/gateway/src/watch/rows.rs
+++ b/crates/gateway/src/watch/rows.rs
@@ -49,7 +49,7 @@
         // caller.
         Ok(replica) if replica.address.ip() == own => None,
         Ok(replica) => Some(replica),
-        Err(_) if !shared.may_log_unreadable(&row.key) => None,
+        Err(_) if !shared.may_log_unreadable(replica::TABLE, &row.key) => None,
         Err(error) => {
             log::warn!(kind = "replica", replica = row.key, cause = error.to_string(); "an entry of a replica cannot be read");
             None
