Skip quarantine records that are dated in the future

Seen: a row of the quarantine whose time is 2^64 - 1 never expires and is never removed; as the time of service, it keeps the content from ever being quarantined.

--- a/crates/gateway/src/quarantine/storage.rs
+++ b/crates/gateway/src/quarantine/storage.rs
@@ -10,6 +10,7 @@
 use platform::store::Row;
 use relay::fingerprint::Fingerprint;
 use relay::quarantine::record::End;
+use relay::quarantine::record::RECORD_TTL;
 use relay::quarantine::record::Record;
 use relay::quarantine::record::UnixMs;
 
@@ -110,10 +111,12 @@
     };
     shared.store_answered("quarantine");
     let now = clock::unix();
+    let latest = now.plus(RECORD_TTL);
     let mut expired = Vec::new();
     for row in &rows {
         match parse_row(row) {
-            Some(record) if record.expires() > now => {
+            // A record from the future would never expire.
+            Some(record) if record.expires() > now && !record.is_dated_after(latest) => {
                 shared.merge_records("store", &[record]);
             }
             _ => expired.push(Edit::Remove {
--- a/crates/gateway/src/shared/quarantine.rs
+++ b/crates/gateway/src/shared/quarantine.rs
@@ -4,6 +4,7 @@
 use relay::fingerprint::Fingerprint;
 use relay::quarantine::Change;
 use relay::quarantine::Withheld;
+use relay::quarantine::record::RECORD_TTL;
 use relay::quarantine::record::Record;
 use relay::server::Key;
 
@@ -79,8 +80,12 @@
     /// meanwhile, which the sender has to receive.
     pub fn merge_records(&self, source: &'static str, records: &[Record]) -> Vec<Record> {
         let now = clock::unix();
+        let latest = now.plus(RECORD_TTL);
         let mut served = Vec::new();
-        for record in records {
+        // One from the future would never expire.
+        let plausible = records.iter();
+        let plausible = plausible.filter(|record| !record.is_dated_after(latest));
+        for record in plausible {
             let change = self.quarantine.borrow_mut().merge(now, record);
             self.log_change(source, record.fingerprint, change);
             if change == Change::Served {
--- a/crates/relay/src/quarantine/record.rs
+++ b/crates/relay/src/quarantine/record.rs
@@ -96,6 +96,11 @@
         last.unwrap_or(self.served).plus(RECORD_TTL)
     }
 
+    /// Whether a time in it is later than `latest`.
+    pub fn is_dated_after(&self, latest: UnixMs) -> bool {
+        self.served > latest || self.ends.iter().any(|end| end.at > latest)
+    }
+
     pub(super) fn has(&self, replica: u64) -> bool {
         self.ends.iter().any(|end| end.replica == replica)
     }
