Let a claim from the future expire

Seen: a claim on the orders for a service whose time is beyond the store's clock never expires, so that no daemon changes the stage of an engine of that service any more. Cause: its age was the difference, at least zero. Changed: the distance of the two times counts; a claim as far ahead as a claim lasts is not by the clock of this store.

Test, red before: stages::orders_are_sent_beside_an_odd_claim (in_the_future).

--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -366,8 +366,10 @@
     raised.is_some_and(|elapsed| elapsed < CLAIM_DURATION)
 }
 
+/// Whether `claim` is too old. One from the future is not by the clock of this store, and may have
+/// any age.
 fn has_expired(claim: &Claim, rows: &Rows) -> bool {
-    rows.now_ms.saturating_sub(claim.at_ms) > CLAIM_DURATION.as_millis() as u64
+    rows.now_ms.abs_diff(claim.at_ms) > CLAIM_DURATION.as_millis() as u64
 }
 
 fn cause(error: &Error) -> String {
