Keep the last version of a member from overflowing

Seen: a suspicion of this daemon's run at the last version, in a datagram, ends the membership (a panic in the dev profile; otherwise the version wraps around to zero). The version stays at the last one: the suspicion cannot be refuted, and the run is declared dead and replaced by a new one, as after any lost refutation.

--- a/crates/fleet/src/merge.rs
+++ b/crates/fleet/src/merge.rs
@@ -57,7 +57,7 @@
             State::Dead if same => self.mark_self_dead(),
             _ if !same && newer => self.mark_self_dead(),
             State::Suspect if same && record.version >= self.local.version => {
-                self.local.version = record.version + 1;
+                self.local.version = record.version.saturating_add(1);
                 self.updates.push(self.local);
             }
             _ => {}
--- a/crates/fleet/src/swim.rs
+++ b/crates/fleet/src/swim.rs
@@ -108,7 +108,7 @@
             return;
         }
         self.local.state = State::Leaving;
-        self.local.version += 1;
+        self.local.version = self.local.version.saturating_add(1);
         self.updates.push(self.local);
         self.outputs.push(Output::Changed {
             member: self.local,
