Learn no instance that cannot be reached or passed on

Seen: an info of an instance without a port, an address or a name, or with a name of 2 kB, in a row, a datagram or a response of a peer, is learnt, passed on, and counts as an instance that may be running out of reach: some of them, and the others are no majority, so that quotas and limits are refused. A long name makes datagrams too large.

Changed: such an info is not learnt, and a datagram from such a sender not read.

Test, red before (run with the check switched off: 4 of 4 cases failed): odd_messages::an_instance_with_an_odd_info_is_not_learnt.

The peer that tests of messages play stops with its test: it kept its address, and three tests of other parts that got the same one failed in a whole run (`Address already in use`): restarts::a_replica_whose_address_another_one_uses_is_asked_for_no_more_reservations, rewritten_rows::a_record_of_an_earlier_era_does_not_hold, saved_begins::a_stream_goes_on_at_its_version_after_all_daemons_were_killed.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -197,7 +197,8 @@
 
 async fn receive(shared: &Rc<Shared>, bytes: &[u8], from: SocketAddr) {
     let (datagram, extensions) = match Datagram::decode(bytes) {
-        Ok(read) => read,
+        Ok((datagram, extensions)) if datagram.from.is_usable() => (datagram, extensions),
+        Ok(_) => return log_unreadable(shared, from, "the info of its sender is not usable"),
         Err(error) => return log_unreadable(shared, from, &error.to_string()),
     };
     for extension in extensions {
--- a/crates/gateway/src/instance_info.rs
+++ b/crates/gateway/src/instance_info.rs
@@ -7,6 +7,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// Maximum length of a name in bytes; datagrams contain up to two.
+const MAX_NAME_BYTES: usize = 200;
+
 /// Name and addresses of an instance.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InstanceInfo {
@@ -27,4 +30,12 @@
     pub fn instance(&self) -> Instance {
         Instance::new(&self.name)
     }
+
+    /// Whether other instances can send to it and pass it on.
+    pub fn is_usable(&self) -> bool {
+        let is_name = (1..=MAX_NAME_BYTES).contains(&self.name.len());
+        let can_receive =
+            |address: SocketAddr| address.port() > 0 && !address.ip().is_unspecified();
+        is_name && can_receive(self.peers)
+    }
 }
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -142,10 +142,10 @@
         }
     }
 
-    /// Adds or updates an instance.
+    /// Adds or updates an instance, unless it is this one or its info is not usable.
     pub fn learn(&mut self, now: Time, info: &InstanceInfo) {
         let instance = info.instance();
-        if instance == self.own.instance() {
+        if instance == self.own.instance() || !info.is_usable() {
             return;
         }
         if !self.others.contains_key(&instance) {
--- a/crates/gateway/src/watch/registration.rs
+++ b/crates/gateway/src/watch/registration.rs
@@ -8,9 +8,10 @@
 /// Table with one row for each instance, holding its info.
 pub const TABLE: &str = "instances";
 
-/// The instance of a row; `None` if it is malformed.
+/// The instance of a row; `None` if it is malformed or its info is not usable.
 pub(super) fn read_info(row: &Row) -> Option<InstanceInfo> {
-    serde_json::from_slice(row.value.as_deref()?).ok()
+    let info = serde_json::from_slice(row.value.as_deref()?).ok();
+    info.filter(InstanceInfo::is_usable)
 }
 
 /// Writes the own row; returns whether that succeeded.
--- a/crates/gateway/tests/gateway/odd_messages.rs
+++ b/crates/gateway/tests/gateway/odd_messages.rs
@@ -3,7 +3,9 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::net::UdpSocket;
+use std::sync::mpsc;
 use std::thread;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use bincode::config;
@@ -21,7 +23,9 @@
 use gateway::handoff::message;
 use gateway::handoff::message::Answer;
 use gateway::instance_info::InstanceInfo;
+use gateway::members::Members;
 use gateway::quotas;
+use ident::Time;
 use ident::Zone;
 use relay::begins::Begin;
 use relay::begins::Stream;
@@ -43,6 +47,7 @@
 use rstest::rstest;
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
+use tokio::sync::oneshot;
 use tokio::task::LocalSet;
 
 use crate::common::daemon::Daemon;
@@ -189,23 +194,30 @@
     })
 }
 
-/// Guards against members that cannot be reached, of which others are told.
+/// Guards against instances that cannot be reached, of which others are told, and which count against the majority.
 #[rstest]
 #[case::no_port("odd", "127.0.0.1:0")]
 #[case::no_address("odd", "0.0.0.0:7005")]
 #[case::no_name("", "127.0.0.1:7005")]
 #[case::long_name(&"n".repeat(2_000), "127.0.0.1:7005")]
 fn an_instance_with_an_odd_info_is_not_learnt(#[case] name: &str, #[case] peers: &str) {
+    let odd = info(name, peers.parse().unwrap());
+    let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+    let mut members = Members::new(info("own", address(1)));
+    members.learn(Time::ZERO, &odd);
+    members.learn(Time::ZERO, &info("other", address(2)));
+    assert_eq!(members.known_count(), 2);
     let replica = start_replica();
     let (site, another) = start_two("odd-info", &replica);
     let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
     let number = 1;
-    let content = || Content::Question { number, digest: 0 };
-    let odd = datagram(info(name, peers.parse().unwrap()), content());
-    socket
-        .send_to(&odd.encode().unwrap(), site.daemon.peers)
-        .unwrap();
+    let odd = datagram(odd, Content::Question { number, digest: 0 });
+    let bytes = odd.encode().unwrap();
+    for _ in 0..3 {
+        socket.send_to(&bytes, site.daemon.peers).unwrap();
+    }
     assert_stay_members(&[&site.daemon, &another]);
+    assert_eq!(site.daemon.logged("a datagram cannot be read").len(), 1);
 }
 
 /// Guards against heads of handed-over requests that claim absurd lengths.
@@ -312,41 +324,71 @@
     })
 }
 
-/// Answers each request of a daemon at `ip` with `body`, until the test ends.
-fn start_peer(ip: &str, body: Vec<u8>) {
-    let address: SocketAddr = format!("{ip}:7005").parse().unwrap();
-    let (ready, is_ready) = std::sync::mpsc::channel();
-    thread::spawn(move || {
-        let runtime = Builder::new_current_thread().enable_all().build().unwrap();
-        LocalSet::new().block_on(&runtime, async move {
-            let listener = TcpListener::bind(address).await.unwrap();
-            ready.send(()).unwrap();
-            while let Ok((socket, _)) = listener.accept().await {
-                let body = body.clone();
-                tokio::task::spawn_local(async move {
-                    let Ok(mut connection) = h2::server::handshake(socket).await else {
-                        return;
-                    };
-                    while let Some(Ok((_, mut respond))) = connection.accept().await {
-                        let sent = respond.send_response(http::Response::new(()), false);
-                        let _ = sent.and_then(|mut to| to.send_data(body.clone().into(), true));
-                    }
-                });
+/// A peer that answers each request of a daemon with the same bytes; stops when dropped.
+struct Peer {
+    ip: String,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Peer {
+    fn start(body: Vec<u8>) -> Self {
+        let ip = new_ip();
+        let address: SocketAddr = format!("{ip}:7005").parse().unwrap();
+        let (stop, stopped) = oneshot::channel();
+        let (ready, is_ready) = mpsc::channel();
+        let thread = thread::spawn(move || {
+            let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+            LocalSet::new().block_on(&runtime, async move {
+                let listener = TcpListener::bind(address).await.unwrap();
+                ready.send(()).unwrap();
+                tokio::select! {
+                    () = serve(listener, body) => {}
+                    _ = stopped => {}
+                }
+            });
+        });
+        is_ready.recv().unwrap();
+        Self {
+            ip,
+            stop: Some(stop),
+            thread: Some(thread),
+        }
+    }
+}
+
+impl Drop for Peer {
+    fn drop(&mut self) {
+        drop(self.stop.take());
+        if let Some(thread) = self.thread.take() {
+            thread.join().unwrap();
+        }
+    }
+}
+
+async fn serve(listener: TcpListener, body: Vec<u8>) {
+    while let Ok((socket, _)) = listener.accept().await {
+        let body = body.clone();
+        tokio::task::spawn_local(async move {
+            let Ok(mut connection) = h2::server::handshake(socket).await else {
+                return;
+            };
+            while let Some(Ok((_, mut respond))) = connection.accept().await {
+                let sent = respond.send_response(http::Response::new(()), false);
+                let _ = sent.and_then(|mut to| to.send_data(body.clone().into(), true));
             }
         });
-    });
-    is_ready.recv().unwrap();
+    }
 }
 
 /// A daemon whose store does not answer, and whose only seed answers with `body`.
-fn start_behind_peer(name: &str, body: Vec<u8>) -> (Store, Daemon) {
+fn start_behind_peer(name: &str, body: Vec<u8>) -> (Store, Daemon, Peer) {
     let (store, address) = Store::start("127.0.0.1");
     store.put("op", "config", &config(2));
     store.set_down(true);
-    let peer = new_ip();
-    start_peer(&peer, body);
-    let daemon = Daemon::start(name, &new_ip(), address, &[&peer]);
-    (store, daemon)
+    let peer = Peer::start(body);
+    let daemon = Daemon::start(name, &new_ip(), address, &[&peer.ip]);
+    (store, daemon, peer)
 }
 
 /// Guards against a response of a peer that ends the task which follows the list, or the process.
@@ -356,7 +398,7 @@
 fn the_list_is_followed_after_a_response_that_claims_an_absurd_length(#[case] length: u64) {
     // The era, a plan, its version, one route, and the length of its name.
     let body = [&[0, 1, 5, 1][..], &claimed(length)].concat();
-    let (store, daemon) = start_behind_peer("odd-response", body);
+    let (store, daemon, _peer) = start_behind_peer("odd-response", body);
     let replica = start_replica();
     store.put("servers", &replica.id, &replica.row("app", ""));
     wait_until("the response is read", || {
@@ -382,7 +424,7 @@
         Vec::new(),
         Vec::new(),
     );
-    let (store, daemon) = start_behind_peer("odd-peer", encoded(&response));
+    let (store, daemon, _peer) = start_behind_peer("odd-peer", encoded(&response));
     wait_until("the daemon is ready", || {
         daemon.readiness() == 200 || !daemon.logged("\"kind\":\"panic\"").is_empty()
     });
