Leave out entries of the list of waxwingd that cannot be read

Seen: one entry of the platform's list with a nested value, a number or port out of range, or an unknown state makes the whole list unreadable: the daemon no longer follows it as long as the entry is there. Cause: the list was read as one value. Changed: each entry is read on its own; those that cannot be read are left out, and their number is logged when it rises. What is no list is still refused.

--- a/crates/entry/src/platform/list.rs
+++ b/crates/entry/src/platform/list.rs
@@ -32,11 +32,16 @@
 pub async fn poll(client: Client, name: String, directory: Arc<Directory>, inbox: Inbox) {
     let mut failing = false;
     let mut instances = 0;
+    let mut unreadable = 0;
     loop {
         match client.read_list(&name).await {
             Ok(list) => {
                 failing = false;
                 instances = list.instances.len() as u32;
+                if list.unreadable > unreadable {
+                    log::warn!(step = "list", unreadable = list.unreadable; "entries of the list cannot be read");
+                }
+                unreadable = list.unreadable;
                 if let Ok(copy) = serde_json::to_vec(&list) {
                     inbox.event(Event::ListCopy(copy.into())).await;
                 }
--- a/crates/store/src/list.rs
+++ b/crates/store/src/list.rs
@@ -4,14 +4,47 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::value::RawValue;
 
 /// The list of instances and replicas.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Entries")]
 pub struct List {
     /// Entry instances.
     pub instances: Vec<Instance>,
     /// Replicas.
     pub replicas: Vec<Replica>,
+    /// Number of entries that cannot be read; they are left out.
+    #[serde(skip_serializing)]
+    pub unreadable: usize,
+}
+
+/// The entries of a list as sent. Other programs may write some of them.
+#[derive(Deserialize)]
+struct Entries {
+    instances: Vec<Box<RawValue>>,
+    replicas: Vec<Box<RawValue>>,
+}
+
+impl From<Entries> for List {
+    fn from(entries: Entries) -> Self {
+        let count = entries.instances.len() + entries.replicas.len();
+        let instances: Vec<Instance> = readable(&entries.instances);
+        let replicas: Vec<Replica> = readable(&entries.replicas);
+        Self {
+            unreadable: count - instances.len() - replicas.len(),
+            instances,
+            replicas,
+        }
+    }
+}
+
+/// Those of `entries` that can be read.
+fn readable<T: DeserializeOwned>(entries: &[Box<RawValue>]) -> Vec<T> {
+    let read = entries.iter();
+    let read = read.filter_map(|entry| serde_json::from_str(entry.get()).ok());
+    read.collect()
 }
 
 /// An entry instance.
