--- a/crates/gateway/tests/gateway/odd_messages.rs
+++ b/crates/gateway/tests/gateway/odd_messages.rs
@@ -31,7 +31,7 @@
 use relay::begins::Stream;
 use relay::evacuation::Evacuations;
 use relay::plan::ColdStart;
-use relay::plan::Engine;
+use relay::plan::Engine as PlannedEngine;
 use relay::plan::Limits;
 use relay::plan::Mode;
 use relay::plan::Plan;
@@ -61,6 +61,8 @@
 use crate::site::Site;
 use crate::site::config;
 use crate::site::send_and_read;
+use crate::site::start_generation;
+use crate::version_site::Engine;
 use crate::version_site::wait_until_members;
 
 /// Longer than the time after which members that do not answer are lost.
@@ -275,7 +277,7 @@
             duration: Duration::MAX,
             max_rate: f64::MAX,
         }),
-        engine: Some(Engine {
+        engine: Some(PlannedEngine {
             memory_tokens: u64::MAX,
             stage_change: Duration::MAX,
             max_reservation: Duration::MAX,
@@ -456,3 +458,68 @@
     assert_eq!(send_and_read(&site.daemon, "GET /read/1", "r").body, b"app");
     assert_no_panic(&site.daemon);
 }
+
+/// Guards against numbers of a caller whose sums end its request by a panic, and the accounts of a replica with it.
+#[rstest]
+#[case::tokens("Token-Counts", "18446744073709551615,18446744073709551615")]
+#[case::prompt("Token-Counts", "18446744073709551615,80")]
+#[case::output("Token-Counts", "1460,18446744073709551615")]
+#[case::expected("Length-Hint", "18446744073709551615")]
+#[case::time("Deadline-Ms", "18446744073709551615")]
+#[case::part(
+    "Prompt-Prefix",
+    "5c1e07a2:18446744073709551615,91bd3f06:18446744073709551615"
+)]
+#[case::last_event("Last-Event-Id", "18446744073709551615")]
+fn absurd_numbers_of_a_caller_end_no_task(#[case] header: &str, #[case] value: &str) {
+    let prefill = Replica::start_prefill("i-prefill");
+    let decode = Engine::start("i-decode", "v1");
+    let site = Site::start_with_prefill("odd-caller", &prefill, &[&decode.replica]);
+    let usual = [
+        ("Request-Id", "odd"),
+        ("Deadline-Ms", "1500"),
+        ("Token-Counts", "1460,80"),
+        ("Prompt-Prefix", "5c1e07a2:800,91bd3f06:660"),
+    ];
+    let usual = usual.into_iter().filter(|(name, _)| *name != header);
+    let headers: Vec<(&str, &str)> = usual.chain([(header, value)]).collect();
+    let answer = site
+        .daemon
+        .caller()
+        .send_and_read("POST /resume/1", &headers, b"prompt");
+    assert_ne!(answer.status(), 0);
+    assert_no_panic(&site.daemon);
+    let mut next = start_generation(&site.daemon, "/draft/1", "next");
+    assert_eq!(next.read().status(), 200);
+    assert_no_panic(&site.daemon);
+}
+
+/// Guards against numbers of a replica whose sums end the requests that compare replicas.
+#[rstest]
+#[case::load("server-load", "4294967295,4294967295,1")]
+#[case::slow("server-load", "1,1,8,1e308")]
+#[case::pause("retry-after", "1e19")]
+#[case::long_pause("retry-after", "18446744073709551615")]
+#[case::idle("keep-alive", "timeout=18446744073709551615")]
+fn absurd_numbers_of_a_replica_end_no_task(
+    #[case] header: &'static str,
+    #[case] value: &'static str,
+) {
+    let odd = Replica::start("odd", move |request: &Message| {
+        let answer = match header {
+            "retry-after" => signed_answer(request, 503, b""),
+            _ => signed_answer(request, 200, b"app"),
+        };
+        let answer = String::from_utf8(answer).unwrap();
+        let line = format!("\r\n{header}: {value}\r\n");
+        Action::Send(answer.replacen("\r\n", &line, 1).into_bytes())
+    });
+    let sound = start_replica();
+    let site = Site::start("odd-replica", &[(&odd, "app", ""), (&sound, "app", "")]);
+    for _ in 0..6 {
+        let answer = send_and_read(&site.daemon, "GET /read/1", "r");
+        assert_eq!(answer.status(), 200);
+    }
+    assert!(!odd.requests().is_empty());
+    assert_no_panic(&site.daemon);
+}
