--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -26,6 +26,8 @@
 mod members;
 mod memory;
 mod migration;
+mod odd_messages;
+mod odd_rows;
 mod out_of_step;
 mod paces;
 mod part_site;
