Release services beside a daemon out of step in the soak

What callers saw: a stream of the new version of a service went on at the old one (ORDER) where its caller resumed it at an instance that was cut off, or stood still, about the moment at which the new version was listed. The soak mixed two versions from its start, so no daemon ever believed in an only version.

Change: four model services have one version each, which changes by whole releases, one replica first and the others a second later. About each listing one daemon is stopped, cut off from the store and the other daemons, or both, for 0.5 to 3 s. Eight callers begin streams at the other daemons, close their connections after one to four events and resume those of the new version at just that daemon. The cut filters packets on the daemons' own sockets, of which the soak takes copies. Judged: ORDER, gaps and doubles as for all streams, and LOST at daemons in step. Draws and services are of their own; the other faults of a seed are not touched.

--- a/crates/gateway/tests/gateway/common/http.rs
+++ b/crates/gateway/tests/gateway/common/http.rs
@@ -194,7 +194,7 @@
 
 /// A filter that drops the packets of `sources` and passes all others.
 #[allow(dead_code, reason = "used by the soak only")]
-fn packet_filter(sources: &[Ipv4Addr]) -> Vec<SockFilter> {
+pub fn packet_filter(sources: &[Ipv4Addr]) -> Vec<SockFilter> {
     /// Offset of the source address, from the start of the IP header.
     const SOURCE: u32 = 0xfff0_0000 + 12;
     const LOAD_WORD: u16 = 0x20;
--- a/crates/gateway/tests/soak/cluster.rs
+++ b/crates/gateway/tests/soak/cluster.rs
@@ -41,6 +41,8 @@
 use crate::parts;
 use crate::proxy::ConnectionFault;
 use crate::proxy::Proxy;
+use crate::releases;
+use crate::releases::Releases;
 use crate::script;
 use crate::script::RandomSource;
 
@@ -111,6 +113,8 @@
     pub losses: Arc<Losses>,
     /// Floods, and how daemons stood them.
     pub floods: Arc<Floods>,
+    /// Services whose replicas change by whole releases.
+    pub releases: Arc<Releases>,
     /// Limits of callers' connections.
     pub limits: Arc<LimitHistory>,
     /// What the operator and the replicas wrote to the store.
@@ -156,6 +160,7 @@
             notices: Arc::default(),
             losses: Arc::default(),
             floods: Arc::default(),
+            releases: Arc::default(),
             limits: Arc::default(),
             ledger: Arc::default(),
             outages: Arc::default(),
@@ -182,6 +187,7 @@
                 cluster.add_replica(service, stage);
             }
         }
+        releases::start(&cluster);
         for instance in cluster.instances.iter() {
             instance.daemon.lock().unwrap().wait_until_ready();
         }
@@ -200,6 +206,7 @@
         let mut config = store::config(version, 3_000, 600);
         config["tenants"] = customer::config();
         hot::add_routes(&mut config);
+        releases::add_services(&mut config);
         self.limits.current().write(&mut config);
         self.ledger.lock().unwrap().configure(&self.store, config);
     }
--- a/crates/gateway/tests/soak/faults.rs
+++ b/crates/gateway/tests/soak/faults.rs
@@ -173,7 +173,8 @@
         .signal(signal);
 }
 
-fn pause(cluster: &Cluster, instance: usize, duration: Duration) {
+/// Stops the process of a daemon for `duration`.
+pub fn pause(cluster: &Cluster, instance: usize, duration: Duration) {
     // Held for the whole pause, so that the process is not replaced during it.
     let daemon = cluster.instances[instance].daemon.lock().unwrap();
     cluster.instances[instance].record_disturbance();
--- a/crates/gateway/tests/soak/main.rs
+++ b/crates/gateway/tests/soak/main.rs
@@ -18,14 +18,17 @@
 mod floods;
 mod history;
 mod hot;
+mod isolation;
 mod kept;
 mod limit;
 mod losses;
 mod notices;
 mod parts;
 mod proxy;
+mod releases;
 mod resumption;
 mod script;
+mod streams;
 
 use std::env;
 use std::thread;
@@ -56,6 +59,10 @@
 const SEEDS: [u64; 8] = [1, 101, 3, 842, 1005, 1013, 2001, 2009];
 /// Duration of the faults in seconds, without `SOAK_SECONDS`.
 const SECONDS: u64 = 5;
+/// Seeds of the releases, used without `SOAK_SEEDS`.
+const RELEASE_SEEDS: [u64; 2] = [1, 2];
+/// Time in which releases begin, in seconds, without `SOAK_SECONDS`.
+const RELEASE_SECONDS: u64 = 7;
 /// Number of concurrent callers.
 const CALLERS: u64 = 6;
 /// Number of concurrent callers that keep connections idle.
@@ -69,23 +76,34 @@
 /// Time after recovery by which every daemon must know what the others have observed.
 const SYNC_TIME: Duration = Duration::from_secs(3);
 
-fn seeds() -> Vec<u64> {
+fn seeds(usual: &[u64]) -> Vec<u64> {
     let Ok(text) = env::var("SOAK_SEEDS") else {
-        return SEEDS.to_vec();
+        return usual.to_vec();
     };
     let (first, last) = text.split_once('-').unwrap_or((&text, &text));
     (first.parse().unwrap()..=last.parse().unwrap()).collect()
 }
 
-fn seconds() -> u64 {
+fn duration(usual: u64) -> Duration {
     let text = env::var("SOAK_SECONDS").ok();
-    text.map_or(SECONDS, |text| text.parse().unwrap())
+    Duration::from_secs(text.map_or(usual, |text| text.parse().unwrap()))
 }
 
 #[test]
 fn promises_hold_under_random_faults() {
+    run_seeds(&SEEDS, run);
+}
+
+/// Guards against taking a version for the only one by a list that is older than the resumption.
+#[test]
+fn one_version_holds_beside_a_daemon_out_of_step() {
+    run_seeds(&RELEASE_SEEDS, run_releases);
+}
+
+/// Calls `run` for each seed and fails if it returns broken promises for any.
+fn run_seeds(usual: &[u64], run: impl Fn(u64) -> Vec<String>) {
     let mut failed = Vec::new();
-    for seed in seeds() {
+    for seed in seeds(usual) {
         let violations = run(seed);
         println!(
             "seed {seed}: {}",
@@ -177,7 +195,7 @@
             thread::spawn(move || cluster.floods.watch(&cluster, number))
         })
         .collect();
-    let duration = Duration::from_secs(seconds());
+    let duration = duration(SECONDS);
     if cluster.only_second_answers {
         thread::sleep(duration);
     } else {
@@ -219,9 +237,7 @@
     let losses = &cluster.losses;
     violations.extend(losses.violations(notices, &cluster.disturbances()));
     violations.extend(cluster.floods.violations());
-    for id in violations.iter().flat_map(|text| request_ids(text)) {
-        println!("lines about {id}:\n{}", cluster.lines_about(id).join("\n"));
-    }
+    print_lines(&cluster, &violations);
     let count = |text| {
         let counts = (0..DAEMONS).map(|daemon| cluster.logged_count(daemon, text));
         counts.sum::<usize>()
@@ -243,6 +259,29 @@
     violations
 }
 
+/// Runs the releases of one seed and returns the broken promises.
+fn run_releases(seed: u64) -> Vec<String> {
+    let cluster = Cluster::start(seed, true);
+    let _end = KillOnDrop(cluster.clone());
+    releases::run(&cluster, seed, Instant::now() + duration(RELEASE_SECONDS));
+    let mut violations = cluster.history.broken_promises();
+    violations.extend(releases::check(&cluster).err());
+    print_lines(&cluster, &violations);
+    println!(
+        "seed {seed}: {:?}; {}",
+        cluster.releases,
+        cluster.history.summary()
+    );
+    violations
+}
+
+/// Prints the log lines about the requests that messages about broken promises name.
+fn print_lines(cluster: &Cluster, violations: &[String]) {
+    for id in violations.iter().flat_map(|text| request_ids(text)) {
+        println!("lines about {id}:\n{}", cluster.lines_about(id).join("\n"));
+    }
+}
+
 /// The ids of requests that a message about a broken promise names.
 fn request_ids(text: &str) -> impl Iterator<Item = &str> {
     let words = text.split(|c: char| !c.is_ascii_alphanumeric() && c != '-');
