--- a/crates/gateway/tests/soak/cluster.rs
+++ b/crates/gateway/tests/soak/cluster.rs
@@ -1,5 +1,6 @@
 //! Runs the store, the replicas and the daemons of one seed.
 
+use std::fs;
 use std::mem;
 use std::net::IpAddr;
 use std::net::SocketAddr;
@@ -541,6 +542,17 @@
         lines.collect()
     }
 
+    /// Writes the log lines of each daemon, with its ended processes first, to a file in `directory`.
+    pub fn write_logs(&self, directory: &str) {
+        for (number, instance) in self.instances.iter().enumerate() {
+            let ended = instance.ended.lock().unwrap();
+            let mut lines: Vec<String> = ended.iter().flat_map(|p| p.logged("")).collect();
+            lines.extend(instance.daemon.lock().unwrap().logged(""));
+            let path = format!("{directory}/soak-{}-{number}.log", self.seed);
+            fs::write(path, lines.join("\n")).unwrap();
+        }
+    }
+
     /// The daemon that sent `request` to a replica.
     fn sender(&self, request: &Message) -> Option<usize> {
         let source: IpAddr = request.header(SOURCE)?.parse().ok()?;
