--- a/crates/gateway/tests/soak/isolation.rs
+++ b/crates/gateway/tests/soak/isolation.rs
@@ -34,8 +34,8 @@
     cluster.notices.record_store_fault(Some(isolated), from);
 }
 
-/// Drops the packets between the daemon `isolated` and the others, or none. Daemons connect to each other from any
-/// loopback address: the others read the store and need no connections meanwhile, so all of them are dropped.
+/// Drops the packets between the daemon `isolated` and the others, or none; returns the number of sockets that do so. The
+/// address of a new connection does not show which daemon opens it, so those between the others are dropped too.
 fn filter_peers(cluster: &Cluster, isolated: Option<usize>) -> usize {
     let ips = cluster
         .instances
--- a/crates/gateway/tests/soak/resumption.rs
+++ b/crates/gateway/tests/soak/resumption.rs
@@ -14,6 +14,7 @@
 use crate::customer::Customer;
 use crate::history::Kind;
 use crate::history::STREAM_EVENTS;
+use crate::streams;
 
 /// Fraction of the streams whose connection breaks at their caller.
 const BROKEN_FRACTION: f64 = 0.4;
@@ -82,13 +83,7 @@
     if response.status() != 200 {
         return Vec::new();
     }
-    let body = String::from_utf8_lossy(&response.body);
-    let whole = body.rsplit_once("\n\n").map_or("", |(whole, _)| whole);
-    let versions = whole
-        .split("\n\n")
-        .filter_map(|event| event.rsplit(' ').next());
-    let versions = versions.filter(|version| version.starts_with('v'));
-    versions.map(str::to_owned).collect()
+    streams::versions(&String::from_utf8_lossy(&response.body))
 }
 
 /// Begins streams at each daemon and resumes them at the next one, after all faults.
--- a/crates/gateway/tests/soak/streams.rs
+++ b/crates/gateway/tests/soak/streams.rs
@@ -155,7 +155,7 @@
 }
 
 /// The software versions of the whole events in `body`.
-fn versions(body: &str) -> Vec<String> {
+pub fn versions(body: &str) -> Vec<String> {
     let whole = body.rsplit_once("\n\n").map_or("", |(whole, _)| whole);
     let words = whole
         .split("\n\n")
