--- a/crates/gateway/tests/soak/cluster.rs
+++ b/crates/gateway/tests/soak/cluster.rs
@@ -1,5 +1,6 @@
 //! Runs the store, the replicas and the daemons of one seed.
 
+use std::fs;
 use std::mem;
 use std::net::IpAddr;
 use std::net::SocketAddr;
@@ -41,6 +42,8 @@
 use crate::parts;
 use crate::proxy::ConnectionFault;
 use crate::proxy::Proxy;
+use crate::releases;
+use crate::releases::Releases;
 use crate::script;
 use crate::script::RandomSource;
 
@@ -111,6 +114,8 @@
     pub losses: Arc<Losses>,
     /// Floods, and how daemons stood them.
     pub floods: Arc<Floods>,
+    /// Services whose replicas change by whole releases.
+    pub releases: Arc<Releases>,
     /// Limits of callers' connections.
     pub limits: Arc<LimitHistory>,
     /// What the operator and the replicas wrote to the store.
@@ -156,6 +161,7 @@
             notices: Arc::default(),
             losses: Arc::default(),
             floods: Arc::default(),
+            releases: Arc::default(),
             limits: Arc::default(),
             ledger: Arc::default(),
             outages: Arc::default(),
@@ -182,6 +188,7 @@
                 cluster.add_replica(service, stage);
             }
         }
+        releases::start(&cluster);
         for instance in cluster.instances.iter() {
             instance.daemon.lock().unwrap().wait_until_ready();
         }
@@ -200,6 +207,7 @@
         let mut config = store::config(version, 3_000, 600);
         config["tenants"] = customer::config();
         hot::add_routes(&mut config);
+        releases::add_services(&mut config);
         self.limits.current().write(&mut config);
         self.ledger.lock().unwrap().configure(&self.store, config);
     }
@@ -534,6 +542,17 @@
         lines.collect()
     }
 
+    /// Writes the log lines of each daemon, with its ended processes first, to a file in `directory`.
+    pub fn write_logs(&self, directory: &str) {
+        for (number, instance) in self.instances.iter().enumerate() {
+            let ended = instance.ended.lock().unwrap();
+            let mut lines: Vec<String> = ended.iter().flat_map(|p| p.logged("")).collect();
+            lines.extend(instance.daemon.lock().unwrap().logged(""));
+            let path = format!("{directory}/soak-{}-{number}.log", self.seed);
+            fs::write(path, lines.join("\n")).unwrap();
+        }
+    }
+
     /// The daemon that sent `request` to a replica.
     fn sender(&self, request: &Message) -> Option<usize> {
         let source: IpAddr = request.header(SOURCE)?.parse().ok()?;
