Keep the time of the list in the pool

relay::pool::Pool keeps the time as of which its list reflects the store, in place of Shared: apply_read notes it with an update, only_version_at compares it with the time of a question. The decision whether one version alone can have begun a stream is then a function of the pool that a model can play without sockets. No change of behaviour.

--- a/crates/gateway/src/begins.rs
+++ b/crates/gateway/src/begins.rs
@@ -208,7 +208,7 @@
     if shared.replicas_current_at() < asked_at {
         return Finding::Unknown;
     }
-    if let Some(only) = only_version(shared, asked_at, service) {
+    if let Some(only) = shared.only_version_at(asked_at, service) {
         return Finding::Only(only);
     }
     if !shared.settings().version_records {
@@ -220,20 +220,13 @@
     };
     shared.begins_reading.after(shared, asked_at, read).await;
     match lookup::find(shared, stream) {
-        Finding::Unknown => {
-            only_version(shared, asked_at, service).map_or(Finding::Unknown, Finding::Only)
-        }
+        Finding::Unknown => shared
+            .only_version_at(asked_at, service)
+            .map_or(Finding::Unknown, Finding::Only),
         began => began,
     }
 }
 
-/// The only version that can have begun a stream of `service` before `asked_at`: a replica is listed
-/// before it gets a stream, so the list has to be at least that new.
-fn only_version(shared: &Shared, asked_at: Time, service: &str) -> Option<String> {
-    let is_confirmed = shared.replicas_current_at() >= asked_at;
-    shared.only_version(service).filter(|_| is_confirmed)
-}
-
 /// Asks other daemons, until one knows which version began the stream.
 async fn ask(shared: &Shared, stream: Option<Stream>, service: &str) -> Lookup {
     let daemons = others(shared, stream.unwrap_or(Stream(rand::random())), MAX_ASKED);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -179,8 +179,6 @@
     pub gossip_socket: OnceCell<UdpSocket>,
     /// Status requests that wait for an answer, by number.
     pub status_requests: RefCell<HashMap<u32, oneshot::Sender<PollerStatus>>>,
-    /// When the replicas were last known to be up to date.
-    replicas_current_at: Cell<Time>,
     /// When the store last answered.
     store_answered_at: Cell<Time>,
     /// Whether the store's last call failed.
@@ -262,7 +260,6 @@
             own,
             gossip_socket: OnceCell::new(),
             status_requests: RefCell::new(HashMap::new()),
-            replicas_current_at: Cell::new(Time::ZERO),
             store_answered_at: Cell::new(Time::ZERO),
             store_failing: Cell::new(false),
             stopping_since: Cell::new(None),
--- a/crates/gateway/src/shared/store_state.rs
+++ b/crates/gateway/src/shared/store_state.rs
@@ -80,19 +80,15 @@
     /// Applies an update of the replicas that reflects the store as of `read_at`.
     pub fn apply_replicas(&self, source: Source, read_at: Time, update: &Update) {
         let (revision, known) = (update.version(), self.replicas_version());
-        let now = self.clock.now();
-        let changes = self.pool.borrow_mut().apply_update(now, source, update);
+        let (now, era) = (self.clock.now(), self.era());
+        let changes = self
+            .pool
+            .borrow_mut()
+            .apply_read(now, era, source, read_at, update);
         let Some(changes) = changes else {
-            if revision.era == known.era && revision.version <= known.version {
-                self.note_replicas_read(read_at);
-            }
             log::info!(kind = "replicas", era = revision.era, version = revision.version, known_era = known.era, known_version = known.version, source = source.name(); "ignored an outdated list of replicas");
             return;
         };
-        // In a later era a list may have changed in the meantime, whenever it was read.
-        if revision.era >= self.era() {
-            self.note_replicas_read(read_at);
-        }
         self.log_changes(source.name(), &changes);
     }
 
@@ -109,6 +105,14 @@
         pool.only_version(now, service, period).map(str::to_owned)
     }
 
+    /// The only software version that can have begun a stream of `service` before `asked_at`.
+    pub fn only_version_at(&self, asked_at: Time, service: &str) -> Option<String> {
+        let (now, period) = (self.clock.now(), self.stream_lifetime.get());
+        let pool = self.pool.borrow();
+        let only = pool.only_version_at(now, service, period, asked_at);
+        only.map(str::to_owned)
+    }
+
     /// Whether this daemon has seen no other software version of `service` than the present one for as
     /// long as a stream can be resumed, or since it started.
     pub fn follows_one_version(&self, service: &str) -> bool {
@@ -178,24 +182,19 @@
     /// ago. Lists of two eras confirm nothing of each other.
     pub fn confirm_replicas(&self, version: Revision, age: Duration) {
         let now = self.clock.now();
-        if !self.pool.borrow_mut().confirm(now, version) {
+        let read = now - age;
+        let mut pool = self.pool.borrow_mut();
+        if !pool.confirm(now, version) {
             return;
         }
-        let read = now - age;
-        self.note_replicas_read(read);
+        pool.note_read(read);
         self.store_answered_at
             .set(self.store_answered_at.get().max(read));
     }
 
-    /// Advances the time at which the replicas were last known to be current; never sets it back.
-    fn note_replicas_read(&self, read_at: Time) {
-        self.replicas_current_at
-            .set(self.replicas_current_at.get().max(read_at));
-    }
-
     /// When the replicas were last known to be up to date.
-    pub const fn replicas_current_at(&self) -> Time {
-        self.replicas_current_at.get()
+    pub fn replicas_current_at(&self) -> Time {
+        self.pool.borrow().current_at()
     }
 
     /// Time since then.
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -96,6 +96,9 @@
     withheld_until: Time,
     /// When the list was last known to be up to date.
     refreshed_at: Option<Time>,
+    /// The latest time as of which the list is known to reflect the store: the begin of a reading,
+    /// not the arrival of its answer.
+    current_at: Time,
     /// When the list was last found to have been out of date for at least [`MIN_OUTAGE`], or not
     /// to have been read yet.
     outdated_at: Option<Time>,
@@ -146,6 +149,16 @@
         true
     }
 
+    /// Records that the list reflects the store as of `read_at`.
+    pub fn note_read(&mut self, read_at: Time) {
+        self.current_at = self.current_at.max(read_at);
+    }
+
+    /// The latest time as of which the list is known to reflect the store.
+    pub const fn current_at(&self) -> Time {
+        self.current_at
+    }
+
     /// Records that the list is up to date at `now`.
     pub(crate) fn note_refresh(&mut self, now: Time) {
         if self.is_outdated(now) {
--- a/crates/relay/src/pool/list.rs
+++ b/crates/relay/src/pool/list.rs
@@ -111,6 +111,29 @@
         }
     }
 
+    /// Applies an update that reflects the store as of `read_at`, at a daemon that knows of the era
+    /// `era`. Returns what [`Self::apply_update`] does.
+    pub fn apply_read(
+        &mut self,
+        now: Time,
+        era: u64,
+        source: Source,
+        read_at: Time,
+        update: &Update,
+    ) -> Option<Vec<StateChange>> {
+        let (revision, known) = (update.version(), self.version);
+        let changes = self.apply_update(now, source, update);
+        let is_current = match changes {
+            // In a later era a list may have changed in the meantime, whenever it was read.
+            Some(_) => revision.era >= era,
+            None => revision.era == known.era && revision.version <= known.version,
+        };
+        if is_current {
+            self.note_read(read_at);
+        }
+        changes
+    }
+
     /// Applies a snapshot read from the store. Returns `None` if it is older than the current
     /// version.
     pub fn apply(&mut self, now: Time, snapshot: &Snapshot) -> Option<Vec<StateChange>> {
--- a/crates/relay/src/pool/versions.rs
+++ b/crates/relay/src/pool/versions.rs
@@ -28,6 +28,19 @@
         (is_followed || self.is_vouched(service, only, followed_since)).then_some(only)
     }
 
+    /// The only version that can have begun a stream of `service` before `asked_at`: a replica is listed
+    /// before it gets a stream, so the list has to reflect the store as of that time or later.
+    pub fn only_version_at(
+        &self,
+        now: Time,
+        service: &str,
+        period: Duration,
+        asked_at: Time,
+    ) -> Option<&str> {
+        let only = self.only_version(now, service, period);
+        only.filter(|_| self.current_at >= asked_at)
+    }
+
     /// Whether all replicas of `service` that this daemon knew within `period` had one software version.
     pub fn has_seen_one_version(&self, now: Time, service: &str, period: Duration) -> bool {
         self.versions.only(now, service, period).is_some()
