Take no version for the only one after a replica has left unseen

What callers would see: a stream that began at a new version is resumed at another one. Its replica was listed and removed between two readings of the daemon that is asked, and nobody answers with a record of the begin.

Cause: changes of the list name such a replica as gone; an id that was never listed here was ignored, and a daemon did not pass it on to others that get their list from it.

Ruled out: the age of the list; it is newer than the question.

Change: such an id ends the time since which the list has been followed, and is passed on as gone. Read a second time it changes nothing.

Measured: both tests of relay::begins fail before and pass now.

--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -102,6 +102,8 @@
     /// When the list was last found to have been out of date for at least [`MIN_OUTAGE`], or not
     /// to have been read yet.
     outdated_at: Option<Time>,
+    /// When the list was last found to lack replicas that have come and left, or that may have.
+    unseen_at: Option<Time>,
     /// Whether no stream can have begun before the list was first read.
     starts_first: bool,
     /// Software versions that alone served before the daemon followed the list, by service, and
@@ -168,6 +170,12 @@
         self.refreshed_at = Some(now);
     }
 
+    /// Records that replicas of any version may have come and left without this daemon seeing them.
+    pub(crate) fn note_unseen(&mut self, now: Time) {
+        self.unseen_at = Some(now);
+        self.starts_first = false;
+    }
+
     /// Whether the list has been out of date long enough for entries to have lapsed. True if the
     /// list has not been read yet.
     fn is_outdated(&self, now: Time) -> bool {
--- a/crates/relay/src/pool/list.rs
+++ b/crates/relay/src/pool/list.rs
@@ -205,6 +205,7 @@
             return None;
         }
         self.version = delta.version;
+        self.note_unseen_departures(now, &delta.gone);
         self.note_refresh(now);
         let (lapsing, gone) = self.split_lapsing(now, &delta.lapsing);
         let mut changes = Vec::new();
@@ -233,6 +234,20 @@
         Some(changes)
     }
 
+    /// Notes those of the replicas `gone` that this daemon has never listed, also for peers that ask it.
+    fn note_unseen_departures(&mut self, now: Time, gone: &[String]) {
+        for id in gone {
+            let is_known = self.index.by_id(id).is_some()
+                || self.withheld.contains_key(id)
+                || self.tombstones.contains(id);
+            if !is_known {
+                let listed = self.servers.len();
+                self.tombstones.add_unseen(self.version, id, listed);
+                self.note_unseen(now);
+            }
+        }
+    }
+
     /// Splits the replicas that a peer reports as `lapsing` into those that stay in use for the
     /// time that is left and those that are gone. Unless this daemon's list was outdated, or of an
     /// earlier era, within the last `LAPSE_GRACE`, only the peer lost the store, so the replicas have
--- a/crates/relay/src/pool/versions.rs
+++ b/crates/relay/src/pool/versions.rs
@@ -22,7 +22,8 @@
     /// were several, or if this daemon cannot exclude it: it has not followed the list for so long,
     /// and no record shows what was before.
     pub fn only_version(&self, now: Time, service: &str, period: Duration) -> Option<&str> {
-        let followed_since = self.outdated_at.filter(|_| !self.is_outdated(now))?;
+        let read_since = self.outdated_at.filter(|_| !self.is_outdated(now))?;
+        let followed_since = read_since.max(self.unseen_at.unwrap_or_default());
         let only = self.versions.only(now, service, period)?;
         let is_followed = now.since(followed_since) >= period || self.starts_first;
         (is_followed || self.is_vouched(service, only, followed_since)).then_some(only)
--- a/crates/relay/src/tombstones.rs
+++ b/crates/relay/src/tombstones.rs
@@ -60,8 +60,22 @@
             birth: replica.birth,
             writes: replica.writes,
         };
-        self.records.insert(replica.id.clone(), record);
-        self.order.push_back((version, replica.id.clone()));
+        self.insert(&replica.id, record, listed);
+    }
+
+    /// Records that a replica `id` which was never listed here is missing at `version`.
+    pub(crate) fn add_unseen(&mut self, version: Revision, id: &str, listed: usize) {
+        let record = Tombstone {
+            version,
+            birth: None,
+            writes: 0,
+        };
+        self.insert(id, record, listed);
+    }
+
+    fn insert(&mut self, id: &str, record: Tombstone, listed: usize) {
+        self.order.push_back((record.version, id.to_owned()));
+        self.records.insert(id.to_owned(), record);
         while self.order.len() > listed.max(MIN_KEPT) {
             let Some((version, id)) = self.order.pop_front() else {
                 return;
--- a/crates/relay/tests/begins.rs
+++ b/crates/relay/tests/begins.rs
@@ -10,8 +10,11 @@
 use relay::begins::Conflict;
 use relay::begins::Stream;
 use relay::pool::Pool;
+use relay::replica::Delta;
 use relay::replica::Replica;
+use relay::replica::Source;
 use relay::replica::Stage;
+use relay::revision::Revision;
 use rstest::rstest;
 
 const LIFETIME: Duration = Duration::from_secs(30);
@@ -209,3 +212,46 @@
     assert_eq!(software(&begins, at(2), stream), Some("v1"));
     assert_eq!(software(&begins, at(30), stream), None);
 }
+
+/// A pool that has followed a list of `v1` at version 1 for long.
+fn followed() -> Pool {
+    let mut pool = Pool::new();
+    list(&mut pool, at(0), 1, &[replica("i-1", Some("v1"))]);
+    follow(&mut pool, 1, 31);
+    assert_eq!(pool.only_version(at(31), SERVICE, LIFETIME), Some("v1"));
+    pool
+}
+
+fn changes(since: u64, version: u64, gone: &[&str]) -> Delta {
+    Delta {
+        since: Revision::new(0, since),
+        version: Revision::new(0, version),
+        gone: gone.iter().map(|id| (*id).to_owned()).collect(),
+        ..Delta::default()
+    }
+}
+
+/// Guards against resuming a stream at another version than that of a replica that came and left between
+/// two readings.
+#[test]
+fn a_replica_that_left_before_it_was_seen_may_have_had_another_version() {
+    let mut pool = followed();
+    pool.apply_delta(at(31), &changes(1, 3, &["i-2"])).unwrap();
+    assert_eq!(pool.only_version(at(31), SERVICE, LIFETIME), None);
+    // The same departure, read a second time.
+    follow(&mut pool, 32, 62);
+    pool.apply_delta(at(62), &changes(1, 4, &["i-2"])).unwrap();
+    assert_eq!(pool.only_version(at(62), SERVICE, LIFETIME), Some("v1"));
+}
+
+/// Guards against the same at daemons that get their list from one that did not see the replica.
+#[test]
+fn a_departure_of_a_replica_that_was_not_seen_is_passed_on() {
+    let (mut reader, mut peer) = (followed(), followed());
+    reader
+        .apply_delta(at(31), &changes(1, 3, &["i-2"]))
+        .unwrap();
+    let update = reader.update_since(at(31), Revision::new(0, 1));
+    peer.apply_update(at(31), Source::Peer, &update).unwrap();
+    assert_eq!(peer.only_version(at(31), SERVICE, LIFETIME), None);
+}
