Take no version for the only one after a complete list

What callers would see: a stream that began at a new version is resumed at another one, after the store has forgotten the history of the list or has come back from a copy.

Cause: a complete list names no departures, so that a replica which came and left since the last list is not seen; the daemon went on as if it had followed the list without a gap.

Change: a complete list of a later version ends the time since which the list has been followed. One of the same version does not. Until a stream's life later, begins are announced and saved instead.

Ruled out for the new era: that the grace for missing entries covers it; it is for entries of live replicas that this daemon knows.

Measured: a_complete_list_does_not_tell_which_replicas_came_and_left (both cases) fails before and passes now.

--- a/crates/relay/src/pool/list.rs
+++ b/crates/relay/src/pool/list.rs
@@ -155,6 +155,10 @@
         if snapshot.version < self.version {
             return None;
         }
+        // It does not name the replicas that came and left since the last one.
+        if self.version != Revision::default() && snapshot.version > self.version {
+            self.note_unseen(now);
+        }
         let is_new_era = snapshot.version.era > self.version.era;
         if is_new_era {
             let grace = match source {
--- a/crates/relay/tests/begins.rs
+++ b/crates/relay/tests/begins.rs
@@ -255,3 +255,20 @@
     peer.apply_update(at(31), Source::Peer, &update).unwrap();
     assert_eq!(peer.only_version(at(31), SERVICE, LIFETIME), None);
 }
+
+/// Guards against the same where the store has forgotten its changes, or has come back from a copy: the
+/// complete list names no departures.
+#[rstest]
+#[case::a_later_version(Revision::new(0, 3))]
+#[case::a_new_era(Revision::new(1, 1))]
+fn a_complete_list_does_not_tell_which_replicas_came_and_left(#[case] version: Revision) {
+    let mut pool = followed();
+    let mut complete = common::snapshot(0, vec![replica("i-1", Some("v1"))]);
+    complete.version = version;
+    pool.apply(at(31), &complete).unwrap();
+    assert_eq!(pool.only_version(at(31), SERVICE, LIFETIME), None);
+    // The same list again.
+    follow(&mut pool, 32, 62);
+    pool.apply(at(62), &complete).unwrap();
+    assert_eq!(pool.only_version(at(62), SERVICE, LIFETIME), Some("v1"));
+}
