Confirm no equal list to a daemon that may have missed a replica

What callers would see: a stream that began at a new version is resumed at another one. Its replica came and left while the daemon that is asked read no list; then a poller whose list is the same again confirmed that list as newer than the question.

Cause: a status says whether two lists are equal, not whether they were in between, and advances the version of the asking daemon, so that no later reading shows the departure either. Besides, a gap was measured between the arrivals of confirmations, which may be late, and not between their readings.

Ruled out: the version of the last change in the status; that changes the message, and the version of the store rises with each write of any table.

Change: Pool::confirms denies equality for 3 s after the listing of a replica that has left, or after a replica that was not seen; who asks then fetches the changes, which name it. Pool::confirm_read ends the time since which the list has been followed if two readings were 2 s apart.

Measured: an_equal_list_does_not_tell_which_replicas_came_and_left, a_daemon_that_missed_a_replica_confirms_no_equal_list_at_once and confirmations_with_a_gap_between_their_readings_leave_replicas_unseen fail without the change each and pass with it.

--- a/crates/gateway/src/shared/store_state.rs
+++ b/crates/gateway/src/shared/store_state.rs
@@ -184,10 +184,9 @@
         let now = self.clock.now();
         let read = now - age;
         let mut pool = self.pool.borrow_mut();
-        if !pool.confirm(now, version) {
+        if !pool.confirm_read(now, read, version) {
             return;
         }
-        pool.note_read(read);
         self.store_answered_at
             .set(self.store_answered_at.get().max(read));
     }
@@ -208,7 +207,7 @@
         PollerStatus::new(
             self.plan_version(),
             pool.version(),
-            pool.digest() == digest,
+            pool.confirms(self.clock.now(), digest),
             self.replicas_age(),
             self.store_failing.get(),
             self.overload.borrow().is_reported(self.clock.now()),
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -56,6 +56,11 @@
 /// Replicas renew their entries several times in this period, so a shorter outage expires none.
 const MIN_OUTAGE: Duration = Duration::from_secs(2);
 
+/// How long after the listing of a replica that has left an equal list is not confirmed. Who asks later
+/// and did not see the replica last read the list [`MIN_OUTAGE`] before the one that confirms it, even
+/// if that is a second old.
+const MAX_CONFIRMED_GAP: Duration = Duration::from_secs(3);
+
 /// All replicas known to this daemon.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -104,6 +109,8 @@
     outdated_at: Option<Time>,
     /// When the list was last found to lack replicas that have come and left, or that may have.
     unseen_at: Option<Time>,
+    /// The latest time at which a replica was listed here that has left.
+    short_listed_at: Option<Time>,
     /// Whether no stream can have begun before the list was first read.
     starts_first: bool,
     /// Software versions that alone served before the daemon followed the list, by service, and
@@ -151,6 +158,29 @@
         true
     }
 
+    /// Whether an equal list of another daemon, with the hash `digest`, lacks nothing that this daemon
+    /// knows. A replica that has come and left leaves the lists equal; a daemon that asks for the changes
+    /// instead learns of it.
+    pub fn confirms(&self, now: Time, digest: u64) -> bool {
+        let unseen_at = self.short_listed_at.max(self.unseen_at);
+        let may_lack = unseen_at.is_some_and(|at| now.since(at) < MAX_CONFIRMED_GAP);
+        self.digest() == digest && !may_lack
+    }
+
+    /// Records that, at `now`, a peer with an equal list has it from `version`, read at `read_at`. Returns
+    /// whether that holds for the own list, which it does only within one era.
+    pub fn confirm_read(&mut self, now: Time, read_at: Time, version: Revision) -> bool {
+        let (is_newer, last) = (version > self.version, self.current_at);
+        if !self.confirm(now, version) {
+            return false;
+        }
+        if is_newer && last != Time::ZERO && read_at.since(last) >= MIN_OUTAGE {
+            self.note_unseen(now);
+        }
+        self.note_read(read_at);
+        true
+    }
+
     /// Records that the list reflects the store as of `read_at`.
     pub fn note_read(&mut self, read_at: Time) {
         self.current_at = self.current_at.max(read_at);
--- a/crates/relay/src/pool/list.rs
+++ b/crates/relay/src/pool/list.rs
@@ -373,6 +373,7 @@
 
     pub(super) fn remove(&mut self, now: Time, key: Key) -> Option<Server> {
         let server = self.servers.remove(key)?;
+        self.short_listed_at = self.short_listed_at.max(Some(server.listed_at));
         self.retained_notices
             .keep(now, key, &server.replica, server.notices);
         self.index.remove(key, &server);
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -92,6 +92,8 @@
     pub(crate) entry_hash: u64,
     /// Version of the store at which its entry last changed, as far as this daemon knows.
     pub(crate) changed: Revision,
+    /// When this daemon first had it in its list.
+    pub(crate) listed_at: Time,
     /// Requests of this daemon in progress there.
     pub in_flight: u32,
     /// Tokens of these requests.
@@ -151,6 +153,7 @@
             entry_hash: entry_hash(&replica),
             replica,
             changed,
+            listed_at: now,
             in_flight: 0,
             tokens: 0,
             peer_requests: None,
--- a/crates/relay/tests/begins.rs
+++ b/crates/relay/tests/begins.rs
@@ -272,3 +272,45 @@
     pool.apply(at(62), &complete).unwrap();
     assert_eq!(pool.only_version(at(62), SERVICE, LIFETIME), Some("v1"));
 }
+
+/// Guards against a confirmation of an equal list by a daemon that saw a replica come and leave, which the
+/// asking one did not.
+#[test]
+fn an_equal_list_does_not_tell_which_replicas_came_and_left() {
+    let (mut reader, peer) = (followed(), followed());
+    let both = [replica("i-1", Some("v1")), replica("i-2", Some("v1.1"))];
+    list(&mut reader, at(31), 2, &both);
+    assert!(!reader.confirms(at(31), peer.digest()));
+    reader
+        .apply_delta(at(32), &changes(2, 3, &["i-2"]))
+        .unwrap();
+    assert_eq!(reader.digest(), peer.digest());
+    assert!(!reader.confirms(at(32), peer.digest()));
+    // By then the list of one that did not see it is out of date.
+    assert!(!reader.confirms(at(33), peer.digest()));
+    assert!(reader.confirms(at(35), peer.digest()));
+}
+
+/// Guards against the same by a daemon that knows only that a replica left unseen.
+#[test]
+fn a_daemon_that_missed_a_replica_confirms_no_equal_list_at_once() {
+    let (mut reader, peer) = (followed(), followed());
+    reader
+        .apply_delta(at(31), &changes(1, 3, &["i-2"]))
+        .unwrap();
+    assert!(!reader.confirms(at(32), peer.digest()));
+    assert!(reader.confirms(at(35), peer.digest()));
+}
+
+/// Guards against confirmations that arrive in time and were read too far apart.
+#[test]
+fn confirmations_with_a_gap_between_their_readings_leave_replicas_unseen() {
+    let mut pool = followed();
+    pool.confirm_read(at(31), at(31), pool.version());
+    pool.confirm_read(at(32), at(32), pool.version());
+    assert_eq!(pool.only_version(at(32), SERVICE, LIFETIME), Some("v1"));
+    pool.confirm_read(at(33), at(32), pool.version());
+    // The store has changed.
+    pool.confirm_read(at(34), at(34), Revision::new(0, 9));
+    assert_eq!(pool.only_version(at(34), SERVICE, LIFETIME), None);
+}
