Pass on that a complete list may hide replicas

What callers would see: a stream that began at a new version is resumed at another one, at a daemon that gets the changes of the list from a peer which read a complete list.

Cause: a peer that read a complete list knows that it may lack replicas; the changes that it sends name only departures that it saw.

Change: the departure of an id that no replica has stands for them; daemons that do not know it end the time since which they have followed the list, and pass it on. The message is the same.

Ruled out: complete lists for all peers that are older; that sends thousands of replicas to each.

Measured: a_daemon_that_read_a_complete_list_passes_on_that_it_may_lack_replicas fails before and passes now; the other tests of relay pass (the model of begins not among them yet).

--- a/crates/relay/src/pool/list.rs
+++ b/crates/relay/src/pool/list.rs
@@ -159,10 +159,7 @@
         if snapshot.version < self.version {
             return None;
         }
-        // It does not name the replicas that came and left since the last one.
-        if self.version != Revision::default() && snapshot.version > self.version {
-            self.note_unseen(now);
-        }
+        let may_lack = self.version != Revision::default() && snapshot.version > self.version;
         let is_new_era = snapshot.version.era > self.version.era;
         if is_new_era {
             let grace = match source {
@@ -177,6 +174,9 @@
             self.tombstones.since = snapshot.version;
         }
         self.version = snapshot.version;
+        if may_lack {
+            self.note_complete_list(now);
+        }
         self.withheld.clear();
         self.note_refresh(now);
         let (lapsing, _) = self.split_lapsing(now, &snapshot.lapsing);
@@ -242,6 +242,16 @@
         Some(changes)
     }
 
+    /// Notes that a complete list replaces an earlier one: it does not name the replicas that came and
+    /// left in between. Peers that ask for the changes since learn it by the departure of one that none
+    /// of them knows.
+    fn note_complete_list(&mut self, now: Time) {
+        let unknown = format!("unknown before {}", self.version);
+        let listed = self.servers.len();
+        self.tombstones.add_unseen(self.version, &unknown, listed);
+        self.note_unseen(now);
+    }
+
     /// Notes those of the replicas `gone` that this daemon has never listed, also for peers that ask it.
     fn note_unseen_departures(&mut self, now: Time, gone: &[String]) {
         for id in gone {
--- a/crates/relay/tests/begins.rs
+++ b/crates/relay/tests/begins.rs
@@ -332,3 +332,13 @@
     let update = reader.update_for_peer(at(35), peer.version(), peer.digest());
     assert!(update.is_none());
 }
+
+/// Guards against the same at daemons that get changes from one that read the complete list.
+#[test]
+fn a_daemon_that_read_a_complete_list_passes_on_that_it_may_lack_replicas() {
+    let (mut reader, mut peer) = (followed(), followed());
+    list(&mut reader, at(31), 3, &[replica("i-1", Some("v1"))]);
+    let update = reader.update_since(at(31), peer.version());
+    peer.apply_update(at(31), Source::Peer, &update).unwrap();
+    assert_eq!(peer.only_version(at(31), SERVICE, LIFETIME), None);
+}
