Count a version for longer than its replicas are listed

What callers would see: a stream that began at a version whose last replica had just left is resumed at another version, late in its life, where nobody answers with a record.

Cause: a replica serves on after its entry is removed, and daemons that are late still list it. A stream whose first event comes then can be resumed for longer than its version counted as having served.

Left open: a daemon that began to follow the list less than 30 s after such a replica had left. It follows for as long as a stream can be resumed, not for 30 s more.

--- a/crates/relay/src/pool/versions.rs
+++ b/crates/relay/src/pool/versions.rs
@@ -6,6 +6,10 @@
 
 use crate::pool::Pool;
 
+/// How long a replica may begin streams after its entry was removed: it serves on for a while, and is
+/// still listed at daemons that are late.
+const UNLISTED_SERVICE: Duration = Duration::from_secs(30);
+
 impl Pool {
     /// Records that the whole system starts for the first time: no stream began before.
     pub const fn note_first_start(&mut self) {
@@ -24,7 +28,9 @@
     pub fn only_version(&self, now: Time, service: &str, period: Duration) -> Option<&str> {
         let read_since = self.outdated_at.filter(|_| !self.is_outdated(now))?;
         let followed_since = read_since.max(self.unseen_at.unwrap_or_default());
-        let only = self.versions.only(now, service, period)?;
+        let only = self
+            .versions
+            .only(now, service, period + UNLISTED_SERVICE)?;
         let is_followed = now.since(followed_since) >= period || self.starts_first;
         (is_followed || self.is_vouched(service, only, followed_since)).then_some(only)
     }
@@ -44,7 +50,8 @@
 
     /// Whether all replicas of `service` that this daemon knew within `period` had one software version.
     pub fn has_seen_one_version(&self, now: Time, service: &str, period: Duration) -> bool {
-        self.versions.only(now, service, period).is_some()
+        let recent = period + UNLISTED_SERVICE;
+        self.versions.only(now, service, recent).is_some()
     }
 
     /// Whether the known replicas of `service` have one software version.
