--- a/crates/relay/tests/begin_model/explore.rs
+++ b/crates/relay/tests/begin_model/explore.rs
@@ -171,12 +171,30 @@
         let action = random.action(&world);
         world.apply(action);
         if let Some(violation) = world.violation() {
-            return Err(Box::new(violation));
+            return Err(Box::new(shortened(violation, fault)));
         }
     }
     Ok(world.counts())
 }
 
+/// Leaves out the steps that the violation does not need.
+fn shortened(violation: Violation, fault: Option<Fault>) -> Violation {
+    let mut shortest = violation;
+    let mut position = 0;
+    while position < shortest.trace.len() {
+        let mut world = World::new(fault);
+        let steps = shortest.trace.iter().enumerate();
+        for (_, action) in steps.filter(|(number, _)| *number != position) {
+            world.apply(*action);
+        }
+        match world.violation() {
+            Some(violation) => shortest = violation,
+            None => position += 1,
+        }
+    }
+    shortest
+}
+
 /// Source of random actions (`SplitMix64`).
 struct Random(u64);
 
