Take the only version as of the question, not of its decision

What callers would see: a stream that began at a new version is resumed at another one, if its life ends while the daemon that is asked waits for its list.

Cause: a version counts as the only one if the list was followed for as long as a stream can be resumed until now; now is up to 2 s after the question, when the stream could still be resumed.

Change: only_version_at looks back from the question.

Measured: the_only_version_counts_from_the_question_and_not_from_its_decision fails before and passes now.

--- a/crates/relay/src/pool/versions.rs
+++ b/crates/relay/src/pool/versions.rs
@@ -44,6 +44,8 @@
         period: Duration,
         asked_at: Time,
     ) -> Option<&str> {
+        // The stream could be resumed when the question arrived.
+        let period = period + now.since(asked_at);
         let only = self.only_version(now, service, period);
         only.filter(|_| self.current_at >= asked_at)
     }
--- a/crates/relay/tests/begins.rs
+++ b/crates/relay/tests/begins.rs
@@ -343,3 +343,15 @@
     peer.apply_update(at(31), Source::Peer, &update).unwrap();
     assert_eq!(peer.only_version(at(31), SERVICE, LIFETIME), None);
 }
+
+/// Guards against a resumption that arrived in the life of a stream and is decided after it.
+#[test]
+fn the_only_version_counts_from_the_question_and_not_from_its_decision() {
+    let mut pool = followed();
+    pool.apply_delta(at(31), &changes(1, 3, &["i-2"])).unwrap();
+    follow(&mut pool, 32, 61);
+    pool.note_read(at(61));
+    let only = |asked_at| pool.only_version_at(at(61), SERVICE, LIFETIME, asked_at);
+    assert_eq!(only(at(60)), None);
+    assert_eq!(only(at(61)), Some("v1"));
+}
