--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -184,8 +184,6 @@
     pub gossip_socket: OnceCell<UdpSocket>,
     /// Status requests that wait for an answer, by number.
     pub status_requests: RefCell<HashMap<u32, oneshot::Sender<PollerStatus>>>,
-    /// When the replicas were last known to be up to date.
-    replicas_current_at: Cell<Time>,
     /// When the store last answered.
     store_answered_at: Cell<Time>,
     /// Whether the store's last call failed.
@@ -268,7 +266,6 @@
             own,
             gossip_socket: OnceCell::new(),
             status_requests: RefCell::new(HashMap::new()),
-            replicas_current_at: Cell::new(Time::ZERO),
             store_answered_at: Cell::new(Time::ZERO),
             store_failing: Cell::new(false),
             stopping_since: Cell::new(None),
