Serve streams that callers resume as often as new ones

Cause: since a resumed stream queues behind all new ones of its rank. New ones wait 0.22 objectives each, and others follow, so that under load one of them waits nearly always; the resumed one is refused after 2.4 objectives. It also had to leave a tenth of the memory free, which a new one need not.

Change: within a rank, resumed streams of a version go before new generations as long as the share of them that got a slot, those that wait counted as without one, is at most the share of the new ones. Why their share is at least that of the new ones, also when new ones leave early: a new one that leaves counts as not served at once, and a slot is given to a new one before a waiting stream that could use it only while the streams' share is above that of the new ones. After the last such slot, every one that a stream could use goes to streams as long as any waits, and the share of new ones can only fall meanwhile. Meanwhile new generations may use replicas of other versions only, so that a version without room holds up nobody else. Refused requests that are back stay behind all others. Resumed streams need as little spare memory as new ones.

Not counted: generations that no listed replica can serve. Streams resumed within one answer neither wait for their turn nor reserve anything, as before.

--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -55,6 +55,17 @@
     used: bool,
 }
 
+/// What one round over the replicas is for.
+struct Round<'a> {
+    /// Replicas that the request was sent to.
+    tried: &'a [Key],
+    /// Software versions whose replicas are left to others.
+    reserved: &'a [String],
+    kind: Kind,
+    /// Tokens generated so far.
+    generated: u64,
+}
+
 /// Result of asking one replica for a reservation.
 enum ReserveOutcome {
     /// With how much longer than usual work takes there, if the replica says so.
@@ -121,7 +132,7 @@
         begun
     };
     let until = from + objective.mul_f64(kind.terms(new_request_terms(shared)).wait);
-    let mut queue_entry = QueueEntry::new(shared, &job.service, job.rank(), kind == Kind::Returned);
+    let mut queue_entry = QueueEntry::new(shared, job, kind);
     let mut rounds = 0;
     loop {
         queue_entry.set_servable(shared.has_candidate(
@@ -129,13 +140,25 @@
             Some(Stage::Decode),
             tried,
         ));
-        // A resumed stream does not wait for its turn: without a placement it is aborted.
-        let found = if kind == Kind::Due || queue_entry.is_first() {
-            try_round(shared, job, tried, engine, kind, generated).await
-        } else {
-            None
+        // A stream resumed within one answer does not wait for its turn: without a placement it is aborted.
+        let reserved = match kind {
+            Kind::Due => Some(Vec::new()),
+            _ => queue_entry.reserved(),
+        };
+        let found = match reserved {
+            Some(reserved) => {
+                let round = Round {
+                    tried,
+                    reserved: &reserved,
+                    kind,
+                    generated,
+                };
+                try_round(shared, job, engine, round).await
+            }
+            None => None,
         };
         if let Some(placement) = found {
+            queue_entry.set_served();
             shared.metrics.place_wait(begun.elapsed().as_secs_f64());
             return Some(placement);
         }
@@ -173,18 +196,28 @@
             tracked_run: None,
         });
     };
-    try_round(shared, job, tried, engine, Kind::Due, generated).await
+    let round = Round {
+        tried,
+        reserved: &[],
+        kind: Kind::Due,
+        generated,
+    };
+    try_round(shared, job, engine, round).await
 }
 
 /// Asks up to [`REPLICAS_PER_ROUND`] replicas for a reservation, the best one first.
 async fn try_round(
     shared: &Rc<Shared>,
     job: &Job,
-    tried: &[Key],
     engine: Engine,
-    kind: Kind,
-    generated: u64,
+    round: Round<'_>,
 ) -> Option<Placement> {
+    let Round {
+        tried,
+        reserved,
+        kind,
+        generated,
+    } = round;
     shared.refresh_forecasts();
     let placing = shared.settings().placing;
     let size = job.size(generated);
@@ -213,8 +246,10 @@
     // another one has granted a reservation.
     let mut slow: Option<(Placement, f64)> = None;
     for _ in 0..REPLICAS_PER_ROUND {
-        let choose =
-            || shared.choose_decode(job.destination(), &asked, memory_demand, Some(&answer));
+        let choose = || {
+            let to = job.destination();
+            shared.choose_decode(to, reserved, &asked, memory_demand, Some(&answer))
+        };
         let Some(key) = limit::choose_admitted(shared, choose).await else {
             break;
         };
@@ -265,7 +300,7 @@
     match job.call.last_event {
         None if generated == 0 && job.returned => Kind::Returned,
         None if generated == 0 => Kind::New,
-        Some(_) if generated == 0 => Kind::Returned,
+        Some(_) if generated == 0 => Kind::Resumed,
         _ => Kind::Due,
     }
 }
--- a/crates/gateway/src/run_tracking.rs
+++ b/crates/gateway/src/run_tracking.rs
@@ -308,7 +308,7 @@
     };
     let to = engine
         .moves
-        .then(|| shared.choose_decode(to, &[from], demand, answer))??;
+        .then(|| shared.choose_decode(to, &[], &[from], demand, answer))??;
     // A migration cannot wait for a limited replica to admit the request.
     (!shared.is_limited(to)).then_some(to)
 }
--- a/crates/gateway/src/shared/choice.rs
+++ b/crates/gateway/src/shared/choice.rs
@@ -82,6 +82,7 @@
             tried,
             homes: to.homes,
             software: to.software,
+            reserved: &[],
             data_centre: self.data_centre,
             demand: None,
             answer: None,
@@ -99,16 +100,18 @@
         }
     }
 
-    /// Chooses the decode replica for `answer` of a generation that needs the memory `demand`; `None`
-    /// if no untried one has room.
+    /// Chooses the decode replica for `answer` of a generation that needs the memory `demand`, of no
+    /// version in `reserved`; `None` if no untried one has room.
     pub fn choose_decode(
         &self,
         to: Destination<'_>,
+        reserved: &[String],
         tried: &[Key],
         demand: MemoryDemand,
         answer: Option<&Answer>,
     ) -> Option<Key> {
         let criteria = Criteria {
+            reserved,
             demand: Some(demand),
             answer,
             ..self.criteria(to, Some(Stage::Decode), tried)
--- a/crates/gateway/src/wait_queue.rs
+++ b/crates/gateway/src/wait_queue.rs
@@ -2,9 +2,10 @@
 
 use std::rc::Rc;
 
-use customer::rank::Rank;
+use relay::timing::Kind;
 use relay::wait_queue::Ticket;
 
+use crate::job::Job;
 use crate::shared::Shared;
 
 /// A ticket in the wait queue of a service; leaves the queue when dropped.
@@ -14,17 +15,25 @@
     service: String,
     ticket: Ticket,
     is_queued: bool,
+    is_served: bool,
 }
 
 impl QueueEntry {
-    /// Joins the queue of `service`. With `late`, it queues behind requests of the same rank
-    /// that can still meet their objective.
-    pub fn new(shared: &Rc<Shared>, service: &str, rank: Rank, late: bool) -> Self {
+    /// Joins the queue of the service of `job`, a generation of `kind`.
+    pub fn new(shared: &Rc<Shared>, job: &Job, kind: Kind) -> Self {
+        let (service, rank) = (&job.service, job.rank());
+        let mut queue = shared.queue.borrow_mut();
+        let ticket = match (kind, job.software()) {
+            (Kind::Resumed, Some(software)) => queue.join_resumed(service, rank, software),
+            (Kind::Returned, _) => queue.join(service, rank, true),
+            _ => queue.join(service, rank, false),
+        };
         Self {
             shared: Rc::clone(shared),
-            service: service.to_owned(),
-            ticket: shared.queue.borrow_mut().join(service, rank, late),
+            service: service.clone(),
+            ticket,
             is_queued: true,
+            is_served: false,
         }
     }
 
@@ -44,10 +53,18 @@
         }
     }
 
-    /// Whether this generation is first in the queue.
-    pub fn is_first(&self) -> bool {
+    /// Records that this generation got a slot.
+    pub const fn set_served(&mut self) {
+        self.is_served = true;
+    }
+
+    /// The software versions whose replicas are left to generations before this one, which may use all
+    /// others; `None` if it may use none.
+    pub fn reserved(&self) -> Option<Vec<String>> {
         let queue = self.shared.queue.borrow();
-        queue.is_first(&self.service, self.ticket)
+        let reserved = queue.reserved(&self.service, self.ticket)?;
+        let pool = self.shared.pool.borrow();
+        (reserved.is_empty() || !pool.has_one_version(&self.service)).then_some(reserved)
     }
 }
 
@@ -55,6 +72,9 @@
     fn drop(&mut self) {
         let mut queue = self.shared.queue.borrow_mut();
         queue.leave(&self.service, self.ticket);
+        if self.is_queued {
+            queue.record_end(&self.service, self.ticket, self.is_served);
+        }
         drop(queue);
         self.shared.capacity_changed.notify_waiters();
     }
--- a/crates/gateway/tests/gateway/resumptions.rs
+++ b/crates/gateway/tests/gateway/resumptions.rs
@@ -1,5 +1,9 @@
 //! Callers that resume streams while replicas of several software versions serve side by side.
 
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -292,6 +296,47 @@
     );
 }
 
+/// Guards against refusing most of the streams that callers resume, since they wait behind all new ones.
+#[test]
+fn a_resumption_does_not_wait_until_no_new_stream_waits() {
+    let first = Engine::start("i-first", "v1");
+    let asked = Arc::new(Mutex::new(Vec::new()));
+    let places = Arc::new(AtomicUsize::new(1));
+    let (asked_before, free) = (Arc::clone(&asked), Arc::clone(&places));
+    first.replica.set_call_handler(move |call| {
+        if call.path() != "/api/hold-take" {
+            return None;
+        }
+        asked_before.lock().unwrap().push(call.body.clone());
+        let take = |count: usize| count.checked_sub(1);
+        let taken = free.fetch_update(Ordering::SeqCst, Ordering::SeqCst, take);
+        taken.is_err().then(|| answer(503, &[], b""))
+    });
+    let plan = store::config(1, 20_000, 20_000);
+    let site = Site::start_with_plan("waits-beside-new", &plan, &[]);
+    first.list(&site, "here");
+    site.daemon.wait_until_ready();
+    drop(begin_stream(&site));
+    let mut new = start_generation(&site.daemon, PATH, "b1");
+    wait_until("the new stream waits", || asked.lock().unwrap().len() > 1);
+    let mut resumption = site.daemon.caller();
+    let headers = [
+        ("Request-Id", "a2"),
+        ("Deadline-Ms", "4000"),
+        ("Token-Counts", "2460,80"),
+        ("Last-Event-Id", "1"),
+        ("Resumes", "a1"),
+    ];
+    resumption.start_request(&format!("POST {PATH}"), &headers, b"prompt");
+    wait_until("the resumption asks for a place", || {
+        let asked = asked.lock().unwrap();
+        asked.iter().any(|body| *body != asked[0])
+    });
+    places.store(2, Ordering::SeqCst);
+    assert_eq!(resumption.read().body, event_texts(2, EVENTS).into_bytes());
+    assert_eq!(new.read().body, event_texts(1, EVENTS).into_bytes());
+}
+
 /// Guards against refusing new streams beside idle replicas, while resumptions wait for a version without decode replicas.
 #[test]
 fn a_resumption_that_no_replica_can_serve_does_not_hold_up_new_streams() {
--- a/crates/lab/src/decode/daemon.rs
+++ b/crates/lab/src/decode/daemon.rs
@@ -133,6 +133,7 @@
         tried,
         homes: None,
         software: None,
+        reserved: &[],
         data_centre: Zone::new("here"),
         demand,
         answer: None,
--- a/crates/lab/src/site/run.rs
+++ b/crates/lab/src/site/run.rs
@@ -293,6 +293,7 @@
             tried,
             homes: None,
             software,
+            reserved: &[],
             data_centre: Zone::new("here"),
             demand: None,
             answer: None,
--- a/crates/relay/src/score.rs
+++ b/crates/relay/src/score.rs
@@ -54,6 +54,8 @@
     pub homes: Option<&'a [Zone]>,
     /// Software version that has to serve the request; `None` if any may.
     pub software: Option<&'a str>,
+    /// Software versions that may not serve the request.
+    pub reserved: &'a [String],
     /// Preferred data centre.
     pub data_centre: Zone,
     /// Memory needed at a decode replica, if it is to be checked.
@@ -86,7 +88,10 @@
 
     /// Whether the software version of `server` may serve the request.
     pub(crate) fn is_compatible(&self, server: &Server) -> bool {
-        self.software.is_none() || server.replica.software.as_deref() == self.software
+        let software = server.replica.software.as_ref();
+        let is_reserved = software.is_some_and(|software| self.reserved.contains(software));
+        let is_bound = self.software.is_some();
+        !is_reserved && (!is_bound || software.map(String::as_str) == self.software)
     }
 
     /// Whether `server` has room. `memory` is the size of its engine's memory in tokens, if known.
--- a/crates/relay/src/timing.rs
+++ b/crates/relay/src/timing.rs
@@ -22,8 +22,8 @@
 /// Fraction of a replica's memory that late generations leave free: most of a run, if a replica has
 /// room for seven.
 const LATE_SPARE: f64 = 0.1;
-/// How long late generations wait for a slot, as a multiple of the objective; retries wait behind all
-/// others.
+/// How long late generations wait for a slot, as a multiple of the objective; retries of refused ones
+/// wait behind all others.
 /// Callers give up after four times the objective without an event, and the rest is enough for the
 /// prefill. When late generations got their turn after 1.6 times the objective, the late share in a
 /// lasting overload was 26 % instead of 15 %.
@@ -39,8 +39,10 @@
 pub enum Kind {
     /// A first attempt, which can be in time.
     New,
-    /// A retry of a refused generation, or a stream that its caller resumes: late in any case.
+    /// A retry of a refused generation.
     Returned,
+    /// A stream that its caller resumes: late in any case, but bound to replicas of one version.
+    Resumed,
     /// A late generation without another chance, because its replica was lost: a stream that is resumed
     /// within one answer.
     Due,
@@ -60,8 +62,8 @@
     pub fn terms(self, usual: Terms) -> Terms {
         match self {
             Self::New => usual,
-            // It fits fewer replicas, those of one software version, and has no other chance.
-            Self::Due => Terms {
+            // They fit fewer replicas, those of one software version.
+            Self::Due | Self::Resumed => Terms {
                 wait: usual.wait.max(LATE_WAIT),
                 spare: usual.spare,
             },
@@ -79,6 +81,8 @@
         let in_time = match self {
             Self::New => age + prefill <= objective.mul_f64(PREFILL_DEADLINE),
             Self::Returned => prefill <= objective.mul_f64(MAX_LATE_PREFILL),
+            // At least as often as a new generation that has just arrived.
+            Self::Resumed => prefill <= objective.mul_f64(PREFILL_DEADLINE),
             Self::Due => true,
         };
         if in_time { 0.0 } else { IDLE_SHARE }
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -69,6 +69,7 @@
         tried,
         homes: None,
         software: None,
+        reserved: &[],
         data_centre: Zone::new("here"),
         demand,
         answer: None,
--- a/crates/relay/tests/homes.rs
+++ b/crates/relay/tests/homes.rs
@@ -57,6 +57,7 @@
         data_centre: Zone::new("a1"),
         homes: homes.data_centres(),
         software: None,
+        reserved: &[],
         ..common::criteria("app", None, &[], None)
     };
     let chosen = pool.choose(START, &criteria, || 0.0);
--- a/crates/relay/tests/timing.rs
+++ b/crates/relay/tests/timing.rs
@@ -21,6 +21,8 @@
 #[case::late_and_free(Kind::Returned, 1_500, 300, true)]
 #[case::late_and_others_wait(Kind::Returned, 0, 500, false)]
 #[case::resumed(Kind::Due, 5_000, 5_000, true)]
+#[case::resumed_by_its_caller(Kind::Resumed, 5_000, 700, true)]
+#[case::resumed_by_its_caller_and_late(Kind::Resumed, 0, 800, false)]
 fn a_slot_requires_a_timely_prefill(
     #[case] kind: Kind,
     #[case] age_ms: u64,
@@ -40,6 +42,7 @@
     assert!(returned.wait > 1.0);
     let resumed = Kind::Due.terms(USUAL);
     assert_eq!((resumed.wait, resumed.spare), (returned.wait, USUAL.spare));
+    assert_eq!(Kind::Resumed.terms(USUAL), resumed);
     assert!(returned.spare > 0.0);
 }
 
