--- a/crates/lab/src/decode/daemon.rs
+++ b/crates/lab/src/decode/daemon.rs
@@ -134,6 +134,7 @@
         tried,
         homes: None,
         software: Version::Any,
+        reserved: &[],
         data_centre: Zone::new("here"),
         demand,
         answer: None,
--- a/crates/lab/src/site/run.rs
+++ b/crates/lab/src/site/run.rs
@@ -294,6 +294,7 @@
             tried,
             homes: None,
             software: Version::exactly_or_any(software),
+            reserved: &[],
             data_centre: Zone::new("here"),
             demand: None,
             answer: None,
--- a/crates/relay/src/score.rs
+++ b/crates/relay/src/score.rs
@@ -82,6 +82,8 @@
     pub homes: Option<&'a [Zone]>,
     /// Software versions that may serve the request.
     pub software: Version<'a>,
+    /// Software versions that may not serve the request.
+    pub reserved: &'a [String],
     /// Preferred data centre.
     pub data_centre: Zone,
     /// Memory needed at a decode replica, if it is to be checked.
@@ -114,7 +116,9 @@
 
     /// Whether the software version of `server` may serve the request.
     pub(crate) fn is_compatible(&self, server: &Server) -> bool {
-        self.software.allows(server.replica.software.as_deref())
+        let software = server.replica.software.as_ref();
+        let is_reserved = software.is_some_and(|software| self.reserved.contains(software));
+        !is_reserved && self.software.allows(software.map(String::as_str))
     }
 
     /// Whether `server` has room. `memory` is the size of its engine's memory in tokens, if known.
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -70,6 +70,7 @@
         tried,
         homes: None,
         software: Version::Any,
+        reserved: &[],
         data_centre: Zone::new("here"),
         demand,
         answer: None,
