--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -56,6 +56,11 @@
 /// Replicas renew their entries several times in this period, so a shorter outage expires none.
 const MIN_OUTAGE: Duration = Duration::from_secs(2);
 
+/// How long after the listing of a replica that has left an equal list is not confirmed. Who asks later
+/// and did not see the replica last read the list [`MIN_OUTAGE`] before the one that confirms it, even
+/// if that is a second old.
+const MAX_CONFIRMED_GAP: Duration = Duration::from_secs(3);
+
 /// All replicas known to this daemon.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -96,9 +101,16 @@
     withheld_until: Time,
     /// When the list was last known to be up to date.
     refreshed_at: Option<Time>,
+    /// The latest time as of which the list is known to reflect the store: the begin of a reading,
+    /// not the arrival of its answer.
+    current_at: Time,
     /// When the list was last found to have been out of date for at least [`MIN_OUTAGE`], or not
     /// to have been read yet.
     outdated_at: Option<Time>,
+    /// When the list was last found to lack replicas that have come and left, or that may have.
+    unseen_at: Option<Time>,
+    /// The latest time at which a replica was listed here that has left.
+    short_listed_at: Option<Time>,
     /// Whether no stream can have begun before the list was first read.
     starts_first: bool,
     /// Software versions that alone served before the daemon followed the list, by service, and
@@ -146,6 +158,39 @@
         true
     }
 
+    /// Whether an equal list of another daemon, with the hash `digest`, lacks nothing that this daemon
+    /// knows. A replica that has come and left leaves the lists equal; a daemon that asks for the changes
+    /// instead learns of it.
+    pub fn confirms(&self, now: Time, digest: u64) -> bool {
+        let unseen_at = self.short_listed_at.max(self.unseen_at);
+        let may_lack = unseen_at.is_some_and(|at| now.since(at) < MAX_CONFIRMED_GAP);
+        self.digest() == digest && !may_lack
+    }
+
+    /// Records that, at `now`, a peer with an equal list has it from `version`, read at `read_at`. Returns
+    /// whether that holds for the own list, which it does only within one era.
+    pub fn confirm_read(&mut self, now: Time, read_at: Time, version: Revision) -> bool {
+        let (is_newer, last) = (version > self.version, self.current_at);
+        if !self.confirm(now, version) {
+            return false;
+        }
+        if is_newer && last != Time::ZERO && read_at.since(last) >= MIN_OUTAGE {
+            self.note_unseen(now);
+        }
+        self.note_read(read_at);
+        true
+    }
+
+    /// Records that the list reflects the store as of `read_at`.
+    pub fn note_read(&mut self, read_at: Time) {
+        self.current_at = self.current_at.max(read_at);
+    }
+
+    /// The latest time as of which the list is known to reflect the store.
+    pub const fn current_at(&self) -> Time {
+        self.current_at
+    }
+
     /// Records that the list is up to date at `now`.
     pub(crate) fn note_refresh(&mut self, now: Time) {
         if self.is_outdated(now) {
@@ -155,6 +200,12 @@
         self.refreshed_at = Some(now);
     }
 
+    /// Records that replicas of any version may have come and left without this daemon seeing them.
+    pub(crate) fn note_unseen(&mut self, now: Time) {
+        self.unseen_at = Some(now);
+        self.starts_first = false;
+    }
+
     /// Whether the list has been out of date long enough for entries to have lapsed. True if the
     /// list has not been read yet.
     fn is_outdated(&self, now: Time) -> bool {
--- a/crates/relay/src/pool/list.rs
+++ b/crates/relay/src/pool/list.rs
@@ -39,6 +39,10 @@
             version if version == since && digest != self.digest() => {
                 Some(Update::All(self.snapshot(now)))
             }
+            // Without changes, in place of a confirmation.
+            version if version == since && !self.confirms(now, digest) => {
+                Some(self.update_since(now, since))
+            }
             _ => None,
         }
     }
@@ -111,6 +115,29 @@
         }
     }
 
+    /// Applies an update that reflects the store as of `read_at`, at a daemon that knows of the era
+    /// `era`. Returns what [`Self::apply_update`] does.
+    pub fn apply_read(
+        &mut self,
+        now: Time,
+        era: u64,
+        source: Source,
+        read_at: Time,
+        update: &Update,
+    ) -> Option<Vec<StateChange>> {
+        let (revision, known) = (update.version(), self.version);
+        let changes = self.apply_update(now, source, update);
+        let is_current = match changes {
+            // In a later era a list may have changed in the meantime, whenever it was read.
+            Some(_) => revision.era >= era,
+            None => revision.era == known.era && revision.version <= known.version,
+        };
+        if is_current {
+            self.note_read(read_at);
+        }
+        changes
+    }
+
     /// Applies a snapshot read from the store. Returns `None` if it is older than the current
     /// version.
     pub fn apply(&mut self, now: Time, snapshot: &Snapshot) -> Option<Vec<StateChange>> {
@@ -132,6 +159,7 @@
         if snapshot.version < self.version {
             return None;
         }
+        let may_lack = self.version != Revision::default() && snapshot.version > self.version;
         let is_new_era = snapshot.version.era > self.version.era;
         if is_new_era {
             let grace = match source {
@@ -146,6 +174,9 @@
             self.tombstones.since = snapshot.version;
         }
         self.version = snapshot.version;
+        if may_lack {
+            self.note_complete_list(now);
+        }
         self.withheld.clear();
         self.note_refresh(now);
         let (lapsing, _) = self.split_lapsing(now, &snapshot.lapsing);
@@ -182,6 +213,7 @@
             return None;
         }
         self.version = delta.version;
+        self.note_unseen_departures(now, &delta.gone);
         self.note_refresh(now);
         let (lapsing, gone) = self.split_lapsing(now, &delta.lapsing);
         let mut changes = Vec::new();
@@ -210,6 +242,30 @@
         Some(changes)
     }
 
+    /// Notes that a complete list replaces an earlier one: it does not name the replicas that came and
+    /// left in between. Peers that ask for the changes since learn it by the departure of one that none
+    /// of them knows.
+    fn note_complete_list(&mut self, now: Time) {
+        let unknown = format!("unknown before {}", self.version);
+        let listed = self.servers.len();
+        self.tombstones.add_unseen(self.version, &unknown, listed);
+        self.note_unseen(now);
+    }
+
+    /// Notes those of the replicas `gone` that this daemon has never listed, also for peers that ask it.
+    fn note_unseen_departures(&mut self, now: Time, gone: &[String]) {
+        for id in gone {
+            let is_known = self.index.by_id(id).is_some()
+                || self.withheld.contains_key(id)
+                || self.tombstones.contains(id);
+            if !is_known {
+                let listed = self.servers.len();
+                self.tombstones.add_unseen(self.version, id, listed);
+                self.note_unseen(now);
+            }
+        }
+    }
+
     /// Splits the replicas that a peer reports as `lapsing` into those that stay in use for the
     /// time that is left and those that are gone. Unless this daemon's list was outdated, or of an
     /// earlier era, within the last `LAPSE_GRACE`, only the peer lost the store, so the replicas have
@@ -331,6 +387,7 @@
 
     pub(super) fn remove(&mut self, now: Time, key: Key) -> Option<Server> {
         let server = self.servers.remove(key)?;
+        self.short_listed_at = self.short_listed_at.max(Some(server.listed_at));
         self.retained_notices
             .keep(now, key, &server.replica, server.notices);
         self.index.remove(key, &server);
