Notice a replica that came back unseen under its id

What callers would see: a stream that began at a new version is resumed at another one. A replica had left; it came back under its id with the new version, took a stream, and left again between two readings of the daemon that is asked, and nobody answers with a record of the begin.

Cause: changes of the list name the id as gone, and an id whose departure was recorded once counted as read a second time, whenever that was.

Ruled out: unreadable rows of the table count as gone each time that they are written, and may be written every second; ids that were never listed here stay noted once, as before.

Change: a recorded departure of a listed replica explains one in changes only if it is later than the version since which the changes are.

Left open: an id that was never listed here and comes and leaves unseen a second time; a listed replica that restarts under its id with another version and leaves within one pause between readings.

Measured: a_replica_that_came_back_and_left_before_it_was_seen_may_have_had_another_version and a_departure_of_a_replica_that_came_back_unseen_is_passed_on fail before (seen, both Some("v1")) and pass now; all tests of begins, pool, eras and restarts of relay pass. The model of begins gives each replica a new id, so it does not reach this.

--- a/crates/relay/src/pool/list.rs
+++ b/crates/relay/src/pool/list.rs
@@ -213,7 +213,7 @@
             return None;
         }
         self.version = delta.version;
-        self.note_unseen_departures(now, &delta.gone);
+        self.note_unseen_departures(now, delta.since, &delta.gone);
         self.note_refresh(now);
         let (lapsing, gone) = self.split_lapsing(now, &delta.lapsing);
         let mut changes = Vec::new();
@@ -252,12 +252,13 @@
         self.note_unseen(now);
     }
 
-    /// Notes those of the replicas `gone` that this daemon has never listed, also for peers that ask it.
-    fn note_unseen_departures(&mut self, now: Time, gone: &[String]) {
+    /// Notes those of the replicas `gone` after version `since` that this daemon did not list at that
+    /// time, also for peers that ask it.
+    fn note_unseen_departures(&mut self, now: Time, since: Revision, gone: &[String]) {
         for id in gone {
             let is_known = self.index.by_id(id).is_some()
                 || self.withheld.contains_key(id)
-                || self.tombstones.contains(id);
+                || self.tombstones.explains(since, id);
             if !is_known {
                 let listed = self.servers.len();
                 self.tombstones.add_unseen(self.version, id, listed);
--- a/crates/relay/src/tombstones.rs
+++ b/crates/relay/src/tombstones.rs
@@ -19,6 +19,9 @@
     birth: Option<Birth>,
     /// Number of entries that this incarnation had written.
     writes: u64,
+    /// Whether this daemon has ever listed it; a row that is no entry of a replica counts as removed each
+    /// time it is written.
+    was_listed: bool,
 }
 
 /// Removed replicas, so that peers can be sent changes instead of the whole list, and that a store
@@ -39,6 +42,13 @@
         self.records.contains_key(id)
     }
 
+    /// Whether the removal of `id` after version `since` is the recorded one, and not that of a replica
+    /// which came back under its id.
+    pub(crate) fn explains(&self, since: Revision, id: &str) -> bool {
+        let record = self.records.get(id);
+        record.is_some_and(|removed| removed.version > since || !removed.was_listed)
+    }
+
     /// Whether `replica` is an entry of an incarnation that was removed in an era before `era`, and
     /// not newer than its last known one.
     pub(crate) fn predates_removal(&self, era: u64, replica: &Replica) -> bool {
@@ -59,16 +69,19 @@
             version,
             birth: replica.birth,
             writes: replica.writes,
+            was_listed: true,
         };
         self.insert(&replica.id, record, listed);
     }
 
-    /// Records that a replica `id` which was never listed here is missing at `version`.
+    /// Records that a replica `id` which was not listed here is missing at `version`.
     pub(crate) fn add_unseen(&mut self, version: Revision, id: &str, listed: usize) {
+        let known = self.records.get(id);
         let record = Tombstone {
             version,
-            birth: None,
-            writes: 0,
+            birth: known.and_then(|removed| removed.birth),
+            writes: known.map_or(0, |removed| removed.writes),
+            was_listed: known.is_some_and(|removed| removed.was_listed),
         };
         self.insert(id, record, listed);
     }
--- a/crates/relay/tests/begins.rs
+++ b/crates/relay/tests/begins.rs
@@ -355,3 +355,40 @@
     assert_eq!(only(at(60)), None);
     assert_eq!(only(at(61)), Some("v1"));
 }
+
+/// A pool that has followed a list of `v1` for long, and has seen its replica `i-2` leave.
+fn followed_without_second() -> Pool {
+    let mut pool = Pool::new();
+    let both = [replica("i-1", Some("v1")), replica("i-2", Some("v1"))];
+    list(&mut pool, at(0), 1, &both);
+    follow(&mut pool, 1, 30);
+    pool.apply_delta(at(31), &changes(1, 2, &["i-2"])).unwrap();
+    assert_eq!(pool.only_version(at(31), SERVICE, LIFETIME), Some("v1"));
+    pool
+}
+
+/// Guards against taking a replica that came back unseen under its id, and left again, for the one that
+/// had left before.
+#[test]
+fn a_replica_that_came_back_and_left_before_it_was_seen_may_have_had_another_version() {
+    let mut pool = followed_without_second();
+    pool.apply_delta(at(32), &changes(2, 4, &["i-2"])).unwrap();
+    assert_eq!(pool.only_version(at(32), SERVICE, LIFETIME), None);
+    // Again, after the first time has lost its effect.
+    follow(&mut pool, 33, 62);
+    assert_eq!(pool.only_version(at(62), SERVICE, LIFETIME), Some("v1"));
+    pool.apply_delta(at(62), &changes(4, 6, &["i-2"])).unwrap();
+    assert_eq!(pool.only_version(at(62), SERVICE, LIFETIME), None);
+}
+
+/// Guards against the same at daemons that get their list from one that did not see it.
+#[test]
+fn a_departure_of_a_replica_that_came_back_unseen_is_passed_on() {
+    let (mut reader, mut peer) = (followed_without_second(), followed_without_second());
+    reader
+        .apply_delta(at(32), &changes(2, 4, &["i-2"]))
+        .unwrap();
+    let update = reader.update_since(at(32), peer.version());
+    peer.apply_update(at(32), Source::Peer, &update).unwrap();
+    assert_eq!(peer.only_version(at(32), SERVICE, LIFETIME), None);
+}
