Forget an unknown version once the list names it

What callers would see: resumptions refused though one version alone has served. A replica restarts, one of its answers shows that before its entry does, and from then on the daemon takes no version for the only one, for as long as a stream can be resumed and 30 s more.

Cause: the incarnation counted as one of an unknown version until its entry was read, and that version as another one that had replicas.

Ruled out: an entry without a start, or of a later start, may be that of another incarnation; the unknown version goes on to count then.

Change: Versions::identify forgets the unknown version of an incarnation whose own entry names it.

Measured: a_version_that_the_list_shows_after_an_answer_is_no_unknown_one, case same, fails before (seen, None) and passes now; its cases of another version and of a later incarnation pass before and after. All tests of begins, pool, eras and restarts of relay pass.

--- a/crates/relay/src/pool/list.rs
+++ b/crates/relay/src/pool/list.rs
@@ -330,6 +330,7 @@
 
     /// Updates the entry of a known replica. Returns whether its state changed.
     fn update_entry(&mut self, now: Time, key: Key, replica: &Replica) -> bool {
+        let entry_birth = replica.birth;
         let server = &mut self.servers[key];
         let is_listed = server.is_listed();
         // The copy from which the store came back may be older than what is known of a departure.
@@ -346,7 +347,12 @@
         }
         let changed = server.replica.draining != replica.draining || !is_listed;
         self.index.remove(key, server);
-        self.versions.remove(now, &server.replica);
+        let is_known = replica.birth.is_some() && replica.birth == entry_birth;
+        if is_known && server.replica.software.is_none() {
+            self.versions.identify(&server.replica);
+        } else {
+            self.versions.remove(now, &server.replica);
+        }
         self.versions.add(&replica);
         server.changed = self.version;
         // A replica whose entry changes is alive: it refused requests because its stage had
--- a/crates/relay/src/versions.rs
+++ b/crates/relay/src/versions.rs
@@ -23,8 +23,8 @@
     replicas: usize,
     /// Replicas of them that are draining.
     draining: usize,
-    /// When the last replica was removed.
-    ended_at: Time,
+    /// When the last replica was removed; `None` if none was.
+    ended_at: Option<Time>,
 }
 
 impl Versions {
@@ -42,9 +42,18 @@
         if let Some(usage) = versions.get_mut(&replica.software) {
             usage.replicas = usage.replicas.saturating_sub(1);
             usage.draining = usage.draining.saturating_sub(replica.draining.into());
-            usage.ended_at = now;
+            usage.ended_at = Some(now);
+        }
+        versions.retain(|_, usage| usage.is_recent(now, RETENTION));
+    }
+
+    /// Records that the incarnation of `replica`, whose version was unknown, has one: it never had another.
+    pub(crate) fn identify(&mut self, replica: &Replica) {
+        let versions = self.services.get_mut(&replica.service);
+        if let Some(usage) = versions.and_then(|versions| versions.get_mut(&None)) {
+            usage.replicas = usage.replicas.saturating_sub(1);
+            usage.draining = usage.draining.saturating_sub(replica.draining.into());
         }
-        versions.retain(|_, usage| usage.replicas > 0 || now.since(usage.ended_at) < RETENTION);
     }
 
     /// The only version of `service` that had replicas within `period`; `None` if there were several
@@ -52,7 +61,7 @@
     pub(crate) fn only(&self, now: Time, service: &str, period: Duration) -> Option<&str> {
         let versions = self.services.get(service)?.iter();
         let mut recent = versions
-            .filter(|(_, usage)| usage.replicas > 0 || now.since(usage.ended_at) < period)
+            .filter(|(_, usage)| usage.is_recent(now, period))
             .map(|(version, _)| version.as_deref());
         match (recent.next(), recent.next()) {
             (Some(only), None) => only,
@@ -67,3 +76,11 @@
         usage.is_some_and(|usage| usage.replicas > usage.draining)
     }
 }
+
+impl Usage {
+    /// Whether there was a replica within `period`.
+    fn is_recent(&self, now: Time, period: Duration) -> bool {
+        let ended_recently = |at| now.since(at) < period;
+        self.replicas > 0 || self.ended_at.is_some_and(ended_recently)
+    }
+}
--- a/crates/relay/tests/begins.rs
+++ b/crates/relay/tests/begins.rs
@@ -10,6 +10,7 @@
 use relay::begins::Conflict;
 use relay::begins::Stream;
 use relay::pool::Pool;
+use relay::replica::Birth;
 use relay::replica::Delta;
 use relay::replica::Replica;
 use relay::replica::Source;
@@ -392,3 +393,33 @@
     peer.apply_update(at(32), Source::Peer, &update).unwrap();
     assert_eq!(peer.only_version(at(32), SERVICE, LIFETIME), None);
 }
+
+/// Guards against refused resumptions after each restart that an answer shows before the list: the version
+/// of the new incarnation is that of its entry.
+#[rstest]
+#[case::same(2, "v1", Some("v1"))]
+#[case::other(2, "v1.1", None)]
+#[case::later_incarnation(3, "v1", None)]
+fn a_version_that_the_list_shows_after_an_answer_is_no_unknown_one(
+    #[case] listed: u64,
+    #[case] software: &str,
+    #[case] expected: Option<&str>,
+) {
+    let born = |birth, software| Replica {
+        birth: Some(Birth(birth)),
+        ..replica("i-1", Some(software))
+    };
+    let mut pool = Pool::new();
+    list(&mut pool, at(0), 1, &[born(1, "v1")]);
+    follow(&mut pool, 1, 30);
+    let criteria = common::criteria(SERVICE, Some(Stage::Decode), &[], None);
+    let key = pool.choose(at(30), &criteria, || 0.0).unwrap();
+    assert_eq!(pool.update_birth(at(31), key, Some(Birth(2))).len(), 1);
+    assert_eq!(pool.only_version(at(31), SERVICE, LIFETIME), None);
+    let change = Delta {
+        replicas: vec![born(listed, software)],
+        ..changes(1, 2, &[])
+    };
+    pool.apply_delta(at(31), &change).unwrap();
+    assert_eq!(pool.only_version(at(31), SERVICE, LIFETIME), expected);
+}
