Count the versions of replicas whose entries are withheld

What callers would see: a stream with a timeout below 5 s that began at another version is resumed at the one that the daemon lists. The store has come back from a copy with a replica that had left; the daemon withholds its entry for 10 s, one that has started since lists it and sends streams to it.

Cause: withheld replicas were no part of what decides on the only version.

Ruled out: longer streams; the daemon has not followed the new era for as long as they can be resumed.

Measured: a_replica_whose_entry_is_withheld_counts_with_its_version fails before (seen, Some("v1")) and passes now; all tests of begins, pool, eras and restarts of relay pass.

--- a/crates/relay/src/pool/versions.rs
+++ b/crates/relay/src/pool/versions.rs
@@ -31,6 +31,11 @@
         let only = self
             .versions
             .only(now, service, period + UNLISTED_SERVICE)?;
+        // Other daemons may list them.
+        let mut withheld = self.withheld.values().filter(|r| r.service == service);
+        if withheld.any(|replica| replica.software.as_deref() != Some(only)) {
+            return None;
+        }
         let is_followed = now.since(followed_since) >= period || self.starts_first;
         (is_followed || self.is_vouched(service, only, followed_since)).then_some(only)
     }
--- a/crates/relay/tests/begins.rs
+++ b/crates/relay/tests/begins.rs
@@ -423,3 +423,21 @@
     pool.apply_delta(at(31), &change).unwrap();
     assert_eq!(pool.only_version(at(31), SERVICE, LIFETIME), expected);
 }
+
+/// Guards against resuming a short stream at another version than that of a replica which this daemon does
+/// not list again yet after the store came back from a copy, while others do.
+#[test]
+fn a_replica_whose_entry_is_withheld_counts_with_its_version() {
+    let short = Duration::from_secs(4);
+    let (one, two) = (replica("i-1", Some("v1")), replica("i-2", Some("v1.1")));
+    let mut pool = Pool::new();
+    list(&mut pool, at(0), 1, &[one.clone(), two.clone()]);
+    list(&mut pool, at(1), 2, std::slice::from_ref(&one));
+    follow(&mut pool, 2, 60);
+    assert_eq!(pool.only_version(at(60), SERVICE, short), Some("v1"));
+    let mut copy = common::snapshot(0, vec![one, two]);
+    copy.version = Revision::new(1, 1);
+    pool.apply(at(60), &copy).unwrap();
+    follow(&mut pool, 61, 66);
+    assert_eq!(pool.only_version(at(66), SERVICE, short), None);
+}
