Send a stream to no replica whose entry has changed its version

What callers would see: an answer that began at one software version goes on at another one. The replica is chosen at the version of the stream; while a prefill replica reads the prompt, its entry is rewritten with another version, without the start of a process, as on deployments that report none.

Cause: versions were compared at the choice only. Whether a replica has restarted is compared before the send, but an entry without `born` changes in place.

Ruled out: the list; it named the version 14 ms and more before the send (log lines replicas 9, send with software v1.1 at a stream bound to v1).

Change: the version is compared again with what the list shows when the request is built. The send counts as not sent.

Left open: a KV cache that a prefill replica has written for a decode replica whose version changes meanwhile, for a stream that has not begun.

Measured: out_of_step::a_stream_goes_on_at_no_replica_whose_entry_has_changed_its_version_since_the_choice fails before (seen: the answer is complete, its second part from v1.1) and passes now; 81 tests of gateway (out of step, versions, resumptions, epochs, saved begins, restarts, eras, stages, handoff, list confirmation) pass.

--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -115,7 +115,16 @@
         let target = (replica.id.clone(), replica.address, server.in_flight);
         (target, software, server.withheld_cause(now))
     });
+    let versions = job.destination().software;
     let ((id, address, in_flight), software) = match target {
+        // Its entry may have changed since the choice. A prefill is bound to its decode replica instead.
+        Some((_, software, _))
+            if task != Task::Prefill && !versions.allows(software.as_deref()) =>
+        {
+            let cause = "its entry shows another software version";
+            record_failure(shared, job, key, Outcome::NotSent, cause, 0);
+            return Err(Outcome::NotSent);
+        }
         Some((target, software, None)) => (target, software),
         Some((_, _, Some(cause))) => {
             record_failure(shared, job, key, Outcome::NotSent, cause, 0);
--- a/crates/gateway/tests/gateway/out_of_step.rs
+++ b/crates/gateway/tests/gateway/out_of_step.rs
@@ -1,5 +1,9 @@
 //! Streams that callers resume at a daemon whose view of the replicas, or of the stream, is older than the stream.
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
 use std::time::Duration;
 
 use rustix::process::Signal;
@@ -7,6 +11,7 @@
 use crate::common::daemon::Daemon;
 use crate::common::daemon::new_ip;
 use crate::common::daemon::wait_until;
+use crate::common::http::answer;
 use crate::common::replica::Action;
 use crate::common::replica::Replica;
 use crate::common::store;
@@ -105,3 +110,41 @@
         event_texts(2, EVENTS)
     );
 }
+
+/// Guards against going on at a replica whose entry shows another version by the time of the send: without a start in its
+/// entry, it has not restarted.
+#[test]
+fn a_stream_goes_on_at_no_replica_whose_entry_has_changed_its_version_since_the_choice() {
+    let plan = store::config(1, 20_000, 8_000);
+    let first = Engine::start("i-first", "v1");
+    let site = Site::start_with_plan("changed-since-the-choice", &plan, &[]);
+    first.list(&site, "here");
+    site.daemon.wait_until_ready();
+    let mut stream = begin_stream(&site);
+    let is_changed = Arc::new(AtomicBool::new(false));
+    let waits_for = Arc::clone(&is_changed);
+    let prefill = Replica::start("i-prefill", move |_| {
+        while !waits_for.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(5));
+        }
+        let body = br#"{"kv-handle":"k1","tokens":1460,"version":1}"#;
+        let headers = [("content-type", "application/json")];
+        Action::Send(answer(200, &headers, body))
+    });
+    let changed = Engine::start("i-changed", "v1");
+    changed.list(&site, "here");
+    let row = prefill.row("llm", "prefill");
+    site.store.put("servers", "i-prefill", &row);
+    wait_until_known(&site.daemon, &["i-changed", "i-prefill"]);
+    first.end(&site);
+    wait_until("the prompt is prefilled", || !prefill.requests().is_empty());
+    let mut row = changed.replica.row("llm", "decode");
+    row["version"] = "v1.1".into();
+    site.store.put("servers", "i-changed", &row);
+    let later = Engine::start("i-later", "v1.1");
+    later.list(&site, "here");
+    wait_until_known(&site.daemon, &["i-later"]);
+    is_changed.store(true, Ordering::SeqCst);
+    assert!(!stream.read().complete);
+    assert_eq!((changed.runs(), later.runs()), (0, 0));
+}
--- a/crates/relay/src/score.rs
+++ b/crates/relay/src/score.rs
@@ -60,7 +60,7 @@
     }
 
     /// Whether a replica of the version `software`, `None` if it is not listed, may serve.
-    fn allows(self, software: Option<&str>) -> bool {
+    pub fn allows(self, software: Option<&str>) -> bool {
         match self {
             Self::Any => true,
             Self::Listed => software.is_some(),
