Round the age of a confirmed list up

Cause: a status carries the age of a list in milliseconds, rounded down where it is sent and again where it arrives, so that a list counted as read up to 2 ms later than it was.

--- a/crates/gateway/src/poller_status.rs
+++ b/crates/gateway/src/poller_status.rs
@@ -45,7 +45,7 @@
             plan,
             replicas,
             same,
-            age_ms: age.as_millis() as u64,
+            age_ms: whole_ms(age),
             store_lost,
             overloaded,
         }
@@ -54,7 +54,7 @@
     /// The status `time` later.
     #[must_use]
     pub const fn aged_by(mut self, time: Duration) -> Self {
-        self.age_ms = self.age_ms.saturating_add(time.as_millis() as u64);
+        self.age_ms = self.age_ms.saturating_add(whole_ms(time));
         self
     }
 
@@ -84,6 +84,11 @@
     }
 }
 
+/// `time` in milliseconds, rounded up: a list must not seem newer than it is.
+const fn whole_ms(time: Duration) -> u64 {
+    time.as_nanos().div_ceil(1_000_000) as u64
+}
+
 /// A version without its era, as daemons of earlier versions send it.
 mod version_only {
     use relay::revision::Revision;
--- a/crates/gateway/tests/gateway/eras.rs
+++ b/crates/gateway/tests/gateway/eras.rs
@@ -250,3 +250,12 @@
         assert_eq!(store.read("t").await, Err(outdated));
     });
 }
+
+/// Guards against confirming a list as of a time before which it was read: ages are sent in whole milliseconds.
+#[test]
+fn the_age_of_a_list_is_not_rounded_down() {
+    let age = Duration::from_micros(1_999);
+    let status = PollerStatus::new(3, REPLICAS, true, age, false, false);
+    assert!(status.age() >= age);
+    assert!(status.aged_by(age).age() >= age * 2);
+}
