Announce the streams that begin while an instance stops

What callers would see: a resumption refused as unknown. An instance stops, hands its records over, and a stream that was sent before gets its first event only then. While one version serves, that is not announced; the instance is gone when another version is listed.

Cause: records are handed over once, at the begin of the stop, and later ones are announced only where several versions may serve.

Ruled out: guessing; the resumption was refused (log line begin: source unknown), not bound to a version.

Change: while an instance stops, all streams count as due for an announcement.

--- a/crates/gateway/src/begins.rs
+++ b/crates/gateway/src/begins.rs
@@ -93,13 +93,16 @@
     }
 }
 
-/// Announces the streams of services with several versions that are not announced yet.
+/// Announces the streams of services with several versions that are not announced yet; all streams
+/// while this daemon stops, since it will not be there when another version is listed.
 pub async fn announce_due(shared: &Shared) {
     let now = shared.clock.now();
+    let is_stopping = shared.is_stopping();
+    let mut may_have_several = may_have_several_versions(shared);
     let due = shared
         .begins
         .borrow_mut()
-        .take_unannounced(now, may_have_several_versions(shared));
+        .take_unannounced(now, |service| is_stopping || may_have_several(service));
     send(shared, due).await;
 }
 
--- a/crates/gateway/tests/gateway/resumptions.rs
+++ b/crates/gateway/tests/gateway/resumptions.rs
@@ -16,6 +16,7 @@
 use crate::common::replica::Replica;
 use crate::common::store;
 use crate::site::Site;
+use crate::site::config;
 use crate::site::start_generation;
 use crate::version_site::EVENTS;
 use crate::version_site::Engine;
@@ -242,6 +243,37 @@
     assert_eq!(other.runs(), 0);
 }
 
+/// Guards against losing the version of a stream that begins while its instance stops: nobody else knows it once another
+/// version is listed.
+#[test]
+fn a_stream_that_begins_while_its_instance_stops_is_handed_over() {
+    let late = Replica::start("i-late", |request| {
+        thread::sleep(Duration::from_millis(500));
+        Engine::generate(request)
+    });
+    let other = Engine::start("i-other", "v1.1");
+    let replicas = [(&late, "llm", "decode")];
+    let first_start = "first_start: true\n";
+    let mut site = Site::start_with_settings("begun-at-a-stop", &config(1), &replicas, first_start);
+    let another = site.first_start("begun-at-a-stop-2");
+    another.wait_until_ready();
+    site.daemon.wait_until_ready();
+    wait_until_members(&[&site.daemon, &another], 2);
+    let mut stream = start_generation(&site.daemon, PATH, "a1");
+    wait_until("the stream is sent", || !late.requests().is_empty());
+    site.daemon.signal(Signal::TERM);
+    assert!(stream.read().complete);
+    site.daemon.wait_for_exit();
+    other.list(&site, "here");
+    wait_until_known(&another, &["i-late", "i-other"]);
+    let answer = resume(&another, "a2", "a1", "1");
+    assert_eq!(
+        String::from_utf8_lossy(&answer.body),
+        event_texts(2, EVENTS)
+    );
+    assert_eq!(other.runs(), 0);
+}
+
 /// Guards against keeping a caller waiting for a version that is gone.
 #[test]
 fn a_resumption_is_refused_at_once_if_its_version_has_no_replicas() {
