--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -114,7 +114,16 @@
         let target = (Rc::new(server.replica.clone()), server.in_flight);
         (target, server.withheld_cause(now))
     });
+    let versions = job.destination().software;
     let (replica, in_flight) = match target {
+        // Its entry may have changed since the choice. A prefill is bound to its decode replica instead.
+        Some(((replica, _), _))
+            if task != Task::Prefill && !versions.allows(replica.software.as_deref()) =>
+        {
+            let cause = "its entry shows another software version";
+            record_failure(shared, job, key, Outcome::NotSent, cause, 0);
+            return Err(Outcome::NotSent);
+        }
         Some((target, None)) => target,
         Some((_, Some(cause))) => {
             record_failure(shared, job, key, Outcome::NotSent, cause, 0);
--- a/crates/relay/src/pool/list.rs
+++ b/crates/relay/src/pool/list.rs
@@ -213,7 +213,7 @@
             return None;
         }
         self.version = delta.version;
-        self.note_unseen_departures(now, &delta.gone);
+        self.note_unseen_departures(now, delta.since, &delta.gone);
         self.note_refresh(now);
         let (lapsing, gone) = self.split_lapsing(now, &delta.lapsing);
         let mut changes = Vec::new();
@@ -252,12 +252,13 @@
         self.note_unseen(now);
     }
 
-    /// Notes those of the replicas `gone` that this daemon has never listed, also for peers that ask it.
-    fn note_unseen_departures(&mut self, now: Time, gone: &[String]) {
+    /// Notes those of the replicas `gone` after version `since` that this daemon did not list at that
+    /// time, also for peers that ask it.
+    fn note_unseen_departures(&mut self, now: Time, since: Revision, gone: &[String]) {
         for id in gone {
             let is_known = self.index.by_id(id).is_some()
                 || self.withheld.contains_key(id)
-                || self.tombstones.contains(id);
+                || self.tombstones.explains(since, id);
             if !is_known {
                 let listed = self.servers.len();
                 self.tombstones.add_unseen(self.version, id, listed);
@@ -329,6 +330,7 @@
 
     /// Updates the entry of a known replica. Returns whether its state changed.
     fn update_entry(&mut self, now: Time, key: Key, replica: &Replica) -> bool {
+        let entry_birth = replica.birth;
         let server = &mut self.servers[key];
         let is_listed = server.is_listed();
         // The copy from which the store came back may be older than what is known of a departure.
@@ -345,7 +347,12 @@
         }
         let changed = server.replica.draining != replica.draining || !is_listed;
         self.index.remove(key, server);
-        self.versions.remove(now, &server.replica);
+        let is_known = replica.birth.is_some() && replica.birth == entry_birth;
+        if is_known && server.replica.software.is_none() {
+            self.versions.identify(&server.replica);
+        } else {
+            self.versions.remove(now, &server.replica);
+        }
         self.versions.add(&replica);
         server.changed = self.version;
         // A replica whose entry changes is alive: it refused requests because its stage had
--- a/crates/relay/tests/begins.rs
+++ b/crates/relay/tests/begins.rs
@@ -10,6 +10,7 @@
 use relay::begins::Conflict;
 use relay::begins::Stream;
 use relay::pool::Pool;
+use relay::replica::Birth;
 use relay::replica::Delta;
 use relay::replica::Replica;
 use relay::replica::Source;
@@ -355,3 +356,88 @@
     assert_eq!(only(at(60)), None);
     assert_eq!(only(at(61)), Some("v1"));
 }
+
+/// A pool that has followed a list of `v1` for long, and has seen its replica `i-2` leave.
+fn followed_without_second() -> Pool {
+    let mut pool = Pool::new();
+    let both = [replica("i-1", Some("v1")), replica("i-2", Some("v1"))];
+    list(&mut pool, at(0), 1, &both);
+    follow(&mut pool, 1, 30);
+    pool.apply_delta(at(31), &changes(1, 2, &["i-2"])).unwrap();
+    assert_eq!(pool.only_version(at(31), SERVICE, LIFETIME), Some("v1"));
+    pool
+}
+
+/// Guards against taking a replica that came back unseen under its id, and left again, for the one that
+/// had left before.
+#[test]
+fn a_replica_that_came_back_and_left_before_it_was_seen_may_have_had_another_version() {
+    let mut pool = followed_without_second();
+    pool.apply_delta(at(32), &changes(2, 4, &["i-2"])).unwrap();
+    assert_eq!(pool.only_version(at(32), SERVICE, LIFETIME), None);
+    // Again, after the first time has lost its effect.
+    follow(&mut pool, 33, 62);
+    assert_eq!(pool.only_version(at(62), SERVICE, LIFETIME), Some("v1"));
+    pool.apply_delta(at(62), &changes(4, 6, &["i-2"])).unwrap();
+    assert_eq!(pool.only_version(at(62), SERVICE, LIFETIME), None);
+}
+
+/// Guards against the same at daemons that get their list from one that did not see it.
+#[test]
+fn a_departure_of_a_replica_that_came_back_unseen_is_passed_on() {
+    let (mut reader, mut peer) = (followed_without_second(), followed_without_second());
+    reader
+        .apply_delta(at(32), &changes(2, 4, &["i-2"]))
+        .unwrap();
+    let update = reader.update_since(at(32), peer.version());
+    peer.apply_update(at(32), Source::Peer, &update).unwrap();
+    assert_eq!(peer.only_version(at(32), SERVICE, LIFETIME), None);
+}
+
+/// Guards against refused resumptions after each restart that an answer shows before the list: the version
+/// of the new incarnation is that of its entry.
+#[rstest]
+#[case::same(2, "v1", Some("v1"))]
+#[case::other(2, "v1.1", None)]
+#[case::later_incarnation(3, "v1", None)]
+fn a_version_that_the_list_shows_after_an_answer_is_no_unknown_one(
+    #[case] listed: u64,
+    #[case] software: &str,
+    #[case] expected: Option<&str>,
+) {
+    let born = |birth, software| Replica {
+        birth: Some(Birth(birth)),
+        ..replica("i-1", Some(software))
+    };
+    let mut pool = Pool::new();
+    list(&mut pool, at(0), 1, &[born(1, "v1")]);
+    follow(&mut pool, 1, 30);
+    let criteria = common::criteria(SERVICE, Some(Stage::Decode), &[], None);
+    let key = pool.choose(at(30), &criteria, || 0.0).unwrap();
+    assert_eq!(pool.update_birth(at(31), key, Some(Birth(2))).len(), 1);
+    assert_eq!(pool.only_version(at(31), SERVICE, LIFETIME), None);
+    let change = Delta {
+        replicas: vec![born(listed, software)],
+        ..changes(1, 2, &[])
+    };
+    pool.apply_delta(at(31), &change).unwrap();
+    assert_eq!(pool.only_version(at(31), SERVICE, LIFETIME), expected);
+}
+
+/// Guards against resuming a short stream at another version than that of a replica which this daemon does
+/// not list again yet after the store came back from a copy, while others do.
+#[test]
+fn a_replica_whose_entry_is_withheld_counts_with_its_version() {
+    let short = Duration::from_secs(4);
+    let (one, two) = (replica("i-1", Some("v1")), replica("i-2", Some("v1.1")));
+    let mut pool = Pool::new();
+    list(&mut pool, at(0), 1, &[one.clone(), two.clone()]);
+    list(&mut pool, at(1), 2, std::slice::from_ref(&one));
+    follow(&mut pool, 2, 60);
+    assert_eq!(pool.only_version(at(60), SERVICE, short), Some("v1"));
+    let mut copy = common::snapshot(0, vec![one, two]);
+    copy.version = Revision::new(1, 1);
+    pool.apply(at(60), &copy).unwrap();
+    follow(&mut pool, 61, 66);
+    assert_eq!(pool.only_version(at(66), SERVICE, short), None);
+}
