Let a stream end that a lost peer may still begin

What callers would see: a stream goes on at another version. Its replica fails before the first event, a peer takes it over and is lost without an event; the daemon resumes it at the only version while the peer, which has not noticed, gets its first event from a version that was listed since, and records it. A third daemon may know only that record.

Cause: the begin at the peer comes after the reading, not before the question.

Change: such a stream is bound by nothing and ends. Its caller has no event and may start anew.

--- a/crates/gateway/src/forward/resume.rs
+++ b/crates/gateway/src/forward/resume.rs
@@ -318,13 +318,15 @@
         (opened.reply.head.status == StatusCode::OK).then_some(opened)
     }
 
-    /// Finds out the software version at which the stream has to continue, if it may have begun. Only
-    /// the peer knows it if that forwarded the first event, which may have been lost on its way here.
-    /// Returns `false` if nobody knows it.
+    /// Finds out the software version at which the stream has to continue, if it has begun. Only the
+    /// peer knows it if that forwarded the first event. Returns `false` if nobody knows it.
     pub(super) async fn find_version(&self) -> bool {
-        let may_have_begun = self.started || self.was_at_peer;
-        let is_known = self.job.software().is_some() || !may_have_begun;
-        is_known || begins::bind(&self.shared, &self.job).await
+        match self.job.software() {
+            Some(_) => true,
+            None if self.started => begins::bind(&self.shared, &self.job).await,
+            // The peer may still record a begin, at any version. The caller has no event and may start anew.
+            None => !self.was_at_peer,
+        }
     }
 
     /// Tokens generated so far.
