End an answer whose begin contradicts a recorded one

A begin that contradicts a record was logged, and its event was forwarded all the same. It is known before the event leaves, so the answer is cut instead.

--- a/crates/gateway/src/begins.rs
+++ b/crates/gateway/src/begins.rs
@@ -76,21 +76,26 @@
 /// Records that the version `software` began the stream of `job`, if its caller may resume it, and
 /// announces that if needed. Precedes the first event on its way to the caller, who may resume the
 /// stream from then on.
-pub async fn record(shared: &Shared, job: &Job, software: &str) {
+///
+/// # Errors
+/// If another version is recorded: the event must not leave.
+pub async fn record(shared: &Shared, job: &Job, software: &str) -> Result<(), Conflict> {
     let stream = stream(job).filter(|_| job.may_be_resumed());
-    let Some(stream) = stream else { return };
+    let Some(stream) = stream else {
+        return Ok(());
+    };
     let lifetime = job.route.timeout * LIFETIME_FACTOR;
     let now = shared.clock.now();
     let begun = shared
         .begins
         .borrow_mut()
         .begin(now, stream, &job.service, software, lifetime);
-    match begun {
-        Ok(()) => announce_due(shared).await,
-        Err(Conflict) => {
-            log::error!(kind = "begin", request = job.call.id, software = software; "the stream is recorded as begun by another software version");
-        }
+    if begun.is_err() {
+        log::error!(kind = "begin", request = job.call.id, software = software; "the stream is recorded as begun by another software version");
+        return begun;
     }
+    announce_due(shared).await;
+    Ok(())
 }
 
 /// Announces the streams of services with several versions that are not announced yet; all streams
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -13,6 +13,7 @@
 use platform::reply;
 use relay::attempt::Attempt;
 use relay::attempt::Outcome as Sent;
+use relay::begins::Conflict;
 use relay::event;
 use relay::event::Splitter;
 use relay::server::Key;
@@ -199,7 +200,7 @@
             .is_some_and(|(first, last)| last.saturating_duration_since(first) >= MIN_WRITING_TIME)
     }
 
-    /// Sends bytes to the caller; `false` if the caller is gone.
+    /// Sends bytes to the caller; `false` if the caller is gone or must get no more.
     async fn send_to_caller(&mut self, bytes: Vec<u8>) -> bool {
         if bytes.is_empty() {
             return true;
@@ -216,7 +217,11 @@
         }
         if has_event && !self.started {
             self.started = true;
-            self.record_begin().await;
+            if self.record_begin().await.is_err() {
+                let cause = "another software version began the stream";
+                self.job.end("broken", 200, cause);
+                return false;
+            }
             let age = self.job.age();
             let route = &self.job.route.name;
             self.shared.metrics.latency(route, age.as_secs_f64());
@@ -227,12 +232,13 @@
 
     /// Binds the stream to the software version that brings its first event, and records that. A peer
     /// that brings it has done so.
-    async fn record_begin(&self) {
+    async fn record_begin(&self) -> Result<(), Conflict> {
         if let Some(software) = &self.software {
             self.job.bind(software);
         }
-        if let Some(software) = self.job.software() {
-            begins::record(&self.shared, &self.job, software).await;
+        match self.job.software() {
+            Some(software) => begins::record(&self.shared, &self.job, software).await,
+            None => Ok(()),
         }
     }
 
