--- a/crates/gateway/src/begins.rs
+++ b/crates/gateway/src/begins.rs
@@ -226,7 +226,8 @@
         saving::load(shared).await;
         storage::look_up(shared).await;
     };
-    shared.begins_reading.after(shared, asked_at, read).await;
+    let clock = &shared.clock;
+    shared.begins_reading.after(clock, asked_at, read).await;
     match lookup::find(shared, stream) {
         Finding::Unknown => shared
             .only_version_at(asked_at, service)
--- a/crates/gateway/src/reading.rs
+++ b/crates/gateway/src/reading.rs
@@ -7,7 +7,7 @@
 use ident::Time;
 use tokio::sync::Mutex;
 
-use crate::shared::Shared;
+use crate::clock::Clock;
 
 /// Minimum interval between the begins of two readings: questions come in bursts, and the store limits
 /// its calls.
@@ -30,16 +30,16 @@
 
     /// Returns once a reading that began at `asked_at` or later is complete. Calls `read` unless another
     /// caller has done so meanwhile.
-    pub async fn after(&self, shared: &Shared, asked_at: Time, read: impl AsyncFnOnce()) {
+    pub async fn after(&self, clock: &Clock, asked_at: Time, read: impl AsyncFnOnce()) {
         let _turn = self.turn.lock().await;
         let last = self.began_at.get();
         if last.is_some_and(|began_at| began_at >= asked_at) {
             return;
         }
         if let Some(began_at) = last {
-            sleep(PERIOD.saturating_sub(shared.clock.now().since(began_at))).await;
+            sleep(PERIOD.saturating_sub(clock.now().since(began_at))).await;
         }
-        let began_at = shared.clock.now();
+        let began_at = clock.now();
         read().await;
         self.began_at.set(Some(began_at));
     }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -295,7 +295,8 @@
     let read = async || {
         read_replicas(shared, Duration::ZERO).await;
     };
-    shared.list_reading.after(shared, asked_at, read).await;
+    let clock = &shared.clock;
+    shared.list_reading.after(clock, asked_at, read).await;
     let until = Instant::now() + CONFIRM_TIMEOUT;
     while !is_confirmed() && Instant::now() < until {
         if shared.members.borrow().poller().is_none() {
