--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -110,7 +110,7 @@
     /// When the list was last found to lack replicas that have come and left, or that may have.
     unseen_at: Option<Time>,
     /// The latest time at which a replica was listed here that has left.
-    short_listed_at: Option<Time>,
+    departed_listed_at: Option<Time>,
     /// Whether no stream can have begun before the list was first read.
     starts_first: bool,
     /// Software versions that alone served before the daemon followed the list, by service, and
@@ -162,7 +162,7 @@
     /// knows. A replica that has come and left leaves the lists equal; a daemon that asks for the changes
     /// instead learns of it.
     pub fn confirms(&self, now: Time, digest: u64) -> bool {
-        let unseen_at = self.short_listed_at.max(self.unseen_at);
+        let unseen_at = self.departed_listed_at.max(self.unseen_at);
         let may_lack = unseen_at.is_some_and(|at| now.since(at) < MAX_CONFIRMED_GAP);
         self.digest() == digest && !may_lack
     }
--- a/crates/relay/src/pool/list.rs
+++ b/crates/relay/src/pool/list.rs
@@ -29,6 +29,9 @@
 /// known as gone. The store removes entries after three missing renewals, about four seconds.
 const WITHHOLDING: Duration = Duration::from_secs(10);
 
+/// Start of the id that stands for replicas which a daemon may not have seen.
+const UNKNOWN_ID_PREFIX: &str = "unknown before ";
+
 impl Pool {
     /// Update for a peer whose list has the version `since` and the hash `digest`; `None` if it is
     /// up to date. If lists of the same version differ, the peer gets a complete one; otherwise it
@@ -246,7 +249,7 @@
     /// left in between. Peers that ask for the changes since learn it by the departure of one that none
     /// of them knows.
     fn note_complete_list(&mut self, now: Time) {
-        let unknown = format!("unknown before {}", self.version);
+        let unknown = format!("{UNKNOWN_ID_PREFIX}{}", self.version);
         let listed = self.servers.len();
         self.tombstones.add_unseen(self.version, &unknown, listed);
         self.note_unseen(now);
@@ -394,7 +397,7 @@
 
     pub(super) fn remove(&mut self, now: Time, key: Key) -> Option<Server> {
         let server = self.servers.remove(key)?;
-        self.short_listed_at = self.short_listed_at.max(Some(server.listed_at));
+        self.departed_listed_at = self.departed_listed_at.max(Some(server.listed_at));
         self.retained_notices
             .keep(now, key, &server.replica, server.notices);
         self.index.remove(key, &server);
