Correct when a daemon of the soak believes in an only version

A version counts for 30 s after its last replica was listed, so that only the first release of each of the four services finds a daemon that believes in one.

--- a/crates/gateway/tests/soak/releases.rs
+++ b/crates/gateway/tests/soak/releases.rs
@@ -31,8 +31,8 @@
 use crate::streams::Begun;
 use crate::streams::Received;
 
-/// Services that are released in turn. A version counts as the only one once the one before is gone for twice the time
-/// limit of a stream, 6 s, which is less than the time between two releases of a service.
+/// Services that are released in turn. The first release of each is the one beside which a daemon believes in an only
+/// version: after it, the version before counts for longer than a run lasts.
 const SERVICES: [&str; 4] = ["chat-0", "chat-1", "chat-2", "chat-3"];
 /// Replicas of each service.
 const REPLICAS: usize = 3;
