--- a/crates/gateway/src/begins.rs
+++ b/crates/gateway/src/begins.rs
@@ -8,7 +8,7 @@
 //! as a stream can be resumed. The store has a record of that. Both are for daemons that start
 //! together.
 //!
-//! No record, and no answer, does not mean that no other version began a stream: the only version
+//! Without a record or an answer, another version may still have begun a stream: the only version
 //! counts if the list of replicas is newer than the question.
 
 pub mod lookup;
@@ -212,7 +212,7 @@
     service: &str,
 ) -> Finding {
     watch::confirm_replicas(shared, asked_at).await;
-    // The store does not answer.
+    // Neither the store nor a daemon that has read it since answers.
     if shared.replicas_current_at() < asked_at {
         return Finding::Unknown;
     }
--- a/crates/gateway/src/begins/lookup.rs
+++ b/crates/gateway/src/begins/lookup.rs
@@ -7,7 +7,7 @@
 use crate::begins::message::Message;
 use crate::shared::Shared;
 
-/// Whether this daemon knows which version began `stream`.
+/// What this daemon has recorded of the begin of `stream`.
 pub fn find(shared: &Shared, stream: Option<Stream>) -> Finding {
     let now = shared.clock.now();
     let begins = shared.begins.borrow();
