Make the test of aborted watches independent of the phase of the watch

Cause: the test silences all open connections at an arbitrary moment of the 1.35 s between two watches of the plan. A watch that is about to end (silenced 1.15 s or more after it was sent) runs into its own timeout, 2.1 s after it was sent, before another call does. The daemon then reads the plan again at once, as it has to, but no call is given up and the expected line is not logged.

Change: calls about the replicas are left unanswered until one of them times out while the plan is watched, which repeats. The part with silent connections stays, and a_silent_watch_ends_when_another_store_call_times_out checks the client itself: a watch on a connection that never answers ends as given up once another call times out. No check is dropped.

--- a/crates/gateway/tests/gateway/discovery.rs
+++ b/crates/gateway/tests/gateway/discovery.rs
@@ -1,9 +1,18 @@
 //! How a daemon learns of plans, replicas and other daemons from the store and from its peers.
 
+use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::thread;
 use std::time::Duration;
 
+use gateway::store::Error;
+use gateway::store::Store;
+use prometheus::IntCounterVec;
+use prometheus::Opts;
+use relay::revision::Revision;
 use serde_json::json;
+use tokio::runtime::Builder;
+use tokio::task::LocalSet;
 
 use crate::common::daemon::Daemon;
 use crate::common::daemon::new_ip;
@@ -15,6 +24,9 @@
 use crate::site::config;
 use crate::site::send_and_read;
 
+/// Waiting time of a watch; far longer than other calls may take.
+const LONG_WATCH: Duration = Duration::from_secs(20);
+
 fn echo(id: &str) -> Replica {
     Replica::start(id, |request| {
         Action::Send(signed_answer(request, 200, b"x"))
@@ -157,17 +169,48 @@
         Action::Send(signed_answer(request, 200, b"x"))
     });
     let site = Site::start("silent-store", &[(&replica, "app", "")]);
-    site.store.silence_open_connections();
+    // Repeated until one of these calls times out while the plan is watched.
+    site.store.set_silent_table(Some("servers"));
     wait_until("the watch is aborted", || {
         let aborted = site.daemon.logged("another call had no answer in time");
         !aborted.is_empty()
     });
+    site.store.set_silent_table(None);
+    site.store.silence_open_connections();
     let mut moved = config(2);
     moved["routes"][0]["prefix"] = "/moved/".into();
     site.store.put("op", "config", &moved);
     site.wait_while_status("/moved/1", 404);
 }
 
+/// Starts a listener that reads calls and never answers.
+fn silent_listener() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let mut open = Vec::new();
+        for socket in listener.incoming() {
+            open.push(socket.unwrap());
+        }
+    });
+    address
+}
+
+/// Guards against a watch that waits for its own timeout on a silent connection.
+#[test]
+fn a_silent_watch_ends_when_another_store_call_times_out() {
+    let calls = IntCounterVec::new(Opts::new("calls", "Calls."), &["step", "table"]).unwrap();
+    let store = Store::new(silent_listener(), calls);
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    let both = async {
+        let watch = store.watch("op", Revision::default(), LONG_WATCH);
+        tokio::join!(watch, store.read("servers"))
+    };
+    let (watched, read) = LocalSet::new().block_on(&runtime, both);
+    assert_eq!(watched.map(drop), Err(Error::GivenUp));
+    assert!(matches!(read, Err(Error::Silent { .. })), "{read:?}");
+}
+
 /// Number of watch calls for the replicas that `daemon` has sent to the store.
 fn watch_count(daemon: &Daemon) -> u64 {
     let metrics = daemon.metrics();
