Do not let a keeper of quotas grant again what another one granted while it stood still

Cause: while the keeper stands still, the runner-up keeps a new bucket and grants the rate. When the keeper goes on, its old bucket is refilled for the whole time, up to the burst, and granted a second time. `since`, the last change of the members, bounds only new buckets. The same holds after a partition of the keeper, and where a member that comes before it in the order of the key joins and leaves again.

Ruled out: requests that waited in its socket (answered from the same bucket; late grants are given back), both granting while their views differ (0.1 s at the rate).

Change: Members::keeper_since says since when this daemon has been the keeper of a key without interruption: it has neither stood still for 0.4 s nor seen no majority, and no member before it has left. A bucket that was last used before that time is capped, as of that time, to what a new keeper's bucket holds. The role and both times are one parameter, View. The majority is now looked at in each step; without absent instances that no longer collects all members.

Tests: a_keeper_that_stood_still_does_not_grant_the_burst_again failed before (14,680 of 13,440 units) and passes; the random simulation of partitions and kills draws daemons that stand still as well; three tests of Members::keeper_since. Calls of Keeper::decide in tests take the new parameter, nothing else changed in them.

--- a/crates/customer/src/bucket.rs
+++ b/crates/customer/src/bucket.rs
@@ -71,6 +71,13 @@
         self.level
     }
 
+    /// Takes the level to have been at most `level` at `since`, unless the bucket was used later.
+    pub fn cap(&mut self, since: Time, limit: Limit, level: f64) {
+        if self.at < since {
+            self.level = self.level(since, limit).min(level);
+        }
+    }
+
     /// Units that a request of `units` has to leave to those ahead of it.
     pub fn reserve(&self, limit: Limit, units: f64, standing: Standing) -> f64 {
         self.demand.reserve(standing, units, limit)
--- a/crates/customer/src/keeper.rs
+++ b/crates/customer/src/keeper.rs
@@ -31,6 +31,39 @@
     NoMajority,
 }
 
+/// What a daemon knows of its part in a customer's quota.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct View {
+    /// Its role.
+    pub role: Role,
+    /// When the members last changed; before that, another daemon may have kept a bucket that this
+    /// one has not kept yet.
+    pub unchanged_since: Time,
+    /// Since when it has been the keeper without interruption, if it is. Until then, another daemon
+    /// may have granted what its bucket does not show.
+    pub keeper_since: Time,
+}
+
+impl View {
+    /// A daemon with `role` since the members last changed, at `unchanged_since`.
+    pub const fn new(role: Role, unchanged_since: Time) -> Self {
+        Self {
+            role,
+            unchanged_since,
+            keeper_since: unchanged_since,
+        }
+    }
+
+    /// Sets since when it has been the keeper.
+    #[must_use]
+    pub const fn with_keeper_since(self, keeper_since: Time) -> Self {
+        Self {
+            keeper_since,
+            ..self
+        }
+    }
+}
+
 /// A request to the keeper of a limit.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct QuotaRequest {
@@ -119,13 +152,11 @@
         Self::default()
     }
 
-    /// Decides on `ask` as `role`, with the subject's `limit`. The members have not changed since
-    /// `since`; before that, another daemon may have kept the bucket.
+    /// Decides on `ask` by `view`, with the subject's `limit`.
     pub fn decide(
         &mut self,
         now: Time,
-        since: Time,
-        role: Role,
+        view: &View,
         limit: Limit,
         tolerance: &Tolerance,
         ask: &RankedRequest,
@@ -137,6 +168,7 @@
         if !ask.is_valid() {
             return Ruling::unsure();
         }
+        let role = view.role;
         let (limit, start) = match (role, ask.subject) {
             (Role::Keeper, Subject::Customer(_)) => (limit, tolerance.initial_level(limit)),
             (Role::Deputy, Subject::Customer(_)) => {
@@ -150,7 +182,10 @@
             }
         };
         let bucket = self.buckets.entry((ask.subject, role));
-        let bucket = bucket.or_insert_with(|| Bucket::new(since, start));
+        let bucket = bucket.or_insert_with(|| Bucket::new(view.unchanged_since, start));
+        if role == Role::Keeper {
+            bucket.cap(view.keeper_since, limit, start);
+        }
         let decision = match ask.purpose {
             Purpose::Run { patience_ms } => {
                 let patience = Duration::from_millis(patience_ms.into());
--- a/crates/customer/tests/bound.rs
+++ b/crates/customer/tests/bound.rs
@@ -9,6 +9,7 @@
 use customer::keeper::Purpose;
 use customer::keeper::QuotaRequest;
 use customer::keeper::Role;
+use customer::keeper::View;
 use customer::list::CustomerId;
 use customer::local_budget::LocalBudget;
 use customer::quota::Limit;
@@ -56,6 +57,8 @@
     Kill { daemon: usize },
     /// All daemons are killed and restart without state.
     KillAll,
+    /// The daemon stands still; `None` lets the one that does go on.
+    Freeze { daemon: Option<usize> },
 }
 
 /// The state of all daemons.
@@ -66,19 +69,32 @@
     first_cut_off: usize,
     /// The value of `first_cut_off` that the daemons have detected.
     noticed_cut_off: usize,
+    /// The daemon that stands still.
+    frozen: Option<usize>,
+    /// The value of `frozen` that the other daemons have detected.
+    noticed_frozen: Option<usize>,
     /// When each daemon last saw the members change.
     members_since: Vec<Time>,
+    /// Until when each daemon was last not the keeper in its own view, or stood still.
+    keeper_since: Vec<Time>,
+    limit: Limit,
+    tolerance: Tolerance,
     admitted: Vec<(Time, f64)>,
 }
 
 impl Simulation {
-    fn new() -> Self {
+    fn new(limit: Limit, tolerance: Tolerance) -> Self {
         Self {
             keepers: (0..DAEMONS).map(|_| Keeper::new()).collect(),
             local_budgets: (0..DAEMONS).map(|_| LocalBudget::new()).collect(),
             first_cut_off: DAEMONS,
             noticed_cut_off: DAEMONS,
+            frozen: None,
+            noticed_frozen: None,
             members_since: vec![Time::ZERO; DAEMONS],
+            keeper_since: vec![Time::ZERO; DAEMONS],
+            limit,
+            tolerance,
             admitted: Vec::new(),
         }
     }
@@ -87,16 +103,12 @@
         daemon >= self.first_cut_off
     }
 
-    /// The keeper and its deputy in the view of `daemon`: the first daemons on its side.
-    fn ranked(&self, daemon: usize) -> [usize; 2] {
-        if daemon >= self.noticed_cut_off {
-            [
-                self.noticed_cut_off,
-                (self.noticed_cut_off + 1).min(DAEMONS - 1),
-            ]
-        } else {
-            [0, 1]
-        }
+    /// The keeper and its deputy in the view of `daemon`: the first daemons in reach on its side.
+    fn ranked(&self, daemon: usize) -> Vec<usize> {
+        let cut_off = daemon >= self.noticed_cut_off;
+        let side = (0..DAEMONS).filter(|other| (*other >= self.noticed_cut_off) == cut_off);
+        let gone = self.noticed_frozen.filter(|frozen| *frozen != daemon);
+        side.filter(|other| Some(*other) != gone).take(2).collect()
     }
 
     fn role(&self, daemon: usize) -> Role {
@@ -127,18 +139,12 @@
         }
         .ranked(standing);
         for keeper in self.ranked(daemon) {
-            if self.is_cut(keeper) != self.is_cut(daemon) {
+            if self.is_cut(keeper) != self.is_cut(daemon) || self.frozen == Some(keeper) {
                 continue;
             }
-            let role = self.role(keeper);
-            let ruling = self.keepers[keeper].decide(
-                now,
-                self.members_since[keeper],
-                role,
-                LIMIT,
-                &TOLERANCE,
-                &ask,
-            );
+            let view = View::new(self.role(keeper), self.members_since[keeper])
+                .with_keeper_since(self.keeper_since[keeper]);
+            let ruling = self.keepers[keeper].decide(now, &view, self.limit, &self.tolerance, &ask);
             if ruling.reply.decision != Decision::Unsure {
                 return Some(ruling.reply.decision);
             }
@@ -148,7 +154,10 @@
 
     /// Decides on a request in the same way as the gateway.
     fn request(&mut self, now: Time, daemon: usize, units: f64, standing: Standing) {
-        let allowance = TOLERANCE.local_budget(LIMIT, DAEMONS);
+        if self.frozen == Some(daemon) {
+            return;
+        }
+        let allowance = self.tolerance.local_budget(self.limit, DAEMONS);
         if let Some(spend_id) = self.local_budgets[daemon].spend(now, WINDOW, allowance, units) {
             self.admitted.push((now, units));
             match self.ask(now, daemon, Purpose::Ran, units, standing) {
@@ -185,6 +194,15 @@
         self.local_budgets[daemon] = LocalBudget::new();
     }
 
+    /// Notes which daemons are not the keeper at `now`.
+    fn note_keepers(&mut self, now: Time) {
+        for daemon in 0..DAEMONS {
+            if self.frozen == Some(daemon) || self.role(daemon) != Role::Keeper {
+                self.keeper_since[daemon] = now;
+            }
+        }
+    }
+
     /// Maximum number of units admitted in any window.
     fn max_in_window(&self) -> f64 {
         let in_window = |end: Time| {
@@ -210,12 +228,19 @@
         ),
         2 => (1..=DAEMONS).prop_map(|from| Event::Cut { from }),
         1 => (0..DAEMONS).prop_map(|daemon| Event::Kill { daemon }),
+        1 => (0..3_usize).prop_map(|daemon| Event::Freeze { daemon: Some(daemon) }),
+        2 => Just(Event::Freeze { daemon: None }),
     ]
 }
 
 fn simulate(events: &[Vec<Event>]) -> Simulation {
-    let mut simulation = Simulation::new();
+    simulate_quota(LIMIT, TOLERANCE, events)
+}
+
+fn simulate_quota(limit: Limit, tolerance: Tolerance, events: &[Vec<Event>]) -> Simulation {
+    let mut simulation = Simulation::new(limit, tolerance);
     let mut cut_since = HashMap::new();
+    let mut frozen_since = Time::ZERO;
     for (step, events) in events.iter().enumerate() {
         let now = Time::from_millis(10_000 + step as u64 * STEP_MS);
         if simulation.noticed_cut_off != simulation.first_cut_off
@@ -225,6 +250,13 @@
             simulation.noticed_cut_off = simulation.first_cut_off;
             simulation.members_since = vec![now; DAEMONS];
         }
+        if simulation.noticed_frozen != simulation.frozen
+            && now.since(frozen_since) >= Duration::from_millis(DETECTION_MS)
+        {
+            simulation.noticed_frozen = simulation.frozen;
+            simulation.members_since = vec![now; DAEMONS];
+        }
+        simulation.note_keepers(now);
         for event in events {
             match event {
                 Event::Request {
@@ -237,6 +269,11 @@
                     cut_since.insert(*from, now);
                 }
                 Event::Kill { daemon } => simulation.kill(now, *daemon),
+                Event::Freeze { daemon } if simulation.frozen != *daemon => {
+                    simulation.frozen = *daemon;
+                    frozen_since = now;
+                }
+                Event::Freeze { .. } => {}
                 Event::KillAll => (0..DAEMONS).for_each(|daemon| simulation.kill(now, daemon)),
             }
         }
@@ -306,3 +343,26 @@
     let simulation = simulate(&events);
     assert!(simulation.max_in_window() <= allowed());
 }
+
+/// Guards against a keeper that adds to its bucket what another keeper has granted while it stood still.
+#[test]
+fn a_keeper_that_stood_still_does_not_grant_the_burst_again() {
+    let limit = Limit {
+        burst: 4_000.0,
+        ..LIMIT
+    };
+    let tolerance = Tolerance {
+        slack: 240.0,
+        ..TOLERANCE
+    };
+    let allowed =
+        limit.rate * WINDOW.as_secs_f64() + limit.burst + tolerance.tolerated_units(limit);
+    for frozen_steps in [40, 80, 120] {
+        let mut events = load(100, 0, 0);
+        events.extend(load(320, 10, 40));
+        events[115].push(Event::Freeze { daemon: Some(0) });
+        events[115 + frozen_steps].push(Event::Freeze { daemon: None });
+        let most = simulate_quota(limit, tolerance, &events).max_in_window();
+        assert!(most <= allowed, "{most} of {allowed}");
+    }
+}
--- a/crates/customer/tests/order/crowd.rs
+++ b/crates/customer/tests/order/crowd.rs
@@ -9,6 +9,7 @@
 use customer::keeper::Purpose;
 use customer::keeper::QuotaRequest;
 use customer::keeper::Role;
+use customer::keeper::View;
 use customer::list::CustomerId;
 use customer::quota::Limit;
 use customer::quota::Tolerance;
@@ -154,7 +155,13 @@
                 },
             };
             let ask = ask.ranked(told);
-            let ruling = keeper.decide(attempt.at, since, self.role, LIMIT, &TOLERANCE, &ask);
+            let ruling = keeper.decide(
+                attempt.at,
+                &View::new(self.role, since),
+                LIMIT,
+                &TOLERANCE,
+                &ask,
+            );
             let granted = match ruling.reply.decision {
                 Decision::Granted { after_ms } => Some(Duration::from_millis(after_ms.into())),
                 _ => None,
--- a/crates/customer/tests/order/faults.rs
+++ b/crates/customer/tests/order/faults.rs
@@ -8,6 +8,7 @@
 use customer::keeper::QuotaRequest;
 use customer::keeper::Role;
 use customer::keeper::Ruling;
+use customer::keeper::View;
 use customer::list::CustomerId;
 use customer::rank::Rank;
 use customer::rank::Standing;
@@ -95,7 +96,13 @@
         purpose,
     };
     let ask = request.ranked(Standing::PLAIN);
-    keeper.decide(START, Time::ZERO, Role::Keeper, LIMIT, &TOLERANCE, &ask)
+    keeper.decide(
+        START,
+        &View::new(Role::Keeper, Time::ZERO),
+        LIMIT,
+        &TOLERANCE,
+        &ask,
+    )
 }
 
 /// Guards the order against a rank in a message that is out of range.
--- a/crates/customer/tests/replica.rs
+++ b/crates/customer/tests/replica.rs
@@ -7,6 +7,7 @@
 use customer::keeper::Purpose;
 use customer::keeper::QuotaRequest;
 use customer::keeper::Role;
+use customer::keeper::View;
 use customer::quota::Limit;
 use customer::quota::Tolerance;
 use customer::rank::Standing;
@@ -34,7 +35,7 @@
     }
     .ranked(Standing::PLAIN);
     let now = START + Duration::from_millis(ms);
-    let ruling = keeper.decide(now, since, role, LIMIT, &TOLERANCE, &ask);
+    let ruling = keeper.decide(now, &View::new(role, since), LIMIT, &TOLERANCE, &ask);
     ruling.reply.decision
 }
 
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -34,6 +34,9 @@
 /// Time for which an unreachable instance is assumed to be running. Later it counts as gone, or
 /// replacing instances would be enough to lose the majority.
 const ABSENCE_TIMEOUT: Duration = Duration::from_mins(10);
+/// Delay of a step from which this daemon counts as having stood still. Others wait for longer before
+/// they choose another keeper.
+const MIN_STANDSTILL: Duration = Duration::from_millis(400);
 /// Number of daemons that may keep a key: the keeper and its deputy.
 const KEEPERS: usize = 2;
 
@@ -57,6 +60,12 @@
     lost: HashSet<Instance>,
     /// Those that announced to leave and have not come back.
     left: HashSet<Instance>,
+    /// When each other instance last ceased to be a member in good standing.
+    departed: HashMap<Instance, Time>,
+    /// When this daemon last saw no majority or stood still, so that others may have had another keeper.
+    out_of_touch_at: Time,
+    /// Time of the next step.
+    next_step: Time,
     /// Time of the last known change of the membership.
     changed_at: Time,
     /// Largest number of instances seen at once; divides the retry budget that all share.
@@ -88,6 +97,9 @@
             absent: HashMap::new(),
             lost: HashSet::new(),
             left: HashSet::new(),
+            departed: HashMap::new(),
+            out_of_touch_at: Time::ZERO,
+            next_step: Time::NEVER,
             changed_at: Time::ZERO,
             max_alive: 1,
         }
@@ -116,6 +128,8 @@
         self.fleet = Some(fleet);
         self.joined_at = now;
         self.changed_at = now;
+        self.out_of_touch_at = now;
+        self.next_step = now;
         // Members are discovered one by one; until then the list gives their number.
         self.max_alive = self.max_alive.max(self.listed.len());
     }
@@ -171,12 +185,16 @@
     /// Runs the due steps; returns the datagrams to send, the members that changed, and the time of
     /// the next step.
     pub fn step(&mut self, now: Time) -> (Vec<Outgoing>, Vec<Member>, Time) {
+        if self.stands_still(now) || !self.is_majority(now) {
+            self.out_of_touch_at = now;
+        }
         let Some(fleet) = &mut self.fleet else {
             return (Vec::new(), Vec::new(), Time::NEVER);
         };
         self.is_settled |= now.since(self.joined_at) > SETTLING_TIME;
         let mut outputs = Vec::new();
         let next = fleet.step(now, &mut outputs);
+        self.next_step = next;
         if fleet.declared_dead() {
             let started = fleet.local_member().started + 1;
             self.join(now, started);
@@ -200,6 +218,9 @@
     /// Records whether `member` is reachable.
     fn note_absence(&mut self, now: Time, member: &Member, before: Option<State>) {
         self.changed_at = now;
+        if member.state != State::Alive && before != Some(State::Leaving) {
+            self.departed.insert(member.instance, now);
+        }
         match member.state {
             State::Alive => {
                 self.left.remove(&member.instance);
@@ -228,6 +249,27 @@
         self.changed_at
     }
 
+    /// Since when this daemon, if it is the keeper of `key`, has been so without interruption: no
+    /// member that comes before it has left since, and it has neither stood still nor lost the
+    /// majority.
+    pub fn keeper_since(&self, now: Time, key: u64) -> Time {
+        if self.stands_still(now) {
+            return now;
+        }
+        let own = self.own.instance();
+        let precedes =
+            |other: Instance| owner::choose(key, [own, other].into_iter()) == Some(other);
+        let departed = self.departed.iter();
+        let preceding = departed.filter(|(instance, _)| precedes(**instance));
+        let departed_at = preceding.map(|(_, at)| *at).max();
+        departed_at.unwrap_or_default().max(self.out_of_touch_at)
+    }
+
+    /// Whether this daemon was to step long before `now`.
+    fn stands_still(&self, now: Time) -> bool {
+        now.since(self.next_step) >= MIN_STANDSTILL
+    }
+
     /// Whether the reachable members outnumber the instances that may be running out of reach. For
     /// `SETTLING_TIME` after joining, all known instances count as reachable, except members that
     /// were lost meanwhile. A daemon that knows of no other is not a majority.
@@ -248,7 +290,9 @@
 
     /// The unreachable instances that may be running.
     fn absent(&self, now: Time, fleet: &Fleet) -> impl Iterator<Item = Instance> {
-        let reachable: HashSet<Instance> = fleet.alive().map(|member| member.instance).collect();
+        // Collecting all members costs as much as they are many, and most of the time none is absent.
+        let members = fleet.alive().filter(|_| !self.absent.is_empty());
+        let reachable: HashSet<Instance> = members.map(|member| member.instance).collect();
         let absent = self.absent.iter().filter(move |(instance, since)| {
             // The info of a reachable member may have arrived after its membership record.
             now.since(**since) < ABSENCE_TIMEOUT && !reachable.contains(*instance)
--- a/crates/gateway/src/quota/keeper.rs
+++ b/crates/gateway/src/quota/keeper.rs
@@ -7,9 +7,11 @@
 use customer::keeper::QuotaRequest;
 use customer::keeper::Role;
 use customer::keeper::Ruling;
+use customer::keeper::View;
 use customer::quota::Limit;
 use customer::rank::Standing;
 use customer::subject::Subject;
+use ident::Time;
 
 use crate::quotas::Demand;
 use crate::quotas::Message;
@@ -28,24 +30,22 @@
     let now = shared.clock.now();
     let limit = shared.quota_of(ask.subject).unwrap_or(limit);
     let tolerance = shared.settings().quota_tolerance();
-    let role = role(shared, ask.subject);
-    let since = shared.members.borrow().changed_at();
+    let view = view(shared, now, ask.subject);
     let ask = ask.ranked(standing.unwrap_or(Standing::PLAIN));
     let mut quotas = shared.quotas.borrow_mut();
-    quotas
-        .keeper
-        .decide(now, since, role, limit, &tolerance, &ask)
+    quotas.keeper.decide(now, &view, limit, &tolerance, &ask)
 }
 
-fn role(shared: &Shared, subject: Subject) -> Role {
+fn view(shared: &Shared, now: Time, subject: Subject) -> View {
     let members = shared.members.borrow();
-    let keepers = members.keepers(subject.key());
+    let key = subject.key();
     let own = members.own().instance();
-    match keepers.first() {
-        _ if !members.is_majority(shared.clock.now()) => Role::NoMajority,
+    let role = match members.keepers(key).first() {
+        _ if !members.is_majority(now) => Role::NoMajority,
         Some((first, _)) if *first == own => Role::Keeper,
         _ => Role::Deputy,
-    }
+    };
+    View::new(role, members.changed_at()).with_keeper_since(members.keeper_since(now, key))
 }
 
 /// The message that refunds the units of `demand`.
--- a/crates/gateway/tests/gateway/members.rs
+++ b/crates/gateway/tests/gateway/members.rs
@@ -184,3 +184,89 @@
     });
     assert_eq!(keepers.count(), 1);
 }
+
+/// The record of the instance `number`, which runs.
+fn record(number: u8) -> Member {
+    let instance = card(number).instance();
+    Member::new(instance, Incarnation(number.into()), 1, Zone::new("here"))
+}
+
+/// A settled daemon that knows a second and a third one, and the time of its last step.
+fn settled_members() -> (Members, Time) {
+    let mut members = Members::new(card(1));
+    members.set_listed(Time::ZERO, &[card(1), card(2), card(3)]);
+    members.join(Time::ZERO, 1);
+    (0..50).for_each(|step| step_beside_others(&mut members, Time::from_millis(step * 100)));
+    (members, Time::from_millis(4_900))
+}
+
+/// A step at `now`, after both other daemons have shown that they run.
+fn step_beside_others(members: &mut Members, now: Time) {
+    for number in [2, 3] {
+        let news = vec![record(number)];
+        members.receive(now, &card(number), &Message::Page { news });
+    }
+    members.step(now);
+}
+
+/// A key of which the first of `numbers` is the keeper, and the second one once that has left.
+fn key_kept_by(members: &Members, numbers: [u8; 2]) -> u64 {
+    let instances = numbers.map(|number| card(number).instance());
+    let ranks = |key: u64| {
+        members
+            .rank(key, 2)
+            .into_iter()
+            .map(|(instance, _)| instance)
+    };
+    (0..1_000).find(|key| ranks(*key).eq(instances)).unwrap()
+}
+
+/// Guards against a keeper that adds to its bucket what another keeper has granted while it stood still.
+#[test]
+fn a_daemon_that_stood_still_is_the_keeper_only_since_then() {
+    let (mut members, stopped) = settled_members();
+    let key = key_kept_by(&members, [1, 2]);
+    let shortly = stopped + Duration::from_millis(100);
+    assert!(members.keeper_since(shortly, key) <= Time::from_millis(100));
+    let woken = stopped + Duration::from_secs(4);
+    // What arrived meanwhile may be read before the next step.
+    assert_eq!(members.keeper_since(woken, key), woken);
+    step_beside_others(&mut members, woken);
+    let later = woken + Duration::from_millis(100);
+    assert_eq!(members.keeper_since(later, key), woken);
+}
+
+/// Guards against a keeper that was cut off and adds to its bucket what another one has granted meanwhile.
+#[test]
+fn a_daemon_that_had_no_majority_is_the_keeper_only_since_then() {
+    let (mut members, mut now) = settled_members();
+    let key = key_kept_by(&members, [1, 2]);
+    while members.is_majority(now) {
+        now = now + Duration::from_millis(50);
+        members.step(now);
+    }
+    let cut_off = now;
+    now = now + Duration::from_millis(50);
+    members.step(now);
+    for _ in 0..100 {
+        now = now + Duration::from_millis(50);
+        step_beside_others(&mut members, now);
+    }
+    assert!(members.is_majority(now));
+    assert!(members.keeper_since(now, key) > cut_off);
+}
+
+/// Guards against a keeper that adds to its bucket what one before it has granted, which has left again.
+#[test]
+fn a_daemon_is_the_keeper_only_since_the_one_before_it_has_left() {
+    let (mut members, now) = settled_members();
+    let (first, second) = (key_kept_by(&members, [1, 2]), key_kept_by(&members, [2, 1]));
+    for state in [State::Leaving, State::Dead] {
+        let news = vec![record(3), record(2).with_state(state)];
+        members.receive(now, &card(3), &Message::Page { news });
+        members.step(now);
+    }
+    assert!(members.is_keeper(first) && members.is_keeper(second));
+    assert_eq!(members.keeper_since(now, second), now);
+    assert!(members.keeper_since(now, first) <= Time::from_millis(100));
+}
--- a/crates/lab/src/quota/scheme.rs
+++ b/crates/lab/src/quota/scheme.rs
@@ -10,6 +10,7 @@
 use customer::keeper::Purpose;
 use customer::keeper::QuotaRequest;
 use customer::keeper::Role;
+use customer::keeper::View;
 use customer::list::CustomerId;
 use customer::local_budget::LocalBudget;
 use customer::quota::Limit;
@@ -213,9 +214,10 @@
             let tolerance = self.load.tolerance;
             let keeper = &mut self.daemons[to];
             let since = keeper.members_changed;
-            let ruling = keeper
-                .keeper
-                .decide(now, since, role, limit, &tolerance, &request);
+            let ruling =
+                keeper
+                    .keeper
+                    .decide(now, &View::new(role, since), limit, &tolerance, &request);
             if ruling.reply.decision != Decision::Unsure {
                 return Some(ruling.reply.decision);
             }
