Let generations pass one whose replica does not answer

Callers of model services got 503, and the log said that no decode replica has room, while replicas were nearly empty. In a trace of `dead_replicas` beside eight busy processes (load 21), the reservation of one generation took about 80 ms; of the eleven that waited behind it at this instance three were refused after 190 ms without having asked any replica. A replica that leaves reservations unanswered costs 150 ms, three of them in one round more than twice the time that a generation may wait.

Cause: the generation that is first in the wait queue kept its place while it waited for the answer of a replica, so that one instance made reservations one after another, however many replicas had room.

Change: after 30 ms, the pause between two rounds, without an answer the generation leaves the queue, and it returns to its place with the answer. Its run is counted at the replica meanwhile. Where replicas answer sooner, the order is as before. Not done: asking for all at the same time at once, which gives up the order of ranks where several ask for the last room.

--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -2,6 +2,7 @@
 //! Otherwise a prefill could be wasted, or a request could queue at a replica without room.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -64,6 +65,8 @@
     kind: Kind,
     /// Tokens generated so far.
     generated: u64,
+    /// Place in the wait queue of a generation that waits for its turn.
+    queue_entry: Option<&'a mut QueueEntry>,
 }
 
 /// Result of asking one replica for a reservation.
@@ -152,6 +155,7 @@
                     reserved: &reserved,
                     kind,
                     generated,
+                    queue_entry: Some(&mut queue_entry),
                 };
                 try_round(shared, job, engine, round).await
             }
@@ -201,6 +205,7 @@
         reserved: &[],
         kind: Kind::Due,
         generated,
+        queue_entry: None,
     };
     try_round(shared, job, engine, round).await
 }
@@ -217,6 +222,7 @@
         reserved,
         kind,
         generated,
+        mut queue_entry,
     } = round;
     shared.refresh_forecasts();
     let placing = shared.settings().placing;
@@ -250,12 +256,15 @@
             let to = job.destination();
             shared.choose_decode(to, reserved, &asked, memory_demand, Some(&answer))
         };
-        let Some(key) = limit::choose_admitted(shared, choose).await else {
+        let admitted = limit::choose_admitted(shared, choose);
+        let Some(key) = wait_for(queue_entry.as_deref_mut(), pin!(admitted)).await else {
             break;
         };
         asked.push(key);
         let tracked_run = TrackedRun::new(shared, job, key, size, engine.event_tokens);
-        match reserve(shared, tokens, key, engine.max_reservation).await {
+        let reservation = reserve(shared, tokens, key, engine.max_reservation);
+        let outcome = wait_for(queue_entry.as_deref_mut(), pin!(reservation)).await;
+        match outcome {
             ReserveOutcome::Granted(reserved, slowdown) => {
                 let now = shared.clock.now();
                 shared.pool.borrow_mut().record_room(now, key);
@@ -295,6 +304,17 @@
     slow.map(|(placement, _)| placement)
 }
 
+/// Waits for `answer`; later generations may pass the one at `queue_entry` once that takes long.
+async fn wait_for<T>(
+    queue_entry: Option<&mut QueueEntry>,
+    answer: impl Future<Output = T> + Unpin,
+) -> T {
+    match queue_entry {
+        Some(queue_entry) => queue_entry.wait_for(answer).await,
+        None => answer.await,
+    }
+}
+
 /// The kind of generation, given that `job` has generated `generated` tokens so far.
 fn generation_kind(job: &Job, generated: u64) -> Kind {
     match job.call.last_event {
--- a/crates/gateway/src/wait_queue.rs
+++ b/crates/gateway/src/wait_queue.rs
@@ -1,13 +1,19 @@
 //! The position of a generation in the wait queue of this daemon.
 
 use std::rc::Rc;
+use std::time::Duration;
 
+use boottime::timer::timeout;
 use relay::timing::Kind;
 use relay::wait_queue::Ticket;
 
 use crate::job::Job;
 use crate::shared::Shared;
 
+/// Time for which a generation that asks a replica for a place holds up those behind it. Without an
+/// answer, it would hold them up for most of the time that they may wait.
+const MAX_HOLD: Duration = Duration::from_millis(30);
+
 /// A ticket in the wait queue of a service; leaves the queue when dropped.
 #[derive(Debug)]
 pub struct QueueEntry {
@@ -40,12 +46,29 @@
     /// Leaves the queue while no replica can serve this generation, so that it does not hold up
     /// those that another replica can serve. It returns to its place once `can_be_served`.
     pub fn set_servable(&mut self, can_be_served: bool) {
-        if can_be_served == self.is_queued {
+        self.set_queued(can_be_served);
+    }
+
+    /// Waits for `answer`, of the replica that this generation asks for a place. Later generations may
+    /// pass it once that takes longer than [`MAX_HOLD`]; it returns to its place with the answer.
+    pub async fn wait_for<T>(&mut self, mut answer: impl Future<Output = T> + Unpin) -> T {
+        if let Ok(answer) = timeout(MAX_HOLD, &mut answer).await {
+            return answer;
+        }
+        let was_queued = self.is_queued;
+        self.set_queued(false);
+        let answer = answer.await;
+        self.set_queued(was_queued);
+        answer
+    }
+
+    fn set_queued(&mut self, is_queued: bool) {
+        if is_queued == self.is_queued {
             return;
         }
-        self.is_queued = can_be_served;
+        self.is_queued = is_queued;
         let mut queue = self.shared.queue.borrow_mut();
-        if can_be_served {
+        if is_queued {
             queue.rejoin(&self.service, self.ticket);
         } else {
             queue.leave(&self.service, self.ticket);
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -41,6 +41,7 @@
 mod quota_peer;
 mod quotas;
 mod ranks;
+mod reservations;
 mod restarts;
 mod resumptions;
 mod rewritten_rows;
