Name the requests beyond a replica's limit in the soak

What is counted, the windows and the bound are as before.

Result: `requests_beyond_a_limit_are_named` passes (12 requests in a window are reported, 11 are not).

--- a/crates/gateway/tests/soak/cluster.rs
+++ b/crates/gateway/tests/soak/cluster.rs
@@ -279,14 +279,15 @@
             } else {
                 action
             };
-            if let Some(sender) = cluster.sender(request) {
-                let notices = &cluster.notices;
+            let sender = cluster.sender(request);
+            let (notices, history) = (&cluster.notices, &cluster.history);
+            if let Some(sender) = sender {
                 notices.record_arrival(&own_id, sender, request, &action);
             }
             if !is_limited {
                 return action;
             }
-            cluster.history.record_limited_arrival(&own_id);
+            history.record_limited_arrival(&own_id, request, sender);
             limit::add_limit_header(action)
         });
         replica.set_call_handler(script::reservations(number, started));
--- a/crates/gateway/tests/soak/history.rs
+++ b/crates/gateway/tests/soak/history.rs
@@ -79,8 +79,8 @@
     cache_uses: AtomicUsize,
     /// Times at which requests of the limited customer first ran.
     quota_runs: Mutex<Vec<Instant>>,
-    /// Arrival times of requests at each rate-limited replica, by replica ID.
-    limited_arrivals: Mutex<HashMap<String, Vec<Instant>>>,
+    /// Requests that arrived at each rate-limited replica, by replica ID.
+    limited_arrivals: Mutex<HashMap<String, Vec<limit::Arrival>>>,
     /// Attempts of callers to resume a stream, by status.
     resumptions: Mutex<BTreeMap<u16, u32>>,
     /// Messages about data that belonged to another request or customer.
@@ -99,11 +99,15 @@
         }
     }
 
-    /// Records the arrival of a request at the rate-limited `replica`.
-    pub fn record_limited_arrival(&self, replica: &str) {
+    /// Records that `request` of `daemon` arrived at the rate-limited `replica`.
+    pub fn record_limited_arrival(&self, replica: &str, request: &Message, daemon: Option<usize>) {
         let mut arrivals = self.limited_arrivals.lock().unwrap();
-        let times = arrivals.entry(replica.to_owned()).or_default();
-        times.push(Instant::now());
+        let arrivals = arrivals.entry(replica.to_owned()).or_default();
+        arrivals.push(limit::Arrival {
+            request: request.header("request-id").unwrap_or_default().to_owned(),
+            daemon,
+            at: Instant::now(),
+        });
     }
 
     /// Returns a message for each replica whose rate limit was exceeded. `disturbances` holds the disturbance times of
@@ -111,8 +115,8 @@
     pub fn exceeded_limits(&self, disturbances: &[Vec<Instant>]) -> Vec<String> {
         let arrivals = self.limited_arrivals.lock().unwrap();
         let excess = arrivals
-            .values()
-            .filter_map(|times| limit::excess(times, disturbances));
+            .iter()
+            .filter_map(|(replica, arrivals)| limit::excess(replica, arrivals, disturbances));
         excess.collect()
     }
 
--- a/crates/gateway/tests/soak/main.rs
+++ b/crates/gateway/tests/soak/main.rs
@@ -47,6 +47,7 @@
 use crate::common::replica::Action;
 use crate::common::replica::not_run_answer;
 use crate::customer::Customer;
+use crate::history::History;
 use crate::notices::Notices;
 
 /// Seeds used without `SOAK_SEEDS`. All but the first have failed before:
@@ -167,6 +168,30 @@
     assert_eq!(notices.violations(&[vec![]], |_, _, _| true).len(), 0);
 }
 
+/// Requests beyond a limit count whoever sent them, and the message names them.
+#[test]
+fn requests_beyond_a_limit_are_named() {
+    let history = History::default();
+    let request = |number: u32| Message {
+        headers: vec![("request-id".to_owned(), format!("free-{number}"))],
+        ..Message::default()
+    };
+    history.record_limited_arrival("i-3", &request(0), Some(0));
+    thread::sleep(limit::GRACE_PERIOD);
+    for number in 1..=11 {
+        history.record_limited_arrival("i-3", &request(number), Some(1));
+    }
+    assert!(history.exceeded_limits(&[]).is_empty());
+    history.record_limited_arrival("i-3", &request(12), None);
+    let excess = history.exceeded_limits(&[]).concat();
+    let is_named = |name: &str| excess.contains(name);
+    assert!(excess.contains("LIMIT: i-3 got 12 requests"), "{excess}");
+    assert!(
+        is_named("\"free-1\", Some(1)") && is_named("\"free-12\", None"),
+        "{excess}"
+    );
+}
+
 /// Runs one seed and returns the broken promises.
 fn run(seed: u64) -> Vec<String> {
     let cluster = Cluster::start(seed, env::var_os("SOAK_ONLY_DOUBLED").is_some());
