--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -42,6 +42,7 @@
 mod quotas;
 mod ranks;
 mod replaced;
+mod reservations;
 mod restarts;
 mod resumptions;
 mod rewritten_rows;
