Take a start for the first one only if the store shows no earlier run

Callers saw: a stream went on at another software version (ORDER) where first_start: true was left in the settings and all daemons were replaced together with the replicas: the next start passed the present list for all there ever was, source=only.

Cause: the setting alone made the list complete, whatever the store held.

Ruled out: a missing record (the table versions named the earlier version, the daemon did not read it). Weighed: rows of other instances as a sign of an earlier run; those of the same start cannot be told from them, and the owner of a service would often be without its first record.

Change: before an instance registers at what the settings call the first start, it reads the tables versions and begins, and creates its own row on condition that there is none. Only with both tables empty, both answers there and the row created the list counts as complete; any other start is one like all others, with the record of the only version. The list may have been read meanwhile: a gap since then rules it out as before.

--- a/crates/gateway/src/begins.rs
+++ b/crates/gateway/src/begins.rs
@@ -15,6 +15,7 @@
 pub mod message;
 pub mod saving;
 pub mod storage;
+pub mod tables;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/crates/gateway/src/begins/saving.rs
+++ b/crates/gateway/src/begins/saving.rs
@@ -23,12 +23,11 @@
 use crate::begins;
 use crate::begins::lookup;
 use crate::begins::storage;
+use crate::begins::tables::BEGINS;
 use crate::codec;
 use crate::shared::Shared;
 use crate::store::Error;
 
-/// Table with one row for each run of a daemon.
-const TABLE: &str = "begins";
 /// Interval between checks for streams to save.
 const CHECK_PERIOD: Duration = Duration::from_millis(100);
 /// Minimum interval between two writes of the row: the streams of a busy daemon share a write.
@@ -110,7 +109,7 @@
             return None;
         }
     };
-    match shared.store.write(TABLE, key, &value).await {
+    match shared.store.write(BEGINS, key, &value).await {
         Ok(era) => {
             shared.store_answered("begins");
             log::debug!(kind = "begin", streams = streams as u64, bytes = value.len() as u64; "saved the begins of streams");
@@ -125,7 +124,7 @@
 
 /// Reads the rows of all daemons.
 pub async fn load(shared: &Shared) {
-    let rows = match shared.store.read(TABLE).await {
+    let rows = match shared.store.read(BEGINS).await {
         Ok(rows) => rows.rows,
         Err(error) => {
             shared.store_failed("begins", &error);
@@ -155,7 +154,7 @@
     let value = row.value.as_deref().unwrap_or_default();
     match codec::decode(value) {
         Ok((saved, _)) => Some(saved),
-        Err(_) if !shared.may_log_unreadable(TABLE, &row.key) => None,
+        Err(_) if !shared.may_log_unreadable(BEGINS, &row.key) => None,
         Err(error) => {
             log::warn!(kind = "begin", key = row.key, cause = error.to_string(); "the saved begins of streams cannot be read");
             None
@@ -191,7 +190,7 @@
         self.has_rows |= services
             .iter()
             .any(|service| shared.only_version(service).is_none());
-        let is_owner = shared.members.borrow().is_owner(Pool::new(TABLE).0);
+        let is_owner = shared.members.borrow().is_owner(Pool::new(BEGINS).0);
         if !is_owner || !self.has_rows {
             return;
         }
@@ -201,7 +200,7 @@
     }
 
     async fn remove_unchanged(&mut self, shared: &Shared) -> Result<(), Error> {
-        let rows = shared.store.read(TABLE).await?;
+        let rows = shared.store.read(BEGINS).await?;
         let seen = std::mem::take(&mut self.seen);
         for row in &rows.rows {
             let revision = Revision::new(rows.revision.era, row.version);
@@ -212,7 +211,7 @@
             if since.elapsed() >= shared.stream_lifetime() {
                 shared
                     .store
-                    .remove_version(TABLE, &row.key, revision)
+                    .remove_version(BEGINS, &row.key, revision)
                     .await?;
             } else {
                 self.seen.insert(row.key.clone(), (revision, since));
--- a/crates/gateway/src/begins/storage.rs
+++ b/crates/gateway/src/begins/storage.rs
@@ -9,11 +9,10 @@
 use platform::replica;
 use relay::epoch::Epoch;
 
+use crate::begins::tables::VERSIONS;
 use crate::shared::Shared;
 use crate::watch::rows;
 
-/// Table with one row for each service whose streams can be resumed.
-const TABLE: &str = "versions";
 /// Interval between records. Well below the history that the store keeps, from which a daemon that
 /// starts reads what changed since.
 const PERIOD: Duration = Duration::from_secs(5);
@@ -109,7 +108,7 @@
             return false;
         }
     };
-    match shared.store.write(TABLE, service, &value).await {
+    match shared.store.write(VERSIONS, service, &value).await {
         Ok(_) => {
             shared.store_answered("versions");
             true
@@ -155,7 +154,7 @@
 
 /// The record of `service`; `None` if there is none.
 async fn read(shared: &Shared, service: &str) -> Option<Epoch> {
-    let rows = match shared.store.read(TABLE).await {
+    let rows = match shared.store.read(VERSIONS).await {
         Ok(rows) => rows.rows,
         Err(error) => {
             shared.store_failed("versions", &error);
@@ -166,7 +165,7 @@
     let row = rows.into_iter().find(|row| row.key == service)?;
     match serde_json::from_slice(&row.value.unwrap_or_default()) {
         Ok(epoch) => Some(epoch),
-        Err(_) if !shared.may_log_unreadable(TABLE, service) => None,
+        Err(_) if !shared.may_log_unreadable(VERSIONS, service) => None,
         Err(error) => {
             log::warn!(kind = "begin", service = service, cause = error.to_string(); "the record of the only version cannot be read");
             None
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -189,11 +189,8 @@
     spawn_local(quarantine::storage::run(Rc::clone(&shared)));
     spawn_local(quarantine::rewriting::run(Rc::clone(&shared)));
     spawn_local(quarantine::remove_expired(Rc::clone(&shared)));
-    // At the first start of the whole system no stream has begun, and no peer has records.
+    // At the first start of the whole system no peer has records.
     if settings.first_start {
-        if settings.version_records {
-            shared.pool.borrow_mut().note_first_start();
-        }
         shared.note_all_records();
     } else {
         spawn_local(quarantine::fetch_records(Rc::clone(&shared)));
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -164,6 +164,8 @@
     pub instances_listed: watch::Sender<bool>,
     /// Era in which the store was last known to have the own row.
     own_row_era: Cell<u64>,
+    /// Whether the store has confirmed that the whole system starts for the first time.
+    is_first_start: Cell<bool>,
     /// Unreadable rows that have been logged, by table.
     logged_unreadable: RefCell<HashMap<&'static str, HashSet<String>>>,
     /// When an unreadable datagram was last logged.
@@ -253,6 +255,7 @@
             reach_doubted: Notify::new(),
             instances_listed: watch::Sender::new(false),
             own_row_era: Cell::new(0),
+            is_first_start: Cell::new(false),
             logged_unreadable: RefCell::default(),
             datagram_logged_at: Cell::default(),
             plan: RefCell::new(None),
--- a/crates/gateway/src/shared/store_state.rs
+++ b/crates/gateway/src/shared/store_state.rs
@@ -94,6 +94,19 @@
         self.log_changes(source.name(), &changes);
     }
 
+    /// Records that the store confirms that the whole system starts for the first time.
+    pub fn note_first_start(&self) {
+        self.is_first_start.set(true);
+        if self.settings().version_records {
+            self.pool.borrow_mut().note_first_start();
+        }
+    }
+
+    /// Whether the store has confirmed that the whole system starts for the first time.
+    pub const fn is_first_start(&self) -> bool {
+        self.is_first_start.get()
+    }
+
     /// Longest time for which a stream may be resumed after its begin.
     pub const fn stream_lifetime(&self) -> Duration {
         self.stream_lifetime.get()
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -1,5 +1,6 @@
 //! Keeps the plan, the replicas and the list of instances up to date from the store or from peers.
 
+pub mod first_start;
 pub mod instances;
 pub mod registration;
 pub mod rewriting;
--- a/crates/gateway/src/watch/instances.rs
+++ b/crates/gateway/src/watch/instances.rs
@@ -11,6 +11,7 @@
 use crate::exchange;
 use crate::instance_info::InstanceInfo;
 use crate::shared::Shared;
+use crate::watch::first_start;
 use crate::watch::registration;
 use crate::watch::rewriting;
 use crate::watch::scaled_period;
@@ -67,7 +68,7 @@
 /// Registers this instance and reads the list after each of `pauses`, while the others register;
 /// returns whether the own row is up to date.
 async fn register_and_read(shared: &Shared, pauses: &[Duration]) -> bool {
-    let mut is_current = registration::register(shared).await;
+    let mut is_current = first_start::register(shared).await;
     for pause in pauses {
         sleep(*pause).await;
         is_current = read_instances(shared).await;
@@ -111,7 +112,7 @@
 async fn join_through_seeds(shared: &Shared) -> bool {
     let started = Instant::now();
     let seeds = shared.settings().seed_peers();
-    let mut registered = false;
+    let mut registered = first_start::register(shared).await;
     while started.elapsed() < JOIN_TIMEOUT {
         registered = registered || registration::register(shared).await;
         if let Some(seed) = seeds.choose(&mut rand::rng()) {
--- a/crates/gateway/tests/gateway/epochs.rs
+++ b/crates/gateway/tests/gateway/epochs.rs
@@ -155,3 +155,57 @@
         event_texts(2, EVENTS)
     );
 }
+
+/// Replaces the replica of `before` by that of `after` in the list, while no daemon runs.
+fn release(site: &Site, before: &Engine, after: &Engine) {
+    before.end(site);
+    after.list(site, "here");
+}
+
+/// Guards against passing the present list for all there ever was, where the settings of an earlier start are left as they
+/// were.
+#[test]
+fn a_first_start_that_is_left_in_the_settings_does_not_hide_an_earlier_version() {
+    let one = Engine::start("i-one", "v1");
+    let other = Engine::start("i-other", "v1.1");
+    let mut site = first_daemon("left-in-settings", &one);
+    drop(begin_stream(&site));
+    site.daemon.kill();
+    release(&site, &one, &other);
+    let another = Daemon::first_start("left-in-settings-too", &new_ip(), site.store_address);
+    another.wait_until_ready();
+    assert_eq!(resume(&another, "a2", "a1", "1").status(), 503);
+    assert_eq!(other.runs(), 0);
+}
+
+/// Guards against the same where the earlier start ended before it recorded a version or a stream.
+#[test]
+fn an_own_row_from_before_the_start_shows_that_it_is_not_the_first_one() {
+    let one = Engine::start("i-one", "v1");
+    let other = Engine::start("i-other", "v1.1");
+    let mut site = first_daemon("own-row", &one);
+    drop(begin_stream(&site));
+    site.daemon.kill();
+    site.store.remove("versions", "llm");
+    release(&site, &one, &other);
+    let again = Daemon::first_start("own-row", &site.ip, site.store_address);
+    again.wait_until_ready();
+    assert_eq!(resume(&again, "a2", "a1", "1").status(), 503);
+    assert_eq!(other.runs(), 0);
+}
+
+/// Guards against taking records that could not be read for none.
+#[test]
+fn a_start_without_an_answer_about_earlier_records_is_not_the_first_one() {
+    let one = Engine::start("i-one", "v1");
+    let other = Engine::start("i-other", "v1.1");
+    let mut site = first_daemon("unread-records", &one);
+    drop(begin_stream(&site));
+    site.daemon.kill();
+    release(&site, &one, &other);
+    site.store.set_silent_table(Some("versions"));
+    let another = Daemon::first_start("unread-records-too", &new_ip(), site.store_address);
+    another.wait_until_ready();
+    assert_eq!(resume(&another, "a2", "a1", "1").status(), 503);
+    assert_eq!(other.runs(), 0);
+}
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -31,6 +31,7 @@
 use crate::homes::Homes;
 use crate::plan::ColdStart;
 use crate::pool::index::Index;
+use crate::pool::versions::History;
 use crate::reach::Reach;
 use crate::replica::Load;
 use crate::replica::Replica;
@@ -111,8 +112,8 @@
     unseen_at: Option<Time>,
     /// The latest time at which a replica was listed here that has left.
     departed_listed_at: Option<Time>,
-    /// Whether no stream can have begun before the list was first read.
-    starts_first: bool,
+    /// Whether the list shows all replicas that ever served.
+    history: History,
     /// Software versions that alone served before the daemon followed the list, by service, and
     /// when that was found out.
     vouched: HashMap<String, (String, Time)>,
@@ -194,7 +195,9 @@
     /// Records that the list is up to date at `now`.
     pub(crate) fn note_refresh(&mut self, now: Time) {
         if self.is_outdated(now) {
-            self.starts_first &= self.outdated_at.is_none();
+            if self.outdated_at.is_some() {
+                self.history = History::Gap;
+            }
             self.outdated_at = Some(now);
         }
         self.refreshed_at = Some(now);
@@ -203,7 +206,7 @@
     /// Records that replicas of any version may have come and left without this daemon seeing them.
     pub(crate) fn note_unseen(&mut self, now: Time) {
         self.unseen_at = Some(now);
-        self.starts_first = false;
+        self.history = History::Gap;
     }
 
     /// Whether the list has been out of date long enough for entries to have lapsed. True if the
--- a/crates/relay/src/pool/versions.rs
+++ b/crates/relay/src/pool/versions.rs
@@ -10,10 +10,25 @@
 /// still listed at daemons that are late.
 const UNLISTED_SERVICE: Duration = Duration::from_secs(30);
 
+/// What the list shows of the replicas that ever served.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(super) enum History {
+    /// All since it was first read.
+    #[default]
+    Followed,
+    /// All there ever were, since the whole system started for the first time.
+    Complete,
+    /// Not all since it was first read: replicas may have come and left unseen.
+    Gap,
+}
+
 impl Pool {
-    /// Records that the whole system starts for the first time: no stream began before.
-    pub const fn note_first_start(&mut self) {
-        self.starts_first = self.outdated_at.is_none();
+    /// Records that the whole system starts for the first time: no stream began before. The list may
+    /// have been read meanwhile.
+    pub fn note_first_start(&mut self) {
+        if self.history == History::Followed {
+            self.history = History::Complete;
+        }
     }
 
     /// Records that, until `now`, no version but `software` has served `service` for as long as a
@@ -36,7 +51,8 @@
         if withheld.any(|replica| replica.software.as_deref() != Some(only)) {
             return None;
         }
-        let is_followed = now.since(followed_since) >= period || self.starts_first;
+        let is_complete = self.history == History::Complete;
+        let is_followed = now.since(followed_since) >= period || is_complete;
         (is_followed || self.is_vouched(service, only, followed_since)).then_some(only)
     }
 
--- a/crates/relay/tests/epoch.rs
+++ b/crates/relay/tests/epoch.rs
@@ -134,3 +134,17 @@
     pool.apply(at(8), &snapshot(61, &["v1"])).unwrap();
     assert_eq!(pool.only_version(at(8), SERVICE, LIFETIME), None);
 }
+
+/// The store confirms the first start after the list may have been read.
+#[test]
+fn a_first_start_that_is_confirmed_late_hides_no_gap() {
+    let mut pool = Pool::new();
+    pool.apply(at(0), &snapshot(60, &["v1"])).unwrap();
+    pool.note_first_start();
+    assert_eq!(pool.only_version(at(1), SERVICE, LIFETIME), Some("v1"));
+    let mut pool = Pool::new();
+    pool.apply(at(0), &snapshot(60, &["v1"])).unwrap();
+    pool.apply(at(8), &snapshot(61, &["v1"])).unwrap();
+    pool.note_first_start();
+    assert_eq!(pool.only_version(at(8), SERVICE, LIFETIME), None);
+}
