Wait for claims that may be lost unless the store confirms a first start

Callers saw: nothing yet. Replicas get orders from two holders (ONE) where first_start: true was left in the settings: a daemon that starts after the store came back from a copy without the claim of another one sends orders at once.

Cause: the setting alone made the first era that the store names one without earlier claims.

Ruled out: the swap of the row, which rules out two claims in one era; the lost claim was of the era before.

Change: only a first start that the store has confirmed skips the wait, as with the only version of a service.

Measured: no_orders_are_sent_at_once_after_a_first_start_that_the_store_does_not_confirm fails before (orders by the first check) and passes after.

--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -362,7 +362,7 @@
 /// whether the era that it finds is new, and waits as well, which only delays a change of stage. At
 /// the first start of the whole system there are no claims.
 fn may_lack_claims(shared: &Shared) -> bool {
-    let is_first_start = shared.settings().first_start;
+    let is_first_start = shared.is_first_start();
     let raised = shared.store.era().time_since_raised(is_first_start);
     raised.is_some_and(|elapsed| elapsed < CLAIM_DURATION)
 }
--- a/crates/gateway/tests/gateway/stages.rs
+++ b/crates/gateway/tests/gateway/stages.rs
@@ -8,6 +8,8 @@
 use serde_json::Value;
 use serde_json::json;
 
+use crate::common::daemon::Daemon;
+use crate::common::daemon::new_ip;
 use crate::common::daemon::wait_until;
 use crate::common::http::Message;
 use crate::common::http::answer;
@@ -106,6 +108,26 @@
     wait_until("the orders are sent", || given() >= ORDERS_AT_ONCE);
 }
 
+/// Guards against two holders at once where the settings of an earlier start are left as they were: the store may have come
+/// back from a copy without the claim of another daemon.
+#[test]
+fn no_orders_are_sent_at_once_after_a_first_start_that_the_store_does_not_confirm() {
+    let engines = engines();
+    let (store, store_address) = store::Store::start("127.0.0.1");
+    store.set_era(4);
+    store.put("op", "config", &config(1));
+    store.put("versions", "llm", &json!({"software": "v1", "list": 1}));
+    for engine in &engines {
+        store.put("servers", &engine.id, &engine.row("llm", "prefill"));
+    }
+    let settings = "first_start: true\nprefill_share: 0.1\n";
+    let daemon = Daemon::start_with_settings("not-first", &new_ip(), store_address, &[], settings);
+    wait_until("a change of stage is tried", || {
+        !daemon.logged("\"kind\":\"order\"").is_empty()
+    });
+    assert!(engines.iter().all(|engine| orders(engine).is_empty()));
+}
+
 /// Guards against orders one after another within the short life of a claim: engines that answer
 /// slowly, but in time, would leave no time for the last ones.
 #[test]
