Count the age of a claim to order replicas from its reading

Callers saw: nothing yet. The next holder counts from the time in the claim.

Cause: the claim bears the store's time at the reading, the age of 0.4 s counted from the write. Orders are carried out up to 12 s later, claims change hands after 16 s and must not within 3 s: that leaves 1 s from the reading.

Ruled out: a standstill between the question and the answer of one call, which is made again, and during the write, which counted. What is left is a reading of several parts, and the moment between reading and write.

Change: orders are sent within 1 s of the begin of the reading, which replaces 0.4 s from the write: reading and write take up to 0.9 s each at a slow store. A claim that is too old by then is not written, since it would only keep others from sending.

Measured: no_orders_are_sent_under_a_claim_that_was_read_long_before (a store that takes 0.5 s for each of four parts) fails before and passes after. A standstill between reading and write is argued from the code, not run.

--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -3,8 +3,8 @@
 //! Not all engines check fencing tokens, and an order without an answer may be carried out many
 //! seconds later. So at most one daemon sends orders for a service in any `CLAIM_DURATION`, by the
 //! store's clock: it first claims the service with a conditional write of a row, whose version makes
-//! the fencing token. An order is sent only within `MAX_CLAIM_AGE` of that write, so that a daemon
-//! that was frozen meanwhile sends none.
+//! the fencing token. An order is sent only within `MAX_CLAIM_AGE` of the reading whose time the claim
+//! bears, so that a daemon that was frozen meanwhile sends none.
 //!
 //! Besides the division of the replicas, orders keep a decode replica for each software version whose
 //! streams can still be resumed.
@@ -50,8 +50,11 @@
 /// Time after a claim during which no other daemon sends orders: orders without an answer are
 /// carried out up to 12 s later, and the claim must not change hands within 3 s.
 const CLAIM_DURATION: Duration = Duration::from_secs(16);
-/// Time after the write of the row during which orders may be sent.
-const MAX_CLAIM_AGE: Duration = Duration::from_millis(400);
+/// Time after the begin of the reading that a claim is based on during which orders may be sent. What
+/// [`CLAIM_DURATION`] leaves beside the 12 s and the 3 s.
+const MAX_CLAIM_AGE: Duration = Duration::from_secs(1);
+/// Why no order is sent under a claim that is older.
+const TOO_OLD: &str = "the claim is too old";
 /// Why no order is sent after the store came back from a copy.
 const NEW_ERA: &str = "claims may have been lost with the last era of the store";
 /// Maximum number of engines skipped in one round because they are busy or do not answer.
@@ -181,7 +184,7 @@
     let outcomes = join_all(orders.into_iter().map(async |order| {
         let replica = order.replica.clone();
         let outcome = match claimed_at.elapsed() {
-            age if age > MAX_CLAIM_AGE => Err(Failure::not_sent("the claim is too old")),
+            age if age > MAX_CLAIM_AGE => Err(Failure::not_sent(TOO_OLD)),
             _ if claim.era != shared.era() => Err(Failure::not_sent(NEW_ERA)),
             _ => send_order(shared, order, stage, claim.fence()).await,
         };
@@ -325,11 +328,12 @@
 }
 
 /// Claims the right to send orders for `service`; returns the version of the claim, which makes the
-/// fencing token, and the time at which the write began.
+/// fencing token, and when the reading began whose time the claim bears.
 async fn claim(shared: &Shared, service: &str) -> Result<(Revision, Instant), String> {
     if may_lack_claims(shared) {
         return Err(NEW_ERA.to_owned());
     }
+    let asked_at = Instant::now();
     let rows = shared
         .store
         .read(ORDERS)
@@ -351,10 +355,13 @@
     if may_lack_claims(shared) {
         return Err(NEW_ERA.to_owned());
     }
+    // It would only keep others from sending.
+    if asked_at.elapsed() > MAX_CLAIM_AGE {
+        return Err(TOO_OLD.to_owned());
+    }
     let held = Revision::new(rows.revision.era, held.map_or(0, |row| row.version));
-    let started = Instant::now();
     let swapped = shared.store.swap(ORDERS, service, &value, held).await;
-    Ok((swapped.map_err(|error| cause(&error))?, started))
+    Ok((swapped.map_err(|error| cause(&error))?, asked_at))
 }
 
 /// Whether the store may lack a claim under which another daemon still sends orders: it may have
--- a/crates/gateway/tests/gateway/common/store.rs
+++ b/crates/gateway/tests/gateway/common/store.rs
@@ -8,6 +8,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::thread;
 use std::time::Duration;
 
 use base64::Engine;
@@ -50,6 +51,8 @@
     /// Table whose calls get no answer, and calls that got none.
     silent_table: Option<String>,
     unanswered: u64,
+    /// Table that is read one row at a time, and the time until each answer.
+    slow_table: Option<(String, Duration)>,
     /// Text after which each answer that contains it ends early, and answers that did.
     cut_after: Option<&'static str>,
     cut_answers: u64,
@@ -287,6 +290,12 @@
         self.inner.0.lock().unwrap().silent_table = table.map(str::to_owned);
     }
 
+    /// Answers a reading of `table` with one row, after `delay`, from now on.
+    #[allow(dead_code, reason = "used by the tests of the gateway only")]
+    pub fn set_slow_table(&self, table: &str, delay: Duration) {
+        self.inner.0.lock().unwrap().slow_table = Some((table.to_owned(), delay));
+    }
+
     /// Number of calls left unanswered because of [`Self::set_silent_table`].
     pub fn unanswered_count(&self) -> u64 {
         self.inner.0.lock().unwrap().unanswered
@@ -392,8 +401,14 @@
         };
         match path {
             "/api/rows-get" => {
+                let table = field("table");
+                let is_slow = self.wait_if_slow(&table);
                 let inner = self.inner.0.lock().unwrap();
-                inner.answer(200, self.rows(&inner.data, &field("table"), None))
+                let mut rows = self.rows(&inner.data, &table, None);
+                if is_slow {
+                    keep_first_row(&mut rows, field("from").trim_end_matches("%00"));
+                }
+                inner.answer(200, rows)
             }
             "/api/rows-feed" => {
                 let after = field("after").parse().unwrap_or(0);
@@ -405,6 +420,16 @@
         }
     }
 
+    /// Waits if readings of `table` are slow; returns whether they are.
+    fn wait_if_slow(&self, table: &str) -> bool {
+        let slow = self.inner.0.lock().unwrap().slow_table.clone();
+        let delay = slow.filter(|(name, _)| name == table);
+        if let Some((_, delay)) = &delay {
+            thread::sleep(*delay);
+        }
+        delay.is_some()
+    }
+
     fn refusal(&self, status: u16) -> Answer {
         self.inner.0.lock().unwrap().answer(status, json!({}))
     }
@@ -493,6 +518,15 @@
     }
 }
 
+/// Keeps the first of `rows` whose key is greater than `after`.
+fn keep_first_row(rows: &mut Value, after: &str) {
+    let all = rows["rows"].as_array_mut().unwrap();
+    all.retain(|row| row["key"].as_str().unwrap() > after);
+    let has_more = all.len() > 1;
+    all.truncate(1);
+    rows["has-more"] = has_more.into();
+}
+
 /// Whether `request` reads or watches `table`.
 fn is_about(request: &Message, table: &str) -> bool {
     let field = format!("table={table}&");
--- a/crates/gateway/tests/gateway/stages.rs
+++ b/crates/gateway/tests/gateway/stages.rs
@@ -28,6 +28,8 @@
 const DECODE_REPLICAS: usize = 4;
 /// Orders sent at once: a quarter of the replicas.
 const ORDERS_AT_ONCE: usize = 6;
+/// Time that a store takes to answer with a part of a table.
+const SLOW_PAGE: Duration = Duration::from_millis(500);
 
 fn engines() -> Vec<Replica> {
     engines_answering_after(Duration::ZERO)
@@ -108,6 +110,24 @@
     wait_until("the orders are sent", || given() >= ORDERS_AT_ONCE);
 }
 
+/// Guards against orders by a claim that bears the time of a reading of long ago: the next holder may have claimed.
+#[test]
+fn no_orders_are_sent_under_a_claim_that_was_read_long_before() {
+    let engines = engines();
+    let stages = engines.iter().map(|engine| (engine, "llm", "prefill"));
+    let site = Site::start("slow-claim", &stages.collect::<Vec<_>>());
+    for service in ["app-1", "app-2", "app-3", "llm"] {
+        let claim = json!({"holder": "slow-claim", "at_ms": 1});
+        site.store.put("orders", service, &claim);
+    }
+    site.store.set_slow_table("orders", SLOW_PAGE);
+    site.change_settings("grace_s: 8", "grace_s: 8\nprefill_share: 0.1");
+    wait_until("a change of stage is tried", || {
+        !site.daemon.logged("\"kind\":\"order\"").is_empty()
+    });
+    assert!(engines.iter().all(|engine| orders(engine).is_empty()));
+}
+
 /// Guards against two holders at once where the settings of an earlier start are left as they were: the store may have come
 /// back from a copy without the claim of another daemon.
 #[test]
