Wait for claims to order replicas whose age is not known

Callers saw: nothing yet. Replicas may get orders from two holders (ONE): a claim that cannot be read, as one of a later version of ours, or with a time in the future, as after the store's clock went back, counted as none, although its holder may send orders.

Cause: an unreadable claim was dropped with its error; one from the future counted as expired.

Ruled out: to refuse for good, since a claim that nobody can read would then block the orders of a service forever.

Change: such a claim of another daemon counts as held until its row has been unchanged for 16 s since this daemon first read it, by this daemon's own clock.

Measured: no_orders_are_sent_while_a_claim_of_unknown_age_may_hold fails before (both cases) and passes after; orders_are_sent_beside_an_odd_claim, unchanged, passes in 21 s of its limit of 30 s for a condition.

--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -23,7 +23,7 @@
 use ident::Zone;
 use platform::engine;
 use platform::engine::Report;
-use platform::store::Rows;
+use platform::store::Row;
 use relay::balance::Rebalance;
 use relay::balance::StageBalancer;
 use relay::balance::StageCounts;
@@ -68,9 +68,69 @@
     at_ms: u64,
 }
 
+/// Whose claim a row holds, and its age.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ClaimAge {
+    /// Of this daemon.
+    Own,
+    /// Of another daemon.
+    Known(Duration),
+    /// It cannot be read, or is not by the present clock of the store.
+    Unknown,
+}
+
+impl ClaimAge {
+    /// The age of the claim in `row` for the daemon `own`, at `now_ms` by the store's clock.
+    fn read(row: &Row, own: &str, now_ms: u64) -> Self {
+        let value = row.value.as_deref().unwrap_or_default();
+        match serde_json::from_slice::<Claim>(value) {
+            Ok(claim) if claim.holder == own => Self::Own,
+            Ok(claim) if claim.at_ms <= now_ms => {
+                Self::Known(Duration::from_millis(now_ms - claim.at_ms))
+            }
+            Ok(_) | Err(_) => Self::Unknown,
+        }
+    }
+}
+
+/// A claim without a known age, when this daemon first read it.
+#[derive(Debug, Clone, Copy)]
+struct UnknownClaim {
+    revision: Revision,
+    seen_at: Instant,
+}
+
+/// What is kept for the orders of one service.
+#[derive(Debug)]
+struct ServiceOrders {
+    balancer: StageBalancer,
+    unknown: Option<UnknownClaim>,
+}
+
+impl ServiceOrders {
+    const fn new(change_time: Duration) -> Self {
+        Self {
+            balancer: StageBalancer::new(change_time),
+            unknown: None,
+        }
+    }
+
+    /// Whether the claim of `revision`, whose age is not known, may be in force: it may have been
+    /// written just before this daemon first read it.
+    fn may_hold(&mut self, revision: Revision) -> bool {
+        let known = self.unknown.filter(|known| known.revision == revision);
+        let unknown = known.unwrap_or_else(|| UnknownClaim {
+            revision,
+            seen_at: Instant::now(),
+        });
+        self.unknown = Some(unknown);
+        unknown.seen_at.elapsed() <= CLAIM_DURATION
+    }
+}
+
 /// Keeps the share of prefill replicas of each model, forever.
 pub async fn run(shared: Rc<Shared>) {
-    let mut balancers: HashMap<String, StageBalancer> = HashMap::new();
+    let mut all_orders: HashMap<String, ServiceOrders> = HashMap::new();
     loop {
         sleep(PERIOD).await;
         let share = shared.settings().prefill_share;
@@ -81,11 +141,11 @@
         let services = plan.services.iter();
         let engines = services.filter_map(|(name, service)| Some((name, service.engine?)));
         for (service, engine) in engines {
-            let balancer = balancers.entry(service.clone());
-            let balancer = balancer.or_insert_with(|| StageBalancer::new(engine.stage_change));
-            balancer.set_change_time(engine.stage_change);
+            let orders = all_orders.entry(service.clone());
+            let orders = orders.or_insert_with(|| ServiceOrders::new(engine.stage_change));
+            orders.balancer.set_change_time(engine.stage_change);
             version_stages::track(&shared, &plan, service, engine.stage_change);
-            rebalance(&shared, service, balancer, share).await;
+            rebalance(&shared, service, orders, share).await;
         }
     }
 }
@@ -157,10 +217,10 @@
     }
 }
 
-async fn rebalance(shared: &Shared, service: &str, balancer: &mut StageBalancer, share: f64) {
+async fn rebalance(shared: &Shared, service: &str, kept: &mut ServiceOrders, share: f64) {
     let now = shared.clock.now();
     let counts = shared.pool.borrow().stage_counts(now, service);
-    let due = find_due(shared, service, balancer, counts, share);
+    let due = find_due(shared, service, &mut kept.balancer, counts, share);
     let is_owner = shared.members.borrow().is_owner(Pool::new(service).0);
     let Some(due) = due.filter(|_| is_owner) else {
         return;
@@ -170,8 +230,9 @@
     let claimed = if orders.is_empty() {
         Err("no engine is available for an order".to_owned())
     } else {
-        claim(shared, service).await
+        claim(shared, service, kept).await
     };
+    let balancer = &mut kept.balancer;
     let (claim, claimed_at) = match claimed {
         Ok(claimed) => claimed,
         Err(cause) => {
@@ -329,7 +390,11 @@
 
 /// Claims the right to send orders for `service`; returns the version of the claim, which makes the
 /// fencing token, and when the reading began whose time the claim bears.
-async fn claim(shared: &Shared, service: &str) -> Result<(Revision, Instant), String> {
+async fn claim(
+    shared: &Shared,
+    service: &str,
+    kept: &mut ServiceOrders,
+) -> Result<(Revision, Instant), String> {
     if may_lack_claims(shared) {
         return Err(NEW_ERA.to_owned());
     }
@@ -340,11 +405,16 @@
         .await
         .map_err(|error| cause(&error))?;
     let held = rows.rows.iter().find(|row| row.key == service);
-    let value = held.and_then(|row| row.value.as_deref());
-    let claim = value.and_then(|value| serde_json::from_slice::<Claim>(value).ok());
+    let revision = Revision::new(rows.revision.era, held.map_or(0, |row| row.version));
     let holder = &shared.settings().instance;
-    if claim.is_some_and(|claim| claim.holder != *holder && !has_expired(&claim, &rows)) {
-        return Err("another daemon holds the claim".to_owned());
+    match held.map(|row| ClaimAge::read(row, holder, rows.now_ms)) {
+        None | Some(ClaimAge::Own) => {}
+        Some(ClaimAge::Known(age)) if age > CLAIM_DURATION => {}
+        Some(ClaimAge::Unknown) if !kept.may_hold(revision) => {}
+        Some(ClaimAge::Known(_)) => return Err("another daemon holds the claim".to_owned()),
+        Some(ClaimAge::Unknown) => {
+            return Err("another daemon may hold the claim, whose age is not known".to_owned());
+        }
     }
     let own = Claim {
         holder: holder.clone(),
@@ -359,8 +429,7 @@
     if asked_at.elapsed() > MAX_CLAIM_AGE {
         return Err(TOO_OLD.to_owned());
     }
-    let held = Revision::new(rows.revision.era, held.map_or(0, |row| row.version));
-    let swapped = shared.store.swap(ORDERS, service, &value, held).await;
+    let swapped = shared.store.swap(ORDERS, service, &value, revision).await;
     Ok((swapped.map_err(|error| cause(&error))?, asked_at))
 }
 
@@ -374,12 +443,6 @@
     raised.is_some_and(|elapsed| elapsed < CLAIM_DURATION)
 }
 
-/// Whether `claim` is too old. One from the future is not by the clock of this store, and may have
-/// any age.
-fn has_expired(claim: &Claim, rows: &Rows) -> bool {
-    rows.now_ms.abs_diff(claim.at_ms) > CLAIM_DURATION.as_millis() as u64
-}
-
 fn cause(error: &Error) -> String {
     error.to_string()
 }
--- a/crates/gateway/tests/gateway/stages.rs
+++ b/crates/gateway/tests/gateway/stages.rs
@@ -110,6 +110,27 @@
     wait_until("the orders are sent", || given() >= ORDERS_AT_ONCE);
 }
 
+/// Time for which an order of a daemon that does not tell how old a claim is must not follow it; shorter than a claim may hold.
+const CLAIM_TIME: Duration = Duration::from_secs(8);
+
+/// Guards against two holders at once: a claim that a daemon cannot read, or whose time it cannot tell, may be another
+/// one's.
+#[rstest]
+#[case::in_the_future(json!({"holder": "other", "at_ms": u64::MAX}))]
+#[case::mistyped(json!({"holder": 1, "at_ms": -1}))]
+fn no_orders_are_sent_while_a_claim_of_unknown_age_may_hold(#[case] claim: Value) {
+    let engines = engines();
+    let stages = engines.iter().map(|engine| (engine, "llm", "prefill"));
+    let site = Site::start("unknown-claim", &stages.collect::<Vec<_>>());
+    site.store.put("orders", "llm", &claim);
+    site.change_settings("grace_s: 8", "grace_s: 8\nprefill_share: 0.1");
+    wait_until("a change of stage is tried", || {
+        !site.daemon.logged("\"kind\":\"order\"").is_empty()
+    });
+    thread::sleep(CLAIM_TIME);
+    assert!(engines.iter().all(|engine| orders(engine).is_empty()));
+}
+
 /// Guards against orders by a claim that bears the time of a reading of long ago: the next holder may have claimed.
 #[test]
 fn no_orders_are_sent_under_a_claim_that_was_read_long_before() {
