Read a KV cache only at the version that wrote it

Cause: the versions of the prefill and the decode replica were compared at the choice of the prefill replica only. A decode replica without a start in its entry, whose version changed during the prefill, got the cache; so it did where the prefill replica changed its entry, or was found by its own answer to have restarted, which replicas that report their start do in any release; and a decode replica of unknown version took the cache of any.

Ruled out: streams after their first event, which are bound, and whose version is compared right before each send.

Change: a prefilled prompt carries the version that wrote its cache. It is used if the list names that version for the prefill replica once the answer is there, and for the decode replica then and right before the send; otherwise the decode replica prefills the prompt itself, or another one serves. Each send names the versions that may carry it out.

--- a/crates/gateway/src/forward/resume.rs
+++ b/crates/gateway/src/forward/resume.rs
@@ -28,6 +28,7 @@
 use crate::search::Opened;
 use crate::search::Search;
 use crate::send;
+use crate::send::Assignment;
 use crate::send::Reply;
 
 /// Time without migrations from a replica that did not carry one out.
@@ -182,12 +183,16 @@
         let Some(permit) = self.shared.take_permit(&self.job, Work::Run) else {
             return Continuation::Refused;
         };
-        let task = Task::Continue {
-            address: stopped.address,
-            handle: stopped.handle.clone(),
-            last_event,
+        let assignment = Assignment {
+            task: Task::Continue {
+                address: stopped.address,
+                handle: stopped.handle.clone(),
+                last_event,
+            },
+            versions: self.job.destination().software,
+            reservation: None,
         };
-        let sent = send::send(&self.shared, &self.job, key, task, None, permit);
+        let sent = send::send(&self.shared, &self.job, key, assignment, permit);
         let mut sent = pin!(sent);
         let mut limit = UNANSWERED_TIMEOUT;
         let sent = loop {
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -29,6 +29,7 @@
 use crate::memory::Charge;
 use crate::responses;
 use crate::send;
+use crate::send::Assignment;
 use crate::shared::Shared;
 
 /// Fraction of the objective that a request waits for a replica. A request refused this early can
@@ -276,7 +277,12 @@
 ) -> Result<Answer, Outcome> {
     let begun = Instant::now();
     let load = shared.pool.borrow().load(shared.clock.now(), key);
-    let reply = send::send(shared, job, key, Task::Answer, None, permit).await?;
+    let assignment = Assignment {
+        task: Task::Answer,
+        versions: job.destination().software,
+        reservation: None,
+    };
+    let reply = send::send(shared, job, key, assignment, permit).await?;
     match send::read_whole(shared, reply, ending::MAX_ANSWER_BYTES).await {
         Ok(whole) => {
             shared.record_work(key, begun.elapsed(), 1.0);
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -18,6 +18,7 @@
 use crate::job::Job;
 use crate::limit;
 use crate::send;
+use crate::send::Assignment;
 use crate::shared::Shared;
 use crate::shared::choice::Destination;
 
@@ -40,22 +41,25 @@
 
 /// Prefills the prompt at a prefill replica, preferably an idle one in the data centre of the
 /// decode replica `decode`: a KV cache is thousands of times as large as prompt and answer, and its
-/// transfer between data centres takes twice as long and costs more. If this fails, or none has the
-/// software version of the decode replica, the decode replica prefills the prompt.
+/// transfer between data centres takes twice as long and costs more. `None` if this fails, or if none has
+/// the software version of the decode replica, which prefills the prompt then.
 ///
-/// A failed prefill counts as an arrival, so the next send is a retry: `None` if the retry budget
-/// is exhausted.
+/// # Errors
+/// A failed prefill counts as an arrival, so the next send is a retry: `Exhausted` without a permit
+/// for it.
 pub async fn prefill_remotely(
     shared: &Rc<Shared>,
     job: &Job,
     decode: Key,
-    last_event: Option<u64>,
-) -> Option<Task> {
+) -> Result<Option<PrefilledPrompt>, Exhausted> {
     let near = shared.data_centre_of(decode);
     // The version that writes a KV cache is the only one that can read it.
-    let software = shared.software_of(decode);
+    let Some(software) = shared.software_of(decode) else {
+        return Ok(None);
+    };
+    let is_unchanged = || shared.software_of(decode).as_ref() == Some(&software);
     let to = Destination {
-        software: Version::exactly_or_any(software.as_deref()),
+        software: Version::Exactly(&software),
         ..job.destination()
     };
     let mut tried = Vec::new();
@@ -63,7 +67,7 @@
     let mut failed = false;
     // One number for all replicas, so that a prompt goes to the first one that is fast enough.
     let drawn = rand::random::<f64>();
-    while sends < MAX_PREFILLS && tried.len() < MAX_CONSIDERED {
+    while sends < MAX_PREFILLS && tried.len() < MAX_CONSIDERED && is_unchanged() {
         let choose = || shared.choose_prefill(to, &tried, near, job.prompt_tokens());
         let chosen = limit::choose_admitted(shared, choose).await;
         let Some(key) = chosen else { break };
@@ -85,11 +89,14 @@
         sends += 1;
         match timeout_at(
             job.deadline,
-            prefill_with_extension(shared, job, key, permit),
+            prefill_with_extension(shared, job, key, &software, permit),
         )
         .await
         {
-            Ok(Ok(prefilled)) => return Some(decode_task(prefilled, last_event)),
+            Ok(Ok(prefilled)) if is_unchanged() => return Ok(Some(prefilled)),
+            Ok(Ok(_)) => {
+                log::info!(kind = "read", request = job.call.id; "the decode replica has changed its software version since the prefill began");
+            }
             Ok(Err(Outcome::NotSent)) => continue,
             // The send that follows is withheld too, and determines the response.
             Ok(Err(Outcome::Quarantined | Outcome::Denied)) => break,
@@ -100,7 +107,7 @@
             }
         }
         if !shared.ensure_permit(job, Work::Read) {
-            return None;
+            return Err(Exhausted);
         }
         failed = true;
     }
@@ -108,7 +115,7 @@
         // This permit pays for the failed prefill and must not be used for another send.
         let _spent = job.take_permit(Work::Read);
     }
-    Some(local_prefill_task(last_event))
+    Ok(None)
 }
 
 /// What is done with a prompt once a prefill replica has been considered for it.
@@ -135,39 +142,44 @@
     }
 }
 
-/// The task for a decode replica that prefills the prompt itself.
-pub const fn local_prefill_task(last_event: Option<u64>) -> Task {
-    match last_event {
-        Some(last_event) => Task::Resume { last_event },
-        None => Task::Answer,
-    }
+/// The retry budget has no permit for another send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Exhausted;
+
+/// A prefilled prompt.
+#[derive(Debug)]
+pub struct PrefilledPrompt {
+    address: SocketAddr,
+    handle: String,
+    /// The version that wrote its KV cache, and the only one that can read it.
+    pub software: String,
 }
 
-/// The task for a decode replica that fetches the KV cache of a prefilled prompt.
-fn decode_task(prefilled: PrefilledPrompt, last_event: Option<u64>) -> Task {
-    let PrefilledPrompt { address, handle } = prefilled;
-    match last_event {
-        Some(last_event) => Task::Continue {
-            address,
-            handle,
+/// The task for a decode replica that fetches the KV cache of `prefilled`, or that prefills the prompt
+/// itself if there is none.
+pub fn decode_task(prefilled: Option<&PrefilledPrompt>, last_event: Option<u64>) -> Task {
+    match (prefilled, last_event) {
+        (None, None) => Task::Answer,
+        (None, Some(last_event)) => Task::Resume { last_event },
+        (Some(prompt), None) => Task::Decode {
+            address: prompt.address,
+            handle: prompt.handle.clone(),
+        },
+        (Some(prompt), Some(last_event)) => Task::Continue {
+            address: prompt.address,
+            handle: prompt.handle.clone(),
             last_event,
         },
-        None => Task::Decode { address, handle },
     }
 }
 
-/// A prefilled prompt.
-struct PrefilledPrompt {
-    address: SocketAddr,
-    handle: String,
-}
-
-/// Prefills the prompt at `key`. After the soft limit, a replica that is still responsive gets
+/// Prefills the prompt at `key`, of the version `software`. After the soft limit, a replica that is still responsive gets
 /// until the hard limit, because abandoning a prefill wastes it.
 async fn prefill_with_extension(
     shared: &Rc<Shared>,
     job: &Job,
     key: Key,
+    software: &str,
     permit: Permit,
 ) -> Result<PrefilledPrompt, Outcome> {
     let objective = job.route.objective;
@@ -175,7 +187,7 @@
     let soft_limit = (job.arrived + objective.mul_f64(SOFT_LIMIT_FRACTION)).max(guaranteed_until);
     let hard_limit =
         (job.arrived + objective.mul_f64(HARD_LIMIT_FACTOR)).max(guaranteed_until + objective);
-    let mut prefill = std::pin::pin!(prefill_at(shared, job, key, permit));
+    let mut prefill = std::pin::pin!(prefill_at(shared, job, key, software, permit));
     if let Ok(prefilled) = timeout_at(soft_limit, &mut prefill).await {
         return prefilled;
     }
@@ -197,6 +209,7 @@
     shared: &Rc<Shared>,
     job: &Job,
     key: Key,
+    software: &str,
     permit: Permit,
 ) -> Result<PrefilledPrompt, Outcome> {
     let address = shared
@@ -207,7 +220,12 @@
         .ok_or(Outcome::NotSent)?;
     let (begun, begun_at) = (Instant::now(), shared.clock.now());
     let queued_before = shared.pool.borrow().queued_tokens(key);
-    let reply = send::send(shared, job, key, Task::Prefill, None, permit).await?;
+    let assignment = Assignment {
+        task: Task::Prefill,
+        versions: Version::Exactly(software),
+        reservation: None,
+    };
+    let reply = send::send(shared, job, key, assignment, permit).await?;
     let exchanges_before = reply.connection.exchanges_before();
     let answer = send::read_whole(shared, reply, MAX_PREFILL_ANSWER_BYTES).await;
     let body = match answer {
@@ -238,9 +256,14 @@
             shared.record_work(key, begun.elapsed(), prompt as f64);
             shared.measure_prefill(key, begun_at, queued_before, prompt);
             log::info!(kind = "read", request = job.call.id, ms = job.age().as_millis() as u64, cache = prefill.handle, exchanges_before = exchanges_before; "the prompt is prefilled");
+            if shared.software_of(key).as_deref() != Some(software) {
+                log::info!(kind = "read", request = job.call.id, software = software; "the prefill replica may have changed its software version");
+                return Err(Outcome::Lost);
+            }
             Ok(PrefilledPrompt {
                 address,
                 handle: prefill.handle,
+                software: software.to_owned(),
             })
         }
         Err(error) => {
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use boottime::timer::sleep;
-use platform::caller::Task;
 use relay::attempt::Attempt;
 use relay::attempt::Next;
 use relay::attempt::Outcome;
 use relay::permit::Work;
+use relay::score::Version;
 use relay::server::Key;
 
 use crate::control;
@@ -21,6 +21,7 @@
 use crate::prefill;
 use crate::run_tracking::TrackedRun;
 use crate::send;
+use crate::send::Assignment;
 use crate::send::Reply;
 use crate::shared::Shared;
 
@@ -63,7 +64,7 @@
         last_event,
         generated,
     } = search;
-    let mut local_prefill = None;
+    let mut is_prefilled_locally = false;
     loop {
         let found = match next_placement.take() {
             Some(placement) => Some(placement),
@@ -77,13 +78,14 @@
             tried.push(key);
             continue;
         }
-        let task = match &local_prefill {
-            Some(task) => Task::clone(task),
-            None => prefill::prefill_remotely(shared, job, key, last_event)
+        let prefilled = if is_prefilled_locally {
+            None
+        } else {
+            prefill::prefill_remotely(shared, job, key)
                 .await
-                .ok_or(Next::Refuse)?,
+                .map_err(|prefill::Exhausted| Next::Refuse)?
         };
-        if matches!(task, Task::Answer | Task::Resume { .. }) {
+        if prefilled.is_none() {
             placement.note_local_prefill();
         }
         let Some(permit) = job.take_permit(Work::Run) else {
@@ -92,8 +94,15 @@
         tried.push(key);
         attempt.record_send();
         let answer = {
-            let reservation = placement.reservation();
-            let sent = pin!(send::send(shared, job, key, task, reservation, permit));
+            let assignment = Assignment {
+                task: prefill::decode_task(prefilled.as_ref(), last_event),
+                versions: match &prefilled {
+                    Some(prefilled) => Version::Exactly(&prefilled.software),
+                    None => job.destination().software,
+                },
+                reservation: placement.reservation(),
+            };
+            let sent = pin!(send::send(shared, job, key, assignment, permit));
             let found = find_while_silent(shared, job, attempt, tried, generated);
             first_answer(sent, found).await
         };
@@ -115,7 +124,7 @@
             next => return Err(next),
         }
         // The KV cache may be lost, so the next replica prefills the prompt itself.
-        local_prefill = Some(prefill::local_prefill_task(last_event));
+        is_prefilled_locally = true;
     }
 }
 
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -16,6 +16,7 @@
 use relay::permit::Permit;
 use relay::permit::Work;
 use relay::replica::Replica;
+use relay::score::Version;
 use relay::server::Key;
 
 use crate::connections::Connection;
@@ -30,6 +31,18 @@
 use crate::quarantine::probe;
 use crate::shared::Shared;
 
+/// What a replica is to do for a request.
+#[derive(Debug)]
+pub struct Assignment<'a> {
+    /// The task.
+    pub task: Task,
+    /// Software versions that may carry it out. The entry of the replica may have changed since the
+    /// choice.
+    pub versions: Version<'a>,
+    /// Reservation at the replica, if there is one.
+    pub reservation: Option<&'a str>,
+}
+
 /// The head of a replica's genuine answer, and what is needed to read the rest.
 #[derive(Debug)]
 pub struct Reply {
@@ -45,7 +58,7 @@
     pub replica: Rc<Replica>,
 }
 
-/// Sends `job` to the replica `key` for `task` and reads the head of the answer. The permit returns
+/// Sends `job` to the replica `key` for `assignment` and reads the head of the answer. The permit returns
 /// to the job if no byte of the request was sent. A request that was quarantined while it waited
 /// for a placement or a retry is withheld here.
 ///
@@ -55,11 +68,10 @@
     shared: &Rc<Shared>,
     job: &Job,
     key: Key,
-    task: Task,
-    reservation: Option<&str>,
+    assignment: Assignment<'_>,
     permit: Permit,
 ) -> Result<Reply, Outcome> {
-    let work = match task {
+    let work = match assignment.task {
         Task::Prefill => Work::Read,
         _ => Work::Run,
     };
@@ -68,7 +80,7 @@
     } else if shared.is_revoked(job) {
         Err(Outcome::Denied)
     } else {
-        with_charge(job, work, send_once(shared, job, key, task, reservation)).await
+        with_charge(job, work, send_once(shared, job, key, assignment)).await
     };
     if matches!(
         sent,
@@ -101,9 +113,13 @@
     shared: &Rc<Shared>,
     job: &Job,
     key: Key,
-    task: Task,
-    reservation: Option<&str>,
+    assignment: Assignment<'_>,
 ) -> Result<Reply, Outcome> {
+    let Assignment {
+        task,
+        versions,
+        reservation,
+    } = assignment;
     let tokens = match task {
         Task::Prefill => job.prompt_tokens(),
         _ => job.expected_tokens(),
@@ -114,12 +130,8 @@
         let target = (Rc::new(server.replica.clone()), server.in_flight);
         (target, server.withheld_cause(now))
     });
-    let versions = job.destination().software;
     let (replica, in_flight) = match target {
-        // Its entry may have changed since the choice. A prefill is bound to its decode replica instead.
-        Some(((replica, _), _))
-            if task != Task::Prefill && !versions.allows(replica.software.as_deref()) =>
-        {
+        Some(((replica, _), _)) if !versions.allows(replica.software.as_deref()) => {
             let cause = "its entry shows another software version";
             record_failure(shared, job, key, Outcome::NotSent, cause, 0);
             return Err(Outcome::NotSent);
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -35,6 +35,7 @@
 mod parts;
 mod plain;
 mod plan_watch;
+mod prefill_versions;
 mod quarantine;
 mod quota_messages;
 mod quota_order;
