--- a/crates/relay/src/pool/versions.rs
+++ b/crates/relay/src/pool/versions.rs
@@ -5,23 +5,12 @@
 use ident::Time;
 
 use crate::pool::Pool;
+use crate::pool::history::History;
 
 /// How long a replica may begin streams after its entry was removed: it serves on for a while, and is
 /// still listed at daemons that are late.
 const UNLISTED_SERVICE: Duration = Duration::from_secs(30);
 
-/// What the list shows of the replicas that ever served.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub(super) enum History {
-    /// All since it was first read.
-    #[default]
-    Followed,
-    /// All there ever were, since the whole system started for the first time.
-    Complete,
-    /// Not all since it was first read: replicas may have come and left unseen.
-    Gap,
-}
-
 impl Pool {
     /// Records that the whole system starts for the first time: no stream began before. The list may
     /// have been read meanwhile.
