Record how long streams can be resumed for daemons that start later

Callers saw: a stream went on at another software version (ORDER), source=only, where a plan had shortened the timeouts, the replicas were replaced and the daemons started anew: after one life of streams by the present plan they took the only version in the list for that of a stream that the earlier plan let callers resume.

Cause: the life of streams was the longest since the start of the daemon.

Ruled out: the saved begin, which was there and was not read, since an only version goes first. Weighed: the upper bound of timeouts, which would be hours; the record of the only version, which is not written while several serve.

Change: the owner of the table lifetimes keeps one row with the longest life: raised within 0.1 s of a plan, lowered once the plan in force has allowed less for the recorded time and ten minutes. A daemon reads it at its start; until it has, no version counts as the only one, and rows of begins are not removed. Rows there show an earlier run, too, where the settings speak of a first start.

Measured: a_stream_of_an_earlier_plan_with_longer_timeouts_does_not_go_on_at_another_version and without_an_answer_about_earlier_lifetimes_a_stream_does_not_go_on_at_another_version fail before (both went on at v1.1) and pass after. The lowering is tested without a store (relay, lifetime_record). A store that comes back from a copy without the row, after a plan shortened timeouts, is not covered.

--- a/crates/gateway/src/begins.rs
+++ b/crates/gateway/src/begins.rs
@@ -11,6 +11,7 @@
 //! Without a record or an answer, another version may still have begun a stream: the only version
 //! counts if the list of replicas is newer than the question.
 
+pub mod lifetime;
 pub mod lookup;
 pub mod message;
 pub mod saving;
--- a/crates/gateway/src/begins/saving.rs
+++ b/crates/gateway/src/begins/saving.rs
@@ -182,7 +182,8 @@
     }
 
     async fn step(&mut self, shared: &Shared) {
-        if self.checked_at.elapsed() < shared.stream_lifetime() {
+        let lifetime = shared.stream_lifetime();
+        if !shared.knows_recorded_lifetime() || self.checked_at.elapsed() < lifetime {
             return;
         }
         self.checked_at = Instant::now();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -180,6 +180,7 @@
     spawn_local(run_tracking::run(Rc::clone(&shared)));
     spawn_local(reach_probe::run(Rc::clone(&shared)));
     if settings.version_records {
+        spawn_local(begins::lifetime::run(Rc::clone(&shared)));
         spawn_local(begins::storage::run(Rc::clone(&shared)));
         spawn_local(begins::saving::run(Rc::clone(&shared)));
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -132,6 +132,8 @@
     pub begin_questions: RefCell<Questions>,
     /// Longest time for which a stream may be resumed after its begin.
     stream_lifetime: Cell<Duration>,
+    /// Whether it is known what daemons before this one allowed.
+    knows_recorded_lifetime: Cell<bool>,
     /// Readings of the list of replicas for resumed streams.
     pub list_reading: Reading,
     /// Readings of what the store has of the begins of streams.
@@ -242,6 +244,7 @@
             list_reading: Reading::new(),
             begins_reading: Reading::new(),
             stream_lifetime: Cell::new(Duration::ZERO),
+            knows_recorded_lifetime: Cell::new(!settings.version_records),
             probes: Probes::new(),
             answers: Rc::new(Answers::new()),
             newly_quarantined: Outbox::new(),
--- a/crates/gateway/src/shared/store_state.rs
+++ b/crates/gateway/src/shared/store_state.rs
@@ -23,6 +23,13 @@
 /// fleet takes a small instance longer than reading the list.
 const MAX_CHANGE_LINES: usize = 50;
 
+/// Longest time for which a stream that begins under `plan` may be resumed.
+fn lifetime_under(plan: &Plan) -> Duration {
+    let streams = plan.routes.iter().filter(|route| route.mode.streams());
+    let longest = streams.map(|route| route.timeout * LIFETIME_FACTOR).max();
+    longest.unwrap_or_default()
+}
+
 impl Shared {
     /// The plan in force.
     pub fn plan(&self) -> Option<Rc<Plan>> {
@@ -55,10 +62,8 @@
                 pool.set_memory(name, engine.memory_tokens);
             }
         }
-        let streams = plan.routes.iter().filter(|route| route.mode.streams());
-        let longest = streams.map(|route| route.timeout * LIFETIME_FACTOR).max();
         // Streams that began under an earlier plan may last longer.
-        let lifetime = self.stream_lifetime.get().max(longest.unwrap_or_default());
+        let lifetime = self.stream_lifetime.get().max(lifetime_under(&plan));
         self.stream_lifetime.set(lifetime);
         let is_route = |name: &String| plan.routes.iter().any(|route| route.name == *name);
         let mut caller_timeouts = self.caller_timeouts.borrow_mut();
@@ -107,7 +112,28 @@
         self.is_first_start.get()
     }
 
-    /// Longest time for which a stream may be resumed after its begin.
+    /// Longest time for which a stream that begins under the plan in force may be resumed; zero without
+    /// a plan.
+    pub fn plan_lifetime(&self) -> Duration {
+        let plan = self.plan();
+        plan.map_or(Duration::ZERO, |plan| lifetime_under(&plan))
+    }
+
+    /// Records that the store has `recorded` as the time for which a stream may be resumed; zero if it
+    /// has none.
+    pub fn note_recorded_lifetime(&self, recorded: Duration) {
+        let lifetime = self.stream_lifetime.get().max(recorded);
+        self.stream_lifetime.set(lifetime);
+        self.knows_recorded_lifetime.set(true);
+    }
+
+    /// Whether it is known for how long streams that began before the start of this daemon may be
+    /// resumed.
+    pub const fn knows_recorded_lifetime(&self) -> bool {
+        self.knows_recorded_lifetime.get()
+    }
+
+    /// Longest time for which a stream may be resumed after its begin, as far as this daemon knows.
     pub const fn stream_lifetime(&self) -> Duration {
         self.stream_lifetime.get()
     }
@@ -115,6 +141,9 @@
     /// The only software version that served `service` for as long as a stream can be resumed; `None` if
     /// there were several, or if this daemon cannot exclude it.
     pub fn only_version(&self, service: &str) -> Option<String> {
+        if !self.knows_recorded_lifetime() {
+            return None;
+        }
         let (now, period) = (self.clock.now(), self.stream_lifetime.get());
         let pool = self.pool.borrow();
         pool.only_version(now, service, period).map(str::to_owned)
@@ -122,6 +151,9 @@
 
     /// The only software version that can have begun a stream of `service` before `asked_at`.
     pub fn only_version_at(&self, asked_at: Time, service: &str) -> Option<String> {
+        if !self.knows_recorded_lifetime() {
+            return None;
+        }
         let (now, period) = (self.clock.now(), self.stream_lifetime.get());
         let pool = self.pool.borrow();
         let only = pool.only_version_at(now, service, period, asked_at);
--- a/crates/gateway/src/watch/first_start.rs
+++ b/crates/gateway/src/watch/first_start.rs
@@ -1,7 +1,7 @@
 //! Finds out whether the whole system starts for the first time: the settings may go on saying so at
 //! later starts.
 
-use futures::future::join;
+use futures::future::join_all;
 
 use crate::begins::tables;
 use crate::shared::Shared;
@@ -11,12 +11,9 @@
 /// returns whether that succeeded. It does so only if the store answers that no stream is recorded and
 /// that this instance has not registered before.
 pub(super) async fn register(shared: &Shared) -> bool {
-    let (has_versions, has_begins) = join(
-        may_have_rows(shared, tables::VERSIONS),
-        may_have_rows(shared, tables::BEGINS),
-    )
-    .await;
-    let has_records = has_versions || has_begins;
+    let tables = [tables::VERSIONS, tables::BEGINS, tables::LIFETIMES];
+    let may_have_rows = join_all(tables.map(|table| may_have_rows(shared, table)));
+    let has_records = may_have_rows.await.contains(&true);
     if !has_records && registration::create(shared).await {
         shared.note_first_start();
         return true;
--- a/crates/gateway/tests/gateway/epochs.rs
+++ b/crates/gateway/tests/gateway/epochs.rs
@@ -187,6 +187,7 @@
     drop(begin_stream(&site));
     site.daemon.kill();
     site.store.remove("versions", "llm");
+    site.store.remove("lifetimes", "streams");
     release(&site, &one, &other);
     let again = Daemon::first_start("own-row", &site.ip, site.store_address);
     again.wait_until_ready();
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -57,6 +57,7 @@
 mod stages;
 mod store_era;
 mod stream;
+mod stream_lifetimes;
 mod truncation;
 mod version_site;
 mod versions;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,7 +18,8 @@
 //! - [`attempt`]: the next step after a failed send.
 //! - [`fingerprint`]: recognition of repeated attempts of one request.
 //! - [`quarantine`]: requests that crash replicas and are no longer sent.
-//! - [`begins`], [`epoch`]: the software versions that began streams.
+//! - [`begins`], [`epoch`]: the software versions that began streams; [`lifetime_record`]: how long these
+//!   can be resumed.
 //! - [`event`]: splitting of a stream into whole events, so that it can be resumed.
 //! - [`length`]: distribution of answer lengths, learnt from completed answers.
 //! - [`forecast`]: memory that runs will hold over the next seconds.
@@ -48,6 +49,7 @@
 pub mod forecast;
 pub mod homes;
 pub mod length;
+pub mod lifetime_record;
 pub mod migration;
 mod notices;
 pub mod overload;
