Share the requests for a confirmed list between resumptions that wait

Callers saw: nothing. While the store is away, each resumption that waits for a confirmed list asked the pollers every 0.1 s for up to 1.2 s: with many callers that resume at once, after a connection or an instance broke, a poller of a large data centre gets as many requests at the worst moment.

Cause: only the reading of the store was shared between those that wait.

Ruled out: a longer pause between requests, which would delay the one that confirms.

Change: Reading has its period and a result, and the requests to pollers, or to peers of the poller, go through one with a period of 0.1 s.

--- a/crates/gateway/src/reading.rs
+++ b/crates/gateway/src/reading.rs
@@ -1,4 +1,4 @@
-//! Readings of the store that all who wait for one share.
+//! Readings of the store, or of peers, that all who wait for one share.
 
 use std::cell::Cell;
 use std::time::Duration;
@@ -9,38 +9,46 @@
 
 use crate::clock::Clock;
 
-/// Minimum interval between the begins of two readings: questions come in bursts, and the store limits
-/// its calls.
-const PERIOD: Duration = Duration::from_millis(300);
+/// Minimum interval between the begins of two readings of the store, which limits its calls.
+pub const STORE_PERIOD: Duration = Duration::from_millis(300);
+/// The same for requests to pollers.
+pub const POLLER_PERIOD: Duration = Duration::from_millis(100);
 
-/// Readings of one kind.
-#[derive(Debug, Default)]
-pub struct Reading {
+/// Readings of one kind, with results of type `T`.
+#[derive(Debug)]
+pub struct Reading<T: Copy> {
+    /// Minimum interval between the begins of two readings, since questions come in bursts.
+    period: Duration,
     /// Held during a reading, and the pause before it.
     turn: Mutex<()>,
-    /// When the last completed reading began, if there was one.
-    began_at: Cell<Option<Time>>,
+    /// When the last completed reading began, and its result, if there was one.
+    last: Cell<Option<(Time, T)>>,
 }
 
-impl Reading {
-    /// No reading so far.
-    pub fn new() -> Self {
-        Self::default()
+impl<T: Copy> Reading<T> {
+    /// No reading so far, and at most one in `period`.
+    pub fn new(period: Duration) -> Self {
+        Self {
+            period,
+            turn: Mutex::default(),
+            last: Cell::new(None),
+        }
     }
 
-    /// Returns once a reading that began at `asked_at` or later is complete. Calls `read` unless another
+    /// Returns the result of a reading that began at `asked_at` or later. Calls `read` unless another
     /// caller has done so meanwhile.
-    pub async fn after(&self, clock: &Clock, asked_at: Time, read: impl AsyncFnOnce()) {
+    pub async fn after(&self, clock: &Clock, asked_at: Time, read: impl AsyncFnOnce() -> T) -> T {
         let _turn = self.turn.lock().await;
-        let last = self.began_at.get();
-        if last.is_some_and(|began_at| began_at >= asked_at) {
-            return;
-        }
-        if let Some(began_at) = last {
-            sleep(PERIOD.saturating_sub(clock.now().since(began_at))).await;
+        match self.last.get() {
+            Some((began_at, result)) if began_at >= asked_at => return result,
+            Some((began_at, _)) => {
+                sleep(self.period.saturating_sub(clock.now().since(began_at))).await;
+            }
+            None => {}
         }
         let began_at = clock.now();
-        read().await;
-        self.began_at.set(Some(began_at));
+        let result = read().await;
+        self.last.set(Some((began_at, result)));
+        result
     }
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -63,6 +63,7 @@
 use crate::poller_status::PollerStatus;
 use crate::probes::Probes;
 use crate::quotas::Quotas;
+use crate::reading;
 use crate::reading::Reading;
 use crate::settings::Settings;
 use crate::store::Store;
@@ -135,9 +136,11 @@
     /// Whether it is known what daemons before this one allowed.
     knows_recorded_lifetime: Cell<bool>,
     /// Readings of the list of replicas for resumed streams.
-    pub list_reading: Reading,
+    pub list_reading: Reading<()>,
+    /// Requests to pollers for the same, and whether asking again may bring a newer one.
+    pub poller_reading: Reading<bool>,
     /// Readings of what the store has of the begins of streams.
-    pub begins_reading: Reading,
+    pub begins_reading: Reading<()>,
     /// Stages of the software versions, by service and the homes of its streams.
     pub version_stages: RefCell<HashMap<String, BTreeMap<Homes, VersionStages>>>,
     /// Lost replicas that are being probed.
@@ -241,8 +244,9 @@
             begins: RefCell::new(Begins::new()),
             begin_questions: RefCell::new(Questions::new()),
             version_stages: RefCell::default(),
-            list_reading: Reading::new(),
-            begins_reading: Reading::new(),
+            list_reading: Reading::new(reading::STORE_PERIOD),
+            poller_reading: Reading::new(reading::POLLER_PERIOD),
+            begins_reading: Reading::new(reading::STORE_PERIOD),
             stream_lifetime: Cell::new(Duration::ZERO),
             knows_recorded_lifetime: Cell::new(!settings.version_records),
             probes: Probes::new(),
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -24,6 +24,7 @@
 
 use crate::exchange;
 use crate::gossip;
+use crate::reading;
 use crate::shared::Shared;
 use crate::store::Error;
 
@@ -58,7 +59,7 @@
 /// [`REPLICAS_PAUSE`].
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Pause between requests for it.
-const CONFIRM_PAUSE: Duration = Duration::from_millis(100);
+const CONFIRM_PAUSE: Duration = reading::POLLER_PERIOD;
 /// Mean pause between requests to the poller during [`START_TIMEOUT`].
 const START_PAUSE: Duration = Duration::from_millis(60);
 /// Number of daemons of a data centre that call the store in one period while it fails their
@@ -300,15 +301,25 @@
     shared.list_reading.after(clock, asked_at, read).await;
     let until = Instant::now() + CONFIRM_TIMEOUT;
     while !is_confirmed() && Instant::now() < until {
-        if shared.members.borrow().poller().is_none() {
-            refresh_from_peers(shared, POLLERS_TIMEOUT).await;
-        } else if refresh_from_pollers(shared, POLLERS_TIMEOUT).await != PollerState::Fresh {
+        let ask = async || refresh_from_any(shared).await;
+        let may_advance = shared.poller_reading.after(clock, clock.now(), ask).await;
+        if !may_advance {
             return;
         }
         sleep(CONFIRM_PAUSE).await;
     }
 }
 
+/// Asks the pollers, or peers if this daemon is the poller; returns whether asking again may bring a
+/// newer list.
+async fn refresh_from_any(shared: &Shared) -> bool {
+    if shared.members.borrow().poller().is_none() {
+        refresh_from_peers(shared, POLLERS_TIMEOUT).await;
+        return true;
+    }
+    refresh_from_pollers(shared, POLLERS_TIMEOUT).await == PollerState::Fresh
+}
+
 /// Reads the replicas from the store, which waits up to `wait` for changes; returns whether it answered.
 async fn read_replicas(shared: &Shared, wait: Duration) -> bool {
     let started_at = shared.clock.now();
