--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -9,12 +9,13 @@
 //! Besides the division of the replicas, orders keep a decode replica for each software version whose
 //! streams can still be resumed.
 
+pub mod claim;
+
 use std::cmp::Ordering;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use boottime::Instant;
 use boottime::timer::sleep;
 use futures::future::join_all;
 use http::Method;
@@ -23,109 +24,41 @@
 use ident::Zone;
 use platform::engine;
 use platform::engine::Report;
-use platform::store::Row;
 use relay::balance::Rebalance;
 use relay::balance::StageBalancer;
 use relay::balance::StageCounts;
 use relay::replica::Replica;
 use relay::replica::Stage;
-use relay::revision::Revision;
 use relay::score::Version;
 use relay::server::Key;
-use serde::Deserialize;
-use serde::Serialize;
 
 use crate::control;
 use crate::control::Call;
 use crate::shared::Shared;
 use crate::shared::choice::Destination;
-use crate::store::Error;
+use crate::stages::claim::Claimant;
 use crate::version_stages;
 use crate::version_stages::Need;
 
-/// Table with one row for each service: the instance that sent the last order and when.
-const ORDERS: &str = "orders";
 /// Interval between checks of the numbers of prefill and decode replicas.
 const PERIOD: Duration = Duration::from_millis(500);
-/// Time after a claim during which no other daemon sends orders: orders without an answer are
-/// carried out up to 12 s later, and the claim must not change hands within 3 s.
-const CLAIM_DURATION: Duration = Duration::from_secs(16);
-/// Time after the begin of the reading that a claim is based on during which orders may be sent. What
-/// [`CLAIM_DURATION`] leaves beside the 12 s and the 3 s.
-const MAX_CLAIM_AGE: Duration = Duration::from_secs(1);
-/// Why no order is sent under a claim that is older.
-const TOO_OLD: &str = "the claim is too old";
-/// Why no order is sent after the store came back from a copy.
-const NEW_ERA: &str = "claims may have been lost with the last era of the store";
 /// Maximum number of engines skipped in one round because they are busy or do not answer.
 const MAX_SKIPPED: usize = 3;
 
-/// The last claim to send orders for a service.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct Claim {
-    holder: String,
-    /// Time of the claim by the store's clock, in milliseconds.
-    at_ms: u64,
-}
-
-/// Whose claim a row holds, and its age.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum ClaimAge {
-    /// Of this daemon.
-    Own,
-    /// Of another daemon.
-    Known(Duration),
-    /// It cannot be read, or is not by the present clock of the store.
-    Unknown,
-}
-
-impl ClaimAge {
-    /// The age of the claim in `row` for the daemon `own`, at `now_ms` by the store's clock.
-    fn read(row: &Row, own: &str, now_ms: u64) -> Self {
-        let value = row.value.as_deref().unwrap_or_default();
-        match serde_json::from_slice::<Claim>(value) {
-            Ok(claim) if claim.holder == own => Self::Own,
-            Ok(claim) if claim.at_ms <= now_ms => {
-                Self::Known(Duration::from_millis(now_ms - claim.at_ms))
-            }
-            Ok(_) | Err(_) => Self::Unknown,
-        }
-    }
-}
-
-/// A claim without a known age, when this daemon first read it.
-#[derive(Debug, Clone, Copy)]
-struct UnknownClaim {
-    revision: Revision,
-    seen_at: Instant,
-}
-
 /// What is kept for the orders of one service.
 #[derive(Debug)]
 struct ServiceOrders {
     balancer: StageBalancer,
-    unknown: Option<UnknownClaim>,
+    claimant: Claimant,
 }
 
 impl ServiceOrders {
-    const fn new(change_time: Duration) -> Self {
+    fn new(change_time: Duration) -> Self {
         Self {
             balancer: StageBalancer::new(change_time),
-            unknown: None,
+            claimant: Claimant::new(),
         }
     }
-
-    /// Whether the claim of `revision`, whose age is not known, may be in force: it may have been
-    /// written just before this daemon first read it.
-    fn may_hold(&mut self, revision: Revision) -> bool {
-        let known = self.unknown.filter(|known| known.revision == revision);
-        let unknown = known.unwrap_or_else(|| UnknownClaim {
-            revision,
-            seen_at: Instant::now(),
-        });
-        self.unknown = Some(unknown);
-        unknown.seen_at.elapsed() <= CLAIM_DURATION
-    }
 }
 
 /// Keeps the share of prefill replicas of each model, forever.
@@ -230,7 +163,7 @@
     let claimed = if orders.is_empty() {
         Err("no engine is available for an order".to_owned())
     } else {
-        claim(shared, service, kept).await
+        kept.claimant.claim(shared, service).await
     };
     let balancer = &mut kept.balancer;
     let (claim, claimed_at) = match claimed {
@@ -245,8 +178,8 @@
     let outcomes = join_all(orders.into_iter().map(async |order| {
         let replica = order.replica.clone();
         let outcome = match claimed_at.elapsed() {
-            age if age > MAX_CLAIM_AGE => Err(Failure::not_sent(TOO_OLD)),
-            _ if claim.era != shared.era() => Err(Failure::not_sent(NEW_ERA)),
+            age if age > claim::MAX_CLAIM_AGE => Err(Failure::not_sent(claim::TOO_OLD)),
+            _ if claim.era != shared.era() => Err(Failure::not_sent(claim::NEW_ERA)),
             _ => send_order(shared, order, stage, claim.fence()).await,
         };
         (replica, outcome)
@@ -387,62 +320,3 @@
     };
     Ok(control::call(shared, call).await?.status)
 }
-
-/// Claims the right to send orders for `service`; returns the version of the claim, which makes the
-/// fencing token, and when the reading began whose time the claim bears.
-async fn claim(
-    shared: &Shared,
-    service: &str,
-    kept: &mut ServiceOrders,
-) -> Result<(Revision, Instant), String> {
-    if may_lack_claims(shared) {
-        return Err(NEW_ERA.to_owned());
-    }
-    let asked_at = Instant::now();
-    let rows = shared
-        .store
-        .read(ORDERS)
-        .await
-        .map_err(|error| cause(&error))?;
-    let held = rows.rows.iter().find(|row| row.key == service);
-    let revision = Revision::new(rows.revision.era, held.map_or(0, |row| row.version));
-    let holder = &shared.settings().instance;
-    match held.map(|row| ClaimAge::read(row, holder, rows.now_ms)) {
-        None | Some(ClaimAge::Own) => {}
-        Some(ClaimAge::Known(age)) if age > CLAIM_DURATION => {}
-        Some(ClaimAge::Unknown) if !kept.may_hold(revision) => {}
-        Some(ClaimAge::Known(_)) => return Err("another daemon holds the claim".to_owned()),
-        Some(ClaimAge::Unknown) => {
-            return Err("another daemon may hold the claim, whose age is not known".to_owned());
-        }
-    }
-    let own = Claim {
-        holder: holder.clone(),
-        at_ms: rows.now_ms,
-    };
-    let value = serde_json::to_vec(&own).map_err(|error| error.to_string())?;
-    // The row belongs to the era of this reading, which may be the first call of a new one.
-    if may_lack_claims(shared) {
-        return Err(NEW_ERA.to_owned());
-    }
-    // It would only keep others from sending.
-    if asked_at.elapsed() > MAX_CLAIM_AGE {
-        return Err(TOO_OLD.to_owned());
-    }
-    let swapped = shared.store.swap(ORDERS, service, &value, revision).await;
-    Ok((swapped.map_err(|error| cause(&error))?, asked_at))
-}
-
-/// Whether the store may lack a claim under which another daemon still sends orders: it may have
-/// come back from a copy that is older than the claim. A daemon that has just started cannot tell
-/// whether the era that it finds is new, and waits as well, which only delays a change of stage. At
-/// the first start of the whole system there are no claims.
-fn may_lack_claims(shared: &Shared) -> bool {
-    let is_first_start = shared.is_first_start();
-    let raised = shared.store.era().time_since_raised(is_first_start);
-    raised.is_some_and(|elapsed| elapsed < CLAIM_DURATION)
-}
-
-fn cause(error: &Error) -> String {
-    error.to_string()
-}
