Record a lifetime of streams again at once after a conflict or a failed call

Callers saw: nothing. A daemon whose write of the row lifetimes met that of another owner, or failed, tried again only after 5 s, although a plan may have lengthened timeouts.

Cause: the check was counted before its outcome was known.

Change: only a check that succeeded counts; after a failed call the next one comes after 1 s. By reading; no test shows the delay.

--- a/crates/gateway/src/begins/lifetime.rs
+++ b/crates/gateway/src/begins/lifetime.rs
@@ -19,7 +19,7 @@
 
 /// Key of the row.
 const KEY: &str = "streams";
-/// Pause after a failed reading at a start. Until one succeeds, no version counts as the only one.
+/// Pause after a failed call.
 const RETRY: Duration = Duration::from_secs(1);
 /// Interval between checks for a plan that allows another lifetime.
 const CHECK_PERIOD: Duration = Duration::from_millis(100);
@@ -33,7 +33,7 @@
     lifetime_ms: u64,
 }
 
-/// Takes over the record once, then keeps it up to date while this daemon is its owner, forever.
+/// Takes over the record, before which no version counts as the only one, then keeps it up to date while this daemon is its owner, forever.
 pub async fn run(shared: Rc<Shared>) {
     while !take_over(&shared).await {
         sleep(RETRY).await;
@@ -50,11 +50,17 @@
         if !is_due || !is_owner || present.is_zero() {
             continue;
         }
-        checked = Some((present, Instant::now()));
         match update(&shared, &mut record, present).await {
-            Ok(()) => shared.store_answered(LIFETIMES),
+            Ok(()) => {
+                shared.store_answered(LIFETIMES);
+                checked = Some((present, Instant::now()));
+            }
+            // Another daemon takes itself for the owner, too; its row is read next.
             Err(Error::Conflict) => {}
-            Err(error) => shared.store_failed(LIFETIMES, &error),
+            Err(error) => {
+                shared.store_failed(LIFETIMES, &error);
+                sleep(RETRY).await;
+            }
         }
     }
 }
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -173,8 +173,8 @@
     }
 }
 
-/// Prefills the prompt at `key`, of the version `software`. After the soft limit, a replica that is still responsive gets
-/// until the hard limit, because abandoning a prefill wastes it.
+/// Prefills the prompt at `key`, of the version `software`. After the soft limit, a replica that is
+/// still responsive gets until the hard limit, because abandoning a prefill wastes it.
 async fn prefill_with_extension(
     shared: &Rc<Shared>,
     job: &Job,
