--- a/crates/gateway/src/begins.rs
+++ b/crates/gateway/src/begins.rs
@@ -11,10 +11,12 @@
 //! Without a record or an answer, another version may still have begun a stream: the only version
 //! counts if the list of replicas is newer than the question.
 
+pub mod lifetime;
 pub mod lookup;
 pub mod message;
 pub mod saving;
 pub mod storage;
+pub mod tables;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -63,6 +63,7 @@
 use crate::poller_status::PollerStatus;
 use crate::probes::Probes;
 use crate::quotas::Quotas;
+use crate::reading;
 use crate::reading::Reading;
 use crate::settings::Settings;
 use crate::store::Store;
@@ -132,10 +133,14 @@
     pub begin_questions: RefCell<Questions>,
     /// Longest time for which a stream may be resumed after its begin.
     stream_lifetime: Cell<Duration>,
+    /// Whether it is known what daemons before this one allowed.
+    knows_recorded_lifetime: Cell<bool>,
     /// Readings of the list of replicas for resumed streams.
-    pub list_reading: Reading,
+    pub list_reading: Reading<()>,
+    /// Requests to pollers for the same, and whether asking again may bring a newer one.
+    pub poller_reading: Reading<bool>,
     /// Readings of what the store has of the begins of streams.
-    pub begins_reading: Reading,
+    pub begins_reading: Reading<()>,
     /// Stages of the software versions, by service and the homes of its streams.
     pub version_stages: RefCell<HashMap<String, BTreeMap<Homes, VersionStages>>>,
     /// Lost replicas that are being probed.
@@ -164,6 +169,8 @@
     pub instances_listed: watch::Sender<bool>,
     /// Era in which the store was last known to have the own row.
     own_row_era: Cell<u64>,
+    /// Whether the store has confirmed that the whole system starts for the first time.
+    is_first_start: Cell<bool>,
     /// Unreadable rows that have been logged, by table.
     logged_unreadable: RefCell<HashMap<&'static str, HashSet<String>>>,
     /// When an unreadable datagram was last logged.
@@ -237,9 +244,11 @@
             begins: RefCell::new(Begins::new()),
             begin_questions: RefCell::new(Questions::new()),
             version_stages: RefCell::default(),
-            list_reading: Reading::new(),
-            begins_reading: Reading::new(),
+            list_reading: Reading::new(reading::STORE_PERIOD),
+            poller_reading: Reading::new(reading::POLLER_PERIOD),
+            begins_reading: Reading::new(reading::STORE_PERIOD),
             stream_lifetime: Cell::new(Duration::ZERO),
+            knows_recorded_lifetime: Cell::new(!settings.version_records),
             probes: Probes::new(),
             answers: Rc::new(Answers::new()),
             newly_quarantined: Outbox::new(),
@@ -253,6 +262,7 @@
             reach_doubted: Notify::new(),
             instances_listed: watch::Sender::new(false),
             own_row_era: Cell::new(0),
+            is_first_start: Cell::new(false),
             logged_unreadable: RefCell::default(),
             datagram_logged_at: Cell::default(),
             plan: RefCell::new(None),
--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -3,18 +3,19 @@
 //! Not all engines check fencing tokens, and an order without an answer may be carried out many
 //! seconds later. So at most one daemon sends orders for a service in any `CLAIM_DURATION`, by the
 //! store's clock: it first claims the service with a conditional write of a row, whose version makes
-//! the fencing token. An order is sent only within `MAX_CLAIM_AGE` of that write, so that a daemon
-//! that was frozen meanwhile sends none.
+//! the fencing token. An order is sent only within `MAX_CLAIM_AGE` of the reading whose time the claim
+//! bears, so that a daemon that was frozen meanwhile sends none.
 //!
 //! Besides the division of the replicas, orders keep a decode replica for each software version whose
 //! streams can still be resumed.
 
+pub mod claim;
+
 use std::cmp::Ordering;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use boottime::Instant;
 use boottime::timer::sleep;
 use futures::future::join_all;
 use http::Method;
@@ -23,51 +24,46 @@
 use ident::Zone;
 use platform::engine;
 use platform::engine::Report;
-use platform::store::Rows;
 use relay::balance::Rebalance;
 use relay::balance::StageBalancer;
 use relay::balance::StageCounts;
 use relay::replica::Replica;
 use relay::replica::Stage;
-use relay::revision::Revision;
 use relay::score::Version;
 use relay::server::Key;
-use serde::Deserialize;
-use serde::Serialize;
 
 use crate::control;
 use crate::control::Call;
 use crate::shared::Shared;
 use crate::shared::choice::Destination;
-use crate::store::Error;
+use crate::stages::claim::Claimant;
 use crate::version_stages;
 use crate::version_stages::Need;
 
-/// Table with one row for each service: the instance that sent the last order and when.
-const ORDERS: &str = "orders";
 /// Interval between checks of the numbers of prefill and decode replicas.
 const PERIOD: Duration = Duration::from_millis(500);
-/// Time after a claim during which no other daemon sends orders: orders without an answer are
-/// carried out up to 12 s later, and the claim must not change hands within 3 s.
-const CLAIM_DURATION: Duration = Duration::from_secs(16);
-/// Time after the write of the row during which orders may be sent.
-const MAX_CLAIM_AGE: Duration = Duration::from_millis(400);
-/// Why no order is sent after the store came back from a copy.
-const NEW_ERA: &str = "claims may have been lost with the last era of the store";
 /// Maximum number of engines skipped in one round because they are busy or do not answer.
 const MAX_SKIPPED: usize = 3;
 
-/// The last claim to send orders for a service.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct Claim {
-    holder: String,
-    /// Time of the claim by the store's clock, in milliseconds.
-    at_ms: u64,
+/// What is kept for the orders of one service.
+#[derive(Debug)]
+struct ServiceOrders {
+    balancer: StageBalancer,
+    claimant: Claimant,
+}
+
+impl ServiceOrders {
+    fn new(change_time: Duration) -> Self {
+        Self {
+            balancer: StageBalancer::new(change_time),
+            claimant: Claimant::new(),
+        }
+    }
 }
 
 /// Keeps the share of prefill replicas of each model, forever.
 pub async fn run(shared: Rc<Shared>) {
-    let mut balancers: HashMap<String, StageBalancer> = HashMap::new();
+    let mut all_orders: HashMap<String, ServiceOrders> = HashMap::new();
     loop {
         sleep(PERIOD).await;
         let share = shared.settings().prefill_share;
@@ -78,11 +74,11 @@
         let services = plan.services.iter();
         let engines = services.filter_map(|(name, service)| Some((name, service.engine?)));
         for (service, engine) in engines {
-            let balancer = balancers.entry(service.clone());
-            let balancer = balancer.or_insert_with(|| StageBalancer::new(engine.stage_change));
-            balancer.set_change_time(engine.stage_change);
+            let orders = all_orders.entry(service.clone());
+            let orders = orders.or_insert_with(|| ServiceOrders::new(engine.stage_change));
+            orders.balancer.set_change_time(engine.stage_change);
             version_stages::track(&shared, &plan, service, engine.stage_change);
-            rebalance(&shared, service, balancer, share).await;
+            rebalance(&shared, service, orders, share).await;
         }
     }
 }
@@ -154,10 +150,10 @@
     }
 }
 
-async fn rebalance(shared: &Shared, service: &str, balancer: &mut StageBalancer, share: f64) {
+async fn rebalance(shared: &Shared, service: &str, kept: &mut ServiceOrders, share: f64) {
     let now = shared.clock.now();
     let counts = shared.pool.borrow().stage_counts(now, service);
-    let due = find_due(shared, service, balancer, counts, share);
+    let due = find_due(shared, service, &mut kept.balancer, counts, share);
     let is_owner = shared.members.borrow().is_owner(Pool::new(service).0);
     let Some(due) = due.filter(|_| is_owner) else {
         return;
@@ -167,8 +163,9 @@
     let claimed = if orders.is_empty() {
         Err("no engine is available for an order".to_owned())
     } else {
-        claim(shared, service).await
+        kept.claimant.claim(shared, service).await
     };
+    let balancer = &mut kept.balancer;
     let (claim, claimed_at) = match claimed {
         Ok(claimed) => claimed,
         Err(cause) => {
@@ -181,8 +178,8 @@
     let outcomes = join_all(orders.into_iter().map(async |order| {
         let replica = order.replica.clone();
         let outcome = match claimed_at.elapsed() {
-            age if age > MAX_CLAIM_AGE => Err(Failure::not_sent("the claim is too old")),
-            _ if claim.era != shared.era() => Err(Failure::not_sent(NEW_ERA)),
+            age if age > claim::MAX_CLAIM_AGE => Err(Failure::not_sent(claim::TOO_OLD)),
+            _ if claim.era != shared.era() => Err(Failure::not_sent(claim::NEW_ERA)),
             _ => send_order(shared, order, stage, claim.fence()).await,
         };
         (replica, outcome)
@@ -323,56 +320,3 @@
     };
     Ok(control::call(shared, call).await?.status)
 }
-
-/// Claims the right to send orders for `service`; returns the version of the claim, which makes the
-/// fencing token, and the time at which the write began.
-async fn claim(shared: &Shared, service: &str) -> Result<(Revision, Instant), String> {
-    if may_lack_claims(shared) {
-        return Err(NEW_ERA.to_owned());
-    }
-    let rows = shared
-        .store
-        .read(ORDERS)
-        .await
-        .map_err(|error| cause(&error))?;
-    let held = rows.rows.iter().find(|row| row.key == service);
-    let value = held.and_then(|row| row.value.as_deref());
-    let claim = value.and_then(|value| serde_json::from_slice::<Claim>(value).ok());
-    let holder = &shared.settings().instance;
-    if claim.is_some_and(|claim| claim.holder != *holder && !has_expired(&claim, &rows)) {
-        return Err("another daemon holds the claim".to_owned());
-    }
-    let own = Claim {
-        holder: holder.clone(),
-        at_ms: rows.now_ms,
-    };
-    let value = serde_json::to_vec(&own).map_err(|error| error.to_string())?;
-    // The row belongs to the era of this reading, which may be the first call of a new one.
-    if may_lack_claims(shared) {
-        return Err(NEW_ERA.to_owned());
-    }
-    let held = Revision::new(rows.revision.era, held.map_or(0, |row| row.version));
-    let started = Instant::now();
-    let swapped = shared.store.swap(ORDERS, service, &value, held).await;
-    Ok((swapped.map_err(|error| cause(&error))?, started))
-}
-
-/// Whether the store may lack a claim under which another daemon still sends orders: it may have
-/// come back from a copy that is older than the claim. A daemon that has just started cannot tell
-/// whether the era that it finds is new, and waits as well, which only delays a change of stage. At
-/// the first start of the whole system there are no claims.
-fn may_lack_claims(shared: &Shared) -> bool {
-    let is_first_start = shared.settings().first_start;
-    let raised = shared.store.era().time_since_raised(is_first_start);
-    raised.is_some_and(|elapsed| elapsed < CLAIM_DURATION)
-}
-
-/// Whether `claim` is too old. One from the future is not by the clock of this store, and may have
-/// any age.
-fn has_expired(claim: &Claim, rows: &Rows) -> bool {
-    rows.now_ms.abs_diff(claim.at_ms) > CLAIM_DURATION.as_millis() as u64
-}
-
-fn cause(error: &Error) -> String {
-    error.to_string()
-}
--- a/crates/gateway/tests/gateway/stages.rs
+++ b/crates/gateway/tests/gateway/stages.rs
@@ -8,6 +8,8 @@
 use serde_json::Value;
 use serde_json::json;
 
+use crate::common::daemon::Daemon;
+use crate::common::daemon::new_ip;
 use crate::common::daemon::wait_until;
 use crate::common::http::Message;
 use crate::common::http::answer;
@@ -26,6 +28,8 @@
 const DECODE_REPLICAS: usize = 4;
 /// Orders sent at once: a quarter of the replicas.
 const ORDERS_AT_ONCE: usize = 6;
+/// Time that a store takes to answer with a part of a table.
+const SLOW_PAGE: Duration = Duration::from_millis(500);
 
 fn engines() -> Vec<Replica> {
     engines_answering_after(Duration::ZERO)
@@ -106,6 +110,65 @@
     wait_until("the orders are sent", || given() >= ORDERS_AT_ONCE);
 }
 
+/// Time for which an order of a daemon that does not tell how old a claim is must not follow it; shorter than a claim may hold.
+const CLAIM_TIME: Duration = Duration::from_secs(8);
+
+/// Guards against two holders at once: a claim that a daemon cannot read, or whose time it cannot tell, may be another
+/// one's.
+#[rstest]
+#[case::in_the_future(json!({"holder": "other", "at_ms": u64::MAX}))]
+#[case::mistyped(json!({"holder": 1, "at_ms": -1}))]
+fn no_orders_are_sent_while_a_claim_of_unknown_age_may_hold(#[case] claim: Value) {
+    let engines = engines();
+    let stages = engines.iter().map(|engine| (engine, "llm", "prefill"));
+    let site = Site::start("unknown-claim", &stages.collect::<Vec<_>>());
+    site.store.put("orders", "llm", &claim);
+    site.change_settings("grace_s: 8", "grace_s: 8\nprefill_share: 0.1");
+    wait_until("a change of stage is tried", || {
+        !site.daemon.logged("\"kind\":\"order\"").is_empty()
+    });
+    thread::sleep(CLAIM_TIME);
+    assert!(engines.iter().all(|engine| orders(engine).is_empty()));
+}
+
+/// Guards against orders by a claim that bears the time of a reading of long ago: the next holder may have claimed.
+#[test]
+fn no_orders_are_sent_under_a_claim_that_was_read_long_before() {
+    let engines = engines();
+    let stages = engines.iter().map(|engine| (engine, "llm", "prefill"));
+    let site = Site::start("slow-claim", &stages.collect::<Vec<_>>());
+    for service in ["app-1", "app-2", "app-3", "llm"] {
+        let claim = json!({"holder": "slow-claim", "at_ms": 1});
+        site.store.put("orders", service, &claim);
+    }
+    site.store.set_slow_table("orders", SLOW_PAGE);
+    site.change_settings("grace_s: 8", "grace_s: 8\nprefill_share: 0.1");
+    wait_until("a change of stage is tried", || {
+        !site.daemon.logged("\"kind\":\"order\"").is_empty()
+    });
+    assert!(engines.iter().all(|engine| orders(engine).is_empty()));
+}
+
+/// Guards against two holders at once where the settings of an earlier start are left as they were: the store may have come
+/// back from a copy without the claim of another daemon.
+#[test]
+fn no_orders_are_sent_at_once_after_a_first_start_that_the_store_does_not_confirm() {
+    let engines = engines();
+    let (store, store_address) = store::Store::start("127.0.0.1");
+    store.set_era(4);
+    store.put("op", "config", &config(1));
+    store.put("versions", "llm", &json!({"software": "v1", "list": 1}));
+    for engine in &engines {
+        store.put("servers", &engine.id, &engine.row("llm", "prefill"));
+    }
+    let settings = "first_start: true\nprefill_share: 0.1\n";
+    let daemon = Daemon::start_with_settings("not-first", &new_ip(), store_address, &[], settings);
+    wait_until("a change of stage is tried", || {
+        !daemon.logged("\"kind\":\"order\"").is_empty()
+    });
+    assert!(engines.iter().all(|engine| orders(engine).is_empty()));
+}
+
 /// Guards against orders one after another within the short life of a claim: engines that answer
 /// slowly, but in time, would leave no time for the last ones.
 #[test]
