Notice a replica that comes and leaves unseen a second time

Callers would see: a stream that began at a new version is resumed at another one. A replica came and left between two readings of the daemon that is asked, and more than a stream life and 30 s later its id did so again: the second departure was taken for the first one.

Cause: the departure of an id that was never listed counted once for good. That stood for rows that name no replica, which are gone each time that they are written and may be written every second; changes did not tell them from rows that were removed.

Ruled out: telling by versions alone, since such a row rises with each writing. Not changed: a row that names no replica here, but did so between two of its writings, is still not seen.

Change: readers of the store tell rows that are there and name no replica (Delta::unreadable, not sent to peers); only those are explained by the row as it was before. All others are explained by a recorded departure after the version since which the changes are, as for replicas that were listed. What stands for replicas that a complete list may lack has an id of its own and still counts once; without that, daemons at different versions would tell it to each other again and again. As before for replicas that were listed, a departure that is told by a daemon which read it at a later version counts a second time.

Tests: relay begins::a_replica_that_came_and_left_twice_.. failed before (Some("v1")); a_row_that_names_no_replica_is_an_unseen_departure_once; an_unseen_time_that_two_daemons_tell_counts_once (failed without the exception). gateway resumptions::..beside_a_row_that_names_no_replica_.. fails where Delta::unreadable stays empty (tried), passes now. A row of a listed replica that turns odd costs no only version any more, it did at its next writing. Changed tests: initializers of Delta in eras, scale and the model's store, for the new field; no assertion.

--- a/crates/gateway/src/watch/rows.rs
+++ b/crates/gateway/src/watch/rows.rs
@@ -37,7 +37,11 @@
     for row in &rows.rows {
         match read_replica(shared, own, row) {
             Some(replica) => delta.replicas.push(replica),
-            None => delta.gone.push(row.key.clone()),
+            None => {
+                delta.gone.push(row.key.clone());
+                let unreadable = row.value.as_ref().map(|_| row.key.clone());
+                delta.unreadable.extend(unreadable);
+            }
         }
     }
     delta
--- a/crates/gateway/tests/gateway/resumptions.rs
+++ b/crates/gateway/tests/gateway/resumptions.rs
@@ -11,6 +11,7 @@
 use rstest::rstest;
 use rustix::process::Signal;
 use serde_json::Value;
+use serde_json::json;
 
 use crate::common::daemon::Daemon;
 use crate::common::daemon::wait_until;
@@ -192,6 +193,27 @@
     assert_eq!(other.runs(), 0);
 }
 
+/// Guards against refusing all resumptions for as long as another writer writes a row that names no replica.
+#[test]
+fn a_resumption_is_served_beside_a_row_that_names_no_replica_and_is_written_on_and_on() {
+    let one = Engine::start("i-one", "v1");
+    let site = Site::start_with_plan("beside-a-row", &short_plan(), &[]);
+    one.list(&site, "here");
+    site.daemon.wait_until_ready();
+    let until = Instant::now() + UNLISTED_SERVICE + Duration::from_secs(2);
+    while Instant::now() < until {
+        site.store.put("servers", "i-odd", &json!({"service": 7}));
+        thread::sleep(Duration::from_millis(400));
+    }
+    let answer = resume(&site.daemon, "a2", "a1", "18");
+    let expected = event_texts(19, EVENTS);
+    assert_eq!(String::from_utf8_lossy(&answer.body), expected);
+    // A replica may have been there before the row was removed.
+    site.store.remove("servers", "i-odd");
+    thread::sleep(Duration::from_millis(400));
+    assert_eq!(resume(&site.daemon, "b2", "b1", "18").status(), 503);
+}
+
 /// Guards against announcing nothing of the streams that were running when another version came.
 #[test]
 fn a_stream_that_began_before_another_version_came_is_resumed_elsewhere() {
--- a/crates/relay/src/pool/list.rs
+++ b/crates/relay/src/pool/list.rs
@@ -72,6 +72,7 @@
             version: self.version,
             replicas: changed,
             gone: gone.chain(lapsed).collect(),
+            unreadable: Vec::new(),
             lapsing: self.lapsing(now),
         })
     }
@@ -216,7 +217,7 @@
             return None;
         }
         self.version = delta.version;
-        self.note_unseen_departures(now, delta.since, &delta.gone);
+        self.note_unseen_departures(now, delta);
         self.note_refresh(now);
         let (lapsing, gone) = self.split_lapsing(now, &delta.lapsing);
         let mut changes = Vec::new();
@@ -240,6 +241,9 @@
             is_missing,
             &mut changes,
         );
+        for id in &delta.unreadable {
+            self.tombstones.note_unreadable(id);
+        }
         self.withheld.retain(|id, _| !is_missing(id));
         self.release_withheld(now, &mut changes);
         Some(changes)
@@ -255,13 +259,16 @@
         self.note_unseen(now);
     }
 
-    /// Notes those of the replicas `gone` after version `since` that this daemon did not list at that
-    /// time, also for peers that ask it.
-    fn note_unseen_departures(&mut self, now: Time, since: Revision, gone: &[String]) {
-        for id in gone {
+    /// Notes those of the replicas that are gone by `delta` that this daemon did not list at that time,
+    /// also for peers that ask it.
+    fn note_unseen_departures(&mut self, now: Time, delta: &Delta) {
+        let unreadable: HashSet<&String> = delta.unreadable.iter().collect();
+        for id in &delta.gone {
+            let is_unreadable = unreadable.contains(id);
             let is_known = self.index.by_id(id).is_some()
                 || self.withheld.contains_key(id)
-                || self.tombstones.explains(since, id);
+                || self.tombstones.explains(delta.since, id, is_unreadable)
+                || (id.starts_with(UNKNOWN_ID_PREFIX) && self.tombstones.contains(id));
             if !is_known {
                 let listed = self.servers.len();
                 self.tombstones.add_unseen(self.version, id, listed);
--- a/crates/relay/src/replica.rs
+++ b/crates/relay/src/replica.rs
@@ -35,6 +35,10 @@
     pub replicas: Vec<Replica>,
     /// Ids of replicas that are no longer listed.
     pub gone: Vec<String>,
+    /// Those of them whose rows are there and are no entries of replicas; known to readers of the store
+    /// only.
+    #[serde(skip)]
+    pub unreadable: Vec<String>,
     /// All replicas that disappeared from the list after an outage and may return.
     pub lapsing: Vec<Lapsing>,
 }
--- a/crates/relay/src/tombstones.rs
+++ b/crates/relay/src/tombstones.rs
@@ -19,9 +19,9 @@
     birth: Option<Birth>,
     /// Number of entries that this incarnation had written.
     writes: u64,
-    /// Whether this daemon has ever listed it; a row that is no entry of a replica counts as removed each
-    /// time it is written.
-    was_listed: bool,
+    /// Whether its row was there when it was last read, and no entry of a replica; such a row counts as
+    /// removed each time it is written.
+    is_unreadable: bool,
 }
 
 /// Removed replicas, so that peers can be sent changes instead of the whole list, and that a store
@@ -42,11 +42,20 @@
         self.records.contains_key(id)
     }
 
-    /// Whether the removal of `id` after version `since` is the recorded one, and not that of a replica
-    /// which came back under its id.
-    pub(crate) fn explains(&self, since: Revision, id: &str) -> bool {
-        let record = self.records.get(id);
-        record.is_some_and(|removed| removed.version > since || !removed.was_listed)
+    /// Whether the removal of `id` after version `since` is the recorded one, or its row `is_unreadable`
+    /// as before, and it is not that of a replica which came back under its id.
+    pub(crate) fn explains(&self, since: Revision, id: &str, is_unreadable: bool) -> bool {
+        let is_explained = |removed: &Tombstone| {
+            removed.version > since || (is_unreadable && removed.is_unreadable)
+        };
+        self.records.get(id).is_some_and(is_explained)
+    }
+
+    /// Records that the row of `id`, which counts as removed, is there and no entry of a replica.
+    pub(crate) fn note_unreadable(&mut self, id: &str) {
+        if let Some(removed) = self.records.get_mut(id) {
+            removed.is_unreadable = true;
+        }
     }
 
     /// Whether `replica` is an entry of an incarnation that was removed in an era before `era`, and
@@ -69,7 +78,7 @@
             version,
             birth: replica.birth,
             writes: replica.writes,
-            was_listed: true,
+            is_unreadable: false,
         };
         self.insert(&replica.id, record, listed);
     }
@@ -81,7 +90,7 @@
             version,
             birth: known.and_then(|removed| removed.birth),
             writes: known.map_or(0, |removed| removed.writes),
-            was_listed: known.is_some_and(|removed| removed.was_listed),
+            is_unreadable: false,
         };
         self.insert(id, record, listed);
     }
--- a/crates/relay/tests/begin_model/store.rs
+++ b/crates/relay/tests/begin_model/store.rs
@@ -213,7 +213,7 @@
             version: self.revision(),
             gone: gone.map(|id| (*id).clone()).collect(),
             replicas: ids.iter().filter_map(|id| rows.get(*id).cloned()).collect(),
-            lapsing: Vec::new(),
+            ..Delta::default()
         })
     }
 
--- a/crates/relay/tests/begins.rs
+++ b/crates/relay/tests/begins.rs
@@ -15,6 +15,7 @@
 use relay::replica::Replica;
 use relay::replica::Source;
 use relay::replica::Stage;
+use relay::replica::Update;
 use relay::revision::Revision;
 use rstest::rstest;
 
@@ -348,6 +349,24 @@
     assert_eq!(peer.only_version(at(61), SERVICE, LIFETIME), None);
 }
 
+/// Guards against an unseen time that daemons tell each other without end, each with its own version.
+#[test]
+fn an_unseen_time_that_two_daemons_tell_counts_once() {
+    let (mut reader, mut other, mut peer) = (followed(), followed(), followed());
+    list(&mut reader, at(61), 3, &[replica("i-1", Some("v1"))]);
+    let told = reader.update_since(at(61), peer.version());
+    peer.apply_update(at(61), Source::Peer, &told).unwrap();
+    let mut late = reader.update_since(at(61), Revision::new(0, 1));
+    if let Update::Changed(delta) = &mut late {
+        delta.version = Revision::new(0, 5);
+    }
+    other.apply_update(at(61), Source::Peer, &late).unwrap();
+    follow(&mut peer, 62, 121);
+    let told = other.update_since(at(121), peer.version());
+    peer.apply_update(at(121), Source::Peer, &told).unwrap();
+    assert_eq!(peer.only_version(at(121), SERVICE, LIFETIME), Some("v1"));
+}
+
 /// Guards against a resumption that arrived in the life of a stream and is decided after it.
 #[test]
 fn the_only_version_counts_from_the_question_and_not_from_its_decision() {
@@ -387,6 +406,45 @@
     assert_eq!(pool.only_version(at(122), SERVICE, LIFETIME), None);
 }
 
+/// Guards against taking the second unseen departure of an id for the first one.
+#[test]
+fn a_replica_that_came_and_left_twice_before_it_was_seen_may_have_had_another_version() {
+    let mut pool = followed();
+    pool.apply_delta(at(61), &changes(1, 3, &["i-2"])).unwrap();
+    follow(&mut pool, 62, 121);
+    assert_eq!(pool.only_version(at(121), SERVICE, LIFETIME), Some("v1"));
+    pool.apply_delta(at(121), &changes(3, 5, &["i-2"])).unwrap();
+    assert_eq!(pool.only_version(at(121), SERVICE, LIFETIME), None);
+}
+
+/// Guards against refused resumptions for as long as another writer writes a row that names no replica.
+#[rstest]
+#[case::never_listed("i-9", None)]
+#[case::listed_before("i-1", Some("v1"))]
+fn a_row_that_names_no_replica_is_an_unseen_departure_once(
+    #[case] id: &str,
+    #[case] first: Option<&str>,
+) {
+    let mut pool = Pool::new();
+    let both = [replica("i-1", Some("v1")), replica("i-2", Some("v1"))];
+    list(&mut pool, at(0), 1, &both);
+    follow(&mut pool, 1, 60);
+    for second in 61..=121 {
+        let written = Delta {
+            unreadable: vec![id.to_owned()],
+            ..changes(second - 60, second - 59, &[id])
+        };
+        pool.apply_delta(at(second), &written).unwrap();
+        if second == 61 {
+            assert_eq!(pool.only_version(at(61), SERVICE, LIFETIME), first);
+        }
+    }
+    assert_eq!(pool.only_version(at(121), SERVICE, LIFETIME), Some("v1"));
+    // A replica may have come and left in between.
+    pool.apply_delta(at(122), &changes(62, 63, &[id])).unwrap();
+    assert_eq!(pool.only_version(at(122), SERVICE, LIFETIME), None);
+}
+
 /// Guards against the same at daemons that get their list from one that did not see it.
 #[test]
 fn a_departure_of_a_replica_that_came_back_unseen_is_passed_on() {
--- a/crates/relay/tests/eras.rs
+++ b/crates/relay/tests/eras.rs
@@ -52,7 +52,7 @@
         version,
         replicas,
         gone: gone.iter().map(|id| (*id).to_owned()).collect(),
-        lapsing: Vec::new(),
+        ..Delta::default()
     }
 }
 
--- a/crates/relay/tests/scale.rs
+++ b/crates/relay/tests/scale.rs
@@ -114,7 +114,7 @@
         version: Revision::new(0, 2),
         replicas: vec![changed(1), changed(2)],
         gone: vec!["3".to_owned()],
-        lapsing: Vec::new(),
+        ..Delta::default()
     };
     let steps = examined(&mut pool, |pool| {
         pool.apply_delta(START, &delta).unwrap();
@@ -157,7 +157,7 @@
         version: Revision::new(0, version),
         replicas,
         gone: gone.iter().map(|id| (*id).to_owned()).collect(),
-        lapsing: Vec::new(),
+        ..Delta::default()
     };
     by_changes
         .apply_delta(START, &delta(2, list.clone(), &[]))
