Give no test a loopback address that another daemon of the run still uses

Seen: short_heads::a_stream_whose_continuation_ends_within_its_head_is_cut (both cases) got an answer that none of its replicas gives, and lifecycle::a_stopping_daemon_accepts_no_stream_that_it_may_have_to_cut lost a stream, once in a whole run at a load of 36; alone they pass, 3 of 3.

Cause: the addresses of daemons come again after 250; a whole run takes more than 900. Two tests that now last over 30 s keep theirs for long. In a run that noted it, two addresses (842nd and 843rd call) were still in use when their turn came; these tests held in it. That it was this in the failed run is likely and not shown: its daemons' logs were not kept.

Change: an address is given out only if nothing listens there. No assertion changed.

--- a/crates/gateway/tests/gateway/common/daemon.rs
+++ b/crates/gateway/tests/gateway/common/daemon.rs
@@ -4,6 +4,7 @@
 use std::io::BufRead;
 use std::io::BufReader;
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -47,16 +48,23 @@
 /// Ports of every daemon; the daemons of a test differ in their IP address.
 const PORTS: [u16; 5] = [7_001, 7_002, 7_003, 7_004, 7_005];
 
-/// Returns a loopback address that neither this nor another test process uses.
+/// Returns a loopback address that neither this nor another test process uses. A run of all tests starts
+/// more daemons than there are addresses, some of which are still in use when their turn comes again.
 pub fn new_ip() -> String {
     static USED: AtomicU32 = AtomicU32::new(0);
-    let number = USED.fetch_add(1, Ordering::Relaxed);
-    let block = 64 + std::process::id() % 128;
-    format!(
-        "127.{block}.{}.{}",
-        std::process::id() / 128 % 256,
-        number % 250 + 1
-    )
+    loop {
+        let number = USED.fetch_add(1, Ordering::Relaxed);
+        let block = 64 + std::process::id() % 128;
+        let ip = format!(
+            "127.{block}.{}.{}",
+            std::process::id() / 128 % 256,
+            number % 250 + 1
+        );
+        let is_free = |port| TcpListener::bind((ip.as_str(), port)).is_ok();
+        if PORTS.into_iter().all(is_free) {
+            return ip;
+        }
+    }
 }
 
 impl Daemon {
