Leave a silent replica that accepts connections after 1.6 s, not 0.95 s

Cause: a replica that did not answer one probe of 150 ms after 800 ms without an event counted as lost, whether its host accepted connections or not. A process that is silent for a second notices neither the probe nor the close of its connection.

Change: a probe tells a replica that accepts connections and does not answer (Unknown) from one to which none can be opened (Unreachable). The first gets the time of one that answers, 1.6 s since its last event; the second, and one that ended, is left at once as before.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -226,18 +226,30 @@
     /// The replica accepts connections and closes them without an answer: it has too many, or
     /// is about to exit. Or it sends what is no complete answer.
     Closing,
-    /// The replica does not answer.
+    /// The replica accepts connections and does not answer. A sound one may be silent for a second.
     Unknown,
+    /// No connection to the replica can be opened.
+    Unreachable,
 }
 
-/// Whether the replica `key` seems to be running: it answers a probe, or closes its connection. One
-/// that asked for no requests is not probed; it answered recently.
+impl Presence {
+    /// Whether the replica seems to be running: it answers, or closes its connection.
+    pub const fn is_responsive(self) -> bool {
+        matches!(self, Self::Here | Self::Closing)
+    }
+}
+
+/// Whether the replica `key` seems to be running.
 pub async fn is_responsive(shared: &Shared, key: Key) -> bool {
+    find_presence(shared, key).await.is_responsive()
+}
+
+/// Probes the replica `key`, unless it asked for no requests: then it answered recently.
+pub async fn find_presence(shared: &Shared, key: Key) -> Presence {
     if shared.backs_off(key) {
-        return true;
+        return Presence::Here;
     }
-    let presence = probe(shared, key).await;
-    matches!(presence, Presence::Here | Presence::Closing)
+    probe(shared, key).await
 }
 
 /// Probes the replica `key`. Another replica at its address, and a restart under the same id, mean
@@ -273,7 +285,8 @@
         // The answer is an error, but the replica is running.
         Ok(_) => Presence::Here,
         Err(Error::Closed { .. } | Error::Incomplete { .. }) => Presence::Closing,
-        Err(Error::Unreachable { .. } | Error::Unanswered { .. }) => Presence::Unknown,
+        Err(Error::Unanswered { .. }) => Presence::Unknown,
+        Err(Error::Unreachable { .. }) => Presence::Unreachable,
     }
 }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -32,9 +32,11 @@
 use crate::send::Reply;
 use crate::shared::Shared;
 
-/// Silence after which a replica is probed. After twice this time, another replica is asked to
-/// continue a resumable stream. Callers give up after two seconds of silence or more, and the other replica
-/// needs a few hundred milliseconds to prefill the prompt.
+/// Silence after which a replica is probed. If no connection to it can be opened, another replica is
+/// asked to continue a resumable stream, otherwise after twice this time: a sound replica may be
+/// silent for a second or more, and does not notice meanwhile that its stream goes on elsewhere.
+/// Callers give up after two seconds of silence or more, and the other replica needs a few hundred
+/// milliseconds to prefill the prompt.
 const STALL_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Time for which a replica has to have been writing an answer for its end not to be attributed to
--- a/crates/gateway/src/forward/replica_stream.rs
+++ b/crates/gateway/src/forward/replica_stream.rs
@@ -260,22 +260,20 @@
 
     /// Handles a silence: keeps waiting, or has the stream continued by another replica.
     async fn handle_silence(&mut self, source: &mut ReplicaStream) -> Option<End> {
-        let key = source.guard.key;
-        let responds = source.silences == 0 && self.is_responsive(key).await;
-        if !responds && self.may_fail_over() && !self.reaches_service().await {
+        let looked_at = Instant::now();
+        let may_go_on = source.silences == 0 && self.may_go_on(source.guard.key).await;
+        if !may_go_on && self.may_fail_over() && !self.reaches_service().await {
             let cause = "no connection to the replicas can be opened";
             return Some(End::Broken(cause.to_owned()));
         }
-        // A replica that is still responsive may have preempted the request and gets more time. A
-        // stream that no other replica may run has to wait in any case.
-        let waits = !self.may_fail_over() || source.silences == 0 && responds;
-        let placement = if waits {
+        // A stream that no other replica may run has to wait in any case.
+        let placement = if may_go_on || !self.may_fail_over() {
             None
         } else {
             self.find_other_placement(None).await
         };
         source.silences += 1;
-        source.restart_silence();
+        source.silent_since = looked_at;
         let placement = placement?;
         let (ahead, before) = (self.splitter.clone(), self.attempt);
         let opened = tokio::select! {
--- a/crates/gateway/src/forward/resume.rs
+++ b/crates/gateway/src/forward/resume.rs
@@ -15,6 +15,7 @@
 
 use crate::begins;
 use crate::control;
+use crate::control::Presence;
 use crate::forward::End;
 use crate::forward::Forwarder;
 use crate::forward::STALL_TIMEOUT;
@@ -234,14 +235,16 @@
         }
     }
 
-    /// Whether the replica, which has been silent for [`STALL_TIMEOUT`], answers a probe.
-    pub(super) async fn is_responsive(&self, key: Key) -> bool {
-        let answers = control::is_responsive(&self.shared, key).await;
+    /// Whether the replica, which has been silent for [`STALL_TIMEOUT`], may go on: it has preempted
+    /// the request, or is silent for a moment.
+    pub(super) async fn may_go_on(&self, key: Key) -> bool {
+        let presence = control::find_presence(&self.shared, key).await;
+        let answers = presence.is_responsive();
         let pool = self.shared.pool.borrow();
         let replica = pool.get(key).map_or("", |server| &server.replica.id);
         let ms = STALL_TIMEOUT.as_millis() as u64;
-        log::info!(kind = "silence", request = self.job.call.id, replica = replica, ms = ms, answers = answers; "a replica is silent");
-        answers
+        log::info!(kind = "silence", request = self.job.call.id, replica = replica, ms = ms, answers = answers, presence = format!("{presence:?}"); "a replica is silent");
+        answers || presence == Presence::Unknown
     }
 
     /// Finds a placement at another replica, but not at `silent`, while the current one is silent; `None`
--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -72,7 +72,7 @@
     match control::probe(shared, key).await {
         Presence::Here | Presence::Closing => Finding::Running,
         _ if !shared.verify_reach(&service).await => Finding::Unsure,
-        Presence::Ended | Presence::Unknown => Finding::Absent,
+        Presence::Ended | Presence::Unknown | Presence::Unreachable => Finding::Absent,
     }
 }
 
--- a/crates/gateway/src/quarantine/probe.rs
+++ b/crates/gateway/src/quarantine/probe.rs
@@ -76,7 +76,7 @@
     }
     match presence {
         Presence::Here => Some(true),
-        Presence::Unknown => None,
+        Presence::Unknown | Presence::Unreachable => None,
         // The path of this daemon may be cut.
         Presence::Ended | Presence::Closing => {
             let is_running = presence::is_running(shared, key).await;
@@ -92,8 +92,10 @@
             sleep(PROBE_PAUSE).await;
         }
         match control::probe(shared, key).await {
-            Presence::Unknown if unanswered + 1 == MAX_UNANSWERED => return Presence::Unknown,
-            Presence::Unknown => unanswered += 1,
+            Presence::Unknown | Presence::Unreachable if unanswered + 1 == MAX_UNANSWERED => {
+                return Presence::Unknown;
+            }
+            Presence::Unknown | Presence::Unreachable => unanswered += 1,
             Presence::Closing => {}
             presence => return presence,
         }
