Leave a replica that sends no head after 1.6 s at the earliest

On a route with a short objective, a resumable stream ran at two replicas if the first one was silent for a second before its first event (TWICE). Cause: find_while_silent left a replica after twice the objective, however short that is (0.6 s at 300 ms); a silent process has received the request and runs it until it notices that the connection is closed. Ruled out: routes with an objective of 800 ms or more, as in all site files, wait for 1.6 s or more already. Change: the wait is MAX_SOUND_SILENCE at least, the constant that bounds continuations too.

Measured: silent_replicas::a_stream_is_not_begun_twice_when_its_replica_is_silent_for_a_second (objective 300 ms, silent for 1.2 s) failed before, 1 request at the other replica; passes now.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -30,6 +30,9 @@
 
 /// Time for an answer; replicas answer control calls without waiting for a slot.
 const TIMEOUT: Duration = Duration::from_millis(150);
+/// Longest silence of a sound replica. While it is silent, it neither answers a probe nor notices that
+/// a connection is closed.
+pub const MAX_SOUND_SILENCE: Duration = Duration::from_millis(1_600);
 /// Largest answer in bytes.
 const MAX_ANSWER_BYTES: usize = 64 * 1024;
 
--- a/crates/gateway/src/forward/resume.rs
+++ b/crates/gateway/src/forward/resume.rs
@@ -45,10 +45,6 @@
 /// Logged cause when an earlier order to stop a run got no answer.
 const UNANSWERED: &str = "an earlier order got no answer";
 
-/// Time after which a replica that has not answered a continuation is given up, if another one may
-/// resume the stream. A sound replica may be silent for a second.
-const UNANSWERED_TIMEOUT: Duration = STALL_TIMEOUT.saturating_mul(2);
-
 /// Result of an attempt to continue a stopped run.
 enum Continuation {
     /// It goes on.
@@ -190,7 +186,7 @@
         };
         let sent = send::send(&self.shared, &self.job, key, task, None, permit);
         let mut sent = pin!(sent);
-        let mut limit = UNANSWERED_TIMEOUT;
+        let mut limit = control::MAX_SOUND_SILENCE;
         let sent = loop {
             let end = if self.may_fail_over() {
                 self.job.deadline.min(Instant::now() + limit)
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -146,7 +146,9 @@
     if !attempt.may_fail_over() {
         return std::future::pending().await;
     }
-    sleep(job.route.objective.mul_f64(plain::SILENCE_FACTOR)).await;
+    // A request that a silent replica has received runs there until that notices the close.
+    let silence = job.route.objective.mul_f64(plain::SILENCE_FACTOR);
+    sleep(silence.max(control::MAX_SOUND_SILENCE)).await;
     loop {
         // Most requests never get here.
         let find = || Box::pin(placement::find_now(shared, job, tried, generated));
--- a/crates/gateway/tests/gateway/silent_replicas.rs
+++ b/crates/gateway/tests/gateway/silent_replicas.rs
@@ -115,6 +115,17 @@
     assert_eq!(other.requests().len(), 0);
 }
 
+/// The same before the first event, on a route whose objective is short.
+#[test]
+fn a_stream_is_not_begun_twice_when_its_replica_is_silent_for_a_second() {
+    let pausing = start_pausing("i-1", Duration::from_millis(1_200), false);
+    let other = start_pausing("i-2", Duration::ZERO, true);
+    let mut plan = config(1);
+    plan["routes"][3]["slo-ms"] = 300.into();
+    assert_whole_with_plan("silent-begin", &plan, &pausing, &other);
+    assert_eq!(other.requests().len(), 0);
+}
+
 /// No connection to the silent replica can be opened, which the log tells from one that does not answer.
 #[test]
 fn a_stream_goes_on_elsewhere_when_its_replica_cannot_be_reached() {
