Leave a silent replica once another has worked on its stream for 300 ms

Cause: the connection to the first stays open until the other sends a head, so that a refusal there loses nothing; nothing bounded that wait.

Change: the time counts from when the request is written to the other replica. A refusal comes within milliseconds, so after 300 ms the other works on it, and the connection to the first is closed. If the other fails after that, the stream is resumed as after any loss.

Trade-off: a first replica that would go on between 300 ms and the other's head is not heard any more, and if the other one's answer is lost too, no replica is left for a stream with two attempts.

Measured: silent_replicas::a_silent_replica_is_left_while_another_one_works_on_its_stream failed before (the other answers only once the first has been left: the stream was cut at its deadline), passes now; the 12 other tests of silent_replicas.rs pass unchanged.

--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -132,6 +132,11 @@
         self.address
     }
 
+    /// Closes the connection.
+    pub fn close(&self) {
+        self.task.0.abort();
+    }
+
     /// Number of exchanges before the last one.
     pub const fn exchanges_before(&self) -> u32 {
         self.exchanges.saturating_sub(1)
--- a/crates/gateway/src/connections/pool.rs
+++ b/crates/gateway/src/connections/pool.rs
@@ -51,7 +51,7 @@
     }
 
     /// Sends `request` to `to` and returns the head of the answer. Opens a new connection if
-    /// `force_new` is set or none is idle.
+    /// `force_new` is set or none is idle. Calls `on_write` when a connection is there.
     ///
     /// # Errors
     /// [`Failure`], which states whether the request was sent.
@@ -60,9 +60,11 @@
         to: SocketAddr,
         request: Request<Full<Bytes>>,
         force_new: bool,
+        on_write: impl Fn(),
     ) -> Result<(Response<Body>, Connection), Failure> {
         let mut request = request;
         while let Some(connection) = (!force_new).then(|| self.take_idle(to)).flatten() {
+            on_write();
             match try_exchange(connection, request).await {
                 Err(ExchangeError::Unsent {
                     request: unsent, ..
@@ -71,7 +73,9 @@
                 Ok(answer) => return Ok(answer),
             }
         }
-        exchange(self.connector.connect(to).await?, request).await
+        let connection = self.connector.connect(to).await?;
+        on_write();
+        exchange(connection, request).await
     }
 
     /// Keeps `connection` for reuse, unless the replica recently answered twice. `keep_alive_s` is
--- a/crates/gateway/src/forward/replica_stream.rs
+++ b/crates/gateway/src/forward/replica_stream.rs
@@ -1,6 +1,7 @@
 //! Reads one replica's part of a stream.
 
 use std::cmp::min;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,6 +17,7 @@
 use relay::pace::meter::StreamMeter;
 use relay::plan::Mode;
 use relay::replica::Replica;
+use tokio::sync::Notify;
 
 use crate::answers::OpenAnswer;
 use crate::bounds::READ_GRACE;
@@ -29,6 +31,7 @@
 use crate::migration;
 use crate::migration::StoppedRun;
 use crate::move_order::Target;
+use crate::placement::Placement;
 use crate::quarantine::probe;
 use crate::run_tracking::TrackedRun;
 use crate::send;
@@ -274,21 +277,42 @@
         };
         source.silences += 1;
         source.silent_since = looked_at;
-        let placement = placement?;
+        self.fail_over(source, placement?).await
+    }
+
+    /// Has the stream continued at `placement`, unless its silent replica goes on first. That one is
+    /// left once another has worked on the stream for a while: both would run it, however long the
+    /// other takes until it answers.
+    async fn fail_over(&mut self, source: &mut ReplicaStream, placement: Placement) -> Option<End> {
         let (ahead, before) = (self.splitter.clone(), self.attempt);
-        let opened = tokio::select! {
-            biased;
-            // The replica goes on.
-            () = source.read_event(ahead) => None,
-            opened = self.open_elsewhere(placement) => opened,
+        let overlap = Notify::new();
+        let (opened, is_left) = {
+            let mut opening = pin!(self.open_elsewhere(placement, &overlap));
+            tokio::select! {
+                biased;
+                // The replica goes on.
+                () = source.read_event(ahead) => (None, false),
+                opened = opening.as_mut() => (opened, false),
+                () = overlap.notified() => {
+                    source.connection.close();
+                    (opening.await, true)
+                }
+            }
         };
-        if opened.is_none() {
-            if self.attempt.sends() == before.sends() {
-                self.attempt = before;
+        match opened {
+            Some(opened) => Some(End::Resumed(Box::new(opened))),
+            None if is_left => {
+                let cause = "no other replica continued the stream of a silent one";
+                Some(End::Broken(cause.to_owned()))
+            }
+            None => {
+                if self.attempt.sends() == before.sends() {
+                    self.attempt = before;
+                }
+                source.restart_silence();
+                None
             }
-            source.restart_silence();
         }
-        opened.map(|opened| End::Resumed(Box::new(opened)))
     }
 
     /// Whether other replicas of the service accept connections, or this daemon may not hand the
--- a/crates/gateway/src/forward/resume.rs
+++ b/crates/gateway/src/forward/resume.rs
@@ -12,6 +12,7 @@
 use relay::attempt::Outcome as Sent;
 use relay::permit::Work;
 use relay::server::Key;
+use tokio::sync::Notify;
 
 use crate::begins;
 use crate::control;
@@ -261,17 +262,22 @@
     /// Resumes the stream after its last event at another replica, at `placement` if there is one.
     pub(super) async fn resume(&mut self, placement: Option<Placement>) -> Option<Reply> {
         let last_event = self.splitter.resume(self.job.call.last_event).ok()?;
-        let opened = self.open(placement, last_event).await?;
+        let opened = self.open(placement, last_event, None).await?;
         self.tracked_run = opened.tracked_run;
         Some(opened.reply)
     }
 
-    /// Opens the stream at `placement`, while its replica is silent. That one is not given up: if no
-    /// other takes the stream, it may go on. Dropping the future closes what it opened.
-    pub(super) async fn open_elsewhere(&mut self, placement: Placement) -> Option<Opened> {
+    /// Opens the stream at `placement`, while its replica is silent. That one is not given up before
+    /// `overlap` is notified: if no other takes the stream, it may go on. Dropping the future closes
+    /// what it opened.
+    pub(super) async fn open_elsewhere(
+        &mut self,
+        placement: Placement,
+        overlap: &Notify,
+    ) -> Option<Opened> {
         let last_event = self.splitter.resumes_after(self.job.call.last_event);
         let (last_event, before) = (last_event.ok()?, self.attempt);
-        let opened = self.open(Some(placement), last_event).await;
+        let opened = self.open(Some(placement), last_event, Some(overlap)).await;
         // The loss that `open` counts has not happened.
         if opened.is_none() && self.attempt.runs_left() + 1 == before.runs_left() {
             self.attempt = before;
@@ -291,6 +297,7 @@
         &mut self,
         placement: Option<Placement>,
         last_event: Option<u64>,
+        overlap: Option<&Notify>,
     ) -> Option<Opened> {
         if !self.find_version().await {
             return None;
@@ -308,6 +315,7 @@
             placement,
             generated,
             last_event,
+            overlap,
         };
         let opened = search::open(&self.shared, &self.job, search);
         let opened = tokio::select! {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -36,6 +36,7 @@
 use relay::runs::Size;
 use relay::score::Version;
 use relay::server::Key;
+use tokio::sync::Notify;
 
 use crate::memory;
 use crate::probes::Suspect;
@@ -91,6 +92,8 @@
     pub permits: RefCell<RequestPermits>,
     /// Instance that handed the request over; `None` if it came from a caller.
     pub origin: Option<String>,
+    /// Notified when the request is written to a replica.
+    pub written: Notify,
     /// Whether no connection to a replica could be opened.
     pub missed_replica: Cell<bool>,
     /// Software version that brought the first event of the stream, in this attempt of the caller or
@@ -183,6 +186,7 @@
             charge: None,
             permits: RefCell::new(RequestPermits::new()),
             origin: None,
+            written: Notify::new(),
             missed_replica: Cell::new(false),
             software: OnceCell::new(),
             sent_to: RefCell::default(),
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -1,5 +1,6 @@
 //! Finds a decode replica that answers a generation.
 
+use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,6 +12,8 @@
 use relay::attempt::Outcome;
 use relay::permit::Work;
 use relay::server::Key;
+use tokio::sync::Notify;
+use tokio::sync::futures::Notified;
 
 use crate::control;
 use crate::control::Presence;
@@ -27,6 +30,10 @@
 /// Pause before another replica is sought again while the present one is silent.
 const RETRY_PAUSE: Duration = Duration::from_millis(800);
 
+/// Time for which two replicas may work on a request. Others than those that take it refuse it within
+/// some milliseconds.
+const MAX_OVERLAP: Duration = Duration::from_millis(300);
+
 /// Where a request was sent, and what the next replica has to do.
 #[derive(Debug)]
 pub struct Search<'a> {
@@ -40,6 +47,9 @@
     pub last_event: Option<u64>,
     /// Tokens generated so far.
     pub generated: u64,
+    /// Notified when the replica before, if it may still be at work, has to be left: another one has
+    /// worked on the request for a while.
+    pub overlap: Option<&'a Notify>,
 }
 
 /// A replica's answer, and the run there if it is tracked.
@@ -62,6 +72,7 @@
         placement: mut next_placement,
         last_event,
         generated,
+        overlap,
     } = search;
     let mut local_prefill = None;
     loop {
@@ -93,9 +104,14 @@
         attempt.record_send();
         let answer = {
             let reservation = placement.reservation();
+            let overlap_end = notify_after_overlap(job.written.notified(), overlap);
             let sent = pin!(send::send(shared, job, key, task, reservation, permit));
             let found = find_while_silent(shared, job, attempt, tried, generated);
-            first_answer(sent, found).await
+            tokio::select! {
+                biased;
+                answer = first_answer(sent, found) => answer,
+                never = overlap_end => match never {},
+            }
         };
         let outcome = match answer {
             Ok(Ok(reply)) => {
@@ -134,6 +150,16 @@
     }
 }
 
+/// Notifies `overlap`, if given, once the request has been `written` for [`MAX_OVERLAP`]. Never returns.
+async fn notify_after_overlap(written: Notified<'_>, overlap: Option<&Notify>) -> Infallible {
+    if let Some(overlap) = overlap {
+        written.await;
+        sleep(MAX_OVERLAP).await;
+        overlap.notify_one();
+    }
+    std::future::pending().await
+}
+
 /// Finds a placement at a replica outside of `tried`, and takes the retry for it, once a request that may
 /// run again has had no answer for too long. Never returns for others.
 async fn find_while_silent(
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -148,7 +148,9 @@
     let needs_new_connection = !is_first || !(prefill || job.route.mode.repeatable());
     let sent = shared
         .connections
-        .send(replica.address, request, needs_new_connection)
+        .send(replica.address, request, needs_new_connection, || {
+            job.written.notify_waiters();
+        })
         .await;
     note_reach(shared, job, key, &sent);
     let (head, response, connection) = own_answer(shared, job, key, sent).await?;
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -356,11 +356,13 @@
     ) -> Result<(Response<Body>, Connection), Failure> {
         let sent = self
             .connections
-            .send(self.address, request.clone(), false)
+            .send(self.address, request.clone(), false, || ())
             .await;
         match sent {
             Err(Failure::Unreachable { .. } | Failure::NotSent { .. }) => {
-                self.connections.send(self.address, request, false).await
+                self.connections
+                    .send(self.address, request, false, || ())
+                    .await
             }
             sent => sent,
         }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -37,6 +37,7 @@
         placement: None,
         last_event: None,
         generated: 0,
+        overlap: None,
     };
     let opened = timeout_at(job.deadline, search::open(shared, &job, search));
     match opened.await {
--- a/crates/gateway/tests/gateway/silent_replicas.rs
+++ b/crates/gateway/tests/gateway/silent_replicas.rs
@@ -126,6 +126,21 @@
     assert_eq!(other.requests().len(), 0);
 }
 
+/// The other replica works on the stream and sends nothing until the silent one, which answers reports, has been left.
+#[test]
+fn a_silent_replica_is_left_while_another_one_works_on_its_stream() {
+    let silent = Replica::start("i-1", |request| {
+        Action::SendAndHang([stream_head(request), events(1, 2)].concat())
+    });
+    let left = silent.clone();
+    let other = Replica::start("i-2", move |request| {
+        wait_until("the silent replica is left", || left.abandoned_count() == 1);
+        Action::Send(rest(request, 2))
+    });
+    assert_whole("silent-overlap", &silent, &other);
+    assert_eq!(other.requests().len(), 1);
+}
+
 /// No connection to the silent replica can be opened, which the log tells from one that does not answer.
 #[test]
 fn a_stream_goes_on_elsewhere_when_its_replica_cannot_be_reached() {
