--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -30,8 +30,8 @@
 /// Pause before another replica is sought again while the present one is silent.
 const RETRY_PAUSE: Duration = Duration::from_millis(800);
 
-/// Time for which two replicas may work on a request. Others than those that take it refuse it within
-/// some milliseconds.
+/// Time for which two replicas may work on a request. One that does not take it refuses it within
+/// milliseconds.
 const MAX_OVERLAP: Duration = Duration::from_millis(300);
 
 /// Where a request was sent, and what the next replica has to do.
--- a/crates/gateway/tests/gateway/silent_replicas.rs
+++ b/crates/gateway/tests/gateway/silent_replicas.rs
@@ -141,6 +141,36 @@
     assert_eq!(other.requests().len(), 1);
 }
 
+/// The silent replica has been left by the time the other one refuses.
+#[test]
+fn a_stream_that_is_refused_late_goes_on_at_a_third_replica() {
+    let silent = Replica::start("i-1", |request| {
+        Action::SendAndHang([stream_head(request), events(1, 2)].concat())
+    });
+    let left = silent.clone();
+    let refusing = Replica::start("i-2", move |request| {
+        wait_until("the silent replica is left", || left.abandoned_count() == 1);
+        Action::Send(not_run_answer(request))
+    });
+    let third = Replica::start("i-3", |request| Action::Send(rest(request, 2)));
+    let site = Site::start("silent-third", &[(&silent, "llm", "decode")]);
+    let mut caller = start_generation(&site.daemon, "/resume/1", "a1");
+    wait_until("the run starts", || !silent.requests().is_empty());
+    let row = refusing.row("llm", "decode");
+    site.store.put("servers", &refusing.id, &row);
+    wait_until("the second replica is asked", || {
+        !refusing.requests().is_empty()
+    });
+    site.store
+        .put("servers", &third.id, &third.row("llm", "decode"));
+    let response = caller.read();
+    let body = String::from_utf8_lossy(&response.body);
+    assert_eq!(
+        (response.complete, body),
+        (true, event_texts(1, EVENT_COUNT).into())
+    );
+}
+
 /// No connection to the silent replica can be opened, which the log tells from one that does not answer.
 #[test]
 fn a_stream_goes_on_elsewhere_when_its_replica_cannot_be_reached() {
