--- a/crates/gateway/src/forward/resume.rs
+++ b/crates/gateway/src/forward/resume.rs
@@ -12,9 +12,11 @@
 use relay::attempt::Outcome as Sent;
 use relay::permit::Work;
 use relay::server::Key;
+use tokio::sync::Notify;
 
 use crate::begins;
 use crate::control;
+use crate::control::Presence;
 use crate::forward::End;
 use crate::forward::Forwarder;
 use crate::forward::STALL_TIMEOUT;
@@ -45,10 +47,6 @@
 /// Logged cause when an earlier order to stop a run got no answer.
 const UNANSWERED: &str = "an earlier order got no answer";
 
-/// Time after which a replica that has not answered a continuation is given up, if another one may
-/// resume the stream. A sound replica may be silent for a second.
-const UNANSWERED_TIMEOUT: Duration = STALL_TIMEOUT.saturating_mul(2);
-
 /// Result of an attempt to continue a stopped run.
 enum Continuation {
     /// It goes on.
@@ -194,7 +192,7 @@
         };
         let sent = send::send(&self.shared, &self.job, key, assignment, permit);
         let mut sent = pin!(sent);
-        let mut limit = UNANSWERED_TIMEOUT;
+        let mut limit = control::MAX_SOUND_SILENCE;
         let sent = loop {
             let end = if self.may_fail_over() {
                 self.job.deadline.min(Instant::now() + limit)
@@ -239,14 +237,16 @@
         }
     }
 
-    /// Whether the replica, which has been silent for [`STALL_TIMEOUT`], answers a probe.
-    pub(super) async fn is_responsive(&self, key: Key) -> bool {
-        let answers = control::is_responsive(&self.shared, key).await;
+    /// Whether the replica, which has been silent for [`STALL_TIMEOUT`], may go on: it has preempted
+    /// the request, or is silent for a moment.
+    pub(super) async fn may_go_on(&self, key: Key) -> bool {
+        let presence = control::find_presence(&self.shared, key).await;
+        let answers = presence.is_responsive();
         let pool = self.shared.pool.borrow();
         let replica = pool.get(key).map_or("", |server| &server.replica.id);
         let ms = STALL_TIMEOUT.as_millis() as u64;
-        log::info!(kind = "silence", request = self.job.call.id, replica = replica, ms = ms, answers = answers; "a replica is silent");
-        answers
+        log::info!(kind = "silence", request = self.job.call.id, replica = replica, ms = ms, answers = answers, presence = format!("{presence:?}"); "a replica is silent");
+        answers || presence == Presence::Unknown
     }
 
     /// Finds a placement at another replica, but not at `silent`, while the current one is silent; `None`
@@ -267,17 +267,22 @@
     /// Resumes the stream after its last event at another replica, at `placement` if there is one.
     pub(super) async fn resume(&mut self, placement: Option<Placement>) -> Option<Reply> {
         let last_event = self.splitter.resume(self.job.call.last_event).ok()?;
-        let opened = self.open(placement, last_event).await?;
+        let opened = self.open(placement, last_event, None).await?;
         self.tracked_run = opened.tracked_run;
         Some(opened.reply)
     }
 
-    /// Opens the stream at `placement`, while its replica is silent. That one is not given up: if no
-    /// other takes the stream, it may go on. Dropping the future closes what it opened.
-    pub(super) async fn open_elsewhere(&mut self, placement: Placement) -> Option<Opened> {
+    /// Opens the stream at `placement`, while its replica is silent. That one is not given up before
+    /// `overlap` is notified: if no other takes the stream, it may go on. Dropping the future closes
+    /// what it opened.
+    pub(super) async fn open_elsewhere(
+        &mut self,
+        placement: Placement,
+        overlap: &Notify,
+    ) -> Option<Opened> {
         let last_event = self.splitter.resumes_after(self.job.call.last_event);
         let (last_event, before) = (last_event.ok()?, self.attempt);
-        let opened = self.open(Some(placement), last_event).await;
+        let opened = self.open(Some(placement), last_event, Some(overlap)).await;
         // The loss that `open` counts has not happened.
         if opened.is_none() && self.attempt.runs_left() + 1 == before.runs_left() {
             self.attempt = before;
@@ -297,6 +302,7 @@
         &mut self,
         placement: Option<Placement>,
         last_event: Option<u64>,
+        overlap: Option<&Notify>,
     ) -> Option<Opened> {
         if !self.find_version().await {
             return None;
@@ -314,6 +320,7 @@
             placement,
             generated,
             last_event,
+            overlap,
         };
         let opened = search::open(&self.shared, &self.job, search);
         let opened = tokio::select! {
--- a/crates/gateway/src/search.rs
+++ b/crates/gateway/src/search.rs
@@ -1,5 +1,6 @@
 //! Finds a decode replica that answers a generation.
 
+use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,6 +12,8 @@
 use relay::permit::Work;
 use relay::score::Version;
 use relay::server::Key;
+use tokio::sync::Notify;
+use tokio::sync::futures::Notified;
 
 use crate::control;
 use crate::control::Presence;
@@ -28,6 +31,10 @@
 /// Pause before another replica is sought again while the present one is silent.
 const RETRY_PAUSE: Duration = Duration::from_millis(800);
 
+/// Time for which two replicas may work on a request. One that does not take it refuses it within
+/// milliseconds.
+const MAX_OVERLAP: Duration = Duration::from_millis(300);
+
 /// Where a request was sent, and what the next replica has to do.
 #[derive(Debug)]
 pub struct Search<'a> {
@@ -41,6 +48,9 @@
     pub last_event: Option<u64>,
     /// Tokens generated so far.
     pub generated: u64,
+    /// Notified when the replica before, if it may still be at work, has to be left: another one has
+    /// worked on the request for a while.
+    pub overlap: Option<&'a Notify>,
 }
 
 /// A replica's answer, and the run there if it is tracked.
@@ -63,6 +73,7 @@
         placement: mut next_placement,
         last_event,
         generated,
+        overlap,
     } = search;
     let mut is_prefilled_locally = false;
     loop {
@@ -102,9 +113,14 @@
                 },
                 reservation: placement.reservation(),
             };
+            let overlap_end = notify_after_overlap(job.written.notified(), overlap);
             let sent = pin!(send::send(shared, job, key, assignment, permit));
             let found = find_while_silent(shared, job, attempt, tried, generated);
-            first_answer(sent, found).await
+            tokio::select! {
+                biased;
+                answer = first_answer(sent, found) => answer,
+                never = overlap_end => match never {},
+            }
         };
         let outcome = match answer {
             Ok(Ok(reply)) => {
@@ -143,6 +159,16 @@
     }
 }
 
+/// Notifies `overlap`, if given, once the request has been `written` for [`MAX_OVERLAP`]. Never returns.
+async fn notify_after_overlap(written: Notified<'_>, overlap: Option<&Notify>) -> Infallible {
+    if let Some(overlap) = overlap {
+        written.await;
+        sleep(MAX_OVERLAP).await;
+        overlap.notify_one();
+    }
+    std::future::pending().await
+}
+
 /// Finds a placement at a replica outside of `tried`, and takes the retry for it, once a request that may
 /// run again has had no answer for too long. Never returns for others.
 async fn find_while_silent(
@@ -155,7 +181,9 @@
     if !attempt.may_fail_over() {
         return std::future::pending().await;
     }
-    sleep(job.route.objective.mul_f64(plain::SILENCE_FACTOR)).await;
+    // A request that a silent replica has received runs there until that notices the close.
+    let silence = job.route.objective.mul_f64(plain::SILENCE_FACTOR);
+    sleep(silence.max(control::MAX_SOUND_SILENCE)).await;
     loop {
         // Most requests never get here.
         let find = || Box::pin(placement::find_now(shared, job, tried, generated));
