Save the row of a stream again when its caller resumes it

Callers that resumed a stream for the second time, after all instances had ended, could be refused as of unknown version: the owner of the table removes a row that does not change for as long as a stream can be resumed, and a row whose stream had been resumed at the same instance did not change, although the stream could be resumed for longer.

Cause: `Begins::save_due` compared the number of saved streams, and a resumed one is among them already. Ruled out: a resumption at another instance, which has the stream in its own row from then on.

Change: a stream that has begun or was resumed makes the row outdated. It costs a write for a resumption, shared with those of new streams.

--- a/crates/gateway/src/begins.rs
+++ b/crates/gateway/src/begins.rs
@@ -112,7 +112,7 @@
 }
 
 /// Adds the begun streams of services with several versions to those that are kept in the store;
-/// returns whether any is new.
+/// returns whether any has begun or was resumed since.
 fn save_due(shared: &Shared) -> bool {
     let is_due = may_have_several_versions(shared);
     shared.begins.borrow_mut().save_due(is_due)
--- a/crates/relay/src/begins.rs
+++ b/crates/relay/src/begins.rs
@@ -125,15 +125,17 @@
             .collect()
     }
 
-    /// Keeps the begun streams whose service meets `is_due` saved from now on; returns whether any is
-    /// new.
+    /// Keeps the begun streams whose service meets `is_due` saved from now on; returns whether any has
+    /// begun or was resumed since. A resumed one lives longer, which others see by a new version of its
+    /// row.
     pub fn save_due(&mut self, mut is_due: impl FnMut(&str) -> bool) -> bool {
         let due = self
             .unsaved
             .extract_if(|_, service| is_due(service.as_str()));
-        let before = self.saved.len();
-        self.saved.extend(due.map(|(stream, _)| stream));
-        self.saved.len() > before
+        let due: Vec<Stream> = due.map(|(stream, _)| stream).collect();
+        let is_outdated = !due.is_empty();
+        self.saved.extend(due);
+        is_outdated
     }
 
     /// The streams to keep saved, with their versions: the `most` that can be resumed the longest.
--- a/crates/relay/tests/begins.rs
+++ b/crates/relay/tests/begins.rs
@@ -187,6 +187,18 @@
     assert!(begins.saved(at(30), 10).is_empty());
 }
 
+/// Guards against the removal of a row whose streams were resumed and live longer.
+#[test]
+fn a_resumed_stream_is_saved_again() {
+    let mut begins = Begins::new();
+    let stream = Stream::new("a1");
+    begin(&mut begins, at(0), stream);
+    assert!(begins.save_due(|_| true));
+    begin(&mut begins, at(20), stream);
+    assert!(begins.save_due(|_| true));
+    assert_eq!(begins.saved(at(45), 10), [(stream, "v1")]);
+}
+
 #[test]
 fn the_streams_that_can_be_resumed_the_longest_are_saved() {
     let mut begins = Begins::new();
