Save the begins of streams while one software version serves, too

Cause: begins were saved only once several versions might serve, 0.1 to 0.6 s after the first event. Instances that end before they see the second version leave nothing.

Ruled out: taking a stream that is not found for one of the only version (no proof holds while the store is away). Segments of rows: intervals in proportion to the row bound the bytes without more rows to read and remove.

Change: `record` wakes the writer, which writes at once unless the last write is too recent: 2 s while one version serves, 0.1 s while several may, and longer where all instances would write over 100 times a second or one over 4.8 KB a second (`relay::begins::save_interval`; before, two a second of each instance without a bound over all). A failed write is repeated after 0.5 s. Writes of a new era are spread as those of own rows are. Removing rows of ended runs is a task of its own, so that it holds up no write. The format of rows is unchanged.

--- a/crates/gateway/src/begins.rs
+++ b/crates/gateway/src/begins.rs
@@ -4,13 +4,14 @@
 //! Replicas of several versions may serve a service side by side, and what they write does not fit
 //! together. A caller resumes a stream because its connection broke, often with the instance that
 //! knew the version. So each daemon announces the versions that began its streams to two others, chosen
-//! by rendezvous hashing, and saves them in the store, unless only one version has served for as long
-//! as a stream can be resumed. The store has a record of that. Both are for daemons that start
-//! together.
+//! by rendezvous hashing, unless only one version has served for as long as a stream can be resumed. The
+//! store has a record of that, and the versions that began the streams of each daemon, for daemons that
+//! start together.
 //!
 //! Without a record or an answer, another version may still have begun a stream: the only version
 //! counts if the list of replicas is newer than the question.
 
+pub mod cleanup;
 pub mod lookup;
 pub mod message;
 pub mod saving;
@@ -94,6 +95,7 @@
         log::error!(kind = "begin", request = job.call.id, software = software; "the stream is recorded as begun by another software version");
         return begun;
     }
+    shared.stream_begun.notify_one();
     announce_due(shared).await;
     Ok(())
 }
@@ -111,11 +113,11 @@
     send(shared, due).await;
 }
 
-/// Adds the begun streams of services with several versions to those that are kept in the store;
-/// returns whether any has begun or was resumed since.
-fn save_due(shared: &Shared) -> bool {
-    let is_due = may_have_several_versions(shared);
-    shared.begins.borrow_mut().save_due(is_due)
+/// Whether a service whose streams can be resumed may have several versions.
+fn is_mixed(shared: &Shared) -> bool {
+    let services = storage::resumable_services(shared);
+    let mut services = services.iter();
+    services.any(|service| shared.only_version(service).is_none())
 }
 
 /// Whether a service may have several versions, looked up once for each service.
--- a/crates/gateway/src/begins/saving.rs
+++ b/crates/gateway/src/begins/saving.rs
@@ -1,38 +1,35 @@
 //! Saves in the store which versions began the streams of this daemon, for callers that resume them
 //! after all instances that knew it have ended.
 //!
-//! Each run of a daemon has a row of its own, which it writes only while several versions may serve;
-//! otherwise [`storage`](crate::begins::storage) has a record for all streams. A stream is saved once an
-//! event of it was forwarded: from then on no other version can begin it, so that a row stays true
-//! whatever happens to its daemon.
+//! Each run of a daemon has a row of its own, also while one version serves: all instances may have ended
+//! before they see the next version. A stream is saved once an event of it was forwarded: from then on
+//! no other version can begin it, so that a row stays true whatever happens to its daemon.
 
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
+use bincode::error::EncodeError;
 use boottime::Instant;
-use boottime::timer::sleep;
-use ident::Pool;
+use boottime::timer::timeout;
 use platform::store::Row;
 use relay::begins::Begin;
 use relay::begins::Stream;
-use relay::revision::Revision;
+use relay::begins::save_interval;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::begins;
 use crate::begins::lookup;
-use crate::begins::storage;
 use crate::codec;
 use crate::shared::Shared;
-use crate::store::Error;
+use crate::watch::rewriting;
 
 /// Table with one row for each run of a daemon.
-const TABLE: &str = "begins";
-/// Interval between checks for streams to save.
+pub const TABLE: &str = "begins";
+/// Interval between checks for streams that wait for the next write.
 const CHECK_PERIOD: Duration = Duration::from_millis(100);
-/// Minimum interval between two writes of the row: the streams of a busy daemon share a write.
-const WRITE_PERIOD: Duration = Duration::from_millis(500);
+/// Minimum pause after a failed write, so that daemons do not flood a store that fails.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// Maximum number of streams in a row, which has 64 KB at most; a stream takes some 10 bytes.
 const MAX_STREAMS: usize = 4_000;
 
@@ -70,59 +67,96 @@
     }
 }
 
-/// Keeps the row of this daemon up to date, and removes those of ended daemons, forever.
+/// Keeps the row of this daemon up to date, forever.
 pub async fn run(shared: Rc<Shared>) {
-    let run: u32 = rand::random();
-    let key = format!("{}.{run:08x}", shared.settings().instance);
-    let mut is_outdated = false;
-    let mut written_at: Option<Instant> = None;
-    let mut written_era = 0;
-    let mut cleanup = Cleanup::new(&shared);
+    let mut writer = Writer::new(&shared);
     loop {
-        sleep(CHECK_PERIOD).await;
-        is_outdated |= begins::save_due(&shared);
-        // The store may have come back from a copy without the row.
-        is_outdated |= written_at.is_some() && written_era < shared.era();
-        if is_outdated && written_at.is_none_or(|at| at.elapsed() >= WRITE_PERIOD) {
-            written_at = Some(Instant::now());
-            if let Some(era) = write(&shared, &key).await {
-                is_outdated = false;
-                written_era = era;
-            }
-        }
-        cleanup.step(&shared).await;
+        let _ = timeout(CHECK_PERIOD, shared.stream_begun.notified()).await;
+        writer.step(&shared).await;
     }
 }
 
-/// Writes the row of this daemon; returns the era in which it was written.
-async fn write(shared: &Shared, key: &str) -> Option<u64> {
-    let (value, streams) = {
-        let begins = shared.begins.borrow();
-        let begins = begins.saved(shared.clock.now(), MAX_STREAMS);
-        let saved = Saved::new(&begins);
-        let value = codec::encode(&saved);
-        (value, begins.len())
-    };
-    let value = match value {
-        Ok(value) => value,
-        Err(error) => {
-            log::error!(kind = "begin", cause = error.to_string(); "the begins of streams cannot be encoded");
-            return None;
+/// Writes the row of this daemon once streams have begun or were resumed: at once, or after an
+/// interval from the last write.
+#[derive(Debug)]
+struct Writer {
+    key: String,
+    is_outdated: bool,
+    /// Era in which the row was written.
+    era: Option<u64>,
+    written_at: Option<Instant>,
+    /// Size of the row then.
+    bytes: usize,
+    /// Earliest time of the next write, in a new era or after a failure.
+    held_until: Instant,
+}
+
+impl Writer {
+    fn new(shared: &Shared) -> Self {
+        let run: u32 = rand::random();
+        Self {
+            key: format!("{}.{run:08x}", shared.settings().instance),
+            is_outdated: false,
+            era: None,
+            written_at: None,
+            bytes: 0,
+            held_until: Instant::now(),
         }
-    };
-    match shared.store.write(TABLE, key, &value).await {
-        Ok(era) => {
-            shared.store_answered("begins");
-            log::debug!(kind = "begin", streams = streams as u64, bytes = value.len() as u64; "saved the begins of streams");
-            Some(era)
+    }
+
+    async fn step(&mut self, shared: &Shared) {
+        self.is_outdated |= shared.begins.borrow_mut().take_unsaved();
+        // The store may have come back from a copy without the row, for all daemons at once.
+        if !self.is_outdated && self.era.is_some_and(|era| era < shared.era()) {
+            let spread = rewriting::spread(shared.members.borrow().known_count());
+            self.is_outdated = true;
+            self.held_until = Instant::now() + spread.mul_f64(rand::random());
         }
-        Err(error) => {
-            shared.store_failed("begins", &error);
-            None
+        if self.is_outdated && self.is_due(shared) {
+            self.write(shared).await;
+        }
+    }
+
+    fn is_due(&self, shared: &Shared) -> bool {
+        let instances = shared.members.borrow().known_count();
+        let is_mixed = begins::is_mixed(shared);
+        let interval = save_interval(instances, self.bytes, is_mixed);
+        Instant::now() >= self.held_until
+            && self.written_at.is_none_or(|at| at.elapsed() >= interval)
+    }
+
+    async fn write(&mut self, shared: &Shared) {
+        self.written_at = Some(Instant::now());
+        let row = match encode(shared) {
+            Ok(row) => row,
+            Err(error) => {
+                log::error!(kind = "begin", cause = error.to_string(); "the begins of streams cannot be encoded");
+                return;
+            }
+        };
+        self.bytes = row.len();
+        match shared.store.write(TABLE, &self.key, &row).await {
+            Ok(era) => {
+                shared.store_answered("begins");
+                self.era = Some(era);
+                self.is_outdated = false;
+                log::debug!(kind = "begin", bytes = row.len() as u64; "saved the begins of streams");
+            }
+            Err(error) => {
+                shared.store_failed("begins", &error);
+                self.held_until = Instant::now() + RETRY_PAUSE;
+            }
         }
     }
 }
 
+/// The row of this daemon.
+fn encode(shared: &Shared) -> Result<Vec<u8>, EncodeError> {
+    let begins = shared.begins.borrow();
+    let streams = begins.saved(shared.clock.now(), MAX_STREAMS);
+    codec::encode(&Saved::new(&streams))
+}
+
 /// Reads the rows of all daemons.
 pub async fn load(shared: &Shared) {
     let rows = match shared.store.read(TABLE).await {
@@ -162,63 +196,3 @@
         }
     }
 }
-
-/// Removes the rows that do not change for as long as a stream can be resumed, at intervals of that time.
-#[derive(Debug)]
-struct Cleanup {
-    /// When each row was first seen, and its version then.
-    seen: HashMap<String, (Revision, Instant)>,
-    /// Whether the table may have rows.
-    has_rows: bool,
-    checked_at: Instant,
-}
-
-impl Cleanup {
-    fn new(shared: &Shared) -> Self {
-        Self {
-            seen: HashMap::new(),
-            has_rows: !shared.settings().first_start,
-            checked_at: Instant::now(),
-        }
-    }
-
-    async fn step(&mut self, shared: &Shared) {
-        if self.checked_at.elapsed() < shared.stream_lifetime() {
-            return;
-        }
-        self.checked_at = Instant::now();
-        let services = storage::resumable_services(shared);
-        self.has_rows |= services
-            .iter()
-            .any(|service| shared.only_version(service).is_none());
-        let is_owner = shared.members.borrow().is_owner(Pool::new(TABLE).0);
-        if !is_owner || !self.has_rows {
-            return;
-        }
-        if let Err(error) = self.remove_unchanged(shared).await {
-            shared.store_failed("begins", &error);
-        }
-    }
-
-    async fn remove_unchanged(&mut self, shared: &Shared) -> Result<(), Error> {
-        let rows = shared.store.read(TABLE).await?;
-        let seen = std::mem::take(&mut self.seen);
-        for row in &rows.rows {
-            let revision = Revision::new(rows.revision.era, row.version);
-            let since = match seen.get(&row.key) {
-                Some((known, since)) if *known == revision => *since,
-                _ => Instant::now(),
-            };
-            if since.elapsed() >= shared.stream_lifetime() {
-                shared
-                    .store
-                    .remove_version(TABLE, &row.key, revision)
-                    .await?;
-            } else {
-                self.seen.insert(row.key.clone(), (revision, since));
-            }
-        }
-        self.has_rows = !self.seen.is_empty();
-        Ok(())
-    }
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -182,6 +182,7 @@
     if settings.version_records {
         spawn_local(begins::storage::run(Rc::clone(&shared)));
         spawn_local(begins::saving::run(Rc::clone(&shared)));
+        spawn_local(begins::cleanup::run(Rc::clone(&shared)));
     }
     spawn_local(quarantine::probe::run(Rc::clone(&shared)));
     spawn_local(quarantine::announce::run(Rc::clone(&shared)));
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -128,6 +128,8 @@
     pub quotas: RefCell<Quotas>,
     /// Software versions that began streams.
     pub begins: RefCell<Begins>,
+    /// Notified when a stream of this daemon has begun or was resumed.
+    pub stream_begun: Notify,
     /// Questions to other daemons about them.
     pub begin_questions: RefCell<Questions>,
     /// Longest time for which a stream may be resumed after its begin.
@@ -235,6 +237,7 @@
             quarantine: RefCell::new(Quarantine::new().with_seed(rand::random())),
             quotas: RefCell::new(Quotas::new()),
             begins: RefCell::new(Begins::new()),
+            stream_begun: Notify::new(),
             begin_questions: RefCell::new(Questions::new()),
             version_stages: RefCell::default(),
             list_reading: Reading::new(),
--- a/crates/gateway/tests/gateway/epochs.rs
+++ b/crates/gateway/tests/gateway/epochs.rs
@@ -35,6 +35,14 @@
     site
 }
 
+/// Kills the only daemon, and removes the begins of streams that it saved, so that only the record can tell their version.
+fn kill_without_saved_begins(site: &mut Site) {
+    site.daemon.kill();
+    for key in site.store.keys("begins") {
+        site.store.remove("begins", &key);
+    }
+}
+
 /// Starts a daemon that knows no other one.
 fn start_another(site: &Site, name: &str) -> Daemon {
     Daemon::start_with_settings(name, &new_ip(), site.store_address, &[], WITH_RECORDS)
@@ -121,7 +129,7 @@
     let one = Engine::start("i-one", "v1");
     let mut site = first_daemon("by-default", &one);
     drop(begin_stream(&site));
-    site.daemon.kill();
+    kill_without_saved_begins(&mut site);
     let another = Daemon::start("by-default-too", &new_ip(), site.store_address, &[]);
     another.wait_until_ready();
     let answer = resume(&another, "a2", "a1", "1");
@@ -145,8 +153,7 @@
         site.store.version("versions", "llm") > recorded
     });
     drop(begin_stream(&site));
-    assert!(site.store.keys("begins").is_empty());
-    site.daemon.kill();
+    kill_without_saved_begins(&mut site);
     let another = Daemon::start("twice-three", &new_ip(), site.store_address, &[]);
     another.wait_until_ready();
     let answer = resume(&another, "a2", "a1", "1");
--- a/crates/gateway/tests/gateway/rewritten_rows.rs
+++ b/crates/gateway/tests/gateway/rewritten_rows.rs
@@ -261,9 +261,13 @@
     };
     site.daemon.wait_until_ready();
     wait_until("the version is recorded", || recorded_era(&site) == 1);
+    // A row that is there later was written in the new era.
+    assert!(site.store.keys("begins").is_empty());
     let copy = site.store.back_up();
     drop(begin_stream(&site));
-    assert!(site.store.keys("begins").is_empty());
+    wait_until("the begin is saved", || {
+        !site.store.keys("begins").is_empty()
+    });
     let restored_at = Instant::now();
     site.store.restore(&copy);
     wait_until("the begin is saved in the new era", || {
--- a/crates/relay/src/begins.rs
+++ b/crates/relay/src/begins.rs
@@ -10,6 +10,16 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// Minimum interval between two writes of a daemon while one version serves: the rows matter only where
+/// all daemons end before they know the next version.
+const SAVE_INTERVAL: Duration = Duration::from_secs(2);
+/// The same while several versions may serve.
+const MIXED_SAVE_INTERVAL: Duration = Duration::from_millis(100);
+/// Writes of all daemons together, a quarter of what the store takes.
+const MAX_WRITES_PER_S: f64 = 100.0;
+/// Maximum rate at which a daemon writes, half of its control traffic after the encoding of the store.
+const MAX_BYTES_PER_S: f64 = 4_800.0;
+
 /// Identifies a stream: hash of the id of the attempt that received its first event.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Stream(pub u64);
@@ -52,10 +62,10 @@
     records: HashMap<Stream, Record>,
     /// Streams of this daemon that it has not announced, with their services.
     unannounced: HashMap<Stream, String>,
-    /// Streams of this daemon that it has not saved, with their services.
-    unsaved: HashMap<Stream, String>,
-    /// Streams that this daemon keeps saved.
+    /// Streams of this daemon, which it keeps saved.
     saved: HashSet<Stream>,
+    /// Whether one of them has begun or was resumed and is not saved.
+    has_unsaved: bool,
 }
 
 impl Begins {
@@ -79,7 +89,8 @@
     ) -> Result<(), Conflict> {
         self.record(stream, software, now + lifetime)?;
         self.unannounced.insert(stream, service.to_owned());
-        self.unsaved.insert(stream, service.to_owned());
+        self.saved.insert(stream);
+        self.has_unsaved = true;
         Ok(())
     }
 
@@ -125,17 +136,10 @@
             .collect()
     }
 
-    /// Keeps the begun streams whose service meets `is_due` saved from now on; returns whether any has
-    /// begun or was resumed since. A resumed one lives longer, which others see by a new version of its
-    /// row.
-    pub fn save_due(&mut self, mut is_due: impl FnMut(&str) -> bool) -> bool {
-        let due = self
-            .unsaved
-            .extract_if(|_, service| is_due(service.as_str()));
-        let due: Vec<Stream> = due.map(|(stream, _)| stream).collect();
-        let is_outdated = !due.is_empty();
-        self.saved.extend(due);
-        is_outdated
+    /// Whether a stream of this daemon has begun or was resumed since the last call. A resumed one
+    /// lives longer, which others see by a newer version of its row.
+    pub const fn take_unsaved(&mut self) -> bool {
+        std::mem::replace(&mut self.has_unsaved, false)
     }
 
     /// The streams to keep saved, with their versions: the `most` that can be resumed the longest.
@@ -165,8 +169,6 @@
         self.records.retain(|_, record| now < record.expires);
         self.unannounced
             .retain(|stream, _| self.records.contains_key(stream));
-        self.unsaved
-            .retain(|stream, _| self.records.contains_key(stream));
         self.saved
             .retain(|stream| self.records.contains_key(stream));
     }
@@ -182,6 +184,19 @@
     }
 }
 
+/// Minimum interval from a write of `bytes` to the next one, for one of `instances` daemons, while one
+/// version serves or, if `is_mixed`, while several may.
+pub fn save_interval(instances: usize, bytes: usize, is_mixed: bool) -> Duration {
+    let least = if is_mixed {
+        MIXED_SAVE_INTERVAL
+    } else {
+        SAVE_INTERVAL
+    };
+    let by_count = instances as f64 / MAX_WRITES_PER_S;
+    let by_bytes = bytes as f64 / MAX_BYTES_PER_S;
+    least.max(Duration::from_secs_f64(by_count.max(by_bytes)))
+}
+
 impl Record {
     fn begin(&self, now: Time, stream: Stream) -> Begin {
         Begin {
