Revert "Stop counting lost machines as cut off while a majority is in reach"

Two sides of a partition could both see a majority (QUOTA), which is worse than what the change mends: - machines that start on the smaller side (3 and 2 daemons, two new ones): both sides for 120 of 120 s, in six of six such cases; 0 of 120 s before the change - a large fleet: with 99 of 200 cut off, losses are found one after another for longer than the 3 s assumed; two daemons of the smaller side kept a majority to the end of the run (25 s); none after 17 s before the change - a cut that moves: both sides for 120 of 120 s The premise, that whoever is out of reach of a majority has none, holds only as long as nobody joins the others.

Mends that the review tried, none of them in all of these cases and on real daemons: an instance that was first learned from the list and never a member is not given up, and while one is out of reach those given up in the last ten minutes count again (both sides 0 to 3 of 120 s); nobody is given up while one became absent in the last 3 s (200 daemons: none).

--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -34,11 +34,6 @@
 /// Time for which an unreachable instance is assumed to be running. Later it counts as gone, or
 /// replacing instances would be enough to lose the majority.
 const ABSENCE_TIMEOUT: Duration = Duration::from_mins(10);
-/// The same while the majority is in reach: the others cannot have one, whether they run or not.
-const MAJORITY_ABSENCE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Time for which a majority has to have been in reach: members that are cut off together are found
-/// to be one after another.
-const MAJORITY_TIME: Duration = Duration::from_secs(3);
 /// Delay of a step from which this daemon counts as having stood still. Others wait for longer before
 /// they choose another keeper.
 const MIN_STANDSTILL: Duration = Duration::from_millis(400);
@@ -63,18 +58,12 @@
     /// Those that were members before they became unreachable. The fleet forgets dead members that
     /// are not listed.
     lost: HashSet<Instance>,
-    /// Those that were absent for [`MAJORITY_ABSENCE_TIMEOUT`] beside a majority.
-    gone: HashSet<Instance>,
-    /// Those of them whose rows this daemon has removed from the store.
-    unlisted: HashSet<Instance>,
     /// Those that announced to leave and have not come back.
     left: HashSet<Instance>,
     /// When each other instance last ceased to be a member in good standing.
     departed: HashMap<Instance, Time>,
     /// When this daemon last saw no majority or stood still, so that others may have had another keeper.
     out_of_touch_at: Time,
-    /// The same, but not before this daemon knew the members.
-    cut_off_at: Option<Time>,
     /// Time of the next step.
     next_step: Time,
     /// Time of the last known change of the membership.
@@ -107,12 +96,9 @@
             is_listed: false,
             absent: HashMap::new(),
             lost: HashSet::new(),
-            gone: HashSet::new(),
-            unlisted: HashSet::new(),
             left: HashSet::new(),
             departed: HashMap::new(),
             out_of_touch_at: Time::ZERO,
-            cut_off_at: None,
             next_step: Time::NEVER,
             changed_at: Time::ZERO,
             max_alive: 1,
@@ -142,7 +128,7 @@
         self.fleet = Some(fleet);
         self.joined_at = now;
         self.changed_at = now;
-        self.note_out_of_touch(now);
+        self.out_of_touch_at = now;
         self.next_step = now;
         // Members are discovered one by one; until then the list gives their number.
         self.max_alive = self.max_alive.max(self.listed.len());
@@ -200,9 +186,8 @@
     /// the next step.
     pub fn step(&mut self, now: Time) -> (Vec<Outgoing>, Vec<Member>, Time) {
         if self.stands_still(now) || !self.is_majority(now) {
-            self.note_out_of_touch(now);
+            self.out_of_touch_at = now;
         }
-        self.give_up_absent(now);
         let Some(fleet) = &mut self.fleet else {
             return (Vec::new(), Vec::new(), Time::NEVER);
         };
@@ -250,8 +235,6 @@
             State::Alive | State::Leaving => {
                 self.absent.remove(&member.instance);
                 self.lost.remove(&member.instance);
-                self.gone.remove(&member.instance);
-                self.unlisted.remove(&member.instance);
             }
             State::Suspect if before != Some(State::Suspect) => {}
             State::Suspect | State::Dead => {
@@ -261,46 +244,6 @@
         }
     }
 
-    /// Counts instances as gone that have been absent for long enough beside a majority.
-    fn give_up_absent(&mut self, now: Time) {
-        let Some(fleet) = &self.fleet else { return };
-        if now.since(self.out_of_touch_at) < MAJORITY_TIME {
-            return;
-        }
-        let is_over = |since: &Time| now.since(*since) >= MAJORITY_ABSENCE_TIMEOUT;
-        let absent: Vec<Instance> = self.absent(now, fleet).collect();
-        let gone = absent
-            .into_iter()
-            .filter(|instance| is_over(&self.absent[instance]));
-        self.gone.extend(gone);
-        self.absent
-            .retain(|instance, _| !self.gone.contains(instance));
-    }
-
-    /// Whether the row of `instance` may be removed from the store: it is gone, and this daemon has not
-    /// removed its row before. An instance that is cut off from the others, but not from the store,
-    /// writes it again.
-    pub fn may_unlist(&self, now: Time, instance: Instance) -> bool {
-        self.gone.contains(&instance) && !self.unlisted.contains(&instance) && self.is_majority(now)
-    }
-
-    /// Records that the row of `instance` was removed.
-    pub fn note_unlisted(&mut self, instance: Instance) {
-        self.unlisted.insert(instance);
-    }
-
-    /// Whether the others may have given this daemon up at or after `since`, and it reaches them again.
-    pub fn is_back_since(&self, now: Time, since: Time) -> bool {
-        self.cut_off_at >= Some(since) && self.is_majority(now)
-    }
-
-    const fn note_out_of_touch(&mut self, now: Time) {
-        self.out_of_touch_at = now;
-        if self.is_settled {
-            self.cut_off_at = Some(now);
-        }
-    }
-
     /// Time of the last known change of the membership.
     pub const fn changed_at(&self) -> Time {
         self.changed_at
@@ -527,16 +470,10 @@
         1 + self.others.len()
     }
 
-    /// Infos of all known instances that may be running, this one first.
+    /// Infos of all known instances, this one first.
     pub fn all_instances(&self) -> Vec<InstanceInfo> {
         let own = std::iter::once(&self.own);
-        own.chain(self.not_gone()).cloned().collect()
-    }
-
-    /// Other instances that may be running. Whoever is told of one that is gone takes it for absent.
-    fn not_gone(&self) -> impl Iterator<Item = &InstanceInfo> {
-        let others = self.others.values();
-        others.filter(|info| !self.gone.contains(&info.instance()))
+        own.chain(self.others.values()).cloned().collect()
     }
 
     /// Number of reachable members, including this one.
@@ -544,12 +481,6 @@
         self.fleet.as_ref().map_or(1, |fleet| fleet.alive().count())
     }
 
-    /// Whether others may be told of `info` by chance. Each one that is told of an absent instance takes
-    /// it for absent since then, so that daemons which start one after another would keep it for good.
-    fn may_be_hinted(&self, info: &InstanceInfo) -> bool {
-        !self.is_settled || !self.absent.contains_key(&info.instance())
-    }
-
     fn info(&self, instance: Instance) -> Option<&InstanceInfo> {
         if instance == self.own.instance() {
             return Some(&self.own);
@@ -559,8 +490,7 @@
 
     fn outgoing(&self, to: Instance, message: Message) -> Option<Outgoing> {
         let info = self.others.get(&to)?;
-        let hint = self.not_gone().filter(|info| self.may_be_hinted(info));
-        let hint = hint.choose(&mut rand::rng());
+        let hint = self.others.values().choose(&mut rand::rng());
         Some(Outgoing {
             to: info.peers,
             message,
--- a/crates/gateway/src/watch/instances.rs
+++ b/crates/gateway/src/watch/instances.rs
@@ -48,15 +48,12 @@
         true if settings.is_seed() => register_and_read(&shared, &SEED_PAUSES).await,
         true => start_through_seeds(&shared).await,
     };
-    let mut read_at = shared.clock.now();
+    let mut read_at = Instant::now();
     loop {
-        let now = shared.clock.now();
         let is_poller = shared.members.borrow().poller().is_none();
-        let is_due = now.since(read_at) >= scaled_period(&shared, OTHERS_PERIOD);
-        // The others may have removed the own row.
-        let is_back = shared.members.borrow().is_back_since(now, read_at);
-        if !is_current || is_poller || is_due || is_back {
-            read_at = now;
+        let is_due = read_at.elapsed() >= scaled_period(&shared, OTHERS_PERIOD);
+        if !is_current || is_poller || is_due {
+            read_at = Instant::now();
             is_current = read_instances(&shared).await;
         }
         sleep(if is_current {
--- a/crates/gateway/src/watch/rewriting.rs
+++ b/crates/gateway/src/watch/rewriting.rs
@@ -1,5 +1,5 @@
 //! Restores the table of instances after the store has come back from a copy: a row written since is
-//! missing, and one removed since is back. Removes the rows of instances that were lost.
+//! missing, and one removed since is back.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -51,21 +51,16 @@
     Duration::from_secs_f64(members as f64 / WRITES_PER_S).max(MIN_SPREAD)
 }
 
-/// Removes the rows of instances that do not run, if this daemon is a poller: those that are gone, and
-/// those that have left and are back in a copy. A daemon that starts takes each listed one for running.
+/// Removes the rows of instances that are known to have left, if this daemon is a poller: the copy has
+/// the row of an instance that left since.
 pub(super) async fn remove_departed(shared: &Shared, rows: &Rows) {
     let is_poller = shared.members.borrow().poller().is_none();
-    if !is_poller {
+    if shared.era() == 0 || !is_poller {
         return;
     }
-    let now = shared.clock.now();
     let departed = |row: &&Row| {
-        let instance = registration::read_info(row).map(|info| info.instance());
-        let members = shared.members.borrow();
-        instance.is_some_and(|instance| match shared.era() {
-            0 => members.may_unlist(now, instance),
-            _ => members.has_left(instance) || members.may_unlist(now, instance),
-        })
+        let info = registration::read_info(row);
+        info.is_some_and(|info| shared.members.borrow().has_left(info.instance()))
     };
     for row in rows.rows.iter().filter(departed).take(MAX_DEPARTED) {
         remove(shared, row, rows.revision.era).await;
@@ -87,8 +82,7 @@
         .remove_version(registration::TABLE, &row.key, revision);
     match removed.await {
         Ok(()) => {
-            shared.members.borrow_mut().note_unlisted(info.instance());
-            log::info!(kind = "store", step = "rewriting", table = registration::TABLE, instance = info.name, era = era; "removed the row of an instance that does not run");
+            log::info!(kind = "store", step = "rewriting", table = registration::TABLE, instance = info.name, era = era; "removed the row of an instance that has left");
         }
         Err(Error::Conflict) => {}
         Err(error) => shared.store_failed("unlisting", &error),
