Let the tests of first starts and recorded lifetimes fail for their own reason again

Since begins are saved while one version serves, their rows did the same in all three tests of the kind, and since the list has to be followed for 30 s more, no version counted as the only one at 3 s in the tests of stream_lifetimes.

The three tests of first starts remove the rows of `begins` and `lifetimes` before the later start; the others wait for 34 s.

--- a/crates/gateway/tests/gateway/epochs.rs
+++ b/crates/gateway/tests/gateway/epochs.rs
@@ -179,7 +179,8 @@
     let other = Engine::start("i-other", "v1.1");
     let mut site = first_daemon("left-in-settings", &one);
     drop(begin_stream(&site));
-    site.daemon.kill();
+    kill_without_saved_begins(&mut site);
+    site.store.remove("lifetimes", "streams");
     release(&site, &one, &other);
     let another = Daemon::first_start("left-in-settings-too", &new_ip(), site.store_address);
     another.wait_until_ready();
@@ -194,7 +195,7 @@
     let other = Engine::start("i-other", "v1.1");
     let mut site = first_daemon("own-row", &one);
     drop(begin_stream(&site));
-    site.daemon.kill();
+    kill_without_saved_begins(&mut site);
     site.store.remove("versions", "llm");
     site.store.remove("lifetimes", "streams");
     release(&site, &one, &other);
@@ -211,7 +212,8 @@
     let other = Engine::start("i-other", "v1.1");
     let mut site = first_daemon("unread-records", &one);
     drop(begin_stream(&site));
-    site.daemon.kill();
+    kill_without_saved_begins(&mut site);
+    site.store.remove("lifetimes", "streams");
     release(&site, &one, &other);
     site.store.set_silent_table(Some("versions"));
     let another = Daemon::first_start("unread-records-too", &new_ip(), site.store_address);
--- a/crates/gateway/tests/gateway/stream_lifetimes.rs
+++ b/crates/gateway/tests/gateway/stream_lifetimes.rs
@@ -13,8 +13,9 @@
 
 /// Timeout of the routes of the later plan, in milliseconds.
 const SHORT_MS: u64 = 500;
-/// Longer than streams of the later plan can be resumed, shorter than those of the earlier one.
-const SHORT_LIFETIME: Duration = Duration::from_secs(3);
+/// Time after which a version that has served alone since counts as the only one by the later plan, but not by the earlier one: streams of it
+/// can be resumed for 1 s and 40 s, and replicas serve unlisted for 30 s.
+const SHORT_LIFETIME: Duration = Duration::from_secs(34);
 
 /// A site whose daemon began the stream `a1` of `one` under a plan with long timeouts and was killed; a plan with short ones
 /// is in force since, and `other` has taken the place of `one`.
