--- a/crates/gateway/src/begins/lifetime.rs
+++ b/crates/gateway/src/begins/lifetime.rs
@@ -33,7 +33,8 @@
     lifetime_ms: u64,
 }
 
-/// Takes over the record, before which no version counts as the only one, then keeps it up to date while this daemon is its owner, forever.
+/// Reads the record, until which no version counts as the only one. Then keeps it up to date while this
+/// daemon is its owner, forever.
 pub async fn run(shared: Rc<Shared>) {
     while !take_over(&shared).await {
         sleep(RETRY).await;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -33,10 +33,10 @@
 use crate::shared::Shared;
 
 /// Silence after which a replica is probed. If no connection to it can be opened, another replica is
-/// asked to continue a resumable stream, otherwise after twice this time, the longest silence of a
-/// sound replica: it does not notice meanwhile that its stream goes on elsewhere. Callers give up
-/// after two seconds of silence or more, and the other replica needs a few hundred milliseconds to
-/// prefill the prompt.
+/// asked at once to continue a resumable stream. If one can, that waits until twice this time: a sound
+/// replica may be silent for as long, works on meanwhile and does not notice that its connection is
+/// closed. Callers give up after two seconds of silence or more, and the other replica needs a few
+/// hundred milliseconds to prefill the prompt.
 const STALL_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Time for which a replica has to have been writing an answer for its end not to be attributed to
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -290,7 +290,7 @@
 
     /// The unreachable instances that may be running.
     fn absent(&self, now: Time, fleet: &Fleet) -> impl Iterator<Item = Instance> {
-        // Collecting all members costs as much as they are many, and most of the time none is absent.
+        // Collecting the members takes time in proportion to their number; usually none is absent.
         let members = fleet.alive().filter(|_| !self.absent.is_empty());
         let reachable: HashSet<Instance> = members.map(|member| member.instance).collect();
         let absent = self.absent.iter().filter(move |(instance, since)| {
